Lay out the monorepo, the core's types and the protocol between processes

Cause: an empty repository; every part needs the same words first. Change: npm workspaces with a package for each peer, strict TypeScript, linter and formatter in the Google style, the closed list of error kinds with its table, labels and selectors, configuration schema, membership, load digest coding, published state, command bus, and the protobuf messages between our processes with committed generated code. Conclusion: parts can now be built side by side against one contract.

--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,71 @@
+import js from '@eslint/js';
+import tseslint from 'typescript-eslint';
+
+// The Google TypeScript Style Guide's rules that a linter can check. Layout is
+// left to prettier.
+export default tseslint.config(
+  {ignores: ['dist/', 'reports/', 'packages/*/src/generated/']},
+  js.configs.recommended,
+  ...tseslint.configs.strict,
+  ...tseslint.configs.stylistic,
+  {
+    files: ['**/*.ts'],
+    rules: {
+      '@typescript-eslint/no-extraneous-class': 'off',
+      '@typescript-eslint/consistent-type-imports': [
+        'error',
+        {fixStyle: 'inline-type-imports'},
+      ],
+      '@typescript-eslint/explicit-module-boundary-types': 'error',
+      '@typescript-eslint/naming-convention': [
+        'error',
+        {selector: 'typeLike', format: ['PascalCase']},
+        {
+          selector: ['function', 'method', 'parameter'],
+          format: ['camelCase'],
+          leadingUnderscore: 'allow',
+        },
+        {
+          selector: 'variable',
+          format: ['camelCase', 'UPPER_CASE', 'PascalCase'],
+        },
+      ],
+      '@typescript-eslint/no-unused-vars': [
+        'error',
+        {argsIgnorePattern: '^_', varsIgnorePattern: '^_'},
+      ],
+      '@typescript-eslint/no-empty-function': 'off',
+      'no-restricted-syntax': [
+        'error',
+        {selector: 'TSEnumDeclaration', message: 'Use a constant object.'},
+        {selector: 'ExportDefaultDeclaration', message: 'Use named exports.'},
+      ],
+      curly: ['error', 'multi-line'],
+      eqeqeq: ['error', 'always'],
+      'max-lines': ['error', {max: 400, skipBlankLines: true}],
+      'max-lines-per-function': [
+        'error',
+        {max: 60, skipBlankLines: true, skipComments: true},
+      ],
+      'no-var': 'error',
+      'object-shorthand': 'error',
+      'one-var': ['error', 'never'],
+      'prefer-const': 'error',
+      radix: 'error',
+    },
+  },
+  {
+    files: ['**/__tests__/**', 'vitest.config.ts', '**/scenarios/**'],
+    rules: {
+      'max-lines-per-function': 'off',
+      'no-restricted-syntax': 'off',
+      '@typescript-eslint/no-non-null-assertion': 'off',
+    },
+  },
+  {
+    files: ['scripts/**/*.mjs', '*.mjs'],
+    languageOptions: {
+      globals: {console: 'readonly', process: 'readonly', URL: 'readonly'},
+    },
+  },
+);
--- /dev/null
+++ b/packages/lovagepond-core/src/core_configuration.ts
@@ -0,0 +1,214 @@
+/**
+ * The operators' configuration: pools, selectors and workspaces.
+ *
+ * Immutable once accepted; each accepted change makes the next revision.
+ */
+import {z} from 'zod';
+import {type Labels, parseLabelExpression} from './core_labels.js';
+
+/** What a pool's backend servers are. */
+export const POOL_KIND = {ENGINE: 'engine', SERVICE: 'service'} as const;
+
+const name = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$/);
+
+const labelExpression = z.string().superRefine((text, context) => {
+  const parsed = parseLabelExpression(text);
+  if (!parsed.ok) context.addIssue({code: 'custom', message: parsed.message});
+});
+
+const pool = z.strictObject({
+  name,
+  kind: z.enum(['engine', 'service']),
+  labels: z.record(z.string(), z.string()).default({}),
+  /** No server is loaded beyond this multiple of the pool's mean load. */
+  loadBound: z.number().min(1.05).max(16).default(1.5),
+  /** 0 weighs only skew, 1 weighs only cache reuse. */
+  reuseWeight: z.number().min(0).max(1).default(0.5),
+  /** Longest time a request is held in a sidecar's queue, milliseconds. */
+  maxHoldMs: z.number().int().min(0).max(600_000).default(8_000),
+  /** Prompt tokens a second a server rebuilds when a context is cold. */
+  prefillTokensPerSecond: z.number().positive().default(8_000),
+  /** Answer tokens a second one server generates over all of its streams. */
+  decodeTokensPerSecond: z.number().positive().default(2_400),
+});
+
+const selector = z.strictObject({
+  name,
+  /** Workspace names, or `*`. */
+  workspaces: z.array(z.string()).min(1),
+  /** Request kinds, or `*`. */
+  requestKinds: z.array(z.string()).min(1),
+  /** Prefixes of chat names; the empty list means any chat. */
+  chatPrefixes: z.array(z.string()).default([]),
+  /** Which pools, by their labels. */
+  pools: labelExpression,
+  /** Which backend servers of those pools, by their labels. */
+  backendServers: labelExpression.default(''),
+  /** A higher number is tried first; the first match decides. */
+  priority: z.number().int().default(0),
+});
+
+const workspace = z.strictObject({
+  name,
+  /** Share in the fair queue against the other workspaces. */
+  weight: z.number().positive().default(1),
+  /** Priority of its requests, 0 (lowest) to 9. */
+  priority: z.number().int().min(0).max(9).default(5),
+  /** Upper bound of outstanding tokens at one sidecar; 0 means none. */
+  maxQueuedTokens: z.number().int().min(0).default(0),
+});
+
+const requestKind = z.strictObject({
+  name,
+  /** The call must never run twice; it needs an idempotency key. */
+  nonRepeatable: z.boolean().default(false),
+});
+
+/** Schema of a configuration's content, without its revision. */
+export const configurationSchema = z.strictObject({
+  pools: z.array(pool).default([]),
+  selectors: z.array(selector).default([]),
+  workspaces: z.array(workspace).default([]),
+  requestKinds: z.array(requestKind).default([]),
+});
+
+export type Pool = Readonly<z.infer<typeof pool>>;
+export type Selector = Readonly<z.infer<typeof selector>>;
+export type Workspace = Readonly<z.infer<typeof workspace>>;
+export type RequestKind = Readonly<z.infer<typeof requestKind>>;
+export type ConfigurationContent = Readonly<
+  z.infer<typeof configurationSchema>
+>;
+
+/** An accepted configuration. Revision 0 is the empty one before any change. */
+export interface Configuration {
+  readonly revision: number;
+  readonly content: ConfigurationContent;
+}
+
+/** A fault in a configuration, named by its place. */
+export interface ConfigurationFault {
+  /** For example `selectors[2].pools`. */
+  readonly place: string;
+  readonly message: string;
+}
+
+/** A checked configuration, or all of its faults. */
+export type ConfigurationCheck =
+  | {readonly ok: true; readonly content: ConfigurationContent}
+  | {readonly ok: false; readonly faults: readonly ConfigurationFault[]};
+
+/** The configuration of a process that has none yet. */
+export const EMPTY_CONFIGURATION: Configuration = Object.freeze({
+  revision: 0,
+  content: configurationSchema.parse({}),
+});
+
+function formatPlace(path: readonly PropertyKey[]): string {
+  return path
+    .map((part, index) => {
+      if (typeof part === 'number') return `[${part}]`;
+      return index === 0 ? String(part) : `.${String(part)}`;
+    })
+    .join('');
+}
+
+function findDoubles(
+  section: string,
+  items: readonly {readonly name: string}[],
+): ConfigurationFault[] {
+  const seen = new Set<string>();
+  const faults: ConfigurationFault[] = [];
+  items.forEach((item, index) => {
+    if (seen.has(item.name)) {
+      const place = `${section}[${index}].name`;
+      faults.push({place, message: `"${item.name}" stands twice`});
+    }
+    seen.add(item.name);
+  });
+  return faults;
+}
+
+function findUnknownNames(content: ConfigurationContent): ConfigurationFault[] {
+  const known = new Set(content.workspaces.map(item => item.name));
+  const kinds = new Set(content.requestKinds.map(item => item.name));
+  const faults: ConfigurationFault[] = [];
+  content.selectors.forEach((item, index) => {
+    for (const wanted of item.workspaces) {
+      if (wanted === '*' || known.has(wanted)) continue;
+      const place = `selectors[${index}].workspaces`;
+      faults.push({place, message: `no workspace is named "${wanted}"`});
+    }
+    for (const wanted of item.requestKinds) {
+      if (wanted === '*' || kinds.has(wanted)) continue;
+      const place = `selectors[${index}].requestKinds`;
+      faults.push({place, message: `no request kind is named "${wanted}"`});
+    }
+  });
+  return faults;
+}
+
+/**
+ * Checks a configuration as a whole.
+ *
+ * @param input parsed JSON from an operator
+ * @returns the content with defaults filled in, or every fault by its place
+ */
+export function checkConfiguration(input: unknown): ConfigurationCheck {
+  const parsed = configurationSchema.safeParse(input);
+  if (!parsed.success) {
+    const faults = parsed.error.issues.map(issue => ({
+      place: formatPlace(issue.path),
+      message: issue.message,
+    }));
+    return {ok: false, faults};
+  }
+  const content = parsed.data;
+  const faults = [
+    ...findDoubles('pools', content.pools),
+    ...findDoubles('selectors', content.selectors),
+    ...findDoubles('workspaces', content.workspaces),
+    ...findDoubles('requestKinds', content.requestKinds),
+    ...findUnknownNames(content),
+  ];
+  return faults.length > 0 ? {ok: false, faults} : {ok: true, content};
+}
+
+/**
+ * @param configuration an accepted configuration
+ * @returns its JSON as UTF-8 bytes, as it travels between processes
+ */
+export function encodeConfiguration(configuration: Configuration): Uint8Array {
+  return new TextEncoder().encode(JSON.stringify(configuration));
+}
+
+/**
+ * @param bytes what {@link encodeConfiguration} made, perhaps by another
+ *     version of the program
+ * @returns the configuration, or undefined when it can't be read
+ */
+export function decodeConfiguration(
+  bytes: Uint8Array,
+): Configuration | undefined {
+  const parsed = z
+    .object({revision: z.number().int().min(0), content: configurationSchema})
+    .safeParse(parseJson(bytes));
+  return parsed.success ? Object.freeze(parsed.data) : undefined;
+}
+
+function parseJson(bytes: Uint8Array): unknown {
+  try {
+    return JSON.parse(new TextDecoder().decode(bytes));
+  } catch {
+    return undefined;
+  }
+}
+
+/**
+ * @param labels a pool's own labels
+ * @param poolName its name, matched as the label `pool`
+ * @returns the labels a selector's pool expression is matched against
+ */
+export function labelsOfPool(labels: Labels, poolName: string): Labels {
+  return {...labels, pool: poolName};
+}
--- /dev/null
+++ b/packages/lovagepond-core/src/core_errors.ts
@@ -0,0 +1,184 @@
+/**
+ * The closed list of error kinds, and the table from kind to answer.
+ *
+ * Every failure that a caller or an operator can see is one of these kinds.
+ */
+
+/** What is known about the request's execution. */
+export const DISPOSITION = {
+  /** No backend server got the request, and none will. */
+  NOT_RUN: 'notRun',
+  /** A backend server may have run the request, in part or in full. */
+  MAY_HAVE_RUN: 'mayHaveRun',
+  /** A backend server has run the request. */
+  RAN: 'ran',
+} as const;
+
+/** One of the values of {@link DISPOSITION}. */
+export type Disposition = (typeof DISPOSITION)[keyof typeof DISPOSITION];
+
+/** How one kind of error is answered. */
+export interface ErrorAnswer {
+  /** HTTP status. */
+  readonly status: number;
+  readonly disposition: Disposition;
+  /** The answer tells the caller when to come back. */
+  readonly retryable: boolean;
+  /** A router may try another backend server without asking the caller. */
+  readonly anotherAttempt: boolean;
+  /** Text for the caller when the place of failure gives no better one. */
+  readonly message: string;
+}
+
+const {NOT_RUN, MAY_HAVE_RUN, RAN} = DISPOSITION;
+
+function refused(
+  status: number,
+  message: string,
+  options: {retryable?: boolean; anotherAttempt?: boolean} = {},
+): ErrorAnswer {
+  const {retryable = false, anotherAttempt = false} = options;
+  return {status, disposition: NOT_RUN, retryable, anotherAttempt, message};
+}
+
+function uncertain(
+  status: number,
+  message: string,
+  disposition: Disposition = MAY_HAVE_RUN,
+): ErrorAnswer {
+  return {
+    status,
+    disposition,
+    retryable: false,
+    anotherAttempt: false,
+    message,
+  };
+}
+
+const RETRYABLE = {retryable: true} as const;
+const ELSEWHERE = {retryable: true, anotherAttempt: true} as const;
+
+/** Kind to answer. The keys are the closed list of error kinds. */
+export const ERROR_ANSWERS = {
+  badRequest: refused(400, 'The request is malformed.'),
+  badDeadline: refused(400, 'The deadline is not a time that can be met.'),
+  unauthorized: refused(401, 'A valid token is needed.'),
+  unknownWorkspace: refused(403, 'The workspace is not known.'),
+  notFound: refused(404, 'There is no such path or object.'),
+  senderTooSlow: refused(408, 'The request did not arrive in time.'),
+  conflict: refused(409, 'The base revision is not the current one.'),
+  payloadTooLarge: refused(413, 'The body is larger than allowed.'),
+  invalidConfiguration: refused(422, 'The configuration has faults.'),
+  keyReuse: refused(422, 'The idempotency key belongs to another body.'),
+  workspaceLimit: refused(429, "The workspace's limit is reached.", RETRYABLE),
+  headersTooLarge: refused(431, 'The headers are larger than allowed.'),
+  noBackendServer: refused(
+    503,
+    'No backend server may take this request now.',
+    RETRYABLE,
+  ),
+  overloaded: refused(
+    503,
+    'All eligible servers are at their bound.',
+    ELSEWHERE,
+  ),
+  deadlineUnreachable: refused(
+    503,
+    'The expected wait is longer than the deadline allows.',
+    ELSEWHERE,
+  ),
+  draining: refused(503, 'The backend server is leaving.', ELSEWHERE),
+  notReady: refused(503, 'The process is not ready yet.', ELSEWHERE),
+  staleRevision: refused(
+    503,
+    'The router holds an older configuration.',
+    ELSEWHERE,
+  ),
+  wrongIncarnation: refused(
+    503,
+    'The process has restarted since it was chosen.',
+    ELSEWHERE,
+  ),
+  servedElsewhere: refused(
+    503,
+    "Another backend server holds the chat's context.",
+    ELSEWHERE,
+  ),
+  handedOver: refused(
+    503,
+    'A backend server with room took the held request.',
+    ELSEWHERE,
+  ),
+  revoked: refused(503, 'The attempt was taken back in time.', ELSEWHERE),
+  unreachable: refused(503, 'No connection could be made.', ELSEWHERE),
+  ledgerUnavailable: refused(
+    503,
+    'The ledger could not confirm the claim; nothing was dispatched.',
+    RETRYABLE,
+  ),
+  notLeader: refused(503, 'Control has no leader at this moment.', RETRYABLE),
+  callerGone: uncertain(499, 'The caller closed the connection.'),
+  backendFailed: uncertain(502, 'The backend server failed.'),
+  answerTruncated: uncertain(502, 'The answer ended before it was whole.'),
+  backendSilent: uncertain(504, 'The backend server went silent.'),
+  deadlineExceeded: uncertain(504, 'The deadline passed during the answer.'),
+  inProgress: uncertain(409, 'A call with this key is still running.'),
+  outcomeUnknown: uncertain(
+    409,
+    'A call with this key was dispatched; its outcome is not known.',
+  ),
+  answerNotKept: uncertain(
+    410,
+    'A call with this key has run; its answer is no longer kept.',
+    RAN,
+  ),
+  internal: uncertain(500, 'The request failed inside lovagepond.'),
+} as const satisfies Record<string, ErrorAnswer>;
+
+/** A kind from the closed list. */
+export type ErrorKind = keyof typeof ERROR_ANSWERS;
+
+/** A failure as it travels between parts: a tagged union over `kind`. */
+export interface Failure {
+  readonly kind: ErrorKind;
+  readonly message: string;
+  /** Milliseconds until the caller may come back; 0 when not retryable. */
+  readonly retryAfterMs: number;
+}
+
+/**
+ * @param kind a kind of the closed list
+ * @param details a better message, or when to come back (milliseconds)
+ * @returns the failure, completed from the table
+ */
+export function makeFailure(
+  kind: ErrorKind,
+  details: {message?: string; retryAfterMs?: number} = {},
+): Failure {
+  return {
+    kind,
+    message: details.message ?? ERROR_ANSWERS[kind].message,
+    retryAfterMs: details.retryAfterMs ?? 0,
+  };
+}
+
+/**
+ * @param text a kind as another process wrote it
+ * @returns the kind, or `internal` when this version doesn't know it
+ */
+export function parseErrorKind(text: string): ErrorKind {
+  return Object.hasOwn(ERROR_ANSWERS, text) ? (text as ErrorKind) : 'internal';
+}
+
+/**
+ * @param kind a kind of the closed list
+ * @returns its row of the table
+ */
+export function answerFor(kind: ErrorKind): ErrorAnswer {
+  return ERROR_ANSWERS[kind];
+}
+
+/** A result or a failure. */
+export type Result<Value> =
+  | {readonly ok: true; readonly value: Value}
+  | {readonly ok: false; readonly failure: Failure};
--- /dev/null
+++ b/packages/lovagepond-core/src/core_invariant.ts
@@ -0,0 +1,31 @@
+/**
+ * Checks of what can only be broken by a fault in this program.
+ */
+
+/** Thrown by {@link invariant}: a fault of the program, never of its input. */
+export class InvariantError extends Error {
+  /** The number of the broken invariant, unique in the code base. */
+  readonly code: number;
+
+  constructor(code: number, message: string) {
+    super(`invariant ${code}: ${message}`);
+    this.name = 'InvariantError';
+    this.code = code;
+  }
+}
+
+/**
+ * Throws unless the condition holds.
+ *
+ * @param condition what must be true
+ * @param code number of this invariant, unique in the code base
+ * @param message what is broken, for the log
+ * @throws InvariantError when the condition is false
+ */
+export function invariant(
+  condition: unknown,
+  code: number,
+  message: string,
+): asserts condition {
+  if (!condition) throw new InvariantError(code, message);
+}
--- /dev/null
+++ b/packages/lovagepond-core/src/core_registration.ts
@@ -0,0 +1,21 @@
+/**
+ * Joins the unregister functions that features return when they register.
+ */
+
+/** Takes back one registration. Calling it again has no effect. */
+export type Unregister = () => void;
+
+/**
+ * Merges several unregister functions into one.
+ *
+ * @param parts the functions, run last to first
+ * @returns one function that runs each part once
+ */
+export function mergeRegister(...parts: readonly Unregister[]): Unregister {
+  let pending = [...parts];
+  return () => {
+    const running = pending.reverse();
+    pending = [];
+    for (const unregister of running) unregister();
+  };
+}
--- /dev/null
+++ b/packages/lovagepond-core/src/index.ts
@@ -0,0 +1,61 @@
+export {
+  type Command,
+  CommandBus,
+  type CommandListener,
+  createCommand,
+} from './core_commands.js';
+export {
+  checkConfiguration,
+  type Configuration,
+  type ConfigurationCheck,
+  type ConfigurationContent,
+  type ConfigurationFault,
+  configurationSchema,
+  decodeConfiguration,
+  EMPTY_CONFIGURATION,
+  encodeConfiguration,
+  labelsOfPool,
+  type Pool,
+  POOL_KIND,
+  type RequestKind,
+  type Selector,
+  type Workspace,
+} from './core_configuration.js';
+export {
+  answerFor,
+  type Disposition,
+  DISPOSITION,
+  ERROR_ANSWERS,
+  type ErrorAnswer,
+  type ErrorKind,
+  type Failure,
+  makeFailure,
+  parseErrorKind,
+  type Result,
+} from './core_errors.js';
+export {invariant, InvariantError} from './core_invariant.js';
+export {
+  type LabelExpression,
+  type Labels,
+  type LabelTerm,
+  matchesLabels,
+  parseLabelExpression,
+} from './core_labels.js';
+export {decodeLoad, encodeLoad} from './core_load_digest.js';
+export {
+  type BackendServer,
+  EMPTY_MEMBERSHIP,
+  type Membership,
+  SERVER_STATE,
+  type ServerState,
+} from './core_membership.js';
+export {Published, type PublishedListener} from './core_published.js';
+export {Random} from './core_random.js';
+export {mergeRegister, type Unregister} from './core_registration.js';
+export {
+  type Clock,
+  type LogFields,
+  type Logger,
+  type Role,
+  type StateDump,
+} from './core_role.js';
--- /dev/null
+++ b/packages/lovagepond-protocol/src/index.ts
@@ -0,0 +1,6 @@
+export {
+  CONSENSUS_SERVICE,
+  CONTROL_SERVICE,
+  lovagepond,
+  SIDECAR_SERVICE,
+} from './protocol_services.js';
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,50 @@
+// Bundles the program to dist/lovagepond.cjs and, unless --bundle-only is
+// given, makes the single executable dist/lovagepond from it.
+import {execFileSync} from 'node:child_process';
+import {chmodSync, copyFileSync, mkdirSync, writeFileSync} from 'node:fs';
+import {build} from 'esbuild';
+
+const BUNDLE = 'dist/lovagepond.cjs';
+const BINARY = 'dist/lovagepond';
+const SEA_CONFIG = 'dist/sea-config.json';
+const SEA_BLOB = 'dist/lovagepond.blob';
+const SEA_FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
+
+/** @param {string} entry @param {string} outfile */
+async function bundle(entry, outfile) {
+  await build({
+    entryPoints: [entry],
+    outfile,
+    bundle: true,
+    platform: 'node',
+    format: 'cjs',
+    target: 'node20',
+    sourcemap: 'inline',
+    sourcesContent: false,
+    logLevel: 'warning',
+  });
+}
+
+/** Makes the single executable out of the bundle and this node. */
+function makeBinary() {
+  const config = {
+    main: BUNDLE,
+    output: SEA_BLOB,
+    disableExperimentalSEAWarning: true,
+  };
+  writeFileSync(SEA_CONFIG, JSON.stringify(config));
+  execFileSync(process.execPath, ['--experimental-sea-config', SEA_CONFIG], {
+    stdio: 'ignore',
+  });
+  copyFileSync(process.execPath, BINARY);
+  chmodSync(BINARY, 0o755);
+  execFileSync(
+    'node_modules/.bin/postject',
+    [BINARY, 'NODE_SEA_BLOB', SEA_BLOB, '--sentinel-fuse', SEA_FUSE],
+    {stdio: 'ignore'},
+  );
+}
+
+mkdirSync('dist', {recursive: true});
+await bundle('packages/lovagepond-cli/src/main.ts', BUNDLE);
+if (!process.argv.includes('--bundle-only')) makeBinary();
