Brace a loop that the formatter breaks over two lines

Cause: the linter wants braces where a statement leaves its line. Change: braces added. Conclusion: check is clean.

--- a/packages/lovagepond-core/src/core_published.ts
+++ b/packages/lovagepond-core/src/core_published.ts
@@ -40,8 +40,9 @@
       this.#updating = false;
     }
     if (this.#state !== former) {
-      for (const listener of [...this.#listeners])
+      for (const listener of [...this.#listeners]) {
         listener(this.#state, former);
+      }
     }
     return this.#state;
   }
