--- /dev/null
+++ b/packages/lovagepond-measure/src/measure_main.ts
@@ -0,0 +1,33 @@
+/**
+ * `npm run measure`: runs the measures named on the command line, or all.
+ */
+import {formatSection} from './measure_print.js';
+import {MEASURES} from './measure_table.js';
+
+async function runMeasures(names: readonly string[]): Promise<number> {
+  const unknown = names.filter(name => !Object.hasOwn(MEASURES, name));
+  if (unknown.length > 0) {
+    const known = Object.keys(MEASURES).join(', ');
+    console.error(`no measure "${unknown.join('", "')}"; there are: ${known}`);
+    return 2;
+  }
+  const wanted = names.length > 0 ? names : Object.keys(MEASURES);
+  for (const name of wanted) {
+    const started = performance.now();
+    const sections = (await MEASURES[name]?.()) ?? [];
+    for (const section of sections) console.log(formatSection(section));
+    const seconds = (performance.now() - started) / 1000;
+    console.log(`(${name}: ${seconds.toFixed(1)} s)\n`);
+  }
+  return 0;
+}
+
+runMeasures(process.argv.slice(2)).then(
+  code => {
+    process.exitCode = code;
+  },
+  (err: unknown) => {
+    console.error(err);
+    process.exitCode = 1;
+  },
+);
--- /dev/null
+++ b/packages/lovagepond-measure/src/measure_statistics.ts
@@ -0,0 +1,78 @@
+/**
+ * Percentiles over a run, kept in a histogram of bounded size.
+ */
+import {build, type Histogram} from 'hdr-histogram-js';
+
+const SIGNIFICANT_DIGITS = 3;
+
+/** Values recorded once each; percentiles are read at the end. */
+export class Distribution {
+  readonly #histogram: Histogram;
+  readonly #unit: number;
+  #max = 0;
+
+  /**
+   * @param resolution the smallest difference that matters, in the values'
+   *     own unit; for example 0.001 for a ratio
+   */
+  constructor(resolution: number) {
+    this.#unit = resolution;
+    this.#histogram = build({
+      bitBucketSize: 32,
+      autoResize: true,
+      lowestDiscernibleValue: 1,
+      highestTrackableValue: 2,
+      numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
+    });
+  }
+
+  /** @param value zero or more */
+  record(value: number): void {
+    this.#histogram.recordValue(Math.round(value / this.#unit));
+    if (value > this.#max) this.#max = value;
+  }
+
+  /** @returns how many values were recorded */
+  get count(): number {
+    return this.#histogram.totalCount;
+  }
+
+  /** @returns the largest value recorded, exact; 0 when there is none */
+  get max(): number {
+    return this.#max;
+  }
+
+  /** @returns the mean of the values; 0 when there is none */
+  get mean(): number {
+    return this.count === 0 ? 0 : this.#histogram.mean * this.#unit;
+  }
+
+  /**
+   * @param percent from 0 to 100
+   * @returns the value that this share of the values does not exceed
+   */
+  percentile(percent: number): number {
+    if (this.count === 0) return 0;
+    const value = this.#histogram.getValueAtPercentile(percent) * this.#unit;
+    return Math.min(value, this.#max);
+  }
+}
+
+/**
+ * @param part a count
+ * @param whole the count it is a part of
+ * @returns the part in percent; 0 of nothing is 0
+ */
+export function percentOf(part: number, whole: number): number {
+  return whole === 0 ? 0 : (100 * part) / whole;
+}
+
+/**
+ * @param value any number
+ * @param digits digits after the point
+ * @returns the value rounded for a table
+ */
+export function roundTo(value: number, digits: number): number {
+  const factor = 10 ** digits;
+  return Math.round(value * factor) / factor;
+}
--- /dev/null
+++ b/packages/lovagepond-measure/src/measure_table.ts
@@ -0,0 +1,9 @@
+/**
+ * The measures by the name given on the command line.
+ *
+ * A new measure is one `*_measure.ts` file and one line here.
+ */
+import {type MeasureFunction} from './measure_types.js';
+
+/** Name to measure; run in this order when no name is given. */
+export const MEASURES: Readonly<Record<string, MeasureFunction>> = {};
