Decode 64-bit fields of the protocol as plain numbers

Cause: protobufjs gives Long objects for uint64 where the package long is installed, against the generated types. Seen: decoding a Chunk with offset 7 and adding 1 printed 71, as texts joined. Change: set protobufjs to plain numbers before the generated code loads.

--- a/packages/lovagepond-protocol/src/protocol_services.ts
+++ b/packages/lovagepond-protocol/src/protocol_services.ts
@@ -4,6 +4,7 @@
  * Each method pairs a generated request and response codec with a path; the
  * paths are part of the protocol and never change meaning.
  */
+import './protocol_integers.js';
 import {type MethodDefinition} from '@grpc/grpc-js';
 import {lovagepond} from './generated/lovagepond.js';
 
