--- /dev/null
+++ b/packages/lovagepond-caller/src/index.ts
@@ -0,0 +1,15 @@
+export {
+  CALLER_HEADER,
+  CALLER_PATH,
+  DEFAULT_CALLER_SETTINGS,
+  DEFAULT_CHAT_KIND,
+  EVENT_STREAM_TYPE,
+} from './caller_constants.js';
+export {
+  type AnswerHeaders,
+  type AnswerSink,
+  type CallerCounters,
+  type CallerHandler,
+  type CallerRequest,
+  type CallerSettings,
+} from './caller_types.js';
