Add settings, logs, metrics, health, dump and signals

Cause: each role needs the same outer shell, and none should write its own. Change: @lovagepond/platform with an INI checker over zod with units, a roarr logger, a prom-client registry, the platform server, a lifecycle decider and the runner around one Role. Conclusion: roles can be assembled as soon as they land.

--- /dev/null
+++ b/packages/lovagepond-platform/src/__tests__/unit/platform_process.test.ts
@@ -0,0 +1,105 @@
+import {describe, expect, it} from 'vitest';
+import {
+  Lifecycle,
+  type LogLevel,
+  MetricsRegistry,
+  PlatformServer,
+  renderDump,
+  RoarrLogger,
+} from '../../index.js';
+
+describe('lifecycle', () => {
+  it('withdraws readiness, then drains, then ends', () => {
+    const lifecycle = new Lifecycle({
+      announceDelayMs: 500,
+      drainLimitMs: 9_000,
+    });
+    expect(lifecycle.handle('terminate', 0)).toEqual([
+      {kind: 'withdrawReadiness', delayMs: 500},
+    ]);
+    expect(lifecycle.isRunning).toBe(false);
+    expect(lifecycle.handle('reload', 1)).toEqual([]);
+    expect(lifecycle.handle('delayOver', 500)).toEqual([
+      {kind: 'drain', limitMs: 9_000},
+    ]);
+    expect(lifecycle.handle('dump', 600)).toEqual([{kind: 'dump'}]);
+    expect(lifecycle.handle('drained', 700)).toEqual([
+      {kind: 'end', exitCode: 0},
+    ]);
+  });
+
+  it('tells a drain that met its limit and a second signal by exit code', () => {
+    const slow = new Lifecycle({announceDelayMs: 0, drainLimitMs: 100});
+    slow.handle('terminate', 0);
+    slow.handle('delayOver', 0);
+    expect(slow.handle('drained', 100)).toEqual([{kind: 'end', exitCode: 5}]);
+    const forced = new Lifecycle({announceDelayMs: 0, drainLimitMs: 100});
+    forced.handle('terminate', 0);
+    expect(forced.handle('terminate', 1)).toEqual([{kind: 'end', exitCode: 6}]);
+    expect(forced.handle('terminate', 2)).toEqual([]);
+  });
+});
+
+describe('state dump', () => {
+  it('blanks secrets, keeps counts of tokens, and says what was cut', () => {
+    const state = {
+      adminToken: 'x1',
+      runningTokens: 7,
+      nested: {password: 'x2', body: 'x3'},
+      chats: new Map([['c', new Set([1])]]),
+    };
+    const text = renderDump({version: 1, role: 'router', state});
+    expect(text).not.toMatch(/x[123]/);
+    expect(JSON.parse(text)).toMatchObject({
+      state: {runningTokens: 7, chats: {c: [1]}},
+    });
+    const chats = Array.from({length: 100_000}, (_, index) => ({index}));
+    const long = renderDump({version: 1, role: 'r', state: {chats}}, 20_000);
+    expect(Buffer.byteLength(long)).toBeLessThanOrEqual(20_000);
+    expect(long).toContain('"omitted"');
+  });
+});
+
+describe('logger', () => {
+  it('drops lines below its level and adds its context', () => {
+    const lines: [LogLevel, object, string][] = [];
+    const log = new RoarrLogger('info', {role: 'router'}, (...line) => {
+      lines.push(line);
+    });
+    log.debug('a');
+    log.warn('b', {requestId: 'q1'});
+    log.setLevel('debug');
+    log.debug('c');
+    expect(lines).toEqual([
+      ['warn', {role: 'router', requestId: 'q1'}, 'b'],
+      ['debug', {role: 'router'}, 'c'],
+    ]);
+  });
+});
+
+describe('platform server', () => {
+  it('serves health, readiness, metrics and the dump', async () => {
+    const metrics = new MetricsRegistry({role: 'router'});
+    metrics.counter('lovagepond_x_total', 'help', ['kind']).inc({kind: 'k'});
+    let ready = false;
+    const server = new PlatformServer(
+      {host: '127.0.0.1', port: 0},
+      {isReady: () => ready, renderDump: () => '{"version":1}', metrics},
+    );
+    const {port} = await server.start();
+    const get = async (path: string): Promise<[number, string]> => {
+      const res = await fetch(`http://127.0.0.1:${port}${path}`);
+      return [res.status, await res.text()];
+    };
+    expect(await get('/healthz')).toEqual([200, 'ok\n']);
+    expect((await get('/readyz'))[0]).toBe(503);
+    ready = true;
+    expect((await get('/readyz'))[0]).toBe(200);
+    expect((await get('/metrics'))[1]).toContain(
+      'lovagepond_x_total{kind="k",role="router"} 1',
+    );
+    expect(await get('/dump')).toEqual([200, '{"version":1}']);
+    expect((await get('/other'))[0]).toBe(404);
+    await server.stop();
+  });
+});
--- /dev/null
+++ b/packages/lovagepond-platform/src/index.ts
@@ -0,0 +1,66 @@
+export {
+  EXIT_CODE,
+  EXIT_CODE_MEANINGS,
+  type ExitCode,
+} from './exit_codes_constants.js';
+export {SystemClock} from './platform_clock.js';
+export {
+  Lifecycle,
+  LIFECYCLE_EVENT,
+  type LifecycleAction,
+  type LifecycleEvent,
+  type LifecycleSettings,
+} from './platform_lifecycle.js';
+export {
+  LOG_LEVEL,
+  type LogLevel,
+  type LogWriter,
+  RoarrLogger,
+} from './platform_logger.js';
+export {MetricsRegistry} from './platform_metrics.js';
+export {PlatformServer, type PlatformView} from './platform_server.js';
+export {registerSignals} from './platform_signals.js';
+export {
+  type ProcessParts,
+  ProcessRunner,
+  type ProcessSettings,
+} from './process_runner.js';
+export {
+  formatFault,
+  SettingsError,
+  type SettingsFault,
+} from './settings_errors.js';
+export {
+  checkSettings,
+  findOverlaps,
+  type ListenAddress,
+  type ParsedSettings,
+  parseSettings,
+  readSettings,
+  type SettingsCheck,
+} from './settings_file.js';
+export {type ChangedKey, compareSettings} from './settings_reload.js';
+export {
+  type FileSchema,
+  type FileValues,
+  type KeyTraits,
+  type SectionSchema,
+  withTraits,
+} from './settings_schema.js';
+export {
+  boolean,
+  duration,
+  filledText,
+  formatHostPort,
+  hostPort,
+  type HostPort,
+  httpUrl,
+  integer,
+  list,
+  nameText,
+  oneOf,
+  parseHostPort,
+  percentage,
+  size,
+} from './settings_units.js';
+export {MAX_DUMP_BYTES, renderDump} from './state_dump.js';
--- /dev/null
+++ b/packages/lovagepond-platform/src/platform_logger.ts
@@ -0,0 +1,85 @@
+/**
+ * Structured logs: one JSON line for each message, on standard output.
+ *
+ * Fields are ids and numbers. Bodies and tokens can't be passed by type, and
+ * nothing here reads them.
+ */
+import {type LogFields, type Logger} from '@lovagepond/core';
+import {Roarr} from 'roarr';
+
+/** Levels from the most to the least talkative. */
+export const LOG_LEVEL = {
+  DEBUG: 'debug',
+  INFO: 'info',
+  WARN: 'warn',
+  ERROR: 'error',
+} as const;
+
+/** One of the values of {@link LOG_LEVEL}. */
+export type LogLevel = (typeof LOG_LEVEL)[keyof typeof LOG_LEVEL];
+
+const LEVEL_ORDER: Readonly<Record<LogLevel, number>> = {
+  debug: 0,
+  info: 1,
+  warn: 2,
+  error: 3,
+};
+
+/** Takes one message of a level; roarr's own methods by default. */
+export type LogWriter = (
+  level: LogLevel,
+  fields: LogFields,
+  message: string,
+) => void;
+
+const writeWithRoarr: LogWriter = (level, fields, message) => {
+  Roarr[level]({...fields}, message);
+};
+
+/** The {@link Logger} of a process, over roarr. */
+export class RoarrLogger implements Logger {
+  readonly #context: LogFields;
+  readonly #write: LogWriter;
+  #level: LogLevel;
+
+  /**
+   * @param level the least level that is written
+   * @param context fields that stand in each line, such as role and name
+   * @param write where lines go; tests pass their own
+   */
+  constructor(
+    level: LogLevel,
+    context: LogFields = {},
+    write: LogWriter = writeWithRoarr,
+  ) {
+    this.#level = level;
+    this.#context = context;
+    this.#write = write;
+  }
+
+  /** @param level the least level that is written from now on */
+  setLevel(level: LogLevel): void {
+    this.#level = level;
+  }
+
+  debug(message: string, fields?: LogFields): void {
+    this.#log('debug', message, fields);
+  }
+
+  info(message: string, fields?: LogFields): void {
+    this.#log('info', message, fields);
+  }
+
+  warn(message: string, fields?: LogFields): void {
+    this.#log('warn', message, fields);
+  }
+
+  error(message: string, fields?: LogFields): void {
+    this.#log('error', message, fields);
+  }
+
+  #log(level: LogLevel, message: string, fields: LogFields = {}): void {
+    if (LEVEL_ORDER[level] < LEVEL_ORDER[this.#level]) return;
+    this.#write(level, {...this.#context, ...fields}, message);
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-platform/src/platform_server.ts
@@ -0,0 +1,84 @@
+/**
+ * What the platform asks of each process over HTTP: liveness, readiness for
+ * its balancer, metrics, and the state dump.
+ */
+import {createServer, type Server} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {App} from '@tinyhttp/app';
+import {type MetricsRegistry} from './platform_metrics.js';
+import {type HostPort} from './settings_units.js';
+
+const STATUS_OK = 200;
+const STATUS_UNAVAILABLE = 503;
+
+/** What the server reports. */
+export interface PlatformView {
+  /** True while the balancer may send work. */
+  isReady(): boolean;
+  /** The state dump as JSON, bounded and without secrets. */
+  renderDump(): string;
+  readonly metrics: MetricsRegistry;
+}
+
+/** Serves `/healthz`, `/readyz`, `/metrics` and `/dump`. */
+export class PlatformServer {
+  readonly #address: HostPort;
+  readonly #server: Server;
+
+  /**
+   * @param address where to listen; loopback unless the settings say else
+   * @param view what to report
+   */
+  constructor(address: HostPort, view: PlatformView) {
+    this.#address = address;
+    const app = makeApp(view);
+    this.#server = createServer((req, res) => {
+      void app.handler(req as never, res as never);
+    });
+  }
+
+  /**
+   * @returns the bound address
+   * @throws when the address can't be bound
+   */
+  async start(): Promise<HostPort> {
+    const {host, port} = this.#address;
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(port, host, resolve);
+    });
+    return {host, port: (this.#server.address() as AddressInfo).port};
+  }
+
+  /** Closes the address and its connections. */
+  async stop(): Promise<void> {
+    this.#server.closeAllConnections();
+    await new Promise<void>(resolve => {
+      this.#server.close(() => {
+        resolve();
+      });
+    });
+  }
+}
+
+function makeApp(view: PlatformView): App {
+  const app = new App({settings: {xPoweredBy: false}});
+  app.get('/healthz', (_req, res) => {
+    res.status(STATUS_OK).send('ok\n');
+  });
+  app.get('/readyz', (_req, res) => {
+    const ready = view.isReady();
+    res.status(ready ? STATUS_OK : STATUS_UNAVAILABLE);
+    res.send(ready ? 'ready\n' : 'not ready\n');
+  });
+  app.get('/metrics', async (_req, res) => {
+    const text = await view.metrics.render();
+    res.setHeader('content-type', view.metrics.contentType);
+    res.end(text);
+  });
+  app.get('/dump', (_req, res) => {
+    res.setHeader('content-type', 'application/json');
+    res.end(view.renderDump());
+  });
+  return app;
+}
--- /dev/null
+++ b/packages/lovagepond-platform/src/platform_signals.ts
@@ -0,0 +1,33 @@
+/**
+ * Maps the signals of the operating system to lifecycle events.
+ *
+ * SIGUSR1 stays free: Node opens its inspector on it.
+ */
+import {type Unregister} from '@lovagepond/core';
+import {type LifecycleEvent} from './platform_lifecycle.js';
+
+const SIGNAL_EVENTS: readonly (readonly [NodeJS.Signals, LifecycleEvent])[] = [
+  ['SIGTERM', 'terminate'],
+  ['SIGINT', 'terminate'],
+  ['SIGHUP', 'reload'],
+  ['SIGUSR2', 'dump'],
+];
+
+/**
+ * @param listener called with the event of each signal
+ * @returns a function that gives the signals back to their defaults
+ */
+export function registerSignals(
+  listener: (event: LifecycleEvent) => void,
+): Unregister {
+  const registered = SIGNAL_EVENTS.map(([signal, event]) => {
+    const handler = (): void => {
+      listener(event);
+    };
+    process.on(signal, handler);
+    return {signal, handler};
+  });
+  return () => {
+    for (const {signal, handler} of registered) process.off(signal, handler);
+  };
+}
--- /dev/null
+++ b/packages/lovagepond-platform/src/process_runner.ts
@@ -0,0 +1,146 @@
+/**
+ * Runs one role as a process: platform server, signals, planned stop.
+ */
+import {mkdirSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {type Clock, type Logger, type Role} from '@lovagepond/core';
+import {type ExitCode} from './exit_codes_constants.js';
+import {
+  Lifecycle,
+  type LifecycleAction,
+  type LifecycleEvent,
+  type LifecycleSettings,
+} from './platform_lifecycle.js';
+import {type MetricsRegistry} from './platform_metrics.js';
+import {PlatformServer} from './platform_server.js';
+import {registerSignals} from './platform_signals.js';
+import {formatHostPort, type HostPort} from './settings_units.js';
+import {renderDump} from './state_dump.js';
+
+/** Settings of {@link ProcessRunner}. */
+export interface ProcessSettings extends LifecycleSettings {
+  /** Address of health, readiness, metrics and dump. */
+  readonly address: HostPort;
+  /** Where a dump by signal is written. */
+  readonly dataFolder: string;
+}
+
+/** What {@link ProcessRunner} works with. */
+export interface ProcessParts {
+  readonly role: Role;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly metrics: MetricsRegistry;
+  /** Reads the settings again and takes over what may change. */
+  readonly reload: () => void;
+}
+
+type ActionHandlers = {
+  readonly [Kind in LifecycleAction['kind']]: (
+    action: Extract<LifecycleAction, {kind: Kind}>,
+  ) => void;
+};
+
+/** Runs a role from start to exit code. */
+export class ProcessRunner {
+  readonly #settings: ProcessSettings;
+  readonly #parts: ProcessParts;
+  readonly #lifecycle: Lifecycle;
+  readonly #server: PlatformServer;
+  #finish: (exitCode: ExitCode) => void = () => undefined;
+  readonly #handlers: ActionHandlers = {
+    withdrawReadiness: ({delayMs}) => {
+      this.#parts.log.info('readiness withdrawn', {delayMs});
+      setTimeout(() => {
+        this.handle('delayOver');
+      }, delayMs);
+    },
+    drain: ({limitMs}) => void this.#drain(limitMs),
+    end: ({exitCode}) => {
+      this.#finish(exitCode);
+    },
+    reload: () => {
+      this.#parts.reload();
+    },
+    dump: () => {
+      this.#writeDump();
+    },
+  };
+
+  constructor(settings: ProcessSettings, parts: ProcessParts) {
+    this.#settings = settings;
+    this.#parts = parts;
+    this.#lifecycle = new Lifecycle(settings);
+    this.#server = new PlatformServer(settings.address, {
+      isReady: () => this.#lifecycle.isRunning && parts.role.isReady(),
+      renderDump: () => renderDump(parts.role.dump()),
+      metrics: parts.metrics,
+    });
+  }
+
+  /**
+   * Starts the role and serves until a signal ends it.
+   *
+   * @returns the exit code
+   * @throws when an address or the data folder can't be opened
+   */
+  async run(): Promise<ExitCode> {
+    const {role, log} = this.#parts;
+    const ended = new Promise<ExitCode>(resolve => {
+      this.#finish = resolve;
+    });
+    const unregister = registerSignals(event => {
+      this.handle(event);
+    });
+    try {
+      const address = await this.#server.start();
+      await role.start();
+      log.info('started', {platformAddress: formatHostPort(address)});
+      const exitCode = await ended;
+      log.info('ended', {exitCode});
+      return exitCode;
+    } finally {
+      unregister();
+      await role.stop();
+      await this.#server.stop();
+    }
+  }
+
+  /** @param event a signal's event, or a step of the planned stop */
+  handle(event: LifecycleEvent): void {
+    const actions = this.#lifecycle.handle(event, this.#parts.clock.now());
+    for (const action of actions) {
+      const handler = this.#handlers[action.kind] as (
+        action: LifecycleAction,
+      ) => void;
+      handler(action);
+    }
+  }
+
+  async #drain(limitMs: number): Promise<void> {
+    const {role, log} = this.#parts;
+    log.info('draining', {limitMs});
+    try {
+      await role.drain(limitMs);
+    } catch (err) {
+      log.error('drain failed', {reason: String(err)});
+    }
+    this.handle('drained');
+  }
+
+  #writeDump(): void {
+    const {role, clock, log} = this.#parts;
+    const dump = role.dump();
+    const file = join(
+      this.#settings.dataFolder,
+      `dump-${dump.role}-${clock.wallTime()}.json`,
+    );
+    try {
+      mkdirSync(this.#settings.dataFolder, {recursive: true});
+      writeFileSync(file, renderDump(dump));
+      log.info('state dumped', {file});
+    } catch (err) {
+      log.error('state dump failed', {file, reason: String(err)});
+    }
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-platform/src/settings_file.ts
@@ -0,0 +1,210 @@
+/**
+ * Reads a settings file and checks it as a whole.
+ */
+import {readFileSync} from 'node:fs';
+import {parse} from 'ini';
+import {type z} from 'zod';
+import {type SettingsFault} from './settings_errors.js';
+import {
+  type FileSchema,
+  type FileValues,
+  keysOf,
+  type SectionSchema,
+  traitsOf,
+} from './settings_schema.js';
+import {formatHostPort, type HostPort} from './settings_units.js';
+
+/** Sections and keys as they stand in the file. */
+export type RawSettings = Readonly<
+  Record<string, Readonly<Record<string, string>>>
+>;
+
+/** A file's text parsed, before any check of its values. */
+export interface ParsedSettings {
+  readonly file: string;
+  readonly sections: RawSettings;
+  readonly faults: readonly SettingsFault[];
+}
+
+/** An address that a process will listen on, with its place. */
+export interface ListenAddress {
+  readonly file: string;
+  readonly section: string;
+  readonly key: string;
+  readonly address: HostPort;
+}
+
+/** What a check gives: the values, or every fault. */
+export type SettingsCheck<Schema extends FileSchema> =
+  | {
+      readonly ok: true;
+      readonly values: FileValues<Schema>;
+      readonly listens: readonly ListenAddress[];
+    }
+  | {readonly ok: false; readonly faults: readonly SettingsFault[]};
+
+const ANY_HOST = new Set(['0.0.0.0', '::']);
+
+/**
+ * @param file the file's name, for faults
+ * @param text its content
+ * @returns sections of keys; faults for keys outside of any section and keys
+ *     that stand twice
+ */
+export function parseSettings(file: string, text: string): ParsedSettings {
+  const faults: SettingsFault[] = findRepeatedKeys(file, text);
+  const sections: Record<string, Record<string, string>> = {};
+  for (const [section, content] of Object.entries(parse(text))) {
+    if (typeof content !== 'object' || content === null) {
+      const message = 'stands outside of any section; put it under [section]';
+      faults.push({file, section: '', key: section, message});
+      continue;
+    }
+    const keys = Object.entries(content as Record<string, unknown>);
+    sections[section] = Object.fromEntries(
+      keys.map(([key, value]) => [key, String(value)]),
+    );
+  }
+  return {file, sections, faults};
+}
+
+/**
+ * @param file path of the file
+ * @returns its parsed text, or a fault when it can't be read
+ */
+export function readSettings(file: string): ParsedSettings {
+  try {
+    return parseSettings(file, readFileSync(file, 'utf8'));
+  } catch (err) {
+    const reason = err instanceof Error ? err.message : String(err);
+    const message = `can't be read: ${reason}`;
+    return {
+      file,
+      sections: {},
+      faults: [{file, section: '', key: '', message}],
+    };
+  }
+}
+
+/**
+ * The library keeps the last of two values for one key without a word; an
+ * operator then changes the first one and nothing happens.
+ */
+function findRepeatedKeys(file: string, text: string): SettingsFault[] {
+  const faults: SettingsFault[] = [];
+  const seen = new Set<string>();
+  let section = '';
+  for (const line of text.split(/\r?\n/)) {
+    const header = /^\s*\[([^\]]+)\]\s*$/.exec(line);
+    if (header) section = (header[1] ?? '').trim();
+    const key = /^\s*([^;#[=\s][^=]*?)\s*=/.exec(line)?.[1];
+    if (key === undefined) continue;
+    const place = `${section}\n${key}`;
+    if (seen.has(place)) {
+      faults.push({file, section, key, message: 'stands twice; keep one'});
+    }
+    seen.add(place);
+  }
+  return faults;
+}
+
+/**
+ * Checks every section, and that no two addresses overlap.
+ *
+ * @param parsed the parsed file
+ * @param schema what the file may hold
+ * @returns the values, or all faults at once
+ */
+export function checkSettings<Schema extends FileSchema>(
+  parsed: ParsedSettings,
+  schema: Schema,
+): SettingsCheck<Schema> {
+  const faults = [...parsed.faults, ...findUnknownSections(parsed, schema)];
+  const values: Record<string, unknown> = {};
+  const listens: ListenAddress[] = [];
+  for (const [section, sectionSchema] of Object.entries(schema)) {
+    const checked = sectionSchema.safeParse(parsed.sections[section] ?? {});
+    if (!checked.success) {
+      faults.push(...describeIssues(parsed, section, sectionSchema, checked));
+      continue;
+    }
+    values[section] = checked.data;
+    listens.push(
+      ...collectListens(parsed.file, section, sectionSchema, checked.data),
+    );
+  }
+  faults.push(...findOverlaps(listens));
+  if (faults.length > 0) return {ok: false, faults};
+  return {ok: true, values: values as FileValues<Schema>, listens};
+}
+
+function findUnknownSections(
+  {file, sections}: ParsedSettings,
+  schema: FileSchema,
+): SettingsFault[] {
+  const known = Object.keys(schema);
+  return Object.keys(sections)
+    .filter(section => !known.includes(section))
+    .map(section => {
+      const message = `unknown section; known: ${known.join(', ')}`;
+      return {file, section, key: '', message};
+    });
+}
+
+function describeIssues(
+  {file}: ParsedSettings,
+  section: string,
+  schema: SectionSchema,
+  {error}: {readonly error: z.ZodError},
+): SettingsFault[] {
+  return error.issues.flatMap((issue): SettingsFault[] => {
+    if (issue.code === 'unrecognized_keys') {
+      const message = `unknown key; known: ${keysOf(schema).join(', ')}`;
+      return issue.keys.map(key => ({file, section, key, message}));
+    }
+    const key = String(issue.path[0] ?? '');
+    return [{file, section, key, message: issue.message}];
+  });
+}
+
+function collectListens(
+  file: string,
+  section: string,
+  schema: SectionSchema,
+  values: object,
+): ListenAddress[] {
+  return Object.entries(values)
+    .filter(([key]) => traitsOf(schema, key).listens)
+    .map(([key, value]) => ({
+      file,
+      section,
+      key,
+      address: value as HostPort,
+    }));
+}
+
+function overlaps(one: HostPort, other: HostPort): boolean {
+  if (one.port !== other.port || one.port === 0) return false;
+  const anyHost = ANY_HOST.has(one.host) || ANY_HOST.has(other.host);
+  return anyHost || one.host === other.host;
+}
+
+/**
+ * @param listens addresses of one file, or of all files for one host
+ * @returns a fault for each address that an earlier one takes already
+ */
+export function findOverlaps(
+  listens: readonly ListenAddress[],
+): SettingsFault[] {
+  return listens.flatMap((listen, index) => {
+    const {file, section, key, address} = listen;
+    const earlier = listens
+      .slice(0, index)
+      .find(other => overlaps(other.address, address));
+    if (!earlier) return [];
+    const place = `[${earlier.section}] ${earlier.key} of ${earlier.file}`;
+    const text = formatHostPort(address);
+    const message = `${text} is taken by ${place}; choose another port`;
+    return [{file, section, key, message}];
+  });
+}
--- /dev/null
+++ b/packages/lovagepond-platform/src/settings_units.ts
@@ -0,0 +1,188 @@
+/**
+ * Values of settings files: text with a unit in, plain numbers out.
+ *
+ * Each schema's message says what would be right.
+ */
+import {z} from 'zod';
+
+const DURATION_UNITS: Readonly<Record<string, number>> = {
+  ms: 1,
+  s: 1_000,
+  m: 60_000,
+  h: 3_600_000,
+};
+
+const SIZE_UNITS: Readonly<Record<string, number>> = {
+  B: 1,
+  kB: 1_024,
+  MB: 1_024 ** 2,
+  GB: 1_024 ** 3,
+};
+
+const MAX_PORT = 65_535;
+const PERCENT = 100;
+
+/** An address a process listens on or connects to. */
+export interface HostPort {
+  readonly host: string;
+  /** 0 lets the system choose, where a process listens. */
+  readonly port: number;
+}
+
+type Parser<Value> = (text: string) => Value | undefined;
+
+function makeUnit<Value>(
+  parse: Parser<Value>,
+  expected: string,
+): z.ZodType<Value, string> {
+  return z
+    .string({error: `is missing; ${expected}`})
+    .transform((text, context): Value => {
+      const value = parse(text.trim());
+      if (value !== undefined) return value;
+      context.addIssue({
+        code: 'custom',
+        message: `"${text}" is not ${expected}`,
+      });
+      return z.NEVER;
+    });
+}
+
+function parseQuantity(
+  text: string,
+  units: Readonly<Record<string, number>>,
+): number | undefined {
+  const match = /^(\d+(?:\.\d+)?)\s?([A-Za-z]+)$/.exec(text);
+  const factor = units[match?.[2] ?? ''];
+  if (!match || factor === undefined) return undefined;
+  return Number(match[1]) * factor;
+}
+
+/**
+ * @param text `host:port`, with an IPv6 host in brackets
+ * @returns its parts, or undefined when it is no address
+ */
+export function parseHostPort(text: string): HostPort | undefined {
+  const match = /^(\[[0-9a-fA-F:]+\]|[^:\s[\]]+):(\d{1,5})$/.exec(text);
+  const port = Number(match?.[2]);
+  if (!match?.[1] || port > MAX_PORT) return undefined;
+  return {host: match[1].replace(/^\[|\]$/g, ''), port};
+}
+
+/**
+ * @param address an address
+ * @returns it as `host:port`
+ */
+export function formatHostPort({host, port}: HostPort): string {
+  return host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
+}
+
+const BOOLEANS: Readonly<Record<string, boolean>> = {
+  true: true,
+  yes: true,
+  on: true,
+  false: false,
+  no: false,
+  off: false,
+};
+
+/** @returns a duration such as `250ms` or `4s`, in milliseconds */
+export function duration(): z.ZodType<number, string> {
+  return makeUnit(
+    text => parseQuantity(text, DURATION_UNITS),
+    'a duration with its unit ms, s, m or h, such as 250ms or 4s',
+  );
+}
+
+/** @returns a size such as `16kB` or `64MB`, in bytes */
+export function size(): z.ZodType<number, string> {
+  return makeUnit(
+    text => parseQuantity(text, SIZE_UNITS),
+    'a size with its unit B, kB, MB or GB, such as 16kB or 64MB',
+  );
+}
+
+/** @returns a share such as `20%`, as a fraction */
+export function percentage(): z.ZodType<number, string> {
+  return makeUnit(text => {
+    const match = /^(\d+(?:\.\d+)?)%$/.exec(text);
+    const value = Number(match?.[1]) / PERCENT;
+    return match && value <= 1 ? value : undefined;
+  }, 'a percentage from 0% to 100%, such as 20%');
+}
+
+/**
+ * @param min the least value allowed
+ * @param max the greatest value allowed
+ * @returns a whole number
+ */
+export function integer(min: number, max: number): z.ZodType<number, string> {
+  return makeUnit(text => {
+    const value = Number(text);
+    const fits = /^-?\d+$/.test(text) && value >= min && value <= max;
+    return fits ? value : undefined;
+  }, `a whole number from ${min} to ${max}`);
+}
+
+/** @returns `true`, `yes`, `on`, `false`, `no` or `off` */
+export function boolean(): z.ZodType<boolean, string> {
+  return makeUnit(
+    text => BOOLEANS[text.toLowerCase()],
+    'true or false (also yes, on, no, off)',
+  );
+}
+
+/** @returns an address such as `10.0.0.7:7400` */
+export function hostPort(): z.ZodType<HostPort, string> {
+  return makeUnit(parseHostPort, 'an address host:port, such as 10.0.0.7:7400');
+}
+
+/** @returns a URL of the http scheme, without a slash at its end */
+export function httpUrl(): z.ZodType<string, string> {
+  return makeUnit(text => {
+    const match = /^https?:\/\/[^\s/]+(\/\S*)?$/.test(text);
+    return match ? text.replace(/\/$/, '') : undefined;
+  }, 'a URL such as http://127.0.0.1:8000');
+}
+
+/** @returns a name of letters, digits, `.`, `_` and `-` */
+export function nameText(): z.ZodType<string, string> {
+  return makeUnit(
+    text => (/^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$/.test(text) ? text : undefined),
+    'a name of up to 63 letters, digits, dots, dashes and underscores',
+  );
+}
+
+/** @returns any text that isn't empty, such as a path */
+export function filledText(): z.ZodType<string, string> {
+  return makeUnit(text => text || undefined, 'a text that is not empty');
+}
+
+/**
+ * @param values the allowed words
+ * @returns one of them
+ */
+export function oneOf<Value extends string>(
+  ...values: readonly Value[]
+): z.ZodType<Value, string> {
+  return makeUnit(
+    text => values.find(value => value === text),
+    `one of ${values.join(', ')}`,
+  );
+}
+
+/**
+ * @param item schema of one item
+ * @returns items separated by commas; an empty text is an empty list
+ */
+export function list<Value>(
+  item: z.ZodType<Value, string>,
+): z.ZodType<Value[], string> {
+  return z
+    .string({error: 'is missing; a list separated by commas'})
+    .transform(text => {
+      const parts = text.split(',').map(part => part.trim());
+      return parts.filter(part => part !== '');
+    })
+    .pipe(z.array(item));
+}
