--- /dev/null
+++ b/packages/lovagepond-control/src/control_settings.ts
@@ -0,0 +1,65 @@
+/**
+ * Settings of one control member, as the program reads them from its file.
+ */
+
+/** One control member as the others reach it. */
+export interface ControlMember {
+  readonly memberId: string;
+  /** `host:port` of its gRPC server. */
+  readonly address: string;
+}
+
+/** Everything a control member is told at its start. */
+export interface ControlSettings {
+  /** Name of this process in logs, dumps and convergence reports. */
+  readonly nodeName: string;
+  /** This member's identity in consensus; new after a lost disk. */
+  readonly memberId: string;
+  readonly region: string;
+  readonly availabilityZone: string;
+  /** Address that the gRPC server listens on. */
+  readonly host: string;
+  /** 0 lets the system choose. */
+  readonly port: number;
+  /** `host:port` of the administration API, told to operators. */
+  readonly administrationAddress: string;
+  /** The members at the first start; later ones come from consensus. */
+  readonly members: readonly ControlMember[];
+  readonly dataFolder: string;
+  /** A backend server that doesn't renew for this long is gone. */
+  readonly leaseMs: number;
+  /** Time between two load digests to a subscriber. */
+  readonly digestIntervalMs: number;
+  /** A subscriber hears at least this often. */
+  readonly heartbeatIntervalMs: number;
+  /** A member out of touch with the leader this long stops serving. */
+  readonly leaderContactLimitMs: number;
+  /** Revisions whose content is kept for a restore. */
+  readonly historyLimit: number;
+  /** A recorded answer is kept this long. */
+  readonly answerRetentionMs: number;
+  /** A key is kept this long, and so never granted again before. */
+  readonly keyRetentionMs: number;
+  /** An open claim older than this becomes unknown. */
+  readonly openClaimLimitMs: number;
+  /** Ledger entries; further claims are refused as not run. */
+  readonly ledgerLimit: number;
+  /** Loads from the weight store that may run at the same time. */
+  readonly concurrentLoads: number;
+}
+
+const MINUTE_MS = 60_000;
+
+/** Values for what an operator rarely sets. */
+export const CONTROL_DEFAULTS = {
+  leaseMs: 3_000,
+  digestIntervalMs: 1_000,
+  heartbeatIntervalMs: 2_000,
+  leaderContactLimitMs: 3_000,
+  historyLimit: 64,
+  answerRetentionMs: 60 * MINUTE_MS,
+  keyRetentionMs: 24 * 60 * MINUTE_MS,
+  openClaimLimitMs: 30 * MINUTE_MS,
+  ledgerLimit: 1_000_000,
+  concurrentLoads: 8,
+} as const;
