Serve the administration API over HTTP

Cause: operators had no way to change or read what control holds. Change: AdministrationServer (tinyhttp over node's HTTP server) over the interface Administration: configuration whole and by object, history, restore, backend servers, orders, members, convergence, dump. Changes need the operators' token, an operation id and a base revision; bodies are bounded.

--- /dev/null
+++ b/packages/lovagepond-operator/src/__tests__/unit/operator_server.test.ts
@@ -0,0 +1,212 @@
+import {Readable} from 'node:stream';
+import {type Logger} from '@lovagepond/core';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {request} from 'undici';
+import {AdministrationServer, DEFAULT_OPERATOR_SETTINGS} from '../../index.js';
+import {FakeAdministration} from './fake_administration.js';
+
+const TOKEN = 'test-token';
+const SILENT: Logger = {debug() {}, info() {}, warn() {}, error() {}};
+
+interface Answer {
+  readonly status: number;
+  readonly body: Record<string, unknown> & {error?: Record<string, unknown>};
+}
+
+describe('AdministrationServer', () => {
+  let administration: FakeAdministration;
+  let server: AdministrationServer;
+  let origin: string;
+
+  beforeEach(async () => {
+    administration = new FakeAdministration();
+    const settings = {
+      ...DEFAULT_OPERATOR_SETTINGS,
+      port: 0,
+      token: TOKEN,
+      maxBodyBytes: 4_096,
+    };
+    server = new AdministrationServer(administration, settings, SILENT);
+    origin = `http://127.0.0.1:${await server.start()}`;
+  });
+
+  afterEach(() => server.stop());
+
+  async function call(
+    method: 'GET' | 'PUT' | 'POST' | 'DELETE',
+    path: string,
+    body?: unknown,
+    headers: Record<string, string> = {},
+  ): Promise<Answer> {
+    const res = await request(origin + path, {
+      method,
+      headers: {authorization: `Bearer ${TOKEN}`, ...headers},
+      body: body === undefined ? null : JSON.stringify(body),
+    });
+    return {
+      status: res.statusCode,
+      body: (await res.body.json()) as Answer['body'],
+    };
+  }
+
+  function change(id: string, base: number): Record<string, string> {
+    return {'operation-id': id, 'if-match': `"${base}"`};
+  }
+
+  // The operator's connection ends after the change was accepted, before the
+  // answer arrives. The same change is sent again with the same operation id:
+  // the operator sees the first answer and no second revision.
+  it('answers a resent change as it answered the first', async () => {
+    const content = {pools: [{name: 'chat', kind: 'engine'}]};
+    const send = (): Promise<Answer> =>
+      call('PUT', '/v1/configuration', content, change('op-1', 0));
+    const first = await send();
+    expect(first.body['revision']).toBe(1);
+    expect(await send()).toEqual(first);
+    expect(administration.revisions).toHaveLength(2);
+  });
+
+  // Two operators edit different pools, both looking at revision 0. One wins;
+  // the other sees a conflict that names what the winner changed, and nothing
+  // of the loser's edit is in force.
+  it('lets one of two racing changes win and names the difference', async () => {
+    const put = (name: string): Promise<Answer> => {
+      const path = `/v1/configuration/pools/${name}`;
+      return call('PUT', path, {kind: 'engine'}, change(name, 0));
+    };
+    const answers = await Promise.all([put('left'), put('right')]);
+    const won = answers.filter(({status}) => status === 200);
+    const lost = answers.filter(({status}) => status === 409);
+    expect([won.length, lost.length]).toEqual([1, 1]);
+    const winner = administration.revisions.at(-1)!.content.pools[0]!.name;
+    expect(lost[0]!.body.error).toMatchObject({
+      kind: 'conflict',
+      disposition: 'notRun',
+      currentRevision: 1,
+      differences: [{place: `pools[${winner}]`}],
+    });
+    expect(administration.revisions.at(-1)!.content.pools).toHaveLength(1);
+  });
+
+  // A configuration has three faults in three places. The operator sees all
+  // three at once, and none of the valid parts is in force.
+  it('refuses an invalid configuration whole, with every place', async () => {
+    const content = {
+      pools: [
+        {name: 'chat', kind: 'engine'},
+        {name: 'chat', kind: 'engine'},
+      ],
+      selectors: [
+        {name: 's', workspaces: ['nobody'], requestKinds: ['none'], pools: ''},
+      ],
+    };
+    const answer = await call(
+      'PUT',
+      '/v1/configuration',
+      content,
+      change('op-1', 0),
+    );
+    expect(answer.status).toBe(422);
+    const faults = answer.body.error!['faults'] as {place: string}[];
+    expect(faults.map(fault => fault.place)).toEqual([
+      'pools[1].name',
+      'selectors[0].workspaces',
+      'selectors[0].requestKinds',
+    ]);
+    expect(administration.revisions).toHaveLength(1);
+  });
+
+  // Someone without the operators' token, or with a wrong one, tries each
+  // kind of change: refused as unauthorized, and nothing changed. Reading on
+  // loopback stays open.
+  it('refuses changes without the token', async () => {
+    const attempts = [
+      call('PUT', '/v1/configuration', {}, {authorization: 'Bearer wrong'}),
+      call('DELETE', '/v1/configuration/pools/x', undefined, {
+        authorization: '',
+      }),
+      call('POST', '/v1/backend-servers/s/drain', {}, {authorization: TOKEN}),
+      call('POST', '/v1/orders', {}, {authorization: 'Bearer '}),
+      call('POST', '/v1/members', {}, {authorization: 'Bearer'}),
+    ];
+    for (const {status, body} of await Promise.all(attempts)) {
+      expect([status, body.error!['kind']]).toEqual([401, 'unauthorized']);
+    }
+    const read = await call('GET', '/v1/dump', undefined, {authorization: ''});
+    expect(read.status).toBe(200);
+    expect(administration.revisions).toHaveLength(1);
+    expect(administration.wanted.size).toBe(0);
+  });
+
+  // A body beyond the limit arrives, once announced by its length and once in
+  // chunks without a length: refused with 413 either way, nothing changed.
+  it('refuses a body over the limit', async () => {
+    const big = JSON.stringify({pools: 'x'.repeat(8_192)});
+    const chunks = [
+      Buffer.from(big.slice(0, 4_000)),
+      Buffer.from(big.slice(4_000)),
+    ];
+    for (const body of [big, Readable.from(chunks)]) {
+      const headers = {
+        authorization: `Bearer ${TOKEN}`,
+        ...change('op-1', 0),
+      };
+      const url = `${origin}/v1/configuration`;
+      const res = await request(url, {
+        method: 'PUT',
+        headers,
+        body,
+      });
+      const {error} = (await res.body.json()) as Answer['body'];
+      expect([res.statusCode, error!['kind']]).toEqual([
+        413,
+        'payloadTooLarge',
+      ]);
+    }
+    expect(administration.revisions).toHaveLength(1);
+  });
+
+  it('dry-runs, edits objects, restores and lists history', async () => {
+    const path = '/v1/configuration/pools/chat';
+    const pool = {kind: 'engine', loadBound: 1.4};
+    const dry = await call('PUT', `${path}?dryRun=true`, pool, change('d', 0));
+    expect(dry.body['differences']).toMatchObject([{place: 'pools[chat]'}]);
+    expect(administration.revisions).toHaveLength(1);
+    await call('PUT', path, pool, change('a', 0));
+    await call('DELETE', path, undefined, change('b', 1));
+    const back = await call(
+      'POST',
+      '/v1/history/1/restore',
+      undefined,
+      change('c', 2),
+    );
+    expect(back.body['revision']).toBe(3);
+    expect((await call('GET', path)).body['loadBound']).toBe(1.4);
+    const history = await call('GET', '/v1/history');
+    expect(history.body).toHaveLength(4);
+  });
+
+  it('names the leader, asks for resends, and refuses malformed calls', async () => {
+    const drain = (id = 'op-1'): Promise<Answer> =>
+      call('POST', '/v1/backend-servers/s1/drain', {}, {'operation-id': id});
+    administration.refusal = {kind: 'notLeader', leader: 'control-2'};
+    expect((await drain()).body.error).toMatchObject({
+      kind: 'notLeader',
+      leader: 'control-2',
+      retryAfterMs: 500,
+    });
+    administration.refusal = {kind: 'unknown'};
+    expect((await drain()).body.error).toMatchObject({
+      kind: 'outcomeUnknown',
+      disposition: 'mayHaveRun',
+    });
+    administration.refusal = undefined;
+    expect((await drain('')).status).toBe(400);
+    expect((await call('GET', '/v1/nowhere')).body.error!['kind']).toBe(
+      'notFound',
+    );
+    const order = {backendServer: 's1', action: 'explode'};
+    const headers = {'operation-id': 'op-2'};
+    expect((await call('POST', '/v1/orders', order, headers)).status).toBe(400);
+  });
+});
--- /dev/null
+++ b/packages/lovagepond-operator/src/operator_settings.ts
@@ -0,0 +1,36 @@
+/**
+ * Settings of the administration server.
+ */
+
+/** Settings of an {@link AdministrationServer}. */
+export interface OperatorSettings {
+  /** Address to listen on; loopback unless an operator sets another. */
+  readonly host: string;
+  /** TCP port; 0 takes a free one. */
+  readonly port: number;
+  /** The operators' token; with the empty one no change is possible. */
+  readonly token: string;
+  /** Largest body accepted, bytes. */
+  readonly maxBodyBytes: number;
+  /** Longest time for a request to arrive whole, milliseconds. */
+  readonly requestTimeoutMs: number;
+}
+
+/** Settings where an operator gives none. */
+export const DEFAULT_OPERATOR_SETTINGS: OperatorSettings = Object.freeze({
+  host: '127.0.0.1',
+  port: 7403,
+  token: '',
+  maxBodyBytes: 1_048_576,
+  requestTimeoutMs: 10_000,
+});
+
+const LOOPBACK_HOSTS = new Set(['localhost', '::1']);
+
+/**
+ * @param host an address from the settings
+ * @returns true when only processes of the same host can reach it
+ */
+export function isLoopback(host: string): boolean {
+  return LOOPBACK_HOSTS.has(host) || /^127(\.\d{1,3}){3}$/.test(host);
+}
