--- a/packages/lovagepond-platform/src/platform_lifecycle.ts
+++ b/packages/lovagepond-platform/src/platform_lifecycle.ts
@@ -41,7 +41,7 @@
 
 /** The phases of one process from start to end. */
 export class Lifecycle {
-  readonly #settings: LifecycleSettings;
+  #settings: LifecycleSettings;
   #phase: Phase = 'running';
   #drainStartedAt = 0;
   readonly #handlers: Readonly<Record<LifecycleEvent, Handler>> = {
@@ -56,6 +56,11 @@
     this.#settings = settings;
   }
 
+  /** @param settings limits of the next planned stop */
+  configure(settings: LifecycleSettings): void {
+    this.#settings = settings;
+  }
+
   /** True until the first signal to end. */
   get isRunning(): boolean {
     return this.#phase === 'running';
--- a/packages/lovagepond-platform/src/process_runner.ts
+++ b/packages/lovagepond-platform/src/process_runner.ts
@@ -32,7 +32,7 @@
   readonly log: Logger;
   readonly metrics: MetricsRegistry;
   /** Reads the settings again and takes over what may change. */
-  readonly reload: () => void;
+  readonly reload: (runner: ProcessRunner) => void;
 }
 
 type ActionHandlers = {
@@ -60,7 +60,7 @@
       this.#finish(exitCode);
     },
     reload: () => {
-      this.#parts.reload();
+      this.#parts.reload(this);
     },
     dump: () => {
       this.#writeDump();
@@ -106,6 +106,11 @@
     }
   }
 
+  /** @param settings limits of the next planned stop, after a reload */
+  configure(settings: LifecycleSettings): void {
+    this.#lifecycle.configure(settings);
+  }
+
   /** @param event a signal's event, or a step of the planned stop */
   handle(event: LifecycleEvent): void {
     const actions = this.#lifecycle.handle(event, this.#parts.clock.now());
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -19,7 +19,7 @@
     platform: 'node',
     format: 'cjs',
     target: 'node20',
-    sourcemap: 'inline',
+    sourcemap: 'linked',
     sourcesContent: false,
     logLevel: 'warning',
   });
