Place requests by policies over rendezvous order and a load view

**Cause** A router must choose among up to 640 backend servers in microseconds, the same way on every router, with a view of load that is a second old. **Change** Eight policies in a table behind one interface.

--- /dev/null
+++ b/packages/lovagepond-router/src/__tests__/unit/router_placement.test.ts
@@ -0,0 +1,139 @@
+import {Random, encodeLoad} from '@lovagepond/core';
+import {beforeAll, describe, expect, it} from 'vitest';
+import {RouterLoadView} from '../../router_load_view.js';
+import {type PlacementServer} from '../../router_placement.js';
+import {
+  PLACEMENT_POLICIES,
+  type PlacementPolicyName,
+} from '../../router_placement_table.js';
+import {RendezvousTable} from '../../router_rendezvous.js';
+import {type KeyHasher, loadKeyHasher} from '../../router_rendezvous_hash.js';
+
+const SETTINGS = {
+  loadBound: 1.5,
+  reuseWeight: 0.5,
+  maxHoldMs: 8000,
+  prefillTokensPerSecond: 8000,
+  decodeTokensPerSecond: 2400,
+};
+const NAMES = Object.keys(PLACEMENT_POLICIES) as PlacementPolicyName[];
+
+let hasher: KeyHasher;
+beforeAll(async () => {
+  hasher = await loadKeyHasher();
+});
+
+function makeServers(young?: string): PlacementServer[] {
+  return Array.from({length: 6}, (_, slot) => {
+    const name = `server-${slot}`;
+    const readySince = name === young ? 0 : Number.NEGATIVE_INFINITY;
+    return {name, slot, readySince};
+  });
+}
+
+function placeChats(
+  name: PlacementPolicyName,
+  options: {load?: RouterLoadView; young?: string; returning?: boolean} = {},
+) {
+  const policy = PLACEMENT_POLICIES[name](hasher);
+  const servers = new RendezvousTable(makeServers(options.young), hasher);
+  const load = options.load ?? new RouterLoadView();
+  const random = new Random(801);
+  return Array.from({length: 300}, (_, chat) =>
+    policy.place({
+      request: {
+        workspace: 'w',
+        chat: `chat-${chat}`,
+        estimatedTokens: 600,
+        promptTokens: 500,
+        returning: options.returning ?? true,
+      },
+      servers,
+      load,
+      settings: SETTINGS,
+      now: 1000,
+      random,
+    }),
+  );
+}
+
+describe('placement policies', () => {
+  it.each(NAMES)('%s repeats itself from a seed, without doubles', name => {
+    const placements = placeChats(name);
+    expect(placements).toEqual(placeChats(name));
+    for (const {candidates} of placements) {
+      expect(candidates).toHaveLength(4);
+      expect(new Set(candidates).size).toBe(4);
+    }
+  });
+
+  // One server stands far over the bound. New chats that want it must start
+  // elsewhere, while its address stays known as the keeper of their pointers.
+  it.each(['boundedRendezvous', 'holdAndTake'] as const)(
+    '%s starts no new chat on a server over the bound',
+    name => {
+      const load = new RouterLoadView();
+      const loads = [90_000, 9000, 9000, 9000, 9000, 9000].map(encodeLoad);
+      load.applyDigest(Uint8Array.from(loads), 0);
+      const placements = placeChats(name, {load, returning: false});
+      const wanted = placements.filter(item => item.firstChoice.slot === 0);
+      expect(wanted.length).toBeGreaterThan(20);
+      for (const {candidates} of wanted) {
+        expect(candidates[0]!.slot).not.toBe(0);
+      }
+    },
+  );
+
+  // A server joins and becomes first choice of a sixth of the chats. Their
+  // contexts are where they were before it came: they must still go there.
+  it('sends returning chats past a young server to their former home', () => {
+    const former = placeChats('holdAndTake', {young: 'none'});
+    const placements = placeChats('holdAndTake', {young: 'server-2'});
+    placements.forEach(({candidates, firstChoice}, chat) => {
+      expect(firstChoice).toEqual(
+        expect.objectContaining({name: former[chat]!.firstChoice.name}),
+      );
+      const home = former[chat]!.candidates.find(
+        server => server.name !== 'server-2',
+      );
+      expect(candidates[0]!.name).toBe(home!.name);
+    });
+    const fresh = placeChats('holdAndTake', {
+      young: 'server-2',
+      returning: false,
+    });
+    expect(fresh.some(item => item.candidates[0]!.slot === 2)).toBe(true);
+  });
+});
+
+describe('RouterLoadView', () => {
+  // The digest is a second old. What this router sent after it was measured
+  // must count on top, and what it sent before must not count twice.
+  it('adds own sends to the digest exactly once', () => {
+    const view = new RouterLoadView();
+    view.recordSent(1, 500, 100);
+    view.recordSent(1, 700, 900);
+    expect(view.loadOf(1)).toBe(1200);
+    view.applyDigest(Uint8Array.from([0, encodeLoad(4096)]), 600);
+    expect(view.loadOf(1)).toBeCloseTo(4096 + 700, -2);
+    view.recordObserved(1, 3000, 1000);
+    expect(view.loadOf(1)).toBe(3000);
+    view.applyDigest(Uint8Array.from([0, encodeLoad(64_000)]), 950);
+    expect(view.loadOf(1)).toBe(3000);
+    view.applyDigest(Uint8Array.from([0, 0]), 1100);
+    expect(view.loadOf(1)).toBe(0);
+    expect(view.meanOf(Int32Array.of(0, 1))).toBe(0);
+  });
+
+  it('forgets own sends when no digest comes, and says that it is stale', () => {
+    const view = new RouterLoadView();
+    view.recordSent(0, 500, 0);
+    view.recordSent(2, 100, 6000);
+    expect(view.loadOf(0)).toBe(0);
+    expect(view.loadOf(2)).toBe(100);
+    expect(view.loadOf(9)).toBe(0);
+    view.applyDigest(new Uint8Array(3), 7000);
+    expect(view.isStale(16_000)).toBe(false);
+    expect(view.isStale(18_000)).toBe(true);
+  });
+});
--- /dev/null
+++ b/packages/lovagepond-router/src/index.ts
@@ -0,0 +1,23 @@
+export {RouterLoadView} from './router_load_view.js';
+export {
+  CANDIDATE_COUNT,
+  type Placement,
+  type PlacementInput,
+  type PlacementPolicy,
+  type PlacementPolicyFactory,
+  type PlacementRequest,
+  type PlacementServer,
+  type PlacementSettings,
+} from './router_placement.js';
+export {
+  DEFAULT_PLACEMENT_POLICY,
+  PLACEMENT_POLICIES,
+  type PlacementPolicyName,
+} from './router_placement_table.js';
+export {type RendezvousServer, RendezvousTable} from './router_rendezvous.js';
+export {
+  type HashKey,
+  type KeyHasher,
+  loadKeyHasher,
+  makeChatText,
+} from './router_rendezvous_hash.js';
--- /dev/null
+++ b/packages/lovagepond-router/src/router_load_view.ts
@@ -0,0 +1,144 @@
+/**
+ * What one router believes about the load of backend servers.
+ *
+ * The base is the digest, a byte for each server and about a second old. On
+ * top comes what this router knows better: what it has sent since the digest
+ * was measured, and loads that sidecars stated in their frames.
+ */
+import {decodeLoad} from '@lovagepond/core';
+
+/**
+ * Own sends are forgotten after this time even when no digest comes. Without
+ * it a router that control can't reach would count each send for ever, and
+ * avoid the very servers it uses.
+ */
+const SENT_EXPIRY_MS = 5_000;
+
+/** A digest older than this says nothing about the present. */
+const DIGEST_EXPIRY_MS = 10_000;
+
+interface Sent {
+  readonly slot: number;
+  readonly tokens: number;
+  readonly at: number;
+  /** The slot's generation; an older one is no longer part of its sum. */
+  readonly generation: number;
+}
+
+interface MeanMemo {
+  readonly revision: number;
+  readonly mean: number;
+}
+
+/** Load by slot, in outstanding tokens. Times are monotonic milliseconds. */
+export class RouterLoadView {
+  #base = new Float64Array(0);
+  #observedAt = new Float64Array(0);
+  #sent = new Float64Array(0);
+  #generations = new Float64Array(0);
+  readonly #recent: Sent[] = [];
+  #digestMeasuredAt = Number.NEGATIVE_INFINITY;
+  #revision = 0;
+  readonly #means = new WeakMap<Int32Array, MeanMemo>();
+
+  /**
+   * @param loads one byte for each slot of the membership now in use
+   * @param measuredAt when control put the digest together: the time of its
+   *     receipt less its age
+   */
+  applyDigest(loads: Uint8Array, measuredAt: number): void {
+    this.#grow(loads.length);
+    for (let slot = 0; slot < loads.length; slot++) {
+      if ((this.#observedAt[slot] as number) > measuredAt) continue;
+      this.#base[slot] = decodeLoad(loads[slot] as number);
+    }
+    this.#digestMeasuredAt = measuredAt;
+    this.#forgetSentBefore(measuredAt);
+    this.#revision++;
+  }
+
+  /**
+   * @param slot the server's slot
+   * @param tokens estimated tokens of the request just sent there
+   * @param now present time
+   */
+  recordSent(slot: number, tokens: number, now: number): void {
+    this.#grow(slot + 1);
+    this.#sent[slot] = (this.#sent[slot] as number) + tokens;
+    const generation = this.#generations[slot] as number;
+    this.#recent.push({slot, tokens, at: now, generation});
+    this.#forgetSentBefore(now - SENT_EXPIRY_MS);
+    this.#revision++;
+  }
+
+  /**
+   * @param slot the server's slot
+   * @param tokens running and queued tokens that its sidecar stated
+   * @param now present time
+   */
+  recordObserved(slot: number, tokens: number, now: number): void {
+    this.#grow(slot + 1);
+    this.#base[slot] = tokens;
+    this.#observedAt[slot] = now;
+    this.#sent[slot] = 0;
+    this.#generations[slot] = (this.#generations[slot] as number) + 1;
+    this.#revision++;
+  }
+
+  /** @returns outstanding tokens at the slot, as far as is known */
+  loadOf(slot: number): number {
+    if (slot >= this.#base.length) return 0;
+    return (this.#base[slot] as number) + (this.#sent[slot] as number);
+  }
+
+  /**
+   * The mean of a long list is computed anew only after as many changes as an
+   * eighth of its length, so that it costs a decision a constant time.
+   *
+   * @param slots the slots of a table's servers; must not change
+   * @returns mean outstanding tokens over the slots
+   */
+  meanOf(slots: Int32Array): number {
+    const memo = this.#means.get(slots);
+    if (memo && this.#revision - memo.revision <= slots.length / 8) {
+      return memo.mean;
+    }
+    let total = 0;
+    for (const slot of slots) total += this.loadOf(slot);
+    const mean = slots.length === 0 ? 0 : total / slots.length;
+    this.#means.set(slots, {revision: this.#revision, mean});
+    return mean;
+  }
+
+  /**
+   * @param now present time
+   * @returns true when no digest has come for so long that loads are unknown
+   */
+  isStale(now: number): boolean {
+    return now - this.#digestMeasuredAt > DIGEST_EXPIRY_MS;
+  }
+
+  #grow(size: number): void {
+    if (size <= this.#base.length) return;
+    this.#base = extend(this.#base, size);
+    this.#sent = extend(this.#sent, size);
+    this.#observedAt = extend(this.#observedAt, size);
+    this.#generations = extend(this.#generations, size);
+  }
+
+  #forgetSentBefore(time: number): void {
+    const kept = this.#recent.findIndex(sent => sent.at >= time);
+    const count = kept === -1 ? this.#recent.length : kept;
+    for (const sent of this.#recent.splice(0, count)) {
+      if (sent.generation !== this.#generations[sent.slot]) continue;
+      const left = (this.#sent[sent.slot] as number) - sent.tokens;
+      this.#sent[sent.slot] = Math.max(0, left);
+    }
+  }
+}
+
+function extend(values: Float64Array, size: number): Float64Array<ArrayBuffer> {
+  const extended = new Float64Array(size);
+  extended.set(values);
+  return extended;
+}
--- /dev/null
+++ b/packages/lovagepond-router/src/router_placement_rendezvous.ts
@@ -0,0 +1,201 @@
+/**
+ * Policies that start from the chat's rendezvous order.
+ */
+import {
+  CANDIDATE_COUNT,
+  type Placement,
+  type PlacementInput,
+  type PlacementPolicy,
+  type PlacementServer,
+} from './router_placement.js';
+import {serverAt} from './router_placement_simple.js';
+import {type KeyHasher, makeChatText} from './router_rendezvous_hash.js';
+
+const MS_PER_SECOND = 1000;
+
+/**
+ * A server that became ready less long ago than this is young: chats that
+ * return were served before it came, by the next server of their order.
+ */
+const YOUNG_MS = 600_000;
+
+function orderServers<Server extends PlacementServer>(
+  hasher: KeyHasher,
+  input: PlacementInput<Server>,
+): Server[] {
+  const {workspace, chat} = input.request;
+  const key = hasher.hash(makeChatText(workspace, chat));
+  const {servers} = input.servers;
+  return input.servers
+    .order(key, CANDIDATE_COUNT)
+    .map(index => serverAt(servers, index));
+}
+
+function loadWith<Server extends PlacementServer>(
+  input: PlacementInput<Server>,
+  server: Server,
+): number {
+  return input.load.loadOf(server.slot) + input.request.estimatedTokens;
+}
+
+/** True when the request would put the server over the pool's bound. */
+function isOverBound<Server extends PlacementServer>(
+  input: PlacementInput<Server>,
+  server: Server,
+): boolean {
+  const size = input.servers.servers.length;
+  const share = input.request.estimatedTokens / size;
+  const mean = input.load.meanOf(input.servers.slots) + share;
+  return loadWith(input, server) > input.settings.loadBound * mean;
+}
+
+/** Puts the server in front and keeps the others' order. */
+function moveToFront<Server extends PlacementServer>(
+  order: readonly Server[],
+  server: Server,
+): Server[] {
+  return [server, ...order.filter(other => other !== server)];
+}
+
+function findLeastLoaded<Server extends PlacementServer>(
+  input: PlacementInput<Server>,
+  order: readonly Server[],
+): Server {
+  return order.reduce((best, server) =>
+    loadWith(input, server) < loadWith(input, best) ? server : best,
+  );
+}
+
+/** The rendezvous order alone, whatever the load. */
+export class RendezvousPolicy implements PlacementPolicy {
+  readonly #hasher: KeyHasher;
+
+  constructor(hasher: KeyHasher) {
+    this.#hasher = hasher;
+  }
+
+  place<Server extends PlacementServer>(
+    input: PlacementInput<Server>,
+  ): Placement<Server> {
+    const candidates = orderServers(this.#hasher, input);
+    return {candidates, firstChoice: serverAt(candidates, 0)};
+  }
+}
+
+/** The first of the rendezvous order that stays within the bound. */
+export class BoundedRendezvousPolicy implements PlacementPolicy {
+  readonly #hasher: KeyHasher;
+
+  constructor(hasher: KeyHasher) {
+    this.#hasher = hasher;
+  }
+
+  place<Server extends PlacementServer>(
+    input: PlacementInput<Server>,
+  ): Placement<Server> {
+    const order = orderServers(this.#hasher, input);
+    const within = order.find(server => !isOverBound(input, server));
+    const chosen = within ?? findLeastLoaded(input, order);
+    const firstChoice = serverAt(order, 0);
+    return {candidates: moveToFront(order, chosen), firstChoice};
+  }
+}
+
+/**
+ * Always asks the first choice, whose sidecar points on to where the chat was
+ * served last; a refusal goes to the least loaded of the others.
+ */
+export class PointersPolicy implements PlacementPolicy {
+  readonly #hasher: KeyHasher;
+
+  constructor(hasher: KeyHasher) {
+    this.#hasher = hasher;
+  }
+
+  place<Server extends PlacementServer>(
+    input: PlacementInput<Server>,
+  ): Placement<Server> {
+    const order = orderServers(this.#hasher, input);
+    const firstChoice = serverAt(order, 0);
+    const others = order.slice(1);
+    others.sort((a, b) => loadWith(input, a) - loadWith(input, b));
+    return {candidates: [firstChoice, ...others], firstChoice};
+  }
+}
+
+/**
+ * Weighs the expected wait at each candidate against the cost of rebuilding
+ * the context where it is not expected to be warm.
+ */
+export class CostScorePolicy implements PlacementPolicy {
+  readonly #hasher: KeyHasher;
+
+  constructor(hasher: KeyHasher) {
+    this.#hasher = hasher;
+  }
+
+  place<Server extends PlacementServer>(
+    input: PlacementInput<Server>,
+  ): Placement<Server> {
+    const order = orderServers(this.#hasher, input);
+    const {settings, request} = input;
+    const rebuildMs =
+      (request.promptTokens * MS_PER_SECOND) / settings.prefillTokensPerSecond;
+    const costOf = (server: Server, rank: number): number => {
+      const tokens = input.load.loadOf(server.slot);
+      const waitMs = (tokens * MS_PER_SECOND) / settings.decodeTokensPerSecond;
+      const warm = rank === 0;
+      return waitMs + (warm ? 0 : 2 * settings.reuseWeight * rebuildMs);
+    };
+    const scored = order.map((server, rank) => ({
+      server,
+      cost: costOf(server, rank),
+    }));
+    scored.sort((a, b) => a.cost - b.cost);
+    const candidates = scored.map(item => item.server);
+    return {candidates, firstChoice: serverAt(order, 0)};
+  }
+}
+
+/**
+ * Goes to where the chat's context is, and leaves load to the sidecar there:
+ * it holds the request outside of its engine until there is room within the
+ * bound, or until a sidecar with room takes it.
+ */
+export class HoldAndTakePolicy implements PlacementPolicy {
+  readonly #hasher: KeyHasher;
+
+  constructor(hasher: KeyHasher) {
+    this.#hasher = hasher;
+  }
+
+  place<Server extends PlacementServer>(
+    input: PlacementInput<Server>,
+  ): Placement<Server> {
+    const order = orderServers(this.#hasher, input);
+    const firstChoice = serverAt(order, 0);
+    const chosen = input.request.returning
+      ? this.#findHome(input, order)
+      : this.#findStart(input, order);
+    return {candidates: moveToFront(order, chosen), firstChoice};
+  }
+
+  /** Where a returning chat was placed before a young server came. */
+  #findHome<Server extends PlacementServer>(
+    input: PlacementInput<Server>,
+    order: readonly Server[],
+  ): Server {
+    const isOld = (server: Server): boolean =>
+      input.now - server.readySince >= YOUNG_MS;
+    return order.find(isOld) ?? serverAt(order, 0);
+  }
+
+  /** A new chat is cold everywhere: it starts within the bound. */
+  #findStart<Server extends PlacementServer>(
+    input: PlacementInput<Server>,
+    order: readonly Server[],
+  ): Server {
+    const within = order.find(server => !isOverBound(input, server));
+    return within ?? findLeastLoaded(input, order);
+  }
+}
