Decide admission, fairness and hand-over before a backend server

Cause: routers choose from stale views; the one exact gate stands beside the backend server and needs deciders that take messages and present time only.

Change: SidecarGate with its parts: load bound with stale means, deficit round robin in tokens, attempts with one place for revoke against dispatch, hold with early refusal, cache index, pointers, leave, revisions and hand and take.

--- /dev/null
+++ b/packages/lovagepond-sidecar/src/index.ts
@@ -0,0 +1,44 @@
+export {
+  type AdmissionSettings,
+  type PoolMean,
+  SidecarAdmission,
+} from './sidecar_admission.js';
+export {
+  ATTEMPT_STATE,
+  type AttemptState,
+  REVOKE_OUTCOME,
+  type RevokeOutcome,
+  SidecarAttempts,
+} from './sidecar_attempts.js';
+export {chatNumber, SidecarCacheIndex} from './sidecar_cache_index.js';
+export {type HeldRequest, SidecarFairQueue} from './sidecar_fair_queue.js';
+export {SidecarGate} from './sidecar_gate.js';
+export {SidecarPointers} from './sidecar_pointers.js';
+export {
+  REVISION_CHECK,
+  type RevisionCheck,
+  SidecarRevisions,
+} from './sidecar_revisions.js';
+export {
+  DEFAULT_TAKER_SETTINGS,
+  type PeerLoad,
+  SidecarTaker,
+  type TakerSettings,
+} from './sidecar_take.js';
+export {
+  type ChatWarmth,
+  DEFAULT_GATE_POLICY,
+  DEFAULT_GATE_SETTINGS,
+  type GateAction,
+  type GateLoad,
+  type GatePolicy,
+  type GateSettings,
+  type HandOver,
+  type Offer,
+  type RefuseAction,
+  type RevokeResult,
+  type RunEnd,
+  type Warmth,
+  WARMTH,
+  type WorkspaceShare,
+} from './sidecar_types.js';
--- /dev/null
+++ b/packages/lovagepond-sidecar/src/sidecar_admission.ts
@@ -0,0 +1,255 @@
+/**
+ * The load bound: work running at the engine stays within a set multiple of
+ * the pool's mean, whatever stale view brought the requests here.
+ */
+
+/** Share by which an engine's own count may exceed ours without a meaning. */
+const REPORT_TOLERANCE = 0.1;
+/** Age given to a router's estimate, which tells none, milliseconds. */
+const ROUTER_ESTIMATE_AGE_MS = 1_500;
+const MAX_HISTORY = 256;
+
+/** Settings of {@link SidecarAdmission}. */
+export interface AdmissionSettings {
+  readonly floorTokens: number;
+  readonly capacityTokens: number;
+  readonly meanFreshMs: number;
+  readonly meanTrustMs: number;
+}
+
+/** The pool's mean load as control knows it. */
+export interface PoolMean {
+  readonly meanTokens: number;
+  /** Age of the mean when it was received, milliseconds. */
+  readonly ageMs: number;
+  /** Servers over which the mean is taken. */
+  readonly readyServers: number;
+  /** What this server had in the mean. */
+  readonly ownTokens: number;
+}
+
+interface Sample {
+  /** Work of the other servers, summed. */
+  readonly othersTokens: number;
+  readonly readyServers: number;
+  readonly takenAt: number;
+}
+
+interface OwnLoad {
+  readonly at: number;
+  readonly tokens: number;
+}
+
+interface EngineReport {
+  readonly foreignTokens: number;
+  readonly takenAt: number;
+}
+
+const NO_SAMPLE: Sample = {
+  othersTokens: 0,
+  readyServers: 1,
+  takenAt: -Infinity,
+};
+
+/** Decides whether more work may be handed to the engine. */
+export class SidecarAdmission {
+  readonly #settings: AdmissionSettings;
+  #loadBound: number;
+  #own = 0;
+  #control = NO_SAMPLE;
+  #routers = NO_SAMPLE;
+  #report: EngineReport = {foreignTokens: 0, takenAt: -Infinity};
+  readonly #history: OwnLoad[] = [];
+
+  /**
+   * @param settings fixed settings
+   * @param loadBound multiple of the pool's mean
+   */
+  constructor(settings: AdmissionSettings, loadBound: number) {
+    this.#settings = settings;
+    this.#loadBound = loadBound;
+  }
+
+  /** @param loadBound multiple of the pool's mean, from the configuration */
+  configure(loadBound: number): void {
+    this.#loadBound = loadBound;
+  }
+
+  /** @returns tokens that this sidecar has handed out and not seen end */
+  get ownTokens(): number {
+    return this.#own;
+  }
+
+  /**
+   * @param mean the pool's mean from control
+   * @param now present time
+   */
+  setPoolMean(mean: PoolMean, now: number): void {
+    const readyServers = Math.max(1, mean.readyServers);
+    const sum = mean.meanTokens * readyServers;
+    this.#control = {
+      othersTokens: Math.max(0, sum - mean.ownTokens),
+      readyServers,
+      takenAt: now - mean.ageMs,
+    };
+  }
+
+  /**
+   * @param meanTokens a router's estimate; 0 when it has none
+   * @param now present time
+   */
+  setRouterEstimate(meanTokens: number, now: number): void {
+    if (meanTokens <= 0) return;
+    const {readyServers} = this.#control;
+    this.#routers = {
+      othersTokens: Math.max(
+        0,
+        meanTokens * readyServers - this.runningTokens(now),
+      ),
+      readyServers,
+      takenAt: now - ROUTER_ESTIMATE_AGE_MS,
+    };
+  }
+
+  /**
+   * Takes the engine's report. It is old when it comes, so only what it shows
+   * beyond our own work of that moment counts: work of a former incarnation,
+   * or cancelled streams that still run.
+   *
+   * @param tokens outstanding work as the engine counted it
+   * @param lagMs age of the report, milliseconds
+   * @param now present time
+   */
+  setEngineReport(tokens: number, lagMs: number, now: number): void {
+    const takenAt = now - lagMs;
+    if (takenAt < this.#report.takenAt) return;
+    const own = this.#ownAt(takenAt);
+    const foreignTokens = Math.max(0, tokens - own * (1 + REPORT_TOLERANCE));
+    this.#report = {foreignTokens, takenAt};
+  }
+
+  /**
+   * @param tokens work handed to the engine
+   * @param now present time
+   */
+  start(tokens: number, now: number): void {
+    this.#change(tokens, now);
+  }
+
+  /**
+   * @param tokens work that ended
+   * @param now present time
+   */
+  finish(tokens: number, now: number): void {
+    this.#change(-tokens, now);
+  }
+
+  /**
+   * @param now present time
+   * @returns tokens running at the engine
+   */
+  runningTokens(now: number): number {
+    const trust = this.#trust(this.#report.takenAt, now);
+    return this.#own + this.#report.foreignTokens * trust;
+  }
+
+  /**
+   * The pool's mean now: others' work as last heard, believed less with age,
+   * and our own work exactly.
+   *
+   * @param now present time
+   * @returns mean tokens over the pool's ready servers
+   */
+  poolMeanTokens(now: number): number {
+    const {readyServers} = this.#sample(now);
+    return (this.#othersTokens(now) + this.runningTokens(now)) / readyServers;
+  }
+
+  /**
+   * Our own work is a part of the mean, so the mean moves with each request
+   * that we let in. This is the load at which `load = loadBound * mean` holds
+   * with the mean of that very moment.
+   *
+   * @param now present time
+   * @returns tokens that may run here
+   */
+  limitTokens(now: number): number {
+    const {floorTokens, capacityTokens} = this.#settings;
+    const {readyServers} = this.#sample(now);
+    // So few servers that one of them can't stand out by this much.
+    if (readyServers <= this.#loadBound) return capacityTokens;
+    const others = this.#othersTokens(now);
+    const bound = (this.#loadBound * others) / (readyServers - this.#loadBound);
+    return Math.min(capacityTokens, Math.max(floorTokens, bound));
+  }
+
+  /**
+   * A request alone on an idle engine is always let in: no waiting could make
+   * it smaller, and it would never be served.
+   *
+   * @param tokens a request's work
+   * @param now present time
+   * @returns true when it may be handed to the engine
+   */
+  admits(tokens: number, now: number): boolean {
+    const running = this.runningTokens(now);
+    return running <= 0 || running + tokens <= this.limitTokens(now);
+  }
+
+  /**
+   * @param now present time
+   * @returns tokens that fit now
+   */
+  roomTokens(now: number): number {
+    return Math.max(0, this.limitTokens(now) - this.runningTokens(now));
+  }
+
+  #othersTokens(now: number): number {
+    const sample = this.#sample(now);
+    return sample.othersTokens * this.#trust(sample.takenAt, now);
+  }
+
+  /**
+   * The engine restarted: nothing of the old runs is left in it.
+   *
+   * @param now present time
+   */
+  reset(now: number): void {
+    this.#report = {foreignTokens: 0, takenAt: now};
+  }
+
+  /** Control's mean while it is fresh; then whichever was taken later. */
+  #sample(now: number): Sample {
+    const controlAge = now - this.#control.takenAt;
+    if (controlAge <= this.#settings.meanFreshMs) return this.#control;
+    const routerIsLater = this.#routers.takenAt > this.#control.takenAt;
+    return routerIsLater ? this.#routers : this.#control;
+  }
+
+  /**
+   * A mean that is not renewed says ever less: servers may have finished their
+   * work since. Believed for good, it would let this engine run far above a
+   * pool that has become idle.
+   */
+  #trust(takenAt: number, now: number): number {
+    const {meanFreshMs, meanTrustMs} = this.#settings;
+    const age = now - takenAt;
+    if (age <= meanFreshMs) return 1;
+    return Math.max(0, (meanTrustMs - age) / (meanTrustMs - meanFreshMs));
+  }
+
+  #change(delta: number, now: number): void {
+    this.#own = Math.max(0, this.#own + delta);
+    this.#history.push({at: now, tokens: this.#own});
+    if (this.#history.length > MAX_HISTORY) this.#history.shift();
+  }
+
+  #ownAt(time: number): number {
+    for (let index = this.#history.length - 1; index >= 0; index -= 1) {
+      const entry = this.#history[index];
+      if (entry && entry.at <= time) return entry.tokens;
+    }
+    const full = this.#history.length >= MAX_HISTORY;
+    return full ? (this.#history[0]?.tokens ?? 0) : 0;
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-sidecar/src/sidecar_gate_refusals.ts
@@ -0,0 +1,246 @@
+/**
+ * Why the gate refuses an offer: one check for each reason, in a fixed order.
+ */
+import {type ErrorKind, makeFailure, type Random} from '@lovagepond/core';
+import {ATTEMPT_STATE, type AttemptState} from './sidecar_attempts.js';
+import {type SidecarCacheIndex} from './sidecar_cache_index.js';
+import {type SidecarFairQueue} from './sidecar_fair_queue.js';
+import {type SidecarPointers} from './sidecar_pointers.js';
+import {
+  type GateAction,
+  type GatePolicy,
+  type GateSettings,
+  type Offer,
+  type RefuseAction,
+  WARMTH,
+} from './sidecar_types.js';
+
+const MIN_RETRY_MS = 200;
+const NOT_READY_RETRY_MS = 1_000;
+
+/** The gate's state, as far as the checks need it. */
+export interface RefusalView {
+  readonly settings: GateSettings;
+  readonly policy: GatePolicy;
+  readonly notReady: string | undefined;
+  readonly revision: number;
+  readonly draining: boolean;
+  readonly queue: SidecarFairQueue;
+  readonly cache: SidecarCacheIndex;
+  readonly pointers: SidecarPointers;
+  readonly random: Random;
+  runningTokensOf(workspace: string): number;
+  expectedWaitMs(offer: Offer): number;
+  serviceMs(tokens: number): number;
+}
+
+type Check = (
+  offer: Offer,
+  view: RefusalView,
+  now: number,
+) => RefuseAction | undefined;
+
+/**
+ * @param attemptId the attempt
+ * @param kind a kind whose disposition is "not run"
+ * @param details better message, time to come back, server to try
+ * @returns the refusal
+ */
+export function makeRefusal(
+  attemptId: string,
+  kind: ErrorKind,
+  details: {message?: string; retryAfterMs?: number; pointer?: string} = {},
+): RefuseAction {
+  const {pointer = '', ...rest} = details;
+  const failure = makeFailure(kind, rest);
+  return {kind: 'refuse', attemptId, failure, pointer};
+}
+
+/**
+ * @param offer an attempt
+ * @param settings the sidecar's settings
+ * @returns true when this server is the first choice of the offer's chat
+ */
+export function isFirstChoice(offer: Offer, settings: GateSettings): boolean {
+  const {firstChoice} = offer;
+  return firstChoice === '' || firstChoice === settings.backendServer;
+}
+
+/**
+ * Spreads the return of callers who are refused in the same second over as
+ * long again as the work before them takes.
+ *
+ * @param waitMs time after which there is room again
+ * @param random source of the spread
+ * @returns when to come back, milliseconds
+ */
+export function retryAfter(waitMs: number, random: Random): number {
+  const base = Math.max(MIN_RETRY_MS, waitMs);
+  return Math.round(base + random.next() * base);
+}
+
+/**
+ * @param offer a request that can't be served in time any more
+ * @param waitMs the work that waits here, as time
+ * @param random source of the spread
+ * @returns its final answer
+ */
+export function refuseLate(
+  offer: Offer,
+  waitMs: number,
+  random: Random,
+): RefuseAction {
+  const retryAfterMs = retryAfter(waitMs, random);
+  return makeRefusal(offer.attemptId, 'overloaded', {retryAfterMs});
+}
+
+/**
+ * Answers a second copy of an attempt. Only one that was answered as not run
+ * may be told so again; of any other the first copy may run or have run.
+ *
+ * @param attemptId the attempt
+ * @param state where it stands, or undefined when it is new
+ * @returns the answer, or undefined for a new one
+ */
+export function answerCopy(
+  attemptId: string,
+  state: AttemptState | undefined,
+): GateAction | undefined {
+  if (state === undefined) return undefined;
+  if (state === ATTEMPT_STATE.NOT_RUN) return makeRefusal(attemptId, 'revoked');
+  const message = 'This attempt was sent twice; its first copy is answered.';
+  const failure = makeFailure('inProgress', {message});
+  return {kind: 'rejectCopy', attemptId, failure};
+}
+
+function checkIncarnation(
+  offer: Offer,
+  {settings}: RefusalView,
+): RefuseAction | undefined {
+  if (offer.incarnation === settings.incarnation) return undefined;
+  return makeRefusal(offer.attemptId, 'wrongIncarnation');
+}
+
+function checkReady(
+  offer: Offer,
+  {notReady}: RefusalView,
+): RefuseAction | undefined {
+  if (notReady === undefined) return undefined;
+  return makeRefusal(offer.attemptId, 'notReady', {
+    message: notReady,
+    retryAfterMs: NOT_READY_RETRY_MS,
+  });
+}
+
+function checkDraining(
+  offer: Offer,
+  {draining}: RefusalView,
+): RefuseAction | undefined {
+  return draining ? makeRefusal(offer.attemptId, 'draining') : undefined;
+}
+
+/**
+ * Whichever side is behind, the request is not run under a configuration that
+ * operators were told is replaced. The frame carries our revision, so the
+ * router knows whether to install ours or to hand us its own.
+ */
+function checkRevision(
+  offer: Offer,
+  {revision}: RefusalView,
+): RefuseAction | undefined {
+  if (offer.revision === revision) return undefined;
+  const message =
+    offer.revision < revision
+      ? 'The router holds an older configuration.'
+      : 'The sidecar holds an older configuration.';
+  return makeRefusal(offer.attemptId, 'staleRevision', {message});
+}
+
+function checkDeadline(
+  offer: Offer,
+  _view: RefusalView,
+  now: number,
+): RefuseAction | undefined {
+  if (offer.deadlineAt > now) return undefined;
+  return makeRefusal(offer.attemptId, 'deadlineUnreachable', {
+    message: 'The deadline had passed when the request arrived.',
+  });
+}
+
+function checkPointer(
+  offer: Offer,
+  view: RefusalView,
+  now: number,
+): RefuseAction | undefined {
+  if (offer.handOvers > 0 || !isFirstChoice(offer, view.settings)) {
+    return undefined;
+  }
+  const {workspace, chat, requestId} = offer;
+  if (view.cache.read(workspace, chat).warmth === WARMTH.WARM) return undefined;
+  const pointer = view.pointers.follow(workspace, chat, requestId, now);
+  if (pointer === undefined) return undefined;
+  return makeRefusal(offer.attemptId, 'servedElsewhere', {pointer});
+}
+
+function checkWorkspaceLimit(
+  offer: Offer,
+  view: RefusalView,
+): RefuseAction | undefined {
+  const {workspace, tokens} = offer;
+  const {maxQueuedTokens} = view.queue.shareFor(workspace);
+  if (maxQueuedTokens === 0) return undefined;
+  const waiting = view.queue.tokensOf(workspace);
+  const outstanding = waiting + view.runningTokensOf(workspace);
+  if (outstanding + tokens <= maxQueuedTokens) return undefined;
+  const waitMs = view.expectedWaitMs(offer);
+  return makeRefusal(offer.attemptId, 'workspaceLimit', {
+    retryAfterMs: retryAfter(waitMs, view.random),
+  });
+}
+
+function checkWait(
+  offer: Offer,
+  view: RefusalView,
+  now: number,
+): RefuseAction | undefined {
+  const waitMs = view.expectedWaitMs(offer);
+  const leftMs = offer.deadlineAt - now - view.serviceMs(offer.tokens);
+  const full = view.queue.size >= view.settings.maxQueuedRequests;
+  const {maxHoldMs} = view.policy;
+  if (!full && waitMs <= Math.min(leftMs, maxHoldMs)) return undefined;
+  const late = waitMs > leftMs;
+  const kind = late ? 'deadlineUnreachable' : 'overloaded';
+  const missingMs = Math.max(0, waitMs - Math.min(leftMs, maxHoldMs));
+  return makeRefusal(offer.attemptId, kind, {
+    retryAfterMs: retryAfter(missingMs, view.random),
+  });
+}
+
+const CHECKS: readonly Check[] = [
+  checkIncarnation,
+  checkReady,
+  checkDraining,
+  checkRevision,
+  checkDeadline,
+  checkPointer,
+  checkWorkspaceLimit,
+  checkWait,
+];
+
+/**
+ * @param offer an attempt that was not seen before
+ * @param view the gate's state
+ * @param now present time
+ * @returns why it is refused, or undefined
+ */
+export function findRefusal(
+  offer: Offer,
+  view: RefusalView,
+  now: number,
+): RefuseAction | undefined {
+  for (const check of CHECKS) {
+    const refusal = check(offer, view, now);
+    if (refusal) return refusal;
+  }
+  return undefined;
+}
--- /dev/null
+++ b/packages/lovagepond-sidecar/src/sidecar_runs.ts
@@ -0,0 +1,72 @@
+/**
+ * The attempts that hold a part of the engine's work: dispatched, or waiting
+ * for their claim.
+ */
+import {type SidecarAdmission} from './sidecar_admission.js';
+import {type Offer} from './sidecar_types.js';
+
+/** One attempt that counts as running. */
+export interface Run {
+  readonly offer: Offer;
+  readonly heldAt: number;
+  readonly startedAt: number;
+}
+
+/** Keeps the running attempts and the admission's account in step. */
+export class SidecarRuns {
+  readonly #admission: SidecarAdmission;
+  readonly #runs = new Map<string, Run>();
+
+  /** @param admission told of each start and end */
+  constructor(admission: SidecarAdmission) {
+    this.#admission = admission;
+  }
+
+  /** @returns number of running attempts */
+  get size(): number {
+    return this.#runs.size;
+  }
+
+  /**
+   * @param attemptId an attempt
+   * @returns its run, or undefined
+   */
+  find(attemptId: string): Run | undefined {
+    return this.#runs.get(attemptId);
+  }
+
+  /**
+   * @param offer the attempt
+   * @param heldAt when it came
+   * @param now present time
+   */
+  start(offer: Offer, heldAt: number, now: number): void {
+    this.#runs.set(offer.attemptId, {offer, heldAt, startedAt: now});
+    this.#admission.start(offer.tokens, now);
+  }
+
+  /**
+   * @param attemptId an attempt whose run is over
+   * @param now present time
+   * @returns the run, or undefined when it is not running
+   */
+  end(attemptId: string, now: number): Run | undefined {
+    const run = this.#runs.get(attemptId);
+    if (!run) return undefined;
+    this.#runs.delete(attemptId);
+    this.#admission.finish(run.offer.tokens, now);
+    return run;
+  }
+
+  /**
+   * @param workspace a workspace's name
+   * @returns tokens it has running
+   */
+  tokensOf(workspace: string): number {
+    let tokens = 0;
+    for (const {offer} of this.#runs.values()) {
+      if (offer.workspace === workspace) tokens += offer.tokens;
+    }
+    return tokens;
+  }
+}
