Add the ctl commands over the administration API

Cause: operators had the HTTP API and no commands; the API's own interface stood beside the one that control states. Change: the server now runs over control's ControlAdministration. ctl has a table of commands mounted by registerCtl: configuration, objects, labels, limits, servers, orders, members, convergence, dump. A change keeps one operation id and base revision over all tries and members. Conclusion: tests lose an answer after the commit, withhold the leader, race two operators and stop a replacement half-way; each ends as documented.

--- /dev/null
+++ b/packages/lovagepond-operator/src/__tests__/unit/ctl.test.ts
@@ -0,0 +1,227 @@
+import {createServer, type Server} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {type Logger} from '@lovagepond/core';
+import {EXIT_CODE, type ExitCode} from '@lovagepond/platform';
+import {Command} from 'commander';
+import {request} from 'undici';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {
+  AdministrationServer,
+  type CtlIo,
+  DEFAULT_OPERATOR_SETTINGS,
+  registerCtl,
+} from '../../index.js';
+import {FakeAdministration} from './fake_administration.js';
+
+const SILENT: Logger = {debug() {}, info() {}, warn() {}, error() {}};
+const TOKEN = 'test-token';
+
+/** Virtual time and captured output; an effect may run at each wait. */
+class FakeIo implements CtlIo {
+  out = '';
+  err = '';
+  exitCode: ExitCode | undefined;
+  onWait: () => void = () => {};
+  readonly files = new Map([['token', `${TOKEN}\n`]]);
+  #now = 0;
+  #ids = 0;
+
+  now(): number {
+    return this.#now;
+  }
+
+  wait(delayMs: number): Promise<void> {
+    this.#now += delayMs;
+    this.onWait();
+    return Promise.resolve();
+  }
+
+  write(text: string): void {
+    this.out += text;
+  }
+
+  writeError(text: string): void {
+    this.err += text;
+  }
+
+  readFile(path: string): Promise<string> {
+    return Promise.resolve(this.files.get(path)!);
+  }
+
+  setExitCode(code: ExitCode): void {
+    this.exitCode = code;
+  }
+
+  createOperationId(): string {
+    this.#ids += 1;
+    return `id-${this.#ids}`;
+  }
+}
+
+async function listen(server: Server): Promise<string> {
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+describe('ctl', () => {
+  let member: FakeAdministration;
+  let server: AdministrationServer;
+  let origin: string;
+  let io: FakeIo;
+
+  beforeEach(async () => {
+    member = new FakeAdministration();
+    const settings = {...DEFAULT_OPERATOR_SETTINGS, port: 0, token: TOKEN};
+    server = new AdministrationServer(member, settings, SILENT);
+    origin = `http://127.0.0.1:${await server.start()}`;
+    io = new FakeIo();
+  });
+
+  afterEach(() => server.stop());
+
+  async function ctl(line: string, control = origin): Promise<void> {
+    io.out = '';
+    io.err = '';
+    const program = new Command('ctl').exitOverride();
+    registerCtl(program, io);
+    const words = [...line.split(' '), '--token-file', 'token'];
+    await program.parseAsync([...words, '--control', control], {from: 'user'});
+  }
+
+  // The first member commits the change and dies before its answer leaves.
+  // The command sends the same change to the next member, which knows the
+  // operation id: the operator sees success, and one revision was made.
+  it('sends a change again after a lost answer, under the same id', async () => {
+    const ids: unknown[] = [];
+    const losing = createServer((req, res) => {
+      const {method, url, headers} = req;
+      const chunks: Buffer[] = [];
+      req.on('data', (chunk: Buffer) => chunks.push(chunk));
+      req.on('end', () => {
+        const body = method === 'GET' ? null : Buffer.concat(chunks);
+        delete headers['transfer-encoding'];
+        delete headers.connection;
+        const options = {method: method as 'GET' | 'PUT', headers, body};
+        void request(origin + url!, options).then(async answer => {
+          const text = await answer.body.text();
+          if (method === 'GET') return res.end(text);
+          ids.push(headers['operation-id']);
+          return req.socket.destroy();
+        });
+      });
+    });
+    const first = await listen(losing);
+    await ctl('pools set chat kind=engine loadBound=1.4', `${first},${origin}`);
+    losing.close();
+    expect([io.exitCode, io.err, ids]).toEqual([0, '', ['id-1']]);
+    expect(io.out).toContain('the configuration is revision 1');
+    expect(member.revisions).toHaveLength(2);
+    expect(member.revisions[1]!.content.pools[0]!.loadBound).toBe(1.4);
+  });
+
+  // No member knows a leader for a while, then one is elected: the command
+  // waits and succeeds. When none is ever elected it ends with its own exit
+  // code and names the operation id to go on with.
+  it('waits for a leader, and says how to go on when there is none', async () => {
+    member.refusal = {kind: 'notLeader', leader: ''};
+    io.onWait = () => {
+      if (io.now() >= 1_000) member.refusal = undefined;
+    };
+    await ctl('servers drain engine-1');
+    expect(io.exitCode).toBe(EXIT_CODE.OK);
+    expect(member.wanted.get('engine-1')).toBe('draining');
+    io.onWait = () => {};
+    member.refusal = {kind: 'unknown'};
+    await ctl('order load-model engine-1 offers --version 7');
+    expect(io.exitCode).toBe(EXIT_CODE.UNREACHABLE);
+    expect(io.err).toContain('--operation-id id-2');
+    expect(member.orders).toHaveLength(0);
+    member.refusal = undefined;
+    await ctl('order load-model engine-1 offers --operation-id id-2');
+    await ctl('order load-model engine-1 offers --operation-id id-2');
+    expect(member.orders).toHaveLength(1);
+  });
+
+  // Two operators started from revision 0; this one comes second. The command
+  // fails, names the other's change, and leaves the configuration alone.
+  it('ends with a conflict that names the other change', async () => {
+    await ctl('pools set drafting kind=engine');
+    await ctl('pools set chat kind=engine --base 0');
+    expect(io.exitCode).toBe(EXIT_CODE.REFUSED);
+    expect(io.err).toContain('+ pools/drafting');
+    await ctl('pools list --json');
+    expect(JSON.parse(io.out)).toHaveLength(1);
+  });
+
+  it('names every fault of a file, and changes nothing', async () => {
+    const pools = [
+      {name: 'a', kind: 'engine'},
+      {name: 'a', kind: 'engine'},
+    ];
+    const workspaces = [{name: 'w'}, {name: 'w'}];
+    io.files.set('cfg', JSON.stringify({pools, workspaces}));
+    await ctl('apply -f cfg');
+    expect(io.exitCode).toBe(EXIT_CODE.REFUSED);
+    expect(io.err).toContain('pools[1].name');
+    expect(io.err).toContain('workspaces[1].name');
+    io.files.set('cfg', JSON.stringify({workspaces: [{name: 'w'}]}));
+    await ctl('diff -f cfg');
+    expect(io.out).toContain('would become revision 1');
+    expect(member.revisions).toHaveLength(1);
+  });
+
+  // A router behind a lossy path is the last to hold the new revision. With
+  // --wait the command ends once it does; when it never does, the command
+  // fails at its limit and the table names the router.
+  it('waits until the revision is in force everywhere', async () => {
+    await ctl('workspaces set bakery weight=2');
+    const node = {role: 'router', ageMs: 0};
+    member.nodes = [
+      {...node, node: 'r1', revision: 1},
+      {...node, node: 'r2', revision: 0},
+    ];
+    await ctl('convergence --wait --limit 4');
+    expect(io.exitCode).toBe(EXIT_CODE.NOT_CONVERGED);
+    expect(io.out).toMatch(/r2 +router +0 +no/);
+    io.onWait = () => {
+      member.nodes = [{...node, node: 'r2', revision: 1}];
+    };
+    await ctl('convergence --wait --limit 4');
+    expect(io.exitCode).toBe(EXIT_CODE.OK);
+  });
+
+  // Replacing a member stops half-way when the answer to the promotion is
+  // lost for good. Run again, it goes on: the new member is not added twice,
+  // and the old one leaves only after the new one has its vote.
+  it('goes on with a half-done replacement of a member', async () => {
+    const view = {address: 'h:1', leader: false};
+    member.members = [
+      {...view, memberId: 'c2', voter: true},
+      {...view, memberId: 'c4', voter: false},
+    ];
+    await ctl('members replace c2 c4 10.0.0.4:7402');
+    expect(member.memberChanges).toEqual([
+      {kind: 'promote', memberId: 'c4'},
+      {kind: 'remove', memberId: 'c2'},
+    ]);
+  });
+
+  it('edits labels and limits, shows lists, and rejects bad input', async () => {
+    await ctl('pools set chat kind=engine labels={"tier":"gold","old":"1"}');
+    await ctl('labels chat tier=silver old-');
+    await ctl('workspaces set bakery');
+    await ctl('limits bakery --max-queued-tokens 200000');
+    await ctl('pools list');
+    expect(io.out).toMatch(/chat +engine +tier=silver +1.5/);
+    await ctl('workspaces list');
+    expect(io.out).toMatch(/bakery +1 +5 +200000/);
+    for (const list of ['history', 'servers list', 'order list', 'dump']) {
+      await ctl(list);
+      expect(io.exitCode).toBe(EXIT_CODE.OK);
+    }
+    await ctl('limits nobody --priority 3');
+    expect(io.exitCode).toBe(EXIT_CODE.USAGE);
+    await ctl('restore one');
+    expect(io.exitCode).toBe(EXIT_CODE.USAGE);
+  });
+});
--- a/packages/lovagepond-operator/src/__tests__/unit/fake_administration.ts
+++ b/packages/lovagepond-operator/src/__tests__/unit/fake_administration.ts
@@ -5,144 +5,148 @@
   checkConfiguration,
   type Configuration,
   EMPTY_CONFIGURATION,
+  type StateDump,
 } from '@lovagepond/core';
 import {
-  type Administration,
-  type AdministrationRefusal,
-  compareConfigurations,
-  type ConfigurationChange,
-  type ConfigurationOutcome,
-  type ConvergenceStatus,
+  type ChangeAnswer,
+  type ChangeRequest,
+  type ConfigurationDifference,
+  type ControlAdministration,
+  type ControlMemberView,
+  type ConvergenceView,
+  type HistoryEntry,
   type MemberChange,
-  type MemberStatus,
+  type NotDone,
+  type OperationAnswer,
+  type OrderAnswer,
   type OrderRequest,
-  type OrderStatus,
-} from '../../index.js';
+  type OrderView,
+  type ServerView,
+  type WantedChange,
+} from '@lovagepond/control';
+
+type Restore = Parameters<ControlAdministration['restoreRevision']>[0];
+type Wanted = Parameters<ControlAdministration['setWantedState']>[0];
+
+function edit(base: Configuration, change: WantedChange): unknown {
+  if (change.kind === 'replace') return change.content;
+  const name =
+    change.kind === 'delete'
+      ? change.name
+      : (change.object as {name: string}).name;
+  const objects: readonly {name: string}[] = base.content[change.section];
+  const rest: unknown[] = objects.filter(object => object.name !== name);
+  if (change.kind === 'put') rest.push(change.object);
+  return {...base.content, [change.section]: rest};
+}
+
+/** Differences of pools are enough for these tests. */
+function compare(
+  a: Configuration,
+  b: Configuration,
+): ConfigurationDifference[] {
+  const former = a.content.pools.map(pool => pool.name);
+  return b.content.pools
+    .filter(pool => !former.includes(pool.name))
+    .map(pool => ({place: `pools/${pool.name}`, kind: 'added', after: pool}));
+}
 
-export class FakeAdministration implements Administration {
+export class FakeAdministration implements ControlAdministration {
   readonly revisions: Configuration[] = [EMPTY_CONFIGURATION];
   readonly wanted = new Map<string, string>();
-  readonly orders: OrderStatus[] = [];
   readonly memberChanges: MemberChange[] = [];
-  convergence: ConvergenceStatus = {revision: 0, nodes: []};
+  readonly orders: OrderView[] = [];
+  members: ControlMemberView[] = [];
+  nodes: ConvergenceView[] = [];
   /** Set: every change is refused like this. */
-  refusal: AdministrationRefusal | undefined;
-  readonly #answers = new Map<string, unknown>();
-
-  #once<Value>(id: string, make: () => Value): Value {
-    const first = this.#answers.get(id);
-    if (first !== undefined) return first as Value;
-    const value = make();
-    this.#answers.set(id, value);
-    return value;
-  }
+  refusal: NotDone | undefined;
+  readonly #answers = new Map<string, ChangeAnswer>();
 
-  getConfiguration(): Promise<Configuration> {
-    return Promise.resolve(this.revisions.at(-1)!);
+  getConfiguration(): Configuration {
+    return this.revisions.at(-1)!;
   }
 
-  listHistory(): ReturnType<Administration['listHistory']> {
+  history(): readonly HistoryEntry[] {
     const entries = this.revisions.map(({revision}) => ({
       revision,
       operationId: `op-${revision}`,
       acceptedAt: 0,
+      changed: [],
+      restorable: true,
     }));
-    return Promise.resolve(entries.reverse());
+    return entries.reverse();
   }
 
-  getRevision(revision: number): Promise<Configuration | undefined> {
-    return Promise.resolve(this.revisions[revision]);
+  getRevision(revision: number): Configuration | undefined {
+    return this.revisions[revision];
   }
 
-  changeConfiguration(
-    change: ConfigurationChange,
-  ): Promise<ConfigurationOutcome> {
-    if (this.refusal) return Promise.resolve(this.refusal);
-    if (change.dryRun) return Promise.resolve(this.#apply(change));
-    const outcome = this.#once(change.operationId, () => this.#apply(change));
-    return Promise.resolve(outcome);
+  change(req: ChangeRequest): Promise<ChangeAnswer> {
+    const first = this.refusal ?? this.#answers.get(req.operationId);
+    const answer = first ?? this.#apply(req);
+    if (!req.dryRun && !this.refusal) {
+      this.#answers.set(req.operationId, answer);
+    }
+    return Promise.resolve(answer);
   }
 
-  #apply(change: ConfigurationChange): ConfigurationOutcome {
-    const current = this.revisions.at(-1)!;
-    const {revision} = current;
-    const base = this.revisions[change.baseRevision]!;
-    const check = checkConfiguration(change.content);
-    if (!check.ok) return {kind: 'invalid', faults: check.faults};
-    if (change.baseRevision !== revision) {
-      const differences = compareConfigurations(base.content, current.content);
-      return {kind: 'conflict', currentRevision: revision, differences};
+  #apply(req: ChangeRequest): ChangeAnswer {
+    const current = this.getConfiguration();
+    const base = this.revisions[req.baseRevision]!;
+    if (base !== current) {
+      const {revision: currentRevision} = current;
+      const differences = compare(base, current);
+      return {kind: 'conflict', currentRevision, differences};
     }
-    const next = {revision: revision + 1, content: check.content};
-    if (!change.dryRun) this.revisions.push(next);
-    const differences = compareConfigurations(current.content, check.content);
+    const check = checkConfiguration(edit(base, req.change));
+    if (!check.ok) return {kind: 'invalid', faults: check.faults};
+    const next = {revision: current.revision + 1, content: check.content};
+    if (!req.dryRun) this.revisions.push(next);
+    const differences = compare(current, next);
     return {kind: 'accepted', revision: next.revision, differences};
   }
 
-  restoreRevision(
-    restore: Parameters<Administration['restoreRevision']>[0],
-  ): Promise<ConfigurationOutcome> {
-    const {content} = this.revisions[restore.revision]!;
-    return this.changeConfiguration({...restore, content});
+  restoreRevision(req: Restore): Promise<ChangeAnswer> {
+    const {content} = this.revisions[req.revision]!;
+    return this.change({...req, change: {kind: 'replace', content}});
   }
 
-  listBackendServers(): ReturnType<Administration['listBackendServers']> {
-    return Promise.resolve([]);
+  listBackendServers(): readonly ServerView[] {
+    return [];
   }
 
-  drainBackendServer(
-    name: string,
-  ): ReturnType<Administration['drainBackendServer']> {
+  setWantedState(req: Wanted): Promise<OperationAnswer> {
     if (this.refusal) return Promise.resolve(this.refusal);
-    this.wanted.set(name, 'draining');
-    const value = {wantedState: 'draining'};
-    return Promise.resolve({kind: 'accepted', value});
+    this.wanted.set(req.backendServer, req.wantedState);
+    return Promise.resolve({kind: 'accepted'});
   }
 
-  resumeBackendServer(
-    name: string,
-  ): ReturnType<Administration['resumeBackendServer']> {
-    this.wanted.set(name, 'ready');
-    return Promise.resolve({kind: 'accepted', value: {wantedState: 'ready'}});
+  listOrders(): readonly OrderView[] {
+    return this.orders;
   }
 
-  listOrders(): Promise<readonly OrderStatus[]> {
-    return Promise.resolve(this.orders);
-  }
-
-  issueOrder(order: OrderRequest): ReturnType<Administration['issueOrder']> {
-    const value = this.#once(order.operationId, () => {
-      const status: OrderStatus = {
-        ...order,
-        orderId: `order-${this.orders.length}`,
-        fencingToken: this.orders.length + 1,
-        state: 'pending',
-        message: '',
-      };
-      this.orders.push(status);
-      return status;
-    });
-    return Promise.resolve({kind: 'accepted', value});
+  issueOrder(req: OrderRequest): Promise<OrderAnswer> {
+    if (this.refusal) return Promise.resolve(this.refusal);
+    const known = this.orders.find(order => order.orderId === req.orderId);
+    const fencingToken = known?.fencingToken ?? this.orders.length + 1;
+    if (!known) this.orders.push({...req, fencingToken, message: ''});
+    return Promise.resolve({kind: 'accepted', fencingToken});
   }
 
-  listMembers(): Promise<readonly MemberStatus[]> {
-    const address = '127.0.0.1:1';
-    const member = {name: 'c1', address, role: 'voter', isLeader: true};
-    return Promise.resolve([member]);
+  listMembers(): readonly ControlMemberView[] {
+    return this.members;
   }
 
-  async changeMembers(
-    change: MemberChange,
-  ): ReturnType<Administration['changeMembers']> {
+  changeMembers(change: MemberChange): Promise<OperationAnswer> {
     this.memberChanges.push(change);
-    return {kind: 'accepted', value: await this.listMembers()};
+    return Promise.resolve({kind: 'accepted'});
   }
 
-  getConvergence(): Promise<ConvergenceStatus> {
-    return Promise.resolve(this.convergence);
+  convergence(): readonly ConvergenceView[] {
+    return this.nodes;
   }
 
-  dump(): ReturnType<Administration['dump']> {
+  dump(): StateDump {
     return {version: 1, role: 'control', state: {term: 3}};
   }
 }
--- a/packages/lovagepond-operator/src/__tests__/unit/operator_server.test.ts
+++ b/packages/lovagepond-operator/src/__tests__/unit/operator_server.test.ts
@@ -83,7 +83,7 @@
       kind: 'conflict',
       disposition: 'notRun',
       currentRevision: 1,
-      differences: [{place: `pools[${winner}]`}],
+      differences: [{place: `pools/${winner}`}],
     });
     expect(administration.revisions.at(-1)!.content.pools).toHaveLength(1);
   });
@@ -170,7 +170,7 @@
     const path = '/v1/configuration/pools/chat';
     const pool = {kind: 'engine', loadBound: 1.4};
     const dry = await call('PUT', `${path}?dryRun=true`, pool, change('d', 0));
-    expect(dry.body['differences']).toMatchObject([{place: 'pools[chat]'}]);
+    expect(dry.body['differences']).toMatchObject([{place: 'pools/chat'}]);
     expect(administration.revisions).toHaveLength(1);
     await call('PUT', path, pool, change('a', 0));
     await call('DELETE', path, undefined, change('b', 1));
--- /dev/null
+++ b/packages/lovagepond-operator/src/ctl_fleet_commands.ts
@@ -0,0 +1,197 @@
+/**
+ * `ctl` commands over backend servers, orders and the state dump.
+ */
+import {
+  ORDER_ACTION,
+  type OrderAction,
+  type OrderView,
+  type ServerView,
+} from '@lovagepond/control';
+import {OPERATION_OPTIONS, operationIdOf} from './ctl_change_utils.js';
+import {formatTable} from './ctl_format_utils.js';
+import {type CtlCall, type CtlCommand, type CtlOutput} from './ctl_types.js';
+
+async function listServers(call: CtlCall): Promise<CtlOutput> {
+  const views = (await call.client.read(
+    '/v1/backend-servers',
+  )) as readonly ServerView[];
+  const rows = views.map(view => [
+    view.server.name,
+    view.server.pool,
+    view.damped ? `${view.server.state} (damped)` : view.server.state,
+    view.wantedState,
+    view.server.availabilityZone,
+    view.runningTokens,
+    view.queuedTokens,
+    view.server.models,
+  ]);
+  const headings = [
+    'SERVER',
+    'POOL',
+    'STATE',
+    'WANTED',
+    'ZONE',
+    'RUNNING',
+    'QUEUED',
+    'MODELS',
+  ];
+  return {json: views, lines: formatTable(headings, rows)};
+}
+
+function setWantedState(action: 'drain' | 'resume') {
+  return async (call: CtlCall): Promise<CtlOutput> => {
+    const name = call.args[0] ?? '';
+    const operationId = operationIdOf(call);
+    const path = `/v1/backend-servers/${encodeURIComponent(name)}/${action}`;
+    await call.client.change({method: 'POST', path, operationId});
+    const lines = [`${action} of ${name} is accepted`];
+    return {json: {server: name, action, operationId}, lines};
+  };
+}
+
+async function issueOrder(
+  call: CtlCall,
+  action: OrderAction,
+  args: Readonly<Record<string, string>>,
+): Promise<CtlOutput> {
+  const operationId = operationIdOf(call);
+  const backendServer = call.args[0] ?? '';
+  const body = {backendServer, action, arguments: args};
+  const {fencingToken} = (await call.client.change({
+    method: 'POST',
+    path: '/v1/orders',
+    operationId,
+    body,
+  })) as {fencingToken: number};
+  const json = {...body, orderId: operationId, fencingToken};
+  const lines = [`order ${operationId} has fencing token ${fencingToken}`];
+  return {json, lines};
+}
+
+function orderModel(action: OrderAction) {
+  return (call: CtlCall): Promise<CtlOutput> => {
+    const {version, adapter} = call.options;
+    return issueOrder(call, action, {
+      model: call.args[1] ?? '',
+      ...(version === undefined ? {} : {version}),
+      ...(adapter === undefined ? {} : {adapter}),
+    });
+  };
+}
+
+function orderRole(call: CtlCall): Promise<CtlOutput> {
+  const role = call.args[1] ?? '';
+  return issueOrder(call, ORDER_ACTION.CHANGE_ROLE, {role});
+}
+
+async function listOrders(call: CtlCall): Promise<CtlOutput> {
+  const orders = (await call.client.read('/v1/orders')) as readonly OrderView[];
+  const rows = orders.map(order => [
+    order.orderId,
+    order.backendServer,
+    order.action,
+    order.arguments,
+    order.fencingToken,
+    order.outcome ?? 'pending',
+    order.message,
+  ]);
+  const headings = [
+    'ORDER',
+    'SERVER',
+    'ACTION',
+    'ARGUMENTS',
+    'TOKEN',
+    'OUTCOME',
+    'MESSAGE',
+  ];
+  return {json: orders, lines: formatTable(headings, rows)};
+}
+
+async function showDump(call: CtlCall): Promise<CtlOutput> {
+  const dumps = await call.client.readAll('/v1/dump');
+  const json = Object.fromEntries(dumps);
+  return {json, lines: [JSON.stringify(json, undefined, 2)]};
+}
+
+const MODEL_OPTIONS = [
+  ['--version <version>', 'version of the model'],
+  ['--adapter <name>', 'an adapter of the model'],
+  ...OPERATION_OPTIONS,
+] as const;
+
+const SERVER_COMMANDS: readonly CtlCommand[] = [
+  {
+    group: 'servers',
+    name: 'list',
+    description: 'list the backend servers that announced themselves',
+    example: 'servers list',
+    run: listServers,
+  },
+  {
+    group: 'servers',
+    name: 'drain',
+    args: '<server>',
+    description: 'give it no new work; what it has finishes',
+    options: OPERATION_OPTIONS,
+    example: 'servers drain engine-3',
+    run: setWantedState('drain'),
+  },
+  {
+    group: 'servers',
+    name: 'resume',
+    args: '<server>',
+    description: 'let it take work again',
+    options: OPERATION_OPTIONS,
+    example: 'servers resume engine-3',
+    run: setWantedState('resume'),
+  },
+];
+
+const ORDER_COMMANDS: readonly CtlCommand[] = [
+  {
+    group: 'order',
+    name: 'load-model',
+    args: '<server> <model>',
+    description: 'load a model, one of its versions or an adapter',
+    options: MODEL_OPTIONS,
+    example: 'order load-model engine-3 offers --version 7',
+    run: orderModel(ORDER_ACTION.LOAD_MODEL),
+  },
+  {
+    group: 'order',
+    name: 'unload-model',
+    args: '<server> <model>',
+    description: 'unload it',
+    options: MODEL_OPTIONS,
+    example: 'order unload-model engine-3 offers',
+    run: orderModel(ORDER_ACTION.UNLOAD_MODEL),
+  },
+  {
+    group: 'order',
+    name: 'change-role',
+    args: '<server> <role>',
+    description: 'change what the backend server is for',
+    options: OPERATION_OPTIONS,
+    example: 'order change-role engine-3 prefill',
+    run: orderRole,
+  },
+  {
+    group: 'order',
+    name: 'list',
+    description: 'list orders and their outcomes, newest first',
+    example: 'order list',
+    run: listOrders,
+  },
+];
+
+/** Commands over backend servers, orders and dumps. */
+export const FLEET_COMMANDS: readonly CtlCommand[] = [
+  ...SERVER_COMMANDS,
+  ...ORDER_COMMANDS,
+  {
+    name: 'dump',
+    description: "show each control member's state",
+    example: 'dump > control.json',
+    run: showDump,
+  },
+];
--- /dev/null
+++ b/packages/lovagepond-operator/src/ctl_member_commands.ts
@@ -0,0 +1,122 @@
+/**
+ * `ctl` commands over control's members.
+ */
+import {type ControlMemberView, type MemberChange} from '@lovagepond/control';
+import {operationIdOf} from './ctl_change_utils.js';
+import {formatTable} from './ctl_format_utils.js';
+import {
+  type CtlCall,
+  type CtlCommand,
+  type CtlOutput,
+  UsageError,
+} from './ctl_types.js';
+
+async function readMembers(
+  call: CtlCall,
+): Promise<readonly ControlMemberView[]> {
+  return (await call.client.read(
+    '/v1/members',
+  )) as readonly ControlMemberView[];
+}
+
+async function showMembers(call: CtlCall): Promise<CtlOutput> {
+  const members = await readMembers(call);
+  const rows = members.map(member => [
+    member.memberId,
+    member.address,
+    member.voter ? 'voter' : 'learner',
+    member.leader ? 'yes' : 'no',
+    member.matchIndex,
+  ]);
+  const headings = ['MEMBER', 'ADDRESS', 'ROLE', 'LEADER', 'MATCH'];
+  return {json: members, lines: formatTable(headings, rows)};
+}
+
+async function changeMembers(
+  call: CtlCall,
+  change: MemberChange,
+): Promise<CtlOutput> {
+  const operationId = operationIdOf(call);
+  const path = '/v1/members';
+  await call.client.change({method: 'POST', path, operationId, body: change});
+  return showMembers(call);
+}
+
+function addLearner(call: CtlCall): Promise<CtlOutput> {
+  const [memberId = '', address = ''] = call.args;
+  return changeMembers(call, {kind: 'addLearner', memberId, address});
+}
+
+function promote(call: CtlCall): Promise<CtlOutput> {
+  return changeMembers(call, {kind: 'promote', memberId: call.args[0] ?? ''});
+}
+
+function remove(call: CtlCall): Promise<CtlOutput> {
+  return changeMembers(call, {kind: 'remove', memberId: call.args[0] ?? ''});
+}
+
+/**
+ * Replaces a member in three changes. The new one gets its vote first and the
+ * old one leaves last: removing first would leave a group that the next lost
+ * host stops. Control refuses to promote a learner that has not caught up;
+ * running the command again goes on where it stopped.
+ */
+async function replace(call: CtlCall): Promise<CtlOutput> {
+  const [oldId = '', newId = '', address = ''] = call.args;
+  if (oldId === newId) throw new UsageError('a new member needs a new name');
+  const known = (await readMembers(call)).find(
+    member => member.memberId === newId,
+  );
+  if (!known) {
+    await changeMembers(call, {kind: 'addLearner', memberId: newId, address});
+  }
+  if (!known?.voter) {
+    await changeMembers(call, {kind: 'promote', memberId: newId});
+  }
+  return changeMembers(call, {kind: 'remove', memberId: oldId});
+}
+
+const ADDRESS_ARGS = '<member> <host:port>';
+
+/** Commands over control's members. */
+export const MEMBER_COMMANDS: readonly CtlCommand[] = [
+  {
+    group: 'members',
+    name: 'list',
+    description: "list control's members",
+    example: 'members list',
+    run: showMembers,
+  },
+  {
+    group: 'members',
+    name: 'add',
+    args: ADDRESS_ARGS,
+    description: 'add a learner: it gets the log and has no vote',
+    example: 'members add control-4 10.0.0.4:7402',
+    run: addLearner,
+  },
+  {
+    group: 'members',
+    name: 'promote',
+    args: '<member>',
+    description: 'give a learner that has caught up a vote',
+    example: 'members promote control-4',
+    run: promote,
+  },
+  {
+    group: 'members',
+    name: 'remove',
+    args: '<member>',
+    description: 'take a member out',
+    example: 'members remove control-2',
+    run: remove,
+  },
+  {
+    group: 'members',
+    name: 'replace',
+    args: '<old> <new> <host:port>',
+    description: 'add and promote a new member, then remove the old one',
+    example: 'members replace control-2 control-4 10.0.0.4:7402',
+    run: replace,
+  },
+];
--- a/packages/lovagepond-operator/src/index.ts
+++ b/packages/lovagepond-operator/src/index.ts
@@ -1,27 +1,21 @@
+export {registerCtl} from './ctl_register.js';
 export {
-  type Administration,
-  type AdministrationRefusal,
-  type BackendServerStatus,
-  type ConfigurationChange,
-  type ConfigurationDifference,
-  type ConfigurationOutcome,
-  type ConfigurationRestore,
-  type ConvergenceStatus,
-  type HistoryEntry,
-  type MemberChange,
-  type MemberStatus,
-  type NodeConvergence,
-  type OperationOutcome,
-  ORDER_ACTION,
-  type OrderAction,
-  type OrderRequest,
-  type OrderStatus,
-} from './operator_administration.js';
+  type CtlCall,
+  type CtlCommand,
+  type CtlIo,
+  type CtlOptions,
+  type CtlOutput,
+  UsageError,
+} from './ctl_types.js';
 export {
-  compareConfigurations,
-  CONFIGURATION_SECTIONS,
-  type ConfigurationSection,
-} from './operator_differences.js';
+  AdministrationClient,
+  type ApiError,
+  type ChangeCall,
+  type ClientSettings,
+  type ClientTime,
+  RefusedError,
+  UnreachableError,
+} from './operator_client.js';
 export {AdministrationServer} from './operator_server.js';
 export {
   DEFAULT_OPERATOR_SETTINGS,
--- a/packages/lovagepond-operator/src/operator_calls.ts
+++ b/packages/lovagepond-operator/src/operator_calls.ts
@@ -4,11 +4,11 @@
  */
 import {type ParsedUrlQuery} from 'node:querystring';
 import {
-  type Administration,
-  type AdministrationRefusal,
-  type ConfigurationOutcome,
-  type OperationOutcome,
-} from './operator_administration.js';
+  type ChangeAnswer,
+  type ControlAdministration,
+  type OperationAnswer,
+  type OrderAnswer,
+} from '@lovagepond/control';
 import {
   type AdministrationReply,
   replyWith,
@@ -17,7 +17,7 @@
 
 /** A call as a handler gets it. */
 export interface AdministrationCall {
-  readonly administration: Administration;
+  readonly administration: ControlAdministration;
   /** Named parts of the path. */
   readonly params: Readonly<Record<string, string>>;
   readonly query: ParsedUrlQuery;
@@ -33,39 +33,22 @@
 /** Answers one kind of call. */
 export type CallHandler = (
   call: AdministrationCall,
-) => Promise<AdministrationReply>;
+) => AdministrationReply | Promise<AdministrationReply>;
 
-const REFUSAL_REPLIES: {
-  readonly [Kind in AdministrationRefusal['kind']]: (
-    refusal: Extract<AdministrationRefusal, {kind: Kind}>,
-  ) => AdministrationReply;
-} = {
-  notLeader: ({leader}) =>
-    leader === undefined
-      ? replyWithError('notLeader')
-      : replyWithError('notLeader', {
-          message: `The leader is ${leader}.`,
-          leader,
-        }),
-  unknown: () =>
-    replyWithError('outcomeUnknown', {
-      message: 'The change may have been made: resend it with the same id.',
-    }),
-  notFound: ({message}) => replyWithError('notFound', {message}),
-  badRequest: ({message}) => replyWithError('badRequest', {message}),
-};
+type Answer = ChangeAnswer | OperationAnswer | OrderAnswer;
+type AnswerOf<Kind> = Extract<Answer, {kind: Kind}>;
 
-function replyToRefusal(refusal: AdministrationRefusal): AdministrationReply {
-  return REFUSAL_REPLIES[refusal.kind](refusal as never);
+function replyToAccepted(answer: AnswerOf<'accepted'>): AdministrationReply {
+  if (!('revision' in answer)) return replyWith(answer);
+  return replyWith(answer, {etag: `"${answer.revision}"`});
 }
 
-const CONFIGURATION_REPLIES: {
-  readonly [Kind in ConfigurationOutcome['kind']]: (
-    outcome: Extract<ConfigurationOutcome, {kind: Kind}>,
+const ANSWER_REPLIES: {
+  readonly [Kind in Answer['kind']]: (
+    answer: AnswerOf<Kind>,
   ) => AdministrationReply;
 } = {
-  accepted: ({revision, differences}) =>
-    replyWith({revision, differences}, {etag: `"${revision}"`}),
+  accepted: replyToAccepted,
   conflict: ({currentRevision, differences}) =>
     replyWithError('conflict', {
       message: `The current revision is ${currentRevision}.`,
@@ -73,31 +56,25 @@
       differences,
     }),
   invalid: ({faults}) => replyWithError('invalidConfiguration', {faults}),
-  notLeader: replyToRefusal,
-  unknown: replyToRefusal,
-  notFound: replyToRefusal,
-  badRequest: replyToRefusal,
+  notLeader: ({leader}) =>
+    leader === ''
+      ? replyWithError('notLeader')
+      : replyWithError('notLeader', {
+          message: `The leader is ${leader}.`,
+          leader,
+        }),
+  unknown: () =>
+    replyWithError('outcomeUnknown', {
+      message: 'The change may have been made: resend it with the same id.',
+    }),
 };
 
 /**
- * @param outcome control's answer to a change of the configuration
- * @returns the reply to the operator
- */
-export function replyToConfigurationOutcome(
-  outcome: ConfigurationOutcome,
-): AdministrationReply {
-  return CONFIGURATION_REPLIES[outcome.kind](outcome as never);
-}
-
-/**
- * @param outcome control's answer to any other change
+ * @param answer control's answer to a change of any kind
  * @returns the reply to the operator
  */
-export function replyToOutcome(
-  outcome: OperationOutcome<unknown>,
-): AdministrationReply {
-  if (outcome.kind === 'accepted') return replyWith(outcome.value);
-  return replyToRefusal(outcome);
+export function replyToAnswer(answer: Answer): AdministrationReply {
+  return ANSWER_REPLIES[answer.kind](answer as never);
 }
 
 /**
--- a/packages/lovagepond-operator/src/operator_configuration_routes.ts
+++ b/packages/lovagepond-operator/src/operator_configuration_routes.ts
@@ -2,16 +2,16 @@
  * Calls that read and change the configuration, whole or by object.
  */
 import {type Configuration} from '@lovagepond/core';
+import {
+  type ConfigurationSection,
+  type WantedChange,
+} from '@lovagepond/control';
 import {
   type AdministrationCall,
   type CallHandler,
   parseRevision,
-  replyToConfigurationOutcome,
+  replyToAnswer,
 } from './operator_calls.js';
-import {
-  CONFIGURATION_SECTIONS,
-  type ConfigurationSection,
-} from './operator_differences.js';
 import {
   type AdministrationReply,
   replyWith,
@@ -19,115 +19,84 @@
 } from './operator_http.js';
 import {type AdministrationRoute} from './operator_route.js';
 
-interface NamedObject {
-  readonly name: string;
-}
-
-/** Fails the call when the section's path or the object isn't there. */
-type ObjectEdit = (
-  objects: readonly NamedObject[],
-  name: string,
-  body: unknown,
-) => readonly unknown[] | undefined;
-
 const BASE_REVISION_NEEDED =
   'The header If-Match must carry the revision that the change starts from.';
 
+/** The lists of named objects that have paths of their own. */
+const SECTIONS: readonly ConfigurationSection[] = [
+  'pools',
+  'selectors',
+  'workspaces',
+  'requestKinds',
+];
+
 function parseSection(text: string): ConfigurationSection | undefined {
-  return CONFIGURATION_SECTIONS.find(section => section === text);
+  return SECTIONS.find(section => section === text);
 }
 
 function replyWithConfiguration(cfg: Configuration): AdministrationReply {
   return replyWith(cfg, {etag: `"${cfg.revision}"`});
 }
 
-async function putContent(
+async function makeChange(
   call: AdministrationCall,
-  content: unknown,
+  change: WantedChange,
 ): Promise<AdministrationReply> {
   const {administration, operationId, baseRevision, dryRun} = call;
   if (baseRevision === undefined) {
     return replyWithError('badRequest', {message: BASE_REVISION_NEEDED});
   }
-  const outcome = await administration.changeConfiguration({
-    operationId,
-    baseRevision,
-    dryRun,
-    content,
-  });
-  return replyToConfigurationOutcome(outcome);
+  return replyToAnswer(
+    await administration.change({operationId, baseRevision, dryRun, change}),
+  );
 }
 
-const getConfiguration: CallHandler = async ({administration}) =>
-  replyWithConfiguration(await administration.getConfiguration());
+const getConfiguration: CallHandler = ({administration}) =>
+  replyWithConfiguration(administration.getConfiguration());
 
-const putConfiguration: CallHandler = call => putContent(call, call.body);
+const putConfiguration: CallHandler = call =>
+  makeChange(call, {kind: 'replace', content: call.body});
 
-const listSection: CallHandler = async ({administration, params}) => {
+const listSection: CallHandler = ({administration, params}) => {
   const section = parseSection(params['section'] ?? '');
   if (!section) return replyWithError('notFound');
-  const cfg = await administration.getConfiguration();
+  const cfg = administration.getConfiguration();
   return replyWith(cfg.content[section], {etag: `"${cfg.revision}"`});
 };
 
-const getObject: CallHandler = async ({administration, params}) => {
+const getObject: CallHandler = ({administration, params}) => {
   const section = parseSection(params['section'] ?? '');
   if (!section) return replyWithError('notFound');
-  const cfg = await administration.getConfiguration();
-  const objects: readonly NamedObject[] = cfg.content[section];
+  const cfg = administration.getConfiguration();
+  const objects: readonly {readonly name: string}[] = cfg.content[section];
   const found = objects.find(item => item.name === params['name']);
   if (!found) return replyWithError('notFound');
   return replyWith(found, {etag: `"${cfg.revision}"`});
 };
 
-const setObject: ObjectEdit = (objects, name, body) => {
+const putObject: CallHandler = call => {
+  const section = parseSection(call.params['section'] ?? '');
+  if (!section) return replyWithError('notFound');
+  const {body, params} = call;
   const fields = typeof body === 'object' && body !== null ? body : {};
-  const changed = {...fields, name};
-  const index = objects.findIndex(item => item.name === name);
-  if (index < 0) return [...objects, changed];
-  return objects.with(index, changed);
+  const object = {...fields, name: params['name'] ?? ''};
+  return makeChange(call, {kind: 'put', section, object});
 };
 
-const removeObject: ObjectEdit = (objects, name) => {
-  const rest = objects.filter(item => item.name !== name);
-  return rest.length === objects.length ? undefined : rest;
+const deleteObject: CallHandler = call => {
+  const section = parseSection(call.params['section'] ?? '');
+  if (!section) return replyWithError('notFound');
+  const name = call.params['name'] ?? '';
+  return makeChange(call, {kind: 'delete', section, name});
 };
 
-/**
- * Makes the handler of an edit of one object. The edit is made on the base
- * revision's content, so that a race can't mix two operators' changes.
- */
-function editObject(edit: ObjectEdit): CallHandler {
-  return async call => {
-    const {administration, params, baseRevision} = call;
-    const section = parseSection(params['section'] ?? '');
-    if (!section) return replyWithError('notFound');
-    if (baseRevision === undefined) {
-      return replyWithError('badRequest', {message: BASE_REVISION_NEEDED});
-    }
-    const current = await administration.getConfiguration();
-    const base =
-      current.revision === baseRevision
-        ? current
-        : await administration.getRevision(baseRevision);
-    if (!base) {
-      const message = `Revision ${baseRevision} is not kept.`;
-      return replyWithError('notFound', {message});
-    }
-    const objects = base.content[section];
-    const edited = edit(objects, params['name'] ?? '', call.body);
-    if (!edited) return replyWithError('notFound');
-    return putContent(call, {...base.content, [section]: edited});
-  };
-}
-
-const listHistory: CallHandler = async ({administration}) =>
-  replyWith(await administration.listHistory());
+const listHistory: CallHandler = ({administration}) =>
+  replyWith(administration.history());
 
-const getRevision: CallHandler = async ({administration, params}) => {
+const getRevision: CallHandler = ({administration, params}) => {
   const revision = parseRevision(params['revision']);
   if (revision === undefined) return replyWithError('notFound');
-  const cfg = await administration.getRevision(revision);
+  const cfg = administration.getRevision(revision);
   return cfg ? replyWithConfiguration(cfg) : replyWithError('notFound');
 };
 
@@ -138,13 +107,14 @@
   if (baseRevision === undefined) {
     return replyWithError('badRequest', {message: BASE_REVISION_NEEDED});
   }
-  const outcome = await administration.restoreRevision({
-    operationId,
-    baseRevision,
-    dryRun,
-    revision,
-  });
-  return replyToConfigurationOutcome(outcome);
+  return replyToAnswer(
+    await administration.restoreRevision({
+      operationId,
+      baseRevision,
+      dryRun,
+      revision,
+    }),
+  );
 };
 
 /** Routes under `/v1/configuration` and `/v1/history`. */
@@ -156,12 +126,12 @@
   {
     method: 'put',
     path: '/v1/configuration/:section/:name',
-    handle: editObject(setObject),
+    handle: putObject,
   },
   {
     method: 'delete',
     path: '/v1/configuration/:section/:name',
-    handle: editObject(removeObject),
+    handle: deleteObject,
   },
   {method: 'get', path: '/v1/history', handle: listHistory},
   {method: 'get', path: '/v1/history/:revision', handle: getRevision},
--- a/packages/lovagepond-operator/src/operator_fleet_routes.ts
+++ b/packages/lovagepond-operator/src/operator_fleet_routes.ts
@@ -3,8 +3,12 @@
  * state dump.
  */
 import {z} from 'zod';
-import {ORDER_ACTION} from './operator_administration.js';
-import {type CallHandler, replyToOutcome} from './operator_calls.js';
+import {
+  ORDER_ACTION,
+  WANTED_STATE,
+  type WantedState,
+} from '@lovagepond/control';
+import {type CallHandler, replyToAnswer} from './operator_calls.js';
 import {replyWith, replyWithError} from './operator_http.js';
 import {type AdministrationRoute} from './operator_route.js';
 
@@ -17,16 +21,10 @@
   arguments: z.record(z.string(), z.string()).default({}),
 });
 
-const memberSchema = z.discriminatedUnion('action', [
-  z.strictObject({action: z.literal('addLearner'), name, address}),
-  z.strictObject({action: z.literal('promote'), name}),
-  z.strictObject({action: z.literal('remove'), name}),
-  z.strictObject({
-    action: z.literal('replace'),
-    name,
-    newName: name,
-    address,
-  }),
+const memberSchema = z.discriminatedUnion('kind', [
+  z.strictObject({kind: z.literal('addLearner'), memberId: name, address}),
+  z.strictObject({kind: z.literal('promote'), memberId: name}),
+  z.strictObject({kind: z.literal('remove'), memberId: name}),
 ]);
 
 function describeIssues(error: z.ZodError): string {
@@ -35,27 +33,24 @@
     .join('; ');
 }
 
-const listBackendServers: CallHandler = async ({administration}) =>
-  replyWith(await administration.listBackendServers());
+const listBackendServers: CallHandler = ({administration}) =>
+  replyWith(administration.listBackendServers());
 
-const drainBackendServer: CallHandler = async call =>
-  replyToOutcome(
-    await call.administration.drainBackendServer(
-      call.params['name'] ?? '',
-      call.operationId,
-    ),
-  );
-
-const resumeBackendServer: CallHandler = async call =>
-  replyToOutcome(
-    await call.administration.resumeBackendServer(
-      call.params['name'] ?? '',
-      call.operationId,
-    ),
-  );
+function setWantedState(wantedState: WantedState): CallHandler {
+  return async ({administration, params, operationId}) => {
+    const backendServer = params['name'] ?? '';
+    return replyToAnswer(
+      await administration.setWantedState({
+        operationId,
+        backendServer,
+        wantedState,
+      }),
+    );
+  };
+}
 
-const listOrders: CallHandler = async ({administration}) =>
-  replyWith(await administration.listOrders());
+const listOrders: CallHandler = ({administration}) =>
+  replyWith(administration.listOrders());
 
 const issueOrder: CallHandler = async call => {
   const parsed = orderSchema.safeParse(call.body);
@@ -64,14 +59,12 @@
       message: describeIssues(parsed.error),
     });
   }
-  const {operationId} = call;
-  return replyToOutcome(
-    await call.administration.issueOrder({...parsed.data, operationId}),
-  );
+  const order = {...parsed.data, orderId: call.operationId};
+  return replyToAnswer(await call.administration.issueOrder(order));
 };
 
-const listMembers: CallHandler = async ({administration}) =>
-  replyWith(await administration.listMembers());
+const listMembers: CallHandler = ({administration}) =>
+  replyWith(administration.listMembers());
 
 const changeMembers: CallHandler = async call => {
   const parsed = memberSchema.safeParse(call.body);
@@ -80,16 +73,17 @@
       message: describeIssues(parsed.error),
     });
   }
-  return replyToOutcome(
-    await call.administration.changeMembers(parsed.data, call.operationId),
-  );
+  return replyToAnswer(await call.administration.changeMembers(parsed.data));
 };
 
-const getConvergence: CallHandler = async ({administration}) =>
-  replyWith(await administration.getConvergence());
+const getConvergence: CallHandler = ({administration}) =>
+  replyWith({
+    revision: administration.getConfiguration().revision,
+    nodes: administration.convergence(),
+  });
 
 const getDump: CallHandler = ({administration}) =>
-  Promise.resolve(replyWith(administration.dump()));
+  replyWith(administration.dump());
 
 /** Routes beside those of the configuration. */
 export const FLEET_ROUTES: readonly AdministrationRoute[] = [
@@ -97,12 +91,12 @@
   {
     method: 'post',
     path: '/v1/backend-servers/:name/drain',
-    handle: drainBackendServer,
+    handle: setWantedState(WANTED_STATE.DRAINING),
   },
   {
     method: 'post',
     path: '/v1/backend-servers/:name/resume',
-    handle: resumeBackendServer,
+    handle: setWantedState(WANTED_STATE.READY),
   },
   {method: 'get', path: '/v1/orders', handle: listOrders},
   {method: 'post', path: '/v1/orders', handle: issueOrder},
--- a/packages/lovagepond-operator/src/operator_server.ts
+++ b/packages/lovagepond-operator/src/operator_server.ts
@@ -4,8 +4,8 @@
 import {createServer, type Server} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {App, type Request, type Response} from '@tinyhttp/app';
+import {type ControlAdministration} from '@lovagepond/control';
 import {invariant, type Logger} from '@lovagepond/core';
-import {type Administration} from './operator_administration.js';
 import {type AdministrationCall, parseRevision} from './operator_calls.js';
 import {CONFIGURATION_ROUTES} from './operator_configuration_routes.js';
 import {FLEET_ROUTES} from './operator_fleet_routes.js';
@@ -31,7 +31,7 @@
 
 /** Serves the administration API of one control member. */
 export class AdministrationServer {
-  readonly #administration: Administration;
+  readonly #administration: ControlAdministration;
   readonly #settings: OperatorSettings;
   readonly #log: Logger;
   readonly #server: Server;
@@ -42,7 +42,7 @@
    * @param log where faults go; never bodies or tokens
    */
   constructor(
-    administration: Administration,
+    administration: ControlAdministration,
     settings: OperatorSettings,
     log: Logger,
   ) {
--- a/packages/lovagepond-platform/src/exit_codes_constants.ts
+++ b/packages/lovagepond-platform/src/exit_codes_constants.ts
@@ -21,6 +21,8 @@
   UNREACHABLE: 7,
   /** `ctl`: control refused the request. */
   REFUSED: 8,
+  /** `ctl convergence --wait`: not in force everywhere within the limit. */
+  NOT_CONVERGED: 9,
 } as const;
 
 /** One of the values of {@link EXIT_CODE}. */
@@ -37,4 +39,5 @@
   6: 'a second signal ended the process at once',
   7: 'ctl: control could not be reached or has no leader',
   8: 'ctl: control refused the request',
+  9: 'ctl convergence --wait: not in force everywhere within the limit',
 };
