Measure what a placement decision costs

**Change** `npm run measure -- decision-cost` times every policy at 6, 64 and 640 servers with hashing, load view and digests.

--- a/packages/lovagepond-measure/src/measure_table.ts
+++ b/packages/lovagepond-measure/src/measure_table.ts
@@ -3,7 +3,10 @@
  *
  * A new measure is one `*_measure.ts` file and one line here.
  */
+import {measureDecisionCost} from './decision_cost_measure.js';
 import {type MeasureFunction} from './measure_types.js';
 
 /** Name to measure; run in this order when no name is given. */
-export const MEASURES: Readonly<Record<string, MeasureFunction>> = {};
+export const MEASURES: Readonly<Record<string, MeasureFunction>> = {
+  'decision-cost': measureDecisionCost,
+};
--- a/packages/lovagepond-router/src/router_load_view.ts
+++ b/packages/lovagepond-router/src/router_load_view.ts
@@ -17,6 +17,9 @@
 /** A digest older than this says nothing about the present. */
 const DIGEST_EXPIRY_MS = 10_000;
 
+/** Forgotten sends are removed in batches of this many. */
+const COMPACT_AFTER = 512;
+
 interface Sent {
   readonly slot: number;
   readonly tokens: number;
@@ -36,7 +39,9 @@
   #observedAt = new Float64Array(0);
   #sent = new Float64Array(0);
   #generations = new Float64Array(0);
+  /** In order of time; those before the head are forgotten. */
   readonly #recent: Sent[] = [];
+  #recentHead = 0;
   #digestMeasuredAt = Number.NEGATIVE_INFINITY;
   #revision = 0;
   readonly #means = new WeakMap<Int32Array, MeanMemo>();
@@ -127,13 +132,18 @@
   }
 
   #forgetSentBefore(time: number): void {
-    const kept = this.#recent.findIndex(sent => sent.at >= time);
-    const count = kept === -1 ? this.#recent.length : kept;
-    for (const sent of this.#recent.splice(0, count)) {
-      if (sent.generation !== this.#generations[sent.slot]) continue;
-      const left = (this.#sent[sent.slot] as number) - sent.tokens;
-      this.#sent[sent.slot] = Math.max(0, left);
+    let sent = this.#recent[this.#recentHead];
+    while (sent && sent.at < time) {
+      if (sent.generation === this.#generations[sent.slot]) {
+        const left = (this.#sent[sent.slot] as number) - sent.tokens;
+        this.#sent[sent.slot] = Math.max(0, left);
+      }
+      this.#recentHead++;
+      sent = this.#recent[this.#recentHead];
     }
+    if (this.#recentHead < COMPACT_AFTER) return;
+    this.#recent.splice(0, this.#recentHead);
+    this.#recentHead = 0;
   }
 }
 
