Hold configuration, ledger, orders and wanted states deterministically

Cause: what operators were told is accepted, and which call was granted, must be the same at every member and survive a change of leader.

Change: ControlStateMachine with versioned JSON commands and a table of handlers; configuration with base revisions, operation ids, history and restore; ledger of calls that may not be repeated, bound to a sidecar incarnation and attempt; orders with rising fencing tokens; replicated time that counts monotonic time instead of a clock.

Conclusion: a leader whose clock jumps can't shorten retention, because time in commands only counts monotonic time; a gap without leader lengthens it.

--- /dev/null
+++ b/packages/lovagepond-control/src/__tests__/unit/ledger_state.test.ts
@@ -0,0 +1,231 @@
+import * as fc from 'fast-check';
+import {expect, test} from 'vitest';
+import {type CallOutcome, type ClaimPayload} from '../../control_commands.js';
+import {type ClaimResult, LedgerState} from '../../ledger_state.js';
+
+const LIMITS = {
+  answerRetentionMs: 1_000,
+  keyRetentionMs: 1_000_000,
+  openClaimLimitMs: 500,
+  ledgerLimit: 100,
+};
+const SEED = 20_261;
+
+type Message =
+  | {kind: 'claim'; claim: ClaimPayload}
+  | {kind: 'record'; claim: ClaimPayload; outcome: CallOutcome}
+  | {kind: 'announce'; server: string; incarnation: string};
+
+/** An attempt at its sidecar; it is gone when the sidecar restarts. */
+interface Attempt {
+  readonly claim: ClaimPayload;
+  state: 'claiming' | 'dispatched' | 'ended';
+}
+
+/** Sidecars, the network and the service around two copies of the ledger. */
+class World {
+  ledger = new LedgerState(LIMITS);
+  twin = new LedgerState(LIMITS);
+  timeMs = 0;
+  attempts: Attempt[] = [];
+  network: Message[] = [];
+  readonly runs = new Map<string, number>();
+  readonly incarnations = [1, 1];
+  #nextAttempt = 0;
+
+  start(n: number): void {
+    const server = n % 2;
+    const claim: ClaimPayload = {
+      workspace: 'w',
+      key: `key${(n >> 1) % 2}`,
+      digest: 'd',
+      server: `server${server}`,
+      incarnation: `i${this.incarnations[server]}`,
+      attempt: `a${this.#nextAttempt++}`,
+    };
+    this.attempts.push({claim, state: 'claiming'});
+    this.network.push({kind: 'claim', claim});
+  }
+
+  /** The service runs the call at once; its answer may come much later. */
+  answer(claim: ClaimPayload, result: ClaimResult): void {
+    const attempt = this.attempts.find(a => a.claim === claim);
+    if (attempt?.state !== 'claiming') return;
+    attempt.state = result.kind === 'granted' ? 'dispatched' : 'ended';
+    if (attempt.state === 'ended') return;
+    const runs = (this.runs.get(claim.key) ?? 0) + 1;
+    this.runs.set(claim.key, runs);
+    expect(runs).toBe(1);
+  }
+
+  end(n: number): void {
+    const attempt = this.attempts[n % this.attempts.length];
+    if (!attempt || attempt.state === 'ended') return;
+    const outcome = attempt.state === 'claiming' ? 'notRun' : 'ran';
+    attempt.state = 'ended';
+    this.network.push({kind: 'record', claim: attempt.claim, outcome});
+  }
+
+  crash(n: number): void {
+    const server = n % 2;
+    this.incarnations[server]! += 1;
+    const name = `server${server}`;
+    this.attempts = this.attempts.filter(a => a.claim.server !== name);
+    const incarnation = `i${this.incarnations[server]}`;
+    this.network.push({kind: 'announce', server: name, incarnation});
+  }
+
+  /** Delivers any message; with `n` odd a copy stays to come again late. */
+  deliver(n: number, answerLost: boolean): void {
+    const index = (n >> 1) % Math.max(1, this.network.length);
+    const message = this.network[index];
+    if (!message) return;
+    if (n % 2 === 0) this.network.splice(index, 1);
+    const result = this.#apply(this.ledger, message);
+    expect(this.#apply(this.twin, message)).toEqual(result);
+    if (message.kind !== 'claim' || answerLost) return;
+    this.answer(message.claim, result as ClaimResult);
+  }
+
+  #apply(ledger: LedgerState, message: Message): unknown {
+    if (message.kind === 'claim') {
+      return ledger.claim(message.claim, this.timeMs);
+    }
+    if (message.kind === 'announce') {
+      return ledger.registerIncarnation(message, this.timeMs);
+    }
+    const {workspace, key, attempt} = message.claim;
+    const answer = {status: 200, answer: 'YQ==', contentType: 't'};
+    const {outcome} = message;
+    const record = {workspace, key, attempt, outcome, ...answer};
+    return ledger.record(record, this.timeMs);
+  }
+}
+
+const STEPS: Record<string, (world: World, n: number) => void> = {
+  start: (world, n) => world.start(n),
+  deliver: (world, n) => world.deliver(n, false),
+  deliverAgain: (world, n) => world.deliver(n, false),
+  loseAnswer: (world, n) => world.deliver(n, true),
+  end: (world, n) => world.end(n),
+  crash: (world, n) => world.crash(n),
+  wait: (world, n) => (world.timeMs += n * 10),
+  restart: world => {
+    const bytes = JSON.stringify(world.ledger.snapshot());
+    world.twin = new LedgerState(LIMITS);
+    world.twin.restore(JSON.parse(bytes));
+  },
+};
+
+class Step implements fc.Command<object, World> {
+  constructor(
+    readonly kind: string,
+    readonly n: number,
+  ) {}
+
+  check(): boolean {
+    return true;
+  }
+
+  run(_model: object, world: World): void {
+    STEPS[this.kind]!(world, this.n);
+  }
+
+  toString(): string {
+    return `${this.kind}(${this.n})`;
+  }
+}
+
+// Callers repeat two calls through two sidecars, while claims and records are
+// lost, doubled and late, sidecars give up or crash between any two steps,
+// claims expire, and a member restarts from its snapshot. The service must
+// never run a call twice, and both members must answer alike.
+test('no call is dispatched twice', () => {
+  const steps = Object.keys(STEPS).map(kind =>
+    fc.nat(63).map(n => new Step(kind, n)),
+  );
+  fc.assert(
+    fc.property(
+      fc.commands(steps, {maxCommands: 120, size: 'max'}),
+      commands => {
+        fc.modelRun(() => ({model: {}, real: new World()}), commands);
+      },
+    ),
+    {seed: SEED, numRuns: 1_500},
+  );
+});
+
+const CLAIM: ClaimPayload = {
+  workspace: 'w',
+  key: 'k',
+  digest: 'd',
+  server: 's',
+  incarnation: 'i1',
+  attempt: 'a1',
+};
+const REPEAT = {...CLAIM, attempt: 'a2'};
+const RECORD = {
+  workspace: 'w',
+  key: 'k',
+  attempt: 'a1',
+  outcome: 'ran',
+  status: 200,
+  answer: 'YQ==',
+  contentType: 'text/plain',
+} as const;
+
+test('a repeat learns what became of the call, in each of its states', () => {
+  const ledger = new LedgerState(LIMITS);
+  expect(ledger.claim(CLAIM, 0)).toEqual({kind: 'granted'});
+  expect(ledger.claim(CLAIM, 0)).toEqual({kind: 'granted'});
+  expect(ledger.claim(REPEAT, 1)).toEqual({kind: 'inProgress'});
+  expect(ledger.claim({...REPEAT, digest: 'x'}, 1).kind).toBe('keyReuse');
+  expect(ledger.record(RECORD, 2)).toEqual({recorded: true});
+  expect(ledger.record(RECORD, 3)).toEqual({recorded: true});
+  expect(ledger.claim(REPEAT, 4)).toMatchObject({
+    kind: 'recorded',
+    answer: 'YQ==',
+  });
+  expect(ledger.claim(REPEAT, 1_002).kind).toBe('answerNotKept');
+  expect(ledger.claim(REPEAT, 1_000_002).kind).toBe('granted');
+});
+
+// The sidecar waits for the answer to its claim, gives up, tells the caller
+// "not run" and reports so; only then does the claim reach the leader. Granted
+// now, it would stay open with nobody to dispatch it and every repeat would
+// hear "in progress" until the limit.
+test('a claim that comes after its sidecar gave up blocks nobody', () => {
+  const ledger = new LedgerState(LIMITS);
+  ledger.record({...RECORD, outcome: 'notRun'}, 0);
+  expect(ledger.claim(CLAIM, 1)).toEqual({kind: 'revoked'});
+  expect(ledger.claim(REPEAT, 2)).toEqual({kind: 'granted'});
+});
+
+// A sidecar restarts. It can't know whether its predecessor dispatched, so a
+// repeat is told that the outcome is unknown. The predecessor's messages then
+// arrive late: its announcement, a claim, and the record of a call that ran.
+test('a restarted sidecar makes its claims unknown, for good', () => {
+  const ledger = new LedgerState(LIMITS);
+  const first = {server: 's', incarnation: 'i1'};
+  ledger.registerIncarnation(first, 0);
+  ledger.claim(CLAIM, 0);
+  const second = {server: 's', incarnation: 'i2'};
+  expect(ledger.registerIncarnation(second, 1).settled).toBe(1);
+  expect(ledger.claim(REPEAT, 2)).toEqual({kind: 'outcomeUnknown'});
+  expect(ledger.registerIncarnation(first, 3).accepted).toBe(false);
+  const late = {...CLAIM, key: 'k2', attempt: 'a3'};
+  expect(ledger.claim(late, 3)).toEqual({kind: 'wrongIncarnation'});
+  const notRun = {...RECORD, outcome: 'notRun'} as const;
+  expect(ledger.record(notRun, 4).recorded).toBe(false);
+  expect(ledger.claim(REPEAT, 5)).toEqual({kind: 'outcomeUnknown'});
+  expect(ledger.record(RECORD, 6)).toEqual({recorded: true});
+  expect(ledger.claim(REPEAT, 7).kind).toBe('recorded');
+});
+
+test('a full ledger refuses new keys and still answers known ones', () => {
+  const ledger = new LedgerState({...LIMITS, ledgerLimit: 1});
+  ledger.claim(CLAIM, 0);
+  const other = {...CLAIM, key: 'k2', attempt: 'a3'};
+  expect(ledger.claim(other, 0).kind).toBe('ledgerUnavailable');
+  expect(ledger.claim(REPEAT, 0).kind).toBe('inProgress');
+});
--- /dev/null
+++ b/packages/lovagepond-control/src/configuration_state.ts
@@ -0,0 +1,167 @@
+/**
+ * The replicated configuration: its current revision and the history.
+ */
+import {
+  type Configuration,
+  type ConfigurationContent,
+  EMPTY_CONFIGURATION,
+  Published,
+} from '@lovagepond/core';
+import {
+  type ConfigurationDifference,
+  type HistoryEntry,
+} from './control_administration.js';
+import {type ChangePayload, type CommandStamp} from './control_commands.js';
+import {
+  type ConfigurationEdit,
+  diffConfigurations,
+  editConfiguration,
+} from './configuration_edit.js';
+import {type OperationResult} from './operation_results.js';
+
+/** History entries that are listed; fewer keep their content. */
+const LISTED_ENTRIES = 1_000;
+
+interface KeptRevision {
+  readonly revision: number;
+  readonly operationId: string;
+  readonly acceptedAt: number;
+  readonly changed: readonly string[];
+}
+
+/** Serialized form. */
+export interface ConfigurationSnapshot {
+  readonly current: Configuration;
+  readonly history: readonly KeptRevision[];
+  readonly contents: readonly Configuration[];
+}
+
+/** Revisions of the configuration. Part of the replicated state. */
+export class ConfigurationState {
+  /** The configuration in force; listeners hear each accepted change. */
+  readonly current = new Published<Configuration>({...EMPTY_CONFIGURATION});
+  readonly #historyLimit: number;
+  #history: KeptRevision[] = [];
+  readonly #contents = new Map<number, ConfigurationContent>();
+
+  /** @param historyLimit revisions whose content is kept */
+  constructor(historyLimit: number) {
+    this.#historyLimit = historyLimit;
+  }
+
+  /**
+   * Applies a change. Of changes that race under one base revision the first
+   * in the log wins; the others find the base no longer current.
+   *
+   * @param payload the change
+   * @param stamp the proposer's stamp
+   * @returns the result to keep under the operation's id
+   */
+  apply(payload: ChangePayload, stamp: CommandStamp): OperationResult {
+    const current = this.current.read();
+    const {baseRevision, edit, operationId} = payload;
+    if (baseRevision !== current.revision) {
+      const currentRevision = current.revision;
+      return {kind: 'conflict', baseRevision, currentRevision};
+    }
+    const content = this.edit(edit);
+    if (!content) return {kind: 'missing', place: describeTarget(edit)};
+    const revision = current.revision + 1;
+    const changed = diffConfigurations(current.content, content);
+    this.#history.push({
+      revision,
+      operationId,
+      acceptedAt: stamp.wallTimeMs,
+      changed: changed.map(difference => difference.place),
+    });
+    this.#keep(revision, content);
+    this.current.update(() => ({revision, content}));
+    return {kind: 'accepted', revision};
+  }
+
+  /**
+   * @param edit an edit of the current revision
+   * @returns the content it makes, or undefined when its target is missing
+   */
+  edit(edit: ConfigurationEdit): ConfigurationContent | undefined {
+    const {content} = this.current.read();
+    return editConfiguration(edit, content, revision => this.find(revision));
+  }
+
+  /**
+   * @param revision any revision
+   * @returns its content while it is kept
+   */
+  find(revision: number): ConfigurationContent | undefined {
+    if (revision === 0) return EMPTY_CONFIGURATION.content;
+    return this.#contents.get(revision);
+  }
+
+  /**
+   * @param from the older revision
+   * @param to the newer revision
+   * @returns their differences; empty when either is no longer kept
+   */
+  differences(from: number, to: number): ConfigurationDifference[] {
+    const before = this.find(from);
+    const after = this.find(to);
+    return before && after ? diffConfigurations(before, after) : [];
+  }
+
+  /** @returns accepted revisions, newest first */
+  history(): HistoryEntry[] {
+    return this.#history
+      .map(entry => ({
+        ...entry,
+        restorable: this.#contents.has(entry.revision),
+      }))
+      .reverse();
+  }
+
+  /** @returns the serialized form */
+  snapshot(): ConfigurationSnapshot {
+    return {
+      current: this.current.read(),
+      history: this.#history,
+      contents: [...this.#contents].map(([revision, content]) => ({
+        revision,
+        content,
+      })),
+    };
+  }
+
+  /** @param snapshot what {@link snapshot} gave */
+  restore(snapshot: ConfigurationSnapshot): void {
+    this.#history = [...snapshot.history];
+    this.#contents.clear();
+    for (const kept of snapshot.contents) {
+      this.#contents.set(kept.revision, kept.content);
+    }
+    this.current.update(() => snapshot.current);
+  }
+
+  #keep(revision: number, content: ConfigurationContent): void {
+    this.#contents.set(revision, content);
+    this.#contents.delete(revision - this.#historyLimit);
+    if (this.#history.length > LISTED_ENTRIES) this.#history.shift();
+  }
+}
+
+const TARGETS: {
+  readonly [Kind in ConfigurationEdit['kind']]: (
+    edit: Extract<ConfigurationEdit, {kind: Kind}>,
+  ) => string;
+} = {
+  replace: () => '',
+  put: edit => `${edit.section}/${edit.object.name}`,
+  delete: edit => `${edit.section}/${edit.name}`,
+  restore: edit => `revision ${edit.revision}`,
+};
+
+/**
+ * @param edit an edit
+ * @returns the place it names, for a message
+ */
+export function describeTarget(edit: ConfigurationEdit): string {
+  return TARGETS[edit.kind](edit as never);
+}
--- /dev/null
+++ b/packages/lovagepond-control/src/control_commands.ts
@@ -0,0 +1,163 @@
+/**
+ * The commands of control's replicated log: typed constants, their payloads,
+ * and their coding as versioned JSON.
+ */
+import {type Command, createCommand, invariant} from '@lovagepond/core';
+import {
+  type OrderOutcomeKind,
+  type OrderRequest,
+  type WantedState,
+} from './control_administration.js';
+import {type ConfigurationEdit} from './configuration_edit.js';
+
+/** Version of the coding; a member stops at one it doesn't know. */
+const COMMAND_VERSION = 1;
+
+/** Names an operator's operation and what it asks for. */
+export interface OperationHead {
+  readonly operationId: string;
+  /** Digest of the operation: another one under the same id is refused. */
+  readonly digest: string;
+}
+
+/** Changes the configuration when its base revision is the current one. */
+export interface ChangePayload extends OperationHead {
+  readonly baseRevision: number;
+  /** Checked by the proposer as a change of the base revision. */
+  readonly edit: ConfigurationEdit;
+}
+
+/** Claims a key of the ledger for one attempt of one sidecar incarnation. */
+export interface ClaimPayload {
+  readonly workspace: string;
+  readonly key: string;
+  /** Digest of the request body, base64. */
+  readonly digest: string;
+  readonly server: string;
+  readonly incarnation: string;
+  readonly attempt: string;
+}
+
+/** What became of a claimed call. */
+export type CallOutcome = 'ran' | 'notRun' | 'unknown';
+
+/** Records what became of a claimed call. */
+export interface RecordPayload {
+  readonly workspace: string;
+  readonly key: string;
+  readonly attempt: string;
+  readonly outcome: CallOutcome;
+  readonly status: number;
+  /** The answer's body, base64. */
+  readonly answer: string;
+  readonly contentType: string;
+}
+
+/** Makes an incarnation the only one of its sidecar that may claim. */
+export interface IncarnationPayload {
+  readonly server: string;
+  readonly incarnation: string;
+}
+
+/** Sets what control wants of a backend server. */
+export interface WantedStatePayload extends OperationHead {
+  readonly server: string;
+  readonly wantedState: WantedState;
+}
+
+/** Records how an order ended. */
+export interface OrderOutcomePayload {
+  readonly orderId: string;
+  readonly fencingToken: number;
+  readonly backendServer: string;
+  readonly outcome: OrderOutcomeKind;
+  readonly message: string;
+}
+
+export const CHANGE_COMMAND = createCommand<ChangePayload>('change');
+export const CLAIM_COMMAND = createCommand<ClaimPayload>('claim');
+export const RECORD_COMMAND = createCommand<RecordPayload>('record');
+export const INCARNATION_COMMAND =
+  createCommand<IncarnationPayload>('incarnation');
+export const WANTED_STATE_COMMAND =
+  createCommand<WantedStatePayload>('wantedState');
+export const ORDER_COMMAND = createCommand<OrderRequest>('order');
+export const ORDER_OUTCOME_COMMAND =
+  createCommand<OrderOutcomePayload>('orderOutcome');
+
+/** What the proposer adds to each command, so that all members agree on it. */
+export interface CommandStamp {
+  /** Replicated time, milliseconds; see {@link ReplicatedTime}. */
+  readonly timeMs: number;
+  /** Milliseconds since the Unix epoch; shown to operators, decides nothing. */
+  readonly wallTimeMs: number;
+  /** Term of the proposing leader. */
+  readonly term: number;
+}
+
+/** A command as it stands in the log. */
+export interface LoggedCommand<Payload = unknown> {
+  readonly name: string;
+  readonly stamp: CommandStamp;
+  readonly payload: Payload;
+}
+
+/** Coded form: short member names, as most of a claim's bytes are the head. */
+interface CodedCommand {
+  readonly v: number;
+  readonly n: string;
+  readonly s: readonly [timeMs: number, wallTimeMs: number, term: number];
+  readonly p: unknown;
+}
+
+const encoder = new TextEncoder();
+const decoder = new TextDecoder();
+
+/**
+ * @param command the command constant
+ * @param payload its payload
+ * @param stamp time and term of the proposer
+ * @returns the bytes for the log
+ */
+export function encodeCommand<Payload>(
+  command: Command<Payload>,
+  payload: Payload,
+  stamp: CommandStamp,
+): Uint8Array {
+  const coded: CodedCommand = {
+    v: COMMAND_VERSION,
+    n: command.name,
+    s: [stamp.timeMs, stamp.wallTimeMs, stamp.term],
+    p: payload,
+  };
+  return encoder.encode(JSON.stringify(coded));
+}
+
+/**
+ * @param bytes a command from the log
+ * @returns the command
+ * @throws InvariantError for a version this program doesn't know: to skip the
+ *     command would make this member's state differ from the others'
+ */
+export function decodeCommand(bytes: Uint8Array): LoggedCommand {
+  const coded = JSON.parse(decoder.decode(bytes)) as CodedCommand;
+  invariant(coded.v === COMMAND_VERSION, 200, 'unknown command version');
+  const [timeMs, wallTimeMs, term] = coded.s;
+  return {name: coded.n, stamp: {timeMs, wallTimeMs, term}, payload: coded.p};
+}
+
+/**
+ * @param result what a command's handler returned
+ * @returns its bytes for the proposer
+ */
+export function encodeResult(result: unknown): Uint8Array {
+  return encoder.encode(JSON.stringify(result));
+}
+
+/**
+ * @param bytes what {@link encodeResult} made
+ * @returns the result
+ */
+export function decodeResult<Value>(bytes: Uint8Array): Value {
+  return JSON.parse(decoder.decode(bytes)) as Value;
+}
--- /dev/null
+++ b/packages/lovagepond-control/src/control_state_machine.ts
@@ -0,0 +1,146 @@
+/**
+ * Control's replicated state: configuration, ledger, orders, wanted states.
+ *
+ * Deterministic: every member that applied the same commands holds the same
+ * state and gave the same results.
+ */
+import {type Command, invariant} from '@lovagepond/core';
+import {
+  CHANGE_COMMAND,
+  CLAIM_COMMAND,
+  type CommandStamp,
+  decodeCommand,
+  encodeResult,
+  INCARNATION_COMMAND,
+  ORDER_COMMAND,
+  ORDER_OUTCOME_COMMAND,
+  RECORD_COMMAND,
+  WANTED_STATE_COMMAND,
+} from './control_commands.js';
+import {type StateMachine} from './control_log.js';
+import {
+  type ConfigurationSnapshot,
+  ConfigurationState,
+} from './configuration_state.js';
+import {type LedgerLimits} from './ledger_entries.js';
+import {type LedgerSnapshot, LedgerState} from './ledger_state.js';
+import {OperationResults, type OperationSnapshot} from './operation_results.js';
+import {type OrderSnapshot, OrderState} from './order_state.js';
+import {ReplicatedTime} from './replicated_time.js';
+import {WantedStates} from './wanted_states.js';
+
+/** Limits of the replicated state; the same at all members. */
+export interface ControlLimits extends LedgerLimits {
+  readonly historyLimit: number;
+}
+
+const SNAPSHOT_VERSION = 1;
+
+interface ControlSnapshot {
+  readonly version: number;
+  readonly timeMs: number;
+  readonly configuration: ConfigurationSnapshot;
+  readonly ledger: LedgerSnapshot;
+  readonly operations: OperationSnapshot;
+  readonly orders: OrderSnapshot;
+  readonly draining: readonly string[];
+}
+
+/** Runs one command. */
+type Handler = (payload: unknown, stamp: CommandStamp) => unknown;
+
+/** The state machine behind control's log. */
+export class ControlStateMachine implements StateMachine {
+  readonly configuration: ConfigurationState;
+  readonly ledger: LedgerState;
+  readonly operations = new OperationResults();
+  readonly orders = new OrderState();
+  readonly wanted = new WantedStates();
+  readonly time = new ReplicatedTime();
+  readonly #handlers = new Map<string, Handler>();
+  readonly #now: () => number;
+
+  /**
+   * @param limits limits of the state
+   * @param now reads local monotonic time, only to pace replicated time
+   */
+  constructor(limits: ControlLimits, now: () => number) {
+    this.configuration = new ConfigurationState(limits.historyLimit);
+    this.ledger = new LedgerState(limits);
+    this.#now = now;
+    this.#handleOperatorCommands();
+    this.#handleNodeCommands();
+  }
+
+  apply(command: Uint8Array, _index: number): Uint8Array {
+    const {name, stamp, payload} = decodeCommand(command);
+    const handler = this.#handlers.get(name);
+    invariant(handler, 201, `unknown command ${name}`);
+    const timeMs = this.time.advance(stamp.timeMs, this.#now());
+    return encodeResult(handler(payload, {...stamp, timeMs}));
+  }
+
+  snapshot(): Uint8Array {
+    const snapshot: ControlSnapshot = {
+      version: SNAPSHOT_VERSION,
+      timeMs: this.time.timeMs,
+      configuration: this.configuration.snapshot(),
+      ledger: this.ledger.snapshot(),
+      operations: this.operations.snapshot(),
+      orders: this.orders.snapshot(),
+      draining: this.wanted.snapshot(),
+    };
+    return encodeResult(snapshot);
+  }
+
+  restore(bytes: Uint8Array): void {
+    const text = new TextDecoder().decode(bytes);
+    const snapshot = JSON.parse(text) as ControlSnapshot;
+    invariant(snapshot.version === SNAPSHOT_VERSION, 202, 'snapshot version');
+    this.time.restore(snapshot.timeMs);
+    this.ledger.restore(snapshot.ledger);
+    this.operations.restore(snapshot.operations);
+    this.orders.restore(snapshot.orders);
+    this.wanted.restore(snapshot.draining);
+    this.configuration.restore(snapshot.configuration);
+  }
+
+  #handle<Payload>(
+    command: Command<Payload>,
+    handler: (payload: Payload, stamp: CommandStamp) => unknown,
+  ): void {
+    this.#handlers.set(command.name, handler as Handler);
+  }
+
+  #handleOperatorCommands(): void {
+    this.#handle(CHANGE_COMMAND, (payload, stamp) =>
+      this.operations.runOnce(payload, () =>
+        this.configuration.apply(payload, stamp),
+      ),
+    );
+    this.#handle(WANTED_STATE_COMMAND, payload =>
+      this.operations.runOnce(payload, () => {
+        this.wanted.set(payload.server, payload.wantedState);
+        return {kind: 'accepted', revision: 0};
+      }),
+    );
+    this.#handle(ORDER_COMMAND, (payload, {term}) =>
+      this.orders.issue(payload, term),
+    );
+  }
+
+  #handleNodeCommands(): void {
+    this.#handle(CLAIM_COMMAND, (payload, {timeMs}) =>
+      this.ledger.claim(payload, timeMs),
+    );
+    this.#handle(RECORD_COMMAND, (payload, {timeMs}) =>
+      this.ledger.record(payload, timeMs),
+    );
+    this.#handle(INCARNATION_COMMAND, (payload, {timeMs}) =>
+      this.ledger.registerIncarnation(payload, timeMs),
+    );
+    this.#handle(ORDER_OUTCOME_COMMAND, payload => ({
+      recorded: this.orders.recordOutcome(payload),
+    }));
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-control/src/ledger_incarnations.ts
@@ -0,0 +1,90 @@
+/**
+ * Which incarnation of each sidecar may claim, and which attempts gave up.
+ */
+import {ExpiryQueue} from './expiry_queue.js';
+
+/** Former incarnations remembered of one sidecar. */
+const FORMER_LIMIT = 8;
+
+interface Registered {
+  readonly incarnation: string;
+  /** Superseded ones: they never come back. */
+  readonly former: readonly string[];
+  readonly sinceMs: number;
+}
+
+/** Serialized form. */
+export type IncarnationSnapshot = readonly (readonly [string, Registered])[];
+
+/** The incarnations of sidecars. Part of the replicated state. */
+export class LedgerIncarnations {
+  readonly #retentionMs: number;
+  readonly #registered = new Map<string, Registered>();
+  readonly #queue = new ExpiryQueue();
+
+  /** @param retentionMs a sidecar not registered for this long is forgotten */
+  constructor(retentionMs: number) {
+    this.#retentionMs = retentionMs;
+  }
+
+  /**
+   * @param server a sidecar's backend server
+   * @returns the incarnation that may claim, if one registered
+   */
+  current(server: string): string | undefined {
+    return this.#registered.get(server)?.incarnation;
+  }
+
+  /**
+   * Makes an incarnation the current one. A superseded one is refused: its
+   * announcement delivered late would turn the claims of the running
+   * incarnation to unknown, and the two would supersede each other for ever.
+   *
+   * @param server the sidecar's backend server
+   * @param incarnation the incarnation
+   * @param timeMs replicated time
+   * @returns false when the incarnation had been superseded
+   */
+  register(server: string, incarnation: string, timeMs: number): boolean {
+    const known = this.#registered.get(server);
+    if (known?.incarnation === incarnation) return true;
+    if (known?.former.includes(incarnation)) return false;
+    const former = known
+      ? [known.incarnation, ...known.former].slice(0, FORMER_LIMIT)
+      : [];
+    this.#registered.set(server, {incarnation, former, sinceMs: timeMs});
+    this.#queue.push(server, timeMs);
+    return true;
+  }
+
+  /**
+   * @param timeMs replicated time
+   * @param keep says which sidecars have open claims and stay
+   */
+  expire(timeMs: number, keep: (server: string) => boolean): void {
+    const untilMs = timeMs - this.#retentionMs;
+    for (;;) {
+      const server = this.#queue.takeUntil(untilMs);
+      if (server === undefined) return;
+      const known = this.#registered.get(server);
+      if (!known || known.sinceMs > untilMs || keep(server)) continue;
+      this.#registered.delete(server);
+    }
+  }
+
+  /** @returns the serialized form */
+  snapshot(): IncarnationSnapshot {
+    return [...this.#registered];
+  }
+
+  /** @param snapshot what {@link snapshot} gave */
+  restore(snapshot: IncarnationSnapshot): void {
+    this.#registered.clear();
+    this.#queue.clear();
+    const sorted = [...snapshot].sort((a, b) => a[1].sinceMs - b[1].sinceMs);
+    for (const [server, known] of sorted) {
+      this.#registered.set(server, known);
+      this.#queue.push(server, known.sinceMs);
+    }
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-control/src/ledger_state.ts
@@ -0,0 +1,314 @@
+/**
+ * The ledger of calls that may not be repeated.
+ *
+ * A key (workspace and idempotency key) is granted to one attempt of one
+ * sidecar incarnation. Nobody else is granted it while it is kept, unless that
+ * attempt reported that it never dispatched the call.
+ */
+import {type ErrorKind} from '@lovagepond/core';
+import {
+  type CallOutcome,
+  type ClaimPayload,
+  type IncarnationPayload,
+  type RecordPayload,
+} from './control_commands.js';
+import {ExpiryQueue} from './expiry_queue.js';
+import {
+  ENTRY_STATE,
+  type EntryRow,
+  LedgerEntries,
+  type LedgerEntry,
+  type LedgerLimits,
+} from './ledger_entries.js';
+import {
+  LedgerIncarnations,
+  type IncarnationSnapshot,
+} from './ledger_incarnations.js';
+
+/** Answer to a claim. */
+export type ClaimResult =
+  | {readonly kind: 'granted'}
+  | {
+      readonly kind: 'recorded';
+      readonly status: number;
+      /** Base64. */
+      readonly answer: string;
+      readonly contentType: string;
+    }
+  /** Every other outcome is a kind of the closed list of errors. */
+  | {
+      readonly kind: Extract<
+        ErrorKind,
+        | 'inProgress'
+        | 'outcomeUnknown'
+        | 'keyReuse'
+        | 'answerNotKept'
+        | 'wrongIncarnation'
+        | 'revoked'
+        | 'ledgerUnavailable'
+      >;
+    };
+
+/** Answer to a record: whether the outcome now stands in the ledger. */
+export interface RecordResult {
+  readonly recorded: boolean;
+}
+
+/** Answer to the announcement of an incarnation. */
+export interface IncarnationResult {
+  readonly accepted: boolean;
+  /** Open claims that became unknown. */
+  readonly settled: number;
+}
+
+/** Serialized form. */
+export interface LedgerSnapshot {
+  readonly entries: readonly EntryRow[];
+  readonly incarnations: IncarnationSnapshot;
+  readonly released: readonly (readonly [string, number])[];
+}
+
+/** The ledger. Part of the replicated state. */
+export class LedgerState {
+  readonly #limits: LedgerLimits;
+  readonly #entries: LedgerEntries;
+  readonly #incarnations: LedgerIncarnations;
+  /** Attempts that reported "not run": they are never granted again. */
+  readonly #released = new Map<string, number>();
+  readonly #releasedQueue = new ExpiryQueue();
+
+  constructor(limits: LedgerLimits) {
+    this.#limits = limits;
+    this.#entries = new LedgerEntries(limits);
+    this.#incarnations = new LedgerIncarnations(limits.keyRetentionMs);
+  }
+
+  /** @returns number of kept keys, and how many of them are open */
+  counts(): {keys: number; open: number} {
+    return {keys: this.#entries.size, open: this.#entries.openCount};
+  }
+
+  /**
+   * @param server a sidecar's backend server
+   * @returns the incarnation that may claim, if one registered
+   */
+  currentIncarnation(server: string): string | undefined {
+    return this.#incarnations.current(server);
+  }
+
+  /**
+   * @param claim who claims what
+   * @param timeMs replicated time
+   * @returns whether the attempt may dispatch; only `granted` allows it
+   */
+  claim(claim: ClaimPayload, timeMs: number): ClaimResult {
+    this.#expire(timeMs);
+    const key = keyOf(claim);
+    const entry = this.#entries.get(key);
+    if (entry) return answerRepeat(entry, claim);
+    const refusal = this.#refuseNew(claim, timeMs);
+    if (refusal) return {kind: refusal};
+    this.#entries.set(key, {
+      digest: claim.digest,
+      server: claim.server,
+      incarnation: claim.incarnation,
+      attempt: claim.attempt,
+      state: ENTRY_STATE.OPEN,
+      sinceMs: timeMs,
+      status: 0,
+      contentType: '',
+    });
+    return {kind: 'granted'};
+  }
+
+  /**
+   * @param record what became of a call
+   * @param timeMs replicated time
+   * @returns whether it now stands in the ledger; the same record again does
+   */
+  record(record: RecordPayload, timeMs: number): RecordResult {
+    this.#expire(timeMs);
+    const key = keyOf(record);
+    const entry = this.#entries.get(key);
+    if (record.outcome === 'notRun') this.#release(key, record, timeMs);
+    if (entry?.attempt !== record.attempt) {
+      return {recorded: record.outcome === 'notRun'};
+    }
+    const handle = RECORDERS[record.outcome];
+    return handle(this.#entries, {key, entry, record, timeMs});
+  }
+
+  /**
+   * Makes an incarnation the only one of its sidecar that may claim. A
+   * restarted sidecar doesn't know what its predecessor dispatched, so the
+   * predecessor's open claims become unknown.
+   *
+   * @param payload the sidecar's backend server and its new incarnation
+   * @param timeMs replicated time
+   * @returns whether the incarnation is the current one now
+   */
+  registerIncarnation(
+    payload: IncarnationPayload,
+    timeMs: number,
+  ): IncarnationResult {
+    this.#expire(timeMs);
+    const {server, incarnation} = payload;
+    if (!this.#incarnations.register(server, incarnation, timeMs)) {
+      return {accepted: false, settled: 0};
+    }
+    let settled = 0;
+    for (const key of this.#entries.openKeysOf(server)) {
+      if (this.#entries.get(key)?.incarnation === incarnation) continue;
+      this.#entries.settleUnknown(key, timeMs);
+      settled += 1;
+    }
+    return {accepted: true, settled};
+  }
+
+  /** @returns the serialized form */
+  snapshot(): LedgerSnapshot {
+    return {
+      entries: this.#entries.snapshot(),
+      incarnations: this.#incarnations.snapshot(),
+      released: [...this.#released],
+    };
+  }
+
+  /** @param snapshot what {@link snapshot} gave */
+  restore(snapshot: LedgerSnapshot): void {
+    this.#entries.restore(snapshot.entries);
+    this.#incarnations.restore(snapshot.incarnations);
+    this.#released.clear();
+    this.#releasedQueue.clear();
+    for (const [attempt, timeMs] of snapshot.released) {
+      this.#released.set(attempt, timeMs);
+      this.#releasedQueue.push(attempt, timeMs);
+    }
+  }
+
+  #refuseNew(
+    claim: ClaimPayload,
+    timeMs: number,
+  ): 'revoked' | 'wrongIncarnation' | 'ledgerUnavailable' | undefined {
+    if (this.#released.has(attemptKeyOf(keyOf(claim), claim.attempt))) {
+      return 'revoked';
+    }
+    const {server, incarnation} = claim;
+    const current = this.#incarnations.current(server);
+    if (current === undefined) {
+      this.#incarnations.register(server, incarnation, timeMs);
+    } else if (current !== incarnation) {
+      return 'wrongIncarnation';
+    }
+    const full = this.#entries.size >= this.#limits.ledgerLimit;
+    return full ? 'ledgerUnavailable' : undefined;
+  }
+
+  /**
+   * A sidecar that got no answer to its claim refuses the call as not run and
+   * says so here. Its claim may still come later: granted then, the key would
+   * stay open with nobody to dispatch it, and every repeat would wait.
+   */
+  #release(key: string, record: RecordPayload, timeMs: number): void {
+    const attempt = attemptKeyOf(key, record.attempt);
+    if (this.#released.has(attempt)) return;
+    this.#released.set(attempt, timeMs);
+    this.#releasedQueue.push(attempt, timeMs);
+  }
+
+  #expire(timeMs: number): void {
+    this.#entries.expire(timeMs);
+    this.#incarnations.expire(
+      timeMs,
+      server => this.#entries.openKeysOf(server).length > 0,
+    );
+    const untilMs = timeMs - this.#limits.openClaimLimitMs;
+    for (;;) {
+      const attempt = this.#releasedQueue.takeUntil(untilMs);
+      if (attempt === undefined) return;
+      this.#released.delete(attempt);
+    }
+  }
+}
+
+interface Recording {
+  readonly key: string;
+  readonly entry: LedgerEntry;
+  readonly record: RecordPayload;
+  readonly timeMs: number;
+}
+
+/**
+ * What each outcome does to the entry of its own attempt. An unknown entry
+ * may still learn that the call ran, as its own sidecar says so; it is never
+ * released, as only an open claim is certain to be its sidecar's alone.
+ */
+const RECORDERS: Readonly<
+  Record<
+    CallOutcome,
+    (entries: LedgerEntries, recording: Recording) => RecordResult
+  >
+> = {
+  ran: (entries, {key, entry, record, timeMs}) => {
+    if (entry.state === ENTRY_STATE.RECORDED) return {recorded: true};
+    entries.set(key, {
+      ...entry,
+      state: ENTRY_STATE.RECORDED,
+      sinceMs: timeMs,
+      status: record.status,
+      answer: record.answer,
+      contentType: record.contentType,
+    });
+    return {recorded: true};
+  },
+  notRun: (entries, {key, entry}) => {
+    if (entry.state !== ENTRY_STATE.OPEN) return {recorded: false};
+    entries.delete(key);
+    return {recorded: true};
+  },
+  unknown: (entries, {key, entry, timeMs}) => {
+    if (entry.state === ENTRY_STATE.RECORDED) return {recorded: false};
+    if (entry.state === ENTRY_STATE.OPEN) entries.settleUnknown(key, timeMs);
+    return {recorded: true};
+  },
+};
+
+function answerRepeat(entry: LedgerEntry, claim: ClaimPayload): ClaimResult {
+  if (entry.digest !== claim.digest) return {kind: 'keyReuse'};
+  return REPEAT_ANSWERS[entry.state](entry, claim);
+}
+
+const REPEAT_ANSWERS: Readonly<
+  Record<EntryStateOf, (entry: LedgerEntry, claim: ClaimPayload) => ClaimResult>
+> = {
+  // The very attempt that holds the grant lost the answer and asks again.
+  open: (entry, claim) =>
+    entry.attempt === claim.attempt &&
+    entry.server === claim.server &&
+    entry.incarnation === claim.incarnation
+      ? {kind: 'granted'}
+      : {kind: 'inProgress'},
+  recorded: entry =>
+    entry.answer === undefined
+      ? {kind: 'answerNotKept'}
+      : {
+          kind: 'recorded',
+          status: entry.status,
+          answer: entry.answer,
+          contentType: entry.contentType,
+        },
+  unknown: () => ({kind: 'outcomeUnknown'}),
+};
+
+type EntryStateOf = LedgerEntry['state'];
+
+function keyOf(name: {
+  readonly workspace: string;
+  readonly key: string;
+}): string {
+  return JSON.stringify([name.workspace, name.key]);
+}
+
+function attemptKeyOf(key: string, attempt: string): string {
+  return `${key}${attempt}`;
+}
