Route a request from a caller to a sidecar and stream its answer back

Cause: nothing carried a request yet. Change: the router role subscribes to control, keeps configuration and membership, finds eligible servers by selectors, places by rendezvous and runs each request by a state machine without I/O over one gRPC attempt stream. Only a refusal, a confirmed revocation or an attempt of which no byte was sent counts as not run.

--- a/packages/lovagepond-router/src/index.ts
+++ b/packages/lovagepond-router/src/index.ts
@@ -21,3 +21,10 @@
   loadKeyHasher,
   makeChatText,
 } from './router_rendezvous_hash.js';
+export {type CallerFront, type RouterParts, RouterRole} from './router_role.js';
+export {
+  DEFAULT_ROUTER_SETTINGS,
+  ISLAND_POLICY,
+  type IslandPolicy,
+  type RouterSettings,
+} from './router_settings.js';
--- /dev/null
+++ b/packages/lovagepond-router/src/router_control_link.ts
@@ -0,0 +1,182 @@
+/**
+ * Keeps one subscription open to some control member in touch with the leader.
+ */
+import {
+  type ChannelOptions,
+  Client,
+  type ClientReadableStream,
+  credentials,
+  Metadata,
+} from '@grpc/grpc-js';
+import {type Clock, type Logger, type Random} from '@lovagepond/core';
+import {CONTROL_SERVICE, lovagepond} from '@lovagepond/protocol';
+
+const {v1} = lovagepond;
+
+/** A control update as it was decoded. */
+export type ControlUpdate = lovagepond.v1.ControlUpdate.$Properties;
+
+/** What the link asks of the router when it subscribes. */
+export interface SubscriberFacts {
+  readonly node: string;
+  readonly region: string;
+}
+
+/** Settings of {@link ControlLink}, as in the router's settings. */
+export interface ControlLinkSettings {
+  readonly controlAddresses: readonly string[];
+  readonly controlSilentAfterMs: number;
+  readonly controlRetryMs: number;
+}
+
+/** Hears what control pushes. */
+export interface ControlListener {
+  /** @returns the revision held, for the next subscription */
+  heldRevision(): number;
+  onUpdate(update: ControlUpdate, now: number): void;
+}
+
+/** What the link needs besides its settings. */
+export interface ControlLinkParts {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly random: Random;
+  readonly listener: ControlListener;
+}
+
+const MAX_BACKOFF_DOUBLINGS = 4;
+
+const CHANNEL_OPTIONS: ChannelOptions = {
+  'grpc.use_local_subchannel_pool': 1,
+  'grpc.enable_http_proxy': 0,
+  'grpc.initial_reconnect_backoff_ms': 100,
+  'grpc.max_reconnect_backoff_ms': 1_000,
+};
+
+/** Subscribes, watches for silence, and goes on to the next member. */
+export class ControlLink {
+  readonly #settings: ControlLinkSettings;
+  readonly #facts: SubscriberFacts;
+  readonly #parts: ControlLinkParts;
+  #member: number;
+  #client: Client | undefined;
+  #call: ClientReadableStream<ControlUpdate> | undefined;
+  #heardAt = 0;
+  #failures = 0;
+  #retryTimer: NodeJS.Timeout | undefined;
+  #stopped = false;
+  #receivedBytes = 0;
+
+  constructor(
+    settings: ControlLinkSettings,
+    facts: SubscriberFacts,
+    parts: ControlLinkParts,
+  ) {
+    this.#settings = settings;
+    this.#facts = facts;
+    this.#parts = parts;
+    // Routers that all start with the first member would load it alone.
+    const count = Math.max(1, settings.controlAddresses.length);
+    this.#member = parts.random.below(count);
+  }
+
+  /** @returns bytes of control updates received since the start */
+  get receivedBytes(): number {
+    return this.#receivedBytes;
+  }
+
+  /** @returns `host:port` of the member asked last */
+  get address(): string {
+    const {controlAddresses} = this.#settings;
+    return controlAddresses[this.#member % controlAddresses.length] ?? '';
+  }
+
+  /** Starts to subscribe. */
+  start(): void {
+    this.#subscribe();
+  }
+
+  /** @param now present time, monotonic ms; call it a few times a second */
+  tick(now: number): void {
+    if (!this.#call) return;
+    const silence = now - this.#heardAt;
+    if (silence > this.#settings.controlSilentAfterMs) this.#onLost('silent');
+  }
+
+  /** Ends the subscription. */
+  stop(): void {
+    this.#stopped = true;
+    clearTimeout(this.#retryTimer);
+    this.#close();
+  }
+
+  #subscribe(): void {
+    if (this.#stopped || this.#settings.controlAddresses.length === 0) return;
+    this.#heardAt = this.#parts.clock.now();
+    this.#client = new Client(
+      this.address,
+      credentials.createInsecure(),
+      CHANNEL_OPTIONS,
+    );
+    const method = CONTROL_SERVICE.subscribe;
+    const call = this.#client.makeServerStreamRequest(
+      method.path,
+      method.requestSerialize,
+      bytes => {
+        this.#receivedBytes += bytes.length;
+        return method.responseDeserialize(bytes);
+      },
+      new v1.SubscribeRequest({
+        ...this.#facts,
+        role: 'router',
+        revision: this.#parts.listener.heldRevision(),
+      }),
+      new Metadata(),
+      {},
+    );
+    this.#call = call;
+    this.#listen(call);
+  }
+
+  #listen(call: ClientReadableStream<ControlUpdate>): void {
+    call.on('data', (update: ControlUpdate) => {
+      if (this.#call !== call) return;
+      this.#failures = 0;
+      this.#heardAt = this.#parts.clock.now();
+      this.#parts.listener.onUpdate(update, this.#heardAt);
+    });
+    call.on('error', err => {
+      if (this.#call === call) this.#onLost(err.message);
+    });
+    call.on('end', () => {
+      if (this.#call === call) this.#onLost('ended');
+    });
+  }
+
+  #onLost(reason: string): void {
+    const address = this.address;
+    this.#parts.log.info('control subscription lost', {address, reason});
+    this.#close();
+    this.#member += 1;
+    this.#failures += 1;
+    const delay = this.#nextDelay();
+    this.#retryTimer = setTimeout(() => {
+      this.#subscribe();
+    }, delay);
+  }
+
+  /** Waits differ, so that a restarted member isn't met by all at once. */
+  #nextDelay(): number {
+    const doublings = Math.min(this.#failures - 1, MAX_BACKOFF_DOUBLINGS);
+    const ceiling = this.#settings.controlRetryMs * 2 ** doublings;
+    return ceiling * (0.5 + this.#parts.random.next() / 2);
+  }
+
+  #close(): void {
+    const call = this.#call;
+    this.#call = undefined;
+    call?.cancel();
+    this.#client?.close();
+    this.#client = undefined;
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-router/src/router_eligibility.ts
@@ -0,0 +1,188 @@
+/**
+ * Decides which backend servers a request may go to, by the selectors of one
+ * configuration revision and one version of the membership.
+ */
+import {
+  type BackendServer,
+  type Configuration,
+  type Failure,
+  labelsOfPool,
+  type LabelTerm,
+  makeFailure,
+  matchesLabels,
+  type Membership,
+  parseLabelExpression,
+  type Pool,
+  type RequestKind,
+  type Selector,
+  SERVER_STATE,
+  type Workspace,
+} from '@lovagepond/core';
+
+const ANY = '*';
+
+/** The servers that one selector allows. The same object until they change. */
+export interface EligibleSet {
+  readonly selector: string;
+  readonly pools: readonly Pool[];
+  /** Ready servers only. */
+  readonly servers: readonly BackendServer[];
+}
+
+/** What a request needs to be placed. */
+export interface Eligible {
+  readonly workspace: Workspace;
+  readonly requestKind: RequestKind;
+  readonly set: EligibleSet;
+}
+
+/** Where a request may go, or why it may go nowhere. */
+export type EligibilityVerdict =
+  | {readonly ok: true; readonly eligible: Eligible}
+  | {readonly ok: false; readonly failure: Failure};
+
+interface CompiledSelector {
+  readonly selector: Selector;
+  readonly pools: readonly Pool[];
+  readonly poolNames: ReadonlySet<string>;
+  readonly serverTerms: readonly LabelTerm[];
+}
+
+function parseTerms(text: string): readonly LabelTerm[] | undefined {
+  const parsed = parseLabelExpression(text);
+  return parsed.ok ? parsed.terms : undefined;
+}
+
+function compileSelector(
+  selector: Selector,
+  pools: readonly Pool[],
+): CompiledSelector | undefined {
+  const poolTerms = parseTerms(selector.pools);
+  const serverTerms = parseTerms(selector.backendServers);
+  // The schema refuses such a text; a newer version's syntax must not widen
+  // what this version allows.
+  if (!poolTerms || !serverTerms) return undefined;
+  const matching = pools.filter(pool =>
+    matchesLabels(poolTerms, labelsOfPool(pool.labels, pool.name)),
+  );
+  const poolNames = new Set(matching.map(pool => pool.name));
+  return {selector, pools: matching, poolNames, serverTerms};
+}
+
+function compileSelectors(configuration: Configuration): CompiledSelector[] {
+  const {pools, selectors} = configuration.content;
+  return selectors
+    .map(selector => compileSelector(selector, pools))
+    .filter(compiled => compiled !== undefined)
+    .sort((a, b) => b.selector.priority - a.selector.priority);
+}
+
+function names(list: readonly string[], name: string): boolean {
+  return list.includes(ANY) || list.includes(name);
+}
+
+function matchesChat(selector: Selector, chat: string): boolean {
+  const {chatPrefixes} = selector;
+  if (chatPrefixes.length === 0) return true;
+  return chatPrefixes.some(prefix => chat.startsWith(prefix));
+}
+
+function indexByName<Item extends {readonly name: string}>(
+  items: readonly Item[],
+): ReadonlyMap<string, Item> {
+  return new Map(items.map(item => [item.name, item]));
+}
+
+/** The selectors of one configuration revision, compiled. */
+export class Eligibility {
+  readonly #selectors: readonly CompiledSelector[];
+  readonly #workspaces: ReadonlyMap<string, Workspace>;
+  readonly #requestKinds: ReadonlyMap<string, RequestKind>;
+  /** By workspace, then by request kind; only known names get an entry. */
+  readonly #matching = new Map<string, Map<string, CompiledSelector[]>>();
+  readonly #sets = new Map<CompiledSelector, EligibleSet>();
+  #membership: Membership;
+
+  constructor(configuration: Configuration, membership: Membership) {
+    const {workspaces, requestKinds} = configuration.content;
+    this.#selectors = compileSelectors(configuration);
+    this.#workspaces = indexByName(workspaces);
+    this.#requestKinds = indexByName(requestKinds);
+    this.#membership = membership;
+  }
+
+  /** @param membership the list of backend servers from now on */
+  useMembership(membership: Membership): void {
+    this.#membership = membership;
+    this.#sets.clear();
+  }
+
+  /**
+   * @param workspaceName the caller's workspace
+   * @param kindName the request's kind
+   * @param chat the chat's name; empty when there is none
+   * @returns the servers that the first matching selector allows
+   */
+  find(
+    workspaceName: string,
+    kindName: string,
+    chat: string,
+  ): EligibilityVerdict {
+    const workspace = this.#workspaces.get(workspaceName);
+    if (!workspace) return refuse(makeFailure('unknownWorkspace'));
+    const requestKind = this.#requestKinds.get(kindName);
+    if (!requestKind) {
+      // A misspelt kind must not fall to a selector for any kind: it would
+      // lose the mark of a call that may not be repeated.
+      const message = 'The request kind is not known.';
+      return refuse(makeFailure('badRequest', {message}));
+    }
+    const matching = this.#match(workspaceName, kindName);
+    const found = matching.find(item => matchesChat(item.selector, chat));
+    if (!found) {
+      const message = 'No selector allows this request.';
+      return refuse(makeFailure('noBackendServer', {message}));
+    }
+    return {
+      ok: true,
+      eligible: {workspace, requestKind, set: this.#setOf(found)},
+    };
+  }
+
+  #match(workspace: string, kind: string): CompiledSelector[] {
+    let byKind = this.#matching.get(workspace);
+    if (!byKind) {
+      byKind = new Map();
+      this.#matching.set(workspace, byKind);
+    }
+    let matching = byKind.get(kind);
+    if (!matching) {
+      matching = this.#selectors.filter(
+        ({selector}) =>
+          names(selector.workspaces, workspace) &&
+          names(selector.requestKinds, kind),
+      );
+      byKind.set(kind, matching);
+    }
+    return matching;
+  }
+
+  #setOf(compiled: CompiledSelector): EligibleSet {
+    const known = this.#sets.get(compiled);
+    if (known) return known;
+    const {selector, pools, poolNames, serverTerms} = compiled;
+    const servers = [...this.#membership.servers.values()].filter(
+      server =>
+        server.state === SERVER_STATE.READY &&
+        poolNames.has(server.pool) &&
+        matchesLabels(serverTerms, server.labels),
+    );
+    const set = {selector: selector.name, pools, servers};
+    this.#sets.set(compiled, set);
+    return set;
+  }
+}
+
+function refuse(failure: Failure): EligibilityVerdict {
+  return {ok: false, failure};
+}
--- /dev/null
+++ b/packages/lovagepond-router/src/router_execution_record.ts
@@ -0,0 +1,149 @@
+/**
+ * What is known about a request's execution over all of its attempts, and
+ * whether another attempt is allowed.
+ */
+import {
+  answerFor,
+  type ErrorKind,
+  type Failure,
+  makeFailure,
+} from '@lovagepond/core';
+
+/** The request's next step after an attempt came to nothing. */
+export type NextStep =
+  | {
+      readonly kind: 'place';
+      /** A server named by a pointer or hand-over, or undefined. */
+      readonly wanted: string | undefined;
+      /** The failure that this retries; undefined when it costs no budget. */
+      readonly retryOf: Failure | undefined;
+    }
+  | {readonly kind: 'fail'; readonly failure: Failure};
+
+/** Limits of one request's attempts; see the settings of the same names. */
+export interface AttemptLimits {
+  readonly maxAttempts: number;
+  readonly maxHops: number;
+}
+
+/** Refusals that name the place to go to; they cost a hop, not a retry. */
+const HOP_KINDS: ReadonlySet<ErrorKind> = new Set([
+  'servedElsewhere',
+  'handedOver',
+  'staleRevision',
+]);
+
+/** Failures after dispatch that another backend server may not share. */
+const SERVER_FAULTS: ReadonlySet<ErrorKind> = new Set([
+  'backendFailed',
+  'backendSilent',
+  'answerTruncated',
+]);
+
+/** Keeps one request's attempts and the worst that is known of them. */
+export class ExecutionRecord {
+  readonly #limits: AttemptLimits;
+  readonly #nonRepeatable: boolean;
+  readonly #excluded = new Set<string>();
+  #placements = 0;
+  #hops = 0;
+  #uncertain: Failure | undefined;
+
+  constructor(limits: AttemptLimits, nonRepeatable: boolean) {
+    this.#limits = limits;
+    this.#nonRepeatable = nonRepeatable;
+  }
+
+  /** @returns names of the servers not to try again */
+  get excluded(): ReadonlySet<string> {
+    return new Set(this.#excluded);
+  }
+
+  /** @returns the number of this placement, from 1 */
+  countPlacement(): number {
+    this.#placements += 1;
+    return this.#placements;
+  }
+
+  /**
+   * @param server where the attempt was
+   * @param failure why it has not run and never will
+   * @param pointer the server that the refusal names; empty for none
+   * @returns the next step
+   */
+  afterNotRun(server: string, failure: Failure, pointer: string): NextStep {
+    if (HOP_KINDS.has(failure.kind)) {
+      return this.#afterHop(server, failure, pointer);
+    }
+    this.#excluded.add(server);
+    const {anotherAttempt} = answerFor(failure.kind);
+    if (!anotherAttempt || !this.#hasAttempts()) return this.afterAll(failure);
+    return {kind: 'place', wanted: undefined, retryOf: failure};
+  }
+
+  /**
+   * @param server where the attempt was
+   * @param failure why it is not known whether it has run
+   * @param untouched no byte of an answer has gone to the caller
+   * @returns the next step; another attempt only for a repeatable call
+   */
+  afterMayHaveRun(
+    server: string,
+    failure: Failure,
+    untouched: boolean,
+  ): NextStep {
+    this.#uncertain = failure;
+    this.#excluded.add(server);
+    const allowed = !this.#nonRepeatable && untouched && this.#hasAttempts();
+    if (!allowed || !SERVER_FAULTS.has(failure.kind)) {
+      return this.afterAll(failure);
+    }
+    return {kind: 'place', wanted: undefined, retryOf: failure};
+  }
+
+  /**
+   * @param server where an attempt was taken back since its connection was
+   *     lost; another connection to the same server works
+   * @returns the next step: the same server, as it may be the warm one
+   */
+  afterReconnect(server: string): NextStep {
+    this.#hops += 1;
+    if (this.#hops > this.#limits.maxHops) {
+      return this.afterAll(makeFailure('unreachable'));
+    }
+    return {kind: 'place', wanted: server, retryOf: undefined};
+  }
+
+  /**
+   * An earlier attempt that may have run outweighs a later refusal: a caller
+   * told "not run" would repeat what runs already.
+   *
+   * @param failure why there is no further attempt
+   * @returns the final answer
+   */
+  afterAll(failure: Failure): NextStep {
+    return {kind: 'fail', failure: this.#uncertain ?? failure};
+  }
+
+  /** @param failure why the open attempt may have run */
+  markUncertain(failure: Failure): void {
+    this.#uncertain = failure;
+  }
+
+  #hasAttempts(): boolean {
+    return this.#placements - this.#hops < this.#limits.maxAttempts;
+  }
+
+  #afterHop(server: string, failure: Failure, pointer: string): NextStep {
+    this.#hops += 1;
+    if (this.#hops > this.#limits.maxHops) {
+      const {message, retryAfterMs} = failure;
+      const details = {message, retryAfterMs};
+      return this.afterAll(makeFailure('overloaded', details));
+    }
+    if (failure.kind !== 'staleRevision') this.#excluded.add(server);
+    const wanted = failure.kind === 'staleRevision' ? server : pointer;
+    this.#excluded.delete(wanted);
+    return {kind: 'place', wanted: wanted || undefined, retryOf: undefined};
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-router/src/router_request_types.ts
@@ -0,0 +1,136 @@
+/**
+ * What goes into and comes out of a request's state machine.
+ */
+import {type Failure} from '@lovagepond/core';
+import {type Frame} from './router_frames.js';
+
+/** Where a request stands. */
+export const REQUEST_STATE = {
+  RECEIVED: 'received',
+  /** A backend server is chosen; its connection is being made. */
+  PLACED: 'placed',
+  /** The attempt was sent: from here silence proves nothing. */
+  OFFERED: 'offered',
+  /** In the sidecar's queue, not dispatched. */
+  ADMITTED: 'admitted',
+  /** Handed to the backend server: it may have run. */
+  DISPATCHED: 'dispatched',
+  ANSWERING: 'answering',
+  DONE: 'done',
+} as const;
+
+/** One of the values of {@link REQUEST_STATE}. */
+export type RequestState = (typeof REQUEST_STATE)[keyof typeof REQUEST_STATE];
+
+/** What a request is from the start. */
+export interface RequestFacts {
+  readonly requestId: string;
+  /** The call must not run twice. */
+  readonly nonRepeatable: boolean;
+  /** Monotonic milliseconds by which the answer must be whole. */
+  readonly deadline: number;
+}
+
+/** Limits of one request; see the settings of the same names. */
+export interface RequestLimits {
+  readonly maxAttempts: number;
+  readonly maxHops: number;
+  readonly maxReattaches: number;
+  readonly attemptSilentAfterMs: number;
+  readonly firstFrameAfterMs: number;
+  readonly revokeLeadMs: number;
+}
+
+/** The sidecar that an attempt is sent to. */
+export interface AttemptTarget {
+  readonly backendServer: string;
+  readonly incarnation: string;
+  readonly address: string;
+}
+
+/** One attempt, named anew for each server it is placed at. */
+export interface Attempt {
+  readonly attemptId: string;
+  readonly target: AttemptTarget;
+}
+
+/** Why bytes or frames that arrived were thrown away. */
+export type DropReason =
+  | 'otherAttempt'
+  | 'otherIncarnation'
+  | 'afterEnd'
+  | 'duplicate'
+  | 'foreignGeneration'
+  | 'refusedAfterStart';
+
+/** What happened to a request, as its shell saw it. */
+export type RequestEvent =
+  | {readonly kind: 'placed'; readonly target: AttemptTarget}
+  /** No backend server may be tried (again). */
+  | {readonly kind: 'notPlaced'; readonly failure: Failure}
+  /** The connection failed before the attempt's first byte was sent. */
+  | {readonly kind: 'connectFailed'; readonly attemptId: string}
+  /** The attempt's first byte is about to be sent. */
+  | {readonly kind: 'sent'; readonly attemptId: string}
+  | {readonly kind: 'frame'; readonly frame: Frame}
+  /** The stream ended without `End`, `Failed` or `Refused`. */
+  | {readonly kind: 'broken'; readonly attemptId: string}
+  | {
+      readonly kind: 'revoked';
+      readonly attemptId: string;
+      readonly outcome: RevokeOutcome;
+    }
+  /** The caller doesn't read: no frames are taken in for now. */
+  | {readonly kind: 'blocked'; readonly blocked: boolean}
+  | {readonly kind: 'callerGone'}
+  | {readonly kind: 'tick'};
+
+/** A revocation's answer; `lost` when none came in time. */
+export type RevokeOutcome = 'revoked' | 'dispatched' | 'unknown' | 'lost';
+
+/** What the shell is to do for a request. */
+export type RequestAction =
+  /** Choose a backend server, then report `placed` or `notPlaced`. */
+  | {
+      readonly kind: 'place';
+      /** Names of servers tried before. */
+      readonly excluded: ReadonlySet<string>;
+      /** A server named by a pointer or hand-over, or undefined. */
+      readonly wanted: string | undefined;
+      /** The failure that this retries; undefined when it costs no budget. */
+      readonly retryOf: Failure | undefined;
+    }
+  /** Connect and send the attempt; frames follow. */
+  | {
+      readonly kind: 'offer';
+      readonly attempt: Attempt;
+      /** Bytes of the answer already delivered. */
+      readonly resumeFrom: number;
+      /** Use a new connection: the present one may have gone silent. */
+      readonly freshConnection: boolean;
+    }
+  /** Ask the sidecar to take the attempt back, and report its answer. */
+  | {
+      readonly kind: 'revoke';
+      readonly attempt: Attempt;
+      readonly freshConnection: boolean;
+    }
+  /** Close the attempt's stream; its frames no longer count. */
+  | {readonly kind: 'cancel'; readonly attempt: Attempt}
+  | {
+      readonly kind: 'begin';
+      readonly status: number;
+      readonly contentType: string;
+    }
+  | {readonly kind: 'write'; readonly data: Uint8Array}
+  | {readonly kind: 'end'}
+  | {readonly kind: 'fail'; readonly failure: Failure}
+  /** Hand a configuration that a sidecar sent to the revisions' keeper. */
+  | {readonly kind: 'install'; readonly configuration: Uint8Array}
+  /** Evidence about a sidecar, for or against it. */
+  | {
+      readonly kind: 'evidence';
+      readonly target: AttemptTarget;
+      readonly evidence: 'heard' | 'silent' | 'unreachable';
+    }
+  | {readonly kind: 'drop'; readonly reason: DropReason};
--- /dev/null
+++ b/packages/lovagepond-router/src/router_sidecar_calls.ts
@@ -0,0 +1,199 @@
+/**
+ * The calls that a router makes to a sidecar, over a connection that is up.
+ */
+import {
+  type ClientReadableStream,
+  type ClientUnaryCall,
+  Metadata,
+  type MethodDefinition,
+  type ServiceError,
+} from '@grpc/grpc-js';
+import {lovagepond, SIDECAR_SERVICE} from '@lovagepond/protocol';
+import {type SidecarConnection} from './router_connections.js';
+import {type Frame, readFrame} from './router_frames.js';
+import {type RevokeOutcome} from './router_request_types.js';
+
+const {v1} = lovagepond;
+
+type WireFrame = lovagepond.v1.AttemptFrame.$Properties;
+type AttemptProperties = lovagepond.v1.AttemptRequest.$Properties;
+
+/**
+ * A stream that neither end has closed goes this long after its deadline. Left
+ * alone, it would keep its connection open for good.
+ */
+const STREAM_GRACE_MS = 5_000;
+
+/** Hears what an attempt's stream brings. */
+export interface AttemptListener {
+  onFrame(frame: Frame): void;
+  /** The stream is over, for whatever reason. */
+  onEnd(): void;
+}
+
+/** One open stream of frames. */
+export class AttemptStream {
+  readonly connection: SidecarConnection;
+  readonly #call: ClientReadableStream<WireFrame>;
+  #listener: AttemptListener | undefined;
+  #held = true;
+
+  constructor(
+    connection: SidecarConnection,
+    call: ClientReadableStream<WireFrame>,
+    listener: AttemptListener,
+  ) {
+    this.connection = connection;
+    this.#call = call;
+    this.#listener = listener;
+    connection.hold();
+    call.on('data', (frame: WireFrame) => {
+      this.#listener?.onFrame(readFrame(frame));
+    });
+    call.on('error', () => {
+      this.#end();
+    });
+    call.on('end', () => {
+      this.#end();
+    });
+  }
+
+  /** Takes in no more frames until {@link AttemptStream.resume}. */
+  pause(): void {
+    this.#call.pause();
+  }
+
+  /** Takes in frames again. */
+  resume(): void {
+    this.#call.resume();
+  }
+
+  /** Ends the stream; its listener hears nothing more. */
+  cancel(): void {
+    this.#listener = undefined;
+    this.#release();
+    this.#call.cancel();
+  }
+
+  #end(): void {
+    const listener = this.#listener;
+    this.#listener = undefined;
+    this.#release();
+    listener?.onEnd();
+  }
+
+  #release(): void {
+    if (!this.#held) return;
+    this.#held = false;
+    this.connection.release();
+  }
+}
+
+/**
+ * @param connection a connection that is up
+ * @param attempt the attempt to send
+ * @param listener hears the frames
+ * @returns the open stream
+ */
+export function openAttempt(
+  connection: SidecarConnection,
+  attempt: AttemptProperties,
+  listener: AttemptListener,
+): AttemptStream {
+  const method = SIDECAR_SERVICE.attempt;
+  const call = connection.client.makeServerStreamRequest(
+    method.path,
+    method.requestSerialize,
+    method.responseDeserialize,
+    new v1.AttemptRequest(attempt),
+    new Metadata(),
+    {deadline: Date.now() + (attempt.deadlineLeftMs ?? 0) + STREAM_GRACE_MS},
+  );
+  return new AttemptStream(connection, call, listener);
+}
+
+function callOnce<Req, Res>(
+  connection: SidecarConnection,
+  method: MethodDefinition<Req, Res>,
+  request: Req,
+  timeoutMs: number,
+): Promise<Res | undefined> {
+  connection.hold();
+  return new Promise(resolve => {
+    const onAnswer = (err: ServiceError | null, answer?: Res): void => {
+      connection.release();
+      resolve(err ? undefined : answer);
+    };
+    const call: ClientUnaryCall = connection.client.makeUnaryRequest(
+      method.path,
+      method.requestSerialize,
+      method.responseDeserialize,
+      request,
+      new Metadata(),
+      {deadline: Date.now() + timeoutMs},
+      onAnswer,
+    );
+    call.on('error', () => {});
+  });
+}
+
+const REVOKE_OUTCOMES: Readonly<Record<string, RevokeOutcome>> = {
+  revoked: 'revoked',
+  dispatched: 'dispatched',
+  unknown: 'unknown',
+};
+
+/**
+ * Asks a sidecar to take an attempt back.
+ *
+ * @param connection a connection that is up
+ * @param attemptId the attempt
+ * @param incarnation the sidecar incarnation it was sent to
+ * @param timeoutMs time for the answer
+ * @returns the sidecar's word, or `lost`
+ */
+export async function revokeAttempt(
+  connection: SidecarConnection,
+  attemptId: string,
+  incarnation: string,
+  timeoutMs: number,
+): Promise<RevokeOutcome> {
+  const request = new v1.RevokeRequest({attemptId, incarnation});
+  const method = SIDECAR_SERVICE.revoke;
+  const answer = await callOnce(connection, method, request, timeoutMs);
+  return REVOKE_OUTCOMES[answer?.outcome ?? ''] ?? 'lost';
+}
+
+/**
+ * Hands a sidecar a newer configuration.
+ *
+ * @param connection a connection that is up
+ * @param configuration its bytes
+ * @param timeoutMs time for the answer
+ * @returns the revision that the sidecar now holds, or undefined
+ */
+export async function installConfiguration(
+  connection: SidecarConnection,
+  configuration: Uint8Array,
+  timeoutMs: number,
+): Promise<number | undefined> {
+  const request = new v1.InstallRequest({configuration});
+  const method = SIDECAR_SERVICE.install;
+  const answer = await callOnce(connection, method, request, timeoutMs);
+  return answer?.revision ?? undefined;
+}
+
+/**
+ * @param connection a connection that is up
+ * @param revision the router's configuration revision
+ * @param timeoutMs time for the answer
+ * @returns the sidecar's state, or undefined when it doesn't answer
+ */
+export function probeSidecar(
+  connection: SidecarConnection,
+  revision: number,
+  timeoutMs: number,
+): Promise<lovagepond.v1.ProbeResponse.$Properties | undefined> {
+  const request = new v1.ProbeRequest({revision});
+  return callOnce(connection, SIDECAR_SERVICE.probe, request, timeoutMs);
+}
