Prove the load bound by scenarios, and proofs by missing safeguards

Cause: nothing showed users, in their words, that an hourly wake stays within the bound. Found on the way: a gate that has never heard a pool mean admits up to its capacity (readyServers is 1), so the first mean must come before work. Change: @cucumber/cucumber runs features over the sidecar's real gates in virtual time, with fakes for engine, control's mean and routers. npm run test:safeguards applies small edits to a scratch copy and demands that the named proof fails.

--- /dev/null
+++ b/packages/lovagepond-scenarios/src/steps/load_bound_steps.ts
@@ -0,0 +1,101 @@
+/**
+ * Steps of the hourly wake: pools, waves of kiosks, and the load bound.
+ */
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {makeOffer} from '../world/offer_utils.js';
+import {type Pool, type PoolOptions} from '../world/pool.js';
+import {type ScenarioWorld} from '../world/scenario_world.js';
+
+const MS_PER_SECOND = 1_000;
+const POOL: PoolOptions = {
+  size: 6,
+  loadBound: 1.5,
+  floorTokens: 4_000,
+  meanAgeMs: 300,
+};
+/** Shares of the work that count as a server's part in it. */
+const TENTH = 0.1;
+const ROUNDING = 1e-9;
+
+const options = new WeakMap<ScenarioWorld, PoolOptions>();
+const kiosks = new WeakMap<ScenarioWorld, string[]>();
+
+Given<ScenarioWorld>(
+  'a pool of {int} engines with a load bound of {float}',
+  function (size, loadBound) {
+    options.set(this, {...POOL, size, loadBound});
+    this.createPool({...POOL, size, loadBound});
+    this.pool.startTaking();
+  },
+);
+
+Given<ScenarioWorld>(
+  'the mean load arrives {int} second(s) late',
+  function (seconds) {
+    const meanAgeMs = seconds * MS_PER_SECOND;
+    this.createPool({...POOL, ...options.get(this), meanAgeMs});
+    this.pool.startTaking();
+  },
+);
+
+When<ScenarioWorld>(
+  '{int} kiosks wake within {int} second(s) for chats of {word}',
+  function (count, seconds, server) {
+    const woken = kiosks.get(this) ?? [];
+    kiosks.set(this, woken);
+    const stepMs = (seconds * MS_PER_SECOND) / count;
+    for (let index = 0; index < count; index++) {
+      const id = `kiosk-${woken.length}`;
+      woken.push(id);
+      this.timeline.schedule(index * stepMs, () => {
+        const offer = makeOffer(server, id, {chat: id, tokens: 400});
+        this.pool.send(offer, server);
+      });
+    }
+  },
+);
+
+When<ScenarioWorld>('{int} second(s) pass', function (seconds) {
+  this.timeline.advance(seconds * MS_PER_SECOND);
+});
+
+Then<ScenarioWorld>('no engine was ever loaded beyond the bound', function () {
+  const {server, tokens, allowedTokens} = this.pool.worst;
+  assert.ok(
+    tokens <= allowedTokens * (1 + ROUNDING),
+    `${server} ran ${tokens} tokens where ${allowedTokens} were allowed`,
+  );
+});
+
+function countRuns(pool: Pool, requestId: string): number {
+  return pool.servers.reduce((sum, part) => sum + part.runsOf(requestId), 0);
+}
+
+Then<ScenarioWorld>(
+  'every kiosk was answered once or told when to come back',
+  function () {
+    for (const id of kiosks.get(this) ?? []) {
+      const runs = countRuns(this.pool, id);
+      const retryAfterMs = this.pool.sentBack.get(id);
+      if (retryAfterMs === undefined) {
+        assert.equal(runs, 1, `${id} was run ${runs} times`);
+        const done = this.pool.servers.some(part => part.completed.has(id));
+        assert.ok(done, `${id} got no whole answer`);
+      } else {
+        assert.equal(runs, 0, `${id} was refused and yet run`);
+        assert.ok(retryAfterMs > 0, `${id} was not told when to come back`);
+      }
+    }
+  },
+);
+
+Then<ScenarioWorld>(
+  'at least {int} engines did a tenth of the work each',
+  function (count) {
+    const runs = this.pool.servers.map(part => part.completed.size);
+    const total = runs.reduce((sum, part) => sum + part, 0);
+    const busy = runs.filter(part => part >= total * TENTH).length;
+    assert.ok(busy >= count, `runs by engine: ${runs.join(', ')}`);
+  },
+);
--- /dev/null
+++ b/packages/lovagepond-scenarios/src/world/gated_server.ts
@@ -0,0 +1,174 @@
+/**
+ * One backend server behind the sidecar's real gate, with an engine that only
+ * counts: what runs, how often each request was run, what came of it.
+ */
+import {type Failure, Random} from '@lovagepond/core';
+import {
+  DEFAULT_GATE_SETTINGS,
+  type GateAction,
+  type GateSettings,
+  type Offer,
+  SidecarGate,
+} from '@lovagepond/sidecar';
+import {type Timeline} from './timeline.js';
+
+/** What is fixed about one server of a scenario. */
+export interface GatedServerOptions {
+  readonly name: string;
+  readonly floorTokens: number;
+  /** Prompt and answer tokens that one request gets done in a second. */
+  readonly tokensPerSecond: number;
+  readonly seed: number;
+}
+
+/** A refusal as the router saw it. */
+export interface SeenRefusal {
+  readonly attemptId: string;
+  readonly failure: Failure;
+  readonly pointer: string;
+}
+
+type Handlers = {
+  readonly [Kind in GateAction['kind']]: (
+    action: Extract<GateAction, {kind: Kind}>,
+  ) => void;
+};
+
+const MS_PER_SECOND = 1_000;
+const TICK_MS = 50;
+
+/** A gate, its engine, and a record of both. */
+export class GatedServer {
+  readonly name: string;
+  readonly gate: SidecarGate;
+  /** Request id to number of runs. */
+  readonly runs = new Map<string, number>();
+  readonly refusals: SeenRefusal[] = [];
+  readonly completed = new Set<string>();
+  readonly cancelled = new Set<string>();
+  readonly claims: string[] = [];
+  readonly releasedClaims: string[] = [];
+  /** Called with each refusal. */
+  onRefuse: (refusal: SeenRefusal) => void = () => undefined;
+  /** Called after each dispatch. */
+  onDispatch: () => void = () => undefined;
+  /** Called when the gate wants a claim; grants by default. */
+  onClaim: (offer: Offer) => void = offer => {
+    this.grant(offer.attemptId);
+  };
+  /** Runs end by themselves; a scenario may hold them. */
+  finishesRuns = true;
+  readonly #offers = new Map<string, Offer>();
+  readonly #running = new Map<string, number>();
+  readonly #timeline: Timeline;
+  readonly #tokensPerSecond: number;
+  readonly #handlers: Handlers;
+
+  constructor(options: GatedServerOptions, timeline: Timeline) {
+    const {name, floorTokens, tokensPerSecond, seed} = options;
+    this.name = name;
+    this.#timeline = timeline;
+    this.#tokensPerSecond = tokensPerSecond;
+    const settings: GateSettings = {
+      ...DEFAULT_GATE_SETTINGS,
+      backendServer: name,
+      incarnation: `${name}-1`,
+      floorTokens,
+    };
+    this.gate = new SidecarGate(settings, new Random(seed));
+    this.#handlers = this.#makeHandlers();
+    timeline.repeat(TICK_MS, () => {
+      this.apply(this.gate.tick(timeline.now));
+    });
+  }
+
+  /** Tokens that the engine really runs now. */
+  get runningTokens(): number {
+    let tokens = 0;
+    for (const part of this.#running.values()) tokens += part;
+    return tokens;
+  }
+
+  /** Attempts that the engine runs now. */
+  get runningAttempts(): readonly string[] {
+    return [...this.#running.keys()];
+  }
+
+  /** @param offer an attempt as it arrives from a router */
+  offer(offer: Offer): void {
+    this.#offers.set(offer.attemptId, offer);
+    this.apply(this.gate.offer(offer, this.#timeline.now));
+  }
+
+  /** @param attemptId a claim that the ledger granted */
+  grant(attemptId: string): void {
+    this.apply(this.gate.claimGranted(attemptId, this.#timeline.now));
+  }
+
+  /** @param attemptId a dispatched attempt that the engine has done */
+  finish(attemptId: string): void {
+    if (!this.#running.delete(attemptId)) return;
+    this.completed.add(this.#offerOf(attemptId).requestId);
+    const {now} = this.#timeline;
+    this.apply(this.gate.finish(attemptId, {kind: 'done'}, now));
+  }
+
+  /** @param actions what the gate wants done */
+  apply(actions: readonly GateAction[]): void {
+    for (const action of actions) {
+      this.#handlers[action.kind](action as never);
+    }
+  }
+
+  /**
+   * @param requestId a request
+   * @returns how often this server ran it
+   */
+  runsOf(requestId: string): number {
+    return this.runs.get(requestId) ?? 0;
+  }
+
+  #offerOf(attemptId: string): Offer {
+    const offer = this.#offers.get(attemptId);
+    if (!offer) throw new Error(`${this.name} never saw ${attemptId}`);
+    return offer;
+  }
+
+  #makeHandlers(): Handlers {
+    return {
+      accept: () => undefined,
+      refuse: ({attemptId, failure, pointer}) => {
+        const refusal = {attemptId, failure, pointer};
+        this.refusals.push(refusal);
+        this.onRefuse(refusal);
+      },
+      rejectCopy: () => undefined,
+      claim: ({attemptId}) => {
+        this.claims.push(attemptId);
+        this.onClaim(this.#offerOf(attemptId));
+      },
+      dispatch: ({attemptId}) => {
+        this.#start(attemptId);
+      },
+      cancel: ({attemptId}) => {
+        this.cancelled.add(attemptId);
+      },
+      releaseClaim: ({attemptId}) => {
+        this.releasedClaims.push(attemptId);
+      },
+      point: () => undefined,
+    };
+  }
+
+  #start(attemptId: string): void {
+    const {requestId, tokens} = this.#offerOf(attemptId);
+    this.runs.set(requestId, this.runsOf(requestId) + 1);
+    this.#running.set(attemptId, tokens);
+    this.onDispatch();
+    if (!this.finishesRuns) return;
+    const durationMs = (tokens / this.#tokensPerSecond) * MS_PER_SECOND;
+    this.#timeline.schedule(durationMs, () => {
+      this.finish(attemptId);
+    });
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-scenarios/src/world/pool.ts
@@ -0,0 +1,200 @@
+/**
+ * A pool of gated servers, with the pool's mean as control sends it: once a
+ * second, and as old as a scenario wants.
+ */
+import {Random} from '@lovagepond/core';
+import {type Offer} from '@lovagepond/sidecar';
+import {GatedServer, type SeenRefusal} from './gated_server.js';
+import {type Timeline} from './timeline.js';
+
+const SEED = 20_261_202;
+const MEAN_INTERVAL_MS = 1_000;
+const TAKE_INTERVAL_MS = 20;
+const RESERVATION_MS = 250;
+const ROUTER_RETRY_MS = 2;
+
+/** What is fixed about a pool. */
+export interface PoolOptions {
+  readonly size: number;
+  readonly loadBound: number;
+  readonly floorTokens: number;
+  /** Age of the mean when it arrives, milliseconds. */
+  readonly meanAgeMs: number;
+}
+
+/** The highest load that an engine was seen to run, against its bound. */
+export interface WorstLoad {
+  readonly server: string;
+  readonly tokens: number;
+  readonly allowedTokens: number;
+}
+
+/** Servers, control's mean, and routers that try the next server. */
+export class Pool {
+  readonly servers: readonly GatedServer[];
+  /** Requests told to come back, with the wait they were told. */
+  readonly sentBack = new Map<string, number>();
+  worst: WorstLoad = {server: '', tokens: 0, allowedTokens: Infinity};
+  readonly #options: PoolOptions;
+  readonly #timeline: Timeline;
+  readonly #random = new Random(SEED);
+  readonly #offers = new Map<string, {offer: Offer; tried: string[]}>();
+  /** Running tokens of each server, at the last three announcements. */
+  #announced: (readonly number[])[] = [];
+
+  constructor(options: PoolOptions, timeline: Timeline) {
+    this.#options = options;
+    this.#timeline = timeline;
+    this.servers = Array.from({length: options.size}, (_, index) =>
+      this.#makeServer(`engine-${index + 1}`, SEED + index),
+    );
+    this.#sendMean(0);
+    timeline.repeat(MEAN_INTERVAL_MS, () => {
+      this.#sendMean(options.meanAgeMs);
+    });
+  }
+
+  /**
+   * @param name a backend server's name
+   * @returns the server
+   */
+  server(name: string): GatedServer {
+    const found = this.servers.find(server => server.name === name);
+    if (!found) throw new Error(`no backend server is named ${name}`);
+    return found;
+  }
+
+  /**
+   * Sends one request as a router does: to its server, then where a refusal
+   * points, then to the others, and back to the caller when all refuse.
+   *
+   * @param offer the first attempt
+   * @param server where it goes first
+   */
+  send(offer: Offer, server: string): void {
+    this.#offers.set(offer.requestId, {offer, tried: [server]});
+    this.server(server).offer(offer);
+  }
+
+  /** Lets idle servers take held requests from loaded ones. */
+  startTaking(): void {
+    this.#timeline.repeat(TAKE_INTERVAL_MS, () => {
+      for (const taker of this.servers) this.#take(taker);
+    });
+  }
+
+  /** True mean of the running tokens, this moment. */
+  get meanTokens(): number {
+    const total = this.servers.reduce(
+      (sum, server) => sum + server.runningTokens,
+      0,
+    );
+    return total / this.servers.length;
+  }
+
+  #makeServer(name: string, seed: number): GatedServer {
+    const {floorTokens, loadBound} = this.#options;
+    const options = {name, floorTokens, tokensPerSecond: 500, seed};
+    const server = new GatedServer(options, this.#timeline);
+    server.gate.configure({...POLICY, loadBound}, 0);
+    server.gate.cache.reset();
+    server.onRefuse = refusal => {
+      this.#follow(server, refusal);
+    };
+    server.onDispatch = () => {
+      this.#noteLoad(server);
+    };
+    return server;
+  }
+
+  /** Sends the mean of this moment, to arrive when it is of the given age. */
+  #sendMean(meanAgeMs: number): void {
+    const loads = this.servers.map(server => server.runningTokens);
+    const meanTokens = this.meanTokens;
+    this.#announced = [...this.#announced.slice(-2), loads];
+    this.#timeline.schedule(meanAgeMs, () => {
+      this.servers.forEach((server, index) => {
+        server.gate.admission.setPoolMean(
+          {
+            meanTokens,
+            ageMs: meanAgeMs,
+            readyServers: this.servers.length,
+            ownTokens: loads[index] ?? 0,
+          },
+          this.#timeline.now,
+        );
+      });
+    });
+  }
+
+  /**
+   * A server knows its own load exactly and the others' from announcements:
+   * the mean to compare with is the highest that these give.
+   */
+  #noteLoad(server: GatedServer): void {
+    const {loadBound, floorTokens, size} = this.#options;
+    const tokens = server.runningTokens;
+    const own = this.servers.indexOf(server);
+    const present = this.servers.map(part => part.runningTokens);
+    const totals = [...this.#announced, present].map(loads =>
+      loads.reduce((sum, load, index) => sum + (index === own ? 0 : load), 0),
+    );
+    const mean = (Math.max(...totals) + tokens) / size;
+    const allowedTokens = Math.max(floorTokens, loadBound * mean);
+    const former = this.worst.tokens / this.worst.allowedTokens;
+    if (tokens / allowedTokens <= former) return;
+    this.worst = {server: server.name, tokens, allowedTokens};
+  }
+
+  #follow(server: GatedServer, refusal: SeenRefusal): void {
+    const {attemptId, failure, pointer} = refusal;
+    const requestId = attemptId.split('/')[0] ?? '';
+    const entry = this.#offers.get(requestId);
+    if (!entry) return;
+    const others = this.servers
+      .map(other => other.name)
+      .filter(name => !entry.tried.includes(name));
+    const next = pointer || others[this.#random.below(others.length || 1)];
+    if (next === undefined) {
+      this.sentBack.set(requestId, failure.retryAfterMs);
+      return;
+    }
+    const tried = [...entry.tried, next];
+    const handOvers =
+      entry.offer.handOvers + (failure.kind === 'handedOver' ? 1 : 0);
+    const offer: Offer = {
+      ...entry.offer,
+      attemptId: `${requestId}/${tried.length}`,
+      incarnation: `${next}-1`,
+      firstChoice: entry.offer.firstChoice || server.name,
+      handOvers,
+    };
+    this.#offers.set(requestId, {offer, tried});
+    this.#timeline.schedule(ROUTER_RETRY_MS, () => {
+      this.server(next).offer(offer);
+    });
+  }
+
+  #take(taker: GatedServer): void {
+    const {now} = this.#timeline;
+    const roomTokens = taker.gate.takeRoom(now);
+    if (roomTokens === 0) return;
+    const victim = this.#random.pick(this.servers);
+    if (victim === taker) return;
+    taker.gate.reserve(victim.name, roomTokens, now + RESERVATION_MS);
+    const {attemptIds, actions} = victim.gate.handOver(
+      taker.name,
+      roomTokens,
+      now,
+    );
+    if (attemptIds.length === 0) taker.gate.reserve(victim.name, 0, now);
+    victim.apply(actions);
+  }
+}
+
+const POLICY = {
+  maxHoldMs: 8_000,
+  prefillTokensPerSecond: 8_000,
+  decodeTokensPerSecond: 2_400,
+  workspaces: new Map(),
+};
--- /dev/null
+++ b/packages/lovagepond-scenarios/src/world/scenario_world.ts
@@ -0,0 +1,53 @@
+/**
+ * What the steps of one scenario share.
+ */
+import {setWorldConstructor, World} from '@cucumber/cucumber';
+import {GatedServer} from './gated_server.js';
+import {Pool, type PoolOptions} from './pool.js';
+import {Timeline} from './timeline.js';
+
+const FLOOR_TOKENS = 4_000;
+const SEED = 7;
+
+/** One scenario's virtual time and whatever its steps have set up. */
+export class ScenarioWorld extends World {
+  readonly timeline = new Timeline();
+  readonly #servers = new Map<string, GatedServer>();
+  #pool: Pool | undefined;
+
+  /** The pool that an earlier step set up. */
+  get pool(): Pool {
+    if (!this.#pool) throw new Error('the scenario has no pool yet');
+    return this.#pool;
+  }
+
+  /** @param options what is fixed about the pool */
+  createPool(options: PoolOptions): void {
+    this.#pool = new Pool(options, this.timeline);
+  }
+
+  /**
+   * @param name a backend server's name
+   * @returns that server, alone; made when it is named first
+   */
+  server(name: string): GatedServer {
+    const known = this.#servers.get(name);
+    if (known) return known;
+    const options = {
+      name,
+      floorTokens: FLOOR_TOKENS,
+      tokensPerSecond: 500,
+      seed: SEED,
+    };
+    const server = new GatedServer(options, this.timeline);
+    const mean = {meanTokens: 0, ageMs: 0, readyServers: 6, ownTokens: 0};
+    server.gate.admission.setPoolMean(mean, this.timeline.now);
+    this.timeline.repeat(1_000, () => {
+      server.gate.admission.setPoolMean(mean, this.timeline.now);
+    });
+    this.#servers.set(name, server);
+    return server;
+  }
+}
+
+setWorldConstructor(ScenarioWorld);
--- /dev/null
+++ b/packages/lovagepond-scenarios/src/world/timeline.ts
@@ -0,0 +1,57 @@
+/**
+ * Virtual time: events run in the order of their times, and those of one time
+ * in the order in which they were scheduled.
+ */
+
+interface TimelineEvent {
+  readonly at: number;
+  readonly order: number;
+  readonly run: () => void;
+}
+
+/** The present time of one scenario, in milliseconds from 0. */
+export class Timeline {
+  #now = 0;
+  #order = 0;
+  readonly #events: TimelineEvent[] = [];
+
+  /** Present time, milliseconds. */
+  get now(): number {
+    return this.#now;
+  }
+
+  /**
+   * @param delayMs milliseconds from now
+   * @param run what happens then
+   */
+  schedule(delayMs: number, run: () => void): void {
+    const at = this.#now + delayMs;
+    const event = {at, order: this.#order++, run};
+    const index = this.#events.findLastIndex(other => other.at <= at);
+    this.#events.splice(index + 1, 0, event);
+  }
+
+  /**
+   * @param intervalMs milliseconds between two runs
+   * @param run what happens each time, for the rest of the scenario
+   */
+  repeat(intervalMs: number, run: () => void): void {
+    this.schedule(intervalMs, () => {
+      run();
+      this.repeat(intervalMs, run);
+    });
+  }
+
+  /** @param durationMs milliseconds to let pass */
+  advance(durationMs: number): void {
+    const until = this.#now + durationMs;
+    for (;;) {
+      const next = this.#events[0];
+      if (!next || next.at > until) break;
+      this.#events.shift();
+      this.#now = next.at;
+      next.run();
+    }
+    this.#now = until;
+  }
+}
--- /dev/null
+++ b/scripts/test_safeguards.mjs
@@ -0,0 +1,138 @@
+// Shows that each listed proof fails without its safeguard: applies the small
+// edits of safeguards.json one at a time to a scratch copy, runs just the named
+// scenario or unit test there, and demands that it runs and fails.
+import {spawnSync} from 'node:child_process';
+import {
+  cpSync,
+  existsSync,
+  mkdirSync,
+  mkdtempSync,
+  readdirSync,
+  readFileSync,
+  rmSync,
+  symlinkSync,
+  writeFileSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join, resolve} from 'node:path';
+
+const LIST = 'scripts/safeguards.json';
+const REPORT = 'reports/safeguard.json';
+const NOT_COPIED = new Set(['.git', 'node_modules', 'dist', 'reports']);
+const SCOPE = '@lovagepond';
+
+/**
+ * One entry names either `scenario`, or `test` with its `testFile`.
+ *
+ * @typedef {{file: string, find: string, replace: string, scenario?: string,
+ *   test?: string, testFile?: string}} Safeguard
+ */
+
+/** Links the libraries, and the project's own packages to their copies. */
+function linkModules(copy) {
+  const modules = join(copy, 'node_modules');
+  mkdirSync(join(modules, SCOPE), {recursive: true});
+  for (const name of readdirSync('node_modules')) {
+    if (name === SCOPE) continue;
+    symlinkSync(resolve('node_modules', name), join(modules, name));
+  }
+  for (const folder of readdirSync(join(copy, 'packages'))) {
+    const name = folder.replace('lovagepond-', '');
+    const target = join(copy, 'packages', folder);
+    symlinkSync(target, join(modules, SCOPE, name));
+  }
+}
+
+/** @returns {string} the folder of a scratch copy of the working tree */
+function makeCopy() {
+  const copy = mkdtempSync(join(tmpdir(), 'safeguards-'));
+  for (const name of readdirSync('.')) {
+    if (NOT_COPIED.has(name)) continue;
+    const filter = source => !source.includes('node_modules');
+    cpSync(name, join(copy, name), {recursive: true, filter});
+  }
+  linkModules(copy);
+  mkdirSync(join(copy, 'dist'));
+  mkdirSync(join(copy, 'reports'));
+  return copy;
+}
+
+/** @param {string} text @returns {string} a pattern that matches just it */
+function quote(text) {
+  return `^${text.replace(/[.*+?^${}()|[\]\\]/g, '\\$&')}$`;
+}
+
+/** @returns {boolean[]} for each scenario of that name, whether it passed */
+function runScenario(copy, name) {
+  const args = ['scripts/run_scenarios.mjs', REPORT, '--name', quote(name)];
+  spawnSync(process.execPath, args, {cwd: copy, stdio: 'ignore'});
+  if (!existsSync(join(copy, REPORT))) return [];
+  const features = JSON.parse(readFileSync(join(copy, REPORT), 'utf8'));
+  return features
+    .flatMap(feature => feature.elements)
+    .map(scenario =>
+      scenario.steps.every(step => step.result.status === 'passed'),
+    );
+}
+
+/** @returns {boolean[]} for each unit test of that name, whether it passed */
+function runUnitTest(copy, file, name) {
+  const args = ['run', file, '-t', name, '--reporter=json'];
+  const vitest = join(copy, 'node_modules/.bin/vitest');
+  spawnSync(vitest, [...args, `--outputFile.json=${REPORT}`], {
+    cwd: copy,
+    stdio: 'ignore',
+  });
+  if (!existsSync(join(copy, REPORT))) return [];
+  const report = JSON.parse(readFileSync(join(copy, REPORT), 'utf8'));
+  return report.testResults
+    .flatMap(part => part.assertionResults)
+    .filter(test => test.status !== 'skipped' && test.status !== 'pending')
+    .map(test => test.status === 'passed');
+}
+
+/** @param {Safeguard} entry @returns {boolean[]} */
+function runProof(copy, entry) {
+  rmSync(join(copy, REPORT), {force: true});
+  if (entry.scenario) return runScenario(copy, entry.scenario);
+  return runUnitTest(copy, entry.testFile, entry.test);
+}
+
+/** @param {Safeguard} entry @returns {string} empty when the proof holds */
+function check(copy, entry) {
+  const path = join(copy, entry.file);
+  const source = readFileSync(path, 'utf8');
+  if (source.split(entry.find).length !== 2) {
+    return 'the text to replace does not stand there exactly once';
+  }
+  const before = runProof(copy, entry);
+  if (before.length !== 1) return `${before.length} proofs have this name`;
+  if (!before[0]) return 'fails with its safeguard in place';
+  writeFileSync(
+    path,
+    source.replace(entry.find, () => entry.replace),
+  );
+  const after = runProof(copy, entry);
+  writeFileSync(path, source);
+  if (after.length !== 1) return 'did not run without its safeguard';
+  return after[0] ? 'passes without its safeguard' : '';
+}
+
+/** @type {Safeguard[]} */
+const entries = JSON.parse(readFileSync(LIST, 'utf8'));
+const copy = makeCopy();
+let failed = 0;
+try {
+  for (const entry of entries) {
+    const problem = check(copy, entry);
+    if (problem) failed += 1;
+    const verdict = problem ? `FAILED (${problem})` : 'fails as it must';
+    console.log(`${entry.scenario ?? entry.test}`);
+    console.log(`  without: ${entry.file}: ${entry.find.trim()}`);
+    console.log(`  ${verdict}`);
+  }
+} finally {
+  rmSync(copy, {recursive: true, force: true});
+}
+console.log(`${entries.length - failed} passed, ${failed} failed`);
+process.exit(failed === 0 ? 0 : 1);
