--- /dev/null
+++ b/packages/lovagepond-control/src/configuration_changer.ts
@@ -0,0 +1,197 @@
+/**
+ * Checks operators' changes before they are proposed.
+ */
+import {createHash} from 'node:crypto';
+import {
+  checkConfiguration,
+  type ConfigurationContent,
+  type ConfigurationFault,
+} from '@lovagepond/core';
+import {
+  type ChangeAnswer,
+  type ChangeRequest,
+  type ConfigurationSection,
+  type WantedChange,
+} from './control_administration.js';
+import {CHANGE_COMMAND, type ChangePayload} from './control_commands.js';
+import {
+  type ConfigurationEdit,
+  diffConfigurations,
+  editConfiguration,
+  type NamedObject,
+} from './configuration_edit.js';
+import {type ControlStateMachine} from './control_state_machine.js';
+import {type OperationResult} from './operation_results.js';
+import {type Proposer} from './proposer.js';
+
+/** A change as operators may ask for it, restores included. */
+export type AnyChange =
+  WantedChange | {readonly kind: 'restore'; readonly revision: number};
+
+/** A request for any change. */
+export type AnyChangeRequest = Omit<ChangeRequest, 'change'> & {
+  readonly change: AnyChange;
+};
+
+type Checked =
+  | {readonly ok: true; readonly edit: ConfigurationEdit}
+  | {readonly ok: false; readonly faults: readonly ConfigurationFault[]};
+
+const SECTION_PLACE = /^([A-Za-z]+)\[(\d+)\]/;
+
+/** Checks, proposes and answers changes of the configuration. */
+export class ConfigurationChanger {
+  readonly #machine: ControlStateMachine;
+  readonly #proposer: Proposer;
+
+  constructor(machine: ControlStateMachine, proposer: Proposer) {
+    this.#machine = machine;
+    this.#proposer = proposer;
+  }
+
+  /**
+   * @param req the change
+   * @returns the answer; a resend gets the first one
+   */
+  async change(req: AnyChangeRequest): Promise<ChangeAnswer> {
+    // A change is checked against its base, so the base must be applied here.
+    if (!(await this.#proposer.confirm())) {
+      return {kind: 'notLeader', leader: this.#proposer.leaderAddress()};
+    }
+    const known = this.#machine.operations.has(req.operationId);
+    const checked = this.#check(req);
+    if (!known && !checked.ok) return {kind: 'invalid', faults: checked.faults};
+    if (req.dryRun) return this.#tryOut(req, checked);
+    return this.#propose(req, checked);
+  }
+
+  #check(req: AnyChangeRequest): Checked {
+    if (req.operationId === '') {
+      return refuse('operationId', 'an operation id is needed');
+    }
+    if (req.change.kind === 'replace') return checkContent(req.change.content);
+    const {configuration} = this.#machine;
+    const current = configuration.current.read();
+    const edit = req.change as ConfigurationEdit;
+    // A conflict anyway: nothing to check the object against.
+    if (req.baseRevision !== current.revision) return {ok: true, edit};
+    const edited = editConfiguration(edit, current.content, revision =>
+      configuration.find(revision),
+    );
+    if (!edited) return refuse('change', 'what it names is not there');
+    return checkEdit(edit, edited);
+  }
+
+  #tryOut(req: AnyChangeRequest, checked: Checked): ChangeAnswer {
+    const {configuration} = this.#machine;
+    const {revision, content} = configuration.current.read();
+    if (req.baseRevision !== revision) {
+      return this.#conflict(req.baseRevision, revision);
+    }
+    const edited = checked.ok ? configuration.edit(checked.edit) : undefined;
+    const differences = diffConfigurations(content, edited ?? content);
+    return {kind: 'accepted', revision: revision + 1, differences};
+  }
+
+  async #propose(
+    req: AnyChangeRequest,
+    checked: Checked,
+  ): Promise<ChangeAnswer> {
+    const {operationId, baseRevision, change} = req;
+    const edit = checked.ok ? checked.edit : (change as ConfigurationEdit);
+    const digest = digestOf([baseRevision, change]);
+    const answer = await this.#proposer.propose<ChangePayload, OperationResult>(
+      CHANGE_COMMAND,
+      {operationId, digest, baseRevision, edit},
+    );
+    if (answer.kind !== 'committed') return answer;
+    return this.#answer(answer.value);
+  }
+
+  #answer(result: OperationResult): ChangeAnswer {
+    const {configuration} = this.#machine;
+    if (result.kind === 'accepted') {
+      const {revision} = result;
+      const differences = configuration.differences(revision - 1, revision);
+      return {kind: 'accepted', revision, differences};
+    }
+    if (result.kind === 'conflict') {
+      return this.#conflict(result.baseRevision, result.currentRevision);
+    }
+    const faults = [describeRefusal(result)];
+    return {kind: 'invalid', faults};
+  }
+
+  #conflict(baseRevision: number, currentRevision: number): ChangeAnswer {
+    const {configuration} = this.#machine;
+    return {
+      kind: 'conflict',
+      currentRevision,
+      differences: configuration.differences(baseRevision, currentRevision),
+    };
+  }
+}
+
+/**
+ * @param content any JSON value
+ * @returns a digest to tell operations under one id apart
+ */
+export function digestOf(content: unknown): string {
+  const text = JSON.stringify(content);
+  return createHash('sha256').update(text).digest('base64').slice(0, 22);
+}
+
+/**
+ * @param result a result that is neither accepted nor a conflict
+ * @returns the fault to answer
+ */
+export function describeRefusal(
+  result: Extract<OperationResult, {kind: 'missing' | 'operationReuse'}>,
+): ConfigurationFault {
+  if (result.kind === 'missing') {
+    return {place: result.place, message: 'is not there'};
+  }
+  return {place: 'operationId', message: 'belongs to another operation'};
+}
+
+function refuse(place: string, message: string): Checked {
+  return {ok: false, faults: [{place, message}]};
+}
+
+function checkContent(content: unknown): Checked {
+  const check = checkConfiguration(content);
+  if (!check.ok) return check;
+  return {ok: true, edit: {kind: 'replace', content: check.content}};
+}
+
+/** Checks the whole edited configuration, and fills defaults into the edit. */
+function checkEdit(
+  edit: ConfigurationEdit,
+  edited: ConfigurationContent,
+): Checked {
+  const check = checkConfiguration(edited);
+  if (!check.ok) {
+    const faults = check.faults.map(fault => nameFault(fault, edited));
+    return {ok: false, faults};
+  }
+  if (edit.kind !== 'put') return {ok: true, edit};
+  const items: readonly NamedObject[] = check.content[edit.section];
+  const object = items.find(item => item.name === edit.object.name);
+  return object
+    ? {ok: true, edit: {...edit, object}}
+    : refuse(edit.section, 'the object has no name');
+}
+
+/** Adds the object's name to a place such as `selectors[2].pools`. */
+function nameFault(
+  fault: ConfigurationFault,
+  edited: ConfigurationContent,
+): ConfigurationFault {
+  const [, section, index] = SECTION_PLACE.exec(fault.place) ?? [];
+  if (section === undefined || index === undefined) return fault;
+  const items: readonly NamedObject[] | undefined =
+    edited[section as ConfigurationSection];
+  const item = items?.[Number.parseInt(index, 10)];
+  if (!item) return fault;
+  return {...fault, message: `"${item.name}": ${fault.message}`};
+}
--- a/packages/lovagepond-control/src/control_administration.ts
+++ b/packages/lovagepond-control/src/control_administration.ts
@@ -188,7 +188,14 @@
       readonly address: string;
     }
   | {readonly kind: 'promote'; readonly memberId: string}
-  | {readonly kind: 'remove'; readonly memberId: string};
+  | {readonly kind: 'remove'; readonly memberId: string}
+  /** Adds a learner, promotes it once caught up, then removes the old one. */
+  | {
+      readonly kind: 'replace';
+      readonly formerMemberId: string;
+      readonly memberId: string;
+      readonly address: string;
+    };
 
 /** Names one operation, so that a resend has no second effect. */
 export interface Operation {
--- a/packages/lovagepond-control/src/control_commands.ts
+++ b/packages/lovagepond-control/src/control_commands.ts
@@ -48,8 +48,8 @@
   readonly attempt: string;
   readonly outcome: CallOutcome;
   readonly status: number;
-  /** The answer's body, base64. */
-  readonly answer: string;
+  /** The answer's body, base64; absent when it is too large to keep. */
+  readonly answer?: string;
   readonly contentType: string;
 }
 
--- /dev/null
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -0,0 +1,334 @@
+/**
+ * What one control member does as leader and as follower: takes over the
+ * membership, mirrors it, serves subscriptions and ends them in time.
+ */
+import {type ConsensusNode, MEMBER_ROLE} from '@lovagepond/consensus';
+import {
+  type Clock,
+  type Logger,
+  mergeRegister,
+  type StateDump,
+  type Unregister,
+} from '@lovagepond/core';
+import {lovagepond} from '@lovagepond/protocol';
+import {AnnounceHandler} from './announce_handler.js';
+import {ConfirmationRounds} from './confirmation_rounds.js';
+import {type ControlAdministration} from './control_administration.js';
+import {type ControlSettings} from './control_settings.js';
+import {type ControlStateMachine} from './control_state_machine.js';
+import {ConvergenceTable} from './convergence_table.js';
+import {LeaderRelay} from './leader_relay.js';
+import {LedgerHandler} from './ledger_handler.js';
+import {MemberAdministration} from './member_administration.js';
+import {MembershipLog} from './membership_log.js';
+import {type LoadReport, MembershipRegistry} from './membership_registry.js';
+import {OrderDelivery} from './order_delivery.js';
+import {Proposer} from './proposer.js';
+import {
+  CONTROL_ROLE,
+  type FeedView,
+  type Subscriber,
+} from './subscription_feed.js';
+import {SubscriptionHub, type UpdateSink} from './subscription_hub.js';
+
+const {v1} = lovagepond;
+
+const DUMP_VERSION = 1;
+
+/** Longest wait for the leader's answer to a follower. */
+const RELAY_CALL_TIMEOUT_MS = 1_000;
+
+/** What the state is built from. */
+export interface MemberStateParts {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly machine: ControlStateMachine;
+  readonly node: ConsensusNode;
+}
+
+/** One member's soft state and its services. */
+export class ControlMemberState {
+  readonly administration: ControlAdministration;
+  readonly ledger: LedgerHandler;
+  readonly #settings: ControlSettings;
+  readonly #parts: MemberStateParts;
+  readonly #proposer: Proposer;
+  readonly #membership = new MembershipLog();
+  readonly #registry: MembershipRegistry;
+  readonly #convergence = new ConvergenceTable();
+  readonly #delivery: OrderDelivery;
+  readonly #announces: AnnounceHandler;
+  readonly #hub: SubscriptionHub;
+  readonly #relay: LeaderRelay;
+  readonly #rounds: ConfirmationRounds;
+  readonly #unregister: Unregister;
+  #ledTerm: number | undefined;
+  #takingOver = false;
+  #pumpPending = false;
+
+  constructor(settings: ControlSettings, parts: MemberStateParts) {
+    this.#settings = settings;
+    this.#parts = parts;
+    const {clock, log, machine, node} = parts;
+    this.#proposer = new Proposer({log: node, machine, clock});
+    this.ledger = new LedgerHandler(this.#proposer);
+    this.#registry = new MembershipRegistry(settings, this.#membership);
+    this.#delivery = new OrderDelivery(settings.concurrentLoads);
+    this.#announces = this.#makeAnnounceHandler();
+    this.#hub = new SubscriptionHub(settings, clock.now());
+    this.#relay = this.#makeRelay(log);
+    this.#rounds = new ConfirmationRounds(() => this.#confirmRevision());
+    this.administration = this.#makeAdministration();
+    this.#unregister = mergeRegister(
+      machine.configuration.current.register(() => {
+        this.#pumpSoon();
+      }),
+      node.onLeaderChange(() => {
+        this.tick(clock.now());
+      }),
+    );
+  }
+
+  announce(
+    req: lovagepond.v1.AnnounceRequest.$Properties,
+  ): Promise<lovagepond.v1.AnnounceResponse> {
+    return this.#announces.handle(req);
+  }
+
+  /**
+   * @param report what a node holds; a follower passes it to the leader
+   * @returns the revision in force, confirmed by a majority after the call
+   *     began, unless no leader could confirm it
+   */
+  async reportConvergence(
+    report: lovagepond.v1.ConvergenceReport,
+  ): Promise<lovagepond.v1.ConvergenceResponse> {
+    const {node, role, revision} = report;
+    if (role !== CONTROL_ROLE) {
+      this.#convergence.report(node, role, revision, this.#now());
+    }
+    const confirmed = this.#proposer.leads()
+      ? await this.#confirmHere()
+      : await this.#relay.report({node, role, revision});
+    return new v1.ConvergenceResponse({
+      revision: confirmed ?? 0,
+      confirmed: confirmed !== undefined,
+    });
+  }
+
+  /**
+   * @param subscriber who subscribes
+   * @param sink where its updates go
+   * @returns a function that ends the subscription; undefined when this member
+   *     is out of touch and serves none
+   */
+  subscribe(subscriber: Subscriber, sink: UpdateSink): Unregister | undefined {
+    const now = this.#now();
+    if (!this.#hub.isFresh(now)) return undefined;
+    // A follower mirrors the leader only, never another follower.
+    const relayed = subscriber.role === CONTROL_ROLE;
+    if (relayed && this.#ledTerm === undefined) return undefined;
+    const {feed, remove} = this.#hub.add(subscriber, sink);
+    if (!relayed) {
+      this.#convergence.report(
+        subscriber.node,
+        subscriber.role,
+        subscriber.revision,
+        now,
+      );
+      this.#rounds.add(feed);
+    }
+    this.#pumpSoon();
+    this.#runRounds();
+    return mergeRegister(remove, () => {
+      this.#rounds.remove(feed);
+    });
+  }
+
+  /**
+   * Looks at leadership, leases, orders and subscriptions.
+   *
+   * @param now monotonic milliseconds
+   */
+  tick(now: number): void {
+    const {node} = this.#parts;
+    const {role, term, leader, leaseValid} = node.status();
+    if (role === MEMBER_ROLE.LEADER) {
+      this.#relay.follow('', now);
+      if (this.#ledTerm !== term) this.#runApart(this.#takeOver(term));
+    } else {
+      this.#ledTerm = undefined;
+      this.#relay.follow(leader?.address ?? '', now);
+    }
+    const leads = this.#ledTerm === term && leaseValid;
+    this.#hub.noteContact(leads || this.#relay.isAlive(now), now);
+    if (leads) this.#tickLeader(now);
+    this.#convergence.sweep(now);
+    this.#runRounds();
+    this.#pump(now);
+  }
+
+  /**
+   * @param now monotonic milliseconds
+   * @returns true while this member serves subscriptions
+   */
+  isFresh(now: number): boolean {
+    return this.#hub.isFresh(now);
+  }
+
+  /** Ends all subscriptions, so that subscribers go on to other members. */
+  endSubscriptions(): void {
+    this.#hub.endAll();
+  }
+
+  /** Ends what runs by itself. */
+  stop(): void {
+    this.#unregister();
+    this.#relay.stop();
+    this.#hub.endAll();
+  }
+
+  dump(): StateDump {
+    const {machine, node} = this.#parts;
+    const {members, ...status} = node.status();
+    const now = this.#now();
+    return {
+      version: DUMP_VERSION,
+      role: 'control',
+      state: {
+        nodeName: this.#settings.nodeName,
+        consensus: {...status, members: [...members]},
+        fresh: this.isFresh(now),
+        revision: machine.configuration.current.read().revision,
+        ledger: machine.ledger.counts(),
+        orders: machine.orders.counts(),
+        replicatedTimeMs: machine.time.timeMs,
+        membershipVersion: this.#membership.version,
+        membershipComplete: this.#membership.complete,
+        backendServers: this.#membership.size,
+        subscribers: this.#hub.size,
+      },
+    };
+  }
+
+  #now(): number {
+    return this.#parts.clock.now();
+  }
+
+  /** Begins to lead once all that former leaders committed is applied. */
+  async #takeOver(term: number): Promise<void> {
+    if (this.#takingOver) return;
+    this.#takingOver = true;
+    try {
+      if (!(await this.#proposer.confirm())) return;
+      const {role, term: current} = this.#parts.node.status();
+      if (role !== MEMBER_ROLE.LEADER || current !== term) return;
+      this.#registry.takeOver(term, this.#now());
+      this.#ledTerm = term;
+      this.#parts.log.info('control leads', {term});
+      this.tick(this.#now());
+    } finally {
+      this.#takingOver = false;
+    }
+  }
+
+  #tickLeader(now: number): void {
+    this.#registry.tick(now);
+    this.#delivery.refresh(this.#parts.machine.orders.waiting(), server =>
+      this.#registry.has(server),
+    );
+  }
+
+  #pumpSoon(): void {
+    if (this.#pumpPending) return;
+    this.#pumpPending = true;
+    setImmediate(() => {
+      this.#pumpPending = false;
+      this.#pump(this.#now());
+    });
+  }
+
+  #pump(now: number): void {
+    let load: LoadReport | undefined;
+    const membership = this.#membership;
+    const view: FeedView = {
+      configuration: this.#parts.machine.configuration.current.read(),
+      membershipVersion: membership.version,
+      changesSince: (version, pool) => membership.changesSince(version, pool),
+      readLoad: () => (load ??= this.#readLoad(now)),
+    };
+    this.#hub.pump(view, now);
+  }
+
+  /** No load goes out while the list isn't whole: slots may be taken twice. */
+  #readLoad(now: number): LoadReport | undefined {
+    if (!this.#membership.complete) return undefined;
+    if (this.#ledTerm !== undefined) return this.#registry.loadReport(now);
+    return this.#relay.load(now);
+  }
+
+  /** Work that a tick starts and the next ticks try again. */
+  #runApart(work: Promise<void>): void {
+    work.catch((err: unknown) => {
+      this.#parts.log.warn('control work failed', {message: String(err)});
+    });
+  }
+
+  #runRounds(): void {
+    const round = this.#rounds.run().then(confirmed => {
+      if (confirmed) this.#pumpSoon();
+    });
+    this.#runApart(round);
+  }
+
+  async #confirmRevision(): Promise<number | undefined> {
+    if (this.#proposer.leads()) return this.#confirmHere();
+    const {nodeName: node} = this.#settings;
+    return this.#relay.report({node, role: CONTROL_ROLE, revision: 0});
+  }
+
+  async #confirmHere(): Promise<number | undefined> {
+    if (!(await this.#proposer.confirm())) return undefined;
+    return this.#parts.machine.configuration.current.read().revision;
+  }
+
+  #makeAnnounceHandler(): AnnounceHandler {
+    return new AnnounceHandler({
+      clock: this.#parts.clock,
+      machine: this.#parts.machine,
+      registry: this.#registry,
+      convergence: this.#convergence,
+      delivery: this.#delivery,
+      proposer: this.#proposer,
+      leaseMs: this.#settings.leaseMs,
+      hasTakenOver: () => this.#ledTerm !== undefined,
+    });
+  }
+
+  #makeRelay(log: Logger): LeaderRelay {
+    const {nodeName, region, leaderContactLimitMs} = this.#settings;
+    return new LeaderRelay(
+      {
+        nodeName,
+        region,
+        silentAfterMs: leaderContactLimitMs,
+        callTimeoutMs: RELAY_CALL_TIMEOUT_MS,
+      },
+      {clock: this.#parts.clock, log, membership: this.#membership},
+    );
+  }
+
+  #makeAdministration(): ControlAdministration {
+    return new MemberAdministration({
+      clock: this.#parts.clock,
+      log: this.#parts.node,
+      machine: this.#parts.machine,
+      proposer: this.#proposer,
+      registry: this.#registry,
+      membership: this.#membership,
+      convergence: this.#convergence,
+      load: now => this.#readLoad(now),
+      dump: () => this.dump(),
+    });
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-control/src/control_role.ts
@@ -0,0 +1,137 @@
+/**
+ * The control role: one member with its gRPC server, its timers and its part
+ * in consensus.
+ */
+import {type Server} from '@grpc/grpc-js';
+import {
+  ConsensusNode,
+  type ConsensusStorage,
+  type ConsensusTimings,
+  type ConsensusTransport,
+  DEFAULT_CONSENSUS_TIMINGS,
+} from '@lovagepond/consensus';
+import {
+  type Clock,
+  type Logger,
+  type Random,
+  type Role,
+  type StateDump,
+} from '@lovagepond/core';
+import {type ControlAdministration} from './control_administration.js';
+import {ControlMemberState} from './control_member_state.js';
+import {ControlServer} from './control_server.js';
+import {type ControlSettings} from './control_settings.js';
+import {ControlStateMachine} from './control_state_machine.js';
+
+/** How often leadership, leases and subscriptions are looked at. */
+const TICK_MS = 100;
+
+/** What the role is given. */
+export interface ControlParts {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly random: Random;
+  readonly storage: ConsensusStorage;
+  /**
+   * Makes the transport between members.
+   *
+   * @param server the member's gRPC server, not yet listening
+   */
+  readonly makeTransport: (server: Server) => ConsensusTransport;
+  readonly timings?: ConsensusTimings;
+}
+
+/** One control member. */
+export class ControlRole implements Role {
+  readonly administration: ControlAdministration;
+  readonly #settings: ControlSettings;
+  readonly #parts: ControlParts;
+  readonly #server: ControlServer;
+  readonly #node: ConsensusNode;
+  readonly #state: ControlMemberState;
+  #timer: NodeJS.Timeout | undefined;
+  #draining = false;
+  #port = 0;
+
+  constructor(settings: ControlSettings, parts: ControlParts) {
+    this.#settings = settings;
+    this.#parts = parts;
+    const {clock, log, random, storage} = parts;
+    const machine = new ControlStateMachine(settings, () => clock.now());
+    this.#server = new ControlServer(
+      {
+        announce: req => this.#state.announce(req),
+        reportConvergence: req => this.#state.reportConvergence(req),
+        claim: req => this.#state.ledger.claim(req),
+        record: req => this.#state.ledger.record(req),
+        reportOrder: req => this.#state.ledger.reportOrder(req),
+        subscribe: (subscriber, sink) =>
+          this.#state.subscribe(subscriber, sink),
+      },
+      log,
+    );
+    const transport = parts.makeTransport(this.#server.server);
+    this.#node = new ConsensusNode(toConsensusSettings(settings, parts), {
+      stateMachine: machine,
+      storage,
+      transport,
+      clock,
+      random,
+      log,
+    });
+    this.#state = new ControlMemberState(settings, {
+      clock,
+      log,
+      machine,
+      node: this.#node,
+    });
+    this.administration = this.#state.administration;
+  }
+
+  /** Port of the gRPC server, once started. */
+  get port(): number {
+    return this.#port;
+  }
+
+  async start(): Promise<void> {
+    const {host, port} = this.#settings;
+    this.#port = await this.#server.listen(host, port);
+    await this.#node.start();
+    this.#timer = setInterval(() => {
+      this.#state.tick(this.#parts.clock.now());
+    }, TICK_MS);
+  }
+
+  isReady(): boolean {
+    return !this.#draining && this.#state.isFresh(this.#parts.clock.now());
+  }
+
+  /** Subscribers go on to other members; requests under way end by themselves. */
+  drain(_limitMs: number): Promise<void> {
+    this.#draining = true;
+    this.#state.endSubscriptions();
+    return Promise.resolve();
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.#timer);
+    this.#state.stop();
+    await this.#node.stop();
+    this.#server.stop();
+  }
+
+  dump(): StateDump {
+    return this.#state.dump();
+  }
+}
+
+function toConsensusSettings(
+  settings: ControlSettings,
+  parts: ControlParts,
+): {address: string; peers: string[]; timings: ConsensusTimings} {
+  return {
+    address: settings.address,
+    peers: [...settings.members],
+    timings: parts.timings ?? DEFAULT_CONSENSUS_TIMINGS,
+  };
+}
--- /dev/null
+++ b/packages/lovagepond-control/src/control_server.ts
@@ -0,0 +1,162 @@
+/**
+ * The gRPC server of one control member.
+ */
+import {
+  type sendUnaryData,
+  Server,
+  ServerCredentials,
+  type ServerUnaryCall,
+  type ServerWritableStream,
+  status,
+  type UntypedServiceImplementation,
+} from '@grpc/grpc-js';
+import {type Logger} from '@lovagepond/core';
+import {CONTROL_SERVICE, type lovagepond} from '@lovagepond/protocol';
+import {SERVER_OPTIONS} from './control_channel_constants.js';
+import {type Subscriber, type FeedUpdate} from './subscription_feed.js';
+import {type UpdateSink} from './subscription_hub.js';
+import {UpdateEncoder} from './update_encoder.js';
+
+type V1 = typeof lovagepond.v1;
+type Message<Name extends keyof V1> = InstanceType<V1[Name]>;
+
+/** What the server calls for each method. */
+export interface ControlHandlers {
+  announce(
+    req: Message<'AnnounceRequest'>,
+  ): Promise<Message<'AnnounceResponse'>>;
+  reportConvergence(
+    req: Message<'ConvergenceReport'>,
+  ): Promise<Message<'ConvergenceResponse'>>;
+  claim(req: Message<'ClaimRequest'>): Promise<Message<'ClaimResponse'>>;
+  record(req: Message<'RecordRequest'>): Promise<Message<'RecordResponse'>>;
+  reportOrder(
+    req: Message<'OrderOutcome'>,
+  ): Promise<Message<'OrderOutcomeResponse'>>;
+  /**
+   * @param subscriber who subscribes
+   * @param sink where its updates go
+   * @returns a function to call when the stream is closed, or undefined when
+   *     this member serves no subscriptions now
+   */
+  subscribe(subscriber: Subscriber, sink: UpdateSink): (() => void) | undefined;
+}
+
+/** Subscribe with its answers encoded before, once for all subscribers. */
+const SERVICE = {
+  ...CONTROL_SERVICE,
+  subscribe: {
+    ...CONTROL_SERVICE.subscribe,
+    responseSerialize: (bytes: Buffer) => bytes,
+  },
+};
+
+/** Serves CONTROL_SERVICE. */
+export class ControlServer {
+  readonly server: Server;
+  readonly #log: Logger;
+  readonly #encoder = new UpdateEncoder();
+
+  constructor(handlers: ControlHandlers, log: Logger) {
+    this.#log = log;
+    this.server = new Server(SERVER_OPTIONS);
+    const implementation: UntypedServiceImplementation = {
+      announce: this.#unary(req => handlers.announce(req as never)),
+      reportConvergence: this.#unary(req =>
+        handlers.reportConvergence(req as never),
+      ),
+      claim: this.#unary(req => handlers.claim(req as never)),
+      record: this.#unary(req => handlers.record(req as never)),
+      reportOrder: this.#unary(req => handlers.reportOrder(req as never)),
+      subscribe: this.#streaming(handlers),
+    };
+    this.server.addService(SERVICE, implementation);
+  }
+
+  /**
+   * @param host address to listen on
+   * @param port its port; 0 lets the system choose
+   * @returns the port
+   */
+  listen(host: string, port: number): Promise<number> {
+    return new Promise((resolve, reject) => {
+      const credentials = ServerCredentials.createInsecure();
+      this.server.bindAsync(`${host}:${port}`, credentials, (err, bound) => {
+        if (err) {
+          reject(err);
+        } else {
+          resolve(bound);
+        }
+      });
+    });
+  }
+
+  /** Ends at once. */
+  stop(): void {
+    this.server.forceShutdown();
+  }
+
+  #unary(
+    handle: (req: unknown) => Promise<unknown>,
+  ): (
+    call: ServerUnaryCall<unknown, unknown>,
+    end: sendUnaryData<unknown>,
+  ) => void {
+    return (call, end) => {
+      handle(call.request).then(
+        answer => {
+          end(null, answer);
+        },
+        (err: unknown) => {
+          this.#log.error('request failed', {message: String(err)});
+          end({code: status.INTERNAL, details: 'the request failed'});
+        },
+      );
+    };
+  }
+
+  #streaming(
+    handlers: ControlHandlers,
+  ): (call: ServerWritableStream<Message<'SubscribeRequest'>, Buffer>) => void {
+    return call => {
+      const {node, role, pool, revision} = call.request;
+      const subscriber = {node, role, pool, revision};
+      const sink = new StreamSink(call, this.#encoder);
+      const remove = handlers.subscribe(subscriber, sink);
+      if (!remove) {
+        sink.end();
+        return;
+      }
+      call.on('cancelled', remove);
+      call.on('close', remove);
+      call.on('error', remove);
+    };
+  }
+}
+
+/** Writes updates to one stream. */
+class StreamSink implements UpdateSink {
+  readonly #call: ServerWritableStream<unknown, Buffer>;
+  readonly #encoder: UpdateEncoder;
+
+  constructor(
+    call: ServerWritableStream<unknown, Buffer>,
+    encoder: UpdateEncoder,
+  ) {
+    this.#call = call;
+    this.#encoder = encoder;
+  }
+
+  isWritable(): boolean {
+    return !this.#call.writableNeedDrain && !this.#call.cancelled;
+  }
+
+  send(update: FeedUpdate): void {
+    this.#call.write(this.#encoder.encode(update));
+  }
+
+  end(): void {
+    const details = 'out of touch with the leader';
+    this.#call.emit('error', {code: status.UNAVAILABLE, details});
+  }
+}
--- a/packages/lovagepond-control/src/control_settings.ts
+++ b/packages/lovagepond-control/src/control_settings.ts
@@ -2,29 +2,25 @@
  * Settings of one control member, as the program reads them from its file.
  */
 
-/** One control member as the others reach it. */
-export interface ControlMember {
-  readonly memberId: string;
-  /** `host:port` of its gRPC server. */
-  readonly address: string;
-}
-
 /** Everything a control member is told at its start. */
 export interface ControlSettings {
   /** Name of this process in logs, dumps and convergence reports. */
   readonly nodeName: string;
-  /** This member's identity in consensus; new after a lost disk. */
-  readonly memberId: string;
   readonly region: string;
   readonly availabilityZone: string;
+  /** `host:port` under which the other members reach this one. */
+  readonly address: string;
   /** Address that the gRPC server listens on. */
   readonly host: string;
   /** 0 lets the system choose. */
   readonly port: number;
   /** `host:port` of the administration API, told to operators. */
   readonly administrationAddress: string;
-  /** The members at the first start; later ones come from consensus. */
-  readonly members: readonly ControlMember[];
+  /**
+   * Addresses of all members, this one's too, for the first start; later the
+   * replicated log says who is a member.
+   */
+  readonly members: readonly string[];
   readonly dataFolder: string;
   /** A backend server that doesn't renew for this long is gone. */
   readonly leaseMs: number;
@@ -54,7 +50,7 @@
 export const CONTROL_DEFAULTS = {
   leaseMs: 3_000,
   digestIntervalMs: 1_000,
-  heartbeatIntervalMs: 2_000,
+  heartbeatIntervalMs: 1_000,
   leaderContactLimitMs: 3_000,
   historyLimit: 64,
   answerRetentionMs: 60 * MINUTE_MS,
--- a/packages/lovagepond-control/src/control_state_machine.ts
+++ b/packages/lovagepond-control/src/control_state_machine.ts
@@ -17,7 +17,7 @@
   RECORD_COMMAND,
   WANTED_STATE_COMMAND,
 } from './control_commands.js';
-import {type StateMachine} from './control_log.js';
+import {type StateMachine} from '@lovagepond/consensus';
 import {
   type ConfigurationSnapshot,
   ConfigurationState,
--- /dev/null
+++ b/packages/lovagepond-control/src/convergence_table.ts
@@ -0,0 +1,50 @@
+/**
+ * Which revision each router and sidecar last said it holds.
+ */
+import {type ConvergenceView} from './control_administration.js';
+
+/** A node that is silent for this long is dropped from the table. */
+const FORGET_AFTER_MS = 10 * 60_000;
+
+interface Report {
+  readonly role: string;
+  readonly revision: number;
+  readonly at: number;
+}
+
+/** Soft state of one member. */
+export class ConvergenceTable {
+  readonly #reports = new Map<string, Report>();
+
+  /**
+   * @param node the node's name
+   * @param role `router` or `sidecar`
+   * @param revision the revision it holds
+   * @param now monotonic milliseconds
+   */
+  report(node: string, role: string, revision: number, now: number): void {
+    this.#reports.set(node, {role, revision, at: now});
+  }
+
+  /** @param now monotonic milliseconds */
+  sweep(now: number): void {
+    for (const [node, report] of this.#reports) {
+      if (now - report.at > FORGET_AFTER_MS) this.#reports.delete(node);
+    }
+  }
+
+  /**
+   * @param now monotonic milliseconds
+   * @returns every node, the one furthest behind first
+   */
+  list(now: number): ConvergenceView[] {
+    return [...this.#reports]
+      .map(([node, {role, revision, at}]) => ({
+        node,
+        role,
+        revision,
+        ageMs: now - at,
+      }))
+      .sort((a, b) => a.revision - b.revision || b.ageMs - a.ageMs);
+  }
+}
--- a/packages/lovagepond-control/src/index.ts
+++ b/packages/lovagepond-control/src/index.ts
@@ -23,15 +23,5 @@
   type WantedChange,
   type WantedState,
 } from './control_administration.js';
-export {
-  InMemoryLog,
-  type LogStatus,
-  type ProposeAnswer,
-  type ReplicatedLog,
-  type StateMachine,
-} from './control_log.js';
-export {
-  CONTROL_DEFAULTS,
-  type ControlMember,
-  type ControlSettings,
-} from './control_settings.js';
+export {type ControlParts, ControlRole} from './control_role.js';
+export {CONTROL_DEFAULTS, type ControlSettings} from './control_settings.js';
--- a/packages/lovagepond-control/src/ledger_state.ts
+++ b/packages/lovagepond-control/src/ledger_state.ts
@@ -256,7 +256,7 @@
       state: ENTRY_STATE.RECORDED,
       sinceMs: timeMs,
       status: record.status,
-      answer: record.answer,
+      ...(record.answer !== undefined && {answer: record.answer}),
       contentType: record.contentType,
     });
     return {recorded: true};
--- /dev/null
+++ b/packages/lovagepond-control/src/member_administration.ts
@@ -0,0 +1,228 @@
+/**
+ * The administration of one control member.
+ */
+import {type ChangeOutcome} from '@lovagepond/consensus';
+import {
+  type Clock,
+  type Configuration,
+  decodeLoad,
+  type StateDump,
+} from '@lovagepond/core';
+import {
+  ConfigurationChanger,
+  describeRefusal,
+  digestOf,
+} from './configuration_changer.js';
+import {
+  type ChangeAnswer,
+  type ChangeRequest,
+  type ControlAdministration,
+  type ControlMemberView,
+  type ConvergenceView,
+  type HistoryEntry,
+  type MemberChange,
+  type Operation,
+  type OperationAnswer,
+  type OrderAnswer,
+  type OrderRequest,
+  type OrderView,
+  type ServerView,
+  type WantedState,
+} from './control_administration.js';
+import {
+  ORDER_COMMAND,
+  WANTED_STATE_COMMAND,
+  type WantedStatePayload,
+} from './control_commands.js';
+import {type ControlStateMachine} from './control_state_machine.js';
+import {type ConvergenceTable} from './convergence_table.js';
+import {type MembershipLog} from './membership_log.js';
+import {
+  type LoadReport,
+  type MembershipRegistry,
+} from './membership_registry.js';
+import {type OperationResult} from './operation_results.js';
+import {type IssueResult} from './order_state.js';
+import {type Proposed, type Proposer} from './proposer.js';
+import {type ReplicatedLog} from './control_log.js';
+
+/** What the administration is built from. */
+export interface AdministrationParts {
+  readonly clock: Clock;
+  readonly log: ReplicatedLog;
+  readonly machine: ControlStateMachine;
+  readonly proposer: Proposer;
+  readonly registry: MembershipRegistry;
+  readonly membership: MembershipLog;
+  readonly convergence: ConvergenceTable;
+  /** @returns the load that this member passes on, when it has one */
+  readonly load: (now: number) => LoadReport | undefined;
+  readonly dump: () => StateDump;
+}
+
+/** Implements {@link ControlAdministration}. */
+export class MemberAdministration implements ControlAdministration {
+  readonly #parts: AdministrationParts;
+  readonly #changer: ConfigurationChanger;
+
+  constructor(parts: AdministrationParts) {
+    this.#parts = parts;
+    this.#changer = new ConfigurationChanger(parts.machine, parts.proposer);
+  }
+
+  getConfiguration(): Configuration {
+    return this.#parts.machine.configuration.current.read();
+  }
+
+  history(): readonly HistoryEntry[] {
+    return this.#parts.machine.configuration.history();
+  }
+
+  getRevision(revision: number): Configuration | undefined {
+    const content = this.#parts.machine.configuration.find(revision);
+    return content && {revision, content};
+  }
+
+  change(req: ChangeRequest): Promise<ChangeAnswer> {
+    return this.#changer.change(req);
+  }
+
+  restoreRevision(
+    req: Operation & {
+      readonly baseRevision: number;
+      readonly revision: number;
+      readonly dryRun: boolean;
+    },
+  ): Promise<ChangeAnswer> {
+    const {operationId, baseRevision, dryRun, revision} = req;
+    const change = {kind: 'restore', revision} as const;
+    return this.#changer.change({operationId, baseRevision, dryRun, change});
+  }
+
+  listBackendServers(): readonly ServerView[] {
+    const {proposer, registry, clock, machine} = this.#parts;
+    const now = clock.now();
+    if (!proposer.leads()) return this.#listMirrored(now);
+    return registry.list().map(known => ({
+      server: known.server,
+      wantedState: machine.wanted.get(known.server.name),
+      runningTokens: known.runningTokens,
+      queuedTokens: known.queuedTokens,
+      ageMs: now - known.renewedAt,
+      damped: known.held,
+      announcedState: known.announcedState,
+    }));
+  }
+
+  async setWantedState(
+    req: Operation & {
+      readonly backendServer: string;
+      readonly wantedState: WantedState;
+    },
+  ): Promise<OperationAnswer> {
+    const {operationId, backendServer: server, wantedState} = req;
+    const digest = digestOf([server, wantedState]);
+    const answer = await this.#parts.proposer.propose<
+      WantedStatePayload,
+      OperationResult
+    >(WANTED_STATE_COMMAND, {operationId, digest, server, wantedState});
+    return toOperationAnswer(answer);
+  }
+
+  async issueOrder(req: OrderRequest): Promise<OrderAnswer> {
+    const {proposer} = this.#parts;
+    const answer = await proposer.propose<OrderRequest, IssueResult>(
+      ORDER_COMMAND,
+      req,
+    );
+    return toOrderAnswer(answer);
+  }
+
+  listOrders(): readonly OrderView[] {
+    return this.#parts.machine.orders.list();
+  }
+
+  convergence(): readonly ConvergenceView[] {
+    return this.#parts.convergence.list(this.#parts.clock.now());
+  }
+
+  listMembers(): readonly ControlMemberView[] {
+    const {members, leader} = this.#parts.log.status();
+    return members.map(member => ({
+      memberId: member.id,
+      address: member.address,
+      voter: member.voter,
+      leader: member.id === leader?.id,
+    }));
+  }
+
+  async changeMembers(change: MemberChange): Promise<OperationAnswer> {
+    const run = MEMBER_CHANGES[change.kind];
+    const outcome = await run(this.#parts.log, change as never);
+    return toMembersAnswer(outcome);
+  }
+
+  dump(): StateDump {
+    return this.#parts.dump();
+  }
+
+  /** A follower knows loads only as far as the leader's digest tells them. */
+  #listMirrored(now: number): ServerView[] {
+    const {membership, machine} = this.#parts;
+    const load = this.#parts.load(now);
+    return [...membership.servers()].map(server => ({
+      server,
+      wantedState: machine.wanted.get(server.name),
+      runningTokens: decodeLoad(load?.loads[server.slot] ?? 0),
+      queuedTokens: 0,
+      ageMs: load?.ageMs ?? Infinity,
+      damped: false,
+      announcedState: server.state,
+    }));
+  }
+}
+
+const MEMBER_CHANGES: {
+  readonly [Kind in MemberChange['kind']]: (
+    log: ReplicatedLog,
+    change: Extract<MemberChange, {kind: Kind}>,
+  ) => Promise<ChangeOutcome>;
+} = {
+  addLearner: (log, {memberId, address}) => log.addLearner(memberId, address),
+  promote: (log, {memberId}) => log.promote(memberId),
+  remove: (log, {memberId}) => log.removeMember(memberId),
+  replace: (log, {formerMemberId, memberId, address}) =>
+    log.replaceMember(formerMemberId, memberId, address),
+};
+
+function toMembersAnswer(outcome: ChangeOutcome): OperationAnswer {
+  if (outcome.kind === 'committed') return {kind: 'accepted'};
+  if (outcome.kind === 'unknown') return {kind: 'unknown'};
+  if (outcome.kind === 'refused') {
+    const faults = [{place: 'members', message: outcome.reason}];
+    return {kind: 'invalid', faults};
+  }
+  return {kind: 'notLeader', leader: outcome.leader?.address ?? ''};
+}
+
+function toOperationAnswer(answer: Proposed<OperationResult>): OperationAnswer {
+  if (answer.kind !== 'committed') return answer;
+  const result = answer.value;
+  if (result.kind === 'accepted') return {kind: 'accepted'};
+  if (result.kind === 'conflict') {
+    const faults = [{place: 'baseRevision', message: 'is not the current one'}];
+    return {kind: 'invalid', faults};
+  }
+  return {kind: 'invalid', faults: [describeRefusal(result)]};
+}
+
+function toOrderAnswer(answer: Proposed<IssueResult>): OrderAnswer {
+  if (answer.kind !== 'committed') return answer;
+  const result = answer.value;
+  if (result.kind === 'accepted') return result;
+  const fault =
+    result.kind === 'tooMany'
+      ? {place: 'orders', message: 'too many orders are waiting'}
+      : {place: 'orderId', message: 'belongs to another order'};
+  return {kind: 'invalid', faults: [fault]};
+}
--- /dev/null
+++ b/packages/lovagepond-control/src/membership_log.ts
@@ -0,0 +1,237 @@
+/**
+ * The list of backend servers with the versions of its changes, so that a
+ * subscriber gets only what changed since the version it holds.
+ */
+import {type BackendServer} from '@lovagepond/core';
+
+/** Departures that are remembered; an older version gets the whole list. */
+const KEPT_DEPARTURES = 4_096;
+
+/** What changed between two versions. */
+export interface MembershipChange {
+  readonly version: number;
+  /** The members are the whole list. */
+  readonly whole: boolean;
+  readonly members: readonly BackendServer[];
+  readonly gone: readonly string[];
+}
+
+interface VersionedServer {
+  readonly server: BackendServer;
+  readonly version: number;
+}
+
+interface Departure {
+  readonly server: BackendServer;
+  readonly version: number;
+}
+
+/** Backend servers and the versions at which they changed or left. */
+export class MembershipLog {
+  #version = 0;
+  #complete = false;
+  #completeVersion = 0;
+  /** Departures up to this version are forgotten. */
+  #forgotten = 0;
+  readonly #servers = new Map<string, VersionedServer>();
+  #departures: Departure[] = [];
+  /** Changes up to the present version, which many subscribers ask for. */
+  readonly #answers = new Map<string, MembershipChange>();
+  #answersVersion = 0;
+
+  /** Rises with every change. */
+  get version(): number {
+    return this.#version;
+  }
+
+  /** True when no announced server is missing, as far as can be known. */
+  get complete(): boolean {
+    return this.#complete;
+  }
+
+  get size(): number {
+    return this.#servers.size;
+  }
+
+  /** @returns the servers in the order of their first announcement */
+  *servers(): IterableIterator<BackendServer> {
+    for (const {server} of this.#servers.values()) yield server;
+  }
+
+  /**
+   * @param name a backend server
+   * @returns it, when it is in the list
+   */
+  get(name: string): BackendServer | undefined {
+    return this.#servers.get(name)?.server;
+  }
+
+  /**
+   * Raises the version, so that a new leader's versions are above those of
+   * every leader before.
+   *
+   * @param version lowest version from now on
+   */
+  raiseVersion(version: number): void {
+    this.#version = Math.max(this.#version, version);
+  }
+
+  /**
+   * @param server a new server or the next state of one
+   * @param version the change's version; by default the next one
+   */
+  put(server: BackendServer, version = this.#version + 1): void {
+    this.raiseVersion(version);
+    const former = this.#servers.get(server.name)?.server;
+    this.#servers.set(server.name, {server, version: this.#version});
+    // Those who hear of the former pool only are told that it left.
+    if (former && former.pool !== server.pool) this.#addDeparture(former);
+  }
+
+  /**
+   * @param name the server that left
+   * @param version the change's version; by default the next one
+   */
+  remove(name: string, version = this.#version + 1): void {
+    const known = this.#servers.get(name);
+    if (!known) return;
+    this.raiseVersion(version);
+    this.#servers.delete(name);
+    this.#addDeparture(known.server);
+  }
+
+  /** Says that the list is whole from now on. */
+  markComplete(): void {
+    if (this.#complete) return;
+    this.#complete = true;
+    this.#version += 1;
+    this.#completeVersion = this.#version;
+  }
+
+  /** Says that servers may be missing until {@link markComplete}. */
+  markIncomplete(): void {
+    this.#complete = false;
+  }
+
+  /**
+   * Takes over what the leader's list says, under the leader's versions. What
+   * is older than this list comes from a deposed leader and is dropped.
+   *
+   * @param change a change from the leader, in its order
+   */
+  mirror(change: MembershipChange): void {
+    const {version, members, gone, whole} = change;
+    if (version < this.#version) return;
+    for (const server of members) {
+      if (!this.#isSame(server)) this.put(server, version);
+    }
+    for (const name of gone) this.remove(name, version);
+    this.raiseVersion(version);
+    if (!whole) return;
+    this.#removeOthers(members, version);
+    if (!this.#complete) this.#completeVersion = version;
+    this.#complete = true;
+  }
+
+  /**
+   * @param version what the subscriber holds; 0 when nothing
+   * @param pool only this pool; empty means all
+   * @returns what it lacks, or undefined when nothing
+   */
+  changesSince(version: number, pool: string): MembershipChange | undefined {
+    if (version >= this.#version) return undefined;
+    if (this.#answersVersion !== this.#version) this.#answers.clear();
+    this.#answersVersion = this.#version;
+    const request = `${version} ${pool}`;
+    const known = this.#answers.get(request);
+    if (known) return known;
+    const change = this.#collectChanges(version, pool);
+    this.#answers.set(request, change);
+    return change;
+  }
+
+  #collectChanges(version: number, pool: string): MembershipChange {
+    const inPool = (server: BackendServer): boolean =>
+      pool === '' || server.pool === pool;
+    const whole = this.#needsWhole(version);
+    const members: BackendServer[] = [];
+    for (const known of this.#servers.values()) {
+      const wanted = whole || known.version > version;
+      if (wanted && inPool(known.server)) members.push(known.server);
+    }
+    const gone = whole ? [] : this.#goneSince(version, inPool);
+    return {version: this.#version, whole, members, gone};
+  }
+
+  /**
+   * An incomplete list is never sent as the whole one: after a change of
+   * leader a router would drop every server that has not renewed yet.
+   */
+  #needsWhole(version: number): boolean {
+    if (!this.#complete) return false;
+    return version < Math.max(this.#completeVersion, this.#forgotten);
+  }
+
+  #removeOthers(members: readonly BackendServer[], version: number): void {
+    const kept = new Set(members.map(server => server.name));
+    for (const name of [...this.#servers.keys()]) {
+      if (!kept.has(name)) this.remove(name, version);
+    }
+  }
+
+  #isSame(server: BackendServer): boolean {
+    const known = this.#servers.get(server.name)?.server;
+    return known !== undefined && isSameServer(known, server);
+  }
+
+  #goneSince(
+    version: number,
+    inPool: (server: BackendServer) => boolean,
+  ): string[] {
+    return this.#departures
+      .filter(left => left.version > version && inPool(left.server))
+      .map(left => left.server.name)
+      .filter(name => {
+        const known = this.#servers.get(name)?.server;
+        return !known || !inPool(known);
+      });
+  }
+
+  #addDeparture(server: BackendServer): void {
+    this.#departures.push({server, version: this.#version});
+    if (this.#departures.length <= KEPT_DEPARTURES) return;
+    const cut = this.#departures.length - KEPT_DEPARTURES / 2;
+    this.#forgotten = this.#departures[cut - 1]?.version ?? this.#forgotten;
+    this.#departures = this.#departures.slice(cut);
+  }
+}
+
+/**
+ * @param a a server
+ * @param b a server of the same name
+ * @returns true when a subscriber that holds one needn't get the other
+ */
+export function isSameServer(a: BackendServer, b: BackendServer): boolean {
+  return (
+    a.incarnation === b.incarnation &&
+    a.state === b.state &&
+    a.slot === b.slot &&
+    a.address === b.address &&
+    a.pool === b.pool &&
+    a.capacityTokens === b.capacityTokens &&
+    a.availabilityZone === b.availabilityZone &&
+    a.region === b.region &&
+    isSameList(a.models, b.models) &&
+    isSameLabels(a, b)
+  );
+}
+
+function isSameList(a: readonly string[], b: readonly string[]): boolean {
+  return a.length === b.length && a.every((item, index) => item === b[index]);
+}
+
+function isSameLabels(a: BackendServer, b: BackendServer): boolean {
+  const keys = Object.keys(a.labels);
+  if (keys.length !== Object.keys(b.labels).length) return false;
+  return keys.every(key => a.labels[key] === b.labels[key]);
+}
--- /dev/null
+++ b/packages/lovagepond-control/src/membership_registry.ts
@@ -0,0 +1,345 @@
+/**
+ * Which backend servers exist, from what their sidecars announce. Soft state
+ * of the control leader: nothing of it is written to disk.
+ */
+import {
+  type BackendServer,
+  encodeLoad,
+  type Labels,
+  SERVER_STATE,
+  type ServerState,
+} from '@lovagepond/core';
+import {WANTED_STATE, type WantedState} from './control_administration.js';
+import {FlapDamper, type FlapSettings} from './membership_flapping.js';
+import {isSameServer, type MembershipLog} from './membership_log.js';
+import {SlotTable} from './membership_slots.js';
+import {type PoolMean, PoolMeans, type PoolShare} from './pool_means.js';
+
+/** What a sidecar says of itself about once a second. */
+export interface Announcement {
+  readonly name: string;
+  readonly incarnation: string;
+  readonly pool: string;
+  readonly labels: Labels;
+  readonly availabilityZone: string;
+  readonly region: string;
+  readonly address: string;
+  readonly state: ServerState;
+  readonly runningTokens: number;
+  readonly queuedTokens: number;
+  readonly capacityTokens: number;
+  readonly models: readonly string[];
+}
+
+/** Settings of the registry. */
+export interface RegistrySettings {
+  /** A server that doesn't renew for this long is gone. */
+  readonly leaseMs: number;
+  readonly flapping?: FlapSettings;
+}
+
+/** One backend server with what only control knows of it. */
+export interface RegisteredServer {
+  readonly server: BackendServer;
+  readonly announcedState: ServerState;
+  readonly runningTokens: number;
+  readonly queuedTokens: number;
+  readonly renewedAt: number;
+  readonly held: boolean;
+}
+
+/** Load of all servers at one moment. */
+export interface LoadReport {
+  readonly membershipVersion: number;
+  /** One byte for each slot. */
+  readonly loads: Uint8Array;
+  /** Mean age of the reports in it, milliseconds. */
+  readonly ageMs: number;
+}
+
+interface ServerRecord {
+  server: BackendServer;
+  announcedState: ServerState;
+  runningTokens: number;
+  queuedTokens: number;
+  renewedAt: number;
+  held: boolean;
+  /** False until it announced itself to this leader. */
+  reported: boolean;
+  /** Its part in the pool's mean, when it has one. */
+  share: PoolShare | undefined;
+}
+
+/** Versions of one term: a safe integer holds 2^21 terms of these. */
+const VERSIONS_PER_TERM = 2 ** 32;
+
+/** A freed slot rests this many leases. */
+const SLOT_REST_LEASES = 4;
+
+/** Above this part of all servers lapsing at once, control doubts itself. */
+const DOUBT_FRACTION = 0.5;
+
+/** With fewer servers, half of them may well fail at once. */
+const DOUBT_MIN_SERVERS = 4;
+
+/** Leases that control waits in doubt before it believes the lapses. */
+const DOUBT_LEASES = 10;
+
+/** Part of a pool that must stay ready for a flapping server to be held. */
+const MIN_READY_FRACTION = 0.5;
+
+/** The backend servers that announced themselves to this leader. */
+export class MembershipRegistry {
+  readonly #settings: RegistrySettings;
+  readonly #log: MembershipLog;
+  readonly #records = new Map<string, ServerRecord>();
+  readonly #poolSizes = new Map<string, number>();
+  readonly #damper: FlapDamper;
+  #slots: SlotTable;
+  #means = new PoolMeans();
+  #completeAt = 0;
+  #doubtSince: number | undefined;
+
+  /**
+   * @param settings lease and damping
+   * @param log the list that subscribers are fed from
+   */
+  constructor(settings: RegistrySettings, log: MembershipLog) {
+    this.#settings = settings;
+    this.#log = log;
+    this.#damper = new FlapDamper(settings.flapping);
+    this.#slots = new SlotTable(settings.leaseMs * SLOT_REST_LEASES);
+  }
+
+  /**
+   * Starts as leader, from the list this member mirrored as a follower. All of
+   * it gets a whole lease: servers were renewing with the former leader, and
+   * to drop them now would empty the routers' lists at each change of leader.
+   *
+   * @param term the leader's term
+   * @param now monotonic milliseconds
+   */
+  takeOver(term: number, now: number): void {
+    const {leaseMs} = this.#settings;
+    this.#records.clear();
+    this.#poolSizes.clear();
+    this.#means = new PoolMeans();
+    this.#slots = new SlotTable(leaseMs * SLOT_REST_LEASES);
+    this.#doubtSince = undefined;
+    this.#log.raiseVersion(term * VERSIONS_PER_TERM);
+    for (const server of this.#log.servers()) this.#adopt(server, now);
+    // Without a mirrored list, one lease shows who is there.
+    this.#completeAt = now + leaseMs;
+    if (this.#records.size === 0) this.#log.markIncomplete();
+  }
+
+  /**
+   * Takes one announcement: joins or renews.
+   *
+   * @param said what the sidecar says
+   * @param wanted what operators want of the server
+   * @param now monotonic milliseconds
+   */
+  announce(said: Announcement, wanted: WantedState, now: number): void {
+    const known = this.#records.get(said.name);
+    if (isFlap(known, said)) this.#damper.flap(said.name, now);
+    const slot = this.#slots.assign(said.name, now);
+    const held = this.#isHeld(said, now);
+    const state = decideState(said.state, wanted, held);
+    const server = toBackendServer(said, state, slot);
+    if (!known) this.#resizePool(server.pool, 1);
+    if (known && known.server.pool !== server.pool) {
+      this.#resizePool(known.server.pool, -1);
+      this.#resizePool(server.pool, 1);
+    }
+    if (known?.share) this.#means.subtract(known.share);
+    const record: ServerRecord = {
+      server:
+        known && isSameServer(known.server, server) ? known.server : server,
+      announcedState: said.state,
+      runningTokens: said.runningTokens,
+      queuedTokens: said.queuedTokens,
+      renewedAt: now,
+      held,
+      reported: true,
+      share: undefined,
+    };
+    this.#records.set(said.name, record);
+    this.#addShare(record);
+    if (record.server !== known?.server) this.#log.put(server);
+  }
+
+  /**
+   * Declares gone what did not renew within the lease.
+   *
+   * @param now monotonic milliseconds
+   * @returns names of the servers that went
+   */
+  tick(now: number): readonly string[] {
+    this.#damper.sweep(now);
+    if (!this.#log.complete && now >= this.#completeAt) {
+      this.#log.markComplete();
+    }
+    const lapsed = [...this.#records.values()].filter(
+      record => now - record.renewedAt > this.#settings.leaseMs,
+    );
+    const gone = this.#doubts(lapsed, now) ? lapsed.filter(isLeaving) : lapsed;
+    for (const record of gone) this.#remove(record, now);
+    return gone.map(record => record.server.name);
+  }
+
+  /**
+   * @param pool a pool's name
+   * @param now monotonic milliseconds
+   * @returns mean load over its ready servers
+   */
+  poolMean(pool: string, now: number): PoolMean {
+    return this.#means.read(pool, now);
+  }
+
+  /**
+   * @param now monotonic milliseconds
+   * @returns the load of every server, by slot
+   */
+  loadReport(now: number): LoadReport {
+    const loads = new Uint8Array(this.#slots.length);
+    let ages = 0;
+    for (const record of this.#records.values()) {
+      const tokens = record.runningTokens + record.queuedTokens;
+      loads[record.server.slot] = encodeLoad(tokens);
+      ages += now - record.renewedAt;
+    }
+    const ageMs = ages / Math.max(1, this.#records.size);
+    return {membershipVersion: this.#log.version, loads, ageMs};
+  }
+
+  /** @returns every server with what control knows of it */
+  list(): readonly RegisteredServer[] {
+    return [...this.#records.values()];
+  }
+
+  /**
+   * @param name a server
+   * @returns true while it is in the list
+   */
+  has(name: string): boolean {
+    return this.#records.has(name);
+  }
+
+  #adopt(server: BackendServer, now: number): void {
+    this.#slots.adopt(server.name, server.slot, now);
+    this.#resizePool(server.pool, 1);
+    this.#records.set(server.name, {
+      server,
+      announcedState: server.state,
+      runningTokens: 0,
+      queuedTokens: 0,
+      renewedAt: now,
+      held: false,
+      reported: false,
+      share: undefined,
+    });
+  }
+
+  /**
+   * A flapping server is held in `joining`, unless its pool would be left with
+   * less than half of its servers: a server that flaps beats none.
+   */
+  #isHeld(said: Announcement, now: number): boolean {
+    if (!this.#damper.isHeld(said.name, now)) return false;
+    const size = this.#poolSizes.get(said.pool) ?? 0;
+    const ready = this.#means.read(said.pool, now).readyServers;
+    const own = this.#records.get(said.name)?.share ? 1 : 0;
+    return ready - own >= size * MIN_READY_FRACTION;
+  }
+
+  /**
+   * When most servers lapse at once, the likely cause is this leader's own
+   * network: sidecars can't reach it while the other members can. Believed,
+   * the lapses would empty every router's list although the servers are well.
+   * Routers find by themselves which of them are really gone.
+   */
+  #doubts(lapsed: readonly ServerRecord[], now: number): boolean {
+    const failed = lapsed.filter(record => !isLeaving(record)).length;
+    const total = this.#records.size;
+    const many = failed > total * DOUBT_FRACTION && total >= DOUBT_MIN_SERVERS;
+    if (!many) {
+      this.#doubtSince = undefined;
+      return false;
+    }
+    this.#doubtSince ??= now;
+    return now - this.#doubtSince < this.#settings.leaseMs * DOUBT_LEASES;
+  }
+
+  #remove(record: ServerRecord, now: number): void {
+    const {name, pool} = record.server;
+    this.#records.delete(name);
+    this.#resizePool(pool, -1);
+    this.#slots.release(name, now);
+    if (record.share) this.#means.subtract(record.share);
+    this.#log.remove(name);
+  }
+
+  #addShare(record: ServerRecord): void {
+    if (record.server.state !== SERVER_STATE.READY) return;
+    record.share = {
+      pool: record.server.pool,
+      tokens: record.runningTokens + record.queuedTokens,
+      runningTokens: record.runningTokens,
+      reportedAt: Math.floor(record.renewedAt),
+    };
+    this.#means.add(record.share);
+  }
+
+  #resizePool(pool: string, by: number): void {
+    const size = (this.#poolSizes.get(pool) ?? 0) + by;
+    if (size > 0) {
+      this.#poolSizes.set(pool, size);
+    } else {
+      this.#poolSizes.delete(pool);
+    }
+  }
+}
+
+/** A server that goes on purpose may lapse at any time. */
+function isLeaving(record: ServerRecord): boolean {
+  return record.server.state === SERVER_STATE.DRAINING;
+}
+
+/** A restart, or a ready server that says it isn't ready after all. */
+function isFlap(known: ServerRecord | undefined, said: Announcement): boolean {
+  if (!known?.reported) return known === undefined;
+  if (known.server.incarnation !== said.incarnation) return true;
+  const wasReady = known.announcedState === SERVER_STATE.READY;
+  return wasReady && said.state === SERVER_STATE.JOINING;
+}
+
+function decideState(
+  announced: ServerState,
+  wanted: WantedState,
+  held: boolean,
+): ServerState {
+  if (wanted === WANTED_STATE.DRAINING) return SERVER_STATE.DRAINING;
+  if (announced === SERVER_STATE.DRAINING) return SERVER_STATE.DRAINING;
+  return held ? SERVER_STATE.JOINING : announced;
+}
+
+function toBackendServer(
+  said: Announcement,
+  state: ServerState,
+  slot: number,
+): BackendServer {
+  return {
+    name: said.name,
+    incarnation: said.incarnation,
+    pool: said.pool,
+    labels: said.labels,
+    availabilityZone: said.availabilityZone,
+    region: said.region,
+    address: said.address,
+    state,
+    capacityTokens: said.capacityTokens,
+    models: said.models,
+    slot,
+  };
+}
--- a/packages/lovagepond-control/src/order_state.ts
+++ b/packages/lovagepond-control/src/order_state.ts
@@ -107,6 +107,11 @@
     return this.#floors.get(server) ?? this.#oldFloor;
   }
 
+  /** @returns number of orders without and with an outcome */
+  counts(): {waiting: number; ended: number} {
+    return {waiting: this.#waiting.size, ended: this.#ended.size};
+  }
+
   /** @returns orders, newest first */
   list(): OrderView[] {
     return [...this.#ended.values(), ...this.#waiting.values()].sort(
--- /dev/null
+++ b/packages/lovagepond-control/src/proposer.ts
@@ -0,0 +1,68 @@
+/**
+ * Puts commands into the replicated log and reads their results.
+ */
+import {MEMBER_ROLE} from '@lovagepond/consensus';
+import {type Clock, type Command} from '@lovagepond/core';
+import {decodeResult, encodeCommand} from './control_commands.js';
+import {type NotDone} from './control_administration.js';
+import {type ReplicatedLog} from './control_log.js';
+import {type ControlStateMachine} from './control_state_machine.js';
+
+/** A command's result, or why there is none. */
+export type Proposed<Value> =
+  {readonly kind: 'committed'; readonly value: Value} | NotDone;
+
+/** What a proposer is built from. */
+export interface ProposerParts {
+  readonly log: ReplicatedLog;
+  readonly machine: ControlStateMachine;
+  readonly clock: Clock;
+}
+
+/** Proposes commands at this member. */
+export class Proposer {
+  readonly #parts: ProposerParts;
+
+  constructor(parts: ProposerParts) {
+    this.#parts = parts;
+  }
+
+  /**
+   * @param command the command
+   * @param payload its payload
+   * @returns its result once a majority has synced it
+   */
+  async propose<Payload, Value>(
+    command: Command<Payload>,
+    payload: Payload,
+  ): Promise<Proposed<Value>> {
+    const {log, machine, clock} = this.#parts;
+    const bytes = encodeCommand(command, payload, {
+      timeMs: machine.time.stamp(clock.now()),
+      wallTimeMs: clock.wallTime(),
+      term: log.status().term,
+    });
+    const outcome = await log.propose(bytes);
+    if (outcome.kind === 'committed') {
+      return {kind: 'committed', value: decodeResult<Value>(outcome.result)};
+    }
+    if (outcome.kind === 'unknown') return {kind: 'unknown'};
+    return {kind: 'notLeader', leader: outcome.leader?.address ?? ''};
+  }
+
+  /** @returns true once what this member has applied is linearizable */
+  async confirm(): Promise<boolean> {
+    return (await this.#parts.log.readBarrier()).kind === 'ok';
+  }
+
+  /** @returns `host:port` of the leader; empty when none is known */
+  leaderAddress(): string {
+    return this.#parts.log.status().leader?.address ?? '';
+  }
+
+  /** @returns true while this member leads and no other can */
+  leads(): boolean {
+    const {role, leaseValid} = this.#parts.log.status();
+    return role === MEMBER_ROLE.LEADER && leaseValid;
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-control/src/subscription_feed.ts
@@ -0,0 +1,147 @@
+/**
+ * Decides what one subscriber is sent next.
+ *
+ * A feed compares what it sent with what there is, so a slow subscriber skips
+ * what is outdated: however far behind, it gets one configuration and one
+ * membership change, never a replay.
+ */
+import {type Configuration} from '@lovagepond/core';
+import {type MembershipChange} from './membership_log.js';
+import {type LoadReport} from './membership_registry.js';
+
+/** What a member can tell its subscribers at one moment. */
+export interface FeedView {
+  readonly configuration: Configuration;
+  readonly membershipVersion: number;
+  /** @returns what changed in a pool since a version */
+  changesSince(version: number, pool: string): MembershipChange | undefined;
+  /** @returns the newest load report; undefined when none is fresh */
+  readLoad(): LoadReport | undefined;
+}
+
+/** Who subscribes. */
+export interface Subscriber {
+  readonly node: string;
+  readonly role: string;
+  /** Only this pool; empty means all. */
+  readonly pool: string;
+  /** Revision it already holds. */
+  readonly revision: number;
+}
+
+/** How often a subscriber hears what. */
+export interface FeedSettings {
+  readonly digestIntervalMs: number;
+  readonly heartbeatIntervalMs: number;
+}
+
+/** One update to send. */
+export type FeedUpdate =
+  | {
+      readonly kind: 'configuration';
+      readonly configuration: Configuration;
+      /** False when the subscriber holds the content already. */
+      readonly withContent: boolean;
+      readonly confirmed: boolean;
+    }
+  | {readonly kind: 'membership'; readonly change: MembershipChange}
+  | {readonly kind: 'load'; readonly load: LoadReport}
+  | {readonly kind: 'heartbeat'; readonly revision: number};
+
+/** Role under which a follower mirrors the leader's list. */
+export const CONTROL_ROLE = 'control';
+
+/** A follower hears loads so much oftener, as it passes them on. */
+const RELAY_SPEED_UP = 4;
+
+/** One subscriber's position. */
+export class SubscriptionFeed {
+  readonly subscriber: Subscriber;
+  readonly #settings: FeedSettings;
+  readonly #digestIntervalMs: number;
+  #heldRevision: number;
+  /** A majority confirmed this revision after the subscription began. */
+  #confirmedRevision: number | undefined;
+  #sentConfirmed = false;
+  #sentVersion = 0;
+  #digestAt = -Infinity;
+  #sentAt = -Infinity;
+
+  constructor(subscriber: Subscriber, settings: FeedSettings) {
+    this.subscriber = subscriber;
+    this.#settings = settings;
+    const relayed = subscriber.role === CONTROL_ROLE;
+    const {digestIntervalMs} = settings;
+    this.#digestIntervalMs = digestIntervalMs / (relayed ? RELAY_SPEED_UP : 1);
+    this.#heldRevision = subscriber.revision;
+  }
+
+  /**
+   * Says that a read barrier which began after the subscription has ended: a
+   * restarted process that holds this revision is as new as a majority, and
+   * may take work.
+   *
+   * @param revision the revision in force at the barrier
+   */
+  confirm(revision: number): void {
+    this.#confirmedRevision = revision;
+  }
+
+  get confirmed(): boolean {
+    return this.#confirmedRevision !== undefined;
+  }
+
+  /**
+   * @param view what there is
+   * @param now monotonic milliseconds
+   * @returns what to send now, in order
+   */
+  next(view: FeedView, now: number): FeedUpdate[] {
+    const updates = [
+      ...this.#nextConfiguration(view),
+      ...this.#nextMembership(view),
+      ...this.#nextLoad(view, now),
+    ];
+    const {heartbeatIntervalMs} = this.#settings;
+    if (updates.length === 0 && now - this.#sentAt >= heartbeatIntervalMs) {
+      const {revision} = view.configuration;
+      updates.push({kind: 'heartbeat', revision});
+    }
+    if (updates.length > 0) this.#sentAt = now;
+    return updates;
+  }
+
+  #nextConfiguration(view: FeedView): FeedUpdate[] {
+    // Another member applies the log by itself.
+    if (this.subscriber.role === CONTROL_ROLE) return [];
+    const {configuration} = view;
+    const {revision} = configuration;
+    const confirmed =
+      this.#confirmedRevision !== undefined &&
+      revision >= this.#confirmedRevision;
+    const withContent = revision > this.#heldRevision;
+    const newlyConfirmed = confirmed && !this.#sentConfirmed;
+    if (!withContent && !newlyConfirmed) return [];
+    this.#heldRevision = Math.max(this.#heldRevision, revision);
+    this.#sentConfirmed ||= confirmed;
+    return [{kind: 'configuration', configuration, withContent, confirmed}];
+  }
+
+  #nextMembership(view: FeedView): FeedUpdate[] {
+    if (view.membershipVersion <= this.#sentVersion) return [];
+    const {pool} = this.subscriber;
+    const change = view.changesSince(this.#sentVersion, pool);
+    this.#sentVersion = view.membershipVersion;
+    if (!change) return [];
+    const empty = change.members.length === 0 && change.gone.length === 0;
+    return empty && !change.whole ? [] : [{kind: 'membership', change}];
+  }
+
+  #nextLoad(view: FeedView, now: number): FeedUpdate[] {
+    if (now - this.#digestAt < this.#digestIntervalMs) return [];
+    const load = view.readLoad();
+    if (!load || load.loads.length === 0) return [];
+    this.#digestAt = now;
+    return [{kind: 'load', load}];
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-control/src/subscription_hub.ts
@@ -0,0 +1,117 @@
+/**
+ * All subscriptions of one member, and when they end.
+ */
+import {type Unregister} from '@lovagepond/core';
+import {
+  type FeedSettings,
+  type FeedUpdate,
+  type FeedView,
+  type Subscriber,
+  SubscriptionFeed,
+} from './subscription_feed.js';
+
+/** Where a subscriber's updates go. */
+export interface UpdateSink {
+  /** @returns false when the connection takes no more at the moment */
+  isWritable(): boolean;
+  send(update: FeedUpdate): void;
+  /** Ends the subscription; the subscriber goes on to another member. */
+  end(): void;
+}
+
+interface Subscription {
+  readonly feed: SubscriptionFeed;
+  readonly sink: UpdateSink;
+}
+
+/** Settings of the hub. */
+export interface HubSettings extends FeedSettings {
+  /** Out of touch this long, the member ends its subscriptions. */
+  readonly leaderContactLimitMs: number;
+}
+
+/** The subscriptions of one control member. */
+export class SubscriptionHub {
+  readonly #settings: HubSettings;
+  readonly #subscriptions = new Set<Subscription>();
+  #contactAt: number;
+
+  /**
+   * @param settings intervals and the contact limit
+   * @param now monotonic milliseconds
+   */
+  constructor(settings: HubSettings, now: number) {
+    this.#settings = settings;
+    this.#contactAt = now - settings.leaderContactLimitMs;
+  }
+
+  get size(): number {
+    return this.#subscriptions.size;
+  }
+
+  /**
+   * @param now monotonic milliseconds
+   * @returns true while what this member knows is fresh enough to serve
+   */
+  isFresh(now: number): boolean {
+    return now - this.#contactAt < this.#settings.leaderContactLimitMs;
+  }
+
+  /**
+   * Adds a subscription.
+   *
+   * @param subscriber who it is
+   * @param sink where its updates go
+   * @returns the feed, to confirm once a read barrier has ended, and a
+   *     function that takes the subscription out
+   */
+  add(
+    subscriber: Subscriber,
+    sink: UpdateSink,
+  ): {readonly feed: SubscriptionFeed; readonly remove: Unregister} {
+    const feed = new SubscriptionFeed(subscriber, this.#settings);
+    const subscription = {feed, sink};
+    this.#subscriptions.add(subscription);
+    const remove = (): void => {
+      this.#subscriptions.delete(subscription);
+    };
+    return {feed, remove};
+  }
+
+  /**
+   * Notes whether this member is in touch: as leader with a majority, as
+   * follower with the leader. A member on the far side of a silent partition
+   * would otherwise hold its subscribers at an old configuration for as long
+   * as the partition lasts; ended, they find a member that is in touch.
+   *
+   * @param inTouch whether it is at this moment
+   * @param now monotonic milliseconds
+   */
+  noteContact(inTouch: boolean, now: number): void {
+    if (inTouch) {
+      this.#contactAt = now;
+    } else if (!this.isFresh(now)) {
+      this.endAll();
+    }
+  }
+
+  /**
+   * Sends every subscriber what it lacks.
+   *
+   * @param view what there is
+   * @param now monotonic milliseconds
+   */
+  pump(view: FeedView, now: number): void {
+    for (const {feed, sink} of this.#subscriptions) {
+      if (!sink.isWritable()) continue;
+      for (const update of feed.next(view, now)) sink.send(update);
+    }
+  }
+
+  /** Ends every subscription. */
+  endAll(): void {
+    const ended = [...this.#subscriptions];
+    this.#subscriptions.clear();
+    for (const {sink} of ended) sink.end();
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-control/src/update_encoder.ts
@@ -0,0 +1,98 @@
+/**
+ * Encodes updates to subscribers, each content once for all of them.
+ */
+import {type BackendServer, encodeConfiguration} from '@lovagepond/core';
+import {lovagepond} from '@lovagepond/protocol';
+import {type MembershipChange} from './membership_log.js';
+import {type FeedUpdate} from './subscription_feed.js';
+
+const {v1} = lovagepond;
+
+type WireUpdate = lovagepond.v1.ControlUpdate.$Properties;
+
+/** Makes the bytes of updates and keeps the latest by their content. */
+export class UpdateEncoder {
+  readonly #encoded = new WeakMap<object, Map<string, Buffer>>();
+
+  /**
+   * @param update an update
+   * @returns the bytes of its ControlUpdate message
+   */
+  encode(update: FeedUpdate): Buffer {
+    const content = contentOf(update);
+    if (!content) return encodeMessage(toWire(update));
+    const variants = this.#encoded.get(content) ?? new Map<string, Buffer>();
+    this.#encoded.set(content, variants);
+    const variant = variantOf(update);
+    const known = variants.get(variant);
+    if (known) return known;
+    const bytes = encodeMessage(toWire(update));
+    variants.set(variant, bytes);
+    return bytes;
+  }
+}
+
+const CONVERTERS: {
+  readonly [Kind in FeedUpdate['kind']]: (
+    update: Extract<FeedUpdate, {kind: Kind}>,
+  ) => WireUpdate;
+} = {
+  configuration: ({configuration, withContent, confirmed}) => ({
+    configuration: {
+      revision: configuration.revision,
+      configuration: withContent
+        ? encodeConfiguration(configuration)
+        : new Uint8Array(),
+      majorityConfirmed: confirmed,
+    },
+  }),
+  membership: ({change}) => ({membership: toWireMembership(change)}),
+  load: ({load}) => ({
+    load: {
+      membershipVersion: load.membershipVersion,
+      loads: load.loads,
+      ageMs: Math.round(load.ageMs),
+    },
+  }),
+  heartbeat: ({revision}) => ({heartbeat: {revision}}),
+};
+
+function toWire(update: FeedUpdate): WireUpdate {
+  return CONVERTERS[update.kind](update as never);
+}
+
+function contentOf(update: FeedUpdate): object | undefined {
+  if (update.kind === 'configuration') return update.configuration;
+  if (update.kind === 'membership') return update.change;
+  return update.kind === 'load' ? update.load : undefined;
+}
+
+function variantOf(update: FeedUpdate): string {
+  if (update.kind !== 'configuration') return '';
+  return `${update.withContent} ${update.confirmed}`;
+}
+
+function encodeMessage(update: WireUpdate): Buffer {
+  return Buffer.from(v1.ControlUpdate.encode(update).finish());
+}
+
+function toWireMembership(
+  change: MembershipChange,
+): lovagepond.v1.MembershipUpdate.$Properties {
+  return {
+    version: change.version,
+    whole: change.whole,
+    members: change.members.map(toWireMember),
+    gone: [...change.gone],
+  };
+}
+
+function toWireMember(server: BackendServer): lovagepond.v1.Member.$Properties {
+  const {name, labels, models, ...rest} = server;
+  return {
+    ...rest,
+    backendServer: name,
+    labels: {...labels},
+    models: [...models],
+  };
+}
--- a/packages/lovagepond-router/src/router_request.ts
+++ b/packages/lovagepond-router/src/router_request.ts
@@ -73,7 +73,7 @@
   #actions: RequestAction[] = [];
 
   readonly #eventHandlers: EventHandlers = {
-    placed: event => this.#onPlaced(event),
+    placed: ({target}) => this.#onPlaced(target),
     notPlaced: ({failure}) => this.#follow(this.#record.afterAll(failure)),
     connectFailed: ({attemptId}) => this.#onConnectFailed(attemptId),
     sent: ({attemptId}, now) => this.#onSent(attemptId, now),
@@ -163,11 +163,10 @@
     this.#revoking = undefined;
   }
 
-  #onPlaced(event: Extract<RequestEvent, {kind: 'placed'}>): void {
-    const {target, nonRepeatable} = event;
+  #onPlaced(target: Attempt['target']): void {
     invariant(!this.#attempt, 501, 'placed while an attempt is open');
     this.#watch = new AttemptWatch(this.#limits);
-    const number = this.#record.countPlacement(nonRepeatable);
+    const number = this.#record.countPlacement();
     const attemptId = `${this.#facts.requestId}.${number}`;
     this.#attempt = {attemptId, target};
     this.#state = REQUEST_STATE.PLACED;
@@ -175,13 +174,9 @@
   }
 
   #offer(freshConnection: boolean): void {
-    this.#actions.push({
-      kind: 'offer',
-      attempt: this.#attempt as Attempt,
-      resumeFrom: this.#answer.deliveredBytes,
-      handOvers: this.#record.handOvers,
-      freshConnection,
-    });
+    const attempt = this.#attempt as Attempt;
+    const resumeFrom = this.#answer.deliveredBytes;
+    this.#actions.push({kind: 'offer', attempt, resumeFrom, freshConnection});
   }
 
   #onSent(attemptId: string, now: number): void {
@@ -255,11 +250,10 @@
   }
 
   #onRefused(body: RefusedBody): void {
-    // A sidecar may find after `Started` that its backend server never got the
-    // request. Once bytes of the answer have come, "not run" can't be true:
-    // believing it would make the caller repeat what runs.
-    if (this.#state === REQUEST_STATE.ANSWERING) {
-      this.#drop('refusedAfterAnswer');
+    // A sidecar that has dispatched can't refuse any more. Believing a crossed
+    // refusal would answer "not run" for what runs; dropping it costs a wait.
+    if (this.#wasDispatched()) {
+      this.#drop('refusedAfterStart');
       return;
     }
     const {configuration} = body;
--- a/packages/lovagepond-router/src/router_request_types.ts
+++ b/packages/lovagepond-router/src/router_request_types.ts
@@ -61,16 +61,11 @@
   | 'afterEnd'
   | 'duplicate'
   | 'foreignGeneration'
-  | 'refusedAfterAnswer';
+  | 'refusedAfterStart';
 
 /** What happened to a request, as its shell saw it. */
 export type RequestEvent =
-  | {
-      readonly kind: 'placed';
-      readonly target: AttemptTarget;
-      /** By the configuration that it was placed by. */
-      readonly nonRepeatable: boolean;
-    }
+  | {readonly kind: 'placed'; readonly target: AttemptTarget}
   /** No backend server may be tried (again). */
   | {readonly kind: 'notPlaced'; readonly failure: Failure}
   /** The connection failed before the attempt's first byte was sent. */
@@ -111,8 +106,6 @@
       readonly attempt: Attempt;
       /** Bytes of the answer already delivered. */
       readonly resumeFrom: number;
-      /** Times the request was handed over between sidecars. */
-      readonly handOvers: number;
       /** Use a new connection: the present one may have gone silent. */
       readonly freshConnection: boolean;
     }
@@ -134,10 +127,10 @@
   | {readonly kind: 'fail'; readonly failure: Failure}
   /** Hand a configuration that a sidecar sent to the revisions' keeper. */
   | {readonly kind: 'install'; readonly configuration: Uint8Array}
-  /** Evidence against a sidecar or its connection. */
+  /** Evidence about a sidecar, for or against it. */
   | {
       readonly kind: 'evidence';
       readonly target: AttemptTarget;
-      readonly evidence: 'silent' | 'unreachable';
+      readonly evidence: 'heard' | 'silent' | 'unreachable';
     }
   | {readonly kind: 'drop'; readonly reason: DropReason};
