Decide elections, replication, members and reads in a core without I/O

The model test drives 3 to 7 hosts through loss, duplication, late delivery, crashes with torn writes, one-way partitions, drift, disk loss and changes of the members. It found: a leader that removed itself, whose removal reached nobody else, was never elected again, and the voters left could not be elected against its longer log; and again after a restart, which forgets the commit index. Both are mended by letting a voter try until its removal is committed.

--- /dev/null
+++ b/packages/lovagepond-consensus/src/__tests__/model/consensus_model_host.ts
@@ -0,0 +1,116 @@
+/**
+ * A host of the model, and what all hosts together must keep.
+ */
+import {expect} from 'vitest';
+import {type ConsensusCore} from '../../consensus_core.js';
+import {
+  type ConsensusStatus,
+  type LogEntry,
+  type MemberId,
+  type MemberList,
+} from '../../consensus_types.js';
+import {ModelDisk} from './consensus_model_disk.js';
+
+/** A state machine: its state is a digest of all applied entries. */
+export interface AppliedState {
+  index: number;
+  digest: number;
+}
+
+/** One host: its disk survives a crash, its core doesn't. */
+export class ModelHost {
+  core: ConsensusCore | undefined;
+  state: AppliedState = {index: 0, digest: 0};
+  members: MemberList = [];
+  rate = 1;
+  offset = 0;
+  readonly proposals = new Map<number, number>();
+  readonly reads = new Map<number, number>();
+  disk: ModelDisk;
+
+  constructor(
+    readonly address: string,
+    id: MemberId,
+  ) {
+    this.disk = new ModelDisk(id);
+  }
+}
+
+function mixDigest(digest: number, entry: LogEntry): number {
+  let mixed = Math.imul(digest ^ entry.index, 0x9e3779b1) ^ entry.term;
+  for (const byte of entry.data) mixed = Math.imul(mixed ^ byte, 0x01000193);
+  return mixed >>> 0;
+}
+
+export function encodeState(state: AppliedState): Uint8Array {
+  return Buffer.from(JSON.stringify(state));
+}
+
+/** What was committed and who led: compared with each host's view. */
+export class ModelOracle {
+  /** Digest of the state after each committed index. */
+  readonly #digests: number[] = [0];
+  readonly #committed: LogEntry[] = [];
+  readonly #leaders = new Map<number, MemberId>();
+
+  get committedIndex(): number {
+    return this.#committed.length;
+  }
+
+  get terms(): number {
+    return this.#leaders.size;
+  }
+
+  restore(host: ModelHost, index: number, data: Uint8Array): void {
+    host.state = JSON.parse(Buffer.from(data).toString()) as AppliedState;
+    expect(host.state.index).toBe(index);
+    expect(host.state.digest).toBe(this.#digests[index]);
+  }
+
+  /** Applied order, and committed entries that never change. */
+  apply(host: ModelHost, entry: LogEntry): void {
+    expect(entry.index).toBe(host.state.index + 1);
+    const digest = mixDigest(host.state.digest, entry);
+    const known = this.#digests[entry.index];
+    if (known === undefined) {
+      this.#digests.push(digest);
+      this.#committed.push(entry);
+    } else if (known !== digest) {
+      throw new Error(`committed entry ${entry.index} changed`);
+    }
+    host.state = {index: entry.index, digest};
+  }
+
+  /** Election safety, and leader completeness when a leader is new. */
+  checkLeader(host: ModelHost, status: ConsensusStatus): void {
+    const known = this.#leaders.get(status.term);
+    if (known === host.disk.id) return;
+    if (known !== undefined) throw new Error(`two leaders in ${status.term}`);
+    this.#leaders.set(status.term, host.disk.id);
+    for (const entry of this.#committed) {
+      if (host.disk.latestTermAt(entry.index) === entry.term) continue;
+      if (entry.index <= host.disk.latestSnapshotIndex) continue;
+      throw new Error(`the leader of ${status.term} lacks ${entry.index}`);
+    }
+  }
+
+  /** Same index and term: the same entry, and the same term before it. */
+  checkLogMatching(hosts: readonly ModelHost[]): void {
+    const seen = new Map<string, string>();
+    for (const {disk} of hosts) {
+      let former: number | undefined;
+      for (const entry of disk.latestEntries) {
+        const key = `${entry.index} ${entry.term}`;
+        const text = Buffer.from(entry.data).toString();
+        expect(seen.get(key) ?? text).toBe(text);
+        seen.set(key, text);
+        const before = `${key} before`;
+        if (former !== undefined) {
+          expect(seen.get(before) ?? String(former)).toBe(String(former));
+          seen.set(before, String(former));
+        }
+        former = entry.term;
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-consensus/src/consensus_disk.ts
@@ -0,0 +1,145 @@
+/**
+ * The few file operations that storage needs, so that tests can make them
+ * fail.
+ */
+import {
+  type FileHandle,
+  mkdir,
+  open,
+  readdir,
+  readFile,
+  rename,
+  rm,
+} from 'node:fs/promises';
+import {join} from 'node:path';
+import {toStorageError} from './consensus_storage_errors.js';
+
+/** An open file that grows at its end. */
+export interface DiskFile {
+  /**
+   * @param bytes what to write
+   * @param position at which byte
+   */
+  write(bytes: Uint8Array, position: number): Promise<void>;
+  /** @param length bytes that stay */
+  truncate(length: number): Promise<void>;
+  /** Resolves once all written bytes are on the disk. */
+  sync(): Promise<void>;
+  close(): Promise<void>;
+}
+
+/** One folder. All names are names in it. */
+export interface Disk {
+  /** Creates the folder when there is none. */
+  prepare(): Promise<void>;
+  list(): Promise<readonly string[]>;
+  read(name: string): Promise<Buffer>;
+  /** @param name an existing file, or a new one */
+  open(name: string): Promise<DiskFile>;
+  /** Replaces the target in one step; durable after `syncFolder`. */
+  rename(from: string, to: string): Promise<void>;
+  remove(name: string): Promise<void>;
+  syncFolder(): Promise<void>;
+}
+
+async function attempt<Value>(
+  operation: string,
+  file: string,
+  run: () => Promise<Value>,
+): Promise<Value> {
+  try {
+    return await run();
+  } catch (err) {
+    throw toStorageError(operation, file, err);
+  }
+}
+
+class NodeFile implements DiskFile {
+  readonly #handle: FileHandle;
+  readonly #name: string;
+
+  constructor(handle: FileHandle, name: string) {
+    this.#handle = handle;
+    this.#name = name;
+  }
+
+  write(bytes: Uint8Array, position: number): Promise<void> {
+    return attempt('write', this.#name, async () => {
+      let written = 0;
+      while (written < bytes.length) {
+        const left = bytes.length - written;
+        const at = position + written;
+        const step = await this.#handle.write(bytes, written, left, at);
+        written += step.bytesWritten;
+      }
+    });
+  }
+
+  truncate(length: number): Promise<void> {
+    return attempt('truncate', this.#name, () => this.#handle.truncate(length));
+  }
+
+  sync(): Promise<void> {
+    return attempt('sync', this.#name, () => this.#handle.datasync());
+  }
+
+  close(): Promise<void> {
+    return attempt('close', this.#name, () => this.#handle.close());
+  }
+}
+
+/** A folder of the file system. */
+export class NodeDisk implements Disk {
+  readonly #folder: string;
+
+  /** @param folder path of the folder */
+  constructor(folder: string) {
+    this.#folder = folder;
+  }
+
+  async prepare(): Promise<void> {
+    await attempt('create', this.#folder, () =>
+      mkdir(this.#folder, {recursive: true}),
+    );
+  }
+
+  list(): Promise<readonly string[]> {
+    return attempt('list', this.#folder, () => readdir(this.#folder));
+  }
+
+  read(name: string): Promise<Buffer> {
+    return attempt('read', name, () => readFile(join(this.#folder, name)));
+  }
+
+  open(name: string): Promise<DiskFile> {
+    return attempt('open', name, async () => {
+      const path = join(this.#folder, name);
+      const created = await open(path, 'a');
+      await created.close();
+      return new NodeFile(await open(path, 'r+'), name);
+    });
+  }
+
+  rename(from: string, to: string): Promise<void> {
+    return attempt('rename', to, () =>
+      rename(join(this.#folder, from), join(this.#folder, to)),
+    );
+  }
+
+  remove(name: string): Promise<void> {
+    return attempt('remove', name, () =>
+      rm(join(this.#folder, name), {force: true}),
+    );
+  }
+
+  syncFolder(): Promise<void> {
+    return attempt('sync', this.#folder, async () => {
+      const handle = await open(this.#folder, 'r');
+      try {
+        await handle.sync();
+      } finally {
+        await handle.close();
+      }
+    });
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-consensus/src/consensus_file_storage.ts
@@ -0,0 +1,308 @@
+/**
+ * Durable storage in one folder: a segment of the log, which also holds term
+ * and vote, and the latest snapshot.
+ *
+ * A segment starts with the member's identity and the index of the snapshot
+ * that it follows. Each batch is one checksummed frame and one sync. With each
+ * snapshot a new segment takes the place of the old one; both files are
+ * written beside, synced and renamed, so that a crash leaves the old or the
+ * new.
+ */
+import {randomUUID} from 'node:crypto';
+import {type Disk, type DiskFile, NodeDisk} from './consensus_disk.js';
+import {encodeFrame, scanFrames} from './consensus_frames.js';
+import {
+  decodeRecords,
+  decodeSnapshot,
+  encodeRecords,
+  encodeSnapshot,
+  type LogRecord,
+  type SegmentBase,
+} from './consensus_records.js';
+import {
+  type ConsensusStorage,
+  type StorageWrite,
+  type StoredState,
+} from './consensus_storage.js';
+import {StorageError} from './consensus_storage_errors.js';
+import {
+  type HardState,
+  type LogEntry,
+  type Snapshot,
+} from './consensus_types.js';
+
+const SEGMENT_NAME = /^log-(\d{12})$/;
+const SNAPSHOT_NAME = /^snapshot-(\d{12})$/;
+const TEMPORARY_NAME = 'writing';
+const NUMBER_DIGITS = 12;
+
+interface SegmentContent {
+  base: SegmentBase;
+  hardState: HardState;
+  entries: LogEntry[];
+}
+
+interface FoundFile {
+  readonly name: string;
+  readonly number: number;
+}
+
+function nameFile(kind: 'log' | 'snapshot', number: number): string {
+  return `${kind}-${String(number).padStart(NUMBER_DIGITS, '0')}`;
+}
+
+function findLatest(
+  names: readonly string[],
+  pattern: RegExp,
+): FoundFile | undefined {
+  const found = names.flatMap(name => {
+    const number = pattern.exec(name)?.[1];
+    return number ? [{name, number: Number(number)}] : [];
+  });
+  found.sort((left, right) => right.number - left.number);
+  return found[0];
+}
+
+function damaged(file: string, detail: string): StorageError {
+  return new StorageError({kind: 'damaged', file, offset: 0, detail});
+}
+
+function listRecords(write: StorageWrite): LogRecord[] {
+  const {hardState, truncateFrom: from, entries} = write;
+  const records: LogRecord[] = [];
+  if (hardState) records.push({kind: 'hardState', hardState});
+  if (from !== undefined) records.push({kind: 'truncate', from});
+  for (const entry of entries) records.push({kind: 'entry', entry});
+  return records;
+}
+
+/** Applies records in the order in which they were written. */
+function applyRecord(content: SegmentContent, record: LogRecord): void {
+  if (record.kind === 'base') {
+    content.base = record.base;
+  } else if (record.kind === 'hardState') {
+    content.hardState = record.hardState;
+  } else if (record.kind === 'truncate') {
+    truncate(content.entries, record.from);
+  } else {
+    content.entries.push(record.entry);
+  }
+}
+
+function truncate(entries: LogEntry[], from: number): void {
+  const first = entries[0]?.index ?? from;
+  entries.length = Math.max(0, Math.min(entries.length, from - first));
+}
+
+/** Storage under one folder. */
+export class FileStorage implements ConsensusStorage {
+  readonly #disk: Disk;
+  #content: SegmentContent = {
+    base: {id: '', index: 0},
+    hardState: {term: 0, vote: ''},
+    entries: [],
+  };
+  #segment: DiskFile | undefined;
+  #segmentNumber = 0;
+  #length = 0;
+  #syncedLength = 0;
+  #failed = false;
+  /** Calls run one after the other. */
+  #queue: Promise<unknown> = Promise.resolve();
+
+  /** @param disk path of the folder, or a folder that tests make fail */
+  constructor(disk: string | Disk) {
+    this.#disk = typeof disk === 'string' ? new NodeDisk(disk) : disk;
+  }
+
+  open(): Promise<StoredState> {
+    return this.#run(() => this.#open());
+  }
+
+  write(writes: readonly StorageWrite[]): Promise<void> {
+    return this.#run(() => this.#write(writes));
+  }
+
+  saveSnapshot(snapshot: Snapshot): Promise<void> {
+    return this.#run(() => this.#saveSnapshot(snapshot));
+  }
+
+  seal(): Promise<void> {
+    return this.#run(() => this.#seal());
+  }
+
+  close(): Promise<void> {
+    const closing = this.#queue.then(async () => {
+      if (!this.#failed) await this.#seal();
+      this.#failed = true;
+      await this.#segment?.close();
+      this.#segment = undefined;
+    });
+    this.#queue = closing.catch(() => undefined);
+    return closing;
+  }
+
+  /**
+   * Runs one call after those before it. After a failed sync the kernel may
+   * have dropped the unwritten pages, and a second sync would report success
+   * for lost data: so nothing is tried again, and every later call fails.
+   */
+  #run<Value>(call: () => Promise<Value>): Promise<Value> {
+    const running = this.#queue.then(async () => {
+      if (this.#failed) throw new StorageError({kind: 'stopped'});
+      try {
+        return await call();
+      } catch (err) {
+        this.#failed = true;
+        throw err;
+      }
+    });
+    this.#queue = running.catch(() => undefined);
+    return running;
+  }
+
+  async #open(): Promise<StoredState> {
+    await this.#disk.prepare();
+    const names = await this.#disk.list();
+    const segment = findLatest(names, SEGMENT_NAME);
+    const snapshotFile = findLatest(names, SNAPSHOT_NAME);
+    if (!segment) {
+      // Without its log the member can't know what it voted or promised.
+      if (snapshotFile) throw damaged(snapshotFile.name, 'its log is gone');
+      this.#content.base = {id: randomUUID(), index: 0};
+      await this.#startSegment();
+      return this.#makeState(undefined);
+    }
+    await this.#readSegment(segment);
+    const snapshot = await this.#readSnapshot(snapshotFile);
+    const {base} = this.#content;
+    if ((snapshot?.index ?? 0) < base.index) {
+      throw damaged(segment.name, `the snapshot of ${base.index} is gone`);
+    }
+    if (snapshot && snapshot.index > base.index) {
+      await this.#replaceSegment(snapshot);
+    }
+    await this.#removeOld();
+    return this.#makeState(snapshot);
+  }
+
+  #makeState(snapshot: Snapshot | undefined): StoredState {
+    const {base, hardState, entries} = this.#content;
+    return {
+      id: base.id,
+      hardState,
+      ...(snapshot && {snapshot}),
+      entries: [...entries],
+    };
+  }
+
+  async #readSegment({name, number}: FoundFile): Promise<void> {
+    const bytes = await this.#disk.read(name);
+    const {payloads, length} = scanFrames(name, bytes);
+    const records = payloads.flatMap(payload => decodeRecords(payload));
+    if (records[0]?.kind !== 'base') throw damaged(name, 'no start');
+    for (const record of records) applyRecord(this.#content, record);
+    this.#segmentNumber = number;
+    this.#segment = await this.#disk.open(name);
+    if (length < bytes.length) {
+      await this.#segment.truncate(length);
+      await this.#segment.sync();
+    }
+    this.#length = length;
+    this.#syncedLength = length;
+  }
+
+  async #readSnapshot(
+    file: FoundFile | undefined,
+  ): Promise<Snapshot | undefined> {
+    if (!file) return undefined;
+    const bytes = await this.#disk.read(file.name);
+    const {payloads} = scanFrames(file.name, bytes);
+    const [payload] = payloads;
+    if (!payload) throw damaged(file.name, 'the checksum does not match');
+    return decodeSnapshot(payload);
+  }
+
+  async #write(writes: readonly StorageWrite[]): Promise<void> {
+    const records = writes.flatMap(write => listRecords(write));
+    for (const record of records) applyRecord(this.#content, record);
+    await this.#append(encodeRecords(records));
+    await this.#segment?.sync();
+    this.#syncedLength = this.#length;
+  }
+
+  async #append(payload: Uint8Array): Promise<void> {
+    const frame = encodeFrame(payload, this.#syncedLength);
+    await this.#segment?.write(frame, this.#length);
+    this.#length += frame.length;
+  }
+
+  /**
+   * The last frame alone can't be told from a torn one when it is damaged
+   * later. An empty frame after it says that it was synced.
+   */
+  async #seal(): Promise<void> {
+    if (this.#length > this.#syncedLength) return;
+    await this.#append(new Uint8Array());
+  }
+
+  async #saveSnapshot(snapshot: Snapshot): Promise<void> {
+    const frame = encodeFrame(encodeSnapshot(snapshot), 0);
+    await this.#writeWhole(nameFile('snapshot', snapshot.index), frame);
+    await this.#replaceSegment(snapshot);
+    await this.#removeOld();
+  }
+
+  /** Drops what the snapshot covers, and all when it contradicts the log. */
+  async #replaceSegment(snapshot: Snapshot): Promise<void> {
+    const {index, term} = snapshot;
+    const {base, entries} = this.#content;
+    const holdsLast = entries.some(
+      entry => entry.index === index && entry.term === term,
+    );
+    this.#content.entries = holdsLast
+      ? entries.filter(entry => entry.index > index)
+      : [];
+    this.#content.base = {id: base.id, index};
+    await this.#segment?.close();
+    this.#segment = undefined;
+    await this.#startSegment();
+  }
+
+  async #startSegment(): Promise<void> {
+    const {base, hardState, entries} = this.#content;
+    const records: LogRecord[] = [{kind: 'base', base}];
+    records.push(...listRecords({hardState, entries}));
+    const frame = encodeFrame(encodeRecords(records), 0);
+    this.#segmentNumber += 1;
+    const name = nameFile('log', this.#segmentNumber);
+    await this.#writeWhole(name, frame);
+    this.#segment = await this.#disk.open(name);
+    this.#length = frame.length;
+    this.#syncedLength = frame.length;
+  }
+
+  async #writeWhole(name: string, bytes: Uint8Array): Promise<void> {
+    await this.#disk.remove(TEMPORARY_NAME);
+    const file = await this.#disk.open(TEMPORARY_NAME);
+    try {
+      await file.write(bytes, 0);
+      await file.sync();
+    } finally {
+      await file.close();
+    }
+    await this.#disk.rename(TEMPORARY_NAME, name);
+    await this.#disk.syncFolder();
+  }
+
+  async #removeOld(): Promise<void> {
+    const current = [
+      nameFile('log', this.#segmentNumber),
+      nameFile('snapshot', this.#content.base.index),
+    ];
+    for (const name of await this.#disk.list()) {
+      const isOurs = SEGMENT_NAME.test(name) || SNAPSHOT_NAME.test(name);
+      if (isOurs && !current.includes(name)) await this.#disk.remove(name);
+    }
+  }
+}
--- a/packages/lovagepond-consensus/src/consensus_messages.ts
+++ b/packages/lovagepond-consensus/src/consensus_messages.ts
@@ -10,6 +10,8 @@
 /** What each message carries. `term` is the sender's term. */
 interface Envelope {
   readonly from: MemberId;
+  /** Where the sender is reached: a new member knows no addresses yet. */
+  readonly fromAddress: string;
   /** The identity meant; another one that answers at the address drops it. */
   readonly to: MemberId;
   readonly term: number;
@@ -100,3 +102,30 @@
   | AppendReply
   | SnapshotChunk
   | SnapshotReply;
+
+/** Asks a host, whoever runs there, whether it has heard of a group. */
+export interface HelloRequest {
+  readonly kind: 'hello';
+  readonly from: MemberId;
+  readonly fromAddress: string;
+  /** The sender's data folder is empty: it remembers no group. */
+  readonly blank: boolean;
+  /** Returned in the reply: an answer to an earlier round does not count. */
+  readonly round: number;
+}
+
+/** Answer to {@link HelloRequest}. */
+export interface HelloReply {
+  readonly kind: 'helloReply';
+  readonly from: MemberId;
+  readonly fromAddress: string;
+  readonly to: MemberId;
+  readonly blank: boolean;
+  readonly round: number;
+}
+
+/** A message of hosts that form a group or join one. */
+export type FormationMessage = HelloRequest | HelloReply;
+
+/** Everything that a transport carries. */
+export type TransportMessage = ConsensusMessage | FormationMessage;
--- a/packages/lovagepond-consensus/src/consensus_node.ts
+++ b/packages/lovagepond-consensus/src/consensus_node.ts
@@ -1,24 +1,31 @@
 /**
- * The shell of consensus: connects the deciding part to storage, transport and
- * timers.
+ * The shell of consensus: connects the deciding part to storage, transport,
+ * the state machine and the timer.
  */
 import {
   type Clock,
-  invariant,
   type Logger,
   type Random,
   type Unregister,
 } from '@lovagepond/core';
+import {
+  ActionPerformer,
+  type AppliedListener,
+  type LeaderListener,
+} from './consensus_action_performer.js';
+import {ConsensusCore, type Proposal} from './consensus_core.js';
+import {Formation, type FormationAction} from './consensus_formation.js';
+import {type MemberChange} from './consensus_members.js';
+import {MemberReplacement} from './consensus_member_replacement.js';
+import {type TransportMessage} from './consensus_messages.js';
+import {PendingCalls} from './consensus_pending.js';
+import {StorageWriter} from './consensus_storage_writer.js';
 import {type ConsensusStorage} from './consensus_storage.js';
 import {type ConsensusTransport} from './consensus_transport.js';
 import {
-  CHANGE_REFUSAL,
   type ChangeOutcome,
   type ConsensusSettings,
   type ConsensusStatus,
-  ENTRY_KIND,
-  type HardState,
-  type Member,
   MEMBER_ROLE,
   type MemberId,
   type ProposeOutcome,
@@ -36,54 +43,99 @@
   readonly log: Logger;
 }
 
-/** Called when the leader known to this member changes. */
-export type LeaderListener = (leader: Member | undefined) => void;
+const TICKS_PER_HEARTBEAT = 4;
+const HELLO_TIMEOUTS = 0.5;
 
-/** Called after entries were applied, with the last applied index. */
-export type AppliedListener = (appliedIndex: number) => void;
+const NEVER_STARTED: ConsensusStatus = {
+  id: '',
+  role: MEMBER_ROLE.FOLLOWER,
+  term: 0,
+  commitIndex: 0,
+  appliedIndex: 0,
+  lastIndex: 0,
+  snapshotIndex: 0,
+  members: [],
+  leaseValid: false,
+};
 
-/** One member of the group. In this version a group has one member. */
+/** One member of the group. */
 export class ConsensusNode {
   readonly #settings: ConsensusSettings;
   readonly #parts: ConsensusParts;
-  readonly #leaderListeners = new Set<LeaderListener>();
-  readonly #appliedListeners = new Set<AppliedListener>();
-  #hardState: HardState = {term: 0, vote: ''};
-  #self: Member | undefined;
-  #lastIndex = 0;
-  #appliedIndex = 0;
+  readonly #pending = new PendingCalls();
+  readonly #writer: StorageWriter;
+  readonly #performer: ActionPerformer;
+  readonly #replacement: MemberReplacement;
+  #core: ConsensusCore | undefined;
+  #formation: Formation | undefined;
+  #timer: NodeJS.Timeout | undefined;
+  #unregister: Unregister = () => undefined;
+  #lastStatus: ConsensusStatus = NEVER_STARTED;
+  #flushScheduled = false;
 
   constructor(settings: ConsensusSettings, parts: ConsensusParts) {
     this.#settings = settings;
     this.#parts = parts;
+    this.#writer = new StorageWriter(parts.storage, {
+      onStored: id => {
+        this.#run(core => {
+          core.stored(id, this.#now());
+        });
+      },
+      onFailed: err => {
+        this.#fail(err);
+      },
+    });
+    this.#performer = new ActionPerformer({
+      ...parts,
+      writer: this.#writer,
+      pending: this.#pending,
+      leader: () => this.status().leader,
+    });
+    this.#replacement = new MemberReplacement({
+      change: change => this.#change(change),
+      status: () => this.status(),
+      isCaughtUp: id => this.#core?.isCaughtUp(id) ?? false,
+      isActive: id => this.#core?.isActive(id) ?? false,
+      mayJoin: address => {
+        const {automaticJoin = true, peers} = settings;
+        return automaticJoin && peers.includes(address);
+      },
+    });
   }
 
-  /** Opens storage and starts; resolves before there is a leader. */
+  /**
+   * Opens storage and starts; resolves before there is a leader.
+   *
+   * @throws StorageError when the stored state is damaged
+   */
   async start(): Promise<void> {
-    invariant(this.#settings.peers.length === 1, 100, 'one member only');
-    const {storage, stateMachine} = this.#parts;
+    const {storage, transport, random} = this.#parts;
+    const {address, peers, timings} = this.#settings;
     const stored = await storage.open();
-    if (stored.snapshot) {
-      stateMachine.restore(stored.snapshot.data);
-      this.#appliedIndex = stored.snapshot.index;
-    }
-    for (const entry of stored.entries) {
-      if (entry.kind === ENTRY_KIND.COMMAND) {
-        stateMachine.apply(entry.data, entry.index);
-      }
-      this.#appliedIndex = entry.index;
-    }
-    this.#lastIndex = this.#appliedIndex;
-    this.#hardState = {term: stored.hardState.term + 1, vote: stored.id};
-    await storage.write({hardState: this.#hardState, entries: []});
-    const {address} = this.#settings;
-    this.#self = {id: stored.id, address, voter: true};
-    for (const listener of [...this.#leaderListeners]) listener(this.#self);
+    const parts = {stored, address, timings, random};
+    const core = new ConsensusCore(parts, this.#now());
+    this.#core = core;
+    this.#formation = new Formation({
+      id: stored.id,
+      address,
+      peers,
+      helloIntervalMs: timings.electionTimeoutMs * HELLO_TIMEOUTS,
+      isBlank: () => core.isBlank,
+    });
+    this.#unregister = transport.onMessage(message => {
+      this.#receive(message);
+    });
+    const interval = timings.heartbeatIntervalMs / TICKS_PER_HEARTBEAT;
+    this.#timer = setInterval(() => {
+      this.#tick();
+    }, interval);
+    this.#tick();
   }
 
   /** Ends at once; proposals under way become `unknown`. */
   async stop(): Promise<void> {
-    this.#self = undefined;
+    this.#halt();
     await this.#parts.storage.close();
   }
 
@@ -91,40 +143,23 @@
    * @param command a command of the state machine
    * @returns what became of it
    */
-  async propose(command: Uint8Array): Promise<ProposeOutcome> {
-    if (!this.#self) return {kind: 'notLeader'};
-    this.#lastIndex += 1;
-    const index = this.#lastIndex;
-    const {term} = this.#hardState;
-    const entry = {index, term, kind: ENTRY_KIND.COMMAND, data: command};
-    await this.#parts.storage.write({entries: [entry]});
-    const result = this.#parts.stateMachine.apply(command, index);
-    this.#appliedIndex = index;
-    for (const listener of [...this.#appliedListeners]) listener(index);
-    return {kind: 'committed', result, index};
+  propose(command: Uint8Array): Promise<ProposeOutcome> {
+    return this.#await(this.#core?.propose(command));
   }
 
   /** @returns `ok` once a read of the state machine is linearizable */
   readBarrier(): Promise<ReadOutcome> {
-    if (!this.#self) return Promise.resolve({kind: 'notLeader'});
-    return Promise.resolve({kind: 'ok', index: this.#appliedIndex});
+    const core = this.#core;
+    if (!core) return Promise.resolve({kind: 'notLeader'});
+    return this.#pending.addRead(token => {
+      core.read(token);
+      this.#scheduleFlush();
+    });
   }
 
   /** @returns what this member knows now */
   status(): ConsensusStatus {
-    const self = this.#self;
-    return {
-      id: self?.id ?? '',
-      role: self ? MEMBER_ROLE.LEADER : MEMBER_ROLE.FOLLOWER,
-      term: this.#hardState.term,
-      ...(self && {leader: self}),
-      commitIndex: this.#appliedIndex,
-      appliedIndex: this.#appliedIndex,
-      lastIndex: this.#lastIndex,
-      snapshotIndex: 0,
-      members: self ? [self] : [],
-      leaseValid: self !== undefined,
-    };
+    return this.#core?.status(this.#now()) ?? this.#lastStatus;
   }
 
   /**
@@ -132,10 +167,7 @@
    * @returns a function that takes the registration back
    */
   onLeaderChange(listener: LeaderListener): Unregister {
-    this.#leaderListeners.add(listener);
-    return () => {
-      this.#leaderListeners.delete(listener);
-    };
+    return this.#performer.onLeaderChange(listener);
   }
 
   /**
@@ -143,60 +175,171 @@
    * @returns a function that takes the registration back
    */
   onApplied(listener: AppliedListener): Unregister {
-    this.#appliedListeners.add(listener);
-    return () => {
-      this.#appliedListeners.delete(listener);
-    };
+    return this.#performer.onApplied(listener);
   }
 
   /**
    * Adds a member that receives the log and counts in no majority.
    *
-   * @param _id identity of the new member
-   * @param _address where it is reached
+   * @param id identity of the new member
+   * @param address where it is reached
    * @returns what became of the change
    */
-  addLearner(_id: MemberId, _address: string): Promise<ChangeOutcome> {
-    return this.#refuseChange();
+  addLearner(id: MemberId, address: string): Promise<ChangeOutcome> {
+    return this.#change({kind: 'addLearner', id, address});
   }
 
   /**
    * Makes a learner that has caught up a voter.
    *
-   * @param _id identity of the learner
+   * @param id identity of the learner
    * @returns what became of the change
    */
-  promote(_id: MemberId): Promise<ChangeOutcome> {
-    return this.#refuseChange();
+  promote(id: MemberId): Promise<ChangeOutcome> {
+    return this.#change({kind: 'promote', id});
   }
 
   /**
-   * @param _id identity of the member to remove
+   * @param id identity of the member to remove
    * @returns what became of the change
    */
-  removeMember(_id: MemberId): Promise<ChangeOutcome> {
-    return this.#refuseChange();
+  removeMember(id: MemberId): Promise<ChangeOutcome> {
+    return this.#change({kind: 'remove', id});
   }
 
   /**
-   * Adds the new member as a learner, waits until it has caught up, promotes
-   * it, then removes the old one.
+   * Adds the new member as a learner, waits until it has caught up, and puts
+   * it in the old one's place. May be called again after a failure: steps done
+   * already are left out.
    *
-   * @param _oldId identity of the member to remove
-   * @param _newId identity of the member that takes its place
-   * @param _address where the new member is reached
+   * @param oldId identity of the member to remove
+   * @param newId identity of the member that takes its place
+   * @param address where the new member is reached
    * @returns what became of the first change that failed, or of the last
    */
   replaceMember(
-    _oldId: MemberId,
-    _newId: MemberId,
-    _address: string,
+    oldId: MemberId,
+    newId: MemberId,
+    address: string,
   ): Promise<ChangeOutcome> {
-    return this.#refuseChange();
+    return this.#replacement.start(oldId, newId, address);
+  }
+
+  #now(): number {
+    return this.#parts.clock.now();
+  }
+
+  #tick(): void {
+    this.#run(core => {
+      core.tick(this.#now());
+    });
+    this.#formation?.tick(this.#now());
+    this.#performFormation();
+    this.#replacement.tick();
+    if (this.#writer.isIdle && this.#core) {
+      this.#parts.storage.seal().catch((err: unknown) => {
+        this.#fail(err);
+      });
+    }
+  }
+
+  #receive(message: TransportMessage): void {
+    if (message.kind === 'hello') this.#formation?.onHello(message);
+    else if (message.kind === 'helloReply') {
+      this.#formation?.onHelloReply(message);
+    } else {
+      this.#run(core => {
+        core.receive(message, this.#now());
+      });
+    }
+    this.#performFormation();
+  }
+
+  #change(change: MemberChange): Promise<ChangeOutcome> {
+    const proposal = this.#core?.changeMembers(change);
+    if (proposal?.kind === 'refused') return Promise.resolve(proposal);
+    return this.#await(proposal);
+  }
+
+  #await(proposal: Proposal | undefined): Promise<ProposeOutcome> {
+    if (proposal?.kind !== 'added') {
+      const {leader} = this.status();
+      return Promise.resolve({kind: 'notLeader', ...(leader && {leader})});
+    }
+    this.#scheduleFlush();
+    return this.#pending.addProposal(proposal.index, proposal.term);
+  }
+
+  /** Proposals of one turn of the loop share one message and one sync. */
+  #scheduleFlush(): void {
+    if (this.#flushScheduled) return;
+    this.#flushScheduled = true;
+    setImmediate(() => {
+      this.#flushScheduled = false;
+      this.#run(core => {
+        core.flush(this.#now());
+      });
+    });
+  }
+
+  #run(step: (core: ConsensusCore) => void): void {
+    const core = this.#core;
+    if (!core) return;
+    try {
+      step(core);
+      this.#performer.perform(core);
+    } catch (err) {
+      this.#fail(err);
+    }
+  }
+
+  #performFormation(): void {
+    for (const action of this.#formation?.takeActions() ?? []) {
+      const handler = this.#formationHandlers[action.kind] as (
+        action: FormationAction,
+      ) => void;
+      handler(action);
+    }
+  }
+
+  readonly #formationHandlers: {
+    readonly [Kind in FormationAction['kind']]: (
+      action: Extract<FormationAction, {kind: Kind}>,
+    ) => void;
+  } = {
+    send: ({address, message}) => {
+      this.#parts.transport.send(address, message);
+    },
+    bootstrap: ({members}) => {
+      this.#run(core => {
+        core.bootstrap(members);
+        core.tick(this.#now());
+      });
+    },
+    join: ({id, address}) => {
+      this.#replacement.join(id, address);
+    },
+  };
+
+  #fail(err: unknown): void {
+    if (!this.#core) return;
+    const failure = err instanceof Error ? err.message : String(err);
+    this.#parts.log.error('consensus has stopped', {failure});
+    this.#halt(failure);
   }
 
-  #refuseChange(): Promise<ChangeOutcome> {
-    const reason = CHANGE_REFUSAL.UNKNOWN_MEMBER;
-    return Promise.resolve({kind: 'refused', reason});
+  #halt(failure?: string): void {
+    const {id, term, members, lastIndex} = this.status();
+    const stopped = {...NEVER_STARTED, id, term, members, lastIndex};
+    this.#lastStatus = failure ? {...stopped, failure} : stopped;
+    clearInterval(this.#timer);
+    this.#unregister();
+    this.#writer.stop();
+    this.#core = undefined;
+    this.#formation = undefined;
+    this.#pending.abandonProposals();
+    this.#pending.refuseAllReads();
+    this.#replacement.stop();
+    this.#performer.tellLeader(undefined);
   }
 }
--- /dev/null
+++ b/packages/lovagepond-consensus/src/consensus_snapshot_receiver.ts
@@ -0,0 +1,49 @@
+/**
+ * Puts a snapshot that arrives in chunks together.
+ */
+import {type SnapshotChunk} from './consensus_messages.js';
+import {type Snapshot} from './consensus_types.js';
+
+/** Collects the chunks of one snapshot at a time. */
+export class SnapshotReceiver {
+  #key = '';
+  #chunks: Uint8Array[] = [];
+  #received = 0;
+
+  /**
+   * @param chunk a chunk; one that doesn't follow the last is left out
+   * @returns the offset wanted next
+   */
+  add(chunk: SnapshotChunk): number {
+    // Another leader's snapshot of the same index may have other bytes.
+    const key = `${chunk.from} ${chunk.term} ${chunk.snapshotIndex}`;
+    if (key !== this.#key) this.#restart(key);
+    if (chunk.offset === this.#received && chunk.data.length > 0) {
+      this.#chunks.push(chunk.data);
+      this.#received += chunk.data.length;
+    }
+    return this.#received;
+  }
+
+  /**
+   * @param chunk the chunk added last
+   * @returns the whole snapshot, once; undefined before
+   */
+  take(chunk: SnapshotChunk): Snapshot | undefined {
+    if (this.#received !== chunk.totalBytes) return undefined;
+    const data = Buffer.concat(this.#chunks);
+    this.#restart('');
+    return {
+      index: chunk.snapshotIndex,
+      term: chunk.snapshotTerm,
+      members: chunk.members,
+      data,
+    };
+  }
+
+  #restart(key: string): void {
+    this.#key = key;
+    this.#chunks = [];
+    this.#received = 0;
+  }
+}
--- a/packages/lovagepond-consensus/src/consensus_storage.ts
+++ b/packages/lovagepond-consensus/src/consensus_storage.ts
@@ -33,15 +33,20 @@
 export interface ConsensusStorage {
   /** @throws StorageError when the stored state is damaged */
   open(): Promise<StoredState>;
-  /** @throws StorageError when the write or its sync failed */
-  write(write: StorageWrite): Promise<void>;
   /**
-   * Stores a snapshot. When the log holds the snapshot's last entry, entries
-   * from `keepFrom` on stay; else the whole log is dropped.
+   * @param writes batches to store in order, with one sync for all
+   * @throws StorageError when the write or its sync failed
+   */
+  write(writes: readonly StorageWrite[]): Promise<void>;
+  /**
+   * Stores a snapshot. When the log holds the snapshot's last entry, the
+   * entries after it stay; else the whole log is dropped.
    *
    * @throws StorageError when the write or its sync failed
    */
-  saveSnapshot(snapshot: Snapshot, keepFrom: number): Promise<void>;
+  saveSnapshot(snapshot: Snapshot): Promise<void>;
+  /** To be called when idle: protects the last write against later damage. */
+  seal(): Promise<void>;
   close(): Promise<void>;
 }
 
@@ -68,23 +73,18 @@
     });
   }
 
-  write(write: StorageWrite): Promise<void> {
-    if (write.hardState) this.#hardState = write.hardState;
-    const from = write.truncateFrom;
-    if (from !== undefined) {
-      this.#entries = this.#entries.filter(entry => entry.index < from);
-    }
-    this.#entries.push(...write.entries);
+  write(writes: readonly StorageWrite[]): Promise<void> {
+    for (const write of writes) this.#apply(write);
     return Promise.resolve();
   }
 
-  saveSnapshot(snapshot: Snapshot, keepFrom: number): Promise<void> {
+  saveSnapshot(snapshot: Snapshot): Promise<void> {
     const holdsLast = this.#entries.some(
       entry => entry.index === snapshot.index && entry.term === snapshot.term,
     );
     this.#snapshot = snapshot;
     this.#entries = holdsLast
-      ? this.#entries.filter(entry => entry.index >= keepFrom)
+      ? this.#entries.filter(entry => entry.index > snapshot.index)
       : [];
     return Promise.resolve();
   }
@@ -92,4 +92,17 @@
   close(): Promise<void> {
     return Promise.resolve();
   }
+
+  seal(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  #apply(write: StorageWrite): void {
+    if (write.hardState) this.#hardState = write.hardState;
+    const from = write.truncateFrom;
+    if (from !== undefined) {
+      this.#entries = this.#entries.filter(entry => entry.index < from);
+    }
+    this.#entries.push(...write.entries);
+  }
 }
--- a/packages/lovagepond-consensus/src/consensus_transport.ts
+++ b/packages/lovagepond-consensus/src/consensus_transport.ts
@@ -2,10 +2,10 @@
  * How messages travel between members.
  */
 import {type Unregister} from '@lovagepond/core';
-import {type ConsensusMessage} from './consensus_messages.js';
+import {type TransportMessage} from './consensus_messages.js';
 
 /** Called with each message that arrives. */
-export type MessageListener = (message: ConsensusMessage) => void;
+export type MessageListener = (message: TransportMessage) => void;
 
 /**
  * Carries messages without any promise: they may be lost, doubled, or arrive
@@ -16,7 +16,7 @@
    * @param address `host:port` of the receiver
    * @param message what to send; never changed afterwards
    */
-  send(address: string, message: ConsensusMessage): void;
+  send(address: string, message: TransportMessage): void;
   /**
    * @param listener called with each message that arrives
    * @returns a function that takes the registration back
@@ -50,7 +50,7 @@
     };
   }
 
-  #deliver(address: string, message: ConsensusMessage): void {
+  #deliver(address: string, message: TransportMessage): void {
     for (const listener of [...(this.#listeners.get(address) ?? [])]) {
       listener(message);
     }
--- a/packages/lovagepond-consensus/src/consensus_types.ts
+++ b/packages/lovagepond-consensus/src/consensus_types.ts
@@ -188,4 +188,11 @@
    */
   readonly peers: readonly string[];
   readonly timings: ConsensusTimings;
+  /**
+   * When it leads, a member lets hosts of `peers` with empty data folders in:
+   * as learners, then as voters in place of the identity that the same address
+   * had. When false, an operator does that by the changes of the members.
+   * True by default.
+   */
+  readonly automaticJoin?: boolean;
 }
--- a/packages/lovagepond-consensus/src/index.ts
+++ b/packages/lovagepond-consensus/src/index.ts
@@ -1,26 +1,36 @@
+export {
+  type AppliedListener,
+  type LeaderListener,
+} from './consensus_action_performer.js';
+export {type CoreParts} from './consensus_member_state.js';
+export {ConsensusCore, type Proposal} from './consensus_core.js';
+export {type Disk, type DiskFile, NodeDisk} from './consensus_disk.js';
+export {FileStorage} from './consensus_file_storage.js';
+export {type MemberChange} from './consensus_members.js';
 export {
   type AppendReply,
   type AppendRequest,
   type ConsensusMessage,
+  type FormationMessage,
+  type HelloReply,
+  type HelloRequest,
   type PreVoteReply,
   type PreVoteRequest,
   type SnapshotChunk,
   type SnapshotReply,
+  type TransportMessage,
   type VoteReply,
   type VoteRequest,
 } from './consensus_messages.js';
-export {
-  type AppliedListener,
-  ConsensusNode,
-  type ConsensusParts,
-  type LeaderListener,
-} from './consensus_node.js';
+export {ConsensusNode, type ConsensusParts} from './consensus_node.js';
+export {type ConsensusAction} from './consensus_outbox.js';
 export {
   type ConsensusStorage,
   MemoryStorage,
   type StorageWrite,
   type StoredState,
 } from './consensus_storage.js';
+export {StorageError, type StorageFailure} from './consensus_storage_errors.js';
 export {
   type ConsensusTransport,
   MemoryNetwork,
