Test membership and subscriptions under failure

Cause: a rack, a leader change, a flapping server, a slow connection or a partition must not empty or split what routers hold.

Change: tests of the registry, the deltas (model-based over leaders, a follower and subscribers), the feeds, the confirmation rounds, the end of subscriptions out of touch, and the allowance of the weight store.

--- /dev/null
+++ b/packages/lovagepond-control/src/__tests__/unit/membership_registry.test.ts
@@ -0,0 +1,247 @@
+import * as fc from 'fast-check';
+import {type BackendServer, type ServerState} from '@lovagepond/core';
+import {expect, test} from 'vitest';
+import {FlapDamper} from '../../membership_flapping.js';
+import {type MembershipChange, MembershipLog} from '../../membership_log.js';
+import {
+  type Announcement,
+  MembershipRegistry,
+} from '../../membership_registry.js';
+
+const LEASE_MS = 3_000;
+const SEED = 20_262;
+
+function said(name: string, changes: Partial<Announcement> = {}): Announcement {
+  return {
+    name,
+    incarnation: 'i1',
+    pool: 'p',
+    labels: {},
+    availabilityZone: 'z',
+    region: 'r',
+    address: 'a',
+    state: 'ready',
+    runningTokens: 100,
+    queuedTokens: 0,
+    capacityTokens: 1_000,
+    models: [],
+    ...changes,
+  };
+}
+
+class Leader {
+  readonly log = new MembershipLog();
+  readonly registry = new MembershipRegistry({leaseMs: LEASE_MS}, this.log);
+
+  announce(names: readonly string[], now: number, state?: ServerState): void {
+    for (const name of names) {
+      this.registry.announce(said(name, state && {state}), 'ready', now);
+    }
+  }
+
+  /** All of them renew once a second. */
+  run(names: readonly string[], from: number, to: number): void {
+    for (let now = from; now <= to; now += 1_000) {
+      this.announce(names, now);
+      this.registry.tick(now);
+    }
+  }
+
+  names(): string[] {
+    return [...this.log.servers()].map(server => server.name);
+  }
+}
+
+function startLeader(term = 1): Leader {
+  const leader = new Leader();
+  leader.registry.takeOver(term, 0);
+  return leader;
+}
+
+const FLEET = Array.from({length: 640}, (_, n) => `server-${n}`);
+
+// A switch takes 40 of 640 servers away. They must go together, in one change,
+// and nothing of the other 600 may move: neither their state nor their slots,
+// nor may the mean that bounds their load still count the dead.
+test('a rack that fails at once leaves the others as they are', () => {
+  const leader = startLeader();
+  leader.run(FLEET, 0, 5_000);
+  const before = leader.log.version;
+  const rack = new Set(FLEET.slice(100, 140));
+  const rest = FLEET.filter(name => !rack.has(name));
+  leader.run(rest, 6_000, 10_000);
+  const change = leader.log.changesSince(before, '');
+  expect(change).toMatchObject({whole: false, members: []});
+  expect(new Set(change?.gone)).toEqual(rack);
+  const mean = leader.registry.poolMean('p', 10_000);
+  expect(mean).toMatchObject({meanTokens: 100, readyServers: 600});
+  expect(leader.registry.loadReport(10_000).loads).toHaveLength(640);
+  leader.announce(['new'], 10_000);
+  expect(leader.log.get('new')?.slot).toBe(640);
+  leader.run([...rest, 'new'], 11_000, 30_000);
+  leader.announce(['newer'], 30_000);
+  expect(leader.log.get('newer')?.slot).toBe(100);
+});
+
+// The leader's own network fails towards the sidecars but not towards the
+// other members. Every lease lapses; believed, that would empty the list of
+// every router although all servers are well.
+test('control doubts itself when most servers lapse at once', () => {
+  const leader = startLeader();
+  leader.run(FLEET, 0, 5_000);
+  leader.announce(['server-0'], 6_000, 'draining');
+  leader.registry.tick(12_000);
+  expect(leader.names()).toEqual(FLEET.slice(1));
+  leader.run(FLEET.slice(1), 13_000, 14_000);
+  expect(leader.names()).toHaveLength(639);
+  leader.registry.tick(20_000);
+  leader.registry.tick(20_000 + 10 * LEASE_MS);
+  expect(leader.names()).toEqual([]);
+});
+
+// Leadership moves while all servers run. The new leader mirrored the list: it
+// keeps all of it, with slots, for one lease, and only then drops the dead one.
+test('a new leader drops nobody before one lease has passed', () => {
+  const old = startLeader();
+  old.run(['a', 'b', 'c', 'd'], 0, 5_000);
+  const next = new Leader();
+  next.log.mirror(old.log.changesSince(0, '') as MembershipChange);
+  const held = next.log.version;
+  next.registry.takeOver(2, 9_000);
+  expect(next.log.version).toBeGreaterThan(old.log.version);
+  next.run(['d', 'c', 'a'], 9_500, 11_500);
+  expect(next.log.changesSince(held, '')).toMatchObject({
+    members: [],
+    gone: [],
+  });
+  next.run(['a', 'c', 'd'], 12_500, 13_500);
+  expect(next.names()).toEqual(['a', 'c', 'd']);
+  expect(next.log.get('d')?.slot).toBe(3);
+});
+
+// All members restarted: the leader knows nobody. A router that holds the
+// former list must not be told, after the first announcement, that this one
+// server is the whole list.
+test('a leader without a list never sends a part as the whole', () => {
+  const leader = startLeader();
+  leader.announce(['a'], 100);
+  expect(leader.log.changesSince(0, '')?.whole).toBe(false);
+  leader.run(['a', 'b'], 1_000, 3_000);
+  expect(leader.log.changesSince(0, '')).toMatchObject({
+    whole: true,
+    members: [{name: 'a'}, {name: 'b'}],
+  });
+});
+
+test('a flapping server is held back, but not from a pool in need', () => {
+  const leader = startLeader();
+  const flap = (name: string, pool: string, now: number): void => {
+    const incarnation = `i${now}`;
+    leader.registry.announce(said(name, {pool, incarnation}), 'ready', now);
+  };
+  for (let now = 0; now < 8_000; now += 1_000) {
+    leader.announce(['a', 'b'], now);
+    flap('c', 'p', now);
+    flap('lonely', 'q', now);
+  }
+  expect(leader.log.get('c')?.state).toBe('joining');
+  expect(leader.registry.poolMean('p', 7_000).readyServers).toBe(2);
+  expect(leader.log.get('lonely')?.state).toBe('ready');
+});
+
+// However often a server flapped, it must be let in again a set time after its
+// last flap: a penalty without a ceiling would starve a server that is good.
+test('no server is held longer than the limit after its last flap', () => {
+  const settings = {halfLifeMs: 15_000, longestHoldMs: 60_000};
+  const flaps = fc.array(fc.nat(500), {maxLength: 100, size: 'max'});
+  fc.assert(
+    fc.property(flaps, gaps => {
+      const damper = new FlapDamper(settings);
+      let now = 0;
+      for (const gap of gaps) {
+        now += gap;
+        damper.flap('s', now);
+      }
+      expect(damper.isHeld('s', now + settings.longestHoldMs + 1)).toBe(false);
+    }),
+    {seed: SEED, numRuns: 300},
+  );
+});
+
+/** A subscriber's list, as its own updates made it. */
+class Subscriber {
+  version = 0;
+  list = new Map<string, BackendServer>();
+
+  constructor(readonly pool: string) {}
+
+  update(log: MembershipLog): void {
+    const change = log.changesSince(this.version, this.pool);
+    if (!change) return;
+    this.version = change.version;
+    if (change.whole) this.list.clear();
+    for (const name of change.gone) this.list.delete(name);
+    for (const server of change.members) this.list.set(server.name, server);
+  }
+}
+
+// Servers join, change pool, restart, lapse; leaders change; a follower and
+// subscribers of one pool or of all listen now and then. Whenever they have
+// listened, they must hold exactly the servers that the leader holds.
+test('deltas keep followers and subscribers in step with the leader', () => {
+  const step = fc.record({
+    kind: fc.constantFrom('announce', 'wait', 'listen', 'takeOver'),
+    n: fc.nat(99),
+  });
+  const run = (steps: {kind: string; n: number}[]): void => {
+    let leader = startLeader();
+    const follower = new MembershipLog();
+    const listeners = ['', 'pool-0', 'pool-1'].map(p => new Subscriber(p));
+    let now = LEASE_MS;
+    let term = 1;
+    leader.registry.tick(now);
+    const listen = (): void => {
+      const change = leader.log.changesSince(follower.version, '');
+      if (change) follower.mirror(change);
+      for (const listener of listeners) listener.update(follower);
+    };
+    const handlers: Record<string, (n: number) => void> = {
+      announce: n => {
+        const pool = `pool-${n % 2}`;
+        const name = `server-${n % 7}`;
+        const changes = {pool, incarnation: `i${n % 3}`};
+        leader.registry.announce(said(name, changes), 'ready', now);
+      },
+      wait: n => {
+        now += n * 100;
+        leader.registry.tick(now);
+      },
+      listen,
+      takeOver: () => {
+        listen();
+        const next = new Leader();
+        const whole = leader.log.changesSince(0, '');
+        if (whole) next.log.mirror(whole);
+        next.registry.takeOver((term += 1), now);
+        leader = next;
+        now += LEASE_MS;
+        leader.registry.tick(now);
+      },
+    };
+    for (const {kind, n} of steps) handlers[kind]?.(n);
+    listen();
+    for (const listener of listeners) {
+      const wanted = [...leader.log.servers()].filter(
+        server => listener.pool === '' || server.pool === listener.pool,
+      );
+      const held = [...listener.list.values()];
+      const byName = (a: BackendServer, b: BackendServer): number =>
+        a.name < b.name ? -1 : 1;
+      expect(held.sort(byName)).toEqual(wanted.sort(byName));
+    }
+  };
+  fc.assert(fc.property(fc.array(step, {maxLength: 60, size: 'max'}), run), {
+    seed: SEED,
+    numRuns: 1_000,
+  });
+});
--- /dev/null
+++ b/packages/lovagepond-control/src/__tests__/unit/subscription_hub.test.ts
@@ -0,0 +1,188 @@
+import {type Configuration, EMPTY_CONFIGURATION} from '@lovagepond/core';
+import {expect, test} from 'vitest';
+import {ConfirmationRounds} from '../../confirmation_rounds.js';
+import {type OrderView} from '../../control_administration.js';
+import {OrderDelivery} from '../../order_delivery.js';
+import {type FeedUpdate, type FeedView} from '../../subscription_feed.js';
+import {SubscriptionHub, type UpdateSink} from '../../subscription_hub.js';
+
+const SETTINGS = {
+  digestIntervalMs: 1_000,
+  heartbeatIntervalMs: 1_000,
+  leaderContactLimitMs: 3_000,
+};
+const ROUTER = {node: 'router', role: 'router', pool: '', revision: 0};
+
+class Sink implements UpdateSink {
+  readonly sent: FeedUpdate[] = [];
+  writable = true;
+  ended = false;
+
+  isWritable(): boolean {
+    return this.writable;
+  }
+
+  send(update: FeedUpdate): void {
+    this.sent.push(update);
+  }
+
+  end(): void {
+    this.ended = true;
+  }
+
+  /** @returns what was sent since the last call */
+  take(): FeedUpdate[] {
+    return this.sent.splice(0);
+  }
+}
+
+function viewOf(revision: number, servers = 0): FeedView {
+  const configuration: Configuration = {
+    revision,
+    content: EMPTY_CONFIGURATION.content,
+  };
+  const loads = new Uint8Array(servers);
+  return {
+    configuration,
+    membershipVersion: 0,
+    changesSince: () => undefined,
+    readLoad: () => ({membershipVersion: 0, loads, ageMs: 0}),
+  };
+}
+
+function startHub(): SubscriptionHub {
+  const hub = new SubscriptionHub(SETTINGS, 0);
+  hub.noteContact(true, 0);
+  return hub;
+}
+
+// A connection takes no more while hundreds of changes are accepted. When it
+// drains, its router must get the newest configuration once, not a replay.
+test('a subscriber that fell behind gets one configuration', () => {
+  const hub = startHub();
+  const sink = new Sink();
+  const {feed} = hub.add(ROUTER, sink);
+  feed.confirm(0);
+  hub.pump(viewOf(1), 0);
+  sink.take();
+  sink.writable = false;
+  for (let revision = 2; revision < 500; revision += 1) {
+    hub.pump(viewOf(revision), revision);
+  }
+  sink.writable = true;
+  hub.pump(viewOf(500), 500);
+  expect(sink.take()).toMatchObject([
+    {kind: 'configuration', configuration: {revision: 500}, confirmed: true},
+  ]);
+});
+
+// A restarted router subscribes at a member that is behind. It may install
+// what it gets, but must not take work before a revision as new as a
+// majority's: only that one is marked as confirmed.
+test('a revision older than the barrier is never marked confirmed', () => {
+  const hub = startHub();
+  const sink = new Sink();
+  const {feed} = hub.add(ROUTER, sink);
+  hub.pump(viewOf(6), 0);
+  feed.confirm(7);
+  hub.pump(viewOf(6), 100);
+  expect(sink.take()).toMatchObject([
+    {kind: 'configuration', confirmed: false},
+  ]);
+  hub.pump(viewOf(7), 200);
+  expect(sink.take()).toMatchObject([
+    {configuration: {revision: 7}, withContent: true, confirmed: true},
+  ]);
+  const held = new Sink();
+  hub.add({...ROUTER, revision: 7}, held).feed.confirm(7);
+  hub.pump(viewOf(7), 300);
+  expect(held.take()).toMatchObject([
+    {kind: 'configuration', withContent: false, confirmed: true},
+  ]);
+});
+
+// A barrier began, then a router subscribes, then the barrier is answered: by
+// a leader that may have been cut off in between. It says nothing about what
+// was in force when the router subscribed.
+test('a barrier confirms only who subscribed before it began', async () => {
+  const answers: ((revision: number | undefined) => void)[] = [];
+  const rounds = new ConfirmationRounds(
+    () => new Promise(resolve => answers.push(resolve)),
+  );
+  const hub = startHub();
+  const early = hub.add(ROUTER, new Sink()).feed;
+  const late = hub.add(ROUTER, new Sink()).feed;
+  rounds.add(early);
+  const first = rounds.run();
+  rounds.add(late);
+  expect(await rounds.run()).toBe(false);
+  answers[0]!(3);
+  await first;
+  expect([early.confirmed, late.confirmed]).toEqual([true, false]);
+  const failed = rounds.run();
+  answers[1]!(undefined);
+  await failed;
+  const second = rounds.run();
+  answers[2]!(4);
+  await second;
+  expect(late.confirmed).toBe(true);
+});
+
+// A silent partition cuts a member off. Its streams stay open and its routers
+// would never learn of a change: ended, they find a member that is in touch.
+test('a member out of touch ends its subscriptions within the limit', () => {
+  const hub = startHub();
+  const sink = new Sink();
+  hub.add(ROUTER, sink);
+  hub.noteContact(false, 2_999);
+  expect([sink.ended, hub.isFresh(2_999)]).toEqual([false, true]);
+  hub.noteContact(false, 3_000);
+  expect([sink.ended, hub.isFresh(3_000), hub.size]).toEqual([true, false, 0]);
+  hub.noteContact(true, 4_000);
+  expect(hub.isFresh(4_000)).toBe(true);
+});
+
+test('an idle subscriber hears once a second, and of loads no oftener', () => {
+  const hub = startHub();
+  const sink = new Sink();
+  hub.add(ROUTER, sink).feed.confirm(0);
+  for (let now = 0; now < 5_000; now += 100) hub.pump(viewOf(0), now);
+  const kinds = sink.take().map(update => update.kind);
+  expect(kinds).toEqual(['configuration', ...Array(4).fill('heartbeat')]);
+  for (let now = 5_000; now < 8_000; now += 100) hub.pump(viewOf(0, 3), now);
+  expect(sink.take().map(update => update.kind)).toEqual([
+    ...['load', 'load', 'load'],
+  ]);
+});
+
+// Many loads are ordered at once. The weight store is rate-limited: only as
+// many are out as its allowance, a server that is away takes no place, and no
+// later order overtakes a waiting one of its server, as it would fence it off.
+test('loads share the allowance of the weight store', () => {
+  const order = (n: number, server: string, action: string): OrderView =>
+    ({
+      orderId: `o${n}`,
+      backendServer: server,
+      action,
+      arguments: {},
+      fencingToken: n,
+      message: '',
+    }) as OrderView;
+  const delivery = new OrderDelivery(2);
+  const waiting = [
+    order(1, 'away', 'loadModel'),
+    order(2, 'a', 'loadModel'),
+    order(3, 'b', 'loadModel'),
+    order(4, 'c', 'loadModel'),
+    order(5, 'c', 'unloadModel'),
+    order(6, 'd', 'unloadModel'),
+  ];
+  const deliver = (orders: OrderView[]): string[] => {
+    delivery.refresh(orders, server => server !== 'away');
+    return ['away', 'a', 'b', 'c', 'd'].flatMap(server =>
+      delivery.ordersFor(server).map(given => given.orderId),
+    );
+  };
+  expect(deliver(waiting)).toEqual(['o2', 'o3', 'o6']);
+  expect(deliver(waiting.slice(2))).toEqual(['o3', 'o4', 'o5', 'o6']);
+});
