--- /dev/null
+++ b/packages/lovagepond-backend/src/backend_answer_assembly.ts
@@ -0,0 +1,102 @@
+/**
+ * Makes the one JSON answer of a request that isn't streamed out of the events
+ * that the engine streams. The engine is always asked to stream: its
+ * heartbeats, its resume and its end marker then guard both sorts of answers.
+ */
+import {type AnswerChunk} from './backend_answer_check.js';
+
+type Json = Record<string, unknown>;
+
+/** String fields that name something; all others are pieces of a text. */
+const NAMING_FIELDS = new Set(['id', 'type', 'role']);
+
+function isObject(value: unknown): value is Json {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+function mergeList(target: unknown[], pieces: readonly unknown[]): void {
+  for (const piece of pieces) {
+    if (!isObject(piece) || typeof piece['index'] !== 'number') {
+      target.push(piece);
+      continue;
+    }
+    const {index, ...rest} = piece;
+    const slot = target[index];
+    if (isObject(slot)) mergeDelta(slot, rest);
+    else target[index] = mergeDelta({}, rest);
+  }
+}
+
+/**
+ * @param target message so far; changed
+ * @param delta the next piece of it
+ * @returns the message
+ */
+export function mergeDelta(target: Json, delta: Json): Json {
+  for (const [name, piece] of Object.entries(delta)) {
+    const former = target[name];
+    if (typeof piece === 'string' && typeof former === 'string') {
+      target[name] = NAMING_FIELDS.has(name) ? piece : former + piece;
+    } else if (isObject(piece)) {
+      target[name] = mergeDelta(isObject(former) ? former : {}, piece);
+    } else if (Array.isArray(piece)) {
+      const list: unknown[] = Array.isArray(former) ? former : [];
+      mergeList(list, piece);
+      target[name] = list;
+    } else if (piece !== null || former === undefined) {
+      target[name] = piece;
+    }
+  }
+  return target;
+}
+
+/** Collects an answer's events. */
+export class AnswerAssembly {
+  readonly #choices = new Map<number, Json>();
+  #head: Json = {};
+  #usage: unknown;
+
+  /** @param chunk the next event */
+  add(chunk: AnswerChunk): void {
+    const {choices, usage, ...head} = chunk;
+    this.#head = {...head, ...this.#head};
+    this.#usage = usage ?? this.#usage;
+    for (const choice of choices) this.#addChoice(choice);
+  }
+
+  /** @returns the whole answer as JSON in UTF-8 */
+  encode(): Buffer {
+    const choices = [...this.#choices.values()].map(choice => ({
+      logprobs: null,
+      ...choice,
+    }));
+    const head = {...this.#head, object: 'chat.completion'};
+    return Buffer.from(JSON.stringify({...head, choices, usage: this.#usage}));
+  }
+
+  #addChoice(choice: Json): void {
+    const index = typeof choice['index'] === 'number' ? choice['index'] : 0;
+    const whole = this.#choices.get(index) ?? {index, message: {}};
+    const delta = choice['delta'];
+    if (isObject(delta)) mergeDelta(whole['message'] as Json, delta);
+    const reason = choice['finish_reason'];
+    if (reason) whole['finish_reason'] = reason;
+    this.#choices.set(index, whole);
+  }
+}
+
+/**
+ * @param body a completion request that isn't streamed
+ * @returns the same request, streamed, or undefined when it is no JSON object
+ */
+export function askToStream(body: Uint8Array): Buffer | undefined {
+  try {
+    const request: unknown = JSON.parse(Buffer.from(body).toString('utf8'));
+    if (!isObject(request)) return undefined;
+    const options = {include_usage: true};
+    const streamed = {...request, stream: true, stream_options: options};
+    return Buffer.from(JSON.stringify(streamed));
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-backend/src/backend_answer_check.ts
@@ -0,0 +1,105 @@
+/**
+ * Decides what of an engine's events may be passed on as the answer to one
+ * request. No I/O: events go in, bytes to pass on or a failure come out.
+ */
+import {type Failure, makeFailure} from '@lovagepond/core';
+import {z} from 'zod';
+import {
+  COMPLETION_ID_PREFIX,
+  DONE_DATA,
+  usageSchema,
+} from './backend_engine_protocol.js';
+import {type ServerSentEvent} from './backend_event_parser.js';
+import {type EngineUsage} from './backend_model_engine.js';
+
+/** What an event means for the answer. */
+export type AnswerVerdict =
+  /** A comment or an event without content. */
+  | {readonly kind: 'skip'}
+  | {readonly kind: 'pass'; readonly content: AnswerChunk}
+  /** The end marker of an answer that is whole. */
+  | {readonly kind: 'whole'}
+  | {readonly kind: 'fail'; readonly failure: Failure};
+
+const chunkSchema = z.looseObject({
+  id: z.string(),
+  choices: z
+    .array(z.looseObject({finish_reason: z.string().nullish()}))
+    .default([]),
+  usage: usageSchema.nullish(),
+});
+
+/** One parsed event of an answer. */
+export type AnswerChunk = z.infer<typeof chunkSchema>;
+
+const SKIP: AnswerVerdict = {kind: 'skip'};
+
+function fail(message: string): AnswerVerdict {
+  return {kind: 'fail', failure: makeFailure('backendFailed', {message})};
+}
+
+function parseChunk(data: string): AnswerChunk | undefined {
+  try {
+    return chunkSchema.safeParse(JSON.parse(data)).data;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Checks one request's events, over all of its connections. */
+export class AnswerCheck {
+  readonly #requestId: string;
+  #finishReason = false;
+  #usage: EngineUsage = {promptTokens: 0, cachedTokens: 0, answerTokens: 0};
+
+  /** @param requestId the request whose answer is expected */
+  constructor(requestId: string) {
+    this.#requestId = requestId;
+  }
+
+  /** Counts of the last event that told them. */
+  get usage(): EngineUsage {
+    return this.#usage;
+  }
+
+  /**
+   * @param event the next event
+   * @returns what it means
+   */
+  judge(event: ServerSentEvent): AnswerVerdict {
+    if (event.data === '') return SKIP;
+    if (event.data === DONE_DATA) return this.#judgeEnd();
+    if (event.name === 'error') return fail('The engine reported an error.');
+    const chunk = parseChunk(event.data);
+    if (!chunk) return fail('The engine sent an event that is no chunk.');
+    // An engine or a device before it may give one caller another's answer.
+    // The id in each event is the only proof of whose it is; one foreign event
+    // ends the answer before any of it reaches the wrong caller.
+    if (!this.#isOwn(chunk.id)) {
+      return fail("The engine sent another request's answer.");
+    }
+    if (chunk.usage) this.#note(chunk.usage);
+    if (chunk.choices.some(choice => choice.finish_reason)) {
+      this.#finishReason = true;
+    }
+    return {kind: 'pass', content: chunk};
+  }
+
+  #judgeEnd(): AnswerVerdict {
+    if (this.#finishReason) return {kind: 'whole'};
+    return {kind: 'fail', failure: makeFailure('answerTruncated')};
+  }
+
+  #isOwn(id: string): boolean {
+    if (id === this.#requestId) return true;
+    return id === `${COMPLETION_ID_PREFIX}${this.#requestId}`;
+  }
+
+  #note(usage: z.infer<typeof usageSchema>): void {
+    this.#usage = {
+      promptTokens: usage.prompt_tokens,
+      cachedTokens: usage.prompt_tokens_details?.cached_tokens ?? 0,
+      answerTokens: usage.completion_tokens,
+    };
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-backend/src/backend_cache_subscription.ts
@@ -0,0 +1,117 @@
+/**
+ * Follows an engine's cache events over HTTP, through lost connections and the
+ * engine's restarts.
+ */
+import {type Random, type Unregister} from '@lovagepond/core';
+import {CacheSequence} from './backend_cache_sequence.js';
+import {cacheEventSchema, ENGINE_PATH} from './backend_engine_protocol.js';
+import {EventParser, type ServerSentEvent} from './backend_event_parser.js';
+import {type HttpBackendClient} from './backend_http_client.js';
+import {type HttpExchange} from './backend_http_exchange.js';
+import {type CacheEvent} from './backend_model_engine.js';
+
+const MAX_EVENT_BYTES = 16 * 1024;
+const FIRST_RETRY_MS = 250;
+const LAST_RETRY_MS = 4_000;
+const HTTP_OK = 200;
+
+/** One subscription. */
+export class CacheSubscription {
+  readonly #client: HttpBackendClient;
+  readonly #random: Random;
+  readonly #listener: (event: CacheEvent) => void;
+  readonly #sequence = new CacheSequence();
+  #retryMs = FIRST_RETRY_MS;
+  #timer: NodeJS.Timeout | undefined;
+  #exchange: HttpExchange | undefined;
+  #ended = false;
+
+  /**
+   * @param client connections to the engine
+   * @param random spreads the reconnects
+   * @param listener gets the events
+   */
+  constructor(
+    client: HttpBackendClient,
+    random: Random,
+    listener: (event: CacheEvent) => void,
+  ) {
+    this.#client = client;
+    this.#random = random;
+    this.#listener = listener;
+  }
+
+  /** @returns ends the subscription */
+  start(): Unregister {
+    void this.#follow();
+    return () => {
+      this.#ended = true;
+      clearTimeout(this.#timer);
+      this.#exchange?.abort();
+    };
+  }
+
+  /** @param incarnation what another answer of the engine told */
+  noteIncarnation(incarnation: string): void {
+    this.#tell(this.#sequence.noteIncarnation(incarnation));
+  }
+
+  async #follow(): Promise<void> {
+    if (this.#ended) return;
+    const {incarnation, last} = this.#sequence;
+    const query = new URLSearchParams({incarnation, after: String(last)});
+    const exchange = this.#client.send(
+      {
+        method: 'GET',
+        path: `${ENGINE_PATH.CACHE_EVENTS}?${query.toString()}`,
+        headers: {accept: 'text/event-stream'},
+        silenceMs: this.#client.settings.silenceMs,
+      },
+      true,
+    );
+    this.#exchange = exchange;
+    await this.#read(exchange);
+    this.#retry();
+  }
+
+  async #read(exchange: HttpExchange): Promise<void> {
+    const parser = new EventParser(MAX_EVENT_BYTES);
+    let accepted = false;
+    for await (const event of exchange.events()) {
+      if (event.kind === 'head') accepted = event.status === HTTP_OK;
+      if (event.kind !== 'chunk' || !accepted || this.#ended) continue;
+      this.#retryMs = FIRST_RETRY_MS;
+      const events = parser.push(event.bytes);
+      if (!events) return;
+      for (const item of events) this.#take(item);
+    }
+  }
+
+  #take(item: ServerSentEvent): void {
+    if (item.data === '') return;
+    const parsed = parseEvent(item.data);
+    if (parsed) this.#tell(this.#sequence.take(parsed));
+  }
+
+  #tell(events: readonly CacheEvent[]): void {
+    if (this.#ended) return;
+    for (const event of events) this.#listener(event);
+  }
+
+  #retry(): void {
+    if (this.#ended) return;
+    const delay = this.#retryMs * (0.5 + this.#random.next());
+    this.#retryMs = Math.min(LAST_RETRY_MS, 2 * this.#retryMs);
+    this.#timer = setTimeout(() => void this.#follow(), delay);
+  }
+}
+
+function parseEvent(
+  data: string,
+): ReturnType<typeof cacheEventSchema.parse> | undefined {
+  try {
+    return cacheEventSchema.safeParse(JSON.parse(data)).data;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-backend/src/backend_fake_batch.ts
@@ -0,0 +1,171 @@
+/**
+ * Continuous batching of a fake engine. Each step gives every answering
+ * request one token and spends what is left of the step on prompts.
+ */
+
+/** One request as the fake engine knows it. */
+export interface FakeJob {
+  readonly requestId: string;
+  readonly workspace: string;
+  readonly chat: string;
+  readonly promptTokens: number;
+  readonly answerTokens: number;
+  /** 0 (lowest) to 9. */
+  readonly priority: number;
+}
+
+/** Speed and size of the batch. */
+export interface FakeBatchSettings {
+  /** Contexts in the batch together hold at most this many tokens. */
+  readonly capacityTokens: number;
+  readonly maxRequests: number;
+  readonly prefillTokensPerSecond: number;
+  readonly decodeTokensPerSecond: number;
+  /** Shortest step, milliseconds: the time between tokens when idle. */
+  readonly stepMs: number;
+  /** Prompt tokens worked on in one step, over all requests. */
+  readonly prefillTokensPerStep: number;
+}
+
+/** A request in the batch. */
+export interface FakeRun {
+  readonly job: FakeJob;
+  readonly cachedTokens: number;
+  prefillLeft: number;
+  answered: number;
+}
+
+/** What a step did to one request. */
+export interface FakeStepResult {
+  readonly run: FakeRun;
+  /** Answer tokens made in this step, 0 or 1. */
+  readonly made: number;
+  readonly finished: boolean;
+}
+
+const MS_PER_SECOND = 1000;
+
+function tokensOf(job: FakeJob): number {
+  return job.promptTokens + job.answerTokens;
+}
+
+/** Requests waiting for the batch, and those in it. */
+export class FakeBatch {
+  readonly #settings: FakeBatchSettings;
+  readonly #running = new Map<string, FakeRun>();
+  #waiting: FakeJob[] = [];
+  #runningTokens = 0;
+  #waitingTokens = 0;
+
+  /** @param settings speed and size */
+  constructor(settings: FakeBatchSettings) {
+    this.#settings = settings;
+  }
+
+  get runningTokens(): number {
+    return this.#runningTokens;
+  }
+
+  get waitingTokens(): number {
+    return this.#waitingTokens;
+  }
+
+  get runningRequests(): number {
+    return this.#running.size;
+  }
+
+  get waitingRequests(): number {
+    return this.#waiting.length;
+  }
+
+  /** @param job waits behind those of its own or a higher priority */
+  add(job: FakeJob): void {
+    const behind = this.#waiting.findIndex(
+      other => other.priority < job.priority,
+    );
+    this.#waiting.splice(behind < 0 ? this.#waiting.length : behind, 0, job);
+    this.#waitingTokens += tokensOf(job);
+  }
+
+  /**
+   * Takes waiting requests into the batch while they fit.
+   *
+   * @param warmTokens tells how much of a job's prompt is cached
+   * @returns those taken
+   */
+  admit(warmTokens: (job: FakeJob) => number): FakeRun[] {
+    const taken: FakeRun[] = [];
+    for (let job = this.#waiting[0]; job; job = this.#waiting[0]) {
+      if (!this.#fits(job)) break;
+      this.#waiting.shift();
+      this.#waitingTokens -= tokensOf(job);
+      this.#runningTokens += tokensOf(job);
+      const cachedTokens = Math.min(warmTokens(job), job.promptTokens);
+      const prefillLeft = job.promptTokens - cachedTokens;
+      const run = {job, cachedTokens, prefillLeft, answered: 0};
+      this.#running.set(job.requestId, run);
+      taken.push(run);
+    }
+    return taken;
+  }
+
+  /** @returns milliseconds the next step takes, undefined with none to do */
+  stepDuration(): number | undefined {
+    if (this.#running.size === 0) return undefined;
+    let decode = 0;
+    let prefill = 0;
+    for (const run of this.#running.values()) {
+      if (run.prefillLeft > 0) prefill += run.prefillLeft;
+      else decode += 1;
+    }
+    prefill = Math.min(prefill, this.#settings.prefillTokensPerStep);
+    const {prefillTokensPerSecond, decodeTokensPerSecond} = this.#settings;
+    const seconds =
+      prefill / prefillTokensPerSecond + decode / decodeTokensPerSecond;
+    return Math.max(this.#settings.stepMs, seconds * MS_PER_SECOND);
+  }
+
+  /** @returns what the step did to each request that got a token */
+  step(): FakeStepResult[] {
+    let budget = this.#settings.prefillTokensPerStep;
+    const results: FakeStepResult[] = [];
+    for (const run of [...this.#running.values()]) {
+      if (run.prefillLeft > 0) {
+        const done = Math.min(run.prefillLeft, budget);
+        run.prefillLeft -= done;
+        budget -= done;
+        continue;
+      }
+      run.answered += 1;
+      const finished = run.answered >= run.job.answerTokens;
+      if (finished) this.remove(run.job.requestId);
+      results.push({run, made: 1, finished});
+    }
+    return results;
+  }
+
+  /**
+   * @param requestId a request, waiting or running
+   * @returns true when it was there
+   */
+  remove(requestId: string): boolean {
+    const run = this.#running.get(requestId);
+    if (run) {
+      this.#running.delete(requestId);
+      this.#runningTokens -= tokensOf(run.job);
+      return true;
+    }
+    const index = this.#waiting.findIndex(job => job.requestId === requestId);
+    const [job] = index < 0 ? [] : this.#waiting.splice(index, 1);
+    if (!job) return false;
+    this.#waitingTokens -= tokensOf(job);
+    return true;
+  }
+
+  #fits(job: FakeJob): boolean {
+    const {capacityTokens, maxRequests} = this.#settings;
+    if (this.#running.size === 0) return true;
+    if (this.#running.size >= maxRequests) return false;
+    return this.#runningTokens + tokensOf(job) <= capacityTokens;
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-backend/src/backend_fake_cache.ts
@@ -0,0 +1,103 @@
+/**
+ * The prefix cache of a fake engine: limited memory, least recently used chat
+ * evicted first, each change an event with a sequence number.
+ */
+import {type CacheEvent, type CacheKey} from './backend_model_engine.js';
+
+/** One chat's context. */
+export interface CacheEntry {
+  readonly key: CacheKey;
+  readonly tokens: number;
+}
+
+/** A change that has not been published yet. */
+export type CacheChange = Exclude<CacheEvent, {readonly kind: 'gap'}>;
+
+function nameOf(key: CacheKey): string {
+  return `${key.workspace}\0${key.chat}`;
+}
+
+/** Which chats' contexts are warm. */
+export class FakePrefixCache {
+  readonly #limitTokens: number;
+  /** In order of use, the least recent first. */
+  readonly #entries = new Map<string, CacheEntry>();
+  #tokens = 0;
+  #sequence = 0;
+
+  /** @param limitTokens memory of the cache */
+  constructor(limitTokens: number) {
+    this.#limitTokens = limitTokens;
+  }
+
+  /** Tokens held. */
+  get tokens(): number {
+    return this.#tokens;
+  }
+
+  /** Sequence number of the last change. */
+  get sequence(): number {
+    return this.#sequence;
+  }
+
+  /**
+   * @param key the chat
+   * @returns its warm tokens, 0 when cold; does not count as a use
+   */
+  peek(key: CacheKey): number {
+    return this.#entries.get(nameOf(key))?.tokens ?? 0;
+  }
+
+  /**
+   * @param key the chat
+   * @returns its warm tokens, 0 when cold; makes it the most recently used
+   */
+  use(key: CacheKey): number {
+    const name = nameOf(key);
+    const entry = this.#entries.get(name);
+    if (!entry) return 0;
+    this.#entries.delete(name);
+    this.#entries.set(name, entry);
+    return entry.tokens;
+  }
+
+  /**
+   * @param key the chat
+   * @param tokens its context's length
+   * @returns the changes, evictions first
+   */
+  store(key: CacheKey, tokens: number): CacheChange[] {
+    if (tokens > this.#limitTokens) return [];
+    const name = nameOf(key);
+    this.#remove(name);
+    const changes: CacheChange[] = [];
+    for (const [oldest, entry] of this.#entries) {
+      if (this.#tokens + tokens <= this.#limitTokens) break;
+      this.#remove(oldest);
+      const sequence = this.#nextSequence();
+      changes.push({kind: 'evicted', sequence, key: entry.key});
+    }
+    this.#entries.set(name, {key, tokens});
+    this.#tokens += tokens;
+    const sequence = this.#nextSequence();
+    changes.push({kind: 'stored', sequence, key, tokens});
+    return changes;
+  }
+
+  /** @returns all entries, the most recently used first */
+  list(): CacheEntry[] {
+    return [...this.#entries.values()].reverse();
+  }
+
+  #remove(name: string): void {
+    const entry = this.#entries.get(name);
+    if (!entry) return;
+    this.#entries.delete(name);
+    this.#tokens -= entry.tokens;
+  }
+
+  #nextSequence(): number {
+    this.#sequence += 1;
+    return this.#sequence;
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-backend/src/backend_fake_engine.ts
@@ -0,0 +1,332 @@
+/**
+ * A fake model engine without I/O: requests and the present time go in, what
+ * the engine does comes out. Runs in virtual time as well as behind HTTP.
+ */
+import {
+  FakeBatch,
+  type FakeBatchSettings,
+  type FakeJob,
+} from './backend_fake_batch.js';
+import {
+  type CacheChange,
+  type CacheEntry,
+  FakePrefixCache,
+} from './backend_fake_cache.js';
+import {type FakeFaults} from './backend_fake_faults.js';
+import {
+  type CacheKey,
+  type EngineOrder,
+  type EngineOrderOutcome,
+  type EngineUsage,
+  type LoadReport,
+  ORDER_ACTION,
+  type OrderAction,
+} from './backend_model_engine.js';
+
+/** A fake engine's speed, size and habits. */
+export interface FakeEngineSettings extends FakeBatchSettings {
+  /** Memory of the prefix cache, tokens. */
+  readonly cacheTokens: number;
+  /** Age of its load report. */
+  readonly loadLagMs: number;
+  /** Delay of its cache events. */
+  readonly cacheEventLagMs: number;
+  /** Refuses an order whose fencing token is below one it has seen. */
+  readonly obeysFencing: boolean;
+  readonly models: readonly string[];
+}
+
+/** Values near those of a small model on one accelerator. */
+export const DEFAULT_FAKE_ENGINE_SETTINGS: FakeEngineSettings = Object.freeze({
+  capacityTokens: 64_000,
+  maxRequests: 64,
+  prefillTokensPerSecond: 8_000,
+  decodeTokensPerSecond: 2_400,
+  stepMs: 20,
+  prefillTokensPerStep: 512,
+  cacheTokens: 200_000,
+  loadLagMs: 500,
+  cacheEventLagMs: 200,
+  obeysFencing: true,
+  models: ['small'],
+});
+
+/** What an engine does; `at` is monotonic milliseconds. */
+export type FakeEngineOutput =
+  | {
+      readonly kind: 'started';
+      readonly requestId: string;
+      readonly at: number;
+      readonly cachedTokens: number;
+    }
+  | {
+      readonly kind: 'token';
+      readonly requestId: string;
+      readonly at: number;
+      readonly index: number;
+    }
+  | {
+      readonly kind: 'finished';
+      readonly requestId: string;
+      readonly at: number;
+      readonly usage: EngineUsage;
+    };
+
+/** A cache change with the time from which it can be heard of. */
+interface PublishedChange {
+  readonly change: CacheChange;
+  readonly publishAt: number;
+}
+
+const KEPT_CACHE_CHANGES = 4_096;
+const KEPT_LOAD_MS = 5_000;
+const LOAD_REPORTS_PER_TRIM = 64;
+const NO_LOAD = {runningTokens: 0, waitingTokens: 0, runningRequests: 0};
+
+/** A model engine in virtual time. */
+export class FakeEngine {
+  readonly #settings: FakeEngineSettings;
+  #batch: FakeBatch;
+  #cache: FakePrefixCache;
+  #starts = 1;
+  #stepEndsAt: number | undefined;
+  #changes: PublishedChange[] = [];
+  #reports: LoadReport[] = [];
+  #fencingFloor = 0;
+  #models: readonly string[];
+  #role = '';
+  #faults: FakeFaults = {};
+
+  /** @param settings speed, size and habits */
+  constructor(settings: FakeEngineSettings) {
+    this.#settings = settings;
+    this.#batch = new FakeBatch(settings);
+    this.#cache = new FakePrefixCache(settings.cacheTokens);
+    this.#models = settings.models;
+  }
+
+  /** Changes with each restart. */
+  get incarnation(): string {
+    return `engine-${this.#starts}`;
+  }
+
+  /** The role it was last ordered to. */
+  get role(): string {
+    return this.#role;
+  }
+
+  /** Models loaded. */
+  get models(): readonly string[] {
+    return this.#models;
+  }
+
+  /** Tokens of the requests in the batch and waiting, at this moment. */
+  get outstandingTokens(): number {
+    return this.#batch.runningTokens + this.#batch.waitingTokens;
+  }
+
+  /** @param faults failures to make from now on */
+  setFaults(faults: FakeFaults): void {
+    this.#faults = faults;
+  }
+
+  /**
+   * @param job a request with an id that is not running
+   * @param now present time, monotonic milliseconds
+   * @returns what happens at once
+   */
+  submit(job: FakeJob, now: number): FakeEngineOutput[] {
+    this.#batch.add(job);
+    const outputs = this.#stepEndsAt === undefined ? this.#admit(now) : [];
+    this.#noteLoad(now);
+    return outputs;
+  }
+
+  /**
+   * @param requestId a request, waiting or running
+   * @param now present time, monotonic milliseconds
+   * @returns true when it was there and is gone now
+   */
+  cancel(requestId: string, now: number): boolean {
+    const removed = this.#batch.remove(requestId);
+    this.#noteLoad(now);
+    return removed;
+  }
+
+  /** @returns when the engine does something next, undefined when idle */
+  nextAt(): number | undefined {
+    return this.#stepEndsAt;
+  }
+
+  /**
+   * @param now present time, monotonic milliseconds
+   * @returns all it did up to now, in order
+   */
+  advance(now: number): FakeEngineOutput[] {
+    const outputs: FakeEngineOutput[] = [];
+    while (this.#stepEndsAt !== undefined && this.#stepEndsAt <= now) {
+      const at = this.#stepEndsAt;
+      this.#finishStep(at, outputs);
+      outputs.push(...this.#admit(at));
+      this.#noteLoad(at);
+    }
+    return outputs;
+  }
+
+  /**
+   * @param after sequence number heard last
+   * @param now present time, monotonic milliseconds
+   * @returns later changes that can be heard of by now, without the lost ones
+   */
+  cacheChangesAfter(after: number, now: number): CacheChange[] {
+    const every = this.#faults.dropCacheEventEvery ?? 0;
+    const extra = this.#faults.cacheEventLagMs ?? 0;
+    return this.#changes
+      .filter(({change, publishAt}) => {
+        if (change.sequence <= after || publishAt + extra > now) return false;
+        return every === 0 || change.sequence % every !== 0;
+      })
+      .map(({change}) => change);
+  }
+
+  /**
+   * @param now present time, monotonic milliseconds
+   * @returns a report as old as the engine's lag makes it
+   */
+  loadReport(now: number): LoadReport {
+    const lag = Math.max(this.#settings.loadLagMs, this.#faults.loadLagMs ?? 0);
+    const old = this.#reports.findLast(item => item.measuredAt <= now - lag);
+    return old ?? {...this.#makeReport(now - lag), ...NO_LOAD};
+  }
+
+  /** @returns cached chats, the most recently used first */
+  listCache(): CacheEntry[] {
+    return this.#cache.list();
+  }
+
+  /**
+   * @param key a chat
+   * @returns tokens of its context that are warm at this moment
+   */
+  cachedTokens(key: CacheKey): number {
+    return this.#cache.peek(key);
+  }
+
+  /**
+   * @param key a chat whose context comes from another engine
+   * @param tokens its length
+   * @param now present time, monotonic milliseconds
+   * @returns false when it doesn't fit
+   */
+  importCache(key: CacheKey, tokens: number, now: number): boolean {
+    if (tokens > this.#settings.cacheTokens) return false;
+    if (tokens > this.#cache.peek(key)) this.#store(key, tokens, now);
+    return true;
+  }
+
+  /**
+   * @param order an order
+   * @returns what became of it
+   */
+  order(order: EngineOrder): EngineOrderOutcome {
+    const checks = this.#settings.obeysFencing && !this.#faults.ignoreFencing;
+    if (checks && order.fencingToken < this.#fencingFloor) {
+      const message = `the floor is ${this.#fencingFloor}`;
+      return {outcome: 'fenced', message};
+    }
+    this.#fencingFloor = Math.max(this.#fencingFloor, order.fencingToken);
+    const message = this.#orderHandlers[order.action](order.arguments);
+    return {outcome: message === '' ? 'done' : 'failed', message};
+  }
+
+  /**
+   * Loses all requests, the cache, the models loaded by order and what it knew
+   * of fencing tokens.
+   */
+  restart(): void {
+    this.#starts += 1;
+    this.#batch = new FakeBatch(this.#settings);
+    this.#cache = new FakePrefixCache(this.#settings.cacheTokens);
+    this.#models = this.#settings.models;
+    this.#fencingFloor = 0;
+    this.#stepEndsAt = undefined;
+    this.#changes = [];
+    this.#reports = [];
+  }
+
+  readonly #orderHandlers: Readonly<
+    Record<OrderAction, (args: EngineOrder['arguments']) => string>
+  > = {
+    [ORDER_ACTION.LOAD_MODEL]: args => {
+      const model = args['model'];
+      if (!model) return 'no model is named';
+      this.#models = [...new Set([...this.#models, model])];
+      return '';
+    },
+    [ORDER_ACTION.UNLOAD_MODEL]: args => {
+      const model = args['model'] ?? '';
+      if (!this.#models.includes(model)) return 'the model is not loaded';
+      this.#models = this.#models.filter(other => other !== model);
+      return '';
+    },
+    [ORDER_ACTION.CHANGE_ROLE]: args => {
+      this.#role = args['role'] ?? '';
+      return this.#role === '' ? 'no role is named' : '';
+    },
+  };
+
+  #admit(now: number): FakeEngineOutput[] {
+    const taken = this.#batch.admit(job => this.#cache.use(job));
+    const duration = this.#batch.stepDuration();
+    this.#stepEndsAt = duration === undefined ? undefined : now + duration;
+    return taken.map(({job, cachedTokens}) => ({
+      kind: 'started',
+      requestId: job.requestId,
+      at: now,
+      cachedTokens,
+    }));
+  }
+
+  #finishStep(at: number, outputs: FakeEngineOutput[]): void {
+    for (const {run, finished} of this.#batch.step()) {
+      const {job, cachedTokens, answered} = run;
+      const {requestId, promptTokens, answerTokens} = job;
+      outputs.push({kind: 'token', requestId, at, index: answered - 1});
+      if (!finished) continue;
+      this.#store(job, promptTokens + answerTokens, at);
+      const usage = {promptTokens, cachedTokens, answerTokens};
+      outputs.push({kind: 'finished', requestId, at, usage});
+    }
+  }
+
+  #store(key: CacheKey, tokens: number, now: number): void {
+    const {workspace, chat} = key;
+    const publishAt = now + this.#settings.cacheEventLagMs;
+    const changes = this.#cache.store({workspace, chat}, tokens);
+    for (const change of changes) this.#changes.push({change, publishAt});
+    const surplus = this.#changes.length - KEPT_CACHE_CHANGES;
+    if (surplus > 0) this.#changes.splice(0, surplus);
+  }
+
+  #noteLoad(now: number): void {
+    this.#reports.push(this.#makeReport(now));
+    const lag = Math.max(this.#settings.loadLagMs, this.#faults.loadLagMs ?? 0);
+    const oldest = now - Math.max(lag, KEPT_LOAD_MS);
+    if (this.#reports.length < 2 * LOAD_REPORTS_PER_TRIM) return;
+    const kept = this.#reports.findLastIndex(item => item.measuredAt <= oldest);
+    if (kept > 0) this.#reports.splice(0, kept);
+  }
+
+  #makeReport(measuredAt: number): LoadReport {
+    return {
+      incarnation: this.incarnation,
+      runningTokens: this.#batch.runningTokens,
+      waitingTokens: this.#batch.waitingTokens,
+      runningRequests: this.#batch.runningRequests,
+      capacityTokens: this.#settings.capacityTokens,
+      cachedTokens: this.#cache.tokens,
+      measuredAt,
+      models: this.#models,
+    };
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-backend/src/backend_fake_engine_host.ts
@@ -0,0 +1,203 @@
+/**
+ * Runs a fake engine on the real clock: its answers' streams and timers.
+ */
+import {type ServerResponse} from 'node:http';
+import {type Clock} from '@lovagepond/core';
+import {type FakeJob} from './backend_fake_batch.js';
+import {type FakeEngine, type FakeEngineOutput} from './backend_fake_engine.js';
+import {type FakeFaults} from './backend_fake_faults.js';
+import {sendJson} from './backend_fake_http.js';
+import {FakeStream} from './backend_fake_stream.js';
+
+/** What the fake was asked to do, for tests and the dump. */
+export interface FakeEngineCounters {
+  readonly requests: number;
+  readonly resumes: number;
+  readonly cancels: number;
+  readonly finished: number;
+  readonly orders: number;
+}
+
+/** What the host needs of its server. */
+export interface FakeEngineHostParts {
+  readonly engine: FakeEngine;
+  readonly clock: Clock;
+  /** How long an answer is kept for a caller that lost its connection. */
+  readonly resumeWindowMs: number;
+  /** Cuts all connections, as the end of the process would. */
+  readonly cutConnections: () => void;
+}
+
+/** Answers requests with a {@link FakeEngine}'s output as it comes. */
+export class FakeEngineHost {
+  readonly #parts: FakeEngineHostParts;
+  readonly #engine: FakeEngine;
+  readonly #streams = new Map<string, FakeStream>();
+  readonly #timers = new Set<NodeJS.Timeout>();
+  readonly #counters = {
+    requests: 0,
+    resumes: 0,
+    cancels: 0,
+    finished: 0,
+    orders: 0,
+  };
+  #faults: FakeFaults = {};
+  #faultyRequests = 0;
+  #stepTimer: NodeJS.Timeout | undefined;
+
+  /** @param parts the engine and what is around it */
+  constructor(parts: FakeEngineHostParts) {
+    this.#parts = parts;
+    this.#engine = parts.engine;
+  }
+
+  /** What it was asked to do. */
+  get counters(): FakeEngineCounters {
+    return {...this.#counters};
+  }
+
+  /** Answers held. */
+  get streams(): number {
+    return this.#streams.size;
+  }
+
+  /** @param faults failures to make from now on, in place of the former ones */
+  setFaults(faults: FakeFaults): void {
+    this.#faults = faults;
+    this.#faultyRequests = faults.requests ?? Infinity;
+    this.#engine.setFaults(faults);
+  }
+
+  /** Ends and starts the engine: connections, streams and cache are lost. */
+  restart(): void {
+    this.#engine.restart();
+    this.#streams.clear();
+    this.#parts.cutConnections();
+    clearTimeout(this.#stepTimer);
+  }
+
+  /** Ends all timers. */
+  stop(): void {
+    clearTimeout(this.#stepTimer);
+    for (const timer of this.#timers) clearTimeout(timer);
+  }
+
+  /** Sends a heartbeat on each open answer. */
+  beat(): void {
+    for (const stream of this.#streams.values()) stream.heartbeat();
+  }
+
+  /** Counts an order. */
+  countOrder(): void {
+    this.#counters.orders += 1;
+  }
+
+  /**
+   * Runs a request, or goes on with one that is already known by its id.
+   *
+   * @param job the request
+   * @param offset bytes of its answer that were already delivered
+   * @param res where the answer goes
+   */
+  complete(job: FakeJob, offset: number, res: ServerResponse): void {
+    const known = this.#streams.get(job.requestId);
+    if (known) {
+      this.#counters.resumes += 1;
+      if (!known.attach(res, offset)) refuseResume(res);
+      else this.#cancelWhenLeft(res, known);
+    } else if (offset > 0) {
+      refuseResume(res);
+    } else if (this.#faults.refuse) {
+      sendJson(res, 503, {error: {message: 'full'}});
+    } else {
+      this.#submit(job, res);
+    }
+  }
+
+  /**
+   * @param requestId a request
+   * @returns true when it was known
+   */
+  cancel(requestId: string): boolean {
+    this.#counters.cancels += 1;
+    const stream = this.#streams.get(requestId);
+    if (stream && !this.#faults.answerDelayMs) {
+      stream.cut();
+      this.#streams.delete(requestId);
+      this.#engine.cancel(requestId, this.#parts.clock.now());
+    }
+    return stream !== undefined;
+  }
+
+  #submit(job: FakeJob, res: ServerResponse): void {
+    this.#counters.requests += 1;
+    const faulty = this.#faultyRequests > 0;
+    if (faulty) this.#faultyRequests -= 1;
+    const stream = new FakeStream(job, faulty ? this.#faults : {});
+    this.#streams.set(job.requestId, stream);
+    stream.attach(res, 0);
+    this.#cancelWhenLeft(res, stream);
+    this.#act(this.#engine.submit(job, this.#parts.clock.now()));
+  }
+
+  #cancelWhenLeft(res: ServerResponse, stream: FakeStream): void {
+    res.on('close', () => {
+      this.#later(this.#parts.resumeWindowMs, () => {
+        if (stream.attached) return;
+        const {requestId} = stream.job;
+        this.#engine.cancel(requestId, this.#parts.clock.now());
+        if (this.#streams.get(requestId) !== stream) return;
+        this.#streams.delete(requestId);
+      });
+    });
+  }
+
+  #later(delayMs: number, action: () => void): void {
+    const timer = setTimeout(() => {
+      this.#timers.delete(timer);
+      action();
+    }, delayMs);
+    this.#timers.add(timer);
+  }
+
+  #act(outputs: readonly FakeEngineOutput[]): void {
+    const delayMs = this.#faults.answerDelayMs ?? 0;
+    for (const output of outputs) {
+      const stream = this.#streams.get(output.requestId);
+      if (!stream) continue;
+      if (delayMs === 0) this.#deliver(output, stream);
+      else {
+        this.#later(delayMs, () => {
+          this.#deliver(output, stream);
+        });
+      }
+    }
+    this.#schedule();
+  }
+
+  #deliver(output: FakeEngineOutput, stream: FakeStream): void {
+    if (output.kind === 'started') stream.start(output.cachedTokens);
+    if (output.kind === 'token') {
+      stream.addToken(output.index);
+      if (output.index + 1 === this.#faults.dieAfterTokens) this.restart();
+    }
+    if (output.kind === 'finished') {
+      this.#counters.finished += 1;
+      stream.finish(output.usage);
+    }
+  }
+
+  #schedule(): void {
+    clearTimeout(this.#stepTimer);
+    const at = this.#engine.nextAt();
+    if (at === undefined) return;
+    const delay = Math.max(0, at - this.#parts.clock.now());
+    this.#stepTimer = setTimeout(() => {
+      this.#act(this.#engine.advance(this.#parts.clock.now()));
+    }, delay);
+  }
+}
+
+function refuseResume(res: ServerResponse): void {
+  sendJson(res, 409, {error: {message: 'the answer is not held'}});
+}
--- /dev/null
+++ b/packages/lovagepond-backend/src/backend_fake_http.ts
@@ -0,0 +1,136 @@
+/**
+ * Small HTTP helpers that the fakes share.
+ */
+import {
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import {type AddressInfo, type Socket} from 'node:net';
+import {App} from '@tinyhttp/app';
+
+/** A body larger than this ends a fake's connection. */
+const MAX_BODY_BYTES = 256 * 1024 * 1024;
+
+/** @returns routes that answer what none of them matches with 404 */
+export function makeFakeRoutes(): App {
+  return new App({
+    settings: {xPoweredBy: false},
+    applyExtensions: (_req, _res, next) => {
+      next();
+    },
+    noMatchHandler: (_req, res) => {
+      sendJson(res, 404, {error: {message: 'not found'}});
+    },
+    onError: (_err, _req, res) => {
+      if (res.headersSent) res.destroy();
+      else sendJson(res, 500, {error: {message: 'internal'}});
+    },
+  });
+}
+
+/**
+ * @param req a request
+ * @returns its whole body; rejects when it breaks off
+ */
+export async function readAll(req: IncomingMessage): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  let length = 0;
+  for await (const chunk of req) {
+    chunks.push(chunk as Buffer);
+    length += (chunk as Buffer).length;
+    if (length > MAX_BODY_BYTES) req.destroy();
+  }
+  return Buffer.concat(chunks, length);
+}
+
+/**
+ * @param bytes a body
+ * @returns its JSON, undefined when it is none
+ */
+export function parseJsonBody(bytes: Uint8Array): unknown {
+  try {
+    return JSON.parse(Buffer.from(bytes).toString('utf8'));
+  } catch {
+    return undefined;
+  }
+}
+
+/**
+ * @param res where to answer
+ * @param status HTTP status
+ * @param content what to write as JSON
+ */
+export function sendJson(
+  res: ServerResponse,
+  status: number,
+  content: unknown,
+): void {
+  if (res.destroyed) return;
+  const body = Buffer.from(JSON.stringify(content));
+  const length = String(body.length);
+  res.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': length,
+  });
+  res.end(body);
+}
+
+/** A server that can be silenced. */
+export class FakeListener {
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+
+  /** @param server a node server, not yet listening */
+  constructor(server: Server) {
+    this.#server = server;
+    server.on('connection', socket => {
+      this.#sockets.add(socket);
+      socket.on('error', () => {});
+      socket.on('close', () => this.#sockets.delete(socket));
+    });
+  }
+
+  /** The port in use. */
+  get port(): number {
+    return (this.#server.address() as AddressInfo | null)?.port ?? 0;
+  }
+
+  /**
+   * @param port 0 takes a free one
+   * @param host address to bind
+   */
+  listen(port: number, host: string): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(port, host, resolve);
+    });
+  }
+
+  /**
+   * Makes all open connections silent for good: nothing is read from them or
+   * written to them, and none is closed. New ones work.
+   */
+  silence(): void {
+    for (const socket of this.#sockets) {
+      socket.pause();
+      socket.cork();
+    }
+  }
+
+  /** Cuts all open connections. */
+  cutAll(): void {
+    for (const socket of this.#sockets) socket.destroy();
+  }
+
+  /** Closes the port and cuts all connections. */
+  close(): Promise<void> {
+    const closed = new Promise<void>(resolve => {
+      this.#server.close(() => {
+        resolve();
+      });
+    });
+    this.cutAll();
+    return closed;
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-backend/src/backend_fake_service.ts
@@ -0,0 +1,193 @@
+/**
+ * A fake plain service behind HTTP that counts how often each call has run.
+ */
+import {createServer, type ServerResponse} from 'node:http';
+import {type App, type Request, type Response} from '@tinyhttp/app';
+import {type Role, type StateDump} from '@lovagepond/core';
+import {z} from 'zod';
+import {FAKE_PATH} from './backend_fake_faults.js';
+import {
+  FakeListener,
+  makeFakeRoutes,
+  parseJsonBody,
+  readAll,
+  sendJson,
+} from './backend_fake_http.js';
+
+/** Schema of a fake service's faults, as a scenario sends them over HTTP. */
+export const fakeServiceFaultsSchema = z.strictObject({
+  /**
+   * Where a call goes wrong: the connection is cut before or after the run,
+   * the answer never comes, breaks off midway, or is another call's.
+   */
+  mode: z
+    .enum(['cutBeforeRun', 'cutAfterRun', 'stall', 'truncate', 'cross'])
+    .optional(),
+  answerDelayMs: z.number().int().min(0).optional(),
+  /** How many calls the mode hits; all when left out. */
+  requests: z.number().int().min(0).optional(),
+});
+
+/** A fake service's faults; those left out don't occur. */
+export type FakeServiceFaults = Readonly<
+  z.infer<typeof fakeServiceFaultsSchema>
+>;
+
+/** Where the fake listens. */
+export interface FakeServiceSettings {
+  readonly host: string;
+  /** 0 takes a free port. */
+  readonly port: number;
+}
+
+/** What the service answers a call with. */
+export interface FakeServiceAnswer {
+  readonly requestId: string;
+  readonly path: string;
+  /** How often this call's key, or id without a key, has run by now. */
+  readonly runs: number;
+}
+
+type FaultMode = NonNullable<FakeServiceFaults['mode']>;
+
+interface FakeCall {
+  readonly res: ServerResponse;
+  readonly run: () => FakeServiceAnswer;
+}
+
+const CROSSED_ID = 'another-request';
+
+function sendAnswer(res: ServerResponse, answer: FakeServiceAnswer): void {
+  res.setHeader('x-request-id', answer.requestId);
+  sendJson(res, 200, answer);
+}
+
+const FAULT_HANDLERS: Readonly<Record<FaultMode, (call: FakeCall) => void>> = {
+  cutBeforeRun: ({res}) => {
+    res.destroy();
+  },
+  cutAfterRun: ({res, run}) => {
+    run();
+    res.destroy();
+  },
+  stall: ({run}) => {
+    run();
+  },
+  truncate: ({res, run}) => {
+    const body = JSON.stringify(run());
+    res.writeHead(200, {'content-length': String(body.length)});
+    res.write(body.slice(0, body.length / 2), () => res.destroy());
+  },
+  cross: ({res, run}) => {
+    sendAnswer(res, {...run(), requestId: CROSSED_ID});
+  },
+};
+
+/** Serves calls and counts their runs. */
+export class FakeServiceServer implements Role {
+  readonly #settings: FakeServiceSettings;
+  readonly #listener: FakeListener;
+  readonly #runs = new Map<string, number>();
+  readonly #timers = new Set<NodeJS.Timeout>();
+  #faults: FakeServiceFaults = {};
+  #faultyCalls = 0;
+  #ready = false;
+
+  /** @param settings address to listen on */
+  constructor(settings: FakeServiceSettings) {
+    this.#settings = settings;
+    const app = this.#makeRoutes();
+    const server = createServer((req, res) => {
+      app.handler(req as Request, res as Response);
+    });
+    this.#listener = new FakeListener(server);
+  }
+
+  /** `host:port` in use. */
+  get address(): string {
+    return `${this.#settings.host}:${this.#listener.port}`;
+  }
+
+  /** Runs of each idempotency key, or request id without a key. */
+  get runs(): ReadonlyMap<string, number> {
+    return this.#runs;
+  }
+
+  async start(): Promise<void> {
+    await this.#listener.listen(this.#settings.port, this.#settings.host);
+    this.#ready = true;
+  }
+
+  isReady(): boolean {
+    return this.#ready;
+  }
+
+  drain(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  async stop(): Promise<void> {
+    this.#ready = false;
+    for (const timer of this.#timers) clearTimeout(timer);
+    await this.#listener.close();
+  }
+
+  dump(): StateDump {
+    const runs = Object.fromEntries(this.#runs);
+    return {version: 1, role: 'fake-service', state: {runs}};
+  }
+
+  /** @param faults failures to make from now on, in place of the former ones */
+  setFaults(faults: FakeServiceFaults): void {
+    this.#faults = faults;
+    this.#faultyCalls = faults.requests ?? Infinity;
+  }
+
+  /** Makes all open connections silent; new ones work. */
+  silence(): void {
+    this.#listener.silence();
+  }
+
+  #makeRoutes(): App {
+    const app = makeFakeRoutes();
+    app.post(FAKE_PATH.FAULTS, async (req, res) => {
+      const body = parseJsonBody(await readAll(req));
+      const parsed = fakeServiceFaultsSchema.safeParse(body);
+      if (parsed.success) this.setFaults(parsed.data);
+      sendJson(res, parsed.success ? 200 : 400, {ok: parsed.success});
+    });
+    app.post(FAKE_PATH.SILENCE, (_req, res) => {
+      sendJson(res, 200, {ok: true});
+      res.on('finish', () => {
+        this.silence();
+      });
+    });
+    app.get(FAKE_PATH.STATE, (_req, res) => {
+      sendJson(res, 200, this.dump());
+    });
+    app.post('/*', (req, res) => this.#call(req, res));
+    return app;
+  }
+
+  async #call(req: Request, res: Response): Promise<void> {
+    await readAll(req);
+    const {mode, answerDelayMs = 0} = this.#faults;
+    const faulty = mode !== undefined && this.#faultyCalls > 0;
+    if (faulty) this.#faultyCalls -= 1;
+    const run = (): FakeServiceAnswer => this.#run(req);
+    const timer = setTimeout(() => {
+      this.#timers.delete(timer);
+      if (faulty) FAULT_HANDLERS[mode]({res, run});
+      else sendAnswer(res, run());
+    }, answerDelayMs);
+    this.#timers.add(timer);
+  }
+
+  #run(req: Request): FakeServiceAnswer {
+    const requestId = String(req.headers['x-request-id'] ?? '');
+    const key = String(req.headers['idempotency-key'] ?? requestId);
+    const runs = (this.#runs.get(key) ?? 0) + 1;
+    this.#runs.set(key, runs);
+    return {requestId, path: req.originalUrl, runs};
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-backend/src/backend_http_engine.ts
@@ -0,0 +1,251 @@
+/**
+ * A model engine over HTTP/1.1 with server-sent events.
+ */
+import {
+  type ErrorKind,
+  type Failure,
+  makeFailure,
+  type Random,
+  type Result,
+  type Unregister,
+} from '@lovagepond/core';
+import {type z} from 'zod';
+import {CacheSubscription} from './backend_cache_subscription.js';
+import {
+  ENGINE_HEADER,
+  ENGINE_PATH,
+  loadSchema,
+  orderOutcomeSchema,
+} from './backend_engine_protocol.js';
+import {
+  HttpBackendClient,
+  type HttpClientSettings,
+  type WholeOutcome,
+} from './backend_http_client.js';
+import {type ExchangeRequest, LOSS} from './backend_http_exchange.js';
+import {HttpEngineRun} from './backend_http_run.js';
+import {
+  type CacheEvent,
+  type CacheKey,
+  type EngineEvent,
+  type EngineOrder,
+  type EngineOrderOutcome,
+  type EngineRequest,
+  type ExportedCache,
+  type LoadReport,
+  type ModelEngine,
+} from './backend_model_engine.js';
+
+/** Bounds of the connections to one engine. */
+export interface HttpEngineSettings extends HttpClientSettings {
+  /** Largest KV cache of one chat that is moved. */
+  readonly maxCacheBytes: number;
+}
+
+/** Default of the engine's own settings. */
+export const DEFAULT_MAX_CACHE_BYTES = 64 * 1024 * 1024;
+
+const HTTP_OK = 200;
+const HTTP_NOT_FOUND = 404;
+const TRANSFER_CONNECTIONS = 4;
+
+type Answer = Extract<WholeOutcome, {kind: 'answered'}>;
+
+function refuse(
+  kind: ErrorKind,
+  message?: string,
+): {
+  readonly ok: false;
+  readonly failure: Failure;
+} {
+  const details = message === undefined ? {} : {message};
+  return {ok: false, failure: makeFailure(kind, details)};
+}
+
+function expectOk(outcome: WholeOutcome): Result<Answer> {
+  if (outcome.kind === 'tooLarge') {
+    return refuse('backendFailed', 'The answer is larger than allowed.');
+  }
+  if (outcome.kind === 'lost') {
+    if (!outcome.dispatched) return refuse('unreachable');
+    const silent = outcome.loss === LOSS.SILENT;
+    return refuse(silent ? 'backendSilent' : 'backendFailed');
+  }
+  if (outcome.status === HTTP_OK) return {ok: true, value: outcome};
+  if (outcome.status === HTTP_NOT_FOUND) return refuse('notFound');
+  return refuse('backendFailed', `The engine answered ${outcome.status}.`);
+}
+
+function readJson<Value>(
+  outcome: WholeOutcome,
+  schema: z.ZodType<Value>,
+): Result<Value> {
+  const answer = expectOk(outcome);
+  if (!answer.ok) return answer;
+  try {
+    const parsed = schema.safeParse(JSON.parse(answer.value.body.toString()));
+    if (parsed.success) return {ok: true, value: parsed.data};
+  } catch {
+    // Falls through to the failure below.
+  }
+  return refuse('backendFailed', 'The engine sent JSON of another shape.');
+}
+
+function cachePath(key: CacheKey): string {
+  const query = new URLSearchParams({workspace: key.workspace, chat: key.chat});
+  return `${ENGINE_PATH.CACHE}?${query.toString()}`;
+}
+
+/** Speaks the protocol of docs/PROTOCOLS.md with one engine. */
+export class HttpModelEngine implements ModelEngine {
+  readonly #client: HttpBackendClient;
+  /** Apart, so that moving caches takes no connection from requests. */
+  readonly #transfers: HttpBackendClient;
+  readonly #random: Random;
+  readonly #runs = new Map<string, HttpEngineRun>();
+  readonly #subscriptions = new Map<CacheSubscription, Unregister>();
+
+  /**
+   * @param settings the engine's origin and the bounds
+   * @param random spreads reconnects
+   */
+  constructor(settings: HttpEngineSettings, random: Random) {
+    this.#client = new HttpBackendClient(settings);
+    this.#transfers = new HttpBackendClient({
+      ...settings,
+      maxConnections: TRANSFER_CONNECTIONS,
+      maxWholeBytes: settings.maxCacheBytes,
+    });
+    this.#random = random;
+  }
+
+  async *run(
+    request: EngineRequest,
+    now: number,
+  ): AsyncGenerator<EngineEvent, void> {
+    const left = request.deadline - now;
+    if (left <= 0) {
+      yield {kind: 'failed', failure: makeFailure('deadlineUnreachable')};
+      return;
+    }
+    const run = new HttpEngineRun(this.#client, request);
+    this.#runs.set(request.requestId, run);
+    const timer = setTimeout(() => {
+      run.abort('deadlineExceeded');
+    }, left);
+    try {
+      yield* run.events();
+    } finally {
+      clearTimeout(timer);
+      if (this.#runs.get(request.requestId) === run) {
+        this.#runs.delete(request.requestId);
+      }
+      if (run.givenUp) this.#tellCancel(request.requestId);
+    }
+  }
+
+  cancel(requestId: string): void {
+    this.#runs.get(requestId)?.abort('callerGone');
+  }
+
+  async exportCache(key: CacheKey): Promise<Result<ExportedCache>> {
+    const outcome = await this.#transfers.sendRepeatable(
+      this.#request('GET', cachePath(key)),
+    );
+    const answer = expectOk(outcome);
+    if (!answer.ok) return answer;
+    const {headers, body} = answer.value;
+    const tokens = Number(headers[ENGINE_HEADER.CACHE_TOKENS]);
+    if (Number.isSafeInteger(tokens) && tokens > 0) {
+      return {ok: true, value: {tokens, bytes: body}};
+    }
+    return refuse('backendFailed', 'The engine told no length of the context.');
+  }
+
+  async importCache(
+    key: CacheKey,
+    cache: ExportedCache,
+  ): Promise<Result<boolean>> {
+    const outcome = await this.#transfers.sendRepeatable({
+      ...this.#request('PUT', cachePath(key)),
+      headers: {
+        'content-type': 'application/octet-stream',
+        [ENGINE_HEADER.CACHE_TOKENS]: String(cache.tokens),
+      },
+      body: cache.bytes,
+    });
+    const answer = expectOk(outcome);
+    return answer.ok ? {ok: true, value: true} : answer;
+  }
+
+  subscribeCache(listener: (event: CacheEvent) => void): Unregister {
+    const subscription = new CacheSubscription(
+      this.#client,
+      this.#random,
+      listener,
+    );
+    const end = subscription.start();
+    this.#subscriptions.set(subscription, end);
+    return () => {
+      this.#subscriptions.delete(subscription);
+      end();
+    };
+  }
+
+  async loadReport(now: number): Promise<Result<LoadReport>> {
+    const outcome = await this.#client.sendRepeatable(
+      this.#request('GET', ENGINE_PATH.LOAD),
+    );
+    const parsed = readJson(outcome, loadSchema);
+    if (!parsed.ok) return parsed;
+    const load = parsed.value;
+    for (const subscription of this.#subscriptions.keys()) {
+      subscription.noteIncarnation(load.incarnation);
+    }
+    return {
+      ok: true,
+      value: {
+        incarnation: load.incarnation,
+        runningTokens: load.running_tokens,
+        waitingTokens: load.waiting_tokens,
+        runningRequests: load.running_requests,
+        capacityTokens: load.capacity_tokens,
+        cachedTokens: load.cached_tokens,
+        measuredAt: now - load.age_ms,
+        models: load.models,
+      },
+    };
+  }
+
+  async order(order: EngineOrder): Promise<Result<EngineOrderOutcome>> {
+    const body = {
+      order_id: order.orderId,
+      fencing_token: order.fencingToken,
+      action: order.action,
+      arguments: order.arguments,
+    };
+    const outcome = await this.#client.sendRepeatable({
+      ...this.#request('POST', ENGINE_PATH.ORDERS),
+      headers: {'content-type': 'application/json'},
+      body: Buffer.from(JSON.stringify(body)),
+    });
+    return readJson(outcome, orderOutcomeSchema);
+  }
+
+  async close(): Promise<void> {
+    for (const run of this.#runs.values()) run.abort('callerGone');
+    for (const end of this.#subscriptions.values()) end();
+    this.#subscriptions.clear();
+    await Promise.all([this.#client.close(), this.#transfers.close()]);
+  }
+
+  #request(method: ExchangeRequest['method'], path: string): ExchangeRequest {
+    const {silenceMs} = this.#client.settings;
+    return {method, path, headers: {}, silenceMs};
+  }
+
+  #tellCancel(requestId: string): void {
+    const path = ENGINE_PATH.REQUESTS + encodeURIComponent(requestId);
+    void this.#client.sendRepeatable(this.#request('DELETE', path));
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-backend/src/backend_http_run.ts
@@ -0,0 +1,254 @@
+/**
+ * One run of a request at a model engine over HTTP.
+ */
+import {type ErrorKind, type Failure, makeFailure} from '@lovagepond/core';
+import {AnswerAssembly, askToStream} from './backend_answer_assembly.js';
+import {AnswerCheck} from './backend_answer_check.js';
+import {ENGINE_HEADER} from './backend_engine_protocol.js';
+import {EventParser} from './backend_event_parser.js';
+import {type HttpBackendClient} from './backend_http_client.js';
+import {type HttpExchange, type Loss, LOSS} from './backend_http_exchange.js';
+import {type EngineEvent, type EngineRequest} from './backend_model_engine.js';
+
+const MAX_EVENT_BYTES = 256 * 1024;
+const MAX_WHOLE_BYTES = 4 * 1024 * 1024;
+const MAX_ERROR_BYTES = 512;
+const WHOLE_CHUNK_BYTES = 64 * 1024;
+const HTTP_OK = 200;
+
+/** Kinds for a loss after the request was dispatched: it may have run. */
+const LOSS_KINDS: Readonly<Record<Loss | 'truncated', ErrorKind>> = {
+  [LOSS.UNREACHABLE]: 'backendFailed',
+  [LOSS.SILENT]: 'backendSilent',
+  [LOSS.BROKEN]: 'backendFailed',
+  [LOSS.ABORTED]: 'callerGone',
+  truncated: 'answerTruncated',
+};
+
+/** Kinds for a run that was ended before its dispatch: it was not run. */
+const NOT_DISPATCHED: Readonly<Record<string, ErrorKind>> = {
+  callerGone: 'revoked',
+  deadlineExceeded: 'deadlineUnreachable',
+};
+
+/** Statuses by which an engine refuses a request before it runs it. */
+const REFUSALS: Readonly<Record<number, ErrorKind>> = {
+  400: 'badRequest',
+  404: 'notFound',
+  413: 'payloadTooLarge',
+  422: 'badRequest',
+  429: 'overloaded',
+  503: 'overloaded',
+};
+
+/** How one connection's part of the run ended. */
+type PartEnd =
+  | {readonly kind: 'whole'}
+  | {readonly kind: 'failed'; readonly failure: Failure}
+  | {readonly kind: 'lost'; readonly loss: Loss | 'truncated'};
+
+/** Runs one request; cancelled by its engine. */
+export class HttpEngineRun {
+  readonly #client: HttpBackendClient;
+  readonly #request: EngineRequest;
+  readonly #check: AnswerCheck;
+  readonly #parser = new EventParser(MAX_EVENT_BYTES);
+  readonly #assembly: AnswerAssembly | undefined;
+  #exchange: HttpExchange | undefined;
+  #ending: ErrorKind | undefined;
+  /** Bytes of the engine's events taken so far. */
+  #received: number;
+  /** Bytes of the answer yielded so far. */
+  #offset: number;
+  #dispatched = false;
+  #started = false;
+  #concluded = false;
+
+  /**
+   * @param client connections to the engine
+   * @param request what to run
+   */
+  constructor(client: HttpBackendClient, request: EngineRequest) {
+    this.#client = client;
+    this.#request = request;
+    this.#check = new AnswerCheck(request.requestId);
+    this.#assembly = request.stream ? undefined : new AnswerAssembly();
+    this.#offset = request.stream ? request.resumeFrom : 0;
+    this.#received = this.#offset;
+  }
+
+  /** True when the engine may still work on a run that nobody wants. */
+  get givenUp(): boolean {
+    const unwanted = this.#ending !== undefined || !this.#concluded;
+    return this.#dispatched && unwanted;
+  }
+
+  /** @param kind what the run fails with when it has been dispatched */
+  abort(kind: ErrorKind): void {
+    this.#ending ??= kind;
+    this.#exchange?.abort();
+  }
+
+  /** @returns the run's events */
+  async *events(): AsyncGenerator<EngineEvent, void> {
+    const body = this.#assembly
+      ? askToStream(this.#request.body)
+      : this.#request.body;
+    if (!body) {
+      yield this.#failure('badRequest');
+      return;
+    }
+    let end = yield* this.#part(body, false);
+    // The connection may be at fault and not the engine: a device in between
+    // that has forgotten it leaves it silent for good. A fresh one goes on
+    // from the delivered offset. The engine knows the request by its id and
+    // refuses what it can't continue, so two generations are never spliced.
+    if (end.kind === 'lost' && this.#mayGoOn()) {
+      this.#parser.reset();
+      const second = yield* this.#part(body, true);
+      if (second.kind !== 'lost') end = second;
+    }
+    this.#concluded = true;
+    yield* this.#conclude(end);
+  }
+
+  #mayGoOn(): boolean {
+    return this.#dispatched && this.#ending === undefined;
+  }
+
+  *#conclude(end: PartEnd): Generator<EngineEvent, void> {
+    if (end.kind === 'whole') {
+      if (this.#assembly) yield* this.#dataOf(this.#assembly.encode());
+      const {usage} = this.#check;
+      yield {kind: 'end', totalBytes: this.#offset, usage};
+    } else if (end.kind === 'failed') {
+      yield {kind: 'failed', failure: end.failure};
+    } else if (!this.#dispatched) {
+      yield this.#failure(NOT_DISPATCHED[this.#ending ?? ''] ?? 'unreachable');
+    } else {
+      yield this.#failure(this.#ending ?? LOSS_KINDS[end.loss]);
+    }
+  }
+
+  async *#part(
+    body: Uint8Array,
+    fresh: boolean,
+  ): AsyncGenerator<EngineEvent, PartEnd> {
+    if (this.#ending) return {kind: 'lost', loss: LOSS.ABORTED};
+    const former = this.#dispatched;
+    const exchange = this.#send(body, fresh);
+    let status = 0;
+    const refusal: Buffer[] = [];
+    for await (const event of exchange.events()) {
+      if (event.kind === 'dispatched' && !former) {
+        this.#dispatched = true;
+        yield {kind: 'dispatched'};
+      } else if (event.kind === 'head') {
+        status = event.status;
+      } else if (event.kind === 'lost') {
+        return {kind: 'lost', loss: event.loss};
+      } else if (event.kind === 'chunk' && status !== HTTP_OK) {
+        if (refusal.length === 0) refusal.push(event.bytes);
+      } else if (event.kind === 'chunk') {
+        const end = yield* this.#take(event.bytes);
+        if (end?.kind === 'whole') exchange.detach();
+        if (end) return end;
+      }
+    }
+    if (status === HTTP_OK) return {kind: 'lost', loss: 'truncated'};
+    return this.#refused(status, Buffer.concat(refusal), former);
+  }
+
+  #send(body: Uint8Array, fresh: boolean): HttpExchange {
+    const request = this.#request;
+    const exchange = this.#client.send(
+      {
+        method: 'POST',
+        path: request.path,
+        headers: {
+          'content-type': request.contentType,
+          accept: 'text/event-stream',
+          [ENGINE_HEADER.REQUEST_ID]: request.requestId,
+          [ENGINE_HEADER.PRIORITY]: String(request.priority),
+          [ENGINE_HEADER.WORKSPACE]: request.workspace,
+          [ENGINE_HEADER.CHAT]: request.chat,
+          [ENGINE_HEADER.RESUME_FROM]: String(this.#received),
+        },
+        body,
+        silenceMs: this.#client.settings.silenceMs,
+      },
+      fresh,
+    );
+    this.#exchange = exchange;
+    return exchange;
+  }
+
+  *#take(bytes: Buffer): Generator<EngineEvent, PartEnd | undefined> {
+    const events = this.#parser.push(bytes);
+    if (!events) return this.#broken('An event is larger than allowed.');
+    for (const event of events) {
+      // A cancelled run passes nothing on, however late its answer comes.
+      if (this.#ending) return {kind: 'lost', loss: LOSS.ABORTED};
+      const verdict = this.#check.judge(event);
+      if (verdict.kind === 'fail') {
+        return {kind: 'failed', failure: verdict.failure};
+      }
+      if (verdict.kind === 'whole') return {kind: 'whole'};
+      if (verdict.kind === 'skip') continue;
+      if (!this.#started) yield this.#start();
+      this.#received += event.bytes.length;
+      if (!this.#assembly) {
+        yield* this.#dataOf(event.bytes);
+        continue;
+      }
+      if (this.#received > MAX_WHOLE_BYTES) {
+        return this.#broken('The answer is larger than allowed.');
+      }
+      this.#assembly.add(verdict.content);
+    }
+    return undefined;
+  }
+
+  #start(): EngineEvent {
+    this.#started = true;
+    return {
+      kind: 'started',
+      status: HTTP_OK,
+      contentType: this.#assembly ? 'application/json' : 'text/event-stream',
+      cachedTokens: this.#check.usage.cachedTokens,
+    };
+  }
+
+  *#dataOf(bytes: Buffer): Generator<EngineEvent, void> {
+    for (let at = 0; at < bytes.length; at += WHOLE_CHUNK_BYTES) {
+      const part = bytes.subarray(at, at + WHOLE_CHUNK_BYTES);
+      yield {kind: 'data', offset: this.#offset, bytes: part};
+      this.#offset += part.length;
+    }
+  }
+
+  #broken(message: string): PartEnd {
+    return {
+      kind: 'failed',
+      failure: makeFailure('backendFailed', {message}),
+    };
+  }
+
+  #refused(status: number, body: Buffer, former: boolean): PartEnd {
+    const text = body.toString('utf8', 0, MAX_ERROR_BYTES);
+    const message = `The engine answered ${status}: ${text}`;
+    // A refusal speaks only for the connection it came on. When the request
+    // went out on another one before, it may have run there.
+    if (former) return {kind: 'lost', loss: LOSS.BROKEN};
+    if (this.#offset > 0) {
+      return {kind: 'failed', failure: makeFailure('answerTruncated')};
+    }
+    const kind = REFUSALS[status];
+    if (kind === undefined) return this.#broken(message);
+    return {kind: 'failed', failure: makeFailure(kind, {message})};
+  }
+
+  #failure(kind: ErrorKind): EngineEvent {
+    return {kind: 'failed', failure: makeFailure(kind)};
+  }
+}
--- a/packages/lovagepond-backend/src/index.ts
+++ b/packages/lovagepond-backend/src/index.ts
@@ -1,3 +1,40 @@
+export {
+  DEFAULT_FAKE_ENGINE_SETTINGS,
+  FakeEngine,
+  type FakeEngineOutput,
+  type FakeEngineSettings,
+} from './backend_fake_engine.js';
+export {type FakeEngineCounters} from './backend_fake_engine_host.js';
+export {
+  DEFAULT_FAKE_SERVER_SETTINGS,
+  FakeEngineServer,
+  type FakeEngineServerSettings,
+} from './backend_fake_engine_server.js';
+export {fakeAnswerText, fakeToken} from './backend_fake_answer.js';
+export {type FakeBatchSettings, type FakeJob} from './backend_fake_batch.js';
+export {
+  FAKE_PATH,
+  type FakeFaults,
+  fakeFaultsSchema,
+} from './backend_fake_faults.js';
+export {
+  type FakeServiceAnswer,
+  type FakeServiceFaults,
+  fakeServiceFaultsSchema,
+  FakeServiceServer,
+  type FakeServiceSettings,
+} from './backend_fake_service.js';
+export {
+  DEFAULT_HTTP_CLIENT_SETTINGS,
+  DEFAULT_SERVICE_CLIENT_SETTINGS,
+  type HttpClientSettings,
+} from './backend_http_client.js';
+export {
+  DEFAULT_MAX_CACHE_BYTES,
+  HttpModelEngine,
+  type HttpEngineSettings,
+} from './backend_http_engine.js';
+export {HttpPlainService} from './backend_http_service.js';
 export {
   type CacheEvent,
   type CacheKey,
