--- /dev/null
+++ b/packages/lovagepond-caller/src/caller_answer.ts
@@ -0,0 +1,245 @@
+/**
+ * Writes one answer to one caller: whole, or streamed under backpressure.
+ */
+import {type ServerResponse} from 'node:http';
+import {
+  answerFor,
+  type Failure,
+  makeFailure,
+  type Unregister,
+} from '@lovagepond/core';
+import {EVENT_STREAM_TYPE} from './caller_constants.js';
+import {
+  encodeCallerError,
+  encodeErrorEvent,
+  errorHeaders,
+} from './caller_errors.js';
+import {type AnswerHeaders, type AnswerSink} from './caller_types.js';
+
+/** Bounds of one answer. */
+export interface AnswerLimits {
+  readonly maxWholeAnswerBytes: number;
+  readonly maxBufferedBytes: number;
+  readonly readerTimeoutMs: number;
+}
+
+interface AnswerHead {
+  readonly status: number;
+  readonly contentType: string;
+  readonly headers: AnswerHeaders;
+}
+
+const DEFAULT_HEAD: AnswerHead = {
+  status: 200,
+  contentType: 'application/json',
+  headers: {},
+};
+const DONE_EVENT = 'data: [DONE]\n\n';
+
+/** An {@link AnswerSink} over node's response. */
+export class HttpAnswer implements AnswerSink {
+  readonly #res: ServerResponse;
+  readonly #stream: boolean;
+  readonly #limits: AnswerLimits;
+  readonly #cancelListeners = new Set<(failure: Failure) => void>();
+  readonly #drainWaiters: (() => void)[] = [];
+  #head = DEFAULT_HEAD;
+  #whole: Uint8Array[] = [];
+  #wholeBytes = 0;
+  #cancelled: Failure | undefined;
+  #finished = false;
+  #readerTimer: NodeJS.Timeout | undefined;
+
+  /**
+   * @param res where the answer goes
+   * @param stream the caller wants it as it is made
+   * @param limits bounds of what is kept for this caller
+   */
+  constructor(res: ServerResponse, stream: boolean, limits: AnswerLimits) {
+    this.#res = res;
+    this.#stream = stream;
+    this.#limits = limits;
+    // Bytes written in the moment the caller closes fail on the response; the
+    // close itself tells the producer, so the error has nothing to add.
+    res.on('error', () => {});
+    res.on('drain', () => {
+      this.#releaseWriters();
+    });
+    res.on('close', () => {
+      if (!res.writableFinished) this.#cancel(makeFailure('callerGone'));
+      this.#releaseWriters();
+    });
+  }
+
+  get closed(): boolean {
+    return this.#finished || this.#cancelled !== undefined;
+  }
+
+  get begun(): boolean {
+    return this.#res.headersSent;
+  }
+
+  begin(
+    status: number,
+    contentType: string,
+    headers: AnswerHeaders = {},
+  ): void {
+    if (this.closed || this.begun) return;
+    this.#head = {status, contentType, headers};
+    if (!this.#stream) return;
+    this.#writeHead({'cache-control': 'no-store'});
+    this.#res.flushHeaders();
+  }
+
+  async write(chunk: Uint8Array): Promise<void> {
+    if (this.closed) return;
+    if (!this.#stream) {
+      this.#keep(chunk);
+      return;
+    }
+    if (!this.begun) this.begin(200, EVENT_STREAM_TYPE);
+    if (this.#res.write(chunk)) return;
+    // A reader slower than the engine would have the whole answer pile up
+    // here. Its producer waits for the socket instead; one that doesn't wait
+    // meets the limit on bytes, and a reader that takes nothing the one on
+    // time. Either way the memory for one caller has an upper bound.
+    if (this.#res.writableLength > this.#limits.maxBufferedBytes) {
+      this.#endSlowReader();
+      return;
+    }
+    await this.#drained();
+  }
+
+  end(): void {
+    if (this.closed) return;
+    if (!this.#stream) {
+      this.#sendWhole();
+      return;
+    }
+    if (!this.begun) this.begin(200, EVENT_STREAM_TYPE);
+    this.#finish(this.#isEventStream() ? DONE_EVENT : '');
+  }
+
+  fail(failure: Failure): void {
+    if (this.closed) return;
+    if (!this.begun) {
+      this.#sendError(failure);
+      return;
+    }
+    if (this.#isEventStream()) {
+      this.#finish(encodeErrorEvent(failure));
+      return;
+    }
+    // Bytes of another media type can't carry an error event. A cut
+    // connection without the last chunk shows that the answer is not whole.
+    this.#finished = true;
+    this.#clear();
+    this.#res.destroy();
+  }
+
+  onCancel(listener: (failure: Failure) => void): Unregister {
+    if (this.#cancelled) {
+      listener(this.#cancelled);
+      return () => {};
+    }
+    this.#cancelListeners.add(listener);
+    return () => {
+      this.#cancelListeners.delete(listener);
+    };
+  }
+
+  /** True when the caller was ended for reading too slowly. */
+  get endedAsSlow(): boolean {
+    return this.#cancelled?.message === SLOW_READER;
+  }
+
+  #isEventStream(): boolean {
+    return this.#head.contentType.startsWith(EVENT_STREAM_TYPE);
+  }
+
+  #writeHead(extra: AnswerHeaders): void {
+    const {status, contentType, headers} = this.#head;
+    this.#res.writeHead(status, {
+      ...headers,
+      ...extra,
+      'content-type': contentType,
+    });
+  }
+
+  #keep(chunk: Uint8Array): void {
+    this.#wholeBytes += chunk.length;
+    if (this.#wholeBytes > this.#limits.maxWholeAnswerBytes) {
+      const message =
+        'The answer is larger than one that is not streamed may be.';
+      this.fail(makeFailure('backendFailed', {message}));
+      return;
+    }
+    this.#whole.push(chunk);
+  }
+
+  #sendWhole(): void {
+    const body = Buffer.concat(this.#whole, this.#wholeBytes);
+    this.#writeHead({'content-length': String(body.length)});
+    this.#finish(body);
+  }
+
+  #sendError(failure: Failure): void {
+    const body = encodeCallerError(failure);
+    this.#res.writeHead(answerFor(failure.kind).status, {
+      ...errorHeaders(failure),
+      'content-length': String(Buffer.byteLength(body)),
+    });
+    this.#finish(body);
+  }
+
+  #finish(last: string | Uint8Array): void {
+    this.#finished = true;
+    this.#whole = [];
+    this.#cancelListeners.clear();
+    this.#res.end(last);
+    // The answer's end may still stand in the buffer of a reader that takes
+    // nothing more; the connection must not stay open for it for good.
+    if (this.#res.writableLength > 0) this.#startReaderTimer();
+  }
+
+  #drained(): Promise<void> {
+    this.#startReaderTimer();
+    return new Promise(resolve => {
+      this.#drainWaiters.push(resolve);
+    });
+  }
+
+  #startReaderTimer(): void {
+    this.#readerTimer ??= setTimeout(() => {
+      this.#endSlowReader();
+    }, this.#limits.readerTimeoutMs);
+  }
+
+  #endSlowReader(): void {
+    this.#cancel(makeFailure('callerGone', {message: SLOW_READER}));
+    this.#res.destroy();
+  }
+
+  #releaseWriters(): void {
+    clearTimeout(this.#readerTimer);
+    this.#readerTimer = undefined;
+    for (const release of this.#drainWaiters.splice(0)) release();
+  }
+
+  #cancel(failure: Failure): void {
+    if (this.#cancelled) return;
+    this.#cancelled = failure;
+    const listeners = [...this.#cancelListeners];
+    this.#clear();
+    if (this.#finished) return;
+    for (const listener of listeners) listener(failure);
+  }
+
+  #clear(): void {
+    this.#cancelListeners.clear();
+    this.#whole = [];
+    this.#releaseWriters();
+  }
+}
+
+const SLOW_READER = 'The caller read its answer too slowly.';
--- /dev/null
+++ b/packages/lovagepond-caller/src/caller_errors.ts
@@ -0,0 +1,80 @@
+/**
+ * Writes failures for callers: one JSON shape for every kind.
+ */
+import {answerFor, type Failure} from '@lovagepond/core';
+
+const MS_PER_SECOND = 1000;
+
+/** A failure in the shape that every caller gets. */
+export interface CallerErrorBody {
+  readonly error: {
+    readonly kind: Failure['kind'];
+    /** `notRun`, `mayHaveRun` or `ran`. */
+    readonly disposition: string;
+    readonly message: string;
+    /** 0 when coming back is of no use. */
+    readonly retryAfterMs: number;
+  };
+}
+
+/**
+ * @param failure what went wrong
+ * @returns the JSON text of its body
+ */
+export function encodeCallerError(failure: Failure): string {
+  const body: CallerErrorBody = {
+    error: {
+      kind: failure.kind,
+      disposition: answerFor(failure.kind).disposition,
+      message: failure.message,
+      retryAfterMs: retryAfterOf(failure),
+    },
+  };
+  return JSON.stringify(body);
+}
+
+/**
+ * @param failure what went wrong
+ * @returns milliseconds until the caller may come back, 0 when it may not
+ */
+export function retryAfterOf(failure: Failure): number {
+  if (!answerFor(failure.kind).retryable) return 0;
+  return Math.max(1, Math.ceil(failure.retryAfterMs));
+}
+
+/**
+ * @param failure what went wrong
+ * @returns headers of its answer; `retry-after` in whole seconds, rounded up
+ */
+export function errorHeaders(failure: Failure): Record<string, string> {
+  const headers: Record<string, string> = {'content-type': 'application/json'};
+  const retryAfterMs = retryAfterOf(failure);
+  if (retryAfterMs > 0) {
+    headers['retry-after'] = String(Math.ceil(retryAfterMs / MS_PER_SECOND));
+  }
+  return headers;
+}
+
+/**
+ * @param failure what went wrong after the head of a stream went out
+ * @returns the server-sent event that ends the stream
+ */
+export function encodeErrorEvent(failure: Failure): string {
+  return `event: error\ndata: ${encodeCallerError(failure)}\n\n`;
+}
+
+/**
+ * @param failure what went wrong before a request could be read
+ * @returns a whole HTTP/1.1 answer that closes the connection
+ */
+export function encodeRawAnswer(failure: Failure): string {
+  const body = encodeCallerError(failure);
+  const headers = {
+    ...errorHeaders(failure),
+    'content-length': String(Buffer.byteLength(body)),
+    connection: 'close',
+  };
+  const lines = Object.entries(headers).map(pair => pair.join(': '));
+  const status = answerFor(failure.kind).status;
+  return [`HTTP/1.1 ${status} Error`, ...lines, '', body].join('\r\n');
+}
--- /dev/null
+++ b/packages/lovagepond-caller/src/caller_exchange.ts
@@ -0,0 +1,130 @@
+/**
+ * Takes one HTTP exchange from its head to the handler.
+ */
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {
+  type Clock,
+  makeFailure,
+  type Result,
+  type Unregister,
+} from '@lovagepond/core';
+import {HttpAnswer} from './caller_answer.js';
+import {readBody} from './caller_body.js';
+import {CALLER_HEADER} from './caller_constants.js';
+import {type KeysInFlight} from './caller_keys.js';
+import {
+  makeCallerRequest,
+  readCallerHead,
+  type RequestSort,
+} from './caller_request.js';
+import {refuseExchange} from './caller_refusal.js';
+import {
+  type CallerHandler,
+  type CallerRequest,
+  type CallerSettings,
+} from './caller_types.js';
+
+/** What an exchange needs from its server. */
+export interface ExchangeContext {
+  readonly settings: CallerSettings;
+  readonly clock: Clock;
+  readonly handler: CallerHandler;
+  readonly keys: KeysInFlight;
+  /** @returns a request id never given before */
+  readonly nextRequestId: () => string;
+}
+
+const CALLER_ID = /^[\x21-\x7e]{1,128}$/;
+const MAX_PATH_LENGTH = 2048;
+// A service reached under its own prefix must not be led outside of it.
+const DOT_SEGMENT = /(^|\/|\\|%2f|%5c)(\.|%2e){1,2}(\/|\\|%2f|%5c|$)/i;
+
+function echoIds(
+  req: IncomingMessage,
+  res: ServerResponse,
+  requestId: string,
+): void {
+  const named = req.headers[CALLER_HEADER.CALLER_REQUEST_ID];
+  const echo = typeof named === 'string' && CALLER_ID.test(named);
+  res.setHeader(CALLER_HEADER.CALLER_REQUEST_ID, echo ? named : requestId);
+  res.setHeader(CALLER_HEADER.REQUEST_ID, requestId);
+}
+
+function checkPath(path: string): Result<string> {
+  const end = path.indexOf('?');
+  const bare = end < 0 ? path : path.slice(0, end);
+  if (path.length <= MAX_PATH_LENGTH && !DOT_SEGMENT.test(bare)) {
+    return {ok: true, value: path};
+  }
+  const message = 'The path is too long or has dot segments.';
+  return {ok: false, failure: makeFailure('badRequest', {message})};
+}
+
+async function receive(
+  req: IncomingMessage,
+  requestId: string,
+  path: string,
+  sort: RequestSort,
+  context: ExchangeContext,
+): Promise<Result<CallerRequest>> {
+  const {settings, clock} = context;
+  const safePath = checkPath(path);
+  if (!safePath.ok) return safePath;
+  // The deadline counts from the head's arrival: a slow body uses it up.
+  const head = readCallerHead(req.headers, sort, settings, clock.now());
+  if (!head.ok) return head;
+  const body = await readBody(req, {
+    maxBytes: settings.maxBodyBytes,
+    timeoutMs: settings.senderTimeoutMs,
+  });
+  if (!body.ok) return body;
+  const call = {requestId, path, sort, body: body.value};
+  return makeCallerRequest(head.value, call);
+}
+
+async function handOver(
+  request: CallerRequest,
+  answer: HttpAnswer,
+  context: ExchangeContext,
+): Promise<void> {
+  try {
+    await context.handler.handle(request, answer, context.clock.now());
+  } catch {
+    answer.fail(makeFailure('internal'));
+  }
+}
+
+/**
+ * Runs one exchange.
+ *
+ * @param req the request, its body unread
+ * @param res its response
+ * @param route the whole path with its query, and the sort of request
+ * @param context the server's parts
+ * @returns the answer once it was handed over, undefined when refused here
+ */
+export async function runExchange(
+  req: IncomingMessage,
+  res: ServerResponse,
+  route: {readonly path: string; readonly sort: RequestSort},
+  context: ExchangeContext,
+): Promise<HttpAnswer | undefined> {
+  const requestId = context.nextRequestId();
+  echoIds(req, res, requestId);
+  const {path, sort} = route;
+  const received = await receive(req, requestId, path, sort, context);
+  if (!received.ok) {
+    refuseExchange(req, res, received.failure);
+    return undefined;
+  }
+  const request = received.value;
+  const claimed: Result<Unregister> = context.keys.claim(request);
+  if (!claimed.ok) {
+    refuseExchange(req, res, claimed.failure);
+    return undefined;
+  }
+  const answer = new HttpAnswer(res, request.stream, context.settings);
+  res.on('close', claimed.value);
+  await handOver(request, answer, context);
+  return answer;
+}
--- /dev/null
+++ b/packages/lovagepond-caller/src/caller_keys.ts
@@ -0,0 +1,49 @@
+/**
+ * Idempotency keys of the requests in flight at this process.
+ */
+import {makeFailure, type Result, type Unregister} from '@lovagepond/core';
+import {type CallerRequest} from './caller_types.js';
+
+interface KeyUse {
+  readonly digest: string;
+  uses: number;
+}
+
+/**
+ * Refuses a key that stands for another body in this very moment, before the
+ * request costs anything. Keys used earlier or elsewhere are the ledger's.
+ */
+export class KeysInFlight {
+  readonly #uses = new Map<string, KeyUse>();
+
+  /**
+   * @param request a request about to be handed on
+   * @returns how to take the use back, or `keyReuse`
+   */
+  claim(request: CallerRequest): Result<Unregister> {
+    if (request.idempotencyKey === undefined) {
+      return {ok: true, value: () => {}};
+    }
+    const name = `${request.workspace}\0${request.idempotencyKey}`;
+    const digest = Buffer.from(request.bodyDigest).toString('base64');
+    const use = this.#uses.get(name) ?? {digest, uses: 0};
+    if (use.digest !== digest) {
+      return {ok: false, failure: makeFailure('keyReuse')};
+    }
+    use.uses += 1;
+    this.#uses.set(name, use);
+    let held = true;
+    const release = (): void => {
+      if (!held) return;
+      held = false;
+      use.uses -= 1;
+      if (use.uses === 0) this.#uses.delete(name);
+    };
+    return {ok: true, value: release};
+  }
+
+  /** Number of keys in flight. */
+  get size(): number {
+    return this.#uses.size;
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-caller/src/caller_request.ts
@@ -0,0 +1,221 @@
+/**
+ * Checks a request's headers and body and makes a {@link CallerRequest}.
+ * No I/O: what was read goes in, the request or a failure comes out.
+ */
+import {createHash} from 'node:crypto';
+import {type IncomingHttpHeaders} from 'node:http';
+import {
+  type ErrorKind,
+  type Failure,
+  makeFailure,
+  type Result,
+} from '@lovagepond/core';
+import {z} from 'zod';
+import {CALLER_HEADER, DEFAULT_CHAT_KIND} from './caller_constants.js';
+import {type CallerRequest, type CallerSettings} from './caller_types.js';
+
+/** The two sorts of request. */
+export const REQUEST_SORT = {
+  COMPLETION: 'completion',
+  SERVICE: 'service',
+} as const;
+
+/** One of the values of {@link REQUEST_SORT}. */
+export type RequestSort = (typeof REQUEST_SORT)[keyof typeof REQUEST_SORT];
+
+/** What the headers say. */
+export interface CallerHead {
+  readonly workspace: string;
+  readonly chat: string;
+  readonly requestKind: string;
+  readonly idempotencyKey: string | undefined;
+  readonly contentType: string;
+  /** Monotonic milliseconds. */
+  readonly deadline: number;
+}
+
+const BYTES_PER_TOKEN = 4;
+const DEFAULT_ANSWER_TOKENS = 256;
+const NAME = /^[A-Za-z0-9][A-Za-z0-9_.:/-]{0,127}$/;
+const KEY = /^[\x21-\x7e]{1,128}$/;
+const WHOLE_NUMBER = /^[0-9]{1,12}$/;
+
+const completionBody = z.object({
+  messages: z.array(z.object({role: z.string()})).min(1),
+  stream: z.boolean().nullish(),
+  max_tokens: z.number().int().positive().max(1_000_000).nullish(),
+  max_completion_tokens: z.number().int().positive().max(1_000_000).nullish(),
+});
+
+function fail(
+  kind: ErrorKind,
+  message: string,
+): {readonly ok: false; readonly failure: Failure} {
+  return {ok: false, failure: makeFailure(kind, {message})};
+}
+
+function readHeader(headers: IncomingHttpHeaders, name: string): string {
+  const value = headers[name];
+  return Array.isArray(value) ? value.join(',') : (value ?? '');
+}
+
+function readDeadline(
+  text: string,
+  settings: CallerSettings,
+  now: number,
+): Result<number> {
+  if (text === '') return {ok: true, value: now + settings.defaultDeadlineMs};
+  const left = WHOLE_NUMBER.test(text) ? Number(text) : 0;
+  if (left < 1 || left > settings.maxDeadlineMs) {
+    const range = `1 to ${settings.maxDeadlineMs}`;
+    const wanted = `${CALLER_HEADER.DEADLINE} must be whole milliseconds`;
+    return fail('badDeadline', `${wanted}, ${range}.`);
+  }
+  return {ok: true, value: now + left};
+}
+
+interface NamedHeader {
+  readonly header: string;
+  readonly value: string;
+  readonly pattern: RegExp;
+  readonly required: boolean;
+}
+
+function findBadHeader(checks: readonly NamedHeader[]): Failure | undefined {
+  for (const {header, value, pattern, required} of checks) {
+    if (value === '' && !required) continue;
+    if (pattern.test(value)) continue;
+    const fault = value === '' ? 'is missing' : 'is not a valid name';
+    return makeFailure('badRequest', {message: `${header} ${fault}.`});
+  }
+  return undefined;
+}
+
+/**
+ * @param headers the request's headers
+ * @param sort completions need a chat, services a request kind
+ * @param settings limits of the deadline
+ * @param now present time, monotonic milliseconds
+ * @returns what the headers say, or what is wrong with them
+ */
+export function readCallerHead(
+  headers: IncomingHttpHeaders,
+  sort: RequestSort,
+  settings: CallerSettings,
+  now: number,
+): Result<CallerHead> {
+  const completion = sort === REQUEST_SORT.COMPLETION;
+  const workspace = readHeader(headers, CALLER_HEADER.WORKSPACE);
+  const chat = readHeader(headers, CALLER_HEADER.CHAT);
+  const named = readHeader(headers, CALLER_HEADER.REQUEST_KIND);
+  const requestKind = named || (completion ? DEFAULT_CHAT_KIND : '');
+  const key = readHeader(headers, CALLER_HEADER.IDEMPOTENCY_KEY);
+  const {WORKSPACE, CHAT, REQUEST_KIND, IDEMPOTENCY_KEY} = CALLER_HEADER;
+  const bad = findBadHeader([
+    {header: WORKSPACE, value: workspace, pattern: NAME, required: true},
+    {header: CHAT, value: chat, pattern: NAME, required: completion},
+    {header: REQUEST_KIND, value: requestKind, pattern: NAME, required: true},
+    {header: IDEMPOTENCY_KEY, value: key, pattern: KEY, required: false},
+  ]);
+  if (bad) return {ok: false, failure: bad};
+  const deadlineText = readHeader(headers, CALLER_HEADER.DEADLINE);
+  const deadline = readDeadline(deadlineText, settings, now);
+  if (!deadline.ok) return deadline;
+  const contentType = readHeader(headers, 'content-type') || 'application/json';
+  const idempotencyKey = key || undefined;
+  return {
+    ok: true,
+    value: {
+      workspace,
+      chat,
+      requestKind,
+      idempotencyKey,
+      contentType,
+      deadline: deadline.value,
+    },
+  };
+}
+
+/**
+ * @param path path with its query
+ * @param body the request's body
+ * @returns SHA-256 over both: a key reused on another path is another call
+ */
+export function digestCall(path: string, body: Uint8Array): Uint8Array {
+  return createHash('sha256').update(path).update('\0').update(body).digest();
+}
+
+function parseJson(body: Uint8Array): Result<unknown> {
+  try {
+    const text = new TextDecoder('utf-8', {fatal: true}).decode(body);
+    return {ok: true, value: JSON.parse(text)};
+  } catch {
+    return fail('badRequest', 'The body is not JSON in UTF-8.');
+  }
+}
+
+function checkCompletion(
+  body: Uint8Array,
+): Result<{stream: boolean; estimatedTokens: number}> {
+  const json = parseJson(body);
+  if (!json.ok) return json;
+  const parsed = completionBody.safeParse(json.value);
+  if (!parsed.success) {
+    const issue = parsed.error.issues[0];
+    const place = issue ? issue.path.join('.') || 'body' : 'body';
+    return fail('badRequest', `${place}: ${issue?.message ?? 'is invalid'}`);
+  }
+  const wanted = parsed.data.max_completion_tokens ?? parsed.data.max_tokens;
+  const prompt = Math.ceil(body.length / BYTES_PER_TOKEN);
+  const estimatedTokens = prompt + (wanted ?? DEFAULT_ANSWER_TOKENS);
+  return {
+    ok: true,
+    value: {stream: parsed.data.stream === true, estimatedTokens},
+  };
+}
+
+type BodyCheck = (
+  body: Uint8Array,
+) => Result<{stream: boolean; estimatedTokens: number}>;
+
+const BODY_CHECKS: Readonly<Record<RequestSort, BodyCheck>> = {
+  completion: checkCompletion,
+  service: body => ({
+    ok: true,
+    value: {
+      stream: false,
+      estimatedTokens: 1 + Math.ceil(body.length / BYTES_PER_TOKEN),
+    },
+  }),
+};
+
+/**
+ * @param head what {@link readCallerHead} gave
+ * @param call the request's id, path, sort and whole body
+ * @returns the request, or what is wrong with its body
+ */
+export function makeCallerRequest(
+  head: CallerHead,
+  call: {
+    readonly requestId: string;
+    readonly path: string;
+    readonly sort: RequestSort;
+    readonly body: Uint8Array;
+  },
+): Result<CallerRequest> {
+  const checked = BODY_CHECKS[call.sort](call.body);
+  if (!checked.ok) return checked;
+  const {idempotencyKey, ...rest} = head;
+  return {
+    ok: true,
+    value: {
+      ...rest,
+      ...(idempotencyKey === undefined ? {} : {idempotencyKey}),
+      requestId: call.requestId,
+      path: call.path,
+      body: call.body,
+      bodyDigest: digestCall(call.path, call.body),
+      ...checked.value,
+    },
+  };
+}
--- /dev/null
+++ b/packages/lovagepond-caller/src/caller_server.ts
@@ -0,0 +1,233 @@
+/**
+ * The HTTP/1.1 front towards callers: tinyhttp's routes on a node server.
+ */
+import {randomUUID} from 'node:crypto';
+import {createServer, type Server} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {App, type Request, type Response} from '@tinyhttp/app';
+import {type Clock, makeFailure} from '@lovagepond/core';
+import {type HttpAnswer} from './caller_answer.js';
+import {CallerConnections} from './caller_connections.js';
+import {CALLER_PATH} from './caller_constants.js';
+import {type ExchangeContext, runExchange} from './caller_exchange.js';
+import {KeysInFlight} from './caller_keys.js';
+import {refuseExchange} from './caller_refusal.js';
+import {REQUEST_SORT, type RequestSort} from './caller_request.js';
+import {
+  type CallerCounters,
+  type CallerHandler,
+  type CallerSettings,
+} from './caller_types.js';
+
+/** What the server needs besides its settings. */
+export interface CallerServerParts {
+  readonly clock: Clock;
+  readonly handler: CallerHandler;
+  /** Random UUIDs when left out. */
+  readonly nextRequestId?: () => string;
+}
+
+const CONNECTION_CHECK_MS = 1_000;
+const PIPELINED = 'A request of this connection is still in flight.';
+const SOCKET_BUFFER_BYTES = 32 * 1024;
+
+/** Takes callers' requests and gives them to a {@link CallerHandler}. */
+export class CallerServer {
+  readonly #settings: CallerSettings;
+  readonly #context: ExchangeContext;
+  readonly #connections = new CallerConnections();
+  readonly #keys = new KeysInFlight();
+  readonly #server: Server;
+  readonly #responses = new Set<Response>();
+  #idleListeners: (() => void)[] = [];
+  #openConnections = 0;
+  #requests = 0;
+  #slowReadersEnded = 0;
+  #callersGone = 0;
+  #draining = false;
+
+  /**
+   * @param settings limits and the address to listen on
+   * @param parts the handler and the clock
+   */
+  constructor(settings: CallerSettings, parts: CallerServerParts) {
+    this.#settings = settings;
+    this.#context = {
+      settings,
+      clock: parts.clock,
+      handler: parts.handler,
+      keys: this.#keys,
+      nextRequestId: parts.nextRequestId ?? randomUUID,
+    };
+    this.#server = this.#makeServer(this.#makeRoutes());
+  }
+
+  /** Binds the address; resolves when callers can connect. */
+  start(): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(this.#settings.port, this.#settings.host, resolve);
+    });
+  }
+
+  /** The port in use after {@link CallerServer.start}. */
+  get port(): number {
+    const address = this.#server.address() as AddressInfo | null;
+    return address?.port ?? this.#settings.port;
+  }
+
+  /** Counts for metrics and the dump. */
+  get counters(): CallerCounters {
+    return {
+      connections: this.#openConnections,
+      inFlight: this.#responses.size,
+      requests: this.#requests,
+      refusedConnections: this.#connections.refused,
+      malformed: this.#connections.malformed,
+      slowReadersEnded: this.#slowReadersEnded,
+      callersGone: this.#callersGone,
+    };
+  }
+
+  /**
+   * Graceful shutdown. Answers tell `connection: close` from now on; new
+   * connections are taken for the grace time, in which the platform's
+   * balancer learns of it; then the port closes and answers in flight finish.
+   *
+   * @param limitMs longest time in all; what is left then is cut
+   */
+  async drain(limitMs: number): Promise<void> {
+    if (this.#draining) return;
+    this.#draining = true;
+    const graceMs = Math.min(this.#settings.drainGraceMs, limitMs);
+    await new Promise(resolve => setTimeout(resolve, graceMs));
+    const closed = this.#closePort();
+    const limit = setTimeout(() => {
+      this.#server.closeAllConnections();
+    }, limitMs - graceMs);
+    await this.#waitUntilIdle();
+    clearTimeout(limit);
+    this.#server.closeIdleConnections();
+    await closed;
+  }
+
+  /** Ends at once; cuts what is in flight. */
+  async stop(): Promise<void> {
+    this.#draining = true;
+    const closed = this.#closePort();
+    this.#server.closeAllConnections();
+    await closed;
+  }
+
+  #makeServer(app: App): Server {
+    const settings = this.#settings;
+    const server = createServer({
+      maxHeaderSize: settings.maxHeaderBytes,
+      headersTimeout: settings.senderTimeoutMs,
+      // Covers head and body; the body's own limit is stricter.
+      requestTimeout: 2 * settings.senderTimeoutMs + CONNECTION_CHECK_MS,
+      keepAliveTimeout: settings.keepAliveMs,
+      connectionsCheckingInterval: CONNECTION_CHECK_MS,
+      highWaterMark: SOCKET_BUFFER_BYTES,
+      noDelay: true,
+    });
+    server.maxConnections = settings.maxConnections;
+    server.on('request', (req, res) => {
+      // Paths are the caller's text. What routing throws on one of them would
+      // be uncaught here and end the process with everyone's answers.
+      try {
+        app.handler(req as Request, res as Response);
+      } catch {
+        refuseExchange(req, res, makeFailure('badRequest'));
+      }
+    });
+    server.on('connection', socket => {
+      this.#openConnections += 1;
+      socket.on('close', () => {
+        this.#openConnections -= 1;
+      });
+    });
+    this.#connections.attach(server);
+    return server;
+  }
+
+  #makeRoutes(): App {
+    const app = new App({
+      settings: {xPoweredBy: false},
+      applyExtensions: (_req, _res, next) => {
+        next();
+      },
+      noMatchHandler: (req, res) => {
+        refuseExchange(req, res, makeFailure('notFound'));
+      },
+      onError: (_err, req, res) => {
+        if (res.headersSent) res.destroy();
+        else refuseExchange(req, res, makeFailure('internal'));
+      },
+    });
+    app.post(CALLER_PATH.CHAT_COMPLETIONS, (req, res) => {
+      this.#serve(req, res, REQUEST_SORT.COMPLETION);
+    });
+    app.use(CALLER_PATH.SERVICES.slice(0, -1), (req, res) => {
+      this.#serve(req, res, REQUEST_SORT.SERVICE);
+    });
+    return app;
+  }
+
+  #serve(req: Request, res: Response, sort: RequestSort): void {
+    if (req.method !== 'POST') {
+      refuseExchange(req, res, makeFailure('notFound'));
+      return;
+    }
+    // Answers to pipelined requests would be kept here until the first one
+    // has gone out: memory for one connection that no limit counts.
+    if (!this.#connections.enter(req.socket)) {
+      refuseExchange(req, res, makeFailure('badRequest', {message: PIPELINED}));
+      return;
+    }
+    this.#requests += 1;
+    this.#responses.add(res);
+    if (this.#draining) res.setHeader('connection', 'close');
+    const exchange = runExchange(
+      req,
+      res,
+      {path: req.originalUrl, sort},
+      this.#context,
+    );
+    res.on('close', () => {
+      this.#leave(req, res, exchange);
+    });
+  }
+
+  #leave(
+    req: Request,
+    res: Response,
+    exchange: Promise<HttpAnswer | undefined>,
+  ): void {
+    this.#connections.leave(req.socket);
+    this.#responses.delete(res);
+    if (!res.writableFinished) {
+      void exchange.then(answer => {
+        if (answer?.endedAsSlow) this.#slowReadersEnded += 1;
+        else this.#callersGone += 1;
+      });
+    }
+    if (this.#responses.size > 0) return;
+    for (const listener of this.#idleListeners.splice(0)) listener();
+  }
+
+  #waitUntilIdle(): Promise<void> {
+    if (this.#responses.size === 0) return Promise.resolve();
+    return new Promise(resolve => {
+      this.#idleListeners.push(resolve);
+    });
+  }
+
+  #closePort(): Promise<void> {
+    return new Promise(resolve => {
+      this.#server.close(() => {
+        resolve();
+      });
+    });
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-router/src/router_counters.ts
@@ -0,0 +1,90 @@
+/**
+ * What a router counts, for metrics and its dump.
+ */
+import {type ErrorKind} from '@lovagepond/core';
+import {type StartedBody} from './router_frames.js';
+import {type DropReason} from './router_request_types.js';
+
+/** Counts since the start. */
+export interface RouterCounts {
+  readonly answered: number;
+  readonly failedByKind: Readonly<Record<string, number>>;
+  readonly droppedByReason: Readonly<Record<string, number>>;
+  /** Dispatches of returning chats. */
+  readonly returning: number;
+  /** Those of them whose context was warm. */
+  readonly returningWarm: number;
+  readonly hops: number;
+  readonly retries: number;
+  readonly probes: number;
+}
+
+function countUp(counts: Map<string, number>, name: string): void {
+  counts.set(name, (counts.get(name) ?? 0) + 1);
+}
+
+/** Counts up; never forgets. */
+export class RouterCounters {
+  readonly #failedByKind = new Map<string, number>();
+  readonly #droppedByReason = new Map<string, number>();
+  #answered = 0;
+  #returning = 0;
+  #returningWarm = 0;
+  #hops = 0;
+  #retries = 0;
+  #probes = 0;
+
+  /** @returns all counts */
+  read(): RouterCounts {
+    return {
+      answered: this.#answered,
+      failedByKind: Object.fromEntries(this.#failedByKind),
+      droppedByReason: Object.fromEntries(this.#droppedByReason),
+      returning: this.#returning,
+      returningWarm: this.#returningWarm,
+      hops: this.#hops,
+      retries: this.#retries,
+      probes: this.#probes,
+    };
+  }
+
+  /** A request was answered whole. */
+  noteAnswered(): void {
+    this.#answered += 1;
+  }
+
+  /** @param kind why a request failed */
+  noteFailed(kind: ErrorKind): void {
+    countUp(this.#failedByKind, kind);
+  }
+
+  /** @param reason why something that arrived was thrown away */
+  noteDropped(reason: DropReason): void {
+    countUp(this.#droppedByReason, reason);
+  }
+
+  /**
+   * @param returning the request's chat was answered before
+   * @param body what its sidecar says of the dispatch
+   */
+  noteStarted(returning: boolean, body: StartedBody): void {
+    if (!returning) return;
+    this.#returning += 1;
+    if (body.warm) this.#returningWarm += 1;
+  }
+
+  /** A pointer, hand-over or revision exchange was followed. */
+  noteHop(): void {
+    this.#hops += 1;
+  }
+
+  /** A retry was paid from the budget. */
+  noteRetry(): void {
+    this.#retries += 1;
+  }
+
+  /** A suspected server was probed. */
+  noteProbe(): void {
+    this.#probes += 1;
+  }
+}
--- a/packages/lovagepond-router/src/router_dispatcher.ts
+++ b/packages/lovagepond-router/src/router_dispatcher.ts
@@ -1,27 +1,20 @@
 /**
- * The router's shared parts, and the requests in flight that use them.
+ * The requests in flight and the shared parts that they use.
  */
 import {
   type AnswerSink,
   type CallerHandler,
   type CallerRequest,
 } from '@lovagepond/caller';
-import {
-  type BackendServer,
-  type Clock,
-  EMPTY_MEMBERSHIP,
-  type Failure,
-  type Logger,
-  makeFailure,
-  type Membership,
-  type Random,
-} from '@lovagepond/core';
-import {type lovagepond} from '@lovagepond/protocol';
-import {SidecarConnections} from './router_connections.js';
-import {Eligibility} from './router_eligibility.js';
-import {chooseByRendezvous} from './router_first_choice.js';
-import {type Frame} from './router_frames.js';
-import {applyMembership} from './router_membership.js';
+import {type Clock, type Failure, makeFailure} from '@lovagepond/core';
+import {type SidecarConnections} from './router_connections.js';
+import {type RouterCounters} from './router_counters.js';
+import {type EarlyRefusal} from './router_early_refusal.js';
+import {type Eligible} from './router_eligibility.js';
+import {type RouterEvidence} from './router_evidence.js';
+import {type Frame, type FrameBody} from './router_frames.js';
+import {type RouterLoadView} from './router_load_view.js';
+import {describeForPlacement} from './router_request_estimate.js';
 import {
   type Placed,
   type PlacementQuery,
@@ -33,59 +26,50 @@
   type DropReason,
   type RequestLimits,
 } from './router_request_types.js';
-import {RouterRevisions} from './router_revisions.js';
+import {type RetryBudget} from './router_retry_budget.js';
+import {type ServerChoice} from './router_server_choice.js';
 import {type RouterSettings} from './router_settings.js';
+import {type RouterState} from './router_state.js';
 
-/** What the dispatcher needs besides its settings. */
+/** What the dispatcher works with. */
 export interface DispatcherParts {
   readonly clock: Clock;
-  readonly log: Logger;
-  readonly random: Random;
+  readonly state: RouterState;
+  readonly choice: ServerChoice;
+  readonly load: RouterLoadView;
+  readonly evidence: RouterEvidence;
+  readonly budget: RetryBudget;
+  readonly refusal: EarlyRefusal;
+  readonly counters: RouterCounters;
+  readonly connections: SidecarConnections;
 }
 
-/** Counts since the start, for metrics and the dump. */
-export interface DispatcherCounters {
-  readonly answered: number;
-  readonly failedByKind: Readonly<Record<string, number>>;
-  readonly droppedByReason: Readonly<Record<string, number>>;
-}
+/** Frames that come once or seldom; a load with each chunk costs too much. */
+const LOAD_BEARERS: ReadonlySet<FrameBody['kind']> = new Set([
+  'accepted',
+  'refused',
+  'started',
+  'end',
+  'heartbeat',
+]);
 
-/** Handles callers' requests by the configuration and membership it holds. */
+/** Handles callers' requests by the state that the router holds. */
 export class RouterDispatcher implements CallerHandler, RunnerHost {
   readonly clock: Clock;
   readonly connections: SidecarConnections;
   readonly limits: RequestLimits;
   readonly revokeTimeoutMs: number;
   readonly installTimeoutMs: number;
-  readonly #log: Logger;
-  readonly #revisions: RouterRevisions;
+  readonly #parts: DispatcherParts;
   readonly #runners = new Set<RequestRunner>();
-  readonly #failedByKind = new Map<string, number>();
-  readonly #droppedByReason = new Map<string, number>();
-  #answered = 0;
-  #membership = EMPTY_MEMBERSHIP;
-  #eligibility: Eligibility;
-  #idleListeners: (() => void)[] = [];
 
   constructor(settings: RouterSettings, parts: DispatcherParts) {
+    this.#parts = parts;
     this.clock = parts.clock;
-    this.#log = parts.log;
-    this.connections = new SidecarConnections(settings.connectTimeoutMs);
+    this.connections = parts.connections;
     this.limits = settings;
     this.revokeTimeoutMs = settings.revokeTimeoutMs;
     this.installTimeoutMs = settings.connectTimeoutMs;
-    this.#revisions = new RouterRevisions(settings);
-    this.#eligibility = this.#compile();
-  }
-
-  /** @returns the revisions' keeper */
-  get revisions(): RouterRevisions {
-    return this.#revisions;
-  }
-
-  /** @returns the list of backend servers held */
-  get membership(): Membership {
-    return this.#membership;
   }
 
   /** @returns requests in flight */
@@ -93,114 +77,110 @@
     return this.#runners.size;
   }
 
-  /** @returns counts since the start */
-  get counters(): DispatcherCounters {
-    return {
-      answered: this.#answered,
-      failedByKind: Object.fromEntries(this.#failedByKind),
-      droppedByReason: Object.fromEntries(this.#droppedByReason),
-    };
+  /** @returns requests in flight by their state */
+  countByState(): Readonly<Record<string, number>> {
+    const counts: Record<string, number> = {};
+    for (const {state} of this.#runners) {
+      counts[state] = (counts[state] ?? 0) + 1;
+    }
+    return counts;
   }
 
   /** See {@link CallerHandler.handle}. */
   handle(request: CallerRequest, sink: AnswerSink, now: number): void {
-    if (!this.#revisions.mayServe(now)) {
-      this.#refuse(sink, makeFailure('notReady'), now);
+    const admitted = this.#admit(request, now);
+    if ('kind' in admitted) {
+      this.#parts.counters.noteFailed(admitted.kind);
+      sink.fail(this.completeFailure(admitted));
       return;
     }
-    const {workspace, requestKind, chat} = request;
-    const verdict = this.#eligibility.find(workspace, requestKind, chat);
-    if (!verdict.ok) {
-      this.#refuse(sink, verdict.failure, now);
-      return;
-    }
-    const runner = new RequestRunner(this, request, verdict.eligible, sink);
+    const runner = new RequestRunner(this, request, admitted, sink);
     this.#runners.add(runner);
     runner.start();
   }
 
-  /** @param update control's membership update */
-  updateMembership(update: lovagepond.v1.MembershipUpdate.$Properties): void {
-    this.#membership = applyMembership(this.#membership, update);
-    this.#eligibility.useMembership(this.#membership);
-    const servers = [...this.#membership.servers.values()];
-    this.connections.keepOnly(new Set(servers.map(server => server.address)));
-    const incarnations = servers.map(server => server.incarnation);
-    this.#revisions.keepOnly(new Set(incarnations));
-  }
-
-  /** See {@link RunnerHost.install}. */
-  install(configuration: Uint8Array): void {
-    const outcome = this.#revisions.install(configuration);
-    if (outcome === 'unreadable') {
-      this.#log.error('a configuration could not be read');
-    }
-    if (outcome !== 'installed') return;
-    this.#eligibility = this.#compile();
-    const {revision} = this.#revisions.configuration;
-    this.#log.info('configuration installed', {revision});
-  }
-
   /** See {@link RunnerHost.place}. */
-  place(query: PlacementQuery): Placed | Failure {
-    const {request, eligible, excluded, wanted} = query;
-    const {servers} = eligible.set;
-    const key = `${request.workspace}/${request.chat || request.requestId}`;
-    const first = chooseByRendezvous(key, servers, new Set());
-    const server =
-      findServer(servers, wanted) ?? chooseByRendezvous(key, servers, excluded);
-    if (!server) return query.retryOf ?? makeFailure('noBackendServer');
-    const firstChoice = first === server ? undefined : first;
-    return {server, firstChoice, poolMeanTokens: 0};
+  place(query: PlacementQuery, now: number): Placed | Failure {
+    const {runner, excluded, wanted, retryOf} = query;
+    const {choice, load, state} = this.#parts;
+    const {request, returning} = runner;
+    // By the configuration in force now: it may have changed since the
+    // request came, and a sidecar may just have handed over a newer one.
+    const verdict = state.findEligible(request);
+    if (!verdict.ok) return verdict.failure;
+    const {eligible} = verdict;
+    const unpaid = this.#pay(query, eligible);
+    if (unpaid) return unpaid;
+    const described = describeForPlacement(request, returning);
+    const {set} = eligible;
+    const chosen = choice.choose(
+      {request: described, set, excluded, wanted},
+      now,
+    );
+    if (!chosen) return retryOf ?? makeFailure('noBackendServer');
+    load.recordSent(chosen.server.slot, request.estimatedTokens, now);
+    return {...chosen, eligible};
   }
 
   /** See {@link RunnerHost.heldRevision}. */
   heldRevision(): number {
-    return this.#revisions.configuration.revision;
+    return this.#parts.state.revision;
   }
 
   /** See {@link RunnerHost.configurationFor}. */
   configurationFor(target: AttemptTarget): Uint8Array | undefined {
-    const behind = this.#revisions.isBehind(target.incarnation);
-    return behind ? this.#revisions.encoded : undefined;
+    const {revisions} = this.#parts.state;
+    return revisions.isBehind(target.incarnation)
+      ? revisions.encoded
+      : undefined;
+  }
+
+  /** See {@link RunnerHost.install}. */
+  install(configuration: Uint8Array): void {
+    this.#parts.state.install(configuration);
   }
 
   /** See {@link RunnerHost.noteFrame}. */
-  noteFrame(_target: AttemptTarget, frame: Frame): void {
-    this.#revisions.noteSidecar(frame.incarnation, frame.revision);
+  noteFrame(runner: RequestRunner, frame: Frame, now: number): void {
+    const {load, state, evidence, counters} = this.#parts;
+    const {body, incarnation} = frame;
+    if (!LOAD_BEARERS.has(body.kind)) return;
+    state.revisions.noteSidecar(incarnation, frame.revision);
+    evidence.noteHeard(incarnation, now);
+    if (body.kind === 'started') counters.noteStarted(runner.returning, body);
+    const server = runner.placed?.server;
+    if (server?.incarnation !== incarnation) return;
+    const tokens = frame.runningTokens + frame.queuedTokens;
+    load.recordObserved(server.slot, tokens, now);
   }
 
   /** See {@link RunnerHost.noteEvidence}. */
-  noteEvidence(): void {}
+  noteEvidence(
+    target: AttemptTarget,
+    evidence: 'silent' | 'unreachable',
+    now: number,
+  ): void {
+    const keeper = this.#parts.evidence;
+    if (evidence === 'silent') keeper.noteSilent(target, now);
+    else keeper.noteUnreachable(target, now);
+  }
 
   /** See {@link RunnerHost.noteDrop}. */
   noteDrop(reason: DropReason): void {
-    countUp(this.#droppedByReason, reason);
+    this.#parts.counters.noteDropped(reason);
   }
 
   /** See {@link RunnerHost.completeFailure}. */
   completeFailure(failure: Failure): Failure {
-    return failure;
+    return this.#parts.refusal.complete(failure);
   }
 
   /** See {@link RunnerHost.noteDone}. */
   noteDone(runner: RequestRunner, failure: Failure | undefined): void {
     if (!this.#runners.delete(runner)) return;
     runner.close();
-    if (failure) countUp(this.#failedByKind, failure.kind);
-    else this.#answered += 1;
-    if (this.#runners.size > 0) return;
-    const listeners = this.#idleListeners;
-    this.#idleListeners = [];
-    for (const listener of listeners) listener();
-  }
-
-  /** @returns resolves once no request is in flight */
-  waitUntilIdle(): Promise<void> {
-    if (this.#runners.size === 0) return Promise.resolve();
-    return new Promise(resolve => {
-      this.#idleListeners.push(resolve);
-    });
+    if (failure) this.#parts.counters.noteFailed(failure.kind);
+    else this.#parts.counters.noteAnswered();
   }
 
   /** @param now present time, monotonic milliseconds */
@@ -208,29 +188,33 @@
     for (const runner of this.#runners) runner.tick(now);
   }
 
-  /** Closes all connections; requests in flight are cut. */
-  close(): void {
-    this.connections.close();
-  }
-
-  #compile(): Eligibility {
-    return new Eligibility(this.#revisions.configuration, this.#membership);
-  }
-
-  #refuse(sink: AnswerSink, failure: Failure, _now: number): void {
-    countUp(this.#failedByKind, failure.kind);
-    sink.fail(this.completeFailure(failure));
+  /** @returns where the request may go, or its final answer */
+  #admit(request: CallerRequest, now: number): Eligible | Failure {
+    const {state, choice, refusal} = this.#parts;
+    if (!state.mayServe(now)) return makeFailure('notReady');
+    const verdict = state.findEligible(request);
+    if (!verdict.ok) return verdict.failure;
+    const {eligible} = verdict;
+    const pool = eligible.set.pools[0];
+    if (!pool) return makeFailure('noBackendServer');
+    const servers = {pool, slots: choice.slotsOf(eligible.set)};
+    const {estimatedTokens, deadline} = request;
+    const failure = refusal.check(servers, estimatedTokens, deadline, now);
+    return failure ?? eligible;
+  }
+
+  /** Takes a retry from the pool's budget; counts a first attempt into it. */
+  #pay(query: PlacementQuery, eligible: Eligible): Failure | undefined {
+    const {budget, counters} = this.#parts;
+    const pool = eligible.set.pools[0]?.name ?? '';
+    if (query.retryOf) {
+      if (!budget.trySpend(pool)) return query.retryOf;
+      counters.noteRetry();
+    } else if (query.isHop) {
+      counters.noteHop();
+    } else {
+      budget.noteFirstAttempt(pool);
+    }
+    return undefined;
   }
 }
-
-function findServer(
-  servers: readonly BackendServer[],
-  name: string | undefined,
-): BackendServer | undefined {
-  if (name === undefined) return undefined;
-  return servers.find(server => server.name === name);
-}
-
-function countUp(counts: Map<string, number>, name: string): void {
-  counts.set(name, (counts.get(name) ?? 0) + 1);
-}
--- a/packages/lovagepond-router/src/router_execution_record.ts
+++ b/packages/lovagepond-router/src/router_execution_record.ts
@@ -43,10 +43,11 @@
 /** Keeps one request's attempts and the worst that is known of them. */
 export class ExecutionRecord {
   readonly #limits: AttemptLimits;
-  readonly #nonRepeatable: boolean;
+  #nonRepeatable: boolean;
   readonly #excluded = new Set<string>();
   #placements = 0;
   #hops = 0;
+  #handOvers = 0;
   #uncertain: Failure | undefined;
 
   constructor(limits: AttemptLimits, nonRepeatable: boolean) {
@@ -59,8 +60,18 @@
     return new Set(this.#excluded);
   }
 
-  /** @returns the number of this placement, from 1 */
-  countPlacement(): number {
+  /** @returns how often the request was handed over between sidecars */
+  get handOvers(): number {
+    return this.#handOvers;
+  }
+
+  /**
+   * @param nonRepeatable the call must not run twice, by the configuration in
+   *     force now; it may have become so since the request came
+   * @returns the number of this placement, from 1
+   */
+  countPlacement(nonRepeatable: boolean): number {
+    this.#nonRepeatable ||= nonRepeatable;
     this.#placements += 1;
     return this.#placements;
   }
@@ -141,7 +152,10 @@
       const details = {message, retryAfterMs};
       return this.afterAll(makeFailure('overloaded', details));
     }
-    if (failure.kind !== 'staleRevision') this.#excluded.add(server);
+    if (failure.kind === 'handedOver') {
+      this.#handOvers += 1;
+      this.#excluded.add(server);
+    }
     const wanted = failure.kind === 'staleRevision' ? server : pointer;
     this.#excluded.delete(wanted);
     return {kind: 'place', wanted: wanted || undefined, retryOf: undefined};
--- /dev/null
+++ b/packages/lovagepond-router/src/router_prober.ts
@@ -0,0 +1,51 @@
+/**
+ * Probes servers under suspicion over fresh connections.
+ */
+import {type Clock} from '@lovagepond/core';
+import {type SidecarConnections} from './router_connections.js';
+import {type RouterEvidence} from './router_evidence.js';
+import {type AttemptTarget} from './router_request_types.js';
+import {probeSidecar} from './router_sidecar_calls.js';
+
+/** What the prober needs. */
+export interface ProberParts {
+  readonly clock: Clock;
+  readonly connections: SidecarConnections;
+  readonly evidence: RouterEvidence;
+  readonly timeoutMs: number;
+  /** Called with each probe sent. */
+  readonly onProbe: () => void;
+}
+
+/** Sends the probes that the evidence asks for. */
+export class SidecarProber {
+  readonly #parts: ProberParts;
+
+  constructor(parts: ProberParts) {
+    this.#parts = parts;
+  }
+
+  /**
+   * @param now present time, monotonic milliseconds
+   * @param revision the revision that this router holds
+   */
+  tick(now: number, revision: number): void {
+    for (const target of this.#parts.evidence.takeDueProbes(now)) {
+      this.#parts.onProbe();
+      void this.#probe(target, revision);
+    }
+  }
+
+  async #probe(target: AttemptTarget, revision: number): Promise<void> {
+    const {clock, connections, evidence, timeoutMs} = this.#parts;
+    const connection = await connections.open(target.address);
+    const answer =
+      connection && (await probeSidecar(connection, revision, timeoutMs));
+    const now = clock.now();
+    if (answer?.incarnation === target.incarnation) {
+      evidence.noteHeard(target.incarnation, now);
+    } else {
+      evidence.noteProbeFailed(target, now);
+    }
+  }
+}
--- a/packages/lovagepond-router/src/router_request.ts
+++ b/packages/lovagepond-router/src/router_request.ts
@@ -73,7 +73,7 @@
   #actions: RequestAction[] = [];
 
   readonly #eventHandlers: EventHandlers = {
-    placed: ({target}) => this.#onPlaced(target),
+    placed: event => this.#onPlaced(event),
     notPlaced: ({failure}) => this.#follow(this.#record.afterAll(failure)),
     connectFailed: ({attemptId}) => this.#onConnectFailed(attemptId),
     sent: ({attemptId}, now) => this.#onSent(attemptId, now),
@@ -163,10 +163,11 @@
     this.#revoking = undefined;
   }
 
-  #onPlaced(target: Attempt['target']): void {
+  #onPlaced(event: Extract<RequestEvent, {kind: 'placed'}>): void {
+    const {target, nonRepeatable} = event;
     invariant(!this.#attempt, 501, 'placed while an attempt is open');
     this.#watch = new AttemptWatch(this.#limits);
-    const number = this.#record.countPlacement();
+    const number = this.#record.countPlacement(nonRepeatable);
     const attemptId = `${this.#facts.requestId}.${number}`;
     this.#attempt = {attemptId, target};
     this.#state = REQUEST_STATE.PLACED;
@@ -174,9 +175,13 @@
   }
 
   #offer(freshConnection: boolean): void {
-    const attempt = this.#attempt as Attempt;
-    const resumeFrom = this.#answer.deliveredBytes;
-    this.#actions.push({kind: 'offer', attempt, resumeFrom, freshConnection});
+    this.#actions.push({
+      kind: 'offer',
+      attempt: this.#attempt as Attempt,
+      resumeFrom: this.#answer.deliveredBytes,
+      handOvers: this.#record.handOvers,
+      freshConnection,
+    });
   }
 
   #onSent(attemptId: string, now: number): void {
@@ -250,10 +255,11 @@
   }
 
   #onRefused(body: RefusedBody): void {
-    // A sidecar that has dispatched can't refuse any more. Believing a crossed
-    // refusal would answer "not run" for what runs; dropping it costs a wait.
-    if (this.#wasDispatched()) {
-      this.#drop('refusedAfterStart');
+    // A sidecar may find after `Started` that its backend server never got the
+    // request. Once bytes of the answer have come, "not run" can't be true:
+    // believing it would make the caller repeat what runs.
+    if (this.#state === REQUEST_STATE.ANSWERING) {
+      this.#drop('refusedAfterAnswer');
       return;
     }
     const {configuration} = body;
--- a/packages/lovagepond-router/src/router_request_runner.ts
+++ b/packages/lovagepond-router/src/router_request_runner.ts
@@ -2,12 +2,7 @@
  * Runs one request: does what its state machine asks for and reports back.
  */
 import {type AnswerSink, type CallerRequest} from '@lovagepond/caller';
-import {
-  type BackendServer,
-  type Clock,
-  type Failure,
-  type Unregister,
-} from '@lovagepond/core';
+import {type Clock, type Failure, type Unregister} from '@lovagepond/core';
 import {type lovagepond} from '@lovagepond/protocol';
 import {
   type SidecarConnection,
@@ -16,6 +11,7 @@
 import {type Eligible} from './router_eligibility.js';
 import {type Frame} from './router_frames.js';
 import {RequestMachine} from './router_request.js';
+import {isReturning} from './router_request_estimate.js';
 import {
   type Attempt,
   type AttemptTarget,
@@ -25,6 +21,7 @@
   type RequestLimits,
   type RequestState,
 } from './router_request_types.js';
+import {type Chosen} from './router_server_choice.js';
 import {
   type AttemptStream,
   installConfiguration,
@@ -32,22 +29,19 @@
   revokeAttempt,
 } from './router_sidecar_calls.js';
 
-/** A backend server chosen for a request, with what its sidecar is told. */
-export interface Placed {
-  readonly server: BackendServer;
-  /** The chat's first choice, when that is another server. */
-  readonly firstChoice: BackendServer | undefined;
-  /** Estimated mean of outstanding tokens in the server's pool. */
-  readonly poolMeanTokens: number;
+/** A backend server chosen by the configuration in force. */
+export interface Placed extends Chosen {
+  readonly eligible: Eligible;
 }
 
 /** What the runner asks when a backend server is to be chosen. */
 export interface PlacementQuery {
-  readonly request: CallerRequest;
-  readonly eligible: Eligible;
+  readonly runner: RequestRunner;
   readonly excluded: ReadonlySet<string>;
   readonly wanted: string | undefined;
   readonly retryOf: Failure | undefined;
+  /** A pointer, hand-over or other redirection is followed. */
+  readonly isHop: boolean;
 }
 
 /** What the router's shared parts do for one request. */
@@ -67,10 +61,10 @@
    */
   configurationFor(target: AttemptTarget): Uint8Array | undefined;
   install(configuration: Uint8Array): void;
-  noteFrame(target: AttemptTarget, frame: Frame, now: number): void;
+  noteFrame(runner: RequestRunner, frame: Frame, now: number): void;
   noteEvidence(
     target: AttemptTarget,
-    evidence: 'heard' | 'silent' | 'unreachable',
+    evidence: 'silent' | 'unreachable',
     now: number,
   ): void;
   noteDrop(reason: DropReason): void;
@@ -91,8 +85,10 @@
 /** One request in flight. */
 export class RequestRunner {
   readonly request: CallerRequest;
+  /** The request's prompt holds an earlier answer of its chat. */
+  readonly returning: boolean;
   readonly #host: RunnerHost;
-  readonly #eligible: Eligible;
+  #eligible: Eligible;
   readonly #sink: AnswerSink;
   readonly #machine: RequestMachine;
   #placed: Placed | undefined;
@@ -151,6 +147,7 @@
     sink: AnswerSink,
   ) {
     this.request = request;
+    this.returning = isReturning(request);
     this.#host = host;
     this.#eligible = eligible;
     this.#sink = sink;
@@ -165,9 +162,9 @@
     return this.#machine.state;
   }
 
-  /** @returns the server of the open attempt, if any */
-  get backendServer(): string | undefined {
-    return this.#machine.attempt?.target.backendServer;
+  /** @returns where the open attempt is, if any */
+  get placed(): Placed | undefined {
+    return this.#machine.attempt && this.#placed;
   }
 
   /** Starts the request. */
@@ -204,22 +201,23 @@
 
   #place(action: Extract<RequestAction, {kind: 'place'}>): void {
     const {excluded, wanted, retryOf} = action;
-    const {request} = this;
-    const eligible = this.#eligible;
-    const query = {request, eligible, excluded, wanted, retryOf};
+    const isHop = this.#placed !== undefined && retryOf === undefined;
+    const query = {runner: this, excluded, wanted, retryOf, isHop};
     const placed = this.#host.place(query, this.#now());
     if (!('server' in placed)) {
       this.#receive({kind: 'notPlaced', failure: placed});
       return;
     }
     this.#placed = placed;
+    this.#eligible = placed.eligible;
+    const {nonRepeatable} = placed.eligible.requestKind;
     const {name, incarnation, address} = placed.server;
     const target = {backendServer: name, incarnation, address};
-    this.#receive({kind: 'placed', target});
+    this.#receive({kind: 'placed', target, nonRepeatable});
   }
 
   async #offer(action: Extract<RequestAction, {kind: 'offer'}>): Promise<void> {
-    const {attempt, resumeFrom, freshConnection} = action;
+    const {attempt, freshConnection} = action;
     const connection = await this.#connectForOffer(attempt, freshConnection);
     if (!this.#isOpen(attempt)) return;
     const {attemptId} = attempt;
@@ -230,11 +228,10 @@
     this.#stream?.cancel();
     this.#connection = connection;
     this.#receive({kind: 'sent', attemptId});
-    const message = this.#makeMessage(attempt, resumeFrom);
-    const {target} = attempt;
+    const message = this.#makeMessage(action);
     const listener = {
       onFrame: (frame: Frame) => {
-        this.#host.noteFrame(target, frame, this.#now());
+        this.#host.noteFrame(this, frame, this.#now());
         this.#receive({kind: 'frame', frame});
       },
       onEnd: () => {
@@ -275,9 +272,9 @@
   }
 
   #makeMessage(
-    attempt: Attempt,
-    resumeFrom: number,
+    action: Extract<RequestAction, {kind: 'offer'}>,
   ): lovagepond.v1.AttemptRequest.$Properties {
+    const {attempt, resumeFrom, handOvers} = action;
     const {request} = this;
     const {workspace, requestKind} = this.#eligible;
     const left = Math.max(0, request.deadline - this.#now());
@@ -303,6 +300,7 @@
       resumeFrom,
       contentType: request.contentType,
       poolMeanTokens,
+      handOvers,
     };
   }
 
--- a/packages/lovagepond-router/src/router_request_types.ts
+++ b/packages/lovagepond-router/src/router_request_types.ts
@@ -61,11 +61,16 @@
   | 'afterEnd'
   | 'duplicate'
   | 'foreignGeneration'
-  | 'refusedAfterStart';
+  | 'refusedAfterAnswer';
 
 /** What happened to a request, as its shell saw it. */
 export type RequestEvent =
-  | {readonly kind: 'placed'; readonly target: AttemptTarget}
+  | {
+      readonly kind: 'placed';
+      readonly target: AttemptTarget;
+      /** By the configuration that it was placed by. */
+      readonly nonRepeatable: boolean;
+    }
   /** No backend server may be tried (again). */
   | {readonly kind: 'notPlaced'; readonly failure: Failure}
   /** The connection failed before the attempt's first byte was sent. */
@@ -106,6 +111,8 @@
       readonly attempt: Attempt;
       /** Bytes of the answer already delivered. */
       readonly resumeFrom: number;
+      /** Times the request was handed over between sidecars. */
+      readonly handOvers: number;
       /** Use a new connection: the present one may have gone silent. */
       readonly freshConnection: boolean;
     }
@@ -127,10 +134,10 @@
   | {readonly kind: 'fail'; readonly failure: Failure}
   /** Hand a configuration that a sidecar sent to the revisions' keeper. */
   | {readonly kind: 'install'; readonly configuration: Uint8Array}
-  /** Evidence about a sidecar, for or against it. */
+  /** Evidence against a sidecar or its connection. */
   | {
       readonly kind: 'evidence';
       readonly target: AttemptTarget;
-      readonly evidence: 'heard' | 'silent' | 'unreachable';
+      readonly evidence: 'silent' | 'unreachable';
     }
   | {readonly kind: 'drop'; readonly reason: DropReason};
--- a/packages/lovagepond-router/src/router_role.ts
+++ b/packages/lovagepond-router/src/router_role.ts
@@ -6,13 +6,28 @@
 import {
   type Clock,
   type Logger,
+  type Membership,
   type Random,
   type Role,
   type StateDump,
 } from '@lovagepond/core';
+import {SidecarConnections} from './router_connections.js';
 import {ControlLink, type ControlUpdate} from './router_control_link.js';
+import {RouterCounters} from './router_counters.js';
 import {RouterDispatcher} from './router_dispatcher.js';
+import {EarlyRefusal} from './router_early_refusal.js';
+import {DEFAULT_EVIDENCE_SETTINGS, RouterEvidence} from './router_evidence.js';
+import {RouterLoadView} from './router_load_view.js';
+import {type MetricsSource, registerMetrics} from './router_metrics.js';
+import {PLACEMENT_POLICIES} from './router_placement_table.js';
+import {SidecarProber} from './router_prober.js';
+import {loadKeyHasher} from './router_rendezvous_hash.js';
+import {RetryBudget} from './router_retry_budget.js';
+import {RouterRevisions} from './router_revisions.js';
+import {ServerChoice} from './router_server_choice.js';
 import {type RouterSettings} from './router_settings.js';
+import {measureSkew} from './router_skew.js';
+import {RouterState} from './router_state.js';
 
 /** The front towards callers, as `CallerServer` of the caller package is. */
 export interface CallerFront {
@@ -30,6 +45,8 @@
   readonly random: Random;
   /** Makes the front that hands requests to the handler. */
   readonly createFront: (handler: CallerHandler) => CallerFront;
+  /** Left out: nothing is measured. */
+  readonly metrics?: MetricsSource;
 }
 
 const DUMP_VERSION = 1;
@@ -38,68 +55,87 @@
 
 type UpdateHandler = (update: ControlUpdate, now: number) => void;
 
+/** What exists once the hasher is loaded. */
+interface Running {
+  readonly dispatcher: RouterDispatcher;
+  readonly prober: SidecarProber;
+  readonly front: CallerFront;
+}
+
 /** One router. */
 export class RouterRole implements Role {
   readonly #settings: RouterSettings;
-  readonly #clock: Clock;
-  readonly #dispatcher: RouterDispatcher;
+  readonly #parts: RouterParts;
+  readonly #counters = new RouterCounters();
+  readonly #load = new RouterLoadView();
+  readonly #evidence: RouterEvidence;
+  readonly #connections: SidecarConnections;
+  readonly #state: RouterState;
   readonly #link: ControlLink;
-  readonly #front: CallerFront;
+  #choice: ServerChoice | undefined;
+  #running: Running | undefined;
   #timer: NodeJS.Timeout | undefined;
   #draining = false;
-  #membershipKnown = false;
 
   readonly #updateHandlers: Readonly<Record<UpdateKind, UpdateHandler>> = {
     configuration: ({configuration}) => {
       const bytes = configuration?.configuration;
-      if (bytes && bytes.length > 0) this.#dispatcher.install(bytes);
+      if (bytes && bytes.length > 0) this.#state.install(bytes);
       if (!configuration?.majorityConfirmed) return;
-      this.#dispatcher.revisions.confirm(configuration.revision ?? 0);
+      this.#state.revisions.confirm(configuration.revision ?? 0);
     },
-    membership: ({membership}) => {
-      if (!membership) return;
-      this.#membershipKnown = true;
-      this.#dispatcher.updateMembership(membership);
+    membership: ({membership}, now) => {
+      if (membership) this.#state.updateMembership(membership, now);
+    },
+    load: ({load}, now) => {
+      // Slots of another list's version would name other servers.
+      const {version} = this.#state.membership;
+      if (load?.membershipVersion !== version || !load.loads) return;
+      this.#load.applyDigest(load.loads, now - (load.ageMs ?? 0));
     },
-    load: () => {},
     heartbeat: () => {},
   };
 
   constructor(settings: RouterSettings, parts: RouterParts) {
     this.#settings = settings;
-    this.#clock = parts.clock;
-    this.#dispatcher = new RouterDispatcher(settings, parts);
-    this.#front = parts.createFront(this.#dispatcher);
+    this.#parts = parts;
+    const {random, log} = parts;
+    this.#evidence = new RouterEvidence(DEFAULT_EVIDENCE_SETTINGS, random);
+    this.#connections = new SidecarConnections(settings.connectTimeoutMs);
+    const revisions = new RouterRevisions(settings);
+    this.#state = new RouterState(revisions, log, (membership, now) =>
+      this.#onMembership(membership, now),
+    );
     const facts = {node: settings.name, region: settings.region};
-    this.#link = new ControlLink(settings, facts, {
-      ...parts,
-      listener: {
-        heldRevision: () => this.#dispatcher.heldRevision(),
-        onUpdate: (update, now) => {
-          this.#onUpdate(update, now);
-        },
-      },
-    });
+    const listener = {
+      heldRevision: () => this.#state.revision,
+      onUpdate: (update: ControlUpdate, now: number) =>
+        this.#onUpdate(update, now),
+    };
+    this.#link = new ControlLink(settings, facts, {...parts, listener});
   }
 
   /** @returns the port for callers, once started */
   get port(): number {
-    return this.#front.port;
+    return this.#running?.front.port ?? 0;
   }
 
   /** See {@link Role.start}. */
   async start(): Promise<void> {
-    await this.#front.start();
+    const running = await this.#assemble();
+    this.#running = running;
+    this.#registerMetrics(running);
+    await running.front.start();
     this.#link.start();
     this.#timer = setInterval(() => {
-      this.#tick();
+      this.#tick(running);
     }, this.#settings.tickMs);
   }
 
   /** See {@link Role.isReady}. */
   isReady(): boolean {
-    if (this.#draining || !this.#membershipKnown) return false;
-    return this.#dispatcher.revisions.mayServe(this.#clock.now());
+    if (this.#draining || !this.#running) return false;
+    return this.#state.mayServe(this.#parts.clock.now());
   }
 
   /**
@@ -109,7 +145,7 @@
    */
   async drain(limitMs: number): Promise<void> {
     this.#draining = true;
-    await this.#front.drain(limitMs);
+    await this.#running?.front.drain(limitMs);
   }
 
   /** See {@link Role.stop}. */
@@ -117,40 +153,98 @@
     this.#draining = true;
     clearInterval(this.#timer);
     this.#link.stop();
-    await this.#front.stop();
-    this.#dispatcher.close();
+    await this.#running?.front.stop();
+    this.#connections.close();
   }
 
   /** See {@link Role.dump}. */
   dump(): StateDump {
-    const {revisions, membership} = this.#dispatcher;
+    const {revisions, membership} = this.#state;
     const state = {
       name: this.#settings.name,
       ready: this.isReady(),
       draining: this.#draining,
       control: this.#link.address,
       controlBytes: this.#link.receivedBytes,
-      revision: revisions.configuration.revision,
+      revision: this.#state.revision,
       revisionConfirmed: revisions.isConfirmed(),
       membershipVersion: membership.version,
       backendServers: membership.servers.size,
-      connections: this.#dispatcher.connections.size,
-      inFlight: this.#dispatcher.inFlight,
-      ...this.#dispatcher.counters,
-      front: this.#front.counters,
+      suspects: this.#evidence.suspects,
+      skew: Object.fromEntries(measureSkew(membership, this.#load)),
+      connections: this.#connections.size,
+      inFlight: this.#running?.dispatcher.inFlight ?? 0,
+      requestsByState: this.#running?.dispatcher.countByState() ?? {},
+      ...this.#counters.read(),
+      front: this.#running?.front.counters,
     };
     return {version: DUMP_VERSION, role: 'router', state};
   }
 
-  #tick(): void {
-    const now = this.#clock.now();
+  async #assemble(): Promise<Running> {
+    const settings = this.#settings;
+    const {clock, random, createFront} = this.#parts;
+    const hasher = await loadKeyHasher();
+    const choice = new ServerChoice({
+      policy: PLACEMENT_POLICIES[settings.placementPolicy](hasher),
+      hasher,
+      load: this.#load,
+      random,
+      isSuspect: server => this.#evidence.isSuspect(server.incarnation),
+    });
+    this.#choice = choice;
+    const shared = {
+      clock,
+      state: this.#state,
+      load: this.#load,
+      evidence: this.#evidence,
+      counters: this.#counters,
+      connections: this.#connections,
+    };
+    const dispatcher = new RouterDispatcher(settings, {
+      ...shared,
+      choice,
+      budget: new RetryBudget(settings),
+      refusal: new EarlyRefusal(this.#load, random),
+    });
+    const timeoutMs = settings.connectTimeoutMs;
+    const onProbe = (): void => this.#counters.noteProbe();
+    const prober = new SidecarProber({...shared, timeoutMs, onProbe});
+    return {dispatcher, prober, front: createFront(dispatcher)};
+  }
+
+  #registerMetrics({dispatcher}: Running): void {
+    if (!this.#parts.metrics) return;
+    registerMetrics(this.#parts.metrics, {
+      counts: () => this.#counters.read(),
+      inFlight: () => dispatcher.inFlight,
+      suspects: () => this.#evidence.suspects,
+      revision: () => this.#state.revision,
+      controlBytes: () => this.#link.receivedBytes,
+      skewByPool: () => measureSkew(this.#state.membership, this.#load),
+    });
+  }
+
+  #tick({dispatcher, prober}: Running): void {
+    const now = this.#parts.clock.now();
     this.#link.tick(now);
-    this.#dispatcher.tick(now);
+    dispatcher.tick(now);
+    prober.tick(now, this.#state.revision);
   }
 
   #onUpdate(update: ControlUpdate, now: number): void {
-    this.#dispatcher.revisions.noteControl(now);
+    this.#state.revisions.noteControl(now);
     const handle = this.#updateHandlers[update.kind ?? 'heartbeat'];
     handle(update, now);
   }
+
+  #onMembership(membership: Membership, now: number): void {
+    this.#choice?.useMembership(membership, now);
+    const servers = [...membership.servers.values()];
+    const addresses = new Set(servers.map(server => server.address));
+    const incarnations = new Set(servers.map(server => server.incarnation));
+    this.#connections.keepOnly(addresses);
+    this.#state.revisions.keepOnly(incarnations);
+    this.#evidence.keepOnly(incarnations);
+  }
 }
--- /dev/null
+++ b/packages/lovagepond-router/src/router_server_choice.ts
@@ -0,0 +1,162 @@
+/**
+ * Chooses a request's backend server: the placement policy's candidates, less
+ * those tried before and those that this router has evidence against.
+ */
+import {
+  type BackendServer,
+  type Membership,
+  type Pool,
+  type Random,
+} from '@lovagepond/core';
+import {type EligibleSet} from './router_eligibility.js';
+import {type RouterLoadView} from './router_load_view.js';
+import {
+  type PlacementPolicy,
+  type PlacementRequest,
+  type PlacementServer,
+} from './router_placement.js';
+import {RendezvousTable} from './router_rendezvous.js';
+import {type KeyHasher} from './router_rendezvous_hash.js';
+
+/** What a choice is made from. */
+export interface ChoiceQuery {
+  readonly request: PlacementRequest;
+  readonly set: EligibleSet;
+  /** Names of servers not to choose. */
+  readonly excluded: ReadonlySet<string>;
+  /** A server named by a pointer or hand-over, or undefined. */
+  readonly wanted: string | undefined;
+}
+
+/** A backend server chosen for a request, with what its sidecar is told. */
+export interface Chosen {
+  readonly server: BackendServer;
+  /** The chat's first choice, when that is another server. */
+  readonly firstChoice: BackendServer | undefined;
+  /** Estimated mean of outstanding tokens over the eligible servers. */
+  readonly poolMeanTokens: number;
+}
+
+/** What {@link ServerChoice} decides with. */
+export interface ChoiceParts {
+  readonly policy: PlacementPolicy;
+  readonly hasher: KeyHasher;
+  readonly load: RouterLoadView;
+  readonly random: Random;
+  /** @returns true when this router has evidence against the server */
+  readonly isSuspect: (server: BackendServer) => boolean;
+}
+
+interface Candidate extends PlacementServer {
+  readonly server: BackendServer;
+}
+
+/** Keeps a table of servers for each eligible set in use. */
+export class ServerChoice {
+  readonly #parts: ChoiceParts;
+  readonly #tables = new WeakMap<EligibleSet, RendezvousTable<Candidate>>();
+  readonly #readySince = new Map<string, number>();
+  #listed = false;
+
+  constructor(parts: ChoiceParts) {
+    this.#parts = parts;
+  }
+
+  /**
+   * @param membership the list of backend servers from now on
+   * @param now present time, monotonic milliseconds
+   */
+  useMembership(membership: Membership, now: number): void {
+    const since = this.#listed ? now : Number.NEGATIVE_INFINITY;
+    for (const name of this.#readySince.keys()) {
+      if (!membership.servers.has(name)) this.#readySince.delete(name);
+    }
+    for (const name of membership.servers.keys()) {
+      if (!this.#readySince.has(name)) this.#readySince.set(name, since);
+    }
+    this.#listed = true;
+  }
+
+  /**
+   * @param query what is to be placed
+   * @param now present time, monotonic milliseconds
+   * @returns the server, or undefined when none is left
+   */
+  choose(query: ChoiceQuery, now: number): Chosen | undefined {
+    const pool = query.set.pools[0];
+    if (!pool || query.set.servers.length === 0) return undefined;
+    const table = this.#tableOf(query.set);
+    const {candidates, firstChoice} = this.#order(query, pool, table, now);
+    const server =
+      this.#findWanted(query) ?? this.#pick(query, candidates, table);
+    if (!server) return undefined;
+    const away = server.name !== firstChoice.name;
+    return {
+      server,
+      firstChoice: away ? firstChoice.server : undefined,
+      poolMeanTokens: this.#parts.load.meanOf(table.slots),
+    };
+  }
+
+  /**
+   * @param set an eligible set
+   * @returns the slots of its servers in the load digest; the same object for
+   *     the same set
+   */
+  slotsOf(set: EligibleSet): Int32Array {
+    return this.#tableOf(set).slots;
+  }
+
+  #order(
+    query: ChoiceQuery,
+    settings: Pool,
+    table: RendezvousTable<Candidate>,
+    now: number,
+  ): {candidates: readonly Candidate[]; firstChoice: Candidate} {
+    const {policy, load, random} = this.#parts;
+    const {request} = query;
+    const servers = table;
+    return policy.place({request, servers, load, settings, now, random});
+  }
+
+  #findWanted({set, wanted, excluded}: ChoiceQuery): BackendServer | undefined {
+    if (wanted === undefined || excluded.has(wanted)) return undefined;
+    const found = set.servers.find(server => server.name === wanted);
+    return found && !this.#parts.isSuspect(found) ? found : undefined;
+  }
+
+  /**
+   * The policy's candidates go first, then any other server. A server under
+   * suspicion comes last and is not left out: should all be suspected, the
+   * fault is more likely this router's own, and a try costs little.
+   */
+  #pick(
+    {excluded}: ChoiceQuery,
+    candidates: readonly Candidate[],
+    table: RendezvousTable<Candidate>,
+  ): BackendServer | undefined {
+    const {isSuspect} = this.#parts;
+    const preferred = candidates.find(
+      item => !excluded.has(item.name) && !isSuspect(item.server),
+    );
+    if (preferred) return preferred.server;
+    const rest = table.servers.filter(item => !excluded.has(item.name));
+    const trusted = rest.filter(item => !isSuspect(item.server));
+    const pool = trusted.length > 0 ? trusted : rest;
+    return pool.length > 0 ? this.#parts.random.pick(pool).server : undefined;
+  }
+
+  #tableOf(set: EligibleSet): RendezvousTable<Candidate> {
+    const known = this.#tables.get(set);
+    if (known) return known;
+    const candidates = set.servers.map(server => ({
+      name: server.name,
+      slot: server.slot,
+      readySince: this.#readySince.get(server.name) ?? 0,
+      server,
+    }));
+    const table = new RendezvousTable(candidates, this.#parts.hasher);
+    this.#tables.set(set, table);
+    return table;
+  }
+}
--- a/packages/lovagepond-router/src/router_settings.ts
+++ b/packages/lovagepond-router/src/router_settings.ts
@@ -2,6 +2,11 @@
  * What a router is told by its settings.
  */
 
+import {
+  DEFAULT_PLACEMENT_POLICY,
+  type PlacementPolicyName,
+} from './router_placement_table.js';
+
 /** What a router does when no control member can be reached any more. */
 export const ISLAND_POLICY = {
   /** Serve on with the configuration held, which may grow old. */
@@ -27,6 +32,7 @@
   readonly islandPolicy: IslandPolicy;
   /** Control counts as out of reach after this time. */
   readonly islandAfterMs: number;
+  readonly placementPolicy: PlacementPolicyName;
   readonly connectTimeoutMs: number;
   /** Without a frame for so long, an attempt's connection is silent. */
   readonly attemptSilentAfterMs: number;
@@ -56,6 +62,7 @@
   controlRetryMs: 100,
   islandPolicy: ISLAND_POLICY.SERVE,
   islandAfterMs: 10_000,
+  placementPolicy: DEFAULT_PLACEMENT_POLICY,
   connectTimeoutMs: 1_000,
   attemptSilentAfterMs: 3_500,
   firstFrameAfterMs: 1_000,
--- a/packages/lovagepond-scenarios/src/world/routed_request.ts
+++ b/packages/lovagepond-scenarios/src/world/routed_request.ts
@@ -183,6 +183,6 @@
     }
     const incarnation = `${backendServer}-1`;
     const target = {backendServer, incarnation, address: backendServer};
-    this.receive({kind: 'placed', target});
+    this.receive({kind: 'placed', target, nonRepeatable: false});
   }
 }
--- a/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_gate.test.ts
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_gate.test.ts
@@ -1,7 +1,8 @@
 import {Random} from '@lovagepond/core';
 import {describe, expect, it} from 'vitest';
-import {type GateAction, type Offer} from '../../sidecar_types.js';
+import {type GateAction} from '../../sidecar_types.js';
 import {DEFAULT_GATE_SETTINGS, SidecarGate} from '../../index.js';
+import {makeOffer} from './sidecar_test_utils.js';
 
 const SETTINGS = {
   ...DEFAULT_GATE_SETTINGS,
@@ -10,25 +11,6 @@
   floorTokens: 1_000,
 };
 
-function makeOffer(attemptId: string, more: Partial<Offer> = {}): Offer {
-  return {
-    requestId: `request-${attemptId}`,
-    attemptId,
-    incarnation: 'inc-1',
-    workspace: 'bakery',
-    chat: 'chat-1',
-    tokens: 600,
-    priority: 5,
-    deadlineAt: Infinity,
-    nonRepeatable: false,
-    revision: 0,
-    firstChoice: '',
-    handOvers: 0,
-    poolMeanTokens: 0,
-    ...more,
-  };
-}
-
 function makeGate(): SidecarGate {
   const gate = new SidecarGate(SETTINGS, new Random(7));
   gate.admission.setPoolMean(
--- /dev/null
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_role.test.ts
@@ -0,0 +1,104 @@
+import {Random} from '@lovagepond/core';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {DEFAULT_SIDECAR_SETTINGS, SidecarRole} from '../../index.js';
+import {
+  CLOCK,
+  EchoEngine,
+  FakeControl,
+  FakeRouter,
+  joinChunks,
+  LOG,
+} from './sidecar_test_utils.js';
+
+const BODY = Buffer.from('an answer in two halves');
+
+let control: FakeControl;
+let engine: EchoEngine;
+let role: SidecarRole;
+let router: FakeRouter;
+
+beforeEach(async () => {
+  control = new FakeControl();
+  engine = new EchoEngine();
+  role = new SidecarRole(
+    {
+      ...DEFAULT_SIDECAR_SETTINGS,
+      backendServer: 'engine-1',
+      pool: 'chat',
+      backendUrl: '',
+      controlAddresses: [await control.start()],
+      announceIntervalMs: 20,
+    },
+    {
+      clock: CLOCK,
+      log: LOG,
+      random: new Random(1),
+      backend: {kind: 'engine', engine},
+    },
+  );
+  await role.start();
+  await expect.poll(() => role.isReady()).toBe(true);
+  router = new FakeRouter(role.address, role.incarnation);
+});
+
+afterEach(async () => {
+  router.close();
+  await role.stop();
+  control.stop();
+});
+
+describe('the sidecar process', () => {
+  it('answers an attempt in full and announces itself as ready', async () => {
+    const attempt = router.attempt({attemptId: 'a.1', body: BODY});
+    await attempt.over;
+    const kinds = attempt.frames.map(frame => frame.kind);
+    expect(kinds).toEqual(['accepted', 'started', 'chunk', 'chunk', 'end']);
+    expect(joinChunks(attempt.frames)).toBe(BODY.toString());
+    expect(attempt.frames.at(-1)?.end?.totalBytes).toBe(BODY.length);
+    await expect
+      .poll(() => control.announced.some(({state}) => state === 'ready'))
+      .toBe(true);
+  });
+
+  // The router's connection goes silent in the middle of an answer. It sends
+  // the same attempt over a fresh one, from the bytes that it has. The caller
+  // must get the rest of the same answer, and the engine must run only once.
+  it('goes on with a running answer over another stream', async () => {
+    let goOn = (): void => {};
+    engine.gate = new Promise(resolve => (goOn = resolve));
+    const request = {attemptId: 'b.1', requestId: 'b', body: BODY};
+    const first = router.attempt(request);
+    const {chunk} = await first.until('chunk');
+    first.cancel();
+    const resumeFrom = chunk?.data?.length ?? 0;
+    const second = router.attempt({...request, resumeFrom});
+    await second.until('started');
+    goOn();
+    await second.over;
+    expect(joinChunks(first.frames) + joinChunks(second.frames)).toBe(
+      BODY.toString(),
+    );
+    expect(engine.runs).toEqual(['b']);
+    expect(engine.cancelled).toEqual([]);
+  });
+
+  // The planned leave starts while an answer is under way. The caller must
+  // read it to its end; another attempt is refused as not run at once, and
+  // the leave is over when nothing runs any more.
+  it('cuts nothing when it drains', async () => {
+    let goOn = (): void => {};
+    engine.gate = new Promise(resolve => (goOn = resolve));
+    const running = router.attempt({attemptId: 'c.1', body: BODY});
+    await running.until('chunk');
+    const drained = role.drain(10_000);
+    const late = router.attempt({attemptId: 'd.1', body: BODY});
+    const {refused} = await late.until('refused');
+    expect(refused?.errorKind).toBe('draining');
+    await expect.poll(() => control.announced.at(-1)?.state).toBe('draining');
+    goOn();
+    await drained;
+    await running.over;
+    expect(joinChunks(running.frames)).toBe(BODY.toString());
+    expect(engine.runs).toHaveLength(1);
+  });
+});
--- a/packages/lovagepond-sidecar/src/index.ts
+++ b/packages/lovagepond-sidecar/src/index.ts
@@ -10,6 +10,7 @@
   type RevokeOutcome,
   SidecarAttempts,
 } from './sidecar_attempts.js';
+export {type Backend} from './sidecar_backend.js';
 export {chatNumber, SidecarCacheIndex} from './sidecar_cache_index.js';
 export {type HeldRequest, SidecarFairQueue} from './sidecar_fair_queue.js';
 export {SidecarGate} from './sidecar_gate.js';
@@ -19,6 +20,14 @@
   type RevisionCheck,
   SidecarRevisions,
 } from './sidecar_revisions.js';
+export {type SidecarParts, SidecarRole} from './sidecar_role.js';
+export {
+  type BackendKind,
+  DEFAULT_SIDECAR_SETTINGS,
+  ISLAND_POLICY,
+  type IslandPolicy,
+  type SidecarSettings,
+} from './sidecar_settings.js';
 export {
   DEFAULT_TAKER_SETTINGS,
   type PeerLoad,
--- a/packages/lovagepond-sidecar/src/sidecar_admission.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_admission.ts
@@ -218,12 +218,21 @@
     this.#report = {foreignTokens: 0, takenAt: now};
   }
 
-  /** Control's mean while it is fresh; then whichever was taken later. */
+  /**
+   * Control's mean while it is fresh. After that a router's later estimate
+   * may confirm that the pool is still busy, but never raise the mean: it
+   * counts queues too, and would let every engine grow with the queues.
+   */
   #sample(now: number): Sample {
-    const controlAge = now - this.#control.takenAt;
-    if (controlAge <= this.#settings.meanFreshMs) return this.#control;
-    const routerIsLater = this.#routers.takenAt > this.#control.takenAt;
-    return routerIsLater ? this.#routers : this.#control;
+    const control = this.#control;
+    const fresh = now - control.takenAt <= this.#settings.meanFreshMs;
+    if (fresh || this.#routers.takenAt <= control.takenAt) return control;
+    const {othersTokens, takenAt} = this.#routers;
+    return {
+      othersTokens: Math.min(control.othersTokens, othersTokens),
+      readyServers: control.readyServers,
+      takenAt,
+    };
   }
 
   /**
--- /dev/null
+++ b/packages/lovagepond-sidecar/src/sidecar_backend.ts
@@ -0,0 +1,114 @@
+/**
+ * The backend server as the sidecar's shell uses it: model engines and plain
+ * services run a request the same way.
+ */
+import {
+  type EngineEvent,
+  type ModelEngine,
+  type PlainService,
+} from '@lovagepond/backend';
+import {answerFor, DISPOSITION} from '@lovagepond/core';
+import {type lovagepond} from '@lovagepond/protocol';
+
+/** A connected backend server. */
+export type Backend =
+  | {readonly kind: 'engine'; readonly engine: ModelEngine}
+  | {readonly kind: 'service'; readonly service: PlainService};
+
+/** One run of an attempt. */
+export interface BackendRun {
+  readonly request: lovagepond.v1.AttemptRequest;
+  /** Monotonic milliseconds. */
+  readonly deadline: number;
+  /** Bytes of the answer that the engine must not generate again. */
+  readonly resumeFrom: number;
+  readonly signal: AbortSignal;
+}
+
+const STREAM_FIELD = /"stream"\s*:\s*true/;
+/** The field stands among the parameters, before or after the messages. */
+const decoder = new TextDecoder();
+
+function wantsStream(body: Uint8Array): boolean {
+  return STREAM_FIELD.test(decoder.decode(body));
+}
+
+function runEngine(
+  engine: ModelEngine,
+  run: BackendRun,
+  now: number,
+): AsyncIterable<EngineEvent> {
+  const {request, deadline, resumeFrom, signal} = run;
+  const {requestId, workspace, chat, priority, path} = request;
+  const {contentType, body} = request;
+  signal.addEventListener('abort', () => engine.cancel(requestId), {
+    once: true,
+  });
+  const stream = wantsStream(body);
+  return engine.run(
+    {
+      requestId,
+      workspace,
+      chat,
+      priority,
+      path,
+      contentType,
+      body,
+      stream,
+      resumeFrom,
+      deadline,
+    },
+    now,
+  );
+}
+
+async function* runService(
+  service: PlainService,
+  run: BackendRun,
+  now: number,
+): AsyncGenerator<EngineEvent> {
+  const {request, deadline, signal} = run;
+  const {requestId, workspace, path, contentType, body} = request;
+  const {idempotencyKey, nonRepeatable} = request;
+  const outcome = await service.call(
+    {
+      requestId,
+      workspace,
+      path,
+      contentType,
+      body,
+      nonRepeatable,
+      deadline,
+      ...(idempotencyKey && {idempotencyKey}),
+    },
+    now,
+    signal,
+  );
+  if (outcome.kind === 'failed') {
+    const {disposition} = answerFor(outcome.failure.kind);
+    if (disposition !== DISPOSITION.NOT_RUN) yield {kind: 'dispatched'};
+    yield outcome;
+    return;
+  }
+  const {status, contentType: type, body: bytes} = outcome;
+  yield {kind: 'dispatched'};
+  yield {kind: 'started', status, contentType: type, cachedTokens: 0};
+  yield {kind: 'data', offset: 0, bytes};
+  const usage = {promptTokens: 0, cachedTokens: 0, answerTokens: 0};
+  yield {kind: 'end', totalBytes: bytes.length, usage};
+}
+
+/**
+ * @param backend a connected backend server
+ * @param run what to run
+ * @param now present time
+ * @returns the events of a model engine's run, whatever the backend server is
+ */
+export function runAtBackend(
+  backend: Backend,
+  run: BackendRun,
+  now: number,
+): AsyncIterable<EngineEvent> {
+  if (backend.kind === 'engine') return runEngine(backend.engine, run, now);
+  return runService(backend.service, run, now);
+}
--- /dev/null
+++ b/packages/lovagepond-sidecar/src/sidecar_backend_watch.ts
@@ -0,0 +1,105 @@
+/**
+ * Watches the backend server: whether it answers, whether it restarted, and
+ * what it reports of its load and cache.
+ */
+import {type CacheEvent} from '@lovagepond/backend';
+import {type Clock, type Logger, type Unregister} from '@lovagepond/core';
+import {type Backend} from './sidecar_backend.js';
+import {type SidecarGate} from './sidecar_gate.js';
+
+/** Looks in a row without an answer, after which it counts as down. */
+const DOWN_AFTER = 2;
+
+/** What the watch needs. */
+export interface WatchParts {
+  readonly backend: Backend;
+  readonly gate: SidecarGate;
+  readonly clock: Clock;
+  readonly log: Logger;
+}
+
+type CacheHandlers = {
+  readonly [Kind in CacheEvent['kind']]: (
+    event: Extract<CacheEvent, {kind: Kind}>,
+    gate: SidecarGate,
+  ) => void;
+};
+
+const CACHE_HANDLERS: CacheHandlers = {
+  stored: ({sequence, key, tokens}, gate) => {
+    gate.cache.apply(sequence, key.workspace, key.chat, tokens);
+  },
+  evicted: ({sequence, key}, gate) => {
+    gate.cache.apply(sequence, key.workspace, key.chat, 0);
+  },
+  gap: ({sequence}, gate) => gate.cache.noteGap(sequence),
+};
+
+/** Keeps the gate's knowledge of its backend server up to date. */
+export class SidecarBackendWatch {
+  readonly #parts: WatchParts;
+  #failures = DOWN_AFTER;
+  #incarnation: string | undefined;
+  #models: readonly string[] = [];
+  #unregister: Unregister = () => {};
+  #looking = false;
+
+  constructor(parts: WatchParts) {
+    this.#parts = parts;
+  }
+
+  /** @returns true while the backend server answers */
+  get up(): boolean {
+    return this.#failures < DOWN_AFTER;
+  }
+
+  /** @returns models it has loaded */
+  get models(): readonly string[] {
+    return this.#models;
+  }
+
+  /** Starts to listen to cache events. */
+  start(): void {
+    const {backend, gate} = this.#parts;
+    if (backend.kind !== 'engine') return;
+    this.#unregister = backend.engine.subscribeCache(event => {
+      CACHE_HANDLERS[event.kind](event as never, gate);
+    });
+  }
+
+  /** Ends it. */
+  stop(): void {
+    this.#unregister();
+  }
+
+  /** Looks once; a look that still goes on is not doubled. */
+  async look(): Promise<void> {
+    if (this.#looking) return;
+    this.#looking = true;
+    const wasUp = this.up;
+    const answered = await this.#ask();
+    this.#looking = false;
+    this.#failures = answered ? 0 : this.#failures + 1;
+    if (wasUp === this.up) return;
+    this.#parts.log.info('backend server', {up: this.up});
+  }
+
+  async #ask(): Promise<boolean> {
+    const {backend, gate, clock} = this.#parts;
+    if (backend.kind === 'service') return backend.service.probe();
+    const report = await backend.engine.loadReport(clock.now());
+    if (!report.ok) return false;
+    const {incarnation, runningTokens, waitingTokens} = report.value;
+    const now = clock.now();
+    if (this.#incarnation !== undefined && this.#incarnation !== incarnation) {
+      // Its cache is empty now: kept as warm, chats would be held for it.
+      gate.backendRestarted(now);
+      this.#parts.log.warn('backend server restarted', {incarnation});
+    }
+    this.#incarnation = incarnation;
+    this.#models = report.value.models;
+    const lagMs = now - report.value.measuredAt;
+    gate.admission.setEngineReport(runningTokens + waitingTokens, lagMs, now);
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-sidecar/src/sidecar_cache_mover.ts
@@ -0,0 +1,118 @@
+/**
+ * Sends the warmest chats' KV cache away during a planned leave.
+ */
+import {type Clock, type Logger} from '@lovagepond/core';
+import {
+  type KeyHasher,
+  makeChatText,
+  RendezvousTable,
+} from '@lovagepond/router';
+import {type Backend} from './sidecar_backend.js';
+import {type SidecarGate} from './sidecar_gate.js';
+import {
+  ByteRate,
+  type NamedChat,
+  type PlannedMove,
+  planMoves,
+  RecentChats,
+} from './sidecar_kv_moves.js';
+import {type Peer, type SidecarPeers} from './sidecar_peers.js';
+import {expectedWarmTokens} from './sidecar_take.js';
+
+/** What the mover needs. */
+export interface MoverParts {
+  readonly gate: SidecarGate;
+  readonly backend: Backend;
+  readonly peers: SidecarPeers;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly hasher: KeyHasher;
+  readonly moveBytesPerSecond: number;
+  readonly maxMovedChats: number;
+}
+
+/** Moves caches, one after the other, within the byte rate. */
+export class SidecarCacheMover {
+  readonly #parts: MoverParts;
+  readonly #rate: ByteRate;
+  #moved = 0;
+  #movedBytes = 0;
+  #running = false;
+  /** The chats served here last. */
+  readonly recent: RecentChats;
+
+  constructor(parts: MoverParts) {
+    this.#parts = parts;
+    this.#rate = new ByteRate(parts.moveBytesPerSecond);
+    this.recent = new RecentChats(parts.maxMovedChats);
+  }
+
+  /** @returns chats and bytes moved since the start */
+  get counters(): {readonly moved: number; readonly movedBytes: number} {
+    return {moved: this.#moved, movedBytes: this.#movedBytes};
+  }
+
+  /**
+   * Moves what it can until the limit.
+   *
+   * @param signal ends it
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    const {backend, moveBytesPerSecond} = this.#parts;
+    if (backend.kind !== 'engine' || moveBytesPerSecond <= 0) return;
+    if (this.#running) return;
+    this.#running = true;
+    for (const move of this.#plan()) {
+      if (!(await this.#waitForRate(signal))) break;
+      await this.#move(move);
+    }
+    this.#running = false;
+    this.#parts.log.info('caches moved', this.counters);
+  }
+
+  #plan(): PlannedMove[] {
+    const {gate, peers, hasher} = this.#parts;
+    // The order of the routers over what remains: there the chats will land.
+    const table = new RendezvousTable<Peer>(peers.ready, hasher);
+    return planMoves(this.recent.latest(), {
+      warmTokens: ({workspace, chat}) =>
+        expectedWarmTokens(gate.cache.read(workspace, chat)),
+      nextServer: ({workspace, chat}: NamedChat) => {
+        const key = hasher.hash(makeChatText(workspace, chat));
+        const [index] = table.order(key, 1);
+        return index === undefined ? undefined : table.servers[index];
+      },
+    });
+  }
+
+  async #waitForRate(signal: AbortSignal): Promise<boolean> {
+    const waitMs = this.#rate.waitMs(this.#parts.clock.now());
+    if (waitMs > 0 && !signal.aborted) await pause(waitMs, signal);
+    return !signal.aborted;
+  }
+
+  async #move(move: PlannedMove): Promise<void> {
+    const {backend, peers, clock} = this.#parts;
+    if (backend.kind !== 'engine') return;
+    const {workspace, chat, address} = move;
+    const exported = await backend.engine.exportCache({workspace, chat});
+    if (!exported.ok) return;
+    const {bytes: cache, tokens} = exported.value;
+    this.#rate.spend(cache.length, clock.now());
+    const request = {workspace, chat, cache, tokens};
+    if (!(await peers.moveCache(address, request))) return;
+    this.#moved += 1;
+    this.#movedBytes += cache.length;
+  }
+}
+
+function pause(ms: number, signal: AbortSignal): Promise<void> {
+  return new Promise(resolve => {
+    const timer = setTimeout(resolve, ms);
+    const onAbort = (): void => {
+      clearTimeout(timer);
+      resolve();
+    };
+    signal.addEventListener('abort', onAbort, {once: true});
+  });
+}
--- /dev/null
+++ b/packages/lovagepond-sidecar/src/sidecar_calls.ts
@@ -0,0 +1,110 @@
+/**
+ * Unary calls to other processes of the system, each with a time limit.
+ */
+import {
+  type ChannelOptions,
+  Client,
+  credentials,
+  Metadata,
+  type MethodDefinition,
+} from '@grpc/grpc-js';
+
+/** Largest message between processes, bytes. */
+export const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
+
+const CHANNEL_OPTIONS: ChannelOptions = {
+  // Shared subchannels would make a "fresh" connection the silent one again.
+  'grpc.use_local_subchannel_pool': 1,
+  // The library must not resend what may have arrived.
+  'grpc.enable_retries': 0,
+  'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
+  'grpc.max_send_message_length': MAX_MESSAGE_BYTES,
+  'grpc.initial_reconnect_backoff_ms': 100,
+  'grpc.max_reconnect_backoff_ms': 1_000,
+  'grpc.enable_http_proxy': 0,
+};
+
+/**
+ * @param address `host:port`
+ * @returns a client on a connection of its own
+ */
+export function connect(address: string): Client {
+  return new Client(address, credentials.createInsecure(), CHANNEL_OPTIONS);
+}
+
+/**
+ * @param client a client
+ * @param method the method to call
+ * @param request its request
+ * @param timeoutMs time for the answer
+ * @returns the answer, or undefined when none came
+ */
+export function callOnce<Req, Res>(
+  client: Client,
+  method: MethodDefinition<Req, Res>,
+  request: Req,
+  timeoutMs: number,
+): Promise<Res | undefined> {
+  return new Promise(resolve => {
+    client.makeUnaryRequest(
+      method.path,
+      method.requestSerialize,
+      method.responseDeserialize,
+      request,
+      new Metadata(),
+      {deadline: Date.now() + timeoutMs},
+      (err, answer) => {
+        resolve(err ? undefined : answer);
+      },
+    );
+  });
+}
+
+/** Clients by address. One that doesn't answer is replaced. */
+export class SidecarCalls {
+  readonly #timeoutMs: number;
+  readonly #clients = new Map<string, Client>();
+
+  /** @param timeoutMs time for an answer */
+  constructor(timeoutMs: number) {
+    this.#timeoutMs = timeoutMs;
+  }
+
+  /**
+   * @param address `host:port`
+   * @param method the method to call
+   * @param request its request
+   * @returns the answer, or undefined when none came
+   */
+  async call<Req, Res>(
+    address: string,
+    method: MethodDefinition<Req, Res>,
+    request: Req,
+  ): Promise<Res | undefined> {
+    const client = this.#clients.get(address) ?? connect(address);
+    this.#clients.set(address, client);
+    const answer = await callOnce(client, method, request, this.#timeoutMs);
+    // A connection can be silent for good while new ones work.
+    if (answer === undefined) this.#forget(address, client);
+    return answer;
+  }
+
+  /** @param addresses those still in use; connections to others are closed */
+  keepOnly(addresses: ReadonlySet<string>): void {
+    for (const [address, client] of this.#clients) {
+      if (!addresses.has(address)) this.#forget(address, client);
+    }
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    for (const [address, client] of this.#clients) {
+      this.#forget(address, client);
+    }
+  }
+
+  #forget(address: string, client: Client): void {
+    if (this.#clients.get(address) === client) this.#clients.delete(address);
+    client.close();
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-sidecar/src/sidecar_claimed_calls.ts
@@ -0,0 +1,174 @@
+/**
+ * Sends the claims and records that {@link SidecarClaims} decides.
+ */
+import {type Clock, type Failure} from '@lovagepond/core';
+import {type lovagepond} from '@lovagepond/protocol';
+import {
+  type ClaimAction,
+  type ClaimAnswer,
+  type ClaimsSettings,
+  type RecordedOutcome,
+  SidecarClaims,
+} from './sidecar_claims.js';
+
+type AttemptRequest = lovagepond.v1.AttemptRequest;
+
+/** An answer as the ledger keeps it. */
+export interface KeptAnswer {
+  readonly status: number;
+  readonly contentType: string;
+  readonly answer: Uint8Array;
+}
+
+/** The calls to control's ledger. */
+export interface LedgerCalls {
+  claim(
+    request: lovagepond.v1.ClaimRequest.$Properties,
+  ): Promise<ClaimAnswer | undefined>;
+  record(request: lovagepond.v1.RecordRequest.$Properties): Promise<boolean>;
+}
+
+/** Hears how claims end. */
+export interface ClaimListener {
+  onGranted(attemptId: string): void;
+  onReplay(attemptId: string, answer: ClaimAnswer): void;
+  onDenied(attemptId: string, failure: Failure): void;
+}
+
+/** Who claims. */
+export interface Claimant {
+  readonly backendServer: string;
+  readonly incarnation: string;
+}
+
+interface ClaimedCall {
+  readonly request: AttemptRequest;
+  answer: KeptAnswer;
+}
+
+const NO_ANSWER: KeptAnswer = Object.freeze({
+  status: 0,
+  contentType: '',
+  answer: new Uint8Array(),
+});
+
+type ActionHandlers = {
+  readonly [Kind in ClaimAction['kind']]: (
+    action: Extract<ClaimAction, {kind: Kind}>,
+  ) => void;
+};
+
+/** The claimed calls of one sidecar incarnation. */
+export class ClaimedCalls {
+  readonly #claims: SidecarClaims;
+  readonly #claimant: Claimant;
+  readonly #ledger: LedgerCalls;
+  readonly #clock: Clock;
+  readonly #calls = new Map<string, ClaimedCall>();
+  readonly #handlers: ActionHandlers;
+
+  /**
+   * @param settings time limits
+   * @param claimant this sidecar
+   * @param ledger the calls to control
+   * @param clock present time
+   * @param listener hears how claims end
+   */
+  constructor(
+    settings: ClaimsSettings,
+    claimant: Claimant,
+    ledger: LedgerCalls,
+    clock: Clock,
+    listener: ClaimListener,
+  ) {
+    this.#claims = new SidecarClaims(settings);
+    this.#claimant = claimant;
+    this.#ledger = ledger;
+    this.#clock = clock;
+    this.#handlers = {
+      sendClaim: ({attemptId}) => void this.#sendClaim(attemptId),
+      granted: ({attemptId}) => listener.onGranted(attemptId),
+      replay: ({attemptId, answer}) => listener.onReplay(attemptId, answer),
+      denied: ({attemptId, failure}) => listener.onDenied(attemptId, failure),
+      sendRecord: ({attemptId, outcome}) =>
+        void this.#sendRecord(attemptId, outcome),
+    };
+  }
+
+  /** @returns calls between their claim and the end of their record */
+  get size(): number {
+    return this.#claims.size;
+  }
+
+  /** @param request an attempt that must not run twice */
+  start(request: AttemptRequest): void {
+    const {attemptId} = request;
+    this.#calls.set(attemptId, {request, answer: NO_ANSWER});
+    this.#perform(this.#claims.start(attemptId, this.#clock.now()));
+  }
+
+  /** @param attemptId an attempt taken back before its dispatch */
+  release(attemptId: string): void {
+    this.#perform(this.#claims.release(attemptId, this.#clock.now()));
+  }
+
+  /**
+   * @param attemptId a granted attempt whose run is over
+   * @param outcome what is known of it
+   * @param answer its answer, when it ran
+   */
+  finish(
+    attemptId: string,
+    outcome: RecordedOutcome,
+    answer: KeptAnswer = NO_ANSWER,
+  ): void {
+    const call = this.#calls.get(attemptId);
+    if (!call) return;
+    call.answer = answer;
+    const now = this.#clock.now();
+    this.#perform(this.#claims.finished(attemptId, outcome, now));
+  }
+
+  /** @param now present time */
+  tick(now: number): void {
+    this.#perform(this.#claims.tick(now));
+    if (this.#calls.size === 0 || this.#claims.size > 0) return;
+    this.#calls.clear();
+  }
+
+  #perform(actions: readonly ClaimAction[]): void {
+    for (const action of actions) this.#handlers[action.kind](action as never);
+  }
+
+  async #sendClaim(attemptId: string): Promise<void> {
+    const call = this.#calls.get(attemptId);
+    if (!call) return;
+    const {workspace, idempotencyKey, bodyDigest} = call.request;
+    const answer = await this.#ledger.claim({
+      workspace,
+      idempotencyKey,
+      bodyDigest,
+      attemptId,
+      ...this.#claimant,
+    });
+    const now = this.#clock.now();
+    this.#perform(this.#claims.answered(attemptId, answer, now));
+  }
+
+  async #sendRecord(
+    attemptId: string,
+    outcome: RecordedOutcome,
+  ): Promise<void> {
+    const call = this.#calls.get(attemptId);
+    if (!call) return;
+    const {workspace, idempotencyKey} = call.request;
+    const recorded = await this.#ledger.record({
+      workspace,
+      idempotencyKey,
+      attemptId,
+      outcome,
+      ...call.answer,
+    });
+    this.#claims.recordAnswered(attemptId, recorded, this.#clock.now());
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-sidecar/src/sidecar_dispatcher.ts
@@ -0,0 +1,346 @@
+/**
+ * Does what the gate decides: answers routers, claims, runs and cancels.
+ */
+import {
+  answerFor,
+  type Clock,
+  DISPOSITION,
+  type Failure,
+  type Logger,
+  makeFailure,
+} from '@lovagepond/core';
+import {type lovagepond} from '@lovagepond/protocol';
+import {type Backend} from './sidecar_backend.js';
+import {ClaimedCalls, type LedgerCalls} from './sidecar_claimed_calls.js';
+import {type ClaimAnswer} from './sidecar_claims.js';
+import {makeAccepted, makeRefused} from './sidecar_frames.js';
+import {type SidecarGate} from './sidecar_gate.js';
+import {runAttempt, type RunOutcome} from './sidecar_run.js';
+import {type FrameStream, SidecarSession} from './sidecar_session.js';
+import {type SidecarSettings} from './sidecar_settings.js';
+import {
+  type GateAction,
+  type Offer,
+  type RefuseAction,
+} from './sidecar_types.js';
+
+type AttemptRequest = lovagepond.v1.AttemptRequest;
+
+const RECORD_TIMEOUT_MS = 600_000;
+const LEDGER_RETRY_MS = 100;
+const NO_BYTES = new Uint8Array();
+
+/** What the dispatcher needs besides its settings. */
+export interface DispatcherParts {
+  readonly gate: SidecarGate;
+  readonly backend: Backend;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly ledger: LedgerCalls;
+  readonly incarnation: string;
+  /** @returns our configuration when the revision given is older, else none */
+  newerConfiguration(revision: number): Uint8Array;
+  /** Tells a chat's first choice that the chat was served here. */
+  point(request: AttemptRequest): void;
+  /** A chat's run is over; its context is cached. */
+  noteServed(request: AttemptRequest): void;
+}
+
+type ActionHandlers = {
+  readonly [Kind in GateAction['kind']]: (
+    action: Extract<GateAction, {kind: Kind}>,
+    session: SidecarSession,
+    now: number,
+  ) => void;
+};
+
+/** Counts since the start. */
+export interface DispatcherCounters {
+  readonly answered: number;
+  readonly failedByKind: Readonly<Record<string, number>>;
+  readonly refusedByKind: Readonly<Record<string, number>>;
+  readonly cachedTokens: number;
+}
+
+function makeOffer(request: AttemptRequest, now: number): Offer {
+  const {requestId, attemptId, incarnation, workspace, chat} = request;
+  const {priority, nonRepeatable, revision, firstChoice} = request;
+  return {
+    requestId,
+    attemptId,
+    incarnation,
+    workspace,
+    chat,
+    tokens: Math.max(1, request.estimatedTokens),
+    priority,
+    deadlineAt: now + request.deadlineLeftMs,
+    nonRepeatable,
+    revision,
+    firstChoice,
+    handOvers: request.handOvers,
+    poolMeanTokens: request.poolMeanTokens,
+  };
+}
+
+function countUp(counts: Map<string, number>, name: string): void {
+  counts.set(name, (counts.get(name) ?? 0) + 1);
+}
+
+/** The attempts at one sidecar, with their streams and runs. */
+export class SidecarDispatcher {
+  readonly #settings: SidecarSettings;
+  readonly #parts: DispatcherParts;
+  readonly #gate: SidecarGate;
+  readonly #calls: ClaimedCalls;
+  readonly #sessions = new Map<string, SidecarSession>();
+  readonly #aborts = new Map<string, AbortController>();
+  readonly #deadlines = new Map<string, number>();
+  readonly #failedByKind = new Map<string, number>();
+  readonly #refusedByKind = new Map<string, number>();
+  #answered = 0;
+  #cachedTokens = 0;
+
+  readonly #handlers: ActionHandlers = {
+    accept: ({expectedWaitMs}, session) => {
+      session.send(makeAccepted(expectedWaitMs));
+    },
+    refuse: (action, session, now) => this.#refuse(action, session, now),
+    rejectCopy: ({failure}, session, now) => this.#fail(session, failure, now),
+    claim: (_action, session) => this.#calls.start(session.request),
+    dispatch: (_action, session) => void this.#run(session),
+    cancel: ({attemptId}) => this.#aborts.get(attemptId)?.abort(),
+    releaseClaim: ({attemptId}) => this.#calls.release(attemptId),
+    point: (_action, session) => this.#parts.point(session.request),
+  };
+
+  /**
+   * @param settings the sidecar's settings
+   * @param parts the gate and what it decides about
+   */
+  constructor(settings: SidecarSettings, parts: DispatcherParts) {
+    this.#settings = settings;
+    this.#parts = parts;
+    this.#gate = parts.gate;
+    const {backendServer, claimTimeoutMs} = settings;
+    this.#calls = new ClaimedCalls(
+      {
+        claimTimeoutMs,
+        recordTimeoutMs: RECORD_TIMEOUT_MS,
+        retryMs: LEDGER_RETRY_MS,
+      },
+      {backendServer, incarnation: parts.incarnation},
+      parts.ledger,
+      parts.clock,
+      {
+        onGranted: attemptId => this.#onGranted(attemptId),
+        onReplay: (attemptId, answer) => this.#onReplay(attemptId, answer),
+        onDenied: (attemptId, failure) => this.#onDenied(attemptId, failure),
+      },
+    );
+  }
+
+  /** @returns counts since the start */
+  get counters(): DispatcherCounters {
+    return {
+      answered: this.#answered,
+      failedByKind: Object.fromEntries(this.#failedByKind),
+      refusedByKind: Object.fromEntries(this.#refusedByKind),
+      cachedTokens: this.#cachedTokens,
+    };
+  }
+
+  /** @returns true when no attempt runs or waits and no record is open */
+  get idle(): boolean {
+    return this.#gate.idle && this.#calls.size === 0;
+  }
+
+  /**
+   * Takes an attempt in. The same attempt over another stream goes on with
+   * the answer: the router lost its first stream, and nothing runs twice.
+   *
+   * @param request the attempt
+   * @param stream where to answer
+   * @returns the attempt's session; undefined for one of a former incarnation
+   */
+  offer(
+    request: AttemptRequest,
+    stream: FrameStream,
+  ): SidecarSession | undefined {
+    const now = this.#parts.clock.now();
+    const {attemptId, resumeFrom} = request;
+    if (request.incarnation !== this.#parts.incarnation) {
+      const failure = makeFailure('wrongIncarnation');
+      stream.write(makeRefused(failure, '', NO_BYTES));
+      stream.end();
+      return undefined;
+    }
+    const known = this.#sessions.get(attemptId);
+    if (known) {
+      known.attach(stream, resumeFrom, now);
+      return known;
+    }
+    const {maxAnswerBytes} = this.#settings;
+    const session = new SidecarSession(request, maxAnswerBytes);
+    session.attach(stream, 0, now);
+    this.#sessions.set(attemptId, session);
+    const offer = makeOffer(request, now);
+    this.#deadlines.set(attemptId, offer.deadlineAt);
+    this.perform(this.#gate.offer(offer, now));
+    return session;
+  }
+
+  /**
+   * @param session an attempt
+   * @param stream its stream that is gone
+   */
+  streamGone(session: SidecarSession, stream: FrameStream): void {
+    const now = this.#parts.clock.now();
+    session.detach(stream, now);
+    if (session.detachedAt === undefined) return;
+    if (session.closedAt !== undefined) return;
+    const {attemptId} = session.request;
+    // What runs may be asked for again over another stream.
+    if (this.#aborts.has(attemptId)) return;
+    this.perform(this.#gate.callerGone(attemptId, now));
+  }
+
+  /**
+   * @param attemptId an attempt the router takes back
+   * @returns the outcome
+   */
+  revoke(attemptId: string): string {
+    const now = this.#parts.clock.now();
+    const {outcome, actions} = this.#gate.revoke(attemptId, now);
+    this.perform(actions);
+    return outcome;
+  }
+
+  /** @param actions what the gate decided */
+  perform(actions: readonly GateAction[]): void {
+    const now = this.#parts.clock.now();
+    for (const action of actions) {
+      const session = this.#sessions.get(action.attemptId);
+      if (session) this.#handlers[action.kind](action as never, session, now);
+    }
+  }
+
+  /** @param now present time */
+  tick(now: number): void {
+    this.perform(this.#gate.tick(now));
+    this.#calls.tick(now);
+    const {heartbeatIntervalMs, answerGraceMs} = this.#settings;
+    for (const [attemptId, session] of this.#sessions) {
+      session.beat(now, heartbeatIntervalMs);
+      if (session.closedAt === undefined) this.#watchDetached(session, now);
+      else if (now - session.closedAt >= answerGraceMs) {
+        this.#forget(attemptId);
+      }
+    }
+  }
+
+  /** Cuts what still runs. */
+  stop(): void {
+    for (const abort of this.#aborts.values()) abort.abort();
+  }
+
+  #watchDetached(session: SidecarSession, now: number): void {
+    const {detachedAt, request} = session;
+    if (detachedAt === undefined) return;
+    if (now - detachedAt < this.#settings.detachGraceMs) return;
+    this.perform(this.#gate.callerGone(request.attemptId, now));
+    session.release();
+  }
+
+  #forget(attemptId: string): void {
+    this.#sessions.delete(attemptId);
+    this.#deadlines.delete(attemptId);
+  }
+
+  #refuse(action: RefuseAction, session: SidecarSession, now: number): void {
+    const {failure, pointer} = action;
+    countUp(this.#refusedByKind, failure.kind);
+    const configuration =
+      failure.kind === 'staleRevision'
+        ? this.#parts.newerConfiguration(session.request.revision)
+        : NO_BYTES;
+    session.refuse(makeRefused(failure, pointer, configuration), now);
+    this.#forget(session.request.attemptId);
+  }
+
+  #fail(session: SidecarSession, failure: Failure, now: number): void {
+    countUp(this.#failedByKind, failure.kind);
+    session.fail(failure, now);
+  }
+
+  async #run(session: SidecarSession): Promise<void> {
+    const {request} = session;
+    const {attemptId} = request;
+    const {backend, clock} = this.#parts;
+    const abort = new AbortController();
+    this.#aborts.set(attemptId, abort);
+    const {signal} = abort;
+    const deadline = this.#deadlines.get(attemptId) ?? clock.now();
+    const parts = {backend, session, clock, deadline, signal};
+    const outcome = await runAttempt(parts);
+    this.#aborts.delete(attemptId);
+    this.#onRunEnd(session, outcome);
+  }
+
+  #onRunEnd(session: SidecarSession, outcome: RunOutcome): void {
+    const now = this.#parts.clock.now();
+    const {request} = session;
+    if (outcome.kind === 'done') {
+      this.#answered += 1;
+      this.#cachedTokens += outcome.cachedTokens;
+      session.finish(now);
+      this.#parts.noteServed(request);
+    }
+    if (outcome.kind === 'failed') this.#fail(session, outcome.failure, now);
+    if (request.nonRepeatable) this.#record(session, outcome);
+    const message = outcome.kind === 'notRun' ? outcome.failure.message : '';
+    const end = {kind: outcome.kind, message};
+    this.perform(this.#gate.finish(request.attemptId, end, now));
+  }
+
+  /** An answer too large to keep can't be told again: its outcome is unknown. */
+  #record(session: SidecarSession, outcome: RunOutcome): void {
+    const {attemptId} = session.request;
+    const answer = session.wholeAnswer();
+    if (outcome.kind === 'notRun') this.#calls.finish(attemptId, 'notRun');
+    else if (outcome.kind === 'done' && answer) {
+      this.#calls.finish(attemptId, 'ran', {...session.head, answer});
+    } else this.#calls.finish(attemptId, 'unknown');
+  }
+
+  #onGranted(attemptId: string): void {
+    const now = this.#parts.clock.now();
+    const actions = this.#gate.claimGranted(attemptId, now);
+    if (actions.length === 0) this.#calls.release(attemptId);
+    this.perform(actions);
+  }
+
+  #onReplay(attemptId: string, answer: ClaimAnswer): void {
+    const now = this.#parts.clock.now();
+    this.perform(this.#gate.claimDenied(attemptId, now));
+    const session = this.#sessions.get(attemptId);
+    if (!session) return;
+    const {status, contentType} = answer;
+    session.begin({status, contentType});
+    session.append({offset: 0, bytes: answer.answer});
+    session.finish(now);
+  }
+
+  #onDenied(attemptId: string, failure: Failure): void {
+    const now = this.#parts.clock.now();
+    this.perform(this.#gate.claimDenied(attemptId, now));
+    const session = this.#sessions.get(attemptId);
+    if (!session) return;
+    const {disposition} = answerFor(failure.kind);
+    if (disposition !== DISPOSITION.NOT_RUN) {
+      this.#fail(session, failure, now);
+      return;
+    }
+    const refusal = {kind: 'refuse', attemptId, failure, pointer: ''} as const;
+    this.#refuse(refusal, session, now);
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-sidecar/src/sidecar_frames.ts
@@ -0,0 +1,99 @@
+/**
+ * Makes the frames of an attempt's answer.
+ */
+import {type Failure} from '@lovagepond/core';
+import {lovagepond} from '@lovagepond/protocol';
+import {type AnswerPiece} from './sidecar_answer_buffer.js';
+
+const {v1} = lovagepond;
+
+/** A frame's kind and content, without what every frame carries. */
+export type FrameBody = Pick<
+  lovagepond.v1.AttemptFrame.$Properties,
+  'accepted' | 'started' | 'refused' | 'chunk' | 'heartbeat' | 'end' | 'failed'
+>;
+
+/** Status and content type of an answer. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly contentType: string;
+}
+
+/** The frame that says nothing but that the attempt lives. */
+export const HEARTBEAT_FRAME: FrameBody = Object.freeze({
+  heartbeat: new v1.Heartbeat(),
+});
+
+/**
+ * @param expectedWaitMs expected wait in the queue
+ * @returns the frame
+ */
+export function makeAccepted(expectedWaitMs: number): FrameBody {
+  return {
+    accepted: new v1.Accepted({expectedWaitMs: Math.round(expectedWaitMs)}),
+  };
+}
+
+/**
+ * @param warm a part of the context was cached
+ * @param cachedTokens how much
+ * @returns the frame
+ */
+export function makeStarted(warm: boolean, cachedTokens: number): FrameBody {
+  return {
+    started: new v1.Started({warm, cachedTokens: Math.round(cachedTokens)}),
+  };
+}
+
+/**
+ * @param failure why it is not run
+ * @param pointer backend server to try; empty for none
+ * @param configuration ours, when the router's is older
+ * @returns the frame
+ */
+export function makeRefused(
+  failure: Failure,
+  pointer: string,
+  configuration: Uint8Array,
+): FrameBody {
+  const {kind: errorKind, message} = failure;
+  const retryAfterMs = Math.round(failure.retryAfterMs);
+  return {
+    refused: new v1.Refused({
+      errorKind,
+      message,
+      retryAfterMs,
+      pointer,
+      configuration,
+    }),
+  };
+}
+
+/**
+ * @param failure why the dispatched attempt failed
+ * @returns the frame
+ */
+export function makeFailed(failure: Failure): FrameBody {
+  const {kind: errorKind, message} = failure;
+  const retryAfterMs = Math.round(failure.retryAfterMs);
+  return {failed: new v1.Failed({errorKind, message, retryAfterMs})};
+}
+
+/**
+ * @param piece bytes of the answer at their place
+ * @param head status and content type
+ * @returns the frame
+ */
+export function makeChunk(piece: AnswerPiece, head: AnswerHead): FrameBody {
+  const {offset, bytes} = piece;
+  return {chunk: new v1.Chunk({offset, data: bytes, ...head})};
+}
+
+/**
+ * @param totalBytes length of the whole answer
+ * @param head status and content type
+ * @returns the frame
+ */
+export function makeEnd(totalBytes: number, head: AnswerHead): FrameBody {
+  return {end: new v1.End({totalBytes, ...head})};
+}
--- a/packages/lovagepond-sidecar/src/sidecar_gate.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_gate.ts
@@ -126,12 +126,13 @@
     if (outcome !== REVOKE_OUTCOME.REVOKED || !open) {
       return {outcome, actions: []};
     }
-    const actions: GateAction[] = [makeRefusal(attemptId, 'revoked')];
+    const actions: GateAction[] = [];
     this.#hold.queue.remove(attemptId);
     if (former === ATTEMPT_STATE.CLAIMING) {
       this.#runs.end(attemptId, now);
       actions.push({kind: 'releaseClaim', attemptId});
     }
+    actions.push(makeRefusal(attemptId, 'revoked'));
     return {outcome, actions: [...actions, ...this.#pump(now)]};
   }
 
@@ -232,15 +233,16 @@
       prefillTokensPerSecond: this.#policy.prefillTokensPerSecond,
     };
     const held = chooseHandOver(view, roomTokens);
-    if (!held) return {attemptIds: [], actions: []};
-    const {attemptId, workspace, chat} = held.offer;
+    if (!held) return {attemptIds: [], tokens: 0, actions: []};
+    const {attemptId, workspace, chat, tokens} = held.offer;
     queue.remove(attemptId);
     this.#attempts.refuse(attemptId, now);
     if (chat !== '' && isFirstChoice(held.offer, this.#settings)) {
       this.pointers.put(workspace, chat, taker, now);
     }
     const refusal = makeRefusal(attemptId, 'handedOver', {pointer: taker});
-    return {attemptIds: [attemptId], actions: [refusal, ...this.#pump(now)]};
+    const actions = [refusal, ...this.#pump(now)];
+    return {attemptIds: [attemptId], tokens, actions};
   }
 
   /**
@@ -281,6 +283,11 @@
     this.#drain.resume();
   }
 
+  /** @returns true when work may be taken, but for a planned leave */
+  get ready(): boolean {
+    return this.#notReady === undefined;
+  }
+
   /** @returns true during a planned leave */
   get draining(): boolean {
     return this.#drain.draining;
--- /dev/null
+++ b/packages/lovagepond-sidecar/src/sidecar_policy.ts
@@ -0,0 +1,33 @@
+/**
+ * Reads from the operators' configuration what concerns one pool's gate.
+ */
+import {type ConfigurationContent} from '@lovagepond/core';
+import {DEFAULT_GATE_POLICY, type GatePolicy} from './sidecar_types.js';
+
+/**
+ * @param content an accepted configuration
+ * @param poolName the sidecar's pool
+ * @returns the gate's policy; defaults when the pool is not named
+ */
+export function readGatePolicy(
+  content: ConfigurationContent,
+  poolName: string,
+): GatePolicy {
+  const pool = content.pools.find(({name}) => name === poolName);
+  const workspaces = new Map(
+    content.workspaces.map(({name, weight, priority, maxQueuedTokens}) => [
+      name,
+      {weight, priority, maxQueuedTokens},
+    ]),
+  );
+  if (!pool) return {...DEFAULT_GATE_POLICY, workspaces};
+  const {loadBound, maxHoldMs} = pool;
+  const {prefillTokensPerSecond, decodeTokensPerSecond} = pool;
+  return {
+    loadBound,
+    maxHoldMs,
+    prefillTokensPerSecond,
+    decodeTokensPerSecond,
+    workspaces,
+  };
+}
--- /dev/null
+++ b/packages/lovagepond-sidecar/src/sidecar_role.ts
@@ -0,0 +1,400 @@
+/**
+ * The sidecar: the slot beside one backend server, and the only way to it.
+ */
+import {
+  type Clock,
+  type Logger,
+  type Random,
+  type Role,
+  SERVER_STATE,
+  type ServerState,
+  type StateDump,
+} from '@lovagepond/core';
+import {type lovagepond} from '@lovagepond/protocol';
+import {loadKeyHasher} from '@lovagepond/router';
+import {SidecarAnnouncer} from './sidecar_announcer.js';
+import {type Backend} from './sidecar_backend.js';
+import {SidecarBackendWatch} from './sidecar_backend_watch.js';
+import {SidecarCacheMover} from './sidecar_cache_mover.js';
+import {SidecarConfiguration} from './sidecar_configuration.js';
+import {SidecarControlFeed} from './sidecar_control_feed.js';
+import {SidecarControlLink} from './sidecar_control_link.js';
+import {SidecarDispatcher} from './sidecar_dispatcher.js';
+import {SidecarGate} from './sidecar_gate.js';
+import {SidecarOrders} from './sidecar_orders.js';
+import {SidecarPeers} from './sidecar_peers.js';
+import {SidecarServer} from './sidecar_server.js';
+import {SidecarService} from './sidecar_service.js';
+import {type SidecarSettings} from './sidecar_settings.js';
+import {SidecarTakes} from './sidecar_takes.js';
+
+type AttemptRequest = lovagepond.v1.AttemptRequest;
+
+const DUMP_VERSION = 1;
+const IDLE_CHECK_MS = 20;
+const RANDOM_DIGITS = 2 ** 32;
+const RADIX = 36;
+
+/** What a sidecar is given besides its settings. */
+export interface SidecarParts {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly random: Random;
+  /** The connected backend server; the role closes it when it stops. */
+  readonly backend: Backend;
+}
+
+/** One incarnation lasts from a start to its end. */
+function makeIncarnation({clock, random}: SidecarParts): string {
+  const started = Math.round(clock.wallTime()).toString(RADIX);
+  return `${started}-${random.below(RANDOM_DIGITS).toString(RADIX)}`;
+}
+
+/** One sidecar process. */
+export class SidecarRole implements Role {
+  readonly #settings: SidecarSettings;
+  readonly #parts: SidecarParts;
+  readonly #incarnation: string;
+  readonly #gate: SidecarGate;
+  readonly #configuration: SidecarConfiguration;
+  readonly #link: SidecarControlLink;
+  readonly #peers: SidecarPeers;
+  readonly #watch: SidecarBackendWatch;
+  readonly #dispatcher: SidecarDispatcher;
+  readonly #orders: SidecarOrders;
+  readonly #takes: SidecarTakes;
+  readonly #feed: SidecarControlFeed;
+  readonly #announcer: SidecarAnnouncer;
+  readonly #server: SidecarServer;
+  #mover: SidecarCacheMover | undefined;
+  #leave: AbortController | undefined;
+  /** The process ends: control can't take this leave back. */
+  #ending = false;
+  #address = '';
+  #timers: NodeJS.Timeout[] = [];
+
+  /**
+   * @param settings the sidecar's settings
+   * @param parts clock, log, random numbers and the backend server
+   */
+  constructor(settings: SidecarSettings, parts: SidecarParts) {
+    this.#settings = settings;
+    this.#parts = parts;
+    const {clock, log, random, backend} = parts;
+    const {backendServer, pool, controlTimeoutMs, floorTokens} = settings;
+    const incarnation = makeIncarnation(parts);
+    this.#incarnation = incarnation;
+    this.#gate = new SidecarGate({...settings, incarnation}, random);
+    this.#gate.setNotReady('The sidecar starts.');
+    this.#link = new SidecarControlLink(settings);
+    this.#peers = new SidecarPeers(backendServer, pool, controlTimeoutMs);
+    this.#configuration = new SidecarConfiguration(settings, {
+      gate: this.#gate,
+      log,
+      report: revision => this.#reportConvergence(revision),
+    });
+    this.#watch = new SidecarBackendWatch({
+      backend,
+      gate: this.#gate,
+      clock,
+      log,
+    });
+    this.#dispatcher = this.#makeDispatcher();
+    this.#orders = new SidecarOrders({
+      backendServer,
+      backend,
+      log,
+      report: outcome => this.#link.reportOrder(outcome),
+    });
+    this.#takes = new SidecarTakes(settings, {
+      gate: this.#gate,
+      peers: this.#peers,
+      clock,
+      random,
+      floorTokens,
+    });
+    this.#feed = this.#makeFeed();
+    this.#announcer = this.#makeAnnouncer();
+    this.#server = this.#makeServer();
+  }
+
+  /** @returns `host:port` that routers reach it at, once it started */
+  get address(): string {
+    return this.#address;
+  }
+
+  /** @returns the name of this run of the process */
+  get incarnation(): string {
+    return this.#incarnation;
+  }
+
+  /** See {@link Role.start}. */
+  async start(): Promise<void> {
+    const {host, port, announcedAddress} = this.#settings;
+    const hasher = await loadKeyHasher();
+    this.#mover = new SidecarCacheMover({
+      ...this.#settings,
+      gate: this.#gate,
+      backend: this.#parts.backend,
+      peers: this.#peers,
+      clock: this.#parts.clock,
+      log: this.#parts.log,
+      hasher,
+    });
+    const bound = await this.#server.listen(host, port);
+    this.#address = announcedAddress || `${host}:${bound}`;
+    this.#watch.start();
+    await this.#look();
+    this.#feed.start();
+    this.#announcer.start();
+    this.#startTimers();
+    this.#parts.log.info('sidecar started', {
+      backendServer: this.#settings.backendServer,
+      address: this.#address,
+      incarnation: this.#incarnation,
+    });
+  }
+
+  /** See {@link Role.isReady}. */
+  isReady(): boolean {
+    return this.#notReadyReason() === undefined && !this.#gate.draining;
+  }
+
+  /** See {@link Role.drain}. */
+  async drain(limitMs: number): Promise<void> {
+    this.#ending = true;
+    this.#startLeave(limitMs);
+    const {clock} = this.#parts;
+    const endsAt = clock.now() + limitMs;
+    while (!this.#dispatcher.idle && clock.now() < endsAt) {
+      await new Promise(resolve => setTimeout(resolve, IDLE_CHECK_MS));
+    }
+  }
+
+  /** See {@link Role.stop}. */
+  async stop(): Promise<void> {
+    for (const timer of this.#timers) clearInterval(timer);
+    this.#timers = [];
+    this.#leave?.abort();
+    this.#announcer.stop();
+    this.#feed.stop();
+    this.#watch.stop();
+    this.#dispatcher.stop();
+    this.#server.stop();
+    this.#peers.close();
+    this.#link.close();
+    const {backend} = this.#parts;
+    if (backend.kind === 'engine') await backend.engine.close();
+    else await backend.service.close();
+  }
+
+  /** See {@link Role.dump}. */
+  dump(): StateDump {
+    const now = this.#parts.clock.now();
+    const state = {
+      backendServer: this.#settings.backendServer,
+      pool: this.#settings.pool,
+      incarnation: this.#incarnation,
+      address: this.#address,
+      state: this.#state(),
+      gate: this.#gate.dump(now),
+      attempts: this.#dispatcher.counters,
+      taken: this.#takes.taken,
+      moves: this.#mover?.counters,
+      peers: this.#peers.ready.length,
+      fencingFloor: this.#orders.fencing.floor,
+      control: this.#link.address,
+      controlBytes: this.#feed.receivedBytes,
+    };
+    return {version: DUMP_VERSION, role: 'sidecar', state};
+  }
+
+  #makeDispatcher(): SidecarDispatcher {
+    const {clock, log, backend} = this.#parts;
+    return new SidecarDispatcher(this.#settings, {
+      gate: this.#gate,
+      backend,
+      clock,
+      log,
+      ledger: this.#link,
+      incarnation: this.#incarnation,
+      newerConfiguration: revision => this.#configuration.newerThan(revision),
+      point: request => this.#point(request),
+      noteServed: ({workspace, chat}) =>
+        this.#mover?.recent.note({workspace, chat}),
+    });
+  }
+
+  #makeFeed(): SidecarControlFeed {
+    const {clock, log, random} = this.#parts;
+    return new SidecarControlFeed(this.#settings, {
+      clock,
+      log,
+      random,
+      heldRevision: () => this.#configuration.revision,
+      onUpdate: update => this.#onUpdate(update),
+    });
+  }
+
+  #makeAnnouncer(): SidecarAnnouncer {
+    return new SidecarAnnouncer({
+      link: this.#link,
+      announceIntervalMs: this.#settings.announceIntervalMs,
+      makeAnnouncement: () => this.#makeAnnouncement(),
+      onAnswer: (answer, sent) =>
+        this.#onAnnounced(answer, sent.runningTokens ?? 0),
+    });
+  }
+
+  #makeServer(): SidecarServer {
+    const {clock, backend} = this.#parts;
+    const service = new SidecarService({
+      gate: this.#gate,
+      dispatcher: this.#dispatcher,
+      backend,
+      clock,
+      incarnation: this.#incarnation,
+      revision: () => this.#configuration.revision,
+      install: bytes => {
+        this.#configuration.install(bytes);
+        this.#updateReadiness();
+      },
+    });
+    return new SidecarServer(service);
+  }
+
+  #startTimers(): void {
+    const {tickMs, backendProbeMs} = this.#settings;
+    this.#timers = [
+      setInterval(() => this.#tick(), tickMs),
+      setInterval(() => void this.#look(), backendProbeMs),
+    ];
+  }
+
+  #tick(): void {
+    const now = this.#parts.clock.now();
+    this.#dispatcher.tick(now);
+    this.#takes.tick(now);
+    this.#feed.tick(now);
+  }
+
+  async #look(): Promise<void> {
+    await this.#watch.look();
+    this.#updateReadiness();
+  }
+
+  #notReadyReason(): string | undefined {
+    if (!this.#watch.up) return 'The backend server does not answer.';
+    return this.#configuration.mayServe()
+      ? undefined
+      : 'No configuration is confirmed yet.';
+  }
+
+  /** A change is announced at once: routers wait for nothing else. */
+  #updateReadiness(): void {
+    const before = this.#state();
+    this.#gate.setNotReady(this.#notReadyReason());
+    if (before !== this.#state()) void this.#announcer.announce();
+  }
+
+  #state(): ServerState {
+    if (this.#gate.draining) return SERVER_STATE.DRAINING;
+    return this.#gate.ready ? SERVER_STATE.READY : SERVER_STATE.JOINING;
+  }
+
+  #makeAnnouncement(): lovagepond.v1.AnnounceRequest.$Properties {
+    const {backendServer, pool, labels, availabilityZone, region} =
+      this.#settings;
+    const {runningTokens, queuedTokens} = this.#gate.load(
+      this.#parts.clock.now(),
+    );
+    return {
+      backendServer,
+      incarnation: this.#incarnation,
+      pool,
+      labels: {...labels},
+      availabilityZone,
+      region,
+      address: this.#address,
+      state: this.#state(),
+      runningTokens,
+      queuedTokens,
+      capacityTokens: this.#settings.capacityTokens,
+      revision: this.#configuration.revision,
+      models: [...this.#watch.models],
+      role: 'sidecar',
+      fencingFloor: this.#orders.fencing.floor,
+    };
+  }
+
+  #onAnnounced(
+    answer: lovagepond.v1.AnnounceResponse,
+    ownTokens: number,
+  ): void {
+    const now = this.#parts.clock.now();
+    const mean = answer.poolMeanRunningTokens || answer.poolMeanTokens;
+    this.#gate.admission.setPoolMean(
+      {
+        meanTokens: mean,
+        ageMs: answer.poolMeanAgeMs,
+        readyServers: answer.poolReadyServers,
+        ownTokens,
+      },
+      now,
+    );
+    if (answer.fencingFloorKnown) {
+      this.#orders.fencing.learnFloor(answer.fencingFloor);
+    }
+    void this.#orders.receive(answer.orders);
+    this.#followWantedState(answer.wantedState);
+  }
+
+  #followWantedState(wanted: string): void {
+    const {draining} = this.#gate;
+    if (wanted === SERVER_STATE.DRAINING && !draining) {
+      this.#startLeave(this.#settings.drainLimitMs);
+    }
+    if (wanted === SERVER_STATE.READY && draining && !this.#ending) {
+      this.#leave?.abort();
+      this.#gate.resume();
+      void this.#announcer.announce();
+    }
+  }
+
+  #startLeave(limitMs: number): void {
+    const now = this.#parts.clock.now();
+    this.#dispatcher.perform(this.#gate.startDraining(now, limitMs));
+    void this.#announcer.announce();
+    this.#leave?.abort();
+    this.#leave = new AbortController();
+    void this.#mover?.run(this.#leave.signal);
+  }
+
+  #onUpdate(update: lovagepond.v1.ControlUpdate): void {
+    if (update.configuration) {
+      this.#configuration.receive(update.configuration);
+      this.#updateReadiness();
+    }
+    if (update.membership) this.#peers.updateMembership(update.membership);
+    if (update.load) this.#peers.updateLoads(update.load);
+  }
+
+  #point(request: AttemptRequest): void {
+    const {firstChoiceAddress, workspace, chat, estimatedTokens} = request;
+    if (!firstChoiceAddress) return;
+    void this.#peers.point(
+      firstChoiceAddress,
+      workspace,
+      chat,
+      estimatedTokens,
+    );
+  }
+
+  #reportConvergence(revision: number): void {
+    void this.#link.reportConvergence({
+      node: this.#settings.backendServer,
+      role: 'sidecar',
+      revision,
+    });
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-sidecar/src/sidecar_run.ts
@@ -0,0 +1,146 @@
+/**
+ * Runs a dispatched attempt at the backend server and feeds its answer to the
+ * attempt's session.
+ */
+import {type EngineEvent} from '@lovagepond/backend';
+import {
+  type Clock,
+  type ErrorKind,
+  type Failure,
+  makeFailure,
+} from '@lovagepond/core';
+import {type Backend, runAtBackend} from './sidecar_backend.js';
+import {makeStarted} from './sidecar_frames.js';
+import {type SidecarSession} from './sidecar_session.js';
+
+/** Unsent bytes of an answer above which the backend server isn't read. */
+const MAX_UNSENT_BYTES = 64 * 1024;
+const MAX_RESUMES = 2;
+
+/** Failures after which an engine may still hold the generation. */
+const RESUMABLE: ReadonlySet<ErrorKind> = new Set([
+  'backendFailed',
+  'backendSilent',
+  'answerTruncated',
+]);
+
+/** How a run ended. */
+export type RunOutcome =
+  | {readonly kind: 'done'; readonly cachedTokens: number}
+  | {readonly kind: 'failed'; readonly failure: Failure}
+  /** No byte of the request reached the backend server. */
+  | {readonly kind: 'notRun'; readonly failure: Failure};
+
+/** What a run needs. */
+export interface RunParts {
+  readonly backend: Backend;
+  readonly session: SidecarSession;
+  readonly clock: Clock;
+  /** Monotonic milliseconds. */
+  readonly deadline: number;
+  readonly signal: AbortSignal;
+}
+
+interface RunState {
+  dispatched: boolean;
+  cachedTokens: number;
+}
+
+type EventHandlers = {
+  readonly [Kind in EngineEvent['kind']]: (
+    event: Extract<EngineEvent, {kind: Kind}>,
+    session: SidecarSession,
+    state: RunState,
+  ) => RunOutcome | undefined;
+};
+
+const EVENT_HANDLERS: EventHandlers = {
+  dispatched: (_event, _session, state) => {
+    state.dispatched = true;
+    return undefined;
+  },
+  started: ({status, contentType, cachedTokens}, session, state) => {
+    state.cachedTokens = cachedTokens;
+    session.begin({status, contentType});
+    session.start(makeStarted(cachedTokens > 0, cachedTokens));
+    return undefined;
+  },
+  data: (piece, session) => {
+    if (session.append(piece)) return undefined;
+    // Bytes that don't follow belong to another generation or another request:
+    // passed on, the caller would read a spliced answer as a whole one.
+    return {kind: 'failed', failure: makeFailure('answerTruncated')};
+  },
+  end: ({totalBytes}, session, {cachedTokens}) => {
+    if (totalBytes === session.answerBytes) return {kind: 'done', cachedTokens};
+    return {kind: 'failed', failure: makeFailure('answerTruncated')};
+  },
+  failed: ({failure}, _session, {dispatched}) => {
+    return {kind: dispatched ? 'failed' : 'notRun', failure};
+  },
+};
+
+async function follow(
+  parts: RunParts,
+  resumeFrom: number,
+  state: RunState,
+): Promise<RunOutcome> {
+  const {backend, session, clock, deadline, signal} = parts;
+  const run = {request: session.request, deadline, resumeFrom, signal};
+  for await (const event of runAtBackend(backend, run, clock.now())) {
+    const handle = EVENT_HANDLERS[event.kind];
+    const outcome = handle(event as never, session, state);
+    if (outcome) return outcome;
+    await session.waitForRoom(MAX_UNSENT_BYTES);
+  }
+  const kind = state.dispatched ? 'failed' : 'notRun';
+  return {kind, failure: makeFailure('answerTruncated')};
+}
+
+/**
+ * A run that threw would never end for the gate, and its tokens would fill the
+ * bound for good; whatever was thrown, the request may have run.
+ */
+async function followOnce(
+  parts: RunParts,
+  resumeFrom: number,
+): Promise<RunOutcome> {
+  const state: RunState = {dispatched: false, cachedTokens: 0};
+  try {
+    return await follow(parts, resumeFrom, state);
+  } catch (err) {
+    const message = err instanceof Error ? err.message : String(err);
+    return {kind: 'failed', failure: makeFailure('internal', {message})};
+  }
+}
+
+function mayResume(outcome: RunOutcome, parts: RunParts): boolean {
+  const {session, backend, signal} = parts;
+  return (
+    outcome.kind === 'failed' &&
+    backend.kind === 'engine' &&
+    RESUMABLE.has(outcome.failure.kind) &&
+    session.answerBytes > 0 &&
+    !session.request.nonRepeatable &&
+    !signal.aborted
+  );
+}
+
+/**
+ * Runs an attempt to its end. When the engine's stream breaks after its first
+ * byte, the same generation is asked to go on from there; an engine that no
+ * longer holds it refuses, and the attempt fails as it would have.
+ *
+ * @param parts the attempt and its backend server
+ * @returns how it ended; never throws
+ */
+export async function runAttempt(parts: RunParts): Promise<RunOutcome> {
+  const first = await followOnce(parts, 0);
+  let outcome = first;
+  for (let resumes = 0; resumes < MAX_RESUMES; resumes += 1) {
+    if (!mayResume(outcome, parts)) break;
+    outcome = await followOnce(parts, parts.session.answerBytes);
+  }
+  // The resume was not run, but the first run was.
+  return outcome.kind === 'notRun' ? first : outcome;
+}
--- /dev/null
+++ b/packages/lovagepond-sidecar/src/sidecar_service.ts
@@ -0,0 +1,131 @@
+/**
+ * Answers the calls of routers and of other sidecars.
+ */
+import {type Clock} from '@lovagepond/core';
+import {lovagepond} from '@lovagepond/protocol';
+import {type Backend} from './sidecar_backend.js';
+import {type SidecarDispatcher} from './sidecar_dispatcher.js';
+import {type SidecarGate} from './sidecar_gate.js';
+import {type FrameHead, type SidecarHandlers} from './sidecar_server.js';
+import {type FrameStream, type SidecarSession} from './sidecar_session.js';
+
+const {v1} = lovagepond;
+
+/** What the service works on. */
+export interface ServiceParts {
+  readonly gate: SidecarGate;
+  readonly dispatcher: SidecarDispatcher;
+  readonly backend: Backend;
+  readonly clock: Clock;
+  readonly incarnation: string;
+  /** @returns the revision in force */
+  revision(): number;
+  /** @param bytes a configuration that a router hands over */
+  install(bytes: Uint8Array): void;
+}
+
+/** The sidecar's side of its protocol. */
+export class SidecarService implements SidecarHandlers {
+  readonly #parts: ServiceParts;
+
+  constructor(parts: ServiceParts) {
+    this.#parts = parts;
+  }
+
+  /** See {@link SidecarHandlers.frameHead}. */
+  frameHead(): FrameHead {
+    const {gate, clock, incarnation} = this.#parts;
+    const {runningTokens, queuedTokens} = gate.load(clock.now());
+    const revision = this.#parts.revision();
+    return {incarnation, revision, runningTokens, queuedTokens};
+  }
+
+  /** See {@link SidecarHandlers.offer}. */
+  offer(
+    request: lovagepond.v1.AttemptRequest,
+    stream: FrameStream,
+  ): SidecarSession | undefined {
+    return this.#parts.dispatcher.offer(request, stream);
+  }
+
+  /** See {@link SidecarHandlers.streamGone}. */
+  streamGone(session: SidecarSession, stream: FrameStream): void {
+    this.#parts.dispatcher.streamGone(session, stream);
+  }
+
+  /** See {@link SidecarHandlers.revoke}. */
+  revoke(
+    request: lovagepond.v1.RevokeRequest.$Properties,
+  ): lovagepond.v1.RevokeResponse {
+    // What a former incarnation did with its attempts is not known here.
+    const own = request.incarnation === this.#parts.incarnation;
+    const outcome = own
+      ? this.#parts.dispatcher.revoke(request.attemptId ?? '')
+      : 'unknown';
+    return new v1.RevokeResponse({outcome});
+  }
+
+  /** See {@link SidecarHandlers.probe}. */
+  probe(): lovagepond.v1.ProbeResponse {
+    const {draining} = this.#parts.gate;
+    return new v1.ProbeResponse({...this.frameHead(), draining});
+  }
+
+  /** See {@link SidecarHandlers.install}. */
+  install(
+    request: lovagepond.v1.InstallRequest.$Properties,
+  ): lovagepond.v1.InstallResponse {
+    if (request.configuration) this.#parts.install(request.configuration);
+    return new v1.InstallResponse({revision: this.#parts.revision()});
+  }
+
+  /** See {@link SidecarHandlers.moveCache}. */
+  async moveCache(
+    request: lovagepond.v1.MoveCacheRequest.$Properties,
+  ): Promise<lovagepond.v1.MoveCacheResponse> {
+    const accepted = await this.#importCache(request);
+    return new v1.MoveCacheResponse({accepted});
+  }
+
+  /** See {@link SidecarHandlers.point}. */
+  point(
+    request: lovagepond.v1.PointerRequest.$Properties,
+  ): lovagepond.v1.PointerResponse {
+    const {workspace = '', chat = '', backendServer = ''} = request;
+    const {gate, clock} = this.#parts;
+    if (workspace && chat && backendServer) {
+      gate.pointers.put(workspace, chat, backendServer, clock.now());
+    }
+    return new v1.PointerResponse();
+  }
+
+  /** See {@link SidecarHandlers.take}. */
+  take(
+    request: lovagepond.v1.TakeRequest.$Properties,
+  ): lovagepond.v1.TakeResponse {
+    const {taker, roomTokens} = request;
+    const {gate, dispatcher, clock} = this.#parts;
+    if (!taker) return new v1.TakeResponse();
+    const handOver = gate.handOver(taker, roomTokens ?? 0, clock.now());
+    dispatcher.perform(handOver.actions);
+    const {attemptIds, tokens} = handOver;
+    return new v1.TakeResponse({attemptIds: [...attemptIds], tokens});
+  }
+
+  async #importCache(
+    request: lovagepond.v1.MoveCacheRequest.$Properties,
+  ): Promise<boolean> {
+    const {backend, gate} = this.#parts;
+    const {workspace, chat, cache, tokens} = request;
+    if (!workspace || !chat || !cache || gate.draining) return false;
+    if (backend.kind !== 'engine') return false;
+    const size = tokens ?? 0;
+    const content = {tokens: size, bytes: cache};
+    const result = await backend.engine.importCache({workspace, chat}, content);
+    if (!result.ok || !result.value) return false;
+    gate.cache.noteServed(workspace, chat, size);
+    // The pointer may still name the server that sent the cache and leaves.
+    gate.pointers.remove(workspace, chat);
+    return true;
+  }
+}
--- a/packages/lovagepond-sidecar/src/sidecar_types.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_types.ts
@@ -137,6 +137,8 @@
 export interface HandOver {
   /** At most one attempt. */
   readonly attemptIds: readonly string[];
+  /** Work of that attempt. */
+  readonly tokens: number;
   readonly actions: readonly GateAction[];
 }
 
