Prove operators' races and calls that may not be repeated

Cause: the lines on racing and resending operators and on redemption checks had no scenario; ctl still replaced a member in three steps of its own while control now offers one change for it. Change: 16 scenarios over control's real state machines, its checks of changes and the sidecar's gates; the agreed log between members is a fake. @lovagepond/control/deciders is a second entry for proofs, so that the package's index stays small. ctl and the API pass `replace` on to control; the ctl test of the half-done replacement goes with the code that it proved, and one for the new change comes in its place.

--- /dev/null
+++ b/packages/lovagepond-control/src/deciders.ts
@@ -0,0 +1,32 @@
+/**
+ * The deciding classes of control, without I/O, for proofs in other packages.
+ */
+export {
+  type AnyChangeRequest,
+  ConfigurationChanger,
+} from './configuration_changer.js';
+export {
+  CLAIM_COMMAND,
+  type ClaimPayload,
+  type CommandStamp,
+  decodeResult,
+  encodeCommand,
+  INCARNATION_COMMAND,
+  ORDER_COMMAND,
+  RECORD_COMMAND,
+  type RecordPayload,
+  WANTED_STATE_COMMAND,
+} from './control_commands.js';
+export {type ReplicatedLog} from './control_log.js';
+export {ControlStateMachine} from './control_state_machine.js';
+export {
+  type ClaimResult,
+  type IncarnationResult,
+  type RecordResult,
+} from './ledger_state.js';
+export {MembershipLog} from './membership_log.js';
+export {type Announcement, MembershipRegistry} from './membership_registry.js';
+export {type IssueResult} from './order_state.js';
+export {Proposer} from './proposer.js';
+export {type FeedUpdate, type FeedView} from './subscription_feed.js';
+export {SubscriptionHub, type UpdateSink} from './subscription_hub.js';
--- a/packages/lovagepond-operator/src/ctl_member_commands.ts
+++ b/packages/lovagepond-operator/src/ctl_member_commands.ts
@@ -55,25 +55,14 @@
   return changeMembers(call, {kind: 'remove', memberId: call.args[0] ?? ''});
 }
 
-/**
- * Replaces a member in three changes. The new one gets its vote first and the
- * old one leaves last: removing first would leave a group that the next lost
- * host stops. Control refuses to promote a learner that has not caught up;
- * running the command again goes on where it stopped.
- */
-async function replace(call: CtlCall): Promise<CtlOutput> {
-  const [oldId = '', newId = '', address = ''] = call.args;
-  if (oldId === newId) throw new UsageError('a new member needs a new name');
-  const known = (await readMembers(call)).find(
-    member => member.memberId === newId,
-  );
-  if (!known) {
-    await changeMembers(call, {kind: 'addLearner', memberId: newId, address});
-  }
-  if (!known?.voter) {
-    await changeMembers(call, {kind: 'promote', memberId: newId});
+/** Control adds the new member, waits until it has caught up, and removes. */
+function replace(call: CtlCall): Promise<CtlOutput> {
+  const [formerMemberId = '', memberId = '', address = ''] = call.args;
+  if (formerMemberId === memberId) {
+    throw new UsageError('a new member needs a new name');
   }
-  return changeMembers(call, {kind: 'remove', memberId: oldId});
+  const change = {kind: 'replace', formerMemberId, memberId, address} as const;
+  return changeMembers(call, change);
 }
 
 const ADDRESS_ARGS = '<member> <host:port>';
--- a/packages/lovagepond-operator/src/operator_fleet_routes.ts
+++ b/packages/lovagepond-operator/src/operator_fleet_routes.ts
@@ -25,6 +25,12 @@
   z.strictObject({kind: z.literal('addLearner'), memberId: name, address}),
   z.strictObject({kind: z.literal('promote'), memberId: name}),
   z.strictObject({kind: z.literal('remove'), memberId: name}),
+  z.strictObject({
+    kind: z.literal('replace'),
+    formerMemberId: name,
+    memberId: name,
+    address,
+  }),
 ]);
 
 function describeIssues(error: z.ZodError): string {
--- /dev/null
+++ b/packages/lovagepond-scenarios/src/steps/redemption_steps.ts
@@ -0,0 +1,86 @@
+/**
+ * Steps of calls that may not be repeated.
+ */
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {answerFor, DISPOSITION, parseErrorKind} from '@lovagepond/core';
+import {type ScenarioWorld} from '../world/scenario_world.js';
+
+const ORDINALS = ['first', 'second', 'third'];
+
+Given<ScenarioWorld>(
+  'the redemption service runs at {word} and {word}',
+  function (first, second) {
+    this.createRedemption([first, second]);
+  },
+);
+
+When<ScenarioWorld>(
+  'the check {string} is sent to {word}',
+  function (key, server) {
+    this.redemption.send(key, server);
+  },
+);
+
+When<ScenarioWorld>(
+  "the check {string} is sent to {word} and the ledger's answer is lost",
+  function (key, server) {
+    this.redemption.claimFault = 'answerLost';
+    this.redemption.send(key, server);
+  },
+);
+
+When<ScenarioWorld>(
+  'the check {string} is sent to {word} and its claim is delayed',
+  function (key, server) {
+    this.redemption.claimFault = 'delayed';
+    this.redemption.send(key, server);
+  },
+);
+
+When<ScenarioWorld>('the delayed claim arrives', function () {
+  this.redemption.deliverDelayed();
+});
+
+When<ScenarioWorld>(
+  'the very same attempt arrives at {word} again',
+  function (_server) {
+    this.redemption.repeatFirst();
+  },
+);
+
+When<ScenarioWorld>('the sidecar of {word} restarts', function (server) {
+  this.redemption.restart(server);
+});
+
+When<ScenarioWorld>('the till goes away', function () {
+  this.redemption.callerGone();
+});
+
+Then<ScenarioWorld>(
+  'the check {string} ran {int} time(s) at the service',
+  function (key, count) {
+    assert.equal(this.redemption.runsOf(key), count);
+  },
+);
+
+Then<ScenarioWorld>(
+  'the {word} sending was answered as {string}',
+  function (ordinal, answer) {
+    const sending = this.redemption.sendingAt(ORDINALS.indexOf(ordinal));
+    assert.equal(sending.answer, answer);
+  },
+);
+
+Then<ScenarioWorld>(
+  'the {word} sending was answered as not run',
+  function (ordinal) {
+    const {answer} = this.redemption.sendingAt(ORDINALS.indexOf(ordinal));
+    const {disposition} = answerFor(parseErrorKind(answer));
+    assert.equal(disposition, DISPOSITION.NOT_RUN, answer);
+  },
+);
+
+Then<ScenarioWorld>('nothing that the service ran was cancelled', function () {
+  assert.equal(this.redemption.cancelled, 0);
+});
--- a/packages/lovagepond-scenarios/src/world/gated_server.ts
+++ b/packages/lovagepond-scenarios/src/world/gated_server.ts
@@ -15,6 +15,8 @@
 /** What is fixed about one server of a scenario. */
 export interface GatedServerOptions {
   readonly name: string;
+  /** Named after the server when left out. */
+  readonly incarnation?: string;
   readonly floorTokens: number;
   /** Prompt and answer tokens that one request gets done in a second. */
   readonly tokensPerSecond: number;
@@ -54,6 +56,8 @@
   onRefuse: (refusal: SeenRefusal) => void = () => undefined;
   /** Called after each dispatch. */
   onDispatch: () => void = () => undefined;
+  /** Called when a run has ended well. */
+  onComplete: (offer: Offer) => void = () => undefined;
   /** Called when the gate wants a claim; grants by default. */
   onClaim: (offer: Offer) => void = offer => {
     this.grant(offer.attemptId);
@@ -73,7 +77,7 @@
     const settings: GateSettings = {
       ...DEFAULT_GATE_SETTINGS,
       backendServer: name,
-      incarnation: `${name}-1`,
+      incarnation: options.incarnation ?? `${name}-1`,
       floorTokens,
     };
     this.gate = new SidecarGate(settings, new Random(seed));
@@ -119,7 +123,9 @@
   /** @param attemptId a dispatched attempt that the engine has done */
   finish(attemptId: string): void {
     if (!this.#running.delete(attemptId)) return;
-    this.completed.add(this.#offerOf(attemptId).requestId);
+    const offer = this.#offerOf(attemptId);
+    this.completed.add(offer.requestId);
+    this.onComplete(offer);
     const {now} = this.#timeline;
     this.apply(this.gate.finish(attemptId, {kind: 'done'}, now));
   }
--- a/packages/lovagepond-scenarios/src/world/scenario_world.ts
+++ b/packages/lovagepond-scenarios/src/world/scenario_world.ts
@@ -2,8 +2,10 @@
  * What the steps of one scenario share.
  */
 import {setWorldConstructor, World} from '@cucumber/cucumber';
+import {ControlGroup} from './control_group.js';
 import {GatedServer} from './gated_server.js';
 import {Pool, type PoolOptions} from './pool.js';
+import {Redemption} from './redemption.js';
 import {RoutedRequest} from './routed_request.js';
 import {Timeline} from './timeline.js';
 
@@ -16,6 +18,8 @@
   readonly #servers = new Map<string, GatedServer>();
   #pool: Pool | undefined;
   #request: RoutedRequest | undefined;
+  #control: ControlGroup | undefined;
+  #redemption: Redemption | undefined;
 
   /** The pool that an earlier step set up. */
   get pool(): Pool {
@@ -29,6 +33,29 @@
     return this.#request;
   }
 
+  /** The control members that an earlier step started. */
+  get control(): ControlGroup {
+    if (!this.#control) throw new Error('the scenario has no control yet');
+    return this.#control;
+  }
+
+  /** @returns three control members */
+  createControl(): ControlGroup {
+    this.#control = new ControlGroup(this.timeline);
+    return this.#control;
+  }
+
+  /** The service whose calls may not be repeated. */
+  get redemption(): Redemption {
+    if (!this.#redemption) throw new Error('the scenario has no service yet');
+    return this.#redemption;
+  }
+
+  /** @param servers names of the servers that it runs at */
+  createRedemption(servers: readonly string[]): void {
+    this.#redemption = new Redemption(servers, this.control, this.timeline);
+  }
+
   /** @returns a caller's request, already given to the first server */
   createRequest(): RoutedRequest {
     this.#request = new RoutedRequest(this.timeline);
