Believe only 'unreachable' as a refusal after the start

Cause: the scenario 'A refusal crosses with the start of the same request' was red: the router believed any refusal until the first byte of the answer, so a crossed 'draining' sent a started request to a second server. Ruled out: dropping every refusal after Started, since the sidecar also reports that way that its backend server never got the request. Change: after Started only the kind 'unreachable' is believed, and none once bytes came. Conclusion: a crossed refusal can't make a started request run twice, and a request that reached no backend server is still 'not run'.

--- a/packages/lovagepond-router/src/router_request.ts
+++ b/packages/lovagepond-router/src/router_request.ts
@@ -254,12 +254,22 @@
     );
   }
 
+  /**
+   * A refusal that crossed with the dispatch speaks of the queue, not of the
+   * run: believing it would make the router or the caller repeat what runs.
+   * The one refusal that can be true after `Started` is `unreachable`: the
+   * sidecar then found that its backend server never got the request. Once
+   * bytes of the answer have come, even that can't be true.
+   */
+  #contradictsStart(body: RefusedBody): boolean {
+    if (this.#state === REQUEST_STATE.ANSWERING) return true;
+    if (this.#state !== REQUEST_STATE.DISPATCHED) return false;
+    return body.errorKind !== 'unreachable';
+  }
+
   #onRefused(body: RefusedBody): void {
-    // A sidecar may find after `Started` that its backend server never got the
-    // request. Once bytes of the answer have come, "not run" can't be true:
-    // believing it would make the caller repeat what runs.
-    if (this.#state === REQUEST_STATE.ANSWERING) {
-      this.#drop('refusedAfterAnswer');
+    if (this.#contradictsStart(body)) {
+      this.#drop('refusedAfterStart');
       return;
     }
     const {configuration} = body;
--- a/packages/lovagepond-router/src/router_request_types.ts
+++ b/packages/lovagepond-router/src/router_request_types.ts
@@ -61,7 +61,7 @@
   | 'afterEnd'
   | 'duplicate'
   | 'foreignGeneration'
-  | 'refusedAfterAnswer';
+  | 'refusedAfterStart';
 
 /** What happened to a request, as its shell saw it. */
 export type RequestEvent =
