End stale subscriptions within one limit, and prove it over real nodes

Cause: a follower counted its relay as alive for the contact limit and then waited the limit again: 5 s instead of 2.5 s behind a partition, more than the 4 s in which a change must be in force. A leader without its lease still sent heartbeats to followers, which took them for contact. A relay refused at the start of a leader's term was opened anew only after the silence limit.

Change: contact is the time the leader was last heard; a leader without lease is silent towards followers; a refused relay is opened anew after 200 ms. One over sockets: a router at a follower outlives a change of leader.

Conclusion: the contact limit is 2.5 s by default.

--- a/packages/lovagepond-control/src/__tests__/unit/control_role.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/control_role.test.ts
@@ -5,16 +5,18 @@
   type MethodDefinition,
 } from '@grpc/grpc-js';
 import {MemoryNetwork, MemoryStorage} from '@lovagepond/consensus';
-import {type Logger, Random} from '@lovagepond/core';
+import {Random} from '@lovagepond/core';
 import {CONTROL_SERVICE, lovagepond} from '@lovagepond/protocol';
-import {afterEach, expect, test} from 'vitest';
+import {once} from 'node:events';
+import {type AddressInfo, createServer} from 'node:net';
+import {afterEach, expect, test, vi} from 'vitest';
 import {ControlRole} from '../../control_role.js';
 import {CONTROL_DEFAULTS} from '../../control_settings.js';
+import {SILENT_LOG} from '../model/control_cluster.js';
 
 const {v1} = lovagepond;
 type Update = lovagepond.v1.ControlUpdate;
 
-const LOG: Logger = {debug() {}, info() {}, warn() {}, error() {}};
 const CLOCK = {now: () => performance.now(), wallTime: () => Date.now()};
 const cleanups: (() => Promise<void> | void)[] = [];
 
@@ -22,37 +24,69 @@
   for (const cleanup of cleanups.splice(0).reverse()) await cleanup();
 });
 
-async function startRole(): Promise<{role: ControlRole; client: Client}> {
-  const address = 'member-1';
+/** An address whose port was free a moment ago, as members name each other. */
+async function reserveAddress(): Promise<string> {
+  const server = createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  server.close();
+  await once(server, 'close');
+  return `127.0.0.1:${port}`;
+}
+
+interface Member {
+  readonly role: ControlRole;
+  readonly client: Client;
+}
+
+async function startRole(
+  address: string,
+  members: readonly string[],
+  network: MemoryNetwork,
+): Promise<Member> {
   const role = new ControlRole(
     {
       ...CONTROL_DEFAULTS,
-      nodeName: 'control-1',
+      leaseMs: 60_000,
+      leaderContactLimitMs: 4_000,
+      nodeName: address,
       region: 'r',
       availabilityZone: 'z',
       address,
       host: '127.0.0.1',
-      port: 0,
+      port: Number(address.split(':')[1]),
       administrationAddress: '',
-      members: [address],
+      members,
       dataFolder: '',
     },
     {
       clock: CLOCK,
-      log: LOG,
-      random: new Random(1),
-      storage: new MemoryStorage('m1'),
-      makeTransport: () => new MemoryNetwork().attach(address),
+      log: SILENT_LOG,
+      random: new Random(address.length),
+      storage: new MemoryStorage(`m-${address}`),
+      makeTransport: () => network.attach(address),
     },
   );
   await role.start();
   cleanups.push(() => role.stop());
-  const target = `127.0.0.1:${role.port}`;
-  const client = new Client(target, credentials.createInsecure());
+  const client = new Client(address, credentials.createInsecure());
   cleanups.push(() => client.close());
   return {role, client};
 }
 
+/** Starts members and waits until all serve subscriptions. */
+async function startMembers(count: number): Promise<Member[]> {
+  const network = new MemoryNetwork();
+  const addresses: string[] = [];
+  for (let n = 0; n < count; n += 1) addresses.push(await reserveAddress());
+  const members = await Promise.all(
+    addresses.map(address => startRole(address, addresses, network)),
+  );
+  const ready = () => members.every(({role}) => role.isReady());
+  await vi.waitUntil(ready, {timeout: 10_000, interval: 20});
+  return members;
+}
+
 function call<Req, Res>(
   client: Client,
   method: MethodDefinition<Req, Res>,
@@ -73,6 +107,7 @@
 /** Subscribes and resolves once an update matches. */
 function subscribe(client: Client): {
   until(matches: (update: Update) => boolean): Promise<Update>;
+  readonly ended: Promise<void>;
 } {
   const method = CONTROL_SERVICE.subscribe;
   const stream = client.makeServerStreamRequest(
@@ -83,7 +118,11 @@
     new Metadata(),
     {},
   );
-  stream.on('error', () => {});
+  const ended = new Promise<void>(resolve => {
+    stream.on('error', () => {
+      resolve();
+    });
+  });
   cleanups.push(() => stream.cancel());
   const heard: Update[] = [];
   let check = (): void => {};
@@ -99,7 +138,7 @@
       };
       check();
     });
-  return {until};
+  return {until, ended};
 }
 
 function announce(
@@ -119,7 +158,7 @@
 }
 
 test('a member serves sidecars, routers and operators', async () => {
-  const {role, client} = await startRole();
+  const [{role, client}] = (await startMembers(1)) as [Member];
   const service = CONTROL_SERVICE;
   const joined = await call(client, service.announce, announce('s', 'i1'));
   expect(joined).toMatchObject({
@@ -182,3 +221,53 @@
   const repeat = new v1.ClaimRequest({...claim, attemptId: 'a2'});
   expect((await call(client, service.claim, repeat)).outcome).toBe('unknown');
 });
+
+// Sidecars renew at the leader; a router listens at a follower. The leader's
+// process goes away: the follower goes on to serve its router, keeps every
+// backend server in the list, and a change accepted by the next leader reaches
+// the router through the stream it has open.
+test('a router at a follower outlives a change of leader', async () => {
+  const members = await startMembers(3);
+  const isLeader = ({role}: Member): boolean =>
+    role.administration
+      .listMembers()
+      .some(m => m.leader && m.address === nameOf(role));
+  const leader = members.find(isLeader) as Member;
+  const follower = members.find(member => member !== leader) as Member;
+  const method = CONTROL_SERVICE.announce;
+  const refused = await call(follower.client, method, announce('s', 'i1'));
+  expect(refused).toMatchObject({accepted: false, leader: nameOf(leader.role)});
+  await call(leader.client, method, announce('s', 'i1'));
+  const updates = subscribe(follower.client);
+  await updates.until(u => u.configuration?.majorityConfirmed === true);
+  await updates.until(u => u.membership?.members?.length === 1);
+
+  await leader.role.stop();
+  const rest = members.filter(member => member !== leader);
+  await vi.waitUntil(() => rest.some(isLeader), {timeout: 10_000});
+  const next = rest.find(isLeader) as Member;
+  const change = {
+    operationId: 'op',
+    baseRevision: 0,
+    dryRun: false,
+    change: {kind: 'put', section: 'workspaces', object: {name: 'w'}},
+  } as const;
+  expect(await next.role.administration.change(change)).toMatchObject({
+    kind: 'accepted',
+  });
+  const pushed = await updates.until(u => u.configuration?.revision === 1);
+  expect(pushed.configuration?.majorityConfirmed).toBe(true);
+  expect(follower.role.administration.listBackendServers()).toMatchObject([
+    {server: {name: 's', slot: 0}},
+  ]);
+
+  // Without a majority the last one ends its streams within its limit.
+  const last = rest.find(member => member !== follower) as Member;
+  await last.role.stop();
+  await updates.ended;
+  expect(follower.role.isReady()).toBe(false);
+});
+
+function nameOf(role: ControlRole): string {
+  return role.dump().state['nodeName'] as string;
+}
--- a/packages/lovagepond-control/src/__tests__/unit/subscription_hub.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/subscription_hub.test.ts
@@ -43,6 +43,7 @@
   };
   const loads = new Uint8Array(servers);
   return {
+    leads: true,
     configuration,
     membershipVersion: 0,
     changesSince: () => undefined,
@@ -52,7 +53,7 @@
 
 function startHub(): SubscriptionHub {
   const hub = new SubscriptionHub(SETTINGS, 0);
-  hub.noteContact(true, 0);
+  hub.noteContact(0, 0);
   return hub;
 }
 
@@ -134,14 +135,28 @@
   const hub = startHub();
   const sink = new Sink();
   hub.add(ROUTER, sink);
-  hub.noteContact(false, 2_999);
+  hub.noteContact(0, 2_999);
   expect([sink.ended, hub.isFresh(2_999)]).toEqual([false, true]);
-  hub.noteContact(false, 3_000);
+  hub.noteContact(0, 3_000);
   expect([sink.ended, hub.isFresh(3_000), hub.size]).toEqual([true, false, 0]);
-  hub.noteContact(true, 4_000);
+  hub.noteContact(4_000, 4_000);
   expect(hub.isFresh(4_000)).toBe(true);
 });
 
+// A leader has lost its lease behind a partition, with one follower on its
+// side. Heartbeats would be contact to that follower: it would hold its routers
+// at an old configuration for as long as the old leader holds on.
+test('a leader without its lease is silent towards followers', () => {
+  const hub = startHub();
+  const [follower, router] = [new Sink(), new Sink()];
+  hub.add({...ROUTER, role: 'control'}, follower);
+  hub.add(ROUTER, router);
+  hub.pump({...viewOf(0, 3), leads: false}, 2_000);
+  expect([follower.sent.length, router.sent.length]).toEqual([0, 1]);
+  hub.pump(viewOf(0, 3), 2_100);
+  expect(follower.take()).toMatchObject([{kind: 'load'}]);
+});
+
 test('an idle subscriber hears once a second, and of loads no oftener', () => {
   const hub = startHub();
   const sink = new Sink();
--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -161,7 +161,7 @@
       this.#relay.follow(leader?.address ?? '', now);
     }
     const leads = this.#ledTerm === term && leaseValid;
-    this.#hub.noteContact(leads || this.#relay.isAlive(now), now);
+    this.#hub.noteContact(leads ? now : this.#relay.heardAt, now);
     if (leads) this.#tickLeader(now);
     this.#convergence.sweep(now);
     this.#runRounds();
@@ -252,6 +252,7 @@
     let load: LoadReport | undefined;
     const membership = this.#membership;
     const view: FeedView = {
+      leads: this.#ledTerm !== undefined && this.#proposer.leads(),
       configuration: this.#parts.machine.configuration.current.read(),
       membershipVersion: membership.version,
       changesSince: (version, pool) => membership.changesSince(version, pool),
@@ -311,7 +312,8 @@
       {
         nodeName,
         region,
-        silentAfterMs: leaderContactLimitMs,
+        silentAfterMs: leaderContactLimitMs / 2,
+        loadValidMs: leaderContactLimitMs,
         callTimeoutMs: RELAY_CALL_TIMEOUT_MS,
       },
       {clock: this.#parts.clock, log, membership: this.#membership},
--- a/packages/lovagepond-control/src/control_settings.ts
+++ b/packages/lovagepond-control/src/control_settings.ts
@@ -51,7 +51,7 @@
   leaseMs: 3_000,
   digestIntervalMs: 1_000,
   heartbeatIntervalMs: 1_000,
-  leaderContactLimitMs: 3_000,
+  leaderContactLimitMs: 2_500,
   historyLimit: 64,
   answerRetentionMs: 60 * MINUTE_MS,
   keyRetentionMs: 24 * 60 * MINUTE_MS,
--- a/packages/lovagepond-control/src/leader_relay.ts
+++ b/packages/lovagepond-control/src/leader_relay.ts
@@ -20,12 +20,16 @@
 
 type WireUpdate = lovagepond.v1.ControlUpdate.$Properties;
 
+const REOPEN_AFTER_MS = 200;
+
 /** Settings of {@link LeaderRelay}. */
 export interface RelaySettings {
   readonly nodeName: string;
   readonly region: string;
   /** A stream silent for this long is opened anew. */
   readonly silentAfterMs: number;
+  /** An older load report isn't passed on. */
+  readonly loadValidMs: number;
   /** Longest wait for an answer of the leader. */
   readonly callTimeoutMs: number;
 }
@@ -58,6 +62,7 @@
   #stream: ClientReadableStream<WireUpdate> | undefined;
   #heardAt = -Infinity;
   #openedAt = -Infinity;
+  #ended = false;
   #heardLoad: HeardLoad | undefined;
 
   constructor(settings: RelaySettings, parts: RelayParts) {
@@ -72,21 +77,15 @@
    * @param now monotonic milliseconds
    */
   follow(leader: string, now: number): void {
-    const {silentAfterMs} = this.#settings;
-    const since = Math.max(this.#heardAt, this.#openedAt);
-    const silent = now - since > silentAfterMs;
-    if (leader === this.#leader && !(silent && leader !== '')) return;
+    if (leader === this.#leader && !this.#needsReopening(now)) return;
     this.#close();
     this.#leader = leader;
     if (leader !== '') this.#open(now);
   }
 
-  /**
-   * @param now monotonic milliseconds
-   * @returns true while the leader's stream is alive
-   */
-  isAlive(now: number): boolean {
-    return now - this.#heardAt <= this.#settings.silentAfterMs;
+  /** When the leader was last heard, monotonic milliseconds. */
+  get heardAt(): number {
+    return this.#heardAt;
   }
 
   /**
@@ -94,8 +93,9 @@
    * @returns the leader's last load report with its age by now
    */
   load(now: number): LoadReport | undefined {
-    if (!this.#heardLoad || !this.isAlive(now)) return undefined;
+    if (!this.#heardLoad) return undefined;
     const {load, at} = this.#heardLoad;
+    if (now - at > this.#settings.loadValidMs) return undefined;
     return {...load, ageMs: load.ageMs + now - at};
   }
 
@@ -134,9 +134,18 @@
     this.#leader = '';
   }
 
+  /** A refused stream is tried again soon, a silent one once it is too silent. */
+  #needsReopening(now: number): boolean {
+    if (this.#leader === '') return false;
+    if (this.#ended) return now - this.#openedAt > REOPEN_AFTER_MS;
+    const since = Math.max(this.#heardAt, this.#openedAt);
+    return now - since > this.#settings.silentAfterMs;
+  }
+
   #open(now: number): void {
     const {nodeName, region} = this.#settings;
     this.#openedAt = now;
+    this.#ended = false;
     this.#client = new Client(
       this.#leader,
       credentials.createInsecure(),
@@ -155,8 +164,8 @@
     stream.on('data', (update: WireUpdate) => {
       if (this.#stream === stream) this.#take(update);
     });
-    // The next tick opens it anew once the silence is long enough.
     stream.on('error', err => {
+      if (this.#stream === stream) this.#ended = true;
       const {message} = err;
       this.#parts.log.debug('leader stream ended', {message});
     });
--- a/packages/lovagepond-control/src/subscription_feed.ts
+++ b/packages/lovagepond-control/src/subscription_feed.ts
@@ -11,6 +11,8 @@
 
 /** What a member can tell its subscribers at one moment. */
 export interface FeedView {
+  /** This member leads and no other can. */
+  readonly leads: boolean;
   readonly configuration: Configuration;
   readonly membershipVersion: number;
   /** @returns what changed in a pool since a version */
@@ -97,6 +99,10 @@
    * @returns what to send now, in order
    */
   next(view: FeedView, now: number): FeedUpdate[] {
+    // Without its lease a leader is silent towards followers: they would take
+    // its heartbeats for contact and hold on to their subscribers with it.
+    const relayed = this.subscriber.role === CONTROL_ROLE;
+    if (relayed && !view.leads) return [];
     const updates = [
       ...this.#nextConfiguration(view),
       ...this.#nextMembership(view),
--- a/packages/lovagepond-control/src/subscription_hub.ts
+++ b/packages/lovagepond-control/src/subscription_hub.ts
@@ -79,20 +79,17 @@
   }
 
   /**
-   * Notes whether this member is in touch: as leader with a majority, as
+   * Notes when this member was in touch: as leader with a majority, as
    * follower with the leader. A member on the far side of a silent partition
    * would otherwise hold its subscribers at an old configuration for as long
    * as the partition lasts; ended, they find a member that is in touch.
    *
-   * @param inTouch whether it is at this moment
+   * @param contactAt when it last was, monotonic milliseconds
    * @param now monotonic milliseconds
    */
-  noteContact(inTouch: boolean, now: number): void {
-    if (inTouch) {
-      this.#contactAt = now;
-    } else if (!this.isFresh(now)) {
-      this.endAll();
-    }
+  noteContact(contactAt: number, now: number): void {
+    this.#contactAt = Math.max(this.#contactAt, contactAt);
+    if (!this.isFresh(now)) this.endAll();
   }
 
   /**
