Prove the gate, claims and sessions by failures

Cause: nothing showed that the sidecar's safeguards are needed. Found on the way: a sidecar that had heard no mean, or whose control had just counted the pool as one server, ran up to its capacity; a quantum of 4,096 tokens let a surge of short requests hold a quiet workspace for a second; an idle engine gave reserved room away.

Change: only the floor runs before a mean was heard; a lower count of servers holds after the former one has aged; a quantum of 1,024 tokens; reserved room is kept on an idle engine too. Property and failure tests for the bound, revoke against dispatch, copies, surge, early refusal, leave, take, pointers, cache gaps, fencing, revisions, claims and lost streams.

--- /dev/null
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_dispatcher.test.ts
@@ -0,0 +1,212 @@
+import {type EngineEvent} from '@lovagepond/backend';
+import {makeFailure, Random} from '@lovagepond/core';
+import {lovagepond} from '@lovagepond/protocol';
+import {describe, expect, it} from 'vitest';
+import {
+  DEFAULT_SIDECAR_SETTINGS,
+  SidecarGate,
+  type SidecarSettings,
+} from '../../index.js';
+import {SidecarDispatcher} from '../../sidecar_dispatcher.js';
+import {type FrameBody} from '../../sidecar_frames.js';
+import {type FrameStream} from '../../sidecar_session.js';
+import {EchoEngine, joinChunks, LOG} from './sidecar_test_utils.js';
+
+const SETTINGS: SidecarSettings = {
+  ...DEFAULT_SIDECAR_SETTINGS,
+  backendServer: 'engine-1',
+  pool: 'chat',
+  backendUrl: '',
+  controlAddresses: [],
+  maxAnswerBytes: 100,
+};
+
+/** A router's stream that can be told to take no more. */
+class FakeStream implements FrameStream {
+  readonly frames: FrameBody[] = [];
+  reads = true;
+  ended = false;
+
+  write(body: FrameBody): boolean {
+    this.frames.push(body);
+    return this.reads;
+  }
+
+  end(): void {
+    this.ended = true;
+  }
+}
+
+/** An engine whose events the test gives, one run after the other. */
+class ScriptedEngine extends EchoEngine {
+  readonly scripts: EngineEvent[][] = [];
+  readonly resumes: number[] = [];
+  read = 0;
+
+  override async *run(
+    request: Parameters<EchoEngine['run']>[0] & {resumeFrom: number},
+  ): AsyncGenerator<EngineEvent> {
+    this.resumes.push(request.resumeFrom);
+    yield {kind: 'dispatched'};
+    const head = {status: 200, contentType: 'text/plain', cachedTokens: 0};
+    yield {kind: 'started', ...head};
+    for (const event of this.scripts.shift() ?? []) {
+      this.read += 1;
+      yield event;
+    }
+  }
+}
+
+function makeWorld(engine: EchoEngine): {
+  dispatcher: SidecarDispatcher;
+  gate: SidecarGate;
+  clock: {time: number};
+} {
+  const clock = {time: 0};
+  const incarnation = 'inc-1';
+  const gate = new SidecarGate({...SETTINGS, incarnation}, new Random(1));
+  const dispatcher = new SidecarDispatcher(SETTINGS, {
+    gate,
+    backend: {kind: 'engine', engine},
+    clock: {now: () => clock.time, wallTime: () => clock.time},
+    log: LOG,
+    ledger: {
+      claim: () => Promise.resolve(undefined),
+      record: () => Promise.resolve(false),
+    },
+    incarnation,
+    newerConfiguration: () => Buffer.of(),
+    point: () => {},
+    noteServed: () => {},
+  });
+  return {dispatcher, gate, clock};
+}
+
+function makeRequest(
+  attemptId: string,
+  more: lovagepond.v1.AttemptRequest.$Properties = {},
+): lovagepond.v1.AttemptRequest {
+  return new lovagepond.v1.AttemptRequest({
+    requestId: attemptId,
+    attemptId,
+    incarnation: 'inc-1',
+    workspace: 'bakery',
+    deadlineLeftMs: 60_000,
+    estimatedTokens: 10,
+    body: Buffer.from('0123456789'),
+    ...more,
+  });
+}
+
+function data(offset: number, text: string): EngineEvent {
+  return {kind: 'data', offset, bytes: Buffer.from(text)};
+}
+
+function end(totalBytes: number): EngineEvent {
+  const usage = {promptTokens: 0, cachedTokens: 0, answerTokens: 0};
+  return {kind: 'end', totalBytes, usage};
+}
+
+async function settle(): Promise<void> {
+  for (let turn = 0; turn < 50; turn += 1) await Promise.resolve();
+}
+
+describe('an attempt whose stream is lost', () => {
+  // The stream breaks in the middle of the answer and the sidecar notices
+  // before the router is back. The run must go on for a while, and the router
+  // gets the rest over its next stream; nobody coming, the run is cancelled.
+  it('runs on until the router is back, and not for ever', async () => {
+    let goOn = (): void => {};
+    const engine = new EchoEngine();
+    engine.gate = new Promise(resolve => (goOn = resolve));
+    const {dispatcher, clock} = makeWorld(engine);
+    const first = new FakeStream();
+    const session = dispatcher.offer(makeRequest('a'), first);
+    await settle();
+    dispatcher.streamGone(session!, first);
+    expect(engine.cancelled).toEqual([]);
+    const second = new FakeStream();
+    dispatcher.offer(makeRequest('a', {resumeFrom: 5}), second);
+    clock.time = SETTINGS.detachGraceMs;
+    dispatcher.tick(clock.time);
+    expect(engine.cancelled).toEqual([]);
+    dispatcher.streamGone(session!, second);
+    clock.time += SETTINGS.detachGraceMs;
+    dispatcher.tick(clock.time);
+    expect(engine.cancelled).toEqual(['a']);
+    goOn();
+    await settle();
+    expect(dispatcher.idle).toBe(true);
+  });
+
+  // The answer is whole, but the frame that says so was lost with the stream.
+  it('gives the end of a finished answer again', async () => {
+    const {dispatcher} = makeWorld(new EchoEngine());
+    const first = new FakeStream();
+    dispatcher.offer(makeRequest('a'), first);
+    await settle();
+    expect(first.ended).toBe(true);
+    const second = new FakeStream();
+    dispatcher.offer(makeRequest('a', {resumeFrom: 5}), second);
+    expect(joinChunks(second.frames)).toBe('56789');
+    expect(second.frames.at(-1)?.end?.totalBytes).toBe(10);
+  });
+});
+
+describe('whole answers', () => {
+  // The engine's stream breaks after five bytes. It still holds the generation
+  // and goes on from there; the caller reads one answer without a seam.
+  it('goes on where the engine agrees', async () => {
+    const engine = new ScriptedEngine();
+    const failure = makeFailure('backendFailed');
+    engine.scripts.push([data(0, '01234'), {kind: 'failed', failure}]);
+    engine.scripts.push([data(5, '56789'), end(10)]);
+    const {dispatcher} = makeWorld(engine);
+    const stream = new FakeStream();
+    dispatcher.offer(makeRequest('a'), stream);
+    await settle();
+    expect(engine.resumes).toEqual([0, 5]);
+    expect(joinChunks(stream.frames)).toBe('0123456789');
+    expect(stream.frames.at(-1)?.end?.totalBytes).toBe(10);
+  });
+
+  // Bytes of another generation arrive: at a wrong place, or fewer than the
+  // end claims. The caller must never be told that this is a whole answer.
+  it.each([
+    ['a gap', [data(0, '01'), data(4, '45'), end(6)]],
+    ['a doubled piece', [data(0, '01'), data(0, '01'), end(4)]],
+    ['a truncated answer', [data(0, '01'), end(4)]],
+    ['no end', [data(0, '01')]],
+  ])('never passes on %s as whole', async (_name, script) => {
+    const engine = new ScriptedEngine();
+    engine.scripts.push(script, script, script);
+    const {dispatcher, gate} = makeWorld(engine);
+    const stream = new FakeStream();
+    dispatcher.offer(makeRequest('a'), stream);
+    await settle();
+    const last = stream.frames.at(-1);
+    expect(last?.failed?.errorKind).toBe('answerTruncated');
+    expect(gate.idle).toBe(true);
+  });
+
+  // The router reads nothing. The engine must not be read ahead of it without
+  // a limit, or a few slow readers would fill the memory of the sidecar.
+  it('reads the engine no faster than the router reads', async () => {
+    const engine = new ScriptedEngine();
+    const kilobyte = 'x'.repeat(1_024);
+    const pieces = Array.from({length: 1_000}, (_, index) =>
+      data(index * 1_024, kilobyte),
+    );
+    engine.scripts.push([...pieces, end(1_024_000)]);
+    const {dispatcher} = makeWorld(engine);
+    const stream = new FakeStream();
+    stream.reads = false;
+    const session = dispatcher.offer(makeRequest('a'), stream);
+    for (let turn = 0; turn < 40; turn += 1) await settle();
+    expect(engine.read).toBeLessThan(80);
+    stream.reads = true;
+    session!.drained(stream);
+    for (let turn = 0; turn < 100; turn += 1) await settle();
+    expect(stream.frames.at(-1)?.end?.totalBytes).toBe(1_024_000);
+  });
+});
--- /dev/null
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_gate_failures.test.ts
@@ -0,0 +1,251 @@
+import {Random} from '@lovagepond/core';
+import {describe, expect, it} from 'vitest';
+import {
+  DEFAULT_GATE_POLICY,
+  DEFAULT_GATE_SETTINGS,
+  type GateAction,
+  type GatePolicy,
+  type GateSettings,
+  type RefuseAction,
+  SidecarGate,
+} from '../../index.js';
+import {makeOffer} from './sidecar_test_utils.js';
+
+const SETTINGS: GateSettings = {
+  ...DEFAULT_GATE_SETTINGS,
+  backendServer: 'engine-1',
+  incarnation: 'inc-1',
+  floorTokens: 1_000,
+};
+
+function makeGate(policy: Partial<GatePolicy> = {}): SidecarGate {
+  const gate = new SidecarGate(SETTINGS, new Random(7));
+  gate.configure({...DEFAULT_GATE_POLICY, ...policy}, 0);
+  return gate;
+}
+
+function kinds(actions: readonly GateAction[]): string[] {
+  return actions.map(({kind, attemptId}) => `${kind} ${attemptId}`);
+}
+
+function refusals(actions: readonly GateAction[]): RefuseAction[] {
+  return actions.filter(action => action.kind === 'refuse');
+}
+
+/** A server that finishes its oldest run every so often, in virtual time. */
+class VirtualServer {
+  readonly #gate: SidecarGate;
+  readonly #runs: string[] = [];
+  readonly heldMs = new Map<string, number>();
+  readonly refused: RefuseAction[] = [];
+
+  constructor(gate: SidecarGate) {
+    this.#gate = gate;
+  }
+
+  note(actions: readonly GateAction[]): void {
+    for (const action of actions) {
+      if (action.kind === 'refuse') this.refused.push(action);
+      if (action.kind !== 'dispatch') continue;
+      this.#runs.push(action.attemptId);
+      this.heldMs.set(action.attemptId, action.heldMs);
+    }
+  }
+
+  finishOne(now: number): void {
+    const attemptId = this.#runs.shift();
+    if (!attemptId) return;
+    this.note(this.#gate.finish(attemptId, {kind: 'done'}, now));
+  }
+}
+
+describe('a surge of one workspace', () => {
+  // One workspace sends two thousand requests in a second; nine others send
+  // one each now and then. The quiet ones must be served as if the surge were
+  // not there, up to a round, and the surge must be told early and at
+  // spread-out times when to come back.
+  it('leaves nine quiet workspaces as they were', () => {
+    const gate = makeGate();
+    const server = new VirtualServer(gate);
+    const quiet: string[] = [];
+    for (let now = 0; now < 10_000; now += 10) {
+      const surging = now < 1_000 ? 20 : 0;
+      for (let index = 0; index < surging; index += 1) {
+        const workspace = 'surging';
+        const offer = makeOffer(`s-${now}-${index}`, {workspace, tokens: 200});
+        server.note(gate.offer(offer, now));
+      }
+      if (now % 200 === 0) {
+        const workspace = `quiet-${(now / 200) % 9}`;
+        const offer = makeOffer(`q-${now}`, {workspace, tokens: 200});
+        quiet.push(offer.attemptId);
+        server.note(gate.offer(offer, now));
+      }
+      server.note(gate.tick(now));
+      if (now % 40 === 0) server.finishOne(now);
+    }
+    const waits = quiet.map(attemptId => server.heldMs.get(attemptId));
+    expect(waits).not.toContain(undefined);
+    // One round: six of the surge fit into a quantum and its rest, and one of
+    // each quiet workspace; before it ends the run under way. 40 ms each.
+    expect(Math.max(...waits.map(Number))).toBeLessThanOrEqual(16 * 40);
+    const times = server.refused.map(({failure}) => failure.retryAfterMs);
+    expect(times.length).toBeGreaterThan(1_000);
+    expect(new Set(times).size).toBeGreaterThan(times.length / 10);
+  });
+
+  it('keeps a workspace within its limit of outstanding tokens', () => {
+    const share = {weight: 1, priority: 5, maxQueuedTokens: 1_500};
+    const gate = makeGate({workspaces: new Map([['bakery', share]])});
+    gate.offer(makeOffer('a', {tokens: 900}), 0);
+    gate.offer(makeOffer('b', {tokens: 500}), 0);
+    const [refusal] = refusals(gate.offer(makeOffer('c', {tokens: 200}), 0));
+    expect(refusal?.failure.kind).toBe('workspaceLimit');
+    expect(refusal?.failure.retryAfterMs).toBeGreaterThan(0);
+  });
+});
+
+describe('early refusal', () => {
+  // The queue is long and the deadline short. The caller learns at once, not
+  // at its deadline, and with a time to come back; one that was held and can
+  // no longer be served is answered as soon as that is known.
+  it('answers what can not be served in time at once', () => {
+    const gate = makeGate({maxHoldMs: 60_000});
+    gate.offer(makeOffer('running', {tokens: 1_000}), 0);
+    gate.offer(makeOffer('held', {tokens: 900, deadlineAt: 400}), 0);
+    const late = makeOffer('late', {tokens: 900, deadlineAt: 200});
+    const [refusal] = refusals(gate.offer(late, 0));
+    expect(refusal?.failure.kind).toBe('deadlineUnreachable');
+    expect(refusal?.failure.retryAfterMs).toBeGreaterThan(0);
+    const given = refusals(gate.tick(300));
+    expect(given.map(({attemptId}) => attemptId)).toEqual(['held']);
+    expect(given[0]?.failure.retryAfterMs).toBeGreaterThan(0);
+  });
+
+  it('holds nothing longer than the limit', () => {
+    const gate = makeGate({maxHoldMs: 500});
+    gate.offer(makeOffer('running', {tokens: 1_000}), 0);
+    gate.offer(makeOffer('held', {tokens: 10}), 0);
+    expect(refusals(gate.tick(490))).toEqual([]);
+    expect(kinds(gate.tick(500))).toEqual(['refuse held']);
+  });
+});
+
+describe('a planned leave', () => {
+  // The server leaves with one request running, one that can be served within
+  // the limit and many that can't. What runs is not touched, what fits is
+  // served, the rest and all new ones are told at once that they did not run.
+  it('refuses what does not fit and cuts nothing', () => {
+    const gate = makeGate({maxHoldMs: 60_000});
+    gate.offer(makeOffer('running', {tokens: 1_000}), 0);
+    gate.offer(makeOffer('fits', {tokens: 500}), 0);
+    for (let index = 0; index < 5; index += 1) {
+      gate.offer(makeOffer(`long-${index}`, {tokens: 900}), 0);
+    }
+    const leaving = gate.startDraining(0, 200);
+    expect(leaving).toHaveLength(5);
+    for (const {failure, attemptId} of refusals(leaving)) {
+      expect(failure.kind).toBe('draining');
+      expect(attemptId).toContain('long');
+    }
+    const [late] = refusals(gate.offer(makeOffer('late'), 1));
+    expect(late?.failure.kind).toBe('draining');
+    const next = gate.finish('running', {kind: 'done'}, 100);
+    expect(kinds(next)).toEqual(['dispatch fits']);
+    expect(gate.idle).toBe(false);
+    gate.finish('fits', {kind: 'done'}, 150);
+    expect(gate.idle).toBe(true);
+  });
+});
+
+describe('hold and take', () => {
+  // A taker asks, the victim hands a request over, and the answer is lost on
+  // its way. The router, which alone owns the request, goes to the taker; the
+  // taker asks again and gets another request. Each is dispatched exactly once,
+  // none at the victim, and a request that was handed over stays where it is.
+  it('hands over exactly once though the answer to Take is lost', () => {
+    const victim = makeGate();
+    const taker = new SidecarGate(
+      {...SETTINGS, backendServer: 'engine-2'},
+      new Random(8),
+    );
+    victim.offer(makeOffer('running', {tokens: 1_000}), 0);
+    victim.offer(makeOffer('a', {tokens: 400}), 0);
+    victim.offer(makeOffer('b', {tokens: 400}), 0);
+    const lost = victim.handOver('engine-2', taker.takeRoom(0), 0);
+    const again = victim.handOver('engine-2', taker.takeRoom(1), 1);
+    const moved = [...lost.actions, ...again.actions];
+    expect(kinds(moved).sort()).toEqual(['refuse a', 'refuse b']);
+    for (const {failure, pointer} of refusals(moved)) {
+      expect(failure.kind).toBe('handedOver');
+      expect(pointer).toBe('engine-2');
+    }
+    expect(victim.handOver('engine-2', 1_000, 2).attemptIds).toEqual([]);
+    const arrive = (name: string): string[] =>
+      kinds(
+        taker.offer(
+          makeOffer(name, {handOvers: 1, firstChoice: 'engine-1', tokens: 400}),
+          3,
+        ),
+      );
+    expect(arrive('a.2')).toEqual(['accept a.2', 'dispatch a.2']);
+    expect(arrive('b.2')).toEqual(['accept b.2', 'dispatch b.2']);
+    expect(kinds(victim.finish('running', {kind: 'done'}, 4))).toEqual([]);
+    taker.offer(makeOffer('c.2', {handOvers: 1, tokens: 900}), 5);
+    expect(taker.handOver('engine-3', 1_000, 5).attemptIds).toEqual([]);
+  });
+
+  // Two requests wait; the longer-waiting one has its whole context here. To
+  // hand it over would rebuild more than the wait it saves.
+  it('hands over the request with the least warm context', () => {
+    const gate = makeGate();
+    gate.cache.reset();
+    gate.cache.apply(0, 'bakery', 'warm', 400_000);
+    gate.offer(makeOffer('running', {tokens: 1_000}), 0);
+    gate.offer(makeOffer('warm', {chat: 'warm', tokens: 400}), 0);
+    gate.offer(makeOffer('cold', {chat: 'cold', tokens: 400}), 1);
+    expect(gate.handOver('engine-2', 500, 2).attemptIds).toEqual(['cold']);
+    expect(gate.handOver('engine-2', 500, 3).attemptIds).toEqual([]);
+  });
+
+  // Room is kept for the request on its way, and only for a while.
+  it('keeps room for what was taken', () => {
+    const gate = makeGate();
+    gate.reserve('engine-2', 700, 250);
+    expect(kinds(gate.offer(makeOffer('other', {tokens: 600}), 0))).toEqual([
+      'accept other',
+    ]);
+    const taken = makeOffer('taken', {tokens: 700, handOvers: 1});
+    expect(kinds(gate.offer(taken, 10))).toContain('accept taken');
+    gate.reserve('engine-3', 900, 250);
+    expect(kinds(gate.tick(251))).toEqual([]);
+  });
+});
+
+describe('pointers', () => {
+  // A chat was served elsewhere, so its return is sent there. That server has
+  // gone meanwhile and the request comes back. Sent along the pointer again,
+  // it would bounce until its deadline.
+  it('sends a chat to where it is warm, but a request only once', () => {
+    const gate = makeGate();
+    gate.pointers.put('bakery', 'chat-1', 'engine-9', 0);
+    const first = makeOffer('x.1', {requestId: 'x'});
+    const [refusal] = refusals(gate.offer(first, 1));
+    expect(refusal?.failure.kind).toBe('servedElsewhere');
+    expect(refusal?.pointer).toBe('engine-9');
+    const second = makeOffer('x.2', {requestId: 'x'});
+    expect(kinds(gate.offer(second, 2))).toContain('dispatch x.2');
+    expect(gate.pointers.size).toBe(0);
+  });
+
+  it('expire and are bounded', () => {
+    const {maxPointers, pointerLifetimeMs} = SETTINGS;
+    const {pointers} = makeGate();
+    for (let index = 0; index <= maxPointers; index += 1) {
+      pointers.put('bakery', `chat-${index}`, 'engine-9', 0);
+    }
+    expect(pointers.size).toBe(maxPointers);
+    pointers.expire(pointerLifetimeMs);
+    expect(pointers.size).toBe(0);
+  });
+});
--- /dev/null
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_gate_properties.test.ts
@@ -0,0 +1,169 @@
+import {Random} from '@lovagepond/core';
+import * as fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {
+  DEFAULT_GATE_SETTINGS,
+  type GateAction,
+  SidecarGate,
+} from '../../index.js';
+import {makeOffer} from './sidecar_test_utils.js';
+
+const SEED = 730_114;
+const FLOOR = 1_000;
+
+/** What a router, an engine and the ledger may do to one attempt. */
+const STEPS = [
+  'offer',
+  'revoke',
+  'callerGone',
+  'grant',
+  'deny',
+  'done',
+  'failed',
+  'notRun',
+  'handOver',
+  'tick',
+  'drain',
+] as const;
+
+const step = fc.record({
+  kind: fc.constantFrom(...STEPS),
+  attempt: fc.nat(7),
+  tokens: fc.integer({min: 1, max: 700}),
+  gapMs: fc.nat(1_500),
+});
+
+type Step = typeof step extends fc.Arbitrary<infer Value> ? Value : never;
+
+/** Follows what the gate says of each attempt and fails on a contradiction. */
+class Ledger {
+  readonly dispatched = new Map<string, number>();
+  readonly running = new Map<string, number>();
+  readonly claiming = new Set<string>();
+  readonly notRun = new Set<string>();
+  readonly tokens = new Map<string, number>();
+
+  note(actions: readonly GateAction[]): void {
+    for (const {kind, attemptId} of actions) {
+      if (kind === 'dispatch') {
+        expect(this.notRun).not.toContain(attemptId);
+        expect(this.dispatched.get(attemptId) ?? 0).toBe(0);
+        this.dispatched.set(attemptId, 1);
+        this.running.set(attemptId, this.tokens.get(attemptId) ?? 0);
+        this.claiming.delete(attemptId);
+      }
+      if (kind === 'claim') this.claiming.add(attemptId);
+      if (kind === 'releaseClaim') this.claiming.delete(attemptId);
+      if (kind === 'refuse') {
+        expect(this.running.has(attemptId)).toBe(false);
+        this.notRun.add(attemptId);
+      }
+    }
+  }
+}
+
+function perform(
+  gate: SidecarGate,
+  ledger: Ledger,
+  now: number,
+  s: Step,
+): void {
+  const attemptId = `attempt-${s.attempt}`;
+  const running = ledger.running.has(attemptId);
+  const claiming = ledger.claiming.has(attemptId);
+  const end = (kind: 'done' | 'failed' | 'notRun'): void => {
+    if (!running) return;
+    ledger.running.delete(attemptId);
+    ledger.note(gate.finish(attemptId, {kind, message: ''}, now));
+  };
+  const handlers: Record<Step['kind'], () => void> = {
+    offer: () => {
+      const nonRepeatable = s.attempt % 3 === 0;
+      const workspace = `workspace-${s.attempt % 2}`;
+      if (!ledger.tokens.has(attemptId)) ledger.tokens.set(attemptId, s.tokens);
+      const {tokens} = s;
+      const deadlineAt = now + 4_000;
+      ledger.note(
+        gate.offer(
+          makeOffer(attemptId, {nonRepeatable, workspace, tokens, deadlineAt}),
+          now,
+        ),
+      );
+    },
+    revoke: () => {
+      const {outcome, actions} = gate.revoke(attemptId, now);
+      if (outcome === 'revoked') {
+        expect(running).toBe(false);
+        ledger.claiming.delete(attemptId);
+        ledger.notRun.add(attemptId);
+      }
+      if (running) expect(outcome).toBe('dispatched');
+      ledger.note(actions);
+    },
+    callerGone: () => ledger.note(gate.callerGone(attemptId, now)),
+    grant: () => {
+      if (claiming) ledger.note(gate.claimGranted(attemptId, now));
+    },
+    deny: () => {
+      if (!claiming) return;
+      ledger.claiming.delete(attemptId);
+      ledger.note(gate.claimDenied(attemptId, now));
+      ledger.notRun.add(attemptId);
+    },
+    done: () => end('done'),
+    failed: () => end('failed'),
+    notRun: () => end('notRun'),
+    handOver: () => ledger.note(gate.handOver('taker', 700, now).actions),
+    tick: () => ledger.note(gate.tick(now)),
+    drain: () => ledger.note(gate.startDraining(now, 3_000)),
+  };
+  handlers[s.kind]();
+}
+
+describe('the gate under any order of events', () => {
+  // Routers offer, offer again, revoke and go away; claims are granted late;
+  // runs end in every way; takers come; the server leaves. Whatever the order,
+  // an attempt that anybody was told is "not run" is never dispatched, none
+  // is dispatched twice, and no work stays counted when all of it has ended.
+  it('keeps "not run" true and dispatches nothing twice', () => {
+    const property = fc.property(
+      fc.array(step, {minLength: 20, maxLength: 120}),
+      steps => {
+        const gate = new SidecarGate(
+          {
+            ...DEFAULT_GATE_SETTINGS,
+            backendServer: 'engine-1',
+            incarnation: 'inc-1',
+            floorTokens: FLOOR,
+          },
+          new Random(1),
+        );
+        const ledger = new Ledger();
+        let now = 0;
+        for (const s of steps) {
+          now += s.gapMs;
+          perform(gate, ledger, now, s);
+        }
+        for (let round = 0; round < 20; round += 1) {
+          now += 1_000;
+          for (const attemptId of [...ledger.claiming]) {
+            ledger.claiming.delete(attemptId);
+            ledger.note(gate.claimDenied(attemptId, now));
+          }
+          for (const attemptId of [...ledger.running.keys()]) {
+            ledger.running.delete(attemptId);
+            ledger.note(gate.finish(attemptId, {kind: 'done'}, now));
+          }
+          ledger.note(gate.tick(now));
+        }
+        expect(gate.idle).toBe(true);
+        expect(gate.load(now)).toEqual({
+          runningTokens: 0,
+          queuedTokens: 0,
+          queuedRequests: 0,
+        });
+      },
+    );
+    fc.assert(property, {seed: SEED, numRuns: 500});
+  });
+});
--- /dev/null
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_knowledge.test.ts
@@ -0,0 +1,120 @@
+import {EMPTY_CONFIGURATION} from '@lovagepond/core';
+import {describe, expect, it} from 'vitest';
+import {SidecarAttempts} from '../../sidecar_attempts.js';
+import {SidecarCacheIndex} from '../../sidecar_cache_index.js';
+import {SidecarFencing} from '../../sidecar_fencing.js';
+import {ByteRate, planMoves} from '../../sidecar_kv_moves.js';
+import {REVISION_CHECK, SidecarRevisions} from '../../sidecar_revisions.js';
+
+describe('the cache index', () => {
+  // The engine's events come late and some are lost. A chat that was stored
+  // before the gap may have been evicted in it: called warm it would be held
+  // for a context that is gone, called cold it would be sent away from it.
+  it('is unsure of everything older than a gap', () => {
+    const index = new SidecarCacheIndex(8);
+    index.reset();
+    index.apply(0, 'w', 'old', 100);
+    expect(index.read('w', 'old')).toEqual({warmth: 'warm', tokens: 100});
+    expect(index.read('w', 'never')).toEqual({warmth: 'cold', tokens: 0});
+    index.apply(5, 'w', 'new', 50);
+    expect(index.read('w', 'old')).toEqual({warmth: 'unknown', tokens: 100});
+    expect(index.read('w', 'never').warmth).toBe('unknown');
+    expect(index.read('w', 'new').warmth).toBe('warm');
+    index.apply(3, 'w', 'new', 0);
+    expect(index.read('w', 'new').warmth).toBe('warm');
+    index.apply(6, 'w', 'old', 0);
+    expect(index.read('w', 'old').warmth).toBe('unknown');
+    index.noteGap(7);
+    expect(index.read('w', 'new').warmth).toBe('unknown');
+  });
+
+  it('is bounded, and unsure of what it dropped', () => {
+    const index = new SidecarCacheIndex(2);
+    index.reset();
+    for (const [sequence, chat] of ['a', 'b', 'c'].entries()) {
+      index.apply(sequence, 'w', chat, 10);
+    }
+    expect(index.size).toBe(2);
+    expect(index.read('w', 'a').warmth).toBe('unknown');
+  });
+});
+
+describe('fencing of orders', () => {
+  // A leader was deposed and its order is delivered late, right after the
+  // sidecar restarted and forgot the newer order it had passed. Nothing may
+  // pass before a majority told the floor; the old order never does.
+  it('passes nothing after a restart before the floor is known', () => {
+    const fencing = new SidecarFencing();
+    const stale = {orderId: 'old', fencingToken: 7};
+    expect(fencing.check(stale)).toBe('wait');
+    fencing.learnFloor(9);
+    expect(fencing.check(stale)).toBe('fenced');
+    const next = {orderId: 'new', fencingToken: 10};
+    expect(fencing.check(next)).toBe('pass');
+    expect(fencing.check(next)).toBe('running');
+    expect(fencing.check({orderId: 'x', fencingToken: 11})).toBe('wait');
+    fencing.finish('new', {outcome: 'done', message: ''});
+    expect(fencing.check(next)).toBe('ended');
+    expect(fencing.check({orderId: 'y', fencingToken: 10})).toBe('fenced');
+    fencing.learnFloor(3);
+    expect(fencing.floor).toBe(10);
+  });
+});
+
+describe('revisions', () => {
+  // A restarted sidecar gets an old configuration from a router. It must not
+  // serve by it before a majority confirmed a revision, and never go back.
+  it('only rise, and serve only when a majority confirmed them', () => {
+    const revisions = new SidecarRevisions({serveUnconfirmed: false});
+    revisions.install({...EMPTY_CONFIGURATION, revision: 5});
+    expect(revisions.mayServe()).toBe(false);
+    revisions.confirm(7);
+    expect(revisions.mayServe()).toBe(false);
+    expect(revisions.install({...EMPTY_CONFIGURATION, revision: 7})).toBe(true);
+    expect(revisions.mayServe()).toBe(true);
+    expect(revisions.install({...EMPTY_CONFIGURATION, revision: 6})).toBe(
+      false,
+    );
+    expect(revisions.revision).toBe(7);
+    expect(revisions.compare(6)).toBe(REVISION_CHECK.ROUTER_BEHIND);
+    expect(revisions.compare(8)).toBe(REVISION_CHECK.SIDECAR_BEHIND);
+  });
+});
+
+describe('attempts', () => {
+  // So many attempts end that their records are dropped for space. A revoke
+  // of one that ran must not be answered "revoked" because it was forgotten.
+  it('claim no knowledge of what was dropped for space', () => {
+    const attempts = new SidecarAttempts({
+      attemptRetentionMs: 1_000,
+      maxAttempts: 2,
+    });
+    for (const attemptId of ['a', 'b', 'c']) {
+      attempts.hold(attemptId);
+      attempts.dispatch(attemptId);
+      attempts.finish(attemptId, false, 0);
+    }
+    expect(attempts.size).toBe(2);
+    expect(attempts.revoke('a', 500)).toBe('unknown');
+    expect(attempts.revoke('b', 500)).toBe('dispatched');
+    expect(attempts.revoke('z', 1_500)).toBe('revoked');
+  });
+});
+
+describe('cache moves', () => {
+  it('start with the chats that save most, within the byte rate', () => {
+    const chats = ['a', 'b', 'gone'].map(chat => ({workspace: 'w', chat}));
+    const tokens: Record<string, number> = {a: 100, b: 900, gone: 900};
+    const moves = planMoves(chats, {
+      warmTokens: ({chat}) => tokens[chat] ?? 0,
+      nextServer: ({chat}) =>
+        chat === 'gone' ? undefined : {name: 'engine-2', address: 'x:1'},
+    });
+    expect(moves.map(({chat}) => chat)).toEqual(['b', 'a']);
+    const rate = new ByteRate(1_000);
+    expect(rate.waitMs(0)).toBe(0);
+    rate.spend(500, 0);
+    rate.spend(500, 0);
+    expect(rate.waitMs(400)).toBe(600);
+  });
+});
--- a/packages/lovagepond-sidecar/src/sidecar_admission.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_admission.ts
@@ -35,6 +35,11 @@
   readonly takenAt: number;
 }
 
+interface ReadyServers {
+  readonly count: number;
+  readonly heardAt: number;
+}
+
 interface OwnLoad {
   readonly at: number;
   readonly tokens: number;
@@ -45,9 +50,13 @@
   readonly takenAt: number;
 }
 
+/**
+ * Before the first mean was heard only the floor may run: taken for a pool of
+ * one server, this one would fill up to its capacity.
+ */
 const NO_SAMPLE: Sample = {
   othersTokens: 0,
-  readyServers: 1,
+  readyServers: Infinity,
   takenAt: -Infinity,
 };
 
@@ -58,6 +67,7 @@
   #own = 0;
   #control = NO_SAMPLE;
   #routers = NO_SAMPLE;
+  #ready: ReadyServers = {count: 1, heardAt: -Infinity};
   #report: EngineReport = {foreignTokens: 0, takenAt: -Infinity};
   readonly #history: OwnLoad[] = [];
 
@@ -85,11 +95,10 @@
    * @param now present time
    */
   setPoolMean(mean: PoolMean, now: number): void {
-    const readyServers = Math.max(1, mean.readyServers);
-    const sum = mean.meanTokens * readyServers;
+    const sum = mean.meanTokens * Math.max(1, mean.readyServers);
     this.#control = {
       othersTokens: Math.max(0, sum - mean.ownTokens),
-      readyServers,
+      readyServers: this.#countReady(mean.readyServers, now),
       takenAt: now - mean.ageMs,
     };
   }
@@ -101,6 +110,7 @@
   setRouterEstimate(meanTokens: number, now: number): void {
     if (meanTokens <= 0) return;
     const {readyServers} = this.#control;
+    if (readyServers === Infinity) return;
     this.#routers = {
       othersTokens: Math.max(
         0,
@@ -247,6 +257,19 @@
     return Math.max(0, (meanTrustMs - age) / (meanTrustMs - meanFreshMs));
   }
 
+  /**
+   * Control's count of servers is soft state: a new leader hears of them one
+   * by one. Believed at once, a pool that is counted as one server would have
+   * no bound, so a lower count holds only after the former one has aged.
+   */
+  #countReady(count: number, now: number): number {
+    const aged = now - this.#ready.heardAt > this.#settings.meanTrustMs;
+    if (count >= this.#ready.count || aged) {
+      this.#ready = {count: Math.max(1, count), heardAt: now};
+    }
+    return this.#ready.count;
+  }
+
   #change(delta: number, now: number): void {
     this.#own = Math.max(0, this.#own + delta);
     this.#history.push({at: now, tokens: this.#own});
--- a/packages/lovagepond-sidecar/src/sidecar_fair_queue.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_fair_queue.ts
@@ -10,7 +10,8 @@
   type WorkspaceShare,
 } from './sidecar_types.js';
 
-const QUANTUM_TOKENS = 4_096;
+/** About one short request: a larger one makes a quiet workspace wait longer. */
+const QUANTUM_TOKENS = 1_024;
 const NEUTRAL_PRIORITY = 5;
 const HIGHEST_PRIORITY = 9;
 /** Two steps of priority double a workspace's share. */
--- a/packages/lovagepond-sidecar/src/sidecar_hold.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_hold.ts
@@ -139,9 +139,11 @@
   }
 
   #admits(offer: Offer, now: number): boolean {
-    if (offer.handOvers > 0) return this.#admission.admits(offer.tokens, now);
     const reserved = this.#reservations.tokens(now);
-    return this.#admission.admits(offer.tokens + reserved, now);
+    if (offer.handOvers > 0 || reserved <= 0) {
+      return this.#admission.admits(offer.tokens, now);
+    }
+    return this.freeTokens(now) >= offer.tokens;
   }
 
   #findExpired(now: number): HeldRequest[] {
