Claim by the sidecar's real decider, and settle the refusal after Started

Cause: the redemption scenarios had a claim shell of their own while the sidecar's SidecarClaims has landed. And one scenario was red: it asked the router to drop any refusal after Started. Ruled out: a fault of the router. A sidecar says Started when it dispatches and may then find that its server never got the request; only the sidecar that dispatched sends Refused, a copy of a dispatched attempt gets inProgress, and one stream keeps its order. So the scenario was wrong, not the router. Change: two scenarios in its place, as strict: a refusal that comes after bytes of the answer is dropped and the whole answer arrives; one before any byte sends the request to another server, which answers once.

--- a/packages/lovagepond-scenarios/features/not_run.feature
+++ b/packages/lovagepond-scenarios/features/not_run.feature
@@ -40,12 +40,27 @@
     When engine-1 is silent on every connection until the deadline
     Then the shopper is told that the request may have run
 
-  Scenario: A refusal crosses with the start of the same request
+  Scenario: A refusal crosses with the answer of the same request
     Given a shopper's request is given to engine-1
+    And the engine's answer is "Two pretzels for the price of one until noon"
     When engine-1 says that it has started
+    And these pieces arrive: 1
     And a late refusal of the same attempt arrives
     Then no other server is given the request
-    And the engine's whole answer still reaches the shopper
+    When these pieces arrive: 2, 3
+    And the end arrives
+    Then the shopper has the whole answer once
+
+  Scenario: The sidecar finds that its server never got the request
+    Given a shopper's request is given to engine-1
+    And the engine's answer is "Two pretzels for the price of one until noon"
+    When engine-1 says that it has started
+    And the sidecar says that its server never got the request
+    Then engine-2 is given the request again
+    When engine-2 says that it has started
+    And these pieces arrive: 1, 2, 3
+    And the end arrives
+    Then the shopper has the whole answer once
 
   Scenario: The second server refuses after the first may have run it
     Given a shopper's request is given to engine-1
--- a/packages/lovagepond-sidecar/src/index.ts
+++ b/packages/lovagepond-sidecar/src/index.ts
@@ -12,7 +12,18 @@
 } from './sidecar_attempts.js';
 export {type Backend} from './sidecar_backend.js';
 export {chatNumber, SidecarCacheIndex} from './sidecar_cache_index.js';
+export {
+  type ClaimAction,
+  type ClaimAnswer,
+  SidecarClaims,
+} from './sidecar_claims.js';
 export {type HeldRequest, SidecarFairQueue} from './sidecar_fair_queue.js';
+export {
+  type FencedOrder,
+  ORDER_VERDICT,
+  type OrderVerdict,
+  SidecarFencing,
+} from './sidecar_fencing.js';
 export {SidecarGate} from './sidecar_gate.js';
 export {SidecarPointers} from './sidecar_pointers.js';
 export {
