Carry consensus messages between control members over gRPC

Cause: the consensus package has a transport within one process only, so that members on several hosts could not agree.

Change: MemberTransport serves CONSENSUS_SERVICE/Deliver on the member's gRPC server and sends over one connection to each peer. ControlRole uses it, and files under its data folder, unless it is given others.

--- a/packages/lovagepond-control/src/__tests__/unit/control_role.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/control_role.test.ts
@@ -4,7 +4,7 @@
   Metadata,
   type MethodDefinition,
 } from '@grpc/grpc-js';
-import {MemoryNetwork, MemoryStorage} from '@lovagepond/consensus';
+import {MemoryStorage} from '@lovagepond/consensus';
 import {Random} from '@lovagepond/core';
 import {CONTROL_SERVICE, lovagepond} from '@lovagepond/protocol';
 import {once} from 'node:events';
@@ -42,7 +42,6 @@
 async function startRole(
   address: string,
   members: readonly string[],
-  network: MemoryNetwork,
 ): Promise<Member> {
   const role = new ControlRole(
     {
@@ -64,7 +63,6 @@
       log: SILENT_LOG,
       random: new Random(address.length),
       storage: new MemoryStorage(`m-${address}`),
-      makeTransport: () => network.attach(address),
     },
   );
   await role.start();
@@ -76,11 +74,10 @@
 
 /** Starts members and waits until all serve subscriptions. */
 async function startMembers(count: number): Promise<Member[]> {
-  const network = new MemoryNetwork();
   const addresses: string[] = [];
   for (let n = 0; n < count; n += 1) addresses.push(await reserveAddress());
   const members = await Promise.all(
-    addresses.map(address => startRole(address, addresses, network)),
+    addresses.map(address => startRole(address, addresses)),
   );
   const ready = () => members.every(({role}) => role.isReady());
   await vi.waitUntil(ready, {timeout: 10_000, interval: 20});
--- a/packages/lovagepond-control/src/control_role.ts
+++ b/packages/lovagepond-control/src/control_role.ts
@@ -9,6 +9,7 @@
   type ConsensusTimings,
   type ConsensusTransport,
   DEFAULT_CONSENSUS_TIMINGS,
+  FileStorage,
 } from '@lovagepond/consensus';
 import {
   type Clock,
@@ -21,6 +22,7 @@
 import {ControlMemberState} from './control_member_state.js';
 import {ControlServer} from './control_server.js';
 import {type ControlSettings} from './control_settings.js';
+import {MemberTransport} from './member_transport.js';
 import {ControlStateMachine} from './control_state_machine.js';
 
 /** How often leadership, leases and subscriptions are looked at. */
@@ -31,13 +33,14 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly random: Random;
-  readonly storage: ConsensusStorage;
+  /** By default files under the settings' data folder. */
+  readonly storage?: ConsensusStorage;
   /**
-   * Makes the transport between members.
+   * Makes the transport between members; by default over gRPC.
    *
    * @param server the member's gRPC server, not yet listening
    */
-  readonly makeTransport: (server: Server) => ConsensusTransport;
+  readonly makeTransport?: (server: Server) => ConsensusTransport;
   readonly timings?: ConsensusTimings;
 }
 
@@ -49,6 +52,7 @@
   readonly #server: ControlServer;
   readonly #node: ConsensusNode;
   readonly #state: ControlMemberState;
+  #transport: MemberTransport | undefined;
   #timer: NodeJS.Timeout | undefined;
   #draining = false;
   #port = 0;
@@ -56,7 +60,7 @@
   constructor(settings: ControlSettings, parts: ControlParts) {
     this.#settings = settings;
     this.#parts = parts;
-    const {clock, log, random, storage} = parts;
+    const {clock, log, random} = parts;
     const machine = new ControlStateMachine(settings, () => clock.now());
     this.#server = new ControlServer(
       {
@@ -70,10 +74,11 @@
       },
       log,
     );
-    const transport = parts.makeTransport(this.#server.server);
+    const {server} = this.#server;
+    const transport = parts.makeTransport?.(server) ?? this.#connect(server);
     this.#node = new ConsensusNode(toConsensusSettings(settings, parts), {
       stateMachine: machine,
-      storage,
+      storage: parts.storage ?? new FileStorage(settings.dataFolder),
       transport,
       clock,
       random,
@@ -117,12 +122,18 @@
     clearInterval(this.#timer);
     this.#state.stop();
     await this.#node.stop();
+    this.#transport?.close();
     this.#server.stop();
   }
 
   dump(): StateDump {
     return this.#state.dump();
   }
+
+  #connect(server: Server): ConsensusTransport {
+    this.#transport = new MemberTransport(server, this.#parts.clock);
+    return this.#transport;
+  }
 }
 
 function toConsensusSettings(
--- a/packages/lovagepond-control/src/index.ts
+++ b/packages/lovagepond-control/src/index.ts
@@ -24,4 +24,5 @@
   type WantedState,
 } from './control_administration.js';
 export {type ControlParts, ControlRole} from './control_role.js';
+export {MemberTransport} from './member_transport.js';
 export {CONTROL_DEFAULTS, type ControlSettings} from './control_settings.js';
--- /dev/null
+++ b/packages/lovagepond-control/src/member_message_codec.ts
@@ -0,0 +1,87 @@
+/**
+ * Codes consensus messages for the wire: the head as JSON, and the bytes of
+ * entries and snapshot chunks beside it.
+ */
+import {type LogEntry, type TransportMessage} from '@lovagepond/consensus';
+import {lovagepond} from '@lovagepond/protocol';
+
+const {v1} = lovagepond;
+
+type WireMessage = lovagepond.v1.ConsensusMessage.$Properties;
+type EntryHead = Omit<LogEntry, 'data'>;
+
+/** A head: the message without its bytes. */
+type Head = Record<string, unknown> & {
+  readonly entries?: readonly EntryHead[];
+  readonly hasData?: boolean;
+};
+
+const encoder = new TextEncoder();
+const decoder = new TextDecoder();
+
+/**
+ * @param message a message of the consensus package
+ * @returns the protocol message
+ */
+export function encodeMemberMessage(
+  message: TransportMessage,
+): lovagepond.v1.ConsensusMessage {
+  const {head, payloads} = splitMessage(message);
+  return new v1.ConsensusMessage({
+    from: message.from,
+    to: 'to' in message ? message.to : '',
+    term: 'term' in message ? message.term : 0,
+    head: encoder.encode(JSON.stringify(head)),
+    payloads,
+  });
+}
+
+/**
+ * @param wire a protocol message as it was decoded
+ * @returns the message, or undefined when it can't be read
+ */
+export function decodeMemberMessage(
+  wire: WireMessage,
+): TransportMessage | undefined {
+  const head = parseHead(wire.head ?? new Uint8Array());
+  if (!head) return undefined;
+  const payloads = wire.payloads ?? [];
+  if (head.entries) {
+    if (head.entries.length !== payloads.length) return undefined;
+    const entries = head.entries.map((entry, index) => ({
+      ...entry,
+      data: payloads[index],
+    }));
+    return {...head, entries} as unknown as TransportMessage;
+  }
+  if (!head.hasData) return head as unknown as TransportMessage;
+  return {...head, data: payloads[0]} as unknown as TransportMessage;
+}
+
+function splitMessage(message: TransportMessage): {
+  readonly head: Head;
+  readonly payloads: Uint8Array[];
+} {
+  if (message.kind === 'append') {
+    const entries = message.entries.map(({index, term, kind}) => ({
+      index,
+      term,
+      kind,
+    }));
+    const payloads = message.entries.map(entry => entry.data);
+    return {head: {...message, entries}, payloads};
+  }
+  if (message.kind === 'snapshotChunk') {
+    const {data, ...head} = message;
+    return {head: {...head, hasData: true}, payloads: [data]};
+  }
+  return {head: {...message}, payloads: []};
+}
+
+function parseHead(bytes: Uint8Array): Head | undefined {
+  try {
+    return JSON.parse(decoder.decode(bytes)) as Head;
+  } catch {
+    return undefined;
+  }
+}
