Follow the engine's and the ledger's own answers to the letter

Cause: an engine that restarts counts its cache events anew after a gap, which the index took for old ones; a ledger that answers ledgerUnavailable leaves open whether the claim stands, yet the sidecar gave the claim up without a record; a run that an adapter refused for its deadline was told as unreachable.

--- a/packages/lovagepond-sidecar/src/sidecar_cache_index.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_cache_index.ts
@@ -14,6 +14,8 @@
   tokens: 0,
 });
 const COLD: ChatWarmth = Object.freeze({warmth: WARMTH.COLD, tokens: 0});
+/** Number of an engine's first event: nothing was cached before it. */
+const FIRST_SEQUENCE = 1;
 const FNV_OFFSET = 0x811c9dc5;
 const FNV_PRIME = 0x01000193;
 const SECOND_SEED = 0x9747b28c;
@@ -97,14 +99,11 @@
   }
 
   /**
-   * Events were lost, as the engine says itself.
+   * Events were lost, or the engine restarted and counts from its beginning.
    *
-   * @param sequence the number of the event that tells it
+   * @param sequence the number up to which nothing is known
    */
   noteGap(sequence: number): void {
-    if (this.#nextSequence !== undefined && sequence < this.#nextSequence) {
-      return;
-    }
     this.#nextSequence = sequence + 1;
     this.#forgetCertainty();
   }
@@ -126,18 +125,17 @@
     this.#put(number, epoch, Math.max(before, tokens));
   }
 
-  /** The engine restarted with an empty cache and a new event sequence. */
+  /** The engine restarted: what it held is gone; what it holds is unknown. */
   reset(): void {
     this.#entries.clear();
-    this.#nextSequence = 0;
-    this.#complete = true;
+    this.#forgetCertainty();
   }
 
   #follow(sequence: number): boolean {
-    const expected = this.#nextSequence ?? sequence;
-    if (sequence < expected) return false;
-    // The first event of a connection may follow others that nobody heard.
-    if (sequence > expected) this.#forgetCertainty();
+    const expected = this.#nextSequence;
+    if (expected === undefined) this.#complete = sequence === FIRST_SEQUENCE;
+    else if (sequence < expected) return false;
+    else if (sequence > expected) this.#forgetCertainty();
     this.#nextSequence = sequence + 1;
     return true;
   }
--- a/packages/lovagepond-sidecar/src/sidecar_claims.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_claims.ts
@@ -68,7 +68,10 @@
   outcome: RecordedOutcome;
 }
 
-/** Answers of the ledger that deny a claim, and what the caller is told. */
+/**
+ * Answers of the ledger that deny a claim, and what the caller is told. Any
+ * other answer leaves open whether the claim stands: it is asked again.
+ */
 const DENIALS: Readonly<Record<string, ErrorKind>> = {
   inProgress: 'inProgress',
   unknown: 'outcomeUnknown',
@@ -77,7 +80,6 @@
   answerNotKept: 'answerNotKept',
   revoked: 'ledgerUnavailable',
   wrongIncarnation: 'wrongIncarnation',
-  ledgerUnavailable: 'ledgerUnavailable',
 };
 
 /** Follows each call from its claim to its record. Without I/O. */
--- a/packages/lovagepond-sidecar/src/sidecar_dispatcher.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_dispatcher.ts
@@ -22,6 +22,7 @@
   type GateAction,
   type Offer,
   type RefuseAction,
+  type RunEnd,
 } from './sidecar_types.js';
 
 type AttemptRequest = lovagepond.v1.AttemptRequest;
@@ -82,6 +83,13 @@
   };
 }
 
+function toRunEnd(outcome: RunOutcome): RunEnd {
+  if (outcome.kind !== 'notRun') return {kind: outcome.kind};
+  const {kind, message} = outcome.failure;
+  const notRun = answerFor(kind).disposition === DISPOSITION.NOT_RUN;
+  return {kind: 'notRun', message, ...(notRun && {errorKind: kind})};
+}
+
 function countUp(counts: Map<string, number>, name: string): void {
   counts.set(name, (counts.get(name) ?? 0) + 1);
 }
@@ -297,8 +305,7 @@
     }
     if (outcome.kind === 'failed') this.#fail(session, outcome.failure, now);
     if (request.nonRepeatable) this.#record(session, outcome);
-    const message = outcome.kind === 'notRun' ? outcome.failure.message : '';
-    const end = {kind: outcome.kind, message};
+    const end = toRunEnd(outcome);
     this.perform(this.#gate.finish(request.attemptId, end, now));
   }
 
--- a/packages/lovagepond-sidecar/src/sidecar_gate.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_gate.ts
@@ -190,8 +190,8 @@
     this.#attempts.finish(attemptId, end.kind === 'notRun', now);
     const actions: GateAction[] = [];
     if (end.kind === 'notRun') {
-      const {message} = end;
-      actions.push(makeRefusal(attemptId, 'unreachable', {message}));
+      const {message, errorKind = 'unreachable'} = end;
+      actions.push(makeRefusal(attemptId, errorKind, {message}));
     }
     if (end.kind === 'done') actions.push(...this.#noteDone(run, now));
     return [...actions, ...this.#pump(now)];
--- a/packages/lovagepond-sidecar/src/sidecar_types.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_types.ts
@@ -4,7 +4,7 @@
  * All times are monotonic milliseconds of the sidecar's clock; all amounts of
  * work are estimated tokens.
  */
-import {type Failure} from '@lovagepond/core';
+import {type ErrorKind, type Failure} from '@lovagepond/core';
 import {type RevokeOutcome} from './sidecar_attempts.js';
 
 /** One attempt as a router offers it. */
@@ -125,7 +125,12 @@
   /** It may have run. */
   | {readonly kind: 'failed'}
   /** No byte of it reached the backend server. */
-  | {readonly kind: 'notRun'; readonly message: string};
+  | {
+      readonly kind: 'notRun';
+      readonly message: string;
+      /** A kind whose disposition is "not run"; `unreachable` by default. */
+      readonly errorKind?: ErrorKind;
+    };
 
 /** Answer to a revoke and what follows from it. */
 export interface RevokeResult {
