Prove the backend adapters under each failure of engine and service

Cause: the adapters' safeguards had no tests that cause the failures. Writing them showed three faults: the fakes' silence was undone by node's uncork at the end of an answer; a request on a pool of many connections never met the silent one, so the test passed without the safeguard; a lost second try hid why the first was lost.

Undici's second start of a request could not be provoked.

Conclusion: silence is noticed up to a second late, the resolution of undici's timers.

--- /dev/null
+++ b/packages/lovagepond-backend/src/__tests__/unit/backend_event_stream.test.ts
@@ -0,0 +1,137 @@
+import * as fc from 'fast-check';
+import {createServer} from 'node:http';
+import {type AddressInfo, type Socket} from 'node:net';
+import {expect, test} from 'vitest';
+import {mergeDelta} from '../../backend_answer_assembly.js';
+import {AnswerCheck} from '../../backend_answer_check.js';
+import {CacheSequence} from '../../backend_cache_sequence.js';
+import {EventParser} from '../../backend_event_parser.js';
+import {HttpBackendClient} from '../../backend_http_client.js';
+import {DEFAULT_HTTP_CLIENT_SETTINGS} from '../../index.js';
+import {SEED} from './backend_test_utils.js';
+
+const LIMIT = 1_000;
+
+test('finds the same events however the bytes are cut', () => {
+  const text =
+    'data: {"a":"ü"}\n\n: beat\r\n\r\nevent: x\ndata: 1\ndata: 2\n\n';
+  const bytes = Buffer.from(text);
+  const cuts = fc.array(fc.integer({min: 0, max: bytes.length}));
+  const property = fc.property(cuts, places => {
+    const parser = new EventParser(LIMIT);
+    const ends = [0, ...places.sort((a, b) => a - b), bytes.length];
+    const events = ends
+      .slice(1)
+      .flatMap((end, i) => parser.push(bytes.subarray(ends[i], end)) ?? []);
+    expect(events.map(({name, data}) => [name, data])).toEqual([
+      ['', '{"a":"ü"}'],
+      ['', ''],
+      ['x', '1\n2'],
+    ]);
+    expect(Buffer.concat(events.map(event => event.bytes))).toEqual(bytes);
+  });
+  fc.assert(property, {seed: SEED});
+});
+
+test('an event without an end is not kept beyond the limit', () => {
+  const parser = new EventParser(LIMIT);
+  expect(parser.push(Buffer.alloc(LIMIT, 'x'))).toEqual([]);
+  expect(parser.push(Buffer.from('x'))).toBeUndefined();
+});
+
+test('passes on only own events, and calls only a finished answer whole', () => {
+  const judge = (check: AnswerCheck, data: string, name = ''): string => {
+    const verdict = check.judge({bytes: Buffer.alloc(0), name, data});
+    return verdict.kind === 'fail' ? verdict.failure.kind : verdict.kind;
+  };
+  const finish = '{"id":"chatcmpl-r","choices":[{"finish_reason":"stop"}]}';
+  expect(judge(new AnswerCheck('r'), '[DONE]')).toBe('answerTruncated');
+  expect(judge(new AnswerCheck('r'), '{"id":"r2"}')).toBe('backendFailed');
+  expect(judge(new AnswerCheck('r'), '{"choices":[]}')).toBe('backendFailed');
+  expect(judge(new AnswerCheck('r'), '{"id":"r"}', 'error')).toBe(
+    'backendFailed',
+  );
+  expect(judge(new AnswerCheck('r'), 'oops')).toBe('backendFailed');
+  const check = new AnswerCheck('r');
+  expect(['', finish, '[DONE]'].map(data => judge(check, data))).toEqual([
+    'skip',
+    'pass',
+    'whole',
+  ]);
+});
+
+test('no lost cache event stays unnoticed', () => {
+  // Events are lost, doubled and reordered on their way. Before a listener
+  // hears of an event, it has heard of all earlier ones, or of a gap since.
+  const arrivals = fc.array(fc.integer({min: 1, max: 30}), {maxLength: 40});
+  const property = fc.property(arrivals, sequences => {
+    const follower = new CacheSequence();
+    let known = 0;
+    for (const sequence of sequences) {
+      const base = {incarnation: 'e', workspace: 'w', chat: 'c', tokens: 1};
+      const told = follower.take({...base, sequence, kind: 'stored'});
+      const last = told.at(-1);
+      if (!last) {
+        expect(sequence).toBeLessThanOrEqual(known);
+        continue;
+      }
+      const gap = told.length === 2 && told[0]?.kind === 'gap';
+      expect(gap).toBe(sequence !== known + 1);
+      known = sequence;
+    }
+  });
+  fc.assert(property, {seed: SEED});
+});
+
+test('joins the pieces of a message, tool calls included', () => {
+  const message = {};
+  mergeDelta(message, {role: 'assistant', content: 'Hel'});
+  mergeDelta(message, {content: 'lo', role: 'assistant'});
+  const call = {index: 0, id: 'c', function: {name: 'f', arguments: '{"a'}};
+  mergeDelta(message, {tool_calls: [call]});
+  const rest = {index: 0, function: {arguments: '":1}'}};
+  mergeDelta(message, {tool_calls: [rest]});
+  expect(message).toEqual({
+    role: 'assistant',
+    content: 'Hello',
+    tool_calls: [{id: 'c', function: {name: 'f', arguments: '{"a":1}'}}],
+  });
+});
+
+test('an answer that nobody takes holds the server back', async () => {
+  // The caller reads slowly, so the sidecar takes nothing for a while. The
+  // server must be made to wait; else its whole answer piles up here.
+  const sockets: Socket[] = [];
+  const server = createServer((_req, res) => {
+    const chunk = Buffer.alloc(64 * 1024);
+    const fill = (): void => {
+      while (res.write(chunk));
+    };
+    res.on('drain', fill);
+    fill();
+  });
+  server.on('connection', socket => sockets.push(socket));
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as AddressInfo;
+  const origin = `http://127.0.0.1:${port}`;
+  const client = new HttpBackendClient({
+    ...DEFAULT_HTTP_CLIENT_SETTINGS,
+    origin,
+  });
+  const request = {path: '/', headers: {}, silenceMs: 5_000} as const;
+  const exchange = client.send({method: 'GET', ...request}, false);
+  let former = -1;
+  await expect
+    .poll(() => {
+      const sent = sockets[0]?.bytesWritten ?? -2;
+      const still = sent === former && sent > 0;
+      former = sent;
+      return still;
+    })
+    .toBe(true);
+  // The kernel's buffers on both ends of the loopback take some of it.
+  expect(former).toBeLessThan(32 * 1024 * 1024);
+  exchange.abort();
+  await client.close();
+  server.close();
+});
--- /dev/null
+++ b/packages/lovagepond-backend/src/__tests__/unit/backend_http_service.test.ts
@@ -0,0 +1,125 @@
+import {afterEach, expect, test} from 'vitest';
+import {answerFor} from '@lovagepond/core';
+import {type ServiceOutcome} from '../../index.js';
+import {
+  cleanUp,
+  clock,
+  connectService,
+  serviceCall,
+  startRaw,
+  startService,
+} from './backend_test_utils.js';
+
+afterEach(cleanUp);
+
+/** Kind and disposition of a failed call. */
+function verdictOf(outcome: ServiceOutcome): string {
+  if (outcome.kind === 'answered') return `answered ${outcome.status}`;
+  const {kind} = outcome.failure;
+  return `${kind} ${answerFor(kind).disposition}`;
+}
+
+test('calls once and gives the answer as it is', async () => {
+  const server = await startService();
+  const service = connectService(server.address);
+  const call = serviceCall('r1', {idempotencyKey: 'k1'});
+  const outcome = await service.call(call, clock.now());
+  if (outcome.kind !== 'answered') throw new Error(verdictOf(outcome));
+  expect(JSON.parse(Buffer.from(outcome.body).toString())).toEqual({
+    requestId: 'r1',
+    path: '/services/redeem',
+    runs: 1,
+  });
+  expect(await service.probe()).toBe(true);
+});
+
+test('a lost call is "not run" only when no byte of it left', async () => {
+  // A redemption goes wrong at each place it can. Whenever the service may
+  // have seen it, the outcome says so, and it is never sent a second time; a
+  // wrong "not run" would have it redeemed twice.
+  const server = await startService();
+  const service = connectService(server.address);
+  const modes = {
+    cutBeforeRun: ['backendFailed mayHaveRun', 0],
+    cutAfterRun: ['backendFailed mayHaveRun', 1],
+    stall: ['backendSilent mayHaveRun', 1],
+    truncate: ['backendFailed mayHaveRun', 1],
+    cross: ['backendFailed mayHaveRun', 1],
+  } as const;
+  for (const [mode, [verdict, runs]] of Object.entries(modes)) {
+    server.setFaults({mode: mode as keyof typeof modes});
+    for (const nonRepeatable of [true, false]) {
+      const id = `${mode}-${nonRepeatable}`;
+      const call = serviceCall(id, {nonRepeatable});
+      const outcome = await service.call(call, clock.now());
+      expect([id, verdictOf(outcome)]).toEqual([id, verdict]);
+      expect([id, server.runs.get(id) ?? 0]).toEqual([id, runs]);
+    }
+  }
+  await server.stop();
+  const gone = await service.call(serviceCall('gone'), clock.now());
+  expect(verdictOf(gone)).toBe('unreachable notRun');
+  expect(await service.probe()).toBe(false);
+});
+
+test('a call given up before its first byte is never sent', async () => {
+  // The attempt is revoked while its connection is still being made. It is
+  // answered as not run at once, so it must not go out when the connection
+  // stands a moment later.
+  const server = await startService();
+  const service = connectService(server.address);
+  const controller = new AbortController();
+  const pending = service.call(
+    serviceCall('r1'),
+    clock.now(),
+    controller.signal,
+  );
+  controller.abort();
+  expect(verdictOf(await pending)).toBe('revoked notRun');
+  await service.call(serviceCall('r2'), clock.now());
+  await service.call(serviceCall('r3'), clock.now());
+  expect([...server.runs.keys()]).toEqual(['r2', 'r3']);
+});
+
+test('a call past its deadline may have run once it was sent', async () => {
+  const server = await startService();
+  server.setFaults({answerDelayMs: 5_000});
+  const service = connectService(server.address, {silenceMs: 10_000});
+  const soon = serviceCall('r1', {deadline: clock.now() + 50});
+  const late = await service.call(soon, clock.now());
+  expect(verdictOf(late)).toBe('deadlineExceeded mayHaveRun');
+  const past = serviceCall('r2', {deadline: clock.now() - 1});
+  const refused = await service.call(past, clock.now());
+  expect(verdictOf(refused)).toBe('deadlineUnreachable notRun');
+});
+
+test('a silent pooled connection takes no call that must not repeat', async () => {
+  // The pool's connection has gone silent for good. A non-repeatable call sent
+  // on it could neither be answered nor repeated; it goes over a fresh one.
+  const server = await startService();
+  const service = connectService(server.address, {maxConnections: 1});
+  const first = serviceCall('r1', {nonRepeatable: false});
+  await service.call(first, clock.now());
+  server.silence();
+  const outcome = await service.call(serviceCall('r2'), clock.now());
+  expect(verdictOf(outcome)).toBe('answered 200');
+});
+
+test('an answer without a length is not taken for whole', async () => {
+  // HTTP lets an answer end with its connection. One that was cut short then
+  // looks exactly like a whole one.
+  const address = await startRaw('HTTP/1.1 200 OK\r\n\r\n{"half":');
+  const service = connectService(address);
+  const outcome = await service.call(serviceCall('r1'), clock.now());
+  expect(verdictOf(outcome)).toBe('answerTruncated mayHaveRun');
+});
+
+test('an endless answer is cut at the limit', async () => {
+  const head = 'HTTP/1.1 200 OK\r\ncontent-length: 9000000\r\n\r\n';
+  const address = await startRaw(head + 'x'.repeat(200_000));
+  const service = connectService(address, {maxWholeBytes: 100_000});
+  const outcome = await service.call(serviceCall('r1'), clock.now());
+  expect(outcome).toMatchObject({
+    failure: {message: 'The answer is larger than allowed.'},
+  });
+});
--- a/packages/lovagepond-backend/src/__tests__/unit/backend_test_utils.ts
+++ b/packages/lovagepond-backend/src/__tests__/unit/backend_test_utils.ts
@@ -1,4 +1,5 @@
 /** Helpers: fakes and adapters on loopback, ended after each test. */
+import {type AddressInfo, createServer} from 'node:net';
 import {type Clock, Random} from '@lovagepond/core';
 import {
   DEFAULT_FAKE_ENGINE_SETTINGS,
@@ -144,3 +145,14 @@
     ...extra,
   };
 }
+
+/** A server that answers the first bytes of each connection with `text`. */
+export async function startRaw(text: string): Promise<string> {
+  const server = createServer(socket => {
+    socket.on('error', () => {});
+    socket.once('data', () => socket.end(text));
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  cleanups.push(async () => void server.close());
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
--- a/packages/lovagepond-backend/src/backend_fake_engine_server.ts
+++ b/packages/lovagepond-backend/src/backend_fake_engine_server.ts
@@ -1,7 +1,6 @@
 /**
  * A fake model engine behind HTTP, told to fail by its faults.
  */
-import {createServer} from 'node:http';
 import {type App, type Request, type Response} from '@tinyhttp/app';
 import {type Clock, type Role, type StateDump} from '@lovagepond/core';
 import {z} from 'zod';
@@ -110,11 +109,7 @@
     this.#settings = settings;
     this.#clock = parts.clock;
     this.#engine = new FakeEngine(settings);
-    const app = this.#makeRoutes();
-    const server = createServer((req, res) => {
-      app.handler(req as Request, res as Response);
-    });
-    this.#listener = new FakeListener(server);
+    this.#listener = new FakeListener(this.#makeRoutes());
     this.#host = new FakeEngineHost({
       engine: this.#engine,
       clock: parts.clock,
--- a/packages/lovagepond-backend/src/backend_fake_http.ts
+++ b/packages/lovagepond-backend/src/backend_fake_http.ts
@@ -2,12 +2,13 @@
  * Small HTTP helpers that the fakes share.
  */
 import {
+  createServer,
   type IncomingMessage,
   type Server,
   type ServerResponse,
 } from 'node:http';
 import {type AddressInfo, type Socket} from 'node:net';
-import {App} from '@tinyhttp/app';
+import {App, type Request, type Response} from '@tinyhttp/app';
 
 /** A body larger than this ends a fake's connection. */
 const MAX_BODY_BYTES = 256 * 1024 * 1024;
@@ -80,11 +81,15 @@
 export class FakeListener {
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
+  readonly #silent = new WeakSet<Socket>();
 
-  /** @param server a node server, not yet listening */
-  constructor(server: Server) {
-    this.#server = server;
-    server.on('connection', socket => {
+  /** @param app the routes to serve */
+  constructor(app: App) {
+    this.#server = createServer((req, res) => {
+      if (this.#silent.has(req.socket)) return;
+      app.handler(req as Request, res as Response);
+    });
+    this.#server.on('connection', socket => {
       this.#sockets.add(socket);
       socket.on('error', () => {});
       socket.on('close', () => this.#sockets.delete(socket));
@@ -108,13 +113,14 @@
   }
 
   /**
-   * Makes all open connections silent for good: nothing is read from them or
-   * written to them, and none is closed. New ones work.
+   * Makes all open connections silent for good: requests on them are lost,
+   * nothing is written to them, and none is closed. New ones work.
    */
   silence(): void {
     for (const socket of this.#sockets) {
-      socket.pause();
-      socket.cork();
+      this.#silent.add(socket);
+      socket.setTimeout(0);
+      socket.write = () => true;
     }
   }
 
--- a/packages/lovagepond-backend/src/backend_fake_service.ts
+++ b/packages/lovagepond-backend/src/backend_fake_service.ts
@@ -1,7 +1,7 @@
 /**
  * A fake plain service behind HTTP that counts how often each call has run.
  */
-import {createServer, type ServerResponse} from 'node:http';
+import {type ServerResponse} from 'node:http';
 import {type App, type Request, type Response} from '@tinyhttp/app';
 import {type Role, type StateDump} from '@lovagepond/core';
 import {z} from 'zod';
@@ -96,11 +96,7 @@
   /** @param settings address to listen on */
   constructor(settings: FakeServiceSettings) {
     this.#settings = settings;
-    const app = this.#makeRoutes();
-    const server = createServer((req, res) => {
-      app.handler(req as Request, res as Response);
-    });
-    this.#listener = new FakeListener(server);
+    this.#listener = new FakeListener(this.#makeRoutes());
   }
 
   /** `host:port` in use. */
