Prove partitions, a second lost host and fenced orders

Cause: three of the users' lines on control hosts had no scenario. Change: control hosts with the real consensus core and state machine over a network that can be cut in each direction and disks in memory; orders go from the real state machine through the sidecar's real fencing.

--- a/packages/lovagepond-control/src/deciders.ts
+++ b/packages/lovagepond-control/src/deciders.ts
@@ -6,6 +6,7 @@
   ConfigurationChanger,
 } from './configuration_changer.js';
 export {
+  CHANGE_COMMAND,
   CLAIM_COMMAND,
   type ClaimPayload,
   type CommandStamp,
@@ -13,6 +14,7 @@
   encodeCommand,
   INCARNATION_COMMAND,
   ORDER_COMMAND,
+  ORDER_OUTCOME_COMMAND,
   RECORD_COMMAND,
   type RecordPayload,
   WANTED_STATE_COMMAND,
--- /dev/null
+++ b/packages/lovagepond-scenarios/src/steps/order_steps.ts
@@ -0,0 +1,121 @@
+/**
+ * Steps of orders with fencing tokens, from the leader to a sidecar whose
+ * backend server checks nothing itself.
+ */
+import assert from 'node:assert/strict';
+import {Then, When} from '@cucumber/cucumber';
+import {ORDER_ACTION, type OrderView} from '@lovagepond/control';
+import {
+  ORDER_COMMAND,
+  ORDER_OUTCOME_COMMAND,
+} from '@lovagepond/control/deciders';
+import {ORDER_VERDICT, SidecarFencing} from '@lovagepond/sidecar';
+import {type ScenarioWorld} from '../world/scenario_world.js';
+
+/** A sidecar's fencing and what its backend server was made to load. */
+class OrderedServer {
+  fencing = new SidecarFencing();
+  readonly loaded: string[] = [];
+  delayed: OrderView | undefined;
+
+  deliver(order: OrderView): void {
+    if (this.fencing.check(order) !== ORDER_VERDICT.PASS) return;
+    this.loaded.push(order.arguments['model'] ?? '');
+    this.fencing.finish(order.orderId, {outcome: 'done', message: ''});
+  }
+}
+
+const COMMIT_MS = 200;
+const NO_FLOOR = 0;
+
+const servers = new WeakMap<ScenarioWorld, OrderedServer>();
+
+function serverOf(world: ScenarioWorld): OrderedServer {
+  const known = servers.get(world);
+  if (known) return known;
+  const server = new OrderedServer();
+  server.fencing.learnFloor(NO_FLOOR);
+  servers.set(world, server);
+  return server;
+}
+
+function issue(world: ScenarioWorld, server: string, model: string): OrderView {
+  const {leader} = world.consensus;
+  const orderId = `load-${model}`;
+  world.consensus.propose(leader, ORDER_COMMAND, {
+    orderId,
+    backendServer: server,
+    action: ORDER_ACTION.LOAD_MODEL,
+    arguments: {model},
+  });
+  world.timeline.advance(COMMIT_MS);
+  const order = leader.machine.orders.find(orderId);
+  assert.ok(order, 'the order was not accepted');
+  return order;
+}
+
+When<ScenarioWorld>(
+  'the leader orders {word} to load {string} and the order is delayed',
+  function (server, model) {
+    serverOf(this).delayed = issue(this, server, model);
+  },
+);
+
+/** Passes an order to the sidecar, and its outcome back to the leader. */
+function deliver(world: ScenarioWorld, order: OrderView): void {
+  serverOf(world).deliver(order);
+  const {orderId, fencingToken, backendServer} = order;
+  const {leader} = world.consensus;
+  const end = serverOf(world).fencing.endOf(orderId);
+  if (!end) return;
+  world.consensus.propose(leader, ORDER_OUTCOME_COMMAND, {
+    orderId,
+    fencingToken,
+    backendServer,
+    ...end,
+  });
+  world.timeline.advance(COMMIT_MS);
+}
+
+When<ScenarioWorld>(
+  'the leader orders {word} to load {string}',
+  function (server, model) {
+    deliver(this, issue(this, server, model));
+  },
+);
+
+When<ScenarioWorld>(
+  'the delayed order arrives at {word} twice',
+  function (_server) {
+    const server = serverOf(this);
+    assert.ok(server.delayed, 'no order is delayed');
+    server.deliver(server.delayed);
+    server.deliver(server.delayed);
+  },
+);
+
+When<ScenarioWorld>(
+  'the sidecar of {word} restarts and knows no order',
+  function (_server) {
+    serverOf(this).fencing = new SidecarFencing();
+  },
+);
+
+When<ScenarioWorld>(
+  'the sidecar of {word} learns the floor from the leader',
+  function (name) {
+    const {orders} = this.consensus.leader.machine;
+    serverOf(this).fencing.learnFloor(orders.floorOf(name));
+  },
+);
+
+Then<ScenarioWorld>('{word} loads {string}', function (_server, model) {
+  assert.equal(serverOf(this).loaded.at(-1), model);
+});
+
+Then<ScenarioWorld>(
+  '{word} has loaded only {string}',
+  function (_server, model) {
+    assert.deepEqual(serverOf(this).loaded, [model]);
+  },
+);
--- /dev/null
+++ b/packages/lovagepond-scenarios/src/world/consensus_group.ts
@@ -0,0 +1,335 @@
+/**
+ * Control hosts with the real consensus core and state machine, over a network
+ * of one millisecond that can be cut in each direction, and disks in memory.
+ */
+import {
+  type ConsensusAction,
+  ConsensusCore,
+  type ConsensusMessage,
+  DEFAULT_CONSENSUS_TIMINGS,
+  type LogEntry,
+  type Member,
+  type MemberChange,
+  type Proposal,
+  type Snapshot,
+  type StorageWrite,
+  type StoredState,
+} from '@lovagepond/consensus';
+import {CONTROL_DEFAULTS} from '@lovagepond/control';
+import {ControlStateMachine, encodeCommand} from '@lovagepond/control/deciders';
+import {type Command, invariant, Random} from '@lovagepond/core';
+import {type Timeline} from './timeline.js';
+
+const TICK_MS = 20;
+const NETWORK_MS = 1;
+const SYNC_MS = 1;
+/** Small, so that a host that was away needs a snapshot. */
+const TIMINGS = {
+  ...DEFAULT_CONSENSUS_TIMINGS,
+  snapshotEveryEntries: 100,
+  keptEntries: 10,
+};
+
+type Handlers = {
+  readonly [Kind in ConsensusAction['kind']]: (
+    action: Extract<ConsensusAction, {kind: Kind}>,
+  ) => void;
+};
+
+/** What a host's disk holds; it survives the host's crash. */
+class HostDisk {
+  #state: StoredState;
+
+  constructor(id: string) {
+    this.#state = {id, hardState: {term: 0, vote: ''}, entries: []};
+  }
+
+  get state(): StoredState {
+    return this.#state;
+  }
+
+  write({hardState, truncateFrom, entries}: StorageWrite): void {
+    const kept = this.#state.entries.filter(
+      entry => truncateFrom === undefined || entry.index < truncateFrom,
+    );
+    this.#state = {
+      ...this.#state,
+      ...(hardState && {hardState}),
+      entries: [...kept, ...entries],
+    };
+  }
+
+  saveSnapshot(snapshot: Snapshot): void {
+    const {index, term} = snapshot;
+    const held = this.#state.entries;
+    const holds = held.some(e => e.index === index && e.term === term);
+    const entries = holds ? held.filter(entry => entry.index > index) : [];
+    this.#state = {...this.#state, snapshot, entries};
+  }
+}
+
+/** One control host. */
+export class ControlHost {
+  readonly name: string;
+  machine: ControlStateMachine;
+  /** Index to term of what this host applied. */
+  readonly applied = new Map<number, number>();
+  /** Snapshots that this host took over from a leader. */
+  restores = 0;
+  readonly answeredReads = new Set<number>();
+  #disk: HostDisk;
+  #core: ConsensusCore | undefined;
+  readonly #group: ConsensusGroup;
+  readonly #timeline: Timeline;
+  readonly #handlers: Handlers;
+
+  constructor(name: string, group: ConsensusGroup, timeline: Timeline) {
+    this.name = name;
+    this.#group = group;
+    this.#timeline = timeline;
+    this.#disk = new HostDisk(`${name}-disk-1`);
+    this.machine = this.#createMachine();
+    this.#handlers = this.#makeHandlers();
+    timeline.repeat(TICK_MS, () => {
+      this.#core?.tick(timeline.now);
+      this.perform();
+    });
+  }
+
+  /** Identity of the host's disk. */
+  get id(): string {
+    return this.#disk.state.id;
+  }
+
+  /** True while the process runs. */
+  get isUp(): boolean {
+    return this.#core !== undefined;
+  }
+
+  /** The running core. */
+  get core(): ConsensusCore {
+    if (!this.#core) throw new Error(`${this.name} is down`);
+    return this.#core;
+  }
+
+  /** True when the host leads and no other can. */
+  get leads(): boolean {
+    return this.#core?.status(this.#timeline.now).leaseValid ?? false;
+  }
+
+  /** Names of the pools that this host has applied. */
+  get pools(): string {
+    const {content} = this.machine.configuration.current.read();
+    return content.pools.map(pool => pool.name).join(', ');
+  }
+
+  /** Starts the process on what the disk holds. */
+  start(): void {
+    const stored = this.#disk.state;
+    this.machine = this.#createMachine();
+    if (stored.snapshot) this.machine.restore(stored.snapshot.data);
+    const random = new Random(this.#group.nextSeed());
+    const parts = {stored, address: this.name, timings: TIMINGS, random};
+    this.#core = new ConsensusCore(parts, this.#timeline.now);
+  }
+
+  /** The process or its host is gone; the disk stays. */
+  crash(): void {
+    this.#core = undefined;
+  }
+
+  /** The disk is replaced by an empty one, which has another identity. */
+  emptyDisk(): void {
+    this.#disk = new HostDisk(`${this.name}-disk-2`);
+  }
+
+  /** @param message a message that arrived */
+  receive(message: ConsensusMessage): void {
+    this.#core?.receive(message, this.#timeline.now);
+    this.perform();
+  }
+
+  /** Carries out what the core wants done. */
+  perform(): void {
+    for (;;) {
+      const actions = this.#core?.takeActions() ?? [];
+      if (actions.length === 0) return;
+      for (const action of actions) {
+        this.#handlers[action.kind](action as never);
+      }
+    }
+  }
+
+  #createMachine(): ControlStateMachine {
+    return new ControlStateMachine(CONTROL_DEFAULTS, () => this.#timeline.now);
+  }
+
+  #storeLater(id: number, store: () => void): void {
+    const core = this.#core;
+    this.#timeline.schedule(SYNC_MS, () => {
+      // A crash loses what was not synced.
+      if (this.#core !== core) return;
+      store();
+      this.#core?.stored(id, this.#timeline.now);
+      this.perform();
+    });
+  }
+
+  #apply(entry: LogEntry): void {
+    this.applied.set(entry.index, entry.term);
+    if (entry.kind === 'command') this.machine.apply(entry.data, entry.index);
+  }
+
+  #makeHandlers(): Handlers {
+    return {
+      send: ({address, message}) => {
+        this.#group.send(this.name, address, message);
+      },
+      write: ({id, write}) => {
+        const disk = this.#disk;
+        this.#storeLater(id, () => {
+          disk.write(write);
+        });
+      },
+      saveSnapshot: ({id, snapshot}) => {
+        const disk = this.#disk;
+        this.#storeLater(id, () => {
+          disk.saveSnapshot(snapshot);
+        });
+      },
+      apply: ({entries}) => {
+        for (const entry of entries) this.#apply(entry);
+      },
+      restore: ({snapshot}) => {
+        this.restores += 1;
+        this.machine.restore(snapshot.data);
+      },
+      takeSnapshot: ({index}) => {
+        this.core.snapshotTaken(index, this.machine.snapshot());
+      },
+      leaderChanged: () => undefined,
+      leadershipLost: () => undefined,
+      readReady: ({tokens}) => {
+        for (const token of tokens) this.answeredReads.add(token);
+      },
+      readRefused: () => undefined,
+    };
+  }
+}
+
+/** The hosts and the network between them. */
+export class ConsensusGroup {
+  readonly hosts: ControlHost[];
+  readonly #timeline: Timeline;
+  /** `from to` pairs over which nothing gets through. */
+  readonly #cuts = new Set<string>();
+  #seed = 100;
+
+  constructor(names: readonly string[], timeline: Timeline) {
+    this.#timeline = timeline;
+    this.hosts = names.map(name => new ControlHost(name, this, timeline));
+    for (const host of this.hosts) host.start();
+    const [first] = this.hosts;
+    invariant(first, 400, 'a group has a host');
+    first.core.bootstrap(
+      this.hosts.map((host): Member => ({
+        id: host.id,
+        address: host.name,
+        voter: true,
+      })),
+    );
+  }
+
+  /** @returns a seed that no other start of a host had */
+  nextSeed(): number {
+    this.#seed += 1;
+    return this.#seed;
+  }
+
+  /** The host that leads now. */
+  get leader(): ControlHost {
+    const leading = this.hosts.filter(host => host.leads);
+    if (leading.length > 1) throw new Error('two hosts hold a lease');
+    const [leader] = leading;
+    if (!leader) throw new Error('no host leads');
+    return leader;
+  }
+
+  /**
+   * @param name a host's name
+   * @returns the host
+   */
+  host(name: string): ControlHost {
+    const found = this.hosts.find(host => host.name === name);
+    if (!found) throw new Error(`no control host is named ${name}`);
+    return found;
+  }
+
+  /** @param name a further host with an empty disk; it joins nothing yet */
+  addHost(name: string): ControlHost {
+    const host = new ControlHost(name, this, this.#timeline);
+    host.start();
+    this.hosts.push(host);
+    return host;
+  }
+
+  /** Cuts one direction between two hosts; nobody is told. */
+  cut(from: string, to: string): void {
+    this.#cuts.add(`${from} ${to}`);
+  }
+
+  /** Everything gets through again. */
+  heal(): void {
+    this.#cuts.clear();
+  }
+
+  send(from: string, to: string, message: ConsensusMessage): void {
+    this.#timeline.schedule(NETWORK_MS, () => {
+      if (this.#cuts.has(`${from} ${to}`)) return;
+      this.hosts.find(host => host.name === to)?.receive(message);
+    });
+  }
+
+  /**
+   * @param host where an operator or a process asks
+   * @param command the command
+   * @param payload its payload
+   * @returns where it stands in that host's log, when it took it
+   */
+  propose<Payload>(
+    host: ControlHost,
+    command: Command<Payload>,
+    payload: Payload,
+  ): Proposal {
+    const {now} = this.#timeline;
+    const timeMs = host.machine.time.stamp(now);
+    const {term} = host.core.status(now);
+    const stamp = {timeMs, wallTimeMs: now, term};
+    const proposal = host.core.propose(encodeCommand(command, payload, stamp));
+    host.core.flush(now);
+    host.perform();
+    return proposal;
+  }
+
+  /**
+   * @param change one change of the members, at the leader
+   * @returns where it stands, or why it was refused
+   */
+  changeMembers(change: MemberChange): Proposal {
+    const {leader} = this;
+    const proposal = leader.core.changeMembers(change);
+    leader.core.flush(this.#timeline.now);
+    leader.perform();
+    return proposal;
+  }
+
+  /**
+   * @param host where it was proposed
+   * @param proposal where it stands
+   * @returns true when that host knows that it is committed
+   */
+  isCommitted(host: ControlHost, proposal: Proposal): boolean {
+    if (proposal.kind !== 'added') return false;
+    return host.applied.get(proposal.index) === proposal.term;
+  }
+}
--- a/packages/lovagepond-scenarios/src/world/scenario_world.ts
+++ b/packages/lovagepond-scenarios/src/world/scenario_world.ts
@@ -2,6 +2,7 @@
  * What the steps of one scenario share.
  */
 import {setWorldConstructor, World} from '@cucumber/cucumber';
+import {ConsensusGroup} from './consensus_group.js';
 import {ControlGroup} from './control_group.js';
 import {GatedServer} from './gated_server.js';
 import {Pool, type PoolOptions} from './pool.js';
@@ -20,6 +21,7 @@
   #request: RoutedRequest | undefined;
   #control: ControlGroup | undefined;
   #redemption: Redemption | undefined;
+  #consensus: ConsensusGroup | undefined;
 
   /** The pool that an earlier step set up. */
   get pool(): Pool {
@@ -45,6 +47,21 @@
     return this.#control;
   }
 
+  /** The control hosts that agree by real consensus. */
+  get consensus(): ConsensusGroup {
+    if (!this.#consensus) throw new Error('the scenario has no hosts yet');
+    return this.#consensus;
+  }
+
+  /**
+   * @param names the hosts' names
+   * @returns the hosts, just started
+   */
+  createConsensus(names: readonly string[]): ConsensusGroup {
+    this.#consensus = new ConsensusGroup(names, this.timeline);
+    return this.#consensus;
+  }
+
   /** The service whose calls may not be repeated. */
   get redemption(): Redemption {
     if (!this.#redemption) throw new Error('the scenario has no service yet');
