Measure the sidecar, and tell refused callers their place in line

Cause: a surge's refused callers were told to come back after the time by which their wait was too long; in the measured surge half of them after 0.3 s, to be refused again. Nothing measured the gate.

Change: refused requests form a line for each workspace, worked off at the server's rate, and each is told its place with jitter.

--- a/packages/lovagepond-measure/src/measure_table.ts
+++ b/packages/lovagepond-measure/src/measure_table.ts
@@ -5,8 +5,10 @@
  */
 import {measureDecisionCost} from './decision_cost_measure.js';
 import {type MeasureFunction} from './measure_types.js';
+import {measureSidecar} from './sidecar_measure.js';
 
 /** Name to measure; run in this order when no name is given. */
 export const MEASURES: Readonly<Record<string, MeasureFunction>> = {
   'decision-cost': measureDecisionCost,
+  sidecar: measureSidecar,
 };
--- /dev/null
+++ b/packages/lovagepond-measure/src/sidecar_cost_measure.ts
@@ -0,0 +1,106 @@
+/**
+ * What the gate's decisions cost against the length of its queue.
+ */
+import {type GateAction, type SidecarGate} from '@lovagepond/sidecar';
+import {type MeasureSection} from './measure_types.js';
+import {roundTo} from './measure_statistics.js';
+import {makeMeasuredGate, makeMeasuredOffer} from './sidecar_offer_utils.js';
+
+const QUEUE_LENGTHS = [0, 100, 1_000, 10_000] as const;
+const WORKSPACES = 10;
+const CHATS = 4_000;
+const WARM_UP = 2_000;
+const DECISIONS = 10_000;
+const REVIEWS = 50;
+const TOKENS = 700;
+const FLOOR_TOKENS = 14_000;
+const MICROSECONDS = 1_000;
+
+/** A gate with a queue of one length, and its running attempts. */
+class LoadedGate {
+  readonly gate: SidecarGate;
+  readonly #running: string[] = [];
+  #made = 0;
+
+  constructor(queueLength: number) {
+    this.gate = makeMeasuredGate(
+      {floorTokens: FLOOR_TOKENS, maxQueuedRequests: QUEUE_LENGTHS[3] * 2},
+      {maxHoldMs: 1e9},
+    );
+    const running = FLOOR_TOKENS / TOKENS;
+    for (let index = 0; index < queueLength + running; index++) this.offer();
+  }
+
+  /** One more request comes. */
+  offer(): void {
+    const number = this.#made++;
+    const workspace = `workspace-${number % WORKSPACES}`;
+    const chat = `chat-${number % CHATS}`;
+    const offer = makeMeasuredOffer(`attempt-${number}`, {workspace, chat});
+    this.#note(this.gate.offer(offer, 0));
+  }
+
+  /** The oldest run ends, and the next request is dispatched. */
+  finish(): void {
+    const attemptId = this.#running.shift();
+    if (attemptId === undefined) return;
+    this.#note(this.gate.finish(attemptId, {kind: 'failed'}, 0));
+  }
+
+  #note(actions: readonly GateAction[]): void {
+    for (const {kind, attemptId} of actions) {
+      if (kind === 'dispatch') this.#running.push(attemptId);
+    }
+  }
+}
+
+/** @returns microseconds for one call */
+function timeEach(count: number, call: () => void): number {
+  const started = performance.now();
+  for (let index = 0; index < count; index++) call();
+  return ((performance.now() - started) / count) * MICROSECONDS;
+}
+
+function measureLength(length: number): (string | number)[] {
+  const loaded = new LoadedGate(length);
+  const turn = (): void => {
+    loaded.finish();
+    loaded.offer();
+  };
+  timeEach(WARM_UP, turn);
+  const turnUs = timeEach(DECISIONS, turn);
+  let now = 0;
+  const reviewUs = timeEach(REVIEWS, () => {
+    now += MICROSECONDS;
+    loaded.gate.tick(now);
+  });
+  const takeUs = timeEach(REVIEWS, () => {
+    loaded.gate.handOver('server-1', 0, now);
+  });
+  return [
+    length,
+    roundTo(turnUs, 2),
+    Math.round((2 * 1e6) / turnUs),
+    roundTo(reviewUs, 1),
+    roundTo(takeUs, 1),
+  ];
+}
+
+/** @returns the cost of offers, ends, reviews and takes */
+export function measureGateCost(): MeasureSection {
+  return {
+    title: 'Sidecar: cost of a decision at the gate',
+    columns: [
+      'requests waiting',
+      'µs each request (offer and end)',
+      'decisions a second',
+      'µs each review (every 250 ms)',
+      'µs each Take asked',
+    ],
+    rows: QUEUE_LENGTHS.map(measureLength),
+    notes: [
+      `${WORKSPACES} workspaces, ${CHATS} chats, ${DECISIONS} requests each.`,
+      'A Take without room looks at all that waits and moves nothing.',
+    ],
+  };
+}
--- /dev/null
+++ b/packages/lovagepond-measure/src/sidecar_offer_utils.ts
@@ -0,0 +1,63 @@
+/**
+ * Gates and offers for the measures of a sidecar.
+ */
+import {Random} from '@lovagepond/core';
+import {
+  DEFAULT_GATE_POLICY,
+  DEFAULT_GATE_SETTINGS,
+  type GatePolicy,
+  type GateSettings,
+  type Offer,
+  SidecarGate,
+} from '@lovagepond/sidecar';
+
+const INCARNATION = 'measured';
+
+/**
+ * @param settings what differs from the defaults
+ * @param policy what differs from the default policy
+ * @returns a gate that takes work
+ */
+export function makeMeasuredGate(
+  settings: Partial<GateSettings> = {},
+  policy: Partial<GatePolicy> = {},
+): SidecarGate {
+  const gate = new SidecarGate(
+    {
+      ...DEFAULT_GATE_SETTINGS,
+      backendServer: 'server-0',
+      incarnation: INCARNATION,
+      ...settings,
+    },
+    new Random(1),
+  );
+  gate.configure({...DEFAULT_GATE_POLICY, ...policy}, 0);
+  return gate;
+}
+
+/**
+ * @param attemptId a new attempt
+ * @param more what differs from a short chat request
+ * @returns its offer
+ */
+export function makeMeasuredOffer(
+  attemptId: string,
+  more: Partial<Offer> = {},
+): Offer {
+  return {
+    requestId: attemptId,
+    attemptId,
+    incarnation: INCARNATION,
+    workspace: 'workspace-0',
+    chat: attemptId,
+    tokens: 700,
+    priority: 5,
+    deadlineAt: Infinity,
+    nonRepeatable: false,
+    revision: 0,
+    firstChoice: '',
+    handOvers: 0,
+    poolMeanTokens: 0,
+    ...more,
+  };
+}
--- a/packages/lovagepond-sidecar/src/sidecar_gate.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_gate.ts
@@ -18,11 +18,11 @@
   isFirstChoice,
   makeRefusal,
   type RefusalView,
-  refuseLate,
 } from './sidecar_gate_refusals.js';
 import {SidecarHold} from './sidecar_hold.js';
 import {type HoldReview} from './sidecar_hold_review.js';
 import {SidecarPointers} from './sidecar_pointers.js';
+import {SidecarRetryAdvice} from './sidecar_retry_advice.js';
 import {type Run, SidecarRuns} from './sidecar_runs.js';
 import {chooseHandOver} from './sidecar_take.js';
 import {
@@ -40,7 +40,7 @@
 /** Decides everything that reaches one backend server. Without I/O. */
 export class SidecarGate {
   readonly #settings: GateSettings;
-  readonly #random: Random;
+  readonly #advice: SidecarRetryAdvice;
   readonly #attempts: SidecarAttempts;
   readonly #drain = new SidecarDrain();
   readonly #hold: SidecarHold;
@@ -61,7 +61,6 @@
    */
   constructor(settings: GateSettings, random: Random) {
     this.#settings = settings;
-    this.#random = random;
     const {loadBound, prefillTokensPerSecond, decodeTokensPerSecond} =
       this.#policy;
     this.#attempts = new SidecarAttempts(settings);
@@ -72,6 +71,7 @@
       this.#drain,
       (prefillTokensPerSecond + decodeTokensPerSecond) / 2,
     );
+    this.#advice = new SidecarRetryAdvice(this.#hold.estimate, random);
     this.cache = new SidecarCacheIndex(settings.maxChats);
     this.pointers = new SidecarPointers(settings);
   }
@@ -350,10 +350,11 @@
       queue: this.#hold.queue,
       cache: this.cache,
       pointers: this.pointers,
-      random: this.#random,
       runningTokensOf: workspace => this.#runs.tokensOf(workspace),
       expectedWaitMs: offer => this.#hold.expectedWaitMs(offer, now),
       serviceMs: tokens => this.#hold.estimate.serviceMs(tokens),
+      comeBackMs: (offer, missingMs) =>
+        this.#advice.comeBackMs(offer, missingMs, now),
     };
   }
 
@@ -397,9 +398,10 @@
   }
 
   #giveUp({offer}: HeldRequest, now: number): GateAction {
-    this.#attempts.refuse(offer.attemptId, now);
-    const {estimate, queue} = this.#hold;
-    return refuseLate(offer, estimate.waitMs(queue.tokens), this.#random);
+    const {attemptId} = offer;
+    this.#attempts.refuse(attemptId, now);
+    const retryAfterMs = this.#advice.comeBackMs(offer, 0, now);
+    return makeRefusal(attemptId, 'overloaded', {retryAfterMs});
   }
 
   #answerDue({leaving, lost}: HoldReview, now: number): GateAction[] {
--- a/packages/lovagepond-sidecar/src/sidecar_gate_refusals.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_gate_refusals.ts
@@ -1,7 +1,7 @@
 /**
  * Why the gate refuses an offer: one check for each reason, in a fixed order.
  */
-import {type ErrorKind, makeFailure, type Random} from '@lovagepond/core';
+import {type ErrorKind, makeFailure} from '@lovagepond/core';
 import {ATTEMPT_STATE, type AttemptState} from './sidecar_attempts.js';
 import {type SidecarCacheIndex} from './sidecar_cache_index.js';
 import {type SidecarFairQueue} from './sidecar_fair_queue.js';
@@ -15,7 +15,6 @@
   WARMTH,
 } from './sidecar_types.js';
 
-const MIN_RETRY_MS = 200;
 const NOT_READY_RETRY_MS = 1_000;
 
 /** The gate's state, as far as the checks need it. */
@@ -28,10 +27,11 @@
   readonly queue: SidecarFairQueue;
   readonly cache: SidecarCacheIndex;
   readonly pointers: SidecarPointers;
-  readonly random: Random;
   runningTokensOf(workspace: string): number;
   expectedWaitMs(offer: Offer): number;
   serviceMs(tokens: number): number;
+  /** @returns when to come back, milliseconds */
+  comeBackMs(offer: Offer, missingMs: number): number;
 }
 
 type Check = (
@@ -66,34 +66,6 @@
   return firstChoice === '' || firstChoice === settings.backendServer;
 }
 
-/**
- * Spreads the return of callers who are refused in the same second over as
- * long again as the work before them takes.
- *
- * @param waitMs time after which there is room again
- * @param random source of the spread
- * @returns when to come back, milliseconds
- */
-export function retryAfter(waitMs: number, random: Random): number {
-  const base = Math.max(MIN_RETRY_MS, waitMs);
-  return Math.round(base + random.next() * base);
-}
-
-/**
- * @param offer a request that can't be served in time any more
- * @param waitMs the work that waits here, as time
- * @param random source of the spread
- * @returns its final answer
- */
-export function refuseLate(
-  offer: Offer,
-  waitMs: number,
-  random: Random,
-): RefuseAction {
-  const retryAfterMs = retryAfter(waitMs, random);
-  return makeRefusal(offer.attemptId, 'overloaded', {retryAfterMs});
-}
-
 /**
  * Answers a second copy of an attempt. Only one that was answered as not run
  * may be told so again; of any other the first copy may run or have run.
@@ -192,9 +164,8 @@
   const waiting = view.queue.tokensOf(workspace);
   const outstanding = waiting + view.runningTokensOf(workspace);
   if (outstanding + tokens <= maxQueuedTokens) return undefined;
-  const waitMs = view.expectedWaitMs(offer);
   return makeRefusal(offer.attemptId, 'workspaceLimit', {
-    retryAfterMs: retryAfter(waitMs, view.random),
+    retryAfterMs: view.comeBackMs(offer, view.expectedWaitMs(offer)),
   });
 }
 
@@ -212,7 +183,7 @@
   const kind = late ? 'deadlineUnreachable' : 'overloaded';
   const missingMs = Math.max(0, waitMs - Math.min(leftMs, maxHoldMs));
   return makeRefusal(offer.attemptId, kind, {
-    retryAfterMs: retryAfter(missingMs, view.random),
+    retryAfterMs: view.comeBackMs(offer, missingMs),
   });
 }
 
