Count servers that join while a router starts as old

Cause: in about every second start of the loopback fleet a returning chat was sent to another server than its first request, though all lists were the same by then. A router held only the servers of its first list as old; those that joined a second later were young for ten minutes. A new chat starts at any server, a returning one goes to the first old one of its order: cold. Ruled out: the load digest (its lag changes nothing for returning chats) and membership that differs between routers (versions were equal). Change: servers listed within ten seconds of the first list count as old. Conclusion: a chat begun at a server that joins a running fleet can still come back to an older one within the ten minutes; the router's owner has to decide.

--- a/packages/lovagepond-router/src/router_server_choice.ts
+++ b/packages/lovagepond-router/src/router_server_choice.ts
@@ -47,6 +47,14 @@
   readonly isSuspect: (server: BackendServer) => boolean;
 }
 
+/**
+ * Servers that are listed within this time of the first list count as old. A
+ * fleet that starts as a whole joins over some seconds: were only the first
+ * server of a router's first list old, that router would send every returning
+ * chat there, away from where the others had just begun it.
+ */
+const FIRST_LISTS_MS = 10_000;
+
 interface Candidate extends PlacementServer {
   readonly server: BackendServer;
 }
@@ -56,7 +64,7 @@
   readonly #parts: ChoiceParts;
   readonly #tables = new WeakMap<EligibleSet, RendezvousTable<Candidate>>();
   readonly #readySince = new Map<string, number>();
-  #listed = false;
+  #firstListedAt: number | undefined;
 
   constructor(parts: ChoiceParts) {
     this.#parts = parts;
@@ -67,14 +75,15 @@
    * @param now present time, monotonic milliseconds
    */
   useMembership(membership: Membership, now: number): void {
-    const since = this.#listed ? now : Number.NEGATIVE_INFINITY;
+    this.#firstListedAt ??= now;
+    const settled = now - this.#firstListedAt >= FIRST_LISTS_MS;
+    const since = settled ? now : Number.NEGATIVE_INFINITY;
     for (const name of this.#readySince.keys()) {
       if (!membership.servers.has(name)) this.#readySince.delete(name);
     }
     for (const name of membership.servers.keys()) {
       if (!this.#readySince.has(name)) this.#readySince.set(name, since);
     }
-    this.#listed = true;
   }
 
   /**
