Run every role as a process from its settings file, and the main job

Cause: the roles had no program around them; nothing showed that they fit. 'npm run main-job' starts two routers, three sidecars with an engine stand-in each and one control member from examples/loopback; a chat returns through the other router. roarr writes nothing unless ROARR_LOG is set before it loads: it is set now. Control keeps its log in memory until consensus has its file storage wired in.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -65,7 +65,13 @@
   {
     files: ['scripts/**/*.mjs', '*.mjs'],
     languageOptions: {
-      globals: {console: 'readonly', process: 'readonly', URL: 'readonly'},
+      globals: {
+        console: 'readonly',
+        fetch: 'readonly',
+        process: 'readonly',
+        setTimeout: 'readonly',
+        URL: 'readonly',
+      },
     },
   },
 );
--- /dev/null
+++ b/packages/lovagepond-cli/src/cli_constants.ts
@@ -0,0 +1,15 @@
+/**
+ * Names and numbers of the program itself.
+ */
+
+/** The program's name on the command line. */
+export const PROGRAM_NAME = 'lovagepond';
+
+/** The program's version. */
+export const VERSION = '0.1.0';
+
+/** The roles that run as processes of their own. */
+export const ROLE_NAMES = ['router', 'sidecar', 'control'] as const;
+
+/** One of {@link ROLE_NAMES}. */
+export type RoleName = (typeof ROLE_NAMES)[number];
--- /dev/null
+++ b/packages/lovagepond-cli/src/command_fake.ts
@@ -0,0 +1,83 @@
+/**
+ * `lovagepond fake-engine` and `fake-service`: stand-ins for backend servers,
+ * for a first look and for tests.
+ */
+import {
+  DEFAULT_FAKE_ENGINE_SETTINGS,
+  DEFAULT_FAKE_SERVER_SETTINGS,
+  FakeEngineServer,
+  FakeServiceServer,
+} from '@lovagepond/backend';
+import {type Role} from '@lovagepond/core';
+import {
+  EXIT_CODE,
+  type ExitCode,
+  formatHostPort,
+  type HostPort,
+  parseHostPort,
+  registerSignals,
+  SystemClock,
+} from '@lovagepond/platform';
+
+/** What can be stood in for. */
+export type FakeKind = 'engine' | 'service';
+
+/** A stand-in that listens. */
+type FakeServer = Role & {readonly address: string};
+
+const FAKE_MAKERS: Readonly<
+  Record<FakeKind, (address: HostPort) => FakeServer>
+> = {
+  engine: address => {
+    const defaults = {
+      ...DEFAULT_FAKE_ENGINE_SETTINGS,
+      ...DEFAULT_FAKE_SERVER_SETTINGS,
+    };
+    const parts = {clock: new SystemClock()};
+    return new FakeEngineServer({...defaults, ...address}, parts);
+  },
+  service: address => new FakeServiceServer(address),
+};
+
+/**
+ * @param kind what to stand in for
+ * @param address where to listen
+ * @returns the stand-in, not started yet
+ */
+export function createFake(kind: FakeKind, address: HostPort): FakeServer {
+  return FAKE_MAKERS[kind](address);
+}
+
+/**
+ * @param kind what to stand in for
+ * @param listen `host:port`; port 0 takes a free one
+ * @returns the exit code, once a signal has ended it
+ */
+export async function runFake(
+  kind: FakeKind,
+  listen: string,
+): Promise<ExitCode> {
+  const address = parseHostPort(listen);
+  if (!address) {
+    process.stderr.write(`--listen ${listen}: is not an address host:port\n`);
+    return EXIT_CODE.USAGE;
+  }
+  const fake = createFake(kind, address);
+  try {
+    await fake.start();
+  } catch (err) {
+    const place = formatHostPort(address);
+    process.stderr.write(`can't listen on ${place}: ${String(err)}\n`);
+    return EXIT_CODE.START;
+  }
+  process.stdout.write(`fake ${kind} listens on ${fake.address}\n`);
+  await new Promise<void>(resolve => {
+    const unregister = registerSignals(event => {
+      if (event !== 'terminate') return;
+      unregister();
+      resolve();
+    });
+  });
+  await fake.stop();
+  return EXIT_CODE.OK;
+}
--- /dev/null
+++ b/packages/lovagepond-cli/src/command_line.ts
@@ -0,0 +1,152 @@
+/**
+ * The command line: what each command is called, takes and prints.
+ *
+ * A command's code is loaded when the command runs, so that a process holds
+ * no more than its role needs.
+ */
+import {EXIT_CODE, EXIT_CODE_MEANINGS} from '@lovagepond/platform/exit_codes';
+import {Command, CommanderError} from 'commander';
+import {
+  PROGRAM_NAME,
+  ROLE_NAMES,
+  type RoleName,
+  VERSION,
+} from './cli_constants.js';
+import {collectWords, renderCompletion} from './command_completion.js';
+
+const ROLE_SUMMARIES: Readonly<Record<RoleName, string>> = {
+  router: 'run a router on an entry host',
+  sidecar: 'run the sidecar of one backend server',
+  control: 'run a member of control on a host with a disk',
+};
+
+function renderExitCodes(): string {
+  const lines = Object.entries(EXIT_CODE_MEANINGS).map(
+    ([code, meaning]) => `  ${code}  ${meaning}`,
+  );
+  return `\nExit codes:\n${lines.join('\n')}`;
+}
+
+function renderExamples(...examples: readonly string[]): string {
+  const lines = examples.map(example => `  $ ${PROGRAM_NAME} ${example}`);
+  return `\nExamples:\n${lines.join('\n')}`;
+}
+
+function addRoles(program: Command): void {
+  for (const role of ROLE_NAMES) {
+    program
+      .command(role)
+      .description(ROLE_SUMMARIES[role])
+      .requiredOption('-c, --settings <file>', 'settings file (INI)')
+      .addHelpText('after', renderExamples(`${role} -c ${role}.ini`))
+      .action(async (options: {settings: string}) => {
+        const {runRole} = await import('./command_role.js');
+        process.exitCode = await runRole(role, options.settings);
+      });
+  }
+}
+
+function addCheckSettings(program: Command): void {
+  program
+    .command('check-settings')
+    .description('check settings files, alone and against each other')
+    .argument('<files...>', 'settings files of the processes of one host')
+    .option('--json', 'print JSON')
+    .addHelpText(
+      'after',
+      renderExamples('check-settings router.ini sidecar.ini'),
+    )
+    .action(async (files: string[], options: {json?: boolean}) => {
+      const {runCheckSettings} = await import('./command_check_settings.js');
+      process.exitCode = runCheckSettings(files, options.json ?? false);
+    });
+}
+
+function addFakes(program: Command): void {
+  for (const kind of ['engine', 'service'] as const) {
+    program
+      .command(`fake-${kind}`)
+      .description(`run a stand-in for a ${kind}, for a first look or a test`)
+      .option('--listen <address>', 'host:port to listen on', '127.0.0.1:0')
+      .addHelpText(
+        'after',
+        renderExamples(`fake-${kind} --listen 127.0.0.1:8000`),
+      )
+      .action(async (options: {listen: string}) => {
+        const {runFake} = await import('./command_fake.js');
+        process.exitCode = await runFake(kind, options.listen);
+      });
+  }
+}
+
+function addTools(program: Command): void {
+  program
+    .command('version')
+    .description('print the version')
+    .option('--json', 'print JSON')
+    .action((options: {json?: boolean}) => {
+      const versions = {version: VERSION, node: process.versions.node};
+      process.stdout.write(
+        options.json ? `${JSON.stringify(versions)}\n` : `${VERSION}\n`,
+      );
+    });
+  program
+    .command('completion')
+    .description('print a completion script for bash and zsh')
+    .addHelpText('after', renderExamples('completion > lovagepond.bash'))
+    .action(() => {
+      process.stdout.write(renderCompletion(collectWords(program)));
+    });
+}
+
+/** Adds the `ctl` commands; their code is large and loaded when wanted. */
+export type CtlRegistrar = (ctl: Command) => void;
+
+const CTL_WORDS: ReadonlySet<string> = new Set(['ctl', 'completion']);
+
+/**
+ * @param registerCtl adds the commands of `ctl`; without it `ctl` has none
+ * @returns the whole command line
+ */
+export function createProgram(registerCtl?: CtlRegistrar): Command {
+  const program = new Command(PROGRAM_NAME)
+    .description(
+      'Routes returning chats to the backend server that still holds their context.',
+    )
+    .addHelpText(
+      'after',
+      renderExamples(
+        'standalone',
+        'router -c router.ini',
+        'check-settings *.ini',
+        'ctl status',
+      ),
+    )
+    .addHelpText('after', renderExitCodes())
+    .exitOverride();
+  addRoles(program);
+  addFakes(program);
+  addCheckSettings(program);
+  const ctl = program
+    .command('ctl')
+    .description("administer the fleet through control's administration API");
+  registerCtl?.(ctl);
+  addTools(program);
+  return program;
+}
+
+/**
+ * @param argv the command line, as in `process.argv`
+ */
+export async function runCommandLine(argv: readonly string[]): Promise<void> {
+  const wantsCtl = argv.some(word => CTL_WORDS.has(word));
+  const registerCtl = wantsCtl
+    ? (await import('@lovagepond/operator')).registerCtl
+    : undefined;
+  try {
+    await createProgram(registerCtl).parseAsync([...argv]);
+  } catch (err) {
+    if (!(err instanceof CommanderError)) throw err;
+    process.exitCode = err.exitCode === 0 ? EXIT_CODE.OK : EXIT_CODE.USAGE;
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-cli/src/composition_root.ts
@@ -0,0 +1,140 @@
+/**
+ * Joins one role with what it needs. The only place that knows the container.
+ */
+import 'reflect-metadata';
+import {type Clock, Random} from '@lovagepond/core';
+import {
+  type ExitCode,
+  type FileValues,
+  MetricsRegistry,
+  ProcessRunner,
+  registerProcessMetrics,
+  RoarrLogger,
+  SystemClock,
+} from '@lovagepond/platform';
+import {
+  container,
+  type DependencyContainer,
+  inject,
+  injectable,
+} from 'tsyringe';
+import {type RoleDefinition} from './role_definition.js';
+import {registerRoleMetrics} from './role_metrics.js';
+import {SettingsReloader} from './settings_reloader.js';
+import {
+  type COMMON_SECTIONS,
+  type ProcessValues,
+  toProcessSettings,
+} from './settings_sections.js';
+
+/** Values of the sections that every settings file has. */
+export type CommonValues = FileValues<typeof COMMON_SECTIONS>;
+
+/** A checked settings file of one role. */
+export interface LoadedSettings {
+  readonly file: string;
+  readonly values: CommonValues;
+}
+
+const TOKEN = {
+  CLOCK: Symbol('clock'),
+  DEFINITION: Symbol('definition'),
+  LOG: Symbol('log'),
+  METRICS: Symbol('metrics'),
+  RANDOM: Symbol('random'),
+  SETTINGS: Symbol('settings'),
+} as const;
+
+/** One role and the process around it. */
+@injectable()
+export class RoleProcess {
+  readonly #definition: RoleDefinition;
+  readonly #settings: LoadedSettings;
+  readonly #clock: Clock;
+  readonly #log: RoarrLogger;
+  readonly #random: Random;
+  readonly #metrics: MetricsRegistry;
+
+  constructor(
+    @inject(TOKEN.DEFINITION) definition: RoleDefinition,
+    @inject(TOKEN.SETTINGS) settings: LoadedSettings,
+    @inject(TOKEN.CLOCK) clock: Clock,
+    @inject(TOKEN.LOG) log: RoarrLogger,
+    @inject(TOKEN.RANDOM) random: Random,
+    @inject(TOKEN.METRICS) metrics: MetricsRegistry,
+  ) {
+    this.#definition = definition;
+    this.#settings = settings;
+    this.#clock = clock;
+    this.#log = log;
+    this.#random = random;
+    this.#metrics = metrics;
+  }
+
+  /**
+   * Runs until a signal ends the process.
+   *
+   * @returns the exit code
+   */
+  async run(): Promise<ExitCode> {
+    const parts = {
+      clock: this.#clock,
+      log: this.#log,
+      random: this.#random,
+      metrics: this.#metrics,
+    };
+    const {file, values} = this.#settings;
+    const role = await this.#definition.createRole(values, parts);
+    const {role: kind, name} = values.process;
+    registerProcessMetrics(this.#metrics);
+    registerRoleMetrics(this.#metrics, [{kind, name, role}]);
+    const reloader = new SettingsReloader(
+      file,
+      this.#definition.schema,
+      values,
+      this.#log,
+    );
+    const runner = new ProcessRunner(toProcessSettings(values.platform), {
+      ...parts,
+      role,
+      reload: running => {
+        reloader.reload(running);
+      },
+    });
+    return runner.run();
+  }
+}
+
+function makeRandom({seed}: ProcessValues, clock: Clock): Random {
+  return new Random(seed ?? (clock.wallTime() ^ process.pid) >>> 0);
+}
+
+function registerParts(
+  child: DependencyContainer,
+  {process: identity, platform}: CommonValues,
+): void {
+  const {role, name} = identity;
+  const clock = new SystemClock();
+  child.register(TOKEN.CLOCK, {useValue: clock});
+  child.register(TOKEN.RANDOM, {useValue: makeRandom(identity, clock)});
+  child.register(TOKEN.METRICS, {useValue: new MetricsRegistry()});
+  child.register(TOKEN.LOG, {
+    useValue: new RoarrLogger(platform.logLevel, {role, name}),
+  });
+}
+
+/**
+ * @param definition the role
+ * @param settings its checked settings file
+ * @returns the process, ready to run
+ */
+export function composeRoleProcess(
+  definition: RoleDefinition,
+  settings: LoadedSettings,
+): RoleProcess {
+  const child = container.createChildContainer();
+  registerParts(child, settings.values);
+  child.register(TOKEN.DEFINITION, {useValue: definition});
+  child.register(TOKEN.SETTINGS, {useValue: settings});
+  return child.resolve(RoleProcess);
+}
--- a/packages/lovagepond-cli/src/main.ts
+++ b/packages/lovagepond-cli/src/main.ts
@@ -1,20 +1,10 @@
 /**
  * The one binary: reads the command line and runs a role or a tool.
  */
-import 'reflect-metadata';
-import {Command} from 'commander';
+import {EXIT_CODE} from '@lovagepond/platform/exit_codes';
+import {runCommandLine} from './command_line.js';
 
-const VERSION = '0.1.0';
-
-const program = new Command('lovagepond').description(
-  'Routes returning chats to the backend server that still holds their context.',
-);
-
-program
-  .command('version')
-  .description('print the version')
-  .action(() => {
-    process.stdout.write(`${VERSION}\n`);
-  });
-
-void program.parseAsync();
+runCommandLine(process.argv).catch((err: unknown) => {
+  process.stderr.write(`${String(err)}\n`);
+  process.exitCode = EXIT_CODE.INTERNAL;
+});
--- /dev/null
+++ b/packages/lovagepond-cli/src/role_control.ts
@@ -0,0 +1,35 @@
+/**
+ * How a member of control is made from its settings file.
+ */
+import {MemoryNetwork, MemoryStorage} from '@lovagepond/consensus';
+import {ControlRole} from '@lovagepond/control';
+import {AdministrationServer} from '@lovagepond/operator';
+import {ControlMember} from './control_member.js';
+import {type RoleDefinition} from './role_definition.js';
+import {
+  CONTROL_SCHEMA,
+  toControlSettings,
+  toOperatorSettings,
+} from './settings_control.js';
+
+/** The control role, with its administration server. */
+export const CONTROL_ROLE: RoleDefinition<typeof CONTROL_SCHEMA> = {
+  name: 'control',
+  schema: CONTROL_SCHEMA,
+  createRole(values, {clock, log, random}) {
+    const settings = toControlSettings(values);
+    const control = new ControlRole(settings, {
+      clock,
+      log,
+      random,
+      storage: new MemoryStorage(settings.nodeName),
+      makeTransport: () => new MemoryNetwork().attach(settings.address),
+    });
+    const administration = new AdministrationServer(
+      control.administration,
+      toOperatorSettings(values, process.env),
+      log,
+    );
+    return Promise.resolve(new ControlMember(control, administration));
+  },
+};
--- /dev/null
+++ b/packages/lovagepond-cli/src/role_metrics.ts
@@ -0,0 +1,309 @@
+/**
+ * Metrics of each role, read from its state dump at each scrape.
+ *
+ * The dump is the one place where a role counts, so that metrics and dump
+ * never disagree.
+ */
+import {type Role, type StateDump} from '@lovagepond/core';
+import {type MetricsRegistry, type Sample} from '@lovagepond/platform';
+import {type RoleName} from './cli_constants.js';
+
+/** A value in a dump, by the keys that lead to it. */
+type Path = readonly string[];
+
+/** One metric and where a dump holds it. */
+interface DumpMetric {
+  readonly kind: 'counter' | 'gauge';
+  readonly name: string;
+  readonly help: string;
+  /** Where a plain number, or true or false, stands. */
+  readonly path?: Path;
+  /** Where an object of numbers stands, and the label that its keys become. */
+  readonly byLabel?: {readonly path: Path; readonly label: string};
+  /** Several plain numbers under one label. */
+  readonly parts?: {
+    readonly label: string;
+    readonly paths: Readonly<Record<string, Path>>;
+  };
+}
+
+const CONTROL_BYTES: DumpMetric = {
+  kind: 'counter',
+  name: 'lovagepond_control_bytes_total',
+  help: 'Control traffic of this process in bytes.',
+  parts: {label: 'direction', paths: {received: ['controlBytes']}},
+};
+
+const REVISION: DumpMetric = {
+  kind: 'gauge',
+  name: 'lovagepond_configuration_revision',
+  help: 'Configuration revision that this process holds.',
+  path: ['revision'],
+};
+
+const ROUTER_METRICS: readonly DumpMetric[] = [
+  CONTROL_BYTES,
+  REVISION,
+  {
+    kind: 'counter',
+    name: 'lovagepond_refusals_total',
+    help: 'Requests answered with an error, by kind.',
+    byLabel: {path: ['failedByKind'], label: 'kind'},
+  },
+  {
+    kind: 'counter',
+    name: 'lovagepond_requests_answered_total',
+    help: 'Requests answered whole.',
+    path: ['answered'],
+  },
+  {
+    kind: 'counter',
+    name: 'lovagepond_returning_chats_total',
+    help: 'Dispatches of returning chats.',
+    path: ['returning'],
+  },
+  {
+    kind: 'counter',
+    name: 'lovagepond_returning_chats_warm_total',
+    help: 'Dispatches of returning chats whose context was warm.',
+    path: ['returningWarm'],
+  },
+  {
+    kind: 'gauge',
+    name: 'lovagepond_load_skew_ratio',
+    help: "A pool's busiest ready server over the mean, as known here.",
+    byLabel: {path: ['skew'], label: 'pool'},
+  },
+  {
+    kind: 'gauge',
+    name: 'lovagepond_requests_in_flight',
+    help: 'Requests in flight.',
+    path: ['inFlight'],
+  },
+  {
+    kind: 'gauge',
+    name: 'lovagepond_backend_servers',
+    help: 'Backend servers in the membership that this router holds.',
+    path: ['backendServers'],
+  },
+  {
+    kind: 'counter',
+    name: 'lovagepond_frames_dropped_total',
+    help: 'Frames thrown away, by reason.',
+    byLabel: {path: ['droppedByReason'], label: 'reason'},
+  },
+  {
+    kind: 'counter',
+    name: 'lovagepond_hops_total',
+    help: 'Pointers, hand-overs and revision exchanges followed.',
+    path: ['hops'],
+  },
+  {
+    kind: 'counter',
+    name: 'lovagepond_retries_total',
+    help: 'Attempts after the first one.',
+    path: ['retries'],
+  },
+  {
+    kind: 'counter',
+    name: 'lovagepond_probes_total',
+    help: 'Probes sent to sidecars.',
+    path: ['probes'],
+  },
+];
+
+const SIDECAR_METRICS: readonly DumpMetric[] = [
+  CONTROL_BYTES,
+  {...REVISION, path: ['gate', 'revision']},
+  {
+    kind: 'counter',
+    name: 'lovagepond_refusals_total',
+    help: 'Attempts refused, truly not run, by kind.',
+    byLabel: {path: ['attempts', 'refusedByKind'], label: 'kind'},
+  },
+  {
+    kind: 'counter',
+    name: 'lovagepond_failures_total',
+    help: 'Attempts that failed after dispatch, by kind.',
+    byLabel: {path: ['attempts', 'failedByKind'], label: 'kind'},
+  },
+  {
+    kind: 'counter',
+    name: 'lovagepond_requests_answered_total',
+    help: 'Attempts answered whole.',
+    path: ['attempts', 'answered'],
+  },
+  {
+    kind: 'counter',
+    name: 'lovagepond_cached_tokens_total',
+    help: 'Prompt tokens that the engine found in its cache.',
+    path: ['attempts', 'cachedTokens'],
+  },
+  {
+    kind: 'gauge',
+    name: 'lovagepond_load_tokens',
+    help: 'Estimated tokens at the backend server and in the queue.',
+    parts: {
+      label: 'state',
+      paths: {
+        running: ['gate', 'runningTokens'],
+        queued: ['gate', 'queuedTokens'],
+        limit: ['gate', 'limitTokens'],
+        poolMean: ['gate', 'poolMeanTokens'],
+      },
+    },
+  },
+  {
+    kind: 'counter',
+    name: 'lovagepond_requests_taken_total',
+    help: 'Requests taken from longer queues.',
+    path: ['taken'],
+  },
+];
+
+const CONTROL_METRICS: readonly DumpMetric[] = [
+  REVISION,
+  {
+    kind: 'gauge',
+    name: 'lovagepond_backend_servers',
+    help: 'Backend servers announced.',
+    path: ['backendServers'],
+  },
+  {
+    kind: 'gauge',
+    name: 'lovagepond_subscribers',
+    help: 'Routers and sidecars subscribed at this member.',
+    path: ['subscribers'],
+  },
+  {
+    kind: 'gauge',
+    name: 'lovagepond_control_fresh',
+    help: '1 while this member is in touch with a majority.',
+    path: ['fresh'],
+  },
+  {
+    kind: 'gauge',
+    name: 'lovagepond_consensus_index',
+    help: 'Log positions of this member.',
+    parts: {
+      label: 'position',
+      paths: {
+        commit: ['consensus', 'commitIndex'],
+        applied: ['consensus', 'appliedIndex'],
+        last: ['consensus', 'lastIndex'],
+        snapshot: ['consensus', 'snapshotIndex'],
+      },
+    },
+  },
+  {
+    kind: 'gauge',
+    name: 'lovagepond_consensus_term',
+    help: 'Term of this member.',
+    path: ['consensus', 'term'],
+  },
+  {
+    kind: 'gauge',
+    name: 'lovagepond_ledger_entries',
+    help: 'Calls that may not be repeated, by the state of their entry.',
+    byLabel: {path: ['ledger'], label: 'state'},
+  },
+];
+
+const METRICS_BY_ROLE: Readonly<Record<RoleName, readonly DumpMetric[]>> = {
+  router: ROUTER_METRICS,
+  sidecar: SIDECAR_METRICS,
+  control: CONTROL_METRICS,
+};
+
+function findValue(state: unknown, path: Path): unknown {
+  let value = state;
+  for (const key of path) {
+    if (typeof value !== 'object' || value === null) return undefined;
+    value = (value as Readonly<Record<string, unknown>>)[key];
+  }
+  return value;
+}
+
+function toNumber(value: unknown): number | undefined {
+  if (typeof value === 'boolean') return Number(value);
+  return typeof value === 'number' && Number.isFinite(value)
+    ? value
+    : undefined;
+}
+
+function toSample(
+  value: unknown,
+  labels: Readonly<Record<string, string>>,
+): Sample[] {
+  const number = toNumber(value);
+  return number === undefined ? [] : [{labels, value: number}];
+}
+
+function readSamples(metric: DumpMetric, {state}: StateDump): Sample[] {
+  const {path, byLabel, parts} = metric;
+  if (path) return toSample(findValue(state, path), {});
+  if (byLabel) {
+    const counts = findValue(state, byLabel.path) ?? {};
+    return Object.entries(counts).flatMap(([key, value]) =>
+      toSample(value, {[byLabel.label]: key}),
+    );
+  }
+  if (!parts) return [];
+  return Object.entries(parts.paths).flatMap(([key, place]) =>
+    toSample(findValue(state, place), {[parts.label]: key}),
+  );
+}
+
+function labelNamesOf({
+  byLabel,
+  parts,
+}: Pick<DumpMetric, 'byLabel' | 'parts'>): string[] {
+  const label = byLabel?.label ?? parts?.label;
+  return label === undefined ? [] : [label];
+}
+
+/** One role of this process. */
+export interface MeteredRole {
+  readonly kind: RoleName;
+  /** The process name from its settings. */
+  readonly name: string;
+  readonly role: Role;
+}
+
+function readRole(
+  {kind, name, role}: MeteredRole,
+  metricName: string,
+): Sample[] {
+  const metric = METRICS_BY_ROLE[kind].find(row => row.name === metricName);
+  if (!metric) return [];
+  return readSamples(metric, role.dump()).map(({labels, value}) => ({
+    labels: {role: kind, process: name, ...labels},
+    value,
+  }));
+}
+
+/**
+ * Registers the metrics of every role of this process. A metric that several
+ * kinds of roles have stands once, told apart by its labels.
+ *
+ * @param metrics the process's registry
+ * @param roles the roles
+ */
+export function registerRoleMetrics(
+  metrics: MetricsRegistry,
+  roles: readonly MeteredRole[],
+): void {
+  const rows = new Map<string, DumpMetric>();
+  for (const {kind} of roles) {
+    for (const metric of METRICS_BY_ROLE[kind]) rows.set(metric.name, metric);
+  }
+  for (const {kind, name, help, ...places} of rows.values()) {
+    metrics.observe({
+      kind,
+      name,
+      help,
+      labelNames: ['role', 'process', ...labelNamesOf(places)],
+      read: () => roles.flatMap(role => readRole(role, name)),
+    });
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-cli/src/role_schemas.ts
@@ -0,0 +1,15 @@
+/**
+ * The schema of each role's settings file, without any role's code.
+ */
+import {type FileSchema} from '@lovagepond/platform';
+import {type RoleName} from './cli_constants.js';
+import {CONTROL_SCHEMA} from './settings_control.js';
+import {ROUTER_SCHEMA} from './settings_router.js';
+import {SIDECAR_SCHEMA} from './settings_sidecar.js';
+
+/** Role name to the schema of its settings file. */
+export const ROLE_SCHEMAS: Readonly<Record<RoleName, FileSchema>> = {
+  control: CONTROL_SCHEMA,
+  router: ROUTER_SCHEMA,
+  sidecar: SIDECAR_SCHEMA,
+};
--- /dev/null
+++ b/packages/lovagepond-cli/src/settings_control.ts
@@ -0,0 +1,118 @@
+/**
+ * Settings file of a member of control.
+ */
+import {CONTROL_DEFAULTS, type ControlSettings} from '@lovagepond/control';
+import {
+  duration,
+  type FileValues,
+  formatHostPort,
+  hostPort,
+  integer,
+  list,
+  nameText,
+  size,
+  withTraits,
+} from '@lovagepond/platform';
+import {
+  DEFAULT_OPERATOR_SETTINGS,
+  type OperatorSettings,
+} from '@lovagepond/operator';
+import {z} from 'zod';
+import {COMMON_SECTIONS} from './settings_sections.js';
+import {formatAddresses, keepDefined} from './settings_utils.js';
+
+const MAX_COUNT = 100_000_000;
+
+const memberSection = z.strictObject({
+  listen: withTraits(hostPort(), {listens: true}),
+  /** Told to other members in place of the address listened on. */
+  address: hostPort().optional(),
+  /** All members, this one too, at the group's first start. */
+  members: list(hostPort()),
+});
+
+const administrationSection = z.strictObject({
+  listen: withTraits(hostPort(), {listens: true}),
+  /** Environment variable that holds the operators' token. */
+  tokenVariable: nameText().prefault('LOVAGEPOND_TOKEN'),
+  maxBody: size().optional(),
+  requestTimeout: duration().optional(),
+});
+
+const limitsSection = z.strictObject({
+  lease: duration().optional(),
+  digestInterval: duration().optional(),
+  heartbeatInterval: duration().optional(),
+  leaderContactLimit: duration().optional(),
+  historyRevisions: integer(1, MAX_COUNT).optional(),
+  answerRetention: duration().optional(),
+  keyRetention: duration().optional(),
+  openClaimLimit: duration().optional(),
+  ledgerEntries: integer(1, MAX_COUNT).optional(),
+  concurrentLoads: integer(1, MAX_COUNT).optional(),
+});
+
+/** Sections of a control member's settings file. */
+export const CONTROL_SCHEMA = {
+  ...COMMON_SECTIONS,
+  member: memberSection,
+  administration: administrationSection,
+  limits: limitsSection,
+} as const;
+
+/** Values of a control member's settings file. */
+export type ControlValues = FileValues<typeof CONTROL_SCHEMA>;
+
+/**
+ * @param values the checked file
+ * @returns settings of the control member
+ */
+export function toControlSettings(values: ControlValues): ControlSettings {
+  const {process: identity, platform, member, limits} = values;
+  return {
+    ...CONTROL_DEFAULTS,
+    nodeName: identity.name,
+    region: identity.region,
+    availabilityZone: identity.availabilityZone,
+    address: formatHostPort(member.address ?? member.listen),
+    host: member.listen.host,
+    port: member.listen.port,
+    administrationAddress: formatHostPort(values.administration.listen),
+    members: formatAddresses(member.members),
+    dataFolder: platform.dataFolder,
+    ...keepDefined({
+      leaseMs: limits.lease,
+      digestIntervalMs: limits.digestInterval,
+      heartbeatIntervalMs: limits.heartbeatInterval,
+      leaderContactLimitMs: limits.leaderContactLimit,
+      historyLimit: limits.historyRevisions,
+      answerRetentionMs: limits.answerRetention,
+      keyRetentionMs: limits.keyRetention,
+      openClaimLimitMs: limits.openClaimLimit,
+      ledgerLimit: limits.ledgerEntries,
+      concurrentLoads: limits.concurrentLoads,
+    }),
+  };
+}
+
+/**
+ * @param values the checked file
+ * @param environment where the operators' token is
+ * @returns settings of the administration server
+ */
+export function toOperatorSettings(
+  {administration}: ControlValues,
+  environment: Readonly<Record<string, string | undefined>>,
+): OperatorSettings {
+  const {listen, tokenVariable, maxBody, requestTimeout} = administration;
+  return {
+    ...DEFAULT_OPERATOR_SETTINGS,
+    host: listen.host,
+    port: listen.port,
+    ...keepDefined({
+      token: environment[tokenVariable],
+      maxBodyBytes: maxBody,
+      requestTimeoutMs: requestTimeout,
+    }),
+  };
+}
--- /dev/null
+++ b/packages/lovagepond-cli/src/settings_reloader.ts
@@ -0,0 +1,69 @@
+/**
+ * Takes over changed settings while a process runs.
+ */
+import {
+  checkSettings,
+  compareSettings,
+  type FileSchema,
+  type FileValues,
+  formatFault,
+  type ProcessRunner,
+  readSettings,
+  type RoarrLogger,
+} from '@lovagepond/platform';
+import {
+  type COMMON_SECTIONS,
+  type PlatformValues,
+  toProcessSettings,
+} from './settings_sections.js';
+
+/** Reads one settings file again on request. */
+export class SettingsReloader {
+  readonly #file: string;
+  readonly #schema: FileSchema;
+  readonly #log: RoarrLogger;
+  #values: FileValues<FileSchema>;
+
+  /**
+   * @param file path of the settings file
+   * @param schema its schema
+   * @param values the values in force
+   * @param log told of each changed key
+   */
+  constructor(
+    file: string,
+    schema: FileSchema,
+    values: FileValues<typeof COMMON_SECTIONS>,
+    log: RoarrLogger,
+  ) {
+    this.#file = file;
+    this.#schema = schema;
+    this.#values = values;
+    this.#log = log;
+  }
+
+  /**
+   * Takes over the keys that allow it; says of each other changed key that
+   * it waits for a restart. A file with a fault changes nothing.
+   *
+   * @param runner the running process
+   */
+  reload(runner: ProcessRunner): void {
+    const check = checkSettings(readSettings(this.#file), this.#schema);
+    if (!check.ok) {
+      for (const fault of check.faults) {
+        this.#log.error('settings not reloaded', {fault: formatFault(fault)});
+      }
+      return;
+    }
+    const changed = compareSettings(this.#schema, this.#values, check.values);
+    for (const {section, key, reloadable} of changed) {
+      const message = reloadable ? 'setting taken over' : 'needs a restart';
+      this.#log.info(message, {section, key});
+    }
+    const platform = check.values['platform'] as PlatformValues;
+    this.#log.setLevel(platform.logLevel);
+    runner.configure(toProcessSettings(platform));
+    this.#values = check.values;
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-cli/src/settings_sections.ts
@@ -0,0 +1,77 @@
+/**
+ * Sections that the settings files of all roles share.
+ */
+import {
+  duration,
+  filledText,
+  hostPort,
+  integer,
+  list,
+  nameText,
+  oneOf,
+  type ProcessSettings,
+  withTraits,
+} from '@lovagepond/platform';
+import {z} from 'zod';
+import {ROLE_NAMES} from './cli_constants.js';
+
+const MAX_SEED = 2 ** 31 - 1;
+
+/** `[process]`: who and where this process is. */
+export const processSection = z.strictObject({
+  role: oneOf(...ROLE_NAMES),
+  name: nameText(),
+  region: nameText(),
+  availabilityZone: nameText(),
+  /** Seed of the random numbers; by default one from the clock. */
+  seed: integer(0, MAX_SEED).optional(),
+});
+
+/** `[platform]`: what the process shows to the platform. */
+export const platformSection = z.strictObject({
+  address: withTraits(hostPort(), {listens: true}),
+  logLevel: withTraits(
+    oneOf('debug', 'info', 'warn', 'error').prefault('info'),
+    {reloadable: true},
+  ),
+  announceDelay: withTraits(duration().prefault('2s'), {reloadable: true}),
+  drainLimit: withTraits(duration().prefault('30s'), {reloadable: true}),
+  dataFolder: filledText(),
+});
+
+/** `[control]` of routers and sidecars: where control's members are. */
+export const controlMembersSection = z.strictObject({
+  members: list(hostPort()),
+  /** Without an update or heartbeat for so long, another member is tried. */
+  silentAfter: duration().optional(),
+  /** Wait between two tries of control. */
+  retry: duration().optional(),
+});
+
+/** `[labels]`: free keys. */
+export const labelsSection = z.record(z.string(), z.string());
+
+/** The sections of every role. */
+export const COMMON_SECTIONS = {
+  process: processSection,
+  platform: platformSection,
+} as const;
+
+/** Values of `[platform]`. */
+export type PlatformValues = z.infer<typeof platformSection>;
+
+/** Values of `[process]`. */
+export type ProcessValues = z.infer<typeof processSection>;
+
+/**
+ * @param platform values of `[platform]`
+ * @returns the settings of the process runner
+ */
+export function toProcessSettings(platform: PlatformValues): ProcessSettings {
+  return {
+    address: platform.address,
+    dataFolder: platform.dataFolder,
+    announceDelayMs: platform.announceDelay,
+    drainLimitMs: platform.drainLimit,
+  };
+}
--- /dev/null
+++ b/packages/lovagepond-cli/src/settings_utils.ts
@@ -0,0 +1,33 @@
+/**
+ * Helpers that turn a file's values into a role's settings.
+ */
+import {formatHostPort, type HostPort} from '@lovagepond/platform';
+
+/** The same object type with each `undefined` taken out of its values. */
+type Defined<Values> = {
+  [Key in keyof Values]?: Exclude<Values[Key], undefined>;
+};
+
+/**
+ * Leaves out what the file doesn't set, so that a package's own default, the
+ * only place where it is written down, stays in force.
+ *
+ * @param values settings, `undefined` where the file sets none
+ * @returns the settings that the file sets
+ */
+export function keepDefined<Values extends object>(
+  values: Values,
+): Defined<Values> {
+  const entries = Object.entries(values).filter(
+    ([, value]) => value !== undefined,
+  );
+  return Object.fromEntries(entries) as Defined<Values>;
+}
+
+/**
+ * @param addresses addresses
+ * @returns each as `host:port`
+ */
+export function formatAddresses(addresses: readonly HostPort[]): string[] {
+  return addresses.map(formatHostPort);
+}
--- /dev/null
+++ b/packages/lovagepond-measure/src/memory_measure.ts
@@ -0,0 +1,151 @@
+/**
+ * Resident memory of each idle role, beside what Node and the libraries take
+ * before the role does anything.
+ *
+ * Starts the bundle's processes one after the other, from the loopback
+ * examples, and ends each by its id.
+ */
+import {type ChildProcess, spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {
+  mkdirSync,
+  mkdtempSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {type MeasureSection} from './measure_types.js';
+
+const BUNDLE = 'dist/lovagepond.cjs';
+const EXAMPLES = 'examples/loopback';
+const SETTLE_MS = 2_000;
+const READY_TEXT = 'started';
+const KIB_PER_MIB = 1_024;
+
+const KEEP_RUNNING = `console.log('${READY_TEXT}'); setInterval(() => {}, 1e9);`;
+const LIBRARIES: readonly string[] = [
+  'reflect-metadata',
+  'tsyringe',
+  '@grpc/grpc-js',
+  'protobufjs/minimal.js',
+  '@tinyhttp/app',
+  'undici',
+  'prom-client',
+  'roarr',
+  'ini',
+  'zod',
+  'commander',
+  'pure-rand',
+  'xxhash-wasm',
+];
+
+/** What is started, and how. */
+interface Subject {
+  readonly name: string;
+  readonly args: readonly string[];
+}
+
+/** A settings file and the role that it is for. */
+interface RoleExample {
+  readonly role: string;
+  readonly file: string;
+}
+
+const ROLE_EXAMPLES: readonly RoleExample[] = [
+  {role: 'router', file: 'router-1.ini'},
+  {role: 'sidecar', file: 'sidecar-1.ini'},
+  {role: 'control', file: 'control-1.ini'},
+];
+
+/**
+ * Free ports and a folder of its own, so that the measure meets no process
+ * that already runs from the same examples.
+ */
+function writeIdleSettings({role, file}: RoleExample, folder: string): string {
+  const text = readFileSync(join(EXAMPLES, file), 'utf8');
+  const moved = text
+    .replace(/^(listen|address)\s*=\s*(\S+):\d+/gm, '$1 = $2:0')
+    .replace(/^dataFolder\s*=.*$/m, `dataFolder = ${join(folder, role)}`);
+  const path = join(folder, file);
+  mkdirSync(join(folder, role), {recursive: true});
+  writeFileSync(path, moved);
+  return path;
+}
+
+function listSubjects(folder: string): Subject[] {
+  const imports = LIBRARIES.map(name => `await import('${name}');`).join('\n');
+  const script = ['--input-type=module', '-e'];
+  return [
+    {name: 'Node floor', args: [...script, KEEP_RUNNING]},
+    {name: 'libraries loaded', args: [...script, imports + KEEP_RUNNING]},
+    ...ROLE_EXAMPLES.map(example => ({
+      name: `${example.role}, idle`,
+      args: [BUNDLE, example.role, '-c', writeIdleSettings(example, folder)],
+    })),
+  ];
+}
+
+async function waitUntilStarted(child: ChildProcess): Promise<void> {
+  let output = '';
+  for await (const chunk of child.stdout ?? []) {
+    output += String(chunk);
+    if (output.includes(READY_TEXT)) return;
+  }
+  throw new Error(`the process ended before it started: ${output}`);
+}
+
+function readResidentMiB(pid: number): number {
+  const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+  const kib = Number(/^VmRSS:\s+(\d+) kB$/m.exec(status)?.[1]);
+  return kib / KIB_PER_MIB;
+}
+
+async function measureSubject({args}: Subject): Promise<number> {
+  const child = spawn(process.execPath, args, {
+    stdio: ['ignore', 'pipe', 'inherit'],
+  });
+  const exited = once(child, 'exit');
+  try {
+    await waitUntilStarted(child);
+    child.stdout.resume();
+    await new Promise(resolve => setTimeout(resolve, SETTLE_MS));
+    return readResidentMiB(child.pid ?? 0);
+  } finally {
+    child.kill('SIGKILL');
+    await exited;
+  }
+}
+
+/**
+ * Needs the bundle: run `node scripts/build.mjs --bundle-only` first.
+ *
+ * @returns a table of resident memory in MiB
+ */
+export async function measureMemory(): Promise<MeasureSection> {
+  const folder = mkdtempSync(join(tmpdir(), 'lovagepond-memory-'));
+  try {
+    const rows: (readonly (string | number)[])[] = [];
+    let floor = 0;
+    for (const subject of listSubjects(folder)) {
+      const resident = await measureSubject(subject);
+      if (rows.length === 0) floor = resident;
+      const values = [resident, resident - floor].map(value =>
+        value.toFixed(1),
+      );
+      rows.push([subject.name, ...values]);
+    }
+    return {
+      title: 'Resident memory of each idle role',
+      columns: ['process', 'resident MiB', 'above Node floor MiB'],
+      rows,
+      notes: [
+        `One process at a time; VmRSS ${SETTLE_MS / 1_000} s after its start line.`,
+        'Roles run from the bundle with examples/loopback on free ports.',
+      ],
+    };
+  } finally {
+    rmSync(folder, {recursive: true, force: true});
+  }
+}
--- a/packages/lovagepond-platform/src/__tests__/unit/platform_process.test.ts
+++ b/packages/lovagepond-platform/src/__tests__/unit/platform_process.test.ts
@@ -81,6 +81,14 @@
   it('serves health, readiness, metrics and the dump', async () => {
     const metrics = new MetricsRegistry({role: 'router'});
     metrics.counter('lovagepond_x_total', 'help', ['kind']).inc({kind: 'k'});
+    let refused = 3;
+    metrics.observe({
+      kind: 'counter',
+      name: 'lovagepond_y_total',
+      help: 'help',
+      labelNames: [],
+      read: () => [{labels: {}, value: refused}],
+    });
     let ready = false;
     const server = new PlatformServer(
       {host: '127.0.0.1', port: 0},
@@ -98,6 +106,10 @@
     expect((await get('/metrics'))[1]).toContain(
       'lovagepond_x_total{kind="k",role="router"} 1',
     );
+    refused = 4;
+    expect((await get('/metrics'))[1]).toContain(
+      'lovagepond_y_total{role="router"} 4',
+    );
     expect(await get('/dump')).toEqual([200, '{"version":1}']);
     expect((await get('/other'))[0]).toBe(404);
     await server.stop();
--- a/packages/lovagepond-platform/src/index.ts
+++ b/packages/lovagepond-platform/src/index.ts
@@ -17,9 +17,14 @@
   type LogWriter,
   RoarrLogger,
 } from './platform_logger.js';
-export {MetricsRegistry} from './platform_metrics.js';
+export {
+  MetricsRegistry,
+  type ObservedMetric,
+  type Sample,
+} from './platform_metrics.js';
 export {PlatformServer, type PlatformView} from './platform_server.js';
 export {registerSignals} from './platform_signals.js';
+export {registerProcessMetrics} from './process_metrics.js';
 export {
   type ProcessParts,
   ProcessRunner,
--- a/packages/lovagepond-platform/src/platform_logger.ts
+++ b/packages/lovagepond-platform/src/platform_logger.ts
@@ -4,6 +4,7 @@
  * Fields are ids and numbers. Bodies and tokens can't be passed by type, and
  * nothing here reads them.
  */
+import './roarr_environment.js';
 import {type LogFields, type Logger} from '@lovagepond/core';
 import {Roarr} from 'roarr';
 
--- a/packages/lovagepond-platform/src/platform_metrics.ts
+++ b/packages/lovagepond-platform/src/platform_metrics.ts
@@ -3,6 +3,22 @@
  */
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
+/** One value of a metric, with its labels. */
+export interface Sample {
+  readonly labels: Readonly<Record<string, string>>;
+  readonly value: number;
+}
+
+/** A metric whose values are kept elsewhere and read at each scrape. */
+export interface ObservedMetric {
+  readonly kind: 'counter' | 'gauge';
+  readonly name: string;
+  readonly help: string;
+  readonly labelNames: readonly string[];
+  /** @returns the present values */
+  read(): readonly Sample[];
+}
+
 /** All metrics of one process, each name made once. */
 export class MetricsRegistry {
   readonly #registry = new Registry();
@@ -27,45 +43,52 @@
   }
 
   /**
-   * @param collect called at each scrape to set the present value
-   * @returns a gauge
+   * @param buckets upper bounds, in the metric's unit
+   * @returns a histogram
    */
-  gauge(
+  histogram(
     name: string,
     help: string,
+    buckets: readonly number[],
     labelNames: readonly string[] = [],
-    collect?: (gauge: Gauge) => void,
-  ): Gauge {
-    const gauge: Gauge = new Gauge({
+  ): Histogram {
+    return new Histogram({
       name,
       help,
+      buckets: [...buckets],
       labelNames: [...labelNames],
       registers: [this.#registry],
-      ...(collect && {
-        collect() {
-          collect(gauge);
-        },
-      }),
     });
-    return gauge;
   }
 
   /**
-   * @param buckets upper bounds, in the metric's unit
-   * @returns a histogram
+   * Adds a metric whose values a role keeps by itself.
+   *
+   * @param metric how to name and read it
    */
-  histogram(
-    name: string,
-    help: string,
-    buckets: readonly number[],
-    labelNames: readonly string[] = [],
-  ): Histogram {
-    return new Histogram({
+  observe({kind, name, help, labelNames, read}: ObservedMetric): void {
+    const options = {
       name,
       help,
-      buckets: [...buckets],
       labelNames: [...labelNames],
       registers: [this.#registry],
+    };
+    if (kind === 'gauge') {
+      const gauge: Gauge = new Gauge({
+        ...options,
+        collect() {
+          gauge.reset();
+          for (const {labels, value} of read()) gauge.set({...labels}, value);
+        },
+      });
+      return;
+    }
+    const counter: Counter = new Counter({
+      ...options,
+      collect() {
+        counter.reset();
+        for (const {labels, value} of read()) counter.inc({...labels}, value);
+      },
     });
   }
 
--- /dev/null
+++ b/scripts/fleet_processes.mjs
@@ -0,0 +1,288 @@
+// Starts the processes of a set of settings files (examples/*) on free
+// loopback ports, with stand-ins for the backend servers, and ends them by id.
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {
+  cpSync,
+  mkdirSync,
+  mkdtempSync,
+  readdirSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
+import {createServer} from 'node:net';
+import {tmpdir} from 'node:os';
+import {basename, join} from 'node:path';
+import {parse} from 'ini';
+
+const BUNDLE = 'dist/lovagepond.cjs';
+const READY_LIMIT_MS = 20_000;
+const READY_CHECK_MS = 50;
+const LOOPBACK_PORT = /127\.0\.0\.1:(\d+)/g;
+const START_ORDER = ['control', 'sidecar', 'router'];
+const TOKEN = 'main-job-token';
+
+/** @returns {Promise<{port: number, release: () => Promise<void>}>} */
+async function reservePort() {
+  const server = createServer();
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const release = async () => {
+    server.close();
+    await once(server, 'close');
+  };
+  return {port: server.address().port, release};
+}
+
+/** @param {number} count @returns {Promise<number[]>} */
+export async function findFreePorts(count) {
+  const reserved = [];
+  while (reserved.length < count) reserved.push(await reservePort());
+  await Promise.all(reserved.map(({release}) => release()));
+  return reserved.map(({port}) => port);
+}
+
+/**
+ * @param {() => Promise<boolean>} holds
+ * @param {string} what for the error
+ * @param {number} deadline
+ */
+async function waitUntil(holds, what, deadline) {
+  while (!(await holds())) {
+    if (Date.now() > deadline) throw new Error(`${what} is not ready in time`);
+    await new Promise(resolve => setTimeout(resolve, READY_CHECK_MS));
+  }
+}
+
+/** @param {string} url @returns {Promise<boolean>} */
+function isOk(url) {
+  return fetch(url).then(
+    res => res.ok,
+    () => false,
+  );
+}
+
+/** One process and its settings. */
+class FleetProcess {
+  constructor(name, args, settings) {
+    this.name = name;
+    this.settings = settings;
+    this.output = '';
+    this.child = spawn(process.execPath, [BUNDLE, ...args], {
+      env: {...process.env, LOVAGEPOND_TOKEN: TOKEN},
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    this.exited = once(this.child, 'exit').then(([code]) => code);
+    for (const stream of [this.child.stdout, this.child.stderr]) {
+      stream.on('data', data => {
+        this.output += data;
+      });
+    }
+  }
+
+  /** @param {NodeJS.Signals} signal @returns the exit code */
+  async end(signal) {
+    this.child.kill(signal);
+    return this.exited;
+  }
+}
+
+/** The processes of one set of settings files. */
+export class Fleet {
+  #folder = mkdtempSync(join(tmpdir(), 'lovagepond-fleet-'));
+  #processes = new Map();
+
+  /** Copies the set with each of its ports replaced by a free one. */
+  async prepare(set) {
+    cpSync(set, this.#folder, {recursive: true});
+    const files = readdirSync(this.#folder).filter(name =>
+      name.endsWith('.ini'),
+    );
+    const texts = files.map(name =>
+      readFileSync(join(this.#folder, name), 'utf8'),
+    );
+    const ports = new Set(
+      texts.flatMap(text => [...text.matchAll(LOOPBACK_PORT)].map(m => m[1])),
+    );
+    const free = await findFreePorts(ports.size);
+    const moved = new Map([...ports].map((port, index) => [port, free[index]]));
+    files.forEach((name, index) => {
+      const text = texts[index]
+        .replace(LOOPBACK_PORT, (_, port) => `127.0.0.1:${moved.get(port)}`)
+        .replace(
+          /^dataFolder\s*=.*$/m,
+          `dataFolder = ${join(this.#folder, 'data', basename(name, '.ini'))}`,
+        );
+      writeFileSync(join(this.#folder, name), text);
+    });
+    mkdirSync(join(this.#folder, 'data'));
+    return files.map(name => {
+      const file = join(this.#folder, name);
+      const settings = parse(readFileSync(file, 'utf8'));
+      return {name: basename(name, '.ini'), file, settings};
+    });
+  }
+
+  /**
+   * Starts every process, puts the set's configuration in force and waits
+   * until all are ready.
+   */
+  async start(set) {
+    const entries = await this.prepare(set);
+    for (const {name, settings} of entries) {
+      const {kind, url} = settings.backend ?? {};
+      if (!url) continue;
+      const listen = new URL(url).host;
+      this.#run(`${name}-backend`, [`fake-${kind}`, '--listen', listen]);
+    }
+    const ranked = entries.toSorted(
+      (a, b) =>
+        START_ORDER.indexOf(a.settings.process.role) -
+        START_ORDER.indexOf(b.settings.process.role),
+    );
+    for (const {name, file, settings} of ranked) {
+      this.#run(name, [settings.process.role, '-c', file], settings);
+    }
+    const deadline = Date.now() + READY_LIMIT_MS;
+    await this.#waitFor('control', deadline);
+    await this.ctl('apply', '--file', join(this.#folder, 'configuration.json'));
+    await this.#waitFor('sidecar', deadline);
+    await this.#waitFor('router', deadline);
+    await waitUntil(() => this.#knowsAll(), 'membership', deadline);
+  }
+
+  /**
+   * A router may be ready while it still learns of backend servers; a chat
+   * would then find its context cold after the next one has joined.
+   *
+   * @returns {Promise<boolean>} every backend server is ready, and every
+   *     router has heard of it
+   */
+  async #knowsAll() {
+    const sidecars = await Promise.all(
+      this.namesOf('sidecar').map(name => this.dump(name)),
+    );
+    const pools = sidecars.map(({state}) => state.pool);
+    const peersKnown = sidecars.every(
+      ({state}) =>
+        state.peers + 1 === pools.filter(pool => pool === state.pool).length,
+    );
+    const others = await Promise.all(
+      [...this.namesOf('control'), ...this.namesOf('router')].map(name =>
+        this.dump(name),
+      ),
+    );
+    const versions = others.map(({state}) => state.membershipVersion);
+    return peersKnown && new Set(versions).size === 1;
+  }
+
+  /** @returns the state dump of a process */
+  async dump(name) {
+    const {address} = this.get(name).settings.platform;
+    const res = await fetch(`http://${address}/dump`);
+    return res.json();
+  }
+
+  #run(name, args, settings) {
+    this.#processes.set(name, new FleetProcess(name, args, settings));
+  }
+
+  async #waitFor(role, deadline) {
+    const waiting = [...this.#processes.values()]
+      .filter(({settings}) => settings?.process.role === role)
+      .map(({name, settings}) => {
+        const url = `http://${settings.platform.address}/readyz`;
+        return waitUntil(() => isOk(url), name, deadline);
+      });
+    await Promise.all(waiting);
+  }
+
+  /** @returns {string[]} names of the processes of a role */
+  namesOf(role) {
+    return [...this.#processes.values()]
+      .filter(({settings}) => settings?.process.role === role)
+      .map(({name}) => name);
+  }
+
+  /** @returns the process, to signal it or to read its output */
+  get(name) {
+    return this.#processes.get(name);
+  }
+
+  /** @returns {string} base URL of a router towards callers */
+  callersUrl(name) {
+    return `http://${this.get(name).settings.callers.listen}`;
+  }
+
+  /** Runs one `ctl` command against the first control member. */
+  async ctl(...args) {
+    const [control] = this.namesOf('control');
+    const url = `http://${this.get(control).settings.administration.listen}`;
+    const process = new FleetProcess('ctl', [
+      'ctl',
+      ...args,
+      '--control',
+      url,
+      '--json',
+    ]);
+    const code = await process.exited;
+    if (code !== 0) throw new Error(`ctl ${args.join(' ')}: ${process.output}`);
+    return JSON.parse(process.output);
+  }
+
+  /** @returns {string[]} what each process has written */
+  outputs() {
+    return [...this.#processes.values()].map(
+      ({name, output}) => `--- ${name}\n${output}`,
+    );
+  }
+
+  /** Ends what still runs, by id, and removes the folder. */
+  async end() {
+    const running = [...this.#processes.values()];
+    await Promise.all(running.map(process => process.end('SIGKILL')));
+    rmSync(this.#folder, {recursive: true, force: true});
+  }
+}
+
+/**
+ * Streams one chat answer.
+ *
+ * @returns {Promise<{status: number, text: string, cachedTokens: number}>}
+ */
+export async function streamChat(
+  baseUrl,
+  {workspace, chat, messages, maxTokens},
+) {
+  const res = await fetch(`${baseUrl}/v1/chat/completions`, {
+    method: 'POST',
+    headers: {
+      'content-type': 'application/json',
+      'x-lovagepond-workspace': workspace,
+      'x-lovagepond-chat': chat,
+    },
+    body: JSON.stringify({
+      model: 'any',
+      stream: true,
+      messages,
+      max_tokens: maxTokens,
+    }),
+  });
+  const body = await res.text();
+  const events = body
+    .split('\n')
+    .filter(line => line.startsWith('data: {'))
+    .map(line => JSON.parse(line.slice('data: '.length)));
+  const text = events
+    .map(event => event.choices?.[0]?.delta?.content ?? '')
+    .join('');
+  const usage = events.findLast(event => event.usage)?.usage;
+  return {
+    status: res.status,
+    text,
+    body,
+    whole: body.trimEnd().endsWith('data: [DONE]'),
+    cachedTokens: usage?.prompt_tokens_details?.cached_tokens ?? 0,
+  };
+}
