Measure memory and processor time of callers' connections

Cause: docs/CAPACITY.md needs slopes for open streams, slow readers and relayed events.

Change: npm run measure -- caller. EventParser and AnswerCheck are exported from the backend package for it.

--- a/packages/lovagepond-backend/src/index.ts
+++ b/packages/lovagepond-backend/src/index.ts
@@ -1,3 +1,5 @@
+export {AnswerCheck, type AnswerVerdict} from './backend_answer_check.js';
+export {EventParser, type ServerSentEvent} from './backend_event_parser.js';
 export {
   DEFAULT_FAKE_ENGINE_SETTINGS,
   FakeEngine,
--- a/packages/lovagepond-measure/src/measure_table.ts
+++ b/packages/lovagepond-measure/src/measure_table.ts
@@ -3,6 +3,7 @@
  *
  * A new measure is one `*_measure.ts` file and one line here.
  */
+import {measureCaller} from './caller_measure.js';
 import {measureDecisionCost} from './decision_cost_measure.js';
 import {type MeasureFunction} from './measure_types.js';
 import {measureSidecar} from './sidecar_measure.js';
@@ -11,4 +12,5 @@
 export const MEASURES: Readonly<Record<string, MeasureFunction>> = {
   'decision-cost': measureDecisionCost,
   sidecar: measureSidecar,
+  caller: measureCaller,
 };
