--- a/packages/lovagepond-router/src/__tests__/fakes/router_fakes.ts
+++ b/packages/lovagepond-router/src/__tests__/fakes/router_fakes.ts
@@ -2,6 +2,13 @@
  * Small stand-ins for the router's peers: control and sidecars over gRPC on
  * loopback, and the front towards callers without HTTP.
  */
+import {
+  type AddressInfo,
+  connect,
+  createServer,
+  type Server as TcpServer,
+  type Socket,
+} from 'node:net';
 import {
   Server,
   ServerCredentials,
@@ -19,6 +26,7 @@
   type Clock,
   type Configuration,
   type ConfigurationContent,
+  decodeConfiguration,
   encodeConfiguration,
   type Failure,
   type Logger,
@@ -117,19 +125,21 @@
         call: ServerUnaryCall<lovagepond.v1.InstallRequest.$Properties, object>,
         done: sendUnaryData<object>,
       ) => {
-        this.installed.push(call.request.configuration as Uint8Array);
+        const bytes = call.request.configuration as Uint8Array;
+        this.installed.push(bytes);
+        this.revision = decodeConfiguration(bytes)?.revision ?? 0;
         done(null, {revision: this.revision});
       },
     });
     this.address = `127.0.0.1:${await listen(this.#server)}`;
   }
 
-  member(name: string): WireMember {
+  member(name: string, address = this.address): WireMember {
     return {
       backendServer: name,
       incarnation: this.incarnation,
       pool: 'chat',
-      address: this.address,
+      address,
       state: 'ready',
     };
   }
@@ -197,6 +207,48 @@
   }
 }
 
+/**
+ * Stands between router and sidecar like a device that forgets connections:
+ * those open when it is told so carry nothing any more, and new ones work.
+ */
+export class ForgetfulProxy {
+  address = '';
+  #sockets: Socket[] = [];
+  readonly #server: TcpServer;
+
+  constructor(target: string) {
+    const port = Number(target.split(':')[1]);
+    this.#server = createServer(socket => {
+      const onward = connect(port, '127.0.0.1');
+      for (const end of [socket, onward]) end.on('error', () => {});
+      socket.on('close', () => onward.destroy());
+      socket.pipe(onward);
+      onward.pipe(socket);
+      this.#sockets.push(socket, onward);
+    });
+  }
+
+  async start(): Promise<void> {
+    await new Promise<void>(resolve => {
+      this.#server.listen(0, '127.0.0.1', resolve);
+    });
+    const {port} = this.#server.address() as AddressInfo;
+    this.address = `127.0.0.1:${port}`;
+  }
+
+  forget(): void {
+    for (const socket of this.#sockets) {
+      socket.unpipe();
+      socket.resume();
+    }
+  }
+
+  stop(): void {
+    for (const socket of this.#sockets) socket.destroy();
+    this.#server.close();
+  }
+}
+
 /** What a caller has got. */
 export class FakeSink implements AnswerSink {
   text = '';
--- /dev/null
+++ b/packages/lovagepond-router/src/__tests__/unit/router_request.test.ts
@@ -0,0 +1,67 @@
+import {answerFor, DISPOSITION} from '@lovagepond/core';
+import fc from 'fast-check';
+import {expect, test} from 'vitest';
+import {AnswerAssembler} from '../../router_answer.js';
+import {RequestWorld, textOf} from '../fakes/request_world.js';
+
+const SEED = 20261202;
+
+/** @returns the kind of the request's only final answer */
+function checkTruth(world: RequestWorld, nonRepeatable: boolean): string {
+  expect(world.finals).toHaveLength(1);
+  const final = world.finals[0]!;
+  const texts = Array.from({length: world.dispatches}, (_, index) =>
+    textOf(index + 1),
+  );
+  const begun = texts.filter(text => text.startsWith(world.text));
+  if (world.text !== '') expect(begun).not.toHaveLength(0);
+  if (nonRepeatable) expect(world.dispatches).toBeLessThanOrEqual(1);
+  if (final.kind !== 'fail') {
+    expect(texts).toContain(world.text);
+    return 'whole';
+  }
+  const {kind} = final.failure;
+  const notRun = answerFor(kind).disposition === DISPOSITION.NOT_RUN;
+  if (notRun) expect(world.dispatches).toBe(0);
+  return kind;
+}
+
+// A caller is told "not run" and repeats the request while a sidecar still has
+// it, or a call that must not repeat is dispatched twice, or an answer is cut
+// or joined from two. Connections break or go silent at any moment, refusals,
+// acceptances and revocations get lost, cross and race with dispatches, and
+// sidecars restart; afterwards all that was under way still arrives.
+test('an answer is final, whole and true whatever gets lost', () => {
+  const step = fc.tuple(fc.nat(31), fc.nat(11));
+  const steps = fc.array(step, {maxLength: 120, size: 'max'});
+  const finals = new Map<string, number>();
+  const property = fc.property(
+    fc.boolean(),
+    fc.boolean(),
+    steps,
+    (nonRepeatable, calm, choices) => {
+      const world = new RequestWorld(nonRepeatable);
+      for (const [choice, detail] of choices) world.step(choice, detail);
+      if (calm) world.calm();
+      world.settle();
+      const name = checkTruth(world, nonRepeatable);
+      finals.set(name, (finals.get(name) ?? 0) + 1);
+    },
+  );
+  fc.assert(property, {numRuns: 4_000, seed: SEED});
+  console.info('seed', SEED, Object.fromEntries(finals));
+});
+
+// Two attempts of one chat write different texts. When the second goes on at
+// the offset where the first broke off, the caller reads a sentence that no
+// engine wrote.
+test('the bytes of two attempts are never joined', () => {
+  const answer = new AnswerAssembler();
+  const first = {attemptId: 'r.1', incarnation: 'a.0'};
+  const piece = Buffer.from('abc');
+  expect(answer.accept(first, 0, piece).kind).toBe('deliver');
+  const second = {attemptId: 'r.2', incarnation: 'b.0'};
+  expect(answer.accept(second, 3, piece).kind).toBe('foreign');
+  const restarted = {attemptId: 'r.1', incarnation: 'a.1'};
+  expect(answer.accept(restarted, 3, piece).kind).toBe('foreign');
+});
--- a/packages/lovagepond-router/src/__tests__/unit/router_role.test.ts
+++ b/packages/lovagepond-router/src/__tests__/unit/router_role.test.ts
@@ -1,16 +1,29 @@
-import {Random} from '@lovagepond/core';
+import {CallerServer, DEFAULT_CALLER_SETTINGS} from '@lovagepond/caller';
+import {
+  decodeConfiguration,
+  encodeConfiguration,
+  makeFailure,
+  Random,
+} from '@lovagepond/core';
 import {afterEach, expect, test} from 'vitest';
-import {RouterRole} from '../../router_role.js';
-import {DEFAULT_ROUTER_SETTINGS} from '../../router_settings.js';
+import {type RouterParts, RouterRole} from '../../router_role.js';
+import {
+  DEFAULT_ROUTER_SETTINGS,
+  type RouterSettings,
+} from '../../router_settings.js';
 import {
+  answerWhole,
   FakeControl,
   FakeFront,
   FakeSidecar,
   FakeSink,
+  ForgetfulProxy,
+  type GotAttempt,
   makeConfiguration,
   makeRequest,
   QUIET_LOG,
   SYSTEM_CLOCK,
+  type WireMember,
 } from '../fakes/router_fakes.js';
 
 const closers: (() => void | Promise<void>)[] = [];
@@ -19,42 +32,226 @@
   for (const close of closers.splice(0).reverse()) await close();
 });
 
+async function startSidecar(sidecar: FakeSidecar): Promise<FakeSidecar> {
+  await sidecar.start();
+  closers.push(() => sidecar.stop());
+  return sidecar;
+}
+
 async function startRouter(
-  ...sidecars: FakeSidecar[]
-): Promise<{role: RouterRole; front: FakeFront}> {
-  for (const sidecar of sidecars) {
-    await sidecar.start();
-    closers.push(() => sidecar.stop());
-  }
-  const members = sidecars.map((sidecar, index) => sidecar.member(`s${index}`));
-  const control = new FakeControl(makeConfiguration(1), members);
+  members: WireMember[],
+  createFront: RouterParts['createFront'],
+  change: Partial<RouterSettings> = {},
+): Promise<RouterRole> {
+  const control = new FakeControl(makeConfiguration(2), members);
   await control.start();
   closers.push(() => control.stop());
-  let front: FakeFront | undefined;
-  const role = new RouterRole(
-    {
-      ...DEFAULT_ROUTER_SETTINGS,
-      name: 'router-1',
-      controlAddresses: [control.address],
-    },
-    {
-      clock: SYSTEM_CLOCK,
-      log: QUIET_LOG,
-      random: new Random(1),
-      createFront: handler => (front = new FakeFront(handler)),
-    },
-  );
+  const settings = {
+    ...DEFAULT_ROUTER_SETTINGS,
+    name: 'router-1',
+    controlAddresses: [control.address],
+    ...change,
+  };
+  const role = new RouterRole(settings, {
+    clock: SYSTEM_CLOCK,
+    log: QUIET_LOG,
+    random: new Random(1),
+    createFront,
+  });
   await role.start();
   closers.push(() => role.stop());
   await expect.poll(() => role.isReady()).toBe(true);
-  return {role, front: front as FakeFront};
+  return role;
+}
+
+interface Started {
+  readonly role: RouterRole;
+  ask(change?: Parameters<typeof makeRequest>[0]): FakeSink;
 }
 
-test('a request goes through a sidecar and its whole answer comes back', async () => {
-  const {role, front} = await startRouter(new FakeSidecar('i1'));
-  const sink = new FakeSink();
-  void front.handler.handle(makeRequest(), sink, SYSTEM_CLOCK.now());
+/** A router whose callers need no HTTP. */
+async function startAsked(
+  members: WireMember[],
+  change: Partial<RouterSettings> = {},
+): Promise<Started> {
+  let front: FakeFront | undefined;
+  const createFront: RouterParts['createFront'] = handler =>
+    (front = new FakeFront(handler));
+  const role = await startRouter(members, createFront, change);
+  const ask: Started['ask'] = request => {
+    const sink = new FakeSink();
+    const now = SYSTEM_CLOCK.now();
+    void front?.handler.handle(makeRequest(request), sink, now);
+    return sink;
+  };
+  return {role, ask};
+}
+
+test('a request goes through a sidecar and its answer comes back whole', async () => {
+  const sidecar = await startSidecar(new FakeSidecar('i1'));
+  const {role, ask} = await startAsked([sidecar.member('s1')]);
+  const sink = ask();
   await sink.done;
   expect(sink).toMatchObject({text: 'hello', status: 200, ended: true});
   expect(role.dump().state).toMatchObject({answered: 1, inFlight: 0});
 });
+
+// Something between router and sidecar has lost track of their connection:
+// the answer stops after three bytes, and the next request on it hears
+// nothing. New connections work, so both answers become whole over one, the
+// first from where it stopped, and the server is not blamed.
+test('a connection that goes silent is replaced and cuts no answer', async () => {
+  const seen: GotAttempt[] = [];
+  const sidecar = new FakeSidecar('i1', attempt => {
+    seen.push(attempt);
+    attempt.send({started: {}});
+    const {attemptId, resumeFrom: offset = 0} = attempt.request;
+    const stops = attemptId === 'r1.1' && offset === 0;
+    const data = Buffer.from('hello').subarray(offset ?? 0, stops ? 3 : 5);
+    attempt.send({chunk: {offset, data, status: 200}});
+    if (!stops) attempt.send({end: {totalBytes: 5}});
+  });
+  await startSidecar(sidecar);
+  sidecar.revokeOutcome = 'revoked';
+  const proxy = new ForgetfulProxy(sidecar.address);
+  await proxy.start();
+  closers.push(() => proxy.stop());
+  const {role, ask} = await startAsked([sidecar.member('s1', proxy.address)], {
+    attemptSilentAfterMs: 100,
+    firstFrameAfterMs: 100,
+  });
+  const first = ask({requestId: 'r1'});
+  await expect.poll(() => first.text).toBe('hel');
+  proxy.forget();
+  const second = ask({requestId: 'r2'});
+  await Promise.all([first.done, second.done]);
+  expect(first).toMatchObject({text: 'hello', ended: true});
+  expect(second).toMatchObject({text: 'hello', ended: true});
+  const resumed = seen.filter(({request}) => request.resumeFrom === 3);
+  expect(resumed.map(({request}) => request.attemptId)).toContain('r1.1');
+  expect(role.dump().state).toMatchObject({suspects: 0, failedByKind: {}});
+});
+
+// The host stops. A caller reads a streamed answer that goes on for a while:
+// he gets all of it, though the balancer hears at once that the router isn't
+// ready, and no new connection is taken.
+test('a draining router is not ready, takes nothing new and cuts nothing', async () => {
+  const held: GotAttempt[] = [];
+  const sidecar = new FakeSidecar('i1', attempt => {
+    const body = JSON.stringify({id: 1});
+    attempt.send({started: {}});
+    const head = {status: 200, contentType: 'text/event-stream'};
+    const data = Buffer.from(`data: ${body}\n\n`);
+    attempt.send({chunk: {offset: 0, data, ...head}});
+    held.push(attempt);
+  });
+  await startSidecar(sidecar);
+  const settings = {...DEFAULT_CALLER_SETTINGS, drainGraceMs: 0};
+  const role = await startRouter([sidecar.member('s1')], handler => {
+    return new CallerServer(settings, {clock: SYSTEM_CLOCK, handler});
+  });
+  const url = `http://127.0.0.1:${role.port}/v1/chat/completions`;
+  const request = {
+    method: 'POST',
+    headers: {
+      'content-type': 'application/json',
+      'x-lovagepond-workspace': 'bakery',
+      'x-lovagepond-chat': 'c1',
+    },
+    body: JSON.stringify({
+      stream: true,
+      messages: [{role: 'user', content: 'hi'}],
+    }),
+  };
+  const answer = await fetch(url, request);
+  const drained = role.drain(10_000);
+  expect(role.isReady()).toBe(false);
+  await expect
+    .poll(() => fetch(url, request).catch(() => 'refused'))
+    .toBe('refused');
+  const last = Buffer.from('data: {"id":2}\n\n');
+  held[0]!.send({chunk: {offset: 16, data: last}});
+  held[0]!.send({end: {totalBytes: 16 + last.length}});
+  const text = await answer.text();
+  expect(text).toContain('data: {"id":2}');
+  expect(text).toContain('[DONE]');
+  await drained;
+});
+
+// An operator's change has reached only one of router and sidecar, since
+// control can't reach the other. Served by the older side, the request would
+// run where the change forbids it.
+test('whichever side holds the older configuration is handed the newer', async () => {
+  const revisions: number[] = [];
+  const refuseOnce = (
+    attempt: GotAttempt,
+    configuration?: Uint8Array,
+  ): void => {
+    revisions.push(attempt.request.revision ?? 0);
+    if (revisions.length > 1) {
+      answerWhole(attempt);
+      return;
+    }
+    const refused = {
+      errorKind: 'staleRevision',
+      ...(configuration && {configuration}),
+    };
+    attempt.send({refused});
+    attempt.end();
+  };
+  const ahead = new FakeSidecar('i1', attempt => {
+    refuseOnce(attempt, encodeConfiguration(makeConfiguration(9)));
+  });
+  ahead.revision = 9;
+  await startSidecar(ahead);
+  const {role, ask} = await startAsked([ahead.member('s1')]);
+  const sink = ask();
+  await sink.done;
+  expect(sink.text).toBe('hello');
+  expect(revisions).toEqual([2, 9]);
+  expect(role.dump().state).toMatchObject({revision: 9});
+
+  revisions.length = 0;
+  const behind = await startSidecar(new FakeSidecar('i2', refuseOnce));
+  const other = await startAsked([behind.member('s1')]);
+  const later = other.ask();
+  await later.done;
+  expect(later.text).toBe('hello');
+  const [handed] = behind.installed;
+  expect(decodeConfiguration(handed!)?.revision).toBe(2);
+});
+
+// A caller hangs up while his request is held. Its stream's end looks to the
+// sidecar like a lost connection, so that the engine would work for nobody.
+test('a request whose caller went away is taken back at its sidecar', async () => {
+  const held: GotAttempt[] = [];
+  const sidecar = new FakeSidecar('i1', attempt => {
+    held.push(attempt);
+    attempt.send({accepted: {expectedWaitMs: 10}});
+  });
+  await startSidecar(sidecar);
+  const {role, ask} = await startAsked([sidecar.member('s1')]);
+  const sink = ask();
+  await expect.poll(() => held.length).toBe(1);
+  sink.cancel(makeFailure('callerGone'));
+  await expect.poll(() => sidecar.revoked).toEqual(['r1.1']);
+  expect(role.dump().state).toMatchObject({inFlight: 0});
+});
+
+// A server's host is gone, and control's lease still lists it as ready. Its
+// callers are served by others at once, and after the first failure without
+// even a try.
+test('own evidence of a dead server outruns the lease', async () => {
+  const alive = await startSidecar(new FakeSidecar('i1'));
+  const dead = await startSidecar(new FakeSidecar('i2'));
+  const members = [alive.member('s1'), dead.member('s2')];
+  dead.stop();
+  const {role, ask} = await startAsked(members);
+  const chats = Array.from({length: 20}, (_, index) => `c${index}`);
+  for (const chat of chats) {
+    const sink = ask({requestId: chat, chat});
+    await sink.done;
+    expect(sink.text).toBe('hello');
+  }
+  expect(role.dump().state).toMatchObject({suspects: 1, hops: 1});
+});
--- a/packages/lovagepond-router/src/router_connections.ts
+++ b/packages/lovagepond-router/src/router_connections.ts
@@ -139,6 +139,14 @@
     return undefined;
   }
 
+  /**
+   * @param address a sidecar's `host:port`
+   * @returns a connection made anew, or undefined when none could be made
+   */
+  openFresh(address: string): Promise<SidecarConnection | undefined> {
+    return this.open(address, this.#byAddress.get(address));
+  }
+
   /** @param addresses the sidecars that still exist; others are let go */
   keepOnly(addresses: ReadonlySet<string>): void {
     for (const [address, connection] of this.#byAddress) {
--- a/packages/lovagepond-router/src/router_dispatcher.ts
+++ b/packages/lovagepond-router/src/router_dispatcher.ts
@@ -24,6 +24,7 @@
 import {
   type AttemptTarget,
   type DropReason,
+  type EvidenceKind,
   type RequestLimits,
 } from './router_request_types.js';
 import {type RetryBudget} from './router_retry_budget.js';
@@ -59,7 +60,6 @@
   readonly connections: SidecarConnections;
   readonly limits: RequestLimits;
   readonly revokeTimeoutMs: number;
-  readonly installTimeoutMs: number;
   readonly #parts: DispatcherParts;
   readonly #runners = new Set<RequestRunner>();
 
@@ -69,7 +69,6 @@
     this.connections = parts.connections;
     this.limits = settings;
     this.revokeTimeoutMs = settings.revokeTimeoutMs;
-    this.installTimeoutMs = settings.connectTimeoutMs;
   }
 
   /** @returns requests in flight */
@@ -101,7 +100,7 @@
 
   /** See {@link RunnerHost.place}. */
   place(query: PlacementQuery, now: number): Placed | Failure {
-    const {runner, excluded, wanted, retryOf} = query;
+    const {runner, excluded, wanted, after} = query;
     const {choice, load, state} = this.#parts;
     const {request, returning} = runner;
     // By the configuration in force now: it may have changed since the
@@ -117,7 +116,7 @@
       {request: described, set, excluded, wanted},
       now,
     );
-    if (!chosen) return retryOf ?? makeFailure('noBackendServer');
+    if (!chosen) return after ?? makeFailure('noBackendServer');
     load.recordSent(chosen.server.slot, request.estimatedTokens, now);
     return {...chosen, eligible};
   }
@@ -157,12 +156,10 @@
   /** See {@link RunnerHost.noteEvidence}. */
   noteEvidence(
     target: AttemptTarget,
-    evidence: 'silent' | 'unreachable',
+    evidence: EvidenceKind,
     now: number,
   ): void {
-    const keeper = this.#parts.evidence;
-    if (evidence === 'silent') keeper.noteSilent(target, now);
-    else keeper.noteUnreachable(target, now);
+    this.#parts.evidence.note(target, evidence, now);
   }
 
   /** See {@link RunnerHost.noteDrop}. */
@@ -207,13 +204,15 @@
   #pay(query: PlacementQuery, eligible: Eligible): Failure | undefined {
     const {budget, counters} = this.#parts;
     const pool = eligible.set.pools[0]?.name ?? '';
-    if (query.retryOf) {
-      if (!budget.trySpend(pool)) return query.retryOf;
-      counters.noteRetry();
-    } else if (query.isHop) {
+    const {after, costsBudget} = query;
+    if (!after) {
+      budget.noteFirstAttempt(pool);
+    } else if (!costsBudget) {
       counters.noteHop();
+    } else if (budget.trySpend(pool)) {
+      counters.noteRetry();
     } else {
-      budget.noteFirstAttempt(pool);
+      return after;
     }
     return undefined;
   }
--- a/packages/lovagepond-router/src/router_evidence.ts
+++ b/packages/lovagepond-router/src/router_evidence.ts
@@ -6,7 +6,7 @@
  * connection that fails is, or connection after connection that falls silent.
  */
 import {type Random} from '@lovagepond/core';
-import {type AttemptTarget} from './router_request_types.js';
+import {type AttemptTarget, type EvidenceKind} from './router_request_types.js';
 
 /** Settings of {@link RouterEvidence}. Times are milliseconds. */
 export interface EvidenceSettings {
@@ -16,6 +16,8 @@
   readonly maxSuspicionMs: number;
   /** So many silent connections without one answer count as a failure. */
   readonly silentConnections: number;
+  /** A server that said it takes nothing is left alone for so long. */
+  readonly awayMs: number;
   /** A server that failed again within this time after it came back flaps. */
   readonly flapWindowMs: number;
 }
@@ -25,6 +27,7 @@
   suspicionMs: 500,
   maxSuspicionMs: 30_000,
   silentConnections: 3,
+  awayMs: 2_000,
   flapWindowMs: 60_000,
 });
 
@@ -38,12 +41,24 @@
   failures: number;
   probeAt: number;
   probing: boolean;
+  awayUntil: number;
   /** When it came back last; a failure soon after is a flap. */
   clearedAt: number;
 }
 
 /** Suspicions by sidecar incarnation; a restarted server starts clean. */
 export class RouterEvidence {
+  static readonly #noters: Readonly<
+    Record<
+      EvidenceKind,
+      (evidence: RouterEvidence, record: Suspicion, now: number) => void
+    >
+  > = {
+    silent: (evidence, record, now) => evidence.#noteSilent(record, now),
+    away: (evidence, record, now) => evidence.#noteAway(record, now),
+    unreachable: (evidence, record, now) => evidence.#fail(record, now),
+  };
+
   readonly #settings: EvidenceSettings;
   readonly #random: Random;
   readonly #byIncarnation = new Map<string, Suspicion>();
@@ -64,32 +79,39 @@
 
   /**
    * @param incarnation a sidecar incarnation
+   * @param now present time, monotonic milliseconds
    * @returns true when it should get no request that another can take
    */
-  isSuspect(incarnation: string): boolean {
-    return this.#byIncarnation.get(incarnation)?.suspect ?? false;
+  isSuspect(incarnation: string, now: number): boolean {
+    const record = this.#byIncarnation.get(incarnation);
+    if (!record) return false;
+    return record.suspect || now < record.awayUntil;
   }
 
   /**
-   * @param target the server whose fresh connection could not be made
+   * @param target the server
+   * @param evidence what speaks against it
    * @param now present time, monotonic milliseconds
    */
-  noteUnreachable(target: AttemptTarget, now: number): void {
-    this.#fail(this.#recordOf(target), now);
+  note(target: AttemptTarget, evidence: EvidenceKind, now: number): void {
+    RouterEvidence.#noters[evidence](this, this.#recordOf(target), now);
   }
 
-  /**
-   * @param target the server whose connection fell silent
-   * @param now present time, monotonic milliseconds
-   */
-  noteSilent(target: AttemptTarget, now: number): void {
-    const record = this.#recordOf(target);
+  #noteSilent(record: Suspicion, now: number): void {
     record.silent += 1;
     if (record.silent >= this.#settings.silentConnections) {
       this.#fail(record, now);
     }
   }
 
+  /**
+   * A server that leaves still finishes streams here, so that it is heard;
+   * only time, or the next list from control, ends this.
+   */
+  #noteAway(record: Suspicion, now: number): void {
+    record.awayUntil = now + this.#settings.awayMs;
+  }
+
   /**
    * A frame or a probe's answer came.
    *
@@ -106,8 +128,9 @@
       record.clearedAt = now;
       return;
     }
-    const quiet = now - record.clearedAt > this.#settings.flapWindowMs;
-    if (quiet) this.#byIncarnation.delete(incarnation);
+    const flapEnd = record.clearedAt + this.#settings.flapWindowMs;
+    const kept = now <= flapEnd || now < record.awayUntil;
+    if (!kept) this.#byIncarnation.delete(incarnation);
   }
 
   /**
@@ -158,6 +181,7 @@
       failures: 0,
       probeAt: 0,
       probing: false,
+      awayUntil: 0,
       clearedAt: Number.NEGATIVE_INFINITY,
     };
     this.#byIncarnation.set(target.incarnation, made);
--- a/packages/lovagepond-router/src/router_execution_record.ts
+++ b/packages/lovagepond-router/src/router_execution_record.ts
@@ -15,11 +15,21 @@
       readonly kind: 'place';
       /** A server named by a pointer or hand-over, or undefined. */
       readonly wanted: string | undefined;
-      /** The failure that this retries; undefined when it costs no budget. */
-      readonly retryOf: Failure | undefined;
+      /** Why the former attempt came to nothing; undefined for the first. */
+      readonly after: Failure | undefined;
+      /** The retry is paid from the pool's budget. */
+      readonly costsBudget: boolean;
     }
   | {readonly kind: 'fail'; readonly failure: Failure};
 
+/** The step that a request starts with. */
+export const FIRST_PLACEMENT: NextStep = Object.freeze({
+  kind: 'place',
+  wanted: undefined,
+  after: undefined,
+  costsBudget: false,
+});
+
 /** Limits of one request's attempts; see the settings of the same names. */
 export interface AttemptLimits {
   readonly maxAttempts: number;
@@ -33,6 +43,17 @@
   'staleRevision',
 ]);
 
+/**
+ * Refusals by a server that has left or not come yet. They put no load on it,
+ * and during a planned leave there are more of them than a budget allows.
+ */
+const FREE_KINDS: ReadonlySet<ErrorKind> = new Set([
+  'draining',
+  'notReady',
+  'wrongIncarnation',
+  'unreachable',
+]);
+
 /** Failures after dispatch that another backend server may not share. */
 const SERVER_FAULTS: ReadonlySet<ErrorKind> = new Set([
   'backendFailed',
@@ -89,7 +110,8 @@
     this.#excluded.add(server);
     const {anotherAttempt} = answerFor(failure.kind);
     if (!anotherAttempt || !this.#hasAttempts()) return this.afterAll(failure);
-    return {kind: 'place', wanted: undefined, retryOf: failure};
+    const costsBudget = !FREE_KINDS.has(failure.kind);
+    return {kind: 'place', wanted: undefined, after: failure, costsBudget};
   }
 
   /**
@@ -109,7 +131,12 @@
     if (!allowed || !SERVER_FAULTS.has(failure.kind)) {
       return this.afterAll(failure);
     }
-    return {kind: 'place', wanted: undefined, retryOf: failure};
+    return {
+      kind: 'place',
+      wanted: undefined,
+      after: failure,
+      costsBudget: true,
+    };
   }
 
   /**
@@ -122,7 +149,8 @@
     if (this.#hops > this.#limits.maxHops) {
       return this.afterAll(makeFailure('unreachable'));
     }
-    return {kind: 'place', wanted: server, retryOf: undefined};
+    const after = makeFailure('unreachable');
+    return {kind: 'place', wanted: server, after, costsBudget: false};
   }
 
   /**
@@ -158,6 +186,11 @@
     }
     const wanted = failure.kind === 'staleRevision' ? server : pointer;
     this.#excluded.delete(wanted);
-    return {kind: 'place', wanted: wanted || undefined, retryOf: undefined};
+    return {
+      kind: 'place',
+      wanted: wanted || undefined,
+      after: failure,
+      costsBudget: false,
+    };
   }
 }
--- /dev/null
+++ b/packages/lovagepond-router/src/router_frame_failures.ts
@@ -0,0 +1,34 @@
+/**
+ * The failures that frames stand for.
+ */
+import {
+  answerFor,
+  DISPOSITION,
+  type Failure,
+  makeFailure,
+} from '@lovagepond/core';
+import {type FailedBody, type RefusedBody} from './router_frames.js';
+
+/**
+ * @param body a refusal
+ * @returns its failure, with the sidecar's message when there is one
+ */
+export function failureOfRefusal(body: RefusedBody): Failure {
+  const {errorKind, retryAfterMs, message} = body;
+  const details = message ? {retryAfterMs, message} : {retryAfterMs};
+  return makeFailure(errorKind, details);
+}
+
+/**
+ * `Failed` comes from what was dispatched: a kind that would tell the caller
+ * "not run" is not believed.
+ *
+ * @param body a failure after dispatch
+ * @returns its failure, never of a kind that says "not run"
+ */
+export function failureOfFailed(body: FailedBody): Failure {
+  const {errorKind, retryAfterMs, message} = body;
+  const untrue = answerFor(errorKind).disposition === DISPOSITION.NOT_RUN;
+  const details = message ? {retryAfterMs, message} : {retryAfterMs};
+  return makeFailure(untrue ? 'backendFailed' : errorKind, details);
+}
--- a/packages/lovagepond-router/src/router_prober.ts
+++ b/packages/lovagepond-router/src/router_prober.ts
@@ -38,7 +38,7 @@
 
   async #probe(target: AttemptTarget, revision: number): Promise<void> {
     const {clock, connections, evidence, timeoutMs} = this.#parts;
-    const connection = await connections.open(target.address);
+    const connection = await connections.openFresh(target.address);
     const answer =
       connection && (await probeSidecar(connection, revision, timeoutMs));
     const now = clock.now();
--- a/packages/lovagepond-router/src/router_request.ts
+++ b/packages/lovagepond-router/src/router_request.ts
@@ -7,101 +7,110 @@
  * above all, leaves "may have run", which sticks to the request to its end.
  */
 import {
-  answerFor,
-  DISPOSITION,
+  type ErrorKind,
   type Failure,
   invariant,
   makeFailure,
 } from '@lovagepond/core';
-import {AnswerAssembler} from './router_answer.js';
+import {AnswerRelay} from './router_answer_relay.js';
 import {AttemptWatch} from './router_attempt_watch.js';
-import {ExecutionRecord, type NextStep} from './router_execution_record.js';
+import {
+  ExecutionRecord,
+  FIRST_PLACEMENT,
+  type NextStep,
+} from './router_execution_record.js';
+import {failureOfFailed, failureOfRefusal} from './router_frame_failures.js';
 import {
   type AcceptedBody,
   type ChunkBody,
   type EndBody,
-  type FailedBody,
   type Frame,
   type FrameBody,
   type RefusedBody,
 } from './router_frames.js';
+import {RequestTiming, wasDispatched} from './router_request_timing.js';
 import {
   type Attempt,
+  type Closing,
+  CLOSING,
   type DropReason,
+  type EventOf,
+  type EvidenceKind,
   REQUEST_STATE,
   type RequestAction,
   type RequestEvent,
   type RequestFacts,
   type RequestLimits,
   type RequestState,
+  REVOKE_REASON,
+  type RevokeReason,
 } from './router_request_types.js';
 
 type EventHandlers = {
   readonly [Kind in RequestEvent['kind']]: (
-    event: Extract<RequestEvent, {kind: Kind}>,
+    machine: RequestMachine,
+    event: EventOf<Kind>,
     now: number,
   ) => void;
 };
 
 type BodyHandlers = {
   readonly [Kind in FrameBody['kind']]: (
+    machine: RequestMachine,
     body: Extract<FrameBody, {kind: Kind}>,
     now: number,
   ) => void;
 };
 
-/** Why an attempt is taken back. */
-const REVOKE_REASON = {
-  DEADLINE: 'deadline',
-  CONNECTION_LOST: 'connectionLost',
-} as const;
-
-type RevokeReason = (typeof REVOKE_REASON)[keyof typeof REVOKE_REASON];
+/** Refusals of a server that takes nothing for now. */
+const AWAY_KINDS: ReadonlySet<ErrorKind> = new Set(['draining', 'notReady']);
 
 /** One request from its receipt to its final answer. */
 export class RequestMachine {
+  // One table for all requests: a request in flight should cost little.
+  static readonly #eventHandlers: EventHandlers = {
+    placed: (machine, event) => machine.#onPlaced(event),
+    notPlaced: (machine, event) => machine.#giveUp(event.failure),
+    connectFailed: (machine, event) => machine.#onConnectFailed(event),
+    sent: (machine, event, now) => machine.#onSent(event, now),
+    frame: (machine, event, now) => machine.#onFrame(event.frame, now),
+    broken: (machine, event, now) => machine.#onBroken(event, now),
+    revoked: (machine, event) => machine.#onRevoked(event),
+    blocked: (machine, event, now) =>
+      machine.#watch.setBlocked(event.blocked, now),
+    callerGone: machine => machine.#finish(CLOSING.ABANDONED),
+    tick: (machine, _event, now) => machine.#onTick(now),
+  };
+
+  static readonly #bodyHandlers: BodyHandlers = {
+    accepted: (machine, body, now) => machine.#onAccepted(body, now),
+    started: machine => machine.#onStarted(),
+    refused: (machine, body) => machine.#onRefused(body),
+    chunk: (machine, body, now) => machine.#onChunk(body, now),
+    heartbeat: () => {},
+    end: (machine, body, now) => machine.#onEnd(body, now),
+    failed: (machine, body) =>
+      machine.#mayHaveRun(failureOfFailed(body), CLOSING.CONCLUDED),
+  };
+
   readonly #facts: RequestFacts;
   readonly #limits: RequestLimits;
-  readonly #answer = new AnswerAssembler();
   readonly #record: ExecutionRecord;
+  readonly #relay: AnswerRelay;
+  readonly #timing: RequestTiming;
   #state: RequestState = REQUEST_STATE.RECEIVED;
   #attempt: Attempt | undefined;
   #watch: AttemptWatch;
-  #begun = false;
   #revoking: RevokeReason | undefined;
-  #deadlineNear = false;
   #actions: RequestAction[] = [];
 
-  readonly #eventHandlers: EventHandlers = {
-    placed: event => this.#onPlaced(event),
-    notPlaced: ({failure}) => this.#follow(this.#record.afterAll(failure)),
-    connectFailed: ({attemptId}) => this.#onConnectFailed(attemptId),
-    sent: ({attemptId}, now) => this.#onSent(attemptId, now),
-    frame: ({frame}, now) => this.#onFrame(frame, now),
-    broken: ({attemptId}, now) => {
-      if (this.#attempt?.attemptId === attemptId) this.#reconnect(now);
-    },
-    revoked: event => this.#onRevoked(event),
-    blocked: ({blocked}, now) => this.#watch.setBlocked(blocked, now),
-    callerGone: () => this.#finish(),
-    tick: (_event, now) => this.#onTick(now),
-  };
-
-  readonly #bodyHandlers: BodyHandlers = {
-    accepted: (body, now) => this.#onAccepted(body, now),
-    started: () => this.#onStarted(),
-    refused: body => this.#onRefused(body),
-    chunk: (body, now) => this.#onChunk(body, now),
-    heartbeat: () => {},
-    end: (body, now) => this.#onEnd(body, now),
-    failed: body => this.#onFailed(body),
-  };
-
   constructor(facts: RequestFacts, limits: RequestLimits) {
     this.#facts = facts;
     this.#limits = limits;
     this.#watch = new AttemptWatch(limits);
+    this.#timing = new RequestTiming(facts, limits);
     this.#record = new ExecutionRecord(limits, facts.nonRepeatable);
+    this.#relay = new AnswerRelay(action => this.#actions.push(action));
   }
 
   /** @returns where the request stands */
@@ -117,7 +126,7 @@
   /** @returns the first actions: to choose a backend server */
   start(): RequestAction[] {
     invariant(this.#state === REQUEST_STATE.RECEIVED, 500, 'started twice');
-    this.#follow({kind: 'place', wanted: undefined, retryOf: undefined});
+    this.#follow(FIRST_PLACEMENT, CLOSING.CONCLUDED);
     return this.#take();
   }
 
@@ -131,7 +140,7 @@
       if (event.kind === 'frame') this.#drop('afterEnd');
       return this.#take();
     }
-    this.#eventHandlers[event.kind](event as never, now);
+    RequestMachine.#eventHandlers[event.kind](this, event as never, now);
     return this.#take();
   }
 
@@ -145,26 +154,32 @@
     this.#actions.push({kind: 'drop', reason});
   }
 
-  #follow(step: NextStep): void {
+  #follow(step: NextStep, closing: Closing): void {
     if (step.kind === 'fail') {
       this.#actions.push(step);
-      this.#finish();
+      this.#finish(closing);
       return;
     }
-    this.#closeAttempt();
+    this.#closeAttempt(closing);
     this.#state = REQUEST_STATE.RECEIVED;
     this.#actions.push({...step, excluded: this.#record.excluded});
   }
 
-  #closeAttempt(): void {
-    if (!this.#attempt) return;
-    this.#actions.push({kind: 'cancel', attempt: this.#attempt});
+  #giveUp(failure: Failure): void {
+    this.#follow(this.#record.afterAll(failure), CLOSING.ABANDONED);
+  }
+
+  #closeAttempt(closing: Closing): void {
+    const attempt = this.#attempt;
+    if (!attempt) return;
+    const sent = this.#watch.sends > 0;
+    const abandoned = closing === CLOSING.ABANDONED && sent;
+    this.#actions.push({kind: 'close', attempt, abandoned});
     this.#attempt = undefined;
     this.#revoking = undefined;
   }
 
-  #onPlaced(event: Extract<RequestEvent, {kind: 'placed'}>): void {
-    const {target, nonRepeatable} = event;
+  #onPlaced({target, nonRepeatable}: EventOf<'placed'>): void {
     invariant(!this.#attempt, 501, 'placed while an attempt is open');
     this.#watch = new AttemptWatch(this.#limits);
     const number = this.#record.countPlacement(nonRepeatable);
@@ -178,13 +193,13 @@
     this.#actions.push({
       kind: 'offer',
       attempt: this.#attempt as Attempt,
-      resumeFrom: this.#answer.deliveredBytes,
+      resumeFrom: this.#relay.deliveredBytes,
       handOvers: this.#record.handOvers,
       freshConnection,
     });
   }
 
-  #onSent(attemptId: string, now: number): void {
+  #onSent({attemptId}: EventOf<'sent'>, now: number): void {
     if (this.#attempt?.attemptId !== attemptId) return;
     this.#watch.noteSent(now);
     if (this.#state === REQUEST_STATE.PLACED) {
@@ -192,16 +207,22 @@
     }
   }
 
-  #onConnectFailed(attemptId: string): void {
-    const attempt = this.#attempt;
-    if (attempt?.attemptId !== attemptId) return;
-    const {target} = attempt;
-    this.#actions.push({kind: 'evidence', target, evidence: 'unreachable'});
-    if (this.#watch.sends === 0) {
-      this.#notRun(makeFailure('unreachable'));
-      return;
-    }
-    this.#mayHaveRun(makeFailure('backendSilent'));
+  #onConnectFailed({attemptId}: EventOf<'connectFailed'>): void {
+    if (this.#attempt?.attemptId !== attemptId) return;
+    this.#addEvidence('unreachable');
+    if (this.#watch.sends === 0) this.#notRun(makeFailure('unreachable'));
+    else this.#mayHaveRun(makeFailure('backendSilent'), CLOSING.ABANDONED);
+  }
+
+  #onBroken({attemptId}: EventOf<'broken'>, now: number): void {
+    if (this.#attempt?.attemptId !== attemptId) return;
+    this.#addEvidence('silent');
+    this.#reconnect(now);
+  }
+
+  #addEvidence(evidence: EvidenceKind): void {
+    const {target} = this.#attempt as Attempt;
+    this.#actions.push({kind: 'evidence', target, evidence});
   }
 
   #onFrame(frame: Frame, now: number): void {
@@ -216,7 +237,7 @@
       return;
     }
     this.#watch.noteHeard(now);
-    this.#bodyHandlers[body.kind](body as never, now);
+    RequestMachine.#bodyHandlers[body.kind](this, body as never, now);
   }
 
   /**
@@ -230,8 +251,9 @@
       this.#drop('otherIncarnation');
       return;
     }
+    this.#addEvidence('away');
     if (this.#watch.sends === 1) this.#notRun(makeFailure('wrongIncarnation'));
-    else this.#mayHaveRun(makeFailure('backendFailed'));
+    else this.#mayHaveRun(makeFailure('backendFailed'), CLOSING.CONCLUDED);
   }
 
   #onStarted(): void {
@@ -243,17 +265,10 @@
   #onAccepted(body: AcceptedBody, now: number): void {
     if (this.#state !== REQUEST_STATE.OFFERED) return;
     this.#state = REQUEST_STATE.ADMITTED;
-    if (now + body.expectedWaitMs <= this.#facts.deadline) return;
+    if (this.#timing.allows(body.expectedWaitMs, now)) return;
     this.#revoke(REVOKE_REASON.DEADLINE);
   }
 
-  #wasDispatched(): boolean {
-    return (
-      this.#state === REQUEST_STATE.DISPATCHED ||
-      this.#state === REQUEST_STATE.ANSWERING
-    );
-  }
-
   /**
    * A refusal that crossed with the dispatch speaks of the queue, not of the
    * run: believing it would make the router or the caller repeat what runs.
@@ -276,63 +291,29 @@
     if (configuration.length > 0) {
       this.#actions.push({kind: 'install', configuration});
     }
-    const failure: Failure = {
-      ...makeFailure(body.errorKind, {retryAfterMs: body.retryAfterMs}),
-      ...(body.message && {message: body.message}),
-    };
-    this.#notRun(failure, body.pointer);
+    if (body.errorKind === 'revoked' && this.#revoking) {
+      this.#onTakenBack(this.#revoking);
+      return;
+    }
+    if (AWAY_KINDS.has(body.errorKind)) this.#addEvidence('away');
+    this.#notRun(failureOfRefusal(body), body.pointer);
   }
 
   #onChunk(body: ChunkBody, now: number): void {
-    const attempt = this.#attempt as Attempt;
-    const {incarnation} = attempt.target;
-    const source = {attemptId: attempt.attemptId, incarnation};
-    const verdict = this.#answer.accept(source, body.offset, body.data);
-    if (verdict.kind === 'duplicate') this.#drop('duplicate');
-    if (verdict.kind === 'foreign') this.#drop('foreignGeneration');
-    if (verdict.kind === 'gap') this.#reconnect(now);
-    if (verdict.kind !== 'deliver') return;
-    this.#begin(body);
+    const verdict = this.#relay.relay(this.#attempt as Attempt, body);
+    if (verdict === 'gap') this.#reconnect(now);
+    if (verdict !== 'delivered') return;
     this.#state = REQUEST_STATE.ANSWERING;
     this.#revoking = undefined;
-    this.#actions.push({kind: 'write', data: verdict.data});
-  }
-
-  #begin(head: {readonly status: number; readonly contentType: string}): void {
-    if (this.#begun) return;
-    this.#begun = true;
-    const status = head.status || 200;
-    const contentType = head.contentType || 'application/octet-stream';
-    this.#actions.push({kind: 'begin', status, contentType});
   }
 
   #onEnd(body: EndBody, now: number): void {
-    const verdict = this.#answer.finish(body.totalBytes);
-    if (verdict === 'truncated') {
-      this.#reconnect(now);
-      return;
-    }
+    const verdict = this.#relay.end(body);
+    if (verdict === 'truncated') this.#reconnect(now);
     if (verdict === 'overlong') {
-      this.#mayHaveRun(makeFailure('answerTruncated'));
-      return;
+      this.#mayHaveRun(makeFailure('answerTruncated'), CLOSING.CONCLUDED);
     }
-    this.#begin(body);
-    this.#actions.push({kind: 'end'});
-    // The sidecar ends the stream itself: a cancellation could reach it first
-    // and be taken for a caller who went away.
-    this.#attempt = undefined;
-    this.#finish();
-  }
-
-  #onFailed(body: FailedBody): void {
-    const {retryAfterMs, message} = body;
-    // `Failed` comes from what was dispatched, so that a kind which would tell
-    // the caller "not run" is not believed.
-    const {disposition} = answerFor(body.errorKind);
-    const untrue = disposition === DISPOSITION.NOT_RUN;
-    const kind = untrue ? 'backendFailed' : body.errorKind;
-    const details = message ? {retryAfterMs, message} : {retryAfterMs};
-    this.#mayHaveRun(makeFailure(kind, details));
+    if (verdict === 'whole') this.#finish(CLOSING.CONCLUDED);
   }
 
   /**
@@ -346,31 +327,26 @@
   #reconnect(now: number): void {
     // The answer to a revocation is under way and decides.
     if (this.#revoking) return;
-    const {target} = this.#attempt as Attempt;
-    this.#actions.push({kind: 'evidence', target, evidence: 'silent'});
     if (!this.#watch.tryReconnect(now)) {
-      this.#mayHaveRun(makeFailure('backendSilent'));
-      return;
-    }
-    if (this.#wasDispatched()) this.#offer(true);
+      this.#mayHaveRun(makeFailure('backendSilent'), CLOSING.ABANDONED);
+    } else if (wasDispatched(this.#state)) this.#offer(true);
     else this.#revoke(REVOKE_REASON.CONNECTION_LOST);
   }
 
   /** The open attempt has not run and never will. */
   #notRun(failure: Failure, pointer = ''): void {
     const {backendServer} = (this.#attempt as Attempt).target;
-    this.#follow(this.#record.afterNotRun(backendServer, failure, pointer));
+    const step = this.#record.afterNotRun(backendServer, failure, pointer);
+    this.#follow(step, CLOSING.CONCLUDED);
   }
 
   /** The open attempt may have run, perhaps in part. */
-  #mayHaveRun(failure: Failure): void {
+  #mayHaveRun(failure: Failure, closing: Closing): void {
     const {backendServer} = (this.#attempt as Attempt).target;
-    const step = this.#record.afterMayHaveRun(
-      backendServer,
-      failure,
-      !this.#begun,
-    );
-    this.#follow(step);
+    const untouched = !this.#relay.begun;
+    const record = this.#record;
+    const step = record.afterMayHaveRun(backendServer, failure, untouched);
+    this.#follow(step, closing);
   }
 
   #revoke(reason: RevokeReason): void {
@@ -381,60 +357,53 @@
     this.#actions.push({kind: 'revoke', attempt, freshConnection});
   }
 
-  #onRevoked(event: Extract<RequestEvent, {kind: 'revoked'}>): void {
+  #onRevoked(event: EventOf<'revoked'>): void {
     const attempt = this.#attempt;
     const reason = this.#revoking;
     if (attempt?.attemptId !== event.attemptId || !reason) return;
+    if (event.outcome === 'revoked') {
+      this.#onTakenBack(reason);
+      return;
+    }
     this.#revoking = undefined;
-    const {backendServer} = attempt.target;
     if (event.outcome === 'dispatched') this.#onStarted();
-    if (event.outcome !== 'revoked') {
-      if (reason === REVOKE_REASON.CONNECTION_LOST) this.#onNotTakenBack();
-    } else if (reason === REVOKE_REASON.CONNECTION_LOST) {
-      this.#follow(this.#record.afterReconnect(backendServer));
-    } else {
-      this.#notRun(makeFailure('deadlineUnreachable'));
-    }
-  }
-
-  #onNotTakenBack(): void {
-    if (this.#wasDispatched()) this.#offer(true);
-    else this.#mayHaveRun(makeFailure('backendSilent'));
+    if (reason !== REVOKE_REASON.CONNECTION_LOST) return;
+    if (wasDispatched(this.#state)) this.#offer(true);
+    else this.#mayHaveRun(makeFailure('backendSilent'), CLOSING.ABANDONED);
   }
 
-  #onTick(now: number): void {
-    const {deadline} = this.#facts;
-    if (now >= deadline) {
-      this.#onDeadline();
-      return;
-    }
-    const waiting =
-      this.#state === REQUEST_STATE.OFFERED ||
-      this.#state === REQUEST_STATE.ADMITTED;
-    const near = now >= deadline - this.#limits.revokeLeadMs;
-    if (waiting && near && !this.#deadlineNear) {
-      this.#deadlineNear = true;
-      this.#revoke(REVOKE_REASON.DEADLINE);
+  /** The sidecar confirmed that the attempt was not dispatched. */
+  #onTakenBack(reason: RevokeReason): void {
+    const {backendServer} = (this.#attempt as Attempt).target;
+    const failure = makeFailure('deadlineUnreachable');
+    if (reason === REVOKE_REASON.CONNECTION_LOST) {
+      const step = this.#record.afterReconnect(backendServer);
+      this.#follow(step, CLOSING.CONCLUDED);
+    } else if (this.#timing.nearDeadline) {
+      this.#follow(this.#record.afterAll(failure), CLOSING.CONCLUDED);
+    } else {
+      this.#notRun(failure);
     }
-    this.#watchSilence(now, waiting);
   }
 
-  #watchSilence(now: number, waiting: boolean): void {
-    const open = waiting || this.#wasDispatched();
-    if (!open) return;
-    const answered = this.#state !== REQUEST_STATE.OFFERED;
-    if (this.#watch.isSilent(now, answered)) this.#reconnect(now);
+  #onTick(now: number): void {
+    const due = this.#timing.findDue(this.#state, this.#watch, now);
+    if (due === 'deadline') this.#onDeadline();
+    if (due === 'takeBack') this.#revoke(REVOKE_REASON.DEADLINE);
+    if (due !== 'silent') return;
+    this.#addEvidence('silent');
+    this.#reconnect(now);
   }
 
   #onDeadline(): void {
     if (this.#watch.sends > 0 && this.#attempt) {
       this.#record.markUncertain(makeFailure('deadlineExceeded'));
     }
-    this.#follow(this.#record.afterAll(makeFailure('deadlineUnreachable')));
+    this.#giveUp(makeFailure('deadlineUnreachable'));
   }
 
-  #finish(): void {
-    this.#closeAttempt();
+  #finish(closing: Closing): void {
+    this.#closeAttempt(closing);
     this.#state = REQUEST_STATE.DONE;
   }
 }
--- a/packages/lovagepond-router/src/router_request_runner.ts
+++ b/packages/lovagepond-router/src/router_request_runner.ts
@@ -16,6 +16,7 @@
   type Attempt,
   type AttemptTarget,
   type DropReason,
+  type EvidenceKind,
   type RequestAction,
   type RequestEvent,
   type RequestLimits,
@@ -39,9 +40,9 @@
   readonly runner: RequestRunner;
   readonly excluded: ReadonlySet<string>;
   readonly wanted: string | undefined;
-  readonly retryOf: Failure | undefined;
-  /** A pointer, hand-over or other redirection is followed. */
-  readonly isHop: boolean;
+  /** See the action of the same fields. */
+  readonly after: Failure | undefined;
+  readonly costsBudget: boolean;
 }
 
 /** What the router's shared parts do for one request. */
@@ -50,7 +51,6 @@
   readonly connections: SidecarConnections;
   readonly limits: RequestLimits;
   readonly revokeTimeoutMs: number;
-  readonly installTimeoutMs: number;
   /** @returns the server to try, or why there is none */
   place(query: PlacementQuery, now: number): Placed | Failure;
   /** @returns the held configuration's revision */
@@ -64,7 +64,7 @@
   noteFrame(runner: RequestRunner, frame: Frame, now: number): void;
   noteEvidence(
     target: AttemptTarget,
-    evidence: 'silent' | 'unreachable',
+    evidence: EvidenceKind,
     now: number,
   ): void;
   noteDrop(reason: DropReason): void;
@@ -76,14 +76,37 @@
 /** More than this waits for the caller: frames are no longer taken in. */
 const MAX_UNWRITTEN_BYTES = 64 * 1024;
 
+type ActionOf<Kind extends RequestAction['kind']> = Extract<
+  RequestAction,
+  {kind: Kind}
+>;
+
 type ActionHandlers = {
   readonly [Kind in RequestAction['kind']]: (
-    action: Extract<RequestAction, {kind: Kind}>,
+    runner: RequestRunner,
+    action: ActionOf<Kind>,
   ) => void;
 };
 
 /** One request in flight. */
 export class RequestRunner {
+  // One table for all requests: a request in flight should cost little.
+  static readonly #handlers: ActionHandlers = {
+    place: (runner, action) => runner.#place(action),
+    offer: (runner, action) => void runner.#offer(action),
+    revoke: (runner, action) => void runner.#revoke(action),
+    close: (runner, action) => runner.#close(action),
+    begin: (runner, {status, contentType}) =>
+      runner.#sink.begin(status, contentType),
+    write: (runner, {data}) => void runner.#write(data),
+    end: runner => runner.#end(),
+    fail: (runner, {failure}) => runner.#fail(failure),
+    install: (runner, {configuration}) => runner.#host.install(configuration),
+    evidence: (runner, {target, evidence}) =>
+      runner.#host.noteEvidence(target, evidence, runner.#now()),
+    drop: (runner, {reason}) => runner.#host.noteDrop(reason),
+  };
+
   readonly request: CallerRequest;
   /** The request's prompt holds an earlier answer of its chat. */
   readonly returning: boolean;
@@ -99,47 +122,6 @@
   #blocked = false;
   #unregister: Unregister = () => {};
 
-  readonly #handlers: ActionHandlers = {
-    place: action => {
-      this.#place(action);
-    },
-    offer: action => {
-      void this.#offer(action);
-    },
-    revoke: action => {
-      void this.#revoke(action);
-    },
-    cancel: () => {
-      this.#stream?.cancel();
-      this.#stream = undefined;
-      this.#connection = undefined;
-    },
-    begin: ({status, contentType}) => {
-      this.#sink.begin(status, contentType);
-    },
-    write: ({data}) => {
-      void this.#write(data);
-    },
-    end: () => {
-      this.#sink.end();
-      this.#host.noteDone(this, undefined);
-    },
-    fail: ({failure}) => {
-      const complete = this.#host.completeFailure(failure, this.#now());
-      this.#sink.fail(complete);
-      this.#host.noteDone(this, complete);
-    },
-    install: ({configuration}) => {
-      this.#host.install(configuration);
-    },
-    evidence: ({target, evidence}) => {
-      this.#host.noteEvidence(target, evidence, this.#now());
-    },
-    drop: ({reason}) => {
-      this.#host.noteDrop(reason);
-    },
-  };
-
   constructor(
     host: RunnerHost,
     request: CallerRequest,
@@ -196,13 +178,14 @@
   }
 
   #perform(actions: readonly RequestAction[]): void {
-    for (const action of actions) this.#handlers[action.kind](action as never);
+    for (const action of actions) {
+      RequestRunner.#handlers[action.kind](this, action as never);
+    }
   }
 
-  #place(action: Extract<RequestAction, {kind: 'place'}>): void {
-    const {excluded, wanted, retryOf} = action;
-    const isHop = this.#placed !== undefined && retryOf === undefined;
-    const query = {runner: this, excluded, wanted, retryOf, isHop};
+  #place(action: ActionOf<'place'>): void {
+    const {excluded, wanted, after, costsBudget} = action;
+    const query = {runner: this, excluded, wanted, after, costsBudget};
     const placed = this.#host.place(query, this.#now());
     if (!('server' in placed)) {
       this.#receive({kind: 'notPlaced', failure: placed});
@@ -216,7 +199,7 @@
     this.#receive({kind: 'placed', target, nonRepeatable});
   }
 
-  async #offer(action: Extract<RequestAction, {kind: 'offer'}>): Promise<void> {
+  async #offer(action: ActionOf<'offer'>): Promise<void> {
     const {attempt, freshConnection} = action;
     const connection = await this.#connectForOffer(attempt, freshConnection);
     if (!this.#isOpen(attempt)) return;
@@ -262,9 +245,20 @@
     const connection = await this.#connect(attempt, freshConnection);
     const newer = this.#host.configurationFor(attempt.target);
     if (!connection || !newer) return connection;
-    const limit = this.#host.installTimeoutMs;
-    const held = await installConfiguration(connection, newer, limit);
-    return held === undefined ? undefined : connection;
+    if (await this.#install(connection, newer)) return connection;
+    // The connection may have gone silent: a fresh one tells.
+    const {address} = attempt.target;
+    const fresh = await this.#host.connections.open(address, connection);
+    return fresh && (await this.#install(fresh, newer)) ? fresh : undefined;
+  }
+
+  async #install(
+    connection: SidecarConnection,
+    configuration: Uint8Array,
+  ): Promise<boolean> {
+    const limit = this.#host.limits.firstFrameAfterMs;
+    const held = await installConfiguration(connection, configuration, limit);
+    return held !== undefined;
   }
 
   #isOpen(attempt: Attempt): boolean {
@@ -272,7 +266,7 @@
   }
 
   #makeMessage(
-    action: Extract<RequestAction, {kind: 'offer'}>,
+    action: ActionOf<'offer'>,
   ): lovagepond.v1.AttemptRequest.$Properties {
     const {attempt, resumeFrom, handOvers} = action;
     const {request} = this;
@@ -304,13 +298,11 @@
     };
   }
 
-  async #revoke(
-    action: Extract<RequestAction, {kind: 'revoke'}>,
-  ): Promise<void> {
+  async #revoke(action: ActionOf<'revoke'>): Promise<void> {
     const {attempt, freshConnection} = action;
     const {attemptId, target} = attempt;
     const connection = await this.#connect(attempt, freshConnection);
-    if (connection) this.#connection = connection;
+    if (connection && this.#isOpen(attempt)) this.#connection = connection;
     const outcome = connection
       ? await revokeAttempt(
           connection,
@@ -322,6 +314,37 @@
     this.#receive({kind: 'revoked', attemptId, outcome});
   }
 
+  /**
+   * A stream that ends looks to the sidecar like a lost connection, whose
+   * attempt it keeps for a router that comes back. So it is told to give up an
+   * abandoned attempt; should that get lost, its own time limit does.
+   *
+   * The stream of an attempt that was answered for good is left to end by
+   * itself: its frames no longer count.
+   */
+  #close({attempt, abandoned}: ActionOf<'close'>): void {
+    const connection = this.#connection;
+    if (abandoned && connection) {
+      const {attemptId, target} = attempt;
+      const limit = this.#host.revokeTimeoutMs;
+      void revokeAttempt(connection, attemptId, target.incarnation, limit);
+      this.#stream?.cancel();
+    }
+    this.#stream = undefined;
+    this.#connection = undefined;
+  }
+
+  #end(): void {
+    this.#sink.end();
+    this.#host.noteDone(this, undefined);
+  }
+
+  #fail(failure: Failure): void {
+    const complete = this.#host.completeFailure(failure, this.#now());
+    this.#sink.fail(complete);
+    this.#host.noteDone(this, complete);
+  }
+
   /** Frames wait in the connection while the caller can take no more. */
   async #write(data: Uint8Array): Promise<void> {
     this.#unwrittenBytes += data.length;
--- a/packages/lovagepond-router/src/router_request_types.ts
+++ b/packages/lovagepond-router/src/router_request_types.ts
@@ -93,6 +93,15 @@
 /** A revocation's answer; `lost` when none came in time. */
 export type RevokeOutcome = 'revoked' | 'dispatched' | 'unknown' | 'lost';
 
+/** Evidence against a server, from the weakest to the strongest. */
+export type EvidenceKind =
+  /** One connection fell silent or broke. */
+  | 'silent'
+  /** The sidecar says that its server takes nothing for now. */
+  | 'away'
+  /** No fresh connection could be made. */
+  | 'unreachable';
+
 /** What the shell is to do for a request. */
 export type RequestAction =
   /** Choose a backend server, then report `placed` or `notPlaced`. */
@@ -102,8 +111,10 @@
       readonly excluded: ReadonlySet<string>;
       /** A server named by a pointer or hand-over, or undefined. */
       readonly wanted: string | undefined;
-      /** The failure that this retries; undefined when it costs no budget. */
-      readonly retryOf: Failure | undefined;
+      /** Why the former attempt came to nothing; undefined for the first. */
+      readonly after: Failure | undefined;
+      /** The retry is paid from the pool's budget. */
+      readonly costsBudget: boolean;
     }
   /** Connect and send the attempt; frames follow. */
   | {
@@ -122,8 +133,13 @@
       readonly attempt: Attempt;
       readonly freshConnection: boolean;
     }
-  /** Close the attempt's stream; its frames no longer count. */
-  | {readonly kind: 'cancel'; readonly attempt: Attempt}
+  /** Let the attempt go; its frames no longer count. */
+  | {
+      readonly kind: 'close';
+      readonly attempt: Attempt;
+      /** It may still wait or run: tell its sidecar to give it up. */
+      readonly abandoned: boolean;
+    }
   | {
       readonly kind: 'begin';
       readonly status: number;
@@ -138,6 +154,32 @@
   | {
       readonly kind: 'evidence';
       readonly target: AttemptTarget;
-      readonly evidence: 'silent' | 'unreachable';
+      readonly evidence: EvidenceKind;
     }
   | {readonly kind: 'drop'; readonly reason: DropReason};
+
+/** Why an attempt is taken back. */
+export const REVOKE_REASON = {
+  DEADLINE: 'deadline',
+  CONNECTION_LOST: 'connectionLost',
+} as const;
+
+/** One of the values of {@link REVOKE_REASON}. */
+export type RevokeReason = (typeof REVOKE_REASON)[keyof typeof REVOKE_REASON];
+
+/** How an attempt is let go. */
+export const CLOSING = {
+  /** Its sidecar has answered for good. */
+  CONCLUDED: 'concluded',
+  /** It may still wait or run: the sidecar is told to give it up. */
+  ABANDONED: 'abandoned',
+} as const;
+
+/** One of the values of {@link CLOSING}. */
+export type Closing = (typeof CLOSING)[keyof typeof CLOSING];
+
+/** The event of a kind. */
+export type EventOf<Kind extends RequestEvent['kind']> = Extract<
+  RequestEvent,
+  {kind: Kind}
+>;
--- a/packages/lovagepond-router/src/router_role.ts
+++ b/packages/lovagepond-router/src/router_role.ts
@@ -190,7 +190,8 @@
       hasher,
       load: this.#load,
       random,
-      isSuspect: server => this.#evidence.isSuspect(server.incarnation),
+      isSuspect: ({incarnation}, now) =>
+        this.#evidence.isSuspect(incarnation, now),
     });
     this.#choice = choice;
     const shared = {
--- a/packages/lovagepond-router/src/router_server_choice.ts
+++ b/packages/lovagepond-router/src/router_server_choice.ts
@@ -44,7 +44,7 @@
   readonly load: RouterLoadView;
   readonly random: Random;
   /** @returns true when this router has evidence against the server */
-  readonly isSuspect: (server: BackendServer) => boolean;
+  readonly isSuspect: (server: BackendServer, now: number) => boolean;
 }
 
 /**
@@ -97,7 +97,7 @@
     const table = this.#tableOf(query.set);
     const {candidates, firstChoice} = this.#order(query, pool, table, now);
     const server =
-      this.#findWanted(query) ?? this.#pick(query, candidates, table);
+      this.#findWanted(query, now) ?? this.#pick(query, candidates, table, now);
     if (!server) return undefined;
     const away = server.name !== firstChoice.name;
     return {
@@ -128,10 +128,13 @@
     return policy.place({request, servers, load, settings, now, random});
   }
 
-  #findWanted({set, wanted, excluded}: ChoiceQuery): BackendServer | undefined {
+  #findWanted(
+    {set, wanted, excluded}: ChoiceQuery,
+    now: number,
+  ): BackendServer | undefined {
     if (wanted === undefined || excluded.has(wanted)) return undefined;
     const found = set.servers.find(server => server.name === wanted);
-    return found && !this.#parts.isSuspect(found) ? found : undefined;
+    return found && !this.#parts.isSuspect(found, now) ? found : undefined;
   }
 
   /**
@@ -143,14 +146,16 @@
     {excluded}: ChoiceQuery,
     candidates: readonly Candidate[],
     table: RendezvousTable<Candidate>,
+    now: number,
   ): BackendServer | undefined {
-    const {isSuspect} = this.#parts;
+    const isSuspect = (item: Candidate): boolean =>
+      this.#parts.isSuspect(item.server, now);
     const preferred = candidates.find(
-      item => !excluded.has(item.name) && !isSuspect(item.server),
+      item => !excluded.has(item.name) && !isSuspect(item),
     );
     if (preferred) return preferred.server;
     const rest = table.servers.filter(item => !excluded.has(item.name));
-    const trusted = rest.filter(item => !isSuspect(item.server));
+    const trusted = rest.filter(item => !isSuspect(item));
     const pool = trusted.length > 0 ? trusted : rest;
     return pool.length > 0 ? this.#parts.random.pick(pool).server : undefined;
   }
--- a/packages/lovagepond-scenarios/src/world/routed_request.ts
+++ b/packages/lovagepond-scenarios/src/world/routed_request.ts
@@ -144,7 +144,7 @@
         this.revokes.push(attempt);
         this.#answerRevoke(attempt.attemptId);
       },
-      cancel: () => undefined,
+      close: () => undefined,
       begin: () => undefined,
       write: ({data}) => {
         this.text += Buffer.from(data).toString();
