Measure placement in virtual time through the real gate and policies

**Change** Seeded arrivals of both users' deployments run through the placement policies, load views, gates and takers with a stand-in engine: a wake each minute and storms of long chats, a server replaced every 200 s, one lost to control for 4 s every 130 s, lists that reach each router within 3 s, loads announced once a second.

--- /dev/null
+++ b/packages/lovagepond-measure/src/measure_churn.ts
@@ -0,0 +1,36 @@
+/**
+ * Backend servers come and go: planned leaves and crashes in turn, and servers
+ * that control loses for seconds while they go on serving.
+ */
+import {type Random} from '@lovagepond/core';
+import {type MeasureFleet} from './measure_fleet.js';
+
+const REPLACEMENT_DELAY_MS = 10_000;
+const FLAP_MS = 4_000;
+
+/**
+ * Plans the whole run's churn.
+ *
+ * @param fleet the run
+ * @param random draws the servers
+ */
+export function planChurn(fleet: MeasureFleet, random: Random): void {
+  const {replaceEveryMs, flapEveryMs} = fleet.settings;
+  if (replaceEveryMs > 0) {
+    let replaced = 0;
+    fleet.time.every(replaceEveryMs, replaceEveryMs / 2, () => {
+      const server = random.pick(fleet.ready);
+      if (replaced % 2 === 0) fleet.drain(server);
+      else fleet.crash(server);
+      replaced++;
+      fleet.time.after(REPLACEMENT_DELAY_MS, () => fleet.join());
+    });
+  }
+  if (flapEveryMs > 0) {
+    fleet.time.every(flapEveryMs, flapEveryMs, () => {
+      const server = random.pick(fleet.ready);
+      fleet.leaveList(server);
+      fleet.time.after(FLAP_MS, () => fleet.returnToList(server));
+    });
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-measure/src/measure_engine.ts
@@ -0,0 +1,214 @@
+/**
+ * A stand-in for a model engine in virtual time: one prefill after the other,
+ * decoding shared by all streams, a prefix cache that forgets the least
+ * recently used chat.
+ */
+import {MinHeap} from './virtual_time.js';
+
+const MS_PER_SECOND = 1000;
+
+/** What the engine can do. */
+export interface MeasureEngineSettings {
+  readonly prefillTokensPerSecond: number;
+  /** Over all streams. */
+  readonly decodeTokensPerSecond: number;
+  /** Most that one stream gets. */
+  readonly streamTokensPerSecond: number;
+  /** Running tokens at most; what comes beyond waits inside the engine. */
+  readonly capacityTokens: number;
+  /** Tokens of idle chats that stay cached. */
+  readonly cacheTokens: number;
+}
+
+/** One request in the engine. */
+export interface EngineRun {
+  readonly id: string;
+  /** Key of its chat in the prefix cache. */
+  readonly chatKey: string;
+  readonly promptTokens: number;
+  /** Leading tokens of the prompt that an earlier turn can have left. */
+  readonly contextTokens: number;
+  readonly answerTokens: number;
+}
+
+/** What happened to a run. */
+export interface EngineEvent {
+  readonly kind: 'firstToken' | 'done';
+  readonly run: EngineRun;
+  /** Prompt tokens found in the cache. */
+  readonly cachedTokens: number;
+}
+
+interface Active {
+  readonly run: EngineRun;
+  cachedTokens: number;
+}
+
+interface Prefill {
+  readonly active: Active;
+  readonly readyAt: number;
+}
+
+function workOf(run: EngineRun): number {
+  return run.promptTokens + run.answerTokens;
+}
+
+/** Chats kept by recent use, within a bound of tokens. */
+export class MeasureCache {
+  readonly #limit: number;
+  readonly #chats = new Map<string, number>();
+  #tokens = 0;
+
+  constructor(limitTokens: number) {
+    this.#limit = limitTokens;
+  }
+
+  /** @returns cached tokens of the chat, without counting as a use */
+  peek(chatKey: string): number {
+    return this.#chats.get(chatKey) ?? 0;
+  }
+
+  /** @returns chats by recent use, the most recent first */
+  recentChats(): string[] {
+    return [...this.#chats.keys()].reverse();
+  }
+
+  /** @returns chats that had to go */
+  put(chatKey: string, tokens: number): string[] {
+    this.#tokens += tokens - this.peek(chatKey);
+    this.#chats.delete(chatKey);
+    this.#chats.set(chatKey, tokens);
+    const evicted: string[] = [];
+    for (const [oldest, size] of this.#chats) {
+      if (this.#tokens <= this.#limit) break;
+      this.#chats.delete(oldest);
+      this.#tokens -= size;
+      evicted.push(oldest);
+    }
+    return evicted;
+  }
+}
+
+/** The engine. Time is an argument; events are read by {@link advance}. */
+export class MeasureEngine {
+  readonly #settings: MeasureEngineSettings;
+  readonly cache: MeasureCache;
+  readonly #waiting: Active[] = [];
+  readonly #prefills: Prefill[] = [];
+  readonly #decoding = new MinHeap<Active>();
+  /** Tokens that a stream which was there from the start would have. */
+  #attained = 0;
+  #advancedTo = 0;
+  #inCapacity = 0;
+  #loadTokens = 0;
+  #evicted: string[] = [];
+
+  constructor(settings: MeasureEngineSettings) {
+    this.#settings = settings;
+    this.cache = new MeasureCache(settings.cacheTokens);
+  }
+
+  /** @returns tokens handed to the engine and not finished */
+  get loadTokens(): number {
+    return this.#loadTokens;
+  }
+
+  /** @returns chats evicted since the last call */
+  takeEvicted(): readonly string[] {
+    const evicted = this.#evicted;
+    this.#evicted = [];
+    return evicted;
+  }
+
+  /** @param run handed over now */
+  start(run: EngineRun, now: number): void {
+    this.#loadTokens += workOf(run);
+    this.#waiting.push({run, cachedTokens: 0});
+    this.#admit(now);
+  }
+
+  /** @returns when {@link advance} is needed next; Infinity when idle */
+  nextEventAt(): number {
+    const prefillAt = this.#prefills[0]?.readyAt ?? Infinity;
+    const rate = this.#ratePerMs();
+    if (rate === 0) return prefillAt;
+    const left = this.#decoding.leastKey - this.#attained;
+    return Math.min(prefillAt, this.#advancedTo + Math.max(0, left) / rate);
+  }
+
+  /** @returns what happened up to now */
+  advance(now: number): EngineEvent[] {
+    const events: EngineEvent[] = [];
+    while (this.nextEventAt() <= now) {
+      const at = Math.max(this.#advancedTo, this.nextEventAt());
+      this.#decodeUntil(at);
+      const prefill = this.#prefills[0];
+      if (prefill && prefill.readyAt <= at) {
+        events.push(this.#endPrefill(prefill));
+      } else {
+        events.push(...this.#endDecode(at));
+      }
+    }
+    this.#decodeUntil(now);
+    return events;
+  }
+
+  #ratePerMs(): number {
+    const streams = this.#decoding.size;
+    if (streams === 0) return 0;
+    const {streamTokensPerSecond, decodeTokensPerSecond} = this.#settings;
+    const share = decodeTokensPerSecond / streams;
+    return Math.min(streamTokensPerSecond, share) / MS_PER_SECOND;
+  }
+
+  #decodeUntil(time: number): void {
+    this.#attained += this.#ratePerMs() * (time - this.#advancedTo);
+    this.#advancedTo = time;
+  }
+
+  #admit(now: number): void {
+    let head = this.#waiting[0];
+    while (head && this.#fits(head.run)) {
+      this.#waiting.shift();
+      this.#inCapacity += workOf(head.run);
+      this.#beginPrefill(head, now);
+      head = this.#waiting[0];
+    }
+  }
+
+  #fits(run: EngineRun): boolean {
+    const total = this.#inCapacity + workOf(run);
+    return this.#inCapacity === 0 || total <= this.#settings.capacityTokens;
+  }
+
+  #beginPrefill(active: Active, now: number): void {
+    const {run} = active;
+    const cached = this.cache.peek(run.chatKey);
+    active.cachedTokens = Math.min(cached, run.contextTokens);
+    if (cached > 0) this.cache.put(run.chatKey, cached);
+    const tokens = run.promptTokens - active.cachedTokens;
+    const workMs =
+      (tokens * MS_PER_SECOND) / this.#settings.prefillTokensPerSecond;
+    const freeAt = this.#prefills.at(-1)?.readyAt ?? now;
+    this.#prefills.push({active, readyAt: Math.max(now, freeAt) + workMs});
+  }
+
+  #endPrefill({active}: Prefill): EngineEvent {
+    this.#prefills.shift();
+    const {run, cachedTokens} = active;
+    this.#decoding.push(this.#attained + run.answerTokens, active);
+    return {kind: 'firstToken', run, cachedTokens};
+  }
+
+  #endDecode(now: number): EngineEvent[] {
+    const active = this.#decoding.pop();
+    if (!active) return [];
+    const {run, cachedTokens} = active;
+    const work = workOf(run);
+    this.#loadTokens -= work;
+    this.#inCapacity -= work;
+    this.#evicted.push(...this.cache.put(run.chatKey, work));
+    this.#admit(now);
+    return [{kind: 'done', run, cachedTokens}];
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-measure/src/measure_fleet.ts
@@ -0,0 +1,303 @@
+/**
+ * One run: routers, backend servers and a stand-in for control in virtual
+ * time.
+ */
+import {encodeLoad, Random} from '@lovagepond/core';
+import {lovagepond} from '@lovagepond/protocol';
+import {
+  type KeyHasher,
+  PLACEMENT_POLICIES,
+  type PlacementPolicy,
+  type PlacementPolicyName,
+} from '@lovagepond/router';
+import {planChurn} from './measure_churn.js';
+import {
+  type FleetSettings,
+  HOP_MS,
+  type Variant,
+} from './measure_fleet_types.js';
+import {MeasureOutcomes, SkewSampler} from './measure_outcomes.js';
+import {WarmestPolicy} from './measure_reference.js';
+import {MeasureRouter} from './measure_router.js';
+import {MeasureServer, type ServerPort} from './measure_server.js';
+import {type Arrival} from './measure_workload.js';
+import {VirtualTime} from './virtual_time.js';
+
+const ANNOUNCE_INTERVAL_MS = 1_000;
+const DIGEST_INTERVAL_MS = 1_000;
+const DRAIN_LIMIT_MS = 15_000;
+/** Up to so many servers, skew is looked at on each change of a load. */
+const SAMPLE_EACH_CHANGE_UP_TO = 64;
+const SAMPLE_INTERVAL_MS = 50;
+/** HTTP/2 frame head and gRPC message head. */
+const FRAME_BYTES = 14;
+/** A member's name, labels, address and state on the wire. */
+const MEMBER_BYTES = 120;
+const CACHE_MOVE_TOKENS_PER_SECOND = 40_000;
+
+/** What a server announced last. */
+interface Announced {
+  readonly runningTokens: number;
+  readonly queuedTokens: number;
+  readonly at: number;
+}
+
+/** The figures of one run. */
+export interface FleetResult {
+  readonly outcomes: MeasureOutcomes;
+  readonly skew: SkewSampler;
+  /** For each router. */
+  readonly controlBytesPerSecond: number;
+  readonly events: number;
+}
+
+/** The run. */
+export class MeasureFleet implements ServerPort {
+  readonly time = new VirtualTime();
+  readonly settings: FleetSettings;
+  readonly variant: Variant;
+  readonly #hasher: KeyHasher;
+  readonly #outcomes: MeasureOutcomes;
+  readonly #skew: SkewSampler;
+  readonly #random: Random;
+  readonly #servers = new Map<string, MeasureServer>();
+  readonly #ready = new Set<MeasureServer>();
+  readonly #announced = new Map<MeasureServer, Announced>();
+  readonly #routers: MeasureRouter[];
+  #slots = 0;
+  #controlBytes = 0;
+  #refreshPlanned = false;
+
+  constructor(settings: FleetSettings, variant: Variant, hasher: KeyHasher) {
+    this.settings = settings;
+    this.variant = variant;
+    this.#hasher = hasher;
+    this.#random = new Random(settings.seed);
+    const {floorTokens, pool, warmUpMs} = settings;
+    this.#outcomes = new MeasureOutcomes(warmUpMs);
+    this.#skew = new SkewSampler(floorTokens, pool.loadBound, warmUpMs);
+    const port = {
+      time: this.time,
+      settings,
+      hasher,
+      outcomes: this.#outcomes,
+    };
+    this.#routers = Array.from(
+      {length: settings.routers},
+      (_, index) =>
+        new MeasureRouter(port, this.#makePolicy(), settings.seed + index),
+    );
+  }
+
+  /**
+   * @param arrivals requests in order of time; each comes to any router
+   * @returns the figures
+   */
+  run(arrivals: readonly Arrival[]): FleetResult {
+    const {servers, endMs} = this.settings;
+    for (let index = 0; index < servers; index++) this.#addServer();
+    for (const router of this.#routers) router.setList([...this.#ready]);
+    for (const arrival of arrivals) {
+      const router = this.#random.pick(this.#routers);
+      this.time.at(arrival.at, () => router.arrive(arrival));
+    }
+    planChurn(this, this.#random);
+    this.time.every(DIGEST_INTERVAL_MS, 500, () => this.#publishDigest());
+    if (servers > SAMPLE_EACH_CHANGE_UP_TO) {
+      this.time.every(SAMPLE_INTERVAL_MS, 0, () => this.#sampleSkew());
+    }
+    this.time.runUntil(endMs);
+    const seconds = endMs / 1000;
+    const controlBytesPerSecond =
+      this.#controlBytes / this.settings.routers / seconds;
+    const outcomes = this.#outcomes;
+    const events = this.time.ran;
+    return {outcomes, skew: this.#skew, controlBytesPerSecond, events};
+  }
+
+  findServer(name: string): MeasureServer | undefined {
+    return this.#servers.get(name);
+  }
+
+  /** @returns the servers that control counts as ready */
+  get ready(): readonly MeasureServer[] {
+    return [...this.#ready];
+  }
+
+  changed(_server: MeasureServer): void {
+    if (this.settings.servers <= SAMPLE_EACH_CHANGE_UP_TO) this.#sampleSkew();
+    if (this.variant.exact) this.#planRefresh();
+  }
+
+  /** A new server under a new name comes up and joins the list. */
+  join(): void {
+    this.#addServer();
+    this.#publishList();
+  }
+
+  /** @param server loses its process at once */
+  crash(server: MeasureServer): void {
+    server.crash();
+    this.leaveList(server);
+  }
+
+  /** @param server finishes what it has and gets nothing new */
+  drain(server: MeasureServer): void {
+    this.leaveList(server);
+    if (this.variant.moveCache) this.#moveCaches(server);
+    server.drain(DRAIN_LIMIT_MS);
+    this.time.after(DRAIN_LIMIT_MS, () => {
+      server.crash();
+    });
+  }
+
+  /** @param server is no longer on control's list */
+  leaveList(server: MeasureServer): void {
+    this.#ready.delete(server);
+    this.#announced.delete(server);
+    this.#publishList();
+  }
+
+  /** @param server is on control's list again */
+  returnToList(server: MeasureServer): void {
+    if (!server.alive || server.gate.draining) return;
+    this.#ready.add(server);
+    this.#publishList();
+  }
+
+  #makePolicy(): PlacementPolicy {
+    const name = this.variant.policy;
+    if (Object.hasOwn(PLACEMENT_POLICIES, name)) {
+      return PLACEMENT_POLICIES[name as PlacementPolicyName](this.#hasher);
+    }
+    return new WarmestPolicy(server => this.#servers.get(server)?.engine);
+  }
+
+  #addServer(): void {
+    const slot = this.#slots++;
+    const server = new MeasureServer(`server-${slot}`, slot, this);
+    this.#servers.set(server.name, server);
+    this.#ready.add(server);
+    const phase = this.#random.below(ANNOUNCE_INTERVAL_MS);
+    const first = this.time.now + phase;
+    this.time.every(ANNOUNCE_INTERVAL_MS, first, () => this.#announce(server));
+  }
+
+  #announce(server: MeasureServer): void {
+    if (!server.alive || !this.#ready.has(server)) return;
+    const {now} = this.time;
+    const {runningTokens, queuedTokens} = server.gate.load(now);
+    this.#announced.set(server, {runningTokens, queuedTokens, at: now});
+    let total = 0;
+    let ages = 0;
+    for (const announced of this.#announced.values()) {
+      total += announced.runningTokens;
+      ages += now - announced.at;
+    }
+    const count = this.#announced.size;
+    const mean = {
+      meanTokens: total / count,
+      ageMs: ages / count,
+      readyServers: this.#ready.size,
+      ownTokens: runningTokens,
+    };
+    if (this.variant.exact) return;
+    this.time.after(2 * HOP_MS, () => {
+      server.gate.admission.setPoolMean(mean, this.time.now);
+      server.tick();
+    });
+  }
+
+  #publishDigest(): void {
+    const measuredAt = this.time.now;
+    const loads = new Uint8Array(this.#slots);
+    const peers = [...this.#announced].map(([server, announced]) => {
+      const tokens = announced.runningTokens + announced.queuedTokens;
+      loads[server.slot] = encodeLoad(tokens);
+      return {backendServer: server.name, address: '', tokens};
+    });
+    // The live servers' bytes travel: control reuses the slots of those gone.
+    const live = loads.subarray(0, this.#ready.size);
+    const load = {membership_version: 1, loads: live, age_ms: 500};
+    const {length} = lovagepond.v1.ControlUpdate.encode({load}).finish();
+    this.#controlBytes += (length + FRAME_BYTES) * this.#routers.length;
+    this.time.after(HOP_MS, () => {
+      for (const router of this.#routers) router.setDigest(loads, measuredAt);
+      for (const server of this.#ready) {
+        const others = peers.filter(peer => peer.backendServer !== server.name);
+        server.setPeers(others);
+      }
+    });
+  }
+
+  /** Each router learns of the list's change at its own time. */
+  #publishList(): void {
+    const {maxListLagMs} = this.settings;
+    this.#controlBytes += MEMBER_BYTES * this.#routers.length;
+    if (this.variant.exact) this.#planRefresh();
+    for (const router of this.#routers) {
+      const lag = this.variant.exact ? 0 : this.#random.next() * maxListLagMs;
+      this.time.after(lag, () => router.setList([...this.#ready]));
+    }
+    this.#sampleSkew();
+  }
+
+  #sampleSkew(): void {
+    const loads: number[] = [];
+    for (const server of this.#ready) {
+      if (server.alive) loads.push(server.engine.loadTokens);
+    }
+    this.#skew.change(loads, this.time.now);
+  }
+
+  #planRefresh(): void {
+    if (this.#refreshPlanned) return;
+    this.#refreshPlanned = true;
+    this.time.after(0, () => {
+      this.#refreshPlanned = false;
+      this.#refreshExact();
+    });
+  }
+
+  /** The all-knowing reference: every gate knows the mean of this moment. */
+  #refreshExact(): void {
+    const servers = [...this.#ready].filter(server => server.alive);
+    const {now} = this.time;
+    const loads = servers.map(({gate}) => gate.load(now));
+    const total = loads.reduce((sum, load) => sum + load.runningTokens, 0);
+    const peers = servers.map((server, index) => ({
+      backendServer: server.name,
+      address: '',
+      tokens: loads[index]?.queuedTokens ?? 0,
+    }));
+    peers.sort((a, b) => b.tokens - a.tokens);
+    servers.forEach((server, index) => {
+      const mean = {
+        meanTokens: total / servers.length,
+        ageMs: 0,
+        readyServers: servers.length,
+        ownTokens: loads[index]?.runningTokens ?? 0,
+      };
+      server.gate.admission.setPoolMean(mean, now);
+      server.setPeers(peers.slice(0, 1));
+      if (server.gate.load(now).queuedRequests > 0) server.tick();
+    });
+  }
+
+  /** Brings the most recent chats to where they will land next, in order. */
+  #moveCaches(leaving: MeasureServer): void {
+    const router = this.#routers[0];
+    if (!router) return;
+    let delayMs = 0;
+    for (const chatKey of leaving.engine.cache.recentChats()) {
+      const tokens = leaving.engine.cache.peek(chatKey);
+      delayMs += (tokens * 1000) / CACHE_MOVE_TOKENS_PER_SECOND;
+      if (delayMs > DRAIN_LIMIT_MS) return;
+      this.time.after(delayMs, () => {
+        const [workspace = '', chat = ''] = chatKey.split('\u0000');
+        const target = router.homeOf(workspace, chat, leaving.name);
+        target?.importCache(chatKey, leaving.engine.cache.peek(chatKey));
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-measure/src/measure_router.ts
@@ -0,0 +1,212 @@
+/**
+ * One router of a run: the real policy and load view, and a short form of the
+ * request's way from attempt to attempt.
+ */
+import {ERROR_ANSWERS, type ErrorKind, Random} from '@lovagepond/core';
+import {
+  type KeyHasher,
+  makeChatText,
+  type PlacementPolicy,
+  type PlacementServer,
+  RendezvousTable,
+  RouterLoadView,
+} from '@lovagepond/router';
+import {
+  type Attempt,
+  type AttemptOwner,
+  type FleetSettings,
+  HOP_MS,
+  workOfArrival,
+} from './measure_fleet_types.js';
+import {type MeasureOutcomes} from './measure_outcomes.js';
+import {type MeasureServer} from './measure_server.js';
+import {type Arrival} from './measure_workload.js';
+import {type VirtualTime} from './virtual_time.js';
+
+const MAX_ATTEMPTS = 5;
+
+/** A backend server on a router's list. */
+interface ListedServer extends PlacementServer {
+  readonly handle: MeasureServer;
+}
+
+/** A request without its final answer. */
+interface Pending {
+  readonly arrival: Arrival;
+  readonly candidates: readonly ListedServer[];
+  readonly firstChoice: string;
+  readonly tried: Set<string>;
+  attempts: number;
+  handOvers: number;
+}
+
+/** What a router needs from the rest of the run. */
+export interface RouterPort {
+  readonly time: VirtualTime;
+  readonly settings: FleetSettings;
+  readonly hasher: KeyHasher;
+  readonly outcomes: MeasureOutcomes;
+}
+
+/** The router. */
+export class MeasureRouter implements AttemptOwner {
+  readonly #port: RouterPort;
+  readonly #policy: PlacementPolicy;
+  readonly #random: Random;
+  readonly #view = new RouterLoadView();
+  readonly #readySince = new Map<string, number>();
+  #listed = new Map<string, ListedServer>();
+  #table: RendezvousTable<ListedServer> | undefined;
+  readonly #pending = new Map<string, Pending>();
+
+  constructor(port: RouterPort, policy: PlacementPolicy, seed: number) {
+    this.#port = port;
+    this.#policy = policy;
+    this.#random = new Random(seed);
+  }
+
+  /** @param servers the list as it reaches this router */
+  setList(servers: readonly MeasureServer[]): void {
+    const since = this.#table ? this.#port.time.now : Number.NEGATIVE_INFINITY;
+    const listed = servers.map(handle => {
+      const {name, slot} = handle;
+      const readySince = this.#readySince.get(name) ?? since;
+      this.#readySince.set(name, readySince);
+      return {name, slot, readySince, handle};
+    });
+    this.#listed = new Map(listed.map(server => [server.name, server]));
+    this.#table = new RendezvousTable(listed, this.#port.hasher);
+  }
+
+  /**
+   * @param loads the digest
+   * @param measuredAt when control put it together
+   */
+  setDigest(loads: Uint8Array, measuredAt: number): void {
+    this.#view.applyDigest(loads, measuredAt);
+  }
+
+  /**
+   * @param workspace a chat's workspace
+   * @param chat the chat
+   * @param leaving a server that is about to go
+   * @returns where the chat lands once that server is gone
+   */
+  homeOf(
+    workspace: string,
+    chat: string,
+    leaving: string,
+  ): MeasureServer | undefined {
+    const key = this.#port.hasher.hash(makeChatText(workspace, chat));
+    const order = this.#table?.order(key, 2) ?? [];
+    const servers = order.map(index => this.#table?.servers[index]);
+    return servers.find(server => server?.name !== leaving)?.handle;
+  }
+
+  /** @param arrival a request that reaches this router now */
+  arrive(arrival: Arrival): void {
+    const {time, settings, outcomes} = this.#port;
+    outcomes.arrived(arrival);
+    if (!this.#table || this.#table.servers.length === 0) {
+      outcomes.refused(arrival);
+      return;
+    }
+    const {candidates, firstChoice} = this.#policy.place({
+      request: {
+        workspace: arrival.workspace,
+        chat: arrival.chat,
+        estimatedTokens: workOfArrival(arrival),
+        promptTokens: arrival.promptTokens,
+        returning: arrival.contextTokens > 0,
+      },
+      servers: this.#table,
+      load: this.#view,
+      settings: settings.pool,
+      now: time.now,
+      random: this.#random,
+    });
+    const pending: Pending = {
+      arrival,
+      candidates,
+      firstChoice: firstChoice.name,
+      tried: new Set(),
+      attempts: 0,
+      handOvers: 0,
+    };
+    this.#pending.set(arrival.id, pending);
+    this.#sendNext(pending);
+  }
+
+  refused(attempt: Attempt, kind: ErrorKind, pointer: string): void {
+    const pending = this.#pending.get(attempt.arrival.id);
+    if (!pending) return;
+    const pointed = this.#listed.get(pointer);
+    if (kind === 'handedOver') pending.handOvers++;
+    if (kind === 'servedElsewhere') pending.tried.delete(pending.firstChoice);
+    if (pointed && pending.attempts < MAX_ATTEMPTS) {
+      this.#send(pending, pointed);
+    } else if (ERROR_ANSWERS[kind].anotherAttempt) this.#sendNext(pending);
+    else this.#giveUp(pending);
+  }
+
+  firstToken(attempt: Attempt, cachedTokens: number): void {
+    const {outcomes, time} = this.#port;
+    const pending = this.#pending.get(attempt.arrival.id);
+    if (!pending) return;
+    const {arrival, attempts} = pending;
+    outcomes.firstToken(arrival, cachedTokens, time.now, attempts);
+  }
+
+  done({arrival}: Attempt): void {
+    this.#pending.delete(arrival.id);
+    this.#port.outcomes.done(arrival, this.#port.time.now);
+  }
+
+  lost({arrival, streaming}: Attempt): void {
+    const pending = this.#pending.get(arrival.id);
+    if (!pending) return;
+    if (!streaming) {
+      this.#sendNext(pending);
+      return;
+    }
+    this.#pending.delete(arrival.id);
+    this.#port.outcomes.failed(arrival);
+  }
+
+  observed(backendServer: string, tokens: number): void {
+    const listed = this.#listed.get(backendServer);
+    if (!listed) return;
+    this.#view.recordObserved(listed.slot, tokens, this.#port.time.now);
+  }
+
+  #sendNext(pending: Pending): void {
+    const next = pending.candidates.find(({name}) => !pending.tried.has(name));
+    if (next && pending.attempts < MAX_ATTEMPTS) this.#send(pending, next);
+    else this.#giveUp(pending);
+  }
+
+  #send(pending: Pending, server: ListedServer): void {
+    const {time} = this.#port;
+    const {arrival, firstChoice, handOvers} = pending;
+    pending.attempts++;
+    pending.tried.add(server.name);
+    const attempt: Attempt = {
+      attemptId: `${arrival.id}#${pending.attempts}`,
+      arrival,
+      firstChoice,
+      handOvers,
+      owner: this,
+      streaming: false,
+    };
+    this.#view.recordSent(server.slot, workOfArrival(arrival), time.now);
+    time.after(HOP_MS, () => {
+      if (server.handle.alive) server.handle.offer(attempt);
+      else time.after(HOP_MS, () => this.refused(attempt, 'unreachable', ''));
+    });
+  }
+
+  #giveUp({arrival}: Pending): void {
+    this.#pending.delete(arrival.id);
+    this.#port.outcomes.refused(arrival);
+  }
+}
--- a/packages/lovagepond-measure/src/measure_statistics.ts
+++ b/packages/lovagepond-measure/src/measure_statistics.ts
@@ -26,9 +26,13 @@
     });
   }
 
-  /** @param value zero or more */
-  record(value: number): void {
-    this.#histogram.recordValue(Math.round(value / this.#unit));
+  /**
+   * @param value zero or more
+   * @param count how often it counts
+   */
+  record(value: number, count = 1): void {
+    const steps = Math.round(value / this.#unit);
+    this.#histogram.recordValueWithCount(steps, count);
     if (value > this.#max) this.#max = value;
   }
 
--- a/packages/lovagepond-measure/src/measure_table.ts
+++ b/packages/lovagepond-measure/src/measure_table.ts
@@ -6,10 +6,12 @@
 import {measureCaller} from './caller_measure.js';
 import {measureDecisionCost} from './decision_cost_measure.js';
 import {type MeasureFunction} from './measure_types.js';
+import {measurePlacement} from './placement_measure.js';
 import {measureSidecar} from './sidecar_measure.js';
 
 /** Name to measure; run in this order when no name is given. */
 export const MEASURES: Readonly<Record<string, MeasureFunction>> = {
+  placement: measurePlacement,
   'decision-cost': measureDecisionCost,
   sidecar: measureSidecar,
   caller: measureCaller,
--- /dev/null
+++ b/packages/lovagepond-measure/src/placement_measure.ts
@@ -0,0 +1,188 @@
+/**
+ * Cache reuse against skew, for every policy on both users' deployments.
+ */
+import {type KeyHasher, loadKeyHasher} from '@lovagepond/router';
+import {MeasureFleet} from './measure_fleet.js';
+import {type FleetSettings, type Variant} from './measure_fleet_types.js';
+import {roundTo} from './measure_statistics.js';
+import {type MeasureSection} from './measure_types.js';
+import {type Arrival, makeStorm, makeWake} from './measure_workload.js';
+
+const SEED = 820;
+const END_MS = 900_000;
+const WARM_UP_MS = 60_000;
+
+const ENGINE = {
+  prefillTokensPerSecond: 8_000,
+  decodeTokensPerSecond: 2_400,
+  streamTokensPerSecond: 60,
+  cacheTokens: 600_000,
+};
+const CHURN = {
+  replaceEveryMs: 200_000,
+  flapEveryMs: 130_000,
+  maxListLagMs: 3_000,
+};
+const POOL = {
+  maxHoldMs: 8_000,
+  prefillTokensPerSecond: ENGINE.prefillTokensPerSecond,
+  decodeTokensPerSecond: ENGINE.decodeTokensPerSecond,
+};
+
+/** One user's deployment with its arrivals. */
+export interface Deployment {
+  readonly title: string;
+  readonly settings: FleetSettings;
+  readonly arrivals: readonly Arrival[];
+}
+
+/** @returns the hourly wake; skew is weighed most */
+export function makeWakeDeployment(endMs: number, seed: number): Deployment {
+  return {
+    title: 'Hourly wake (Gutscheinwerk, skew first)',
+    arrivals: makeWake({endMs, scale: 1}, seed),
+    settings: {
+      seed,
+      endMs,
+      warmUpMs: WARM_UP_MS,
+      servers: 6,
+      routers: 4,
+      engine: {...ENGINE, capacityTokens: 40_960},
+      floorTokens: 24_576,
+      pool: {...POOL, loadBound: 1.5, reuseWeight: 0.3},
+      ...CHURN,
+    },
+  };
+}
+
+/** @returns the storm of long chats; reuse is weighed most */
+export function makeStormDeployment(endMs: number, seed: number): Deployment {
+  return {
+    title: 'Storm (Sigurðsson & Synir, reuse first)',
+    arrivals: makeStorm({endMs, scale: 1}, seed),
+    settings: {
+      seed,
+      endMs,
+      warmUpMs: WARM_UP_MS,
+      servers: 6,
+      routers: 4,
+      engine: {...ENGINE, capacityTokens: 400_000},
+      floorTokens: 65_536,
+      pool: {...POOL, loadBound: 2, reuseWeight: 0.9},
+      ...CHURN,
+    },
+  };
+}
+
+const OPEN = {
+  gated: false,
+  pointers: false,
+  take: false,
+  moveCache: false,
+  exact: false,
+};
+const GATED = {...OPEN, gated: true};
+const POINTED = {...GATED, pointers: true};
+
+/** What is measured side by side. */
+export const VARIANTS: readonly Variant[] = [
+  {...OPEN, name: 'round robin', policy: 'roundRobin'},
+  {...OPEN, name: 'rendezvous', policy: 'rendezvous'},
+  {...OPEN, name: 'least loaded', policy: 'leastLoaded'},
+  {...OPEN, name: 'two choices', policy: 'twoChoices'},
+  {...OPEN, name: 'bounded rendezvous', policy: 'boundedRendezvous'},
+  {...POINTED, name: 'bounded + gate', policy: 'boundedRendezvous'},
+  {...POINTED, name: 'cost score + gate', policy: 'costScore'},
+  {...POINTED, name: 'pointers + gate', policy: 'pointers'},
+  {...POINTED, name: 'hold and take', policy: 'holdAndTake', take: true},
+  {
+    ...POINTED,
+    name: 'the same, moving caches',
+    policy: 'holdAndTake',
+    take: true,
+    moveCache: true,
+  },
+  {...OPEN, name: 'knows all: warmest', policy: 'warmest', exact: true},
+  {
+    ...GATED,
+    name: 'knows all: within the bound',
+    policy: 'warmest',
+    take: true,
+    exact: true,
+  },
+];
+
+const COLUMNS = [
+  'policy',
+  'reuse % tokens',
+  'reuse % returns',
+  'skew max',
+  'skew p99',
+  '% time over bound',
+  'refused %',
+  'late %',
+  'cut %',
+  'first token p50 ms',
+  'p95 ms',
+  'attempts',
+  'control B/s',
+] as const;
+
+function measureVariant(
+  deployment: Deployment,
+  variant: Variant,
+  hasher: KeyHasher,
+): (string | number)[] {
+  const fleet = new MeasureFleet(deployment.settings, variant, hasher);
+  const {outcomes, skew, controlBytesPerSecond} = fleet.run(
+    deployment.arrivals,
+  );
+  const {firstTokenMs} = outcomes;
+  return [
+    variant.name,
+    roundTo(outcomes.reuseOfTokens, 1),
+    roundTo(outcomes.reuseOfReturns, 1),
+    roundTo(skew.max, 2),
+    roundTo(skew.ratios.percentile(99), 2),
+    roundTo(skew.overShare, 2),
+    roundTo(outcomes.refusedShare, 2),
+    roundTo(outcomes.lateShare, 2),
+    roundTo(outcomes.failedShare, 2),
+    Math.round(firstTokenMs.percentile(50)),
+    Math.round(firstTokenMs.percentile(95)),
+    roundTo(outcomes.hops.mean, 2),
+    Math.round(controlBytesPerSecond),
+  ];
+}
+
+function measureDeployment(
+  deployment: Deployment,
+  hasher: KeyHasher,
+): MeasureSection {
+  const {settings, arrivals, title} = deployment;
+  const {pool, floorTokens, engine} = settings;
+  return {
+    title,
+    columns: COLUMNS,
+    rows: VARIANTS.map(variant => measureVariant(deployment, variant, hasher)),
+    notes: [
+      `seed ${SEED}; npm run measure -- placement`,
+      `${arrivals.length} requests in ${settings.endMs / 1000} s of virtual ` +
+        `time, ${settings.servers} engines, ${settings.routers} routers`,
+      `bound ${pool.loadBound} of the mean, reuseWeight ${pool.reuseWeight}, ` +
+        `floor ${floorTokens} tokens, engine capacity ` +
+        `${engine.capacityTokens} tokens; skew is the busiest ready engine ` +
+        'over the mean, a mean under floor/bound counted as floor/bound',
+    ],
+  };
+}
+
+/** @returns one table for each user */
+export async function measurePlacement(): Promise<MeasureSection[]> {
+  const hasher = await loadKeyHasher();
+  const deployments = [
+    makeWakeDeployment(END_MS, SEED),
+    makeStormDeployment(END_MS, SEED),
+  ];
+  return deployments.map(deployment => measureDeployment(deployment, hasher));
+}
