Run the whole fleet in one process, and build the one binary

Cause: a first look needs one command, and the build must prove that its binary works. Control's log was in memory only.

--- a/packages/lovagepond-cli/src/command_line.ts
+++ b/packages/lovagepond-cli/src/command_line.ts
@@ -5,7 +5,7 @@
  * no more than its role needs.
  */
 import {EXIT_CODE, EXIT_CODE_MEANINGS} from '@lovagepond/platform/exit_codes';
-import {Command, CommanderError} from 'commander';
+import {Command, CommanderError, Option} from 'commander';
 import {
   PROGRAM_NAME,
   ROLE_NAMES,
@@ -20,6 +20,13 @@
   control: 'run a member of control on a host with a disk',
 };
 
+/** Options of `standalone`. */
+interface StandaloneOptions {
+  readonly dataFolder: string;
+  readonly logLevel: 'debug' | 'info' | 'warn' | 'error';
+  readonly selfCheck?: boolean;
+}
+
 function renderExitCodes(): string {
   const lines = Object.entries(EXIT_CODE_MEANINGS).map(
     ([code, meaning]) => `  ${code}  ${meaning}`,
@@ -62,11 +69,34 @@
     });
 }
 
+function addStandalone(program: Command): void {
+  program
+    .command('standalone')
+    .description('run every role and stand-ins for the backend servers')
+    .option('--data-folder <folder>', 'the only folder it writes to', 'data')
+    .addOption(
+      new Option('--log-level <level>', 'least level that is logged')
+        .choices(['debug', 'info', 'warn', 'error'])
+        .default('warn'),
+    )
+    .option('--self-check', 'send one chat over free ports and end')
+    .addHelpText(
+      'after',
+      renderExamples('standalone', 'standalone --self-check'),
+    )
+    .action(async (options: StandaloneOptions) => {
+      const commands = await import('./command_standalone.js');
+      process.exitCode = options.selfCheck
+        ? await commands.runSelfCheck()
+        : await commands.runStandalone(options.dataFolder, options.logLevel);
+    });
+}
+
 function addFakes(program: Command): void {
   for (const kind of ['engine', 'service'] as const) {
     program
       .command(`fake-${kind}`)
-      .description(`run a stand-in for a ${kind}, for a first look or a test`)
+      .description(`run a stand-in for one ${kind}, for a first look or a test`)
       .option('--listen <address>', 'host:port to listen on', '127.0.0.1:0')
       .addHelpText(
         'after',
@@ -125,6 +155,7 @@
     .addHelpText('after', renderExitCodes())
     .exitOverride();
   addRoles(program);
+  addStandalone(program);
   addFakes(program);
   addCheckSettings(program);
   const ctl = program
--- a/packages/lovagepond-cli/src/role_control.ts
+++ b/packages/lovagepond-cli/src/role_control.ts
@@ -1,7 +1,6 @@
 /**
  * How a member of control is made from its settings file.
  */
-import {MemoryNetwork, MemoryStorage} from '@lovagepond/consensus';
 import {ControlRole} from '@lovagepond/control';
 import {AdministrationServer} from '@lovagepond/operator';
 import {ControlMember} from './control_member.js';
@@ -18,13 +17,7 @@
   schema: CONTROL_SCHEMA,
   createRole(values, {clock, log, random}) {
     const settings = toControlSettings(values);
-    const control = new ControlRole(settings, {
-      clock,
-      log,
-      random,
-      storage: new MemoryStorage(settings.nodeName),
-      makeTransport: () => new MemoryNetwork().attach(settings.address),
-    });
+    const control = new ControlRole(settings, {clock, log, random});
     const administration = new AdministrationServer(
       control.administration,
       toOperatorSettings(values, process.env),
--- a/packages/lovagepond-cli/src/settings_control.ts
+++ b/packages/lovagepond-cli/src/settings_control.ts
@@ -1,6 +1,7 @@
 /**
  * Settings file of a member of control.
  */
+import {join} from 'node:path';
 import {CONTROL_DEFAULTS, type ControlSettings} from '@lovagepond/control';
 import {
   duration,
@@ -22,6 +23,8 @@
 import {formatAddresses, keepDefined} from './settings_utils.js';
 
 const MAX_COUNT = 100_000_000;
+/** Within the data folder; state dumps stand beside it. */
+const CONSENSUS_FOLDER = 'consensus';
 
 const memberSection = z.strictObject({
   listen: withTraits(hostPort(), {listens: true}),
@@ -79,7 +82,7 @@
     port: member.listen.port,
     administrationAddress: formatHostPort(values.administration.listen),
     members: formatAddresses(member.members),
-    dataFolder: platform.dataFolder,
+    dataFolder: join(platform.dataFolder, CONSENSUS_FOLDER),
     ...keepDefined({
       leaseMs: limits.lease,
       digestIntervalMs: limits.digestInterval,
--- a/packages/lovagepond-cli/src/standalone_settings.ts
+++ b/packages/lovagepond-cli/src/standalone_settings.ts
@@ -28,7 +28,14 @@
 }
 
 const HOST = '127.0.0.1';
-const FIRST_PORT = 7_400;
+/** Administration has the port that `ctl` tries by default. */
+const FIRST_PORT = {
+  /** Platform, control, administration. */
+  SHARED: [7_400, 7_401, 7_403],
+  ROUTERS: 7_411,
+  SIDECARS: 7_421,
+  BACKENDS: 7_431,
+} as const;
 const BACKENDS = STANDALONE_COUNTS.ENGINES + STANDALONE_COUNTS.SERVICES;
 
 /** Ports that {@link planPorts} needs. */
@@ -52,9 +59,16 @@
   };
 }
 
-/** @returns the ports that `npm start` uses: 7400 and those after it */
+/** @returns the ports that `npm start` uses, in the order of the plan */
 export function listFixedPorts(): number[] {
-  return Array.from({length: PORT_COUNT}, (_, index) => FIRST_PORT + index);
+  const count = (first: number, length: number): number[] =>
+    Array.from({length}, (_, index) => first + index);
+  return [
+    ...FIRST_PORT.SHARED,
+    ...count(FIRST_PORT.ROUTERS, STANDALONE_COUNTS.ROUTERS),
+    ...count(FIRST_PORT.SIDECARS, BACKENDS),
+    ...count(FIRST_PORT.BACKENDS, BACKENDS),
+  ];
 }
 
 function at(port: number): string {
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,5 +1,6 @@
 // Bundles the program to dist/lovagepond.cjs and, unless --bundle-only is
-// given, makes the single executable dist/lovagepond from it.
+// given, makes the single executable dist/lovagepond from it and sends one
+// chat through it.
 import {execFileSync} from 'node:child_process';
 import {chmodSync, copyFileSync, mkdirSync, writeFileSync} from 'node:fs';
 import {build} from 'esbuild';
@@ -8,6 +9,7 @@
 const BINARY = 'dist/lovagepond';
 const SEA_CONFIG = 'dist/sea-config.json';
 const SEA_BLOB = 'dist/lovagepond.blob';
+const CHECK_LIMIT_MS = 60_000;
 const SEA_FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
 /** @param {string} entry @param {string} outfile */
@@ -45,6 +47,17 @@
   );
 }
 
+/** Runs the binary itself through one chat; a failure fails the build. */
+function checkBinary() {
+  execFileSync(BINARY, ['standalone', '--self-check'], {
+    stdio: 'inherit',
+    timeout: CHECK_LIMIT_MS,
+  });
+}
+
 mkdirSync('dist', {recursive: true});
 await bundle('packages/lovagepond-cli/src/main.ts', BUNDLE);
-if (!process.argv.includes('--bundle-only')) makeBinary();
+if (!process.argv.includes('--bundle-only')) {
+  makeBinary();
+  checkBinary();
+}
