Cut nothing at the end of a leave, and let go when the engine is down

Cause: a leave counted as over when the engine had finished, though a slow router still read the answer; the port closed while routers still had the server on their list; requests that waited for a dead engine were dispatched to it one by one, and their failures made the server look idle, so that it took others' requests; a body above the limit and any number of finished answers were kept.

Change: a leave lasts until every answer is sent, then refuses for a while and lets open calls end; a request that can't be sent counts against the engine at once and makes the sidecar look; what waits for a dead engine is refused as not run; body limit and a limit of finished answers.

--- a/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_dispatcher.test.ts
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_dispatcher.test.ts
@@ -77,6 +77,7 @@
     incarnation,
     newerConfiguration: () => Buffer.of(),
     point: () => {},
+    noteUnreachable: () => {},
     noteServed: () => {},
   });
   return {dispatcher, gate, clock};
@@ -153,6 +154,24 @@
   });
 });
 
+describe('a planned leave', () => {
+  // The engine has finished, but the router still reads the answer. The leave
+  // must not count as over, or the process would stop and cut it.
+  it('is not over while an answer is still sent', async () => {
+    const {dispatcher, gate} = makeWorld(new EchoEngine());
+    const stream = new FakeStream();
+    stream.reads = false;
+    const session = dispatcher.offer(makeRequest('a'), stream);
+    await settle();
+    expect(gate.idle).toBe(true);
+    expect(dispatcher.idle).toBe(false);
+    stream.reads = true;
+    session!.drained(stream);
+    expect(joinChunks(stream.frames)).toBe('0123456789');
+    expect(dispatcher.idle).toBe(true);
+  });
+});
+
 describe('whole answers', () => {
   // The engine's stream breaks after five bytes. It still holds the generation
   // and goes on from there; the caller reads one answer without a seam.
@@ -204,9 +223,11 @@
     const session = dispatcher.offer(makeRequest('a'), stream);
     for (let turn = 0; turn < 40; turn += 1) await settle();
     expect(engine.read).toBeLessThan(80);
+    expect(dispatcher.idle).toBe(false);
     stream.reads = true;
     session!.drained(stream);
     for (let turn = 0; turn < 100; turn += 1) await settle();
     expect(stream.frames.at(-1)?.end?.totalBytes).toBe(1_024_000);
+    expect(dispatcher.idle).toBe(true);
   });
 });
--- a/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_gate_failures.test.ts
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_gate_failures.test.ts
@@ -160,6 +160,23 @@
   });
 });
 
+describe('a backend server that is down', () => {
+  // The engine dies while requests wait for it. Their routers are told at
+  // once that they did not run, and can go elsewhere.
+  it('lets go of all that waits', () => {
+    const gate = makeGate();
+    gate.offer(makeOffer('running', {tokens: 1_000}), 0);
+    gate.offer(makeOffer('a'), 0);
+    gate.offer(makeOffer('b'), 0);
+    const gone = refusals(gate.backendDown(1));
+    expect(gone.map(({failure}) => failure.kind)).toEqual([
+      'notReady',
+      'notReady',
+    ]);
+    expect(gate.load(1).queuedRequests).toBe(0);
+  });
+});
+
 describe('hold and take', () => {
   // A taker asks, the victim hands a request over, and the answer is lost on
   // its way. The router, which alone owns the request, goes to the taker; the
--- a/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_role.test.ts
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_role.test.ts
@@ -28,6 +28,7 @@
       backendUrl: '',
       controlAddresses: [await control.start()],
       announceIntervalMs: 20,
+      drainLingerMs: 0,
     },
     {
       clock: CLOCK,
--- a/packages/lovagepond-sidecar/src/sidecar_backend_watch.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_backend_watch.ts
@@ -72,6 +72,14 @@
     this.#unregister();
   }
 
+  /**
+   * A request could not be sent. Seen by the next look alone, a dead server
+   * would fail requests for a while, and look idle and take others' meanwhile.
+   */
+  noteUnreachable(): void {
+    this.#failures += 1;
+  }
+
   /** Looks once; a look that still goes on is not doubled. */
   async look(): Promise<void> {
     if (this.#looking) return;
--- a/packages/lovagepond-sidecar/src/sidecar_dispatcher.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_dispatcher.ts
@@ -5,6 +5,7 @@
   answerFor,
   type Clock,
   DISPOSITION,
+  type ErrorKind,
   type Failure,
   type Logger,
   makeFailure,
@@ -43,6 +44,8 @@
   newerConfiguration(revision: number): Uint8Array;
   /** Tells a chat's first choice that the chat was served here. */
   point(request: AttemptRequest): void;
+  /** The backend server could not be reached. */
+  noteUnreachable(): void;
   /** A chat's run is over; its context is cached. */
   noteServed(request: AttemptRequest): void;
 }
@@ -157,9 +160,15 @@
     };
   }
 
-  /** @returns true when no attempt runs or waits and no record is open */
+  /**
+   * A run can be over while its answer still waits for a slow reader: stopped
+   * then, the process would cut a request in flight.
+   *
+   * @returns true when nothing runs, waits, is recorded or is still sent
+   */
   get idle(): boolean {
-    return this.#gate.idle && this.#calls.size === 0;
+    if (!this.#gate.idle || this.#calls.size > 0) return false;
+    return ![...this.#sessions.values()].some(({attached}) => attached);
   }
 
   /**
@@ -168,7 +177,7 @@
    *
    * @param request the attempt
    * @param stream where to answer
-   * @returns the attempt's session; undefined for one of a former incarnation
+   * @returns the attempt's session; undefined when there is none to keep
    */
   offer(
     request: AttemptRequest,
@@ -176,9 +185,9 @@
   ): SidecarSession | undefined {
     const now = this.#parts.clock.now();
     const {attemptId, resumeFrom} = request;
-    if (request.incarnation !== this.#parts.incarnation) {
-      const failure = makeFailure('wrongIncarnation');
-      stream.write(makeRefused(failure, '', NO_BYTES));
+    const unfit = this.#findUnfit(request);
+    if (unfit) {
+      stream.write(makeRefused(makeFailure(unfit), '', NO_BYTES));
       stream.end();
       return undefined;
     }
@@ -236,13 +245,17 @@
   tick(now: number): void {
     this.perform(this.#gate.tick(now));
     this.#calls.tick(now);
-    const {heartbeatIntervalMs, answerGraceMs} = this.#settings;
+    const {heartbeatIntervalMs} = this.#settings;
+    const finished: string[] = [];
     for (const [attemptId, session] of this.#sessions) {
       session.beat(now, heartbeatIntervalMs);
       if (session.closedAt === undefined) this.#watchDetached(session, now);
-      else if (now - session.closedAt >= answerGraceMs) {
-        this.#forget(attemptId);
-      }
+      else if (this.#isPast(session.closedAt, now)) this.#forget(attemptId);
+      else if (!session.attached) finished.push(attemptId);
+    }
+    const surplus = finished.length - this.#settings.maxFinishedAnswers;
+    for (const attemptId of finished.slice(0, Math.max(0, surplus))) {
+      this.#forget(attemptId);
     }
   }
 
@@ -251,6 +264,13 @@
     for (const abort of this.#aborts.values()) abort.abort();
   }
 
+  /** Refusals that concern no session: nothing of them is remembered. */
+  #findUnfit({incarnation, body}: AttemptRequest): ErrorKind | undefined {
+    if (incarnation !== this.#parts.incarnation) return 'wrongIncarnation';
+    const tooLarge = body.length > this.#settings.maxBodyBytes;
+    return tooLarge ? 'payloadTooLarge' : undefined;
+  }
+
   #watchDetached(session: SidecarSession, now: number): void {
     const {detachedAt, request} = session;
     if (detachedAt === undefined) return;
@@ -259,6 +279,10 @@
     session.release();
   }
 
+  #isPast(closedAt: number, now: number): boolean {
+    return now - closedAt >= this.#settings.answerGraceMs;
+  }
+
   #forget(attemptId: string): void {
     this.#sessions.delete(attemptId);
     this.#deadlines.delete(attemptId);
@@ -304,6 +328,8 @@
       this.#parts.noteServed(request);
     }
     if (outcome.kind === 'failed') this.#fail(session, outcome.failure, now);
+    const kind = outcome.kind === 'notRun' ? outcome.failure.kind : undefined;
+    if (kind === 'unreachable') this.#parts.noteUnreachable();
     if (request.nonRepeatable) this.#record(session, outcome);
     const end = toRunEnd(outcome);
     this.perform(this.#gate.finish(request.attemptId, end, now));
--- a/packages/lovagepond-sidecar/src/sidecar_gate.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_gate.ts
@@ -298,6 +298,20 @@
     return this.#hold.queue.size === 0 && this.#runs.size === 0;
   }
 
+  /**
+   * The backend server does not answer. What waits for it is told at once, so
+   * that its routers go elsewhere.
+   *
+   * @param now present time
+   * @returns refusals of all that waits
+   */
+  backendDown(now: number): GateAction[] {
+    return this.#hold.takeAll().map(({offer}) => {
+      this.#attempts.refuse(offer.attemptId, now);
+      return makeRefusal(offer.attemptId, 'notReady');
+    });
+  }
+
   /**
    * The backend server restarted: its cache is empty and its runs are gone.
    *
--- a/packages/lovagepond-sidecar/src/sidecar_hold.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_hold.ts
@@ -120,6 +120,13 @@
     return review;
   }
 
+  /** @returns all waiting requests, out of the queue */
+  takeAll(): HeldRequest[] {
+    const all = [...this.queue.values()];
+    this.#removeAll(all);
+    return all;
+  }
+
   /** @returns when {@link takeDue} is needed next; Infinity when never */
   nextDueAt(): number {
     if (this.queue.size === 0) return Infinity;
--- a/packages/lovagepond-sidecar/src/sidecar_role.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_role.ts
@@ -50,6 +50,10 @@
   return `${started}-${random.below(RANDOM_DIGITS).toString(RADIX)}`;
 }
 
+function pause(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
+
 /** One sidecar process. */
 export class SidecarRole implements Role {
   readonly #settings: SidecarSettings;
@@ -167,8 +171,13 @@
     const {clock} = this.#parts;
     const endsAt = clock.now() + limitMs;
     while (!this.#dispatcher.idle && clock.now() < endsAt) {
-      await new Promise(resolve => setTimeout(resolve, IDLE_CHECK_MS));
+      await pause(IDLE_CHECK_MS);
     }
+    // Routers that have not heard yet are still refused, which costs them a
+    // hop; a closed port would count against the server and their budget.
+    const {drainLingerMs} = this.#settings;
+    await pause(Math.min(drainLingerMs, Math.max(0, endsAt - clock.now())));
+    await this.#server.finish(Math.max(0, endsAt - clock.now()));
   }
 
   /** See {@link Role.stop}. */
@@ -220,6 +229,11 @@
       incarnation: this.#incarnation,
       newerConfiguration: revision => this.#configuration.newerThan(revision),
       point: request => this.#point(request),
+      noteUnreachable: () => {
+        this.#watch.noteUnreachable();
+        this.#updateReadiness();
+        void this.#look();
+      },
       noteServed: ({workspace, chat}) =>
         this.#mover?.recent.note({workspace, chat}),
     });
@@ -294,6 +308,10 @@
   #updateReadiness(): void {
     const before = this.#state();
     this.#gate.setNotReady(this.#notReadyReason());
+    if (!this.#watch.up) {
+      const now = this.#parts.clock.now();
+      this.#dispatcher.perform(this.#gate.backendDown(now));
+    }
     if (before !== this.#state()) void this.#announcer.announce();
   }
 
--- a/packages/lovagepond-sidecar/src/sidecar_server.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_server.ts
@@ -155,6 +155,21 @@
     });
   }
 
+  /**
+   * Takes no new calls and lets the open ones end.
+   *
+   * @param limitMs longest time to wait for them
+   */
+  finish(limitMs: number): Promise<void> {
+    return new Promise(resolve => {
+      const timer = setTimeout(resolve, limitMs);
+      this.#server.tryShutdown(() => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+  }
+
   /** Ends all calls. */
   stop(): void {
     this.#server.forceShutdown();
--- a/packages/lovagepond-sidecar/src/sidecar_session.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_session.ts
@@ -60,6 +60,11 @@
     return this.#head;
   }
 
+  /** @returns true while a router's stream waits for something */
+  get attached(): boolean {
+    return this.#stream !== undefined;
+  }
+
   /** @returns when the last router went away; undefined while one is there */
   get detachedAt(): number | undefined {
     return this.#detachedAt;
--- a/packages/lovagepond-sidecar/src/sidecar_settings.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_settings.ts
@@ -52,10 +52,14 @@
   readonly answerGraceMs: number;
   /** Answer bytes kept for one attempt. */
   readonly maxAnswerBytes: number;
+  /** Finished answers kept for routers that come back. */
+  readonly maxFinishedAnswers: number;
   /** Largest request body, bytes. */
   readonly maxBodyBytes: number;
   /** Time between two looks at the backend server. */
   readonly backendProbeMs: number;
+  /** How long a leaving sidecar goes on refusing after its last request. */
+  readonly drainLingerMs: number;
   /** Longest planned leave. */
   readonly drainLimitMs: number;
   /** Time for the whole of a claim, its repeats included. */
@@ -86,8 +90,10 @@
   detachGraceMs: 1_500,
   answerGraceMs: 10_000,
   maxAnswerBytes: 256 * 1024,
+  maxFinishedAnswers: 256,
   maxBodyBytes: 4 * 1024 * 1024,
   backendProbeMs: 500,
+  drainLingerMs: 1_500,
   drainLimitMs: 30_000,
   claimTimeoutMs: 3_000,
   moveBytesPerSecond: 32 * 1024 * 1024,
