Ask a returning chat's first choice, young or not

**Cause** Hold and take sent returning chats past a server that had joined within ten minutes, to their former home. Chats that had *started* on the young server came back to the former home too and found nothing. Chats older than a young server are still lost.

--- a/packages/lovagepond-measure/src/measure_fleet.ts
+++ b/packages/lovagepond-measure/src/measure_fleet.ts
@@ -33,6 +33,8 @@
 const FRAME_BYTES = 14;
 /** A member's name, labels, address and state on the wire. */
 const MEMBER_BYTES = 120;
+/** Keeps the draws of churn the same for every variant. */
+const CHURN_SEED_STEP = 7_919;
 const CACHE_MOVE_TOKENS_PER_SECOND = 40_000;
 
 /** What a server announced last. */
@@ -65,6 +67,11 @@
   readonly #announced = new Map<MeasureServer, Announced>();
   readonly #routers: MeasureRouter[];
   #slots = 0;
+  /**
+   * A server that leaves the list keeps its last byte: read as idle by routers
+   * that still list it, it would draw all of their requests.
+   */
+  #digest = new Uint8Array(0);
   #controlBytes = 0;
   #refreshPlanned = false;
 
@@ -101,7 +108,7 @@
       const router = this.#random.pick(this.#routers);
       this.time.at(arrival.at, () => router.arrive(arrival));
     }
-    planChurn(this, this.#random);
+    planChurn(this, new Random(this.settings.seed + CHURN_SEED_STEP));
     this.time.every(DIGEST_INTERVAL_MS, 500, () => this.#publishDigest());
     if (servers > SAMPLE_EACH_CHANGE_UP_TO) {
       this.time.every(SAMPLE_INTERVAL_MS, 0, () => this.#sampleSkew());
@@ -211,6 +218,8 @@
   #publishDigest(): void {
     const measuredAt = this.time.now;
     const loads = new Uint8Array(this.#slots);
+    loads.set(this.#digest);
+    this.#digest = loads;
     const peers = [...this.#announced].map(([server, announced]) => {
       const tokens = announced.runningTokens + announced.queuedTokens;
       loads[server.slot] = encodeLoad(tokens);
--- a/packages/lovagepond-router/src/router_placement_rendezvous.ts
+++ b/packages/lovagepond-router/src/router_placement_rendezvous.ts
@@ -13,12 +13,6 @@
 
 const MS_PER_SECOND = 1000;
 
-/**
- * A server that became ready less long ago than this is young: chats that
- * return were served before it came, by the next server of their order.
- */
-const YOUNG_MS = 600_000;
-
 function orderServers<Server extends PlacementServer>(
   hasher: KeyHasher,
   input: PlacementInput<Server>,
@@ -175,21 +169,11 @@
     const order = orderServers(this.#hasher, input);
     const firstChoice = serverAt(order, 0);
     const chosen = input.request.returning
-      ? this.#findHome(input, order)
+      ? firstChoice
       : this.#findStart(input, order);
     return {candidates: moveToFront(order, chosen), firstChoice};
   }
 
-  /** Where a returning chat was placed before a young server came. */
-  #findHome<Server extends PlacementServer>(
-    input: PlacementInput<Server>,
-    order: readonly Server[],
-  ): Server {
-    const isOld = (server: Server): boolean =>
-      input.now - server.readySince >= YOUNG_MS;
-    return order.find(isOld) ?? serverAt(order, 0);
-  }
-
   /** A new chat is cold everywhere: it starts within the bound. */
   #findStart<Server extends PlacementServer>(
     input: PlacementInput<Server>,
