--- a/packages/lovagepond-backend/src/__tests__/unit/backend_event_stream.test.ts
+++ b/packages/lovagepond-backend/src/__tests__/unit/backend_event_stream.test.ts
@@ -1,12 +1,14 @@
 import * as fc from 'fast-check';
 import {createServer} from 'node:http';
 import {type AddressInfo, type Socket} from 'node:net';
+import {type Dispatcher} from 'undici';
 import {expect, test} from 'vitest';
 import {mergeDelta} from '../../backend_answer_assembly.js';
 import {AnswerCheck} from '../../backend_answer_check.js';
 import {CacheSequence} from '../../backend_cache_sequence.js';
 import {EventParser} from '../../backend_event_parser.js';
 import {HttpBackendClient} from '../../backend_http_client.js';
+import {type ExchangeEvent, HttpExchange} from '../../backend_http_exchange.js';
 import {DEFAULT_HTTP_CLIENT_SETTINGS} from '../../index.js';
 import {SEED} from './backend_test_utils.js';
 
@@ -135,3 +137,33 @@
   await client.close();
   server.close();
 });
+
+test('a request that the library sends again is broken off', async () => {
+  // The HTTP library puts a request whose connection was reset back into its
+  // queue and starts it on the next one. The service may have run the first;
+  // the second start must not write a byte, and the outcome must stay open.
+  const aborts: string[] = [];
+  const controller = (name: string): Dispatcher.DispatchController =>
+    ({abort: () => aborts.push(name)}) as never;
+  const dispatcher = {
+    dispatch: (_options: unknown, handler: Dispatcher.DispatchHandler) => {
+      handler.onRequestStart?.(controller('first'), {});
+      handler.onRequestStart?.(controller('second'), {});
+    },
+  };
+  const exchange = new HttpExchange();
+  const request = {
+    method: 'POST',
+    path: '/',
+    headers: {},
+    silenceMs: 1,
+  } as const;
+  exchange.start(dispatcher as never, request);
+  const events: ExchangeEvent[] = [];
+  for await (const event of exchange.events()) events.push(event);
+  expect(aborts).toEqual(['second']);
+  expect(events).toEqual([
+    {kind: 'dispatched'},
+    {kind: 'lost', loss: 'broken', dispatched: true},
+  ]);
+});
--- a/packages/lovagepond-backend/src/__tests__/unit/backend_http_engine.test.ts
+++ b/packages/lovagepond-backend/src/__tests__/unit/backend_http_engine.test.ts
@@ -69,6 +69,23 @@
   expect(server.counters).toMatchObject({requests: 1, resumes: 1});
 });
 
+test('an engine that begins anew in place of going on is not believed', async () => {
+  // The connection breaks after the first event. The engine knows nothing of
+  // resuming: it ignores the offset and sends a new generation from its start.
+  // Joined to the first, the caller would read a text that no engine wrote.
+  const chunk = (text: string): string =>
+    `data: {"id":"r1","choices":[{"delta":{"content":"${text}"},` +
+    '"finish_reason":"stop"}]}\n\n';
+  const head = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n';
+  const body = `${chunk('one')}data: [DONE]\n\n`;
+  const whole = `${head}${body.length.toString(16)}\r\n${body}\r\n0\r\n\r\n`;
+  const broken = `${head}${chunk('one').length.toString(16)}\r\n${chunk('one')}`;
+  const engine = connectEngine(await startRaw(broken, whole));
+  const {text, last} = await collect(engine, completion('r1'));
+  expect(text).toBe(chunk('one'));
+  expect(last).toMatchObject({failure: {kind: 'backendFailed'}});
+});
+
 test('goes on when an answer stalls on a connection that stays', async () => {
   // Something between the two ends has lost track of the connection: it never
   // closes and nothing comes any more, while new ones work.
--- a/packages/lovagepond-backend/src/__tests__/unit/backend_test_utils.ts
+++ b/packages/lovagepond-backend/src/__tests__/unit/backend_test_utils.ts
@@ -146,10 +146,11 @@
   };
 }
 
-/** A server that answers the first bytes of each connection with `text`. */
-export async function startRaw(text: string): Promise<string> {
+/** A server that answers each connection with the next text, then the last. */
+export async function startRaw(...texts: string[]): Promise<string> {
   const server = createServer(socket => {
     socket.on('error', () => {});
+    const text = (texts.length > 1 ? texts.shift() : texts[0]) ?? '';
     socket.once('data', () => socket.end(text));
   });
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
--- a/packages/lovagepond-backend/src/backend_fake_stream.ts
+++ b/packages/lovagepond-backend/src/backend_fake_stream.ts
@@ -6,7 +6,7 @@
 import {type FakeJob} from './backend_fake_batch.js';
 import {fakeToken} from './backend_fake_answer.js';
 import {type FakeFaults} from './backend_fake_faults.js';
-import {DONE_DATA} from './backend_engine_protocol.js';
+import {DONE_DATA, ENGINE_HEADER} from './backend_engine_protocol.js';
 import {type EngineUsage} from './backend_model_engine.js';
 
 const CROSSED_ID = 'another-request';
@@ -73,7 +73,10 @@
     res.on('close', () => {
       if (this.#res === res) this.#res = undefined;
     });
-    res.writeHead(200, {'content-type': 'text/event-stream'});
+    res.writeHead(200, {
+      'content-type': 'text/event-stream',
+      [ENGINE_HEADER.RESUME_FROM]: String(offset),
+    });
     res.flushHeaders();
     for (const event of this.#events.slice(index)) res.write(event);
     if (this.#finished) this.#close();
--- a/packages/lovagepond-backend/src/backend_http_run.ts
+++ b/packages/lovagepond-backend/src/backend_http_run.ts
@@ -1,6 +1,7 @@
 /**
  * One run of a request at a model engine over HTTP.
  */
+import {type IncomingHttpHeaders} from 'node:http';
 import {type ErrorKind, type Failure, makeFailure} from '@lovagepond/core';
 import {AnswerAssembly, askToStream} from './backend_answer_assembly.js';
 import {AnswerCheck} from './backend_answer_check.js';
@@ -47,6 +48,11 @@
   | {readonly kind: 'failed'; readonly failure: Failure}
   | {readonly kind: 'lost'; readonly loss: Loss | 'truncated'};
 
+function refuseResume(reconnected: boolean): PartEnd {
+  if (reconnected) return {kind: 'lost', loss: 'truncated'};
+  return {kind: 'failed', failure: makeFailure('answerTruncated')};
+}
+
 /** Runs one request; cancelled by its engine. */
 export class HttpEngineRun {
   readonly #client: HttpBackendClient;
@@ -145,6 +151,7 @@
         yield {kind: 'dispatched'};
       } else if (event.kind === 'head') {
         status = event.status;
+        if (!this.#agrees(event.headers)) return refuseResume(former);
       } else if (event.kind === 'lost') {
         return {kind: 'lost', loss: event.loss};
       } else if (event.kind === 'chunk' && status !== HTTP_OK) {
@@ -159,6 +166,16 @@
     return this.#refused(status, Buffer.concat(refusal), former);
   }
 
+  /**
+   * An engine that knows nothing of resuming would run the request anew and
+   * send its first bytes once more: the caller would read two generations as
+   * one answer. Only one that repeats the offset goes on with the same one.
+   */
+  #agrees(headers: IncomingHttpHeaders): boolean {
+    if (this.#received === 0) return true;
+    return headers[ENGINE_HEADER.RESUME_FROM] === String(this.#received);
+  }
+
   #send(body: Uint8Array, fresh: boolean): HttpExchange {
     const request = this.#request;
     const exchange = this.#client.send(
@@ -240,9 +257,6 @@
     // A refusal speaks only for the connection it came on. When the request
     // went out on another one before, it may have run there.
     if (former) return {kind: 'lost', loss: LOSS.BROKEN};
-    if (this.#offset > 0) {
-      return {kind: 'failed', failure: makeFailure('answerTruncated')};
-    }
     const kind = REFUSALS[status];
     if (kind === undefined) return this.#broken(message);
     return {kind: 'failed', failure: makeFailure(kind, {message})};
--- a/packages/lovagepond-caller/src/__tests__/unit/caller_server.test.ts
+++ b/packages/lovagepond-caller/src/__tests__/unit/caller_server.test.ts
@@ -4,6 +4,7 @@
 import {
   chatBody,
   errorOf,
+  HEADERS,
   openRaw,
   post,
   rawRequest,
@@ -95,6 +96,60 @@
   expect(server.counters.malformed).toBe(1);
 });
 
+test('a body without a length is cut at the limit', async () => {
+  // A chunked body tells no length. It must be refused once it has passed the
+  // limit, not kept until its end.
+  const server = await startServer(answerOk, {maxBodyBytes: 2_000});
+  const lines = Object.entries({...HEADERS, 'transfer-encoding': 'chunked'});
+  const head = lines.map(pair => pair.join(': ')).join('\r\n');
+  const chunk = `1000\r\n${'x'.repeat(4096)}\r\n`;
+  const {received} = openRaw(
+    server,
+    `POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n${head}\r\n\r\n${chunk}`,
+  );
+  expect(await received).toContain('"kind":"payloadTooLarge"');
+});
+
+test('a refused sender reads its answer before the connection ends', async () => {
+  // The caller is refused by its head while it still sends its body. A close
+  // at that moment resets the connection, and it sees the reset alone.
+  const server = await startServer(answerOk, {maxBodyBytes: 2_000});
+  const body = 'x'.repeat(8 * 1024 * 1024);
+  const {socket, received} = openRaw(server, rawRequest(body));
+  let failure = '';
+  socket.on('error', err => (failure = err.message));
+  expect(await received).toContain('"kind":"payloadTooLarge"');
+  expect(failure).toBe('');
+});
+
+test('malformed bytes behind a request stay out of its answer', async () => {
+  // While an answer streams, its caller sends bytes that are not HTTP. An
+  // error written to the connection would stand amid the answer's text.
+  const sinks: AnswerSink[] = [];
+  const server = await startServer((_req, sink) => sinks.push(sink));
+  const text = rawRequest(chatBody({stream: true}));
+  const {socket, received} = openRaw(server, text);
+  await expect.poll(() => sinks.length).toBe(1);
+  await sinks[0]!.write(encoder.encode('data: 1\n\n'));
+  await new Promise(resolve => socket.once('data', resolve));
+  socket.write('HELLO\r\n\r\n');
+  const all = await received;
+  expect(all).toContain('data: 1');
+  expect(all).not.toContain('badRequest');
+  expect(sinks[0]!.closed).toBe(true);
+});
+
+test('a fault of the handler ends its own request only', async () => {
+  const server = await startServer((req, sink) => {
+    if (req.chat === 'c1') throw new Error('a fault');
+    answerOk(req, sink);
+  });
+  const res = await post(server, chatBody());
+  expect((await errorOf(res)).kind).toBe('internal');
+  const other = await post(server, chatBody(), {'x-lovagepond-chat': 'c2'});
+  expect(other.status).toBe(200);
+});
+
 test('a slow sender is ended and told so', async () => {
   // The caller sends its head and a part of the body, then a byte now and
   // then. Without a limit on the whole body it would hold its connection and
--- a/packages/lovagepond-caller/src/caller_server.ts
+++ b/packages/lovagepond-caller/src/caller_server.ts
@@ -194,6 +194,9 @@
       {path: req.originalUrl, sort},
       this.#context,
     );
+    // Uncaught, a fault in one exchange would end the process and with it
+    // everyone's answers.
+    exchange.catch(() => res.destroy());
     res.on('close', () => {
       this.#leave(req, res, exchange);
     });
@@ -207,10 +210,11 @@
     this.#connections.leave(req.socket);
     this.#responses.delete(res);
     if (!res.writableFinished) {
-      void exchange.then(answer => {
+      const count = (answer?: HttpAnswer): void => {
         if (answer?.endedAsSlow) this.#slowReadersEnded += 1;
         else this.#callersGone += 1;
-      });
+      };
+      exchange.then(count, () => undefined);
     }
     if (this.#responses.size > 0) return;
     for (const listener of this.#idleListeners.splice(0)) listener();
