Pack large configurations for their way between processes

Deltas were weighed: they need the base at every receiver and a second path for who lacks it. Compression by gRPC was weighed: it packs once for each subscriber.

Change: encodeConfiguration packs by gzip from 1 KB on, once for all subscribers; decodeConfiguration reads both forms, so older bytes still work.

--- a/packages/lovagepond-core/src/__tests__/unit/core_configuration.test.ts
+++ b/packages/lovagepond-core/src/__tests__/unit/core_configuration.test.ts
@@ -37,4 +37,15 @@
     expect(decoded).toEqual(configuration);
     expect(decodeConfiguration(new Uint8Array([1, 2]))).toBeUndefined();
   });
+
+  it('packs a large one, and refuses a damaged one', () => {
+    const workspaces = Array.from({length: 480}, (_, n) => ({name: `w${n}`}));
+    const check = checkConfiguration({workspaces});
+    if (!check.ok) throw new Error('expected a valid configuration');
+    const configuration = {revision: 7, content: check.content};
+    const bytes = encodeConfiguration(configuration);
+    expect(bytes.length).toBeLessThan(JSON.stringify(configuration).length / 4);
+    expect(decodeConfiguration(bytes)).toEqual(configuration);
+    expect(decodeConfiguration(bytes.subarray(0, 99))).toBeUndefined();
+  });
 });
--- a/packages/lovagepond-core/src/core_configuration.ts
+++ b/packages/lovagepond-core/src/core_configuration.ts
@@ -3,6 +3,7 @@
  *
  * Immutable once accepted; each accepted change makes the next revision.
  */
+import {gunzipSync, gzipSync} from 'node:zlib';
 import {z} from 'zod';
 import {type Labels, parseLabelExpression} from './core_labels.js';
 
@@ -174,12 +175,23 @@
   return faults.length > 0 ? {ok: false, faults} : {ok: true, content};
 }
 
+/** Smaller texts are sent as they are. */
+const COMPRESS_FROM_BYTES = 1_024;
+
+/** Refuses what would unpack to more: no configuration is this large. */
+const MAX_UNPACKED_BYTES = 64 * 1024 * 1024;
+
+/** First byte of a gzip stream; JSON starts with `{`. */
+const GZIP_FIRST_BYTE = 0x1f;
+
 /**
  * @param configuration an accepted configuration
- * @returns its JSON as UTF-8 bytes, as it travels between processes
+ * @returns its JSON as UTF-8 bytes, as it travels between processes; packed by
+ *     gzip when it is large, as it is pushed whole to every process
  */
 export function encodeConfiguration(configuration: Configuration): Uint8Array {
-  return new TextEncoder().encode(JSON.stringify(configuration));
+  const bytes = new TextEncoder().encode(JSON.stringify(configuration));
+  return bytes.length < COMPRESS_FROM_BYTES ? bytes : gzipSync(bytes);
 }
 
 /**
@@ -198,7 +210,10 @@
 
 function parseJson(bytes: Uint8Array): unknown {
   try {
-    return JSON.parse(new TextDecoder().decode(bytes));
+    const packed = bytes[0] === GZIP_FIRST_BYTE;
+    const options = {maxOutputLength: MAX_UNPACKED_BYTES};
+    const text = packed ? gunzipSync(bytes, options) : bytes;
+    return JSON.parse(new TextDecoder().decode(text));
   } catch {
     return undefined;
   }
