--- a/packages/lovagepond-control/src/__tests__/model/control_cluster.ts
+++ b/packages/lovagepond-control/src/__tests__/model/control_cluster.ts
@@ -33,6 +33,7 @@
   keyRetentionMs: 6_000_000,
   openClaimLimitMs: 600_000,
   ledgerLimit: 1_000,
+  answerCharactersLimit: 1_000,
 };
 
 type Listener = Parameters<ConsensusTransport['onMessage']>[0];
--- a/packages/lovagepond-control/src/__tests__/unit/control_state_machine.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/control_state_machine.test.ts
@@ -20,6 +20,7 @@
   keyRetentionMs: 2_000,
   openClaimLimitMs: 500,
   ledgerLimit: 100,
+  answerCharactersLimit: 1_000,
 };
 
 /** A member that applies commands, as leaders of several terms stamp them. */
--- a/packages/lovagepond-control/src/__tests__/unit/ledger_state.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/ledger_state.test.ts
@@ -8,6 +8,7 @@
   keyRetentionMs: 1_000_000,
   openClaimLimitMs: 500,
   ledgerLimit: 100,
+  answerCharactersLimit: 6,
 };
 const SEED = 20_261;
 
@@ -111,9 +112,11 @@
   crash: (world, n) => world.crash(n),
   wait: (world, n) => (world.timeMs += n * 10),
   restart: world => {
-    const bytes = JSON.stringify(world.ledger.snapshot());
     world.twin = new LedgerState(LIMITS);
-    world.twin.restore(JSON.parse(bytes));
+    const head = JSON.stringify(world.ledger.snapshot());
+    const lines = Buffer.concat(world.ledger.encodeEntries());
+    world.twin.restore(JSON.parse(head), lines);
+    expect(Buffer.concat(world.twin.encodeEntries())).toEqual(lines);
   },
 };
 
@@ -222,6 +225,20 @@
   expect(ledger.claim(REPEAT, 7).kind).toBe('recorded');
 });
 
+test('the oldest answers go when all of them grow too large', () => {
+  const ledger = new LedgerState(LIMITS);
+  for (const n of [1, 2, 3]) {
+    const call = {key: `k${n}`, attempt: `a${n}`};
+    ledger.claim({...CLAIM, ...call}, n);
+    ledger.record({...RECORD, ...call}, n);
+  }
+  const kinds = [1, 2, 3].map(n => {
+    const repeat = {...CLAIM, key: `k${n}`, attempt: 'b'};
+    return ledger.claim(repeat, 4).kind;
+  });
+  expect(kinds).toEqual(['answerNotKept', 'answerNotKept', 'recorded']);
+});
+
 test('a full ledger refuses new keys and still answers known ones', () => {
   const ledger = new LedgerState({...LIMITS, ledgerLimit: 1});
   ledger.claim(CLAIM, 0);
--- a/packages/lovagepond-control/src/control_role.ts
+++ b/packages/lovagepond-control/src/control_role.ts
@@ -8,7 +8,6 @@
   type ConsensusStorage,
   type ConsensusTimings,
   type ConsensusTransport,
-  DEFAULT_CONSENSUS_TIMINGS,
   FileStorage,
 } from '@lovagepond/consensus';
 import {
@@ -21,7 +20,7 @@
 import {type ControlAdministration} from './control_administration.js';
 import {ControlMemberState} from './control_member_state.js';
 import {ControlServer} from './control_server.js';
-import {type ControlSettings} from './control_settings.js';
+import {CONTROL_TIMINGS, type ControlSettings} from './control_settings.js';
 import {MemberTransport} from './member_transport.js';
 import {ControlStateMachine} from './control_state_machine.js';
 
@@ -143,6 +142,6 @@
   return {
     address: settings.address,
     peers: [...settings.members],
-    timings: parts.timings ?? DEFAULT_CONSENSUS_TIMINGS,
+    timings: parts.timings ?? CONTROL_TIMINGS,
   };
 }
--- a/packages/lovagepond-control/src/control_settings.ts
+++ b/packages/lovagepond-control/src/control_settings.ts
@@ -1,6 +1,10 @@
 /**
  * Settings of one control member, as the program reads them from its file.
  */
+import {
+  type ConsensusTimings,
+  DEFAULT_CONSENSUS_TIMINGS,
+} from '@lovagepond/consensus';
 
 /** Everything a control member is told at its start. */
 export interface ControlSettings {
@@ -40,12 +44,24 @@
   readonly openClaimLimitMs: number;
   /** Ledger entries; further claims are refused as not run. */
   readonly ledgerLimit: number;
+  /** Characters of all kept answers (base64); the oldest go first. */
+  readonly answerCharactersLimit: number;
   /** Loads from the weight store that may run at the same time. */
   readonly concurrentLoads: number;
 }
 
 const MINUTE_MS = 60_000;
 
+/**
+ * Timings of consensus for control's commands. They are small and quickly
+ * applied, while a snapshot holds the whole ledger: snapshots are taken less
+ * often than consensus does by itself.
+ */
+export const CONTROL_TIMINGS: ConsensusTimings = {
+  ...DEFAULT_CONSENSUS_TIMINGS,
+  snapshotEveryEntries: 50_000,
+};
+
 /** Values for what an operator rarely sets. */
 export const CONTROL_DEFAULTS = {
   leaseMs: 3_000,
@@ -53,9 +69,10 @@
   heartbeatIntervalMs: 1_000,
   leaderContactLimitMs: 2_500,
   historyLimit: 64,
-  answerRetentionMs: 60 * MINUTE_MS,
-  keyRetentionMs: 24 * 60 * MINUTE_MS,
+  answerRetentionMs: 15 * MINUTE_MS,
+  keyRetentionMs: 60 * MINUTE_MS,
   openClaimLimitMs: 30 * MINUTE_MS,
   ledgerLimit: 1_000_000,
+  answerCharactersLimit: 128 * 1024 * 1024,
   concurrentLoads: 8,
 } as const;
--- a/packages/lovagepond-control/src/control_state_machine.ts
+++ b/packages/lovagepond-control/src/control_state_machine.ts
@@ -10,6 +10,7 @@
   CLAIM_COMMAND,
   type CommandStamp,
   decodeCommand,
+  decodeResult,
   encodeResult,
   INCARNATION_COMMAND,
   ORDER_COMMAND,
@@ -36,6 +37,9 @@
 
 const SNAPSHOT_VERSION = 1;
 
+const NEWLINE = 0x0a;
+const LINE_END = Uint8Array.of(NEWLINE);
+
 interface ControlSnapshot {
   readonly version: number;
   readonly timeMs: number;
@@ -90,15 +94,17 @@
       orders: this.orders.snapshot(),
       draining: this.wanted.snapshot(),
     };
-    return encodeResult(snapshot);
+    const lines = this.ledger.encodeEntries();
+    return Buffer.concat([encodeResult(snapshot), LINE_END, ...lines]);
   }
 
   restore(bytes: Uint8Array): void {
-    const text = new TextDecoder().decode(bytes);
-    const snapshot = JSON.parse(text) as ControlSnapshot;
+    const headEnd = bytes.indexOf(NEWLINE);
+    const head = bytes.subarray(0, headEnd);
+    const snapshot = decodeResult<ControlSnapshot>(head);
     invariant(snapshot.version === SNAPSHOT_VERSION, 202, 'snapshot version');
     this.time.restore(snapshot.timeMs);
-    this.ledger.restore(snapshot.ledger);
+    this.ledger.restore(snapshot.ledger, bytes.subarray(headEnd + 1));
     this.operations.restore(snapshot.operations);
     this.orders.restore(snapshot.orders);
     this.wanted.restore(snapshot.draining);
--- a/packages/lovagepond-control/src/index.ts
+++ b/packages/lovagepond-control/src/index.ts
@@ -25,4 +25,30 @@
 } from './control_administration.js';
 export {type ControlParts, ControlRole} from './control_role.js';
 export {MemberTransport} from './member_transport.js';
-export {CONTROL_DEFAULTS, type ControlSettings} from './control_settings.js';
+export {
+  CONTROL_DEFAULTS,
+  CONTROL_TIMINGS,
+  type ControlSettings,
+} from './control_settings.js';
+export {
+  CHANGE_COMMAND,
+  CLAIM_COMMAND,
+  type ClaimPayload,
+  type CommandStamp,
+  decodeCommand,
+  encodeCommand,
+  RECORD_COMMAND,
+} from './control_commands.js';
+export {
+  type ControlLimits,
+  ControlStateMachine,
+} from './control_state_machine.js';
+export {LedgerHandler} from './ledger_handler.js';
+export {type LedgerLimits} from './ledger_entries.js';
+export {type ClaimResult, LedgerState} from './ledger_state.js';
+export {MembershipLog} from './membership_log.js';
+export {type Announcement, MembershipRegistry} from './membership_registry.js';
+export {Proposer} from './proposer.js';
+export {type FeedUpdate, type FeedView} from './subscription_feed.js';
+export {SubscriptionHub, type UpdateSink} from './subscription_hub.js';
+export {UpdateEncoder} from './update_encoder.js';
--- a/packages/lovagepond-control/src/ledger_entries.ts
+++ b/packages/lovagepond-control/src/ledger_entries.ts
@@ -1,36 +1,16 @@
 /**
  * Entries of the ledger of calls that may not be repeated, and their expiry.
  */
+import {invariant} from '@lovagepond/core';
 import {ExpiryQueue} from './expiry_queue.js';
-
-/** State of a claimed key. */
-export const ENTRY_STATE = {
-  /** Granted to one attempt, which may dispatch or has dispatched. */
-  OPEN: 'open',
-  /** The call has run; its answer is or was kept. */
-  RECORDED: 'recorded',
-  /** Dispatched perhaps; nobody can tell any more. */
-  UNKNOWN: 'unknown',
-} as const;
-
-/** One of the values of {@link ENTRY_STATE}. */
-export type EntryState = (typeof ENTRY_STATE)[keyof typeof ENTRY_STATE];
-
-/** What is kept of one claimed key. */
-export interface LedgerEntry {
-  /** Digest of the request body, base64. */
-  readonly digest: string;
-  readonly server: string;
-  readonly incarnation: string;
-  readonly attempt: string;
-  readonly state: EntryState;
-  /** Replicated time of the claim, or of the last change of state. */
-  readonly sinceMs: number;
-  readonly status: number;
-  /** Answer body, base64; undefined when none is kept. */
-  readonly answer?: string;
-  readonly contentType: string;
-}
+import {LedgerBuckets, splitRows} from './ledger_buckets.js';
+import {
+  type ClaimOwner,
+  encodeEntry,
+  ENTRY_STATE,
+  type LedgerEntry,
+  readEntry,
+} from './ledger_entry.js';
 
 /** How long entries live. */
 export interface LedgerLimits {
@@ -39,11 +19,10 @@
   readonly openClaimLimitMs: number;
   /** Most entries at one time. */
   readonly ledgerLimit: number;
+  /** Most characters of all kept answers; the oldest go first. */
+  readonly answerCharactersLimit: number;
 }
 
-/** Serialized form of one entry: its key, then its members in order. */
-export type EntryRow = readonly [key: string, entry: LedgerEntry];
-
 /**
  * The entries by key. Time runs only by {@link LedgerEntries.expire}, so that
  * every member expires the same entries at the same command.
@@ -53,6 +32,8 @@
   readonly #entries = new Map<string, LedgerEntry>();
   /** Open keys of each sidecar, to settle them when it restarts. */
   readonly #openByServer = new Map<string, Set<string>>();
+  readonly #buckets = new LedgerBuckets();
+  #answerCharacters = 0;
   readonly #openQueue = new ExpiryQueue();
   readonly #answerQueue = new ExpiryQueue();
   readonly #keyQueue = new ExpiryQueue();
@@ -92,18 +73,17 @@
   set(key: string, entry: LedgerEntry): void {
     this.#unlink(key);
     this.#entries.set(key, entry);
-    if (entry.state === ENTRY_STATE.OPEN) {
-      this.#link(key, entry);
-    } else {
-      this.#keyQueue.push(key, entry.sinceMs);
-    }
-    if (entry.answer !== undefined) this.#answerQueue.push(key, entry.sinceMs);
+    this.#buckets.touch(key);
+    this.#answerCharacters += entry.answer?.length ?? 0;
+    this.#queue(key, entry);
+    this.#dropAnswers();
   }
 
   /** @param key the key to forget */
   delete(key: string): void {
     this.#unlink(key);
     this.#entries.delete(key);
+    this.#buckets.delete(key);
   }
 
   /**
@@ -119,8 +99,7 @@
       if (entry?.state === ENTRY_STATE.OPEN) this.settleUnknown(key, timeMs);
     });
     drain(this.#answerQueue, timeMs - answerRetentionMs, key => {
-      const entry = this.#due(key, timeMs - answerRetentionMs);
-      if (entry) this.#entries.set(key, withoutAnswer(entry));
+      if (this.#due(key, timeMs - answerRetentionMs)) this.#dropAnswer(key);
     });
     drain(this.#keyQueue, timeMs - keyRetentionMs, key => {
       if (this.#due(key, timeMs - keyRetentionMs)) this.delete(key);
@@ -137,20 +116,53 @@
     this.set(key, {...entry, state: ENTRY_STATE.UNKNOWN, sinceMs: timeMs});
   }
 
-  /** @returns the serialized form */
-  snapshot(): EntryRow[] {
-    return [...this.#entries];
+  /** @returns lines of JSON, one entry each, in the order of their making */
+  encode(): Uint8Array[] {
+    return this.#buckets.encode(key => {
+      const entry = this.#entries.get(key);
+      invariant(entry, 204, 'a bucket holds a key without entry');
+      return encodeEntry(key, entry);
+    });
+  }
+
+  /** @param lines what {@link encode} gave, in one piece */
+  restore(lines: Uint8Array): void {
+    this.#clear();
+    const owners = new Map<string, ClaimOwner>();
+    const shareOwner = (server: string, incarnation: string): ClaimOwner => {
+      const name = `${server}\n${incarnation}`;
+      const known = owners.get(name) ?? {server, incarnation};
+      owners.set(name, known);
+      return known;
+    };
+    for (const {rows, bytes} of splitRows(lines)) {
+      const entries = rows.map(row => readEntry(row, shareOwner));
+      for (const [key, entry] of entries) {
+        this.#entries.set(key, entry);
+        this.#answerCharacters += entry.answer?.length ?? 0;
+      }
+      const keys = entries.map(([key]) => key);
+      this.#buckets.adopt(keys, bytes);
+    }
+    this.#queueAll();
   }
 
-  /** @param rows what {@link snapshot} gave */
-  restore(rows: readonly EntryRow[]): void {
+  /** Puts all entries into the queues, which want them by time. */
+  #queueAll(): void {
+    const byTime = [...this.#entries].sort(
+      ([, a], [, b]) => a.sinceMs - b.sinceMs,
+    );
+    for (const [key, entry] of byTime) this.#queue(key, entry);
+  }
+
+  #clear(): void {
     this.#entries.clear();
     this.#openByServer.clear();
+    this.#buckets.clear();
     this.#openQueue.clear();
     this.#answerQueue.clear();
     this.#keyQueue.clear();
-    const sorted = [...rows].sort((a, b) => a[1].sinceMs - b[1].sinceMs);
-    for (const [key, entry] of sorted) this.set(key, entry);
+    this.#answerCharacters = 0;
   }
 
   /** @returns the entry of a queued key, unless it changed since. */
@@ -159,19 +171,48 @@
     return entry && entry.sinceMs <= untilMs ? entry : undefined;
   }
 
+  #queue(key: string, entry: LedgerEntry): void {
+    if (entry.state === ENTRY_STATE.OPEN) {
+      this.#link(key, entry);
+    } else {
+      this.#keyQueue.push(key, entry.sinceMs);
+    }
+    if (entry.answer === undefined) return;
+    this.#answerQueue.push(key, entry.sinceMs);
+  }
+
+  #dropAnswers(): void {
+    while (this.#answerCharacters > this.#limits.answerCharactersLimit) {
+      const key = this.#answerQueue.takeUntil(Infinity);
+      if (key === undefined) return;
+      this.#dropAnswer(key);
+    }
+  }
+
+  #dropAnswer(key: string): void {
+    const entry = this.#entries.get(key);
+    if (entry?.answer === undefined) return;
+    this.#answerCharacters -= entry.answer.length;
+    this.#entries.set(key, {...entry, answer: undefined});
+    this.#buckets.touch(key);
+  }
+
   #link(key: string, entry: LedgerEntry): void {
-    const keys = this.#openByServer.get(entry.server) ?? new Set();
+    const {server} = entry.owner;
+    const keys = this.#openByServer.get(server) ?? new Set();
     keys.add(key);
-    this.#openByServer.set(entry.server, keys);
+    this.#openByServer.set(server, keys);
     this.#openQueue.push(key, entry.sinceMs);
   }
 
   #unlink(key: string): void {
     const entry = this.#entries.get(key);
     if (!entry) return;
-    const keys = this.#openByServer.get(entry.server);
+    this.#answerCharacters -= entry.answer?.length ?? 0;
+    const {server} = entry.owner;
+    const keys = this.#openByServer.get(server);
     keys?.delete(key);
-    if (keys?.size === 0) this.#openByServer.delete(entry.server);
+    if (keys?.size === 0) this.#openByServer.delete(server);
   }
 }
 
@@ -186,18 +227,3 @@
     handle(key);
   }
 }
-
-function withoutAnswer(entry: LedgerEntry): LedgerEntry {
-  const {digest, server, incarnation, attempt, state} = entry;
-  const {sinceMs, status, contentType} = entry;
-  return {
-    digest,
-    server,
-    incarnation,
-    attempt,
-    state,
-    sinceMs,
-    status,
-    contentType,
-  };
-}
--- a/packages/lovagepond-control/src/ledger_incarnations.ts
+++ b/packages/lovagepond-control/src/ledger_incarnations.ts
@@ -2,12 +2,13 @@
  * Which incarnation of each sidecar may claim, and which attempts gave up.
  */
 import {ExpiryQueue} from './expiry_queue.js';
+import {type ClaimOwner} from './ledger_entry.js';
 
 /** Former incarnations remembered of one sidecar. */
 const FORMER_LIMIT = 8;
 
 interface Registered {
-  readonly incarnation: string;
+  readonly owner: ClaimOwner;
   /** Superseded ones: they never come back. */
   readonly former: readonly string[];
   readonly sinceMs: number;
@@ -29,10 +30,10 @@
 
   /**
    * @param server a sidecar's backend server
-   * @returns the incarnation that may claim, if one registered
+   * @returns its incarnation that may claim, if one registered
    */
-  current(server: string): string | undefined {
-    return this.#registered.get(server)?.incarnation;
+  current(server: string): ClaimOwner | undefined {
+    return this.#registered.get(server)?.owner;
   }
 
   /**
@@ -47,12 +48,13 @@
    */
   register(server: string, incarnation: string, timeMs: number): boolean {
     const known = this.#registered.get(server);
-    if (known?.incarnation === incarnation) return true;
+    if (known?.owner.incarnation === incarnation) return true;
     if (known?.former.includes(incarnation)) return false;
     const former = known
-      ? [known.incarnation, ...known.former].slice(0, FORMER_LIMIT)
+      ? [known.owner.incarnation, ...known.former].slice(0, FORMER_LIMIT)
       : [];
-    this.#registered.set(server, {incarnation, former, sinceMs: timeMs});
+    const owner = {server, incarnation};
+    this.#registered.set(server, {owner, former, sinceMs: timeMs});
     this.#queue.push(server, timeMs);
     return true;
   }
--- a/packages/lovagepond-control/src/ledger_state.ts
+++ b/packages/lovagepond-control/src/ledger_state.ts
@@ -13,13 +13,13 @@
   type RecordPayload,
 } from './control_commands.js';
 import {ExpiryQueue} from './expiry_queue.js';
+import {LedgerEntries, type LedgerLimits} from './ledger_entries.js';
 import {
+  type ClaimOwner,
   ENTRY_STATE,
-  type EntryRow,
-  LedgerEntries,
+  type EntryState,
   type LedgerEntry,
-  type LedgerLimits,
-} from './ledger_entries.js';
+} from './ledger_entry.js';
 import {
   LedgerIncarnations,
   type IncarnationSnapshot,
@@ -61,9 +61,8 @@
   readonly settled: number;
 }
 
-/** Serialized form. */
+/** Serialized form, but for the entries. */
 export interface LedgerSnapshot {
-  readonly entries: readonly EntryRow[];
   readonly incarnations: IncarnationSnapshot;
   readonly released: readonly (readonly [string, number])[];
 }
@@ -93,7 +92,7 @@
    * @returns the incarnation that may claim, if one registered
    */
   currentIncarnation(server: string): string | undefined {
-    return this.#incarnations.current(server);
+    return this.#incarnations.current(server)?.incarnation;
   }
 
   /**
@@ -106,16 +105,16 @@
     const key = keyOf(claim);
     const entry = this.#entries.get(key);
     if (entry) return answerRepeat(entry, claim);
-    const refusal = this.#refuseNew(claim, timeMs);
+    const refusal = this.#refuseNew(claim);
     if (refusal) return {kind: refusal};
     this.#entries.set(key, {
       digest: claim.digest,
-      server: claim.server,
-      incarnation: claim.incarnation,
+      owner: this.#ownerOf(claim, timeMs),
       attempt: claim.attempt,
       state: ENTRY_STATE.OPEN,
       sinceMs: timeMs,
       status: 0,
+      answer: undefined,
       contentType: '',
     });
     return {kind: 'granted'};
@@ -158,25 +157,32 @@
     }
     let settled = 0;
     for (const key of this.#entries.openKeysOf(server)) {
-      if (this.#entries.get(key)?.incarnation === incarnation) continue;
+      if (this.#entries.get(key)?.owner.incarnation === incarnation) continue;
       this.#entries.settleUnknown(key, timeMs);
       settled += 1;
     }
     return {accepted: true, settled};
   }
 
-  /** @returns the serialized form */
+  /** @returns the serialized form, but for the entries */
   snapshot(): LedgerSnapshot {
     return {
-      entries: this.#entries.snapshot(),
       incarnations: this.#incarnations.snapshot(),
       released: [...this.#released],
     };
   }
 
-  /** @param snapshot what {@link snapshot} gave */
-  restore(snapshot: LedgerSnapshot): void {
-    this.#entries.restore(snapshot.entries);
+  /** @returns the entries as lines of JSON */
+  encodeEntries(): Uint8Array[] {
+    return this.#entries.encode();
+  }
+
+  /**
+   * @param snapshot what {@link snapshot} gave
+   * @param lines what {@link encodeEntries} gave, in one piece
+   */
+  restore(snapshot: LedgerSnapshot, lines: Uint8Array): void {
+    this.#entries.restore(lines);
     this.#incarnations.restore(snapshot.incarnations);
     this.#released.clear();
     this.#releasedQueue.clear();
@@ -188,22 +194,26 @@
 
   #refuseNew(
     claim: ClaimPayload,
-    timeMs: number,
   ): 'revoked' | 'wrongIncarnation' | 'ledgerUnavailable' | undefined {
     if (this.#released.has(attemptKeyOf(keyOf(claim), claim.attempt))) {
       return 'revoked';
     }
     const {server, incarnation} = claim;
     const current = this.#incarnations.current(server);
-    if (current === undefined) {
-      this.#incarnations.register(server, incarnation, timeMs);
-    } else if (current !== incarnation) {
+    if (current && current.incarnation !== incarnation) {
       return 'wrongIncarnation';
     }
     const full = this.#entries.size >= this.#limits.ledgerLimit;
     return full ? 'ledgerUnavailable' : undefined;
   }
 
+  #ownerOf({server, incarnation}: ClaimPayload, timeMs: number): ClaimOwner {
+    const known = this.#incarnations.current(server);
+    if (known) return known;
+    this.#incarnations.register(server, incarnation, timeMs);
+    return this.#incarnations.current(server) ?? {server, incarnation};
+  }
+
   /**
    * A sidecar that got no answer to its claim refuses the call as not run and
    * says so here. Its claim may still come later: granted then, the key would
@@ -256,7 +266,7 @@
       state: ENTRY_STATE.RECORDED,
       sinceMs: timeMs,
       status: record.status,
-      ...(record.answer !== undefined && {answer: record.answer}),
+      answer: record.answer,
       contentType: record.contentType,
     });
     return {recorded: true};
@@ -279,13 +289,13 @@
 }
 
 const REPEAT_ANSWERS: Readonly<
-  Record<EntryStateOf, (entry: LedgerEntry, claim: ClaimPayload) => ClaimResult>
+  Record<EntryState, (entry: LedgerEntry, claim: ClaimPayload) => ClaimResult>
 > = {
   // The very attempt that holds the grant lost the answer and asks again.
   open: (entry, claim) =>
     entry.attempt === claim.attempt &&
-    entry.server === claim.server &&
-    entry.incarnation === claim.incarnation
+    entry.owner.server === claim.server &&
+    entry.owner.incarnation === claim.incarnation
       ? {kind: 'granted'}
       : {kind: 'inProgress'},
   recorded: entry =>
@@ -300,8 +310,6 @@
   unknown: () => ({kind: 'outcomeUnknown'}),
 };
 
-type EntryStateOf = LedgerEntry['state'];
-
 function keyOf(name: {
   readonly workspace: string;
   readonly key: string;
--- /dev/null
+++ b/packages/lovagepond-measure/src/claim_rate_measure.ts
@@ -0,0 +1,124 @@
+/**
+ * Claims a second against syncs a second, and against what the same disk gives
+ * in the same run to a bare append and sync of the same batches.
+ */
+import {open} from 'node:fs/promises';
+import {join} from 'node:path';
+import {startLedgerGroup, withFolder} from './control_fleet.js';
+import {roundTo} from './measure_statistics.js';
+import {type MeasureSection} from './measure_types.js';
+
+const CONCURRENCIES = [1, 16, 64, 256] as const;
+const GROUP_SIZES = [1, 3] as const;
+const RUN_MS = 1_500;
+const BARE_RUN_MS = 800;
+/** Bytes of one claim in a log file, frame and entry head included. */
+const CLAIM_BYTES = 420;
+
+interface ClaimRun {
+  readonly claimsPerSecond: number;
+  readonly syncsPerSecond: number;
+  readonly batch: number;
+}
+
+type Group = Awaited<ReturnType<typeof startLedgerGroup>>;
+
+let nextCall = 0;
+
+async function claimUntil(group: Group, endAt: number): Promise<number> {
+  let granted = 0;
+  while (performance.now() < endAt) {
+    const call = (nextCall += 1);
+    const {outcome} = await group.leader.claim({
+      workspace: `workspace-${call % 10}`,
+      idempotencyKey: `redemption-${call.toString().padStart(26, '0')}`,
+      bodyDigest: Buffer.alloc(32, call),
+      backendServer: `muc-riem-engine-${call % 640}`,
+      incarnation: `8d3f0a52-6c1e-4b7a-9f10-${(call % 640) + 1e11}`,
+      attemptId: `b1946ac9-2492-4d23-8c6e-${call + 1e11}`,
+    });
+    if (outcome === 'granted') granted += 1;
+  }
+  return granted;
+}
+
+async function runClaims(group: Group, concurrency: number): Promise<ClaimRun> {
+  const syncsBefore = group.syncs();
+  const started = performance.now();
+  const callers = Array.from({length: concurrency}, () =>
+    claimUntil(group, started + RUN_MS),
+  );
+  const granted = (await Promise.all(callers)).reduce((sum, n) => sum + n, 0);
+  const seconds = (performance.now() - started) / 1000;
+  const syncs = group.syncs() - syncsBefore;
+  return {
+    claimsPerSecond: granted / seconds,
+    syncsPerSecond: syncs / seconds,
+    batch: granted / Math.max(1, syncs),
+  };
+}
+
+/** @returns appends with a sync each, a second */
+async function runBare(folder: string, bytes: number): Promise<number> {
+  const handle = await open(join(folder, 'bare'), 'w');
+  const block = Buffer.alloc(Math.max(1, Math.round(bytes)), 1);
+  const started = performance.now();
+  let count = 0;
+  while (performance.now() - started < BARE_RUN_MS) {
+    await handle.write(block);
+    await handle.datasync();
+    count += 1;
+  }
+  const seconds = (performance.now() - started) / 1000;
+  await handle.close();
+  return count / seconds;
+}
+
+async function measureGroup(size: number): Promise<(string | number)[][]> {
+  return withFolder(async folder => {
+    const group = await startLedgerGroup(size, folder);
+    await runClaims(group, 64);
+    const rows: (string | number)[][] = [];
+    for (const concurrency of CONCURRENCIES) {
+      const before = await runBare(folder, CLAIM_BYTES);
+      const run = await runClaims(group, concurrency);
+      const after = await runBare(folder, CLAIM_BYTES * run.batch);
+      const limit = ((before + after) / 2) * run.batch;
+      rows.push([
+        size,
+        concurrency,
+        Math.round(run.claimsPerSecond),
+        Math.round(run.syncsPerSecond),
+        roundTo(run.batch, 1),
+        Math.round((before + after) / 2),
+        roundTo(limit / run.claimsPerSecond, 2),
+      ]);
+    }
+    await group.stop();
+    return rows;
+  });
+}
+
+/** @returns claims a second by members and claims under way */
+export async function measureClaimRate(): Promise<MeasureSection> {
+  const rows: (string | number)[][] = [];
+  for (const size of GROUP_SIZES) rows.push(...(await measureGroup(size)));
+  return {
+    title: 'Claims a second, and the disk in the same run',
+    columns: [
+      'members',
+      'under way',
+      'claims/s',
+      'syncs/s',
+      'claims/sync',
+      'bare syncs/s',
+      'batched limit / claims',
+    ],
+    rows,
+    notes: [
+      'members share one process, one core and one disk; syncs: the leader',
+      'batched limit: bare append and sync of the same batch, times the batch',
+      `each run ${RUN_MS} ms, bare runs before and after ${BARE_RUN_MS} ms`,
+    ],
+  };
+}
--- /dev/null
+++ b/packages/lovagepond-measure/src/control_measure.ts
@@ -0,0 +1,27 @@
+/**
+ * What the control role costs: claims, snapshots, spread of changes,
+ * subscribers, announcements, memory.
+ */
+import {measureClaimRate} from './claim_rate_measure.js';
+import {measureAnnouncements} from './control_announce_measure.js';
+import {measureControlMemory} from './control_memory_measure.js';
+import {
+  measureChangeSpread,
+  measureIdleSubscribers,
+} from './control_spread_measure.js';
+import {measureLedgerForms} from './ledger_form_measure.js';
+import {measureLedgerSnapshots} from './ledger_snapshot_measure.js';
+import {type MeasureSection} from './measure_types.js';
+
+/** @returns the control role's tables */
+export async function measureControl(): Promise<MeasureSection[]> {
+  return [
+    await measureClaimRate(),
+    measureLedgerForms(),
+    measureLedgerSnapshots(),
+    await measureChangeSpread(),
+    await measureIdleSubscribers(),
+    await measureAnnouncements(),
+    measureControlMemory(),
+  ];
+}
--- /dev/null
+++ b/packages/lovagepond-measure/src/control_spread_measure.ts
@@ -0,0 +1,232 @@
+/**
+ * How fast an accepted change is in force, and what subscribers cost.
+ */
+import {ControlRole} from '@lovagepond/control';
+import {type ConfigurationContent, Random} from '@lovagepond/core';
+import {announceServers} from './control_announcements.js';
+import {
+  aloneSettings,
+  MEASURE_CLOCK,
+  NO_LOG,
+  waitUntil,
+  withFolder,
+} from './control_fleet.js';
+import {CountingForwarder, MeasuredSubscriber} from './control_subscribers.js';
+import {Distribution, roundTo} from './measure_statistics.js';
+import {type MeasureSection} from './measure_types.js';
+
+const SUBSCRIBERS = [10, 100, 1_000] as const;
+const CHANGES = 20;
+const WORKSPACES = 480;
+const MODELS = 25;
+const SERVERS = 640;
+const IDLE_SUBSCRIBERS = 20;
+const IDLE_MS = 8_000;
+/** The list is whole, and loads go out, one lease after the start. */
+const LEASE_MS = 4_000;
+/** The leader doubts that all lapse at once, so they stay in the list. */
+const WARM_UP_MS = 5_000;
+const CHANGES_PER_DAY = 1_300;
+const SECONDS_PER_DAY = 86_400;
+
+/** A configuration of the size that the largest user plans for. */
+export function makeContent(workspaces: number): ConfigurationContent {
+  return {
+    pools: Array.from({length: MODELS}, (_, n) => ({
+      name: `model-${n}`,
+      kind: 'engine',
+      labels: {model: `model-${n}`, tier: 'gold'},
+      loadBound: 1.5,
+      reuseWeight: 0.5,
+      maxHoldMs: 8_000,
+      prefillTokensPerSecond: 8_000,
+      decodeTokensPerSecond: 2_400,
+    })),
+    selectors: Array.from({length: MODELS}, (_, n) => ({
+      name: `selector-${n}`,
+      workspaces: ['*'],
+      requestKinds: ['*'],
+      chatPrefixes: [],
+      pools: `model=model-${n}`,
+      backendServers: '',
+      priority: n,
+    })),
+    workspaces: Array.from({length: workspaces}, (_, n) => ({
+      name: `workspace-${n}`,
+      weight: 1,
+      priority: 5,
+      maxQueuedTokens: 0,
+    })),
+    requestKinds: [{name: 'redemption', nonRepeatable: true}],
+  };
+}
+
+async function withRole<Value>(
+  run: (role: ControlRole) => Promise<Value>,
+): Promise<Value> {
+  return withFolder(async folder => {
+    const settings = {...aloneSettings(folder), leaseMs: LEASE_MS};
+    const parts = {clock: MEASURE_CLOCK, log: NO_LOG, random: new Random(1)};
+    const role = new ControlRole(settings, parts);
+    await role.start();
+    await waitUntil(() => role.isReady());
+    try {
+      return await run(role);
+    } finally {
+      await role.stop();
+    }
+  });
+}
+
+/** Replaces all once, then changes one workspace each time. */
+async function change(role: ControlRole, revision: number): Promise<void> {
+  const object = {name: 'workspace-0', weight: revision};
+  const put = {kind: 'put', section: 'workspaces', object} as const;
+  const replace = {kind: 'replace', content: makeContent(WORKSPACES)} as const;
+  const answer = await role.administration.change({
+    operationId: `change-${revision}`,
+    baseRevision: revision - 1,
+    dryRun: false,
+    change: revision === 1 ? replace : put,
+  });
+  if (answer.kind !== 'accepted') throw new Error(answer.kind);
+}
+
+async function subscribe(
+  target: string,
+  count: number,
+): Promise<MeasuredSubscriber[]> {
+  const subscribers = Array.from(
+    {length: count},
+    (_, n) => new MeasuredSubscriber(target, `router-${n}`),
+  );
+  await waitUntil(() => subscribers.every(one => one.confirmed));
+  return subscribers;
+}
+
+/** Resolves when the last subscriber holds the revision. */
+function allHold(
+  subscribers: readonly MeasuredSubscriber[],
+  revision: number,
+): Promise<void> {
+  return new Promise(resolve => {
+    let missing = subscribers.length;
+    for (const subscriber of subscribers) {
+      subscriber.onRevision = held => {
+        if (held !== revision) return;
+        missing -= 1;
+        if (missing === 0) resolve();
+      };
+    }
+  });
+}
+
+async function measureSpread(count: number): Promise<(string | number)[]> {
+  return withRole(async role => {
+    const subscribers = await subscribe(`127.0.0.1:${role.port}`, count);
+    const accept = new Distribution(0.01);
+    const spread = new Distribution(0.01);
+    for (let revision = 1; revision <= CHANGES; revision += 1) {
+      const held = allHold(subscribers, revision);
+      const started = performance.now();
+      await change(role, revision);
+      const accepted = performance.now();
+      await held;
+      accept.record(accepted - started);
+      spread.record(performance.now() - accepted);
+    }
+    for (const subscriber of subscribers) subscriber.close();
+    return [
+      count,
+      roundTo(accept.percentile(50), 1),
+      roundTo(spread.percentile(50), 1),
+      roundTo(spread.max, 1),
+    ];
+  });
+}
+
+/** @returns time from accepted to in force at the last subscriber */
+export async function measureChangeSpread(): Promise<MeasureSection> {
+  const rows: (string | number)[][] = [];
+  for (const count of SUBSCRIBERS) rows.push(await measureSpread(count));
+  return {
+    title: 'From accepted to in force at the last subscriber, over sockets',
+    columns: ['subscribers', 'accept p50 ms', 'spread p50 ms', 'spread max ms'],
+    rows,
+    notes: [
+      `${CHANGES} changes, ${WORKSPACES} workspaces, ${MODELS} pools; one member`,
+      'all subscribers and the member share one process and one core',
+    ],
+  };
+}
+
+interface IdleCost {
+  readonly bytesPerSecond: number;
+  readonly microsecondsPerSecond: number;
+  readonly bytesPerChange: number;
+}
+
+async function measureIdle(servers: number): Promise<IdleCost> {
+  return withRole(async role => {
+    await announceServers(role.port, servers);
+    await change(role, 1);
+    const forwarder = new CountingForwarder(role.port);
+    const target = await forwarder.listen();
+    const subscribers = await subscribe(target, IDLE_SUBSCRIBERS);
+    const pause = (ms: number): Promise<void> =>
+      new Promise(resolve => setTimeout(resolve, ms));
+    await pause(WARM_UP_MS);
+    const bytes = forwarder.bytesToClients + forwarder.bytesToServer;
+    const cpu = process.cpuUsage();
+    await pause(IDLE_MS);
+    const used = process.cpuUsage(cpu);
+    const idle = forwarder.bytesToClients + forwarder.bytesToServer - bytes;
+    const held = allHold(subscribers, 2);
+    const before = forwarder.bytesToClients;
+    await change(role, 2);
+    await held;
+    const pushed = forwarder.bytesToClients - before;
+    for (const subscriber of subscribers) subscriber.close();
+    forwarder.close();
+    const subscriberSeconds = (IDLE_SUBSCRIBERS * IDLE_MS) / 1000;
+    return {
+      bytesPerSecond: idle / subscriberSeconds,
+      microsecondsPerSecond: (used.user + used.system) / subscriberSeconds,
+      bytesPerChange: pushed / IDLE_SUBSCRIBERS,
+    };
+  });
+}
+
+/** @returns bytes and processor time of an idle subscriber */
+export async function measureIdleSubscribers(): Promise<MeasureSection> {
+  const rows: (string | number)[][] = [];
+  for (const servers of [0, SERVERS]) {
+    const cost = await measureIdle(servers);
+    const changes = (cost.bytesPerChange * CHANGES_PER_DAY) / SECONDS_PER_DAY;
+    rows.push([
+      servers,
+      roundTo(cost.bytesPerSecond, 0),
+      Math.round(cost.bytesPerChange),
+      roundTo(changes, 1),
+      roundTo(cost.bytesPerSecond + changes, 0),
+      Math.round(cost.microsecondsPerSecond),
+    ]);
+  }
+  return {
+    title: 'What a subscriber costs',
+    columns: [
+      'backend servers',
+      'idle B/s',
+      'B/change',
+      `B/s at ${CHANGES_PER_DAY} changes/day`,
+      'sum B/s',
+      'idle CPU µs/s',
+    ],
+    rows,
+    notes: [
+      'bytes of TCP streams in both directions, counted on the way',
+      `${IDLE_SUBSCRIBERS} subscribers, ${IDLE_MS} ms; CPU of member, clients and counter`,
+      '0 servers: heartbeats alone; 640: with the load digest each second',
+    ],
+  };
+}
