Send chats of a young first choice to their former home

**Cause** Each server that joins becomes first choice of a sixth of the chats. Their contexts lie where they were at home before, and no pointer leads there. **Change** For a returning chat whose first choice joined lately the router names the next older server of its order. The first choice's gate, which knows whether it ever served the chat, sends the request there; a named server where the chat is cold too sends it back.

--- a/packages/lovagepond-measure/src/measure_fleet_types.ts
+++ b/packages/lovagepond-measure/src/measure_fleet_types.ts
@@ -49,6 +49,7 @@
   readonly attemptId: string;
   readonly arrival: Arrival;
   readonly firstChoice: string;
+  readonly warmCandidates: readonly string[];
   readonly handOvers: number;
   readonly owner: AttemptOwner;
   /** The first token has reached the caller. */
--- a/packages/lovagepond-measure/src/measure_router.ts
+++ b/packages/lovagepond-measure/src/measure_router.ts
@@ -35,6 +35,7 @@
   readonly arrival: Arrival;
   readonly candidates: readonly ListedServer[];
   readonly firstChoice: string;
+  readonly warmCandidates: readonly string[];
   readonly tried: Set<string>;
   attempts: number;
   handOvers: number;
@@ -111,7 +112,7 @@
       outcomes.refused(arrival);
       return;
     }
-    const {candidates, firstChoice} = this.#policy.place({
+    const placement = this.#policy.place({
       request: {
         workspace: arrival.workspace,
         chat: arrival.chat,
@@ -125,10 +126,12 @@
       now: time.now,
       random: this.#random,
     });
+    const {candidates, firstChoice, warmCandidates = []} = placement;
     const pending: Pending = {
       arrival,
       candidates,
       firstChoice: firstChoice.name,
+      warmCandidates: warmCandidates.map(({name}) => name),
       tried: new Set(),
       attempts: 0,
       handOvers: 0,
@@ -194,6 +197,10 @@
       attemptId: `${arrival.id}#${pending.attempts}`,
       arrival,
       firstChoice,
+      // Named again to the first choice, they would lead round in a circle.
+      warmCandidates: pending.warmCandidates.filter(
+        name => pending.attempts === 1 || name === server.name,
+      ),
       handOvers,
       owner: this,
       streaming: false,
--- a/packages/lovagepond-measure/src/measure_server.ts
+++ b/packages/lovagepond-measure/src/measure_server.ts
@@ -96,6 +96,7 @@
       nonRepeatable: false,
       revision: REVISION,
       firstChoice: attempt.firstChoice,
+      warmCandidates: attempt.warmCandidates,
       handOvers: attempt.handOvers,
       poolMeanTokens: 0,
     };
--- a/packages/lovagepond-router/src/__tests__/unit/router_placement.test.ts
+++ b/packages/lovagepond-router/src/__tests__/unit/router_placement.test.ts
@@ -95,6 +95,22 @@
       expect(candidates[0]).toBe(firstChoice);
     }
   });
+
+  // Same join. A chat that began before it lies where it was at home then: the
+  // next of its order that is older. Only chats of the young server ask for it.
+  it('names the former home of chats whose first choice is young', () => {
+    const former = placeChats('holdAndTake');
+    const placements = placeChats('holdAndTake', {young: 'server-2'});
+    placements.forEach(({firstChoice, warmCandidates = []}, chat) => {
+      const [, next] = former[chat]!.candidates;
+      const wanted = firstChoice.slot === 2 ? [next!.name] : [];
+      expect(warmCandidates.map(({name}) => name)).toEqual(wanted);
+    });
+    const options = {young: 'server-2', returning: false};
+    for (const {warmCandidates} of placeChats('holdAndTake', options)) {
+      expect(warmCandidates).toEqual([]);
+    }
+  });
 });
 
 describe('RouterLoadView', () => {
--- a/packages/lovagepond-router/src/router_placement.ts
+++ b/packages/lovagepond-router/src/router_placement.ts
@@ -59,6 +59,11 @@
   readonly candidates: readonly Server[];
   /** The chat's rendezvous choice, whose sidecar keeps its pointer. */
   readonly firstChoice: Server;
+  /**
+   * Where a returning chat may be warm although its first choice never saw
+   * it, because that one is young. Its sidecar sends the request on.
+   */
+  readonly warmCandidates?: readonly Server[];
 }
 
 /** One way to place requests. It may count, but does no I/O. */
--- a/packages/lovagepond-router/src/router_placement_rendezvous.ts
+++ b/packages/lovagepond-router/src/router_placement_rendezvous.ts
@@ -13,6 +13,12 @@
 
 const MS_PER_SECOND = 1000;
 
+/**
+ * A server that became ready less long ago than this is young: chats that
+ * return may have been served before it came, by the next of their order.
+ */
+const YOUNG_MS = 3_600_000;
+
 function orderServers<Server extends PlacementServer>(
   hasher: KeyHasher,
   input: PlacementInput<Server>,
@@ -171,7 +177,22 @@
     const chosen = input.request.returning
       ? firstChoice
       : this.#findStart(input, order);
-    return {candidates: moveToFront(order, chosen), firstChoice};
+    return {
+      candidates: moveToFront(order, chosen),
+      firstChoice,
+      warmCandidates: this.#findFormerHome(input, order),
+    };
+  }
+
+  /** Where a chat was at home just before its young first choice came. */
+  #findFormerHome<Server extends PlacementServer>(
+    {request, now}: PlacementInput<Server>,
+    order: readonly Server[],
+  ): readonly Server[] {
+    const {readySince} = serverAt(order, 0);
+    if (!request.returning || now - readySince >= YOUNG_MS) return [];
+    const home = order.find(server => server.readySince < readySince);
+    return home ? [home] : [];
   }
 
   /** A new chat is cold everywhere: it starts within the bound. */
--- a/packages/lovagepond-router/src/router_request_runner.ts
+++ b/packages/lovagepond-router/src/router_request_runner.ts
@@ -272,7 +272,11 @@
     const {request} = this;
     const {workspace, requestKind} = this.#eligible;
     const left = Math.max(0, request.deadline - this.#now());
-    const {firstChoice, poolMeanTokens = 0} = this.#placed ?? {};
+    const {
+      firstChoice,
+      warmCandidates = [],
+      poolMeanTokens = 0,
+    } = this.#placed ?? {};
     return {
       requestId: request.requestId,
       attemptId: attempt.attemptId,
@@ -291,6 +295,7 @@
       nonRepeatable: requestKind.nonRepeatable,
       firstChoice: firstChoice?.name ?? '',
       firstChoiceAddress: firstChoice?.address ?? '',
+      warmCandidates: [...warmCandidates],
       resumeFrom,
       contentType: request.contentType,
       poolMeanTokens,
--- a/packages/lovagepond-router/src/router_server_choice.ts
+++ b/packages/lovagepond-router/src/router_server_choice.ts
@@ -11,6 +11,7 @@
 import {type EligibleSet} from './router_eligibility.js';
 import {type RouterLoadView} from './router_load_view.js';
 import {
+  type Placement,
   type PlacementPolicy,
   type PlacementRequest,
   type PlacementServer,
@@ -33,6 +34,8 @@
   readonly server: BackendServer;
   /** The chat's first choice, when that is another server. */
   readonly firstChoice: BackendServer | undefined;
+  /** Names of servers where the chat may be warm when it isn't here. */
+  readonly warmCandidates: readonly string[];
   /** Estimated mean of outstanding tokens over the eligible servers. */
   readonly poolMeanTokens: number;
 }
@@ -95,7 +98,8 @@
     const pool = query.set.pools[0];
     if (!pool || query.set.servers.length === 0) return undefined;
     const table = this.#tableOf(query.set);
-    const {candidates, firstChoice} = this.#order(query, pool, table, now);
+    const placement = this.#order(query, pool, table, now);
+    const {candidates, firstChoice} = placement;
     const server =
       this.#findWanted(query, now) ?? this.#pick(query, candidates, table, now);
     if (!server) return undefined;
@@ -103,6 +107,7 @@
     return {
       server,
       firstChoice: away ? firstChoice.server : undefined,
+      warmCandidates: this.#nameWarm(query, placement, now),
       poolMeanTokens: this.#parts.load.meanOf(table.slots),
     };
   }
@@ -121,13 +126,30 @@
     settings: Pool,
     table: RendezvousTable<Candidate>,
     now: number,
-  ): {candidates: readonly Candidate[]; firstChoice: Candidate} {
+  ): Placement<Candidate> {
     const {policy, load, random} = this.#parts;
     const {request} = query;
     const servers = table;
     return policy.place({request, servers, load, settings, now, random});
   }
 
+  /**
+   * A first attempt names them, and so does the one that follows to such a
+   * server. Named again to the first choice, they would let it send the
+   * request round in a circle.
+   */
+  #nameWarm(
+    {wanted, excluded}: ChoiceQuery,
+    {warmCandidates = []}: Placement<Candidate>,
+    now: number,
+  ): string[] {
+    return warmCandidates
+      .filter(item => wanted === undefined || item.name === wanted)
+      .filter(item => !excluded.has(item.name))
+      .filter(item => !this.#parts.isSuspect(item.server, now))
+      .map(item => item.name);
+  }
+
   #findWanted(
     {set, wanted, excluded}: ChoiceQuery,
     now: number,
--- a/packages/lovagepond-sidecar/src/sidecar_dispatcher.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_dispatcher.ts
@@ -81,6 +81,7 @@
     nonRepeatable,
     revision,
     firstChoice,
+    warmCandidates: request.warmCandidates,
     handOvers: request.handOvers,
     poolMeanTokens: request.poolMeanTokens,
   };
--- a/packages/lovagepond-sidecar/src/sidecar_gate_refusals.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_gate_refusals.ts
@@ -7,6 +7,7 @@
 import {type SidecarFairQueue} from './sidecar_fair_queue.js';
 import {type SidecarPointers} from './sidecar_pointers.js';
 import {
+  type ChatWarmth,
   type GateAction,
   type GatePolicy,
   type GateSettings,
@@ -139,18 +140,32 @@
   });
 }
 
+/**
+ * At its first choice a chat of unknown state is better looked for elsewhere;
+ * at its former home a context that was heard of is worth the try.
+ */
+function mayBeWarm({warmth, tokens}: ChatWarmth, first: boolean): boolean {
+  if (warmth === WARMTH.WARM) return true;
+  return !first && warmth === WARMTH.UNKNOWN && tokens > 0;
+}
+
 function checkPointer(
   offer: Offer,
   view: RefusalView,
   now: number,
 ): RefuseAction | undefined {
-  if (offer.handOvers > 0 || !isFirstChoice(offer, view.settings)) {
-    return undefined;
-  }
-  const {workspace, chat, requestId} = offer;
-  if (view.cache.read(workspace, chat).warmth === WARMTH.WARM) return undefined;
-  const pointer = view.pointers.follow(workspace, chat, requestId, now);
-  if (pointer === undefined) return undefined;
+  const {workspace, chat, requestId, warmCandidates = []} = offer;
+  const {backendServer} = view.settings;
+  const first = isFirstChoice(offer, view.settings);
+  const named = warmCandidates.includes(backendServer);
+  if (chat === '' || offer.handOvers > 0 || !(first || named)) return undefined;
+  if (mayBeWarm(view.cache.read(workspace, chat), first)) return undefined;
+  // The chat is cold where it was at home once: rebuilt there, chats would
+  // pile up on the oldest servers.
+  const fallback = first ? warmCandidates[0] : offer.firstChoice;
+  const followed = view.pointers.follow(workspace, chat, requestId, now);
+  const pointer = followed ?? fallback;
+  if (pointer === undefined || pointer === backendServer) return undefined;
   return makeRefusal(offer.attemptId, 'servedElsewhere', {pointer});
 }
 
--- a/packages/lovagepond-sidecar/src/sidecar_types.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_types.ts
@@ -28,6 +28,13 @@
   readonly revision: number;
   /** First-choice backend server; empty when it is this one. */
   readonly firstChoice: string;
+  /**
+   * Servers where the chat may be warm if it isn't at its first choice: the
+   * router saw that one join after the chat may have begun. The first choice
+   * sends the request there; a server that finds itself named and the chat
+   * cold sends it back.
+   */
+  readonly warmCandidates?: readonly string[];
   /** Times this request was handed over by a take. */
   readonly handOvers: number;
   /** The router's estimate of the pool's mean load; 0 when it has none. */
