--- a/packages/lovagepond-cli/src/__tests__/e2e/program.test.ts
+++ b/packages/lovagepond-cli/src/__tests__/e2e/program.test.ts
@@ -10,6 +10,12 @@
   readonly output: string;
 }
 
+/** Deployment, and its first kind of call that may not be repeated. */
+const SETS = [
+  ['bayern-sued', 'redemption-check'],
+  ['hofudborg', 'spill-notice'],
+] as const;
+
 async function run(...args: readonly string[]): Promise<Run> {
   const child = spawn(process.execPath, ['dist/lovagepond.cjs', ...args]);
   let output = '';
@@ -29,9 +35,22 @@
     rmSync(folder, {recursive: true});
   });
 
-  it('runs every role in one process and checks itself by a chat', async () => {
-    const {code, output} = await run('standalone', '--self-check');
-    expect(output).toContain('self-check passed');
+  // Every role of a set in one process, on free ports: control with all of its
+  // members, the routers, the sidecars, stand-ins behind them. A chat comes
+  // back through another router; a call that may not be repeated is sent twice
+  // through two routers and must run once.
+  it.each(SETS)('starts the set %s and serves', async (name, once) => {
+    const set = join('examples', name);
+    const {code, output} = await run(
+      'standalone',
+      '--self-check',
+      '--set',
+      set,
+    );
+    expect(output).toMatch(
+      /chat: came back .* [1-9]\d* prompt tokens from the/,
+    );
+    expect(output).toContain(`${once}: sent twice under one key, ran once`);
     expect(code).toBe(0);
   });
 
--- a/packages/lovagepond-cli/src/check_settings_files.ts
+++ b/packages/lovagepond-cli/src/check_settings_files.ts
@@ -31,23 +31,43 @@
   return {file, section: 'process', key: 'role', message};
 }
 
+/** How several settings are checked against each other. */
+export interface FilesCheckOptions {
+  /** One process runs all of them and has one platform address. */
+  readonly sharedPlatform?: boolean;
+}
+
 /**
- * @param files paths of settings files of processes of one host
- * @returns every fault of every file, and addresses that two processes take
+ * @param all settings of processes of one host, parsed
+ * @param options how they are checked against each other
+ * @returns every fault, and addresses that two processes take
  */
-export function checkSettingsFiles(files: readonly string[]): FilesCheck {
+export function checkParsedSettings(
+  all: readonly ParsedSettings[],
+  {sharedPlatform = false}: FilesCheckOptions = {},
+): FilesCheck {
   const faults: SettingsFault[] = [];
   const listens: ListenAddress[] = [];
-  for (const file of files) {
-    const parsed = readSettings(file);
+  for (const parsed of all) {
     const role = roleOf(parsed);
     if (!role) {
-      faults.push(...parsed.faults, describeMissingRole(file));
+      faults.push(...parsed.faults, describeMissingRole(parsed.file));
       continue;
     }
     const check = checkSettings(parsed, ROLE_SCHEMAS[role]);
     if (check.ok) listens.push(...check.listens);
     else faults.push(...check.faults);
   }
-  return {faults: [...faults, ...findOverlaps(listens)]};
+  const taken = sharedPlatform
+    ? listens.filter(({section}) => section !== 'platform')
+    : listens;
+  return {faults: [...faults, ...findOverlaps(taken)]};
+}
+
+/**
+ * @param files paths of settings files of processes of one host
+ * @returns every fault of every file, and addresses that two processes take
+ */
+export function checkSettingsFiles(files: readonly string[]): FilesCheck {
+  return checkParsedSettings(files.map(file => readSettings(file)));
 }
--- a/packages/lovagepond-cli/src/command_line.ts
+++ b/packages/lovagepond-cli/src/command_line.ts
@@ -12,6 +12,7 @@
   type RoleName,
   VERSION,
 } from './cli_constants.js';
+import {type StandaloneOptions} from './command_standalone.js';
 import {collectWords, renderCompletion} from './command_completion.js';
 
 const ROLE_SUMMARIES: Readonly<Record<RoleName, string>> = {
@@ -21,9 +22,7 @@
 };
 
 /** Options of `standalone`. */
-interface StandaloneOptions {
-  readonly dataFolder: string;
-  readonly logLevel: 'debug' | 'info' | 'warn' | 'error';
+interface StandaloneFlags extends StandaloneOptions {
   readonly selfCheck?: boolean;
 }
 
@@ -79,16 +78,21 @@
         .choices(['debug', 'info', 'warn', 'error'])
         .default('warn'),
     )
+    .option('--set <folder>', 'settings files and a configuration.json')
     .option('--self-check', 'send one chat over free ports and end')
     .addHelpText(
       'after',
-      renderExamples('standalone', 'standalone --self-check'),
+      renderExamples(
+        'standalone',
+        'standalone --set examples/hofudborg',
+        'standalone --self-check',
+      ),
     )
-    .action(async (options: StandaloneOptions) => {
+    .action(async ({selfCheck, ...options}: StandaloneFlags) => {
       const commands = await import('./command_standalone.js');
-      process.exitCode = options.selfCheck
-        ? await commands.runSelfCheck()
-        : await commands.runStandalone(options.dataFolder, options.logLevel);
+      process.exitCode = selfCheck
+        ? await commands.runSelfCheck(options.set)
+        : await commands.runStandalone(options);
     });
 }
 
--- a/packages/lovagepond-cli/src/standalone_fleet.ts
+++ b/packages/lovagepond-cli/src/standalone_fleet.ts
@@ -1,85 +1,88 @@
 /**
- * Every role, with stand-ins for the backend servers, as one role.
+ * Every role of a set, with stand-ins for the backend servers, as one role.
  */
+import {type Role} from '@lovagepond/core';
 import {
   checkSettings,
   type FileSchema,
   type HostPort,
-  type MetricsRegistry,
+  type ParsedSettings,
+  parseHostPort,
   SettingsError,
 } from '@lovagepond/platform';
-import {type Role} from '@lovagepond/core';
+import {checkParsedSettings, roleOf} from './check_settings_files.js';
 import {type RoleName} from './cli_constants.js';
-import {createFake} from './command_fake.js';
+import {createFake, type FakeKind} from './command_fake.js';
 import {ControlMember} from './control_member.js';
+import {type RoleParts} from './role_definition.js';
 import {type NamedRole, RoleGroup} from './role_group.js';
 import {loadRoleDefinition} from './role_loader.js';
-import {type RoleParts} from './role_definition.js';
 import {type MeteredRole, registerRoleMetrics} from './role_metrics.js';
-import {
-  makeStandaloneRoles,
-  type PortPlan,
-  STANDALONE_COUNTS,
-  type StandaloneRole,
-} from './standalone_settings.js';
+import {type FleetSet} from './standalone_set.js';
 
 /** The roles of one process, not started yet. */
 export interface StandaloneFleet {
   readonly group: Role;
-  readonly control: ControlMember;
+  readonly members: readonly ControlMember[];
 }
 
-const HOST = '127.0.0.1';
+/** Each role after those that it needs. */
+const START_ORDER: readonly RoleName[] = ['control', 'sidecar', 'router'];
 
-function makeFakes(plan: PortPlan): NamedRole[] {
-  return plan.backends.map((port, index) => {
-    const kind = index < STANDALONE_COUNTS.ENGINES ? 'engine' : 'service';
-    const address: HostPort = {host: HOST, port};
-    return {name: `fake-${kind}-${index + 1}`, role: createFake(kind, address)};
+function makeFakes(settings: readonly ParsedSettings[]): NamedRole[] {
+  return settings.flatMap(({sections}): NamedRole[] => {
+    const {kind, url} = sections['backend'] ?? {};
+    if (kind === undefined || url === undefined) return [];
+    const address = parseHostPort(new URL(url).host) as HostPort;
+    const name = `${sections['process']?.['name'] ?? url}-backend`;
+    return [{name, role: createFake(kind as FakeKind, address)}];
   });
 }
 
 async function makeRole(
-  {role, parsed}: StandaloneRole,
+  kind: RoleName,
+  parsed: ParsedSettings,
   parts: RoleParts,
-): Promise<Role> {
-  const definition = await loadRoleDefinition(role);
+): Promise<MeteredRole> {
+  const definition = await loadRoleDefinition(kind);
   const schema: FileSchema = definition.schema;
   const check = checkSettings(parsed, schema);
   if (!check.ok) throw new SettingsError(check.faults);
-  return definition.createRole(check.values, parts);
+  const role = await definition.createRole(check.values, parts);
+  return {kind, name: parsed.sections['process']?.['name'] ?? '', role};
 }
 
-async function makeMembers(
-  roles: readonly StandaloneRole[],
+async function makeRoles(
+  settings: readonly ParsedSettings[],
   parts: RoleParts,
 ): Promise<MeteredRole[]> {
-  const members: MeteredRole[] = [];
-  for (const entry of roles) {
-    const role = await makeRole(entry, parts);
-    const kind: RoleName = entry.role;
-    members.push({kind, name: entry.parsed.file, role});
+  const roles: MeteredRole[] = [];
+  for (const kind of START_ORDER) {
+    for (const parsed of settings) {
+      if (roleOf(parsed) !== kind) continue;
+      roles.push(await makeRole(kind, parsed, parts));
+    }
   }
-  return members;
+  return roles;
 }
 
 /**
- * @param plan which part listens on which port
- * @param dataFolder folder of the whole process
+ * @param set settings of the fleet
  * @param parts what the roles share
- * @param metrics where their metrics go
  * @returns the roles
+ * @throws SettingsError with the faults of every file
  */
 export async function makeStandaloneFleet(
-  plan: PortPlan,
-  dataFolder: string,
+  {settings}: FleetSet,
   parts: RoleParts,
-  metrics: MetricsRegistry,
 ): Promise<StandaloneFleet> {
-  const roles = makeStandaloneRoles(plan, dataFolder);
-  const members = await makeMembers(roles, parts);
-  registerRoleMetrics(metrics, members);
-  const control = members.find(({role}) => role instanceof ControlMember);
-  const group = new RoleGroup([...makeFakes(plan), ...members]);
-  return {group, control: control?.role as ControlMember};
+  const {faults} = checkParsedSettings(settings, {sharedPlatform: true});
+  if (faults.length > 0) throw new SettingsError(faults);
+  const roles = await makeRoles(settings, parts);
+  registerRoleMetrics(parts.metrics, roles);
+  const members = roles.flatMap(({role}) =>
+    role instanceof ControlMember ? [role] : [],
+  );
+  const group = new RoleGroup([...makeFakes(settings), ...roles]);
+  return {group, members};
 }
--- a/packages/lovagepond-cli/src/standalone_role.ts
+++ b/packages/lovagepond-cli/src/standalone_role.ts
@@ -3,53 +3,55 @@
  */
 import {type Clock, type Role, type StateDump} from '@lovagepond/core';
 import {type ControlAdministration} from '@lovagepond/control';
-import {STANDALONE_CONFIGURATION} from './standalone_configuration.js';
 import {type StandaloneFleet} from './standalone_fleet.js';
 
 const OPERATION_ID = 'standalone-first-configuration';
 const LEADER_LIMIT_MS = 10_000;
 const RETRY_MS = 50;
 
-/** Puts the first configuration in force, once control has a leader. */
-async function putFirstConfiguration(
+/** @returns true once a configuration is in force at the member */
+async function putConfiguration(
   administration: ControlAdministration,
-  clock: Clock,
-): Promise<void> {
-  const deadline = clock.now() + LEADER_LIMIT_MS;
-  for (;;) {
-    if (administration.getConfiguration().revision > 0) return;
-    const answer = await administration.change({
-      operationId: OPERATION_ID,
-      baseRevision: 0,
-      dryRun: false,
-      change: {kind: 'replace', content: STANDALONE_CONFIGURATION},
-    });
-    if (answer.kind === 'accepted') return;
-    if (clock.now() > deadline) {
-      throw new Error(`the first configuration was not taken: ${answer.kind}`);
-    }
-    await new Promise(resolve => setTimeout(resolve, RETRY_MS));
-  }
+  content: unknown,
+): Promise<boolean> {
+  if (administration.getConfiguration().revision > 0) return true;
+  const answer = await administration.change({
+    operationId: OPERATION_ID,
+    baseRevision: 0,
+    dryRun: false,
+    change: {kind: 'replace', content},
+  });
+  if (answer.kind !== 'invalid') return answer.kind === 'accepted';
+  const faults = answer.faults.map(fault => `${fault.place}: ${fault.message}`);
+  throw new Error(`the configuration has faults: ${faults.join('; ')}`);
 }
 
 /** Starts every role, then puts a configuration in force. */
 export class StandaloneRole implements Role {
   readonly #fleet: StandaloneFleet;
+  readonly #configuration: unknown;
   readonly #clock: Clock;
 
   /**
    * @param fleet the roles
+   * @param configuration what is put in force at the first start
    * @param clock limits the wait for a leader
    */
-  constructor(fleet: StandaloneFleet, clock: Clock) {
+  constructor(fleet: StandaloneFleet, configuration: unknown, clock: Clock) {
     this.#fleet = fleet;
+    this.#configuration = configuration;
     this.#clock = clock;
   }
 
   async start(): Promise<void> {
-    const {group, control} = this.#fleet;
-    await group.start();
-    await putFirstConfiguration(control.administration, this.#clock);
+    await this.#fleet.group.start();
+    const deadline = this.#clock.now() + LEADER_LIMIT_MS;
+    while (!(await this.#tryMembers())) {
+      if (this.#clock.now() > deadline) {
+        throw new Error('control has no leader');
+      }
+      await new Promise(resolve => setTimeout(resolve, RETRY_MS));
+    }
   }
 
   isReady(): boolean {
@@ -67,4 +69,13 @@
   dump(): StateDump {
     return this.#fleet.group.dump();
   }
+
+  async #tryMembers(): Promise<boolean> {
+    for (const {administration} of this.#fleet.members) {
+      if (await putConfiguration(administration, this.#configuration)) {
+        return true;
+      }
+    }
+    return false;
+  }
 }
