Bound the bytes of all request bodies together

Cause: each body is within its limit, but 20,000 connections times 1 MiB are 20 GB: a wave could end a router with everyone's answers. Besides, node fires a timer of more than 24 days at once, so that a far deadline ended a run as soon as it began; and a sender too slow for its limit was still given a second.

Timers of deadlines are capped. A slow sender's connection closes at once. The router's fake front counts the held bytes as well.

Seen failing on a scratch copy: the budget's check, the release of a lease, the cap of timers, and the count of received bytes that a resume of an answer in one piece needs.

Conclusion: memory of the caller front is bounded by connection and in all.

--- a/packages/lovagepond-backend/src/__tests__/unit/backend_http_engine.test.ts
+++ b/packages/lovagepond-backend/src/__tests__/unit/backend_http_engine.test.ts
@@ -67,6 +67,9 @@
   }
   expect(last).toMatchObject({kind: 'end', totalBytes: expected});
   expect(server.counters).toMatchObject({requests: 1, resumes: 1});
+  const whole = await collect(engine, completion('r2', {stream: false}));
+  expect(contentOf(whole.text)).toBe(fakeAnswerText('r2', 20));
+  expect(server.counters).toMatchObject({requests: 2, resumes: 2});
 });
 
 test('an engine that begins anew in place of going on is not believed', async () => {
@@ -195,6 +198,13 @@
   expect(events[1]).toMatchObject({failure: {kind: 'deadlineExceeded'}});
 });
 
+test('a deadline that lies far ahead ends nothing', async () => {
+  const server = await startEngine();
+  const engine = connectEngine(server.address);
+  const {last} = await collect(engine, completion('r1', {deadline: Infinity}));
+  expect(last.kind).toBe('end');
+});
+
 test('tells what was not run from what may have run', async () => {
   const server = await startEngine();
   const engine = connectEngine(server.address);
--- a/packages/lovagepond-backend/src/backend_http_engine.ts
+++ b/packages/lovagepond-backend/src/backend_http_engine.ts
@@ -35,6 +35,7 @@
   type LoadReport,
   type ModelEngine,
 } from './backend_model_engine.js';
+import {startTimer} from './backend_timer_utils.js';
 
 /** Bounds of the connections to one engine. */
 export interface HttpEngineSettings extends HttpClientSettings {
@@ -130,9 +131,9 @@
     }
     const run = new HttpEngineRun(this.#client, request);
     this.#runs.set(request.requestId, run);
-    const timer = setTimeout(() => {
+    const timer = startTimer(left, () => {
       run.abort('deadlineExceeded');
-    }, left);
+    });
     try {
       yield* run.events();
     } finally {
--- a/packages/lovagepond-backend/src/backend_http_service.ts
+++ b/packages/lovagepond-backend/src/backend_http_service.ts
@@ -13,6 +13,7 @@
   type ServiceOutcome,
   type ServiceRequest,
 } from './backend_plain_service.js';
+import {startTimer} from './backend_timer_utils.js';
 
 /** What is known when a call was lost before any byte of it left. */
 const LOST_BEFORE_DISPATCH: Readonly<Record<Loss, ErrorKind>> = {
@@ -79,7 +80,7 @@
     const abort = (): void => {
       limit.abort();
     };
-    const timer = setTimeout(abort, left);
+    const timer = startTimer(left, abort);
     signal?.addEventListener('abort', abort);
     if (signal?.aborted) abort();
     const outcome = await this.#send(request, limit.signal);
--- a/packages/lovagepond-caller/src/__tests__/unit/caller_server.test.ts
+++ b/packages/lovagepond-caller/src/__tests__/unit/caller_server.test.ts
@@ -110,6 +110,25 @@
   expect(await received).toContain('"kind":"payloadTooLarge"');
 });
 
+test('all bodies together are bounded, and callers told to come back', async () => {
+  // A wave of callers sends bodies that are each within the limit. Those that
+  // would fill the process's memory are refused at once and spread; the others
+  // are answered, and their bytes are given back.
+  const sinks: AnswerSink[] = [];
+  const server = await startServer((_req, sink) => sinks.push(sink), {
+    maxHeldBodyBytes: 5_000,
+  });
+  const body = chatBody({filler: 'x'.repeat(2_000)});
+  const first = [post(server, body), post(server, body)];
+  await expect.poll(() => sinks.length).toBe(2);
+  const refused = await errorOf(await post(server, body));
+  expect(refused).toMatchObject({kind: 'overloaded', disposition: 'notRun'});
+  expect(refused.retryAfterMs).toBeGreaterThanOrEqual(1_000);
+  for (const sink of sinks) sink.end();
+  await Promise.all(first);
+  await expect.poll(() => server.counters.heldBodyBytes).toBe(0);
+});
+
 test('a refused sender reads its answer before the connection ends', async () => {
   // The caller is refused by its head while it still sends its body. A close
   // at that moment resets the connection, and it sees the reset alone.
--- a/packages/lovagepond-caller/src/caller_body.ts
+++ b/packages/lovagepond-caller/src/caller_body.ts
@@ -2,7 +2,8 @@
  * Reads a request's body within a size and a time.
  */
 import {type IncomingMessage} from 'node:http';
-import {makeFailure, type Result} from '@lovagepond/core';
+import {type Failure, makeFailure, type Result} from '@lovagepond/core';
+import {type BodyLease} from './caller_body_budget.js';
 
 const TOO_LARGE = {
   ok: false,
@@ -13,6 +14,10 @@
 export interface BodyLimits {
   readonly maxBytes: number;
   readonly timeoutMs: number;
+  /** Counts the bytes against those of all other requests. */
+  readonly lease: BodyLease;
+  /** @returns the failure when all bodies together are at their bound */
+  readonly overload: () => Failure;
 }
 
 /**
@@ -43,7 +48,11 @@
     const keep = (chunk: Buffer): void => {
       length += chunk.length;
       if (length > limits.maxBytes) finish(TOO_LARGE);
-      else chunks.push(chunk);
+      // Each body is small, but a wave of callers sends thousands at once, and
+      // together they would end the process with everyone's answers.
+      else if (!limits.lease.add(chunk.length)) {
+        finish({ok: false, failure: limits.overload()});
+      } else chunks.push(chunk);
     };
     const complete = (): void => {
       finish({ok: true, value: Buffer.concat(chunks, length)});
--- a/packages/lovagepond-caller/src/caller_exchange.ts
+++ b/packages/lovagepond-caller/src/caller_exchange.ts
@@ -4,12 +4,15 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {
   type Clock,
+  type Failure,
   makeFailure,
+  type Random,
   type Result,
   type Unregister,
 } from '@lovagepond/core';
 import {HttpAnswer} from './caller_answer.js';
 import {readBody} from './caller_body.js';
+import {type BodyBudget, type BodyLease} from './caller_body_budget.js';
 import {CALLER_HEADER} from './caller_constants.js';
 import {type KeysInFlight} from './caller_keys.js';
 import {
@@ -30,12 +33,16 @@
   readonly clock: Clock;
   readonly handler: CallerHandler;
   readonly keys: KeysInFlight;
+  readonly bodies: BodyBudget;
+  /** Spreads the callers that come back. */
+  readonly random: Random;
   /** @returns a request id never given before */
   readonly nextRequestId: () => string;
 }
 
 const CALLER_ID = /^[\x21-\x7e]{1,128}$/;
 const MAX_PATH_LENGTH = 2048;
+const OVERLOAD_RETRY_MS = 2_000;
 // A service reached under its own prefix must not be led outside of it.
 const DOT_SEGMENT = /(^|\/|\\|%2f|%5c)(\.|%2e){1,2}(\/|\\|%2f|%5c|$)/i;
 
@@ -60,8 +67,15 @@
   return {ok: false, failure: makeFailure('badRequest', {message})};
 }
 
+function refuseBodies(random: Random): Failure {
+  const message = 'This process holds as many request bodies as it may.';
+  const retryAfterMs = OVERLOAD_RETRY_MS * (0.5 + random.next());
+  return makeFailure('overloaded', {message, retryAfterMs});
+}
+
 async function receive(
   req: IncomingMessage,
+  lease: BodyLease,
   requestId: string,
   path: string,
   sort: RequestSort,
@@ -76,6 +90,8 @@
   const body = await readBody(req, {
     maxBytes: settings.maxBodyBytes,
     timeoutMs: settings.senderTimeoutMs,
+    lease,
+    overload: () => refuseBodies(context.random),
   });
   if (!body.ok) return body;
   const call = {requestId, path, sort, body: body.value};
@@ -112,7 +128,11 @@
   const requestId = context.nextRequestId();
   echoIds(req, res, requestId);
   const {path, sort} = route;
-  const received = await receive(req, requestId, path, sort, context);
+  const lease = context.bodies.lease();
+  res.on('close', () => {
+    lease.release();
+  });
+  const received = await receive(req, lease, requestId, path, sort, context);
   if (!received.ok) {
     refuseExchange(req, res, received.failure);
     return undefined;
--- a/packages/lovagepond-caller/src/caller_refusal.ts
+++ b/packages/lovagepond-caller/src/caller_refusal.ts
@@ -33,7 +33,8 @@
     connection: 'close',
   });
   res.write(body);
-  if (req.complete) {
+  // A sender that was too slow gets no more time.
+  if (req.complete || failure.kind === 'senderTooSlow') {
     res.end();
     return;
   }
--- a/packages/lovagepond-caller/src/caller_server.ts
+++ b/packages/lovagepond-caller/src/caller_server.ts
@@ -1,12 +1,13 @@
 /**
  * The HTTP/1.1 front towards callers: tinyhttp's routes on a node server.
  */
-import {randomUUID} from 'node:crypto';
+import {randomInt, randomUUID} from 'node:crypto';
 import {createServer, type Server} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {App, type Request, type Response} from '@tinyhttp/app';
-import {type Clock, makeFailure} from '@lovagepond/core';
+import {type Clock, makeFailure, Random} from '@lovagepond/core';
 import {type HttpAnswer} from './caller_answer.js';
+import {BodyBudget} from './caller_body_budget.js';
 import {CallerConnections} from './caller_connections.js';
 import {CALLER_PATH} from './caller_constants.js';
 import {type ExchangeContext, runExchange} from './caller_exchange.js';
@@ -25,8 +26,11 @@
   readonly handler: CallerHandler;
   /** Random UUIDs when left out. */
   readonly nextRequestId?: () => string;
+  /** Spreads refused callers; seeded by chance when left out. */
+  readonly random?: Random;
 }
 
+const MAX_SEED = 2 ** 31;
 const CONNECTION_CHECK_MS = 1_000;
 const PIPELINED = 'A request of this connection is still in flight.';
 const SOCKET_BUFFER_BYTES = 32 * 1024;
@@ -37,6 +41,7 @@
   readonly #context: ExchangeContext;
   readonly #connections = new CallerConnections();
   readonly #keys = new KeysInFlight();
+  readonly #bodies: BodyBudget;
   readonly #server: Server;
   readonly #responses = new Set<Response>();
   #idleListeners: (() => void)[] = [];
@@ -52,11 +57,14 @@
    */
   constructor(settings: CallerSettings, parts: CallerServerParts) {
     this.#settings = settings;
+    this.#bodies = new BodyBudget(settings.maxHeldBodyBytes);
     this.#context = {
       settings,
       clock: parts.clock,
       handler: parts.handler,
       keys: this.#keys,
+      bodies: this.#bodies,
+      random: parts.random ?? new Random(randomInt(MAX_SEED)),
       nextRequestId: parts.nextRequestId ?? randomUUID,
     };
     this.#server = this.#makeServer(this.#makeRoutes());
@@ -82,6 +90,7 @@
       connections: this.#openConnections,
       inFlight: this.#responses.size,
       requests: this.#requests,
+      heldBodyBytes: this.#bodies.heldBytes,
       refusedConnections: this.#connections.refused,
       malformed: this.#connections.malformed,
       slowReadersEnded: this.#slowReadersEnded,
--- a/packages/lovagepond-caller/src/caller_types.ts
+++ b/packages/lovagepond-caller/src/caller_types.ts
@@ -87,6 +87,8 @@
   readonly maxConnections: number;
   readonly maxHeaderBytes: number;
   readonly maxBodyBytes: number;
+  /** Bytes of all request bodies held at once. */
+  readonly maxHeldBodyBytes: number;
   /** Largest answer that is not streamed. */
   readonly maxWholeAnswerBytes: number;
   /** Answer bytes kept for one caller who reads slower than we write. */
@@ -109,6 +111,7 @@
   readonly connections: number;
   readonly inFlight: number;
   readonly requests: number;
+  readonly heldBodyBytes: number;
   readonly refusedConnections: number;
   readonly malformed: number;
   readonly slowReadersEnded: number;
--- a/packages/lovagepond-router/src/__tests__/fakes/router_fakes.ts
+++ b/packages/lovagepond-router/src/__tests__/fakes/router_fakes.ts
@@ -310,6 +310,7 @@
     connections: 0,
     inFlight: 0,
     requests: 0,
+    heldBodyBytes: 0,
     refusedConnections: 0,
     malformed: 0,
     slowReadersEnded: 0,
