--- a/packages/lovagepond-consensus/src/consensus_file_storage.ts
+++ b/packages/lovagepond-consensus/src/consensus_file_storage.ts
@@ -24,7 +24,7 @@
   type StorageWrite,
   type StoredState,
 } from './consensus_storage.js';
-import {StorageError} from './consensus_storage_errors.js';
+import {StorageError, toStorageError} from './consensus_storage_errors.js';
 import {
   type HardState,
   type LogEntry,
@@ -116,19 +116,19 @@
   }
 
   open(): Promise<StoredState> {
-    return this.#run(() => this.#open());
+    return this.#run('open', () => this.#open());
   }
 
   write(writes: readonly StorageWrite[]): Promise<void> {
-    return this.#run(() => this.#write(writes));
+    return this.#run('write', () => this.#write(writes));
   }
 
   saveSnapshot(snapshot: Snapshot): Promise<void> {
-    return this.#run(() => this.#saveSnapshot(snapshot));
+    return this.#run('snapshot', () => this.#saveSnapshot(snapshot));
   }
 
   seal(): Promise<void> {
-    return this.#run(() => this.#seal());
+    return this.#run('seal', () => this.#seal());
   }
 
   close(): Promise<void> {
@@ -147,14 +147,16 @@
    * have dropped the unwritten pages, and a second sync would report success
    * for lost data: so nothing is tried again, and every later call fails.
    */
-  #run<Value>(call: () => Promise<Value>): Promise<Value> {
+  #run<Value>(name: string, call: () => Promise<Value>): Promise<Value> {
     const running = this.#queue.then(async () => {
       if (this.#failed) throw new StorageError({kind: 'stopped'});
       try {
         return await call();
       } catch (err) {
         this.#failed = true;
-        throw err;
+        await this.#segment?.close().catch(() => undefined);
+        this.#segment = undefined;
+        throw toStorageError(name, 'the data folder', err);
       }
     });
     this.#queue = running.catch(() => undefined);
