Reach rare faults in the consensus model, and prove each safeguard

Cause: in the first model's runs two leaders at once never happened, and ten of nineteen removed safeguards went unnoticed: disks and links were slow beside the election timeout, partitions ended before it, and quiet times took most of the steps. Change: faults come per election timeout, time passes faster when nothing is under way, clocks run at either end of the allowance, partitions last. Three failing seeds are kept as examples. The three seeds that found the removed leader's fault belong to the first model's draws and say nothing in this one; the first example shows the same fault. A message kind of a newer version no longer stops a member.

--- a/packages/lovagepond-consensus/src/__tests__/model/consensus_model.ts
+++ b/packages/lovagepond-consensus/src/__tests__/model/consensus_model.ts
@@ -5,56 +5,29 @@
 import {Random} from '@lovagepond/core';
 import {expect} from 'vitest';
 import {ConsensusCore} from '../../consensus_core.js';
-import {
-  changeMembers,
-  decodeMembers,
-  isMajority,
-  type MemberChange,
-} from '../../consensus_members.js';
+import {type MemberChange} from '../../consensus_members.js';
 import {type ConsensusMessage} from '../../consensus_messages.js';
 import {type ConsensusAction} from '../../consensus_outbox.js';
 import {
   type ConsensusStatus,
-  type ConsensusTimings,
   ENTRY_KIND,
   type LogEntry,
   type MemberId,
-  type MemberList,
 } from '../../consensus_types.js';
 import {ModelDisk} from './consensus_model_disk.js';
+import {
+  FaultInjector,
+  MODEL_TIMINGS,
+  type ModelFaults,
+} from './consensus_model_faults.js';
 import {encodeState, ModelHost, ModelOracle} from './consensus_model_host.js';
 
-/** Small limits, so that short runs meet snapshots, chunks and full windows. */
-export const MODEL_TIMINGS: ConsensusTimings = {
-  heartbeatIntervalMs: 100,
-  electionTimeoutMs: 600,
-  clockDriftAllowance: 0.1,
-  snapshotEveryEntries: 20,
-  keptEntries: 5,
-  snapshotChunkBytes: 12,
-  maxAppendBytes: 24,
-  maxInflightAppends: 3,
-};
-
-/** How often each fault happens, per step or per message. */
-export interface ModelFaults {
-  readonly loss: number;
-  readonly duplication: number;
-  readonly crash: number;
-  readonly partition: number;
-  readonly diskLoss: number;
-  readonly memberChange: number;
-  /** Largest relative error of the hosts' clocks. */
-  readonly drift: number;
-}
-
-const MEAN_STEP_MS = 4;
-const DELIVER_SHARE = 0.55;
-const STORE_SHARE = 0.15;
+const IDLE_STEP_MS = 20;
+const BURST_TOGGLE_SHARE = 0.1;
+const DELIVER_SHARE = 0.6;
 const PROPOSE_SHARE = 0.08;
-const READ_SHARE = 0.04;
-const HEAL_FACTOR = 4;
-const MAX_LATE = 200;
+const READ_SHARE = 0.02;
+const MAX_LATE = 30;
 const LOG_CHECK_INTERVAL = 500;
 
 interface InFlight {
@@ -72,11 +45,13 @@
   acked = 0;
   readsAnswered = 0;
   readonly #oracle = new ModelOracle();
+  readonly #injector: FaultInjector;
   readonly #random: Random;
-  readonly #faults: ModelFaults;
+  #faults: ModelFaults;
   #network: InFlight[] = [];
   #late: InFlight[] = [];
   readonly #blocked = new Set<string>();
+  #isBursting = true;
   #nextId = 0;
   #nextToken = 0;
   #nextCommand = 0;
@@ -89,6 +64,7 @@
   ) {
     this.#random = new Random(seed);
     this.#faults = faults;
+    this.#injector = new FaultInjector(this, this.#random, faults);
     for (let at = 0; at < hosts + spares; at += 1) {
       this.hosts.push(new ModelHost(`host${at}:1`, this.#makeId()));
     }
@@ -127,15 +103,17 @@
 
   step(): void {
     const random = this.#random;
-    this.time += random.exponential(MEAN_STEP_MS);
+    const stepMs = this.#stepMs();
+    this.time += random.exponential(stepMs);
+    if (stepMs === IDLE_STEP_MS) for (const host of this.hosts) this.tick(host);
     let share = random.next();
     const isNext = (part: number): boolean => (share -= part) < 0;
     if (isNext(DELIVER_SHARE)) this.deliver();
-    else if (isNext(STORE_SHARE)) this.sync(this.#pickHost());
-    else if (isNext(PROPOSE_SHARE)) this.propose(this.#pickLeader());
-    else if (isNext(READ_SHARE)) this.read(this.#pickLeader());
+    else if (isNext(this.#faults.storeShare)) this.sync(this.#pickUnsynced());
+    else if (isNext(PROPOSE_SHARE)) this.#proposeInBurst();
+    else if (isNext(READ_SHARE)) this.read(this.pickLeader());
     else this.tick(this.#pickHost());
-    this.#injectFaults();
+    this.#injector.inject(stepMs);
     this.check();
   }
 
@@ -153,6 +131,14 @@
     this.#perform(host);
   }
 
+  /** Quiet times between bursts let time pass faster: see #stepMs. */
+  #proposeInBurst(): void {
+    if (this.#random.next() < BURST_TOGGLE_SHARE) {
+      this.#isBursting = !this.#isBursting;
+    }
+    if (this.#isBursting) this.propose(this.pickLeader());
+  }
+
   propose(host: ModelHost): void {
     this.#nextCommand += 1;
     const command = Buffer.from(String(this.#nextCommand));
@@ -180,7 +166,7 @@
     const picked = this.#network[at]!;
     const last = this.#network.pop()!;
     if (at < this.#network.length) this.#network[at] = last;
-    const to = this.hosts.find(host => host.address === picked.address);
+    const to = this.#hostAt(picked.address);
     if (!to?.core || this.#blocked.has(this.#link(picked.fromHost, to))) return;
     to.core.receive(picked.message, this.nowAt(to));
     this.#perform(to);
@@ -203,7 +189,7 @@
 
   restart(host: ModelHost): void {
     const drift = this.#faults.drift;
-    host.rate = 1 + (this.#random.next() * 2 - 1) * drift;
+    host.rate = this.#random.next() < 0.5 ? 1 + drift : 1 - drift;
     host.offset = this.#random.next() * 1e6;
     host.state = {index: 0, digest: 0};
     const parts = {
@@ -255,8 +241,22 @@
     if (holders > 1) throw new Error('two members hold a lease at once');
   }
 
+  /** Lets time pass with fast disks and links; blocked links stay so. */
+  advance(ms: number): void {
+    for (let passed = 0; passed < ms; passed += 1) {
+      this.time += 1;
+      for (const host of this.hosts) {
+        this.tick(host);
+        this.sync(host);
+      }
+      while (this.#network.length > 0) this.deliver();
+      this.check();
+    }
+  }
+
   /** Ends all faults and expects the group to work again. */
   settle(): void {
+    this.#faults = {...this.#faults, loss: 0, duplication: 0};
     this.heal();
     for (const host of this.hosts) if (!host.core) this.restart(host);
     const target = this.committedIndex + 1;
@@ -271,7 +271,7 @@
   }
 
   #settleStep(): void {
-    this.time += this.#random.exponential(MEAN_STEP_MS);
+    this.time += this.#random.exponential(this.#faults.stepMs);
     for (const host of this.hosts) this.sync(host);
     for (let at = this.#network.length; at > 0; at -= 1) this.deliver();
     this.tick(this.#pickHost());
@@ -338,6 +338,8 @@
 
   #send(flight: InFlight): void {
     const {loss, duplication} = this.#faults;
+    const to = this.#hostAt(flight.address);
+    if (to && this.#blocked.has(this.#link(flight.fromHost, to))) return;
     if (this.#random.next() < loss) return;
     this.#network.push(flight);
     if (this.#random.next() >= duplication) return;
@@ -347,80 +349,35 @@
     if (late) this.#network.push(late);
   }
 
-  #injectFaults(): void {
-    const random = this.#random;
-    const faults = this.#faults;
-    const host = this.#pickHost();
-    if (!host.core) {
-      if (random.next() < faults.crash * HEAL_FACTOR * 3) this.restart(host);
-    } else if (random.next() < faults.crash) {
-      this.crash(host);
-    }
-    if (random.next() < faults.diskLoss && this.#canLose(host)) {
-      this.loseDisk(host);
-    }
-    if (random.next() < faults.partition) this.#partition(host);
-    if (random.next() < faults.partition * HEAL_FACTOR) this.heal();
-    if (random.next() < faults.memberChange) this.#changeAtRandom();
-  }
-
-  #partition(host: ModelHost): void {
-    const others = this.hosts.filter(other => other !== host);
-    const shape = this.#random.below(4);
-    for (const other of others) {
-      if (shape !== 1) this.block(host, other);
-      if (shape !== 2) this.block(other, host);
-      if (shape === 3) return;
-    }
-  }
-
-  #changeAtRandom(): void {
-    const leader = this.leader();
-    if (!leader) return;
-    const {members} = this.status(leader);
-    const host = this.#pickHost();
-    const learner = members.find(member => !member.voter);
-    const dead = members.find(
-      member => !this.hosts.some(({disk: {id}}) => id === member.id),
-    );
-    const isMember = members.some(member => member.id === host.disk.id);
-    let change: MemberChange = {kind: 'remove', id: (dead ?? members[0])!.id};
-    if (learner && learner !== dead && this.#random.next() < 0.8) {
-      change = {kind: 'promote', id: learner.id};
-    } else if (!isMember && host.core) {
-      change = {kind: 'addLearner', id: host.disk.id, address: host.address};
-    }
-    const changed = changeMembers(members, change);
-    if (changed.ok && this.#canWork(changed.members)) this.change(change);
-  }
-
-  #canLose(host: ModelHost): boolean {
-    if (this.committedIndex === 0) return false;
-    return this.hosts.every(({members, disk}) => {
-      const lists = [members, ...disk.memberLists(decodeMembers)];
-      return lists.every(list => this.#canWork(list, host));
-    });
-  }
-
-  /** True when the voters that still have their disks are a majority. */
-  #canWork(members: MemberList, without?: ModelHost): boolean {
-    if (members.length === 0) return true;
-    const alive = this.hosts.filter(host => host !== without);
-    return isMajority(members, new Set(alive.map(host => host.disk.id)));
+  /** With nothing under way, time passes faster. */
+  #stepMs(): number {
+    const isIdle =
+      this.#network.length === 0 &&
+      this.hosts.every(host => !host.core || host.disk.isSynced);
+    return isIdle ? IDLE_STEP_MS : this.#faults.stepMs;
   }
 
   /** Any host that believes it leads, deposed ones too. */
-  #pickLeader(): ModelHost {
+  pickLeader(): ModelHost {
     const leads = (host: ModelHost): boolean =>
       host.core !== undefined && this.status(host).role === 'leader';
     const leaders = this.hosts.filter(leads);
     return this.#random.pick(leaders.length > 0 ? leaders : this.hosts);
   }
 
+  #pickUnsynced(): ModelHost {
+    const unsynced = this.hosts.filter(host => !host.disk.isSynced);
+    return this.#random.pick(unsynced.length > 0 ? unsynced : this.hosts);
+  }
+
   #pickHost(): ModelHost {
     return this.#random.pick(this.hosts);
   }
 
+  #hostAt(address: string): ModelHost | undefined {
+    return this.hosts.find(host => host.address === address);
+  }
+
   #makeId(): MemberId {
     this.#nextId += 1;
     return `member${this.#nextId}`;
--- a/packages/lovagepond-consensus/src/__tests__/model/consensus_model_disk.ts
+++ b/packages/lovagepond-consensus/src/__tests__/model/consensus_model_disk.ts
@@ -54,6 +54,10 @@
 
   constructor(readonly id: MemberId) {}
 
+  get isSynced(): boolean {
+    return this.#unsynced.length === 0;
+  }
+
   get latestEntries(): readonly LogEntry[] {
     return this.#latest.entries;
   }
--- /dev/null
+++ b/packages/lovagepond-consensus/src/__tests__/unit/consensus_core.test.ts
@@ -0,0 +1,220 @@
+import {Random} from '@lovagepond/core';
+import {beforeEach, describe, expect, it} from 'vitest';
+import {
+  type ConsensusAction,
+  ConsensusCore,
+  type ConsensusMessage,
+  type LogEntry,
+  type MemberList,
+  type StoredState,
+} from '../../index.js';
+import {encodeMembers} from '../../consensus_members.js';
+import {SyncedIndex} from '../../consensus_outbox.js';
+import {MODEL_TIMINGS} from '../model/consensus_model_faults.js';
+
+const T = MODEL_TIMINGS.electionTimeoutMs;
+const MEMBERS: MemberList = ['a', 'b', 'c'].map(id => {
+  return {id, address: `${id}:1`, voter: true};
+});
+const LATER = T * 3;
+
+function entry(index: number, term: number): LogEntry {
+  return {index, term, kind: 'command', data: Buffer.from(`${index}`)};
+}
+
+const LISTED: LogEntry = {
+  index: 1,
+  term: 1,
+  kind: 'members',
+  data: encodeMembers(MEMBERS),
+};
+
+/** One core whose peers are played by the test. */
+class Lab {
+  readonly core: ConsensusCore;
+  readonly actions: ConsensusAction[] = [];
+  now = 0;
+  #lastWrite = 0;
+
+  constructor(stored: Partial<StoredState>) {
+    const whole = {id: 'a', hardState: {term: 3, vote: ''}, entries: [LISTED]};
+    this.core = new ConsensusCore(
+      {
+        stored: {...whole, ...stored},
+        address: 'a:1',
+        timings: {...MODEL_TIMINGS, maxAppendBytes: 1000},
+        random: new Random(1),
+      },
+      this.now,
+    );
+  }
+
+  receive(from: string, term: number, body: object): void {
+    const envelope = {from, fromAddress: `${from}:1`, to: 'a', term};
+    this.core.receive({...body, ...envelope} as ConsensusMessage, this.now);
+    this.collect();
+  }
+
+  sync(): void {
+    this.core.stored(this.#lastWrite, this.now);
+    this.collect();
+  }
+
+  collect(): void {
+    for (const action of this.core.takeActions()) {
+      this.actions.push(action);
+      if (action.kind === 'write') this.#lastWrite = action.id;
+    }
+  }
+
+  sent(kind: ConsensusMessage['kind']): ConsensusMessage[] {
+    return this.actions.flatMap(action =>
+      action.kind === 'send' && action.message.kind === kind
+        ? [action.message]
+        : [],
+    );
+  }
+
+  /** Wins the election of term 4. */
+  lead(): void {
+    this.now = LATER;
+    this.core.tick(this.now);
+    this.receive('b', 3, {kind: 'preVoteReply', granted: true, attempt: 1});
+    this.sync();
+    this.receive('b', 4, {kind: 'voteReply', granted: true});
+    this.sync();
+    this.core.tick(this.now);
+    this.collect();
+    expect(this.status.role).toBe('leader');
+  }
+
+  acknowledge(from: string, matchIndex: number, round = 1): void {
+    const none = {refusedIndex: 0, hintIndex: 0};
+    const reply = {kind: 'appendReply', success: true, ...none};
+    this.receive(from, 4, {...reply, matchIndex, round});
+  }
+
+  get status(): ReturnType<ConsensusCore['status']> {
+    return this.core.status(this.now);
+  }
+}
+
+describe('ConsensusCore', () => {
+  let lab: Lab;
+
+  beforeEach(() => {
+    lab = new Lab({});
+  });
+
+  // A leader finds an entry of an earlier term on a majority. Another member,
+  // with a later term in its log, could still be elected and replace it.
+  it('commits no entry of an earlier term by counting copies', () => {
+    lab = new Lab({entries: [LISTED, entry(2, 2)]});
+    lab.lead();
+    lab.acknowledge('b', 2);
+    expect(lab.status.commitIndex).toBe(0);
+    lab.acknowledge('b', 3);
+    expect(lab.status.commitIndex).toBe(3);
+  });
+
+  it('counts itself for a commit only up to its own sync', () => {
+    lab.lead();
+    lab.acknowledge('b', 2);
+    lab.core.propose(Buffer.from('x'));
+    lab.core.flush(lab.now);
+    lab.collect();
+    lab.acknowledge('b', 3);
+    expect(lab.status.commitIndex).toBe(2);
+    lab.sync();
+    expect(lab.status.commitIndex).toBe(3);
+  });
+
+  // A candidate's request arrives twice, the second one after a crash. The
+  // vote for another in the same term must be remembered, so it must have
+  // been synced before it was sent.
+  it('sends a vote after its sync, and one only in a term', () => {
+    lab.now = LATER;
+    const log = {lastIndex: 9, lastTerm: 3};
+    lab.receive('b', 4, {kind: 'vote', ...log});
+    expect(lab.sent('voteReply')).toEqual([]);
+    lab.sync();
+    expect(lab.sent('voteReply')).toMatchObject([{to: 'b', granted: true}]);
+    const written = lab.actions.findLast(action => action.kind === 'write')!;
+    const {hardState} = written.write;
+    lab = new Lab({hardState: hardState!});
+    lab.now = LATER;
+    lab.receive('c', 4, {kind: 'vote', ...log});
+    expect(lab.sent('voteReply')).toMatchObject([{to: 'c', granted: false}]);
+  });
+
+  // A member that was cut off asks for votes in a higher term, while the leader
+  // works. An answer would carry that term back and depose the leader.
+  it('gives no vote and takes no term while it hears a leader', () => {
+    lab.now = LATER;
+    const append = {kind: 'append', prevIndex: 1, prevTerm: 1, commitIndex: 0};
+    lab.receive('b', 3, {...append, entries: [], round: 1});
+    lab.now += T - 1;
+    lab.receive('c', 9, {kind: 'vote', lastIndex: 9, lastTerm: 9});
+    lab.sync();
+    expect(lab.sent('voteReply')).toEqual([]);
+    expect(lab.status.term).toBe(3);
+    lab.now += 1;
+    lab.receive('c', 9, {kind: 'vote', lastIndex: 9, lastTerm: 9});
+    lab.sync();
+    expect(lab.sent('voteReply')).toMatchObject([{to: 'c', granted: true}]);
+  });
+
+  it('acknowledges entries after their sync', () => {
+    const append = {kind: 'append', prevIndex: 1, prevTerm: 1, commitIndex: 0};
+    lab.receive('b', 3, {...append, entries: [entry(2, 3)], round: 7});
+    expect(lab.sent('appendReply')).toEqual([]);
+    lab.sync();
+    expect(lab.sent('appendReply')).toMatchObject([{matchIndex: 2, round: 7}]);
+  });
+
+  it('answers a read after a round that began after it', () => {
+    lab.lead();
+    lab.acknowledge('b', 2);
+    lab.core.read(1);
+    lab.core.flush(lab.now);
+    lab.collect();
+    lab.acknowledge('b', 2, 1);
+    const ready = {kind: 'readReady', tokens: [1], index: 2};
+    expect(lab.actions).not.toContainEqual(ready);
+    lab.acknowledge('b', 2, 2);
+    expect(lab.actions).toContainEqual(ready);
+  });
+
+  it('changes members one at a time, after a commit in its term', () => {
+    const add = {kind: 'addLearner', id: 'd', address: 'd:1'} as const;
+    lab.lead();
+    const early = lab.core.changeMembers(add);
+    expect(early).toMatchObject({reason: 'termNotCommitted'});
+    lab.acknowledge('b', 2);
+    expect(lab.core.changeMembers(add)).toMatchObject({index: 3});
+    const second = lab.core.changeMembers({kind: 'remove', id: 'c'});
+    expect(second).toMatchObject({reason: 'changePending'});
+    lab.core.flush(lab.now);
+    lab.collect();
+    lab.sync();
+    lab.acknowledge('b', 3);
+    const promote = {kind: 'promote', id: 'd'} as const;
+    const behind = lab.core.changeMembers(promote);
+    expect(behind).toMatchObject({reason: 'notCaughtUp'});
+    lab.acknowledge('d', 3);
+    expect(lab.core.changeMembers(promote)).toMatchObject({index: 4});
+  });
+
+  // A write of entries is under way when others replace them in the log. Its
+  // sync says nothing about those that took their place.
+  it('does not count replaced entries as synced', () => {
+    const synced = new SyncedIndex(1);
+    synced.wrote(1, 5);
+    synced.truncated(3);
+    synced.wrote(2, 4);
+    synced.stored(1);
+    expect(synced.index).toBe(2);
+    synced.stored(2);
+    expect(synced.index).toBe(4);
+  });
+});
--- a/packages/lovagepond-consensus/src/__tests__/unit/consensus_core_model.test.ts
+++ b/packages/lovagepond-consensus/src/__tests__/unit/consensus_core_model.test.ts
@@ -1,24 +1,89 @@
 import * as fc from 'fast-check';
 import {describe, it} from 'vitest';
-import {ConsensusModel, type ModelFaults} from '../model/consensus_model.js';
+import {ConsensusModel} from '../model/consensus_model.js';
+import {type ModelFaults} from '../model/consensus_model_faults.js';
 
-const STEPS = 4_000;
-const RUNS = 100;
+const STEPS = 6_000;
+const RUNS = 60;
 const PROPERTY_SEED = 20_261_202;
 
-const rarely = (max: number): fc.Arbitrary<number> =>
+const upTo = (max: number): fc.Arbitrary<number> =>
   fc.integer({min: 0, max: 20}).map(part => (part / 20) * max);
 
 const faultsArbitrary: fc.Arbitrary<ModelFaults> = fc.record({
-  loss: rarely(0.2),
-  duplication: rarely(0.2),
-  crash: rarely(0.003),
-  partition: rarely(0.003),
-  diskLoss: rarely(0.0005),
-  memberChange: rarely(0.02),
-  drift: rarely(0.099),
+  loss: upTo(0.2),
+  duplication: upTo(0.2),
+  crash: upTo(1.5),
+  partition: upTo(1.5),
+  diskLoss: upTo(0.1),
+  memberChange: upTo(3),
+  drift: upTo(0.249),
+  stepMs: fc.constantFrom(0.5, 1, 3),
+  storeShare: fc.constantFrom(0.05, 0.1, 0.2),
 });
 
+type Example = [
+  seed: number,
+  hosts: number,
+  spares: number,
+  faults: ModelFaults,
+];
+
+/** Seeds that failed once, before a fault was mended or without a safeguard. */
+const REGRESSIONS: Example[] = [
+  // A leader that removed itself, alone with its log, was never elected.
+  [
+    1189957784,
+    3,
+    0,
+    {
+      loss: 0.04,
+      duplication: 0.1,
+      crash: 0.45,
+      partition: 0.45,
+      diskLoss: 0.04,
+      memberChange: 1.8,
+      drift: 0.1494,
+      stepMs: 1,
+      storeShare: 0.2,
+    },
+  ],
+  // Acknowledged before the sync, entries are lost by a crash.
+  [
+    1424409591,
+    4,
+    2,
+    {
+      loss: 0.01,
+      duplication: 0.02,
+      crash: 0.6,
+      partition: 0,
+      diskLoss: 0.045,
+      memberChange: 0,
+      drift: 0.0249,
+      stepMs: 1,
+      storeShare: 0.05,
+    },
+  ],
+  // A host with an emptied disk votes under the identity it had before.
+  [
+    -1636100356,
+    4,
+    2,
+    {
+      loss: 0.12,
+      duplication: 0.19,
+      crash: 0.15,
+      partition: 1.35,
+      diskLoss: 0.08,
+      memberChange: 1.2,
+      drift: 0.0498,
+      stepMs: 3,
+      storeShare: 0.2,
+    },
+  ],
+];
+
 describe('ConsensusCore under faults', () => {
   // Messages are lost, doubled, late and out of order; hosts crash with torn
   // writes, come back with empty disks, are cut off in one direction, and
@@ -37,7 +102,12 @@
           model.settle();
         },
       ),
-      {seed: PROPERTY_SEED, numRuns: RUNS, endOnFailure: true, examples: []},
+      {
+        seed: PROPERTY_SEED,
+        numRuns: RUNS,
+        endOnFailure: true,
+        examples: REGRESSIONS,
+      },
     );
   });
 });
--- a/packages/lovagepond-consensus/src/consensus_core.ts
+++ b/packages/lovagepond-consensus/src/consensus_core.ts
@@ -140,6 +140,8 @@
     // Another identity once had this address: what it was told, or promised,
     // binds this member to nothing.
     if (message.to !== this.#state.id) return;
+    // A newer version's kind must not stop this member.
+    if (!Object.hasOwn(MESSAGE_HANDLERS, message.kind)) return;
     const handler = MESSAGE_HANDLERS[message.kind] as MessageHandler<
       ConsensusMessage['kind']
     >;
