Move the caches of chats that end during a leave

Change: the mover plans again until nothing runs; epochs start at 1; a count of servers that falls by half or less holds at once; the engine's own capacity bounds what it is given and is announced.

Conclusion: tests for the epoch, for chats that end during the leave and for the count; the second and third fail without their safeguards.

--- a/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_admission.test.ts
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_admission.test.ts
@@ -91,7 +91,9 @@
     const admission = makeAdmission();
     expect(admission.limitTokens(0)).toBe(FLOOR);
     const mean = {meanTokens: 100, ageMs: 0, readyServers: 6, ownTokens: 0};
-    admission.setPoolMean(mean, 0);
+    admission.setPoolMean({...mean, meanTokens: 9_000}, 0);
+    admission.setPoolMean({...mean, meanTokens: 9_000, readyServers: 5}, 0);
+    expect(admission.limitTokens(0)).toBeCloseTo((1.5 * 45_000) / 3.5);
     admission.setPoolMean({...mean, readyServers: 1}, 1_000);
     expect(admission.limitTokens(1_000)).toBe(FLOOR);
     admission.setPoolMean({...mean, readyServers: 1}, 20_000);
--- a/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_knowledge.test.ts
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_knowledge.test.ts
@@ -33,6 +33,15 @@
     expect(index.read('w', 'new')).toEqual({warmth: 'unknown', tokens: 0});
   });
 
+  it('expects what was served here, and is sure of it by an event', () => {
+    const index = new SidecarCacheIndex(2);
+    index.noteServed('w', 'a', 70);
+    expect(index.read('w', 'a')).toEqual({warmth: 'unknown', tokens: 70});
+    index.apply(1, 'w', 'a', 80);
+    index.noteServed('w', 'a', 90);
+    expect(index.read('w', 'a')).toEqual({warmth: 'warm', tokens: 90});
+  });
+
   it('is bounded, and unsure of what it dropped', () => {
     const index = new SidecarCacheIndex(2);
     for (const [sequence, chat] of ['a', 'b', 'c'].entries()) {
--- a/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_test_utils.ts
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_test_utils.ts
@@ -97,7 +97,8 @@
   }
 
   exportCache(): ReturnType<ModelEngine['exportCache']> {
-    return Promise.resolve({ok: false, failure: makeFailure('notFound')});
+    const cache = {tokens: 100, bytes: Buffer.from('cache')};
+    return Promise.resolve({ok: true, value: cache});
   }
 
   importCache(): ReturnType<ModelEngine['importCache']> {
--- a/packages/lovagepond-sidecar/src/sidecar_admission.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_admission.ts
@@ -70,6 +70,7 @@
   #ready: ReadyServers = {count: 1, heardAt: -Infinity};
   #report: EngineReport = {foreignTokens: 0, takenAt: -Infinity};
   readonly #history: OwnLoad[] = [];
+  #capacityTokens: number;
 
   /**
    * @param settings fixed settings
@@ -78,6 +79,24 @@
   constructor(settings: AdmissionSettings, loadBound: number) {
     this.#settings = settings;
     this.#loadBound = loadBound;
+    this.#capacityTokens = settings.capacityTokens;
+  }
+
+  /** @returns tokens that the engine holds at once */
+  get capacityTokens(): number {
+    return this.#capacityTokens;
+  }
+
+  /**
+   * What an engine is given beyond its capacity waits inside of it, where no
+   * fair queue orders it and nobody can take it over.
+   *
+   * @param tokens what the engine says it holds; 0 when it doesn't say
+   */
+  setEngineCapacity(tokens: number): void {
+    const {capacityTokens} = this.#settings;
+    this.#capacityTokens =
+      tokens > 0 ? Math.min(tokens, capacityTokens) : capacityTokens;
   }
 
   /** @param loadBound multiple of the pool's mean, from the configuration */
@@ -184,7 +203,8 @@
    * @returns tokens that may run here
    */
   limitTokens(now: number): number {
-    const {floorTokens, capacityTokens} = this.#settings;
+    const {floorTokens} = this.#settings;
+    const capacityTokens = this.#capacityTokens;
     const {readyServers} = this.#sample(now);
     // So few servers that one of them can't stand out by this much.
     if (readyServers <= this.#loadBound) return capacityTokens;
@@ -258,13 +278,15 @@
   }
 
   /**
-   * Control's count of servers is soft state: a new leader hears of them one
-   * by one. Believed at once, a pool that is counted as one server would have
-   * no bound, so a lower count holds only after the former one has aged.
+   * Control's count of servers is soft state: a new leader may hear of them
+   * one by one. Believed at once, a pool that is counted as one server would
+   * have no bound, so a count that falls by more than half holds only after
+   * the former one has aged. A few that leave count at once: too high a count
+   * would keep the others from taking over their work.
    */
   #countReady(count: number, now: number): number {
     const aged = now - this.#ready.heardAt > this.#settings.meanTrustMs;
-    if (count >= this.#ready.count || aged) {
+    if (count * 2 >= this.#ready.count || aged) {
       this.#ready = {count: Math.max(1, count), heardAt: now};
     }
     return this.#ready.count;
--- a/packages/lovagepond-sidecar/src/sidecar_backend_watch.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_backend_watch.ts
@@ -106,6 +106,7 @@
     }
     this.#incarnation = incarnation;
     this.#models = report.value.models;
+    gate.admission.setEngineCapacity(report.value.capacityTokens);
     const lagMs = now - report.value.measuredAt;
     gate.admission.setEngineReport(runningTokens + waitingTokens, lagMs, now);
     return true;
--- a/packages/lovagepond-sidecar/src/sidecar_cache_index.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_cache_index.ts
@@ -51,7 +51,8 @@
   readonly #maxChats: number;
   /** Chat number to `epoch * 2^32 + tokens`; oldest use first. */
   readonly #entries = new Map<number, number>();
-  #epoch = 0;
+  /** Rises with each gap; an entry of a former one is unknown. */
+  #epoch = 1;
   #nextSequence: number | undefined;
   /** Absent chats are cold: every event since the engine's start was seen. */
   #complete = false;
--- a/packages/lovagepond-sidecar/src/sidecar_cache_mover.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_cache_mover.ts
@@ -8,6 +8,7 @@
   RendezvousTable,
 } from '@lovagepond/router';
 import {type Backend} from './sidecar_backend.js';
+import {chatNumber} from './sidecar_cache_index.js';
 import {type SidecarGate} from './sidecar_gate.js';
 import {
   ByteRate,
@@ -19,6 +20,8 @@
 import {type Peer, type SidecarPeers} from './sidecar_peers.js';
 import {expectedWarmTokens} from './sidecar_take.js';
 
+const BUSY_CHECK_MS = 100;
+
 /** What the mover needs. */
 export interface MoverParts {
   readonly gate: SidecarGate;
@@ -53,23 +56,38 @@
   }
 
   /**
-   * Moves what it can until the limit.
+   * Moves until nothing runs here any more: a chat that is still answered at
+   * the start of the leave has its context to move when it is done.
    *
    * @param signal ends it
    */
   async run(signal: AbortSignal): Promise<void> {
-    const {backend, moveBytesPerSecond} = this.#parts;
+    const {backend, moveBytesPerSecond, gate} = this.#parts;
     if (backend.kind !== 'engine' || moveBytesPerSecond <= 0) return;
     if (this.#running) return;
     this.#running = true;
-    for (const move of this.#plan()) {
-      if (!(await this.#waitForRate(signal))) break;
-      await this.#move(move);
+    const done = new Set<number>();
+    while (!signal.aborted) {
+      const last = gate.idle;
+      await this.#moveAll(done, signal);
+      if (last) break;
+      await pause(BUSY_CHECK_MS, signal);
     }
     this.#running = false;
     this.#parts.log.info('caches moved', this.counters);
   }
 
+  /** Moves each chat once; a later answer here can't come during a leave. */
+  async #moveAll(done: Set<number>, signal: AbortSignal): Promise<void> {
+    for (const move of this.#plan()) {
+      const number = chatNumber(move.workspace, move.chat);
+      if (done.has(number)) continue;
+      if (!(await this.#waitForRate(signal))) return;
+      done.add(number);
+      await this.#move(move);
+    }
+  }
+
   #plan(): PlannedMove[] {
     const {gate, peers, hasher} = this.#parts;
     // The order of the routers over what remains: there the chats will land.
@@ -108,11 +126,12 @@
 
 function pause(ms: number, signal: AbortSignal): Promise<void> {
   return new Promise(resolve => {
-    const timer = setTimeout(resolve, ms);
-    const onAbort = (): void => {
+    const finish = (): void => {
       clearTimeout(timer);
+      signal.removeEventListener('abort', finish);
       resolve();
     };
-    signal.addEventListener('abort', onAbort, {once: true});
+    const timer = setTimeout(finish, ms);
+    signal.addEventListener('abort', finish);
   });
 }
--- a/packages/lovagepond-sidecar/src/sidecar_role.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_role.ts
@@ -337,7 +337,7 @@
       state: this.#state(),
       runningTokens,
       queuedTokens,
-      capacityTokens: this.#settings.capacityTokens,
+      capacityTokens: this.#gate.admission.capacityTokens,
       revision: this.#configuration.revision,
       models: [...this.#watch.models],
       role: 'sidecar',
