Put the limits of the replicated state into the log

Cause: each member took retention and sizes from its own settings file.

Change: the leader proposes its limits when it takes over and they differ;

Conclusion: a setting changes when its member leads, at all members at once.

--- a/packages/lovagepond-control/src/__tests__/model/control_cluster.ts
+++ b/packages/lovagepond-control/src/__tests__/model/control_cluster.ts
@@ -10,6 +10,7 @@
 import {type Clock, type Logger, Random} from '@lovagepond/core';
 import {vi} from 'vitest';
 import {ConfigurationChanger} from '../../configuration_changer.js';
+import {CONTROL_DEFAULTS} from '../../control_settings.js';
 import {ControlStateMachine} from '../../control_state_machine.js';
 import {LedgerHandler} from '../../ledger_handler.js';
 import {Proposer} from '../../proposer.js';
@@ -27,15 +28,6 @@
   wallTime: () => Date.now(),
 };
 
-export const LIMITS = {
-  historyLimit: 64,
-  answerRetentionMs: 600_000,
-  keyRetentionMs: 6_000_000,
-  openClaimLimitMs: 600_000,
-  ledgerLimit: 1_000,
-  answerCharactersLimit: 1_000,
-};
-
 type Listener = Parameters<ConsensusTransport['onMessage']>[0];
 
 /** A network whose members can be cut off without a sign. */
@@ -114,7 +106,9 @@
   async #launch(index: number): Promise<void> {
     const address = this.#addresses[index]!;
     const clock = FAKE_CLOCK;
-    const machine = new ControlStateMachine(LIMITS, () => clock.now());
+    const machine = new ControlStateMachine(CONTROL_DEFAULTS, () =>
+      clock.now(),
+    );
     const node = new ConsensusNode(
       {address, peers: this.#addresses, timings: DEFAULT_CONSENSUS_TIMINGS},
       {
--- a/packages/lovagepond-control/src/__tests__/unit/control_state_machine.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/control_state_machine.test.ts
@@ -8,10 +8,12 @@
   type ClaimPayload,
   decodeResult,
   encodeCommand,
+  LIMITS_COMMAND,
   ORDER_COMMAND,
   ORDER_OUTCOME_COMMAND,
   WANTED_STATE_COMMAND,
 } from '../../control_commands.js';
+import {CONTROL_DEFAULTS} from '../../control_settings.js';
 import {ControlStateMachine} from '../../control_state_machine.js';
 
 const LIMITS = {
@@ -26,9 +28,13 @@
 /** A member that applies commands, as leaders of several terms stamp them. */
 class Member {
   now = 0;
-  readonly machine = new ControlStateMachine(LIMITS, () => this.now);
+  machine = new ControlStateMachine(CONTROL_DEFAULTS, () => this.now);
   #index = 0;
 
+  constructor() {
+    this.run(LIMITS_COMMAND, LIMITS);
+  }
+
   run<Payload>(command: Command<Payload>, payload: Payload, term = 1): unknown {
     const timeMs = this.machine.time.stamp(this.now);
     const stamp = {timeMs, wallTimeMs: 1_000 + timeMs, term};
@@ -36,8 +42,13 @@
     return decodeResult(this.machine.apply(bytes, ++this.#index));
   }
 
+  /** A member that has only the snapshot, as after a restart. */
   copy(): Member {
     const member = new Member();
+    member.machine = new ControlStateMachine(
+      CONTROL_DEFAULTS,
+      () => member.now,
+    );
     member.now = 5_000_000;
     member.machine.restore(this.machine.snapshot());
     return member;
--- a/packages/lovagepond-control/src/__tests__/unit/ledger_state.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/ledger_state.test.ts
@@ -25,8 +25,8 @@
 
 /** Sidecars, the network and the service around two copies of the ledger. */
 class World {
-  ledger = new LedgerState(LIMITS);
-  twin = new LedgerState(LIMITS);
+  ledger = new LedgerState(() => LIMITS);
+  twin = new LedgerState(() => LIMITS);
   timeMs = 0;
   attempts: Attempt[] = [];
   network: Message[] = [];
@@ -112,7 +112,7 @@
   crash: (world, n) => world.crash(n),
   wait: (world, n) => (world.timeMs += n * 10),
   restart: world => {
-    world.twin = new LedgerState(LIMITS);
+    world.twin = new LedgerState(() => LIMITS);
     const head = JSON.stringify(world.ledger.snapshot());
     const lines = Buffer.concat(world.ledger.encodeEntries());
     world.twin.restore(JSON.parse(head), lines);
@@ -178,7 +178,7 @@
 } as const;
 
 test('a repeat learns what became of the call, in each of its states', () => {
-  const ledger = new LedgerState(LIMITS);
+  const ledger = new LedgerState(() => LIMITS);
   expect(ledger.claim(CLAIM, 0)).toEqual({kind: 'granted'});
   expect(ledger.claim(CLAIM, 0)).toEqual({kind: 'granted'});
   expect(ledger.claim(REPEAT, 1)).toEqual({kind: 'inProgress'});
@@ -198,7 +198,7 @@
 // now, it would stay open with nobody to dispatch it and every repeat would
 // hear "in progress" until the limit.
 test('a claim that comes after its sidecar gave up blocks nobody', () => {
-  const ledger = new LedgerState(LIMITS);
+  const ledger = new LedgerState(() => LIMITS);
   ledger.record({...RECORD, outcome: 'notRun'}, 0);
   expect(ledger.claim(CLAIM, 1)).toEqual({kind: 'revoked'});
   expect(ledger.claim(REPEAT, 2)).toEqual({kind: 'granted'});
@@ -208,7 +208,7 @@
 // repeat is told that the outcome is unknown. The predecessor's messages then
 // arrive late: its announcement, a claim, and the record of a call that ran.
 test('a restarted sidecar makes its claims unknown, for good', () => {
-  const ledger = new LedgerState(LIMITS);
+  const ledger = new LedgerState(() => LIMITS);
   const first = {server: 's', incarnation: 'i1'};
   ledger.registerIncarnation(first, 0);
   ledger.claim(CLAIM, 0);
@@ -226,7 +226,7 @@
 });
 
 test('the oldest answers go when all of them grow too large', () => {
-  const ledger = new LedgerState(LIMITS);
+  const ledger = new LedgerState(() => LIMITS);
   for (const n of [1, 2, 3]) {
     const call = {key: `k${n}`, attempt: `a${n}`};
     ledger.claim({...CLAIM, ...call}, n);
@@ -240,7 +240,7 @@
 });
 
 test('a full ledger refuses new keys and still answers known ones', () => {
-  const ledger = new LedgerState({...LIMITS, ledgerLimit: 1});
+  const ledger = new LedgerState(() => ({...LIMITS, ledgerLimit: 1}));
   ledger.claim(CLAIM, 0);
   const other = {...CLAIM, key: 'k2', attempt: 'a3'};
   expect(ledger.claim(other, 0).kind).toBe('ledgerUnavailable');
--- a/packages/lovagepond-control/src/configuration_state.ts
+++ b/packages/lovagepond-control/src/configuration_state.ts
@@ -40,13 +40,13 @@
 export class ConfigurationState {
   /** The configuration in force; listeners hear each accepted change. */
   readonly current = new Published<Configuration>({...EMPTY_CONFIGURATION});
-  readonly #historyLimit: number;
+  readonly #readHistoryLimit: () => number;
   #history: KeptRevision[] = [];
   readonly #contents = new Map<number, ConfigurationContent>();
 
-  /** @param historyLimit revisions whose content is kept */
-  constructor(historyLimit: number) {
-    this.#historyLimit = historyLimit;
+  /** @param readHistoryLimit reads how many revisions keep their content */
+  constructor(readHistoryLimit: () => number) {
+    this.#readHistoryLimit = readHistoryLimit;
   }
 
   /**
@@ -142,7 +142,11 @@
 
   #keep(revision: number, content: ConfigurationContent): void {
     this.#contents.set(revision, content);
-    this.#contents.delete(revision - this.#historyLimit);
+    const oldest = revision - this.#readHistoryLimit();
+    for (const kept of this.#contents.keys()) {
+      if (kept > oldest) break;
+      this.#contents.delete(kept);
+    }
     if (this.#history.length > LISTED_ENTRIES) this.#history.shift();
   }
 }
--- a/packages/lovagepond-control/src/control_commands.ts
+++ b/packages/lovagepond-control/src/control_commands.ts
@@ -9,6 +9,7 @@
   type WantedState,
 } from './control_administration.js';
 import {type ConfigurationEdit} from './configuration_edit.js';
+import {type LedgerLimits} from './ledger_entries.js';
 
 /** Version of the coding; a member stops at one it doesn't know. */
 const COMMAND_VERSION = 1;
@@ -74,6 +75,16 @@
   readonly message: string;
 }
 
+/**
+ * Limits of the replicated state. They travel in the log: members that read
+ * them from their own settings would expire differently and come apart.
+ */
+export interface ControlLimits extends LedgerLimits {
+  /** Revisions whose content is kept for a restore. */
+  readonly historyLimit: number;
+}
+
+export const LIMITS_COMMAND = createCommand<ControlLimits>('limits');
 export const CHANGE_COMMAND = createCommand<ChangePayload>('change');
 export const CLAIM_COMMAND = createCommand<ClaimPayload>('claim');
 export const RECORD_COMMAND = createCommand<RecordPayload>('record');
--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -15,7 +15,8 @@
 import {ConfirmationRounds} from './confirmation_rounds.js';
 import {type ControlAdministration} from './control_administration.js';
 import {type ControlSettings} from './control_settings.js';
-import {type ControlStateMachine} from './control_state_machine.js';
+import {LIMITS_COMMAND} from './control_commands.js';
+import {type ControlStateMachine, pickLimits} from './control_state_machine.js';
 import {ConvergenceTable} from './convergence_table.js';
 import {LeaderRelay} from './leader_relay.js';
 import {LedgerHandler} from './ledger_handler.js';
@@ -221,6 +222,7 @@
     this.#takingOver = true;
     try {
       if (!(await this.#proposer.confirm())) return;
+      if (!(await this.#setLimits())) return;
       const {role, term: current} = this.#parts.node.status();
       if (role !== MEMBER_ROLE.LEADER || current !== term) return;
       this.#registry.takeOver(term, this.#now());
@@ -232,6 +234,15 @@
     }
   }
 
+  /** The leader's settings are in force at all members. */
+  async #setLimits(): Promise<boolean> {
+    const {machine} = this.#parts;
+    const wanted = pickLimits(this.#settings);
+    if (JSON.stringify(wanted) === JSON.stringify(machine.limits)) return true;
+    const answer = await this.#proposer.propose(LIMITS_COMMAND, wanted);
+    return answer.kind === 'committed';
+  }
+
   #tickLeader(now: number): void {
     this.#registry.tick(now);
     this.#delivery.refresh(this.#parts.machine.orders.waiting(), server =>
--- a/packages/lovagepond-control/src/control_role.ts
+++ b/packages/lovagepond-control/src/control_role.ts
@@ -20,7 +20,11 @@
 import {type ControlAdministration} from './control_administration.js';
 import {ControlMemberState} from './control_member_state.js';
 import {ControlServer} from './control_server.js';
-import {CONTROL_TIMINGS, type ControlSettings} from './control_settings.js';
+import {
+  CONTROL_DEFAULTS,
+  CONTROL_TIMINGS,
+  type ControlSettings,
+} from './control_settings.js';
 import {MemberTransport} from './member_transport.js';
 import {ControlStateMachine} from './control_state_machine.js';
 
@@ -60,7 +64,9 @@
     this.#settings = settings;
     this.#parts = parts;
     const {clock, log, random} = parts;
-    const machine = new ControlStateMachine(settings, () => clock.now());
+    const machine = new ControlStateMachine(CONTROL_DEFAULTS, () =>
+      clock.now(),
+    );
     this.#server = new ControlServer(
       {
         announce: req => this.#state.announce(req),
--- a/packages/lovagepond-control/src/control_state_machine.ts
+++ b/packages/lovagepond-control/src/control_state_machine.ts
@@ -9,10 +9,12 @@
   CHANGE_COMMAND,
   CLAIM_COMMAND,
   type CommandStamp,
+  type ControlLimits,
   decodeCommand,
   decodeResult,
   encodeResult,
   INCARNATION_COMMAND,
+  LIMITS_COMMAND,
   ORDER_COMMAND,
   ORDER_OUTCOME_COMMAND,
   RECORD_COMMAND,
@@ -23,18 +25,12 @@
   type ConfigurationSnapshot,
   ConfigurationState,
 } from './configuration_state.js';
-import {type LedgerLimits} from './ledger_entries.js';
 import {type LedgerSnapshot, LedgerState} from './ledger_state.js';
 import {OperationResults, type OperationSnapshot} from './operation_results.js';
 import {type OrderSnapshot, OrderState} from './order_state.js';
 import {ReplicatedTime} from './replicated_time.js';
 import {WantedStates} from './wanted_states.js';
 
-/** Limits of the replicated state; the same at all members. */
-export interface ControlLimits extends LedgerLimits {
-  readonly historyLimit: number;
-}
-
 const SNAPSHOT_VERSION = 1;
 
 const NEWLINE = 0x0a;
@@ -43,6 +39,7 @@
 interface ControlSnapshot {
   readonly version: number;
   readonly timeMs: number;
+  readonly limits: ControlLimits;
   readonly configuration: ConfigurationSnapshot;
   readonly ledger: LedgerSnapshot;
   readonly operations: OperationSnapshot;
@@ -55,27 +52,34 @@
 
 /** The state machine behind control's log. */
 export class ControlStateMachine implements StateMachine {
-  readonly configuration: ConfigurationState;
-  readonly ledger: LedgerState;
+  readonly configuration = new ConfigurationState(
+    () => this.#limits.historyLimit,
+  );
+  readonly ledger = new LedgerState(() => this.#limits);
   readonly operations = new OperationResults();
   readonly orders = new OrderState();
   readonly wanted = new WantedStates();
   readonly time = new ReplicatedTime();
   readonly #handlers = new Map<string, Handler>();
   readonly #now: () => number;
+  #limits: ControlLimits;
 
   /**
-   * @param limits limits of the state
+   * @param limits limits until the log sets others; the same at all members
    * @param now reads local monotonic time, only to pace replicated time
    */
   constructor(limits: ControlLimits, now: () => number) {
-    this.configuration = new ConfigurationState(limits.historyLimit);
-    this.ledger = new LedgerState(limits);
+    this.#limits = pickLimits(limits);
     this.#now = now;
     this.#handleOperatorCommands();
     this.#handleNodeCommands();
   }
 
+  /** The limits in force at all members. */
+  get limits(): ControlLimits {
+    return this.#limits;
+  }
+
   apply(command: Uint8Array, _index: number): Uint8Array {
     const {name, stamp, payload} = decodeCommand(command);
     const handler = this.#handlers.get(name);
@@ -88,6 +92,7 @@
     const snapshot: ControlSnapshot = {
       version: SNAPSHOT_VERSION,
       timeMs: this.time.timeMs,
+      limits: this.#limits,
       configuration: this.configuration.snapshot(),
       ledger: this.ledger.snapshot(),
       operations: this.operations.snapshot(),
@@ -104,6 +109,7 @@
     const snapshot = decodeResult<ControlSnapshot>(head);
     invariant(snapshot.version === SNAPSHOT_VERSION, 202, 'snapshot version');
     this.time.restore(snapshot.timeMs);
+    this.#limits = snapshot.limits;
     this.ledger.restore(snapshot.ledger, bytes.subarray(headEnd + 1));
     this.operations.restore(snapshot.operations);
     this.orders.restore(snapshot.orders);
@@ -119,6 +125,10 @@
   }
 
   #handleOperatorCommands(): void {
+    this.#handle(LIMITS_COMMAND, payload => {
+      this.#limits = pickLimits(payload);
+      return {};
+    });
     this.#handle(CHANGE_COMMAND, (payload, stamp) =>
       this.operations.runOnce(payload, () =>
         this.configuration.apply(payload, stamp),
@@ -150,3 +160,20 @@
     }));
   }
 }
+
+/**
+ * @param settings settings that hold the limits among others
+ * @returns the limits alone, in one order, so that they can be compared
+ */
+export function pickLimits(settings: ControlLimits): ControlLimits {
+  const {historyLimit, ledgerLimit, answerCharactersLimit} = settings;
+  const {answerRetentionMs, keyRetentionMs, openClaimLimitMs} = settings;
+  return {
+    historyLimit,
+    ledgerLimit,
+    answerCharactersLimit,
+    answerRetentionMs,
+    keyRetentionMs,
+    openClaimLimitMs,
+  };
+}
--- a/packages/lovagepond-control/src/index.ts
+++ b/packages/lovagepond-control/src/index.ts
@@ -35,14 +35,12 @@
   CLAIM_COMMAND,
   type ClaimPayload,
   type CommandStamp,
+  type ControlLimits,
   decodeCommand,
   encodeCommand,
   RECORD_COMMAND,
 } from './control_commands.js';
-export {
-  type ControlLimits,
-  ControlStateMachine,
-} from './control_state_machine.js';
+export {ControlStateMachine} from './control_state_machine.js';
 export {LedgerHandler} from './ledger_handler.js';
 export {type LedgerLimits} from './ledger_entries.js';
 export {type ClaimResult, LedgerState} from './ledger_state.js';
--- a/packages/lovagepond-control/src/ledger_entries.ts
+++ b/packages/lovagepond-control/src/ledger_entries.ts
@@ -28,7 +28,7 @@
  * every member expires the same entries at the same command.
  */
 export class LedgerEntries {
-  readonly #limits: LedgerLimits;
+  readonly #readLimits: () => LedgerLimits;
   readonly #entries = new Map<string, LedgerEntry>();
   /** Open keys of each sidecar, to settle them when it restarts. */
   readonly #openByServer = new Map<string, Set<string>>();
@@ -38,8 +38,9 @@
   readonly #answerQueue = new ExpiryQueue();
   readonly #keyQueue = new ExpiryQueue();
 
-  constructor(limits: LedgerLimits) {
-    this.#limits = limits;
+  /** @param readLimits reads the replicated limits */
+  constructor(readLimits: () => LedgerLimits) {
+    this.#readLimits = readLimits;
   }
 
   get size(): number {
@@ -93,7 +94,8 @@
    * @param timeMs replicated time
    */
   expire(timeMs: number): void {
-    const {openClaimLimitMs, answerRetentionMs, keyRetentionMs} = this.#limits;
+    const limits = this.#readLimits();
+    const {openClaimLimitMs, answerRetentionMs, keyRetentionMs} = limits;
     drain(this.#openQueue, timeMs - openClaimLimitMs, key => {
       const entry = this.#due(key, timeMs - openClaimLimitMs);
       if (entry?.state === ENTRY_STATE.OPEN) this.settleUnknown(key, timeMs);
@@ -182,7 +184,8 @@
   }
 
   #dropAnswers(): void {
-    while (this.#answerCharacters > this.#limits.answerCharactersLimit) {
+    const {answerCharactersLimit} = this.#readLimits();
+    while (this.#answerCharacters > answerCharactersLimit) {
       const key = this.#answerQueue.takeUntil(Infinity);
       if (key === undefined) return;
       this.#dropAnswer(key);
--- a/packages/lovagepond-control/src/ledger_incarnations.ts
+++ b/packages/lovagepond-control/src/ledger_incarnations.ts
@@ -19,15 +19,9 @@
 
 /** The incarnations of sidecars. Part of the replicated state. */
 export class LedgerIncarnations {
-  readonly #retentionMs: number;
   readonly #registered = new Map<string, Registered>();
   readonly #queue = new ExpiryQueue();
 
-  /** @param retentionMs a sidecar not registered for this long is forgotten */
-  constructor(retentionMs: number) {
-    this.#retentionMs = retentionMs;
-  }
-
   /**
    * @param server a sidecar's backend server
    * @returns its incarnation that may claim, if one registered
@@ -60,11 +54,12 @@
   }
 
   /**
-   * @param timeMs replicated time
+   * Forgets sidecars that registered long ago.
+   *
+   * @param untilMs replicated time up to which they are forgotten
    * @param keep says which sidecars have open claims and stay
    */
-  expire(timeMs: number, keep: (server: string) => boolean): void {
-    const untilMs = timeMs - this.#retentionMs;
+  expire(untilMs: number, keep: (server: string) => boolean): void {
     for (;;) {
       const server = this.#queue.takeUntil(untilMs);
       if (server === undefined) return;
--- a/packages/lovagepond-control/src/ledger_state.ts
+++ b/packages/lovagepond-control/src/ledger_state.ts
@@ -69,17 +69,17 @@
 
 /** The ledger. Part of the replicated state. */
 export class LedgerState {
-  readonly #limits: LedgerLimits;
+  readonly #readLimits: () => LedgerLimits;
   readonly #entries: LedgerEntries;
-  readonly #incarnations: LedgerIncarnations;
+  readonly #incarnations = new LedgerIncarnations();
   /** Attempts that reported "not run": they are never granted again. */
   readonly #released = new Map<string, number>();
   readonly #releasedQueue = new ExpiryQueue();
 
-  constructor(limits: LedgerLimits) {
-    this.#limits = limits;
-    this.#entries = new LedgerEntries(limits);
-    this.#incarnations = new LedgerIncarnations(limits.keyRetentionMs);
+  /** @param readLimits reads the replicated limits */
+  constructor(readLimits: () => LedgerLimits) {
+    this.#readLimits = readLimits;
+    this.#entries = new LedgerEntries(readLimits);
   }
 
   /** @returns number of kept keys, and how many of them are open */
@@ -203,7 +203,7 @@
     if (current && current.incarnation !== incarnation) {
       return 'wrongIncarnation';
     }
-    const full = this.#entries.size >= this.#limits.ledgerLimit;
+    const full = this.#entries.size >= this.#readLimits().ledgerLimit;
     return full ? 'ledgerUnavailable' : undefined;
   }
 
@@ -228,11 +228,12 @@
 
   #expire(timeMs: number): void {
     this.#entries.expire(timeMs);
+    const {keyRetentionMs, openClaimLimitMs} = this.#readLimits();
     this.#incarnations.expire(
-      timeMs,
+      timeMs - keyRetentionMs,
       server => this.#entries.openKeysOf(server).length > 0,
     );
-    const untilMs = timeMs - this.#limits.openClaimLimitMs;
+    const untilMs = timeMs - openClaimLimitMs;
     for (;;) {
       const attempt = this.#releasedQueue.takeUntil(untilMs);
       if (attempt === undefined) return;
--- a/packages/lovagepond-measure/src/ledger_form_measure.ts
+++ b/packages/lovagepond-measure/src/ledger_form_measure.ts
@@ -65,7 +65,7 @@
 }
 
 function makeKeyForm(): LedgerForm {
-  const ledger = new LedgerState(LIMITS);
+  const ledger = new LedgerState(() => LIMITS);
   const makeClaim = (n: number): ClaimPayload => ({
     workspace: `workspace-${n % 10}`,
     key: makeKey(n),
