Measure what the router adds, costs and keeps

Cause: latency, cost and memory of the router had no figures. Change: 'npm run measure -- router': the same calls direct and through router and sidecar in turn, with every role in one process; processor time for a request and a token before stubs; memory slopes for streams, servers and workspaces. RouterState and ServerChoice are public for it.

--- a/packages/lovagepond-measure/src/measure_table.ts
+++ b/packages/lovagepond-measure/src/measure_table.ts
@@ -8,6 +8,7 @@
 import {measureDecisionCost} from './decision_cost_measure.js';
 import {type MeasureFunction} from './measure_types.js';
 import {measurePlacement} from './placement_measure.js';
+import {measureRouter} from './router_measure.js';
 import {measureSidecar} from './sidecar_measure.js';
 
 /** Name to measure; run in this order when no name is given. */
@@ -17,4 +18,5 @@
   'decision-cost': measureDecisionCost,
   sidecar: measureSidecar,
   caller: measureCaller,
+  router: measureRouter,
 };
--- a/packages/lovagepond-router/src/index.ts
+++ b/packages/lovagepond-router/src/index.ts
@@ -30,6 +30,12 @@
   type RevokeOutcome,
 } from './router_request_types.js';
 export {RouterRevisions} from './router_revisions.js';
+export {
+  type ChoiceQuery,
+  type Chosen,
+  ServerChoice,
+} from './router_server_choice.js';
+export {RouterState} from './router_state.js';
 export {type CallerFront, type RouterParts, RouterRole} from './router_role.js';
 export {
   DEFAULT_ROUTER_SETTINGS,
