Notice a lost cache event that no later one follows

Cause: a gap showed only by the next event. An engine that loses the eviction of a chat and then idles left that chat warm in the sidecar's index for good.

Change: the event stream's heartbeat tells the engine's position; a number ahead of the last heard event is a gap. A test lets the events' connection go silent: they go on over a fresh one, none lost.

Conclusion: an engine without the position keeps the former behaviour.

--- a/packages/lovagepond-backend/src/__tests__/unit/backend_http_engine.test.ts
+++ b/packages/lovagepond-backend/src/__tests__/unit/backend_http_engine.test.ts
@@ -236,23 +236,43 @@
 });
 
 test('tells of lost cache events and of a restart by a gap', async () => {
-  // Event 2 is lost on its way. Whatever it said, the listener must learn that
-  // something is missing before it hears of event 3.
+  // Event 2 is lost, and so is event 4, after which nothing happens for long.
+  // Whatever they said, the listener must learn that something is missing:
+  // before it hears of event 3, and by the engine's position alone after it.
   const server = await startEngine();
   const engine = connectEngine(server.address);
   const told: string[] = [];
   engine.subscribeCache(event => told.push(`${event.kind} ${event.sequence}`));
   server.setFaults({dropCacheEventEvery: 2});
-  for (const chat of ['c1', 'c2', 'c3']) {
-    await collect(engine, completion(chat, {chat}));
-  }
-  const wanted = ['stored 1', 'gap 2', 'stored 3'];
+  const runAll = async (...chats: string[]): Promise<void> => {
+    for (const chat of chats) await collect(engine, completion(chat, {chat}));
+  };
+  await runAll('c1');
+  await expect.poll(() => told).toEqual(['stored 1']);
+  await runAll('c2', 'c3', 'c4');
+  const wanted = ['stored 1', 'gap 2', 'stored 3', 'gap 4'];
   await expect.poll(() => told).toEqual(wanted);
   server.restart();
   await engine.loadReport(clock.now());
   await expect.poll(() => told).toEqual([...wanted, 'gap 0']);
 });
 
+test('cache events go on after their connection went silent', async () => {
+  // The connection that carries the events is forgotten by something in
+  // between. The events made meanwhile are asked for again, so none is lost.
+  const server = await startEngine();
+  const engine = connectEngine(server.address);
+  const told: string[] = [];
+  engine.subscribeCache(event => told.push(`${event.kind} ${event.sequence}`));
+  await collect(engine, completion('r1', {chat: 'c1'}));
+  await expect.poll(() => told).toEqual(['stored 1']);
+  server.silence();
+  await collect(engine, completion('r2', {chat: 'c2'}));
+  await expect
+    .poll(() => told, {timeout: 10_000})
+    .toEqual(['stored 1', 'stored 2']);
+});
+
 test('moves a KV cache, and passes orders with their fencing', async () => {
   const servers = [await startEngine(), await startEngine()];
   const [from, to] = servers.map(server => connectEngine(server.address));
--- a/packages/lovagepond-backend/src/backend_cache_sequence.ts
+++ b/packages/lovagepond-backend/src/backend_cache_sequence.ts
@@ -39,6 +39,7 @@
   take(event: EngineCacheEvent): CacheEvent[] {
     const told = this.noteIncarnation(event.incarnation);
     if (event.sequence <= this.#last) return told;
+    if (event.kind === 'position') return this.#skipTo(event.sequence);
     // A lost event may be the eviction of any chat. Without the gap, a chat
     // would count as warm for good and be sent to a server that rebuilds it.
     const lost = event.sequence > this.#last + 1;
@@ -48,11 +49,17 @@
     this.#last = event.sequence;
     return [...told, toCacheEvent(event)];
   }
+
+  /** The last event before a pause was lost: no later one would show it. */
+  #skipTo(sequence: number): CacheEvent[] {
+    this.#last = sequence;
+    return [{kind: 'gap', sequence}];
+  }
 }
 
 function toCacheEvent(event: EngineCacheEvent): CacheEvent {
   const {kind, sequence, workspace, chat, tokens} = event;
   const key = {workspace, chat};
   if (kind === 'stored') return {kind, sequence, key, tokens};
-  return {kind, sequence, key};
+  return {kind: 'evicted', sequence, key};
 }
--- a/packages/lovagepond-backend/src/backend_engine_protocol.ts
+++ b/packages/lovagepond-backend/src/backend_engine_protocol.ts
@@ -54,13 +54,16 @@
   models: z.array(z.string()).max(1_000),
 });
 
-/** A cache event; `sequence` rises by one within an incarnation. */
+/**
+ * A cache event; `sequence` rises by one within an incarnation. A `position`
+ * changes nothing and tells the sequence number of the last event sent.
+ */
 export const cacheEventSchema = z.object({
   incarnation: z.string(),
   sequence: count,
-  kind: z.enum(['stored', 'evicted']),
-  workspace: z.string(),
-  chat: z.string(),
+  kind: z.enum(['stored', 'evicted', 'position']),
+  workspace: z.string().default(''),
+  chat: z.string().default(''),
   tokens: count.default(0),
 });
 
--- a/packages/lovagepond-backend/src/backend_fake_engine.ts
+++ b/packages/lovagepond-backend/src/backend_fake_engine.ts
@@ -189,6 +189,16 @@
       .map(({change}) => change);
   }
 
+  /**
+   * @param now present time, monotonic milliseconds
+   * @returns sequence number of the last change that is out by now, lost or not
+   */
+  cachePosition(now: number): number {
+    const extra = this.#faults.cacheEventLagMs ?? 0;
+    const out = this.#changes.findLast(item => item.publishAt + extra <= now);
+    return out?.change.sequence ?? 0;
+  }
+
   /**
    * @param now present time, monotonic milliseconds
    * @returns a report as old as the engine's lag makes it
--- a/packages/lovagepond-backend/src/backend_fake_engine_server.ts
+++ b/packages/lovagepond-backend/src/backend_fake_engine_server.ts
@@ -323,9 +323,12 @@
 
   #beat(): void {
     this.#host.beat();
+    const sequence = this.#engine.cachePosition(this.#clock.now());
+    const {incarnation} = this.#engine;
+    const position = JSON.stringify({kind: 'position', incarnation, sequence});
     for (const res of this.#subscribers.keys()) {
       this.#publish(res);
-      res.write(': heartbeat\n\n');
+      res.write(`data: ${position}\n\n`);
     }
   }
 }
