Keep a restarted sole voter from cutting a leader's lease short

The one voter left restarted and, as a sole voter, was elected at once. It committed writes that a read under the old leader's lease did not see. Ruled out: drift (2 %), and the change of the members itself, which was applied one at a time. Change: a sole voter waits an election timeout after its start, as all do. A group of one member leads 0.6 to 1.2 s after a restart in place of at once.

--- a/packages/lovagepond-consensus/src/__tests__/unit/consensus_core_model.test.ts
+++ b/packages/lovagepond-consensus/src/__tests__/unit/consensus_core_model.test.ts
@@ -82,6 +82,24 @@
       storeShare: 0.2,
     },
   ],
+  // A sole voter restarts and elects itself at once, while the leader that is
+  // removing itself still holds its lease.
+  [
+    293741308,
+    3,
+    2,
+    {
+      loss: 0.18000000000000002,
+      duplication: 0.08000000000000002,
+      crash: 1.35,
+      partition: 0.75,
+      diskLoss: 0.010000000000000002,
+      memberChange: 3,
+      drift: 0.024900000000000002,
+      stepMs: 0.5,
+      storeShare: 0.05,
+    },
+  ],
 ];
 
 describe('ConsensusCore under faults', () => {
--- a/packages/lovagepond-consensus/src/consensus_member_state.ts
+++ b/packages/lovagepond-consensus/src/consensus_member_state.ts
@@ -4,7 +4,6 @@
  */
 import {invariant, type Random} from '@lovagepond/core';
 import {Leadership} from './consensus_leadership.js';
-import {isMajority} from './consensus_members.js';
 import {type ConsensusMessage} from './consensus_messages.js';
 import {Outbox} from './consensus_outbox.js';
 import {Replica} from './consensus_replica.js';
@@ -59,11 +58,10 @@
     this.#term = stored.hardState.term;
     this.#vote = stored.hardState.vote;
     // A restarted member forgot which leader it promised to follow. It counts
-    // its start as contact, so that its vote cuts no lease short.
+    // its start as contact, so that its vote cuts no lease short. That holds
+    // for a sole voter too: the leader that is removing itself still leads.
     this.#leaderContact = now;
     this.postponeElection(now);
-    const own = new Set([this.id]);
-    if (isMajority(this.replica.log.members, own)) this.#electionDue = now;
   }
 
   /** The current term. */
