--- /dev/null
+++ b/packages/lovagepond-measure/src/consensus_commit_measure.ts
@@ -0,0 +1,181 @@
+/**
+ * Commits a second against syncs a second, and against what the same disk
+ * gives in the same run to a bare append and sync of the same batches.
+ */
+import {
+  ConsensusNode,
+  DEFAULT_CONSENSUS_TIMINGS,
+  FileStorage,
+  MemoryNetwork,
+  type StateMachine,
+} from '@lovagepond/consensus';
+import {Random} from '@lovagepond/core';
+import {open} from 'node:fs/promises';
+import {join} from 'node:path';
+import {CountingDisk, withTemporaryFolder} from './consensus_measure_utils.js';
+import {roundTo} from './measure_statistics.js';
+import {type MeasureSection} from './measure_types.js';
+
+const GROUP_SIZES = [1, 3, 5] as const;
+const CONCURRENCIES = [1, 16, 256] as const;
+const COMMAND_BYTES = 256;
+/** Bytes of a record's head beside the command. */
+const RECORD_BYTES = COMMAND_BYTES + 22;
+const RUN_MS = 1_000;
+const BARE_RUN_MS = 500;
+const POLL_MS = 20;
+
+const NOTHING = new Uint8Array();
+const IDLE_MACHINE: StateMachine = {
+  apply: () => NOTHING,
+  snapshot: () => NOTHING,
+  restore: () => undefined,
+};
+const SILENT = {
+  debug: () => undefined,
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+};
+
+interface Group {
+  readonly nodes: readonly ConsensusNode[];
+  readonly disks: readonly CountingDisk[];
+}
+
+interface CommitRun {
+  readonly commitsPerSecond: number;
+  readonly syncsPerSecond: number;
+  readonly batch: number;
+}
+
+async function startGroup(size: number, folder: string): Promise<Group> {
+  const network = new MemoryNetwork();
+  const peers = Array.from({length: size}, (_, at) => `member${at}:1`);
+  const disks = peers.map(peer => new CountingDisk(join(folder, peer)));
+  const nodes = peers.map((address, at) => {
+    const disk = disks[at] ?? join(folder, address);
+    return new ConsensusNode(
+      {address, peers, timings: DEFAULT_CONSENSUS_TIMINGS},
+      {
+        stateMachine: IDLE_MACHINE,
+        storage: new FileStorage(disk),
+        transport: network.attach(address),
+        clock: {now: () => performance.now(), wallTime: () => Date.now()},
+        random: new Random(at + 1),
+        log: SILENT,
+      },
+    );
+  });
+  for (const node of nodes) await node.start();
+  return {nodes, disks};
+}
+
+async function findLeader({nodes}: Group): Promise<number> {
+  for (;;) {
+    const at = nodes.findIndex(node => node.status().leaseValid);
+    if (at !== -1) return at;
+    await new Promise(resolve => setTimeout(resolve, POLL_MS));
+  }
+}
+
+async function proposeUntil(
+  node: ConsensusNode,
+  endAt: number,
+): Promise<number> {
+  const command = new Uint8Array(COMMAND_BYTES).fill(1);
+  let committed = 0;
+  while (performance.now() < endAt) {
+    const outcome = await node.propose(command);
+    if (outcome.kind === 'committed') committed += 1;
+  }
+  return committed;
+}
+
+async function runCommits(group: Group, underWay: number): Promise<CommitRun> {
+  const at = await findLeader(group);
+  const node = group.nodes[at];
+  const disk = group.disks[at];
+  if (!node || !disk) throw new Error('the group has no leader');
+  const syncsBefore = disk.syncs;
+  const started = performance.now();
+  const callers = Array.from({length: underWay}, () =>
+    proposeUntil(node, started + RUN_MS),
+  );
+  const counts = await Promise.all(callers);
+  const committed = counts.reduce((sum, count) => sum + count, 0);
+  const seconds = (performance.now() - started) / 1000;
+  const syncs = disk.syncs - syncsBefore;
+  return {
+    commitsPerSecond: committed / seconds,
+    syncsPerSecond: syncs / seconds,
+    batch: committed / Math.max(1, syncs),
+  };
+}
+
+/** @returns bare appends with a sync each, a second */
+async function runBare(folder: string, bytes: number): Promise<number> {
+  const handle = await open(join(folder, 'bare'), 'w');
+  const block = new Uint8Array(Math.round(bytes)).fill(1);
+  const started = performance.now();
+  let count = 0;
+  while (performance.now() - started < BARE_RUN_MS) {
+    await handle.write(block);
+    await handle.datasync();
+    count += 1;
+  }
+  const seconds = (performance.now() - started) / 1000;
+  await handle.close();
+  return count / seconds;
+}
+
+async function measureGroup(size: number): Promise<(string | number)[][]> {
+  return withTemporaryFolder(async folder => {
+    const group = await startGroup(size, folder);
+    const rows: (string | number)[][] = [];
+    for (const underWay of CONCURRENCIES) {
+      await runCommits(group, underWay);
+      const single = await runBare(folder, RECORD_BYTES);
+      const run = await runCommits(group, underWay);
+      const batched = await runBare(folder, RECORD_BYTES * run.batch);
+      const limit = batched * run.batch;
+      rows.push([
+        size,
+        underWay,
+        Math.round(run.commitsPerSecond),
+        Math.round(run.syncsPerSecond),
+        roundTo(run.batch, 1),
+        Math.round(single),
+        Math.round(batched),
+        roundTo(limit / run.commitsPerSecond, 2),
+      ]);
+    }
+    for (const node of group.nodes) await node.stop();
+    return rows;
+  });
+}
+
+/** @returns commits a second by members and proposals under way */
+export async function measureCommitRate(): Promise<MeasureSection> {
+  const rows: (string | number)[][] = [];
+  for (const size of GROUP_SIZES) rows.push(...(await measureGroup(size)));
+  return {
+    title: 'Commits a second, and the disk in the same run',
+    columns: [
+      'members',
+      'under way',
+      'commits/s',
+      'leader syncs/s',
+      'commits/sync',
+      'bare syncs/s',
+      'bare batched syncs/s',
+      'batched limit / commits',
+    ],
+    rows,
+    notes: [
+      `commands of ${COMMAND_BYTES} bytes; members share one process and one disk`,
+      'batched limit: bare append and sync of the same batch, times the batch',
+      `each run ${RUN_MS} ms after one to warm up, bare runs ${BARE_RUN_MS} ms`,
+    ],
+  };
+}
--- /dev/null
+++ b/packages/lovagepond-measure/src/consensus_failover_measure.ts
@@ -0,0 +1,161 @@
+/**
+ * How long a group is without a leader that can commit, in election timeouts
+ * of virtual time.
+ */
+import {
+  type ConsensusAction,
+  ConsensusCore,
+  DEFAULT_CONSENSUS_TIMINGS,
+  type Member,
+} from '@lovagepond/consensus';
+import {Random} from '@lovagepond/core';
+import {Distribution, roundTo} from './measure_statistics.js';
+import {type MeasureSection} from './measure_types.js';
+import {VirtualTime} from './virtual_time.js';
+
+const SEEDS = 400;
+const GROUP_SIZES = [3, 5] as const;
+const LATENCY_MS = 1;
+const SYNC_MS = 2;
+const TICK_MS = 25;
+const SETTLE_TIMEOUTS = 6;
+const GIVE_UP_TIMEOUTS = 60;
+const TIMINGS = DEFAULT_CONSENSUS_TIMINGS;
+const TIMEOUT = TIMINGS.electionTimeoutMs;
+
+/** How the leader is lost. */
+const LOSSES = {
+  crash: 'the leader crashes',
+  deaf: 'the leader sends and hears nobody',
+  mute: 'the leader hears and reaches nobody',
+} as const;
+
+type Loss = keyof typeof LOSSES;
+
+interface Peer {
+  readonly member: Member;
+  readonly core: ConsensusCore;
+}
+
+/** Members of one group over virtual links and disks. */
+class FailoverGroup {
+  readonly time = new VirtualTime();
+  readonly #peers: Peer[] = [];
+  #lost: Peer | undefined;
+  #loss: Loss | undefined;
+
+  constructor(size: number, random: Random) {
+    const members = Array.from({length: size}, (_, at): Member => {
+      return {id: `member${at}`, address: `member${at}:1`, voter: true};
+    });
+    const hardState = {term: 0, vote: ''};
+    for (const member of members) {
+      const stored = {id: member.id, hardState, entries: []};
+      const {address} = member;
+      const parts = {stored, address, timings: TIMINGS, random};
+      const peer = {member, core: new ConsensusCore(parts, 0)};
+      this.#peers.push(peer);
+      this.time.every(TICK_MS, random.next() * TICK_MS, () => {
+        this.#run(peer, core => {
+          core.tick(this.time.now);
+        });
+      });
+    }
+    const [first] = this.#peers;
+    if (first) {
+      this.#run(first, core => {
+        core.bootstrap(members);
+      });
+    }
+  }
+
+  /** @returns the leader that nothing has happened to */
+  findLeader(): Peer | undefined {
+    return this.#peers.find(peer => {
+      const isWorking = peer !== this.#lost;
+      return isWorking && peer.core.status(this.time.now).leaseValid;
+    });
+  }
+
+  lose(peer: Peer, loss: Loss): void {
+    this.#lost = peer;
+    this.#loss = loss;
+  }
+
+  #run(peer: Peer, step: (core: ConsensusCore) => void): void {
+    if (peer === this.#lost && this.#loss === 'crash') return;
+    step(peer.core);
+    for (;;) {
+      const actions = peer.core.takeActions();
+      if (actions.length === 0) return;
+      for (const action of actions) this.#perform(peer, action);
+    }
+  }
+
+  #perform(peer: Peer, action: ConsensusAction): void {
+    if (action.kind === 'send') {
+      if (peer === this.#lost && this.#loss === 'mute') return;
+      const to = this.#peers.find(
+        ({member}) => member.address === action.address,
+      );
+      if (!to || (to === this.#lost && this.#loss === 'deaf')) return;
+      this.time.after(LATENCY_MS, () => {
+        this.#run(to, core => {
+          core.receive(action.message, this.time.now);
+        });
+      });
+    } else if (action.kind === 'write' || action.kind === 'saveSnapshot') {
+      this.time.after(SYNC_MS, () => {
+        this.#run(peer, core => {
+          core.stored(action.id, this.time.now);
+        });
+      });
+    }
+  }
+}
+
+/** @returns milliseconds until another leader has committed */
+function runOnce(size: number, loss: Loss, seed: number): number {
+  const random = new Random(seed);
+  const group = new FailoverGroup(size, random);
+  const settled = TIMEOUT * (SETTLE_TIMEOUTS + random.next());
+  group.time.runUntil(settled);
+  const leader = group.findLeader();
+  if (!leader) throw new Error(`no leader with seed ${seed}`);
+  const lostAt = group.time.now;
+  group.lose(leader, loss);
+  const giveUpAt = lostAt + TIMEOUT * GIVE_UP_TIMEOUTS;
+  while (!group.findLeader() && group.time.now < giveUpAt) {
+    group.time.runUntil(group.time.now + 1);
+  }
+  return group.time.now - lostAt;
+}
+
+function measureCase(size: number, loss: Loss): (string | number)[] {
+  const times = new Distribution(0.001);
+  for (let seed = 1; seed <= SEEDS; seed += 1) {
+    times.record(runOnce(size, loss, seed) / TIMEOUT);
+  }
+  const shown = [times.mean, times.percentile(50), times.percentile(95)];
+  return [
+    size,
+    LOSSES[loss],
+    ...[...shown, times.max].map(value => roundTo(value, 2)),
+  ];
+}
+
+/** @returns time without a leader, by group size and kind of loss */
+export function measureFailover(): MeasureSection {
+  const losses = Object.keys(LOSSES) as Loss[];
+  return {
+    title: 'Failover: time until another leader has committed',
+    columns: ['members', 'what happens', 'mean', 'p50', 'p95', 'max'],
+    rows: GROUP_SIZES.flatMap(size =>
+      losses.map(loss => measureCase(size, loss)),
+    ),
+    notes: [
+      `in election timeouts of ${TIMEOUT} ms, virtual time`,
+      `seeds 1 to ${SEEDS}; ${LATENCY_MS} ms one way, ${SYNC_MS} ms a sync`,
+    ],
+  };
+}
--- /dev/null
+++ b/packages/lovagepond-measure/src/consensus_measure.ts
@@ -0,0 +1,20 @@
+/**
+ * What consensus costs: commits against syncs, failover, snapshots, restarts.
+ */
+import {measureCommitRate} from './consensus_commit_measure.js';
+import {measureFailover} from './consensus_failover_measure.js';
+import {
+  measureLogReplay,
+  measureSnapshots,
+} from './consensus_snapshot_measure.js';
+import {type MeasureSection} from './measure_types.js';
+
+/** @returns the tables of consensus */
+export async function measureConsensus(): Promise<readonly MeasureSection[]> {
+  return [
+    await measureCommitRate(),
+    measureFailover(),
+    await measureSnapshots(),
+    await measureLogReplay(),
+  ];
+}
--- /dev/null
+++ b/packages/lovagepond-measure/src/consensus_measure_utils.ts
@@ -0,0 +1,77 @@
+/**
+ * Parts that the measures of consensus share.
+ */
+import {type Disk, type DiskFile, NodeDisk} from '@lovagepond/consensus';
+import {mkdtemp, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+
+/** A folder that counts the syncs of its files. */
+export class CountingDisk extends NodeDisk implements Disk {
+  /** Syncs since the start. */
+  syncs = 0;
+
+  override async open(name: string): Promise<DiskFile> {
+    const file = await super.open(name);
+    return {
+      write: (bytes, position) => file.write(bytes, position),
+      truncate: length => file.truncate(length),
+      close: () => file.close(),
+      sync: () => {
+        this.syncs += 1;
+        return file.sync();
+      },
+    };
+  }
+}
+
+/**
+ * @param run gets the path of a folder that is removed afterwards
+ * @returns what it returned
+ */
+export async function withTemporaryFolder<Value>(
+  run: (folder: string) => Promise<Value>,
+): Promise<Value> {
+  const folder = await mkdtemp(join(tmpdir(), 'lovagepond-measure-'));
+  try {
+    return await run(folder);
+  } finally {
+    await rm(folder, {recursive: true});
+  }
+}
+
+/** One point of a series. */
+export interface Point {
+  readonly x: number;
+  readonly y: number;
+}
+
+/**
+ * @param points at least two points with different x
+ * @returns slope and value at zero of the line of least squares
+ */
+export function fitLine(points: readonly Point[]): {
+  readonly slope: number;
+  readonly offset: number;
+} {
+  const count = points.length;
+  const meanX = points.reduce((sum, {x}) => sum + x, 0) / count;
+  const meanY = points.reduce((sum, {y}) => sum + y, 0) / count;
+  let spread = 0;
+  let product = 0;
+  for (const {x, y} of points) {
+    spread += (x - meanX) ** 2;
+    product += (x - meanX) * (y - meanY);
+  }
+  const slope = product / spread;
+  return {slope, offset: meanY - slope * meanX};
+}
+
+/**
+ * @param values some numbers
+ * @returns the one in the middle
+ */
+export function medianOf(values: readonly number[]): number {
+  const sorted = [...values].sort((left, right) => left - right);
+  return sorted[Math.floor(sorted.length / 2)] ?? 0;
+}
--- a/packages/lovagepond-measure/src/measure_table.ts
+++ b/packages/lovagepond-measure/src/measure_table.ts
@@ -4,6 +4,7 @@
  * A new measure is one `*_measure.ts` file and one line here.
  */
 import {measureCaller} from './caller_measure.js';
+import {measureConsensus} from './consensus_measure.js';
 import {measureControl} from './control_measure.js';
 import {measureDecisionCost} from './decision_cost_measure.js';
 import {type MeasureFunction} from './measure_types.js';
@@ -14,6 +15,7 @@
 /** Name to measure; run in this order when no name is given. */
 export const MEASURES: Readonly<Record<string, MeasureFunction>> = {
   placement: measurePlacement,
+  consensus: measureConsensus,
   control: measureControl,
   'decision-cost': measureDecisionCost,
   sidecar: measureSidecar,
