Prove configurations in force, restarts, flapping engines and differing lists

Cause: one line of what must always hold and four of what fails had no scenario. Ruled out: a proof on one flapping engine passed without its safeguard, as the penalty wears off within the scenario; most engines flapping at once shows it. The new safeguards were tried by name: each proof fails without and passes with its safeguard. Conclusion: every line of "What must always hold" has scenarios, and of "What fails" all; real processes follow.

--- a/packages/lovagepond-scenarios/features/not_run.feature
+++ b/packages/lovagepond-scenarios/features/not_run.feature
@@ -40,6 +40,16 @@
     When engine-1 is silent on every connection until the deadline
     Then the shopper is told that the request may have run
 
+  Scenario: A refusal crosses with the start of the same request
+    Given a shopper's request is given to engine-1
+    And the engine's answer is "Two pretzels for the price of one until noon"
+    When engine-1 says that it has started
+    And a late refusal of the same attempt arrives
+    Then no other server is given the request
+    When these pieces arrive: 1, 2, 3
+    And the end arrives
+    Then the shopper has the whole answer once
+
   Scenario: A refusal crosses with the answer of the same request
     Given a shopper's request is given to engine-1
     And the engine's answer is "Two pretzels for the price of one until noon"
--- a/packages/lovagepond-scenarios/src/world/control_group.ts
+++ b/packages/lovagepond-scenarios/src/world/control_group.ts
@@ -149,6 +149,19 @@
     return found;
   }
 
+  /** True while most of the members are there. */
+  get hasMajority(): boolean {
+    return this.#away.size < this.members.length / 2;
+  }
+
+  /**
+   * @param member a member
+   * @returns true while it is stopped
+   */
+  isAway(member: GroupMember): boolean {
+    return this.#away.has(member);
+  }
+
   /** Another member becomes leader in a new term. */
   changeLeader(): void {
     const next = this.members.find(
--- a/packages/lovagepond-scenarios/src/world/scenario_world.ts
+++ b/packages/lovagepond-scenarios/src/world/scenario_world.ts
@@ -4,10 +4,12 @@
 import {setWorldConstructor, World} from '@cucumber/cucumber';
 import {ConsensusGroup} from './consensus_group.js';
 import {ControlGroup} from './control_group.js';
+import {EngineList} from './engine_list.js';
 import {GatedServer} from './gated_server.js';
 import {Pool, type PoolOptions} from './pool.js';
 import {Redemption} from './redemption.js';
 import {RoutedRequest} from './routed_request.js';
+import {Subscribers} from './subscribers.js';
 import {Timeline} from './timeline.js';
 
 const FLOOR_TOKENS = 4_000;
@@ -22,6 +24,8 @@
   #control: ControlGroup | undefined;
   #redemption: Redemption | undefined;
   #consensus: ConsensusGroup | undefined;
+  #subscribers: Subscribers | undefined;
+  #engines: EngineList | undefined;
 
   /** The pool that an earlier step set up. */
   get pool(): Pool {
@@ -62,6 +66,30 @@
     return this.#consensus;
   }
 
+  /** Routers and sidecars that subscribe to control. */
+  get subscribers(): Subscribers {
+    if (!this.#subscribers) throw new Error('nobody is subscribed yet');
+    return this.#subscribers;
+  }
+
+  /** @returns the subscribers, none so far */
+  createSubscribers(): Subscribers {
+    this.#subscribers = new Subscribers(this.control, this.timeline);
+    return this.#subscribers;
+  }
+
+  /** Engines that announce themselves. */
+  get engines(): EngineList {
+    if (!this.#engines) throw new Error('no engine announces itself yet');
+    return this.#engines;
+  }
+
+  /** @returns the engines, none so far */
+  createEngines(): EngineList {
+    this.#engines = new EngineList(this.timeline);
+    return this.#engines;
+  }
+
   /** The service whose calls may not be repeated. */
   get redemption(): Redemption {
     if (!this.#redemption) throw new Error('the scenario has no service yet');
--- /dev/null
+++ b/packages/lovagepond-scenarios/src/world/subscribers.ts
@@ -0,0 +1,237 @@
+/**
+ * Routers and sidecars that hold a configuration by their real deciders, and
+ * subscribe to control members by the real feeds. Connections are fakes: one
+ * can go silent, or end when its member stops.
+ */
+import {
+  type Configuration,
+  encodeConfiguration,
+  type Unregister,
+} from '@lovagepond/core';
+import {CONTROL_DEFAULTS} from '@lovagepond/control';
+import {
+  type FeedUpdate,
+  type FeedView,
+  SubscriptionHub,
+} from '@lovagepond/control/deciders';
+import {DEFAULT_ROUTER_SETTINGS, RouterRevisions} from '@lovagepond/router';
+import {SidecarRevisions} from '@lovagepond/sidecar';
+import {type ControlGroup, type GroupMember} from './control_group.js';
+import {type Timeline} from './timeline.js';
+
+/** What a router or a sidecar does with configurations. */
+interface RevisionHolder {
+  revision(): number;
+  install(configuration: Configuration): void;
+  confirm(revision: number): void;
+  mayServe(now: number): boolean;
+}
+
+function holdAsRouter(): RevisionHolder {
+  const revisions = new RouterRevisions(DEFAULT_ROUTER_SETTINGS);
+  return {
+    revision: () => revisions.configuration.revision,
+    install: configuration => {
+      revisions.install(encodeConfiguration(configuration));
+    },
+    confirm: revision => {
+      revisions.confirm(revision);
+    },
+    mayServe: now => revisions.mayServe(now),
+  };
+}
+
+function holdAsSidecar(): RevisionHolder {
+  const revisions = new SidecarRevisions({serveUnconfirmed: false});
+  return {
+    revision: () => revisions.revision,
+    install: configuration => {
+      revisions.install(configuration);
+    },
+    confirm: revision => {
+      revisions.confirm(revision);
+    },
+    mayServe: () => revisions.mayServe(),
+  };
+}
+
+const HOLDERS = {router: holdAsRouter, sidecar: holdAsSidecar} as const;
+
+/** What a subscriber is. */
+export type SubscriberRole = keyof typeof HOLDERS;
+
+const TICK_MS = 100;
+const NETWORK_MS = 1;
+
+/** One router or sidecar and its subscription. */
+export class SubscribedNode {
+  readonly name: string;
+  readonly holder: RevisionHolder;
+  /** Configurations with content that arrived. */
+  received = 0;
+  /** The open connection has lost track of its other end. */
+  isSilent = false;
+  #heardAt = 0;
+  #member = -1;
+  #close: Unregister = () => undefined;
+  readonly #role: SubscriberRole;
+  readonly #fleet: Subscribers;
+  readonly #timeline: Timeline;
+
+  constructor(
+    role: SubscriberRole,
+    name: string,
+    fleet: Subscribers,
+    timeline: Timeline,
+  ) {
+    this.name = name;
+    this.holder = HOLDERS[role]();
+    this.#role = role;
+    this.#fleet = fleet;
+    this.#timeline = timeline;
+    timeline.repeat(TICK_MS, () => {
+      this.#watch();
+    });
+  }
+
+  /** @param offset which member is asked first */
+  connect(offset: number): void {
+    this.#close();
+    this.isSilent = false;
+    this.#member = offset;
+    this.#heardAt = this.#timeline.now;
+    const subscriber = {
+      node: this.name,
+      role: this.#role,
+      pool: '',
+      revision: this.holder.revision(),
+    };
+    let open = true;
+    const receive = (update: FeedUpdate): void => {
+      this.#timeline.schedule(NETWORK_MS, () => {
+        if (open && !this.isSilent) this.#receive(update);
+      });
+    };
+    const close = this.#fleet.subscribe(offset, subscriber, receive, () => {
+      if (open) this.#heardAt = -Infinity;
+    });
+    this.#close = () => {
+      open = false;
+      close();
+    };
+  }
+
+  #receive(update: FeedUpdate): void {
+    this.#heardAt = this.#timeline.now;
+    if (update.kind !== 'configuration') return;
+    const {configuration, withContent, confirmed} = update;
+    if (withContent) {
+      this.received += 1;
+      this.holder.install(configuration);
+    }
+    if (confirmed) this.holder.confirm(configuration.revision);
+  }
+
+  #watch(): void {
+    const silentMs = this.#timeline.now - this.#heardAt;
+    if (silentMs < DEFAULT_ROUTER_SETTINGS.controlSilentAfterMs) return;
+    this.connect(this.#member + 1);
+  }
+}
+
+/** All subscribers, and the hubs of the members. */
+export class Subscribers {
+  readonly nodes: SubscribedNode[] = [];
+  readonly #control: ControlGroup;
+  readonly #timeline: Timeline;
+  readonly #hubs: readonly SubscriptionHub[];
+  readonly #unconfirmed = new Set<ReturnType<SubscriptionHub['add']>['feed']>();
+
+  constructor(control: ControlGroup, timeline: Timeline) {
+    this.#control = control;
+    this.#timeline = timeline;
+    this.#hubs = control.members.map(
+      () => new SubscriptionHub(CONTROL_DEFAULTS, timeline.now),
+    );
+    timeline.repeat(TICK_MS, () => {
+      this.#pump();
+    });
+    this.#pump();
+  }
+
+  /**
+   * @param role what they are
+   * @param count how many of them start now
+   * @returns the new nodes, spread over the members
+   */
+  add(role: SubscriberRole, count: number): readonly SubscribedNode[] {
+    const added = Array.from({length: count}, (_, index) => {
+      const name = `${role}-${this.nodes.length + index + 1}`;
+      return new SubscribedNode(role, name, this, this.#timeline);
+    });
+    added.forEach((node, index) => {
+      node.connect(index);
+    });
+    this.nodes.push(...added);
+    return added;
+  }
+
+  /**
+   * @param offset which member, counted round
+   * @param subscriber who subscribes
+   * @param receive called with each update
+   * @param ended called when the member ends the subscription
+   * @returns a function that ends it
+   */
+  subscribe(
+    offset: number,
+    subscriber: Parameters<SubscriptionHub['add']>[0],
+    receive: (update: FeedUpdate) => void,
+    ended: () => void,
+  ): Unregister {
+    const index = offset % this.#hubs.length;
+    const hub = this.#hubs[index] as SubscriptionHub;
+    const member = this.#control.members[index] as GroupMember;
+    if (this.#control.isAway(member)) {
+      this.#timeline.schedule(NETWORK_MS, ended);
+      return () => undefined;
+    }
+    const sink = {isWritable: () => true, send: receive, end: ended};
+    const {feed, remove} = hub.add(subscriber, sink);
+    this.#unconfirmed.add(feed);
+    return remove;
+  }
+
+  /** A majority is asked; a round that fails is repeated. */
+  #confirm(): void {
+    if (!this.#control.hasMajority) return;
+    const {machine} = this.#control.leader;
+    const {revision} = machine.configuration.current.read();
+    for (const feed of this.#unconfirmed) feed.confirm(revision);
+    this.#unconfirmed.clear();
+  }
+
+  #pump(): void {
+    this.#confirm();
+    const {now} = this.#timeline;
+    this.#hubs.forEach((hub, index) => {
+      const member = this.#control.members[index] as GroupMember;
+      if (this.#control.isAway(member)) {
+        hub.endAll();
+        return;
+      }
+      if (this.#control.hasMajority) hub.noteContact(now, now);
+      hub.pump(this.#makeView(member), now);
+    });
+  }
+
+  #makeView(member: GroupMember): FeedView {
+    return {
+      leads: this.#control.leader === member,
+      configuration: member.machine.configuration.current.read(),
+      membershipVersion: 0,
+      changesSince: () => undefined,
+      readLoad: () => undefined,
+    };
+  }
+}
--- a/scripts/test_safeguards.mjs
+++ b/scripts/test_safeguards.mjs
@@ -1,5 +1,5 @@
 // Shows that each listed proof fails without its safeguard: applies the small
-// edits of safeguards.json one at a time to a scratch copy, runs just the named
+// edits of the lists one at a time to a scratch copy, runs just the named
 // scenario or unit test there, and demands that it runs and fails. An argument
 // keeps to the proofs whose names hold it.
 import {spawnSync} from 'node:child_process';
@@ -17,7 +17,7 @@
 import {tmpdir} from 'node:os';
 import {join, resolve} from 'node:path';
 
-const LIST = 'scripts/safeguards.json';
+const LISTS = ['scripts/safeguards.json', 'scripts/safeguards_scenarios.json'];
 const REPORT = 'reports/safeguard.json';
 const NOT_COPIED = new Set(['.git', 'node_modules', 'dist', 'reports']);
 const SCOPE = '@lovagepond';
@@ -66,17 +66,26 @@
   return `^${text.replace(/[.*+?^${}()|[\]\\]/g, '\\$&')}$`;
 }
 
-/** @returns {boolean[]} for each scenario of that name, whether it passed */
-function runScenario(copy, name) {
-  const args = ['scripts/run_scenarios.mjs', REPORT, '--name', quote(name)];
-  spawnSync(process.execPath, args, {cwd: copy, stdio: 'ignore'});
+/** @typedef {{name: string, passed: boolean}} Outcome */
+
+/** @param {string[]} args @returns {Outcome[]} the scenarios that ran */
+function runScenarios(copy, args) {
+  rmSync(join(copy, REPORT), {force: true});
+  const command = ['scripts/run_scenarios.mjs', REPORT, ...args];
+  spawnSync(process.execPath, command, {cwd: copy, stdio: 'ignore'});
   if (!existsSync(join(copy, REPORT))) return [];
   const features = JSON.parse(readFileSync(join(copy, REPORT), 'utf8'));
   return features
     .flatMap(feature => feature.elements)
-    .map(scenario =>
-      scenario.steps.every(step => step.result.status === 'passed'),
-    );
+    .map(({name, steps}) => ({
+      name,
+      passed: steps.every(step => step.result.status === 'passed'),
+    }));
+}
+
+/** @returns {boolean[]} for each scenario of that name, whether it passed */
+function runScenario(copy, name) {
+  return runScenarios(copy, ['--name', quote(name)]).map(part => part.passed);
 }
 
 /** @returns {boolean[]} for each unit test of that name, whether it passed */
@@ -114,9 +123,25 @@
   return true;
 }
 
-/** @param {Safeguard} entry @returns {string} empty when the proof holds */
-function check(copy, entry) {
-  const before = runProof(copy, entry);
+/**
+ * @param {Safeguard} entry
+ * @param {Outcome[]} scenarios how all scenarios end without any edit
+ * @returns {boolean[]} for each proof of the name, whether it passes
+ */
+function findBefore(copy, entry, scenarios) {
+  if (!entry.scenario) return runProof(copy, entry);
+  return scenarios
+    .filter(({name}) => name === entry.scenario)
+    .map(({passed}) => passed);
+}
+
+/**
+ * @param {Safeguard} entry
+ * @param {Outcome[]} scenarios how all scenarios end without any edit
+ * @returns {string} empty when the proof holds
+ */
+function check(copy, entry, scenarios) {
+  const before = findBefore(copy, entry, scenarios);
   if (before.length !== 1) return `${before.length} proofs have this name`;
   if (!before[0]) return 'fails with its safeguard in place';
   const made = entry.edits.every(edit => makeEdit(copy, edit));
@@ -128,7 +153,7 @@
 }
 
 /** @type {Safeguard[]} */
-const all = JSON.parse(readFileSync(LIST, 'utf8'));
+const all = LISTS.flatMap(list => JSON.parse(readFileSync(list, 'utf8')));
 const wanted = process.argv[2] ?? '';
 const entries = all.filter(entry =>
   (entry.scenario ?? entry.test ?? '').includes(wanted),
@@ -136,8 +161,9 @@
 const copy = makeCopy();
 let failed = 0;
 try {
+  const scenarios = runScenarios(copy, []);
   for (const entry of entries) {
-    const problem = check(copy, entry);
+    const problem = check(copy, entry, scenarios);
     if (problem) failed += 1;
     const verdict = problem ? `FAILED (${problem})` : 'fails as it must';
     console.log(`${entry.scenario ?? entry.test}`);
