Tell control which revision a router holds

Cause: operators couldn't see from a router whether a change is in force there; only its subscriptions told, when they were opened. Change: a report after each installed revision, from control or a sidecar, and once a minute, since control forgets a silent node. Bytes sent to control count as control traffic. Conclusion: the test of hand-overs sees the reports 2 and 9; without the report after an installation it fails, as only the subscription tells.

--- a/packages/lovagepond-measure/src/router_memory_measure.ts
+++ b/packages/lovagepond-measure/src/router_memory_measure.ts
@@ -103,7 +103,10 @@
   const checked = checkConfiguration(content);
   if (!checked.ok) throw new Error('the configuration has faults');
   const revisions = new RouterRevisions(DEFAULT_ROUTER_SETTINGS);
-  const state = new RouterState(revisions, BENCH_LOG, () => undefined);
+  const state = new RouterState(revisions, BENCH_LOG, {
+    membershipChanged: () => undefined,
+    revisionInstalled: () => undefined,
+  });
   const configuration = {revision: 1, content: checked.content};
   state.install(encodeConfiguration(configuration));
   return state;
--- a/packages/lovagepond-router/src/__tests__/fakes/router_fakes.ts
+++ b/packages/lovagepond-router/src/__tests__/fakes/router_fakes.ts
@@ -175,6 +175,8 @@
 /** Pushes updates to whoever subscribes. */
 export class FakeControl {
   address = '';
+  /** Revisions that routers said they hold. */
+  readonly reports: number[] = [];
   readonly #server = new Server();
   readonly #updates: WireUpdate[];
 
@@ -192,8 +194,15 @@
   }
 
   async start(): Promise<void> {
-    const {subscribe} = CONTROL_SERVICE;
-    this.#server.addService({subscribe} as never, {
+    const {subscribe, reportConvergence} = CONTROL_SERVICE;
+    this.#server.addService({subscribe, reportConvergence} as never, {
+      reportConvergence: (
+        call: ServerUnaryCall<{revision?: number}, object>,
+        done: sendUnaryData<object>,
+      ) => {
+        this.reports.push(call.request.revision ?? 0);
+        done(null, {});
+      },
       subscribe: (call: ServerWritableStream<object, WireUpdate>) => {
         call.on('error', () => {});
         for (const update of this.#updates) call.write(update);
--- a/packages/lovagepond-router/src/__tests__/unit/router_role.test.ts
+++ b/packages/lovagepond-router/src/__tests__/unit/router_role.test.ts
@@ -27,6 +27,7 @@
 } from '../fakes/router_fakes.js';
 
 const closers: (() => void | Promise<void>)[] = [];
+const controls: FakeControl[] = [];
 
 afterEach(async () => {
   for (const close of closers.splice(0).reverse()) await close();
@@ -46,6 +47,7 @@
   const control = new FakeControl(makeConfiguration(2), members);
   await control.start();
   closers.push(() => control.stop());
+  controls.push(control);
   const settings = {
     ...DEFAULT_ROUTER_SETTINGS,
     name: 'router-1',
@@ -210,6 +212,7 @@
   expect(sink.text).toBe('hello');
   expect(revisions).toEqual([2, 9]);
   expect(role.dump().state).toMatchObject({revision: 9});
+  await expect.poll(() => controls.at(-1)?.reports).toEqual([2, 9]);
 
   revisions.length = 0;
   const behind = await startSidecar(new FakeSidecar('i2', refuseOnce));
--- a/packages/lovagepond-router/src/router_control_link.ts
+++ b/packages/lovagepond-router/src/router_control_link.ts
@@ -44,8 +44,15 @@
   readonly listener: ControlListener;
 }
 
+const ROLE = 'router';
+
 const MAX_BACKOFF_DOUBLINGS = 4;
 
+/** Control forgets a node that it hasn't heard of for some minutes. */
+const REPORT_INTERVAL_MS = 60_000;
+
+const REPORT_TIMEOUT_MS = 1_000;
+
 const CHANNEL_OPTIONS: ChannelOptions = {
   'grpc.use_local_subchannel_pool': 1,
   'grpc.enable_http_proxy': 0,
@@ -66,6 +73,8 @@
   #retryTimer: NodeJS.Timeout | undefined;
   #stopped = false;
   #receivedBytes = 0;
+  #sentBytes = 0;
+  #reportedAt = 0;
 
   constructor(
     settings: ControlLinkSettings,
@@ -85,6 +94,11 @@
     return this.#receivedBytes;
   }
 
+  /** @returns bytes of reports and subscriptions sent since the start */
+  get sentBytes(): number {
+    return this.#sentBytes;
+  }
+
   /** @returns `host:port` of the member asked last */
   get address(): string {
     const {controlAddresses} = this.#settings;
@@ -101,6 +115,30 @@
     if (!this.#call) return;
     const silence = now - this.#heardAt;
     if (silence > this.#settings.controlSilentAfterMs) this.#onLost('silent');
+    if (now - this.#reportedAt < REPORT_INTERVAL_MS) return;
+    this.reportRevision(this.#parts.listener.heldRevision());
+  }
+
+  /**
+   * Tells control which revision is in force here, so that operators see when
+   * a change has taken hold everywhere. A report that gets lost is made up for
+   * by the next one.
+   *
+   * @param revision the revision held
+   */
+  reportRevision(revision: number): void {
+    this.#reportedAt = this.#parts.clock.now();
+    const method = CONTROL_SERVICE.reportConvergence;
+    const {node} = this.#facts;
+    this.#client?.makeUnaryRequest(
+      method.path,
+      message => this.#countSent(method.requestSerialize(message)),
+      method.responseDeserialize,
+      new v1.ConvergenceReport({node, role: ROLE, revision}),
+      new Metadata(),
+      {deadline: Date.now() + REPORT_TIMEOUT_MS},
+      () => {},
+    );
   }
 
   /** Ends the subscription. */
@@ -121,14 +159,14 @@
     const method = CONTROL_SERVICE.subscribe;
     const call = this.#client.makeServerStreamRequest(
       method.path,
-      method.requestSerialize,
+      message => this.#countSent(method.requestSerialize(message)),
       bytes => {
         this.#receivedBytes += bytes.length;
         return method.responseDeserialize(bytes);
       },
       new v1.SubscribeRequest({
         ...this.#facts,
-        role: 'router',
+        role: ROLE,
         revision: this.#parts.listener.heldRevision(),
       }),
       new Metadata(),
@@ -138,6 +176,11 @@
     this.#listen(call);
   }
 
+  #countSent(bytes: Buffer): Buffer {
+    this.#sentBytes += bytes.length;
+    return bytes;
+  }
+
   #listen(call: ClientReadableStream<ControlUpdate>): void {
     call.on('data', (update: ControlUpdate) => {
       if (this.#call !== call) return;
--- a/packages/lovagepond-router/src/router_metrics.ts
+++ b/packages/lovagepond-router/src/router_metrics.ts
@@ -25,7 +25,7 @@
   inFlight(): number;
   suspects(): number;
   revision(): number;
-  /** Bytes received from control since the start. */
+  /** Bytes exchanged with control since the start. */
   controlBytes(): number;
   /** Pool to its busiest server's load over the mean. */
   skewByPool(): ReadonlyMap<string, number>;
@@ -52,7 +52,11 @@
     ['probes', 'Probes of suspected servers.', () => view.counts().probes],
     ['suspects', 'Servers under suspicion.', () => view.suspects()],
     ['revision', 'Configuration revision held.', () => view.revision()],
-    ['control_bytes', 'Bytes from control.', () => view.controlBytes()],
+    [
+      'control_bytes',
+      'Bytes exchanged with control.',
+      () => view.controlBytes(),
+    ],
   ];
 }
 
--- a/packages/lovagepond-router/src/router_role.ts
+++ b/packages/lovagepond-router/src/router_role.ts
@@ -103,9 +103,11 @@
     this.#evidence = new RouterEvidence(DEFAULT_EVIDENCE_SETTINGS, random);
     this.#connections = new SidecarConnections(settings.connectTimeoutMs);
     const revisions = new RouterRevisions(settings);
-    this.#state = new RouterState(revisions, log, (membership, now) =>
-      this.#onMembership(membership, now),
-    );
+    this.#state = new RouterState(revisions, log, {
+      membershipChanged: (membership, now) =>
+        this.#onMembership(membership, now),
+      revisionInstalled: revision => this.#link.reportRevision(revision),
+    });
     const facts = {node: settings.name, region: settings.region};
     const listener = {
       heldRevision: () => this.#state.revision,
@@ -165,7 +167,8 @@
       ready: this.isReady(),
       draining: this.#draining,
       control: this.#link.address,
-      controlBytes: this.#link.receivedBytes,
+      controlBytesReceived: this.#link.receivedBytes,
+      controlBytesSent: this.#link.sentBytes,
       revision: this.#state.revision,
       revisionConfirmed: revisions.isConfirmed(),
       membershipVersion: membership.version,
@@ -221,7 +224,7 @@
       inFlight: () => dispatcher.inFlight,
       suspects: () => this.#evidence.suspects,
       revision: () => this.#state.revision,
-      controlBytes: () => this.#link.receivedBytes,
+      controlBytes: () => this.#link.receivedBytes + this.#link.sentBytes,
       skewByPool: () => measureSkew(this.#state.membership, this.#load),
     });
   }
--- a/packages/lovagepond-router/src/router_state.ts
+++ b/packages/lovagepond-router/src/router_state.ts
@@ -11,14 +11,18 @@
 
 type WireMembership = lovagepond.v1.MembershipUpdate.$Properties;
 
-/** Called after each change of the membership. */
-export type MembershipListener = (membership: Membership, now: number) => void;
+/** Hears of what the state takes in. */
+export interface RouterStateListener {
+  membershipChanged(membership: Membership, now: number): void;
+  /** A newer configuration is in force here. */
+  revisionInstalled(revision: number): void;
+}
 
 /** Joins revisions, membership and the selectors compiled from both. */
 export class RouterState {
   readonly revisions: RouterRevisions;
   readonly #log: Logger;
-  readonly #onMembership: MembershipListener;
+  readonly #listener: RouterStateListener;
   #membership = EMPTY_MEMBERSHIP;
   #membershipKnown = false;
   #eligibility: Eligibility;
@@ -26,11 +30,11 @@
   constructor(
     revisions: RouterRevisions,
     log: Logger,
-    onMembership: MembershipListener,
+    listener: RouterStateListener,
   ) {
     this.revisions = revisions;
     this.#log = log;
-    this.#onMembership = onMembership;
+    this.#listener = listener;
     this.#eligibility = this.#compile();
   }
 
@@ -70,6 +74,7 @@
     if (outcome !== 'installed') return;
     this.#eligibility = this.#compile();
     this.#log.info('configuration installed', {revision: this.revision});
+    this.#listener.revisionInstalled(this.revision);
   }
 
   /**
@@ -79,7 +84,7 @@
   updateMembership(update: WireMembership, now: number): void {
     this.#membership = applyMembership(this.#membership, update);
     this.#membershipKnown = true;
-    this.#onMembership(this.#membership, now);
+    this.#listener.membershipChanged(this.#membership, now);
     this.#eligibility.useMembership(this.#membership);
   }
 
