Compare commits with as many bare writers as the group has members

Cause: the measure's first conclusion, that above 16 proposals under way the one processor is the limit, was not tested. A profile of the run rules it out: 63 % of the time is idle, 15 % file calls. All members of the measure sync on one disk for each commit, while the bare writer was alone on it. Change: bare append and sync also runs with one writer per member at once, and the ratio to either stands in the table.

--- a/packages/lovagepond-measure/src/consensus_commit_measure.ts
+++ b/packages/lovagepond-measure/src/consensus_commit_measure.ts
@@ -114,8 +114,8 @@
 }
 
 /** @returns bare appends with a sync each, a second */
-async function runBare(folder: string, bytes: number): Promise<number> {
-  const handle = await open(join(folder, 'bare'), 'w');
+async function runBareWriter(path: string, bytes: number): Promise<number> {
+  const handle = await open(path, 'w');
   const block = new Uint8Array(Math.round(bytes)).fill(1);
   const started = performance.now();
   let count = 0;
@@ -129,25 +129,39 @@
   return count / seconds;
 }
 
+/** @returns syncs a second of each of several writers at once */
+async function runBare(
+  folder: string,
+  bytes: number,
+  writers: number,
+): Promise<number> {
+  const runs = Array.from({length: writers}, (_, at) =>
+    runBareWriter(join(folder, `bare${at}`), bytes),
+  );
+  const rates = await Promise.all(runs);
+  return rates.reduce((sum, rate) => sum + rate, 0) / writers;
+}
+
 async function measureGroup(size: number): Promise<(string | number)[][]> {
   return withTemporaryFolder(async folder => {
     const group = await startGroup(size, folder);
     const rows: (string | number)[][] = [];
     for (const underWay of CONCURRENCIES) {
       await runCommits(group, underWay);
-      const single = await runBare(folder, RECORD_BYTES);
       const run = await runCommits(group, underWay);
-      const batched = await runBare(folder, RECORD_BYTES * run.batch);
-      const limit = batched * run.batch;
+      const bytes = RECORD_BYTES * run.batch;
+      const alone = await runBare(folder, bytes, 1);
+      const together = await runBare(folder, bytes, size);
       rows.push([
         size,
         underWay,
         Math.round(run.commitsPerSecond),
         Math.round(run.syncsPerSecond),
         roundTo(run.batch, 1),
-        Math.round(single),
-        Math.round(batched),
-        roundTo(limit / run.commitsPerSecond, 2),
+        Math.round(alone),
+        Math.round(together),
+        roundTo((alone * run.batch) / run.commitsPerSecond, 2),
+        roundTo((together * run.batch) / run.commitsPerSecond, 2),
       ]);
     }
     for (const node of group.nodes) await node.stop();
@@ -167,14 +181,16 @@
       'commits/s',
       'leader syncs/s',
       'commits/sync',
-      'bare syncs/s',
-      'bare batched syncs/s',
-      'batched limit / commits',
+      'bare syncs/s, one writer',
+      'bare syncs/s, a writer per member',
+      'limit / commits, one writer',
+      'limit / commits, a writer per member',
     ],
     rows,
     notes: [
       `commands of ${COMMAND_BYTES} bytes; members share one process and one disk`,
-      'batched limit: bare append and sync of the same batch, times the batch',
+      'limit: bare append and sync of the same batch, times the batch; all of a',
+      "group's members sync for each commit, here on one disk",
       `each run ${RUN_MS} ms after one to warm up, bare runs ${BARE_RUN_MS} ms`,
     ],
   };
