Prove that an emptied host forms no second group

Cause: the test emptied a host that could not have formed a group anyway. Change: it empties the host that formed the group, once with another one down (it must wait) and once with the others up (it must join and vote again). Conclusion: a lost disk of the first host costs its copy, nothing else.

--- a/packages/lovagepond-consensus/src/__tests__/unit/consensus_node.test.ts
+++ b/packages/lovagepond-consensus/src/__tests__/unit/consensus_node.test.ts
@@ -95,35 +95,57 @@
     expect(second.node.status().leaseValid).toBe(true);
   });
 
-  // A control host loses its disk and comes back empty, with its old address.
-  // It must not form a second group, nor vote under its forgotten identity:
-  // it joins as a learner, gets the snapshot, and takes the old voter's place.
-  it('takes a host with an emptied disk back under a new identity', async () => {
+  // The host that formed the group loses its disk and comes back empty while
+  // another host is down, so that the group can't work. It must not form a
+  // second group beside the one it forgot: what was acknowledged would be gone.
+  it('forms no second group on an emptied disk', async () => {
     const nodes = [];
     for (const address of ADDRESSES) {
       const storage = new MemoryStorage(`${address}-first`);
       nodes.push(await startNode(address, storage, ADDRESSES));
     }
     await pass(3000);
-    const leading = nodes.find(({node}) => node.status().role === 'leader')!;
-    expect(leading.node.status().members).toHaveLength(3);
+    const former = nodes[0]!.node;
+    expect(former.status().role).toBe('leader');
+    expect(former.status().members).toHaveLength(3);
     for (const text of ['a', 'b', 'c', 'd', 'e', 'f']) {
-      expect(await propose(leading.node, text)).toBe('committed');
+      expect(await propose(former, text)).toBe('committed');
     }
 
-    const at = nodes.findIndex(other => other !== leading);
-    const address = ADDRESSES[at]!;
-    await nodes[at]!.node.stop();
-    const emptied = new MemoryStorage(`${address}-second`);
-    const back = await startNode(address, emptied, ADDRESSES);
+    await former.stop();
+    const left = nodes.slice(1).map(({node}) => node);
+    await left[1]!.stop();
+    const emptied = new MemoryStorage('a:1-second');
+    const back = await startNode('a:1', emptied, ADDRESSES);
     await pass(5000);
+    expect(back.node.status()).toMatchObject({role: 'follower', members: []});
+    expect((await emptied.open()).entries).toEqual([]);
+  });
+
+  // The same with the others up: the host joins as a learner, gets the snapshot,
+  // and takes the place of the voter that it was.
+  it('lets a host with an emptied disk catch up and vote again', async () => {
+    const nodes = [];
+    for (const address of ADDRESSES) {
+      const storage = new MemoryStorage(`${address}-first`);
+      nodes.push(await startNode(address, storage, ADDRESSES));
+    }
+    await pass(3000);
+    for (const text of ['a', 'b', 'c', 'd', 'e', 'f']) {
+      expect(await propose(nodes[0]!.node, text)).toBe('committed');
+    }
+    await nodes[0]!.node.stop();
+    const emptied = new MemoryStorage('a:1-second');
+    const back = await startNode('a:1', emptied, ADDRESSES);
+    await pass(6000);
     expect(back.register.value).toBe('abcdef');
+    const leading = nodes.find(({node}) => node.status().role === 'leader')!;
     const {members} = leading.node.status();
-    expect(members.map(({id, voter}) => `${id} ${voter}`).sort()).toEqual(
-      ADDRESSES.map(one => {
-        return `${one}-${one === address ? 'second' : 'first'} true`;
-      }),
-    );
+    expect(members.map(({id, voter}) => `${id} ${voter}`).sort()).toEqual([
+      'a:1-second true',
+      'b:1-first true',
+      'c:1-first true',
+    ]);
     expect(await propose(leading.node, 'g')).toBe('committed');
   });
 
