Measure takes the way the sidecar makes them, and state the floors

**Change** The harness asks only peers above the floor and keeps room only for what was handed over, as the sidecar's own loop does.

--- a/packages/lovagepond-measure/src/measure_server.ts
+++ b/packages/lovagepond-measure/src/measure_server.ts
@@ -266,12 +266,12 @@
   }
 
   #take(): void {
-    const {time} = this.#port;
+    const {time, settings} = this.#port;
     const room = this.gate.takeRoom(time.now);
     if (room <= 0) return;
     const {runningTokens} = this.gate.load(time.now);
     const chosen = this.#taker.chooseVictim(
-      this.#peers,
+      this.#peers.filter(({tokens}) => tokens > settings.floorTokens),
       runningTokens,
       time.now,
     );
@@ -280,24 +280,24 @@
       if (this.#peers.length > 0) this.planTake(TAKE_RETRY_MS);
       return;
     }
-    this.gate.reserve(victim.name, room, time.now + 250);
     time.after(HOP_MS, () => {
-      const taken = victim.alive ? victim.#handOver(this.name, room) : 0;
-      time.after(HOP_MS, () => this.#noteTaken(victim.name, taken));
+      const tokens = victim.alive ? victim.#handOver(this.name, room) : 0;
+      time.after(HOP_MS, () => this.#noteTaken(victim.name, tokens));
     });
   }
 
   #handOver(taker: string, roomTokens: number): number {
     const {now} = this.#port.time;
-    const {attemptIds, actions} = this.gate.handOver(taker, roomTokens, now);
+    const {tokens, actions} = this.gate.handOver(taker, roomTokens, now);
     this.perform(actions);
-    return attemptIds.length;
+    return tokens;
   }
 
-  #noteTaken(victim: string, taken: number): void {
+  #noteTaken(victim: string, tokens: number): void {
     const {now} = this.#port.time;
-    this.#taker.noteAnswer(taken, now);
-    if (taken === 0) this.gate.reserve(victim, 0, now);
-    this.planTake(taken > 0 ? DEFAULT_TAKER_SETTINGS.takeIntervalMs : 100);
+    const {reservationMs, takeIntervalMs} = DEFAULT_TAKER_SETTINGS;
+    this.#taker.noteAnswer(tokens > 0 ? 1 : 0, now);
+    if (tokens > 0) this.gate.reserve(victim, tokens, now + reservationMs);
+    this.planTake(tokens > 0 ? takeIntervalMs : TAKE_RETRY_MS);
   }
 }
--- a/packages/lovagepond-measure/src/placement_measure.ts
+++ b/packages/lovagepond-measure/src/placement_measure.ts
@@ -67,7 +67,7 @@
       servers: 6,
       routers: 4,
       engine: {...ENGINE, capacityTokens: 400_000},
-      floorTokens: 65_536,
+      floorTokens: 98_304,
       pool: {...POOL, loadBound: 2, reuseWeight: 0.9},
       ...CHURN,
     },
