Give out half of the bound's span, and less of a mean as work runs off

**Cause** Engines stood above the bound after admission: in the tail of a wake the others finish all they have within the second that the mean is old, and later while admitted work still runs. The test of the mean's age asserted the whole span; it asserts the new limit as exactly.

--- a/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_admission.test.ts
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_admission.test.ts
@@ -5,6 +5,8 @@
 
 const FLOOR = 1_000;
 const LOAD_BOUND = 1.5;
+/** Half of the span between the mean and the bound is given out. */
+const USED_MULTIPLE = 1.25;
 const SETTINGS = {...DEFAULT_GATE_SETTINGS, floorTokens: FLOOR};
 const SEED = 20_260_412;
 
@@ -79,11 +81,27 @@
     const mean = {meanTokens: 10_000, ageMs: 0, readyServers: 6, ownTokens: 0};
     admission.setPoolMean(mean, 0);
     const fresh = admission.limitTokens(1_000);
-    expect(fresh).toBeCloseTo((LOAD_BOUND * 60_000) / (6 - LOAD_BOUND));
+    expect(fresh).toBeCloseTo((USED_MULTIPLE * 60_000) / (6 - USED_MULTIPLE));
     expect(admission.limitTokens(6_250)).toBeCloseTo(fresh / 2);
     expect(admission.limitTokens(10_000)).toBe(FLOOR);
   });
 
+  // The tail of a surge: the other servers finish all of their short requests
+  // while the mean that tells of them is on its way. Let in by that mean, work
+  // here would stand at a multiple of an idle pool. Long runs are still there.
+  it('believes less of a mean the shorter the runs are', () => {
+    const limits = [500, 60_000].map(runMs => {
+      const admission = makeAdmission();
+      const mean = {meanTokens: 6_000, ageMs: 1_000, readyServers: 6};
+      admission.setPoolMean({...mean, ownTokens: 0}, 1_000);
+      const whole = admission.limitTokens(1_000);
+      admission.noteRun(runMs);
+      return admission.limitTokens(1_000) / whole;
+    });
+    expect(limits[0]).toBeLessThan(0.2);
+    expect(limits[1]).toBeGreaterThan(0.95);
+  });
+
   // A new control leader counts the pool's servers one by one. A sidecar that
   // hears "one server" must not take the pool for its own; nor may one that
   // has heard nothing yet.
@@ -93,7 +111,9 @@
     const mean = {meanTokens: 100, ageMs: 0, readyServers: 6, ownTokens: 0};
     admission.setPoolMean({...mean, meanTokens: 9_000}, 0);
     admission.setPoolMean({...mean, meanTokens: 9_000, readyServers: 5}, 0);
-    expect(admission.limitTokens(0)).toBeCloseTo((1.5 * 45_000) / 3.5);
+    expect(admission.limitTokens(0)).toBeCloseTo(
+      (USED_MULTIPLE * 45_000) / (5 - USED_MULTIPLE),
+    );
     admission.setPoolMean({...mean, readyServers: 1}, 1_000);
     expect(admission.limitTokens(1_000)).toBe(FLOOR);
     admission.setPoolMean({...mean, readyServers: 1}, 20_000);
--- a/packages/lovagepond-sidecar/src/sidecar_admission.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_admission.ts
@@ -8,6 +8,16 @@
 /** Age given to a router's estimate, which tells none, milliseconds. */
 const ROUTER_ESTIMATE_AGE_MS = 1_500;
 const MAX_HISTORY = 256;
+/**
+ * How much of the bound's span above the mean is given out. The mean is a
+ * second old, and falls while what was let in still runs: used in full, the
+ * engine would stand above the bound by the time that others have finished.
+ */
+const USED_SPAN = 0.5;
+/** Share by which each run moves the learnt length of a run. */
+const RUN_LEARNING_SHARE = 0.1;
+/** Time that work let in now goes on weighing on the bound, milliseconds. */
+const REACTION_MS = 300;
 
 /** Settings of {@link SidecarAdmission}. */
 export interface AdmissionSettings {
@@ -71,6 +81,8 @@
   #report: EngineReport = {foreignTokens: 0, takenAt: -Infinity};
   readonly #history: OwnLoad[] = [];
   #capacityTokens: number;
+  /** Mean time that a request runs; 0 before any was seen. */
+  #runMs = 0;
 
   /**
    * @param settings fixed settings
@@ -173,6 +185,15 @@
     this.#change(-tokens, now);
   }
 
+  /**
+   * @param runMs how long a request ran at the engine, milliseconds
+   */
+  noteRun(runMs: number): void {
+    const former = this.#runMs;
+    this.#runMs =
+      former === 0 ? runMs : former + RUN_LEARNING_SHARE * (runMs - former);
+  }
+
   /**
    * @param now present time
    * @returns tokens running at the engine
@@ -196,8 +217,8 @@
 
   /**
    * Our own work is a part of the mean, so the mean moves with each request
-   * that we let in. This is the load at which `load = loadBound * mean` holds
-   * with the mean of that very moment.
+   * that we let in. This is the load at which `load = multiple * mean` holds
+   * with the mean of that very moment, for a multiple safely below the bound.
    *
    * @param now present time
    * @returns tokens that may run here
@@ -208,8 +229,9 @@
     const {readyServers} = this.#sample(now);
     // So few servers that one of them can't stand out by this much.
     if (readyServers <= this.#loadBound) return capacityTokens;
+    const multiple = 1 + (this.#loadBound - 1) * USED_SPAN;
     const others = this.#othersTokens(now);
-    const bound = (this.#loadBound * others) / (readyServers - this.#loadBound);
+    const bound = (multiple * others) / (readyServers - multiple);
     return Math.min(capacityTokens, Math.max(floorTokens, bound));
   }
 
@@ -236,7 +258,19 @@
 
   #othersTokens(now: number): number {
     const sample = this.#sample(now);
-    return sample.othersTokens * this.#trust(sample.takenAt, now);
+    const trust = this.#trust(sample.takenAt, now);
+    return sample.othersTokens * trust * this.#remainder(sample.takenAt, now);
+  }
+
+  /**
+   * Work ends while the news of it is on its way. In the tail of a surge of
+   * short requests the others finish all they had within the age of the mean:
+   * believed whole, it would let this engine run at twice their load.
+   */
+  #remainder(takenAt: number, now: number): number {
+    if (this.#runMs === 0) return 1;
+    const age = now - takenAt;
+    return Math.exp(-(age + REACTION_MS) / this.#runMs);
   }
 
   /**
