--- a/packages/lovagepond-sidecar/src/sidecar_gate.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_gate.ts
@@ -37,6 +37,9 @@
   type RunEnd,
 } from './sidecar_types.js';
 
+/** Rebuild and wait count alike. */
+const NEUTRAL_REUSE_WEIGHT = 0.5;
+
 /** Decides everything that reaches one backend server. Without I/O. */
 export class SidecarGate {
   readonly #settings: GateSettings;
@@ -231,6 +234,7 @@
       cache: this.cache,
       roomTokens: this.#hold.freeTokens(now),
       prefillTokensPerSecond: this.#policy.prefillTokensPerSecond,
+      reuseWeight: this.#policy.reuseWeight ?? NEUTRAL_REUSE_WEIGHT,
     };
     const held = chooseHandOver(view, roomTokens);
     if (!held) return {attemptIds: [], tokens: 0, actions: []};
--- a/packages/lovagepond-sidecar/src/sidecar_policy.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_policy.ts
@@ -21,10 +21,11 @@
     ]),
   );
   if (!pool) return {...DEFAULT_GATE_POLICY, workspaces};
-  const {loadBound, maxHoldMs} = pool;
+  const {loadBound, reuseWeight, maxHoldMs} = pool;
   const {prefillTokensPerSecond, decodeTokensPerSecond} = pool;
   return {
     loadBound,
+    reuseWeight,
     maxHoldMs,
     prefillTokensPerSecond,
     decodeTokensPerSecond,
--- a/packages/lovagepond-sidecar/src/sidecar_take.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_take.ts
@@ -17,6 +17,8 @@
 const UNKNOWN_WARM_SHARE = 0.5;
 /** Hops between two sidecars that a hand-over costs, milliseconds. */
 const HAND_OVER_COST_MS = 5;
+/** A rebuild counts so many times as much, or as little, at the extremes. */
+const REBUILD_FACTOR_SPAN = 4;
 
 /** What a victim needs to choose a request. */
 export interface HandOverView {
@@ -26,6 +28,8 @@
   /** Room at the victim's own engine, tokens. */
   readonly roomTokens: number;
   readonly prefillTokensPerSecond: number;
+  /** 0 weighs only skew, 1 only cache reuse. */
+  readonly reuseWeight: number;
 }
 
 /**
@@ -48,6 +52,7 @@
   view: HandOverView,
   takerRoomTokens: number,
 ): HeldRequest | undefined {
+  const rebuildFactor = REBUILD_FACTOR_SPAN ** (2 * view.reuseWeight - 1);
   let best: HeldRequest | undefined;
   let leastWarm = Infinity;
   let longestWait = 0;
@@ -57,7 +62,7 @@
     const warm = expectedWarmTokens(view.cache.read(workspace, chat));
     const waitMs = view.estimate.waitMs(tokensAhead + tokens - view.roomTokens);
     const rebuildMs = (warm / view.prefillTokensPerSecond) * MS_PER_SECOND;
-    if (rebuildMs + HAND_OVER_COST_MS >= waitMs) return true;
+    if (rebuildFactor * rebuildMs + HAND_OVER_COST_MS >= waitMs) return true;
     if (warm > leastWarm) return true;
     if (warm === leastWarm && waitMs <= longestWait) return true;
     best = held;
--- a/packages/lovagepond-sidecar/src/sidecar_types.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_types.ts
@@ -174,6 +174,8 @@
 export interface GatePolicy {
   /** Multiple of the pool's mean that may run here. */
   readonly loadBound: number;
+  /** 0 weighs only skew, 1 only cache reuse; 0.5 when it isn't set. */
+  readonly reuseWeight?: number;
   readonly maxHoldMs: number;
   /** Prompt tokens a second the server rebuilds of a cold context. */
   readonly prefillTokensPerSecond: number;
