Survive a call on a connection that was closed meanwhile

Cause: found by a trial with real roles: with four sidecars under load, the router process ended when one of them was drained. A revocation used a connection that another request had just given up; the gRPC library throws at a call on a closed channel, and nothing caught it. Change: a connection says whether it may still be used, before each call and stream; an attempt that is given up is told over whatever connection works. Before, the process ended at the drain.

--- a/packages/lovagepond-router/src/router_connections.ts
+++ b/packages/lovagepond-router/src/router_connections.ts
@@ -27,6 +27,7 @@
   readonly client: Client;
   #streams = 0;
   #retired = false;
+  #closed = false;
 
   constructor(address: string) {
     this.client = new Client(
@@ -42,9 +43,17 @@
     return state === connectivityState.READY;
   }
 
-  /** A stream starts to use the connection. */
-  hold(): void {
+  /**
+   * A call or stream starts to use the connection. The library throws at a
+   * call on a closed channel; uncaught, one request whose connection another
+   * has just given up would end the process and every stream in it.
+   *
+   * @returns false when the connection is closed and must not be used
+   */
+  hold(): boolean {
+    if (this.#closed) return false;
     this.#streams += 1;
+    return true;
   }
 
   /** A stream that used the connection has ended. */
@@ -80,8 +89,14 @@
     });
   }
 
+  /** Ends at once, with all streams. */
+  close(): void {
+    this.#closed = true;
+    this.client.close();
+  }
+
   #closeWhenUnused(): void {
-    if (this.#retired && this.#streams <= 0) this.client.close();
+    if (this.#retired && this.#streams <= 0) this.close();
   }
 }
 
@@ -158,7 +173,7 @@
   /** Closes all connections. */
   close(): void {
     for (const connection of this.#byAddress.values()) {
-      connection.client.close();
+      connection.close();
     }
     this.#byAddress.clear();
   }
--- a/packages/lovagepond-router/src/router_request_runner.ts
+++ b/packages/lovagepond-router/src/router_request_runner.ts
@@ -203,17 +203,26 @@
     const {attempt, freshConnection} = action;
     const connection = await this.#connectForOffer(attempt, freshConnection);
     if (!this.#isOpen(attempt)) return;
+    const stream = connection && this.#openStream(connection, action);
     const {attemptId} = attempt;
-    if (!connection) {
+    if (!stream) {
       this.#receive({kind: 'connectFailed', attemptId});
       return;
     }
     this.#stream?.cancel();
+    this.#stream = stream;
     this.#connection = connection;
     this.#receive({kind: 'sent', attemptId});
+  }
+
+  #openStream(
+    connection: SidecarConnection,
+    action: ActionOf<'offer'>,
+  ): AttemptStream | undefined {
+    const {attemptId} = action.attempt;
     const message = this.#makeMessage(action);
-    const listener = {
-      onFrame: (frame: Frame) => {
+    return openAttempt(connection, message, {
+      onFrame: frame => {
         this.#host.noteFrame(this, frame, this.#now());
         this.#receive({kind: 'frame', frame});
       },
@@ -221,8 +230,7 @@
         this.#stream = undefined;
         this.#receive({kind: 'broken', attemptId});
       },
-    };
-    this.#stream = openAttempt(connection, message, listener);
+    });
   }
 
   async #connect(
@@ -328,17 +336,22 @@
    * itself: its frames no longer count.
    */
   #close({attempt, abandoned}: ActionOf<'close'>): void {
-    const connection = this.#connection;
-    if (abandoned && connection) {
-      const {attemptId, target} = attempt;
-      const limit = this.#host.revokeTimeoutMs;
-      void revokeAttempt(connection, attemptId, target.incarnation, limit);
+    if (abandoned) {
+      void this.#giveUp(attempt);
       this.#stream?.cancel();
     }
     this.#stream = undefined;
     this.#connection = undefined;
   }
 
+  async #giveUp({attemptId, target}: Attempt): Promise<void> {
+    const {connections, revokeTimeoutMs} = this.#host;
+    const connection = await connections.open(target.address);
+    if (!connection) return;
+    const {incarnation} = target;
+    await revokeAttempt(connection, attemptId, incarnation, revokeTimeoutMs);
+  }
+
   #end(): void {
     this.#sink.end();
     this.#host.noteDone(this, undefined);
--- a/packages/lovagepond-router/src/router_sidecar_calls.ts
+++ b/packages/lovagepond-router/src/router_sidecar_calls.ts
@@ -46,7 +46,6 @@
     this.connection = connection;
     this.#call = call;
     this.#listener = listener;
-    connection.hold();
     call.on('data', (frame: WireFrame) => {
       this.#listener?.onFrame(readFrame(frame));
     });
@@ -93,13 +92,15 @@
  * @param connection a connection that is up
  * @param attempt the attempt to send
  * @param listener hears the frames
- * @returns the open stream
+ * @returns the open stream, or undefined when the connection was closed
+ *     meanwhile and nothing was sent
  */
 export function openAttempt(
   connection: SidecarConnection,
   attempt: AttemptProperties,
   listener: AttemptListener,
-): AttemptStream {
+): AttemptStream | undefined {
+  if (!connection.hold()) return undefined;
   const method = SIDECAR_SERVICE.attempt;
   const call = connection.client.makeServerStreamRequest(
     method.path,
@@ -118,7 +119,7 @@
   request: Req,
   timeoutMs: number,
 ): Promise<Res | undefined> {
-  connection.hold();
+  if (!connection.hold()) return Promise.resolve(undefined);
   return new Promise(resolve => {
     const onAnswer = (err: ServiceError | null, answer?: Res): void => {
       connection.release();
