--- a/packages/lovagepond-measure/src/measure_table.ts
+++ b/packages/lovagepond-measure/src/measure_table.ts
@@ -8,6 +8,7 @@
 import {measureControl} from './control_measure.js';
 import {measureDecisionCost} from './decision_cost_measure.js';
 import {type MeasureFunction} from './measure_types.js';
+import {measureMemory} from './memory_measure.js';
 import {measurePlacement} from './placement_measure.js';
 import {measureRouter} from './router_measure.js';
 import {measureSidecar} from './sidecar_measure.js';
@@ -21,4 +22,5 @@
   sidecar: measureSidecar,
   caller: measureCaller,
   router: measureRouter,
+  memory: async () => [await measureMemory()],
 };
--- a/packages/lovagepond-measure/src/memory_measure.ts
+++ b/packages/lovagepond-measure/src/memory_measure.ts
@@ -37,7 +37,7 @@
   'ini',
   'zod',
   'commander',
-  'pure-rand',
+  'pure-rand/generator/xoroshiro128plus',
   'xxhash-wasm',
 ];
 
@@ -87,13 +87,18 @@
   ];
 }
 
-async function waitUntilStarted(child: ChildProcess): Promise<void> {
-  let output = '';
-  for await (const chunk of child.stdout ?? []) {
-    output += String(chunk);
-    if (output.includes(READY_TEXT)) return;
-  }
-  throw new Error(`the process ended before it started: ${output}`);
+/** Goes on reading afterwards, so that the process never waits for us. */
+function waitUntilStarted(child: ChildProcess): Promise<void> {
+  return new Promise((resolve, reject) => {
+    let output = '';
+    child.stdout?.on('data', data => {
+      output += String(data);
+      if (output.includes(READY_TEXT)) resolve();
+    });
+    child.once('exit', () => {
+      reject(new Error(`the process ended before it started: ${output}`));
+    });
+  });
 }
 
 function readResidentMiB(pid: number): number {
@@ -109,7 +114,6 @@
   const exited = once(child, 'exit');
   try {
     await waitUntilStarted(child);
-    child.stdout.resume();
     await new Promise(resolve => setTimeout(resolve, SETTLE_MS));
     return readResidentMiB(child.pid ?? 0);
   } finally {
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -23,6 +23,9 @@
     target: 'node20',
     sourcemap: 'linked',
     sourcesContent: false,
+    minifyWhitespace: true,
+    minifySyntax: true,
+    legalComments: 'linked',
     logLevel: 'warning',
   });
 }
