Prove metrics, dumps and reloads on running processes

Cause: the three measures and refusals by kind were only seen by hand. Change: the main job's test reads them from /metrics, causes a refusal, dumps by SIGUSR2 and reloads by SIGHUP. Conclusion: a reload names the key that needs a restart.

--- a/packages/lovagepond-cli/src/__tests__/e2e/main_job.test.ts
+++ b/packages/lovagepond-cli/src/__tests__/e2e/main_job.test.ts
@@ -1,3 +1,5 @@
+import {readdirSync, readFileSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
 import {afterAll, beforeAll, describe, expect, it} from 'vitest';
 import {Fleet, streamChat} from '../../../../../scripts/fleet_processes.mjs';
 
@@ -35,6 +37,49 @@
     expect(second.cachedTokens).toBeGreaterThan(0);
   });
 
+  it('counts reuse, skew, control traffic and refusals by kind', async () => {
+    const url = fleet.callersUrl('router-2');
+    const stranger = await streamChat(url, {
+      workspace: 'stranger',
+      chat: 'chat-1',
+      messages: [question],
+    });
+    expect(stranger.status).toBe(403);
+    const text = await fleet.metrics('router-2');
+    const valueOf = (name: string, labels = ''): number => {
+      const pattern = `^lovagepond_${name}\\{[^}]*${labels}[^}]*\\} (\\S+)$`;
+      return Number(new RegExp(pattern, 'm').exec(text)?.[1]);
+    };
+    expect(valueOf('returning_chats_total')).toBe(1);
+    expect(valueOf('returning_chats_warm_total')).toBe(1);
+    expect(valueOf('control_bytes_total')).toBeGreaterThan(0);
+    expect(valueOf('load_skew_ratio', 'pool="chat-models"')).toBeGreaterThan(0);
+    expect(valueOf('refusals_total', 'kind="unknownWorkspace"')).toBe(1);
+  });
+
+  // An operator signals a running router: SIGUSR2 for a dump, SIGHUP after an
+  // edit. Neither may end the process; the dump holds no text of any chat.
+  it('dumps and reloads by signal', async () => {
+    const router = fleet.get('router-2');
+    const {dataFolder = ''} = router.settings!['platform']!;
+    router.signal('SIGUSR2');
+    await router.printed('state dumped');
+    const [file = ''] = readdirSync(dataFolder);
+    const dump = readFileSync(join(dataFolder, file), 'utf8');
+    expect(JSON.parse(dump)).toMatchObject({version: 1, role: 'router'});
+    expect(dump).not.toContain('voucher');
+
+    const text = readFileSync(router.file!, 'utf8');
+    const edited = text
+      .replace('[platform]', '[platform]\nlogLevel = debug')
+      .replace('[callers]', '[callers]\nmaxBody = 2MB');
+    writeFileSync(router.file!, edited);
+    router.signal('SIGHUP');
+    await router.printed('needs a restart');
+    expect(router.output).toMatch(/"key":"logLevel".*setting taken over/);
+    expect(router.output).toMatch(/"key":"maxBody".*needs a restart/);
+  });
+
   // A caller streams an answer longer than the router's announce delay and
   // grace time while that router is told to stop. Readiness goes first, so
   // that the balancer sends nobody new; then the address closes. The answer
--- a/scripts/fleet_processes.d.mts
+++ b/scripts/fleet_processes.d.mts
@@ -7,8 +7,13 @@
   readonly settings?: Readonly<
     Record<string, Readonly<Record<string, string>>>
   >;
+  /** Path of that file. */
+  readonly file?: string;
   /** Its exit code, once it has ended. */
   readonly exited: Promise<number | null>;
+  signal(signal: NodeJS.Signals): void;
+  /** Resolves once the process has written the text. */
+  printed(text: string): Promise<void>;
   end(signal: NodeJS.Signals): Promise<number | null>;
 }
 
@@ -22,6 +27,7 @@
   dump(
     name: string,
   ): Promise<{role: string; state: Readonly<Record<string, unknown>>}>;
+  metrics(name: string): Promise<string>;
   outputs(): string[];
   end(): Promise<void>;
 }
--- a/scripts/fleet_processes.mjs
+++ b/scripts/fleet_processes.mjs
@@ -65,8 +65,9 @@
 
 /** One process and its settings. */
 class FleetProcess {
-  constructor(name, args, settings) {
+  constructor(name, args, {file, settings} = {}) {
     this.name = name;
+    this.file = file;
     this.settings = settings;
     this.output = '';
     this.child = spawn(process.execPath, [BUNDLE, ...args], {
@@ -81,6 +82,21 @@
     }
   }
 
+  /** @param {NodeJS.Signals} signal */
+  signal(signal) {
+    this.child.kill(signal);
+  }
+
+  /** @param {string} text @returns resolves once the process has written it */
+  async printed(text) {
+    while (!this.output.includes(text)) {
+      await Promise.race([once(this.child.stdout, 'data'), this.exited]);
+      if (this.child.exitCode !== null) {
+        throw new Error(`${this.name} ended: ${this.output}`);
+      }
+    }
+  }
+
   /** @param {NodeJS.Signals} signal @returns the exit code */
   async end(signal) {
     this.child.kill(signal);
@@ -142,7 +158,7 @@
         START_ORDER.indexOf(b.settings.process.role),
     );
     for (const {name, file, settings} of ranked) {
-      this.#run(name, [settings.process.role, '-c', file], settings);
+      this.#run(name, [settings.process.role, '-c', file], {file, settings});
     }
     const deadline = Date.now() + READY_LIMIT_MS;
     await this.#waitFor('control', deadline);
@@ -179,13 +195,22 @@
 
   /** @returns the state dump of a process */
   async dump(name) {
+    return JSON.parse(await this.#ask(name, '/dump'));
+  }
+
+  /** @returns {Promise<string>} the metrics of a process */
+  metrics(name) {
+    return this.#ask(name, '/metrics');
+  }
+
+  async #ask(name, path) {
     const {address} = this.get(name).settings.platform;
-    const res = await fetch(`http://${address}/dump`);
-    return res.json();
+    const res = await fetch(`http://${address}${path}`);
+    return res.text();
   }
 
-  #run(name, args, settings) {
-    this.#processes.set(name, new FleetProcess(name, args, settings));
+  #run(name, args, source) {
+    this.#processes.set(name, new FleetProcess(name, args, source));
   }
 
   async #waitFor(role, deadline) {
