Take a run's free ports from below the system's own range

Cause: a landing failed with EADDRINUSE: a port found free by binding port 0 was some other test's connection by the time the role bound it. The roles must know each other's addresses before they start, so that they can't leave the choice to the system. Conclusion: servers that bind port 0 by themselves stay out of that range.

--- a/scripts/fleet_processes.mjs
+++ b/scripts/fleet_processes.mjs
@@ -19,28 +19,45 @@
 const BUNDLE = 'dist/lovagepond.cjs';
 const READY_LIMIT_MS = 20_000;
 const READY_CHECK_MS = 50;
+const FIRST_PORT = 20_000;
+const PORT_SPAN = 12_000;
+const PORTS_PER_PROCESS = 64;
 const LOOPBACK_PORT = /127\.0\.0\.1:(\d+)/g;
 const START_ORDER = ['control', 'sidecar', 'router'];
 const TOKEN = 'main-job-token';
 
-/** @returns {Promise<{port: number, release: () => Promise<void>}>} */
-async function reservePort() {
+let looked = 0;
+
+/** @param {number} port @returns {Promise<boolean>} */
+async function isFree(port) {
   const server = createServer();
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const release = async () => {
+  try {
+    server.listen(port, '127.0.0.1');
+    await once(server, 'listening');
     server.close();
     await once(server, 'close');
-  };
-  return {port: server.address().port, release};
+    return true;
+  } catch {
+    return false;
+  }
 }
 
-/** @param {number} count @returns {Promise<number[]>} */
+/**
+ * Ports below the range from which the system takes those of outgoing
+ * connections: one of that range may be in use again a moment later.
+ *
+ * @param {number} count
+ * @returns {Promise<number[]>}
+ */
 export async function findFreePorts(count) {
-  const reserved = [];
-  while (reserved.length < count) reserved.push(await reservePort());
-  await Promise.all(reserved.map(({release}) => release()));
-  return reserved.map(({port}) => port);
+  const ports = [];
+  while (ports.length < count) {
+    const offset = process.pid * PORTS_PER_PROCESS + looked;
+    const port = FIRST_PORT + (offset % PORT_SPAN);
+    looked += 1;
+    if (await isFree(port)) ports.push(port);
+  }
+  return ports;
 }
 
 /**
