Count refusals of the HTTP front by kind

Cause: every refusal by kind is to be in the metrics; a malformed body, a slow sender or a key in use never reached the router's counts. Change: CallerRefusals answers and counts; the router's dump holds the counts under 'front', and lovagepond_refusals_total joins both. Figures: main job's test passes with a count of 1 for badRequest. Conclusion: additive change in the caller package and the router's fake.

--- a/packages/lovagepond-caller/src/caller_connections.ts
+++ b/packages/lovagepond-caller/src/caller_connections.ts
@@ -6,6 +6,7 @@
 import {type Duplex} from 'node:stream';
 import {type ErrorKind, makeFailure} from '@lovagepond/core';
 import {encodeRawAnswer} from './caller_errors.js';
+import {type CallerRefusals} from './caller_refusals.js';
 
 /** Node's error codes to kinds of the closed list. */
 const PARSER_ERRORS: Readonly<Record<string, ErrorKind>> = {
@@ -17,9 +18,15 @@
 /** Tracks which connections have a request in flight. */
 export class CallerConnections {
   readonly #busy = new WeakSet<Duplex>();
+  readonly #refusals: CallerRefusals;
   #malformed = 0;
   #refused = 0;
 
+  /** @param refusals told of requests that node's parser rejects */
+  constructor(refusals: CallerRefusals) {
+    this.#refusals = refusals;
+  }
+
   /** @param server the server whose connections are tracked */
   attach(server: Server): void {
     server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
@@ -69,6 +76,7 @@
       return;
     }
     const kind = PARSER_ERRORS[code] ?? 'badRequest';
+    this.#refusals.note(kind);
     socket.end(encodeRawAnswer(makeFailure(kind)));
   }
 }
--- a/packages/lovagepond-caller/src/caller_exchange.ts
+++ b/packages/lovagepond-caller/src/caller_exchange.ts
@@ -20,7 +20,7 @@
   readCallerHead,
   type RequestSort,
 } from './caller_request.js';
-import {refuseExchange} from './caller_refusal.js';
+import {type CallerRefusals} from './caller_refusals.js';
 import {
   type CallerHandler,
   type CallerRequest,
@@ -34,6 +34,7 @@
   readonly handler: CallerHandler;
   readonly keys: KeysInFlight;
   readonly bodies: BodyBudget;
+  readonly refusals: CallerRefusals;
   /** Spreads the callers that come back. */
   readonly random: Random;
   /** @returns a request id never given before */
@@ -134,13 +135,13 @@
   });
   const received = await receive(req, lease, requestId, path, sort, context);
   if (!received.ok) {
-    refuseExchange(req, res, received.failure);
+    context.refusals.refuse(req, res, received.failure);
     return undefined;
   }
   const request = received.value;
   const claimed: Result<Unregister> = context.keys.claim(request);
   if (!claimed.ok) {
-    refuseExchange(req, res, claimed.failure);
+    context.refusals.refuse(req, res, claimed.failure);
     return undefined;
   }
   const answer = new HttpAnswer(res, request.stream, context.settings);
--- a/packages/lovagepond-caller/src/caller_server.ts
+++ b/packages/lovagepond-caller/src/caller_server.ts
@@ -12,7 +12,7 @@
 import {CALLER_PATH} from './caller_constants.js';
 import {type ExchangeContext, runExchange} from './caller_exchange.js';
 import {KeysInFlight} from './caller_keys.js';
-import {refuseExchange} from './caller_refusal.js';
+import {CallerRefusals} from './caller_refusals.js';
 import {REQUEST_SORT, type RequestSort} from './caller_request.js';
 import {
   type CallerCounters,
@@ -39,7 +39,8 @@
 export class CallerServer {
   readonly #settings: CallerSettings;
   readonly #context: ExchangeContext;
-  readonly #connections = new CallerConnections();
+  readonly #refusals = new CallerRefusals();
+  readonly #connections = new CallerConnections(this.#refusals);
   readonly #keys = new KeysInFlight();
   readonly #bodies: BodyBudget;
   readonly #server: Server;
@@ -63,6 +64,7 @@
       clock: parts.clock,
       handler: parts.handler,
       keys: this.#keys,
+      refusals: this.#refusals,
       bodies: this.#bodies,
       random: parts.random ?? new Random(randomInt(MAX_SEED)),
       nextRequestId: parts.nextRequestId ?? randomUUID,
@@ -93,6 +95,7 @@
       heldBodyBytes: this.#bodies.heldBytes,
       refusedConnections: this.#connections.refused,
       malformed: this.#connections.malformed,
+      refusedByKind: this.#refusals.byKind,
       slowReadersEnded: this.#slowReadersEnded,
       callersGone: this.#callersGone,
     };
@@ -147,7 +150,7 @@
       try {
         app.handler(req as Request, res as Response);
       } catch {
-        refuseExchange(req, res, makeFailure('badRequest'));
+        this.#refusals.refuse(req, res, makeFailure('badRequest'));
       }
     });
     server.on('connection', socket => {
@@ -167,11 +170,11 @@
         next();
       },
       noMatchHandler: (req, res) => {
-        refuseExchange(req, res, makeFailure('notFound'));
+        this.#refusals.refuse(req, res, makeFailure('notFound'));
       },
       onError: (_err, req, res) => {
         if (res.headersSent) res.destroy();
-        else refuseExchange(req, res, makeFailure('internal'));
+        else this.#refusals.refuse(req, res, makeFailure('internal'));
       },
     });
     app.post(CALLER_PATH.CHAT_COMPLETIONS, (req, res) => {
@@ -185,13 +188,17 @@
 
   #serve(req: Request, res: Response, sort: RequestSort): void {
     if (req.method !== 'POST') {
-      refuseExchange(req, res, makeFailure('notFound'));
+      this.#refusals.refuse(req, res, makeFailure('notFound'));
       return;
     }
     // Answers to pipelined requests would be kept here until the first one
     // has gone out: memory for one connection that no limit counts.
     if (!this.#connections.enter(req.socket)) {
-      refuseExchange(req, res, makeFailure('badRequest', {message: PIPELINED}));
+      this.#refusals.refuse(
+        req,
+        res,
+        makeFailure('badRequest', {message: PIPELINED}),
+      );
       return;
     }
     this.#requests += 1;
--- a/packages/lovagepond-caller/src/caller_types.ts
+++ b/packages/lovagepond-caller/src/caller_types.ts
@@ -114,6 +114,8 @@
   readonly heldBodyBytes: number;
   readonly refusedConnections: number;
   readonly malformed: number;
+  /** Requests refused before the handler, by kind. */
+  readonly refusedByKind: Readonly<Record<string, number>>;
   readonly slowReadersEnded: number;
   readonly callersGone: number;
 }
--- a/packages/lovagepond-cli/src/__tests__/e2e/main_job.test.ts
+++ b/packages/lovagepond-cli/src/__tests__/e2e/main_job.test.ts
@@ -45,6 +45,9 @@
       messages: [question],
     });
     expect(stranger.status).toBe(403);
+    const path = '/v1/chat/completions';
+    const malformed = await fetch(url + path, {method: 'POST', body: '{'});
+    expect(malformed.status).toBe(400);
     const text = await fleet.metrics('router-2');
     const valueOf = (name: string, labels = ''): number => {
       const pattern = `^lovagepond_${name}\\{[^}]*${labels}[^}]*\\} (\\S+)$`;
@@ -55,6 +58,7 @@
     expect(valueOf('control_bytes_total')).toBeGreaterThan(0);
     expect(valueOf('load_skew_ratio', 'pool="chat-models"')).toBeGreaterThan(0);
     expect(valueOf('refusals_total', 'kind="unknownWorkspace"')).toBe(1);
+    expect(valueOf('refusals_total', 'kind="badRequest"')).toBe(1);
   });
 
   // An operator signals a running router: SIGUSR2 for a dump, SIGHUP after an
--- a/packages/lovagepond-cli/src/role_metrics.ts
+++ b/packages/lovagepond-cli/src/role_metrics.ts
@@ -18,8 +18,8 @@
   readonly help: string;
   /** Where a plain number, or true or false, stands. */
   readonly path?: Path;
-  /** Where an object of numbers stands, and the label that its keys become. */
-  readonly byLabel?: {readonly path: Path; readonly label: string};
+  /** Where objects of numbers stand, and the label that their keys become. */
+  readonly byLabel?: {readonly paths: readonly Path[]; readonly label: string};
   /** Several plain numbers under one label. */
   readonly parts?: {
     readonly label: string;
@@ -48,7 +48,10 @@
     kind: 'counter',
     name: 'lovagepond_refusals_total',
     help: 'Requests answered with an error, by kind.',
-    byLabel: {path: ['failedByKind'], label: 'kind'},
+    byLabel: {
+      paths: [['failedByKind'], ['front', 'refusedByKind']],
+      label: 'kind',
+    },
   },
   {
     kind: 'counter',
@@ -72,7 +75,7 @@
     kind: 'gauge',
     name: 'lovagepond_load_skew_ratio',
     help: "A pool's busiest ready server over the mean, as known here.",
-    byLabel: {path: ['skew'], label: 'pool'},
+    byLabel: {paths: [['skew']], label: 'pool'},
   },
   {
     kind: 'gauge',
@@ -90,7 +93,7 @@
     kind: 'counter',
     name: 'lovagepond_frames_dropped_total',
     help: 'Frames thrown away, by reason.',
-    byLabel: {path: ['droppedByReason'], label: 'reason'},
+    byLabel: {paths: [['droppedByReason']], label: 'reason'},
   },
   {
     kind: 'counter',
@@ -119,13 +122,13 @@
     kind: 'counter',
     name: 'lovagepond_refusals_total',
     help: 'Attempts refused, truly not run, by kind.',
-    byLabel: {path: ['attempts', 'refusedByKind'], label: 'kind'},
+    byLabel: {paths: [['attempts', 'refusedByKind']], label: 'kind'},
   },
   {
     kind: 'counter',
     name: 'lovagepond_failures_total',
     help: 'Attempts that failed after dispatch, by kind.',
-    byLabel: {path: ['attempts', 'failedByKind'], label: 'kind'},
+    byLabel: {paths: [['attempts', 'failedByKind']], label: 'kind'},
   },
   {
     kind: 'counter',
@@ -205,7 +208,7 @@
     kind: 'gauge',
     name: 'lovagepond_ledger_entries',
     help: 'Calls that may not be repeated, by the state of their entry.',
-    byLabel: {path: ['ledger'], label: 'state'},
+    byLabel: {paths: [['ledger']], label: 'state'},
   },
 ];
 
@@ -243,10 +246,10 @@
   const {path, byLabel, parts} = metric;
   if (path) return toSample(findValue(state, path), {});
   if (byLabel) {
-    const counts = findValue(state, byLabel.path) ?? {};
-    return Object.entries(counts).flatMap(([key, value]) =>
-      toSample(value, {[byLabel.label]: key}),
-    );
+    const counts = byLabel.paths.map(place => findValue(state, place) ?? {});
+    return counts
+      .flatMap(Object.entries)
+      .flatMap(([key, value]) => toSample(value, {[byLabel.label]: key}));
   }
   if (!parts) return [];
   return Object.entries(parts.paths).flatMap(([key, place]) =>
--- a/packages/lovagepond-router/src/__tests__/fakes/router_fakes.ts
+++ b/packages/lovagepond-router/src/__tests__/fakes/router_fakes.ts
@@ -322,6 +322,7 @@
     heldBodyBytes: 0,
     refusedConnections: 0,
     malformed: 0,
+    refusedByKind: {},
     slowReadersEnded: 0,
     callersGone: 0,
   };
