--- a/packages/lovagepond-cli/src/__tests__/unit/settings_examples.test.ts
+++ b/packages/lovagepond-cli/src/__tests__/unit/settings_examples.test.ts
@@ -4,7 +4,11 @@
 import {formatFault, parseSettings, readSettings} from '@lovagepond/platform';
 import {describe, expect, it} from 'vitest';
 import {z} from 'zod';
-import {checkSettingsFiles, roleOf} from '../../check_settings_files.js';
+import {
+  checkParsedSettings,
+  checkSettingsFiles,
+  roleOf,
+} from '../../check_settings_files.js';
 import {ROLE_NAMES} from '../../cli_constants.js';
 import {ROLE_SCHEMAS} from '../../role_schemas.js';
 
@@ -80,6 +84,18 @@
     }
   });
 
+  it('are refused when two processes take one address or folder', () => {
+    const [file = ''] = listFiles('loopback');
+    const copy = {...readSettings(file), file: 'copy.ini'};
+    const {faults} = checkParsedSettings([readSettings(file), copy]);
+    expect(faults.map(fault => `${fault.file} ${fault.key}`)).toEqual([
+      'copy.ini address',
+      'copy.ini listen',
+      'copy.ini listen',
+      'copy.ini dataFolder',
+    ]);
+  });
+
   it('of two deployments weigh skew most and reuse most', () => {
     const [skewFirst, reuseFirst] = ['bayern-sued', 'hofudborg'].map(set => {
       const path = join(EXAMPLES, set, 'configuration.json');
--- a/packages/lovagepond-cli/src/check_settings_files.ts
+++ b/packages/lovagepond-cli/src/check_settings_files.ts
@@ -4,7 +4,9 @@
 import {
   checkSettings,
   findOverlaps,
+  findSharedFolders,
   type ListenAddress,
+  type OwnedFolder,
   type ParsedSettings,
   readSettings,
   type SettingsFault,
@@ -40,7 +42,7 @@
 /**
  * @param all settings of processes of one host, parsed
  * @param options how they are checked against each other
- * @returns every fault, and addresses that two processes take
+ * @returns every fault, and addresses and folders that two processes take
  */
 export function checkParsedSettings(
   all: readonly ParsedSettings[],
@@ -48,6 +50,7 @@
 ): FilesCheck {
   const faults: SettingsFault[] = [];
   const listens: ListenAddress[] = [];
+  const folders: OwnedFolder[] = [];
   for (const parsed of all) {
     const role = roleOf(parsed);
     if (!role) {
@@ -55,18 +58,24 @@
       continue;
     }
     const check = checkSettings(parsed, ROLE_SCHEMAS[role]);
-    if (check.ok) listens.push(...check.listens);
-    else faults.push(...check.faults);
+    if (!check.ok) {
+      faults.push(...check.faults);
+      continue;
+    }
+    listens.push(...check.listens);
+    folders.push(...check.folders);
   }
   const taken = sharedPlatform
     ? listens.filter(({section}) => section !== 'platform')
     : listens;
-  return {faults: [...faults, ...findOverlaps(taken)]};
+  const shared = findSharedFolders(folders);
+  return {faults: [...faults, ...findOverlaps(taken), ...shared]};
 }
 
 /**
  * @param files paths of settings files of processes of one host
- * @returns every fault of every file, and addresses that two processes take
+ * @returns every fault of every file, and addresses and folders that two
+ *     processes take
  */
 export function checkSettingsFiles(files: readonly string[]): FilesCheck {
   return checkParsedSettings(files.map(file => readSettings(file)));
--- a/packages/lovagepond-cli/src/command_line.ts
+++ b/packages/lovagepond-cli/src/command_line.ts
@@ -153,7 +153,7 @@
         'standalone',
         'router -c router.ini',
         'check-settings *.ini',
-        'ctl status',
+        'ctl servers list',
       ),
     )
     .addHelpText('after', renderExitCodes())
--- a/packages/lovagepond-cli/src/settings_sections.ts
+++ b/packages/lovagepond-cli/src/settings_sections.ts
@@ -36,7 +36,7 @@
   ),
   announceDelay: withTraits(duration().prefault('2s'), {reloadable: true}),
   drainLimit: withTraits(duration().prefault('30s'), {reloadable: true}),
-  dataFolder: filledText(),
+  dataFolder: withTraits(filledText(), {owned: true}),
 });
 
 /** `[control]` of routers and sidecars: where control's members are. */
--- a/packages/lovagepond-platform/src/index.ts
+++ b/packages/lovagepond-platform/src/index.ts
@@ -38,7 +38,9 @@
 export {
   checkSettings,
   findOverlaps,
+  findSharedFolders,
   type ListenAddress,
+  type OwnedFolder,
   type ParsedSettings,
   parseSettings,
   readSettings,
--- a/packages/lovagepond-platform/src/settings_file.ts
+++ b/packages/lovagepond-platform/src/settings_file.ts
@@ -2,6 +2,7 @@
  * Reads a settings file and checks it as a whole.
  */
 import {readFileSync} from 'node:fs';
+import {resolve} from 'node:path';
 import {parse} from 'ini';
 import {type z} from 'zod';
 import {type SettingsFault} from './settings_errors.js';
@@ -34,12 +35,21 @@
   readonly address: HostPort;
 }
 
+/** A folder that one process owns, with its place. */
+export interface OwnedFolder {
+  readonly file: string;
+  readonly section: string;
+  readonly key: string;
+  readonly folder: string;
+}
+
 /** What a check gives: the values, or every fault. */
 export type SettingsCheck<Schema extends FileSchema> =
   | {
       readonly ok: true;
       readonly values: FileValues<Schema>;
       readonly listens: readonly ListenAddress[];
+      readonly folders: readonly OwnedFolder[];
     }
   | {readonly ok: false; readonly faults: readonly SettingsFault[]};
 
@@ -122,6 +132,7 @@
   const faults = [...parsed.faults, ...findUnknownSections(parsed, schema)];
   const values: Record<string, unknown> = {};
   const listens: ListenAddress[] = [];
+  const folders: OwnedFolder[] = [];
   for (const [section, sectionSchema] of Object.entries(schema)) {
     const checked = sectionSchema.safeParse(parsed.sections[section] ?? {});
     if (!checked.success) {
@@ -129,13 +140,17 @@
       continue;
     }
     values[section] = checked.data;
-    listens.push(
-      ...collectListens(parsed.file, section, sectionSchema, checked.data),
-    );
+    const {file} = parsed;
+    for (const [key, value] of Object.entries(checked.data)) {
+      const place = {file, section, key};
+      const {listens: isAddress, owned} = traitsOf(sectionSchema, key);
+      if (isAddress) listens.push({...place, address: value as HostPort});
+      if (owned) folders.push({...place, folder: String(value)});
+    }
   }
   faults.push(...findOverlaps(listens));
   if (faults.length > 0) return {ok: false, faults};
-  return {ok: true, values: values as FileValues<Schema>, listens};
+  return {ok: true, values: values as FileValues<Schema>, listens, folders};
 }
 
 function findUnknownSections(
@@ -167,22 +182,6 @@
   });
 }
 
-function collectListens(
-  file: string,
-  section: string,
-  schema: SectionSchema,
-  values: object,
-): ListenAddress[] {
-  return Object.entries(values)
-    .filter(([key]) => traitsOf(schema, key).listens)
-    .map(([key, value]) => ({
-      file,
-      section,
-      key,
-      address: value as HostPort,
-    }));
-}
-
 function overlaps(one: HostPort, other: HostPort): boolean {
   if (one.port !== other.port || one.port === 0) return false;
   const anyHost = ANY_HOST.has(one.host) || ANY_HOST.has(other.host);
@@ -208,3 +207,24 @@
     return [{file, section, key, message}];
   });
 }
+
+/**
+ * Two control members in one folder would write one log, and vote under one
+ * identity; each would find the other's records damaged only at a restart.
+ *
+ * @param folders folders of all processes of one host
+ * @returns a fault for each folder that an earlier one takes already
+ */
+export function findSharedFolders(
+  folders: readonly OwnedFolder[],
+): SettingsFault[] {
+  return folders.flatMap(({file, section, key, folder}, index) => {
+    const path = resolve(folder);
+    const earlier = folders
+      .slice(0, index)
+      .find(other => resolve(other.folder) === path);
+    if (!earlier) return [];
+    const message = `${folder} belongs to ${earlier.file}; choose another folder`;
+    return [{file, section, key, message}];
+  });
+}
--- a/packages/lovagepond-platform/src/settings_schema.ts
+++ b/packages/lovagepond-platform/src/settings_schema.ts
@@ -8,6 +8,8 @@
 export interface KeyTraits {
   /** The process listens on this address: no other may. */
   readonly listens?: boolean;
+  /** The process alone writes to this folder: no other may. */
+  readonly owned?: boolean;
   /** A reload by signal takes a new value without a restart. */
   readonly reloadable?: boolean;
 }
