Follow the router's renamed control bytes, and find empty metrics

Change: lovagepond_control_bytes_total by direction follows; a test looks for metrics of each role that have no value at all. Conclusion: the sidecar tells only what it received.

--- a/packages/lovagepond-cli/src/__tests__/e2e/main_job.test.ts
+++ b/packages/lovagepond-cli/src/__tests__/e2e/main_job.test.ts
@@ -3,6 +3,13 @@
 import {afterAll, beforeAll, describe, expect, it} from 'vitest';
 import {Fleet, streamChat} from '../../../../../scripts/fleet_processes.mjs';
 
+/** By a label whose values appear only once something went wrong. */
+const MAY_BE_EMPTY: ReadonlySet<string> = new Set([
+  'lovagepond_failures_total',
+  'lovagepond_frames_dropped_total',
+  'lovagepond_refusals_total',
+]);
+
 // Separate processes over loopback, each from its own file of
 // examples/loopback: two routers, three sidecars with a stand-in for a model
 // engine each, one control member.
@@ -55,12 +62,31 @@
     };
     expect(valueOf('returning_chats_total')).toBe(1);
     expect(valueOf('returning_chats_warm_total')).toBe(1);
-    expect(valueOf('control_bytes_total')).toBeGreaterThan(0);
+    for (const direction of ['received', 'sent']) {
+      const label = `direction="${direction}"`;
+      expect(valueOf('control_bytes_total', label)).toBeGreaterThan(0);
+    }
     expect(valueOf('load_skew_ratio', 'pool="chat-models"')).toBeGreaterThan(0);
     expect(valueOf('refusals_total', 'kind="unknownWorkspace"')).toBe(1);
     expect(valueOf('refusals_total', 'kind="badRequest"')).toBe(1);
   });
 
+  // Metrics are read from the dumps of packages that change on their own: a
+  // renamed field would leave its metric without a value and nobody would see.
+  it.each(['router-2', 'sidecar-1', 'control-1'])(
+    'finds a value for each metric of %s',
+    async name => {
+      const text = await fleet.metrics(name);
+      const names = [...text.matchAll(/^# TYPE (lovagepond_\S+)/gm)];
+      const empty = names
+        .map(([, metric = '']) => metric)
+        .filter(metric => !text.includes(`\n${metric}{`))
+        .filter(metric => !MAY_BE_EMPTY.has(metric));
+      expect(names.length).toBeGreaterThan(5);
+      expect(empty).toEqual([]);
+    },
+  );
+
   // An operator signals a running router: SIGUSR2 for a dump, SIGHUP after an
   // edit. Neither may end the process; the dump holds no text of any chat.
   it('dumps and reloads by signal', async () => {
--- a/packages/lovagepond-cli/src/role_metrics.ts
+++ b/packages/lovagepond-cli/src/role_metrics.ts
@@ -27,12 +27,14 @@
   };
 }
 
-const CONTROL_BYTES: DumpMetric = {
-  kind: 'counter',
-  name: 'lovagepond_control_bytes_total',
-  help: 'Control traffic of this process in bytes.',
-  parts: {label: 'direction', paths: {received: ['controlBytes']}},
-};
+function makeControlBytes(paths: Readonly<Record<string, Path>>): DumpMetric {
+  return {
+    kind: 'counter',
+    name: 'lovagepond_control_bytes_total',
+    help: 'Control traffic of this process in bytes.',
+    parts: {label: 'direction', paths},
+  };
+}
 
 const REVISION: DumpMetric = {
   kind: 'gauge',
@@ -42,7 +44,10 @@
 };
 
 const ROUTER_METRICS: readonly DumpMetric[] = [
-  CONTROL_BYTES,
+  makeControlBytes({
+    received: ['controlBytesReceived'],
+    sent: ['controlBytesSent'],
+  }),
   REVISION,
   {
     kind: 'counter',
@@ -116,7 +121,7 @@
 ];
 
 const SIDECAR_METRICS: readonly DumpMetric[] = [
-  CONTROL_BYTES,
+  makeControlBytes({received: ['controlBytes']}),
   {...REVISION, path: ['gate', 'revision']},
   {
     kind: 'counter',
