--- a/packages/lovagepond-backend/src/backend_fake_service.ts
+++ b/packages/lovagepond-backend/src/backend_fake_service.ts
@@ -171,11 +171,19 @@
     const faulty = mode !== undefined && this.#faultyCalls > 0;
     if (faulty) this.#faultyCalls -= 1;
     const run = (): FakeServiceAnswer => this.#run(req);
-    const timer = setTimeout(() => {
-      this.#timers.delete(timer);
+    const answer = (): void => {
       if (faulty) FAULT_HANDLERS[mode]({res, run});
       else sendAnswer(res, run());
-    }, answerDelayMs);
+    };
+    if (answerDelayMs === 0) answer();
+    else this.#later(answerDelayMs, answer);
+  }
+
+  #later(delayMs: number, action: () => void): void {
+    const timer = setTimeout(() => {
+      this.#timers.delete(timer);
+      action();
+    }, delayMs);
     this.#timers.add(timer);
   }
 
--- a/packages/lovagepond-measure/src/measure_table.ts
+++ b/packages/lovagepond-measure/src/measure_table.ts
@@ -3,6 +3,7 @@
  *
  * A new measure is one `*_measure.ts` file and one line here.
  */
+import {measureBackend} from './backend_measure.js';
 import {measureCaller} from './caller_measure.js';
 import {measureConsensus} from './consensus_measure.js';
 import {measureControl} from './control_measure.js';
@@ -21,6 +22,7 @@
   'decision-cost': measureDecisionCost,
   sidecar: measureSidecar,
   caller: measureCaller,
+  backend: measureBackend,
   router: measureRouter,
   memory: async () => [await measureMemory()],
 };
