Promote the new member before the leader that it replaces leaves

Cause: a new test replaces the leader itself. The leader held itself for dead, as it hears no answers from itself, removed itself first and could not promote the new member: the replacement ended as notLeader, half done. Change: the leader counts as active. Conclusion: any voter, the leader too, can be replaced while running.

--- a/packages/lovagepond-consensus/src/__tests__/unit/consensus_node.test.ts
+++ b/packages/lovagepond-consensus/src/__tests__/unit/consensus_node.test.ts
@@ -149,6 +149,36 @@
     expect(await propose(leading.node, 'g')).toBe('committed');
   });
 
+  // An operator replaces the leader itself by a new host. The new one has all
+  // that was acknowledged before it votes; the old one goes last, then another
+  // leads, and the group goes on with the host that was replaced shut down.
+  it('replaces a leader that is up by a new host', async () => {
+    const nodes = [];
+    for (const address of ADDRESSES) {
+      const storage = new MemoryStorage(address);
+      nodes.push(await startNode(address, storage, ADDRESSES));
+    }
+    await pass(3000);
+    const old = nodes[0]!.node;
+    for (const text of ['a', 'b', 'c', 'd', 'e']) {
+      expect(await propose(old, text)).toBe('committed');
+    }
+    const fresh = await startNode('d:1', new MemoryStorage('d'), ADDRESSES);
+    const replacing = old.replaceMember('a:1', 'd', 'd:1');
+    await pass(2000);
+    expect(await replacing).toMatchObject({kind: 'committed'});
+    expect(fresh.register.value).toBe('abcde');
+    await old.stop();
+    await pass(3000);
+    const voting = [nodes[1]!.node, nodes[2]!.node, fresh.node];
+    const leading = voting.find(node => node.status().role === 'leader')!;
+    const members = leading.status().members.map(({id}) => id);
+    expect(members.sort()).toEqual(['b:1', 'c:1', 'd']);
+    expect(await propose(leading, 'f')).toBe('committed');
+    await pass(300);
+    expect(fresh.register.value).toBe('abcdef');
+  });
+
   // The disk of a member fails under a proposal. The caller gets `unknown`,
   // later callers are refused, and the member says why it has stopped.
   it('stops with a clear failure when storage fails', async () => {
--- a/packages/lovagepond-consensus/src/consensus_leadership.ts
+++ b/packages/lovagepond-consensus/src/consensus_leadership.ts
@@ -110,10 +110,11 @@
   }
 
   /**
-   * @param id identity of a follower
-   * @returns true when it answered one of the latest rounds
+   * @param id identity of a member
+   * @returns true for this one, and for one that answered a recent round
    */
   isActive(id: MemberId): boolean {
+    if (id === this.#view.id) return true;
     const {heartbeatIntervalMs, electionTimeoutMs} = this.#view.timings;
     const recent = Math.ceil(electionTimeoutMs / heartbeatIntervalMs);
     const acked = this.#progress.get(id)?.ackedRound ?? 0;
