Wait for a change of the members under way in place of refusing

Cause: a replacement that is sent twice, or meets a host that joins by itself, ran into the other's change and ended as refused, half done. Change: a step of a replacement waits until the change before it is committed. A leader that can't commit steps down, which ends the wait. Conclusion: an operator may resend a replacement.

--- a/packages/lovagepond-consensus/src/__tests__/unit/consensus_node.test.ts
+++ b/packages/lovagepond-consensus/src/__tests__/unit/consensus_node.test.ts
@@ -165,8 +165,10 @@
     }
     const fresh = await startNode('d:1', new MemoryStorage('d'), ADDRESSES);
     const replacing = old.replaceMember('a:1', 'd', 'd:1');
+    const resent = old.replaceMember('a:1', 'd', 'd:1');
     await pass(2000);
     expect(await replacing).toMatchObject({kind: 'committed'});
+    expect((await resent).kind).toMatch(/committed|notLeader/);
     expect(fresh.register.value).toBe('abcde');
     await old.stop();
     await pass(3000);
--- a/packages/lovagepond-consensus/src/consensus_member_replacement.ts
+++ b/packages/lovagepond-consensus/src/consensus_member_replacement.ts
@@ -38,6 +38,7 @@
   readonly #view: ReplacementView;
   readonly #joining = new Set<MemberId>();
   #waiters: Waiter[] = [];
+  #tickWaiters: (() => void)[] = [];
 
   /** @param view the member that leads */
   constructor(view: ReplacementView) {
@@ -105,11 +106,13 @@
     );
     if (unfinished) this.join(unfinished.id, unfinished.address);
     this.#settle(waiter => !isLeading || this.#view.isCaughtUp(waiter.id));
+    this.#resumeTickWaiters();
   }
 
   /** Gives up what is under way. */
   stop(): void {
     this.#settle(() => true);
+    this.#resumeTickWaiters();
   }
 
   #settle(isDone: (waiter: Waiter) => boolean): void {
@@ -124,9 +127,30 @@
     });
   }
 
+  #resumeTickWaiters(): void {
+    const waiters = this.#tickWaiters;
+    this.#tickWaiters = [];
+    for (const resume of waiters) resume();
+  }
+
+  /**
+   * Waits while another change is under way, such as that of a host that joins
+   * by itself: a leader that can't commit it steps down, so the wait ends.
+   */
+  async #changeWhenFree(change: MemberChange): Promise<ChangeOutcome> {
+    for (;;) {
+      const outcome = await this.#view.change(change);
+      const isPending =
+        outcome.kind === 'refused' &&
+        outcome.reason === CHANGE_REFUSAL.CHANGE_PENDING;
+      if (!isPending) return outcome;
+      await new Promise<void>(resolve => this.#tickWaiters.push(resolve));
+    }
+  }
+
   /** A step that an earlier call has done counts as done. */
   async #change(change: MemberChange): Promise<ChangeOutcome> {
-    const outcome = await this.#view.change(change);
+    const outcome = await this.#changeWhenFree(change);
     if (outcome.kind !== 'refused') return outcome;
     const {reason} = outcome;
     const isAdded = reason === CHANGE_REFUSAL.ALREADY_MEMBER;
