Show the status of control's members with ctl

Cause: the program's help names `ctl status`, which did not exist. Change: one line for each member from its dump: role, lease, term, revision, servers, subscribers, failure; members without an answer stand in it as such. docs/design/operator.md tells how a command is repeated and how convergence is put together. Conclusion: a test with one member down, and with all of them down.

--- a/packages/lovagepond-operator/src/__tests__/unit/ctl.test.ts
+++ b/packages/lovagepond-operator/src/__tests__/unit/ctl.test.ts
@@ -224,6 +224,17 @@
     expect(member.memberChanges).toHaveLength(1);
   });
 
+  // One control host is down. The status still comes from the others, and the
+  // lost one stands in it as such; with none left the command fails.
+  it('shows the status of members that answer, and names those that do not', async () => {
+    const gone = 'http://127.0.0.1:1';
+    await ctl('status', `${gone},${origin}`);
+    expect(io.exitCode).toBe(EXIT_CODE.OK);
+    expect(io.out).toMatch(/127\.0\.0\.1:1 +- +no answer/);
+    await ctl('status', gone);
+    expect(io.exitCode).toBe(EXIT_CODE.UNREACHABLE);
+  });
+
   it('edits labels and limits, shows lists, and rejects bad input', async () => {
     await ctl('pools set chat kind=engine labels={"tier":"gold","old":"1"}');
     await ctl('labels chat tier=silver old-');
--- a/packages/lovagepond-operator/src/ctl_register.ts
+++ b/packages/lovagepond-operator/src/ctl_register.ts
@@ -14,6 +14,7 @@
 import {createCtlIo} from './ctl_io.js';
 import {MEMBER_COMMANDS} from './ctl_member_commands.js';
 import {OBJECT_COMMANDS} from './ctl_object_commands.js';
+import {STATUS_COMMANDS} from './ctl_status_command.js';
 import {
   type CtlCommand,
   type CtlIo,
@@ -38,6 +39,7 @@
 }
 
 const COMMANDS: readonly CtlCommand[] = [
+  ...STATUS_COMMANDS,
   ...CONFIGURATION_COMMANDS,
   ...OBJECT_COMMANDS,
   ...FLEET_COMMANDS,
