--- a/packages/lovagepond-control/src/__tests__/model/control_cluster.ts
+++ b/packages/lovagepond-control/src/__tests__/model/control_cluster.ts
@@ -103,6 +103,27 @@
     await this.#launch(index);
   }
 
+  /** Ends a member's process and starts one on an emptied disk, till it votes. */
+  async replaceDisk(member: MemberProcess): Promise<void> {
+    const index = this.members.indexOf(member);
+    const id = `${member.node.status().id}-new`;
+    await member.node.stop();
+    this.#storages[index] = new MemoryStorage(id);
+    await this.#launch(index);
+    await this.#until(() => {
+      const members = this.leader()?.node.status().members ?? [];
+      return members.some(known => known.id === id && known.voter);
+    });
+  }
+
+  async #until(holds: () => boolean): Promise<void> {
+    for (let tries = 0; tries < 200; tries += 1) {
+      if (holds()) return;
+      await vi.advanceTimersByTimeAsync(50);
+    }
+    throw new Error('not within 10 s of virtual time');
+  }
+
   async #launch(index: number): Promise<void> {
     const address = this.#addresses[index]!;
     const clock = FAKE_CLOCK;
--- a/packages/lovagepond-control/src/__tests__/unit/control_cluster.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/control_cluster.test.ts
@@ -92,6 +92,20 @@
   expect(runs).toEqual(['a1']);
 });
 
+// A host's disk is lost and it is repaired from the others; right after that a
+// second host is lost for good. The claim stands on the repaired one and on one
+// that held it from the start: were the repair counted too early, the repeat
+// would be granted.
+test('a claim outlives a second loss right after a repair', async () => {
+  const [first, second] = [new Sidecar('s1'), new Sidecar('s2')];
+  expect(await first.claim('a1')).toBe('granted');
+  const leader = await cluster.untilLeader();
+  const follower = cluster.members.find(member => member !== leader)!;
+  await cluster.replaceDisk(follower);
+  await leader.node.stop();
+  expect(await second.claim('a2')).toBe('inProgress');
+});
+
 const CHANGE: ChangeRequest = {
   operationId: 'op',
   baseRevision: 0,
