Give the members of the socket test different seeds

Cause: the test failed at a landing and in 4 of 14 runs under load: its three members drew their election timeouts from one seed, split every vote, and reached term 10 before one won; the follower then rightly ended its stream after 4 s out of touch. Ruled out: the relay and the limit itself, by a log of each step. The program seeds each process by time and process id.

Change: each member has its own seed.

Conclusion: the test's world was wrong, nothing it asserts has changed.

--- a/packages/lovagepond-control/src/__tests__/unit/control_role.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/control_role.test.ts
@@ -61,7 +61,8 @@
     {
       clock: CLOCK,
       log: SILENT_LOG,
-      random: new Random(address.length),
+      // Members with one seed split every vote.
+      random: new Random(members.indexOf(address) + 1),
       storage: new MemoryStorage(`m-${address}`),
     },
   );
