--- a/packages/lovagepond-measure/src/measure_fleet.ts
+++ b/packages/lovagepond-measure/src/measure_fleet.ts
@@ -133,7 +133,7 @@
 
   changed(_server: MeasureServer): void {
     if (this.settings.servers <= SAMPLE_EACH_CHANGE_UP_TO) this.#sampleSkew();
-    if (this.variant.exact) this.#planRefresh();
+    if (this.variant.exact && this.variant.gated) this.#planRefresh();
   }
 
   /** A new server under a new name comes up and joins the list. */
@@ -225,6 +225,8 @@
       loads[server.slot] = encodeLoad(tokens);
       return {backendServer: server.name, address: '', tokens};
     });
+    const {floorTokens} = this.settings;
+    const loaded = peers.filter(({tokens}) => tokens > floorTokens);
     // The live servers' bytes travel: control reuses the slots of those gone.
     const live = loads.subarray(0, this.#ready.size);
     const load = {membership_version: 1, loads: live, age_ms: 500};
@@ -233,7 +235,9 @@
     this.time.after(HOP_MS, () => {
       for (const router of this.#routers) router.setDigest(loads, measuredAt);
       for (const server of this.#ready) {
-        const others = peers.filter(peer => peer.backendServer !== server.name);
+        const others = loaded.filter(
+          peer => peer.backendServer !== server.name,
+        );
         server.setPeers(others);
       }
     });
--- a/packages/lovagepond-measure/src/measure_server.ts
+++ b/packages/lovagepond-measure/src/measure_server.ts
@@ -112,7 +112,8 @@
 
   /** @param peers loads of the others as the digest shows them */
   setPeers(peers: readonly PeerLoad[]): void {
-    this.#peers = peers;
+    const {floorTokens} = this.#port.settings;
+    this.#peers = peers.filter(({tokens}) => tokens > floorTokens);
     this.planTake(0);
   }
 
@@ -266,12 +267,12 @@
   }
 
   #take(): void {
-    const {time, settings} = this.#port;
+    const {time} = this.#port;
     const room = this.gate.takeRoom(time.now);
     if (room <= 0) return;
     const {runningTokens} = this.gate.load(time.now);
     const chosen = this.#taker.chooseVictim(
-      this.#peers.filter(({tokens}) => tokens > settings.floorTokens),
+      this.#peers,
       runningTokens,
       time.now,
     );
--- a/packages/lovagepond-measure/src/measure_table.ts
+++ b/packages/lovagepond-measure/src/measure_table.ts
@@ -11,12 +11,14 @@
 import {type MeasureFunction} from './measure_types.js';
 import {measureMemory} from './memory_measure.js';
 import {measurePlacement} from './placement_measure.js';
+import {measurePlacementScale} from './placement_scale_measure.js';
 import {measureRouter} from './router_measure.js';
 import {measureSidecar} from './sidecar_measure.js';
 
 /** Name to measure; run in this order when no name is given. */
 export const MEASURES: Readonly<Record<string, MeasureFunction>> = {
   placement: measurePlacement,
+  'placement-scale': measurePlacementScale,
   consensus: measureConsensus,
   control: measureControl,
   'decision-cost': measureDecisionCost,
--- a/packages/lovagepond-measure/src/placement_measure.ts
+++ b/packages/lovagepond-measure/src/placement_measure.ts
@@ -2,7 +2,7 @@
  * Cache reuse against skew, for every policy on both users' deployments.
  */
 import {type KeyHasher, loadKeyHasher} from '@lovagepond/router';
-import {MeasureFleet} from './measure_fleet.js';
+import {type FleetResult, MeasureFleet} from './measure_fleet.js';
 import {type FleetSettings, type Variant} from './measure_fleet_types.js';
 import {roundTo} from './measure_statistics.js';
 import {type MeasureSection} from './measure_types.js';
@@ -84,6 +84,9 @@
 const GATED = {...OPEN, gated: true};
 const POINTED = {...GATED, pointers: true};
 
+/** Name of the variant that the router's default policy makes. */
+export const CHOSEN = 'hold and take';
+
 /** What is measured side by side. */
 export const VARIANTS: readonly Variant[] = [
   {...OPEN, name: 'round robin', policy: 'roundRobin'},
@@ -94,7 +97,7 @@
   {...POINTED, name: 'bounded + gate', policy: 'boundedRendezvous'},
   {...POINTED, name: 'cost score + gate', policy: 'costScore'},
   {...POINTED, name: 'pointers + gate', policy: 'pointers'},
-  {...POINTED, name: 'hold and take', policy: 'holdAndTake', take: true},
+  {...POINTED, name: CHOSEN, policy: 'holdAndTake', take: true},
   {
     ...POINTED,
     name: 'the same, moving caches',
@@ -112,7 +115,8 @@
   },
 ];
 
-const COLUMNS = [
+/** Heads of the figures of {@link summarize}. */
+export const COLUMNS = [
   'policy',
   'reuse % tokens',
   'reuse % returns',
@@ -128,15 +132,15 @@
   'control B/s',
 ] as const;
 
-function measureVariant(
-  deployment: Deployment,
+/**
+ * @param variant what was measured
+ * @param result its run
+ * @returns the row for {@link COLUMNS}
+ */
+export function summarize(
   variant: Variant,
-  hasher: KeyHasher,
+  {outcomes, skew, controlBytesPerSecond}: FleetResult,
 ): (string | number)[] {
-  const fleet = new MeasureFleet(deployment.settings, variant, hasher);
-  const {outcomes, skew, controlBytesPerSecond} = fleet.run(
-    deployment.arrivals,
-  );
   const {firstTokenMs} = outcomes;
   return [
     variant.name,
@@ -164,7 +168,10 @@
   return {
     title,
     columns: COLUMNS,
-    rows: VARIANTS.map(variant => measureVariant(deployment, variant, hasher)),
+    rows: VARIANTS.map(variant => {
+      const fleet = new MeasureFleet(settings, variant, hasher);
+      return summarize(variant, fleet.run(arrivals));
+    }),
     notes: [
       `seed ${SEED}; npm run measure -- placement`,
       `${arrivals.length} requests in ${settings.endMs / 1000} s of virtual ` +
@@ -177,12 +184,47 @@
   };
 }
 
-/** @returns one table for each user */
+/** Each user's settings on both deployments, floors as in the deployment. */
+const WEIGHTS = [
+  {name: 'skew first (Gutscheinwerk)', loadBound: 1.5, reuseWeight: 0.3},
+  {name: 'reuse first (Sigurðsson & Synir)', loadBound: 2, reuseWeight: 0.9},
+] as const;
+
+/** Shows that each user's settings win that user's own measure. */
+function measureWeights(
+  deployments: readonly Deployment[],
+  hasher: KeyHasher,
+): MeasureSection {
+  const variant = VARIANTS.find(({name}) => name === CHOSEN);
+  if (!variant) throw new Error(`no variant is named ${CHOSEN}`);
+  const rows = deployments.flatMap(({title, settings, arrivals}) =>
+    WEIGHTS.map(({name, ...weights}) => {
+      const pool = {...settings.pool, ...weights};
+      const run = new MeasureFleet({...settings, pool}, variant, hasher);
+      const row = summarize(variant, run.run(arrivals));
+      return [`${title.split(' (')[0] ?? title}: ${name}`, ...row.slice(1)];
+    }),
+  );
+  return {
+    title: 'Both weights on both deployments',
+    columns: ['settings', ...COLUMNS.slice(1)],
+    rows,
+    notes: [
+      `seed ${SEED}; npm run measure -- placement; policy: ${CHOSEN}`,
+      'skew of a row counts a mean under floor/bound as floor/bound',
+    ],
+  };
+}
+
+/** @returns one table for each user, and one of their weights */
 export async function measurePlacement(): Promise<MeasureSection[]> {
   const hasher = await loadKeyHasher();
   const deployments = [
     makeWakeDeployment(END_MS, SEED),
     makeStormDeployment(END_MS, SEED),
   ];
-  return deployments.map(deployment => measureDeployment(deployment, hasher));
+  const sections = deployments.map(deployment =>
+    measureDeployment(deployment, hasher),
+  );
+  return [...sections, measureWeights(deployments, hasher)];
 }
--- /dev/null
+++ b/packages/lovagepond-measure/src/placement_scale_measure.ts
@@ -0,0 +1,63 @@
+/**
+ * The chosen policy at the size of the users' letter: 640 replicas, hundreds
+ * of routers that each see a sliver of the traffic.
+ */
+import {loadKeyHasher} from '@lovagepond/router';
+import {MeasureFleet} from './measure_fleet.js';
+import {type FleetSettings} from './measure_fleet_types.js';
+import {roundTo} from './measure_statistics.js';
+import {type MeasureSection} from './measure_types.js';
+import {makeWake} from './measure_workload.js';
+import {
+  CHOSEN,
+  COLUMNS,
+  makeWakeDeployment,
+  summarize,
+  VARIANTS,
+} from './placement_measure.js';
+
+const SEED = 830;
+const SERVERS = 640;
+const ROUTERS = 370;
+const END_MS = 75_000;
+const WARM_UP_MS = 50_000;
+/** Kiosks and chats of a deployment of six engines, times this. */
+const SCALE = SERVERS / 6;
+
+/** @returns one table at the letter's size */
+export async function measurePlacementScale(): Promise<MeasureSection[]> {
+  const hasher = await loadKeyHasher();
+  const arrivals = makeWake({endMs: END_MS, scale: SCALE}, SEED);
+  const settings: FleetSettings = {
+    ...makeWakeDeployment(0, SEED).settings,
+    endMs: END_MS,
+    warmUpMs: WARM_UP_MS,
+    servers: SERVERS,
+    routers: ROUTERS,
+    replaceEveryMs: 20_000,
+    flapEveryMs: 15_000,
+  };
+  const rows = VARIANTS.filter(({name}) => name === CHOSEN).map(variant => {
+    const started = performance.now();
+    const result = new MeasureFleet(settings, variant, hasher).run(arrivals);
+    const seconds = (performance.now() - started) / 1000;
+    return [...summarize(variant, result), roundTo(seconds, 1)];
+  });
+  const perSecond = Math.round(arrivals.length / (END_MS / 1000));
+  return [
+    {
+      title: `A wake at ${SERVERS} servers and ${ROUTERS} routers`,
+      columns: [...COLUMNS, 'run s'],
+      rows,
+      notes: [
+        `seed ${SEED}; npm run measure -- placement-scale`,
+        `${arrivals.length} requests in ${END_MS / 1000} s of virtual time ` +
+          `(${perSecond}/s; the letter's peak is 4,300/s), measured from ` +
+          `${WARM_UP_MS / 1000} s on, over the wake at 60 s`,
+        'scaled: minutes in place of days; a server replaced every 20 s, ' +
+          'where the letter has one in 11 minutes; skew sampled every 50 ms; ' +
+          'no reference that knows all (its cost grows with the square)',
+      ],
+    },
+  ];
+}
