Prove that a control host comes back with its configuration

Cause: that the program wires file storage into control was seen only by hand. Change: the main job's test kills the only control member, streams an answer meanwhile, starts it again and reads the configuration. Conclusion: the path from settings to the synced log holds over a SIGKILL.

--- a/packages/lovagepond-cli/src/__tests__/e2e/main_job.test.ts
+++ b/packages/lovagepond-cli/src/__tests__/e2e/main_job.test.ts
@@ -110,6 +110,23 @@
     expect(router.output).toMatch(/"key":"maxBody".*needs a restart/);
   });
 
+  // The only control host loses its power. Callers notice nothing: routers
+  // serve on with the configuration they hold. It comes back with its disk;
+  // the accepted configuration must be there, or routers would later be given
+  // an older one than they hold.
+  it('keeps the configuration over the death of a control host', async () => {
+    await fleet.get('control-1').end('SIGKILL');
+    const answer = await streamChat(fleet.callersUrl('router-2'), {
+      workspace: 'demo',
+      chat: 'chat-3',
+      messages: [question],
+    });
+    expect(answer).toMatchObject({status: 200, whole: true});
+    await fleet.restart('control-1');
+    const configuration = await fleet.ctl('configuration');
+    expect(configuration).toMatchObject({revision: 1});
+  });
+
   // A caller streams an answer longer than the router's announce delay and
   // grace time while that router is told to stop. Readiness goes first, so
   // that the balancer sends nobody new; then the address closes. The answer
--- a/scripts/fleet_processes.d.mts
+++ b/scripts/fleet_processes.d.mts
@@ -28,6 +28,7 @@
     name: string,
   ): Promise<{role: string; state: Readonly<Record<string, unknown>>}>;
   metrics(name: string): Promise<string>;
+  restart(name: string): Promise<void>;
   outputs(): string[];
   end(): Promise<void>;
 }
--- a/scripts/fleet_processes.mjs
+++ b/scripts/fleet_processes.mjs
@@ -84,6 +84,7 @@
 class FleetProcess {
   constructor(name, args, {file, settings} = {}) {
     this.name = name;
+    this.args = args;
     this.file = file;
     this.settings = settings;
     this.output = '';
@@ -273,6 +274,14 @@
     return JSON.parse(process.output);
   }
 
+  /** Starts a process that has ended again, and waits until it is ready. */
+  async restart(name) {
+    const {args, file, settings} = this.get(name);
+    this.#run(name, args, {file, settings});
+    const url = `http://${settings.platform.address}/readyz`;
+    await waitUntil(() => isOk(url), name, Date.now() + READY_LIMIT_MS);
+  }
+
   /** @returns {string[]} what each process has written */
   outputs() {
     return [...this.#processes.values()].map(
