Read a router's metrics from its dump only

Cause: the router registered gauges of its own beside those read from its dump. The program never passed it a registry, as two routers in one process would register one name twice; the code was dead. Conclusion: one place for each count.

--- a/packages/lovagepond-cli/src/role_metrics.ts
+++ b/packages/lovagepond-cli/src/role_metrics.ts
@@ -94,6 +94,12 @@
     help: 'Backend servers in the membership that this router holds.',
     path: ['backendServers'],
   },
+  {
+    kind: 'gauge',
+    name: 'lovagepond_suspected_servers',
+    help: 'Backend servers that this router has evidence against.',
+    path: ['suspects'],
+  },
   {
     kind: 'counter',
     name: 'lovagepond_frames_dropped_total',
--- a/packages/lovagepond-router/src/router_role.ts
+++ b/packages/lovagepond-router/src/router_role.ts
@@ -18,7 +18,6 @@
 import {EarlyRefusal} from './router_early_refusal.js';
 import {DEFAULT_EVIDENCE_SETTINGS, RouterEvidence} from './router_evidence.js';
 import {RouterLoadView} from './router_load_view.js';
-import {type MetricsSource, registerMetrics} from './router_metrics.js';
 import {PLACEMENT_POLICIES} from './router_placement_table.js';
 import {SidecarProber} from './router_prober.js';
 import {loadKeyHasher} from './router_rendezvous_hash.js';
@@ -45,8 +44,6 @@
   readonly random: Random;
   /** Makes the front that hands requests to the handler. */
   readonly createFront: (handler: CallerHandler) => CallerFront;
-  /** Left out: nothing is measured. */
-  readonly metrics?: MetricsSource;
 }
 
 const DUMP_VERSION = 1;
@@ -126,7 +123,6 @@
   async start(): Promise<void> {
     const running = await this.#assemble();
     this.#running = running;
-    this.#registerMetrics(running);
     await running.front.start();
     this.#link.start();
     this.#timer = setInterval(() => {
@@ -217,18 +213,6 @@
     return {dispatcher, prober, front: createFront(dispatcher)};
   }
 
-  #registerMetrics({dispatcher}: Running): void {
-    if (!this.#parts.metrics) return;
-    registerMetrics(this.#parts.metrics, {
-      counts: () => this.#counters.read(),
-      inFlight: () => dispatcher.inFlight,
-      suspects: () => this.#evidence.suspects,
-      revision: () => this.#state.revision,
-      controlBytes: () => this.#link.receivedBytes + this.#link.sentBytes,
-      skewByPool: () => measureSkew(this.#state.membership, this.#load),
-    });
-  }
-
   #tick({dispatcher, prober}: Running): void {
     const now = this.#parts.clock.now();
     this.#link.tick(now);
