Load no other role's code in a role's process

Cause: each router held control, consensus, the operator package and undici: the reading of a settings file imported every role's schema for one function, and the schema of control imported defaults as values from packages whose index reaches everything. Found by counting evaluated modules of the bundle. A test follows the bundle's static imports. The test fails for control with the former two files. Conclusion: the sidecar needs undici for its backend server, 110 modules.

--- /dev/null
+++ b/packages/lovagepond-cli/src/__tests__/unit/loaded_code.test.ts
@@ -0,0 +1,58 @@
+import {build, type Metafile} from 'esbuild';
+import {beforeAll, describe, expect, it} from 'vitest';
+
+const SOURCE = 'packages/lovagepond-cli/src';
+const SHELL = [`${SOURCE}/main.ts`, `${SOURCE}/command_role.ts`];
+
+/** Files evaluated once these are: all that is not imported when asked for. */
+function listLoaded(
+  {inputs}: Metafile,
+  entries: readonly string[],
+): ReadonlySet<string> {
+  const loaded = new Set<string>();
+  const pending = [...entries];
+  for (let file = pending.pop(); file !== undefined; file = pending.pop()) {
+    if (loaded.has(file)) continue;
+    loaded.add(file);
+    for (const {path, kind} of inputs[file]?.imports ?? []) {
+      if (kind !== 'dynamic-import') pending.push(path);
+    }
+  }
+  return loaded;
+}
+
+// Every process pays for what it evaluates: with one careless import of a
+// value, each router once held control, consensus and undici in memory.
+describe('a role', () => {
+  let metafile: Metafile;
+
+  beforeAll(async () => {
+    const result = await build({
+      entryPoints: [`${SOURCE}/main.ts`],
+      bundle: true,
+      platform: 'node',
+      write: false,
+      metafile: true,
+      logLevel: 'error',
+    });
+    metafile = result.metafile;
+  });
+
+  it.each([
+    ['router', ['undici', 'control', 'consensus', 'operator', 'sidecar']],
+    ['control', ['undici', 'router', 'sidecar', 'caller', 'backend']],
+    ['sidecar', ['control', 'consensus', 'operator', 'caller']],
+  ])('%s loads nothing of %j', (role, foreign) => {
+    const entries = [...SHELL, `${SOURCE}/role_${role}.ts`];
+    const loaded = [...listLoaded(metafile, entries)];
+    expect(loaded.some(file => file.includes(`lovagepond-${role}/`))).toBe(
+      true,
+    );
+    const found = foreign.filter(name =>
+      loaded.some(file =>
+        new RegExp(`(^packages/lovagepond-|node_modules/)${name}/`).test(file),
+      ),
+    );
+    expect(found).toEqual([]);
+  });
+});
--- a/packages/lovagepond-cli/src/__tests__/unit/settings_examples.test.ts
+++ b/packages/lovagepond-cli/src/__tests__/unit/settings_examples.test.ts
@@ -7,9 +7,9 @@
 import {
   checkParsedSettings,
   checkSettingsFiles,
-  roleOf,
 } from '../../check_settings_files.js';
 import {ROLE_NAMES} from '../../cli_constants.js';
+import {roleOf} from '../../role_of_settings.js';
 import {ROLE_SCHEMAS} from '../../role_schemas.js';
 
 const EXAMPLES = 'examples';
--- a/packages/lovagepond-cli/src/check_settings_files.ts
+++ b/packages/lovagepond-cli/src/check_settings_files.ts
@@ -11,7 +11,8 @@
   readSettings,
   type SettingsFault,
 } from '@lovagepond/platform';
-import {ROLE_NAMES, type RoleName} from './cli_constants.js';
+import {ROLE_NAMES} from './cli_constants.js';
+import {roleOf} from './role_of_settings.js';
 import {ROLE_SCHEMAS} from './role_schemas.js';
 
 /** What a check of several files gives. */
@@ -19,15 +20,6 @@
   readonly faults: readonly SettingsFault[];
 }
 
-/**
- * @param parsed a settings file
- * @returns the role it is for, or undefined when it names none
- */
-export function roleOf(parsed: ParsedSettings): RoleName | undefined {
-  const role = parsed.sections['process']?.['role'];
-  return ROLE_NAMES.find(name => name === role);
-}
-
 function describeMissingRole(file: string): SettingsFault {
   const message = `is missing or unknown; one of ${ROLE_NAMES.join(', ')}`;
   return {file, section: 'process', key: 'role', message};
--- a/packages/lovagepond-cli/src/command_role.ts
+++ b/packages/lovagepond-cli/src/command_role.ts
@@ -9,10 +9,10 @@
   readSettings,
   type SettingsFault,
 } from '@lovagepond/platform';
-import {roleOf} from './check_settings_files.js';
 import {type RoleName} from './cli_constants.js';
 import {type CommonValues, composeRoleProcess} from './composition_root.js';
 import {loadRoleDefinition} from './role_loader.js';
+import {roleOf} from './role_of_settings.js';
 
 function printFaults(faults: readonly SettingsFault[]): ExitCode {
   process.stderr.write(`${faults.map(formatFault).join('\n')}\n`);
--- a/packages/lovagepond-cli/src/settings_control.ts
+++ b/packages/lovagepond-cli/src/settings_control.ts
@@ -2,7 +2,7 @@
  * Settings file of a member of control.
  */
 import {join} from 'node:path';
-import {CONTROL_DEFAULTS, type ControlSettings} from '@lovagepond/control';
+import {type CONTROL_DEFAULTS, type ControlSettings} from '@lovagepond/control';
 import {
   duration,
   type FileValues,
@@ -14,10 +14,7 @@
   size,
   withTraits,
 } from '@lovagepond/platform';
-import {
-  DEFAULT_OPERATOR_SETTINGS,
-  type OperatorSettings,
-} from '@lovagepond/operator';
+import {type OperatorSettings} from '@lovagepond/operator';
 import {z} from 'zod';
 import {COMMON_SECTIONS} from './settings_sections.js';
 import {formatAddresses, keepDefined} from './settings_utils.js';
@@ -66,14 +63,17 @@
 /** Values of a control member's settings file. */
 export type ControlValues = FileValues<typeof CONTROL_SCHEMA>;
 
+/** What a member's file always sets; the rest has defaults. */
+type SetSettings = Omit<ControlSettings, keyof typeof CONTROL_DEFAULTS> &
+  Partial<ControlSettings>;
+
 /**
  * @param values the checked file
- * @returns settings of the control member
+ * @returns settings of the control member, without those left to its defaults
  */
-export function toControlSettings(values: ControlValues): ControlSettings {
+export function toControlSettings(values: ControlValues): SetSettings {
   const {process: identity, platform, member, limits} = values;
   return {
-    ...CONTROL_DEFAULTS,
     nodeName: identity.name,
     region: identity.region,
     availabilityZone: identity.availabilityZone,
@@ -101,15 +101,15 @@
 /**
  * @param values the checked file
  * @param environment where the operators' token is
- * @returns settings of the administration server
+ * @returns settings of the administration server, without those left to its
+ *     defaults
  */
 export function toOperatorSettings(
   {administration}: ControlValues,
   environment: Readonly<Record<string, string | undefined>>,
-): OperatorSettings {
+): Partial<OperatorSettings> {
   const {listen, tokenVariable, maxBody, requestTimeout} = administration;
   return {
-    ...DEFAULT_OPERATOR_SETTINGS,
     host: listen.host,
     port: listen.port,
     ...keepDefined({
--- a/packages/lovagepond-cli/src/standalone_fleet.ts
+++ b/packages/lovagepond-cli/src/standalone_fleet.ts
@@ -10,13 +10,14 @@
   parseHostPort,
   SettingsError,
 } from '@lovagepond/platform';
-import {checkParsedSettings, roleOf} from './check_settings_files.js';
+import {checkParsedSettings} from './check_settings_files.js';
 import {type RoleName} from './cli_constants.js';
 import {createFake, type FakeKind} from './command_fake.js';
 import {ControlMember} from './control_member.js';
 import {type RoleParts} from './role_definition.js';
 import {type NamedRole, RoleGroup} from './role_group.js';
 import {loadRoleDefinition} from './role_loader.js';
+import {roleOf} from './role_of_settings.js';
 import {type MeteredRole, registerRoleMetrics} from './role_metrics.js';
 import {type FleetSet} from './standalone_set.js';
 
