Split the gate and the role, and keep every promise of not run

Found on the way: an attempt that was revoked before it came was forgotten when many others were refused, and could then arrive and run after "revoked" was answered; calls kept for the ledger were dropped only when none was open, which never happens under steady traffic; a young first choice sent a chat away that it had just served, as no event had named it yet.

Change: parts, presence and sessions have files of their own. Attempts taken back before they came are never dropped for space, and when there are too many the answer is unknown; refused ones are kept for two minutes, ended ones for fifteen. Each call leaves with its record. A first choice follows its own pointers, and else tries what it has heard of.

--- a/packages/lovagepond-measure/src/sidecar_memory_measure.ts
+++ b/packages/lovagepond-measure/src/sidecar_memory_measure.ts
@@ -43,6 +43,7 @@
 
 const makeAttempts: MakeHolder = size => {
   const attempts = new SidecarAttempts({
+    refusalRetentionMs: LIFETIME_MS,
     attemptRetentionMs: LIFETIME_MS,
     maxAttempts: size,
   });
--- a/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_knowledge.test.ts
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_knowledge.test.ts
@@ -99,6 +99,7 @@
   // of one that ran must not be answered "revoked" because it was forgotten.
   it('claim no knowledge of what was dropped for space', () => {
     const attempts = new SidecarAttempts({
+      refusalRetentionMs: 1_000,
       attemptRetentionMs: 1_000,
       maxAttempts: 2,
     });
@@ -114,6 +115,28 @@
   });
 });
 
+describe('attempts that were taken back before they came', () => {
+  // Routers take back attempts that a silent connection still holds, while so
+  // many others are refused that records are dropped. Each that was answered
+  // "revoked" must be refused when it arrives after all.
+  it('are never forgotten for space', () => {
+    const attempts = new SidecarAttempts({
+      refusalRetentionMs: 1_000,
+      attemptRetentionMs: 1_000,
+      maxAttempts: 4,
+    });
+    const outcomes = ['a', 'b', 'c'].map(name => attempts.revoke(name, 0));
+    expect(outcomes).toEqual(['revoked', 'revoked', 'unknown']);
+    for (let index = 0; index < 10; index += 1) {
+      attempts.refuse(`refused-${index}`, 0);
+    }
+    expect(attempts.stateOf('a')).toBe('notRun');
+    expect(attempts.size).toBe(4);
+    attempts.forget(1_000);
+    expect(attempts.size).toBe(0);
+  });
+});
+
 describe('cache moves', () => {
   it('start with the chats that save most, within the byte rate', () => {
     const chats = ['a', 'b', 'gone'].map(chat => ({workspace: 'w', chat}));
--- a/packages/lovagepond-sidecar/src/sidecar_attempts.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_attempts.ts
@@ -42,6 +42,9 @@
 
 /** Settings of {@link SidecarAttempts}. */
 export interface AttemptsSettings {
+  /** How long an attempt is remembered that was answered as not run. */
+  readonly refusalRetentionMs: number;
+  /** How long one that was dispatched is remembered after its end. */
   readonly attemptRetentionMs: number;
   readonly maxAttempts: number;
 }
@@ -50,8 +53,12 @@
 export class SidecarAttempts {
   readonly #settings: AttemptsSettings;
   readonly #records = new Map<string, AttemptRecord>();
-  /** Ended attempts, oldest first. */
+  /** Attempts whose run is over, oldest first. */
   readonly #ended = new Set<string>();
+  /** Attempts answered as not run, oldest first. */
+  readonly #refused = new Set<string>();
+  /** Attempts that were taken back before they came, oldest first. */
+  readonly #unseen = new Set<string>();
   #forcedForgetAt = -Infinity;
 
   constructor(settings: AttemptsSettings) {
@@ -114,6 +121,7 @@
   refuse(attemptId: string, now: number): boolean {
     const record = this.#records.get(attemptId);
     if (record?.state === ATTEMPT_STATE.DISPATCHED) return false;
+    if (this.#unseen.has(attemptId)) return true;
     this.#end(attemptId, ATTEMPT_STATE.NOT_RUN, now);
     return true;
   }
@@ -143,33 +151,62 @@
       if (outcome === REVOKE_OUTCOME.REVOKED) this.refuse(attemptId, now);
       return outcome;
     }
+    return this.#revokeUnseen(attemptId, now);
+  }
+
+  /** @param now present time; attempts past their retention go */
+  forget(now: number): void {
+    // A refused attempt has come already. The end of a run is kept longer:
+    // forgotten, a revoke of it could not be answered.
+    this.#forgetUnseen(now);
+    this.#forgetOldest(this.#refused, now);
+    if (this.#forgetOldest(this.#ended, now)) this.#forcedForgetAt = now;
+  }
+
+  #revokeUnseen(attemptId: string, now: number): RevokeOutcome {
+    const {attemptRetentionMs, maxAttempts} = this.#settings;
     // It may be among the ended ones dropped for space: it may have run.
-    const {attemptRetentionMs} = this.#settings;
-    if (now - this.#forcedForgetAt < attemptRetentionMs) {
-      return REVOKE_OUTCOME.UNKNOWN;
-    }
-    this.refuse(attemptId, now);
+    const forgotten = now - this.#forcedForgetAt < attemptRetentionMs;
+    // Forgotten before its time, it could still arrive and run.
+    const full = this.#unseen.size >= maxAttempts / 2;
+    if (forgotten || full) return REVOKE_OUTCOME.UNKNOWN;
+    const keepUntil = now + attemptRetentionMs;
+    this.#records.set(attemptId, {state: ATTEMPT_STATE.NOT_RUN, keepUntil});
+    this.#unseen.add(attemptId);
     return REVOKE_OUTCOME.REVOKED;
   }
 
-  /** @param now present time; ended attempts past their retention go */
-  forget(now: number): void {
-    for (const attemptId of this.#ended) {
+  #forgetUnseen(now: number): void {
+    for (const attemptId of this.#unseen) {
+      if ((this.#records.get(attemptId)?.keepUntil ?? 0) > now) return;
+      this.#unseen.delete(attemptId);
+      this.#records.delete(attemptId);
+    }
+  }
+
+  /** @returns true when one was dropped for space before its time */
+  #forgetOldest(attempts: Set<string>, now: number): boolean {
+    let forced = false;
+    for (const attemptId of attempts) {
       const record = this.#records.get(attemptId);
-      const late = record && record.keepUntil > now;
+      const early = record !== undefined && record.keepUntil > now;
       const full = this.#records.size > this.#settings.maxAttempts;
-      if (late && !full) return;
-      if (late) this.#forcedForgetAt = now;
-      this.#ended.delete(attemptId);
+      if (early && !full) break;
+      forced ||= early;
+      attempts.delete(attemptId);
       this.#records.delete(attemptId);
     }
+    return forced;
   }
 
   #end(attemptId: string, state: AttemptState, now: number): void {
-    const keepUntil = now + this.#settings.attemptRetentionMs;
-    this.#records.set(attemptId, {state, keepUntil});
+    const {attemptRetentionMs, refusalRetentionMs} = this.#settings;
+    const refused = state === ATTEMPT_STATE.NOT_RUN;
+    const retentionMs = refused ? refusalRetentionMs : attemptRetentionMs;
+    this.#records.set(attemptId, {state, keepUntil: now + retentionMs});
     this.#ended.delete(attemptId);
-    this.#ended.add(attemptId);
+    this.#refused.delete(attemptId);
+    (refused ? this.#refused : this.#ended).add(attemptId);
     this.forget(now);
   }
 }
--- a/packages/lovagepond-sidecar/src/sidecar_claimed_calls.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_claimed_calls.ts
@@ -132,8 +132,9 @@
   /** @param now present time */
   tick(now: number): void {
     this.#perform(this.#claims.tick(now));
-    if (this.#calls.size === 0 || this.#claims.size > 0) return;
-    this.#calls.clear();
+    for (const attemptId of this.#calls.keys()) {
+      if (!this.#claims.has(attemptId)) this.#calls.delete(attemptId);
+    }
   }
 
   #perform(actions: readonly ClaimAction[]): void {
--- a/packages/lovagepond-sidecar/src/sidecar_claims.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_claims.ts
@@ -96,6 +96,14 @@
     return this.#claims.size;
   }
 
+  /**
+   * @param attemptId an attempt
+   * @returns true between its claim and the end of its record
+   */
+  has(attemptId: string): boolean {
+    return this.#claims.has(attemptId);
+  }
+
   /**
    * @param attemptId an attempt that the gate wants claimed
    * @param now present time
--- a/packages/lovagepond-sidecar/src/sidecar_dispatcher.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_dispatcher.ts
@@ -18,6 +18,7 @@
 import {type SidecarGate} from './sidecar_gate.js';
 import {runAttempt, type RunOutcome} from './sidecar_run.js';
 import {type FrameStream, SidecarSession} from './sidecar_session.js';
+import {SidecarSessions} from './sidecar_sessions.js';
 import {type SidecarSettings} from './sidecar_settings.js';
 import {
   type GateAction,
@@ -104,9 +105,8 @@
   readonly #parts: DispatcherParts;
   readonly #gate: SidecarGate;
   readonly #calls: ClaimedCalls;
-  readonly #sessions = new Map<string, SidecarSession>();
+  readonly #sessions: SidecarSessions;
   readonly #aborts = new Map<string, AbortController>();
-  readonly #deadlines = new Map<string, number>();
   readonly #failedByKind = new Map<string, number>();
   readonly #refusedByKind = new Map<string, number>();
   #answered = 0;
@@ -133,6 +133,7 @@
     this.#settings = settings;
     this.#parts = parts;
     this.#gate = parts.gate;
+    this.#sessions = new SidecarSessions(settings);
     const {backendServer, claimTimeoutMs} = settings;
     this.#calls = new ClaimedCalls(
       {
@@ -169,7 +170,7 @@
    */
   get idle(): boolean {
     if (!this.#gate.idle || this.#calls.size > 0) return false;
-    return ![...this.#sessions.values()].some(({attached}) => attached);
+    return !this.#sessions.anyAttached;
   }
 
   /**
@@ -192,17 +193,16 @@
       stream.end();
       return undefined;
     }
-    const known = this.#sessions.get(attemptId);
+    const known = this.#sessions.find(attemptId);
     if (known) {
       known.attach(stream, resumeFrom, now);
       return known;
     }
     const {maxAnswerBytes} = this.#settings;
-    const session = new SidecarSession(request, maxAnswerBytes);
+    const session = new SidecarSession(request, now, maxAnswerBytes);
     session.attach(stream, 0, now);
-    this.#sessions.set(attemptId, session);
+    this.#sessions.add(session);
     const offer = makeOffer(request, now);
-    this.#deadlines.set(attemptId, offer.deadlineAt);
     this.perform(this.#gate.offer(offer, now));
     return session;
   }
@@ -237,7 +237,7 @@
   perform(actions: readonly GateAction[]): void {
     const now = this.#parts.clock.now();
     for (const action of actions) {
-      const session = this.#sessions.get(action.attemptId);
+      const session = this.#sessions.find(action.attemptId);
       if (session) this.#handlers[action.kind](action as never, session, now);
     }
   }
@@ -246,17 +246,9 @@
   tick(now: number): void {
     this.perform(this.#gate.tick(now));
     this.#calls.tick(now);
-    const {heartbeatIntervalMs} = this.#settings;
-    const finished: string[] = [];
-    for (const [attemptId, session] of this.#sessions) {
-      session.beat(now, heartbeatIntervalMs);
-      if (session.closedAt === undefined) this.#watchDetached(session, now);
-      else if (this.#isPast(session.closedAt, now)) this.#forget(attemptId);
-      else if (!session.attached) finished.push(attemptId);
-    }
-    const surplus = finished.length - this.#settings.maxFinishedAnswers;
-    for (const attemptId of finished.slice(0, Math.max(0, surplus))) {
-      this.#forget(attemptId);
+    for (const session of this.#sessions.tick(now)) {
+      this.perform(this.#gate.callerGone(session.request.attemptId, now));
+      session.release();
     }
   }
 
@@ -272,23 +264,6 @@
     return tooLarge ? 'payloadTooLarge' : undefined;
   }
 
-  #watchDetached(session: SidecarSession, now: number): void {
-    const {detachedAt, request} = session;
-    if (detachedAt === undefined) return;
-    if (now - detachedAt < this.#settings.detachGraceMs) return;
-    this.perform(this.#gate.callerGone(request.attemptId, now));
-    session.release();
-  }
-
-  #isPast(closedAt: number, now: number): boolean {
-    return now - closedAt >= this.#settings.answerGraceMs;
-  }
-
-  #forget(attemptId: string): void {
-    this.#sessions.delete(attemptId);
-    this.#deadlines.delete(attemptId);
-  }
-
   #refuse(action: RefuseAction, session: SidecarSession, now: number): void {
     const {failure, pointer} = action;
     countUp(this.#refusedByKind, failure.kind);
@@ -297,7 +272,7 @@
         ? this.#parts.newerConfiguration(session.request.revision)
         : NO_BYTES;
     session.refuse(makeRefused(failure, pointer, configuration), now);
-    this.#forget(session.request.attemptId);
+    this.#sessions.forget(session.request.attemptId);
   }
 
   #fail(session: SidecarSession, failure: Failure, now: number): void {
@@ -312,8 +287,7 @@
     const abort = new AbortController();
     this.#aborts.set(attemptId, abort);
     const {signal} = abort;
-    const deadline = this.#deadlines.get(attemptId) ?? clock.now();
-    const parts = {backend, session, clock, deadline, signal};
+    const parts = {backend, session, clock, signal};
     const outcome = await runAttempt(parts);
     this.#aborts.delete(attemptId);
     this.#onRunEnd(session, outcome);
@@ -356,7 +330,7 @@
   #onReplay(attemptId: string, answer: ClaimAnswer): void {
     const now = this.#parts.clock.now();
     this.perform(this.#gate.claimDenied(attemptId, now));
-    const session = this.#sessions.get(attemptId);
+    const session = this.#sessions.find(attemptId);
     if (!session) return;
     const {status, contentType} = answer;
     session.begin({status, contentType});
@@ -367,7 +341,7 @@
   #onDenied(attemptId: string, failure: Failure): void {
     const now = this.#parts.clock.now();
     this.perform(this.#gate.claimDenied(attemptId, now));
-    const session = this.#sessions.get(attemptId);
+    const session = this.#sessions.find(attemptId);
     if (!session) return;
     const {disposition} = answerFor(failure.kind);
     if (disposition !== DISPOSITION.NOT_RUN) {
--- a/packages/lovagepond-sidecar/src/sidecar_gate.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_gate.ts
@@ -3,30 +3,29 @@
  * present time go in; what to answer, dispatch and cancel comes out.
  */
 import {type Random} from '@lovagepond/core';
-import {SidecarAdmission} from './sidecar_admission.js';
-import {
-  ATTEMPT_STATE,
-  REVOKE_OUTCOME,
-  SidecarAttempts,
-} from './sidecar_attempts.js';
-import {SidecarCacheIndex} from './sidecar_cache_index.js';
-import {SidecarDrain} from './sidecar_drain.js';
+import {type SidecarAdmission} from './sidecar_admission.js';
+import {ATTEMPT_STATE, REVOKE_OUTCOME} from './sidecar_attempts.js';
+import {type SidecarCacheIndex} from './sidecar_cache_index.js';
 import {type HeldRequest} from './sidecar_fair_queue.js';
+import {
+  dumpGate,
+  type GateParts,
+  INITIAL_GATE_MODE,
+  makeGateParts,
+  makeRefusalView,
+  readGateLoad,
+} from './sidecar_gate_parts.js';
 import {
   answerCopy,
   findRefusal,
   isFirstChoice,
   makeRefusal,
-  type RefusalView,
 } from './sidecar_gate_refusals.js';
-import {SidecarHold} from './sidecar_hold.js';
 import {type HoldReview} from './sidecar_hold_review.js';
-import {SidecarPointers} from './sidecar_pointers.js';
-import {SidecarRetryAdvice} from './sidecar_retry_advice.js';
-import {type Run, SidecarRuns} from './sidecar_runs.js';
+import {type SidecarPointers} from './sidecar_pointers.js';
+import {type Run} from './sidecar_runs.js';
 import {chooseHandOver} from './sidecar_take.js';
 import {
-  DEFAULT_GATE_POLICY,
   type GateAction,
   type GateLoad,
   type GatePolicy,
@@ -42,41 +41,46 @@
 
 /** Decides everything that reaches one backend server. Without I/O. */
 export class SidecarGate {
-  readonly #settings: GateSettings;
-  readonly #advice: SidecarRetryAdvice;
-  readonly #attempts: SidecarAttempts;
-  readonly #drain = new SidecarDrain();
-  readonly #hold: SidecarHold;
-  readonly #runs: SidecarRuns;
-  /** Bound on the engine's work, with the pool's mean and own corrections. */
-  readonly admission: SidecarAdmission;
-  /** Which chats are warm here. */
-  readonly cache: SidecarCacheIndex;
-  /** Which chats of this first choice are warm elsewhere. */
-  readonly pointers: SidecarPointers;
-  #policy: GatePolicy = DEFAULT_GATE_POLICY;
-  #notReady: string | undefined;
-  #revision = 0;
+  readonly #parts: GateParts;
+  #mode = INITIAL_GATE_MODE;
 
   /**
    * @param settings the sidecar's own settings
    * @param random spreads the times at which refused callers come back
    */
   constructor(settings: GateSettings, random: Random) {
-    this.#settings = settings;
-    const {loadBound, prefillTokensPerSecond, decodeTokensPerSecond} =
-      this.#policy;
-    this.#attempts = new SidecarAttempts(settings);
-    this.admission = new SidecarAdmission(settings, loadBound);
-    this.#runs = new SidecarRuns(this.admission);
-    this.#hold = new SidecarHold(
-      this.admission,
-      this.#drain,
-      (prefillTokensPerSecond + decodeTokensPerSecond) / 2,
-    );
-    this.#advice = new SidecarRetryAdvice(this.#hold.estimate, random);
-    this.cache = new SidecarCacheIndex(settings.maxChats);
-    this.pointers = new SidecarPointers(settings);
+    this.#parts = makeGateParts(settings, random);
+  }
+
+  /** @returns the bound on the engine's work */
+  get admission(): SidecarAdmission {
+    return this.#parts.admission;
+  }
+
+  /** @returns which chats are warm here */
+  get cache(): SidecarCacheIndex {
+    return this.#parts.cache;
+  }
+
+  /** @returns which chats of this first choice are warm elsewhere */
+  get pointers(): SidecarPointers {
+    return this.#parts.pointers;
+  }
+
+  /** @returns true when work may be taken, but for a planned leave */
+  get ready(): boolean {
+    return this.#mode.notReady === undefined;
+  }
+
+  /** @returns true during a planned leave */
+  get draining(): boolean {
+    return this.#parts.drain.draining;
+  }
+
+  /** @returns true when nothing waits and nothing runs */
+  get idle(): boolean {
+    const {hold, runs} = this.#parts;
+    return hold.queue.size === 0 && runs.size === 0;
   }
 
   /**
@@ -84,15 +88,14 @@
    * @param revision the configuration's revision
    */
   configure(policy: GatePolicy, revision: number): void {
-    this.#policy = policy;
-    this.#revision = revision;
-    this.admission.configure(policy.loadBound);
-    this.#hold.queue.configure(policy.workspaces);
+    this.#mode = {...this.#mode, policy, revision};
+    this.#parts.admission.configure(policy.loadBound);
+    this.#parts.hold.queue.configure(policy.workspaces);
   }
 
   /** @param reason why no work may be taken; undefined when it may */
   setNotReady(reason: string | undefined): void {
-    this.#notReady = reason;
+    this.#mode = {...this.#mode, notReady: reason};
   }
 
   /**
@@ -102,17 +105,21 @@
    */
   offer(offer: Offer, now: number): GateAction[] {
     const {attemptId} = offer;
-    const copy = answerCopy(attemptId, this.#attempts.stateOf(attemptId));
+    const copy = answerCopy(attemptId, this.#parts.attempts.stateOf(attemptId));
     if (copy) return [copy];
-    this.admission.setRouterEstimate(offer.poolMeanTokens, now);
-    const refusal = findRefusal(offer, this.#refusalView(now), now);
+    this.#parts.admission.setRouterEstimate(offer.poolMeanTokens, now);
+    const refusal = findRefusal(
+      offer,
+      makeRefusalView(this.#parts, this.#mode, now),
+      now,
+    );
     if (refusal) {
-      this.#attempts.refuse(attemptId, now);
+      this.#parts.attempts.refuse(attemptId, now);
       return [refusal];
     }
-    const expectedWaitMs = this.#hold.expectedWaitMs(offer, now);
-    this.#attempts.hold(attemptId);
-    this.#hold.add(offer, this.#policy.maxHoldMs, now);
+    const expectedWaitMs = this.#parts.hold.expectedWaitMs(offer, now);
+    this.#parts.attempts.hold(attemptId);
+    this.#parts.hold.add(offer, this.#mode.policy.maxHoldMs, now);
     return [{kind: 'accept', attemptId, expectedWaitMs}, ...this.#pump(now)];
   }
 
@@ -122,17 +129,17 @@
    * @returns the outcome for the router and what to do
    */
   revoke(attemptId: string, now: number): RevokeResult {
-    const former = this.#attempts.stateOf(attemptId);
-    const outcome = this.#attempts.revoke(attemptId, now);
+    const former = this.#parts.attempts.stateOf(attemptId);
+    const outcome = this.#parts.attempts.revoke(attemptId, now);
     const open =
       former === ATTEMPT_STATE.HELD || former === ATTEMPT_STATE.CLAIMING;
     if (outcome !== REVOKE_OUTCOME.REVOKED || !open) {
       return {outcome, actions: []};
     }
     const actions: GateAction[] = [];
-    this.#hold.queue.remove(attemptId);
+    this.#parts.hold.queue.remove(attemptId);
     if (former === ATTEMPT_STATE.CLAIMING) {
-      this.#runs.end(attemptId, now);
+      this.#parts.runs.end(attemptId, now);
       actions.push({kind: 'releaseClaim', attemptId});
     }
     actions.push(makeRefusal(attemptId, 'revoked'));
@@ -149,10 +156,10 @@
    * @returns what to do
    */
   callerGone(attemptId: string, now: number): readonly GateAction[] {
-    if (this.#attempts.stateOf(attemptId) !== ATTEMPT_STATE.DISPATCHED) {
+    if (this.#parts.attempts.stateOf(attemptId) !== ATTEMPT_STATE.DISPATCHED) {
       return this.revoke(attemptId, now).actions;
     }
-    const run = this.#runs.find(attemptId);
+    const run = this.#parts.runs.find(attemptId);
     if (!run || run.offer.nonRepeatable) return [];
     return [{kind: 'cancel', attemptId}];
   }
@@ -163,8 +170,8 @@
    * @returns the dispatch, unless it was taken back meanwhile
    */
   claimGranted(attemptId: string, now: number): GateAction[] {
-    const run = this.#runs.find(attemptId);
-    if (!run || !this.#attempts.dispatch(attemptId)) return [];
+    const run = this.#parts.runs.find(attemptId);
+    if (!run || !this.#parts.attempts.dispatch(attemptId)) return [];
     return [this.#makeDispatch(run.offer, run.heldAt, now)];
   }
 
@@ -176,8 +183,8 @@
    * @returns what may be dispatched in its place
    */
   claimDenied(attemptId: string, now: number): GateAction[] {
-    if (!this.#attempts.refuse(attemptId, now)) return [];
-    this.#runs.end(attemptId, now);
+    if (!this.#parts.attempts.refuse(attemptId, now)) return [];
+    this.#parts.runs.end(attemptId, now);
     return this.#pump(now);
   }
 
@@ -188,9 +195,9 @@
    * @returns a refusal when it was not run, and what may be dispatched next
    */
   finish(attemptId: string, end: RunEnd, now: number): GateAction[] {
-    const run = this.#runs.end(attemptId, now);
+    const run = this.#parts.runs.end(attemptId, now);
     if (!run) return [];
-    this.#attempts.finish(attemptId, end.kind === 'notRun', now);
+    this.#parts.attempts.finish(attemptId, end.kind === 'notRun', now);
     const actions: GateAction[] = [];
     if (end.kind === 'notRun') {
       const {message, errorKind = 'unreachable'} = end;
@@ -207,15 +214,15 @@
    * @returns refusals of what can't be served any more, and dispatches
    */
   tick(now: number): GateAction[] {
-    this.#attempts.forget(now);
-    this.pointers.expire(now);
-    const due = this.#hold.takeDue(now);
+    this.#parts.attempts.forget(now);
+    this.#parts.pointers.expire(now);
+    const due = this.#parts.hold.takeDue(now);
     return [...this.#answerDue(due, now), ...this.#pump(now)];
   }
 
   /** @returns when {@link tick} is needed next; Infinity when nothing waits */
   nextTickAt(): number {
-    return this.#hold.nextDueAt();
+    return this.#parts.hold.nextDueAt();
   }
 
   /**
@@ -227,22 +234,25 @@
    * @returns at most one request, already out of the queue
    */
   handOver(taker: string, roomTokens: number, now: number): HandOver {
-    const {queue, estimate} = this.#hold;
+    const {hold, cache, attempts, pointers, settings} = this.#parts;
+    const {queue, estimate} = hold;
+    const {prefillTokensPerSecond, reuseWeight = NEUTRAL_REUSE_WEIGHT} =
+      this.#mode.policy;
     const view = {
       queue,
       estimate,
-      cache: this.cache,
-      roomTokens: this.#hold.freeTokens(now),
-      prefillTokensPerSecond: this.#policy.prefillTokensPerSecond,
-      reuseWeight: this.#policy.reuseWeight ?? NEUTRAL_REUSE_WEIGHT,
+      cache,
+      roomTokens: hold.freeTokens(now),
+      prefillTokensPerSecond,
+      reuseWeight,
     };
     const held = chooseHandOver(view, roomTokens);
     if (!held) return {attemptIds: [], tokens: 0, actions: []};
     const {attemptId, workspace, chat, tokens} = held.offer;
     queue.remove(attemptId);
-    this.#attempts.refuse(attemptId, now);
-    if (chat !== '' && isFirstChoice(held.offer, this.#settings)) {
-      this.pointers.put(workspace, chat, taker, now);
+    attempts.refuse(attemptId, now);
+    if (chat !== '' && isFirstChoice(held.offer, settings)) {
+      pointers.put(workspace, chat, taker, now);
     }
     const refusal = makeRefusal(attemptId, 'handedOver', {pointer: taker});
     const actions = [refusal, ...this.#pump(now)];
@@ -254,9 +264,9 @@
    * @returns room to offer in a take; 0 while anything waits here
    */
   takeRoom(now: number): number {
-    const closed = this.#notReady !== undefined || this.#drain.draining;
-    if (closed || this.#hold.queue.size > 0) return 0;
-    return this.#hold.freeTokens(now);
+    const closed = !this.ready || this.#parts.drain.draining;
+    if (closed || this.#parts.hold.queue.size > 0) return 0;
+    return this.#parts.hold.freeTokens(now);
   }
 
   /**
@@ -267,7 +277,7 @@
    * @param until when it is given back by itself
    */
   reserve(victim: string, tokens: number, until: number): void {
-    this.#hold.reserve(victim, tokens, until);
+    this.#parts.hold.reserve(victim, tokens, until);
   }
 
   /**
@@ -278,28 +288,13 @@
    * @returns refusals of what can't be served within the limit
    */
   startDraining(now: number, limitMs: number): GateAction[] {
-    this.#drain.start(now, limitMs);
-    return this.#answerDue(this.#hold.review(now), now);
+    this.#parts.drain.start(now, limitMs);
+    return this.#answerDue(this.#parts.hold.review(now), now);
   }
 
   /** Takes a planned leave back. */
   resume(): void {
-    this.#drain.resume();
-  }
-
-  /** @returns true when work may be taken, but for a planned leave */
-  get ready(): boolean {
-    return this.#notReady === undefined;
-  }
-
-  /** @returns true during a planned leave */
-  get draining(): boolean {
-    return this.#drain.draining;
-  }
-
-  /** @returns true when nothing waits and nothing runs */
-  get idle(): boolean {
-    return this.#hold.queue.size === 0 && this.#runs.size === 0;
+    this.#parts.drain.resume();
   }
 
   /**
@@ -310,8 +305,8 @@
    * @returns refusals of all that waits
    */
   backendDown(now: number): GateAction[] {
-    return this.#hold.takeAll().map(({offer}) => {
-      this.#attempts.refuse(offer.attemptId, now);
+    return this.#parts.hold.takeAll().map(({offer}) => {
+      this.#parts.attempts.refuse(offer.attemptId, now);
       return makeRefusal(offer.attemptId, 'notReady');
     });
   }
@@ -322,8 +317,8 @@
    * @param now present time
    */
   backendRestarted(now: number): void {
-    this.cache.reset();
-    this.admission.reset(now);
+    this.#parts.cache.reset();
+    this.#parts.admission.reset(now);
   }
 
   /**
@@ -331,11 +326,7 @@
    * @returns the load to announce
    */
   load(now: number): GateLoad {
-    return {
-      runningTokens: Math.round(this.admission.runningTokens(now)),
-      queuedTokens: this.#hold.queue.tokens,
-      queuedRequests: this.#hold.queue.size,
-    };
+    return readGateLoad(this.#parts, now);
   }
 
   /**
@@ -343,47 +334,17 @@
    * @returns the gate's state for an operator
    */
   dump(now: number): Readonly<Record<string, unknown>> {
-    return {
-      ...this.load(now),
-      limitTokens: Math.round(this.admission.limitTokens(now)),
-      poolMeanTokens: Math.round(this.admission.poolMeanTokens(now)),
-      tokensPerSecond: Math.round(this.#hold.estimate.tokensPerSecond),
-      runs: this.#runs.size,
-      attempts: this.#attempts.size,
-      chats: this.cache.size,
-      pointers: this.pointers.size,
-      draining: this.draining,
-      notReady: this.#notReady ?? '',
-      revision: this.#revision,
-    };
-  }
-
-  #refusalView(now: number): RefusalView {
-    return {
-      settings: this.#settings,
-      policy: this.#policy,
-      notReady: this.#notReady,
-      revision: this.#revision,
-      draining: this.draining,
-      queue: this.#hold.queue,
-      cache: this.cache,
-      pointers: this.pointers,
-      runningTokensOf: workspace => this.#runs.tokensOf(workspace),
-      expectedWaitMs: offer => this.#hold.expectedWaitMs(offer, now),
-      serviceMs: tokens => this.#hold.estimate.serviceMs(tokens),
-      comeBackMs: (offer, missingMs) =>
-        this.#advice.comeBackMs(offer, missingMs, now),
-    };
+    return dumpGate(this.#parts, this.#mode, now);
   }
 
   #pump(now: number): GateAction[] {
     const actions: GateAction[] = [];
-    let held = this.#hold.next(now);
+    let held = this.#parts.hold.next(now);
     while (held) {
       actions.push(...this.#release(held, now));
-      held = this.#hold.next(now);
+      held = this.#parts.hold.next(now);
     }
-    this.#hold.estimate.noteQueue(this.#hold.queue.size > 0, now);
+    this.#parts.hold.estimate.noteQueue(this.#parts.hold.queue.size > 0, now);
     return actions;
   }
 
@@ -392,39 +353,39 @@
     const {offer, heldAt} = held;
     const {attemptId} = offer;
     const allowed = offer.nonRepeatable
-      ? this.#attempts.claim(attemptId)
-      : this.#attempts.dispatch(attemptId);
+      ? this.#parts.attempts.claim(attemptId)
+      : this.#parts.attempts.dispatch(attemptId);
     if (!allowed) return [];
-    this.#runs.start(offer, heldAt, now);
+    this.#parts.runs.start(offer, heldAt, now);
     if (offer.nonRepeatable) return [{kind: 'claim', attemptId}];
     return [this.#makeDispatch(offer, heldAt, now)];
   }
 
   #makeDispatch(offer: Offer, heldAt: number, now: number): GateAction {
     const {attemptId, workspace, chat, tokens} = offer;
-    const warmth = this.cache.read(workspace, chat);
-    this.cache.noteServed(workspace, chat, tokens);
-    this.pointers.remove(workspace, chat);
+    const warmth = this.#parts.cache.read(workspace, chat);
+    this.#parts.cache.noteServed(workspace, chat, tokens);
+    this.#parts.pointers.remove(workspace, chat);
     return {kind: 'dispatch', attemptId, warmth, heldMs: now - heldAt};
   }
 
   #noteDone({offer, startedAt}: Run, now: number): GateAction[] {
-    this.#hold.estimate.noteFinish(offer.tokens, now - startedAt, now);
-    const elsewhere = !isFirstChoice(offer, this.#settings);
+    this.#parts.hold.estimate.noteFinish(offer.tokens, now - startedAt, now);
+    const elsewhere = !isFirstChoice(offer, this.#parts.settings);
     if (offer.chat === '' || !elsewhere) return [];
     return [{kind: 'point', attemptId: offer.attemptId}];
   }
 
   #giveUp({offer}: HeldRequest, now: number): GateAction {
     const {attemptId} = offer;
-    this.#attempts.refuse(attemptId, now);
-    const retryAfterMs = this.#advice.comeBackMs(offer, 0, now);
+    this.#parts.attempts.refuse(attemptId, now);
+    const retryAfterMs = this.#parts.advice.comeBackMs(offer, 0, now);
     return makeRefusal(attemptId, 'overloaded', {retryAfterMs});
   }
 
   #answerDue({leaving, lost}: HoldReview, now: number): GateAction[] {
     const refusals = leaving.map(({offer}) => {
-      this.#attempts.refuse(offer.attemptId, now);
+      this.#parts.attempts.refuse(offer.attemptId, now);
       return makeRefusal(offer.attemptId, 'draining');
     });
     return [...refusals, ...lost.map(held => this.#giveUp(held, now))];
--- /dev/null
+++ b/packages/lovagepond-sidecar/src/sidecar_gate_parts.ts
@@ -0,0 +1,145 @@
+/**
+ * The parts that a gate is made of, and views of them.
+ */
+import {type Random} from '@lovagepond/core';
+import {SidecarAdmission} from './sidecar_admission.js';
+import {SidecarAttempts} from './sidecar_attempts.js';
+import {SidecarCacheIndex} from './sidecar_cache_index.js';
+import {SidecarDrain} from './sidecar_drain.js';
+import {type RefusalView} from './sidecar_gate_refusals.js';
+import {SidecarHold} from './sidecar_hold.js';
+import {SidecarPointers} from './sidecar_pointers.js';
+import {SidecarRetryAdvice} from './sidecar_retry_advice.js';
+import {SidecarRuns} from './sidecar_runs.js';
+import {
+  DEFAULT_GATE_POLICY,
+  type GateLoad,
+  type GatePolicy,
+  type GateSettings,
+} from './sidecar_types.js';
+
+/** What the gate decides with; each part has one job. */
+export interface GateParts {
+  readonly settings: GateSettings;
+  readonly admission: SidecarAdmission;
+  readonly attempts: SidecarAttempts;
+  readonly cache: SidecarCacheIndex;
+  readonly drain: SidecarDrain;
+  readonly hold: SidecarHold;
+  readonly pointers: SidecarPointers;
+  readonly advice: SidecarRetryAdvice;
+  readonly runs: SidecarRuns;
+}
+
+/** What operators and the sidecar's shell set. */
+export interface GateMode {
+  readonly policy: GatePolicy;
+  /** Configuration revision that the policy is of. */
+  readonly revision: number;
+  /** Why no work may be taken; undefined when it may. */
+  readonly notReady: string | undefined;
+}
+
+/** The mode before anything was set. */
+export const INITIAL_GATE_MODE: GateMode = Object.freeze({
+  policy: DEFAULT_GATE_POLICY,
+  revision: 0,
+  notReady: undefined,
+});
+
+/**
+ * @param settings the sidecar's own settings
+ * @param random spreads the times at which refused callers come back
+ * @returns the parts of a new gate
+ */
+export function makeGateParts(
+  settings: GateSettings,
+  random: Random,
+): GateParts {
+  const {loadBound, prefillTokensPerSecond, decodeTokensPerSecond} =
+    DEFAULT_GATE_POLICY;
+  const admission = new SidecarAdmission(settings, loadBound);
+  const drain = new SidecarDrain();
+  // Nothing is known of the mix of prompt and answer before the first runs.
+  const rate = (prefillTokensPerSecond + decodeTokensPerSecond) / 2;
+  const hold = new SidecarHold(admission, drain, rate);
+  return {
+    settings,
+    admission,
+    drain,
+    hold,
+    attempts: new SidecarAttempts(settings),
+    cache: new SidecarCacheIndex(settings.maxChats),
+    pointers: new SidecarPointers(settings),
+    advice: new SidecarRetryAdvice(hold.estimate, random),
+    runs: new SidecarRuns(admission),
+  };
+}
+
+/**
+ * @param parts a gate's parts
+ * @param mode what is set
+ * @param now present time
+ * @returns what the checks of an offer look at
+ */
+export function makeRefusalView(
+  parts: GateParts,
+  mode: GateMode,
+  now: number,
+): RefusalView {
+  const {settings, hold, cache, pointers, advice, runs, drain} = parts;
+  return {
+    ...mode,
+    settings,
+    cache,
+    pointers,
+    draining: drain.draining,
+    queue: hold.queue,
+    runningTokensOf: workspace => runs.tokensOf(workspace),
+    expectedWaitMs: offer => hold.expectedWaitMs(offer, now),
+    serviceMs: tokens => hold.estimate.serviceMs(tokens),
+    comeBackMs: (offer, missingMs) => advice.comeBackMs(offer, missingMs, now),
+  };
+}
+
+/**
+ * @param parts a gate's parts
+ * @param now present time
+ * @returns the load to announce
+ */
+export function readGateLoad(parts: GateParts, now: number): GateLoad {
+  const {admission, hold} = parts;
+  return {
+    runningTokens: Math.round(admission.runningTokens(now)),
+    queuedTokens: hold.queue.tokens,
+    queuedRequests: hold.queue.size,
+  };
+}
+
+/**
+ * @param parts a gate's parts
+ * @param mode what is set
+ * @param now present time
+ * @returns the gate's state for an operator
+ */
+export function dumpGate(
+  parts: GateParts,
+  mode: GateMode,
+  now: number,
+): Readonly<Record<string, unknown>> {
+  const {admission, hold, runs, attempts, cache, pointers, drain} = parts;
+  return {
+    ...readGateLoad(parts, now),
+    limitTokens: Math.round(admission.limitTokens(now)),
+    capacityTokens: admission.capacityTokens,
+    poolMeanTokens: Math.round(admission.poolMeanTokens(now)),
+    tokensPerSecond: Math.round(hold.estimate.tokensPerSecond),
+    runs: runs.size,
+    attempts: attempts.size,
+    chats: cache.size,
+    pointers: pointers.size,
+    draining: drain.draining,
+    notReady: mode.notReady ?? '',
+    revision: mode.revision,
+  };
+}
--- a/packages/lovagepond-sidecar/src/sidecar_gate_refusals.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_gate_refusals.ts
@@ -7,7 +7,6 @@
 import {type SidecarFairQueue} from './sidecar_fair_queue.js';
 import {type SidecarPointers} from './sidecar_pointers.js';
 import {
-  type ChatWarmth,
   type GateAction,
   type GatePolicy,
   type GateSettings,
@@ -140,15 +139,6 @@
   });
 }
 
-/**
- * At its first choice a chat of unknown state is better looked for elsewhere;
- * at its former home a context that was heard of is worth the try.
- */
-function mayBeWarm({warmth, tokens}: ChatWarmth, first: boolean): boolean {
-  if (warmth === WARMTH.WARM) return true;
-  return !first && warmth === WARMTH.UNKNOWN && tokens > 0;
-}
-
 function checkPointer(
   offer: Offer,
   view: RefusalView,
@@ -159,11 +149,17 @@
   const first = isFirstChoice(offer, view.settings);
   const named = warmCandidates.includes(backendServer);
   if (chat === '' || offer.handOvers > 0 || !(first || named)) return undefined;
-  if (mayBeWarm(view.cache.read(workspace, chat), first)) return undefined;
+  const {warmth, tokens} = view.cache.read(workspace, chat);
+  if (warmth === WARMTH.WARM) return undefined;
+  // A pointer is later than anything heard of the chat here, as serving it
+  // here removes the pointer. Without one, what was heard is worth the try.
+  const heardOf = warmth === WARMTH.UNKNOWN && tokens > 0;
+  if (heardOf && !first) return undefined;
+  const followed = view.pointers.follow(workspace, chat, requestId, now);
+  if (heardOf && followed === undefined) return undefined;
   // The chat is cold where it was at home once: rebuilt there, chats would
   // pile up on the oldest servers.
   const fallback = first ? warmCandidates[0] : offer.firstChoice;
-  const followed = view.pointers.follow(workspace, chat, requestId, now);
   const pointer = followed ?? fallback;
   if (pointer === undefined || pointer === backendServer) return undefined;
   return makeRefusal(offer.attemptId, 'servedElsewhere', {pointer});
--- /dev/null
+++ b/packages/lovagepond-sidecar/src/sidecar_presence.ts
@@ -0,0 +1,111 @@
+/**
+ * What the sidecar tells control of its backend server, and what it does with
+ * the answer: the pool's mean, the wanted state and orders.
+ */
+import {type Clock, SERVER_STATE, type ServerState} from '@lovagepond/core';
+import {type lovagepond} from '@lovagepond/protocol';
+import {SidecarAnnouncer} from './sidecar_announcer.js';
+import {type SidecarControlLink} from './sidecar_control_link.js';
+import {type SidecarGate} from './sidecar_gate.js';
+import {type SidecarOrders} from './sidecar_orders.js';
+import {type SidecarSettings} from './sidecar_settings.js';
+
+type AnnounceRequest = lovagepond.v1.AnnounceRequest.$Properties;
+type AnnounceResponse = lovagepond.v1.AnnounceResponse;
+
+/** What the presence is made from. */
+export interface PresenceParts {
+  readonly gate: SidecarGate;
+  readonly clock: Clock;
+  readonly link: SidecarControlLink;
+  readonly orders: SidecarOrders;
+  readonly incarnation: string;
+  /** @returns `host:port` that routers reach the sidecar at */
+  address(): string;
+  /** @returns the revision in force */
+  revision(): number;
+  /** @returns models that the backend server has loaded */
+  models(): readonly string[];
+  /** Operators want the server to leave, or to take work again. */
+  onWantedState(wanted: string): void;
+}
+
+/** The backend server as control and routers see it. */
+export class SidecarPresence {
+  readonly #settings: SidecarSettings;
+  readonly #parts: PresenceParts;
+  readonly #announcer: SidecarAnnouncer;
+
+  constructor(settings: SidecarSettings, parts: PresenceParts) {
+    this.#settings = settings;
+    this.#parts = parts;
+    this.#announcer = new SidecarAnnouncer({
+      link: parts.link,
+      announceIntervalMs: settings.announceIntervalMs,
+      makeAnnouncement: () => this.#makeAnnouncement(),
+      onAnswer: (answer, sent) => this.#onAnswer(answer, sent),
+    });
+  }
+
+  /** @returns the state that is announced */
+  get state(): ServerState {
+    const {gate} = this.#parts;
+    if (gate.draining) return SERVER_STATE.DRAINING;
+    return gate.ready ? SERVER_STATE.READY : SERVER_STATE.JOINING;
+  }
+
+  /** Announces now and from then on. */
+  start(): void {
+    this.#announcer.start();
+  }
+
+  /** Announces at once: the state has changed, and routers wait for it. */
+  announce(): void {
+    void this.#announcer.announce();
+  }
+
+  /** Ends it. */
+  stop(): void {
+    this.#announcer.stop();
+  }
+
+  #makeAnnouncement(): AnnounceRequest {
+    const {backendServer, pool, labels} = this.#settings;
+    const {availabilityZone, region} = this.#settings;
+    const {gate, clock, orders, incarnation} = this.#parts;
+    const {runningTokens, queuedTokens} = gate.load(clock.now());
+    return {
+      backendServer,
+      incarnation,
+      pool,
+      labels: {...labels},
+      availabilityZone,
+      region,
+      address: this.#parts.address(),
+      state: this.state,
+      runningTokens,
+      queuedTokens,
+      capacityTokens: gate.admission.capacityTokens,
+      revision: this.#parts.revision(),
+      models: [...this.#parts.models()],
+      role: 'sidecar',
+      fencingFloor: orders.fencing.floor,
+    };
+  }
+
+  #onAnswer(answer: AnnounceResponse, sent: AnnounceRequest): void {
+    const {gate, clock, orders} = this.#parts;
+    const mean = {
+      meanTokens: answer.poolMeanRunningTokens || answer.poolMeanTokens,
+      ageMs: answer.poolMeanAgeMs,
+      readyServers: answer.poolReadyServers,
+      ownTokens: sent.runningTokens ?? 0,
+    };
+    gate.admission.setPoolMean(mean, clock.now());
+    if (answer.fencingFloorKnown) {
+      orders.fencing.learnFloor(answer.fencingFloor);
+    }
+    void orders.receive(answer.orders);
+    this.#parts.onWantedState(answer.wantedState);
+  }
+}
--- a/packages/lovagepond-sidecar/src/sidecar_role.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_role.ts
@@ -7,12 +7,10 @@
   type Random,
   type Role,
   SERVER_STATE,
-  type ServerState,
   type StateDump,
 } from '@lovagepond/core';
 import {type lovagepond} from '@lovagepond/protocol';
 import {loadKeyHasher} from '@lovagepond/router';
-import {SidecarAnnouncer} from './sidecar_announcer.js';
 import {type Backend} from './sidecar_backend.js';
 import {SidecarBackendWatch} from './sidecar_backend_watch.js';
 import {SidecarCacheMover} from './sidecar_cache_mover.js';
@@ -23,6 +21,7 @@
 import {SidecarGate} from './sidecar_gate.js';
 import {SidecarOrders} from './sidecar_orders.js';
 import {SidecarPeers} from './sidecar_peers.js';
+import {SidecarPresence} from './sidecar_presence.js';
 import {SidecarServer} from './sidecar_server.js';
 import {SidecarService} from './sidecar_service.js';
 import {type SidecarSettings} from './sidecar_settings.js';
@@ -68,7 +67,7 @@
   readonly #orders: SidecarOrders;
   readonly #takes: SidecarTakes;
   readonly #feed: SidecarControlFeed;
-  readonly #announcer: SidecarAnnouncer;
+  readonly #presence: SidecarPresence;
   readonly #server: SidecarServer;
   #mover: SidecarCacheMover | undefined;
   #leave: AbortController | undefined;
@@ -118,7 +117,7 @@
       floorTokens,
     });
     this.#feed = this.#makeFeed();
-    this.#announcer = this.#makeAnnouncer();
+    this.#presence = this.#makePresence();
     this.#server = this.#makeServer();
   }
 
@@ -150,7 +149,7 @@
     this.#watch.start();
     await this.#look();
     this.#feed.start();
-    this.#announcer.start();
+    this.#presence.start();
     this.#startTimers();
     this.#parts.log.info('sidecar started', {
       backendServer: this.#settings.backendServer,
@@ -185,7 +184,7 @@
     for (const timer of this.#timers) clearInterval(timer);
     this.#timers = [];
     this.#leave?.abort();
-    this.#announcer.stop();
+    this.#presence.stop();
     this.#feed.stop();
     this.#watch.stop();
     this.#dispatcher.stop();
@@ -205,7 +204,7 @@
       pool: this.#settings.pool,
       incarnation: this.#incarnation,
       address: this.#address,
-      state: this.#state(),
+      state: this.#presence.state,
       gate: this.#gate.dump(now),
       attempts: this.#dispatcher.counters,
       taken: this.#takes.taken,
@@ -250,13 +249,17 @@
     });
   }
 
-  #makeAnnouncer(): SidecarAnnouncer {
-    return new SidecarAnnouncer({
+  #makePresence(): SidecarPresence {
+    return new SidecarPresence(this.#settings, {
+      gate: this.#gate,
+      clock: this.#parts.clock,
       link: this.#link,
-      announceIntervalMs: this.#settings.announceIntervalMs,
-      makeAnnouncement: () => this.#makeAnnouncement(),
-      onAnswer: (answer, sent) =>
-        this.#onAnnounced(answer, sent.runningTokens ?? 0),
+      orders: this.#orders,
+      incarnation: this.#incarnation,
+      address: () => this.#address,
+      revision: () => this.#configuration.revision,
+      models: () => this.#watch.models,
+      onWantedState: wanted => this.#followWantedState(wanted),
     });
   }
 
@@ -306,65 +309,13 @@
 
   /** A change is announced at once: routers wait for nothing else. */
   #updateReadiness(): void {
-    const before = this.#state();
+    const before = this.#presence.state;
     this.#gate.setNotReady(this.#notReadyReason());
     if (!this.#watch.up) {
       const now = this.#parts.clock.now();
       this.#dispatcher.perform(this.#gate.backendDown(now));
     }
-    if (before !== this.#state()) void this.#announcer.announce();
-  }
-
-  #state(): ServerState {
-    if (this.#gate.draining) return SERVER_STATE.DRAINING;
-    return this.#gate.ready ? SERVER_STATE.READY : SERVER_STATE.JOINING;
-  }
-
-  #makeAnnouncement(): lovagepond.v1.AnnounceRequest.$Properties {
-    const {backendServer, pool, labels, availabilityZone, region} =
-      this.#settings;
-    const {runningTokens, queuedTokens} = this.#gate.load(
-      this.#parts.clock.now(),
-    );
-    return {
-      backendServer,
-      incarnation: this.#incarnation,
-      pool,
-      labels: {...labels},
-      availabilityZone,
-      region,
-      address: this.#address,
-      state: this.#state(),
-      runningTokens,
-      queuedTokens,
-      capacityTokens: this.#gate.admission.capacityTokens,
-      revision: this.#configuration.revision,
-      models: [...this.#watch.models],
-      role: 'sidecar',
-      fencingFloor: this.#orders.fencing.floor,
-    };
-  }
-
-  #onAnnounced(
-    answer: lovagepond.v1.AnnounceResponse,
-    ownTokens: number,
-  ): void {
-    const now = this.#parts.clock.now();
-    const mean = answer.poolMeanRunningTokens || answer.poolMeanTokens;
-    this.#gate.admission.setPoolMean(
-      {
-        meanTokens: mean,
-        ageMs: answer.poolMeanAgeMs,
-        readyServers: answer.poolReadyServers,
-        ownTokens,
-      },
-      now,
-    );
-    if (answer.fencingFloorKnown) {
-      this.#orders.fencing.learnFloor(answer.fencingFloor);
-    }
-    void this.#orders.receive(answer.orders);
-    this.#followWantedState(answer.wantedState);
+    if (before !== this.#presence.state) this.#presence.announce();
   }
 
   #followWantedState(wanted: string): void {
@@ -375,14 +326,14 @@
     if (wanted === SERVER_STATE.READY && draining && !this.#ending) {
       this.#leave?.abort();
       this.#gate.resume();
-      void this.#announcer.announce();
+      this.#presence.announce();
     }
   }
 
   #startLeave(limitMs: number): void {
     const now = this.#parts.clock.now();
     this.#dispatcher.perform(this.#gate.startDraining(now, limitMs));
-    void this.#announcer.announce();
+    this.#presence.announce();
     this.#leave?.abort();
     this.#leave = new AbortController();
     void this.#mover?.run(this.#leave.signal);
--- a/packages/lovagepond-sidecar/src/sidecar_run.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_run.ts
@@ -36,8 +36,6 @@
   readonly backend: Backend;
   readonly session: SidecarSession;
   readonly clock: Clock;
-  /** Monotonic milliseconds. */
-  readonly deadline: number;
   readonly signal: AbortSignal;
 }
 
@@ -85,8 +83,9 @@
   resumeFrom: number,
   state: RunState,
 ): Promise<RunOutcome> {
-  const {backend, session, clock, deadline, signal} = parts;
-  const run = {request: session.request, deadline, resumeFrom, signal};
+  const {backend, session, clock, signal} = parts;
+  const {request, deadlineAt: deadline} = session;
+  const run = {request, deadline, resumeFrom, signal};
   for await (const event of runAtBackend(backend, run, clock.now())) {
     const handle = EVENT_HANDLERS[event.kind];
     const outcome = handle(event as never, session, state);
--- a/packages/lovagepond-sidecar/src/sidecar_session.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_session.ts
@@ -27,6 +27,8 @@
 /** An attempt from its arrival until its answer is no longer asked for. */
 export class SidecarSession {
   readonly request: lovagepond.v1.AttemptRequest;
+  /** When the caller's deadline passes. */
+  readonly deadlineAt: number;
   readonly #buffer: AnswerBuffer;
   #stream: FrameStream | undefined;
   #detachedAt: number | undefined;
@@ -43,10 +45,16 @@
 
   /**
    * @param request the attempt
+   * @param now present time
    * @param maxAnswerBytes answer bytes kept for a router that comes back
    */
-  constructor(request: lovagepond.v1.AttemptRequest, maxAnswerBytes: number) {
+  constructor(
+    request: lovagepond.v1.AttemptRequest,
+    now: number,
+    maxAnswerBytes: number,
+  ) {
     this.request = request;
+    this.deadlineAt = now + request.deadlineLeftMs;
     this.#buffer = new AnswerBuffer(maxAnswerBytes);
   }
 
--- a/packages/lovagepond-sidecar/src/sidecar_types.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_types.ts
@@ -196,7 +196,9 @@
   readonly meanFreshMs: number;
   /** Pool means of this age are not believed at all, milliseconds. */
   readonly meanTrustMs: number;
-  /** How long the end of an attempt is remembered, milliseconds. */
+  /** How long a refused attempt is remembered, milliseconds. */
+  readonly refusalRetentionMs: number;
+  /** How long the end of a run is remembered, milliseconds. */
   readonly attemptRetentionMs: number;
   readonly maxAttempts: number;
   readonly maxQueuedRequests: number;
@@ -214,8 +216,9 @@
   capacityTokens: 262_144,
   meanFreshMs: 2_500,
   meanTrustMs: 10_000,
+  refusalRetentionMs: 120_000,
   attemptRetentionMs: 900_000,
-  maxAttempts: 100_000,
+  maxAttempts: 50_000,
   maxQueuedRequests: 10_000,
   maxChats: 16_384,
   maxPointers: 16_384,
