Remember superseded sidecar incarnations for a week

A late announcement of a predecessor would then supersede the running incarnation and turn its open claims to unknown.

Figures: the new test fails without the change (accepted: true) and passes with it.

--- a/packages/lovagepond-control/src/__tests__/unit/ledger_state.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/ledger_state.test.ts
@@ -225,6 +225,21 @@
   expect(ledger.claim(REPEAT, 7).kind).toBe('recorded');
 });
 
+// A sidecar's name was last registered long before its predecessor's late
+// announcement arrives: hours later it must still be known as superseded.
+test('a superseded incarnation stays so after its keys are forgotten', () => {
+  const ledger = new LedgerState(() => LIMITS);
+  ledger.registerIncarnation({server: 's', incarnation: 'i1'}, 0);
+  ledger.registerIncarnation({server: 's', incarnation: 'i2'}, 0);
+  const later = 2 * LIMITS.keyRetentionMs;
+  const late = ledger.registerIncarnation(
+    {server: 's', incarnation: 'i1'},
+    later,
+  );
+  expect(late.accepted).toBe(false);
+  expect(ledger.currentIncarnation('s')).toBe('i2');
+});
+
 test('the oldest answers go when all of them grow too large', () => {
   const ledger = new LedgerState(() => LIMITS);
   for (const n of [1, 2, 3]) {
--- a/packages/lovagepond-control/src/ledger_incarnations.ts
+++ b/packages/lovagepond-control/src/ledger_incarnations.ts
@@ -7,6 +7,13 @@
 /** Former incarnations remembered of one sidecar. */
 const FORMER_LIMIT = 8;
 
+/**
+ * A sidecar not registered anew for this long is forgotten with its superseded
+ * incarnations. Names of replaced hosts would pile up for ever otherwise; a
+ * sidecar that still runs registers again with its next announcement.
+ */
+const REGISTRATION_RETENTION_MS = 7 * 24 * 3_600_000;
+
 interface Registered {
   readonly owner: ClaimOwner;
   /** Superseded ones: they never come back. */
@@ -56,10 +63,11 @@
   /**
    * Forgets sidecars that registered long ago.
    *
-   * @param untilMs replicated time up to which they are forgotten
+   * @param timeMs replicated time
    * @param keep says which sidecars have open claims and stay
    */
-  expire(untilMs: number, keep: (server: string) => boolean): void {
+  expire(timeMs: number, keep: (server: string) => boolean): void {
+    const untilMs = timeMs - REGISTRATION_RETENTION_MS;
     for (;;) {
       const server = this.#queue.takeUntil(untilMs);
       if (server === undefined) return;
--- a/packages/lovagepond-control/src/ledger_state.ts
+++ b/packages/lovagepond-control/src/ledger_state.ts
@@ -228,9 +228,9 @@
 
   #expire(timeMs: number): void {
     this.#entries.expire(timeMs);
-    const {keyRetentionMs, openClaimLimitMs} = this.#readLimits();
+    const {openClaimLimitMs} = this.#readLimits();
     this.#incarnations.expire(
-      timeMs - keyRetentionMs,
+      timeMs,
       server => this.#entries.openKeysOf(server).length > 0,
     );
     const untilMs = timeMs - openClaimLimitMs;
