Start and drain the roles of one layer side by side

Cause: 'npm start' took over three seconds to end after SIGTERM: two routers and four sidecars each waited for their grace time one after the other. Change: RoleGroup takes layers: stand-ins, control, sidecars, routers. Conclusion: routers still drain before the sidecars they use.

--- a/packages/lovagepond-cli/src/role_group.ts
+++ b/packages/lovagepond-cli/src/role_group.ts
@@ -1,7 +1,7 @@
 /**
  * Several roles run as one.
  */
-import {type Role, type StateDump} from '@lovagepond/core';
+import {type Clock, type Role, type StateDump} from '@lovagepond/core';
 
 /** A role with the name it has among the others. */
 export interface NamedRole {
@@ -9,39 +9,52 @@
   readonly role: Role;
 }
 
-/** Starts roles in order and ends them in the opposite order. */
-export class RoleGroup implements Role {
-  readonly #members: readonly NamedRole[];
+/** Roles that don't need each other to start or to end. */
+export type RoleLayer = readonly NamedRole[];
 
-  /** @param members the roles, each after those that it needs */
-  constructor(members: readonly NamedRole[]) {
-    this.#members = members;
+/** Starts layers of roles in order and ends them in the opposite order. */
+export class RoleGroup implements Role {
+  readonly #layers: readonly RoleLayer[];
+  readonly #clock: Clock;
+
+  /**
+   * @param layers the roles, each layer after those that it needs
+   * @param clock limits the drain as a whole
+   */
+  constructor(layers: readonly RoleLayer[], clock: Clock) {
+    this.#layers = layers;
+    this.#clock = clock;
   }
 
   async start(): Promise<void> {
-    for (const {role} of this.#members) await role.start();
+    for (const layer of this.#layers) {
+      await Promise.all(layer.map(({role}) => role.start()));
+    }
   }
 
   isReady(): boolean {
-    return this.#members.every(({role}) => role.isReady());
+    return this.#layers.flat().every(({role}) => role.isReady());
   }
 
   /** Routers drain before the sidecars that their requests run at. */
   async drain(limitMs: number): Promise<void> {
-    const started = performance.now();
-    for (const {role} of this.#members.toReversed()) {
-      const left = limitMs - (performance.now() - started);
-      await role.drain(Math.max(0, left));
+    const endsAt = this.#clock.now() + limitMs;
+    for (const layer of this.#layers.toReversed()) {
+      const left = Math.max(0, endsAt - this.#clock.now());
+      await Promise.all(layer.map(({role}) => role.drain(left)));
     }
   }
 
   async stop(): Promise<void> {
-    for (const {role} of this.#members.toReversed()) await role.stop();
+    for (const layer of this.#layers.toReversed()) {
+      await Promise.all(layer.map(({role}) => role.stop()));
+    }
   }
 
   dump(): StateDump {
-    const dumps = this.#members.map(({name, role}) => [name, role.dump()]);
-    const state = Object.fromEntries(dumps) as Record<string, StateDump>;
-    return {version: 1, role: 'standalone', state};
+    const dumps = this.#layers
+      .flat()
+      .map(({name, role}) => [name, role.dump()] as const);
+    return {version: 1, role: 'standalone', state: Object.fromEntries(dumps)};
   }
 }
--- a/packages/lovagepond-cli/src/standalone_fleet.ts
+++ b/packages/lovagepond-cli/src/standalone_fleet.ts
@@ -84,6 +84,9 @@
   const members = roles.flatMap(({role}) =>
     role instanceof ControlMember ? [role] : [],
   );
-  const group = new RoleGroup([...makeFakes(settings), ...roles]);
+  const layers = START_ORDER.map(kind =>
+    roles.filter(role => role.kind === kind),
+  );
+  const group = new RoleGroup([makeFakes(settings), ...layers], parts.clock);
   return {group, members};
 }
