Dump any process by ctl

Cause: 'ctl dump' showed control members only; a router's or sidecar's state was had by signal or by curl. Change: 'ctl dump HOST:PORT...' reads the platform address of any process. Figures: the main job's test reads a router's dump so. Conclusion: without addresses the command is as before.

--- a/packages/lovagepond-cli/src/__tests__/e2e/main_job.test.ts
+++ b/packages/lovagepond-cli/src/__tests__/e2e/main_job.test.ts
@@ -89,9 +89,12 @@
 
   // An operator signals a running router: SIGUSR2 for a dump, SIGHUP after an
   // edit. Neither may end the process; the dump holds no text of any chat.
-  it('dumps and reloads by signal', async () => {
+  it('dumps and reloads by signal, and dumps by ctl', async () => {
     const router = fleet.get('router-2');
-    const {dataFolder = ''} = router.settings!['platform']!;
+    const {dataFolder = '', address = ''} = router.settings!['platform']!;
+    expect(await fleet.ctl('dump', address)).toMatchObject({
+      [address]: {version: 1, role: 'router'},
+    });
     router.signal('SIGUSR2');
     await router.printed('state dumped');
     const [file = ''] = readdirSync(dataFolder);
--- a/packages/lovagepond-operator/src/ctl_fleet_commands.ts
+++ b/packages/lovagepond-operator/src/ctl_fleet_commands.ts
@@ -10,6 +10,11 @@
 import {OPERATION_OPTIONS, operationIdOf} from './ctl_change_utils.js';
 import {formatTable} from './ctl_format_utils.js';
 import {type CtlCall, type CtlCommand, type CtlOutput} from './ctl_types.js';
+import {UnreachableError} from './operator_client.js';
+
+/** Where the platform's server of each process shows its state. */
+const DUMP_PATH = '/dump';
+const DUMP_TIMEOUT_MS = 3_000;
 
 async function listServers(call: CtlCall): Promise<CtlOutput> {
   const views = (await call.client.read(
@@ -107,8 +112,23 @@
   return {json: orders, lines: formatTable(headings, rows)};
 }
 
+/** Any process shows its state on its platform address. */
+async function readDump(address: string): Promise<readonly [string, unknown]> {
+  try {
+    const signal = AbortSignal.timeout(DUMP_TIMEOUT_MS);
+    const res = await fetch(`http://${address}${DUMP_PATH}`, {signal});
+    return [address, await res.json()];
+  } catch (err) {
+    const attempts = new Map([[address, String(err)]]);
+    throw new UnreachableError('the process gave no dump', attempts);
+  }
+}
+
 async function showDump(call: CtlCall): Promise<CtlOutput> {
-  const dumps = await call.client.readAll('/v1/dump');
+  const dumps =
+    call.args.length > 0
+      ? await Promise.all(call.args.map(readDump))
+      : await call.client.readAll('/v1/dump');
   const json = Object.fromEntries(dumps);
   return {json, lines: [JSON.stringify(json, undefined, 2)]};
 }
@@ -190,8 +210,10 @@
   ...ORDER_COMMANDS,
   {
     name: 'dump',
-    description: "show each control member's state",
-    example: 'dump > control.json',
+    args: '[address...]',
+    description:
+      "show the state of the processes at these platform addresses, or each control member's",
+    example: 'dump 10.0.0.21:7411 > router.json',
     run: showDump,
   },
 ];
