Keep a request's fault to that request, and split the large files

Change: such an error is logged and the request ended by its deadline; the check of frames and the host's interface stand in files of their own.

--- /dev/null
+++ b/packages/lovagepond-router/src/__tests__/unit/router_request_runner.test.ts
@@ -0,0 +1,37 @@
+import {expect, test} from 'vitest';
+import {type RunnerHost} from '../../router_request_host.js';
+import {RequestRunner} from '../../router_request_runner.js';
+import {LIMITS} from '../fakes/request_world.js';
+import {
+  FakeSink,
+  makeConfiguration,
+  makeRequest,
+} from '../fakes/router_fakes.js';
+
+// A fault of this program, met by one request between two turns of the loop,
+// would end the process and cut every caller's stream. It ends that request.
+test('a fault met by one request ends neither the process nor others', async () => {
+  const {content} = makeConfiguration(1);
+  const [workspace] = content.workspaces;
+  const [requestKind] = content.requestKinds;
+  const set = {selector: 'all', pools: content.pools, servers: []};
+  const eligible = {workspace: workspace!, requestKind: requestKind!, set};
+  const faults: unknown[] = [];
+  const server = {name: 's1', incarnation: 'i1', address: 'host:1'};
+  const host = {
+    clock: {now: () => 0, wallTime: () => 0},
+    limits: LIMITS,
+    connections: {open: () => Promise.reject(new Error('a fault'))},
+    place: () => ({server, eligible, poolMeanTokens: 0}),
+    noteFault: (_runner: RequestRunner, err: unknown) => faults.push(err),
+    completeFailure: (failure: unknown) => failure,
+    noteDone: () => {},
+  } as unknown as RunnerHost;
+  const sink = new FakeSink();
+  const request = makeRequest({deadline: 1_000});
+  const runner = new RequestRunner(host, request, eligible, sink);
+  runner.start();
+  await expect.poll(() => faults.length).toBe(1);
+  runner.tick(1_000);
+  expect(sink.failure?.kind).toBe('deadlineUnreachable');
+});
--- a/packages/lovagepond-router/src/router_dispatcher.ts
+++ b/packages/lovagepond-router/src/router_dispatcher.ts
@@ -6,7 +6,12 @@
   type CallerHandler,
   type CallerRequest,
 } from '@lovagepond/caller';
-import {type Clock, type Failure, makeFailure} from '@lovagepond/core';
+import {
+  type Clock,
+  type Failure,
+  type Logger,
+  makeFailure,
+} from '@lovagepond/core';
 import {type SidecarConnections} from './router_connections.js';
 import {type RouterCounters} from './router_counters.js';
 import {type EarlyRefusal} from './router_early_refusal.js';
@@ -18,9 +23,9 @@
 import {
   type Placed,
   type PlacementQuery,
-  RequestRunner,
   type RunnerHost,
-} from './router_request_runner.js';
+} from './router_request_host.js';
+import {RequestRunner} from './router_request_runner.js';
 import {
   type AttemptTarget,
   type DropReason,
@@ -35,6 +40,7 @@
 /** What the dispatcher works with. */
 export interface DispatcherParts {
   readonly clock: Clock;
+  readonly log: Logger;
   readonly state: RouterState;
   readonly choice: ServerChoice;
   readonly load: RouterLoadView;
@@ -172,6 +178,15 @@
     return this.#parts.refusal.complete(failure);
   }
 
+  /** See {@link RunnerHost.noteFault}. */
+  noteFault(runner: RequestRunner, err: unknown): void {
+    const {requestId} = runner.request;
+    this.#parts.log.error('a request met a fault of the program', {
+      requestId,
+      error: err instanceof Error ? err.message : String(err),
+    });
+  }
+
   /** See {@link RunnerHost.noteDone}. */
   noteDone(runner: RequestRunner, failure: Failure | undefined): void {
     if (!this.#runners.delete(runner)) return;
--- a/packages/lovagepond-router/src/router_frame_failures.ts
+++ b/packages/lovagepond-router/src/router_frame_failures.ts
@@ -4,11 +4,23 @@
 import {
   answerFor,
   DISPOSITION,
+  type ErrorKind,
   type Failure,
   makeFailure,
 } from '@lovagepond/core';
 import {type FailedBody, type RefusedBody} from './router_frames.js';
 
+/** Refusals of a server that takes nothing for now. */
+const AWAY_KINDS: ReadonlySet<ErrorKind> = new Set(['draining', 'notReady']);
+
+/**
+ * @param body a refusal
+ * @returns true when the server would refuse the next request as well
+ */
+export function saysAway(body: RefusedBody): boolean {
+  return AWAY_KINDS.has(body.errorKind);
+}
+
 /**
  * @param body a refusal
  * @returns its failure, with the sidecar's message when there is one
--- a/packages/lovagepond-router/src/router_request.ts
+++ b/packages/lovagepond-router/src/router_request.ts
@@ -6,12 +6,7 @@
  * its revocation, or when no byte of it was sent. Anything else, silence
  * above all, leaves "may have run", which sticks to the request to its end.
  */
-import {
-  type ErrorKind,
-  type Failure,
-  invariant,
-  makeFailure,
-} from '@lovagepond/core';
+import {type Failure, invariant, makeFailure} from '@lovagepond/core';
 import {AnswerRelay} from './router_answer_relay.js';
 import {AttemptWatch} from './router_attempt_watch.js';
 import {
@@ -19,13 +14,17 @@
   FIRST_PLACEMENT,
   type NextStep,
 } from './router_execution_record.js';
-import {failureOfFailed, failureOfRefusal} from './router_frame_failures.js';
+import {checkFrame} from './router_frame_check.js';
+import {
+  failureOfFailed,
+  failureOfRefusal,
+  saysAway,
+} from './router_frame_failures.js';
 import {
   type AcceptedBody,
   type ChunkBody,
   type EndBody,
   type Frame,
-  type FrameBody,
   type RefusedBody,
 } from './router_frames.js';
 import {RequestTiming, wasDispatched} from './router_request_timing.js';
@@ -34,6 +33,8 @@
   type Closing,
   CLOSING,
   type DropReason,
+  type BodyHandlers,
+  type EventHandlers,
   type EventOf,
   type EvidenceKind,
   REQUEST_STATE,
@@ -46,29 +47,10 @@
   type RevokeReason,
 } from './router_request_types.js';
 
-type EventHandlers = {
-  readonly [Kind in RequestEvent['kind']]: (
-    machine: RequestMachine,
-    event: EventOf<Kind>,
-    now: number,
-  ) => void;
-};
-
-type BodyHandlers = {
-  readonly [Kind in FrameBody['kind']]: (
-    machine: RequestMachine,
-    body: Extract<FrameBody, {kind: Kind}>,
-    now: number,
-  ) => void;
-};
-
-/** Refusals of a server that takes nothing for now. */
-const AWAY_KINDS: ReadonlySet<ErrorKind> = new Set(['draining', 'notReady']);
-
 /** One request from its receipt to its final answer. */
 export class RequestMachine {
   // One table for all requests: a request in flight should cost little.
-  static readonly #eventHandlers: EventHandlers = {
+  static readonly #eventHandlers: EventHandlers<RequestMachine> = {
     placed: (machine, event) => machine.#onPlaced(event),
     notPlaced: (machine, event) => machine.#giveUp(event.failure),
     connectFailed: (machine, event) => machine.#onConnectFailed(event),
@@ -82,7 +64,7 @@
     tick: (machine, _event, now) => machine.#onTick(now),
   };
 
-  static readonly #bodyHandlers: BodyHandlers = {
+  static readonly #bodyHandlers: BodyHandlers<RequestMachine> = {
     accepted: (machine, body, now) => machine.#onAccepted(body, now),
     started: machine => machine.#onStarted(),
     refused: (machine, body) => machine.#onRefused(body),
@@ -226,31 +208,21 @@
   }
 
   #onFrame(frame: Frame, now: number): void {
-    const attempt = this.#attempt;
-    if (frame.attemptId !== attempt?.attemptId) {
-      this.#drop('otherAttempt');
-      return;
-    }
-    const {body} = frame;
-    if (frame.incarnation !== attempt.target.incarnation) {
-      this.#onOtherIncarnation(body);
-      return;
-    }
+    const verdict = checkFrame(frame, this.#attempt, this.#state);
+    if (verdict.kind === 'drop') this.#drop(verdict.reason);
+    if (verdict.kind === 'restarted') this.#onRestarted();
+    if (verdict.kind !== 'believe') return;
     this.#watch.noteHeard(now);
+    const {body} = frame;
     RequestMachine.#bodyHandlers[body.kind](this, body as never, now);
   }
 
   /**
-   * A restarted sidecar refuses an attempt meant for its former self. That
-   * proves "not run" only for an attempt sent once: after a reconnection the
-   * first copy may have reached the former incarnation and run there.
+   * The refusal of a restarted sidecar proves "not run" only for an attempt
+   * sent once: after a reconnection the first copy may have reached the former
+   * incarnation and run there.
    */
-  #onOtherIncarnation(body: FrameBody): void {
-    const refusal = body.kind === 'refused' ? body.errorKind : undefined;
-    if (refusal !== 'wrongIncarnation') {
-      this.#drop('otherIncarnation');
-      return;
-    }
+  #onRestarted(): void {
     this.#addEvidence('away');
     if (this.#watch.sends === 1) this.#notRun(makeFailure('wrongIncarnation'));
     else this.#mayHaveRun(makeFailure('backendFailed'), CLOSING.CONCLUDED);
@@ -269,24 +241,7 @@
     this.#revoke(REVOKE_REASON.DEADLINE);
   }
 
-  /**
-   * A refusal that crossed with the dispatch speaks of the queue, not of the
-   * run: believing it would make the router or the caller repeat what runs.
-   * The one refusal that can be true after `Started` is `unreachable`: the
-   * sidecar then found that its backend server never got the request. Once
-   * bytes of the answer have come, even that can't be true.
-   */
-  #contradictsStart(body: RefusedBody): boolean {
-    if (this.#state === REQUEST_STATE.ANSWERING) return true;
-    if (this.#state !== REQUEST_STATE.DISPATCHED) return false;
-    return body.errorKind !== 'unreachable';
-  }
-
   #onRefused(body: RefusedBody): void {
-    if (this.#contradictsStart(body)) {
-      this.#drop('refusedAfterStart');
-      return;
-    }
     const {configuration} = body;
     if (configuration.length > 0) {
       this.#actions.push({kind: 'install', configuration});
@@ -295,7 +250,7 @@
       this.#onTakenBack(this.#revoking);
       return;
     }
-    if (AWAY_KINDS.has(body.errorKind)) this.#addEvidence('away');
+    if (saysAway(body)) this.#addEvidence('away');
     this.#notRun(failureOfRefusal(body), body.pointer);
   }
 
--- a/packages/lovagepond-router/src/router_request_runner.ts
+++ b/packages/lovagepond-router/src/router_request_runner.ts
@@ -2,27 +2,19 @@
  * Runs one request: does what its state machine asks for and reports back.
  */
 import {type AnswerSink, type CallerRequest} from '@lovagepond/caller';
-import {type Clock, type Failure, type Unregister} from '@lovagepond/core';
+import {type Failure, type Unregister} from '@lovagepond/core';
 import {type lovagepond} from '@lovagepond/protocol';
-import {
-  type SidecarConnection,
-  type SidecarConnections,
-} from './router_connections.js';
+import {type SidecarConnection} from './router_connections.js';
 import {type Eligible} from './router_eligibility.js';
-import {type Frame} from './router_frames.js';
 import {RequestMachine} from './router_request.js';
+import {type Placed, type RunnerHost} from './router_request_host.js';
 import {isReturning} from './router_request_estimate.js';
 import {
   type Attempt,
-  type AttemptTarget,
-  type DropReason,
-  type EvidenceKind,
   type RequestAction,
   type RequestEvent,
-  type RequestLimits,
   type RequestState,
 } from './router_request_types.js';
-import {type Chosen} from './router_server_choice.js';
 import {
   type AttemptStream,
   installConfiguration,
@@ -30,49 +22,6 @@
   revokeAttempt,
 } from './router_sidecar_calls.js';
 
-/** A backend server chosen by the configuration in force. */
-export interface Placed extends Chosen {
-  readonly eligible: Eligible;
-}
-
-/** What the runner asks when a backend server is to be chosen. */
-export interface PlacementQuery {
-  readonly runner: RequestRunner;
-  readonly excluded: ReadonlySet<string>;
-  readonly wanted: string | undefined;
-  /** See the action of the same fields. */
-  readonly after: Failure | undefined;
-  readonly costsBudget: boolean;
-}
-
-/** What the router's shared parts do for one request. */
-export interface RunnerHost {
-  readonly clock: Clock;
-  readonly connections: SidecarConnections;
-  readonly limits: RequestLimits;
-  readonly revokeTimeoutMs: number;
-  /** @returns the server to try, or why there is none */
-  place(query: PlacementQuery, now: number): Placed | Failure;
-  /** @returns the held configuration's revision */
-  heldRevision(): number;
-  /**
-   * @returns the held configuration's bytes when the sidecar is known to hold
-   *     an older one, else undefined
-   */
-  configurationFor(target: AttemptTarget): Uint8Array | undefined;
-  install(configuration: Uint8Array): void;
-  noteFrame(runner: RequestRunner, frame: Frame, now: number): void;
-  noteEvidence(
-    target: AttemptTarget,
-    evidence: EvidenceKind,
-    now: number,
-  ): void;
-  noteDrop(reason: DropReason): void;
-  /** @returns the failure with a time to come back where it lacks one */
-  completeFailure(failure: Failure, now: number): Failure;
-  noteDone(runner: RequestRunner, failure: Failure | undefined): void;
-}
-
 /** More than this waits for the caller: frames are no longer taken in. */
 const MAX_UNWRITTEN_BYTES = 64 * 1024;
 
@@ -93,12 +42,12 @@
   // One table for all requests: a request in flight should cost little.
   static readonly #handlers: ActionHandlers = {
     place: (runner, action) => runner.#place(action),
-    offer: (runner, action) => void runner.#offer(action),
-    revoke: (runner, action) => void runner.#revoke(action),
+    offer: (runner, action) => runner.#guard(runner.#offer(action)),
+    revoke: (runner, action) => runner.#guard(runner.#revoke(action)),
     close: (runner, action) => runner.#close(action),
     begin: (runner, {status, contentType}) =>
       runner.#sink.begin(status, contentType),
-    write: (runner, {data}) => void runner.#write(data),
+    write: (runner, {data}) => runner.#guard(runner.#write(data)),
     end: runner => runner.#end(),
     fail: (runner, {failure}) => runner.#fail(failure),
     install: (runner, {configuration}) => runner.#host.install(configuration),
@@ -177,6 +126,16 @@
     this.#perform(this.#machine.receive(event, this.#now()));
   }
 
+  /**
+   * An error that nothing else catches would end the process, and with it
+   * every caller's stream. The request itself is ended by its deadline.
+   */
+  #guard(work: Promise<void>): void {
+    work.catch((err: unknown) => {
+      this.#host.noteFault(this, err);
+    });
+  }
+
   #perform(actions: readonly RequestAction[]): void {
     for (const action of actions) {
       RequestRunner.#handlers[action.kind](this, action as never);
@@ -337,7 +296,7 @@
    */
   #close({attempt, abandoned}: ActionOf<'close'>): void {
     if (abandoned) {
-      void this.#giveUp(attempt);
+      this.#guard(this.#giveUp(attempt));
       this.#stream?.cancel();
     }
     this.#stream = undefined;
--- a/packages/lovagepond-router/src/router_request_types.ts
+++ b/packages/lovagepond-router/src/router_request_types.ts
@@ -2,7 +2,7 @@
  * What goes into and comes out of a request's state machine.
  */
 import {type Failure} from '@lovagepond/core';
-import {type Frame} from './router_frames.js';
+import {type Frame, type FrameBody} from './router_frames.js';
 
 /** Where a request stands. */
 export const REQUEST_STATE = {
@@ -183,3 +183,21 @@
   RequestEvent,
   {kind: Kind}
 >;
+
+/** Event kind to what a machine does with it. */
+export type EventHandlers<Machine> = {
+  readonly [Kind in RequestEvent['kind']]: (
+    machine: Machine,
+    event: EventOf<Kind>,
+    now: number,
+  ) => void;
+};
+
+/** Frame kind to what a machine does with it. */
+export type BodyHandlers<Machine> = {
+  readonly [Kind in FrameBody['kind']]: (
+    machine: Machine,
+    body: Extract<FrameBody, {kind: Kind}>,
+    now: number,
+  ) => void;
+};
--- a/packages/lovagepond-router/src/router_role.ts
+++ b/packages/lovagepond-router/src/router_role.ts
@@ -182,7 +182,7 @@
 
   async #assemble(): Promise<Running> {
     const settings = this.#settings;
-    const {clock, random, createFront} = this.#parts;
+    const {clock, log, random, createFront} = this.#parts;
     const hasher = await loadKeyHasher();
     const choice = new ServerChoice({
       policy: PLACEMENT_POLICIES[settings.placementPolicy](hasher),
@@ -203,6 +203,7 @@
     };
     const dispatcher = new RouterDispatcher(settings, {
       ...shared,
+      log,
       choice,
       budget: new RetryBudget(settings),
       refusal: new EarlyRefusal(this.#load, random),
