--- a/packages/lovagepond-scenarios/features/second_host.feature
+++ b/packages/lovagepond-scenarios/features/second_host.feature
@@ -27,6 +27,7 @@
     And a host other than control-3 is lost with its disk
     And 30 seconds pass
     Then no control host leads
+    And no control host was elected in between
     And no accepted change is missing on the host that is left
 
   Scenario: The new host crashes while it catches up, and again
--- a/packages/lovagepond-scenarios/src/steps/consensus_steps.ts
+++ b/packages/lovagepond-scenarios/src/steps/consensus_steps.ts
@@ -266,6 +266,14 @@
   assert.ok(!roles.includes(MEMBER_ROLE.LEADER), roles.join(', '));
 });
 
+Then<ScenarioWorld>('no control host was elected in between', function () {
+  const {now} = this.timeline;
+  for (const host of this.consensus.hosts.filter(part => part.isUp)) {
+    const {term} = host.core.status(now);
+    assert.ok(term <= (notesOf(this).termBefore ?? 0), `${host.name}: ${term}`);
+  }
+});
+
 Then<ScenarioWorld>(
   'every control host has the pools {string}',
   function (pools) {
