--- a/scripts/test_safeguards.mjs
+++ b/scripts/test_safeguards.mjs
@@ -1,7 +1,7 @@
 // Shows that each listed proof fails without its safeguard: applies the small
 // edits of the lists one at a time to a scratch copy, runs just the named
-// scenario or unit test there, and demands that it runs and fails. An argument
-// keeps to the proofs whose names hold it.
+// scenario or unit test there, and demands that it runs and fails. Arguments
+// keep to the proofs whose names hold one of them.
 import {spawnSync} from 'node:child_process';
 import {
   cpSync,
@@ -154,10 +154,11 @@
 
 /** @type {Safeguard[]} */
 const all = LISTS.flatMap(list => JSON.parse(readFileSync(list, 'utf8')));
-const wanted = process.argv[2] ?? '';
-const entries = all.filter(entry =>
-  (entry.scenario ?? entry.test ?? '').includes(wanted),
-);
+const wanted = process.argv.slice(2);
+const entries = all.filter(entry => {
+  const name = entry.scenario ?? entry.test ?? '';
+  return wanted.length === 0 || wanted.some(part => name.includes(part));
+});
 const copy = makeCopy();
 let failed = 0;
 try {
