Stream only what the request's own field wants streamed

Cause: the sidecar looked for the field's text anywhere in the body, the caller's front for the field at the top. A request in one piece with an inner object that holds "stream": true was run as a stream, and its caller got the text of events as its answer.

Change: the sidecar reads the field at the top, and parses only bodies that hold the text at all.

Conclusion: front and sidecar agree on how an answer is made.

--- /dev/null
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_backend.test.ts
@@ -0,0 +1,27 @@
+import {type EngineRequest, type ModelEngine} from '@lovagepond/backend';
+import {lovagepond} from '@lovagepond/protocol';
+import {expect, test} from 'vitest';
+import {runAtBackend} from '../../sidecar_backend.js';
+
+test('streams only what the request itself wants streamed', () => {
+  // The caller wants its answer in one piece, but some inner object of its
+  // request holds a field of the same name. Run as a stream, the answer would
+  // reach the caller as the text of events.
+  const wants = (body: object): boolean => {
+    const seen: EngineRequest[] = [];
+    const run = (request: EngineRequest): never[] => {
+      seen.push(request);
+      return [];
+    };
+    const engine = {run} as unknown as ModelEngine;
+    const bytes = Buffer.from(JSON.stringify(body));
+    const request = new lovagepond.v1.AttemptRequest({body: bytes});
+    const {signal} = new AbortController();
+    const rest = {deadline: 1, resumeFrom: 0, signal};
+    runAtBackend({kind: 'engine', engine}, {request, ...rest}, 0);
+    return seen[0]?.stream === true;
+  };
+  expect(wants({messages: [], stream: true})).toBe(true);
+  expect(wants({messages: [], stream: false})).toBe(false);
+  expect(wants({messages: [], metadata: {stream: true}})).toBe(false);
+});
--- a/packages/lovagepond-sidecar/src/sidecar_backend.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_backend.ts
@@ -26,11 +26,20 @@
 }
 
 const STREAM_FIELD = /"stream"\s*:\s*true/;
-/** The field stands among the parameters, before or after the messages. */
 const decoder = new TextDecoder();
 
+/**
+ * The field counts at the top alone, as in the caller's front. Taken from some
+ * inner object, a caller that wants one piece would get the text of a stream.
+ */
 function wantsStream(body: Uint8Array): boolean {
-  return STREAM_FIELD.test(decoder.decode(body));
+  const text = decoder.decode(body);
+  if (!STREAM_FIELD.test(text)) return false;
+  try {
+    return (JSON.parse(text) as {stream?: unknown}).stream === true;
+  } catch {
+    return false;
+  }
 }
 
 function runEngine(
