List control's safeguards among the proofs that fail without them

Cause: control's proofs had been seen failing once, by hand; nothing would notice when a later change makes one of them pass without its safeguard.

--- a/scripts/test_safeguards.mjs
+++ b/scripts/test_safeguards.mjs
@@ -17,7 +17,11 @@
 import {tmpdir} from 'node:os';
 import {join, resolve} from 'node:path';
 
-const LISTS = ['scripts/safeguards.json', 'scripts/safeguards_scenarios.json'];
+const LISTS = [
+  'scripts/safeguards.json',
+  'scripts/safeguards_control.json',
+  'scripts/safeguards_scenarios.json',
+];
 const REPORT = 'reports/safeguard.json';
 const NOT_COPIED = new Set(['.git', 'node_modules', 'dist', 'reports']);
 const SCOPE = '@lovagepond';
