Test that a restarted or dead engine is noticed

Cause: nothing showed that the cache index is emptied when the engine restarts between two looks, and that failed requests count as failed looks.

--- /dev/null
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_backend_watch.test.ts
@@ -0,0 +1,55 @@
+import {makeFailure, Random} from '@lovagepond/core';
+import {expect, it} from 'vitest';
+import {DEFAULT_GATE_SETTINGS, SidecarGate} from '../../index.js';
+import {SidecarBackendWatch} from '../../sidecar_backend_watch.js';
+import {CLOCK, EchoEngine, LOG} from './sidecar_test_utils.js';
+
+/** An engine that can be told not to answer. */
+class FlakyEngine extends EchoEngine {
+  answers = true;
+
+  override loadReport(): ReturnType<EchoEngine['loadReport']> {
+    if (this.answers) return super.loadReport();
+    return Promise.resolve({ok: false, failure: makeFailure('unreachable')});
+  }
+}
+
+// The engine restarts between two looks. Its cache is empty now: a chat that
+// still counts as warm would be held for a context that is gone. An engine
+// that doesn't answer twice is down; one request that can't be sent and one
+// failed look are enough as well.
+it('notices that its engine restarted, or is down', async () => {
+  const engine = new FlakyEngine();
+  const gate = new SidecarGate(
+    {
+      ...DEFAULT_GATE_SETTINGS,
+      backendServer: 'engine-1',
+      incarnation: 'inc-1',
+    },
+    new Random(1),
+  );
+  const watch = new SidecarBackendWatch({
+    backend: {kind: 'engine', engine},
+    gate,
+    clock: CLOCK,
+    log: LOG,
+  });
+  expect(watch.up).toBe(false);
+  await watch.look();
+  expect(watch.up).toBe(true);
+  expect(gate.admission.capacityTokens).toBe(100_000);
+  gate.cache.apply(1, 'w', 'chat', 500);
+  await watch.look();
+  expect(gate.cache.read('w', 'chat').warmth).toBe('warm');
+  engine.incarnation = 'engine-b';
+  await watch.look();
+  expect(gate.cache.read('w', 'chat')).toEqual({warmth: 'unknown', tokens: 0});
+  engine.answers = false;
+  await watch.look();
+  expect(watch.up).toBe(true);
+  watch.noteUnreachable();
+  expect(watch.up).toBe(false);
+  engine.answers = true;
+  await watch.look();
+  expect(watch.up).toBe(true);
+});
