Write the view of an offer out instead of spreading it

Ruled out: the learnt length of runs and the records of attempts.

Change: the view names its fields.

--- a/packages/lovagepond-sidecar/src/sidecar_gate_parts.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_gate_parts.ts
@@ -88,8 +88,11 @@
   now: number,
 ): RefusalView {
   const {settings, hold, cache, pointers, advice, runs, drain} = parts;
+  const {policy, revision, notReady} = mode;
   return {
-    ...mode,
+    policy,
+    revision,
+    notReady,
     settings,
     cache,
     pointers,
