Read backend servers off the wire in one place

Cause: control, router and sidecar each had their own reader of Member, with its own rule for a state that this version doesn't know; control had a second one for AnnounceRequest, and Announcement listed BackendServer's fields again. A field added to Member had to be added in four places.

Announcement extends BackendServer without its slot.

No measure was run.

Conclusion: a new field of Member is read in one place.

--- a/packages/lovagepond-control/src/membership_registry.ts
+++ b/packages/lovagepond-control/src/membership_registry.ts
@@ -5,7 +5,6 @@
 import {
   type BackendServer,
   encodeLoad,
-  type Labels,
   SERVER_STATE,
   type ServerState,
 } from '@lovagepond/core';
@@ -16,19 +15,9 @@
 import {type PoolMean, PoolMeans, type PoolShare} from './pool_means.js';
 
 /** What a sidecar says of itself about once a second. */
-export interface Announcement {
-  readonly name: string;
-  readonly incarnation: string;
-  readonly pool: string;
-  readonly labels: Labels;
-  readonly availabilityZone: string;
-  readonly region: string;
-  readonly address: string;
-  readonly state: ServerState;
+export interface Announcement extends Omit<BackendServer, 'slot'> {
   readonly runningTokens: number;
   readonly queuedTokens: number;
-  readonly capacityTokens: number;
-  readonly models: readonly string[];
 }
 
 /** Settings of the registry. */
--- a/packages/lovagepond-protocol/src/index.ts
+++ b/packages/lovagepond-protocol/src/index.ts
@@ -1,3 +1,4 @@
+export {readMember, readServer} from './protocol_membership.js';
 export {
   CONSENSUS_SERVICE,
   CONTROL_SERVICE,
--- /dev/null
+++ b/packages/lovagepond-protocol/src/protocol_membership.ts
@@ -0,0 +1,61 @@
+/**
+ * Reads backend servers from the messages that carry them.
+ */
+import {
+  type BackendServer,
+  SERVER_STATE,
+  type ServerState,
+} from '@lovagepond/core';
+import {type lovagepond} from './protocol_services.js';
+
+type WireMember = lovagepond.v1.Member.$Properties;
+
+/** The fields that `Member` and `AnnounceRequest` have in common. */
+type WireServer = Pick<
+  WireMember,
+  | 'backendServer'
+  | 'incarnation'
+  | 'pool'
+  | 'labels'
+  | 'availabilityZone'
+  | 'region'
+  | 'address'
+  | 'state'
+  | 'capacityTokens'
+  | 'models'
+>;
+
+const STATES: ReadonlySet<string> = new Set(Object.values(SERVER_STATE));
+
+/** A state that this version doesn't know gets no work. */
+function readState(text: string | null | undefined): ServerState {
+  const known = STATES.has(text ?? '');
+  return known ? (text as ServerState) : SERVER_STATE.JOINING;
+}
+
+/**
+ * @param message a member or an announcement as it was decoded
+ * @returns the backend server, without its slot in the load digest
+ */
+export function readServer(message: WireServer): Omit<BackendServer, 'slot'> {
+  return {
+    name: message.backendServer ?? '',
+    incarnation: message.incarnation ?? '',
+    pool: message.pool ?? '',
+    labels: message.labels ?? {},
+    availabilityZone: message.availabilityZone ?? '',
+    region: message.region ?? '',
+    address: message.address ?? '',
+    state: readState(message.state),
+    capacityTokens: message.capacityTokens ?? 0,
+    models: message.models ?? [],
+  };
+}
+
+/**
+ * @param member a member as it was decoded
+ * @returns the backend server
+ */
+export function readMember(member: WireMember): BackendServer {
+  return {...readServer(member), slot: member.slot ?? 0};
+}
--- a/packages/lovagepond-sidecar/src/sidecar_peers.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_peers.ts
@@ -3,29 +3,22 @@
  * calls to their sidecars.
  */
 import {type BackendServer, decodeLoad, SERVER_STATE} from '@lovagepond/core';
-import {lovagepond, SIDECAR_SERVICE} from '@lovagepond/protocol';
+import {lovagepond, readMember, SIDECAR_SERVICE} from '@lovagepond/protocol';
 import {SidecarCalls} from './sidecar_calls.js';
 import {type PeerLoad} from './sidecar_take.js';
 
 const {v1} = lovagepond;
 
-type Member = lovagepond.v1.Member.$Properties;
-
 /** One server of the pool, as far as a sidecar needs it. */
 export type Peer = Pick<
   BackendServer,
   'name' | 'incarnation' | 'address' | 'state' | 'slot'
 >;
 
-function readPeer(member: Member): Peer {
-  const states = Object.values(SERVER_STATE);
-  return {
-    name: member.backendServer ?? '',
-    incarnation: member.incarnation ?? '',
-    address: member.address ?? '',
-    state: states.find(state => state === member.state) ?? SERVER_STATE.JOINING,
-    slot: member.slot ?? 0,
-  };
+/** Keeps no more of a member than a peer needs: pools are large. */
+function readPeer(member: BackendServer): Peer {
+  const {name, incarnation, address, state, slot} = member;
+  return {name, incarnation, address, state, slot};
 }
 
 /** Membership and load of the own pool, without the own server. */
@@ -62,10 +55,9 @@
   updateMembership(update: lovagepond.v1.MembershipUpdate.$Properties): void {
     if (update.whole) this.#peers.clear();
     for (const name of update.gone ?? []) this.#peers.delete(name);
-    for (const member of update.members ?? []) {
-      const peer = readPeer(member);
-      const own = peer.name === this.#ownName || member.pool !== this.#pool;
-      if (!own) this.#peers.set(peer.name, peer);
+    for (const member of (update.members ?? []).map(readMember)) {
+      const own = member.name === this.#ownName || member.pool !== this.#pool;
+      if (!own) this.#peers.set(member.name, readPeer(member));
     }
     const addresses = [...this.#peers.values()].map(peer => peer.address);
     this.#calls.keepOnly(new Set(addresses));
