Keep eight functions and constants to their own modules

Cause: leaseLengthMs, FLAP_DEFAULTS, CONFIGURATION_SECTIONS, describeTarget, joinConvergence, formatCell, processSection and platformSection were exported, and nothing imports them, tests included. An export tells a reader that somebody depends on it.

Change: they aren't exported. MAX_DUMP_BYTES stays public: it is in the platform's index as the default of a public function. Types that name the shape of a public function's arguments stay exported.

Conclusion: what is exported is used.

--- a/packages/lovagepond-cli/src/settings_sections.ts
+++ b/packages/lovagepond-cli/src/settings_sections.ts
@@ -18,7 +18,7 @@
 const MAX_SEED = 2 ** 31 - 1;
 
 /** `[process]`: who and where this process is. */
-export const processSection = z.strictObject({
+const processSection = z.strictObject({
   role: oneOf(...ROLE_NAMES),
   name: nameText(),
   region: nameText(),
@@ -28,7 +28,7 @@
 });
 
 /** `[platform]`: what the process shows to the platform. */
-export const platformSection = z.strictObject({
+const platformSection = z.strictObject({
   address: withTraits(hostPort(), {listens: true}),
   logLevel: withTraits(
     oneOf('debug', 'info', 'warn', 'error').prefault('info'),
--- a/packages/lovagepond-consensus/src/consensus_rounds.ts
+++ b/packages/lovagepond-consensus/src/consensus_rounds.ts
@@ -26,7 +26,7 @@
  * @param timings times of the group
  * @returns length of a lease on the leader's clock, milliseconds
  */
-export function leaseLengthMs(timings: ConsensusTimings): number {
+function leaseLengthMs(timings: ConsensusTimings): number {
   const drift = timings.clockDriftAllowance;
   return (timings.electionTimeoutMs * (1 - drift)) / (1 + drift);
 }
--- a/packages/lovagepond-control/src/configuration_edit.ts
+++ b/packages/lovagepond-control/src/configuration_edit.ts
@@ -33,7 +33,7 @@
 ) => ConfigurationContent | undefined;
 
 /** Names of the lists in a configuration. */
-export const CONFIGURATION_SECTIONS: readonly ConfigurationSection[] = [
+const CONFIGURATION_SECTIONS: readonly ConfigurationSection[] = [
   'pools',
   'selectors',
   'workspaces',
--- a/packages/lovagepond-control/src/configuration_state.ts
+++ b/packages/lovagepond-control/src/configuration_state.ts
@@ -166,6 +166,6 @@
  * @param edit an edit
  * @returns the place it names, for a message
  */
-export function describeTarget(edit: ConfigurationEdit): string {
+function describeTarget(edit: ConfigurationEdit): string {
   return TARGETS[edit.kind](edit as never);
 }
--- a/packages/lovagepond-control/src/membership_flapping.ts
+++ b/packages/lovagepond-control/src/membership_flapping.ts
@@ -16,7 +16,7 @@
 }
 
 /** Damps from the third flap in quick succession, for a minute at most. */
-export const FLAP_DEFAULTS: FlapSettings = {
+const FLAP_DEFAULTS: FlapSettings = {
   halfLifeMs: 15_000,
   longestHoldMs: 60_000,
 };
--- a/packages/lovagepond-operator/src/ctl_convergence_command.ts
+++ b/packages/lovagepond-operator/src/ctl_convergence_command.ts
@@ -33,7 +33,7 @@
  * @param wanted a revision to compare with; the newest when undefined
  * @returns the latest report of each node, sorted by name
  */
-export function joinConvergence(
+function joinConvergence(
   answers: readonly ConvergenceAnswer[],
   wanted?: number,
 ): Convergence {
--- a/packages/lovagepond-operator/src/ctl_format_utils.ts
+++ b/packages/lovagepond-operator/src/ctl_format_utils.ts
@@ -31,7 +31,7 @@
  * @param value any JSON value
  * @returns one cell: plain text, `key=value` pairs, or a list with commas
  */
-export function formatCell(value: unknown): string {
+function formatCell(value: unknown): string {
   if (value === undefined || value === null || value === '') return '-';
   if (Array.isArray(value)) return value.map(formatCell).join(',') || '-';
   if (typeof value !== 'object') return String(value);
