Describe the public items that had no TSDoc

Cause: control's eight commands, five types of the configuration and six accessors of control had no comment, so a newcomer had to read their users.

Change: a line for each: what it is, and where it isn't plain, what it costs. Methods that implement an interface stay without, as the interface has it.

--- a/packages/lovagepond-control/src/control_commands.ts
+++ b/packages/lovagepond-control/src/control_commands.ts
@@ -84,15 +84,23 @@
   readonly historyLimit: number;
 }
 
+/** Sets the limits that all members share. */
 export const LIMITS_COMMAND = createCommand<ControlLimits>('limits');
+/** Puts a configuration in force when its base revision is the current one. */
 export const CHANGE_COMMAND = createCommand<ChangePayload>('change');
+/** Claims a call that may not be repeated, before it is dispatched. */
 export const CLAIM_COMMAND = createCommand<ClaimPayload>('claim');
+/** Records the outcome of a claimed call. */
 export const RECORD_COMMAND = createCommand<RecordPayload>('record');
+/** Registers a sidecar's incarnation, which supersedes those before it. */
 export const INCARNATION_COMMAND =
   createCommand<IncarnationPayload>('incarnation');
+/** Drains a backend server, or lets it serve again. */
 export const WANTED_STATE_COMMAND =
   createCommand<WantedStatePayload>('wantedState');
+/** Issues an order with the next fencing token. */
 export const ORDER_COMMAND = createCommand<OrderRequest>('order');
+/** Records how an order ended. */
 export const ORDER_OUTCOME_COMMAND =
   createCommand<OrderOutcomePayload>('orderOutcome');
 
--- a/packages/lovagepond-control/src/ledger_entries.ts
+++ b/packages/lovagepond-control/src/ledger_entries.ts
@@ -43,16 +43,22 @@
     this.#readLimits = readLimits;
   }
 
+  /** Entries held, whatever their state. */
   get size(): number {
     return this.#entries.size;
   }
 
+  /** Claimed calls without an outcome; counts anew on each read. */
   get openCount(): number {
     let count = 0;
     for (const keys of this.#openByServer.values()) count += keys.size;
     return count;
   }
 
+  /**
+   * @param key the entry's key
+   * @returns the entry, or undefined when the call isn't known
+   */
   get(key: string): LedgerEntry | undefined {
     return this.#entries.get(key);
   }
--- a/packages/lovagepond-control/src/membership_log.ts
+++ b/packages/lovagepond-control/src/membership_log.ts
@@ -49,6 +49,7 @@
     return this.#complete;
   }
 
+  /** Backend servers in the list. */
   get size(): number {
     return this.#servers.size;
   }
--- a/packages/lovagepond-control/src/subscription_feed.ts
+++ b/packages/lovagepond-control/src/subscription_feed.ts
@@ -89,6 +89,7 @@
     this.#confirmedRevision = revision;
   }
 
+  /** Whether {@link SubscriptionFeed.confirm} was called. */
   get confirmed(): boolean {
     return this.#confirmedRevision !== undefined;
   }
--- a/packages/lovagepond-control/src/subscription_hub.ts
+++ b/packages/lovagepond-control/src/subscription_hub.ts
@@ -45,6 +45,7 @@
     this.#contactAt = now - settings.leaderContactLimitMs;
   }
 
+  /** Subscriptions open at this member. */
   get size(): number {
     return this.#subscriptions.size;
   }
--- a/packages/lovagepond-core/src/core_configuration.ts
+++ b/packages/lovagepond-core/src/core_configuration.ts
@@ -73,10 +73,15 @@
   requestKinds: z.array(requestKind).default([]),
 });
 
+/** Backend servers that can stand in for each other, with their load bound. */
 export type Pool = Readonly<z.infer<typeof pool>>;
+/** A rule: which requests may go to which backend servers. */
 export type Selector = Readonly<z.infer<typeof selector>>;
+/** One customer, with the limits that it is held to. */
 export type Workspace = Readonly<z.infer<typeof workspace>>;
+/** A kind of requests, and whether a call of it may be repeated. */
 export type RequestKind = Readonly<z.infer<typeof requestKind>>;
+/** All that operators configure, checked, without its revision. */
 export type ConfigurationContent = Readonly<
   z.infer<typeof configurationSchema>
 >;
