Let a fleet of processes outlive its first control member in tests

Cause: Fleet.ctl always asked the first control member, so no proof could go on once that member was killed; nor could a test ask which processes run. Change: FleetProcess tells whether it runs; ctl asks the first member that does. Conclusion: proofs that kill a control member can use ctl afterwards.

--- a/scripts/fleet_processes.d.mts
+++ b/scripts/fleet_processes.d.mts
@@ -9,6 +9,8 @@
   >;
   /** Path of that file. */
   readonly file?: string;
+  /** It has not ended yet. */
+  readonly running: boolean;
   /** Its exit code, once it has ended. */
   readonly exited: Promise<number | null>;
   signal(signal: NodeJS.Signals): void;
--- a/scripts/fleet_processes.mjs
+++ b/scripts/fleet_processes.mjs
@@ -100,6 +100,12 @@
     }
   }
 
+  /** @returns {boolean} it has not ended yet */
+  get running() {
+    const {exitCode, signalCode} = this.child;
+    return exitCode === null && signalCode === null;
+  }
+
   /** @param {NodeJS.Signals} signal */
   signal(signal) {
     this.child.kill(signal);
@@ -258,9 +264,11 @@
     return `http://${this.get(name).settings.callers.listen}`;
   }
 
-  /** Runs one `ctl` command against the first control member. */
+  /** Runs one `ctl` command against the first control member that runs. */
   async ctl(...args) {
-    const [control] = this.namesOf('control');
+    const control = this.namesOf('control').find(
+      name => this.get(name).running,
+    );
     const url = `http://${this.get(control).settings.administration.listen}`;
     const process = new FleetProcess('ctl', [
       'ctl',
