--- /dev/null
+++ b/packages/lovagepond-cli/src/__tests__/e2e/open_chat.ts
@@ -0,0 +1,94 @@
+/** Helpers of the failure proofs: an answer in flight, and who serves it. */
+import {setTimeout as wait} from 'node:timers/promises';
+import {type Fleet} from '../../../../../scripts/fleet_processes.mjs';
+
+const POLL_MS = 25;
+
+/** An answer of which the caller has read the first text. */
+export interface OpenChat {
+  readonly status: number;
+  /** Everything that the caller was sent, once the answer has ended. */
+  readonly body: Promise<string>;
+  /** The answer has ended. */
+  readonly isEnded: () => boolean;
+}
+
+/** Asks until it holds; the test's own limit ends it. */
+export async function until(holds: () => Promise<boolean>): Promise<void> {
+  while (!(await holds())) await wait(POLL_MS);
+}
+
+async function readRest(
+  reader: ReadableStreamDefaultReader<string>,
+  start: string,
+): Promise<string> {
+  let body = start;
+  for (;;) {
+    const {value, done} = await reader.read();
+    if (done) return body;
+    body += value;
+  }
+}
+
+/**
+ * @param url base URL of a router
+ * @param chat identifier of the chat, in the workspace `demo`
+ * @param maxTokens length of the answer
+ * @returns resolves once text of the answer has arrived
+ */
+export async function openChat(
+  url: string,
+  chat: string,
+  maxTokens: number,
+): Promise<OpenChat> {
+  const res = await fetch(`${url}/v1/chat/completions`, {
+    method: 'POST',
+    headers: {
+      'content-type': 'application/json',
+      'x-lovagepond-workspace': 'demo',
+      'x-lovagepond-chat': chat,
+    },
+    body: JSON.stringify({
+      model: 'any',
+      stream: true,
+      messages: [{role: 'user', content: `Which voucher fits ${chat}?`}],
+      max_tokens: maxTokens,
+    }),
+  });
+  if (!res.body) throw new Error(`no body, status ${res.status}`);
+  const reader = res.body.pipeThrough(new TextDecoderStream()).getReader();
+  let start = '';
+  while (!start.includes('"content":"')) {
+    const {value, done} = await reader.read();
+    if (done) throw new Error(`ended without text: ${start}`);
+    start += value;
+  }
+  let ended = false;
+  const body = readRest(reader, start).finally(() => {
+    ended = true;
+  });
+  return {status: res.status, body, isEnded: () => ended};
+}
+
+/** @returns name of the one sidecar through which an answer is running */
+export async function findServing(fleet: Fleet): Promise<string> {
+  for (const name of fleet.namesOf('sidecar')) {
+    if (!fleet.get(name).running) continue;
+    const {state} = await fleet.dump(name);
+    if ((state['gate'] as {runs: number}).runs > 0) return name;
+  }
+  throw new Error('no sidecar runs an answer');
+}
+
+/** @returns requests that the engine behind a sidecar has had */
+export async function countRequests(
+  fleet: Fleet,
+  sidecar: string,
+): Promise<number> {
+  const url = fleet.get(sidecar).settings?.['backend']?.['url'] ?? '';
+  const res = await fetch(`${url}/fake/state`);
+  const {state} = (await res.json()) as {
+    state: {counters: {requests: number}};
+  };
+  return state.counters.requests;
+}
