Prove over processes that a killed sidecar leaves an honest error

Cause: no proof showed what a caller reads when the process that serves it is killed in the middle of its answer. Change: a test kills the sidecar after the first text has arrived; the stream must end with an error event of disposition mayHaveRun and without [DONE], and the chat's next request must be answered by another server. Seen failing: without the error event, the test found none (undefined in place of kind and disposition). Conclusion: half an answer is never taken for a whole one.

--- a/packages/lovagepond-cli/src/__tests__/e2e/sidecar_death.test.ts
+++ b/packages/lovagepond-cli/src/__tests__/e2e/sidecar_death.test.ts
@@ -64,4 +64,32 @@
     expect(await answer.body).toMatch(/data: \[DONE\]\s*$/);
     expect(await exited).toBe(0);
   });
+
+  // A sidecar dies under a caller who has read half of an answer. The other
+  // half can come from nobody: the stream ends with an error event that says
+  // that the request may have run, never with [DONE], by which the caller would
+  // take half an answer for the whole. Asked again, another server answers.
+  it('leaves an honest error to its caller when it is killed', async () => {
+    const url = fleet.callersUrl('router-2');
+    const answer = await openChat(url, 'killed', LONG_TOKENS);
+    const serving = await findServing(fleet);
+    await fleet.get(serving).end('SIGKILL');
+    const body = await answer.body;
+    expect(body).not.toContain('[DONE]');
+    const data = /event: error\ndata: (.*)\n/.exec(body)?.[1] ?? '{}';
+    const {error} = JSON.parse(data) as {error?: unknown};
+    expect(error).toMatchObject({
+      kind: expect.stringMatching(/./) as string,
+      disposition: 'mayHaveRun',
+    });
+    const before = await countRequests(fleet, serving);
+    const next = await streamChat(url, {
+      workspace: 'demo',
+      chat: 'killed',
+      messages: [{role: 'user', content: 'Which voucher fits killed?'}],
+      maxTokens: 8,
+    });
+    expect(next).toMatchObject({status: 200, whole: true});
+    expect(await countRequests(fleet, serving)).toBe(before);
+  });
 });
