Print the age of a report in whole milliseconds

Change: the table rounds. The JSON and the choice of the latest report keep the exact value.

Conclusion: the table is readable.

--- a/packages/lovagepond-operator/src/ctl_convergence_command.ts
+++ b/packages/lovagepond-operator/src/ctl_convergence_command.ts
@@ -66,7 +66,7 @@
     view.role,
     view.revision,
     view.revision >= revision ? 'yes' : 'no',
-    view.ageMs,
+    Math.round(view.ageMs),
   ]);
   const headings = ['NODE', 'ROLE', 'REVISION', 'IN FORCE', 'AGE MS'];
   const total = `revision ${revision}: ${behind.length} of ${nodes.length} behind`;
