Give the scenarios' invariant a code of its own

Cause: invariant code 400 stood in operator_server.ts and in the scenarios' consensus_group.ts, though a code is to name one place.

Change: the scenarios' one is 801.

Conclusion: a code leads to one place again.

--- a/packages/lovagepond-scenarios/src/world/consensus_group.ts
+++ b/packages/lovagepond-scenarios/src/world/consensus_group.ts
@@ -230,7 +230,7 @@
     this.hosts = names.map(name => new ControlHost(name, this, timeline));
     for (const host of this.hosts) host.start();
     const [first] = this.hosts;
-    invariant(first, 400, 'a group has a host');
+    invariant(first, 801, 'a group has a host');
     first.core.bootstrap(
       this.hosts.map((host): Member => ({
         id: host.id,
