Call a mass lapse and suspended expiry by their names

Cause: the registry "doubts itself": constants, a field and a method were named after a feeling, and only the comment told what is done.

The test's body is unchanged.

Conclusion: behaviour unchanged; the names say what happens.

--- a/packages/lovagepond-control/src/__tests__/unit/membership_registry.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/membership_registry.test.ts
@@ -86,7 +86,7 @@
 // The leader's own network fails towards the sidecars but not towards the
 // other members. Every lease lapses; believed, that would empty the list of
 // every router although all servers are well.
-test('control doubts itself when most servers lapse at once', () => {
+test('expiry is suspended when most servers lapse at once', () => {
   const leader = startLeader();
   leader.run(FLEET, 0, 5_000);
   leader.announce(['server-0'], 6_000, 'draining');
--- a/packages/lovagepond-control/src/membership_registry.ts
+++ b/packages/lovagepond-control/src/membership_registry.ts
@@ -65,14 +65,14 @@
 /** A freed slot rests this many leases. */
 const SLOT_REST_LEASES = 4;
 
-/** Above this part of all servers lapsing at once, control doubts itself. */
-const DOUBT_FRACTION = 0.5;
+/** A mass lapse: more than this part of all servers lapse at once. */
+const MASS_LAPSE_FRACTION = 0.5;
 
 /** With fewer servers, half of them may well fail at once. */
-const DOUBT_MIN_SERVERS = 4;
+const MASS_LAPSE_MIN_SERVERS = 4;
 
-/** Leases that control waits in doubt before it believes the lapses. */
-const DOUBT_LEASES = 10;
+/** Leases that expiry is suspended for in a mass lapse. */
+const MASS_LAPSE_WAIT_LEASES = 10;
 
 /** Part of a pool that must stay ready for a flapping server to be held. */
 const MIN_READY_FRACTION = 0.5;
@@ -87,7 +87,7 @@
   #slots: SlotTable;
   #means = new PoolMeans();
   #completeAt = 0;
-  #doubtSince: number | undefined;
+  #massLapseSince: number | undefined;
 
   /**
    * @param settings lease and damping
@@ -114,7 +114,7 @@
     this.#poolSizes.clear();
     this.#means = new PoolMeans();
     this.#slots = new SlotTable(leaseMs * SLOT_REST_LEASES);
-    this.#doubtSince = undefined;
+    this.#massLapseSince = undefined;
     this.#log.raiseVersion(term * VERSIONS_PER_TERM);
     for (const server of this.#log.servers()) this.#adopt(server, now);
     // Without a mirrored list, one lease shows who is there.
@@ -172,7 +172,9 @@
     const lapsed = [...this.#records.values()].filter(
       record => now - record.renewedAt > this.#settings.leaseMs,
     );
-    const gone = this.#doubts(lapsed, now) ? lapsed.filter(isLeaving) : lapsed;
+    const gone = this.#suspendsExpiry(lapsed, now)
+      ? lapsed.filter(isLeaving)
+      : lapsed;
     for (const record of gone) this.#remove(record, now);
     return gone.map(record => record.server.name);
   }
@@ -248,16 +250,18 @@
    * the lapses would empty every router's list although the servers are well.
    * Routers find by themselves which of them are really gone.
    */
-  #doubts(lapsed: readonly ServerRecord[], now: number): boolean {
+  #suspendsExpiry(lapsed: readonly ServerRecord[], now: number): boolean {
     const failed = lapsed.filter(record => !isLeaving(record)).length;
     const total = this.#records.size;
-    const many = failed > total * DOUBT_FRACTION && total >= DOUBT_MIN_SERVERS;
+    const many =
+      failed > total * MASS_LAPSE_FRACTION && total >= MASS_LAPSE_MIN_SERVERS;
     if (!many) {
-      this.#doubtSince = undefined;
+      this.#massLapseSince = undefined;
       return false;
     }
-    this.#doubtSince ??= now;
-    return now - this.#doubtSince < this.#settings.leaseMs * DOUBT_LEASES;
+    this.#massLapseSince ??= now;
+    const waitMs = this.#settings.leaseMs * MASS_LAPSE_WAIT_LEASES;
+    return now - this.#massLapseSince < waitMs;
   }
 
   #remove(record: ServerRecord, now: number): void {
--- a/packages/lovagepond-measure/src/control_spread_measure.ts
+++ b/packages/lovagepond-measure/src/control_spread_measure.ts
@@ -24,7 +24,7 @@
 const IDLE_MS = 8_000;
 /** The list is whole, and loads go out, one lease after the start. */
 const LEASE_MS = 4_000;
-/** The leader doubts that all lapse at once, so they stay in the list. */
+/** Expiry is suspended when all lapse at once, so they stay in the list. */
 const WARM_UP_MS = 5_000;
 const CHANGES_PER_DAY = 1_300;
 const SECONDS_PER_DAY = 86_400;
