Order the servers of a rendezvous policy in one place

Change: OrderedPolicy makes the rendezvous order and hands it to each policy's placeInOrder; findWithinBound stands once. Behaviour is unchanged. Conclusion: A policy now holds only what sets it apart.

--- a/packages/lovagepond-router/src/router_placement_rendezvous.ts
+++ b/packages/lovagepond-router/src/router_placement_rendezvous.ts
@@ -66,8 +66,17 @@
   );
 }
 
-/** The rendezvous order alone, whatever the load. */
-export class RendezvousPolicy implements PlacementPolicy {
+/** The first within the bound; when none is, the least loaded. */
+function findWithinBound<Server extends PlacementServer>(
+  input: PlacementInput<Server>,
+  order: readonly Server[],
+): Server {
+  const within = order.find(server => !isOverBound(input, server));
+  return within ?? findLeastLoaded(input, order);
+}
+
+/** Places over the chat's rendezvous order. */
+abstract class OrderedPolicy implements PlacementPolicy {
   readonly #hasher: KeyHasher;
 
   constructor(hasher: KeyHasher) {
@@ -77,25 +86,33 @@
   place<Server extends PlacementServer>(
     input: PlacementInput<Server>,
   ): Placement<Server> {
-    const candidates = orderServers(this.#hasher, input);
-    return {candidates, firstChoice: serverAt(candidates, 0)};
+    return this.placeInOrder(input, orderServers(this.#hasher, input));
   }
-}
 
-/** The first of the rendezvous order that stays within the bound. */
-export class BoundedRendezvousPolicy implements PlacementPolicy {
-  readonly #hasher: KeyHasher;
+  /** @param order the first servers of the chat's rendezvous order */
+  protected abstract placeInOrder<Server extends PlacementServer>(
+    input: PlacementInput<Server>,
+    order: readonly Server[],
+  ): Placement<Server>;
+}
 
-  constructor(hasher: KeyHasher) {
-    this.#hasher = hasher;
+/** The rendezvous order alone, whatever the load. */
+export class RendezvousPolicy extends OrderedPolicy {
+  protected override placeInOrder<Server extends PlacementServer>(
+    _input: PlacementInput<Server>,
+    order: readonly Server[],
+  ): Placement<Server> {
+    return {candidates: order, firstChoice: serverAt(order, 0)};
   }
+}
 
-  place<Server extends PlacementServer>(
+/** The first of the rendezvous order that stays within the bound. */
+export class BoundedRendezvousPolicy extends OrderedPolicy {
+  protected override placeInOrder<Server extends PlacementServer>(
     input: PlacementInput<Server>,
+    order: readonly Server[],
   ): Placement<Server> {
-    const order = orderServers(this.#hasher, input);
-    const within = order.find(server => !isOverBound(input, server));
-    const chosen = within ?? findLeastLoaded(input, order);
+    const chosen = findWithinBound(input, order);
     const firstChoice = serverAt(order, 0);
     return {candidates: moveToFront(order, chosen), firstChoice};
   }
@@ -105,17 +122,11 @@
  * Always asks the first choice, whose sidecar points on to where the chat was
  * served last; a refusal goes to the least loaded of the others.
  */
-export class PointersPolicy implements PlacementPolicy {
-  readonly #hasher: KeyHasher;
-
-  constructor(hasher: KeyHasher) {
-    this.#hasher = hasher;
-  }
-
-  place<Server extends PlacementServer>(
+export class PointersPolicy extends OrderedPolicy {
+  protected override placeInOrder<Server extends PlacementServer>(
     input: PlacementInput<Server>,
+    order: readonly Server[],
   ): Placement<Server> {
-    const order = orderServers(this.#hasher, input);
     const firstChoice = serverAt(order, 0);
     const others = order.slice(1);
     others.sort((a, b) => loadWith(input, a) - loadWith(input, b));
@@ -127,17 +138,11 @@
  * Weighs the expected wait at each candidate against the cost of rebuilding
  * the context where it is not expected to be warm.
  */
-export class CostScorePolicy implements PlacementPolicy {
-  readonly #hasher: KeyHasher;
-
-  constructor(hasher: KeyHasher) {
-    this.#hasher = hasher;
-  }
-
-  place<Server extends PlacementServer>(
+export class CostScorePolicy extends OrderedPolicy {
+  protected override placeInOrder<Server extends PlacementServer>(
     input: PlacementInput<Server>,
+    order: readonly Server[],
   ): Placement<Server> {
-    const order = orderServers(this.#hasher, input);
     const {settings, request} = input;
     const rebuildMs =
       (request.promptTokens * MS_PER_SECOND) / settings.prefillTokensPerSecond;
@@ -162,21 +167,16 @@
  * it holds the request outside of its engine until there is room within the
  * bound, or until a sidecar with room takes it.
  */
-export class HoldAndTakePolicy implements PlacementPolicy {
-  readonly #hasher: KeyHasher;
-
-  constructor(hasher: KeyHasher) {
-    this.#hasher = hasher;
-  }
-
-  place<Server extends PlacementServer>(
+export class HoldAndTakePolicy extends OrderedPolicy {
+  protected override placeInOrder<Server extends PlacementServer>(
     input: PlacementInput<Server>,
+    order: readonly Server[],
   ): Placement<Server> {
-    const order = orderServers(this.#hasher, input);
     const firstChoice = serverAt(order, 0);
+    // A new chat is cold everywhere: it starts within the bound.
     const chosen = input.request.returning
       ? firstChoice
-      : this.#findStart(input, order);
+      : findWithinBound(input, order);
     return {
       candidates: moveToFront(order, chosen),
       firstChoice,
@@ -194,13 +194,4 @@
     const home = order.find(server => server.readySince < readySince);
     return home ? [home] : [];
   }
-
-  /** A new chat is cold everywhere: it starts within the bound. */
-  #findStart<Server extends PlacementServer>(
-    input: PlacementInput<Server>,
-    order: readonly Server[],
-  ): Server {
-    const within = order.find(server => !isOverBound(input, server));
-    return within ?? findLeastLoaded(input, order);
-  }
 }
