Write the controls common to both fakes once

Change: addFakeControls and addDelayedControl in backend_fake_http.ts make them; the engine's restart uses the latter. Behaviour is unchanged. Conclusion: A third fake gets the same controls by one call.

--- a/packages/lovagepond-backend/src/backend_fake_engine_server.ts
+++ b/packages/lovagepond-backend/src/backend_fake_engine_server.ts
@@ -21,6 +21,8 @@
   fakeFaultsSchema,
 } from './backend_fake_faults.js';
 import {
+  addDelayedControl,
+  addFakeControls,
   FakeListener,
   makeFakeRoutes,
   parseJsonBody,
@@ -200,36 +202,14 @@
       const cancelled = this.#host.cancel(req.params['id'] ?? '');
       sendJson(res, 200, {cancelled});
     });
-    this.#addControls(app);
+    addFakeControls(app, this, fakeFaultsSchema);
+    addDelayedControl(app, FAKE_PATH.RESTART, () => {
+      this.restart();
+    });
     app.post('/v1/*', (req, res) => this.#complete(req, res));
     return app;
   }
 
-  #addControls(app: App): void {
-    app.post(FAKE_PATH.FAULTS, async (req, res) => {
-      const parsed = fakeFaultsSchema.safeParse(
-        parseJsonBody(await readAll(req)),
-      );
-      if (parsed.success) this.setFaults(parsed.data);
-      sendJson(res, parsed.success ? 200 : 400, {ok: parsed.success});
-    });
-    app.post(FAKE_PATH.RESTART, (_req, res) => {
-      sendJson(res, 200, {ok: true});
-      res.on('finish', () => {
-        this.restart();
-      });
-    });
-    app.post(FAKE_PATH.SILENCE, (_req, res) => {
-      sendJson(res, 200, {ok: true});
-      res.on('finish', () => {
-        this.silence();
-      });
-    });
-    app.get(FAKE_PATH.STATE, (_req, res) => {
-      sendJson(res, 200, this.dump());
-    });
-  }
-
   async #complete(req: Request, res: Response): Promise<void> {
     const body = await readAll(req);
     const job = makeJob(req, body, this.#settings.defaultAnswerTokens);
--- a/packages/lovagepond-backend/src/backend_fake_http.ts
+++ b/packages/lovagepond-backend/src/backend_fake_http.ts
@@ -9,6 +9,8 @@
 } from 'node:http';
 import {type AddressInfo, type Socket} from 'node:net';
 import {App, type Request, type Response} from '@tinyhttp/app';
+import {type ZodType} from 'zod';
+import {FAKE_PATH} from './backend_fake_faults.js';
 
 /** A body larger than this ends a fake's connection. */
 const MAX_BODY_BYTES = 256 * 1024 * 1024;
@@ -77,6 +79,57 @@
   res.end(body);
 }
 
+/**
+ * A POST that is answered before it takes effect, so that the one who asked
+ * has the answer when connections end.
+ *
+ * @param app routes to add it to
+ * @param path where it is asked for
+ * @param effect what it does
+ */
+export function addDelayedControl(
+  app: App,
+  path: string,
+  effect: () => void,
+): void {
+  app.post(path, (_req, res) => {
+    sendJson(res, 200, {ok: true});
+    res.on('finish', effect);
+  });
+}
+
+/** What the controls common to the fakes act on. */
+export interface ControlledFake<Faults> {
+  setFaults(faults: Faults): void;
+  silence(): void;
+  dump(): unknown;
+}
+
+/**
+ * Adds the controls that every fake has: its faults, silence and state.
+ *
+ * @param app routes to add them to
+ * @param fake what they act on
+ * @param schema of its faults; others are answered with 400
+ */
+export function addFakeControls<Faults>(
+  app: App,
+  fake: ControlledFake<Faults>,
+  schema: ZodType<Faults>,
+): void {
+  app.post(FAKE_PATH.FAULTS, async (req, res) => {
+    const parsed = schema.safeParse(parseJsonBody(await readAll(req)));
+    if (parsed.success) fake.setFaults(parsed.data);
+    sendJson(res, parsed.success ? 200 : 400, {ok: parsed.success});
+  });
+  addDelayedControl(app, FAKE_PATH.SILENCE, () => {
+    fake.silence();
+  });
+  app.get(FAKE_PATH.STATE, (_req, res) => {
+    sendJson(res, 200, fake.dump());
+  });
+}
+
 /** A server that can be silenced. */
 export class FakeListener {
   readonly #server: Server;
--- a/packages/lovagepond-backend/src/backend_fake_service.ts
+++ b/packages/lovagepond-backend/src/backend_fake_service.ts
@@ -5,11 +5,10 @@
 import {type App, type Request, type Response} from '@tinyhttp/app';
 import {type Role, type StateDump} from '@lovagepond/core';
 import {z} from 'zod';
-import {FAKE_PATH} from './backend_fake_faults.js';
 import {
+  addFakeControls,
   FakeListener,
   makeFakeRoutes,
-  parseJsonBody,
   readAll,
   sendJson,
 } from './backend_fake_http.js';
@@ -146,21 +145,7 @@
 
   #makeRoutes(): App {
     const app = makeFakeRoutes();
-    app.post(FAKE_PATH.FAULTS, async (req, res) => {
-      const body = parseJsonBody(await readAll(req));
-      const parsed = fakeServiceFaultsSchema.safeParse(body);
-      if (parsed.success) this.setFaults(parsed.data);
-      sendJson(res, parsed.success ? 200 : 400, {ok: parsed.success});
-    });
-    app.post(FAKE_PATH.SILENCE, (_req, res) => {
-      sendJson(res, 200, {ok: true});
-      res.on('finish', () => {
-        this.silence();
-      });
-    });
-    app.get(FAKE_PATH.STATE, (_req, res) => {
-      sendJson(res, 200, this.dump());
-    });
+    addFakeControls(app, this, fakeServiceFaultsSchema);
     app.post('/*', (req, res) => this.#call(req, res));
     return app;
   }
