Measure the bare disk and make its folder in one place

Change: measure_disk.ts holds measureBareAppends and withTemporaryFolder. What is written is the same, except that an append of no bytes now has one. Conclusion: Both measures compare with the same bare figure.

--- a/packages/lovagepond-measure/src/claim_rate_measure.ts
+++ b/packages/lovagepond-measure/src/claim_rate_measure.ts
@@ -2,9 +2,9 @@
  * Claims a second against syncs a second, and against what the same disk gives
  * in the same run to a bare append and sync of the same batches.
  */
-import {open} from 'node:fs/promises';
 import {join} from 'node:path';
-import {startLedgerGroup, withFolder} from './control_fleet.js';
+import {startLedgerGroup} from './control_fleet.js';
+import {measureBareAppends, withTemporaryFolder} from './measure_disk.js';
 import {roundTo} from './measure_statistics.js';
 import {type MeasureSection} from './measure_types.js';
 
@@ -58,31 +58,17 @@
   };
 }
 
-/** @returns appends with a sync each, a second */
-async function runBare(folder: string, bytes: number): Promise<number> {
-  const handle = await open(join(folder, 'bare'), 'w');
-  const block = Buffer.alloc(Math.max(1, Math.round(bytes)), 1);
-  const started = performance.now();
-  let count = 0;
-  while (performance.now() - started < BARE_RUN_MS) {
-    await handle.write(block);
-    await handle.datasync();
-    count += 1;
-  }
-  const seconds = (performance.now() - started) / 1000;
-  await handle.close();
-  return count / seconds;
-}
-
 async function measureGroup(size: number): Promise<(string | number)[][]> {
-  return withFolder(async folder => {
+  return withTemporaryFolder(async folder => {
     const group = await startLedgerGroup(size, folder);
     await runClaims(group, 64);
+    const runBare = (bytes: number): Promise<number> =>
+      measureBareAppends(join(folder, 'bare'), bytes, BARE_RUN_MS);
     const rows: (string | number)[][] = [];
     for (const concurrency of CONCURRENCIES) {
-      const before = await runBare(folder, CLAIM_BYTES);
+      const before = await runBare(CLAIM_BYTES);
       const run = await runClaims(group, concurrency);
-      const after = await runBare(folder, CLAIM_BYTES * run.batch);
+      const after = await runBare(CLAIM_BYTES * run.batch);
       const limit = ((before + after) / 2) * run.batch;
       rows.push([
         size,
--- a/packages/lovagepond-measure/src/consensus_commit_measure.ts
+++ b/packages/lovagepond-measure/src/consensus_commit_measure.ts
@@ -10,9 +10,9 @@
   type StateMachine,
 } from '@lovagepond/consensus';
 import {Random} from '@lovagepond/core';
-import {open} from 'node:fs/promises';
 import {join} from 'node:path';
-import {CountingDisk, withTemporaryFolder} from './consensus_measure_utils.js';
+import {CountingDisk} from './consensus_measure_utils.js';
+import {measureBareAppends, withTemporaryFolder} from './measure_disk.js';
 import {roundTo} from './measure_statistics.js';
 import {type MeasureSection} from './measure_types.js';
 
@@ -113,22 +113,6 @@
   };
 }
 
-/** @returns bare appends with a sync each, a second */
-async function runBareWriter(path: string, bytes: number): Promise<number> {
-  const handle = await open(path, 'w');
-  const block = new Uint8Array(Math.round(bytes)).fill(1);
-  const started = performance.now();
-  let count = 0;
-  while (performance.now() - started < BARE_RUN_MS) {
-    await handle.write(block);
-    await handle.datasync();
-    count += 1;
-  }
-  const seconds = (performance.now() - started) / 1000;
-  await handle.close();
-  return count / seconds;
-}
-
 /** @returns syncs a second of each of several writers at once */
 async function runBare(
   folder: string,
@@ -136,7 +120,7 @@
   writers: number,
 ): Promise<number> {
   const runs = Array.from({length: writers}, (_, at) =>
-    runBareWriter(join(folder, `bare${at}`), bytes),
+    measureBareAppends(join(folder, `bare${at}`), bytes, BARE_RUN_MS),
   );
   const rates = await Promise.all(runs);
   return rates.reduce((sum, rate) => sum + rate, 0) / writers;
--- a/packages/lovagepond-measure/src/consensus_measure_utils.ts
+++ b/packages/lovagepond-measure/src/consensus_measure_utils.ts
@@ -2,9 +2,6 @@
  * Parts that the measures of consensus share.
  */
 import {type Disk, type DiskFile, NodeDisk} from '@lovagepond/consensus';
-import {mkdtemp, rm} from 'node:fs/promises';
-import {tmpdir} from 'node:os';
-import {join} from 'node:path';
 
 /** A folder that counts the syncs of its files. */
 export class CountingDisk extends NodeDisk implements Disk {
@@ -25,21 +22,6 @@
   }
 }
 
-/**
- * @param run gets the path of a folder that is removed afterwards
- * @returns what it returned
- */
-export async function withTemporaryFolder<Value>(
-  run: (folder: string) => Promise<Value>,
-): Promise<Value> {
-  const folder = await mkdtemp(join(tmpdir(), 'lovagepond-measure-'));
-  try {
-    return await run(folder);
-  } finally {
-    await rm(folder, {recursive: true});
-  }
-}
-
 /** One point of a series. */
 export interface Point {
   readonly x: number;
--- a/packages/lovagepond-measure/src/consensus_snapshot_measure.ts
+++ b/packages/lovagepond-measure/src/consensus_snapshot_measure.ts
@@ -3,12 +3,8 @@
  * restart against the length of the log.
  */
 import {FileStorage, type LogEntry} from '@lovagepond/consensus';
-import {
-  fitLine,
-  medianOf,
-  type Point,
-  withTemporaryFolder,
-} from './consensus_measure_utils.js';
+import {fitLine, medianOf, type Point} from './consensus_measure_utils.js';
+import {withTemporaryFolder} from './measure_disk.js';
 import {roundTo} from './measure_statistics.js';
 import {type MeasureSection} from './measure_types.js';
 
--- a/packages/lovagepond-measure/src/control_announce_measure.ts
+++ b/packages/lovagepond-measure/src/control_announce_measure.ts
@@ -14,8 +14,8 @@
   MEASURE_CLOCK,
   NO_LOG,
   waitUntil,
-  withFolder,
 } from './control_fleet.js';
+import {withTemporaryFolder} from './measure_disk.js';
 import {roundTo} from './measure_statistics.js';
 import {type MeasureSection} from './measure_types.js';
 
@@ -34,7 +34,7 @@
 }
 
 async function measureOverSockets(): Promise<number> {
-  return withFolder(async folder => {
+  return withTemporaryFolder(async folder => {
     const parts = {clock: MEASURE_CLOCK, log: NO_LOG, random: new Random(1)};
     const role = new ControlRole(aloneSettings(folder), parts);
     await role.start();
--- a/packages/lovagepond-measure/src/control_fleet.ts
+++ b/packages/lovagepond-measure/src/control_fleet.ts
@@ -20,8 +20,6 @@
   Proposer,
 } from '@lovagepond/control';
 import {type Clock, type Logger, Random} from '@lovagepond/core';
-import {mkdtemp, rm} from 'node:fs/promises';
-import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 
 const POLL_MS = 20;
@@ -71,21 +69,6 @@
   }
 }
 
-/**
- * @param run gets a folder for files, which is removed afterwards
- * @returns what `run` returned
- */
-export async function withFolder<Value>(
-  run: (folder: string) => Promise<Value>,
-): Promise<Value> {
-  const folder = await mkdtemp(join(tmpdir(), 'lovagepond-measure-'));
-  try {
-    return await run(folder);
-  } finally {
-    await rm(folder, {recursive: true});
-  }
-}
-
 /**
  * @param ready says whether the wait is over
  */
--- a/packages/lovagepond-measure/src/control_spread_measure.ts
+++ b/packages/lovagepond-measure/src/control_spread_measure.ts
@@ -9,10 +9,10 @@
   MEASURE_CLOCK,
   NO_LOG,
   waitUntil,
-  withFolder,
 } from './control_fleet.js';
 import {CountingForwarder, MeasuredSubscriber} from './control_subscribers.js';
 import {Distribution, roundTo} from './measure_statistics.js';
+import {withTemporaryFolder} from './measure_disk.js';
 import {type MeasureSection} from './measure_types.js';
 
 const SUBSCRIBERS = [10, 100, 1_000] as const;
@@ -64,7 +64,7 @@
 async function withRole<Value>(
   run: (role: ControlRole) => Promise<Value>,
 ): Promise<Value> {
-  return withFolder(async folder => {
+  return withTemporaryFolder(async folder => {
     const settings = {...aloneSettings(folder), leaseMs: LEASE_MS};
     const parts = {clock: MEASURE_CLOCK, log: NO_LOG, random: new Random(1)};
     const role = new ControlRole(settings, parts);
