Describe the measured servers and deployments once

Change: describeServer, SERVER and COMMON hold them. Conclusion: A changed size can't differ between the halves of a comparison.

--- a/packages/lovagepond-measure/src/control_announcements.ts
+++ b/packages/lovagepond-measure/src/control_announcements.ts
@@ -6,13 +6,26 @@
 
 const {v1} = lovagepond;
 
+/** What stays the same in a backend server's announcements. */
+export type ServerDescription = Pick<
+  lovagepond.v1.AnnounceRequest,
+  | 'incarnation'
+  | 'pool'
+  | 'labels'
+  | 'availabilityZone'
+  | 'region'
+  | 'address'
+  | 'state'
+  | 'capacityTokens'
+  | 'models'
+>;
+
 /**
  * @param n number of the backend server
- * @returns its announcement
+ * @returns what stays the same in its announcements
  */
-export function announcementOf(n: number): lovagepond.v1.AnnounceRequest {
-  return new v1.AnnounceRequest({
-    backendServer: `muc-riem-engine-${n}`,
+export function describeServer(n: number): ServerDescription {
+  return {
     incarnation: `8d3f0a52-6c1e-4b7a-9f10-${n + 1e11}`,
     pool: `model-${n % 25}`,
     labels: {zone: 'muc-riem', tier: 'gold'},
@@ -20,10 +33,21 @@
     region: 'bayern-sued',
     address: `10.0.${n >> 8}.${n & 255}:7000`,
     state: 'ready',
-    runningTokens: 20_000 + n,
-    queuedTokens: n,
     capacityTokens: 100_000,
     models: [`model-${n % 25}`],
+  };
+}
+
+/**
+ * @param n number of the backend server
+ * @returns its announcement
+ */
+export function announcementOf(n: number): lovagepond.v1.AnnounceRequest {
+  return new v1.AnnounceRequest({
+    ...describeServer(n),
+    backendServer: `muc-riem-engine-${n}`,
+    runningTokens: 20_000 + n,
+    queuedTokens: n,
     role: 'sidecar',
     fencingFloor: 1,
   });
--- a/packages/lovagepond-measure/src/control_memory_measure.ts
+++ b/packages/lovagepond-measure/src/control_memory_measure.ts
@@ -9,6 +9,7 @@
   MembershipLog,
   MembershipRegistry,
 } from '@lovagepond/control';
+import {describeServer} from './control_announcements.js';
 import {makeContent} from './control_spread_measure.js';
 import {measureHeap} from './measure_heap.js';
 import {roundTo} from './measure_statistics.js';
@@ -24,19 +25,12 @@
   const registry = new MembershipRegistry({leaseMs: 3_000}, log);
   registry.takeOver(1, 0);
   for (let n = 0; n < SERVERS; n += 1) {
+    // Parsed anew, so that each server has strings of its own.
     const text = JSON.stringify({
+      ...describeServer(n),
       name: `muc-riem-engine-${n}`,
-      incarnation: `8d3f0a52-6c1e-4b7a-9f10-${n + 1e11}`,
-      pool: `model-${n % 25}`,
-      labels: {zone: 'muc-riem', tier: 'gold'},
-      availabilityZone: 'muc-riem',
-      region: 'bayern-sued',
-      address: `10.0.${n >> 8}.${n & 255}:7000`,
-      state: 'ready',
       runningTokens: 20_000,
       queuedTokens: 0,
-      capacityTokens: 100_000,
-      models: [`model-${n % 25}`],
     });
     type Said = Parameters<MembershipRegistry['announce']>[0];
     registry.announce(JSON.parse(text) as Said, 'ready', 0);
--- a/packages/lovagepond-measure/src/placement_measure.ts
+++ b/packages/lovagepond-measure/src/placement_measure.ts
@@ -18,17 +18,22 @@
   streamTokensPerSecond: 60,
   cacheTokens: 600_000,
 };
-const CHURN = {
-  replaceEveryMs: 200_000,
-  flapEveryMs: 130_000,
-  maxListLagMs: 3_000,
-};
 const POOL = {
   maxHoldMs: 8_000,
   prefillTokensPerSecond: ENGINE.prefillTokensPerSecond,
   decodeTokensPerSecond: ENGINE.decodeTokensPerSecond,
 };
 
+/** What both deployments have in common. */
+const COMMON = {
+  warmUpMs: WARM_UP_MS,
+  servers: 6,
+  routers: 4,
+  replaceEveryMs: 200_000,
+  flapEveryMs: 130_000,
+  maxListLagMs: 3_000,
+};
+
 /** One user's deployment with its arrivals. */
 export interface Deployment {
   readonly title: string;
@@ -42,15 +47,12 @@
     title: 'Hourly wake (Gutscheinwerk, skew first)',
     arrivals: makeWake({endMs, scale: 1}, seed),
     settings: {
+      ...COMMON,
       seed,
       endMs,
-      warmUpMs: WARM_UP_MS,
-      servers: 6,
-      routers: 4,
       engine: {...ENGINE, capacityTokens: 40_960},
       floorTokens: 24_576,
       pool: {...POOL, loadBound: 1.5, reuseWeight: 0.3},
-      ...CHURN,
     },
   };
 }
@@ -61,15 +63,12 @@
     title: 'Storm (Sigurðsson & Synir, reuse first)',
     arrivals: makeStorm({endMs, scale: 1}, seed),
     settings: {
+      ...COMMON,
       seed,
       endMs,
-      warmUpMs: WARM_UP_MS,
-      servers: 6,
-      routers: 4,
       engine: {...ENGINE, capacityTokens: 400_000},
       floorTokens: 98_304,
       pool: {...POOL, loadBound: 2, reuseWeight: 0.9},
-      ...CHURN,
     },
   };
 }
--- a/packages/lovagepond-measure/src/sidecar_control_measure.ts
+++ b/packages/lovagepond-measure/src/sidecar_control_measure.ts
@@ -16,6 +16,20 @@
 const CONFIGURATION_BYTES = 64 * 1_024;
 const SECONDS_A_DAY = 86_400;
 
+/** What an announcement and the list of members both tell of a server. */
+const SERVER = {
+  backendServer: 'engine-muc-freimann-12',
+  incarnation: 'lq2x1ab4-1x9k2f3',
+  pool: 'offer-drafting',
+  labels: {tier: 'gold', accelerator: 'large'},
+  availabilityZone: 'muc-freimann',
+  region: 'bayern-sued',
+  address: '192.168.100.101:7001',
+  state: 'ready',
+  capacityTokens: 262_144,
+  models: ['offer-drafter-7b'],
+};
+
 interface Codec<Message> {
   encode(message: Message): {finish(): Uint8Array};
 }
@@ -28,19 +42,10 @@
   const request = sizeOf(
     v1.AnnounceRequest,
     new v1.AnnounceRequest({
-      backendServer: 'engine-muc-freimann-12',
-      incarnation: 'lq2x1ab4-1x9k2f3',
-      pool: 'offer-drafting',
-      labels: {tier: 'gold', accelerator: 'large'},
-      availabilityZone: 'muc-freimann',
-      region: 'bayern-sued',
-      address: '192.168.100.101:7001',
-      state: 'ready',
+      ...SERVER,
       runningTokens: 200_000,
       queuedTokens: 50_000,
-      capacityTokens: 262_144,
       revision: 12_000,
-      models: ['offer-drafter-7b'],
       role: 'sidecar',
       fencingFloor: 2 ** 30,
     }),
@@ -67,16 +72,7 @@
   return sizeOf(
     v1.Member,
     new v1.Member({
-      backendServer: 'engine-muc-freimann-12',
-      incarnation: 'lq2x1ab4-1x9k2f3',
-      pool: 'offer-drafting',
-      labels: {tier: 'gold', accelerator: 'large'},
-      availabilityZone: 'muc-freimann',
-      region: 'bayern-sued',
-      address: '192.168.100.101:7001',
-      state: 'ready',
-      capacityTokens: 262_144,
-      models: ['offer-drafter-7b'],
+      ...SERVER,
       slot: 600,
     }),
   );
