Keep the options of the scripts' bundles in one place

Cause: measure.mjs and run_scenarios.mjs listed the same seven options. Change: bundle_options.mjs holds them. build.mjs makes the shipped bundle and keeps its own.

--- a/scripts/run_scenarios.mjs
+++ b/scripts/run_scenarios.mjs
@@ -2,6 +2,7 @@
 // run_scenarios.mjs [REPORT.json] [--name TEXT]
 import {spawnSync} from 'node:child_process';
 import {build} from 'esbuild';
+import {BUNDLE_OPTIONS} from './bundle_options.mjs';
 
 const STEPS = 'packages/lovagepond-scenarios/src/index.ts';
 const BUNDLE = 'dist/scenarios.cjs';
@@ -9,15 +10,9 @@
 const [report, ...rest] = process.argv.slice(2);
 
 await build({
+  ...BUNDLE_OPTIONS,
   entryPoints: [STEPS],
   outfile: BUNDLE,
-  bundle: true,
-  platform: 'node',
-  format: 'cjs',
-  target: 'node20',
-  sourcemap: 'inline',
-  sourcesContent: false,
-  logLevel: 'warning',
   external: ['@cucumber/cucumber'],
 });
 
