Give the measures one clock, one log and one way to wait

Cause: A real clock stood five times, a log that drops its lines three times and the loop that waits for a condition twice, under as many names (MEASURE_CLOCK, BENCH_CLOCK, clock; NO_LOG, BENCH_LOG, SILENT; waitFor, waitUntil). Change: measure_environment.ts holds MEASURE_CLOCK, NO_LOG and waitUntil. Conclusion: A name means the same in each measure.

--- a/packages/lovagepond-measure/src/backend_measure.ts
+++ b/packages/lovagepond-measure/src/backend_measure.ts
@@ -13,6 +13,7 @@
 } from '@lovagepond/backend';
 import {Random} from '@lovagepond/core';
 import {Pool} from 'undici';
+import {MEASURE_CLOCK} from './measure_environment.js';
 import {Distribution, roundTo} from './measure_statistics.js';
 import {type MeasureSection} from './measure_types.js';
 
@@ -25,8 +26,6 @@
 const COMMAND = 'npm run measure -- backend';
 const LOOPBACK = {host: '127.0.0.1', port: 0} as const;
 
-const clock = {now: () => performance.now(), wallTime: () => Date.now()};
-
 type Call = (index: number) => Promise<void>;
 
 async function timeCalls(call: Call): Promise<Distribution> {
@@ -60,7 +59,7 @@
   nonRepeatable: boolean,
 ): Call {
   return async index => {
-    const now = clock.now();
+    const now = MEASURE_CLOCK.now();
     const call = {
       requestId: `call-${nonRepeatable}-${index}`,
       workspace: 'shop',
@@ -105,7 +104,7 @@
   stream: boolean,
 ): Call {
   return async index => {
-    const now = clock.now();
+    const now = MEASURE_CLOCK.now();
     const run = engine.run(
       {
         requestId: `run-${stream}-${index}`,
@@ -136,7 +135,7 @@
       stepMs: 1,
       decodeTokensPerSecond: 1e6,
     },
-    {clock},
+    {clock: MEASURE_CLOCK},
   );
   await server.start();
   const origin = `http://${server.address}`;
--- a/packages/lovagepond-measure/src/caller_measure.ts
+++ b/packages/lovagepond-measure/src/caller_measure.ts
@@ -12,6 +12,7 @@
   CallerServer,
   DEFAULT_CALLER_SETTINGS,
 } from '@lovagepond/caller';
+import {MEASURE_CLOCK} from './measure_environment.js';
 import {roundTo} from './measure_statistics.js';
 import {type MeasureSection} from './measure_types.js';
 
@@ -26,7 +27,6 @@
 setFlagsFromString('--expose-gc');
 const collectGarbage = runInNewContext('gc') as () => void;
 
-const clock = {now: () => performance.now(), wallTime: () => Date.now()};
 const encoder = new TextEncoder();
 
 function makeEvent(requestId: string, index: number): Uint8Array {
@@ -89,7 +89,7 @@
       },
     };
     const settings = {...DEFAULT_CALLER_SETTINGS, readerTimeoutMs: 600_000};
-    this.#server = new CallerServer(settings, {clock, handler});
+    this.#server = new CallerServer(settings, {clock: MEASURE_CLOCK, handler});
   }
 
   async open(count: number, reading: boolean): Promise<void> {
--- a/packages/lovagepond-measure/src/consensus_commit_measure.ts
+++ b/packages/lovagepond-measure/src/consensus_commit_measure.ts
@@ -13,6 +13,7 @@
 import {join} from 'node:path';
 import {CountingDisk} from './consensus_measure_utils.js';
 import {measureBareAppends, withTemporaryFolder} from './measure_disk.js';
+import {MEASURE_CLOCK, NO_LOG} from './measure_environment.js';
 import {roundTo} from './measure_statistics.js';
 import {type MeasureSection} from './measure_types.js';
 
@@ -31,12 +32,6 @@
   snapshot: () => NOTHING,
   restore: () => undefined,
 };
-const SILENT = {
-  debug: () => undefined,
-  info: () => undefined,
-  warn: () => undefined,
-  error: () => undefined,
-};
 
 interface Group {
   readonly nodes: readonly ConsensusNode[];
@@ -61,9 +56,9 @@
         stateMachine: IDLE_MACHINE,
         storage: new FileStorage(disk),
         transport: network.attach(address),
-        clock: {now: () => performance.now(), wallTime: () => Date.now()},
+        clock: MEASURE_CLOCK,
         random: new Random(at + 1),
-        log: SILENT,
+        log: NO_LOG,
       },
     );
   });
--- a/packages/lovagepond-measure/src/control_announce_measure.ts
+++ b/packages/lovagepond-measure/src/control_announce_measure.ts
@@ -9,13 +9,9 @@
 } from '@lovagepond/control';
 import {Random} from '@lovagepond/core';
 import {announce, announcementOf} from './control_announcements.js';
-import {
-  aloneSettings,
-  MEASURE_CLOCK,
-  NO_LOG,
-  waitUntil,
-} from './control_fleet.js';
+import {aloneSettings} from './control_fleet.js';
 import {withTemporaryFolder} from './measure_disk.js';
+import {MEASURE_CLOCK, NO_LOG, waitUntil} from './measure_environment.js';
 import {roundTo} from './measure_statistics.js';
 import {type MeasureSection} from './measure_types.js';
 
--- a/packages/lovagepond-measure/src/control_fleet.ts
+++ b/packages/lovagepond-measure/src/control_fleet.ts
@@ -19,24 +19,9 @@
   LedgerHandler,
   Proposer,
 } from '@lovagepond/control';
-import {type Clock, type Logger, Random} from '@lovagepond/core';
+import {Random} from '@lovagepond/core';
 import {join} from 'node:path';
-
-const POLL_MS = 20;
-
-/** Present time of this machine. */
-export const MEASURE_CLOCK: Clock = {
-  now: () => performance.now(),
-  wallTime: () => Date.now(),
-};
-
-/** Drops every line. */
-export const NO_LOG: Logger = {
-  debug() {},
-  info() {},
-  warn() {},
-  error() {},
-};
+import {MEASURE_CLOCK, NO_LOG, waitUntil} from './measure_environment.js';
 
 /** Files of one member, with a count of its syncs. */
 export class CountingStorage implements ConsensusStorage {
@@ -69,13 +54,6 @@
   }
 }
 
-/**
- * @param ready says whether the wait is over
- */
-export async function waitUntil(ready: () => boolean): Promise<void> {
-  while (!ready()) await new Promise(resolve => setTimeout(resolve, POLL_MS));
-}
-
 /** A group of members without gRPC. */
 export interface LedgerGroup {
   readonly leader: LedgerHandler;
--- a/packages/lovagepond-measure/src/control_spread_measure.ts
+++ b/packages/lovagepond-measure/src/control_spread_measure.ts
@@ -4,13 +4,9 @@
 import {ControlRole} from '@lovagepond/control';
 import {type ConfigurationContent, Random} from '@lovagepond/core';
 import {announceServers} from './control_announcements.js';
-import {
-  aloneSettings,
-  MEASURE_CLOCK,
-  NO_LOG,
-  waitUntil,
-} from './control_fleet.js';
+import {aloneSettings} from './control_fleet.js';
 import {CountingForwarder, MeasuredSubscriber} from './control_subscribers.js';
+import {MEASURE_CLOCK, NO_LOG, waitUntil} from './measure_environment.js';
 import {Distribution, roundTo} from './measure_statistics.js';
 import {withTemporaryFolder} from './measure_disk.js';
 import {type MeasureSection} from './measure_types.js';
--- a/packages/lovagepond-measure/src/router_bench.ts
+++ b/packages/lovagepond-measure/src/router_bench.ts
@@ -17,33 +17,19 @@
 import {CallerServer, DEFAULT_CALLER_SETTINGS} from '@lovagepond/caller';
 import {MemoryStorage} from '@lovagepond/consensus';
 import {CONTROL_DEFAULTS, ControlRole} from '@lovagepond/control';
-import {type Logger, Random, type Role} from '@lovagepond/core';
+import {Random, type Role} from '@lovagepond/core';
 import {DEFAULT_ROUTER_SETTINGS, RouterRole} from '@lovagepond/router';
 import {
   type Backend,
   DEFAULT_SIDECAR_SETTINGS,
   SidecarRole,
 } from '@lovagepond/sidecar';
+import {MEASURE_CLOCK, NO_LOG, waitUntil} from './measure_environment.js';
 
 const HOST = '127.0.0.1';
 const SEED = 11;
-const CHECK_MS = 20;
 const ANY = ['*'];
 
-/** Clock of all roles of a bench. */
-export const BENCH_CLOCK = {
-  now: (): number => performance.now(),
-  wallTime: (): number => Date.now(),
-};
-
-/** Logs nothing. */
-export const BENCH_LOG: Logger = {
-  debug: () => undefined,
-  info: () => undefined,
-  warn: () => undefined,
-  error: () => undefined,
-};
-
 /** What the bench's configuration holds. */
 export const BENCH_CONFIGURATION = {
   pools: [
@@ -84,13 +70,6 @@
   return port;
 }
 
-/** @param holds awaited by looking again and again */
-export async function waitFor(holds: () => boolean): Promise<void> {
-  while (!holds()) {
-    await new Promise(resolve => setTimeout(resolve, CHECK_MS));
-  }
-}
-
 /** One control member, two backend servers with sidecars, one router. */
 export class RouterBench {
   readonly #roles: Role[] = [];
@@ -142,13 +121,13 @@
       dataFolder: '',
     };
     const role = new ControlRole(settings, {
-      clock: BENCH_CLOCK,
-      log: BENCH_LOG,
+      clock: MEASURE_CLOCK,
+      log: NO_LOG,
       random: new Random(SEED),
       storage: new MemoryStorage('bench'),
     });
     await this.#start(role);
-    await waitFor(() => role.isReady());
+    await waitUntil(() => role.isReady());
     const answer = await role.administration.change({
       operationId: 'bench',
       baseRevision: 0,
@@ -167,7 +146,7 @@
       decodeTokensPerSecond: 1_000_000,
       stepMs,
     };
-    const engine = new FakeEngineServer(settings, {clock: BENCH_CLOCK});
+    const engine = new FakeEngineServer(settings, {clock: MEASURE_CLOCK});
     await this.#start(engine);
     return engine;
   }
@@ -190,10 +169,10 @@
       backendKind: kind,
       backendUrl,
     };
-    const parts = {clock: BENCH_CLOCK, log: BENCH_LOG, random, backend};
+    const parts = {clock: MEASURE_CLOCK, log: NO_LOG, random, backend};
     const role = new SidecarRole(settings, parts);
     await this.#start(role);
-    await waitFor(() => role.isReady());
+    await waitUntil(() => role.isReady());
   }
 
   async #startRouter(control: string): Promise<RouterRole> {
@@ -202,17 +181,17 @@
       name: 'router',
       controlAddresses: [control],
     };
-    const clock = BENCH_CLOCK;
+    const clock = MEASURE_CLOCK;
     const role = new RouterRole(settings, {
       clock,
-      log: BENCH_LOG,
+      log: NO_LOG,
       random: new Random(SEED),
       createFront: handler =>
         new CallerServer(DEFAULT_CALLER_SETTINGS, {clock, handler}),
     });
     await this.#start(role);
-    await waitFor(() => role.isReady());
-    await waitFor(() => role.dump().state['backendServers'] === 2);
+    await waitUntil(() => role.isReady());
+    await waitUntil(() => role.dump().state['backendServers'] === 2);
     return role;
   }
 }
--- a/packages/lovagepond-measure/src/router_memory_measure.ts
+++ b/packages/lovagepond-measure/src/router_memory_measure.ts
@@ -18,9 +18,10 @@
   ServerChoice,
 } from '@lovagepond/router';
 import {Agent, request} from 'undici';
+import {NO_LOG, waitUntil} from './measure_environment.js';
 import {roundTo} from './measure_statistics.js';
 import {type MeasureSection} from './measure_types.js';
-import {BENCH_CONFIGURATION, BENCH_LOG, waitFor} from './router_bench.js';
+import {BENCH_CONFIGURATION} from './router_bench.js';
 import {makeStubFrame, RouterStub, type StubCall} from './router_stub.js';
 
 const STREAM_COUNTS = [250, 1_000];
@@ -76,7 +77,7 @@
       begun += 1;
     });
   }
-  await waitFor(() => begun === count);
+  await waitUntil(() => begun === count);
   return agent;
 }
 
@@ -103,7 +104,7 @@
   const checked = checkConfiguration(content);
   if (!checked.ok) throw new Error('the configuration has faults');
   const revisions = new RouterRevisions(DEFAULT_ROUTER_SETTINGS);
-  const state = new RouterState(revisions, BENCH_LOG, {
+  const state = new RouterState(revisions, NO_LOG, {
     membershipChanged: () => undefined,
     revisionInstalled: () => undefined,
   });
--- a/packages/lovagepond-measure/src/router_stub.ts
+++ b/packages/lovagepond-measure/src/router_stub.ts
@@ -19,12 +19,8 @@
   SIDECAR_SERVICE,
 } from '@lovagepond/protocol';
 import {DEFAULT_ROUTER_SETTINGS, RouterRole} from '@lovagepond/router';
-import {
-  BENCH_CLOCK,
-  BENCH_CONFIGURATION,
-  BENCH_LOG,
-  waitFor,
-} from './router_bench.js';
+import {MEASURE_CLOCK, NO_LOG, waitUntil} from './measure_environment.js';
+import {BENCH_CONFIGURATION} from './router_bench.js';
 
 type Attempt = lovagepond.v1.AttemptRequest.$Properties;
 type Frame = lovagepond.v1.AttemptFrame.$Properties;
@@ -101,11 +97,11 @@
         attemptSilentAfterMs: Number.POSITIVE_INFINITY,
       },
       {
-        clock: BENCH_CLOCK,
-        log: BENCH_LOG,
+        clock: MEASURE_CLOCK,
+        log: NO_LOG,
         random: new Random(SEED),
         createFront: handler => {
-          const parts = {clock: BENCH_CLOCK, handler};
+          const parts = {clock: MEASURE_CLOCK, handler};
           this.#front = new CallerServer(DEFAULT_CALLER_SETTINGS, parts);
           return this.#front;
         },
@@ -113,7 +109,7 @@
     );
     this.#router = router;
     await router.start();
-    await waitFor(() => router.isReady());
+    await waitUntil(() => router.isReady());
   }
 
   #listUpdates(): Update[] {
