Tell ctl every control member in tests over processes

Cause: Fleet.ctl chose one running member itself, which hid that ctl finds another one when a member is dead, as an operator's does. Change: it is given the addresses of all members. Conclusion: a test may kill the leader and use ctl as an operator would.

--- a/scripts/fleet_processes.mjs
+++ b/scripts/fleet_processes.mjs
@@ -264,17 +264,16 @@
     return `http://${this.get(name).settings.callers.listen}`;
   }
 
-  /** Runs one `ctl` command against the first control member that runs. */
+  /** Runs one `ctl` command; it is told every control member, dead or not. */
   async ctl(...args) {
-    const control = this.namesOf('control').find(
-      name => this.get(name).running,
-    );
-    const url = `http://${this.get(control).settings.administration.listen}`;
+    const urls = this.namesOf('control')
+      .map(name => this.get(name).settings.administration.listen)
+      .join(',');
     const process = new FleetProcess('ctl', [
       'ctl',
       ...args,
       '--control',
-      url,
+      urls,
       '--json',
     ]);
     const code = await process.exited;
