Prove over processes that a change survives its leader and is made once

Cause: the process scenarios have one control member; what an operator meets when the leader of three dies was proved with deciders only. Change: leader_death.test.ts runs examples/loopback with three members. A change is accepted, the leader is killed, the change is sent again with its operation id and base. It is told the same revision, every router and sidecar reports it, and the killed member comes back with its data folder and holds it. Conclusion: a resend over the death of a leader is safe. That the revision is read from the disk and not from the others is not told apart here.

--- /dev/null
+++ b/packages/lovagepond-cli/src/__tests__/e2e/leader_death.test.ts
@@ -0,0 +1,102 @@
+import {
+  cpSync,
+  mkdtempSync,
+  readdirSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import {Fleet} from '../../../../../scripts/fleet_processes.mjs';
+import {until} from './open_chat.js';
+
+const ONE_MEMBER = 'members = 127.0.0.1:7401';
+const MEMBERS = [7401, 7601, 7701];
+const CHANGE = ['workspaces', 'set', 'pharmacy', 'weight=2'];
+const SAME_OPERATION = ['--operation-id', 'pharmacy-weight', '--base', '1'];
+
+interface Convergence {
+  readonly revision: number;
+  readonly behind: readonly string[];
+  readonly nodes: readonly {readonly node: string}[];
+}
+
+/** Writes the set of examples/loopback with three control members. */
+function writeSet(folder: string): void {
+  cpSync('examples/loopback', folder, {recursive: true});
+  const all = MEMBERS.map(port => `127.0.0.1:${port}`).join(', ');
+  for (const name of readdirSync(folder).filter(n => n.endsWith('.ini'))) {
+    const text = readFileSync(join(folder, name), 'utf8');
+    writeFileSync(
+      join(folder, name),
+      text.replace(ONE_MEMBER, `members = ${all}`),
+    );
+  }
+  const first = readFileSync(join(folder, 'control-1.ini'), 'utf8');
+  MEMBERS.slice(1).forEach((port, index) => {
+    const name = `control-${index + 2}`;
+    const text = first
+      .replaceAll('control-1', name)
+      .replace('listen = 127.0.0.1:7401', `listen = 127.0.0.1:${port}`)
+      .replace('7402', String(port + 1))
+      .replace('7403', String(port + 2));
+    writeFileSync(join(folder, `${name}.ini`), text);
+  });
+}
+
+describe('three control members', () => {
+  const folder = mkdtempSync(join(tmpdir(), 'lovagepond-three-'));
+  const fleet = new Fleet();
+
+  beforeAll(async () => {
+    writeSet(folder);
+    await fleet.start(folder);
+  });
+
+  afterAll(async () => {
+    await fleet.end();
+    rmSync(folder, {recursive: true});
+  });
+
+  async function findLeader(): Promise<string> {
+    for (const name of fleet.namesOf('control')) {
+      const {state} = await fleet.dump(name);
+      const {role} = state['consensus'] as {role: string};
+      if (role === 'leader') return name;
+    }
+    throw new Error('no leader');
+  }
+
+  async function revisionOf(name: string): Promise<unknown> {
+    return (await fleet.dump(name)).state['revision'];
+  }
+
+  // An operator's change is accepted, and the leader dies; the operator, who
+  // can't know whether it was, sends it again under the same operation id. It
+  // must be answered as the change already made, or it would be made twice or
+  // be refused for its old base. The others bring it into force everywhere, and
+  // the dead member comes back with its disk and holds it too.
+  it('make a change once over the death of their leader', async () => {
+    const accepted = await fleet.ctl(...CHANGE, ...SAME_OPERATION);
+    expect(accepted).toMatchObject({revision: 2});
+    const leader = await findLeader();
+    await fleet.get(leader).end('SIGKILL');
+    const repeated = await fleet.ctl(...CHANGE, ...SAME_OPERATION);
+    expect(repeated).toMatchObject({revision: 2});
+
+    const routers = fleet.namesOf('router');
+    const nodes = [...routers, ...fleet.namesOf('sidecar')].sort();
+    await until(async () => {
+      const told = (await fleet.ctl('convergence', '--wait')) as Convergence;
+      expect(told).toMatchObject({revision: 2, behind: []});
+      return told.nodes.length === nodes.length;
+    });
+    for (const router of routers) expect(await revisionOf(router)).toBe(2);
+
+    await fleet.restart(leader);
+    await until(async () => (await revisionOf(leader)) === 2);
+    expect(await fleet.ctl('configuration')).toMatchObject({revision: 2});
+  });
+});
