Check the bodies of the administration's fleet calls in one place

Cause: orders and member changes each parsed their body and wrote the same answer for one that doesn't fit.

Change: withBody takes the schema and the handler. Behaviour unchanged.

Conclusion: a handler sees only bodies that fit. A test of the 400 is missing.

--- a/packages/lovagepond-operator/src/operator_fleet_routes.ts
+++ b/packages/lovagepond-operator/src/operator_fleet_routes.ts
@@ -8,7 +8,11 @@
   WANTED_STATE,
   type WantedState,
 } from '@lovagepond/control';
-import {type CallHandler, replyToAnswer} from './operator_calls.js';
+import {
+  type AdministrationCall,
+  type CallHandler,
+  replyToAnswer,
+} from './operator_calls.js';
 import {replyWith, replyWithError} from './operator_http.js';
 import {type AdministrationRoute} from './operator_route.js';
 
@@ -39,6 +43,19 @@
     .join('; ');
 }
 
+/** Hands a body that fits the schema on; any other is a bad request. */
+function withBody<Body>(
+  schema: z.ZodType<Body>,
+  handle: (body: Body, call: AdministrationCall) => ReturnType<CallHandler>,
+): CallHandler {
+  return call => {
+    const {success, data, error} = schema.safeParse(call.body);
+    return success
+      ? handle(data, call)
+      : replyWithError('badRequest', {message: describeIssues(error)});
+  };
+}
+
 const listBackendServers: CallHandler = ({administration}) =>
   replyWith(administration.listBackendServers());
 
@@ -58,29 +75,20 @@
 const listOrders: CallHandler = ({administration}) =>
   replyWith(administration.listOrders());
 
-const issueOrder: CallHandler = async call => {
-  const parsed = orderSchema.safeParse(call.body);
-  if (!parsed.success) {
-    return replyWithError('badRequest', {
-      message: describeIssues(parsed.error),
-    });
-  }
-  const order = {...parsed.data, orderId: call.operationId};
-  return replyToAnswer(await call.administration.issueOrder(order));
-};
+const issueOrder = withBody(
+  orderSchema,
+  async (body, {administration, operationId}) => {
+    const order = {...body, orderId: operationId};
+    return replyToAnswer(await administration.issueOrder(order));
+  },
+);
 
 const listMembers: CallHandler = ({administration}) =>
   replyWith(administration.listMembers());
 
-const changeMembers: CallHandler = async call => {
-  const parsed = memberSchema.safeParse(call.body);
-  if (!parsed.success) {
-    return replyWithError('badRequest', {
-      message: describeIssues(parsed.error),
-    });
-  }
-  return replyToAnswer(await call.administration.changeMembers(parsed.data));
-};
+const changeMembers = withBody(memberSchema, async (body, {administration}) =>
+  replyToAnswer(await administration.changeMembers(body)),
+);
 
 const getConvergence: CallHandler = ({administration}) =>
   replyWith({
