Say what the interval between hellos is counted in

Cause: HELLO_TIMEOUTS = 0.5 could be read as a number of timeouts or as half a second.

Change: HELLO_INTERVAL_TIMEOUTS, with a comment that gives the unit.

Conclusion: the constant can be read where it stands.

--- a/packages/lovagepond-consensus/src/consensus_node.ts
+++ b/packages/lovagepond-consensus/src/consensus_node.ts
@@ -44,7 +44,8 @@
 }
 
 const TICKS_PER_HEARTBEAT = 4;
-const HELLO_TIMEOUTS = 0.5;
+/** Time between hellos of a host without a group, in election timeouts. */
+const HELLO_INTERVAL_TIMEOUTS = 0.5;
 
 const NEVER_STARTED: ConsensusStatus = {
   id: '',
@@ -120,7 +121,7 @@
       id: stored.id,
       address,
       peers,
-      helloIntervalMs: timings.electionTimeoutMs * HELLO_TIMEOUTS,
+      helloIntervalMs: timings.electionTimeoutMs * HELLO_INTERVAL_TIMEOUTS,
       isBlank: () => core.isBlank,
     });
     this.#unregister = transport.onMessage(message => {
