Export only what another module imports

Cause: digestCall, retryAfterOf and fakeServiceFaultsSchema were exported from their packages, and nothing imports them (a search over all packages). Change: They are private to their modules. Conclusion: The packages' indexes name what is in use.

--- a/packages/lovagepond-backend/src/backend_fake_service.ts
+++ b/packages/lovagepond-backend/src/backend_fake_service.ts
@@ -14,7 +14,7 @@
 } from './backend_fake_http.js';
 
 /** Schema of a fake service's faults, as a scenario sends them over HTTP. */
-export const fakeServiceFaultsSchema = z.strictObject({
+const fakeServiceFaultsSchema = z.strictObject({
   /**
    * Where a call goes wrong: the connection is cut before or after the run,
    * the answer never comes, breaks off midway, or is another call's.
--- a/packages/lovagepond-backend/src/index.ts
+++ b/packages/lovagepond-backend/src/index.ts
@@ -22,7 +22,6 @@
 export {
   type FakeServiceAnswer,
   type FakeServiceFaults,
-  fakeServiceFaultsSchema,
   FakeServiceServer,
   type FakeServiceSettings,
 } from './backend_fake_service.js';
--- a/packages/lovagepond-caller/src/caller_errors.ts
+++ b/packages/lovagepond-caller/src/caller_errors.ts
@@ -37,7 +37,7 @@
  * @param failure what went wrong
  * @returns milliseconds until the caller may come back, 0 when it may not
  */
-export function retryAfterOf(failure: Failure): number {
+function retryAfterOf(failure: Failure): number {
   if (!answerFor(failure.kind).retryable) return 0;
   return Math.max(1, Math.ceil(failure.retryAfterMs));
 }
--- a/packages/lovagepond-caller/src/caller_request.ts
+++ b/packages/lovagepond-caller/src/caller_request.ts
@@ -141,7 +141,7 @@
  * @param body the request's body
  * @returns SHA-256 over both: a key reused on another path is another call
  */
-export function digestCall(path: string, body: Uint8Array): Uint8Array {
+function digestCall(path: string, body: Uint8Array): Uint8Array {
   return createHash('sha256').update(path).update('\0').update(body).digest();
 }
 
--- a/packages/lovagepond-caller/src/index.ts
+++ b/packages/lovagepond-caller/src/index.ts
@@ -5,12 +5,7 @@
   DEFAULT_CHAT_KIND,
   EVENT_STREAM_TYPE,
 } from './caller_constants.js';
-export {
-  type CallerErrorBody,
-  encodeCallerError,
-  retryAfterOf,
-} from './caller_errors.js';
-export {digestCall} from './caller_request.js';
+export {type CallerErrorBody, encodeCallerError} from './caller_errors.js';
 export {CallerServer, type CallerServerParts} from './caller_server.js';
 export {
   type AnswerHeaders,
