Keep the fakes' timers in one class

Change: TimerSet in backend_timer_utils.ts. Behaviour is unchanged. Conclusion: Ending the timers of a fake is one call.

--- a/packages/lovagepond-backend/src/backend_fake_engine_host.ts
+++ b/packages/lovagepond-backend/src/backend_fake_engine_host.ts
@@ -8,6 +8,7 @@
 import {type FakeFaults} from './backend_fake_faults.js';
 import {sendJson} from './backend_fake_http.js';
 import {FakeStream} from './backend_fake_stream.js';
+import {TimerSet} from './backend_timer_utils.js';
 
 /** What the fake was asked to do, for tests and the dump. */
 export interface FakeEngineCounters {
@@ -33,7 +34,7 @@
   readonly #parts: FakeEngineHostParts;
   readonly #engine: FakeEngine;
   readonly #streams = new Map<string, FakeStream>();
-  readonly #timers = new Set<NodeJS.Timeout>();
+  readonly #timers = new TimerSet();
   readonly #counters = {
     requests: 0,
     resumes: 0,
@@ -79,7 +80,7 @@
   /** Ends all timers. */
   stop(): void {
     clearTimeout(this.#stepTimer);
-    for (const timer of this.#timers) clearTimeout(timer);
+    this.#timers.stop();
   }
 
   /** Sends a heartbeat on each open answer. */
@@ -142,7 +143,7 @@
 
   #cancelWhenLeft(res: ServerResponse, stream: FakeStream): void {
     res.on('close', () => {
-      this.#later(this.#parts.resumeWindowMs, () => {
+      this.#timers.start(this.#parts.resumeWindowMs, () => {
         if (stream.attached) return;
         const {requestId} = stream.job;
         this.#engine.cancel(requestId, this.#parts.clock.now());
@@ -152,14 +153,6 @@
     });
   }
 
-  #later(delayMs: number, action: () => void): void {
-    const timer = setTimeout(() => {
-      this.#timers.delete(timer);
-      action();
-    }, delayMs);
-    this.#timers.add(timer);
-  }
-
   #act(outputs: readonly FakeEngineOutput[]): void {
     const delayMs = this.#faults.answerDelayMs ?? 0;
     for (const output of outputs) {
@@ -167,7 +160,7 @@
       if (!stream) continue;
       if (delayMs === 0) this.#deliver(output, stream);
       else {
-        this.#later(delayMs, () => {
+        this.#timers.start(delayMs, () => {
           this.#deliver(output, stream);
         });
       }
--- a/packages/lovagepond-backend/src/backend_fake_service.ts
+++ b/packages/lovagepond-backend/src/backend_fake_service.ts
@@ -12,6 +12,7 @@
   readAll,
   sendJson,
 } from './backend_fake_http.js';
+import {TimerSet} from './backend_timer_utils.js';
 
 /** Schema of a fake service's faults, as a scenario sends them over HTTP. */
 const fakeServiceFaultsSchema = z.strictObject({
@@ -87,7 +88,7 @@
   readonly #settings: FakeServiceSettings;
   readonly #listener: FakeListener;
   readonly #runs = new Map<string, number>();
-  readonly #timers = new Set<NodeJS.Timeout>();
+  readonly #timers = new TimerSet();
   #faults: FakeServiceFaults = {};
   #faultyCalls = 0;
   #ready = false;
@@ -123,7 +124,7 @@
 
   async stop(): Promise<void> {
     this.#ready = false;
-    for (const timer of this.#timers) clearTimeout(timer);
+    this.#timers.stop();
     await this.#listener.close();
   }
 
@@ -161,15 +162,7 @@
       else sendAnswer(res, run());
     };
     if (answerDelayMs === 0) answer();
-    else this.#later(answerDelayMs, answer);
-  }
-
-  #later(delayMs: number, action: () => void): void {
-    const timer = setTimeout(() => {
-      this.#timers.delete(timer);
-      action();
-    }, delayMs);
-    this.#timers.add(timer);
+    else this.#timers.start(answerDelayMs, answer);
   }
 
   #run(req: Request): FakeServiceAnswer {
--- a/packages/lovagepond-backend/src/backend_timer_utils.ts
+++ b/packages/lovagepond-backend/src/backend_timer_utils.ts
@@ -1,5 +1,5 @@
 /**
- * Timers for deadlines that may lie far ahead.
+ * Timers for deadlines that may lie far ahead, and timers that end together.
  */
 
 /** Node fires a longer timer at once. */
@@ -16,3 +16,25 @@
 ): NodeJS.Timeout {
   return setTimeout(action, Math.min(delayMs, MAX_TIMER_MS));
 }
+
+/** Timers that are still to fire. */
+export class TimerSet {
+  readonly #timers = new Set<NodeJS.Timeout>();
+
+  /**
+   * @param delayMs milliseconds until the action
+   * @param action what to do then
+   */
+  start(delayMs: number, action: () => void): void {
+    const timer = setTimeout(() => {
+      this.#timers.delete(timer);
+      action();
+    }, delayMs);
+    this.#timers.add(timer);
+  }
+
+  /** Ends all of them without their actions. */
+  stop(): void {
+    for (const timer of this.#timers) clearTimeout(timer);
+  }
+}
