--- a/packages/lovagepond-operator/src/__tests__/unit/operator_server.test.ts
+++ b/packages/lovagepond-operator/src/__tests__/unit/operator_server.test.ts
@@ -208,5 +208,8 @@
     const order = {backendServer: 's1', action: 'explode'};
     const headers = {'operation-id': 'op-2'};
     expect((await call('POST', '/v1/orders', order, headers)).status).toBe(400);
+    const member = {kind: 'promote', memberId: ''};
+    const promoted = await call('POST', '/v1/members', member, headers);
+    expect(promoted.body.error!['kind']).toBe('badRequest');
   });
 });
