Prove over processes that a frozen sidecar's late frames reach nobody

Cause: silence was proved with deciders and fakes; no process was frozen and woken again with work of two requests on it. Ruled out on the way: a first form of the test hung in some trials, since its second request was a new chat to the router and was placed on another server, where nothing waits; the request now holds the chat's earlier answer and goes to the warm server. Change: a sidecar is stopped by SIGSTOP in the middle of an answer while the chat's next request waits there unread. That one is answered whole by another server; the half answer ends with mayHaveRun. After SIGCONT the next answers over both routers are whole and hold no piece of a former request. The long answer of the file is 160 tokens in place of 200. Conclusion: a frozen server costs the waiting request a second place, not its answer. The drop of late frames alone was not seen failing: the caller's answer has ended by then, so several safeguards stand behind each other.

--- a/packages/lovagepond-cli/src/__tests__/e2e/open_chat.ts
+++ b/packages/lovagepond-cli/src/__tests__/e2e/open_chat.ts
@@ -13,6 +13,14 @@
   readonly isEnded: () => boolean;
 }
 
+/** What an answer is asked with besides its chat and length. */
+export interface ChatOptions {
+  /** The router's own without it. */
+  readonly deadlineMs?: number;
+  /** The chat's messages before this one. */
+  readonly earlier?: readonly {role: string; content: string}[];
+}
+
 /** Asks until it holds; the test's own limit ends it. */
 export async function until(holds: () => Promise<boolean>): Promise<void> {
   while (!(await holds())) await wait(POLL_MS);
@@ -34,24 +42,28 @@
  * @param url base URL of a router
  * @param chat identifier of the chat, in the workspace `demo`
  * @param maxTokens length of the answer
+ * @param options what else is asked
  * @returns resolves once text of the answer has arrived
  */
 export async function openChat(
   url: string,
   chat: string,
   maxTokens: number,
+  options: ChatOptions = {},
 ): Promise<OpenChat> {
+  const {deadlineMs, earlier = []} = options;
   const res = await fetch(`${url}/v1/chat/completions`, {
     method: 'POST',
     headers: {
       'content-type': 'application/json',
       'x-lovagepond-workspace': 'demo',
       'x-lovagepond-chat': chat,
+      ...(deadlineMs && {'x-lovagepond-deadline': String(deadlineMs)}),
     },
     body: JSON.stringify({
       model: 'any',
       stream: true,
-      messages: [{role: 'user', content: `Which voucher fits ${chat}?`}],
+      messages: [...earlier, {role: 'user', content: `And for ${chat}?`}],
       max_tokens: maxTokens,
     }),
   });
--- a/packages/lovagepond-cli/src/__tests__/e2e/sidecar_death.test.ts
+++ b/packages/lovagepond-cli/src/__tests__/e2e/sidecar_death.test.ts
@@ -2,14 +2,29 @@
 import {Fleet, streamChat} from '../../../../../scripts/fleet_processes.mjs';
 import {countRequests, findServing, openChat, until} from './open_chat.js';
 
-/** About four seconds at the stand-in's one token a step. */
-const LONG_TOKENS = 200;
+/** About three seconds at the stand-in's one token a step. */
+const LONG_TOKENS = 160;
+const SHORT_TOKENS = 8;
 const OTHER_CHATS = 6;
+const FROZEN_DEADLINE_MS = 2_500;
+const WAITING_DEADLINE_MS = 12_000;
+const DONE = /data: \[DONE\]\s*$/;
 
 interface ListedServer {
   readonly server: {readonly name: string; readonly state: string};
 }
 
+/** @returns the failure that an answer ended with */
+function errorOf(body: string): unknown {
+  const data = /event: error\ndata: (.*)\n/.exec(body)?.[1] ?? '{}';
+  return (JSON.parse(data) as {error?: unknown}).error;
+}
+
+/** @returns which requests an answer's pieces belong to */
+function idsOf(body: string): ReadonlySet<string> {
+  return new Set([...body.matchAll(/"id":"([^"]+)"/g)].map(([, id]) => id!));
+}
+
 describe('a sidecar that ends', () => {
   const fleet = new Fleet();
 
@@ -53,7 +68,7 @@
         workspace: 'demo',
         chat: `meanwhile-${index}`,
         messages: [{role: 'user', content: 'And this one?'}],
-        maxTokens: 8,
+        maxTokens: SHORT_TOKENS,
       }),
     );
     for (const other of await Promise.all(others)) {
@@ -61,10 +76,57 @@
     }
     expect(await countRequests(fleet, serving)).toBe(before);
     expect(answer.isEnded()).toBe(false);
-    expect(await answer.body).toMatch(/data: \[DONE\]\s*$/);
+    expect(await answer.body).toMatch(DONE);
     expect(await exited).toBe(0);
   });
 
+  // A sidecar freezes in the middle of an answer, and the chat's next request,
+  // sent over the same router's connection, waits there unread. The waiting one is
+  // answered by another server before its deadline; the half answer ends with
+  // its deadline and may have run. Then the sidecar wakes and serves what it
+  // had: too late, so none of it may reach a caller, of these or later requests
+  // on the same connections.
+  it('reaches nobody with late frames after a freeze', async () => {
+    const [url1, url2] = [1, 2].map(n => fleet.callersUrl(`router-${n}`));
+    const half = await openChat(url1!, 'frozen', LONG_TOKENS, {
+      deadlineMs: FROZEN_DEADLINE_MS,
+    });
+    const serving = await findServing(fleet);
+    const before = await countRequests(fleet, serving);
+    fleet.get(serving).signal('SIGSTOP');
+    const waiting = openChat(url1!, 'frozen', SHORT_TOKENS, {
+      deadlineMs: WAITING_DEADLINE_MS,
+      earlier: [
+        {role: 'user', content: 'And for frozen?'},
+        {role: 'assistant', content: 'The first one.'},
+      ],
+    });
+    await until(async () => {
+      const {state} = await fleet.dump('router-1');
+      return (state['requestsByState'] as {offered?: number}).offered === 1;
+    });
+    const answered = await (await waiting).body;
+    expect(answered).toMatch(DONE);
+    expect(idsOf(answered).size).toBe(1);
+    const cut = await half.body;
+    expect(cut).not.toContain('[DONE]');
+    expect(errorOf(cut)).toMatchObject({disposition: 'mayHaveRun'});
+    expect(await countRequests(fleet, serving)).toBe(before);
+
+    fleet.get(serving).signal('SIGCONT');
+    await until(async () => {
+      const {state} = await fleet.dump(serving);
+      return (state['gate'] as {runs: number}).runs === 0;
+    });
+    for (const url of [url1!, url2!]) {
+      const next = await (await openChat(url, 'frozen', SHORT_TOKENS)).body;
+      expect(next).toMatch(DONE);
+      expect(idsOf(next).size).toBe(1);
+      expect(idsOf(next)).not.toEqual(idsOf(answered));
+      expect(idsOf(next)).not.toEqual(idsOf(cut));
+    }
+  });
+
   // A sidecar dies under a caller who has read half of an answer. The other
   // half can come from nobody: the stream ends with an error event that says
   // that the request may have run, never with [DONE], by which the caller would
@@ -76,9 +138,7 @@
     await fleet.get(serving).end('SIGKILL');
     const body = await answer.body;
     expect(body).not.toContain('[DONE]');
-    const data = /event: error\ndata: (.*)\n/.exec(body)?.[1] ?? '{}';
-    const {error} = JSON.parse(data) as {error?: unknown};
-    expect(error).toMatchObject({
+    expect(errorOf(body)).toMatchObject({
       kind: expect.stringMatching(/./) as string,
       disposition: 'mayHaveRun',
     });
@@ -87,7 +147,7 @@
       workspace: 'demo',
       chat: 'killed',
       messages: [{role: 'user', content: 'Which voucher fits killed?'}],
-      maxTokens: 8,
+      maxTokens: SHORT_TOKENS,
     });
     expect(next).toMatchObject({status: 200, whole: true});
     expect(await countRequests(fleet, serving)).toBe(before);
