Call the package of process plumbing by its subject

Cause: the package lovagepond-platform holds settings, logs, metrics and the start and stop of a process. The users' platform gets an adapter in platform/, and one word would then have two meanings. Change: the package is renamed to lovagepond-process; no code changes. Conclusion: a reader meets the word platform in one sense.

--- a/packages/lovagepond-cli/src/__tests__/unit/settings_examples.test.ts
+++ b/packages/lovagepond-cli/src/__tests__/unit/settings_examples.test.ts
@@ -1,7 +1,7 @@
 import {readdirSync, readFileSync} from 'node:fs';
 import {join} from 'node:path';
 import {checkConfiguration} from '@lovagepond/core';
-import {formatFault, parseSettings, readSettings} from '@lovagepond/platform';
+import {formatFault, parseSettings, readSettings} from '@lovagepond/process';
 import {describe, expect, it} from 'vitest';
 import {z} from 'zod';
 import {
--- a/packages/lovagepond-cli/src/check_settings_files.ts
+++ b/packages/lovagepond-cli/src/check_settings_files.ts
@@ -10,7 +10,7 @@
   type ParsedSettings,
   readSettings,
   type SettingsFault,
-} from '@lovagepond/platform';
+} from '@lovagepond/process';
 import {ROLE_NAMES} from './cli_constants.js';
 import {roleOf} from './role_of_settings.js';
 import {ROLE_SCHEMAS} from './role_schemas.js';
--- a/packages/lovagepond-cli/src/command_check_settings.ts
+++ b/packages/lovagepond-cli/src/command_check_settings.ts
@@ -1,7 +1,7 @@
 /**
  * `lovagepond check-settings`: checks settings files and starts nothing.
  */
-import {EXIT_CODE, type ExitCode, formatFault} from '@lovagepond/platform';
+import {EXIT_CODE, type ExitCode, formatFault} from '@lovagepond/process';
 import {checkSettingsFiles} from './check_settings_files.js';
 
 /**
--- a/packages/lovagepond-cli/src/command_fake.ts
+++ b/packages/lovagepond-cli/src/command_fake.ts
@@ -17,7 +17,7 @@
   parseHostPort,
   registerSignals,
   SystemClock,
-} from '@lovagepond/platform';
+} from '@lovagepond/process';
 
 /** What can be stood in for. */
 export type FakeKind = 'engine' | 'service';
--- a/packages/lovagepond-cli/src/command_line.ts
+++ b/packages/lovagepond-cli/src/command_line.ts
@@ -4,7 +4,7 @@
  * A command's code is loaded when the command runs, so that a process holds
  * no more than its role needs.
  */
-import {EXIT_CODE, EXIT_CODE_MEANINGS} from '@lovagepond/platform/exit_codes';
+import {EXIT_CODE, EXIT_CODE_MEANINGS} from '@lovagepond/process/exit_codes';
 import {Command, CommanderError, Option} from 'commander';
 import {
   PROGRAM_NAME,
--- a/packages/lovagepond-cli/src/command_role.ts
+++ b/packages/lovagepond-cli/src/command_role.ts
@@ -8,7 +8,7 @@
   formatFault,
   readSettings,
   type SettingsFault,
-} from '@lovagepond/platform';
+} from '@lovagepond/process';
 import {type RoleName} from './cli_constants.js';
 import {type CommonValues, composeRoleProcess} from './composition_root.js';
 import {loadRoleDefinition} from './role_loader.js';
--- a/packages/lovagepond-cli/src/command_standalone.ts
+++ b/packages/lovagepond-cli/src/command_standalone.ts
@@ -17,7 +17,7 @@
   registerProcessMetrics,
   RoarrLogger,
   SystemClock,
-} from '@lovagepond/platform';
+} from '@lovagepond/process';
 import {type RoleParts} from './role_definition.js';
 import {checkFleet} from './self_check.js';
 import {makeStandaloneFleet} from './standalone_fleet.js';
--- a/packages/lovagepond-cli/src/composition_root.ts
+++ b/packages/lovagepond-cli/src/composition_root.ts
@@ -11,7 +11,7 @@
   registerProcessMetrics,
   RoarrLogger,
   SystemClock,
-} from '@lovagepond/platform';
+} from '@lovagepond/process';
 import {
   container,
   type DependencyContainer,
--- a/packages/lovagepond-cli/src/main.ts
+++ b/packages/lovagepond-cli/src/main.ts
@@ -1,7 +1,7 @@
 /**
  * The one binary: reads the command line and runs a role or a tool.
  */
-import {EXIT_CODE} from '@lovagepond/platform/exit_codes';
+import {EXIT_CODE} from '@lovagepond/process/exit_codes';
 import {runCommandLine} from './command_line.js';
 
 runCommandLine(process.argv).catch((err: unknown) => {
--- a/packages/lovagepond-cli/src/role_definition.ts
+++ b/packages/lovagepond-cli/src/role_definition.ts
@@ -11,7 +11,7 @@
   type FileSchema,
   type FileValues,
   type MetricsRegistry,
-} from '@lovagepond/platform';
+} from '@lovagepond/process';
 import {type RoleName} from './cli_constants.js';
 
 /** What each role is given besides its settings. */
--- a/packages/lovagepond-cli/src/role_metrics.ts
+++ b/packages/lovagepond-cli/src/role_metrics.ts
@@ -5,7 +5,7 @@
  * never disagree.
  */
 import {type Role, type StateDump} from '@lovagepond/core';
-import {type MetricsRegistry, type Sample} from '@lovagepond/platform';
+import {type MetricsRegistry, type Sample} from '@lovagepond/process';
 import {type RoleName} from './cli_constants.js';
 
 /** A value in a dump, by the keys that lead to it. */
--- a/packages/lovagepond-cli/src/role_of_settings.ts
+++ b/packages/lovagepond-cli/src/role_of_settings.ts
@@ -1,7 +1,7 @@
 /**
  * Which role a settings file is for.
  */
-import {type ParsedSettings} from '@lovagepond/platform';
+import {type ParsedSettings} from '@lovagepond/process';
 import {ROLE_NAMES, type RoleName} from './cli_constants.js';
 
 /**
--- a/packages/lovagepond-cli/src/role_schemas.ts
+++ b/packages/lovagepond-cli/src/role_schemas.ts
@@ -1,7 +1,7 @@
 /**
  * The schema of each role's settings file, without any role's code.
  */
-import {type FileSchema} from '@lovagepond/platform';
+import {type FileSchema} from '@lovagepond/process';
 import {type RoleName} from './cli_constants.js';
 import {CONTROL_SCHEMA} from './settings_control.js';
 import {ROUTER_SCHEMA} from './settings_router.js';
--- a/packages/lovagepond-cli/src/settings_control.ts
+++ b/packages/lovagepond-cli/src/settings_control.ts
@@ -13,7 +13,7 @@
   nameText,
   size,
   withTraits,
-} from '@lovagepond/platform';
+} from '@lovagepond/process';
 import {type OperatorSettings} from '@lovagepond/operator';
 import {z} from 'zod';
 import {COMMON_SECTIONS} from './settings_sections.js';
--- a/packages/lovagepond-cli/src/settings_reloader.ts
+++ b/packages/lovagepond-cli/src/settings_reloader.ts
@@ -10,7 +10,7 @@
   type ProcessRunner,
   readSettings,
   type RoarrLogger,
-} from '@lovagepond/platform';
+} from '@lovagepond/process';
 import {
   type COMMON_SECTIONS,
   type PlatformValues,
--- a/packages/lovagepond-cli/src/settings_router.ts
+++ b/packages/lovagepond-cli/src/settings_router.ts
@@ -11,7 +11,7 @@
   percentage,
   size,
   withTraits,
-} from '@lovagepond/platform';
+} from '@lovagepond/process';
 import {type RouterSettings} from '@lovagepond/router';
 import {z} from 'zod';
 import {COMMON_SECTIONS, controlMembersSection} from './settings_sections.js';
--- a/packages/lovagepond-cli/src/settings_sections.ts
+++ b/packages/lovagepond-cli/src/settings_sections.ts
@@ -11,7 +11,7 @@
   oneOf,
   type ProcessSettings,
   withTraits,
-} from '@lovagepond/platform';
+} from '@lovagepond/process';
 import {z} from 'zod';
 import {ROLE_NAMES} from './cli_constants.js';
 
--- a/packages/lovagepond-cli/src/settings_sidecar.ts
+++ b/packages/lovagepond-cli/src/settings_sidecar.ts
@@ -12,7 +12,7 @@
   oneOf,
   size,
   withTraits,
-} from '@lovagepond/platform';
+} from '@lovagepond/process';
 import {type SidecarSettings} from '@lovagepond/sidecar';
 import {z} from 'zod';
 import {
--- a/packages/lovagepond-cli/src/settings_utils.ts
+++ b/packages/lovagepond-cli/src/settings_utils.ts
@@ -1,7 +1,7 @@
 /**
  * Helpers that turn a file's values into a role's settings.
  */
-import {formatHostPort, type HostPort} from '@lovagepond/platform';
+import {formatHostPort, type HostPort} from '@lovagepond/process';
 
 /** The same object type with each `undefined` taken out of its values. */
 type Defined<Values> = {
--- a/packages/lovagepond-cli/src/standalone_fleet.ts
+++ b/packages/lovagepond-cli/src/standalone_fleet.ts
@@ -9,7 +9,7 @@
   type ParsedSettings,
   parseHostPort,
   SettingsError,
-} from '@lovagepond/platform';
+} from '@lovagepond/process';
 import {checkParsedSettings} from './check_settings_files.js';
 import {type RoleName} from './cli_constants.js';
 import {createFake, type FakeKind} from './command_fake.js';
--- a/packages/lovagepond-cli/src/standalone_set.ts
+++ b/packages/lovagepond-cli/src/standalone_set.ts
@@ -3,7 +3,7 @@
  */
 import {readdirSync, readFileSync} from 'node:fs';
 import {join} from 'node:path';
-import {type ParsedSettings, readSettings} from '@lovagepond/platform';
+import {type ParsedSettings, readSettings} from '@lovagepond/process';
 import {findFreePorts} from './free_ports.js';
 
 /** Settings of every process, with the configuration they start with. */
--- a/packages/lovagepond-cli/src/standalone_settings.ts
+++ b/packages/lovagepond-cli/src/standalone_settings.ts
@@ -2,7 +2,7 @@
  * The set of settings that `standalone` runs when it is given none: sections
  * of keys as settings files would hold them, which pass the same checks.
  */
-import {type ParsedSettings} from '@lovagepond/platform';
+import {type ParsedSettings} from '@lovagepond/process';
 import {type RoleName} from './cli_constants.js';
 import {STANDALONE_CONFIGURATION} from './standalone_configuration.js';
 import {type FleetSet} from './standalone_set.js';
--- a/packages/lovagepond-operator/src/__tests__/unit/ctl.test.ts
+++ b/packages/lovagepond-operator/src/__tests__/unit/ctl.test.ts
@@ -1,7 +1,7 @@
 import {createServer, type Server} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {type Logger} from '@lovagepond/core';
-import {EXIT_CODE, type ExitCode} from '@lovagepond/platform';
+import {EXIT_CODE, type ExitCode} from '@lovagepond/process';
 import {Command} from 'commander';
 import {request} from 'undici';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
--- a/packages/lovagepond-operator/src/ctl_convergence_command.ts
+++ b/packages/lovagepond-operator/src/ctl_convergence_command.ts
@@ -2,7 +2,7 @@
  * `ctl convergence`: which router and sidecar holds which revision.
  */
 import {type ConvergenceView} from '@lovagepond/control';
-import {EXIT_CODE} from '@lovagepond/platform';
+import {EXIT_CODE} from '@lovagepond/process';
 import {formatTable, parseCount} from './ctl_format_utils.js';
 import {type CtlCall, type CtlCommand, type CtlOutput} from './ctl_types.js';
 
--- a/packages/lovagepond-operator/src/ctl_register.ts
+++ b/packages/lovagepond-operator/src/ctl_register.ts
@@ -5,7 +5,7 @@
   EXIT_CODE,
   EXIT_CODE_MEANINGS,
   type ExitCode,
-} from '@lovagepond/platform';
+} from '@lovagepond/process';
 import {type Command, Option} from 'commander';
 import {CONFIGURATION_COMMANDS} from './ctl_configuration_commands.js';
 import {CONVERGENCE_COMMANDS} from './ctl_convergence_command.js';
--- a/packages/lovagepond-operator/src/ctl_types.ts
+++ b/packages/lovagepond-operator/src/ctl_types.ts
@@ -2,7 +2,7 @@
  * What the `ctl` commands are made of: rows of a table that name, describe and
  * run each command.
  */
-import {type ExitCode} from '@lovagepond/platform';
+import {type ExitCode} from '@lovagepond/process';
 import {type AdministrationClient, type ClientTime} from './operator_client.js';
 
 /** What a command shows: a value for `--json`, lines for people. */
