--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -4,7 +4,7 @@
 // The Google TypeScript Style Guide's rules that a linter can check. Layout is
 // left to prettier.
 export default tseslint.config(
-  {ignores: ['dist/', 'reports/', 'packages/*/src/generated/']},
+  {ignores: ['dist/', 'target/', 'reports/', 'packages/*/src/generated/']},
   js.configs.recommended,
   ...tseslint.configs.strict,
   ...tseslint.configs.stylistic,
--- a/packages/lovagepond-cli/src/cli_constants.ts
+++ b/packages/lovagepond-cli/src/cli_constants.ts
@@ -9,7 +9,7 @@
 export const VERSION = '0.1.0';
 
 /** The roles that run as processes of their own. */
-export const ROLE_NAMES = ['router', 'sidecar', 'control'] as const;
+export const ROLE_NAMES = ['router', 'sidecar', 'control', 'gateway'] as const;
 
 /** One of {@link ROLE_NAMES}. */
 export type RoleName = (typeof ROLE_NAMES)[number];
--- a/packages/lovagepond-cli/src/command_line.ts
+++ b/packages/lovagepond-cli/src/command_line.ts
@@ -19,6 +19,7 @@
   router: 'run a router on an entry host',
   sidecar: 'run the sidecar of one backend server',
   control: 'run a member of control on a host with a disk',
+  gateway: 'run a gateway to backend servers without sidecars',
 };
 
 /** Options of `standalone`. */
--- a/packages/lovagepond-cli/src/role_control.ts
+++ b/packages/lovagepond-cli/src/role_control.ts
@@ -5,28 +5,47 @@
 import {AdministrationServer} from '@lovagepond/operator/server';
 import {DEFAULT_OPERATOR_SETTINGS} from '@lovagepond/operator/settings';
 import {ControlMember} from './control_member.js';
-import {type RoleDefinition} from './role_definition.js';
+import {type RoleDefinition, type RoleParts} from './role_definition.js';
 import {
   CONTROL_SCHEMA,
+  type ControlValues,
   toControlSettings,
   toOperatorSettings,
 } from './settings_control.js';
 
+/** A member of control, and the control role inside of it. */
+export interface MadeControlMember {
+  readonly member: ControlMember;
+  readonly control: ControlRole;
+}
+
+/**
+ * @param values the checked settings file
+ * @param parts what each role is given
+ * @returns the member with its administration server, not started yet
+ */
+export function createControlMember(
+  values: ControlValues,
+  {clock, log, random}: RoleParts,
+): MadeControlMember {
+  const settings = {...CONTROL_DEFAULTS, ...toControlSettings(values)};
+  const control = new ControlRole(settings, {clock, log, random});
+  const administration = new AdministrationServer(
+    control.administration,
+    {
+      ...DEFAULT_OPERATOR_SETTINGS,
+      ...toOperatorSettings(values, process.env),
+    },
+    log,
+  );
+  return {member: new ControlMember(control, administration), control};
+}
+
 /** The control role, with its administration server. */
 export const CONTROL_ROLE: RoleDefinition<typeof CONTROL_SCHEMA> = {
   name: 'control',
   schema: CONTROL_SCHEMA,
-  createRole(values, {clock, log, random}) {
-    const settings = {...CONTROL_DEFAULTS, ...toControlSettings(values)};
-    const control = new ControlRole(settings, {clock, log, random});
-    const administration = new AdministrationServer(
-      control.administration,
-      {
-        ...DEFAULT_OPERATOR_SETTINGS,
-        ...toOperatorSettings(values, process.env),
-      },
-      log,
-    );
-    return Promise.resolve(new ControlMember(control, administration));
+  createRole(values, parts) {
+    return Promise.resolve(createControlMember(values, parts).member);
   },
 };
--- /dev/null
+++ b/packages/lovagepond-cli/src/role_gateway.ts
@@ -0,0 +1,35 @@
+/**
+ * How a gateway is made from its settings file.
+ */
+import {
+  DEFAULT_GATEWAY_SETTINGS,
+  DEFAULT_HEADER_NAMES,
+  type GatewayHeaderNames,
+  GatewayRole,
+} from '@lovagepond/gateway';
+import {type RoleDefinition} from './role_definition.js';
+import {GATEWAY_SCHEMA, toGatewaySettings} from './settings_gateway.js';
+
+/**
+ * @param names the header names that callers and backend servers use
+ * @returns the gateway role
+ */
+export function makeGatewayDefinition(
+  names: GatewayHeaderNames,
+): RoleDefinition<typeof GATEWAY_SCHEMA> {
+  return {
+    name: 'gateway',
+    schema: GATEWAY_SCHEMA,
+    createRole(values, {clock, log, random}) {
+      const settings = {
+        ...DEFAULT_GATEWAY_SETTINGS,
+        ...toGatewaySettings(values),
+      };
+      const parts = {clock, log, random, names};
+      return Promise.resolve(new GatewayRole(settings, parts));
+    },
+  };
+}
+
+/** The gateway role with the product's own header names. */
+export const GATEWAY_ROLE = makeGatewayDefinition(DEFAULT_HEADER_NAMES);
--- a/packages/lovagepond-cli/src/role_loader.ts
+++ b/packages/lovagepond-cli/src/role_loader.ts
@@ -8,6 +8,7 @@
   router: async () => (await import('./role_router.js')).ROUTER_ROLE,
   sidecar: async () => (await import('./role_sidecar.js')).SIDECAR_ROLE,
   control: async () => (await import('./role_control.js')).CONTROL_ROLE,
+  gateway: async () => (await import('./role_gateway.js')).GATEWAY_ROLE,
 };
 
 /**
--- a/packages/lovagepond-cli/src/role_metrics.ts
+++ b/packages/lovagepond-cli/src/role_metrics.ts
@@ -223,10 +223,27 @@
   },
 ];
 
+const GATEWAY_METRICS: readonly DumpMetric[] = [
+  REVISION,
+  {
+    kind: 'gauge',
+    name: 'lovagepond_gateway_requests_in_flight',
+    help: 'Forwarded requests that have no final answer yet.',
+    path: ['inFlight'],
+  },
+  {
+    kind: 'counter',
+    name: 'lovagepond_gateway_connections_opened_total',
+    help: 'Connections opened to backend servers.',
+    path: ['connectionsOpened'],
+  },
+];
+
 const METRICS_BY_ROLE: Readonly<Record<RoleName, readonly DumpMetric[]>> = {
   router: ROUTER_METRICS,
   sidecar: SIDECAR_METRICS,
   control: CONTROL_METRICS,
+  gateway: GATEWAY_METRICS,
 };
 
 function findValue(state: unknown, path: Path): unknown {
--- a/packages/lovagepond-cli/src/settings_control.ts
+++ b/packages/lovagepond-cli/src/settings_control.ts
@@ -4,6 +4,7 @@
 import {join} from 'node:path';
 import {type CONTROL_DEFAULTS, type ControlSettings} from '@lovagepond/control';
 import {
+  boolean,
   duration,
   type FileValues,
   formatHostPort,
@@ -17,8 +18,9 @@
 import {type OperatorSettings} from '@lovagepond/operator';
 import {z} from 'zod';
 import {COMMON_SECTIONS} from './settings_sections.js';
-import {formatAddresses, keepDefined} from './settings_utils.js';
+import {formatAddresses, keepDefined, withPort} from './settings_utils.js';
 
+const MAX_PORT = 65_535;
 const MAX_COUNT = 100_000_000;
 /** Within the data folder; state dumps stand beside it. */
 const CONSENSUS_FOLDER = 'consensus';
@@ -29,6 +31,12 @@
   address: hostPort().optional(),
   /** All members, this one too, at the group's first start. */
   members: list(hostPort()),
+  /** Takes the place of the ports in `members`. */
+  memberPort: integer(1, MAX_PORT).optional(),
+  /** False where the hosts' data folders can't all be new. */
+  mayForm: boolean().optional(),
+  /** Hosts that `members` doesn't name may take the places of lost ones. */
+  openMembership: boolean().optional(),
 });
 
 const administrationSection = z.strictObject({
@@ -81,9 +89,11 @@
     host: member.listen.host,
     port: member.listen.port,
     administrationAddress: formatHostPort(values.administration.listen),
-    members: formatAddresses(member.members),
+    members: formatAddresses(withPort(member.members, member.memberPort)),
     dataFolder: join(platform.dataFolder, CONSENSUS_FOLDER),
     ...keepDefined({
+      mayFormGroup: member.mayForm,
+      openMembership: member.openMembership,
       leaseMs: limits.lease,
       digestIntervalMs: limits.digestInterval,
       heartbeatIntervalMs: limits.heartbeatInterval,
--- a/packages/lovagepond-cli/src/settings_router.ts
+++ b/packages/lovagepond-cli/src/settings_router.ts
@@ -15,7 +15,7 @@
 import {type RouterSettings} from '@lovagepond/router';
 import {z} from 'zod';
 import {COMMON_SECTIONS, controlMembersSection} from './settings_sections.js';
-import {formatAddresses, keepDefined} from './settings_utils.js';
+import {formatAddresses, keepDefined, withPort} from './settings_utils.js';
 
 const MAX_CONNECTIONS = 1_000_000;
 const MAX_TRIES = 100;
@@ -115,7 +115,9 @@
     name: identity.name,
     region: identity.region,
     availabilityZone: identity.availabilityZone,
-    controlAddresses: formatAddresses(control.members),
+    controlAddresses: formatAddresses(
+      withPort(control.members, control.memberPort),
+    ),
     ...keepDefined({
       controlSilentAfterMs: control.silentAfter,
       controlRetryMs: control.retry,
--- a/packages/lovagepond-cli/src/settings_sections.ts
+++ b/packages/lovagepond-cli/src/settings_sections.ts
@@ -15,6 +15,7 @@
 import {z} from 'zod';
 import {ROLE_NAMES} from './cli_constants.js';
 
+const MAX_PORT = 65_535;
 const MAX_SEED = 2 ** 31 - 1;
 
 /** `[process]`: who and where this process is. */
@@ -42,6 +43,8 @@
 /** `[control]` of routers and sidecars: where control's members are. */
 export const controlMembersSection = z.strictObject({
   members: list(hostPort()),
+  /** Takes the place of the ports in `members`. */
+  memberPort: integer(1, MAX_PORT).optional(),
   /** Without an update or heartbeat for so long, another member is tried. */
   silentAfter: duration().optional(),
   /** Wait between two tries of control. */
--- a/packages/lovagepond-cli/src/settings_sidecar.ts
+++ b/packages/lovagepond-cli/src/settings_sidecar.ts
@@ -20,7 +20,7 @@
   controlMembersSection,
   labelsSection,
 } from './settings_sections.js';
-import {formatAddresses, keepDefined} from './settings_utils.js';
+import {formatAddresses, keepDefined, withPort} from './settings_utils.js';
 
 const MAX_COUNT = 1_000_000_000;
 
@@ -162,7 +162,9 @@
     host: listen.host,
     port: listen.port,
     announcedAddress: announcedAddress ? formatHostPort(announcedAddress) : '',
-    controlAddresses: formatAddresses(control.members),
+    controlAddresses: formatAddresses(
+      withPort(control.members, control.memberPort),
+    ),
     backendUrl: backend.url,
     backendKind: backend.kind,
     drainLimitMs: platform.drainLimit,
--- a/packages/lovagepond-cli/src/settings_utils.ts
+++ b/packages/lovagepond-cli/src/settings_utils.ts
@@ -24,6 +24,19 @@
   return Object.fromEntries(entries) as Defined<Values>;
 }
 
+/**
+ * @param addresses addresses
+ * @param port a port to reach all of them under, when it isn't their own
+ * @returns the addresses to use
+ */
+export function withPort(
+  addresses: readonly HostPort[],
+  port: number | undefined,
+): readonly HostPort[] {
+  if (port === undefined) return addresses;
+  return addresses.map(({host}) => ({host, port}));
+}
+
 /**
  * @param addresses addresses
  * @returns each as `host:port`
--- a/packages/lovagepond-consensus/src/consensus_core.ts
+++ b/packages/lovagepond-consensus/src/consensus_core.ts
@@ -230,6 +230,14 @@
     return this.#state.leadership?.isActive(id) ?? false;
   }
 
+  /**
+   * @param id identity of a member
+   * @returns true when this member leads and the other has been silent long
+   */
+  isLost(id: MemberId): boolean {
+    return this.#state.leadership?.isLost(id) ?? false;
+  }
+
   /** True while this member remembers no group: its storage is empty. */
   get isBlank(): boolean {
     const {term, replica} = this.#state;
--- a/packages/lovagepond-consensus/src/consensus_formation.ts
+++ b/packages/lovagepond-consensus/src/consensus_formation.ts
@@ -23,6 +23,7 @@
   readonly address: string;
   readonly peers: readonly string[];
   readonly helloIntervalMs: number;
+  readonly mayForm: boolean;
   isBlank(): boolean;
 }
 
@@ -101,7 +102,8 @@
   }
 
   #bootstrapWhenAllBlank(): void {
-    const {id, address} = this.#view;
+    const {id, address, mayForm} = this.#view;
+    if (!mayForm) return;
     if (this.#others.some(other => other < address)) return;
     if (!this.#others.every(other => this.#blankPeers.has(other))) return;
     const own = {id, address, voter: true};
--- a/packages/lovagepond-consensus/src/consensus_leadership.ts
+++ b/packages/lovagepond-consensus/src/consensus_leadership.ts
@@ -27,6 +27,13 @@
   readonly replica: Replica;
 }
 
+/**
+ * Election timeouts of silence after which a voter's place may be given away:
+ * long enough for a restart and a leader's first rounds, since a voter whose
+ * place was given away must begin anew with an empty data folder.
+ */
+const LOST_ELECTION_TIMEOUTS = 5;
+
 /** One leader in one term. */
 export class Leadership {
   readonly #view: LeaderView;
@@ -121,6 +128,19 @@
     return acked > 0 && acked + recent >= this.#rounds.current;
   }
 
+  /**
+   * @param id identity of a member
+   * @returns true when it hasn't answered for so long that a host which asks
+   *     to join may take its place
+   */
+  isLost(id: MemberId): boolean {
+    if (id === this.#view.id) return false;
+    const {heartbeatIntervalMs, electionTimeoutMs} = this.#view.timings;
+    const longMs = electionTimeoutMs * LOST_ELECTION_TIMEOUTS;
+    const acked = this.#progress.get(id)?.ackedRound ?? 0;
+    return this.#rounds.current - acked >= longMs / heartbeatIntervalMs;
+  }
+
   /** @param token the caller's number for a read that arrives now */
   addRead(token: number): void {
     this.#rounds.addRead(token);
--- a/packages/lovagepond-consensus/src/consensus_member_replacement.ts
+++ b/packages/lovagepond-consensus/src/consensus_member_replacement.ts
@@ -18,6 +18,10 @@
   status(): ConsensusStatus;
   isCaughtUp(id: MemberId): boolean;
   isActive(id: MemberId): boolean;
+  /** True when the member has been silent long enough to be replaced. */
+  isLost(id: MemberId): boolean;
+  /** Hosts at new addresses take the places of lost voters. */
+  readonly openMembership: boolean;
   /** True when a host at the address may join by itself. */
   mayJoin(address: string): boolean;
 }
@@ -88,15 +92,32 @@
     const {role, members} = this.#view.status();
     if (role !== MEMBER_ROLE.LEADER || this.#joining.size > 0) return;
     if (!this.#view.mayJoin(address)) return;
-    const old = members.find(
-      member => member.address === address && member.id !== id,
-    );
+    const others = members.filter(member => member.id !== id);
+    const old = this.#findFormer(others, address);
+    if (!old && this.#awaitsCertainty(others)) return;
     this.#joining.add(id);
     void this.start(old?.id, id, address).finally(() => {
       this.#joining.delete(id);
     });
   }
 
+  /**
+   * A host at a new address takes the place of a voter that doesn't answer:
+   * else each lost host would raise the majority needed for good, until the
+   * hosts that are left can't make one.
+   */
+  #findFormer(others: MemberList, address: string): Member | undefined {
+    const former = others.find(member => member.address === address);
+    if (former || !this.#view.openMembership) return former;
+    return others.find(({id, voter}) => voter && this.#view.isLost(id));
+  }
+
+  /** Whether a silent voter is lost shows soon: the newcomer waits so long. */
+  #awaitsCertainty(others: MemberList): boolean {
+    if (!this.#view.openMembership) return false;
+    return others.some(({id, voter}) => voter && !this.#view.isActive(id));
+  }
+
   /** To be called often: tells who has caught up, and goes on after a crash. */
   tick(): void {
     const {role, members} = this.#view.status();
--- a/packages/lovagepond-consensus/src/consensus_node.ts
+++ b/packages/lovagepond-consensus/src/consensus_node.ts
@@ -98,9 +98,11 @@
       status: () => this.status(),
       isCaughtUp: id => this.#core?.isCaughtUp(id) ?? false,
       isActive: id => this.#core?.isActive(id) ?? false,
+      isLost: id => this.#core?.isLost(id) ?? false,
+      openMembership: settings.openMembership ?? false,
       mayJoin: address => {
-        const {automaticJoin = true, peers} = settings;
-        return automaticJoin && peers.includes(address);
+        const {automaticJoin = true, openMembership = false, peers} = settings;
+        return automaticJoin && (openMembership || peers.includes(address));
       },
     });
   }
@@ -121,6 +123,7 @@
       id: stored.id,
       address,
       peers,
+      mayForm: this.#settings.mayForm ?? true,
       helloIntervalMs: timings.electionTimeoutMs * HELLO_INTERVAL_TIMEOUTS,
       isBlank: () => core.isBlank,
     });
--- a/packages/lovagepond-consensus/src/consensus_types.ts
+++ b/packages/lovagepond-consensus/src/consensus_types.ts
@@ -195,4 +195,14 @@
    * True by default.
    */
   readonly automaticJoin?: boolean;
+  /**
+   * When false, a member with an empty data folder only joins a group and
+   * never forms one. True by default.
+   */
+  readonly mayForm?: boolean;
+  /**
+   * When it leads, a member lets hosts in that `peers` doesn't name, in place
+   * of a voter that no longer answers, or beside the others. False by default.
+   */
+  readonly openMembership?: boolean;
 }
--- a/packages/lovagepond-control/src/configuration_state.ts
+++ b/packages/lovagepond-control/src/configuration_state.ts
@@ -11,7 +11,11 @@
   type ConfigurationDifference,
   type HistoryEntry,
 } from './control_administration.js';
-import {type ChangePayload, type CommandStamp} from './control_commands.js';
+import {
+  type ChangePayload,
+  type CommandStamp,
+  type InstallPayload,
+} from './control_commands.js';
 import {
   type ConfigurationEdit,
   diffConfigurations,
@@ -34,6 +38,13 @@
   readonly current: Configuration;
   readonly history: readonly KeptRevision[];
   readonly contents: readonly Configuration[];
+  readonly document?: ConfigurationDocument;
+}
+
+/** The newest configuration as the operators' own system sent it. */
+export interface ConfigurationDocument {
+  readonly version: number;
+  readonly source: string;
 }
 
 /** Revisions of the configuration. Part of the replicated state. */
@@ -43,6 +54,7 @@
   readonly #readHistoryLimit: () => number;
   #history: KeptRevision[] = [];
   readonly #contents = new Map<number, ConfigurationContent>();
+  #document: ConfigurationDocument | undefined;
 
   /** @param readHistoryLimit reads how many revisions keep their content */
   constructor(readHistoryLimit: () => number) {
@@ -66,19 +78,34 @@
     }
     const content = this.edit(edit);
     if (!content) return {kind: 'missing', place: describeTarget(edit)};
-    const revision = current.revision + 1;
-    const changed = diffConfigurations(current.content, content);
-    this.#history.push({
-      revision,
-      operationId,
-      acceptedAt: stamp.wallTimeMs,
-      changed: changed.map(difference => difference.place),
-    });
-    this.#keep(revision, content);
-    this.current.update(() => ({revision, content}));
+    const revision = this.#advance(operationId, content, stamp);
     return {kind: 'accepted', revision};
   }
 
+  /**
+   * Puts a whole configuration in force by the number that the operators' own
+   * system gave it. The highest number wins, whatever order they arrive in: a
+   * resend and an overtaken change leave the state as it is.
+   *
+   * @param payload the configuration, checked by the proposer
+   * @param stamp the proposer's stamp
+   * @returns the number in force after it
+   */
+  install(payload: InstallPayload, stamp: CommandStamp): number {
+    const {version, content, source} = payload;
+    const held = this.#document?.version ?? 0;
+    if (version <= held) return held;
+    this.#document = {version, source};
+    const numbered = {...content, documentVersion: version};
+    this.#advance(`document ${version}`, numbered, stamp);
+    return version;
+  }
+
+  /** The newest document of the operators' own system; undefined before one. */
+  get document(): ConfigurationDocument | undefined {
+    return this.#document;
+  }
+
   /**
    * @param edit an edit of the current revision
    * @returns the content it makes, or undefined when its target is missing
@@ -127,12 +154,14 @@
         revision,
         content,
       })),
+      ...(this.#document && {document: this.#document}),
     };
   }
 
   /** @param snapshot what {@link snapshot} gave */
   restore(snapshot: ConfigurationSnapshot): void {
     this.#history = [...snapshot.history];
+    this.#document = snapshot.document;
     this.#contents.clear();
     for (const kept of snapshot.contents) {
       this.#contents.set(kept.revision, kept.content);
@@ -140,6 +169,25 @@
     this.current.update(() => snapshot.current);
   }
 
+  #advance(
+    operationId: string,
+    content: ConfigurationContent,
+    stamp: CommandStamp,
+  ): number {
+    const current = this.current.read();
+    const revision = current.revision + 1;
+    const changed = diffConfigurations(current.content, content);
+    this.#history.push({
+      revision,
+      operationId,
+      acceptedAt: stamp.wallTimeMs,
+      changed: changed.map(difference => difference.place),
+    });
+    this.#keep(revision, content);
+    this.current.update(() => ({revision, content}));
+    return revision;
+  }
+
   #keep(revision: number, content: ConfigurationContent): void {
     this.#contents.set(revision, content);
     const oldest = revision - this.#readHistoryLimit();
--- a/packages/lovagepond-control/src/control_administration.ts
+++ b/packages/lovagepond-control/src/control_administration.ts
@@ -14,7 +14,10 @@
 } from '@lovagepond/core';
 
 /** The lists of named objects in a configuration. */
-export type ConfigurationSection = keyof ConfigurationContent;
+export type ConfigurationSection = Exclude<
+  keyof ConfigurationContent,
+  'callerLimits' | 'documentVersion'
+>;
 
 /** The change an operator wants. */
 export type WantedChange =
--- a/packages/lovagepond-control/src/control_commands.ts
+++ b/packages/lovagepond-control/src/control_commands.ts
@@ -2,7 +2,12 @@
  * The commands of control's replicated log: typed constants, their payloads,
  * and their coding as versioned JSON.
  */
-import {type Command, createCommand, invariant} from '@lovagepond/core';
+import {
+  type Command,
+  type ConfigurationContent,
+  createCommand,
+  invariant,
+} from '@lovagepond/core';
 import {
   type OrderOutcomeKind,
   type OrderRequest,
@@ -28,6 +33,14 @@
   readonly edit: ConfigurationEdit;
 }
 
+/** Puts a whole configuration in force when its version is the highest. */
+export interface InstallPayload {
+  readonly version: number;
+  readonly content: ConfigurationContent;
+  /** What the operators sent, to be read back as it was. */
+  readonly source: string;
+}
+
 /** Claims a key of the ledger for one attempt of one sidecar incarnation. */
 export interface ClaimPayload {
   readonly workspace: string;
@@ -88,6 +101,8 @@
 export const LIMITS_COMMAND = createCommand<ControlLimits>('limits');
 /** Puts a configuration in force when its base revision is the current one. */
 export const CHANGE_COMMAND = createCommand<ChangePayload>('change');
+/** Puts a whole configuration in force by the operators' own numbers. */
+export const INSTALL_COMMAND = createCommand<InstallPayload>('install');
 /** Claims a call that may not be repeated, before it is dispatched. */
 export const CLAIM_COMMAND = createCommand<ClaimPayload>('claim');
 /** Records the outcome of a claimed call. */
--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -12,12 +12,14 @@
 } from '@lovagepond/core';
 import {lovagepond} from '@lovagepond/protocol';
 import {AnnounceHandler} from './announce_handler.js';
+import {ConfigurationDocuments} from './configuration_documents.js';
 import {ConfirmationRounds} from './confirmation_rounds.js';
 import {type ControlAdministration} from './control_administration.js';
 import {type ControlSettings} from './control_settings.js';
 import {LIMITS_COMMAND} from './control_commands.js';
 import {type ControlStateMachine, pickLimits} from './control_state_machine.js';
 import {ConvergenceTable} from './convergence_table.js';
+import {DirectServers} from './direct_servers.js';
 import {LeaderRelay} from './leader_relay.js';
 import {LedgerHandler} from './ledger_handler.js';
 import {MemberAdministration} from './member_administration.js';
@@ -51,6 +53,8 @@
 export class ControlMemberState {
   readonly administration: ControlAdministration;
   readonly ledger: LedgerHandler;
+  readonly documents: ConfigurationDocuments;
+  readonly directServers: DirectServers;
   readonly #settings: ControlSettings;
   readonly #parts: MemberStateParts;
   readonly #proposer: Proposer;
@@ -76,6 +80,17 @@
     this.#registry = new MembershipRegistry(settings, this.#membership);
     this.#delivery = new OrderDelivery(settings.concurrentLoads);
     this.#announces = this.#makeAnnounceHandler();
+    this.documents = new ConfigurationDocuments(machine, this.#proposer);
+    this.directServers = new DirectServers({
+      clock,
+      machine,
+      registry: this.#registry,
+      proposer: this.#proposer,
+      hasTakenOver: () => this.#ledTerm !== undefined,
+      publish: () => {
+        this.#pumpSoon();
+      },
+    });
     this.#hub = new SubscriptionHub(settings, clock.now());
     this.#relay = this.#makeRelay(log);
     this.#rounds = new ConfirmationRounds(() => this.#confirmRevision());
--- a/packages/lovagepond-control/src/control_role.ts
+++ b/packages/lovagepond-control/src/control_role.ts
@@ -5,6 +5,7 @@
 import {type Server} from '@grpc/grpc-js';
 import {
   ConsensusNode,
+  type ConsensusSettings,
   type ConsensusStorage,
   type ConsensusTimings,
   type ConsensusTransport,
@@ -18,6 +19,7 @@
   type StateDump,
 } from '@lovagepond/core';
 import {type ControlAdministration} from './control_administration.js';
+import {type ConfigurationDocuments} from './configuration_documents.js';
 import {ControlMemberState} from './control_member_state.js';
 import {ControlServer} from './control_server.js';
 import {
@@ -25,6 +27,7 @@
   CONTROL_TIMINGS,
   type ControlSettings,
 } from './control_settings.js';
+import {type DirectServers} from './direct_servers.js';
 import {MemberTransport} from './member_transport.js';
 import {ControlStateMachine} from './control_state_machine.js';
 
@@ -50,6 +53,10 @@
 /** One control member. */
 export class ControlRole implements Role {
   readonly administration: ControlAdministration;
+  /** Whole configurations that the operators' own system numbers. */
+  readonly documents: ConfigurationDocuments;
+  /** Announcements of backend servers that have no sidecar. */
+  readonly directServers: DirectServers;
   readonly #settings: ControlSettings;
   readonly #parts: ControlParts;
   readonly #server: ControlServer;
@@ -96,6 +103,8 @@
       node: this.#node,
     });
     this.administration = this.#state.administration;
+    this.documents = this.#state.documents;
+    this.directServers = this.#state.directServers;
   }
 
   /** Port of the gRPC server, once started. */
@@ -144,10 +153,12 @@
 function toConsensusSettings(
   settings: ControlSettings,
   parts: ControlParts,
-): {address: string; peers: string[]; timings: ConsensusTimings} {
+): ConsensusSettings {
   return {
     address: settings.address,
     peers: [...settings.members],
     timings: parts.timings ?? CONTROL_TIMINGS,
+    mayForm: settings.mayFormGroup,
+    openMembership: settings.openMembership,
   };
 }
--- a/packages/lovagepond-control/src/control_settings.ts
+++ b/packages/lovagepond-control/src/control_settings.ts
@@ -26,6 +26,10 @@
    */
   readonly members: readonly string[];
   readonly dataFolder: string;
+  /** With empty data folders all around, this member may form a new group. */
+  readonly mayFormGroup: boolean;
+  /** Hosts that `members` doesn't name may join, in place of lost ones. */
+  readonly openMembership: boolean;
   /** A backend server that doesn't renew for this long is gone. */
   readonly leaseMs: number;
   /** Time between two load digests to a subscriber. */
@@ -64,6 +68,8 @@
 
 /** Values for what an operator rarely sets. */
 export const CONTROL_DEFAULTS = {
+  mayFormGroup: true,
+  openMembership: false,
   leaseMs: 3_000,
   digestIntervalMs: 1_000,
   heartbeatIntervalMs: 1_000,
--- a/packages/lovagepond-control/src/control_state_machine.ts
+++ b/packages/lovagepond-control/src/control_state_machine.ts
@@ -14,6 +14,7 @@
   decodeResult,
   encodeResult,
   INCARNATION_COMMAND,
+  INSTALL_COMMAND,
   LIMITS_COMMAND,
   ORDER_COMMAND,
   ORDER_OUTCOME_COMMAND,
@@ -134,6 +135,9 @@
         this.configuration.apply(payload, stamp),
       ),
     );
+    this.#handle(INSTALL_COMMAND, (payload, stamp) => ({
+      version: this.configuration.install(payload, stamp),
+    }));
     this.#handle(WANTED_STATE_COMMAND, payload =>
       this.operations.runOnce(payload, () => {
         this.wanted.set(payload.server, payload.wantedState);
--- a/packages/lovagepond-control/src/index.ts
+++ b/packages/lovagepond-control/src/index.ts
@@ -23,6 +23,18 @@
   type WantedChange,
   type WantedState,
 } from './control_administration.js';
+export {
+  ConfigurationDocuments,
+  type DocumentAnswer,
+  type InstallAnswer,
+  type OfferedDocument,
+} from './configuration_documents.js';
+export {type ConfigurationDocument} from './configuration_state.js';
+export {
+  type AnnouncementAnswer,
+  type DirectAnnouncement,
+  DirectServers,
+} from './direct_servers.js';
 export {type ControlParts, ControlRole} from './control_role.js';
 export {MemberTransport} from './member_transport.js';
 export {
--- a/packages/lovagepond-control/src/membership_registry.ts
+++ b/packages/lovagepond-control/src/membership_registry.ts
@@ -158,6 +158,17 @@
     if (record.server !== known?.server) this.#log.put(server);
   }
 
+  /**
+   * Takes a server out that said it is gone.
+   *
+   * @param name a server, in the list or not
+   * @param now monotonic milliseconds
+   */
+  remove(name: string, now: number): void {
+    const record = this.#records.get(name);
+    if (record) this.#remove(record, now);
+  }
+
   /**
    * Declares gone what did not renew within the lease.
    *
@@ -334,5 +345,6 @@
     capacityTokens: said.capacityTokens,
     models: said.models,
     slot,
+    ...(said.directSlots && {directSlots: said.directSlots}),
   };
 }
--- a/packages/lovagepond-core/src/core_configuration.ts
+++ b/packages/lovagepond-core/src/core_configuration.ts
@@ -31,6 +31,26 @@
   prefillTokensPerSecond: z.number().positive().default(8_000),
   /** Answer tokens a second one server generates over all of its streams. */
   decodeTokensPerSecond: z.number().positive().default(2_400),
+  /** Path of the health check of servers that are reached directly. */
+  healthPath: z.string().startsWith('/').optional(),
+  /** Connections that one server accepts from all routers together. */
+  connectionLimit: z.number().int().positive().optional(),
+  /** Requests that one engine batches; later ones wait in its queue. */
+  engineSlots: z.number().int().positive().optional(),
+  /** Tokens that one engine's context memory holds. */
+  contextTokens: z.number().int().positive().optional(),
+});
+
+/** Which forwarded requests a selector takes: the longest prefix decides. */
+const requestMatch = z.strictObject({
+  host: z.string().min(1),
+  /** Begins and ends with a slash. */
+  pathPrefix: z.string().startsWith('/').endsWith('/'),
+});
+
+const poolWeight = z.strictObject({
+  pool: name,
+  weight: z.number().min(0),
 });
 
 const selector = z.strictObject({
@@ -47,6 +67,12 @@
   backendServers: labelExpression.default(''),
   /** A higher number is tried first; the first match decides. */
   priority: z.number().int().default(0),
+  /** Set on selectors of forwarded requests; the others serve chats. */
+  match: requestMatch.optional(),
+  /** Shares of the pools that forwarded requests are spread over. */
+  poolWeights: z.array(poolWeight).optional(),
+  /** Forwarded requests need no API key. */
+  public: z.boolean().optional(),
 });
 
 const workspace = z.strictObject({
@@ -57,12 +83,46 @@
   priority: z.number().int().min(0).max(9).default(5),
   /** Upper bound of outstanding tokens at one sidecar; 0 means none. */
   maxQueuedTokens: z.number().int().min(0).default(0),
+  /** Keys that callers of forwarded requests name the workspace by. */
+  apiKeys: z.array(z.string().min(1)).optional(),
+  /** Takes the place of the request kind's priority, 0 (lowest) to 9. */
+  requestPriority: z.number().int().min(0).max(9).optional(),
 });
 
 const requestKind = z.strictObject({
   name,
   /** The call must never run twice; it needs an idempotency key. */
   nonRepeatable: z.boolean().default(false),
+  /** Facts of forwarded requests of this kind. */
+  forwarding: z
+    .strictObject({
+      /** Longest time that a caller is kept waiting, milliseconds. */
+      timeoutMs: z.number().int().positive(),
+      /** Answered (streams: begun) within it a request is on time, ms. */
+      targetLatencyMs: z.number().positive(),
+      /** Backend servers that one request may be given to. */
+      maxAttempts: z.number().int().positive(),
+      /** 0 (lowest) to 9. */
+      priority: z.number().int().min(0).max(9),
+      /** The answer is a stream of numbered events. */
+      streaming: z.boolean(),
+      /** A broken stream may be continued at another server. */
+      resumable: z.boolean(),
+      /** Requests name the parts of their prompt and are placed by them. */
+      sticky: z.boolean(),
+      /** Longest pause between events that is on time, milliseconds. */
+      targetGapMs: z.number().positive().optional(),
+    })
+    .optional(),
+});
+
+const callerLimits = z.strictObject({
+  maxHeaderBytes: z.number().int().positive(),
+  maxBodyBytes: z.number().int().positive(),
+  /** Time a caller has to send a request's head, milliseconds. */
+  headerTimeoutMs: z.number().int().positive(),
+  /** Time a connection may be idle between requests, milliseconds. */
+  idleTimeoutMs: z.number().int().positive(),
 });
 
 /** Schema of a configuration's content, without its revision. */
@@ -71,6 +131,10 @@
   selectors: z.array(selector).default([]),
   workspaces: z.array(workspace).default([]),
   requestKinds: z.array(requestKind).default([]),
+  /** Limits on callers of forwarded requests. */
+  callerLimits: callerLimits.optional(),
+  /** The number that the operators' own system gave this configuration. */
+  documentVersion: z.number().int().min(0).optional(),
 });
 
 /** Backend servers that can stand in for each other, with their load bound. */
@@ -81,6 +145,10 @@
 export type Workspace = Readonly<z.infer<typeof workspace>>;
 /** A kind of requests, and whether a call of it may be repeated. */
 export type RequestKind = Readonly<z.infer<typeof requestKind>>;
+/** What callers of forwarded requests may send, and how slowly. */
+export type CallerLimits = Readonly<z.infer<typeof callerLimits>>;
+/** What a forwarded request of one kind needs. */
+export type Forwarding = NonNullable<RequestKind['forwarding']>;
 /** All that operators configure, checked, without its revision. */
 export type ConfigurationContent = Readonly<
   z.infer<typeof configurationSchema>
@@ -135,6 +203,56 @@
   return faults;
 }
 
+/** Two selectors with one match would make the choice depend on their order. */
+function findDoubleMatches(
+  content: ConfigurationContent,
+): ConfigurationFault[] {
+  const seen = new Set<string>();
+  const faults: ConfigurationFault[] = [];
+  content.selectors.forEach(({match}, index) => {
+    if (!match) return;
+    const text = `${match.host.toLowerCase()} ${match.pathPrefix}`;
+    if (seen.has(text)) {
+      const place = `selectors[${index}].match`;
+      faults.push({place, message: `"${text}" stands twice`});
+    }
+    seen.add(text);
+  });
+  return faults;
+}
+
+function findWrongWeights(content: ConfigurationContent): ConfigurationFault[] {
+  const pools = new Set(content.pools.map(item => item.name));
+  const faults: ConfigurationFault[] = [];
+  content.selectors.forEach(({poolWeights}, index) => {
+    if (!poolWeights) return;
+    const place = `selectors[${index}].poolWeights`;
+    for (const {pool} of poolWeights) {
+      if (pools.has(pool)) continue;
+      faults.push({place, message: `no pool is named "${pool}"`});
+    }
+    const total = poolWeights.reduce((sum, {weight}) => sum + weight, 0);
+    if (total <= 0) faults.push({place, message: 'the weights add up to 0'});
+  });
+  return faults;
+}
+
+/** A key of two workspaces would not tell whose request it is. */
+function findSharedKeys(content: ConfigurationContent): ConfigurationFault[] {
+  const owners = new Map<string, string>();
+  const faults: ConfigurationFault[] = [];
+  content.workspaces.forEach(({name: owner, apiKeys}, index) => {
+    for (const key of apiKeys ?? []) {
+      const other = owners.get(key) ?? owner;
+      owners.set(key, owner);
+      if (other === owner) continue;
+      const place = `workspaces[${index}].apiKeys`;
+      faults.push({place, message: `a key is that of "${other}" too`});
+    }
+  });
+  return faults;
+}
+
 function findUnknownNames(content: ConfigurationContent): ConfigurationFault[] {
   const known = new Set(content.workspaces.map(item => item.name));
   const kinds = new Set(content.requestKinds.map(item => item.name));
@@ -176,6 +294,9 @@
     ...findDoubles('workspaces', content.workspaces),
     ...findDoubles('requestKinds', content.requestKinds),
     ...findUnknownNames(content),
+    ...findDoubleMatches(content),
+    ...findWrongWeights(content),
+    ...findSharedKeys(content),
   ];
   return faults.length > 0 ? {ok: false, faults} : {ok: true, content};
 }
--- a/packages/lovagepond-core/src/core_membership.ts
+++ b/packages/lovagepond-core/src/core_membership.ts
@@ -32,6 +32,12 @@
   readonly models: readonly string[];
   /** Position of its byte in the load digest. */
   readonly slot: number;
+  /**
+   * Requests it processes at once, of a server that has no sidecar: `address`
+   * is then its own, and routers send to it directly. Absent or 0 for a
+   * server behind a sidecar.
+   */
+  readonly directSlots?: number;
 }
 
 /** The list of backend servers at one version. Immutable. */
--- a/packages/lovagepond-core/src/index.ts
+++ b/packages/lovagepond-core/src/index.ts
@@ -5,6 +5,7 @@
   createCommand,
 } from './core_commands.js';
 export {
+  type CallerLimits,
   checkConfiguration,
   type Configuration,
   type ConfigurationCheck,
@@ -14,6 +15,7 @@
   decodeConfiguration,
   EMPTY_CONFIGURATION,
   encodeConfiguration,
+  type Forwarding,
   labelsOfPool,
   type Pool,
   POOL_KIND,
--- /dev/null
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -0,0 +1,281 @@
+/**
+ * A gateway's front over loopback, with backend servers that a test scripts.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  request,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {
+  type BackendServer,
+  type Clock,
+  configurationSchema,
+  type Logger,
+  Random,
+  SERVER_STATE,
+} from '@lovagepond/core';
+import {loadKeyHasher} from '@lovagepond/router';
+import {GatewayAdmission} from '../../gateway_admission.js';
+import {GatewayChoice} from '../../gateway_choice.js';
+import {GatewayConnections} from '../../gateway_connections.js';
+import {GatewayFleet} from '../../gateway_fleet.js';
+import {DEFAULT_HEADER_NAMES} from '../../gateway_headers.js';
+import {GatewayRetryBudget} from '../../gateway_retry_budget.js';
+import {GatewayServer} from '../../gateway_server.js';
+
+export const NAMES = DEFAULT_HEADER_NAMES;
+export const KEY = 'key-of-nord';
+
+const SEED = 7;
+
+export const clock: Clock = {
+  now: () => performance.now(),
+  wallTime: () => Date.now(),
+};
+
+export const silentLog: Logger = {
+  debug: () => {},
+  info: () => {},
+  warn: () => {},
+  error: () => {},
+};
+
+/** What a scripted server does with one request. */
+export type Script = (
+  req: IncomingMessage,
+  res: ServerResponse,
+  body: string,
+) => void;
+
+/** Answers as a sound server does. */
+export function answer(
+  req: IncomingMessage,
+  res: ServerResponse,
+  status: number,
+  body: string,
+): void {
+  res.writeHead(status, {
+    [NAMES.requestId]: req.headers[NAMES.requestId] ?? '',
+    [NAMES.signature]: 'signed',
+    'Content-Length': Buffer.byteLength(body),
+  });
+  res.end(body);
+}
+
+/** Says that the request was not run. */
+export function refuse(req: IncomingMessage, res: ServerResponse): void {
+  res.writeHead(503, {
+    [NAMES.requestId]: req.headers[NAMES.requestId] ?? '',
+    [NAMES.notRun]: '1',
+    'Content-Length': 0,
+  });
+  res.end();
+}
+
+/** Begins an event stream. */
+export function beginStream(req: IncomingMessage, res: ServerResponse): void {
+  res.writeHead(200, {
+    [NAMES.requestId]: req.headers[NAMES.requestId] ?? '',
+    [NAMES.signature]: 'signed',
+    'Content-Type': 'text/event-stream',
+  });
+}
+
+const forwarding = {
+  timeoutMs: 1_000,
+  targetLatencyMs: 100,
+  maxAttempts: 2,
+  priority: 5,
+  streaming: false,
+  resumable: false,
+  sticky: false,
+};
+
+function kind(name: string, nonRepeatable: boolean, more: object): unknown {
+  return {name, nonRepeatable, forwarding: {...forwarding, ...more}};
+}
+
+function selector(name: string): unknown {
+  return {
+    name,
+    workspaces: ['*'],
+    requestKinds: [name],
+    pools: '',
+    match: {host: 'shop.example', pathPrefix: `/${name}/`},
+    poolWeights: [{pool: 'servers', weight: 1}],
+  };
+}
+
+/** Selectors `read`, `write`, `talk` and `chat`, each under its own path. */
+export const CONTENT = configurationSchema.parse({
+  pools: [{name: 'servers', kind: 'service'}],
+  workspaces: [{name: 'nord', apiKeys: [KEY]}],
+  requestKinds: [
+    kind('read', false, {}),
+    kind('write', true, {maxAttempts: 1}),
+    kind('talk', true, {streaming: true, maxAttempts: 1}),
+    kind('chat', false, {streaming: true, resumable: true}),
+  ],
+  selectors: ['read', 'write', 'talk', 'chat'].map(selector),
+});
+
+/** What a caller got. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: string;
+  /** False when the connection ended before the answer did. */
+  readonly whole: boolean;
+}
+
+/** One call of a caller. */
+export interface Call {
+  readonly path: string;
+  readonly method?: string;
+  readonly body?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+}
+
+/** The front and its servers. */
+export class GatewayHarness {
+  readonly admission: GatewayAdmission;
+  readonly server: GatewayServer;
+  readonly #backends: Server[] = [];
+  /** Requests that reached each server. */
+  readonly arrivals: string[] = [];
+  #nextId = 0;
+
+  private constructor(server: GatewayServer, admission: GatewayAdmission) {
+    this.server = server;
+    this.admission = admission;
+  }
+
+  /** @param scripts one server each, named server-0, server-1 and so on */
+  static async start(scripts: readonly Script[]): Promise<GatewayHarness> {
+    const random = new Random(SEED);
+    const admission = new GatewayAdmission(5_000, random);
+    admission.install({revision: 1, content: CONTENT});
+    admission.authority.confirm(1, {
+      now: clock.now(),
+      wallTime: clock.wallTime(),
+    });
+    const fleet = new GatewayFleet();
+    const hasher = await loadKeyHasher();
+    const settings = {availabilityZone: 'a', prefillTokensPerMs: 40};
+    const budget = {retryFraction: 0.2, retryWindowMs: 10_000, retrySlack: 50};
+    const server = new GatewayServer(
+      {host: '127.0.0.1', port: 0, maxHeldBytes: 1_000_000},
+      {
+        clock,
+        log: silentLog,
+        random,
+        names: NAMES,
+        admission,
+        fleet,
+        choice: new GatewayChoice(settings, hasher, random),
+        budget: new GatewayRetryBudget(budget),
+        connections: new GatewayConnections({
+          connectTimeoutMs: 300,
+          maxHeadBytes: 16_384,
+        }),
+      },
+    );
+    await server.start();
+    const harness = new GatewayHarness(server, admission);
+    const servers: BackendServer[] = [];
+    for (const [index, script] of scripts.entries()) {
+      servers.push(await harness.#startBackend(index, script));
+    }
+    const list = servers.map(one => [one.name, one] as const);
+    fleet.useMembership({version: 1, servers: new Map(list)});
+    return harness;
+  }
+
+  /** Ends the front and the servers. */
+  stop(): void {
+    this.server.stop();
+    for (const backend of this.#backends) {
+      backend.close();
+      backend.closeAllConnections();
+    }
+  }
+
+  /** @returns what the caller got */
+  call({
+    path,
+    method = 'GET',
+    body = '',
+    headers = {},
+  }: Call): Promise<CallerAnswer> {
+    this.#nextId += 1;
+    return new Promise((resolve, reject) => {
+      const req = request(
+        {
+          host: '127.0.0.1',
+          port: this.server.port,
+          method,
+          path,
+          agent: false,
+          headers: {
+            host: 'shop.example',
+            [NAMES.requestId]: `request-${this.#nextId}`,
+            [NAMES.apiKey]: KEY,
+            ...(body && {'content-length': Buffer.byteLength(body)}),
+            ...headers,
+          },
+        },
+        res => {
+          const chunks: Buffer[] = [];
+          const finish = (): void => {
+            resolve({
+              status: res.statusCode ?? 0,
+              headers: res.headers,
+              body: Buffer.concat(chunks).toString(),
+              whole: res.complete,
+            });
+          };
+          res.on('data', (chunk: Buffer) => chunks.push(chunk));
+          res.on('close', finish);
+          res.on('error', () => {});
+        },
+      );
+      req.on('error', reject);
+      req.end(body);
+    });
+  }
+
+  async #startBackend(index: number, script: Script): Promise<BackendServer> {
+    const name = `server-${index}`;
+    const backend = createServer((req, res) => {
+      const chunks: Buffer[] = [];
+      req.on('data', (chunk: Buffer) => chunks.push(chunk));
+      req.on('end', () => {
+        this.arrivals.push(name);
+        script(req, res, Buffer.concat(chunks).toString());
+      });
+    });
+    this.#backends.push(backend);
+    await new Promise<void>(resolve => {
+      backend.listen(0, '127.0.0.1', resolve);
+    });
+    const {port} = backend.address() as AddressInfo;
+    return {
+      name,
+      incarnation: name,
+      pool: 'servers',
+      labels: {},
+      // The first server is in the own zone, so that it is tried first.
+      availabilityZone: index === 0 ? 'a' : 'b',
+      region: 'r',
+      address: `127.0.0.1:${port}`,
+      state: SERVER_STATE.READY,
+      capacityTokens: 0,
+      models: [],
+      slot: index,
+      directSlots: 4,
+    };
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-gateway/src/gateway_choice.ts
@@ -0,0 +1,166 @@
+/**
+ * Chooses the backend server for one attempt.
+ *
+ * Engines: every router finds the same home for a shared prompt by rendezvous
+ * hashing, so that the prompt is read once in the fleet and not once a router.
+ * It moves away only when the wait at home exceeds what reading anew costs.
+ * Plain services: the least loaded server, in the own availability zone when
+ * that makes no difference.
+ */
+import {type Pool, type Random} from '@lovagepond/core';
+import {type KeyHasher} from '@lovagepond/router';
+import {type PromptPart} from './gateway_headers.js';
+import {prefixKeys, type ServerState} from './gateway_server_state.js';
+
+/** What a choice is made for. */
+export interface ChoiceRequest {
+  readonly pool: Pool;
+  readonly servers: readonly ServerState[];
+  readonly parts: readonly PromptPart[];
+  /** Place by the prompt's parts. */
+  readonly sticky: boolean;
+  /** Servers that this request was given to before. */
+  readonly tried: ReadonlySet<string>;
+}
+
+/** Settings of {@link GatewayChoice}. */
+export interface ChoiceSettings {
+  readonly availabilityZone: string;
+  /** Prompt tokens that an engine reads in a millisecond. */
+  readonly prefillTokensPerMs: number;
+}
+
+/**
+ * Requests beyond the bounded multiple of the mean that a server may have:
+ * with a few requests a server, one more is no imbalance.
+ */
+const BOUND_SLACK = 2;
+
+/** Requests that count as no difference between two services. */
+const SAME_LOAD = 0.5;
+
+/**
+ * Reading anew at another server also delays that server's other streams and
+ * pushes out what it held, so it counts for more than its own time.
+ */
+const REREAD_WEIGHT = 1.5;
+
+/**
+ * Delay that one more running request brings to each token of a stream, as a
+ * share of a slot's time: keeps engines level where nothing else differs, ms.
+ */
+const RUNNING_REQUEST_MS = 4;
+
+/** Chooses servers. */
+export class GatewayChoice {
+  readonly #settings: ChoiceSettings;
+  readonly #hasher: KeyHasher;
+  readonly #random: Random;
+
+  constructor(settings: ChoiceSettings, hasher: KeyHasher, random: Random) {
+    this.#settings = settings;
+    this.#hasher = hasher;
+    this.#random = random;
+  }
+
+  /**
+   * @param req the request and its pool's servers
+   * @param now present time, monotonic milliseconds
+   * @returns the server, or undefined when there is none left to try
+   */
+  choose(req: ChoiceRequest, now: number): ServerState | undefined {
+    const untried = req.servers.filter(
+      ({server}) => !req.tried.has(server.name),
+    );
+    const well = untried.filter(state => !state.isAvoided(now));
+    // When all look ill, the fault is as likely on this side.
+    const candidates = well.length > 0 ? well : untried;
+    if (candidates.length < 2) return candidates[0];
+    const within = this.#withinBound(candidates, req.pool, now);
+    const isChat = req.sticky && req.parts.length > 0;
+    return isChat
+      ? this.#chooseEngine(within, req.parts, now)
+      : this.#chooseService(within, now);
+  }
+
+  #withinBound(
+    candidates: readonly ServerState[],
+    pool: Pool,
+    now: number,
+  ): readonly ServerState[] {
+    const total = candidates.reduce((sum, state) => sum + state.load(now), 0);
+    const limit = (total / candidates.length) * pool.loadBound + BOUND_SLACK;
+    const within = candidates.filter(state => state.load(now) + 1 <= limit);
+    return within.length > 0 ? within : candidates;
+  }
+
+  #chooseService(
+    candidates: readonly ServerState[],
+    now: number,
+  ): ServerState | undefined {
+    const loads = candidates.map(state => state.load(now) / state.slots);
+    const least = Math.min(...loads);
+    const equal = candidates.filter(
+      (state, at) => (loads[at] ?? 0) <= least + SAME_LOAD / state.slots,
+    );
+    const zone = this.#settings.availabilityZone;
+    const near = equal.filter(({server}) => server.availabilityZone === zone);
+    return this.#random.pick(near.length > 0 ? near : equal);
+  }
+
+  #chooseEngine(
+    candidates: readonly ServerState[],
+    parts: readonly PromptPart[],
+    now: number,
+  ): ServerState | undefined {
+    const keys = prefixKeys(parts);
+    const home = this.#findHome(candidates, keys);
+    let best: ServerState | undefined;
+    let bestCost = Infinity;
+    for (const state of candidates) {
+      const cost = this.#cost(state, keys, parts, state === home, now);
+      if (cost >= bestCost) continue;
+      best = state;
+      bestCost = cost;
+    }
+    return best;
+  }
+
+  /**
+   * The last part belongs to the request alone; what it shares with others
+   * ends with the part before it.
+   */
+  #findHome(
+    candidates: readonly ServerState[],
+    keys: readonly string[],
+  ): ServerState | undefined {
+    const shared = keys.at(-2) ?? keys.at(-1) ?? '';
+    let home: ServerState | undefined;
+    let highest = -1;
+    for (const state of candidates) {
+      const text = `${shared}\u0000${state.server.name}`;
+      const {low} = this.#hasher.hash(text);
+      if (low <= highest) continue;
+      highest = low;
+      home = state;
+    }
+    return home;
+  }
+
+  /** Milliseconds until the first token, with what the choice costs others. */
+  #cost(
+    state: ServerState,
+    keys: readonly string[],
+    parts: readonly PromptPart[],
+    isHome: boolean,
+    now: number,
+  ): number {
+    const {prefillTokensPerMs} = this.#settings;
+    const own = parts.at(-1)?.tokens ?? 0;
+    // Other routers bring the shared parts to the home, unseen from here.
+    const cold = isHome ? own : state.coldTokens(keys, parts);
+    const readMs = (cold * REREAD_WEIGHT) / prefillTokensPerMs;
+    const waitMs = state.readingTokens / prefillTokensPerMs;
+    return readMs + waitMs + state.load(now) * RUNNING_REQUEST_MS;
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-gateway/src/gateway_connections.ts
@@ -0,0 +1,122 @@
+/**
+ * Connections to backend servers: one request at a time on each, and the one
+ * used last is used first, so that as few as possible are opened.
+ */
+import {Client} from 'undici';
+
+/** Settings of {@link GatewayConnections}. */
+export interface ConnectionSettings {
+  readonly connectTimeoutMs: number;
+  /** Largest head of an answer, bytes. */
+  readonly maxHeadBytes: number;
+}
+
+/**
+ * Idle time after which the operating system asks whether the other end is
+ * still there: something between the two may have lost track of a connection,
+ * and a request on it would wait for an answer that can't come.
+ */
+const KEEP_ALIVE_PROBE_MS = 1_000;
+
+/** Used when a server doesn't say how long it keeps an idle connection, ms. */
+const DEFAULT_IDLE_MS = 60_000;
+
+/** A server's stated idle time is used up to so long before it ends, ms. */
+const IDLE_MARGIN_MS = 1_000;
+
+/** One connection, with the address that it leads to. */
+export interface ServerConnection {
+  readonly address: string;
+  readonly client: Client;
+}
+
+/** All connections of this router. */
+export class GatewayConnections {
+  readonly #settings: ConnectionSettings;
+  readonly #idle = new Map<string, ServerConnection[]>();
+  #opened = 0;
+
+  constructor(settings: ConnectionSettings) {
+    this.#settings = settings;
+  }
+
+  /** Connections made since the start. */
+  get opened(): number {
+    return this.#opened;
+  }
+
+  /** Connections that wait for a request. */
+  get idle(): number {
+    let count = 0;
+    for (const connections of this.#idle.values()) count += connections.length;
+    return count;
+  }
+
+  /**
+   * @param address `host:port` of a server
+   * @returns an idle connection, or one that opens with its first request
+   */
+  acquire(address: string): ServerConnection {
+    return this.#idle.get(address)?.pop() ?? this.#open(address);
+  }
+
+  /** @param connection one whose request has ended with a whole answer */
+  release(connection: ServerConnection): void {
+    if (connection.client.destroyed || connection.client.closed) return;
+    const idle = this.#idle.get(connection.address) ?? [];
+    idle.push(connection);
+    this.#idle.set(connection.address, idle);
+  }
+
+  /** @param connection one that must not be used again */
+  discard(connection: ServerConnection): void {
+    connection.client.destroy().catch(() => undefined);
+  }
+
+  /** @param addresses where servers are still listed */
+  keepOnly(addresses: ReadonlySet<string>): void {
+    for (const [address, idle] of this.#idle) {
+      if (addresses.has(address)) continue;
+      this.#idle.delete(address);
+      for (const connection of idle) this.discard(connection);
+    }
+  }
+
+  /** Ends all idle connections. */
+  close(): void {
+    this.keepOnly(new Set());
+  }
+
+  #open(address: string): ServerConnection {
+    const {connectTimeoutMs, maxHeadBytes} = this.#settings;
+    const client = new Client(`http://${address}`, {
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      maxHeaderSize: maxHeadBytes,
+      keepAliveTimeout: DEFAULT_IDLE_MS,
+      keepAliveMaxTimeout: DEFAULT_IDLE_MS,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+      connect: {
+        timeout: connectTimeoutMs,
+        keepAlive: true,
+        keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS,
+      },
+    });
+    this.#opened += 1;
+    const connection = {address, client};
+    client.on('disconnect', () => {
+      this.#forget(connection);
+    });
+    return connection;
+  }
+
+  /** An idle connection that ended would only cost its next request time. */
+  #forget(connection: ServerConnection): void {
+    const idle = this.#idle.get(connection.address);
+    const at = idle?.indexOf(connection) ?? -1;
+    if (at < 0) return;
+    idle?.splice(at, 1);
+    this.discard(connection);
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -0,0 +1,399 @@
+/**
+ * One request from its arrival to its final answer.
+ *
+ * Joins the deciders: it asks for a server, runs attempts one after the other,
+ * passes the answer on as it comes and gives the one final answer.
+ */
+import {
+  type Clock,
+  type ErrorKind,
+  type Logger,
+  type Pool,
+} from '@lovagepond/core';
+import {
+  type AnswerHead,
+  Attempt,
+  type AttemptFailure,
+  type OutgoingRequest,
+} from './gateway_attempt.js';
+import {type CallerChannel} from './gateway_caller_channel.js';
+import {type GatewayChoice} from './gateway_choice.js';
+import {type GatewayConnections} from './gateway_connections.js';
+import {EventStream} from './gateway_event_stream.js';
+import {type GatewayFleet} from './gateway_fleet.js';
+import {
+  type GatewayHeaderNames,
+  headersForServer,
+  readServerLoad,
+  type RequestFacts,
+} from './gateway_headers.js';
+import {
+  type AttemptOutcome,
+  decideNext,
+  type NextStep,
+} from './gateway_outcome.js';
+import {type GatewayRetryBudget} from './gateway_retry_budget.js';
+import {type ForwardingRule} from './gateway_routes.js';
+import {prefixKeys, type ServerState} from './gateway_server_state.js';
+
+/** What all exchanges share. */
+export interface ExchangeParts {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly names: GatewayHeaderNames;
+  readonly fleet: GatewayFleet;
+  readonly choice: GatewayChoice;
+  readonly budget: GatewayRetryBudget;
+  readonly connections: GatewayConnections;
+}
+
+/** A request that was read whole and may run. */
+export interface AdmittedRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly rawHeaders: readonly string[];
+  readonly body: Buffer;
+  readonly facts: RequestFacts;
+  readonly rule: ForwardingRule;
+  readonly pool: Pool;
+  /** Absent on public routes. */
+  readonly workspace: string | undefined;
+  /** 0 (lowest) to 9. */
+  readonly priority: number;
+  /** When the request arrived, monotonic milliseconds. */
+  readonly arrivedAt: number;
+  /** When the caller or the operators stop waiting. */
+  readonly deadlineAt: number;
+}
+
+/**
+ * Time that a server's own answer at its deadline gets to arrive before this
+ * router answers itself, milliseconds.
+ */
+const DEADLINE_SLACK_MS = 40;
+
+const FIRST_ERROR_STATUS = 500;
+
+/** A failure answer is kept up to this size while another server is tried. */
+const MAX_KEPT_FAILURE_BYTES = 64 * 1024;
+
+const HIGHEST_PRIORITY = 9;
+
+interface KeptFailure {
+  readonly head: AnswerHead;
+  readonly chunks: Buffer[];
+}
+
+/** Runs one request. */
+export class Exchange {
+  readonly #req: AdmittedRequest;
+  readonly #parts: ExchangeParts;
+  readonly #caller: CallerChannel;
+  readonly #onDone: () => void;
+  readonly #events: EventStream | undefined;
+  readonly #tried = new Set<string>();
+  #attempt: Attempt | undefined;
+  #timer: NodeJS.Timeout | undefined;
+  /** The failure answer that the attempt under way brings. */
+  #arriving: KeptFailure | undefined;
+  /** The last failure answer that came whole. */
+  #failure: KeptFailure | undefined;
+  #runs = 0;
+  #offers = 0;
+  #readingTokens = 0;
+  #isDone = false;
+
+  /**
+   * @param req the request
+   * @param parts what all exchanges share
+   * @param caller where the answer goes
+   * @param onDone called once, after the final answer or the caller's leaving
+   */
+  constructor(
+    req: AdmittedRequest,
+    parts: ExchangeParts,
+    caller: CallerChannel,
+    onDone: () => void,
+  ) {
+    this.#req = req;
+    this.#parts = parts;
+    this.#caller = caller;
+    this.#onDone = onDone;
+    if (req.rule.forwarding.streaming) this.#events = new EventStream();
+  }
+
+  /** Starts the first attempt. */
+  start(): void {
+    const now = this.#now();
+    const left = this.#req.deadlineAt - now + DEADLINE_SLACK_MS;
+    this.#timer = setTimeout(
+      () => {
+        this.#onTimeout();
+      },
+      Math.max(0, left),
+    );
+    this.#caller.onGone(() => {
+      this.#onCallerGone();
+    });
+    this.#caller.onDrained(() => {
+      this.#attempt?.resume();
+    });
+    this.#parts.budget.noteRequest(this.#req.pool.name, now);
+    this.#offer();
+  }
+
+  #now(): number {
+    return this.#parts.clock.now();
+  }
+
+  #offer(): void {
+    const now = this.#now();
+    const {pool, facts, rule} = this.#req;
+    const {fleet, choice, names, connections} = this.#parts;
+    const state = choice.choose(
+      {
+        pool,
+        servers: fleet.ready(pool.name),
+        parts: facts.parts,
+        sticky: rule.forwarding.sticky,
+        tried: this.#tried,
+      },
+      now,
+    );
+    if (!state) {
+      this.#giveUpWithoutServer();
+      return;
+    }
+    this.#offers += 1;
+    this.#tried.add(state.server.name);
+    this.#beginAt(state, now);
+    const attempt = new Attempt(state, names, facts.requestId, {
+      onHead: head => {
+        this.#onHead(head);
+      },
+      onData: chunk => this.#onData(chunk),
+      onEnd: () => {
+        this.#onEnd();
+      },
+      onFailed: failure => {
+        this.#onFailed(failure);
+      },
+    });
+    this.#attempt = attempt;
+    attempt.start(this.#outgoing(state, now), connections);
+  }
+
+  #outgoing(state: ServerState, now: number): OutgoingRequest {
+    const {method, path, rawHeaders, body, facts, workspace, priority} =
+      this.#req;
+    const lastId = this.#events?.lastId;
+    const headers = headersForServer(rawHeaders, this.#parts.names, {
+      deadlineMs: this.#req.deadlineAt - now,
+      workspace,
+      instance: state.server.incarnation,
+      enginePriority: this.#req.rule.forwarding.sticky
+        ? HIGHEST_PRIORITY - priority
+        : undefined,
+      lastEventId: lastId === undefined ? undefined : String(lastId),
+    });
+    return {method, path, headers, body, requestId: facts.requestId};
+  }
+
+  #beginAt(state: ServerState, now: number): void {
+    const {parts} = this.#req.facts;
+    const keys = prefixKeys(parts);
+    this.#readingTokens = state.coldTokens(keys, parts);
+    state.inFlight += 1;
+    state.readingTokens += this.#readingTokens;
+    state.noteWarm(keys, now);
+  }
+
+  /** The server has read the prompt once the first piece of an answer comes. */
+  #noteRead(state: ServerState): void {
+    state.readingTokens -= this.#readingTokens;
+    this.#readingTokens = 0;
+  }
+
+  #endAttempt(): ServerState | undefined {
+    const state = this.#attempt?.state;
+    this.#attempt = undefined;
+    this.#arriving = undefined;
+    if (!state) return undefined;
+    this.#noteRead(state);
+    state.inFlight -= 1;
+    return state;
+  }
+
+  #onHead(head: AnswerHead): void {
+    const state = this.#attempt?.state;
+    if (!state) return;
+    const load = readServerLoad(head.headers, this.#parts.names);
+    if (load) state.noteLoad(load, this.#now());
+    if (head.status >= FIRST_ERROR_STATUS) {
+      this.#arriving = {head, chunks: []};
+      return;
+    }
+    if (!this.#caller.headSent) this.#caller.sendHead(head);
+  }
+
+  #onData(chunk: Buffer): boolean {
+    const attempt = this.#attempt;
+    if (!attempt) return true;
+    this.#noteRead(attempt.state);
+    if (this.#arriving) {
+      this.#keepChunk(this.#arriving, chunk);
+      return true;
+    }
+    if (!this.#events) return this.#caller.write(chunk);
+    const piece = this.#events.take(chunk);
+    if (piece.kind === 'broken') {
+      attempt.abort();
+      this.#onFailed({kind: 'broken', reason: piece.reason});
+      return true;
+    }
+    return piece.bytes.length === 0 || this.#caller.write(piece.bytes);
+  }
+
+  #keepChunk({chunks}: KeptFailure, chunk: Buffer): void {
+    const size = chunks.reduce((sum, {length}) => sum + length, 0);
+    if (size + chunk.length > MAX_KEPT_FAILURE_BYTES) {
+      this.#attempt?.abort();
+      this.#onFailed({kind: 'broken', reason: 'failure answer too large'});
+      return;
+    }
+    chunks.push(chunk);
+  }
+
+  #onEnd(): void {
+    if (this.#arriving) {
+      this.#failure = this.#arriving;
+      this.#endAttempt()?.noteErrorAnswer();
+      this.#runs += 1;
+      this.#follow({kind: 'failedAnswer'}, 'failure answer');
+      return;
+    }
+    if (this.#events && !this.#events.isWhole) {
+      this.#onFailed({kind: 'broken', reason: 'half an event at the end'});
+      return;
+    }
+    this.#endAttempt()?.noteSuccess();
+    this.#caller.end();
+    this.#finish('answered');
+  }
+
+  #onFailed(failure: AttemptFailure): void {
+    const state = this.#endAttempt();
+    if (failure.kind === 'notRun') {
+      this.#noteRefusal(state, failure.status);
+      this.#follow({kind: 'notRun'}, `server refused ${failure.status}`);
+      return;
+    }
+    state?.noteBroken(this.#now());
+    if (failure.kind === 'broken') this.#runs += 1;
+    this.#events?.beginRun();
+    this.#follow({kind: failure.kind}, failure.reason);
+  }
+
+  /** 421 with the right name in the request: another server lives there. */
+  #noteRefusal(state: ServerState | undefined, status: number): void {
+    if (status === 421) state?.markGone();
+  }
+
+  #follow(outcome: AttemptOutcome, reason: string): void {
+    if (this.#isDone) return;
+    const now = this.#now();
+    const {pool, rule, deadlineAt} = this.#req;
+    const next = decideNext(outcome, {
+      rule,
+      runs: this.#runs,
+      offers: this.#offers,
+      headSent: this.#caller.headSent,
+      hasFailure: this.#failure !== undefined,
+      lastEventId: this.#events?.lastId,
+      timeLeftMs: deadlineAt - now,
+      trySpend: () => this.#parts.budget.trySpend(pool.name, now),
+    });
+    this.#logStep(outcome.kind, reason, next);
+    this.#take(next);
+  }
+
+  #take(next: NextStep): void {
+    if (next.kind === 'retry' || next.kind === 'resume') {
+      this.#offer();
+    } else if (next.kind === 'passFailure') {
+      this.#passFailure();
+    } else if (next.kind === 'cut') {
+      this.#caller.cut();
+      this.#finish('cut');
+    } else {
+      this.#refuse(next.error);
+    }
+  }
+
+  #passFailure(): void {
+    const failure = this.#failure;
+    if (!failure) return;
+    this.#caller.sendHead(failure.head);
+    for (const chunk of failure.chunks) this.#caller.write(chunk);
+    this.#caller.end();
+    this.#finish('failed');
+  }
+
+  #giveUpWithoutServer(): void {
+    if (this.#caller.headSent) {
+      this.#caller.cut();
+      this.#finish('cut');
+    } else if (this.#failure) {
+      this.#passFailure();
+    } else {
+      this.#refuse(this.#runs > 0 ? 'backendFailed' : 'noBackendServer');
+    }
+  }
+
+  #refuse(error: ErrorKind): void {
+    this.#caller.refuse(error);
+    this.#finish(error);
+  }
+
+  #onTimeout(): void {
+    const sent = this.#attempt?.isSent ?? false;
+    this.#attempt?.abort();
+    this.#endAttempt()?.noteBroken(this.#now());
+    this.#follow({kind: 'timedOut', sent}, 'no time left');
+  }
+
+  #onCallerGone(): void {
+    if (this.#isDone) return;
+    this.#attempt?.abort();
+    this.#endAttempt();
+    this.#finish('callerGone');
+  }
+
+  #finish(outcome: string): void {
+    if (this.#isDone) return;
+    this.#isDone = true;
+    clearTimeout(this.#timer);
+    const {facts, rule, pool, arrivedAt} = this.#req;
+    this.#parts.log.info('request ended', {
+      request: facts.requestId,
+      rule: rule.name,
+      pool: pool.name,
+      servers: [...this.#tried].join(' '),
+      outcome,
+      status: this.#caller.status,
+      durationMs: Math.round(this.#now() - arrivedAt),
+    });
+    this.#onDone();
+  }
+
+  #logStep(outcome: string, reason: string, next: NextStep): void {
+    this.#parts.log.warn('attempt failed', {
+      request: this.#req.facts.requestId,
+      server: [...this.#tried].at(-1),
+      outcome,
+      reason,
+      runs: this.#runs,
+      next: next.kind,
+    });
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-gateway/src/gateway_fleet.ts
@@ -0,0 +1,58 @@
+/**
+ * The backend servers that this router may send to, by pool.
+ */
+import {type Membership, SERVER_STATE} from '@lovagepond/core';
+import {ServerState} from './gateway_server_state.js';
+
+/** Live states of all direct servers, kept over membership changes. */
+export class GatewayFleet {
+  readonly #states = new Map<string, ServerState>();
+  #byPool = new Map<string, ServerState[]>();
+
+  /** Servers known. */
+  get size(): number {
+    return this.#states.size;
+  }
+
+  /**
+   * @param membership the newest list from control
+   * @returns addresses at which a server is still listed
+   */
+  useMembership(membership: Membership): ReadonlySet<string> {
+    const addresses = new Set<string>();
+    const byPool = new Map<string, ServerState[]>();
+    const listed = new Set<string>();
+    for (const server of membership.servers.values()) {
+      if (server.directSlots === undefined) continue;
+      listed.add(server.name);
+      addresses.add(server.address);
+      const state = this.#states.get(server.name) ?? new ServerState(server);
+      state.server = server;
+      this.#states.set(server.name, state);
+      if (server.state !== SERVER_STATE.READY) continue;
+      byPool.set(server.pool, [...(byPool.get(server.pool) ?? []), state]);
+    }
+    for (const name of this.#states.keys()) {
+      if (!listed.has(name)) this.#states.delete(name);
+    }
+    this.#byPool = byPool;
+    return addresses;
+  }
+
+  /**
+   * @param pool a pool's name
+   * @returns its servers that take new work
+   */
+  ready(pool: string): readonly ServerState[] {
+    const servers = this.#byPool.get(pool) ?? [];
+    return servers.filter(({isGone}) => !isGone);
+  }
+
+  /** @returns every server's load by its name, for the state dump */
+  describe(now: number): Record<string, number> {
+    const states = [...this.#states.values()];
+    return Object.fromEntries(
+      states.map(state => [state.server.name, Math.round(state.load(now))]),
+    );
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -0,0 +1,214 @@
+/**
+ * The gateway role: forwards requests of any method to backend servers that
+ * have no sidecar, by the configuration and the list that control pushes.
+ */
+import {
+  type Clock,
+  decodeConfiguration,
+  EMPTY_MEMBERSHIP,
+  type Logger,
+  type Random,
+  type Role,
+  type StateDump,
+} from '@lovagepond/core';
+import {
+  applyMembership,
+  ControlLink,
+  type ControlUpdate,
+  loadKeyHasher,
+} from '@lovagepond/router';
+import {GatewayAdmission} from './gateway_admission.js';
+import {type ClockReading} from './gateway_authority.js';
+import {GatewayChoice} from './gateway_choice.js';
+import {GatewayConnections} from './gateway_connections.js';
+import {GatewayFleet} from './gateway_fleet.js';
+import {type GatewayHeaderNames} from './gateway_headers.js';
+import {GatewayRetryBudget} from './gateway_retry_budget.js';
+import {GatewayServer} from './gateway_server.js';
+import {type GatewaySettings} from './gateway_settings.js';
+
+/** What a gateway needs besides its settings. */
+export interface GatewayParts {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly random: Random;
+  readonly names: GatewayHeaderNames;
+}
+
+const DUMP_VERSION = 1;
+const TICK_MS = 100;
+/** Largest head of a server's answer, bytes. */
+const MAX_ANSWER_HEAD_BYTES = 64 * 1024;
+
+type UpdateKind = NonNullable<ControlUpdate['kind']>;
+type UpdateHandler = (update: ControlUpdate, now: number) => void;
+
+/** One gateway. */
+export class GatewayRole implements Role {
+  readonly #settings: GatewaySettings;
+  readonly #parts: GatewayParts;
+  readonly #admission: GatewayAdmission;
+  readonly #fleet = new GatewayFleet();
+  readonly #connections: GatewayConnections;
+  readonly #link: ControlLink;
+  #membership = EMPTY_MEMBERSHIP;
+  #membershipKnown = false;
+  #server: GatewayServer | undefined;
+  #timer: NodeJS.Timeout | undefined;
+  #askedAt = Number.NEGATIVE_INFINITY;
+  #draining = false;
+
+  readonly #updateHandlers: Readonly<Record<UpdateKind, UpdateHandler>> = {
+    configuration: ({configuration}) => {
+      const bytes = configuration?.configuration;
+      if (bytes && bytes.length > 0) this.#install(bytes);
+    },
+    membership: ({membership}) => {
+      if (!membership) return;
+      this.#membership = applyMembership(this.#membership, membership);
+      this.#membershipKnown = true;
+      const addresses = this.#fleet.useMembership(this.#membership);
+      this.#connections.keepOnly(addresses);
+      this.#parts.log.info('backend servers changed', {
+        version: this.#membership.version,
+        servers: this.#fleet.size,
+      });
+    },
+    load: () => {},
+    heartbeat: () => {},
+  };
+
+  constructor(settings: GatewaySettings, parts: GatewayParts) {
+    this.#settings = settings;
+    this.#parts = parts;
+    this.#admission = new GatewayAdmission(
+      settings.revocationBoundMs,
+      parts.random,
+    );
+    this.#connections = new GatewayConnections({
+      connectTimeoutMs: settings.connectTimeoutMs,
+      maxHeadBytes: MAX_ANSWER_HEAD_BYTES,
+    });
+    const facts = {node: settings.name, region: settings.region};
+    const listener = {
+      heldRevision: () => this.#admission.configuration.revision,
+      onUpdate: (update: ControlUpdate, now: number) => {
+        this.#updateHandlers[update.kind ?? 'heartbeat'](update, now);
+      },
+    };
+    this.#link = new ControlLink(settings, facts, {...parts, listener});
+  }
+
+  /** @returns the port for callers, once started */
+  get port(): number {
+    return this.#server?.port ?? 0;
+  }
+
+  /** See {@link Role.start}. */
+  async start(): Promise<void> {
+    const {clock, log, random, names} = this.#parts;
+    const hasher = await loadKeyHasher();
+    this.#server = new GatewayServer(this.#settings, {
+      clock,
+      log,
+      random,
+      names,
+      admission: this.#admission,
+      fleet: this.#fleet,
+      choice: new GatewayChoice(this.#settings, hasher, random),
+      budget: new GatewayRetryBudget(this.#settings),
+      connections: this.#connections,
+    });
+    await this.#server.start();
+    this.#link.start();
+    this.#timer = setInterval(() => {
+      this.#tick();
+    }, TICK_MS);
+  }
+
+  /** See {@link Role.isReady}. */
+  isReady(): boolean {
+    if (this.#draining || !this.#membershipKnown) return false;
+    return this.#admission.authority.trustsKeys(this.#readClock());
+  }
+
+  /**
+   * See {@link Role.drain}. Balancers take seconds to see that readiness is
+   * gone; connections that come meanwhile are still served, one request each.
+   */
+  async drain(limitMs: number): Promise<void> {
+    this.#draining = true;
+    this.#server?.beginClosing();
+    const lingerMs = Math.min(this.#settings.drainLingerMs, limitMs);
+    await new Promise(resolve => setTimeout(resolve, lingerMs));
+    const limit = new Promise<void>(resolve => {
+      setTimeout(resolve, limitMs - lingerMs).unref();
+    });
+    await Promise.race([this.#server?.finish(), limit]);
+  }
+
+  /** See {@link Role.stop}. */
+  stop(): Promise<void> {
+    this.#draining = true;
+    clearInterval(this.#timer);
+    this.#link.stop();
+    this.#server?.stop();
+    this.#connections.close();
+    return Promise.resolve();
+  }
+
+  /** See {@link Role.dump}. */
+  dump(): StateDump {
+    const at = this.#readClock();
+    const state = {
+      name: this.#settings.name,
+      ready: this.isReady(),
+      draining: this.#draining,
+      control: this.#link.address,
+      revision: this.#admission.configuration.revision,
+      sureOfConfiguration: this.#admission.authority.isSure(at),
+      membershipVersion: this.#membership.version,
+      backendServers: this.#fleet.describe(at.now),
+      inFlight: this.#server?.inFlight ?? 0,
+      connectionsOpened: this.#connections.opened,
+      connectionsIdle: this.#connections.idle,
+    };
+    return {version: DUMP_VERSION, role: 'gateway', state};
+  }
+
+  #readClock(): ClockReading {
+    const {clock} = this.#parts;
+    return {now: clock.now(), wallTime: clock.wallTime()};
+  }
+
+  #tick(): void {
+    const at = this.#readClock();
+    this.#link.tick(at.now);
+    if (at.now - this.#askedAt < this.#settings.authorityIntervalMs) return;
+    this.#askedAt = at.now;
+    this.#askForNewest(at);
+  }
+
+  #askForNewest(at: ClockReading): void {
+    const {revision} = this.#admission.configuration;
+    void this.#link.confirmRevision(revision).then(confirmed => {
+      if (confirmed !== undefined) {
+        this.#admission.authority.confirm(confirmed, at);
+      }
+    });
+  }
+
+  #install(bytes: Uint8Array): void {
+    const configuration = decodeConfiguration(bytes);
+    if (!configuration) {
+      this.#parts.log.error('a configuration could not be read');
+      return;
+    }
+    this.#admission.install(configuration);
+    this.#server?.useLimits(configuration.content.callerLimits);
+    this.#parts.log.info('configuration installed', {
+      revision: configuration.revision,
+      documentVersion: configuration.content.documentVersion,
+    });
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-gateway/src/gateway_routes.ts
@@ -0,0 +1,121 @@
+/**
+ * Which rule a forwarded request falls under: host and path decide.
+ */
+import {
+  type Configuration,
+  type Forwarding,
+  type Pool,
+  type Random,
+  type Workspace,
+} from '@lovagepond/core';
+
+/** A pool that a rule sends requests to. */
+export interface WeightedPool {
+  readonly pool: Pool;
+  readonly weight: number;
+}
+
+/** One selector of forwarded requests, joined with what it names. */
+export interface ForwardingRule {
+  readonly name: string;
+  readonly pathPrefix: string;
+  readonly isPublic: boolean;
+  /** A request of this kind must not run twice. */
+  readonly nonRepeatable: boolean;
+  readonly forwarding: Forwarding;
+  readonly pools: readonly WeightedPool[];
+}
+
+/** The rules and keys of one configuration. Immutable. */
+export class ForwardingRules {
+  readonly #byHost = new Map<string, ForwardingRule[]>();
+  readonly #byKey = new Map<string, Workspace>();
+  readonly pools: ReadonlyMap<string, Pool>;
+  /** Without any key in the configuration, requests need none. */
+  readonly needsKeys: boolean;
+
+  /** @param configuration the configuration in force */
+  constructor({content}: Configuration) {
+    this.pools = new Map(content.pools.map(pool => [pool.name, pool]));
+    this.needsKeys = content.workspaces.some(({apiKeys}) => apiKeys);
+    const kinds = new Map(content.requestKinds.map(kind => [kind.name, kind]));
+    for (const workspace of content.workspaces) {
+      for (const key of workspace.apiKeys ?? []) {
+        this.#byKey.set(key, workspace);
+      }
+    }
+    for (const selector of content.selectors) {
+      const {match, poolWeights} = selector;
+      const kind = kinds.get(selector.requestKinds[0] ?? '');
+      if (!match || !kind?.forwarding) continue;
+      this.#add(match.host, {
+        name: selector.name,
+        pathPrefix: match.pathPrefix,
+        isPublic: selector.public ?? false,
+        nonRepeatable: kind.nonRepeatable,
+        forwarding: kind.forwarding,
+        pools: this.#joinPools(poolWeights ?? []),
+      });
+    }
+  }
+
+  /**
+   * @param host the Host header
+   * @param path the request's path, with its query
+   * @returns the rule with the longest prefix that begins the path
+   */
+  find(host: string, path: string): ForwardingRule | undefined {
+    const rules = this.#byHost.get(normalizeHost(host)) ?? [];
+    const query = path.indexOf('?');
+    const plain = query < 0 ? path : path.slice(0, query);
+    return rules.find(({pathPrefix}) => plain.startsWith(pathPrefix));
+  }
+
+  /**
+   * @param key an API key
+   * @returns the workspace that holds it
+   */
+  workspaceOf(key: string): Workspace | undefined {
+    return this.#byKey.get(key);
+  }
+
+  #add(host: string, rule: ForwardingRule): void {
+    const name = normalizeHost(host);
+    const rules = this.#byHost.get(name) ?? [];
+    rules.push(rule);
+    rules.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+    this.#byHost.set(name, rules);
+  }
+
+  #joinPools(
+    weights: readonly {readonly pool: string; readonly weight: number}[],
+  ): WeightedPool[] {
+    return weights.flatMap(({pool: name, weight}) => {
+      const pool = this.pools.get(name);
+      return pool && weight > 0 ? [{pool, weight}] : [];
+    });
+  }
+}
+
+/** Host names compare without case, and callers may add the port. */
+function normalizeHost(host: string): string {
+  return host.toLowerCase().replace(/:\d+$/, '');
+}
+
+/**
+ * @param pools pools with their shares
+ * @param random draws the pool
+ * @returns one of them, in proportion to their shares
+ */
+export function drawPool(
+  pools: readonly WeightedPool[],
+  random: Random,
+): Pool | undefined {
+  const total = pools.reduce((sum, {weight}) => sum + weight, 0);
+  let left = random.next() * total;
+  for (const {pool, weight} of pools) {
+    left -= weight;
+    if (left < 0) return pool;
+  }
+  return pools.at(-1)?.pool;
+}
--- /dev/null
+++ b/packages/lovagepond-gateway/src/gateway_server.ts
@@ -0,0 +1,240 @@
+/**
+ * The HTTP front of a gateway: takes requests apart as far as they must be
+ * understood, and refuses what can't be a proper request.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+  STATUS_CODES,
+} from 'node:http';
+import {type AddressInfo, type Socket} from 'node:net';
+import {
+  answerFor,
+  type CallerLimits,
+  type Clock,
+  type ErrorKind,
+  type Logger,
+  type Random,
+} from '@lovagepond/core';
+import {type GatewayAdmission} from './gateway_admission.js';
+import {CallerChannel} from './gateway_caller_channel.js';
+import {Exchange, type ExchangeParts} from './gateway_exchange.js';
+import {readFacts, type RequestFacts} from './gateway_headers.js';
+import {type GatewaySettings} from './gateway_settings.js';
+import {readBody} from './gateway_request_body.js';
+
+/** Limits until the configuration says them. */
+const FIRST_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16 * 1024,
+  maxBodyBytes: 4 * 1024 * 1024,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+
+/** Node's own limit on heads: above any that a configuration may set. */
+const PARSER_HEAD_BYTES = 256 * 1024;
+
+/** How often slow senders are looked for, milliseconds. */
+const SLOW_SENDER_CHECK_MS = 250;
+
+/** A caller may send up to the idle timeout: the server closes later. */
+const IDLE_MARGIN_MS = 1_000;
+
+/** Error codes of Node's parser to error kinds. */
+const PARSER_ERRORS: Readonly<Record<string, ErrorKind>> = {
+  HPE_HEADER_OVERFLOW: 'headersTooLarge',
+  ERR_HTTP_REQUEST_TIMEOUT: 'senderTooSlow',
+};
+
+/** What the front works with. */
+export interface GatewayServerParts extends ExchangeParts {
+  readonly admission: GatewayAdmission;
+  readonly random: Random;
+}
+
+type FrontSettings = Pick<GatewaySettings, 'host' | 'port' | 'maxHeldBytes'>;
+
+/** Serves callers. */
+export class GatewayServer {
+  readonly #settings: FrontSettings;
+  readonly #parts: GatewayServerParts;
+  readonly #clock: Clock;
+  readonly #log: Logger;
+  readonly #server: Server;
+  #limits = FIRST_LIMITS;
+  #inFlight = 0;
+  #heldBytes = 0;
+  #closing = false;
+  #idleListener: (() => void) | undefined;
+
+  constructor(settings: FrontSettings, parts: GatewayServerParts) {
+    this.#settings = settings;
+    this.#parts = parts;
+    this.#clock = parts.clock;
+    this.#log = parts.log;
+    this.#server = createServer({
+      maxHeaderSize: PARSER_HEAD_BYTES,
+      connectionsCheckingInterval: SLOW_SENDER_CHECK_MS,
+      noDelay: true,
+      requestTimeout: 0,
+    });
+    this.#server.on('request', (req, res) => {
+      this.#serve(req, res);
+    });
+    this.#server.on('clientError', (err: Error & {code?: string}, socket) => {
+      this.#answerBrokenRequest(err, socket as Socket);
+    });
+    this.useLimits(undefined);
+  }
+
+  /** Requests that have no final answer yet. */
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
+  get port(): number {
+    const address = this.#server.address() as AddressInfo | null;
+    return address?.port ?? 0;
+  }
+
+  /** @param limits the limits in force; the defaults when undefined */
+  useLimits(limits: CallerLimits | undefined): void {
+    this.#limits = limits ?? FIRST_LIMITS;
+    const {headerTimeoutMs, idleTimeoutMs} = this.#limits;
+    this.#server.headersTimeout = headerTimeoutMs;
+    this.#server.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS;
+  }
+
+  /** Binds the address. */
+  async start(): Promise<void> {
+    const {host, port} = this.#settings;
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(port, host, resolve);
+    });
+  }
+
+  /** From now on each answer ends its connection. */
+  beginClosing(): void {
+    this.#closing = true;
+  }
+
+  /** Takes no new connections, and resolves once nothing is in flight. */
+  async finish(): Promise<void> {
+    this.#server.close();
+    this.#server.closeIdleConnections();
+    if (this.#inFlight === 0) return;
+    await new Promise<void>(resolve => {
+      this.#idleListener = resolve;
+    });
+  }
+
+  /** Ends at once. */
+  stop(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  #serve(req: IncomingMessage, res: ServerResponse): void {
+    const caller = new CallerChannel(
+      res,
+      this.#parts.random,
+      () => this.#closing,
+    );
+    const facts = readFacts(req.headers, this.#parts.names);
+    const fault = this.#findFault(req);
+    if (fault) {
+      this.#refuse(caller, facts, fault);
+      return;
+    }
+    const at = {now: this.#clock.now(), wallTime: this.#clock.wallTime()};
+    const head = {host: req.headers.host ?? '', path: req.url ?? '', facts};
+    const admission = this.#parts.admission.admit(head, at);
+    if (!admission.ok) {
+      this.#refuse(caller, facts, admission.error);
+      return;
+    }
+    const {admitted} = admission;
+    this.#inFlight += 1;
+    const done = (): void => {
+      this.#inFlight -= 1;
+      if (this.#inFlight === 0) this.#idleListener?.();
+    };
+    const left = admitted.deadlineAt - at.now;
+    readBody(req, this.#limits.maxBodyBytes, left, {
+      onWhole: body => {
+        this.#run(req, facts, admitted, body, caller, done);
+      },
+      onRefused: error => {
+        this.#refuse(caller, facts, error);
+        done();
+      },
+      onGone: done,
+    });
+  }
+
+  #run(
+    req: IncomingMessage,
+    facts: RequestFacts,
+    admitted: Extract<
+      ReturnType<GatewayAdmission['admit']>,
+      {ok: true}
+    >['admitted'],
+    body: Buffer,
+    caller: CallerChannel,
+    done: () => void,
+  ): void {
+    if (this.#heldBytes + body.length > this.#settings.maxHeldBytes) {
+      this.#refuse(caller, facts, 'overloaded');
+      done();
+      return;
+    }
+    this.#heldBytes += body.length;
+    const {method = 'GET', url: path = '/', rawHeaders} = req;
+    const exchange = new Exchange(
+      {...admitted, method, path, rawHeaders, body, facts},
+      this.#parts,
+      caller,
+      () => {
+        this.#heldBytes -= body.length;
+        done();
+      },
+    );
+    exchange.start();
+  }
+
+  #findFault(req: IncomingMessage): ErrorKind | undefined {
+    const size = req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+    if (size > this.#limits.maxHeaderBytes) return 'headersTooLarge';
+    if (!req.url?.startsWith('/')) return 'badRequest';
+    const hosts = req.rawHeaders.filter(
+      (text, at) => at % 2 === 0 && text.toLowerCase() === 'host',
+    );
+    return hosts.length === 1 ? undefined : 'badRequest';
+  }
+
+  #refuse(caller: CallerChannel, facts: RequestFacts, error: ErrorKind): void {
+    caller.refuse(error);
+    this.#log.info('request refused', {
+      request: facts.requestId,
+      reason: error,
+      status: answerFor(error).status,
+      revision: this.#parts.admission.configuration.revision,
+    });
+  }
+
+  /** No request could be read, so no handler will answer. */
+  #answerBrokenRequest(err: Error & {code?: string}, socket: Socket): void {
+    const kind = PARSER_ERRORS[err.code ?? ''] ?? 'badRequest';
+    this.#log.info('request unreadable', {reason: err.code ?? err.message});
+    if (!socket.writable || err.code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    const {status} = answerFor(kind);
+    const line = `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}`;
+    socket.end(`${line}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-gateway/src/gateway_server_state.ts
@@ -0,0 +1,156 @@
+/**
+ * What this router knows of one backend server: its own requests there, the
+ * load that the server reports, its recent failures and its warm prompts.
+ */
+import {type BackendServer} from '@lovagepond/core';
+import {type PromptPart, type ServerLoad} from './gateway_headers.js';
+
+/**
+ * Time in which what other routers have at a server is half forgotten: about
+ * as long as one of the longer requests lasts, milliseconds.
+ */
+const OTHERS_HALF_LIFE_MS = 700;
+
+/** First pause after a failure, doubled up to the longest; milliseconds. */
+const FIRST_PAUSE_MS = 250;
+const LONGEST_PAUSE_MS = 4_000;
+
+/** Weight of the newest outcome in the share of failures. */
+const FAILURE_WEIGHT = 0.25;
+
+/** Above this share of failures a server is avoided while others are well. */
+const FAILING_SHARE = 0.6;
+
+/** Prompt prefixes remembered for a server; the oldest go first. */
+const MAX_WARM_PREFIXES = 4_096;
+
+/** Tokens of one request that a server has still to read. */
+export interface ReadingTicket {
+  readonly tokens: number;
+}
+
+/** One backend server as this router sees it. */
+export class ServerState {
+  server: BackendServer;
+  /** This router's requests there. */
+  inFlight = 0;
+  /** Tokens that the server still has to read for this router's requests. */
+  readingTokens = 0;
+  #othersAtReport = 0;
+  #reportedAt = Number.NEGATIVE_INFINITY;
+  #failures = 0;
+  #failingShare = 0;
+  #pausedUntil = Number.NEGATIVE_INFINITY;
+  #isGone = false;
+  readonly #warm = new Map<string, number>();
+
+  constructor(server: BackendServer) {
+    this.server = server;
+  }
+
+  /** Requests that it processes at once. */
+  get slots(): number {
+    return Math.max(1, this.server.directSlots ?? 1);
+  }
+
+  /** Another incarnation answers at its address. */
+  get isGone(): boolean {
+    return this.#isGone;
+  }
+
+  /** Called when another incarnation answered at its address. */
+  markGone(): void {
+    this.#isGone = true;
+  }
+
+  /**
+   * @param now present time, monotonic milliseconds
+   * @returns requests there by the best estimate, of all routers
+   */
+  load(now: number): number {
+    const age = now - this.#reportedAt;
+    const others = this.#othersAtReport * 0.5 ** (age / OTHERS_HALF_LIFE_MS);
+    return this.inFlight + others;
+  }
+
+  /**
+   * @param load what the server said in an answer
+   * @param now present time, monotonic milliseconds
+   */
+  noteLoad({running, waiting}: ServerLoad, now: number): void {
+    this.#othersAtReport = Math.max(0, running + waiting - this.inFlight);
+    this.#reportedAt = now;
+  }
+
+  /** A request got its answer, whatever that says. */
+  noteSuccess(): void {
+    this.#failures = 0;
+    this.#pausedUntil = Number.NEGATIVE_INFINITY;
+    this.#failingShare *= 1 - FAILURE_WEIGHT;
+  }
+
+  /** The server ran a request and failed it. */
+  noteErrorAnswer(): void {
+    this.#failingShare += (1 - this.#failingShare) * FAILURE_WEIGHT;
+  }
+
+  /**
+   * No connection, no answer, or a broken one. The pause grows, as a server
+   * that is down stays so for seconds, and each try costs a caller.
+   *
+   * @param now present time, monotonic milliseconds
+   */
+  noteBroken(now: number): void {
+    this.noteErrorAnswer();
+    const pause = FIRST_PAUSE_MS * 2 ** this.#failures;
+    this.#failures += 1;
+    this.#pausedUntil = now + Math.min(pause, LONGEST_PAUSE_MS);
+  }
+
+  /**
+   * @param now present time, monotonic milliseconds
+   * @returns true while other servers should be preferred
+   */
+  isAvoided(now: number): boolean {
+    return now < this.#pausedUntil || this.#failingShare > FAILING_SHARE;
+  }
+
+  /**
+   * @param keys keys of the prompt's prefixes, shortest first
+   * @param parts the prompt's parts, as many
+   * @returns tokens that the server has to read, as far as is known here
+   */
+  coldTokens(keys: readonly string[], parts: readonly PromptPart[]): number {
+    const firstCold = keys.findIndex(key => !this.#warm.has(key));
+    if (firstCold < 0) return 0;
+    return parts.slice(firstCold).reduce((sum, {tokens}) => sum + tokens, 0);
+  }
+
+  /**
+   * @param keys keys of the prefixes of a prompt that the server has read
+   * @param now present time, monotonic milliseconds
+   */
+  noteWarm(keys: readonly string[], now: number): void {
+    for (const key of keys) {
+      this.#warm.delete(key);
+      this.#warm.set(key, now);
+    }
+    for (const oldest of this.#warm.keys()) {
+      if (this.#warm.size <= MAX_WARM_PREFIXES) return;
+      this.#warm.delete(oldest);
+    }
+  }
+}
+
+/**
+ * @param parts a prompt's parts
+ * @returns a key for each prefix, shortest first: a part is warm only behind
+ *     the very parts before it
+ */
+export function prefixKeys(parts: readonly PromptPart[]): string[] {
+  let key = '';
+  return parts.map(({id}) => {
+    key = `${key}/${id}`;
+    return key;
+  });
+}
--- /dev/null
+++ b/packages/lovagepond-gateway/src/index.ts
@@ -0,0 +1,9 @@
+export {
+  DEFAULT_HEADER_NAMES,
+  type GatewayHeaderNames,
+} from './gateway_headers.js';
+export {type GatewayParts, GatewayRole} from './gateway_role.js';
+export {
+  DEFAULT_GATEWAY_SETTINGS,
+  type GatewaySettings,
+} from './gateway_settings.js';
--- a/packages/lovagepond-process/src/index.ts
+++ b/packages/lovagepond-process/src/index.ts
@@ -56,6 +56,7 @@
 } from './settings_schema.js';
 export {
   boolean,
+  decimal,
   duration,
   filledText,
   formatHostPort,
--- a/packages/lovagepond-process/src/settings_units.ts
+++ b/packages/lovagepond-process/src/settings_units.ts
@@ -124,6 +124,19 @@
   }, `a whole number from ${min} to ${max}`);
 }
 
+/**
+ * @param min the least value allowed
+ * @param max the greatest value allowed
+ * @returns a number with or without a decimal part
+ */
+export function decimal(min: number, max: number): z.ZodType<number, string> {
+  return makeUnit(text => {
+    const value = Number(text);
+    const fits = /^-?\d+(\.\d+)?$/.test(text) && value >= min && value <= max;
+    return fits ? value : undefined;
+  }, `a number from ${min} to ${max}`);
+}
+
 /** @returns `true`, `yes`, `on`, `false`, `no` or `off` */
 export function boolean(): z.ZodType<boolean, string> {
   return makeUnit(
--- a/packages/lovagepond-protocol/src/protocol_membership.ts
+++ b/packages/lovagepond-protocol/src/protocol_membership.ts
@@ -57,5 +57,10 @@
  * @returns the backend server
  */
 export function readMember(member: WireMember): BackendServer {
-  return {...readServer(member), slot: member.slot ?? 0};
+  const directSlots = member.directSlots ?? 0;
+  return {
+    ...readServer(member),
+    slot: member.slot ?? 0,
+    ...(directSlots > 0 && {directSlots}),
+  };
 }
--- a/packages/lovagepond-router/src/router_control_link.ts
+++ b/packages/lovagepond-router/src/router_control_link.ts
@@ -127,18 +127,36 @@
    * @param revision the revision held
    */
   reportRevision(revision: number): void {
+    void this.confirmRevision(revision);
+  }
+
+  /**
+   * Reports the revision held, and asks for the newest one.
+   *
+   * @param revision the revision held
+   * @returns the newest revision, confirmed by a majority after the call;
+   *     undefined when there was no such answer
+   */
+  confirmRevision(revision: number): Promise<number | undefined> {
     this.#reportedAt = this.#parts.clock.now();
     const method = CONTROL_SERVICE.reportConvergence;
     const {node} = this.#facts;
-    this.#client?.makeUnaryRequest(
-      method.path,
-      message => this.#countSent(method.requestSerialize(message)),
-      method.responseDeserialize,
-      new v1.ConvergenceReport({node, role: ROLE, revision}),
-      new Metadata(),
-      {deadline: Date.now() + REPORT_TIMEOUT_MS},
-      () => {},
-    );
+    const client = this.#client;
+    if (!client) return Promise.resolve(undefined);
+    return new Promise(resolve => {
+      client.makeUnaryRequest(
+        method.path,
+        message => this.#countSent(method.requestSerialize(message)),
+        method.responseDeserialize,
+        new v1.ConvergenceReport({node, role: ROLE, revision}),
+        new Metadata(),
+        {deadline: Date.now() + REPORT_TIMEOUT_MS},
+        (err, res) => {
+          const confirmed = !err && res?.confirmed === true;
+          resolve(confirmed ? (res.revision ?? 0) : undefined);
+        },
+      );
+    });
   }
 
   /** Ends the subscription. */
