Keep direct servers and their places in the log; leave a home only for lateness

Cause: after a restart of all members gateways had no servers until each had announced itself again; a newcomer drew a share of all prompts to itself; any wait at a prompt's home sent it elsewhere to be read anew. Change: a replicated table of servers and places, with handing over of places; subscribers wait at members that have just started; an engine is left only when the first token would be late; retries of the subscription stay short. Conclusion: fewer tokens are read again; lateness by unseen reading remains.

--- a/packages/lovagepond-control/src/control_commands.ts
+++ b/packages/lovagepond-control/src/control_commands.ts
@@ -14,6 +14,7 @@
   type WantedState,
 } from './control_administration.js';
 import {type ConfigurationEdit} from './configuration_edit.js';
+import {type JoiningServer} from './direct_server_table.js';
 import {type LedgerLimits} from './ledger_entries.js';
 
 /** Version of the coding; a member stops at one it doesn't know. */
@@ -115,6 +116,25 @@
   createCommand<WantedStatePayload>('wantedState');
 /** Issues an order with the next fencing token. */
 export const ORDER_COMMAND = createCommand<OrderRequest>('order');
+/** Takes a backend server without a sidecar into the table. */
+export const JOIN_SERVER_COMMAND = createCommand<{
+  readonly server: JoiningServer;
+}>('joinServer');
+/** Says that such a server leaves and gets no new work. */
+export const LEAVE_SERVER_COMMAND = createCommand<{
+  readonly name: string;
+}>('leaveServer');
+/** Takes a server out for good. */
+export const END_SERVER_COMMAND = createCommand<{
+  readonly name: string;
+}>('endServer');
+/** Takes servers out that went silent. */
+export const DROP_SERVERS_COMMAND = createCommand<{
+  readonly names: readonly string[];
+}>('dropServers');
+/** Gives places to servers that stood by, and closes vacant ones. */
+export const OPEN_PLACES_COMMAND =
+  createCommand<Readonly<Record<string, never>>>('openPlaces');
 /** Records how an order ended. */
 export const ORDER_OUTCOME_COMMAND =
   createCommand<OrderOutcomePayload>('orderOutcome');
--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -140,7 +140,7 @@
    */
   subscribe(subscriber: Subscriber, sink: UpdateSink): Unregister | undefined {
     const now = this.#now();
-    if (!this.#hub.isFresh(now)) return undefined;
+    if (!this.#hub.takesSubscribers(now)) return undefined;
     // A follower mirrors the leader only, never another follower.
     const relayed = subscriber.role === CONTROL_ROLE;
     if (relayed && this.#ledTerm === undefined) return undefined;
@@ -240,7 +240,8 @@
       if (!(await this.#setLimits())) return;
       const {role, term: current} = this.#parts.node.status();
       if (role !== MEMBER_ROLE.LEADER || current !== term) return;
-      this.#registry.takeOver(term, this.#now());
+      const known = this.directServers.known();
+      this.#registry.takeOver(term, this.#now(), known);
       this.#ledTerm = term;
       this.#parts.log.info('control leads', {term});
       this.tick(this.#now());
@@ -259,7 +260,8 @@
   }
 
   #tickLeader(now: number): void {
-    this.#registry.tick(now);
+    const lapsed = this.#registry.tick(now);
+    this.#runApart(this.directServers.tick(lapsed, now));
     this.#delivery.refresh(this.#parts.machine.orders.waiting(), server =>
       this.#registry.has(server),
     );
--- a/packages/lovagepond-control/src/control_state_machine.ts
+++ b/packages/lovagepond-control/src/control_state_machine.ts
@@ -12,10 +12,15 @@
   type ControlLimits,
   decodeCommand,
   decodeResult,
+  DROP_SERVERS_COMMAND,
   encodeResult,
+  END_SERVER_COMMAND,
   INCARNATION_COMMAND,
   INSTALL_COMMAND,
+  JOIN_SERVER_COMMAND,
+  LEAVE_SERVER_COMMAND,
   LIMITS_COMMAND,
+  OPEN_PLACES_COMMAND,
   ORDER_COMMAND,
   ORDER_OUTCOME_COMMAND,
   RECORD_COMMAND,
@@ -26,6 +31,10 @@
   type ConfigurationSnapshot,
   ConfigurationState,
 } from './configuration_state.js';
+import {
+  type DirectServerSnapshot,
+  DirectServerTable,
+} from './direct_server_table.js';
 import {type LedgerSnapshot, LedgerState} from './ledger_state.js';
 import {OperationResults, type OperationSnapshot} from './operation_results.js';
 import {type OrderSnapshot, OrderState} from './order_state.js';
@@ -46,6 +55,7 @@
   readonly operations: OperationSnapshot;
   readonly orders: OrderSnapshot;
   readonly draining: readonly string[];
+  readonly directServers?: DirectServerSnapshot;
 }
 
 /** Runs one command. */
@@ -60,6 +70,7 @@
   readonly operations = new OperationResults();
   readonly orders = new OrderState();
   readonly wanted = new WantedStates();
+  readonly directServers = new DirectServerTable();
   readonly time = new ReplicatedTime();
   readonly #handlers = new Map<string, Handler>();
   readonly #now: () => number;
@@ -74,6 +85,7 @@
     this.#now = now;
     this.#handleOperatorCommands();
     this.#handleNodeCommands();
+    this.#handleDirectServerCommands();
   }
 
   /** The limits in force at all members. */
@@ -99,6 +111,7 @@
       operations: this.operations.snapshot(),
       orders: this.orders.snapshot(),
       draining: this.wanted.snapshot(),
+      directServers: this.directServers.snapshot(),
     };
     const lines = this.ledger.encodeEntries();
     return Buffer.concat([encodeResult(snapshot), LINE_END, ...lines]);
@@ -115,6 +128,7 @@
     this.operations.restore(snapshot.operations);
     this.orders.restore(snapshot.orders);
     this.wanted.restore(snapshot.draining);
+    this.directServers.restore(snapshot.directServers);
     this.configuration.restore(snapshot.configuration);
   }
 
@@ -149,6 +163,30 @@
     );
   }
 
+  #handleDirectServerCommands(): void {
+    const table = this.directServers;
+    this.#handle(JOIN_SERVER_COMMAND, ({server}, {timeMs}) => {
+      table.join(server, timeMs);
+      return {};
+    });
+    this.#handle(LEAVE_SERVER_COMMAND, ({name}, {timeMs}) => {
+      table.leave(name, timeMs);
+      return {};
+    });
+    this.#handle(END_SERVER_COMMAND, ({name}, {timeMs}) => {
+      table.end(name, timeMs);
+      return {};
+    });
+    this.#handle(DROP_SERVERS_COMMAND, ({names}, {timeMs}) => {
+      for (const name of names) table.drop(name, timeMs);
+      return {};
+    });
+    this.#handle(OPEN_PLACES_COMMAND, (_payload, {timeMs}) => {
+      table.openPlaces(timeMs);
+      return {};
+    });
+  }
+
   #handleNodeCommands(): void {
     this.#handle(CLAIM_COMMAND, (payload, {timeMs}) =>
       this.ledger.claim(payload, timeMs),
--- a/packages/lovagepond-control/src/direct_servers.ts
+++ b/packages/lovagepond-control/src/direct_servers.ts
@@ -1,22 +1,24 @@
 /**
  * Backend servers that announce themselves, without a sidecar.
  *
- * What a sidecar guarantees by itself has to be kept here: a server that said
- * it leaves must stay out of use although its earlier announcements may still
- * arrive, and although the leader that heard it may be lost. So leaving is
- * committed to the log before it is answered.
+ * Who is there and who leaves is committed to the log before it is answered;
+ * that a server is still alive is soft state of the leader, as with sidecars.
  */
-import {type BackendServer, type Clock, SERVER_STATE} from '@lovagepond/core';
-import {digestOf} from './configuration_changer.js';
-import {WANTED_STATE} from './control_administration.js';
+import {type Clock, SERVER_STATE, type ServerState} from '@lovagepond/core';
 import {
-  WANTED_STATE_COMMAND,
-  type WantedStatePayload,
+  DROP_SERVERS_COMMAND,
+  END_SERVER_COMMAND,
+  JOIN_SERVER_COMMAND,
+  LEAVE_SERVER_COMMAND,
+  OPEN_PLACES_COMMAND,
 } from './control_commands.js';
 import {type ControlStateMachine} from './control_state_machine.js';
-import {type MembershipRegistry} from './membership_registry.js';
-import {type OperationResult} from './operation_results.js';
-import {type Proposer} from './proposer.js';
+import {type DirectServerRecord} from './direct_server_table.js';
+import {
+  type Announcement,
+  type MembershipRegistry,
+} from './membership_registry.js';
+import {type Proposed, type Proposer} from './proposer.js';
 
 /** What a server says of itself. */
 export interface DirectAnnouncement {
@@ -54,53 +56,83 @@
   readonly publish: () => void;
 }
 
-/** Incarnations whose place another one took, that are remembered. */
-const MAX_SUPERSEDED = 4_096;
-
 /** Takes announcements at the leader. */
 export class DirectServers {
   readonly #parts: DirectServersParts;
-  readonly #sequences = new Map<string, number>();
-  readonly #byAddress = new Map<string, string>();
-  readonly #superseded = new Set<string>();
+  /** Numbers of the last announcements, by server. */
+  #sequences = new Map<string, number>();
+  #opening = false;
 
   constructor(parts: DirectServersParts) {
     this.#parts = parts;
   }
 
+  /** @returns the servers of the table, for a leader that takes over */
+  known(): readonly Announcement[] {
+    return this.#parts.machine.directServers.list().map(toAnnouncement);
+  }
+
   /**
    * @param said the announcement
    * @returns the answer; not accepted by any other member than the leader
    */
   async announce(said: DirectAnnouncement): Promise<AnnouncementAnswer> {
     if (!this.#serves()) return this.#refuse();
-    if (this.#isLate(said)) return {kind: 'accepted'};
-    if (said.leaving) {
-      const committed = await this.#commitLeaving(said.incarnation);
-      if (committed !== 'committed') return this.#explain(committed);
-      if (!this.#serves()) return this.#refuse();
-    }
-    this.#takePlace(said);
-    this.#register(said);
+    // A late announcement must not bring back an earlier state.
+    const isLate =
+      said.sequence <= (this.#sequences.get(said.incarnation) ?? -1);
+    if (isLate && !said.leaving) return {kind: 'accepted'};
+    this.#sequences.set(said.incarnation, said.sequence);
+    const committed = await this.#commit(said);
+    if (committed.kind !== 'committed') return this.#explain(committed);
+    if (!this.#serves()) return this.#refuse();
+    this.#renew(said.incarnation);
     return {kind: 'accepted'};
   }
 
   /**
    * A server says that it is gone, or leaves without having said so before.
    *
-   * @param incarnation the server
+   * @param name the server
    * @returns the answer; not accepted by any other member than the leader
    */
-  async remove(incarnation: string): Promise<AnnouncementAnswer> {
+  async remove(name: string): Promise<AnnouncementAnswer> {
     if (!this.#serves()) return this.#refuse();
-    const committed = await this.#commitLeaving(incarnation);
-    if (committed !== 'committed') return this.#explain(committed);
+    const {proposer, registry, clock} = this.#parts;
+    const ended = await proposer.propose(END_SERVER_COMMAND, {name});
+    if (ended.kind !== 'committed') return this.#explain(ended);
     if (!this.#serves()) return this.#refuse();
-    this.#parts.registry.remove(incarnation, this.#parts.clock.now());
-    this.#parts.publish();
+    registry.remove(name, clock.now());
+    this.#publishTable();
     return {kind: 'accepted'};
   }
 
+  /**
+   * Follows what the registry found, and opens places that are due.
+   *
+   * @param lapsed servers that went silent
+   * @param now monotonic milliseconds
+   */
+  async tick(lapsed: readonly string[], now: number): Promise<void> {
+    const {machine, proposer} = this.#parts;
+    const table = machine.directServers;
+    const names = lapsed.filter(name => table.get(name));
+    if (names.length > 0) {
+      await proposer.propose(DROP_SERVERS_COMMAND, {names});
+      this.#publishTable();
+    }
+    if (this.#opening || !table.hasPlacesToOpen(machine.time.stamp(now))) {
+      return;
+    }
+    this.#opening = true;
+    try {
+      await proposer.propose(OPEN_PLACES_COMMAND, {});
+      this.#publishTable();
+    } finally {
+      this.#opening = false;
+    }
+  }
+
   #serves(): boolean {
     return this.#parts.proposer.leads() && this.#parts.hasTakenOver();
   }
@@ -110,76 +142,82 @@
     return {kind: 'notLeader', leader};
   }
 
-  #explain(outcome: 'notLeader' | 'unknown'): AnnouncementAnswer {
-    return outcome === 'unknown' ? {kind: 'unknown'} : this.#refuse();
+  #explain(outcome: {readonly kind: string}): AnnouncementAnswer {
+    return outcome.kind === 'unknown' ? {kind: 'unknown'} : this.#refuse();
   }
 
-  /** A late or resent announcement must not bring back an earlier state. */
-  #isLate(said: DirectAnnouncement): boolean {
-    if (this.#superseded.has(said.incarnation)) return true;
-    const last = this.#sequences.get(said.incarnation) ?? -1;
-    if (said.leaving) return false;
-    return said.sequence <= last;
-  }
-
-  async #commitLeaving(
-    server: string,
-  ): Promise<'committed' | 'notLeader' | 'unknown'> {
+  /** Proposes what the table lacks; most announcements only renew. */
+  async #commit(said: DirectAnnouncement): Promise<Proposed<unknown>> {
     const {machine, proposer} = this.#parts;
-    const wantedState = WANTED_STATE.DRAINING;
-    if (machine.wanted.get(server) === wantedState) return 'committed';
-    const answer = await proposer.propose<WantedStatePayload, OperationResult>(
-      WANTED_STATE_COMMAND,
-      {
-        operationId: `leaving ${server}`,
-        digest: digestOf([server, wantedState]),
-        server,
-        wantedState,
-      },
-    );
-    return answer.kind;
+    const name = said.incarnation;
+    const table = machine.directServers;
+    let outcome: Proposed<unknown> = {kind: 'committed', value: {}};
+    if (!table.get(name)) {
+      const server = toJoining(said);
+      outcome = await proposer.propose(JOIN_SERVER_COMMAND, {server});
+    }
+    if (outcome.kind === 'committed' && said.leaving) {
+      if (table.get(name)?.leaving) return outcome;
+      outcome = await proposer.propose(LEAVE_SERVER_COMMAND, {name});
+    }
+    return outcome;
   }
 
-  /**
-   * A new incarnation at an address means that the one before has ended. What
-   * it sent may still arrive, held up by a partition, and would put two
-   * servers at one address.
-   */
-  #takePlace({address, incarnation}: DirectAnnouncement): void {
-    const former = this.#byAddress.get(address);
-    this.#byAddress.set(address, incarnation);
-    if (former === undefined || former === incarnation) return;
-    this.#superseded.add(former);
-    this.#sequences.delete(former);
-    this.#parts.registry.remove(former, this.#parts.clock.now());
-    if (this.#superseded.size <= MAX_SUPERSEDED) return;
-    for (const oldest of this.#superseded) {
-      this.#superseded.delete(oldest);
-      return;
-    }
+  #renew(name: string): void {
+    const {registry, machine, clock} = this.#parts;
+    const record = machine.directServers.get(name);
+    // It ended while its announcement was on the way.
+    if (!record) return;
+    const wanted = machine.wanted.get(name);
+    const isNew = !registry.has(name);
+    registry.announce(toAnnouncement(record), wanted, clock.now());
+    if (isNew || record.leaving) this.#publishTable();
   }
 
-  #register(said: DirectAnnouncement): void {
-    const {registry, machine, clock, publish} = this.#parts;
-    const {incarnation, sequence, leaving} = said;
-    this.#sequences.set(incarnation, sequence);
-    const wanted = machine.wanted.get(incarnation);
-    const state = leaving ? SERVER_STATE.DRAINING : SERVER_STATE.READY;
-    const server: Omit<BackendServer, 'slot'> = {
-      name: incarnation,
-      incarnation,
-      pool: said.pool,
-      labels: {version: said.version},
-      availabilityZone: said.availabilityZone,
-      region: said.region,
-      address: said.address,
-      state,
-      capacityTokens: 0,
-      models: said.models,
-      directSlots: said.slots,
-    };
-    const load = {runningTokens: 0, queuedTokens: 0};
-    registry.announce({...server, ...load}, wanted, clock.now());
+  /** A change of one server may have given or taken others' places. */
+  #publishTable(): void {
+    const {machine, registry, publish, clock} = this.#parts;
+    const table = machine.directServers;
+    for (const record of table.list()) {
+      const {name} = record.server;
+      // Otherwise the registry decides: it may hold a server that flaps.
+      const leaving = record.leaving && {state: SERVER_STATE.DRAINING};
+      registry.update(name, {place: record.place, ...leaving});
+    }
+    for (const {server} of registry.list()) {
+      if (server.directSlots === undefined || table.get(server.name)) continue;
+      registry.remove(server.name, clock.now());
+      this.#sequences.delete(server.name);
+    }
     publish();
   }
 }
+
+function stateOf({leaving}: DirectServerRecord): ServerState {
+  return leaving ? SERVER_STATE.DRAINING : SERVER_STATE.READY;
+}
+
+function toAnnouncement(record: DirectServerRecord): Announcement {
+  return {
+    ...record.server,
+    state: stateOf(record),
+    place: record.place,
+    runningTokens: 0,
+    queuedTokens: 0,
+  };
+}
+
+function toJoining(said: DirectAnnouncement): DirectServerRecord['server'] {
+  return {
+    name: said.incarnation,
+    incarnation: said.incarnation,
+    pool: said.pool,
+    labels: {version: said.version},
+    availabilityZone: said.availabilityZone,
+    region: said.region,
+    address: said.address,
+    capacityTokens: 0,
+    models: said.models,
+    directSlots: said.slots,
+  };
+}
--- a/packages/lovagepond-control/src/membership_log.ts
+++ b/packages/lovagepond-control/src/membership_log.ts
@@ -220,6 +220,8 @@
     a.address === b.address &&
     a.pool === b.pool &&
     a.capacityTokens === b.capacityTokens &&
+    a.directSlots === b.directSlots &&
+    (a.place ?? '') === (b.place ?? '') &&
     a.availabilityZone === b.availabilityZone &&
     a.region === b.region &&
     isSameList(a.models, b.models) &&
--- a/packages/lovagepond-control/src/membership_registry.ts
+++ b/packages/lovagepond-control/src/membership_registry.ts
@@ -107,8 +107,13 @@
    *
    * @param term the leader's term
    * @param now monotonic milliseconds
+   * @param known servers that the replicated state holds
    */
-  takeOver(term: number, now: number): void {
+  takeOver(
+    term: number,
+    now: number,
+    known: readonly Announcement[] = [],
+  ): void {
     const {leaseMs} = this.#settings;
     this.#records.clear();
     this.#poolSizes.clear();
@@ -120,6 +125,7 @@
     // Without a mirrored list, one lease shows who is there.
     this.#completeAt = now + leaseMs;
     if (this.#records.size === 0) this.#log.markIncomplete();
+    for (const said of known) this.announce(said, WANTED_STATE.READY, now);
   }
 
   /**
@@ -228,6 +234,24 @@
     return this.#records.has(name);
   }
 
+  /**
+   * Takes over what the replicated state says of a server in the list.
+   *
+   * @param name a server
+   * @param changed its new place, and its state when that changed
+   */
+  update(
+    name: string,
+    changed: Partial<Pick<BackendServer, 'state' | 'place'>>,
+  ): void {
+    const record = this.#records.get(name);
+    if (!record) return;
+    const server = {...record.server, ...changed};
+    if (isSameServer(record.server, server)) return;
+    record.server = server;
+    this.#log.put(server);
+  }
+
   #adopt(server: BackendServer, now: number): void {
     this.#slots.adopt(server.name, server.slot, now);
     this.#resizePool(server.pool, 1);
@@ -345,6 +369,9 @@
     capacityTokens: said.capacityTokens,
     models: said.models,
     slot,
-    ...(said.directSlots && {directSlots: said.directSlots}),
+    ...(said.directSlots && {
+      directSlots: said.directSlots,
+      place: said.place ?? '',
+    }),
   };
 }
--- a/packages/lovagepond-control/src/subscription_hub.ts
+++ b/packages/lovagepond-control/src/subscription_hub.ts
@@ -34,7 +34,9 @@
 export class SubscriptionHub {
   readonly #settings: HubSettings;
   readonly #subscriptions = new Set<Subscription>();
+  readonly #startedAt: number;
   #contactAt: number;
+  #hasBeenInTouch = false;
 
   /**
    * @param settings intervals and the contact limit
@@ -42,6 +44,7 @@
    */
   constructor(settings: HubSettings, now: number) {
     this.#settings = settings;
+    this.#startedAt = now;
     this.#contactAt = now - settings.leaderContactLimitMs;
   }
 
@@ -58,6 +61,21 @@
     return now - this.#contactAt < this.#settings.leaderContactLimitMs;
   }
 
+  /**
+   * A member that has just started knows nothing yet, as all the others may
+   * that were started with it. Subscribers wait here for the first leader:
+   * sent away, they would go around all members and come too late to each.
+   *
+   * @param now monotonic milliseconds
+   * @returns true while subscribers may come or stay
+   */
+  takesSubscribers(now: number): boolean {
+    const {leaderContactLimitMs} = this.#settings;
+    const isStarting =
+      !this.#hasBeenInTouch && now - this.#startedAt < leaderContactLimitMs;
+    return isStarting || this.isFresh(now);
+  }
+
   /**
    * Adds a subscription.
    *
@@ -90,7 +108,8 @@
    */
   noteContact(contactAt: number, now: number): void {
     this.#contactAt = Math.max(this.#contactAt, contactAt);
-    if (!this.isFresh(now)) this.endAll();
+    this.#hasBeenInTouch ||= this.isFresh(now);
+    if (!this.takesSubscribers(now)) this.endAll();
   }
 
   /**
@@ -100,6 +119,7 @@
    * @param now monotonic milliseconds
    */
   pump(view: FeedView, now: number): void {
+    if (!this.#hasBeenInTouch) return;
     for (const {feed, sink} of this.#subscriptions) {
       if (!sink.isWritable()) continue;
       for (const update of feed.next(view, now)) sink.send(update);
--- a/packages/lovagepond-core/src/core_membership.ts
+++ b/packages/lovagepond-core/src/core_membership.ts
@@ -38,6 +38,11 @@
    * server behind a sidecar.
    */
   readonly directSlots?: number;
+  /**
+   * Where shared prompts have their home, of a server without a sidecar: a
+   * place outlives its server. Empty while the server stands by.
+   */
+  readonly place?: string;
 }
 
 /** The list of backend servers at one version. Immutable. */
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -17,7 +17,7 @@
   Random,
   SERVER_STATE,
 } from '@lovagepond/core';
-import {loadKeyHasher} from '@lovagepond/router';
+import {loadKeyHasher} from '@lovagepond/router/rendezvous_hash';
 import {GatewayAdmission} from '../../gateway_admission.js';
 import {GatewayChoice} from '../../gateway_choice.js';
 import {GatewayConnections} from '../../gateway_connections.js';
--- a/packages/lovagepond-gateway/src/gateway_choice.ts
+++ b/packages/lovagepond-gateway/src/gateway_choice.ts
@@ -8,7 +8,7 @@
  * that makes no difference.
  */
 import {type Pool, type Random} from '@lovagepond/core';
-import {type KeyHasher} from '@lovagepond/router';
+import {type KeyHasher} from '@lovagepond/router/rendezvous_hash';
 import {type PromptPart} from './gateway_headers.js';
 import {prefixKeys, type ServerState} from './gateway_server_state.js';
 
@@ -19,6 +19,7 @@
   readonly parts: readonly PromptPart[];
   /** Place by the prompt's parts. */
   readonly sticky: boolean;
+  readonly targetLatencyMs: number;
   /** Servers that this request was given to before. */
   readonly tried: ReadonlySet<string>;
 }
@@ -46,9 +47,19 @@
 const REREAD_WEIGHT = 1.5;
 
 /**
- * Delay that one more running request brings to each token of a stream, as a
- * share of a slot's time: keeps engines level where nothing else differs, ms.
+ * Part of the target latency up to which a wait costs the caller nothing: the
+ * rest covers what other routers have sent to the server, unseen from here.
  */
+const FREE_WAIT_PART = 0.5;
+
+/** What a millisecond beyond that counts against one of reading anew. */
+const LATE_WEIGHT = 3;
+
+/**
+ * Weight of a wait that brings no lateness, and of one more request at a
+ * server, milliseconds: they decide between servers that are equal else.
+ */
+const EARLY_WEIGHT = 0.1;
 const RUNNING_REQUEST_MS = 0.5;
 
 /** Chooses servers. */
@@ -79,7 +90,7 @@
     const within = this.#withinBound(candidates, req.pool, now);
     const isChat = req.sticky && req.parts.length > 0;
     return isChat
-      ? this.#chooseEngine(within, req.parts, now)
+      ? this.#chooseEngine(within, req, now)
       : this.#chooseService(within, now);
   }
 
@@ -110,15 +121,15 @@
 
   #chooseEngine(
     candidates: readonly ServerState[],
-    parts: readonly PromptPart[],
+    req: ChoiceRequest,
     now: number,
   ): ServerState | undefined {
-    const keys = prefixKeys(parts);
+    const keys = prefixKeys(req.parts);
     const home = this.#findHome(candidates, keys);
     let best: ServerState | undefined;
     let bestCost = Infinity;
     for (const state of candidates) {
-      const cost = this.#cost(state, keys, parts, state === home, now);
+      const cost = this.#cost(state, keys, req, state === home, now);
       if (cost >= bestCost) continue;
       best = state;
       bestCost = cost;
@@ -138,7 +149,9 @@
     let home: ServerState | undefined;
     let highest = -1;
     for (const state of candidates) {
-      const text = `${shared}\u0000${state.server.name}`;
+      const {place} = state.server;
+      if (!place) continue;
+      const text = `${shared}\u0000${place}`;
       const {low} = this.#hasher.hash(text);
       if (low <= highest) continue;
       highest = low;
@@ -147,20 +160,26 @@
     return home;
   }
 
-  /** Milliseconds until the first token, with what the choice costs others. */
+  /** What the choice costs this caller and others, in milliseconds. */
   #cost(
     state: ServerState,
     keys: readonly string[],
-    parts: readonly PromptPart[],
+    req: ChoiceRequest,
     isHome: boolean,
     now: number,
   ): number {
     const {prefillTokensPerMs} = this.#settings;
-    const own = parts.at(-1)?.tokens ?? 0;
+    const own = req.parts.at(-1)?.tokens ?? 0;
     // Other routers bring the shared parts to the home, unseen from here.
-    const cold = isHome ? own : state.coldTokens(keys, parts);
-    const readMs = (cold * REREAD_WEIGHT) / prefillTokensPerMs;
-    const waitMs = state.readingTokens / prefillTokensPerMs;
-    return readMs + waitMs + state.load(now) * RUNNING_REQUEST_MS;
+    const cold = isHome ? own : state.coldTokens(keys, req.parts);
+    const rereadMs = ((cold - own) / prefillTokensPerMs) * REREAD_WEIGHT;
+    const firstMs = (cold + state.readingTokens) / prefillTokensPerMs;
+    const lateMs = firstMs - req.targetLatencyMs * FREE_WAIT_PART;
+    return (
+      Math.max(0, rereadMs) +
+      Math.max(0, lateMs) * LATE_WEIGHT +
+      firstMs * EARLY_WEIGHT +
+      state.load(now) * RUNNING_REQUEST_MS
+    );
   }
 }
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -156,6 +156,7 @@
         servers: fleet.ready(pool.name),
         parts: facts.parts,
         sticky: rule.forwarding.sticky,
+        targetLatencyMs: rule.forwarding.targetLatencyMs,
         tried: this.#tried,
       },
       now,
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -11,12 +11,9 @@
   type Role,
   type StateDump,
 } from '@lovagepond/core';
-import {
-  applyMembership,
-  ControlLink,
-  type ControlUpdate,
-  loadKeyHasher,
-} from '@lovagepond/router';
+import {ControlLink, type ControlUpdate} from '@lovagepond/router/control_link';
+import {applyMembership} from '@lovagepond/router/membership';
+import {loadKeyHasher} from '@lovagepond/router/rendezvous_hash';
 import {GatewayAdmission} from './gateway_admission.js';
 import {type ClockReading} from './gateway_authority.js';
 import {GatewayChoice} from './gateway_choice.js';
--- a/packages/lovagepond-protocol/src/protocol_membership.ts
+++ b/packages/lovagepond-protocol/src/protocol_membership.ts
@@ -61,6 +61,6 @@
   return {
     ...readServer(member),
     slot: member.slot ?? 0,
-    ...(directSlots > 0 && {directSlots}),
+    ...(directSlots > 0 && {directSlots, place: member.place ?? ''}),
   };
 }
--- a/packages/lovagepond-router/src/index.ts
+++ b/packages/lovagepond-router/src/index.ts
@@ -1,10 +1,3 @@
-export {
-  ControlLink,
-  type ControlLinkSettings,
-  type ControlListener,
-  type ControlUpdate,
-} from './router_control_link.js';
-export {applyMembership} from './router_membership.js';
 export {RouterLoadView} from './router_load_view.js';
 export {
   CANDIDATE_COUNT,
--- a/packages/lovagepond-router/src/router_control_link.ts
+++ b/packages/lovagepond-router/src/router_control_link.ts
@@ -46,7 +46,7 @@
 
 const ROLE = 'router';
 
-const MAX_BACKOFF_DOUBLINGS = 4;
+const MAX_BACKOFF_DOUBLINGS = 2;
 
 /** Control forgets a node that it hasn't heard of for some minutes. */
 const REPORT_INTERVAL_MS = 60_000;
--- a/scripts/build_platform.mjs
+++ b/scripts/build_platform.mjs
@@ -10,22 +10,26 @@
 // these are the flags of every role in deploy/system.toml.
 const NODE_FLAGS = ['--max-old-space-size=160'];
 
+/** How the program ends when it isn't told its settings file. */
+const USAGE_EXIT_CODE = 2;
+
 const PROGRAM = 'target/program.cjs';
 const LOADER = 'target/lovagepond.cjs';
 
-// Runs without a role, so that the program only loads, prints its usage and
-// ends; the code is kept when it has been loaded.
+// Code is kept for each role apart. It is written by a run without settings,
+// which loads the role's code, prints the usage and ends.
+const ROLES = ['control', 'gateway'];
 const LOADER_SOURCE = `'use strict';
 const {existsSync, readFileSync, writeFileSync} = require('node:fs');
 const {Script} = require('node:vm');
 const {wrap} = require('node:module');
 const filename = __dirname + '/program.cjs';
-const cache = __dirname + '/program.cache';
+const cache = __dirname + '/' + process.argv[2] + '.cache';
 const cachedData = existsSync(cache) ? readFileSync(cache) : undefined;
 const source = wrap(readFileSync(filename, 'utf8'));
 const script = new Script(source, {filename, cachedData});
 script.runInThisContext()(exports, require, module, filename, __dirname);
-if (process.argv[2] === '--write-cache') {
+if (process.argv[3] === '--write-cache') {
   process.on('exit', () => writeFileSync(cache, script.createCachedData()));
 }
 `;
@@ -40,11 +44,11 @@
   outfile: PROGRAM,
 });
 writeFileSync(LOADER, LOADER_SOURCE);
-try {
-  execFileSync(process.execPath, [...NODE_FLAGS, LOADER, '--write-cache'], {
-    stdio: 'ignore',
-  });
-} catch (err) {
-  // Called without a role, the program ends with the exit code for usage.
-  if (err.status !== 2) throw err;
+for (const role of ROLES) {
+  try {
+    const args = [...NODE_FLAGS, LOADER, role, '--write-cache'];
+    execFileSync(process.execPath, args, {stdio: 'ignore', env: {}});
+  } catch (err) {
+    if (err.status !== USAGE_EXIT_CODE) throw err;
+  }
 }
