Tell other gateways which prompts servers read, and learn how fast they read

Cause: each gateway saw a ninth of the traffic: it sent cold prompts to engines that had much to read for others (catalogue-offer 99th percentile 890 ms) and did not know where a prompt was warm beside its home. Change: gateways report cold prompts within 20 ms to control, whose members pass them on; choices go by what is warm and by the reading under way; the rate is learned from first tokens.

--- a/packages/lovagepond-control/src/__tests__/unit/subscription_hub.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/subscription_hub.test.ts
@@ -4,6 +4,7 @@
 import {type OrderView} from '../../control_administration.js';
 import {OrderDelivery} from '../../order_delivery.js';
 import {type FeedUpdate, type FeedView} from '../../subscription_feed.js';
+import {ReadingBoard} from '../../reading_board.js';
 import {SubscriptionHub, type UpdateSink} from '../../subscription_hub.js';
 
 const SETTINGS = {
@@ -46,6 +47,7 @@
     leads: true,
     configuration,
     membershipVersion: 0,
+    readings: new ReadingBoard(),
     changesSince: () => undefined,
     readLoad: () => ({membershipVersion: 0, loads, ageMs: 0}),
   };
--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -27,6 +27,8 @@
 import {type LoadReport, MembershipRegistry} from './membership_registry.js';
 import {OrderDelivery} from './order_delivery.js';
 import {Proposer} from './proposer.js';
+import {ReadingBoard, type ReadingReport} from './reading_board.js';
+import {readReadings} from './wire_utils.js';
 import {
   CONTROL_ROLE,
   type FeedView,
@@ -60,6 +62,7 @@
   readonly #proposer: Proposer;
   readonly #membership = new MembershipLog();
   readonly #registry: MembershipRegistry;
+  readonly #readings = new ReadingBoard();
   readonly #convergence = new ConvergenceTable();
   readonly #delivery: OrderDelivery;
   readonly #announces: AnnounceHandler;
@@ -132,6 +135,16 @@
     });
   }
 
+  /**
+   * Only the leader posts reports, so that all members pass on the same.
+   *
+   * @param report what a router says of prompts that servers read for it
+   */
+  reportReadings(report: lovagepond.v1.ReadingReport): void {
+    if (this.#proposer.leads()) this.#postReadings(readReadings(report));
+    else this.#relay.passReadings(report);
+  }
+
   /**
    * @param subscriber who subscribes
    * @param sink where its updates go
@@ -267,6 +280,11 @@
     );
   }
 
+  #postReadings(report: ReadingReport): void {
+    this.#readings.post(report);
+    this.#pumpSoon();
+  }
+
   #pumpSoon(): void {
     if (this.#pumpPending) return;
     this.#pumpPending = true;
@@ -285,6 +303,7 @@
       membershipVersion: membership.version,
       changesSince: (version, pool) => membership.changesSince(version, pool),
       readLoad: () => (load ??= this.#readLoad(now)),
+      readings: this.#readings,
     };
     this.#hub.pump(view, now);
   }
@@ -344,7 +363,14 @@
         loadValidMs: leaderContactLimitMs,
         callTimeoutMs: RELAY_CALL_TIMEOUT_MS,
       },
-      {clock: this.#parts.clock, log, membership: this.#membership},
+      {
+        clock: this.#parts.clock,
+        log,
+        membership: this.#membership,
+        onReadings: report => {
+          this.#postReadings(report);
+        },
+      },
     );
   }
 
--- a/packages/lovagepond-control/src/control_role.ts
+++ b/packages/lovagepond-control/src/control_role.ts
@@ -78,6 +78,9 @@
       {
         announce: req => this.#state.announce(req),
         reportConvergence: req => this.#state.reportConvergence(req),
+        reportReadings: report => {
+          this.#state.reportReadings(report);
+        },
         claim: req => this.#state.ledger.claim(req),
         record: req => this.#state.ledger.record(req),
         reportOrder: req => this.#state.ledger.reportOrder(req),
--- a/packages/lovagepond-control/src/control_server.ts
+++ b/packages/lovagepond-control/src/control_server.ts
@@ -11,7 +11,7 @@
   type UntypedServiceImplementation,
 } from '@grpc/grpc-js';
 import {type Logger} from '@lovagepond/core';
-import {CONTROL_SERVICE, type lovagepond} from '@lovagepond/protocol';
+import {CONTROL_SERVICE, lovagepond} from '@lovagepond/protocol';
 import {SERVER_OPTIONS} from './control_channel_constants.js';
 import {type Subscriber, type FeedUpdate} from './subscription_feed.js';
 import {type UpdateSink} from './subscription_hub.js';
@@ -28,6 +28,7 @@
   reportConvergence(
     req: Message<'ConvergenceReport'>,
   ): Promise<Message<'ConvergenceResponse'>>;
+  reportReadings(report: Message<'ReadingReport'>): void;
   claim(req: Message<'ClaimRequest'>): Promise<Message<'ClaimResponse'>>;
   record(req: Message<'RecordRequest'>): Promise<Message<'RecordResponse'>>;
   reportOrder(
@@ -65,6 +66,10 @@
       reportConvergence: this.#unary(req =>
         handlers.reportConvergence(req as never),
       ),
+      reportReadings: this.#unary(req => {
+        handlers.reportReadings(req as never);
+        return Promise.resolve(new lovagepond.v1.ReadingResponse());
+      }),
       claim: this.#unary(req => handlers.claim(req as never)),
       record: this.#unary(req => handlers.record(req as never)),
       reportOrder: this.#unary(req => handlers.reportOrder(req as never)),
--- a/packages/lovagepond-control/src/index.ts
+++ b/packages/lovagepond-control/src/index.ts
@@ -59,6 +59,7 @@
 export {MembershipLog} from './membership_log.js';
 export {type Announcement, MembershipRegistry} from './membership_registry.js';
 export {Proposer} from './proposer.js';
+export {ReadingBoard} from './reading_board.js';
 export {type FeedUpdate, type FeedView} from './subscription_feed.js';
 export {SubscriptionHub, type UpdateSink} from './subscription_hub.js';
 export {UpdateEncoder} from './update_encoder.js';
--- a/packages/lovagepond-control/src/leader_relay.ts
+++ b/packages/lovagepond-control/src/leader_relay.ts
@@ -14,7 +14,8 @@
 import {type MembershipLog} from './membership_log.js';
 import {type LoadReport} from './membership_registry.js';
 import {CONTROL_ROLE} from './subscription_feed.js';
-import {readLoad, readMembership} from './wire_utils.js';
+import {type ReadingReport} from './reading_board.js';
+import {readLoad, readMembership, readReadings} from './wire_utils.js';
 
 const {v1} = lovagepond;
 
@@ -39,6 +40,8 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly membership: MembershipLog;
+  /** Called with what the leader passes on of routers' readings. */
+  readonly onReadings: (report: ReadingReport) => void;
 }
 
 /** What a node says of the revision it holds. */
@@ -128,6 +131,30 @@
     });
   }
 
+  /**
+   * Passes a router's report of readings to the leader; one that gets lost
+   * costs some reading, so nothing is done about it.
+   *
+   * @param report what a router said
+   */
+  passReadings(report: lovagepond.v1.ReadingReport): void {
+    const method = CONTROL_SERVICE.reportReadings;
+    const wallTime = this.#parts.clock.wallTime();
+    this.#client?.makeUnaryRequest(
+      method.path,
+      method.requestSerialize,
+      method.responseDeserialize,
+      report,
+      new Metadata(),
+      {deadline: wallTime + this.#settings.callTimeoutMs},
+      err => {
+        if (!err) return;
+        const {message} = err;
+        this.#parts.log.debug('readings not passed on', {message});
+      },
+    );
+  }
+
   /** Ends the link. */
   stop(): void {
     this.#close();
@@ -177,6 +204,9 @@
     if (update.membership) {
       this.#parts.membership.mirror(readMembership(update.membership));
     }
+    for (const report of update.readings?.reports ?? []) {
+      this.#parts.onReadings(readReadings(report));
+    }
     if (update.load) this.#heardLoad = {load: readLoad(update.load), at: now};
   }
 
--- a/packages/lovagepond-control/src/subscription_feed.ts
+++ b/packages/lovagepond-control/src/subscription_feed.ts
@@ -5,6 +5,7 @@
  * what is outdated: however far behind, it gets one configuration and one
  * membership change, never a replay.
  */
+import {type ReadingBoard, type ReadingReport} from './reading_board.js';
 import {type Configuration} from '@lovagepond/core';
 import {type MembershipChange} from './membership_log.js';
 import {type LoadReport} from './membership_registry.js';
@@ -19,6 +20,7 @@
   changesSince(version: number, pool: string): MembershipChange | undefined;
   /** @returns the newest load report; undefined when none is fresh */
   readLoad(): LoadReport | undefined;
+  readonly readings: ReadingBoard;
 }
 
 /** Who subscribes. */
@@ -48,11 +50,15 @@
     }
   | {readonly kind: 'membership'; readonly change: MembershipChange}
   | {readonly kind: 'load'; readonly load: LoadReport}
+  | {readonly kind: 'readings'; readonly reports: readonly ReadingReport[]}
   | {readonly kind: 'heartbeat'; readonly revision: number};
 
 /** Role under which a follower mirrors the leader's list. */
 export const CONTROL_ROLE = 'control';
 
+/** Who is told of readings: routers place prompts, followers pass it on. */
+const READING_ROLES: ReadonlySet<string> = new Set(['router', CONTROL_ROLE]);
+
 /** A follower hears loads so much oftener, as it passes them on. */
 const RELAY_SPEED_UP = 4;
 
@@ -66,6 +72,7 @@
   #confirmedRevision: number | undefined;
   #sentConfirmed = false;
   #sentVersion = 0;
+  #sentReadings: number | undefined;
   #digestAt = -Infinity;
   #sentAt = -Infinity;
 
@@ -108,6 +115,7 @@
       ...this.#nextConfiguration(view),
       ...this.#nextMembership(view),
       ...this.#nextLoad(view, now),
+      ...this.#nextReadings(view),
     ];
     const {heartbeatIntervalMs} = this.#settings;
     if (updates.length === 0 && now - this.#sentAt >= heartbeatIntervalMs) {
@@ -144,6 +152,15 @@
     return empty && !change.whole ? [] : [{kind: 'membership', change}];
   }
 
+  #nextReadings({readings}: FeedView): FeedUpdate[] {
+    if (!READING_ROLES.has(this.subscriber.role)) return [];
+    const last = this.#sentReadings;
+    this.#sentReadings = readings.sequence;
+    const reports =
+      last === undefined ? readings.history() : readings.since(last);
+    return reports.length > 0 ? [{kind: 'readings', reports}] : [];
+  }
+
   #nextLoad(view: FeedView, now: number): FeedUpdate[] {
     if (now - this.#digestAt < this.#digestIntervalMs) return [];
     const load = view.readLoad();
--- a/packages/lovagepond-control/src/update_encoder.ts
+++ b/packages/lovagepond-control/src/update_encoder.ts
@@ -54,6 +54,14 @@
       ageMs: Math.round(load.ageMs),
     },
   }),
+  readings: ({reports}) => ({
+    readings: {
+      reports: reports.map(({node, readings}) => ({
+        node,
+        readings: [...readings],
+      })),
+    },
+  }),
   heartbeat: ({revision}) => ({heartbeat: {revision}}),
 };
 
@@ -64,6 +72,7 @@
 function contentOf(update: FeedUpdate): object | undefined {
   if (update.kind === 'configuration') return update.configuration;
   if (update.kind === 'membership') return update.change;
+  if (update.kind === 'readings') return update.reports;
   return update.kind === 'load' ? update.load : undefined;
 }
 
--- a/packages/lovagepond-control/src/wire_utils.ts
+++ b/packages/lovagepond-control/src/wire_utils.ts
@@ -3,6 +3,7 @@
  */
 import {type lovagepond, readMember, readServer} from '@lovagepond/protocol';
 import {type MembershipChange} from './membership_log.js';
+import {type ReadingReport} from './reading_board.js';
 import {type Announcement, type LoadReport} from './membership_registry.js';
 
 type WireAnnounce = lovagepond.v1.AnnounceRequest.$Properties;
@@ -34,6 +35,21 @@
   };
 }
 
+/**
+ * @param report a router's report as it was decoded
+ * @returns the report
+ */
+export function readReadings(
+  report: lovagepond.v1.ReadingReport.$Properties,
+): ReadingReport {
+  const readings = (report.readings ?? []).map(reading => ({
+    backendServer: reading.backendServer ?? '',
+    prefix: reading.prefix ?? '',
+    tokens: reading.tokens ?? 0,
+  }));
+  return {node: report.node ?? '', readings};
+}
+
 /**
  * @param digest a load digest as it was decoded
  * @returns the report
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -23,6 +23,8 @@
 import {GatewayConnections} from '../../gateway_connections.js';
 import {GatewayFleet} from '../../gateway_fleet.js';
 import {DEFAULT_HEADER_NAMES} from '../../gateway_headers.js';
+import {PrefillRate} from '../../gateway_prefill_rate.js';
+import {GatewayReadings} from '../../gateway_readings.js';
 import {GatewayRetryBudget} from '../../gateway_retry_budget.js';
 import {GatewayServer} from '../../gateway_server.js';
 
@@ -165,7 +167,8 @@
     admission.noteServersKnown();
     const fleet = new GatewayFleet();
     const hasher = await loadKeyHasher();
-    const settings = {availabilityZone: 'a', prefillTokensPerMs: 40};
+    const rate = new PrefillRate(40);
+    const settings = {availabilityZone: 'a', rate};
     const budget = {retryFraction: 0.2, retryWindowMs: 10_000, retrySlack: 50};
     const server = new GatewayServer(
       {host: '127.0.0.1', port: 0, maxHeldBytes: 1_000_000},
@@ -182,6 +185,8 @@
           connectTimeoutMs: 300,
           maxHeadBytes: 16_384,
         }),
+        readings: new GatewayReadings('gateway', fleet, rate),
+        rate,
       },
     );
     await server.start();
--- a/packages/lovagepond-gateway/src/gateway_choice.ts
+++ b/packages/lovagepond-gateway/src/gateway_choice.ts
@@ -1,14 +1,16 @@
 /**
  * Chooses the backend server for one attempt.
  *
- * Engines: every router finds the same home for a shared prompt by rendezvous
- * hashing, so that the prompt is read once in the fleet and not once a router.
- * It moves away only when the wait at home exceeds what reading anew costs.
+ * Engines: where the prompt is warm, unless the wait there would make the
+ * first token late and another server reads it in time. A prompt that is warm
+ * nowhere has the same home for every router by rendezvous hashing, so that it
+ * is read once in the fleet and not once a router.
  * Plain services: the least loaded server, in the own availability zone when
  * that makes no difference.
  */
 import {type Pool, type Random} from '@lovagepond/core';
 import {type KeyHasher} from '@lovagepond/router/rendezvous_hash';
+import {type PrefillRate} from './gateway_prefill_rate.js';
 import {type PromptPart} from './gateway_headers.js';
 import {prefixKeys, type ServerState} from './gateway_server_state.js';
 
@@ -27,8 +29,8 @@
 /** Settings of {@link GatewayChoice}. */
 export interface ChoiceSettings {
   readonly availabilityZone: string;
-  /** Prompt tokens that an engine reads in a millisecond. */
-  readonly prefillTokensPerMs: number;
+  /** How fast engines read prompts. */
+  readonly rate: PrefillRate;
 }
 
 /**
@@ -46,6 +48,12 @@
  */
 const REREAD_WEIGHT = 1.5;
 
+/**
+ * Part of a cold prompt's reading that its home has as an advantage, so that
+ * gateways which meet a new prompt at the same time send it to one server.
+ */
+const HOME_WEIGHT = 0.25;
+
 /**
  * Part of the target latency up to which a wait costs the caller nothing: the
  * rest covers what other routers have sent to the server, unseen from here.
@@ -126,14 +134,19 @@
   ): ServerState | undefined {
     const keys = prefixKeys(req.parts);
     const home = this.#findHome(candidates, keys);
+    const cold = candidates.map(state => state.coldTokens(keys, req.parts));
+    const least = Math.min(...cold);
     let best: ServerState | undefined;
     let bestCost = Infinity;
-    for (const state of candidates) {
-      const cost = this.#cost(state, keys, req, state === home, now);
-      if (cost >= bestCost) continue;
+    candidates.forEach((state, at) => {
+      const tokens = cold[at] ?? 0;
+      const avoidable = state === home ? 0 : HOME_WEIGHT * least;
+      const rereadTokens = tokens - least + avoidable;
+      const cost = this.#cost(state, req, tokens, rereadTokens, now);
+      if (cost >= bestCost) return;
       best = state;
       bestCost = cost;
-    }
+    });
     return best;
   }
 
@@ -163,20 +176,16 @@
   /** What the choice costs this caller and others, in milliseconds. */
   #cost(
     state: ServerState,
-    keys: readonly string[],
     req: ChoiceRequest,
-    isHome: boolean,
+    coldTokens: number,
+    rereadTokens: number,
     now: number,
   ): number {
-    const {prefillTokensPerMs} = this.#settings;
-    const own = req.parts.at(-1)?.tokens ?? 0;
-    // Other routers bring the shared parts to the home, unseen from here.
-    const cold = isHome ? own : state.coldTokens(keys, req.parts);
-    const rereadMs = ((cold - own) / prefillTokensPerMs) * REREAD_WEIGHT;
-    const firstMs = (cold + state.readingTokens) / prefillTokensPerMs;
+    const rate = this.#settings.rate.tokensPerMs;
+    const firstMs = coldTokens / rate + state.readingMs(rate, now);
     const lateMs = firstMs - req.targetLatencyMs * FREE_WAIT_PART;
     return (
-      Math.max(0, rereadMs) +
+      (rereadTokens / rate) * REREAD_WEIGHT +
       Math.max(0, lateMs) * LATE_WEIGHT +
       firstMs * EARLY_WEIGHT +
       state.load(now) * RUNNING_REQUEST_MS
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -32,6 +32,8 @@
   decideNext,
   type NextStep,
 } from './gateway_outcome.js';
+import {type PrefillRate} from './gateway_prefill_rate.js';
+import {type GatewayReadings} from './gateway_readings.js';
 import {type GatewayRetryBudget} from './gateway_retry_budget.js';
 import {type ForwardingRule} from './gateway_routes.js';
 import {prefixKeys, type ServerState} from './gateway_server_state.js';
@@ -45,6 +47,8 @@
   readonly choice: GatewayChoice;
   readonly budget: GatewayRetryBudget;
   readonly connections: GatewayConnections;
+  readonly readings: GatewayReadings;
+  readonly rate: PrefillRate;
 }
 
 /** A request that was read whole and may run. */
@@ -101,6 +105,8 @@
   #runs = 0;
   #offers = 0;
   #readingTokens = 0;
+  /** Set while the server has nothing else to read, as far as is known. */
+  #readsAloneSince: number | undefined;
   #isDone = false;
 
   /**
@@ -204,11 +210,26 @@
     const {parts} = this.#req.facts;
     const keys = prefixKeys(parts);
     this.#readingTokens = state.coldTokens(keys, parts);
+    const {tokensPerMs} = this.#parts.rate;
+    this.#readsAloneSince =
+      state.readingMs(tokensPerMs, now) === 0 ? now : undefined;
+    const own = parts.at(-1)?.tokens ?? 0;
+    const shared = keys.slice(0, -1);
+    this.#parts.readings.note(state, shared, this.#readingTokens - own);
     state.inFlight += 1;
     state.readingTokens += this.#readingTokens;
     state.noteWarm(keys, now);
   }
 
+  #noteFirstToken(state: ServerState): void {
+    if (this.#readsAloneSince !== undefined) {
+      const durationMs = this.#now() - this.#readsAloneSince;
+      this.#parts.rate.observe(this.#readingTokens, durationMs);
+      this.#readsAloneSince = undefined;
+    }
+    this.#noteRead(state);
+  }
+
   /** The server has read the prompt once the first piece of an answer comes. */
   #noteRead(state: ServerState): void {
     state.readingTokens -= this.#readingTokens;
@@ -240,7 +261,7 @@
   #onData(chunk: Buffer): boolean {
     const attempt = this.#attempt;
     if (!attempt) return true;
-    this.#noteRead(attempt.state);
+    this.#noteFirstToken(attempt.state);
     if (this.#arriving) {
       this.#keepChunk(this.#arriving, chunk);
       return true;
--- a/packages/lovagepond-gateway/src/gateway_fleet.ts
+++ b/packages/lovagepond-gateway/src/gateway_fleet.ts
@@ -39,6 +39,14 @@
     return addresses;
   }
 
+  /**
+   * @param name a server
+   * @returns its state while it is listed
+   */
+  find(name: string): ServerState | undefined {
+    return this.#states.get(name);
+  }
+
   /**
    * @param pool a pool's name
    * @returns its servers that take new work
--- /dev/null
+++ b/packages/lovagepond-gateway/src/gateway_readings.ts
@@ -0,0 +1,79 @@
+/**
+ * Tells the other gateways which prompts servers read for this one, and takes
+ * in what they tell.
+ */
+import {type lovagepond} from '@lovagepond/protocol';
+import {type GatewayFleet} from './gateway_fleet.js';
+import {type PrefillRate} from './gateway_prefill_rate.js';
+import {type ServerState} from './gateway_server_state.js';
+
+type WireReading = lovagepond.v1.PromptReading.$Properties;
+type WireDigest = lovagepond.v1.ReadingDigest.$Properties;
+
+/** Fewer tokens are read before the others could hear of it. */
+const MIN_TOLD_TOKENS = 64;
+
+/** Collects and applies readings. */
+export class GatewayReadings {
+  readonly #node: string;
+  readonly #fleet: GatewayFleet;
+  readonly #rate: PrefillRate;
+  #collected: WireReading[] = [];
+
+  /**
+   * @param node this gateway's name, under which its own reports come back
+   * @param fleet the servers
+   * @param rate how fast engines read
+   */
+  constructor(node: string, fleet: GatewayFleet, rate: PrefillRate) {
+    this.#node = node;
+    this.#fleet = fleet;
+    this.#rate = rate;
+  }
+
+  /**
+   * @param state the server that a prompt goes to
+   * @param sharedKeys keys of the prefixes that other requests share
+   * @param tokens what it has to read of them, as far as is known here
+   */
+  note(
+    state: ServerState,
+    sharedKeys: readonly string[],
+    tokens: number,
+  ): void {
+    const prefix = sharedKeys.at(-1);
+    if (prefix === undefined || tokens < MIN_TOLD_TOKENS) return;
+    this.#collected.push({backendServer: state.server.name, prefix, tokens});
+  }
+
+  /** @returns what to report, which is then forgotten */
+  takeCollected(): readonly WireReading[] {
+    const collected = this.#collected;
+    this.#collected = [];
+    return collected;
+  }
+
+  /**
+   * @param digest what control passes on
+   * @param now present time, monotonic milliseconds
+   */
+  apply(digest: WireDigest, now: number): void {
+    for (const {node, readings} of digest.reports ?? []) {
+      if (node === this.#node) continue;
+      for (const reading of readings ?? []) this.#applyOne(reading, now);
+    }
+  }
+
+  #applyOne({backendServer, prefix, tokens}: WireReading, now: number): void {
+    const state = this.#fleet.find(backendServer ?? '');
+    if (!state) return;
+    state.noteWarm(keysOf(prefix ?? ''), now);
+    state.noteOthersReading((tokens ?? 0) / this.#rate.tokensPerMs, now);
+  }
+}
+
+/** @returns the keys of all prefixes, shortest first */
+function keysOf(prefix: string): string[] {
+  const ids = prefix.split('/').slice(1);
+  return ids.map((_id, at) => `/${ids.slice(0, at + 1).join('/')}`);
+}
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -20,6 +20,8 @@
 import {GatewayConnections} from './gateway_connections.js';
 import {GatewayFleet} from './gateway_fleet.js';
 import {type GatewayHeaderNames} from './gateway_headers.js';
+import {PrefillRate} from './gateway_prefill_rate.js';
+import {GatewayReadings} from './gateway_readings.js';
 import {GatewayRetryBudget} from './gateway_retry_budget.js';
 import {GatewayServer} from './gateway_server.js';
 import {type GatewaySettings} from './gateway_settings.js';
@@ -34,6 +36,13 @@
 
 const DUMP_VERSION = 1;
 const TICK_MS = 100;
+
+/**
+ * Time in which readings are collected for one report: short against the 200
+ * milliseconds that a large prompt takes to read.
+ */
+const READINGS_INTERVAL_MS = 20;
+
 /** Largest head of a server's answer, bytes. */
 const MAX_ANSWER_HEAD_BYTES = 64 * 1024;
 
@@ -46,11 +55,14 @@
   readonly #parts: GatewayParts;
   readonly #admission: GatewayAdmission;
   readonly #fleet = new GatewayFleet();
+  readonly #rate: PrefillRate;
+  readonly #readings: GatewayReadings;
   readonly #connections: GatewayConnections;
   readonly #link: ControlLink;
   #membership = EMPTY_MEMBERSHIP;
   #server: GatewayServer | undefined;
   #timer: NodeJS.Timeout | undefined;
+  #readingsTimer: NodeJS.Timeout | undefined;
   #askedAt = Number.NEGATIVE_INFINITY;
   #draining = false;
 
@@ -75,6 +87,9 @@
       this.#server?.retryWaiting();
     },
     load: () => {},
+    readings: ({readings}, now) => {
+      if (readings) this.#readings.apply(readings, now);
+    },
     heartbeat: () => {},
   };
 
@@ -85,6 +100,12 @@
       settings.revocationBoundMs,
       parts.random,
     );
+    this.#rate = new PrefillRate(settings.prefillTokensPerMs);
+    this.#readings = new GatewayReadings(
+      settings.name,
+      this.#fleet,
+      this.#rate,
+    );
     this.#connections = new GatewayConnections({
       connectTimeoutMs: settings.connectTimeoutMs,
       maxHeadBytes: MAX_ANSWER_HEAD_BYTES,
@@ -108,6 +129,8 @@
   async start(): Promise<void> {
     const {clock, log, random, names} = this.#parts;
     const hasher = await loadKeyHasher();
+    const {availabilityZone} = this.#settings;
+    const choiceSettings = {availabilityZone, rate: this.#rate};
     this.#server = new GatewayServer(this.#settings, {
       clock,
       log,
@@ -115,15 +138,21 @@
       names,
       admission: this.#admission,
       fleet: this.#fleet,
-      choice: new GatewayChoice(this.#settings, hasher, random),
+      choice: new GatewayChoice(choiceSettings, hasher, random),
       budget: new GatewayRetryBudget(this.#settings),
       connections: this.#connections,
+      readings: this.#readings,
+      rate: this.#rate,
     });
     await this.#server.start();
     this.#link.start();
     this.#timer = setInterval(() => {
       this.#tick();
     }, TICK_MS);
+    this.#readingsTimer = setInterval(() => {
+      const readings = this.#readings.takeCollected();
+      if (readings.length > 0) this.#link.reportReadings(readings);
+    }, READINGS_INTERVAL_MS);
   }
 
   /** See {@link Role.isReady}. */
@@ -150,6 +179,7 @@
   stop(): Promise<void> {
     this.#draining = true;
     clearInterval(this.#timer);
+    clearInterval(this.#readingsTimer);
     this.#link.stop();
     this.#server?.stop();
     this.#connections.close();
@@ -167,6 +197,7 @@
       revision: this.#admission.configuration.revision,
       sureOfConfiguration: this.#admission.authority.isSure(at),
       membershipVersion: this.#membership.version,
+      prefillTokensPerMs: this.#rate.tokensPerMs,
       backendServers: this.#fleet.describe(at.now),
       inFlight: this.#server?.inFlight ?? 0,
       connectionsOpened: this.#connections.opened,
--- a/packages/lovagepond-gateway/src/gateway_server_state.ts
+++ b/packages/lovagepond-gateway/src/gateway_server_state.ts
@@ -38,6 +38,7 @@
   readingTokens = 0;
   #othersAtReport = 0;
   #reportedAt = Number.NEGATIVE_INFINITY;
+  #othersReadUntil = Number.NEGATIVE_INFINITY;
   #failures = 0;
   #failingShare = 0;
   #pausedUntil = Number.NEGATIVE_INFINITY;
@@ -63,6 +64,27 @@
     this.#isGone = true;
   }
 
+  /**
+   * The server reads one prompt after the other, so what others gave it is
+   * read at a time that can be told without hearing of its end.
+   *
+   * @param durationMs how long it reads what another router gave it
+   * @param now present time, monotonic milliseconds
+   */
+  noteOthersReading(durationMs: number, now: number): void {
+    this.#othersReadUntil = Math.max(now, this.#othersReadUntil) + durationMs;
+  }
+
+  /**
+   * @param prefillTokensPerMs prompt tokens that it reads in a millisecond
+   * @param now present time, monotonic milliseconds
+   * @returns time until it has read what it was given, milliseconds
+   */
+  readingMs(prefillTokensPerMs: number, now: number): number {
+    const others = Math.max(0, this.#othersReadUntil - now);
+    return others + this.readingTokens / prefillTokensPerMs;
+  }
+
   /**
    * @param now present time, monotonic milliseconds
    * @returns requests there by the best estimate, of all routers
--- a/packages/lovagepond-protocol/src/protocol_services.ts
+++ b/packages/lovagepond-protocol/src/protocol_services.ts
@@ -75,6 +75,12 @@
 
 /** What routers and sidecars ask of control. */
 export const CONTROL_SERVICE = {
+  reportReadings: makeMethod(
+    'Control/ReportReadings',
+    v1.ReadingReport,
+    v1.ReadingResponse,
+    false,
+  ),
   announce: makeMethod(
     'Control/Announce',
     v1.AnnounceRequest,
--- a/packages/lovagepond-router/src/router_control_link.ts
+++ b/packages/lovagepond-router/src/router_control_link.ts
@@ -159,6 +159,31 @@
     });
   }
 
+  /**
+   * Tells the other routers which prompts servers read for this one. A report
+   * that gets lost costs some reading, so it isn't sent again.
+   *
+   * @param readings what was sent since the last report
+   */
+  reportReadings(
+    readings: readonly lovagepond.v1.PromptReading.$Properties[],
+  ): void {
+    const method = CONTROL_SERVICE.reportReadings;
+    const {node} = this.#facts;
+    this.#client?.makeUnaryRequest(
+      method.path,
+      message => this.#countSent(method.requestSerialize(message)),
+      method.responseDeserialize,
+      new v1.ReadingReport({node, readings: [...readings]}),
+      new Metadata(),
+      {deadline: Date.now() + REPORT_TIMEOUT_MS},
+      err => {
+        if (!err) return;
+        this.#parts.log.debug('readings not reported', {reason: err.message});
+      },
+    );
+  }
+
   /** Ends the subscription. */
   stop(): void {
     this.#stopped = true;
--- a/packages/lovagepond-router/src/router_role.ts
+++ b/packages/lovagepond-router/src/router_role.ts
@@ -91,6 +91,8 @@
       this.#load.applyDigest(load.loads, now - (load.ageMs ?? 0));
     },
     heartbeat: () => {},
+    // Sidecars know what their engines read; only gateways place by this.
+    readings: () => {},
   };
 
   constructor(settings: RouterSettings, parts: RouterParts) {
--- a/packages/lovagepond-scenarios/src/world/subscribers.ts
+++ b/packages/lovagepond-scenarios/src/world/subscribers.ts
@@ -8,7 +8,7 @@
   encodeConfiguration,
   type Unregister,
 } from '@lovagepond/core';
-import {CONTROL_DEFAULTS} from '@lovagepond/control';
+import {CONTROL_DEFAULTS, ReadingBoard} from '@lovagepond/control';
 import {
   type FeedUpdate,
   type FeedView,
@@ -230,6 +230,7 @@
       leads: this.#control.leader === member,
       configuration: member.machine.configuration.current.read(),
       membershipVersion: 0,
+      readings: new ReadingBoard(),
       changesSince: () => undefined,
       readLoad: () => undefined,
     };
