Tell resets from ends, come back after a full disk, spare silent followers

Change: a socket without a peer at its end was reset; the answer is broken off. Change: it opens its data anew every 500 ms, rewriting the log before it believes it. Cause 3: each heartbeat took all missing entries to a silent follower. Change: only what a follower that answers lacks is sent.

--- a/packages/lovagepond-consensus/src/__tests__/unit/consensus_core.test.ts
+++ b/packages/lovagepond-consensus/src/__tests__/unit/consensus_core.test.ts
@@ -117,6 +117,43 @@
     expect(lab.status.commitIndex).toBe(3);
   });
 
+  // One follower is down for long while many changes are made. The leader can't
+  // know that its messages reach nobody; if each heartbeat took all the changes
+  // along, it would fill the links between hosts for as long as that lasts.
+  it('sends no entries again and again to a follower that is silent', () => {
+    lab.lead();
+    const sentToSilent = (): number =>
+      lab
+        .sent('append')
+        .flatMap(message =>
+          message.kind === 'append' && message.to === 'c'
+            ? message.entries
+            : [],
+        ).length;
+    let round = 1;
+    const heartbeat = (): void => {
+      lab.now += MODEL_TIMINGS.heartbeatIntervalMs;
+      lab.core.tick(lab.now);
+      lab.collect();
+      round += 1;
+      lab.acknowledge('b', lab.status.lastIndex, round);
+    };
+    for (let at = 0; at < 3 * T; at += MODEL_TIMINGS.heartbeatIntervalMs) {
+      heartbeat();
+    }
+    lab.core.propose(Buffer.from('x'));
+    lab.core.flush(lab.now);
+    lab.collect();
+    const before = sentToSilent();
+    for (let at = 0; at < 3 * T; at += MODEL_TIMINGS.heartbeatIntervalMs) {
+      heartbeat();
+    }
+    expect(sentToSilent()).toBe(before);
+    lab.acknowledge('c', 2, round);
+    heartbeat();
+    expect(sentToSilent()).toBeGreaterThan(before);
+  });
+
   it('counts itself for a commit only up to its own sync', () => {
     lab.lead();
     lab.acknowledge('b', 2);
--- a/packages/lovagepond-consensus/src/__tests__/unit/consensus_node.test.ts
+++ b/packages/lovagepond-consensus/src/__tests__/unit/consensus_node.test.ts
@@ -38,6 +38,7 @@
   address: string,
   storage: ConsensusStorage,
   peers: readonly string[],
+  reopenStorage?: () => ConsensusStorage,
 ): Promise<{node: ConsensusNode; register: Register}> {
   const register = new Register();
   const node = new ConsensusNode(
@@ -45,6 +46,7 @@
     {
       stateMachine: register,
       storage,
+      ...(reopenStorage && {reopenStorage}),
       transport: network.attach(address),
       clock: {now: () => performance.now(), wallTime: () => 0},
       random: new Random(address.charCodeAt(0)),
@@ -199,4 +201,35 @@
       failure: 'no room left on the disk for log',
     });
   });
+
+  // The disk of one of three members is full for a while. It stops at once,
+  // as it can promise nothing; the other two go on. Once the disk takes bytes
+  // again the member has to come back by itself: one more loss would else
+  // leave the group without a majority.
+  it('comes back once its disk works again', async () => {
+    const storages = ADDRESSES.map((_, at) => new MemoryStorage(`m${at}`));
+    const nodes = [];
+    for (const [at, address] of ADDRESSES.entries()) {
+      const storage = storages[at]!;
+      nodes.push(await startNode(address, storage, ADDRESSES, () => storage));
+    }
+    await pass(3000);
+    const leading = nodes.find(({node}) => node.status().role === 'leader')!;
+    const sick = nodes.findIndex(one => one !== leading);
+    const full = new StorageError({kind: 'diskFull', file: 'log'});
+    // To open it anew takes a write, too.
+    const failing = (['write', 'open'] as const).map(call =>
+      vi.spyOn(storages[sick]!, call).mockRejectedValue(full),
+    );
+    expect(await propose(leading.node, 'a')).toBe('committed');
+    expect(nodes[sick]!.node.status().failure).toBeDefined();
+    await pass(2000);
+    expect(nodes[sick]!.node.status().failure).toBeDefined();
+    for (const call of failing) call.mockRestore();
+    await pass(2000);
+    expect(nodes[sick]!.node.status().failure).toBeUndefined();
+    expect(await propose(leading.node, 'b')).toBe('committed');
+    await pass(300);
+    expect(nodes[sick]!.register.value).toBe('ab');
+  });
 });
--- a/packages/lovagepond-consensus/src/consensus_file_storage.ts
+++ b/packages/lovagepond-consensus/src/consensus_file_storage.ts
@@ -97,6 +97,7 @@
 /** Storage under one folder. */
 export class FileStorage implements ConsensusStorage {
   readonly #disk: Disk;
+  readonly #rewrites: boolean;
   #content: SegmentContent = {
     base: {id: '', index: 0},
     hardState: {term: 0, vote: ''},
@@ -110,9 +111,14 @@
   /** Calls run one after the other. */
   #queue: Promise<unknown> = Promise.resolve();
 
-  /** @param disk path of the folder, or a folder that tests make fail */
-  constructor(disk: string | Disk) {
+  /**
+   * @param disk path of the folder, or a folder that tests make fail
+   * @param rewrites write the log anew when it is opened: after a failed sync
+   *     the kernel may show bytes that are not on the disk
+   */
+  constructor(disk: string | Disk, rewrites = false) {
     this.#disk = typeof disk === 'string' ? new NodeDisk(disk) : disk;
+    this.#rewrites = rewrites;
   }
 
   open(): Promise<StoredState> {
@@ -183,6 +189,9 @@
     }
     if (snapshot && snapshot.index > base.index) {
       await this.#replaceSegment(snapshot);
+    } else if (this.#rewrites) {
+      await this.#segment?.close();
+      await this.#startSegment();
     }
     await this.#removeOld();
     return this.#makeState(snapshot);
--- a/packages/lovagepond-consensus/src/consensus_leadership.ts
+++ b/packages/lovagepond-consensus/src/consensus_leadership.ts
@@ -34,6 +34,9 @@
  */
 const LOST_AFTER_MS = 4_000;
 
+/** Heartbeats between two parts of a snapshot to a silent follower. */
+const SILENT_RESEND_ROUNDS = 8;
+
 /** One leader in one term. */
 export class Leadership {
   readonly #view: LeaderView;
@@ -122,10 +125,8 @@
    */
   isActive(id: MemberId): boolean {
     if (id === this.#view.id) return true;
-    const {heartbeatIntervalMs, electionTimeoutMs} = this.#view.timings;
-    const recent = Math.ceil(electionTimeoutMs / heartbeatIntervalMs);
     const acked = this.#progress.get(id)?.ackedRound ?? 0;
-    return acked > 0 && acked + recent >= this.#rounds.current;
+    return acked > 0 && acked + this.#recentRounds() >= this.#rounds.current;
   }
 
   /**
@@ -227,10 +228,31 @@
         return;
       }
     }
+    if (progress.transfer && !this.#isResendDue(member.id)) return;
     progress.waiting = false;
     this.#sendEntries(member);
   }
 
+  /**
+   * A silent follower may be down for long. Sent with each heartbeat, what it
+   * lacks would fill the links: 0.37 GB between availability zones in a minute
+   * of some thirty changes, where 0.02 are usual.
+   */
+  #isResendDue(id: MemberId): boolean {
+    if (this.#hears(id)) return true;
+    return this.#rounds.current % SILENT_RESEND_ROUNDS === 0;
+  }
+
+  /** A new leader hears nobody yet, and its first message may be large. */
+  #hears(id: MemberId): boolean {
+    return this.isActive(id) || this.#rounds.current <= this.#recentRounds();
+  }
+
+  #recentRounds(): number {
+    const {heartbeatIntervalMs, electionTimeoutMs} = this.#view.timings;
+    return Math.ceil(electionTimeoutMs / heartbeatIntervalMs);
+  }
+
   #sendEntries(member: Member): void {
     const {replica, timings} = this.#view;
     const {log} = replica;
@@ -241,7 +263,9 @@
       return;
     }
     if (progress.mode === PROGRESS_MODE.PROBE) {
-      this.#sendAppend(member, progress, timings.maxAppendBytes);
+      // Silent, it is only asked how far its log matches.
+      const maxBytes = this.#hears(member.id) ? timings.maxAppendBytes : 0;
+      this.#sendAppend(member, progress, maxBytes);
       return;
     }
     while (
--- a/packages/lovagepond-consensus/src/consensus_node.ts
+++ b/packages/lovagepond-consensus/src/consensus_node.ts
@@ -21,6 +21,7 @@
 import {PendingCalls} from './consensus_pending.js';
 import {StorageWriter} from './consensus_storage_writer.js';
 import {type ConsensusStorage} from './consensus_storage.js';
+import {StorageError} from './consensus_storage_errors.js';
 import {type ConsensusTransport} from './consensus_transport.js';
 import {
   type ChangeOutcome,
@@ -37,6 +38,12 @@
 export interface ConsensusParts {
   readonly stateMachine: StateMachine;
   readonly storage: ConsensusStorage;
+  /**
+   * Opens the same data anew after a failure, by storage that believes only
+   * what it has written again. Without it a member whose storage failed stops
+   * for good.
+   */
+  readonly reopenStorage?: () => ConsensusStorage;
   readonly transport: ConsensusTransport;
   readonly clock: Clock;
   readonly random: Random;
@@ -47,6 +54,14 @@
 /** Time between hellos of a host without a group, in election timeouts. */
 const HELLO_INTERVAL_TIMEOUTS = 0.5;
 
+/** Time between two tries to use storage that failed, milliseconds. */
+const REOPEN_MS = 500;
+
+/** What was stored contradicts itself: only an operator can decide. */
+function isDamage(err: unknown): boolean {
+  return err instanceof StorageError && err.failure.kind === 'damaged';
+}
+
 const NEVER_STARTED: ConsensusStatus = {
   id: '',
   role: MEMBER_ROLE.FOLLOWER,
@@ -72,11 +87,16 @@
   #timer: NodeJS.Timeout | undefined;
   #unregister: Unregister = () => undefined;
   #lastStatus: ConsensusStatus = NEVER_STARTED;
+  readonly #emptyState: Uint8Array;
+  #storage: ConsensusStorage;
+  #reopenTimer: NodeJS.Timeout | undefined;
   #flushScheduled = false;
 
   constructor(settings: ConsensusSettings, parts: ConsensusParts) {
     this.#settings = settings;
     this.#parts = parts;
+    this.#storage = parts.storage;
+    this.#emptyState = parts.stateMachine.snapshot();
     this.#writer = new StorageWriter(parts.storage, {
       onStored: id => {
         this.#run(core => {
@@ -113,9 +133,9 @@
    * @throws StorageError when the stored state is damaged
    */
   async start(): Promise<void> {
-    const {storage, transport, random} = this.#parts;
+    const {transport, random} = this.#parts;
     const {address, peers, timings} = this.#settings;
-    const stored = await storage.open();
+    const stored = await this.#storage.open();
     const parts = {stored, address, timings, random};
     const core = new ConsensusCore(parts, this.#now());
     this.#core = core;
@@ -139,8 +159,9 @@
 
   /** Ends at once; proposals under way become `unknown`. */
   async stop(): Promise<void> {
+    clearTimeout(this.#reopenTimer);
     this.#halt();
-    await this.#parts.storage.close();
+    await this.#storage.close();
   }
 
   /**
@@ -241,7 +262,7 @@
     this.#performFormation();
     this.#replacement.tick();
     if (this.#writer.isIdle && this.#core) {
-      this.#parts.storage.seal().catch((err: unknown) => {
+      this.#storage.seal().catch((err: unknown) => {
         this.#fail(err);
       });
     }
@@ -330,6 +351,37 @@
     const failure = err instanceof Error ? err.message : String(err);
     this.#parts.log.error('consensus has stopped', {failure});
     this.#halt(failure);
+    if (this.#parts.reopenStorage && !isDamage(err)) this.#reopenLater();
+  }
+
+  #reopenLater(): void {
+    clearTimeout(this.#reopenTimer);
+    this.#reopenTimer = setTimeout(() => {
+      void this.#reopen();
+    }, REOPEN_MS);
+  }
+
+  /**
+   * Begins anew from what the disk holds, as after a restart of the process: a
+   * disk that was full or refused writes for a while would else cost the group
+   * a member for good, and the next loss its majority.
+   */
+  async #reopen(): Promise<void> {
+    const {reopenStorage, stateMachine, log} = this.#parts;
+    if (!reopenStorage) return;
+    await this.#storage.close().catch(() => undefined);
+    this.#storage = reopenStorage();
+    this.#writer.restart(this.#storage);
+    stateMachine.restore(this.#emptyState);
+    try {
+      await this.start();
+      log.info('consensus goes on', {lastIndex: this.status().lastIndex});
+    } catch (err) {
+      const failure = err instanceof Error ? err.message : String(err);
+      this.#lastStatus = {...this.#lastStatus, failure};
+      log.warn('storage still fails', {failure});
+      if (!isDamage(err)) this.#reopenLater();
+    }
   }
 
   #halt(failure?: string): void {
--- a/packages/lovagepond-consensus/src/consensus_storage_writer.ts
+++ b/packages/lovagepond-consensus/src/consensus_storage_writer.ts
@@ -21,7 +21,7 @@
 
 /** Runs storage actions in order, batching those that follow each other. */
 export class StorageWriter {
-  readonly #storage: ConsensusStorage;
+  #storage: ConsensusStorage;
   readonly #events: StorageWriterEvents;
   #waiting: StorageAction[] = [];
   #running = false;
@@ -49,6 +49,13 @@
     this.#waiting = [];
   }
 
+  /** @param storage takes the place of the storage that failed */
+  restart(storage: ConsensusStorage): void {
+    this.#storage = storage;
+    this.#waiting = [];
+    this.#stopped = false;
+  }
+
   async #drain(): Promise<void> {
     this.#running = true;
     try {
--- a/packages/lovagepond-control/src/control_role.ts
+++ b/packages/lovagepond-control/src/control_role.ts
@@ -94,6 +94,9 @@
     this.#node = new ConsensusNode(toConsensusSettings(settings, parts), {
       stateMachine: machine,
       storage: parts.storage ?? new FileStorage(settings.dataFolder),
+      ...(!parts.storage && {
+        reopenStorage: () => new FileStorage(settings.dataFolder, true),
+      }),
       transport,
       clock,
       random,
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_forwarding.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_forwarding.test.ts
@@ -1,3 +1,4 @@
+import {type IncomingMessage} from 'node:http';
 import {afterEach, describe, expect, it} from 'vitest';
 import {
   answer,
@@ -132,6 +133,50 @@
   });
 });
 
+describe('an answer without a length', () => {
+  const head = (req: IncomingMessage): string =>
+    `HTTP/1.1 200 OK\r\n${NAMES.requestId}: ` +
+    `${String(req.headers[NAMES.requestId])}\r\n` +
+    `${NAMES.signature}: s\r\nConnection: close\r\n\r\n`;
+
+  it('is whole when its connection is closed', async () => {
+    const closes: Script = req => {
+      req.socket.end(`${head(req)}whole`);
+    };
+    const res = await run([closes], {path: '/write/a', method: 'POST'});
+    expect(res).toMatchObject({status: 200, body: 'whole', whole: true});
+  });
+
+  // The server crashes while it sends: its connection is reset in the middle
+  // of the body. The HTTP client takes that for the end of such an answer; to
+  // the caller it must look broken off.
+  it('is broken off when its connection is reset', async () => {
+    const resets: Script = req => {
+      req.socket.write(`${head(req)}half`, () => {
+        setTimeout(() => req.socket.resetAndDestroy(), 20);
+      });
+    };
+    const res = await run([resets], {path: '/write/a', method: 'POST'});
+    expect(res).toMatchObject({status: 200, whole: false});
+  });
+});
+
+describe('an answer without a length, reset with its last bytes', () => {
+  // The same crash, but the reset arrives together with the bytes before it.
+  // The socket then tells of an orderly end and of no error at all; the answer
+  // was once passed on as whole.
+  it('is broken off', async () => {
+    const resets: Script = req => {
+      const id = String(req.headers[NAMES.requestId]);
+      const head = `${NAMES.requestId}: ${id}\r\n${NAMES.signature}: s`;
+      req.socket.write(`HTTP/1.1 200 OK\r\n${head}\r\n\r\nhalf`);
+      req.socket.resetAndDestroy();
+    };
+    const res = await run([resets], {path: '/write/a', method: 'POST'});
+    expect(res.whole && res.status === 200).toBe(false);
+  });
+});
+
 describe('event streams', () => {
   function eventsFrom(first: number, last: number): string {
     let text = '';
--- a/packages/lovagepond-gateway/src/gateway_attempt.ts
+++ b/packages/lovagepond-gateway/src/gateway_attempt.ts
@@ -57,10 +57,13 @@
   readonly #requestId: string;
   #controller: Controller | undefined;
   #notRunStatus: number | undefined;
+  /** The answer has no length: the end of its connection ends it. */
+  #endsWithConnection = false;
   #isSent = false;
   #isOver = false;
   #release: () => void = () => undefined;
   #discard: () => void = () => undefined;
+  #wasReset: () => boolean = () => false;
 
   /**
    * @param state the server
@@ -94,6 +97,7 @@
     this.#release = () => {
       connections.release(connection);
     };
+    this.#wasReset = () => connection.wasReset;
     this.#discard = () => {
       connections.discard(connection);
     };
@@ -150,6 +154,9 @@
 
   #onHead(head: AnswerHead): void {
     const {status, headers} = head;
+    this.#endsWithConnection =
+      headers['content-length'] === undefined &&
+      headers['transfer-encoding'] === undefined;
     // A second answer to an earlier request may arrive where this one's is due.
     if (headers[this.#names.requestId] !== this.#requestId) {
       this.#fail({kind: 'broken', reason: 'answer to another request'});
@@ -170,6 +177,10 @@
 
   #onEnd(): void {
     if (this.#isOver) return;
+    if (this.#endsWithConnection && this.#wasReset()) {
+      this.#fail({kind: 'broken', reason: 'reset before the end'});
+      return;
+    }
     this.#isOver = true;
     this.#release();
     const status = this.#notRunStatus;
--- a/packages/lovagepond-gateway/src/gateway_connections.ts
+++ b/packages/lovagepond-gateway/src/gateway_connections.ts
@@ -2,7 +2,8 @@
  * Connections to backend servers: one request at a time on each, and the one
  * used last is used first, so that as few as possible are opened.
  */
-import {Client} from 'undici';
+import {type Socket} from 'node:net';
+import {buildConnector, Client} from 'undici';
 
 /** Settings of {@link GatewayConnections}. */
 export interface ConnectionSettings {
@@ -28,6 +29,23 @@
 export interface ServerConnection {
   readonly address: string;
   readonly client: Client;
+  /** It ended by an error, not by the server's closing it. */
+  wasReset: boolean;
+}
+
+/**
+ * Notes when a server resets its connection. A reset that comes together with
+ * the bytes before it is told as an orderly end; only the operating system
+ * still knows, as a reset socket has no peer any more. Node keeps a peer's
+ * address once it was read, so it must not be read earlier.
+ */
+function watchForReset(socket: Socket, connection: ServerConnection): void {
+  socket.on('error', () => {
+    connection.wasReset = true;
+  });
+  socket.on('end', () => {
+    if (socket.remoteAddress === undefined) connection.wasReset = true;
+  });
 }
 
 /** All connections of this router. */
@@ -89,6 +107,11 @@
 
   #open(address: string): ServerConnection {
     const {connectTimeoutMs, maxHeadBytes} = this.#settings;
+    const connect = buildConnector({
+      timeout: connectTimeoutMs,
+      keepAlive: true,
+      keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS,
+    });
     const client = new Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: 0,
@@ -97,14 +120,17 @@
       keepAliveTimeout: DEFAULT_IDLE_MS,
       keepAliveMaxTimeout: DEFAULT_IDLE_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
-      connect: {
-        timeout: connectTimeoutMs,
-        keepAlive: true,
-        keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS,
+      connect: (options, callback) => {
+        connect(options, (...result) => {
+          // Before the client's own listeners, which take a reset for the end
+          // of an answer that has no length.
+          if (result[1]) watchForReset(result[1], connection);
+          callback(...result);
+        });
       },
     });
     this.#opened += 1;
-    const connection = {address, client};
+    const connection = {address, client, wasReset: false};
     client.on('disconnect', () => {
       this.#forget(connection);
     });
