--- /dev/null
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_deciders.test.ts
@@ -0,0 +1,234 @@
+import {Random, SERVER_STATE} from '@lovagepond/core';
+import {loadKeyHasher} from '@lovagepond/router/rendezvous_hash';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {GatewayAdmission} from '../../gateway_admission.js';
+import {ConfigurationAuthority} from '../../gateway_authority.js';
+import {type ChoiceRequest, GatewayChoice} from '../../gateway_choice.js';
+import {EventStream} from '../../gateway_event_stream.js';
+import {headersForServer, readFacts} from '../../gateway_headers.js';
+import {PrefillRate} from '../../gateway_prefill_rate.js';
+import {GatewayRetryBudget} from '../../gateway_retry_budget.js';
+import {prefixKeys, ServerState} from '../../gateway_server_state.js';
+import {CONTENT, KEY, NAMES} from './gateway_harness.js';
+
+const RATE = 40;
+const BOUND_MS = 5_000;
+
+function at(now: number, wallTime = now): {now: number; wallTime: number} {
+  return {now, wallTime};
+}
+
+describe('the authority of a configuration', () => {
+  it('ends before the bound of a removed key, without any word', () => {
+    const authority = new ConfigurationAuthority(BOUND_MS);
+    authority.hold(3);
+    authority.confirm(3, at(1_000));
+    expect(authority.trustsKeys(at(1_000 + BOUND_MS * 0.8))).toBe(true);
+    expect(authority.trustsKeys(at(1_000 + BOUND_MS))).toBe(false);
+  });
+
+  // The machine is suspended for six seconds; its monotonic clock doesn't
+  // count them. A request that waited in a socket must not pass by a key that
+  // was removed meanwhile: the wall clock tells.
+  it('ends with a suspension that only the wall clock saw', () => {
+    const authority = new ConfigurationAuthority(BOUND_MS);
+    authority.hold(3);
+    authority.confirm(3, at(1_000));
+    expect(authority.trustsKeys(at(1_100, 7_100))).toBe(false);
+  });
+
+  // Control confirms a newer revision than the one held: the gateway knows
+  // that it is behind, and may say so of itself only once it holds that one.
+  it('waits for the revision that was confirmed', () => {
+    const authority = new ConfigurationAuthority(BOUND_MS);
+    authority.hold(3);
+    authority.confirm(4, at(1_000));
+    expect(authority.trustsKeys(at(1_001))).toBe(false);
+    authority.hold(4);
+    expect(authority.trustsKeys(at(1_002))).toBe(true);
+  });
+});
+
+describe('admission', () => {
+  const facts = readFacts({[NAMES.apiKey]: KEY}, NAMES);
+  const head = {host: 'shop.example:8080', path: '/read/x?y=1', facts};
+
+  function makeAdmission(): GatewayAdmission {
+    const admission = new GatewayAdmission(BOUND_MS, new Random(1));
+    admission.install({revision: 1, content: CONTENT});
+    return admission;
+  }
+
+  // A gateway that can't reach control must not say that a key is wrong: it
+  // may have been added meanwhile. It says that it is not ready, as not run.
+  it('says what is unknown only while it is sure', () => {
+    const admission = makeAdmission();
+    const unknown = {...head, path: '/none/'};
+    expect(admission.admit(unknown, 0, at(0))).toMatchObject({
+      error: 'notReady',
+    });
+    admission.authority.confirm(1, at(0));
+    expect(admission.admit(unknown, 0, at(10))).toMatchObject({
+      error: 'notFound',
+    });
+    expect(admission.admit(head, 0, at(10)).ok).toBe(true);
+    expect(admission.admit(head, 0, at(BOUND_MS))).toMatchObject({
+      error: 'notReady',
+    });
+  });
+});
+
+describe('headers', () => {
+  it("never pass on what only a router sets, nor a connection's own", () => {
+    const names = {...NAMES, routerOnly: ['x-pin']};
+    const headers = headersForServer(
+      ['X-Pin', '1', 'Connection', 'X-Hop', 'X-Hop', '2', 'A', '3'],
+      names,
+      {
+        deadlineMs: 10.4,
+        workspace: 'nord',
+        instance: 'i',
+        enginePriority: undefined,
+        lastEventId: undefined,
+      },
+    );
+    expect(headers).toEqual([
+      ...['A', '3', NAMES.deadlineMs, '10', NAMES.workspace, 'nord'],
+      ...[NAMES.expectedInstance, 'i'],
+    ]);
+  });
+});
+
+describe('the retry budget', () => {
+  // In a storm of failures every request asks for a second try. In no window
+  // may there be more of them than the fraction and the own part of the slack.
+  it('holds in any window', () => {
+    const settings = {retryFraction: 0.2, retryWindowMs: 1_000, retrySlack: 3};
+    fc.assert(
+      fc.property(fc.array(fc.integer({min: 0, max: 200})), gaps => {
+        const budget = new GatewayRetryBudget(settings);
+        const requests: number[] = [];
+        const tries: number[] = [];
+        let now = 0;
+        for (const gap of gaps) {
+          now += gap;
+          requests.push(now);
+          budget.noteRequest('p', now);
+          if (budget.trySpend('p', now)) tries.push(now);
+          const inWindow = (times: number[]): number =>
+            times.filter(time => time >= now - 1_000).length;
+          const allowed = inWindow(requests) * 0.2 + 3;
+          expect(inWindow(tries)).toBeLessThanOrEqual(allowed);
+        }
+      }),
+    );
+  });
+});
+
+describe('an event stream', () => {
+  it('comes out whole and in order however it is cut', () => {
+    const text = [1, 2, 3].map(id => `id: ${id}\ndata: x\n\n`).join('');
+    fc.assert(
+      fc.property(fc.array(fc.nat(text.length)), cuts => {
+        const places = [0, ...cuts.sort((a, b) => a - b), text.length];
+        const stream = new EventStream();
+        let out = '';
+        places.slice(1).forEach((end, index) => {
+          const chunk = Buffer.from(text.slice(places[index], end));
+          const piece = stream.take(chunk);
+          if (piece.kind === 'events') out += piece.bytes.toString();
+        });
+        expect(out).toBe(text);
+        expect(stream.isWhole).toBe(true);
+        expect(stream.lastId).toBe(3);
+      }),
+    );
+  });
+});
+
+describe('the choice of an engine', () => {
+  const parts = [
+    {id: 'a', tokens: 2_000},
+    {id: 'b', tokens: 6_000},
+    {id: 'own', tokens: 500},
+  ];
+  const sharedKeys = prefixKeys(parts).slice(0, -1);
+
+  function makeServer(name: string): ServerState {
+    return new ServerState({
+      name,
+      incarnation: name,
+      pool: 'p',
+      labels: {},
+      availabilityZone: 'a',
+      region: 'r',
+      address: `${name}:1`,
+      state: SERVER_STATE.READY,
+      capacityTokens: 0,
+      models: [],
+      slot: 0,
+      directSlots: 64,
+      place: name,
+    });
+  }
+
+  function request(servers: readonly ServerState[]): ChoiceRequest {
+    const [pool] = CONTENT.pools;
+    return {
+      pool: {...pool!, loadBound: 2},
+      servers,
+      parts,
+      sticky: true,
+      targetLatencyMs: 600,
+      tried: new Set(),
+    };
+  }
+
+  async function makeChoice(): Promise<GatewayChoice> {
+    const settings = {availabilityZone: 'a', rate: new PrefillRate(RATE)};
+    return new GatewayChoice(settings, await loadKeyHasher(), new Random(1));
+  }
+
+  it('goes where another router had the prompt read', async () => {
+    const choice = await makeChoice();
+    for (const name of ['x', 'y', 'z']) {
+      const servers = ['x', 'y', 'z'].map(makeServer);
+      const warm = servers.find(({server}) => server.name === name)!;
+      warm.noteWarm(sharedKeys, 0);
+      expect(choice.choose(request(servers), 0)).toBe(warm);
+    }
+  });
+
+  // The engine that holds the prompt has a second of other prompts to read. The
+  // first token would be late there; another engine reads this one in time.
+  it('leaves a warm engine that would be late', async () => {
+    const choice = await makeChoice();
+    const servers = ['x', 'y'].map(makeServer);
+    servers[0]!.noteWarm(sharedKeys, 0);
+    servers[0]!.noteOthersReading(200, 0);
+    expect(choice.choose(request(servers), 0)).toBe(servers[0]);
+    servers[0]!.noteOthersReading(800, 0);
+    expect(choice.choose(request(servers), 0)).toBe(servers[1]);
+  });
+
+  it('has one home for a prompt that is warm nowhere', async () => {
+    const choice = await makeChoice();
+    const names = ['x', 'y', 'z'];
+    const chosen = names.map((_, turn) => {
+      const order = [...names.slice(turn), ...names.slice(0, turn)];
+      return choice.choose(request(order.map(makeServer)), 0)?.server.name;
+    });
+    expect(new Set(chosen).size).toBe(1);
+  });
+
+  it('avoids a server that broke off, unless all did', async () => {
+    const choice = await makeChoice();
+    const servers = ['x', 'y'].map(makeServer);
+    servers[0]!.noteWarm(sharedKeys, 0);
+    servers[0]!.noteBroken(0);
+    expect(choice.choose(request(servers), 10)).toBe(servers[1]);
+    servers[1]!.noteBroken(0);
+    expect(choice.choose(request(servers), 10)).toBe(servers[0]);
+  });
+});
