--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -53,6 +53,7 @@
 rmSync(CUCUMBER_REPORT, {force: true});
 
 let broken = run('node', ['scripts/build.mjs', '--bundle-only']) !== 0;
+broken = run('node', ['scripts/build_platform.mjs']) !== 0 || broken;
 const unit = run('node_modules/.bin/vitest', [
   'run',
   '--reporter=dot',
