Refuse reads of the configuration that no majority confirms

Cause: with one of three members frozen and one emptied, the emptied member answered that a workspace was not there, and a member alone answered with what it happened to hold. Conclusion: an old or empty state can't be read as the current one.

--- /dev/null
+++ b/packages/lovagepond-cli/src/__tests__/e2e/lost_majority.test.ts
@@ -0,0 +1,41 @@
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import {Fleet} from '../../../../../scripts/fleet_processes.mjs';
+import {writeThreeMembers} from './three_members.js';
+
+const SHOW = ['workspaces', 'show', 'demo'];
+
+describe('a control member without a majority', () => {
+  const folder = mkdtempSync(join(tmpdir(), 'lovagepond-alone-'));
+  const fleet = new Fleet();
+
+  beforeAll(async () => {
+    writeThreeMembers(folder);
+    await fleet.start(folder);
+  });
+
+  afterAll(async () => {
+    await fleet.end();
+    rmSync(folder, {recursive: true});
+  });
+
+  // Two of three members die, one of them with its disk; that one restarts
+  // empty. Neither it nor the one that is left can know what was accepted last.
+  // The empty member once answered that there is no such workspace, and the
+  // other one with what it happened to hold.
+  it('answers no read of the configuration', async () => {
+    expect(await fleet.ctl(...SHOW)).toMatchObject({name: 'demo'});
+    const [first, emptied] = fleet.namesOf('control');
+    for (const name of [first, emptied]) {
+      await fleet.get(name!).end('SIGKILL');
+    }
+    const settings = fleet.get(emptied!).settings ?? {};
+    const {dataFolder = ''} = settings['platform'] ?? {};
+    rmSync(dataFolder, {recursive: true});
+    await fleet.restart(emptied!, {waits: false});
+    const asked = fleet.ctl(...SHOW, '--timeout', '2');
+    await expect(asked).rejects.toThrow(/no majority confirms/i);
+  });
+});
--- /dev/null
+++ b/packages/lovagepond-cli/src/__tests__/e2e/three_members.ts
@@ -0,0 +1,31 @@
+/**
+ * The set of examples/loopback with three control members.
+ */
+import {cpSync, readdirSync, readFileSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+
+const ONE_MEMBER = 'members = 127.0.0.1:7401';
+const MEMBERS = [7401, 7601, 7701];
+
+/** @param folder where the set is written */
+export function writeThreeMembers(folder: string): void {
+  cpSync('examples/loopback', folder, {recursive: true});
+  const all = MEMBERS.map(port => `127.0.0.1:${port}`).join(', ');
+  for (const name of readdirSync(folder).filter(n => n.endsWith('.ini'))) {
+    const text = readFileSync(join(folder, name), 'utf8');
+    writeFileSync(
+      join(folder, name),
+      text.replace(ONE_MEMBER, `members = ${all}`),
+    );
+  }
+  const first = readFileSync(join(folder, 'control-1.ini'), 'utf8');
+  MEMBERS.slice(1).forEach((port, index) => {
+    const name = `control-${index + 2}`;
+    const text = first
+      .replaceAll('control-1', name)
+      .replace('listen = 127.0.0.1:7401', `listen = 127.0.0.1:${port}`)
+      .replace('7402', String(port + 1))
+      .replace('7403', String(port + 2));
+    writeFileSync(join(folder, `${name}.ini`), text);
+  });
+}
--- a/packages/lovagepond-control/src/control_administration.ts
+++ b/packages/lovagepond-control/src/control_administration.ts
@@ -211,7 +211,16 @@
  * the leader.
  */
 export interface ControlAdministration {
-  /** @returns the configuration in force at this member */
+  /**
+   * A member that is cut off or lost its disk must not have what it holds read
+   * as what is in force.
+   *
+   * @returns true once a majority confirmed after the call that this member
+   *     holds the newest configuration
+   */
+  confirmNewest(): Promise<boolean>;
+
+  /** @returns the configuration that this member holds */
   getConfiguration(): Configuration;
 
   /** @returns accepted revisions, newest first */
--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -385,6 +385,7 @@
       convergence: this.#convergence,
       load: now => this.#readLoad(now),
       dump: () => this.dump(),
+      confirmRevision: () => this.#confirmRevision(),
     });
   }
 }
--- a/packages/lovagepond-control/src/member_administration.ts
+++ b/packages/lovagepond-control/src/member_administration.ts
@@ -58,6 +58,8 @@
   /** @returns the load that this member passes on, when it has one */
   readonly load: (now: number) => LoadReport | undefined;
   readonly dump: () => StateDump;
+  /** @returns the newest revision by a majority; undefined when there is none */
+  readonly confirmRevision: () => Promise<number | undefined>;
 }
 
 /** Implements {@link ControlAdministration}. */
@@ -70,6 +72,12 @@
     this.#changer = new ConfigurationChanger(parts.machine, parts.proposer);
   }
 
+  async confirmNewest(): Promise<boolean> {
+    const confirmed = await this.#parts.confirmRevision();
+    if (confirmed === undefined) return false;
+    return this.getConfiguration().revision >= confirmed;
+  }
+
   getConfiguration(): Configuration {
     return this.#parts.machine.configuration.current.read();
   }
--- a/packages/lovagepond-operator/src/__tests__/unit/fake_administration.ts
+++ b/packages/lovagepond-operator/src/__tests__/unit/fake_administration.ts
@@ -58,6 +58,8 @@
   readonly orders: OrderView[] = [];
   members: ControlMemberView[] = [];
   nodes: ConvergenceView[] = [];
+  /** Whether a majority confirms what this member holds. */
+  isNewest = true;
   /** Set: every change is refused like this. */
   refusal: NotDone | undefined;
   /** Set: the next change is made, and its answer is lost. */
@@ -67,6 +69,10 @@
     {readonly digest: string; readonly answer: ChangeAnswer}
   >();
 
+  confirmNewest(): Promise<boolean> {
+    return Promise.resolve(this.isNewest);
+  }
+
   getConfiguration(): Configuration {
     return this.revisions.at(-1)!;
   }
--- a/packages/lovagepond-operator/src/__tests__/unit/operator_server.test.ts
+++ b/packages/lovagepond-operator/src/__tests__/unit/operator_server.test.ts
@@ -53,6 +53,23 @@
     return {'operation-id': id, 'if-match': `"${base}"`};
   }
 
+  // A member that lost its disk holds an empty configuration. Read from it,
+  // every object would seem to have been deleted.
+  it('answers no read that a majority does not confirm', async () => {
+    administration.isNewest = false;
+    for (const path of ['/v1/configuration', '/v1/configuration/pools/chat']) {
+      const {status, body} = await call('GET', path);
+      expect(status).toBe(503);
+      expect(body.error).toMatchObject({kind: 'notLeader'});
+    }
+    const {status, body} = await call(
+      'GET',
+      '/v1/configuration?unconfirmed=true',
+    );
+    expect(status).toBe(200);
+    expect(body['revision']).toBe(0);
+  });
+
   // The operator's connection ends after the change was accepted, before the
   // answer arrives. The same change is sent again with the same operation id:
   // the operator sees the first answer and no second revision.
--- a/packages/lovagepond-operator/src/operator_configuration_routes.ts
+++ b/packages/lovagepond-operator/src/operator_configuration_routes.ts
@@ -22,6 +22,9 @@
 const BASE_REVISION_NEEDED =
   'The header If-Match must carry the revision that the change starts from.';
 
+const NOT_CONFIRMED =
+  'No majority confirms that this member holds the newest configuration.';
+
 /** The lists of named objects that have paths of their own. */
 const SECTIONS: readonly ConfigurationSection[] = [
   'pools',
@@ -117,12 +120,40 @@
   );
 };
 
+/**
+ * Reads wait for a majority's word. An operator may ask for what one member
+ * holds, whatever its age: the answer then says that nobody confirmed it.
+ */
+function confirmed(handle: CallHandler): CallHandler {
+  return async call => {
+    if (call.query['unconfirmed'] === 'true') {
+      const reply = await handle(call);
+      const headers = {...reply.headers, 'lovagepond-unconfirmed': 'true'};
+      return {...reply, headers};
+    }
+    if (await call.administration.confirmNewest()) return handle(call);
+    return replyWithError('notLeader', {message: NOT_CONFIRMED});
+  };
+}
+
 /** Routes under `/v1/configuration` and `/v1/history`. */
 export const CONFIGURATION_ROUTES: readonly AdministrationRoute[] = [
-  {method: 'get', path: '/v1/configuration', handle: getConfiguration},
+  {
+    method: 'get',
+    path: '/v1/configuration',
+    handle: confirmed(getConfiguration),
+  },
   {method: 'put', path: '/v1/configuration', handle: putConfiguration},
-  {method: 'get', path: '/v1/configuration/:section', handle: listSection},
-  {method: 'get', path: '/v1/configuration/:section/:name', handle: getObject},
+  {
+    method: 'get',
+    path: '/v1/configuration/:section',
+    handle: confirmed(listSection),
+  },
+  {
+    method: 'get',
+    path: '/v1/configuration/:section/:name',
+    handle: confirmed(getObject),
+  },
   {
     method: 'put',
     path: '/v1/configuration/:section/:name',
@@ -133,8 +164,12 @@
     path: '/v1/configuration/:section/:name',
     handle: deleteObject,
   },
-  {method: 'get', path: '/v1/history', handle: listHistory},
-  {method: 'get', path: '/v1/history/:revision', handle: getRevision},
+  {method: 'get', path: '/v1/history', handle: confirmed(listHistory)},
+  {
+    method: 'get',
+    path: '/v1/history/:revision',
+    handle: confirmed(getRevision),
+  },
   {
     method: 'post',
     path: '/v1/history/:revision/restore',
--- a/scripts/fleet_processes.d.mts
+++ b/scripts/fleet_processes.d.mts
@@ -30,7 +30,8 @@
     name: string,
   ): Promise<{role: string; state: Readonly<Record<string, unknown>>}>;
   metrics(name: string): Promise<string>;
-  restart(name: string): Promise<void>;
+  /** Starts an ended process again; `waits` until it is ready by default. */
+  restart(name: string, options?: {readonly waits?: boolean}): Promise<void>;
   outputs(): string[];
   end(): Promise<void>;
 }
--- a/scripts/fleet_processes.mjs
+++ b/scripts/fleet_processes.mjs
@@ -282,9 +282,10 @@
   }
 
   /** Starts a process that has ended again, and waits until it is ready. */
-  async restart(name) {
+  async restart(name, {waits = true} = {}) {
     const {args, file, settings} = this.get(name);
     this.#run(name, args, {file, settings});
+    if (!waits) return;
     const url = `http://${settings.platform.address}/readyz`;
     await waitUntil(() => isOk(url), name, Date.now() + READY_LIMIT_MS);
   }
