--- a/packages/lovagepond-gateway/src/gateway_attempt.ts
+++ b/packages/lovagepond-gateway/src/gateway_attempt.ts
@@ -13,7 +13,6 @@
   readonly path: string;
   readonly headers: string[];
   readonly body: Buffer;
-  readonly requestId: string;
 }
 
 /** An answer's head. */
@@ -38,7 +37,8 @@
   onFailed(failure: AttemptFailure): void;
 }
 
-const STATUS_MISDIRECTED = 421;
+/** Another server than the one named in the request lives at the address. */
+export const STATUS_MISDIRECTED = 421;
 const FIRST_FINAL_STATUS = 200;
 const FIRST_REDIRECT_STATUS = 300;
 
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -15,6 +15,7 @@
   Attempt,
   type AttemptFailure,
   type OutgoingRequest,
+  STATUS_MISDIRECTED,
 } from './gateway_attempt.js';
 import {type CallerChannel} from './gateway_caller_channel.js';
 import {type GatewayChoice} from './gateway_choice.js';
@@ -191,8 +192,7 @@
   }
 
   #outgoing(state: ServerState, now: number): OutgoingRequest {
-    const {method, path, rawHeaders, body, facts, workspace, priority} =
-      this.#req;
+    const {method, path, rawHeaders, body, workspace, priority} = this.#req;
     const lastId = this.#events?.lastId;
     const headers = headersForServer(rawHeaders, this.#parts.names, {
       deadlineMs: this.#req.deadlineAt - now,
@@ -203,7 +203,7 @@
         : undefined,
       lastEventId: lastId === undefined ? undefined : String(lastId),
     });
-    return {method, path, headers, body, requestId: facts.requestId};
+    return {method, path, headers, body};
   }
 
   #beginAt(state: ServerState, now: number): void {
@@ -318,7 +318,7 @@
 
   /** 421 with the right name in the request: another server lives there. */
   #noteRefusal(state: ServerState | undefined, status: number): void {
-    if (status === 421) state?.markGone();
+    if (status === STATUS_MISDIRECTED) state?.markGone();
   }
 
   #follow(outcome: AttemptOutcome, reason: string): void {
