Have engines take prompts over from each other instead of reading them anew

Change: pools say how fast their servers take context over; the choice counts for each engine what it could take over, from whom, and what is left to read; the request names the source. A prompt that is still being read is no source. The account of a prompt at its server moves out of the exchange, the engine's choice out of the general one. Three tests on whom it takes over from and when not, one on the header that callers may not set.

--- a/packages/lovagepond-core/src/core_configuration.ts
+++ b/packages/lovagepond-core/src/core_configuration.ts
@@ -39,6 +39,11 @@
   engineSlots: z.number().int().positive().optional(),
   /** Tokens that one engine's context memory holds. */
   contextTokens: z.number().int().positive().optional(),
+  /**
+   * Context tokens that a server takes over from another server of the pool
+   * in a millisecond; absent where servers can't.
+   */
+  contextFetchTokensPerMs: z.number().positive().optional(),
 });
 
 /** Which forwarded requests a selector takes: the longest prefix decides. */
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_deciders.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_deciders.test.ts
@@ -1,18 +1,13 @@
-import {Random, SERVER_STATE} from '@lovagepond/core';
-import {loadKeyHasher} from '@lovagepond/router/rendezvous_hash';
+import {Random} from '@lovagepond/core';
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {GatewayAdmission} from '../../gateway_admission.js';
 import {ConfigurationAuthority} from '../../gateway_authority.js';
-import {type ChoiceRequest, GatewayChoice} from '../../gateway_choice.js';
 import {EventStream} from '../../gateway_event_stream.js';
 import {headersForServer, readFacts} from '../../gateway_headers.js';
-import {PrefillRate} from '../../gateway_prefill_rate.js';
 import {GatewayRetryBudget} from '../../gateway_retry_budget.js';
-import {prefixKeys, ServerState} from '../../gateway_server_state.js';
 import {CONTENT, KEY, NAMES} from './gateway_harness.js';
 
-const RATE = 40;
 const BOUND_MS = 5_000;
 
 function at(now: number, wallTime = now): {now: number; wallTime: number} {
@@ -83,13 +78,17 @@
   it("never pass on what only a router sets, nor a connection's own", () => {
     const names = {...NAMES, routerOnly: ['x-pin']};
     const headers = headersForServer(
-      ['X-Pin', '1', 'Connection', 'X-Hop', 'X-Hop', '2', 'A', '3'],
+      [
+        ...['X-Pin', '1', 'Connection', 'X-Hop', 'X-Hop', '2', 'A', '3'],
+        ...[NAMES.contextSource, '10.0.0.1:80'],
+      ],
       names,
       {
         deadlineMs: 10.4,
         workspace: 'nord',
         instance: 'i',
         enginePriority: undefined,
+        contextSource: undefined,
         lastEventId: undefined,
       },
     );
@@ -146,89 +145,3 @@
     );
   });
 });
-
-describe('the choice of an engine', () => {
-  const parts = [
-    {id: 'a', tokens: 2_000},
-    {id: 'b', tokens: 6_000},
-    {id: 'own', tokens: 500},
-  ];
-  const sharedKeys = prefixKeys(parts).slice(0, -1);
-
-  function makeServer(name: string): ServerState {
-    return new ServerState({
-      name,
-      incarnation: name,
-      pool: 'p',
-      labels: {},
-      availabilityZone: 'a',
-      region: 'r',
-      address: `${name}:1`,
-      state: SERVER_STATE.READY,
-      capacityTokens: 0,
-      models: [],
-      slot: 0,
-      directSlots: 64,
-      place: name,
-    });
-  }
-
-  function request(servers: readonly ServerState[]): ChoiceRequest {
-    const [pool] = CONTENT.pools;
-    return {
-      pool: {...pool!, loadBound: 2},
-      servers,
-      parts,
-      sticky: true,
-      targetLatencyMs: 600,
-      tried: new Set(),
-    };
-  }
-
-  async function makeChoice(): Promise<GatewayChoice> {
-    const settings = {availabilityZone: 'a', rate: new PrefillRate(RATE)};
-    return new GatewayChoice(settings, await loadKeyHasher(), new Random(1));
-  }
-
-  it('goes where another router had the prompt read', async () => {
-    const choice = await makeChoice();
-    for (const name of ['x', 'y', 'z']) {
-      const servers = ['x', 'y', 'z'].map(makeServer);
-      const warm = servers.find(({server}) => server.name === name)!;
-      warm.noteWarm(sharedKeys, 0);
-      expect(choice.choose(request(servers), 0)).toBe(warm);
-    }
-  });
-
-  // The engine that holds the prompt has a second of other prompts to read. The
-  // first token would be late there; another engine reads this one in time.
-  it('leaves a warm engine that would be late', async () => {
-    const choice = await makeChoice();
-    const servers = ['x', 'y'].map(makeServer);
-    servers[0]!.noteWarm(sharedKeys, 0);
-    servers[0]!.noteOthersReading(200, 0);
-    expect(choice.choose(request(servers), 0)).toBe(servers[0]);
-    servers[0]!.noteOthersReading(800, 0);
-    expect(choice.choose(request(servers), 0)).toBe(servers[1]);
-  });
-
-  it('has one home for a prompt that is warm nowhere', async () => {
-    const choice = await makeChoice();
-    const names = ['x', 'y', 'z'];
-    const chosen = names.map((_, turn) => {
-      const order = [...names.slice(turn), ...names.slice(0, turn)];
-      return choice.choose(request(order.map(makeServer)), 0)?.server.name;
-    });
-    expect(new Set(chosen).size).toBe(1);
-  });
-
-  it('avoids a server that broke off, unless all did', async () => {
-    const choice = await makeChoice();
-    const servers = ['x', 'y'].map(makeServer);
-    servers[0]!.noteWarm(sharedKeys, 0);
-    servers[0]!.noteBroken(0);
-    expect(choice.choose(request(servers), 10)).toBe(servers[1]);
-    servers[1]!.noteBroken(0);
-    expect(choice.choose(request(servers), 10)).toBe(servers[0]);
-  });
-});
--- /dev/null
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_engine_choice.test.ts
@@ -0,0 +1,140 @@
+import {Random, SERVER_STATE} from '@lovagepond/core';
+import {loadKeyHasher} from '@lovagepond/router/rendezvous_hash';
+import {describe, expect, it} from 'vitest';
+import {type ChoiceRequest, GatewayChoice} from '../../gateway_choice.js';
+import {PrefillRate} from '../../gateway_prefill_rate.js';
+import {prefixKeys, ServerState} from '../../gateway_server_state.js';
+import {CONTENT} from './gateway_harness.js';
+
+const RATE = 40;
+const FETCH_RATE = 1_600;
+
+describe('the choice of an engine', () => {
+  const parts = [
+    {id: 'a', tokens: 2_000},
+    {id: 'b', tokens: 6_000},
+    {id: 'own', tokens: 500},
+  ];
+  const sharedKeys = prefixKeys(parts).slice(0, -1);
+
+  function makeServer(name: string): ServerState {
+    return new ServerState({
+      name,
+      incarnation: name,
+      pool: 'p',
+      labels: {},
+      availabilityZone: 'a',
+      region: 'r',
+      address: `${name}:1`,
+      state: SERVER_STATE.READY,
+      capacityTokens: 0,
+      models: [],
+      slot: 0,
+      directSlots: 64,
+      place: name,
+    });
+  }
+
+  function request(servers: readonly ServerState[]): ChoiceRequest {
+    const [pool] = CONTENT.pools;
+    return {
+      pool: {...pool!, loadBound: 2},
+      servers,
+      holders: servers,
+      parts,
+      sticky: true,
+      targetLatencyMs: 600,
+      tried: new Set(),
+    };
+  }
+
+  async function makeChoice(): Promise<GatewayChoice> {
+    const settings = {availabilityZone: 'a', rate: new PrefillRate(RATE)};
+    return new GatewayChoice(settings, await loadKeyHasher(), new Random(1));
+  }
+
+  it('goes where another router had the prompt read', async () => {
+    const choice = await makeChoice();
+    for (const name of ['x', 'y', 'z']) {
+      const servers = ['x', 'y', 'z'].map(makeServer);
+      const warm = servers.find(({server}) => server.name === name)!;
+      warm.noteWarm(sharedKeys, 0);
+      expect(choice.choose(request(servers), 0)?.state).toBe(warm);
+    }
+  });
+
+  // The engine that holds the prompt has a second of other prompts to read. The
+  // first token would be late there; another engine reads this one in time.
+  it('leaves a warm engine that would be late', async () => {
+    const choice = await makeChoice();
+    const servers = ['x', 'y'].map(makeServer);
+    servers[0]!.noteWarm(sharedKeys, 0);
+    servers[0]!.noteOthersReading(200, 0);
+    expect(choice.choose(request(servers), 0)?.state).toBe(servers[0]);
+    servers[0]!.noteOthersReading(800, 0);
+    expect(choice.choose(request(servers), 0)?.state).toBe(servers[1]);
+  });
+
+  it('has one home for a prompt that is warm nowhere', async () => {
+    const choice = await makeChoice();
+    const names = ['x', 'y', 'z'];
+    const chosen = names.map((_, turn) => {
+      const order = [...names.slice(turn), ...names.slice(0, turn)];
+      return choice.choose(request(order.map(makeServer)), 0)?.state.server
+        .name;
+    });
+    expect(new Set(chosen).size).toBe(1);
+  });
+
+  it('avoids a server that broke off, unless all did', async () => {
+    const choice = await makeChoice();
+    const servers = ['x', 'y'].map(makeServer);
+    servers[0]!.noteWarm(sharedKeys, 0);
+    servers[0]!.noteBroken(0);
+    expect(choice.choose(request(servers), 10)?.state).toBe(servers[1]);
+    servers[1]!.noteBroken(0);
+    expect(choice.choose(request(servers), 10)?.state).toBe(servers[0]);
+  });
+
+  function fetching(servers: readonly ServerState[]): ChoiceRequest {
+    const req = request(servers);
+    const pool = {...req.pool, contextFetchTokensPerMs: FETCH_RATE};
+    return {...req, pool};
+  }
+
+  // A server that holds a prompt has others to read, or is about to leave. Where
+  // servers take context over from each other, nothing is read a second time.
+  it('has a busy or leaving engine hand its context over', async () => {
+    const choice = await makeChoice();
+    const servers = ['x', 'y'].map(makeServer);
+    const [warm, idle] = servers;
+    warm!.noteWarm(sharedKeys, 0);
+    expect(choice.choose(fetching(servers), 1)?.state).toBe(warm);
+    warm!.noteOthersReading(400, 1);
+    const busy = choice.choose(fetching(servers), 1);
+    expect(busy).toMatchObject({state: idle, fetch: {tokens: 8_000}});
+    expect(busy?.fetch?.source).toBe(warm);
+    const leaving = {...fetching(servers), servers: [idle!]};
+    expect(choice.choose(leaving, 1)?.fetch?.source).toBe(warm);
+  });
+
+  // The prompt went to a server a moment ago and is still being read. Asked for
+  // it, that server would hand over nothing, and it would be read twice.
+  it('takes over only what has been read', async () => {
+    const choice = await makeChoice();
+    const servers = ['x', 'y'].map(makeServer);
+    const [reading, idle] = servers;
+    reading!.noteWarm(sharedKeys, 200);
+    const leaving = {...fetching(servers), servers: [idle!]};
+    expect(choice.choose(leaving, 100)?.fetch?.source).toBeUndefined();
+    expect(choice.choose(leaving, 201)?.fetch?.source).toBe(reading);
+  });
+
+  it('takes over nothing where servers cannot', async () => {
+    const choice = await makeChoice();
+    const servers = ['x', 'y'].map(makeServer);
+    servers[0]!.noteWarm(sharedKeys, 0);
+    const leaving = {...request(servers), servers: [servers[1]!]};
+    expect(choice.choose(leaving, 1)?.fetch?.source).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/packages/lovagepond-gateway/src/gateway_engine_choice.ts
@@ -0,0 +1,159 @@
+/**
+ * Chooses the engine for a prompt: where it is warm, unless the wait there
+ * would make the first token late and another engine has it in time.
+ *
+ * A prompt that is warm nowhere has the same home for every router by
+ * rendezvous hashing, so that it is read once in the fleet and not once a
+ * router.
+ */
+import {type KeyHasher} from '@lovagepond/router/rendezvous_hash';
+import {type ContextFetch, ContextSources} from './gateway_context_source.js';
+import {type PromptPart} from './gateway_headers.js';
+import {prefixKeys, type ServerState} from './gateway_server_state.js';
+
+/** What an engine is chosen for. */
+export interface EngineRequest {
+  /** The engines that may be chosen, one at least. */
+  readonly candidates: readonly ServerState[];
+  /** The engines that may hold the prompt, draining ones too. */
+  readonly holders: readonly ServerState[];
+  readonly parts: readonly PromptPart[];
+  readonly targetLatencyMs: number;
+  /** Prompt tokens that an engine reads in a millisecond. */
+  readonly readTokensPerMs: number;
+  /** Tokens taken over in a millisecond; undefined where that can't be. */
+  readonly fetchTokensPerMs: number | undefined;
+}
+
+/** The engine, and where it takes the prompt's context over from. */
+export interface EngineChoice {
+  readonly state: ServerState;
+  readonly fetch: ContextFetch;
+}
+
+interface Offer extends EngineChoice {
+  /** Tokens that it has to read itself. */
+  readonly unreadTokens: number;
+}
+
+/**
+ * Reading anew at another server also delays that server's other streams and
+ * pushes out what it held, so it counts for more than its own time.
+ */
+const REREAD_WEIGHT = 1.5;
+
+/**
+ * What taking a token over counts against reading it anew: it takes memory at
+ * both ends and a share of the links, but no time of the engine.
+ */
+const FETCH_WEIGHT = 0.25;
+
+/**
+ * Part of a cold prompt's reading that its home has as an advantage, so that
+ * gateways which meet a new prompt at the same time send it to one server.
+ */
+const HOME_WEIGHT = 0.25;
+
+/**
+ * Part of the target latency up to which a wait costs the caller nothing: the
+ * rest covers what other routers have sent to the server, unseen from here.
+ */
+const FREE_WAIT_PART = 0.5;
+
+/** What a millisecond beyond that counts against one of reading anew. */
+const LATE_WEIGHT = 3;
+
+/**
+ * Weight of a wait that brings no lateness, and of one more request at a
+ * server, milliseconds: they decide between servers that are equal else.
+ */
+const EARLY_WEIGHT = 0.1;
+const RUNNING_REQUEST_MS = 0.5;
+
+/**
+ * @param req the prompt and the engines
+ * @param hasher finds homes
+ * @param now present time, monotonic milliseconds
+ * @returns the engine with the least cost for the caller and the others
+ */
+export function chooseEngine(
+  req: EngineRequest,
+  hasher: KeyHasher,
+  now: number,
+): EngineChoice | undefined {
+  const keys = prefixKeys(req.parts);
+  const offers = listOffers(req, keys, now);
+  const least = Math.min(...offers.map(({unreadTokens}) => unreadTokens));
+  const home = findHome(req.candidates, keys, hasher);
+  let best: Offer | undefined;
+  let bestCost = Infinity;
+  for (const offer of offers) {
+    const avoidable = offer.state === home ? 0 : HOME_WEIGHT * least;
+    const rereadTokens = offer.unreadTokens - least + avoidable;
+    const cost = costOf(offer, rereadTokens, req, now);
+    if (cost >= bestCost) continue;
+    best = offer;
+    bestCost = cost;
+  }
+  return best;
+}
+
+function listOffers(
+  req: EngineRequest,
+  keys: readonly string[],
+  now: number,
+): readonly Offer[] {
+  const {candidates, parts, fetchTokensPerMs} = req;
+  const holders = fetchTokensPerMs === undefined ? [] : req.holders;
+  const sources = new ContextSources(holders, keys, parts, now);
+  return candidates.map(state => {
+    const coldTokens = state.coldTokens(keys, parts);
+    const fetch = sources.fetchFor(state, coldTokens);
+    return {state, fetch, unreadTokens: coldTokens - fetch.tokens};
+  });
+}
+
+/** What the choice costs this caller and others, in milliseconds. */
+function costOf(
+  {state, fetch, unreadTokens}: Offer,
+  rereadTokens: number,
+  req: EngineRequest,
+  now: number,
+): number {
+  const {readTokensPerMs, fetchTokensPerMs = Infinity} = req;
+  const firstMs =
+    unreadTokens / readTokensPerMs +
+    fetch.tokens / fetchTokensPerMs +
+    state.readingMs(readTokensPerMs, now);
+  const lateMs = firstMs - req.targetLatencyMs * FREE_WAIT_PART;
+  const anewTokens = rereadTokens + fetch.tokens * FETCH_WEIGHT;
+  return (
+    (anewTokens / readTokensPerMs) * REREAD_WEIGHT +
+    Math.max(0, lateMs) * LATE_WEIGHT +
+    firstMs * EARLY_WEIGHT +
+    state.load(now) * RUNNING_REQUEST_MS
+  );
+}
+
+/**
+ * The last part belongs to the request alone; what it shares with others ends
+ * with the part before it.
+ */
+function findHome(
+  candidates: readonly ServerState[],
+  keys: readonly string[],
+  hasher: KeyHasher,
+): ServerState | undefined {
+  const shared = keys.at(-2) ?? keys.at(-1) ?? '';
+  let home: ServerState | undefined;
+  let highest = -1;
+  for (const state of candidates) {
+    const {place} = state.server;
+    if (!place) continue;
+    const {low} = hasher.hash(`${shared}\u0000${place}`);
+    if (low <= highest) continue;
+    highest = low;
+    home = state;
+  }
+  return home;
+}
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -18,7 +18,7 @@
   STATUS_MISDIRECTED,
 } from './gateway_attempt.js';
 import {type CallerChannel} from './gateway_caller_channel.js';
-import {type GatewayChoice} from './gateway_choice.js';
+import {type GatewayChoice, type ServerChoice} from './gateway_choice.js';
 import {type GatewayConnections} from './gateway_connections.js';
 import {EventStream} from './gateway_event_stream.js';
 import {type GatewayFleet} from './gateway_fleet.js';
@@ -33,14 +33,13 @@
   decideNext,
   type NextStep,
 } from './gateway_outcome.js';
-import {type PrefillRate} from './gateway_prefill_rate.js';
-import {type GatewayReadings} from './gateway_readings.js';
+import {type AccountParts, PromptAccount} from './gateway_prompt_account.js';
 import {type GatewayRetryBudget} from './gateway_retry_budget.js';
 import {type ForwardingRule} from './gateway_routes.js';
-import {prefixKeys, type ServerState} from './gateway_server_state.js';
+import {type ServerState} from './gateway_server_state.js';
 
 /** What all exchanges share. */
-export interface ExchangeParts {
+export interface ExchangeParts extends AccountParts {
   readonly clock: Clock;
   readonly log: Logger;
   readonly names: GatewayHeaderNames;
@@ -48,8 +47,6 @@
   readonly choice: GatewayChoice;
   readonly budget: GatewayRetryBudget;
   readonly connections: GatewayConnections;
-  readonly readings: GatewayReadings;
-  readonly rate: PrefillRate;
 }
 
 /** A request that was read whole and may run. */
@@ -98,6 +95,8 @@
   readonly #events: EventStream | undefined;
   readonly #tried = new Set<string>();
   #attempt: Attempt | undefined;
+  /** The prompt at the server of the attempt under way. */
+  #account: PromptAccount | undefined;
   #timer: NodeJS.Timeout | undefined;
   /** The failure answer that the attempt under way brings. */
   #arriving: KeptFailure | undefined;
@@ -105,9 +104,6 @@
   #failure: KeptFailure | undefined;
   #runs = 0;
   #offers = 0;
-  #readingTokens = 0;
-  /** Set while the server has nothing else to read, as far as is known. */
-  #readsAloneSince: number | undefined;
   #isDone = false;
 
   /**
@@ -157,10 +153,11 @@
     const now = this.#now();
     const {pool, facts, rule} = this.#req;
     const {fleet, choice, names, connections} = this.#parts;
-    const state = choice.choose(
+    const chosen = choice.choose(
       {
         pool,
         servers: fleet.ready(pool.name),
+        holders: fleet.listed(pool.name),
         parts: facts.parts,
         sticky: rule.forwarding.sticky,
         targetLatencyMs: rule.forwarding.targetLatencyMs,
@@ -168,13 +165,16 @@
       },
       now,
     );
-    if (!state) {
+    if (!chosen) {
       this.#giveUpWithoutServer();
       return;
     }
+    const {state, fetch} = chosen;
     this.#offers += 1;
     this.#tried.add(state.server.name);
-    this.#beginAt(state, now);
+    const parts = this.#parts;
+    this.#account = new PromptAccount(state, facts.parts, fetch, parts, now);
+    state.inFlight += 1;
     const attempt = new Attempt(state, names, facts.requestId, {
       onHead: head => {
         this.#onHead(head);
@@ -188,10 +188,10 @@
       },
     });
     this.#attempt = attempt;
-    attempt.start(this.#outgoing(state, now), connections);
+    attempt.start(this.#outgoing(chosen, now), connections);
   }
 
-  #outgoing(state: ServerState, now: number): OutgoingRequest {
+  #outgoing({state, fetch}: ServerChoice, now: number): OutgoingRequest {
     const {method, path, rawHeaders, body, workspace, priority} = this.#req;
     const lastId = this.#events?.lastId;
     const headers = headersForServer(rawHeaders, this.#parts.names, {
@@ -201,47 +201,18 @@
       enginePriority: this.#req.rule.forwarding.sticky
         ? HIGHEST_PRIORITY - priority
         : undefined,
+      contextSource: fetch?.source?.server.address,
       lastEventId: lastId === undefined ? undefined : String(lastId),
     });
     return {method, path, headers, body};
   }
 
-  #beginAt(state: ServerState, now: number): void {
-    const {parts} = this.#req.facts;
-    const keys = prefixKeys(parts);
-    this.#readingTokens = state.coldTokens(keys, parts);
-    const {tokensPerMs} = this.#parts.rate;
-    this.#readsAloneSince =
-      state.readingMs(tokensPerMs, now) === 0 ? now : undefined;
-    const own = parts.at(-1)?.tokens ?? 0;
-    const shared = keys.slice(0, -1);
-    this.#parts.readings.note(state, shared, this.#readingTokens - own);
-    state.inFlight += 1;
-    state.readingTokens += this.#readingTokens;
-    state.noteWarm(keys, now);
-  }
-
-  #noteFirstToken(state: ServerState): void {
-    if (this.#readsAloneSince !== undefined) {
-      const durationMs = this.#now() - this.#readsAloneSince;
-      this.#parts.rate.observe(this.#readingTokens, durationMs);
-      this.#readsAloneSince = undefined;
-    }
-    this.#noteRead(state);
-  }
-
-  /** The server has read the prompt once the first piece of an answer comes. */
-  #noteRead(state: ServerState): void {
-    state.readingTokens -= this.#readingTokens;
-    this.#readingTokens = 0;
-  }
-
   #endAttempt(): ServerState | undefined {
     const state = this.#attempt?.state;
     this.#attempt = undefined;
     this.#arriving = undefined;
     if (!state) return undefined;
-    this.#noteRead(state);
+    this.#account?.close();
     state.inFlight -= 1;
     return state;
   }
@@ -261,7 +232,7 @@
   #onData(chunk: Buffer): boolean {
     const attempt = this.#attempt;
     if (!attempt) return true;
-    this.#noteFirstToken(attempt.state);
+    this.#account?.noteFirstToken(this.#now());
     if (this.#arriving) {
       this.#keepChunk(this.#arriving, chunk);
       return true;
--- a/packages/lovagepond-gateway/src/gateway_fleet.ts
+++ b/packages/lovagepond-gateway/src/gateway_fleet.ts
@@ -7,7 +7,7 @@
 /** Live states of all direct servers, kept over membership changes. */
 export class GatewayFleet {
   readonly #states = new Map<string, ServerState>();
-  #byPool = new Map<string, ServerState[]>();
+  #byPool = new Map<string, readonly ServerState[]>();
 
   /** Servers known. */
   get size(): number {
@@ -29,7 +29,6 @@
       const state = this.#states.get(server.name) ?? new ServerState(server);
       state.server = server;
       this.#states.set(server.name, state);
-      if (server.state !== SERVER_STATE.READY) continue;
       byPool.set(server.pool, [...(byPool.get(server.pool) ?? []), state]);
     }
     for (const name of this.#states.keys()) {
@@ -52,8 +51,17 @@
    * @returns its servers that take new work
    */
   ready(pool: string): readonly ServerState[] {
-    const servers = this.#byPool.get(pool) ?? [];
-    return servers.filter(({isGone}) => !isGone);
+    return this.listed(pool).filter(
+      ({isGone, server}) => !isGone && server.state === SERVER_STATE.READY,
+    );
+  }
+
+  /**
+   * @param pool a pool's name
+   * @returns all its servers, draining ones too
+   */
+  listed(pool: string): readonly ServerState[] {
+    return this.#byPool.get(pool) ?? [];
   }
 
   /** @returns every server's load by its name, for the state dump */
--- a/packages/lovagepond-gateway/src/gateway_headers.ts
+++ b/packages/lovagepond-gateway/src/gateway_headers.ts
@@ -28,6 +28,8 @@
   readonly expectedInstance: string;
   /** 0 (most urgent) to 9, for the engine's own queue. */
   readonly enginePriority: string;
+  /** Address of a server whose context of the prompt is to be taken over. */
+  readonly contextSource: string;
   /** Headers that only a router may set: dropped when a caller sends them. */
   readonly routerOnly: readonly string[];
 }
@@ -45,6 +47,7 @@
   serverLoad: 'x-lovagepond-load',
   expectedInstance: 'x-lovagepond-instance',
   enginePriority: 'x-lovagepond-priority',
+  contextSource: 'x-lovagepond-context-source',
   routerOnly: [],
 });
 
@@ -150,6 +153,8 @@
   readonly workspace: string | undefined;
   readonly instance: string;
   readonly enginePriority: number | undefined;
+  /** Absent where the server holds the context, or none does. */
+  readonly contextSource: string | undefined;
   /** Where a broken stream goes on; absent on a first attempt. */
   readonly lastEventId: string | undefined;
 }
@@ -173,6 +178,7 @@
     names.workspace,
     names.expectedInstance,
     names.enginePriority,
+    names.contextSource,
     names.notRun,
     'content-length',
     ...names.routerOnly,
@@ -187,6 +193,7 @@
   set(names.workspace, added.workspace);
   set(names.expectedInstance, added.instance);
   set(names.enginePriority, added.enginePriority);
+  set(names.contextSource, added.contextSource);
   set(LAST_EVENT_ID, added.lastEventId);
   return headers;
 }
--- a/packages/lovagepond-gateway/src/gateway_readings.ts
+++ b/packages/lovagepond-gateway/src/gateway_readings.ts
@@ -10,6 +10,14 @@
 type WireReading = lovagepond.v1.PromptReading.$Properties;
 type WireDigest = lovagepond.v1.ReadingDigest.$Properties;
 
+/** Tokens of prefixes at one server, as far as is known here. */
+export interface NotedTokens {
+  /** What it didn't hold before. */
+  readonly newTokens: number;
+  /** What of that it has to read, as it can't take it over. */
+  readonly unreadTokens: number;
+}
+
 /** Fewer tokens are read before the others could hear of it. */
 const MIN_TOLD_TOKENS = 64;
 
@@ -34,16 +42,17 @@
   /**
    * @param state the server that a prompt goes to
    * @param sharedKeys keys of the prefixes that other requests share
-   * @param tokens what it has to read of them, as far as is known here
+   * @param tokens what of them is new there, and what it has to read
    */
   note(
     state: ServerState,
     sharedKeys: readonly string[],
-    tokens: number,
+    {newTokens, unreadTokens}: NotedTokens,
   ): void {
     const prefix = sharedKeys.at(-1);
-    if (prefix === undefined || tokens < MIN_TOLD_TOKENS) return;
-    this.#collected.push({backendServer: state.server.name, prefix, tokens});
+    if (prefix === undefined || newTokens < MIN_TOLD_TOKENS) return;
+    const backendServer = state.server.name;
+    this.#collected.push({backendServer, prefix, tokens: unreadTokens});
   }
 
   /** @returns what to report, which is then forgotten */
@@ -67,8 +76,10 @@
   #applyOne({backendServer, prefix, tokens}: WireReading, now: number): void {
     const state = this.#fleet.find(backendServer ?? '');
     if (!state) return;
-    state.noteWarm(keysOf(prefix ?? ''), now);
-    state.noteOthersReading((tokens ?? 0) / this.#rate.tokensPerMs, now);
+    const {tokensPerMs} = this.#rate;
+    state.noteOthersReading((tokens ?? 0) / tokensPerMs, now);
+    const readAt = now + state.readingMs(tokensPerMs, now);
+    state.noteWarm(keysOf(prefix ?? ''), readAt);
   }
 }
 
--- a/packages/lovagepond-gateway/src/gateway_server_state.ts
+++ b/packages/lovagepond-gateway/src/gateway_server_state.ts
@@ -24,11 +24,6 @@
 /** Prompt prefixes remembered for a server; the oldest go first. */
 const MAX_WARM_PREFIXES = 4_096;
 
-/** Tokens of one request that a server has still to read. */
-export interface ReadingTicket {
-  readonly tokens: number;
-}
-
 /** One backend server as this router sees it. */
 export class ServerState {
   server: BackendServer;
@@ -43,7 +38,8 @@
   #failingShare = 0;
   #pausedUntil = Number.NEGATIVE_INFINITY;
   #isGone = false;
-  readonly #warm = new Map<string, number>();
+  /** When each warm prefix has been read; the least recently used first. */
+  readonly #readAt = new Map<string, number>();
 
   constructor(server: BackendServer) {
     this.server = server;
@@ -140,26 +136,35 @@
   /**
    * @param keys keys of the prompt's prefixes, shortest first
    * @param parts the prompt's parts, as many
-   * @returns tokens that the server has to read, as far as is known here
+   * @param readBy when they have to be read, monotonic milliseconds; by
+   *     default what is read before them doesn't matter
+   * @returns tokens that the server lacks, as far as is known here
    */
-  coldTokens(keys: readonly string[], parts: readonly PromptPart[]): number {
-    const firstCold = keys.findIndex(key => !this.#warm.has(key));
+  coldTokens(
+    keys: readonly string[],
+    parts: readonly PromptPart[],
+    readBy = Infinity,
+  ): number {
+    const firstCold = keys.findIndex(
+      key => (this.#readAt.get(key) ?? Infinity) >= readBy,
+    );
     if (firstCold < 0) return 0;
     return parts.slice(firstCold).reduce((sum, {tokens}) => sum + tokens, 0);
   }
 
   /**
-   * @param keys keys of the prefixes of a prompt that the server has read
-   * @param now present time, monotonic milliseconds
+   * @param keys keys of the prefixes of a prompt that the server reads or holds
+   * @param readAt when it has read them, monotonic milliseconds
    */
-  noteWarm(keys: readonly string[], now: number): void {
+  noteWarm(keys: readonly string[], readAt: number): void {
     for (const key of keys) {
-      this.#warm.delete(key);
-      this.#warm.set(key, now);
+      const before = this.#readAt.get(key) ?? Infinity;
+      this.#readAt.delete(key);
+      this.#readAt.set(key, Math.min(before, readAt));
     }
-    for (const oldest of this.#warm.keys()) {
-      if (this.#warm.size <= MAX_WARM_PREFIXES) return;
-      this.#warm.delete(oldest);
+    for (const oldest of this.#readAt.keys()) {
+      if (this.#readAt.size <= MAX_WARM_PREFIXES) return;
+      this.#readAt.delete(oldest);
     }
   }
 }
