Come back sooner after a stop of all hosts

Cause: after all processes ended, the last gateways had their configuration 0.55 s after the leader was chosen. The opening packet to a host that is still without power is lost and sent again only after a second; a follower that asked the new leader while it took over was sent away for 0.2 s; a member that was away when it was tried first got no answers for up to 0.14 s; a pre-vote without a majority waited a whole election time for the next. Ruled out: the starts themselves (0.14 s of processor time a process).

Change: a subscription without a connection after 0.3 s goes on to the next member; followers wait at a leader that takes over; a message from a member has a failed or stuck connection to it opened anew; pre-votes come again after half the time.

--- a/packages/lovagepond-consensus/src/__tests__/unit/consensus_core.test.ts
+++ b/packages/lovagepond-consensus/src/__tests__/unit/consensus_core.test.ts
@@ -282,6 +282,24 @@
     expect(lab.status.commitIndex).toBe(3);
   });
 
+  // All members were stopped. The first one up asks while nobody can answer; a
+  // majority is up a moment later and shouldn't stand idle for long.
+  it('asks again soon when nobody answered its pre-vote', () => {
+    lab.now = LATER;
+    lab.core.tick(lab.now);
+    lab.collect();
+    const asked = (): number => lab.sent('preVote').length;
+    expect(asked()).toBe(2);
+    lab.now += T * 0.49;
+    lab.core.tick(lab.now);
+    lab.collect();
+    expect(asked()).toBe(2);
+    lab.now += T * 0.51;
+    lab.core.tick(lab.now);
+    lab.collect();
+    expect(asked()).toBe(4);
+  });
+
   // A candidate's request arrives twice, the second one after a crash. The
   // vote for another in the same term must be remembered, so it must have
   // been synced before it was sent.
--- a/packages/lovagepond-consensus/src/consensus_member_state.ts
+++ b/packages/lovagepond-consensus/src/consensus_member_state.ts
@@ -29,6 +29,15 @@
   ? Omit<Message, 'from' | 'fromAddress' | 'to' | 'term'>
   : never;
 
+/**
+ * A pre-vote that found no majority is tried again after this part of the time
+ * that an election gets. It changes nothing at the others, and when all members
+ * were stopped, the first one up asks in vain: with the whole time between two
+ * tries, four members chose their leader 390 ms after the third was up, of
+ * which 250 are the promise to the leader before.
+ */
+const PRE_VOTE_RETRY_PART = 0.5;
+
 /** A message without its envelope. */
 export type MessageBody = WithoutEnvelope<ConsensusMessage>;
 
@@ -124,9 +133,7 @@
 
   /** @param now monotonic milliseconds */
   postponeElection(now: number): void {
-    const {timings, random} = this.parts;
-    const {electionTimeoutMs} = timings;
-    this.#electionDue = now + electionTimeoutMs * (1 + random.next());
+    this.#electionDue = now + this.#drawTimeout();
   }
 
   /** Tries to be elected now, without waiting for the timeout. */
@@ -159,7 +166,7 @@
   becomePreCandidate(now: number): void {
     this.#role = MEMBER_ROLE.PRE_CANDIDATE;
     this.#setLeader(undefined);
-    this.postponeElection(now);
+    this.#electionDue = now + this.#drawTimeout() * PRE_VOTE_RETRY_PART;
   }
 
   /** Starts a term of its own, with its own vote. */
@@ -250,4 +257,10 @@
     this.#leader = leader;
     this.outbox.push({kind: 'leaderChanged', leader});
   }
+
+  /** Drawn anew each time, so that members don't ask at the same moment. */
+  #drawTimeout(): number {
+    const {timings, random} = this.parts;
+    return timings.electionTimeoutMs * (1 + random.next());
+  }
 }
--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -154,9 +154,12 @@
   subscribe(subscriber: Subscriber, sink: UpdateSink): Unregister | undefined {
     const now = this.#now();
     if (!this.#hub.takesSubscribers(now)) return undefined;
-    // A follower mirrors the leader only, never another follower.
+    // A follower mirrors the leader only, never another follower. While the
+    // leader takes over, followers wait here: sent away, they and all their
+    // subscribers would come back only some 200 milliseconds later.
     const relayed = subscriber.role === CONTROL_ROLE;
-    if (relayed && this.#ledTerm === undefined) return undefined;
+    const {role} = this.#parts.node.status();
+    if (relayed && role !== MEMBER_ROLE.LEADER) return undefined;
     const {feed, remove} = this.#hub.add(subscriber, sink);
     if (!relayed) {
       this.#convergence.report(
--- a/packages/lovagepond-control/src/member_transport.ts
+++ b/packages/lovagepond-control/src/member_transport.ts
@@ -2,7 +2,9 @@
  * Carries consensus messages between members over gRPC.
  */
 import {
+  type ChannelOptions,
   Client,
+  connectivityState,
   credentials,
   Metadata,
   type sendUnaryData,
@@ -32,11 +34,21 @@
 /** Messages under way to one member; more are dropped, as consensus resends. */
 const MAX_UNDER_WAY = 256;
 
+/**
+ * Time that a connection gets while its member is heard, milliseconds: the
+ * opening packet to a host that was without power is sent again only after a
+ * second, far beyond an election timeout.
+ */
+const CONNECT_TIMEOUT_MS = 100;
+
 /** Lost messages in a row after which a fresh connection is made. */
 const MAX_LOST = 3;
 
+/** A member's connection to another one. */
 interface Peer {
   client: Client;
+  /** When the connection was begun, monotonic milliseconds. */
+  readonly openedAt: number;
   underWay: number;
   lost: number;
 }
@@ -44,15 +56,18 @@
 /** The transport of one member. */
 export class MemberTransport implements ConsensusTransport {
   readonly #clock: Clock;
+  readonly #options: ChannelOptions;
   readonly #peers = new Map<string, Peer>();
   readonly #listeners = new Set<MessageListener>();
 
   /**
    * @param server the member's gRPC server, not yet listening
    * @param clock present time
+   * @param options options of the connections to other members
    */
-  constructor(server: Server, clock: Clock) {
+  constructor(server: Server, clock: Clock, options = CLIENT_OPTIONS) {
     this.#clock = clock;
+    this.#options = options;
     server.addService(CONSENSUS_SERVICE, {
       deliver: (
         call: ServerUnaryCall<WireMessage, lovagepond.v1.ConsensusAck>,
@@ -92,6 +107,12 @@
     };
   }
 
+  /** Messages that are neither delivered nor lost yet. */
+  get underWay(): number {
+    const peers = [...this.#peers.values()];
+    return peers.reduce((sum, {underWay}) => sum + underWay, 0);
+  }
+
   /** Closes all connections. */
   close(): void {
     for (const {client} of this.#peers.values()) client.close();
@@ -101,6 +122,7 @@
   #receive(wire: WireMessage): void {
     const message = decodeMemberMessage(wire);
     if (!message) return;
+    this.#meet(message.fromAddress);
     for (const listener of [...this.#listeners]) listener(message);
   }
 
@@ -108,12 +130,30 @@
     const known = this.#peers.get(address);
     if (known) return known;
     const channel = credentials.createInsecure();
-    const client = new Client(address, channel, CLIENT_OPTIONS);
-    const peer = {client, underWay: 0, lost: 0};
+    const client = new Client(address, channel, this.#options);
+    const openedAt = this.#clock.now();
+    const peer = {client, openedAt, underWay: 0, lost: 0};
     this.#peers.set(address, peer);
     return peer;
   }
 
+  /**
+   * A member that sends is up. A connection that failed while it was down would
+   * wait before it tries again, and answers to it would be lost meanwhile: a
+   * group that was stopped as a whole elects its leader later by that time.
+   */
+  #meet(address: string): void {
+    const peer = this.#peers.get(address);
+    if (peer && this.#isStuck(peer)) this.#drop(address, peer.client);
+  }
+
+  #isStuck({client, lost, openedAt}: Peer): boolean {
+    if (lost > 0) return true;
+    if (this.#clock.now() - openedAt < CONNECT_TIMEOUT_MS) return false;
+    const state = client.getChannel().getConnectivityState(false);
+    return state === connectivityState.CONNECTING;
+  }
+
   /**
    * A connection can go silent for good while new ones work: every message on
    * it is lost until the keep-alive finds out, far beyond an election timeout.
--- /dev/null
+++ b/packages/lovagepond-router/src/__tests__/unit/router_control_link.test.ts
@@ -0,0 +1,91 @@
+import {
+  Server,
+  ServerCredentials,
+  type ServerWritableStream,
+} from '@grpc/grpc-js';
+import {type Logger, Random} from '@lovagepond/core';
+import {CONTROL_SERVICE, lovagepond} from '@lovagepond/protocol';
+import {once} from 'node:events';
+import {type AddressInfo, createServer} from 'node:net';
+import {afterEach, expect, test} from 'vitest';
+import {ControlLink} from '../../router_control_link.js';
+
+const {v1} = lovagepond;
+type Stream = ServerWritableStream<unknown, lovagepond.v1.ControlUpdate>;
+
+const SILENT_LOG: Logger = {
+  debug() {},
+  info() {},
+  warn() {},
+  error() {},
+};
+const CLOCK = {now: () => performance.now(), wallTime: () => Date.now()};
+const cleanups: (() => void)[] = [];
+
+afterEach(() => {
+  for (const cleanup of cleanups.splice(0).reverse()) cleanup();
+});
+
+/** Connections to it never come to anything, as at a host without power. */
+async function startMute(): Promise<string> {
+  const server = createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const sockets = new Set<{destroy(): unknown}>();
+  server.on('connection', socket => sockets.add(socket));
+  cleanups.push(() => {
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  });
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+async function startMember(): Promise<string> {
+  const server = new Server();
+  server.addService(CONTROL_SERVICE, {
+    subscribe: (call: Stream) => {
+      call.write(new v1.ControlUpdate({heartbeat: {}}));
+    },
+  });
+  cleanups.push(() => server.forceShutdown());
+  return new Promise((resolve, reject) => {
+    const credentials = ServerCredentials.createInsecure();
+    server.bindAsync('127.0.0.1:0', credentials, (err, port) => {
+      if (err) reject(err);
+      else resolve(`127.0.0.1:${port}`);
+    });
+  });
+}
+
+// All hosts lost power and come back one by one. A router that is up first asks
+// a member whose host isn't: nothing refuses its connection, and the system
+// tries again only after a second. It must go on to another member meanwhile,
+// though members that are merely silent are left much later.
+test('leaves a member to which there is no connection', async () => {
+  const addresses = [await startMute(), await startMember()];
+  const heard = new Promise<string>(resolve => {
+    const link = new ControlLink(
+      {
+        controlAddresses: addresses,
+        controlSilentAfterMs: 60_000,
+        controlRetryMs: 1,
+      },
+      {node: 'r', region: 'r'},
+      {
+        clock: CLOCK,
+        log: SILENT_LOG,
+        random: Object.assign(new Random(1), {below: () => 0}),
+        listener: {
+          heldRevision: () => 0,
+          onUpdate: () => {
+            resolve(link.address);
+          },
+        },
+      },
+    );
+    cleanups.push(() => {
+      link.stop();
+    });
+    link.start();
+  });
+  expect(await heard).toBe(addresses[1]);
+});
--- a/packages/lovagepond-router/src/router_control_link.ts
+++ b/packages/lovagepond-router/src/router_control_link.ts
@@ -53,6 +53,16 @@
 
 const REPORT_TIMEOUT_MS = 1_000;
 
+/**
+ * Time that a connection to a member gets, milliseconds. The opening packet to
+ * a host that is still without power is lost and sent again only after a second:
+ * after a stop of all hosts, gateways that were up first got their
+ * configuration half a second after the others. A round trip between regions
+ * takes a tenth of a second, and the processes at both ends may just have
+ * started.
+ */
+const CONNECT_TIMEOUT_MS = 300;
+
 const CHANNEL_OPTIONS: ChannelOptions = {
   'grpc.use_local_subchannel_pool': 1,
   'grpc.enable_http_proxy': 0,
@@ -217,6 +227,16 @@
     );
     this.#call = call;
     this.#listen(call);
+    this.#watchConnection(this.#client, call);
+  }
+
+  #watchConnection(
+    client: Client,
+    call: ClientReadableStream<ControlUpdate>,
+  ): void {
+    client.waitForReady(Date.now() + CONNECT_TIMEOUT_MS, err => {
+      if (err && this.#call === call) this.#onLost('no connection');
+    });
   }
 
   #countSent(bytes: Buffer): Buffer {
