Ask engines what they hold when nobody remembers

Cause: after a stop of all processes the engines still hold what they have read, but no router or member of control knows it.

Change: a leader that takes over without any word of readings asks each engine once for the parts it holds, and passes that on like the routers' reports. What is warm is known by the parts' own ids rather than by their paths, as engines count it. A test with an engine that is down and one that answers late.

Weighed: each gateway asks by itself (nine times the calls).

--- a/packages/lovagepond-cli/src/role_control.ts
+++ b/packages/lovagepond-cli/src/role_control.ts
@@ -5,6 +5,7 @@
 import {
   CONTROL_DEFAULTS,
   CONTROL_TIMINGS,
+  type ControlParts,
   ControlRole,
 } from '@lovagepond/control';
 import {AdministrationServer} from '@lovagepond/operator/server';
@@ -47,6 +48,7 @@
 export function createControlMember(
   values: ControlValues,
   {clock, log, random}: RoleParts,
+  more: Pick<ControlParts, 'readHeldContexts'> = {},
 ): MadeControlMember {
   const settings = {...CONTROL_DEFAULTS, ...toControlSettings(values)};
   const control = new ControlRole(settings, {
@@ -54,6 +56,7 @@
     log,
     random,
     timings: toTimings(values),
+    ...more,
   });
   const administration = new AdministrationServer(
     control.administration,
--- /dev/null
+++ b/packages/lovagepond-control/src/__tests__/unit/context_inventory.test.ts
@@ -0,0 +1,44 @@
+import {expect, test} from 'vitest';
+import {takeInventory} from '../../context_inventory.js';
+import {ReadingBoard} from '../../reading_board.js';
+
+const SERVERS = ['x', 'y', 'z'].map(name => ({name, address: `${name}:1`}));
+
+// All processes were stopped and know nothing of what engines hold. One engine
+// is down and one answers last: what the others say goes out as it comes.
+test('tells what each engine holds, whatever the others do', async () => {
+  const board = new ReadingBoard();
+  const warnings: unknown[] = [];
+  const log = {
+    debug: () => undefined,
+    info: () => undefined,
+    warn: (_text: string, facts?: object) => warnings.push(facts),
+    error: () => undefined,
+  };
+  let answerLast = (_ids: readonly string[]): void => undefined;
+  const inventory = takeInventory(SERVERS, {
+    log,
+    onReport: report => {
+      board.post(report);
+    },
+    readHeldContexts: address => {
+      if (address === 'x:1') return Promise.resolve(['a', 'b']);
+      if (address === 'y:1') return Promise.reject(new Error('refused'));
+      return new Promise(resolve => {
+        answerLast = resolve;
+      });
+    },
+  });
+  await new Promise(resolve => setImmediate(resolve));
+  expect(board.since(0)).toMatchObject([
+    {readings: [{backendServer: 'x', prefix: '/a'}, {prefix: '/b'}]},
+  ]);
+  answerLast(['c']);
+  await inventory;
+  const [history] = board.history();
+  expect(history?.readings.map(reading => reading.prefix)).toEqual([
+    ...['/a', '/b', '/c'],
+  ]);
+  expect(history?.readings.every(({tokens}) => tokens === 0)).toBe(true);
+  expect(warnings).toEqual([{server: 'y', reason: 'refused'}]);
+});
--- /dev/null
+++ b/packages/lovagepond-control/src/context_inventory.ts
@@ -0,0 +1,66 @@
+/**
+ * Asks engines which parts of prompts they hold, when nobody remembers.
+ *
+ * After a stop of all processes the engines still hold what they read, and the
+ * routers know nothing of it. They would have it read a second time elsewhere:
+ * for two seconds first tokens came after 0.5 to 1.5 s instead of 0.05.
+ */
+import {type Logger} from '@lovagepond/core';
+import {type ReadingReport} from './reading_board.js';
+
+/**
+ * Reads from a backend server which parts of prompts it holds.
+ *
+ * @param address `host:port` of the server
+ * @returns ids of the parts; rejects when the server doesn't say
+ */
+export type HeldContextsReader = (
+  address: string,
+) => Promise<readonly string[]>;
+
+/** A server to ask. */
+export interface AskedServer {
+  readonly name: string;
+  readonly address: string;
+}
+
+/** What an inventory is made with. */
+export interface InventoryParts {
+  readonly readHeldContexts: HeldContextsReader;
+  readonly log: Logger;
+  /** Called with what each server holds, as it answers. */
+  readonly onReport: (report: ReadingReport) => void;
+}
+
+/**
+ * Asks all servers at once: the answer takes a server some milliseconds, and
+ * each later one would come after the requests that it is meant for.
+ *
+ * @param servers whom to ask
+ * @param parts how, and who hears the answers
+ */
+export async function takeInventory(
+  servers: readonly AskedServer[],
+  parts: InventoryParts,
+): Promise<void> {
+  await Promise.all(servers.map(server => askOne(server, parts)));
+}
+
+async function askOne(
+  {name, address}: AskedServer,
+  {readHeldContexts, log, onReport}: InventoryParts,
+): Promise<void> {
+  try {
+    const ids = await readHeldContexts(address);
+    const readings = ids.map(id => ({
+      backendServer: name,
+      prefix: `/${id}`,
+      tokens: 0,
+    }));
+    log.info('held contexts told', {server: name, parts: ids.length});
+    if (readings.length > 0) onReport({node: '', readings});
+  } catch (err) {
+    const reason = err instanceof Error ? err.message : String(err);
+    log.warn('held contexts not told', {server: name, reason});
+  }
+}
--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -27,6 +27,7 @@
 import {type LoadReport, MembershipRegistry} from './membership_registry.js';
 import {OrderDelivery} from './order_delivery.js';
 import {Proposer} from './proposer.js';
+import {type HeldContextsReader, takeInventory} from './context_inventory.js';
 import {ReadingBoard, type ReadingReport} from './reading_board.js';
 import {readReadings} from './wire_utils.js';
 import {
@@ -49,6 +50,7 @@
   readonly log: Logger;
   readonly machine: ControlStateMachine;
   readonly node: ConsensusNode;
+  readonly readHeldContexts?: HeldContextsReader;
 }
 
 /** One member's soft state and its services. */
@@ -261,11 +263,32 @@
       this.#ledTerm = term;
       this.#parts.log.info('control leads', {term});
       this.tick(this.#now());
+      if (this.#readings.isEmpty) this.#runApart(this.#askForContexts());
     } finally {
       this.#takingOver = false;
     }
   }
 
+  /** Routers learn what engines hold from nobody else after a full stop. */
+  async #askForContexts(): Promise<void> {
+    const {readHeldContexts, machine, log} = this.#parts;
+    if (!readHeldContexts) return;
+    const {content} = machine.configuration.current.read();
+    const engines = content.pools.filter(({kind}) => kind === 'engine');
+    const pools = new Set(engines.map(({name}) => name));
+    const servers = machine.directServers.list().map(({server}) => server);
+    await takeInventory(
+      servers.filter(({pool}) => pools.has(pool)),
+      {
+        readHeldContexts,
+        log,
+        onReport: report => {
+          this.#postReadings(report);
+        },
+      },
+    );
+  }
+
   /** The leader's settings are in force at all members. */
   async #setLimits(): Promise<boolean> {
     const {machine} = this.#parts;
--- a/packages/lovagepond-control/src/control_role.ts
+++ b/packages/lovagepond-control/src/control_role.ts
@@ -20,6 +20,7 @@
 } from '@lovagepond/core';
 import {type ControlAdministration} from './control_administration.js';
 import {type ConfigurationDocuments} from './configuration_documents.js';
+import {type HeldContextsReader} from './context_inventory.js';
 import {ControlMemberState} from './control_member_state.js';
 import {ControlServer} from './control_server.js';
 import {
@@ -48,6 +49,8 @@
    */
   readonly makeTransport?: (server: Server) => ConsensusTransport;
   readonly timings?: ConsensusTimings;
+  /** Asks engines what they hold; by default they aren't asked. */
+  readonly readHeldContexts?: HeldContextsReader;
 }
 
 /** One control member. */
@@ -102,11 +105,13 @@
       random,
       log,
     });
+    const {readHeldContexts} = parts;
     this.#state = new ControlMemberState(settings, {
       clock,
       log,
       machine,
       node: this.#node,
+      ...(readHeldContexts && {readHeldContexts}),
     });
     this.administration = this.#state.administration;
     this.documents = this.#state.documents;
--- a/packages/lovagepond-control/src/reading_board.ts
+++ b/packages/lovagepond-control/src/reading_board.ts
@@ -9,7 +9,7 @@
 /** One prompt that a server reads. */
 export interface PromptReading {
   readonly backendServer: string;
-  /** Ids of the prompt's shared parts in order, each after a slash. */
+  /** Ids of parts of the prompt, each after a slash. */
   readonly prefix: string;
   /** Tokens that the server has to read; 0 when it has read them before. */
   readonly tokens: number;
@@ -34,6 +34,11 @@
   #posted: PostedReport[] = [];
   #sequence = 0;
 
+  /** Nothing has been heard, by this member or the one it followed. */
+  get isEmpty(): boolean {
+    return this.#posted.length === 0;
+  }
+
   /** Number of the last report. */
   get sequence(): number {
     return this.#sequence;
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_engine_choice.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_engine_choice.test.ts
@@ -3,7 +3,7 @@
 import {describe, expect, it} from 'vitest';
 import {type ChoiceRequest, GatewayChoice} from '../../gateway_choice.js';
 import {PrefillRate} from '../../gateway_prefill_rate.js';
-import {prefixKeys, ServerState} from '../../gateway_server_state.js';
+import {ServerState} from '../../gateway_server_state.js';
 import {CONTENT} from './gateway_harness.js';
 
 const RATE = 40;
@@ -15,7 +15,7 @@
     {id: 'b', tokens: 6_000},
     {id: 'own', tokens: 500},
   ];
-  const sharedKeys = prefixKeys(parts).slice(0, -1);
+  const sharedIds = ['a', 'b'];
 
   function makeServer(name: string): ServerState {
     return new ServerState({
@@ -58,7 +58,7 @@
     for (const name of ['x', 'y', 'z']) {
       const servers = ['x', 'y', 'z'].map(makeServer);
       const warm = servers.find(({server}) => server.name === name)!;
-      warm.noteWarm(sharedKeys, 0);
+      warm.noteWarm(sharedIds, 0);
       expect(choice.choose(request(servers), 0)?.state).toBe(warm);
     }
   });
@@ -68,7 +68,7 @@
   it('leaves a warm engine that would be late', async () => {
     const choice = await makeChoice();
     const servers = ['x', 'y'].map(makeServer);
-    servers[0]!.noteWarm(sharedKeys, 0);
+    servers[0]!.noteWarm(sharedIds, 0);
     servers[0]!.noteOthersReading(200, 0);
     expect(choice.choose(request(servers), 0)?.state).toBe(servers[0]);
     servers[0]!.noteOthersReading(800, 0);
@@ -89,7 +89,7 @@
   it('avoids a server that broke off, unless all did', async () => {
     const choice = await makeChoice();
     const servers = ['x', 'y'].map(makeServer);
-    servers[0]!.noteWarm(sharedKeys, 0);
+    servers[0]!.noteWarm(sharedIds, 0);
     servers[0]!.noteBroken(0);
     expect(choice.choose(request(servers), 10)?.state).toBe(servers[1]);
     servers[1]!.noteBroken(0);
@@ -108,7 +108,7 @@
     const choice = await makeChoice();
     const servers = ['x', 'y'].map(makeServer);
     const [warm, idle] = servers;
-    warm!.noteWarm(sharedKeys, 0);
+    warm!.noteWarm(sharedIds, 0);
     expect(choice.choose(fetching(servers), 1)?.state).toBe(warm);
     warm!.noteOthersReading(400, 1);
     const busy = choice.choose(fetching(servers), 1);
@@ -124,7 +124,7 @@
     const choice = await makeChoice();
     const servers = ['x', 'y'].map(makeServer);
     const [reading, idle] = servers;
-    reading!.noteWarm(sharedKeys, 200);
+    reading!.noteWarm(sharedIds, 200);
     const leaving = {...fetching(servers), servers: [idle!]};
     expect(choice.choose(leaving, 100)?.fetch?.source).toBeUndefined();
     expect(choice.choose(leaving, 201)?.fetch?.source).toBe(reading);
@@ -133,7 +133,7 @@
   it('takes over nothing where servers cannot', async () => {
     const choice = await makeChoice();
     const servers = ['x', 'y'].map(makeServer);
-    servers[0]!.noteWarm(sharedKeys, 0);
+    servers[0]!.noteWarm(sharedIds, 0);
     const leaving = {...request(servers), servers: [servers[1]!]};
     expect(choice.choose(leaving, 1)?.fetch?.source).toBeUndefined();
   });
--- a/packages/lovagepond-gateway/src/gateway_context_source.ts
+++ b/packages/lovagepond-gateway/src/gateway_context_source.ts
@@ -32,20 +32,18 @@
 
   /**
    * @param states servers that answer, draining ones too
-   * @param keys keys of the prompt's prefixes, shortest first
-   * @param parts the prompt's parts, as many
+   * @param parts the prompt's parts, in order
    * @param now present time, monotonic milliseconds
    */
   constructor(
     states: readonly ServerState[],
-    keys: readonly string[],
     parts: readonly PromptPart[],
     now: number,
   ) {
     const holders = states
       .filter(state => !state.isGone && !state.isAvoided(now))
       .map(state => {
-        const lackingTokens = state.coldTokens(keys, parts, now);
+        const lackingTokens = state.coldTokens(parts, now);
         return {state, lackingTokens};
       });
     holders.sort((left, right) => left.lackingTokens - right.lackingTokens);
--- a/packages/lovagepond-gateway/src/gateway_engine_choice.ts
+++ b/packages/lovagepond-gateway/src/gateway_engine_choice.ts
@@ -9,7 +9,7 @@
 import {type KeyHasher} from '@lovagepond/router/rendezvous_hash';
 import {type ContextFetch, ContextSources} from './gateway_context_source.js';
 import {type PromptPart} from './gateway_headers.js';
-import {prefixKeys, type ServerState} from './gateway_server_state.js';
+import {type ServerState} from './gateway_server_state.js';
 
 /** What an engine is chosen for. */
 export interface EngineRequest {
@@ -81,10 +81,9 @@
   hasher: KeyHasher,
   now: number,
 ): EngineChoice | undefined {
-  const keys = prefixKeys(req.parts);
-  const offers = listOffers(req, keys, now);
+  const offers = listOffers(req, now);
   const least = Math.min(...offers.map(({unreadTokens}) => unreadTokens));
-  const home = findHome(req.candidates, keys, hasher);
+  const home = findHome(req, hasher);
   let best: Offer | undefined;
   let bestCost = Infinity;
   for (const offer of offers) {
@@ -98,16 +97,12 @@
   return best;
 }
 
-function listOffers(
-  req: EngineRequest,
-  keys: readonly string[],
-  now: number,
-): readonly Offer[] {
+function listOffers(req: EngineRequest, now: number): readonly Offer[] {
   const {candidates, parts, fetchTokensPerMs} = req;
   const holders = fetchTokensPerMs === undefined ? [] : req.holders;
-  const sources = new ContextSources(holders, keys, parts, now);
+  const sources = new ContextSources(holders, parts, now);
   return candidates.map(state => {
-    const coldTokens = state.coldTokens(keys, parts);
+    const coldTokens = state.coldTokens(parts);
     const fetch = sources.fetchFor(state, coldTokens);
     return {state, fetch, unreadTokens: coldTokens - fetch.tokens};
   });
@@ -140,11 +135,10 @@
  * with the part before it.
  */
 function findHome(
-  candidates: readonly ServerState[],
-  keys: readonly string[],
+  {candidates, parts}: EngineRequest,
   hasher: KeyHasher,
 ): ServerState | undefined {
-  const shared = keys.at(-2) ?? keys.at(-1) ?? '';
+  const shared = (parts.at(-2) ?? parts.at(-1))?.id ?? '';
   let home: ServerState | undefined;
   let highest = -1;
   for (const state of candidates) {
--- a/packages/lovagepond-gateway/src/gateway_prompt_account.ts
+++ b/packages/lovagepond-gateway/src/gateway_prompt_account.ts
@@ -6,7 +6,7 @@
 import {type PromptPart} from './gateway_headers.js';
 import {type PrefillRate} from './gateway_prefill_rate.js';
 import {type GatewayReadings} from './gateway_readings.js';
-import {prefixKeys, type ServerState} from './gateway_server_state.js';
+import {type ServerState} from './gateway_server_state.js';
 
 /** What the accounts of all requests share. */
 export interface AccountParts {
@@ -40,20 +40,20 @@
   ) {
     this.#state = state;
     this.#rate = rate;
-    const keys = prefixKeys(parts);
-    const coldTokens = state.coldTokens(keys, parts);
+    const ids = parts.map(({id}) => id);
+    const coldTokens = state.coldTokens(parts);
     const ownTokens = parts.at(-1)?.tokens ?? 0;
     this.#unreadTokens = coldTokens - (fetch?.tokens ?? 0);
     const waitMs = state.readingMs(rate.tokensPerMs, now);
     const readsAlone = waitMs === 0 && !fetch?.source;
     this.#readsAloneSince = readsAlone ? now : undefined;
-    readings.note(state, keys.slice(0, -1), {
+    readings.note(state, ids.slice(0, -1), {
       newTokens: coldTokens - ownTokens,
       unreadTokens: Math.max(0, this.#unreadTokens - ownTokens),
     });
     state.readingTokens += this.#unreadTokens;
     const readingMs = this.#unreadTokens / rate.tokensPerMs;
-    state.noteWarm(keys, now + waitMs + readingMs);
+    state.noteWarm(ids, now + waitMs + readingMs);
   }
 
   /** @param now present time, monotonic milliseconds */
--- a/packages/lovagepond-gateway/src/gateway_readings.ts
+++ b/packages/lovagepond-gateway/src/gateway_readings.ts
@@ -41,16 +41,16 @@
 
   /**
    * @param state the server that a prompt goes to
-   * @param sharedKeys keys of the prefixes that other requests share
+   * @param sharedIds the prompt's parts that other requests share
    * @param tokens what of them is new there, and what it has to read
    */
   note(
     state: ServerState,
-    sharedKeys: readonly string[],
+    sharedIds: readonly string[],
     {newTokens, unreadTokens}: NotedTokens,
   ): void {
-    const prefix = sharedKeys.at(-1);
-    if (prefix === undefined || newTokens < MIN_TOLD_TOKENS) return;
+    if (sharedIds.length === 0 || newTokens < MIN_TOLD_TOKENS) return;
+    const prefix = sharedIds.map(id => `/${id}`).join('');
     const backendServer = state.server.name;
     this.#collected.push({backendServer, prefix, tokens: unreadTokens});
   }
@@ -79,12 +79,6 @@
     const {tokensPerMs} = this.#rate;
     state.noteOthersReading((tokens ?? 0) / tokensPerMs, now);
     const readAt = now + state.readingMs(tokensPerMs, now);
-    state.noteWarm(keysOf(prefix ?? ''), readAt);
+    state.noteWarm((prefix ?? '').split('/').slice(1), readAt);
   }
 }
-
-/** @returns the keys of all prefixes, shortest first */
-function keysOf(prefix: string): string[] {
-  const ids = prefix.split('/').slice(1);
-  return ids.map((_id, at) => `/${ids.slice(0, at + 1).join('/')}`);
-}
--- a/packages/lovagepond-gateway/src/gateway_server_state.ts
+++ b/packages/lovagepond-gateway/src/gateway_server_state.ts
@@ -21,8 +21,8 @@
 /** Above this share of failures a server is avoided while others are well. */
 const FAILING_SHARE = 0.6;
 
-/** Prompt prefixes remembered for a server; the oldest go first. */
-const MAX_WARM_PREFIXES = 4_096;
+/** Parts of prompts remembered for a server; the oldest go first. */
+const MAX_WARM_PARTS = 4_096;
 
 /** One backend server as this router sees it. */
 export class ServerState {
@@ -38,7 +38,7 @@
   #failingShare = 0;
   #pausedUntil = Number.NEGATIVE_INFINITY;
   #isGone = false;
-  /** When each warm prefix has been read; the least recently used first. */
+  /** When each part has been read; the least recently used first. */
   readonly #readAt = new Map<string, number>();
 
   constructor(server: BackendServer) {
@@ -134,50 +134,34 @@
   }
 
   /**
-   * @param keys keys of the prompt's prefixes, shortest first
-   * @param parts the prompt's parts, as many
+   * A part is held for good use only behind all the parts before it.
+   *
+   * @param parts a prompt's parts, in order
    * @param readBy when they have to be read, monotonic milliseconds; by
    *     default what is read before them doesn't matter
    * @returns tokens that the server lacks, as far as is known here
    */
-  coldTokens(
-    keys: readonly string[],
-    parts: readonly PromptPart[],
-    readBy = Infinity,
-  ): number {
-    const firstCold = keys.findIndex(
-      key => (this.#readAt.get(key) ?? Infinity) >= readBy,
+  coldTokens(parts: readonly PromptPart[], readBy = Infinity): number {
+    const firstCold = parts.findIndex(
+      ({id}) => (this.#readAt.get(id) ?? Infinity) >= readBy,
     );
     if (firstCold < 0) return 0;
     return parts.slice(firstCold).reduce((sum, {tokens}) => sum + tokens, 0);
   }
 
   /**
-   * @param keys keys of the prefixes of a prompt that the server reads or holds
+   * @param ids parts of prompts that the server reads or holds
    * @param readAt when it has read them, monotonic milliseconds
    */
-  noteWarm(keys: readonly string[], readAt: number): void {
-    for (const key of keys) {
-      const before = this.#readAt.get(key) ?? Infinity;
-      this.#readAt.delete(key);
-      this.#readAt.set(key, Math.min(before, readAt));
+  noteWarm(ids: readonly string[], readAt: number): void {
+    for (const id of ids) {
+      const before = this.#readAt.get(id) ?? Infinity;
+      this.#readAt.delete(id);
+      this.#readAt.set(id, Math.min(before, readAt));
     }
     for (const oldest of this.#readAt.keys()) {
-      if (this.#readAt.size <= MAX_WARM_PREFIXES) return;
+      if (this.#readAt.size <= MAX_WARM_PARTS) return;
       this.#readAt.delete(oldest);
     }
   }
 }
-
-/**
- * @param parts a prompt's parts
- * @returns a key for each prefix, shortest first: a part is warm only behind
- *     the very parts before it
- */
-export function prefixKeys(parts: readonly PromptPart[]): string[] {
-  let key = '';
-  return parts.map(({id}) => {
-    key = `${key}/${id}`;
-    return key;
-  });
-}
