Explain a request, or a moment, from the logs of all processes

Cause: the way from a request's id to its cause was a page of searches by hand, and no line told when a process heard control again.

Change: `lovagepond explain ID FILES` joins the request's lines, what its process believed then, how many others failed at the same server, and the cause in words; `--at TIME` tells each process's beliefs. Lines are read one by one and a bounded part is kept. Five tests on lines of a real run, kept in examples/logs: a cut stream, a refusal with servers free, a refused key.

Conclusion: no change of behaviour but the one log line.

--- /dev/null
+++ b/packages/lovagepond-cli/src/__tests__/unit/command_explain.test.ts
@@ -0,0 +1,61 @@
+import {fileURLToPath} from 'node:url';
+import {describe, expect, it} from 'vitest';
+import {runExplain} from '../../command_explain.js';
+
+/** Lines of a real run. */
+const LOGS = fileURLToPath(
+  new URL('../../../../../examples/logs/three_failures.log', import.meta.url),
+);
+
+async function explain(
+  question: Parameters<typeof runExplain>[0],
+): Promise<{code: number; text: string}> {
+  let text = '';
+  const out = {
+    write: (part: string) => {
+      text += part;
+    },
+  };
+  const code = await runExplain(question, [LOGS], out);
+  return {code, text};
+}
+
+describe('explain', () => {
+  // A caller's stream ends in the middle. The on-call engineer has its id and
+  // the logs: the server went down, and others lost streams there, too.
+  it('finds the server behind a cut stream', async () => {
+    const {code, text} = await explain({request: '1911351f60f4c715'});
+    expect(code).toBe(0);
+    expect(text).toContain('server=i-c06d79049a');
+    expect(text).toContain('6 other attempts failed at the same server');
+    expect(text).toContain('cause: the server broke off (other side closed)');
+  });
+
+  // A caller is refused while servers idle: the gateway had lost control.
+  it('finds what a gateway that refused was missing', async () => {
+    const {text} = await explain({request: '0816b71c6f79faa2'});
+    expect(text).toContain('revision 1 (version 2) since');
+    expect(text).toContain('control: lost 10.3.0.15:7360');
+    expect(text).toContain('cause: control had not confirmed');
+  });
+
+  it('finds the configuration behind a refused key', async () => {
+    const {text} = await explain({request: 'f77085b8a5369c1e'});
+    expect(text).toContain('status=401 revision=1');
+    expect(text).toContain('cause: revision 1 has no such key');
+  });
+
+  it('tells what processes believed at a time, and nothing later', async () => {
+    const early = await explain({at: '2026-08-25T17:45:24.100Z'});
+    expect(early.text).toContain('frontend-muc-freimann-2/gateway');
+    expect(early.text).not.toContain('revision');
+    const later = await explain({at: '1787679948003'});
+    expect(later.text).toContain('11 backend servers since');
+  });
+
+  it('says so when no line names the request, or nothing is asked', async () => {
+    expect((await explain({request: 'none'})).code).toBe(10);
+    expect((await explain({})).code).toBe(2);
+    expect((await explain({at: 'noon'})).code).toBe(2);
+  });
+});
--- a/packages/lovagepond-cli/src/command_line.ts
+++ b/packages/lovagepond-cli/src/command_line.ts
@@ -69,6 +69,29 @@
     });
 }
 
+function addExplain(program: Command): void {
+  program
+    .command('explain')
+    .description('tell from logs what became of a request and why')
+    .argument('[words...]', 'the request id, then log files; none: stdin')
+    .option('--at <time>', 'tell what each process believed then instead')
+    .addHelpText(
+      'after',
+      renderExamples(
+        'explain 3be9a8d54f25e337 logs/*.log',
+        'explain --at 2026-03-01T08:15:00Z logs/*.log',
+      ),
+    )
+    .action(async (words: string[], {at}: {at?: string}) => {
+      const {runExplain} = await import('./command_explain.js');
+      const [request, ...files] = words;
+      process.exitCode =
+        at === undefined
+          ? await runExplain(request === undefined ? {} : {request}, files)
+          : await runExplain({at}, words);
+    });
+}
+
 function addStandalone(program: Command): void {
   program
     .command('standalone')
@@ -163,6 +186,7 @@
   addStandalone(program);
   addFakes(program);
   addCheckSettings(program);
+  addExplain(program);
   const ctl = program
     .command('ctl')
     .description("administer the fleet through control's administration API");
--- /dev/null
+++ b/packages/lovagepond-explain/src/explain_beliefs.ts
@@ -0,0 +1,97 @@
+/**
+ * What each process believed, followed line by line.
+ */
+import {type LogLine, textOf} from './explain_line.js';
+
+/** One process's beliefs, each with the time of the line that told it. */
+export interface ProcessBelief {
+  readonly process: string;
+  readonly startedAt?: number;
+  readonly revision?: string;
+  /** The operators' own number of the configuration. */
+  readonly documentVersion?: string;
+  readonly revisionAt?: number;
+  readonly servers?: string;
+  readonly serversAt?: number;
+  /** The term in which it leads control. */
+  readonly term?: string;
+  readonly leadsSince?: number;
+  /** The member of control it hears, or which one it lost and why. */
+  readonly control?: string;
+  readonly controlAt?: number;
+  readonly drainingSince?: number;
+}
+
+type Update = (line: LogLine) => Partial<ProcessBelief>;
+
+/** Messages that change what a process believes. */
+const UPDATES: ReadonlyMap<string, Update> = new Map<string, Update>([
+  ['started', ({timeMs}) => ({startedAt: timeMs})],
+  [
+    'configuration installed',
+    ({timeMs, fields}) => ({
+      revision: textOf(fields['revision']),
+      documentVersion: textOf(fields['documentVersion']),
+      revisionAt: timeMs,
+    }),
+  ],
+  [
+    'backend servers changed',
+    ({timeMs, fields}) => ({
+      servers: textOf(fields['servers']),
+      serversAt: timeMs,
+    }),
+  ],
+  [
+    'control leads',
+    ({timeMs, fields}) => ({
+      term: textOf(fields['term']),
+      leadsSince: timeMs,
+    }),
+  ],
+  [
+    'control subscription lost',
+    ({timeMs, fields}) => ({
+      control: `lost ${textOf(fields['address'])}: ${textOf(fields['reason'])}`,
+      controlAt: timeMs,
+    }),
+  ],
+  [
+    'control subscription holds',
+    ({timeMs, fields}) => ({
+      control: `hears ${textOf(fields['address'])}`,
+      controlAt: timeMs,
+    }),
+  ],
+  ['draining', ({timeMs}) => ({drainingSince: timeMs})],
+]);
+
+/** Follows all processes. */
+export class Beliefs {
+  readonly #byProcess = new Map<string, ProcessBelief>();
+
+  /** @param line the next line of its process */
+  take(line: LogLine): void {
+    const update = UPDATES.get(line.message)?.(line);
+    if (!update) return;
+    // A new process knows nothing of what the one before it believed.
+    const isNew = update.startedAt !== undefined;
+    const before = isNew ? undefined : this.#byProcess.get(line.process);
+    const {process} = line;
+    this.#byProcess.set(process, {...before, ...update, process});
+  }
+
+  /**
+   * @param process a process
+   * @returns what it believes by now, if anything was heard of it
+   */
+  of(process: string): ProcessBelief | undefined {
+    return this.#byProcess.get(process);
+  }
+
+  /** @returns all processes' beliefs by name */
+  list(): readonly ProcessBelief[] {
+    const all = [...this.#byProcess.values()];
+    return all.sort((left, right) => (left.process < right.process ? -1 : 1));
+  }
+}
--- a/packages/lovagepond-process/src/exit_codes_constants.ts
+++ b/packages/lovagepond-process/src/exit_codes_constants.ts
@@ -23,6 +23,8 @@
   REFUSED: 8,
   /** `ctl convergence --wait`: not in force everywhere within the limit. */
   NOT_CONVERGED: 9,
+  /** `explain`: no line names the request. */
+  NOT_FOUND: 10,
 } as const;
 
 /** One of the values of {@link EXIT_CODE}. */
@@ -40,4 +42,5 @@
   7: 'ctl: control could not be reached or has no leader',
   8: 'ctl: control refused the request',
   9: 'ctl convergence --wait: not in force everywhere within the limit',
+  10: 'explain: no line names the request',
 };
--- a/packages/lovagepond-router/src/router_control_link.ts
+++ b/packages/lovagepond-router/src/router_control_link.ts
@@ -79,6 +79,8 @@
   #client: Client | undefined;
   #call: ClientReadableStream<ControlUpdate> | undefined;
   #heardAt = 0;
+  /** The present subscription has brought something. */
+  #isHeard = false;
   #failures = 0;
   #retryTimer: NodeJS.Timeout | undefined;
   #stopped = false;
@@ -207,6 +209,7 @@
   #subscribe(): void {
     if (this.#stopped || this.#settings.controlAddresses.length === 0) return;
     this.#heardAt = this.#parts.clock.now();
+    this.#isHeard = false;
     this.#client = new Client(
       this.address,
       credentials.createInsecure(),
@@ -242,6 +245,11 @@
     });
   }
 
+  #noteHeard(): void {
+    this.#isHeard = true;
+    this.#parts.log.info('control subscription holds', {address: this.address});
+  }
+
   #countSent(bytes: Buffer): Buffer {
     this.#sentBytes += bytes.length;
     return bytes;
@@ -250,6 +258,7 @@
   #listen(call: ClientReadableStream<ControlUpdate>): void {
     call.on('data', (update: ControlUpdate) => {
       if (this.#call !== call) return;
+      if (!this.#isHeard) this.#noteHeard();
       this.#failures = 0;
       this.#heardAt = this.#parts.clock.now();
       this.#parts.listener.onUpdate(update, this.#heardAt);
