--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -395,6 +395,9 @@
         clock: this.#parts.clock,
         log,
         membership: this.#membership,
+        onMembership: () => {
+          this.#schedule.soon();
+        },
         onReadings: report => {
           this.#postReadings(report);
         },
--- a/packages/lovagepond-control/src/leader_relay.ts
+++ b/packages/lovagepond-control/src/leader_relay.ts
@@ -40,6 +40,8 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly membership: MembershipLog;
+  /** Called when the mirrored membership has changed. */
+  readonly onMembership: () => void;
   /** Called with what the leader passes on of routers' readings. */
   readonly onReadings: (report: ReadingReport) => void;
 }
@@ -203,6 +205,7 @@
     this.#heardAt = now;
     if (update.membership) {
       this.#parts.membership.mirror(readMembership(update.membership));
+      this.#parts.onMembership();
     }
     for (const report of update.readings?.reports ?? []) {
       this.#parts.onReadings(readReadings(report));
