Log what members of control believe of their group

Change: a member logs its role, term, members and log positions whenever role, term or members change.

--- /dev/null
+++ b/packages/lovagepond-consensus/src/__tests__/unit/consensus_belief_log.test.ts
@@ -0,0 +1,40 @@
+import {expect, test} from 'vitest';
+import {BeliefLog} from '../../consensus_belief_log.js';
+import {type ConsensusStatus, type MemberList} from '../../index.js';
+
+// A group can't elect after two of its four disks were lost at once. From the
+// logs alone the engineer must see who counts as a voter, and how far each log
+// goes; a line for each heartbeat would hide it.
+test('tells role, term and members when one of them changes', () => {
+  const lines: unknown[] = [];
+  const log = {
+    debug: () => undefined,
+    info: (_message: string, fields?: object) => lines.push(fields),
+    warn: () => undefined,
+    error: () => undefined,
+  };
+  const beliefs = new BeliefLog(log);
+  const members: MemberList = [
+    {id: 'a785094c-1', address: 'a:1', voter: true},
+    {id: 'd9def891-2', address: 'b:1', voter: false},
+  ];
+  const status: ConsensusStatus = {
+    id: 'a785094c-1',
+    role: 'follower',
+    term: 3,
+    commitIndex: 54,
+    appliedIndex: 54,
+    lastIndex: 58,
+    snapshotIndex: 54,
+    members,
+    leaseValid: false,
+  };
+  beliefs.note(status);
+  beliefs.note({...status, commitIndex: 58});
+  expect(lines).toMatchObject([
+    {state: 'follower', members: 'a785094c@a:1 d9def891@b:1 (learner)'},
+  ]);
+  beliefs.note({...status, members: members.slice(0, 1)});
+  beliefs.note({...status, members, term: 4});
+  expect(lines).toMatchObject([{}, {members: 'a785094c@a:1'}, {term: 4}]);
+});
--- /dev/null
+++ b/packages/lovagepond-consensus/src/consensus_belief_log.ts
@@ -0,0 +1,51 @@
+/**
+ * Logs what a member believes of its group, whenever that changes.
+ */
+import {type Logger} from '@lovagepond/core';
+import {
+  type ConsensusStatus,
+  type Member,
+  type MemberList,
+  type MemberRole,
+} from './consensus_types.js';
+
+/** Of an identity, what tells it from the others. */
+const SHOWN_ID_LENGTH = 8;
+
+function describe({id, address, voter}: Member): string {
+  const shown = `${id.slice(0, SHOWN_ID_LENGTH)}@${address}`;
+  return voter ? shown : `${shown} (learner)`;
+}
+
+/** Follows one member. */
+export class BeliefLog {
+  readonly #log: Logger;
+  #members: MemberList | undefined;
+  #role: MemberRole | undefined;
+  #term = -1;
+
+  /** @param log where changes go */
+  constructor(log: Logger) {
+    this.#log = log;
+  }
+
+  /** @param status what the member knows now */
+  note(status: ConsensusStatus): void {
+    const {id, role, term, members, lastIndex, commitIndex} = status;
+    const isKnown =
+      role === this.#role && term === this.#term && members === this.#members;
+    if (isKnown) return;
+    this.#role = role;
+    this.#term = term;
+    this.#members = members;
+    this.#log.info('member believes', {
+      member: id.slice(0, SHOWN_ID_LENGTH),
+      state: role,
+      term,
+      members: members.map(describe).join(' '),
+      lastIndex,
+      commitIndex,
+      snapshotIndex: status.snapshotIndex,
+    });
+  }
+}
--- a/packages/lovagepond-consensus/src/consensus_node.ts
+++ b/packages/lovagepond-consensus/src/consensus_node.ts
@@ -14,6 +14,7 @@
   type LeaderListener,
 } from './consensus_action_performer.js';
 import {ConsensusCore, type Proposal} from './consensus_core.js';
+import {BeliefLog} from './consensus_belief_log.js';
 import {Formation, type FormationAction} from './consensus_formation.js';
 import {type MemberChange} from './consensus_members.js';
 import {MemberReplacement} from './consensus_member_replacement.js';
@@ -82,6 +83,7 @@
   readonly #writer: StorageWriter;
   readonly #performer: ActionPerformer;
   readonly #replacement: MemberReplacement;
+  readonly #beliefs: BeliefLog;
   #core: ConsensusCore | undefined;
   #formation: Formation | undefined;
   #timer: NodeJS.Timeout | undefined;
@@ -97,6 +99,7 @@
     this.#parts = parts;
     this.#storage = parts.storage;
     this.#emptyState = parts.stateMachine.snapshot();
+    this.#beliefs = new BeliefLog(parts.log);
     this.#writer = new StorageWriter(parts.storage, {
       onStored: id => {
         this.#run(core => {
@@ -313,6 +316,7 @@
     try {
       step(core);
       this.#performer.perform(core);
+      this.#beliefs.note(core.status(this.#now()));
     } catch (err) {
       this.#fail(err);
     }
