--- a/packages/lovagepond-cli/src/__tests__/unit/command_explain.test.ts
+++ b/packages/lovagepond-cli/src/__tests__/unit/command_explain.test.ts
@@ -53,6 +53,12 @@
     expect(later.text).toContain('11 backend servers since');
   });
 
+  it('tells what a member of control believed of its group', async () => {
+    const {text} = await explain({at: '2027-01-01T00:00:00Z'});
+    expect(text).toMatch(/d1d958e7 is preCandidate in term 3 of c2e14eb0@/);
+    expect(text).toContain('log up to 129, 93 committed');
+  });
+
   it('says so when no line names the request, or nothing is asked', async () => {
     expect((await explain({request: 'none'})).code).toBe(10);
     expect((await explain({})).code).toBe(2);
--- a/packages/lovagepond-explain/src/explain_account.ts
+++ b/packages/lovagepond-explain/src/explain_account.ts
@@ -34,6 +34,7 @@
 function renderBelief(belief: ProcessBelief): string[] {
   const {revision, documentVersion, revisionAt, servers, serversAt} = belief;
   const {startedAt, term, leadsSince, control, controlAt} = belief;
+  const {group, groupAt} = belief;
   const parts = [
     startedAt !== undefined && `started ${renderTime(startedAt)}`,
     revision !== undefined &&
@@ -42,6 +43,7 @@
       `${servers} backend servers since ${renderTime(serversAt)}`,
     term !== undefined &&
       `led control in term ${term} since ${renderTime(leadsSince)}`,
+    group !== undefined && `${group}, since ${renderTime(groupAt)}`,
     control !== undefined &&
       `control: ${control}, since ${renderTime(controlAt)}`,
     belief.drainingSince !== undefined &&
--- a/packages/lovagepond-explain/src/explain_beliefs.ts
+++ b/packages/lovagepond-explain/src/explain_beliefs.ts
@@ -19,11 +19,21 @@
   /** The member of control it hears, or which one it lost and why. */
   readonly control?: string;
   readonly controlAt?: number;
+  /** What a member of control is in its group, and who else is in it. */
+  readonly group?: string;
+  readonly groupAt?: number;
   readonly drainingSince?: number;
 }
 
 type Update = (line: LogLine) => Partial<ProcessBelief>;
 
+function describeGroup(fields: LogLine['fields']): string {
+  const text = (name: string): string => textOf(fields[name]);
+  const member = `${text('member')} is ${text('state')}`;
+  const log = `log up to ${text('lastIndex')}, ${text('commitIndex')} committed`;
+  return `${member} in term ${text('term')} of ${text('members')}; ${log}`;
+}
+
 /** Messages that change what a process believes. */
 const UPDATES: ReadonlyMap<string, Update> = new Map<string, Update>([
   ['started', ({timeMs}) => ({startedAt: timeMs})],
@@ -63,6 +73,10 @@
       controlAt: timeMs,
     }),
   ],
+  [
+    'member believes',
+    ({timeMs, fields}) => ({group: describeGroup(fields), groupAt: timeMs}),
+  ],
   ['draining', ({timeMs}) => ({drainingSince: timeMs})],
 ]);
 
