Share what tests build twice: three members, and backend servers

Two end-to-end tests set their three members up alike, and three places of the gateway's tests built a backend server by hand. No assertion changes.

--- a/packages/lovagepond-cli/src/__tests__/e2e/leader_death.test.ts
+++ b/packages/lovagepond-cli/src/__tests__/e2e/leader_death.test.ts
@@ -1,10 +1,6 @@
-import {mkdtempSync, rmSync} from 'node:fs';
-import {tmpdir} from 'node:os';
-import {join} from 'node:path';
-import {afterAll, beforeAll, describe, expect, it} from 'vitest';
-import {Fleet} from '../../../../../scripts/fleet_processes.mjs';
+import {describe, expect, it} from 'vitest';
 import {until} from './open_chat.js';
-import {writeThreeMembers} from './three_members.js';
+import {useThreeMembers} from './three_members.js';
 
 const CHANGE = ['workspaces', 'set', 'pharmacy', 'weight=2'];
 const SAME_OPERATION = ['--operation-id', 'pharmacy-weight', '--base', '1'];
@@ -16,18 +12,7 @@
 }
 
 describe('three control members', () => {
-  const folder = mkdtempSync(join(tmpdir(), 'lovagepond-three-'));
-  const fleet = new Fleet();
-
-  beforeAll(async () => {
-    writeThreeMembers(folder);
-    await fleet.start(folder);
-  });
-
-  afterAll(async () => {
-    await fleet.end();
-    rmSync(folder, {recursive: true});
-  });
+  const fleet = useThreeMembers();
 
   async function findLeader(): Promise<string> {
     for (const name of fleet.namesOf('control')) {
--- a/packages/lovagepond-cli/src/__tests__/e2e/lost_majority.test.ts
+++ b/packages/lovagepond-cli/src/__tests__/e2e/lost_majority.test.ts
@@ -1,25 +1,11 @@
-import {mkdtempSync, rmSync} from 'node:fs';
-import {tmpdir} from 'node:os';
-import {join} from 'node:path';
-import {afterAll, beforeAll, describe, expect, it} from 'vitest';
-import {Fleet} from '../../../../../scripts/fleet_processes.mjs';
-import {writeThreeMembers} from './three_members.js';
+import {rmSync} from 'node:fs';
+import {describe, expect, it} from 'vitest';
+import {useThreeMembers} from './three_members.js';
 
 const SHOW = ['workspaces', 'show', 'demo'];
 
 describe('a control member without a majority', () => {
-  const folder = mkdtempSync(join(tmpdir(), 'lovagepond-alone-'));
-  const fleet = new Fleet();
-
-  beforeAll(async () => {
-    writeThreeMembers(folder);
-    await fleet.start(folder);
-  });
-
-  afterAll(async () => {
-    await fleet.end();
-    rmSync(folder, {recursive: true});
-  });
+  const fleet = useThreeMembers();
 
   // Two of three members die, one of them with its disk; that one restarts
   // empty. Neither it nor the one that is left can know what was accepted last.
--- a/packages/lovagepond-cli/src/__tests__/e2e/three_members.ts
+++ b/packages/lovagepond-cli/src/__tests__/e2e/three_members.ts
@@ -1,14 +1,24 @@
 /**
  * The set of examples/loopback with three control members.
  */
-import {cpSync, readdirSync, readFileSync, writeFileSync} from 'node:fs';
+import {
+  cpSync,
+  mkdtempSync,
+  readdirSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
 import {join} from 'node:path';
+import {afterAll, beforeAll} from 'vitest';
+import {Fleet} from '../../../../../scripts/fleet_processes.mjs';
 
 const ONE_MEMBER = 'members = 127.0.0.1:7401';
 const MEMBERS = [7401, 7601, 7701];
 
 /** @param folder where the set is written */
-export function writeThreeMembers(folder: string): void {
+function writeThreeMembers(folder: string): void {
   cpSync('examples/loopback', folder, {recursive: true});
   const all = MEMBERS.map(port => `127.0.0.1:${port}`).join(', ');
   for (const name of readdirSync(folder).filter(n => n.endsWith('.ini'))) {
@@ -29,3 +39,18 @@
     writeFileSync(join(folder, `${name}.ini`), text);
   });
 }
+
+/** @returns processes that run for the tests of the calling block */
+export function useThreeMembers(): Fleet {
+  const folder = mkdtempSync(join(tmpdir(), 'lovagepond-three-'));
+  const fleet = new Fleet();
+  beforeAll(async () => {
+    writeThreeMembers(folder);
+    await fleet.start(folder);
+  });
+  afterAll(async () => {
+    await fleet.end();
+    rmSync(folder, {recursive: true});
+  });
+  return fleet;
+}
--- /dev/null
+++ b/packages/lovagepond-gateway/src/__tests__/unit/backend_servers.ts
@@ -0,0 +1,31 @@
+/**
+ * Backend servers without a sidecar, as control would list them.
+ */
+import {type BackendServer, SERVER_STATE} from '@lovagepond/core';
+
+/**
+ * @param name its name, incarnation and place
+ * @param other what differs from a ready engine of the pool `p`
+ * @returns the server
+ */
+export function makeBackendServer(
+  name: string,
+  other: Partial<BackendServer> = {},
+): BackendServer {
+  return {
+    name,
+    incarnation: name,
+    pool: 'p',
+    labels: {},
+    availabilityZone: 'a',
+    region: 'r',
+    address: `${name}:1`,
+    state: SERVER_STATE.READY,
+    capacityTokens: 0,
+    models: [],
+    slot: 0,
+    directSlots: 64,
+    place: name,
+    ...other,
+  };
+}
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_engine_choice.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_engine_choice.test.ts
@@ -1,9 +1,10 @@
-import {Random, SERVER_STATE} from '@lovagepond/core';
+import {Random} from '@lovagepond/core';
 import {loadKeyHasher} from '@lovagepond/router/rendezvous_hash';
 import {describe, expect, it} from 'vitest';
 import {type ChoiceRequest, GatewayChoice} from '../../gateway_choice.js';
 import {PrefillRate} from '../../gateway_prefill_rate.js';
 import {ServerState} from '../../gateway_server_state.js';
+import {makeBackendServer} from './backend_servers.js';
 import {CONTENT} from './gateway_harness.js';
 
 const RATE = 40;
@@ -18,21 +19,7 @@
   const sharedIds = ['a', 'b'];
 
   function makeServer(name: string): ServerState {
-    return new ServerState({
-      name,
-      incarnation: name,
-      pool: 'p',
-      labels: {},
-      availabilityZone: 'a',
-      region: 'r',
-      address: `${name}:1`,
-      state: SERVER_STATE.READY,
-      capacityTokens: 0,
-      models: [],
-      slot: 0,
-      directSlots: 64,
-      place: name,
-    });
+    return new ServerState(makeBackendServer(name));
   }
 
   function request(servers: readonly ServerState[]): ChoiceRequest {
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -15,7 +15,6 @@
   configurationSchema,
   type Logger,
   Random,
-  SERVER_STATE,
 } from '@lovagepond/core';
 import {loadKeyHasher} from '@lovagepond/router/rendezvous_hash';
 import {GatewayAdmission} from '../../gateway_admission.js';
@@ -27,6 +26,7 @@
 import {GatewayReadings} from '../../gateway_readings.js';
 import {GatewayRetryBudget} from '../../gateway_retry_budget.js';
 import {GatewayServer} from '../../gateway_server.js';
+import {makeBackendServer} from './backend_servers.js';
 
 export const NAMES = DEFAULT_HEADER_NAMES;
 export const KEY = 'key-of-nord';
@@ -268,20 +268,13 @@
       backend.listen(0, '127.0.0.1', resolve);
     });
     const {port} = backend.address() as AddressInfo;
-    return {
-      name,
-      incarnation: name,
+    return makeBackendServer(name, {
       pool: 'servers',
-      labels: {},
       // The first server is in the own zone, so that it is tried first.
       availabilityZone: index === 0 ? 'a' : 'b',
-      region: 'r',
       address: `127.0.0.1:${port}`,
-      state: SERVER_STATE.READY,
-      capacityTokens: 0,
-      models: [],
       slot: index,
       directSlots: 4,
-    };
+    });
   }
 }
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_readings.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_readings.test.ts
@@ -1,26 +1,9 @@
-import {type BackendServer, SERVER_STATE} from '@lovagepond/core';
 import {describe, expect, it} from 'vitest';
 import {GatewayFleet} from '../../gateway_fleet.js';
 import {PrefillRate} from '../../gateway_prefill_rate.js';
 import {GatewayReadings} from '../../gateway_readings.js';
 import {type ServerState} from '../../gateway_server_state.js';
-
-function makeServer(name: string): BackendServer {
-  return {
-    name,
-    incarnation: name,
-    pool: 'p',
-    labels: {},
-    availabilityZone: 'a',
-    region: 'r',
-    address: `${name}:1`,
-    state: SERVER_STATE.READY,
-    capacityTokens: 0,
-    models: [],
-    slot: 0,
-    directSlots: 64,
-  };
-}
+import {makeBackendServer} from './backend_servers.js';
 
 /** One gateway's view of a hundred servers. */
 class Gateway {
@@ -32,7 +15,9 @@
     this.name = name;
     this.readings = new GatewayReadings(name, this.fleet, new PrefillRate(40));
     const names = Array.from({length: 100}, (_, at) => `server-${at}`);
-    const list = names.map(server => [server, makeServer(server)] as const);
+    const list = names.map(
+      server => [server, makeBackendServer(server)] as const,
+    );
     this.fleet.useMembership({version: 1, servers: new Map(list)});
   }
 
