--- a/packages/lovagepond-consensus/src/__tests__/unit/consensus_file_storage.test.ts
+++ b/packages/lovagepond-consensus/src/__tests__/unit/consensus_file_storage.test.ts
@@ -224,4 +224,27 @@
     expect(stored.snapshot).toEqual(snapshot);
     expect(indexes(await reopen())).toEqual([3]);
   });
+
+  // The disk is full for a while. What was not acknowledged may be missing; what
+  // was must be there once it takes bytes again, and can be added to.
+  it('opens again after a full disk with all that was acknowledged', async () => {
+    const disk = new FailingDisk(folder);
+    const first = new FileStorage(disk);
+    await first.open();
+    await first.write([{entries: [makeEntry(1), makeEntry(2)]}]);
+    disk.failing = 'write';
+    disk.code = 'ENOSPC';
+    const failure = await failureOf(first.write([{entries: [makeEntry(3)]}]));
+    expect(failure).toMatchObject({kind: 'diskFull'});
+    await first.close();
+    const early = new FileStorage(disk, true);
+    expect(await failureOf(early.open())).toMatchObject({kind: 'diskFull'});
+    await early.close().catch(() => undefined);
+    disk.failing = undefined;
+    const again = new FileStorage(disk, true);
+    expect(indexes(await again.open())).toEqual([1, 2]);
+    await again.write([{entries: [makeEntry(3)]}]);
+    await again.close();
+    expect(indexes(await reopen())).toEqual([1, 2, 3]);
+  });
 });
--- a/packages/lovagepond-consensus/src/__tests__/unit/consensus_node.test.ts
+++ b/packages/lovagepond-consensus/src/__tests__/unit/consensus_node.test.ts
@@ -34,15 +34,20 @@
 let network: MemoryNetwork;
 let running: ConsensusNode[];
 
+interface StartOptions {
+  readonly reopenStorage?: () => ConsensusStorage;
+  readonly openMembership?: boolean;
+}
+
 async function startNode(
   address: string,
   storage: ConsensusStorage,
   peers: readonly string[],
-  reopenStorage?: () => ConsensusStorage,
+  {reopenStorage, openMembership = false}: StartOptions = {},
 ): Promise<{node: ConsensusNode; register: Register}> {
   const register = new Register();
   const node = new ConsensusNode(
-    {address, peers, timings},
+    {address, peers, timings, openMembership},
     {
       stateMachine: register,
       storage,
@@ -211,7 +216,9 @@
     const nodes = [];
     for (const [at, address] of ADDRESSES.entries()) {
       const storage = storages[at]!;
-      nodes.push(await startNode(address, storage, ADDRESSES, () => storage));
+      const reopenStorage = (): ConsensusStorage => storage;
+      const options = {reopenStorage};
+      nodes.push(await startNode(address, storage, ADDRESSES, options));
     }
     await pass(3000);
     const leading = nodes.find(({node}) => node.status().role === 'leader')!;
@@ -232,4 +239,51 @@
     await pass(300);
     expect(nodes[sick]!.register.value).toBe('ab');
   });
+
+  // The seeds name three hosts. A fourth joins beside them; then one is gone for
+  // good, and a fifth takes its place. Were the lost one still counted, the next
+  // loss would leave two of four, which can't accept a change.
+  it('lets hosts in that no seed names, in place of lost ones', async () => {
+    const open = {openMembership: true};
+    const join = (address: string): ReturnType<typeof startNode> =>
+      startNode(address, new MemoryStorage(address), ADDRESSES, open);
+    const nodes: Awaited<ReturnType<typeof startNode>>[] = [];
+    for (const address of [...ADDRESSES, 'd:1']) {
+      nodes.push(await join(address));
+    }
+    await pass(3000);
+    const voters = (): string[] => {
+      const {members} = leading().status();
+      return members.filter(({voter}) => voter).map(({id}) => id);
+    };
+    const leading = (): ConsensusNode =>
+      nodes.find(({node}) => node.status().role === 'leader')!.node;
+    expect(voters().sort()).toEqual([...ADDRESSES, 'd:1']);
+    expect(await propose(leading(), 'x')).toBe('committed');
+
+    const lost = nodes.findIndex(({node}) => node !== leading());
+    const lostId = nodes[lost]!.node.status().id;
+    await nodes[lost]!.node.stop();
+    nodes.splice(lost, 1);
+    // The leader misses its answers by then.
+    await pass(timings.electionTimeoutMs);
+    nodes.push(await join('e:1'));
+    await pass(2500);
+    // Silent for less than four seconds, it may only be restarting.
+    expect(voters()).toContain(lostId);
+    expect(voters()).not.toContain('e:1');
+    await pass(4000);
+    expect(voters()).not.toContain(lostId);
+    expect(voters()).toContain('e:1');
+    expect(voters()).toHaveLength(4);
+    const next = nodes.findIndex(({node}) => node !== leading());
+    await nodes[next]!.node.stop();
+    nodes.splice(next, 1);
+    await pass(2000);
+    expect(await propose(leading(), 'y')).toBe('committed');
+    await pass(300);
+    expect(nodes.map(({register}) => register.value)).toEqual([
+      ...['xy', 'xy', 'xy'],
+    ]);
+  });
 });
