--- a/packages/lovagepond-cli/src/__tests__/unit/command_explain.test.ts
+++ b/packages/lovagepond-cli/src/__tests__/unit/command_explain.test.ts
@@ -4,7 +4,7 @@
 
 /** Lines of a real run. */
 const LOGS = fileURLToPath(
-  new URL('../../../../../examples/logs/three_failures.log', import.meta.url),
+  new URL('../../../../../examples/logs/three_failures.jsonl', import.meta.url),
 );
 
 async function explain(
