Let a host in that knows no leader

Cause: a host with an empty disk asks its seeds to be let in, and only the leader acts on it. When none of its seeds leads it waited for good; the voter it replaces stayed counted, and the next lost disk left the group without a majority. Members' logged beliefs showed it; damaged storage, the first suspect, was ruled out.

Change: a member that doesn't lead passes the wish on to its leader, once. A test that failed before.

--- a/packages/lovagepond-consensus/src/__tests__/unit/consensus_node.test.ts
+++ b/packages/lovagepond-consensus/src/__tests__/unit/consensus_node.test.ts
@@ -286,4 +286,23 @@
       ...['xy', 'xy', 'xy'],
     ]);
   });
+
+  // A host replaces one that is gone, and none of the members it was told of
+  // leads. Only a leader can let it in: unheard, it would wait for good, and
+  // the next loss would end the group.
+  it('lets a host in that knows only a follower', async () => {
+    const nodes: Awaited<ReturnType<typeof startNode>>[] = [];
+    const open = {openMembership: true};
+    for (const address of ADDRESSES) {
+      const storage = new MemoryStorage(address);
+      nodes.push(await startNode(address, storage, ADDRESSES, open));
+    }
+    await pass(3000);
+    const leader = nodes.find(({node}) => node.status().role === 'leader')!;
+    const follower = nodes.find(one => one !== leader)!.node.status().id;
+    await startNode('d:1', new MemoryStorage('d:1'), [follower], open);
+    await pass(3000);
+    const {members} = leader.node.status();
+    expect(members.find(({id}) => id === 'd:1')?.voter).toBe(true);
+  });
 });
--- a/packages/lovagepond-consensus/src/consensus_formation.ts
+++ b/packages/lovagepond-consensus/src/consensus_formation.ts
@@ -36,7 +36,16 @@
     }
   | {readonly kind: 'bootstrap'; readonly members: MemberList}
   /** A host with an empty data folder wants to be a member. */
-  | {readonly kind: 'join'; readonly id: MemberId; readonly address: string};
+  | {
+      readonly kind: 'join';
+      readonly id: MemberId;
+      readonly address: string;
+      /** Another member passed its wish on. */
+      readonly isPassedOn: boolean;
+    };
+
+/** Round of a wish that a member passed on; a host's own begin with 1. */
+export const PASSED_ON_ROUND = 0;
 
 /** Forms or joins a group while the own data folder is empty. */
 export class Formation {
@@ -87,7 +96,13 @@
       message: {kind: 'helloReply', ...reply},
     });
     if (blank || !message.blank) return;
-    this.#actions.push({kind: 'join', id: to, address: fromAddress});
+    const isPassedOn = round === PASSED_ON_ROUND;
+    this.#actions.push({
+      kind: 'join',
+      id: to,
+      address: fromAddress,
+      isPassedOn,
+    });
   }
 
   /** @param message the answer to this host's question */
--- a/packages/lovagepond-consensus/src/consensus_node.ts
+++ b/packages/lovagepond-consensus/src/consensus_node.ts
@@ -15,7 +15,11 @@
 } from './consensus_action_performer.js';
 import {ConsensusCore, type Proposal} from './consensus_core.js';
 import {BeliefLog} from './consensus_belief_log.js';
-import {Formation, type FormationAction} from './consensus_formation.js';
+import {
+  Formation,
+  type FormationAction,
+  PASSED_ON_ROUND,
+} from './consensus_formation.js';
 import {type MemberChange} from './consensus_members.js';
 import {MemberReplacement} from './consensus_member_replacement.js';
 import {type TransportMessage} from './consensus_messages.js';
@@ -28,6 +32,7 @@
   type ChangeOutcome,
   type ConsensusSettings,
   type ConsensusStatus,
+  type Member,
   MEMBER_ROLE,
   type MemberId,
   type ProposeOutcome,
@@ -345,11 +350,24 @@
         core.tick(this.#now());
       });
     },
-    join: ({id, address}) => {
-      this.#replacement.join(id, address);
+    join: ({id, address, isPassedOn}) => {
+      const {role, leader} = this.status();
+      const leads = role === MEMBER_ROLE.LEADER;
+      if (leads) this.#replacement.join(id, address);
+      else if (leader && !isPassedOn) this.#passOn(id, address, leader);
     },
   };
 
+  /**
+   * A host that wants to join knows some members, and the leader may be none of
+   * them: it would wait for good, the lost voter would stay counted, and the
+   * next loss would leave the group without a majority.
+   */
+  #passOn(from: MemberId, fromAddress: string, leader: Member): void {
+    const hello = {from, fromAddress, blank: true, round: PASSED_ON_ROUND};
+    this.#parts.transport.send(leader.address, {kind: 'hello', ...hello});
+  }
+
   #fail(err: unknown): void {
     if (!this.#core) return;
     const failure = err instanceof Error ? err.message : String(err);
