--- a/packages/lovagepond-cli/src/settings_control.ts
+++ b/packages/lovagepond-cli/src/settings_control.ts
@@ -22,6 +22,8 @@
 
 const MAX_PORT = 65_535;
 const MAX_COUNT = 100_000_000;
+/** A group of nine bears four; more members only slow it down. */
+const MAX_LOSSES = 4;
 /** Within the data folder; state dumps stand beside it. */
 const CONSENSUS_FOLDER = 'consensus';
 
@@ -37,6 +39,10 @@
   mayForm: boolean().optional(),
   /** Hosts that `members` doesn't name may take the places of lost ones. */
   openMembership: boolean().optional(),
+  /** Hosts that the group must be able to lose at once. */
+  toleratedLosses: integer(0, MAX_LOSSES).optional(),
+  /** True on a host without a disk: it follows and never votes. */
+  observer: boolean().optional(),
   /** Shortest silence of a leader after which members elect another. */
   electionTimeout: duration().optional(),
   /** Time between two messages of the leader; a sixth of the timeout fits. */
@@ -98,6 +104,8 @@
     ...keepDefined({
       mayFormGroup: member.mayForm,
       openMembership: member.openMembership,
+      toleratedLosses: member.toleratedLosses,
+      observer: member.observer,
       leaseMs: limits.lease,
       digestIntervalMs: limits.digestInterval,
       heartbeatIntervalMs: limits.heartbeatInterval,
--- a/packages/lovagepond-consensus/src/__tests__/model/consensus_model.ts
+++ b/packages/lovagepond-consensus/src/__tests__/model/consensus_model.ts
@@ -220,7 +220,7 @@
 
   change(change: MemberChange): void {
     const leader = this.leader();
-    const proposal = leader?.core?.changeMembers(change);
+    const proposal = leader?.core?.changeMembers(change, this.nowAt(leader));
     if (!leader || proposal?.kind !== 'added') return;
     leader.core?.flush(this.nowAt(leader));
     this.#perform(leader);
--- a/packages/lovagepond-consensus/src/__tests__/unit/consensus_core.test.ts
+++ b/packages/lovagepond-consensus/src/__tests__/unit/consensus_core.test.ts
@@ -359,21 +359,21 @@
   it('changes members one at a time, after a commit in its term', () => {
     const add = {kind: 'addLearner', id: 'd', address: 'd:1'} as const;
     lab.lead();
-    const early = lab.core.changeMembers(add);
+    const early = lab.core.changeMembers(add, lab.now);
     expect(early).toMatchObject({reason: 'termNotCommitted'});
     lab.acknowledge('b', 2);
-    expect(lab.core.changeMembers(add)).toMatchObject({index: 3});
-    const second = lab.core.changeMembers({kind: 'remove', id: 'c'});
+    expect(lab.core.changeMembers(add, lab.now)).toMatchObject({index: 3});
+    const second = lab.core.changeMembers({kind: 'remove', id: 'c'}, lab.now);
     expect(second).toMatchObject({reason: 'changePending'});
     lab.core.flush(lab.now);
     lab.collect();
     lab.sync();
     lab.acknowledge('b', 3);
     const promote = {kind: 'promote', id: 'd'} as const;
-    const behind = lab.core.changeMembers(promote);
+    const behind = lab.core.changeMembers(promote, lab.now);
     expect(behind).toMatchObject({reason: 'notCaughtUp'});
     lab.acknowledge('d', 3);
-    expect(lab.core.changeMembers(promote)).toMatchObject({index: 4});
+    expect(lab.core.changeMembers(promote, lab.now)).toMatchObject({index: 4});
   });
 
   // A write of entries is under way when others replace them in the log. Its
--- a/packages/lovagepond-consensus/src/consensus_core.ts
+++ b/packages/lovagepond-consensus/src/consensus_core.ts
@@ -25,6 +25,12 @@
   type MemberList,
 } from './consensus_types.js';
 
+/**
+ * Silence of the leader after which a member asks to be let in again, in
+ * election timeouts: a group that has a majority has a new leader by then.
+ */
+const FORGOTTEN_AFTER_TIMEOUTS = 3;
+
 /** Where a proposal stands in the log; it is not committed yet. */
 export type Proposal =
   | {readonly kind: 'added'; readonly index: number; readonly term: number}
@@ -181,9 +187,10 @@
 
   /**
    * @param change one change of the members
+   * @param now monotonic milliseconds
    * @returns where it stands; `flush` sends it
    */
-  changeMembers(change: MemberChange): Proposal {
+  changeMembers(change: MemberChange, now: number): Proposal {
     const {leadership, replica} = this.#state;
     if (!leadership) return {kind: 'notLeader'};
     // Two changes at once, or one beside a forgotten change of an earlier
@@ -203,7 +210,7 @@
     }
     const data = encodeMembers(changed.members);
     const proposal = this.#add(ENTRY_KIND.MEMBERS, data);
-    leadership.membersChanged();
+    leadership.membersChanged(now);
     return proposal;
   }
 
@@ -234,10 +241,24 @@
   /**
    * @param id identity of a member
    * @param now monotonic milliseconds
-   * @returns true when this member leads and the other has been silent long
+   * @returns time since the other one's last answer; 0 unless this one leads
+   */
+  silenceMs(id: MemberId, now: number): number {
+    return this.#state.leadership?.silenceMs(id, now) ?? 0;
+  }
+
+  /**
+   * A member that was taken off the list while it was away hears from nobody,
+   * and never by itself: the leader no longer sends to it.
+   *
+   * @param now monotonic milliseconds
+   * @returns true when it remembers a group and has long heard no leader
    */
-  isLost(id: MemberId, now: number): boolean {
-    return this.#state.leadership?.isLost(id, now) ?? false;
+  isForgotten(now: number): boolean {
+    const {leadership, parts} = this.#state;
+    if (this.isBlank || leadership) return false;
+    const limitMs = FORGOTTEN_AFTER_TIMEOUTS * parts.timings.electionTimeoutMs;
+    return this.#state.leaderSilenceMs(now) >= limitMs;
   }
 
   /** True while this member remembers no group: its storage is empty. */
--- a/packages/lovagepond-consensus/src/consensus_formation.ts
+++ b/packages/lovagepond-consensus/src/consensus_formation.ts
@@ -1,10 +1,12 @@
 /**
- * How hosts with empty data folders form a group, or join the one there is.
+ * How hosts without a group form one, or join the one there is.
  *
  * A host whose disk was emptied must not form a second group beside the one
- * that it has forgotten. So only one host, the one with the lowest address,
- * may form a group, and only after every other host said in the same round
- * that it remembers none. When one of them doesn't answer, it waits.
+ * that it has forgotten. So only one host may form a group: the seed with the
+ * lowest address among those that have a disk, and only after every other seed
+ * said in the same round that it remembers none. When one of them doesn't
+ * answer, it waits. When no seed has a disk, the lowest of them appoints one
+ * host that has, and never another.
  */
 import {
   type FormationMessage,
@@ -21,10 +23,17 @@
 export interface FormationView {
   readonly id: MemberId;
   readonly address: string;
+  /** The seeds: hosts that are told to all at the first start. */
   readonly peers: readonly string[];
   readonly helloIntervalMs: number;
   readonly mayForm: boolean;
+  /** This host has no disk. */
+  readonly observer: boolean;
   isBlank(): boolean;
+  /** True when it remembers a group that seems to have forgotten it. */
+  isForgotten(now: number): boolean;
+  isLeading(): boolean;
+  members(): MemberList;
 }
 
 /** Something for the shell to do. */
@@ -35,26 +44,34 @@
       readonly message: FormationMessage;
     }
   | {readonly kind: 'bootstrap'; readonly members: MemberList}
-  /** A host with an empty data folder wants to be a member. */
-  | {
-      readonly kind: 'join';
-      readonly id: MemberId;
-      readonly address: string;
-      /** Another member passed its wish on. */
-      readonly isPassedOn: boolean;
-    };
+  /** A host that is no member wants to be one. */
+  | {readonly kind: 'join'; readonly hello: HelloRequest};
 
 /** Round of a wish that a member passed on; a host's own begin with 1. */
 export const PASSED_ON_ROUND = 0;
 
-/** Forms or joins a group while the own data folder is empty. */
+/**
+ * Time between two introductions of a leader to a seed that is no member,
+ * milliseconds. Such a seed may be gone for good.
+ */
+const INTRODUCTION_INTERVAL_MS = 1_000;
+
+/** Forms or joins a group while there is none that counts this host in. */
 export class Formation {
   readonly #view: FormationView;
+  /** The other seeds. */
   readonly #others: readonly string[];
+  /** Hosts that said in this round that they remember no group. */
   readonly #blankPeers = new Map<string, Member>();
+  /** Addresses of hosts that said that they have no disk. */
+  readonly #observers = new Set<string>();
+  /** Members that said so, while this host knew of no group. */
+  readonly #introduced = new Set<string>();
   #actions: FormationAction[] = [];
   #round = 0;
   #nextHello = -Infinity;
+  #nextIntroduction = -Infinity;
+  #appointed: MemberId | undefined;
 
   /** @param view the member that forms or joins */
   constructor(view: FormationView) {
@@ -71,38 +88,35 @@
 
   /** @param now monotonic milliseconds */
   tick(now: number): void {
-    if (!this.#view.isBlank() || now < this.#nextHello) return;
+    if (this.#view.isLeading()) this.#introduce(now);
+    const blank = this.#view.isBlank();
+    if (!blank && !this.#view.isForgotten(now)) return;
+    if (now < this.#nextHello) return;
     this.#nextHello = now + this.#view.helloIntervalMs;
     this.#round += 1;
     this.#blankPeers.clear();
-    const {id: from, address: fromAddress} = this.#view;
-    const hello = {from, fromAddress, blank: true, round: this.#round};
-    for (const address of this.#others) {
-      const message = {kind: 'hello' as const, ...hello};
-      this.#actions.push({kind: 'send', address, message});
-    }
+    const known = this.#view.members().map(({address}) => address);
+    const asked = new Set([...this.#others, ...this.#introduced, ...known]);
+    asked.delete(this.#view.address);
+    this.#sendHello(asked, blank, true);
     this.#bootstrapWhenAllBlank();
   }
 
-  /** @param message a host asks whether this one remembers a group */
+  /** @param message a host says that it is there */
   onHello(message: HelloRequest): void {
-    const {id, address} = this.#view;
+    const {id, address, observer} = this.#view;
     const blank = this.#view.isBlank();
     const {from: to, round, fromAddress} = message;
+    const appoints = blank && this.#appoint(message);
     const reply = {from: id, fromAddress: address, to, blank, round};
     this.#actions.push({
       kind: 'send',
       address: fromAddress,
-      message: {kind: 'helloReply', ...reply},
-    });
-    if (blank || !message.blank) return;
-    const isPassedOn = round === PASSED_ON_ROUND;
-    this.#actions.push({
-      kind: 'join',
-      id: to,
-      address: fromAddress,
-      isPassedOn,
+      message: {kind: 'helloReply', ...reply, observer, appoints},
     });
+    if (blank && !message.blank) this.#introduced.add(fromAddress);
+    if (blank || !message.joins) return;
+    this.#actions.push({kind: 'join', hello: message});
   }
 
   /** @param message the answer to this host's question */
@@ -110,19 +124,68 @@
     const {id} = this.#view;
     if (message.to !== id || message.round !== this.#round) return;
     if (!message.blank || !this.#view.isBlank()) return;
-    const {from, fromAddress} = message;
+    const {from, fromAddress, observer} = message;
     const member = {id: from, address: fromAddress, voter: true};
+    if (observer) this.#observers.add(fromAddress);
     this.#blankPeers.set(fromAddress, member);
-    this.#bootstrapWhenAllBlank();
+    if (message.appoints && this.#mayFound) this.#bootstrap([]);
+    else this.#bootstrapWhenAllBlank();
+  }
+
+  get #mayFound(): boolean {
+    return this.#view.mayForm && !this.#view.observer;
+  }
+
+  /** Members of a group are unknown to seeds that none of its hosts has met. */
+  #introduce(now: number): void {
+    if (now < this.#nextIntroduction) return;
+    this.#nextIntroduction = now + INTRODUCTION_INTERVAL_MS;
+    const known = this.#view.members().map(({address}) => address);
+    const strangers = this.#others.filter(peer => !known.includes(peer));
+    this.#sendHello(strangers, false, false);
+  }
+
+  #sendHello(
+    addresses: Iterable<string>,
+    blank: boolean,
+    joins: boolean,
+  ): void {
+    const {id: from, address: fromAddress, observer} = this.#view;
+    const round = this.#round;
+    const hello = {from, fromAddress, blank, joins, observer, round};
+    for (const address of addresses) {
+      const message = {kind: 'hello' as const, ...hello};
+      this.#actions.push({kind: 'send', address, message});
+    }
+  }
+
+  /**
+   * A second appointment could make a second group, so there is none, even if
+   * the first host is never heard of again.
+   */
+  #appoint({from, blank, observer}: HelloRequest): boolean {
+    const {address, mayForm, peers} = this.#view;
+    if (!mayForm || !blank || observer) return false;
+    if (!this.#view.observer || !peers.includes(address)) return false;
+    const isLowest = !this.#others.some(other => other < address);
+    const hasDisk = this.#others.some(other => !this.#observers.has(other));
+    if (!isLowest || hasDisk) return false;
+    this.#appointed ??= from;
+    return this.#appointed === from;
   }
 
   #bootstrapWhenAllBlank(): void {
-    const {id, address, mayForm} = this.#view;
-    if (!mayForm) return;
-    if (this.#others.some(other => other < address)) return;
+    const {address, peers} = this.#view;
+    if (!this.#mayFound || !peers.includes(address)) return;
     if (!this.#others.every(other => this.#blankPeers.has(other))) return;
-    const own = {id, address, voter: true};
-    const members = [own, ...this.#blankPeers.values()];
+    const seeds = this.#others.filter(other => !this.#observers.has(other));
+    if (seeds.some(other => other < address)) return;
+    this.#bootstrap(seeds.flatMap(seed => this.#blankPeers.get(seed) ?? []));
+  }
+
+  #bootstrap(others: MemberList): void {
+    const {id, address} = this.#view;
+    const members = [{id, address, voter: true}, ...others];
     this.#actions.push({kind: 'bootstrap', members});
   }
 }
--- /dev/null
+++ b/packages/lovagepond-consensus/src/consensus_formation_performer.ts
@@ -0,0 +1,83 @@
+/**
+ * Carries out what formation decides, at one member.
+ */
+import {
+  type Formation,
+  type FormationAction,
+  PASSED_ON_ROUND,
+} from './consensus_formation.js';
+import {type JoiningHost} from './consensus_member_replacement.js';
+import {
+  type FormationMessage,
+  type HelloRequest,
+} from './consensus_messages.js';
+import {
+  type ConsensusStatus,
+  type Member,
+  MEMBER_ROLE,
+  type MemberList,
+} from './consensus_types.js';
+
+/** What the performer calls. */
+export interface FormationPerformerParts {
+  send(address: string, message: FormationMessage): void;
+  status(): ConsensusStatus;
+  bootstrap(members: MemberList): void;
+  /** Called at a leader with a host that asks to be let in. */
+  join(host: JoiningHost): void;
+}
+
+type Handlers = {
+  readonly [Kind in FormationAction['kind']]: (
+    action: Extract<FormationAction, {kind: Kind}>,
+  ) => void;
+};
+
+/** Performs formation's actions. */
+export class FormationPerformer {
+  readonly #parts: FormationPerformerParts;
+  readonly #handlers: Handlers = {
+    send: ({address, message}) => {
+      this.#parts.send(address, message);
+    },
+    bootstrap: ({members}) => {
+      this.#parts.bootstrap(members);
+    },
+    join: ({hello}) => {
+      this.#join(hello);
+    },
+  };
+
+  /** @param parts what it calls */
+  constructor(parts: FormationPerformerParts) {
+    this.#parts = parts;
+  }
+
+  /** @param formation whose collected actions are performed */
+  perform(formation: Formation): void {
+    for (const action of formation.takeActions()) {
+      const handler = this.#handlers[action.kind] as (
+        action: FormationAction,
+      ) => void;
+      handler(action);
+    }
+  }
+
+  #join(hello: HelloRequest): void {
+    const {role, leader} = this.#parts.status();
+    const {from: id, fromAddress: address, blank, observer} = hello;
+    const isPassedOn = hello.round === PASSED_ON_ROUND;
+    if (role === MEMBER_ROLE.LEADER) {
+      this.#parts.join({id, address, blank, observer});
+    } else if (leader && !isPassedOn) this.#passOn(hello, leader);
+  }
+
+  /**
+   * A host that wants to join knows some members, and the leader may be none of
+   * them: it would wait for good, the lost voter would stay counted, and the
+   * next loss would leave the group without a majority.
+   */
+  #passOn(hello: HelloRequest, leader: Member): void {
+    this.#parts.send(leader.address, {...hello, round: PASSED_ON_ROUND});
+  }
+}
--- a/packages/lovagepond-consensus/src/consensus_leadership.ts
+++ b/packages/lovagepond-consensus/src/consensus_leadership.ts
@@ -34,20 +34,11 @@
   readonly replica: Replica;
 }
 
-/**
- * Silence after which a voter's place may be given away, milliseconds: longer
- * than a restart or a short freeze, since a voter whose place was given away
- * must begin anew with an empty data folder.
- */
-const LOST_AFTER_MS = 4_000;
-
 /** One leader in one term. */
 export class Leadership {
   readonly #view: LeaderView;
   readonly #rounds: ConfirmationRounds;
   readonly #progress = new Map<MemberId, FollowerProgress>();
-  /** When it began to lead, monotonic milliseconds. */
-  readonly #since: number;
   /** Index of the first entry of the own term. */
   readonly #termStart: number;
 
@@ -57,10 +48,9 @@
    */
   constructor(view: LeaderView, now: number) {
     this.#view = view;
-    this.#since = now;
     this.#rounds = new ConfirmationRounds(view.timings, now);
     this.#termStart = view.replica.log.lastIndex + 1;
-    this.membersChanged();
+    this.membersChanged(now);
   }
 
   /** True once an entry of the own term is committed. */
@@ -68,13 +58,17 @@
     return this.#view.replica.commitIndex >= this.#termStart;
   }
 
-  /** Takes the log's member list in force over. */
-  membersChanged(): void {
+  /**
+   * Takes the log's member list in force over.
+   *
+   * @param now monotonic milliseconds
+   */
+  membersChanged(now: number): void {
     const {replica, id} = this.#view;
     const {log} = replica;
     for (const member of log.members) {
       if (member.id === id || this.#progress.has(member.id)) continue;
-      const progress = new FollowerProgress(log.lastIndex + 1);
+      const progress = new FollowerProgress(log.lastIndex + 1, now);
       this.#progress.set(member.id, progress);
     }
     for (const known of [...this.#progress.keys()]) {
@@ -140,13 +134,12 @@
   /**
    * @param id identity of a member
    * @param now monotonic milliseconds
-   * @returns true when it hasn't answered for so long that a host which asks
-   *     to join may take its place
+   * @returns time since its last answer, or since it was first followed
    */
-  isLost(id: MemberId, now: number): boolean {
-    if (id === this.#view.id) return false;
-    const heardAt = this.#progress.get(id)?.heardAt ?? this.#since;
-    return now - heardAt >= LOST_AFTER_MS;
+  silenceMs(id: MemberId, now: number): number {
+    const progress = this.#progress.get(id);
+    if (!progress) return 0;
+    return now - (progress.heardAt ?? progress.since);
   }
 
   /** @param token the caller's number for a read that arrives now */
--- /dev/null
+++ b/packages/lovagepond-consensus/src/consensus_member_removal.ts
@@ -0,0 +1,59 @@
+/**
+ * Decides which silent members a leader takes off the list.
+ *
+ * A host that is gone for good stays counted in each majority until somebody
+ * takes it off. After a planned replacement, where the newcomer joins before
+ * the old host ends, a group of three has four voters, one of them gone: the
+ * next lost disk then leaves two of four, which can't elect a leader ever again.
+ */
+import {type MemberId, type MemberList} from './consensus_types.js';
+
+/**
+ * Silence after which a voter's place may be given to a host that joins, and
+ * after which a learner is taken off, milliseconds: longer than a restart or a
+ * short freeze, since it costs the one that returns a second change of members.
+ */
+export const LOST_AFTER_MS = 4_000;
+
+/**
+ * Silence after which a voter is taken off a group that has enough others,
+ * milliseconds. A further loss may follow four seconds after a replaced host's
+ * successor has started, and the old host ends in the second of them.
+ */
+const SURPLUS_LOST_AFTER_MS = 1_000;
+
+/** Fewer voters are never left: two of them could bear no loss at all. */
+const MIN_VOTERS = 3;
+
+/** What is known of the members, and what the group must bear. */
+export interface RemovalView {
+  readonly members: MemberList;
+  /** @returns time since a member's last answer, milliseconds */
+  silenceMs(id: MemberId): number;
+  /** Undefined where voters are taken off by operators only. */
+  readonly toleratedLosses: number | undefined;
+}
+
+/**
+ * @param view the members as their leader sees them
+ * @returns the member to take off, if any: the one that is silent longest
+ */
+export function chooseRemoval(view: RemovalView): MemberId | undefined {
+  const silent = view.members
+    .filter(({id, voter}) => isRemovable(view, id, voter))
+    .sort((a, b) => view.silenceMs(b.id) - view.silenceMs(a.id));
+  return silent[0]?.id;
+}
+
+function isRemovable(view: RemovalView, id: MemberId, voter: boolean): boolean {
+  if (view.toleratedLosses === undefined) return false;
+  const silenceMs = view.silenceMs(id);
+  if (!voter) return silenceMs >= LOST_AFTER_MS;
+  return hasSurplus(view) && silenceMs >= SURPLUS_LOST_AFTER_MS;
+}
+
+/** The voters left have a majority after the loss of any so many of them. */
+function hasSurplus({members, toleratedLosses = 0}: RemovalView): boolean {
+  const voters = members.filter(({voter}) => voter).length;
+  return voters > Math.max(MIN_VOTERS, 2 * toleratedLosses + 1);
+}
--- a/packages/lovagepond-consensus/src/consensus_member_replacement.ts
+++ b/packages/lovagepond-consensus/src/consensus_member_replacement.ts
@@ -1,7 +1,8 @@
 /**
  * Puts a new member in an old one's place, one change after the other.
  */
-import {type MemberChange} from './consensus_members.js';
+import {findMember, type MemberChange} from './consensus_members.js';
+import {chooseRemoval, LOST_AFTER_MS} from './consensus_member_removal.js';
 import {
   CHANGE_REFUSAL,
   type ChangeOutcome,
@@ -18,14 +19,26 @@
   status(): ConsensusStatus;
   isCaughtUp(id: MemberId): boolean;
   isActive(id: MemberId): boolean;
-  /** True when the member has been silent long enough to be replaced. */
-  isLost(id: MemberId): boolean;
+  /** Time since a member's last answer, milliseconds. */
+  silenceMs(id: MemberId): number;
+  /** See {@link ConsensusSettings.toleratedLosses}. */
+  readonly toleratedLosses: number | undefined;
   /** Hosts at new addresses take the places of lost voters. */
   readonly openMembership: boolean;
   /** True when a host at the address may join by itself. */
   mayJoin(address: string): boolean;
 }
 
+/** A host that wants to be a member. */
+export interface JoiningHost {
+  readonly id: MemberId;
+  readonly address: string;
+  /** Its data folder is empty; else it was a member before. */
+  readonly blank: boolean;
+  /** It never votes. */
+  readonly observer: boolean;
+}
+
 interface Waiter {
   readonly id: MemberId;
   resolve(isCaughtUp: boolean): void;
@@ -37,6 +50,11 @@
   return before.some(({address}) => address === member.address);
 }
 
+/** It is to vote once it has caught up. */
+function isLearner({voter, observer}: Member): boolean {
+  return !voter && !observer;
+}
+
 /** Runs replacements while its member leads. */
 export class MemberReplacement {
   readonly #view: ReplacementView;
@@ -82,34 +100,53 @@
   }
 
   /**
-   * Lets a host with an empty data folder in, in place of the identity that
-   * its address had. That identity can't come back: its address is taken.
+   * Lets a host in: one with an empty data folder in place of the identity that
+   * its address had, which can't come back, and one that was taken off the list
+   * while it was away.
    *
-   * @param id identity of the new member
-   * @param address where it is reached
+   * @param host the host
    */
-  join(id: MemberId, address: string): void {
+  join(host: JoiningHost): void {
+    const {id, address, observer} = host;
     const {role, members} = this.#view.status();
     if (role !== MEMBER_ROLE.LEADER || this.#joining.size > 0) return;
-    if (!this.#view.mayJoin(address)) return;
+    if (findMember(members, id)?.voter || !this.#mayJoin(host)) return;
     const others = members.filter(member => member.id !== id);
-    const old = this.#findFormer(others, address);
-    if (!old && this.#awaitsCertainty(others)) return;
+    const old = this.#findFormer(others, host);
+    if (!observer && !old && this.#awaitsCertainty(others)) return;
     this.#joining.add(id);
-    void this.start(old?.id, id, address).finally(() => {
+    const joining = observer
+      ? this.#admitObserver(old?.id, host)
+      : this.start(old?.id, id, address);
+    void joining.finally(() => {
       this.#joining.delete(id);
     });
   }
 
+  async #admitObserver(
+    oldId: MemberId | undefined,
+    {id, address}: JoiningHost,
+  ): Promise<ChangeOutcome> {
+    const add = {kind: 'addLearner', id, address, observer: true} as const;
+    const added = await this.#change(add);
+    if (added.kind !== 'committed' || oldId === undefined) return added;
+    return this.#change({kind: 'remove', id: oldId});
+  }
+
   /**
    * A host at a new address takes the place of a voter that doesn't answer:
    * else each lost host would raise the majority needed for good, until the
    * hosts that are left can't make one.
    */
-  #findFormer(others: MemberList, address: string): Member | undefined {
+  #findFormer(
+    others: MemberList,
+    {address, observer}: JoiningHost,
+  ): Member | undefined {
     const former = others.find(member => member.address === address);
-    if (former || !this.#view.openMembership) return former;
-    return others.find(({id, voter}) => voter && this.#view.isLost(id));
+    if (former || observer || !this.#view.openMembership) return former;
+    return others.find(
+      ({id, voter}) => voter && this.#view.silenceMs(id) >= LOST_AFTER_MS,
+    );
   }
 
   /** Whether a silent voter is lost shows soon: the newcomer waits so long. */
@@ -123,13 +160,37 @@
     const {role, members} = this.#view.status();
     const isLeading = role === MEMBER_ROLE.LEADER;
     const unfinished = members.find(
-      (member, at) => !member.voter || isSuccessor(members, member, at),
+      (member, at) => isLearner(member) || isSuccessor(members, member, at),
+    );
+    if (unfinished) this.#goOn(unfinished);
+    if (isLeading) this.#removeSilent(members);
+    this.#settle(
+      ({id}) =>
+        !isLeading ||
+        this.#view.isCaughtUp(id) ||
+        findMember(members, id) === undefined,
     );
-    if (unfinished) this.join(unfinished.id, unfinished.address);
-    this.#settle(waiter => !isLeading || this.#view.isCaughtUp(waiter.id));
     this.#resumeTickWaiters();
   }
 
+  #goOn({id, address, observer}: Member): void {
+    this.join({id, address, blank: true, observer: observer ?? false});
+  }
+
+  /**
+   * A member that an operator took off must not come back by itself, so only a
+   * group that takes silent members off by itself lets former ones in.
+   */
+  #mayJoin({address, blank}: JoiningHost): boolean {
+    if (!blank && this.#view.toleratedLosses === undefined) return false;
+    return this.#view.mayJoin(address);
+  }
+
+  #removeSilent(members: MemberList): void {
+    const id = chooseRemoval({...this.#view, members});
+    if (id !== undefined) void this.#view.change({kind: 'remove', id});
+  }
+
   /** Gives up what is under way. */
   stop(): void {
     this.#settle(() => true);
--- a/packages/lovagepond-consensus/src/consensus_member_state.ts
+++ b/packages/lovagepond-consensus/src/consensus_member_state.ts
@@ -131,6 +131,14 @@
     return lastIndex >= log.lastIndex;
   }
 
+  /**
+   * @param now monotonic milliseconds
+   * @returns time since a leader's last message, or since the start
+   */
+  leaderSilenceMs(now: number): number {
+    return now - this.#leaderContact;
+  }
+
   /** @param now monotonic milliseconds */
   postponeElection(now: number): void {
     this.#electionDue = now + this.#drawTimeout();
--- a/packages/lovagepond-consensus/src/consensus_members.ts
+++ b/packages/lovagepond-consensus/src/consensus_members.ts
@@ -16,6 +16,8 @@
       readonly kind: 'addLearner';
       readonly id: MemberId;
       readonly address: string;
+      /** It stays a learner for good. */
+      readonly observer?: boolean;
     }
   | {readonly kind: 'promote'; readonly id: MemberId}
   | {readonly kind: 'remove'; readonly id: MemberId};
@@ -27,7 +29,12 @@
 
 /** A member list as it stands in entries, snapshots and messages. */
 export const memberListSchema = z.array(
-  z.object({id: z.string(), address: z.string(), voter: z.boolean()}),
+  z.object({
+    id: z.string(),
+    address: z.string(),
+    voter: z.boolean(),
+    observer: z.literal(true).optional(),
+  }),
 );
 
 /**
@@ -104,9 +111,11 @@
   members: MemberList,
   change: Extract<MemberChange, {kind: 'addLearner'}>,
 ): ChangedMembers {
-  const {id, address} = change;
+  const {id, address, observer} = change;
   if (findMember(members, id)) return refuse(CHANGE_REFUSAL.ALREADY_MEMBER);
-  return {ok: true, members: [...members, {id, address, voter: false}]};
+  const learner = {id, address, voter: false};
+  const added = observer ? {...learner, observer} : learner;
+  return {ok: true, members: [...members, added]};
 }
 
 function promote(
@@ -116,6 +125,8 @@
   const found = findMember(members, change.id);
   if (!found) return refuse(CHANGE_REFUSAL.UNKNOWN_MEMBER);
   if (found.voter) return refuse(CHANGE_REFUSAL.ALREADY_MEMBER);
+  // It has no disk: what it acknowledged would be gone with its process.
+  if (found.observer) return refuse(CHANGE_REFUSAL.OBSERVER);
   const changed = members.map(member =>
     member === found ? {...member, voter: true} : member,
   );
--- a/packages/lovagepond-consensus/src/consensus_messages.ts
+++ b/packages/lovagepond-consensus/src/consensus_messages.ts
@@ -110,6 +110,10 @@
   readonly fromAddress: string;
   /** The sender's data folder is empty: it remembers no group. */
   readonly blank: boolean;
+  /** The sender wants to be a member; else it only says that it is one. */
+  readonly joins: boolean;
+  /** The sender has no disk and never votes. */
+  readonly observer: boolean;
   /** Returned in the reply: an answer to an earlier round does not count. */
   readonly round: number;
 }
@@ -121,6 +125,10 @@
   readonly fromAddress: string;
   readonly to: MemberId;
   readonly blank: boolean;
+  /** The sender has no disk and never votes. */
+  readonly observer: boolean;
+  /** The receiver is to form the group by itself. */
+  readonly appoints: boolean;
   readonly round: number;
 }
 
--- a/packages/lovagepond-consensus/src/consensus_node.ts
+++ b/packages/lovagepond-consensus/src/consensus_node.ts
@@ -15,11 +15,8 @@
 } from './consensus_action_performer.js';
 import {ConsensusCore, type Proposal} from './consensus_core.js';
 import {BeliefLog} from './consensus_belief_log.js';
-import {
-  Formation,
-  type FormationAction,
-  PASSED_ON_ROUND,
-} from './consensus_formation.js';
+import {Formation} from './consensus_formation.js';
+import {FormationPerformer} from './consensus_formation_performer.js';
 import {type MemberChange} from './consensus_members.js';
 import {MemberReplacement} from './consensus_member_replacement.js';
 import {type TransportMessage} from './consensus_messages.js';
@@ -32,7 +29,6 @@
   type ChangeOutcome,
   type ConsensusSettings,
   type ConsensusStatus,
-  type Member,
   MEMBER_ROLE,
   type MemberId,
   type ProposeOutcome,
@@ -88,6 +84,7 @@
   readonly #writer: StorageWriter;
   readonly #performer: ActionPerformer;
   readonly #replacement: MemberReplacement;
+  readonly #formationPerformer: FormationPerformer;
   readonly #beliefs: BeliefLog;
   #core: ConsensusCore | undefined;
   #formation: Formation | undefined;
@@ -126,13 +123,29 @@
       status: () => this.status(),
       isCaughtUp: id => this.#core?.isCaughtUp(id) ?? false,
       isActive: id => this.#core?.isActive(id, this.#now()) ?? false,
-      isLost: id => this.#core?.isLost(id, this.#now()) ?? false,
+      silenceMs: id => this.#core?.silenceMs(id, this.#now()) ?? 0,
       openMembership: settings.openMembership ?? false,
+      toleratedLosses: settings.toleratedLosses,
       mayJoin: address => {
         const {automaticJoin = true, openMembership = false, peers} = settings;
         return automaticJoin && (openMembership || peers.includes(address));
       },
     });
+    this.#formationPerformer = new FormationPerformer({
+      send: (address, message) => {
+        parts.transport.send(address, message);
+      },
+      status: () => this.status(),
+      bootstrap: members => {
+        this.#run(core => {
+          core.bootstrap(members);
+          core.tick(this.#now());
+        });
+      },
+      join: host => {
+        this.#replacement.join(host);
+      },
+    });
   }
 
   /**
@@ -152,8 +165,12 @@
       address,
       peers,
       mayForm: this.#settings.mayForm ?? true,
+      observer: this.#settings.observer ?? false,
       helloIntervalMs: timings.electionTimeoutMs * HELLO_INTERVAL_TIMEOUTS,
       isBlank: () => core.isBlank,
+      isForgotten: now => core.isForgotten(now),
+      isLeading: () => this.status().role === MEMBER_ROLE.LEADER,
+      members: () => this.status().members,
     });
     this.#unregister = transport.onMessage(message => {
       this.#receive(message);
@@ -289,7 +306,7 @@
   }
 
   #change(change: MemberChange): Promise<ChangeOutcome> {
-    const proposal = this.#core?.changeMembers(change);
+    const proposal = this.#core?.changeMembers(change, this.#now());
     if (proposal?.kind === 'refused') return Promise.resolve(proposal);
     return this.#await(proposal);
   }
@@ -328,44 +345,7 @@
   }
 
   #performFormation(): void {
-    for (const action of this.#formation?.takeActions() ?? []) {
-      const handler = this.#formationHandlers[action.kind] as (
-        action: FormationAction,
-      ) => void;
-      handler(action);
-    }
-  }
-
-  readonly #formationHandlers: {
-    readonly [Kind in FormationAction['kind']]: (
-      action: Extract<FormationAction, {kind: Kind}>,
-    ) => void;
-  } = {
-    send: ({address, message}) => {
-      this.#parts.transport.send(address, message);
-    },
-    bootstrap: ({members}) => {
-      this.#run(core => {
-        core.bootstrap(members);
-        core.tick(this.#now());
-      });
-    },
-    join: ({id, address, isPassedOn}) => {
-      const {role, leader} = this.status();
-      const leads = role === MEMBER_ROLE.LEADER;
-      if (leads) this.#replacement.join(id, address);
-      else if (leader && !isPassedOn) this.#passOn(id, address, leader);
-    },
-  };
-
-  /**
-   * A host that wants to join knows some members, and the leader may be none of
-   * them: it would wait for good, the lost voter would stay counted, and the
-   * next loss would leave the group without a majority.
-   */
-  #passOn(from: MemberId, fromAddress: string, leader: Member): void {
-    const hello = {from, fromAddress, blank: true, round: PASSED_ON_ROUND};
-    this.#parts.transport.send(leader.address, {kind: 'hello', ...hello});
+    if (this.#formation) this.#formationPerformer.perform(this.#formation);
   }
 
   #fail(err: unknown): void {
--- a/packages/lovagepond-consensus/src/consensus_progress.ts
+++ b/packages/lovagepond-consensus/src/consensus_progress.ts
@@ -65,9 +65,16 @@
   /** When the last part of a snapshot left, monotonic milliseconds. */
   #partSentAt = 0;
 
-  /** @param next the index to try first */
-  constructor(next: number) {
+  /** When the leader began to follow it, monotonic milliseconds. */
+  readonly since: number;
+
+  /**
+   * @param next the index to try first
+   * @param since present time, monotonic milliseconds
+   */
+  constructor(next: number, since: number) {
     this.next = next;
+    this.since = since;
   }
 
   /**
--- a/packages/lovagepond-consensus/src/consensus_types.ts
+++ b/packages/lovagepond-consensus/src/consensus_types.ts
@@ -15,6 +15,8 @@
   readonly address: string;
   /** False for a learner: it receives the log and counts in no majority. */
   readonly voter: boolean;
+  /** A learner for good: it keeps its log in memory only. */
+  readonly observer?: true | undefined;
 }
 
 /** The members, voters and learners, as of some log index. */
@@ -115,6 +117,8 @@
   /** The learner's synced log is not up to the commit index. */
   NOT_CAUGHT_UP: 'notCaughtUp',
   LAST_VOTER: 'lastVoter',
+  /** A learner without a disk never votes. */
+  OBSERVER: 'observer',
 } as const;
 
 /** One of the values of {@link CHANGE_REFUSAL}. */
@@ -216,4 +220,17 @@
    * of a voter that no longer answers, or beside the others. False by default.
    */
   readonly openMembership?: boolean;
+  /**
+   * Hosts that the group must be able to lose at once. When set, the leader
+   * takes silent voters off the list as long as those left can bear that loss:
+   * a voter that is gone for good counts in each majority, and raises the
+   * number of answers needed. Without it only an operator or a host that joins
+   * takes a voter off.
+   */
+  readonly toleratedLosses?: number;
+  /**
+   * This host keeps its log in memory: it receives the log and never votes.
+   * False by default.
+   */
+  readonly observer?: boolean;
 }
--- a/packages/lovagepond-control/src/__tests__/unit/member_message_codec.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/member_message_codec.test.ts
@@ -8,7 +8,15 @@
 
 const ENVELOPE = {from: 'a', fromAddress: 'a:1', to: 'b', term: 2 ** 40};
 const MESSAGES: TransportMessage[] = [
-  {kind: 'hello', from: 'a', fromAddress: 'a:1', blank: true, round: 1},
+  {
+    kind: 'hello',
+    from: 'a',
+    fromAddress: 'a:1',
+    blank: true,
+    joins: true,
+    observer: false,
+    round: 1,
+  },
   {...ENVELOPE, kind: 'voteReply', granted: true},
   {
     ...ENVELOPE,
--- a/packages/lovagepond-control/src/control_role.ts
+++ b/packages/lovagepond-control/src/control_role.ts
@@ -2,6 +2,7 @@
  * The control role: one member with its gRPC server, its timers and its part
  * in consensus.
  */
+import {randomUUID} from 'node:crypto';
 import {type Server} from '@grpc/grpc-js';
 import {
   ConsensusNode,
@@ -10,6 +11,7 @@
   type ConsensusTimings,
   type ConsensusTransport,
   FileStorage,
+  MemoryStorage,
 } from '@lovagepond/consensus';
 import {
   type Clock,
@@ -96,9 +98,9 @@
     const transport = parts.makeTransport?.(server) ?? this.#connect(server);
     this.#node = new ConsensusNode(toConsensusSettings(settings, parts), {
       stateMachine: machine,
-      storage: parts.storage ?? new FileStorage(settings.dataFolder),
+      storage: parts.storage ?? openStorage(settings),
       ...(!parts.storage && {
-        reopenStorage: () => new FileStorage(settings.dataFolder, true),
+        reopenStorage: () => openStorage(settings, true),
       }),
       transport,
       clock,
@@ -161,6 +163,15 @@
   }
 }
 
+/** An observer's identity ends with its process, as its log does. */
+function openStorage(
+  {observer, dataFolder}: ControlSettings,
+  again = false,
+): ConsensusStorage {
+  if (observer) return new MemoryStorage(randomUUID());
+  return new FileStorage(dataFolder, again);
+}
+
 function toConsensusSettings(
   settings: ControlSettings,
   parts: ControlParts,
@@ -171,5 +182,9 @@
     timings: parts.timings ?? CONTROL_TIMINGS,
     mayForm: settings.mayFormGroup,
     openMembership: settings.openMembership,
+    observer: settings.observer,
+    ...(settings.toleratedLosses !== undefined && {
+      toleratedLosses: settings.toleratedLosses,
+    }),
   };
 }
--- a/packages/lovagepond-control/src/control_settings.ts
+++ b/packages/lovagepond-control/src/control_settings.ts
@@ -30,6 +30,16 @@
   readonly mayFormGroup: boolean;
   /** Hosts that `members` doesn't name may join, in place of lost ones. */
   readonly openMembership: boolean;
+  /**
+   * Hosts that the group must be able to lose at once; undefined where only
+   * operators take silent members off.
+   */
+  readonly toleratedLosses?: number;
+  /**
+   * This host has no disk: it follows the log, serves subscriptions and passes
+   * calls on, and never votes.
+   */
+  readonly observer: boolean;
   /** A backend server that doesn't renew for this long is gone. */
   readonly leaseMs: number;
   /** Time between two load digests to a subscriber. */
@@ -70,6 +80,7 @@
 export const CONTROL_DEFAULTS = {
   mayFormGroup: true,
   openMembership: false,
+  observer: false,
   leaseMs: 3_000,
   digestIntervalMs: 1_000,
   heartbeatIntervalMs: 1_000,
--- a/packages/lovagepond-scenarios/src/world/consensus_group.ts
+++ b/packages/lovagepond-scenarios/src/world/consensus_group.ts
@@ -317,7 +317,7 @@
    */
   changeMembers(change: MemberChange): Proposal {
     const {leader} = this;
-    const proposal = leader.core.changeMembers(change);
+    const proposal = leader.core.changeMembers(change, this.#timeline.now);
     leader.core.flush(this.#timeline.now);
     leader.perform();
     return proposal;
