Let a stopping gateway close idle connections and take only what can end in time

An answer whose head went out before the stop doesn't say that its connection ends, so the connection stayed. Change: while it stops, a gateway closes idle connections ten times a second, and refuses as not run what by the durations observed for its rule would end after the process does. Control lets calls under way end and takes no new ones.

--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -166,7 +166,7 @@
    */
   async drain(limitMs: number): Promise<void> {
     this.#draining = true;
-    this.#server?.beginClosing();
+    this.#server?.beginClosing(this.#parts.clock.now() + limitMs);
     const lingerMs = Math.min(this.#settings.drainLingerMs, limitMs);
     await new Promise(resolve => setTimeout(resolve, lingerMs));
     const limit = new Promise<void>(resolve => {
--- a/packages/lovagepond-gateway/src/gateway_server.ts
+++ b/packages/lovagepond-gateway/src/gateway_server.ts
@@ -22,6 +22,7 @@
 import {type ClockReading} from './gateway_authority.js';
 import {CallerChannel} from './gateway_caller_channel.js';
 import {Exchange, type ExchangeParts} from './gateway_exchange.js';
+import {GatewayDeparture} from './gateway_departure.js';
 import {readFacts, type RequestFacts} from './gateway_headers.js';
 import {type GatewaySettings} from './gateway_settings.js';
 import {WaitingRoom} from './gateway_waiting_room.js';
@@ -44,6 +45,13 @@
 /** A caller may send up to the idle timeout: the server closes later. */
 const IDLE_MARGIN_MS = 1_000;
 
+/**
+ * How often a stopping gateway closes kept connections that have become idle,
+ * milliseconds. An answer that began before the stop didn't say that its
+ * connection ends, so its caller would send the next request on it.
+ */
+const IDLE_SWEEP_MS = 100;
+
 /** Assumed of a request that doesn't say how long its caller waits, ms. */
 const DEFAULT_DEADLINE_MS = 1_000;
 
@@ -72,7 +80,8 @@
   #limits = FIRST_LIMITS;
   #inFlight = 0;
   #heldBytes = 0;
-  #closing = false;
+  readonly #departure = new GatewayDeparture();
+  #idleSweep: NodeJS.Timeout | undefined;
   #idleListener: (() => void) | undefined;
 
   constructor(settings: FrontSettings, parts: GatewayServerParts) {
@@ -122,9 +131,17 @@
     });
   }
 
-  /** From now on each answer ends its connection. */
-  beginClosing(): void {
-    this.#closing = true;
+  /**
+   * From now on each answer ends its connection, idle ones are closed, and what
+   * can't end in time isn't taken.
+   *
+   * @param endsAt when the process ends at the latest, monotonic milliseconds
+   */
+  beginClosing(endsAt: number): void {
+    this.#departure.begin(endsAt);
+    this.#idleSweep = setInterval(() => {
+      this.#server.closeIdleConnections();
+    }, IDLE_SWEEP_MS);
   }
 
   /** Takes no new connections, and resolves once nothing is in flight. */
@@ -139,6 +156,7 @@
 
   /** Ends at once. */
   stop(): void {
+    clearInterval(this.#idleSweep);
     this.#server.close();
     this.#server.closeAllConnections();
   }
@@ -157,7 +175,7 @@
     const caller = new CallerChannel(
       res,
       this.#parts.random,
-      () => this.#closing,
+      () => this.#departure.isClosing,
     );
     const facts = readFacts(req.headers, this.#parts.names);
     const fault = this.#findFault(req);
@@ -196,13 +214,19 @@
       return;
     }
     const {admitted} = admission;
+    const {name} = admitted.rule;
+    const limitMs = admitted.deadlineAt - at.now;
+    if (!this.#departure.mayTake(name, limitMs, at.now)) {
+      this.#refuse(caller, facts, 'notReady');
+      return;
+    }
     this.#inFlight += 1;
     const done = (): void => {
       this.#inFlight -= 1;
+      this.#departure.noteEnded(name, this.#clock.now() - arrivedAt);
       if (this.#inFlight === 0) this.#idleListener?.();
     };
-    const left = admitted.deadlineAt - at.now;
-    readBody(req, this.#limits.maxBodyBytes, left, {
+    readBody(req, this.#limits.maxBodyBytes, limitMs, {
       onWhole: body => {
         this.#run(req, facts, admitted, body, caller, done);
       },
