Tell the lives of a server apart, and leave out reports that can't be its own

Cause: a server may start again under the identifier that it had, and a report may come from another writer. The table of ended servers shut the new life out; warm prompts, load and pauses of the former one were believed of it; a report with a state or a pool that nobody names made a server that was used, or put the one out that answers at its address. Change: each life is a server of its own by name; a former life, and a report without a start of a server that tells one, are never taken in. Connections are kept by life, so none of a former one is used.

--- a/packages/lovagepond-control/src/__tests__/unit/direct_server_table.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/direct_server_table.test.ts
@@ -1,4 +1,4 @@
-import {expect, test} from 'vitest';
+import {describe, expect, test} from 'vitest';
 import {
   DirectServerTable,
   type JoiningServer,
@@ -84,3 +84,72 @@
   restored.join(server('b'), 2_000);
   expect(restored.get('b')).toBeUndefined();
 });
+
+describe('a server that starts again under its name', () => {
+  const life = (startedAtMs: number): JoiningServer => ({
+    ...server('a', 'host:1'),
+    name: `a@${startedAtMs}`,
+    startedAtMs,
+  });
+  const namesOf = (table: DirectServerTable): string[] =>
+    table.list().map(one => one.server.name);
+
+  // It crashes and starts again at once, under its name and at its address.
+  // What routers believe of it belongs to the former life, which has ended.
+  test('is another server, at the place that it had', () => {
+    const table = new DirectServerTable();
+    table.join(life(1_000), 0);
+    table.join(life(2_000), 30_000);
+    expect(placesOf(table)).toEqual({'a@2000': 'a@1000'});
+  });
+
+  // A report of the former life was held up by a partition. It arrives after
+  // the new life was there, or after that one has ended: callers would be sent
+  // to a server that isn't there.
+  test('is not put out by a report of a former life', () => {
+    const table = new DirectServerTable();
+    table.join(life(1_000), 0);
+    table.join(life(2_000), 30_000);
+    table.join(life(3_000), 60_000);
+    table.join(life(1_000), 60_100);
+    table.join(life(2_000), 60_200);
+    expect(namesOf(table)).toEqual(['a@3000']);
+    table.end('a@3000', 70_000);
+    table.join(life(2_000), 70_100);
+    expect(namesOf(table)).toEqual([]);
+    table.join(life(4_000), 70_200);
+    expect(namesOf(table)).toEqual(['a@4000']);
+  });
+
+  // The life before was dropped as silent, not ended, and only its report comes
+  // late: dropped servers may come back, former lives may not.
+  test('is not put out by a life that had gone silent', () => {
+    const table = new DirectServerTable();
+    table.join(life(1_000), 0);
+    table.drop('a@1000', 20_000);
+    table.join(life(2_000), 30_000);
+    table.join(life(1_000), 30_100);
+    expect(namesOf(table)).toEqual(['a@2000']);
+  });
+
+  // One without a start can't be the server itself, which always tells it.
+  test('is not put out by a report that tells no start', () => {
+    const table = new DirectServerTable();
+    table.join(life(1_000), 0);
+    table.join(server('a', 'host:1'), 1_000);
+    expect(namesOf(table)).toEqual(['a@1000']);
+  });
+
+  test('keeps its lives apart after a restart of control', () => {
+    const table = new DirectServerTable();
+    table.join(life(1_000), 0);
+    table.join(life(2_000), 1_000);
+    table.drop('a@2000', 20_000);
+    const again = new DirectServerTable();
+    again.restore(table.snapshot());
+    again.join(life(1_000), 21_000);
+    expect(namesOf(again)).toEqual([]);
+    again.join(life(2_000), 22_000);
+    expect(namesOf(again)).toEqual(['a@2000']);
+  });
+});
--- a/packages/lovagepond-control/src/direct_server_table.ts
+++ b/packages/lovagepond-control/src/direct_server_table.ts
@@ -13,7 +13,13 @@
 import {type BackendServer} from '@lovagepond/core';
 
 /** A server as it joined. */
-export type JoiningServer = Omit<BackendServer, 'slot' | 'state' | 'place'>;
+export type JoiningServer = Omit<BackendServer, 'slot' | 'state' | 'place'> & {
+  /**
+   * Start of this life, milliseconds since the Unix epoch: tells lives of one
+   * incarnation apart, in which a server may start again.
+   */
+  readonly startedAtMs?: number | undefined;
+};
 
 /** One server of the table. */
 export interface DirectServerRecord {
@@ -36,6 +42,8 @@
   readonly records: readonly DirectServerRecord[];
   readonly vacant: readonly VacantPlace[];
   readonly ended: readonly string[];
+  /** Start of the newest life of each incarnation; absent in older ones. */
+  readonly lives?: readonly (readonly [string, number])[];
 }
 
 /**
@@ -59,10 +67,14 @@
 /** Servers that ended, remembered so that none is brought back; bounded. */
 const MAX_ENDED = 2_048;
 
+/** Incarnations whose newest life is remembered, for the same reason. */
+const MAX_LIVES = 2_048;
+
 /** Servers and places. Part of the replicated state. */
 export class DirectServerTable {
   readonly #records = new Map<string, DirectServerRecord>();
   readonly #ended = new Set<string>();
+  readonly #lives = new Map<string, number>();
   #vacant: VacantPlace[] = [];
 
   /** @returns all servers, in the order in which they joined */
@@ -79,23 +91,39 @@
   }
 
   /**
-   * Takes a server in, unless it ended: an announcement that a partition held
-   * up may arrive after its sender's end.
+   * Takes a server in, unless it ended or a later life of it is known: an
+   * announcement that a partition held up may arrive after its sender's end,
+   * and would put the server out that now answers at its address.
    *
    * @param server a server that is new to the table
    * @param timeMs replicated time
    */
   join(server: JoiningServer, timeMs: number): void {
     if (this.#records.has(server.name) || this.#ended.has(server.name)) return;
-    // A new incarnation at an address means that the one before has ended.
+    if (this.#isFormerLife(server)) return;
+    this.#rememberLife(server);
+    // A new server at an address means that the one before has ended, as does
+    // a later life of an incarnation, wherever it is.
     for (const {server: former} of this.list()) {
-      if (former.address === server.address) this.end(former.name, timeMs);
+      const isSame = former.incarnation === server.incarnation;
+      const isAtAddress = former.address === server.address;
+      if (isSame || isAtAddress) this.end(former.name, timeMs);
     }
     const place = this.#takeVacant(server.pool) ?? this.#found(server, timeMs);
     const record = {server, leaving: false, place, joinedAtMs: timeMs};
     this.#records.set(server.name, record);
   }
 
+  /**
+   * @param incarnation a server's
+   * @returns the name of the life of it that is in the table
+   */
+  nameOf(incarnation: string): string | undefined {
+    const records = this.list();
+    return records.find(({server}) => server.incarnation === incarnation)
+      ?.server.name;
+  }
+
   /**
    * @param name a server that says it leaves
    * @param timeMs replicated time
@@ -159,7 +187,8 @@
   /** @returns the serialized form */
   snapshot(): DirectServerSnapshot {
     const ended = [...this.#ended];
-    return {records: this.list(), vacant: this.#vacant, ended};
+    const lives = [...this.#lives];
+    return {records: this.list(), vacant: this.#vacant, ended, lives};
   }
 
   /** @param snapshot what {@link snapshot} gave; absent in older ones */
@@ -171,6 +200,23 @@
     this.#vacant = [...(snapshot?.vacant ?? [])];
     this.#ended.clear();
     for (const name of snapshot?.ended ?? []) this.#ended.add(name);
+    this.#lives.clear();
+    for (const [name, at] of snapshot?.lives ?? []) this.#lives.set(name, at);
+  }
+
+  /** One without a start, of an incarnation that tells it, is another's word. */
+  #isFormerLife({incarnation, startedAtMs = 0}: JoiningServer): boolean {
+    return startedAtMs < (this.#lives.get(incarnation) ?? 0);
+  }
+
+  #rememberLife({incarnation, startedAtMs}: JoiningServer): void {
+    if (startedAtMs === undefined) return;
+    this.#lives.delete(incarnation);
+    this.#lives.set(incarnation, startedAtMs);
+    for (const oldest of this.#lives.keys()) {
+      if (this.#lives.size <= MAX_LIVES) return;
+      this.#lives.delete(oldest);
+    }
   }
 
   #standByOver(timeMs: number): DirectServerRecord[] {
--- a/packages/lovagepond-control/src/direct_servers.ts
+++ b/packages/lovagepond-control/src/direct_servers.ts
@@ -22,8 +22,13 @@
 
 /** What a server says of itself. */
 export interface DirectAnnouncement {
-  /** The server's name, new with each start. */
+  /** The name under which the server answers; it may start again under it. */
   readonly incarnation: string;
+  /**
+   * Start of this life, milliseconds since the Unix epoch; undefined where
+   * each start has an incarnation of its own.
+   */
+  readonly startedAtMs: number | undefined;
   readonly pool: string;
   readonly address: string;
   readonly availabilityZone: string;
@@ -40,6 +45,8 @@
 /** What became of an announcement. */
 export type AnnouncementAnswer =
   | {readonly kind: 'accepted'}
+  /** The configuration in force has no such pool. */
+  | {readonly kind: 'unknownPool'}
   | {readonly kind: 'notLeader'; readonly leader: string}
   /** It may have been committed: the server says it again. */
   | {readonly kind: 'unknown'};
@@ -78,27 +85,31 @@
    */
   async announce(said: DirectAnnouncement): Promise<AnnouncementAnswer> {
     if (!this.#serves()) return this.#refuse();
+    if (!this.#isKnownPool(said.pool)) return {kind: 'unknownPool'};
+    const name = nameOfLife(said);
     // A late announcement must not bring back an earlier state.
-    const isLate =
-      said.sequence <= (this.#sequences.get(said.incarnation) ?? -1);
+    const isLate = said.sequence <= (this.#sequences.get(name) ?? -1);
     if (isLate && !said.leaving) return {kind: 'accepted'};
-    this.#sequences.set(said.incarnation, said.sequence);
+    this.#sequences.set(name, said.sequence);
     const committed = await this.#commit(said);
     if (committed.kind !== 'committed') return this.#explain(committed);
     if (!this.#serves()) return this.#refuse();
-    this.#renew(said.incarnation);
+    this.#renew(name);
     return {kind: 'accepted'};
   }
 
   /**
    * A server says that it is gone, or leaves without having said so before.
    *
-   * @param name the server
+   * @param gone the server; without a start the life that is known
    * @returns the answer; not accepted by any other member than the leader
    */
-  async remove(name: string): Promise<AnnouncementAnswer> {
+  async remove(gone: ServerLife): Promise<AnnouncementAnswer> {
     if (!this.#serves()) return this.#refuse();
-    const {proposer, registry, clock} = this.#parts;
+    const {machine, proposer, registry, clock} = this.#parts;
+    const known = machine.directServers.nameOf(gone.incarnation);
+    const isAnyLife = gone.startedAtMs === undefined;
+    const name = (isAnyLife ? known : undefined) ?? nameOfLife(gone);
     const ended = await proposer.propose(END_SERVER_COMMAND, {name});
     if (ended.kind !== 'committed') return this.#explain(ended);
     if (!this.#serves()) return this.#refuse();
@@ -133,6 +144,16 @@
     }
   }
 
+  /**
+   * What names a pool that nobody configured may come from another writer, and
+   * would put the server out that answers at its address.
+   */
+  #isKnownPool(pool: string): boolean {
+    const {content} = this.#parts.machine.configuration.current.read();
+    const {pools} = content;
+    return pools.length === 0 || pools.some(({name}) => name === pool);
+  }
+
   #serves(): boolean {
     return this.#parts.proposer.leads() && this.#parts.hasTakenOver();
   }
@@ -149,7 +170,7 @@
   /** Proposes what the table lacks; most announcements only renew. */
   async #commit(said: DirectAnnouncement): Promise<Proposed<unknown>> {
     const {machine, proposer} = this.#parts;
-    const name = said.incarnation;
+    const name = nameOfLife(said);
     const table = machine.directServers;
     let outcome: Proposed<unknown> = {kind: 'committed', value: {}};
     if (!table.get(name)) {
@@ -193,6 +214,22 @@
   }
 }
 
+/** One life of a server. */
+export type ServerLife = Pick<
+  DirectAnnouncement,
+  'incarnation' | 'startedAtMs'
+>;
+
+/**
+ * Each life is a server of its own everywhere: what is known of the one before,
+ * such as its warm prompts, its load and its pauses, ends with its name.
+ */
+function nameOfLife({incarnation, startedAtMs}: ServerLife): string {
+  return startedAtMs === undefined
+    ? incarnation
+    : `${incarnation}@${startedAtMs}`;
+}
+
 function stateOf({leaving}: DirectServerRecord): ServerState {
   return leaving ? SERVER_STATE.DRAINING : SERVER_STATE.READY;
 }
@@ -209,8 +246,9 @@
 
 function toJoining(said: DirectAnnouncement): DirectServerRecord['server'] {
   return {
-    name: said.incarnation,
+    name: nameOfLife(said),
     incarnation: said.incarnation,
+    startedAtMs: said.startedAtMs,
     pool: said.pool,
     labels: {version: said.version},
     availabilityZone: said.availabilityZone,
--- a/packages/lovagepond-control/src/index.ts
+++ b/packages/lovagepond-control/src/index.ts
@@ -34,6 +34,7 @@
   type AnnouncementAnswer,
   type DirectAnnouncement,
   DirectServers,
+  type ServerLife,
 } from './direct_servers.js';
 export {type ControlParts, ControlRole} from './control_role.js';
 export {MemberTransport} from './member_transport.js';
--- a/packages/lovagepond-gateway/src/gateway_attempt.ts
+++ b/packages/lovagepond-gateway/src/gateway_attempt.ts
@@ -93,7 +93,7 @@
    * @param connections where to take the connection from
    */
   start(req: OutgoingRequest, connections: GatewayConnections): void {
-    const connection = connections.acquire(this.state.server.address);
+    const connection = connections.acquire(this.state.server);
     this.#release = () => {
       connections.release(connection);
     };
--- a/packages/lovagepond-gateway/src/gateway_connections.ts
+++ b/packages/lovagepond-gateway/src/gateway_connections.ts
@@ -25,9 +25,17 @@
 /** A server's stated idle time is used up to so long before it ends, ms. */
 const IDLE_MARGIN_MS = 1_000;
 
-/** One connection, with the address that it leads to. */
-export interface ServerConnection {
+/** Where a connection leads. */
+export interface ConnectionTarget {
+  /** Names one life of the server: its successor is another one. */
+  readonly name: string;
+  /** `host:port` of the server. */
   readonly address: string;
+}
+
+/** One connection, with the server that it leads to. */
+export interface ServerConnection {
+  readonly server: string;
   readonly client: Client;
   /** It ended by an error, not by the server's closing it. */
   wasReset: boolean;
@@ -71,19 +79,19 @@
   }
 
   /**
-   * @param address `host:port` of a server
+   * @param target a server
    * @returns an idle connection, or one that opens with its first request
    */
-  acquire(address: string): ServerConnection {
-    return this.#idle.get(address)?.pop() ?? this.#open(address);
+  acquire(target: ConnectionTarget): ServerConnection {
+    return this.#idle.get(target.name)?.pop() ?? this.#open(target);
   }
 
   /** @param connection one whose request has ended with a whole answer */
   release(connection: ServerConnection): void {
     if (connection.client.destroyed || connection.client.closed) return;
-    const idle = this.#idle.get(connection.address) ?? [];
+    const idle = this.#idle.get(connection.server) ?? [];
     idle.push(connection);
-    this.#idle.set(connection.address, idle);
+    this.#idle.set(connection.server, idle);
   }
 
   /** @param connection one that must not be used again */
@@ -91,11 +99,11 @@
     connection.client.destroy().catch(() => undefined);
   }
 
-  /** @param addresses where servers are still listed */
-  keepOnly(addresses: ReadonlySet<string>): void {
-    for (const [address, idle] of this.#idle) {
-      if (addresses.has(address)) continue;
-      this.#idle.delete(address);
+  /** @param servers names of the servers that are still listed */
+  keepOnly(servers: ReadonlySet<string>): void {
+    for (const [server, idle] of this.#idle) {
+      if (servers.has(server)) continue;
+      this.#idle.delete(server);
       for (const connection of idle) this.discard(connection);
     }
   }
@@ -105,7 +113,7 @@
     this.keepOnly(new Set());
   }
 
-  #open(address: string): ServerConnection {
+  #open({name: server, address}: ConnectionTarget): ServerConnection {
     const {connectTimeoutMs, maxHeadBytes} = this.#settings;
     const connect = buildConnector({
       timeout: connectTimeoutMs,
@@ -130,7 +138,7 @@
       },
     });
     this.#opened += 1;
-    const connection = {address, client, wasReset: false};
+    const connection = {server, client, wasReset: false};
     client.on('disconnect', () => {
       this.#forget(connection);
     });
@@ -139,7 +147,7 @@
 
   /** An idle connection that ended would only cost its next request time. */
   #forget(connection: ServerConnection): void {
-    const idle = this.#idle.get(connection.address);
+    const idle = this.#idle.get(connection.server);
     const at = idle?.indexOf(connection) ?? -1;
     if (at < 0) return;
     idle?.splice(at, 1);
--- a/packages/lovagepond-gateway/src/gateway_fleet.ts
+++ b/packages/lovagepond-gateway/src/gateway_fleet.ts
@@ -16,16 +16,14 @@
 
   /**
    * @param membership the newest list from control
-   * @returns addresses at which a server is still listed
+   * @returns names of the servers that are listed
    */
   useMembership(membership: Membership): ReadonlySet<string> {
-    const addresses = new Set<string>();
     const byPool = new Map<string, ServerState[]>();
     const listed = new Set<string>();
     for (const server of membership.servers.values()) {
       if (server.directSlots === undefined) continue;
       listed.add(server.name);
-      addresses.add(server.address);
       const state = this.#states.get(server.name) ?? new ServerState(server);
       state.server = server;
       this.#states.set(server.name, state);
@@ -35,7 +33,7 @@
       if (!listed.has(name)) this.#states.delete(name);
     }
     this.#byPool = byPool;
-    return addresses;
+    return listed;
   }
 
   /** @param now present time, monotonic milliseconds; call it often */
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -78,8 +78,8 @@
       if (!membership) return;
       this.#membership = applyMembership(this.#membership, membership);
       this.#admission.noteServersKnown();
-      const addresses = this.#fleet.useMembership(this.#membership);
-      this.#connections.keepOnly(addresses);
+      const listed = this.#fleet.useMembership(this.#membership);
+      this.#connections.keepOnly(listed);
       this.#parts.log.info('backend servers changed', {
         version: this.#membership.version,
         servers: this.#fleet.size,
