Keep readings apart from numbers of requests on the board

Cause: reports of requests filled the board of 1,024 within seconds and pushed readings out, so a gateway that started alone heard of few warm prompts, and no inventory was taken as the board wasn't empty. Change: the newest reading of each server and prefix is kept apart, 2,048 at most, without the repeated ones; lagging subscribers are served by index. Figures: by test, a reading is told behind 3,000 reports without one (lost before).

--- a/packages/lovagepond-control/src/reading_board.ts
+++ b/packages/lovagepond-control/src/reading_board.ts
@@ -35,17 +35,27 @@
   readonly report: ReadingReport;
 }
 
-/** Reports kept for subscribers that lag or are new. */
+/** Reports kept for subscribers that lag. */
 const MAX_REPORTS = 1_024;
 
+/**
+ * Readings kept for subscribers that are new. Numbers of requests have no place
+ * among them: at nine gateways they come five times a second from each, and
+ * within half a minute a gateway that starts would hear of no warm prompt.
+ */
+const MAX_READINGS = 2_048;
+
 /** The latest reports, by the order in which they came. */
 export class ReadingBoard {
+  /** Without a gap: each has the number after that of the one before. */
   #posted: PostedReport[] = [];
+  /** One for each server and prefix; the one read last stands last. */
+  readonly #readings = new Map<string, PromptReading>();
   #sequence = 0;
 
-  /** Nothing has been heard, by this member or the one it followed. */
+  /** No reading has been heard of, by this member or the one it followed. */
   get isEmpty(): boolean {
-    return this.#posted.length === 0;
+    return this.#readings.size === 0;
   }
 
   /** Number of the last report. */
@@ -57,8 +67,8 @@
   post(report: ReadingReport): void {
     this.#sequence += 1;
     this.#posted.push({sequence: this.#sequence, report});
-    if (this.#posted.length < 2 * MAX_REPORTS) return;
-    this.#posted = this.#posted.slice(-MAX_REPORTS);
+    this.#posted = keepNewest(this.#posted, MAX_REPORTS);
+    for (const reading of report.readings) this.#remember(reading);
   }
 
   /**
@@ -66,18 +76,29 @@
    * @returns the later ones
    */
   since(sequence: number): readonly ReadingReport[] {
-    if (sequence >= this.#sequence) return [];
-    return this.#posted
-      .filter(posted => posted.sequence > sequence)
-      .map(({report}) => report);
+    const first = this.#posted[0]?.sequence ?? 0;
+    const from = Math.max(0, sequence + 1 - first);
+    return this.#posted.slice(from).map(({report}) => report);
   }
 
   /** @returns what has been read, for a subscriber that knows nothing yet */
   history(): readonly ReadingReport[] {
-    const readings = this.#posted
-      .slice(-MAX_REPORTS)
-      .flatMap(({report}) => report.readings)
-      .map(reading => ({...reading, tokens: 0}));
+    const readings = [...this.#readings.values()];
     return readings.length > 0 ? [{node: '', readings, running: []}] : [];
   }
+
+  #remember(reading: PromptReading): void {
+    const key = `${reading.backendServer}${reading.prefix}`;
+    this.#readings.delete(key);
+    this.#readings.set(key, {...reading, tokens: 0});
+    for (const oldest of this.#readings.keys()) {
+      if (this.#readings.size <= MAX_READINGS) return;
+      this.#readings.delete(oldest);
+    }
+  }
+}
+
+/** Cuts the oldest off, once there are twice as many. */
+function keepNewest<Item>(items: Item[], most: number): Item[] {
+  return items.length < 2 * most ? items : items.slice(-most);
 }
