Introduce the leader to hosts that remember nothing and know only each other

Change: a leader says five times a second that it is there, to all seeds and members that it doesn't hear.

--- a/packages/lovagepond-consensus/src/__tests__/unit/consensus_losses.test.ts
+++ b/packages/lovagepond-consensus/src/__tests__/unit/consensus_losses.test.ts
@@ -327,4 +327,31 @@
       expect(list.commands).toEqual(fleet.acknowledged);
     }
   });
+
+  // All hosts lose power. The seeds name those without a disk, which remember
+  // nothing and know only each other, so gateways that know the seeds would get
+  // no configuration until the leader gave their former identities up.
+  it('are found again at once after a stop of all hosts', async () => {
+    fleet = new Fleet(['a:1', 'b:1', 'c:1'], 1);
+    for (const address of ['a:1', 'b:1', 'c:1']) await fleet.start(address);
+    const observers = ['o:1', 'p:1', 'q:1'];
+    for (const address of observers) {
+      await fleet.start(address, {observer: true});
+    }
+    await pass(4_000);
+    expect(await fleet.propose()).toBe(true);
+    fleet.seeds = observers;
+    const stopped = [...fleet.hosts];
+    for (const host of stopped) await host.node.stop();
+    fleet.hosts = [];
+    for (const {address, storage} of stopped) {
+      const observer = observers.includes(address);
+      const more = {observer, mayForm: false};
+      await fleet.start(address, more, observer ? undefined : storage);
+    }
+    await pass(1_500);
+    for (const {list} of fleet.hosts) {
+      expect(list.commands).toEqual(fleet.acknowledged);
+    }
+  });
 });
--- a/packages/lovagepond-consensus/src/consensus_formation.ts
+++ b/packages/lovagepond-consensus/src/consensus_formation.ts
@@ -34,6 +34,8 @@
   isForgotten(now: number): boolean;
   isLeading(): boolean;
   members(): MemberList;
+  /** True when this host leads and the member answered lately. */
+  isActive(id: MemberId): boolean;
 }
 
 /** Something for the shell to do. */
@@ -51,10 +53,11 @@
 export const PASSED_ON_ROUND = 0;
 
 /**
- * Time between two introductions of a leader to a seed that is no member,
- * milliseconds. Such a seed may be gone for good.
+ * Time between two introductions of a leader to the hosts that it doesn't hear,
+ * milliseconds: short against the second that it takes until all hosts serve
+ * again after a stop of all. Some of these hosts may be gone for good.
  */
-const INTRODUCTION_INTERVAL_MS = 1_000;
+const INTRODUCTION_INTERVAL_MS = 200;
 
 /** Forms or joins a group while there is none that counts this host in. */
 export class Formation {
@@ -136,13 +139,20 @@
     return this.#view.mayForm && !this.#view.observer;
   }
 
-  /** Members of a group are unknown to seeds that none of its hosts has met. */
+  /**
+   * Hosts that started without a memory know the seeds only, and the seeds may
+   * be just such hosts: after a stop of all, those without a disk would ask each
+   * other for the group until the leader gave them up.
+   */
   #introduce(now: number): void {
     if (now < this.#nextIntroduction) return;
     this.#nextIntroduction = now + INTRODUCTION_INTERVAL_MS;
-    const known = this.#view.members().map(({address}) => address);
-    const strangers = this.#others.filter(peer => !known.includes(peer));
-    this.#sendHello(strangers, false, false);
+    const members = this.#view.members();
+    const heard = members.filter(({id}) => this.#view.isActive(id));
+    const known = members.map(({address}) => address);
+    const targets = new Set([...this.#others, ...known]);
+    for (const {address} of heard) targets.delete(address);
+    this.#sendHello(targets, false, false);
   }
 
   #sendHello(
--- a/packages/lovagepond-consensus/src/consensus_node.ts
+++ b/packages/lovagepond-consensus/src/consensus_node.ts
@@ -171,6 +171,7 @@
       isForgotten: now => core.isForgotten(now),
       isLeading: () => this.status().role === MEMBER_ROLE.LEADER,
       members: () => this.status().members,
+      isActive: id => core.isActive(id, this.#now()),
     });
     this.#unregister = transport.onMessage(message => {
       this.#receive(message);
