--- a/packages/lovagepond-cli/src/__tests__/unit/command_explain.test.ts
+++ b/packages/lovagepond-cli/src/__tests__/unit/command_explain.test.ts
@@ -59,9 +59,25 @@
     expect(text).toContain('log up to 129, 93 committed');
   });
 
+  // What was lost, of which kind, when and why: the shares of the causes add up
+  // to all that wasn't answered, so that nothing is left unexplained.
+  it('adds all requests up by rule, cause and window', async () => {
+    const {code, text} = await explain({summary: true});
+    expect(code).toBe(0);
+    expect(text).toMatch(/^\d+ requests ended, \d+ answered by a server/);
+    expect(text).toContain('| refused: unauthorized |');
+    expect(text).toContain('broken: other side closed');
+    const [, lostText = ''] = text.split('| not answered | requests | share |');
+    const [causes = ''] = lostText.split('| from |');
+    const shares = [...causes.matchAll(/\| ([\d.]+) % \|/g)];
+    const sum = shares.reduce((all, [, share]) => all + Number(share), 0);
+    expect(Math.abs(sum - 100)).toBeLessThan(1);
+  });
+
   it('says so when no line names the request, or nothing is asked', async () => {
     expect((await explain({request: 'none'})).code).toBe(10);
     expect((await explain({})).code).toBe(2);
+    expect((await explain({request: 'none', summary: true})).code).toBe(2);
     expect((await explain({at: 'noon'})).code).toBe(2);
   });
 });
--- a/packages/lovagepond-cli/src/command_explain.ts
+++ b/packages/lovagepond-cli/src/command_explain.ts
@@ -1,5 +1,6 @@
 /**
- * `lovagepond explain`: one request's account, or what the fleet believed.
+ * `lovagepond explain`: one request's account, what the fleet believed, or what
+ * became of all requests.
  */
 import {createReadStream} from 'node:fs';
 import {createInterface} from 'node:readline';
@@ -10,18 +11,21 @@
   parseLine,
   renderBeliefs,
   renderRequest,
+  renderSummary,
   RequestEvidence,
+  SummaryEvidence,
 } from '@lovagepond/explain';
 import {EXIT_CODE, type ExitCode} from '@lovagepond/process';
 
 /** Lines after which progress is shown, where somebody looks on. */
 const PROGRESS_LINES = 200_000;
 
-/** What is asked: about one request, or about a time. */
+/** What is asked: about one request, about a time, or about all requests. */
 export interface ExplainQuestion {
   readonly request?: string;
   /** ISO time, or milliseconds since 1970. */
   readonly at?: string;
+  readonly summary?: boolean;
 }
 
 interface Output {
@@ -68,13 +72,14 @@
  * @returns the exit code
  */
 export async function runExplain(
-  {request, at}: ExplainQuestion,
+  {request, at, summary = false}: ExplainQuestion,
   files: readonly string[],
   out: Output = process.stdout,
 ): Promise<ExitCode> {
   const time = at === undefined ? undefined : parseTime(at);
-  if ((request === undefined) === (at === undefined)) {
-    process.stderr.write('say a request id or --at TIME, and not both\n');
+  const asked = [request !== undefined, at !== undefined, summary];
+  if (asked.filter(Boolean).length !== 1) {
+    process.stderr.write('say a request id, --at TIME or --summary: one\n');
     return EXIT_CODE.USAGE;
   }
   if (at !== undefined && time === undefined) {
@@ -83,6 +88,7 @@
   }
   try {
     const inputs = openAll(files);
+    if (summary) return await explainAll(inputs, out);
     return request === undefined
       ? await explainTime(time ?? 0, inputs, out)
       : await explainRequest(request, inputs, out);
@@ -112,6 +118,19 @@
   return EXIT_CODE.OK;
 }
 
+async function explainAll(
+  inputs: readonly Readable[],
+  out: Output,
+): Promise<ExitCode> {
+  const evidence = new SummaryEvidence();
+  const take = (line: LogLine): void => {
+    evidence.take(line);
+  };
+  await readLines(inputs, take, showProgress);
+  out.write(renderSummary(evidence.collect()));
+  return EXIT_CODE.OK;
+}
+
 async function explainTime(
   time: number,
   inputs: readonly Readable[],
--- a/packages/lovagepond-cli/src/command_line.ts
+++ b/packages/lovagepond-cli/src/command_line.ts
@@ -12,6 +12,7 @@
   type RoleName,
   VERSION,
 } from './cli_constants.js';
+import {type ExplainQuestion} from './command_explain.js';
 import {type StandaloneOptions} from './command_standalone.js';
 import {collectWords, renderCompletion} from './command_completion.js';
 
@@ -75,20 +76,22 @@
     .description('tell from logs what became of a request and why')
     .argument('[words...]', 'the request id, then log files; none: stdin')
     .option('--at <time>', 'tell what each process believed then instead')
+    .option('--summary', 'tell what became of all requests instead')
     .addHelpText(
       'after',
       renderExamples(
         'explain 3be9a8d54f25e337 logs/*.log',
         'explain --at 2026-03-01T08:15:00Z logs/*.log',
+        'explain --summary logs/*.log',
       ),
     )
-    .action(async (words: string[], {at}: {at?: string}) => {
+    .action(async (words: string[], options: ExplainQuestion) => {
       const {runExplain} = await import('./command_explain.js');
       const [request, ...files] = words;
-      process.exitCode =
-        at === undefined
-          ? await runExplain(request === undefined ? {} : {request}, files)
-          : await runExplain({at}, words);
+      const isAboutAll = options.at !== undefined || options.summary === true;
+      process.exitCode = isAboutAll
+        ? await runExplain(options, words)
+        : await runExplain(request === undefined ? {} : {request}, files);
     });
 }
 
--- /dev/null
+++ b/packages/lovagepond-explain/src/explain_summary.ts
@@ -0,0 +1,184 @@
+/**
+ * What became of all requests: by rule, by cause, and when it was worst.
+ */
+import {type LogLine, textOf} from './explain_line.js';
+import {DurationSample} from './explain_sample.js';
+
+/** Length of a window, milliseconds: callers feel seconds, not minutes. */
+const WINDOW_MS = 2_000;
+
+/** Windows shown, the worst first. */
+const SHOWN_WINDOWS = 5;
+
+/** Requests whose last failed attempt is remembered until they end. */
+const MAX_OPEN = 100_000;
+
+/** Stands for the rule of a request that was refused before one applied. */
+const NO_RULE = '(none yet)';
+
+/** Outcome of a request that got a server's whole answer. */
+const ANSWERED = 'answered';
+
+interface RuleCount {
+  ended: number;
+  answered: number;
+  readonly durations: DurationSample;
+}
+
+interface WindowCount {
+  ended: number;
+  readonly causes: Map<string, number>;
+}
+
+/** Counts of one cause. */
+export interface CauseShare {
+  readonly cause: string;
+  readonly requests: number;
+  /** Of all requests that were not answered: the shares add up to 1. */
+  readonly share: number;
+}
+
+/** One rule's requests. */
+export interface RuleSummary {
+  readonly rule: string;
+  readonly ended: number;
+  readonly answered: number;
+  /** Durations of answered ones, milliseconds. */
+  readonly p50: number;
+  readonly p99: number;
+}
+
+/** One span of time. */
+export interface WindowSummary {
+  readonly startMs: number;
+  readonly ended: number;
+  readonly lost: number;
+  readonly mainCause: string;
+}
+
+/** What the lines add up to. */
+export interface Summary {
+  readonly ended: number;
+  readonly answered: number;
+  readonly rules: readonly RuleSummary[];
+  readonly causes: readonly CauseShare[];
+  /** Those in which most was lost. */
+  readonly windows: readonly WindowSummary[];
+}
+
+function addTo(counts: Map<string, number>, name: string): void {
+  counts.set(name, (counts.get(name) ?? 0) + 1);
+}
+
+function byCount(counts: ReadonlyMap<string, number>): [string, number][] {
+  return [...counts].sort((a, b) => b[1] - a[1]);
+}
+
+/** Adds lines up. */
+export class SummaryEvidence {
+  readonly #rules = new Map<string, RuleCount>();
+  readonly #causes = new Map<string, number>();
+  readonly #windows = new Map<number, WindowCount>();
+  /** Why the last attempt failed, of requests that have not ended. */
+  readonly #open = new Map<string, string>();
+
+  readonly #handlers: ReadonlyMap<string, (line: LogLine) => void> = new Map([
+    ['attempt failed', line => this.#noteFailure(line)],
+    ['request ended', line => this.#end(line)],
+    ['request refused', line => this.#refuse(line)],
+  ]);
+
+  /** @param line a line of any process, in any order */
+  take(line: LogLine): void {
+    this.#handlers.get(line.message)?.(line);
+  }
+
+  /** @returns what the lines taken so far add up to */
+  collect(): Summary {
+    const lost = [...this.#causes.values()].reduce((a, b) => a + b, 0);
+    const rules = [...this.#rules].map(([rule, count]) => ({
+      rule,
+      ended: count.ended,
+      answered: count.answered,
+      p50: count.durations.quantile(0.5),
+      p99: count.durations.quantile(0.99),
+    }));
+    const ended = rules.reduce((sum, rule) => sum + rule.ended, 0);
+    return {
+      ended,
+      answered: ended - lost,
+      rules: rules.sort((a, b) => b.ended - a.ended),
+      causes: byCount(this.#causes).map(([cause, requests]) => ({
+        cause,
+        requests,
+        share: requests / lost,
+      })),
+      windows: this.#worstWindows(),
+    };
+  }
+
+  #noteFailure({fields}: LogLine): void {
+    const reason = `${textOf(fields['outcome'])}: ${textOf(fields['reason'])}`;
+    this.#open.set(textOf(fields['request']), reason);
+    if (this.#open.size <= MAX_OPEN) return;
+    const [oldest = ''] = this.#open.keys();
+    this.#open.delete(oldest);
+  }
+
+  #refuse({timeMs, fields}: LogLine): void {
+    this.#count(NO_RULE, timeMs, `refused: ${textOf(fields['reason'])}`);
+  }
+
+  #end({timeMs, fields}: LogLine): void {
+    const rule = textOf(fields['rule']);
+    const request = textOf(fields['request']);
+    const outcome = textOf(fields['outcome']);
+    const failure = this.#open.get(request);
+    this.#open.delete(request);
+    if (outcome === ANSWERED) {
+      this.#count(rule, timeMs, undefined);
+      this.#ruleOf(rule).durations.add(Number(fields['durationMs'] ?? 0));
+      return;
+    }
+    const begun = fields['status'] === 0 ? ', no answer begun' : '';
+    this.#count(
+      rule,
+      timeMs,
+      `${outcome}${begun} (${failure ?? 'no failure'})`,
+    );
+  }
+
+  #count(rule: string, timeMs: number, cause: string | undefined): void {
+    const start = Math.floor(timeMs / WINDOW_MS) * WINDOW_MS;
+    const window = this.#windows.get(start) ?? {ended: 0, causes: new Map()};
+    this.#windows.set(start, window);
+    const counts = this.#ruleOf(rule);
+    window.ended += 1;
+    counts.ended += 1;
+    if (cause === undefined) {
+      counts.answered += 1;
+    } else {
+      addTo(this.#causes, cause);
+      addTo(window.causes, cause);
+    }
+  }
+
+  #ruleOf(rule: string): RuleCount {
+    const known = this.#rules.get(rule);
+    if (known) return known;
+    const made = {ended: 0, answered: 0, durations: new DurationSample()};
+    this.#rules.set(rule, made);
+    return made;
+  }
+
+  #worstWindows(): WindowSummary[] {
+    const windows = [...this.#windows].map(([startMs, {ended, causes}]) => {
+      const [main] = byCount(causes);
+      const lost = [...causes.values()].reduce((a, b) => a + b, 0);
+      return {startMs, ended, lost, mainCause: main?.[0] ?? ''};
+    });
+    const worst = windows.filter(({lost}) => lost > 0);
+    worst.sort((a, b) => b.lost - a.lost);
+    return worst.slice(0, SHOWN_WINDOWS);
+  }
+}
