--- a/packages/lovagepond-control/src/control_commands.ts
+++ b/packages/lovagepond-control/src/control_commands.ts
@@ -7,6 +7,8 @@
   type ConfigurationContent,
   createCommand,
   invariant,
+  packText,
+  unpackText,
 } from '@lovagepond/core';
 import {
   type OrderOutcomeKind,
@@ -184,7 +186,7 @@
     s: [stamp.timeMs, stamp.wallTimeMs, stamp.term],
     p: payload,
   };
-  return encoder.encode(JSON.stringify(coded));
+  return packText(JSON.stringify(coded));
 }
 
 /**
@@ -194,7 +196,7 @@
  *     command would make this member's state differ from the others'
  */
 export function decodeCommand(bytes: Uint8Array): LoggedCommand {
-  const coded = JSON.parse(decoder.decode(bytes)) as CodedCommand;
+  const coded = JSON.parse(unpackText(bytes)) as CodedCommand;
   invariant(coded.v === COMMAND_VERSION, 200, 'unknown command version');
   const [timeMs, wallTimeMs, term] = coded.s;
   return {name: coded.n, stamp: {timeMs, wallTimeMs, term}, payload: coded.p};
--- a/packages/lovagepond-control/src/control_state_machine.ts
+++ b/packages/lovagepond-control/src/control_state_machine.ts
@@ -4,14 +4,13 @@
  * Deterministic: every member that applied the same commands holds the same
  * state and gave the same results.
  */
-import {type Command, invariant} from '@lovagepond/core';
+import {type Command, invariant, packText, unpackText} from '@lovagepond/core';
 import {
   CHANGE_COMMAND,
   CLAIM_COMMAND,
   type CommandStamp,
   type ControlLimits,
   decodeCommand,
-  decodeResult,
   DROP_SERVERS_COMMAND,
   encodeResult,
   END_SERVER_COMMAND,
@@ -114,13 +113,13 @@
       directServers: this.directServers.snapshot(),
     };
     const lines = this.ledger.encodeEntries();
-    return Buffer.concat([encodeResult(snapshot), LINE_END, ...lines]);
+    return Buffer.concat([packHead(snapshot), LINE_END, ...lines]);
   }
 
   restore(bytes: Uint8Array): void {
     const headEnd = bytes.indexOf(NEWLINE);
     const head = bytes.subarray(0, headEnd);
-    const snapshot = decodeResult<ControlSnapshot>(head);
+    const snapshot = unpackHead(head);
     invariant(snapshot.version === SNAPSHOT_VERSION, 202, 'snapshot version');
     this.time.restore(snapshot.timeMs);
     this.#limits = snapshot.limits;
@@ -203,6 +202,29 @@
   }
 }
 
+/** The longest head of a snapshot: it holds some configurations. */
+const MAX_HEAD_BYTES = 256 * 1024 * 1024;
+
+const PACKED_HEAD_ENCODING = 'base64';
+
+/**
+ * A snapshot goes to each host that joins, and its head holds the last
+ * configurations whole. Packed bytes may hold a line end, so they are coded.
+ */
+function packHead(head: ControlSnapshot): Buffer {
+  const bytes = packText(JSON.stringify(head));
+  return Buffer.from(Buffer.from(bytes).toString(PACKED_HEAD_ENCODING));
+}
+
+/** Heads of earlier versions are plain JSON. */
+function unpackHead(bytes: Uint8Array): ControlSnapshot {
+  const text = Buffer.from(bytes).toString();
+  const isPlain = text.startsWith('{');
+  const packed = Buffer.from(text, PACKED_HEAD_ENCODING);
+  const plain = isPlain ? text : unpackText(packed, MAX_HEAD_BYTES);
+  return JSON.parse(plain) as ControlSnapshot;
+}
+
 /**
  * @param settings settings that hold the limits among others
  * @returns the limits alone, in one order, so that they can be compared
--- a/packages/lovagepond-core/src/core_configuration.ts
+++ b/packages/lovagepond-core/src/core_configuration.ts
@@ -3,9 +3,9 @@
  *
  * Immutable once accepted; each accepted change makes the next revision.
  */
-import {gunzipSync, gzipSync} from 'node:zlib';
 import {z} from 'zod';
 import {type Labels, parseLabelExpression} from './core_labels.js';
+import {packText, unpackText} from './core_packing.js';
 
 /** What a pool's backend servers are. */
 export const POOL_KIND = {ENGINE: 'engine', SERVICE: 'service'} as const;
@@ -306,23 +306,13 @@
   return faults.length > 0 ? {ok: false, faults} : {ok: true, content};
 }
 
-/** Smaller texts are sent as they are. */
-const COMPRESS_FROM_BYTES = 1_024;
-
-/** Refuses what would unpack to more: no configuration is this large. */
-const MAX_UNPACKED_BYTES = 64 * 1024 * 1024;
-
-/** First byte of a gzip stream; JSON starts with `{`. */
-const GZIP_FIRST_BYTE = 0x1f;
-
 /**
  * @param configuration an accepted configuration
  * @returns its JSON as UTF-8 bytes, as it travels between processes; packed by
  *     gzip when it is large, as it is pushed whole to every process
  */
 export function encodeConfiguration(configuration: Configuration): Uint8Array {
-  const bytes = new TextEncoder().encode(JSON.stringify(configuration));
-  return bytes.length < COMPRESS_FROM_BYTES ? bytes : gzipSync(bytes);
+  return packText(JSON.stringify(configuration));
 }
 
 /**
@@ -341,10 +331,7 @@
 
 function parseJson(bytes: Uint8Array): unknown {
   try {
-    const packed = bytes[0] === GZIP_FIRST_BYTE;
-    const options = {maxOutputLength: MAX_UNPACKED_BYTES};
-    const text = packed ? gunzipSync(bytes, options) : bytes;
-    return JSON.parse(new TextDecoder().decode(text));
+    return JSON.parse(unpackText(bytes));
   } catch {
     return undefined;
   }
--- a/packages/lovagepond-core/src/index.ts
+++ b/packages/lovagepond-core/src/index.ts
@@ -36,6 +36,7 @@
   type Result,
 } from './core_errors.js';
 export {invariant, InvariantError} from './core_invariant.js';
+export {packText, unpackText} from './core_packing.js';
 export {
   type LabelExpression,
   type Labels,
