Answer what waits in a gateway that stops

Change: what waits is refused as not run when the stop begins, nothing more waits after it, and the process ends once every answer is delivered, not just decided. Figures: a test that lost the connection before and gets 503 now.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_departure.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_departure.test.ts
@@ -11,6 +11,9 @@
   type Script,
 } from './gateway_harness.js';
 
+/** Lets a request wait for long. */
+const LONG_DEADLINE = {[NAMES.deadlineMs]: '12000'};
+
 let harness: GatewayHarness | undefined;
 const agent = new Agent({keepAlive: true, maxSockets: 1});
 
@@ -102,6 +105,24 @@
     expect(await Promise.race([closed, kept])).toBe(true);
   });
 
+  // The gateway has lost control, so a request waits for the configuration to be
+  // confirmed. Then the gateway is stopped. The request must be answered as not
+  // run: its connection once ended with the process, without a word.
+  it('answers what waits for its configuration', async () => {
+    const good: Script = (req, res) => {
+      answer(req, res, 200, 'yes');
+    };
+    harness = await GatewayHarness.start([good], {revocationBoundMs: 1});
+    await pause(20);
+    const waiting = harness.call({path: '/read/a', headers: LONG_DEADLINE});
+    await pause(50);
+    harness.server.beginClosing(clock.now() + 60_000);
+    await harness.server.finish();
+    harness.server.stop();
+    expect((await waiting).status).toBe(503);
+    expect(harness.arrivals).toEqual([]);
+  });
+
   // Two seconds before the end of the process a stream arrives that takes
   // longer. Taken, it would be cut in the middle. It is refused as not run,
   // while a short call is still served.
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -155,10 +155,16 @@
     this.admission = admission;
   }
 
-  /** @param scripts one server each, named server-0, server-1 and so on */
-  static async start(scripts: readonly Script[]): Promise<GatewayHarness> {
+  /**
+   * @param scripts one server each, named server-0, server-1 and so on
+   * @param revocationBoundMs how long the configuration is trusted
+   */
+  static async start(
+    scripts: readonly Script[],
+    {revocationBoundMs = 5_000} = {},
+  ): Promise<GatewayHarness> {
     const random = new Random(SEED);
-    const admission = new GatewayAdmission(5_000, random);
+    const admission = new GatewayAdmission(revocationBoundMs, random);
     admission.install({revision: 1, content: CONTENT});
     admission.authority.confirm(1, {
       now: clock.now(),
--- a/packages/lovagepond-gateway/src/gateway_server.ts
+++ b/packages/lovagepond-gateway/src/gateway_server.ts
@@ -78,7 +78,8 @@
   readonly #server: Server;
   readonly #waiting = new WaitingRoom();
   #limits = FIRST_LIMITS;
-  #inFlight = 0;
+  /** Answers that aren't delivered whole yet. */
+  #open = 0;
   #heldBytes = 0;
   readonly #departure = new GatewayDeparture();
   #idleSweep: NodeJS.Timeout | undefined;
@@ -104,9 +105,9 @@
     this.useLimits(undefined);
   }
 
-  /** Requests that have no final answer yet. */
+  /** Requests whose answer isn't delivered yet. */
   get inFlight(): number {
-    return this.#inFlight;
+    return this.#open;
   }
 
   get port(): number {
@@ -139,16 +140,18 @@
    */
   beginClosing(endsAt: number): void {
     this.#departure.begin(endsAt);
+    // It may never know enough to decide on them.
+    this.#waiting.refuseAll();
     this.#idleSweep = setInterval(() => {
       this.#server.closeIdleConnections();
     }, IDLE_SWEEP_MS);
   }
 
-  /** Takes no new connections, and resolves once nothing is in flight. */
+  /** Takes no new connections, and resolves once all answers are delivered. */
   async finish(): Promise<void> {
     this.#server.close();
     this.#server.closeIdleConnections();
-    if (this.#inFlight === 0) return;
+    if (this.#open === 0) return;
     await new Promise<void>(resolve => {
       this.#idleListener = resolve;
     });
@@ -177,6 +180,11 @@
       this.#parts.random,
       () => this.#departure.isClosing,
     );
+    this.#open += 1;
+    res.once('close', () => {
+      this.#open -= 1;
+      if (this.#open === 0) this.#idleListener?.();
+    });
     const facts = readFacts(req.headers, this.#parts.names);
     const fault = this.#findFault(req);
     if (fault) {
@@ -188,6 +196,10 @@
       this.#admit(req, facts, caller, at.now);
       return;
     }
+    if (this.#departure.isClosing) {
+      this.#refuse(caller, facts, 'notReady');
+      return;
+    }
     this.#waiting.add(
       facts.deadlineMs ?? DEFAULT_DEADLINE_MS,
       () => {
@@ -220,11 +232,8 @@
       this.#refuse(caller, facts, 'notReady');
       return;
     }
-    this.#inFlight += 1;
     const done = (): void => {
-      this.#inFlight -= 1;
       this.#departure.noteEnded(name, this.#clock.now() - arrivedAt);
-      if (this.#inFlight === 0) this.#idleListener?.();
     };
     readBody(req, this.#limits.maxBodyBytes, limitMs, {
       onWhole: body => {
--- a/packages/lovagepond-gateway/src/gateway_waiting_room.ts
+++ b/packages/lovagepond-gateway/src/gateway_waiting_room.ts
@@ -18,6 +18,7 @@
 interface Waiting {
   readonly timer: NodeJS.Timeout;
   readonly retry: () => void;
+  readonly refuse: () => void;
 }
 
 /** Holds requests for a short time. */
@@ -39,17 +40,24 @@
       this.#waiting.delete(waiting);
       refuse();
     }, waitMs);
-    const waiting = {timer, retry};
+    const waiting = {timer, retry, refuse};
     this.#waiting.add(waiting);
   }
 
   /** Decides on all that wait, in the order of their arrival. */
   retryAll(): void {
+    for (const {retry} of this.#takeAll()) retry();
+  }
+
+  /** Answers all that wait, as nothing will be decided here any more. */
+  refuseAll(): void {
+    for (const {refuse} of this.#takeAll()) refuse();
+  }
+
+  #takeAll(): readonly Waiting[] {
     const waiting = [...this.#waiting];
     this.#waiting.clear();
-    for (const {timer, retry} of waiting) {
-      clearTimeout(timer);
-      retry();
-    }
+    for (const {timer} of waiting) clearTimeout(timer);
+    return waiting;
   }
 }
