Don't take a leader's own stall for its followers' silence

Change: when a leader's own ticks stood still for two fifths of an election timeout, the followers get another one, once between two confirmed rounds. The lease isn't lengthened.

--- a/packages/lovagepond-consensus/src/__tests__/unit/consensus_core.test.ts
+++ b/packages/lovagepond-consensus/src/__tests__/unit/consensus_core.test.ts
@@ -356,6 +356,38 @@
     expect(lab.actions).toContainEqual(ready);
   });
 
+  // A new leader's process is busy for longer than an election timeout, with
+  // its followers' answers unread. Giving up then would leave the fleet without
+  // a leader once more. It may not do so without end: cut off, it has to go.
+  it('outlives one stall of its own, and no silence of the others', () => {
+    lab.lead();
+    const tick = (): void => {
+      lab.core.tick(lab.now);
+      lab.collect();
+    };
+    lab.now += TIMINGS.electionTimeoutMs * 1.5;
+    tick();
+    expect(lab.status).toMatchObject({role: 'leader', leaseValid: false});
+    lab.acknowledge('b', 2);
+    expect(lab.status).toMatchObject({role: 'leader'});
+    const step = TIMINGS.electionTimeoutMs / 10;
+    for (let passed = 0; passed <= 12; passed += 1) {
+      lab.now += step;
+      tick();
+    }
+    expect(lab.status.role).toBe('follower');
+  });
+
+  it('gives up after a second stall without an answer between them', () => {
+    lab.lead();
+    for (let stall = 0; stall < 2; stall += 1) {
+      lab.now += TIMINGS.electionTimeoutMs * 1.5;
+      lab.core.tick(lab.now);
+      lab.collect();
+    }
+    expect(lab.status.role).toBe('follower');
+  });
+
   it('changes members one at a time, after a commit in its term', () => {
     const add = {kind: 'addLearner', id: 'd', address: 'd:1'} as const;
     lab.lead();
--- a/packages/lovagepond-consensus/src/consensus_leadership.ts
+++ b/packages/lovagepond-consensus/src/consensus_leadership.ts
@@ -81,6 +81,7 @@
    * @returns false when this member must stop leading
    */
   tick(now: number): boolean {
+    this.#rounds.noteTick(now);
     if (this.#rounds.isHeartbeatDue(now)) this.#startRound(now);
     return !this.#rounds.hasLostMajority(now);
   }
--- a/packages/lovagepond-consensus/src/consensus_rounds.ts
+++ b/packages/lovagepond-consensus/src/consensus_rounds.ts
@@ -31,6 +31,12 @@
   return (timings.electionTimeoutMs * (1 - drift)) / (1 + drift);
 }
 
+/**
+ * A leader whose own loop stood still for longer than this part of an election
+ * timeout may have its followers' answers unread before it.
+ */
+const STALL_PART = 0.4;
+
 /** The rounds of one leader in one term, and the reads that wait for them. */
 export class ConfirmationRounds {
   readonly #timings: ConsensusTimings;
@@ -39,11 +45,35 @@
   #current = 0;
   #confirmed = 0;
   #confirmedAt = -Infinity;
+  #tickedAt: number;
+  /** When the leader's own stall ended, and the round that it was granted for. */
+  #stalledUntil = -Infinity;
+  #stalledRound = -1;
   #reads: PendingRead[] = [];
 
   constructor(timings: ConsensusTimings, now: number) {
     this.#timings = timings;
     this.#leaderSince = now;
+    this.#tickedAt = now;
+  }
+
+  /**
+   * Taking over after a stop of all processes, a leader reads and passes on what
+   * a dozen engines hold: it stood still for 0.3 s, gave up a group that was
+   * well, and callers were refused for half a second more. So a stall of its own
+   * doesn't count as the followers' silence, once between two confirmed rounds.
+   * The lease isn't lengthened: it ends by the clock.
+   *
+   * @param now monotonic milliseconds; to be called with each tick
+   */
+  noteTick(now: number): void {
+    const stallMs = now - this.#tickedAt;
+    this.#tickedAt = now;
+    const {electionTimeoutMs} = this.#timings;
+    if (stallMs < electionTimeoutMs * STALL_PART) return;
+    if (this.#stalledRound === this.#confirmed) return;
+    this.#stalledRound = this.#confirmed;
+    this.#stalledUntil = now;
   }
 
   /** Number of the latest round. */
@@ -88,7 +118,11 @@
    * @returns true when no majority answered for an election timeout
    */
   hasLostMajority(now: number): boolean {
-    const contact = Math.max(this.#leaderSince, this.#confirmedAt);
+    const contact = Math.max(
+      this.#leaderSince,
+      this.#confirmedAt,
+      this.#stalledUntil,
+    );
     return now - contact >= this.#timings.electionTimeoutMs;
   }
 
