--- a/packages/lovagepond-consensus/src/consensus_leadership.ts
+++ b/packages/lovagepond-consensus/src/consensus_leadership.ts
@@ -34,6 +34,14 @@
   readonly replica: Replica;
 }
 
+/**
+ * Every so many heartbeats one goes to observers: four of them, heard at each,
+ * raised the processor time of a quiet fleet of nine entry hosts by half (42 to
+ * 68 s in a day of a minute). They still hear the leader several times before
+ * they take themselves for forgotten.
+ */
+const ROUNDS_PER_OBSERVER_HEARTBEAT = 4;
+
 /** One leader in one term. */
 export class Leadership {
   readonly #view: LeaderView;
@@ -219,7 +227,16 @@
       member === id ? this.#rounds.current : 0,
     );
     this.#rounds.confirm(alone);
-    for (const member of this.#followers()) this.#sendHeartbeat(member, now);
+    for (const member of this.#followers()) {
+      if (this.#isHeartbeatDueTo(member)) this.#sendHeartbeat(member, now);
+    }
+  }
+
+  /** An observer's answer confirms nothing: it only has to know its leader. */
+  #isHeartbeatDueTo({observer}: Member): boolean {
+    return (
+      !observer || this.#rounds.current % ROUNDS_PER_OBSERVER_HEARTBEAT === 0
+    );
   }
 
   #sendHeartbeat(member: Member, now: number): void {
