--- a/packages/lovagepond-consensus/src/consensus_formation.ts
+++ b/packages/lovagepond-consensus/src/consensus_formation.ts
@@ -101,7 +101,7 @@
     const known = this.#view.members().map(({address}) => address);
     const asked = new Set([...this.#others, ...this.#introduced, ...known]);
     asked.delete(this.#view.address);
-    this.#sendHello(asked, blank, true);
+    this.#sendHello(asked, {blank, joins: true});
     this.#bootstrapWhenAllBlank();
   }
 
@@ -152,17 +152,16 @@
     const known = members.map(({address}) => address);
     const targets = new Set([...this.#others, ...known]);
     for (const {address} of heard) targets.delete(address);
-    this.#sendHello(targets, false, false);
+    this.#sendHello(targets, {blank: false, joins: false});
   }
 
   #sendHello(
     addresses: Iterable<string>,
-    blank: boolean,
-    joins: boolean,
+    what: Pick<HelloRequest, 'blank' | 'joins'>,
   ): void {
     const {id: from, address: fromAddress, observer} = this.#view;
     const round = this.#round;
-    const hello = {from, fromAddress, blank, joins, observer, round};
+    const hello = {...what, from, fromAddress, observer, round};
     for (const address of addresses) {
       const message = {kind: 'hello' as const, ...hello};
       this.#actions.push({kind: 'send', address, message});
