--- a/packages/lovagepond-consensus/src/consensus_member_removal.ts
+++ b/packages/lovagepond-consensus/src/consensus_member_removal.ts
@@ -39,17 +39,18 @@
  * @returns the member to take off, if any: the one that is silent longest
  */
 export function chooseRemoval(view: RemovalView): MemberId | undefined {
-  const silent = view.members
-    .filter(({id, voter}) => isRemovable(view, id, voter))
-    .sort((a, b) => view.silenceMs(b.id) - view.silenceMs(a.id));
-  return silent[0]?.id;
-}
-
-function isRemovable(view: RemovalView, id: MemberId, voter: boolean): boolean {
-  if (view.toleratedLosses === undefined) return false;
-  const silenceMs = view.silenceMs(id);
-  if (!voter) return silenceMs >= LOST_AFTER_MS;
-  return hasSurplus(view) && silenceMs >= SURPLUS_LOST_AFTER_MS;
+  if (view.toleratedLosses === undefined) return undefined;
+  const voterLimitMs = hasSurplus(view) ? SURPLUS_LOST_AFTER_MS : Infinity;
+  let longest: MemberId | undefined;
+  let longestMs = 0;
+  for (const {id, voter} of view.members) {
+    const silenceMs = view.silenceMs(id);
+    const limitMs = voter ? voterLimitMs : LOST_AFTER_MS;
+    if (silenceMs < limitMs || silenceMs <= longestMs) continue;
+    longest = id;
+    longestMs = silenceMs;
+  }
+  return longest;
 }
 
 /** The voters left have a majority after the loss of any so many of them. */
--- a/packages/lovagepond-explain/src/explain_summary.ts
+++ b/packages/lovagepond-explain/src/explain_summary.ts
@@ -88,7 +88,7 @@
     ['request refused', line => this.#refuse(line)],
   ]);
 
-  /** @param line a line of any process, in any order */
+  /** @param line a line; those of one process come in the order of writing */
   take(line: LogLine): void {
     this.#handlers.get(line.message)?.(line);
   }
