Tell subscribers the members of control, so that none depends on its seeds

Cause: gateways, routers and sidecars asked the addresses of their settings only, read once at the start. A group lives on through replacements; a process whose named hosts are all replaced hears of no change, confirms no key, and refuses all. Class: knowledge frozen at the start about a set that changes. Ruled out: the group itself (it leads and commits on the new hosts), the subscription's hand-over (works while one named host is left).

Change: each member tells its subscribers all members' addresses, first and at each change (ControlUpdate.control_members). ControlAddresses (core) decides who is asked next: those that control named, then those of the settings, none twice before all. The sidecar's calls and feed use it too. A line `control members known` says what a process has learned.

--- a/packages/lovagepond-control/src/__tests__/unit/subscription_hub.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/subscription_hub.test.ts
@@ -48,6 +48,7 @@
     configuration,
     membershipVersion: 0,
     readings: new ReadingBoard(),
+    controlMembers: [],
     changesSince: () => undefined,
     readLoad: () => ({membershipVersion: 0, loads, ageMs: 0}),
   };
@@ -203,3 +204,22 @@
   expect(deliver(waiting)).toEqual(['o2', 'o3', 'o6']);
   expect(deliver(waiting.slice(2))).toEqual(['o3', 'o4', 'o5', 'o6']);
 });
+
+// A router whose settings name three members must know the fourth before it has
+// lost those three: it can ask nobody afterwards.
+test('a subscriber is told of all members, and of each change', () => {
+  const hub = startHub();
+  const sink = new Sink();
+  hub.add(ROUTER, sink);
+  hub.pump({...viewOf(1), controlMembers: ['a', 'b']}, 0);
+  expect(sink.take()).toContainEqual({
+    kind: 'controlMembers',
+    addresses: ['a', 'b'],
+  });
+  hub.pump({...viewOf(1), controlMembers: ['a', 'b']}, 1);
+  expect(sink.take()).toEqual([]);
+  hub.pump({...viewOf(1), controlMembers: ['b', 'c']}, 2);
+  expect(sink.take()).toEqual([
+    {kind: 'controlMembers', addresses: ['b', 'c']},
+  ]);
+});
--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -332,10 +332,17 @@
       changesSince: (version, pool) => membership.changesSince(version, pool),
       readLoad: () => (load ??= this.#readLoad(now)),
       readings: this.#readings,
+      controlMembers: this.#listControlMembers(),
     };
     this.#hub.pump(view, now);
   }
 
+  /** A host whose disk was emptied stands there twice until it votes again. */
+  #listControlMembers(): readonly string[] {
+    const {members} = this.#parts.node.status();
+    return [...new Set(members.map(({address}) => address))];
+  }
+
   /** No load goes out while the list isn't whole: slots may be taken twice. */
   #readLoad(now: number): LoadReport | undefined {
     if (!this.#membership.complete) return undefined;
--- a/packages/lovagepond-control/src/subscription_feed.ts
+++ b/packages/lovagepond-control/src/subscription_feed.ts
@@ -21,6 +21,8 @@
   /** @returns the newest load report; undefined when none is fresh */
   readLoad(): LoadReport | undefined;
   readonly readings: ReadingBoard;
+  /** `host:port` of the members of control; empty while none is known. */
+  readonly controlMembers: readonly string[];
 }
 
 /** Who subscribes. */
@@ -51,6 +53,7 @@
   | {readonly kind: 'membership'; readonly change: MembershipChange}
   | {readonly kind: 'load'; readonly load: LoadReport}
   | {readonly kind: 'readings'; readonly reports: readonly ReadingReport[]}
+  | {readonly kind: 'controlMembers'; readonly addresses: readonly string[]}
   | {readonly kind: 'heartbeat'; readonly revision: number};
 
 /** Role under which a follower mirrors the leader's list. */
@@ -73,6 +76,7 @@
   #sentConfirmed = false;
   #sentVersion = 0;
   #sentReadings: number | undefined;
+  #sentMembers: readonly string[] = [];
   #digestAt = -Infinity;
   #sentAt = -Infinity;
 
@@ -113,6 +117,7 @@
     if (relayed && !view.leads) return [];
     const updates = [
       ...this.#nextConfiguration(view),
+      ...this.#nextControlMembers(view),
       ...this.#nextMembership(view),
       ...this.#nextLoad(view, now),
       ...this.#nextReadings(view),
@@ -142,6 +147,18 @@
     return [{kind: 'configuration', configuration, withContent, confirmed}];
   }
 
+  /** Followers know the members from the log. */
+  #nextControlMembers({controlMembers: addresses}: FeedView): FeedUpdate[] {
+    if (this.subscriber.role === CONTROL_ROLE) return [];
+    const sent = this.#sentMembers;
+    const isSame =
+      sent.length === addresses.length &&
+      sent.every((address, at) => address === addresses[at]);
+    if (isSame) return [];
+    this.#sentMembers = addresses;
+    return [{kind: 'controlMembers', addresses}];
+  }
+
   #nextMembership(view: FeedView): FeedUpdate[] {
     if (view.membershipVersion <= this.#sentVersion) return [];
     const {pool} = this.subscriber;
--- a/packages/lovagepond-control/src/update_encoder.ts
+++ b/packages/lovagepond-control/src/update_encoder.ts
@@ -63,6 +63,9 @@
       })),
     },
   }),
+  controlMembers: ({addresses}) => ({
+    controlMembers: {addresses: [...addresses]},
+  }),
   heartbeat: ({revision}) => ({heartbeat: {revision}}),
 };
 
--- /dev/null
+++ b/packages/lovagepond-core/src/__tests__/unit/core_control_addresses.test.ts
@@ -0,0 +1,66 @@
+import {assert, constantFrom, integer, property, uniqueArray} from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {ControlAddresses} from '../../core_control_addresses.js';
+import {Random} from '../../core_random.js';
+
+const address = constantFrom('a', 'b', 'c', 'd', 'e', 'f', 'g', 'h');
+const addresses = uniqueArray(address, {maxLength: 8});
+const seed = integer();
+
+/** @returns where it goes in so many steps */
+function visit(known: ControlAddresses, steps: number): string[] {
+  return Array.from({length: steps}, () => {
+    known.moveOn();
+    return known.current;
+  });
+}
+
+describe('the addresses of control', () => {
+  // All members but one are gone, and it may be any: each must be asked before
+  // another is asked twice.
+  it('asks each known member once before any twice', () => {
+    assert(
+      property(addresses, addresses, seed, (fromSettings, named, number) => {
+        const known = new ControlAddresses(fromSettings, new Random(number));
+        known.learn(named);
+        known.noteHeard();
+        const all = new Set([...fromSettings, ...named]);
+        const others = [...all].filter(other => other !== known.current);
+        const visited = visit(known, others.length);
+        expect(visited.sort()).toEqual(others.sort());
+      }),
+    );
+  });
+
+  it('asks those that control named before those of the settings', () => {
+    const known = new ControlAddresses(['a', 'b'], new Random(1));
+    known.learn(['c', 'd']);
+    expect(visit(known, 2).sort()).toEqual(['c', 'd']);
+  });
+
+  it('goes around again when all were asked in vain', () => {
+    const known = new ControlAddresses(['a', 'b'], new Random(1));
+    const visited = visit(known, 6);
+    expect(visited.filter(one => one === 'a')).toHaveLength(3);
+  });
+
+  it('keeps the only one that it knows', () => {
+    const known = new ControlAddresses(['a'], new Random(1));
+    expect(visit(known, 3)).toEqual(['a', 'a', 'a']);
+  });
+
+  it('keeps what it knows when a member knows none', () => {
+    const known = new ControlAddresses(['a'], new Random(1));
+    known.learn(['b']);
+    known.learn([]);
+    expect(visit(known, 1)).toEqual(['b']);
+  });
+
+  it('spreads those that lost the same member', () => {
+    const next = Array.from({length: 32}, (_, number) => {
+      const known = new ControlAddresses(['a', 'b', 'c'], new Random(number));
+      return known.current;
+    });
+    expect(new Set(next).size).toBe(3);
+  });
+});
--- a/packages/lovagepond-core/src/index.ts
+++ b/packages/lovagepond-core/src/index.ts
@@ -35,6 +35,7 @@
   parseErrorKind,
   type Result,
 } from './core_errors.js';
+export {ControlAddresses} from './core_control_addresses.js';
 export {invariant, InvariantError} from './core_invariant.js';
 export {packText, unpackText} from './core_packing.js';
 export {
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -90,6 +90,8 @@
     readings: ({readings}, now) => {
       if (readings) this.#readings.apply(readings, now);
     },
+    // The link keeps them.
+    controlMembers: () => {},
     heartbeat: () => {},
   };
 
--- a/packages/lovagepond-router/src/__tests__/unit/router_control_link.test.ts
+++ b/packages/lovagepond-router/src/__tests__/unit/router_control_link.test.ts
@@ -7,7 +7,7 @@
 import {CONTROL_SERVICE, lovagepond} from '@lovagepond/protocol';
 import {once} from 'node:events';
 import {type AddressInfo, createServer} from 'node:net';
-import {afterEach, expect, test} from 'vitest';
+import {afterEach, test} from 'vitest';
 import {ControlLink} from '../../router_control_link.js';
 
 const {v1} = lovagepond;
@@ -39,11 +39,17 @@
   return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
-async function startMember(): Promise<string> {
+/** A member that names others, if any, and stays or leaves at once. */
+async function startMember(
+  named: readonly string[] = [],
+  leaves = false,
+): Promise<string> {
   const server = new Server();
+  const addresses = [...named];
   server.addService(CONTROL_SERVICE, {
     subscribe: (call: Stream) => {
-      call.write(new v1.ControlUpdate({heartbeat: {}}));
+      call.write(new v1.ControlUpdate({controlMembers: {addresses}}));
+      if (leaves) call.end();
     },
   });
   cleanups.push(() => server.forceShutdown());
@@ -56,19 +62,14 @@
   });
 }
 
-// All hosts lost power and come back one by one. A router that is up first asks
-// a member whose host isn't: nothing refuses its connection, and the system
-// tries again only after a second. It must go on to another member meanwhile,
-// though members that are merely silent are left much later.
-test('leaves a member to which there is no connection', async () => {
-  const addresses = [await startMute(), await startMember()];
-  const heard = new Promise<string>(resolve => {
+/** Starts a link, and resolves once it has heard from the wanted member. */
+function untilHeard(
+  controlAddresses: readonly string[],
+  wanted: string,
+): Promise<void> {
+  return new Promise(resolve => {
     const link = new ControlLink(
-      {
-        controlAddresses: addresses,
-        controlSilentAfterMs: 60_000,
-        controlRetryMs: 1,
-      },
+      {controlAddresses, controlSilentAfterMs: 60_000, controlRetryMs: 1},
       {node: 'r', region: 'r'},
       {
         clock: CLOCK,
@@ -77,7 +78,7 @@
         listener: {
           heldRevision: () => 0,
           onUpdate: () => {
-            resolve(link.address);
+            if (link.address === wanted) resolve();
           },
         },
       },
@@ -87,5 +88,22 @@
     });
     link.start();
   });
-  expect(await heard).toBe(addresses[1]);
+}
+
+// All hosts lost power and come back one by one. A router that is up first asks
+// a member whose host isn't: nothing refuses its connection, and the system
+// tries again only after a second. It must go on to another member meanwhile,
+// though members that are merely silent are left much later.
+test('leaves a member to which there is no connection', async () => {
+  const addresses = [await startMute(), await startMember()];
+  await untilHeard(addresses, addresses[1]!);
+});
+
+// Each host that the settings name has been replaced. The last of them names its
+// successors before it ends; asked for nobody else, the router would hear of no
+// further change.
+test('goes on to members that its settings do not name', async () => {
+  const successor = await startMember();
+  const seed = await startMember([successor], true);
+  await untilHeard([seed], successor);
 });
--- a/packages/lovagepond-router/src/router_control_link.ts
+++ b/packages/lovagepond-router/src/router_control_link.ts
@@ -8,7 +8,12 @@
   credentials,
   Metadata,
 } from '@grpc/grpc-js';
-import {type Clock, type Logger, type Random} from '@lovagepond/core';
+import {
+  type Clock,
+  ControlAddresses,
+  type Logger,
+  type Random,
+} from '@lovagepond/core';
 import {CONTROL_SERVICE, lovagepond} from '@lovagepond/protocol';
 
 const {v1} = lovagepond;
@@ -75,7 +80,7 @@
   readonly #settings: ControlLinkSettings;
   readonly #facts: SubscriberFacts;
   readonly #parts: ControlLinkParts;
-  #member: number;
+  readonly #addresses: ControlAddresses;
   #client: Client | undefined;
   #call: ClientReadableStream<ControlUpdate> | undefined;
   #heardAt = 0;
@@ -96,9 +101,8 @@
     this.#settings = settings;
     this.#facts = facts;
     this.#parts = parts;
-    // Routers that all start with the first member would load it alone.
-    const count = Math.max(1, settings.controlAddresses.length);
-    this.#member = parts.random.below(count);
+    const {controlAddresses} = settings;
+    this.#addresses = new ControlAddresses(controlAddresses, parts.random);
   }
 
   /** @returns bytes of control updates received since the start */
@@ -113,8 +117,7 @@
 
   /** @returns `host:port` of the member asked last */
   get address(): string {
-    const {controlAddresses} = this.#settings;
-    return controlAddresses[this.#member % controlAddresses.length] ?? '';
+    return this.#addresses.current;
   }
 
   /** Starts to subscribe. */
@@ -207,7 +210,7 @@
   }
 
   #subscribe(): void {
-    if (this.#stopped || this.#settings.controlAddresses.length === 0) return;
+    if (this.#stopped || this.address === '') return;
     this.#heardAt = this.#parts.clock.now();
     this.#isHeard = false;
     this.#client = new Client(
@@ -247,6 +250,7 @@
 
   #noteHeard(): void {
     this.#isHeard = true;
+    this.#addresses.noteHeard();
     this.#parts.log.info('control subscription holds', {address: this.address});
   }
 
@@ -261,6 +265,7 @@
       if (!this.#isHeard) this.#noteHeard();
       this.#failures = 0;
       this.#heardAt = this.#parts.clock.now();
+      this.#learnMembers(update);
       this.#parts.listener.onUpdate(update, this.#heardAt);
     });
     call.on('error', err => {
@@ -271,11 +276,20 @@
     });
   }
 
+  #learnMembers({controlMembers}: ControlUpdate): void {
+    const addresses = controlMembers?.addresses;
+    if (!addresses) return;
+    this.#addresses.learn(addresses);
+    this.#parts.log.info('control members known', {
+      addresses: addresses.join(' '),
+    });
+  }
+
   #onLost(reason: string): void {
     const address = this.address;
     this.#parts.log.info('control subscription lost', {address, reason});
     this.#close();
-    this.#member += 1;
+    this.#addresses.moveOn();
     this.#failures += 1;
     const delay = this.#nextDelay();
     this.#retryTimer = setTimeout(() => {
--- a/packages/lovagepond-router/src/router_role.ts
+++ b/packages/lovagepond-router/src/router_role.ts
@@ -90,6 +90,8 @@
       if (load?.membershipVersion !== version || !load.loads) return;
       this.#load.applyDigest(load.loads, now - (load.ageMs ?? 0));
     },
+    // The link keeps them.
+    controlMembers: () => {},
     heartbeat: () => {},
     // Sidecars know what their engines read; only gateways place by this.
     readings: () => {},
--- a/packages/lovagepond-scenarios/src/world/subscribers.ts
+++ b/packages/lovagepond-scenarios/src/world/subscribers.ts
@@ -231,6 +231,7 @@
       configuration: member.machine.configuration.current.read(),
       membershipVersion: 0,
       readings: new ReadingBoard(),
+      controlMembers: [],
       changesSince: () => undefined,
       readLoad: () => undefined,
     };
--- a/packages/lovagepond-sidecar/src/sidecar_control_feed.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_control_feed.ts
@@ -3,7 +3,12 @@
  * and load digest.
  */
 import {type Client, type ClientReadableStream, Metadata} from '@grpc/grpc-js';
-import {type Clock, type Logger, type Random} from '@lovagepond/core';
+import {
+  type Clock,
+  ControlAddresses,
+  type Logger,
+  type Random,
+} from '@lovagepond/core';
 import {CONTROL_SERVICE, lovagepond} from '@lovagepond/protocol';
 import {connect} from './sidecar_calls.js';
 import {type SidecarSettings} from './sidecar_settings.js';
@@ -30,7 +35,7 @@
   readonly #parts: FeedParts;
   #client: Client | undefined;
   #call: ClientReadableStream<ControlUpdate> | undefined;
-  #member = 0;
+  readonly #addresses: ControlAddresses;
   #heardAt = 0;
   #receivedBytes = 0;
   #retryTimer: NodeJS.Timeout | undefined;
@@ -39,6 +44,8 @@
   constructor(settings: SidecarSettings, parts: FeedParts) {
     this.#settings = settings;
     this.#parts = parts;
+    const {controlAddresses} = settings;
+    this.#addresses = new ControlAddresses(controlAddresses, parts.random);
   }
 
   /** @returns bytes received since the start */
@@ -48,10 +55,9 @@
 
   /** Opens the subscription. */
   start(): void {
-    const {controlAddresses, backendServer, pool, region} = this.#settings;
-    const count = controlAddresses.length;
-    const address = controlAddresses[this.#member % count];
-    if (this.#stopped || address === undefined) return;
+    const {backendServer, pool, region} = this.#settings;
+    const address = this.#addresses.current;
+    if (this.#stopped || address === '') return;
     this.#heardAt = this.#parts.clock.now();
     this.#client = connect(address);
     const method = CONTROL_SERVICE.subscribe;
@@ -95,6 +101,9 @@
     call.on('data', (update: ControlUpdate) => {
       if (this.#call !== call) return;
       this.#heardAt = this.#parts.clock.now();
+      this.#addresses.noteHeard();
+      const {addresses} = update.controlMembers ?? {};
+      if (addresses) this.#addresses.learn(addresses);
       this.#parts.onUpdate(update, this.#heardAt);
     });
     const onLost = (err?: Error): void => {
@@ -110,7 +119,7 @@
   #restart(reason: string): void {
     this.#parts.log.debug('subscribing at another member', {reason});
     this.#close();
-    this.#member += 1;
+    this.#addresses.moveOn();
     const pauseMs = RETRY_MS * (0.5 + this.#parts.random.next());
     this.#retryTimer = setTimeout(() => {
       this.start();
--- a/packages/lovagepond-sidecar/src/sidecar_control_link.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_control_link.ts
@@ -3,6 +3,7 @@
  * and moves on to the leader it names or to the next member.
  */
 import {type MethodDefinition} from '@grpc/grpc-js';
+import {ControlAddresses, type Random} from '@lovagepond/core';
 import {CONTROL_SERVICE, lovagepond} from '@lovagepond/protocol';
 import {SidecarCalls} from './sidecar_calls.js';
 import {type ClaimAnswer} from './sidecar_claims.js';
@@ -19,20 +20,27 @@
 
 /** Unary calls to control. */
 export class SidecarControlLink {
-  readonly #addresses: readonly string[];
+  readonly #addresses: ControlAddresses;
   readonly #calls: SidecarCalls;
-  #member = 0;
   #leader = '';
 
-  constructor(settings: SidecarSettings) {
-    this.#addresses = settings.controlAddresses;
+  /**
+   * @param settings the sidecar's settings
+   * @param random draws the member to ask next
+   */
+  constructor(settings: SidecarSettings, random: Random) {
+    this.#addresses = new ControlAddresses(settings.controlAddresses, random);
     this.#calls = new SidecarCalls(settings.controlTimeoutMs);
   }
 
   /** @returns `host:port` of the member asked next */
   get address(): string {
-    if (this.#leader) return this.#leader;
-    return this.#addresses[this.#member % this.#addresses.length] ?? '';
+    return this.#leader || this.#addresses.current;
+  }
+
+  /** @param addresses `host:port` of all members of control */
+  learnMembers(addresses: readonly string[]): void {
+    this.#addresses.learn(addresses);
   }
 
   /**
@@ -107,10 +115,11 @@
   #follow(asked: string, answer: LeaderHint | undefined): void {
     if (asked !== this.address) return;
     if (answer === undefined) {
+      if (asked === this.#addresses.current) this.#addresses.moveOn();
       this.#leader = '';
-      this.#member += 1;
-    } else if (answer.leader) {
-      this.#leader = answer.leader;
+      return;
     }
+    this.#addresses.noteHeard();
+    if (answer.leader) this.#leader = answer.leader;
   }
 }
--- a/packages/lovagepond-sidecar/src/sidecar_role.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_role.ts
@@ -89,7 +89,7 @@
     this.#incarnation = incarnation;
     this.#gate = new SidecarGate({...settings, incarnation}, random);
     this.#gate.setNotReady('The sidecar starts.');
-    this.#link = new SidecarControlLink(settings);
+    this.#link = new SidecarControlLink(settings, random);
     this.#peers = new SidecarPeers(backendServer, pool, controlTimeoutMs);
     this.#configuration = new SidecarConfiguration(settings, {
       gate: this.#gate,
@@ -344,6 +344,8 @@
       this.#configuration.receive(update.configuration);
       this.#updateReadiness();
     }
+    const {addresses} = update.controlMembers ?? {};
+    if (addresses) this.#link.learnMembers(addresses);
     if (update.membership) this.#peers.updateMembership(update.membership);
     if (update.load) this.#peers.updateLoads(update.load);
   }
