Push to gateways what changes in the configuration, not all of it

Change: ConfigurationDelta (core) says what is added, changed and removed, or that it can't be told; it is checked by the schema of the whole. A feed gives the encoder what its subscriber holds while that is kept; each delta is encoded once for all. A gateway that can't apply one subscribes anew. Revisions share unchanged objects. The lists of sections stood three times, now once.

--- a/packages/lovagepond-control/src/__tests__/unit/leader_take_over.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/leader_take_over.test.ts
@@ -15,7 +15,13 @@
   region: 'r',
   leaderContactLimitMs: 2_500,
 } as unknown as ControlSettings;
-const FOLLOWER = {node: 'b', role: CONTROL_ROLE, pool: '', revision: 0};
+const FOLLOWER = {
+  node: 'b',
+  role: CONTROL_ROLE,
+  pool: '',
+  revision: 0,
+  takesDeltas: false,
+};
 const CLOCK = {now: () => 0, wallTime: () => 0};
 
 /** A member whose barrier isn't answered: it has not taken over yet. */
--- a/packages/lovagepond-control/src/__tests__/unit/subscription_hub.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/subscription_hub.test.ts
@@ -12,7 +12,13 @@
   heartbeatIntervalMs: 1_000,
   leaderContactLimitMs: 3_000,
 };
-const ROUTER = {node: 'router', role: 'router', pool: '', revision: 0};
+const ROUTER = {
+  node: 'router',
+  role: 'router',
+  pool: '',
+  revision: 0,
+  takesDeltas: false,
+};
 
 class Sink implements UpdateSink {
   readonly sent: FeedUpdate[] = [];
@@ -46,6 +52,7 @@
   return {
     leads: true,
     configuration,
+    contentOf: () => undefined,
     membershipVersion: 0,
     readings: new ReadingBoard(),
     controlMembers: [],
@@ -223,3 +230,26 @@
     {kind: 'controlMembers', addresses: ['b', 'c']},
   ]);
 });
+
+// Operators send 1,900 rules for a change of one. A subscriber that holds the
+// revision before needs that one only; a new one, one that holds what is no
+// longer kept, and one that can't apply changes need them all.
+test('a subscriber is told what changes in what it holds', () => {
+  const hub = startHub();
+  const {content} = EMPTY_CONFIGURATION;
+  const view = {
+    ...viewOf(9),
+    contentOf: (revision: number) => (revision >= 7 ? content : undefined),
+  };
+  const baseOf = (revision: number, takesDeltas: boolean): unknown => {
+    const sink = new Sink();
+    hub.add({...ROUTER, revision, takesDeltas}, sink);
+    hub.pump(view, 0);
+    const [update] = sink.take();
+    return update?.kind === 'configuration' && update.base?.revision;
+  };
+  expect(baseOf(8, true)).toBe(8);
+  expect(baseOf(6, true)).toBeUndefined();
+  expect(baseOf(0, true)).toBeUndefined();
+  expect(baseOf(8, false)).toBeUndefined();
+});
--- a/packages/lovagepond-control/src/configuration_changer.ts
+++ b/packages/lovagepond-control/src/configuration_changer.ts
@@ -6,11 +6,12 @@
   checkConfiguration,
   type ConfigurationContent,
   type ConfigurationFault,
+  type ConfigurationSection,
+  type NamedObject,
 } from '@lovagepond/core';
 import {
   type ChangeAnswer,
   type ChangeRequest,
-  type ConfigurationSection,
   type WantedChange,
 } from './control_administration.js';
 import {CHANGE_COMMAND, type ChangePayload} from './control_commands.js';
@@ -18,7 +19,6 @@
   type ConfigurationEdit,
   diffConfigurations,
   editConfiguration,
-  type NamedObject,
 } from './configuration_edit.js';
 import {type ControlStateMachine} from './control_state_machine.js';
 import {type OperationResult} from './operation_results.js';
--- a/packages/lovagepond-control/src/configuration_edit.ts
+++ b/packages/lovagepond-control/src/configuration_edit.ts
@@ -1,16 +1,14 @@
 /**
  * Edits of a configuration, and the differences between two.
  */
-import {type ConfigurationContent} from '@lovagepond/core';
 import {
-  type ConfigurationDifference,
+  CONFIGURATION_SECTIONS,
+  type ConfigurationContent,
   type ConfigurationSection,
-} from './control_administration.js';
-
-/** Any named object of a configuration. */
-export interface NamedObject {
-  readonly name: string;
-}
+  isSameObject,
+  type NamedObject,
+} from '@lovagepond/core';
+import {type ConfigurationDifference} from './control_administration.js';
 
 /** A change in the form that stands in the log: checked, defaults filled in. */
 export type ConfigurationEdit =
@@ -32,14 +30,6 @@
   revision: number,
 ) => ConfigurationContent | undefined;
 
-/** Names of the lists in a configuration. */
-const CONFIGURATION_SECTIONS: readonly ConfigurationSection[] = [
-  'pools',
-  'selectors',
-  'workspaces',
-  'requestKinds',
-];
-
 function listSection(
   content: ConfigurationContent,
   section: ConfigurationSection,
@@ -105,7 +95,7 @@
     former.delete(item.name);
     if (!old) {
       differences.push({place, kind: 'added', after: item});
-    } else if (JSON.stringify(old) !== JSON.stringify(item)) {
+    } else if (!isSameObject(old, item)) {
       differences.push({place, kind: 'changed', before: old, after: item});
     }
   }
--- a/packages/lovagepond-control/src/configuration_state.ts
+++ b/packages/lovagepond-control/src/configuration_state.ts
@@ -6,6 +6,7 @@
   type ConfigurationContent,
   EMPTY_CONFIGURATION,
   Published,
+  shareObjects,
 } from '@lovagepond/core';
 import {
   type ConfigurationDifference,
@@ -176,15 +177,16 @@
   ): number {
     const current = this.current.read();
     const revision = current.revision + 1;
-    const changed = diffConfigurations(current.content, content);
+    const shared = shareObjects(current.content, content);
+    const changed = diffConfigurations(current.content, shared);
     this.#history.push({
       revision,
       operationId,
       acceptedAt: stamp.wallTimeMs,
       changed: changed.map(difference => difference.place),
     });
-    this.#keep(revision, content);
-    this.current.update(() => ({revision, content}));
+    this.#keep(revision, shared);
+    this.current.update(() => ({revision, content: shared}));
     return revision;
   }
 
--- a/packages/lovagepond-control/src/control_administration.ts
+++ b/packages/lovagepond-control/src/control_administration.ts
@@ -7,18 +7,12 @@
 import {
   type BackendServer,
   type Configuration,
-  type ConfigurationContent,
   type ConfigurationFault,
+  type ConfigurationSection,
   type ServerState,
   type StateDump,
 } from '@lovagepond/core';
 
-/** The lists of named objects in a configuration. */
-export type ConfigurationSection = Exclude<
-  keyof ConfigurationContent,
-  'callerLimits' | 'documentVersion'
->;
-
 /** The change an operator wants. */
 export type WantedChange =
   | {readonly kind: 'replace'; readonly content: unknown}
--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -325,9 +325,11 @@
   #pump(now: number): void {
     let load: LoadReport | undefined;
     const membership = this.#membership;
+    const {configuration} = this.#parts.machine;
     const view: FeedView = {
       leads: this.#ledTerm !== undefined && this.#proposer.leads(),
-      configuration: this.#parts.machine.configuration.current.read(),
+      configuration: configuration.current.read(),
+      contentOf: revision => configuration.find(revision),
       membershipVersion: membership.version,
       changesSince: (version, pool) => membership.changesSince(version, pool),
       readLoad: () => (load ??= this.#readLoad(now)),
--- a/packages/lovagepond-control/src/control_server.ts
+++ b/packages/lovagepond-control/src/control_server.ts
@@ -124,8 +124,8 @@
     handlers: ControlHandlers,
   ): (call: ServerWritableStream<Message<'SubscribeRequest'>, Buffer>) => void {
     return call => {
-      const {node, role, pool, revision} = call.request;
-      const subscriber = {node, role, pool, revision};
+      const {node, role, pool, revision, takesDeltas} = call.request;
+      const subscriber = {node, role, pool, revision, takesDeltas};
       const sink = new StreamSink(call, this.#encoder);
       const remove = handlers.subscribe(subscriber, sink);
       if (!remove) {
--- a/packages/lovagepond-control/src/index.ts
+++ b/packages/lovagepond-control/src/index.ts
@@ -2,7 +2,6 @@
   type ChangeAnswer,
   type ChangeRequest,
   type ConfigurationDifference,
-  type ConfigurationSection,
   type ControlAdministration,
   type ControlMemberView,
   type ConvergenceView,
--- a/packages/lovagepond-control/src/subscription_feed.ts
+++ b/packages/lovagepond-control/src/subscription_feed.ts
@@ -6,7 +6,7 @@
  * membership change, never a replay.
  */
 import {type ReadingBoard, type ReadingReport} from './reading_board.js';
-import {type Configuration} from '@lovagepond/core';
+import {type Configuration, type ConfigurationContent} from '@lovagepond/core';
 import {type MembershipChange} from './membership_log.js';
 import {type LoadReport} from './membership_registry.js';
 
@@ -15,6 +15,8 @@
   /** This member leads and no other can. */
   readonly leads: boolean;
   readonly configuration: Configuration;
+  /** @returns the content of a revision while it is kept */
+  contentOf(revision: number): ConfigurationContent | undefined;
   readonly membershipVersion: number;
   /** @returns what changed in a pool since a version */
   changesSince(version: number, pool: string): MembershipChange | undefined;
@@ -33,6 +35,8 @@
   readonly pool: string;
   /** Revision it already holds. */
   readonly revision: number;
+  /** It can be told what changes in the configuration that it holds. */
+  readonly takesDeltas: boolean;
 }
 
 /** How often a subscriber hears what. */
@@ -48,6 +52,8 @@
       readonly configuration: Configuration;
       /** False when the subscriber holds the content already. */
       readonly withContent: boolean;
+      /** What the subscriber holds, if what changes in it is enough. */
+      readonly base?: Configuration;
       readonly confirmed: boolean;
     }
   | {readonly kind: 'membership'; readonly change: MembershipChange}
@@ -142,9 +148,18 @@
     const withContent = revision > this.#heldRevision;
     const newlyConfirmed = confirmed && !this.#sentConfirmed;
     if (!withContent && !newlyConfirmed) return [];
+    const base = withContent ? this.#baseOf(view) : undefined;
     this.#heldRevision = Math.max(this.#heldRevision, revision);
     this.#sentConfirmed ||= confirmed;
-    return [{kind: 'configuration', configuration, withContent, confirmed}];
+    const update = {configuration, withContent, confirmed, ...(base && {base})};
+    return [{kind: 'configuration', ...update}];
+  }
+
+  #baseOf(view: FeedView): Configuration | undefined {
+    const revision = this.#heldRevision;
+    if (!this.subscriber.takesDeltas || revision === 0) return undefined;
+    const content = view.contentOf(revision);
+    return content && {revision, content};
   }
 
   /** Followers know the members from the log. */
--- a/packages/lovagepond-control/src/update_encoder.ts
+++ b/packages/lovagepond-control/src/update_encoder.ts
@@ -1,7 +1,13 @@
 /**
  * Encodes updates to subscribers, each content once for all of them.
  */
-import {type BackendServer, encodeConfiguration} from '@lovagepond/core';
+import {
+  type BackendServer,
+  type Configuration,
+  encodeConfiguration,
+  encodeDelta,
+  makeDelta,
+} from '@lovagepond/core';
 import {lovagepond} from '@lovagepond/protocol';
 import {type MembershipChange} from './membership_log.js';
 import {type FeedUpdate} from './subscription_feed.js';
@@ -37,12 +43,10 @@
     update: Extract<FeedUpdate, {kind: Kind}>,
   ) => WireUpdate;
 } = {
-  configuration: ({configuration, withContent, confirmed}) => ({
+  configuration: ({configuration, withContent, confirmed, base}) => ({
     configuration: {
       revision: configuration.revision,
-      configuration: withContent
-        ? encodeConfiguration(configuration)
-        : new Uint8Array(),
+      ...(withContent && encodeContent(configuration, base)),
       majorityConfirmed: confirmed,
     },
   }),
@@ -73,6 +77,18 @@
   return CONVERTERS[update.kind](update as never);
 }
 
+function encodeContent(
+  configuration: Configuration,
+  base: Configuration | undefined,
+): Pick<
+  lovagepond.v1.ConfigurationUpdate.$Properties,
+  'configuration' | 'delta'
+> {
+  const delta = base && makeDelta(base, configuration);
+  if (delta) return {delta: encodeDelta(delta)};
+  return {configuration: encodeConfiguration(configuration)};
+}
+
 function contentOf(update: FeedUpdate): object | undefined {
   if (update.kind === 'configuration') return update.configuration;
   if (update.kind === 'membership') return update.change;
@@ -82,7 +98,8 @@
 
 function variantOf(update: FeedUpdate): string {
   if (update.kind !== 'configuration') return '';
-  return `${update.withContent} ${update.confirmed}`;
+  const {withContent, confirmed, base} = update;
+  return `${withContent} ${confirmed} ${base?.revision ?? ''}`;
 }
 
 function encodeMessage(update: WireUpdate): Buffer {
--- a/packages/lovagepond-core/src/index.ts
+++ b/packages/lovagepond-core/src/index.ts
@@ -35,6 +35,18 @@
   parseErrorKind,
   type Result,
 } from './core_errors.js';
+export {
+  applyDelta,
+  CONFIGURATION_SECTIONS,
+  type ConfigurationDelta,
+  type ConfigurationSection,
+  decodeDelta,
+  encodeDelta,
+  isSameObject,
+  makeDelta,
+  type NamedObject,
+  shareObjects,
+} from './core_configuration_delta.js';
 export {ControlAddresses} from './core_control_addresses.js';
 export {invariant, InvariantError} from './core_invariant.js';
 export {packText, unpackText} from './core_packing.js';
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -3,8 +3,11 @@
  * have no sidecar, by the configuration and the list that control pushes.
  */
 import {
+  applyDelta,
   type Clock,
+  type Configuration,
   decodeConfiguration,
+  decodeDelta,
   EMPTY_MEMBERSHIP,
   type Logger,
   type Random,
@@ -68,8 +71,9 @@
 
   readonly #updateHandlers: Readonly<Record<UpdateKind, UpdateHandler>> = {
     configuration: ({configuration}) => {
-      const bytes = configuration?.configuration;
-      if (bytes && bytes.length > 0) this.#install(bytes);
+      const {configuration: whole, delta} = configuration ?? {};
+      if (whole && whole.length > 0) this.#installWhole(whole);
+      if (delta && delta.length > 0) this.#installDelta(delta);
       // The configuration that a new subscription brings is soon confirmed.
       const at = this.#readClock();
       if (this.#admission.isStarting(at)) this.#askForNewest(at);
@@ -112,7 +116,8 @@
       connectTimeoutMs: settings.connectTimeoutMs,
       maxHeadBytes: MAX_ANSWER_HEAD_BYTES,
     });
-    const facts = {node: settings.name, region: settings.region};
+    const {name: node, region} = settings;
+    const facts = {node, region, takesDeltas: true};
     const listener = {
       heldRevision: () => this.#admission.configuration.revision,
       onUpdate: (update: ControlUpdate, now: number) => {
@@ -236,12 +241,30 @@
     });
   }
 
-  #install(bytes: Uint8Array): void {
+  #installWhole(bytes: Uint8Array): void {
     const configuration = decodeConfiguration(bytes);
-    if (!configuration) {
-      this.#parts.log.error('a configuration could not be read');
+    if (configuration) this.#install(configuration);
+    else this.#parts.log.error('a configuration could not be read');
+  }
+
+  #installDelta(bytes: Uint8Array): void {
+    const delta = decodeDelta(bytes);
+    const {configuration: held} = this.#admission;
+    const configuration = delta && applyDelta(held, delta);
+    if (configuration) {
+      this.#install(configuration);
       return;
     }
+    // Without the change this process would serve by what it holds until the
+    // next one; a new subscription says what that is, and gets what it lacks.
+    this.#parts.log.error('a change could not be applied', {
+      held: held.revision,
+      base: delta?.baseRevision,
+    });
+    this.#link.restart('a change could not be applied');
+  }
+
+  #install(configuration: Configuration): void {
     this.#admission.install(configuration);
     this.#server?.useLimits(configuration.content.callerLimits);
     this.#server?.retryWaiting();
--- a/packages/lovagepond-measure/src/gateway_configuration_measure.ts
+++ b/packages/lovagepond-measure/src/gateway_configuration_measure.ts
@@ -2,10 +2,15 @@
  * What one change of a large configuration costs each gateway.
  */
 import {
+  applyDelta,
   type Configuration,
   configurationSchema,
   decodeConfiguration,
+  decodeDelta,
   encodeConfiguration,
+  encodeDelta,
+  invariant,
+  makeDelta,
   Random,
 } from '@lovagepond/core';
 import {ForwardingRules} from '@lovagepond/gateway';
@@ -75,16 +80,40 @@
   return ((performance.now() - started) * 1_000) / LOOKUPS;
 }
 
+/** @returns a later configuration in which one rule has another limit */
+function changeOneRule({revision, content}: Configuration): Configuration {
+  const [first, ...rest] = content.requestKinds;
+  invariant(first !== undefined, 802, 'no rule to change');
+  const changed = {...first, forwarding: {...FORWARDING, timeoutMs: 700}};
+  const requestKinds = [changed, ...rest];
+  return {revision: revision + 1, content: {...content, requestKinds}};
+}
+
+function takeDelta(held: Configuration, bytes: Uint8Array): Configuration {
+  const delta = decodeDelta(bytes);
+  const next = delta && applyDelta(held, delta);
+  invariant(next !== undefined, 803, 'a delta does not apply');
+  return next;
+}
+
 function measureRow(rules: number): (string | number)[] {
   const configuration = makeConfiguration(rules, new Random(SEED));
   const bytes = encodeConfiguration(configuration);
+  const delta = makeDelta(configuration, changeOneRule(configuration));
+  invariant(delta !== undefined, 804, 'a change of one rule has no delta');
+  const deltaBytes = encodeDelta(delta);
   return [
     rules,
     bytes.length,
+    deltaBytes.length,
     roundTo(
       time(() => decodeConfiguration(bytes)),
       1,
     ),
+    roundTo(
+      time(() => takeDelta(configuration, deltaBytes)),
+      1,
+    ),
     roundTo(
       time(() => new ForwardingRules(configuration)),
       1,
@@ -100,8 +129,10 @@
       title: 'One change of the configuration at a gateway',
       columns: [
         'rules',
-        'bytes pushed',
-        'decoding, ms',
+        'bytes of all',
+        'bytes of one change',
+        'taking all, ms',
+        'taking one change, ms',
         'building rules, ms',
         'finding a rule, µs',
       ],
--- a/packages/lovagepond-operator/src/ctl_object_commands.ts
+++ b/packages/lovagepond-operator/src/ctl_object_commands.ts
@@ -3,7 +3,7 @@
  * workspaces and request kinds, and the labels of pools and limits of
  * workspaces among their fields.
  */
-import {type ConfigurationSection} from '@lovagepond/control';
+import {type ConfigurationSection} from '@lovagepond/core';
 import {type Configuration} from '@lovagepond/core';
 import {
   CHANGE_OPTIONS,
--- a/packages/lovagepond-operator/src/operator_configuration_routes.ts
+++ b/packages/lovagepond-operator/src/operator_configuration_routes.ts
@@ -1,11 +1,12 @@
 /**
  * Calls that read and change the configuration, whole or by object.
  */
-import {type Configuration} from '@lovagepond/core';
 import {
+  type Configuration,
+  CONFIGURATION_SECTIONS,
   type ConfigurationSection,
-  type WantedChange,
-} from '@lovagepond/control';
+} from '@lovagepond/core';
+import {type WantedChange} from '@lovagepond/control';
 import {
   type AdministrationCall,
   type CallHandler,
@@ -25,16 +26,8 @@
 const NOT_CONFIRMED =
   'No majority confirms that this member holds the newest configuration.';
 
-/** The lists of named objects that have paths of their own. */
-const SECTIONS: readonly ConfigurationSection[] = [
-  'pools',
-  'selectors',
-  'workspaces',
-  'requestKinds',
-];
-
 function parseSection(text: string): ConfigurationSection | undefined {
-  return SECTIONS.find(section => section === text);
+  return CONFIGURATION_SECTIONS.find(section => section === text);
 }
 
 function replyWithConfiguration(cfg: Configuration): AdministrationReply {
--- a/packages/lovagepond-router/src/__tests__/unit/router_control_link.test.ts
+++ b/packages/lovagepond-router/src/__tests__/unit/router_control_link.test.ts
@@ -70,7 +70,7 @@
   return new Promise(resolve => {
     const link = new ControlLink(
       {controlAddresses, controlSilentAfterMs: 60_000, controlRetryMs: 1},
-      {node: 'r', region: 'r'},
+      {node: 'r', region: 'r', takesDeltas: false},
       {
         clock: CLOCK,
         log: SILENT_LOG,
--- a/packages/lovagepond-router/src/router_control_link.ts
+++ b/packages/lovagepond-router/src/router_control_link.ts
@@ -25,6 +25,8 @@
 export interface SubscriberFacts {
   readonly node: string;
   readonly region: string;
+  /** Changes of the configuration held may be sent in place of the whole. */
+  readonly takesDeltas: boolean;
 }
 
 /** Settings of {@link ControlLink}, as in the router's settings. */
@@ -202,6 +204,11 @@
     );
   }
 
+  /** Subscribes anew, saying what is held by now. */
+  restart(reason: string): void {
+    if (this.#call) this.#onLost(reason);
+  }
+
   /** Ends the subscription. */
   stop(): void {
     this.#stopped = true;
--- a/packages/lovagepond-router/src/router_role.ts
+++ b/packages/lovagepond-router/src/router_role.ts
@@ -109,7 +109,12 @@
         this.#onMembership(membership, now),
       revisionInstalled: revision => this.#link.reportRevision(revision),
     });
-    const facts = {node: settings.name, region: settings.region};
+    const facts = {
+      node: settings.name,
+      region: settings.region,
+      // It hands the whole to sidecars that hold an older one.
+      takesDeltas: false,
+    };
     const listener = {
       heldRevision: () => this.#state.revision,
       onUpdate: (update: ControlUpdate, now: number) =>
--- a/packages/lovagepond-scenarios/src/world/subscribers.ts
+++ b/packages/lovagepond-scenarios/src/world/subscribers.ts
@@ -105,6 +105,7 @@
       role: this.#role,
       pool: '',
       revision: this.holder.revision(),
+      takesDeltas: false,
     };
     let open = true;
     const receive = (update: FeedUpdate): void => {
@@ -229,6 +230,7 @@
     return {
       leads: this.#control.leader === member,
       configuration: member.machine.configuration.current.read(),
+      contentOf: () => undefined,
       membershipVersion: 0,
       readings: new ReadingBoard(),
       controlMembers: [],
