Play gateways in virtual time, with the deciders that run in production

Change: packages/lovagepond-measure plays gateways against engines (slots, reading one prompt after the other, memory, contexts taken over), plain services, a table of servers, callers and troubles. Choice, fleet, readings, prompt accounts, retry rules and budget are the production classes; the weights of the choice of an engine become one typed object, by default what they were.

--- a/packages/lovagepond-control/src/deciders.ts
+++ b/packages/lovagepond-control/src/deciders.ts
@@ -26,6 +26,7 @@
   type IncarnationResult,
   type RecordResult,
 } from './ledger_state.js';
+export {DirectServerTable, type JoiningServer} from './direct_server_table.js';
 export {MembershipLog} from './membership_log.js';
 export {type Announcement, MembershipRegistry} from './membership_registry.js';
 export {type IssueResult} from './order_state.js';
--- /dev/null
+++ b/packages/lovagepond-gateway/src/deciders.ts
@@ -0,0 +1,15 @@
+/**
+ * The deciding classes of gateways, without I/O, for plays in virtual time.
+ */
+export {GatewayChoice} from './gateway_choice.js';
+export {type ContextFetch} from './gateway_context_source.js';
+export {ENGINE_WEIGHTS, type EngineWeights} from './gateway_engine_choice.js';
+export {GatewayFleet} from './gateway_fleet.js';
+export {type PromptPart} from './gateway_headers.js';
+export {type AttemptOutcome, decideNext} from './gateway_outcome.js';
+export {PrefillRate} from './gateway_prefill_rate.js';
+export {PromptAccount} from './gateway_prompt_account.js';
+export {GatewayReadings} from './gateway_readings.js';
+export {GatewayRetryBudget} from './gateway_retry_budget.js';
+export {type ForwardingRule, ForwardingRules} from './gateway_routes.js';
+export {type ServerState} from './gateway_server_state.js';
--- a/packages/lovagepond-gateway/src/gateway_choice.ts
+++ b/packages/lovagepond-gateway/src/gateway_choice.ts
@@ -6,7 +6,11 @@
 import {type Pool, type Random} from '@lovagepond/core';
 import {type KeyHasher} from '@lovagepond/router/rendezvous_hash';
 import {type ContextFetch} from './gateway_context_source.js';
-import {chooseEngine} from './gateway_engine_choice.js';
+import {
+  chooseEngine,
+  ENGINE_WEIGHTS,
+  type EngineWeights,
+} from './gateway_engine_choice.js';
 import {type PromptPart} from './gateway_headers.js';
 import {type PrefillRate} from './gateway_prefill_rate.js';
 import {type ServerState} from './gateway_server_state.js';
@@ -40,6 +44,8 @@
   readonly availabilityZone: string;
   /** How fast engines read prompts. */
   readonly rate: PrefillRate;
+  /** Other weights than those in use, to measure what each is worth. */
+  readonly weights?: EngineWeights;
 }
 
 /**
@@ -114,6 +120,7 @@
       repeatable,
       readTokensPerMs: this.#settings.rate.tokensPerMs,
       fetchTokensPerMs: pool.contextFetchTokensPerMs,
+      weights: this.#settings.weights ?? ENGINE_WEIGHTS,
     };
     return chooseEngine(engineRequest, this.#hasher, now);
   }
--- a/packages/lovagepond-gateway/src/gateway_engine_choice.ts
+++ b/packages/lovagepond-gateway/src/gateway_engine_choice.ts
@@ -25,6 +25,7 @@
   readonly readTokensPerMs: number;
   /** Tokens taken over in a millisecond; undefined where that can't be. */
   readonly fetchTokensPerMs: number | undefined;
+  readonly weights: EngineWeights;
 }
 
 /** The engine, and where it takes the prompt's context over from. */
@@ -38,46 +39,56 @@
   readonly unreadTokens: number;
 }
 
-/**
- * Reading anew at another server also delays that server's other streams and
- * pushes out what it held, so it counts for more than its own time.
- */
-const REREAD_WEIGHT = 1.5;
-
-/**
- * What taking a token over counts against reading it anew: it takes memory at
- * both ends and a share of the links, but no time of the engine.
- */
-const FETCH_WEIGHT = 0.25;
-
-/**
- * Part of a cold prompt's reading that its home has as an advantage, so that
- * gateways which meet a new prompt at the same time send it to one server.
- */
-const HOME_WEIGHT = 0.25;
-
-/**
- * Part of the target latency up to which a wait costs the caller nothing: the
- * rest covers what other routers have sent to the server, unseen from here.
- */
-const FREE_WAIT_PART = 0.5;
-
-/** What a millisecond beyond that counts against one of reading anew. */
-const LATE_WEIGHT = 3;
-
-/**
- * Weight of a wait that brings no lateness, and of one more request at a
- * server, milliseconds: they decide between servers that are equal else.
- */
-const EARLY_WEIGHT = 0.1;
-const RUNNING_REQUEST_MS = 0.5;
+/** What counts how much in the choice of an engine. */
+export interface EngineWeights {
+  /**
+   * A millisecond of reading anew at another server, which also delays that
+   * server's other streams and pushes out what it held: more than its own time.
+   */
+  readonly reread: number;
+  /**
+   * Taking a token over against reading it anew: it takes memory at both ends
+   * and a share of the links, but no time of the engine.
+   */
+  readonly fetch: number;
+  /**
+   * Part of a cold prompt's reading that its home has as an advantage, so that
+   * gateways which meet a new prompt at the same time send it to one server.
+   */
+  readonly home: number;
+  /**
+   * Part of the target latency up to which a wait costs the caller nothing: the
+   * rest covers what other routers have sent to the server, unseen from here.
+   */
+  readonly freeWaitPart: number;
+  /** A millisecond beyond that against one of reading anew. */
+  readonly late: number;
+  /**
+   * A millisecond of a wait that brings no lateness, and one more request at a
+   * server, in milliseconds: they decide between servers that are equal else.
+   */
+  readonly early: number;
+  readonly runningRequestMs: number;
+  /**
+   * A certain failure, in times of the target latency: a caller whose stream can
+   * be resumed waits about as long once more, another one has lost its answer.
+   */
+  readonly repeatableFailure: number;
+  readonly lostFailure: number;
+}
 
-/**
- * What a certain failure counts for, in times of the target latency: a caller
- * whose stream can be resumed waits about as long once more, another one has
- * lost its answer.
- */
-const FAILURE_TARGETS = {REPEATABLE: 1, LOST: 3} as const;
+/** The weights in use; docs/MEASURES.md says what each is worth. */
+export const ENGINE_WEIGHTS: EngineWeights = Object.freeze({
+  reread: 1.5,
+  fetch: 0.25,
+  home: 0.25,
+  freeWaitPart: 0.5,
+  late: 3,
+  early: 0.1,
+  runningRequestMs: 0.5,
+  repeatableFailure: 1,
+  lostFailure: 3,
+});
 
 /**
  * @param req the prompt and the engines
@@ -96,7 +107,7 @@
   let best: Offer | undefined;
   let bestCost = Infinity;
   for (const offer of offers) {
-    const avoidable = offer.state === home ? 0 : HOME_WEIGHT * least;
+    const avoidable = offer.state === home ? 0 : req.weights.home * least;
     const rereadTokens = offer.unreadTokens - least + avoidable;
     const cost = costOf(offer, rereadTokens, req, now);
     if (cost >= bestCost) continue;
@@ -124,22 +135,22 @@
   req: EngineRequest,
   now: number,
 ): number {
-  const {readTokensPerMs, fetchTokensPerMs = Infinity} = req;
+  const {readTokensPerMs, fetchTokensPerMs = Infinity, weights} = req;
   const firstMs =
     unreadTokens / readTokensPerMs +
     fetch.tokens / fetchTokensPerMs +
     state.readingMs(readTokensPerMs, now);
-  const lateMs = firstMs - req.targetLatencyMs * FREE_WAIT_PART;
-  const anewTokens = rereadTokens + fetch.tokens * FETCH_WEIGHT;
-  const failureTargets = req.repeatable
-    ? FAILURE_TARGETS.REPEATABLE
-    : FAILURE_TARGETS.LOST;
+  const lateMs = firstMs - req.targetLatencyMs * weights.freeWaitPart;
+  const anewTokens = rereadTokens + fetch.tokens * weights.fetch;
+  const failure = req.repeatable
+    ? weights.repeatableFailure
+    : weights.lostFailure;
   return (
-    (anewTokens / readTokensPerMs) * REREAD_WEIGHT +
-    Math.max(0, lateMs) * LATE_WEIGHT +
-    firstMs * EARLY_WEIGHT +
-    state.load(now) * RUNNING_REQUEST_MS +
-    state.failureRisk(now) * failureTargets * req.targetLatencyMs
+    (anewTokens / readTokensPerMs) * weights.reread +
+    Math.max(0, lateMs) * weights.late +
+    firstMs * weights.early +
+    state.load(now) * weights.runningRequestMs +
+    state.failureRisk(now) * failure * req.targetLatencyMs
   );
 }
 
--- a/packages/lovagepond-gateway/src/index.ts
+++ b/packages/lovagepond-gateway/src/index.ts
@@ -3,7 +3,6 @@
   type GatewayHeaderNames,
 } from './gateway_headers.js';
 export {type GatewayParts, GatewayRole} from './gateway_role.js';
-export {ForwardingRules} from './gateway_routes.js';
 export {
   DEFAULT_GATEWAY_SETTINGS,
   type GatewaySettings,
--- a/packages/lovagepond-measure/src/gateway_configuration_measure.ts
+++ b/packages/lovagepond-measure/src/gateway_configuration_measure.ts
@@ -13,7 +13,7 @@
   makeDelta,
   Random,
 } from '@lovagepond/core';
-import {ForwardingRules} from '@lovagepond/gateway';
+import {ForwardingRules} from '@lovagepond/gateway/deciders';
 import {roundTo} from './measure_statistics.js';
 import {type MeasureSection} from './measure_types.js';
 
--- a/packages/lovagepond-measure/src/measure_table.ts
+++ b/packages/lovagepond-measure/src/measure_table.ts
@@ -9,6 +9,10 @@
 import {measureControl} from './control_measure.js';
 import {measureDecisionCost} from './decision_cost_measure.js';
 import {measureGatewayConfiguration} from './gateway_configuration_measure.js';
+import {
+  measureGatewayAblation,
+  measureGatewayPlays,
+} from './gateway_play_measure.js';
 import {type MeasureFunction} from './measure_types.js';
 import {measureMemory} from './memory_measure.js';
 import {measurePlacement} from './placement_measure.js';
@@ -27,6 +31,8 @@
   caller: measureCaller,
   backend: measureBackend,
   'gateway-configuration': measureGatewayConfiguration,
+  'gateway-plays': measureGatewayPlays,
+  'gateway-ablation': measureGatewayAblation,
   router: measureRouter,
   memory: async () => [await measureMemory()],
 };
--- /dev/null
+++ b/packages/lovagepond-measure/src/play_fleet.ts
@@ -0,0 +1,376 @@
+/**
+ * A whole play: callers, gateways that tell each other what servers do, servers
+ * that come and go, and what goes wrong.
+ */
+import {
+  type BackendServer,
+  configurationSchema,
+  type Pool,
+  Random,
+  SERVER_STATE,
+} from '@lovagepond/core';
+import {
+  DirectServerTable,
+  type JoiningServer,
+} from '@lovagepond/control/deciders';
+import {type PromptPart} from '@lovagepond/gateway/deciders';
+import {type KeyHasher} from '@lovagepond/router';
+import {PlayAccount, type PlayResult} from './play_account.js';
+import {PlayEngine, PlayService} from './play_engine.js';
+import {PlayGateway, type PlayRequest} from './play_gateway.js';
+import {
+  type DrawnLength,
+  type PlayKind,
+  type PlaySettings,
+  type PlayTrouble,
+} from './play_types.js';
+import {VirtualTime} from './virtual_time.js';
+
+const ENGINES = 'engines';
+const SERVICES = 'services';
+
+/** Time until gateways hear of a change of the list, milliseconds. */
+const LIST_LAG_MS = 50;
+/** Time until they hear what another one told. */
+const TOLD_LAG_MS = 25;
+const TELL_MS = 20;
+const TICK_MS = 100;
+
+/** A server that leaves serves so long after it has said so, milliseconds. */
+const DRAIN_MS = 3_000;
+/** A new server is there so long before the old one leaves, milliseconds. */
+const OVERLAP_MS = 500;
+/** A server that ended without a word stays listed so long, milliseconds. */
+const LEASE_MS = 6_000;
+
+const MS_PER_SECOND = 1_000;
+
+type Trouble<Kind extends PlayTrouble['kind']> = Extract<
+  PlayTrouble,
+  {kind: Kind}
+>;
+
+type TroubleHandlers = {
+  readonly [Kind in PlayTrouble['kind']]: (trouble: Trouble<Kind>) => void;
+};
+
+/** One play from its start to its result. */
+export class PlayFleet {
+  readonly #settings: PlaySettings;
+  readonly #time = new VirtualTime();
+  readonly #random: Random;
+  readonly #account = new PlayAccount();
+  readonly #table = new DirectServerTable();
+  readonly #engines = new Map<string, PlayEngine>();
+  readonly #services = new Map<string, PlayService>();
+  readonly #gateways: readonly PlayGateway[];
+  readonly #lengths = new Map<string, number>();
+  #version = 0;
+  #named = 0;
+  #times = 1;
+  #hotShare = 0;
+
+  /**
+   * @param settings the load, the variant, what goes wrong, and the seed
+   * @param hasher finds homes
+   */
+  constructor(settings: PlaySettings, hasher: KeyHasher) {
+    this.#settings = settings;
+    this.#random = new Random(settings.seed);
+    const pools = makePools(settings);
+    const {load, variant} = settings;
+    this.#gateways = Array.from(
+      {length: load.gateways},
+      (_, at) =>
+        new PlayGateway({
+          name: `gateway-${at}`,
+          zone: `zone-${at % load.zones}`,
+          pools,
+          variant,
+          hasher,
+          random: new Random(this.#random.below(2 ** 31)),
+          time: this.#time,
+          servers: {
+            engine: name => this.#engines.get(name),
+            service: name => this.#services.get(name),
+          },
+          account: this.#account,
+        }),
+    );
+  }
+
+  /** @returns what callers got */
+  run(): PlayResult {
+    const {load, troubles, endMs} = this.#settings;
+    for (let at = 0; at < load.engines.count; at += 1) this.#addEngine();
+    for (let at = 0; at < load.services.count; at += 1) this.#addService();
+    this.#time.every(TELL_MS, TELL_MS, () => {
+      this.#tell();
+    });
+    this.#time.every(TICK_MS, TICK_MS, () => {
+      this.#tick();
+    });
+    for (const trouble of troubles) this.#plan(trouble);
+    for (const kind of load.kinds) this.#arrive(kind);
+    const longest = Math.max(...load.kinds.map(kind => kind.deadlineMs));
+    this.#time.runUntil(LIST_LAG_MS + endMs + longest);
+    return this.#account.result();
+  }
+
+  readonly #handlers: TroubleHandlers = {
+    release: ({share, gapMs}) => {
+      const old = this.#draw(share);
+      for (const [at, name] of old.entries()) {
+        this.#time.after(at * gapMs, () => {
+          this.#replace(name);
+        });
+      }
+    },
+    crash: ({share, forMs}) => {
+      for (const name of this.#draw(share)) {
+        this.#engines.get(name)?.crash();
+        this.#time.after(LEASE_MS, () => {
+          this.#drop(name);
+        });
+        this.#time.after(forMs, () => {
+          this.#addEngine();
+        });
+      }
+    },
+    failing: ({share, forMs, part}) => {
+      const ill = [
+        ...this.#draw(share).map(name => this.#engines.get(name)),
+        ...this.#drawOf([...this.#services.values()], share),
+      ];
+      for (const server of ill) if (server) server.failingPart = part;
+      this.#time.after(forMs, () => {
+        for (const server of ill) if (server) server.failingPart = 0;
+      });
+    },
+    burst: ({times, forMs}) => {
+      this.#times = times;
+      this.#time.after(forMs, () => {
+        this.#times = 1;
+      });
+    },
+    hotKey: ({share, forMs}) => {
+      this.#hotShare = share;
+      this.#time.after(forMs, () => {
+        this.#hotShare = 0;
+      });
+    },
+    scaleOut: ({share}) => {
+      const added = Math.round(share * this.#engines.size);
+      for (let at = 0; at < added; at += 1) this.#addEngine();
+    },
+    restart: ({downMs}) => {
+      for (const gateway of this.#gateways) {
+        gateway.forget();
+        gateway.readyAt = this.#time.now + downMs;
+      }
+      this.#publish();
+    },
+  };
+
+  #plan(trouble: PlayTrouble): void {
+    const handle = this.#handlers[trouble.kind] as (one: PlayTrouble) => void;
+    this.#time.at(trouble.atMs, () => {
+      handle(trouble);
+    });
+  }
+
+  /** @returns engines drawn from those that stay */
+  #draw(share: number): readonly string[] {
+    const staying = this.#table
+      .list()
+      .filter(({server, leaving}) => server.pool === ENGINES && !leaving)
+      .map(({server}) => server.name)
+      .filter(name => this.#engines.get(name)?.isUp);
+    return this.#drawOf(staying, share);
+  }
+
+  #drawOf<Item>(items: readonly Item[], share: number): readonly Item[] {
+    const left = [...items];
+    const drawn: Item[] = [];
+    const count = Math.max(1, Math.round(share * items.length));
+    while (drawn.length < count && left.length > 0) {
+      drawn.push(...left.splice(this.#random.below(left.length), 1));
+    }
+    return drawn;
+  }
+
+  #replace(name: string): void {
+    this.#addEngine();
+    this.#time.after(OVERLAP_MS, () => {
+      this.#table.leave(name, this.#time.now);
+      this.#publish();
+    });
+    this.#time.after(OVERLAP_MS + DRAIN_MS, () => {
+      this.#engines.get(name)?.crash();
+      this.#drop(name);
+    });
+  }
+
+  #drop(name: string): void {
+    this.#table.end(name, this.#time.now);
+    this.#engines.delete(name);
+    this.#publish();
+  }
+
+  #addEngine(): void {
+    const {load} = this.#settings;
+    const name = this.#join(ENGINES, load.engines.slots);
+    const draw = (): number => this.#random.next();
+    this.#engines.set(
+      name,
+      new PlayEngine(load.engines, this.#time, this.#account, draw),
+    );
+    this.#publish();
+  }
+
+  #addService(): void {
+    const {slots, queue} = this.#settings.load.services;
+    const name = this.#join(SERVICES, slots);
+    const draw = (): number => this.#random.next();
+    this.#services.set(name, new PlayService(slots, queue, this.#time, draw));
+    this.#publish();
+  }
+
+  #join(pool: string, slots: number): string {
+    this.#named += 1;
+    const name = `${pool}-${this.#named}`;
+    const zone = this.#named % this.#settings.load.zones;
+    const server: JoiningServer = {
+      name,
+      incarnation: name,
+      pool,
+      labels: {},
+      availabilityZone: `zone-${zone}`,
+      region: 'region',
+      address: `${name}:1`,
+      capacityTokens: 0,
+      models: [],
+      directSlots: slots,
+    };
+    this.#table.join(server, this.#time.now);
+    return name;
+  }
+
+  #publish(): void {
+    this.#version += 1;
+    const version = this.#version;
+    const servers = new Map(
+      this.#table.list().map(({server, leaving, place}, slot) => {
+        const state = leaving ? SERVER_STATE.DRAINING : SERVER_STATE.READY;
+        const listed: BackendServer = {...server, state, place, slot};
+        return [server.name, listed] as const;
+      }),
+    );
+    this.#time.after(LIST_LAG_MS, () => {
+      for (const {fleet} of this.#gateways) {
+        fleet.useMembership({version, servers});
+      }
+    });
+  }
+
+  #tick(): void {
+    const {now} = this.#time;
+    if (this.#table.hasPlacesToOpen(now)) {
+      this.#table.openPlaces(now);
+      this.#publish();
+    }
+    for (const {fleet} of this.#gateways) fleet.forgetSilentRouters(now);
+  }
+
+  #tell(): void {
+    const {variant} = this.#settings;
+    for (const [at, {readings}] of this.#gateways.entries()) {
+      const report = readings.takeReport(this.#time.now);
+      if (!report) continue;
+      const told = {
+        ...report,
+        node: `gateway-${at}`,
+        ...(variant.silentReadings && {readings: []}),
+        ...(variant.silentRunning && {running: []}),
+      };
+      this.#time.after(TOLD_LAG_MS, () => {
+        for (const gateway of this.#gateways) {
+          gateway.readings.apply({reports: [told]}, this.#time.now);
+        }
+      });
+    }
+  }
+
+  #arrive(kind: PlayKind): void {
+    const perMs = (kind.perSecond * this.#times) / MS_PER_SECOND;
+    this.#time.after(this.#random.exponential(1 / perMs), () => {
+      if (this.#time.now >= this.#settings.endMs) return;
+      this.#arrive(kind);
+      const req = this.#drawRequest(kind);
+      this.#account.asked(kind, this.#time.now);
+      this.#random.pick(this.#gateways).serve(req);
+    });
+  }
+
+  #drawRequest(kind: PlayKind): PlayRequest {
+    const {prompt, workMs} = kind;
+    return {
+      kind,
+      at: this.#time.now,
+      parts: prompt ? this.#drawParts(kind, prompt) : [],
+      events: prompt ? Math.max(1, this.#drawLength(prompt.events)) : 0,
+      workMs: workMs ? this.#drawLength(workMs) : 0,
+    };
+  }
+
+  #drawParts(
+    {name}: PlayKind,
+    {shared, own}: NonNullable<PlayKind['prompt']>,
+  ): readonly PromptPart[] {
+    const isHot = this.#random.next() < this.#hotShare;
+    const parts = shared.map(({tokens, count}, level) => {
+      const number = isHot ? 0 : this.#random.below(count);
+      const id = `${name}.${level}.${number}`;
+      const length = this.#lengths.get(id) ?? this.#drawLength(tokens);
+      this.#lengths.set(id, length);
+      return {id, tokens: length};
+    });
+    this.#named += 1;
+    const ownPart = {id: `own.${this.#named}`, tokens: this.#drawLength(own)};
+    return [...parts, ownPart];
+  }
+
+  /** Log-normal, by the sum of twelve draws for a normal one. */
+  #drawLength({mean, spread, max}: DrawnLength): number {
+    let normal = -6;
+    for (let draw = 0; draw < 12; draw += 1) normal += this.#random.next();
+    const drawn = mean * Math.exp(spread * normal - spread ** 2 / 2);
+    return Math.max(1, Math.round(Math.min(max, drawn)));
+  }
+}
+
+function makePools({load, variant}: PlaySettings): {
+  readonly engines: Pool;
+  readonly services: Pool;
+} {
+  const loadBound = variant.noBound ? 16 : load.loadBound;
+  const {content} = {
+    content: configurationSchema.parse({
+      pools: [
+        {
+          name: ENGINES,
+          kind: 'engine',
+          loadBound,
+          engineSlots: load.engines.slots,
+          contextTokens: load.engines.memoryTokens,
+          ...(!variant.noFetch && {
+            contextFetchTokensPerMs: load.engines.fetchTokensPerMs,
+          }),
+        },
+        {name: SERVICES, kind: 'service', loadBound},
+      ],
+    }),
+  };
+  const [engines, services] = content.pools as [Pool, Pool];
+  return {engines, services};
+}
--- /dev/null
+++ b/packages/lovagepond-measure/src/play_gateway.ts
@@ -0,0 +1,359 @@
+/**
+ * One gateway of a play: the deciders that run in production, with virtual time
+ * in place of connections.
+ */
+import {type Pool, type Random} from '@lovagepond/core';
+import {
+  type AttemptOutcome,
+  type ContextFetch,
+  decideNext,
+  ENGINE_WEIGHTS,
+  type ForwardingRule,
+  GatewayChoice,
+  GatewayFleet,
+  GatewayReadings,
+  GatewayRetryBudget,
+  PrefillRate,
+  PromptAccount,
+  type PromptPart,
+  type ServerState,
+} from '@lovagepond/gateway/deciders';
+import {type KeyHasher} from '@lovagepond/router';
+import {type PlayAccount} from './play_account.js';
+import {type PlayEngine, type PlayService} from './play_engine.js';
+import {type PlayKind, type PlayVariant} from './play_types.js';
+import {type VirtualTime} from './virtual_time.js';
+
+/** What callers draw for one request. */
+export interface PlayRequest {
+  readonly kind: PlayKind;
+  readonly at: number;
+  readonly parts: readonly PromptPart[];
+  readonly events: number;
+  readonly workMs: number;
+}
+
+/** Servers by their names. */
+export interface PlayServers {
+  engine(name: string): PlayEngine | undefined;
+  service(name: string): PlayService | undefined;
+}
+
+/** What a gateway is made from. */
+export interface PlayGatewayParts {
+  readonly name: string;
+  readonly zone: string;
+  readonly pools: {readonly engines: Pool; readonly services: Pool};
+  readonly variant: PlayVariant;
+  readonly hasher: KeyHasher;
+  readonly random: Random;
+  readonly time: VirtualTime;
+  readonly servers: PlayServers;
+  readonly account: PlayAccount;
+}
+
+/** One way between a gateway and a server, milliseconds. */
+const HOP_MS = 0.5;
+
+/** What engines are believed to read before any has been observed. */
+const FIRST_RATE = 40;
+
+const BUDGET = {retryFraction: 0.2, retryWindowMs: 10_000, retrySlack: 4};
+
+/** Time after which a caller that may ask again does so, milliseconds. */
+const CALLER_RETRY_MS = 300;
+
+/** A gateway. Its memory can be lost as a whole. */
+export class PlayGateway {
+  readonly #parts: PlayGatewayParts;
+  fleet = new GatewayFleet();
+  readings!: GatewayReadings;
+  #choice!: GatewayChoice;
+  #rate!: PrefillRate;
+  #budget = new GatewayRetryBudget(BUDGET);
+  /** Callers are refused until then. */
+  readyAt = 0;
+
+  /** @param parts what it works with */
+  constructor(parts: PlayGatewayParts) {
+    this.#parts = parts;
+    this.forget();
+  }
+
+  /** Starts again without a memory. */
+  forget(): void {
+    const {name, zone, variant, hasher, random} = this.#parts;
+    this.fleet = new GatewayFleet();
+    this.#rate = new PrefillRate(FIRST_RATE);
+    this.readings = new GatewayReadings(name, this.fleet, this.#rate);
+    const weights = {...ENGINE_WEIGHTS, ...variant.weights};
+    const settings = {availabilityZone: zone, rate: this.#rate, weights};
+    this.#choice = new GatewayChoice(settings, hasher, random);
+    this.#budget = new GatewayRetryBudget(BUDGET);
+  }
+
+  /** @param req a request that comes now */
+  serve(req: PlayRequest): void {
+    new PlayExchange(req, this.#parts, this).offer();
+  }
+
+  get choice(): GatewayChoice {
+    return this.#choice;
+  }
+
+  get rate(): PrefillRate {
+    return this.#rate;
+  }
+
+  get budget(): GatewayRetryBudget {
+    return this.#budget;
+  }
+}
+
+/** One request at one gateway, from its arrival to its end. */
+class PlayExchange {
+  readonly #req: PlayRequest;
+  readonly #parts: PlayGatewayParts;
+  readonly #gateway: PlayGateway;
+  readonly #tried = new Set<string>();
+  #attempt = 0;
+  #runs = 0;
+  #offers = 0;
+  #firstMs: number | undefined;
+  #hasFailure = false;
+  #callerTries = 0;
+  #isDone = false;
+
+  constructor(req: PlayRequest, parts: PlayGatewayParts, gateway: PlayGateway) {
+    this.#req = req;
+    this.#parts = parts;
+    this.#gateway = gateway;
+    const {at, kind} = req;
+    parts.time.at(at + kind.deadlineMs, () => {
+      this.#end();
+    });
+  }
+
+  get #now(): number {
+    return this.#parts.time.now;
+  }
+
+  offer(): void {
+    const {kind, parts} = this.#req;
+    const {pools, variant} = this.#parts;
+    const {fleet, choice, budget, readyAt} = this.#gateway;
+    if (this.#now < readyAt) {
+      this.#refused();
+      return;
+    }
+    const isChat = kind.prompt !== undefined;
+    const pool = isChat ? pools.engines : pools.services;
+    if (this.#offers === 0) budget.noteRequest(pool.name, this.#now);
+    const listed = fleet.listed(pool.name);
+    const chosen = choice.choose(
+      {
+        pool,
+        servers: fleet.ready(pool.name),
+        holders: variant.noFetch ? [] : listed,
+        parts,
+        sticky: isChat,
+        targetLatencyMs: kind.targetLatencyMs,
+        repeatable: kind.repeatable,
+        tried: this.#tried,
+      },
+      this.#now,
+    );
+    if (!chosen) {
+      this.#refused();
+      return;
+    }
+    this.#offers += 1;
+    this.#attempt += 1;
+    this.#tried.add(chosen.state.server.name);
+    if (isChat) this.#runChat(chosen.state, chosen.fetch);
+    else this.#runCall(chosen.state);
+  }
+
+  #runChat(state: ServerState, fetch: ContextFetch | undefined): void {
+    const {time, servers} = this.#parts;
+    const {readings, rate} = this.#gateway;
+    const {kind, parts, events} = this.#req;
+    const account = new PromptAccount(
+      state,
+      parts,
+      fetch,
+      {readings, rate},
+      this.#now,
+    );
+    state.inFlight += 1;
+    const close = this.#guard(() => {
+      account.close();
+      state.inFlight -= 1;
+    });
+    const engine = servers.engine(state.server.name);
+    const source = fetch?.source && servers.engine(fetch.source.server.name);
+    time.after(HOP_MS, () => {
+      if (!engine?.isUp) {
+        this.#ended(state, close, {kind: 'unsent'});
+        return;
+      }
+      engine.start({
+        parts,
+        events,
+        priority: kind.priority,
+        source,
+        onFirst: () => {
+          this.#noteLoad(state, engine);
+          account.noteFirstToken(this.#now);
+          this.#firstMs ??= this.#now - this.#req.at + HOP_MS;
+        },
+        onEnd: () => {
+          if (close()) this.#served(state);
+        },
+        onBroken: () => {
+          this.#ended(state, close, {kind: 'broken'});
+        },
+        onRefused: () => {
+          this.#ended(state, close, {kind: 'notRun'});
+        },
+      });
+    });
+  }
+
+  #runCall(state: ServerState): void {
+    const {time, servers} = this.#parts;
+    const {kind, workMs} = this.#req;
+    state.inFlight += 1;
+    const close = this.#guard(() => {
+      state.inFlight -= 1;
+    });
+    const service = servers.service(state.server.name);
+    time.after(HOP_MS, () => {
+      if (!service) {
+        this.#ended(state, close, {kind: 'unsent'});
+        return;
+      }
+      service.start(workMs, kind.failureShare ?? 0, outcome => {
+        this.#noteLoad(state, service);
+        if (outcome === 'ok') {
+          if (!close()) return;
+          this.#firstMs = this.#now - this.#req.at + HOP_MS;
+          this.#served(state);
+        } else if (outcome === 'failed') {
+          this.#ended(state, close, {kind: 'failedAnswer'});
+        } else if (outcome === 'refused') {
+          this.#ended(state, close, {kind: 'notRun'});
+        } else this.#ended(state, close, {kind: 'broken'});
+      });
+    });
+  }
+
+  /** @returns a function that runs once, and says whether it was this time */
+  #guard(run: () => void): () => boolean {
+    const attempt = this.#attempt;
+    let isOpen = true;
+    return () => {
+      if (!isOpen) return false;
+      isOpen = false;
+      run();
+      return attempt === this.#attempt && !this.#isDone;
+    };
+  }
+
+  #noteLoad(
+    state: ServerState,
+    {
+      load,
+    }: {readonly load: {readonly running: number; readonly waiting: number}},
+  ): void {
+    if (this.#parts.variant.noLoadHeader) return;
+    state.noteLoad({...load, slots: state.slots}, this.#now);
+  }
+
+  #served(state: ServerState): void {
+    state.noteSuccess(this.#now);
+    this.#isDone = true;
+    const {kind, at} = this.#req;
+    this.#parts.account.served(kind, at, this.#firstMs ?? 0);
+  }
+
+  #ended(
+    state: ServerState,
+    close: () => boolean,
+    outcome: AttemptOutcome,
+  ): void {
+    const isCurrent = close();
+    if (outcome.kind === 'failedAnswer') {
+      state.noteErrorAnswer(this.#now);
+      this.#hasFailure = true;
+    } else if (outcome.kind !== 'notRun') state.noteBroken(this.#now);
+    if (!isCurrent) return;
+    if (outcome.kind === 'failedAnswer' || outcome.kind === 'broken') {
+      this.#runs += 1;
+    }
+    const {kind} = this.#req;
+    const pool = kind.prompt
+      ? this.#parts.pools.engines
+      : this.#parts.pools.services;
+    const next = decideNext(outcome, {
+      rule: ruleOf(kind),
+      runs: this.#runs,
+      offers: this.#offers,
+      headSent: this.#firstMs !== undefined,
+      hasFailure: this.#hasFailure,
+      lastEventId: this.#firstMs === undefined ? undefined : 1,
+      timeLeftMs: this.#req.at + kind.deadlineMs - this.#now,
+      trySpend: () => this.#gateway.budget.trySpend(pool.name, this.#now),
+    });
+    if (next.kind === 'retry' || next.kind === 'resume') this.offer();
+    else if (next.kind === 'refuse' && this.#runs === 0) this.#refused();
+    else if (kind.repeatable) this.#askAgain();
+    else this.#end();
+  }
+
+  /** Nothing of it has run: the caller comes back once. */
+  #refused(): void {
+    this.#askAgain();
+  }
+
+  #askAgain(): void {
+    if (this.#callerTries > 0) {
+      this.#end();
+      return;
+    }
+    this.#callerTries += 1;
+    this.#parts.time.after(CALLER_RETRY_MS, () => {
+      if (this.#isDone) return;
+      this.#tried.clear();
+      this.#runs = 0;
+      this.#offers = 0;
+      this.#firstMs = undefined;
+      this.offer();
+    });
+  }
+
+  #end(): void {
+    this.#isDone = true;
+  }
+}
+
+function ruleOf(kind: PlayKind): ForwardingRule {
+  const {name, priority, targetLatencyMs, deadlineMs, maxAttempts} = kind;
+  const isChat = kind.prompt !== undefined;
+  return {
+    name,
+    pathPrefix: `/${name}/`,
+    isPublic: false,
+    nonRepeatable: !kind.repeatable,
+    forwarding: {
+      timeoutMs: deadlineMs,
+      targetLatencyMs,
+      maxAttempts,
+      priority,
+      streaming: isChat,
+      resumable: isChat && kind.repeatable,
+      sticky: isChat,
+    },
+    pools: [],
+  };
+}
--- /dev/null
+++ b/packages/lovagepond-measure/src/play_loads.ts
@@ -0,0 +1,222 @@
+/**
+ * The three deployments that are played, as their users describe them.
+ */
+import {type PlayKind, type PlayLoad, type PlayTrouble} from './play_types.js';
+
+const HIGH = 9;
+
+/** A chat of the deployments' usual shape. */
+function chat(
+  name: string,
+  perSecond: number,
+  worth: readonly [onTime: number, late: number],
+  times: readonly [targetMs: number, deadlineMs: number],
+  prompt: NonNullable<PlayKind['prompt']>,
+  rank: number,
+  repeatable = false,
+): PlayKind {
+  return {
+    name,
+    perSecond,
+    worth: worth[0],
+    lateWorth: worth[1],
+    targetLatencyMs: times[0],
+    deadlineMs: times[1],
+    priority: HIGH - rank,
+    repeatable,
+    maxAttempts: repeatable ? 2 : 1,
+    prompt,
+  };
+}
+
+/** A call of a plain service. */
+function call(
+  name: string,
+  perSecond: number,
+  lateWorth: number,
+  times: readonly [targetMs: number, deadlineMs: number],
+  repeatable: boolean,
+): PlayKind {
+  return {
+    name,
+    perSecond,
+    worth: 1,
+    lateWorth,
+    targetLatencyMs: times[0],
+    deadlineMs: times[1],
+    priority: HIGH - 2,
+    repeatable,
+    maxAttempts: repeatable ? 2 : 1,
+    workMs: {mean: 43, spread: 0.5, max: 320},
+    failureShare: repeatable ? 0.14 : 0.004,
+  };
+}
+
+const LONG_DOCUMENT = {
+  shared: [
+    {tokens: {mean: 2_520, spread: 0.4, max: 6_290}, count: 4},
+    {tokens: {mean: 6_100, spread: 0.7, max: 18_000}, count: 156},
+  ],
+  own: {mean: 580, spread: 1, max: 7_900},
+  events: {mean: 10, spread: 1.4, max: 40},
+};
+
+const SUMMARY = {
+  shared: [
+    {tokens: {mean: 341, spread: 0.4, max: 851}, count: 80},
+    {tokens: {mean: 1_700, spread: 0.7, max: 5_100}, count: 174},
+  ],
+  own: {mean: 360, spread: 1.3, max: 1_400},
+  events: {mean: 5, spread: 1.4, max: 13},
+};
+
+const SHORT_CHAT = {
+  shared: [
+    {tokens: {mean: 103, spread: 0.4, max: 257}, count: 16},
+    {tokens: {mean: 500, spread: 0.7, max: 1_500}, count: 253},
+  ],
+  own: {mean: 110, spread: 0.89, max: 460},
+  events: {mean: 56, spread: 0.7, max: 190},
+};
+
+const DENSE_ENGINE = {
+  slots: 64,
+  queue: 192,
+  readTokensPerMs: 44.2,
+  tokensPerEvent: 5,
+  stepMs: 3.4,
+  stepMsPerRequest: 0.017,
+  firstMs: 0,
+  fetchTokensPerMs: 1_678,
+};
+
+/** Coupons: six engines, nine entry hosts, four zones. */
+const COUPONS: PlayLoad = {
+  name: 'coupons',
+  gateways: 9,
+  zones: 4,
+  engines: {...DENSE_ENGINE, count: 6, memoryTokens: 345_426},
+  services: {count: 4, slots: 6, queue: 24},
+  loadBound: 2,
+  kinds: [
+    chat('offer', 13.9, [3.5, 0.35], [600, 5_000], LONG_DOCUMENT, 1),
+    chat('tag', 10.3, [1.8, 0.18], [500, 3_000], SUMMARY, 0),
+    chat('chat', 15, [0.44, 0.044], [400, 12_000], SHORT_CHAT, 2),
+    call('write', 9.8, 0.1, [193, 1_500], false),
+    call('read', 5.6, 0.1, [193, 1_500], true),
+  ],
+};
+
+/** Spill reports: six engines, seven entry hosts, three zones. */
+const REPORTS: PlayLoad = {
+  name: 'reports',
+  gateways: 7,
+  zones: 3,
+  engines: {...DENSE_ENGINE, count: 6, memoryTokens: 314_298},
+  services: {count: 3, slots: 6, queue: 24},
+  loadBound: 2,
+  kinds: [
+    chat('report', 13.9, [3.5, 1], [600, 5_000], LONG_DOCUMENT, 1),
+    chat('summary', 10.3, [1.8, 0.55], [500, 3_000], SUMMARY, 0, true),
+    chat('alert', 15, [0.44, 0.13], [400, 12_000], SHORT_CHAT, 2),
+    call('write', 9.8, 0.3, [193, 1_000], false),
+    call('read', 5.6, 0.3, [193, 1_000], true),
+  ],
+};
+
+/** Letters of credit: thirteen engines, eight entry hosts, three zones. */
+const LETTERS: PlayLoad = {
+  name: 'letters',
+  gateways: 8,
+  zones: 3,
+  engines: {
+    count: 13,
+    slots: 64,
+    queue: 192,
+    readTokensPerMs: 55,
+    memoryTokens: 514_346,
+    tokensPerEvent: 7,
+    stepMs: 2.89,
+    stepMsPerRequest: 0.101,
+    firstMs: 15,
+    fetchTokensPerMs: 3_730,
+  },
+  services: {count: 3, slots: 6, queue: 24},
+  loadBound: 2,
+  kinds: [
+    chat(
+      'review',
+      18.2,
+      [4.5, 1.4],
+      [1_000, 12_000],
+      {
+        shared: [
+          {tokens: {mean: 512, spread: 0.4, max: 1_280}, count: 1},
+          {tokens: {mean: 10_000, spread: 0.7, max: 30_000}, count: 88},
+        ],
+        own: {mean: 1_300, spread: 1.4, max: 11_000},
+        events: {mean: 55, spread: 0.44, max: 160},
+      },
+      1,
+    ),
+    chat(
+      'explain',
+      30,
+      [1.9, 0.57],
+      [400, 12_000],
+      {
+        shared: [
+          {tokens: {mean: 119, spread: 0.4, max: 298}, count: 40},
+          {tokens: {mean: 580, spread: 0.7, max: 1_700}, count: 146},
+        ],
+        own: {mean: 130, spread: 1, max: 660},
+        events: {mean: 42, spread: 0.69, max: 136},
+      },
+      0,
+      true,
+    ),
+    chat(
+      'check',
+      26.5,
+      [0.49, 0.15],
+      [500, 3_000],
+      {
+        shared: [
+          {tokens: {mean: 341, spread: 0.4, max: 851}, count: 20},
+          {tokens: {mean: 1_700, spread: 0.7, max: 5_100}, count: 57},
+        ],
+        own: {mean: 360, spread: 1.3, max: 1_400},
+        events: {mean: 3, spread: 1.4, max: 13},
+      },
+      2,
+    ),
+    call('amend', 18.7, 0.3, [193, 1_500], false),
+    call('status', 7.5, 0.3, [193, 1_500], true),
+  ],
+};
+
+/** The loads by their names. */
+export const PLAY_LOADS: readonly PlayLoad[] = [COUPONS, REPORTS, LETTERS];
+
+/** Kinds of days, by what happens on them. */
+export const PLAY_DAYS: Readonly<Record<string, readonly PlayTrouble[]>> = {
+  calm: [],
+  release: [{kind: 'release', atMs: 12_000, share: 0.5, gapMs: 1_000}],
+  crash: [{kind: 'crash', atMs: 12_000, share: 0.2, forMs: 4_000}],
+  failing: [
+    {kind: 'failing', atMs: 12_000, share: 0.34, forMs: 6_000, part: 0.45},
+  ],
+  burst: [
+    {kind: 'burst', atMs: 12_000, forMs: 5_000, times: 1.7},
+    {kind: 'hotKey', atMs: 20_000, forMs: 5_000, share: 0.25},
+  ],
+  restart: [{kind: 'restart', atMs: 18_000, downMs: 1_000}],
+  mixed: [
+    {kind: 'hotKey', atMs: 5_000, forMs: 6_000, share: 0.15},
+    {kind: 'release', atMs: 10_000, share: 0.5, gapMs: 1_000},
+    {kind: 'burst', atMs: 14_000, forMs: 4_000, times: 1.5},
+    {kind: 'crash', atMs: 20_000, share: 0.15, forMs: 4_000},
+    {kind: 'scaleOut', atMs: 24_000, share: 0.3},
+    {kind: 'failing', atMs: 26_000, share: 0.3, forMs: 4_000, part: 0.4},
+  ],
+};
