Send gateways on from hosts that have no log yet

Cause: after a change of seeds, all three addresses that gateways know may be of hosts without a disk.

Change: a host that remembers no group says whom it has heard of one from (Formation.introducedBy), and sends waiting subscribers on to them (ControlMembers.go_on). The leader introduces itself ten times a second, not five.

Figures: tests of the three parts (subscription_hub, router_control_link, consensus_losses); the first two fail without it by construction.

--- a/packages/lovagepond-consensus/src/__tests__/unit/consensus_losses.test.ts
+++ b/packages/lovagepond-consensus/src/__tests__/unit/consensus_losses.test.ts
@@ -354,4 +354,26 @@
       expect(list.commands).toEqual(fleet.acknowledged);
     }
   });
+
+  // A gateway that asks such a host is sent on to the leader: the host learns of
+  // it from the leader's word, before it is let in and has the log.
+  it('know the leader before they have its log', async () => {
+    fleet = new Fleet(['a:1', 'b:1', 'c:1'], 1);
+    for (const address of ['a:1', 'b:1', 'c:1']) await fleet.start(address);
+    const before = await fleet.start('o:1', {observer: true});
+    await pass(4_000);
+    expect(await fleet.propose()).toBe(true);
+    await before.node.stop();
+    fleet.seeds = ['o:1'];
+    const {node} = await fleet.start('o:1', {observer: true, mayForm: false});
+    for (let step = 0; node.introducedBy().length === 0; step += 1) {
+      expect(step).toBeLessThan(100);
+      expect(node.status().members).toEqual([]);
+      await pass(10);
+    }
+    const leader = fleet.hosts.find(host => host.node.status().leaseValid);
+    expect(node.introducedBy()).toEqual([leader?.address]);
+    await pass(1_500);
+    expect(node.introducedBy()).toEqual([]);
+  });
 });
--- a/packages/lovagepond-consensus/src/consensus_formation.ts
+++ b/packages/lovagepond-consensus/src/consensus_formation.ts
@@ -57,7 +57,7 @@
  * milliseconds: short against the second that it takes until all hosts serve
  * again after a stop of all. Some of these hosts may be gone for good.
  */
-const INTRODUCTION_INTERVAL_MS = 200;
+const INTRODUCTION_INTERVAL_MS = 100;
 
 /** Forms or joins a group while there is none that counts this host in. */
 export class Formation {
@@ -89,6 +89,14 @@
     return actions;
   }
 
+  /**
+   * Members that said that they are there while this host remembers no group:
+   * others that ask it can be sent to them.
+   */
+  get introducedBy(): readonly string[] {
+    return this.#view.isBlank() ? [...this.#introduced] : [];
+  }
+
   /** @param now monotonic milliseconds */
   tick(now: number): void {
     if (this.#view.isLeading()) this.#introduce(now);
--- a/packages/lovagepond-consensus/src/consensus_node.ts
+++ b/packages/lovagepond-consensus/src/consensus_node.ts
@@ -228,6 +228,11 @@
     return this.#core?.status(this.#now()) ?? this.#lastStatus;
   }
 
+  /** @returns members that this host could send others to, while it is none */
+  introducedBy(): readonly string[] {
+    return this.#formation?.introducedBy ?? [];
+  }
+
   /**
    * @param listener called when the known leader changes
    * @returns a function that takes the registration back
--- a/packages/lovagepond-control/src/__tests__/unit/leader_take_over.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/leader_take_over.test.ts
@@ -29,6 +29,7 @@
   const node = {
     status: () => ({role, term: 1, leaseValid: true, members: []}),
     onLeaderChange: () => () => undefined,
+    introducedBy: () => [],
     readBarrier: () => new Promise(() => undefined),
   } as unknown as ConsensusNode;
   const machine = new ControlStateMachine(CONTROL_DEFAULTS, CLOCK.now);
--- a/packages/lovagepond-control/src/__tests__/unit/subscription_hub.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/subscription_hub.test.ts
@@ -222,12 +222,13 @@
   expect(sink.take()).toContainEqual({
     kind: 'controlMembers',
     addresses: ['a', 'b'],
+    goOn: false,
   });
   hub.pump({...viewOf(1), controlMembers: ['a', 'b']}, 1);
   expect(sink.take()).toEqual([]);
   hub.pump({...viewOf(1), controlMembers: ['b', 'c']}, 2);
   expect(sink.take()).toEqual([
-    {kind: 'controlMembers', addresses: ['b', 'c']},
+    {kind: 'controlMembers', addresses: ['b', 'c'], goOn: false},
   ]);
 });
 
@@ -253,3 +254,27 @@
   expect(baseOf(0, true)).toBeUndefined();
   expect(baseOf(8, false)).toBeUndefined();
 });
+
+// All hosts were stopped, and all addresses that gateways know are of hosts
+// without a disk, which must first be let in. Gateways that wait there are sent
+// on to the leader as soon as it says that it is there; once.
+test('a member without a log sends its subscribers on', () => {
+  const hub = new SubscriptionHub(SETTINGS, 0);
+  const sink = new Sink();
+  hub.add(ROUTER, sink);
+  hub.sendOn([]);
+  expect(sink.take()).toEqual([]);
+  hub.sendOn(['leader']);
+  hub.sendOn(['leader']);
+  expect(sink.take()).toEqual([
+    {kind: 'controlMembers', addresses: ['leader'], goOn: true},
+  ]);
+});
+
+test('a member in touch sends nobody on', () => {
+  const hub = startHub();
+  const sink = new Sink();
+  hub.add(ROUTER, sink);
+  hub.sendOn(['other']);
+  expect(sink.take()).toEqual([]);
+});
--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -207,6 +207,7 @@
     this.#hub.noteContact(leads ? now : this.#relay.heardAt, now);
     if (leads) this.#tickLeader(now);
     this.#convergence.sweep(now);
+    this.#hub.sendOn(node.introducedBy());
     this.#runRounds();
     this.#pump(now);
   }
--- a/packages/lovagepond-control/src/subscription_feed.ts
+++ b/packages/lovagepond-control/src/subscription_feed.ts
@@ -59,7 +59,12 @@
   | {readonly kind: 'membership'; readonly change: MembershipChange}
   | {readonly kind: 'load'; readonly load: LoadReport}
   | {readonly kind: 'readings'; readonly reports: readonly ReadingReport[]}
-  | {readonly kind: 'controlMembers'; readonly addresses: readonly string[]}
+  | {
+      readonly kind: 'controlMembers';
+      readonly addresses: readonly string[];
+      /** The subscriber is to ask one of them in place of this member. */
+      readonly goOn: boolean;
+    }
   | {readonly kind: 'heartbeat'; readonly revision: number};
 
 /** Role under which a follower mirrors the leader's list. */
@@ -171,7 +176,7 @@
       sent.every((address, at) => address === addresses[at]);
     if (isSame) return [];
     this.#sentMembers = addresses;
-    return [{kind: 'controlMembers', addresses}];
+    return [{kind: 'controlMembers', addresses, goOn: false}];
   }
 
   #nextMembership(view: FeedView): FeedUpdate[] {
--- a/packages/lovagepond-control/src/subscription_hub.ts
+++ b/packages/lovagepond-control/src/subscription_hub.ts
@@ -22,6 +22,8 @@
 interface Subscription {
   readonly feed: SubscriptionFeed;
   readonly sink: UpdateSink;
+  /** It has been told of members that can serve it. */
+  isSentOn?: boolean;
 }
 
 /** Settings of the hub. */
@@ -126,6 +128,27 @@
     }
   }
 
+  /**
+   * Sends subscribers that wait here on to members that can serve them. A host
+   * without a memory is let in by the leader, and has the log, only some 0.5 s
+   * after a stop of all hosts; where all addresses of the settings are of such
+   * hosts, every gateway waited for that.
+   *
+   * @param members `host:port` of members that are there
+   */
+  sendOn(members: readonly string[]): void {
+    if (this.#hasBeenInTouch || members.length === 0) return;
+    for (const subscription of this.#subscriptions) {
+      if (subscription.isSentOn) continue;
+      subscription.isSentOn = true;
+      subscription.sink.send({
+        kind: 'controlMembers',
+        addresses: members,
+        goOn: true,
+      });
+    }
+  }
+
   /** Ends every subscription. */
   endAll(): void {
     const ended = [...this.#subscriptions];
--- a/packages/lovagepond-control/src/update_encoder.ts
+++ b/packages/lovagepond-control/src/update_encoder.ts
@@ -67,8 +67,8 @@
       })),
     },
   }),
-  controlMembers: ({addresses}) => ({
-    controlMembers: {addresses: [...addresses]},
+  controlMembers: ({addresses, goOn}) => ({
+    controlMembers: {addresses: [...addresses], goOn},
   }),
   heartbeat: ({revision}) => ({heartbeat: {revision}}),
 };
--- a/packages/lovagepond-router/src/__tests__/unit/router_control_link.test.ts
+++ b/packages/lovagepond-router/src/__tests__/unit/router_control_link.test.ts
@@ -39,16 +39,21 @@
   return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
-/** A member that names others, if any, and stays or leaves at once. */
+interface Behaviour {
+  readonly leaves?: boolean;
+  readonly goOn?: boolean;
+}
+
+/** A member that names others, if any. */
 async function startMember(
   named: readonly string[] = [],
-  leaves = false,
+  {leaves = false, goOn = false}: Behaviour = {},
 ): Promise<string> {
   const server = new Server();
   const addresses = [...named];
   server.addService(CONTROL_SERVICE, {
     subscribe: (call: Stream) => {
-      call.write(new v1.ControlUpdate({controlMembers: {addresses}}));
+      call.write(new v1.ControlUpdate({controlMembers: {addresses, goOn}}));
       if (leaves) call.end();
     },
   });
@@ -104,6 +109,14 @@
 // further change.
 test('goes on to members that its settings do not name', async () => {
   const successor = await startMember();
-  const seed = await startMember([successor], true);
+  const seed = await startMember([successor], {leaves: true});
   await untilHeard([seed], successor);
 });
+
+// Each address that the settings name is of a host without a log, which knows the
+// leader but can't serve yet. It says so, and the router must not wait there.
+test('goes on when the member sends it on', async () => {
+  const leader = await startMember();
+  const seed = await startMember([leader], {goOn: true});
+  await untilHeard([seed], leader);
+});
--- a/packages/lovagepond-router/src/router_control_link.ts
+++ b/packages/lovagepond-router/src/router_control_link.ts
@@ -276,8 +276,8 @@
       if (!this.#isHeard) this.#noteHeard();
       this.#failures = 0;
       this.#heardAt = this.#parts.clock.now();
-      this.#learnMembers(update);
       this.#parts.listener.onUpdate(update, this.#heardAt);
+      this.#learnMembers(update);
     });
     call.on('error', err => {
       if (this.#call === call) this.#onLost(err.message);
@@ -294,6 +294,7 @@
     this.#parts.log.info('control members known', {
       addresses: addresses.join(' '),
     });
+    if (controlMembers.goOn) this.restart('it has no log yet');
   }
 
   #onLost(reason: string): void {
