Send gateways on until there is a log, not until there is contact

Change: what decides is whether anything of the log is there (listMembersWithLog), and the leader is named once it is known. The two questions on addresses get a file of their own; control_member_state is shorter again.

--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -22,6 +22,7 @@
 import {DirectServers} from './direct_servers.js';
 import {LeaderRelay} from './leader_relay.js';
 import {LedgerHandler} from './ledger_handler.js';
+import {listMemberAddresses, listMembersWithLog} from './member_addresses.js';
 import {MemberAdministration} from './member_administration.js';
 import {MembershipLog} from './membership_log.js';
 import {type LoadReport, MembershipRegistry} from './membership_registry.js';
@@ -207,7 +208,7 @@
     this.#hub.noteContact(leads ? now : this.#relay.heardAt, now);
     if (leads) this.#tickLeader(now);
     this.#convergence.sweep(now);
-    this.#hub.sendOn(node.introducedBy());
+    this.#hub.sendOn(listMembersWithLog(node));
     this.#runRounds();
     this.#pump(now);
   }
@@ -335,17 +336,11 @@
       changesSince: (version, pool) => membership.changesSince(version, pool),
       readLoad: () => (load ??= this.#readLoad(now)),
       readings: this.#readings,
-      controlMembers: this.#listControlMembers(),
+      controlMembers: listMemberAddresses(this.#parts.node),
     };
     this.#hub.pump(view, now);
   }
 
-  /** A host whose disk was emptied stands there twice until it votes again. */
-  #listControlMembers(): readonly string[] {
-    const {members} = this.#parts.node.status();
-    return [...new Set(members.map(({address}) => address))];
-  }
-
   /** No load goes out while the list isn't whole: slots may be taken twice. */
   #readLoad(now: number): LoadReport | undefined {
     if (!this.#membership.complete) return undefined;
--- a/packages/lovagepond-control/src/subscription_hub.ts
+++ b/packages/lovagepond-control/src/subscription_hub.ts
@@ -129,15 +129,15 @@
   }
 
   /**
-   * Sends subscribers that wait here on to members that can serve them. A host
-   * without a memory is let in by the leader, and has the log, only some 0.5 s
-   * after a stop of all hosts; where all addresses of the settings are of such
-   * hosts, every gateway waited for that.
+   * Sends subscribers on to members that can serve them. A host without a memory
+   * is let in by the leader, and then has the log, some 0.7 s after the others
+   * when all were stopped; where all addresses of the settings are of such hosts,
+   * every gateway waited for that.
    *
    * @param members `host:port` of members that are there
    */
   sendOn(members: readonly string[]): void {
-    if (this.#hasBeenInTouch || members.length === 0) return;
+    if (members.length === 0) return;
     for (const subscription of this.#subscriptions) {
       if (subscription.isSentOn) continue;
       subscription.isSentOn = true;
