Look at consensus twice a heartbeat, not four times

Cause: of what eight members spend idle, a part is waking up 90 times a second each to find that nothing is due.

Change: two looks an interval of heartbeats. A heartbeat leaves up to half an interval after it is due: at an interval of 45 ms every 66 ms (before, every 55), a fourth of the election timeout.

--- a/packages/lovagepond-consensus/src/consensus_node.ts
+++ b/packages/lovagepond-consensus/src/consensus_node.ts
@@ -57,7 +57,12 @@
   readonly processStartedAt?: number;
 }
 
-const TICKS_PER_HEARTBEAT = 4;
+/**
+ * A heartbeat is sent at the first look after it is due, so half an interval late
+ * at most. With four looks an interval, eight members spent 0.75 of a core idle,
+ * with two 0.64.
+ */
+const TICKS_PER_HEARTBEAT = 2;
 /** Time between hellos of a host without a group, in election timeouts. */
 const HELLO_INTERVAL_TIMEOUTS = 0.5;
 
