--- a/packages/lovagepond-consensus/src/consensus_node.ts
+++ b/packages/lovagepond-consensus/src/consensus_node.ts
@@ -2,12 +2,7 @@
  * The shell of consensus: connects the deciding part to storage, transport,
  * the state machine and the timer.
  */
-import {
-  type Clock,
-  type Logger,
-  type Random,
-  type Unregister,
-} from '@lovagepond/core';
+import {type Unregister} from '@lovagepond/core';
 import {
   ActionPerformer,
   type AppliedListener,
@@ -20,11 +15,11 @@
 import {type MemberChange} from './consensus_members.js';
 import {MemberReplacement} from './consensus_member_replacement.js';
 import {type TransportMessage} from './consensus_messages.js';
+import {type ConsensusParts} from './consensus_parts.js';
 import {PendingCalls} from './consensus_pending.js';
 import {StorageWriter} from './consensus_storage_writer.js';
 import {type ConsensusStorage} from './consensus_storage.js';
 import {StorageError} from './consensus_storage_errors.js';
-import {type ConsensusTransport} from './consensus_transport.js';
 import {
   type ChangeOutcome,
   type ConsensusSettings,
@@ -33,30 +28,8 @@
   type MemberId,
   type ProposeOutcome,
   type ReadOutcome,
-  type StateMachine,
 } from './consensus_types.js';
 
-/** What a node is built from. */
-export interface ConsensusParts {
-  readonly stateMachine: StateMachine;
-  readonly storage: ConsensusStorage;
-  /**
-   * Opens the same data anew after a failure, by storage that believes only
-   * what it has written again. Without it a member whose storage failed stops
-   * for good.
-   */
-  readonly reopenStorage?: () => ConsensusStorage;
-  readonly transport: ConsensusTransport;
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly log: Logger;
-  /**
-   * When this process was there, by the clock: no former one has promised
-   * anything since. Without it the start of the member counts.
-   */
-  readonly processStartedAt?: number;
-}
-
 /**
  * A heartbeat is sent at the first look after it is due, so half an interval late
  * at most. With four looks an interval, eight members spent 0.75 of a core idle,
--- a/packages/lovagepond-consensus/src/index.ts
+++ b/packages/lovagepond-consensus/src/index.ts
@@ -22,7 +22,8 @@
   type VoteReply,
   type VoteRequest,
 } from './consensus_messages.js';
-export {ConsensusNode, type ConsensusParts} from './consensus_node.js';
+export {ConsensusNode} from './consensus_node.js';
+export {type ConsensusParts} from './consensus_parts.js';
 export {type ConsensusAction} from './consensus_outbox.js';
 export {
   type ConsensusStorage,
