Show by a test that a gateway stays with a member that is behind

A member that is off the group, or is sent all of the log anew, looks well to its gateways and has the former configuration.

Change: two tests play such a member. Nothing of the logic is changed.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_role.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_role.test.ts
@@ -1,6 +1,8 @@
 import {
+  type sendUnaryData,
   Server,
   ServerCredentials,
+  type ServerUnaryCall,
   type ServerWritableStream,
 } from '@grpc/grpc-js';
 import {
@@ -23,17 +25,48 @@
   lovagepond.v1.ControlUpdate
 >;
 
+/** Each wait ends with what is awaited; a busy machine needs longer. */
+const WAIT_MS = 8_000;
+
+const ROUNDS = 4;
+
+const HEARTBEAT_MS = 100;
+
 const cleanups: (() => unknown)[] = [];
 
 afterEach(async () => {
   for (const cleanup of cleanups.splice(0).reverse()) await cleanup();
 });
 
+type Report = ServerUnaryCall<
+  lovagepond.v1.ConvergenceReport,
+  lovagepond.v1.ConvergenceResponse
+>;
+
+/** Starts a stand-in for a member that knows the newest revision, if it says so. */
 async function startControl(
   subscribe: (call: Stream) => void,
+  newestRevision?: number,
 ): Promise<string> {
   const server = new Server();
-  server.addService(CONTROL_SERVICE, {subscribe});
+  const reportConvergence = (
+    _call: Report,
+    answer: sendUnaryData<lovagepond.v1.ConvergenceResponse>,
+  ): void => {
+    const confirmed = newestRevision !== undefined;
+    const revision = newestRevision ?? 0;
+    answer(null, new v1.ConvergenceResponse({revision, confirmed}));
+  };
+  const handler = (call: Stream): void => {
+    subscribe(call);
+    const timer = setInterval(() => {
+      call.write(new v1.ControlUpdate({heartbeat: {}}));
+    }, HEARTBEAT_MS);
+    call.on('cancelled', () => {
+      clearInterval(timer);
+    });
+  };
+  server.addService(CONTROL_SERVICE, {subscribe: handler, reportConvergence});
   cleanups.push(() => server.forceShutdown());
   return new Promise((resolve, reject) => {
     const credentials = ServerCredentials.createInsecure();
@@ -44,14 +77,14 @@
   });
 }
 
-async function startGateway(control: string): Promise<GatewayRole> {
+async function startGateway(...control: string[]): Promise<GatewayRole> {
   const gateway = new GatewayRole(
     {
       ...DEFAULT_GATEWAY_SETTINGS,
       name: 'gateway',
       host: '127.0.0.1',
       port: 0,
-      controlAddresses: [control],
+      controlAddresses: control,
       controlRetryMs: 1,
     },
     {clock, log: silentLog, random: new Random(1), names: DEFAULT_HEADER_NAMES},
@@ -103,3 +136,43 @@
   const gateway = await startGateway(control);
   await expect.poll(() => revisionOf(gateway)).toBe(2);
 });
+
+// An operator's change is confirmed. The member that this gateway hears answers
+// for the leader that there is a newer revision, and goes on sending signs of life,
+// but its own log doesn't move. The gateway served by the former configuration for
+// as long as that lasted, while all others served by the new one.
+test('leaves a member that is behind what a majority confirmed', async () => {
+  const behind = await startControl(call => {
+    const configuration = encodeConfiguration(first!);
+    call.write(update({revision: 1, configuration}));
+  }, 2);
+  const configuration = encodeConfiguration(second!);
+  const caughtUp = await startControl(call => {
+    call.write(update({revision: 2, configuration}));
+  }, 2);
+  const gateways = await Promise.all([
+    startGateway(behind, caughtUp),
+    startGateway(caughtUp, behind),
+  ]);
+  const held = (): unknown[] => gateways.map(revisionOf);
+  await expect.poll(held, {timeout: WAIT_MS}).toEqual([2, 2]);
+});
+
+// While every member it knows is behind, as all are for a moment after a stop of
+// all hosts, a gateway goes round them and gets the change from the first that has it.
+test('goes round members that are all behind', async () => {
+  const asked: string[] = [];
+  const start = (name: string): Promise<string> =>
+    startControl(call => {
+      asked.push(name);
+      const isLate = asked.length >= ROUNDS;
+      const held = isLate ? second! : first!;
+      const configuration = encodeConfiguration(held);
+      call.write(update({revision: held.revision, configuration}));
+    }, 2);
+  const [one, other] = [await start('one'), await start('other')];
+  const gateway = await startGateway(one, other);
+  await expect.poll(() => revisionOf(gateway), {timeout: WAIT_MS}).toBe(2);
+  expect(new Set(asked).size).toBe(2);
+  expect(asked).toHaveLength(ROUNDS);
+});
