Leave a member of control that is behind a confirmed change

Cause: a gateway asks twice a second for the newest revision that a majority confirmed, and gets the configuration from the one member it subscribed to. When the two differed, it only doubted its keys; it stayed with that member as long as signs of life came. A member is taken for well by its stream from the leader, while the log comes on another connection: one that was taken off the group, or is sent all of the log anew, sends signs of life and nothing else.

Change: the authority notes since when something newer is known to be in force; half a second later the gateway goes on to another member, and again each half second.

Bound by the intervals: 0.5 s to ask, 0.5 s of patience, 0.1 s to look: 1.2 s, where operators count on 2 to 2.5 s.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_deciders.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_deciders.test.ts
@@ -43,6 +43,30 @@
     authority.hold(4);
     expect(authority.trustsKeys(at(1_002))).toBe(true);
   });
+
+  // Changes in quick succession: each answer names a newer revision, and the
+  // time counts from the first one that didn't come.
+  it('is behind half a second after what is missing was asked for', () => {
+    const authority = new ConfigurationAuthority(BOUND_MS);
+    authority.hold(3);
+    authority.confirm(3, at(500));
+    authority.confirm(4, at(1_000));
+    authority.confirm(5, at(1_400));
+    expect(authority.takeBehind(1_499)).toBe(false);
+    expect(authority.takeBehind(1_500)).toBe(true);
+    expect(authority.takeBehind(1_999)).toBe(false);
+    expect(authority.takeBehind(2_000)).toBe(true);
+  });
+
+  it('is behind no more once it holds what was confirmed', () => {
+    const authority = new ConfigurationAuthority(BOUND_MS);
+    authority.hold(3);
+    authority.confirm(5, at(1_000));
+    authority.hold(4);
+    expect(authority.takeBehind(1_500)).toBe(true);
+    authority.hold(5);
+    expect(authority.takeBehind(9_000)).toBe(false);
+  });
 });
 
 describe('admission', () => {
--- a/packages/lovagepond-gateway/src/gateway_authority.ts
+++ b/packages/lovagepond-gateway/src/gateway_authority.ts
@@ -23,6 +23,16 @@
 /** Control counts as out of touch after this part of the bound. */
 const SURE_PART_OF_BOUND = 0.4;
 
+/**
+ * A member of control pushes a change once it has it, so it is with a gateway a
+ * few hundredths of a second after the leader confirmed it. A member can lag and
+ * look well: it hears the leader on one connection and gets the log on another, and
+ * may be off the group, or be sent all of the log anew. Its gateways would serve by
+ * the former configuration for as long. Asking every half second, a gateway goes
+ * on 1.2 s after the change at the latest; operators count on two.
+ */
+const BEHIND_LIMIT_MS = 500;
+
 /** Follows what was confirmed, and when it was asked. */
 export class ConfigurationAuthority {
   readonly #boundMs: number;
@@ -30,6 +40,8 @@
   #awaited:
     {readonly revision: number; readonly askedAt: ClockReading} | undefined;
   #heldRevision = 0;
+  /** Since when something newer than what is held is known to be in force. */
+  #behindSince: number | undefined;
 
   /** @param boundMs a removed key's longest use after its removal */
   constructor(boundMs: number) {
@@ -41,8 +53,12 @@
    * @param askedAt when the question was sent
    */
   confirm(revision: number, askedAt: ClockReading): void {
-    if (revision <= this.#heldRevision) this.#askedAt = askedAt;
-    else this.#awaited = {revision, askedAt};
+    if (revision <= this.#heldRevision) {
+      this.#askedAt = askedAt;
+      return;
+    }
+    this.#awaited = {revision, askedAt};
+    this.#behindSince ??= askedAt.now;
   }
 
   /** @param revision the revision that is in force here by now */
@@ -51,6 +67,21 @@
     if (!this.#awaited || this.#awaited.revision > revision) return;
     this.#askedAt = this.#awaited.askedAt;
     this.#awaited = undefined;
+    this.#behindSince = undefined;
+  }
+
+  /**
+   * Asks whether the member that this process hears is behind the others. Each
+   * member that is gone on to has the same time again.
+   *
+   * @param now monotonic milliseconds
+   * @returns true when it is time to go on to another member
+   */
+  takeBehind(now: number): boolean {
+    const since = this.#behindSince;
+    if (since === undefined || now - since < BEHIND_LIMIT_MS) return false;
+    this.#behindSince = now;
+    return true;
   }
 
   /**
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -221,6 +221,9 @@
   #tick(): void {
     const at = this.#readClock();
     this.#link.tick(at.now);
+    if (this.#admission.authority.takeBehind(at.now)) {
+      this.#link.restart('it is behind a confirmed change');
+    }
     this.#fleet.forgetSilentRouters(at.now);
     const {authorityIntervalMs} = this.#settings;
     const intervalMs = this.#admission.isStarting(at)
