Load of undici what a gateway uses

A profile of a start: 58 of 228 ms load undici's main entry (fetch, caches, test doubles), of which a gateway uses one class.

Change: http_client.ts takes the client and the connector by their own files; a lint rule keeps the main entry out of the gateway.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -62,6 +62,20 @@
       '@typescript-eslint/no-non-null-assertion': 'off',
     },
   },
+  {
+    // The main entry of undici makes gateways start later: see http_client.ts.
+    files: ['packages/lovagepond-gateway/src/*.ts'],
+    rules: {
+      '@typescript-eslint/no-restricted-imports': [
+        'error',
+        {
+          name: 'undici',
+          allowTypeImports: true,
+          message: 'Use http_client.ts.',
+        },
+      ],
+    },
+  },
   {
     files: ['scripts/**/*.mjs', '*.mjs'],
     languageOptions: {
--- a/packages/lovagepond-gateway/src/gateway_connections.ts
+++ b/packages/lovagepond-gateway/src/gateway_connections.ts
@@ -3,7 +3,8 @@
  * used last is used first, so that as few as possible are opened.
  */
 import {type Socket} from 'node:net';
-import {buildConnector, Client} from 'undici';
+import {type Client} from 'undici';
+import {buildConnector, HttpClient} from './http_client.js';
 
 /** Settings of {@link GatewayConnections}. */
 export interface ConnectionSettings {
@@ -120,7 +121,7 @@
       keepAlive: true,
       keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS,
     });
-    const client = new Client(`http://${address}`, {
+    const client = new HttpClient(`http://${address}`, {
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
--- /dev/null
+++ b/packages/lovagepond-gateway/src/undici_parts.d.ts
@@ -0,0 +1,10 @@
+/** Parts of undici that its own declarations name only on its main entry. */
+declare module 'undici/lib/dispatcher/client.js' {
+  const client: unknown;
+  export = client;
+}
+
+declare module 'undici/lib/core/connect.js' {
+  const buildConnector: unknown;
+  export = buildConnector;
+}
