Give a member's leading a module of its own

Change: ControlLeadership takes the registry over, sets limits, asks engines what they hold and drops silent servers. No behaviour changes.

Tests of control pass; npm run check.

--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -16,8 +16,8 @@
 import {ConfirmationRounds} from './confirmation_rounds.js';
 import {type ControlAdministration} from './control_administration.js';
 import {type ControlSettings} from './control_settings.js';
-import {LIMITS_COMMAND} from './control_commands.js';
-import {type ControlStateMachine, pickLimits} from './control_state_machine.js';
+import {ControlLeadership} from './control_leadership.js';
+import {type ControlStateMachine} from './control_state_machine.js';
 import {ConvergenceTable} from './convergence_table.js';
 import {DirectServers} from './direct_servers.js';
 import {LeaderRelay} from './leader_relay.js';
@@ -28,7 +28,7 @@
 import {type LoadReport, MembershipRegistry} from './membership_registry.js';
 import {OrderDelivery} from './order_delivery.js';
 import {Proposer} from './proposer.js';
-import {type HeldContextsReader, takeInventory} from './context_inventory.js';
+import {type HeldContextsReader} from './context_inventory.js';
 import {ReadingBoard, type ReadingReport} from './reading_board.js';
 import {readReadings} from './wire_utils.js';
 import {
@@ -83,8 +83,7 @@
   readonly #schedule = new SubscriptionPump(() => {
     this.#pump(this.#now());
   });
-  #ledTerm: number | undefined;
-  #takingOver = false;
+  readonly #leadership: ControlLeadership;
 
   constructor(settings: ControlSettings, parts: MemberStateParts) {
     this.#settings = settings;
@@ -101,11 +100,12 @@
       machine,
       registry: this.#registry,
       proposer: this.#proposer,
-      hasTakenOver: () => this.#ledTerm !== undefined,
+      hasTakenOver: () => this.#leadership.term !== undefined,
       publish: () => {
         this.#schedule.soon();
       },
     });
+    this.#leadership = this.#makeLeadership();
     this.#hub = new SubscriptionHub(settings, clock.now());
     this.#relay = this.#makeRelay(log);
     this.#rounds = new ConfirmationRounds(() => this.#confirmRevision());
@@ -199,14 +199,16 @@
     const {role, term, leader, leaseValid} = node.status();
     if (role === MEMBER_ROLE.LEADER) {
       this.#relay.follow('', now);
-      if (this.#ledTerm !== term) this.#runApart(this.#takeOver(term));
+      if (this.#leadership.term !== term) {
+        this.#runApart(this.#leadership.takeOver(term));
+      }
     } else {
-      this.#ledTerm = undefined;
+      this.#leadership.end();
       this.#relay.follow(leader?.address ?? '', now);
     }
-    const leads = this.#ledTerm === term && leaseValid;
+    const leads = this.#leadership.term === term && leaseValid;
     this.#hub.noteContact(leads ? now : this.#relay.heardAt, now);
-    if (leads) this.#tickLeader(now);
+    if (leads) this.#runApart(this.#leadership.tick(now));
     this.#convergence.sweep(now);
     this.#hub.sendOn(listMembersWithLog(node));
     this.#runRounds();
@@ -261,63 +263,6 @@
     return this.#parts.clock.now();
   }
 
-  /** Begins to lead once all that former leaders committed is applied. */
-  async #takeOver(term: number): Promise<void> {
-    if (this.#takingOver) return;
-    this.#takingOver = true;
-    try {
-      if (!(await this.#proposer.confirm())) return;
-      if (!(await this.#setLimits())) return;
-      const {role, term: current} = this.#parts.node.status();
-      if (role !== MEMBER_ROLE.LEADER || current !== term) return;
-      const known = this.directServers.known();
-      this.#registry.takeOver(term, this.#now(), known);
-      this.#ledTerm = term;
-      this.#parts.log.info('control leads', {term});
-      this.tick(this.#now());
-      if (this.#readings.isEmpty) this.#runApart(this.#askForContexts());
-    } finally {
-      this.#takingOver = false;
-    }
-  }
-
-  /** Routers learn what engines hold from nobody else after a full stop. */
-  async #askForContexts(): Promise<void> {
-    const {readHeldContexts, machine, log} = this.#parts;
-    if (!readHeldContexts) return;
-    const {content} = machine.configuration.current.read();
-    const engines = content.pools.filter(({kind}) => kind === 'engine');
-    const pools = new Set(engines.map(({name}) => name));
-    const servers = machine.directServers.list().map(({server}) => server);
-    await takeInventory(
-      servers.filter(({pool}) => pools.has(pool)),
-      {
-        readHeldContexts,
-        log,
-        onReport: report => {
-          this.#postReadings(report);
-        },
-      },
-    );
-  }
-
-  /** The leader's settings are in force at all members. */
-  async #setLimits(): Promise<boolean> {
-    const {machine} = this.#parts;
-    const wanted = pickLimits(this.#settings);
-    if (JSON.stringify(wanted) === JSON.stringify(machine.limits)) return true;
-    const answer = await this.#proposer.propose(LIMITS_COMMAND, wanted);
-    return answer.kind === 'committed';
-  }
-
-  #tickLeader(now: number): void {
-    const lapsed = this.#registry.tick(now);
-    this.#runApart(this.directServers.tick(lapsed, now));
-    this.#delivery.refresh(this.#parts.machine.orders.waiting(), server =>
-      this.#registry.has(server),
-    );
-  }
-
   #postReadings(report: ReadingReport): void {
     this.#readings.post(report);
     if (report.readings.length > 0) this.#schedule.soon();
@@ -329,7 +274,7 @@
     const membership = this.#membership;
     const {configuration} = this.#parts.machine;
     const view: FeedView = {
-      leads: this.#ledTerm !== undefined && this.#proposer.leads(),
+      leads: this.#leadership.term !== undefined && this.#proposer.leads(),
       configuration: configuration.current.read(),
       contentOf: revision => configuration.find(revision),
       membershipVersion: membership.version,
@@ -344,7 +289,9 @@
   /** No load goes out while the list isn't whole: slots may be taken twice. */
   #readLoad(now: number): LoadReport | undefined {
     if (!this.#membership.complete) return undefined;
-    if (this.#ledTerm !== undefined) return this.#registry.loadReport(now);
+    if (this.#leadership.term !== undefined) {
+      return this.#registry.loadReport(now);
+    }
     return this.#relay.load(now);
   }
 
@@ -374,6 +321,24 @@
     return this.#parts.machine.configuration.current.read().revision;
   }
 
+  #makeLeadership(): ControlLeadership {
+    return new ControlLeadership({
+      ...this.#parts,
+      settings: this.#settings,
+      proposer: this.#proposer,
+      registry: this.#registry,
+      directServers: this.directServers,
+      delivery: this.#delivery,
+      readings: this.#readings,
+      onTakenOver: () => {
+        this.tick(this.#now());
+      },
+      onReport: report => {
+        this.#postReadings(report);
+      },
+    });
+  }
+
   #makeAnnounceHandler(): AnnounceHandler {
     return new AnnounceHandler({
       clock: this.#parts.clock,
@@ -383,7 +348,7 @@
       delivery: this.#delivery,
       proposer: this.#proposer,
       leaseMs: this.#settings.leaseMs,
-      hasTakenOver: () => this.#ledTerm !== undefined,
+      hasTakenOver: () => this.#leadership.term !== undefined,
     });
   }
 
