Count a gateway's lag from the answer, not from its question

Cause: a gateway that stood still, or is short of processor time, gets the answer that names a newer revision and the change itself at the same moment. Counted from its question it left a member that had done its part, and asked another for all of the list.

Change: the time counts from when the answer was heard. The unit test of the former moment is replaced by one of this one, and by one of a process that stood still; it fails with the former.

--- a/packages/lovagepond-gateway/src/gateway_authority.ts
+++ b/packages/lovagepond-gateway/src/gateway_authority.ts
@@ -51,14 +51,17 @@
   /**
    * @param revision the newest revision, confirmed by a majority
    * @param askedAt when the question was sent
+   * @param now present time, monotonic milliseconds
    */
-  confirm(revision: number, askedAt: ClockReading): void {
+  confirm(revision: number, askedAt: ClockReading, now: number): void {
     if (revision <= this.#heldRevision) {
       this.#askedAt = askedAt;
       return;
     }
     this.#awaited = {revision, askedAt};
-    this.#behindSince ??= askedAt.now;
+    // Not from the question on: a process that was slow itself has the change
+    // waiting beside the answer.
+    this.#behindSince ??= now;
   }
 
   /** @param revision the revision that is in force here by now */
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -239,7 +239,11 @@
     const isStarting = this.#admission.isStarting(at);
     void this.#link.confirmRevision(revision, isStarting).then(confirmed => {
       if (confirmed !== undefined) {
-        this.#admission.authority.confirm(confirmed, at);
+        this.#admission.authority.confirm(
+          confirmed,
+          at,
+          this.#parts.clock.now(),
+        );
         this.#server?.retryWaiting();
       }
     });
