Derive whether lines were dropped from what was counted

Cause: LogBound kept a flag beside the counts that it follows from, and the weights' comment named a page that doesn't hold their table.

Change: the flag is gone; the comment names the page. No behaviour changes.

--- a/packages/lovagepond-gateway/src/gateway_engine_choice.ts
+++ b/packages/lovagepond-gateway/src/gateway_engine_choice.ts
@@ -82,7 +82,7 @@
   readonly lostFailure: number;
 }
 
-/** The weights in use; docs/MEASURES.md says what each is worth. */
+/** The weights in use; docs/design/new_customer.md says what they are worth. */
 export const ENGINE_WEIGHTS: EngineWeights = Object.freeze({
   reread: 1.5,
   fetch: 0.12,
--- a/packages/lovagepond-process/src/log_bound.ts
+++ b/packages/lovagepond-process/src/log_bound.ts
@@ -32,7 +32,6 @@
 /** Counts what it lets pass by. */
 export class LogBound {
   #dropped = NONE;
-  #hasDropped = false;
 
   /**
    * @param level a line's level
@@ -42,16 +41,13 @@
   accepts(level: LogLevel, waitingBytes: number): boolean {
     if (waitingBytes < MAX_WAITING_BYTES[level]) return true;
     this.#dropped = {...this.#dropped, [level]: this.#dropped[level] + 1};
-    this.#hasDropped = true;
     return false;
   }
 
   /** @returns what was dropped since the last call; undefined when nothing was */
   takeDropped(): DroppedLines | undefined {
-    if (!this.#hasDropped) return undefined;
     const dropped = this.#dropped;
     this.#dropped = NONE;
-    this.#hasDropped = false;
-    return dropped;
+    return dropped === NONE ? undefined : dropped;
   }
 }
