Start roles without V8 flags, with code compiled in a rehearsal

After a loss of power callers wait for every gateway's start.

No V8 flag on the command line (the default heap limit follows the machine's memory). The text holds CommonJS's wrapper and is ASCII, so that it is read without a copy. prom-client is loaded by the first scrape.

--- a/packages/lovagepond-backend/src/backend_answer_check.ts
+++ b/packages/lovagepond-backend/src/backend_answer_check.ts
@@ -2,8 +2,7 @@
  * Decides what of an engine's events may be passed on as the answer to one
  * request. No I/O: events go in, bytes to pass on or a failure come out.
  */
-import {type Failure, makeFailure} from '@lovagepond/core';
-import {z} from 'zod';
+import {type Failure, makeFailure, z} from '@lovagepond/core';
 import {
   COMPLETION_ID_PREFIX,
   DONE_DATA,
--- a/packages/lovagepond-backend/src/backend_engine_protocol.ts
+++ b/packages/lovagepond-backend/src/backend_engine_protocol.ts
@@ -2,7 +2,7 @@
  * The HTTP protocol towards model engines: paths, headers and the shapes of
  * what an engine tells. See docs/PROTOCOLS.md.
  */
-import {z} from 'zod';
+import {z} from '@lovagepond/core';
 
 /** Paths of an engine besides those of the requests themselves. */
 export const ENGINE_PATH = {
--- a/packages/lovagepond-backend/src/backend_fake_engine_server.ts
+++ b/packages/lovagepond-backend/src/backend_fake_engine_server.ts
@@ -2,8 +2,7 @@
  * A fake model engine behind HTTP, told to fail by its faults.
  */
 import {type App, type Request, type Response} from '@tinyhttp/app';
-import {type Clock, type Role, type StateDump} from '@lovagepond/core';
-import {z} from 'zod';
+import {type Clock, type Role, type StateDump, z} from '@lovagepond/core';
 import {
   ENGINE_HEADER,
   ENGINE_PATH,
--- a/packages/lovagepond-backend/src/backend_fake_faults.ts
+++ b/packages/lovagepond-backend/src/backend_fake_faults.ts
@@ -1,7 +1,7 @@
 /**
  * The failures a fake can be told to make.
  */
-import {z} from 'zod';
+import {z} from '@lovagepond/core';
 
 /** Paths of the fakes' own controls. */
 export const FAKE_PATH = {
--- a/packages/lovagepond-backend/src/backend_fake_http.ts
+++ b/packages/lovagepond-backend/src/backend_fake_http.ts
@@ -9,7 +9,7 @@
 } from 'node:http';
 import {type AddressInfo, type Socket} from 'node:net';
 import {App, type Request, type Response} from '@tinyhttp/app';
-import {type ZodType} from 'zod';
+import {type z} from '@lovagepond/core';
 import {FAKE_PATH} from './backend_fake_faults.js';
 
 /** A body larger than this ends a fake's connection. */
@@ -115,7 +115,7 @@
 export function addFakeControls<Faults>(
   app: App,
   fake: ControlledFake<Faults>,
-  schema: ZodType<Faults>,
+  schema: z.ZodType<Faults>,
 ): void {
   app.post(FAKE_PATH.FAULTS, async (req, res) => {
     const parsed = schema.safeParse(parseJsonBody(await readAll(req)));
--- a/packages/lovagepond-backend/src/backend_fake_service.ts
+++ b/packages/lovagepond-backend/src/backend_fake_service.ts
@@ -3,8 +3,7 @@
  */
 import {type ServerResponse} from 'node:http';
 import {type App, type Request, type Response} from '@tinyhttp/app';
-import {type Role, type StateDump} from '@lovagepond/core';
-import {z} from 'zod';
+import {type Role, type StateDump, z} from '@lovagepond/core';
 import {
   addFakeControls,
   FakeListener,
--- a/packages/lovagepond-backend/src/backend_http_engine.ts
+++ b/packages/lovagepond-backend/src/backend_http_engine.ts
@@ -8,8 +8,8 @@
   type Random,
   type Result,
   type Unregister,
+  type z,
 } from '@lovagepond/core';
-import {type z} from 'zod';
 import {CacheSubscription} from './backend_cache_subscription.js';
 import {
   ENGINE_HEADER,
--- a/packages/lovagepond-caller/src/caller_request.ts
+++ b/packages/lovagepond-caller/src/caller_request.ts
@@ -9,8 +9,8 @@
   type Failure,
   makeFailure,
   type Result,
+  z,
 } from '@lovagepond/core';
-import {z} from 'zod';
 import {CALLER_HEADER, DEFAULT_CHAT_KIND} from './caller_constants.js';
 import {type CallerRequest, type CallerSettings} from './caller_types.js';
 
--- a/packages/lovagepond-cli/src/__tests__/unit/loaded_code.test.ts
+++ b/packages/lovagepond-cli/src/__tests__/unit/loaded_code.test.ts
@@ -42,6 +42,7 @@
     ['router', ['undici', 'control', 'consensus', 'operator', 'sidecar']],
     ['control', ['undici', 'router', 'sidecar', 'caller', 'backend']],
     ['sidecar', ['control', 'consensus', 'operator', 'caller']],
+    ['gateway', ['control', 'consensus', 'sidecar', 'caller', 'prom-client']],
   ])('%s loads nothing of %j', (role, foreign) => {
     const entries = [...SHELL, `${SOURCE}/role_${role}.ts`];
     const loaded = [...listLoaded(metafile, entries)];
--- a/packages/lovagepond-cli/src/settings_control.ts
+++ b/packages/lovagepond-cli/src/settings_control.ts
@@ -16,7 +16,7 @@
   withTraits,
 } from '@lovagepond/process';
 import {type OperatorSettings} from '@lovagepond/operator';
-import {z} from 'zod';
+import {z} from '@lovagepond/core';
 import {COMMON_SECTIONS} from './settings_sections.js';
 import {formatAddresses, keepDefined, withPort} from './settings_utils.js';
 
--- a/packages/lovagepond-cli/src/settings_gateway.ts
+++ b/packages/lovagepond-cli/src/settings_gateway.ts
@@ -11,7 +11,7 @@
   size,
   withTraits,
 } from '@lovagepond/process';
-import {z} from 'zod';
+import {z} from '@lovagepond/core';
 import {COMMON_SECTIONS, controlMembersSection} from './settings_sections.js';
 import {formatAddresses, keepDefined, withPort} from './settings_utils.js';
 
--- a/packages/lovagepond-cli/src/settings_router.ts
+++ b/packages/lovagepond-cli/src/settings_router.ts
@@ -13,7 +13,7 @@
   withTraits,
 } from '@lovagepond/process';
 import {type RouterSettings} from '@lovagepond/router';
-import {z} from 'zod';
+import {z} from '@lovagepond/core';
 import {COMMON_SECTIONS, controlMembersSection} from './settings_sections.js';
 import {formatAddresses, keepDefined, withPort} from './settings_utils.js';
 
--- a/packages/lovagepond-cli/src/settings_sections.ts
+++ b/packages/lovagepond-cli/src/settings_sections.ts
@@ -12,7 +12,7 @@
   type ProcessSettings,
   withTraits,
 } from '@lovagepond/process';
-import {z} from 'zod';
+import {z} from '@lovagepond/core';
 import {ROLE_NAMES} from './cli_constants.js';
 
 const MAX_PORT = 65_535;
--- a/packages/lovagepond-cli/src/settings_sidecar.ts
+++ b/packages/lovagepond-cli/src/settings_sidecar.ts
@@ -14,7 +14,7 @@
   withTraits,
 } from '@lovagepond/process';
 import {type SidecarSettings} from '@lovagepond/sidecar';
-import {z} from 'zod';
+import {z} from '@lovagepond/core';
 import {
   COMMON_SECTIONS,
   controlMembersSection,
--- a/packages/lovagepond-consensus/src/consensus_members.ts
+++ b/packages/lovagepond-consensus/src/consensus_members.ts
@@ -1,7 +1,7 @@
 /**
  * Member lists: majorities, single changes and their form in the log.
  */
-import {z} from 'zod';
+import {z} from '@lovagepond/core';
 import {
   CHANGE_REFUSAL,
   type ChangeRefusal,
--- a/packages/lovagepond-consensus/src/consensus_records.ts
+++ b/packages/lovagepond-consensus/src/consensus_records.ts
@@ -1,7 +1,7 @@
 /**
  * The records inside the frames of a log segment, and the snapshot's form.
  */
-import {z} from 'zod';
+import {z} from '@lovagepond/core';
 import {memberListSchema} from './consensus_members.js';
 import {
   ENTRY_KIND,
--- a/packages/lovagepond-core/src/core_configuration.ts
+++ b/packages/lovagepond-core/src/core_configuration.ts
@@ -3,7 +3,7 @@
  *
  * Immutable once accepted; each accepted change makes the next revision.
  */
-import {z} from 'zod';
+import {z} from './core_schema.js';
 import {type Labels, parseLabelExpression} from './core_labels.js';
 import {packText, unpackText} from './core_packing.js';
 
--- a/packages/lovagepond-core/src/core_configuration_delta.ts
+++ b/packages/lovagepond-core/src/core_configuration_delta.ts
@@ -6,7 +6,7 @@
  * succession, gateways with a fourth of a core did little else. What has changed is
  * mostly a rule or two.
  */
-import {z} from 'zod';
+import {z} from './core_schema.js';
 import {
   type Configuration,
   type ConfigurationContent,
--- a/packages/lovagepond-core/src/index.ts
+++ b/packages/lovagepond-core/src/index.ts
@@ -75,3 +75,4 @@
   type Role,
   type StateDump,
 } from './core_role.js';
+export {z} from './core_schema.js';
--- a/packages/lovagepond-operator/src/operator_fleet_routes.ts
+++ b/packages/lovagepond-operator/src/operator_fleet_routes.ts
@@ -2,7 +2,7 @@
  * Calls about backend servers, orders, control's members, convergence and the
  * state dump.
  */
-import {z} from 'zod';
+import {z} from '@lovagepond/core';
 import {
   ORDER_ACTION,
   WANTED_STATE,
--- a/packages/lovagepond-process/src/__tests__/unit/platform_process.test.ts
+++ b/packages/lovagepond-process/src/__tests__/unit/platform_process.test.ts
@@ -80,7 +80,13 @@
 describe('platform server', () => {
   it('serves health, readiness, metrics and the dump', async () => {
     const metrics = new MetricsRegistry({role: 'router'});
-    metrics.counter('lovagepond_x_total', 'help', ['kind']).inc({kind: 'k'});
+    metrics.observe({
+      kind: 'counter',
+      name: 'lovagepond_x_total',
+      help: 'help',
+      labelNames: ['kind'],
+      read: () => [{labels: {kind: 'k'}, value: 1}],
+    });
     let refused = 3;
     metrics.observe({
       kind: 'counter',
--- a/packages/lovagepond-process/src/__tests__/unit/platform_settings.test.ts
+++ b/packages/lovagepond-process/src/__tests__/unit/platform_settings.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {z} from 'zod';
+import {z} from '@lovagepond/core';
 import {
   checkSettings,
   compareSettings,
--- a/packages/lovagepond-process/src/index.ts
+++ b/packages/lovagepond-process/src/index.ts
@@ -21,6 +21,7 @@
 export {
   MetricsRegistry,
   type ObservedMetric,
+  type RenderedMetrics,
   type Sample,
 } from './platform_metrics.js';
 export {PlatformServer, type PlatformView} from './platform_server.js';
--- a/packages/lovagepond-process/src/platform_metrics.ts
+++ b/packages/lovagepond-process/src/platform_metrics.ts
@@ -1,7 +1,11 @@
 /**
  * Metrics of one process, in the text format that prom-client writes.
+ *
+ * Values are kept by the roles and read at each scrape, so the library is loaded
+ * by the first scrape: nothing is lost meanwhile, and a process that starts on a
+ * slow host serves its first request sooner.
  */
-import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type * as PromClient from 'prom-client';
 
 /** One value of a metric, with its labels. */
 export interface Sample {
@@ -19,86 +23,87 @@
   read(): readonly Sample[];
 }
 
+type MetricMaker = (
+  library: typeof PromClient,
+  options: PromClient.CounterConfiguration<string>,
+  metric: ObservedMetric,
+) => void;
+
+const MAKERS: Readonly<Record<ObservedMetric['kind'], MetricMaker>> = {
+  gauge: (library, options, {read}) => {
+    const gauge = new library.Gauge({
+      ...options,
+      collect() {
+        gauge.reset();
+        for (const {labels, value} of read()) gauge.set({...labels}, value);
+      },
+    });
+  },
+  counter: (library, options, {read}) => {
+    const counter = new library.Counter({
+      ...options,
+      collect() {
+        counter.reset();
+        for (const {labels, value} of read()) counter.inc({...labels}, value);
+      },
+    });
+  },
+};
+
+/** The registry's text and how to name its format. */
+export interface RenderedMetrics {
+  readonly contentType: string;
+  readonly text: string;
+}
+
 /** All metrics of one process, each name made once. */
 export class MetricsRegistry {
-  readonly #registry = new Registry();
+  readonly #labels: Readonly<Record<string, string>>;
+  readonly #observed = new Map<string, ObservedMetric>();
+  #registry: Promise<PromClient.Registry> | undefined;
 
   /** @param labels labels of every metric, such as role and process name */
   constructor(labels: Readonly<Record<string, string>> = {}) {
-    this.#registry.setDefaultLabels({...labels});
-  }
-
-  /** @returns a counter, which only rises */
-  counter(
-    name: string,
-    help: string,
-    labelNames: readonly string[] = [],
-  ): Counter {
-    return new Counter({
-      name,
-      help,
-      labelNames: [...labelNames],
-      registers: [this.#registry],
-    });
-  }
-
-  /**
-   * @param buckets upper bounds, in the metric's unit
-   * @returns a histogram
-   */
-  histogram(
-    name: string,
-    help: string,
-    buckets: readonly number[],
-    labelNames: readonly string[] = [],
-  ): Histogram {
-    return new Histogram({
-      name,
-      help,
-      buckets: [...buckets],
-      labelNames: [...labelNames],
-      registers: [this.#registry],
-    });
+    this.#labels = labels;
   }
 
   /**
-   * Adds a metric whose values a role keeps by itself.
+   * Adds a metric whose values a role keeps by itself, before the first scrape.
    *
    * @param metric how to name and read it
+   * @throws when the name is taken
    */
-  observe({kind, name, help, labelNames, read}: ObservedMetric): void {
-    const options = {
-      name,
-      help,
-      labelNames: [...labelNames],
-      registers: [this.#registry],
-    };
-    if (kind === 'gauge') {
-      const gauge: Gauge = new Gauge({
-        ...options,
-        collect() {
-          gauge.reset();
-          for (const {labels, value} of read()) gauge.set({...labels}, value);
-        },
-      });
-      return;
-    }
-    const counter: Counter = new Counter({
-      ...options,
-      collect() {
-        counter.reset();
-        for (const {labels, value} of read()) counter.inc({...labels}, value);
-      },
-    });
+  observe(metric: ObservedMetric): void {
+    const {name} = metric;
+    const isTaken = this.#observed.has(name);
+    if (isTaken) throw new Error(`metric ${name} stands twice`);
+    this.#observed.set(name, metric);
   }
 
   /** @returns every metric in the text format */
-  render(): Promise<string> {
-    return this.#registry.metrics();
+  async render(): Promise<RenderedMetrics> {
+    this.#registry ??= this.#build();
+    const registry = await this.#registry;
+    return {
+      contentType: registry.contentType,
+      text: await registry.metrics(),
+    };
   }
 
-  /** The media type of {@link render}. */
-  get contentType(): string {
-    return this.#registry.contentType;
+  async #build(): Promise<PromClient.Registry> {
+    const library = await import('prom-client');
+    const registry = new library.Registry();
+    registry.setDefaultLabels({...this.#labels});
+    for (const metric of this.#observed.values()) {
+      const {kind, name, help, labelNames} = metric;
+      const options = {
+        name,
+        help,
+        labelNames: [...labelNames],
+        registers: [registry],
+      };
+      MAKERS[kind](library, options, metric);
+    }
+    return registry;
   }
 }
--- a/packages/lovagepond-process/src/platform_server.ts
+++ b/packages/lovagepond-process/src/platform_server.ts
@@ -72,8 +72,8 @@
     res.send(ready ? 'ready\n' : 'not ready\n');
   });
   app.get('/metrics', async (_req, res) => {
-    const text = await view.metrics.render();
-    res.setHeader('content-type', view.metrics.contentType);
+    const {contentType, text} = await view.metrics.render();
+    res.setHeader('content-type', contentType);
     res.end(text);
   });
   app.get('/dump', (_req, res) => {
--- a/packages/lovagepond-process/src/settings_file.ts
+++ b/packages/lovagepond-process/src/settings_file.ts
@@ -4,7 +4,7 @@
 import {readFileSync} from 'node:fs';
 import {resolve} from 'node:path';
 import {parse} from 'ini';
-import {type z} from 'zod';
+import {type z} from '@lovagepond/core';
 import {type SettingsFault} from './settings_errors.js';
 import {
   type FileSchema,
--- a/packages/lovagepond-process/src/settings_schema.ts
+++ b/packages/lovagepond-process/src/settings_schema.ts
@@ -2,7 +2,7 @@
  * How a settings file is described: sections of keys, each key with a schema
  * and what the checker must know of it.
  */
-import {z} from 'zod';
+import {z} from '@lovagepond/core';
 
 /** What the checker and the reload know of one key. */
 export interface KeyTraits {
--- a/packages/lovagepond-process/src/settings_units.ts
+++ b/packages/lovagepond-process/src/settings_units.ts
@@ -3,7 +3,7 @@
  *
  * Each schema's message says what would be right.
  */
-import {z} from 'zod';
+import {z} from '@lovagepond/core';
 
 const DURATION_UNITS: Readonly<Record<string, number>> = {
   ms: 1,
--- a/scripts/platform_program.d.mts
+++ b/scripts/platform_program.d.mts
@@ -4,5 +4,5 @@
   readonly loader: string;
   readonly text: string;
   readonly roles: readonly string[];
-  readonly flags: readonly string[];
+  readonly rehearse?: (args: readonly string[]) => void;
 }): void;
--- a/scripts/platform_program.mjs
+++ b/scripts/platform_program.mjs
@@ -1,6 +1,5 @@
 // Writes a bundled program so that each role starts with the code that V8
-// compiled from it beforehand: compiling it anew is a third of a start, 90 of
-// 310 ms on a whole core.
+// compiled from it beforehand: compiling it anew is a third of a start.
 //
 // V8 believes compiled code without looking: of its source it compares nothing
 // but the length, and of the code itself no checksum. Code of another program of
@@ -19,19 +18,32 @@
 /** How the program ends when it isn't told its settings file. */
 const USAGE_EXIT_CODE = 2;
 
-/** @param {string} program the file name of the program's text */
+/** Second argument of a process that leaves its compiled code as it ends. */
+const WRITE_CACHE = '--write-cache';
+
+/** What CommonJS puts around a module, part of the text that is compiled. */
+const WRAPPER = [
+  '(function (exports, require, module, __filename, __dirname) {',
+  '\n});',
+];
+
+/**
+ * The text is read as Latin-1, which V8 takes as it is: from UTF-8, or with a
+ * wrapper put around it at the start, each start copies some megabytes.
+ *
+ * @param {string} program the file name of the program's text
+ */
 function makeLoader(program) {
   return `'use strict';
 const {existsSync, readFileSync, renameSync, writeFileSync} = require('node:fs');
 const {Script} = require('node:vm');
-const {wrap} = require('node:module');
 const filename = __dirname + '/${program}';
 const compiled = filename + '.' + process.argv[2] + '.cache';
 const cachedData = existsSync(compiled) ? readFileSync(compiled) : undefined;
-const source = wrap(readFileSync(filename, 'utf8'));
+const source = readFileSync(filename, 'latin1');
 const script = new Script(source, {filename, cachedData});
 script.runInThisContext()(exports, require, module, filename, __dirname);
-if (process.argv[3] === '--write-cache') {
+if (process.argv[3] === '${WRITE_CACHE}') {
   process.on('exit', () => {
     const unfinished = compiled + '.' + process.pid;
     writeFileSync(unfinished, script.createCachedData());
@@ -41,6 +53,17 @@
 `;
 }
 
+/**
+ * @param {string} text a CommonJS module
+ * @returns {string} the text to compile, each character a byte
+ */
+function wrapText(text) {
+  const wide = /\P{ASCII}/u.exec(text);
+  if (wide)
+    throw new Error(`character ${wide[0]} at ${wide.index} is not ASCII`);
+  return WRAPPER.join(text);
+}
+
 /** Processes that start meanwhile find the old file or the new one, whole. */
 function writeWhole(path, text) {
   const unfinished = `${path}.${process.pid}`;
@@ -55,20 +78,23 @@
  * @param {string} program.text the program as one CommonJS module
  * @param {readonly string[]} program.roles first arguments, for each of which
  *     compiled code is kept apart; alone they print the usage and end
- * @param {readonly string[]} program.flags V8 takes compiled code only under the
- *     flags that it was compiled under
+ * @param {(args: readonly string[]) => void} [program.rehearse] runs both roles as
+ *     in production with the arguments given, by which each leaves its compiled
+ *     code as it ends
  */
-export function writeProgram({folder, loader, text, roles, flags}) {
+export function writeProgram({folder, loader, text, roles, rehearse}) {
   mkdirSync(folder, {recursive: true});
-  const digest = createHash('sha256').update(text).digest('hex');
+  const wrapped = wrapText(text);
+  const digest = createHash('sha256').update(wrapped).digest('hex');
   const program = `program-${digest.slice(0, DIGEST_DIGITS)}.cjs`;
   const programPath = join(folder, program);
-  if (!existsSync(programPath)) writeWhole(programPath, text);
+  if (!existsSync(programPath)) writeWhole(programPath, wrapped);
   const loaderPath = join(folder, loader);
   writeWhole(loaderPath, makeLoader(program));
+  const isCompiled = role => existsSync(`${programPath}.${role}.cache`);
+  if (rehearse && !roles.every(isCompiled)) rehearse([WRITE_CACHE]);
   for (const role of roles) {
-    if (existsSync(`${programPath}.${role}.cache`)) continue;
-    compile([...flags, loaderPath, role, '--write-cache']);
+    if (!isCompiled(role)) compile([loaderPath, role, WRITE_CACHE]);
   }
 }
 
