--- a/packages/lovagepond-cli/src/settings_gateway.ts
+++ b/packages/lovagepond-cli/src/settings_gateway.ts
@@ -33,7 +33,7 @@
   fraction: decimal(0, 1).optional(),
   window: duration().optional(),
   /** Second tries in a window that all gateways together may make besides. */
-  slack: integer(0, MAX_COUNT).optional(),
+  slack: decimal(0, MAX_COUNT).optional(),
   /** Gateways that share the slack, at most. */
   shares: integer(1, MAX_COUNT).optional(),
 });
