Log where a start's time went

On-call can tell a host that starts slowly from a control that answers late: the line at start gives the time until all code is loaded, until the role listens, and the processor time spent by then; a gateway says when it first knows enough to decide on requests.

--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -68,6 +68,8 @@
   #readingsTimer: NodeJS.Timeout | undefined;
   #askedAt = Number.NEGATIVE_INFINITY;
   #draining = false;
+  /** It has known enough to decide on requests. */
+  #serves = false;
 
   readonly #updateHandlers: Readonly<Record<UpdateKind, UpdateHandler>> = {
     configuration: ({configuration}) => {
@@ -88,7 +90,7 @@
         version: this.#membership.version,
         servers: this.#fleet.size,
       });
-      this.#server?.retryWaiting();
+      this.#decideOnWaiting();
     },
     load: () => {},
     readings: ({readings}, now) => {
@@ -244,11 +246,18 @@
           at,
           this.#parts.clock.now(),
         );
-        this.#server?.retryWaiting();
+        this.#decideOnWaiting();
       }
     });
   }
 
+  #decideOnWaiting(): void {
+    if (!this.#server?.retryWaiting() || this.#serves) return;
+    this.#serves = true;
+    const {clock, log} = this.#parts;
+    log.info('serves requests', {sinceStartMs: Math.round(clock.now())});
+  }
+
   #installWhole(bytes: Uint8Array): void {
     const configuration = decodeConfiguration(bytes);
     if (configuration) this.#install(configuration);
@@ -275,7 +284,7 @@
   #install(configuration: Configuration): void {
     this.#admission.install(configuration);
     this.#server?.useLimits(configuration.content.callerLimits);
-    this.#server?.retryWaiting();
+    this.#decideOnWaiting();
     this.#parts.log.info('configuration installed', {
       revision: configuration.revision,
       documentVersion: configuration.content.documentVersion,
--- a/packages/lovagepond-gateway/src/gateway_server.ts
+++ b/packages/lovagepond-gateway/src/gateway_server.ts
@@ -164,10 +164,15 @@
     this.#server.closeAllConnections();
   }
 
-  /** Called when there may be enough to decide on what waits. */
-  retryWaiting(): void {
-    if (this.#parts.admission.isStarting(this.#readClock())) return;
+  /**
+   * Called when there may be enough to decide on what waits.
+   *
+   * @returns true when there is
+   */
+  retryWaiting(): boolean {
+    if (this.#parts.admission.isStarting(this.#readClock())) return false;
     this.#waiting.retryAll();
+    return true;
   }
 
   #readClock(): ClockReading {
--- a/packages/lovagepond-process/src/process_runner.ts
+++ b/packages/lovagepond-process/src/process_runner.ts
@@ -3,7 +3,12 @@
  */
 import {mkdirSync, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
-import {type Clock, type Logger, type Role} from '@lovagepond/core';
+import {
+  type Clock,
+  type LogFields,
+  type Logger,
+  type Role,
+} from '@lovagepond/core';
 import {type ExitCode} from './exit_codes_constants.js';
 import {
   Lifecycle,
@@ -17,6 +22,8 @@
 import {formatHostPort, type HostPort} from './settings_units.js';
 import {renderDump} from './state_dump.js';
 
+const MICROSECONDS_PER_MS = 1_000;
+
 /** Settings of {@link ProcessRunner}. */
 export interface ProcessSettings extends LifecycleSettings {
   /** Address of health, readiness, metrics and dump. */
@@ -41,6 +48,21 @@
   ) => void;
 };
 
+/**
+ * Where a start's time went. Both clocks count from the start of the process.
+ *
+ * @param loadedAt when all code was loaded and the settings were read, ms
+ * @param startedAt when the role listened, ms
+ */
+function describeStart(loadedAt: number, startedAt: number): LogFields {
+  const {user, system} = process.cpuUsage();
+  return {
+    loadedMs: Math.round(loadedAt),
+    startedMs: Math.round(startedAt),
+    processorMs: Math.round((user + system) / MICROSECONDS_PER_MS),
+  };
+}
+
 /** Runs a role from start to exit code. */
 export class ProcessRunner {
   readonly #settings: ProcessSettings;
@@ -85,7 +107,8 @@
    * @throws when an address or the data folder can't be opened
    */
   async run(): Promise<ExitCode> {
-    const {role, log} = this.#parts;
+    const {role, log, clock} = this.#parts;
+    const loadedAt = clock.now();
     const ended = new Promise<ExitCode>(resolve => {
       this.#finish = resolve;
     });
@@ -95,7 +118,10 @@
     try {
       const address = await this.#server.start();
       await role.start();
-      log.info('started', {platformAddress: formatHostPort(address)});
+      log.info('started', {
+        platformAddress: formatHostPort(address),
+        ...describeStart(loadedAt, clock.now()),
+      });
       const exitCode = await ended;
       log.info('ended', {exitCode});
       return exitCode;
