Share the retry slack among the gateways there are

Cause: each gateway spent a sixteenth of the slack that all share. With 70 gateways and a slack of 180 that is 70 x 11 = 770 second tries in a window beside the fraction: a pool that fails all it gets would have got four times what operators allow.

Change: a gateway divides the slack by the number of gateways heard of within the window (who reports its requests may have spent its share), and by 16 at least until it has heard of more. Each gateway keeps one time for each other.

Before others are heard of, in the first moments after a stop of all, the sum may still be passed; the tries of those moments are few.

--- a/packages/lovagepond-cli/src/settings_gateway.ts
+++ b/packages/lovagepond-cli/src/settings_gateway.ts
@@ -34,7 +34,7 @@
   window: duration().optional(),
   /** Second tries in a window that all gateways together may make besides. */
   slack: decimal(0, MAX_COUNT).optional(),
-  /** Gateways that share the slack, at most. */
+  /** Gateways that are taken to share the slack before more are heard of. */
   shares: integer(1, MAX_COUNT).optional(),
 });
 
@@ -49,9 +49,6 @@
 /** Values of a gateway's settings file. */
 export type GatewayValues = FileValues<typeof GATEWAY_SCHEMA>;
 
-/** Gateways that are assumed to share the slack when the file doesn't say. */
-const DEFAULT_SHARES = 16;
-
 type SetSettings = Partial<GatewaySettings> &
   Pick<GatewaySettings, 'name' | 'host' | 'port' | 'controlAddresses'>;
 
@@ -61,7 +58,6 @@
  */
 export function toGatewaySettings(values: GatewayValues): SetSettings {
   const {process: identity, control, gateway, retries} = values;
-  const {slack, shares = DEFAULT_SHARES} = retries;
   return {
     name: identity.name,
     region: identity.region,
@@ -81,7 +77,8 @@
       revocationBoundMs: gateway.revocationBound,
       retryFraction: retries.fraction,
       retryWindowMs: retries.window,
-      retrySlack: slack === undefined ? undefined : Math.floor(slack / shares),
+      retrySlack: retries.slack,
+      retryShares: retries.shares,
     }),
   };
 }
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_deciders.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_deciders.test.ts
@@ -4,6 +4,7 @@
 import {GatewayAdmission} from '../../gateway_admission.js';
 import {ConfigurationAuthority} from '../../gateway_authority.js';
 import {EventStream} from '../../gateway_event_stream.js';
+import {GatewayPeers} from '../../gateway_peers.js';
 import {headersForServer, readFacts} from '../../gateway_headers.js';
 import {GatewayRetryBudget} from '../../gateway_retry_budget.js';
 import {CONTENT, KEY, NAMES} from './gateway_harness.js';
@@ -138,10 +139,15 @@
   // In a storm of failures every request asks for a second try. In no window
   // may there be more of them than the fraction and the own part of the slack.
   it('holds in any window', () => {
-    const settings = {retryFraction: 0.2, retryWindowMs: 1_000, retrySlack: 3};
+    const settings = {
+      retryFraction: 0.2,
+      retryWindowMs: 1_000,
+      retrySlack: 3,
+      retryShares: 1,
+    };
     fc.assert(
       fc.property(fc.array(fc.integer({min: 0, max: 200})), gaps => {
-        const budget = new GatewayRetryBudget(settings);
+        const budget = new GatewayRetryBudget(settings, new GatewayPeers());
         const requests: number[] = [];
         const tries: number[] = [];
         let now = 0;
@@ -158,6 +164,56 @@
       }),
     );
   });
+
+  // All servers of a pool fail all they get, so each request of each gateway asks
+  // for a second try. What the whole fleet sends again is bounded, and the bound
+  // doesn't know how many gateways there are.
+  it.each([4, 16, 70, 370])(
+    'holds over %i gateways that hear of each other',
+    count => {
+      const settings = {
+        retryFraction: 0.2,
+        retryWindowMs: 10_000,
+        retrySlack: 180,
+        retryShares: 16,
+      };
+      const REQUESTS_EACH = 100;
+      let tries = 0;
+      for (let gateway = 0; gateway < count; gateway += 1) {
+        const peers = new GatewayPeers();
+        for (let other = 1; other < count; other += 1) {
+          peers.note(`g${other}`, 0);
+        }
+        const budget = new GatewayRetryBudget(settings, peers);
+        for (let now = 0; now < REQUESTS_EACH; now += 1) {
+          budget.noteRequest('p', now);
+          if (budget.trySpend('p', now)) tries += 1;
+        }
+      }
+      const allowed = REQUESTS_EACH * count * 0.2 + settings.retrySlack;
+      expect(tries).toBeLessThanOrEqual(allowed);
+    },
+  );
+
+  it('shares the slack among those heard of within the window', () => {
+    const settings = {
+      retryFraction: 0,
+      retryWindowMs: 1_000,
+      retrySlack: 8,
+      retryShares: 2,
+    };
+    const peers = new GatewayPeers();
+    const budget = new GatewayRetryBudget(settings, peers);
+    const spendAll = (now: number): number => {
+      let spent = 0;
+      while (budget.trySpend('p', now)) spent += 1;
+      return spent;
+    };
+    expect(spendAll(0)).toBe(4);
+    for (const other of ['a', 'b', 'c']) peers.note(other, 2_000);
+    expect(spendAll(2_001)).toBe(2);
+    expect(spendAll(9_000)).toBe(4);
+  });
 });
 
 describe('an event stream', () => {
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_failing_server.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_failing_server.test.ts
@@ -4,6 +4,7 @@
 import {GatewayChoice} from '../../gateway_choice.js';
 import {GatewayFleet} from '../../gateway_fleet.js';
 import {OutcomeEstimate} from '../../gateway_outcome_estimate.js';
+import {GatewayPeers} from '../../gateway_peers.js';
 import {PrefillRate} from '../../gateway_prefill_rate.js';
 import {GatewayReadings} from '../../gateway_readings.js';
 import {makeBackendServer} from './backend_servers.js';
@@ -113,7 +114,12 @@
   const settings = {availabilityZone: 'a', rate};
   const random = new Random(100 + at);
   const choice = new GatewayChoice(settings, await loadKeyHasher(), random);
-  const readings = new GatewayReadings(`gateway-${at}`, fleet, rate);
+  const readings = new GatewayReadings(
+    `gateway-${at}`,
+    fleet,
+    rate,
+    new GatewayPeers(),
+  );
   return {fleet, choice, readings};
 }
 
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -22,6 +22,7 @@
 import {GatewayConnections} from '../../gateway_connections.js';
 import {GatewayFleet} from '../../gateway_fleet.js';
 import {DEFAULT_HEADER_NAMES} from '../../gateway_headers.js';
+import {GatewayPeers} from '../../gateway_peers.js';
 import {PrefillRate} from '../../gateway_prefill_rate.js';
 import {GatewayReadings} from '../../gateway_readings.js';
 import {GatewayRetryBudget} from '../../gateway_retry_budget.js';
@@ -179,7 +180,13 @@
     const hasher = await loadKeyHasher();
     const rate = new PrefillRate(40);
     const settings = {availabilityZone: 'a', rate};
-    const budget = {retryFraction: 0.2, retryWindowMs: 10_000, retrySlack: 50};
+    const budget = {
+      retryFraction: 0.2,
+      retryWindowMs: 10_000,
+      retrySlack: 50,
+      retryShares: 1,
+    };
+    const peers = new GatewayPeers();
     const server = new GatewayServer(
       {host: '127.0.0.1', port: 0, maxHeldBytes: 1_000_000},
       {
@@ -190,12 +197,12 @@
         admission,
         fleet,
         choice: new GatewayChoice(settings, hasher, random),
-        budget: new GatewayRetryBudget(budget),
+        budget: new GatewayRetryBudget(budget, peers),
         connections: new GatewayConnections({
           connectTimeoutMs: 300,
           maxHeadBytes: 16_384,
         }),
-        readings: new GatewayReadings('gateway', fleet, rate),
+        readings: new GatewayReadings('gateway', fleet, rate, peers),
         rate,
       },
     );
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_readings.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_readings.test.ts
@@ -1,5 +1,6 @@
 import {describe, expect, it} from 'vitest';
 import {GatewayFleet} from '../../gateway_fleet.js';
+import {GatewayPeers} from '../../gateway_peers.js';
 import {PrefillRate} from '../../gateway_prefill_rate.js';
 import {GatewayReadings} from '../../gateway_readings.js';
 import {type ServerState} from '../../gateway_server_state.js';
@@ -8,12 +9,18 @@
 /** One gateway's view of a hundred servers. */
 class Gateway {
   readonly fleet = new GatewayFleet();
+  readonly peers = new GatewayPeers();
   readonly readings: GatewayReadings;
   readonly name: string;
 
   constructor(name: string) {
     this.name = name;
-    this.readings = new GatewayReadings(name, this.fleet, new PrefillRate(40));
+    this.readings = new GatewayReadings(
+      name,
+      this.fleet,
+      new PrefillRate(40),
+      this.peers,
+    );
     const names = Array.from({length: 100}, (_, at) => `server-${at}`);
     const list = names.map(
       server => [server, makeBackendServer(server)] as const,
@@ -81,3 +88,17 @@
     expect(here.server(0).load(3_100)).toBe(0);
   });
 });
+
+// A pool fails, and each gateway sends requests again by its part of a slack that
+// all share. Who reports takes a part; a gateway's own reports come back to it.
+it('a gateway knows how many others report', () => {
+  const [one, two] = [new Gateway('one'), new Gateway('two')];
+  const digest = {
+    reports: ['one', 'two', 'three'].map(node => ({node, readings: []})),
+  };
+  one.readings.apply(digest, 100);
+  two.readings.apply({reports: [{node: '', readings: []}]}, 100);
+  expect(one.peers.count(0)).toBe(2);
+  expect(two.peers.count(0)).toBe(0);
+  expect(one.peers.count(101)).toBe(0);
+});
--- a/packages/lovagepond-gateway/src/deciders.ts
+++ b/packages/lovagepond-gateway/src/deciders.ts
@@ -7,6 +7,7 @@
 export {GatewayFleet} from './gateway_fleet.js';
 export {type PromptPart} from './gateway_headers.js';
 export {type AttemptOutcome, decideNext} from './gateway_outcome.js';
+export {GatewayPeers} from './gateway_peers.js';
 export {PrefillRate} from './gateway_prefill_rate.js';
 export {PromptAccount} from './gateway_prompt_account.js';
 export {GatewayReadings} from './gateway_readings.js';
--- a/packages/lovagepond-gateway/src/gateway_readings.ts
+++ b/packages/lovagepond-gateway/src/gateway_readings.ts
@@ -4,6 +4,7 @@
  */
 import {type lovagepond} from '@lovagepond/protocol';
 import {type GatewayFleet} from './gateway_fleet.js';
+import {type GatewayPeers} from './gateway_peers.js';
 import {type PrefillRate} from './gateway_prefill_rate.js';
 import {type ServerState} from './gateway_server_state.js';
 
@@ -39,6 +40,7 @@
   readonly #node: string;
   readonly #fleet: GatewayFleet;
   readonly #rate: PrefillRate;
+  readonly #peers: GatewayPeers;
   #collected: WireReading[] = [];
   #toldRunning: ReadonlyMap<string, number> = new Map();
   #runningToldAt = Number.NEGATIVE_INFINITY;
@@ -47,11 +49,18 @@
    * @param node this gateway's name, under which its own reports come back
    * @param fleet the servers
    * @param rate how fast engines read
+   * @param peers told of each other gateway that reports
    */
-  constructor(node: string, fleet: GatewayFleet, rate: PrefillRate) {
+  constructor(
+    node: string,
+    fleet: GatewayFleet,
+    rate: PrefillRate,
+    peers: GatewayPeers,
+  ) {
     this.#node = node;
     this.#fleet = fleet;
     this.#rate = rate;
+    this.#peers = peers;
   }
 
   /**
@@ -107,6 +116,7 @@
   apply(digest: WireDigest, now: number): void {
     for (const {node, readings, running} of digest.reports ?? []) {
       if (node === this.#node) continue;
+      if (node) this.#peers.note(node, now);
       for (const reading of readings ?? []) this.#applyOne(reading, now);
       for (const one of running ?? []) {
         this.#applyRunning(node ?? '', one, now);
--- a/packages/lovagepond-gateway/src/gateway_retry_budget.ts
+++ b/packages/lovagepond-gateway/src/gateway_retry_budget.ts
@@ -3,9 +3,10 @@
  *
  * A pool that fails under load gets each request several times over, which
  * keeps it failing. Each router spends a share of its own requests and an
- * equal part of the common slack, so the sum over all routers holds without a
- * word between them, also while they can't reach each other.
+ * equal part of the common slack: among as many as it has heard of, and no fewer
+ * than the settings say, so that the sum holds also while few are heard of.
  */
+import {type GatewayPeers} from './gateway_peers.js';
 
 /** Settings of {@link GatewayRetryBudget}. */
 export interface GatewayBudgetSettings {
@@ -13,8 +14,10 @@
   readonly retryFraction: number;
   /** Sliding time in which both are counted, milliseconds. */
   readonly retryWindowMs: number;
-  /** Second tries that this router may make beside the fraction. */
+  /** Second tries that all routers together may make beside the fraction. */
   readonly retrySlack: number;
+  /** Routers that are taken to share the slack, at least. */
+  readonly retryShares: number;
 }
 
 /** Times of the events of one pool within the window. */
@@ -39,11 +42,17 @@
 /** Counts first tries and second tries by pool. */
 export class GatewayRetryBudget {
   readonly #settings: GatewayBudgetSettings;
+  readonly #peers: GatewayPeers;
   readonly #first = new Map<string, SlidingCount>();
   readonly #second = new Map<string, SlidingCount>();
 
-  constructor(settings: GatewayBudgetSettings) {
+  /**
+   * @param settings fraction and slack
+   * @param peers the other routers
+   */
+  constructor(settings: GatewayBudgetSettings, peers: GatewayPeers) {
     this.#settings = settings;
+    this.#peers = peers;
   }
 
   /**
@@ -60,15 +69,23 @@
    * @returns false when the budget is spent; true spends one try
    */
   trySpend(pool: string, now: number): boolean {
-    const {retryFraction, retryWindowMs, retrySlack} = this.#settings;
+    const {retryFraction, retryWindowMs} = this.#settings;
     const since = now - retryWindowMs;
     const allowed =
-      countOf(this.#first, pool).count(since) * retryFraction + retrySlack;
+      countOf(this.#first, pool).count(since) * retryFraction +
+      this.#slackShare(since);
     const second = countOf(this.#second, pool);
     if (second.count(since) + 1 > allowed) return false;
     second.add(now);
     return true;
   }
+
+  /** Who was heard of within the window may have spent its share in it. */
+  #slackShare(since: number): number {
+    const {retrySlack, retryShares} = this.#settings;
+    const routers = this.#peers.count(since) + 1;
+    return Math.floor(retrySlack / Math.max(retryShares, routers));
+  }
 }
 
 function countOf(
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -23,6 +23,7 @@
 import {GatewayConnections} from './gateway_connections.js';
 import {GatewayFleet} from './gateway_fleet.js';
 import {type GatewayHeaderNames} from './gateway_headers.js';
+import {GatewayPeers} from './gateway_peers.js';
 import {PrefillRate} from './gateway_prefill_rate.js';
 import {GatewayReadings} from './gateway_readings.js';
 import {GatewayRetryBudget} from './gateway_retry_budget.js';
@@ -58,6 +59,7 @@
   readonly #parts: GatewayParts;
   readonly #admission: GatewayAdmission;
   readonly #fleet = new GatewayFleet();
+  readonly #peers = new GatewayPeers();
   readonly #rate: PrefillRate;
   readonly #readings: GatewayReadings;
   readonly #connections: GatewayConnections;
@@ -113,6 +115,7 @@
       settings.name,
       this.#fleet,
       this.#rate,
+      this.#peers,
     );
     this.#connections = new GatewayConnections({
       connectTimeoutMs: settings.connectTimeoutMs,
@@ -148,7 +151,7 @@
       admission: this.#admission,
       fleet: this.#fleet,
       choice: new GatewayChoice(choiceSettings, hasher, random),
-      budget: new GatewayRetryBudget(this.#settings),
+      budget: new GatewayRetryBudget(this.#settings, this.#peers),
       connections: this.#connections,
       readings: this.#readings,
       rate: this.#rate,
--- a/packages/lovagepond-gateway/src/gateway_settings.ts
+++ b/packages/lovagepond-gateway/src/gateway_settings.ts
@@ -44,5 +44,6 @@
   drainLingerMs: 2_500,
   retryFraction: 0.2,
   retryWindowMs: 10_000,
-  retrySlack: 4,
+  retrySlack: 64,
+  retryShares: 16,
 } as const satisfies Partial<GatewaySettings>;
--- a/packages/lovagepond-measure/src/play_gateway.ts
+++ b/packages/lovagepond-measure/src/play_gateway.ts
@@ -11,6 +11,7 @@
   type ForwardingRule,
   GatewayChoice,
   GatewayFleet,
+  GatewayPeers,
   GatewayReadings,
   GatewayRetryBudget,
   PrefillRate,
@@ -58,7 +59,12 @@
 /** What engines are believed to read before any has been observed. */
 const FIRST_RATE = 40;
 
-const BUDGET = {retryFraction: 0.2, retryWindowMs: 10_000, retrySlack: 4};
+const BUDGET = {
+  retryFraction: 0.2,
+  retryWindowMs: 10_000,
+  retrySlack: 64,
+  retryShares: 16,
+};
 
 /** Time after which a caller that may ask again does so, milliseconds. */
 const CALLER_RETRY_MS = 300;
@@ -70,7 +76,8 @@
   readings!: GatewayReadings;
   #choice!: GatewayChoice;
   #rate!: PrefillRate;
-  #budget = new GatewayRetryBudget(BUDGET);
+  #peers = new GatewayPeers();
+  #budget = new GatewayRetryBudget(BUDGET, this.#peers);
   /** Callers are refused until then. */
   readyAt = 0;
 
@@ -85,11 +92,17 @@
     const {name, zone, variant, hasher, random} = this.#parts;
     this.fleet = new GatewayFleet();
     this.#rate = new PrefillRate(FIRST_RATE);
-    this.readings = new GatewayReadings(name, this.fleet, this.#rate);
+    this.readings = new GatewayReadings(
+      name,
+      this.fleet,
+      this.#rate,
+      this.#peers,
+    );
     const weights = {...ENGINE_WEIGHTS, ...variant.weights};
     const settings = {availabilityZone: zone, rate: this.#rate, weights};
     this.#choice = new GatewayChoice(settings, hasher, random);
-    this.#budget = new GatewayRetryBudget(BUDGET);
+    this.#peers = new GatewayPeers();
+    this.#budget = new GatewayRetryBudget(BUDGET, this.#peers);
   }
 
   /** @param req a request that comes now */
