Measure a start by stage, and what a stop of all hosts costs callers

npm run measure -- start runs the program as the platform does: processor and wall time until a gateway listens and has answered, and until a member of control listens and reads its state, at 1, 0.5 and 0.25 of a core (by stopping and continuing the process), beside a bare node; and the time from a kill of all processes of three hosts to each gateway's first answer.

No change of the product.

--- a/scripts/measure.mjs
+++ b/scripts/measure.mjs
@@ -3,16 +3,25 @@
 import {build} from 'esbuild';
 import {BUNDLE_OPTIONS} from './bundle_options.mjs';
 
-const BUNDLE = 'dist/measure.cjs';
+const PRODUCT = 'packages/lovagepond-measure/src/measure_main.ts';
 
-await build({
-  ...BUNDLE_OPTIONS,
-  entryPoints: ['packages/lovagepond-measure/src/measure_main.ts'],
-  outfile: BUNDLE,
-});
-try {
-  const args = [BUNDLE, ...process.argv.slice(2)];
-  execFileSync(process.execPath, args, {stdio: 'inherit'});
-} catch {
-  process.exitCode = 1;
+/** Measures of the program as the platform runs it, each a program. */
+const PLATFORM = {start: 'platform/src/start_measure.ts'};
+
+/** @param {string} entry @param {readonly string[]} args */
+async function run(entry, args) {
+  const outfile = 'dist/measure.cjs';
+  await build({...BUNDLE_OPTIONS, entryPoints: [entry], outfile});
+  try {
+    execFileSync(process.execPath, [outfile, ...args], {stdio: 'inherit'});
+  } catch {
+    process.exitCode = 1;
+  }
+}
+
+const names = process.argv.slice(2);
+const ofProduct = names.filter(name => !Object.hasOwn(PLATFORM, name));
+if (names.length === 0 || ofProduct.length > 0) await run(PRODUCT, ofProduct);
+for (const [name, entry] of Object.entries(PLATFORM)) {
+  if (names.length === 0 || names.includes(name)) await run(entry, []);
 }
