Ask the leader once for all gateways that wait, and engines a few at a time

Change: a follower asks its leader once for all who ask it meanwhile, and passes on what a node holds only where the leader doesn't know it. A starting gateway that has a question under way asks again after 0.4 s only. Engines are asked 0.4 s after the leader took over, four at a time.

--- a/packages/lovagepond-control/src/__tests__/unit/context_inventory.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/context_inventory.test.ts
@@ -43,3 +43,32 @@
   expect(history?.readings.every(({tokens}) => tokens === 0)).toBe(true);
   expect(warnings).toEqual([{server: 'y', reason: 'refused'}]);
 });
+
+// All hosts were stopped, and eighty engines hold hundreds of parts each. Told by
+// all at once, the leader and each gateway's link were busy with them for as long
+// as callers waited for the gateways' first answers.
+test('asks only a few of many engines at once', async () => {
+  const servers = Array.from({length: 80}, (_, at) => ({
+    name: `engine-${at}`,
+    address: `10.0.0.${at}:1`,
+  }));
+  let asked = 0;
+  let most = 0;
+  let told = 0;
+  const silent = (): void => undefined;
+  await takeInventory(servers, {
+    log: {debug: silent, info: silent, warn: silent, error: silent},
+    onReport: () => {
+      told += 1;
+    },
+    readHeldContexts: async () => {
+      asked += 1;
+      most = Math.max(most, asked);
+      await new Promise(resolve => setImmediate(resolve));
+      asked -= 1;
+      return ['a'];
+    },
+  });
+  expect(told).toBe(80);
+  expect(most).toBeLessThan(10);
+});
--- a/packages/lovagepond-control/src/context_inventory.ts
+++ b/packages/lovagepond-control/src/context_inventory.ts
@@ -33,8 +33,14 @@
 }
 
 /**
- * Asks all servers at once: the answer takes a server some milliseconds, and
- * each later one would come after the requests that it is meant for.
+ * Servers asked at once. What one holds is hundreds of ids, and goes to every
+ * gateway: with eighty servers at once it filled the gateways' links, and the leader
+ * was busy with it, while gateways waited for its word to serve anyone.
+ */
+const ASKED_AT_ONCE = 4;
+
+/**
+ * Asks a few servers at a time: an answer takes a server some milliseconds.
  *
  * @param servers whom to ask
  * @param parts how, and who hears the answers
@@ -43,7 +49,15 @@
   servers: readonly AskedServer[],
   parts: InventoryParts,
 ): Promise<void> {
-  await Promise.all(servers.map(server => askOne(server, parts)));
+  const left = [...servers];
+  const askNext = async (): Promise<void> => {
+    for (;;) {
+      const server = left.shift();
+      if (!server) return;
+      await askOne(server, parts);
+    }
+  };
+  await Promise.all(Array.from({length: ASKED_AT_ONCE}, askNext));
 }
 
 async function askOne(
--- a/packages/lovagepond-control/src/control_leadership.ts
+++ b/packages/lovagepond-control/src/control_leadership.ts
@@ -14,6 +14,12 @@
 import {type Proposer} from './proposer.js';
 import {type ReadingBoard, type ReadingReport} from './reading_board.js';
 
+/**
+ * Time that gateways have to subscribe and to be confirmed before engines are asked
+ * what they hold, milliseconds.
+ */
+const INVENTORY_DELAY_MS = 400;
+
 /** What leading is done with. */
 export interface LeadershipParts {
   readonly clock: Clock;
@@ -86,7 +92,14 @@
     this.#term = term;
     this.#parts.log.info('control leads', {term});
     this.#parts.onTakenOver();
-    if (this.#parts.readings.isEmpty) this.#askForContexts();
+    if (this.#parts.readings.isEmpty) this.#askForContextsLater(term);
+  }
+
+  /** What engines hold saves reading; gateways must first be able to serve. */
+  #askForContextsLater(term: number): void {
+    setTimeout(() => {
+      if (this.#term === term) this.#askForContexts();
+    }, INVENTORY_DELAY_MS).unref();
   }
 
   /** The leader's settings are in force at all members. */
--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -20,7 +20,7 @@
 import {type ControlStateMachine} from './control_state_machine.js';
 import {ConvergenceTable} from './convergence_table.js';
 import {DirectServers} from './direct_servers.js';
-import {LeaderRelay} from './leader_relay.js';
+import {LeaderRelay, type RevisionReport} from './leader_relay.js';
 import {LedgerHandler} from './ledger_handler.js';
 import {listMemberAddresses, listMembersWithLog} from './member_addresses.js';
 import {MemberAdministration} from './member_administration.js';
@@ -31,6 +31,7 @@
 import {type HeldContextsReader} from './context_inventory.js';
 import {ReadingBoard, type ReadingReport} from './reading_board.js';
 import {readReadings} from './wire_utils.js';
+import {SharedAnswer} from './shared_answer.js';
 import {
   CONTROL_ROLE,
   type FeedView,
@@ -38,6 +39,7 @@
 } from './subscription_feed.js';
 import {SubscriptionPump} from './subscription_pump.js';
 import {SubscriptionHub, type UpdateSink} from './subscription_hub.js';
+import {ToldRevisions} from './told_revisions.js';
 
 const {v1} = lovagepond;
 
@@ -79,6 +81,11 @@
   readonly #hub: SubscriptionHub;
   readonly #relay: LeaderRelay;
   readonly #rounds: ConfirmationRounds;
+  readonly #told = new ToldRevisions();
+  /** The leader's word on the newest revision. */
+  readonly #leaderAnswer: SharedAnswer<number | undefined>;
+  /** The same, with the leader's next heartbeat. */
+  readonly #patientAnswer: SharedAnswer<number | undefined>;
   readonly #unregister: Unregister;
   readonly #schedule = new SubscriptionPump(() => {
     this.#pump(this.#now());
@@ -108,6 +115,8 @@
     this.#leadership = this.#makeLeadership();
     this.#hub = new SubscriptionHub(settings, clock.now());
     this.#relay = this.#makeRelay(log);
+    this.#leaderAnswer = this.#makeLeaderAnswer(true);
+    this.#patientAnswer = this.#makeLeaderAnswer(false);
     this.#rounds = new ConfirmationRounds(() => this.#confirmRevision());
     this.administration = this.#makeAdministration();
     this.#unregister = mergeRegister(
@@ -140,7 +149,7 @@
     }
     const confirmed = this.#proposer.leads()
       ? await this.#confirmHere(!atOnce)
-      : await this.#relay.report({node, role, revision, atOnce});
+      : await this.#askLeader({node, role, revision, atOnce});
     return new v1.ConvergenceResponse({
       revision: confirmed ?? 0,
       confirmed: confirmed !== undefined,
@@ -210,6 +219,7 @@
     this.#hub.noteContact(leads ? now : this.#relay.heardAt, now);
     if (leads) this.#runApart(this.#leadership.tick(now));
     this.#convergence.sweep(now);
+    this.#told.sweep(now);
     this.#hub.sendOn(listMembersWithLog(node));
     this.#runRounds();
     this.#pump(now);
@@ -310,10 +320,30 @@
   }
 
   async #confirmRevision(): Promise<number | undefined> {
-    if (this.#proposer.leads()) return this.#confirmHere();
+    return this.#proposer.leads()
+      ? this.#confirmHere()
+      : this.#leaderAnswer.get();
+  }
+
+  /**
+   * Each gateway asks twice a second. A question for each would make the leader's
+   * work grow with the gateways, and after a stop of all it is the busiest.
+   */
+  #askLeader(report: RevisionReport): Promise<number | undefined> {
+    const {node, role, revision} = report;
+    const leader = this.#proposer.leaderAddress();
+    const isNews =
+      role !== CONTROL_ROLE &&
+      this.#told.isNews(leader, node, revision, this.#now());
+    if (isNews) return this.#relay.report(report);
+    const shared = report.atOnce ? this.#leaderAnswer : this.#patientAnswer;
+    return shared.get();
+  }
+
+  #makeLeaderAnswer(atOnce: boolean): SharedAnswer<number | undefined> {
     const {nodeName: node} = this.#settings;
-    const report = {node, role: CONTROL_ROLE, revision: 0, atOnce: true};
-    return this.#relay.report(report);
+    const report = {node, role: CONTROL_ROLE, revision: 0, atOnce};
+    return new SharedAnswer(() => this.#relay.report(report));
   }
 
   async #confirmHere(mayWait = false): Promise<number | undefined> {
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -41,6 +41,13 @@
 const DUMP_VERSION = 1;
 const TICK_MS = 100;
 
+/**
+ * Time after which a starting gateway asks again though its last question is under
+ * way, milliseconds. When all gateways start, each one's word waits for the leader;
+ * asked ten times a second by each of them, it was busy with the questions.
+ */
+const UNANSWERED_MS = 400;
+
 /**
  * Time in which readings are collected for one report: short against the 200
  * milliseconds that a large prompt takes to read.
@@ -69,6 +76,8 @@
   #timer: NodeJS.Timeout | undefined;
   #readingsTimer: NodeJS.Timeout | undefined;
   #askedAt = Number.NEGATIVE_INFINITY;
+  /** Questions for the newest revision that are under way. */
+  #unanswered = 0;
   #draining = false;
   /** It has known enough to decide on requests. */
   #serves = false;
@@ -230,19 +239,24 @@
       this.#link.restart('it is behind a confirmed change');
     }
     this.#fleet.forgetSilentRouters(at.now);
-    const {authorityIntervalMs} = this.#settings;
-    const intervalMs = this.#admission.isStarting(at)
-      ? TICK_MS
-      : authorityIntervalMs;
-    if (at.now - this.#askedAt < intervalMs) return;
+    if (at.now - this.#askedAt < this.#askIntervalMs(at)) return;
     this.#askForNewest(at);
   }
 
+  #askIntervalMs(at: ClockReading): number {
+    if (!this.#admission.isStarting(at)) {
+      return this.#settings.authorityIntervalMs;
+    }
+    return this.#unanswered > 0 ? UNANSWERED_MS : TICK_MS;
+  }
+
   #askForNewest(at: ClockReading): void {
     this.#askedAt = at.now;
+    this.#unanswered += 1;
     const {revision} = this.#admission.configuration;
     const isStarting = this.#admission.isStarting(at);
     void this.#link.confirmRevision(revision, isStarting).then(confirmed => {
+      this.#unanswered -= 1;
       if (confirmed !== undefined) {
         this.#admission.authority.confirm(
           confirmed,
--- a/packages/lovagepond-gateway/src/gateway_routes.ts
+++ b/packages/lovagepond-gateway/src/gateway_routes.ts
@@ -116,7 +116,8 @@
 
 /** Host names compare without case, and callers may add the port. */
 function normalizeHost(host: string): string {
-  return host.toLowerCase().replace(/:\d+$/, '');
+  const name = host.toLowerCase();
+  return name.includes(':') ? name.replace(/:\d+$/, '') : name;
 }
 
 /**
