--- a/packages/lovagepond-consensus/src/consensus_member_state.ts
+++ b/packages/lovagepond-consensus/src/consensus_member_state.ts
@@ -37,9 +37,8 @@
 /**
  * A pre-vote that found no majority is tried again after this part of the time
  * that an election gets. It changes nothing at the others, and when all members
- * were stopped, the first one up asks in vain: with the whole time between two
- * tries, four members chose their leader 390 ms after the third was up, of
- * which 250 are the promise to the leader before.
+ * were stopped, the first one up asks in vain, and would ask again only when the
+ * others have long been up.
  */
 const PRE_VOTE_RETRY_PART = 0.5;
 
@@ -75,8 +74,7 @@
     // the end of its former life as contact, so that its vote cuts no lease
     // short. That holds for a sole voter too: the leader that is removing itself
     // still leads. Counted from when the process was there and not from when
-    // this member was ready, most of the promise is over by then: after a stop
-    // of all hosts the group leads 0.2 s sooner (npm run measure -- consensus).
+    // this member was ready, most of the promise is over by then.
     this.#leaderContact = parts.silentSince ?? now;
     this.#electionDue = now + this.#firstTimeout(now);
   }
--- a/packages/lovagepond-control/src/control_channel_constants.ts
+++ b/packages/lovagepond-control/src/control_channel_constants.ts
@@ -15,9 +15,8 @@
 
 /**
  * What a library offers and nobody here reads: its own diagnosis of channels.
- * Without it, and without retries of calls that are repeated with newer content
- * anyway, eight members with 27 gateways spend 1.52 in place of 1.62 of a core
- * (two plays of real processes each, a busy machine).
+ * It costs processor time at each call, as do retries of calls that are repeated
+ * with newer content anyway.
  */
 const LEAN: ChannelOptions = {'grpc.enable_channelz': 0};
 
--- a/packages/lovagepond-gateway/src/gateway_engine_choice.ts
+++ b/packages/lovagepond-gateway/src/gateway_engine_choice.ts
@@ -48,10 +48,7 @@
   readonly reread: number;
   /**
    * Taking a token over against reading it anew: it takes memory at both ends
-   * and a share of the links, but no time of the engine. With twice this weight
-   * callers of three loads got 0.035, 0.032 and 0.007 in a hundred less of what
-   * was asked for (112 plays each, standard error 0.010 to 0.016), with half of it
-   * no more.
+   * and a share of the links, but no time of the engine.
    */
   readonly fetch: number;
   /**
@@ -62,8 +59,7 @@
   /**
    * Part of the target latency up to which a wait costs the caller nothing: the
    * rest covers what other routers have sent to the server, unseen from here, and
-   * what the prompts after it will have to wait for. With a quarter callers got no
-   * more, and a sixth more tokens were taken over; with none they got less.
+   * what the prompts after it will have to wait for.
    */
   readonly freeWaitPart: number;
   /** A millisecond beyond that against one of reading anew. */
--- a/packages/lovagepond-gateway/src/gateway_outcome_estimate.ts
+++ b/packages/lovagepond-gateway/src/gateway_outcome_estimate.ts
@@ -2,12 +2,8 @@
  * Estimates how likely a backend server fails the next request.
  *
  * A server that fails two requests in five answers its status check well, and
- * no single router sees enough of its answers to tell that from chance: at nine
- * routers and three servers of 26 requests a second, each sees one answer a
- * second of each server. So outcomes are told, and all routers' outcomes count.
- * In a play of that load with one server failing two in five for five seconds,
- * 5.1 in a hundred requests that must not run twice were lost, over six seeds;
- * 8.6 with own outcomes alone, 13.6 with a server left above 0.6 of failures.
+ * no single router sees enough of its answers to tell that from chance. So
+ * outcomes are told, and all routers' outcomes count.
  */
 
 /**
--- a/packages/lovagepond-gateway/src/gateway_routes.ts
+++ b/packages/lovagepond-gateway/src/gateway_routes.ts
@@ -77,8 +77,7 @@
     const query = path.indexOf('?');
     const plain = query < 0 ? path : path.slice(0, query);
     // Only what ends with a slash can be a prefix. With 1,900 rules, a list that is
-    // kept in order cost 16 ms to build and 3.7 µs a request to search; this costs
-    // 3 ms and 0.6 µs (npm run measure -- gateway-configuration).
+    // kept in order would be searched from its start for each request.
     let end = plain.lastIndexOf('/', rules.longest - 1);
     while (end >= 0) {
       const rule = rules.byPrefix.get(plain.slice(0, end + 1));
