Name the files of a process after what they are

The package was renamed from platform to process; its files still had the former word, which means the users' platform elsewhere in the repository. No code changed but imports.

--- a/packages/lovagepond-process/src/index.ts
+++ b/packages/lovagepond-process/src/index.ts
@@ -4,28 +4,28 @@
   type ExitCode,
 } from './exit_codes_constants.js';
 export {type DroppedLines, LogBound} from './log_bound.js';
-export {SystemClock} from './platform_clock.js';
+export {SystemClock} from './process_clock.js';
 export {
   Lifecycle,
   LIFECYCLE_EVENT,
   type LifecycleAction,
   type LifecycleEvent,
   type LifecycleSettings,
-} from './platform_lifecycle.js';
+} from './process_lifecycle.js';
 export {
   LOG_LEVEL,
   type LogLevel,
   type LogWriter,
   RoarrLogger,
-} from './platform_logger.js';
+} from './process_logger.js';
 export {
   MetricsRegistry,
   type ObservedMetric,
   type RenderedMetrics,
   type Sample,
-} from './platform_metrics.js';
-export {PlatformServer, type PlatformView} from './platform_server.js';
-export {registerSignals} from './platform_signals.js';
+} from './metrics_registry.js';
+export {PlatformServer, type PlatformView} from './process_server.js';
+export {registerSignals} from './process_signals.js';
 export {endSoon} from './process_end.js';
 export {registerProcessMetrics} from './process_metrics.js';
 export {
--- a/packages/lovagepond-process/src/log_bound.ts
+++ b/packages/lovagepond-process/src/log_bound.ts
@@ -5,7 +5,7 @@
  * log collector that stalls would make each process grow until it is ended for it:
  * at 400 lines a second by 0.1 MB a second.
  */
-import {type LogLevel} from './platform_logger.js';
+import {type LogLevel} from './process_logger.js';
 
 /**
  * Bytes that may wait for the reader before routine lines are dropped, and before
--- a/packages/lovagepond-process/src/process_metrics.ts
+++ b/packages/lovagepond-process/src/process_metrics.ts
@@ -1,7 +1,7 @@
 /**
  * Metrics of the process itself, read when they are asked for.
  */
-import {type MetricsRegistry} from './platform_metrics.js';
+import {type MetricsRegistry} from './metrics_registry.js';
 
 const MICROSECONDS = 1_000_000;
 
--- a/packages/lovagepond-process/src/process_runner.ts
+++ b/packages/lovagepond-process/src/process_runner.ts
@@ -15,10 +15,10 @@
   type LifecycleAction,
   type LifecycleEvent,
   type LifecycleSettings,
-} from './platform_lifecycle.js';
-import {type MetricsRegistry} from './platform_metrics.js';
-import {PlatformServer} from './platform_server.js';
-import {registerSignals} from './platform_signals.js';
+} from './process_lifecycle.js';
+import {type MetricsRegistry} from './metrics_registry.js';
+import {PlatformServer} from './process_server.js';
+import {registerSignals} from './process_signals.js';
 import {formatHostPort, type HostPort} from './settings_units.js';
 import {renderDump} from './state_dump.js';
 
--- a/packages/lovagepond-process/src/platform_server.ts
+++ b/packages/lovagepond-process/src/process_server.ts
@@ -5,7 +5,7 @@
 import {createServer, type Server} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {App} from '@tinyhttp/app';
-import {type MetricsRegistry} from './platform_metrics.js';
+import {type MetricsRegistry} from './metrics_registry.js';
 import {type HostPort} from './settings_units.js';
 
 const STATUS_OK = 200;
--- a/packages/lovagepond-process/src/platform_signals.ts
+++ b/packages/lovagepond-process/src/process_signals.ts
@@ -4,7 +4,7 @@
  * SIGUSR1 stays free: Node opens its inspector on it.
  */
 import {type Unregister} from '@lovagepond/core';
-import {type LifecycleEvent} from './platform_lifecycle.js';
+import {type LifecycleEvent} from './process_lifecycle.js';
 
 const SIGNAL_EVENTS: readonly (readonly [NodeJS.Signals, LifecycleEvent])[] = [
   ['SIGTERM', 'terminate'],
