Avoid plain services that are slow, not busy

Cause: a plain service that works eight times as long as the others fails nothing and answers its status check; as few requests end there it looks idle, and gets its full part.

Change: an answer that comes later than its kind's target, from a server that had a free slot when it was sent there, counts as a failure where servers are compared, at all gateways. A late answer of a full server says nothing of it. Engines are left as they are: what is late there is mostly reading.

--- a/packages/lovagepond-gateway/src/deciders.ts
+++ b/packages/lovagepond-gateway/src/deciders.ts
@@ -1,6 +1,7 @@
 /**
  * The deciding classes of gateways, without I/O, for plays in virtual time.
  */
+export {AnswerTiming} from './gateway_answer_timing.js';
 export {GatewayChoice} from './gateway_choice.js';
 export {type ContextFetch} from './gateway_context_source.js';
 export {ENGINE_WEIGHTS, type EngineWeights} from './gateway_engine_choice.js';
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -17,6 +17,7 @@
   type OutgoingRequest,
   STATUS_MISDIRECTED,
 } from './gateway_attempt.js';
+import {AnswerTiming} from './gateway_answer_timing.js';
 import {type CallerChannel} from './gateway_caller_channel.js';
 import {type GatewayChoice, type ServerChoice} from './gateway_choice.js';
 import {type GatewayConnections} from './gateway_connections.js';
@@ -97,6 +98,8 @@
   #attempt: Attempt | undefined;
   /** The prompt at the server of the attempt under way. */
   #account: PromptAccount | undefined;
+  /** Of the attempt under way, at a plain service. */
+  #timing: AnswerTiming | undefined;
   #timer: NodeJS.Timeout | undefined;
   /** The failure answer that the attempt under way brings. */
   #arriving: KeptFailure | undefined;
@@ -171,6 +174,10 @@
       return;
     }
     const {state, fetch} = chosen;
+    const {sticky, targetLatencyMs} = rule.forwarding;
+    this.#timing = sticky
+      ? undefined
+      : new AnswerTiming(state, targetLatencyMs, now);
     this.#offers += 1;
     this.#tried.add(state.server.name);
     const parts = this.#parts;
@@ -270,7 +277,9 @@
       this.#onFailed({kind: 'broken', reason: 'half an event at the end'});
       return;
     }
-    this.#endAttempt()?.noteSuccess(this.#now());
+    const state = this.#endAttempt();
+    if (this.#timing) this.#timing.noteAnswer(this.#now());
+    else state?.noteSuccess(this.#now());
     this.#caller.end();
     this.#finish('answered');
   }
--- a/packages/lovagepond-gateway/src/gateway_server_state.ts
+++ b/packages/lovagepond-gateway/src/gateway_server_state.ts
@@ -153,9 +153,24 @@
    * @param now present time, monotonic milliseconds
    */
   noteSuccess(now: number): void {
+    this.#endPause();
+    this.#noteOutcome({ended: 1, failed: 0}, now);
+  }
+
+  /**
+   * The answer came, but so late that callers are better off elsewhere: it counts
+   * as a failure where servers are compared.
+   *
+   * @param now present time, monotonic milliseconds
+   */
+  noteLateAnswer(now: number): void {
+    this.#endPause();
+    this.#noteOutcome({ended: 1, failed: 1}, now);
+  }
+
+  #endPause(): void {
     this.#failures = 0;
     this.#pausedUntil = Number.NEGATIVE_INFINITY;
-    this.#noteOutcome({ended: 1, failed: 0}, now);
   }
 
   /**
--- a/packages/lovagepond-measure/src/__tests__/unit/gateway_play.test.ts
+++ b/packages/lovagepond-measure/src/__tests__/unit/gateway_play.test.ts
@@ -80,6 +80,24 @@
   expect(readAgain({name: 'in use'})).toBeLessThan(0.9 * withoutHomes);
 });
 
+// Three services in ten work eight times as long for six seconds. With their late
+// answers told apart 99.16 in a hundred callers are answered on time on these days,
+// 98.58 without: their load alone doesn't give them away.
+test('slow services get less of the work', () => {
+  const onTime = (variant: PlaySettings['variant']): number => {
+    const troubles = PLAY_DAYS['slow'] ?? [];
+    const results = PLAY_LOADS.flatMap(load =>
+      [501, 502, 503].map(seed =>
+        play({load, variant, seed, troubles, endMs: 24_000}),
+      ),
+    );
+    const sum = results.reduce((all, one) => all + one.onTimePercent, 0);
+    return sum / results.length;
+  };
+  const without = onTime({name: 'not told apart', noTiming: true});
+  expect(onTime({name: 'in use'})).toBeGreaterThan(without + 0.2);
+});
+
 interface EnginePlay {
   readonly time: VirtualTime;
   readonly account: PlayAccount;
--- a/packages/lovagepond-measure/src/gateway_play_measure.ts
+++ b/packages/lovagepond-measure/src/gateway_play_measure.ts
@@ -35,6 +35,7 @@
     name: 'failures not expected',
     weights: {repeatableFailure: 0, lostFailure: 0},
   },
+  {name: 'late answers not told apart', noTiming: true},
   {name: 'no load bound', noBound: true},
 ];
 
--- a/packages/lovagepond-measure/src/play_engine.ts
+++ b/packages/lovagepond-measure/src/play_engine.ts
@@ -201,6 +201,8 @@
   readonly #draw: () => number;
   #running = 0;
   failingPart = 0;
+  /** It works so many times as long as it should. */
+  slowness = 1;
   #isUp = true;
 
   /**
@@ -256,7 +258,7 @@
     onEnd: (outcome: 'ok' | 'failed' | 'broken') => void,
   ): void {
     this.#running += 1;
-    this.#time.after(workMs, () => {
+    this.#time.after(workMs * this.slowness, () => {
       this.#running -= 1;
       this.#waiting.shift()?.();
       const part = Math.max(this.failingPart, usualFailures);
--- a/packages/lovagepond-measure/src/play_fleet.ts
+++ b/packages/lovagepond-measure/src/play_fleet.ts
@@ -163,6 +163,13 @@
         for (const server of ill) if (server) server.failingPart = 0;
       });
     },
+    slow: ({share, forMs, times}) => {
+      const slow = this.#drawOf([...this.#services.values()], share);
+      for (const server of slow) server.slowness = times;
+      this.#time.after(forMs, () => {
+        for (const server of slow) server.slowness = 1;
+      });
+    },
     burst: ({times, forMs}) => {
       this.#times = times;
       this.#time.after(forMs, () => {
--- a/packages/lovagepond-measure/src/play_gateway.ts
+++ b/packages/lovagepond-measure/src/play_gateway.ts
@@ -9,6 +9,7 @@
   decideNext,
   ENGINE_WEIGHTS,
   type ForwardingRule,
+  AnswerTiming,
   GatewayChoice,
   GatewayFleet,
   GatewayPeers,
@@ -221,7 +222,9 @@
           this.#firstMs ??= this.#now - this.#req.at + HOP_MS;
         },
         onEnd: () => {
-          if (close()) this.#served(state);
+          if (!close()) return;
+          state.noteSuccess(this.#now);
+          this.#served();
         },
         onBroken: () => {
           this.#ended(state, close, {kind: 'broken'});
@@ -234,8 +237,11 @@
   }
 
   #runCall(state: ServerState): void {
-    const {time, servers} = this.#parts;
+    const {time, servers, variant} = this.#parts;
     const {kind, workMs} = this.#req;
+    const timing = variant.noTiming
+      ? undefined
+      : new AnswerTiming(state, kind.targetLatencyMs, this.#now);
     state.inFlight += 1;
     const close = this.#guard(() => {
       state.inFlight -= 1;
@@ -251,7 +257,9 @@
         if (outcome === 'ok') {
           if (!close()) return;
           this.#firstMs = this.#now - this.#req.at + HOP_MS;
-          this.#served(state);
+          if (timing) timing.noteAnswer(this.#now);
+          else state.noteSuccess(this.#now);
+          this.#served();
         } else if (outcome === 'failed') {
           this.#ended(state, close, {kind: 'failedAnswer'});
         } else if (outcome === 'refused') {
@@ -283,8 +291,7 @@
     state.noteLoad({...load, slots: state.slots}, this.#now);
   }
 
-  #served(state: ServerState): void {
-    state.noteSuccess(this.#now);
+  #served(): void {
     this.#isDone = true;
     const {kind, at} = this.#req;
     this.#parts.account.served(kind, at, this.#firstMs ?? 0);
--- a/packages/lovagepond-measure/src/play_loads.ts
+++ b/packages/lovagepond-measure/src/play_loads.ts
@@ -206,6 +206,7 @@
   failing: [
     {kind: 'failing', atMs: 12_000, share: 0.34, forMs: 6_000, part: 0.45},
   ],
+  slow: [{kind: 'slow', atMs: 12_000, share: 0.3, forMs: 6_000, times: 8}],
   burst: [
     {kind: 'burst', atMs: 12_000, forMs: 5_000, times: 1.7},
     {kind: 'hotKey', atMs: 20_000, forMs: 5_000, share: 0.25},
--- a/packages/lovagepond-measure/src/play_types.ts
+++ b/packages/lovagepond-measure/src/play_types.ts
@@ -91,6 +91,14 @@
       readonly forMs: number;
       readonly part: number;
     }
+  /** Plain services work so many times as long. */
+  | {
+      readonly kind: 'slow';
+      readonly atMs: number;
+      readonly share: number;
+      readonly forMs: number;
+      readonly times: number;
+    }
   /** More requests, of one kind or of all. */
   | {
       readonly kind: 'burst';
@@ -129,6 +137,8 @@
   readonly silentReadings?: boolean;
   /** Gateways tell each other nothing of their requests and outcomes. */
   readonly silentRunning?: boolean;
+  /** Late answers of services count as any other. */
+  readonly noTiming?: boolean;
   /** Gateways hear each other's requests one by one, not their sums. */
   readonly eachRunning?: boolean;
   /** Engines read anew what others hold. */
