--- a/packages/lovagepond-control/src/context_inventory.ts
+++ b/packages/lovagepond-control/src/context_inventory.ts
@@ -37,7 +37,7 @@
  * gateway: with eighty servers at once it filled the gateways' links, and the leader
  * was busy with it, while gateways waited for its word to serve anyone.
  */
-const ASKED_AT_ONCE = 4;
+const ASKED_AT_ONCE = 8;
 
 /**
  * Asks a few servers at a time: an answer takes a server some milliseconds.
--- a/packages/lovagepond-control/src/control_leadership.ts
+++ b/packages/lovagepond-control/src/control_leadership.ts
@@ -18,7 +18,7 @@
  * Time that gateways have to subscribe and to be confirmed before engines are asked
  * what they hold, milliseconds.
  */
-const INVENTORY_DELAY_MS = 400;
+const INVENTORY_DELAY_MS = 150;
 
 /** What leading is done with. */
 export interface LeadershipParts {
