Tell the leader again what got lost on its way

Cause: a follower took a node's revision for told when it sent it. Lost, the leader would have heard of it only a minute later, and operators would have waited for a change to be in force that was.

Change: it counts as told once the leader has answered. Test: asked twice, told once (the second was no news before).

--- a/packages/lovagepond-control/src/__tests__/unit/shared_answer.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/shared_answer.test.ts
@@ -48,14 +48,18 @@
 });
 
 // Operators see at the leader which revision each gateway holds. It must hear of
-// each change and, when it is a new one, of all of them again.
+// each change, of what got lost on its way and, when it is a new one, of all.
 test('tells a leader what it does not know', () => {
   const told = new ToldRevisions();
   expect(told.isNews('a', 'g1', 1, 0)).toBe(true);
+  expect(told.isNews('a', 'g1', 1, 100)).toBe(true);
+  told.note('a', 'g1', 1, 200);
   expect(told.isNews('a', 'g1', 1, 500)).toBe(false);
   expect(told.isNews('a', 'g2', 1, 500)).toBe(true);
   expect(told.isNews('a', 'g1', 2, 1_000)).toBe(true);
+  told.note('a', 'g1', 2, 1_000);
   expect(told.isNews('b', 'g1', 2, 1_500)).toBe(true);
+  told.note('b', 'g1', 2, 1_500);
   expect(told.isNews('b', 'g1', 2, 50_000)).toBe(false);
   expect(told.isNews('b', 'g1', 2, 70_000)).toBe(true);
   told.sweep(300_000);
--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -334,15 +334,21 @@
    * Each gateway asks twice a second. A question for each would make the leader's
    * work grow with the gateways, and after a stop of all it is the busiest.
    */
-  #askLeader(report: RevisionReport): Promise<number | undefined> {
+  async #askLeader(report: RevisionReport): Promise<number | undefined> {
     const {node, role, revision} = report;
     const leader = this.#proposer.leaderAddress();
     const isNews =
       role !== CONTROL_ROLE &&
       this.#told.isNews(leader, node, revision, this.#now());
-    if (isNews) return this.#relay.report(report);
-    const shared = report.atOnce ? this.#leaderAnswer : this.#patientAnswer;
-    return shared.get();
+    if (!isNews) {
+      const shared = report.atOnce ? this.#leaderAnswer : this.#patientAnswer;
+      return shared.get();
+    }
+    const confirmed = await this.#relay.report(report);
+    if (confirmed !== undefined) {
+      this.#told.note(leader, node, revision, this.#now());
+    }
+    return confirmed;
   }
 
   #makeLeaderAnswer(atOnce: boolean): SharedAnswer<number | undefined> {
--- a/packages/lovagepond-control/src/told_revisions.ts
+++ b/packages/lovagepond-control/src/told_revisions.ts
@@ -20,7 +20,7 @@
    * @param node the node's name
    * @param revision the revision it holds
    * @param now monotonic milliseconds
-   * @returns true when the leader is to be told; it then counts as told
+   * @returns true when the leader is to be told
    */
   isNews(leader: string, node: string, revision: number, now: number): boolean {
     const told = this.#told.get(node);
@@ -28,9 +28,17 @@
       told?.leader === leader &&
       told.revision === revision &&
       now - told.at < TELL_AGAIN_MS;
-    if (isKnown) return false;
+    return !isKnown;
+  }
+
+  /**
+   * @param leader `host:port` of the leader, which has answered
+   * @param node the node's name
+   * @param revision the revision that it was told of
+   * @param now monotonic milliseconds
+   */
+  note(leader: string, node: string, revision: number, now: number): void {
     this.#told.set(node, {leader, revision, at: now});
-    return true;
   }
 
   /** @param now monotonic milliseconds; forgets nodes that have gone */
