--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -20,7 +20,8 @@
 import {type ControlStateMachine} from './control_state_machine.js';
 import {ConvergenceTable} from './convergence_table.js';
 import {DirectServers} from './direct_servers.js';
-import {LeaderRelay, type RevisionReport} from './leader_relay.js';
+import {LeaderQuestions} from './leader_questions.js';
+import {LeaderRelay} from './leader_relay.js';
 import {LedgerHandler} from './ledger_handler.js';
 import {listMemberAddresses, listMembersWithLog} from './member_addresses.js';
 import {MemberAdministration} from './member_administration.js';
@@ -32,7 +33,6 @@
 import {ReadingBoard, type ReadingReport} from './reading_board.js';
 import {RunningTotals} from './running_totals.js';
 import {readReadings} from './wire_utils.js';
-import {SharedAnswer} from './shared_answer.js';
 import {
   CONTROL_ROLE,
   type FeedView,
@@ -40,7 +40,6 @@
 } from './subscription_feed.js';
 import {SubscriptionPump} from './subscription_pump.js';
 import {SubscriptionHub, type UpdateSink} from './subscription_hub.js';
-import {ToldRevisions} from './told_revisions.js';
 
 const {v1} = lovagepond;
 
@@ -83,11 +82,7 @@
   readonly #hub: SubscriptionHub;
   readonly #relay: LeaderRelay;
   readonly #rounds: ConfirmationRounds;
-  readonly #told = new ToldRevisions();
-  /** The leader's word on the newest revision. */
-  readonly #leaderAnswer: SharedAnswer<number | undefined>;
-  /** The same, with the leader's next heartbeat. */
-  readonly #patientAnswer: SharedAnswer<number | undefined>;
+  readonly #questions: LeaderQuestions;
   readonly #unregister: Unregister;
   readonly #schedule = new SubscriptionPump(() => {
     this.#pump(this.#now());
@@ -117,8 +112,11 @@
     this.#leadership = this.#makeLeadership();
     this.#hub = new SubscriptionHub(settings, clock.now());
     this.#relay = this.#makeRelay(log);
-    this.#leaderAnswer = this.#makeLeaderAnswer(true);
-    this.#patientAnswer = this.#makeLeaderAnswer(false);
+    this.#questions = new LeaderQuestions({
+      nodeName: settings.nodeName,
+      leaderAddress: () => this.#proposer.leaderAddress(),
+      report: report => this.#relay.report(report),
+    });
     this.#rounds = new ConfirmationRounds(() => this.#confirmRevision());
     this.administration = this.#makeAdministration();
     this.#unregister = mergeRegister(
@@ -151,7 +149,10 @@
     }
     const confirmed = this.#proposer.leads()
       ? await this.#confirmHere(!atOnce)
-      : await this.#askLeader({node, role, revision, atOnce});
+      : await this.#questions.confirmFor(
+          {node, role, revision, atOnce},
+          this.#now(),
+        );
     return new v1.ConvergenceResponse({
       revision: confirmed ?? 0,
       confirmed: confirmed !== undefined,
@@ -221,7 +222,7 @@
     this.#hub.noteContact(leads ? now : this.#relay.heardAt, now);
     if (leads) this.#runApart(this.#leadership.tick(now));
     this.#convergence.sweep(now);
-    this.#told.sweep(now);
+    this.#questions.sweep(now);
     this.#running.forgetSilent(now);
     this.#hub.sendOn(listMembersWithLog(node));
     this.#runRounds();
@@ -327,34 +328,7 @@
   async #confirmRevision(): Promise<number | undefined> {
     return this.#proposer.leads()
       ? this.#confirmHere()
-      : this.#leaderAnswer.get();
-  }
-
-  /**
-   * Each gateway asks twice a second. A question for each would make the leader's
-   * work grow with the gateways, and after a stop of all it is the busiest.
-   */
-  async #askLeader(report: RevisionReport): Promise<number | undefined> {
-    const {node, role, revision} = report;
-    const leader = this.#proposer.leaderAddress();
-    const isNews =
-      role !== CONTROL_ROLE &&
-      this.#told.isNews(leader, node, revision, this.#now());
-    if (!isNews) {
-      const shared = report.atOnce ? this.#leaderAnswer : this.#patientAnswer;
-      return shared.get();
-    }
-    const confirmed = await this.#relay.report(report);
-    if (confirmed !== undefined) {
-      this.#told.note(leader, node, revision, this.#now());
-    }
-    return confirmed;
-  }
-
-  #makeLeaderAnswer(atOnce: boolean): SharedAnswer<number | undefined> {
-    const {nodeName: node} = this.#settings;
-    const report = {node, role: CONTROL_ROLE, revision: 0, atOnce};
-    return new SharedAnswer(() => this.#relay.report(report));
+      : this.#questions.confirm();
   }
 
   async #confirmHere(mayWait = false): Promise<number | undefined> {
