Play the consensus model in groups of 6, 8 and 12

The platform runs control with six and eight voters; the model was played with three to five. In the tests: 20 runs of 6,000 steps. Observers and full disks aren't in the model.

--- a/packages/lovagepond-consensus/src/__tests__/unit/consensus_core_model.test.ts
+++ b/packages/lovagepond-consensus/src/__tests__/unit/consensus_core_model.test.ts
@@ -5,6 +5,10 @@
 
 const STEPS = 6_000;
 const RUNS = 60;
+
+/** Hosts that take the place of others, in larger groups. */
+const SPARES = 2;
+const RUNS_OF_LARGER = 20;
 const PROPERTY_SEED = 20_261_202;
 
 const upTo = (max: number): fc.Arbitrary<number> =>
@@ -128,4 +132,22 @@
       },
     );
   });
+
+  // Groups of two hosts a zone, and of as many members as may be set aside: more
+  // members vote, are replaced and catch up at the same time.
+  it('keeps every promise in larger groups', {timeout: 60_000}, () => {
+    fc.assert(
+      fc.property(
+        fc.integer(),
+        fc.constantFrom(6, 8, 12),
+        faultsArbitrary,
+        (seed, hosts, faults) => {
+          const model = new ConsensusModel(seed, hosts, SPARES, faults);
+          model.run(STEPS);
+          model.settle();
+        },
+      ),
+      {seed: PROPERTY_SEED, numRuns: RUNS_OF_LARGER, endOnFailure: true},
+    );
+  });
 });
