Count requests once while members of two releases tell of them

Change: a sum takes the place of what single gateways told, and the other way round. Test: both, one after the other (10 in place of 5 before).

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_readings.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_readings.test.ts
@@ -76,6 +76,25 @@
     expect(here.tell(there, 5_000)).toBe(false);
   });
 
+  // Members of control are upgraded one by one, and gateways go on from one release to
+  // the other: one tells of each gateway, the next of all together. Counted twice, the
+  // servers with the most work would look drowned.
+  it('counts requests once when members of two releases tell', () => {
+    const here = new Gateway('here');
+    const tell = (node: string, requests: number, now: number): void => {
+      const running = [{backendServer: 'server-3', requests}];
+      here.readings.apply({reports: [{node, running}]}, now);
+    };
+    tell('x', 2, 0);
+    tell('y', 3, 0);
+    expect(here.server(3).load(0)).toBe(5);
+    tell('', 5, 100);
+    expect(here.server(3).load(100)).toBe(5);
+    tell('x', 2, 200);
+    tell('y', 3, 200);
+    expect(here.server(3).load(200)).toBe(5);
+  });
+
   // A gateway is killed with requests under way. Nobody takes back what it told.
   it('forgets what a gateway told that is gone', () => {
     const here = new Gateway('here');
--- a/packages/lovagepond-gateway/src/gateway_server_state.ts
+++ b/packages/lovagepond-gateway/src/gateway_server_state.ts
@@ -109,11 +109,15 @@
   }
 
   /**
-   * @param router another router
+   * @param router another router; empty for all others together
    * @param requests how many of its requests are here
    * @param now present time, monotonic milliseconds
    */
   noteOthersRunning(router: string, requests: number, now: number): void {
+    // Members of the release before tell of each router. One that goes on from one
+    // to the other would count the same requests twice.
+    if (router === '') this.#running.clear();
+    else this.#running.delete('');
     if (requests === 0) this.#running.delete(router);
     else this.#running.set(router, {requests, toldAt: now});
     this.#sumRunning();
