--- a/packages/lovagepond-consensus/src/consensus_progress.ts
+++ b/packages/lovagepond-consensus/src/consensus_progress.ts
@@ -33,9 +33,8 @@
 /**
  * Bytes of entries under way at which the next message waits for an
  * acknowledgement. A short message overtakes a long one on its way, is refused,
- * and everything is sent again: configurations of 90 kB crossed the links
- * between hosts twice, and a member that returned with an empty disk took 4 s
- * and 0.3 GB to receive 4 MB. What is this short arrives in order.
+ * and everything is sent again: a member that returns with an empty disk would
+ * receive its log many times over. What is this short arrives in order.
  */
 const UNORDERED_BYTES = 16 * 1024;
 
--- a/packages/lovagepond-control/src/context_inventory.ts
+++ b/packages/lovagepond-control/src/context_inventory.ts
@@ -2,8 +2,8 @@
  * Asks engines which parts of prompts they hold, when nobody remembers.
  *
  * After a stop of all processes the engines still hold what they read, and the
- * routers know nothing of it. They would have it read a second time elsewhere:
- * for two seconds first tokens came after 0.5 to 1.5 s instead of 0.05.
+ * routers know nothing of it. They would have it read a second time elsewhere,
+ * and callers' first tokens would wait for that.
  */
 import {type Logger} from '@lovagepond/core';
 import {type ReadingReport} from './reading_board.js';
--- a/packages/lovagepond-core/src/core_configuration_delta.ts
+++ b/packages/lovagepond-core/src/core_configuration_delta.ts
@@ -1,10 +1,9 @@
 /**
  * What changes between two configurations, to be pushed in place of the whole.
  *
- * Operators send all of a configuration for each change of it. With 1,900 rules it
- * is 58 kB packed, and decoding it costs each gateway 25 ms of a core; in quick
- * succession, gateways with a fourth of a core did little else. What has changed is
- * mostly a rule or two.
+ * Operators send all of a configuration for each change of it. Where it has many
+ * rules, and changes come in quick succession, gateways with a part of a core would do
+ * little else than decode it. What has changed is mostly a rule or two.
  */
 import {z} from './core_schema.js';
 import {
--- a/packages/lovagepond-router/src/router_control_link.ts
+++ b/packages/lovagepond-router/src/router_control_link.ts
@@ -62,10 +62,9 @@
 
 /**
  * Time that a connection to a member gets, milliseconds. The opening packet to
- * a host that is still without power is lost and sent again only after a second:
- * after a stop of all hosts, gateways that were up first got their
- * configuration half a second after the others. A round trip between regions
- * takes a tenth of a second, and the processes at both ends may just have
+ * a host that is still without power is lost and sent again only after a second,
+ * when the gateways that were up later have long been served. A round trip between
+ * regions takes a tenth of a second, and the processes at both ends may just have
  * started.
  */
 const CONNECT_TIMEOUT_MS = 300;
