--- a/packages/lovagepond-control/src/running_feed.ts
+++ b/packages/lovagepond-control/src/running_feed.ts
@@ -20,7 +20,7 @@
   readonly at: number;
 }
 
-/** One router's position. */
+/** Compares what one router was told with what there is. */
 export class RunningFeed {
   readonly #node: string;
   readonly #told = new Map<string, Told>();
