--- a/packages/lovagepond-consensus/src/consensus_member_replacement.ts
+++ b/packages/lovagepond-consensus/src/consensus_member_replacement.ts
@@ -50,6 +50,10 @@
   return before.some(({address}) => address === member.address);
 }
 
+function findAt(members: MemberList, address: string): Member | undefined {
+  return members.find(member => member.address === address);
+}
+
 /** It is to vote once it has caught up. */
 function isLearner({voter, observer}: Member): boolean {
   return !voter && !observer;
@@ -118,11 +122,17 @@
     }
     const old = this.#findFormer(others, host);
     if (!observer && !old && this.#awaitsCertainty(others)) return;
+    this.#holdWhile(id, () =>
+      observer
+        ? this.#admitObserver(old?.id, host)
+        : this.start(old?.id, id, address),
+    );
+  }
+
+  /** No other host is let in until the work for this one has ended. */
+  #holdWhile(id: MemberId, work: () => Promise<unknown>): void {
     this.#joining.add(id);
-    const joining = observer
-      ? this.#admitObserver(old?.id, host)
-      : this.start(old?.id, id, address);
-    void joining.finally(() => {
+    void work().finally(() => {
       this.#joining.delete(id);
     });
   }
@@ -133,13 +143,9 @@
    * a voter it would count against every majority.
    */
   #removeFormer(others: MemberList, {id, address}: JoiningHost): void {
-    const former = others.find(member => member.address === address);
+    const former = findAt(others, address);
     if (!former) return;
-    this.#joining.add(id);
-    const removal = this.#change({kind: 'remove', id: former.id});
-    void removal.finally(() => {
-      this.#joining.delete(id);
-    });
+    this.#holdWhile(id, () => this.#change({kind: 'remove', id: former.id}));
   }
 
   async #admitObserver(
@@ -161,7 +167,7 @@
     others: MemberList,
     {address, observer}: JoiningHost,
   ): Member | undefined {
-    const former = others.find(member => member.address === address);
+    const former = findAt(others, address);
     if (former || observer || !this.#view.openMembership) return former;
     return others.find(
       ({id, voter}) => voter && this.#view.silenceMs(id) >= LOST_AFTER_MS,
