--- a/packages/lovagepond-control/src/__tests__/unit/control_role.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/control_role.test.ts
@@ -18,6 +18,9 @@
 type Update = lovagepond.v1.ControlUpdate;
 
 const CLOCK = {now: () => performance.now(), wallTime: () => Date.now()};
+/** Longer than what counts as one cause. */
+const COMMON_CAUSE_MS = 250;
+
 const cleanups: (() => Promise<void> | void)[] = [];
 
 afterEach(async () => {
@@ -269,3 +272,35 @@
 function nameOf(role: ControlRole): string {
   return role.dump().state['nodeName'] as string;
 }
+
+// Guards against crashes that each router counts by itself: they are reported at
+// different members, and a router at a third one hears of the quarantine.
+test('crashes reported at any member add up at all', async () => {
+  const members = await startMembers(3);
+  const request = Buffer.alloc(16, 7);
+  const updates = subscribe(members[0]!.client);
+  await updates.until(u => u.configuration?.majorityConfirmed === true);
+  for (const [at, {client}] of members.entries()) {
+    const crash = {backendServer: `s${at}`, requests: [request], ageMs: 0};
+    const report = new v1.CrashReport({node: `r${at}`, crashes: [crash]});
+    await vi.waitUntil(async () => {
+      const method = CONTROL_SERVICE.reportCrashes;
+      return (await call(client, method, report)).recorded;
+    });
+    // Crashes at the same moment count once.
+    await new Promise(resolve => setTimeout(resolve, COMMON_CAUSE_MS));
+  }
+  const isQuarantined = (update: Update): boolean =>
+    update.quarantine?.suspects?.some(
+      one => one.crashes === 3 && (one.quarantinedForMs ?? 0) > 0,
+    ) ?? false;
+  await updates.until(isQuarantined);
+  const fingerprint = request.toString('hex');
+  for (const {role} of members) {
+    const listed = (): boolean =>
+      role.administration
+        .listQuarantine()
+        .some(one => one.request === fingerprint && one.quarantinedForMs > 0);
+    await vi.waitUntil(listed);
+  }
+});
--- a/packages/lovagepond-control/src/__tests__/unit/control_state_machine.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/control_state_machine.test.ts
@@ -6,8 +6,10 @@
   type ChangePayload,
   CLAIM_COMMAND,
   type ClaimPayload,
+  CRASHES_COMMAND,
   decodeResult,
   encodeCommand,
+  LIFT_QUARANTINE_COMMAND,
   LIMITS_COMMAND,
   ORDER_COMMAND,
   ORDER_OUTCOME_COMMAND,
@@ -207,3 +209,35 @@
   next.now += 1;
   expect(next.run(CLAIM_COMMAND, repeat, 2)).toEqual({kind: 'outcomeUnknown'});
 });
+
+// Guards against a quarantine that ends with a stop of all hosts.
+test('crashes are counted over snapshots until an operator lifts them', () => {
+  const member = new Member();
+  const crash = (server: string): unknown => {
+    const one = {server, requests: ['bad'], ageMs: 0};
+    return member.run(CRASHES_COMMAND, {crashes: [one], answered: []});
+  };
+  for (const server of ['s1', 's2']) {
+    expect(crash(server)).toEqual({quarantined: []});
+    member.now += 1_000;
+  }
+  const {now} = member;
+  const copy = member.copy();
+  expect(copy.machine.crashes.find('bad', now)?.crashes).toBe(2);
+  expect(crash('s3')).toEqual({quarantined: ['bad']});
+  const later = member.copy();
+  const isQuarantined = (): boolean =>
+    later.machine.crashes.find('bad', now)?.quarantinedUntil !== undefined;
+  expect(isQuarantined()).toBe(true);
+  later.run(LIFT_QUARANTINE_COMMAND, {request: 'bad'});
+  expect(isQuarantined()).toBe(false);
+});
+
+test('a whole answer acquits a request at all members', () => {
+  const member = new Member();
+  const one = {server: 's1', requests: ['a', 'b'], ageMs: 0};
+  member.run(CRASHES_COMMAND, {crashes: [one], answered: []});
+  member.run(CRASHES_COMMAND, {crashes: [], answered: ['a']});
+  expect(member.machine.crashes.find('a', 0)).toBeUndefined();
+  expect(member.machine.crashes.find('b', 0)?.crashes).toBe(1);
+});
--- a/packages/lovagepond-control/src/__tests__/unit/subscription_hub.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/subscription_hub.test.ts
@@ -4,6 +4,7 @@
 import {type OrderView} from '../../control_administration.js';
 import {OrderDelivery} from '../../order_delivery.js';
 import {type FeedUpdate, type FeedView} from '../../subscription_feed.js';
+import {LOG_VERSION} from '../../control_commands.js';
 import {ReadingBoard} from '../../reading_board.js';
 import {RunningTotals} from '../../running_totals.js';
 import {SubscriptionHub, type UpdateSink} from '../../subscription_hub.js';
@@ -57,6 +58,8 @@
     membershipVersion: 0,
     readings: new ReadingBoard(),
     running: new RunningTotals(),
+    crashesVersion: 0,
+    suspects: () => [],
     controlMembers: [],
     changesSince: () => undefined,
     readLoad: () => ({membershipVersion: 0, loads, ageMs: 0}),
@@ -272,3 +275,44 @@
     {kind: 'controlMembers', addresses: ['leader'], goOn: true},
   ]);
 });
+
+// Guards against a starting router that runs a quarantined request, as it hears of
+// the servers first.
+test('a router hears of quarantines before it hears of servers', () => {
+  const hub = startHub();
+  const suspect = {request: 'ab', crashes: 3, quarantinedForMs: 1_000};
+  const change = {version: 1, whole: true, members: [], gone: []};
+  let suspects = [suspect];
+  const view = (crashesVersion: number): FeedView => ({
+    ...viewOf(1),
+    crashesVersion,
+    suspects: () => suspects,
+    membershipVersion: 1,
+    changesSince: () => change,
+  });
+  const sink = new Sink();
+  hub.add(ROUTER, sink);
+  hub.pump(view(1), 0);
+  const kinds = sink.take().map(({kind}) => kind);
+  expect(kinds[0]).toBe('quarantine');
+  expect(kinds).toContain('membership');
+  hub.pump(view(1), 1);
+  expect(sink.take()).toEqual([]);
+  suspects = [];
+  hub.pump(view(2), 2);
+  expect(sink.take()).toEqual([{kind: 'quarantine', suspects: []}]);
+});
+
+// Guards against a command in the log that ends members of the release before.
+test('the oldest log version is that of the oldest member that follows', () => {
+  const hub = startHub();
+  hub.add(ROUTER, new Sink());
+  expect(hub.oldestLogVersion).toBe(LOG_VERSION);
+  const member = {...ROUTER, role: 'control', logVersion: LOG_VERSION};
+  hub.add(member, new Sink());
+  expect(hub.oldestLogVersion).toBe(LOG_VERSION);
+  const former = hub.add({...ROUTER, role: 'control'}, new Sink());
+  expect(hub.oldestLogVersion).toBe(0);
+  former.remove();
+  expect(hub.oldestLogVersion).toBe(LOG_VERSION);
+});
--- a/packages/lovagepond-control/src/control_administration.ts
+++ b/packages/lovagepond-control/src/control_administration.ts
@@ -199,6 +199,15 @@
   readonly operationId: string;
 }
 
+/** A request that servers crashed under. */
+export interface SuspectView {
+  /** Its fingerprint, as in logs. */
+  readonly request: string;
+  readonly crashes: number;
+  /** Milliseconds; 0 when it may run. */
+  readonly quarantinedForMs: number;
+}
+
 /**
  * The administration of one control member. Reads answer from what this
  * member has applied; operations answer `notLeader` on any other member than
@@ -254,6 +263,12 @@
   /** @returns orders kept with their outcomes, newest first */
   listOrders(): readonly OrderView[];
 
+  /** @returns requests that servers crashed under, quarantined or not */
+  listQuarantine(): readonly SuspectView[];
+
+  /** Lets a request run again, and forgets its crashes. */
+  liftQuarantine(request: string): Promise<OperationAnswer>;
+
   /** @returns what each router and sidecar last said it holds */
   convergence(): readonly ConvergenceView[];
 
--- a/packages/lovagepond-control/src/control_commands.ts
+++ b/packages/lovagepond-control/src/control_commands.ts
@@ -22,6 +22,12 @@
 /** Version of the coding; a member stops at one it doesn't know. */
 const COMMAND_VERSION = 1;
 
+/**
+ * Version of the set of commands. A leader proposes a command that this version
+ * has brought only while no member that follows it is of an earlier one.
+ */
+export const LOG_VERSION = 1;
+
 /** Names an operator's operation and what it asks for. */
 export interface OperationHead {
   readonly operationId: string;
@@ -91,6 +97,24 @@
   readonly message: string;
 }
 
+/** Records which requests ran at servers that crashed. */
+export interface CrashesPayload {
+  readonly crashes: readonly {
+    readonly server: string;
+    readonly requests: readonly string[];
+    /** Milliseconds since the crash when this was proposed. */
+    readonly ageMs: number;
+  }[];
+  /** Suspected requests that a server answered whole. */
+  readonly answered: readonly string[];
+}
+
+/** Result of {@link CRASHES_COMMAND}. */
+export interface CrashesResult {
+  /** Requests that are quarantined by it. */
+  readonly quarantined: readonly string[];
+}
+
 /**
  * Limits of the replicated state. They travel in the log: members that read
  * them from their own settings would expire differently and come apart.
@@ -137,6 +161,12 @@
 /** Gives places to servers that stood by, and closes vacant ones. */
 export const OPEN_PLACES_COMMAND =
   createCommand<Readonly<Record<string, never>>>('openPlaces');
+/** Records crashes of servers and the requests that they ran. */
+export const CRASHES_COMMAND = createCommand<CrashesPayload>('crashes');
+/** Lets a quarantined request run again. */
+export const LIFT_QUARANTINE_COMMAND = createCommand<{
+  readonly request: string;
+}>('liftQuarantine');
 /** Records how an order ended. */
 export const ORDER_OUTCOME_COMMAND =
   createCommand<OrderOutcomePayload>('orderOutcome');
--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -18,6 +18,7 @@
 import {type ControlSettings} from './control_settings.js';
 import {ControlLeadership} from './control_leadership.js';
 import {type ControlStateMachine} from './control_state_machine.js';
+import {CrashReports} from './crash_reports.js';
 import {ConvergenceTable} from './convergence_table.js';
 import {DirectServers} from './direct_servers.js';
 import {LeaderQuestions} from './leader_questions.js';
@@ -69,6 +70,7 @@
   readonly ledger: LedgerHandler;
   readonly documents: ConfigurationDocuments;
   readonly directServers: DirectServers;
+  readonly crashReports: CrashReports;
   readonly #settings: ControlSettings;
   readonly #parts: MemberStateParts;
   readonly #proposer: Proposer;
@@ -109,6 +111,17 @@
         this.#schedule.soon();
       },
     });
+    this.crashReports = new CrashReports({
+      clock,
+      log,
+      machine,
+      proposer: this.#proposer,
+      passOn: report => this.#relay.reportCrashes(report),
+      oldestLogVersion: () => this.#hub.oldestLogVersion,
+      publish: () => {
+        this.#schedule.soon();
+      },
+    });
     this.#leadership = this.#makeLeadership();
     this.#hub = new SubscriptionHub(settings, clock.now());
     this.#relay = this.#makeRelay(log);
@@ -287,7 +300,7 @@
   #pump(now: number): void {
     let load: LoadReport | undefined;
     const membership = this.#membership;
-    const {configuration} = this.#parts.machine;
+    const {configuration, crashes} = this.#parts.machine;
     const view: FeedView = {
       leads: this.#leadership.term !== undefined && this.#proposer.leads(),
       configuration: configuration.current.read(),
@@ -297,6 +310,8 @@
       readLoad: () => (load ??= this.#readLoad(now)),
       readings: this.#readings,
       running: this.#running,
+      crashesVersion: crashes.version,
+      suspects: () => this.crashReports.list(),
       controlMembers: listMemberAddresses(this.#parts.node),
     };
     this.#hub.pump(view, now);
@@ -400,6 +415,7 @@
       registry: this.#registry,
       membership: this.#membership,
       convergence: this.#convergence,
+      crashReports: this.crashReports,
       load: now => this.#readLoad(now),
       dump: () => this.dump(),
       confirmRevision: () => this.#confirmRevision(),
--- a/packages/lovagepond-control/src/control_role.ts
+++ b/packages/lovagepond-control/src/control_role.ts
@@ -88,6 +88,7 @@
         reportReadings: report => {
           this.#state.reportReadings(report);
         },
+        reportCrashes: report => this.#state.crashReports.take(report),
         claim: req => this.#state.ledger.claim(req),
         record: req => this.#state.ledger.record(req),
         reportOrder: req => this.#state.ledger.reportOrder(req),
--- a/packages/lovagepond-control/src/control_server.ts
+++ b/packages/lovagepond-control/src/control_server.ts
@@ -29,6 +29,9 @@
     req: Message<'ConvergenceReport'>,
   ): Promise<Message<'ConvergenceResponse'>>;
   reportReadings(report: Message<'ReadingReport'>): void;
+  reportCrashes(
+    report: Message<'CrashReport'>,
+  ): Promise<Message<'CrashReportResponse'>>;
   claim(req: Message<'ClaimRequest'>): Promise<Message<'ClaimResponse'>>;
   record(req: Message<'RecordRequest'>): Promise<Message<'RecordResponse'>>;
   reportOrder(
@@ -70,6 +73,9 @@
         handlers.reportReadings(req as never);
         return Promise.resolve(new lovagepond.v1.ReadingResponse());
       }),
+      reportCrashes: this.#unary(report =>
+        handlers.reportCrashes(report as never),
+      ),
       claim: this.#unary(req => handlers.claim(req as never)),
       record: this.#unary(req => handlers.record(req as never)),
       reportOrder: this.#unary(req => handlers.reportOrder(req as never)),
@@ -124,8 +130,9 @@
     handlers: ControlHandlers,
   ): (call: ServerWritableStream<Message<'SubscribeRequest'>, Buffer>) => void {
     return call => {
-      const {node, role, pool, revision, takesDeltas} = call.request;
-      const subscriber = {node, role, pool, revision, takesDeltas};
+      const {node, role, pool, revision, takesDeltas, logVersion} =
+        call.request;
+      const subscriber = {node, role, pool, revision, takesDeltas, logVersion};
       const sink = new StreamSink(call, this.#encoder);
       const remove = handlers.subscribe(subscriber, sink);
       if (!remove) {
--- a/packages/lovagepond-control/src/control_state_machine.ts
+++ b/packages/lovagepond-control/src/control_state_machine.ts
@@ -4,12 +4,22 @@
  * Deterministic: every member that applied the same commands holds the same
  * state and gave the same results.
  */
-import {type Command, invariant, packText, unpackText} from '@lovagepond/core';
+import {
+  type Command,
+  CrashEvidence,
+  type CrashEvidenceSnapshot,
+  invariant,
+  packText,
+  unpackText,
+} from '@lovagepond/core';
 import {
   CHANGE_COMMAND,
   CLAIM_COMMAND,
   type CommandStamp,
   type ControlLimits,
+  CRASHES_COMMAND,
+  type CrashesPayload,
+  type CrashesResult,
   decodeCommand,
   DROP_SERVERS_COMMAND,
   encodeResult,
@@ -18,6 +28,7 @@
   INSTALL_COMMAND,
   JOIN_SERVER_COMMAND,
   LEAVE_SERVER_COMMAND,
+  LIFT_QUARANTINE_COMMAND,
   LIMITS_COMMAND,
   OPEN_PLACES_COMMAND,
   ORDER_COMMAND,
@@ -55,6 +66,7 @@
   readonly orders: OrderSnapshot;
   readonly draining: readonly string[];
   readonly directServers?: DirectServerSnapshot;
+  readonly crashes?: CrashEvidenceSnapshot;
 }
 
 /** Runs one command. */
@@ -70,6 +82,7 @@
   readonly orders = new OrderState();
   readonly wanted = new WantedStates();
   readonly directServers = new DirectServerTable();
+  readonly crashes = new CrashEvidence();
   readonly time = new ReplicatedTime();
   readonly #handlers = new Map<string, Handler>();
   readonly #now: () => number;
@@ -85,6 +98,7 @@
     this.#handleOperatorCommands();
     this.#handleNodeCommands();
     this.#handleDirectServerCommands();
+    this.#handleCrashCommands();
   }
 
   /** The limits in force at all members. */
@@ -111,6 +125,7 @@
       orders: this.orders.snapshot(),
       draining: this.wanted.snapshot(),
       directServers: this.directServers.snapshot(),
+      crashes: this.crashes.snapshot(),
     };
     const lines = this.ledger.encodeEntries();
     return Buffer.concat([packHead(snapshot), LINE_END, ...lines]);
@@ -128,6 +143,7 @@
     this.orders.restore(snapshot.orders);
     this.wanted.restore(snapshot.draining);
     this.directServers.restore(snapshot.directServers);
+    this.crashes.restore(snapshot.crashes);
     this.configuration.restore(snapshot.configuration);
   }
 
@@ -186,6 +202,27 @@
     });
   }
 
+  #handleCrashCommands(): void {
+    this.#handle(CRASHES_COMMAND, (payload, {timeMs}) =>
+      this.#noteCrashes(payload, timeMs),
+    );
+    this.#handle(LIFT_QUARANTINE_COMMAND, ({request}) => ({
+      known: this.crashes.forget(request),
+    }));
+  }
+
+  #noteCrashes(
+    {crashes, answered}: CrashesPayload,
+    timeMs: number,
+  ): CrashesResult {
+    for (const request of answered) this.crashes.forget(request);
+    const quarantined = crashes.flatMap(({server, requests, ageMs}) => {
+      const crash = {server, requests, crashedAt: timeMs - ageMs};
+      return this.crashes.noteCrash(crash, timeMs);
+    });
+    return {quarantined};
+  }
+
   #handleNodeCommands(): void {
     this.#handle(CLAIM_COMMAND, (payload, {timeMs}) =>
       this.ledger.claim(payload, timeMs),
--- a/packages/lovagepond-control/src/index.ts
+++ b/packages/lovagepond-control/src/index.ts
@@ -18,6 +18,7 @@
   type OrderRequest,
   type OrderView,
   type ServerView,
+  type SuspectView,
   WANTED_STATE,
   type WantedChange,
   type WantedState,
--- a/packages/lovagepond-control/src/leader_relay.ts
+++ b/packages/lovagepond-control/src/leader_relay.ts
@@ -10,6 +10,7 @@
 } from '@grpc/grpc-js';
 import {type Clock, type Logger} from '@lovagepond/core';
 import {CONTROL_SERVICE, lovagepond} from '@lovagepond/protocol';
+import {LOG_VERSION} from './control_commands.js';
 import {CLIENT_OPTIONS} from './control_channel_constants.js';
 import {type MembershipLog} from './membership_log.js';
 import {type LoadReport} from './membership_registry.js';
@@ -159,6 +160,37 @@
     );
   }
 
+  /**
+   * Passes a router's report of crashes to the leader.
+   *
+   * @param report what a router said
+   * @returns the leader's answer; not recorded when there was none
+   */
+  reportCrashes(
+    report: lovagepond.v1.CrashReport,
+  ): Promise<lovagepond.v1.CrashReportResponse> {
+    const lost = new v1.CrashReportResponse();
+    const client = this.#client;
+    if (!client) return Promise.resolve(lost);
+    const method = CONTROL_SERVICE.reportCrashes;
+    const wallTime = this.#parts.clock.wallTime();
+    const deadline = wallTime + this.#settings.callTimeoutMs;
+    return new Promise(resolve => {
+      client.makeUnaryRequest(
+        method.path,
+        method.requestSerialize,
+        method.responseDeserialize,
+        report,
+        new Metadata(),
+        {deadline},
+        (err, res) => {
+          const recorded = !err && res?.recorded === true;
+          resolve(new v1.CrashReportResponse({recorded}));
+        },
+      );
+    });
+  }
+
   /** Ends the link. */
   stop(): void {
     this.#close();
@@ -187,7 +219,12 @@
       method.path,
       method.requestSerialize,
       method.responseDeserialize,
-      new v1.SubscribeRequest({node: nodeName, role: CONTROL_ROLE, region}),
+      new v1.SubscribeRequest({
+        node: nodeName,
+        role: CONTROL_ROLE,
+        region,
+        logVersion: LOG_VERSION,
+      }),
       new Metadata(),
       {},
     );
--- a/packages/lovagepond-control/src/member_administration.ts
+++ b/packages/lovagepond-control/src/member_administration.ts
@@ -27,6 +27,7 @@
   type OrderRequest,
   type OrderView,
   type ServerView,
+  type SuspectView,
   type WantedState,
 } from './control_administration.js';
 import {
@@ -34,6 +35,7 @@
   WANTED_STATE_COMMAND,
   type WantedStatePayload,
 } from './control_commands.js';
+import {type CrashReports} from './crash_reports.js';
 import {type ControlStateMachine} from './control_state_machine.js';
 import {type ConvergenceTable} from './convergence_table.js';
 import {type MembershipLog} from './membership_log.js';
@@ -55,6 +57,7 @@
   readonly registry: MembershipRegistry;
   readonly membership: MembershipLog;
   readonly convergence: ConvergenceTable;
+  readonly crashReports: CrashReports;
   /** @returns the load that this member passes on, when it has one */
   readonly load: (now: number) => LoadReport | undefined;
   readonly dump: () => StateDump;
@@ -150,6 +153,14 @@
     return this.#parts.machine.orders.list();
   }
 
+  listQuarantine(): readonly SuspectView[] {
+    return this.#parts.crashReports.list();
+  }
+
+  liftQuarantine(request: string): Promise<OperationAnswer> {
+    return this.#parts.crashReports.lift(request);
+  }
+
   convergence(): readonly ConvergenceView[] {
     return this.#parts.convergence.list(this.#parts.clock.now());
   }
--- a/packages/lovagepond-control/src/subscription_feed.ts
+++ b/packages/lovagepond-control/src/subscription_feed.ts
@@ -7,6 +7,7 @@
  */
 import {type ReadingBoard, type ReadingReport} from './reading_board.js';
 import {type Configuration, type ConfigurationContent} from '@lovagepond/core';
+import {type SuspectView} from './control_administration.js';
 import {type MembershipChange} from './membership_log.js';
 import {type LoadReport} from './membership_registry.js';
 import {RunningFeed} from './running_feed.js';
@@ -26,6 +27,10 @@
   readLoad(): LoadReport | undefined;
   readonly readings: ReadingBoard;
   readonly running: RunningTotals;
+  /** Rises when {@link FeedView.suspects} may have changed. */
+  readonly crashesVersion: number;
+  /** @returns requests that servers crashed under */
+  suspects(): readonly SuspectView[];
   /** `host:port` of the members of control; empty while none is known. */
   readonly controlMembers: readonly string[];
 }
@@ -40,6 +45,8 @@
   readonly revision: number;
   /** It can be told what changes in the configuration that it holds. */
   readonly takesDeltas: boolean;
+  /** Of a member of control: the newest commands that it can apply. */
+  readonly logVersion?: number;
 }
 
 /** How often a subscriber hears what. */
@@ -59,6 +66,7 @@
       readonly base?: Configuration;
       readonly confirmed: boolean;
     }
+  | {readonly kind: 'quarantine'; readonly suspects: readonly SuspectView[]}
   | {readonly kind: 'membership'; readonly change: MembershipChange}
   | {readonly kind: 'load'; readonly load: LoadReport}
   | {
@@ -98,6 +106,7 @@
   #confirmedRevision: number | undefined;
   #sentConfirmed = false;
   #sentVersion = 0;
+  #sentCrashes = 0;
   #sentReadings: number | undefined;
   readonly #running: RunningFeed;
   #sentMembers: readonly string[] = [];
@@ -141,6 +150,7 @@
     const relayed = this.subscriber.role === CONTROL_ROLE;
     if (relayed && !view.leads) return [];
     const updates = [
+      ...this.#nextQuarantine(view),
       ...this.#nextConfiguration(view),
       ...this.#nextControlMembers(view),
       ...this.#nextMembership(view),
@@ -182,6 +192,15 @@
     return content && {revision, content};
   }
 
+  /** Told before the servers: without them a router runs nothing. */
+  #nextQuarantine(view: FeedView): FeedUpdate[] {
+    if (this.subscriber.role !== ROUTER_ROLE) return [];
+    const {crashesVersion} = view;
+    if (crashesVersion === this.#sentCrashes) return [];
+    this.#sentCrashes = crashesVersion;
+    return [{kind: 'quarantine', suspects: view.suspects()}];
+  }
+
   /** Followers know the members from the log. */
   #nextControlMembers({controlMembers: addresses}: FeedView): FeedUpdate[] {
     if (this.subscriber.role === CONTROL_ROLE) return [];
--- a/packages/lovagepond-control/src/subscription_hub.ts
+++ b/packages/lovagepond-control/src/subscription_hub.ts
@@ -2,7 +2,9 @@
  * All subscriptions of one member, and when they end.
  */
 import {type Unregister} from '@lovagepond/core';
+import {LOG_VERSION} from './control_commands.js';
 import {
+  CONTROL_ROLE,
   type FeedSettings,
   type FeedUpdate,
   type FeedView,
@@ -50,6 +52,15 @@
     this.#contactAt = now - settings.leaderContactLimitMs;
   }
 
+  /** The oldest version of the log's commands that a subscribed member knows. */
+  get oldestLogVersion(): number {
+    const members = [...this.#subscriptions].filter(
+      ({feed}) => feed.subscriber.role === CONTROL_ROLE,
+    );
+    const versions = members.map(({feed}) => feed.subscriber.logVersion ?? 0);
+    return Math.min(LOG_VERSION, ...versions);
+  }
+
   /** Subscriptions open at this member. */
   get size(): number {
     return this.#subscriptions.size;
--- a/packages/lovagepond-control/src/update_encoder.ts
+++ b/packages/lovagepond-control/src/update_encoder.ts
@@ -9,6 +9,7 @@
   makeDelta,
 } from '@lovagepond/core';
 import {lovagepond} from '@lovagepond/protocol';
+import {type SuspectView} from './control_administration.js';
 import {type MembershipChange} from './membership_log.js';
 import {type ReadingReport} from './reading_board.js';
 import {type FeedUpdate} from './subscription_feed.js';
@@ -51,6 +52,9 @@
       majorityConfirmed: confirmed,
     },
   }),
+  quarantine: ({suspects}) => ({
+    quarantine: {suspects: suspects.map(toWireSuspect)},
+  }),
   membership: ({change}) => ({membership: toWireMembership(change)}),
   load: ({load}) => ({
     load: {
@@ -116,6 +120,18 @@
   return `${withContent} ${confirmed} ${base?.revision ?? ''}`;
 }
 
+function toWireSuspect({
+  request,
+  crashes,
+  quarantinedForMs,
+}: SuspectView): lovagepond.v1.SuspectedRequest.$Properties {
+  return {
+    request: Buffer.from(request, 'hex'),
+    crashes,
+    quarantinedForMs: Math.ceil(quarantinedForMs),
+  };
+}
+
 function encodeMessage(update: WireUpdate): Buffer {
   return Buffer.from(v1.ControlUpdate.encode(update).finish());
 }
--- /dev/null
+++ b/packages/lovagepond-core/src/core_crash_evidence.ts
@@ -0,0 +1,265 @@
+/**
+ * Which requests crash the backend servers that run them.
+ *
+ * A server that crashes takes all its requests along, and all but one of them are
+ * innocent. A request is quarantined once it was at three crashes and no other
+ * request was at as many of those that the last server ran. One whole answer
+ * anywhere acquits it.
+ *
+ * Deterministic: the same calls in the same order give the same state.
+ */
+
+/** A server that ended while it ran requests. */
+export interface ServerCrash {
+  /** Names one life of the server. */
+  readonly server: string;
+  /** Fingerprints of the requests that it ran. */
+  readonly requests: readonly string[];
+  /** Milliseconds, by the clock of the caller of all methods. */
+  readonly crashedAt: number;
+}
+
+/** What is known of one request. */
+export interface Suspect {
+  /** Its fingerprint. */
+  readonly request: string;
+  /** Servers that crashed while they ran it, crashes of many at once counted once. */
+  readonly crashes: number;
+  /** When its quarantine ends, milliseconds; undefined when it isn't in one. */
+  readonly quarantinedUntil: number | undefined;
+}
+
+interface CountedCrash {
+  readonly server: string;
+  readonly at: number;
+}
+
+interface Evidence {
+  readonly request: string;
+  readonly crashes: CountedCrash[];
+  quarantinedUntil: number | undefined;
+  /** Quarantines until now. */
+  quarantines: number;
+}
+
+/** Serialized form. */
+export interface CrashEvidenceSnapshot {
+  readonly evidence: readonly Readonly<Evidence>[];
+  readonly recent: readonly ServerCrash[];
+}
+
+/** Crashes after which a request may be quarantined. */
+const QUARANTINE_CRASHES = 3;
+
+/** Crashes after which it is, whatever else the servers ran. */
+const CERTAIN_CRASHES = 5;
+
+/** Crashes from which on every router is told of a request. */
+const TOLD_CRASHES = 2;
+
+/**
+ * So many crashes within this time have a common cause, such as a loss of power,
+ * and count once; milliseconds.
+ */
+const COMMON_CRASHES = 3;
+const COMMON_CAUSE_MS = 200;
+
+/** Length of a request's first quarantine, doubled with each further one, ms. */
+const FIRST_QUARANTINE_MS = 3_600_000;
+const LONGEST_QUARANTINE_MS = 24 * FIRST_QUARANTINE_MS;
+
+/** Evidence without a further crash is forgotten after this time, milliseconds. */
+const RETENTION_MS = 24 * FIRST_QUARANTINE_MS;
+
+const MAX_REQUESTS = 4_096;
+const MAX_RECENT_CRASHES = 512;
+const MAX_REQUESTS_OF_CRASH = 512;
+
+/** Collects crashes and decides on quarantines. */
+export class CrashEvidence {
+  readonly #evidence = new Map<string, Evidence>();
+  readonly #recent = new Map<string, ServerCrash>();
+  #version = 0;
+
+  /** Rises with each change of {@link suspects}. */
+  get version(): number {
+    return this.#version;
+  }
+
+  /**
+   * Reports of one crash by several routers add up, and one that is told again
+   * changes nothing.
+   *
+   * @param crash the server and the requests that the caller knows it ran
+   * @param now present time, milliseconds
+   * @returns requests that are quarantined by this crash
+   */
+  noteCrash(crash: ServerCrash, now: number): readonly string[] {
+    this.#forgetOld(now);
+    const known = this.#recent.get(crash.server);
+    const crashedAt = known?.crashedAt ?? crash.crashedAt;
+    const together = new Set([...(known?.requests ?? []), ...crash.requests]);
+    const requests = [...together].slice(0, MAX_REQUESTS_OF_CRASH);
+    if (requests.length === known?.requests.length) return [];
+    const {server} = crash;
+    this.#recent.set(server, {server, requests, crashedAt});
+    dropOldest(this.#recent, MAX_RECENT_CRASHES);
+    for (const request of requests) {
+      this.#count(request, {server, at: crashedAt});
+    }
+    this.#dropExcess();
+    this.#version += 1;
+    return this.#decide(requests, now);
+  }
+
+  /**
+   * Forgets what is known of a request, as a server answered it whole or an
+   * operator says so.
+   *
+   * @param request its fingerprint
+   * @returns false when nothing was known
+   */
+  forget(request: string): boolean {
+    if (!this.#evidence.delete(request)) return false;
+    this.#version += 1;
+    return true;
+  }
+
+  /**
+   * @param request a fingerprint
+   * @param now present time, milliseconds
+   * @returns what is known of it
+   */
+  find(request: string, now: number): Suspect | undefined {
+    const evidence = this.#evidence.get(request);
+    return evidence && toSuspect(evidence, now);
+  }
+
+  /**
+   * @param now present time, milliseconds
+   * @returns requests that every router should know of
+   */
+  suspects(now: number): readonly Suspect[] {
+    const all = [...this.#evidence.values()];
+    return all
+      .map(evidence => toSuspect(evidence, now))
+      .filter(({crashes}) => crashes >= TOLD_CRASHES);
+  }
+
+  /** @returns the serialized form */
+  snapshot(): CrashEvidenceSnapshot {
+    const evidence = [...this.#evidence.values()];
+    return structuredClone({evidence, recent: [...this.#recent.values()]});
+  }
+
+  /** @param snapshot what {@link snapshot} gave; absent in older ones */
+  restore(snapshot: CrashEvidenceSnapshot | undefined): void {
+    this.#evidence.clear();
+    this.#recent.clear();
+    if (!snapshot) return;
+    const {evidence, recent} = structuredClone(snapshot);
+    for (const one of evidence) {
+      this.#evidence.set(one.request, one as Evidence);
+    }
+    for (const one of recent) this.#recent.set(one.server, one);
+    this.#version += 1;
+  }
+
+  #count(request: string, crash: CountedCrash): void {
+    const known = this.#evidence.get(request);
+    const isCounted = known?.crashes.some(one => one.server === crash.server);
+    if (isCounted) return;
+    const evidence = known ?? {
+      request,
+      crashes: [],
+      quarantinedUntil: undefined,
+      quarantines: 0,
+    };
+    evidence.crashes.push(crash);
+    if (evidence.crashes.length > CERTAIN_CRASHES * COMMON_CRASHES) {
+      evidence.crashes.shift();
+    }
+    // The request that was at a crash last goes last.
+    this.#evidence.delete(request);
+    this.#evidence.set(request, evidence);
+  }
+
+  #decide(requests: readonly string[], now: number): string[] {
+    const counts = requests.map(request => this.#crashesOf(request));
+    const most = Math.max(...counts);
+    const isAlone = counts.filter(count => count === most).length === 1;
+    const quarantined: string[] = [];
+    for (const [at, request] of requests.entries()) {
+      const count = counts[at] ?? 0;
+      const isMost = isAlone && count === most && count >= QUARANTINE_CRASHES;
+      if (!isMost && count < CERTAIN_CRASHES) continue;
+      if (this.#quarantine(request, now)) quarantined.push(request);
+    }
+    return quarantined;
+  }
+
+  #quarantine(request: string, now: number): boolean {
+    const evidence = this.#evidence.get(request);
+    if (!evidence || (evidence.quarantinedUntil ?? 0) > now) return false;
+    const lengthMs = FIRST_QUARANTINE_MS * 2 ** evidence.quarantines;
+    evidence.quarantines += 1;
+    evidence.quarantinedUntil = now + Math.min(lengthMs, LONGEST_QUARANTINE_MS);
+    return true;
+  }
+
+  #crashesOf(request: string): number {
+    const evidence = this.#evidence.get(request);
+    return evidence ? countCrashes(evidence.crashes) : 0;
+  }
+
+  #forgetOld(now: number): void {
+    for (const [request, {crashes, quarantinedUntil}] of this.#evidence) {
+      const last = Math.max(quarantinedUntil ?? 0, crashes.at(-1)?.at ?? 0);
+      if (now - last <= RETENTION_MS) return;
+      this.#evidence.delete(request);
+    }
+  }
+
+  /** Quarantined requests stay longest. */
+  #dropExcess(): void {
+    while (this.#evidence.size > MAX_REQUESTS) {
+      const all = [...this.#evidence.values()];
+      const oldest =
+        all.find(({quarantinedUntil}) => quarantinedUntil === undefined) ??
+        all[0];
+      if (oldest) this.#evidence.delete(oldest.request);
+    }
+  }
+}
+
+function toSuspect(
+  {request, crashes, ...rest}: Evidence,
+  now: number,
+): Suspect {
+  const {quarantinedUntil: until} = rest;
+  const isOver = until === undefined || until <= now;
+  const quarantinedUntil = isOver ? undefined : until;
+  return {request, crashes: countCrashes(crashes), quarantinedUntil};
+}
+
+/** Counts crashes that share a cause once. */
+function countCrashes(crashes: readonly CountedCrash[]): number {
+  const times = crashes.map(({at}) => at).sort((a, b) => a - b);
+  let count = 0;
+  for (let from = 0; from < times.length;) {
+    const first = times[from] ?? 0;
+    const within = times.filter(
+      time => time >= first && time - first <= COMMON_CAUSE_MS,
+    ).length;
+    count += within >= COMMON_CRASHES ? 1 : within;
+    from += within;
+  }
+  return count;
+}
+
+function dropOldest(map: Map<string, unknown>, limit: number): void {
+  for (const oldest of map.keys()) {
+    if (map.size <= limit) return;
+    map.delete(oldest);
+  }
+}
--- a/packages/lovagepond-core/src/core_errors.ts
+++ b/packages/lovagepond-core/src/core_errors.ts
@@ -111,6 +111,11 @@
   ),
   revoked: refused(503, 'The attempt was taken back in time.', ELSEWHERE),
   unreachable: refused(503, 'No connection could be made.', ELSEWHERE),
+  quarantined: refused(
+    503,
+    'Backend servers crashed each time they ran this request.',
+    RETRYABLE,
+  ),
   ledgerUnavailable: refused(
     503,
     'The ledger could not confirm the claim; nothing was dispatched.',
--- a/packages/lovagepond-core/src/index.ts
+++ b/packages/lovagepond-core/src/index.ts
@@ -47,6 +47,12 @@
   type NamedObject,
   shareObjects,
 } from './core_configuration_delta.js';
+export {
+  CrashEvidence,
+  type CrashEvidenceSnapshot,
+  type ServerCrash,
+  type Suspect,
+} from './core_crash_evidence.js';
 export {ControlAddresses} from './core_control_addresses.js';
 export {invariant, InvariantError} from './core_invariant.js';
 export {packText, unpackText} from './core_packing.js';
--- a/packages/lovagepond-explain/src/explain_causes.ts
+++ b/packages/lovagepond-explain/src/explain_causes.ts
@@ -30,6 +30,9 @@
   notFound: ({belief}) =>
     `revision ${belief?.revision ?? '?'} has no such selector, and control had ` +
     'confirmed it within two seconds',
+  quarantined: () =>
+    'servers crashed each time they ran it: look for its fingerprint in request ' +
+    'quarantined and backend server crashed, or list them by ctl quarantine list',
   noBackendServer: ({belief}) =>
     `the pool had no server that takes work, of ${belief?.servers ?? 'no'} known`,
   overloaded: () => 'each server that was tried refused it as full, unrun',
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -24,8 +24,10 @@
 import {DEFAULT_HEADER_NAMES} from '../../gateway_headers.js';
 import {GatewayPeers} from '../../gateway_peers.js';
 import {PrefillRate} from '../../gateway_prefill_rate.js';
+import {GatewayQuarantine} from '../../gateway_quarantine.js';
 import {GatewayReadings} from '../../gateway_readings.js';
 import {GatewayRetryBudget} from '../../gateway_retry_budget.js';
+import {probeServer} from '../../gateway_server_probe.js';
 import {GatewayServer} from '../../gateway_server.js';
 import {makeBackendServer} from './backend_servers.js';
 
@@ -34,6 +36,8 @@
 
 const SEED = 7;
 
+const PROBE_TIMEOUT_MS = 300;
+
 export const clock: Clock = {
   now: () => performance.now(),
   wallTime: () => Date.now(),
@@ -140,20 +144,32 @@
   readonly method?: string;
   readonly body?: string;
   readonly headers?: Readonly<Record<string, string>>;
+  /** Called when the answer's head has come. */
+  readonly onHead?: () => void;
 }
 
 /** The front and its servers. */
 export class GatewayHarness {
   readonly admission: GatewayAdmission;
   readonly server: GatewayServer;
+  readonly quarantine: GatewayQuarantine;
+  /** Servers that the gateway reported as crashed; no report is recorded. */
+  readonly crashed: ReadonlySet<string>;
   readonly #backends: Server[] = [];
   /** Requests that reached each server. */
   readonly arrivals: string[] = [];
   #nextId = 0;
 
-  private constructor(server: GatewayServer, admission: GatewayAdmission) {
+  private constructor(
+    server: GatewayServer,
+    admission: GatewayAdmission,
+    quarantine: GatewayQuarantine,
+    crashed: ReadonlySet<string>,
+  ) {
+    this.crashed = crashed;
     this.server = server;
     this.admission = admission;
+    this.quarantine = quarantine;
   }
 
   /**
@@ -187,6 +203,21 @@
       retryShares: 1,
     };
     const peers = new GatewayPeers();
+    const crashed = new Set<string>();
+    const quarantine = new GatewayQuarantine({
+      clock,
+      log: silentLog,
+      probe: address => probeServer(address, PROBE_TIMEOUT_MS),
+      report: ({crashes}) => {
+        for (const {backendServer} of crashes ?? []) {
+          crashed.add(backendServer ?? '');
+        }
+        return Promise.resolve(false);
+      },
+      takeBack: fingerprint => {
+        server.takeBack(fingerprint);
+      },
+    });
     const server = new GatewayServer(
       {host: '127.0.0.1', port: 0, maxHeldBytes: 1_000_000},
       {
@@ -202,12 +233,13 @@
           connectTimeoutMs: 300,
           maxHeadBytes: 16_384,
         }),
+        quarantine,
         readings: new GatewayReadings('gateway', fleet, rate, peers),
         rate,
       },
     );
     await server.start();
-    const harness = new GatewayHarness(server, admission);
+    const harness = new GatewayHarness(server, admission, quarantine, crashed);
     const servers: BackendServer[] = [];
     for (const [index, script] of scripts.entries()) {
       servers.push(await harness.#startBackend(index, script));
@@ -217,6 +249,16 @@
     return harness;
   }
 
+  /** @param port of a server that ends as its process would */
+  crash(port: number): void {
+    for (const backend of this.#backends) {
+      const address = backend.address() as AddressInfo | null;
+      if (address?.port !== port) continue;
+      backend.close();
+      backend.closeAllConnections();
+    }
+  }
+
   /** Ends the front and the servers. */
   stop(): void {
     this.server.stop();
@@ -232,6 +274,7 @@
     method = 'GET',
     body = '',
     headers = {},
+    onHead,
   }: Call): Promise<CallerAnswer> {
     this.#nextId += 1;
     return new Promise((resolve, reject) => {
@@ -251,6 +294,7 @@
           },
         },
         res => {
+          onHead?.();
           const chunks: Buffer[] = [];
           const finish = (): void => {
             resolve({
--- a/packages/lovagepond-gateway/src/gateway_attempt.ts
+++ b/packages/lovagepond-gateway/src/gateway_attempt.ts
@@ -24,9 +24,19 @@
 
 /** Why an attempt brought no whole answer. */
 export type AttemptFailure =
-  | {readonly kind: 'unsent'; readonly reason: string}
+  | {
+      readonly kind: 'unsent';
+      readonly reason: string;
+      /** Nothing listens at the server's address. */
+      readonly isRefused: boolean;
+    }
   | {readonly kind: 'notRun'; readonly status: number}
-  | {readonly kind: 'broken'; readonly reason: string};
+  | {
+      readonly kind: 'broken';
+      readonly reason: string;
+      /** The server's end of the connection is gone. */
+      readonly isLost: boolean;
+    };
 
 /** Hears how the attempt goes; after `failed` or `ended` nothing more. */
 export interface AttemptListener {
@@ -83,6 +93,11 @@
     this.#listener = listener;
   }
 
+  /** True when the answer's end can't be told from its server's. */
+  get endsWithConnection(): boolean {
+    return this.#endsWithConnection;
+  }
+
   /** True once a byte of the request may have reached the server. */
   get isSent(): boolean {
     return this.#isSent;
@@ -142,11 +157,13 @@
       onResponseEnd: () => {
         this.#onEnd();
       },
-      onResponseError: (_controller, err) => {
+      onResponseError: (_controller, err: NodeJS.ErrnoException) => {
+        const {code, message: reason} = err;
+        const isRefused = code === 'ECONNREFUSED';
         this.#fail(
           this.#isSent
-            ? {kind: 'broken', reason: err.message}
-            : {kind: 'unsent', reason: err.message},
+            ? {kind: 'broken', reason, isLost: true}
+            : {kind: 'unsent', reason, isRefused},
         );
       },
     };
@@ -159,7 +176,11 @@
       headers['transfer-encoding'] === undefined;
     // A second answer to an earlier request may arrive where this one's is due.
     if (headers[this.#names.requestId] !== this.#requestId) {
-      this.#fail({kind: 'broken', reason: 'answer to another request'});
+      this.#fail({
+        kind: 'broken',
+        reason: 'answer to another request',
+        isLost: false,
+      });
       return;
     }
     const saysNotRun = headers[this.#names.notRun] !== undefined;
@@ -169,7 +190,7 @@
     }
     const isSuccess = status < FIRST_REDIRECT_STATUS;
     if (isSuccess && headers[this.#names.signature] === undefined) {
-      this.#fail({kind: 'broken', reason: 'no signature'});
+      this.#fail({kind: 'broken', reason: 'no signature', isLost: false});
       return;
     }
     this.#listener.onHead(head);
@@ -178,7 +199,8 @@
   #onEnd(): void {
     if (this.#isOver) return;
     if (this.#endsWithConnection && this.#wasReset()) {
-      this.#fail({kind: 'broken', reason: 'reset before the end'});
+      const reason = 'reset before the end';
+      this.#fail({kind: 'broken', reason, isLost: true});
       return;
     }
     this.#isOver = true;
--- a/packages/lovagepond-gateway/src/gateway_caller_channel.ts
+++ b/packages/lovagepond-gateway/src/gateway_caller_channel.ts
@@ -80,13 +80,17 @@
     this.#res.destroy();
   }
 
-  /** @param error the kind of a failure of this router's own */
-  refuse(error: ErrorKind): void {
+  /**
+   * @param error the kind of a failure of this router's own
+   * @param comeBackMs when the caller may come back, where that is known
+   */
+  refuse(error: ErrorKind, comeBackMs?: number): void {
     this.#isOver = true;
     const {status, retryable, message} = answerFor(error);
-    const retryAfterS =
+    const spreadS =
       RETRY_AFTER_FROM_S +
       this.#random.next() * (RETRY_AFTER_TO_S - RETRY_AFTER_FROM_S);
+    const retryAfterS = (comeBackMs ?? 0) / 1_000 + spreadS;
     const failure = makeFailure(error, {
       message,
       retryAfterMs: retryable ? Math.round(retryAfterS * 1_000) : 0,
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -35,6 +35,8 @@
   type NextStep,
 } from './gateway_outcome.js';
 import {type AccountParts, PromptAccount} from './gateway_prompt_account.js';
+import {KeptFailure} from './gateway_kept_failure.js';
+import {type GatewayQuarantine} from './gateway_quarantine.js';
 import {type GatewayRetryBudget} from './gateway_retry_budget.js';
 import {type ForwardingRule} from './gateway_routes.js';
 import {type ServerState} from './gateway_server_state.js';
@@ -48,6 +50,7 @@
   readonly choice: GatewayChoice;
   readonly budget: GatewayRetryBudget;
   readonly connections: GatewayConnections;
+  readonly quarantine: GatewayQuarantine;
 }
 
 /** A request that was read whole and may run. */
@@ -56,6 +59,8 @@
   readonly path: string;
   readonly rawHeaders: readonly string[];
   readonly body: Buffer;
+  /** The same for each repeat. */
+  readonly fingerprint: string;
   readonly facts: RequestFacts;
   readonly rule: ForwardingRule;
   readonly pool: Pool;
@@ -77,16 +82,8 @@
 
 const FIRST_ERROR_STATUS = 500;
 
-/** A failure answer is kept up to this size while another server is tried. */
-const MAX_KEPT_FAILURE_BYTES = 64 * 1024;
-
 const HIGHEST_PRIORITY = 9;
 
-interface KeptFailure {
-  readonly head: AnswerHead;
-  readonly chunks: Buffer[];
-}
-
 /** Runs one request. */
 export class Exchange {
   readonly #req: AdmittedRequest;
@@ -148,6 +145,15 @@
     this.#offer();
   }
 
+  /** Ends it, as servers crash while they run it. */
+  takeBack(): void {
+    if (this.#isDone) return;
+    if (this.#attempt?.isSent) this.#runs += 1;
+    this.#attempt?.abort();
+    this.#endAttempt();
+    this.#giveUp('quarantined');
+  }
+
   #now(): number {
     return this.#parts.clock.now();
   }
@@ -155,7 +161,11 @@
   #offer(): void {
     const now = this.#now();
     const {pool, facts, rule} = this.#req;
-    const {fleet, choice, names, connections} = this.#parts;
+    const {fleet, choice, names, connections, quarantine} = this.#parts;
+    if (quarantine.quarantinedForMs(this.#req.fingerprint, now)) {
+      this.takeBack();
+      return;
+    }
     const chosen = choice.choose(
       {
         pool,
@@ -170,7 +180,7 @@
       now,
     );
     if (!chosen) {
-      this.#giveUpWithoutServer();
+      this.#giveUp('noBackendServer');
       return;
     }
     const {state, fetch} = chosen;
@@ -231,7 +241,7 @@
     const load = readServerLoad(head.headers, this.#parts.names);
     if (load) state.noteLoad(load, this.#now());
     if (head.status >= FIRST_ERROR_STATUS) {
-      this.#arriving = {head, chunks: []};
+      this.#arriving = new KeptFailure(head);
       return;
     }
     if (!this.#caller.headSent) this.#caller.sendHead(head);
@@ -249,34 +259,34 @@
     const piece = this.#events.take(chunk);
     if (piece.kind === 'broken') {
       attempt.abort();
-      this.#onFailed({kind: 'broken', reason: piece.reason});
+      this.#onFailed({kind: 'broken', reason: piece.reason, isLost: false});
       return true;
     }
     return piece.bytes.length === 0 || this.#caller.write(piece.bytes);
   }
 
-  #keepChunk({chunks}: KeptFailure, chunk: Buffer): void {
-    const size = chunks.reduce((sum, {length}) => sum + length, 0);
-    if (size + chunk.length > MAX_KEPT_FAILURE_BYTES) {
-      this.#attempt?.abort();
-      this.#onFailed({kind: 'broken', reason: 'failure answer too large'});
-      return;
-    }
-    chunks.push(chunk);
+  #keepChunk(failure: KeptFailure, chunk: Buffer): void {
+    if (failure.add(chunk)) return;
+    this.#attempt?.abort();
+    const reason = 'failure answer too large';
+    this.#onFailed({kind: 'broken', reason, isLost: false});
   }
 
   #onEnd(): void {
     if (this.#arriving) {
       this.#failure = this.#arriving;
+      this.#noteAnswered();
       this.#endAttempt()?.noteErrorAnswer(this.#now());
       this.#runs += 1;
       this.#follow({kind: 'failedAnswer'}, 'failure answer');
       return;
     }
     if (this.#events && !this.#events.isWhole) {
-      this.#onFailed({kind: 'broken', reason: 'half an event at the end'});
+      const reason = 'half an event at the end';
+      this.#onFailed({kind: 'broken', reason, isLost: true});
       return;
     }
+    this.#noteAnswered();
     const state = this.#endAttempt();
     if (this.#timing) this.#timing.noteAnswer(this.#now());
     else state?.noteSuccess(this.#now());
@@ -284,28 +294,40 @@
     this.#finish('answered');
   }
 
+  /** Without a length its end may be the server's. */
+  #noteAnswered(): void {
+    if (this.#attempt?.endsWithConnection) return;
+    this.#parts.quarantine.noteAnswered(this.#req.fingerprint);
+  }
+
   #onFailed(failure: AttemptFailure): void {
     const state = this.#endAttempt();
+    if (failure.kind === 'broken') this.#runs += 1;
+    this.#noteFailure(state, failure);
     if (failure.kind === 'notRun') {
-      this.#noteRefusal(state, failure.status);
       this.#follow({kind: 'notRun'}, `server refused ${failure.status}`);
       return;
     }
-    state?.noteBroken(this.#now());
-    if (failure.kind === 'broken') this.#runs += 1;
     this.#events?.beginRun();
     this.#follow({kind: failure.kind}, failure.reason);
   }
 
-  /** 421 with the right name in the request: another server lives there. */
-  #noteRefusal(state: ServerState | undefined, status: number): void {
-    if (status === STATUS_MISDIRECTED) state?.markGone();
+  #noteFailure(state: ServerState | undefined, failure: AttemptFailure): void {
+    if (!state) return;
+    const now = this.#now();
+    const {kind} = failure;
+    if (kind !== 'notRun') state.noteBroken(now);
+    // With the right name in the request: another server lives there.
+    else if (failure.status === STATUS_MISDIRECTED) state.markGone();
+    const {quarantine} = this.#parts;
+    quarantine.noteFailure(state, this.#req.fingerprint, failure, now);
   }
 
   #follow(outcome: AttemptOutcome, reason: string): void {
     if (this.#isDone) return;
     const now = this.#now();
-    const {pool, rule, deadlineAt} = this.#req;
+    const {pool, rule, deadlineAt, fingerprint} = this.#req;
+    const {quarantine, budget} = this.#parts;
     const next = decideNext(outcome, {
       rule,
       runs: this.#runs,
@@ -314,7 +336,8 @@
       hasFailure: this.#failure !== undefined,
       lastEventId: this.#events?.lastId,
       timeLeftMs: deadlineAt - now,
-      trySpend: () => this.#parts.budget.trySpend(pool.name, now),
+      isSuspect: quarantine.isSuspect(fingerprint, now),
+      trySpend: () => budget.trySpend(pool.name, now),
     });
     this.#logStep(outcome.kind, reason, next);
     this.#take(next);
@@ -336,25 +359,27 @@
   #passFailure(): void {
     const failure = this.#failure;
     if (!failure) return;
-    this.#caller.sendHead(failure.head);
-    for (const chunk of failure.chunks) this.#caller.write(chunk);
-    this.#caller.end();
+    failure.sendTo(this.#caller);
     this.#finish('failed');
   }
 
-  #giveUpWithoutServer(): void {
+  /** @param unrun why it didn't run, if it didn't */
+  #giveUp(unrun: ErrorKind): void {
     if (this.#caller.headSent) {
       this.#caller.cut();
       this.#finish('cut');
     } else if (this.#failure) {
       this.#passFailure();
     } else {
-      this.#refuse(this.#runs > 0 ? 'backendFailed' : 'noBackendServer');
+      this.#refuse(this.#runs > 0 ? 'backendFailed' : unrun);
     }
   }
 
   #refuse(error: ErrorKind): void {
-    this.#caller.refuse(error);
+    const {quarantine} = this.#parts;
+    const {fingerprint} = this.#req;
+    const comeBackMs = quarantine.quarantinedForMs(fingerprint, this.#now());
+    this.#caller.refuse(error, comeBackMs);
     this.#finish(error);
   }
 
@@ -392,6 +417,7 @@
   #logStep(outcome: string, reason: string, next: NextStep): void {
     this.#parts.log.warn('attempt failed', {
       request: this.#req.facts.requestId,
+      fingerprint: this.#req.fingerprint,
       server: [...this.#tried].at(-1),
       outcome,
       reason,
--- /dev/null
+++ b/packages/lovagepond-gateway/src/gateway_kept_failure.ts
@@ -0,0 +1,38 @@
+/**
+ * A server's failure answer, kept while another server is tried.
+ */
+import {type AnswerHead} from './gateway_attempt.js';
+import {type CallerChannel} from './gateway_caller_channel.js';
+
+/** A larger one isn't kept. */
+const MAX_KEPT_BYTES = 64 * 1024;
+
+/** Head and body as they came. */
+export class KeptFailure {
+  readonly #head: AnswerHead;
+  readonly #chunks: Buffer[] = [];
+  #size = 0;
+
+  /** @param head its status and headers */
+  constructor(head: AnswerHead) {
+    this.#head = head;
+  }
+
+  /**
+   * @param chunk of the body
+   * @returns false when the answer is too large to keep
+   */
+  add(chunk: Buffer): boolean {
+    this.#size += chunk.length;
+    if (this.#size > MAX_KEPT_BYTES) return false;
+    this.#chunks.push(chunk);
+    return true;
+  }
+
+  /** @param caller who gets the whole answer */
+  sendTo(caller: CallerChannel): void {
+    caller.sendHead(this.#head);
+    for (const chunk of this.#chunks) caller.write(chunk);
+    caller.end();
+  }
+}
--- a/packages/lovagepond-gateway/src/gateway_outcome.ts
+++ b/packages/lovagepond-gateway/src/gateway_outcome.ts
@@ -31,6 +31,8 @@
   /** Number of the last event that went to the caller. */
   readonly lastEventId: number | undefined;
   readonly timeLeftMs: number;
+  /** Servers crashed while they ran it, or may have. */
+  readonly isSuspect: boolean;
   /** Spends one second try; false when the budget is used up. */
   trySpend(): boolean;
 }
@@ -82,6 +84,7 @@
   if (runs >= maxAttempts) return false;
   if (outcome.kind === 'unsent') return true;
   if (outcome.kind === 'notRun') return progress.trySpend();
+  if (progress.isSuspect) return false;
   return !rule.nonRepeatable && progress.trySpend();
 }
 
--- /dev/null
+++ b/packages/lovagepond-gateway/src/gateway_quarantine.ts
@@ -0,0 +1,147 @@
+/**
+ * Keeps requests that crash servers away from them: finds out which servers
+ * crashed, tells control, and knows which requests control quarantines.
+ */
+import {type Clock, type Logger, type ServerCrash} from '@lovagepond/core';
+import {type ControlUpdate} from '@lovagepond/router/control_link';
+import {
+  type CrashReport,
+  RequestQuarantine,
+} from '@lovagepond/router/quarantine';
+import {type AttemptFailure} from './gateway_attempt.js';
+import {GatewayCrashWatch, type Reachability} from './gateway_crash_watch.js';
+import {type ServerState} from './gateway_server_state.js';
+
+type QuarantineUpdate = NonNullable<ControlUpdate['quarantine']>;
+
+/** Servers that may crash under a request before it gets no second try. */
+const SUSPECT_CRASHES = 2;
+
+/** What the class works with. */
+export interface QuarantineParts {
+  readonly clock: Clock;
+  readonly log: Logger;
+  /** @param address `host:port` of a server that may have ended */
+  readonly probe: (address: string) => Promise<Reachability>;
+  /** @returns whether control has recorded the report */
+  readonly report: (report: CrashReport) => Promise<boolean>;
+  /** Ends requests under way that are quarantined. */
+  readonly takeBack: (fingerprint: string) => void;
+}
+
+/** One gateway's part in quarantines. */
+export class GatewayQuarantine {
+  readonly #parts: QuarantineParts;
+  readonly #requests = new RequestQuarantine();
+  readonly #watch = new GatewayCrashWatch((crash, now) => {
+    this.#noteCrash(crash, now);
+  });
+
+  /** @param parts what it works with */
+  constructor(parts: QuarantineParts) {
+    this.#parts = parts;
+  }
+
+  /** Suspected requests that control tells of. */
+  get size(): number {
+    return this.#requests.size;
+  }
+
+  /** @param now present time, monotonic milliseconds; call it often */
+  tick(now: number): void {
+    for (const {server} of this.#watch.takeProbes(now)) {
+      void this.#parts.probe(server.address).then(reachability => {
+        const probedAt = this.#parts.clock.now();
+        this.#watch.noteProbe(server.name, reachability, probedAt);
+      });
+    }
+    this.#report(now);
+  }
+
+  /**
+   * @param update all suspected requests
+   * @param now present time, monotonic milliseconds
+   */
+  useUpdate(update: QuarantineUpdate, now: number): void {
+    for (const fingerprint of this.#requests.apply(update, now)) {
+      this.#parts.log.warn('request quarantined', {fingerprint});
+      this.#parts.takeBack(fingerprint);
+    }
+  }
+
+  /**
+   * @param listed names of the servers that control lists
+   * @param now present time, monotonic milliseconds
+   */
+  useListed(listed: ReadonlySet<string>, now: number): void {
+    this.#watch.noteListed(listed, now);
+  }
+
+  /**
+   * @param fingerprint of a request
+   * @param now present time, monotonic milliseconds
+   * @returns time until it may run, milliseconds; undefined when it may now
+   */
+  quarantinedForMs(fingerprint: string, now: number): number | undefined {
+    return this.#requests.quarantinedForMs(fingerprint, now);
+  }
+
+  /**
+   * @param fingerprint of a request
+   * @param now present time, monotonic milliseconds
+   * @returns true when a second try would put another server at risk
+   */
+  isSuspect(fingerprint: string, now: number): boolean {
+    const crashes = this.#requests.find(fingerprint, now)?.crashes ?? 0;
+    return crashes + this.#watch.undecided(fingerprint) >= SUSPECT_CRASHES;
+  }
+
+  /**
+   * @param state a server
+   * @param fingerprint of the request that it failed
+   * @param failure how
+   * @param now present time, monotonic milliseconds
+   */
+  noteFailure(
+    state: ServerState,
+    fingerprint: string,
+    failure: AttemptFailure,
+    now: number,
+  ): void {
+    if (failure.kind === 'broken' && failure.isLost) {
+      this.#watch.noteBroken(state, fingerprint, now);
+    } else if (failure.kind === 'unsent' && failure.isRefused) {
+      this.#watch.noteEnded(state.server.name, now);
+    } else if (state.isGone) {
+      this.#watch.noteEnded(state.server.name, now);
+    }
+  }
+
+  /** @param fingerprint of a request that a server answered whole */
+  noteAnswered(fingerprint: string): void {
+    this.#requests.noteAnswered(fingerprint);
+  }
+
+  #noteCrash(crash: ServerCrash, now: number): void {
+    const {server, requests, crashedAt} = crash;
+    this.#parts.log.warn('backend server crashed', {
+      backendServer: server,
+      requests: requests.join(' '),
+      brokeMsAgo: Math.round(now - crashedAt),
+    });
+    this.#requests.noteCrash(crash, now);
+    for (const fingerprint of requests) {
+      const leftMs = this.quarantinedForMs(fingerprint, now);
+      if (leftMs !== undefined) this.#parts.takeBack(fingerprint);
+    }
+    this.#report(now);
+  }
+
+  #report(now: number): void {
+    const report = this.#requests.takeReport(now);
+    if (!report) return;
+    void this.#parts.report(report).then(isRecorded => {
+      this.#requests.endReport(isRecorded);
+    });
+  }
+}
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -25,9 +25,11 @@
 import {type GatewayHeaderNames} from './gateway_headers.js';
 import {GatewayPeers} from './gateway_peers.js';
 import {PrefillRate} from './gateway_prefill_rate.js';
+import {GatewayQuarantine} from './gateway_quarantine.js';
 import {GatewayReadings} from './gateway_readings.js';
 import {GatewayRetryBudget} from './gateway_retry_budget.js';
 import {GatewayServer} from './gateway_server.js';
+import {probeServer} from './gateway_server_probe.js';
 import {type GatewaySettings} from './gateway_settings.js';
 
 /** What a gateway needs besides its settings. */
@@ -70,6 +72,7 @@
   readonly #rate: PrefillRate;
   readonly #readings: GatewayReadings;
   readonly #connections: GatewayConnections;
+  readonly #quarantine: GatewayQuarantine;
   readonly #link: ControlLink;
   #membership = EMPTY_MEMBERSHIP;
   #server: GatewayServer | undefined;
@@ -91,11 +94,15 @@
       const at = this.#readClock();
       if (this.#admission.isStarting(at)) this.#askForNewest(at);
     },
-    membership: ({membership}) => {
+    quarantine: ({quarantine}, now) => {
+      if (quarantine) this.#quarantine.useUpdate(quarantine, now);
+    },
+    membership: ({membership}, now) => {
       if (!membership) return;
       this.#membership = applyMembership(this.#membership, membership);
       this.#admission.noteServersKnown();
       const listed = this.#fleet.useMembership(this.#membership);
+      this.#quarantine.useListed(listed, now);
       this.#connections.keepOnly(listed);
       this.#parts.log.info('backend servers changed', {
         version: this.#membership.version,
@@ -130,6 +137,15 @@
       connectTimeoutMs: settings.connectTimeoutMs,
       maxHeadBytes: MAX_ANSWER_HEAD_BYTES,
     });
+    this.#quarantine = new GatewayQuarantine({
+      clock: parts.clock,
+      log: parts.log,
+      probe: address => probeServer(address, settings.connectTimeoutMs),
+      report: report => this.#link.reportCrashes(report),
+      takeBack: fingerprint => {
+        this.#server?.takeBack(fingerprint);
+      },
+    });
     const {name: node, region} = settings;
     const facts = {node, region, takesDeltas: true};
     const listener = {
@@ -162,6 +178,7 @@
       choice: new GatewayChoice(choiceSettings, hasher, random),
       budget: new GatewayRetryBudget(this.#settings, this.#peers),
       connections: this.#connections,
+      quarantine: this.#quarantine,
       readings: this.#readings,
       rate: this.#rate,
     });
@@ -220,6 +237,7 @@
       membershipVersion: this.#membership.version,
       prefillTokensPerMs: this.#rate.tokensPerMs,
       backendServers: this.#fleet.describe(at.now),
+      suspectedRequests: this.#quarantine.size,
       inFlight: this.#server?.inFlight ?? 0,
       connectionsOpened: this.#connections.opened,
       connectionsIdle: this.#connections.idle,
@@ -239,6 +257,7 @@
       this.#link.restart('it is behind a confirmed change');
     }
     this.#fleet.forgetSilentRouters(at.now);
+    this.#quarantine.tick(at.now);
     if (at.now - this.#askedAt < this.#askIntervalMs(at)) return;
     this.#askForNewest(at);
   }
--- a/packages/lovagepond-gateway/src/gateway_server.ts
+++ b/packages/lovagepond-gateway/src/gateway_server.ts
@@ -25,6 +25,7 @@
 import {GatewayDeparture} from './gateway_departure.js';
 import {readFacts, type RequestFacts} from './gateway_headers.js';
 import {type GatewaySettings} from './gateway_settings.js';
+import {fingerprintOf} from '@lovagepond/router/quarantine';
 import {WaitingRoom} from './gateway_waiting_room.js';
 import {readBody} from './gateway_request_body.js';
 
@@ -81,6 +82,8 @@
   /** Answers that aren't delivered whole yet. */
   #open = 0;
   #heldBytes = 0;
+  /** Requests under way, by their fingerprints. */
+  readonly #exchanges = new Map<string, Set<Exchange>>();
   readonly #departure = new GatewayDeparture();
   #idleSweep: NodeJS.Timeout | undefined;
   #idleListener: (() => void) | undefined;
@@ -175,6 +178,12 @@
     return true;
   }
 
+  /** @param fingerprint of requests that must not run any longer */
+  takeBack(fingerprint: string): void {
+    const copies = [...(this.#exchanges.get(fingerprint) ?? [])];
+    for (const exchange of copies) exchange.takeBack();
+  }
+
   #readClock(): ClockReading {
     return {now: this.#clock.now(), wallTime: this.#clock.wallTime()};
   }
@@ -270,18 +279,29 @@
     }
     this.#heldBytes += body.length;
     const {method = 'GET', url: path = '/', rawHeaders} = req;
+    const workspace = admitted.workspace ?? '';
+    const fingerprint = fingerprintOf({method, path, workspace, body});
     const exchange = new Exchange(
-      {...admitted, method, path, rawHeaders, body, facts},
+      {...admitted, method, path, rawHeaders, body, fingerprint, facts},
       this.#parts,
       caller,
       () => {
         this.#heldBytes -= body.length;
+        this.#forget(fingerprint, exchange);
         done();
       },
     );
+    const copies = this.#exchanges.get(fingerprint) ?? new Set();
+    this.#exchanges.set(fingerprint, copies.add(exchange));
     exchange.start();
   }
 
+  #forget(fingerprint: string, exchange: Exchange): void {
+    const copies = this.#exchanges.get(fingerprint);
+    copies?.delete(exchange);
+    if (copies?.size === 0) this.#exchanges.delete(fingerprint);
+  }
+
   #findFault(req: IncomingMessage): ErrorKind | undefined {
     const size = req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
     if (size > this.#limits.maxHeaderBytes) return 'headersTooLarge';
--- /dev/null
+++ b/packages/lovagepond-gateway/src/gateway_server_probe.ts
@@ -0,0 +1,36 @@
+/**
+ * Tries whether anything listens at a server's address.
+ */
+import {connect} from 'node:net';
+import {REACHABILITY, type Reachability} from './gateway_crash_watch.js';
+
+/**
+ * @param address `host:port`
+ * @param timeoutMs longest wait
+ * @returns what the try showed
+ */
+export function probeServer(
+  address: string,
+  timeoutMs: number,
+): Promise<Reachability> {
+  const at = address.lastIndexOf(':');
+  const host = address.slice(0, at);
+  const port = Number(address.slice(at + 1));
+  return new Promise(resolve => {
+    const socket = connect({host, port, timeout: timeoutMs});
+    const end = (reachability: Reachability): void => {
+      socket.destroy();
+      resolve(reachability);
+    };
+    socket.on('connect', () => {
+      end(REACHABILITY.ACCEPTS);
+    });
+    socket.on('timeout', () => {
+      end(REACHABILITY.SILENT);
+    });
+    socket.on('error', (err: NodeJS.ErrnoException) => {
+      const isRefused = err.code === 'ECONNREFUSED';
+      end(isRefused ? REACHABILITY.REFUSES : REACHABILITY.SILENT);
+    });
+  });
+}
--- a/packages/lovagepond-measure/src/play_gateway.ts
+++ b/packages/lovagepond-measure/src/play_gateway.ts
@@ -322,6 +322,7 @@
       headSent: this.#firstMs !== undefined,
       hasFailure: this.#hasFailure,
       lastEventId: this.#firstMs === undefined ? undefined : 1,
+      isSuspect: false,
       timeLeftMs: this.#req.at + kind.deadlineMs - this.#now,
       trySpend: () => this.#gateway.budget.trySpend(pool.name, this.#now),
     });
--- a/packages/lovagepond-operator/src/__tests__/unit/ctl.test.ts
+++ b/packages/lovagepond-operator/src/__tests__/unit/ctl.test.ts
@@ -119,6 +119,14 @@
     expect(member.revisions[1]!.content.pools[0]!.loadBound).toBe(1.4);
   });
 
+  it('lists and lifts quarantines', async () => {
+    member.suspects = [{request: 'ab12', crashes: 3, quarantinedForMs: 1_500}];
+    await ctl('quarantine list');
+    expect(io.out).toMatch(/ab12 +3 +2/);
+    await ctl('quarantine lift ab12');
+    expect(member.suspects).toEqual([]);
+  });
+
   // No member knows a leader for a while, then one is elected: the command
   // waits and succeeds. When none is ever elected it ends with its own exit
   // code and names the operation id to go on with.
--- a/packages/lovagepond-operator/src/__tests__/unit/fake_administration.ts
+++ b/packages/lovagepond-operator/src/__tests__/unit/fake_administration.ts
@@ -22,6 +22,7 @@
   type OrderRequest,
   type OrderView,
   type ServerView,
+  type SuspectView,
   type WantedChange,
 } from '@lovagepond/control';
 
@@ -56,6 +57,7 @@
   readonly wanted = new Map<string, string>();
   readonly memberChanges: MemberChange[] = [];
   readonly orders: OrderView[] = [];
+  suspects: SuspectView[] = [];
   members: ControlMemberView[] = [];
   nodes: ConvergenceView[] = [];
   /** Whether a majority confirms what this member holds. */
@@ -69,6 +71,16 @@
     {readonly digest: string; readonly answer: ChangeAnswer}
   >();
 
+  listQuarantine(): readonly SuspectView[] {
+    return this.suspects;
+  }
+
+  liftQuarantine(request: string): Promise<OperationAnswer> {
+    if (this.refusal) return Promise.resolve(this.refusal);
+    this.suspects = this.suspects.filter(one => one.request !== request);
+    return Promise.resolve({kind: 'accepted'});
+  }
+
   confirmNewest(): Promise<boolean> {
     return Promise.resolve(this.isNewest);
   }
--- a/packages/lovagepond-operator/src/ctl_register.ts
+++ b/packages/lovagepond-operator/src/ctl_register.ts
@@ -14,6 +14,7 @@
 import {createCtlIo} from './ctl_io.js';
 import {MEMBER_COMMANDS} from './ctl_member_commands.js';
 import {OBJECT_COMMANDS} from './ctl_object_commands.js';
+import {QUARANTINE_COMMANDS} from './ctl_quarantine_commands.js';
 import {STATUS_COMMANDS} from './ctl_status_command.js';
 import {
   type CtlCommand,
@@ -43,6 +44,7 @@
   ...CONFIGURATION_COMMANDS,
   ...OBJECT_COMMANDS,
   ...FLEET_COMMANDS,
+  ...QUARANTINE_COMMANDS,
   ...MEMBER_COMMANDS,
   ...CONVERGENCE_COMMANDS,
 ];
--- a/packages/lovagepond-operator/src/operator_fleet_routes.ts
+++ b/packages/lovagepond-operator/src/operator_fleet_routes.ts
@@ -1,6 +1,6 @@
 /**
- * Calls about backend servers, orders, control's members, convergence and the
- * state dump.
+ * Calls about backend servers, orders, quarantined requests, control's members,
+ * convergence and the state dump.
  */
 import {z} from '@lovagepond/core';
 import {
@@ -83,6 +83,12 @@
   },
 );
 
+const listQuarantine: CallHandler = ({administration}) =>
+  replyWith(administration.listQuarantine());
+
+const liftQuarantine: CallHandler = async ({administration, params}) =>
+  replyToAnswer(await administration.liftQuarantine(params['request'] ?? ''));
+
 const listMembers: CallHandler = ({administration}) =>
   replyWith(administration.listMembers());
 
@@ -114,6 +120,12 @@
   },
   {method: 'get', path: '/v1/orders', handle: listOrders},
   {method: 'post', path: '/v1/orders', handle: issueOrder},
+  {method: 'get', path: '/v1/quarantine', handle: listQuarantine},
+  {
+    method: 'post',
+    path: '/v1/quarantine/:request/lift',
+    handle: liftQuarantine,
+  },
   {method: 'get', path: '/v1/members', handle: listMembers},
   {method: 'post', path: '/v1/members', handle: changeMembers},
   {method: 'get', path: '/v1/convergence', handle: getConvergence},
--- a/packages/lovagepond-protocol/src/protocol_services.ts
+++ b/packages/lovagepond-protocol/src/protocol_services.ts
@@ -81,6 +81,12 @@
     v1.ReadingResponse,
     false,
   ),
+  reportCrashes: makeMethod(
+    'Control/ReportCrashes',
+    v1.CrashReport,
+    v1.CrashReportResponse,
+    false,
+  ),
   announce: makeMethod(
     'Control/Announce',
     v1.AnnounceRequest,
--- /dev/null
+++ b/packages/lovagepond-router/src/__tests__/unit/router_quarantine.test.ts
@@ -0,0 +1,84 @@
+import {expect, test} from 'vitest';
+import {fingerprintOf, RequestQuarantine} from '../../router_quarantine.js';
+
+const CONTENT = {
+  method: 'POST',
+  path: '/chat?x=1',
+  workspace: 'nord',
+  body: Buffer.from('hello'),
+};
+const BAD = fingerprintOf(CONTENT);
+const HOUR_MS = 3_600_000;
+
+function crash(server: string, crashedAt: number) {
+  return {server, requests: [BAD], crashedAt};
+}
+
+test('a fingerprint is of the method, the path, the caller and the body', () => {
+  expect(BAD).toMatch(/^[0-9a-f]{32}$/);
+  expect(fingerprintOf({...CONTENT})).toBe(BAD);
+  const others = [
+    {method: 'PUT'},
+    {path: '/chat?x=2'},
+    {workspace: 'sud'},
+    {body: Buffer.from('hellO')},
+  ];
+  for (const other of others) {
+    expect(fingerprintOf({...CONTENT, ...other})).not.toBe(BAD);
+  }
+});
+
+// Guards against a router that is cut off from control and crashes all its servers.
+test('crashes that control does not have count here', () => {
+  const quarantine = new RequestQuarantine();
+  for (const at of [1, 2, 3]) {
+    quarantine.noteCrash(crash(`s${at}`, at * 1_000), at * 1_000);
+    quarantine.takeReport(at * 1_000);
+    quarantine.endReport(false);
+  }
+  expect(quarantine.quarantinedForMs(BAD, 3_000)).toBe(HOUR_MS);
+});
+
+// Guards against a crash that is never counted, as the leader was lost with it.
+test('a report that is not recorded is told again', () => {
+  const quarantine = new RequestQuarantine();
+  quarantine.noteCrash(crash('s1', 0), 0);
+  expect(quarantine.takeReport(10)?.crashes).toEqual([
+    {backendServer: 's1', requests: [Buffer.from(BAD, 'hex')], ageMs: 10},
+  ]);
+  expect(quarantine.takeReport(20)).toBeUndefined();
+  quarantine.noteCrash(crash('s2', 15), 15);
+  quarantine.endReport(false);
+  const again = quarantine.takeReport(30)?.crashes ?? [];
+  expect(again.map(one => one.backendServer)).toEqual(['s1', 's2']);
+  quarantine.endReport(true);
+  expect(quarantine.takeReport(40)).toBeUndefined();
+});
+
+test('an operator lifts what this router has reported', () => {
+  const quarantine = new RequestQuarantine();
+  for (const at of [1, 2, 3]) {
+    quarantine.noteCrash(crash(`s${at}`, at * 1_000), at * 1_000);
+  }
+  quarantine.takeReport(3_000);
+  quarantine.apply({suspects: []}, 3_000);
+  expect(quarantine.quarantinedForMs(BAD, 3_000)).toBeDefined();
+  quarantine.endReport(true);
+  const request = Buffer.from(BAD, 'hex');
+  const told = {request, crashes: 3, quarantinedForMs: HOUR_MS};
+  expect(quarantine.apply({suspects: [told]}, 3_100)).toEqual([BAD]);
+  expect(quarantine.apply({suspects: [told]}, 3_200)).toEqual([]);
+  quarantine.apply({suspects: []}, 3_300);
+  expect(quarantine.quarantinedForMs(BAD, 3_300)).toBeUndefined();
+});
+
+test('a whole answer acquits a suspect here and is told to control', () => {
+  const quarantine = new RequestQuarantine();
+  quarantine.noteAnswered(BAD);
+  expect(quarantine.takeReport(0)).toBeUndefined();
+  const request = Buffer.from(BAD, 'hex');
+  quarantine.apply({suspects: [{request, crashes: 2}]}, 0);
+  quarantine.noteAnswered(BAD);
+  expect(quarantine.find(BAD, 0)).toBeUndefined();
+  expect(quarantine.takeReport(0)?.answered).toEqual([request]);
+});
--- a/packages/lovagepond-router/src/router_control_link.ts
+++ b/packages/lovagepond-router/src/router_control_link.ts
@@ -211,6 +211,34 @@
     );
   }
 
+  /**
+   * Tells control of servers that crashed.
+   *
+   * @param report what control doesn't have
+   * @returns false when it has to be told again
+   */
+  reportCrashes(
+    report: Pick<lovagepond.v1.CrashReport.$Properties, 'crashes' | 'answered'>,
+  ): Promise<boolean> {
+    const method = CONTROL_SERVICE.reportCrashes;
+    const {node} = this.#facts;
+    const client = this.#client;
+    if (!client) return Promise.resolve(false);
+    return new Promise(resolve => {
+      client.makeUnaryRequest(
+        method.path,
+        message => this.#countSent(method.requestSerialize(message)),
+        method.responseDeserialize,
+        new v1.CrashReport({...report, node}),
+        new Metadata(),
+        {deadline: Date.now() + REPORT_TIMEOUT_MS},
+        (err, res) => {
+          resolve(!err && res?.recorded === true);
+        },
+      );
+    });
+  }
+
   /** Subscribes anew, saying what is held by now. */
   restart(reason: string): void {
     if (this.#call) this.#onLost(reason);
--- /dev/null
+++ b/packages/lovagepond-router/src/router_quarantine.ts
@@ -0,0 +1,176 @@
+/**
+ * The requests that this router must not run, as they crash servers.
+ *
+ * Control counts the crashes that all routers see. What control doesn't have yet
+ * counts here as well, so that a router that is cut off protects its servers too.
+ */
+import {createHash} from 'node:crypto';
+import {CrashEvidence, type ServerCrash, type Suspect} from '@lovagepond/core';
+import {type lovagepond} from '@lovagepond/protocol';
+
+type WireUpdate = lovagepond.v1.QuarantineUpdate.$Properties;
+
+/** What control is told. */
+export type CrashReport = Pick<
+  lovagepond.v1.CrashReport.$Properties,
+  'crashes' | 'answered'
+>;
+
+/** What makes a repeat the same request. */
+export interface RequestContent {
+  readonly method: string;
+  readonly path: string;
+  /** Who sends it; empty where that isn't known. */
+  readonly workspace: string;
+  readonly body: Uint8Array;
+}
+
+const FINGERPRINT_BYTES = 16;
+
+/** Crashes told in one report. */
+const MAX_REPORTED = 64;
+
+/** Crashes that wait to be reported; the oldest go first. */
+const MAX_UNREPORTED = 256;
+
+/**
+ * @param content a request's content
+ * @returns its fingerprint, the same at every router
+ */
+export function fingerprintOf(content: RequestContent): string {
+  const {method, path, workspace, body} = content;
+  const hash = createHash('sha256');
+  hash.update(JSON.stringify([method, path, workspace]));
+  hash.update(body);
+  return hash.digest().subarray(0, FINGERPRINT_BYTES).toString('hex');
+}
+
+/** Knows suspected requests, and what control has to be told. */
+export class RequestQuarantine {
+  readonly #own = new CrashEvidence();
+  #told = new Map<string, Suspect>();
+  #unreported: ServerCrash[] = [];
+  #answered = new Set<string>();
+  #underWay: {crashes: ServerCrash[]; answered: Set<string>} | undefined;
+
+  /**
+   * @param crash a server that ended and this router's requests there
+   * @param now present time, monotonic milliseconds
+   */
+  noteCrash(crash: ServerCrash, now: number): void {
+    this.#own.noteCrash(crash, now);
+    this.#unreported.push(crash);
+    if (this.#unreported.length > MAX_UNREPORTED) this.#unreported.shift();
+  }
+
+  /** @param request fingerprint of a request that a server answered whole */
+  noteAnswered(request: string): void {
+    const isOwn = this.#own.forget(request);
+    const isTold = this.#told.delete(request);
+    if (isOwn || isTold) this.#answered.add(request);
+  }
+
+  /**
+   * @param request a fingerprint
+   * @param now present time, monotonic milliseconds
+   * @returns what is known of it here
+   */
+  find(request: string, now: number): Suspect | undefined {
+    const own = this.#own.find(request, now);
+    const told = this.#told.get(request);
+    if (!own || !told) return own ?? told;
+    const until = Math.max(
+      own.quarantinedUntil ?? 0,
+      told.quarantinedUntil ?? 0,
+    );
+    return {
+      request,
+      crashes: Math.max(own.crashes, told.crashes),
+      quarantinedUntil: until === 0 ? undefined : until,
+    };
+  }
+
+  /**
+   * @param request a fingerprint
+   * @param now present time, monotonic milliseconds
+   * @returns time until it may run, milliseconds; undefined when it may now
+   */
+  quarantinedForMs(request: string, now: number): number | undefined {
+    const leftMs = (this.find(request, now)?.quarantinedUntil ?? 0) - now;
+    return leftMs > 0 ? leftMs : undefined;
+  }
+
+  /** @returns known suspects, for the state dump */
+  get size(): number {
+    return this.#told.size;
+  }
+
+  /**
+   * @param now present time, monotonic milliseconds
+   * @returns what control doesn't have; undefined when there is nothing or a
+   *     report is under way
+   */
+  takeReport(now: number): CrashReport | undefined {
+    if (this.#underWay) return undefined;
+    if (this.#unreported.length === 0 && this.#answered.size === 0) {
+      return undefined;
+    }
+    const next = this.#unreported.splice(0, MAX_REPORTED);
+    this.#underWay = {crashes: next, answered: this.#answered};
+    this.#answered = new Set();
+    const {crashes, answered} = this.#underWay;
+    return {
+      crashes: crashes.map(crash => ({
+        backendServer: crash.server,
+        requests: crash.requests.map(toBytes),
+        ageMs: Math.max(0, Math.round(now - crash.crashedAt)),
+      })),
+      answered: [...answered].map(toBytes),
+    };
+  }
+
+  /** @param isRecorded false when the report has to be told again */
+  endReport(isRecorded: boolean): void {
+    const underWay = this.#underWay;
+    this.#underWay = undefined;
+    if (isRecorded || !underWay) return;
+    this.#unreported = [...underWay.crashes, ...this.#unreported];
+    for (const request of underWay.answered) this.#answered.add(request);
+  }
+
+  /**
+   * @param update all suspected requests, as control tells
+   * @param now present time, monotonic milliseconds
+   * @returns requests that it newly puts into quarantine
+   */
+  apply({suspects}: WireUpdate, now: number): readonly string[] {
+    const former = this.#told;
+    this.#told = new Map();
+    const quarantined: string[] = [];
+    for (const {request: bytes, crashes, quarantinedForMs} of suspects ?? []) {
+      const request = Buffer.from(bytes ?? []).toString('hex');
+      const forMs = quarantinedForMs ?? 0;
+      const quarantinedUntil = forMs > 0 ? now + forMs : undefined;
+      this.#told.set(request, {
+        request,
+        crashes: crashes ?? 0,
+        quarantinedUntil,
+      });
+      const isKnown = former.get(request)?.quarantinedUntil !== undefined;
+      if (quarantinedUntil !== undefined && !isKnown) quarantined.push(request);
+    }
+    this.#dropRecorded(now);
+    return quarantined;
+  }
+
+  /** Control counts what it has recorded, and may have lifted it since. */
+  #dropRecorded(now: number): void {
+    const waiting = [...this.#unreported, ...(this.#underWay?.crashes ?? [])];
+    this.#own.restore(undefined);
+    for (const crash of waiting) this.#own.noteCrash(crash, now);
+  }
+}
+
+function toBytes(request: string): Buffer {
+  return Buffer.from(request, 'hex');
+}
--- a/packages/lovagepond-router/src/router_role.ts
+++ b/packages/lovagepond-router/src/router_role.ts
@@ -91,6 +91,7 @@
       this.#load.applyDigest(load.loads, now - (load.ageMs ?? 0));
     },
     // The link keeps them.
+    quarantine: () => {},
     controlMembers: () => {},
     heartbeat: () => {},
     // Sidecars know what their engines read; only gateways place by this.
--- a/packages/lovagepond-scenarios/src/world/subscribers.ts
+++ b/packages/lovagepond-scenarios/src/world/subscribers.ts
@@ -238,6 +238,8 @@
       membershipVersion: 0,
       running: new RunningTotals(),
       readings: new ReadingBoard(),
+      crashesVersion: 0,
+      suspects: () => [],
       controlMembers: [],
       changesSince: () => undefined,
       readLoad: () => undefined,
