Keep a command that fails from ending every member of control

Cause: an error of a command's handler left the state machine and ended the member. The entry is committed by then: each member applies it, ends, and ends again at its replay, one leader after the other, until an operator removes the log.

Change: the state machine turns the error into a result, the same at every member; the proposer throws it to the one who asked. Commands of unknown names and versions still end a member: there the members would come apart.

Test: 'a command that fails leaves members alive and alike' failed before (the error left apply) and passes now. No such command is known; the payloads are checked before they are proposed.

Conclusion: suspected by reading, not seen in a run.

--- a/packages/lovagepond-control/src/__tests__/unit/control_state_machine.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/control_state_machine.test.ts
@@ -241,3 +241,15 @@
   expect(member.machine.crashes.find('a', 0)).toBeUndefined();
   expect(member.machine.crashes.find('b', 0)?.crashes).toBe(1);
 });
+
+// Guards against a log entry that ends one member after the other, at each replay.
+test('a command that fails leaves members alive and alike', () => {
+  const member = new Member();
+  const broken = null as unknown as ClaimPayload;
+  expect(() => member.run(CLAIM_COMMAND, broken)).toThrow('command failed');
+  expect(member.run(CLAIM_COMMAND, CLAIM)).toEqual({kind: 'granted'});
+  const replayed = new Member();
+  expect(() => replayed.run(CLAIM_COMMAND, broken)).toThrow('command failed');
+  replayed.run(CLAIM_COMMAND, CLAIM);
+  expect(replayed.machine.snapshot()).toEqual(member.machine.snapshot());
+});
--- a/packages/lovagepond-control/src/control_commands.ts
+++ b/packages/lovagepond-control/src/control_commands.ts
@@ -196,6 +196,11 @@
   readonly p: unknown;
 }
 
+/** A failure among results; no result has this member. */
+interface CodedFailure {
+  readonly commandFailed: string;
+}
+
 const encoder = new TextEncoder();
 const decoder = new TextDecoder();
 
@@ -241,9 +246,29 @@
 }
 
 /**
- * @param bytes what {@link encodeResult} made
+ * @param message why a command's handler failed
+ * @returns its bytes for the proposer
+ */
+export function encodeFailure(message: string): Uint8Array {
+  const failure: CodedFailure = {commandFailed: message};
+  return encodeResult(failure);
+}
+
+/**
+ * @param bytes what {@link encodeResult} or {@link encodeFailure} made
  * @returns the result
+ * @throws Error when the command's handler failed
  */
 export function decodeResult<Value>(bytes: Uint8Array): Value {
-  return JSON.parse(decoder.decode(bytes)) as Value;
+  const result = JSON.parse(decoder.decode(bytes)) as Value | CodedFailure;
+  if (isFailure(result)) {
+    throw new Error(`command failed: ${result.commandFailed}`);
+  }
+  return result;
+}
+
+function isFailure(result: unknown): result is CodedFailure {
+  return (
+    typeof result === 'object' && result !== null && 'commandFailed' in result
+  );
 }
--- a/packages/lovagepond-control/src/control_state_machine.ts
+++ b/packages/lovagepond-control/src/control_state_machine.ts
@@ -22,6 +22,7 @@
   type CrashesResult,
   decodeCommand,
   DROP_SERVERS_COMMAND,
+  encodeFailure,
   encodeResult,
   END_SERVER_COMMAND,
   INCARNATION_COMMAND,
@@ -111,7 +112,7 @@
     const handler = this.#handlers.get(name);
     invariant(handler, 201, `unknown command ${name}`);
     const timeMs = this.time.advance(stamp.timeMs, this.#now());
-    return encodeResult(handler(payload, {...stamp, timeMs}));
+    return runHandler(() => handler(payload, {...stamp, timeMs}));
   }
 
   snapshot(): Uint8Array {
@@ -239,6 +240,18 @@
   }
 }
 
+/**
+ * A command that fails does so at every member and at each replay of the log. Passed
+ * on, its error would end them all, one leader after the other, for good.
+ */
+function runHandler(run: () => unknown): Uint8Array {
+  try {
+    return encodeResult(run());
+  } catch (err) {
+    return encodeFailure(err instanceof Error ? err.message : String(err));
+  }
+}
+
 /** The longest head of a snapshot: it holds some configurations. */
 const MAX_HEAD_BYTES = 256 * 1024 * 1024;
 
