Keep the request id though the caller's Connection header names it

Callers saw: nothing was reported; found by looking for one request that harms servers for all others.

Cause: a header that Connection names isn't passed on. A caller that names the request id there gets it dropped, so that no answer echoes it: each is taken for another request's, the server for broken, and it is paused for all requests of this gateway, one server after the other as the caller repeats.

Change: the id goes on whatever Connection says.

Test: 'keeps the request id that a Connection header names' failed before (502 after two servers) and passes now.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_forwarding.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_forwarding.test.ts
@@ -51,6 +51,17 @@
     expect(res.headers[NAMES.signature]).toBe('signed');
   });
 
+  // Guards against a request that makes every server look broken to a gateway: without
+  // its id the answers can't be told from another request's.
+  it('keeps the request id that a Connection header names', async () => {
+    const res = await run([good, good], {
+      path: '/read/a',
+      headers: {connection: `close, ${NAMES.requestId}, ${NAMES.promptParts}`},
+    });
+    expect(res).toMatchObject({status: 200, body: 'yes'});
+    expect(harness?.arrivals).toHaveLength(1);
+  });
+
   it('names the workspace to the server and keeps the key from it', async () => {
     let headers: Record<string, unknown> = {};
     await run(
--- a/packages/lovagepond-gateway/src/gateway_headers.ts
+++ b/packages/lovagepond-gateway/src/gateway_headers.ts
@@ -184,6 +184,8 @@
     ...names.routerOnly,
     ...connectionNames(rawHeaders),
   ]);
+  // Without its id no answer can be told from another request's.
+  dropped.delete(names.requestId);
   if (added.lastEventId !== undefined) dropped.add(LAST_EVENT_ID);
   const headers = copyEndToEnd(rawHeaders, dropped);
   const set = (name: string, value: string | number | undefined): void => {
