Refuse fewer requests that were only beside a crash, and know of crashes sooner

Change: a crash that ran a quarantined request counts against no other; the rivals in all its crashes are looked at, not those in the last; a gateway counts no request that it had answered whole within the last minute, and objects to a quarantine of one; a server that breaks a connection is tried at once, and what waits for a report follows it.

--- a/packages/lovagepond-core/src/__tests__/unit/core_crash_evidence.test.ts
+++ b/packages/lovagepond-core/src/__tests__/unit/core_crash_evidence.test.ts
@@ -46,6 +46,28 @@
     expect(quarantinedUntil(evidence, 'beside', 4_000)).toBeUndefined();
   });
 
+  // Guards against the refusal of a request that was beside another guilty one each time.
+  it('counts crashes that a quarantined request explains against no other', () => {
+    const evidence = new CrashEvidence();
+    for (const number of [1, 2]) crash(evidence, number, 'bad', 'beside');
+    expect(crash(evidence, 3, 'bad')).toEqual(['bad']);
+    expect(evidence.find('beside', 3 * SECOND_MS)).toBeUndefined();
+    crash(evidence, 4, 'bad', 'beside');
+    expect(evidence.find('beside', 4 * SECOND_MS)).toBeUndefined();
+    expect(evidence.find('bad', 4 * SECOND_MS)?.crashes).toBe(4);
+    crash(evidence, 5, 'beside');
+    expect(evidence.find('beside', 5 * SECOND_MS)?.crashes).toBe(1);
+  });
+
+  it('looks at the requests of all crashes, not of the last alone', () => {
+    const evidence = new CrashEvidence();
+    crash(evidence, 1, 'x', 'y');
+    crash(evidence, 2, 'x', 'y');
+    crash(evidence, 3, 'y', 'z', 'x');
+    expect(crash(evidence, 4, 'z', 'w')).toEqual([]);
+    expect(crash(evidence, 5, 'x')).toEqual(['x']);
+  });
+
   it('quarantines both once five servers crashed under them', () => {
     const evidence = new CrashEvidence();
     for (const number of [1, 2, 3, 4]) crash(evidence, number, 'x', 'y');
--- a/packages/lovagepond-core/src/core_crash_evidence.ts
+++ b/packages/lovagepond-core/src/core_crash_evidence.ts
@@ -2,9 +2,9 @@
  * Which requests crash the backend servers that run them.
  *
  * A server that crashes takes all its requests along, and all but one of them are
- * innocent. A request is quarantined once it was at three crashes and no other
- * request was at as many of those that the last server ran. One whole answer
- * anywhere acquits it.
+ * innocent. A request is quarantined once it was at three crashes and none of the
+ * requests beside it was at as many. Its crashes then count against no other. One
+ * whole answer anywhere acquits it.
  *
  * Deterministic: the same calls in the same order give the same state.
  */
@@ -23,7 +23,7 @@
 export interface Suspect {
   /** Its fingerprint. */
   readonly request: string;
-  /** Servers that crashed while they ran it, crashes of many at once counted once. */
+  /** Servers that crashed while they ran it; those at the same time count once. */
   readonly crashes: number;
   /** When its quarantine ends, milliseconds; undefined when it isn't in one. */
   readonly quarantinedUntil: number | undefined;
@@ -36,7 +36,7 @@
 
 interface Evidence {
   readonly request: string;
-  readonly crashes: CountedCrash[];
+  crashes: CountedCrash[];
   quarantinedUntil: number | undefined;
   /** Quarantines until now. */
   quarantines: number;
@@ -64,6 +64,9 @@
 const COMMON_CRASHES = 3;
 const COMMON_CAUSE_MS = 200;
 
+/** Crashes kept for one request. */
+const MAX_CRASHES = 16;
+
 /** Length of a request's first quarantine, doubled with each further one, ms. */
 const FIRST_QUARANTINE_MS = 3_600_000;
 const LONGEST_QUARANTINE_MS = 24 * FIRST_QUARANTINE_MS;
@@ -104,7 +107,9 @@
     const {server} = crash;
     this.#recent.set(server, {server, requests, crashedAt});
     dropOldest(this.#recent, MAX_RECENT_CRASHES);
+    const isExplained = requests.some(request => this.#isHeld(request, now));
     for (const request of requests) {
+      if (isExplained && !this.#isHeld(request, now)) continue;
       this.#count(request, {server, at: crashedAt});
     }
     this.#dropExcess();
@@ -176,31 +181,68 @@
       quarantines: 0,
     };
     evidence.crashes.push(crash);
-    if (evidence.crashes.length > CERTAIN_CRASHES * COMMON_CRASHES) {
-      evidence.crashes.shift();
-    }
+    if (evidence.crashes.length > MAX_CRASHES) evidence.crashes.shift();
     // The request that was at a crash last goes last.
     this.#evidence.delete(request);
     this.#evidence.set(request, evidence);
   }
 
   #decide(requests: readonly string[], now: number): string[] {
-    const counts = requests.map(request => this.#crashesOf(request));
-    const most = Math.max(...counts);
-    const isAlone = counts.filter(count => count === most).length === 1;
     const quarantined: string[] = [];
-    for (const [at, request] of requests.entries()) {
-      const count = counts[at] ?? 0;
-      const isMost = isAlone && count === most && count >= QUARANTINE_CRASHES;
-      if (!isMost && count < CERTAIN_CRASHES) continue;
+    for (const request of requests) {
+      const count = this.#crashesOf(request);
+      if (count < QUARANTINE_CRASHES) continue;
+      const isCertain = count >= CERTAIN_CRASHES;
+      if (!isCertain && this.#hasRival(request, count, now)) continue;
       if (this.#quarantine(request, now)) quarantined.push(request);
     }
+    for (const request of quarantined) this.#explainCrashes(request, now);
     return quarantined;
   }
 
+  /** Another request may as well have crashed the servers. */
+  #hasRival(request: string, count: number, now: number): boolean {
+    return this.#besides(request).some(
+      other => !this.#isHeld(other, now) && this.#crashesOf(other) >= count,
+    );
+  }
+
+  /** Crashes that a quarantined request explains count against no other. */
+  #explainCrashes(request: string, now: number): void {
+    const servers = this.#serversOf(request);
+    for (const other of this.#besides(request)) {
+      const evidence = this.#evidence.get(other);
+      if (!evidence || this.#isHeld(other, now)) continue;
+      evidence.crashes = evidence.crashes.filter(
+        ({server}) => !servers.has(server),
+      );
+      if (evidence.crashes.length === 0) this.#evidence.delete(other);
+    }
+  }
+
+  #serversOf(request: string): ReadonlySet<string> {
+    const crashes = this.#evidence.get(request)?.crashes ?? [];
+    return new Set(crashes.map(({server}) => server));
+  }
+
+  /** @returns the other requests of all its crashes */
+  #besides(request: string): readonly string[] {
+    const all = new Set<string>();
+    for (const server of this.#serversOf(request)) {
+      const others = this.#recent.get(server)?.requests ?? [];
+      for (const other of others) all.add(other);
+    }
+    all.delete(request);
+    return [...all];
+  }
+
+  #isHeld(request: string, now: number): boolean {
+    return (this.#evidence.get(request)?.quarantinedUntil ?? 0) > now;
+  }
+
   #quarantine(request: string, now: number): boolean {
     const evidence = this.#evidence.get(request);
-    if (!evidence || (evidence.quarantinedUntil ?? 0) > now) return false;
+    if (!evidence || this.#isHeld(request, now)) return false;
     const lengthMs = FIRST_QUARANTINE_MS * 2 ** evidence.quarantines;
     evidence.quarantines += 1;
     evidence.quarantinedUntil = now + Math.min(lengthMs, LONGEST_QUARANTINE_MS);
@@ -248,11 +290,11 @@
   let count = 0;
   for (let from = 0; from < times.length;) {
     const first = times[from] ?? 0;
-    const within = times.filter(
+    const together = times.filter(
       time => time >= first && time - first <= COMMON_CAUSE_MS,
     ).length;
-    count += within >= COMMON_CRASHES ? 1 : within;
-    from += within;
+    count += together >= COMMON_CRASHES ? 1 : together;
+    from += together;
   }
   return count;
 }
--- a/packages/lovagepond-gateway/src/deciders.ts
+++ b/packages/lovagepond-gateway/src/deciders.ts
@@ -3,6 +3,7 @@
  */
 export {AnswerTiming} from './gateway_answer_timing.js';
 export {GatewayChoice} from './gateway_choice.js';
+export {GatewayCrashWatch, REACHABILITY} from './gateway_crash_watch.js';
 export {type ContextFetch} from './gateway_context_source.js';
 export {ENGINE_WEIGHTS, type EngineWeights} from './gateway_engine_choice.js';
 export {GatewayFleet} from './gateway_fleet.js';
@@ -14,4 +15,4 @@
 export {GatewayReadings} from './gateway_readings.js';
 export {GatewayRetryBudget} from './gateway_retry_budget.js';
 export {type ForwardingRule, ForwardingRules} from './gateway_routes.js';
-export {type ServerState} from './gateway_server_state.js';
+export {ServerState} from './gateway_server_state.js';
--- a/packages/lovagepond-gateway/src/gateway_crash_watch.ts
+++ b/packages/lovagepond-gateway/src/gateway_crash_watch.ts
@@ -27,7 +27,7 @@
 const PROBE_INTERVAL_MS = 100;
 
 /** A server that accepts so many of them in a row is alive. */
-const MAX_PROBES = 4;
+const MAX_PROBES = 5;
 
 /** Requests that are kept for one server. */
 const MAX_REQUESTS = 512;
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -297,7 +297,8 @@
   /** Without a length its end may be the server's. */
   #noteAnswered(): void {
     if (this.#attempt?.endsWithConnection) return;
-    this.#parts.quarantine.noteAnswered(this.#req.fingerprint);
+    const {quarantine} = this.#parts;
+    quarantine.noteAnswered(this.#req.fingerprint, this.#now());
   }
 
   #onFailed(failure: AttemptFailure): void {
--- a/packages/lovagepond-gateway/src/gateway_quarantine.ts
+++ b/packages/lovagepond-gateway/src/gateway_quarantine.ts
@@ -49,12 +49,7 @@
 
   /** @param now present time, monotonic milliseconds; call it often */
   tick(now: number): void {
-    for (const {server} of this.#watch.takeProbes(now)) {
-      void this.#parts.probe(server.address).then(reachability => {
-        const probedAt = this.#parts.clock.now();
-        this.#watch.noteProbe(server.name, reachability, probedAt);
-      });
-    }
+    this.#probe(now);
     this.#report(now);
   }
 
@@ -110,6 +105,7 @@
   ): void {
     if (failure.kind === 'broken' && failure.isLost) {
       this.#watch.noteBroken(state, fingerprint, now);
+      this.#probe(now);
     } else if (failure.kind === 'unsent' && failure.isRefused) {
       this.#watch.noteEnded(state.server.name, now);
     } else if (state.isGone) {
@@ -117,9 +113,21 @@
     }
   }
 
-  /** @param fingerprint of a request that a server answered whole */
-  noteAnswered(fingerprint: string): void {
-    this.#requests.noteAnswered(fingerprint);
+  /**
+   * @param fingerprint of a request that a server answered whole
+   * @param now present time, monotonic milliseconds
+   */
+  noteAnswered(fingerprint: string, now: number): void {
+    this.#requests.noteAnswered(fingerprint, now);
+  }
+
+  #probe(now: number): void {
+    for (const {server} of this.#watch.takeProbes(now)) {
+      void this.#parts.probe(server.address).then(reachability => {
+        const probedAt = this.#parts.clock.now();
+        this.#watch.noteProbe(server.name, reachability, probedAt);
+      });
+    }
   }
 
   #noteCrash(crash: ServerCrash, now: number): void {
@@ -142,6 +150,7 @@
     if (!report) return;
     void this.#parts.report(report).then(isRecorded => {
       this.#requests.endReport(isRecorded);
+      if (isRecorded) this.#report(this.#parts.clock.now());
     });
   }
 }
--- /dev/null
+++ b/packages/lovagepond-measure/src/crash_play.ts
@@ -0,0 +1,424 @@
+/**
+ * A play in virtual time of requests that crash the servers that run them, among
+ * others that don't: gateways with the real deciders, servers that come back, callers
+ * that repeat, and control with its delays.
+ */
+import {
+  type BackendServer,
+  CrashEvidence,
+  type Random,
+  SERVER_STATE,
+} from '@lovagepond/core';
+import {
+  GatewayCrashWatch,
+  REACHABILITY,
+  ServerState,
+} from '@lovagepond/gateway/deciders';
+import {RequestQuarantine} from '@lovagepond/router/quarantine';
+import {VirtualTime} from './virtual_time.js';
+
+/** How far what gateways see of crashes goes. */
+export const KNOWLEDGE = {
+  NONE: 'none',
+  GATEWAY: 'gateway',
+  FLEET: 'fleet',
+} as const;
+
+/** One of the values of {@link KNOWLEDGE}. */
+export type Knowledge = (typeof KNOWLEDGE)[keyof typeof KNOWLEDGE];
+
+/** What happens beside requests that crash servers. */
+export interface CrashTroubles {
+  /** Mean time between two crashes without a cause in a request, ms. */
+  readonly crashEveryMs?: number;
+  /** Share of answers whose connection breaks though the server goes on. */
+  readonly lostAnswers?: number;
+  /** All servers lose power at this time, ms. */
+  readonly powerLossAtMs?: number;
+  /** Servers leave one after the other, so far apart, ms. */
+  readonly leaveEveryMs?: number;
+}
+
+/** One play. */
+export interface CrashPlay {
+  readonly knowledge: Knowledge;
+  /** Requests that crash what runs them. */
+  readonly guilty: number;
+  readonly troubles: CrashTroubles;
+}
+
+/** What came of it. */
+export interface CrashOutcome {
+  /** Servers that guilty requests crashed. */
+  readonly crashed: number;
+  readonly requests: number;
+  /** Requests that crash nothing and were refused as quarantined. */
+  readonly refused: number;
+  /** Requests that crash nothing and were never answered. */
+  readonly lost: number;
+}
+
+const GATEWAYS = 12;
+const SERVERS = 24;
+const END_MS = 60_000;
+const GUILTY_FROM_MS = 5_000;
+const GUILTY_EVERY_MS = 800;
+const REQUEST_EVERY_MS = 8;
+const RUN_MS = 1_500;
+const CRASH_AFTER_MS = 300;
+const RESTART_MS = 3_000;
+const LEAVE_MS = 2_000;
+const TICK_MS = 100;
+const PROBE_MS = 1;
+const REPORT_MS = 20;
+const TOLD_MS = 40;
+const REPORT_LOST = 0.1;
+const MAX_REPEATS = 3;
+const REPEAT_AFTER_MS = 500;
+/** Share of requests that all have one of a few contents, such as a status. */
+const FREQUENT_SHARE = 0.1;
+const FREQUENT_CONTENTS = 5;
+const SECOND_TRY_SHARE = 0.5;
+const SUSPECT_CRASHES = 2;
+
+interface Request {
+  readonly fingerprint: string;
+  readonly isGuilty: boolean;
+  readonly repeats: number;
+}
+
+interface Run {
+  readonly request: Request;
+  readonly gateway: Gateway;
+  readonly isSecond: boolean;
+  isOver: boolean;
+}
+
+interface Server {
+  readonly state: ServerState;
+  readonly runs: Set<Run>;
+  isUp: boolean;
+}
+
+interface Gateway {
+  readonly quarantine: RequestQuarantine;
+  readonly watch: GatewayCrashWatch;
+}
+
+/** Runs one play. */
+export class CrashPlayRun {
+  readonly #play: CrashPlay;
+  readonly #random: Random;
+  readonly #time = new VirtualTime();
+  readonly #control = new CrashEvidence();
+  readonly #gateways: Gateway[] = [];
+  #servers: Server[] = [];
+  #lives = 0;
+  #contents = 0;
+  #crashed = 0;
+  #requests = 0;
+  #refused = 0;
+  #lost = 0;
+
+  /**
+   * @param play what is played
+   * @param random seeded
+   */
+  constructor(play: CrashPlay, random: Random) {
+    this.#play = play;
+    this.#random = random;
+    for (let n = 0; n < SERVERS; n += 1) this.#startServer();
+    for (let n = 0; n < GATEWAYS; n += 1) {
+      this.#gateways.push(this.#makeGateway());
+    }
+  }
+
+  /** @returns what came of it */
+  run(): CrashOutcome {
+    const time = this.#time;
+    time.every(TICK_MS, TICK_MS, () => {
+      this.#tick();
+    });
+    this.#repeatedly(REQUEST_EVERY_MS, 0, () => {
+      this.#ask(this.#draw());
+    });
+    for (let n = 0; n < this.#play.guilty; n += 1) {
+      const fingerprint = toFingerprint(`guilty-${n}`);
+      this.#repeatedly(GUILTY_EVERY_MS, GUILTY_FROM_MS, () => {
+        this.#ask({fingerprint, isGuilty: true, repeats: MAX_REPEATS});
+      });
+    }
+    this.#startTroubles();
+    time.runUntil(END_MS);
+    return {
+      crashed: this.#crashed,
+      requests: this.#requests,
+      refused: this.#refused,
+      lost: this.#lost,
+    };
+  }
+
+  #startTroubles(): void {
+    const {crashEveryMs, powerLossAtMs, leaveEveryMs} = this.#play.troubles;
+    const up = (): Server[] => this.#servers.filter(({isUp}) => isUp);
+    if (crashEveryMs !== undefined) {
+      this.#repeatedly(crashEveryMs, 0, () => {
+        this.#crash(this.#random.pick(up()));
+      });
+    }
+    if (powerLossAtMs !== undefined) {
+      this.#time.at(powerLossAtMs, () => {
+        for (const server of up()) this.#crash(server);
+      });
+    }
+    if (leaveEveryMs !== undefined) {
+      this.#time.every(leaveEveryMs, leaveEveryMs, () => {
+        this.#leave(up()[0]);
+      });
+    }
+  }
+
+  #repeatedly(meanMs: number, from: number, run: () => void): void {
+    const gap = -Math.log(1 - this.#random.next()) * meanMs;
+    this.#time.at(from + gap, () => {
+      run();
+      this.#repeatedly(meanMs, this.#time.now, run);
+    });
+  }
+
+  #makeGateway(): Gateway {
+    const quarantine = new RequestQuarantine();
+    const watch = new GatewayCrashWatch((crash, now) => {
+      if (this.#play.knowledge === KNOWLEDGE.NONE) return;
+      quarantine.noteCrash(crash, now);
+      this.#report(quarantine);
+    });
+    return {quarantine, watch};
+  }
+
+  #startServer(): void {
+    this.#lives += 1;
+    const server = makeServer(`s${this.#lives}`);
+    this.#servers.push({
+      state: new ServerState(server),
+      runs: new Set(),
+      isUp: true,
+    });
+  }
+
+  #draw(): Request {
+    this.#requests += 1;
+    const isFrequent = this.#random.next() < FREQUENT_SHARE;
+    const content = Math.floor(this.#random.next() * FREQUENT_CONTENTS);
+    this.#contents += 1;
+    const name = isFrequent ? `frequent-${content}` : `${this.#contents}`;
+    const fingerprint = toFingerprint(name);
+    return {fingerprint, isGuilty: false, repeats: 0};
+  }
+
+  #ask(request: Request): void {
+    this.#offer(request, this.#random.pick(this.#gateways), false);
+  }
+
+  #offer(request: Request, gateway: Gateway, isSecond: boolean): void {
+    const {now} = this.#time;
+    const {fingerprint, isGuilty} = request;
+    if (gateway.quarantine.quarantinedForMs(fingerprint, now) !== undefined) {
+      if (!isGuilty) this.#refused += 1;
+      return;
+    }
+    const ready = this.#servers.filter(
+      ({isUp, state}) => isUp && state.server.state === SERVER_STATE.READY,
+    );
+    if (ready.length === 0) {
+      this.#repeat(request);
+      return;
+    }
+    const server = this.#random.pick(ready);
+    const run = {request, gateway, isSecond, isOver: false};
+    server.runs.add(run);
+    const meanMs = isGuilty ? CRASH_AFTER_MS : RUN_MS;
+    const lengthMs = meanMs * (0.5 + this.#random.next());
+    this.#time.after(lengthMs, () => {
+      this.#end(server, run);
+    });
+  }
+
+  #end(server: Server, run: Run): void {
+    if (run.isOver) return;
+    const {lostAnswers = 0} = this.#play.troubles;
+    if (run.request.isGuilty) {
+      this.#crashed += 1;
+      this.#crash(server);
+      return;
+    }
+    server.runs.delete(run);
+    run.isOver = true;
+    if (this.#random.next() < lostAnswers) {
+      this.#break(server, run);
+    } else {
+      const {fingerprint} = run.request;
+      run.gateway.quarantine.noteAnswered(fingerprint, this.#time.now);
+    }
+  }
+
+  #crash(server: Server | undefined): void {
+    if (!server?.isUp) return;
+    server.isUp = false;
+    this.#breakAll(server);
+    this.#time.after(RESTART_MS, () => {
+      this.#unlist(server);
+      this.#startServer();
+    });
+  }
+
+  #leave(server: Server | undefined): void {
+    if (!server) return;
+    const {state} = server;
+    state.server = {...state.server, state: SERVER_STATE.DRAINING};
+    this.#time.after(LEAVE_MS, () => {
+      if (!server.isUp) return;
+      server.isUp = false;
+      this.#breakAll(server);
+      this.#unlist(server);
+      this.#startServer();
+    });
+  }
+
+  #unlist(server: Server): void {
+    this.#servers = this.#servers.filter(one => one !== server);
+    const listed = new Set(this.#servers.map(({state}) => state.server.name));
+    for (const {watch} of this.#gateways) {
+      watch.noteListed(listed, this.#time.now);
+    }
+  }
+
+  #breakAll(server: Server): void {
+    const runs = [...server.runs];
+    server.runs.clear();
+    for (const run of runs) run.isOver = true;
+    for (const run of runs) this.#break(server, run);
+  }
+
+  #break({state}: Server, {request, gateway, isSecond}: Run): void {
+    const {now} = this.#time;
+    const {fingerprint} = request;
+    gateway.watch.noteBroken(state, fingerprint, now);
+    this.#probe(gateway.watch);
+    const crashes = gateway.quarantine.find(fingerprint, now)?.crashes ?? 0;
+    const isSuspect =
+      this.#play.knowledge !== KNOWLEDGE.NONE &&
+      crashes + gateway.watch.undecided(fingerprint) >= SUSPECT_CRASHES;
+    const mayTryAgain = !isSecond && this.#random.next() < SECOND_TRY_SHARE;
+    if (mayTryAgain && !isSuspect) this.#offer(request, gateway, true);
+    else this.#repeat(request);
+  }
+
+  #repeat(request: Request): void {
+    if (request.isGuilty) return;
+    if (request.repeats >= MAX_REPEATS) {
+      this.#lost += 1;
+      return;
+    }
+    this.#time.after(REPEAT_AFTER_MS * (0.5 + this.#random.next()), () => {
+      this.#ask({...request, repeats: request.repeats + 1});
+    });
+  }
+
+  #tick(): void {
+    for (const {watch, quarantine} of this.#gateways) {
+      this.#probe(watch);
+      this.#report(quarantine);
+    }
+  }
+
+  #probe(watch: GatewayCrashWatch): void {
+    const {now} = this.#time;
+    for (const {server} of watch.takeProbes(now)) {
+      this.#time.after(PROBE_MS, () => {
+        const isUp = this.#servers.some(
+          one => one.isUp && one.state.server.name === server.name,
+        );
+        const shown = isUp ? REACHABILITY.ACCEPTS : REACHABILITY.REFUSES;
+        watch.noteProbe(server.name, shown, this.#time.now);
+      });
+    }
+  }
+
+  #takeBack(quarantine: RequestQuarantine, fingerprint: string): void {
+    for (const {runs} of this.#servers) {
+      for (const run of runs) {
+        const {request, gateway} = run;
+        if (gateway.quarantine !== quarantine) continue;
+        if (request.fingerprint !== fingerprint) continue;
+        run.isOver = true;
+        runs.delete(run);
+        if (!request.isGuilty) this.#refused += 1;
+      }
+    }
+  }
+
+  #report(quarantine: RequestQuarantine): void {
+    if (this.#play.knowledge !== KNOWLEDGE.FLEET) return;
+    const report = quarantine.takeReport(this.#time.now);
+    if (!report) return;
+    this.#time.after(REPORT_MS, () => {
+      const isLost = this.#random.next() < REPORT_LOST;
+      quarantine.endReport(!isLost);
+      if (isLost) return;
+      this.#report(quarantine);
+      const {now} = this.#time;
+      for (const bytes of report.answered ?? []) {
+        this.#control.forget(Buffer.from(bytes).toString('hex'));
+      }
+      for (const {backendServer, requests, ageMs} of report.crashes ?? []) {
+        const crash = {
+          server: backendServer ?? '',
+          requests: (requests ?? []).map(one =>
+            Buffer.from(one).toString('hex'),
+          ),
+          crashedAt: now - (ageMs ?? 0),
+        };
+        this.#control.noteCrash(crash, now);
+      }
+      this.#tell();
+    });
+  }
+
+  #tell(): void {
+    const {now} = this.#time;
+    const suspects = this.#control.suspects(now).map(suspect => ({
+      request: Buffer.from(suspect.request, 'hex'),
+      crashes: suspect.crashes,
+      quarantinedForMs: Math.max(0, (suspect.quarantinedUntil ?? now) - now),
+    }));
+    for (const {quarantine} of this.#gateways) {
+      this.#time.after(TOLD_MS * this.#random.next(), () => {
+        const held = quarantine.apply({suspects}, this.#time.now);
+        for (const fingerprint of held) this.#takeBack(quarantine, fingerprint);
+      });
+    }
+  }
+}
+
+function makeServer(name: string): BackendServer {
+  return {
+    name,
+    incarnation: name,
+    pool: 'p',
+    labels: {},
+    availabilityZone: 'z',
+    region: 'r',
+    address: `${name}:1`,
+    state: SERVER_STATE.READY,
+    capacityTokens: 0,
+    models: [],
+    slot: 0,
+    directSlots: 64,
+    place: name,
+  };
+}
+
+function toFingerprint(content: string): string {
+  return Buffer.from(content).toString('hex');
+}
--- /dev/null
+++ b/packages/lovagepond-measure/src/gateway_crashes_measure.ts
@@ -0,0 +1,95 @@
+/**
+ * What requests that crash servers cost, by how far gateways' knowledge of crashes
+ * goes, and what the quarantine costs requests that crash nothing.
+ */
+import {Random} from '@lovagepond/core';
+import {
+  type CrashOutcome,
+  type CrashPlay,
+  CrashPlayRun,
+  type CrashTroubles,
+  KNOWLEDGE,
+} from './crash_play.js';
+import {roundTo} from './measure_statistics.js';
+import {type MeasureSection} from './measure_types.js';
+
+const SEEDS = 20;
+
+const TROUBLES: Readonly<Record<string, CrashTroubles>> = {
+  none: {},
+  'other crashes': {crashEveryMs: 4_000},
+  'lost answers': {lostAnswers: 0.025},
+  release: {leaveEveryMs: 1_500},
+  'loss of power': {powerLossAtMs: 20_000},
+  all: {
+    crashEveryMs: 4_000,
+    lostAnswers: 0.025,
+    leaveEveryMs: 3_000,
+    powerLossAtMs: 20_000,
+  },
+};
+
+const GUILTY = [0, 1, 3] as const;
+
+function meanOf(
+  outcomes: readonly CrashOutcome[],
+  read: (outcome: CrashOutcome) => number,
+): number {
+  return outcomes.reduce((sum, one) => sum + read(one), 0) / outcomes.length;
+}
+
+function playSeeds(play: CrashPlay): readonly CrashOutcome[] {
+  return Array.from({length: SEEDS}, (_, seed) =>
+    new CrashPlayRun(play, new Random(seed + 1)).run(),
+  );
+}
+
+/** @returns servers crashed and requests refused, by troubles and knowledge */
+export function measureGatewayCrashes(): Promise<readonly MeasureSection[]> {
+  const rows = Object.entries(TROUBLES).flatMap(([name, troubles]) =>
+    GUILTY.flatMap(guilty =>
+      Object.values(KNOWLEDGE).map(knowledge => {
+        const outcomes = playSeeds({knowledge, guilty, troubles});
+        const crashed = meanOf(outcomes, one => one.crashed);
+        const most = Math.max(...outcomes.map(one => one.crashed));
+        return [
+          name,
+          guilty,
+          knowledge,
+          guilty === 0 ? '' : roundTo(crashed / guilty, 2),
+          guilty === 0 ? '' : most,
+          roundTo(
+            meanOf(outcomes, one => one.refused),
+            2,
+          ),
+          roundTo(
+            meanOf(outcomes, one => one.lost),
+            2,
+          ),
+        ];
+      }),
+    ),
+  );
+  const requests = meanOf(
+    playSeeds({knowledge: KNOWLEDGE.FLEET, guilty: 0, troubles: {}}),
+    one => one.requests,
+  );
+  return Promise.resolve([
+    {
+      title: 'Requests that crash servers',
+      columns: [
+        'beside them',
+        'guilty requests',
+        'knowledge of crashes',
+        'servers crashed by each',
+        'most in one play',
+        'others refused',
+        'others lost',
+      ],
+      rows,
+      notes: [
+        `${SEEDS} seeds, 60 s, 12 gateways, 24 servers, ${roundTo(requests, 0)} other requests a play, guilty ones repeated every 0.8 s; npm run measure -- gateway-crashes`,
+      ],
+    },
+  ]);
+}
--- a/packages/lovagepond-measure/src/measure_table.ts
+++ b/packages/lovagepond-measure/src/measure_table.ts
@@ -8,6 +8,7 @@
 import {measureConsensus} from './consensus_measure.js';
 import {measureControl} from './control_measure.js';
 import {measureDecisionCost} from './decision_cost_measure.js';
+import {measureGatewayCrashes} from './gateway_crashes_measure.js';
 import {measureGatewayConfiguration} from './gateway_configuration_measure.js';
 import {
   measureGatewayAblation,
@@ -34,6 +35,7 @@
   'gateway-configuration': measureGatewayConfiguration,
   'gateway-plays': measureGatewayPlays,
   'gateway-ablation': measureGatewayAblation,
+  'gateway-crashes': measureGatewayCrashes,
   'gateway-size': measureGatewaySize,
   router: measureRouter,
   memory: async () => [await measureMemory()],
--- a/packages/lovagepond-router/src/__tests__/unit/router_quarantine.test.ts
+++ b/packages/lovagepond-router/src/__tests__/unit/router_quarantine.test.ts
@@ -72,13 +72,32 @@
   expect(quarantine.quarantinedForMs(BAD, 3_300)).toBeUndefined();
 });
 
+// Guards against the refusal of a frequent request that many servers ran when they
+// lost power.
+test('a request that was answered a short time ago counts for no crash', () => {
+  const quarantine = new RequestQuarantine();
+  quarantine.noteAnswered(BAD, 0);
+  quarantine.noteCrash(crash('s1', 59_000), 59_000);
+  expect(quarantine.takeReport(59_000)?.crashes).toMatchObject([
+    {backendServer: 's1', requests: []},
+  ]);
+  quarantine.endReport(true);
+  const request = Buffer.from(BAD, 'hex');
+  const told = {request, crashes: 3, quarantinedForMs: HOUR_MS};
+  expect(quarantine.apply({suspects: [told]}, 59_500)).toEqual([]);
+  expect(quarantine.quarantinedForMs(BAD, 59_500)).toBeUndefined();
+  expect(quarantine.takeReport(59_500)?.answered).toEqual([request]);
+  quarantine.noteCrash(crash('s2', 61_000), 61_000);
+  expect(quarantine.find(BAD, 61_000)?.crashes).toBe(1);
+});
+
 test('a whole answer acquits a suspect here and is told to control', () => {
   const quarantine = new RequestQuarantine();
-  quarantine.noteAnswered(BAD);
+  quarantine.noteAnswered(BAD, -HOUR_MS);
   expect(quarantine.takeReport(0)).toBeUndefined();
   const request = Buffer.from(BAD, 'hex');
   quarantine.apply({suspects: [{request, crashes: 2}]}, 0);
-  quarantine.noteAnswered(BAD);
+  quarantine.noteAnswered(BAD, 0);
   expect(quarantine.find(BAD, 0)).toBeUndefined();
   expect(quarantine.takeReport(0)?.answered).toEqual([request]);
 });
--- a/packages/lovagepond-router/src/router_quarantine.ts
+++ b/packages/lovagepond-router/src/router_quarantine.ts
@@ -27,6 +27,15 @@
 
 const FINGERPRINT_BYTES = 16;
 
+/**
+ * A request that was answered whole so short a time before a crash didn't cause it;
+ * milliseconds.
+ */
+const ANSWER_VALID_MS = 60_000;
+
+/** Requests whose last answer is remembered. */
+const MAX_ANSWERED = 4_096;
+
 /** Crashes told in one report. */
 const MAX_REPORTED = 64;
 
@@ -51,6 +60,8 @@
   #told = new Map<string, Suspect>();
   #unreported: ServerCrash[] = [];
   #answered = new Set<string>();
+  /** The last answers; the oldest first. */
+  readonly #answeredAt = new Map<string, number>();
   #underWay: {crashes: ServerCrash[]; answered: Set<string>} | undefined;
 
   /**
@@ -58,13 +69,26 @@
    * @param now present time, monotonic milliseconds
    */
   noteCrash(crash: ServerCrash, now: number): void {
-    this.#own.noteCrash(crash, now);
-    this.#unreported.push(crash);
+    const requests = crash.requests.filter(
+      request => !this.#wasAnswered(request, now),
+    );
+    const counted = {...crash, requests};
+    this.#own.noteCrash(counted, now);
+    this.#unreported.push(counted);
     if (this.#unreported.length > MAX_UNREPORTED) this.#unreported.shift();
   }
 
-  /** @param request fingerprint of a request that a server answered whole */
-  noteAnswered(request: string): void {
+  /**
+   * @param request fingerprint of a request that a server answered whole
+   * @param now present time, monotonic milliseconds
+   */
+  noteAnswered(request: string, now: number): void {
+    this.#answeredAt.delete(request);
+    this.#answeredAt.set(request, now);
+    for (const oldest of this.#answeredAt.keys()) {
+      if (this.#answeredAt.size <= MAX_ANSWERED) break;
+      this.#answeredAt.delete(oldest);
+    }
     const isOwn = this.#own.forget(request);
     const isTold = this.#told.delete(request);
     if (isOwn || isTold) this.#answered.add(request);
@@ -149,6 +173,10 @@
     const quarantined: string[] = [];
     for (const {request: bytes, crashes, quarantinedForMs} of suspects ?? []) {
       const request = Buffer.from(bytes ?? []).toString('hex');
+      if (this.#wasAnswered(request, now)) {
+        this.#answered.add(request);
+        continue;
+      }
       const forMs = quarantinedForMs ?? 0;
       const quarantinedUntil = forMs > 0 ? now + forMs : undefined;
       this.#told.set(request, {
@@ -163,6 +191,11 @@
     return quarantined;
   }
 
+  #wasAnswered(request: string, now: number): boolean {
+    const answeredAt = this.#answeredAt.get(request) ?? -Infinity;
+    return now - answeredAt <= ANSWER_VALID_MS;
+  }
+
   /** Control counts what it has recorded, and may have lifted it since. */
   #dropRecorded(now: number): void {
     const waiting = [...this.#unreported, ...(this.#underWay?.crashes ?? [])];
