Quarantine requests that crash engines behind sidecars too

Cause: the same as at gateways. A sidecar answers a run that broke off with Failed; the router tries another server, and a repeat starts from nothing at each router.

Change: the sidecar looks at its server when a run breaks off and names the life that ended in Failed; routers report, refuse and take back as gateways do, with the same evidence, report and update. What both share moved to CrashReporter.

Conclusion: shown with stand-ins, not in a run of real processes.

--- a/packages/lovagepond-gateway/src/gateway_quarantine.ts
+++ b/packages/lovagepond-gateway/src/gateway_quarantine.ts
@@ -4,9 +4,11 @@
  */
 import {type Clock, type Logger, type ServerCrash} from '@lovagepond/core';
 import {type ControlUpdate} from '@lovagepond/router/control_link';
+import {CrashReporter} from '@lovagepond/router/crash_reporter';
 import {
   type CrashReport,
   RequestQuarantine,
+  SUSPECT_CRASHES,
 } from '@lovagepond/router/quarantine';
 import {type AttemptFailure} from './gateway_attempt.js';
 import {GatewayCrashWatch, type Reachability} from './gateway_crash_watch.js';
@@ -14,9 +16,6 @@
 
 type QuarantineUpdate = NonNullable<ControlUpdate['quarantine']>;
 
-/** Servers that may crash under a request before it gets no second try. */
-const SUSPECT_CRASHES = 2;
-
 /** What the class works with. */
 export interface QuarantineParts {
   readonly clock: Clock;
@@ -33,6 +32,7 @@
 export class GatewayQuarantine {
   readonly #parts: QuarantineParts;
   readonly #requests = new RequestQuarantine();
+  readonly #reporter: CrashReporter;
   readonly #watch = new GatewayCrashWatch((crash, now) => {
     this.#noteCrash(crash, now);
   });
@@ -40,6 +40,9 @@
   /** @param parts what it works with */
   constructor(parts: QuarantineParts) {
     this.#parts = parts;
+    const {clock, report} = parts;
+    const quarantine = this.#requests;
+    this.#reporter = new CrashReporter({clock, quarantine, report});
   }
 
   /** Suspected requests that control tells of. */
@@ -50,7 +53,7 @@
   /** @param now present time, monotonic milliseconds; call it often */
   tick(now: number): void {
     this.#probe(now);
-    this.#report(now);
+    this.#reporter.tick(now);
   }
 
   /**
@@ -137,20 +140,10 @@
       requests: requests.join(' '),
       brokeMsAgo: Math.round(now - crashedAt),
     });
-    this.#requests.noteCrash(crash, now);
+    this.#reporter.noteCrash(crash, now);
     for (const fingerprint of requests) {
       const leftMs = this.quarantinedForMs(fingerprint, now);
       if (leftMs !== undefined) this.#parts.takeBack(fingerprint);
     }
-    this.#report(now);
-  }
-
-  #report(now: number): void {
-    const report = this.#requests.takeReport(now);
-    if (!report) return;
-    void this.#parts.report(report).then(isRecorded => {
-      this.#requests.endReport(isRecorded);
-      if (isRecorded) this.#report(this.#parts.clock.now());
-    });
   }
 }
--- a/packages/lovagepond-router/src/__tests__/unit/router_role.test.ts
+++ b/packages/lovagepond-router/src/__tests__/unit/router_role.test.ts
@@ -5,6 +5,7 @@
   makeFailure,
   Random,
 } from '@lovagepond/core';
+import {setTimeout as wait} from 'node:timers/promises';
 import {afterEach, expect, test} from 'vitest';
 import {type RouterParts, RouterRole} from '../../router_role.js';
 import {
@@ -26,6 +27,8 @@
   type WireMember,
 } from '../fakes/router_fakes.js';
 
+const BAD_BODY = Buffer.from('crash');
+
 const closers: (() => void | Promise<void>)[] = [];
 const controls: FakeControl[] = [];
 
@@ -258,3 +261,47 @@
   }
   expect(role.dump().state).toMatchObject({suspects: 1, hops: 1});
 });
+
+/** Longer than the time in which crashes count once. */
+const COMMON_CAUSE_MS = 250;
+
+// Guards against a request that crashes one engine after the other behind sidecars.
+test('a request that crashed three engines is sent to no further one', async () => {
+  const served: string[] = [];
+  const members: WireMember[] = [];
+  for (const name of ['s1', 's2', 's3', 's4', 's5']) {
+    const sidecar = new FakeSidecar(`i-${name}`, attempt => {
+      served.push(name);
+      const isBad = Buffer.from(attempt.request.body ?? []).equals(BAD_BODY);
+      if (!isBad) {
+        answerWhole(attempt);
+        return;
+      }
+      attempt.send({started: {}});
+      const errorKind = 'backendFailed';
+      attempt.send({
+        failed: {errorKind, crashedLife: `${name}.${served.length}`},
+      });
+      attempt.end();
+    });
+    await startSidecar(sidecar);
+    members.push(sidecar.member(name));
+  }
+  const {ask} = await startAsked(members);
+  const bad = {body: BAD_BODY, bodyDigest: BAD_BODY};
+  for (let turn = 0; turn < 5; turn += 1) {
+    const sink = ask(bad);
+    await sink.done;
+    if (served.length >= 3) break;
+    await wait(COMMON_CAUSE_MS);
+  }
+  expect(served).toHaveLength(3);
+  const refused = ask(bad);
+  await refused.done;
+  expect(refused.failure?.kind).toBe('quarantined');
+  expect(refused.failure?.retryAfterMs).toBeGreaterThan(0);
+  expect(served).toHaveLength(3);
+  const other = ask();
+  await other.done;
+  expect(other).toMatchObject({text: 'hello', ended: true});
+});
--- a/packages/lovagepond-router/src/router_dispatcher.ts
+++ b/packages/lovagepond-router/src/router_dispatcher.ts
@@ -16,9 +16,11 @@
 import {type RouterCounters} from './router_counters.js';
 import {type EarlyRefusal} from './router_early_refusal.js';
 import {type Eligible} from './router_eligibility.js';
+import {type CrashReporter} from './router_crash_reporter.js';
 import {type RouterEvidence} from './router_evidence.js';
-import {type Frame, type FrameBody} from './router_frames.js';
+import {type FailedBody, type Frame, type FrameBody} from './router_frames.js';
 import {type RouterLoadView} from './router_load_view.js';
+import {type RequestQuarantine, SUSPECT_CRASHES} from './router_quarantine.js';
 import {describeForPlacement} from './router_request_estimate.js';
 import {
   type Placed,
@@ -49,6 +51,8 @@
   readonly refusal: EarlyRefusal;
   readonly counters: RouterCounters;
   readonly connections: SidecarConnections;
+  readonly quarantine: RequestQuarantine;
+  readonly crashes: CrashReporter;
 }
 
 /** Frames that come once or seldom; a load with each chunk costs too much. */
@@ -93,15 +97,24 @@
 
   /** See {@link CallerHandler.handle}. */
   handle(request: CallerRequest, sink: AnswerSink, now: number): void {
+    const runner = this.#prepare(request, sink, now);
+    if (!runner) return;
+    this.#runners.add(runner);
+    runner.start();
+  }
+
+  #prepare(
+    request: CallerRequest,
+    sink: AnswerSink,
+    now: number,
+  ): RequestRunner | undefined {
     const admitted = this.#admit(request, now);
     if ('kind' in admitted) {
       this.#parts.counters.noteFailed(admitted.kind);
       sink.fail(this.completeFailure(admitted));
-      return;
+      return undefined;
     }
-    const runner = new RequestRunner(this, request, admitted, sink);
-    this.#runners.add(runner);
-    runner.start();
+    return new RequestRunner(this, request, admitted, sink);
   }
 
   /** See {@link RunnerHost.place}. */
@@ -109,6 +122,11 @@
     const {runner, excluded, wanted, after} = query;
     const {choice, load, state} = this.#parts;
     const {request, returning} = runner;
+    const refusal = this.#quarantined(runner.fingerprint, now);
+    if (refusal) return after ?? refusal;
+    if (after && query.costsBudget && this.#isSuspect(runner, now)) {
+      return after;
+    }
     // By the configuration in force now: it may have changed since the
     // request came, and a sidecar may just have handed over a newer one.
     const verdict = state.findEligible(request);
@@ -149,9 +167,13 @@
   noteFrame(runner: RequestRunner, frame: Frame, now: number): void {
     const {load, state, evidence, counters} = this.#parts;
     const {body, incarnation} = frame;
+    if (body.kind === 'failed') this.#noteCrash(runner, body, now);
     if (!LOAD_BEARERS.has(body.kind)) return;
     state.revisions.noteSidecar(incarnation, frame.revision);
     evidence.noteHeard(incarnation, now);
+    if (body.kind === 'end') {
+      this.#parts.quarantine.noteAnswered(runner.fingerprint, now);
+    }
     if (body.kind === 'started') counters.noteStarted(runner.returning, body);
     const server = runner.placed?.server;
     if (server?.incarnation !== incarnation) return;
@@ -200,6 +222,37 @@
     for (const runner of this.#runners) runner.tick(now);
   }
 
+  /** @param fingerprint of requests that must not run any longer */
+  takeBack(fingerprint: string, now: number): void {
+    const failure = this.#quarantined(fingerprint, now);
+    if (!failure) return;
+    for (const runner of [...this.#runners]) {
+      if (runner.fingerprint === fingerprint) runner.takeBack(failure);
+    }
+  }
+
+  #noteCrash(
+    {fingerprint}: RequestRunner,
+    {crashedLife: server}: FailedBody,
+    now: number,
+  ): void {
+    if (server === '') return;
+    const requests = [fingerprint];
+    this.#parts.crashes.noteCrash({server, requests, crashedAt: now}, now);
+  }
+
+  #isSuspect({fingerprint}: RequestRunner, now: number): boolean {
+    const crashes = this.#parts.quarantine.find(fingerprint, now)?.crashes ?? 0;
+    return crashes >= SUSPECT_CRASHES;
+  }
+
+  #quarantined(fingerprint: string, now: number): Failure | undefined {
+    const {quarantine} = this.#parts;
+    const retryAfterMs = quarantine.quarantinedForMs(fingerprint, now);
+    if (retryAfterMs === undefined) return undefined;
+    return makeFailure('quarantined', {retryAfterMs});
+  }
+
   /** @returns where the request may go, or its final answer */
   #admit(request: CallerRequest, now: number): Eligible | Failure {
     const {state, choice, refusal} = this.#parts;
--- a/packages/lovagepond-router/src/router_frames.ts
+++ b/packages/lovagepond-router/src/router_frames.ts
@@ -60,6 +60,8 @@
   readonly errorKind: ErrorKind;
   readonly message: string;
   readonly retryAfterMs: number;
+  /** Life of the backend server that ended meanwhile; empty when it goes on. */
+  readonly crashedLife: string;
 }
 
 /** What one frame says. */
@@ -126,6 +128,7 @@
     errorKind: parseErrorKind(frame.failed?.errorKind ?? ''),
     message: frame.failed?.message ?? '',
     retryAfterMs: frame.failed?.retryAfterMs ?? 0,
+    crashedLife: frame.failed?.crashedLife ?? '',
   }),
 };
 
--- a/packages/lovagepond-router/src/router_quarantine.ts
+++ b/packages/lovagepond-router/src/router_quarantine.ts
@@ -25,6 +25,9 @@
   readonly body: Uint8Array;
 }
 
+/** Servers that may crash under a request before it gets no second try. */
+export const SUSPECT_CRASHES = 2;
+
 const FINGERPRINT_BYTES = 16;
 
 /**
--- a/packages/lovagepond-router/src/router_request_runner.ts
+++ b/packages/lovagepond-router/src/router_request_runner.ts
@@ -2,16 +2,18 @@
  * Runs one request: does what its state machine asks for and reports back.
  */
 import {type AnswerSink, type CallerRequest} from '@lovagepond/caller';
-import {type Failure, type Unregister} from '@lovagepond/core';
+import {type Failure, makeFailure, type Unregister} from '@lovagepond/core';
 import {type lovagepond} from '@lovagepond/protocol';
 import {type SidecarConnection} from './router_connections.js';
 import {type Eligible} from './router_eligibility.js';
 import {RequestMachine} from './router_request.js';
 import {type Placed, type RunnerHost} from './router_request_host.js';
+import {fingerprintOf} from './router_quarantine.js';
 import {isReturning} from './router_request_estimate.js';
 import {
   type Attempt,
   type RequestAction,
+  REQUEST_STATE,
   type RequestEvent,
   type RequestState,
 } from './router_request_types.js';
@@ -37,6 +39,15 @@
   ) => void;
 };
 
+/** States in which no sidecar was offered the request. */
+const UNSENT: ReadonlySet<RequestState> = new Set([
+  REQUEST_STATE.RECEIVED,
+  REQUEST_STATE.PLACED,
+]);
+
+/** Callers' requests are all of this method. */
+const METHOD = 'POST';
+
 /** One request in flight. */
 export class RequestRunner {
   // One table for all requests: a request in flight should cost little.
@@ -57,6 +68,8 @@
   };
 
   readonly request: CallerRequest;
+  /** The same for each repeat. */
+  readonly fingerprint: string;
   /** The request's prompt holds an earlier answer of its chat. */
   readonly returning: boolean;
   readonly #host: RunnerHost;
@@ -78,6 +91,13 @@
     sink: AnswerSink,
   ) {
     this.request = request;
+    this.fingerprint = fingerprintOf({
+      method: METHOD,
+      path: request.path,
+      workspace: request.workspace,
+      // Holds the body, and is made already.
+      body: request.bodyDigest,
+    });
     this.returning = isReturning(request);
     this.#host = host;
     this.#eligible = eligible;
@@ -113,6 +133,17 @@
     this.#perform(this.#machine.receive({kind: 'tick'}, now));
   }
 
+  /**
+   * Ends the request, as servers crash while they run it.
+   *
+   * @param unrun the answer if no server got it
+   */
+  takeBack(unrun: Failure): void {
+    const isUnsent = UNSENT.has(this.state);
+    this.#receive({kind: 'callerGone'});
+    this.#fail(isUnsent ? unrun : makeFailure('backendFailed'));
+  }
+
   /** Takes back the registration at the caller's side. */
   close(): void {
     this.#unregister();
--- a/packages/lovagepond-router/src/router_role.ts
+++ b/packages/lovagepond-router/src/router_role.ts
@@ -13,6 +13,7 @@
 } from '@lovagepond/core';
 import {SidecarConnections} from './router_connections.js';
 import {ControlLink, type ControlUpdate} from './router_control_link.js';
+import {CrashReporter} from './router_crash_reporter.js';
 import {RouterCounters} from './router_counters.js';
 import {RouterDispatcher} from './router_dispatcher.js';
 import {EarlyRefusal} from './router_early_refusal.js';
@@ -20,6 +21,7 @@
 import {RouterLoadView} from './router_load_view.js';
 import {PLACEMENT_POLICIES} from './router_placement_table.js';
 import {SidecarProber} from './router_prober.js';
+import {RequestQuarantine} from './router_quarantine.js';
 import {loadKeyHasher} from './router_rendezvous_hash.js';
 import {RetryBudget} from './router_retry_budget.js';
 import {RouterRevisions} from './router_revisions.js';
@@ -69,6 +71,8 @@
   readonly #connections: SidecarConnections;
   readonly #state: RouterState;
   readonly #link: ControlLink;
+  readonly #quarantine = new RequestQuarantine();
+  readonly #crashes: CrashReporter;
   #choice: ServerChoice | undefined;
   #running: Running | undefined;
   #timer: NodeJS.Timeout | undefined;
@@ -90,8 +94,13 @@
       if (load?.membershipVersion !== version || !load.loads) return;
       this.#load.applyDigest(load.loads, now - (load.ageMs ?? 0));
     },
+    quarantine: ({quarantine}, now) => {
+      for (const request of this.#quarantine.apply(quarantine ?? {}, now)) {
+        this.#parts.log.warn('request quarantined', {fingerprint: request});
+        this.#running?.dispatcher.takeBack(request, now);
+      }
+    },
     // The link keeps them.
-    quarantine: () => {},
     controlMembers: () => {},
     heartbeat: () => {},
     // Sidecars know what their engines read; only gateways place by this.
@@ -104,6 +113,11 @@
     const {random, log} = parts;
     this.#evidence = new RouterEvidence(DEFAULT_EVIDENCE_SETTINGS, random);
     this.#connections = new SidecarConnections(settings.connectTimeoutMs);
+    this.#crashes = new CrashReporter({
+      clock: parts.clock,
+      quarantine: this.#quarantine,
+      report: report => this.#link.reportCrashes(report),
+    });
     const revisions = new RouterRevisions(settings);
     this.#state = new RouterState(revisions, log, {
       membershipChanged: (membership, now) =>
@@ -180,6 +194,7 @@
       membershipVersion: membership.version,
       backendServers: membership.servers.size,
       suspects: this.#evidence.suspects,
+      suspectedRequests: this.#quarantine.size,
       skew: Object.fromEntries(measureSkew(membership, this.#load)),
       connections: this.#connections.size,
       inFlight: this.#running?.dispatcher.inFlight ?? 0,
@@ -210,6 +225,8 @@
       evidence: this.#evidence,
       counters: this.#counters,
       connections: this.#connections,
+      quarantine: this.#quarantine,
+      crashes: this.#crashes,
     };
     const dispatcher = new RouterDispatcher(settings, {
       ...shared,
@@ -228,6 +245,7 @@
     const now = this.#parts.clock.now();
     this.#link.tick(now);
     dispatcher.tick(now);
+    this.#crashes.tick(now);
     prober.tick(now, this.#state.revision);
   }
 
--- a/packages/lovagepond-scenarios/src/steps/request_steps.ts
+++ b/packages/lovagepond-scenarios/src/steps/request_steps.ts
@@ -63,7 +63,13 @@
 
 When<ScenarioWorld>('{word} fails', function (_server) {
   const errorKind = 'backendFailed';
-  this.request.frame({kind: 'failed', errorKind, message: '', retryAfterMs: 0});
+  this.request.frame({
+    kind: 'failed',
+    errorKind,
+    message: '',
+    retryAfterMs: 0,
+    crashedLife: '',
+  });
 });
 
 function refuse(
--- a/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_backend_watch.test.ts
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_backend_watch.test.ts
@@ -14,6 +14,38 @@
   }
 }
 
+// Guards against a crash that looks to routers like any failed run.
+it('tells that the life in which a run began has ended', async () => {
+  const engine = new FlakyEngine();
+  const gate = new SidecarGate(
+    {
+      ...DEFAULT_GATE_SETTINGS,
+      backendServer: 'engine-1',
+      incarnation: 'inc-1',
+    },
+    new Random(1),
+  );
+  const watch = new SidecarBackendWatch({
+    backend: {kind: 'engine', engine},
+    gate,
+    clock: CLOCK,
+    log: LOG,
+  });
+  await watch.look();
+  const {life} = watch;
+  expect(await watch.hasEnded(life)).toBe(false);
+  engine.answers = false;
+  expect(await watch.hasEnded(life)).toBe(true);
+  await watch.look();
+  expect(watch.life).toBe(life + 1);
+  engine.answers = true;
+  engine.incarnation = 'engine-b';
+  await watch.look();
+  expect(watch.life).toBe(life + 1);
+  engine.incarnation = 'engine-c';
+  expect(await watch.hasEnded(life + 1)).toBe(true);
+});
+
 // The engine restarts between two looks. Its cache is empty now: a chat that
 // still counts as warm would be held for a context that is gone. An engine
 // that doesn't answer twice is down; one request that can't be sent and one
--- a/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_dispatcher.test.ts
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_dispatcher.test.ts
@@ -57,6 +57,9 @@
   }
 }
 
+/** Whether a run that breaks off finds its engine ended. */
+const hasCrashed = {value: false};
+
 function makeWorld(engine: EchoEngine): {
   dispatcher: SidecarDispatcher;
   gate: SidecarGate;
@@ -79,6 +82,8 @@
     point: () => {},
     noteUnreachable: () => {},
     noteServed: () => {},
+    life: () => 0,
+    hasEnded: () => Promise.resolve(hasCrashed.value),
   });
   return {dispatcher, gate, clock};
 }
@@ -112,6 +117,24 @@
   for (let turn = 0; turn < 50; turn += 1) await Promise.resolve();
 }
 
+describe('an attempt that breaks off', () => {
+  it.each([
+    [true, 'inc-1.0'],
+    [false, ''],
+  ])('names the life that ended (%s)', async (hasEnded, crashedLife) => {
+    hasCrashed.value = hasEnded;
+    const engine = new ScriptedEngine();
+    const failure = makeFailure('backendFailed');
+    engine.scripts.push([{kind: 'failed', failure}]);
+    const {dispatcher} = makeWorld(engine);
+    const stream = new FakeStream();
+    dispatcher.offer(makeRequest('a'), stream);
+    await settle();
+    hasCrashed.value = false;
+    expect(stream.frames.at(-1)?.failed).toMatchObject({crashedLife});
+  });
+});
+
 describe('an attempt whose stream is lost', () => {
   // The stream breaks in the middle of the answer and the sidecar notices
   // before the router is back. The run must go on for a while, and the router
--- a/packages/lovagepond-sidecar/src/sidecar_backend_watch.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_backend_watch.ts
@@ -42,7 +42,11 @@
   #incarnation: string | undefined;
   #models: readonly string[] = [];
   #unregister: Unregister = () => {};
-  #looking = false;
+  #looking: Promise<void> | undefined;
+  /** Lives of the backend server that have ended. */
+  #endedLives = 0;
+  /** None runs now, as far as is known. */
+  #isLifeOver = true;
 
   constructor(parts: WatchParts) {
     this.#parts = parts;
@@ -80,18 +84,48 @@
     this.#failures += 1;
   }
 
+  /** The life that runs now, counted from 0. */
+  get life(): number {
+    return this.#endedLives;
+  }
+
+  /**
+   * To be asked when a run broke off.
+   *
+   * @param life of the backend server when the run began
+   * @returns true when that life has ended
+   */
+  async hasEnded(life: number): Promise<boolean> {
+    // A look that is under way may have been answered before the run broke off.
+    for (let looks = 0; looks < 2 && life === this.#endedLives; looks += 1) {
+      await this.look();
+    }
+    return life < this.#endedLives;
+  }
+
   /** Looks once; a look that still goes on is not doubled. */
-  async look(): Promise<void> {
-    if (this.#looking) return;
-    this.#looking = true;
+  look(): Promise<void> {
+    this.#looking ??= this.#lookOnce().finally(() => {
+      this.#looking = undefined;
+    });
+    return this.#looking;
+  }
+
+  async #lookOnce(): Promise<void> {
     const wasUp = this.up;
     const answered = await this.#ask();
-    this.#looking = false;
+    if (answered) this.#isLifeOver = false;
+    else this.#endLife();
     this.#failures = answered ? 0 : this.#failures + 1;
     if (wasUp === this.up) return;
     this.#parts.log.info('backend server', {up: this.up});
   }
 
+  #endLife(): void {
+    if (!this.#isLifeOver) this.#endedLives += 1;
+    this.#isLifeOver = true;
+  }
+
   async #ask(): Promise<boolean> {
     const {backend, gate, clock} = this.#parts;
     if (backend.kind === 'service') return backend.service.probe();
@@ -102,6 +136,7 @@
     if (this.#incarnation !== undefined && this.#incarnation !== incarnation) {
       // Its cache is empty now: kept as warm, chats would be held for it.
       gate.backendRestarted(now);
+      this.#endLife();
       this.#parts.log.warn('backend server restarted', {incarnation});
     }
     this.#incarnation = incarnation;
--- a/packages/lovagepond-sidecar/src/sidecar_dispatcher.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_dispatcher.ts
@@ -16,7 +16,7 @@
 import {type ClaimAnswer} from './sidecar_claims.js';
 import {makeAccepted, makeRefused} from './sidecar_frames.js';
 import {type SidecarGate} from './sidecar_gate.js';
-import {runAttempt, type RunOutcome} from './sidecar_run.js';
+import {hasBrokenOff, runAttempt, type RunOutcome} from './sidecar_run.js';
 import {type FrameStream, SidecarSession} from './sidecar_session.js';
 import {SidecarSessions} from './sidecar_sessions.js';
 import {type SidecarSettings} from './sidecar_settings.js';
@@ -31,6 +31,9 @@
 
 const RECORD_TIMEOUT_MS = 600_000;
 const LEDGER_RETRY_MS = 100;
+
+/** Time in which a backend server that broke a run off shows that it ended, ms. */
+const END_KNOWN_WITHIN_MS = 300;
 const NO_BYTES = new Uint8Array();
 
 /** What the dispatcher needs besides its settings. */
@@ -47,6 +50,10 @@
   point(request: AttemptRequest): void;
   /** The backend server could not be reached. */
   noteUnreachable(): void;
+  /** Life of the backend server that runs now. */
+  readonly life: () => number;
+  /** @returns true when that life of the backend server has ended */
+  readonly hasEnded: (life: number) => Promise<boolean>;
   /** A chat's run is over; its context is cached. */
   noteServed(request: AttemptRequest): void;
 }
@@ -275,9 +282,14 @@
     this.#sessions.forget(session.request.attemptId);
   }
 
-  #fail(session: SidecarSession, failure: Failure, now: number): void {
+  #fail(
+    session: SidecarSession,
+    failure: Failure,
+    now: number,
+    crashedLife?: string,
+  ): void {
     countUp(this.#failedByKind, failure.kind);
-    session.fail(failure, now);
+    session.fail(failure, now, crashedLife);
   }
 
   async #run(session: SidecarSession): Promise<void> {
@@ -288,12 +300,34 @@
     this.#aborts.set(attemptId, abort);
     const {signal} = abort;
     const parts = {backend, session, clock, signal};
+    const life = this.#parts.life();
     const outcome = await runAttempt(parts);
     this.#aborts.delete(attemptId);
-    this.#onRunEnd(session, outcome);
+    const hasCrashed =
+      hasBrokenOff(outcome) && !signal.aborted && (await this.#hasEnded(life));
+    const crashedLife = hasCrashed ? this.#nameOfLife(life) : undefined;
+    this.#onRunEnd(session, outcome, crashedLife);
+  }
+
+  /** The caller of a run that broke off doesn't wait long for what it was. */
+  #hasEnded(life: number): Promise<boolean> {
+    const limit = new Promise<boolean>(resolve => {
+      setTimeout(() => {
+        resolve(false);
+      }, END_KNOWN_WITHIN_MS).unref();
+    });
+    return Promise.race([this.#parts.hasEnded(life), limit]);
   }
 
-  #onRunEnd(session: SidecarSession, outcome: RunOutcome): void {
+  #nameOfLife(life: number): string {
+    return `${this.#parts.incarnation}.${life}`;
+  }
+
+  #onRunEnd(
+    session: SidecarSession,
+    outcome: RunOutcome,
+    crashedLife: string | undefined,
+  ): void {
     const now = this.#parts.clock.now();
     const {request} = session;
     if (outcome.kind === 'done') {
@@ -302,7 +336,9 @@
       session.finish(now);
       this.#parts.noteServed(request);
     }
-    if (outcome.kind === 'failed') this.#fail(session, outcome.failure, now);
+    if (outcome.kind === 'failed') {
+      this.#fail(session, outcome.failure, now, crashedLife);
+    }
     const kind = outcome.kind === 'notRun' ? outcome.failure.kind : undefined;
     if (kind === 'unreachable') this.#parts.noteUnreachable();
     if (request.nonRepeatable) this.#record(session, outcome);
--- a/packages/lovagepond-sidecar/src/sidecar_frames.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_frames.ts
@@ -71,12 +71,16 @@
 
 /**
  * @param failure why the dispatched attempt failed
+ * @param crashedLife life of the backend server that ended meanwhile; empty when
+ *     it goes on
  * @returns the frame
  */
-export function makeFailed(failure: Failure): FrameBody {
+export function makeFailed(failure: Failure, crashedLife = ''): FrameBody {
   const {kind: errorKind, message} = failure;
   const retryAfterMs = Math.round(failure.retryAfterMs);
-  return {failed: new v1.Failed({errorKind, message, retryAfterMs})};
+  return {
+    failed: new v1.Failed({errorKind, message, retryAfterMs, crashedLife}),
+  };
 }
 
 /**
--- a/packages/lovagepond-sidecar/src/sidecar_role.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_role.ts
@@ -233,6 +233,8 @@
         this.#updateReadiness();
         void this.#look();
       },
+      life: () => this.#watch.life,
+      hasEnded: life => this.#watch.hasEnded(life),
       noteServed: ({workspace, chat}) =>
         this.#mover?.recent.note({workspace, chat}),
     });
--- a/packages/lovagepond-sidecar/src/sidecar_run.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_run.ts
@@ -17,8 +17,8 @@
 const MAX_UNSENT_BYTES = 64 * 1024;
 const MAX_RESUMES = 2;
 
-/** Failures after which an engine may still hold the generation. */
-const RESUMABLE: ReadonlySet<ErrorKind> = new Set([
+/** Failures after which an engine may still hold the generation, or have ended. */
+const BROKEN_OFF: ReadonlySet<ErrorKind> = new Set([
   'backendFailed',
   'backendSilent',
   'answerTruncated',
@@ -113,12 +113,19 @@
   }
 }
 
+/**
+ * @param outcome how a run ended
+ * @returns true when the backend server didn't end it by an answer
+ */
+export function hasBrokenOff(outcome: RunOutcome): boolean {
+  return outcome.kind === 'failed' && BROKEN_OFF.has(outcome.failure.kind);
+}
+
 function mayResume(outcome: RunOutcome, parts: RunParts): boolean {
   const {session, backend, signal} = parts;
   return (
-    outcome.kind === 'failed' &&
     backend.kind === 'engine' &&
-    RESUMABLE.has(outcome.failure.kind) &&
+    hasBrokenOff(outcome) &&
     session.answerBytes > 0 &&
     !session.request.nonRepeatable &&
     !signal.aborted
--- a/packages/lovagepond-sidecar/src/sidecar_session.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_session.ts
@@ -169,9 +169,10 @@
   /**
    * @param failure why the attempt failed after its dispatch
    * @param now present time
+   * @param crashedLife life of the backend server that ended meanwhile, if any
    */
-  fail(failure: Failure, now: number): void {
-    this.#close(makeFailed(failure), now);
+  fail(failure: Failure, now: number, crashedLife?: string): void {
+    this.#close(makeFailed(failure, crashedLife), now);
   }
 
   /**
