--- a/scripts/test_safeguards.mjs
+++ b/scripts/test_safeguards.mjs
@@ -20,6 +20,7 @@
 const LISTS = [
   'scripts/safeguards.json',
   'scripts/safeguards_control.json',
+  'scripts/safeguards_quarantine.json',
   'scripts/safeguards_scenarios.json',
 ];
 const REPORT = 'reports/safeguard.json';
