Have gateways tell again of requests that still run

Callers saw: nothing was reported; found by reading what the sums rest on.

Cause: a gateway told a server's number of its requests only when it changed, and the others and control forget it after 3 s. A server full of long requests looked free to all other gateways.

Change: a number above zero is told again after 1.5 s.

Test: 'goes on counting requests that run for long' failed before (0 in place of 4 after 3 s). The last line of 'tells numbers the more rarely' demanded that an unchanged number isn't told 3.6 s later, which was the fault; it now demands silence until 1.499 s.

--- a/packages/lovagepond-gateway/src/gateway_readings.ts
+++ b/packages/lovagepond-gateway/src/gateway_readings.ts
@@ -24,6 +24,16 @@
  */
 const RUNNING_MS_PER_SERVER = 4;
 
+/** The others forget a number that they haven't been told for 3 s. */
+const TELL_AGAIN_MS = 1_500;
+
+interface ToldRunning {
+  readonly requests: number;
+  readonly at: number;
+}
+
+const NOTHING_TOLD: ToldRunning = Object.freeze({requests: 0, at: -Infinity});
+
 /** Tokens of prefixes at one server, as far as is known here. */
 export interface NotedTokens {
   /** What it didn't hold before. */
@@ -42,7 +52,7 @@
   readonly #rate: PrefillRate;
   readonly #peers: GatewayPeers;
   #collected: WireReading[] = [];
-  #toldRunning: ReadonlyMap<string, number> = new Map();
+  #toldRunning: ReadonlyMap<string, ToldRunning> = new Map();
   #runningToldAt = Number.NEGATIVE_INFINITY;
 
   /**
@@ -88,20 +98,22 @@
     this.#collected = [];
     const intervalMs = RUNNING_MS_PER_SERVER * this.#fleet.size;
     const isDue = now - this.#runningToldAt >= intervalMs;
-    const running = isDue || readings.length > 0 ? this.#takeRunning() : [];
+    const running = isDue || readings.length > 0 ? this.#takeRunning(now) : [];
     if (readings.length === 0 && running.length === 0) return undefined;
     this.#runningToldAt = now;
     return {readings, running};
   }
 
-  #takeRunning(): WireRunning[] {
+  #takeRunning(now: number): WireRunning[] {
     const changed: WireRunning[] = [];
-    const told = new Map<string, number>();
+    const told = new Map<string, ToldRunning>();
     for (const state of this.#fleet.all()) {
       const {inFlight: requests, server} = state;
-      const before = this.#toldRunning.get(server.name) ?? 0;
-      told.set(server.name, requests);
-      if (requests === before && !state.hasUntoldFailure) continue;
+      const before = this.#toldRunning.get(server.name) ?? NOTHING_TOLD;
+      const isDue = requests > 0 && now - before.at >= TELL_AGAIN_MS;
+      const isNews = requests !== before.requests || state.hasUntoldFailure;
+      told.set(server.name, isNews || isDue ? {requests, at: now} : before);
+      if (!isNews && !isDue) continue;
       const outcomes = state.takeUntold();
       changed.push({backendServer: server.name, requests, ...outcomes});
     }
