Count what gateways do: ends, refusals, failed attempts, crashes

Cause: the path that users run had two metrics of its own; whether requests are refused, cut or tried again, and whether servers crash, was in the logs alone.

Change: counters in the gateway's dump and metrics by outcome and kind (closed lists, so their number is bounded), servers crashed and suspected requests; the last also on routers and control. Types of an exchange moved to a file of their own.

Test: 'counts requests and attempts by how they ended', 'shows what a gateway counts'.

Not done of the issue: time to first byte, gaps, waiting, warm tokens, ages; a bound shown at 40 workspaces and 80 servers; what they cost a start.

--- /dev/null
+++ b/packages/lovagepond-cli/src/__tests__/unit/role_metrics.test.ts
@@ -0,0 +1,38 @@
+import {type Role, type StateDump} from '@lovagepond/core';
+import {MetricsRegistry} from '@lovagepond/process';
+import {expect, it} from 'vitest';
+import {registerRoleMetrics} from '../../role_metrics.js';
+
+const STATE = {
+  revision: 3,
+  inFlight: 2,
+  connectionsOpened: 9,
+  endedByOutcome: {answered: 7, backendFailed: 1},
+  refusedByKind: {quarantined: 4},
+  failedAttemptsByOutcome: {broken: 2},
+  secondTries: 1,
+  crashedServers: 3,
+  suspectedRequests: 1,
+};
+
+const gateway = {
+  dump: (): StateDump => ({version: 1, role: 'gateway', state: STATE}),
+} as Role;
+
+it('shows what a gateway counts', async () => {
+  const metrics = new MetricsRegistry();
+  const roles = [{kind: 'gateway', name: 'g', role: gateway}] as const;
+  registerRoleMetrics(metrics, roles);
+  const {text} = await metrics.render();
+  const labels = 'role="gateway",process="g"';
+  for (const line of [
+    `lovagepond_gateway_requests_ended_total{${labels},outcome="answered"} 7`,
+    `lovagepond_refusals_total{${labels},kind="quarantined"} 4`,
+    `lovagepond_gateway_attempts_failed_total{${labels},outcome="broken"} 2`,
+    `lovagepond_retries_total{${labels}} 1`,
+    `lovagepond_gateway_servers_crashed_total{${labels}} 3`,
+    `lovagepond_suspected_requests{${labels}} 1`,
+  ]) {
+    expect(text).toContain(line);
+  }
+});
--- a/packages/lovagepond-cli/src/role_metrics.ts
+++ b/packages/lovagepond-cli/src/role_metrics.ts
@@ -43,6 +43,13 @@
   path: ['revision'],
 };
 
+const SUSPECTED_REQUESTS: DumpMetric = {
+  kind: 'gauge',
+  name: 'lovagepond_suspected_requests',
+  help: 'Requests that servers crashed under, quarantined or not.',
+  path: ['suspectedRequests'],
+};
+
 const ROUTER_METRICS: readonly DumpMetric[] = [
   makeControlBytes({
     received: ['controlBytesReceived'],
@@ -124,6 +131,7 @@
     help: 'Probes sent to sidecars.',
     path: ['probes'],
   },
+  SUSPECTED_REQUESTS,
 ];
 
 const SIDECAR_METRICS: readonly DumpMetric[] = [
@@ -221,6 +229,7 @@
     help: 'Calls that may not be repeated, by the state of their entry.',
     byLabel: {paths: [['ledger']], label: 'state'},
   },
+  SUSPECTED_REQUESTS,
 ];
 
 const GATEWAY_METRICS: readonly DumpMetric[] = [
@@ -237,6 +246,37 @@
     help: 'Connections opened to backend servers.',
     path: ['connectionsOpened'],
   },
+  {
+    kind: 'counter',
+    name: 'lovagepond_gateway_requests_ended_total',
+    help: 'Forwarded requests that were offered to a server, by their end.',
+    byLabel: {paths: [['endedByOutcome']], label: 'outcome'},
+  },
+  {
+    kind: 'counter',
+    name: 'lovagepond_refusals_total',
+    help: 'Requests answered with an error, by kind.',
+    byLabel: {paths: [['refusedByKind']], label: 'kind'},
+  },
+  {
+    kind: 'counter',
+    name: 'lovagepond_gateway_attempts_failed_total',
+    help: 'Attempts that brought no whole answer, by their end.',
+    byLabel: {paths: [['failedAttemptsByOutcome']], label: 'outcome'},
+  },
+  {
+    kind: 'counter',
+    name: 'lovagepond_retries_total',
+    help: 'Attempts after the first one.',
+    path: ['secondTries'],
+  },
+  {
+    kind: 'counter',
+    name: 'lovagepond_gateway_servers_crashed_total',
+    help: 'Backend servers that ended while they ran requests of this gateway.',
+    path: ['crashedServers'],
+  },
+  SUSPECTED_REQUESTS,
 ];
 
 const METRICS_BY_ROLE: Readonly<Record<RoleName, readonly DumpMetric[]>> = {
--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -282,6 +282,7 @@
         membershipComplete: this.#membership.complete,
         backendServers: this.#membership.size,
         subscribers: this.#hub.size,
+        suspectedRequests: this.crashReports.list().length,
       },
     };
   }
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_forwarding.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_forwarding.test.ts
@@ -51,6 +51,18 @@
     expect(res.headers[NAMES.signature]).toBe('signed');
   });
 
+  it('counts requests and attempts by how they ended', async () => {
+    harness = await GatewayHarness.start([fail, good]);
+    await harness.call({path: '/read/a'});
+    await harness.call({path: '/none/a'});
+    expect(harness.counters.read()).toEqual({
+      endedByOutcome: {answered: 1},
+      refusedByKind: {notFound: 1},
+      failedAttemptsByOutcome: {failedAnswer: 1},
+      secondTries: 1,
+    });
+  });
+
   // Guards against a request that makes every server look broken to a gateway: without
   // its id the answers can't be told from another request's.
   it('keeps the request id that a Connection header names', async () => {
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -20,6 +20,7 @@
 import {GatewayAdmission} from '../../gateway_admission.js';
 import {GatewayChoice} from '../../gateway_choice.js';
 import {GatewayConnections} from '../../gateway_connections.js';
+import {GatewayCounters} from '../../gateway_counters.js';
 import {GatewayFleet} from '../../gateway_fleet.js';
 import {DEFAULT_HEADER_NAMES} from '../../gateway_headers.js';
 import {GatewayPeers} from '../../gateway_peers.js';
@@ -153,6 +154,7 @@
   readonly admission: GatewayAdmission;
   readonly server: GatewayServer;
   readonly quarantine: GatewayQuarantine;
+  readonly counters: GatewayCounters;
   /** Servers that the gateway reported as crashed; no report is recorded. */
   readonly crashed: ReadonlySet<string>;
   readonly #backends: Server[] = [];
@@ -164,9 +166,11 @@
     server: GatewayServer,
     admission: GatewayAdmission,
     quarantine: GatewayQuarantine,
+    counters: GatewayCounters,
     crashed: ReadonlySet<string>,
   ) {
     this.crashed = crashed;
+    this.counters = counters;
     this.server = server;
     this.admission = admission;
     this.quarantine = quarantine;
@@ -203,6 +207,7 @@
       retryShares: 1,
     };
     const peers = new GatewayPeers();
+    const counters = new GatewayCounters();
     const crashed = new Set<string>();
     const quarantine = new GatewayQuarantine({
       clock,
@@ -234,12 +239,19 @@
           maxHeadBytes: 16_384,
         }),
         quarantine,
+        counters,
         readings: new GatewayReadings('gateway', fleet, rate, peers),
         rate,
       },
     );
     await server.start();
-    const harness = new GatewayHarness(server, admission, quarantine, crashed);
+    const harness = new GatewayHarness(
+      server,
+      admission,
+      quarantine,
+      counters,
+      crashed,
+    );
     const servers: BackendServer[] = [];
     for (const [index, script] of scripts.entries()) {
       servers.push(await harness.#startBackend(index, script));
--- a/packages/lovagepond-gateway/src/gateway_admission.ts
+++ b/packages/lovagepond-gateway/src/gateway_admission.ts
@@ -13,7 +13,7 @@
 } from './gateway_authority.js';
 import {type RequestFacts} from './gateway_headers.js';
 import {drawPool, ForwardingRules} from './gateway_routes.js';
-import {type AdmittedRequest} from './gateway_exchange.js';
+import {type AdmittedRequest} from './gateway_exchange_types.js';
 
 /** A request's head. */
 export interface RequestHead {
--- a/packages/lovagepond-gateway/src/gateway_crash_watch.ts
+++ b/packages/lovagepond-gateway/src/gateway_crash_watch.ts
@@ -44,6 +44,7 @@
 /** Follows servers that broke connections. */
 export class GatewayCrashWatch {
   readonly #broken = new Map<string, BrokenServer>();
+  #crashes = 0;
   readonly #onCrash: (crash: ServerCrash, now: number) => void;
 
   /**
@@ -54,6 +55,11 @@
     this.#onCrash = onCrash;
   }
 
+  /** Servers that have ended since the start. */
+  get crashes(): number {
+    return this.#crashes;
+  }
+
   /**
    * @param state the server
    * @param request fingerprint of the request whose answer broke off
@@ -86,6 +92,7 @@
     const broken = this.#broken.get(name);
     if (!broken || broken.hasCrashed) return;
     broken.hasCrashed = true;
+    this.#crashes += 1;
     this.#tell(name, broken, now);
   }
 
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -4,12 +4,7 @@
  * Joins the deciders: it asks for a server, runs attempts one after the other,
  * passes the answer on as it comes and gives the one final answer.
  */
-import {
-  type Clock,
-  type ErrorKind,
-  type Logger,
-  type Pool,
-} from '@lovagepond/core';
+import {type ErrorKind} from '@lovagepond/core';
 import {
   type AnswerHead,
   Attempt,
@@ -19,61 +14,22 @@
 } from './gateway_attempt.js';
 import {AnswerTiming} from './gateway_answer_timing.js';
 import {type CallerChannel} from './gateway_caller_channel.js';
-import {type GatewayChoice, type ServerChoice} from './gateway_choice.js';
-import {type GatewayConnections} from './gateway_connections.js';
+import {type ServerChoice} from './gateway_choice.js';
 import {EventStream} from './gateway_event_stream.js';
-import {type GatewayFleet} from './gateway_fleet.js';
 import {
-  type GatewayHeaderNames,
-  headersForServer,
-  readServerLoad,
-  type RequestFacts,
-} from './gateway_headers.js';
+  type AdmittedRequest,
+  type ExchangeParts,
+} from './gateway_exchange_types.js';
+import {headersForServer, readServerLoad} from './gateway_headers.js';
 import {
   type AttemptOutcome,
   decideNext,
   type NextStep,
 } from './gateway_outcome.js';
-import {type AccountParts, PromptAccount} from './gateway_prompt_account.js';
+import {PromptAccount} from './gateway_prompt_account.js';
 import {KeptFailure} from './gateway_kept_failure.js';
-import {type GatewayQuarantine} from './gateway_quarantine.js';
-import {type GatewayRetryBudget} from './gateway_retry_budget.js';
-import {type ForwardingRule} from './gateway_routes.js';
 import {type ServerState} from './gateway_server_state.js';
 
-/** What all exchanges share. */
-export interface ExchangeParts extends AccountParts {
-  readonly clock: Clock;
-  readonly log: Logger;
-  readonly names: GatewayHeaderNames;
-  readonly fleet: GatewayFleet;
-  readonly choice: GatewayChoice;
-  readonly budget: GatewayRetryBudget;
-  readonly connections: GatewayConnections;
-  readonly quarantine: GatewayQuarantine;
-}
-
-/** A request that was read whole and may run. */
-export interface AdmittedRequest {
-  readonly method: string;
-  readonly path: string;
-  readonly rawHeaders: readonly string[];
-  readonly body: Buffer;
-  /** The same for each repeat. */
-  readonly fingerprint: string;
-  readonly facts: RequestFacts;
-  readonly rule: ForwardingRule;
-  readonly pool: Pool;
-  /** Absent on public routes. */
-  readonly workspace: string | undefined;
-  /** 0 (lowest) to 9. */
-  readonly priority: number;
-  /** When the request arrived, monotonic milliseconds. */
-  readonly arrivedAt: number;
-  /** When the caller or the operators stop waiting. */
-  readonly deadlineAt: number;
-}
-
 /**
  * Time that a server's own answer at its deadline gets to arrive before this
  * router answers itself, milliseconds.
@@ -340,7 +296,7 @@
       isSuspect: quarantine.isSuspect(fingerprint, now),
       trySpend: () => budget.trySpend(pool.name, now),
     });
-    this.#logStep(outcome.kind, reason, next);
+    this.#noteStep(outcome.kind, reason, next);
     this.#take(next);
   }
 
@@ -402,6 +358,7 @@
     if (this.#isDone) return;
     this.#isDone = true;
     clearTimeout(this.#timer);
+    this.#parts.counters.noteEnded(outcome);
     const {facts, rule, pool, arrivedAt} = this.#req;
     this.#parts.log.info('request ended', {
       request: facts.requestId,
@@ -415,7 +372,9 @@
     this.#onDone();
   }
 
-  #logStep(outcome: string, reason: string, next: NextStep): void {
+  #noteStep(outcome: string, reason: string, next: NextStep): void {
+    const isFollowed = next.kind === 'retry' || next.kind === 'resume';
+    this.#parts.counters.noteFailedAttempt(outcome, isFollowed);
     this.#parts.log.warn('attempt failed', {
       request: this.#req.facts.requestId,
       fingerprint: this.#req.fingerprint,
--- /dev/null
+++ b/packages/lovagepond-gateway/src/gateway_exchange_types.ts
@@ -0,0 +1,47 @@
+/**
+ * What one request's exchange is given.
+ */
+import {type Clock, type Logger, type Pool} from '@lovagepond/core';
+import {type GatewayChoice} from './gateway_choice.js';
+import {type GatewayConnections} from './gateway_connections.js';
+import {type GatewayCounters} from './gateway_counters.js';
+import {type GatewayFleet} from './gateway_fleet.js';
+import {type GatewayHeaderNames, type RequestFacts} from './gateway_headers.js';
+import {type AccountParts} from './gateway_prompt_account.js';
+import {type GatewayQuarantine} from './gateway_quarantine.js';
+import {type GatewayRetryBudget} from './gateway_retry_budget.js';
+import {type ForwardingRule} from './gateway_routes.js';
+
+/** What all exchanges share. */
+export interface ExchangeParts extends AccountParts {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly names: GatewayHeaderNames;
+  readonly fleet: GatewayFleet;
+  readonly choice: GatewayChoice;
+  readonly budget: GatewayRetryBudget;
+  readonly connections: GatewayConnections;
+  readonly quarantine: GatewayQuarantine;
+  readonly counters: GatewayCounters;
+}
+
+/** A request that was read whole and may run. */
+export interface AdmittedRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly rawHeaders: readonly string[];
+  readonly body: Buffer;
+  /** The same for each repeat. */
+  readonly fingerprint: string;
+  readonly facts: RequestFacts;
+  readonly rule: ForwardingRule;
+  readonly pool: Pool;
+  /** Absent on public routes. */
+  readonly workspace: string | undefined;
+  /** 0 (lowest) to 9. */
+  readonly priority: number;
+  /** When the request arrived, monotonic milliseconds. */
+  readonly arrivedAt: number;
+  /** When the caller or the operators stop waiting. */
+  readonly deadlineAt: number;
+}
--- a/packages/lovagepond-gateway/src/gateway_quarantine.ts
+++ b/packages/lovagepond-gateway/src/gateway_quarantine.ts
@@ -45,6 +45,11 @@
     this.#reporter = new CrashReporter({clock, quarantine, report});
   }
 
+  /** Servers that crashed under requests of this gateway. */
+  get crashedServers(): number {
+    return this.#watch.crashes;
+  }
+
   /** Suspected requests that control tells of. */
   get size(): number {
     return this.#requests.size;
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -21,6 +21,7 @@
 import {type ClockReading} from './gateway_authority.js';
 import {GatewayChoice} from './gateway_choice.js';
 import {GatewayConnections} from './gateway_connections.js';
+import {GatewayCounters} from './gateway_counters.js';
 import {GatewayFleet} from './gateway_fleet.js';
 import {type GatewayHeaderNames} from './gateway_headers.js';
 import {GatewayPeers} from './gateway_peers.js';
@@ -73,6 +74,7 @@
   readonly #readings: GatewayReadings;
   readonly #connections: GatewayConnections;
   readonly #quarantine: GatewayQuarantine;
+  readonly #counters = new GatewayCounters();
   readonly #link: ControlLink;
   #membership = EMPTY_MEMBERSHIP;
   #server: GatewayServer | undefined;
@@ -179,6 +181,7 @@
       budget: new GatewayRetryBudget(this.#settings, this.#peers),
       connections: this.#connections,
       quarantine: this.#quarantine,
+      counters: this.#counters,
       readings: this.#readings,
       rate: this.#rate,
     });
@@ -238,6 +241,8 @@
       prefillTokensPerMs: this.#rate.tokensPerMs,
       backendServers: this.#fleet.describe(at.now),
       suspectedRequests: this.#quarantine.size,
+      crashedServers: this.#quarantine.crashedServers,
+      ...this.#counters.read(),
       inFlight: this.#server?.inFlight ?? 0,
       connectionsOpened: this.#connections.opened,
       connectionsIdle: this.#connections.idle,
--- a/packages/lovagepond-gateway/src/gateway_server.ts
+++ b/packages/lovagepond-gateway/src/gateway_server.ts
@@ -21,7 +21,8 @@
 import {type GatewayAdmission} from './gateway_admission.js';
 import {type ClockReading} from './gateway_authority.js';
 import {CallerChannel} from './gateway_caller_channel.js';
-import {Exchange, type ExchangeParts} from './gateway_exchange.js';
+import {Exchange} from './gateway_exchange.js';
+import {type ExchangeParts} from './gateway_exchange_types.js';
 import {GatewayDeparture} from './gateway_departure.js';
 import {readFacts, type RequestFacts} from './gateway_headers.js';
 import {type GatewaySettings} from './gateway_settings.js';
@@ -314,6 +315,7 @@
 
   #refuse(caller: CallerChannel, facts: RequestFacts, error: ErrorKind): void {
     caller.refuse(error);
+    this.#parts.counters.noteRefused(error);
     this.#log.info('request refused', {
       request: facts.requestId,
       reason: error,
