Ask control's members and leaders in one place each

The same unary call stood twice in the relay to the leader and twice in the link to control, and a test's engine watch twice. Behaviour stays as it is.

--- a/packages/lovagepond-control/src/leader_relay.ts
+++ b/packages/lovagepond-control/src/leader_relay.ts
@@ -7,6 +7,7 @@
   type ClientReadableStream,
   credentials,
   Metadata,
+  type MethodDefinition,
 } from '@grpc/grpc-js';
 import {type Clock, type Logger} from '@lovagepond/core';
 import {CONTROL_SERVICE, lovagepond} from '@lovagepond/protocol';
@@ -114,26 +115,10 @@
    * @returns the revision in force, confirmed by a majority after the call
    *     began; undefined when the leader didn't answer
    */
-  report(report: RevisionReport): Promise<number | undefined> {
-    const client = this.#client;
-    if (!client) return Promise.resolve(undefined);
+  async report(report: RevisionReport): Promise<number | undefined> {
     const method = CONTROL_SERVICE.reportConvergence;
-    const wallTime = this.#parts.clock.wallTime();
-    const deadline = wallTime + this.#settings.callTimeoutMs;
-    return new Promise(resolve => {
-      client.makeUnaryRequest(
-        method.path,
-        method.requestSerialize,
-        method.responseDeserialize,
-        new v1.ConvergenceReport(report),
-        new Metadata(),
-        {deadline},
-        (err, res) => {
-          const confirmed = !err && res?.confirmed === true;
-          resolve(confirmed ? (res.revision ?? 0) : undefined);
-        },
-      );
-    });
+    const res = await this.#ask(method, new v1.ConvergenceReport(report));
+    return res?.confirmed ? (res.revision ?? 0) : undefined;
   }
 
   /**
@@ -166,13 +151,26 @@
    * @param report what a router said
    * @returns the leader's answer; not recorded when there was none
    */
-  reportCrashes(
+  async reportCrashes(
     report: lovagepond.v1.CrashReport,
   ): Promise<lovagepond.v1.CrashReportResponse> {
-    const lost = new v1.CrashReportResponse();
+    const res = await this.#ask(CONTROL_SERVICE.reportCrashes, report);
+    return new v1.CrashReportResponse({recorded: res?.recorded ?? false});
+  }
+
+  /** Ends the link. */
+  stop(): void {
+    this.#close();
+    this.#leader = '';
+  }
+
+  /** @returns the leader's answer; undefined when there was none in time */
+  #ask<Req, Res>(
+    method: MethodDefinition<Req, Res>,
+    message: Req,
+  ): Promise<Res | undefined> {
     const client = this.#client;
-    if (!client) return Promise.resolve(lost);
-    const method = CONTROL_SERVICE.reportCrashes;
+    if (!client) return Promise.resolve(undefined);
     const wallTime = this.#parts.clock.wallTime();
     const deadline = wallTime + this.#settings.callTimeoutMs;
     return new Promise(resolve => {
@@ -180,23 +178,16 @@
         method.path,
         method.requestSerialize,
         method.responseDeserialize,
-        report,
+        message,
         new Metadata(),
         {deadline},
         (err, res) => {
-          const recorded = !err && res?.recorded === true;
-          resolve(new v1.CrashReportResponse({recorded}));
+          resolve(err ? undefined : res);
         },
       );
     });
   }
 
-  /** Ends the link. */
-  stop(): void {
-    this.#close();
-    this.#leader = '';
-  }
-
   /** A refused stream is tried again soon, a silent one once it is too silent. */
   #needsReopening(now: number): boolean {
     if (this.#leader === '') return false;
--- a/packages/lovagepond-router/src/router_control_link.ts
+++ b/packages/lovagepond-router/src/router_control_link.ts
@@ -7,6 +7,7 @@
   type ClientReadableStream,
   credentials,
   Metadata,
+  type MethodDefinition,
 } from '@grpc/grpc-js';
 import {
   type Clock,
@@ -16,6 +17,8 @@
 } from '@lovagepond/core';
 import {CONTROL_SERVICE, lovagepond} from '@lovagepond/protocol';
 
+import {type CrashReport} from './router_quarantine.js';
+
 const {v1} = lovagepond;
 
 /** A control update as it was decoded. */
@@ -158,29 +161,18 @@
    * @returns the newest revision, confirmed by a majority after the call;
    *     undefined when there was no such answer
    */
-  confirmRevision(
+  async confirmRevision(
     revision: number,
     atOnce = false,
   ): Promise<number | undefined> {
     this.#reportedAt = this.#parts.clock.now();
-    const method = CONTROL_SERVICE.reportConvergence;
     const {node} = this.#facts;
-    const client = this.#client;
-    if (!client) return Promise.resolve(undefined);
-    return new Promise(resolve => {
-      client.makeUnaryRequest(
-        method.path,
-        message => this.#countSent(method.requestSerialize(message)),
-        method.responseDeserialize,
-        new v1.ConvergenceReport({node, role: ROLE, revision, atOnce}),
-        new Metadata(),
-        {deadline: Date.now() + REPORT_TIMEOUT_MS},
-        (err, res) => {
-          const confirmed = !err && res?.confirmed === true;
-          resolve(confirmed ? (res.revision ?? 0) : undefined);
-        },
-      );
-    });
+    const report = {node, role: ROLE, revision, atOnce};
+    const res = await this.#ask(
+      CONTROL_SERVICE.reportConvergence,
+      new v1.ConvergenceReport(report),
+    );
+    return res?.confirmed ? (res.revision ?? 0) : undefined;
   }
 
   /**
@@ -217,26 +209,13 @@
    * @param report what control doesn't have
    * @returns false when it has to be told again
    */
-  reportCrashes(
-    report: Pick<lovagepond.v1.CrashReport.$Properties, 'crashes' | 'answered'>,
-  ): Promise<boolean> {
-    const method = CONTROL_SERVICE.reportCrashes;
+  async reportCrashes(report: CrashReport): Promise<boolean> {
     const {node} = this.#facts;
-    const client = this.#client;
-    if (!client) return Promise.resolve(false);
-    return new Promise(resolve => {
-      client.makeUnaryRequest(
-        method.path,
-        message => this.#countSent(method.requestSerialize(message)),
-        method.responseDeserialize,
-        new v1.CrashReport({...report, node}),
-        new Metadata(),
-        {deadline: Date.now() + REPORT_TIMEOUT_MS},
-        (err, res) => {
-          resolve(!err && res?.recorded === true);
-        },
-      );
-    });
+    const res = await this.#ask(
+      CONTROL_SERVICE.reportCrashes,
+      new v1.CrashReport({...report, node}),
+    );
+    return res?.recorded ?? false;
   }
 
   /** Subscribes anew, saying what is held by now. */
@@ -251,6 +230,28 @@
     this.#close();
   }
 
+  /** @returns the member's answer; undefined when there was none in time */
+  #ask<Req, Res>(
+    method: MethodDefinition<Req, Res>,
+    message: Req,
+  ): Promise<Res | undefined> {
+    const client = this.#client;
+    if (!client) return Promise.resolve(undefined);
+    return new Promise(resolve => {
+      client.makeUnaryRequest(
+        method.path,
+        (req: Req) => this.#countSent(method.requestSerialize(req)),
+        method.responseDeserialize,
+        message,
+        new Metadata(),
+        {deadline: Date.now() + REPORT_TIMEOUT_MS},
+        (err, res) => {
+          resolve(err ? undefined : res);
+        },
+      );
+    });
+  }
+
   #subscribe(): void {
     if (this.#stopped || this.address === '') return;
     this.#heardAt = this.#parts.clock.now();
--- a/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_backend_watch.test.ts
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_backend_watch.test.ts
@@ -14,8 +14,11 @@
   }
 }
 
-// Guards against a crash that looks to routers like any failed run.
-it('tells that the life in which a run began has ended', async () => {
+function makeWatch(): {
+  engine: FlakyEngine;
+  gate: SidecarGate;
+  watch: SidecarBackendWatch;
+} {
   const engine = new FlakyEngine();
   const gate = new SidecarGate(
     {
@@ -31,6 +34,12 @@
     clock: CLOCK,
     log: LOG,
   });
+  return {engine, gate, watch};
+}
+
+// Guards against a crash that looks to routers like any failed run.
+it('tells that the life in which a run began has ended', async () => {
+  const {engine, watch} = makeWatch();
   await watch.look();
   const {life} = watch;
   expect(await watch.hasEnded(life)).toBe(false);
@@ -51,21 +60,7 @@
 // that doesn't answer twice is down; one request that can't be sent and one
 // failed look are enough as well.
 it('notices that its engine restarted, or is down', async () => {
-  const engine = new FlakyEngine();
-  const gate = new SidecarGate(
-    {
-      ...DEFAULT_GATE_SETTINGS,
-      backendServer: 'engine-1',
-      incarnation: 'inc-1',
-    },
-    new Random(1),
-  );
-  const watch = new SidecarBackendWatch({
-    backend: {kind: 'engine', engine},
-    gate,
-    clock: CLOCK,
-    log: LOG,
-  });
+  const {engine, gate, watch} = makeWatch();
   expect(watch.up).toBe(false);
   await watch.look();
   expect(watch.up).toBe(true);
