--- a/packages/lovagepond-core/src/__tests__/unit/core_crash_evidence.test.ts
+++ b/packages/lovagepond-core/src/__tests__/unit/core_crash_evidence.test.ts
@@ -122,6 +122,16 @@
     expect(told).toEqual(['twice']);
   });
 
+  // Guards against routers that keep what a member no longer has.
+  it('counts a restore as a change', () => {
+    const evidence = new CrashEvidence();
+    crash(evidence, 1, 'x');
+    const {version} = evidence;
+    evidence.restore(undefined);
+    expect(evidence.version).toBeGreaterThan(version);
+    expect(evidence.find('x', 0)).toBeUndefined();
+  });
+
   it('goes on from its serialized form', () => {
     const evidence = new CrashEvidence();
     for (const number of [1, 2]) crash(evidence, number, 'bad', 'a');
--- a/packages/lovagepond-core/src/core_crash_evidence.ts
+++ b/packages/lovagepond-core/src/core_crash_evidence.ts
@@ -161,13 +161,13 @@
   restore(snapshot: CrashEvidenceSnapshot | undefined): void {
     this.#evidence.clear();
     this.#recent.clear();
+    this.#version += 1;
     if (!snapshot) return;
     const {evidence, recent} = structuredClone(snapshot);
     for (const one of evidence) {
       this.#evidence.set(one.request, one as Evidence);
     }
     for (const one of recent) this.#recent.set(one.server, one);
-    this.#version += 1;
   }
 
   #count(request: string, crash: CountedCrash): void {
