Take the play's limit for suspects from the quarantine itself

The play of crashes had a copy of SUSPECT_CRASHES and would have gone on with the former value after a change.

--- a/packages/lovagepond-measure/src/crash_play.ts
+++ b/packages/lovagepond-measure/src/crash_play.ts
@@ -14,7 +14,10 @@
   REACHABILITY,
   ServerState,
 } from '@lovagepond/gateway/deciders';
-import {RequestQuarantine} from '@lovagepond/router/quarantine';
+import {
+  RequestQuarantine,
+  SUSPECT_CRASHES,
+} from '@lovagepond/router/quarantine';
 import {VirtualTime} from './virtual_time.js';
 
 /** How far what gateways see of crashes goes. */
@@ -79,7 +82,6 @@
 const FREQUENT_SHARE = 0.1;
 const FREQUENT_CONTENTS = 5;
 const SECOND_TRY_SHARE = 0.5;
-const SUSPECT_CRASHES = 2;
 
 interface Request {
   readonly fingerprint: string;
