Count a reported crash once, and not for a request cleared since

Cause: noteCrash merged reports of one crash and then counted the crash for all requests known of it. Thought further: a report that names the request itself for a crash from before its answer, and comes after it, did the same, also after an operator's lift; and a router counted its unreported crashes anew at each update of control.

Members of the release before count by the earlier rules, so commands name theirs, and a leader records crashes only while all members know the new ones (log version 2).

--- a/packages/lovagepond-control/src/control_commands.ts
+++ b/packages/lovagepond-control/src/control_commands.ts
@@ -5,6 +5,7 @@
 import {
   type Command,
   type ConfigurationContent,
+  type CrashRules,
   createCommand,
   invariant,
   packText,
@@ -26,7 +27,7 @@
  * Version of the set of commands. A leader proposes a command that this version
  * added only while all of its followers have at least this version.
  */
-export const LOG_VERSION = 1;
+export const LOG_VERSION = 2;
 
 /** Identifies an operator's operation and its content. */
 export interface OperationIdentity {
@@ -107,6 +108,16 @@
   }[];
   /** Suspected requests that a backend server has since answered completely. */
   readonly answered: readonly string[];
+  /** Absent in commands of earlier releases, for the first rules. */
+  readonly rules?: CrashRules;
+}
+
+/** Lifts the quarantine of a request. */
+export interface LiftPayload {
+  /** The request's fingerprint. */
+  readonly request: string;
+  /** Absent in commands of earlier releases, for the first rules. */
+  readonly rules?: CrashRules;
 }
 
 export interface CrashesResult {
@@ -161,9 +172,8 @@
 /** Records crashes of backend servers and the requests running on them. */
 export const CRASHES_COMMAND = createCommand<CrashesPayload>('crashes');
 /** Lifts the quarantine of a request. */
-export const LIFT_QUARANTINE_COMMAND = createCommand<{
-  readonly request: string;
-}>('liftQuarantine');
+export const LIFT_QUARANTINE_COMMAND =
+  createCommand<LiftPayload>('liftQuarantine');
 /** Records how an order ended. */
 export const ORDER_OUTCOME_COMMAND =
   createCommand<OrderOutcomePayload>('orderOutcome');
--- a/packages/lovagepond-control/src/control_state_machine.ts
+++ b/packages/lovagepond-control/src/control_state_machine.ts
@@ -7,6 +7,7 @@
  */
 import {
   type Command,
+  CRASH_RULES,
   CrashEvidence,
   type CrashEvidenceSnapshot,
   invariant,
@@ -211,19 +212,25 @@
     this.#handle(CRASHES_COMMAND, (payload, {timeMs}) =>
       this.#recordCrashes(payload, timeMs),
     );
-    this.#handle(LIFT_QUARANTINE_COMMAND, ({request}) => ({
-      known: this.crashes.forget(request),
+    this.#handle(LIFT_QUARANTINE_COMMAND, ({request, rules}, {timeMs}) => ({
+      known: this.crashes.forget(
+        request,
+        timeMs,
+        rules ?? CRASH_RULES.RECOUNTED,
+      ),
     }));
   }
 
   #recordCrashes(
-    {crashes, answered}: CrashesPayload,
+    {crashes, answered, rules = CRASH_RULES.RECOUNTED}: CrashesPayload,
     timeMs: number,
   ): CrashesResult {
-    for (const request of answered) this.crashes.forget(request);
+    for (const request of answered) {
+      this.crashes.forget(request, timeMs, rules);
+    }
     const quarantined = crashes.flatMap(({server, requests, ageMs}) => {
       const crash = {server, requests, crashedAt: timeMs - ageMs};
-      return this.crashes.noteCrash(crash, timeMs);
+      return this.crashes.noteCrash(crash, timeMs, rules);
     });
     return {quarantined};
   }
--- a/packages/lovagepond-control/src/crash_reports.ts
+++ b/packages/lovagepond-control/src/crash_reports.ts
@@ -2,7 +2,12 @@
  * Handles routers' reports of crashed backend servers at the leader, and
  * publishes to all routers which requests are suspected of the crashes.
  */
-import {type Clock, type Logger} from '@lovagepond/core';
+import {
+  type Clock,
+  CRASH_RULES,
+  type CrashRules,
+  type Logger,
+} from '@lovagepond/core';
 import {lovagepond} from '@lovagepond/protocol';
 import {
   CRASHES_COMMAND,
@@ -64,10 +69,10 @@
   ): Promise<lovagepond.v1.CrashReportResponse> {
     if (!this.#deps.proposer.leads()) return this.#deps.forwardToLeader(report);
     // A member of an earlier release would stop at an unknown command.
-    if (this.#deps.oldestLogVersion() < LOG_VERSION) {
+    if (this.#rules() === CRASH_RULES.RECOUNTED) {
       return new v1.CrashReportResponse();
     }
-    const payload = toPayload(report);
+    const payload = {...toPayload(report), rules: this.#rules()};
     const outcome = await this.#deps.proposer.propose<
       CrashesPayload,
       CrashesResult
@@ -96,6 +101,7 @@
   async lift(request: string): Promise<OperationAnswer> {
     const outcome = await this.#deps.proposer.propose(LIFT_QUARANTINE_COMMAND, {
       request,
+      rules: this.#rules(),
     });
     if (outcome.kind !== 'committed') return outcome satisfies RetryableFailure;
     this.#deps.log.info('quarantine lifted', {request});
@@ -103,6 +109,13 @@
     return {kind: 'accepted'};
   }
 
+  /** @returns the newest rules that all members know */
+  #rules(): CrashRules {
+    return this.#deps.oldestLogVersion() < LOG_VERSION
+      ? CRASH_RULES.RECOUNTED
+      : CRASH_RULES.COUNTED_ONCE;
+  }
+
   #log(node: string, payload: CrashesPayload, result: CrashesResult): void {
     const {log, machine, clock} = this.#deps;
     for (const {server, requests} of payload.crashes) {
--- a/packages/lovagepond-core/src/__tests__/unit/core_crash_evidence.test.ts
+++ b/packages/lovagepond-core/src/__tests__/unit/core_crash_evidence.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
-import {CrashEvidence} from '../../core_crash_evidence.js';
+import {CRASH_RULES, CrashEvidence} from '../../core_crash_evidence.js';
 
 const SECOND_MS = 1_000;
 const HOUR_MS = 3_600 * SECOND_MS;
@@ -111,12 +111,54 @@
   it('drops the evidence against a request', () => {
     const evidence = new CrashEvidence();
     for (const number of [1, 2, 3]) crash(evidence, number, 'bad');
-    expect(evidence.forget('bad')).toBe(true);
-    expect(evidence.forget('bad')).toBe(false);
+    expect(evidence.forget('bad', 3 * SECOND_MS)).toBe(true);
+    expect(evidence.forget('bad', 3 * SECOND_MS)).toBe(false);
     expect(evidence.suspects(0)).toEqual([]);
     expect(crash(evidence, 4, 'bad')).toEqual([]);
   });
 
+  // Guards against quarantining a request that a server answered: another
+  // router reports a crash from before the answer for one of its own requests.
+  it('does not count an earlier crash again when another router reports it', () => {
+    const evidence = new CrashEvidence();
+    crash(evidence, 2, 'd');
+    evidence.forget('d', 3 * SECOND_MS);
+    crash(evidence, 4, 'd');
+    const late = {server: 's2', requests: ['a'], crashedAt: 2 * SECOND_MS};
+    expect(evidence.noteCrash(late, 5 * SECOND_MS)).toEqual([]);
+    expect(crash(evidence, 6, 'd')).toEqual([]);
+    expect(evidence.find('d', 6 * SECOND_MS)?.crashes).toBe(2);
+  });
+
+  // Guards against the same when the late report is the first one that names
+  // the request for that crash, also at a member restored since the answer.
+  it('does not count an earlier crash that is reported only after the answer', () => {
+    const evidence = new CrashEvidence();
+    crash(evidence, 1, 'd');
+    evidence.forget('d', 3 * SECOND_MS);
+    const copy = new CrashEvidence();
+    copy.restore(evidence.snapshot());
+    for (const member of [evidence, copy]) {
+      const late = {server: 's2', requests: ['d'], crashedAt: 2 * SECOND_MS};
+      member.noteCrash(late, 4 * SECOND_MS);
+      expect(member.find('d', 4 * SECOND_MS)).toBeUndefined();
+      crash(member, 5, 'd');
+      expect(member.find('d', 5 * SECOND_MS)?.crashes).toBe(1);
+    }
+  });
+
+  // Guards against members of two releases whose states differ after the same
+  // log: commands of the earlier release are applied by its rules.
+  it('counts by the rules of the earlier release when they are named', () => {
+    const evidence = new CrashEvidence();
+    const rules = CRASH_RULES.RECOUNTED;
+    const first = {server: 's2', requests: ['d'], crashedAt: 2_000};
+    evidence.noteCrash(first, 2_000, rules);
+    evidence.forget('d', 3_000, rules);
+    evidence.noteCrash({...first, requests: ['a']}, 4_000, rules);
+    expect(evidence.find('d', 4_000)?.crashes).toBe(1);
+  });
+
   it('lists requests as suspects from their second crash on', () => {
     const evidence = new CrashEvidence();
     crash(evidence, 1, 'once', 'twice');
@@ -170,7 +212,7 @@
         const servers = new Map<string, Set<number>>();
         for (const [at, {server, requests, answered}] of steps.entries()) {
           if (answered) {
-            evidence.forget(answered);
+            evidence.forget(answered, at * SECOND_MS);
             servers.delete(answered);
           }
           const crashedAt = at * SECOND_MS;
@@ -191,4 +233,53 @@
       {seed: 1230595982},
     );
   });
+
+  // Each server crashes once; routers report the crash late and repeatedly,
+  // between answers, lifted quarantines and restores of a member.
+  it('quarantines only after three crashes since the last answer', () => {
+    const request = fc.constantFrom('a', 'b', 'c', 'd');
+    const report = fc.record({
+      kind: fc.constant('report' as const),
+      server: fc.integer({min: 1, max: 12}),
+      requests: fc.uniqueArray(request, {minLength: 1}),
+    });
+    const clear = fc.record({kind: fc.constant('clear' as const), request});
+    const restore = fc.record({kind: fc.constant('restore' as const)});
+    const step = fc.oneof({weight: 6, arbitrary: report}, clear, restore);
+    fc.assert(
+      fc.property(fc.array(step, {maxLength: 60}), steps => {
+        let evidence = new CrashEvidence();
+        const crashedAt = new Map<number, number>();
+        const clearedAt = new Map<string, number>();
+        const crashesOf = new Map<string, Set<number>>();
+        for (const [at, one] of steps.entries()) {
+          const now = at * SECOND_MS;
+          if (one.kind === 'clear') {
+            evidence.forget(one.request, now);
+            clearedAt.set(one.request, now);
+            crashesOf.delete(one.request);
+          } else if (one.kind === 'restore') {
+            const snapshot = evidence.snapshot();
+            evidence = new CrashEvidence();
+            evidence.restore(JSON.parse(JSON.stringify(snapshot)) as never);
+          } else {
+            const {server, requests} = one;
+            const crashed = crashedAt.get(server) ?? now;
+            crashedAt.set(server, crashed);
+            const name = `s${server}`;
+            const told = {server: name, requests, crashedAt: crashed};
+            const quarantined = evidence.noteCrash(told, now);
+            for (const name of requests) {
+              if (crashed <= (clearedAt.get(name) ?? -1)) continue;
+              const servers = crashesOf.get(name) ?? new Set();
+              crashesOf.set(name, servers.add(server));
+            }
+            for (const name of quarantined) {
+              expect(crashesOf.get(name)?.size).toBeGreaterThanOrEqual(3);
+            }
+          }
+        }
+      }),
+    );
+  });
 });
--- a/packages/lovagepond-core/src/core_crash_evidence.ts
+++ b/packages/lovagepond-core/src/core_crash_evidence.ts
@@ -47,8 +47,23 @@
 export interface CrashEvidenceSnapshot {
   readonly evidence: readonly Readonly<Evidence>[];
   readonly recent: readonly ServerCrash[];
+  /** Requests and when they were cleared; absent in older snapshots. */
+  readonly cleared?: readonly (readonly [string, number])[];
 }
 
+/**
+ * How repeated reports of one crash are counted. Members of control that apply
+ * the same log must count alike, so the log's commands name the rules.
+ */
+export const CRASH_RULES = {
+  /** The rules of earlier releases: each report counts for all requests. */
+  RECOUNTED: 1,
+  /** Each crash counts once, and not for a request that was cleared since. */
+  COUNTED_ONCE: 2,
+} as const;
+
+export type CrashRules = (typeof CRASH_RULES)[keyof typeof CRASH_RULES];
+
 /** Number of crashes at which a request may be quarantined. */
 const QUARANTINE_CRASHES = 3;
 
@@ -78,11 +93,14 @@
 const MAX_REQUESTS = 4_096;
 const MAX_RECENT_CRASHES = 512;
 const MAX_REQUESTS_OF_CRASH = 512;
+const MAX_CLEARED = 4_096;
 
 /** Records crashes and decides which requests to quarantine. */
 export class CrashEvidence {
   readonly #evidence = new Map<string, Evidence>();
   readonly #recent = new Map<string, ServerCrash>();
+  /** When each request was last cleared; the latest one last. */
+  readonly #clearedAt = new Map<string, number>();
   #version = 0;
 
   /** Incremented with each change of {@link suspects}. */
@@ -92,13 +110,19 @@
 
   /**
    * Records a crash. Reports of one crash by several routers are merged, and a
-   * repeated report has no effect.
+   * repeated report has no effect. A report may arrive after a request that it
+   * names was cleared: an earlier crash then doesn't count for that request.
    *
    * @param crash the server and the requests that the reporter had sent to it
    * @param now current time, milliseconds
+   * @param rules how repeated reports are counted
    * @returns requests that are now quarantined because of this crash
    */
-  noteCrash(crash: ServerCrash, now: number): readonly string[] {
+  noteCrash(
+    crash: ServerCrash,
+    now: number,
+    rules: CrashRules = CRASH_RULES.COUNTED_ONCE,
+  ): readonly string[] {
     this.#dropExpired(now);
     const known = this.#recent.get(crash.server);
     const crashedAt = known?.crashedAt ?? crash.crashedAt;
@@ -111,7 +135,11 @@
     const isAttributed = requests.some(request =>
       this.#isQuarantined(request, now),
     );
+    const isRecounted = rules === CRASH_RULES.RECOUNTED;
     for (const request of requests) {
+      const isCounted = known?.requests.includes(request) ?? false;
+      const isOutdated = isCounted || this.#isCleared(request, crashedAt);
+      if (isOutdated && !isRecounted) continue;
       if (isAttributed && !this.#isQuarantined(request, now)) continue;
       this.#addCrash(request, {server, at: crashedAt});
     }
@@ -125,9 +153,16 @@
    * completely or an operator lifted its quarantine.
    *
    * @param request the request's fingerprint
+   * @param now current time, milliseconds; crashes before it no longer count
+   * @param rules how later reports of earlier crashes are counted
    * @returns false when there was no evidence
    */
-  forget(request: string): boolean {
+  forget(
+    request: string,
+    now: number,
+    rules: CrashRules = CRASH_RULES.COUNTED_ONCE,
+  ): boolean {
+    if (rules !== CRASH_RULES.RECOUNTED) this.#setCleared(request, now);
     if (!this.#evidence.delete(request)) return false;
     this.#version += 1;
     return true;
@@ -157,7 +192,9 @@
   /** @returns the serialized form */
   snapshot(): CrashEvidenceSnapshot {
     const evidence = [...this.#evidence.values()];
-    return structuredClone({evidence, recent: [...this.#recent.values()]});
+    const recent = [...this.#recent.values()];
+    const cleared = [...this.#clearedAt];
+    return structuredClone({evidence, recent, cleared});
   }
 
   /**
@@ -167,13 +204,26 @@
   restore(snapshot: CrashEvidenceSnapshot | undefined): void {
     this.#evidence.clear();
     this.#recent.clear();
+    this.#clearedAt.clear();
     this.#version += 1;
     if (!snapshot) return;
-    const {evidence, recent} = structuredClone(snapshot);
+    const {evidence, recent, cleared = []} = structuredClone(snapshot);
     for (const one of evidence) {
       this.#evidence.set(one.request, one as Evidence);
     }
     for (const one of recent) this.#recent.set(one.server, one);
+    for (const [request, at] of cleared) this.#clearedAt.set(request, at);
+  }
+
+  #setCleared(request: string, now: number): void {
+    this.#clearedAt.delete(request);
+    this.#clearedAt.set(request, now);
+    dropOldest(this.#clearedAt, MAX_CLEARED);
+  }
+
+  /** @returns true when the request was cleared at the time or later */
+  #isCleared(request: string, at: number): boolean {
+    return at <= (this.#clearedAt.get(request) ?? Number.NEGATIVE_INFINITY);
   }
 
   #addCrash(request: string, crash: CountedCrash): void {
--- a/packages/lovagepond-core/src/index.ts
+++ b/packages/lovagepond-core/src/index.ts
@@ -48,8 +48,10 @@
   shareObjects,
 } from './core_configuration_delta.js';
 export {
+  CRASH_RULES,
   CrashEvidence,
   type CrashEvidenceSnapshot,
+  type CrashRules,
   type ServerCrash,
   type Suspect,
 } from './core_crash_evidence.js';
--- a/packages/lovagepond-measure/src/crash_simulation.ts
+++ b/packages/lovagepond-measure/src/crash_simulation.ts
@@ -373,7 +373,7 @@
       this.#report(quarantine);
       const {now} = this.#time;
       for (const bytes of report.answered ?? []) {
-        this.#control.forget(Buffer.from(bytes).toString('hex'));
+        this.#control.forget(Buffer.from(bytes).toString('hex'), now);
       }
       for (const {backendServer, requests, ageMs} of report.crashes ?? []) {
         const crash = {
--- a/packages/lovagepond-router/src/__tests__/unit/router_quarantine.test.ts
+++ b/packages/lovagepond-router/src/__tests__/unit/router_quarantine.test.ts
@@ -1,3 +1,4 @@
+import {CrashEvidence} from '@lovagepond/core';
 import {expect, test} from 'vitest';
 import {fingerprintOf, RequestQuarantine} from '../../router_quarantine.js';
 
@@ -103,3 +104,44 @@
   expect(quarantine.find(BAD, 0)).toBeUndefined();
   expect(quarantine.takeReport(0)?.answered).toEqual([request]);
 });
+
+// Guards against a router that counts a crash again for a request that was
+// answered since, because control has not yet recorded the crash.
+test('an unreported crash does not count for a request answered since', () => {
+  const quarantine = new RequestQuarantine();
+  quarantine.noteCrash(crash('s1', 1_000), 1_000);
+  quarantine.noteAnswered(BAD, 2_000);
+  quarantine.apply({suspects: []}, 3_000);
+  expect(quarantine.find(BAD, 3_000)).toBeUndefined();
+});
+
+// Guards against a quarantine by crashes from before an answer: one router
+// reports the answer, another one reports an earlier crash later.
+test('a late report of an earlier crash does not outweigh an answer', () => {
+  const control = new CrashEvidence();
+  const [answering, late] = [new RequestQuarantine(), new RequestQuarantine()];
+  const report = (from: RequestQuarantine, now: number): void => {
+    const {crashes = [], answered = []} = from.takeReport(now) ?? {};
+    from.endReport(true);
+    for (const bytes of answered ?? []) {
+      control.forget(Buffer.from(bytes).toString('hex'), now);
+    }
+    for (const {backendServer, ageMs} of crashes ?? []) {
+      const crashedAt = now - (ageMs ?? 0);
+      control.noteCrash(
+        {server: backendServer ?? '', requests: [BAD], crashedAt},
+        now,
+      );
+    }
+  };
+  late.noteCrash(crash('s1', 1_000), 1_000);
+  late.noteCrash(crash('s2', 1_500), 1_500);
+  answering.noteCrash(crash('s0', 1_800), 1_800);
+  answering.noteAnswered(BAD, 2_000);
+  report(answering, 2_100);
+  report(late, 3_000);
+  expect(control.find(BAD, 3_000)).toBeUndefined();
+  answering.noteCrash(crash('s3', 70_000), 70_000);
+  report(answering, 70_100);
+  expect(control.find(BAD, 70_100)?.crashes).toBe(1);
+});
--- a/packages/lovagepond-router/src/router_quarantine.ts
+++ b/packages/lovagepond-router/src/router_quarantine.ts
@@ -93,7 +93,7 @@
       if (this.#answeredAt.size <= MAX_ANSWERED) break;
       this.#answeredAt.delete(oldest);
     }
-    const isLocal = this.#localEvidence.forget(request);
+    const isLocal = this.#localEvidence.forget(request, now);
     const isFromControl = this.#suspectsFromControl.delete(request);
     if (isLocal || isFromControl) this.#answered.add(request);
   }
@@ -201,6 +201,10 @@
     return now - answeredAt <= ANSWER_VALID_MS;
   }
 
+  #wasAnsweredAfter(request: string, at: number): boolean {
+    return (this.#answeredAt.get(request) ?? -Infinity) >= at;
+  }
+
   /**
    * Keeps local evidence only of unrecorded crashes. The control plane counts
    * recorded ones, and an operator may have lifted the quarantine since.
@@ -211,7 +215,12 @@
       ...(this.#pendingReport?.crashes ?? []),
     ];
     this.#localEvidence.restore(undefined);
-    for (const crash of waiting) this.#localEvidence.noteCrash(crash, now);
+    for (const crash of waiting) {
+      const requests = crash.requests.filter(
+        request => !this.#wasAnsweredAfter(request, crash.crashedAt),
+      );
+      this.#localEvidence.noteCrash({...crash, requests}, now);
+    }
   }
 }
 
