Evacuate availability zones, and return them to service

The queries for the newest revision moved to a file of their own.

Before: the tests have nothing to call.

--- a/packages/lovagepond-cli/src/settings_control.ts
+++ b/packages/lovagepond-cli/src/settings_control.ts
@@ -48,6 +48,8 @@
   observer: boolean().optional(),
   /** Shortest time without a leader's message before an election. */
   electionTimeout: duration().optional(),
+  /** All availability zones of the deployment. */
+  zones: list(nameText()).optional(),
   /** Interval of the leader's heartbeats; about 1/6 of `electionTimeout`. */
   heartbeat: duration().optional(),
 });
@@ -109,6 +111,7 @@
       openMembership: member.openMembership,
       toleratedLosses: member.toleratedLosses,
       observer: member.observer,
+      zones: member.zones,
       leaseMs: limits.lease,
       digestIntervalMs: limits.digestInterval,
       heartbeatIntervalMs: limits.heartbeatInterval,
--- a/packages/lovagepond-control/src/__tests__/unit/control_role.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/control_role.test.ts
@@ -150,6 +150,7 @@
     backendServer: name,
     incarnation,
     pool: 'p',
+    availabilityZone: 'z',
     address: '10.0.0.1:1',
     state: 'ready',
     runningTokens: 600,
@@ -304,3 +305,53 @@
     await vi.waitUntil(listed);
   }
 });
+
+// Guards against an evacuation that only the member knows to which it was sent,
+// and against one that a change of leader undoes.
+test('every member publishes an evacuation, also after a failover', async () => {
+  const members = await startMembers(3);
+  const leads = ({role}: Member): boolean =>
+    role.administration
+      .listMembers()
+      .some(one => one.leader && one.address === nameOf(role));
+  const leader = members.find(leads) as Member;
+  await call(leader.client, CONTROL_SERVICE.announce, announce('s', 'i1'));
+  const [follower, other] = members.filter(member => member !== leader);
+  if (!follower || !other) throw new Error('needs three members');
+  const updates = subscribe(follower.client);
+  await updates.until(one => one.membership?.members?.[0]?.state === 'ready');
+  const evacuate = {operationId: 'o1', zone: 'z', evacuated: true};
+  const {administration} = leader.role;
+  expect(await follower.role.administration.setEvacuation(evacuate)).toEqual({
+    kind: 'notLeader',
+    leader: nameOf(leader.role),
+  });
+  expect(
+    await administration.setEvacuation({...evacuate, zone: 'elsewhere'}),
+  ).toMatchObject({kind: 'invalid'});
+  expect(await administration.setEvacuation(evacuate)).toEqual({
+    kind: 'accepted',
+  });
+  await updates.until(
+    one => one.membership?.members?.[0]?.state === 'draining',
+  );
+  await leader.role.stop();
+  const rest = [follower, other];
+  await vi.waitUntil(() => rest.some(leads), {timeout: 10_000});
+  const next = rest.find(leads) as Member;
+  const listed = (): unknown =>
+    next.role.administration.listBackendServers()[0]?.server.state;
+  await vi.waitUntil(async () => {
+    const method = CONTROL_SERVICE.announce;
+    return (await call(next.client, method, announce('s', 'i1'))).accepted;
+  });
+  expect(next.role.administration.listZones()).toMatchObject([
+    {zone: 'z', evacuated: true},
+  ]);
+  expect(listed()).toBe('draining');
+  const resume = {operationId: 'o2', zone: 'z', evacuated: false};
+  expect(await next.role.administration.setEvacuation(resume)).toEqual({
+    kind: 'accepted',
+  });
+  expect(listed()).toBe('ready');
+});
--- a/packages/lovagepond-control/src/__tests__/unit/control_state_machine.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/control_state_machine.test.ts
@@ -9,6 +9,7 @@
   CRASHES_COMMAND,
   decodeResult,
   encodeCommand,
+  EVACUATION_COMMAND,
   LIFT_QUARANTINE_COMMAND,
   LIMITS_COMMAND,
   ORDER_COMMAND,
@@ -256,3 +257,34 @@
   replayed.run(CLAIM_COMMAND, CLAIM);
   expect(replayed.machine.snapshot()).toEqual(member.machine.snapshot());
 });
+
+// Guards against a zone that is evacuated again by a late copy of a request,
+// and against an evacuation that is lost when all hosts restart.
+test('an evacuation survives snapshots and is not repeated by its retry', () => {
+  const member = new Member();
+  const evacuate = {operationId: 'o1', digest: 'e', zone: 'a', evacuated: true};
+  const server = {name: 's', availabilityZone: 'a'};
+  member.run(EVACUATION_COMMAND, evacuate);
+  const copy = member.copy();
+  expect(copy.machine.evacuations.list()).toEqual([{zone: 'a', sinceMs: 0}]);
+  expect(copy.machine.wantedStateOf(server)).toBe('draining');
+  const resume = {operationId: 'o2', digest: 'r', zone: 'a', evacuated: false};
+  copy.now += 1_000;
+  expect(copy.run(EVACUATION_COMMAND, resume)).toMatchObject({
+    kind: 'accepted',
+  });
+  copy.run(EVACUATION_COMMAND, evacuate);
+  expect(copy.machine.wantedStateOf(server)).toBe('ready');
+  const {evacuations, time} = copy.copy().machine;
+  expect(evacuations.returnedAtMs('a')).toBe(time.timeMs);
+});
+
+test('a server drains while it or its zone must', () => {
+  const {machine} = new Member();
+  const server = {name: 's', availabilityZone: 'a'};
+  machine.wanted.set('s', 'draining');
+  machine.evacuations.set('a', true, 0);
+  machine.evacuations.set('a', false, 0);
+  expect(machine.wantedStateOf(server)).toBe('draining');
+  expect(machine.wantedStateOf({...server, name: 't'})).toBe('ready');
+});
--- a/packages/lovagepond-control/src/__tests__/unit/membership_registry.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/membership_registry.test.ts
@@ -258,3 +258,58 @@
     numRuns: 1_000,
   });
 });
+
+// Guards against servers of an evacuated zone that get requests: those listed
+// at the evacuation, those that appear during it, and those that a new leader
+// takes over.
+test('an evacuated zone has no ready server at any leader', () => {
+  const zones = ['zone-0', 'zone-1', 'zone-2'];
+  const step = fc.record({
+    kind: fc.constantFrom('announce', 'evacuate', 'resume', 'takeOver'),
+    n: fc.nat(99),
+  });
+  const run = (steps: {kind: string; n: number}[]): void => {
+    let leader = startLeader();
+    const evacuated = new Set<string>();
+    const running = new Map<string, Announcement>();
+    let term = 1;
+    const wantedOf = (server: Pick<BackendServer, 'availabilityZone'>) =>
+      evacuated.has(server.availabilityZone) ? 'draining' : 'ready';
+    const announce = (one: Announcement): void => {
+      running.set(one.name, one);
+      leader.registry.announce(one, wantedOf(one), 0);
+    };
+    const handlers: Record<string, (n: number) => void> = {
+      announce: n => {
+        const availabilityZone = zones[n % 3] ?? '';
+        announce(makeAnnouncement(`server-${n % 8}`, {availabilityZone}));
+      },
+      evacuate: n => {
+        evacuated.add(zones[n % 3] ?? '');
+        leader.registry.applyWantedStates(wantedOf);
+      },
+      resume: n => {
+        evacuated.delete(zones[n % 3] ?? '');
+        leader.registry.applyWantedStates(wantedOf);
+      },
+      takeOver: () => {
+        const next = new Leader();
+        const whole = leader.log.changesSince(0, '');
+        if (whole) next.log.mirror(whole);
+        leader = next;
+        const known = [...running.values()];
+        leader.registry.takeOver((term += 1), 0, known, wantedOf);
+      },
+    };
+    for (const {kind, n} of steps) {
+      handlers[kind]?.(n);
+      const states = [...leader.log.servers()].map(server => server.state);
+      const wanted = [...leader.log.servers()].map(wantedOf);
+      expect(states).toEqual(wanted);
+      const {readyServers} = leader.registry.poolMean('p', 0);
+      const ready = states.filter(state => state === 'ready');
+      expect(readyServers).toBe(ready.length);
+    }
+  };
+  fc.assert(fc.property(fc.array(step, {maxLength: 40}), run));
+});
--- a/packages/lovagepond-control/src/announce_handler.ts
+++ b/packages/lovagepond-control/src/announce_handler.ts
@@ -99,7 +99,7 @@
     const {machine, registry, convergence, delivery, clock} = this.#deps;
     const now = clock.now();
     const announcement = readAnnouncement(req);
-    const wanted = machine.wanted.get(announcement.name);
+    const wanted = machine.wantedStateOf(announcement);
     registry.announce(announcement, wanted, now);
     convergence.report(announcement.name, 'sidecar', req.revision ?? 0, now);
     const poolMean = registry.poolMean(announcement.pool, now);
--- a/packages/lovagepond-control/src/control_administration.ts
+++ b/packages/lovagepond-control/src/control_administration.ts
@@ -190,6 +190,15 @@
       readonly address: string;
     };
 
+/** An availability zone, and whether it is evacuated. */
+export interface ZoneView {
+  readonly zone: string;
+  /** The zone's servers get no new requests. */
+  readonly evacuated: boolean;
+  /** Milliseconds since the evacuation was requested; 0 when there is none. */
+  readonly evacuatedForMs: number;
+}
+
 /** Identifies an operation, so that a retry has no second effect. */
 export interface Operation {
   readonly operationId: string;
@@ -265,6 +274,14 @@
   /** Ends a request's quarantine and deletes its recorded crashes. */
   liftQuarantine(request: string): Promise<OperationAnswer>;
 
+  /** @returns the availability zones that this member knows, by name */
+  listZones(): readonly ZoneView[];
+
+  /** Evacuates an availability zone, or returns it to service. */
+  setEvacuation(
+    req: Operation & {readonly zone: string; readonly evacuated: boolean},
+  ): Promise<OperationAnswer>;
+
   /** @returns the revision that each router and sidecar last reported */
   convergence(): readonly ConvergenceView[];
 
--- a/packages/lovagepond-control/src/control_commands.ts
+++ b/packages/lovagepond-control/src/control_commands.ts
@@ -89,6 +89,12 @@
   readonly wantedState: WantedState;
 }
 
+/** Evacuates an availability zone, or returns it to service. */
+export interface EvacuationPayload extends OperationIdentity {
+  readonly zone: string;
+  readonly evacuated: boolean;
+}
+
 /** Records how an order ended. */
 export interface OrderOutcomePayload {
   readonly orderId: string;
@@ -174,6 +180,9 @@
 /** Lifts the quarantine of a request. */
 export const LIFT_QUARANTINE_COMMAND =
   createCommand<LiftPayload>('liftQuarantine');
+/** Evacuates an availability zone, or returns it to service. */
+export const EVACUATION_COMMAND =
+  createCommand<EvacuationPayload>('evacuation');
 /** Records how an order ended. */
 export const ORDER_OUTCOME_COMMAND =
   createCommand<OrderOutcomePayload>('orderOutcome');
--- a/packages/lovagepond-control/src/control_leadership.ts
+++ b/packages/lovagepond-control/src/control_leadership.ts
@@ -90,12 +90,16 @@
   }
 
   async #takeOverOnce(term: number): Promise<void> {
-    const {proposer, node, directServers, registry, clock} = this.#deps;
+    const {proposer, node, directServers, registry, clock, machine} =
+      this.#deps;
     if (!(await proposer.confirm())) return;
     if (!(await this.#setLimits())) return;
     const {role, term: current} = node.status();
     if (role !== MEMBER_ROLE.LEADER || current !== term) return;
-    registry.takeOver(term, clock.now(), directServers.replicatedServers());
+    const known = directServers.replicatedServers();
+    registry.takeOver(term, clock.now(), known, server =>
+      machine.wantedStateOf(server),
+    );
     this.#term = term;
     this.#deps.log.info('control leads', {term});
     this.#deps.onTakenOver();
--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -10,7 +10,7 @@
   type StateDump,
   type Unregister,
 } from '@lovagepond/core';
-import {lovagepond} from '@lovagepond/protocol';
+import {type lovagepond} from '@lovagepond/protocol';
 import {AnnounceHandler} from './announce_handler.js';
 import {ConfigurationDocuments} from './configuration_documents.js';
 import {ConfirmationRounds} from './confirmation_rounds.js';
@@ -21,7 +21,7 @@
 import {CrashReports} from './crash_reports.js';
 import {ConvergenceTable} from './convergence_table.js';
 import {DirectServers} from './direct_servers.js';
-import {RevisionConfirmer} from './revision_confirmer.js';
+import {RevisionQueries} from './revision_queries.js';
 import {LeaderClient} from './leader_client.js';
 import {LedgerHandler} from './ledger_handler.js';
 import {listMemberAddresses, listRedirectTargets} from './member_addresses.js';
@@ -39,11 +39,10 @@
   type FeedView,
   type Subscriber,
 } from './subscription_feed.js';
+import {ZoneAdministration} from './zone_administration.js';
 import {UpdateScheduler} from './update_scheduler.js';
 import {SubscriptionHub, type UpdateSink} from './subscription_hub.js';
 
-const {v1} = lovagepond;
-
 const DUMP_VERSION = 1;
 
 /** Timeout of a follower's calls to the leader. */
@@ -70,6 +69,7 @@
   readonly documents: ConfigurationDocuments;
   readonly directServers: DirectServers;
   readonly crashReports: CrashReports;
+  readonly zones: ZoneAdministration;
   readonly #settings: ControlSettings;
   readonly #deps: MemberStateDependencies;
   readonly #proposer: Proposer;
@@ -83,7 +83,7 @@
   readonly #hub: SubscriptionHub;
   readonly #leaderClient: LeaderClient;
   readonly #confirmations: ConfirmationRounds;
-  readonly #revisionConfirmer: RevisionConfirmer;
+  readonly #revisions: RevisionQueries;
   readonly #unregister: Unregister;
   readonly #updateScheduler = new UpdateScheduler(() => {
     this.#flush(this.#now());
@@ -94,6 +94,9 @@
     this.#settings = settings;
     this.#deps = deps;
     const {clock, log, machine, node} = deps;
+    const publish = (): void => {
+      this.#updateScheduler.runSoon();
+    };
     this.#proposer = new Proposer({log: node, machine, clock});
     this.ledger = new LedgerHandler(this.#proposer);
     this.#registry = new MembershipRegistry(settings, this.#membership);
@@ -106,9 +109,7 @@
       registry: this.#registry,
       proposer: this.#proposer,
       hasTakenOver: () => this.#leadership.term !== undefined,
-      publish: () => {
-        this.#updateScheduler.runSoon();
-      },
+      publish,
     });
     this.crashReports = new CrashReports({
       clock,
@@ -117,24 +118,26 @@
       proposer: this.#proposer,
       forwardToLeader: report => this.#leaderClient.reportCrashes(report),
       oldestLogVersion: () => this.#hub.oldestLogVersion,
-      publish: () => {
-        this.#updateScheduler.runSoon();
-      },
+      publish,
     });
+    this.zones = this.#makeZoneAdministration();
     this.#leadership = this.#makeLeadership();
     this.#hub = new SubscriptionHub(settings, clock.now());
     this.#leaderClient = this.#makeLeaderClient(log);
-    this.#revisionConfirmer = new RevisionConfirmer({
+    this.#revisions = new RevisionQueries({
+      clock,
       nodeName: settings.nodeName,
-      leaderAddress: () => this.#proposer.leaderAddress(),
-      report: report => this.#leaderClient.report(report),
+      machine,
+      proposer: this.#proposer,
+      convergence: this.#convergence,
+      reportToLeader: report => this.#leaderClient.report(report),
     });
-    this.#confirmations = new ConfirmationRounds(() => this.#confirmRevision());
+    this.#confirmations = new ConfirmationRounds(() =>
+      this.#revisions.confirm(),
+    );
     this.administration = this.#makeAdministration();
     this.#unregister = mergeRegister(
-      machine.configuration.current.register(() => {
-        this.#updateScheduler.runSoon();
-      }),
+      machine.configuration.current.register(publish),
       node.onLeaderChange(() => {
         this.tick(clock.now());
       }),
@@ -152,23 +155,10 @@
    * @returns the revision in force, confirmed by a majority after the call
    *     began, unless no leader could confirm it
    */
-  async reportConvergence(
+  reportConvergence(
     report: lovagepond.v1.ConvergenceReport,
   ): Promise<lovagepond.v1.ConvergenceResponse> {
-    const {node, role, revision, atOnce} = report;
-    if (role !== CONTROL_ROLE) {
-      this.#convergence.report(node, role, revision, this.#now());
-    }
-    const confirmed = this.#proposer.leads()
-      ? await this.#confirmAsLeader(!atOnce)
-      : await this.#revisionConfirmer.confirmFor(
-          {node, role, revision, atOnce},
-          this.#now(),
-        );
-    return new v1.ConvergenceResponse({
-      revision: confirmed ?? 0,
-      confirmed: confirmed !== undefined,
-    });
+    return this.#revisions.answer(report);
   }
 
   /**
@@ -237,7 +227,7 @@
     );
     if (leads) this.#runInBackground(this.#leadership.tick(now));
     this.#convergence.sweep(now);
-    this.#revisionConfirmer.sweep(now);
+    this.#revisions.sweep(now);
     this.#runningRequests.expireReports(now);
     this.#hub.redirectSubscribers(listRedirectTargets(node));
     this.#runConfirmationRound();
@@ -285,6 +275,7 @@
         backendServers: this.#membership.size,
         subscribers: this.#hub.size,
         suspectedRequests: this.crashReports.list().length,
+        evacuatedZones: this.zones.list().filter(zone => zone.evacuated),
       },
     };
   }
@@ -343,17 +334,6 @@
     this.#runInBackground(round);
   }
 
-  async #confirmRevision(): Promise<number | undefined> {
-    return this.#proposer.leads()
-      ? this.#confirmAsLeader()
-      : this.#revisionConfirmer.confirm();
-  }
-
-  async #confirmAsLeader(mayWait = false): Promise<number | undefined> {
-    if (!(await this.#proposer.confirm(mayWait))) return undefined;
-    return this.#deps.machine.configuration.current.read().revision;
-  }
-
   #makeLeadership(): ControlLeadership {
     return new ControlLeadership({
       ...this.#deps,
@@ -372,6 +352,24 @@
     });
   }
 
+  #makeZoneAdministration(): ZoneAdministration {
+    const {clock, log, machine} = this.#deps;
+    return new ZoneAdministration({
+      clock,
+      log,
+      machine,
+      proposer: this.#proposer,
+      configuredZones: this.#settings.zones,
+      listedZones: () =>
+        [...this.#membership.servers()].map(one => one.availabilityZone),
+      oldestLogVersion: () => this.#hub.oldestLogVersion,
+      publish: () => {
+        this.#registry.applyWantedStates(one => machine.wantedStateOf(one));
+        this.#updateScheduler.runSoon();
+      },
+    });
+  }
+
   #makeAnnounceHandler(): AnnounceHandler {
     return new AnnounceHandler({
       clock: this.#deps.clock,
@@ -419,9 +417,10 @@
       membership: this.#membership,
       convergence: this.#convergence,
       crashReports: this.crashReports,
+      zones: this.zones,
       load: now => this.#readLoad(now),
       dump: () => this.dump(),
-      confirmRevision: () => this.#confirmRevision(),
+      confirmRevision: () => this.#revisions.confirm(),
     });
   }
 }
--- a/packages/lovagepond-control/src/control_settings.ts
+++ b/packages/lovagepond-control/src/control_settings.ts
@@ -11,6 +11,8 @@
   readonly nodeName: string;
   readonly region: string;
   readonly availabilityZone: string;
+  /** All availability zones; empty when only those of servers are known. */
+  readonly zones: readonly string[];
   /** `host:port` under which the other members reach this one. */
   readonly address: string;
   /** Address on which the gRPC server listens. */
@@ -79,6 +81,7 @@
   mayFormGroup: true,
   openMembership: false,
   observer: false,
+  zones: [],
   leaseMs: 3_000,
   digestIntervalMs: 1_000,
   heartbeatIntervalMs: 1_000,
--- a/packages/lovagepond-control/src/control_state_machine.ts
+++ b/packages/lovagepond-control/src/control_state_machine.ts
@@ -1,11 +1,12 @@
 /**
  * Control's replicated state: configuration, ledger, orders, wanted states,
- * backend servers without a sidecar, and crash evidence.
+ * backend servers without a sidecar, crash evidence and evacuated zones.
  *
  * The state machine is deterministic: members that applied the same commands
  * hold the same state and returned the same results.
  */
 import {
+  type BackendServer,
   type Command,
   CRASH_RULES,
   CrashEvidence,
@@ -27,6 +28,7 @@
   encodeFailure,
   encodeResult,
   END_SERVER_COMMAND,
+  EVACUATION_COMMAND,
   INCARNATION_COMMAND,
   INSTALL_COMMAND,
   JOIN_SERVER_COMMAND,
@@ -39,6 +41,7 @@
   RECORD_COMMAND,
   WANTED_STATE_COMMAND,
 } from './control_commands.js';
+import {WANTED_STATE, type WantedState} from './control_administration.js';
 import {type StateMachine} from '@lovagepond/consensus';
 import {
   type ConfigurationSnapshot,
@@ -53,6 +56,10 @@
 import {type OrderSnapshot, OrderState} from './order_state.js';
 import {ReplicatedTime} from './replicated_time.js';
 import {WantedStates} from './wanted_states.js';
+import {
+  ZoneEvacuations,
+  type ZoneEvacuationSnapshot,
+} from './zone_evacuations.js';
 
 const SNAPSHOT_VERSION = 1;
 
@@ -70,6 +77,7 @@
   readonly draining: readonly string[];
   readonly directServers?: DirectServerSnapshot;
   readonly crashes?: CrashEvidenceSnapshot;
+  readonly evacuations?: ZoneEvacuationSnapshot;
 }
 
 type Handler = (payload: unknown, stamp: CommandStamp) => unknown;
@@ -84,6 +92,7 @@
   readonly wanted = new WantedStates();
   readonly directServers = new DirectServerTable();
   readonly crashes = new CrashEvidence();
+  readonly evacuations = new ZoneEvacuations();
   readonly time = new ReplicatedTime();
   readonly #handlers = new Map<string, Handler>();
   readonly #now: () => number;
@@ -108,6 +117,18 @@
     return this.#limits;
   }
 
+  /**
+   * @param server a backend server's name and availability zone
+   * @returns the state that operators request, of the server or of its zone
+   */
+  wantedStateOf(
+    server: Pick<BackendServer, 'name' | 'availabilityZone'>,
+  ): WantedState {
+    return this.evacuations.isEvacuated(server.availabilityZone)
+      ? WANTED_STATE.DRAINING
+      : this.wanted.get(server.name);
+  }
+
   apply(command: Uint8Array, _index: number): Uint8Array {
     const {name, stamp, payload} = decodeCommand(command);
     const handler = this.#handlers.get(name);
@@ -128,6 +149,7 @@
       draining: this.wanted.snapshot(),
       directServers: this.directServers.snapshot(),
       crashes: this.crashes.snapshot(),
+      evacuations: this.evacuations.snapshot(),
     };
     const lines = this.ledger.encodeEntries();
     return Buffer.concat([packHead(snapshot), LINE_END, ...lines]);
@@ -150,6 +172,7 @@
     this.wanted.restore(snapshot.draining);
     this.directServers.restore(snapshot.directServers);
     this.crashes.restore(snapshot.crashes);
+    this.evacuations.restore(snapshot.evacuations);
     this.configuration.restore(snapshot.configuration);
   }
 
@@ -179,6 +202,12 @@
         return {kind: 'accepted', revision: 0};
       }),
     );
+    this.#handle(EVACUATION_COMMAND, (payload, {timeMs}) =>
+      this.operations.runOnce(payload, () => {
+        this.evacuations.set(payload.zone, payload.evacuated, timeMs);
+        return {kind: 'accepted', revision: 0};
+      }),
+    );
     this.#handle(ORDER_COMMAND, (payload, {term}) =>
       this.orders.issue(payload, term),
     );
--- a/packages/lovagepond-control/src/direct_servers.ts
+++ b/packages/lovagepond-control/src/direct_servers.ts
@@ -198,7 +198,7 @@
     const record = machine.directServers.get(name);
     // The server ended while its announcement was being processed.
     if (!record) return;
-    const wanted = machine.wanted.get(name);
+    const wanted = machine.wantedStateOf(record.server);
     const isNew = !registry.has(name);
     registry.announce(toAnnouncement(record), wanted, clock.now());
     if (isNew || record.leaving) this.#publishTable();
--- a/packages/lovagepond-control/src/index.ts
+++ b/packages/lovagepond-control/src/index.ts
@@ -22,6 +22,7 @@
   type SuspectView,
   WANTED_STATE,
   type WantedState,
+  type ZoneView,
 } from './control_administration.js';
 export {
   ConfigurationDocuments,
--- a/packages/lovagepond-control/src/member_administration.ts
+++ b/packages/lovagepond-control/src/member_administration.ts
@@ -29,6 +29,7 @@
   type ServerView,
   type SuspectView,
   type WantedState,
+  type ZoneView,
 } from './control_administration.js';
 import {
   ORDER_COMMAND,
@@ -47,6 +48,10 @@
 import {type IssueResult} from './order_state.js';
 import {type ProposalResult, type Proposer} from './proposer.js';
 import {type ReplicatedLog} from './control_log.js';
+import {
+  type EvacuationRequest,
+  type ZoneAdministration,
+} from './zone_administration.js';
 
 export interface AdministrationDependencies {
   readonly clock: Clock;
@@ -57,6 +62,7 @@
   readonly membership: MembershipLog;
   readonly convergence: ConvergenceTable;
   readonly crashReports: CrashReports;
+  readonly zones: ZoneAdministration;
   /** @returns the load report that this member publishes, if it has one */
   readonly load: (now: number) => LoadReport | undefined;
   readonly dump: () => StateDump;
@@ -114,7 +120,7 @@
     if (!proposer.leads()) return this.#listMirrored(now);
     return registry.list().map(known => ({
       server: known.server,
-      wantedState: machine.wanted.get(known.server.name),
+      wantedState: machine.wantedStateOf(known.server),
       runningTokens: known.runningTokens,
       queuedTokens: known.queuedTokens,
       ageMs: now - known.renewedAt,
@@ -159,6 +165,14 @@
     return this.#deps.crashReports.lift(request);
   }
 
+  listZones(): readonly ZoneView[] {
+    return this.#deps.zones.list();
+  }
+
+  setEvacuation(req: EvacuationRequest): Promise<OperationAnswer> {
+    return this.#deps.zones.set(req);
+  }
+
   convergence(): readonly ConvergenceView[] {
     return this.#deps.convergence.list(this.#deps.clock.now());
   }
@@ -189,7 +203,7 @@
     const load = this.#deps.load(now);
     return [...membership.servers()].map(server => ({
       server,
-      wantedState: machine.wanted.get(server.name),
+      wantedState: machine.wantedStateOf(server),
       runningTokens: decodeLoad(load?.loads[server.slot] ?? 0),
       queuedTokens: 0,
       ageMs: load?.ageMs ?? Infinity,
--- a/packages/lovagepond-control/src/membership_registry.ts
+++ b/packages/lovagepond-control/src/membership_registry.ts
@@ -26,6 +26,11 @@
   readonly flapping?: FlapSettings;
 }
 
+/** Returns the state that operators request of a server. */
+export type WantedStateReader = (
+  server: Pick<BackendServer, 'name' | 'availabilityZone'>,
+) => WantedState;
+
 /** One backend server with the state that only control holds. */
 export interface RegisteredServer {
   readonly server: BackendServer;
@@ -119,11 +124,13 @@
    * @param term the leader's term
    * @param now monotonic milliseconds
    * @param known servers without a sidecar, from the replicated state
+   * @param wantedOf returns the state that operators request of a server
    */
   takeOver(
     term: number,
     now: number,
     known: readonly Announcement[] = [],
+    wantedOf: WantedStateReader = () => WANTED_STATE.READY,
   ): void {
     const {leaseMs} = this.#settings;
     this.#records.clear();
@@ -136,7 +143,26 @@
     // Without a mirrored list, all servers announce themselves within a lease.
     this.#completeAt = now + leaseMs;
     if (this.#records.size === 0) this.#log.markIncomplete();
-    for (const server of known) this.announce(server, WANTED_STATE.READY, now);
+    for (const server of known) this.announce(server, wantedOf(server), now);
+    this.applyWantedStates(wantedOf);
+  }
+
+  /**
+   * Updates the states of all servers to what operators request now.
+   *
+   * @param wantedOf returns the state that operators request of a server
+   */
+  applyWantedStates(wantedOf: WantedStateReader): void {
+    for (const record of this.#records.values()) {
+      const {announcedState, held, server, share} = record;
+      const state = decideState(announcedState, wantedOf(server), held);
+      if (state === server.state) continue;
+      record.server = {...server, state};
+      if (share) this.#means.subtract(share);
+      record.share = undefined;
+      this.#addShare(record);
+      this.#log.put(record.server);
+    }
   }
 
   /**
--- a/packages/lovagepond-operator/src/__tests__/unit/ctl.test.ts
+++ b/packages/lovagepond-operator/src/__tests__/unit/ctl.test.ts
@@ -127,6 +127,15 @@
     expect(member.suspects).toEqual([]);
   });
 
+  it('evacuates a zone and returns it to service', async () => {
+    member.zones = [{zone: 'north', evacuated: false, evacuatedForMs: 0}];
+    await ctl('zones evacuate north');
+    await ctl('zones list');
+    expect(io.out).toMatch(/north +evacuated/);
+    await ctl('zones resume north');
+    expect(member.zones[0]?.evacuated).toBe(false);
+  });
+
   // Control has no leader for a while. Once one is elected, the command
   // succeeds. Without a leader until the time limit it fails with the exit code
   // UNREACHABLE and prints the operation id for a retry.
--- a/packages/lovagepond-operator/src/__tests__/unit/fake_administration.ts
+++ b/packages/lovagepond-operator/src/__tests__/unit/fake_administration.ts
@@ -24,9 +24,11 @@
   type RetryableFailure,
   type ServerView,
   type SuspectView,
+  type ZoneView,
 } from '@lovagepond/control';
 
 type Restore = Parameters<ControlAdministration['restoreRevision']>[0];
+type Evacuation = Parameters<ControlAdministration['setEvacuation']>[0];
 type Wanted = Parameters<ControlAdministration['setWantedState']>[0];
 
 function edit(base: Configuration, change: RequestedChange): unknown {
@@ -58,6 +60,7 @@
   readonly memberChanges: MemberChange[] = [];
   readonly orders: OrderView[] = [];
   suspects: SuspectView[] = [];
+  zones: ZoneView[] = [];
   members: ControlMemberView[] = [];
   nodes: ConvergenceView[] = [];
   /** Whether a majority confirms the configuration of this member. */
@@ -71,6 +74,18 @@
     {readonly digest: string; readonly answer: ChangeAnswer}
   >();
 
+  listZones(): readonly ZoneView[] {
+    return this.zones;
+  }
+
+  setEvacuation({zone, evacuated}: Evacuation): Promise<OperationAnswer> {
+    if (this.refusal) return Promise.resolve(this.refusal);
+    this.zones = this.zones.map(one =>
+      one.zone === zone ? {...one, evacuated} : one,
+    );
+    return Promise.resolve({kind: 'accepted'});
+  }
+
   listQuarantine(): readonly SuspectView[] {
     return this.suspects;
   }
--- a/packages/lovagepond-operator/src/ctl_register.ts
+++ b/packages/lovagepond-operator/src/ctl_register.ts
@@ -16,6 +16,7 @@
 import {OBJECT_COMMANDS} from './ctl_object_commands.js';
 import {QUARANTINE_COMMANDS} from './ctl_quarantine_commands.js';
 import {STATUS_COMMANDS} from './ctl_status_command.js';
+import {ZONE_COMMANDS} from './ctl_zone_commands.js';
 import {
   type CtlCommand,
   type CtlIo,
@@ -45,6 +46,7 @@
   ...OBJECT_COMMANDS,
   ...FLEET_COMMANDS,
   ...QUARANTINE_COMMANDS,
+  ...ZONE_COMMANDS,
   ...MEMBER_COMMANDS,
   ...CONVERGENCE_COMMANDS,
 ];
@@ -167,6 +169,7 @@
   'request-kinds': 'kinds of requests, and which are non-repeatable',
   servers: 'backend servers: list, drain, resume',
   order: 'orders to backend servers: models and roles',
+  zones: 'availability zones: list, evacuate, resume',
   members: 'control members: list, add, promote, remove, replace',
 };
 
--- a/packages/lovagepond-operator/src/operator_fleet_routes.ts
+++ b/packages/lovagepond-operator/src/operator_fleet_routes.ts
@@ -1,6 +1,6 @@
 /**
- * Routes for backend servers, orders, quarantined requests, control members,
- * convergence and the state dump.
+ * Routes for backend servers, orders, quarantined requests, availability zones,
+ * control members, convergence and the state dump.
  */
 import {z} from '@lovagepond/core';
 import {
@@ -89,6 +89,18 @@
 const liftQuarantine: CallHandler = async ({administration, params}) =>
   replyToAnswer(await administration.liftQuarantine(params['request'] ?? ''));
 
+const listZones: CallHandler = ({administration}) =>
+  replyWith(administration.listZones());
+
+function setEvacuation(evacuated: boolean): CallHandler {
+  return async ({administration, params, operationId}) => {
+    const zone = params['zone'] ?? '';
+    return replyToAnswer(
+      await administration.setEvacuation({operationId, zone, evacuated}),
+    );
+  };
+}
+
 const listMembers: CallHandler = ({administration}) =>
   replyWith(administration.listMembers());
 
@@ -126,6 +138,17 @@
     path: '/v1/quarantine/:request/lift',
     handle: liftQuarantine,
   },
+  {method: 'get', path: '/v1/zones', handle: listZones},
+  {
+    method: 'post',
+    path: '/v1/zones/:zone/evacuate',
+    handle: setEvacuation(true),
+  },
+  {
+    method: 'post',
+    path: '/v1/zones/:zone/resume',
+    handle: setEvacuation(false),
+  },
   {method: 'get', path: '/v1/members', handle: listMembers},
   {method: 'post', path: '/v1/members', handle: changeMembers},
   {method: 'get', path: '/v1/convergence', handle: getConvergence},
