Limit what backend servers get while they warm up

Cause: the platform's servers are cold for some seconds after a start, at the return of their zone, or when they report it, and crash when all gateways together send more than a rate. The product knew of no such limit.

Change: a pool may limit the requests per second of servers that warm up. Control decides which servers do, from their reports, their joins and the return of their zone, and names the gateways that may send to each, in the replicated state: all others send nothing, and each named one sends its part in 1.5 s at most, none in the first 1.5 s after its own start. The sum so holds without contact between gateways. A server that says nothing is cold for the configured time; a zone that returns is cold for it whatever was reported.

Weighed: each gateway a part by the number of gateways (31 gateways, 21 requests a second: no whole request each); leases of the leader (a message for each grant, and none without contact); not sending at all (a pool whose servers all restart serves nothing until they are warm).

--- a/packages/lovagepond-control/src/__tests__/unit/control_state_machine.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/control_state_machine.test.ts
@@ -276,15 +276,15 @@
   copy.run(EVACUATION_COMMAND, evacuate);
   expect(copy.machine.wantedStateOf(server)).toBe('ready');
   const {evacuations, time} = copy.copy().machine;
-  expect(evacuations.returnedAtMs('a')).toBe(time.timeMs);
+  expect(evacuations.lastReturn('a')?.atMs).toBe(time.timeMs);
 });
 
 test('a server drains while it or its zone must', () => {
   const {machine} = new Member();
   const server = {name: 's', availabilityZone: 'a'};
   machine.wanted.set('s', 'draining');
-  machine.evacuations.set('a', true, 0);
-  machine.evacuations.set('a', false, 0);
+  machine.evacuations.evacuate('a', 0);
+  machine.evacuations.resume('a', 0);
   expect(machine.wantedStateOf(server)).toBe('draining');
   expect(machine.wantedStateOf({...server, name: 't'})).toBe('ready');
 });
--- /dev/null
+++ b/packages/lovagepond-control/src/__tests__/unit/direct_servers.test.ts
@@ -0,0 +1,145 @@
+import {type Clock, type Command, configurationSchema} from '@lovagepond/core';
+import {expect, test} from 'vitest';
+import {
+  decodeResult,
+  encodeCommand,
+  EVACUATION_COMMAND,
+  INSTALL_COMMAND,
+} from '../../control_commands.js';
+import {CONTROL_DEFAULTS} from '../../control_settings.js';
+import {ControlStateMachine} from '../../control_state_machine.js';
+import {type DirectAnnouncement, DirectServers} from '../../direct_servers.js';
+import {MembershipLog} from '../../membership_log.js';
+import {MembershipRegistry} from '../../membership_registry.js';
+import {type Proposer} from '../../proposer.js';
+
+const ROUTERS = ['r1', 'r2'];
+const DURATION_MS = 3_000;
+
+const CONTENT = configurationSchema.parse({
+  pools: [
+    {
+      name: 'p',
+      kind: 'engine',
+      warmUp: {durationMs: DURATION_MS, maxRequestsPerSecond: 21},
+    },
+  ],
+});
+
+const ANNOUNCEMENT: DirectAnnouncement = {
+  incarnation: 's',
+  startedAtMs: undefined,
+  pool: 'p',
+  address: 'a:1',
+  availabilityZone: 'z',
+  region: 'r',
+  slots: 4,
+  version: '1',
+  models: [],
+  leaving: false,
+  sequence: 1,
+};
+
+/** A leader that commits each command at once. */
+class Leader {
+  now = 0;
+  readonly machine = new ControlStateMachine(CONTROL_DEFAULTS, () => this.now);
+  readonly log = new MembershipLog();
+  readonly registry = new MembershipRegistry({leaseMs: 60_000}, this.log);
+  readonly servers: DirectServers;
+  #index = 0;
+
+  constructor() {
+    const clock: Clock = {now: () => this.now, wallTime: () => this.now};
+    this.servers = new DirectServers({
+      clock,
+      machine: this.machine,
+      registry: this.registry,
+      proposer: {
+        leads: () => true,
+        leaderAddress: () => '',
+        propose: (command: Command<unknown>, payload: unknown) =>
+          Promise.resolve({
+            kind: 'committed',
+            value: this.run(command, payload),
+          }),
+      } as unknown as Proposer,
+      hasTakenOver: () => true,
+      convergence: {namesOf: () => ROUTERS},
+      publish: () => {},
+    });
+    this.run(INSTALL_COMMAND, {version: 1, source: '', content: CONTENT});
+    this.takeOver(1);
+  }
+
+  takeOver(term: number): void {
+    const known = this.servers.replicatedServers();
+    this.registry.takeOver(term, this.now, known);
+  }
+
+  run<Payload>(command: Command<Payload>, payload: Payload): unknown {
+    const timeMs = this.machine.time.stamp(this.now);
+    const stamp = {timeMs, wallTimeMs: 0, term: 1};
+    const bytes = encodeCommand(command, payload, stamp);
+    return decodeResult(this.machine.apply(bytes, ++this.#index));
+  }
+
+  async tick(now: number): Promise<void> {
+    this.now = now;
+    await this.servers.tick([], now);
+  }
+
+  get routers(): readonly string[] | undefined {
+    const warmUp = this.log.get('s')?.warmUp;
+    return warmUp && [...warmUp.routers].sort();
+  }
+}
+
+test('a server that has just started lists the routers that may send', async () => {
+  const leader = new Leader();
+  await leader.servers.announce({...ANNOUNCEMENT, warmUpLeftMs: 2_000});
+  expect(leader.routers).toEqual(ROUTERS);
+  await leader.tick(1_999);
+  expect(leader.routers).toEqual(ROUTERS);
+  await leader.tick(2_000);
+  expect(leader.routers).toBeUndefined();
+});
+
+test('a server that joins warm has no limit, nor has it at a new leader', async () => {
+  const leader = new Leader();
+  await leader.servers.announce({...ANNOUNCEMENT, warmUpLeftMs: 0});
+  expect(leader.routers).toBeUndefined();
+  leader.takeOver(2);
+  expect(leader.routers).toBeUndefined();
+});
+
+test('a server that becomes cold again is limited again', async () => {
+  const leader = new Leader();
+  await leader.servers.announce({...ANNOUNCEMENT, warmUpLeftMs: 0});
+  leader.now = 10_000;
+  const again = {...ANNOUNCEMENT, warmUpLeftMs: 1_000, sequence: 2};
+  await leader.servers.announce(again);
+  expect(leader.routers).toEqual(ROUTERS);
+  const late = {...ANNOUNCEMENT, warmUpLeftMs: 0, sequence: 1};
+  await leader.servers.announce(late);
+  expect(leader.routers).toEqual(ROUTERS);
+});
+
+// Guards against all routers sending at once to a zone whose servers lost their
+// caches during an evacuation, before the first report says so.
+test('a zone that returns to service warms up, also at a new leader', async () => {
+  const leader = new Leader();
+  await leader.servers.announce({...ANNOUNCEMENT, warmUpLeftMs: 0});
+  const evacuation = {digest: '', zone: 'z', warmUpRouters: ['r9']};
+  const evacuate = {...evacuation, operationId: 'o1', evacuated: true};
+  const resume = {...evacuation, operationId: 'o2', evacuated: false};
+  leader.run(EVACUATION_COMMAND, evacuate);
+  await leader.tick(10_000);
+  leader.run(EVACUATION_COMMAND, resume);
+  leader.servers.refreshWarmUps(leader.now);
+  expect(leader.routers).toEqual(['r9']);
+  leader.takeOver(2);
+  expect(leader.routers).toEqual(['r9']);
+  await leader.tick(10_000 + DURATION_MS);
+  expect(leader.routers).toBeUndefined();
+});
--- a/packages/lovagepond-control/src/announce_handler.ts
+++ b/packages/lovagepond-control/src/announce_handler.ts
@@ -14,6 +14,7 @@
 import {type MembershipRegistry} from './membership_registry.js';
 import {type OrderDelivery} from './order_delivery.js';
 import {type Proposer} from './proposer.js';
+import {ROUTER_ROLE} from './subscription_feed.js';
 import {readAnnouncement} from './wire_utils.js';
 
 const {v1} = lovagepond;
@@ -21,9 +22,6 @@
 type WireAnnounce = lovagepond.v1.AnnounceRequest.$Properties;
 type WireAnswer = lovagepond.v1.AnnounceResponse;
 
-/** Role of an announcement that a router sends. */
-const ROUTER_ROLE = 'router';
-
 /**
  * Floor of a backend server that has completed no order: below every fencing
  * token, but not 0, which stands for an unknown floor.
--- a/packages/lovagepond-control/src/control_commands.ts
+++ b/packages/lovagepond-control/src/control_commands.ts
@@ -93,6 +93,8 @@
 export interface EvacuationPayload extends OperationIdentity {
   readonly zone: string;
   readonly evacuated: boolean;
+  /** For a return: routers that may send to servers that are warming up. */
+  readonly warmUpRouters?: readonly string[];
 }
 
 /** Records how an order ended. */
--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -89,14 +89,15 @@
     this.#flush(this.#now());
   });
   readonly #leadership: ControlLeadership;
+  /** Sends changes to the subscribers. */
+  readonly #publish = (): void => {
+    this.#updateScheduler.runSoon();
+  };
 
   constructor(settings: ControlSettings, deps: MemberStateDependencies) {
     this.#settings = settings;
     this.#deps = deps;
     const {clock, log, machine, node} = deps;
-    const publish = (): void => {
-      this.#updateScheduler.runSoon();
-    };
     this.#proposer = new Proposer({log: node, machine, clock});
     this.ledger = new LedgerHandler(this.#proposer);
     this.#registry = new MembershipRegistry(settings, this.#membership);
@@ -109,7 +110,8 @@
       registry: this.#registry,
       proposer: this.#proposer,
       hasTakenOver: () => this.#leadership.term !== undefined,
-      publish,
+      convergence: this.#convergence,
+      publish: this.#publish,
     });
     this.crashReports = new CrashReports({
       clock,
@@ -118,7 +120,7 @@
       proposer: this.#proposer,
       forwardToLeader: report => this.#leaderClient.reportCrashes(report),
       oldestLogVersion: () => this.#hub.oldestLogVersion,
-      publish,
+      publish: this.#publish,
     });
     this.zones = this.#makeZoneAdministration();
     this.#leadership = this.#makeLeadership();
@@ -137,7 +139,7 @@
     );
     this.administration = this.#makeAdministration();
     this.#unregister = mergeRegister(
-      machine.configuration.current.register(publish),
+      machine.configuration.current.register(this.#publish),
       node.onLeaderChange(() => {
         this.tick(clock.now());
       }),
@@ -353,19 +355,18 @@
   }
 
   #makeZoneAdministration(): ZoneAdministration {
-    const {clock, log, machine} = this.#deps;
+    const {clock, machine} = this.#deps;
     return new ZoneAdministration({
-      clock,
-      log,
-      machine,
+      ...this.#deps,
       proposer: this.#proposer,
       configuredZones: this.#settings.zones,
-      listedZones: () =>
-        [...this.#membership.servers()].map(one => one.availabilityZone),
+      membership: this.#membership,
+      convergence: this.#convergence,
       oldestLogVersion: () => this.#hub.oldestLogVersion,
       publish: () => {
+        this.directServers.refreshWarmUps(clock.now());
         this.#registry.applyWantedStates(one => machine.wantedStateOf(one));
-        this.#updateScheduler.runSoon();
+        this.#publish();
       },
     });
   }
@@ -397,9 +398,7 @@
         clock: this.#deps.clock,
         log,
         membership: this.#membership,
-        onMembership: () => {
-          this.#updateScheduler.runSoon();
-        },
+        onMembership: this.#publish,
         onReadings: report => {
           this.#addReadingReport(report);
         },
--- a/packages/lovagepond-control/src/control_state_machine.ts
+++ b/packages/lovagepond-control/src/control_state_machine.ts
@@ -204,7 +204,9 @@
     );
     this.#handle(EVACUATION_COMMAND, (payload, {timeMs}) =>
       this.operations.runOnce(payload, () => {
-        this.evacuations.set(payload.zone, payload.evacuated, timeMs);
+        const {zone, evacuated, warmUpRouters} = payload;
+        if (evacuated) this.evacuations.evacuate(zone, timeMs);
+        else this.evacuations.resume(zone, timeMs, warmUpRouters);
         return {kind: 'accepted', revision: 0};
       }),
     );
--- a/packages/lovagepond-control/src/convergence_table.ts
+++ b/packages/lovagepond-control/src/convergence_table.ts
@@ -37,6 +37,15 @@
     }
   }
 
+  /**
+   * @param role `router` or `sidecar`
+   * @returns names of the nodes of this role
+   */
+  namesOf(role: string): readonly string[] {
+    const all = [...this.#reports];
+    return all.filter(([, one]) => one.role === role).map(([name]) => name);
+  }
+
   /**
    * @param now monotonic milliseconds
    * @returns every node, sorted by revision, lowest first
--- a/packages/lovagepond-control/src/direct_server_table.ts
+++ b/packages/lovagepond-control/src/direct_server_table.ts
@@ -13,12 +13,20 @@
 import {type BackendServer} from '@lovagepond/core';
 
 /** A server as it joined. */
-export type JoiningServer = Omit<BackendServer, 'slot' | 'state' | 'place'> & {
+export type JoiningServer = Omit<
+  BackendServer,
+  'slot' | 'state' | 'place' | 'warmUp'
+> & {
   /**
    * Start of this instance, milliseconds since the Unix epoch. It distinguishes
    * instances when a server restarts under the same incarnation.
    */
   readonly startedAtMs?: number | undefined;
+  /**
+   * Routers that may send to it while it is warming up. Replicated, as routers
+   * that follow different leaders must not add up to more than the limit.
+   */
+  readonly warmUpRouters?: readonly string[];
 };
 
 /** One server of the table. */
--- a/packages/lovagepond-control/src/direct_servers.ts
+++ b/packages/lovagepond-control/src/direct_servers.ts
@@ -5,7 +5,13 @@
  * The renewal of a server's lease is soft state of the leader, as it is for
  * servers with a sidecar.
  */
-import {type Clock, SERVER_STATE, type ServerState} from '@lovagepond/core';
+import {
+  type Clock,
+  type Pool,
+  SERVER_STATE,
+  type ServerState,
+  type WarmUp,
+} from '@lovagepond/core';
 import {
   DROP_SERVERS_COMMAND,
   END_SERVER_COMMAND,
@@ -14,12 +20,15 @@
   OPEN_PLACES_COMMAND,
 } from './control_commands.js';
 import {type ControlStateMachine} from './control_state_machine.js';
+import {type ConvergenceTable} from './convergence_table.js';
 import {type DirectServerRecord} from './direct_server_table.js';
 import {
   type Announcement,
   type MembershipRegistry,
 } from './membership_registry.js';
 import {type ProposalResult, type Proposer} from './proposer.js';
+import {ROUTER_ROLE} from './subscription_feed.js';
+import {chooseWarmUpRouters, decideWarmUp} from './warm_up_decision.js';
 
 /** An announcement by a backend server. */
 export interface DirectAnnouncement {
@@ -39,6 +48,11 @@
   readonly version: string;
   readonly models: readonly string[];
   readonly leaving: boolean;
+  /**
+   * Time until the server is warm, milliseconds; 0 when it is warm, undefined
+   * when the announcement doesn't say.
+   */
+  readonly warmUpLeftMs?: number | undefined;
   /** Increases with each announcement, so that late ones are recognized. */
   readonly sequence: number;
 }
@@ -59,6 +73,7 @@
   readonly proposer: Proposer;
   /** @returns true once the registry was initialized for this term */
   readonly hasTakenOver: () => boolean;
+  readonly convergence: Pick<ConvergenceTable, 'namesOf'>;
   /** Sends changes to the subscribers immediately. */
   readonly publish: () => void;
 }
@@ -68,6 +83,8 @@
   readonly #deps: DirectServersDependencies;
   /** Sequence number of the last announcement, by server. */
   #sequences = new Map<string, number>();
+  /** End of the warm-up by the last report, monotonic ms, by server. */
+  readonly #warmUpEnds = new Map<string, number>();
   #isOpeningPlaces = false;
 
   constructor(deps: DirectServersDependencies) {
@@ -76,7 +93,8 @@
 
   /** @returns the servers in the replicated table, for a new leader */
   replicatedServers(): readonly Announcement[] {
-    return this.#deps.machine.directServers.list().map(toAnnouncement);
+    const {machine} = this.#deps;
+    return machine.directServers.list().map(one => this.#toAnnouncement(one));
   }
 
   /**
@@ -93,6 +111,10 @@
     const isLate = announcement.sequence <= (this.#sequences.get(name) ?? -1);
     if (isLate && !announcement.leaving) return {kind: 'accepted'};
     this.#sequences.set(name, announcement.sequence);
+    const {warmUpLeftMs} = announcement;
+    if (warmUpLeftMs !== undefined) {
+      this.#warmUpEnds.set(name, this.#deps.clock.now() + warmUpLeftMs);
+    }
     const committed = await this.#commit(announcement);
     if (committed.kind !== 'committed') return this.#toFailure(committed);
     if (!this.#canServe()) return this.#refuse();
@@ -122,7 +144,8 @@
   }
 
   /**
-   * Drops servers whose lease expired, and assigns and discards due places.
+   * Drops servers whose lease expired, ends warm-ups, and assigns and discards
+   * due places.
    *
    * @param lapsed names of servers whose lease expired, with or without sidecar
    * @param now monotonic milliseconds
@@ -130,6 +153,7 @@
   async tick(lapsed: readonly string[], now: number): Promise<void> {
     const {machine, proposer} = this.#deps;
     const table = machine.directServers;
+    this.refreshWarmUps(now);
     const names = lapsed.filter(name => table.get(name));
     if (names.length > 0) {
       await proposer.propose(DROP_SERVERS_COMMAND, {names});
@@ -157,8 +181,7 @@
    */
   #isKnownPool(pool: string): boolean {
     const {content} = this.#deps.machine.configuration.current.read();
-    const {pools} = content;
-    return pools.length === 0 || pools.some(({name}) => name === pool);
+    return content.pools.length === 0 || this.#findPool(pool) !== undefined;
   }
 
   #canServe(): boolean {
@@ -183,7 +206,7 @@
     const table = machine.directServers;
     let outcome: ProposalResult<unknown> = {kind: 'committed', value: {}};
     if (!table.get(name)) {
-      const server = toJoiningServer(announcement);
+      const server = this.#toJoiningServer(announcement);
       outcome = await proposer.propose(JOIN_SERVER_COMMAND, {server});
     }
     if (outcome.kind === 'committed' && announcement.leaving) {
@@ -200,7 +223,8 @@
     if (!record) return;
     const wanted = machine.wantedStateOf(record.server);
     const isNew = !registry.has(name);
-    registry.announce(toAnnouncement(record), wanted, clock.now());
+    const known = this.#toAnnouncement(record);
+    registry.announce(known, wanted, clock.now());
     if (isNew || record.leaving) this.#publishTable();
   }
 
@@ -219,9 +243,68 @@
       if (server.directSlots === undefined || table.get(server.name)) continue;
       registry.remove(server.name, clock.now());
       this.#sequences.delete(server.name);
+      this.#warmUpEnds.delete(server.name);
     }
     publish();
   }
+
+  /**
+   * Updates which servers are warming up.
+   *
+   * @param now monotonic milliseconds
+   */
+  refreshWarmUps(now: number): void {
+    const {machine, registry, publish} = this.#deps;
+    let hasChanged = false;
+    for (const record of machine.directServers.list()) {
+      const warmUp = this.#decideWarmUp(record, now);
+      hasChanged = registry.setWarmUp(record.server.name, warmUp) || hasChanged;
+    }
+    if (hasChanged) publish();
+  }
+
+  #decideWarmUp(record: DirectServerRecord, now: number): WarmUp | undefined {
+    const {machine} = this.#deps;
+    const {name, pool, availabilityZone} = record.server;
+    const facts = {
+      limits: this.#findPool(pool)?.warmUp,
+      zoneReturn: machine.evacuations.lastReturn(availabilityZone),
+      reportedUntil: this.#warmUpEnds.get(name),
+      timeMs: machine.time.stamp(now),
+    };
+    return decideWarmUp(record, facts, now);
+  }
+
+  #findPool(name: string): Pool | undefined {
+    const {content} = this.#deps.machine.configuration.current.read();
+    return content.pools.find(pool => pool.name === name);
+  }
+
+  #toAnnouncement(record: DirectServerRecord): Announcement {
+    const warmUp = this.#decideWarmUp(record, this.#deps.clock.now());
+    return {
+      ...record.server,
+      state: stateOf(record),
+      place: record.place,
+      runningTokens: 0,
+      queuedTokens: 0,
+      warmUp,
+    };
+  }
+
+  #toJoiningServer(
+    announcement: DirectAnnouncement,
+  ): DirectServerRecord['server'] {
+    const name = instanceName(announcement);
+    const limits = this.#findPool(announcement.pool)?.warmUp;
+    const routers = this.#deps.convergence.namesOf(ROUTER_ROLE);
+    return {
+      ...toJoiningServer(announcement, name),
+      ...(limits && {
+        warmUpRouters: chooseWarmUpRouters(routers, name, [limits]),
+      }),
+    };
+  }
 }
 
 /** Identifies one instance of a server: a single run of its process. */
@@ -244,21 +327,12 @@
   return leaving ? SERVER_STATE.DRAINING : SERVER_STATE.READY;
 }
 
-function toAnnouncement(record: DirectServerRecord): Announcement {
-  return {
-    ...record.server,
-    state: stateOf(record),
-    place: record.place,
-    runningTokens: 0,
-    queuedTokens: 0,
-  };
-}
-
 function toJoiningServer(
   announcement: DirectAnnouncement,
+  name: string,
 ): DirectServerRecord['server'] {
   return {
-    name: instanceName(announcement),
+    name,
     incarnation: announcement.incarnation,
     startedAtMs: announcement.startedAtMs,
     pool: announcement.pool,
--- a/packages/lovagepond-control/src/membership_log.ts
+++ b/packages/lovagepond-control/src/membership_log.ts
@@ -225,6 +225,7 @@
     a.availabilityZone === b.availabilityZone &&
     a.region === b.region &&
     isSameList(a.models, b.models) &&
+    isSameWarmUp(a, b) &&
     isSameLabels(a, b)
   );
 }
@@ -233,6 +234,11 @@
   return a.length === b.length && a.every((item, index) => item === b[index]);
 }
 
+function isSameWarmUp(a: BackendServer, b: BackendServer): boolean {
+  if (!a.warmUp || !b.warmUp) return a.warmUp === b.warmUp;
+  return isSameList(a.warmUp.routers, b.warmUp.routers);
+}
+
 function isSameLabels(a: BackendServer, b: BackendServer): boolean {
   const keys = Object.keys(a.labels);
   if (keys.length !== Object.keys(b.labels).length) return false;
--- a/packages/lovagepond-control/src/membership_registry.ts
+++ b/packages/lovagepond-control/src/membership_registry.ts
@@ -7,6 +7,7 @@
   encodeLoad,
   SERVER_STATE,
   type ServerState,
+  type WarmUp,
 } from '@lovagepond/core';
 import {WANTED_STATE, type WantedState} from './control_administration.js';
 import {FlapDamper, type FlapSettings} from './membership_flapping.js';
@@ -280,11 +281,25 @@
     changed: Partial<Pick<BackendServer, 'state' | 'place'>>,
   ): void {
     const record = this.#records.get(name);
-    if (!record) return;
-    const server = {...record.server, ...changed};
-    if (isSameServer(record.server, server)) return;
+    if (record) this.#replace(record, {...record.server, ...changed});
+  }
+
+  /**
+   * @param name a server
+   * @param warmUp the routers that may send to it; undefined for all
+   * @returns true when this changed the list
+   */
+  setWarmUp(name: string, warmUp: WarmUp | undefined): boolean {
+    const record = this.#records.get(name);
+    if (!record) return false;
+    return this.#replace(record, {...record.server, warmUp});
+  }
+
+  #replace(record: ServerRecord, server: BackendServer): boolean {
+    if (isSameServer(record.server, server)) return false;
     record.server = server;
     this.#log.put(server);
+    return true;
   }
 
   #adopt(server: BackendServer, now: number): void {
@@ -410,5 +425,6 @@
       directSlots: announcement.directSlots,
       place: announcement.place ?? '',
     }),
+    ...(announcement.warmUp && {warmUp: announcement.warmUp}),
   };
 }
--- a/packages/lovagepond-control/src/subscription_feed.ts
+++ b/packages/lovagepond-control/src/subscription_feed.ts
@@ -91,7 +91,7 @@
 export const CONTROL_ROLE = 'control';
 
 /** Role of routers, which get readings for the placement of prompts. */
-const ROUTER_ROLE = 'router';
+export const ROUTER_ROLE = 'router';
 
 /** Factor by which followers get loads more often, as they publish them. */
 const FOLLOWER_LOAD_RATE = 4;
--- a/packages/lovagepond-control/src/update_encoder.ts
+++ b/packages/lovagepond-control/src/update_encoder.ts
@@ -148,9 +148,10 @@
 }
 
 function toWireMember(server: BackendServer): lovagepond.v1.Member.$Properties {
-  const {name, labels, models, ...rest} = server;
+  const {name, labels, models, warmUp, ...rest} = server;
   return {
     ...rest,
+    ...(warmUp && {warmingUp: true, warmUpRouters: [...warmUp.routers]}),
     backendServer: name,
     labels: {...labels},
     models: [...models],
--- a/packages/lovagepond-control/src/zone_administration.ts
+++ b/packages/lovagepond-control/src/zone_administration.ts
@@ -15,8 +15,12 @@
 } from './control_commands.js';
 import {digestOf} from './configuration_changer.js';
 import {type ControlStateMachine} from './control_state_machine.js';
+import {type ConvergenceTable} from './convergence_table.js';
+import {type MembershipLog} from './membership_log.js';
 import {type OperationResult} from './operation_results.js';
 import {type Proposer} from './proposer.js';
+import {ROUTER_ROLE} from './subscription_feed.js';
+import {chooseWarmUpRouters} from './warm_up_decision.js';
 
 /** A request to evacuate a zone, or to return it to service. */
 export interface EvacuationRequest extends Operation {
@@ -31,8 +35,8 @@
   readonly proposer: Proposer;
   /** The zones of the settings; empty when they name none. */
   readonly configuredZones: readonly string[];
-  /** @returns the zones of all listed backend servers */
-  readonly listedZones: () => Iterable<string>;
+  readonly membership: MembershipLog;
+  readonly convergence: ConvergenceTable;
   /** @returns the lowest log version among the members */
   readonly oldestLogVersion: () => number;
   /** Updates the states of all servers, and sends them to the subscribers. */
@@ -83,7 +87,7 @@
     const digest = digestOf([zone, evacuated]);
     const answer = await proposer.propose<EvacuationPayload, OperationResult>(
       EVACUATION_COMMAND,
-      {operationId, digest, zone, evacuated},
+      {operationId, digest, zone, evacuated, ...this.#warmUpOf(req)},
     );
     if (answer.kind !== 'committed') return answer;
     if (answer.value.kind !== 'accepted') {
@@ -95,6 +99,24 @@
     return {kind: 'accepted'};
   }
 
+  /** The servers of a zone may have lost their caches during an evacuation. */
+  #warmUpOf({
+    zone,
+    evacuated,
+  }: EvacuationRequest): Pick<EvacuationPayload, 'warmUpRouters'> {
+    if (evacuated) return {};
+    const {machine, convergence} = this.#deps;
+    const {pools} = machine.configuration.current.read().content;
+    const limits = pools.flatMap(({warmUp}) => (warmUp ? [warmUp] : []));
+    if (limits.length === 0) return {};
+    const routers = chooseWarmUpRouters(
+      convergence.namesOf(ROUTER_ROLE),
+      zone,
+      limits,
+    );
+    return {warmUpRouters: routers};
+  }
+
   /** Logs the state in force, which a concurrent request may have set. */
   #logState(zone: string): void {
     const {log, machine} = this.#deps;
@@ -109,8 +131,10 @@
   }
 
   #knownZones(): ReadonlySet<string> {
-    const {configuredZones, listedZones, machine} = this.#deps;
+    const {configuredZones, membership, machine} = this.#deps;
+    const servers = [...membership.servers()];
+    const listed = servers.map(({availabilityZone}) => availabilityZone);
     const evacuated = machine.evacuations.list().map(({zone}) => zone);
-    return new Set([...configuredZones, ...listedZones(), ...evacuated]);
+    return new Set([...configuredZones, ...listed, ...evacuated]);
   }
 }
--- a/packages/lovagepond-control/src/zone_evacuations.ts
+++ b/packages/lovagepond-control/src/zone_evacuations.ts
@@ -11,9 +11,12 @@
 }
 
 /** A zone that was returned to service. */
-interface ZoneReturn {
+export interface ZoneReturn {
   readonly zone: string;
+  /** Replicated time of the request, milliseconds. */
   readonly atMs: number;
+  /** Routers that may send to the zone's servers while they are warming up. */
+  readonly warmUpRouters: readonly string[];
 }
 
 export interface ZoneEvacuationSnapshot {
@@ -27,17 +30,35 @@
 /** Evacuated zones. Part of the replicated state. */
 export class ZoneEvacuations {
   readonly #sinceMs = new Map<string, number>();
-  readonly #returnedAtMs = new Map<string, number>();
+  readonly #returns = new Map<string, ZoneReturn>();
 
   /**
    * @param zone an availability zone
-   * @param isEvacuated false to return the zone to service
    * @param timeMs replicated time
    */
-  set(zone: string, isEvacuated: boolean, timeMs: number): void {
-    if (isEvacuated === this.isEvacuated(zone)) return;
-    if (isEvacuated) this.#sinceMs.set(zone, timeMs);
-    else this.#noteReturn(zone, timeMs);
+  evacuate(zone: string, timeMs: number): void {
+    if (!this.isEvacuated(zone)) this.#sinceMs.set(zone, timeMs);
+  }
+
+  /**
+   * Returns a zone to service, if it is evacuated.
+   *
+   * @param zone an availability zone
+   * @param timeMs replicated time
+   * @param warmUpRouters routers that may send to servers that warm up
+   */
+  resume(
+    zone: string,
+    timeMs: number,
+    warmUpRouters: readonly string[] = [],
+  ): void {
+    if (!this.#sinceMs.delete(zone)) return;
+    this.#returns.delete(zone);
+    this.#returns.set(zone, {zone, atMs: timeMs, warmUpRouters});
+    for (const oldest of this.#returns.keys()) {
+      if (this.#returns.size <= MAX_RETURNS) return;
+      this.#returns.delete(oldest);
+    }
   }
 
   /** @returns true while the zone's servers must drain */
@@ -47,10 +68,10 @@
 
   /**
    * @param zone an availability zone
-   * @returns replicated time of its last return to service, if any
+   * @returns its last return to service, if any
    */
-  returnedAtMs(zone: string): number | undefined {
-    return this.#returnedAtMs.get(zone);
+  lastReturn(zone: string): ZoneReturn | undefined {
+    return this.#returns.get(zone);
   }
 
   /** @returns the evacuated zones, in the order of the requests */
@@ -60,30 +81,18 @@
 
   /** @returns the serialized form */
   snapshot(): ZoneEvacuationSnapshot {
-    const returns = [...this.#returnedAtMs];
-    const returned = returns.map(([zone, atMs]) => ({zone, atMs}));
-    return {evacuated: this.list(), returned};
+    return {evacuated: this.list(), returned: [...this.#returns.values()]};
   }
 
   /** @param snapshot the result of {@link snapshot}; absent in older ones */
   restore(snapshot: ZoneEvacuationSnapshot | undefined): void {
     this.#sinceMs.clear();
-    this.#returnedAtMs.clear();
+    this.#returns.clear();
     for (const {zone, sinceMs} of snapshot?.evacuated ?? []) {
       this.#sinceMs.set(zone, sinceMs);
     }
-    for (const {zone, atMs} of snapshot?.returned ?? []) {
-      this.#returnedAtMs.set(zone, atMs);
-    }
-  }
-
-  #noteReturn(zone: string, timeMs: number): void {
-    this.#sinceMs.delete(zone);
-    this.#returnedAtMs.delete(zone);
-    this.#returnedAtMs.set(zone, timeMs);
-    for (const oldest of this.#returnedAtMs.keys()) {
-      if (this.#returnedAtMs.size <= MAX_RETURNS) return;
-      this.#returnedAtMs.delete(oldest);
+    for (const one of snapshot?.returned ?? []) {
+      this.#returns.set(one.zone, one);
     }
   }
 }
--- a/packages/lovagepond-core/src/core_configuration.ts
+++ b/packages/lovagepond-core/src/core_configuration.ts
@@ -45,6 +45,15 @@
    * of the pool; absent where servers can't fetch contexts.
    */
   contextFetchTokensPerMs: z.number().positive().optional(),
+  /** Limits on servers without a sidecar that have just started. */
+  warmUp: z
+    .strictObject({
+      /** Time after its start for which a server is warming up, ms. */
+      durationMs: z.number().positive(),
+      /** Requests that it may get in any one second, from all routers. */
+      maxRequestsPerSecond: z.number().int().positive(),
+    })
+    .optional(),
 });
 
 /** Forwarded requests that a selector matches; the longest prefix wins. */
@@ -145,6 +154,8 @@
 
 /** A group of interchangeable backend servers, with their load bound. */
 export type Pool = Readonly<z.infer<typeof pool>>;
+/** Limits on servers that have just started. */
+export type WarmUpLimits = NonNullable<Pool['warmUp']>;
 /** A rule that maps requests to the backend servers that may run them. */
 export type Selector = Readonly<z.infer<typeof selector>>;
 /** One customer, with its limits. */
--- a/packages/lovagepond-core/src/core_membership.ts
+++ b/packages/lovagepond-core/src/core_membership.ts
@@ -41,6 +41,16 @@
    * a sidecar. A successor takes it over. Empty while on standby.
    */
   readonly place?: string;
+  /** Set while a server without a sidecar is warming up. */
+  readonly warmUp?: WarmUp | undefined;
+}
+
+/**
+ * The routers that may send to a server while it is warming up. They share its
+ * limit on requests, so that the limit holds without contact between them.
+ */
+export interface WarmUp {
+  readonly routers: readonly string[];
 }
 
 /** All backend servers at one version. Immutable. */
--- a/packages/lovagepond-core/src/index.ts
+++ b/packages/lovagepond-core/src/index.ts
@@ -21,6 +21,7 @@
   POOL_KIND,
   type RequestKind,
   type Selector,
+  type WarmUpLimits,
   type Workspace,
 } from './core_configuration.js';
 export {
@@ -72,6 +73,7 @@
   type Membership,
   SERVER_STATE,
   type ServerState,
+  type WarmUp,
 } from './core_membership.js';
 export {Published, type PublishedListener} from './core_published.js';
 export {Random} from './core_random.js';
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -30,6 +30,7 @@
 import {GatewayRetryBudget} from '../../gateway_retry_budget.js';
 import {probeServer} from '../../gateway_server_probe.js';
 import {GatewayServer} from '../../gateway_server.js';
+import {GatewayWarmUp} from '../../gateway_warm_up.js';
 import {makeBackendServer} from './backend_servers.js';
 
 export const NAMES = DEFAULT_HEADER_NAMES;
@@ -119,7 +120,13 @@
 
 /** Selectors `read`, `write`, `talk` and `chat`, each under its own path. */
 export const CONTENT = configurationSchema.parse({
-  pools: [{name: 'servers', kind: 'service'}],
+  pools: [
+    {
+      name: 'servers',
+      kind: 'service',
+      warmUp: {durationMs: 3_000, maxRequestsPerSecond: 5},
+    },
+  ],
   workspaces: [{name: 'nord', apiKeys: [KEY]}],
   requestKinds: [
     kind('read', false, {}),
@@ -147,6 +154,13 @@
   readonly onHead?: () => void;
 }
 
+export interface HarnessOptions {
+  readonly revocationBoundMs?: number;
+  readonly listed?: Partial<BackendServer>;
+}
+
+const STARTED_LONG_AGO = -60_000;
+
 /** The listener and its backend servers. */
 export class GatewayHarness {
   readonly admission: GatewayAdmission;
@@ -176,12 +190,12 @@
 
   /**
    * @param scripts one for each server, named server-0, server-1 and so on
-   * @param revocationBoundMs time for which the configuration is trusted,
-   *     milliseconds
+   * @param options the time for which the configuration is trusted,
+   *     milliseconds, and properties of all servers in control's list
    */
   static async start(
     scripts: readonly Script[],
-    {revocationBoundMs = 5_000} = {},
+    {revocationBoundMs = 5_000, listed = {}}: HarnessOptions = {},
   ): Promise<GatewayHarness> {
     const random = new Random(SEED);
     const admission = new GatewayAdmission(revocationBoundMs, random);
@@ -238,6 +252,7 @@
           maxHeadBytes: 16_384,
         }),
         quarantine,
+        warmUp: new GatewayWarmUp('gateway', STARTED_LONG_AGO),
         counters,
         readings: new GatewayLoadReports('gateway', fleet, rate, peers),
         rate,
@@ -253,7 +268,8 @@
     );
     const servers: BackendServer[] = [];
     for (const [index, script] of scripts.entries()) {
-      servers.push(await harness.#startBackend(index, script));
+      const backend = await harness.#startBackend(index, script);
+      servers.push({...backend, ...listed});
     }
     const list = servers.map(one => [one.name, one] as const);
     fleet.useMembership({version: 1, servers: new Map(list)});
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -116,7 +116,7 @@
   #startAttempt(): void {
     const now = this.#now();
     const {pool, facts, rule} = this.#req;
-    const {fleet, choice, names, connections, quarantine} = this.#deps;
+    const {fleet, choice, names, connections, quarantine, warmUp} = this.#deps;
     if (quarantine.quarantinedForMs(this.#req.fingerprint, now)) {
       this.abortQuarantined();
       return;
@@ -124,7 +124,9 @@
     const chosen = choice.choose(
       {
         pool,
-        servers: fleet.ready(pool.name),
+        servers: fleet
+          .ready(pool.name)
+          .filter(state => warmUp.admits(state, pool, now)),
         holders: fleet.listed(pool.name),
         parts: facts.parts,
         sticky: rule.forwarding.sticky,
@@ -143,6 +145,7 @@
     this.#timing = sticky
       ? undefined
       : new ResponseTiming(state, targetLatencyMs, now);
+    warmUp.noteSent(state, now);
     this.#attempts += 1;
     this.#tried.add(state.server.name);
     const deps = this.#deps;
--- a/packages/lovagepond-gateway/src/gateway_exchange_types.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_types.ts
@@ -11,6 +11,7 @@
 import {type GatewayQuarantine} from './gateway_quarantine.js';
 import {type GatewayRetryBudget} from './gateway_retry_budget.js';
 import {type ForwardingRule} from './gateway_routes.js';
+import {type GatewayWarmUp} from './gateway_warm_up.js';
 
 /** Dependencies shared by all exchanges. */
 export interface ExchangeDependencies extends PrefillTrackerDependencies {
@@ -22,6 +23,7 @@
   readonly budget: GatewayRetryBudget;
   readonly connections: GatewayConnections;
   readonly quarantine: GatewayQuarantine;
+  readonly warmUp: GatewayWarmUp;
   readonly counters: GatewayCounters;
 }
 
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -33,6 +33,7 @@
 import {GatewayServer} from './gateway_server.js';
 import {probeServer} from './gateway_server_probe.js';
 import {type GatewaySettings} from './gateway_settings.js';
+import {GatewayWarmUp} from './gateway_warm_up.js';
 
 export interface GatewayDependencies {
   readonly clock: Clock;
@@ -75,6 +76,7 @@
   readonly #connections: GatewayConnections;
   readonly #quarantine: GatewayQuarantine;
   readonly #counters = new GatewayCounters();
+  readonly #warmUp: GatewayWarmUp;
   readonly #link: ControlLink;
   #membership = EMPTY_MEMBERSHIP;
   #server: GatewayServer | undefined;
@@ -106,6 +108,7 @@
       const listed = this.#fleet.useMembership(this.#membership);
       this.#quarantine.useListed(listed, now);
       this.#connections.keepOnly(listed);
+      this.#warmUp.keepOnly(listed);
       this.#deps.log.info('backend servers changed', {
         version: this.#membership.version,
         servers: this.#fleet.size,
@@ -148,6 +151,7 @@
         this.#server?.abortQuarantined(fingerprint);
       },
     });
+    this.#warmUp = new GatewayWarmUp(settings.name, deps.clock.now());
     const {name: node, region} = settings;
     const facts = {node, region, takesDeltas: true};
     const listener = {
@@ -180,6 +184,7 @@
       budget: new GatewayRetryBudget(this.#settings, this.#peers),
       connections: this.#connections,
       quarantine: this.#quarantine,
+      warmUp: this.#warmUp,
       counters: this.#counters,
       readings: this.#loadReports,
       rate: this.#rate,
--- a/packages/lovagepond-protocol/src/protocol_membership.ts
+++ b/packages/lovagepond-protocol/src/protocol_membership.ts
@@ -54,7 +54,8 @@
 
 /**
  * @param member a decoded member
- * @returns the backend server; `directSlots` and `place` only without a sidecar
+ * @returns the backend server; `directSlots`, `place` and `warmUp` only without a
+ *     sidecar
  */
 export function readMember(member: WireMember): BackendServer {
   const directSlots = member.directSlots ?? 0;
@@ -62,5 +63,6 @@
     ...readServer(member),
     slot: member.slot ?? 0,
     ...(directSlots > 0 && {directSlots, place: member.place ?? ''}),
+    ...(member.warmingUp && {warmUp: {routers: member.warmUpRouters ?? []}}),
   };
 }
