Keep requests within the regions that their route and workspace allow

Cause: the platform's routes and tenants may name regions (AllowedRegions); the product ignored them, so a request could run anywhere.

Change: selectors and workspaces have allowedRegions; where both have them, both bind. The gateway applies them to the servers of each attempt, so to retries and resumed streams as well, and to the servers that contexts are fetched from, as a context is a part of the request; the router applies them to the eligible servers.

Contexts that sidecars move among themselves aren't limited by regions yet.

--- a/packages/lovagepond-core/src/core_configuration.ts
+++ b/packages/lovagepond-core/src/core_configuration.ts
@@ -56,6 +56,9 @@
     .optional(),
 });
 
+/** Regions in which requests may run; absent for all regions. */
+const allowedRegions = z.array(z.string().min(1)).min(1).optional();
+
 /** Forwarded requests that a selector matches; the longest prefix wins. */
 const requestMatch = z.strictObject({
   host: z.string().min(1),
@@ -88,6 +91,7 @@
   poolWeights: z.array(poolWeight).optional(),
   /** True when forwarded requests need no API key. */
   public: z.boolean().optional(),
+  allowedRegions,
 });
 
 const workspace = z.strictObject({
@@ -102,6 +106,7 @@
   apiKeys: z.array(z.string().min(1)).optional(),
   /** Overrides the request kind's priority, 0 (lowest) to 9. */
   requestPriority: z.number().int().min(0).max(9).optional(),
+  allowedRegions,
 });
 
 const requestKind = z.strictObject({
--- a/packages/lovagepond-core/src/index.ts
+++ b/packages/lovagepond-core/src/index.ts
@@ -67,6 +67,7 @@
   parseLabelExpression,
 } from './core_labels.js';
 export {decodeLoad, encodeLoad} from './core_load_digest.js';
+export {type RegionCheck, regionCheckOf} from './core_regions.js';
 export {
   type BackendServer,
   EMPTY_MEMBERSHIP,
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -156,7 +156,8 @@
 
 export interface HarnessOptions {
   readonly revocationBoundMs?: number;
-  readonly listed?: Partial<BackendServer>;
+  /** @returns properties of a server in control's list */
+  readonly listed?: (index: number) => Partial<BackendServer>;
 }
 
 const STARTED_LONG_AGO = -60_000;
@@ -195,7 +196,7 @@
    */
   static async start(
     scripts: readonly Script[],
-    {revocationBoundMs = 5_000, listed = {}}: HarnessOptions = {},
+    {revocationBoundMs = 5_000, listed = () => ({})}: HarnessOptions = {},
   ): Promise<GatewayHarness> {
     const random = new Random(SEED);
     const admission = new GatewayAdmission(revocationBoundMs, random);
@@ -269,7 +270,7 @@
     const servers: BackendServer[] = [];
     for (const [index, script] of scripts.entries()) {
       const backend = await harness.#startBackend(index, script);
-      servers.push({...backend, ...listed});
+      servers.push({...backend, ...listed(index)});
     }
     const list = servers.map(one => [one.name, one] as const);
     fleet.useMembership({version: 1, servers: new Map(list)});
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_warm_up.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_warm_up.test.ts
@@ -125,7 +125,7 @@
           answer(req, res, 200, 'yes');
         },
       ],
-      {listed: {warmUp: {routers}}},
+      {listed: () => ({warmUp: {routers}})},
     );
     const seen: number[] = [];
     while (seen.length < statuses.length) {
--- a/packages/lovagepond-gateway/src/gateway_admission.ts
+++ b/packages/lovagepond-gateway/src/gateway_admission.ts
@@ -7,6 +7,8 @@
   EMPTY_CONFIGURATION,
   type ErrorKind,
   type Random,
+  regionCheckOf,
+  type Workspace,
 } from '@lovagepond/core';
 import {
   type ClockReading,
@@ -28,7 +30,13 @@
       readonly ok: true;
       readonly admitted: Pick<
         AdmittedRequest,
-        'rule' | 'pool' | 'workspace' | 'priority' | 'arrivedAt' | 'deadlineAt'
+        | 'rule'
+        | 'pool'
+        | 'workspace'
+        | 'isRegionAllowed'
+        | 'priority'
+        | 'arrivedAt'
+        | 'deadlineAt'
       >;
     }
   | {readonly ok: false; readonly error: ErrorKind};
@@ -36,8 +44,7 @@
 type KeyVerdict =
   | {
       readonly ok: true;
-      readonly workspace: string | undefined;
-      readonly priority: number | undefined;
+      readonly workspace: Workspace | undefined;
     }
   | {readonly ok: false; readonly error: ErrorKind};
 
@@ -108,8 +115,12 @@
       admitted: {
         rule,
         pool,
-        workspace: key.workspace,
-        priority: key.priority ?? priority,
+        workspace: key.workspace?.name,
+        isRegionAllowed: regionCheckOf(
+          rule.allowedRegions,
+          key.workspace?.allowedRegions,
+        ),
+        priority: key.workspace?.requestPriority ?? priority,
         arrivedAt,
         deadlineAt: arrivedAt + waitMs,
       },
@@ -118,13 +129,12 @@
 
   #checkKey(isPublic: boolean, key: string, at: ClockReading): KeyVerdict {
     if (isPublic || !this.#rules.needsKeys) {
-      return {ok: true, workspace: undefined, priority: undefined};
+      return {ok: true, workspace: undefined};
     }
     if (!this.authority.trustsKeys(at)) return {ok: false, error: 'notReady'};
     const workspace = this.#rules.workspaceOf(key);
     if (!workspace) return this.#deny('unauthorized', at);
-    const {name, requestPriority} = workspace;
-    return {ok: true, workspace: name, priority: requestPriority};
+    return {ok: true, workspace};
   }
 
   #deny(
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -14,7 +14,7 @@
 } from './gateway_attempt.js';
 import {ResponseTiming} from './gateway_response_timing.js';
 import {type CallerChannel} from './gateway_caller_channel.js';
-import {type ServerChoice} from './gateway_choice.js';
+import {type ChoiceRequest, type ServerChoice} from './gateway_choice.js';
 import {EventStream} from './gateway_event_stream.js';
 import {
   type AdmittedRequest,
@@ -116,7 +116,7 @@
   #startAttempt(): void {
     const now = this.#now();
     const {pool, facts, rule} = this.#req;
-    const {fleet, choice, names, connections, quarantine, warmUp} = this.#deps;
+    const {choice, names, connections, quarantine, warmUp} = this.#deps;
     if (quarantine.quarantinedForMs(this.#req.fingerprint, now)) {
       this.abortQuarantined();
       return;
@@ -124,10 +124,7 @@
     const chosen = choice.choose(
       {
         pool,
-        servers: fleet
-          .ready(pool.name)
-          .filter(state => warmUp.admits(state, pool, now)),
-        holders: fleet.listed(pool.name),
+        ...this.#listServers(now),
         parts: facts.parts,
         sticky: rule.forwarding.sticky,
         targetLatencyMs: rule.forwarding.targetLatencyMs,
@@ -167,6 +164,18 @@
     attempt.start(this.#outgoing(chosen, now), connections);
   }
 
+  /** A context is a part of the request, so its holders must be allowed, too. */
+  #listServers(now: number): Pick<ChoiceRequest, 'servers' | 'holders'> {
+    const {pool, isRegionAllowed} = this.#req;
+    const {fleet, warmUp} = this.#deps;
+    const isAllowed = ({server}: ServerState): boolean =>
+      isRegionAllowed(server.region);
+    const servers = fleet
+      .ready(pool.name)
+      .filter(state => isAllowed(state) && warmUp.admits(state, pool, now));
+    return {servers, holders: fleet.listed(pool.name).filter(isAllowed)};
+  }
+
   #outgoing({state, fetch}: ServerChoice, now: number): OutgoingRequest {
     const {method, path, rawHeaders, body, workspace, priority} = this.#req;
     const lastId = this.#events?.lastId;
--- a/packages/lovagepond-gateway/src/gateway_exchange_types.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_types.ts
@@ -1,7 +1,12 @@
 /**
  * The inputs of an exchange.
  */
-import {type Clock, type Logger, type Pool} from '@lovagepond/core';
+import {
+  type Clock,
+  type Logger,
+  type Pool,
+  type RegionCheck,
+} from '@lovagepond/core';
 import {type GatewayChoice} from './gateway_choice.js';
 import {type GatewayConnections} from './gateway_connections.js';
 import {type GatewayCounters} from './gateway_counters.js';
@@ -40,6 +45,8 @@
   readonly pool: Pool;
   /** Absent on public routes. */
   readonly workspace: string | undefined;
+  /** Whether the request may run in a region. */
+  readonly isRegionAllowed: RegionCheck;
   /** 0 (lowest) to 9. */
   readonly priority: number;
   /** When the request arrived, monotonic milliseconds. */
--- a/packages/lovagepond-gateway/src/gateway_routes.ts
+++ b/packages/lovagepond-gateway/src/gateway_routes.ts
@@ -25,6 +25,8 @@
   readonly nonRepeatable: boolean;
   readonly forwarding: Forwarding;
   readonly pools: readonly WeightedPool[];
+  /** Regions in which requests may run; undefined for all. */
+  readonly allowedRegions: readonly string[] | undefined;
 }
 
 /** The rules of one host, by path prefix. */
@@ -62,6 +64,7 @@
         nonRepeatable: kind.nonRepeatable,
         forwarding: kind.forwarding,
         pools: this.#joinPools(poolWeights ?? []),
+        allowedRegions: selector.allowedRegions,
       });
     }
   }
--- a/packages/lovagepond-measure/src/simulated_gateway.ts
+++ b/packages/lovagepond-measure/src/simulated_gateway.ts
@@ -380,5 +380,6 @@
       sticky: isChat,
     },
     pools: [],
+    allowedRegions: undefined,
   };
 }
--- a/packages/lovagepond-router/src/__tests__/unit/router_decisions.test.ts
+++ b/packages/lovagepond-router/src/__tests__/unit/router_decisions.test.ts
@@ -101,6 +101,42 @@
     expect(namesFor('garden', 'chat', 'vip-1')).toEqual(['s2']);
   });
 
+  // Guards against chats that leave the regions of their selector or of their
+  // workspace; with both, both bind.
+  test('servers outside of the allowed regions are not eligible', () => {
+    const regions = {allowedRegions: ['one', 'two']};
+    const restricted = makeConfiguration(1, {
+      pools: [{name: 'p', kind: 'engine'}],
+      workspaces: [
+        {name: 'bakery'},
+        {name: 'garden', allowedRegions: ['two', 'three']},
+      ],
+      requestKinds: [{name: 'chat'}, {name: 'free'}],
+      selectors: [
+        {
+          name: 'chats',
+          workspaces: ['*'],
+          requestKinds: ['chat'],
+          pools: '',
+          ...regions,
+        },
+        {name: 'rest', workspaces: ['*'], requestKinds: ['free'], pools: ''},
+      ],
+    });
+    const placed = ['one', 'two', 'three'].map((region, at) =>
+      makeServer(at, {pool: 'p', region}),
+    );
+    const allowed = new Eligibility(restricted, makeMembership(placed));
+    const listed = (workspace: string, kind: string): unknown => {
+      const verdict = allowed.find(workspace, kind, '');
+      return verdict.ok && verdict.eligible.set.servers.map(one => one.name);
+    };
+    expect(listed('bakery', 'chat')).toEqual(['s0', 's1']);
+    expect(listed('garden', 'chat')).toEqual(['s1']);
+    expect(listed('garden', 'free')).toEqual(['s1', 's2']);
+    expect(listed('bakery', 'free')).toEqual(['s0', 's1', 's2']);
+  });
+
   // A misspelled kind that matched the wildcard selector would be sent as a
   // repeatable call and dispatched again after a lost answer.
   test('unknown names are refused and match no wildcard selector', () => {
--- a/packages/lovagepond-router/src/router_eligibility.ts
+++ b/packages/lovagepond-router/src/router_eligibility.ts
@@ -13,6 +13,7 @@
   type Membership,
   parseLabelExpression,
   type Pool,
+  regionCheckOf,
   type RequestKind,
   type Selector,
   SERVER_STATE,
@@ -100,7 +101,8 @@
   readonly #requestKinds: ReadonlyMap<string, RequestKind>;
   /** By workspace, then by request kind; has entries for known names only. */
   readonly #matching = new Map<string, Map<string, CompiledSelector[]>>();
-  readonly #sets = new Map<CompiledSelector, EligibleSet>();
+  /** By selector, then by the regions that workspaces allow. */
+  readonly #sets = new Map<CompiledSelector, Map<string, EligibleSet>>();
   #membership: Membership;
 
   constructor(configuration: Configuration, membership: Membership) {
@@ -145,7 +147,7 @@
     }
     return {
       ok: true,
-      eligible: {workspace, requestKind, set: this.#setOf(found)},
+      eligible: {workspace, requestKind, set: this.#setOf(found, workspace)},
     };
   }
 
@@ -167,19 +169,32 @@
     return matching;
   }
 
-  #setOf(compiled: CompiledSelector): EligibleSet {
-    const known = this.#sets.get(compiled);
-    if (known) return known;
-    const {selector, pools, poolNames, serverTerms} = compiled;
+  #setOf(compiled: CompiledSelector, {allowedRegions}: Workspace): EligibleSet {
+    const byRegions =
+      this.#sets.get(compiled) ?? new Map<string, EligibleSet>();
+    this.#sets.set(compiled, byRegions);
+    const key = allowedRegions?.join('\u0000') ?? '';
+    const set = byRegions.get(key) ?? this.#makeSet(compiled, allowedRegions);
+    byRegions.set(key, set);
+    return set;
+  }
+
+  #makeSet(
+    {selector, pools, poolNames, serverTerms}: CompiledSelector,
+    workspaceRegions: readonly string[] | undefined,
+  ): EligibleSet {
+    const isRegionAllowed = regionCheckOf(
+      selector.allowedRegions,
+      workspaceRegions,
+    );
     const servers = [...this.#membership.servers.values()].filter(
       server =>
         server.state === SERVER_STATE.READY &&
         poolNames.has(server.pool) &&
+        isRegionAllowed(server.region) &&
         matchesLabels(serverTerms, server.labels),
     );
-    const set = {selector: selector.name, pools, servers};
-    this.#sets.set(compiled, set);
-    return set;
+    return {selector: selector.name, pools, servers};
   }
 }
 
