Let a control member exit while others are connected to it

Cause: after SIGTERM a member logged that it had ended and stayed for 28 s and more. The gRPC server's forced shutdown ends its sessions gracefully and then waits for the peers to close their sockets, which they don't. Seen again here: three sockets at the member port kept a process of examples/loopback alive.

Change: the member accepts its connections itself, passes them to the gRPC server, and closes them when it stops: what was written is flushed for 0.2 s, then a peer that reads nothing is cut off. A drain waits for unary calls in progress. "ended" is logged once everything is closed. A drain that fails ends with exit code 1; it had ended with 0.

Before: the new test (three members, two routers, three sidecars as processes, a connection that reads nothing at each member) fails at the drain limit of 30 s. After: each exits with code 0, the accepted change is in force after each restart.

--- /dev/null
+++ b/packages/lovagepond-cli/src/__tests__/e2e/planned_stop.test.ts
@@ -0,0 +1,65 @@
+import {connect} from 'node:net';
+import {afterAll, describe, expect, it} from 'vitest';
+import {useThreeMembers} from './three_members.js';
+import {waitUntil} from './open_chat.js';
+
+const CHANGE = ['workspaces', 'set', 'pharmacy', 'weight=2'];
+/** The drain limit of the example settings. */
+const DRAIN_LIMIT_MS = 30_000;
+
+describe('a process that is stopped', () => {
+  const fleet = useThreeMembers();
+  const sockets: ReturnType<typeof connect>[] = [];
+
+  afterAll(() => {
+    for (const socket of sockets) socket.destroy();
+  });
+
+  /** Opens a connection that sends and reads nothing. */
+  function openSilently(name: string): void {
+    const settings = fleet.get(name).settings as {
+      member: {listen: string};
+    };
+    const [host = '', port = ''] = settings.member.listen.split(':');
+    sockets.push(connect(Number(port), host).pause());
+  }
+
+  /** Resolves with the exit code, or fails at the drain limit. */
+  async function stop(name: string): Promise<number | null> {
+    const process = fleet.get(name);
+    let timer: NodeJS.Timeout | undefined;
+    const limit = new Promise<never>((_resolve, reject) => {
+      timer = setTimeout(() => {
+        reject(new Error(`${name} did not exit within its drain limit`));
+      }, DRAIN_LIMIT_MS);
+    });
+    try {
+      return await Promise.race([process.end('SIGTERM'), limit]);
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  // Guards against a control member that stays until it is killed, as routers,
+  // sidecars, other members and idle peers are connected to it. A change that
+  // it accepted before must be in force afterwards.
+  it('exits while others stay connected to it, and loses nothing', async () => {
+    expect(await fleet.ctl(...CHANGE)).toMatchObject({revision: 2});
+    for (const name of fleet.namesOf('control').reverse()) {
+      openSilently(name);
+      expect(await stop(name)).toBe(0);
+      expect(fleet.get(name).output).toContain('"message":"ended"');
+      await fleet.restart(name);
+      await waitUntil(async () => {
+        const held = await fleet.ctl('configuration');
+        return (held as {revision: number}).revision === 2;
+      });
+    }
+  });
+
+  it.each(['router', 'sidecar'])('exits as a %s, too', async role => {
+    const [name = ''] = fleet.namesOf(role);
+    expect(await stop(name)).toBe(0);
+    await fleet.restart(name);
+  });
+});
--- a/packages/lovagepond-control/src/control_role.ts
+++ b/packages/lovagepond-control/src/control_role.ts
@@ -142,13 +142,15 @@
   }
 
   /**
-   * Ends all subscriptions, so that subscribers move to other members. Requests
-   * in flight complete on their own.
+   * Ends all subscriptions, so that subscribers move to other members, and
+   * waits for the calls in flight.
+   *
+   * @param limitMs the maximum wait, milliseconds
    */
-  drain(_limitMs: number): Promise<void> {
+  async drain(limitMs: number): Promise<void> {
     this.#draining = true;
     this.#state.endSubscriptions();
-    return Promise.resolve();
+    await this.#server.waitUntilIdle(limitMs);
   }
 
   async stop(): Promise<void> {
--- a/packages/lovagepond-control/src/control_server.ts
+++ b/packages/lovagepond-control/src/control_server.ts
@@ -1,6 +1,7 @@
 /**
  * The gRPC server of one control member.
  */
+import {type AddressInfo, createServer, type Socket} from 'node:net';
 import {
   type sendUnaryData,
   Server,
@@ -55,10 +56,21 @@
   },
 };
 
+/**
+ * Time after the stop in which connections may still deliver what was written,
+ * milliseconds. A peer that reads nothing is cut off after it.
+ */
+const FLUSH_LIMIT_MS = 200;
+
 export class ControlServer {
   readonly server: Server;
   readonly #log: Logger;
   readonly #encoder = new UpdateEncoder();
+  readonly #listener = createServer({noDelay: true});
+  /** Open connections. The gRPC server leaves them open when it stops. */
+  readonly #sockets = new Set<Socket>();
+  #activeCalls = 0;
+  #idleListener: (() => void) | undefined;
 
   constructor(handlers: ControlHandlers, log: Logger) {
     this.#log = log;
@@ -88,22 +100,43 @@
    * @param port port to listen on; 0 lets the system choose
    * @returns the port in use
    */
-  listen(host: string, port: number): Promise<number> {
-    return new Promise((resolve, reject) => {
-      const credentials = ServerCredentials.createInsecure();
-      this.server.bindAsync(`${host}:${port}`, credentials, (err, bound) => {
-        if (err) {
-          reject(err);
-        } else {
-          resolve(bound);
-        }
-      });
+  async listen(host: string, port: number): Promise<number> {
+    const credentials = ServerCredentials.createInsecure();
+    const injector = this.server.createConnectionInjector(credentials);
+    this.#listener.on('connection', socket => {
+      this.#sockets.add(socket);
+      socket.once('close', () => this.#sockets.delete(socket));
+      injector.injectConnection(socket);
+    });
+    await new Promise<void>((resolve, reject) => {
+      this.#listener.once('error', reject);
+      this.#listener.listen(port, host, resolve);
+    });
+    return (this.#listener.address() as AddressInfo).port;
+  }
+
+  /**
+   * Waits until no unary call is in progress, so that none is cut off by the
+   * stop. Calls may still arrive until then.
+   *
+   * @param limitMs the maximum wait, milliseconds
+   */
+  async waitUntilIdle(limitMs: number): Promise<void> {
+    if (this.#activeCalls === 0) return;
+    await new Promise<void>(resolve => {
+      this.#idleListener = resolve;
+      setTimeout(resolve, limitMs).unref();
     });
   }
 
-  /** Cancels calls in flight. */
+  /** Cancels calls in flight and closes all connections. */
   stop(): void {
+    this.#listener.close();
     this.server.forceShutdown();
+    for (const socket of this.#sockets) socket.destroySoon();
+    setTimeout(() => {
+      for (const socket of this.#sockets) socket.destroy();
+    }, FLUSH_LIMIT_MS).unref();
   }
 
   #unary(
@@ -113,15 +146,21 @@
     callback: sendUnaryData<unknown>,
   ) => void {
     return (call, callback) => {
-      handle(call.request).then(
-        answer => {
-          callback(null, answer);
-        },
-        (err: unknown) => {
-          this.#log.error('request failed', {message: String(err)});
-          callback({code: status.INTERNAL, details: 'the request failed'});
-        },
-      );
+      this.#activeCalls += 1;
+      handle(call.request)
+        .then(
+          answer => {
+            callback(null, answer);
+          },
+          (err: unknown) => {
+            this.#log.error('request failed', {message: String(err)});
+            callback({code: status.INTERNAL, details: 'the request failed'});
+          },
+        )
+        .finally(() => {
+          this.#activeCalls -= 1;
+          if (this.#activeCalls === 0) this.#idleListener?.();
+        });
     };
   }
 
--- a/packages/lovagepond-process/src/__tests__/unit/process_components.test.ts
+++ b/packages/lovagepond-process/src/__tests__/unit/process_components.test.ts
@@ -40,6 +40,17 @@
   });
 });
 
+// Guards against a failed drain that looks like a complete one to the service
+// manager.
+it('reports a failed drain by its exit code', () => {
+  const lifecycle = new Lifecycle({announceDelayMs: 0, drainLimitMs: 100});
+  lifecycle.handle('terminate', 0);
+  lifecycle.handle('delayOver', 0);
+  const actions = lifecycle.handle('drainFailed', 10);
+  expect(actions).toEqual([{kind: 'end', exitCode: 1}]);
+  expect(lifecycle.handle('drained', 20)).toEqual([]);
+});
+
 describe('state dump', () => {
   it('redacts secrets, keeps token counts, and counts omitted items', () => {
     const state = {
--- a/packages/lovagepond-process/src/process_lifecycle.ts
+++ b/packages/lovagepond-process/src/process_lifecycle.ts
@@ -14,6 +14,7 @@
   DUMP: 'dump',
   DELAY_OVER: 'delayOver',
   DRAINED: 'drained',
+  DRAIN_FAILED: 'drainFailed',
 } as const;
 
 export type LifecycleEvent =
@@ -50,6 +51,7 @@
     dump: () => (this.#phase === 'ended' ? [] : [{kind: 'dump'}]),
     delayOver: now => this.#onDelayOver(now),
     drained: now => this.#onDrained(now),
+    drainFailed: () => this.#onDrainFailed(),
   };
 
   constructor(settings: LifecycleSettings) {
@@ -98,6 +100,10 @@
     return this.#end(limitExpired ? EXIT_CODE.DRAIN_LIMIT : EXIT_CODE.OK);
   }
 
+  #onDrainFailed(): LifecycleAction[] {
+    return this.#phase === 'draining' ? this.#end(EXIT_CODE.INTERNAL) : [];
+  }
+
   #end(exitCode: ExitCode): LifecycleAction[] {
     this.#phase = 'ended';
     return [{kind: 'end', exitCode}];
--- a/packages/lovagepond-process/src/process_runner.ts
+++ b/packages/lovagepond-process/src/process_runner.ts
@@ -113,6 +113,7 @@
     const unregister = registerSignals(event => {
       this.handle(event);
     });
+    let exitCode: ExitCode;
     try {
       const address = await this.#server.start();
       await role.start();
@@ -120,14 +121,14 @@
         platformAddress: formatHostPort(address),
         ...describeStart(loadedAt, clock.now()),
       });
-      const exitCode = await ended;
-      log.info('ended', {exitCode});
-      return exitCode;
+      exitCode = await ended;
     } finally {
       unregister();
       await role.stop();
       await this.#server.stop();
     }
+    log.info('ended', {exitCode});
+    return exitCode;
   }
 
   /** @param settings reloaded time limits of the next graceful shutdown */
@@ -151,10 +152,11 @@
     log.info('draining', {limitMs});
     try {
       await role.drain(limitMs);
+      this.handle('drained');
     } catch (err) {
       log.error('drain failed', {reason: String(err)});
+      this.handle('drainFailed');
     }
-    this.handle('drained');
   }
 
   #writeDump(): void {
