Expire registrations alike at restored members

The two then answered a late announcement differently. A registration that was renewed also kept its old position in the list, unlike at a restored member.

Change: expired registrations are looked at until they can be removed, and the list is in the order of registration.

Before: the test of the case fails, and so does the new property, which plays commands of all kinds on two members, one of them restored between commands, and compares results and states. What expire kept before grew by one entry for each sidecar that had a claim open when it expired; it is now removed with its last open claim.

--- a/packages/lovagepond-control/src/ledger_incarnations.ts
+++ b/packages/lovagepond-control/src/ledger_incarnations.ts
@@ -29,6 +29,8 @@
 export class LedgerIncarnations {
   readonly #registered = new Map<string, Registration>();
   readonly #queue = new ExpiryQueue();
+  /** Sidecars whose registration has expired but that have open claims. */
+  readonly #expired = new Set<string>();
 
   /**
    * @param server a sidecar's backend server
@@ -60,13 +62,17 @@
         )
       : [];
     const owner = {server, incarnation};
+    // Keeps the order of registration, in which a snapshot is restored.
+    this.#registered.delete(server);
     this.#registered.set(server, {owner, former, sinceMs: timeMs});
     this.#queue.push(server, timeMs);
     return true;
   }
 
   /**
-   * Removes sidecars whose registration has expired.
+   * Removes sidecars whose registration has expired. What is removed depends
+   * only on the registrations and the claims, so that a member restored from a
+   * snapshot removes the same ones.
    *
    * @param timeMs replicated time
    * @param hasOpenClaims whether a sidecar has open claims and must be kept
@@ -75,10 +81,15 @@
     const untilMs = timeMs - REGISTRATION_RETENTION_MS;
     for (;;) {
       const server = this.#queue.takeUntil(untilMs);
-      if (server === undefined) return;
+      if (server === undefined) break;
+      this.#expired.add(server);
+    }
+    for (const server of this.#expired) {
       const known = this.#registered.get(server);
-      if (!known || known.sinceMs > untilMs || hasOpenClaims(server)) continue;
-      this.#registered.delete(server);
+      const isCurrent = known !== undefined && known.sinceMs <= untilMs;
+      if (isCurrent && hasOpenClaims(server)) continue;
+      this.#expired.delete(server);
+      if (isCurrent) this.#registered.delete(server);
     }
   }
 
@@ -91,6 +102,7 @@
   restore(snapshot: IncarnationSnapshot): void {
     this.#registered.clear();
     this.#queue.clear();
+    this.#expired.clear();
     const sorted = [...snapshot].sort((a, b) => a[1].sinceMs - b[1].sinceMs);
     for (const [server, known] of sorted) {
       this.#registered.set(server, known);
