--- a/packages/lovagepond-measure/src/gateway_simulation_loads.ts
+++ b/packages/lovagepond-measure/src/gateway_simulation_loads.ts
@@ -1,5 +1,5 @@
 /**
- * The three simulated deployments, after their users' descriptions.
+ * The simulated deployments, after their users' descriptions.
  */
 import {
   type Disturbance,
@@ -9,6 +9,9 @@
 
 const HIGH = 9;
 
+/** Longest work of a call, as a multiple of its mean. */
+const MAX_WORK = 7.5;
+
 /** Creates a kind of chat. */
 function chat(
   name: string,
@@ -40,6 +43,7 @@
   lateWorth: number,
   times: readonly [targetMs: number, deadlineMs: number],
   repeatable: boolean,
+  workMs = 43,
 ): SimulatedRequestKind {
   return {
     name,
@@ -51,7 +55,7 @@
     priority: HIGH - 2,
     repeatable,
     maxAttempts: repeatable ? 2 : 1,
-    workMs: {mean: 43, spread: 0.5, max: 320},
+    workMs: {mean: workMs, spread: 0.5, max: workMs * MAX_WORK},
     failureShare: repeatable ? 0.14 : 0.004,
   };
 }
@@ -111,6 +115,71 @@
   ],
 };
 
+/** The coupons' later work on 37 engines and 31 entry hosts. */
+const LATER_COUPONS: GatewayLoad = {
+  name: 'later coupons',
+  gateways: 31,
+  zones: 4,
+  engines: {
+    ...DENSE_ENGINE,
+    count: 37,
+    memoryTokens: 236_081,
+    tokensPerEvent: 8,
+  },
+  services: {count: 4, slots: 6, queue: 24},
+  loadBound: 2,
+  kinds: [
+    chat(
+      'offer',
+      62.6,
+      [3.5, 0.35],
+      [615, 4_101],
+      {
+        shared: [
+          {tokens: {mean: 2_520, spread: 0.4, max: 6_290}, count: 4},
+          {tokens: {mean: 6_100, spread: 0.7, max: 18_000}, count: 354},
+        ],
+        own: {mean: 580, spread: 1, max: 7_900},
+        events: {mean: 6.5, spread: 1.4, max: 26},
+      },
+      1,
+    ),
+    chat(
+      'tag',
+      80.3,
+      [1.8, 0.18],
+      [508, 3_049],
+      {
+        shared: [
+          {tokens: {mean: 341, spread: 0.4, max: 851}, count: 16},
+          {tokens: {mean: 1_700, spread: 0.7, max: 5_100}, count: 175},
+        ],
+        own: {mean: 360, spread: 1.3, max: 1_400},
+        events: {mean: 2.8, spread: 1.4, max: 11},
+      },
+      0,
+      true,
+    ),
+    chat(
+      'chat',
+      67.4,
+      [0.44, 0.044],
+      [406, 12_192],
+      {
+        shared: [
+          {tokens: {mean: 103, spread: 0.4, max: 257}, count: 40},
+          {tokens: {mean: 500, spread: 0.7, max: 1_500}, count: 382},
+        ],
+        own: {mean: 110, spread: 0.89, max: 460},
+        events: {mean: 35, spread: 0.7, max: 119},
+      },
+      2,
+    ),
+    call('write', 76.6, 0.1, [148, 1_046], false, 21.4),
+    call('read', 17.7, 0.1, [147, 1_041], true, 21.4),
+  ],
+};
+
 /** Spill reports: six engines, seven entry hosts, three zones. */
 const REPORTS: GatewayLoad = {
   name: 'reports',
@@ -202,6 +271,7 @@
 /** All simulated deployments. */
 export const GATEWAY_LOADS: readonly GatewayLoad[] = [
   COUPONS,
+  LATER_COUPONS,
   REPORTS,
   LETTERS,
 ];
--- a/packages/lovagepond-measure/src/gateway_simulation_measure.ts
+++ b/packages/lovagepond-measure/src/gateway_simulation_measure.ts
@@ -2,6 +2,7 @@
  * The effect of gateways' decisions: each load under each set of disturbances,
  * and an ablation of single mechanisms, over several seeds.
  */
+import {ENGINE_WEIGHTS} from '@lovagepond/gateway/deciders';
 import {type KeyHasher, loadKeyHasher} from '@lovagepond/router';
 import {GatewaySimulation} from './gateway_simulation.js';
 import {
@@ -19,6 +20,8 @@
 
 const FIRST_SEED = 401;
 const SEEDS = 8;
+/** Fewer, as there are many variants. */
+const WEIGHT_SEEDS = 4;
 const END_MS = 34_000;
 
 /** The production settings. */
@@ -42,6 +45,18 @@
   {name: 'no load bound', noBound: true},
 ];
 
+const WEIGHT_FACTORS = [0.5, 2] as const;
+
+/** Each weight at half and at twice its value. */
+const WEIGHT_VARIANTS: readonly GatewayVariant[] = Object.entries(
+  ENGINE_WEIGHTS,
+).flatMap(([weight, value]) =>
+  WEIGHT_FACTORS.map(factor => ({
+    name: `${weight} times ${factor}`,
+    weights: {[weight]: value * factor},
+  })),
+);
+
 /** Means over the seeds, and the standard deviation of the worth. */
 export interface SeedSummary {
   readonly mean: GatewaySimulationResult;
@@ -88,12 +103,13 @@
   day: string,
   variant: GatewayVariant,
   hasher: KeyHasher,
+  seeds = SEEDS,
 ): SeedSummary {
   const disturbances = DISTURBANCE_SCHEDULES[day] ?? [];
   return simulateSeeds(
     {load, variant, disturbances, endMs: END_MS},
     hasher,
-    SEEDS,
+    seeds,
   );
 }
 
@@ -147,6 +163,23 @@
   ];
 }
 
+/** @returns other values of each weight, on the mixed day */
+export async function measureGatewayWeights(): Promise<MeasureSection[]> {
+  const hasher = await loadKeyHasher();
+  return GATEWAY_LOADS.map(load => ({
+    title: `Weights of the choice of an engine: ${load.name}`,
+    columns: ['variant', ...COLUMNS],
+    rows: [BASELINE, ...WEIGHT_VARIANTS].map(variant => [
+      variant.name,
+      ...cellsOf(simulateDay(load, 'mixed', variant, hasher, WEIGHT_SEEDS)),
+    ]),
+    notes: [
+      'npm run measure -- gateway-weights',
+      `mixed day, ${WEIGHT_SEEDS} seeds from ${FIRST_SEED}, ${END_MS / 1_000} s each`,
+    ],
+  }));
+}
+
 /** @returns the ablation of single mechanisms, on the mixed day */
 export async function measureGatewayAblation(): Promise<MeasureSection[]> {
   const hasher = await loadKeyHasher();
--- a/packages/lovagepond-measure/src/measure_table.ts
+++ b/packages/lovagepond-measure/src/measure_table.ts
@@ -13,6 +13,7 @@
 import {
   measureGatewayAblation,
   measureGatewaySimulations,
+  measureGatewayWeights,
 } from './gateway_simulation_measure.js';
 import {measureGatewaySize} from './gateway_size_measure.js';
 import {type MeasureFunction} from './measure_types.js';
@@ -35,6 +36,7 @@
   'gateway-configuration': measureGatewayConfiguration,
   'gateway-plays': measureGatewaySimulations,
   'gateway-ablation': measureGatewayAblation,
+  'gateway-weights': measureGatewayWeights,
   'gateway-crashes': measureGatewayCrashes,
   'gateway-size': measureGatewaySize,
   router: measureRouter,
