--- a/packages/lovagepond-cli/src/__tests__/e2e/planned_stop.test.ts
+++ b/packages/lovagepond-cli/src/__tests__/e2e/planned_stop.test.ts
@@ -6,6 +6,8 @@
 const CHANGE = ['workspaces', 'set', 'pharmacy', 'weight=2'];
 /** The drain limit of the example settings. */
 const DRAIN_LIMIT_MS = 30_000;
+/** Three members, one after the other. */
+const TEST_TIMEOUT_MS = 4 * DRAIN_LIMIT_MS;
 
 describe('a process that is stopped', () => {
   const fleet = useThreeMembers();
@@ -43,23 +45,31 @@
   // Guards against a control member that stays until it is killed, as routers,
   // sidecars, other members and idle peers are connected to it. A change that
   // it accepted before must be in force afterwards.
-  it('exits while others stay connected to it, and loses nothing', async () => {
-    expect(await fleet.ctl(...CHANGE)).toMatchObject({revision: 2});
-    for (const name of fleet.namesOf('control').reverse()) {
-      openSilently(name);
+  it(
+    'exits while others stay connected to it, and loses nothing',
+    {timeout: TEST_TIMEOUT_MS},
+    async () => {
+      expect(await fleet.ctl(...CHANGE)).toMatchObject({revision: 2});
+      for (const name of fleet.namesOf('control').reverse()) {
+        openSilently(name);
+        expect(await stop(name)).toBe(0);
+        expect(fleet.get(name).output).toContain('"message":"ended"');
+        await fleet.restart(name);
+        await waitUntil(async () => {
+          const held = await fleet.ctl('configuration');
+          return (held as {revision: number}).revision === 2;
+        });
+      }
+    },
+  );
+
+  it.each(['router', 'sidecar'])(
+    'exits as a %s, too',
+    {timeout: TEST_TIMEOUT_MS},
+    async role => {
+      const [name = ''] = fleet.namesOf(role);
       expect(await stop(name)).toBe(0);
-      expect(fleet.get(name).output).toContain('"message":"ended"');
       await fleet.restart(name);
-      await waitUntil(async () => {
-        const held = await fleet.ctl('configuration');
-        return (held as {revision: number}).revision === 2;
-      });
-    }
-  });
-
-  it.each(['router', 'sidecar'])('exits as a %s, too', async role => {
-    const [name = ''] = fleet.namesOf(role);
-    expect(await stop(name)).toBe(0);
-    await fleet.restart(name);
-  });
+    },
+  );
 });
