Let gateways restart more often in the play of warm-up limits

Cause: with the safeguard against restarts removed, the property still passed: few of its runs had a gateway that restarted while all others had used their part.

Change: more restarts, longer runs and limits close to the number of gateways.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_warm_up.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_warm_up.test.ts
@@ -69,7 +69,7 @@
     const step = fc.record({
       gateway: fc.nat(names.length - 1),
       afterMs: fc.nat(120),
-      restarts: fc.integer({min: 0, max: 20}).map(n => n === 0),
+      restarts: fc.integer({min: 0, max: 5}).map(n => n === 0),
     });
     const run = (
       routers: readonly string[],
@@ -97,8 +97,8 @@
     fc.assert(
       fc.property(
         fc.uniqueArray(fc.constantFrom(...names), {minLength: 1}),
-        fc.nat(9),
-        fc.array(step, {maxLength: 200}),
+        fc.nat(2),
+        fc.array(step, {maxLength: 200, size: 'max'}),
         run,
       ),
     );
