Handle errors of member connections after their session has ended

Cause: read in the diff: a control member now owns its connections, and a socket whose gRPC session has ended has no listener for errors; an error then would end the process in the middle of its stop. The comment on the reserve of warm-up limits said more than the code does.

Change: such errors are logged; the comment is corrected.

--- a/packages/lovagepond-control/src/control_server.ts
+++ b/packages/lovagepond-control/src/control_server.ts
@@ -106,6 +106,10 @@
     this.#listener.on('connection', socket => {
       this.#sockets.add(socket);
       socket.once('close', () => this.#sockets.delete(socket));
+      // Once its session has ended, nothing else handles a socket's errors.
+      socket.on('error', err => {
+        this.#log.debug('connection failed', {message: err.message});
+      });
       injector.injectConnection(socket);
     });
     await new Promise<void>((resolve, reject) => {
--- a/packages/lovagepond-control/src/warm_up_decision.ts
+++ b/packages/lovagepond-control/src/warm_up_decision.ts
@@ -13,8 +13,8 @@
 import {type ZoneReturn} from './zone_evacuations.js';
 
 /**
- * Requests of the limit that no router gets: a router that stalls between its
- * decision and the send may exceed its part by one.
+ * The routers are at least this many fewer than the requests of the limit: one
+ * that stalls between its decision and the send may exceed its part by one.
  */
 const RESERVED_REQUESTS = 2;
 
