Let the fleet's own limit decide on a start of three members

Its message wasn't kept. The runner ends a hook after 10 s; the fleet's limit for being ready is 20 s and names the process that isn't.

Change: the hook's limit is above the fleet's, so that a slow or stuck start is reported by the fleet. No check of the test is changed.

--- a/packages/lovagepond-cli/src/__tests__/e2e/three_members.ts
+++ b/packages/lovagepond-cli/src/__tests__/e2e/three_members.ts
@@ -16,6 +16,8 @@
 
 const ONE_MEMBER = 'members = 127.0.0.1:7401';
 const MEMBERS = [7401, 7601, 7701];
+/** Above the fleet's own limit, whose error names the process that lacks. */
+const START_LIMIT_MS = 30_000;
 
 /** @param folder folder that the set is written to */
 function writeThreeMembers(folder: string): void {
@@ -47,7 +49,7 @@
   beforeAll(async () => {
     writeThreeMembers(folder);
     await fleet.start(folder);
-  });
+  }, START_LIMIT_MS);
   afterAll(async () => {
     await fleet.end();
     rmSync(folder, {recursive: true});
