Compare only the warm-up when a leader refreshes it

Ten times a second a leader copied and compared each listed server to see whether its warm-up had changed. The request to evacuate a zone was declared twice, a report's rules were read twice.

Change: only the warm-ups are compared; one EvacuationRequest, in the administration API; smaller repetitions removed. Behaviour is the same.

--- a/packages/lovagepond-control/src/control_administration.ts
+++ b/packages/lovagepond-control/src/control_administration.ts
@@ -204,6 +204,12 @@
   readonly operationId: string;
 }
 
+/** A request to evacuate an availability zone, or to return it to service. */
+export interface EvacuationRequest extends Operation {
+  readonly zone: string;
+  readonly evacuated: boolean;
+}
+
 /** A request that is suspected of crashing backend servers. */
 export interface SuspectView {
   /** The request's fingerprint in hexadecimal, as in logs. */
@@ -278,9 +284,7 @@
   listZones(): readonly ZoneView[];
 
   /** Evacuates an availability zone, or returns it to service. */
-  setEvacuation(
-    req: Operation & {readonly zone: string; readonly evacuated: boolean},
-  ): Promise<OperationAnswer>;
+  setEvacuation(req: EvacuationRequest): Promise<OperationAnswer>;
 
   /** @returns the revision that each router and sidecar last reported */
   convergence(): readonly ConvergenceView[];
--- a/packages/lovagepond-control/src/control_state_machine.ts
+++ b/packages/lovagepond-control/src/control_state_machine.ts
@@ -243,13 +243,12 @@
     this.#handle(CRASHES_COMMAND, (payload, {timeMs}) =>
       this.#recordCrashes(payload, timeMs),
     );
-    this.#handle(LIFT_QUARANTINE_COMMAND, ({request, rules}, {timeMs}) => ({
-      known: this.crashes.forget(
-        request,
-        timeMs,
-        rules ?? CRASH_RULES.RECOUNTED,
-      ),
-    }));
+    this.#handle(
+      LIFT_QUARANTINE_COMMAND,
+      ({request, rules = CRASH_RULES.RECOUNTED}, {timeMs}) => ({
+        known: this.crashes.forget(request, timeMs, rules),
+      }),
+    );
   }
 
   #recordCrashes(
--- a/packages/lovagepond-control/src/crash_reports.ts
+++ b/packages/lovagepond-control/src/crash_reports.ts
@@ -69,10 +69,11 @@
   ): Promise<lovagepond.v1.CrashReportResponse> {
     if (!this.#deps.proposer.leads()) return this.#deps.forwardToLeader(report);
     // A member of an earlier release would stop at an unknown command.
-    if (this.#rules() === CRASH_RULES.RECOUNTED) {
+    const rules = this.#rules();
+    if (rules === CRASH_RULES.RECOUNTED) {
       return new v1.CrashReportResponse();
     }
-    const payload = {...toPayload(report), rules: this.#rules()};
+    const payload = {...toPayload(report), rules};
     const outcome = await this.#deps.proposer.propose<
       CrashesPayload,
       CrashesResult
--- a/packages/lovagepond-control/src/member_administration.ts
+++ b/packages/lovagepond-control/src/member_administration.ts
@@ -19,6 +19,7 @@
   type ControlAdministration,
   type ControlMemberView,
   type ConvergenceView,
+  type EvacuationRequest,
   type HistoryEntry,
   type MemberChange,
   type Operation,
@@ -48,10 +49,7 @@
 import {type IssueResult} from './order_state.js';
 import {type ProposalResult, type Proposer} from './proposer.js';
 import {type ReplicatedLog} from './control_log.js';
-import {
-  type EvacuationRequest,
-  type ZoneAdministration,
-} from './zone_administration.js';
+import {type ZoneAdministration} from './zone_administration.js';
 
 export interface AdministrationDependencies {
   readonly clock: Clock;
--- a/packages/lovagepond-control/src/membership_log.ts
+++ b/packages/lovagepond-control/src/membership_log.ts
@@ -2,7 +2,7 @@
  * The list of backend servers with the versions of its changes, so that a
  * subscriber gets only the changes since the version that it holds.
  */
-import {type BackendServer} from '@lovagepond/core';
+import {type BackendServer, type WarmUp} from '@lovagepond/core';
 
 /** Limit of stored departures; for an older version, the whole list is sent. */
 const MAX_DEPARTURES = 4_096;
@@ -225,7 +225,7 @@
     a.availabilityZone === b.availabilityZone &&
     a.region === b.region &&
     isSameList(a.models, b.models) &&
-    isSameWarmUp(a, b) &&
+    isSameWarmUp(a.warmUp, b.warmUp) &&
     isSameLabels(a, b)
   );
 }
@@ -234,9 +234,17 @@
   return a.length === b.length && a.every((item, index) => item === b[index]);
 }
 
-function isSameWarmUp(a: BackendServer, b: BackendServer): boolean {
-  if (!a.warmUp || !b.warmUp) return a.warmUp === b.warmUp;
-  return isSameList(a.warmUp.routers, b.warmUp.routers);
+/**
+ * @param a a server's warm-up; undefined when it is warm
+ * @param b another one
+ * @returns true when the same routers may send
+ */
+export function isSameWarmUp(
+  a: WarmUp | undefined,
+  b: WarmUp | undefined,
+): boolean {
+  if (!a || !b) return a === b;
+  return isSameList(a.routers, b.routers);
 }
 
 function isSameLabels(a: BackendServer, b: BackendServer): boolean {
--- a/packages/lovagepond-control/src/membership_registry.ts
+++ b/packages/lovagepond-control/src/membership_registry.ts
@@ -11,7 +11,11 @@
 } from '@lovagepond/core';
 import {WANTED_STATE, type WantedState} from './control_administration.js';
 import {FlapDamper, type FlapSettings} from './membership_flapping.js';
-import {isSameServer, type MembershipLog} from './membership_log.js';
+import {
+  isSameServer,
+  isSameWarmUp,
+  type MembershipLog,
+} from './membership_log.js';
 import {SlotTable} from './membership_slots.js';
 import {type PoolMean, PoolMeans, type PoolShare} from './pool_means.js';
 
@@ -281,7 +285,11 @@
     changed: Partial<Pick<BackendServer, 'state' | 'place'>>,
   ): void {
     const record = this.#records.get(name);
-    if (record) this.#replace(record, {...record.server, ...changed});
+    if (!record) return;
+    const server = {...record.server, ...changed};
+    if (isSameServer(record.server, server)) return;
+    record.server = server;
+    this.#log.put(server);
   }
 
   /**
@@ -291,14 +299,9 @@
    */
   setWarmUp(name: string, warmUp: WarmUp | undefined): boolean {
     const record = this.#records.get(name);
-    if (!record) return false;
-    return this.#replace(record, {...record.server, warmUp});
-  }
-
-  #replace(record: ServerRecord, server: BackendServer): boolean {
-    if (isSameServer(record.server, server)) return false;
-    record.server = server;
-    this.#log.put(server);
+    if (!record || isSameWarmUp(record.server.warmUp, warmUp)) return false;
+    record.server = {...record.server, warmUp};
+    this.#log.put(record.server);
     return true;
   }
 
--- a/packages/lovagepond-control/src/zone_administration.ts
+++ b/packages/lovagepond-control/src/zone_administration.ts
@@ -4,7 +4,7 @@
  */
 import {type Clock, type Logger} from '@lovagepond/core';
 import {
-  type Operation,
+  type EvacuationRequest,
   type OperationAnswer,
   type ZoneView,
 } from './control_administration.js';
@@ -22,12 +22,6 @@
 import {ROUTER_ROLE} from './subscription_feed.js';
 import {chooseWarmUpRouters} from './warm_up_decision.js';
 
-/** A request to evacuate a zone, or to return it to service. */
-export interface EvacuationRequest extends Operation {
-  readonly zone: string;
-  readonly evacuated: boolean;
-}
-
 export interface ZoneAdministrationDependencies {
   readonly clock: Clock;
   readonly log: Logger;
@@ -57,11 +51,11 @@
     const timeMs = machine.time.stamp(clock.now());
     const evacuations = machine.evacuations.list();
     const since = new Map(evacuations.map(one => [one.zone, one.sinceMs]));
-    return [...this.#knownZones()].sort().map(zone => ({
-      zone,
-      evacuated: since.has(zone),
-      evacuatedForMs: since.has(zone) ? timeMs - (since.get(zone) ?? 0) : 0,
-    }));
+    return [...this.#knownZones()].sort().map(zone => {
+      const sinceMs = since.get(zone) ?? timeMs;
+      const evacuatedForMs = timeMs - sinceMs;
+      return {zone, evacuated: since.has(zone), evacuatedForMs};
+    });
   }
 
   /**
