Log what a failed attempt's response says about its server

Cause: the log line of an attempt that a server refused doesn't show whether the response asked for a pause, whether the server is about to exit, or whether the server was chosen although it had failed just before. A server that is forgotten and one that is avoided, but chosen for lack of others, look the same.

Change: the headers of each response are decoded into what the server says about itself (pause, leaving), and 'attempt failed' has pauseMs, leaving and avoided. Nothing else uses them yet.

--- a/packages/lovagepond-gateway/src/gateway_attempt.ts
+++ b/packages/lovagepond-gateway/src/gateway_attempt.ts
@@ -4,7 +4,11 @@
  */
 import {type Dispatcher} from 'undici';
 import {type GatewayConnections} from './gateway_connections.js';
-import {type GatewayHeaderNames} from './gateway_headers.js';
+import {
+  type GatewayHeaderNames,
+  readServerSignals,
+  type ServerSignals,
+} from './gateway_headers.js';
 import {type ServerState} from './gateway_server_state.js';
 
 /** The request as it goes to the server. */
@@ -39,6 +43,8 @@
 
 /** Receives an attempt's events; `onEnd` or `onFailed` is the last one. */
 export interface AttemptListener {
+  /** Called for each response of the server, whatever comes of the attempt. */
+  onServerSignals(signals: ServerSignals): void;
   onHead(head: ResponseHead): void;
   /** @returns false to pause reading until `resume` is called */
   onData(chunk: Buffer): boolean;
@@ -172,6 +178,11 @@
 
   #onHead(head: ResponseHead): void {
     const {status, headers} = head;
+    // Another instance that has taken the address speaks for itself only.
+    if (status !== STATUS_MISDIRECTED) {
+      const signals = readServerSignals(status, headers, this.#names);
+      this.#listener.onServerSignals(signals);
+    }
     this.#isCloseDelimited =
       headers['content-length'] === undefined &&
       headers['transfer-encoding'] === undefined;
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -20,7 +20,11 @@
   type AdmittedRequest,
   type ExchangeDependencies,
 } from './gateway_exchange_types.js';
-import {headersForServer, readServerLoad} from './gateway_headers.js';
+import {
+  headersForServer,
+  readServerLoad,
+  type ServerSignals,
+} from './gateway_headers.js';
 import {
   type AttemptOutcome,
   decideNext,
@@ -51,6 +55,10 @@
   #prefill: PrefillTracker | undefined;
   /** The current attempt's response timing; unset at engines. */
   #timing: ResponseTiming | undefined;
+  /** What the current attempt's response says about its server. */
+  #signals: ServerSignals | undefined;
+  /** The current attempt's server was chosen although it had failed lately. */
+  #wasAvoided = false;
   #timer: NodeJS.Timeout | undefined;
   /** The error response that the current attempt is receiving. */
   #incomingFailure: BufferedFailure | undefined;
@@ -143,12 +151,17 @@
       ? undefined
       : new ResponseTiming(state, targetLatencyMs, now);
     warmUp.noteSent(state, now);
+    this.#signals = undefined;
+    this.#wasAvoided = state.isAvoided(now);
     this.#attempts += 1;
     this.#tried.add(state.server.name);
     const deps = this.#deps;
     this.#prefill = new PrefillTracker(state, facts.parts, fetch, deps, now);
     state.inFlight += 1;
     const attempt = new Attempt(state, names, facts.requestId, {
+      onServerSignals: signals => {
+        this.#signals = signals;
+      },
       onHead: head => {
         this.#onHead(head);
       },
@@ -394,6 +407,9 @@
       reason,
       runs: this.#runs,
       next: next.kind,
+      pauseMs: this.#signals?.pauseMs,
+      leaving: this.#signals?.isLeaving,
+      avoided: this.#wasAvoided,
     });
   }
 }
--- a/packages/lovagepond-gateway/src/gateway_headers.ts
+++ b/packages/lovagepond-gateway/src/gateway_headers.ts
@@ -24,6 +24,8 @@
   readonly notRun: string;
   /** `running,waiting,slots` of the responding server. */
   readonly serverLoad: string;
+  /** `1` in every response of a server that is about to exit. */
+  readonly leaving: string;
   /** The incarnation that a request is meant for; others reject it. */
   readonly expectedInstance: string;
   /** 0 (most urgent) to 9, for the engine's own queue. */
@@ -44,6 +46,7 @@
   signature: 'x-lovagepond-signature',
   notRun: 'x-lovagepond-not-run',
   serverLoad: 'x-lovagepond-load',
+  leaving: 'x-lovagepond-leaving',
   expectedInstance: 'x-lovagepond-instance',
   enginePriority: 'x-lovagepond-priority',
   contextSource: 'x-lovagepond-context-source',
@@ -73,8 +76,23 @@
   readonly slots: number;
 }
 
+/** What a response says about the requests that its server wants. */
+export interface ServerSignals {
+  /** The server is about to exit. */
+  readonly isLeaving: boolean;
+  /** Time for which the server wants no requests, milliseconds; usually 0. */
+  readonly pauseMs: number;
+}
+
 type Headers = Readonly<Record<string, string | readonly string[] | undefined>>;
 
+const STATUS_UNAVAILABLE = 503;
+
+/** Only the form in seconds is read: hosts' clocks may differ. */
+const RETRY_AFTER = 'retry-after';
+
+const MS_PER_SECOND = 1_000;
+
 /** Headers that apply to a single connection and are not forwarded. */
 const HOP_BY_HOP: ReadonlySet<string> = new Set([
   'connection',
@@ -145,6 +163,24 @@
   return slots ? {running, waiting, slots} : undefined;
 }
 
+/**
+ * @param status a response's status
+ * @param headers its headers
+ * @param names the header names in use
+ * @returns what the response says about its server
+ */
+export function readServerSignals(
+  status: number,
+  headers: Headers,
+  names: GatewayHeaderNames,
+): ServerSignals {
+  const retryAfterS = countOf(textOf(headers, RETRY_AFTER)) ?? 0;
+  return {
+    isLeaving: textOf(headers, names.leaving).trim() === '1',
+    pauseMs: status === STATUS_UNAVAILABLE ? retryAfterS * MS_PER_SECOND : 0,
+  };
+}
+
 /** Headers that the gateway sets on a request. */
 export interface AddedHeaders {
   readonly deadlineMs: number;
