--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -16,6 +16,7 @@
 import {type CallerChannel} from './gateway_caller_channel.js';
 import {type ChoiceRequest, type ServerChoice} from './gateway_choice.js';
 import {EventStream} from './gateway_event_stream.js';
+import {ExchangeLog} from './gateway_exchange_log.js';
 import {
   type AdmittedRequest,
   type ExchangeDependencies,
@@ -49,6 +50,7 @@
   readonly #deps: ExchangeDependencies;
   readonly #caller: CallerChannel;
   readonly #onDone: () => void;
+  readonly #log: ExchangeLog;
   readonly #events: EventStream | undefined;
   readonly #tried = new Set<string>();
   #attempt: Attempt | undefined;
@@ -85,6 +87,7 @@
     this.#deps = deps;
     this.#caller = caller;
     this.#onDone = onDone;
+    this.#log = new ExchangeLog(req, deps);
     if (req.rule.forwarding.streaming) this.#events = new EventStream();
   }
 
@@ -320,7 +323,13 @@
       isSuspect: quarantine.isSuspect(fingerprint, now),
       trySpend: () => budget.trySpend(pool.name, now),
     });
-    this.#recordFailedAttempt(outcome.kind, reason, next);
+    this.#log.noteFailedAttempt(outcome.kind, reason, {
+      server: [...this.#tried].at(-1),
+      wasAvoided: this.#wasAvoided,
+      signals: this.#signals,
+      runs: this.#runs,
+      next,
+    });
     this.#performStep(next);
   }
 
@@ -382,34 +391,8 @@
     if (this.#isDone) return;
     this.#isDone = true;
     clearTimeout(this.#timer);
-    this.#deps.counters.noteEnded(outcome);
-    const {facts, rule, pool, arrivedAt} = this.#req;
-    this.#deps.log.info('request ended', {
-      request: facts.requestId,
-      rule: rule.name,
-      pool: pool.name,
-      servers: [...this.#tried].join(' '),
-      outcome,
-      status: this.#caller.status,
-      durationMs: Math.round(this.#now() - arrivedAt),
-    });
+    const {status} = this.#caller;
+    this.#log.noteEnded(outcome, status, this.#tried, this.#now());
     this.#onDone();
   }
-
-  #recordFailedAttempt(outcome: string, reason: string, next: NextStep): void {
-    const isFollowed = next.kind === 'retry' || next.kind === 'resume';
-    this.#deps.counters.noteFailedAttempt(outcome, isFollowed);
-    this.#deps.log.warn('attempt failed', {
-      request: this.#req.facts.requestId,
-      fingerprint: this.#req.fingerprint,
-      server: [...this.#tried].at(-1),
-      outcome,
-      reason,
-      runs: this.#runs,
-      next: next.kind,
-      pauseMs: this.#signals?.pauseMs,
-      leaving: this.#signals?.isLeaving,
-      avoided: this.#wasAvoided,
-    });
-  }
 }
--- /dev/null
+++ b/packages/lovagepond-gateway/src/gateway_exchange_log.ts
@@ -0,0 +1,87 @@
+/**
+ * Log lines and counters of one request.
+ */
+import {type Logger} from '@lovagepond/core';
+import {type GatewayCounters} from './gateway_counters.js';
+import {type AdmittedRequest} from './gateway_exchange_types.js';
+import {type ServerSignals} from './gateway_headers.js';
+import {type NextStep} from './gateway_outcome.js';
+
+interface ExchangeLogDependencies {
+  readonly log: Logger;
+  readonly counters: GatewayCounters;
+}
+
+/** An attempt without a successful response. */
+interface FailedAttempt {
+  /** Name of the server. */
+  readonly server: string | undefined;
+  /** The server was chosen although it had failed lately. */
+  readonly wasAvoided: boolean;
+  /** What the response said about its server; absent without a response. */
+  readonly signals: ServerSignals | undefined;
+  /** The request's attempts that ran or may have run. */
+  readonly runs: number;
+  readonly next: NextStep;
+}
+
+export class ExchangeLog {
+  readonly #req: AdmittedRequest;
+  readonly #deps: ExchangeLogDependencies;
+
+  constructor(req: AdmittedRequest, deps: ExchangeLogDependencies) {
+    this.#req = req;
+    this.#deps = deps;
+  }
+
+  /**
+   * @param outcome how the attempt ended
+   * @param reason the cause in words
+   * @param attempt the attempt
+   */
+  noteFailedAttempt(
+    outcome: string,
+    reason: string,
+    {server, wasAvoided, signals, runs, next}: FailedAttempt,
+  ): void {
+    const isFollowed = next.kind === 'retry' || next.kind === 'resume';
+    this.#deps.counters.noteFailedAttempt(outcome, isFollowed);
+    this.#deps.log.warn('attempt failed', {
+      request: this.#req.facts.requestId,
+      fingerprint: this.#req.fingerprint,
+      server,
+      outcome,
+      reason,
+      runs,
+      next: next.kind,
+      pauseMs: signals?.pauseMs,
+      leaving: signals?.isLeaving,
+      avoided: wasAvoided,
+    });
+  }
+
+  /**
+   * @param outcome how the request ended
+   * @param status the status that was sent to the caller
+   * @param tried names of the servers of all attempts
+   * @param now current time, monotonic milliseconds
+   */
+  noteEnded(
+    outcome: string,
+    status: number,
+    tried: ReadonlySet<string>,
+    now: number,
+  ): void {
+    const {facts, rule, pool, arrivedAt} = this.#req;
+    this.#deps.counters.noteEnded(outcome);
+    this.#deps.log.info('request ended', {
+      request: facts.requestId,
+      rule: rule.name,
+      pool: pool.name,
+      servers: [...tried].join(' '),
+      outcome,
+      status,
+      durationMs: Math.round(now - arrivedAt),
+    });
+  }
+}
