Send no request to a server during a pause it asked for

Callers saw requests refused as overloaded, or tried at three servers, while other servers had room; a server that asked one gateway for 3 s of pause got up to 5 of its requests in that time.

Cause: a response 'not run' left no trace in the gateway. Only the exchange that got it knew its server, and the next request chose that server again: it refuses within a millisecond, has nothing in flight and so looks the least loaded. The tests reproduce it without load, backoff or a second gateway.

Change: a 503 with Retry-After pauses its server for that long. The fleet's list of servers for new requests, which first attempts, retries and resumed streams share, leaves paused servers out, without falling back to them. An attempt checks again right before the request is written, as a connection may have opened slowly. Pauses are kept while control doesn't list a server. If all servers of a pool paused, callers are refused at once and told when the first pause ends.

Why it works: nothing but an attempt sends a gateway's requests, and each attempt asks the fleet twice.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_failing_server.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_failing_server.test.ts
@@ -61,7 +61,7 @@
 
   #request(): void {
     const gateway = this.#random.pick(this.#gateways);
-    const servers = gateway.fleet.ready('p');
+    const servers = gateway.fleet.ready('p', this.#now);
     const request = {
       pool: {...CONTENT.pools[0]!, name: 'p', loadBound: 2},
       servers,
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -171,6 +171,7 @@
   /** Servers reported as crashed; the reports are never acknowledged. */
   readonly crashed: ReadonlySet<string>;
   readonly #backends: Server[] = [];
+  readonly #addresses = new Map<string, string>();
   /** Name of the server that each request reached, in order. */
   readonly arrivals: string[] = [];
   #nextId = 0;
@@ -277,6 +278,14 @@
     return harness;
   }
 
+  /**
+   * @param name a server
+   * @returns its address
+   */
+  addressOf(name: string): string {
+    return this.#addresses.get(name) ?? '';
+  }
+
   /** @param port of the server to stop as if its process had crashed */
   crash(port: number): void {
     for (const backend of this.#backends) {
@@ -355,6 +364,7 @@
       backend.listen(0, '127.0.0.1', resolve);
     });
     const {port} = backend.address() as AddressInfo;
+    this.#addresses.set(name, `127.0.0.1:${port}`);
     return makeBackendServer(name, {
       pool: 'servers',
       // The first server is in the gateway's zone, so it is selected first.
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_load_reports.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_load_reports.test.ts
@@ -103,7 +103,7 @@
     there.server(0).inFlight = 4;
     for (let now = 0; now <= 10_000; now += 100) {
       there.reportTo(here, now);
-      here.fleet.expireRemoteRequests(now);
+      here.fleet.expire(now);
       expect(here.server(0).load(now)).toBe(4);
     }
   });
@@ -114,9 +114,9 @@
     const stopped = new Gateway('gone');
     stopped.server(0).inFlight = 9;
     stopped.reportTo(here, 0);
-    here.fleet.expireRemoteRequests(2_900);
+    here.fleet.expire(2_900);
     expect(here.server(0).load(2_900)).toBe(9);
-    here.fleet.expireRemoteRequests(3_100);
+    here.fleet.expire(3_100);
     expect(here.server(0).load(3_100)).toBe(0);
   });
 });
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_signals.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_signals.test.ts
@@ -1,4 +1,10 @@
+import * as fc from 'fast-check';
 import {afterEach, describe, expect, it} from 'vitest';
+import {Attempt, type AttemptFailure} from '../../gateway_attempt.js';
+import {GatewayConnections} from '../../gateway_connections.js';
+import {GatewayFleet} from '../../gateway_fleet.js';
+import {ServerState} from '../../gateway_server_state.js';
+import {makeBackendServer} from './backend_servers.js';
 import {
   answer,
   beginStream,
@@ -78,6 +84,107 @@
   });
 });
 
+type Step =
+  | {readonly kind: 'pause'; readonly server: string; readonly pauseMs: number}
+  | {readonly kind: 'list'; readonly servers: readonly string[]}
+  | {readonly kind: 'tick'};
+
+const NAMED = ['x', 'y', 'z'];
+
+function listOf(fleet: GatewayFleet, servers: readonly string[]): void {
+  const list = servers.map(name => [name, makeBackendServer(name)] as const);
+  fleet.useMembership({version: 1, servers: new Map(list)});
+}
+
+describe('GatewayFleet', () => {
+  it('accepts requests for a server when its longest pause is over', () => {
+    const fleet = new GatewayFleet();
+    listOf(fleet, ['x']);
+    const state = fleet.find('x')!;
+    const signals = {isLeaving: false, pauseMs: 3_000};
+    expect(fleet.noteSignals(state, signals, 0)).toBe(true);
+    expect(fleet.noteSignals(state, {...signals, pauseMs: 10}, 5)).toBe(false);
+    expect(fleet.accepts(state, 2_999)).toBe(false);
+    expect(fleet.pauseLeftMs([state], 2_000)).toBe(1_000);
+    expect(fleet.accepts(state, 3_000)).toBe(true);
+    expect(fleet.pauseLeftMs([state], 3_000)).toBe(0);
+  });
+
+  // Guards against a pause that is forgotten when control drops a server for a
+  // moment and lists it again.
+  it('never has a ready server within a pause', () => {
+    const named = fc.constantFrom(...NAMED);
+    const step: fc.Arbitrary<Step> = fc.oneof(
+      fc.record({
+        kind: fc.constant('pause' as const),
+        server: named,
+        pauseMs: fc.integer({min: 1, max: 5_000}),
+      }),
+      fc.record({
+        kind: fc.constant('list' as const),
+        servers: fc.uniqueArray(named),
+      }),
+      fc.record({kind: fc.constant('tick' as const)}),
+    );
+    const timed = fc.record({afterMs: fc.nat(1_000), step});
+    fc.assert(
+      fc.property(fc.array(timed, {maxLength: 60}), steps => {
+        const fleet = new GatewayFleet();
+        const pausedUntil = new Map<string, number>();
+        let now = 0;
+        for (const {afterMs, step} of steps) {
+          now += afterMs;
+          if (step.kind === 'list') listOf(fleet, step.servers);
+          else if (step.kind === 'tick') fleet.expire(now);
+          else {
+            const {server, pauseMs} = step;
+            const state = new ServerState(makeBackendServer(server));
+            fleet.noteSignals(state, {isLeaving: false, pauseMs}, now);
+            const before = pausedUntil.get(server) ?? 0;
+            pausedUntil.set(server, Math.max(before, now + pauseMs));
+          }
+          const ready = fleet.ready('p', now).map(({server}) => server.name);
+          const paused = ready.filter(
+            name => now < (pausedUntil.get(name) ?? 0),
+          );
+          expect(paused).toEqual([]);
+        }
+      }),
+    );
+  });
+});
+
+describe('an attempt', () => {
+  // Guards against requests that wait for a slow connection and reach the
+  // server after it has asked for a pause.
+  it('is withheld if the server pauses while the connection opens', async () => {
+    harness = await GatewayHarness.start([healthy]);
+    const address = harness.addressOf('server-0');
+    const state = new ServerState(makeBackendServer('server-0', {address}));
+    const connections = new GatewayConnections({
+      connectTimeoutMs: 300,
+      maxHeadBytes: 16_384,
+    });
+    let isPaused = false;
+    const failure = await new Promise<AttemptFailure>(resolve => {
+      const attempt = new Attempt(state, NAMES, 'request-1', {
+        maySend: () => !isPaused,
+        onServerSignals: () => {},
+        onHead: () => {},
+        onData: () => true,
+        onEnd: () => {},
+        onFailed: resolve,
+      });
+      const req = {method: 'GET', path: '/read/a', headers: []};
+      attempt.start({...req, body: Buffer.alloc(0)}, connections);
+      isPaused = true;
+    });
+    expect(failure.kind).toBe('withheld');
+    expect((await harness.call({path: '/read/a'})).status).toBe(200);
+    expect(harness.arrivals).toHaveLength(1);
+  });
+});
+
 describe('a server that says it is leaving', () => {
   // Guards against work for a server whose report of its drain got lost.
   it('gets no further request', async () => {
--- a/packages/lovagepond-gateway/src/gateway_attempt.ts
+++ b/packages/lovagepond-gateway/src/gateway_attempt.ts
@@ -33,6 +33,8 @@
       /** The server's address refused the connection. */
       readonly isRefused: boolean;
     }
+  /** The server stopped accepting requests while the connection opened. */
+  | {readonly kind: 'withheld'; readonly reason: string}
   | {readonly kind: 'notRun'; readonly status: number}
   | {
       readonly kind: 'broken';
@@ -43,6 +45,12 @@
 
 /** Receives an attempt's events; `onEnd` or `onFailed` is the last one. */
 export interface AttemptListener {
+  /**
+   * Called right before the request is written to the connection.
+   *
+   * @returns false if it must not be sent
+   */
+  maySend(): boolean;
   /** Called for each response of the server, whatever comes of the attempt. */
   onServerSignals(signals: ServerSignals): void;
   onHead(head: ResponseHead): void;
@@ -149,8 +157,15 @@
   #handler(): Dispatcher.DispatchHandler {
     return {
       onRequestStart: controller => {
+        if (this.#isOver) return;
+        if (!this.#listener.maySend()) {
+          const reason = 'server stopped accepting requests';
+          this.#fail({kind: 'withheld', reason});
+          controller.abort(new Error(reason));
+          return;
+        }
         this.#controller = controller;
-        if (!this.#isOver) this.#isSent = true;
+        this.#isSent = true;
       },
       onResponseStart: (controller, status, headers) => {
         if (this.#isOver || status < FIRST_FINAL_STATUS) return;
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -162,8 +162,9 @@
     this.#prefill = new PrefillTracker(state, facts.parts, fetch, deps, now);
     state.inFlight += 1;
     const attempt = new Attempt(state, names, facts.requestId, {
+      maySend: () => this.#deps.fleet.accepts(state, this.#now()),
       onServerSignals: signals => {
-        this.#signals = signals;
+        this.#onServerSignals(state, signals);
       },
       onHead: head => {
         this.#onHead(head);
@@ -187,7 +188,7 @@
     const isAllowed = ({server}: ServerState): boolean =>
       isRegionAllowed(server.region);
     const servers = fleet
-      .ready(pool.name)
+      .ready(pool.name, now)
       .filter(state => isAllowed(state) && warmUp.admits(state, pool, now));
     return {servers, holders: fleet.listed(pool.name).filter(isAllowed)};
   }
@@ -218,6 +219,13 @@
     return state;
   }
 
+  #onServerSignals(state: ServerState, signals: ServerSignals): void {
+    const now = this.#now();
+    this.#signals = signals;
+    const hasStopped = this.#deps.fleet.noteSignals(state, signals, now);
+    if (hasStopped) this.#log.noteServerStopped(state.server.name, signals);
+  }
+
   #onHead(head: ResponseHead): void {
     const state = this.#attempt?.state;
     if (!state) return;
@@ -293,13 +301,15 @@
       return;
     }
     this.#events?.discardPartialEvent();
-    this.#handleOutcome({kind: failure.kind}, failure.reason);
+    const outcome = failure.kind === 'withheld' ? 'unsent' : failure.kind;
+    this.#handleOutcome({kind: outcome}, failure.reason);
   }
 
   #noteFailure(state: ServerState | undefined, failure: AttemptFailure): void {
     if (!state) return;
     const now = this.#now();
     const {kind} = failure;
+    if (kind === 'withheld') return;
     if (kind !== 'notRun') state.noteAttemptFailure(now);
     // The request named this instance, so another one has taken its address.
     else if (failure.status === STATUS_MISDIRECTED) state.markReplaced();
@@ -366,9 +376,15 @@
   }
 
   #refuse(error: ErrorKind): void {
-    const {quarantine} = this.#deps;
-    const {fingerprint} = this.#req;
-    const notBeforeMs = quarantine.quarantinedForMs(fingerprint, this.#now());
+    const now = this.#now();
+    const {quarantine, fleet} = this.#deps;
+    const {fingerprint, pool, isRegionAllowed} = this.#req;
+    const eligible = fleet
+      .listed(pool.name)
+      .filter(({server}) => isRegionAllowed(server.region));
+    const notBeforeMs =
+      quarantine.quarantinedForMs(fingerprint, now) ??
+      fleet.pauseLeftMs(eligible, now);
     this.#caller.refuse(error, notBeforeMs);
     this.#finish(error);
   }
--- a/packages/lovagepond-gateway/src/gateway_exchange_log.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_log.ts
@@ -60,6 +60,19 @@
     });
   }
 
+  /**
+   * @param server name of a server that has stopped accepting requests
+   * @param signals what its response said
+   */
+  noteServerStopped(server: string, signals: ServerSignals): void {
+    this.#deps.log.info('server stopped accepting requests', {
+      request: this.#req.facts.requestId,
+      server,
+      pauseMs: signals.pauseMs,
+      leaving: signals.isLeaving,
+    });
+  }
+
   /**
    * @param outcome how the request ended
    * @param status the status that was sent to the caller
--- a/packages/lovagepond-gateway/src/gateway_fleet.ts
+++ b/packages/lovagepond-gateway/src/gateway_fleet.ts
@@ -2,11 +2,14 @@
  * The backend servers that this gateway may forward to, by pool.
  */
 import {type Membership, SERVER_STATE} from '@lovagepond/core';
+import {type ServerSignals} from './gateway_headers.js';
+import {GatewayServerPauses} from './gateway_server_pauses.js';
 import {ServerState} from './gateway_server_state.js';
 
 /** States of all servers without a sidecar, kept across membership changes. */
 export class GatewayFleet {
   readonly #states = new Map<string, ServerState>();
+  readonly #pauses = new GatewayServerPauses();
   #byPool = new Map<string, readonly ServerState[]>();
 
   /** Number of listed servers. */
@@ -14,6 +17,11 @@
     return this.#states.size;
   }
 
+  /** Number of servers that have asked for a pause. */
+  get paused(): number {
+    return this.#pauses.size;
+  }
+
   /**
    * @param membership the newest list from control
    * @returns names of the servers that are listed
@@ -41,8 +49,37 @@
    *
    * @param now current time, monotonic milliseconds
    */
-  expireRemoteRequests(now: number): void {
+  expire(now: number): void {
     for (const state of this.#states.values()) state.expireRemoteRequests(now);
+    this.#pauses.expire(now);
+  }
+
+  /**
+   * @param state the server of a response
+   * @param signals what the response says about the server
+   * @param now current time, monotonic milliseconds
+   * @returns true if the server has just stopped accepting requests
+   */
+  noteSignals(
+    {server}: ServerState,
+    {pauseMs}: ServerSignals,
+    now: number,
+  ): boolean {
+    if (pauseMs <= 0) return false;
+    return this.#pauses.note(server.name, pauseMs, now);
+  }
+
+  /**
+   * @param state a server
+   * @param now current time, monotonic milliseconds
+   * @returns true if new requests may be sent to the server
+   */
+  accepts({isReplaced, server}: ServerState, now: number): boolean {
+    return (
+      !isReplaced &&
+      server.state === SERVER_STATE.READY &&
+      this.#pauses.leftMs(server.name, now) === 0
+    );
   }
 
   /** @returns all servers of all pools */
@@ -60,13 +97,28 @@
 
   /**
    * @param pool a pool's name
+   * @param now current time, monotonic milliseconds
    * @returns its servers that accept new requests
    */
-  ready(pool: string): readonly ServerState[] {
-    return this.listed(pool).filter(
+  ready(pool: string, now: number): readonly ServerState[] {
+    return this.listed(pool).filter(state => this.accepts(state, now));
+  }
+
+  /**
+   * @param servers servers of a pool
+   * @param now current time, monotonic milliseconds
+   * @returns time until the first of them accepts requests again, milliseconds;
+   *     0 when it is unknown or one of them accepts requests
+   */
+  pauseLeftMs(servers: readonly ServerState[], now: number): number {
+    const ready = servers.filter(
       ({isReplaced, server}) =>
         !isReplaced && server.state === SERVER_STATE.READY,
     );
+    if (ready.length === 0) return 0;
+    return Math.min(
+      ...ready.map(({server}) => this.#pauses.leftMs(server.name, now)),
+    );
   }
 
   /**
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -241,6 +241,7 @@
       membershipVersion: this.#membership.version,
       prefillTokensPerMs: this.#rate.tokensPerMs,
       backendServers: this.#fleet.describe(at.now),
+      pausedServers: this.#fleet.paused,
       suspectedRequests: this.#quarantine.size,
       crashedServers: this.#quarantine.crashedServers,
       ...this.#counters.read(),
@@ -262,7 +263,7 @@
     if (this.#admission.authority.shouldSwitchMember(at.now)) {
       this.#link.restart('member lags behind the confirmed revision');
     }
-    this.#fleet.expireRemoteRequests(at.now);
+    this.#fleet.expire(at.now);
     this.#quarantine.tick(at.now);
     if (at.now - this.#confirmationSentAt < this.#confirmIntervalMs(at)) return;
     this.#confirmRevision(at);
--- a/packages/lovagepond-measure/src/gateway_simulation.ts
+++ b/packages/lovagepond-measure/src/gateway_simulation.ts
@@ -304,7 +304,7 @@
       this.#table.openPlaces(now);
       this.#publishList();
     }
-    for (const {fleet} of this.#gateways) fleet.expireRemoteRequests(now);
+    for (const {fleet} of this.#gateways) fleet.expire(now);
   }
 
   #sendReports(): void {
--- a/packages/lovagepond-measure/src/simulated_gateway.ts
+++ b/packages/lovagepond-measure/src/simulated_gateway.ts
@@ -171,7 +171,7 @@
     const chosen = choice.choose(
       {
         pool,
-        servers: fleet.ready(pool.name),
+        servers: fleet.ready(pool.name, this.#now),
         holders: variant.noFetch ? [] : listed,
         parts,
         sticky: isChat,
