Send no request to a server that says it is leaving

A server that leaves now says so in each of its responses. Requests sent to it later are lost when it exits before they end.

Cause: the same as for requested pauses. What a response says about its server was read for the one exchange and dropped. Gateways learnt of a drain from control alone, which learns of it from the server's report; a report that is late or lost left the server in use.

Change: a server whose response says so gets no new request, retry or resumed stream of this gateway, whatever control lists, until its exit. Any response tells it: answers, errors, refusals, also those that the gateway discards as they belong to another request. A 421 comes from another instance and doesn't count. It is kept for ten minutes while control doesn't list the server.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -168,6 +168,7 @@
   readonly server: GatewayServer;
   readonly quarantine: GatewayQuarantine;
   readonly counters: GatewayCounters;
+  readonly gatewayFleet: GatewayFleet;
   /** Servers reported as crashed; the reports are never acknowledged. */
   readonly crashed: ReadonlySet<string>;
   readonly #backends: Server[] = [];
@@ -182,7 +183,9 @@
     quarantine: GatewayQuarantine,
     counters: GatewayCounters,
     crashed: ReadonlySet<string>,
+    fleet: GatewayFleet,
   ) {
+    this.gatewayFleet = fleet;
     this.crashed = crashed;
     this.counters = counters;
     this.server = server;
@@ -267,6 +270,7 @@
       quarantine,
       counters,
       crashed,
+      fleet,
     );
     const servers: BackendServer[] = [];
     for (const [index, script] of scripts.entries()) {
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_signals.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_signals.test.ts
@@ -3,6 +3,8 @@
 import {Attempt, type AttemptFailure} from '../../gateway_attempt.js';
 import {GatewayConnections} from '../../gateway_connections.js';
 import {GatewayFleet} from '../../gateway_fleet.js';
+import {type ServerSignals} from '../../gateway_headers.js';
+import {GatewayLeavingServers} from '../../gateway_leaving_servers.js';
 import {ServerState} from '../../gateway_server_state.js';
 import {makeBackendServer} from './backend_servers.js';
 import {
@@ -86,6 +88,7 @@
 
 type Step =
   | {readonly kind: 'pause'; readonly server: string; readonly pauseMs: number}
+  | {readonly kind: 'leave'; readonly server: string}
   | {readonly kind: 'list'; readonly servers: readonly string[]}
   | {readonly kind: 'tick'};
 
@@ -110,9 +113,9 @@
     expect(fleet.pauseLeftMs([state], 3_000)).toBe(0);
   });
 
-  // Guards against a pause that is forgotten when control drops a server for a
-  // moment and lists it again.
-  it('never has a ready server within a pause', () => {
+  // Guards against a pause or an exit that is forgotten when control drops a
+  // server for a moment and lists it again.
+  it('never has a ready server that pauses or is leaving', () => {
     const named = fc.constantFrom(...NAMED);
     const step: fc.Arbitrary<Step> = fc.oneof(
       fc.record({
@@ -120,6 +123,7 @@
         server: named,
         pauseMs: fc.integer({min: 1, max: 5_000}),
       }),
+      fc.record({kind: fc.constant('leave' as const), server: named}),
       fc.record({
         kind: fc.constant('list' as const),
         servers: fc.uniqueArray(named),
@@ -131,15 +135,21 @@
       fc.property(fc.array(timed, {maxLength: 60}), steps => {
         const fleet = new GatewayFleet();
         const pausedUntil = new Map<string, number>();
+        const note = (server: string, signals: ServerSignals): void => {
+          const state = new ServerState(makeBackendServer(server));
+          fleet.noteSignals(state, signals, now);
+        };
         let now = 0;
         for (const {afterMs, step} of steps) {
           now += afterMs;
           if (step.kind === 'list') listOf(fleet, step.servers);
           else if (step.kind === 'tick') fleet.expire(now);
-          else {
+          else if (step.kind === 'leave') {
+            note(step.server, {isLeaving: true, pauseMs: 0});
+            pausedUntil.set(step.server, Infinity);
+          } else {
             const {server, pauseMs} = step;
-            const state = new ServerState(makeBackendServer(server));
-            fleet.noteSignals(state, {isLeaving: false, pauseMs}, now);
+            note(server, {isLeaving: false, pauseMs});
             const before = pausedUntil.get(server) ?? 0;
             pausedUntil.set(server, Math.max(before, now + pauseMs));
           }
@@ -154,6 +164,20 @@
   });
 });
 
+describe('GatewayLeavingServers', () => {
+  it('keeps a listed server, and an unlisted one for a limited time', () => {
+    const leaving = new GatewayLeavingServers();
+    expect(leaving.note('x', 0)).toBe(true);
+    expect(leaving.note('x', 1)).toBe(false);
+    leaving.expire(() => true, 10_000_000);
+    expect(leaving.has('x')).toBe(true);
+    leaving.expire(() => false, 500_000);
+    expect(leaving.has('x')).toBe(true);
+    leaving.expire(() => false, 10_000_000);
+    expect(leaving.has('x')).toBe(false);
+  });
+});
+
 describe('an attempt', () => {
   // Guards against requests that wait for a slow connection and reach the
   // server after it has asked for a pause.
@@ -195,4 +219,35 @@
     );
     expect(arrivalsAt('server-0')).toBe(1);
   });
+
+  // Guards against signals that are lost as their response is no answer.
+  it.each([
+    ['an error', 500, {}],
+    ['a refusal', 503, {[NAMES.notRun]: '1'}],
+    ['a response without a signature', 200, {[NAMES.signature]: ''}],
+    ['a response to another request', 200, {[NAMES.requestId]: 'other'}],
+  ])('gets no further request after %s', async (_kind, status, headers) => {
+    const failing: Script = (req, res) => {
+      const echoed = {[NAMES.requestId]: req.headers[NAMES.requestId]};
+      const all = {...echoed, [NAMES.leaving]: '1', ...headers};
+      for (const [name, value] of Object.entries(all)) {
+        if (value) res.setHeader(name, value);
+      }
+      res.writeHead(status);
+      res.end();
+    };
+    harness = await GatewayHarness.start([failing, healthy]);
+    await callEachKind();
+    expect(arrivalsAt('server-0')).toBe(1);
+  });
+
+  it('does not count as leaving when another instance says so', async () => {
+    const other: Script = (req, res) => {
+      res.setHeader(NAMES.leaving, '1');
+      answer(req, res, 421, '');
+    };
+    harness = await GatewayHarness.start([other]);
+    await harness.call({path: '/read/a'});
+    expect(harness.gatewayFleet.leaving).toBe(0);
+  });
 });
--- a/packages/lovagepond-gateway/src/gateway_fleet.ts
+++ b/packages/lovagepond-gateway/src/gateway_fleet.ts
@@ -3,12 +3,14 @@
  */
 import {type Membership, SERVER_STATE} from '@lovagepond/core';
 import {type ServerSignals} from './gateway_headers.js';
+import {GatewayLeavingServers} from './gateway_leaving_servers.js';
 import {GatewayServerPauses} from './gateway_server_pauses.js';
 import {ServerState} from './gateway_server_state.js';
 
 /** States of all servers without a sidecar, kept across membership changes. */
 export class GatewayFleet {
   readonly #states = new Map<string, ServerState>();
+  readonly #leaving = new GatewayLeavingServers();
   readonly #pauses = new GatewayServerPauses();
   #byPool = new Map<string, readonly ServerState[]>();
 
@@ -22,6 +24,11 @@
     return this.#pauses.size;
   }
 
+  /** Number of servers that said that they are about to exit. */
+  get leaving(): number {
+    return this.#leaving.size;
+  }
+
   /**
    * @param membership the newest list from control
    * @returns names of the servers that are listed
@@ -52,6 +59,7 @@
   expire(now: number): void {
     for (const state of this.#states.values()) state.expireRemoteRequests(now);
     this.#pauses.expire(now);
+    this.#leaving.expire(server => this.#states.has(server), now);
   }
 
   /**
@@ -62,11 +70,12 @@
    */
   noteSignals(
     {server}: ServerState,
-    {pauseMs}: ServerSignals,
+    {isLeaving, pauseMs}: ServerSignals,
     now: number,
   ): boolean {
-    if (pauseMs <= 0) return false;
-    return this.#pauses.note(server.name, pauseMs, now);
+    const leaves = isLeaving && this.#leaving.note(server.name, now);
+    const pauses = pauseMs > 0 && this.#pauses.note(server.name, pauseMs, now);
+    return leaves || pauses;
   }
 
   /**
@@ -74,11 +83,17 @@
    * @param now current time, monotonic milliseconds
    * @returns true if new requests may be sent to the server
    */
-  accepts({isReplaced, server}: ServerState, now: number): boolean {
+  accepts(state: ServerState, now: number): boolean {
+    return (
+      this.#isReady(state) && this.#pauses.leftMs(state.server.name, now) === 0
+    );
+  }
+
+  #isReady({isReplaced, server}: ServerState): boolean {
     return (
       !isReplaced &&
       server.state === SERVER_STATE.READY &&
-      this.#pauses.leftMs(server.name, now) === 0
+      !this.#leaving.has(server.name)
     );
   }
 
@@ -111,10 +126,7 @@
    *     0 when it is unknown or one of them accepts requests
    */
   pauseLeftMs(servers: readonly ServerState[], now: number): number {
-    const ready = servers.filter(
-      ({isReplaced, server}) =>
-        !isReplaced && server.state === SERVER_STATE.READY,
-    );
+    const ready = servers.filter(state => this.#isReady(state));
     if (ready.length === 0) return 0;
     return Math.min(
       ...ready.map(({server}) => this.#pauses.leftMs(server.name, now)),
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -242,6 +242,7 @@
       prefillTokensPerMs: this.#rate.tokensPerMs,
       backendServers: this.#fleet.describe(at.now),
       pausedServers: this.#fleet.paused,
+      leavingServers: this.#fleet.leaving,
       suspectedRequests: this.#quarantine.size,
       crashedServers: this.#quarantine.crashedServers,
       ...this.#counters.read(),
