Query no engine's contexts within a pause that it asked for

Cause: found when looking for requested pauses elsewhere. A leader of control queries each engine's cached contexts when it takes over, and forgets an answer 503 with Retry-After. Leaders in quick succession repeat the query while the engine sheds load.

Change: the query of a paused engine is left out until the pause is over. The pauses' decider moves to core, with the reading of Retry-After, as gateways and control share them.

--- a/packages/lovagepond-control/src/__tests__/unit/context_inventory.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/context_inventory.test.ts
@@ -1,7 +1,13 @@
+import {ServerPauses} from '@lovagepond/core';
 import {expect, test} from 'vitest';
-import {collectHeldContexts} from '../../context_inventory.js';
+import {
+  collectHeldContexts,
+  PauseRequestedError,
+} from '../../context_inventory.js';
 import {ReadingReportLog} from '../../reading_report_log.js';
 
+const clock = {now: () => 0, wallTime: () => 0};
+
 const SERVERS = ['x', 'y', 'z'].map(name => ({name, address: `${name}:1`}));
 
 // Guards against one engine delaying or losing the answers of the others. One
@@ -18,6 +24,8 @@
   };
   let answerLast = (_ids: readonly string[]): void => undefined;
   const inventory = collectHeldContexts(SERVERS, {
+    clock,
+    pauses: new ServerPauses(),
     log,
     onReport: report => {
       board.add(report);
@@ -58,6 +66,8 @@
   let reportCount = 0;
   const ignore = (): void => undefined;
   await collectHeldContexts(servers, {
+    clock,
+    pauses: new ServerPauses(),
     log: {debug: ignore, info: ignore, warn: ignore, error: ignore},
     onReport: () => {
       reportCount += 1;
@@ -73,3 +83,24 @@
   expect(reportCount).toBe(80);
   expect(maxActive).toBeLessThan(10);
 });
+
+// Guards against leaders in quick succession that query a server which sheds
+// load.
+test('queries no server within the pause that it asked for', async () => {
+  const pauses = new ServerPauses();
+  const queried: string[] = [];
+  const ignore = (): void => undefined;
+  for (const now of [0, 2_999, 3_000]) {
+    await collectHeldContexts(SERVERS.slice(0, 1), {
+      clock: {now: () => now, wallTime: () => now},
+      pauses,
+      log: {debug: ignore, info: ignore, warn: ignore, error: ignore},
+      onReport: ignore,
+      readHeldContexts: address => {
+        queried.push(address);
+        return Promise.reject(new PauseRequestedError(3_000));
+      },
+    });
+  }
+  expect(queried).toEqual(['x:1', 'x:1']);
+});
--- a/packages/lovagepond-control/src/context_inventory.ts
+++ b/packages/lovagepond-control/src/context_inventory.ts
@@ -5,14 +5,26 @@
  * but no router has a record of them. Without the query, prompts would go to
  * other engines, which process them again and so delay the first tokens.
  */
-import {type Logger} from '@lovagepond/core';
+import {type Clock, type Logger, type ServerPauses} from '@lovagepond/core';
 import {type ReadingReport} from './reading_report_log.js';
 
+/** The server refused the query and wants no requests for some time. */
+export class PauseRequestedError extends Error {
+  /** Time for which it wants no requests, milliseconds. */
+  readonly pauseMs: number;
+
+  constructor(pauseMs: number) {
+    super(`server asked for no requests for ${pauseMs} ms`);
+    this.pauseMs = pauseMs;
+  }
+}
+
 /**
  * Reads the parts of prompts that a backend server holds.
  *
  * @param address `host:port` of the server
- * @returns ids of the parts; rejects when the server doesn't return them
+ * @returns ids of the parts; rejects when the server doesn't return them, with
+ *     {@link PauseRequestedError} if it asks for a pause
  */
 export type HeldContextsReader = (
   address: string,
@@ -26,7 +38,10 @@
 
 export interface InventoryDependencies {
   readonly readHeldContexts: HeldContextsReader;
+  readonly clock: Clock;
   readonly log: Logger;
+  /** Pauses that servers asked for when they were queried before. */
+  readonly pauses: ServerPauses;
   /** Called with the contexts of each server, as the answers arrive. */
   readonly onReport: (report: ReadingReport) => void;
 }
@@ -49,7 +64,10 @@
   servers: readonly InventoryTarget[],
   deps: InventoryDependencies,
 ): Promise<void> {
-  const remaining = [...servers];
+  const {clock, pauses} = deps;
+  const remaining = servers.filter(
+    ({name}) => pauses.leftMs(name, clock.now()) === 0,
+  );
   const queryNext = async (): Promise<void> => {
     for (;;) {
       const server = remaining.shift();
@@ -62,7 +80,7 @@
 
 async function queryServer(
   {name, address}: InventoryTarget,
-  {readHeldContexts, log, onReport}: InventoryDependencies,
+  {readHeldContexts, clock, log, pauses, onReport}: InventoryDependencies,
 ): Promise<void> {
   try {
     const ids = await readHeldContexts(address);
@@ -75,6 +93,9 @@
     const readings = [{backendServer: name, prefix, tokens: 0}];
     onReport({node: '', readings, running: []});
   } catch (err) {
+    if (err instanceof PauseRequestedError) {
+      pauses.note(name, err.pauseMs, clock.now());
+    }
     const reason = err instanceof Error ? err.message : String(err);
     log.warn('failed to read held contexts', {server: name, reason});
   }
--- a/packages/lovagepond-control/src/control_leadership.ts
+++ b/packages/lovagepond-control/src/control_leadership.ts
@@ -3,7 +3,7 @@
  * the replicated log, sets the limits, and removes servers whose leases expire.
  */
 import {type ConsensusNode, MEMBER_ROLE} from '@lovagepond/consensus';
-import {type Clock, type Logger} from '@lovagepond/core';
+import {type Clock, type Logger, ServerPauses} from '@lovagepond/core';
 import {
   collectHeldContexts,
   type HeldContextsReader,
@@ -44,6 +44,7 @@
 /** Runs the leader's work, in each term in which this member leads. */
 export class ControlLeadership {
   readonly #deps: LeadershipDependencies;
+  readonly #pauses = new ServerPauses();
   #term: number | undefined;
   #takingOver = false;
 
@@ -124,15 +125,16 @@
 
   /** After a stop of all processes, only engines know their cached contexts. */
   #takeInventory(): void {
-    const {readHeldContexts, machine, log, onReport} = this.#deps;
+    const {readHeldContexts, machine, clock, log, onReport} = this.#deps;
     if (!readHeldContexts) return;
+    this.#pauses.expire(clock.now());
     const {content} = machine.configuration.current.read();
     const engines = content.pools.filter(({kind}) => kind === 'engine');
     const pools = new Set(engines.map(({name}) => name));
     const servers = machine.directServers.list().map(({server}) => server);
     collectHeldContexts(
       servers.filter(({pool}) => pools.has(pool)),
-      {readHeldContexts, log, onReport},
+      {readHeldContexts, clock, log, pauses: this.#pauses, onReport},
     ).catch((err: unknown) => {
       log.warn('context inventory failed', {message: String(err)});
     });
--- a/packages/lovagepond-control/src/index.ts
+++ b/packages/lovagepond-control/src/index.ts
@@ -37,6 +37,7 @@
   DirectServers,
   type ServerInstance,
 } from './direct_servers.js';
+export {PauseRequestedError} from './context_inventory.js';
 export {type ControlDependencies, ControlRole} from './control_role.js';
 export {MemberTransport} from './member_transport.js';
 export {
--- a/packages/lovagepond-gateway/src/gateway_server_pauses.ts
+++ b/packages/lovagepond-core/src/core_server_pauses.ts
@@ -1,15 +1,39 @@
 /**
- * Pauses that backend servers asked this gateway for.
+ * Pauses that backend servers asked this process for: times in which they want
+ * no requests of it.
  *
  * A server that sheds load answers within a millisecond and has nothing in
  * flight, so it would look the least loaded and get the most requests.
  */
 
+const STATUS_UNAVAILABLE = 503;
+
+/** A non-negative decimal number. */
+const SECONDS = /^\d+(\.\d+)?$/;
+
+const MS_PER_SECOND = 1_000;
+
+/**
+ * Reads Retry-After in its form in seconds only: hosts' clocks may differ.
+ *
+ * @param status status of a server's response
+ * @param retryAfter its Retry-After header
+ * @returns time for which the server wants no requests, milliseconds; usually 0
+ */
+export function readPauseMs(
+  status: number | undefined,
+  retryAfter: string | undefined,
+): number {
+  const text = retryAfter?.trim() ?? '';
+  if (status !== STATUS_UNAVAILABLE || !SECONDS.test(text)) return 0;
+  return Number(text) * MS_PER_SECOND;
+}
+
 /** Ends of pauses, by server. */
-export class GatewayServerPauses {
+export class ServerPauses {
   /**
-   * Kept while a server isn't listed: a server that control drops and lists
-   * again is the same process, and its pause goes on.
+   * Independent of the list of servers: a server that is dropped from it and
+   * listed again is the same process, and its pause goes on.
    */
   readonly #endsAt = new Map<string, number>();
 
--- a/packages/lovagepond-core/src/index.ts
+++ b/packages/lovagepond-core/src/index.ts
@@ -68,6 +68,7 @@
 } from './core_labels.js';
 export {decodeLoad, encodeLoad} from './core_load_digest.js';
 export {type RegionCheck, regionCheckOf} from './core_regions.js';
+export {readPauseMs, ServerPauses} from './core_server_pauses.js';
 export {
   type BackendServer,
   EMPTY_MEMBERSHIP,
--- a/packages/lovagepond-gateway/src/gateway_fleet.ts
+++ b/packages/lovagepond-gateway/src/gateway_fleet.ts
@@ -1,17 +1,16 @@
 /**
  * The backend servers that this gateway may forward to, by pool.
  */
-import {type Membership, SERVER_STATE} from '@lovagepond/core';
+import {type Membership, SERVER_STATE, ServerPauses} from '@lovagepond/core';
 import {type ServerSignals} from './gateway_headers.js';
 import {GatewayLeavingServers} from './gateway_leaving_servers.js';
-import {GatewayServerPauses} from './gateway_server_pauses.js';
 import {ServerState} from './gateway_server_state.js';
 
 /** States of all servers without a sidecar, kept across membership changes. */
 export class GatewayFleet {
   readonly #states = new Map<string, ServerState>();
   readonly #leaving = new GatewayLeavingServers();
-  readonly #pauses = new GatewayServerPauses();
+  readonly #pauses = new ServerPauses();
   #byPool = new Map<string, readonly ServerState[]>();
 
   /** Number of listed servers. */
--- a/packages/lovagepond-gateway/src/gateway_headers.ts
+++ b/packages/lovagepond-gateway/src/gateway_headers.ts
@@ -4,6 +4,7 @@
  * Header names are configurable, so that another system's callers and backend
  * servers can keep their own. All decisions use the decoded values.
  */
+import {readPauseMs} from '@lovagepond/core';
 
 /** Header names, in lower case. */
 export interface GatewayHeaderNames {
@@ -86,13 +87,6 @@
 
 type Headers = Readonly<Record<string, string | readonly string[] | undefined>>;
 
-const STATUS_UNAVAILABLE = 503;
-
-/** Only the form in seconds is read: hosts' clocks may differ. */
-const RETRY_AFTER = 'retry-after';
-
-const MS_PER_SECOND = 1_000;
-
 /** Headers that apply to a single connection and are not forwarded. */
 const HOP_BY_HOP: ReadonlySet<string> = new Set([
   'connection',
@@ -174,10 +168,9 @@
   headers: Headers,
   names: GatewayHeaderNames,
 ): ServerSignals {
-  const retryAfterS = countOf(textOf(headers, RETRY_AFTER)) ?? 0;
   return {
     isLeaving: textOf(headers, names.leaving).trim() === '1',
-    pauseMs: status === STATUS_UNAVAILABLE ? retryAfterS * MS_PER_SECOND : 0,
+    pauseMs: readPauseMs(status, textOf(headers, 'retry-after')),
   };
 }
 
