Take a server's load from its refusals, too

Callers saw requests tried at one full server after the other. A server that refuses a request as not run reports its load in the same response, but the gateway read the load of answers alone, so a server that refuses at once looked idle and was chosen again. It is the same cause as for requested pauses, for servers that ask for none.

Change: the load is read from each response of the server, with what else it says about itself.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_signals.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_signals.test.ts
@@ -178,6 +178,23 @@
   });
 });
 
+describe('a server that is full', () => {
+  // Guards against a server that refuses at once, has nothing of the gateway in
+  // flight, and so looks idle.
+  it('is known to be loaded by its refusal', async () => {
+    const full: Script = (req, res) => {
+      res.setHeader(NAMES.notRun, '1');
+      res.setHeader(NAMES.serverLoad, '4,40,4');
+      answer(req, res, 503, '');
+    };
+    harness = await GatewayHarness.start([full, healthy]);
+    for (let nth = 0; nth < CALLS_PER_KIND; nth += 1) {
+      expect((await harness.call({path: '/read/a'})).status).toBe(200);
+    }
+    expect(arrivalsAt('server-0')).toBe(1);
+  });
+});
+
 describe('an attempt', () => {
   // Guards against requests that wait for a slow connection and reach the
   // server after it has asked for a pause.
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -21,11 +21,7 @@
   type AdmittedRequest,
   type ExchangeDependencies,
 } from './gateway_exchange_types.js';
-import {
-  headersForServer,
-  readServerLoad,
-  type ServerSignals,
-} from './gateway_headers.js';
+import {headersForServer, type ServerSignals} from './gateway_headers.js';
 import {
   type AttemptOutcome,
   decideNext,
@@ -222,6 +218,7 @@
   #onServerSignals(state: ServerState, signals: ServerSignals): void {
     const now = this.#now();
     this.#signals = signals;
+    if (signals.load) state.noteLoad(signals.load, now);
     const hasStopped = this.#deps.fleet.noteSignals(state, signals, now);
     if (hasStopped) this.#log.noteServerStopped(state.server.name, signals);
   }
@@ -229,8 +226,6 @@
   #onHead(head: ResponseHead): void {
     const state = this.#attempt?.state;
     if (!state) return;
-    const load = readServerLoad(head.headers, this.#deps.names);
-    if (load) state.noteLoad(load, this.#now());
     if (head.status >= FIRST_ERROR_STATUS) {
       this.#incomingFailure = new BufferedFailure(head);
       return;
--- a/packages/lovagepond-gateway/src/gateway_headers.ts
+++ b/packages/lovagepond-gateway/src/gateway_headers.ts
@@ -77,8 +77,10 @@
   readonly slots: number;
 }
 
-/** What a response says about the requests that its server wants. */
+/** What a response says about its server. */
 export interface ServerSignals {
+  /** Absent if the response doesn't report it. */
+  readonly load?: ServerLoad;
   /** The server is about to exit. */
   readonly isLeaving: boolean;
   /** Time for which the server wants no requests, milliseconds; usually 0. */
@@ -141,12 +143,7 @@
   };
 }
 
-/**
- * @param headers a response's headers
- * @param names the header names in use
- * @returns the server's load, if the response reports it
- */
-export function readServerLoad(
+function readServerLoad(
   headers: Headers,
   names: GatewayHeaderNames,
 ): ServerLoad | undefined {
@@ -168,7 +165,9 @@
   headers: Headers,
   names: GatewayHeaderNames,
 ): ServerSignals {
+  const load = readServerLoad(headers, names);
   return {
+    ...(load && {load}),
     isLeaving: textOf(headers, names.leaving).trim() === '1',
     pauseMs: readPauseMs(status, textOf(headers, 'retry-after')),
   };
