Heed what a backend server says of itself behind sidecars, too

A sidecar that gets 503 with Retry-After from its server passes the refusal on and sends the next request, probe or order at once; a server that is about to exit is noticed only when it is gone.

Change: the client that all of a sidecar's requests share reads both from each response. Within a pause the sidecar refuses offers as not ready, with the end of the pause, hands its queue back, and doesn't probe. While its server leaves it drains, until another instance runs there; control's wanted state doesn't end that.

A call whose claim is under way when the pause begins is still sent; it may not be refused without releasing its claim.

--- a/packages/lovagepond-backend/src/__tests__/unit/backend_event_stream.test.ts
+++ b/packages/lovagepond-backend/src/__tests__/unit/backend_event_stream.test.ts
@@ -1,3 +1,4 @@
+import {ServerNotices} from '../../backend_server_notices.js';
 import * as fc from 'fast-check';
 import {createServer} from 'node:http';
 import {type AddressInfo, type Socket} from 'node:net';
@@ -116,10 +117,13 @@
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
   const {port} = server.address() as AddressInfo;
   const origin = `http://127.0.0.1:${port}`;
-  const client = new HttpBackendClient({
-    ...DEFAULT_HTTP_CLIENT_SETTINGS,
-    origin,
-  });
+  const client = new HttpBackendClient(
+    {
+      ...DEFAULT_HTTP_CLIENT_SETTINGS,
+      origin,
+    },
+    new ServerNotices(),
+  );
   const request = {path: '/', headers: {}, silenceMs: 5_000} as const;
   const exchange = client.send({method: 'GET', ...request}, false);
   let previous = -1;
--- a/packages/lovagepond-backend/src/__tests__/unit/backend_http_service.test.ts
+++ b/packages/lovagepond-backend/src/__tests__/unit/backend_http_service.test.ts
@@ -1,6 +1,6 @@
 import {afterEach, expect, test} from 'vitest';
 import {answerFor} from '@lovagepond/core';
-import {type ServiceOutcome} from '../../index.js';
+import {type ServerNotice, type ServiceOutcome} from '../../index.js';
 import {
   cleanUp,
   clock,
@@ -124,3 +124,22 @@
     failure: {message: 'The answer is larger than allowed.'},
   });
 });
+
+test('a response tells that its server wants a pause or is leaving', async () => {
+  const pausing =
+    'HTTP/1.1 503 Busy\r\nRetry-After: 2.5\r\nContent-Length: 0\r\n\r\n';
+  const leaving =
+    'HTTP/1.1 200 OK\r\nX-Lovagepond-Leaving: 1\r\nContent-Length: 0\r\n\r\n';
+  const address = await startRawServer(pausing, leaving);
+  const service = connectService(address);
+  const notices: ServerNotice[] = [];
+  const unregister = service.onNotice(notice => notices.push(notice));
+  await service.call(serviceCall('r1'), clock.now());
+  await service.probe();
+  unregister();
+  await service.probe();
+  expect(notices).toEqual([
+    {pauseMs: 2_500, isLeaving: false},
+    {pauseMs: 0, isLeaving: true},
+  ]);
+});
--- a/packages/lovagepond-backend/src/backend_engine_protocol.ts
+++ b/packages/lovagepond-backend/src/backend_engine_protocol.ts
@@ -25,6 +25,8 @@
   RESUME_FROM: 'x-lovagepond-resume-from',
   /** Context length of an exported or imported KV cache, tokens. */
   CACHE_TOKENS: 'x-lovagepond-cache-tokens',
+  /** `1` in every response of a server that is about to exit. */
+  LEAVING: 'x-lovagepond-leaving',
 } as const;
 
 /** Data of the event that marks the end of an answer. */
--- a/packages/lovagepond-backend/src/backend_http_client.ts
+++ b/packages/lovagepond-backend/src/backend_http_client.ts
@@ -10,6 +10,7 @@
   type Loss,
   LOSS,
 } from './backend_http_exchange.js';
+import {type ServerNotices} from './backend_server_notices.js';
 
 /** Limits and timeouts of the connections to one backend server. */
 export interface HttpClientSettings {
@@ -53,12 +54,17 @@
 
 export class HttpBackendClient {
   readonly #settings: HttpClientSettings;
+  readonly #notices: ServerNotices;
   readonly #pool: Pool;
   readonly #fresh = new Set<Client>();
 
-  /** @param settings the server's origin, limits and timeouts */
-  constructor(settings: HttpClientSettings) {
+  /**
+   * @param settings the server's origin, limits and timeouts
+   * @param notices gets what the server's responses say about it
+   */
+  constructor(settings: HttpClientSettings, notices: ServerNotices) {
     this.#settings = settings;
+    this.#notices = notices;
     this.#pool = new Pool(settings.origin, {
       ...this.#clientOptions(),
       connections: settings.maxConnections,
@@ -75,7 +81,7 @@
    * @returns the started exchange
    */
   send(request: ExchangeRequest, fresh: boolean): HttpExchange {
-    const exchange = new HttpExchange();
+    const exchange = new HttpExchange(this.#notices);
     if (!fresh) {
       exchange.start(this.#pool, request);
       return exchange;
--- a/packages/lovagepond-backend/src/backend_http_engine.ts
+++ b/packages/lovagepond-backend/src/backend_http_engine.ts
@@ -36,6 +36,10 @@
   type ModelEngine,
 } from './backend_model_engine.js';
 import {startTimer} from './backend_timer_utils.js';
+import {
+  type ServerNoticeListener,
+  ServerNotices,
+} from './backend_server_notices.js';
 
 /** Limits and timeouts of the connections to one engine. */
 export interface HttpEngineSettings extends HttpClientSettings {
@@ -98,6 +102,7 @@
 
 /** Client for one engine that implements the protocol of docs/PROTOCOLS.md. */
 export class HttpModelEngine implements ModelEngine {
+  readonly #notices = new ServerNotices();
   readonly #client: HttpBackendClient;
   /** Separate, so that cache transfers take no connections from requests. */
   readonly #transfers: HttpBackendClient;
@@ -110,15 +115,20 @@
    * @param random adds jitter to reconnect delays
    */
   constructor(settings: HttpEngineSettings, random: Random) {
-    this.#client = new HttpBackendClient(settings);
-    this.#transfers = new HttpBackendClient({
+    this.#client = new HttpBackendClient(settings, this.#notices);
+    const transferSettings = {
       ...settings,
       maxConnections: TRANSFER_CONNECTIONS,
       maxWholeBytes: settings.maxCacheBytes,
-    });
+    };
+    this.#transfers = new HttpBackendClient(transferSettings, this.#notices);
     this.#random = random;
   }
 
+  onNotice(listener: ServerNoticeListener): Unregister {
+    return this.#notices.register(listener);
+  }
+
   async *run(
     request: EngineRequest,
     now: number,
--- a/packages/lovagepond-backend/src/backend_http_exchange.ts
+++ b/packages/lovagepond-backend/src/backend_http_exchange.ts
@@ -5,6 +5,7 @@
 import {type IncomingHttpHeaders} from 'node:http';
 import {type Dispatcher} from 'undici';
 import {invariant} from '@lovagepond/core';
+import {type ServerNotices} from './backend_server_notices.js';
 
 /** Reasons why an exchange failed. */
 export const LOSS = {
@@ -57,6 +58,7 @@
  * sent, and the exchange aborts when undici starts its request a second time.
  */
 export class HttpExchange implements Dispatcher.DispatchHandler {
+  readonly #notices: ServerNotices | undefined;
   readonly #events: ExchangeEvent[] = [];
   #controller: Dispatcher.DispatchController | undefined;
   #notifyReader: (() => void) | undefined;
@@ -67,6 +69,11 @@
   #aborted = false;
   #detached = false;
 
+  /** @param notices gets what the response says about its server */
+  constructor(notices?: ServerNotices) {
+    this.#notices = notices;
+  }
+
   /**
    * @param dispatcher the connection or pool to use
    * @param request the request to send
@@ -149,6 +156,7 @@
     headers: IncomingHttpHeaders,
   ): void {
     if (status < 200) return;
+    this.#notices?.read(status, headers);
     this.#push({kind: 'head', status, headers});
   }
 
--- a/packages/lovagepond-backend/src/backend_http_service.ts
+++ b/packages/lovagepond-backend/src/backend_http_service.ts
@@ -1,7 +1,7 @@
 /**
  * Adapter for a plain service over HTTP/1.1.
  */
-import {type ErrorKind, makeFailure} from '@lovagepond/core';
+import {type ErrorKind, makeFailure, type Unregister} from '@lovagepond/core';
 import {
   HttpBackendClient,
   type HttpClientSettings,
@@ -13,6 +13,10 @@
   type ServiceOutcome,
   type ServiceRequest,
 } from './backend_plain_service.js';
+import {
+  type ServerNoticeListener,
+  ServerNotices,
+} from './backend_server_notices.js';
 import {startTimer} from './backend_timer_utils.js';
 
 /** Error kinds for a failure before any byte of the call was sent. */
@@ -62,11 +66,16 @@
 
 /** Client for a plain service; sends each call only once. */
 export class HttpPlainService implements PlainService {
+  readonly #notices = new ServerNotices();
   readonly #client: HttpBackendClient;
 
   /** @param settings the service's origin, limits and timeouts */
   constructor(settings: HttpClientSettings) {
-    this.#client = new HttpBackendClient(settings);
+    this.#client = new HttpBackendClient(settings, this.#notices);
+  }
+
+  onNotice(listener: ServerNoticeListener): Unregister {
+    return this.#notices.register(listener);
   }
 
   async call(
--- a/packages/lovagepond-backend/src/backend_model_engine.ts
+++ b/packages/lovagepond-backend/src/backend_model_engine.ts
@@ -2,6 +2,7 @@
  * Interface of model engines, independent of the protocol.
  */
 import {type Failure, type Result, type Unregister} from '@lovagepond/core';
+import {type ServerNoticeListener} from './backend_server_notices.js';
 
 export interface EngineRequest {
   /** The engine repeats this id in each event of the answer. */
@@ -158,6 +159,12 @@
   /** @param now current time, monotonic milliseconds */
   loadReport(now: number): Promise<Result<LoadReport>>;
   order(order: EngineOrder): Promise<Result<EngineOrderOutcome>>;
+  /**
+   * @param listener called when a response says that the engine wants a pause
+   *     or is about to exit
+   * @returns a function that removes the listener
+   */
+  onNotice(listener: ServerNoticeListener): Unregister;
   /** Aborts all runs and closes all connections. */
   close(): Promise<void>;
 }
--- a/packages/lovagepond-backend/src/backend_plain_service.ts
+++ b/packages/lovagepond-backend/src/backend_plain_service.ts
@@ -1,7 +1,8 @@
 /**
  * Interface of plain services: backend servers that are not model engines.
  */
-import {type Failure} from '@lovagepond/core';
+import {type Failure, type Unregister} from '@lovagepond/core';
+import {type ServerNoticeListener} from './backend_server_notices.js';
 
 export interface ServiceRequest {
   readonly requestId: string;
@@ -45,6 +46,12 @@
   ): Promise<ServiceOutcome>;
   /** @returns true when the service accepts connections */
   probe(): Promise<boolean>;
+  /**
+   * @param listener called when a response says that the server wants a pause
+   *     or is about to exit
+   * @returns a function that removes the listener
+   */
+  onNotice(listener: ServerNoticeListener): Unregister;
   /** Closes all connections. */
   close(): Promise<void>;
 }
--- a/packages/lovagepond-backend/src/index.ts
+++ b/packages/lovagepond-backend/src/index.ts
@@ -55,3 +55,8 @@
   type ServiceOutcome,
   type ServiceRequest,
 } from './backend_plain_service.js';
+export {
+  type ServerNotice,
+  type ServerNoticeListener,
+  ServerNotices,
+} from './backend_server_notices.js';
--- a/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_backend_watch.test.ts
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_backend_watch.test.ts
@@ -33,6 +33,7 @@
     gate,
     clock: CLOCK,
     log: LOG,
+    onNotice: () => {},
   });
   return {engine, gate, watch};
 }
@@ -80,3 +81,14 @@
   await watch.probe();
   expect(watch.up).toBe(true);
 });
+
+// Guards against probes that reach a server which sheds load.
+it('is not probed within a pause that it asked for', async () => {
+  const {engine, watch} = makeWatch();
+  watch.start();
+  await watch.probe();
+  engine.notify({pauseMs: 60_000, isLeaving: false});
+  await watch.probe();
+  expect(engine.probes).toBe(1);
+  expect(watch.up).toBe(true);
+});
--- a/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_role.test.ts
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_role.test.ts
@@ -102,4 +102,40 @@
     expect(joinChunks(running.frames)).toBe(BODY.toString());
     expect(engine.runs).toHaveLength(1);
   });
+
+  // Guards against requests and probes that reach a server which sheds load.
+  it('sends its server nothing within a pause', async () => {
+    engine.notify({pauseMs: 60_000, isLeaving: false});
+    const probes = engine.probes;
+    const attempt = router.attempt({attemptId: 'e.1', body: BODY});
+    const {refused} = await attempt.until('refused');
+    expect(refused?.errorKind).toBe('notReady');
+    expect(refused?.retryAfterMs).toBeGreaterThan(50_000);
+    await expect.poll(() => control.announced.at(-1)?.state).toBe('joining');
+    expect(engine.runs).toEqual([]);
+    expect(engine.probes).toBe(probes);
+  });
+
+  it('accepts attempts again when the pause is over', async () => {
+    engine.notify({pauseMs: 50, isLeaving: false});
+    expect(role.isReady()).toBe(false);
+    await expect.poll(() => role.isReady()).toBe(true);
+    const attempt = router.attempt({attemptId: 'f.1', body: BODY});
+    await attempt.over;
+    expect(joinChunks(attempt.frames)).toBe(BODY.toString());
+  });
+
+  // Guards against work for a server that exits before the work is done.
+  it('drains until the instance of its server that leaves is over', async () => {
+    engine.notify({pauseMs: 0, isLeaving: true});
+    const attempt = router.attempt({attemptId: 'g.1', body: BODY});
+    const {refused} = await attempt.until('refused');
+    expect(refused?.errorKind).toBe('draining');
+    await expect.poll(() => control.announced.at(-1)?.state).toBe('draining');
+    engine.incarnation = 'engine-b';
+    await expect
+      .poll(() => control.announced.at(-1)?.state, {timeout: 5_000})
+      .toBe('ready');
+    expect(engine.runs).toEqual([]);
+  });
 });
--- a/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_test_utils.ts
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_test_utils.ts
@@ -12,7 +12,12 @@
   type ServerWritableStream,
   type UntypedHandleCall,
 } from '@grpc/grpc-js';
-import {type EngineEvent, type ModelEngine} from '@lovagepond/backend';
+import {
+  type EngineEvent,
+  type ModelEngine,
+  type ServerNotice,
+  type ServerNoticeListener,
+} from '@lovagepond/backend';
 import {
   type Clock,
   encodeConfiguration,
@@ -65,7 +70,9 @@
 export class EchoEngine implements ModelEngine {
   readonly runs: string[] = [];
   readonly cancelled: string[] = [];
+  readonly notices = new Set<ServerNoticeListener>();
   incarnation = 'engine-a';
+  probes = 0;
   /** Blocks each run after its first piece; unset for no delay. */
   gate: Promise<void> | undefined;
 
@@ -92,6 +99,18 @@
     yield {kind: 'end', totalBytes: request.body.length, usage};
   }
 
+  /** Gives notice as in a response. */
+  notify(notice: ServerNotice): void {
+    for (const listener of this.notices) listener(notice);
+  }
+
+  onNotice(listener: ServerNoticeListener): () => void {
+    this.notices.add(listener);
+    return () => {
+      this.notices.delete(listener);
+    };
+  }
+
   cancel(requestId: string): void {
     this.cancelled.push(requestId);
   }
@@ -110,6 +129,7 @@
   }
 
   loadReport(): ReturnType<ModelEngine['loadReport']> {
+    this.probes += 1;
     return Promise.resolve({
       ok: true,
       value: {
--- a/packages/lovagepond-sidecar/src/sidecar_backend.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_backend.ts
@@ -6,8 +6,9 @@
   type EngineEvent,
   type ModelEngine,
   type PlainService,
+  type ServerNoticeListener,
 } from '@lovagepond/backend';
-import {answerFor, DISPOSITION} from '@lovagepond/core';
+import {answerFor, DISPOSITION, type Unregister} from '@lovagepond/core';
 import {type lovagepond} from '@lovagepond/protocol';
 
 /** A connected backend server. */
@@ -25,6 +26,21 @@
   readonly signal: AbortSignal;
 }
 
+/**
+ * @param backend a connected backend server
+ * @param listener called when a response says that the server wants a pause or
+ *     is about to exit
+ * @returns a function that removes the listener
+ */
+export function onBackendNotice(
+  backend: Backend,
+  listener: ServerNoticeListener,
+): Unregister {
+  return backend.kind === 'engine'
+    ? backend.engine.onNotice(listener)
+    : backend.service.onNotice(listener);
+}
+
 const STREAM_FIELD = /"stream"\s*:\s*true/;
 const decoder = new TextDecoder();
 
--- a/packages/lovagepond-sidecar/src/sidecar_backend_watch.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_backend_watch.ts
@@ -2,9 +2,14 @@
  * Health checking of the backend server: whether it responds, whether it
  * restarted, and its reported load and cache contents.
  */
-import {type CacheEvent} from '@lovagepond/backend';
-import {type Clock, type Logger, type Unregister} from '@lovagepond/core';
-import {type Backend} from './sidecar_backend.js';
+import {type CacheEvent, type ServerNotice} from '@lovagepond/backend';
+import {
+  type Clock,
+  type Logger,
+  mergeRegister,
+  type Unregister,
+} from '@lovagepond/core';
+import {type Backend, onBackendNotice} from './sidecar_backend.js';
 import {type SidecarGate} from './sidecar_gate.js';
 
 /** Number of consecutive failed probes after which the server is down. */
@@ -15,6 +20,8 @@
   readonly gate: SidecarGate;
   readonly clock: Clock;
   readonly log: Logger;
+  /** Called when the server asks for a pause or says that it is leaving. */
+  readonly onNotice: () => void;
 }
 
 type CacheHandlers = {
@@ -44,6 +51,10 @@
   #probing: Promise<void> | undefined;
   /** Number of backend instances that have ended. */
   #endedInstances = 0;
+  /** End of the pause that the server asked for, monotonic milliseconds. */
+  #pausedUntil = Number.NEGATIVE_INFINITY;
+  /** The instance that said it is about to exit. */
+  #leavingInstance: number | undefined;
   /** True while no instance is known to be running. */
   #isInstanceOver = true;
 
@@ -61,13 +72,33 @@
     return this.#models;
   }
 
-  /** Subscribes to cache events. */
+  /** True once the current instance said that it is about to exit. */
+  get isLeaving(): boolean {
+    return this.#leavingInstance === this.#endedInstances;
+  }
+
+  /**
+   * @param now current time, monotonic milliseconds
+   * @returns time until the pause that the server asked for ends; 0 for none
+   */
+  pauseLeftMs(now: number): number {
+    return Math.max(0, this.#pausedUntil - now);
+  }
+
+  /** Subscribes to cache events and to the server's notices. */
   start(): void {
     const {backend, gate} = this.#deps;
-    if (backend.kind !== 'engine') return;
-    this.#unregister = backend.engine.subscribeCache(event => {
+    const unregisterNotices = onBackendNotice(backend, notice => {
+      this.#handleNotice(notice);
+    });
+    if (backend.kind !== 'engine') {
+      this.#unregister = unregisterNotices;
+      return;
+    }
+    const unsubscribe = backend.engine.subscribeCache(event => {
       CACHE_HANDLERS[event.kind](event as never, gate);
     });
+    this.#unregister = mergeRegister(unregisterNotices, unsubscribe);
   }
 
   stop(): void {
@@ -107,14 +138,27 @@
     return instance < this.#endedInstances;
   }
 
-  /** Probes the backend server once; concurrent calls share one probe. */
+  /**
+   * Probes the backend server once, unless it asked for a pause; concurrent
+   * calls share one probe.
+   */
   probe(): Promise<void> {
+    if (this.pauseLeftMs(this.#deps.clock.now()) > 0) return Promise.resolve();
     this.#probing ??= this.#probeOnce().finally(() => {
       this.#probing = undefined;
     });
     return this.#probing;
   }
 
+  #handleNotice({pauseMs, isLeaving}: ServerNotice): void {
+    const {clock, log, onNotice} = this.#deps;
+    const until = clock.now() + pauseMs;
+    this.#pausedUntil = Math.max(this.#pausedUntil, until);
+    if (isLeaving) this.#leavingInstance = this.#endedInstances;
+    log.info('backend server wants no requests', {pauseMs, leaving: isLeaving});
+    onNotice();
+  }
+
   async #probeOnce(): Promise<void> {
     const wasUp = this.up;
     const answered = await this.#checkBackend();
@@ -126,7 +170,10 @@
   }
 
   #endInstance(): void {
-    if (!this.#isInstanceOver) this.#endedInstances += 1;
+    if (!this.#isInstanceOver) {
+      this.#endedInstances += 1;
+      this.#pausedUntil = Number.NEGATIVE_INFINITY;
+    }
     this.#isInstanceOver = true;
   }
 
--- a/packages/lovagepond-sidecar/src/sidecar_gate.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_gate.ts
@@ -92,9 +92,12 @@
     this.#components.hold.queue.configure(policy.workspaces);
   }
 
-  /** @param reason why new work is refused; undefined when it is accepted */
-  setNotReady(reason: string | undefined): void {
-    this.#mode = {...this.#mode, notReady: reason};
+  /**
+   * @param reason why new work is refused; undefined when it is accepted
+   * @param readyAt when work is accepted again, if known
+   */
+  setNotReady(reason: string | undefined, readyAt?: number): void {
+    this.#mode = {...this.#mode, notReady: reason, readyAt};
   }
 
   /**
--- a/packages/lovagepond-sidecar/src/sidecar_gate_components.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_gate_components.ts
@@ -38,6 +38,8 @@
   readonly revision: number;
   /** Why new work is refused; undefined when it is accepted. */
   readonly notReady: string | undefined;
+  /** When new work is accepted again; undefined when it is unknown. */
+  readonly readyAt: number | undefined;
 }
 
 /** Mode before the first configuration. */
@@ -45,6 +47,7 @@
   policy: DEFAULT_GATE_POLICY,
   revision: 0,
   notReady: undefined,
+  readyAt: undefined,
 });
 
 /**
@@ -89,11 +92,12 @@
   now: number,
 ): RefusalView {
   const {settings, hold, cache, pointers, advice, runs, drain} = components;
-  const {policy, revision, notReady} = mode;
+  const {policy, revision, notReady, readyAt} = mode;
   return {
     policy,
     revision,
     notReady,
+    readyAt,
     settings,
     cache,
     pointers,
--- a/packages/lovagepond-sidecar/src/sidecar_gate_refusals.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_gate_refusals.ts
@@ -22,6 +22,7 @@
   readonly settings: GateSettings;
   readonly policy: GatePolicy;
   readonly notReady: string | undefined;
+  readonly readyAt: number | undefined;
   readonly revision: number;
   readonly draining: boolean;
   readonly queue: SidecarFairQueue;
@@ -96,12 +97,14 @@
 
 function checkReady(
   offer: Offer,
-  {notReady}: RefusalView,
+  {notReady, readyAt}: RefusalView,
+  now: number,
 ): RefuseAction | undefined {
   if (notReady === undefined) return undefined;
+  const leftMs = readyAt === undefined ? 0 : readyAt - now;
   return makeRefusal(offer.attemptId, 'notReady', {
     message: notReady,
-    retryAfterMs: NOT_READY_RETRY_MS,
+    retryAfterMs: Math.max(NOT_READY_RETRY_MS, leftMs),
   });
 }
 
--- a/packages/lovagepond-sidecar/src/sidecar_role.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_role.ts
@@ -69,6 +69,8 @@
   readonly #server: SidecarServer;
   #mover: SidecarCacheMover | undefined;
   #drainAbort: AbortController | undefined;
+  /** The backend server said that it is about to exit. */
+  #isBackendLeaving = false;
   /** The process is stopping, so control can't cancel this drain. */
   #isStopping = false;
   #address = '';
@@ -99,6 +101,9 @@
       gate: this.#gate,
       clock,
       log,
+      onNotice: () => {
+        this.#updateReadiness();
+      },
     });
     this.#dispatcher = this.#makeDispatcher();
     this.#orders = new SidecarOrders({
@@ -156,7 +161,8 @@
   }
 
   isReady(): boolean {
-    return this.#notReadyReason() === undefined && !this.#gate.draining;
+    const accepts = this.#gate.ready && !this.#gate.draining;
+    return accepts && this.#notReadyReason() === undefined;
   }
 
   async drain(limitMs: number): Promise<void> {
@@ -289,6 +295,8 @@
     this.#dispatcher.tick(now);
     this.#takeClient.tick(now);
     this.#feed.tick(now);
+    const isReady = this.#notReadyReason() === undefined;
+    if (isReady !== this.#gate.ready) this.#updateReadiness();
   }
 
   async #probeBackend(): Promise<void> {
@@ -298,28 +306,47 @@
 
   #notReadyReason(): string | undefined {
     if (!this.#watch.up) return 'The backend server does not answer.';
+    if (this.#pauseLeftMs() > 0) return 'The backend server asked for a pause.';
     return this.#configuration.mayServe()
       ? undefined
       : 'No configuration is confirmed yet.';
   }
 
+  #pauseLeftMs(): number {
+    return this.#watch.pauseLeftMs(this.#deps.clock.now());
+  }
+
   /** Announces a change at once, as routers get it only by announcement. */
   #updateReadiness(): void {
     const before = this.#presence.state;
-    this.#gate.setNotReady(this.#notReadyReason());
-    if (!this.#watch.up) {
-      const now = this.#deps.clock.now();
+    const now = this.#deps.clock.now();
+    const pauseLeftMs = this.#pauseLeftMs();
+    const readyAt = pauseLeftMs > 0 ? now + pauseLeftMs : undefined;
+    this.#gate.setNotReady(this.#notReadyReason(), readyAt);
+    if (!this.#watch.up || pauseLeftMs > 0) {
       this.#dispatcher.perform(this.#gate.backendDown(now));
     }
+    this.#followBackendExit();
     if (before !== this.#presence.state) this.#presence.announce();
   }
 
+  /** Drains while the server's instance is about to exit, and not longer. */
+  #followBackendExit(): void {
+    const {isLeaving} = this.#watch;
+    if (isLeaving === this.#isBackendLeaving) return;
+    this.#isBackendLeaving = isLeaving;
+    this.#applyWantedState(
+      isLeaving ? SERVER_STATE.DRAINING : SERVER_STATE.READY,
+    );
+  }
+
   #applyWantedState(wanted: string): void {
     const {draining} = this.#gate;
     if (wanted === SERVER_STATE.DRAINING && !draining) {
       this.#startDrain(this.#settings.drainLimitMs);
     }
-    if (wanted === SERVER_STATE.READY && draining && !this.#isStopping) {
+    const mayResume = !this.#isStopping && !this.#isBackendLeaving;
+    if (wanted === SERVER_STATE.READY && draining && mayResume) {
       this.#drainAbort?.abort();
       this.#gate.resume();
       this.#presence.announce();
