Log which requests a reported crash counts for

Cause: control's logs can't tell whether a crash was counted again for a request, counted late, or not counted: they have the number of a crash's requests, nothing of cleared ones and nothing of reports that come late.

Change: 'backend server crashed' lists fingerprints, the age of the crash and those for which it is outdated; 'suspicion dropped' names a cleared request.

--- a/packages/lovagepond-control/src/__tests__/unit/control_state_machine.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/control_state_machine.test.ts
@@ -1,4 +1,8 @@
-import {type Command, type ConfigurationContent} from '@lovagepond/core';
+import {
+  CRASH_RULES,
+  type Command,
+  type ConfigurationContent,
+} from '@lovagepond/core';
 import {expect, test} from 'vitest';
 import {type OrderRequest} from '../../control_administration.js';
 import {
@@ -7,6 +11,8 @@
   CLAIM_COMMAND,
   type ClaimPayload,
   CRASHES_COMMAND,
+  type CrashesPayload,
+  type CrashesResult,
   decodeResult,
   encodeCommand,
   EVACUATION_COMMAND,
@@ -221,14 +227,19 @@
     const one = {server, requests: ['bad'], ageMs: 0};
     return member.run(CRASHES_COMMAND, {crashes: [one], answered: []});
   };
+  const resultOf = (quarantined: readonly string[]): CrashesResult => ({
+    quarantined,
+    cleared: [],
+    outdated: [[]],
+  });
   for (const server of ['s1', 's2']) {
-    expect(crash(server)).toEqual({quarantined: []});
+    expect(crash(server)).toEqual(resultOf([]));
     member.now += 1_000;
   }
   const {now} = member;
   const copy = member.copy();
   expect(copy.machine.crashes.find('bad', now)?.crashes).toBe(2);
-  expect(crash('s3')).toEqual({quarantined: ['bad']});
+  expect(crash('s3')).toEqual(resultOf(['bad']));
   const later = member.copy();
   const isQuarantined = (): boolean =>
     later.machine.crashes.find('bad', now)?.quarantinedUntil !== undefined;
@@ -246,6 +257,20 @@
   expect(member.machine.crashes.find('b', 0)?.crashes).toBe(1);
 });
 
+test('tells for which requests a crash was reported too late', () => {
+  const member = new Member();
+  const rules = CRASH_RULES.COUNTED_ONCE;
+  const report = (crashes: CrashesPayload['crashes'], answered: string[]) =>
+    member.run(CRASHES_COMMAND, {crashes, answered, rules});
+  const first = {server: 's1', requests: ['a'], ageMs: 0};
+  report([first], []);
+  member.now += 1_000;
+  expect(report([], ['a', 'b'])).toMatchObject({cleared: ['a']});
+  const late = {server: 's2', requests: ['a', 'c'], ageMs: 500};
+  const result = {quarantined: [], cleared: [], outdated: [['a']]};
+  expect(report([late], [])).toEqual(result);
+});
+
 // Guards against a log entry that terminates every member at each replay.
 test('members continue with the same state after a failed command', () => {
   const member = new Member();
--- a/packages/lovagepond-control/src/control_commands.ts
+++ b/packages/lovagepond-control/src/control_commands.ts
@@ -131,6 +131,13 @@
 export interface CrashesResult {
   /** Requests that the command quarantines. */
   readonly quarantined: readonly string[];
+  /** Requests whose evidence was dropped, as a server answered them. */
+  readonly cleared: readonly string[];
+  /**
+   * For each crash, the requests for which it doesn't count, as they were
+   * cleared since.
+   */
+  readonly outdated: readonly (readonly string[])[];
 }
 
 /**
--- a/packages/lovagepond-control/src/control_state_machine.ts
+++ b/packages/lovagepond-control/src/control_state_machine.ts
@@ -255,14 +255,17 @@
     {crashes, answered, rules = CRASH_RULES.RECOUNTED}: CrashesPayload,
     timeMs: number,
   ): CrashesResult {
-    for (const request of answered) {
-      this.crashes.forget(request, timeMs, rules);
-    }
-    const quarantined = crashes.flatMap(({server, requests, ageMs}) => {
-      const crash = {server, requests, crashedAt: timeMs - ageMs};
-      return this.crashes.noteCrash(crash, timeMs, rules);
+    const cleared = answered.filter(request =>
+      this.crashes.forget(request, timeMs, rules),
+    );
+    const dated = crashes.map(({server, requests, ageMs}) => {
+      return {server, requests, crashedAt: timeMs - ageMs};
     });
-    return {quarantined};
+    const outdated = dated.map(crash => this.crashes.clearedSince(crash));
+    const quarantined = dated.flatMap(crash =>
+      this.crashes.noteCrash(crash, timeMs, rules),
+    );
+    return {quarantined, cleared, outdated};
   }
 
   #handleNodeCommands(): void {
--- a/packages/lovagepond-control/src/crash_reports.ts
+++ b/packages/lovagepond-control/src/crash_reports.ts
@@ -36,6 +36,9 @@
 const MAX_CRASHES = 64;
 const MAX_FINGERPRINTS = 512;
 
+/** Limit of fingerprints in one log line. */
+const MAX_LOGGED_FINGERPRINTS = 64;
+
 export interface CrashReportsDependencies {
   readonly clock: Clock;
   readonly log: Logger;
@@ -119,12 +122,17 @@
 
   #log(node: string, payload: CrashesPayload, result: CrashesResult): void {
     const {log, machine, clock} = this.#deps;
-    for (const {server, requests} of payload.crashes) {
-      const backendServer = server;
+    for (const fingerprint of result.cleared) {
+      log.info('suspicion dropped', {node, fingerprint});
+    }
+    for (const [at, crash] of payload.crashes.entries()) {
       log.warn('backend server crashed', {
         node,
-        backendServer,
-        requests: requests.length,
+        backendServer: crash.server,
+        requests: crash.requests.length,
+        fingerprints: listOf(crash.requests),
+        crashedMsAgo: crash.ageMs,
+        outdated: listOf(result.outdated[at] ?? []),
       });
     }
     const timeMs = machine.time.stamp(clock.now());
@@ -139,6 +147,11 @@
   }
 }
 
+/** @returns the first of the fingerprints, for a log line of bounded length */
+function listOf(fingerprints: readonly string[]): string {
+  return fingerprints.slice(0, MAX_LOGGED_FINGERPRINTS).join(' ');
+}
+
 function toPayload({crashes, answered}: WireReport): CrashesPayload {
   return {
     crashes: (crashes ?? []).slice(0, MAX_CRASHES).map(toCrash),
--- a/packages/lovagepond-core/src/core_crash_evidence.ts
+++ b/packages/lovagepond-core/src/core_crash_evidence.ts
@@ -168,6 +168,16 @@
     return true;
   }
 
+  /**
+   * @param crash a crash, as it is reported
+   * @returns its requests that were cleared at the time of the crash or later,
+   *     so that it doesn't count for them
+   */
+  clearedSince({server, requests, crashedAt}: ServerCrash): readonly string[] {
+    const at = this.#recent.get(server)?.crashedAt ?? crashedAt;
+    return requests.filter(request => this.#isCleared(request, at));
+  }
+
   /**
    * @param request the request's fingerprint
    * @param now current time, milliseconds
