End a leaving server whose lease expires

A server that is leaving and falls silent is dropped from the table, and with it that it was leaving and its last sequence number. A report from before it left, delayed by a partition, then joins it as ready, and gateways send it requests.

Change: the leader ends such a server, so that it never joins again; it drops only servers that weren't leaving.

One safeguard added.

--- a/packages/lovagepond-control/src/__tests__/unit/direct_servers.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/direct_servers.test.ts
@@ -143,3 +143,23 @@
   await leader.tick(10_000 + DURATION_MS);
   expect(leader.routers).toBeUndefined();
 });
+
+// Guards against requests to a server that was said to be leaving: its lease
+// expires, and a report from before it left arrives late.
+test('a leaving server does not join again once its lease has expired', async () => {
+  const leader = new Leader();
+  await leader.servers.announce(ANNOUNCEMENT);
+  await leader.servers.announce({...ANNOUNCEMENT, sequence: 3, leaving: true});
+  await leader.servers.tick(['s'], 1_000);
+  await leader.servers.announce({...ANNOUNCEMENT, sequence: 2});
+  expect(leader.machine.directServers.list()).toEqual([]);
+  expect(leader.log.get('s')).toBeUndefined();
+});
+
+test('a server that does not leave joins again after its lease expired', async () => {
+  const leader = new Leader();
+  await leader.servers.announce(ANNOUNCEMENT);
+  await leader.servers.tick(['s'], 1_000);
+  await leader.servers.announce({...ANNOUNCEMENT, sequence: 2});
+  expect(leader.machine.directServers.get('s')?.leaving).toBe(false);
+});
--- a/packages/lovagepond-control/src/direct_servers.ts
+++ b/packages/lovagepond-control/src/direct_servers.ts
@@ -154,11 +154,7 @@
     const {machine, proposer} = this.#deps;
     const table = machine.directServers;
     this.refreshWarmUps(now);
-    const names = lapsed.filter(name => table.get(name));
-    if (names.length > 0) {
-      await proposer.propose(DROP_SERVERS_COMMAND, {names});
-      this.#publishTable();
-    }
+    await this.#removeLapsed(lapsed.filter(name => table.get(name)));
     if (
       this.#isOpeningPlaces ||
       !table.hasPlacesToOpen(machine.time.stamp(now))
@@ -174,6 +170,26 @@
     }
   }
 
+  /**
+   * A leaving server is ended and not only dropped: a report from before it
+   * left may arrive late, and would have it join as ready.
+   */
+  async #removeLapsed(names: readonly string[]): Promise<void> {
+    if (names.length === 0) return;
+    const {machine, proposer} = this.#deps;
+    const leaving = names.filter(
+      name => machine.directServers.get(name)?.leaving,
+    );
+    for (const name of leaving) {
+      await proposer.propose(END_SERVER_COMMAND, {name});
+    }
+    const staying = names.filter(name => !leaving.includes(name));
+    if (staying.length > 0) {
+      await proposer.propose(DROP_SERVERS_COMMAND, {names: staying});
+    }
+    this.#publishTable();
+  }
+
   /**
    * An announcement of a pool that isn't configured may come from a foreign
    * sender; accepted, it would remove the server that runs at its address.
