Keep the suspicion against a request that got an error response

A gateway cleared a suspected request on any complete response, errors included. A server that fails requests without running them so cleared, between its crashes, a request that crashes servers.

Change: only a response below 500 clears a request.

Calls of sidecars' services still clear a request whatever their status.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_quarantine.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_quarantine.test.ts
@@ -124,4 +124,17 @@
     expect((await harness.call(CALL)).status).toBe(200);
     expect(harness.quarantine.isSuspect(FINGERPRINT, clock.now())).toBe(false);
   });
+
+  // Guards against a request that is never quarantined, as servers that fail
+  // everything answer it between its crashes.
+  it('stays suspected after an error response', async () => {
+    harness = await GatewayHarness.start([
+      (req, res) => {
+        answer(req, res, 500, 'failed');
+      },
+    ]);
+    applySuspicion(2, 0);
+    expect((await harness.call(CALL)).status).toBe(500);
+    expect(harness.quarantine.isSuspect(FINGERPRINT, clock.now())).toBe(true);
+  });
 });
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -261,7 +261,6 @@
   #onEnd(): void {
     if (this.#incomingFailure) {
       this.#bufferedFailure = this.#incomingFailure;
-      this.#noteCompleteResponse();
       this.#endAttempt()?.noteErrorResponse(this.#now());
       this.#runs += 1;
       this.#handleOutcome({kind: 'failedAnswer'}, 'server returned an error');
@@ -272,7 +271,7 @@
       this.#onFailed({kind: 'broken', reason, isLost: true});
       return;
     }
-    this.#noteCompleteResponse();
+    this.#clearSuspicion();
     const state = this.#endAttempt();
     if (this.#timing) this.#timing.noteResponse(this.#now());
     else state?.noteSuccess(this.#now());
@@ -280,8 +279,12 @@
     this.#finish('answered');
   }
 
-  /** A close-delimited response proves nothing: a crash may have ended it. */
-  #noteCompleteResponse(): void {
+  /**
+   * A close-delimited response proves nothing, as a crash may have ended it; nor
+   * does an error response, which a failing server sends without running the
+   * request.
+   */
+  #clearSuspicion(): void {
     if (this.#attempt?.isCloseDelimited) return;
     const {quarantine} = this.#deps;
     quarantine.noteAnswered(this.#req.fingerprint, this.#now());
