Let a gateway exit before the platform kills it

Cause: a caller that stops reading in the middle of an answer keeps a draining gateway until its drain limit. The platform's template sets that to the grace period, so the platform kills the process at the same moment.

A test of the platform's processes stops a gateway with an answer under way and a caller that doesn't read, and each member of control with idle and half-sent connections.

--- a/packages/lovagepond-cli/src/settings_sections.ts
+++ b/packages/lovagepond-cli/src/settings_sections.ts
@@ -37,6 +37,11 @@
   ),
   announceDelay: withTraits(duration().prefault('2s'), {reloadable: true}),
   drainLimit: withTraits(duration().prefault('30s'), {reloadable: true}),
+  /**
+   * Part of the drain limit that the process keeps for its own exit. A service
+   * manager that kills it at the drain limit would otherwise be first.
+   */
+  exitMargin: withTraits(duration().prefault('0ms'), {reloadable: true}),
   dataFolder: withTraits(filledText(), {owned: true}),
 });
 
@@ -75,6 +80,6 @@
     address: platform.address,
     dataFolder: platform.dataFolder,
     announceDelayMs: platform.announceDelay,
-    drainLimitMs: platform.drainLimit,
+    drainLimitMs: Math.max(0, platform.drainLimit - platform.exitMargin),
   };
 }
