--- /dev/null
+++ b/packages/lovagepond-gateway/src/gateway_eligible_servers.ts
@@ -0,0 +1,61 @@
+/**
+ * The servers that one request may be sent to.
+ */
+import {type ChoiceRequest} from './gateway_choice.js';
+import {type GatewayFleet} from './gateway_fleet.js';
+import {type AdmittedRequest} from './gateway_exchange_types.js';
+import {type ServerState} from './gateway_server_state.js';
+import {type GatewayWarmUp} from './gateway_warm_up.js';
+
+interface EligibleServersDependencies {
+  readonly fleet: GatewayFleet;
+  readonly warmUp: GatewayWarmUp;
+}
+
+export class EligibleServers {
+  readonly #req: Pick<AdmittedRequest, 'pool' | 'isRegionAllowed'>;
+  readonly #deps: EligibleServersDependencies;
+
+  constructor(
+    req: Pick<AdmittedRequest, 'pool' | 'isRegionAllowed'>,
+    deps: EligibleServersDependencies,
+  ) {
+    this.#req = req;
+    this.#deps = deps;
+  }
+
+  /**
+   * A context is a part of the request, so its holders must be allowed, too.
+   *
+   * @param now current time, monotonic milliseconds
+   * @returns servers for an attempt, and those that may hold the prompt
+   */
+  list(now: number): Pick<ChoiceRequest, 'servers' | 'holders'> {
+    const {pool} = this.#req;
+    const {fleet, warmUp} = this.#deps;
+    const servers = fleet
+      .ready(pool.name, now)
+      .filter(
+        state => this.#isAllowed(state) && warmUp.admits(state, pool, now),
+      );
+    return {servers, holders: this.#allowed()};
+  }
+
+  /**
+   * @param now current time, monotonic milliseconds
+   * @returns time until the first paused server accepts requests again,
+   *     milliseconds; 0 unless all of them paused
+   */
+  pauseLeftMs(now: number): number {
+    return this.#deps.fleet.pauseLeftMs(this.#allowed(), now);
+  }
+
+  #allowed(): readonly ServerState[] {
+    const listed = this.#deps.fleet.listed(this.#req.pool.name);
+    return listed.filter(state => this.#isAllowed(state));
+  }
+
+  #isAllowed({server}: ServerState): boolean {
+    return this.#req.isRegionAllowed(server.region);
+  }
+}
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -14,7 +14,8 @@
 } from './gateway_attempt.js';
 import {ResponseTiming} from './gateway_response_timing.js';
 import {type CallerChannel} from './gateway_caller_channel.js';
-import {type ChoiceRequest, type ServerChoice} from './gateway_choice.js';
+import {type ServerChoice} from './gateway_choice.js';
+import {EligibleServers} from './gateway_eligible_servers.js';
 import {EventStream} from './gateway_event_stream.js';
 import {ExchangeLog} from './gateway_exchange_log.js';
 import {
@@ -47,6 +48,7 @@
   readonly #caller: CallerChannel;
   readonly #onDone: () => void;
   readonly #log: ExchangeLog;
+  readonly #eligible: EligibleServers;
   readonly #events: EventStream | undefined;
   readonly #tried = new Set<string>();
   #attempt: Attempt | undefined;
@@ -84,6 +86,7 @@
     this.#caller = caller;
     this.#onDone = onDone;
     this.#log = new ExchangeLog(req, deps);
+    this.#eligible = new EligibleServers(req, deps);
     if (req.rule.forwarding.streaming) this.#events = new EventStream();
   }
 
@@ -131,7 +134,7 @@
     const chosen = choice.choose(
       {
         pool,
-        ...this.#listServers(now),
+        ...this.#eligible.list(now),
         parts: facts.parts,
         sticky: rule.forwarding.sticky,
         targetLatencyMs: rule.forwarding.targetLatencyMs,
@@ -177,18 +180,6 @@
     attempt.start(this.#outgoing(chosen, now), connections);
   }
 
-  /** A context is a part of the request, so its holders must be allowed, too. */
-  #listServers(now: number): Pick<ChoiceRequest, 'servers' | 'holders'> {
-    const {pool, isRegionAllowed} = this.#req;
-    const {fleet, warmUp} = this.#deps;
-    const isAllowed = ({server}: ServerState): boolean =>
-      isRegionAllowed(server.region);
-    const servers = fleet
-      .ready(pool.name, now)
-      .filter(state => isAllowed(state) && warmUp.admits(state, pool, now));
-    return {servers, holders: fleet.listed(pool.name).filter(isAllowed)};
-  }
-
   #outgoing({state, fetch}: ServerChoice, now: number): OutgoingRequest {
     const {method, path, rawHeaders, body, workspace, priority} = this.#req;
     const lastId = this.#events?.lastId;
@@ -375,14 +366,11 @@
 
   #refuse(error: ErrorKind): void {
     const now = this.#now();
-    const {quarantine, fleet} = this.#deps;
-    const {fingerprint, pool, isRegionAllowed} = this.#req;
-    const eligible = fleet
-      .listed(pool.name)
-      .filter(({server}) => isRegionAllowed(server.region));
+    const {quarantine} = this.#deps;
+    const {fingerprint} = this.#req;
     const notBeforeMs =
       quarantine.quarantinedForMs(fingerprint, now) ??
-      fleet.pauseLeftMs(eligible, now);
+      this.#eligible.pauseLeftMs(now);
     this.#caller.refuse(error, notBeforeMs);
     this.#finish(error);
   }
