Avoid a server that refuses requests for a growing time

A refusal without Retry-After left only the server's load behind, and a server that sheds has little. It was chosen again, each time at the cost of a retry, until the budget of retries was spent.

The simulated gateway does the same.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_signals.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_signals.test.ts
@@ -13,6 +13,7 @@
   type CallerResponse,
   GatewayHarness,
   NAMES,
+  refuse,
   type Script,
 } from './gateway_harness.js';
 
@@ -195,6 +196,20 @@
   });
 });
 
+describe('a server that refuses without asking for a pause', () => {
+  // Guards against a retry budget that is spent on a server that refuses all
+  // requests at once, while others have room.
+  it('is avoided for a growing time', async () => {
+    harness = await GatewayHarness.start([refuse, healthy]);
+    const responses = await callEachKind();
+    expect(responses.map(({status}) => status)).toEqual(
+      responses.map(() => 200),
+    );
+    // Each refusal doubles the backoff, so that further ones take seconds.
+    expect(arrivalsAt('server-0')).toBeLessThanOrEqual(responses.length / 2);
+  });
+});
+
 describe('an attempt', () => {
   // Guards against requests that wait for a slow connection and reach the
   // server after it has asked for a pause.
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -299,9 +299,12 @@
     const now = this.#now();
     const {kind} = failure;
     if (kind === 'withheld') return;
-    if (kind !== 'notRun') state.noteAttemptFailure(now);
     // The request named this instance, so another one has taken its address.
-    else if (failure.status === STATUS_MISDIRECTED) state.markReplaced();
+    if (kind === 'notRun' && failure.status === STATUS_MISDIRECTED) {
+      state.markReplaced();
+    } else {
+      state.noteAttemptFailure(now);
+    }
     const {quarantine} = this.#deps;
     quarantine.noteFailure(state, this.#req.fingerprint, failure, now);
   }
--- a/packages/lovagepond-gateway/src/gateway_server_state.ts
+++ b/packages/lovagepond-gateway/src/gateway_server_state.ts
@@ -231,9 +231,9 @@
   }
 
   /**
-   * Records a failed connection, or a missing or broken response. The backoff
-   * grows exponentially: a server that is down stays down for seconds, and each
-   * attempt there costs a caller time.
+   * Records a failed connection, a missing or broken response, or a refusal. The
+   * backoff grows exponentially: a server that is down or sheds load does so for
+   * seconds, and each attempt there costs a caller time and a retry.
    *
    * @param now current time, monotonic milliseconds
    */
--- a/packages/lovagepond-measure/src/simulated_gateway.ts
+++ b/packages/lovagepond-measure/src/simulated_gateway.ts
@@ -310,7 +310,7 @@
     if (outcome.kind === 'failedAnswer') {
       state.noteErrorResponse(this.#now);
       this.#hasFailure = true;
-    } else if (outcome.kind !== 'notRun') state.noteAttemptFailure(this.#now);
+    } else state.noteAttemptFailure(this.#now);
     if (!isCurrent) return;
     if (outcome.kind === 'failedAnswer' || outcome.kind === 'broken') {
       this.#runs += 1;
