--- a/packages/lovagepond-control/src/crash_reports.ts
+++ b/packages/lovagepond-control/src/crash_reports.ts
@@ -130,9 +130,9 @@
         node,
         backendServer: crash.server,
         requests: crash.requests.length,
-        fingerprints: listOf(crash.requests),
+        fingerprints: joinFingerprints(crash.requests),
         crashedMsAgo: crash.ageMs,
-        outdated: listOf(result.outdated[at] ?? []),
+        outdated: joinFingerprints(result.outdated[at] ?? []),
       });
     }
     const timeMs = machine.time.stamp(clock.now());
@@ -148,7 +148,7 @@
 }
 
 /** @returns the first of the fingerprints, for a log line of bounded length */
-function listOf(fingerprints: readonly string[]): string {
+function joinFingerprints(fingerprints: readonly string[]): string {
   return fingerprints.slice(0, MAX_LOGGED_FINGERPRINTS).join(' ');
 }
 
