Export how many servers paused or are leaving at a gateway

Cause: the state dump and logs tell of paused and leaving servers, metrics don't; a pool that sheds load should show on a dashboard.

Change: two gauges of each gateway, without further labels.

Figures: the test of the metrics has both lines.

--- a/packages/lovagepond-cli/src/__tests__/unit/role_metrics.test.ts
+++ b/packages/lovagepond-cli/src/__tests__/unit/role_metrics.test.ts
@@ -12,6 +12,8 @@
   failedAttemptsByOutcome: {broken: 2},
   secondTries: 1,
   crashedServers: 3,
+  pausedServers: 2,
+  leavingServers: 1,
   suspectedRequests: 1,
 };
 
@@ -31,6 +33,8 @@
     `lovagepond_gateway_attempts_failed_total{${labels},outcome="broken"} 2`,
     `lovagepond_retries_total{${labels}} 1`,
     `lovagepond_gateway_servers_crashed_total{${labels}} 3`,
+    `lovagepond_gateway_servers_paused{${labels}} 2`,
+    `lovagepond_gateway_servers_leaving{${labels}} 1`,
     `lovagepond_suspected_requests{${labels}} 1`,
   ]) {
     expect(text).toContain(line);
--- a/packages/lovagepond-cli/src/role_metrics.ts
+++ b/packages/lovagepond-cli/src/role_metrics.ts
@@ -279,6 +279,18 @@
     help: 'Backend servers that ended while they ran requests of this gateway.',
     path: ['crashedServers'],
   },
+  {
+    kind: 'gauge',
+    name: 'lovagepond_gateway_servers_paused',
+    help: 'Backend servers that asked this gateway for a pause.',
+    path: ['pausedServers'],
+  },
+  {
+    kind: 'gauge',
+    name: 'lovagepond_gateway_servers_leaving',
+    help: 'Backend servers that told this gateway that they are about to exit.',
+    path: ['leavingServers'],
+  },
   SUSPECTED_REQUESTS,
 ];
 
