--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_signals.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_signals.test.ts
@@ -76,8 +76,8 @@
     expect(arrivalsAt('server-0')).toBe(1);
   });
 
-  // Guards against callers who wait for, or come back to, a pool that is shut.
-  it('leaves callers told when to come back if no other is left', async () => {
+  // Guards against callers that return while no server of the pool accepts them.
+  it('has callers return after its pause if no other server is left', async () => {
     harness = await GatewayHarness.start([pausing, pausing]);
     await harness.call({path: '/read/a'});
     const res = await harness.call({path: '/read/a'});
