Check the load that a refusal reports, not only where requests go

Cause: since refusals lead to a backoff, the test of a full server passed without the load of its refusal: the backoff alone kept requests away.

Change: the test also checks that the server counts as loaded.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_signals.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_signals.test.ts
@@ -11,6 +11,7 @@
   answer,
   beginStream,
   type CallerResponse,
+  clock,
   GatewayHarness,
   NAMES,
   refuse,
@@ -193,6 +194,8 @@
       expect((await harness.call({path: '/read/a'})).status).toBe(200);
     }
     expect(arrivalsAt('server-0')).toBe(1);
+    const state = harness.gatewayFleet.find('server-0');
+    expect(state?.load(clock.now())).toBeGreaterThan(0);
   });
 });
 
