--- a/packages/lovagepond-core/src/core_configuration.ts
+++ b/packages/lovagepond-core/src/core_configuration.ts
@@ -54,6 +54,26 @@
       maxRequestsPerSecond: z.number().int().positive(),
     })
     .optional(),
+  /**
+   * Admission control of requests that gateways send to servers without a
+   * sidecar; absent where gateways forward all requests at once.
+   */
+  admission: z
+    .strictObject({
+      /** Requests that one gateway queues. */
+      maxQueuedRequests: z.number().int().min(1).max(100_000).default(1_024),
+      /** Bytes of requests that one gateway queues. */
+      maxQueuedBytes: z
+        .number()
+        .int()
+        .min(65_536)
+        .default(16 * 1024 * 1024),
+      /** Part of a request's slack that it may wait in a server's own queue. */
+      serverQueuePart: z.number().min(0.05).max(0.9).default(0.4),
+      /** Part of the dispatches kept for lower priorities under overload. */
+      lowerPriorityPart: z.number().min(0).max(0.5).default(0.1),
+    })
+    .optional(),
 });
 
 /** Regions in which requests may run; absent for all regions. */
@@ -161,6 +181,8 @@
 export type Pool = Readonly<z.infer<typeof pool>>;
 /** Limits on servers that have just started. */
 export type WarmUpLimits = NonNullable<Pool['warmUp']>;
+/** Admission control at gateways. */
+export type PoolAdmissionLimits = NonNullable<Pool['admission']>;
 /** A rule that maps requests to the backend servers that may run them. */
 export type Selector = Readonly<z.infer<typeof selector>>;
 /** One customer, with its limits. */
--- a/packages/lovagepond-core/src/index.ts
+++ b/packages/lovagepond-core/src/index.ts
@@ -21,6 +21,7 @@
   POOL_KIND,
   type RequestKind,
   type Selector,
+  type PoolAdmissionLimits,
   type WarmUpLimits,
   type Workspace,
 } from './core_configuration.js';
--- /dev/null
+++ b/packages/lovagepond-load/src/index.ts
@@ -0,0 +1,1 @@
+export * from './load_types.js';
