--- a/packages/lovagepond-cli/src/__tests__/unit/role_metrics.test.ts
+++ b/packages/lovagepond-cli/src/__tests__/unit/role_metrics.test.ts
@@ -15,6 +15,14 @@
   pausedServers: 2,
   leavingServers: 1,
   suspectedRequests: 1,
+  admission: {
+    waitingByPool: {models: 12},
+    engagedByPool: {models: 3},
+    refusedByReason: {flowFull: 8},
+    refusedByWorkspace: {nord: 8},
+    waitedRequests: 40,
+    waitSeconds: 2.5,
+  },
 };
 
 const gateway = {
@@ -36,7 +44,14 @@
     `lovagepond_gateway_servers_paused{${labels}} 2`,
     `lovagepond_gateway_servers_leaving{${labels}} 1`,
     `lovagepond_suspected_requests{${labels}} 1`,
+    `lovagepond_admission_waiting{${labels},pool="models"} 12`,
+    `lovagepond_admission_engaged_servers{${labels},pool="models"} 3`,
+    `lovagepond_admission_refused_total{${labels},reason="flowFull"} 8`,
+    `lovagepond_admission_wait_seconds_sum{${labels}} 2.5`,
+    `lovagepond_admission_wait_seconds_count{${labels}} 40`,
   ]) {
     expect(text).toContain(line);
   }
+  // One series for each workspace would be too many with hundreds of them.
+  expect(text).not.toContain('nord');
 });
--- a/packages/lovagepond-core/src/__tests__/unit/core_configuration.test.ts
+++ b/packages/lovagepond-core/src/__tests__/unit/core_configuration.test.ts
@@ -48,4 +48,67 @@
     expect(decodeConfiguration(bytes)).toEqual(configuration);
     expect(decodeConfiguration(bytes.subarray(0, 99))).toBeUndefined();
   });
+
+  function checkAdmission(admission: unknown): unknown {
+    const check = checkConfiguration({
+      pools: [{name: 'p', kind: 'engine', admission}],
+    });
+    return check.ok
+      ? check.content.pools[0]?.admission
+      : check.faults.map(fault => fault.place);
+  }
+
+  it('has no admission control unless a pool asks for it', () => {
+    expect(checkAdmission(undefined)).toBeUndefined();
+    expect(checkAdmission({})).toEqual({
+      maxQueuedRequests: 1_024,
+      maxQueuedBytes: 16 * 1024 * 1024,
+      serverQueuePart: 0.4,
+      lowerPriorityPart: 0.1,
+    });
+  });
+
+  // Guards against gateways that get limits with which no request, or each
+  // request, would be queued.
+  it.each([
+    ['maxQueuedRequests', [0, -1, 1.5, 100_001, Infinity, NaN, '9', null]],
+    ['maxQueuedBytes', [0, -1, 65_535, 65_536.5, Infinity, NaN, '9', null]],
+    ['serverQueuePart', [0, -0.4, 0.04, 0.91, Infinity, NaN, '0.4', null]],
+    ['lowerPriorityPart', [-0.1, 0.51, Infinity, NaN, '0.1', null]],
+  ])('rejects impossible values of admission.%s', (field, values) => {
+    for (const value of values) {
+      const places = checkAdmission({[field]: value});
+      expect(places).toEqual([`pools[0].admission.${field}`]);
+    }
+  });
+
+  it.each([
+    ['maxQueuedRequests', [1, 100_000]],
+    ['maxQueuedBytes', [65_536, 2 ** 40]],
+    ['serverQueuePart', [0.05, 0.9]],
+    ['lowerPriorityPart', [0, 0.5]],
+  ])('accepts the bounds of admission.%s', (field, values) => {
+    for (const value of values) {
+      expect(checkAdmission({[field]: value})).toMatchObject({[field]: value});
+    }
+  });
+
+  it('names an unknown field of admission', () => {
+    const check = checkConfiguration({
+      pools: [{name: 'p', kind: 'engine', admission: {queue: 1}}],
+    });
+    const [fault] = check.ok ? [] : check.faults;
+    expect(fault?.place).toBe('pools[0].admission');
+    expect(fault?.message).toContain('queue');
+  });
+
+  // Guards against shares that can't be computed.
+  it.each([0, -1, NaN, Infinity])(
+    'rejects a workspace weight of %s',
+    weight => {
+      const check = checkConfiguration({workspaces: [{name: 'a', weight}]});
+      const places = check.ok ? [] : check.faults.map(fault => fault.place);
+      expect(places).toEqual(['workspaces[0].weight']);
+    },
+  );
 });
--- a/packages/lovagepond-explain/src/explain_causes.ts
+++ b/packages/lovagepond-explain/src/explain_causes.ts
@@ -1,9 +1,12 @@
 /**
  * Maps the outcome or refusal reason of a request to its cause.
  */
-import {formatValue} from './explain_line.js';
+import {formatValue, type LogLine} from './explain_line.js';
 import {type RequestReport} from './explain_request.js';
 
+const FAILED_MESSAGE = 'attempt failed';
+const ADMISSION_MESSAGE = 'request refused by admission';
+
 type Cause = (report: RequestReport) => string;
 
 const CAUSES: Readonly<Record<string, Cause>> = {
@@ -38,22 +41,56 @@
     '"lovagepond ctl quarantine list"',
   noBackendServer: ({processState}) =>
     `no server of the pool accepted work; ${processState?.servers ?? 'no'} servers were known`,
-  overloaded: () =>
+  overloaded: report =>
+    describeRefusal(report) ??
     'every server that was tried was full and refused to run the request',
   unreachable: () => 'the connection to every server that was tried failed',
-  deadlineUnreachable: () =>
+  deadlineUnreachable: report =>
+    describeRefusal(report) ??
     'the deadline left no time to send the request to a server',
   backendFailed: report =>
     `the server broke off (${lastReason(report)}) and may have run the request`,
   backendSilent: () => 'the server sent no answer before the deadline',
 };
 
+/** What a refusal by admission control means, by its reason. */
+const ADMISSION_REASONS: Readonly<Record<string, string>> = {
+  queueFull: "the gateway's queue of the pool was full",
+  flowFull:
+    'its workspace had as many requests of this priority waiting as could ' +
+    'start in time',
+  expired: 'it could not be answered within its target any more',
+  deadline: 'it could not be answered before its deadline',
+};
+
 const UNKNOWN_CAUSE =
   'the request itself is at fault: see the table of errors in OPERATIONS';
 
+/** @returns why admission control refused the request; undefined if not */
+function describeRefusal({lines}: RequestReport): string | undefined {
+  const line = lines.findLast(
+    ({message}) => message === ADMISSION_MESSAGE || message === FAILED_MESSAGE,
+  );
+  if (line?.message !== ADMISSION_MESSAGE) return undefined;
+  const text = (name: string): string => formatValue(line.fields[name]);
+  const reason = ADMISSION_REASONS[text('reason')] ?? text('reason');
+  return (
+    `pool ${text('pool')} was congested and the gateway refused the request ` +
+    `without running it: ${reason}; workspace ${text('workspace') || '(none)'}, ` +
+    `waited ${text('waitMs')} ms, ${text('waiting')} requests waiting; search ` +
+    'for "pool is congested"'
+  );
+}
+
+/** @returns how long the request waited in the gateway; empty if it did not */
+function describeWait({waitMs}: LogLine['fields']): string {
+  const text = formatValue(waitMs);
+  return text && `; it waited ${text} ms at the gateway before it was sent`;
+}
+
 /** @returns the logged reason of the last failed attempt */
 function lastReason({lines}: RequestReport): string {
-  const failed = lines.findLast(({message}) => message === 'attempt failed');
+  const failed = lines.findLast(({message}) => message === FAILED_MESSAGE);
   return formatValue(failed?.fields['reason']) || 'no reason was logged';
 }
 
@@ -70,5 +107,6 @@
   }
   const {outcome, reason} = last.fields;
   const kind = formatValue(outcome) || formatValue(reason);
-  return CAUSES[kind]?.(report) ?? UNKNOWN_CAUSE;
+  const cause = CAUSES[kind]?.(report) ?? UNKNOWN_CAUSE;
+  return `${cause}${describeWait(last.fields)}`;
 }
--- a/packages/lovagepond-explain/src/explain_summary.ts
+++ b/packages/lovagepond-explain/src/explain_summary.ts
@@ -87,6 +87,7 @@
 
   readonly #handlers: ReadonlyMap<string, (line: LogLine) => void> = new Map([
     ['attempt failed', line => this.#recordFailure(line)],
+    ['request refused by admission', line => this.#recordAdmission(line)],
     ['request ended', line => this.#recordEnd(line)],
     ['request refused', line => this.#recordRefusal(line)],
   ]);
@@ -122,7 +123,16 @@
 
   #recordFailure({fields}: LogLine): void {
     const reason = `${formatValue(fields['outcome'])}: ${formatValue(fields['reason'])}`;
-    this.#lastFailures.set(formatValue(fields['request']), reason);
+    this.#keepFailure(formatValue(fields['request']), reason);
+  }
+
+  #recordAdmission({fields}: LogLine): void {
+    const reason = `admission: ${formatValue(fields['reason'])}`;
+    this.#keepFailure(formatValue(fields['request']), reason);
+  }
+
+  #keepFailure(request: string, reason: string): void {
+    this.#lastFailures.set(request, reason);
     if (this.#lastFailures.size <= MAX_TRACKED_FAILURES) return;
     const [oldest = ''] = this.#lastFailures.keys();
     this.#lastFailures.delete(oldest);
