Add admission control of a pool, and share the sidecar's fair queue

Cause: gateways forward every request on arrival, so that under overload the servers' queues fill with requests that will be late.

Change: PoolAdmission with its queue, dispatch windows, flow rates and counters; the sidecar's fair queue and retry advice move to the package as FairQueue and RetryAdvice and are used by both. A refusal "noServer" is added. A workspace below its fair share may be sent ahead of a window by one request.

--- a/packages/lovagepond-load/src/index.ts
+++ b/packages/lovagepond-load/src/index.ts
@@ -1,1 +1,11 @@
+export {
+  FairQueue,
+  type FairQueueItem,
+  type WeightOf,
+} from './load_fair_queue.js';
+export {type AdmissionState} from './load_admission_counts.js';
+export {AdmissionQueue, type QueuedRequest} from './load_admission_queue.js';
+export {DispatchWindow, type WindowAttempt} from './load_dispatch_window.js';
+export {PoolAdmission} from './load_pool_admission.js';
+export {RetryAdvice} from './load_retry_advice.js';
 export * from './load_types.js';
--- /dev/null
+++ b/packages/lovagepond-load/src/load_dispatch_window.ts
@@ -0,0 +1,295 @@
+/**
+ * Limit of the work that one gateway has in flight at one server: a delay-based
+ * congestion window.
+ *
+ * All gateways that send to the server see the same queueing delay and steer it
+ * to the target without knowing of each other. The share of a gateway that
+ * stops sending is taken up by the others. Engaged only by load that the server
+ * can't serve in time; otherwise nothing is limited.
+ */
+
+/** Largest decrease and increase of the window per round trip. */
+const MIN_FACTOR = 0.5;
+const MAX_FACTOR = 1.25;
+/** Largest window on engagement, relative to the work in flight. */
+const ENGAGE_FACTOR = 0.7;
+/**
+ * Exponent of the correction towards the target. With 1, the delay of one round
+ * trip until a correction is seen makes the windows of many gateways oscillate.
+ */
+const CORRECTION_EXPONENT = 0.5;
+/**
+ * Additive increase per round trip in requests. It makes the windows of the
+ * gateways equal over time; with more, twenty gateways overshoot the target.
+ */
+const ADDITIVE_REQUESTS = 1 / 16;
+/** Bounds of the window: the least in requests, the most in slots. */
+const MIN_REQUESTS = 1 / 32;
+const MAX_SLOT_FACTOR = 2;
+/** A window that was no limit for this long is released, milliseconds. */
+const RELEASE_MS = 1_000;
+/** Samples below this part of the target delay allow a release. */
+const RELEASE_DELAY_PART = 0.5;
+/** Weight of a new value in the means of request work and round trip. */
+const SMOOTHING_FACTOR = 0.2;
+/** Allows for rounding errors of sums of work, milliseconds. */
+const EPSILON_MS = 1e-6;
+
+/** An attempt as the window counts it. */
+export interface WindowAttempt {
+  readonly id: string;
+  /** The server's time that it takes, milliseconds. */
+  readonly workMs: number;
+  /** Predicted time to its response at an idle server; 0 when unknown. */
+  readonly idleMs: number;
+  /** Queueing delay at the server above which the window shrinks. */
+  readonly targetDelayMs: number;
+}
+
+interface InFlight extends WindowAttempt {
+  readonly sentAt: number;
+}
+
+/** Samples of the current round trip. */
+interface Round {
+  startedAt: number;
+  count: number;
+  sampleMs: number;
+  limited: boolean;
+}
+
+function makeRound(now: number): Round {
+  return {startedAt: now, count: 0, sampleMs: 0, limited: false};
+}
+
+function smooth(former: number, value: number): number {
+  return former === 0 ? value : former + SMOOTHING_FACTOR * (value - former);
+}
+
+/** The window of one gateway at one server. */
+export class DispatchWindow {
+  readonly #inFlight = new Map<string, InFlight>();
+  #inFlightMs = 0;
+  #slots = 1;
+  #weight = 1;
+  #engaged = false;
+  #windowMs = 0;
+  #round = makeRound(0);
+  /** Means of the work of a request and of the round trip, milliseconds. */
+  #requestMs = 0;
+  #roundTripMs = 0;
+  #lastSampleMs = 0;
+  #lastTargetMs = 0;
+  #lastSentAt = -Infinity;
+  #limitedAt = -Infinity;
+  #delayedAt = -Infinity;
+  #refusedAt = -Infinity;
+  /** When the next request may be sent by a window below one request. */
+  #pacedUntil = -Infinity;
+
+  /** @returns number of attempts without a response */
+  get inFlight(): number {
+    return this.#inFlight.size;
+  }
+
+  /** @returns time of the last attempt sent; -Infinity before the first one */
+  get lastSentAt(): number {
+    return this.#lastSentAt;
+  }
+
+  /**
+   * @param slots requests that the server runs at once
+   * @param weight this gateway's part relative to the mean gateway
+   */
+  configure(slots: number, weight: number): void {
+    this.#slots = Math.max(1, slots);
+    this.#weight = weight;
+  }
+
+  /**
+   * @param now current time
+   * @returns true while the window limits what is sent
+   */
+  isEngaged(now: number): boolean {
+    if (!this.#engaged) return false;
+    const quietSince = Math.max(this.#limitedAt, this.#delayedAt);
+    if (now - quietSince >= RELEASE_MS) this.#engaged = false;
+    return this.#engaged;
+  }
+
+  /**
+   * @param workMs work of a request, milliseconds
+   * @param mayBorrow whether it may be sent ahead of the window, at most one
+   *     request at a time; the window stays smaller by it until it is done
+   * @param now current time
+   * @returns true when the request may be sent
+   */
+  hasRoom(workMs: number, mayBorrow: boolean, now: number): boolean {
+    if (!this.isEngaged(now)) return true;
+    const {paced, limitMs} = this.#limit(workMs);
+    const spareMs = limitMs - this.#inFlightMs;
+    const needsMs = mayBorrow ? 0 : workMs;
+    const inWindow = spareMs >= needsMs - EPSILON_MS;
+    const borrowedMs = mayBorrow ? this.#pacingMs(workMs) : 0;
+    if (inWindow && (!paced || now >= this.#pacedUntil - borrowedMs)) {
+      return true;
+    }
+    this.#limitedAt = now;
+    this.#round.limited = true;
+    return false;
+  }
+
+  /** @returns when pacing allows the next request; -Infinity without pacing */
+  get pacedUntil(): number {
+    return this.#engaged ? this.#pacedUntil : -Infinity;
+  }
+
+  /**
+   * @param attempt an attempt that goes to the server
+   * @param now current time
+   */
+  noteSent(attempt: WindowAttempt, now: number): void {
+    this.noteEnded(attempt.id);
+    this.#inFlight.set(attempt.id, {...attempt, sentAt: now});
+    this.#inFlightMs += attempt.workMs;
+    this.#requestMs = smooth(this.#requestMs, attempt.workMs);
+    this.#lastSentAt = now;
+    if (!this.isEngaged(now) || !this.#limit(attempt.workMs).paced) return;
+    const from = Math.max(now, this.#pacedUntil);
+    this.#pacedUntil = from + this.#pacingMs(attempt.workMs);
+  }
+
+  /**
+   * @param id an attempt whose response has begun
+   * @param now current time
+   */
+  noteResponse(id: string, now: number): void {
+    const attempt = this.#inFlight.get(id);
+    if (!attempt) return;
+    const {sentAt, idleMs, targetDelayMs} = attempt;
+    const tookMs = now - sentAt;
+    const inFlightMs = this.#inFlightMs;
+    this.noteEnded(id);
+    this.#roundTripMs = smooth(this.#roundTripMs, tookMs);
+    // Without an estimate, the queueing delay is unknown.
+    if (idleMs <= 0) return;
+    const sampleMs = Math.max(0, tookMs - idleMs);
+    this.#lastSampleMs = sampleMs;
+    this.#lastTargetMs = targetDelayMs;
+    if (sampleMs > RELEASE_DELAY_PART * targetDelayMs) this.#delayedAt = now;
+    if (this.isEngaged(now)) this.#addSample(sampleMs, attempt, now);
+    else if (sampleMs > targetDelayMs) {
+      const factor = (idleMs + targetDelayMs) / tookMs;
+      this.#engage(inFlightMs * Math.min(ENGAGE_FACTOR, factor), now);
+    }
+  }
+
+  /**
+   * @param id an attempt that the server refused as not run
+   * @param hasFreeSlot whether the server reported a free slot, so that load
+   *     wasn't the cause
+   * @param now current time
+   */
+  noteRefused(id: string, hasFreeSlot: boolean, now: number): void {
+    const attempt = this.#inFlight.get(id);
+    const inFlightMs = this.#inFlightMs;
+    this.noteEnded(id);
+    if (!attempt || hasFreeSlot) return;
+    this.#delayedAt = now;
+    if (!this.isEngaged(now)) {
+      this.#engage(inFlightMs * ENGAGE_FACTOR, now);
+      return;
+    }
+    // Refusals of one burst count once.
+    if (now - this.#refusedAt < this.#roundTripMs) return;
+    this.#refusedAt = now;
+    this.#setWindow(this.#windowMs * MIN_FACTOR);
+    this.#round = makeRound(now);
+  }
+
+  /** @param id an attempt that is over or has got its response */
+  noteEnded(id: string): void {
+    const attempt = this.#inFlight.get(id);
+    if (!attempt) return;
+    this.#inFlight.delete(id);
+    const left = this.#inFlightMs - attempt.workMs;
+    this.#inFlightMs = this.#inFlight.size === 0 ? 0 : Math.max(0, left);
+  }
+
+  /**
+   * @param now current time
+   * @returns the window's state for operators; times in milliseconds
+   */
+  describe(now: number): Readonly<Record<string, number | boolean>> {
+    return {
+      engaged: this.isEngaged(now),
+      windowMs: this.#engaged ? this.#windowMs : 0,
+      inFlight: this.#inFlight.size,
+      inFlightMs: this.#inFlightMs,
+      requestMs: this.#requestMs,
+      roundTripMs: this.#roundTripMs,
+      sampleMs: this.#lastSampleMs,
+      targetMs: this.#lastTargetMs,
+    };
+  }
+
+  #engage(windowMs: number, now: number): void {
+    this.#engaged = true;
+    this.#limitedAt = now;
+    this.#delayedAt = now;
+    this.#refusedAt = now;
+    this.#pacedUntil = -Infinity;
+    this.#round = makeRound(now);
+    this.#setWindow(Math.max(windowMs, this.#requestMs));
+  }
+
+  #addSample(
+    sampleMs: number,
+    {idleMs, targetDelayMs}: WindowAttempt,
+    now: number,
+  ): void {
+    const round = this.#round;
+    round.count += 1;
+    round.sampleMs += sampleMs;
+    if (now - round.startedAt < this.#roundTripMs) return;
+    this.#round = makeRound(now);
+    const meanMs = round.sampleMs / round.count;
+    const factor = this.#factor(meanMs, idleMs, targetDelayMs);
+    if (factor < 1) this.#setWindow(this.#windowMs * factor);
+    else if (round.limited) {
+      this.#setWindow(this.#windowMs * factor + this.#additiveMs());
+    }
+  }
+
+  /**
+   * By Little's law, the work in flight is proportional to the response time;
+   * the ratio of the wanted and the measured one leads to the target delay.
+   */
+  #factor(sampleMs: number, idleMs: number, targetMs: number): number {
+    const ratio = (idleMs + targetMs) / (idleMs + sampleMs);
+    const factor = ratio ** CORRECTION_EXPONENT;
+    return Math.min(MAX_FACTOR, Math.max(MIN_FACTOR, factor));
+  }
+
+  /** Below one request, the increase shrinks with the root of the window. */
+  #additiveMs(): number {
+    const requests = this.#windowMs / Math.max(EPSILON_MS, this.#requestMs);
+    const part = Math.sqrt(Math.min(1, requests));
+    return ADDITIVE_REQUESTS * part * this.#weight * this.#requestMs;
+  }
+
+  #setWindow(windowMs: number): void {
+    const most = MAX_SLOT_FACTOR * this.#slots * this.#requestMs;
+    const least = MIN_REQUESTS * this.#requestMs;
+    this.#windowMs = Math.min(most, Math.max(least, windowMs));
+  }
+
+  #limit(workMs: number): {paced: boolean; limitMs: number} {
+    const paced = this.#windowMs < workMs;
+    return {paced, limitMs: paced ? workMs : this.#windowMs};
+  }
+
+  #pacingMs(workMs: number): number {
+    return (this.#roundTripMs * workMs) / Math.max(EPSILON_MS, this.#windowMs);
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-load/src/load_flow_rates.ts
@@ -0,0 +1,195 @@
+/**
+ * Rates of offered and dispatched work by flow, and the max-min fair share of
+ * each flow. A flow is a workspace at a priority.
+ */
+import {type WeightOf} from './load_fair_queue.js';
+
+/** Time constant of the rates, milliseconds. */
+const TIME_CONSTANT_MS = 1_000;
+/** Rates of a shorter time would be dominated by single requests. */
+const MIN_ELAPSED_MS = 100;
+const MAX_FLOWS = 1_024;
+/** Shares are computed at most this often, milliseconds. */
+const SHARES_INTERVAL_MS = 50;
+/** Offered work above the dispatched work by this factor is an overload. */
+const OVERLOAD_FACTOR = 1.05;
+
+/** Exponentially decaying sums of work, milliseconds. */
+interface FlowWork {
+  readonly workspace: string;
+  readonly priority: number;
+  offeredMs: number;
+  sentMs: number;
+  at: number;
+  /** Share as work per millisecond; Infinity when nothing limits it. */
+  share: number;
+}
+
+function decay(flow: FlowWork, now: number): void {
+  const factor = Math.exp(-Math.max(0, now - flow.at) / TIME_CONSTANT_MS);
+  flow.offeredMs *= factor;
+  flow.sentMs *= factor;
+  flow.at = Math.max(now, flow.at);
+}
+
+/** Names a flow: a workspace at a priority. */
+export function flowKey(workspace: string, priority: number): string {
+  return `${priority}/${workspace}`;
+}
+
+/** Work rates and fair shares of the flows of one pool at one gateway. */
+export class FlowRates {
+  readonly #flows = new Map<string, FlowWork>();
+  #startedAt: number | undefined;
+  #sharesAt = -Infinity;
+
+  /**
+   * @param workspace the flow's workspace
+   * @param priority the flow's priority
+   * @param workMs work of a request that arrives, milliseconds
+   * @param now current time
+   */
+  noteOffered(
+    workspace: string,
+    priority: number,
+    workMs: number,
+    now: number,
+  ): void {
+    this.#flow(workspace, priority, now).offeredMs += workMs;
+  }
+
+  /**
+   * @param workspace the flow's workspace
+   * @param priority the flow's priority
+   * @param workMs work of a request that is sent, milliseconds
+   * @param now current time
+   */
+  noteSent(
+    workspace: string,
+    priority: number,
+    workMs: number,
+    now: number,
+  ): void {
+    this.#flow(workspace, priority, now).sentMs += workMs;
+  }
+
+  /**
+   * @param workspace the flow's workspace
+   * @param priority the flow's priority
+   * @param now current time
+   * @returns work that it was offered, dispatched, and its share of the
+   *     dispatches, as milliseconds of work per millisecond; a share of
+   *     Infinity when the dispatches suffice for all flows
+   */
+  read(
+    workspace: string,
+    priority: number,
+    now: number,
+  ): {offered: number; sent: number; share: number} {
+    const flow = this.#flow(workspace, priority, now);
+    const spanMs = this.#spanMs(now);
+    return {
+      offered: flow.offeredMs / spanMs,
+      sent: flow.sentMs / spanMs,
+      share: flow.share,
+    };
+  }
+
+  /**
+   * Computes the shares anew when they are due. The dispatches that higher
+   * priorities leave are shared by weighted max-min fairness between the
+   * workspaces of a priority.
+   *
+   * @param weightOf weights of the workspaces
+   * @param lowerPriorityPart least part of the dispatches that is left
+   * @param now current time
+   */
+  updateShares(
+    weightOf: WeightOf,
+    lowerPriorityPart: number,
+    now: number,
+  ): void {
+    if (now - this.#sharesAt < SHARES_INTERVAL_MS) return;
+    this.#sharesAt = now;
+    const spanMs = this.#spanMs(now);
+    const byPriority = new Map<number, FlowWork[]>();
+    let totalMs = 0;
+    for (const flow of this.#flows.values()) {
+      decay(flow, now);
+      totalMs += flow.sentMs;
+      const list = byPriority.get(flow.priority) ?? [];
+      list.push(flow);
+      byPriority.set(flow.priority, list);
+    }
+    let leftMs = totalMs;
+    for (const priority of [...byPriority.keys()].sort((a, b) => b - a)) {
+      const flows = byPriority.get(priority) ?? [];
+      const availableMs = Math.max(leftMs, lowerPriorityPart * totalMs);
+      shareOut(flows, availableMs, spanMs, weightOf);
+      for (const {sentMs} of flows) leftMs -= sentMs;
+    }
+  }
+
+  #spanMs(now: number): number {
+    this.#startedAt ??= now;
+    const elapsed = Math.max(MIN_ELAPSED_MS, now - this.#startedAt);
+    return TIME_CONSTANT_MS * (1 - Math.exp(-elapsed / TIME_CONSTANT_MS));
+  }
+
+  #flow(workspace: string, priority: number, now: number): FlowWork {
+    const key = flowKey(workspace, priority);
+    let flow = this.#flows.get(key);
+    if (flow) {
+      decay(flow, now);
+    } else {
+      if (this.#flows.size >= MAX_FLOWS) this.#evict(now);
+      flow = {
+        ...{workspace, priority, at: now},
+        ...{offeredMs: 0, sentMs: 0, share: Infinity},
+      };
+      this.#flows.set(key, flow);
+    }
+    return flow;
+  }
+
+  /** Removes the flows with less than the mean offered work. */
+  #evict(now: number): void {
+    let sum = 0;
+    for (const flow of this.#flows.values()) {
+      decay(flow, now);
+      sum += flow.offeredMs;
+    }
+    const mean = sum / this.#flows.size;
+    for (const [key, flow] of this.#flows) {
+      if (flow.offeredMs <= mean) this.#flows.delete(key);
+    }
+  }
+}
+
+/** Sets the shares of the flows of one priority. */
+function shareOut(
+  flows: readonly FlowWork[],
+  availableMs: number,
+  spanMs: number,
+  weightOf: WeightOf,
+): void {
+  const demands = flows.map(flow => {
+    const weight = weightOf(flow.workspace);
+    return {flow, weight, level: flow.offeredMs / weight};
+  });
+  demands.sort((a, b) => a.level - b.level);
+  let leftMs = availableMs;
+  let weights = demands.reduce((sum, {weight}) => sum + weight, 0);
+  let level = Infinity;
+  for (const demand of demands) {
+    if (demand.level * weights > leftMs * OVERLOAD_FACTOR) {
+      level = leftMs / weights;
+      break;
+    }
+    leftMs -= demand.flow.offeredMs;
+    weights -= demand.weight;
+  }
+  for (const {flow, weight} of demands) {
+    flow.share = (Math.max(0, level) * weight) / spanMs;
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-load/src/load_server_windows.ts
@@ -0,0 +1,202 @@
+/**
+ * Dispatch windows of a pool's servers, and which servers are open for a
+ * request.
+ */
+import {DispatchWindow} from './load_dispatch_window.js';
+import {type AdmissionRequest, type LoadedServer} from './load_types.js';
+
+/** Least target delay at a server, milliseconds. */
+const MIN_TARGET_DELAY_MS = 5;
+
+/** Time from the arrival within which a response is in time, milliseconds. */
+export function limitMsOf(req: AdmissionRequest, idleMs: number): number {
+  const {targetLatencyMs, deadlineAt, arrivedAt} = req;
+  // A request that can't be in target even at an idle server is in time when
+  // its deadline is met.
+  return idleMs > targetLatencyMs ? deadlineAt - arrivedAt : targetLatencyMs;
+}
+
+/** How a request may be sent. */
+export interface OpenOptions {
+  /** Part of the request's slack that it may wait at the server. */
+  readonly queuePart: number;
+  /** Whether it may be sent ahead of a window. */
+  readonly mayBorrow: boolean;
+}
+
+/** The windows of one gateway in one pool, by server. */
+export class ServerWindows<R extends AdmissionRequest> {
+  readonly #windows = new Map<string, DispatchWindow>();
+  /** Server of each attempt in flight. */
+  readonly #serverOf = new Map<string, string>();
+  #weight = 1;
+  /** Whether a window may be engaged, to skip the check of all. */
+  #mayBeEngaged = false;
+
+  /** @param weight this gateway's part relative to the mean gateway */
+  useWeight(weight: number): void {
+    this.#weight = weight;
+  }
+
+  /**
+   * @param now current time
+   * @returns number of servers whose window limits what is sent
+   */
+  engagedCount(now: number): number {
+    if (!this.#mayBeEngaged) return 0;
+    let count = 0;
+    for (const window of this.#windows.values()) {
+      if (window.isEngaged(now)) count += 1;
+    }
+    this.#mayBeEngaged = count > 0;
+    return count;
+  }
+
+  /**
+   * @param req a request
+   * @param server a server that accepts requests
+   * @param options how the request may be sent
+   * @param now current time
+   * @returns true when the request may be sent there now
+   */
+  isOpen(
+    req: R,
+    server: LoadedServer<R>,
+    {queuePart, mayBorrow}: OpenOptions,
+    now: number,
+  ): boolean {
+    const window = this.#windows.get(server.name);
+    const {startMs} = server.predict(req, now);
+    if (startMs > MIN_TARGET_DELAY_MS) {
+      const idleMs = server.predictIdle(req, now).firstResponseMs;
+      const targetMs = targetDelayMs(req, idleMs, queuePart);
+      if (startMs > targetMs && !isPredictionOld(window, startMs, now)) {
+        return false;
+      }
+    }
+    // Only an engaged window limits: the work isn't needed for the others.
+    if (!window?.isEngaged(now)) return true;
+    return window.hasRoom(server.workMs(req, now), mayBorrow, now);
+  }
+
+  /**
+   * @param req a request of which an attempt is sent
+   * @param server the server to which it goes
+   * @param queuePart part of the request's slack that it may wait there
+   * @param now current time
+   * @returns the work of the request at this server, milliseconds
+   */
+  noteSent(
+    req: R,
+    server: LoadedServer<R>,
+    queuePart: number,
+    now: number,
+  ): number {
+    this.noteEnded(req.id);
+    const {name, slots} = server;
+    const window = this.#windows.get(name) ?? new DispatchWindow();
+    this.#windows.set(name, window);
+    this.#serverOf.set(req.id, name);
+    window.configure(slots, this.#weight);
+    const workMs = server.workMs(req, now);
+    const idleMs = server.predictIdle(req, now).firstResponseMs;
+    const attempt = {
+      ...{id: req.id, workMs, idleMs},
+      targetDelayMs: targetDelayMs(req, idleMs, queuePart),
+    };
+    window.noteSent(attempt, now);
+    return workMs;
+  }
+
+  /**
+   * @param id an attempt whose response has begun
+   * @param now current time
+   */
+  noteResponse(id: string, now: number): void {
+    const window = this.#windowOf(id);
+    window?.noteResponse(id, now);
+    this.#mayBeEngaged ||= window?.isEngaged(now) ?? false;
+  }
+
+  /**
+   * @param id an attempt that its server refused as not run
+   * @param hasFreeSlot whether the server reported a free slot
+   * @param now current time
+   */
+  noteRefused(id: string, hasFreeSlot: boolean, now: number): void {
+    const window = this.#windowOf(id);
+    window?.noteRefused(id, hasFreeSlot, now);
+    this.#mayBeEngaged ||= window?.isEngaged(now) ?? false;
+    this.#serverOf.delete(id);
+  }
+
+  /** @param id an attempt that is over */
+  noteEnded(id: string): void {
+    this.#windowOf(id)?.noteEnded(id);
+    this.#serverOf.delete(id);
+  }
+
+  /** @param servers names of the listed servers; other windows are discarded */
+  keepOnly(servers: ReadonlySet<string>): void {
+    for (const name of this.#windows.keys()) {
+      if (!servers.has(name)) this.#windows.delete(name);
+    }
+    for (const [id, name] of this.#serverOf) {
+      if (!servers.has(name)) this.#serverOf.delete(id);
+    }
+  }
+
+  /**
+   * @param now current time
+   * @returns when pacing next allows a request at some server; Infinity when
+   *     only other events can
+   */
+  nextPacedAt(now: number): number {
+    let at = Infinity;
+    for (const {pacedUntil} of this.#windows.values()) {
+      if (pacedUntil > now) at = Math.min(at, pacedUntil);
+    }
+    return at;
+  }
+
+  /**
+   * @param now current time
+   * @returns the windows' states by server, for operators
+   */
+  describe(
+    now: number,
+  ): Record<string, Readonly<Record<string, number | boolean>>> {
+    const windows = [...this.#windows];
+    return Object.fromEntries(
+      windows.map(([name, window]) => [name, window.describe(now)]),
+    );
+  }
+
+  #windowOf(id: string): DispatchWindow | undefined {
+    const name = this.#serverOf.get(id);
+    return name === undefined ? undefined : this.#windows.get(name);
+  }
+}
+
+function targetDelayMs(
+  req: AdmissionRequest,
+  idleMs: number,
+  queuePart: number,
+): number {
+  const slackMs = limitMsOf(req, idleMs) - idleMs;
+  return Math.max(MIN_TARGET_DELAY_MS, queuePart * slackMs);
+}
+
+/**
+ * A prediction is renewed by responses. Without an attempt in flight, none will
+ * come, and a server would stay closed for ever; so after the predicted wait
+ * one request is sent to find out.
+ */
+function isPredictionOld(
+  window: DispatchWindow | undefined,
+  startMs: number,
+  now: number,
+): boolean {
+  if (!window) return true;
+  return window.inFlight === 0 && now - window.lastSentAt > startMs;
+}
--- a/packages/lovagepond-load/src/load_types.ts
+++ b/packages/lovagepond-load/src/load_types.ts
@@ -59,7 +59,11 @@
 
 /** Weights of workspaces and of this gateway in one pool. */
 export interface ShareWeights {
-  /** @returns the workspace's weight in round robin at this gateway, above 0 */
+  /**
+   * @param workspace a workspace's name
+   * @returns its weight in round robin at this gateway, above 0 and relative to
+   *     1 for an ordinary workspace
+   */
   weightOf(workspace: string): number;
   /** This gateway's part relative to the mean gateway, 1/8 to 8. */
   readonly gatewayWeight: number;
@@ -75,6 +79,8 @@
   EXPIRED: 'expired',
   /** The deadline can't be met. */
   DEADLINE: 'deadline',
+  /** No server of the pool is left. */
+  NO_SERVER: 'noServer',
 } as const;
 
 export type AdmissionRefusalReason =
--- a/packages/lovagepond-sidecar/src/index.ts
+++ b/packages/lovagepond-sidecar/src/index.ts
@@ -17,7 +17,6 @@
   type ClaimAnswer,
   SidecarClaims,
 } from './sidecar_claims.js';
-export {type HeldRequest, SidecarFairQueue} from './sidecar_fair_queue.js';
 export {
   type FencedOrder,
   ORDER_VERDICT,
@@ -25,6 +24,7 @@
   SidecarFencing,
 } from './sidecar_fencing.js';
 export {SidecarGate} from './sidecar_gate.js';
+export {type HeldQueue, type HeldRequest} from './sidecar_held_queue.js';
 export {SidecarPointers} from './sidecar_pointers.js';
 export {
   REVISION_CHECK,
--- a/packages/lovagepond-sidecar/src/sidecar_gate.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_gate.ts
@@ -6,7 +6,7 @@
 import {type SidecarAdmission} from './sidecar_admission.js';
 import {ATTEMPT_STATE, REVOKE_OUTCOME} from './sidecar_attempts.js';
 import {type SidecarCacheIndex} from './sidecar_cache_index.js';
-import {type HeldRequest} from './sidecar_fair_queue.js';
+import {type HeldRequest, weightsOf} from './sidecar_held_queue.js';
 import {
   dumpGate,
   type GateComponents,
@@ -14,6 +14,7 @@
   makeGateComponents,
   makeRefusalView,
   readGateLoad,
+  retryAfterMs,
 } from './sidecar_gate_components.js';
 import {
   answerDuplicate,
@@ -89,7 +90,7 @@
   configure(policy: GatePolicy, revision: number): void {
     this.#mode = {...this.#mode, policy, revision};
     this.#components.admission.configure(policy.loadBound);
-    this.#components.hold.queue.configure(policy.workspaces);
+    this.#components.hold.queue.configure(weightsOf(policy));
   }
 
   /**
@@ -393,8 +394,9 @@
   #giveUp({offer}: HeldRequest, now: number): GateAction {
     const {attemptId} = offer;
     this.#components.attempts.refuse(attemptId, now);
-    const retryAfterMs = this.#components.advice.retryAfterMs(offer, 0, now);
-    return makeRefusal(attemptId, 'overloaded', {retryAfterMs});
+    return makeRefusal(attemptId, 'overloaded', {
+      retryAfterMs: retryAfterMs(this.#components, offer, 0, now),
+    });
   }
 
   #refuseDue({leaving, late}: HoldReview, now: number): GateAction[] {
--- a/packages/lovagepond-sidecar/src/sidecar_gate_components.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_gate_components.ts
@@ -2,6 +2,7 @@
  * Creates the components of a gate and derives views of them.
  */
 import {type Random} from '@lovagepond/core';
+import {RetryAdvice} from '@lovagepond/load';
 import {SidecarAdmission} from './sidecar_admission.js';
 import {SidecarAttempts} from './sidecar_attempts.js';
 import {SidecarCacheIndex} from './sidecar_cache_index.js';
@@ -9,15 +10,17 @@
 import {type RefusalView} from './sidecar_gate_refusals.js';
 import {SidecarHold} from './sidecar_hold.js';
 import {SidecarPointers} from './sidecar_pointers.js';
-import {SidecarRetryAdvice} from './sidecar_retry_advice.js';
 import {SidecarRuns} from './sidecar_runs.js';
 import {
   DEFAULT_GATE_POLICY,
   type GateLoad,
   type GatePolicy,
   type GateSettings,
+  type Offer,
 } from './sidecar_types.js';
 
+const MIN_RETRY_MS = 200;
+
 /** Components of a gate, each with one responsibility. */
 export interface GateComponents {
   readonly settings: GateSettings;
@@ -27,7 +30,7 @@
   readonly drain: SidecarDrain;
   readonly hold: SidecarHold;
   readonly pointers: SidecarPointers;
-  readonly advice: SidecarRetryAdvice;
+  readonly advice: RetryAdvice;
   readonly runs: SidecarRuns;
 }
 
@@ -75,11 +78,29 @@
     attempts: new SidecarAttempts(settings),
     cache: new SidecarCacheIndex(settings.maxChats),
     pointers: new SidecarPointers(settings),
-    advice: new SidecarRetryAdvice(hold.estimate, random),
+    advice: new RetryAdvice(MIN_RETRY_MS, random),
     runs: new SidecarRuns(admission),
   };
 }
 
+/**
+ * @param components components of a gate
+ * @param offer a refused request
+ * @param missingMs time by which its expected wait exceeds the limit,
+ *     milliseconds
+ * @param now current time
+ * @returns time until the caller should retry, milliseconds
+ */
+export function retryAfterMs(
+  {advice, hold}: GateComponents,
+  {workspace, tokens}: Offer,
+  missingMs: number,
+  now: number,
+): number {
+  const drainMs = hold.estimate.waitMs(tokens);
+  return advice.retryAfterMs(workspace, drainMs, missingMs, now);
+}
+
 /**
  * @param components components of a gate
  * @param mode current mode of the gate
@@ -91,7 +112,7 @@
   mode: GateMode,
   now: number,
 ): RefusalView {
-  const {settings, hold, cache, pointers, advice, runs, drain} = components;
+  const {settings, hold, cache, pointers, runs, drain} = components;
   const {policy, revision, notReady, readyAt} = mode;
   return {
     policy,
@@ -107,7 +128,7 @@
     expectedWaitMs: offer => hold.expectedWaitMs(offer, now),
     serviceMs: tokens => hold.estimate.serviceMs(tokens),
     retryAfterMs: (offer, missingMs) =>
-      advice.retryAfterMs(offer, missingMs, now),
+      retryAfterMs(components, offer, missingMs, now),
   };
 }
 
@@ -123,7 +144,7 @@
   const {admission, hold} = components;
   return {
     runningTokens: Math.round(admission.runningTokens(now)),
-    queuedTokens: hold.queue.tokens,
+    queuedTokens: hold.queue.cost,
     queuedRequests: hold.queue.size,
   };
 }
--- a/packages/lovagepond-sidecar/src/sidecar_gate_refusals.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_gate_refusals.ts
@@ -4,7 +4,7 @@
 import {type ErrorKind, makeFailure} from '@lovagepond/core';
 import {ATTEMPT_STATE, type AttemptState} from './sidecar_attempts.js';
 import {type SidecarCacheIndex} from './sidecar_cache_index.js';
-import {type SidecarFairQueue} from './sidecar_fair_queue.js';
+import {type HeldQueue, shareFor} from './sidecar_held_queue.js';
 import {type SidecarPointers} from './sidecar_pointers.js';
 import {
   type GateAction,
@@ -25,7 +25,7 @@
   readonly readyAt: number | undefined;
   readonly revision: number;
   readonly draining: boolean;
-  readonly queue: SidecarFairQueue;
+  readonly queue: HeldQueue;
   readonly cache: SidecarCacheIndex;
   readonly pointers: SidecarPointers;
   runningTokensOf(workspace: string): number;
@@ -176,9 +176,9 @@
   view: RefusalView,
 ): RefuseAction | undefined {
   const {workspace, tokens} = offer;
-  const {maxQueuedTokens} = view.queue.shareFor(workspace);
+  const {maxQueuedTokens} = shareFor(view.policy, workspace);
   if (maxQueuedTokens === 0) return undefined;
-  const waiting = view.queue.tokensOf(workspace);
+  const waiting = view.queue.costOf(workspace);
   const outstanding = waiting + view.runningTokensOf(workspace);
   if (outstanding + tokens <= maxQueuedTokens) return undefined;
   return makeRefusal(offer.attemptId, 'workspaceLimit', {
--- a/packages/lovagepond-sidecar/src/sidecar_hold.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_hold.ts
@@ -5,7 +5,11 @@
  */
 import {type SidecarAdmission} from './sidecar_admission.js';
 import {type SidecarDrain} from './sidecar_drain.js';
-import {type HeldRequest, SidecarFairQueue} from './sidecar_fair_queue.js';
+import {
+  type HeldRequest,
+  makeHeldQueue,
+  makeHeldRequest,
+} from './sidecar_held_queue.js';
 import {type HoldReview, reviewHeld} from './sidecar_hold_review.js';
 import {TakeReservations} from './sidecar_take.js';
 import {type Offer} from './sidecar_types.js';
@@ -22,7 +26,7 @@
   readonly #reservations = new TakeReservations();
   #nextGiveUpAt = Infinity;
   #nextReviewAt = -Infinity;
-  readonly queue = new SidecarFairQueue();
+  readonly queue = makeHeldQueue();
   /** Processing rate of the backend server. */
   readonly estimate: SidecarWaitEstimate;
 
@@ -56,9 +60,9 @@
    * @returns its expected wait, milliseconds
    */
   expectedWaitMs(offer: Offer, now: number): number {
-    const {workspace, priority, tokens} = offer;
+    const {tokens} = offer;
     if (this.queue.size === 0 && this.#admits(offer, now)) return 0;
-    const ahead = this.queue.tokensAhead(workspace, priority, tokens);
+    const ahead = this.queue.costAhead({...offer, cost: tokens});
     return this.estimate.waitMs(ahead + tokens - this.freeTokens(now));
   }
 
@@ -71,7 +75,7 @@
     const latest = offer.deadlineAt - this.estimate.serviceMs(offer.tokens);
     const giveUpAt = Math.min(now + maxHoldMs, latest);
     this.#reservations.use(offer);
-    this.queue.push({offer, heldAt: now, giveUpAt});
+    this.queue.push(makeHeldRequest(offer, now, giveUpAt));
     this.#nextGiveUpAt = Math.min(this.#nextGiveUpAt, giveUpAt);
   }
 
--- a/packages/lovagepond-sidecar/src/sidecar_hold_review.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_hold_review.ts
@@ -4,14 +4,14 @@
  * others need, and their callers could retry only later.
  */
 import {type SidecarDrain} from './sidecar_drain.js';
-import {type HeldRequest, type SidecarFairQueue} from './sidecar_fair_queue.js';
+import {type HeldQueue, type HeldRequest} from './sidecar_held_queue.js';
 import {type SidecarWaitEstimate} from './sidecar_wait_estimate.js';
 
 /** Ratio of estimated wait to time left above which a request is refused. */
 const GIVE_UP_MARGIN = 1.25;
 
 export interface HoldReviewView {
-  readonly queue: SidecarFairQueue;
+  readonly queue: HeldQueue;
   readonly estimate: SidecarWaitEstimate;
   readonly drain: SidecarDrain;
   /** Free capacity of the engine, tokens. */
@@ -35,7 +35,7 @@
   const leaving: HeldRequest[] = [];
   const late: HeldRequest[] = [];
   const {queue, estimate, drain, roomTokens} = view;
-  queue.forEachWithTokensAhead((held, tokensAhead) => {
+  queue.forEachWithCostAhead((held, tokensAhead) => {
     const {tokens} = held.offer;
     const waitMs = estimate.waitMs(tokensAhead + tokens - roomTokens);
     if (!drain.mayServe(waitMs + estimate.serviceMs(tokens), now)) {
--- a/packages/lovagepond-sidecar/src/sidecar_take.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_take.ts
@@ -8,7 +8,7 @@
  */
 import {type Random} from '@lovagepond/core';
 import {type SidecarCacheIndex} from './sidecar_cache_index.js';
-import {type HeldRequest, type SidecarFairQueue} from './sidecar_fair_queue.js';
+import {type HeldQueue, type HeldRequest} from './sidecar_held_queue.js';
 import {type ChatWarmth, type Offer, WARMTH} from './sidecar_types.js';
 import {type SidecarWaitEstimate} from './sidecar_wait_estimate.js';
 
@@ -25,7 +25,7 @@
 
 /** The victim's state, by which it chooses a request to hand over. */
 export interface HandOverView {
-  readonly queue: SidecarFairQueue;
+  readonly queue: HeldQueue;
   readonly cache: SidecarCacheIndex;
   readonly estimate: SidecarWaitEstimate;
   /** Free capacity of the victim's own engine, tokens. */
@@ -61,7 +61,7 @@
   let best: HeldRequest | undefined;
   let leastWarmTokens = Infinity;
   let longestWaitMs = 0;
-  view.queue.forEachWithTokensAhead((held, tokensAhead) => {
+  view.queue.forEachWithCostAhead((held, tokensAhead) => {
     const {workspace, chat, tokens, handOvers} = held.offer;
     if (handOvers > 0 || tokens > takerRoomTokens) return true;
     const warm = expectedWarmTokens(view.cache.read(workspace, chat));
