Estimate a server's current capacity

Cause: gateways use one prefill rate for all engines and compare plain services by load alone, so engines that are slower than the setting and servers that slow down get too much work.

Change: ServerCapacity averages prefill rate, service time and run time of one server, scales them by a reported slowdown and predicts the times of a request. PoolMeans gives new servers, and servers without recent observations, the mean of their pool.

Conclusion: no behaviour changes; nothing uses the class yet.

--- a/packages/lovagepond-load/src/index.ts
+++ b/packages/lovagepond-load/src/index.ts
@@ -1,1 +1,9 @@
+export {
+  type CapacityDescription,
+  type RequestWork,
+  ServerCapacity,
+  type ServerLoadView,
+  SLOWDOWN_PERCENT,
+} from './load_server_capacity.js';
+export {type ObservedCapacity, PoolMeans} from './load_pool_means.js';
 export * from './load_types.js';
