Exchange the prompt tokens pending at each server

Cause: gateways tell each other how many requests they have at a server, but not how many prompt tokens these still need computed there.

Change: RunningRequests has the field prefill_tokens. Zeros are left out. Gateways don't report it yet.

Conclusion: without reports of pending tokens all messages are as before.

--- a/packages/lovagepond-control/src/__tests__/unit/reading_report_log.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/reading_report_log.test.ts
@@ -1,6 +1,8 @@
 import {describe, expect, it} from 'vitest';
 import {ReadingReportLog} from '../../reading_report_log.js';
 
+const NOTHING_ELSE = {ended: 0, failed: 0, prefillTokens: 0};
+
 const reading = (
   prefix: string,
 ): {
@@ -17,13 +19,13 @@
     const board = new ReadingReportLog();
     expect(board.isEmpty).toBe(true);
     for (let at = 0; at < 3_000; at += 1) {
-      const running = [{backendServer: 's', requests: at, ended: 0, failed: 0}];
+      const running = [{backendServer: 's', requests: at, ...NOTHING_ELSE}];
       board.add({node: 'g', readings: [], running});
     }
     expect(board.isEmpty).toBe(true);
     board.add({node: 'g', readings: [reading('/a')], running: []});
     for (let at = 0; at < 3_000; at += 1) {
-      const running = [{backendServer: 's', requests: at, ended: 0, failed: 0}];
+      const running = [{backendServer: 's', requests: at, ...NOTHING_ELSE}];
       board.add({node: 'g', readings: [], running});
     }
     expect(board.isEmpty).toBe(false);
--- a/packages/lovagepond-control/src/__tests__/unit/running_request_totals.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/running_request_totals.test.ts
@@ -15,8 +15,9 @@
   backendServer: string,
   requests: number,
   outcomes = {ended: 0, failed: 0},
+  prefillTokens = 0,
 ): ReadingReport {
-  const running = [{backendServer, requests, ...outcomes}];
+  const running = [{backendServer, requests, prefillTokens, ...outcomes}];
   return {node, readings: [], running};
 }
 
--- a/packages/lovagepond-control/src/reading_report_log.ts
+++ b/packages/lovagepond-control/src/reading_report_log.ts
@@ -24,6 +24,8 @@
   /** Requests that ended, including failed ones. */
   readonly ended: number;
   readonly failed: number;
+  /** Prompt tokens that the server has yet to compute for the router. */
+  readonly prefillTokens: number;
 }
 
 /** A router's report. */
--- a/packages/lovagepond-control/src/running_request_feed.ts
+++ b/packages/lovagepond-control/src/running_request_feed.ts
@@ -1,6 +1,7 @@
 /**
  * Updates to one router about the running requests of all other routers.
  */
+import {hasPrefillChanged} from '@lovagepond/load';
 import {type RunningRequests} from './reading_report_log.js';
 import {
   type OthersCount,
@@ -72,19 +73,22 @@
   ): RunningRequests | undefined {
     const sent =
       this.#sent.get(backendServer) ?? this.#addServer(backendServer, others);
-    const isDue = others.requests > 0 && now - sent.at >= RESEND_INTERVAL_MS;
-    const isChanged = others.requests !== sent.requests;
+    const {requests, prefillTokens} = others;
+    const isDue = requests > 0 && now - sent.at >= RESEND_INTERVAL_MS;
+    const isChanged =
+      requests !== sent.requests ||
+      hasPrefillChanged(sent.prefillTokens, prefillTokens);
     const ended = Math.max(0, others.ended - sent.ended);
     const failed = Math.max(0, others.failed - sent.failed);
     if (!isDue && !isChanged && failed === 0) return undefined;
     this.#sent.set(backendServer, {...others, at: now});
-    return {backendServer, requests: others.requests, ended, failed};
+    return {backendServer, requests, prefillTokens, ended, failed};
   }
 
   /** A new router isn't sent outcomes from before its subscription. */
   #addServer(backendServer: string, others: OthersCount): SentCounts {
     const outcomes = this.#isFirstUpdate ? others : {ended: 0, failed: 0};
-    const sent = {...outcomes, requests: 0, at: -Infinity};
+    const sent = {...outcomes, requests: 0, prefillTokens: 0, at: -Infinity};
     this.#sent.set(backendServer, sent);
     return sent;
   }
--- a/packages/lovagepond-control/src/running_request_totals.ts
+++ b/packages/lovagepond-control/src/running_request_totals.ts
@@ -18,9 +18,13 @@
 /** Time after which a server without reports is removed, milliseconds. */
 const SERVER_RETENTION_MS = 60_000;
 
-/** Running requests, and outcomes since the start of this process. */
+/**
+ * Running requests with their pending prompt tokens, and outcomes since the
+ * start of this process.
+ */
 interface Count {
   requests: number;
+  prefillTokens: number;
   ended: number;
   failed: number;
 }
@@ -75,7 +79,9 @@
       for (const count of routers.values()) {
         if (now - count.reportedAt <= REPORT_VALID_MS) continue;
         sum.requests -= count.requests;
+        sum.prefillTokens -= count.prefillTokens;
         count.requests = 0;
+        count.prefillTokens = 0;
       }
     }
   }
@@ -102,22 +108,25 @@
     const own = counts.routers.get(node) ?? NO_REQUESTS;
     return {
       requests: sum.requests - own.requests,
+      prefillTokens: sum.prefillTokens - own.prefillTokens,
       ended: sum.ended - own.ended,
       failed: sum.failed - own.failed,
     };
   }
 
   #recordServer(node: string, reported: RunningRequests, now: number): void {
-    const {backendServer, requests, ended, failed} = reported;
+    const {backendServer, requests, prefillTokens, ended, failed} = reported;
     const counts = this.#countsOf(backendServer, now);
     counts.reportedAt = now;
     const own = counts.routers.get(node) ?? {...NO_REQUESTS, reportedAt: now};
     counts.routers.set(node, own);
     const {sum} = counts;
     sum.requests += requests - own.requests;
+    sum.prefillTokens += prefillTokens - own.prefillTokens;
     sum.ended += ended;
     sum.failed += failed;
     own.requests = requests;
+    own.prefillTokens = prefillTokens;
     own.ended += ended;
     own.failed += failed;
     own.reportedAt = now;
@@ -138,6 +147,7 @@
 
 const NO_REQUESTS: OthersCount = Object.freeze({
   requests: 0,
+  prefillTokens: 0,
   ended: 0,
   failed: 0,
 });
--- a/packages/lovagepond-control/src/update_encoder.ts
+++ b/packages/lovagepond-control/src/update_encoder.ts
@@ -11,13 +11,19 @@
 import {lovagepond} from '@lovagepond/protocol';
 import {type SuspectView} from './control_administration.js';
 import {type MembershipChange} from './membership_log.js';
-import {type ReadingReport} from './reading_report_log.js';
+import {
+  type ReadingReport,
+  type RunningRequests,
+} from './reading_report_log.js';
 import {type FeedUpdate} from './subscription_feed.js';
 
 const {v1} = lovagepond;
 
 type WireUpdate = lovagepond.v1.ControlUpdate.$Properties;
 
+/** Largest value of an unsigned 32-bit field; larger ones would wrap. */
+const MAX_UINT32 = 0xffff_ffff;
+
 /** Encodes updates, and caches the bytes as long as the content exists. */
 export class UpdateEncoder {
   readonly #encoded = new WeakMap<object, Map<string, Buffer>>();
@@ -86,11 +92,20 @@
     reports: reports.map(({node, readings, running}) => ({
       node,
       readings: [...readings],
-      running: [...running],
+      running: running.map(toWireRunning),
     })),
   };
 }
 
+/** Most servers have no pending prompts, and a 0 would take two bytes. */
+function toWireRunning({
+  prefillTokens,
+  ...counts
+}: RunningRequests): lovagepond.v1.RunningRequests.$Properties {
+  if (prefillTokens <= 0) return counts;
+  return {...counts, prefillTokens: Math.min(prefillTokens, MAX_UINT32)};
+}
+
 function toWire(update: FeedUpdate): WireUpdate {
   return CONVERTERS[update.kind](update as never);
 }
--- a/packages/lovagepond-control/src/wire_utils.ts
+++ b/packages/lovagepond-control/src/wire_utils.ts
@@ -52,6 +52,7 @@
     requests: one.requests ?? 0,
     ended: one.ended ?? 0,
     failed: one.failed ?? 0,
+    prefillTokens: one.prefillTokens ?? 0,
   }));
   return {node: report.node ?? '', readings, running};
 }
