--- a/packages/lovagepond-load/src/index.ts
+++ b/packages/lovagepond-load/src/index.ts
@@ -8,4 +8,13 @@
 export {DispatchWindow, type WindowAttempt} from './load_dispatch_window.js';
 export {PoolAdmission} from './load_pool_admission.js';
 export {RetryAdvice} from './load_retry_advice.js';
+export {
+  type CapacityDescription,
+  type RequestWork,
+  ServerCapacity,
+  type ServerLoadView,
+  SLOWDOWN_PERCENT,
+} from './load_server_capacity.js';
+export {hasPrefillChanged} from './load_prefill_change.js';
+export {type ObservedCapacity, PoolMeans} from './load_pool_means.js';
 export * from './load_types.js';
