Queue and refuse requests at gateways by PoolAdmission

Cause: gateways forward every request on arrival, so under overload the servers' queues fill with requests that will be late.

Change: GatewayOverload holds one PoolAdmission for each pool with `admission`. A request's first attempt waits for a start; its attempts report to the windows; a refusal of a server without a free slot shrinks the window and starts no backoff. Drain, stop, a changed configuration and a missing server answer or release the queue.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -12,6 +12,7 @@
 import {
   type BackendServer,
   type Clock,
+  type ConfigurationContent,
   configurationSchema,
   type Logger,
   Random,
@@ -27,6 +28,7 @@
 import {PrefillRate} from '../../gateway_prefill_rate.js';
 import {GatewayQuarantine} from '../../gateway_quarantine.js';
 import {GatewayLoadReports} from '../../gateway_load_reports.js';
+import {GatewayOverload} from '../../gateway_overload.js';
 import {GatewayRetryBudget} from '../../gateway_retry_budget.js';
 import {probeServer} from '../../gateway_server_probe.js';
 import {GatewayServer} from '../../gateway_server.js';
@@ -156,6 +158,8 @@
 
 export interface HarnessOptions {
   readonly revocationBoundMs?: number;
+  readonly content?: ConfigurationContent;
+  readonly log?: Logger;
   /** @returns properties of a server in control's list */
   readonly listed?: (index: number) => Partial<BackendServer>;
 }
@@ -169,6 +173,7 @@
   readonly quarantine: GatewayQuarantine;
   readonly counters: GatewayCounters;
   readonly gatewayFleet: GatewayFleet;
+  readonly overload: GatewayOverload;
   /** Servers reported as crashed; the reports are never acknowledged. */
   readonly crashed: ReadonlySet<string>;
   readonly #backends: Server[] = [];
@@ -184,8 +189,10 @@
     counters: GatewayCounters,
     crashed: ReadonlySet<string>,
     fleet: GatewayFleet,
+    overload: GatewayOverload,
   ) {
     this.gatewayFleet = fleet;
+    this.overload = overload;
     this.crashed = crashed;
     this.counters = counters;
     this.server = server;
@@ -196,15 +203,21 @@
   /**
    * @param scripts one for each server, named server-0, server-1 and so on
    * @param options the time for which the configuration is trusted,
-   *     milliseconds, and properties of all servers in control's list
+   *     milliseconds, its content, properties of all servers in control's list,
+   *     and the log
    */
   static async start(
     scripts: readonly Script[],
-    {revocationBoundMs = 5_000, listed = () => ({})}: HarnessOptions = {},
+    {
+      revocationBoundMs = 5_000,
+      listed = () => ({}),
+      content = CONTENT,
+      log = silentLog,
+    }: HarnessOptions = {},
   ): Promise<GatewayHarness> {
     const random = new Random(SEED);
     const admission = new GatewayAdmission(revocationBoundMs, random);
-    admission.install({revision: 1, content: CONTENT});
+    admission.install({revision: 1, content});
     admission.authority.confirm(
       1,
       {
@@ -226,6 +239,8 @@
     };
     const peers = new GatewayPeers();
     const counters = new GatewayCounters();
+    const overload = new GatewayOverload({clock, log, random});
+    overload.useConfiguration(content);
     const crashed = new Set<string>();
     const quarantine = new GatewayQuarantine({
       clock,
@@ -245,7 +260,7 @@
       {host: '127.0.0.1', port: 0, maxHeldBytes: 1_000_000},
       {
         clock,
-        log: silentLog,
+        log,
         random,
         names: NAMES,
         admission,
@@ -259,6 +274,7 @@
         quarantine,
         warmUp: new GatewayWarmUp('gateway', STARTED_LONG_AGO),
         counters,
+        overload,
         readings: new GatewayLoadReports('gateway', fleet, rate, peers),
         rate,
       },
@@ -271,6 +287,7 @@
       counters,
       crashed,
       fleet,
+      overload,
     );
     const servers: BackendServer[] = [];
     for (const [index, script] of scripts.entries()) {
--- a/packages/lovagepond-gateway/src/gateway_eligible_servers.ts
+++ b/packages/lovagepond-gateway/src/gateway_eligible_servers.ts
@@ -38,7 +38,23 @@
       .filter(
         state => this.#isAllowed(state) && warmUp.admits(state, pool, now),
       );
-    return {servers, holders: this.#allowed()};
+    return {servers, holders: this.holders()};
+  }
+
+  /** @returns servers that may hold the prompt, draining ones included */
+  holders(): readonly ServerState[] {
+    const listed = this.#deps.fleet.listed(this.#req.pool.name);
+    return listed.filter(state => this.#isAllowed(state));
+  }
+
+  /**
+   * @param now current time, monotonic milliseconds
+   * @returns true if a server accepts requests, even if its limit while it is
+   *     warming up is reached
+   */
+  hasServer(now: number): boolean {
+    const ready = this.#deps.fleet.ready(this.#req.pool.name, now);
+    return ready.some(state => this.#isAllowed(state));
   }
 
   /**
@@ -47,12 +63,7 @@
    *     milliseconds; 0 unless all of them paused
    */
   pauseLeftMs(now: number): number {
-    return this.#deps.fleet.pauseLeftMs(this.#allowed(), now);
-  }
-
-  #allowed(): readonly ServerState[] {
-    const listed = this.#deps.fleet.listed(this.#req.pool.name);
-    return listed.filter(state => this.#isAllowed(state));
+    return this.#deps.fleet.pauseLeftMs(this.holders(), now);
   }
 
   #isAllowed({server}: ServerState): boolean {
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -9,27 +9,27 @@
   type ResponseHead,
   Attempt,
   type AttemptFailure,
-  type OutgoingRequest,
-  STATUS_MISDIRECTED,
 } from './gateway_attempt.js';
 import {ResponseTiming} from './gateway_response_timing.js';
 import {type CallerChannel} from './gateway_caller_channel.js';
-import {type ServerChoice} from './gateway_choice.js';
 import {EligibleServers} from './gateway_eligible_servers.js';
 import {EventStream} from './gateway_event_stream.js';
+import {ExchangeAdmission} from './gateway_exchange_admission.js';
 import {ExchangeLog} from './gateway_exchange_log.js';
 import {
   type AdmittedRequest,
   type ExchangeDependencies,
 } from './gateway_exchange_types.js';
-import {headersForServer, type ServerSignals} from './gateway_headers.js';
+import {type ServerSignals} from './gateway_headers.js';
 import {
   type AttemptOutcome,
   decideNext,
   type NextStep,
 } from './gateway_outcome.js';
+import {toOutgoing} from './gateway_outgoing_request.js';
 import {PrefillTracker} from './gateway_prefill_tracker.js';
 import {BufferedFailure} from './gateway_buffered_failure.js';
+import {noteFailedAttempt} from './gateway_failed_attempt.js';
 import {type ServerState} from './gateway_server_state.js';
 
 /**
@@ -40,8 +40,6 @@
 
 const FIRST_ERROR_STATUS = 500;
 
-const HIGHEST_PRIORITY = 9;
-
 export class Exchange {
   readonly #req: AdmittedRequest;
   readonly #deps: ExchangeDependencies;
@@ -49,6 +47,7 @@
   readonly #onDone: () => void;
   readonly #log: ExchangeLog;
   readonly #eligible: EligibleServers;
+  readonly #admission: ExchangeAdmission;
   readonly #events: EventStream | undefined;
   readonly #tried = new Set<string>();
   #attempt: Attempt | undefined;
@@ -88,9 +87,31 @@
     this.#log = new ExchangeLog(req, deps);
     this.#eligible = new EligibleServers(req, deps);
     if (req.rule.forwarding.streaming) this.#events = new EventStream();
+    const {overload} = deps;
+    const eligible = this.#eligible;
+    this.#admission = new ExchangeAdmission(
+      req,
+      {overload, eligible},
+      {
+        onStart: () => {
+          deps.budget.noteRequest(req.pool.name, this.#now());
+          this.#startAttempt();
+        },
+        onRefused: (error, retryAfterMs) => {
+          this.#caller.refuse(error, {retryAfterMs});
+          this.#finish(error);
+        },
+        onWithoutServer: () => {
+          this.#giveUp('noBackendServer');
+        },
+        onDraining: () => {
+          this.#giveUp('notReady');
+        },
+      },
+    );
   }
 
-  /** Starts the first attempt. */
+  /** Starts the first attempt, or queues the request for it. */
   start(): void {
     const now = this.#now();
     const left = this.#req.deadlineAt - now + DEADLINE_SLACK_MS;
@@ -106,8 +127,7 @@
     this.#caller.onDrained(() => {
       this.#attempt?.resume();
     });
-    this.#deps.budget.noteRequest(this.#req.pool.name, now);
-    this.#startAttempt();
+    this.#admission.submit(now);
   }
 
   /** Aborts the request, as it is quarantined for crashing servers. */
@@ -131,10 +151,13 @@
       this.abortQuarantined();
       return;
     }
+    const {servers, holders} = this.#eligible.list(now);
+    const untried = servers.filter(({server}) => !this.#tried.has(server.name));
     const chosen = choice.choose(
       {
         pool,
-        ...this.#eligible.list(now),
+        servers: this.#admission.open(untried, now),
+        holders,
         parts: facts.parts,
         sticky: rule.forwarding.sticky,
         targetLatencyMs: rule.forwarding.targetLatencyMs,
@@ -153,6 +176,7 @@
       ? undefined
       : new ResponseTiming(state, targetLatencyMs, now);
     warmUp.noteSent(state, now);
+    this.#admission.noteSent(state, now);
     this.#signals = undefined;
     this.#wasAvoided = state.isAvoided(now);
     this.#attempts += 1;
@@ -177,23 +201,9 @@
       },
     });
     this.#attempt = attempt;
-    attempt.start(this.#outgoing(chosen, now), connections);
-  }
-
-  #outgoing({state, fetch}: ServerChoice, now: number): OutgoingRequest {
-    const {method, path, rawHeaders, body, workspace, priority} = this.#req;
     const lastId = this.#events?.lastId;
-    const headers = headersForServer(rawHeaders, this.#deps.names, {
-      deadlineMs: this.#req.deadlineAt - now,
-      workspace,
-      instance: state.server.incarnation,
-      enginePriority: this.#req.rule.forwarding.sticky
-        ? HIGHEST_PRIORITY - priority
-        : undefined,
-      contextSource: fetch?.source?.server.address,
-      lastEventId: lastId === undefined ? undefined : String(lastId),
-    });
-    return {method, path, headers, body};
+    const outgoing = toOutgoing(this.#req, chosen, {names, lastId, now});
+    attempt.start(outgoing, connections);
   }
 
   #endAttempt(): ServerState | undefined {
@@ -203,6 +213,7 @@
     if (!state) return undefined;
     this.#prefill?.close();
     state.inFlight -= 1;
+    this.#admission.noteEnded(this.#now());
     return state;
   }
 
@@ -211,7 +222,9 @@
     this.#signals = signals;
     if (signals.load) state.noteLoad(signals.load, now);
     const hasStopped = this.#deps.fleet.noteSignals(state, signals, now);
-    if (hasStopped) this.#log.noteServerStopped(state.server.name, signals);
+    if (!hasStopped) return;
+    this.#log.noteServerStopped(state.server.name, signals);
+    this.#deps.overload.noteServersChanged();
   }
 
   #onHead(head: ResponseHead): void {
@@ -233,6 +246,7 @@
       return true;
     }
     if (!this.#events) return this.#caller.write(chunk);
+    this.#admission.noteResponse(this.#now());
     const parsed = this.#events.take(chunk);
     if (parsed.kind === 'broken') {
       attempt.abort();
@@ -263,6 +277,7 @@
       return;
     }
     this.#clearSuspicion();
+    this.#admission.noteResponse(this.#now());
     const state = this.#endAttempt();
     if (this.#timing) this.#timing.noteResponse(this.#now());
     else state?.noteSuccess(this.#now());
@@ -282,9 +297,15 @@
   }
 
   #onFailed(failure: AttemptFailure): void {
+    const load = this.#signals?.load;
+    const isForLoad = this.#admission.noteFailure(failure, load, this.#now());
     const state = this.#endAttempt();
     if (failure.kind === 'broken') this.#runs += 1;
-    this.#noteFailure(state, failure);
+    if (state && !isForLoad) {
+      const {quarantine} = this.#deps;
+      const {fingerprint} = this.#req;
+      noteFailedAttempt(state, failure, {quarantine, fingerprint}, this.#now());
+    }
     if (failure.kind === 'notRun') {
       this.#handleOutcome({kind: 'notRun'}, `server refused ${failure.status}`);
       return;
@@ -294,21 +315,6 @@
     this.#handleOutcome({kind: outcome}, failure.reason);
   }
 
-  #noteFailure(state: ServerState | undefined, failure: AttemptFailure): void {
-    if (!state) return;
-    const now = this.#now();
-    const {kind} = failure;
-    if (kind === 'withheld') return;
-    // The request named this instance, so another one has taken its address.
-    if (kind === 'notRun' && failure.status === STATUS_MISDIRECTED) {
-      state.markReplaced();
-    } else {
-      state.noteAttemptFailure(now);
-    }
-    const {quarantine} = this.#deps;
-    quarantine.noteFailure(state, this.#req.fingerprint, failure, now);
-  }
-
   #handleOutcome(outcome: AttemptOutcome, reason: string): void {
     if (this.#isDone) return;
     const now = this.#now();
@@ -374,12 +380,14 @@
     const notBeforeMs =
       quarantine.quarantinedForMs(fingerprint, now) ??
       this.#eligible.pauseLeftMs(now);
-    this.#caller.refuse(error, notBeforeMs);
+    this.#caller.refuse(error, {notBeforeMs});
     this.#finish(error);
   }
 
   #onTimeout(): void {
     const sent = this.#attempt?.isSent ?? false;
+    // The time so far is a lower bound of the time to the response.
+    if (sent) this.#admission.noteResponse(this.#now());
     this.#attempt?.abort();
     this.#endAttempt()?.noteAttemptFailure(this.#now());
     this.#handleOutcome({kind: 'timedOut', sent}, 'deadline exceeded');
@@ -396,8 +404,11 @@
     if (this.#isDone) return;
     this.#isDone = true;
     clearTimeout(this.#timer);
+    this.#admission.leave();
     const {status} = this.#caller;
-    this.#log.noteEnded(outcome, status, this.#tried, this.#now());
+    const {waitMs} = this.#admission;
+    const end = {outcome, status, tried: this.#tried, waitMs};
+    this.#log.noteEnded(end, this.#now());
     this.#onDone();
   }
 }
--- a/packages/lovagepond-gateway/src/gateway_exchange_log.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_log.ts
@@ -25,6 +25,17 @@
   readonly next: NextStep;
 }
 
+/** The end of a request. */
+interface EndedRequest {
+  readonly outcome: string;
+  /** The status that was sent to the caller. */
+  readonly status: number;
+  /** Names of the servers of all attempts. */
+  readonly tried: ReadonlySet<string>;
+  /** Time in the gateway's queue, ms; undefined if it did not wait. */
+  readonly waitMs: number | undefined;
+}
+
 export class ExchangeLog {
   readonly #req: AdmittedRequest;
   readonly #deps: ExchangeLogDependencies;
@@ -74,17 +85,10 @@
   }
 
   /**
-   * @param outcome how the request ended
-   * @param status the status that was sent to the caller
-   * @param tried names of the servers of all attempts
+   * @param end how the request ended
    * @param now current time, monotonic milliseconds
    */
-  noteEnded(
-    outcome: string,
-    status: number,
-    tried: ReadonlySet<string>,
-    now: number,
-  ): void {
+  noteEnded({outcome, status, tried, waitMs}: EndedRequest, now: number): void {
     const {facts, rule, pool, arrivedAt} = this.#req;
     this.#deps.counters.noteEnded(outcome);
     this.#deps.log.info('request ended', {
@@ -95,6 +99,7 @@
       outcome,
       status,
       durationMs: Math.round(now - arrivedAt),
+      ...(waitMs !== undefined && {waitMs: Math.round(waitMs)}),
     });
   }
 }
--- a/packages/lovagepond-gateway/src/gateway_exchange_types.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_types.ts
@@ -12,6 +12,7 @@
 import {type GatewayCounters} from './gateway_counters.js';
 import {type GatewayFleet} from './gateway_fleet.js';
 import {type GatewayHeaderNames, type RequestFacts} from './gateway_headers.js';
+import {type GatewayOverload} from './gateway_overload.js';
 import {type PrefillTrackerDependencies} from './gateway_prefill_tracker.js';
 import {type GatewayQuarantine} from './gateway_quarantine.js';
 import {type GatewayRetryBudget} from './gateway_retry_budget.js';
@@ -30,6 +31,7 @@
   readonly quarantine: GatewayQuarantine;
   readonly warmUp: GatewayWarmUp;
   readonly counters: GatewayCounters;
+  readonly overload: GatewayOverload;
 }
 
 /** A request that was read completely and admitted. */
--- /dev/null
+++ b/packages/lovagepond-gateway/src/gateway_failed_attempt.ts
@@ -0,0 +1,35 @@
+/**
+ * Records what a failed attempt says about its server.
+ */
+import {type AttemptFailure, STATUS_MISDIRECTED} from './gateway_attempt.js';
+import {type GatewayQuarantine} from './gateway_quarantine.js';
+import {type ServerState} from './gateway_server_state.js';
+
+/** The request of the attempt, and the record of crashes. */
+interface FailedRequest {
+  readonly quarantine: GatewayQuarantine;
+  readonly fingerprint: string;
+}
+
+/**
+ * @param state the server
+ * @param failure why the attempt failed
+ * @param req the request
+ * @param now current time, monotonic milliseconds
+ */
+export function noteFailedAttempt(
+  state: ServerState,
+  failure: AttemptFailure,
+  {quarantine, fingerprint}: FailedRequest,
+  now: number,
+): void {
+  const {kind} = failure;
+  if (kind === 'withheld') return;
+  // The request named this instance, so another one has taken its address.
+  if (kind === 'notRun' && failure.status === STATUS_MISDIRECTED) {
+    state.markReplaced();
+  } else {
+    state.noteAttemptFailure(now);
+  }
+  quarantine.noteFailure(state, fingerprint, failure, now);
+}
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -29,6 +29,7 @@
 import {PrefillRate} from './gateway_prefill_rate.js';
 import {GatewayQuarantine} from './gateway_quarantine.js';
 import {GatewayLoadReports} from './gateway_load_reports.js';
+import {GatewayOverload} from './gateway_overload.js';
 import {GatewayRetryBudget} from './gateway_retry_budget.js';
 import {GatewayServer} from './gateway_server.js';
 import {probeServer} from './gateway_server_probe.js';
@@ -77,6 +78,7 @@
   readonly #quarantine: GatewayQuarantine;
   readonly #counters = new GatewayCounters();
   readonly #warmUp: GatewayWarmUp;
+  readonly #overload: GatewayOverload;
   readonly #link: ControlLink;
   #membership = EMPTY_MEMBERSHIP;
   #server: GatewayServer | undefined;
@@ -109,6 +111,7 @@
       this.#quarantine.useListed(listed, now);
       this.#connections.keepOnly(listed);
       this.#warmUp.keepOnly(listed);
+      this.#overload.keepOnly(listed);
       this.#deps.log.info('backend servers changed', {
         version: this.#membership.version,
         servers: this.#fleet.size,
@@ -152,6 +155,7 @@
       },
     });
     this.#warmUp = new GatewayWarmUp(settings.name, deps.clock.now());
+    this.#overload = new GatewayOverload(deps);
     const {name: node, region} = settings;
     const facts = {node, region, takesDeltas: true};
     const listener = {
@@ -186,6 +190,7 @@
       quarantine: this.#quarantine,
       warmUp: this.#warmUp,
       counters: this.#counters,
+      overload: this.#overload,
       readings: this.#loadReports,
       rate: this.#rate,
     });
@@ -249,6 +254,7 @@
       inFlight: this.#server?.inFlight ?? 0,
       connectionsOpened: this.#connections.opened,
       connectionsIdle: this.#connections.idle,
+      admission: this.#overload.describe(at.now),
     };
     return {version: DUMP_VERSION, role: 'gateway', state};
   }
@@ -328,6 +334,8 @@
   #install(configuration: Configuration): void {
     this.#admission.install(configuration);
     this.#server?.useLimits(configuration.content.callerLimits);
+    // An older configuration than the held one is not installed.
+    this.#overload.useConfiguration(this.#admission.configuration.content);
     this.#retryQueued();
     this.#deps.log.info('configuration installed', {
       revision: configuration.revision,
--- a/packages/lovagepond-gateway/src/gateway_server.ts
+++ b/packages/lovagepond-gateway/src/gateway_server.ts
@@ -147,6 +147,7 @@
     this.#drainAdmission.begin(endsAt);
     // The configuration that these requests wait for may never arrive.
     this.#startupQueue.refuseAll();
+    this.#deps.overload.beginDraining();
     this.#idleSweep = setInterval(() => {
       this.#server.closeIdleConnections();
     }, IDLE_SWEEP_MS);
@@ -165,6 +166,7 @@
   /** Closes the listener and all connections immediately. */
   stop(): void {
     clearInterval(this.#idleSweep);
+    this.#deps.overload.stop();
     this.#server.close();
     this.#server.closeAllConnections();
   }
