Let gateways use each server's own estimates

Cause: the choice of a server uses one prefill rate for all engines and compares services by load alone; the fourth value of the load header and the size of an engine's prefix cache aren't used.

Change: each ServerState has a ServerCapacity, fed by PrefillTracker, ResponseTiming and the exchange. With the new setting `[gateway] serverCapacity = on`, the choice of an engine uses its rate, slowdown and the pending prompt tokens of all gateways, the choice of a service compares predicted times before loads, pending tokens are reported to the other gateways, and the parts assumed in an engine's cache are bounded by the memory that running requests leave. A new incarnation of a server starts with new estimates.

--- a/packages/lovagepond-cli/src/settings_gateway.ts
+++ b/packages/lovagepond-cli/src/settings_gateway.ts
@@ -3,6 +3,7 @@
  */
 import {type GatewaySettings} from '@lovagepond/gateway';
 import {
+  boolean,
   decimal,
   duration,
   type FileValues,
@@ -22,6 +23,8 @@
   connectTimeout: duration().optional(),
   /** Prompt tokens that an engine processes per millisecond. */
   prefillRate: decimal(0.001, MAX_COUNT).optional(),
+  /** Estimate each server's speed instead of one rate for all engines. */
+  serverCapacity: boolean().optional(),
   maxHeld: size().optional(),
   drainLinger: duration().optional(),
   /** Time after which a removed API key is refused everywhere. */
@@ -73,6 +76,7 @@
       controlRetryMs: control.retry,
       connectTimeoutMs: gateway.connectTimeout,
       prefillTokensPerMs: gateway.prefillRate,
+      serverCapacity: gateway.serverCapacity,
       maxHeldBytes: gateway.maxHeld,
       drainLingerMs: gateway.drainLinger,
       revocationBoundMs: gateway.revocationBound,
--- a/packages/lovagepond-gateway/src/gateway_choice.ts
+++ b/packages/lovagepond-gateway/src/gateway_choice.ts
@@ -4,6 +4,7 @@
  * availability zone among equally loaded ones.
  */
 import {type Pool, type Random} from '@lovagepond/core';
+import {type RequestWork} from '@lovagepond/load';
 import {type KeyHasher} from '@lovagepond/router/rendezvous_hash';
 import {type ContextFetch} from './gateway_context_source.js';
 import {
@@ -26,6 +27,8 @@
   /** Select by cached prompt parts. */
   readonly sticky: boolean;
   readonly targetLatencyMs: number;
+  /** Absent: all requests count as one kind of streams or calls. */
+  readonly work?: Omit<RequestWork, 'prefillTokens'>;
   /** A failed request may be retried; otherwise its response is lost. */
   readonly repeatable: boolean;
   /** Names of the servers that earlier attempts of this request used. */
@@ -64,6 +67,14 @@
  */
 const FAILURE_LOAD = {REPEATABLE: 1.5, LOST: 4} as const;
 
+/**
+ * Difference of predicted times, as a part of the shortest service time, below
+ * which two services count as equal and their loads decide. Estimates of equal
+ * servers differ by less; with one request waiting at a server of two or three
+ * slots, the time differs by more.
+ */
+const SAME_TIME_PART = 0.25;
+
 export class GatewayChoice {
   readonly #settings: ChoiceSettings;
   readonly #hasher: KeyHasher;
@@ -92,7 +103,7 @@
     const isChat = req.sticky && req.parts.length > 0;
     return isChat
       ? this.#chooseEngine(within, req, now)
-      : {state: this.#chooseService(within, req.repeatable, now)};
+      : {state: this.#chooseService(within, req, now)};
   }
 
   #withinBound(
@@ -108,15 +119,17 @@
 
   #chooseEngine(
     candidates: readonly ServerState[],
-    {pool, holders, parts, targetLatencyMs, repeatable}: ChoiceRequest,
+    req: ChoiceRequest,
     now: number,
   ): ServerChoice | undefined {
+    const {pool, holders, parts, targetLatencyMs, repeatable} = req;
     const engineRequest = {
       candidates,
       holders,
       parts,
       targetLatencyMs,
       repeatable,
+      work: workOf(req),
       prefillTokensPerMs: this.#settings.rate.tokensPerMs,
       fetchTokensPerMs: pool.contextFetchTokensPerMs,
       weights: this.#settings.weights ?? ENGINE_WEIGHTS,
@@ -126,10 +139,22 @@
 
   #chooseService(
     candidates: readonly ServerState[],
-    repeatable: boolean,
+    req: ChoiceRequest,
     now: number,
   ): ServerState {
+    const {repeatable} = req;
     const weight = repeatable ? FAILURE_LOAD.REPEATABLE : FAILURE_LOAD.LOST;
+    const {kind} = workOf(req);
+    const work = {kind, prefillTokens: 0, isStream: false};
+    const fastest = fastestServices(candidates, work, weight, now);
+    return this.#chooseByLoad(fastest, weight, now);
+  }
+
+  #chooseByLoad(
+    candidates: readonly ServerState[],
+    weight: number,
+    now: number,
+  ): ServerState {
     const loads = candidates.map(
       state => state.load(now) / state.slots + weight * state.failureRisk(now),
     );
@@ -142,3 +167,40 @@
     return this.#random.pick(inZone.length > 0 ? inZone : equal);
   }
 }
+
+function workOf({
+  work,
+  sticky,
+}: ChoiceRequest): Omit<RequestWork, 'prefillTokens'> {
+  return work ?? {kind: '', isStream: sticky};
+}
+
+/**
+ * @param candidates the services to select from
+ * @param work what the request asks of a service
+ * @param failureWeight cost of a certain failure, in service times
+ * @param now current time, monotonic milliseconds
+ * @returns those with the shortest predicted time; all of them while a service
+ *     time is unknown, or when the servers' own estimates aren't used
+ */
+function fastestServices(
+  candidates: readonly ServerState[],
+  work: RequestWork,
+  failureWeight: number,
+  now: number,
+): readonly ServerState[] {
+  const serviceMs = candidates.map(({usesCapacity, capacity}) =>
+    usesCapacity ? (capacity.serviceMs(work.kind, now) ?? NaN) : NaN,
+  );
+  const shortestMs = Math.min(...serviceMs);
+  if (Number.isNaN(shortestMs)) return candidates;
+  const timesMs = candidates.map(state => {
+    const view = state.loadView(now);
+    const {firstResponseMs} = state.capacity.predict(view, work, now);
+    return (
+      firstResponseMs + failureWeight * state.failureRisk(now) * shortestMs
+    );
+  });
+  const limitMs = Math.min(...timesMs) + SAME_TIME_PART * shortestMs;
+  return candidates.filter((_, at) => (timesMs[at] ?? 0) <= limitMs);
+}
--- a/packages/lovagepond-gateway/src/gateway_engine_choice.ts
+++ b/packages/lovagepond-gateway/src/gateway_engine_choice.ts
@@ -6,6 +6,7 @@
  * same home engine. The fleet then computes the prompt once, and not once for
  * each gateway.
  */
+import {type RequestWork} from '@lovagepond/load';
 import {type KeyHasher} from '@lovagepond/router/rendezvous_hash';
 import {type ContextFetch, ContextSources} from './gateway_context_source.js';
 import {type PromptPart} from './gateway_headers.js';
@@ -21,7 +22,9 @@
   readonly targetLatencyMs: number;
   /** A failed request may be retried; otherwise its response is lost. */
   readonly repeatable: boolean;
-  /** Prefill rate of an engine, prompt tokens per millisecond. */
+  /** The request's kind, and whether its response is a stream. */
+  readonly work: Omit<RequestWork, 'prefillTokens'>;
+  /** Prefill rate of all engines, prompt tokens per millisecond. */
   readonly prefillTokensPerMs: number;
   /** Context tokens fetched per millisecond; undefined if unsupported. */
   readonly fetchTokensPerMs: number | undefined;
@@ -141,18 +144,19 @@
   req: EngineRequest,
   now: number,
 ): number {
-  const {prefillTokensPerMs, fetchTokensPerMs = Infinity, weights} = req;
+  const {fetchTokensPerMs = Infinity, weights} = req;
+  const prefillRate = state.prefillRate(req.prefillTokensPerMs, now);
   const firstTokenMs =
-    prefillTokens / prefillTokensPerMs +
+    prefillTokens / prefillRate +
     fetch.tokens / fetchTokensPerMs +
-    state.prefillWaitMs(prefillTokensPerMs, now);
+    waitMs(state, req, now);
   const lateMs = firstTokenMs - req.targetLatencyMs * weights.freeWaitPart;
   const weightedTokens = extraTokens + fetch.tokens * weights.fetch;
   const failure = req.repeatable
     ? weights.repeatableFailure
     : weights.lostFailure;
   return (
-    (weightedTokens / prefillTokensPerMs) * weights.reread +
+    (weightedTokens / prefillRate) * weights.reread +
     Math.max(0, lateMs) * weights.late +
     firstTokenMs * weights.early +
     state.load(now) * weights.runningRequestMs +
@@ -160,6 +164,15 @@
   );
 }
 
+/** Time until the engine begins with a prompt that is sent now. */
+function waitMs(state: ServerState, req: EngineRequest, now: number): number {
+  if (!state.usesCapacity) {
+    return state.prefillWaitMs(req.prefillTokensPerMs, now);
+  }
+  const work = {...req.work, prefillTokens: 0};
+  return state.capacity.predict(state.loadView(now), work, now).startMs;
+}
+
 /**
  * Finds the home engine of the prompt's shared prefix. The last part belongs to
  * this request alone, so the prefix ends with the part before it, if any.
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -28,7 +28,7 @@
   decideNext,
   type NextStep,
 } from './gateway_outcome.js';
-import {PrefillTracker} from './gateway_prefill_tracker.js';
+import {PrefillTracker, trackedRequest} from './gateway_prefill_tracker.js';
 import {BufferedFailure} from './gateway_buffered_failure.js';
 import {type ServerState} from './gateway_server_state.js';
 
@@ -137,6 +137,7 @@
         ...this.#eligible.list(now),
         parts: facts.parts,
         sticky: rule.forwarding.sticky,
+        work: {kind: rule.kind, isStream: rule.forwarding.streaming},
         targetLatencyMs: rule.forwarding.targetLatencyMs,
         repeatable: !rule.nonRepeatable,
         tried: this.#tried,
@@ -147,18 +148,17 @@
       this.#giveUp('noBackendServer');
       return;
     }
-    const {state, fetch} = chosen;
+    const {state} = chosen;
     const {sticky, targetLatencyMs} = rule.forwarding;
     this.#timing = sticky
       ? undefined
-      : new ResponseTiming(state, targetLatencyMs, now);
+      : new ResponseTiming(state, targetLatencyMs, now, rule.kind);
     warmUp.noteSent(state, now);
     this.#signals = undefined;
     this.#wasAvoided = state.isAvoided(now);
     this.#attempts += 1;
     this.#tried.add(state.server.name);
-    const deps = this.#deps;
-    this.#prefill = new PrefillTracker(state, facts.parts, fetch, deps, now);
+    this.#prefill = this.#trackPrefill(chosen, now);
     state.inFlight += 1;
     const attempt = new Attempt(state, names, facts.requestId, {
       maySend: () => this.#deps.fleet.accepts(state, this.#now()),
@@ -180,6 +180,12 @@
     attempt.start(this.#outgoing(chosen, now), connections);
   }
 
+  #trackPrefill({state, fetch}: ServerChoice, now: number): PrefillTracker {
+    const {parts} = this.#req.facts;
+    const tracked = trackedRequest(this.#req);
+    return new PrefillTracker(state, parts, fetch, this.#deps, now, tracked);
+  }
+
   #outgoing({state, fetch}: ServerChoice, now: number): OutgoingRequest {
     const {method, path, rawHeaders, body, workspace, priority} = this.#req;
     const lastId = this.#events?.lastId;
@@ -209,7 +215,10 @@
   #onServerSignals(state: ServerState, signals: ServerSignals): void {
     const now = this.#now();
     this.#signals = signals;
-    if (signals.load) state.noteLoad(signals.load, now);
+    if (signals.load) {
+      state.noteLoad(signals.load, now);
+      this.#prefill?.noteSlowdown(signals.load.slowdownPercent, now);
+    }
     const hasStopped = this.#deps.fleet.noteSignals(state, signals, now);
     if (hasStopped) this.#log.noteServerStopped(state.server.name, signals);
   }
@@ -227,7 +236,7 @@
   #onData(chunk: Buffer): boolean {
     const attempt = this.#attempt;
     if (!attempt) return true;
-    this.#prefill?.noteFirstToken(this.#now());
+    this.#prefill?.noteFirstToken(this.#now(), !this.#incomingFailure);
     if (this.#incomingFailure) {
       this.#bufferChunk(this.#incomingFailure, chunk);
       return true;
@@ -263,6 +272,7 @@
       return;
     }
     this.#clearSuspicion();
+    this.#prefill?.noteEnd(this.#now());
     const state = this.#endAttempt();
     if (this.#timing) this.#timing.noteResponse(this.#now());
     else state?.noteSuccess(this.#now());
--- a/packages/lovagepond-gateway/src/gateway_fleet.ts
+++ b/packages/lovagepond-gateway/src/gateway_fleet.ts
@@ -1,18 +1,32 @@
 /**
  * The backend servers that this gateway may forward to, by pool.
  */
-import {type Membership, SERVER_STATE, ServerPauses} from '@lovagepond/core';
+import {
+  type BackendServer,
+  type Membership,
+  SERVER_STATE,
+  ServerPauses,
+} from '@lovagepond/core';
+import {type CapacityDescription, PoolMeans} from '@lovagepond/load';
 import {type ServerSignals} from './gateway_headers.js';
 import {GatewayLeavingServers} from './gateway_leaving_servers.js';
-import {ServerState} from './gateway_server_state.js';
+import {type CapacitySettings, ServerState} from './gateway_server_state.js';
+import {DEFAULT_GATEWAY_SETTINGS} from './gateway_settings.js';
 
 /** States of all servers without a sidecar, kept across membership changes. */
 export class GatewayFleet {
   readonly #states = new Map<string, ServerState>();
   readonly #leaving = new GatewayLeavingServers();
   readonly #pauses = new ServerPauses();
+  readonly #settings: CapacitySettings;
+  readonly #means = new Map<string, PoolMeans>();
   #byPool = new Map<string, readonly ServerState[]>();
 
+  /** @param settings those that concern the estimates of each server */
+  constructor(settings: CapacitySettings = DEFAULT_GATEWAY_SETTINGS) {
+    this.#settings = settings;
+  }
+
   /** Number of listed servers. */
   get size(): number {
     return this.#states.size;
@@ -38,8 +52,8 @@
     for (const server of membership.servers.values()) {
       if (server.directSlots === undefined) continue;
       listed.add(server.name);
-      const state = this.#states.get(server.name) ?? new ServerState(server);
-      state.server = server;
+      const state = this.#states.get(server.name) ?? this.#newState(server);
+      state.useServer(server);
       this.#states.set(server.name, state);
       byPool.set(server.pool, [...(byPool.get(server.pool) ?? []), state]);
     }
@@ -47,9 +61,26 @@
       if (!listed.has(name)) this.#states.delete(name);
     }
     this.#byPool = byPool;
+    for (const pool of this.#means.keys()) {
+      if (!byPool.has(pool)) this.#means.delete(pool);
+    }
     return listed;
   }
 
+  #newState(server: BackendServer): ServerState {
+    return new ServerState(server, this.#settings, this.#meansOf(server.pool));
+  }
+
+  #meansOf(pool: string): PoolMeans {
+    const known = this.#means.get(pool);
+    if (known) return known;
+    const means = new PoolMeans(() =>
+      this.listed(pool).map(({capacity}) => capacity.observed),
+    );
+    this.#means.set(pool, means);
+    return means;
+  }
+
   /**
    * Must be called periodically.
    *
@@ -147,4 +178,12 @@
       states.map(state => [state.server.name, Math.round(state.load(now))]),
     );
   }
+
+  /** @returns every server's estimates by its name, for the state dump */
+  describeCapacity(now: number): Record<string, CapacityDescription> {
+    const states = [...this.#states.values()];
+    return Object.fromEntries(
+      states.map(({server, capacity}) => [server.name, capacity.describe(now)]),
+    );
+  }
 }
--- a/packages/lovagepond-gateway/src/gateway_headers.ts
+++ b/packages/lovagepond-gateway/src/gateway_headers.ts
@@ -5,6 +5,7 @@
  * servers can keep their own. All decisions use the decoded values.
  */
 import {readPauseMs} from '@lovagepond/core';
+import {SLOWDOWN_PERCENT} from '@lovagepond/load';
 
 /** Header names, in lower case. */
 export interface GatewayHeaderNames {
@@ -23,7 +24,10 @@
   readonly signature: string;
   /** Present when the server did not run the request. */
   readonly notRun: string;
-  /** `running,waiting,slots` of the responding server. */
+  /**
+   * `running,waiting,slots` of the responding server, and optionally the current
+   * duration of work there in percent of the usual one.
+   */
   readonly serverLoad: string;
   /** `1` in every response of a server that is about to exit. */
   readonly leaving: string;
@@ -75,6 +79,8 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /** Current duration of work, percent of the usual one, if reported. */
+  readonly slowdownPercent?: number;
 }
 
 /** What a response says about its server. */
@@ -143,15 +149,34 @@
   };
 }
 
+/** Values of the load header with the optional one. */
+const LOAD_VALUES = 4;
+
 function readServerLoad(
   headers: Headers,
   names: GatewayHeaderNames,
 ): ServerLoad | undefined {
-  const [running, waiting, slots] = textOf(headers, names.serverLoad)
-    .split(',')
-    .map(countOf);
+  const values = textOf(headers, names.serverLoad).split(',').map(countOf);
+  const [running, waiting, slots] = values;
   if (running === undefined || waiting === undefined) return undefined;
-  return slots ? {running, waiting, slots} : undefined;
+  if (!slots) return undefined;
+  const slowdownPercent = slowdownOf(values);
+  return {
+    running,
+    waiting,
+    slots,
+    ...(slowdownPercent !== undefined && {slowdownPercent}),
+  };
+}
+
+/** A header that a proxy has repeated has six values or more. */
+function slowdownOf(
+  values: readonly (number | undefined)[],
+): number | undefined {
+  const percent = values[3];
+  if (values.length !== LOAD_VALUES || percent === undefined) return undefined;
+  const {MIN, MAX} = SLOWDOWN_PERCENT;
+  return percent >= MIN && percent <= MAX ? percent : undefined;
 }
 
 /**
--- a/packages/lovagepond-gateway/src/gateway_load_reports.ts
+++ b/packages/lovagepond-gateway/src/gateway_load_reports.ts
@@ -2,10 +2,12 @@
  * Exchanges load reports with the other gateways: the requests of each gateway
  * at the servers, their outcomes, and the prompts to be computed there.
  */
+import {hasPrefillChanged} from '@lovagepond/load';
 import {type lovagepond} from '@lovagepond/protocol';
 import {type GatewayFleet} from './gateway_fleet.js';
 import {type GatewayPeers} from './gateway_peers.js';
 import {type PrefillRate} from './gateway_prefill_rate.js';
+import {type ReportedRequests} from './gateway_remote_requests.js';
 import {type ServerState} from './gateway_server_state.js';
 
 type WireReading = lovagepond.v1.PromptReading.$Properties;
@@ -30,13 +32,16 @@
  */
 const REFRESH_INTERVAL_MS = 1_500;
 
-interface ReportedRequests {
-  readonly requests: number;
+/** Largest value of an unsigned 32-bit field; larger ones would wrap. */
+const MAX_UINT32 = 0xffff_ffff;
+
+interface SentRequests extends ReportedRequests {
   readonly at: number;
 }
 
-const NEVER_REPORTED: ReportedRequests = Object.freeze({
+const NEVER_REPORTED: SentRequests = Object.freeze({
   requests: 0,
+  prefillTokens: 0,
   at: -Infinity,
 });
 
@@ -58,7 +63,7 @@
   readonly #rate: PrefillRate;
   readonly #peers: GatewayPeers;
   #pendingReadings: WireReading[] = [];
-  #lastReported: ReadonlyMap<string, ReportedRequests> = new Map();
+  #lastReported: ReadonlyMap<string, SentRequests> = new Map();
   #runningReportedAt = Number.NEGATIVE_INFINITY;
 
   /**
@@ -115,20 +120,28 @@
 
   #takeRunning(now: number): WireRunning[] {
     const changed: WireRunning[] = [];
-    const reported = new Map<string, ReportedRequests>();
+    const reported = new Map<string, SentRequests>();
     for (const state of this.#fleet.all()) {
       const {inFlight: requests, server} = state;
       const before = this.#lastReported.get(server.name) ?? NEVER_REPORTED;
       const isDue = requests > 0 && now - before.at >= REFRESH_INTERVAL_MS;
+      const prefillTokens = reportedTokens(state);
       const hasChanged =
-        requests !== before.requests || state.hasUnreportedFailure;
+        requests !== before.requests ||
+        state.hasUnreportedFailure ||
+        hasPrefillChanged(before.prefillTokens, prefillTokens);
       reported.set(
         server.name,
-        hasChanged || isDue ? {requests, at: now} : before,
+        hasChanged || isDue ? {requests, prefillTokens, at: now} : before,
       );
       if (!hasChanged && !isDue) continue;
       const outcomes = state.takeUnreportedOutcomes();
-      changed.push({backendServer: server.name, requests, ...outcomes});
+      changed.push({
+        backendServer: server.name,
+        requests,
+        ...outcomes,
+        ...(prefillTokens > 0 && {prefillTokens}),
+      });
     }
     this.#lastReported = reported;
     return changed;
@@ -151,9 +164,9 @@
   }
 
   #applyRunning(gateway: string, reported: WireRunning, now: number): void {
-    const {backendServer, requests, ended, failed} = reported;
+    const {backendServer, requests, ended, failed, prefillTokens} = reported;
     const state = this.#fleet.find(backendServer ?? '');
-    state?.noteRemoteRequests(gateway, requests ?? 0, now);
+    state?.noteRemoteRequests(gateway, requests ?? 0, now, prefillTokens ?? 0);
     if (!ended) return;
     state?.noteRemoteOutcomes({ended, failed: failed ?? 0}, now);
   }
@@ -165,8 +178,16 @@
     const state = this.#fleet.find(backendServer ?? '');
     if (!state) return;
     const {tokensPerMs} = this.#rate;
-    state.noteRemotePrefill((tokens ?? 0) / tokensPerMs, now);
+    const prefillRate = state.prefillRate(tokensPerMs, now);
+    state.noteRemotePrefill((tokens ?? 0) / prefillRate, now);
     const prefilledAt = now + state.prefillWaitMs(tokensPerMs, now);
-    state.noteWarm((prefix ?? '').split('/').slice(1), prefilledAt);
+    state.noteWarm((prefix ?? '').split('/').slice(1), prefilledAt, now);
   }
 }
+
+/** Pending tokens for the other gateways; 0 while estimates aren't used. */
+function reportedTokens(state: ServerState): number {
+  if (!state.usesCapacity) return 0;
+  const tokens = Math.round(state.pendingPrefillTokens);
+  return Math.min(MAX_UINT32, Math.max(0, tokens));
+}
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -69,7 +69,7 @@
   readonly #settings: GatewaySettings;
   readonly #deps: GatewayDependencies;
   readonly #admission: GatewayAdmission;
-  readonly #fleet = new GatewayFleet();
+  readonly #fleet: GatewayFleet;
   readonly #peers = new GatewayPeers();
   readonly #rate: PrefillRate;
   readonly #loadReports: GatewayLoadReports;
@@ -131,6 +131,7 @@
       settings.revocationBoundMs,
       deps.random,
     );
+    this.#fleet = new GatewayFleet(settings);
     this.#rate = new PrefillRate(settings.prefillTokensPerMs);
     this.#loadReports = new GatewayLoadReports(
       settings.name,
@@ -241,6 +242,9 @@
       membershipVersion: this.#membership.version,
       prefillTokensPerMs: this.#rate.tokensPerMs,
       backendServers: this.#fleet.describe(at.now),
+      ...(this.#settings.serverCapacity && {
+        serverCapacity: this.#fleet.describeCapacity(at.now),
+      }),
       pausedServers: this.#fleet.paused,
       leavingServers: this.#fleet.leaving,
       suspectedRequests: this.#quarantine.size,
--- a/packages/lovagepond-gateway/src/gateway_routes.ts
+++ b/packages/lovagepond-gateway/src/gateway_routes.ts
@@ -18,6 +18,8 @@
 /** A selector of forwarded requests, joined with its request kind and pools. */
 export interface ForwardingRule {
   readonly name: string;
+  /** Name of the request kind. */
+  readonly kind: string;
   readonly pathPrefix: string;
   /** Requests need no API key. */
   readonly isPublic: boolean;
@@ -59,6 +61,7 @@
       if (!match || !kind?.forwarding) continue;
       this.#add(match.host, {
         name: selector.name,
+        kind: kind.name,
         pathPrefix: match.pathPrefix,
         isPublic: selector.public ?? false,
         nonRepeatable: kind.nonRepeatable,
--- a/packages/lovagepond-gateway/src/gateway_server_state.ts
+++ b/packages/lovagepond-gateway/src/gateway_server_state.ts
@@ -4,8 +4,20 @@
  * prompts in the server's cache.
  */
 import {type BackendServer} from '@lovagepond/core';
+import {
+  type PoolMeans,
+  ServerCapacity,
+  type ServerLoadView,
+} from '@lovagepond/load';
+import {EngineMemory} from './gateway_engine_memory.js';
 import {OutcomeEstimate, type Outcomes} from './gateway_outcome_estimate.js';
 import {type PromptPart, type ServerLoad} from './gateway_headers.js';
+import {RemoteRequests} from './gateway_remote_requests.js';
+import {
+  DEFAULT_GATEWAY_SETTINGS,
+  type GatewaySettings,
+} from './gateway_settings.js';
+import {type PartSizes, WarmParts} from './gateway_warm_parts.js';
 
 /**
  * Half-life of the other gateways' load as reported by the server,
@@ -24,30 +36,25 @@
  */
 const BASELINE_FAILURE_SHARE = 0.1;
 
-/** Prompt parts tracked per server; the least recently used are evicted. */
-const MAX_WARM_PARTS = 4_096;
-
-/**
- * TTL of the request count that another gateway reported, milliseconds: nearly
- * all requests end within it.
- */
-const REMOTE_TTL_MS = 3_000;
-
-interface RemoteRequests {
-  readonly requests: number;
-  readonly reportedAt: number;
-}
+/** Settings that concern the estimates of each server. */
+export type CapacitySettings = Pick<
+  GatewaySettings,
+  'prefillTokensPerMs' | 'serverCapacity'
+>;
 
 export class ServerState {
+  /** Requests that are sent, and their prompts, decide on its free memory. */
+  readonly memory = new EngineMemory();
+  readonly #settings: CapacitySettings;
+  readonly #pool: PoolMeans | undefined;
   server: BackendServer;
+  #capacity: ServerCapacity;
   /** This gateway's requests in flight there. */
   inFlight = 0;
   /** Tokens that the server has yet to compute for this gateway's requests. */
   pendingPrefillTokens = 0;
   #remoteAtReport = 0;
-  #remoteRequests = 0;
-  /** Reported requests of other gateways, by gateway name. */
-  readonly #byGateway = new Map<string, RemoteRequests>();
+  readonly #remote = new RemoteRequests();
   #reportedAt = Number.NEGATIVE_INFINITY;
   #remotePrefillUntil = Number.NEGATIVE_INFINITY;
   #failures = 0;
@@ -56,11 +63,46 @@
   #unreported = {ended: 0, failed: 0};
   #backoffUntil = Number.NEGATIVE_INFINITY;
   #isReplaced = false;
-  /** When each part's prefill is done; the least recently used part first. */
-  readonly #prefilledAt = new Map<string, number>();
+  readonly #warmParts = new WarmParts();
 
-  constructor(server: BackendServer) {
+  /**
+   * @param server the server
+   * @param settings initial estimate, and whether estimates are used
+   * @param pool mean estimates of the server's pool
+   */
+  constructor(
+    server: BackendServer,
+    settings: CapacitySettings = DEFAULT_GATEWAY_SETTINGS,
+    pool?: PoolMeans,
+  ) {
     this.server = server;
+    this.#settings = settings;
+    this.#pool = pool;
+    this.#capacity = new ServerCapacity(settings.prefillTokensPerMs, pool);
+  }
+
+  /** Estimates of the server's current incarnation. */
+  get capacity(): ServerCapacity {
+    return this.#capacity;
+  }
+
+  /** Whether the server's own estimates replace those for all servers. */
+  get usesCapacity(): boolean {
+    return this.#settings.serverCapacity;
+  }
+
+  /**
+   * A new incarnation may run on another machine and has an empty cache.
+   *
+   * @param server the server's present entry in the membership
+   */
+  useServer(server: BackendServer): void {
+    const isSame = server.incarnation === this.server.incarnation;
+    this.server = server;
+    if (isSame) return;
+    const {prefillTokensPerMs} = this.#settings;
+    this.#capacity = new ServerCapacity(prefillTokensPerMs, this.#pool);
+    if (this.usesCapacity) this.#warmParts.clear();
   }
 
   /** Requests that the server processes concurrently. */
@@ -91,11 +133,26 @@
   }
 
   /**
-   * @param prefillTokensPerMs the prefill rate, tokens per millisecond
+   * @param commonRate prefill rate of all engines, tokens per millisecond
+   * @param now current time, monotonic milliseconds
+   * @returns the prefill rate to use for this server, tokens per millisecond
+   */
+  prefillRate(commonRate: number, now: number): number {
+    if (!this.usesCapacity) return commonRate;
+    return this.#capacity.prefillTokensPerMs(now);
+  }
+
+  /**
+   * @param prefillTokensPerMs prefill rate of all engines, tokens per
+   *     millisecond
    * @param now current time, monotonic milliseconds
    * @returns time until all known prefill work is done, milliseconds
    */
   prefillWaitMs(prefillTokensPerMs: number, now: number): number {
+    if (this.usesCapacity) {
+      const rate = this.#capacity.prefillTokensPerMs(now);
+      return this.loadView(now).pendingPrefillTokens / rate;
+    }
     const remoteMs = Math.max(0, this.#remotePrefillUntil - now);
     return remoteMs + this.pendingPrefillTokens / prefillTokensPerMs;
   }
@@ -108,23 +165,45 @@
     const age = now - this.#reportedAt;
     const remote =
       this.#remoteAtReport * 0.5 ** (age / REMOTE_LOAD_HALF_LIFE_MS);
-    return this.inFlight + Math.max(remote, this.#remoteRequests);
+    return this.inFlight + Math.max(remote, this.#remote.requests);
+  }
+
+  /** Prompt tokens that the server has yet to compute for other gateways. */
+  get remotePrefillTokens(): number {
+    return this.#remote.prefillTokens;
+  }
+
+  /**
+   * Reports of shared prefixes arrive earlier than those of pending tokens, but
+   * don't contain the prompts' own parts. The larger one is closer to the truth.
+   *
+   * @param now current time, monotonic milliseconds
+   * @returns the server's load from the requests of all gateways
+   */
+  loadView(now: number): ServerLoadView {
+    const remoteMs = Math.max(0, this.#remotePrefillUntil - now);
+    const prefixTokens = remoteMs * this.#capacity.prefillTokensPerMs(now);
+    const remoteTokens = Math.max(this.remotePrefillTokens, prefixTokens);
+    return {
+      slots: this.slots,
+      load: this.load(now),
+      pendingPrefillTokens: this.pendingPrefillTokens + remoteTokens,
+    };
   }
 
   /**
    * @param gateway name of another gateway; empty for all others together
    * @param requests its number of requests at the server
    * @param now current time, monotonic milliseconds
+   * @param prefillTokens its prompt tokens that the server has yet to compute
    */
-  noteRemoteRequests(gateway: string, requests: number, now: number): void {
-    // Members of control that run the previous release report each gateway
-    // separately. After switching between members of both releases, a gateway
-    // would count the same requests twice.
-    if (gateway === '') this.#byGateway.clear();
-    else this.#byGateway.delete('');
-    if (requests === 0) this.#byGateway.delete(gateway);
-    else this.#byGateway.set(gateway, {requests, reportedAt: now});
-    this.#sumRemoteRequests();
+  noteRemoteRequests(
+    gateway: string,
+    requests: number,
+    now: number,
+    prefillTokens = 0,
+  ): void {
+    this.#remote.note(gateway, {requests, prefillTokens}, now);
   }
 
   /**
@@ -133,17 +212,7 @@
    * @param now current time, monotonic milliseconds
    */
   expireRemoteRequests(now: number): void {
-    for (const [gateway, {reportedAt}] of this.#byGateway) {
-      if (now - reportedAt > REMOTE_TTL_MS) this.#byGateway.delete(gateway);
-    }
-    this.#sumRemoteRequests();
-  }
-
-  #sumRemoteRequests(): void {
-    this.#remoteRequests = 0;
-    for (const {requests} of this.#byGateway.values()) {
-      this.#remoteRequests += requests;
-    }
+    this.#remote.expire(now);
   }
 
   /**
@@ -261,26 +330,25 @@
    * @returns tokens that the server does not hold, as far as is known
    */
   coldTokens(parts: readonly PromptPart[], prefilledBy = Infinity): number {
-    const firstCold = parts.findIndex(
-      ({id}) => (this.#prefilledAt.get(id) ?? Infinity) >= prefilledBy,
-    );
-    if (firstCold < 0) return 0;
-    return parts.slice(firstCold).reduce((sum, {tokens}) => sum + tokens, 0);
+    return this.#warmParts.coldTokens(parts, prefilledBy);
   }
 
   /**
    * @param ids prompt parts that the server holds or is computing
    * @param prefilledAt when their prefill is done, monotonic milliseconds
+   * @param now current time, monotonic milliseconds
+   * @param sizes the parts' tokens, as far as known
    */
-  noteWarm(ids: readonly string[], prefilledAt: number): void {
-    for (const id of ids) {
-      const before = this.#prefilledAt.get(id) ?? Infinity;
-      this.#prefilledAt.delete(id);
-      this.#prefilledAt.set(id, Math.min(before, prefilledAt));
-    }
-    for (const oldest of this.#prefilledAt.keys()) {
-      if (this.#prefilledAt.size <= MAX_WARM_PARTS) return;
-      this.#prefilledAt.delete(oldest);
-    }
+  noteWarm(
+    ids: readonly string[],
+    prefilledAt: number,
+    now = prefilledAt,
+    sizes?: PartSizes,
+  ): void {
+    const otherRequests = this.load(now) - this.inFlight;
+    const cacheTokens = this.usesCapacity
+      ? this.memory.cacheTokens(otherRequests)
+      : undefined;
+    this.#warmParts.note(ids, prefilledAt, cacheTokens, sizes);
   }
 }
--- a/packages/lovagepond-gateway/src/gateway_settings.ts
+++ b/packages/lovagepond-gateway/src/gateway_settings.ts
@@ -26,6 +26,8 @@
   readonly connectTimeoutMs: number;
   /** Initial prefill rate of engines, prompt tokens per millisecond. */
   readonly prefillTokensPerMs: number;
+  /** Use each server's own estimates instead of one rate for all engines. */
+  readonly serverCapacity: boolean;
   /** Limit on all buffered request bodies, bytes; further ones are rejected. */
   readonly maxHeldBytes: number;
   /** Time for which a draining gateway still accepts connections. */
@@ -41,6 +43,7 @@
   revocationBoundMs: 5_000,
   connectTimeoutMs: 400,
   prefillTokensPerMs: 40,
+  serverCapacity: false,
   maxHeldBytes: 64 * 1024 * 1024,
   drainLingerMs: 2_500,
   retryFraction: 0.2,
--- a/packages/lovagepond-measure/src/simulated_gateway.ts
+++ b/packages/lovagepond-measure/src/simulated_gateway.ts
@@ -367,6 +367,7 @@
   const isChat = kind.prompt !== undefined;
   return {
     name,
+    kind: name,
     pathPrefix: `/${name}/`,
     isPublic: false,
     nonRepeatable: !kind.repeatable,
