--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -12,6 +12,7 @@
 } from './gateway_attempt.js';
 import {ResponseTiming} from './gateway_response_timing.js';
 import {type CallerChannel} from './gateway_caller_channel.js';
+import {type ServerChoice} from './gateway_choice.js';
 import {EligibleServers} from './gateway_eligible_servers.js';
 import {EventStream} from './gateway_event_stream.js';
 import {ExchangeAdmission} from './gateway_exchange_admission.js';
@@ -27,7 +28,7 @@
   type NextStep,
 } from './gateway_outcome.js';
 import {toOutgoing} from './gateway_outgoing_request.js';
-import {PrefillTracker} from './gateway_prefill_tracker.js';
+import {PrefillTracker, trackedRequest} from './gateway_prefill_tracker.js';
 import {BufferedFailure} from './gateway_buffered_failure.js';
 import {noteFailedAttempt} from './gateway_failed_attempt.js';
 import {type ServerState} from './gateway_server_state.js';
@@ -160,6 +161,7 @@
         holders,
         parts: facts.parts,
         sticky: rule.forwarding.sticky,
+        work: {kind: rule.kind, isStream: rule.forwarding.streaming},
         targetLatencyMs: rule.forwarding.targetLatencyMs,
         repeatable: !rule.nonRepeatable,
         tried: this.#tried,
@@ -170,19 +172,18 @@
       this.#giveUp('noBackendServer');
       return;
     }
-    const {state, fetch} = chosen;
+    const {state} = chosen;
     const {sticky, targetLatencyMs} = rule.forwarding;
     this.#timing = sticky
       ? undefined
-      : new ResponseTiming(state, targetLatencyMs, now);
+      : new ResponseTiming(state, targetLatencyMs, now, rule.kind);
     warmUp.noteSent(state, now);
     this.#admission.noteSent(state, now);
     this.#signals = undefined;
     this.#wasAvoided = state.isAvoided(now);
     this.#attempts += 1;
     this.#tried.add(state.server.name);
-    const deps = this.#deps;
-    this.#prefill = new PrefillTracker(state, facts.parts, fetch, deps, now);
+    this.#prefill = this.#trackPrefill(chosen, now);
     state.inFlight += 1;
     const attempt = new Attempt(state, names, facts.requestId, {
       maySend: () => this.#deps.fleet.accepts(state, this.#now()),
@@ -206,6 +207,12 @@
     attempt.start(outgoing, connections);
   }
 
+  #trackPrefill({state, fetch}: ServerChoice, now: number): PrefillTracker {
+    const {parts} = this.#req.facts;
+    const tracked = trackedRequest(this.#req);
+    return new PrefillTracker(state, parts, fetch, this.#deps, now, tracked);
+  }
+
   #endAttempt(): ServerState | undefined {
     const state = this.#attempt?.state;
     this.#attempt = undefined;
@@ -220,7 +227,10 @@
   #onServerSignals(state: ServerState, signals: ServerSignals): void {
     const now = this.#now();
     this.#signals = signals;
-    if (signals.load) state.noteLoad(signals.load, now);
+    if (signals.load) {
+      state.noteLoad(signals.load, now);
+      this.#prefill?.noteSlowdown(signals.load.slowdownPercent, now);
+    }
     const hasStopped = this.#deps.fleet.noteSignals(state, signals, now);
     if (!hasStopped) return;
     this.#log.noteServerStopped(state.server.name, signals);
@@ -240,13 +250,13 @@
   #onData(chunk: Buffer): boolean {
     const attempt = this.#attempt;
     if (!attempt) return true;
-    this.#prefill?.noteFirstToken(this.#now());
+    this.#prefill?.noteFirstToken(this.#now(), !this.#incomingFailure);
     if (this.#incomingFailure) {
       this.#bufferChunk(this.#incomingFailure, chunk);
       return true;
     }
+    this.#admission.noteFirstToken(this.#now());
     if (!this.#events) return this.#caller.write(chunk);
-    this.#admission.noteResponse(this.#now());
     const parsed = this.#events.take(chunk);
     if (parsed.kind === 'broken') {
       attempt.abort();
@@ -277,7 +287,8 @@
       return;
     }
     this.#clearSuspicion();
-    this.#admission.noteResponse(this.#now());
+    this.#admission.noteEnd(this.#now());
+    this.#prefill?.noteEnd(this.#now());
     const state = this.#endAttempt();
     if (this.#timing) this.#timing.noteResponse(this.#now());
     else state?.noteSuccess(this.#now());
@@ -386,8 +397,7 @@
 
   #onTimeout(): void {
     const sent = this.#attempt?.isSent ?? false;
-    // The time so far is a lower bound of the time to the response.
-    if (sent) this.#admission.noteResponse(this.#now());
+    if (sent) this.#admission.noteEnd(this.#now());
     this.#attempt?.abort();
     this.#endAttempt()?.noteAttemptFailure(this.#now());
     this.#handleOutcome({kind: 'timedOut', sent}, 'deadline exceeded');
--- a/packages/lovagepond-gateway/src/gateway_exchange_admission.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_admission.ts
@@ -9,7 +9,6 @@
 import {type EligibleServers} from './gateway_eligible_servers.js';
 import {type AdmittedRequest} from './gateway_exchange_types.js';
 import {type PromptPart, type ServerLoad} from './gateway_headers.js';
-import {capacityOf} from './gateway_loaded_server.js';
 import {type GatewayOverload} from './gateway_overload.js';
 import {type OverloadRequest} from './gateway_overload_types.js';
 import {isFull, type PoolOverload} from './gateway_pool_overload.js';
@@ -49,9 +48,9 @@
   readonly bytes: number;
   readonly parts: readonly PromptPart[];
   readonly isStream: boolean;
+  readonly contextTokens: number | undefined;
   readonly fetchTokensPerMs: number | undefined;
   submittedAt = 0;
-  interim?: [ServerState, number, number];
   readonly #deps: ExchangeAdmissionDependencies;
   readonly #listener: AdmissionListener;
   /** Set while the pool has admission control for this request. */
@@ -78,13 +77,16 @@
     this.requestId = facts.requestId;
     this.workspace = req.workspace ?? '';
     this.priority = req.priority;
-    this.kind = rule.name;
+    this.kind = rule.kind;
     this.targetLatencyMs = rule.forwarding.targetLatencyMs;
     this.arrivedAt = req.arrivedAt;
     this.deadlineAt = req.deadlineAt;
     this.bytes = sizeOf(req);
-    this.parts = rule.forwarding.sticky ? facts.parts : [];
-    this.isStream = rule.forwarding.streaming;
+    const {sticky, streaming} = rule.forwarding;
+    this.parts = sticky ? facts.parts : [];
+    // A plain service is measured by whole answers, streamed or not.
+    this.isStream = sticky && streaming;
+    this.contextTokens = pool.contextTokens;
     this.fetchTokensPerMs = pool.contextFetchTokensPerMs;
     this.#deps = deps;
     this.#listener = listener;
@@ -137,21 +139,32 @@
   noteSent(state: ServerState, now: number): void {
     this.#hasAttempt = true;
     this.#hasResponse = false;
-    this.interim = [state, now, state.load(now)];
     this.#pool?.noteSent(this, state, now);
   }
 
   /**
-   * Records the first token of a stream, or the complete answer. Has no effect
-   * when called again for the same attempt.
+   * Records that a byte of the response has arrived; only the first one of an
+   * engine's stream counts.
    *
    * @param now current time, monotonic milliseconds
    */
-  noteResponse(now: number): void {
+  noteFirstToken(now: number): void {
+    if (this.isStream) this.#noteResponse(now);
+  }
+
+  /**
+   * Records the end of a complete answer, or that none came before the deadline:
+   * the time so far is a lower bound of the time to the response.
+   *
+   * @param now current time, monotonic milliseconds
+   */
+  noteEnd(now: number): void {
+    this.#noteResponse(now);
+  }
+
+  #noteResponse(now: number): void {
     if (!this.#hasAttempt || this.#hasResponse) return;
     this.#hasResponse = true;
-    const [state, at, load] = this.interim!;
-    capacityOf(state).noteService(this.kind, now - at, load, state.slots, now);
     this.#pool?.noteResponse(this.id, now);
   }
 
--- a/packages/lovagepond-gateway/src/gateway_loaded_server.ts
+++ b/packages/lovagepond-gateway/src/gateway_loaded_server.ts
@@ -6,18 +6,13 @@
   type LoadedServer,
   type PredictedTimes,
   type RequestWork,
-  ServerCapacity,
 } from '@lovagepond/load';
 import {ContextSources} from './gateway_context_source.js';
 import {type OverloadRequest} from './gateway_overload_types.js';
 import {type ServerState} from './gateway_server_state.js';
 
-const INTERIM = new WeakMap<ServerState, ServerCapacity>();
-export function capacityOf(state: ServerState): ServerCapacity {
-  const capacity = INTERIM.get(state) ?? new ServerCapacity(40);
-  INTERIM.set(state, capacity);
-  return capacity;
-}
+/** Largest plausible prompt where the engines' memory is unknown, tokens. */
+const MAX_PROMPT_TOKENS = 10_000_000;
 
 /** The work of a request at one server. */
 interface DemandThere {
@@ -42,44 +37,52 @@
   }
 
   predict(req: OverloadRequest, now: number): PredictedTimes {
-    const state = this.#state;
-    const view = {
-      slots: state.slots,
-      load: state.load(now),
-      pendingPrefillTokens: state.pendingPrefillTokens,
-    };
+    const {capacity} = this.#state;
     const {work, fetchMs} = this.#demandOf(req, now);
-    return delayed(capacityOf(state).predict(view, work, now), fetchMs);
+    return delayed(
+      capacity.predict(this.#state.loadView(now), work, now),
+      fetchMs,
+    );
   }
 
   predictIdle(req: OverloadRequest, now: number): PredictedTimes {
+    const {capacity} = this.#state;
     const {work, fetchMs} = this.#demandOf(req, now);
-    const times = capacityOf(this.#state).predictIdle(work, now);
-    return delayed(times, fetchMs);
+    return delayed(capacity.predictIdle(work, now), fetchMs);
   }
 
   workMs(req: OverloadRequest, now: number): number {
-    const {work} = this.#demandOf(req, now);
-    return capacityOf(this.#state).workMs(work, this.#state.slots, now);
+    const {capacity, slots} = this.#state;
+    return capacity.workMs(this.#demandOf(req, now).work, slots, now);
   }
 
   /** Context that is fetched takes no time of the server's engine. */
   #demandOf(req: OverloadRequest, now: number): DemandThere {
-    const {kind, isStream, parts, fetchTokensPerMs} = req;
-    if (parts.length === 0) {
-      return {work: {kind, isStream, prefillTokens: 0}, fetchMs: 0};
-    }
-    const coldTokens = this.#state.coldTokens(parts);
-    if (fetchTokensPerMs === undefined || coldTokens === 0) {
-      return {work: {kind, isStream, prefillTokens: coldTokens}, fetchMs: 0};
-    }
-    const sources = new ContextSources(req.holders(), parts, now);
-    const {tokens} = sources.fetchFor(this.#state, coldTokens);
+    const {kind, isStream, fetchTokensPerMs} = req;
+    const coldTokens = this.#coldTokens(req);
+    const tokens = this.#fetchedTokens(req, coldTokens, now);
     return {
       work: {kind, isStream, prefillTokens: coldTokens - tokens},
-      fetchMs: tokens / fetchTokensPerMs,
+      fetchMs: tokens > 0 ? tokens / (fetchTokensPerMs ?? Infinity) : 0,
     };
   }
+
+  /** A prompt that doesn't fit into the engine's memory can't run there. */
+  #coldTokens({parts, contextTokens}: OverloadRequest): number {
+    if (parts.length === 0) return 0;
+    const tokens = this.#state.coldTokens(parts);
+    return tokens <= (contextTokens ?? MAX_PROMPT_TOKENS) ? tokens : 0;
+  }
+
+  #fetchedTokens(
+    req: OverloadRequest,
+    coldTokens: number,
+    now: number,
+  ): number {
+    if (req.fetchTokensPerMs === undefined || coldTokens === 0) return 0;
+    const sources = new ContextSources(req.holders(), req.parts, now);
+    return sources.fetchFor(this.#state, coldTokens).tokens;
+  }
 }
 
 function delayed(times: PredictedTimes, byMs: number): PredictedTimes {
--- a/packages/lovagepond-gateway/src/gateway_overload_types.ts
+++ b/packages/lovagepond-gateway/src/gateway_overload_types.ts
@@ -9,7 +9,10 @@
 export interface RequestDemand {
   /** The prompt's parts; empty for requests that are not placed by them. */
   readonly parts: readonly PromptPart[];
+  /** The response is a stream of an engine. */
   readonly isStream: boolean;
+  /** Context memory of each engine of the pool, tokens, if known. */
+  readonly contextTokens: number | undefined;
   /** Context tokens fetched per millisecond; undefined if unsupported. */
   readonly fetchTokensPerMs: number | undefined;
   /** Servers that may hold the prompt in cache, draining ones included. */
