Steer servers below the target delay, and send requests only where in time

Cause: in virtual time, answers at 1.75 and 3 x capacity were late because the wait at the gateway and the delay at the server both came to their limits.

Change: the window aims at 0.6 of the target delay; a flow queues 0.6 of the longest wait; a request goes only to a server where it is predicted in time.

--- a/packages/lovagepond-load/src/__tests__/unit/load_virtual_pool.ts
+++ b/packages/lovagepond-load/src/__tests__/unit/load_virtual_pool.ts
@@ -25,6 +25,8 @@
 export interface VirtualRequest extends AdmissionRequest {
   /** True when its caller or gateway has left. */
   gone?: boolean;
+  /** When its last attempt was sent. */
+  sentAt?: number;
 }
 
 export type VirtualOutcome = 'answered' | 'refused' | 'failed';
@@ -199,6 +201,7 @@
   #send(req: VirtualRequest): void {
     const {time, random} = this.#pool;
     const sentAt = time.now;
+    req.sentAt = sentAt;
     const open = this.admission.openServers(req, this.views, sentAt);
     if (open.length === 0) throw new Error('no open server for a start');
     const start = random.below(open.length);
--- a/packages/lovagepond-load/src/load_admission_queue.ts
+++ b/packages/lovagepond-load/src/load_admission_queue.ts
@@ -152,14 +152,14 @@
 
   /** @returns the requests to try next, a few in the order of service */
   candidates(): QueuedRequest<R>[] {
-    if (this.#inTime === 0) return takeFirst(this.#late.heads());
+    if (this.#inTime === 0) return takeFirst(this.#late.candidates());
     const levels = this.#waitingLevels();
     const first = this.#levelToServe(levels);
-    const found = takeFirst(this.#levels[first]?.heads() ?? []);
+    const found = takeFirst(this.#levels[first]?.candidates() ?? []);
     for (const priority of levels) {
       if (found.length >= MAX_CANDIDATES) break;
       if (priority === first) continue;
-      found.push(...takeFirst(this.#levels[priority]?.heads() ?? []));
+      found.push(...takeFirst(this.#levels[priority]?.candidates() ?? []));
     }
     return found.slice(0, MAX_CANDIDATES);
   }
--- a/packages/lovagepond-load/src/load_dispatch_window.ts
+++ b/packages/lovagepond-load/src/load_dispatch_window.ts
@@ -23,6 +23,11 @@
  * gateways equal over time; with more, twenty gateways overshoot the target.
  */
 const ADDITIVE_REQUESTS = 1 / 16;
+/**
+ * The mean of the samples is steered to this part of the target delay, so that
+ * most samples stay below the target.
+ */
+const AIM_PART = 0.6;
 /** Bounds of the window: the least in requests, the most in slots. */
 const MIN_REQUESTS = 1 / 32;
 const MAX_SLOT_FACTOR = 2;
@@ -266,7 +271,8 @@
    * the ratio of the wanted and the measured one leads to the target delay.
    */
   #factor(sampleMs: number, idleMs: number, targetMs: number): number {
-    const ratio = (idleMs + targetMs) / (idleMs + sampleMs);
+    const aimMs = AIM_PART * targetMs;
+    const ratio = (idleMs + aimMs) / (idleMs + sampleMs);
     const factor = ratio ** CORRECTION_EXPONENT;
     return Math.min(MAX_FACTOR, Math.max(MIN_FACTOR, factor));
   }
--- a/packages/lovagepond-load/src/load_fair_queue.ts
+++ b/packages/lovagepond-load/src/load_fair_queue.ts
@@ -93,6 +93,14 @@
     return undefined;
   }
 
+  last(): Item | undefined {
+    for (let priority = 0; priority <= HIGHEST_PRIORITY; priority += 1) {
+      const last = this.#lists.get(priority)?.at(-1);
+      if (last) return last.item;
+    }
+    return undefined;
+  }
+
   /** @returns the heads of the priorities' lists, which are due first */
   *firstDue(): Generator<Entry<Item>> {
     for (const list of this.#lists.values()) {
@@ -242,13 +250,20 @@
     return this.remove(id);
   }
 
-  /** Yields each workspace's next item, the one to serve next first. */
-  *heads(): Generator<Item> {
+  /**
+   * Yields each workspace's next item, the one to serve next first, then each
+   * one's last item.
+   */
+  *candidates(): Generator<Item> {
     this.peek();
     for (const flow of this.#flows.values()) {
       const head = flow.head();
       if (head) yield head;
     }
+    for (const flow of this.#flows.values()) {
+      const last = flow.last();
+      if (last && last !== flow.head()) yield last;
+    }
   }
 
   /** @returns the lowest `dueAt` in the queue; Infinity when it is empty */
--- a/packages/lovagepond-load/src/load_flow_rates.ts
+++ b/packages/lovagepond-load/src/load_flow_rates.ts
@@ -42,6 +42,12 @@
   readonly #flows = new Map<string, FlowWork>();
   #startedAt: number | undefined;
   #sharesAt = -Infinity;
+  #overloaded = false;
+
+  /** @returns true when a flow is offered more than its share */
+  get overloaded(): boolean {
+    return this.#overloaded;
+  }
 
   /**
    * @param workspace the flow's workspace
@@ -122,10 +128,12 @@
       byPriority.set(flow.priority, list);
     }
     let leftMs = totalMs;
+    this.#overloaded = false;
     for (const priority of [...byPriority.keys()].sort((a, b) => b - a)) {
       const flows = byPriority.get(priority) ?? [];
       const availableMs = Math.max(leftMs, lowerPriorityPart * totalMs);
-      shareOut(flows, availableMs, spanMs, weightOf);
+      const level = shareOut(flows, availableMs, spanMs, weightOf);
+      this.#overloaded ||= level < Infinity;
       for (const {sentMs} of flows) leftMs -= sentMs;
     }
   }
@@ -166,13 +174,18 @@
   }
 }
 
-/** Sets the shares of the flows of one priority. */
+/**
+ * Sets the shares of the flows of one priority.
+ *
+ * @returns work of a flow of weight 1; Infinity when all flows get what they
+ *     are offered
+ */
 function shareOut(
   flows: readonly FlowWork[],
   availableMs: number,
   spanMs: number,
   weightOf: WeightOf,
-): void {
+): number {
   const demands = flows.map(flow => {
     const weight = weightOf(flow.workspace);
     return {flow, weight, level: flow.offeredMs / weight};
@@ -192,4 +205,5 @@
   for (const {flow, weight} of demands) {
     flow.share = (Math.max(0, level) * weight) / spanMs;
   }
+  return level;
 }
--- a/packages/lovagepond-load/src/load_pool_admission.ts
+++ b/packages/lovagepond-load/src/load_pool_admission.ts
@@ -13,7 +13,11 @@
 import {type WeightOf} from './load_fair_queue.js';
 import {FlowRates} from './load_flow_rates.js';
 import {RetryAdvice} from './load_retry_advice.js';
-import {limitMsOf, ServerWindows} from './load_server_windows.js';
+import {
+  limitMsOf,
+  type OpenOptions,
+  ServerWindows,
+} from './load_server_windows.js';
 import {
   ADMISSION_REFUSAL,
   type AdmissionDecision,
@@ -33,6 +37,11 @@
  * time from arrival to deadline.
  */
 const LATE_CONGESTION_PART = 0.5;
+/**
+ * A flow's queue is limited to this part of the longest wait: a full queue would
+ * leave no time for the variation of its rate.
+ */
+const QUEUED_WAIT_PART = 0.6;
 /** The queue is checked this often within a waiting request's target. */
 const CHECKS_PER_TARGET = 16;
 
@@ -122,16 +131,13 @@
     servers: readonly LoadedServer<R>[],
     now: number,
   ): readonly LoadedServer<R>[] {
-    const queuePart = this.#settings.serverQueuePart;
-    const options = {queuePart, mayBorrow: false};
-    const open = servers.filter(server =>
-      this.#windows.isOpen(req, server, options, now),
-    );
-    if (open.length > 0 || !this.#mayBorrow(req, now)) return open;
-    const borrowing = {queuePart, mayBorrow: true};
-    return servers.filter(server =>
-      this.#windows.isOpen(req, server, borrowing, now),
-    );
+    const open = this.#filterOpen(req, servers, {}, now);
+    if (open.length > 0) return open;
+    if (!canBeInTarget(req, servers, now)) {
+      return this.#filterOpen(req, servers, {mayBeLate: true}, now);
+    }
+    if (!this.#mayBorrow(req, now)) return open;
+    return this.#filterOpen(req, servers, {mayBorrow: true}, now);
   }
 
   /**
@@ -283,15 +289,30 @@
     servers: readonly LoadedServer<R>[],
     now: number,
   ): boolean {
-    const queuePart = this.#settings.serverQueuePart;
-    const options = {queuePart, mayBorrow: false};
+    const options = this.#openOptions({});
     for (const server of servers) {
       if (this.#windows.isOpen(req, server, options, now)) return true;
     }
-    if (!this.#mayBorrow(req, now)) return false;
     return this.openServers(req, servers, now).length > 0;
   }
 
+  #openOptions(options: Partial<OpenOptions>): OpenOptions {
+    const queuePart = this.#settings.serverQueuePart;
+    return {queuePart, mayBorrow: false, mayBeLate: false, ...options};
+  }
+
+  #filterOpen(
+    req: R,
+    servers: readonly LoadedServer<R>[],
+    partial: Partial<OpenOptions>,
+    now: number,
+  ): LoadedServer<R>[] {
+    const options = this.#openOptions(partial);
+    return servers.filter(server =>
+      this.#windows.isOpen(req, server, options, now),
+    );
+  }
+
   /**
    * A flow that stays under its share isn't the cause of the congestion. Where
    * many gateways have small windows, its requests would be late before the
@@ -301,8 +322,9 @@
     const priority = clampPriority(req.priority);
     const {lowerPriorityPart} = this.#settings;
     this.#rates.updateShares(this.#weightOf, lowerPriorityPart, now);
+    if (!this.#rates.overloaded) return false;
     const {offered, share} = this.#rates.read(req.workspace, priority, now);
-    return share < Infinity && offered < BORROW_SHARE_PART * share;
+    return offered < BORROW_SHARE_PART * share;
   }
 
   #enqueue(
@@ -348,7 +370,7 @@
     const waiting = this.#queue.costOf(req.workspace, priority);
     if (waiting <= 0) return true;
     const rate = this.#flowRate(req, priority, now);
-    return waiting + cost <= rate * waitMs;
+    return waiting + cost <= rate * waitMs * QUEUED_WAIT_PART;
   }
 
   /** @returns work per millisecond that the flow can expect */
@@ -423,3 +445,14 @@
     return {kind: 'refuse', reason, retryAfterMs};
   }
 }
+
+function canBeInTarget<R extends AdmissionRequest>(
+  req: R,
+  servers: readonly LoadedServer<R>[],
+  now: number,
+): boolean {
+  const leftMs = req.arrivedAt + req.targetLatencyMs - now;
+  return servers.some(
+    server => server.predictIdle(req, now).firstResponseMs < leftMs,
+  );
+}
--- a/packages/lovagepond-load/src/load_server_windows.ts
+++ b/packages/lovagepond-load/src/load_server_windows.ts
@@ -22,6 +22,8 @@
   readonly queuePart: number;
   /** Whether it may be sent ahead of a window. */
   readonly mayBorrow: boolean;
+  /** Whether it may be sent where it will be late. */
+  readonly mayBeLate: boolean;
 }
 
 /** The windows of one gateway in one pool, by server. */
@@ -62,21 +64,22 @@
   isOpen(
     req: R,
     server: LoadedServer<R>,
-    {queuePart, mayBorrow}: OpenOptions,
+    options: OpenOptions,
     now: number,
   ): boolean {
     const window = this.#windows.get(server.name);
     const {startMs} = server.predict(req, now);
-    if (startMs > MIN_TARGET_DELAY_MS) {
+    const waitedMs = now - req.arrivedAt;
+    // The common case needs no further estimates.
+    if (startMs > MIN_TARGET_DELAY_MS || waitedMs > MIN_TARGET_DELAY_MS) {
       const idleMs = server.predictIdle(req, now).firstResponseMs;
-      const targetMs = targetDelayMs(req, idleMs, queuePart);
-      if (startMs > targetMs && !isPredictionOld(window, startMs, now)) {
+      const mostMs = mostStartMs(req, idleMs, waitedMs, options);
+      if (startMs > mostMs && !isPredictionOld(window, startMs, now)) {
         return false;
       }
     }
-    // Only an engaged window limits: the work isn't needed for the others.
     if (!window?.isEngaged(now)) return true;
-    return window.hasRoom(server.workMs(req, now), mayBorrow, now);
+    return window.hasRoom(server.workMs(req, now), options.mayBorrow, now);
   }
 
   /**
@@ -187,6 +190,19 @@
   return Math.max(MIN_TARGET_DELAY_MS, queuePart * slackMs);
 }
 
+/** @returns longest predicted wait at a server for which a request is sent */
+function mostStartMs(
+  req: AdmissionRequest,
+  idleMs: number,
+  waitedMs: number,
+  {queuePart, mayBorrow, mayBeLate}: OpenOptions,
+): number {
+  const targetMs = targetDelayMs(req, idleMs, queuePart);
+  if (mayBeLate) return targetMs;
+  const leftMs = req.targetLatencyMs - waitedMs - idleMs;
+  return mayBorrow ? leftMs : Math.min(targetMs, leftMs);
+}
+
 /**
  * A prediction is renewed by responses. Without an attempt in flight, none will
  * come, and a server would stay closed for ever; so after the predicted wait
