Let stale estimates move to the mean of recent ones

Cause: a server that was slow and then gets no requests keeps its old average in the pool's mean that it moves to. With two of four services at 120 ms instead of 40 ms the mean stays at 80 ms and their estimates stop there.

Change: averages without an observation for 30 s count in the mean only if there are no others.

--- a/packages/lovagepond-gateway/src/gateway_fleet.ts
+++ b/packages/lovagepond-gateway/src/gateway_fleet.ts
@@ -74,8 +74,8 @@
   #meansOf(pool: string): PoolMeans {
     const known = this.#means.get(pool);
     if (known) return known;
-    const means = new PoolMeans(() =>
-      this.listed(pool).map(({capacity}) => capacity.observed),
+    const means = new PoolMeans(now =>
+      this.listed(pool).map(({capacity}) => capacity.observed(now)),
     );
     this.#means.set(pool, means);
     return means;
--- a/packages/lovagepond-load/src/index.ts
+++ b/packages/lovagepond-load/src/index.ts
@@ -6,5 +6,9 @@
   SLOWDOWN_PERCENT,
 } from './load_server_capacity.js';
 export {hasPrefillChanged} from './load_prefill_change.js';
-export {type ObservedCapacity, PoolMeans} from './load_pool_means.js';
+export {
+  type MeanCapacity,
+  type ObservedCapacity,
+  PoolMeans,
+} from './load_pool_means.js';
 export * from './load_types.js';
--- a/packages/lovagepond-load/src/load_estimate.ts
+++ b/packages/lovagepond-load/src/load_estimate.ts
@@ -22,15 +22,27 @@
  */
 const AGING_INTERVAL_MS = 30_000;
 
+/** An average as of its last observation. */
+export interface ObservedAverage {
+  readonly value: number;
+  /** False if the estimate has begun to move to the mean of its pool. */
+  readonly isRecent: boolean;
+}
+
 /** One averaged quantity, a positive number. */
 export class LoadEstimate {
   #value: number | undefined;
   #count = 0;
   #observedAt = Number.NEGATIVE_INFINITY;
 
-  /** The average as of the last observation; undefined before the first. */
-  get observed(): number | undefined {
-    return this.#value;
+  /**
+   * @param now current time, monotonic milliseconds
+   * @returns the average; undefined before the first observation
+   */
+  observed(now: number): ObservedAverage | undefined {
+    if (this.#value === undefined) return undefined;
+    const isRecent = now - this.#observedAt < AGING_INTERVAL_MS;
+    return {value: this.#value, isRecent};
   }
 
   /**
--- a/packages/lovagepond-load/src/load_kind_estimates.ts
+++ b/packages/lovagepond-load/src/load_kind_estimates.ts
@@ -1,7 +1,7 @@
 /**
  * Estimates by request kind, for a bounded number of kinds.
  */
-import {LoadEstimate} from './load_estimate.js';
+import {LoadEstimate, type ObservedAverage} from './load_estimate.js';
 
 /** Kinds kept; a deployment has fewer than ten. */
 const MAX_KINDS = 64;
@@ -26,7 +26,7 @@
     const estimate = this.#byKind.get(kind) ?? new LoadEstimate();
     estimate.observe(observed, reference, now);
     this.#byKind.delete(kind);
-    if (estimate.observed === undefined) return;
+    if (!estimate.observed(now)) return;
     this.#byKind.set(kind, estimate);
     for (const oldest of this.#byKind.keys()) {
       if (this.#byKind.size <= MAX_KINDS) return;
@@ -49,11 +49,15 @@
     return estimate ? estimate.valueAt(reference, now) : reference;
   }
 
-  /** @returns the average of each kind as of its last observation */
-  observed(): ReadonlyMap<string, number> {
-    const averages = new Map<string, number>();
-    for (const [kind, {observed}] of this.#byKind) {
-      if (observed !== undefined) averages.set(kind, observed);
+  /**
+   * @param now current time, monotonic milliseconds
+   * @returns the average of each kind
+   */
+  observed(now: number): ReadonlyMap<string, ObservedAverage> {
+    const averages = new Map<string, ObservedAverage>();
+    for (const [kind, estimate] of this.#byKind) {
+      const average = estimate.observed(now);
+      if (average) averages.set(kind, average);
     }
     return averages;
   }
--- a/packages/lovagepond-load/src/load_server_capacity.ts
+++ b/packages/lovagepond-load/src/load_server_capacity.ts
@@ -3,7 +3,7 @@
  * take there.
  */
 import {KindEstimates} from './load_kind_estimates.js';
-import {LoadEstimate} from './load_estimate.js';
+import {LoadEstimate, type ObservedAverage} from './load_estimate.js';
 import {type ObservedCapacity, type PoolMeans} from './load_pool_means.js';
 import {type PredictedTimes} from './load_types.js';
 
@@ -80,12 +80,15 @@
     this.#pool = pool;
   }
 
-  /** What was observed here, without the pool's means. */
-  get observed(): ObservedCapacity {
+  /**
+   * @param now current time, monotonic milliseconds
+   * @returns what was observed here, without the pool's means
+   */
+  observed(now: number): ObservedCapacity {
     return {
-      prefillTokensPerMs: this.#rate.observed,
-      serviceMs: this.#services.observed(),
-      runMs: this.#runs.observed(),
+      prefillRate: this.#rate.observed(now),
+      serviceMs: this.#services.observed(now),
+      runMs: this.#runs.observed(now),
     };
   }
 
@@ -241,12 +244,12 @@
    * @returns the estimates, for the state dump
    */
   describe(now: number): CapacityDescription {
-    const {serviceMs, runMs} = this.observed;
+    const {serviceMs, runMs} = this.observed(now);
     return {
       prefillTokensPerMs: this.prefillTokensPerMs(now),
       slowdown: this.slowdown(now),
-      serviceMs: Object.fromEntries(serviceMs),
-      runMs: Object.fromEntries(runMs),
+      serviceMs: valuesOf(serviceMs),
+      runMs: valuesOf(runMs),
     };
   }
 
@@ -291,6 +294,14 @@
   return (Math.max(0, atLeastZero(load) - count + 1) / count) * slotMs;
 }
 
+function valuesOf(
+  averages: ReadonlyMap<string, ObservedAverage>,
+): Record<string, number> {
+  return Object.fromEntries(
+    [...averages].map(([kind, {value}]) => [kind, value]),
+  );
+}
+
 function atLeastZero(value: number): number {
   return value > 0 ? value : 0;
 }
