--- a/packages/lovagepond-cli/src/role_metrics.ts
+++ b/packages/lovagepond-cli/src/role_metrics.ts
@@ -7,28 +7,8 @@
 import {type Role, type StateDump} from '@lovagepond/core';
 import {type MetricsRegistry, type Sample} from '@lovagepond/process';
 import {type RoleName} from './cli_constants.js';
-
-/** Path of a value in a state dump: the keys that lead to it. */
-type Path = readonly string[];
-
-/** One metric and its place in the state dump; exactly one place is set. */
-interface DumpMetric {
-  readonly kind: 'counter' | 'gauge';
-  readonly name: string;
-  readonly help: string;
-  /** Path of one number or boolean. */
-  readonly path?: Path;
-  /** Paths of objects of numbers; their keys become values of the label. */
-  readonly labelledObjects?: {
-    readonly paths: readonly Path[];
-    readonly label: string;
-  };
-  /** Paths of single numbers, by value of the label. */
-  readonly parts?: {
-    readonly label: string;
-    readonly paths: Readonly<Record<string, Path>>;
-  };
-}
+import {ADMISSION_METRICS} from './role_metrics_admission.js';
+import {type DumpMetric, type Path} from './role_metrics_types.js';
 
 function makeControlBytes(paths: Readonly<Record<string, Path>>): DumpMetric {
   return {
@@ -235,43 +215,6 @@
   SUSPECTED_REQUESTS,
 ];
 
-/** Admission control of the pools that have it. */
-const ADMISSION_METRICS: readonly DumpMetric[] = [
-  {
-    kind: 'gauge',
-    name: 'lovagepond_admission_waiting',
-    help: 'Requests that wait at the gateway, by pool.',
-    labelledObjects: {paths: [['admission', 'waitingByPool']], label: 'pool'},
-  },
-  {
-    kind: 'counter',
-    name: 'lovagepond_admission_refused_total',
-    help: 'Requests refused by admission control, by reason.',
-    labelledObjects: {
-      paths: [['admission', 'refusedByReason']],
-      label: 'reason',
-    },
-  },
-  {
-    kind: 'counter',
-    name: 'lovagepond_admission_wait_seconds_sum',
-    help: 'Time that requests waited before they were sent, in seconds.',
-    path: ['admission', 'waitSeconds'],
-  },
-  {
-    kind: 'counter',
-    name: 'lovagepond_admission_wait_seconds_count',
-    help: 'Requests that waited before they were sent.',
-    path: ['admission', 'waitedRequests'],
-  },
-  {
-    kind: 'gauge',
-    name: 'lovagepond_admission_engaged_servers',
-    help: 'Backend servers whose window limits this gateway, by pool.',
-    labelledObjects: {paths: [['admission', 'engagedByPool']], label: 'pool'},
-  },
-];
-
 const GATEWAY_METRICS: readonly DumpMetric[] = [
   REVISION,
   {
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -13,6 +13,7 @@
 import {ResponseTiming} from './gateway_response_timing.js';
 import {type CallerChannel} from './gateway_caller_channel.js';
 import {type ServerChoice} from './gateway_choice.js';
+import {toChoiceRequest} from './gateway_choice_request.js';
 import {EligibleServers} from './gateway_eligible_servers.js';
 import {EventStream} from './gateway_event_stream.js';
 import {ExchangeAdmission} from './gateway_exchange_admission.js';
@@ -146,7 +147,7 @@
 
   #startAttempt(): void {
     const now = this.#now();
-    const {pool, facts, rule} = this.#req;
+    const {facts, rule} = this.#req;
     const {choice, names, connections, quarantine, warmUp} = this.#deps;
     if (quarantine.quarantinedForMs(this.#req.fingerprint, now)) {
       this.abortQuarantined();
@@ -154,18 +155,9 @@
     }
     const {servers, holders} = this.#eligible.list(now);
     const untried = servers.filter(({server}) => !this.#tried.has(server.name));
+    const open = this.#admission.open(untried, now);
     const chosen = choice.choose(
-      {
-        pool,
-        servers: this.#admission.open(untried, now),
-        holders,
-        parts: facts.parts,
-        sticky: rule.forwarding.sticky,
-        work: {kind: rule.kind, isStream: rule.forwarding.streaming},
-        targetLatencyMs: rule.forwarding.targetLatencyMs,
-        repeatable: !rule.nonRepeatable,
-        tried: this.#tried,
-      },
+      toChoiceRequest(this.#req, {servers: open, holders, tried: this.#tried}),
       now,
     );
     if (!chosen) {
--- a/packages/lovagepond-gateway/src/gateway_exchange_admission.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_admission.ts
@@ -116,7 +116,7 @@
     if (decision.kind === 'start') this.#listener.onStart();
     else if (decision.kind === 'refuse') this.refuse(decision);
     else if (overload.isDraining) this.#pool.refuse(this);
-    overload.pump(this.#pool);
+    overload.pumpSoon(this.#pool);
   }
 
   /**
@@ -197,7 +197,7 @@
     if (!this.#hasAttempt || !this.#pool) return;
     this.#hasAttempt = false;
     this.#pool.noteEnded(this.id, now);
-    this.#deps.overload.pump(this.#pool);
+    this.#deps.overload.pumpSoon(this.#pool);
   }
 
   /** Removes the request from the queue, if it is there. */
--- a/packages/lovagepond-gateway/src/gateway_overload.ts
+++ b/packages/lovagepond-gateway/src/gateway_overload.ts
@@ -35,6 +35,8 @@
   readonly #deps: OverloadDependencies;
   readonly #counters = new OverloadCounters();
   readonly #pools = new Map<string, PoolOverload>();
+  /** Pools with an event since they were last pumped. */
+  readonly #changed = new Set<PoolOverload>();
   #timer: NodeJS.Timeout | undefined;
   #timerAt = Infinity;
   #isDraining = false;
@@ -127,18 +129,29 @@
     clearTimeout(this.#timer);
   }
 
-  /** Starts and refuses what can be; called after each relevant event. */
+  /** Starts and refuses what can be in all pools. */
   pumpAll(): void {
     const now = this.#now();
     for (const pool of this.#pools.values()) pool.pump(now);
     this.#schedule(now);
   }
 
-  /** @param pool the pool that an event concerns */
-  pump(pool: PoolOverload): void {
-    const now = this.#now();
-    pool.pump(now);
-    this.#schedule(now);
+  /**
+   * Starts and refuses what can be once the present event is dealt with: the
+   * failure of a server is known by then.
+   *
+   * @param pool the pool that the event concerns
+   */
+  pumpSoon(pool: PoolOverload): void {
+    this.#changed.add(pool);
+    if (this.#changed.size > 1) return;
+    queueMicrotask(() => {
+      const now = this.#now();
+      const changed = [...this.#changed];
+      this.#changed.clear();
+      for (const one of changed) one.pump(now);
+      this.#schedule(now);
+    });
   }
 
   /**
