Compute a prompt's demand once for each decision

Cause: each prediction searched all servers for the holders of the prompt, so one decision on n servers cost n searches over n servers, three times.

Change: RequestDemand keeps the tokens of a request at each server for one time. The first token of a stream lets the next request start.

--- a/packages/lovagepond-gateway/src/gateway_exchange_admission.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_admission.ts
@@ -8,10 +8,11 @@
 import {type AttemptFailure, STATUS_MISDIRECTED} from './gateway_attempt.js';
 import {type EligibleServers} from './gateway_eligible_servers.js';
 import {type AdmittedRequest} from './gateway_exchange_types.js';
-import {type PromptPart, type ServerLoad} from './gateway_headers.js';
+import {type ServerLoad} from './gateway_headers.js';
 import {type GatewayOverload} from './gateway_overload.js';
 import {type OverloadRequest} from './gateway_overload_types.js';
 import {isFull, type PoolOverload} from './gateway_pool_overload.js';
+import {RequestDemand} from './gateway_request_demand.js';
 import {type ServerState} from './gateway_server_state.js';
 
 /** Receives the decision on a request; exactly one method is called, once. */
@@ -33,9 +34,6 @@
   readonly eligible: EligibleServers;
 }
 
-/** The caller's request id may occur twice, so it can't identify requests. */
-let lastId = 0;
-
 export class ExchangeAdmission implements OverloadRequest {
   readonly id: string;
   readonly requestId: string;
@@ -45,16 +43,13 @@
   readonly targetLatencyMs: number;
   readonly arrivedAt: number;
   readonly deadlineAt: number;
-  readonly bytes: number;
-  readonly parts: readonly PromptPart[];
-  readonly isStream: boolean;
-  readonly contextTokens: number | undefined;
-  readonly fetchTokensPerMs: number | undefined;
+  readonly demand: RequestDemand;
   submittedAt = 0;
+  readonly #req: AdmittedRequest;
   readonly #deps: ExchangeAdmissionDependencies;
   readonly #listener: AdmissionListener;
   /** Set while the pool has admission control for this request. */
-  #pool: PoolOverload | undefined;
+  readonly #pool: PoolOverload | undefined;
   #isWaiting = false;
   #waitMs: number | undefined;
   #hasAttempt = false;
@@ -71,8 +66,8 @@
     deps: ExchangeAdmissionDependencies,
     listener: AdmissionListener,
   ) {
-    lastId += 1;
-    this.id = String(lastId);
+    // The caller's request id may occur twice, so it can't identify requests.
+    this.id = deps.overload.takeId();
     const {rule, pool, facts} = req;
     this.requestId = facts.requestId;
     this.workspace = req.workspace ?? '';
@@ -81,18 +76,18 @@
     this.targetLatencyMs = rule.forwarding.targetLatencyMs;
     this.arrivedAt = req.arrivedAt;
     this.deadlineAt = req.deadlineAt;
-    this.bytes = sizeOf(req);
-    const {sticky, streaming} = rule.forwarding;
-    this.parts = sticky ? facts.parts : [];
-    // A plain service is measured by whole answers, streamed or not.
-    this.isStream = sticky && streaming;
-    this.contextTokens = pool.contextTokens;
-    this.fetchTokensPerMs = pool.contextFetchTokensPerMs;
+    this.#req = req;
+    const {eligible} = deps;
+    this.demand = new RequestDemand(req, () => eligible.holders());
     this.#deps = deps;
     this.#listener = listener;
     this.#pool = deps.overload.find(pool.name);
   }
 
+  get bytes(): number {
+    return sizeOf(this.#req);
+  }
+
   /** Time that the request waited in the queue, ms; undefined if it did not. */
   get waitMs(): number | undefined {
     return this.#waitMs;
@@ -149,7 +144,7 @@
    * @param now current time, monotonic milliseconds
    */
   noteFirstToken(now: number): void {
-    if (this.isStream) this.#noteResponse(now);
+    if (this.demand.isStream) this.#noteResponse(now);
   }
 
   /**
@@ -165,7 +160,9 @@
   #noteResponse(now: number): void {
     if (!this.#hasAttempt || this.#hasResponse) return;
     this.#hasResponse = true;
-    this.#pool?.noteResponse(this.id, now);
+    if (!this.#pool) return;
+    this.#pool.noteResponse(this.id, now);
+    this.#deps.overload.pumpSoon(this.#pool);
   }
 
   /**
@@ -207,10 +204,6 @@
     this.#pool?.remove(this.id);
   }
 
-  holders(): readonly ServerState[] {
-    return this.#deps.eligible.holders();
-  }
-
   servers(now: number): readonly ServerState[] {
     return preferHealthy(this.#deps.eligible.list(now).servers, now);
   }
--- a/packages/lovagepond-gateway/src/gateway_overload.ts
+++ b/packages/lovagepond-gateway/src/gateway_overload.ts
@@ -37,6 +37,7 @@
   readonly #pools = new Map<string, PoolOverload>();
   /** Pools with an event since they were last pumped. */
   readonly #changed = new Set<PoolOverload>();
+  #lastId = 0;
   #timer: NodeJS.Timeout | undefined;
   #timerAt = Infinity;
   #isDraining = false;
@@ -46,6 +47,12 @@
     this.#deps = deps;
   }
 
+  /** @returns an id that no other request of this gateway has */
+  takeId(): string {
+    this.#lastId += 1;
+    return String(this.#lastId);
+  }
+
   /** True once a request that would have to wait is refused instead. */
   get isDraining(): boolean {
     return this.#isDraining;
--- a/packages/lovagepond-gateway/src/gateway_overload_types.ts
+++ b/packages/lovagepond-gateway/src/gateway_overload_types.ts
@@ -2,25 +2,13 @@
  * A request as the gateway's admission control sees it.
  */
 import {type AdmissionRefusal, type AdmissionRequest} from '@lovagepond/load';
-import {type PromptPart} from './gateway_headers.js';
+import {type RequestDemand} from './gateway_request_demand.js';
 import {type ServerState} from './gateway_server_state.js';
 
-/** The work of a request, on which its predicted times depend. */
-export interface RequestDemand {
-  /** The prompt's parts; empty for requests that are not placed by them. */
-  readonly parts: readonly PromptPart[];
-  /** The response is a stream of an engine. */
-  readonly isStream: boolean;
-  /** Context memory of each engine of the pool, tokens, if known. */
-  readonly contextTokens: number | undefined;
-  /** Context tokens fetched per millisecond; undefined if unsupported. */
-  readonly fetchTokensPerMs: number | undefined;
-  /** Servers that may hold the prompt in cache, draining ones included. */
-  holders(): readonly ServerState[];
-}
-
 /** A request in a pool with admission control, and how it learns decisions. */
-export interface OverloadRequest extends AdmissionRequest, RequestDemand {
+export interface OverloadRequest extends AdmissionRequest {
+  /** Its work at each server. */
+  readonly demand: RequestDemand;
   /** Id that the caller gave, for log lines. */
   readonly requestId: string;
   /** When admission control was asked, monotonic milliseconds. */
