Let small workspaces send ahead of the windows, and reopen idle servers

Change: a flow below its share may be two requests ahead of a window; rates are compared in one unit of work over 2 s; a response that left the server's queue empty isn't a sample of queueing and opens the window to one request.

--- a/packages/lovagepond-load/src/__tests__/unit/load_virtual_pool.ts
+++ b/packages/lovagepond-load/src/__tests__/unit/load_virtual_pool.ts
@@ -4,6 +4,7 @@
  */
 import {Random} from '@lovagepond/core';
 import {
+  type AdmissionRefusalReason,
   type AdmissionRequest,
   type AdmissionSettings,
   type LoadedServer,
@@ -35,6 +36,7 @@
   readonly req: VirtualRequest;
   readonly outcome: VirtualOutcome;
   readonly tookMs: number;
+  readonly reason?: AdmissionRefusalReason;
 }
 
 interface Load {
@@ -112,6 +114,7 @@
   #observations = 0;
   #others = 0;
   own = 0;
+  reportedWaiting: number | undefined;
 
   constructor(readonly server: VirtualServer) {}
 
@@ -137,6 +140,7 @@
     );
     this.#observations += 1;
     this.#serviceMs += (value - former) * Math.max(0.2, 1 / this.#observations);
+    this.reportedWaiting = load.waiting;
     this.#others = Math.max(0, load.running + load.waiting - this.own);
   }
 
@@ -174,7 +178,9 @@
     const {time} = this.#pool;
     const decision = this.admission.submit(req, this.views, time.now);
     if (decision.kind === 'start') this.#send(req);
-    else if (decision.kind === 'refuse') this.#pool.end(req, 'refused');
+    else if (decision.kind === 'refuse') {
+      this.#pool.end(req, 'refused', decision.reason);
+    }
     this.pump();
   }
 
@@ -187,8 +193,8 @@
       if (!req) break;
       this.#send(req);
     }
-    for (const {req} of this.admission.expire(time.now)) {
-      this.#pool.end(req, 'refused');
+    for (const {req, refusal} of this.admission.expire(time.now)) {
+      this.#pool.end(req, 'refused', refusal.reason);
     }
     const at = this.admission.nextCheckAt(time.now);
     if (at === undefined || (at >= this.#wakeAt && this.#wakeAt > time.now)) {
@@ -304,8 +310,13 @@
     (one ?? this.random.pick(alive)).submit(req);
   }
 
-  end(req: VirtualRequest, outcome: VirtualOutcome): void {
-    this.results.push({req, outcome, tookMs: this.time.now - req.arrivedAt});
+  end(
+    req: VirtualRequest,
+    outcome: VirtualOutcome,
+    reason?: AdmissionRefusalReason,
+  ): void {
+    const tookMs = this.time.now - req.arrivedAt;
+    this.results.push({req, outcome, tookMs, ...(reason && {reason})});
   }
 
   /** @returns figures of the requests that arrived within a time */
--- a/packages/lovagepond-load/src/load_dispatch_window.ts
+++ b/packages/lovagepond-load/src/load_dispatch_window.ts
@@ -20,19 +20,28 @@
 const CORRECTION_EXPONENT = 0.5;
 /**
  * Additive increase per round trip in requests. It makes the windows of the
- * gateways equal over time; with more, twenty gateways overshoot the target.
+ * gateways equal over time; with 1/16, a gateway's
+ * part stays too small for the bursts of small workspaces.
  */
-const ADDITIVE_REQUESTS = 1 / 16;
+const ADDITIVE_REQUESTS = 1 / 8;
 /**
  * The mean of the samples is steered to this part of the target delay, so that
  * most samples stay below the target.
  */
 const AIM_PART = 0.6;
 /** Bounds of the window: the least in requests, the most in slots. */
-const MIN_REQUESTS = 1 / 32;
+const MIN_REQUESTS = 1 / 16;
 const MAX_SLOT_FACTOR = 2;
+/**
+ * Least window in requests after a response that left the server's queue empty:
+ * a window far below one request would get its next sample too late, and a slow
+ * server whose service time isn't learned yet would stay idle.
+ */
+const EMPTY_REQUESTS = 1;
 /** A window that was no limit for this long is released, milliseconds. */
 const RELEASE_MS = 1_000;
+/** Requests that may be sent ahead of the window. */
+const BORROW_REQUESTS = 2;
 /** Samples below this part of the target delay allow a release. */
 const RELEASE_DELAY_PART = 0.5;
 /** Weight of a new value in the means of request work and round trip. */
@@ -124,8 +133,8 @@
 
   /**
    * @param workMs work of a request, milliseconds
-   * @param mayBorrow whether it may be sent ahead of the window, at most one
-   *     request at a time; the window stays smaller by it until it is done
+   * @param mayBorrow whether it may be sent ahead of the window; later requests
+   *     wait until this is made up for
    * @param now current time
    * @returns true when the request may be sent
    */
@@ -133,10 +142,10 @@
     if (!this.isEngaged(now)) return true;
     const {paced, limitMs} = this.#limit(workMs);
     const spareMs = limitMs - this.#inFlightMs;
-    const needsMs = mayBorrow ? 0 : workMs;
-    const inWindow = spareMs >= needsMs - EPSILON_MS;
-    const borrowedMs = mayBorrow ? this.#pacingMs(workMs) : 0;
-    if (inWindow && (!paced || now >= this.#pacedUntil - borrowedMs)) {
+    const borrowed = mayBorrow ? BORROW_REQUESTS : 0;
+    const inWindow = spareMs >= (1 - borrowed) * workMs - EPSILON_MS;
+    const pacedUntil = this.#pacedUntil - borrowed * this.#pacingMs(workMs);
+    if (inWindow && (!paced || now >= pacedUntil)) {
       return true;
     }
     this.#limitedAt = now;
@@ -166,9 +175,11 @@
 
   /**
    * @param id an attempt whose response has begun
+   * @param hasQueue false when the server reports that no request waits there:
+   *     the response took long for another reason, such as a wrong estimate
    * @param now current time
    */
-  noteResponse(id: string, now: number): void {
+  noteResponse(id: string, hasQueue: boolean, now: number): void {
     const attempt = this.#inFlight.get(id);
     if (!attempt) return;
     const {sentAt, idleMs, targetDelayMs} = attempt;
@@ -178,12 +189,14 @@
     this.#roundTripMs = smooth(this.#roundTripMs, tookMs);
     // Without an estimate, the queueing delay is unknown.
     if (idleMs <= 0) return;
-    const sampleMs = Math.max(0, tookMs - idleMs);
+    const sampleMs = hasQueue ? Math.max(0, tookMs - idleMs) : 0;
     this.#lastSampleMs = sampleMs;
     this.#lastTargetMs = targetDelayMs;
     if (sampleMs > RELEASE_DELAY_PART * targetDelayMs) this.#delayedAt = now;
-    if (this.isEngaged(now)) this.#addSample(sampleMs, attempt, now);
-    else if (sampleMs > targetDelayMs) {
+    if (this.isEngaged(now)) {
+      if (!hasQueue) this.#openTo(EMPTY_REQUESTS);
+      this.#addSample(sampleMs, attempt, now);
+    } else if (sampleMs > targetDelayMs) {
       const factor = (idleMs + targetDelayMs) / tookMs;
       this.#engage(inFlightMs * Math.min(ENGAGE_FACTOR, factor), now);
     }
@@ -284,6 +297,11 @@
     return ADDITIVE_REQUESTS * part * this.#weight * this.#requestMs;
   }
 
+  #openTo(requests: number): void {
+    const windowMs = requests * this.#requestMs;
+    if (this.#windowMs < windowMs) this.#setWindow(windowMs);
+  }
+
   #setWindow(windowMs: number): void {
     const most = MAX_SLOT_FACTOR * this.#slots * this.#requestMs;
     const least = MIN_REQUESTS * this.#requestMs;
--- a/packages/lovagepond-load/src/load_flow_rates.ts
+++ b/packages/lovagepond-load/src/load_flow_rates.ts
@@ -4,8 +4,11 @@
  */
 import {type WeightOf} from './load_fair_queue.js';
 
-/** Time constant of the rates, milliseconds. */
-const TIME_CONSTANT_MS = 1_000;
+/**
+ * Time constant of the rates, milliseconds. With 1,000 ms, small workspaces
+ * seemed to exceed their share at gateways with few requests.
+ */
+const TIME_CONSTANT_MS = 2_000;
 /** Rates of a shorter time would be dominated by single requests. */
 const MIN_ELAPSED_MS = 100;
 const MAX_FLOWS = 1_024;
@@ -42,13 +45,9 @@
   readonly #flows = new Map<string, FlowWork>();
   #startedAt: number | undefined;
   #sharesAt = -Infinity;
+  /** Whether a flow is offered more than its share. */
   #overloaded = false;
 
-  /** @returns true when a flow is offered more than its share */
-  get overloaded(): boolean {
-    return this.#overloaded;
-  }
-
   /**
    * @param workspace the flow's workspace
    * @param priority the flow's priority
@@ -83,22 +82,26 @@
    * @param workspace the flow's workspace
    * @param priority the flow's priority
    * @param now current time
-   * @returns work that it was offered, dispatched, and its share of the
-   *     dispatches, as milliseconds of work per millisecond; a share of
-   *     Infinity when the dispatches suffice for all flows
+   * @returns work that the flow can expect to be dispatched, milliseconds of
+   *     work per millisecond: its share, or what was dispatched if that is more
    */
-  read(
-    workspace: string,
-    priority: number,
-    now: number,
-  ): {offered: number; sent: number; share: number} {
-    const flow = this.#flow(workspace, priority, now);
-    const spanMs = this.#spanMs(now);
-    return {
-      offered: flow.offeredMs / spanMs,
-      sent: flow.sentMs / spanMs,
-      share: flow.share,
-    };
+  rate(workspace: string, priority: number, now: number): number {
+    const {sentMs, share} = this.#flow(workspace, priority, now);
+    const sent = sentMs / this.#spanMs(now);
+    return share < Infinity ? Math.max(sent, share) : sent;
+  }
+
+  /**
+   * @param workspace the flow's workspace
+   * @param priority the flow's priority
+   * @param now current time
+   * @returns true when other flows are offered more than their share and this
+   *     one isn't, so that it isn't a cause of the overload
+   */
+  isUnderShare(workspace: string, priority: number, now: number): boolean {
+    if (!this.#overloaded) return false;
+    const {offeredMs, share} = this.#flow(workspace, priority, now);
+    return offeredMs / this.#spanMs(now) < share;
   }
 
   /**
--- a/packages/lovagepond-load/src/load_pool_admission.ts
+++ b/packages/lovagepond-load/src/load_pool_admission.ts
@@ -30,8 +30,6 @@
 } from './load_types.js';
 
 const MIN_RETRY_MS = 150;
-/** Part of its share that a flow may use to send ahead of the windows. */
-const BORROW_SHARE_PART = 0.9;
 /**
  * Late requests wait until the pool has been congested for this part of their
  * time from arrival to deadline.
@@ -65,6 +63,11 @@
   readonly #rates = new FlowRates();
   readonly #advice: RetryAdvice;
   readonly #counts = new AdmissionCounts();
+  /**
+   * Work as it was counted on arrival: compared with estimates of different
+   * servers, a flow would seem to be offered more or less than it is.
+   */
+  readonly #workOf = new WeakMap<R, number>();
   #congestedSince: number | undefined;
   /** Whether a request arrived that may start before those that wait. */
   #mayStart = false;
@@ -113,6 +116,7 @@
     const workMs = server.workMs(req, now);
     const {workspace} = req;
     const priority = clampPriority(req.priority);
+    this.#workOf.set(req, workMs);
     this.#rates.noteOffered(workspace, priority, workMs, now);
     if (this.#queue.inTime === 0 && this.#isAnyOpen(req, servers, now)) {
       return {kind: 'start'};
@@ -173,7 +177,8 @@
     const {serverQueuePart} = this.#settings;
     const workMs = this.#windows.noteSent(req, server, serverQueuePart, now);
     const priority = clampPriority(req.priority);
-    this.#rates.noteSent(req.workspace, priority, workMs, now);
+    const offeredMs = this.#workOf.get(req) ?? workMs;
+    this.#rates.noteSent(req.workspace, priority, offeredMs, now);
   }
 
   /**
@@ -322,9 +327,7 @@
     const priority = clampPriority(req.priority);
     const {lowerPriorityPart} = this.#settings;
     this.#rates.updateShares(this.#weightOf, lowerPriorityPart, now);
-    if (!this.#rates.overloaded) return false;
-    const {offered, share} = this.#rates.read(req.workspace, priority, now);
-    return offered < BORROW_SHARE_PART * share;
+    return this.#rates.isUnderShare(req.workspace, priority, now);
   }
 
   #enqueue(
@@ -350,6 +353,9 @@
       this.#mayStart = true;
       return {kind: 'wait'};
     }
+    if (waitMs > 0 && this.#mayOvertake(req, servers, now)) {
+      return {kind: 'start'};
+    }
     const reason =
       waitMs <= 0 ? ADMISSION_REFUSAL.EXPIRED : ADMISSION_REFUSAL.FLOW_FULL;
     if (now >= this.#lateUntil(req)) {
@@ -359,6 +365,22 @@
     return {kind: 'wait'};
   }
 
+  /**
+   * A request may start before those that wait when none of them can use its
+   * open servers, for example because they would be late at slower servers.
+   */
+  #mayOvertake(
+    req: R,
+    servers: readonly LoadedServer<R>[],
+    now: number,
+  ): boolean {
+    const open = this.openServers(req, servers, now);
+    if (open.length === 0) return false;
+    return this.#queue
+      .candidates()
+      .every(other => this.openServers(other.req, open, now).length === 0);
+  }
+
   /** Whether the flow's waiting work and this request can start in time. */
   #flowHasRoom(
     req: R,
@@ -377,8 +399,7 @@
   #flowRate({workspace}: R, priority: number, now: number): number {
     const {lowerPriorityPart} = this.#settings;
     this.#rates.updateShares(this.#weightOf, lowerPriorityPart, now);
-    const {sent, share} = this.#rates.read(workspace, priority, now);
-    return share < Infinity ? Math.max(sent, share) : sent;
+    return this.#rates.rate(workspace, priority, now);
   }
 
   #makeQueued(
--- a/packages/lovagepond-load/src/load_server_windows.ts
+++ b/packages/lovagepond-load/src/load_server_windows.ts
@@ -30,7 +30,7 @@
 export class ServerWindows<R extends AdmissionRequest> {
   readonly #windows = new Map<string, DispatchWindow>();
   /** Server of each attempt in flight. */
-  readonly #serverOf = new Map<string, string>();
+  readonly #serverOf = new Map<string, LoadedServer<R>>();
   #weight = 1;
   /** Whether a window may be engaged, to skip the check of all. */
   #mayBeEngaged = false;
@@ -99,7 +99,7 @@
     const {name, slots} = server;
     const window = this.#windows.get(name) ?? new DispatchWindow();
     this.#windows.set(name, window);
-    this.#serverOf.set(req.id, name);
+    this.#serverOf.set(req.id, server);
     window.configure(slots, this.#weight);
     const workMs = server.workMs(req, now);
     const idleMs = server.predictIdle(req, now).firstResponseMs;
@@ -117,7 +117,8 @@
    */
   noteResponse(id: string, now: number): void {
     const window = this.#windowOf(id);
-    window?.noteResponse(id, now);
+    const hasQueue = this.#serverOf.get(id)?.reportedWaiting !== 0;
+    window?.noteResponse(id, hasQueue, now);
     this.#mayBeEngaged ||= window?.isEngaged(now) ?? false;
   }
 
@@ -144,7 +145,7 @@
     for (const name of this.#windows.keys()) {
       if (!servers.has(name)) this.#windows.delete(name);
     }
-    for (const [id, name] of this.#serverOf) {
+    for (const [id, {name}] of this.#serverOf) {
       if (!servers.has(name)) this.#serverOf.delete(id);
     }
   }
@@ -176,8 +177,8 @@
   }
 
   #windowOf(id: string): DispatchWindow | undefined {
-    const name = this.#serverOf.get(id);
-    return name === undefined ? undefined : this.#windows.get(name);
+    const server = this.#serverOf.get(id);
+    return server && this.#windows.get(server.name);
   }
 }
 
--- a/packages/lovagepond-load/src/load_types.ts
+++ b/packages/lovagepond-load/src/load_types.ts
@@ -37,6 +37,11 @@
 export interface LoadedServer<R extends AdmissionRequest = AdmissionRequest> {
   readonly name: string;
   readonly slots: number;
+  /**
+   * Requests in the server's own queue by its latest report, which the answer
+   * being noted may have brought; undefined when it reports none.
+   */
+  readonly reportedWaiting?: number | undefined;
   /**
    * @param req a request
    * @param now current time
