Try slower services now and then, and test the estimates

From 2 to 6 s after its end the two recovered services had 0.31 of the requests instead of 0.5, as they got too few to show it.

Change: with serverCapacity on, an idle slower service gets a tenth of its proportional requests if its predicted time is within half of the target. Numbers of requests and slots are bounded in predictions, as a load of 9e307 gave infinite times (found by the property test).

--- a/packages/lovagepond-gateway/src/gateway_choice.ts
+++ b/packages/lovagepond-gateway/src/gateway_choice.ts
@@ -75,6 +75,26 @@
  */
 const SAME_TIME_PART = 0.25;
 
+/**
+ * Part of its proportional requests that a slower service still gets while it
+ * is idle. Without them nothing shows that it has recovered: in a simulation of
+ * two gateways, two of four services had 0.31 instead of 0.5 of the requests
+ * from 2 to 6 s after the end of a slowdown.
+ */
+const TRIAL_PART = 0.1;
+
+/** Longest predicted time of such a request, as a part of its target. */
+const TRIAL_TARGET_PART = 0.5;
+
+/** A service with the predicted time of a request, failure risk included. */
+interface PredictedService {
+  readonly state: ServerState;
+  readonly timeMs: number;
+  readonly load: number;
+  /** Shortest service time of all candidates. */
+  readonly shortestMs: number;
+}
+
 export class GatewayChoice {
   readonly #settings: ChoiceSettings;
   readonly #hasher: KeyHasher;
@@ -146,8 +166,25 @@
     const weight = repeatable ? FAILURE_LOAD.REPEATABLE : FAILURE_LOAD.LOST;
     const {kind} = workOf(req);
     const work = {kind, prefillTokens: 0, isStream: false};
-    const fastest = fastestServices(candidates, work, weight, now);
-    return this.#chooseByLoad(fastest, weight, now);
+    const services = predictServices(candidates, work, weight, now);
+    if (!services) return this.#chooseByLoad(candidates, weight, now);
+    const {fastest, others} = splitByTime(services);
+    const limitMs = req.targetLatencyMs * TRIAL_TARGET_PART;
+    const trial = this.#pickTrial(others, candidates.length, limitMs);
+    return trial ?? this.#chooseByLoad(fastest, weight, now);
+  }
+
+  /** Selects a slower service for a trial, for a small part of the requests. */
+  #pickTrial(
+    others: readonly PredictedService[],
+    candidates: number,
+    limitMs: number,
+  ): ServerState | undefined {
+    if (others.length === 0) return undefined;
+    const part = (others.length / candidates) * TRIAL_PART;
+    if (this.#random.next() >= part) return undefined;
+    const {state, timeMs, load} = this.#random.pick(others);
+    return load < 1 && timeMs <= limitMs ? state : undefined;
   }
 
   #chooseByLoad(
@@ -180,27 +217,41 @@
  * @param work what the request asks of a service
  * @param failureWeight cost of a certain failure, in service times
  * @param now current time, monotonic milliseconds
- * @returns those with the shortest predicted time; all of them while a service
+ * @returns the services with their predicted times; undefined while a service
  *     time is unknown, or when the servers' own estimates aren't used
  */
-function fastestServices(
+function predictServices(
   candidates: readonly ServerState[],
   work: RequestWork,
   failureWeight: number,
   now: number,
-): readonly ServerState[] {
+): readonly PredictedService[] | undefined {
   const serviceMs = candidates.map(({usesCapacity, capacity}) =>
     usesCapacity ? (capacity.serviceMs(work.kind, now) ?? NaN) : NaN,
   );
   const shortestMs = Math.min(...serviceMs);
-  if (Number.isNaN(shortestMs)) return candidates;
-  const timesMs = candidates.map(state => {
+  if (Number.isNaN(shortestMs)) return undefined;
+  return candidates.map(state => {
     const view = state.loadView(now);
     const {firstResponseMs} = state.capacity.predict(view, work, now);
-    return (
-      firstResponseMs + failureWeight * state.failureRisk(now) * shortestMs
-    );
+    const failureMs = failureWeight * state.failureRisk(now) * shortestMs;
+    const timeMs = firstResponseMs + failureMs;
+    return {state, timeMs, load: view.load, shortestMs};
   });
-  const limitMs = Math.min(...timesMs) + SAME_TIME_PART * shortestMs;
-  return candidates.filter((_, at) => (timesMs[at] ?? 0) <= limitMs);
+}
+
+/** Separates the services of about the shortest time from the others. */
+function splitByTime(services: readonly PredictedService[]): {
+  readonly fastest: readonly ServerState[];
+  readonly others: readonly PredictedService[];
+} {
+  const shortestMs = services[0]?.shortestMs ?? 0;
+  const leastMs = Math.min(...services.map(({timeMs}) => timeMs));
+  const limitMs = leastMs + SAME_TIME_PART * shortestMs;
+  return {
+    fastest: services
+      .filter(({timeMs}) => timeMs <= limitMs)
+      .map(({state}) => state),
+    others: services.filter(({timeMs}) => timeMs > limitMs),
+  };
 }
--- a/packages/lovagepond-load/src/load_server_capacity.ts
+++ b/packages/lovagepond-load/src/load_server_capacity.ts
@@ -49,6 +49,9 @@
 /** Longest plausible duration, milliseconds: one hour. */
 const MAX_DURATION_MS = 3_600_000;
 
+/** Largest plausible number of requests at a server. */
+const MAX_REQUESTS = 1_000_000;
+
 /** The estimates of one server, for operators. */
 export interface CapacityDescription {
   readonly prefillTokensPerMs: number;
@@ -142,7 +145,8 @@
     now: number,
   ): void {
     if (!isDuration(durationMs)) return;
-    const rounds = Math.max(1, (atLeastZero(loadAtSend) + 1) / slotsOf(slots));
+    const load = between0And(MAX_REQUESTS, loadAtSend);
+    const rounds = Math.max(1, (load + 1) / slotsOf(slots));
     const observed = durationMs / rounds / this.slowdown(now);
     const mean = this.#pool?.at(now).serviceMs.get(kind);
     this.#services.observe(kind, observed, mean, now);
@@ -268,8 +272,7 @@
   }
 
   #prefillMs(tokens: number, now: number): number {
-    const plausible = Math.min(MAX_TOKENS, atLeastZero(tokens));
-    return plausible / this.prefillTokensPerMs(now);
+    return between0And(MAX_TOKENS, tokens) / this.prefillTokensPerMs(now);
   }
 
   /** A request without a prompt doesn't wait for the prompts of others. */
@@ -291,7 +294,8 @@
 
 function waitForSlotMs({load, slots}: ServerLoadView, slotMs: number): number {
   const count = slotsOf(slots);
-  return (Math.max(0, atLeastZero(load) - count + 1) / count) * slotMs;
+  const waiting = between0And(MAX_REQUESTS, load) - count + 1;
+  return (Math.max(0, waiting) / count) * slotMs;
 }
 
 function valuesOf(
@@ -302,12 +306,13 @@
   );
 }
 
-function atLeastZero(value: number): number {
-  return value > 0 ? value : 0;
+/** @returns the value within its bounds; 0 for NaN */
+function between0And(max: number, value: number): number {
+  return value > 0 ? Math.min(max, value) : 0;
 }
 
 function slotsOf(slots: number): number {
-  return slots >= 1 ? slots : 1;
+  return slots >= 1 ? Math.min(MAX_REQUESTS, slots) : 1;
 }
 
 function isDuration(durationMs: number): boolean {
