Show admission control in the gateway's state dump, and test it there

Cause: metrics read paths of the dump that no test of the role covered, and the estimates behind the windows were shown only with `serverCapacity = on`.

Change: the dump has the estimates while a pool has admission control; tests for the dump over a change of the configuration, for the exact `Retry-After`, and for a retry that goes before the queue and counts in the window.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_overload.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_overload.test.ts
@@ -50,12 +50,18 @@
     expect(JSON.parse(refused.body)).toMatchObject({
       error: {kind: 'overloaded'},
     });
-    expect(Number(refused.headers['retry-after'])).toBeGreaterThanOrEqual(0.15);
     expect(statusesOf(await pool.answerAll(calls))).toEqual([200, 200]);
     expect(pool.reached).not.toContain('/read/refused');
     expect(pool.linesOf('request refused by admission')).toMatchObject([
       {workspace: 'workspace-8', pool: 'servers', reason: 'queueFull'},
     ]);
+    // The caller gets the decided time, without a second jitter.
+    const [line] = pool.linesOf('request refused by admission');
+    const retryAfterMs = Number(refused.headers['retry-after']) * 1_000;
+    expect(retryAfterMs).toBeGreaterThanOrEqual(150);
+    expect(
+      Math.abs(retryAfterMs - Number(line?.['retryAfterMs'])),
+    ).toBeLessThan(10);
     expect(pool.gateway.overload.describe(clock.now())).toMatchObject({
       pools: {servers: {refusedByWorkspace: {'workspace-8': 1}}},
       refusedByReason: {queueFull: 1},
@@ -131,6 +137,12 @@
     const {port} = new URL(`http://${pool.gateway.addressOf('server-0')}`);
     const before = pool.gateway.arrivals.length;
     pool.gateway.crash(Number(port));
+    // The call that ran is tried again before those that wait, and counts.
+    await pool.untilReached(3);
+    expect(pool.reached.at(-1)).toMatch(/busy/);
+    expect(pool.gateway.overload.describe(clock.now())).toMatchObject({
+      pools: {servers: {waiting: 4, windows: {'server-1': {inFlight: 2}}}},
+    });
     const responses = await pool.answerAll(calls);
     expect(statusesOf(responses)).toEqual(responses.map(() => 200));
     const later = pool.gateway.arrivals.slice(before);
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_role.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_role.test.ts
@@ -32,6 +32,13 @@
 
 const HEARTBEAT_MS = 100;
 
+const ADMISSION = {
+  maxQueuedRequests: 10,
+  maxQueuedBytes: 65_536,
+  serverQueuePart: 0.4,
+  lowerPriorityPart: 0.1,
+};
+
 const cleanups: (() => unknown)[] = [];
 
 afterEach(async () => {
@@ -144,6 +151,33 @@
   await expect.poll(() => revisionOf(gateway)).toBe(2);
 });
 
+// Guards against a queue that outlives its configuration, and against metrics
+// that read a path which the state dump does not have.
+test('has admission control while the configuration has it', async () => {
+  const [pool] = CONTENT.pools;
+  const content = {...CONTENT, pools: [{...pool!, admission: ADMISSION}]};
+  let send = (_update: lovagepond.v1.ControlUpdate): void => {};
+  const control = await startControl(call => {
+    send = update => call.write(update);
+    const configuration = encodeConfiguration({revision: 1, content});
+    send(update({revision: 1, configuration}));
+  });
+  const gateway = await startGateway(control);
+  const admission = (): unknown => gateway.dump().state['admission'];
+  await expect.poll(admission).toMatchObject({
+    waitingByPool: {servers: 0},
+    engagedByPool: {servers: 0},
+    refusedByReason: {},
+    waitedRequests: 0,
+    waitSeconds: 0,
+    pools: {servers: {waiting: 0, congested: false, windows: {}}},
+  });
+  const configuration = encodeConfiguration(second!);
+  send(update({revision: 2, configuration}));
+  await expect.poll(admission).toMatchObject({pools: {}, waitingByPool: {}});
+  await expect.poll(() => revisionOf(gateway)).toBe(2);
+});
+
 // A member relays the leader's confirmation of a newer revision and keeps
 // sending heartbeats, but its own log does not advance. Guards against a
 // gateway that stays subscribed to it and keeps using the previous
--- a/packages/lovagepond-gateway/src/gateway_overload.ts
+++ b/packages/lovagepond-gateway/src/gateway_overload.ts
@@ -47,6 +47,11 @@
     this.#deps = deps;
   }
 
+  /** True while a pool has admission control. */
+  get isActive(): boolean {
+    return this.#pools.size > 0;
+  }
+
   /** @returns an id that no other request of this gateway has */
   takeId(): string {
     this.#lastId += 1;
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -247,7 +247,7 @@
       membershipVersion: this.#membership.version,
       prefillTokensPerMs: this.#rate.tokensPerMs,
       backendServers: this.#fleet.describe(at.now),
-      ...(this.#settings.serverCapacity && {
+      ...((this.#settings.serverCapacity || this.#overload.isActive) && {
         serverCapacity: this.#fleet.describeCapacity(at.now),
       }),
       pausedServers: this.#fleet.paused,
