Judge windows by requests sent after a decrease

Cause: samples of requests sent before a decrease shrank the windows again, and requests went to slow servers where they were late.

Change: only samples of requests sent after the last decrease count; the mean sample is compared with the time a request has left; a closed server is tried again only after a request's target; a request that no idle server answers within its target has its deadline as limit; the code is split into modules.

--- a/packages/lovagepond-load/src/load_dispatch_window.ts
+++ b/packages/lovagepond-load/src/load_dispatch_window.ts
@@ -23,7 +23,7 @@
  * gateways equal over time; with 1/16, a gateway's
  * part stays too small for the bursts of small workspaces.
  */
-const ADDITIVE_REQUESTS = 1 / 8;
+const ADDITIVE_REQUESTS = 1 / 4;
 /**
  * The mean of the samples is steered to this part of the target delay, so that
  * most samples stay below the target.
@@ -41,7 +41,7 @@
 /** A window that was no limit for this long is released, milliseconds. */
 const RELEASE_MS = 1_000;
 /** Requests that may be sent ahead of the window. */
-const BORROW_REQUESTS = 2;
+const BORROW_REQUESTS = 4;
 /** Samples below this part of the target delay allow a release. */
 const RELEASE_DELAY_PART = 0.5;
 /** Weight of a new value in the means of request work and round trip. */
@@ -93,14 +93,20 @@
   #requestMs = 0;
   #roundTripMs = 0;
   #lastSampleMs = 0;
+  #meanSampleMs = 0;
   #lastTargetMs = 0;
   #lastSentAt = -Infinity;
   #limitedAt = -Infinity;
   #delayedAt = -Infinity;
-  #refusedAt = -Infinity;
+  #decreasedAt = -Infinity;
   /** When the next request may be sent by a window below one request. */
   #pacedUntil = -Infinity;
 
+  /** @returns mean of the recent samples, milliseconds; 0 if not engaged */
+  get delayMs(): number {
+    return this.#engaged ? this.#meanSampleMs : 0;
+  }
+
   /** @returns number of attempts without a response */
   get inFlight(): number {
     return this.#inFlight.size;
@@ -191,6 +197,7 @@
     if (idleMs <= 0) return;
     const sampleMs = hasQueue ? Math.max(0, tookMs - idleMs) : 0;
     this.#lastSampleMs = sampleMs;
+    this.#meanSampleMs = smooth(this.#meanSampleMs, sampleMs);
     this.#lastTargetMs = targetDelayMs;
     if (sampleMs > RELEASE_DELAY_PART * targetDelayMs) this.#delayedAt = now;
     if (this.isEngaged(now)) {
@@ -219,8 +226,8 @@
       return;
     }
     // Refusals of one burst count once.
-    if (now - this.#refusedAt < this.#roundTripMs) return;
-    this.#refusedAt = now;
+    if (attempt.sentAt < this.#decreasedAt) return;
+    this.#decreasedAt = now;
     this.#setWindow(this.#windowMs * MIN_FACTOR);
     this.#round = makeRound(now);
   }
@@ -255,7 +262,7 @@
     this.#engaged = true;
     this.#limitedAt = now;
     this.#delayedAt = now;
-    this.#refusedAt = now;
+    this.#decreasedAt = now;
     this.#pacedUntil = -Infinity;
     this.#round = makeRound(now);
     this.#setWindow(Math.max(windowMs, this.#requestMs));
@@ -263,9 +270,11 @@
 
   #addSample(
     sampleMs: number,
-    {idleMs, targetDelayMs}: WindowAttempt,
+    {sentAt, idleMs, targetDelayMs}: InFlight,
     now: number,
   ): void {
+    // What was sent before a decrease doesn't show its effect yet.
+    if (sentAt < this.#decreasedAt) return;
     const round = this.#round;
     round.count += 1;
     round.sampleMs += sampleMs;
@@ -273,8 +282,10 @@
     this.#round = makeRound(now);
     const meanMs = round.sampleMs / round.count;
     const factor = this.#factor(meanMs, idleMs, targetDelayMs);
-    if (factor < 1) this.#setWindow(this.#windowMs * factor);
-    else if (round.limited) {
+    if (factor < 1) {
+      this.#setWindow(this.#windowMs * factor);
+      this.#decreasedAt = now;
+    } else if (round.limited) {
       this.#setWindow(this.#windowMs * factor + this.#additiveMs());
     }
   }
--- a/packages/lovagepond-load/src/load_flow_rates.ts
+++ b/packages/lovagepond-load/src/load_flow_rates.ts
@@ -42,12 +42,28 @@
 
 /** Work rates and fair shares of the flows of one pool at one gateway. */
 export class FlowRates {
+  #weightOf: WeightOf = () => 1;
+  #lowerPriorityPart: number;
   readonly #flows = new Map<string, FlowWork>();
   #startedAt: number | undefined;
   #sharesAt = -Infinity;
   /** Whether a flow is offered more than its share. */
   #overloaded = false;
 
+  /** @param lowerPriorityPart least part of the dispatches for lower priorities */
+  constructor(lowerPriorityPart: number) {
+    this.#lowerPriorityPart = lowerPriorityPart;
+  }
+
+  /**
+   * @param weightOf bounded weights of the workspaces
+   * @param lowerPriorityPart least part of the dispatches for lower priorities
+   */
+  configure(weightOf: WeightOf, lowerPriorityPart: number): void {
+    this.#weightOf = weightOf;
+    this.#lowerPriorityPart = lowerPriorityPart;
+  }
+
   /**
    * @param workspace the flow's workspace
    * @param priority the flow's priority
@@ -86,6 +102,7 @@
    *     work per millisecond: its share, or what was dispatched if that is more
    */
   rate(workspace: string, priority: number, now: number): number {
+    this.#updateShares(now);
     const {sentMs, share} = this.#flow(workspace, priority, now);
     const sent = sentMs / this.#spanMs(now);
     return share < Infinity ? Math.max(sent, share) : sent;
@@ -99,6 +116,7 @@
    *     one isn't, so that it isn't a cause of the overload
    */
   isUnderShare(workspace: string, priority: number, now: number): boolean {
+    this.#updateShares(now);
     if (!this.#overloaded) return false;
     const {offeredMs, share} = this.#flow(workspace, priority, now);
     return offeredMs / this.#spanMs(now) < share;
@@ -108,16 +126,8 @@
    * Computes the shares anew when they are due. The dispatches that higher
    * priorities leave are shared by weighted max-min fairness between the
    * workspaces of a priority.
-   *
-   * @param weightOf weights of the workspaces
-   * @param lowerPriorityPart least part of the dispatches that is left
-   * @param now current time
    */
-  updateShares(
-    weightOf: WeightOf,
-    lowerPriorityPart: number,
-    now: number,
-  ): void {
+  #updateShares(now: number): void {
     if (now - this.#sharesAt < SHARES_INTERVAL_MS) return;
     this.#sharesAt = now;
     const spanMs = this.#spanMs(now);
@@ -134,8 +144,8 @@
     this.#overloaded = false;
     for (const priority of [...byPriority.keys()].sort((a, b) => b - a)) {
       const flows = byPriority.get(priority) ?? [];
-      const availableMs = Math.max(leftMs, lowerPriorityPart * totalMs);
-      const level = shareOut(flows, availableMs, spanMs, weightOf);
+      const availableMs = Math.max(leftMs, this.#lowerPriorityPart * totalMs);
+      const level = shareOut(flows, availableMs, spanMs, this.#weightOf);
       this.#overloaded ||= level < Infinity;
       for (const {sentMs} of flows) leftMs -= sentMs;
     }
--- a/packages/lovagepond-load/src/load_pool_admission.ts
+++ b/packages/lovagepond-load/src/load_pool_admission.ts
@@ -10,14 +10,12 @@
   clampPriority,
   type QueuedRequest,
 } from './load_admission_queue.js';
+import {Congestion} from './load_congestion.js';
 import {type WeightOf} from './load_fair_queue.js';
 import {FlowRates} from './load_flow_rates.js';
+import {canBeInTarget, limitMsOf, makeQueued} from './load_queued_request.js';
 import {RetryAdvice} from './load_retry_advice.js';
-import {
-  limitMsOf,
-  type OpenOptions,
-  ServerWindows,
-} from './load_server_windows.js';
+import {type OpenOptions, ServerWindows} from './load_server_windows.js';
 import {
   ADMISSION_REFUSAL,
   type AdmissionDecision,
@@ -30,11 +28,6 @@
 } from './load_types.js';
 
 const MIN_RETRY_MS = 150;
-/**
- * Late requests wait until the pool has been congested for this part of their
- * time from arrival to deadline.
- */
-const LATE_CONGESTION_PART = 0.5;
 /**
  * A flow's queue is limited to this part of the longest wait: a full queue would
  * leave no time for the variation of its rate.
@@ -48,6 +41,17 @@
   gatewayWeight: 1,
 });
 
+/** What was found when a request arrived. */
+interface Arrival {
+  /**
+   * Its work as counted in the rates: with estimates of different servers, a
+   * flow would seem to be offered more or less than it is.
+   */
+  readonly workMs: number;
+  /** Time from its arrival within which a response is in time. */
+  readonly limitMs: number;
+}
+
 /** A refused request. */
 export interface RefusedRequest<R extends AdmissionRequest> {
   readonly req: R;
@@ -60,15 +64,11 @@
   #weightOf: WeightOf = EQUAL_WEIGHTS.weightOf;
   readonly #queue: AdmissionQueue<R>;
   readonly #windows = new ServerWindows<R>();
-  readonly #rates = new FlowRates();
+  readonly #rates: FlowRates;
   readonly #advice: RetryAdvice;
   readonly #counts = new AdmissionCounts();
-  /**
-   * Work as it was counted on arrival: compared with estimates of different
-   * servers, a flow would seem to be offered more or less than it is.
-   */
-  readonly #workOf = new WeakMap<R, number>();
-  #congestedSince: number | undefined;
+  readonly #arrivals = new WeakMap<R, Arrival>();
+  readonly #congestion = new Congestion();
   /** Whether a request arrived that may start before those that wait. */
   #mayStart = false;
   /** Whether the last listed servers were none. */
@@ -82,13 +82,14 @@
   constructor(settings: AdmissionSettings, random: Random) {
     this.#settings = settings;
     this.#queue = new AdmissionQueue(settings.lowerPriorityPart);
+    this.#rates = new FlowRates(settings.lowerPriorityPart);
     this.#advice = new RetryAdvice(MIN_RETRY_MS, random);
   }
 
   /** @param settings new limits; waiting requests stay */
   useSettings(settings: AdmissionSettings): void {
     this.#settings = settings;
-    this.#queue.configure(this.#weightOf, settings.lowerPriorityPart);
+    this.#configure();
   }
 
   /** @param weights weights in force; undefined for equal ones */
@@ -96,7 +97,7 @@
     const {weightOf, gatewayWeight} = weights ?? EQUAL_WEIGHTS;
     this.#weightOf = boundWeights(workspace => weightOf(workspace));
     this.#windows.useWeight(gatewayWeight);
-    this.#queue.configure(this.#weightOf, this.#settings.lowerPriorityPart);
+    this.#configure();
   }
 
   /**
@@ -114,9 +115,13 @@
     if (!server) return this.#refuse(req, ADMISSION_REFUSAL.NO_SERVER, 0, now);
     this.#noServer = false;
     const workMs = server.workMs(req, now);
-    const {workspace} = req;
+    const {workspace, deadlineAt} = req;
+    if (now >= deadlineAt) {
+      return this.#refuse(req, ADMISSION_REFUSAL.DEADLINE, workMs, now);
+    }
     const priority = clampPriority(req.priority);
-    this.#workOf.set(req, workMs);
+    const limitMs = limitMsOf(req, servers, now);
+    this.#arrivals.set(req, {workMs, limitMs});
     this.#rates.noteOffered(workspace, priority, workMs, now);
     if (this.#queue.inTime === 0 && this.#isAnyOpen(req, servers, now)) {
       return {kind: 'start'};
@@ -135,13 +140,20 @@
     servers: readonly LoadedServer<R>[],
     now: number,
   ): readonly LoadedServer<R>[] {
-    const open = this.#filterOpen(req, servers, {}, now);
+    const open = this.#windows.filterOpen(
+      req,
+      servers,
+      this.#openOptions(req),
+      now,
+    );
     if (open.length > 0) return open;
     if (!canBeInTarget(req, servers, now)) {
-      return this.#filterOpen(req, servers, {mayBeLate: true}, now);
+      const options = this.#openOptions(req, {mayBeLate: true});
+      return this.#windows.filterOpen(req, servers, options, now);
     }
     if (!this.#mayBorrow(req, now)) return open;
-    return this.#filterOpen(req, servers, {mayBorrow: true}, now);
+    const options = this.#openOptions(req, {mayBorrow: true});
+    return this.#windows.filterOpen(req, servers, options, now);
   }
 
   /**
@@ -174,10 +186,10 @@
    * @param now current time
    */
   noteSent(req: R, server: LoadedServer<R>, now: number): void {
-    const {serverQueuePart} = this.#settings;
-    const workMs = this.#windows.noteSent(req, server, serverQueuePart, now);
+    const options = this.#openOptions(req);
+    const workMs = this.#windows.noteSent(req, server, options, now);
     const priority = clampPriority(req.priority);
-    const offeredMs = this.#workOf.get(req) ?? workMs;
+    const offeredMs = this.#arrivals.get(req)?.workMs ?? workMs;
     this.#rates.noteSent(req.workspace, priority, offeredMs, now);
   }
 
@@ -235,7 +247,7 @@
     const reason = this.#noServer ? ADMISSION_REFUSAL.NO_SERVER : undefined;
     const waiting = reason ? this.#queue.values() : this.#queue.late();
     for (const queued of [...waiting]) {
-      if (!reason && now < this.#lateUntil(queued.req)) continue;
+      if (!reason && now < this.#congestion.lateUntil(queued.req)) continue;
       this.#queue.remove(queued.id);
       drop(queued, reason ?? queued.reason);
     }
@@ -271,7 +283,7 @@
    */
   isCongested(now: number): boolean {
     this.#noteCongestion(now);
-    return this.#congestedSince !== undefined;
+    return this.#congestion.active;
   }
 
   /**
@@ -289,33 +301,29 @@
     };
   }
 
+  #configure(): void {
+    const {lowerPriorityPart} = this.#settings;
+    this.#queue.configure(this.#weightOf, lowerPriorityPart);
+    this.#rates.configure(this.#weightOf, lowerPriorityPart);
+  }
+
   #isAnyOpen(
     req: R,
     servers: readonly LoadedServer<R>[],
     now: number,
   ): boolean {
-    const options = this.#openOptions({});
+    const options = this.#openOptions(req);
     for (const server of servers) {
       if (this.#windows.isOpen(req, server, options, now)) return true;
     }
     return this.openServers(req, servers, now).length > 0;
   }
 
-  #openOptions(options: Partial<OpenOptions>): OpenOptions {
+  #openOptions(req: R, options: Partial<OpenOptions> = {}): OpenOptions {
     const queuePart = this.#settings.serverQueuePart;
-    return {queuePart, mayBorrow: false, mayBeLate: false, ...options};
-  }
-
-  #filterOpen(
-    req: R,
-    servers: readonly LoadedServer<R>[],
-    partial: Partial<OpenOptions>,
-    now: number,
-  ): LoadedServer<R>[] {
-    const options = this.#openOptions(partial);
-    return servers.filter(server =>
-      this.#windows.isOpen(req, server, options, now),
-    );
+    const limitMs = this.#arrivals.get(req)?.limitMs ?? req.targetLatencyMs;
+    const defaults = {mayBorrow: false, mayBeLate: false};
+    return {queuePart, limitMs, ...defaults, ...options};
   }
 
   /**
@@ -325,8 +333,6 @@
    */
   #mayBorrow(req: R, now: number): boolean {
     const priority = clampPriority(req.priority);
-    const {lowerPriorityPart} = this.#settings;
-    this.#rates.updateShares(this.#weightOf, lowerPriorityPart, now);
     return this.#rates.isUnderShare(req.workspace, priority, now);
   }
 
@@ -335,8 +341,8 @@
     servers: readonly LoadedServer<R>[],
     now: number,
   ): AdmissionDecision {
-    const {maxQueuedRequests, maxQueuedBytes} = this.#settings;
-    const queued = this.#makeQueued(req, servers, now);
+    const {maxQueuedRequests, maxQueuedBytes, serverQueuePart} = this.#settings;
+    const queued = makeQueued(req, servers, serverQueuePart, now);
     const {cost, priority, latestStartAt} = queued;
     const full =
       this.#queue.size >= maxQueuedRequests ||
@@ -358,7 +364,7 @@
     }
     const reason =
       waitMs <= 0 ? ADMISSION_REFUSAL.EXPIRED : ADMISSION_REFUSAL.FLOW_FULL;
-    if (now >= this.#lateUntil(req)) {
+    if (now >= this.#congestion.lateUntil(req)) {
       return this.#refuse(req, reason, cost, now);
     }
     this.#queue.pushLate({...queued, reason});
@@ -391,52 +397,10 @@
   ): boolean {
     const waiting = this.#queue.costOf(req.workspace, priority);
     if (waiting <= 0) return true;
-    const rate = this.#flowRate(req, priority, now);
+    const rate = this.#rates.rate(req.workspace, priority, now);
     return waiting + cost <= rate * waitMs * QUEUED_WAIT_PART;
   }
 
-  /** @returns work per millisecond that the flow can expect */
-  #flowRate({workspace}: R, priority: number, now: number): number {
-    const {lowerPriorityPart} = this.#settings;
-    this.#rates.updateShares(this.#weightOf, lowerPriorityPart, now);
-    return this.#rates.rate(workspace, priority, now);
-  }
-
-  #makeQueued(
-    req: R,
-    servers: readonly LoadedServer<R>[],
-    now: number,
-  ): QueuedRequest<R> {
-    let idleMs = Infinity;
-    let cost = 0;
-    for (const server of servers) {
-      const {firstResponseMs} = server.predictIdle(req, now);
-      if (firstResponseMs >= idleMs) continue;
-      idleMs = firstResponseMs;
-      cost = server.workMs(req, now);
-    }
-    const slackMs = limitMsOf(req, idleMs) - idleMs;
-    const {id, workspace, arrivedAt, deadlineAt} = req;
-    // The rest of the slack is kept for the wait at the server.
-    const waitMs = slackMs * (1 - this.#settings.serverQueuePart);
-    return {
-      ...{id, workspace, cost, req},
-      priority: clampPriority(req.priority),
-      dueAt: arrivedAt + waitMs,
-      queuedAt: now,
-      latestStartAt: arrivedAt + waitMs,
-      deadlineStartAt: deadlineAt - idleMs,
-      reason: ADMISSION_REFUSAL.EXPIRED,
-    };
-  }
-
-  /** @returns until when a late request may wait */
-  #lateUntil({arrivedAt, deadlineAt}: R): number {
-    if (this.#congestedSince === undefined) return Infinity;
-    const allowedMs = LATE_CONGESTION_PART * (deadlineAt - arrivedAt);
-    return this.#congestedSince + allowedMs;
-  }
-
   /** Moves requests that can't be in target any more to the late queue. */
   #sweep(now: number): void {
     for (const queued of this.#queue.removeExpired(now)) {
@@ -445,11 +409,8 @@
   }
 
   #noteCongestion(now: number, waits = this.#queue.size > 0): void {
-    if (waits || this.#windows.engagedCount(now) > 0) {
-      this.#congestedSince ??= now;
-    } else {
-      this.#congestedSince = undefined;
-    }
+    const congested = waits || this.#windows.engagedCount(now) > 0;
+    this.#congestion.note(congested, now);
   }
 
   #refuse(
@@ -458,22 +419,12 @@
     cost: number,
     now: number,
   ): {readonly kind: 'refuse'} & AdmissionRefusal {
-    const rate = this.#flowRate(req, clampPriority(req.priority), now);
-    const drainMs = rate > 0 ? cost / rate : 0;
     const {workspace} = req;
+    const priority = clampPriority(req.priority);
+    const rate = this.#rates.rate(workspace, priority, now);
+    const drainMs = rate > 0 ? cost / rate : 0;
     const retryAfterMs = this.#advice.retryAfterMs(workspace, drainMs, 0, now);
     this.#counts.noteRefused(reason, workspace);
     return {kind: 'refuse', reason, retryAfterMs};
   }
 }
-
-function canBeInTarget<R extends AdmissionRequest>(
-  req: R,
-  servers: readonly LoadedServer<R>[],
-  now: number,
-): boolean {
-  const leftMs = req.arrivedAt + req.targetLatencyMs - now;
-  return servers.some(
-    server => server.predictIdle(req, now).firstResponseMs < leftMs,
-  );
-}
--- a/packages/lovagepond-load/src/load_server_windows.ts
+++ b/packages/lovagepond-load/src/load_server_windows.ts
@@ -8,18 +8,12 @@
 /** Least target delay at a server, milliseconds. */
 const MIN_TARGET_DELAY_MS = 5;
 
-/** Time from the arrival within which a response is in time, milliseconds. */
-export function limitMsOf(req: AdmissionRequest, idleMs: number): number {
-  const {targetLatencyMs, deadlineAt, arrivedAt} = req;
-  // A request that can't be in target even at an idle server is in time when
-  // its deadline is met.
-  return idleMs > targetLatencyMs ? deadlineAt - arrivedAt : targetLatencyMs;
-}
-
 /** How a request may be sent. */
 export interface OpenOptions {
   /** Part of the request's slack that it may wait at the server. */
   readonly queuePart: number;
+  /** Time from its arrival within which a response is in time. */
+  readonly limitMs: number;
   /** Whether it may be sent ahead of a window. */
   readonly mayBorrow: boolean;
   /** Whether it may be sent where it will be late. */
@@ -73,8 +67,10 @@
     // The common case needs no further estimates.
     if (startMs > MIN_TARGET_DELAY_MS || waitedMs > MIN_TARGET_DELAY_MS) {
       const idleMs = server.predictIdle(req, now).firstResponseMs;
-      const mostMs = mostStartMs(req, idleMs, waitedMs, options);
-      if (startMs > mostMs && !isPredictionOld(window, startMs, now)) {
+      const {targetMs, leftMs} = limitsOf(req, idleMs, waitedMs, options);
+      const delayMs = Math.max(startMs, window?.delayMs ?? 0);
+      const closed = startMs > targetMs || delayMs > leftMs;
+      if (closed && !isPredictionOld(window, options.limitMs, now)) {
         return false;
       }
     }
@@ -82,17 +78,33 @@
     return window.hasRoom(server.workMs(req, now), options.mayBorrow, now);
   }
 
+  /**
+   * @param req a request
+   * @param servers servers that accept it
+   * @param options how the request may be sent
+   * @param now current time
+   * @returns the servers to which the request may be sent now
+   */
+  filterOpen(
+    req: R,
+    servers: readonly LoadedServer<R>[],
+    options: OpenOptions,
+    now: number,
+  ): LoadedServer<R>[] {
+    return servers.filter(server => this.isOpen(req, server, options, now));
+  }
+
   /**
    * @param req a request of which an attempt is sent
    * @param server the server to which it goes
-   * @param queuePart part of the request's slack that it may wait there
+   * @param options part of the request's slack that it may wait there
    * @param now current time
    * @returns the work of the request at this server, milliseconds
    */
   noteSent(
     req: R,
     server: LoadedServer<R>,
-    queuePart: number,
+    options: Pick<OpenOptions, 'queuePart' | 'limitMs'>,
     now: number,
   ): number {
     this.noteEnded(req.id);
@@ -105,7 +117,7 @@
     const idleMs = server.predictIdle(req, now).firstResponseMs;
     const attempt = {
       ...{id: req.id, workMs, idleMs},
-      targetDelayMs: targetDelayMs(req, idleMs, queuePart),
+      targetDelayMs: targetDelayMs(idleMs, options),
     };
     window.noteSent(attempt, now);
     return workMs;
@@ -183,37 +195,35 @@
 }
 
 function targetDelayMs(
-  req: AdmissionRequest,
   idleMs: number,
-  queuePart: number,
+  {queuePart, limitMs}: Pick<OpenOptions, 'queuePart' | 'limitMs'>,
 ): number {
-  const slackMs = limitMsOf(req, idleMs) - idleMs;
-  return Math.max(MIN_TARGET_DELAY_MS, queuePart * slackMs);
+  return Math.max(MIN_TARGET_DELAY_MS, queuePart * (limitMs - idleMs));
 }
 
-/** @returns longest predicted wait at a server for which a request is sent */
-function mostStartMs(
+/** @returns longest waits at a server by prediction, and in time */
+function limitsOf(
   req: AdmissionRequest,
   idleMs: number,
   waitedMs: number,
-  {queuePart, mayBorrow, mayBeLate}: OpenOptions,
-): number {
-  const targetMs = targetDelayMs(req, idleMs, queuePart);
-  if (mayBeLate) return targetMs;
+  options: OpenOptions,
+): {targetMs: number; leftMs: number} {
+  const targetMs = targetDelayMs(idleMs, options);
+  if (options.mayBeLate) return {targetMs, leftMs: Infinity};
   const leftMs = req.targetLatencyMs - waitedMs - idleMs;
-  return mayBorrow ? leftMs : Math.min(targetMs, leftMs);
+  return {targetMs: options.mayBorrow ? leftMs : targetMs, leftMs};
 }
 
 /**
  * A prediction is renewed by responses. Without an attempt in flight, none will
- * come, and a server would stay closed for ever; so after the predicted wait
- * one request is sent to find out.
+ * come, and a server would stay closed for ever; so a request is sent there to
+ * find out when none has been for the time in which a response is in time.
  */
 function isPredictionOld(
   window: DispatchWindow | undefined,
-  startMs: number,
+  limitMs: number,
   now: number,
 ): boolean {
   if (!window) return true;
-  return window.inFlight === 0 && now - window.lastSentAt > startMs;
+  return window.inFlight === 0 && now - window.lastSentAt > limitMs;
 }
