--- a/packages/lovagepond-load/src/__tests__/unit/load_virtual_pool.ts
+++ b/packages/lovagepond-load/src/__tests__/unit/load_virtual_pool.ts
@@ -24,13 +24,11 @@
 };
 
 export interface VirtualRequest extends AdmissionRequest {
-  /** True when its caller or gateway has left. */
-  gone?: boolean;
   /** When its last attempt was sent. */
   sentAt?: number;
 }
 
-export type VirtualOutcome = 'answered' | 'refused' | 'failed';
+export type VirtualOutcome = 'answered' | 'refused';
 
 export interface VirtualResult {
   readonly req: VirtualRequest;
@@ -72,7 +70,7 @@
 
 /** A server with slots and a queue, first come, first served. */
 export class VirtualServer {
-  readonly #queue: {req: VirtualRequest; done: (load?: Load) => void}[] = [];
+  readonly #queue: ((load?: Load) => void)[] = [];
   #running = 0;
   busyMs = 0;
   slowdown = 1;
@@ -86,16 +84,15 @@
   ) {}
 
   /** @param done called with the load at the answer, or without: refused */
-  offer(req: VirtualRequest, done: (load?: Load) => void): void {
+  offer(done: (load?: Load) => void): void {
     if (this.#queue.length >= this.queueLimit) done();
-    else this.#queue.push({req, done});
+    else this.#queue.push(done);
     this.#start();
   }
 
   #start(): void {
     while (this.#running < this.slots && this.#queue.length > 0) {
-      const {req, done} = this.#queue.shift()!;
-      if (req.gone) continue;
+      const done = this.#queue.shift()!;
       this.#running += 1;
       const tookMs = this.workMs * this.slowdown;
       this.time.at(this.time.now + tookMs, () => {
@@ -108,7 +105,10 @@
   }
 }
 
-/** What a gateway knows of a server, learned as part 1 of the page says. */
+/**
+ * What a gateway knows of a server, learned as part 1 of the page says, from its
+ * own requests and load headers: no counts are exchanged.
+ */
 class ServerView implements LoadedServer<VirtualRequest> {
   #serviceMs = INITIAL_SERVICE_MS;
   #observations = 0;
@@ -234,7 +234,7 @@
       this.pump();
     };
     time.at(sentAt + NETWORK_MS, () =>
-      view.server.offer(req, load =>
+      view.server.offer(load =>
         time.at(time.now + NETWORK_MS, () => onDone(load)),
       ),
     );
@@ -259,7 +259,10 @@
   readonly servers?: number;
 }
 
-/** Gateways and servers of one pool. */
+/**
+ * Gateways and servers of one pool. Targets are 200 ms and deadlines 1 s;
+ * callers wait for late answers.
+ */
 export class VirtualPool {
   readonly time = new VirtualTime();
   readonly random: Random;
@@ -330,7 +333,6 @@
     goodput: number;
     part: number;
     toldMs: number;
-    failed: number;
     late: number;
   } {
     const results = this.results.filter(
@@ -348,7 +350,6 @@
       goodput: (inTarget * 1_000) / (until - from),
       part: inTarget / results.length,
       toldMs: told[told.length >> 1] ?? 0,
-      failed: results.filter(({outcome}) => outcome === 'failed').length,
       late: answered.length - inTarget,
     };
   }
--- a/packages/lovagepond-load/src/load_dispatch_window.ts
+++ b/packages/lovagepond-load/src/load_dispatch_window.ts
@@ -14,14 +14,14 @@
 /** Largest window on engagement, relative to the work in flight. */
 const ENGAGE_FACTOR = 0.7;
 /**
- * Exponent of the correction towards the target. With 1, the delay of one round
- * trip until a correction is seen makes the windows of many gateways oscillate.
+ * Exponent of the correction towards the target: it damps the correction, whose
+ * effect is seen only a round trip later.
  */
 const CORRECTION_EXPONENT = 0.5;
 /**
- * Additive increase per round trip in requests. It makes the windows of the
- * gateways equal over time; with 1/16, a gateway's
- * part stays too small for the bursts of small workspaces.
+ * Additive increase per round trip in requests, which makes the windows of the
+ * gateways equal over time. With 1/8, a small workspace at 20 gateways had 0.95
+ * to 0.99 of its requests in target, with 1/4 0.98 to 1.00.
  */
 const ADDITIVE_REQUESTS = 1 / 4;
 /**
@@ -38,10 +38,13 @@
  * server whose service time isn't learned yet would stay idle.
  */
 const EMPTY_REQUESTS = 1;
+/**
+ * Requests of flows below their share that may be sent ahead of the window. With
+ * 2, a small workspace at 20 gateways had 0.92 in target in the worst run.
+ */
+const BORROW_REQUESTS = 4;
 /** A window that was no limit for this long is released, milliseconds. */
 const RELEASE_MS = 1_000;
-/** Requests that may be sent ahead of the window. */
-const BORROW_REQUESTS = 4;
 /** Samples below this part of the target delay allow a release. */
 const RELEASE_DELAY_PART = 0.5;
 /** Weight of a new value in the means of request work and round trip. */
