--- a/packages/lovagepond-load/src/load_pool_admission.ts
+++ b/packages/lovagepond-load/src/load_pool_admission.ts
@@ -24,6 +24,7 @@
   type AdmissionRequest,
   type AdmissionSettings,
   type LoadedServer,
+  type RefusedRequest,
   type ShareWeights,
 } from './load_types.js';
 
@@ -52,12 +53,6 @@
   readonly limitMs: number;
 }
 
-/** A refused request. */
-export interface RefusedRequest<R extends AdmissionRequest> {
-  readonly req: R;
-  readonly refusal: AdmissionRefusal;
-}
-
 /** Admission control of one pool. */
 export class PoolAdmission<R extends AdmissionRequest> {
   #settings: AdmissionSettings;
@@ -123,6 +118,7 @@
     const limitMs = limitMsOf(req, servers, now);
     this.#arrivals.set(req, {workMs, limitMs});
     this.#rates.noteOffered(workspace, priority, workMs, now);
+    this.#sweep(now);
     if (this.#queue.inTime === 0 && this.#isAnyOpen(req, servers, now)) {
       return {kind: 'start'};
     }
@@ -403,6 +399,7 @@
 
   /** Moves requests that can't be in target any more to the late queue. */
   #sweep(now: number): void {
+    if (this.#queue.inTime === 0) return;
     for (const queued of this.#queue.removeExpired(now)) {
       this.#queue.pushLate(queued);
     }
--- a/packages/lovagepond-load/src/load_types.ts
+++ b/packages/lovagepond-load/src/load_types.ts
@@ -97,6 +97,12 @@
   readonly retryAfterMs: number;
 }
 
+/** A request that waited and is refused. */
+export interface RefusedRequest<R extends AdmissionRequest> {
+  readonly req: R;
+  readonly refusal: AdmissionRefusal;
+}
+
 /** Decision on a request that has arrived. */
 export type AdmissionDecision =
   | {readonly kind: 'start'}
