--- a/packages/lovagepond-cli/src/role_metrics.ts
+++ b/packages/lovagepond-cli/src/role_metrics.ts
@@ -7,28 +7,8 @@
 import {type Role, type StateDump} from '@lovagepond/core';
 import {type MetricsRegistry, type Sample} from '@lovagepond/process';
 import {type RoleName} from './cli_constants.js';
-
-/** Path of a value in a state dump: the keys that lead to it. */
-type Path = readonly string[];
-
-/** One metric and its place in the state dump; exactly one place is set. */
-interface DumpMetric {
-  readonly kind: 'counter' | 'gauge';
-  readonly name: string;
-  readonly help: string;
-  /** Path of one number or boolean. */
-  readonly path?: Path;
-  /** Paths of objects of numbers; their keys become values of the label. */
-  readonly labelledObjects?: {
-    readonly paths: readonly Path[];
-    readonly label: string;
-  };
-  /** Paths of single numbers, by value of the label. */
-  readonly parts?: {
-    readonly label: string;
-    readonly paths: Readonly<Record<string, Path>>;
-  };
-}
+import {ADMISSION_METRICS} from './role_metrics_admission.js';
+import {type DumpMetric, type Path} from './role_metrics_types.js';
 
 function makeControlBytes(paths: Readonly<Record<string, Path>>): DumpMetric {
   return {
@@ -292,6 +272,7 @@
     path: ['leavingServers'],
   },
   SUSPECTED_REQUESTS,
+  ...ADMISSION_METRICS,
 ];
 
 const METRICS_BY_ROLE: Readonly<Record<RoleName, readonly DumpMetric[]>> = {
--- a/packages/lovagepond-gateway/src/gateway_choice.ts
+++ b/packages/lovagepond-gateway/src/gateway_choice.ts
@@ -4,6 +4,7 @@
  * availability zone among equally loaded ones.
  */
 import {type Pool, type Random} from '@lovagepond/core';
+import {type RequestWork} from '@lovagepond/load';
 import {type KeyHasher} from '@lovagepond/router/rendezvous_hash';
 import {type ContextFetch} from './gateway_context_source.js';
 import {
@@ -26,6 +27,8 @@
   /** Select by cached prompt parts. */
   readonly sticky: boolean;
   readonly targetLatencyMs: number;
+  /** Absent: all requests count as one kind of streams or calls. */
+  readonly work?: Omit<RequestWork, 'prefillTokens'>;
   /** A failed request may be retried; otherwise its response is lost. */
   readonly repeatable: boolean;
   /** Names of the servers that earlier attempts of this request used. */
@@ -64,6 +67,34 @@
  */
 const FAILURE_LOAD = {REPEATABLE: 1.5, LOST: 4} as const;
 
+/**
+ * Difference of predicted times, as a part of the shortest service time, below
+ * which two services count as equal and their loads decide. Estimates of equal
+ * servers differ by less; with one request waiting at a server of two or three
+ * slots, the time differs by more.
+ */
+const SAME_TIME_PART = 0.25;
+
+/**
+ * Part of its proportional requests that a slower service still gets while it
+ * is idle. Without them nothing shows that it has recovered: in a simulation of
+ * two gateways, two of four services had 0.31 instead of 0.5 of the requests
+ * from 2 to 6 s after the end of a slowdown.
+ */
+const TRIAL_PART = 0.1;
+
+/** Longest predicted time of such a request, as a part of its target. */
+const TRIAL_TARGET_PART = 0.5;
+
+/** A service with the predicted time of a request, failure risk included. */
+interface PredictedService {
+  readonly state: ServerState;
+  readonly timeMs: number;
+  readonly load: number;
+  /** Shortest service time of all candidates. */
+  readonly shortestMs: number;
+}
+
 export class GatewayChoice {
   readonly #settings: ChoiceSettings;
   readonly #hasher: KeyHasher;
@@ -92,7 +123,7 @@
     const isChat = req.sticky && req.parts.length > 0;
     return isChat
       ? this.#chooseEngine(within, req, now)
-      : {state: this.#chooseService(within, req.repeatable, now)};
+      : {state: this.#chooseService(within, req, now)};
   }
 
   #withinBound(
@@ -108,15 +139,17 @@
 
   #chooseEngine(
     candidates: readonly ServerState[],
-    {pool, holders, parts, targetLatencyMs, repeatable}: ChoiceRequest,
+    req: ChoiceRequest,
     now: number,
   ): ServerChoice | undefined {
+    const {pool, holders, parts, targetLatencyMs, repeatable} = req;
     const engineRequest = {
       candidates,
       holders,
       parts,
       targetLatencyMs,
       repeatable,
+      work: workOf(req),
       prefillTokensPerMs: this.#settings.rate.tokensPerMs,
       fetchTokensPerMs: pool.contextFetchTokensPerMs,
       weights: this.#settings.weights ?? ENGINE_WEIGHTS,
@@ -126,10 +159,39 @@
 
   #chooseService(
     candidates: readonly ServerState[],
-    repeatable: boolean,
+    req: ChoiceRequest,
     now: number,
   ): ServerState {
+    const {repeatable} = req;
     const weight = repeatable ? FAILURE_LOAD.REPEATABLE : FAILURE_LOAD.LOST;
+    const {kind} = workOf(req);
+    const work = {kind, prefillTokens: 0, isStream: false};
+    const services = predictServices(candidates, work, weight, now);
+    if (!services) return this.#chooseByLoad(candidates, weight, now);
+    const {fastest, others} = splitByTime(services);
+    const limitMs = req.targetLatencyMs * TRIAL_TARGET_PART;
+    const trial = this.#pickTrial(others, candidates.length, limitMs);
+    return trial ?? this.#chooseByLoad(fastest, weight, now);
+  }
+
+  /** Selects a slower service for a trial, for a small part of the requests. */
+  #pickTrial(
+    others: readonly PredictedService[],
+    candidates: number,
+    limitMs: number,
+  ): ServerState | undefined {
+    if (others.length === 0) return undefined;
+    const part = (others.length / candidates) * TRIAL_PART;
+    if (this.#random.next() >= part) return undefined;
+    const {state, timeMs, load} = this.#random.pick(others);
+    return load < 1 && timeMs <= limitMs ? state : undefined;
+  }
+
+  #chooseByLoad(
+    candidates: readonly ServerState[],
+    weight: number,
+    now: number,
+  ): ServerState {
     const loads = candidates.map(
       state => state.load(now) / state.slots + weight * state.failureRisk(now),
     );
@@ -142,3 +204,54 @@
     return this.#random.pick(inZone.length > 0 ? inZone : equal);
   }
 }
+
+function workOf({
+  work,
+  sticky,
+}: ChoiceRequest): Omit<RequestWork, 'prefillTokens'> {
+  return work ?? {kind: '', isStream: sticky};
+}
+
+/**
+ * @param candidates the services to select from
+ * @param work what the request asks of a service
+ * @param failureWeight cost of a certain failure, in service times
+ * @param now current time, monotonic milliseconds
+ * @returns the services with their predicted times; undefined while a service
+ *     time is unknown, or when the servers' own estimates aren't used
+ */
+function predictServices(
+  candidates: readonly ServerState[],
+  work: RequestWork,
+  failureWeight: number,
+  now: number,
+): readonly PredictedService[] | undefined {
+  const serviceMs = candidates.map(({usesCapacity, capacity}) =>
+    usesCapacity ? (capacity.serviceMs(work.kind, now) ?? NaN) : NaN,
+  );
+  const shortestMs = Math.min(...serviceMs);
+  if (Number.isNaN(shortestMs)) return undefined;
+  return candidates.map(state => {
+    const view = state.loadView(now);
+    const {firstResponseMs} = state.capacity.predict(view, work, now);
+    const failureMs = failureWeight * state.failureRisk(now) * shortestMs;
+    const timeMs = firstResponseMs + failureMs;
+    return {state, timeMs, load: view.load, shortestMs};
+  });
+}
+
+/** Separates the services of about the shortest time from the others. */
+function splitByTime(services: readonly PredictedService[]): {
+  readonly fastest: readonly ServerState[];
+  readonly others: readonly PredictedService[];
+} {
+  const shortestMs = services[0]?.shortestMs ?? 0;
+  const leastMs = Math.min(...services.map(({timeMs}) => timeMs));
+  const limitMs = leastMs + SAME_TIME_PART * shortestMs;
+  return {
+    fastest: services
+      .filter(({timeMs}) => timeMs <= limitMs)
+      .map(({state}) => state),
+    others: services.filter(({timeMs}) => timeMs > limitMs),
+  };
+}
--- a/packages/lovagepond-load/src/load_types.ts
+++ b/packages/lovagepond-load/src/load_types.ts
@@ -37,6 +37,11 @@
 export interface LoadedServer<R extends AdmissionRequest = AdmissionRequest> {
   readonly name: string;
   readonly slots: number;
+  /**
+   * Requests in the server's own queue by its latest report, which the answer
+   * being noted may have brought; undefined when it reports none.
+   */
+  readonly reportedWaiting?: number | undefined;
   /**
    * @param req a request
    * @param now current time
@@ -59,7 +64,11 @@
 
 /** Weights of workspaces and of this gateway in one pool. */
 export interface ShareWeights {
-  /** @returns the workspace's weight in round robin at this gateway, above 0 */
+  /**
+   * @param workspace a workspace's name
+   * @returns its weight in round robin at this gateway, above 0 and relative to
+   *     1 for an ordinary workspace
+   */
   weightOf(workspace: string): number;
   /** This gateway's part relative to the mean gateway, 1/8 to 8. */
   readonly gatewayWeight: number;
@@ -75,6 +84,8 @@
   EXPIRED: 'expired',
   /** The deadline can't be met. */
   DEADLINE: 'deadline',
+  /** No server of the pool is left. */
+  NO_SERVER: 'noServer',
 } as const;
 
 export type AdmissionRefusalReason =
@@ -86,6 +97,12 @@
   readonly retryAfterMs: number;
 }
 
+/** A request that waited and is refused. */
+export interface RefusedRequest<R extends AdmissionRequest> {
+  readonly req: R;
+  readonly refusal: AdmissionRefusal;
+}
+
 /** Decision on a request that has arrived. */
 export type AdmissionDecision =
   | {readonly kind: 'start'}
