Weigh the pauses that a prompt causes to an engine's streams

Cause: an engine computes prompts between the steps of its streams, and nothing used the target for the pause between events.

Change: the choice of an engine adds the expected number of its running streams that the prompt makes late, where each server's own estimates are on.

--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -139,6 +139,7 @@
         sticky: rule.forwarding.sticky,
         work: {kind: rule.kind, isStream: rule.forwarding.streaming},
         targetLatencyMs: rule.forwarding.targetLatencyMs,
+        targetGapMs: rule.forwarding.targetGapMs,
         repeatable: !rule.nonRepeatable,
         tried: this.#tried,
       },
--- a/packages/lovagepond-load/src/index.ts
+++ b/packages/lovagepond-load/src/index.ts
@@ -7,4 +7,5 @@
 } from './load_server_capacity.js';
 export {hasPrefillChanged} from './load_prefill_change.js';
 export {type ObservedCapacity, PoolMeans} from './load_pool_means.js';
+export {type PauseInputs, pausedStreams} from './load_stream_pause.js';
 export * from './load_types.js';
