Repeat reports of prompts that engines hold

Cause: a gateway's report of a prompt that it sent is lost while control can't be reached or has no leader, and nobody reports it again.

A subscriber that lags behind the kept reports gets all kept readings.

--- a/packages/lovagepond-control/src/__tests__/unit/reading_report_log.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/reading_report_log.test.ts
@@ -53,4 +53,30 @@
     expect(all?.readings).toHaveLength(2_048);
     expect(all?.readings.at(-1)?.prefix).toBe('/9999');
   });
+
+  // Routers report each reading again, in case that the first report was lost.
+  it('passes repeated readings on only while they are unknown', () => {
+    const log = new ReadingReportLog();
+    const repeated = {...reading('/a'), tokens: 0};
+    log.add({node: 'g', readings: [reading('/a')], running: []});
+    log.add({node: 'g', readings: [repeated], running: []});
+    expect(log.readingsSince(0)).toHaveLength(1);
+    const lost = {...reading('/b'), tokens: 0};
+    log.add({node: 'g', readings: [repeated, lost], running: []});
+    expect(log.readingsSince(1)).toEqual([
+      {node: 'g', readings: [lost], running: []},
+    ]);
+  });
+
+  // A subscriber that was stalled for longer than the kept reports last would
+  // otherwise never learn of the readings in between.
+  it('tells whether a subscriber has missed reports', () => {
+    const log = new ReadingReportLog();
+    expect(log.keepsSince(0)).toBe(true);
+    for (let at = 0; at < 10_000; at += 1) {
+      log.add({node: 'g', readings: [reading(`/${at}`)], running: []});
+    }
+    expect(log.keepsSince(9_999)).toBe(true);
+    expect(log.keepsSince(0)).toBe(false);
+  });
 });
--- a/packages/lovagepond-control/src/reading_report_log.ts
+++ b/packages/lovagepond-control/src/reading_report_log.ts
@@ -73,17 +73,38 @@
     return this.#readings.size === 0;
   }
 
+  /**
+   * @param sequence number of the last report that a subscriber has
+   * @returns true while all later reports are kept
+   */
+  keepsSince(sequence: number): boolean {
+    return sequence + 1 >= (this.#reports[0]?.sequence ?? 0);
+  }
+
   /** Sequence number of the last report. */
   get sequence(): number {
     return this.#sequence;
   }
 
-  /** @param report a report from a router or from the leader */
+  /**
+   * Routers repeat readings, as a report may have been lost. What is known
+   * already isn't passed on again.
+   *
+   * @param report a report from a router or from the leader
+   */
   add(report: ReadingReport): void {
+    const readings = report.readings.filter(reading => this.#isNew(reading));
+    for (const reading of report.readings) this.#keepReading(reading);
+    const isRepetition = report.readings.length > 0 && readings.length === 0;
+    if (isRepetition && report.running.length === 0) return;
     this.#sequence += 1;
-    this.#reports.push({sequence: this.#sequence, report});
+    const numbered = {sequence: this.#sequence, report: {...report, readings}};
+    this.#reports.push(numbered);
     this.#reports = keepNewest(this.#reports, MAX_REPORTS);
-    for (const reading of report.readings) this.#keepReading(reading);
+  }
+
+  #isNew(reading: PromptReading): boolean {
+    return reading.tokens > 0 || !this.#readings.has(keyOf(reading));
   }
 
   /**
@@ -127,7 +148,7 @@
   }
 
   #keepReading(reading: PromptReading): void {
-    const key = `${reading.backendServer}${reading.prefix}`;
+    const key = keyOf(reading);
     this.#readings.delete(key);
     this.#readings.set(key, {...reading, tokens: 0});
     for (const oldest of this.#readings.keys()) {
@@ -137,6 +158,10 @@
   }
 }
 
+function keyOf({backendServer, prefix}: PromptReading): string {
+  return `${backendServer}${prefix}`;
+}
+
 /** Drops the oldest items once there are twice as many as the limit. */
 function keepNewest<Item>(items: Item[], limit: number): Item[] {
   return items.length < 2 * limit ? items : items.slice(-limit);
--- a/packages/lovagepond-control/src/subscription_feed.ts
+++ b/packages/lovagepond-control/src/subscription_feed.ts
@@ -234,7 +234,9 @@
     if (!isFollower && role !== ROUTER_ROLE) return [];
     const last = this.#sentReadingsSequence;
     this.#sentReadingsSequence = readings.sequence;
-    if (last === undefined) return toReadingsUpdates(readings.history());
+    // A subscriber that lags behind the kept reports gets all kept readings.
+    const isComplete = last !== undefined && readings.keepsSince(last);
+    if (!isComplete) return toReadingsUpdates(readings.history());
     // A follower needs all reports, for its own totals and its routers.
     const reports = isFollower
       ? readings.since(last)
--- a/packages/lovagepond-gateway/src/gateway_load_reports.ts
+++ b/packages/lovagepond-gateway/src/gateway_load_reports.ts
@@ -8,6 +8,7 @@
 import {type GatewayPeers} from './gateway_peers.js';
 import {type PrefillRate} from './gateway_prefill_rate.js';
 import {type ReportedRequests} from './gateway_remote_requests.js';
+import {RecentReadings} from './gateway_recent_readings.js';
 import {type ServerState} from './gateway_server_state.js';
 
 type WireReading = lovagepond.v1.PromptReading.$Properties;
@@ -62,6 +63,7 @@
   readonly #fleet: GatewayFleet;
   readonly #rate: PrefillRate;
   readonly #peers: GatewayPeers;
+  readonly #recent: RecentReadings | undefined;
   #pendingReadings: WireReading[] = [];
   #lastReported: ReadonlyMap<string, SentRequests> = new Map();
   #runningReportedAt = Number.NEGATIVE_INFINITY;
@@ -71,17 +73,21 @@
    * @param fleet the servers
    * @param rate the engines' prefill rate
    * @param peers records each other gateway that reports
+   * @param repeatsReadings whether readings are reported again, as reports may
+   *     have been lost
    */
   constructor(
     node: string,
     fleet: GatewayFleet,
     rate: PrefillRate,
     peers: GatewayPeers,
+    repeatsReadings = false,
   ) {
     this.#node = node;
     this.#fleet = fleet;
     this.#rate = rate;
     this.#peers = peers;
+    if (repeatsReadings) this.#recent = new RecentReadings();
   }
 
   /**
@@ -108,8 +114,10 @@
    *     again
    */
   takeReport(now: number): WireReport | undefined {
-    const readings = this.#pendingReadings;
+    const pending = this.#pendingReadings;
     this.#pendingReadings = [];
+    for (const reading of pending) this.#recent?.note(reading, now);
+    const readings = [...pending, ...(this.#recent?.takeDue(now) ?? [])];
     const intervalMs = RUNNING_MS_PER_SERVER * this.#fleet.size;
     const isDue = now - this.#runningReportedAt >= intervalMs;
     const running = isDue || readings.length > 0 ? this.#takeRunning(now) : [];
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -138,6 +138,7 @@
       this.#fleet,
       this.#rate,
       this.#peers,
+      settings.serverCapacity,
     );
     this.#connections = new GatewayConnections({
       connectTimeoutMs: settings.connectTimeoutMs,
