--- a/packages/lovagepond-load/src/index.ts
+++ b/packages/lovagepond-load/src/index.ts
@@ -11,6 +11,5 @@
   type ObservedCapacity,
   PoolMeans,
 } from './load_pool_means.js';
-export {type ObservedCapacity, PoolMeans} from './load_pool_means.js';
 export {type PauseInputs, pausedStreams} from './load_stream_pause.js';
 export * from './load_types.js';
