--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -118,7 +118,10 @@
   };
 }
 
-/** Selectors `read`, `write`, `talk` and `chat`, each under its own path. */
+/**
+ * Selectors `read`, `write`, `talk`, `chat` and `prompt`, each under its own
+ * path.
+ */
 export const CONTENT = configurationSchema.parse({
   pools: [
     {
@@ -133,8 +136,9 @@
     kind('write', true, {maxAttempts: 1}),
     kind('talk', true, {streaming: true, maxAttempts: 1}),
     kind('chat', false, {streaming: true, resumable: true}),
+    kind('prompt', false, {streaming: true, sticky: true}),
   ],
-  selectors: ['read', 'write', 'talk', 'chat'].map(selector),
+  selectors: ['read', 'write', 'talk', 'chat', 'prompt'].map(selector),
 });
 
 export interface CallerResponse {
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_headers.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_headers.test.ts
@@ -24,4 +24,46 @@
     const signals = readServerSignals(200, {[NAMES.leaving]: value}, NAMES);
     expect(signals).toEqual({isLeaving, pauseMs: 0});
   });
+
+  // A wrong fourth value must neither hide the first three, which all servers
+  // send, nor make a server look fast or slow.
+  it.each([
+    ['3,1,4,300', 300],
+    ['3,1,4,10', 10],
+    [' 3, 1, 4, 10000 ', 10_000],
+    ['3,1,4', undefined],
+    ['3,1,4,', undefined],
+    ['3,1,4,9', undefined],
+    ['3,1,4,0', undefined],
+    ['3,1,4,-300', undefined],
+    ['3,1,4,10001', undefined],
+    ['3,1,4,1e300', undefined],
+    ['3,1,4,Infinity', undefined],
+    ['3,1,4,fast', undefined],
+    ['3,1,4,300,1', undefined],
+  ])('reads the load header %o with the slowdown %o', (value, percent) => {
+    const {load} = readServerSignals(200, {[NAMES.serverLoad]: value}, NAMES);
+    expect(load).toEqual({
+      running: 3,
+      waiting: 1,
+      slots: 4,
+      ...(percent !== undefined && {slowdownPercent: percent}),
+    });
+  });
+
+  // The header of a proxy that sends it twice arrives as one value. Its fourth
+  // number is the second count of running requests.
+  it('reads no slowdown from a repeated load header', () => {
+    const headers = {[NAMES.serverLoad]: ['20,0,40', '20,0,40']};
+    const {load} = readServerSignals(200, headers, NAMES);
+    expect(load).toEqual({running: 20, waiting: 0, slots: 40});
+  });
+
+  it.each(['', '3', '3,1', '-3,1,4', '3,1,0', 'x,1,4,300', ',,,300'])(
+    'ignores the load header %o',
+    value => {
+      const headers = {[NAMES.serverLoad]: value};
+      expect(readServerSignals(200, headers, NAMES).load).toBeUndefined();
+    },
+  );
 });
