Separate the prefill rate from the latency without prefill

Cause: the estimated rates of engines were far too low, as the time to the first token of a short prompt is mostly network and the server's own step, and as prompts counted as pending until their first token. Low rates made gateways send prompts to engines that didn't hold them, which made the rates lower.

Change: the latency of prompts under 1,000 tokens (lower quartile) is subtracted from the time of longer ones; pending tokens are drained as predicted, and count again when the first token is overdue.

--- a/packages/lovagepond-gateway/src/gateway_load_reports.ts
+++ b/packages/lovagepond-gateway/src/gateway_load_reports.ts
@@ -133,7 +133,7 @@
       const {inFlight: requests, server} = state;
       const before = this.#lastReported.get(server.name) ?? NEVER_REPORTED;
       const isDue = requests > 0 && now - before.at >= REFRESH_INTERVAL_MS;
-      const prefillTokens = reportedTokens(state);
+      const prefillTokens = reportedTokens(state, now);
       const hasChanged =
         requests !== before.requests ||
         state.hasUnreportedFailure ||
@@ -194,8 +194,8 @@
 }
 
 /** Pending tokens for the other gateways; 0 while estimates aren't used. */
-function reportedTokens(state: ServerState): number {
+function reportedTokens(state: ServerState, now: number): number {
   if (!state.usesCapacity) return 0;
-  const tokens = Math.round(state.pendingPrefillTokens);
+  const tokens = Math.round(state.pendingPrefill.tokensAt(now));
   return Math.min(MAX_UINT32, Math.max(0, tokens));
 }
--- a/packages/lovagepond-gateway/src/gateway_prefill_tracker.ts
+++ b/packages/lovagepond-gateway/src/gateway_prefill_tracker.ts
@@ -44,6 +44,7 @@
   /** Tokens to compute until the first token, if the time shows the rate. */
   readonly #observedTokens: number | undefined;
   #prefillTokens: number;
+  readonly #removePending: () => void;
   #memoryTokens = 0;
   #firstTokenAt: number | undefined;
   /**
@@ -86,6 +87,14 @@
       ? view.pendingPrefillTokens + this.#prefillTokens
       : undefined;
     const waitMs = state.prefillWaitMs(rate.tokensPerMs, now);
+    const prefillRate = state.prefillRate(rate.tokensPerMs, now);
+    const startAt = now + waitMs;
+    const doneAt = startAt + this.#prefillTokens / prefillRate;
+    this.#removePending = state.pendingPrefill.add(
+      this.#prefillTokens,
+      startAt,
+      doneAt,
+    );
     const isAlone = waitMs === 0 && !fetch?.source;
     this.#aloneSince = isAlone ? now : undefined;
     readings.notePrefill(state, ids.slice(0, -1), {
@@ -94,10 +103,8 @@
     });
     state.pendingPrefillTokens += this.#prefillTokens;
     this.#occupyMemory();
-    const prefillRate = state.prefillRate(rate.tokensPerMs, now);
-    const prefillMs = this.#prefillTokens / prefillRate;
     const sizes = new Map(parts.map(({id, tokens}) => [id, tokens]));
-    state.noteWarm(ids, now + waitMs + prefillMs, now, sizes);
+    state.noteWarm(ids, doneAt, now, sizes);
   }
 
   /**
@@ -153,6 +160,7 @@
   #endPrefill(): void {
     this.#state.pendingPrefillTokens -= this.#prefillTokens;
     this.#prefillTokens = 0;
+    this.#removePending();
   }
 
   /** A prompt that doesn't fit into the engine's memory can't run there. */
--- a/packages/lovagepond-gateway/src/gateway_server_state.ts
+++ b/packages/lovagepond-gateway/src/gateway_server_state.ts
@@ -12,6 +12,7 @@
 import {EngineMemory} from './gateway_engine_memory.js';
 import {OutcomeEstimate, type Outcomes} from './gateway_outcome_estimate.js';
 import {type PromptPart, type ServerLoad} from './gateway_headers.js';
+import {PendingPrefill} from './gateway_pending_prefill.js';
 import {RemoteRequests} from './gateway_remote_requests.js';
 import {
   DEFAULT_GATEWAY_SETTINGS,
@@ -51,8 +52,10 @@
   #capacity: ServerCapacity;
   /** This gateway's requests in flight there. */
   inFlight = 0;
-  /** Tokens that the server has yet to compute for this gateway's requests. */
+  /** Tokens of this gateway's requests that are without their first token. */
   pendingPrefillTokens = 0;
+  /** Those of them that the server has yet to compute, as predicted. */
+  readonly pendingPrefill = new PendingPrefill();
   #remoteAtReport = 0;
   readonly #remote = new RemoteRequests();
   #reportedAt = Number.NEGATIVE_INFINITY;
@@ -187,7 +190,7 @@
     return {
       slots: this.slots,
       load: this.load(now),
-      pendingPrefillTokens: this.pendingPrefillTokens + remoteTokens,
+      pendingPrefillTokens: this.pendingPrefill.tokensAt(now) + remoteTokens,
     };
   }
 
--- a/packages/lovagepond-load/src/load_server_capacity.ts
+++ b/packages/lovagepond-load/src/load_server_capacity.ts
@@ -2,6 +2,7 @@
  * Estimates how fast one server currently is, and predicts how long requests
  * take there.
  */
+import {FirstTokenLatency} from './load_first_token_latency.js';
 import {KindEstimates} from './load_kind_estimates.js';
 import {LoadEstimate, type ObservedAverage} from './load_estimate.js';
 import {type ObservedCapacity, type PoolMeans} from './load_pool_means.js';
@@ -37,8 +38,17 @@
  */
 const SLOWDOWN_HALF_LIFE_MS = 700;
 
-/** For fewer tokens, network latency dominates the measured time. */
-const MIN_OBSERVED_TOKENS = 200;
+/**
+ * For fewer tokens, the time to the first token shows the latency of an idle
+ * server rather than its prefill rate.
+ */
+const MIN_OBSERVED_TOKENS = 1_000;
+
+/**
+ * Smallest part of the time to the first token that counts as prefill, however
+ * long the latency without prefill is estimated to be.
+ */
+const MIN_PREFILL_PART = 0.25;
 
 /**
  * Largest number of tokens that is plausible for a prompt. Observations of more
@@ -68,6 +78,7 @@
   readonly #initialRate: number;
   readonly #pool: PoolMeans | undefined;
   readonly #rate = new LoadEstimate();
+  readonly #latency = new FirstTokenLatency();
   readonly #services = new KindEstimates();
   readonly #runs = new KindEstimates();
   #slowdownAtReport = 1;
@@ -124,9 +135,17 @@
    * @param now current time, monotonic milliseconds
    */
   notePrefill(tokens: number, durationMs: number, now: number): void {
-    if (!(tokens >= MIN_OBSERVED_TOKENS && tokens <= MAX_TOKENS)) return;
+    if (!(tokens >= 0 && tokens <= MAX_TOKENS)) return;
     if (!isDuration(durationMs)) return;
-    const observed = (tokens / durationMs) * this.slowdown(now);
+    if (tokens < MIN_OBSERVED_TOKENS) {
+      this.#latency.observe(durationMs / this.slowdown(now));
+      return;
+    }
+    const prefillMs = Math.max(
+      durationMs - this.#latencyMs(now),
+      durationMs * MIN_PREFILL_PART,
+    );
+    const observed = (tokens / prefillMs) * this.slowdown(now);
     this.#rate.observe(observed, this.#referenceRate(now), now);
   }
 
@@ -215,7 +234,7 @@
     );
     const prefillMs = this.#prefillMs(work.prefillTokens, now);
     if (work.isStream) {
-      const firstResponseMs = startMs + prefillMs;
+      const firstResponseMs = startMs + prefillMs + this.#latencyMs(now);
       return {startMs, firstResponseMs, doneMs: firstResponseMs + slotMs};
     }
     const doneMs = startMs + Math.max(prefillMs, slotMs);
@@ -257,6 +276,11 @@
     };
   }
 
+  /** Time to the first token of a prompt that is cached, if idle. */
+  #latencyMs(now: number): number {
+    return this.#latency.value * this.slowdown(now);
+  }
+
   #referenceRate(now: number): number {
     return this.#pool?.at(now).prefillTokensPerMs ?? this.#initialRate;
   }
