--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_request_demand.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_request_demand.test.ts
@@ -90,7 +90,7 @@
 describe('a loaded server', () => {
   it('predicts the wait for the prompts that are pending there', () => {
     const state = makeState('x');
-    state.pendingPrefillTokens = 2_000;
+    state.pendingPrefill.add(2_000, 0, 2_000 / RATE);
     const req = {demand: demandOf({})} as OverloadRequest;
     const loaded = loadedServerOf(state);
     expect(loaded.predict(req, 0).startMs).toBeCloseTo(2_000 / RATE);
--- a/packages/lovagepond-gateway/src/gateway_choice_request.ts
+++ b/packages/lovagepond-gateway/src/gateway_choice_request.ts
@@ -13,7 +13,12 @@
   {pool, facts, rule}: Pick<AdmittedRequest, 'pool' | 'facts' | 'rule'>,
   servers: Pick<ChoiceRequest, 'servers' | 'holders' | 'tried'>,
 ): ChoiceRequest {
-  const {sticky, streaming: isStream, targetLatencyMs} = rule.forwarding;
+  const {
+    sticky,
+    streaming: isStream,
+    targetLatencyMs,
+    targetGapMs,
+  } = rule.forwarding;
   return {
     ...servers,
     pool,
@@ -21,6 +26,7 @@
     sticky,
     work: {kind: rule.kind, isStream},
     targetLatencyMs,
+    targetGapMs,
     repeatable: !rule.nonRepeatable,
   };
 }
