Divide congested pools between workspaces over all gateways

Cause: callers of a workspace may all be connected to one gateway. Equal parts for all gateways would be unfair to them, and a gateway's round robin can't detect it.

Change: DemandMeter measures offered and sent work, GatewayShares reports it for congested pools every 500 ms, members of control sum it and send each gateway the sums of the others, and WorkspaceShares computes the weights by weighted max-min fairness.

Conclusion: not used by requests before GatewayShares is wired to the exchanges.

--- a/packages/lovagepond-control/src/__tests__/unit/subscription_hub.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/subscription_hub.test.ts
@@ -8,6 +8,7 @@
 import {ReadingReportLog} from '../../reading_report_log.js';
 import {RunningRequestTotals} from '../../running_request_totals.js';
 import {SubscriptionHub, type UpdateSink} from '../../subscription_hub.js';
+import {WorkspaceDemandTotals} from '../../workspace_demand_totals.js';
 
 const SETTINGS = {
   digestIntervalMs: 1_000,
@@ -58,6 +59,7 @@
     membershipVersion: 0,
     readings: new ReadingReportLog(),
     running: new RunningRequestTotals(),
+    demand: new WorkspaceDemandTotals(),
     crashesVersion: 0,
     suspects: () => [],
     controlMembers: [],
--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -31,8 +31,8 @@
 import {OrderDelivery} from './order_delivery.js';
 import {Proposer} from './proposer.js';
 import {type HeldContextsReader} from './context_inventory.js';
-import {ReadingReportLog, type ReadingReport} from './reading_report_log.js';
-import {RunningRequestTotals} from './running_request_totals.js';
+import {type ReadingReport} from './reading_report_log.js';
+import {RouterReports} from './router_reports.js';
 import {readReadings} from './wire_utils.js';
 import {
   CONTROL_ROLE,
@@ -75,8 +75,7 @@
   readonly #proposer: Proposer;
   readonly #membership = new MembershipLog();
   readonly #registry: MembershipRegistry;
-  readonly #readings = new ReadingReportLog();
-  readonly #runningRequests = new RunningRequestTotals();
+  readonly #reports = new RouterReports();
   readonly #convergence = new ConvergenceTable();
   readonly #orderDelivery: OrderDelivery;
   readonly #announceHandler: AnnounceHandler;
@@ -230,7 +229,7 @@
     if (leads) this.#runInBackground(this.#leadership.tick(now));
     this.#convergence.sweep(now);
     this.#revisions.sweep(now);
-    this.#runningRequests.expireReports(now);
+    this.#reports.expire(now);
     this.#hub.redirectSubscribers(listRedirectTargets(node));
     this.#runConfirmationRound();
     this.#flush(now);
@@ -287,8 +286,7 @@
   }
 
   #addReadingReport(report: ReadingReport): void {
-    this.#readings.add(report);
-    this.#runningRequests.record(report, this.#now());
+    this.#reports.add(report, this.#now());
     if (report.readings.length > 0) this.#updateScheduler.runSoon();
     else this.#updateScheduler.runWithin(RUNNING_REQUESTS_DELAY_MS);
   }
@@ -304,8 +302,9 @@
       membershipVersion: membership.version,
       changesSince: (version, pool) => membership.changesSince(version, pool),
       readLoad: () => (load ??= this.#readLoad(now)),
-      readings: this.#readings,
-      running: this.#runningRequests,
+      readings: this.#reports.readings,
+      running: this.#reports.running,
+      demand: this.#reports.demand,
       crashesVersion: crashes.version,
       suspects: () => this.crashReports.list(),
       controlMembers: listMemberAddresses(this.#deps.node),
@@ -344,7 +343,7 @@
       registry: this.#registry,
       directServers: this.directServers,
       delivery: this.#orderDelivery,
-      readings: this.#readings,
+      readings: this.#reports.readings,
       onTakenOver: () => {
         this.tick(this.#now());
       },
--- a/packages/lovagepond-control/src/index.ts
+++ b/packages/lovagepond-control/src/index.ts
@@ -67,3 +67,4 @@
 export {type FeedUpdate, type FeedView} from './subscription_feed.js';
 export {SubscriptionHub, type UpdateSink} from './subscription_hub.js';
 export {UpdateEncoder} from './update_encoder.js';
+export {WorkspaceDemandTotals} from './workspace_demand_totals.js';
--- a/packages/lovagepond-control/src/reading_report_log.ts
+++ b/packages/lovagepond-control/src/reading_report_log.ts
@@ -26,12 +26,28 @@
   readonly failed: number;
 }
 
+/** Work that is offered to a pool, by workspace; see the protocol's message. */
+export interface PoolDemand {
+  readonly pool: string;
+  /** Work sent to servers, milliseconds of server time per second. */
+  readonly served: number;
+  readonly workspaces: readonly {
+    readonly workspace: string;
+    /** Work offered, milliseconds of server time per second. */
+    readonly offered: number;
+  }[];
+  /** Work offered by workspaces that are not listed, in the same unit. */
+  readonly unlisted: number;
+}
+
 /** A router's report. */
 export interface ReadingReport {
   readonly node: string;
   readonly readings: readonly PromptReading[];
   /** Servers at which the router's number of requests has changed. */
   readonly running: readonly RunningRequests[];
+  /** Demand in pools that are congested at the router; absent without one. */
+  readonly demand?: readonly PoolDemand[];
 }
 
 interface NumberedReport {
@@ -95,8 +111,8 @@
 
   /**
    * @param sequence number of the last report that the subscriber has
-   * @returns the later reports with readings, without the numbers of requests;
-   *     callers with the same position get the same object
+   * @returns the later reports with readings, without the numbers of requests
+   *     and the demand; callers with the same position get the same object
    */
   readingsSince(sequence: number): readonly ReadingReport[] {
     return this.#later(sequence).readings;
@@ -112,7 +128,7 @@
     const reports = this.#reports.slice(from).map(({report}) => report);
     const readings = reports
       .filter(report => report.readings.length > 0)
-      .map(report => ({...report, running: []}));
+      .map(({node, readings}) => ({node, readings, running: []}));
     const upTo = this.#sequence;
     this.#lastResult = {after: sequence, upTo, reports, readings};
     return this.#lastResult;
--- a/packages/lovagepond-control/src/subscription_feed.ts
+++ b/packages/lovagepond-control/src/subscription_feed.ts
@@ -15,6 +15,11 @@
 import {type LoadReport} from './membership_registry.js';
 import {RunningRequestFeed} from './running_request_feed.js';
 import {type RunningRequestTotals} from './running_request_totals.js';
+import {
+  type OthersDemand,
+  WorkspaceDemandFeed,
+} from './workspace_demand_feed.js';
+import {type WorkspaceDemandTotals} from './workspace_demand_totals.js';
 
 /** The state of a member that it publishes to its subscribers. */
 export interface FeedView {
@@ -30,6 +35,7 @@
   readLoad(): LoadReport | undefined;
   readonly readings: ReadingReportLog;
   readonly running: RunningRequestTotals;
+  readonly demand: WorkspaceDemandTotals;
   /** Increases when {@link FeedView.suspects} may have changed. */
   readonly crashesVersion: number;
   /** @returns requests that are suspected of crashing servers */
@@ -78,6 +84,8 @@
       readonly reports: readonly ReadingReport[];
       /** For a router: the number of other routers. */
       readonly routers?: number;
+      /** For a router: the demand of the others in the pools it reports. */
+      readonly demand?: readonly OthersDemand[];
     }
   | {
       readonly kind: 'controlMembers';
@@ -113,6 +121,7 @@
   #sentCrashesVersion = 0;
   #sentReadingsSequence: number | undefined;
   readonly #running: RunningRequestFeed;
+  readonly #demand: WorkspaceDemandFeed;
   #sentMembers: readonly string[] = [];
   #lastLoadAt = -Infinity;
   #lastSentAt = -Infinity;
@@ -126,6 +135,7 @@
       digestIntervalMs / (isFollower ? FOLLOWER_LOAD_RATE : 1);
     this.#heldRevision = subscriber.revision;
     this.#running = new RunningRequestFeed(subscriber.node);
+    this.#demand = new WorkspaceDemandFeed(subscriber.node);
   }
 
   /**
@@ -161,7 +171,7 @@
       ...this.#nextMembership(view),
       ...this.#nextLoad(view, now),
       ...this.#nextReadings(view),
-      ...this.#nextRunning(view, now),
+      ...this.#nextSums(view, now),
     ];
     const {heartbeatIntervalMs} = this.#settings;
     if (updates.length === 0 && now - this.#lastSentAt >= heartbeatIntervalMs) {
@@ -242,14 +252,18 @@
     return toReadingsUpdates(reports);
   }
 
-  #nextRunning({running: totals}: FeedView, now: number): FeedUpdate[] {
+  /** Sent together, as both consist of sums of all other routers' reports. */
+  #nextSums(view: FeedView, now: number): FeedUpdate[] {
     const {role, node} = this.subscriber;
     if (role !== ROUTER_ROLE) return [];
-    const running = this.#running.next(totals, now);
-    if (running.length === 0) return [];
-    const routers = totals.countOtherRouters(node);
-    const reports = [{node: '', readings: [], running}];
-    return [{kind: 'readings', reports, routers}];
+    const running = this.#running.next(view.running, now);
+    const demand = this.#demand.next(view.demand, now);
+    if (running.length === 0 && demand.length === 0) return [];
+    const routers = view.running.countOtherRouters(node);
+    const reports =
+      running.length > 0 ? [{node: '', readings: [], running}] : [];
+    const sums = demand.length > 0 && {demand};
+    return [{kind: 'readings', reports, routers, ...sums}];
   }
 
   #nextLoad(view: FeedView, now: number): FeedUpdate[] {
--- a/packages/lovagepond-control/src/update_encoder.ts
+++ b/packages/lovagepond-control/src/update_encoder.ts
@@ -11,8 +11,9 @@
 import {lovagepond} from '@lovagepond/protocol';
 import {type SuspectView} from './control_administration.js';
 import {type MembershipChange} from './membership_log.js';
-import {type ReadingReport} from './reading_report_log.js';
+import {type PoolDemand, type ReadingReport} from './reading_report_log.js';
 import {type FeedUpdate} from './subscription_feed.js';
+import {type OthersDemand} from './workspace_demand_feed.js';
 
 const {v1} = lovagepond;
 
@@ -63,8 +64,8 @@
       ageMs: Math.round(load.ageMs),
     },
   }),
-  readings: ({reports, routers}) => ({
-    readings: toWireDigest(reports, routers),
+  readings: ({reports, routers, demand}) => ({
+    readings: toWireDigest(reports, routers, demand),
   }),
   controlMembers: ({addresses, goOn}) => ({
     controlMembers: {addresses: [...addresses], goOn},
@@ -75,22 +76,32 @@
 /**
  * @param reports reports of routers
  * @param routers for a router, the number of other routers
+ * @param demand for a router, the demand of the other routers
  * @returns the protocol message
  */
 export function toWireDigest(
   reports: readonly ReadingReport[],
   routers = 0,
+  demand: readonly OthersDemand[] = [],
 ): lovagepond.v1.ReadingDigest.$Properties {
   return {
     routers,
-    reports: reports.map(({node, readings, running}) => ({
-      node,
-      readings: [...readings],
-      running: [...running],
+    reports: reports.map(report => ({
+      node: report.node,
+      readings: [...report.readings],
+      running: [...report.running],
+      ...(report.demand && {demand: report.demand.map(toWireDemand)}),
     })),
+    ...(demand.length > 0 && {demand: demand.map(toWireDemand)}),
   };
 }
 
+function toWireDemand(
+  demand: PoolDemand | OthersDemand,
+): lovagepond.v1.PoolDemand.$Properties {
+  return {...demand, workspaces: [...demand.workspaces]};
+}
+
 function toWire(update: FeedUpdate): WireUpdate {
   return CONVERTERS[update.kind](update as never);
 }
--- a/packages/lovagepond-control/src/wire_utils.ts
+++ b/packages/lovagepond-control/src/wire_utils.ts
@@ -3,7 +3,7 @@
  */
 import {type lovagepond, readMember, readServer} from '@lovagepond/protocol';
 import {type MembershipChange} from './membership_log.js';
-import {type ReadingReport} from './reading_report_log.js';
+import {type PoolDemand, type ReadingReport} from './reading_report_log.js';
 import {type Announcement, type LoadReport} from './membership_registry.js';
 
 type WireAnnounce = lovagepond.v1.AnnounceRequest.$Properties;
@@ -53,7 +53,22 @@
     ended: one.ended ?? 0,
     failed: one.failed ?? 0,
   }));
-  return {node: report.node ?? '', readings, running};
+  const demand = (report.demand ?? []).map(readDemand);
+  const node = report.node ?? '';
+  return {node, readings, running, ...(demand.length > 0 && {demand})};
+}
+
+function readDemand(demand: lovagepond.v1.PoolDemand.$Properties): PoolDemand {
+  const workspaces = (demand.workspaces ?? []).map(one => ({
+    workspace: one.workspace ?? '',
+    offered: one.offered ?? 0,
+  }));
+  return {
+    pool: demand.pool ?? '',
+    served: demand.served ?? 0,
+    workspaces,
+    unlisted: demand.unlisted ?? 0,
+  };
 }
 
 /**
--- a/packages/lovagepond-gateway/src/deciders.ts
+++ b/packages/lovagepond-gateway/src/deciders.ts
@@ -14,6 +14,8 @@
 export {PrefillRate} from './gateway_prefill_rate.js';
 export {PrefillTracker} from './gateway_prefill_tracker.js';
 export {GatewayLoadReports} from './gateway_load_reports.js';
+export {type DemandSource, type OwnDemand} from './gateway_demand.js';
+export {GatewayShares} from './gateway_shares.js';
 export {GatewayRetryBudget} from './gateway_retry_budget.js';
 export {type ForwardingRule, ForwardingRules} from './gateway_routes.js';
 export {ServerState} from './gateway_server_state.js';
--- a/packages/lovagepond-gateway/src/gateway_load_reports.ts
+++ b/packages/lovagepond-gateway/src/gateway_load_reports.ts
@@ -1,8 +1,10 @@
 /**
  * Exchanges load reports with the other gateways: the requests of each gateway
- * at the servers, their outcomes, and the prompts to be computed there.
+ * at the servers, their outcomes, the prompts to be computed there, and the
+ * demand in congested pools.
  */
 import {type lovagepond} from '@lovagepond/protocol';
+import {type DemandSource, readSums, toWireDemand} from './gateway_demand.js';
 import {type GatewayFleet} from './gateway_fleet.js';
 import {type GatewayPeers} from './gateway_peers.js';
 import {type PrefillRate} from './gateway_prefill_rate.js';
@@ -12,8 +14,9 @@
 type WireRunning = lovagepond.v1.RunningRequests.$Properties;
 type WireReport = Pick<
   lovagepond.v1.ReadingReport.$Properties,
-  'readings' | 'running'
+  'readings' | 'running' | 'demand'
 >;
+type WireDemand = lovagepond.v1.PoolDemand.$Properties;
 type WireDigest = lovagepond.v1.ReadingDigest.$Properties;
 
 /**
@@ -30,6 +33,9 @@
  */
 const REFRESH_INTERVAL_MS = 1_500;
 
+/** Interval between reports of the demand, milliseconds. */
+const DEMAND_INTERVAL_MS = 500;
+
 interface ReportedRequests {
   readonly requests: number;
   readonly at: number;
@@ -57,26 +63,31 @@
   readonly #fleet: GatewayFleet;
   readonly #rate: PrefillRate;
   readonly #peers: GatewayPeers;
+  readonly #demand: DemandSource | undefined;
   #pendingReadings: WireReading[] = [];
   #lastReported: ReadonlyMap<string, ReportedRequests> = new Map();
   #runningReportedAt = Number.NEGATIVE_INFINITY;
+  #demandReportedAt = Number.NEGATIVE_INFINITY;
 
   /**
    * @param node this gateway's name, which marks its own reports in a digest
    * @param fleet the servers
    * @param rate the engines' prefill rate
    * @param peers records each other gateway that reports
+   * @param demand the demand in congested pools; without it none is reported
    */
   constructor(
     node: string,
     fleet: GatewayFleet,
     rate: PrefillRate,
     peers: GatewayPeers,
+    demand?: DemandSource,
   ) {
     this.#node = node;
     this.#fleet = fleet;
     this.#rate = rate;
     this.#peers = peers;
+    this.#demand = demand;
   }
 
   /**
@@ -108,9 +119,19 @@
     const intervalMs = RUNNING_MS_PER_SERVER * this.#fleet.size;
     const isDue = now - this.#runningReportedAt >= intervalMs;
     const running = isDue || readings.length > 0 ? this.#takeRunning(now) : [];
-    if (readings.length === 0 && running.length === 0) return undefined;
-    this.#runningReportedAt = now;
-    return {readings, running};
+    const demand = this.#takeDemand(now);
+    if (readings.length > 0 || running.length > 0) {
+      this.#runningReportedAt = now;
+    } else if (demand.length === 0) {
+      return undefined;
+    }
+    return {readings, running, ...(demand.length > 0 && {demand})};
+  }
+
+  #takeDemand(now: number): WireDemand[] {
+    if (now - this.#demandReportedAt < DEMAND_INTERVAL_MS) return [];
+    this.#demandReportedAt = now;
+    return (this.#demand?.takeDemand(now) ?? []).map(toWireDemand);
   }
 
   #takeRunning(now: number): WireRunning[] {
@@ -139,6 +160,8 @@
    * @param now current time, monotonic milliseconds
    */
   apply(digest: WireDigest, now: number): void {
+    const {demand} = digest;
+    if (demand?.length) this.#demand?.applyDemand(readSums(demand), now);
     if (digest.routers) this.#peers.noteCount(digest.routers, now);
     for (const {node, readings, running} of digest.reports ?? []) {
       if (node === this.#node) continue;
--- a/packages/lovagepond-scenarios/src/world/subscribers.ts
+++ b/packages/lovagepond-scenarios/src/world/subscribers.ts
@@ -12,6 +12,7 @@
   CONTROL_DEFAULTS,
   ReadingReportLog,
   RunningRequestTotals,
+  WorkspaceDemandTotals,
 } from '@lovagepond/control';
 import {
   type FeedUpdate,
@@ -247,6 +248,7 @@
       contentOf: () => undefined,
       membershipVersion: 0,
       running: new RunningRequestTotals(),
+      demand: new WorkspaceDemandTotals(),
       readings: new ReadingReportLog(),
       crashesVersion: 0,
       suspects: () => [],
