--- a/packages/lovagepond-control/src/__tests__/unit/control_role.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/control_role.test.ts
@@ -270,6 +270,48 @@
   expect(follower.role.isReady()).toBe(false);
 });
 
+// Routers report to different members. Each one must get the demand of all
+// others, also after a failover.
+test('a router gets the demand reported at other members', async () => {
+  const members = await startMembers(3);
+  const isLeader = ({role}: Member): boolean =>
+    role.administration
+      .listMembers()
+      .some(m => m.leader && m.address === nameOf(role));
+  const leader = members.find(isLeader) as Member;
+  const [here, there] = members.filter(member => member !== leader);
+  if (!here || !there) throw new Error('a follower is missing');
+  const report = (client: Client, node: string, served: number) => {
+    const workspaces = [{workspace: 'w', offered: 2 * served}];
+    const demand = [{pool: 'p', served, workspaces}];
+    const message = new v1.ReadingReport({node, demand});
+    return call(client, CONTROL_SERVICE.reportReadings, message);
+  };
+  const updates = subscribe(here.client);
+  const servedBy = (update: Update): number =>
+    update.readings?.demand?.[0]?.served ?? 0;
+  await updates.until(u => u.configuration?.majorityConfirmed === true);
+  await report(here.client, 'router-1', 70);
+  await report(there.client, 'router-2', 8);
+  const sums = await updates.until(u => servedBy(u) > 0);
+  expect(sums.readings?.demand).toMatchObject([
+    {pool: 'p', served: 8, routers: 1, workspaces: [{offered: 16}]},
+  ]);
+
+  await leader.role.stop();
+  const rest = [here, there];
+  await vi.waitUntil(() => rest.some(isLeader), {timeout: 10_000});
+  // A report is lost while its member has no leader, and is sent again.
+  const reports = setInterval(() => {
+    void report(here.client, 'router-1', 70);
+    void report(there.client, 'router-3', 9);
+  }, 500);
+  cleanups.push(() => {
+    clearInterval(reports);
+  });
+  await updates.until(u => servedBy(u) === 9);
+});
+
 function nameOf(role: ControlRole): string {
   return role.dump().state['nodeName'] as string;
 }
