--- a/packages/lovagepond-load/src/__tests__/unit/load_workspace_shares.test.ts
+++ b/packages/lovagepond-load/src/__tests__/unit/load_workspace_shares.test.ts
@@ -229,6 +229,17 @@
     ]);
   });
 
+  // The callers of a gateway that died have moved here. If their former demand
+  // was remembered, they would count twice.
+  it('forgets a workspace that a complete digest does not list', () => {
+    const others = sumsOf({a: 50, b: 50}, {servedMsPerS: 90});
+    const shares = sharesOf({a: 50, b: 50}, 10, others);
+    expect(shares.weightOf('a')).toBe(1);
+    shares.useOthers(sumsOf({b: 50}, {servedMsPerS: 90}), 500);
+    expect(shares.weightOf('a')).toBe(2);
+    expect(shares.weightOf('b')).toBe(1);
+  });
+
   it('ignores configured weights that make no order', () => {
     const weights = {a: 0, b: -1, c: NaN, d: Infinity};
     const shares = sharesOf({a: 9, b: 9}, 1, sumsOf({c: 9, d: 9}), weights);
--- a/packages/lovagepond-load/src/load_workspace_shares.ts
+++ b/packages/lovagepond-load/src/load_workspace_shares.ts
@@ -103,6 +103,8 @@
    */
   useOthers(sums: DemandSums, now: number): void {
     this.#received = {sums, at: now};
+    // A complete list: a workspace that it lacks has no demand elsewhere.
+    if (sums.unlistedWorkspaces === 0) this.#others.clear();
     for (const [workspace, offered] of sums.offered) {
       this.#others.set(workspace, {offered, at: now});
     }
