List a gateway's own workspaces in digests by urgency, and measure the exchange

Change: the digest prefers workspaces with much work at the gateway, then those not listed for long. Members rank the sums in one pass instead of sorting all workspaces. The measurement workspace-shares gives bytes, times and memory.

--- a/packages/lovagepond-control/src/__tests__/unit/workspace_demand.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/workspace_demand.test.ts
@@ -123,7 +123,7 @@
   });
 
   // A gateway's own workspaces may be small elsewhere, or exist nowhere else.
-  it('lists the own workspaces of a router in turn', () => {
+  it('lists the own workspaces of a router in turn, large ones often', () => {
     const totals = new WorkspaceDemandTotals();
     const all = Array.from(
       {length: 100},
@@ -131,12 +131,13 @@
     );
     totals.record(reportOf('a', poolOf(Object.fromEntries(all))), 0);
     const own = Array.from({length: 20}, (_, at) => [`w${at}`, 9] as const);
-    const names = Object.fromEntries([...own, ['mine', 9], ['w98', 9]]);
+    const names = Object.fromEntries([...own, ['mine', 200], ['w98', 9]]);
     totals.record(reportOf('b', poolOf(names)), 0);
     const feed = new WorkspaceDemandFeed('b');
     const known: Record<string, number> = {};
     for (let now = 0; now < 1_500; now += 500) {
       const [sent] = feed.next(totals, now);
+      expect(offeredOf(sent)).toMatchObject({mine: 0});
       expect(sent?.workspaces.length).toBeLessThanOrEqual(32);
       Object.assign(known, offeredOf(sent));
     }
--- a/packages/lovagepond-control/src/workspace_demand_feed.ts
+++ b/packages/lovagepond-control/src/workspace_demand_feed.ts
@@ -4,6 +4,7 @@
 import {type PoolDemand} from './reading_report_log.js';
 import {
   type PoolSums,
+  type RouterDemand,
   type WorkspaceDemandTotals,
 } from './workspace_demand_totals.js';
 
@@ -15,11 +16,14 @@
 
 /**
  * Those of them with the largest demand in a pool with more workspaces. The
- * others of a message are the router's own remaining ones in turn: it can't
- * tell whether it is the only one with such a workspace.
+ * others of a message are own ones of the router: otherwise it couldn't tell
+ * whether it is the only one with such a workspace.
  */
 const LARGEST_WORKSPACES = 24;
 
+/** Updates since one that listed a workspace, for one that none has listed. */
+const NEVER_LISTED_AGE = 12;
+
 /** Largest number in a message. */
 const MAX_UINT32 = 0xffff_ffff;
 
@@ -32,12 +36,20 @@
 
 type Workspace = OthersDemand['workspaces'][number];
 
+const NO_DEMAND: RouterDemand = Object.freeze({
+  served: 0,
+  unlisted: 0,
+  offered: new Map(),
+  reportedAt: 0,
+});
+
 /** Determines what one router is sent. */
 export class WorkspaceDemandFeed {
   readonly #node: string;
   #lastSentAt = -Infinity;
-  /** Position in the turn of the smaller workspaces, by pool. */
-  #turns = new Map<string, number>();
+  /** Own workspaces that were listed, with the update's number, by pool. */
+  #listed = new Map<string, ReadonlyMap<string, number>>();
+  #updates = 0;
 
   /** @param node name of the router */
   constructor(node: string) {
@@ -52,33 +64,25 @@
    */
   next(totals: WorkspaceDemandTotals, now: number): readonly OthersDemand[] {
     if (now - this.#lastSentAt < INTERVAL_MS) return [];
-    const turns = new Map<string, number>();
+    this.#updates += 1;
     const due: OthersDemand[] = [];
     for (const [pool, sums] of totals.poolsOf(this.#node)) {
-      const turn = this.#turns.get(pool) ?? 0;
-      turns.set(pool, turn + 1);
-      due.push(this.#subtractOwn(pool, sums, turn));
+      due.push(this.#subtractOwn(pool, sums));
     }
-    this.#turns = turns;
     if (due.length > 0) this.#lastSentAt = now;
     return due;
   }
 
-  #subtractOwn(pool: string, sums: PoolSums, turn: number): OthersDemand {
-    const own = sums.routers.get(this.#node);
-    const others: Workspace[] = [];
-    for (const [workspace, sum] of sums.offered) {
-      const offered = sum - (own?.offered.get(workspace) ?? 0);
-      if (offered > 0) others.push({workspace, offered});
-    }
-    const ownNames = own?.offered.keys() ?? [];
-    const workspaces = select(others, ownNames, turn);
-    const unlisted =
-      sums.unlisted - (own?.unlisted ?? 0) + sumOf(others) - sumOf(workspaces);
+  #subtractOwn(pool: string, sums: PoolSums): OthersDemand {
+    const own = sums.routers.get(this.#node) ?? NO_DEMAND;
+    const {largest, count, total} = rankOthers(sums, own);
+    const workspaces =
+      count > MAX_WORKSPACES ? this.#select(pool, sums, own, largest) : largest;
+    const unlisted = sums.unlisted - own.unlisted + total - sumOf(workspaces);
     const listed = workspaces.filter(({offered}) => offered > 0).length;
     return {
       pool,
-      served: toUint32(sums.served - (own?.served ?? 0)),
+      served: toUint32(sums.served - own.served),
       workspaces: workspaces.map(({workspace, offered}) => ({
         workspace,
         offered: toUint32(offered),
@@ -86,44 +90,95 @@
       routers: sums.routers.size - 1,
       unlisted: toUint32(unlisted),
       // What routers don't list belongs to workspaces that others list.
-      unlistedWorkspaces: Math.max(
-        others.length - listed,
-        unlisted > 0 ? 1 : 0,
-      ),
+      unlistedWorkspaces: Math.max(count - listed, unlisted > 0 ? 1 : 0),
     };
   }
-}
 
-/** @returns the largest ones, and some of the router's own in turn */
-function select(
-  others: Workspace[],
-  ownNames: Iterable<string>,
-  turn: number,
-): readonly Workspace[] {
-  if (others.length <= MAX_WORKSPACES) return others;
-  others.sort((a, b) => b.offered - a.offered);
-  const largest = others.slice(0, LARGEST_WORKSPACES);
-  const listed = new Set(largest.map(({workspace}) => workspace));
-  const rest = [...ownNames].filter(name => !listed.has(name)).sort();
-  const offeredOf = new Map(
-    others.map(({workspace, offered}) => [workspace, offered]),
-  );
-  const inTurn = takeTurn(rest, MAX_WORKSPACES - LARGEST_WORKSPACES, turn);
-  for (const workspace of inTurn) {
-    largest.push({workspace, offered: offeredOf.get(workspace) ?? 0});
+  /** @returns the largest ones, and some of the router's own */
+  #select(
+    pool: string,
+    sums: PoolSums,
+    own: RouterDemand,
+    largest: readonly Workspace[],
+  ): readonly Workspace[] {
+    const selected = largest.slice(0, LARGEST_WORKSPACES);
+    const isLargest = new Set(selected.map(({workspace}) => workspace));
+    const rest = [...own.offered].filter(([name]) => !isLargest.has(name));
+    for (const workspace of this.#selectOwn(pool, rest)) {
+      const offered = othersOf(workspace, sums, own);
+      selected.push({workspace, offered});
+    }
+    return selected;
   }
-  return largest;
+
+  /**
+   * Prefers workspaces with much work at this router, then those that were not
+   * listed for long. In turn alone, a workspace would be skipped for seconds,
+   * as the small ones of a router change all the time.
+   */
+  #selectOwn(
+    pool: string,
+    own: readonly (readonly [string, number])[],
+  ): readonly string[] {
+    const listed = this.#listed.get(pool);
+    const never = this.#updates - NEVER_LISTED_AGE;
+    const selected = own
+      .map(([workspace, offered]) => {
+        const age = this.#updates - (listed?.get(workspace) ?? never);
+        return {workspace, urgency: offered * age};
+      })
+      .sort((a, b) => b.urgency - a.urgency)
+      .slice(0, MAX_WORKSPACES - LARGEST_WORKSPACES)
+      .map(({workspace}) => workspace);
+    const current = new Map<string, number>();
+    for (const [workspace] of own) {
+      const update = listed?.get(workspace);
+      if (update !== undefined) current.set(workspace, update);
+    }
+    for (const workspace of selected) current.set(workspace, this.#updates);
+    this.#listed.set(pool, current);
+    return selected;
+  }
+}
+
+function othersOf(
+  workspace: string,
+  sums: PoolSums,
+  own: RouterDemand,
+): number {
+  const sum = sums.offered.get(workspace) ?? 0;
+  return sum - (own.offered.get(workspace) ?? 0);
 }
 
-/** @returns the items of a turn; the last turn of a round may be shorter */
-function takeTurn<Item>(
-  items: readonly Item[],
-  count: number,
-  turn: number,
-): readonly Item[] {
-  const turns = Math.max(1, Math.ceil(items.length / count));
-  const start = (turn % turns) * count;
-  return items.slice(start, start + count);
+/**
+ * Ranks in one pass, as a member does this for each of its routers.
+ *
+ * @returns the workspaces with the largest demand of the other routers, the
+ *     number of workspaces with any, and their demand in all
+ */
+function rankOthers(
+  sums: PoolSums,
+  own: RouterDemand,
+): {
+  readonly largest: readonly Workspace[];
+  readonly count: number;
+  readonly total: number;
+} {
+  const largest: Workspace[] = [];
+  let count = 0;
+  let total = 0;
+  for (const workspace of sums.offered.keys()) {
+    const offered = othersOf(workspace, sums, own);
+    if (offered <= 0) continue;
+    count += 1;
+    total += offered;
+    const isFull = largest.length >= MAX_WORKSPACES;
+    if (isFull && offered <= (largest.at(-1)?.offered ?? 0)) continue;
+    if (isFull) largest.pop();
+    const at = largest.findIndex(one => one.offered < offered);
+    largest.splice(at < 0 ? largest.length : at, 0, {workspace, offered});
+  }
+  return {largest, count, total};
 }
 
 function sumOf(workspaces: readonly Workspace[]): number {
--- a/packages/lovagepond-gateway/src/__tests__/unit/fair_shares_play.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/fair_shares_play.ts
@@ -4,6 +4,7 @@
   WorkspaceDemandFeed,
   readReadings,
 } from '@lovagepond/control/deciders';
+import {Random} from '@lovagepond/core';
 import {maxMinLevel} from '@lovagepond/load';
 import {lovagepond} from '@lovagepond/protocol';
 import {GatewayFleet} from '../../gateway_fleet.js';
@@ -39,9 +40,11 @@
   readonly reports: GatewayLoadReports;
   readonly feed: WorkspaceDemandFeed;
   readonly flows = new Map<string, Flow>();
+  readonly #random: Random;
   isRunning = true;
 
-  constructor(name: string) {
+  constructor(name: string, seed: number) {
+    this.#random = new Random(seed);
     this.reports = new GatewayLoadReports(
       name,
       new GatewayFleet(),
@@ -61,17 +64,22 @@
   }
 
   offer(workspace: string, msPerS: number, now: number): void {
-    const flow = this.flows.get(workspace) ?? {pending: 0, queued: 0};
+    const flow = this.flows.get(workspace) ?? this.#makeFlow();
     this.flows.set(workspace, flow);
     flow.pending += (msPerS * STEP_MS) / 1_000;
     while (flow.pending >= REQUEST_MS) {
       flow.pending -= REQUEST_MS;
       this.shares.noteOffered(POOL, workspace, REQUEST_MS, now);
-      const limit = Math.max(REQUEST_MS, msPerS * QUEUE_S);
+      const limit = Math.max(2 * REQUEST_MS, msPerS * QUEUE_S);
       if (flow.queued + REQUEST_MS <= limit) flow.queued += REQUEST_MS;
     }
   }
 
+  /** Flows of the same rate must not offer their requests at the same time. */
+  #makeFlow(): Flow {
+    return {pending: this.#random.below(REQUEST_MS), queued: 0};
+  }
+
   /** Round robin between workspaces by their weights, as a fluid. */
   serve(workMs: number, now: number): ReadonlyMap<string, number> {
     const weights = this.shares.weightsOf(POOL);
@@ -123,7 +131,7 @@
   ) {
     this.gateways = Array.from(
       {length: gateways},
-      (_, at) => new PlayGateway(`gateway-${at}`),
+      (_, at) => new PlayGateway(`gateway-${at}`, at + 1),
     );
     this.#capacity = capacity;
     this.#offers = offers;
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_fair_shares.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_fair_shares.test.ts
@@ -80,6 +80,29 @@
     expect(served['large']).toBeGreaterThan(0.93 * CAPACITY);
   });
 
+  // A digest lists 32 workspaces. The others, of which every sixth has all its
+  // callers at one gateway, must get as much as the listed ones.
+  it('serves 60 workspaces alike', () => {
+    const workspaces = Array.from({length: 60}, (_, index) => `w-${index}`);
+    const offered = (3 * CAPACITY) / workspaces.length;
+    const offers = workspaces.map((workspace, index) => {
+      const offer = index % 6 === 0 ? at(index / 6, offered) : spread(offered);
+      return [workspace, offer] as const;
+    });
+    const play = new FairSharesPlay(
+      GATEWAYS,
+      CAPACITY,
+      Object.fromEntries(offers),
+    );
+    play.run(2_000);
+    const served = runSettled(play);
+    const level = CAPACITY / workspaces.length;
+    for (const workspace of workspaces) {
+      expect(served[workspace]).toBeGreaterThan(0.85 * level);
+      expect(served[workspace]).toBeLessThan(1.15 * level);
+    }
+  });
+
   it('divides by the configured weights', () => {
     const offers = {heavy: at(2, 2 * CAPACITY), light: spread(2 * CAPACITY)};
     const play = new FairSharesPlay(GATEWAYS, CAPACITY, offers);
--- a/packages/lovagepond-load/src/load_workspace_shares.ts
+++ b/packages/lovagepond-load/src/load_workspace_shares.ts
@@ -14,8 +14,7 @@
 
 /**
  * Validity of one workspace's sum, milliseconds. In a pool with more workspaces
- * than a digest lists, control lists the smaller ones in turn: 64 reported ones
- * within 4 s.
+ * than a digest lists, control lists the smaller ones by turns.
  */
 const WORKSPACE_VALID_MS = 6_000;
 
--- a/packages/lovagepond-measure/src/measure_table.ts
+++ b/packages/lovagepond-measure/src/measure_table.ts
@@ -22,6 +22,7 @@
 import {measurePlacementScale} from './placement_scale_measure.js';
 import {measureRouter} from './router_measure.js';
 import {measureSidecar} from './sidecar_measure.js';
+import {measureWorkspaceShares} from './workspace_shares_measure.js';
 
 /** Measurements by name; all run in this order when none is named. */
 export const MEASUREMENTS: Readonly<Record<string, MeasureFunction>> = {
@@ -39,6 +40,7 @@
   'gateway-weights': measureGatewayWeights,
   'gateway-crashes': measureGatewayCrashes,
   'gateway-size': measureGatewaySize,
+  'workspace-shares': measureWorkspaceShares,
   router: measureRouter,
   memory: async () => [await measureMemory()],
 };
