Estimate the own share of workspaces that a digest does not list

Cause: a workspace that no digest has listed counted with its whole demand in the gateway's share.

Change: such a workspace counts as a mean one of those that are not listed.

--- a/packages/lovagepond-load/src/__tests__/unit/load_workspace_shares.test.ts
+++ b/packages/lovagepond-load/src/__tests__/unit/load_workspace_shares.test.ts
@@ -194,9 +194,11 @@
       unlistedMsPerS: 448 * 30,
       unlistedWorkspaces: 448,
     });
-    const shares = sharesOf({'w-0': 1}, 0, others);
+    const shares = sharesOf({'w-0': 1, unlisted: 1}, 0, others);
     expect(shares.describe(1).levelMsPerS).toBe(10);
     expect(shares.ownShareOf('w-0')).toBeCloseTo(10 / 31);
+    expect(shares.ownShareOf('unlisted')).toBeCloseTo(1 / 3);
+    expect(shares.weightOf('unlisted')).toBe(1);
   });
 
   // Control lists the smaller workspaces in turn.
--- a/packages/lovagepond-load/src/load_workspace_shares.ts
+++ b/packages/lovagepond-load/src/load_workspace_shares.ts
@@ -137,9 +137,7 @@
     const weight = this.#configuredWeight(workspace);
     const own = this.#own.offered.get(workspace) ?? 0;
     if (!this.#received || own <= 0) return weight;
-    const {unlistedWorkspaces} = this.#received.sums;
-    // Listed by none of the last digests, so its other demand isn't known.
-    if (unlistedWorkspaces > 0 && !this.#others.has(workspace)) return weight;
+    if (!this.#isKnown(workspace, this.#received)) return weight;
     const part = own / (own + this.#othersOf(workspace));
     return weight * Math.max(MIN_WEIGHT_PART, part * this.#gateways);
   }
@@ -151,7 +149,7 @@
   ownShareOf(workspace: string): number {
     const own = this.#own.offered.get(workspace) ?? 0;
     if (own <= 0 || this.#level === Infinity) return own;
-    const total = own + this.#othersOf(workspace);
+    const total = this.#estimateTotal(workspace, own);
     const fair = this.#level * this.#configuredWeight(workspace);
     return own * Math.min(1, fair / total);
   }
@@ -193,6 +191,20 @@
     return weight > 0 && weight < Infinity ? weight : DEFAULT_WEIGHT;
   }
 
+  /** @returns false when no recent digest has the workspace's other demand */
+  #isKnown(workspace: string, {sums}: Received): boolean {
+    return sums.unlistedWorkspaces === 0 || this.#others.has(workspace);
+  }
+
+  /** A workspace that isn't listed counts as a mean one of those. */
+  #estimateTotal(workspace: string, own: number): number {
+    if (!this.#received || this.#isKnown(workspace, this.#received)) {
+      return own + this.#othersOf(workspace);
+    }
+    const {unlistedMsPerS, unlistedWorkspaces} = this.#received.sums;
+    return Math.max(own, unlistedMsPerS / unlistedWorkspaces);
+  }
+
   #othersOf(workspace: string): number {
     return this.#others.get(workspace)?.offered ?? 0;
   }
