--- a/packages/lovagepond-control/src/__tests__/unit/workspace_demand.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/workspace_demand.test.ts
@@ -122,6 +122,32 @@
     expect(sent?.unlistedWorkspaces).toBe(76);
   });
 
+  // The page limits what a gateway receives to some 2 KB/s.
+  it('lists fewer workspaces of each pool when there are several', () => {
+    const offered = Object.fromEntries(
+      Array.from({length: 480}, (_, at) => [`workspace-${at}`, 9_000 - at]),
+    );
+    const bytesFor = (count: number): number => {
+      const totals = new WorkspaceDemandTotals();
+      const demand = Array.from({length: count}, (_, at) =>
+        poolOf(offered, {pool: `text-generation-${at}`, served: 600_000}),
+      );
+      for (const node of ['a', 'b', 'c']) {
+        totals.record(reportOf(node, ...demand), 0);
+      }
+      const sent = new WorkspaceDemandFeed('a').next(totals, 0);
+      expect(sent).toHaveLength(count);
+      for (const {workspaces} of sent) {
+        expect(workspaces.length).toBeGreaterThanOrEqual(8);
+      }
+      const update = {kind: 'readings', reports: [], demand: sent} as const;
+      return new UpdateEncoder().encode(update).length;
+    };
+    for (const count of [1, 2, 3, 4]) {
+      expect(2 * bytesFor(count)).toBeLessThan(2_400);
+    }
+  });
+
   // A gateway's own workspaces may be small elsewhere, or exist nowhere else.
   it('lists the own workspaces of a router in turn, large ones often', () => {
     const totals = new WorkspaceDemandTotals();
--- a/packages/lovagepond-control/src/workspace_demand_feed.ts
+++ b/packages/lovagepond-control/src/workspace_demand_feed.ts
@@ -11,15 +11,24 @@
 /** Time between two updates, milliseconds. */
 const INTERVAL_MS = 500;
 
-/** Workspaces listed by pool. They bound the bytes that a router receives. */
+/** Workspaces listed by pool. */
 const MAX_WORKSPACES = 32;
 
 /**
- * Those of them with the largest demand in a pool with more workspaces. The
- * others of a message are own ones of the router: otherwise it couldn't tell
- * whether it is the only one with such a workspace.
+ * Workspaces listed in all, unless there are many pools. With names of 13 bytes,
+ * a router receives some 2 KB/s.
  */
-const LARGEST_WORKSPACES = 24;
+const MAX_LISTED = 48;
+
+/** Workspaces listed by pool when there are many pools. */
+const MIN_WORKSPACES = 8;
+
+/**
+ * Part of the list for the workspaces with the largest demand, in a pool with
+ * more workspaces. The others are own ones of the router: otherwise it couldn't
+ * tell whether it is the only one with such a workspace.
+ */
+const LARGEST_PART = 3 / 4;
 
 /** Updates since one that listed a workspace, for one that none has listed. */
 const NEVER_LISTED_AGE = 12;
@@ -67,18 +76,23 @@
     if (now - this.#lastSentAt < INTERVAL_MS) return [];
     this.#updates += 1;
     const due: OthersDemand[] = [];
-    for (const [pool, sums] of totals.poolsOf(this.#node)) {
-      due.push(this.#subtractOwn(pool, sums));
+    const pools = [...totals.poolsOf(this.#node)];
+    const limit = Math.max(
+      MIN_WORKSPACES,
+      Math.min(MAX_WORKSPACES, Math.floor(MAX_LISTED / pools.length)),
+    );
+    for (const [pool, sums] of pools) {
+      due.push(this.#subtractOwn(pool, sums, limit));
     }
     if (due.length > 0) this.#lastSentAt = now;
     return due;
   }
 
-  #subtractOwn(pool: string, sums: PoolSums): OthersDemand {
+  #subtractOwn(pool: string, sums: PoolSums, limit: number): OthersDemand {
     const own = sums.routers.get(this.#node) ?? NO_DEMAND;
-    const {largest, count, total} = rankOthers(sums, own);
+    const {largest, count, total} = rankOthers(sums, own, limit);
     const workspaces =
-      count > MAX_WORKSPACES ? this.#select(pool, sums, own, largest) : largest;
+      count > limit ? this.#select(pool, sums, own, largest) : largest;
     const unlisted = total - sumOf(workspaces);
     const listed = workspaces.filter(({offered}) => offered > 0).length;
     return {
@@ -101,10 +115,11 @@
     own: RouterDemand,
     largest: readonly Workspace[],
   ): readonly Workspace[] {
-    const selected = largest.slice(0, LARGEST_WORKSPACES);
+    const selected = largest.slice(0, largest.length * LARGEST_PART);
     const isLargest = new Set(selected.map(({workspace}) => workspace));
     const rest = [...own.offered].filter(([name]) => !isLargest.has(name));
-    for (const workspace of this.#selectOwn(pool, rest)) {
+    const room = largest.length - selected.length;
+    for (const workspace of this.#selectOwn(pool, rest, room)) {
       const offered = othersOf(workspace, sums, own);
       selected.push({workspace, offered});
     }
@@ -119,6 +134,7 @@
   #selectOwn(
     pool: string,
     own: readonly (readonly [string, number])[],
+    room: number,
   ): readonly string[] {
     const listed = this.#listed.get(pool);
     const never = this.#updates - NEVER_LISTED_AGE;
@@ -128,7 +144,7 @@
         return {workspace, urgency: offered * age};
       })
       .sort((a, b) => b.urgency - a.urgency)
-      .slice(0, MAX_WORKSPACES - LARGEST_WORKSPACES)
+      .slice(0, room)
       .map(({workspace}) => workspace);
     const current = new Map<string, number>();
     for (const [workspace] of own) {
@@ -159,6 +175,7 @@
 function rankOthers(
   sums: PoolSums,
   own: RouterDemand,
+  limit: number,
 ): {
   readonly largest: readonly Workspace[];
   readonly count: number;
@@ -172,7 +189,7 @@
     if (offered <= 0) continue;
     count += 1;
     total += offered;
-    const isFull = largest.length >= MAX_WORKSPACES;
+    const isFull = largest.length >= limit;
     if (isFull && offered <= (largest.at(-1)?.offered ?? 0)) continue;
     if (isFull) largest.pop();
     const at = largest.findIndex(one => one.offered < offered);
--- a/packages/lovagepond-measure/src/workspace_shares_measure.ts
+++ b/packages/lovagepond-measure/src/workspace_shares_measure.ts
@@ -104,7 +104,24 @@
   return {shares, reports, member, memberBytes, updates};
 }
 
-function measureBytes({reports, updates}: Fleet): MeasureSection {
+/** @returns bytes/s that a gateway receives while several pools are congested */
+function receivedWith(pools: number, {reports}: Fleet): number {
+  const member = new RouterReports();
+  for (const bytes of reports) {
+    const report = readReadings(v1.ReadingReport.decode(bytes));
+    const demand = Array.from({length: pools}, (_, at) =>
+      (report.demand ?? []).map(one => ({...one, pool: `${POOL}-${at}`})),
+    ).flat();
+    member.demand.record({...report, demand}, 0);
+  }
+  const feed = new WorkspaceDemandFeed('gateway-0');
+  const demand = feed.next(member.demand, 0);
+  const update = {kind: 'readings', reports: [], demand} as const;
+  return new UpdateEncoder().encode(update).length * REPORTS_PER_SECOND;
+}
+
+function measureBytes(fleet: Fleet): MeasureSection {
+  const {reports, updates} = fleet;
   const sumOf = (messages: readonly Uint8Array[]): number =>
     messages.reduce((sum, {length}) => sum + length, 0);
   const received = (sumOf(updates) / GATEWAYS) * REPORTS_PER_SECOND;
@@ -114,6 +131,10 @@
     columns: ['link', 'bytes/s'],
     rows: [
       ['member to one gateway', Math.round(received)],
+      ...[2, 4, 6, 12].map(pools => [
+        `the same, ${pools} congested pools`,
+        receivedWith(pools, fleet),
+      ]),
       ['one gateway to its member', Math.round(sent)],
       ['all gateways to the leader', Math.round(sent * GATEWAYS)],
     ],
