--- a/packages/lovagepond-control/src/reading_report_log.ts
+++ b/packages/lovagepond-control/src/reading_report_log.ts
@@ -28,12 +28,26 @@
   readonly prefillTokens: number;
 }
 
+/** Work that is offered to a pool, by workspace; see the protocol's message. */
+export interface PoolDemand {
+  readonly pool: string;
+  /** Work sent to servers, milliseconds of server time per second. */
+  readonly served: number;
+  readonly workspaces: readonly {
+    readonly workspace: string;
+    /** Work offered, milliseconds of server time per second. */
+    readonly offered: number;
+  }[];
+}
+
 /** A router's report. */
 export interface ReadingReport {
   readonly node: string;
   readonly readings: readonly PromptReading[];
   /** Servers at which the router's number of requests has changed. */
   readonly running: readonly RunningRequests[];
+  /** Demand in pools that are congested at the router; absent without one. */
+  readonly demand?: readonly PoolDemand[];
 }
 
 interface NumberedReport {
@@ -86,25 +100,12 @@
     return this.#sequence;
   }
 
-  /**
-   * Routers repeat readings, as a report may have been lost. What is known
-   * already isn't passed on again.
-   *
-   * @param report a report from a router or from the leader
-   */
+  /** @param report a report from a router or from the leader */
   add(report: ReadingReport): void {
-    const readings = report.readings.filter(reading => this.#isNew(reading));
-    for (const reading of report.readings) this.#keepReading(reading);
-    const isRepetition = report.readings.length > 0 && readings.length === 0;
-    if (isRepetition && report.running.length === 0) return;
     this.#sequence += 1;
-    const numbered = {sequence: this.#sequence, report: {...report, readings}};
-    this.#reports.push(numbered);
+    this.#reports.push({sequence: this.#sequence, report});
     this.#reports = keepNewest(this.#reports, MAX_REPORTS);
-  }
-
-  #isNew(reading: PromptReading): boolean {
-    return reading.tokens > 0 || !this.#readings.has(keyOf(reading));
+    for (const reading of report.readings) this.#keepReading(reading);
   }
 
   /**
@@ -118,8 +119,8 @@
 
   /**
    * @param sequence number of the last report that the subscriber has
-   * @returns the later reports with readings, without the numbers of requests;
-   *     callers with the same position get the same object
+   * @returns the later reports with readings, without the numbers of requests
+   *     and the demand; callers with the same position get the same object
    */
   readingsSince(sequence: number): readonly ReadingReport[] {
     return this.#later(sequence).readings;
@@ -135,7 +136,7 @@
     const reports = this.#reports.slice(from).map(({report}) => report);
     const readings = reports
       .filter(report => report.readings.length > 0)
-      .map(report => ({...report, running: []}));
+      .map(({node, readings}) => ({node, readings, running: []}));
     const upTo = this.#sequence;
     this.#lastResult = {after: sequence, upTo, reports, readings};
     return this.#lastResult;
@@ -148,7 +149,7 @@
   }
 
   #keepReading(reading: PromptReading): void {
-    const key = keyOf(reading);
+    const key = `${reading.backendServer}${reading.prefix}`;
     this.#readings.delete(key);
     this.#readings.set(key, {...reading, tokens: 0});
     for (const oldest of this.#readings.keys()) {
@@ -158,10 +159,6 @@
   }
 }
 
-function keyOf({backendServer, prefix}: PromptReading): string {
-  return `${backendServer}${prefix}`;
-}
-
 /** Drops the oldest items once there are twice as many as the limit. */
 function keepNewest<Item>(items: Item[], limit: number): Item[] {
   return items.length < 2 * limit ? items : items.slice(-limit);
--- a/packages/lovagepond-control/src/update_encoder.ts
+++ b/packages/lovagepond-control/src/update_encoder.ts
@@ -12,10 +12,12 @@
 import {type SuspectView} from './control_administration.js';
 import {type MembershipChange} from './membership_log.js';
 import {
+  type PoolDemand,
   type ReadingReport,
   type RunningRequests,
 } from './reading_report_log.js';
 import {type FeedUpdate} from './subscription_feed.js';
+import {type OthersDemand} from './workspace_demand_feed.js';
 
 const {v1} = lovagepond;
 
@@ -69,8 +71,8 @@
       ageMs: Math.round(load.ageMs),
     },
   }),
-  readings: ({reports, routers}) => ({
-    readings: toWireDigest(reports, routers),
+  readings: ({reports, routers, demand}) => ({
+    readings: toWireDigest(reports, routers, demand),
   }),
   controlMembers: ({addresses, goOn}) => ({
     controlMembers: {addresses: [...addresses], goOn},
@@ -81,19 +83,23 @@
 /**
  * @param reports reports of routers
  * @param routers for a router, the number of other routers
+ * @param demand for a router, the demand of the other routers
  * @returns the protocol message
  */
 export function toWireDigest(
   reports: readonly ReadingReport[],
   routers = 0,
+  demand: readonly OthersDemand[] = [],
 ): lovagepond.v1.ReadingDigest.$Properties {
   return {
     routers,
-    reports: reports.map(({node, readings, running}) => ({
+    reports: reports.map(({node, readings, running, demand: own}) => ({
       node,
       readings: [...readings],
       running: running.map(toWireRunning),
+      ...(own && {demand: own.map(toWireDemand)}),
     })),
+    ...(demand.length > 0 && {demand: demand.map(toWireDemand)}),
   };
 }
 
@@ -106,6 +112,12 @@
   return {...counts, prefillTokens: Math.min(prefillTokens, MAX_UINT32)};
 }
 
+function toWireDemand(
+  demand: PoolDemand | OthersDemand,
+): lovagepond.v1.PoolDemand.$Properties {
+  return {...demand, workspaces: [...demand.workspaces]};
+}
+
 function toWire(update: FeedUpdate): WireUpdate {
   return CONVERTERS[update.kind](update as never);
 }
--- a/packages/lovagepond-gateway/src/gateway_load_reports.ts
+++ b/packages/lovagepond-gateway/src/gateway_load_reports.ts
@@ -1,22 +1,25 @@
 /**
  * Exchanges load reports with the other gateways: the requests of each gateway
- * at the servers, their outcomes, and the prompts to be computed there.
+ * at the servers, their outcomes, the prompts to be computed there, and the
+ * demand in congested pools.
  */
 import {hasPrefillChanged} from '@lovagepond/load';
 import {type lovagepond} from '@lovagepond/protocol';
+import {type DemandSource, readSums, toWireDemand} from './gateway_demand.js';
+import {samplePhase} from './gateway_demand_sample.js';
 import {type GatewayFleet} from './gateway_fleet.js';
 import {type GatewayPeers} from './gateway_peers.js';
 import {type PrefillRate} from './gateway_prefill_rate.js';
 import {type ReportedRequests} from './gateway_remote_requests.js';
-import {RecentReadings} from './gateway_recent_readings.js';
 import {type ServerState} from './gateway_server_state.js';
 
 type WireReading = lovagepond.v1.PromptReading.$Properties;
 type WireRunning = lovagepond.v1.RunningRequests.$Properties;
 type WireReport = Pick<
   lovagepond.v1.ReadingReport.$Properties,
-  'readings' | 'running'
+  'readings' | 'running' | 'demand'
 >;
+type WireDemand = lovagepond.v1.PoolDemand.$Properties;
 type WireDigest = lovagepond.v1.ReadingDigest.$Properties;
 
 /**
@@ -36,6 +39,9 @@
 /** Largest value of an unsigned 32-bit field; larger ones would wrap. */
 const MAX_UINT32 = 0xffff_ffff;
 
+/** Interval between reports of the demand, milliseconds. */
+const DEMAND_INTERVAL_MS = 500;
+
 interface SentRequests extends ReportedRequests {
   readonly at: number;
 }
@@ -63,31 +69,32 @@
   readonly #fleet: GatewayFleet;
   readonly #rate: PrefillRate;
   readonly #peers: GatewayPeers;
-  readonly #recent: RecentReadings | undefined;
+  readonly #demand: DemandSource | undefined;
   #pendingReadings: WireReading[] = [];
   #lastReported: ReadonlyMap<string, SentRequests> = new Map();
   #runningReportedAt = Number.NEGATIVE_INFINITY;
+  #demandReportedAt = Number.NEGATIVE_INFINITY;
+  #demandReports = 0;
 
   /**
    * @param node this gateway's name, which marks its own reports in a digest
    * @param fleet the servers
    * @param rate the engines' prefill rate
    * @param peers records each other gateway that reports
-   * @param repeatsReadings whether readings are reported again, as reports may
-   *     have been lost
+   * @param demand the demand in congested pools; without it none is reported
    */
   constructor(
     node: string,
     fleet: GatewayFleet,
     rate: PrefillRate,
     peers: GatewayPeers,
-    repeatsReadings = false,
+    demand?: DemandSource,
   ) {
     this.#node = node;
     this.#fleet = fleet;
     this.#rate = rate;
     this.#peers = peers;
-    if (repeatsReadings) this.#recent = new RecentReadings();
+    this.#demand = demand;
   }
 
   /**
@@ -114,16 +121,27 @@
    *     again
    */
   takeReport(now: number): WireReport | undefined {
-    const pending = this.#pendingReadings;
+    const readings = this.#pendingReadings;
     this.#pendingReadings = [];
-    for (const reading of pending) this.#recent?.note(reading, now);
-    const readings = [...pending, ...(this.#recent?.takeDue(now) ?? [])];
     const intervalMs = RUNNING_MS_PER_SERVER * this.#fleet.size;
     const isDue = now - this.#runningReportedAt >= intervalMs;
     const running = isDue || readings.length > 0 ? this.#takeRunning(now) : [];
-    if (readings.length === 0 && running.length === 0) return undefined;
-    this.#runningReportedAt = now;
-    return {readings, running};
+    const demand = this.#takeDemand(now);
+    if (readings.length > 0 || running.length > 0) {
+      this.#runningReportedAt = now;
+    } else if (demand.length === 0) {
+      return undefined;
+    }
+    return {readings, running, ...(demand.length > 0 && {demand})};
+  }
+
+  #takeDemand(now: number): WireDemand[] {
+    if (now - this.#demandReportedAt < DEMAND_INTERVAL_MS) return [];
+    this.#demandReportedAt = now;
+    const demand = this.#demand?.takeDemand(now) ?? [];
+    this.#demandReports += 1;
+    const phase = samplePhase(this.#node, this.#demandReports);
+    return demand.map(one => toWireDemand(one, phase));
   }
 
   #takeRunning(now: number): WireRunning[] {
@@ -160,6 +178,8 @@
    * @param now current time, monotonic milliseconds
    */
   apply(digest: WireDigest, now: number): void {
+    const {demand} = digest;
+    if (demand?.length) this.#demand?.applyDemand(readSums(demand), now);
     if (digest.routers) this.#peers.noteCount(digest.routers, now);
     for (const {node, readings, running} of digest.reports ?? []) {
       if (node === this.#node) continue;
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -141,7 +141,6 @@
       this.#fleet,
       this.#rate,
       this.#peers,
-      settings.serverCapacity,
     );
     this.#connections = new GatewayConnections({
       connectTimeoutMs: settings.connectTimeoutMs,
