--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -154,6 +154,8 @@
   readonly headers?: Readonly<Record<string, string>>;
   /** Called when the head of the response has arrived. */
   readonly onHead?: () => void;
+  /** Lets the caller disconnect. */
+  readonly abort?: AbortSignal;
 }
 
 export interface HarnessOptions {
@@ -331,6 +333,7 @@
     body = '',
     headers = {},
     onHead,
+    abort,
   }: Call): Promise<CallerResponse> {
     this.#nextId += 1;
     return new Promise((resolve, reject) => {
@@ -341,6 +344,7 @@
           method,
           path,
           agent: false,
+          ...(abort && {signal: abort}),
           headers: {
             host: 'shop.example',
             [NAMES.requestId]: `request-${this.#nextId}`,
