--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_overload.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_overload.test.ts
@@ -57,6 +57,7 @@
     ]);
     // The caller gets the decided time, without a second jitter.
     const [line] = pool.linesOf('request refused by admission');
+    expect(line?.['flowRate']).toBeGreaterThanOrEqual(0);
     const retryAfterMs = Number(refused.headers['retry-after']) * 1_000;
     expect(retryAfterMs).toBeGreaterThanOrEqual(150);
     expect(
--- a/packages/lovagepond-gateway/src/gateway_pool_overload.ts
+++ b/packages/lovagepond-gateway/src/gateway_pool_overload.ts
@@ -254,7 +254,7 @@
 
   #noteRefused(
     req: OverloadRequest,
-    {reason, retryAfterMs}: AdmissionRefusal,
+    {reason, retryAfterMs, flowRate}: AdmissionRefusal,
     now: number,
   ): void {
     const {counters, log} = this.#deps;
@@ -267,6 +267,7 @@
       reason,
       retryAfterMs: Math.round(retryAfterMs),
       waitMs: Math.round(now - req.submittedAt),
+      flowRate: Math.round(flowRate * 1_000) / 1_000,
       waiting: this.#waiting.size,
     });
   }
--- a/packages/lovagepond-load/src/load_pool_admission.ts
+++ b/packages/lovagepond-load/src/load_pool_admission.ts
@@ -418,10 +418,10 @@
   ): {readonly kind: 'refuse'} & AdmissionRefusal {
     const {workspace} = req;
     const priority = clampPriority(req.priority);
-    const rate = this.#rates.rate(workspace, priority, now);
-    const drainMs = rate > 0 ? cost / rate : 0;
+    const flowRate = this.#rates.rate(workspace, priority, now);
+    const drainMs = flowRate > 0 ? cost / flowRate : 0;
     const retryAfterMs = this.#advice.retryAfterMs(workspace, drainMs, 0, now);
     this.#counts.noteRefused(reason, workspace);
-    return {kind: 'refuse', reason, retryAfterMs};
+    return {kind: 'refuse', reason, retryAfterMs, flowRate};
   }
 }
--- a/packages/lovagepond-load/src/load_types.ts
+++ b/packages/lovagepond-load/src/load_types.ts
@@ -95,6 +95,8 @@
 export interface AdmissionRefusal {
   readonly reason: AdmissionRefusalReason;
   readonly retryAfterMs: number;
+  /** Work per millisecond that the workspace's priority can expect to start. */
+  readonly flowRate: number;
 }
 
 /** A request that waited and is refused. */
