--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_full_server.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_full_server.test.ts
@@ -60,3 +60,23 @@
     expect(pool.linesOf('pool is congested')).toHaveLength(1);
   }, 10_000);
 });
+
+describe('the window of a server', () => {
+  // Guards against work without an answer that a window counts for ever, until
+  // it has room for nothing.
+  it.each([
+    ['breaks off', (_req, res) => res.destroy()],
+    ['fails', (req, res) => answer(req, res, 500, '')],
+    ['refuses', refuse],
+  ] satisfies [string, Script][])(
+    'forgets a call that the server %s',
+    async (_case, script) => {
+      await pool.start([script]);
+      await pool.call('/read/a');
+      const {pools} = pool.gateway.overload.describe(clock.now());
+      expect(pools).toMatchObject({
+        servers: {windows: {'server-0': {inFlight: 0, inFlightMs: 0}}},
+      });
+    },
+  );
+});
