--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -158,6 +158,8 @@
   readonly headers?: Readonly<Record<string, string>>;
   /** Called when the head of the response has arrived. */
   readonly onHead?: () => void;
+  /** Lets the caller disconnect. */
+  readonly abort?: AbortSignal;
 }
 
 export interface HarnessOptions {
@@ -335,6 +337,7 @@
     body = '',
     headers = {},
     onHead,
+    abort,
   }: Call): Promise<CallerResponse> {
     this.#nextId += 1;
     return new Promise((resolve, reject) => {
@@ -345,6 +348,7 @@
           method,
           path,
           agent: false,
+          ...(abort && {signal: abort}),
           headers: {
             host: 'shop.example',
             [NAMES.requestId]: `request-${this.#nextId}`,
--- a/packages/lovagepond-gateway/src/gateway_choice.ts
+++ b/packages/lovagepond-gateway/src/gateway_choice.ts
@@ -152,7 +152,7 @@
       targetLatencyMs,
       targetGapMs: req.targetGapMs,
       repeatable,
-      work: workOf(req),
+      work: {...workOf(req), prefillTokens: 0},
       prefillTokensPerMs: this.#settings.rate.tokensPerMs,
       fetchTokensPerMs: pool.contextFetchTokensPerMs,
       weights: this.#settings.weights ?? ENGINE_WEIGHTS,
