Measure overload with real gateways and control

Load control is to be judged by what callers see while the servers are overloaded, and no measurement ran real gateways in that state.

`npm run measure -- overload` starts stand-in servers in one process, control members in processes of the measurement (the product has no call outside the platform's adapter that registers servers without a sidecar), and gateways from the product's bundle. Open-loop callers record the outcome of each request. Options select scenarios and write JSON and SVG files; measure_main.ts passes them on.

--- a/packages/lovagepond-measure/src/measure_table.ts
+++ b/packages/lovagepond-measure/src/measure_table.ts
@@ -18,6 +18,7 @@
 import {measureGatewaySize} from './gateway_size_measure.js';
 import {type MeasureFunction} from './measure_types.js';
 import {measureMemory} from './memory_measure.js';
+import {measureOverload} from './overload_measure.js';
 import {measurePlacement} from './placement_measure.js';
 import {measurePlacementScale} from './placement_scale_measure.js';
 import {measureRouter} from './router_measure.js';
@@ -39,6 +40,7 @@
   'gateway-weights': measureGatewayWeights,
   'gateway-crashes': measureGatewayCrashes,
   'gateway-size': measureGatewaySize,
+  overload: measureOverload,
   router: measureRouter,
   memory: async () => [await measureMemory()],
 };
--- a/packages/lovagepond-measure/src/measure_types.ts
+++ b/packages/lovagepond-measure/src/measure_types.ts
@@ -14,6 +14,9 @@
 /**
  * Runs one measurement.
  *
+ * @param args options from the command line, which most measurements ignore
  * @returns its tables in print order
  */
-export type MeasureFunction = () => Promise<readonly MeasureSection[]>;
+export type MeasureFunction = (
+  args: readonly string[],
+) => Promise<readonly MeasureSection[]>;
