Cover disturbances, streams and small caches in the overload measurement

Servers now come back as new instances after 4 s, disturbances have a window of their own, and each table states the event loop delay of the callers and the number of untrue refusals "not run".

--- a/packages/lovagepond-measure/src/overload_callers.ts
+++ b/packages/lovagepond-measure/src/overload_callers.ts
@@ -76,6 +76,11 @@
     );
   }
 
+  /** Number of callers so far. */
+  get sent(): number {
+    return this.#lastId;
+  }
+
   /** Resolves when every caller has its answer or has left. */
   async run(): Promise<void> {
     const {scenario, seed} = this.#settings;
--- a/packages/lovagepond-measure/src/overload_control.ts
+++ b/packages/lovagepond-measure/src/overload_control.ts
@@ -16,19 +16,23 @@
 const ANNOUNCE_INTERVAL_MS = 1_000;
 const FIRST_INTERVAL_MS = 50;
 
-/** Servers that no longer announce themselves. */
-export type ControlCommand = {readonly crashed: readonly number[]};
+/** From the parent whenever a server crashes or comes back. */
+export interface ControlCommand {
+  /** Start of each server, wall time in ms; undefined while it is down. */
+  readonly starts: readonly (number | undefined)[];
+}
 
 async function announceAll(
   {directServers}: ControlRole,
   settings: ControlProcessSettings,
-  crashed: readonly number[],
+  {starts}: ControlCommand,
 ): Promise<boolean> {
   const answers = settings.addresses.map((address, at) => {
-    if (crashed.includes(at)) return undefined;
+    const startedAtMs = starts[at] ?? undefined;
+    if (startedAtMs === undefined) return undefined;
     return directServers.announce({
       incarnation: `server-${at}`,
-      startedAtMs: undefined,
+      startedAtMs,
       pool: settings.pool,
       address,
       availabilityZone: 'zone',
@@ -68,19 +72,20 @@
       processStartedAt: 0,
     },
   );
-  let crashed: readonly number[] = [];
+  let command: ControlCommand = {starts: settings.addresses.map(() => 1)};
   process.on('message', message => {
-    ({crashed} = message as ControlCommand);
+    command = message as ControlCommand;
   });
   await control.start();
   const announce = async (): Promise<void> => {
     const document = {version: 1, source: '', content};
     const installed = await control.documents.install(document);
-    if (installed.kind === 'invalid')
-      throw new Error(JSON.stringify(installed));
+    if (installed.kind === 'invalid') {
+      throw new Error(JSON.stringify(installed.faults));
+    }
     const isDone =
       installed.kind === 'accepted' &&
-      (await announceAll(control, settings, crashed));
+      (await announceAll(control, settings, command));
     if (isDone) process.send?.('announced');
     const interval = isDone ? ANNOUNCE_INTERVAL_MS : FIRST_INTERVAL_MS;
     setTimeout(() => void announce(), interval);
--- a/packages/lovagepond-measure/src/overload_fleet.ts
+++ b/packages/lovagepond-measure/src/overload_fleet.ts
@@ -25,6 +25,7 @@
 const START_LIMIT_MS = 20_000;
 const POLL_MS = 50;
 const FREEZE_MS = 2_000;
+const DOWN_MS = 4_000;
 const SLOWDOWN = 3;
 const NANOSECONDS_PER_US = 1_000;
 
@@ -182,25 +183,40 @@
 
   async disturb(disturbance: Disturbance): Promise<void> {
     const all = [...Array(this.#scenario.backends.count).keys()];
-    const [gateway] = this.#gateways;
+    const gateway = this.#gateways[0] as ChildProcess;
     if (disturbance === 'slowHalf') {
       const servers = all.slice(0, all.length / 2);
       await this.#command({kind: 'slow', servers, factor: SLOWDOWN});
     } else if (disturbance === 'crashThird') {
-      const crashed = all.slice(0, all.length / 3);
-      const command: ControlCommand = {crashed};
-      for (const control of this.#controls) control.send(command);
-      await this.#command({kind: 'crash', servers: crashed});
+      const servers = all.slice(0, all.length / 3);
+      await this.#restart('crash', servers);
+      setTimeout(() => void this.#restart('revive', servers), DOWN_MS);
     } else if (disturbance === 'stopControl') {
       for (const control of this.#controls) control.kill('SIGKILL');
     } else if (disturbance === 'killGateway') {
-      gateway?.kill('SIGKILL');
+      gateway.kill('SIGKILL');
+      await once(gateway, 'exit');
     } else {
-      gateway?.kill('SIGSTOP');
-      setTimeout(() => gateway?.kill('SIGCONT'), FREEZE_MS);
+      gateway.kill('SIGSTOP');
+      setTimeout(() => gateway.kill('SIGCONT'), FREEZE_MS);
     }
   }
 
+  async #restart(
+    kind: 'crash' | 'revive',
+    servers: readonly number[],
+  ): Promise<void> {
+    const {count} = this.#scenario.backends;
+    const startedAt = kind === 'crash' ? undefined : Date.now();
+    const command: ControlCommand = {
+      starts: Array.from({length: count}, (_, at) =>
+        servers.includes(at) ? startedAt : 1,
+      ),
+    };
+    await this.#command({kind, servers});
+    for (const control of this.#controls) control.send(command);
+  }
+
   /** Kills all processes of the fleet. */
   async end(): Promise<void> {
     const running = this.#children.filter(isRunning);
--- a/packages/lovagepond-measure/src/overload_measure.ts
+++ b/packages/lovagepond-measure/src/overload_measure.ts
@@ -14,7 +14,6 @@
 import {plotGoodput} from './overload_svg.js';
 
 const DEFAULT_SEED = '11';
-const WARM_UP_MS = 2_000;
 
 /** Entry points of the processes that the measurement starts, by argument. */
 export const OVERLOAD_PROCESSES: Readonly<Record<string, () => void>> = {
@@ -30,6 +29,8 @@
   seed: {type: 'string', default: DEFAULT_SEED},
   /** Callers resend once after the time in Retry-After. */
   'retry-after': {type: 'boolean', default: false},
+  /** Milliseconds before the first window. */
+  'warm-up': {type: 'string', default: '2000'},
   json: {type: 'string'},
   svg: {type: 'string'},
 } as const;
@@ -61,7 +62,7 @@
       const run = await runOverload(scenario, {
         admission,
         seed: Number(values.seed),
-        warmUpMs: WARM_UP_MS,
+        warmUpMs: Number(values['warm-up']),
         followsRetryAfter: values['retry-after'],
         product: 'dist/lovagepond.cjs',
         program: process.argv[1] ?? '',
--- a/packages/lovagepond-measure/src/overload_report.ts
+++ b/packages/lovagepond-measure/src/overload_report.ts
@@ -42,6 +42,8 @@
   readonly busy: number;
   readonly processorUs: number;
   readonly untrueRefusals: number;
+  /** See `OverloadRun`; times of callers are too long by up to this. */
+  readonly callersDelayMs: number;
   readonly requests: number;
 }
 
@@ -116,54 +118,50 @@
     busy: partOf(counts.busyMs, runMs * lanes * backends.count),
     processorUs: roundTo(run.processorUs, 0),
     untrueRefusals: run.untrueRefusals,
+    callersDelayMs: roundTo(run.callersDelayMs, 0),
     requests: records.filter(({sentAtMs}) => sentAtMs >= 0).length,
   };
 }
 
+/** Headings of a row's columns, and their values. */
+const COLUMNS: readonly (readonly [string, keyof OverloadRow])[] = [
+  ['window', 'window'],
+  ['callers', 'callers'],
+  ['offered', 'offered'],
+  ['within', 'within'],
+  ['goodput', 'goodput'],
+  ['late', 'late'],
+  ['refused', 'refused'],
+  ['failed', 'failed'],
+  ['told p50 ms', 'toldMedianMs'],
+  ['told p95 ms', 'toldP95Ms'],
+];
+
 /**
  * @param name the scenario's name
  * @param summaries its runs
  * @param notes lines below the table
- * @returns the table
+ * @returns the table; figures of a whole run are in its last row
  */
 export function toSection(
   name: string,
   summaries: readonly OverloadSummary[],
   notes: readonly string[],
 ): MeasureSection {
-  const rows = summaries.flatMap(summary =>
-    summary.rows.map((row, at) => [
+  const rows = summaries.flatMap(({rows: own, inVain, busy, processorUs}) =>
+    own.map((row, at) => [
       row.admission ? 'on' : 'off',
-      row.window,
-      row.callers,
-      row.offered,
-      row.within,
-      row.goodput,
-      row.late,
-      row.refused,
-      row.failed,
-      row.toldMedianMs,
-      row.toldP95Ms,
-      ...(at === summary.rows.length - 1
-        ? [summary.inVain, summary.busy, summary.processorUs]
-        : ['', '', '']),
+      ...COLUMNS.map(([, field]) => String(row[field])),
+      ...(at === own.length - 1 ? [inVain, busy, processorUs] : ['', '', '']),
     ]),
   );
-  const untrue = summaries.reduce((sum, one) => sum + one.untrueRefusals, 0);
+  const delays = summaries.map(({callersDelayMs}) => callersDelayMs).join(', ');
+  const untrue = summaries.map(({untrueRefusals}) => untrueRefusals).join(', ');
   return {
     title: `Overload: ${name}`,
     columns: [
       'admission',
-      'window',
-      'callers',
-      'offered',
-      'within',
-      'goodput',
-      'late',
-      'refused',
-      'failed',
-      'told p50 ms',
-      'told p95 ms',
+      ...COLUMNS.map(([heading]) => heading),
       'in vain',
       'busy',
       'us/request',
@@ -171,7 +169,7 @@
     rows,
     notes: [
       ...notes,
-      ...(untrue > 0 ? [`${untrue} refusals said "not run" untruly`] : []),
+      `by run: event loop delay of the callers, p99, ms: ${delays}; untrue refusals "not run": ${untrue}`,
     ],
   };
 }
--- a/packages/lovagepond-measure/src/overload_run.ts
+++ b/packages/lovagepond-measure/src/overload_run.ts
@@ -1,6 +1,7 @@
 /**
  * Runs one scenario and collects what callers, servers and gateways saw.
  */
+import {monitorEventLoopDelay} from 'node:perf_hooks';
 import {withTemporaryFolder} from './measure_disk.js';
 import {OverloadCallers} from './overload_callers.js';
 import {OverloadFleet} from './overload_fleet.js';
@@ -13,6 +14,9 @@
   type RequestRecord,
 } from './overload_types.js';
 
+const DELAY_RESOLUTION_MS = 10;
+const NANOSECONDS_PER_MS = 1e6;
+
 function sleepUntil(at: number): Promise<void> {
   const waitMs = Math.max(0, at - performance.now());
   return new Promise(resolve => setTimeout(resolve, waitMs));
@@ -58,22 +62,29 @@
     endMs,
   });
   const run = callers.run();
+  const delay = monitorEventLoopDelay({resolution: DELAY_RESOLUTION_MS});
   await sleepUntil(zeroAt);
   const before = await fleet.count();
   if (scenario.disturbance) await fleet.disturb(scenario.disturbance);
+  delay.enable();
   const processorBefore = fleet.processorUs();
   await sleepUntil(zeroAt + endMs);
   const counts = difference(await fleet.count(), before);
   const processorUs = fleet.processorUs() - processorBefore;
+  delay.disable();
   await run;
-  const {records} = callers;
+  const {records, sent} = callers;
+  const finalCounts = await fleet.count();
   const measured = records.filter(({sentAtMs}) => sentAtMs >= 0).length;
   return {
     scenario,
     admission,
+    sent,
     records,
-    counts,
-    untrueRefusals: countUntrue(records, await fleet.count()),
+    callersDelayMs:
+      delay.percentile(99) / NANOSECONDS_PER_MS - DELAY_RESOLUTION_MS,
+    counts: {...counts, startedIds: finalCounts.startedIds},
+    untrueRefusals: countUntrue(records, finalCounts),
     processorUs: processorUs / Math.max(1, measured),
   };
 }
--- a/packages/lovagepond-measure/src/overload_scenarios.ts
+++ b/packages/lovagepond-measure/src/overload_scenarios.ts
@@ -3,6 +3,7 @@
  */
 import {
   type BackendSpec,
+  type CallerGroup,
   type OverloadScenario,
   type Window,
 } from './overload_types.js';
@@ -27,43 +28,64 @@
   cacheTokens: 300_000,
 };
 
-/** Holds the prefixes of a quarter of the callers and a few running prompts. */
-const LITTLE_CACHE_TOKENS = 8_000;
-
-const CALLS_WINDOW: Window = {name: 'all', fromMs: 0, toMs: 5_000};
-const STREAMS_WINDOW: Window = {name: 'all', fromMs: 0, toMs: 8_000};
-
-const CALLS = {
-  gateways: 2,
-  controls: 1,
-  backends: SERVICES,
-  prefixes: 0,
-  prefillSetting: 40,
-  windows: [CALLS_WINDOW],
-} as const;
-
-const STREAMS = {
-  ...CALLS,
-  backends: ENGINES,
-  prefixes: 8,
-  prefillSetting: 10,
-  windows: [STREAMS_WINDOW],
-} as const;
-
-/** The name of the curves' scenarios; the SVG plot reads load and queue. */
-export const CURVE_NAME = /^calls-([\d.]+)x-q(\d+)$/;
+/** Holds a quarter of 64 prefixes beside a few running prompts. */
+const LITTLE_CACHE = {...ENGINES, cacheTokens: 8_000};
 
-const LOADS = [0.5, 0.7, 1, 1.75, 2, 3];
-const QUEUES = [24, 400];
+type Changes = Partial<OverloadScenario>;
 
-/** The loads of {@link CURVE_NAME} for both sizes of the servers' queue. */
-const CURVES: readonly OverloadScenario[] = QUEUES.flatMap(queue =>
-  LOADS.map(load => ({
-    ...CALLS,
-    name: `calls-${load}x-q${queue}`,
-    backends: {...SERVICES, queue},
-    groups: [{workspace: 'w', kind: 'call', load}],
-  })),
+function window(fromMs: number, toMs: number, name = 'all'): Window {
+  return {name, fromMs, toMs};
+}
+
+function calls(
+  name: string,
+  groups: number | readonly CallerGroup[],
+  changes: Changes = {},
+): OverloadScenario {
+  return {
+    name: `calls-${name}`,
+    gateways: 2,
+    controls: 1,
+    backends: SERVICES,
+    prefixes: 0,
+    prefillSetting: 40,
+    windows: [window(0, 5_000)],
+    groups:
+      typeof groups === 'number'
+        ? [{workspace: 'w', kind: 'call', load: groups}]
+        : groups,
+    ...changes,
+  };
+}
+
+/** Two prefixes are the worst case for placement: four engines share them. */
+function streams(
+  name: string,
+  groups: number | readonly CallerGroup[],
+  changes: Changes = {},
+): OverloadScenario {
+  const scenario = calls(name, groups, {
+    backends: ENGINES,
+    prefixes: 2,
+    prefillSetting: 10,
+    windows: [window(0, 8_000)],
+    ...changes,
+  });
+  const toStream = (kind: string): string => kind.replace('call', 'stream');
+  return {
+    ...scenario,
+    name: `streams-${name}`,
+    groups: scenario.groups.map(one => ({...one, kind: toStream(one.kind)})),
+  };
+}
+
+/** The names of the curves' scenarios; the SVG plot reads load and queue. */
+export const CURVE_NAME = /^calls-([\d.]+)x-q(\d+)$/;
+
+const CURVES = [24, 400].flatMap(queue =>
+  [0.5, 0.7, 1, 1.75, 2, 3].map(load =>
+    calls(`${load}x-q${queue}`, load, {backends: {...SERVICES, queue}}),
+  ),
 );
 
 const SMALL_AND_LARGE = [
@@ -76,130 +98,61 @@
   {workspace: 'w', kind: 'call', load: 1.35},
 ];
 
-const SURGE_AT_MS = 2_000;
-const SURGE_END_MS = 4_000;
+/** Gateway 0 is the one that a disturbance freezes. */
+const FROZEN_AND_OTHER = [
+  {workspace: 'frozen', kind: 'call', load: 0.875, gateways: [0]},
+  {workspace: 'other', kind: 'call', load: 0.875, gateways: [1]},
+];
+
+const REDUCED = {...window(0, 4_000, 'reduced'), capacity: 2 / 3};
 
-const DISTURBED: readonly OverloadScenario[] = [
-  {
-    ...CALLS,
-    name: 'calls-surge',
-    groups: [{workspace: 'w', kind: 'call', load: 0.5}],
-    surge: {fromMs: SURGE_AT_MS, toMs: SURGE_END_MS, factor: 6},
+const DISTURBED = [
+  calls('surge', 0.5, {
+    surge: {fromMs: 2_000, toMs: 4_000, factor: 6},
     windows: [
-      {name: 'before', fromMs: 0, toMs: SURGE_AT_MS},
-      {name: 'surge', fromMs: SURGE_AT_MS, toMs: SURGE_END_MS},
-      {name: '2 s later', fromMs: 6_000, toMs: 8_000},
+      window(0, 2_000, 'before'),
+      window(2_000, 4_000, 'surge'),
+      window(6_000, 8_000, '2 s later'),
     ],
-  },
-  {
-    ...CALLS,
-    name: 'calls-slow-server',
-    backends: {...SERVICES, firstServerFactor: 3},
-    groups: [{workspace: 'w', kind: 'call', load: 0.7}],
-  },
-  {
-    ...CALLS,
-    name: 'calls-half-slow',
-    disturbance: 'slowHalf',
-    groups: [{workspace: 'w', kind: 'call', load: 0.6}],
-    windows: [{...CALLS_WINDOW, toMs: 6_000, capacity: 2 / 3}],
-  },
-  {
-    ...CALLS,
-    name: 'calls-third-crashes',
+  }),
+  calls('slow-server', 0.84, {backends: {...SERVICES, firstServerFactor: 3}}),
+  calls('half-slow', 0.6, {disturbance: 'slowHalf', windows: [REDUCED]}),
+  calls('third-crashes', 0.6, {
     backends: {...SERVICES, count: 6},
     disturbance: 'crashThird',
-    groups: [{workspace: 'w', kind: 'call', load: 0.6}],
-    windows: [{...CALLS_WINDOW, toMs: 6_000, capacity: 2 / 3}],
-  },
-  {
-    ...CALLS,
-    name: 'calls-gateway-killed',
-    disturbance: 'killGateway',
-    groups: [{workspace: 'w', kind: 'call', load: 1.75}],
-  },
-  {
-    ...CALLS,
-    name: 'calls-gateway-frozen',
+    windows: [REDUCED, window(5_000, 7_000, 'back')],
+  }),
+  calls('gateway-killed', 1.75, {disturbance: 'killGateway'}),
+  calls('gateway-frozen', FROZEN_AND_OTHER, {
     disturbance: 'freezeGateway',
-    // The first group's gateway freezes for two seconds; the other's doesn't.
-    groups: [
-      {workspace: 'frozen', kind: 'call', load: 0.875, gateways: [0]},
-      {workspace: 'other', kind: 'call', load: 0.875, gateways: [1]},
-    ],
-  },
-  {
-    ...CALLS,
-    name: 'calls-control-gone',
+    windows: [window(0, 2_000, 'frozen'), window(4_000, 6_000, '2 s later')],
+  }),
+  calls('control-gone', SMALL_AND_LARGE, {
     controls: 3,
     disturbance: 'stopControl',
-    groups: SMALL_AND_LARGE,
-  },
-];
-
-function asStreams(
-  groups: OverloadScenario['groups'],
-): OverloadScenario['groups'] {
-  return groups.map(group => ({
-    ...group,
-    kind: group.kind.replace('call', 'stream'),
-  }));
-}
-
-const STREAM_SCENARIOS: readonly OverloadScenario[] = [
-  {
-    ...STREAMS,
-    name: 'streams-0.8x',
-    groups: [{workspace: 'w', kind: 'stream', load: 0.8}],
-  },
-  {
-    ...STREAMS,
-    name: 'streams-0.8x-setting-40',
-    prefillSetting: 40,
-    groups: [{workspace: 'w', kind: 'stream', load: 0.8}],
-  },
-  {
-    ...STREAMS,
-    name: 'streams-1.7x',
-    groups: [{workspace: 'w', kind: 'stream', load: 1.7}],
-  },
-  {
-    ...STREAMS,
-    name: 'streams-1.7x-setting-40',
-    prefillSetting: 40,
-    groups: [{workspace: 'w', kind: 'stream', load: 1.7}],
-  },
-  {
-    ...STREAMS,
-    name: 'streams-small-large',
-    groups: asStreams(SMALL_AND_LARGE),
-  },
-  {
-    ...STREAMS,
-    name: 'streams-urgent',
-    groups: asStreams(URGENT_AND_OTHER),
-  },
-  {
-    ...STREAMS,
-    name: 'streams-little-cache',
-    prefixes: 64,
-    backends: {...ENGINES, cacheTokens: LITTLE_CACHE_TOKENS},
-    groups: [{workspace: 'w', kind: 'stream', load: 1.7}],
-  },
+  }),
 ];
 
 const TWO_GATEWAYS: readonly OverloadScenario[] = [
   ...CURVES,
-  {...CALLS, name: 'calls-small-large', groups: SMALL_AND_LARGE},
-  {
-    ...CALLS,
-    name: 'calls-one-gateway-large',
-    // The large workspace's callers are all connected to one gateway.
-    groups: SMALL_AND_LARGE.map((group, at) => ({...group, gateways: [at]})),
-  },
-  {...CALLS, name: 'calls-urgent', groups: URGENT_AND_OTHER},
+  calls('small-large', SMALL_AND_LARGE),
+  calls(
+    'one-gateway-each',
+    SMALL_AND_LARGE.map((group, at) => ({...group, gateways: [at]})),
+  ),
+  calls('urgent', URGENT_AND_OTHER),
   ...DISTURBED,
-  ...STREAM_SCENARIOS,
+  streams('0.8x', 0.8),
+  streams('0.8x-setting-40', 0.8, {prefillSetting: 40}),
+  streams('1.7x', 1.7),
+  streams('1.7x-setting-40', 1.7, {prefillSetting: 40}),
+  streams('small-large', SMALL_AND_LARGE),
+  streams('urgent', URGENT_AND_OTHER),
+  streams('little-cache', 1.7, {backends: LITTLE_CACHE, prefixes: 64}),
+  streams('half-slow', 0.6, {
+    disturbance: 'slowHalf',
+    windows: [{...REDUCED, toMs: 8_000}],
+  }),
 ];
 
 /** Scenarios that are repeated with 20 gateways. */
--- a/packages/lovagepond-measure/src/overload_types.ts
+++ b/packages/lovagepond-measure/src/overload_types.ts
@@ -165,8 +165,12 @@
 export interface OverloadRun {
   readonly scenario: OverloadScenario;
   readonly admission: boolean;
+  /** Number of callers. */
+  readonly sent: number;
   readonly records: readonly RequestRecord[];
-  /** Of the servers within all windows. */
+  /** Event loop delay of the callers' process, 99th percentile, milliseconds. */
+  readonly callersDelayMs: number;
+  /** Of the servers since the end of the warm-up; ids since their start. */
   readonly counts: BackendCounts;
   /** Refusals "not run" of requests that did run. */
   readonly untrueRefusals: number;
