Make the overload measurement end its processes and order its commands

A measurement that was ended early left its gateways running, and two commands to the stand-in servers at the same time would have swapped their replies.

The fleet kills its processes when the measurement exits, also by SIGINT and SIGTERM, and sends one command at a time.

--- a/packages/lovagepond-measure/src/overload_backends.ts
+++ b/packages/lovagepond-measure/src/overload_backends.ts
@@ -16,13 +16,7 @@
   type BackendReply,
   type BackendSpec,
 } from './overload_types.js';
-import {
-  type BackendWork,
-  EngineWork,
-  type Job,
-  ServiceWork,
-  WorkCounts,
-} from './overload_work.js';
+import {BackendWork, type Job, WorkCounts} from './overload_work.js';
 
 const NAMES = DEFAULT_HEADER_NAMES;
 const PERCENT = 100;
@@ -74,9 +68,7 @@
   }
 
   #makeWork(): BackendWork {
-    const {kind} = this.#spec;
-    const Work = kind === 'service' ? ServiceWork : EngineWork;
-    const work = new Work(this.#spec, this.#counts);
+    const work = new BackendWork(this.#spec, this.#counts);
     work.factor = this.#constantFactor * this.#slowdown;
     return work;
   }
--- a/packages/lovagepond-measure/src/overload_fleet.ts
+++ b/packages/lovagepond-measure/src/overload_fleet.ts
@@ -91,6 +91,12 @@
   return exitCode === null && signalCode === null;
 }
 
+async function nextMessage(child: ChildProcess): Promise<unknown> {
+  const signal = AbortSignal.timeout(START_LIMIT_MS);
+  const [message] = (await once(child, 'message', {signal})) as unknown[];
+  return message;
+}
+
 async function waitForReady(url: string): Promise<void> {
   const deadline = Date.now() + START_LIMIT_MS;
   for (;;) {
@@ -113,6 +119,7 @@
   #controls: ChildProcess[] = [];
   #gateways: ChildProcess[] = [];
   #addresses: readonly string[] = [];
+  #lastReply: Promise<unknown> = Promise.resolve();
 
   /** @param folder for settings and control's data; it must exist */
   constructor(
@@ -123,8 +130,14 @@
     this.#scenario = scenario;
     this.#options = options;
     this.#folder = folder;
+    process.once('exit', this.#killAll);
   }
 
+  /** Gateways would outlive a measurement that ends early. */
+  readonly #killAll = (): void => {
+    for (const child of this.#children) child.kill('SIGKILL');
+  };
+
   /** `host:port` of each gateway. */
   get addresses(): readonly string[] {
     return this.#addresses;
@@ -154,9 +167,10 @@
       const child = this.#fork('overload-control');
       this.#controls.push(child);
       child.send(settings);
-      await once(child, 'message');
+      await nextMessage(child);
     });
-    await Promise.race(announced);
+    // Only the leader reports that it has announced all servers.
+    await Promise.any(announced);
     const readiness = ports.splice(0, gateways);
     this.#addresses = ports.map(port => `127.0.0.1:${port}`);
     readiness.forEach((port, at) => {
@@ -221,8 +235,9 @@
   async end(): Promise<void> {
     const running = this.#children.filter(isRunning);
     const exits = running.map(child => once(child, 'exit'));
-    for (const child of running) child.kill('SIGKILL');
+    this.#killAll();
     await Promise.all(exits);
+    process.off('exit', this.#killAll);
   }
 
   #fork(name: string): ChildProcess {
@@ -231,10 +246,15 @@
     return child;
   }
 
-  async #command(command: BackendCommand): Promise<BackendReply> {
-    this.#backends?.send(command);
-    const [reply] = await once(this.#backends as ChildProcess, 'message');
-    return reply as BackendReply;
+  /** Sends one command at a time, as replies carry no id. */
+  #command(command: BackendCommand): Promise<BackendReply> {
+    const backends = this.#backends as ChildProcess;
+    const reply = this.#lastReply.then(async () => {
+      backends.send(command);
+      return nextMessage(backends) as Promise<BackendReply>;
+    });
+    this.#lastReply = reply.catch(() => undefined);
+    return reply;
   }
 
   #startGateway(at: number, port: number, members: readonly string[]): void {
--- a/packages/lovagepond-measure/src/overload_measure.ts
+++ b/packages/lovagepond-measure/src/overload_measure.ts
@@ -53,6 +53,9 @@
   if (variants.length === 0 || scenarios.length === 0) {
     throw new Error(`no scenario is selected by: ${args.join(' ')}`);
   }
+  for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+    process.once(signal, () => process.exit(1));
+  }
   execFileSync(process.execPath, ['scripts/build.mjs', '--bundle-only']);
   const summaries: OverloadSummary[] = [];
   const sections: MeasureSection[] = [];
--- a/packages/lovagepond-measure/src/overload_run.ts
+++ b/packages/lovagepond-measure/src/overload_run.ts
@@ -22,18 +22,6 @@
   return new Promise(resolve => setTimeout(resolve, waitMs));
 }
 
-function difference(
-  after: BackendCounts,
-  before: BackendCounts,
-): BackendCounts {
-  return {
-    ...after,
-    busyMs: after.busyMs - before.busyMs,
-    started: after.started - before.started,
-    inVain: after.inVain - before.inVain,
-  };
-}
-
 function countUntrue(
   records: readonly RequestRecord[],
   {startedIds}: BackendCounts,
@@ -69,7 +57,7 @@
   delay.enable();
   const processorBefore = fleet.processorUs();
   await sleepUntil(zeroAt + endMs);
-  const counts = difference(await fleet.count(), before);
+  const after = await fleet.count();
   const processorUs = fleet.processorUs() - processorBefore;
   delay.disable();
   await run;
@@ -83,7 +71,12 @@
     records,
     callersDelayMs:
       delay.percentile(99) / NANOSECONDS_PER_MS - DELAY_RESOLUTION_MS,
-    counts: {...counts, startedIds: finalCounts.startedIds},
+    counts: {
+      busyMs: after.busyMs - before.busyMs,
+      started: after.started - before.started,
+      inVain: after.inVain - before.inVain,
+      startedIds: finalCounts.startedIds,
+    },
     untrueRefusals: countUntrue(records, finalCounts),
     processorUs: processorUs / Math.max(1, measured),
   };
--- a/packages/lovagepond-measure/src/overload_work.ts
+++ b/packages/lovagepond-measure/src/overload_work.ts
@@ -36,209 +36,133 @@
   }
 }
 
-/** What the HTTP side needs of both kinds of work. */
-export interface BackendWork {
-  readonly load: {readonly running: number; readonly waiting: number};
-  /** Multiple of the usual durations. */
-  factor: number;
-  /** A crashed server starts no more work. */
-  isStopped: boolean;
-  arrive(job: Job, now: number): void;
-  /** The caller has closed the connection. */
-  cancel(job: Job, now: number): void;
-}
-
 interface Running {
   readonly startedAt: number;
   readonly endsAt: number;
   readonly timer: NodeJS.Timeout;
 }
 
-/** Takes the next job that can still meet its deadline. */
-function takeNext(waiting: Job[], now: number): Job | undefined {
-  for (;;) {
-    const job = waiting.shift();
-    if (!job || now <= job.deadlineAt) return job;
-    job.onRefused();
-  }
-}
-
-function removeFrom(waiting: Job[], job: Job): void {
-  const at = waiting.indexOf(job);
-  if (at >= 0) waiting.splice(at, 1);
-}
-
-/** A plain service. */
-export class ServiceWork implements BackendWork {
-  factor = 1;
-  isStopped = false;
-  readonly #spec: BackendSpec;
-  readonly #counts: WorkCounts;
-  readonly #running = new Map<Job, Running>();
-  readonly #waiting: Job[] = [];
-
-  constructor(spec: BackendSpec, counts: WorkCounts) {
-    this.#spec = spec;
-    this.#counts = counts;
-  }
-
-  get load(): {readonly running: number; readonly waiting: number} {
-    return {running: this.#running.size, waiting: this.#waiting.length};
-  }
-
-  arrive(job: Job, now: number): void {
-    if (this.#running.size < this.#spec.slots) this.#begin(job, now, now);
-    else if (this.#waiting.length < this.#spec.queue) this.#waiting.push(job);
-    else job.onRefused();
-  }
-
-  cancel(job: Job, now: number): void {
-    const run = this.#running.get(job);
-    if (!run) {
-      removeFrom(this.#waiting, job);
-      return;
-    }
-    clearTimeout(run.timer);
-    this.#counts.inVain += 1;
-    this.#counts.busyMs += Math.max(0, now - run.startedAt);
-    this.#running.delete(job);
-    this.#beginNext(now, now);
-  }
-
-  #begin(job: Job, startedAt: number, now: number): void {
-    const endsAt = startedAt + this.#spec.workMs * this.factor;
-    const timer = setTimeout(() => {
-      this.#end(job);
-    }, endsAt - now);
-    this.#running.set(job, {startedAt, endsAt, timer});
-    this.#counts.noteStarted(job);
-  }
-
-  #end(job: Job): void {
-    const run = this.#running.get(job);
-    if (!run) return;
-    const now = performance.now();
-    this.#running.delete(job);
-    this.#counts.busyMs += run.endsAt - run.startedAt;
-    if (run.endsAt > job.deadlineAt) this.#counts.inVain += 1;
-    this.#beginNext(run.endsAt, now);
-    job.onEvent(1, true);
-  }
-
-  #beginNext(freeAt: number, now: number): void {
-    if (this.isStopped) return;
-    const job = takeNext(this.#waiting, now);
-    if (job) this.#begin(job, Math.max(freeAt, job.arrivedAt), now);
-  }
-}
-
 function tokensOf(parts: readonly PromptPart[]): number {
   return parts.reduce((sum, {tokens}) => sum + tokens, 0);
 }
 
-/** An engine: one prompt at a time, high priority first. */
-export class EngineWork implements BackendWork {
+/**
+ * The work of one server. A service runs a call in each slot; an engine
+ * computes one prompt at a time, high priority first, and holds a slot and
+ * memory until the end of the stream.
+ */
+export class BackendWork {
+  /** Multiple of the usual durations. */
   factor = 1;
+  /** A crashed server starts no more work. */
   isStopped = false;
   readonly #spec: BackendSpec;
   readonly #counts: WorkCounts;
+  /** Calls or prefills that can run at once. */
+  readonly #lanes: number;
   /** Most urgent first, then in order of arrival. */
   readonly #waiting: Job[] = [];
-  readonly #running = new Map<Job, NodeJS.Timeout>();
-  #runningTokens = 0;
+  readonly #running = new Map<Job, Running>();
+  readonly #streaming = new Map<Job, NodeJS.Timeout>();
   /** Tokens of the cached shared parts, least recently used first. */
   readonly #cached = new Map<string, number>();
-  #cachedTokens = 0;
-  #prefill: (Running & {readonly job: Job}) | undefined;
 
   constructor(spec: BackendSpec, counts: WorkCounts) {
     this.#spec = spec;
     this.#counts = counts;
+    this.#lanes = spec.kind === 'service' ? spec.slots : 1;
   }
 
   get load(): {readonly running: number; readonly waiting: number} {
-    return {running: this.#running.size, waiting: this.#waiting.length};
+    const running = this.#running.size + this.#streaming.size;
+    return {running, waiting: this.#waiting.length};
   }
 
   arrive(job: Job, now: number): void {
-    if (this.#waiting.length >= this.#spec.queue) {
-      job.onRefused();
-      return;
-    }
     const at = this.#waiting.findIndex(one => one.priority > job.priority);
     this.#waiting.splice(at < 0 ? this.#waiting.length : at, 0, job);
     this.#beginNext(now, now);
+    if (this.#waiting.length <= this.#spec.queue) return;
+    if (this.#removeWaiting(job)) job.onRefused();
   }
 
+  /** The caller has closed the connection. */
   cancel(job: Job, now: number): void {
-    const timer = this.#running.get(job);
-    if (!timer) {
-      removeFrom(this.#waiting, job);
-      return;
-    }
+    if (this.#removeWaiting(job)) return;
+    const run = this.#running.get(job);
+    const timer = run?.timer ?? this.#streaming.get(job);
+    if (!timer) return;
     clearTimeout(timer);
+    if (run) this.#counts.busyMs += Math.max(0, now - run.startedAt);
     this.#counts.inVain += 1;
-    if (this.#prefill?.job === job) {
-      this.#counts.busyMs += Math.max(0, now - this.#prefill.startedAt);
-      this.#prefill = undefined;
-    }
-    this.#remove(job);
+    this.#running.delete(job);
+    this.#streaming.delete(job);
     this.#beginNext(now, now);
   }
 
+  #removeWaiting(job: Job): boolean {
+    const at = this.#waiting.indexOf(job);
+    return at >= 0 && this.#waiting.splice(at, 1).length > 0;
+  }
+
   #beginNext(freeAt: number, now: number): void {
-    const {slots, cacheTokens, prefillRate} = this.#spec;
-    if (this.isStopped || this.#prefill) return;
-    if (this.#running.size >= slots) return;
+    while (!this.isStopped && this.#hasRoom()) {
+      const job = this.#waiting.shift();
+      if (!job) return;
+      if (now > job.deadlineAt) job.onRefused();
+      else this.#begin(job, Math.max(freeAt, job.arrivedAt), now);
+    }
+  }
+
+  #hasRoom(): boolean {
+    const {kind, slots, cacheTokens} = this.#spec;
+    const {running} = this.load;
+    if (this.#running.size >= this.#lanes || running >= slots) return false;
+    if (kind === 'service' || running === 0) return true;
     const needed = tokensOf(this.#waiting[0]?.parts ?? []);
-    const hasMemory = this.#runningTokens + needed <= cacheTokens;
-    if (this.#running.size > 0 && !hasMemory) return;
-    const job = takeNext(this.#waiting, now);
-    if (!job) return;
-    this.#runningTokens += tokensOf(job.parts);
-    const startedAt = Math.max(freeAt, job.arrivedAt);
-    const cold = this.#coldTokens(job.parts);
-    const endsAt = startedAt + (cold / prefillRate) * this.factor;
+    return this.#runningTokens() + needed <= cacheTokens;
+  }
+
+  #begin(job: Job, startedAt: number, now: number): void {
+    const {kind, workMs, prefillRate} = this.#spec;
+    const usualMs =
+      kind === 'service' ? workMs : this.#coldTokens(job.parts) / prefillRate;
+    const endsAt = startedAt + usualMs * this.factor;
     const timer = setTimeout(() => {
-      this.#endPrefill(job);
+      this.#endWork(job);
     }, endsAt - now);
-    this.#prefill = {job, startedAt, endsAt, timer};
-    this.#running.set(job, timer);
+    this.#running.set(job, {startedAt, endsAt, timer});
     this.#counts.noteStarted(job);
   }
 
-  #endPrefill(job: Job): void {
-    const prefill = this.#prefill;
-    if (prefill?.job !== job) return;
-    this.#prefill = undefined;
-    this.#counts.busyMs += prefill.endsAt - prefill.startedAt;
-    this.#storeParts(job.parts);
-    this.#sendEvent(job, 1);
-    this.#beginNext(prefill.endsAt, performance.now());
+  /** Ends a call, or the prefill of a stream. */
+  #endWork(job: Job): void {
+    const run = this.#running.get(job);
+    if (!run) return;
+    this.#running.delete(job);
+    this.#counts.busyMs += run.endsAt - run.startedAt;
+    if (this.#spec.kind === 'engine') this.#storeParts(job.parts);
+    this.#sendEvent(job, 1, run.endsAt);
   }
 
-  #sendEvent(job: Job, number: number): void {
-    const isLast = number >= STREAM.events;
-    if (isLast) this.#end(job);
-    else {
+  /** @param at when the event was due */
+  #sendEvent(job: Job, number: number, at: number): void {
+    const isLast = this.#spec.kind === 'service' || number >= STREAM.events;
+    const now = performance.now();
+    this.#streaming.delete(job);
+    if (!isLast) {
       const timer = setTimeout(() => {
-        this.#sendEvent(job, number + 1);
+        this.#sendEvent(job, number + 1, performance.now());
       }, STREAM.eventMs * this.factor);
-      this.#running.set(job, timer);
-    }
+      this.#streaming.set(job, timer);
+    } else if (now > job.deadlineAt) this.#counts.inVain += 1;
+    this.#beginNext(at, now);
     job.onEvent(number, isLast);
   }
 
-  #end(job: Job): void {
-    const now = performance.now();
-    if (now > job.deadlineAt) this.#counts.inVain += 1;
-    this.#remove(job);
-    this.#beginNext(now, now);
-  }
-
-  #remove(job: Job): void {
-    this.#running.delete(job);
-    this.#runningTokens -= tokensOf(job.parts);
+  #runningTokens(): number {
+    const jobs = [...this.#running.keys(), ...this.#streaming.keys()];
+    return jobs.reduce((sum, {parts}) => sum + tokensOf(parts), 0);
   }
 
   /** A cached part is usable only if all parts before it are cached. */
@@ -250,14 +174,16 @@
   /** Caches the shared parts and evicts the least recently used ones. */
   #storeParts(parts: readonly PromptPart[]): void {
     for (const {id, tokens} of parts.slice(0, -1)) {
-      if (!this.#cached.delete(id)) this.#cachedTokens += tokens;
+      this.#cached.delete(id);
       this.#cached.set(id, tokens);
     }
+    const cached = [...this.#cached.values()];
+    let used =
+      this.#runningTokens() + cached.reduce((sum, one) => sum + one, 0);
     for (const [id, tokens] of this.#cached) {
-      const used = this.#cachedTokens + this.#runningTokens;
       if (used <= this.#spec.cacheTokens) return;
       this.#cached.delete(id);
-      this.#cachedTokens -= tokens;
+      used -= tokens;
     }
   }
 }
