--- a/packages/lovagepond-gateway/src/gateway_choice.ts
+++ b/packages/lovagepond-gateway/src/gateway_choice.ts
@@ -27,8 +27,6 @@
   /** Select by cached prompt parts. */
   readonly sticky: boolean;
   readonly targetLatencyMs: number;
-  /** Longest pause between events of a stream in target, ms, if known. */
-  readonly targetGapMs?: number | undefined;
   /** Absent: all requests count as one kind of streams or calls. */
   readonly work?: Omit<RequestWork, 'prefillTokens'>;
   /** A failed request may be retried; otherwise its response is lost. */
@@ -150,7 +148,6 @@
       holders,
       parts,
       targetLatencyMs,
-      targetGapMs: req.targetGapMs,
       repeatable,
       work: {...workOf(req), prefillTokens: 0},
       prefillTokensPerMs: this.#settings.rate.tokensPerMs,
--- a/packages/lovagepond-gateway/src/gateway_choice_request.ts
+++ b/packages/lovagepond-gateway/src/gateway_choice_request.ts
@@ -13,12 +13,7 @@
   {pool, facts, rule}: Pick<AdmittedRequest, 'pool' | 'facts' | 'rule'>,
   servers: Pick<ChoiceRequest, 'servers' | 'holders' | 'tried'>,
 ): ChoiceRequest {
-  const {
-    sticky,
-    streaming: isStream,
-    targetLatencyMs,
-    targetGapMs,
-  } = rule.forwarding;
+  const {sticky, streaming: isStream, targetLatencyMs} = rule.forwarding;
   return {
     ...servers,
     pool,
@@ -26,7 +21,6 @@
     sticky,
     work: {kind: rule.kind, isStream},
     targetLatencyMs,
-    targetGapMs,
     repeatable: !rule.nonRepeatable,
   };
 }
--- a/packages/lovagepond-gateway/src/gateway_engine_choice.ts
+++ b/packages/lovagepond-gateway/src/gateway_engine_choice.ts
@@ -6,7 +6,7 @@
  * same home engine. The fleet then computes the prompt once, and not once for
  * each gateway.
  */
-import {pausedStreams, type RequestWork} from '@lovagepond/load';
+import {type RequestWork} from '@lovagepond/load';
 import {type KeyHasher} from '@lovagepond/router/rendezvous_hash';
 import {type ContextFetch, ContextSources} from './gateway_context_source.js';
 import {type PromptPart} from './gateway_headers.js';
@@ -20,8 +20,6 @@
   readonly holders: readonly ServerState[];
   readonly parts: readonly PromptPart[];
   readonly targetLatencyMs: number;
-  /** Longest pause between events of a stream in target, ms, if known. */
-  readonly targetGapMs: number | undefined;
   /** A failed request may be retried; otherwise its response is lost. */
   readonly repeatable: boolean;
   /** The request without its prompt, whose prefill depends on the engine. */
@@ -82,11 +80,6 @@
   readonly repeatableFailure: number;
   /** A certain failure of any other request, whose response is then lost. */
   readonly lostFailure: number;
-  /**
-   * Another stream of the engine that pauses for too long because of the
-   * prompt, in multiples of the target latency.
-   */
-  readonly pausedStream: number;
 }
 
 /** The default weights; docs/design/new_customer.md shows their effects. */
@@ -100,7 +93,6 @@
   runningRequestMs: 0.5,
   repeatableFailure: 1,
   lostFailure: 3,
-  pausedStream: 0.7,
 });
 
 /**
@@ -168,31 +160,10 @@
     Math.max(0, lateMs) * weights.late +
     firstTokenMs * weights.early +
     state.load(now) * weights.runningRequestMs +
-    latePausesMs(state, prefillTokens / prefillRate, req, now) +
     state.failureRisk(now) * failure * req.targetLatencyMs
   );
 }
 
-/** Cost of the engine's streams that the prompt makes late, in milliseconds. */
-function latePausesMs(
-  state: ServerState,
-  prefillMs: number,
-  {targetGapMs, targetLatencyMs, weights}: EngineRequest,
-  now: number,
-): number {
-  if (!state.usesCapacity || targetGapMs === undefined) return 0;
-  const {load, pendingPrefillTokens} = state.loadView(now);
-  const pendingMs =
-    pendingPrefillTokens / state.capacity.prefillTokensPerMs(now);
-  const paused = pausedStreams({
-    runningStreams: load,
-    pendingMs,
-    prefillMs,
-    targetGapMs,
-  });
-  return paused * weights.pausedStream * targetLatencyMs;
-}
-
 /** Time until the engine begins with a prompt that is sent now. */
 function waitMs(state: ServerState, req: EngineRequest, now: number): number {
   if (!state.usesCapacity) {
--- a/packages/lovagepond-load/src/index.ts
+++ b/packages/lovagepond-load/src/index.ts
@@ -21,7 +21,6 @@
   type ObservedCapacity,
   PoolMeans,
 } from './load_pool_means.js';
-export {type PauseInputs, pausedStreams} from './load_stream_pause.js';
 export {
   type DemandSums,
   isPlausibleDemand,
