Keep the state of servers that control stops listing for a while

Cause: a server whose reports are lost in a partition is unlisted and listed again, and gateways forgot what it holds.

Change: the state is kept for 30 s, in the same incarnation only.

The test fails without the change.

--- /dev/null
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_unlisted_servers.test.ts
@@ -0,0 +1,50 @@
+import {type BackendServer, type Membership} from '@lovagepond/core';
+import {describe, expect, it} from 'vitest';
+import {GatewayFleet} from '../../gateway_fleet.js';
+import {makeBackendServer} from './backend_servers.js';
+
+const PROMPT = [{id: 'a', tokens: 900}];
+
+function membershipOf(...servers: readonly BackendServer[]): Membership {
+  const byName = new Map(servers.map(server => [server.name, server]));
+  return {version: 1, servers: byName};
+}
+
+function fleetWithWarmServer(): GatewayFleet {
+  const fleet = new GatewayFleet();
+  fleet.useMembership(membershipOf(makeBackendServer('x')));
+  fleet.find('x')?.noteWarm(['a'], 0, 0);
+  fleet.useMembership(membershipOf());
+  return fleet;
+}
+
+// A partition unlists servers for some seconds. Forgetting what they hold would
+// have other engines compute it again.
+describe('a server that control lists again', () => {
+  it('still counts as holding its prompts', () => {
+    const fleet = fleetWithWarmServer();
+    fleet.expire(100);
+    expect(fleet.size).toBe(0);
+    expect(fleet.find('x')).toBeUndefined();
+    fleet.useMembership(membershipOf(makeBackendServer('x')));
+    expect(fleet.find('x')?.coldTokens(PROMPT)).toBe(0);
+  });
+
+  it('is a new server to gateways after 30 s', () => {
+    const fleet = fleetWithWarmServer();
+    fleet.expire(100);
+    fleet.expire(30_200);
+    fleet.useMembership(membershipOf(makeBackendServer('x')));
+    expect(fleet.find('x')?.coldTokens(PROMPT)).toBe(900);
+  });
+
+  it('is a new server after another instance has answered', () => {
+    const fleet = new GatewayFleet();
+    fleet.useMembership(membershipOf(makeBackendServer('x')));
+    const former = fleet.find('x');
+    former?.markReplaced();
+    fleet.useMembership(membershipOf());
+    fleet.useMembership(membershipOf(makeBackendServer('x')));
+    expect(fleet.find('x')).not.toBe(former);
+  });
+});
--- a/packages/lovagepond-gateway/src/gateway_fleet.ts
+++ b/packages/lovagepond-gateway/src/gateway_fleet.ts
@@ -12,10 +12,12 @@
 import {GatewayLeavingServers} from './gateway_leaving_servers.js';
 import {type CapacitySettings, ServerState} from './gateway_server_state.js';
 import {DEFAULT_GATEWAY_SETTINGS} from './gateway_settings.js';
+import {UnlistedServers} from './gateway_unlisted_servers.js';
 
 /** States of all servers without a sidecar, kept across membership changes. */
 export class GatewayFleet {
   readonly #states = new Map<string, ServerState>();
+  readonly #unlisted = new UnlistedServers();
   readonly #leaving = new GatewayLeavingServers();
   readonly #pauses = new ServerPauses();
   readonly #settings: CapacitySettings;
@@ -52,13 +54,15 @@
     for (const server of membership.servers.values()) {
       if (server.directSlots === undefined) continue;
       listed.add(server.name);
-      const state = this.#states.get(server.name) ?? this.#newState(server);
+      const state = this.#stateOf(server);
       state.useServer(server);
       this.#states.set(server.name, state);
       byPool.set(server.pool, [...(byPool.get(server.pool) ?? []), state]);
     }
-    for (const name of this.#states.keys()) {
-      if (!listed.has(name)) this.#states.delete(name);
+    for (const [name, state] of this.#states) {
+      if (listed.has(name)) continue;
+      this.#states.delete(name);
+      this.#unlisted.add(state);
     }
     this.#byPool = byPool;
     for (const pool of this.#means.keys()) {
@@ -67,8 +71,11 @@
     return listed;
   }
 
-  #newState(server: BackendServer): ServerState {
-    return new ServerState(server, this.#settings, this.#meansOf(server.pool));
+  #stateOf(server: BackendServer): ServerState {
+    const {name, pool} = server;
+    const known = this.#states.get(name) ?? this.#unlisted.take(name);
+    if (known) return known;
+    return new ServerState(server, this.#settings, this.#meansOf(pool));
   }
 
   #meansOf(pool: string): PoolMeans {
@@ -88,6 +95,7 @@
    */
   expire(now: number): void {
     for (const state of this.#states.values()) state.expireRemoteRequests(now);
+    this.#unlisted.expire(now);
     this.#pauses.expire(now);
     this.#leaving.expire(server => this.#states.has(server), now);
   }
