Let gateways of the overload measurement outlast the loss of control

By default gateways accept no API key after 4.25 s without control.

The gateways' settings now have a revocationBound of 60 s.

Conclusion: the scenario shows load control without control, and not the bound on trust in API keys.

--- a/packages/lovagepond-measure/src/overload_fleet.ts
+++ b/packages/lovagepond-measure/src/overload_fleet.ts
@@ -277,6 +277,9 @@
       '[gateway]',
       `listen = ${this.#addresses[at]}`,
       `prefillRate = ${prefillSetting}`,
+      // By default gateways accept no API key after 4.25 s without control,
+      // which would end the load of the scenario without control.
+      'revocationBound = 60s',
       ...(admission && hasEstimates ? ['serverCapacity = on'] : []),
       '[retries]',
     ];
