Check that a burst shrinks a window once

Cause: without the rule that only requests sent after a decrease count, all tests passed.

Change: the window's test sends nothing between the responses of a burst.

--- a/packages/lovagepond-load/src/__tests__/unit/load_dispatch_window.test.ts
+++ b/packages/lovagepond-load/src/__tests__/unit/load_dispatch_window.test.ts
@@ -68,19 +68,21 @@
     expect(window.isEngaged(3)).toBe(true);
   });
 
-  // Guards against several decreases by the responses of one burst.
-  it('shrinks once per round trip', () => {
+  // Guards against several decreases by the responses of one burst: those of
+  // requests sent before a decrease don't show its effect.
+  it('shrinks again only by requests sent after a decrease', () => {
     const window = makeWindow();
     const ids = Array.from({length: 8}, () => send(window, 0));
-    for (const [index, id] of ids.entries()) {
-      window.noteResponse(id, true, 300 + index);
+    window.noteResponse(ids[0]!, true, 300);
+    const engagedMs = windowMs(window, 300);
+    for (const [index, id] of ids.slice(1).entries()) {
+      window.noteResponse(id, true, 300 * (index + 2));
     }
-    const afterFirst = windowMs(window, 310);
-    const later = Array.from({length: 3}, () => send(window, 400));
-    for (const id of later) window.noteResponse(id, true, 900);
-    expect(afterFirst).toBeGreaterThanOrEqual(2 * WORK_MS);
-    expect(windowMs(window, 900)).toBeGreaterThanOrEqual(0.5 * afterFirst);
-    expect(windowMs(window, 900)).toBeLessThan(afterFirst);
+    expect(windowMs(window, 2_400)).toBe(engagedMs);
+    exchange(window, 2_400, IDLE_MS + 4 * TARGET_MS);
+    const shrunkMs = windowMs(window, 3_000);
+    expect(shrunkMs).toBeLessThan(engagedMs);
+    expect(shrunkMs).toBeGreaterThanOrEqual(0.5 * engagedMs);
   });
 
   // Guards against gateways that stay at one request per round trip while
