--- a/packages/lovagepond-load/src/__tests__/unit/load_pool_properties.test.ts
+++ b/packages/lovagepond-load/src/__tests__/unit/load_pool_properties.test.ts
@@ -16,8 +16,8 @@
   workspace: fc.constantFrom(...WORKSPACES),
   priority: fc.integer({min: -1, max: 10}),
   bytes: fc.integer({min: 0, max: 800}),
-  startMs: fc.constantFrom(0, 0, 30, 300, 1e9),
-  idleMs: fc.constantFrom(0, 40, 40, 500, 1e9),
+  startMs: fc.constantFrom(0, 0, 30, 300, 1e9, Infinity, NaN, -1),
+  idleMs: fc.constantFrom(0, 40, 40, 500, 1e9, Infinity, NaN, -1),
   servers: fc.integer({min: 0, max: 3}),
 });
 
--- a/packages/lovagepond-load/src/load_pool_admission.ts
+++ b/packages/lovagepond-load/src/load_pool_admission.ts
@@ -23,6 +23,7 @@
   type AdmissionRefusalReason,
   type AdmissionRequest,
   type AdmissionSettings,
+  boundEstimate,
   type LoadedServer,
   type RefusedRequest,
   type ShareWeights,
@@ -109,7 +110,7 @@
     const server = servers[0];
     if (!server) return this.#refuse(req, ADMISSION_REFUSAL.NO_SERVER, 0, now);
     this.#noServer = false;
-    const workMs = server.workMs(req, now);
+    const workMs = boundEstimate(server.workMs(req, now));
     const {workspace, deadlineAt} = req;
     if (now >= deadlineAt) {
       return this.#refuse(req, ADMISSION_REFUSAL.DEADLINE, workMs, now);
--- a/packages/lovagepond-load/src/load_queued_request.ts
+++ b/packages/lovagepond-load/src/load_queued_request.ts
@@ -5,6 +5,7 @@
 import {
   ADMISSION_REFUSAL,
   type AdmissionRequest,
+  boundEstimate,
   type LoadedServer,
 } from './load_types.js';
 
@@ -23,7 +24,8 @@
 ): boolean {
   const leftMs = req.targetLatencyMs - sinceMs;
   return servers.some(
-    server => server.predictIdle(req, now).firstResponseMs < leftMs,
+    server =>
+      boundEstimate(server.predictIdle(req, now).firstResponseMs) < leftMs,
   );
 }
 
@@ -62,9 +64,10 @@
   let cost = 0;
   for (const server of servers) {
     const {firstResponseMs} = server.predictIdle(req, now);
-    if (firstResponseMs >= idleMs) continue;
-    idleMs = firstResponseMs;
-    cost = server.workMs(req, now);
+    const boundMs = boundEstimate(firstResponseMs);
+    if (boundMs >= idleMs) continue;
+    idleMs = boundMs;
+    cost = boundEstimate(server.workMs(req, now));
   }
   const {id, workspace, arrivedAt, deadlineAt} = req;
   const slackMs = limitMsOf(req, servers, now) - idleMs;
--- a/packages/lovagepond-load/src/load_server_windows.ts
+++ b/packages/lovagepond-load/src/load_server_windows.ts
@@ -3,7 +3,11 @@
  * request.
  */
 import {DispatchWindow} from './load_dispatch_window.js';
-import {type AdmissionRequest, type LoadedServer} from './load_types.js';
+import {
+  type AdmissionRequest,
+  boundEstimate,
+  type LoadedServer,
+} from './load_types.js';
 
 /** Least target delay at a server, milliseconds. */
 const MIN_TARGET_DELAY_MS = 5;
@@ -62,11 +66,13 @@
     now: number,
   ): boolean {
     const window = this.#windows.get(server.name);
-    const {startMs} = server.predict(req, now);
+    const startMs = boundEstimate(server.predict(req, now).startMs);
     const waitedMs = now - req.arrivedAt;
     // The common case needs no further estimates.
     if (startMs > MIN_TARGET_DELAY_MS || waitedMs > MIN_TARGET_DELAY_MS) {
-      const idleMs = server.predictIdle(req, now).firstResponseMs;
+      const idleMs = boundEstimate(
+        server.predictIdle(req, now).firstResponseMs,
+      );
       const {targetMs, leftMs} = limitsOf(req, idleMs, waitedMs, options);
       const delayMs = Math.max(startMs, window?.delayMs ?? 0);
       const closed = startMs > targetMs || delayMs > leftMs;
@@ -75,7 +81,11 @@
       }
     }
     if (!window?.isEngaged(now)) return true;
-    return window.hasRoom(server.workMs(req, now), options.mayBorrow, now);
+    return window.hasRoom(
+      boundEstimate(server.workMs(req, now)),
+      options.mayBorrow,
+      now,
+    );
   }
 
   /**
@@ -113,8 +123,8 @@
     this.#windows.set(name, window);
     this.#serverOf.set(req.id, server);
     window.configure(slots, this.#weight);
-    const workMs = server.workMs(req, now);
-    const idleMs = server.predictIdle(req, now).firstResponseMs;
+    const workMs = boundEstimate(server.workMs(req, now));
+    const idleMs = boundEstimate(server.predictIdle(req, now).firstResponseMs);
     const attempt = {
       ...{id: req.id, workMs, idleMs},
       targetDelayMs: targetDelayMs(idleMs, options),
--- a/packages/lovagepond-load/src/load_types.ts
+++ b/packages/lovagepond-load/src/load_types.ts
@@ -15,6 +15,17 @@
   readonly doneMs: number;
 }
 
+const MAX_ESTIMATE_MS = 1e9;
+
+/**
+ * @param ms an estimate, milliseconds
+ * @returns it as a number from 0 to 10⁹; 0, the value for unknown, when it is
+ *     negative or no number
+ */
+export function boundEstimate(ms: number): number {
+  return ms > 0 ? Math.min(MAX_ESTIMATE_MS, ms) : 0;
+}
+
 /** A request that admission control decides on. */
 export interface AdmissionRequest {
   /** Unique at this gateway. */
