--- a/packages/lovagepond-gateway/src/gateway_overload.ts
+++ b/packages/lovagepond-gateway/src/gateway_overload.ts
@@ -155,8 +155,9 @@
    * @param pool the pool that the event concerns
    */
   pumpSoon(pool: PoolOverload): void {
+    const isScheduled = this.#changed.size > 0;
     this.#changed.add(pool);
-    if (this.#changed.size > 1) return;
+    if (isScheduled) return;
     queueMicrotask(() => {
       const now = this.#now();
       const changed = [...this.#changed];
