Tell admission control how long a service's own queue is

Cause: the window takes a slow response for queueing unless the server reports an empty queue, and the gateway passed no report on.

Change: the waiting count of the latest load header, for servers without prompts.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_request_demand.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_request_demand.test.ts
@@ -97,4 +97,16 @@
     expect(loaded.predictIdle(req, 0).startMs).toBe(0);
     expect(loadedServerOf(state)).toBe(loaded);
   });
+
+  // The window of a service with an empty queue must not shrink for a response
+  // that was slow for another reason; an engine's prompts wait in its slots.
+  it('reports the queue of a service, but not that of an engine', () => {
+    const state = makeState('x');
+    const loaded = loadedServerOf(state);
+    expect(loaded.reportedWaiting).toBeUndefined();
+    state.noteLoad({running: 4, waiting: 3, slots: 4}, 0);
+    expect(loaded.reportedWaiting).toBe(3);
+    state.servesPrompts = true;
+    expect(loaded.reportedWaiting).toBeUndefined();
+  });
 });
--- a/packages/lovagepond-gateway/src/gateway_loaded_server.ts
+++ b/packages/lovagepond-gateway/src/gateway_loaded_server.ts
@@ -21,6 +21,10 @@
     return this.#state.slots;
   }
 
+  get reportedWaiting(): number | undefined {
+    return this.#state.reportedWaiting;
+  }
+
   predict(req: OverloadRequest, now: number): PredictedTimes {
     const {capacity} = this.#state;
     const {work, fetchMs} = req.demand.at(this.#state, now);
--- a/packages/lovagepond-gateway/src/gateway_prefill_tracker.ts
+++ b/packages/lovagepond-gateway/src/gateway_prefill_tracker.ts
@@ -102,6 +102,7 @@
       prefillTokens: Math.max(0, this.#prefillTokens - ownTokens),
     });
     state.pendingPrefillTokens += this.#prefillTokens;
+    state.servesPrompts ||= parts.length > 0;
     this.#occupyMemory();
     const sizes = new Map(parts.map(({id, tokens}) => [id, tokens]));
     state.noteWarm(ids, doneAt, now, sizes);
--- a/packages/lovagepond-gateway/src/gateway_server_state.ts
+++ b/packages/lovagepond-gateway/src/gateway_server_state.ts
@@ -56,6 +56,9 @@
   pendingPrefillTokens = 0;
   /** Those of them that the server has yet to compute, as predicted. */
   readonly pendingPrefill = new PendingPrefill();
+  /** The server computes prompts, so that requests also wait without a queue. */
+  servesPrompts = false;
+  #reportedWaiting: number | undefined;
   #remoteAtReport = 0;
   readonly #remote = new RemoteRequests();
   #reportedAt = Number.NEGATIVE_INFINITY;
@@ -225,9 +228,18 @@
    */
   noteLoad({running, waiting}: ServerLoad, now: number): void {
     this.#remoteAtReport = Math.max(0, running + waiting - this.inFlight);
+    this.#reportedWaiting = waiting;
     this.#reportedAt = now;
   }
 
+  /**
+   * Requests that waited in the server's queue by its latest report; undefined
+   * without a report, and for engines, where requests in a slot wait as well.
+   */
+  get reportedWaiting(): number | undefined {
+    return this.servesPrompts ? undefined : this.#reportedWaiting;
+  }
+
   /**
    * Records a complete response that is not a server error.
    *
