Keep a window open that engaged without an estimate

Cause: a server that refused its first request had a window of 0, as the work of a request was unknown. The window stayed 0, so a queued request waited 4.9 s for the idle server and was refused.

Change: with the first known work, an engaged window becomes one request, and it is kept within its bounds as the mean work changes. The gateway's test of a full server checks the answers until the pool is calm, for which the harness trusts its configuration for a minute.

--- a/packages/lovagepond-gateway/src/__tests__/unit/overloaded_pool.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/overloaded_pool.ts
@@ -126,6 +126,7 @@
     this.#gateway = await GatewayHarness.start(scripts, {
       content: contentWith(admission ?? undefined),
       listed: () => ({directSlots: 1}),
+      revocationBoundMs: 60_000,
       log: this.#log,
     });
   }
--- a/packages/lovagepond-load/src/__tests__/unit/load_dispatch_window.test.ts
+++ b/packages/lovagepond-load/src/__tests__/unit/load_dispatch_window.test.ts
@@ -48,6 +48,23 @@
     expect(window.isEngaged(1_000)).toBe(false);
   });
 
+  // Guards against a server that refuses its first request, and then gets
+  // nothing for ever, as the work of a request was unknown.
+  it('admits requests after it engaged without an estimate', () => {
+    const window = makeWindow();
+    const times = {idleMs: 0, targetDelayMs: TARGET_MS};
+    window.noteSent({id: 'unknown', workMs: 0, ...times}, 0);
+    window.noteRefused('unknown', false, 1);
+    expect(window.isEngaged(1)).toBe(true);
+    let sent = 0;
+    for (let now = 50; now < 1_000; now += 50) {
+      if (!window.hasRoom(WORK_MS, false, now)) continue;
+      exchange(window, now, IDLE_MS);
+      sent += 1;
+    }
+    expect(sent).toBeGreaterThan(10);
+  });
+
   // Guards against a full server that is sent as much as before.
   it('engages below the work in flight', () => {
     const window = makeWindow();
--- a/packages/lovagepond-load/src/load_dispatch_window.ts
+++ b/packages/lovagepond-load/src/load_dispatch_window.ts
@@ -175,7 +175,7 @@
     this.noteEnded(attempt.id);
     this.#inFlight.set(attempt.id, {...attempt, sentAt: now});
     this.#inFlightMs += attempt.workMs;
-    this.#requestMs = smooth(this.#requestMs, attempt.workMs);
+    this.#noteWork(attempt.workMs);
     this.#lastSentAt = now;
     if (!this.isEngaged(now) || !this.#limit(attempt.workMs).paced) return;
     const from = Math.max(now, this.#pacedUntil);
@@ -261,6 +261,17 @@
     };
   }
 
+  /**
+   * A window that engaged before any work was known is 0 and would admit
+   * nothing; it becomes one request with the first work.
+   */
+  #noteWork(workMs: number): void {
+    const isFirst = this.#requestMs === 0;
+    this.#requestMs = smooth(this.#requestMs, workMs);
+    if (!this.#engaged) return;
+    this.#setWindow(isFirst ? this.#requestMs : this.#windowMs);
+  }
+
   #engage(windowMs: number, now: number): void {
     this.#engaged = true;
     this.#limitedAt = now;
