Wire the shares of workspaces to admission control

Cause: GatewayShares was complete and constructed nowhere, so the callers of a workspace that are all at one gateway got half of that gateway's part.

Change: GatewayRole constructs it for the load reports and for the overload module. A request counts as offered with its work at the best server, and as sent with the same work. PoolAdmission gets the newest weights when demand was measured, sums arrived, a configuration was installed, and every 100 ms. Pools whose admission is removed have no shares and report nothing. The dump has `shares` by pool. PoolAdmission.useWeights called weightOf without its object, which failed with any class.

--- a/packages/lovagepond-gateway/src/__tests__/unit/fair_shares_play.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/fair_shares_play.ts
@@ -1,19 +1,12 @@
-import {
-  RouterReports,
-  UpdateEncoder,
-  WorkspaceDemandFeed,
-  readReadings,
-} from '@lovagepond/control/deciders';
+import {WorkspaceDemandFeed} from '@lovagepond/control/deciders';
 import {Random} from '@lovagepond/core';
 import {maxMinLevel} from '@lovagepond/load';
-import {lovagepond} from '@lovagepond/protocol';
 import {GatewayFleet} from '../../gateway_fleet.js';
 import {GatewayLoadReports} from '../../gateway_load_reports.js';
 import {GatewayPeers} from '../../gateway_peers.js';
 import {PrefillRate} from '../../gateway_prefill_rate.js';
 import {GatewayShares} from '../../gateway_shares.js';
-
-const {v1} = lovagepond;
+import {DemandExchange} from './demand_exchange.js';
 
 export const POOL = 'pool';
 
@@ -43,7 +36,10 @@
   readonly #random: Random;
   isRunning = true;
 
-  constructor(name: string, seed: number) {
+  constructor(
+    readonly name: string,
+    seed: number,
+  ) {
     this.#random = new Random(seed);
     this.reports = new GatewayLoadReports(
       name,
@@ -112,8 +108,7 @@
   readonly gateways: readonly PlayGateway[];
   readonly #capacity: number;
   readonly #offers: Readonly<Record<string, Offer>>;
-  readonly #encoder = new UpdateEncoder();
-  #reports = new RouterReports();
+  #exchange = new DemandExchange();
   #served = new Map<string, number>();
   #now = 10_000;
   #markedAt = this.#now;
@@ -139,7 +134,7 @@
 
   /** Replaces control's member by one without any state. */
   restartControl(): void {
-    this.#reports = new RouterReports();
+    this.#exchange = new DemandExchange();
   }
 
   /** @returns work served since the last call, by workspace, in ms per s */
@@ -180,25 +175,6 @@
       }
       gateway.shares.setCongested(POOL, gateway.queued > 0, now);
     }
-    this.#exchange(running, now);
-  }
-
-  #exchange(running: readonly PlayGateway[], now: number): void {
-    for (const {reports} of running) {
-      const report = reports.takeReport(now);
-      if (!report || !this.hasControl) continue;
-      const node = `gateway-${this.gateways.findIndex(one => one.reports === reports)}`;
-      const bytes = v1.ReadingReport.encode({...report, node}).finish();
-      this.#reports.add(readReadings(v1.ReadingReport.decode(bytes)), now);
-    }
-    this.#reports.expire(now);
-    if (!this.hasControl) return;
-    for (const {reports, feed} of running) {
-      const demand = feed.next(this.#reports.demand, now);
-      if (demand.length === 0) continue;
-      const update = {kind: 'readings', reports: [], demand} as const;
-      const {readings} = v1.ControlUpdate.decode(this.#encoder.encode(update));
-      if (readings) reports.apply(readings, now);
-    }
+    this.#exchange.run(running, this.hasControl, now);
   }
 }
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -32,6 +32,7 @@
 import {GatewayRetryBudget} from '../../gateway_retry_budget.js';
 import {probeServer} from '../../gateway_server_probe.js';
 import {GatewayServer} from '../../gateway_server.js';
+import {GatewayShares} from '../../gateway_shares.js';
 import {GatewayWarmUp} from '../../gateway_warm_up.js';
 import {makeBackendServer} from './backend_servers.js';
 
@@ -243,7 +244,13 @@
     };
     const peers = new GatewayPeers();
     const counters = new GatewayCounters();
-    const overload = new GatewayOverload({clock, log, random});
+    const shares = new GatewayShares();
+    const overload = new GatewayOverload({
+      clock,
+      log,
+      random,
+      shares,
+    });
     overload.useConfiguration(content);
     const crashed = new Set<string>();
     const quarantine = new GatewayQuarantine({
@@ -279,7 +286,7 @@
         warmUp: new GatewayWarmUp('gateway', STARTED_LONG_AGO),
         counters,
         overload,
-        readings: new GatewayLoadReports('gateway', fleet, rate, peers),
+        readings: new GatewayLoadReports('gateway', fleet, rate, peers, shares),
         rate,
       },
     );
--- a/packages/lovagepond-gateway/src/gateway_overload.ts
+++ b/packages/lovagepond-gateway/src/gateway_overload.ts
@@ -8,9 +8,9 @@
   type Logger,
   type Random,
 } from '@lovagepond/core';
-import {type ShareWeights} from '@lovagepond/load';
 import {OverloadCounters} from './gateway_overload_counters.js';
 import {PoolOverload} from './gateway_pool_overload.js';
+import {type GatewayShares} from './gateway_shares.js';
 
 /**
  * Longest time between checks while requests wait, milliseconds. The end of a
@@ -29,6 +29,8 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly random: Random;
+  /** The shares of the pools with admission control. */
+  readonly shares: GatewayShares;
 }
 
 export class GatewayOverload {
@@ -45,6 +47,10 @@
 
   constructor(deps: OverloadDependencies) {
     this.#deps = deps;
+    const {shares} = deps;
+    shares.listen(name => {
+      this.#pools.get(name)?.useWeights(shares.weightsOf(name));
+    });
   }
 
   /** True while a pool has admission control. */
@@ -77,14 +83,15 @@
    *
    * @param content the installed configuration
    */
-  useConfiguration({pools, workspaces}: ConfigurationContent): void {
-    const weights = toWeights(workspaces);
+  useConfiguration(content: ConfigurationContent): void {
+    const {shares} = this.#deps;
+    shares.useWorkspaces(content);
     const kept = new Set<string>();
-    for (const {name, admission: settings} of pools) {
+    for (const {name, admission: settings} of content.pools) {
       if (!settings) continue;
       kept.add(name);
       const pool = this.#pools.get(name) ?? this.#add(name, settings);
-      pool.configure(settings, weights);
+      pool.configure(settings, shares.weightsOf(name));
     }
     for (const [name, pool] of this.#pools) {
       if (kept.has(name)) continue;
@@ -98,10 +105,11 @@
     name: string,
     settings: ConstructorParameters<typeof PoolOverload>[1],
   ): PoolOverload {
-    const {log, random} = this.#deps;
+    const {log, random, shares} = this.#deps;
     const pool = new PoolOverload(name, settings, {
       log,
       random,
+      shares,
       counters: this.#counters,
     });
     this.#pools.set(name, pool);
@@ -174,9 +182,12 @@
     const pools: Record<string, unknown> = {};
     const waitingByPool: Record<string, number> = {};
     const engagedByPool: Record<string, number> = {};
+    const shares = new Map(
+      this.#deps.shares.describe(now).map(({pool, ...view}) => [pool, view]),
+    );
     for (const [name, pool] of this.#pools) {
       const state = pool.describe(now);
-      pools[name] = state;
+      pools[name] = {...state, shares: shares.get(name)};
       waitingByPool[name] = state.waiting;
       engagedByPool[name] = state.engagedServers;
     }
@@ -211,13 +222,3 @@
     );
   }
 }
-
-function toWeights(
-  workspaces: ConfigurationContent['workspaces'],
-): ShareWeights {
-  const byName = new Map(workspaces.map(({name, weight}) => [name, weight]));
-  return {
-    weightOf: workspace => byName.get(workspace) ?? 1,
-    gatewayWeight: 1,
-  };
-}
--- a/packages/lovagepond-gateway/src/gateway_pool_overload.ts
+++ b/packages/lovagepond-gateway/src/gateway_pool_overload.ts
@@ -8,6 +8,7 @@
   type AdmissionRefusal,
   type AdmissionSettings,
   type AdmissionState,
+  bestServerOf,
   type LoadedServer,
   PoolAdmission,
   type ShareWeights,
@@ -17,6 +18,7 @@
 import {type OverloadRequest} from './gateway_overload_types.js';
 import {type ServerLoad} from './gateway_headers.js';
 import {type ServerState} from './gateway_server_state.js';
+import {type GatewayShares} from './gateway_shares.js';
 
 /**
  * Time without congestion after which a pool counts as no longer congested,
@@ -25,10 +27,18 @@
  */
 const CALM_AFTER_MS = 1_000;
 
+/**
+ * Interval at which the shares of a congested pool are computed, milliseconds.
+ * Demand is measured in parts of this length, and sums of the other gateways
+ * that have become too old are dropped with at most this delay.
+ */
+const SHARES_INTERVAL_MS = 100;
+
 export interface PoolOverloadDependencies {
   readonly log: Logger;
   readonly random: Random;
   readonly counters: OverloadCounters;
+  readonly shares: GatewayShares;
 }
 
 function toLoaded(
@@ -48,6 +58,13 @@
   #isReleased = false;
   /** When the pool was last seen congested; undefined after it was calm. */
   #congestedAt: number | undefined;
+  #sharesAt = -Infinity;
+  /**
+   * Work that each request was offered with. It is counted as sent with the same
+   * work: with that at the server chosen, a workspace would seem to get more or
+   * less than it asked for.
+   */
+  readonly #offeredMs = new WeakMap<OverloadRequest, number>();
 
   /**
    * @param pool the pool's name
@@ -78,10 +95,22 @@
    * Applies to queued requests, too.
    *
    * @param settings the limits of the installed configuration
-   * @param weights the weights of workspaces
+   * @param weights the newest weights
    */
-  configure(settings: AdmissionSettings, weights: ShareWeights): void {
+  configure(
+    settings: AdmissionSettings,
+    weights: ShareWeights | undefined,
+  ): void {
     this.#admission.useSettings(settings);
+    this.useWeights(weights);
+  }
+
+  /**
+   * Applies to queued requests, too.
+   *
+   * @param weights weights of the workspaces and of this gateway
+   */
+  useWeights(weights: ShareWeights | undefined): void {
     this.#admission.useWeights(weights);
   }
 
@@ -92,6 +121,7 @@
    */
   submit(req: OverloadRequest, now: number): AdmissionDecision {
     const servers = toLoaded(req.servers(now));
+    this.#noteOffered(req, servers, now);
     const decision = this.#admission.submit(req, servers, now);
     if (decision.kind === 'wait') this.#waiting.set(req.id, req);
     if (decision.kind === 'refuse') this.#noteRefused(req, decision, now);
@@ -122,7 +152,23 @@
    * @param now current time, monotonic milliseconds
    */
   noteSent(req: OverloadRequest, state: ServerState, now: number): void {
-    this.#admission.noteSent(req, loadedServerOf(state), now);
+    const server = loadedServerOf(state);
+    this.#admission.noteSent(req, server, now);
+    if (this.#isReleased) return;
+    const workMs = this.#offeredMs.get(req) ?? server.workMs(req, now);
+    this.#deps.shares.noteSent(this.#pool, req.workspace, workMs, now);
+  }
+
+  #noteOffered(
+    req: OverloadRequest,
+    servers: readonly LoadedServer<OverloadRequest>[],
+    now: number,
+  ): void {
+    // Also without congestion: its first shares need the demand before it.
+    const workMs = bestServerOf(req, servers, now)?.workMs(req, now);
+    if (workMs === undefined || this.#isReleased) return;
+    this.#offeredMs.set(req, workMs);
+    this.#deps.shares.noteOffered(this.#pool, req.workspace, workMs, now);
   }
 
   /**
@@ -182,6 +228,16 @@
       this.#isPumping = false;
     }
     this.#reportCongestion(now);
+    this.#updateShares(now);
+  }
+
+  /** Called at each check, so that shares don't depend on reports alone. */
+  #updateShares(now: number): void {
+    const {shares} = this.#deps;
+    shares.setCongested(this.#pool, this.#admission.isCongested(now), now);
+    if (now - this.#sharesAt < SHARES_INTERVAL_MS) return;
+    this.#sharesAt = now;
+    shares.refresh(this.#pool, now);
   }
 
   #startOpen(now: number): void {
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -32,6 +32,7 @@
 import {GatewayOverload} from './gateway_overload.js';
 import {GatewayRetryBudget} from './gateway_retry_budget.js';
 import {GatewayServer} from './gateway_server.js';
+import {GatewayShares} from './gateway_shares.js';
 import {probeServer} from './gateway_server_probe.js';
 import {type GatewaySettings} from './gateway_settings.js';
 import {GatewayWarmUp} from './gateway_warm_up.js';
@@ -78,6 +79,7 @@
   readonly #quarantine: GatewayQuarantine;
   readonly #counters = new GatewayCounters();
   readonly #warmUp: GatewayWarmUp;
+  readonly #shares = new GatewayShares();
   readonly #overload: GatewayOverload;
   readonly #link: ControlLink;
   #membership = EMPTY_MEMBERSHIP;
@@ -141,6 +143,7 @@
       this.#fleet,
       this.#rate,
       this.#peers,
+      this.#shares,
     );
     this.#connections = new GatewayConnections({
       connectTimeoutMs: settings.connectTimeoutMs,
@@ -156,7 +159,10 @@
       },
     });
     this.#warmUp = new GatewayWarmUp(settings.name, deps.clock.now());
-    this.#overload = new GatewayOverload(deps);
+    this.#overload = new GatewayOverload({
+      ...deps,
+      shares: this.#shares,
+    });
     const {name: node, region} = settings;
     const facts = {node, region, takesDeltas: true};
     const listener = {
--- a/packages/lovagepond-gateway/src/gateway_shares.ts
+++ b/packages/lovagepond-gateway/src/gateway_shares.ts
@@ -5,6 +5,7 @@
 import {
   DemandMeter,
   type DemandSums,
+  type MeasuredDemand,
   type ShareView,
   type ShareWeights,
   WorkspaceShares,
@@ -37,26 +38,37 @@
   })[];
 }
 
+/** Called with the name of a pool whose shares have changed. */
+type SharesListener = (pool: string) => void;
+
 /** Measures the demand by pool, and computes the shares of congested pools. */
 export class GatewayShares implements DemandSource {
   readonly #pools = new Map<string, PoolState>();
   #weights: ReadonlyMap<string, number> = new Map();
+  #onChange: SharesListener = () => {};
+
+  /** @param onChange called when the shares of a pool were computed anew */
+  listen(onChange: SharesListener): void {
+    this.#onChange = onChange;
+  }
 
   /**
    * Uses the workspaces' weights of a configuration, and drops the state of
-   * pools that it doesn't have.
+   * pools for which it has no admission control.
    *
    * @param content the configuration in force
    */
   useWorkspaces({workspaces, pools}: ConfigurationContent): void {
     this.#weights = new Map(workspaces.map(({name, weight}) => [name, weight]));
-    for (const {shares} of this.#pools.values()) {
-      shares.useWeights(this.#weights);
-    }
-    const names = new Set(pools.map(({name}) => name));
+    const controlled = pools.filter(({admission}) => admission);
+    const names = new Set(controlled.map(({name}) => name));
     for (const pool of this.#pools.keys()) {
       if (!names.has(pool)) this.#pools.delete(pool);
     }
+    for (const pool of names) {
+      this.#stateOf(pool).shares.useWeights(this.#weights);
+      this.#onChange(pool);
+    }
   }
 
   /**
@@ -102,13 +114,30 @@
     const state = this.#stateOf(pool);
     if (state.isCongested === isCongested) return;
     state.isCongested = isCongested;
-    if (isCongested) state.shares.useOwn(state.meter.read(now), now);
-    else state.shares.clear();
+    if (isCongested) {
+      this.#useOwn(pool, state, now);
+      return;
+    }
+    state.shares.clear();
+    this.#onChange(pool);
   }
 
   /**
+   * Computes the shares of a congested pool with the present demand, and without
+   * sums that have become too old.
+   *
    * @param pool a pool
-   * @returns its weights; undefined for a pool without any request so far
+   * @param now current time, monotonic milliseconds
+   */
+  refresh(pool: string, now: number): void {
+    const state = this.#pools.get(pool);
+    if (state?.isCongested) this.#useOwn(pool, state, now);
+  }
+
+  /**
+   * @param pool a pool
+   * @returns its weights; undefined for a pool without admission control and
+   *     without any request so far
    */
   weightsOf(pool: string): ShareWeights | undefined {
     return this.#pools.get(pool)?.shares;
@@ -117,11 +146,9 @@
   /** @inheritDoc */
   takeDemand(now: number): readonly OwnDemand[] {
     const demand: OwnDemand[] = [];
-    for (const [pool, {meter, shares, isCongested}] of this.#pools) {
-      if (!isCongested) continue;
-      const own = meter.read(now);
-      shares.useOwn(own, now);
-      demand.push({pool, ...own});
+    for (const [pool, state] of this.#pools) {
+      if (!state.isCongested) continue;
+      demand.push({pool, ...this.#useOwn(pool, state, now)});
     }
     return demand;
   }
@@ -130,7 +157,9 @@
   applyDemand(sums: ReadonlyMap<string, DemandSums>, now: number): void {
     for (const [pool, one] of sums) {
       const state = this.#pools.get(pool);
-      if (state?.isCongested) state.shares.useOthers(one, now);
+      if (!state?.isCongested) continue;
+      state.shares.useOthers(one, now);
+      this.#onChange(pool);
     }
   }
 
@@ -140,9 +169,9 @@
    */
   describe(now: number): readonly PoolShareView[] {
     return [...this.#pools].map(([pool, state]) => {
-      const {meter, shares, isCongested} = state;
+      const {shares, isCongested} = state;
       // Also drops sums that have become too old.
-      if (isCongested) shares.useOwn(meter.read(now), now);
+      if (isCongested) this.#useOwn(pool, state, now);
       const sent = state.sent.read(now);
       const {workspaces, ...rest} = shares.describe(DESCRIBED_WORKSPACES);
       return {
@@ -157,6 +186,17 @@
     });
   }
 
+  #useOwn(
+    pool: string,
+    {meter, shares}: PoolState,
+    now: number,
+  ): MeasuredDemand {
+    const own = meter.read(now);
+    shares.useOwn(own, now);
+    this.#onChange(pool);
+    return own;
+  }
+
   #stateOf(pool: string): PoolState {
     const known = this.#pools.get(pool);
     if (known) return known;
--- a/packages/lovagepond-load/src/index.ts
+++ b/packages/lovagepond-load/src/index.ts
@@ -7,6 +7,7 @@
 export {AdmissionQueue, type QueuedRequest} from './load_admission_queue.js';
 export {DispatchWindow, type WindowAttempt} from './load_dispatch_window.js';
 export {PoolAdmission} from './load_pool_admission.js';
+export {bestServerOf} from './load_queued_request.js';
 export {RetryAdvice} from './load_retry_advice.js';
 export {
   type CapacityDescription,
--- a/packages/lovagepond-load/src/load_pool_admission.ts
+++ b/packages/lovagepond-load/src/load_pool_admission.ts
@@ -88,10 +88,9 @@
   }
 
   /** @param weights weights in force; undefined for equal ones */
-  useWeights(weights: ShareWeights | undefined): void {
-    const {weightOf, gatewayWeight} = weights ?? EQUAL_WEIGHTS;
-    this.#weightOf = boundWeights(workspace => weightOf(workspace));
-    this.#windows.useWeight(gatewayWeight);
+  useWeights(weights: ShareWeights = EQUAL_WEIGHTS): void {
+    this.#weightOf = boundWeights(workspace => weights.weightOf(workspace));
+    this.#windows.useWeight(weights.gatewayWeight);
     this.#configure();
   }
 
--- a/packages/lovagepond-load/src/load_queued_request.ts
+++ b/packages/lovagepond-load/src/load_queued_request.ts
@@ -45,6 +45,29 @@
   return isShort ? targetLatencyMs : deadlineAt - arrivedAt;
 }
 
+/**
+ * @param req a request
+ * @param servers servers that accept it
+ * @param now current time
+ * @returns the one that would answer it first if all were idle; undefined when
+ *     there is none
+ */
+export function bestServerOf<R extends AdmissionRequest>(
+  req: R,
+  servers: readonly LoadedServer<R>[],
+  now: number,
+): LoadedServer<R> | undefined {
+  let best: LoadedServer<R> | undefined;
+  let bestMs = Infinity;
+  for (const server of servers) {
+    const {firstResponseMs} = server.predictIdle(req, now);
+    if (firstResponseMs >= bestMs) continue;
+    bestMs = firstResponseMs;
+    best = server;
+  }
+  return best;
+}
+
 /**
  * @param req a request that waits from now on
  * @param servers servers that accept it
@@ -58,14 +81,9 @@
   queuePart: number,
   now: number,
 ): QueuedRequest<R> {
-  let idleMs = Infinity;
-  let cost = 0;
-  for (const server of servers) {
-    const {firstResponseMs} = server.predictIdle(req, now);
-    if (firstResponseMs >= idleMs) continue;
-    idleMs = firstResponseMs;
-    cost = server.workMs(req, now);
-  }
+  const best = bestServerOf(req, servers, now);
+  const idleMs = best?.predictIdle(req, now).firstResponseMs ?? Infinity;
+  const cost = best?.workMs(req, now) ?? 0;
   const {id, workspace, arrivedAt, deadlineAt} = req;
   const slackMs = limitMsOf(req, servers, now) - idleMs;
   const latestStartAt = arrivedAt + slackMs * (1 - queuePart);
