--- a/packages/lovagepond-load/src/load_queued_request.ts
+++ b/packages/lovagepond-load/src/load_queued_request.ts
@@ -47,6 +47,30 @@
   return isShort ? targetLatencyMs : deadlineAt - arrivedAt;
 }
 
+/**
+ * @param req a request
+ * @param servers servers that accept it
+ * @param now current time
+ * @returns the one that would answer it first if all were idle; undefined when
+ *     there is none
+ */
+export function bestServerOf<R extends AdmissionRequest>(
+  req: R,
+  servers: readonly LoadedServer<R>[],
+  now: number,
+): LoadedServer<R> | undefined {
+  let best: LoadedServer<R> | undefined;
+  let bestMs = Infinity;
+  for (const server of servers) {
+    const predictedMs = server.predictIdle(req, now).firstResponseMs;
+    const responseMs = boundEstimate(predictedMs);
+    if (responseMs >= bestMs) continue;
+    bestMs = responseMs;
+    best = server;
+  }
+  return best;
+}
+
 /**
  * @param req a request that waits from now on
  * @param servers servers that accept it
@@ -60,15 +84,11 @@
   queuePart: number,
   now: number,
 ): QueuedRequest<R> {
-  let idleMs = Infinity;
-  let cost = 0;
-  for (const server of servers) {
-    const {firstResponseMs} = server.predictIdle(req, now);
-    const boundMs = boundEstimate(firstResponseMs);
-    if (boundMs >= idleMs) continue;
-    idleMs = boundMs;
-    cost = boundEstimate(server.workMs(req, now));
-  }
+  const best = bestServerOf(req, servers, now);
+  const idleMs = best
+    ? boundEstimate(best.predictIdle(req, now).firstResponseMs)
+    : Infinity;
+  const cost = boundEstimate(best?.workMs(req, now) ?? 0);
   const {id, workspace, arrivedAt, deadlineAt} = req;
   const slackMs = limitMsOf(req, servers, now) - idleMs;
   const latestStartAt = arrivedAt + slackMs * (1 - queuePart);
