--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_full_server.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_full_server.test.ts
@@ -50,13 +50,35 @@
     await pool.call('/read/a');
     expect(pool.linesOf('pool is congested')).toHaveLength(1);
     isFull = false;
+    const statuses: number[] = [];
     await vi.waitFor(
       async () => {
-        await pool.call('/read/a');
+        statuses.push((await pool.call('/read/a')).status);
         expect(pool.linesOf('pool is no longer congested')).toHaveLength(1);
       },
       {timeout: 8_000, interval: 50},
     );
+    expect(statuses).toEqual(statuses.map(() => 200));
     expect(pool.linesOf('pool is congested')).toHaveLength(1);
   }, 10_000);
 });
+
+describe('the window of a server', () => {
+  // Guards against work without an answer that a window counts for ever, until
+  // it has room for nothing.
+  it.each([
+    ['breaks off', (_req, res) => res.destroy()],
+    ['fails', (req, res) => answer(req, res, 500, '')],
+    ['refuses', refuse],
+  ] satisfies [string, Script][])(
+    'forgets a call that the server %s',
+    async (_case, script) => {
+      await pool.start([script]);
+      await pool.call('/read/a');
+      const {pools} = pool.gateway.overload.describe(clock.now());
+      expect(pools).toMatchObject({
+        servers: {windows: {'server-0': {inFlight: 0, inFlightMs: 0}}},
+      });
+    },
+  );
+});
--- a/packages/lovagepond-load/src/load_pool_admission.ts
+++ b/packages/lovagepond-load/src/load_pool_admission.ts
@@ -23,6 +23,7 @@
   type AdmissionRefusalReason,
   type AdmissionRequest,
   type AdmissionSettings,
+  boundEstimate,
   type LoadedServer,
   type RefusedRequest,
   type ShareWeights,
@@ -108,7 +109,7 @@
     const server = servers[0];
     if (!server) return this.#refuse(req, ADMISSION_REFUSAL.NO_SERVER, 0, now);
     this.#noServer = false;
-    const workMs = server.workMs(req, now);
+    const workMs = boundEstimate(server.workMs(req, now));
     const {workspace, deadlineAt} = req;
     if (now >= deadlineAt) {
       return this.#refuse(req, ADMISSION_REFUSAL.DEADLINE, workMs, now);
@@ -417,10 +418,10 @@
   ): {readonly kind: 'refuse'} & AdmissionRefusal {
     const {workspace} = req;
     const priority = clampPriority(req.priority);
-    const rate = this.#rates.rate(workspace, priority, now);
-    const drainMs = rate > 0 ? cost / rate : 0;
+    const flowRate = this.#rates.rate(workspace, priority, now);
+    const drainMs = flowRate > 0 ? cost / flowRate : 0;
     const retryAfterMs = this.#advice.retryAfterMs(workspace, drainMs, 0, now);
     this.#counts.noteRefused(reason, workspace);
-    return {kind: 'refuse', reason, retryAfterMs};
+    return {kind: 'refuse', reason, retryAfterMs, flowRate};
   }
 }
--- a/packages/lovagepond-load/src/load_queued_request.ts
+++ b/packages/lovagepond-load/src/load_queued_request.ts
@@ -5,6 +5,7 @@
 import {
   ADMISSION_REFUSAL,
   type AdmissionRequest,
+  boundEstimate,
   type LoadedServer,
 } from './load_types.js';
 
@@ -23,7 +24,8 @@
 ): boolean {
   const leftMs = req.targetLatencyMs - sinceMs;
   return servers.some(
-    server => server.predictIdle(req, now).firstResponseMs < leftMs,
+    server =>
+      boundEstimate(server.predictIdle(req, now).firstResponseMs) < leftMs,
   );
 }
 
@@ -60,9 +62,9 @@
   let best: LoadedServer<R> | undefined;
   let bestMs = Infinity;
   for (const server of servers) {
-    const {firstResponseMs} = server.predictIdle(req, now);
-    if (firstResponseMs >= bestMs) continue;
-    bestMs = firstResponseMs;
+    const idleMs = boundEstimate(server.predictIdle(req, now).firstResponseMs);
+    if (idleMs >= bestMs) continue;
+    bestMs = idleMs;
     best = server;
   }
   return best;
@@ -82,8 +84,10 @@
   now: number,
 ): QueuedRequest<R> {
   const best = bestServerOf(req, servers, now);
-  const idleMs = best?.predictIdle(req, now).firstResponseMs ?? Infinity;
-  const cost = best?.workMs(req, now) ?? 0;
+  const idleMs = best
+    ? boundEstimate(best.predictIdle(req, now).firstResponseMs)
+    : Infinity;
+  const cost = best ? boundEstimate(best.workMs(req, now)) : 0;
   const {id, workspace, arrivedAt, deadlineAt} = req;
   const slackMs = limitMsOf(req, servers, now) - idleMs;
   const latestStartAt = arrivedAt + slackMs * (1 - queuePart);
