--- a/packages/lovagepond-gateway/src/__tests__/unit/demand_exchange.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/demand_exchange.ts
@@ -1,7 +1,7 @@
 import {
   RouterReports,
   UpdateEncoder,
-  WorkspaceDemandFeed,
+  type WorkspaceDemandFeed,
   readReadings,
 } from '@lovagepond/control/deciders';
 import {lovagepond} from '@lovagepond/protocol';
--- a/packages/lovagepond-load/src/load_queued_request.ts
+++ b/packages/lovagepond-load/src/load_queued_request.ts
@@ -62,10 +62,9 @@
   let best: LoadedServer<R> | undefined;
   let bestMs = Infinity;
   for (const server of servers) {
-    const predictedMs = server.predictIdle(req, now).firstResponseMs;
-    const responseMs = boundEstimate(predictedMs);
-    if (responseMs >= bestMs) continue;
-    bestMs = responseMs;
+    const idleMs = boundEstimate(server.predictIdle(req, now).firstResponseMs);
+    if (idleMs >= bestMs) continue;
+    bestMs = idleMs;
     best = server;
   }
   return best;
@@ -88,7 +87,7 @@
   const idleMs = best
     ? boundEstimate(best.predictIdle(req, now).firstResponseMs)
     : Infinity;
-  const cost = boundEstimate(best?.workMs(req, now) ?? 0);
+  const cost = best ? boundEstimate(best.workMs(req, now)) : 0;
   const {id, workspace, arrivedAt, deadlineAt} = req;
   const slackMs = limitMsOf(req, servers, now) - idleMs;
   const latestStartAt = arrivedAt + slackMs * (1 - queuePart);
