Start anew with a restarted server that control lists again

While `serverCapacity` is off, a new incarnation keeps the warm parts of the former one, so a server that crashed, was unlisted and came back got prompts as if its cache held them; its backoff was kept, too. Before it was a new server. Reports of other gateways' requests didn't expire while a server was unlisted, and counted until the first check after its return.

Change: a state is taken back only in the same incarnation, and reports expire in unlisted states, too.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_unlisted_servers.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_unlisted_servers.test.ts
@@ -38,6 +38,26 @@
     expect(fleet.find('x')?.coldTokens(PROMPT)).toBe(900);
   });
 
+  // Prompts were sent to a restarted server as if its cache weren't empty.
+  it('is a new server after a restart', () => {
+    const fleet = fleetWithWarmServer();
+    const restarted = makeBackendServer('x', {incarnation: 'x2'});
+    fleet.useMembership(membershipOf(restarted));
+    expect(fleet.find('x')?.coldTokens(PROMPT)).toBe(900);
+  });
+
+  // Gateways would see requests at it that ended long before.
+  it('has no outdated requests of other gateways', () => {
+    const fleet = new GatewayFleet();
+    fleet.useMembership(membershipOf(makeBackendServer('x')));
+    fleet.find('x')?.noteRemoteRequests('', 5, 0, 1_000);
+    fleet.useMembership(membershipOf());
+    fleet.expire(4_000);
+    fleet.useMembership(membershipOf(makeBackendServer('x')));
+    expect(fleet.find('x')?.load(4_000)).toBe(0);
+    expect(fleet.find('x')?.remotePrefillTokens).toBe(0);
+  });
+
   it('is a new server after another instance has answered', () => {
     const fleet = new GatewayFleet();
     fleet.useMembership(membershipOf(makeBackendServer('x')));
--- a/packages/lovagepond-gateway/src/gateway_fleet.ts
+++ b/packages/lovagepond-gateway/src/gateway_fleet.ts
@@ -73,7 +73,7 @@
 
   #stateOf(server: BackendServer): ServerState {
     const {name, pool} = server;
-    const known = this.#states.get(name) ?? this.#unlisted.take(name);
+    const known = this.#states.get(name) ?? this.#unlisted.take(server);
     if (known) return known;
     return new ServerState(server, this.#settings, this.#meansOf(pool));
   }
--- a/packages/lovagepond-gateway/src/gateway_unlisted_servers.ts
+++ b/packages/lovagepond-gateway/src/gateway_unlisted_servers.ts
@@ -6,6 +6,7 @@
  * its former state, gateways would have other engines compute the prompts that
  * it still holds.
  */
+import {type BackendServer} from '@lovagepond/core';
 import {type ServerState} from './gateway_server_state.js';
 
 /** Retention time, milliseconds; partitions mostly end within some seconds. */
@@ -34,13 +35,14 @@
   }
 
   /**
-   * @param name a server that is listed
-   * @returns its former state, removed from here; undefined if none is kept
+   * @param server a server that is listed
+   * @returns its former state, removed from here; undefined if none is kept, or
+   *     if the server has restarted since and so has an empty cache
    */
-  take(name: string): ServerState | undefined {
+  take({name, incarnation}: BackendServer): ServerState | undefined {
     const state = this.#servers.get(name)?.state;
     this.#servers.delete(name);
-    return state;
+    return state?.server.incarnation === incarnation ? state : undefined;
   }
 
   /**
@@ -50,6 +52,7 @@
    */
   expire(now: number): void {
     for (const [name, {state, since}] of this.#servers) {
+      state.expireRemoteRequests(now);
       if (since === undefined) this.#servers.set(name, {state, since: now});
       else if (now - since > RETENTION_MS) this.#servers.delete(name);
     }
