Follow servers that restart in place to their present pool

Cause: control lists a server that restarts in its new incarnation, maybe without being unlisted. A gateway that had got 421 from its address first, from the new instance, excluded the server for as long as it stayed listed (older than the load control). And a server that restarted in another pool started with the mean estimates of its former one.

Change: the state notes which incarnation was replaced; the means of the present pool come with each entry in the membership.

Figures: each of the two new tests fails before and passes after (no ready server instead of one; a service time of 40 ms instead of none).

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_estimates.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_estimates.test.ts
@@ -170,6 +170,27 @@
     expect(gateway.state().coldTokens([{id: 'a', tokens: 1_000}])).toBe(1_000);
   });
 
+  // A server that restarts in another pool would start with what the servers of
+  // its former pool have learned.
+  it('start with the means of the present pool', () => {
+    const fleet = new GatewayFleet({
+      prefillTokensPerMs: RATE,
+      serverCapacity: true,
+    });
+    const list = (pool: string, incarnation: string): void => {
+      const x = makeBackendServer('x', {pool, incarnation, directSlots: 4});
+      const y = makeBackendServer('y', {directSlots: 4});
+      const servers = new Map([x, y].map(server => [server.name, server]));
+      fleet.useMembership({version: 1, servers});
+    };
+    list('p', '1');
+    learnCalls(fleet.find('y')!, 40);
+    expect(fleet.find('x')!.capacity.serviceMs('call', 9_500)).toBeCloseTo(40);
+    list('other', '2');
+    const {capacity} = fleet.find('x')!;
+    expect(capacity.serviceMs('call', 9_500)).toBeUndefined();
+  });
+
   // The response to a failing request arrives at once and looks like an engine
   // of infinite speed.
   it('ignore error responses', () => {
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_unlisted_servers.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_unlisted_servers.test.ts
@@ -68,3 +68,16 @@
     expect(fleet.find('x')).not.toBe(former);
   });
 });
+
+// The server was excluded until control unlisted it, which it needn't do.
+describe('a server that another instance has replaced', () => {
+  it('is used again once control lists that instance', () => {
+    const fleet = new GatewayFleet();
+    fleet.useMembership(membershipOf(makeBackendServer('x')));
+    fleet.find('x')?.markReplaced();
+    expect(fleet.ready('p', 0)).toEqual([]);
+    const restarted = makeBackendServer('x', {incarnation: 'x2'});
+    fleet.useMembership(membershipOf(restarted));
+    expect(fleet.ready('p', 0)).toEqual([fleet.find('x')]);
+  });
+});
--- a/packages/lovagepond-gateway/src/gateway_fleet.ts
+++ b/packages/lovagepond-gateway/src/gateway_fleet.ts
@@ -55,7 +55,7 @@
       if (server.directSlots === undefined) continue;
       listed.add(server.name);
       const state = this.#stateOf(server);
-      state.useServer(server);
+      state.useServer(server, this.#meansOf(server.pool));
       this.#states.set(server.name, state);
       byPool.set(server.pool, [...(byPool.get(server.pool) ?? []), state]);
     }
--- a/packages/lovagepond-gateway/src/gateway_server_state.ts
+++ b/packages/lovagepond-gateway/src/gateway_server_state.ts
@@ -47,7 +47,7 @@
   /** Requests that are sent, and their prompts, decide on its free memory. */
   readonly memory = new EngineMemory();
   readonly #settings: CapacitySettings;
-  readonly #pool: PoolMeans | undefined;
+  #pool: PoolMeans | undefined;
   server: BackendServer;
   #capacity: ServerCapacity;
   /** This gateway's requests in flight there. */
@@ -65,7 +65,8 @@
   /** This gateway's outcomes that were not yet reported to the others. */
   #unreported = {ended: 0, failed: 0};
   #backoffUntil = Number.NEGATIVE_INFINITY;
-  #isReplaced = false;
+  /** The incarnation whose address another one has taken. */
+  #replaced: string | undefined;
   readonly #warmParts = new WarmParts();
 
   /**
@@ -95,13 +96,16 @@
   }
 
   /**
-   * A new incarnation may run on another machine and has an empty cache.
+   * A new incarnation may run on another machine, or in another pool, and has an
+   * empty cache.
    *
    * @param server the server's present entry in the membership
+   * @param pool mean estimates of its present pool
    */
-  useServer(server: BackendServer): void {
+  useServer(server: BackendServer, pool: PoolMeans): void {
     const isSame = server.incarnation === this.server.incarnation;
     this.server = server;
+    this.#pool = pool;
     if (isSame) return;
     const {prefillTokensPerMs} = this.#settings;
     this.#capacity = new ServerCapacity(prefillTokensPerMs, this.#pool);
@@ -115,11 +119,11 @@
 
   /** True once another incarnation has responded at the server's address. */
   get isReplaced(): boolean {
-    return this.#isReplaced;
+    return this.#replaced === this.server.incarnation;
   }
 
   markReplaced(): void {
-    this.#isReplaced = true;
+    this.#replaced = this.server.incarnation;
   }
 
   /**
