Bound the latency of first tokens by long prompts, too

Cause: only prompts below 1,000 tokens change the latency that is subtracted from the time to the first token of longer ones. Its first observation isn't bounded, so after one stalled short prompt an engine that gets long prompts alone was predicted to be late for good.

Change: a long prompt that is faster than the estimate lowers it, in the same steps as a short one. It bounds the error by the time of the long prompts; with these alone, latency and rate can't be told apart any better.

--- a/packages/lovagepond-load/src/__tests__/unit/load_server_capacity.test.ts
+++ b/packages/lovagepond-load/src/__tests__/unit/load_server_capacity.test.ts
@@ -59,6 +59,16 @@
     expect(capacity.serviceMs('call', 10)).toBeCloseTo(48);
   });
 
+  // The first short prompt may be the stalled one. With long prompts alone after
+  // it, the engine's first tokens were predicted a minute late for ever.
+  it('recovers from a wrong first latency without short prompts', () => {
+    const capacity = new ServerCapacity(INITIAL_RATE);
+    capacity.notePrefill(100, 60_000, 0);
+    for (let at = 0; at < 80; at += 1) capacity.notePrefill(3_000, 300, at);
+    const {firstResponseMs} = capacity.predictIdle(PROMPT, 80);
+    expect(firstResponseMs).toBeLessThan(600);
+  });
+
   // The first response of a server may be the stalled one.
   it('recovers from a wrong first observation', () => {
     const capacity = new ServerCapacity(INITIAL_RATE);
--- a/packages/lovagepond-load/src/load_first_token_latency.ts
+++ b/packages/lovagepond-load/src/load_first_token_latency.ts
@@ -11,6 +11,7 @@
 /** Change of the estimate with each observation, as a part of it. */
 const STEP_PART = 0.1;
 
+/** The estimate for one server. */
 export class FirstTokenLatency {
   #value: number | undefined;
 
@@ -29,4 +30,15 @@
     if (durationMs > this.#value) this.#value += step * QUANTILE;
     else this.#value -= step * (1 - QUANTILE);
   }
+
+  /**
+   * Lowers an estimate that is too high, as after a first observation that was
+   * a stalled response. A server that then gets long prompts only would not
+   * correct it otherwise.
+   *
+   * @param durationMs time to the first token of a long prompt, milliseconds
+   */
+  limit(durationMs: number): void {
+    if (this.value > durationMs) this.observe(durationMs);
+  }
 }
--- a/packages/lovagepond-load/src/load_server_capacity.ts
+++ b/packages/lovagepond-load/src/load_server_capacity.ts
@@ -138,10 +138,12 @@
   notePrefill(tokens: number, durationMs: number, now: number): void {
     if (!(tokens >= 0 && tokens <= MAX_TOKENS)) return;
     if (!isDuration(durationMs)) return;
+    const usualMs = durationMs / this.slowdown(now);
     if (tokens < MIN_OBSERVED_TOKENS) {
-      this.#latency.observe(durationMs / this.slowdown(now));
+      this.#latency.observe(usualMs);
       return;
     }
+    this.#latency.limit(usualMs);
     const prefillMs = Math.max(
       durationMs - this.#latencyMs(now),
       durationMs * MIN_PREFILL_PART,
