Count reported prefixes of other gateways in the reported tokens

Cause: pending tokens of shared prefixes are kept as the time until they are computed, and loadView() multiplied it by the engine's present rate. While `serverCapacity` is off, the time is estimated with the common rate, so the tokens grew with the engine's own rate (which admission control uses in any case), and with them its next observation, as that is the pending tokens and the own ones by the time. With the setting on, the same happened between a report and a change of the rate, and a slowdown shrank the pending tokens.

Change: the rate that gave the time also gives the tokens back.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_engine_choice.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_engine_choice.test.ts
@@ -57,9 +57,9 @@
     const choice = await makeChoice();
     const servers = ['x', 'y'].map(makeServer);
     servers[0]!.noteWarm(sharedIds, 0);
-    servers[0]!.noteRemotePrefill(200, 0);
+    servers[0]!.noteRemotePrefill(200 * RATE, RATE, 0);
     expect(choice.choose(request(servers), 0)?.state).toBe(servers[0]);
-    servers[0]!.noteRemotePrefill(800, 0);
+    servers[0]!.noteRemotePrefill(800 * RATE, RATE, 0);
     expect(choice.choose(request(servers), 0)?.state).toBe(servers[1]);
   });
 
@@ -98,7 +98,7 @@
     const [warm, idle] = servers;
     warm!.noteWarm(sharedIds, 0);
     expect(choice.choose(fetching(servers), 1)?.state).toBe(warm);
-    warm!.noteRemotePrefill(400, 1);
+    warm!.noteRemotePrefill(400 * RATE, RATE, 1);
     const busy = choice.choose(fetching(servers), 1);
     expect(busy).toMatchObject({state: idle, fetch: {tokens: 8_000}});
     expect(busy?.fetch?.source).toBe(warm);
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_estimates.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_estimates.test.ts
@@ -362,6 +362,21 @@
     expect(gateway.state().loadView(3_300).pendingPrefillTokens).toBe(1_000);
   });
 
+  // Multiplied by the engine's own rate, they grew with each estimate of it, and
+  // the next observation of the rate with them.
+  it('of shared prefixes count as many tokens as were reported', () => {
+    for (const serverCapacity of [false, true]) {
+      const gateway = new Gateway(serverCapacity);
+      const readings = [{backendServer: 'x', prefix: '/a', tokens: 3_000}];
+      gateway.reports.apply({reports: [{node: 'h', readings}]}, 0);
+      const {capacity} = gateway.state();
+      for (let at = 0; at < 20; at += 1) capacity.notePrefill(8_000, 200, 0);
+      expect(capacity.prefillTokensPerMs(0)).toBeGreaterThan(2 * RATE);
+      const {pendingPrefillTokens} = gateway.state().loadView(0);
+      expect(pendingPrefillTokens).toBeCloseTo(3_000);
+    }
+  });
+
   it('of others do not change the wait while the setting is off', () => {
     const gateway = new Gateway(false);
     const running = [{backendServer: 'x', requests: 2, prefillTokens: 3_000}];
--- a/packages/lovagepond-gateway/src/gateway_load_reports.ts
+++ b/packages/lovagepond-gateway/src/gateway_load_reports.ts
@@ -207,7 +207,7 @@
     if (!state) return;
     const {tokensPerMs} = this.#rate;
     const prefillRate = state.prefillRate(tokensPerMs, now);
-    state.noteRemotePrefill((tokens ?? 0) / prefillRate, now);
+    state.noteRemotePrefill(tokens ?? 0, prefillRate, now);
     const prefilledAt = now + state.prefillWaitMs(tokensPerMs, now);
     state.noteWarm((prefix ?? '').split('/').slice(1), prefilledAt, now);
   }
--- a/packages/lovagepond-gateway/src/gateway_server_state.ts
+++ b/packages/lovagepond-gateway/src/gateway_server_state.ts
@@ -60,6 +60,8 @@
   readonly #remote = new RemoteRequests();
   #reportedAt = Number.NEGATIVE_INFINITY;
   #remotePrefillUntil = Number.NEGATIVE_INFINITY;
+  /** Rate that the time until then was estimated with, tokens per ms. */
+  #remotePrefillRate = 0;
   #failures = 0;
   readonly #outcomes = new OutcomeEstimate();
   /** This gateway's outcomes that were not yet reported to the others. */
@@ -131,12 +133,14 @@
    * the other, so its completion time can be estimated without a further
    * report.
    *
-   * @param durationMs the work's estimated duration, milliseconds
+   * @param tokens prompt tokens that the server has to compute
+   * @param tokensPerMs the prefill rate to estimate the duration with
    * @param now current time, monotonic milliseconds
    */
-  noteRemotePrefill(durationMs: number, now: number): void {
+  noteRemotePrefill(tokens: number, tokensPerMs: number, now: number): void {
     this.#remotePrefillUntil =
-      Math.max(now, this.#remotePrefillUntil) + durationMs;
+      Math.max(now, this.#remotePrefillUntil) + tokens / tokensPerMs;
+    this.#remotePrefillRate = tokensPerMs;
   }
 
   /**
@@ -188,9 +192,8 @@
    * @returns the server's load from the requests of all gateways
    */
   loadView(now: number): ServerLoadView {
-    const remoteMs = this.#remotePrefillUntil - now;
-    const prefixTokens =
-      remoteMs > 0 ? remoteMs * this.#capacity.prefillTokensPerMs(now) : 0;
+    const remoteMs = Math.max(0, this.#remotePrefillUntil - now);
+    const prefixTokens = remoteMs * this.#remotePrefillRate;
     const remoteTokens = Math.max(this.remotePrefillTokens, prefixTokens);
     return {
       slots: this.slots,
