Forget listed workspaces when a router stops reporting their pool

Cause: the feed of demand counted each call while the router reported no pool as an update, and kept what it had listed of each pool for as long as the subscription lasted. After a pause, the workspaces listed before it had a much larger age than those never listed (12 updates) and came first; pools that the router had stopped reporting stayed in memory.

Change: only calls that send an update count, and pools that the router doesn't report are dropped.

--- a/packages/lovagepond-control/src/__tests__/unit/workspace_demand.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/workspace_demand.test.ts
@@ -171,6 +171,33 @@
   });
 
   // One faulty gateway must not hide the demand of all others.
+  // The time without reports counted as updates that hadn't listed the
+  // workspaces of the last report, which were then preferred to all others.
+  it('forgets what it listed when the router stops reporting', () => {
+    const totals = new WorkspaceDemandTotals();
+    const feed = new WorkspaceDemandFeed('b');
+    const large = Array.from({length: 40}, (_, at) => [`x${at}`, 99] as const);
+    const others = poolOf(Object.fromEntries(large));
+    const names = Array.from({length: 16}, (_, at) => `own${at}`);
+    const report = (
+      order: readonly string[],
+      now: number,
+    ): readonly string[] => {
+      const own = order.map(name => [name, 1] as const);
+      totals.record(reportOf('a', others), now);
+      totals.record(reportOf('b', poolOf(Object.fromEntries(own))), now);
+      const listed = Object.keys(offeredOf(feed.next(totals, now)[0]));
+      return listed.filter(name => name.startsWith('own'));
+    };
+    expect(report(names, 0)).toEqual(names.slice(0, 8));
+    for (let now = 4_000; now < 10_000; now += 100) {
+      totals.expireReports(now);
+      expect(feed.next(totals, now)).toEqual([]);
+    }
+    const reverse = names.toReversed();
+    expect(report(reverse, 10_000)).toEqual(reverse.slice(0, 8));
+  });
+
   it('ignores implausible values', () => {
     const bad = [-1, NaN, Infinity, 2 ** 32, 4_294_967_295];
     for (const value of bad) {
--- a/packages/lovagepond-control/src/workspace_demand_feed.ts
+++ b/packages/lovagepond-control/src/workspace_demand_feed.ts
@@ -58,7 +58,7 @@
   readonly #node: string;
   #lastSentAt = -Infinity;
   /** Own workspaces that were listed, with the update's number, by pool. */
-  #listed = new Map<string, ReadonlyMap<string, number>>();
+  readonly #listed = new Map<string, ReadonlyMap<string, number>>();
   #updates = 0;
 
   /** @param node name of the router */
@@ -74,18 +74,20 @@
    */
   next(totals: WorkspaceDemandTotals, now: number): readonly OthersDemand[] {
     if (now - this.#lastSentAt < INTERVAL_MS) return [];
+    const pools = new Map(totals.poolsOf(this.#node));
+    for (const pool of this.#listed.keys()) {
+      if (!pools.has(pool)) this.#listed.delete(pool);
+    }
+    if (pools.size === 0) return [];
+    this.#lastSentAt = now;
     this.#updates += 1;
-    const due: OthersDemand[] = [];
-    const pools = [...totals.poolsOf(this.#node)];
     const limit = Math.max(
       MIN_WORKSPACES,
-      Math.min(MAX_WORKSPACES, Math.floor(MAX_LISTED / pools.length)),
+      Math.min(MAX_WORKSPACES, Math.floor(MAX_LISTED / pools.size)),
+    );
+    return [...pools].map(([pool, sums]) =>
+      this.#subtractOwn(pool, sums, limit),
     );
-    for (const [pool, sums] of pools) {
-      due.push(this.#subtractOwn(pool, sums, limit));
-    }
-    if (due.length > 0) this.#lastSentAt = now;
-    return due;
   }
 
   #subtractOwn(pool: string, sums: PoolSums, limit: number): OthersDemand {
