Keep small weights beside a very large one in max-min shares

Cause: the level subtracts each satisfied party's weight from the total. After a weight of 1e17, which the configuration accepts, 0 was left of weights of 1, the level was infinite, and no workspace was limited.

Change: the weights are summed from the end instead.

--- a/packages/lovagepond-load/src/__tests__/unit/load_max_min.test.ts
+++ b/packages/lovagepond-load/src/__tests__/unit/load_max_min.test.ts
@@ -37,6 +37,17 @@
     );
   });
 
+  // The configuration allows any weight above 0. Beside a very large one, the
+  // small ones were lost in rounding, and nothing was limited.
+  it('limits small weights beside a very large one', () => {
+    const parties = [
+      {offered: 10, weight: 1e17},
+      {offered: 100, weight: 1},
+      {offered: 100, weight: 1},
+    ];
+    expect(allocate(parties, 50)).toEqual([10, 20, 20]);
+  });
+
   // Guards against a workspace that loses capacity when others become fewer or
   // when servers are added.
   it('takes from nobody when there is more capacity', () => {
--- a/packages/lovagepond-load/src/load_max_min.ts
+++ b/packages/lovagepond-load/src/load_max_min.ts
@@ -25,13 +25,23 @@
   const ascending = demands
     .filter(({offered}) => offered > 0)
     .sort((a, b) => a.offered / a.weight - b.offered / b.weight);
-  let weightLeft = ascending.reduce((sum, {weight}) => sum + weight, 0);
+  const weightsLeft = sumsToEnd(ascending.map(({weight}) => weight));
   let capacityLeft = capacity;
-  for (const {offered, weight} of ascending) {
-    const level = capacityLeft / weightLeft;
+  for (const [at, {offered, weight}] of ascending.entries()) {
+    const level = capacityLeft / (weightsLeft[at] ?? weight);
     if (offered > level * weight) return Math.max(0, level);
     capacityLeft -= offered;
-    weightLeft -= weight;
   }
   return Infinity;
 }
+
+/**
+ * Subtracting a very large weight from the total would leave 0 of the others.
+ *
+ * @returns for each position, the sum of the values from there to the end
+ */
+function sumsToEnd(values: readonly number[]): readonly number[] {
+  let sum = 0;
+  const fromEnd = values.toReversed().map(value => (sum += value));
+  return fromEnd.reverse();
+}
