Leave requests without a prompt out of the pending prompts

Cause: requests of plain services were kept among the prompts whose pending tokens are summed up for each server at each choice.

Change: a prompt without tokens to compute isn't kept.

--- a/packages/lovagepond-gateway/src/gateway_pending_prefill.ts
+++ b/packages/lovagepond-gateway/src/gateway_pending_prefill.ts
@@ -24,6 +24,7 @@
  */
 const FIRST_TOKEN_DELAY_MS = 150;
 
+/** The prompts of one server that are without their first token. */
 export class PendingPrefill {
   readonly #prompts = new Set<PendingPrompt>();
 
@@ -34,6 +35,8 @@
    * @returns a function that removes the prompt
    */
   add(tokens: number, startAt: number, doneAt: number): () => void {
+    // Each choice of a server sums them up, and plain services have none.
+    if (tokens <= 0) return () => undefined;
     const prompt = {tokens, startAt, doneAt};
     this.#prompts.add(prompt);
     return () => {
