Clamp unsigned fields of control in one place

Cause: the limit of an unsigned 32-bit field and the clamping stood in both update_encoder.ts and workspace_demand_feed.ts; and the mean estimates of a pool were called `pool` beside the server's pool, which is a name.

Change: toUint32() in wire_utils.ts; `poolMeans`. No change of behaviour.

--- a/packages/lovagepond-control/src/update_encoder.ts
+++ b/packages/lovagepond-control/src/update_encoder.ts
@@ -17,15 +17,13 @@
   type RunningRequests,
 } from './reading_report_log.js';
 import {type FeedUpdate} from './subscription_feed.js';
+import {toUint32} from './wire_utils.js';
 import {type OthersDemand} from './workspace_demand_feed.js';
 
 const {v1} = lovagepond;
 
 type WireUpdate = lovagepond.v1.ControlUpdate.$Properties;
 
-/** Largest value of an unsigned 32-bit field; larger ones would wrap. */
-const MAX_UINT32 = 0xffff_ffff;
-
 /** Encodes updates, and caches the bytes as long as the content exists. */
 export class UpdateEncoder {
   readonly #encoded = new WeakMap<object, Map<string, Buffer>>();
@@ -109,7 +107,7 @@
   ...counts
 }: RunningRequests): lovagepond.v1.RunningRequests.$Properties {
   if (prefillTokens <= 0) return counts;
-  return {...counts, prefillTokens: Math.min(prefillTokens, MAX_UINT32)};
+  return {...counts, prefillTokens: toUint32(prefillTokens)};
 }
 
 function toWireDemand(
--- a/packages/lovagepond-control/src/wire_utils.ts
+++ b/packages/lovagepond-control/src/wire_utils.ts
@@ -6,6 +6,9 @@
 import {type PoolDemand, type ReadingReport} from './reading_report_log.js';
 import {type Announcement, type LoadReport} from './membership_registry.js';
 
+/** Largest value of an unsigned 32-bit field; larger ones would wrap. */
+const MAX_UINT32 = 0xffff_ffff;
+
 type WireAnnounce = lovagepond.v1.AnnounceRequest.$Properties;
 
 /**
@@ -59,6 +62,14 @@
   return {node, readings, running, ...(demand.length > 0 && {demand})};
 }
 
+/**
+ * @param value an integer
+ * @returns the nearest value that an unsigned 32-bit field can have
+ */
+export function toUint32(value: number): number {
+  return Math.min(MAX_UINT32, Math.max(0, value));
+}
+
 function readDemand(demand: lovagepond.v1.PoolDemand.$Properties): PoolDemand {
   const workspaces = (demand.workspaces ?? []).map(one => ({
     workspace: one.workspace ?? '',
--- a/packages/lovagepond-control/src/workspace_demand_feed.ts
+++ b/packages/lovagepond-control/src/workspace_demand_feed.ts
@@ -2,6 +2,7 @@
  * Updates to one router about the demand of all other routers.
  */
 import {type PoolDemand} from './reading_report_log.js';
+import {toUint32} from './wire_utils.js';
 import {
   type PoolSums,
   type RouterDemand,
@@ -33,9 +34,6 @@
 /** Updates since one that listed a workspace, for one that none has listed. */
 const NEVER_LISTED_AGE = 12;
 
-/** Largest number in a message. */
-const MAX_UINT32 = 0xffff_ffff;
-
 /** Demand of all other routers in a pool. */
 export interface OthersDemand extends PoolDemand {
   /** Other routers that report the pool. */
@@ -203,7 +201,3 @@
 function sumOf(workspaces: readonly Workspace[]): number {
   return workspaces.reduce((sum, {offered}) => sum + offered, 0);
 }
-
-function toUint32(value: number): number {
-  return Math.min(MAX_UINT32, Math.max(0, value));
-}
--- a/packages/lovagepond-gateway/src/gateway_server_state.ts
+++ b/packages/lovagepond-gateway/src/gateway_server_state.ts
@@ -47,7 +47,7 @@
   /** Requests that are sent, and their prompts, decide on its free memory. */
   readonly memory = new EngineMemory();
   readonly #settings: CapacitySettings;
-  #pool: PoolMeans | undefined;
+  #poolMeans: PoolMeans | undefined;
   server: BackendServer;
   #capacity: ServerCapacity;
   /** This gateway's requests in flight there. */
@@ -74,17 +74,17 @@
   /**
    * @param server the server
    * @param settings initial estimate, and whether estimates are used
-   * @param pool mean estimates of the server's pool
+   * @param poolMeans mean estimates of the server's pool
    */
   constructor(
     server: BackendServer,
     settings: CapacitySettings = DEFAULT_GATEWAY_SETTINGS,
-    pool?: PoolMeans,
+    poolMeans?: PoolMeans,
   ) {
     this.server = server;
     this.#settings = settings;
-    this.#pool = pool;
-    this.#capacity = new ServerCapacity(settings.prefillTokensPerMs, pool);
+    this.#poolMeans = poolMeans;
+    this.#capacity = new ServerCapacity(settings.prefillTokensPerMs, poolMeans);
   }
 
   /** Estimates of the server's current incarnation. */
@@ -102,15 +102,15 @@
    * empty cache.
    *
    * @param server the server's present entry in the membership
-   * @param pool mean estimates of its present pool
+   * @param poolMeans mean estimates of its present pool
    */
-  useServer(server: BackendServer, pool: PoolMeans): void {
+  useServer(server: BackendServer, poolMeans: PoolMeans): void {
     const isSame = server.incarnation === this.server.incarnation;
     this.server = server;
-    this.#pool = pool;
+    this.#poolMeans = poolMeans;
     if (isSame) return;
     const {prefillTokensPerMs} = this.#settings;
-    this.#capacity = new ServerCapacity(prefillTokensPerMs, this.#pool);
+    this.#capacity = new ServerCapacity(prefillTokensPerMs, this.#poolMeans);
     if (this.usesCapacity) this.#warmParts.clear();
   }
 
--- a/packages/lovagepond-load/src/load_server_capacity.ts
+++ b/packages/lovagepond-load/src/load_server_capacity.ts
@@ -76,7 +76,7 @@
 /** Estimates of one incarnation of one server. */
 export class ServerCapacity {
   readonly #initialRate: number;
-  readonly #pool: PoolMeans | undefined;
+  readonly #poolMeans: PoolMeans | undefined;
   readonly #rate = new LoadEstimate();
   readonly #latency = new FirstTokenLatency();
   readonly #services = new KindEstimates();
@@ -86,12 +86,12 @@
 
   /**
    * @param prefillTokensPerMs initial prefill rate, tokens per millisecond
-   * @param pool means of the server's pool, used before this server has
+   * @param poolMeans means of the server's pool, used before this server has
    *     observations and after a time without them
    */
-  constructor(prefillTokensPerMs: number, pool?: PoolMeans) {
+  constructor(prefillTokensPerMs: number, poolMeans?: PoolMeans) {
     this.#initialRate = prefillTokensPerMs;
-    this.#pool = pool;
+    this.#poolMeans = poolMeans;
   }
 
   /**
@@ -170,7 +170,7 @@
     const load = between0And(MAX_REQUESTS, loadAtSend);
     const rounds = Math.max(1, (load + 1) / slotsOf(slots));
     const observed = durationMs / rounds / this.slowdown(now);
-    const mean = this.#pool?.at(now).serviceMs.get(kind);
+    const mean = this.#poolMeans?.at(now).serviceMs.get(kind);
     this.#services.observe(kind, observed, mean, now);
   }
 
@@ -182,7 +182,7 @@
   noteRun(kind: string, durationMs: number, now: number): void {
     if (!isDuration(durationMs)) return;
     const observed = durationMs / this.slowdown(now);
-    const mean = this.#pool?.at(now).runMs.get(kind);
+    const mean = this.#poolMeans?.at(now).runMs.get(kind);
     this.#runs.observe(kind, observed, mean, now);
   }
 
@@ -201,7 +201,7 @@
    *     milliseconds; undefined if unknown
    */
   serviceMs(kind: string, now: number): number | undefined {
-    const mean = this.#pool?.at(now).serviceMs.get(kind);
+    const mean = this.#poolMeans?.at(now).serviceMs.get(kind);
     const usual = this.#services.valueAt(kind, mean, now);
     return usual === undefined ? undefined : usual * this.slowdown(now);
   }
@@ -213,7 +213,7 @@
    *     milliseconds; undefined if unknown
    */
   runMs(kind: string, now: number): number | undefined {
-    const mean = this.#pool?.at(now).runMs.get(kind);
+    const mean = this.#poolMeans?.at(now).runMs.get(kind);
     const usual = this.#runs.valueAt(kind, mean, now);
     return usual === undefined ? undefined : usual * this.slowdown(now);
   }
@@ -285,7 +285,7 @@
   }
 
   #referenceRate(now: number): number {
-    return this.#pool?.at(now).prefillTokensPerMs ?? this.#initialRate;
+    return this.#poolMeans?.at(now).prefillTokensPerMs ?? this.#initialRate;
   }
 
   #usualRate(now: number): number {
