--- a/packages/lovagepond-control/src/workspace_demand_feed.ts
+++ b/packages/lovagepond-control/src/workspace_demand_feed.ts
@@ -2,6 +2,7 @@
  * Updates to one router about the demand of all other routers.
  */
 import {type PoolDemand} from './reading_report_log.js';
+import {toUint32} from './wire_utils.js';
 import {
   type PoolSums,
   type RouterDemand,
@@ -33,9 +34,6 @@
 /** Updates since one that listed a workspace, for one that none has listed. */
 const NEVER_LISTED_AGE = 12;
 
-/** Largest number in a message. */
-const MAX_UINT32 = 0xffff_ffff;
-
 /** Demand of all other routers in a pool. */
 export interface OthersDemand extends PoolDemand {
   /** Other routers that report the pool. */
@@ -58,7 +56,7 @@
   readonly #node: string;
   #lastSentAt = -Infinity;
   /** Own workspaces that were listed, with the update's number, by pool. */
-  #listed = new Map<string, ReadonlyMap<string, number>>();
+  readonly #listed = new Map<string, ReadonlyMap<string, number>>();
   #updates = 0;
 
   /** @param node name of the router */
@@ -74,18 +72,20 @@
    */
   next(totals: WorkspaceDemandTotals, now: number): readonly OthersDemand[] {
     if (now - this.#lastSentAt < INTERVAL_MS) return [];
+    const pools = new Map(totals.poolsOf(this.#node));
+    for (const pool of this.#listed.keys()) {
+      if (!pools.has(pool)) this.#listed.delete(pool);
+    }
+    if (pools.size === 0) return [];
+    this.#lastSentAt = now;
     this.#updates += 1;
-    const due: OthersDemand[] = [];
-    const pools = [...totals.poolsOf(this.#node)];
     const limit = Math.max(
       MIN_WORKSPACES,
-      Math.min(MAX_WORKSPACES, Math.floor(MAX_LISTED / pools.length)),
+      Math.min(MAX_WORKSPACES, Math.floor(MAX_LISTED / pools.size)),
+    );
+    return [...pools].map(([pool, sums]) =>
+      this.#subtractOwn(pool, sums, limit),
     );
-    for (const [pool, sums] of pools) {
-      due.push(this.#subtractOwn(pool, sums, limit));
-    }
-    if (due.length > 0) this.#lastSentAt = now;
-    return due;
   }
 
   #subtractOwn(pool: string, sums: PoolSums, limit: number): OthersDemand {
@@ -201,7 +201,3 @@
 function sumOf(workspaces: readonly Workspace[]): number {
   return workspaces.reduce((sum, {offered}) => sum + offered, 0);
 }
-
-function toUint32(value: number): number {
-  return Math.min(MAX_UINT32, Math.max(0, value));
-}
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_estimates.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_estimates.test.ts
@@ -170,6 +170,27 @@
     expect(gateway.state().coldTokens([{id: 'a', tokens: 1_000}])).toBe(1_000);
   });
 
+  // A server that restarts in another pool would start with what the servers of
+  // its former pool have learned.
+  it('start with the means of the present pool', () => {
+    const fleet = new GatewayFleet({
+      prefillTokensPerMs: RATE,
+      serverCapacity: true,
+    });
+    const list = (pool: string, incarnation: string): void => {
+      const x = makeBackendServer('x', {pool, incarnation, directSlots: 4});
+      const y = makeBackendServer('y', {directSlots: 4});
+      const servers = new Map([x, y].map(server => [server.name, server]));
+      fleet.useMembership({version: 1, servers});
+    };
+    list('p', '1');
+    learnCalls(fleet.find('y')!, 40);
+    expect(fleet.find('x')!.capacity.serviceMs('call', 9_500)).toBeCloseTo(40);
+    list('other', '2');
+    const {capacity} = fleet.find('x')!;
+    expect(capacity.serviceMs('call', 9_500)).toBeUndefined();
+  });
+
   // The response to a failing request arrives at once and looks like an engine
   // of infinite speed.
   it('ignore error responses', () => {
@@ -341,6 +362,21 @@
     expect(gateway.state().loadView(3_300).pendingPrefillTokens).toBe(1_000);
   });
 
+  // Multiplied by the engine's own rate, they grew with each estimate of it, and
+  // the next observation of the rate with them.
+  it('of shared prefixes count as many tokens as were reported', () => {
+    for (const serverCapacity of [false, true]) {
+      const gateway = new Gateway(serverCapacity);
+      const readings = [{backendServer: 'x', prefix: '/a', tokens: 3_000}];
+      gateway.reports.apply({reports: [{node: 'h', readings}]}, 0);
+      const {capacity} = gateway.state();
+      for (let at = 0; at < 20; at += 1) capacity.notePrefill(8_000, 200, 0);
+      expect(capacity.prefillTokensPerMs(0)).toBeGreaterThan(2 * RATE);
+      const {pendingPrefillTokens} = gateway.state().loadView(0);
+      expect(pendingPrefillTokens).toBeCloseTo(3_000);
+    }
+  });
+
   it('of others do not change the wait while the setting is off', () => {
     const gateway = new Gateway(false);
     const running = [{backendServer: 'x', requests: 2, prefillTokens: 3_000}];
--- a/packages/lovagepond-gateway/src/gateway_fleet.ts
+++ b/packages/lovagepond-gateway/src/gateway_fleet.ts
@@ -55,7 +55,7 @@
       if (server.directSlots === undefined) continue;
       listed.add(server.name);
       const state = this.#stateOf(server);
-      state.useServer(server);
+      state.useServer(server, this.#meansOf(server.pool));
       this.#states.set(server.name, state);
       byPool.set(server.pool, [...(byPool.get(server.pool) ?? []), state]);
     }
@@ -73,7 +73,7 @@
 
   #stateOf(server: BackendServer): ServerState {
     const {name, pool} = server;
-    const known = this.#states.get(name) ?? this.#unlisted.take(name);
+    const known = this.#states.get(name) ?? this.#unlisted.take(server);
     if (known) return known;
     return new ServerState(server, this.#settings, this.#meansOf(pool));
   }
--- a/packages/lovagepond-gateway/src/gateway_server_state.ts
+++ b/packages/lovagepond-gateway/src/gateway_server_state.ts
@@ -47,7 +47,7 @@
   /** Requests that are sent, and their prompts, decide on its free memory. */
   readonly memory = new EngineMemory();
   readonly #settings: CapacitySettings;
-  readonly #pool: PoolMeans | undefined;
+  #poolMeans: PoolMeans | undefined;
   server: BackendServer;
   #capacity: ServerCapacity;
   /** This gateway's requests in flight there. */
@@ -63,28 +63,31 @@
   readonly #remote = new RemoteRequests();
   #reportedAt = Number.NEGATIVE_INFINITY;
   #remotePrefillUntil = Number.NEGATIVE_INFINITY;
+  /** Rate that the time until then was estimated with, tokens per ms. */
+  #remotePrefillRate = 0;
   #failures = 0;
   readonly #outcomes = new OutcomeEstimate();
   /** This gateway's outcomes that were not yet reported to the others. */
   #unreported = {ended: 0, failed: 0};
   #backoffUntil = Number.NEGATIVE_INFINITY;
-  #isReplaced = false;
+  /** The incarnation whose address another one has taken. */
+  #replaced: string | undefined;
   readonly #warmParts = new WarmParts();
 
   /**
    * @param server the server
    * @param settings initial estimate, and whether estimates are used
-   * @param pool mean estimates of the server's pool
+   * @param poolMeans mean estimates of the server's pool
    */
   constructor(
     server: BackendServer,
     settings: CapacitySettings = DEFAULT_GATEWAY_SETTINGS,
-    pool?: PoolMeans,
+    poolMeans?: PoolMeans,
   ) {
     this.server = server;
     this.#settings = settings;
-    this.#pool = pool;
-    this.#capacity = new ServerCapacity(settings.prefillTokensPerMs, pool);
+    this.#poolMeans = poolMeans;
+    this.#capacity = new ServerCapacity(settings.prefillTokensPerMs, poolMeans);
   }
 
   /** Estimates of the server's current incarnation. */
@@ -98,16 +101,19 @@
   }
 
   /**
-   * A new incarnation may run on another machine and has an empty cache.
+   * A new incarnation may run on another machine, or in another pool, and has an
+   * empty cache.
    *
    * @param server the server's present entry in the membership
+   * @param poolMeans mean estimates of its present pool
    */
-  useServer(server: BackendServer): void {
+  useServer(server: BackendServer, poolMeans: PoolMeans): void {
     const isSame = server.incarnation === this.server.incarnation;
     this.server = server;
+    this.#poolMeans = poolMeans;
     if (isSame) return;
     const {prefillTokensPerMs} = this.#settings;
-    this.#capacity = new ServerCapacity(prefillTokensPerMs, this.#pool);
+    this.#capacity = new ServerCapacity(prefillTokensPerMs, this.#poolMeans);
     if (this.usesCapacity) this.#warmParts.clear();
   }
 
@@ -118,11 +124,11 @@
 
   /** True once another incarnation has responded at the server's address. */
   get isReplaced(): boolean {
-    return this.#isReplaced;
+    return this.#replaced === this.server.incarnation;
   }
 
   markReplaced(): void {
-    this.#isReplaced = true;
+    this.#replaced = this.server.incarnation;
   }
 
   /**
@@ -130,12 +136,14 @@
    * the other, so its completion time can be estimated without a further
    * report.
    *
-   * @param durationMs the work's estimated duration, milliseconds
+   * @param tokens prompt tokens that the server has to compute
+   * @param tokensPerMs the prefill rate to estimate the duration with
    * @param now current time, monotonic milliseconds
    */
-  noteRemotePrefill(durationMs: number, now: number): void {
+  noteRemotePrefill(tokens: number, tokensPerMs: number, now: number): void {
     this.#remotePrefillUntil =
-      Math.max(now, this.#remotePrefillUntil) + durationMs;
+      Math.max(now, this.#remotePrefillUntil) + tokens / tokensPerMs;
+    this.#remotePrefillRate = tokensPerMs;
   }
 
   /**
@@ -187,9 +195,8 @@
    * @returns the server's load from the requests of all gateways
    */
   loadView(now: number): ServerLoadView {
-    const remoteMs = this.#remotePrefillUntil - now;
-    const prefixTokens =
-      remoteMs > 0 ? remoteMs * this.#capacity.prefillTokensPerMs(now) : 0;
+    const remoteMs = Math.max(0, this.#remotePrefillUntil - now);
+    const prefixTokens = remoteMs * this.#remotePrefillRate;
     const remoteTokens = Math.max(this.remotePrefillTokens, prefixTokens);
     return {
       slots: this.slots,
