Keep windows engaged at servers with long queues

Cause: with 20 gateways no stream was in target at 1.7 x capacity. A window was released after a second without a sample, while responses took 1.7 s; and each gateway sent a request to a closed server whenever it had none in flight there for 0.6 s, which 20 gateways together made 0.9 of an engine's capacity.

Change: a window is released after two round trips at least; the time after which a closed server is tried again grows with the gateways that share the pool.

--- a/packages/lovagepond-load/src/__tests__/unit/load_dispatch_window.test.ts
+++ b/packages/lovagepond-load/src/__tests__/unit/load_dispatch_window.test.ts
@@ -168,4 +168,13 @@
     expect(sent).toBeGreaterThan(2);
     expect(sent).toBeLessThanOrEqual(6);
   });
+
+  // Responses of a server with a long queue come seconds apart. A window that
+  // was released in between would let each gateway refill the queue.
+  it('stays engaged while responses take longer than the release time', () => {
+    const window = makeWindow();
+    for (let at = 0; at < 3; at += 1) exchange(window, at * 1_700, 1_700);
+    expect(window.isEngaged(5_100 + 1_700)).toBe(true);
+    expect(window.isEngaged(5_100 + 4_000)).toBe(false);
+  });
 });
--- a/packages/lovagepond-load/src/load_dispatch_window.ts
+++ b/packages/lovagepond-load/src/load_dispatch_window.ts
@@ -45,6 +45,12 @@
 const BORROW_REQUESTS = 4;
 /** A window that was no limit for this long is released, milliseconds. */
 const RELEASE_MS = 1_000;
+
+/**
+ * Round trips without a sign of delay before a window is released. At a server
+ * with a long queue, the next response may take longer than {@link RELEASE_MS}.
+ */
+const RELEASE_ROUND_TRIPS = 2;
 /** Samples below this part of the target delay allow a release. */
 const RELEASE_DELAY_PART = 0.5;
 /** Weight of a new value in the means of request work and round trip. */
@@ -136,7 +142,11 @@
   isEngaged(now: number): boolean {
     if (!this.#engaged) return false;
     const quietSince = Math.max(this.#limitedAt, this.#delayedAt);
-    if (now - quietSince >= RELEASE_MS) this.#engaged = false;
+    const releaseMs = Math.max(
+      RELEASE_MS,
+      RELEASE_ROUND_TRIPS * this.#roundTripMs,
+    );
+    if (now - quietSince >= releaseMs) this.#engaged = false;
     return this.#engaged;
   }
 
--- a/packages/lovagepond-load/src/load_pool_admission.ts
+++ b/packages/lovagepond-load/src/load_pool_admission.ts
@@ -91,7 +91,7 @@
   /** @param weights weights in force; undefined for equal ones */
   useWeights(weights: ShareWeights = EQUAL_WEIGHTS): void {
     this.#weightOf = boundWeights(workspace => weights.weightOf(workspace));
-    this.#windows.useWeight(weights.gatewayWeight);
+    this.#windows.useWeight(weights.gatewayWeight, weights.gateways);
     this.#configure();
   }
 
--- a/packages/lovagepond-load/src/load_server_windows.ts
+++ b/packages/lovagepond-load/src/load_server_windows.ts
@@ -30,12 +30,17 @@
   /** Server of each attempt in flight. */
   readonly #serverOf = new Map<string, LoadedServer<R>>();
   #weight = 1;
+  #gateways = 1;
   /** Whether a window may be engaged, to skip the check of all. */
   #mayBeEngaged = false;
 
-  /** @param weight this gateway's part relative to the mean gateway */
-  useWeight(weight: number): void {
+  /**
+   * @param weight this gateway's part relative to the mean gateway
+   * @param gateways gateways that share the servers
+   */
+  useWeight(weight: number, gateways = 1): void {
     this.#weight = weight;
+    this.#gateways = Math.max(1, gateways);
   }
 
   /**
@@ -76,7 +81,8 @@
       const {targetMs, leftMs} = limitsOf(req, idleMs, waitedMs, options);
       const delayMs = Math.max(startMs, window?.delayMs ?? 0);
       const closed = startMs > targetMs || delayMs > leftMs;
-      if (closed && !isPredictionOld(window, options.limitMs, now)) {
+      const retryMs = options.limitMs * this.#gateways;
+      if (closed && !isPredictionOld(window, retryMs, now)) {
         return false;
       }
     }
@@ -227,13 +233,14 @@
 /**
  * A prediction is renewed by responses. Without an attempt in flight, none will
  * come, and a server would stay closed for ever; so a request is sent there to
- * find out when none has been for the time in which a response is in time.
+ * find out when none has been for the time in which a response is in time. All
+ * gateways that share the server do so, so each one waits that many times longer.
  */
 function isPredictionOld(
   window: DispatchWindow | undefined,
-  limitMs: number,
+  retryMs: number,
   now: number,
 ): boolean {
   if (!window) return true;
-  return window.inFlight === 0 && now - window.lastSentAt > limitMs;
+  return window.inFlight === 0 && now - window.lastSentAt > retryMs;
 }
--- a/packages/lovagepond-load/src/load_types.ts
+++ b/packages/lovagepond-load/src/load_types.ts
@@ -83,6 +83,8 @@
   weightOf(workspace: string): number;
   /** This gateway's part relative to the mean gateway, 1/8 to 8. */
   readonly gatewayWeight: number;
+  /** Gateways that share the pool, as far as known; 1 when absent. */
+  readonly gateways?: number;
 }
 
 /** Why a request was refused; each refused request has not run. */
--- a/packages/lovagepond-load/src/load_workspace_shares.ts
+++ b/packages/lovagepond-load/src/load_workspace_shares.ts
@@ -139,7 +139,7 @@
     if (!this.#received || own <= 0) return weight;
     if (!this.#isKnown(workspace, this.#received)) return weight;
     const part = own / (own + this.#othersOf(workspace));
-    return weight * Math.max(MIN_WEIGHT_PART, part * this.#gateways);
+    return weight * Math.max(MIN_WEIGHT_PART, part * this.gateways);
   }
 
   /**
@@ -164,7 +164,7 @@
       .slice(0, limit);
     return {
       shared: this.#received !== undefined,
-      gateways: this.#gateways,
+      gateways: this.gateways,
       capacityMsPerS: Math.round(this.#capacity),
       ...(this.#level !== Infinity && {levelMsPerS: Math.round(this.#level)}),
       gatewayWeight: this.#gatewayWeight,
@@ -178,7 +178,8 @@
     };
   }
 
-  get #gateways(): number {
+  /** Gateways that report the pool, this one included. */
+  get gateways(): number {
     return 1 + (this.#received?.sums.gateways ?? 0);
   }
 
@@ -240,7 +241,7 @@
     demands.push(this.#unlisted(this.#received.sums));
     this.#level = maxMinLevel(demands, this.#capacity);
     const offered = demands.reduce((sum, one) => sum + one.offered, 0);
-    const mean = Math.min(offered, this.#capacity) / this.#gateways;
+    const mean = Math.min(offered, this.#capacity) / this.gateways;
     let own = 0;
     for (const workspace of this.#own.offered.keys()) {
       own += this.ownShareOf(workspace);
