--- a/packages/lovagepond-control/src/__tests__/unit/subscription_hub.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/subscription_hub.test.ts
@@ -95,6 +95,28 @@
   ]);
 });
 
+// The log keeps the latest reports only. A router whose connection was stalled for
+// longer would never learn what engines have prefilled in between.
+test('a subscriber that has missed reports gets all kept readings', () => {
+  const hub = startHub();
+  const sink = new Sink();
+  hub.add(ROUTER, sink);
+  const view = viewOf(1);
+  hub.flush(view, 0);
+  sink.take();
+  sink.writable = false;
+  const reading = {backendServer: 's', prefix: '/a', tokens: 100};
+  view.readings.add({node: 'g', readings: [reading], running: []});
+  for (let at = 0; at < 3_000; at += 1) {
+    view.readings.add({node: 'g', readings: [], running: []});
+  }
+  hub.flush(view, 100);
+  sink.writable = true;
+  hub.flush(view, 200);
+  const reports = [{readings: [{...reading, tokens: 0}]}];
+  expect(sink.take()).toMatchObject([{kind: 'readings', reports}]);
+});
+
 // A restarted router subscribes to a member that lags behind. It may install
 // the member's revision, but must accept work only with a revision as new as
 // that of a majority: only such a revision may be marked as confirmed.
--- a/packages/lovagepond-load/src/__tests__/unit/load_server_capacity.test.ts
+++ b/packages/lovagepond-load/src/__tests__/unit/load_server_capacity.test.ts
@@ -59,6 +59,22 @@
     expect(capacity.serviceMs('call', 10)).toBeCloseTo(48);
   });
 
+  // The time to the first token of a cached prompt isn't prefill: engines far
+  // away looked slower than they are.
+  it('separates the latency of first tokens from the prefill', () => {
+    const capacity = new ServerCapacity(10);
+    for (let at = 0; at < 40; at += 1) {
+      capacity.notePrefill(100, 100, at);
+      capacity.notePrefill(1_000, 200, at);
+    }
+    expect(capacity.prefillTokensPerMs(40)).toBeGreaterThan(9);
+    expect(capacity.prefillTokensPerMs(40)).toBeLessThan(11);
+    const {startMs, firstResponseMs} = capacity.predictIdle(PROMPT, 40);
+    expect(startMs).toBe(0);
+    expect(firstResponseMs).toBeGreaterThan(180);
+    expect(firstResponseMs).toBeLessThan(220);
+  });
+
   // The first short prompt may be the stalled one. With long prompts alone after
   // it, the engine's first tokens were predicted a minute late for ever.
   it('recovers from a wrong first latency without short prompts', () => {
