--- a/packages/lovagepond-control/src/__tests__/unit/workspace_demand.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/workspace_demand.test.ts
@@ -171,6 +171,19 @@
   });
 
   // One faulty gateway must not hide the demand of all others.
+  // Without demand elsewhere, an own workspace isn't one of those that make up the
+  // unlisted work; the mean of these would be too large.
+  it('counts own workspaces without other demand apart', () => {
+    const totals = new WorkspaceDemandTotals();
+    const large = Array.from({length: 40}, (_, at) => [`x${at}`, 9] as const);
+    const own = Array.from({length: 8}, (_, at) => [`own${at}`, 1] as const);
+    totals.record(reportOf('a', poolOf(Object.fromEntries(large))), 0);
+    totals.record(reportOf('b', poolOf(Object.fromEntries(own))), 0);
+    const [sent] = new WorkspaceDemandFeed('b').next(totals, 0);
+    expect(sent?.workspaces).toHaveLength(32);
+    expect(sent).toMatchObject({unlisted: 16 * 9, unlistedWorkspaces: 16});
+  });
+
   // The time without reports counted as updates that hadn't listed the
   // workspaces of the last report, which were then preferred to all others.
   it('forgets what it listed when the router stops reporting', () => {
