Test that the wait for a slot is not taken for prefill

Cause: the tests passed without the rule that ignores the first token of a prompt that waits for a slot.

Change: a test; no change of the code.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_estimates.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_estimates.test.ts
@@ -191,6 +191,20 @@
     expect(capacity.serviceMs('call', 9_500)).toBeUndefined();
   });
 
+  // The time in the queue of an engine with all slots taken would count as
+  // prefill, and the engine would look many times slower than it is.
+  it('ignore prompts that wait for a slot', () => {
+    const gateway = new Gateway(true);
+    const {capacity} = gateway.state();
+    capacity.noteRun('chat', 1_000, 0);
+    gateway.state().noteRemoteRequests('', 8, 0);
+    gateway.send([{id: 'a', tokens: 1_000}], 0).noteFirstToken(1_500);
+    expect(capacity.prefillTokensPerMs(1_500)).toBe(RATE);
+    gateway.state().noteRemoteRequests('', 0, 2_000);
+    gateway.send([{id: 'b', tokens: 1_000}], 2_000).noteFirstToken(2_200);
+    expect(capacity.prefillTokensPerMs(2_200)).toBeCloseTo(5);
+  });
+
   // The response to a failing request arrives at once and looks like an engine
   // of infinite speed.
   it('ignore error responses', () => {
