--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_estimates.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_estimates.test.ts
@@ -170,27 +170,6 @@
     expect(gateway.state().coldTokens([{id: 'a', tokens: 1_000}])).toBe(1_000);
   });
 
-  // A server that restarts in another pool would start with what the servers of
-  // its former pool have learned.
-  it('start with the means of the present pool', () => {
-    const fleet = new GatewayFleet({
-      prefillTokensPerMs: RATE,
-      serverCapacity: true,
-    });
-    const list = (pool: string, incarnation: string): void => {
-      const x = makeBackendServer('x', {pool, incarnation, directSlots: 4});
-      const y = makeBackendServer('y', {directSlots: 4});
-      const servers = new Map([x, y].map(server => [server.name, server]));
-      fleet.useMembership({version: 1, servers});
-    };
-    list('p', '1');
-    learnCalls(fleet.find('y')!, 40);
-    expect(fleet.find('x')!.capacity.serviceMs('call', 9_500)).toBeCloseTo(40);
-    list('other', '2');
-    const {capacity} = fleet.find('x')!;
-    expect(capacity.serviceMs('call', 9_500)).toBeUndefined();
-  });
-
   // The time in the queue of an engine with all slots taken would count as
   // prefill, and the engine would look many times slower than it is.
   it('ignore prompts that wait for a slot', () => {
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_unlisted_servers.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_unlisted_servers.test.ts
@@ -1,5 +1,5 @@
 import {type BackendServer, type Membership} from '@lovagepond/core';
-import {describe, expect, it} from 'vitest';
+import {describe, expect, it, test} from 'vitest';
 import {GatewayFleet} from '../../gateway_fleet.js';
 import {makeBackendServer} from './backend_servers.js';
 
@@ -81,3 +81,15 @@
     expect(fleet.ready('p', 0)).toEqual([fleet.find('x')]);
   });
 });
+
+// It would start with what the servers of its former pool have learned.
+test('a server that restarts in another pool uses the means of that pool', () => {
+  const fleet = new GatewayFleet();
+  const other = makeBackendServer('y');
+  fleet.useMembership(membershipOf(makeBackendServer('x'), other));
+  fleet.find('y')?.capacity.noteService('call', 40, 0, 4, 0);
+  expect(fleet.find('x')?.capacity.serviceMs('call', 2_000)).toBe(40);
+  const moved = makeBackendServer('x', {incarnation: 'x2', pool: 'q'});
+  fleet.useMembership(membershipOf(moved, other));
+  expect(fleet.find('x')?.capacity.serviceMs('call', 2_000)).toBeUndefined();
+});
