--- a/packages/lovagepond-load/src/__tests__/unit/load_pool_admission.test.ts
+++ b/packages/lovagepond-load/src/__tests__/unit/load_pool_admission.test.ts
@@ -49,6 +49,21 @@
     expect(admission.isCongested(500)).toBe(false);
   });
 
+  // All gateways try a closed server. If each did so as often as a single one,
+  // these requests alone would keep its queue full.
+  it('tries a closed server the less often, the more gateways share it', () => {
+    const admission = makeAdmission();
+    const server = makeClosedServer();
+    const first = makeRequest(0);
+    admission.noteSent(first, server, 0);
+    admission.noteEnded(first.id, 10);
+    admission.useWeights({weightOf: () => 1, gatewayWeight: 1, gateways: 20});
+    const isOpen = (now: number): boolean =>
+      admission.openServers(makeRequest(now), [server], now).length > 0;
+    expect(isOpen(19 * 200)).toBe(false);
+    expect(isOpen(21 * 200)).toBe(true);
+  });
+
   // Guards against a server that stays closed for ever, as only a response can
   // renew its prediction.
   it('tries a server whose prediction is old', () => {
