--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_estimates.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_estimates.test.ts
@@ -311,6 +311,17 @@
     expect(gateway.reports.takeReport(LATER)).toBeUndefined();
   });
 
+  // Without them, gateways together fill an engine's queue beyond its target.
+  it('are sent for pools with admission control in any case', () => {
+    const gateway = new Gateway(false);
+    gateway.send([{id: 'a', tokens: 5_000}], 0, {
+      ...REQUEST,
+      hasAdmission: true,
+    });
+    const {running} = gateway.reports.takeReport(LATER)!;
+    expect(running?.[0]?.prefillTokens).toBe(5_000);
+  });
+
   // The number of tokens changes with each prompt, so that each interval would
   // have a message for each server.
   it('are sent alone only after a large change', () => {
--- a/packages/lovagepond-gateway/src/gateway_load_reports.ts
+++ b/packages/lovagepond-gateway/src/gateway_load_reports.ts
@@ -213,9 +213,9 @@
   }
 }
 
-/** Pending tokens for the other gateways; 0 while estimates aren't used. */
+/** Pending tokens for the other gateways; 0 while no decision uses them. */
 function reportedTokens(state: ServerState, now: number): number {
-  if (!state.usesCapacity) return 0;
+  if (!state.usesCapacity && !state.hasAdmission) return 0;
   const tokens = Math.round(state.pendingPrefill.tokensAt(now));
   return Math.min(MAX_UINT32, Math.max(0, tokens));
 }
--- a/packages/lovagepond-gateway/src/gateway_pool_overload.ts
+++ b/packages/lovagepond-gateway/src/gateway_pool_overload.ts
@@ -164,8 +164,12 @@
     servers: readonly LoadedServer<OverloadRequest>[],
     now: number,
   ): void {
-    // Also without congestion: its first shares need the demand before it.
-    const workMs = bestServerOf(req, servers, now)?.workMs(req, now);
+    // Also without congestion: its first shares need the demand before it. Any
+    // server's estimate will do then, as comparing many takes too long.
+    const server = this.isCongested
+      ? bestServerOf(req, servers, now)
+      : servers[0];
+    const workMs = server?.workMs(req, now);
     if (workMs === undefined || this.#isReleased) return;
     this.#offeredMs.set(req, workMs);
     this.#deps.shares.noteOffered(this.#pool, req.workspace, workMs, now);
--- a/packages/lovagepond-gateway/src/gateway_prefill_tracker.ts
+++ b/packages/lovagepond-gateway/src/gateway_prefill_tracker.ts
@@ -30,6 +30,8 @@
   readonly memoryTokens: number;
   /** Context memory of each engine of the pool, tokens, if known. */
   readonly contextTokens: number | undefined;
+  /** Whether admission control of the pool depends on pending tokens. */
+  readonly hasAdmission?: boolean;
 }
 
 /** The prefill of one prompt at one server. */
@@ -103,6 +105,7 @@
     });
     state.pendingPrefillTokens += this.#prefillTokens;
     state.servesPrompts ||= parts.length > 0;
+    if (req) state.hasAdmission = req.hasAdmission ?? false;
     this.#occupyMemory();
     const sizes = new Map(parts.map(({id, tokens}) => [id, tokens]));
     state.noteWarm(ids, doneAt, now, sizes);
@@ -220,5 +223,6 @@
     isStream: forwarding.streaming,
     memoryTokens: promptTokens + outputTokens,
     contextTokens: pool.contextTokens,
+    hasAdmission: pool.admission !== undefined,
   };
 }
--- a/packages/lovagepond-gateway/src/gateway_server_state.ts
+++ b/packages/lovagepond-gateway/src/gateway_server_state.ts
@@ -58,6 +58,8 @@
   readonly pendingPrefill = new PendingPrefill();
   /** The server computes prompts, so that requests also wait without a queue. */
   servesPrompts = false;
+  /** Admission control of the server's pool depends on pending tokens. */
+  hasAdmission = false;
   #reportedWaiting: number | undefined;
   #remoteAtReport = 0;
   readonly #remote = new RemoteRequests();
