--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -10,6 +10,6 @@
     pool: 'forks',
     poolOptions: {forks: {maxForks: 4}},
     testTimeout: 30_000,
-    setupFiles: ['scripts/property_seed.mjs'],
+    setupFiles: ['scripts/property_seed.mjs', 'scripts/event_loop_turn.mjs'],
   },
 });
