Define a gateway's own demand by the measured one

Cause: OwnDemand repeated the fields of MeasuredDemand.

Change: it extends that type; types only, no behaviour.

Conclusion: one definition.

--- a/packages/lovagepond-gateway/src/gateway_demand.ts
+++ b/packages/lovagepond-gateway/src/gateway_demand.ts
@@ -1,7 +1,11 @@
 /**
  * The demand that gateways report to each other, and its protocol messages.
  */
-import {type DemandSums, isPlausibleDemand} from '@lovagepond/load';
+import {
+  type DemandSums,
+  isPlausibleDemand,
+  type MeasuredDemand,
+} from '@lovagepond/load';
 import {type lovagepond} from '@lovagepond/protocol';
 import {sampleDemand} from './gateway_demand_sample.js';
 
@@ -15,12 +19,8 @@
 const MAX_REPORTED_WORKSPACES = 64;
 
 /** Demand of one congested pool at this gateway. */
-export interface OwnDemand {
+export interface OwnDemand extends MeasuredDemand {
   readonly pool: string;
-  /** Work sent to servers, milliseconds of server time per second. */
-  readonly servedMsPerS: number;
-  /** Work offered, served or not, by workspace; in the same unit. */
-  readonly offered: ReadonlyMap<string, number>;
 }
 
 /** Measures this gateway's demand, and uses that of the other gateways. */
