Log server versions and the streams that callers resume

Change: attempt failed has version, request ended has versions, and resumes and lastEventId where a caller resumes a stream. Gateways decode Resumes (on the platform) and Last-Event-Id. No decision uses them yet.

--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -4,7 +4,7 @@
  * Selects servers, runs attempts one after the other, streams the response to
  * the caller, and sends exactly one final response.
  */
-import {type ErrorKind} from '@lovagepond/core';
+import {type BackendServer, type ErrorKind} from '@lovagepond/core';
 import {
   type ResponseHead,
   Attempt,
@@ -52,6 +52,8 @@
   readonly #admission: ExchangeAdmission;
   readonly #events: EventStream | undefined;
   readonly #tried = new Set<string>();
+  /** Servers of all attempts, in order. */
+  readonly #servers: BackendServer[] = [];
   #attempt: Attempt | undefined;
   #prefill: PrefillTracker | undefined;
   /** The current attempt's response timing; unset at engines. */
@@ -175,6 +177,7 @@
     this.#wasAvoided = state.isAvoided(now);
     this.#attempts += 1;
     this.#tried.add(state.server.name);
+    this.#servers.push(state.server);
     this.#prefill = this.#trackPrefill(chosen, now);
     state.inFlight += 1;
     const attempt = new Attempt(state, names, facts.requestId, {
@@ -335,7 +338,7 @@
       trySpend: () => budget.trySpend(pool.name, now),
     });
     this.#log.noteFailedAttempt(outcome.kind, reason, {
-      server: [...this.#tried].at(-1),
+      server: this.#servers.at(-1),
       wasAvoided: this.#wasAvoided,
       signals: this.#signals,
       runs: this.#runs,
@@ -409,7 +412,7 @@
     this.#admission.leave();
     const {status} = this.#caller;
     const {waitMs} = this.#admission;
-    const end = {outcome, status, tried: this.#tried, waitMs};
+    const end = {outcome, status, servers: this.#servers, waitMs};
     this.#log.noteEnded(end, this.#now());
     this.#onDone();
   }
--- a/packages/lovagepond-gateway/src/gateway_exchange_log.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_log.ts
@@ -1,10 +1,10 @@
 /**
  * Log lines and counters of one request.
  */
-import {type Logger} from '@lovagepond/core';
+import {type BackendServer, type Logger} from '@lovagepond/core';
 import {type GatewayCounters} from './gateway_counters.js';
 import {type AdmittedRequest} from './gateway_exchange_types.js';
-import {type ServerSignals} from './gateway_headers.js';
+import {type ServerSignals, type StreamResumption} from './gateway_headers.js';
 import {type NextStep} from './gateway_outcome.js';
 
 interface ExchangeLogDependencies {
@@ -14,8 +14,7 @@
 
 /** An attempt without a successful response. */
 interface FailedAttempt {
-  /** Name of the server. */
-  readonly server: string | undefined;
+  readonly server: BackendServer | undefined;
   /** The server was chosen although it had failed lately. */
   readonly wasAvoided: boolean;
   /** What the response said about its server; absent without a response. */
@@ -30,8 +29,8 @@
   readonly outcome: string;
   /** The status that was sent to the caller. */
   readonly status: number;
-  /** Names of the servers of all attempts. */
-  readonly tried: ReadonlySet<string>;
+  /** The servers of all attempts. */
+  readonly servers: readonly BackendServer[];
   /** Time in the gateway's queue, ms; undefined if it did not wait. */
   readonly waitMs: number | undefined;
 }
@@ -60,7 +59,8 @@
     this.#deps.log.warn('attempt failed', {
       request: this.#req.facts.requestId,
       fingerprint: this.#req.fingerprint,
-      server,
+      server: server?.name,
+      version: server?.labels['version'],
       outcome,
       reason,
       runs,
@@ -88,14 +88,20 @@
    * @param end how the request ended
    * @param now current time, monotonic milliseconds
    */
-  noteEnded({outcome, status, tried, waitMs}: EndedRequest, now: number): void {
+  noteEnded(
+    {outcome, status, servers, waitMs}: EndedRequest,
+    now: number,
+  ): void {
     const {facts, rule, pool, arrivedAt} = this.#req;
+    const {resumption} = facts;
     this.#deps.counters.noteEnded(outcome);
     this.#deps.log.info('request ended', {
       request: facts.requestId,
       rule: rule.name,
       pool: pool.name,
-      servers: [...tried].join(' '),
+      servers: servers.map(({name}) => name).join(' '),
+      versions: servers.map(({labels}) => labels['version'] ?? '').join(' '),
+      ...(resumption && describeResumption(resumption)),
       outcome,
       status,
       durationMs: Math.round(now - arrivedAt),
@@ -103,3 +109,16 @@
     });
   }
 }
+
+/** A caller's ids may be as long as its headers. */
+const MAX_LOGGED_ID = 64;
+
+function describeResumption({
+  firstRequestId,
+  lastEventId,
+}: StreamResumption): Record<string, string> {
+  return {
+    resumes: firstRequestId.slice(0, MAX_LOGGED_ID),
+    lastEventId: lastEventId.slice(0, MAX_LOGGED_ID),
+  };
+}
--- a/packages/lovagepond-gateway/src/gateway_headers.ts
+++ b/packages/lovagepond-gateway/src/gateway_headers.ts
@@ -31,6 +31,8 @@
   readonly serverLoad: string;
   /** `1` in every response of a server that is about to exit. */
   readonly leaving: string;
+  /** Id of the request that brought the first event of a resumed stream. */
+  readonly resumes: string;
   /** The incarnation that a request is meant for; others reject it. */
   readonly expectedInstance: string;
   /** 0 (most urgent) to 9, for the engine's own queue. */
@@ -41,6 +43,8 @@
   readonly routerOnly: readonly string[];
 }
 
+const LAST_EVENT_ID = 'last-event-id';
+
 export const DEFAULT_HEADER_NAMES: GatewayHeaderNames = Object.freeze({
   requestId: 'x-lovagepond-request-id',
   deadlineMs: 'x-lovagepond-deadline',
@@ -52,6 +56,7 @@
   notRun: 'x-lovagepond-not-run',
   serverLoad: 'x-lovagepond-load',
   leaving: 'x-lovagepond-leaving',
+  resumes: 'x-lovagepond-resumes',
   expectedInstance: 'x-lovagepond-instance',
   enginePriority: 'x-lovagepond-priority',
   contextSource: 'x-lovagepond-context-source',
@@ -64,6 +69,14 @@
   readonly tokens: number;
 }
 
+/** What a caller says about the stream that its request resumes. */
+export interface StreamResumption {
+  /** Id of the request that brought the stream's first event; may be empty. */
+  readonly firstRequestId: string;
+  /** Id of the last event that the caller has; may be empty. */
+  readonly lastEventId: string;
+}
+
 /** The decoded headers of a request. */
 export interface RequestFacts {
   readonly requestId: string;
@@ -72,6 +85,8 @@
   readonly promptTokens: number;
   readonly outputTokens: number;
   readonly parts: readonly PromptPart[];
+  /** Absent unless the caller resumes a stream. */
+  readonly resumption?: StreamResumption;
 }
 
 /** The load that a server reports. */
@@ -139,6 +154,7 @@
   names: GatewayHeaderNames,
 ): RequestFacts {
   const [prompt, output] = textOf(headers, names.tokenUsage).split(',');
+  const resumption = readResumption(headers, names);
   return {
     requestId: textOf(headers, names.requestId),
     deadlineMs: countOf(textOf(headers, names.deadlineMs)),
@@ -146,9 +162,20 @@
     promptTokens: countOf(prompt) ?? 0,
     outputTokens: countOf(output) ?? 0,
     parts: readParts(textOf(headers, names.promptParts)),
+    ...(resumption && {resumption}),
   };
 }
 
+function readResumption(
+  headers: Headers,
+  names: GatewayHeaderNames,
+): StreamResumption | undefined {
+  const firstRequestId = textOf(headers, names.resumes).trim();
+  const lastEventId = textOf(headers, LAST_EVENT_ID).trim();
+  if (firstRequestId === '' && lastEventId === '') return undefined;
+  return {firstRequestId, lastEventId};
+}
+
 /** Values of the load header with the optional one. */
 const LOAD_VALUES = 4;
 
@@ -211,8 +238,6 @@
   readonly lastEventId: string | undefined;
 }
 
-const LAST_EVENT_ID = 'last-event-id';
-
 /**
  * @param rawHeaders alternating names and values, as received
  * @param names the header names in use
