Resume streams only at the version that began them

What callers saw: streams whose first events came from one software version of a pool's servers and the later ones from another, within a response and over a caller's tries.

Cause: each attempt chose its server anew, from what it could see. No choice read the version that control lists for a server, and no gateway knew which servers had begun a stream at another one. The class: a decision that must hold over a request's whole life is taken again by each attempt.

Change: - StreamBinding decides which servers may continue a stream: those of its pool and version. ExchangeServers binds a request at the first event that is passed on, and EligibleServers asks the binding for candidates, holders of contexts, the queue and the time of a refusal alike. - At the first event, a gateway sends a record (64-bit key of workspace and request id, pool, version) to three others, which rendezvous hashing picks by the key, and keeps one itself. Control only tells gateways each other's addresses. A request that resumes a stream is bound by the record that its gateway holds or one of six others has; without one it is refused at once as not run (streamUnknown). The pool is that of the record, whatever the selector's weights draw. - No server of the version: streamVersionGone, not run, with a time to come back. - A resumed stream's events are checked to follow the caller's last one.

Why this works: the version is bound before the caller can have an event, the record leaves before the event does, and nothing that is out of date can widen the binding: a gateway with an old list, without control or after a restart knows fewer servers or no record, and refuses.

--- a/packages/lovagepond-cli/src/settings_gateway.ts
+++ b/packages/lovagepond-cli/src/settings_gateway.ts
@@ -20,6 +20,8 @@
 
 const gatewaySection = z.strictObject({
   listen: withTraits(hostPort(), {listens: true}),
+  /** UDP address for other gateways. */
+  peerListen: hostPort().optional(),
   connectTimeout: duration().optional(),
   /** Prompt tokens that an engine processes per millisecond. */
   prefillRate: decimal(0.001, MAX_COUNT).optional(),
@@ -74,6 +76,8 @@
     ...keepDefined({
       controlSilentAfterMs: control.silentAfter,
       controlRetryMs: control.retry,
+      peerHost: gateway.peerListen?.host,
+      peerPort: gateway.peerListen?.port,
       connectTimeoutMs: gateway.connectTimeout,
       prefillTokensPerMs: gateway.prefillRate,
       serverCapacity: gateway.serverCapacity,
--- a/packages/lovagepond-control/src/__tests__/unit/subscription_hub.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/subscription_hub.test.ts
@@ -60,6 +60,7 @@
     readings: new ReadingReportLog(),
     running: new RunningRequestTotals(),
     demand: new WorkspaceDemandTotals(),
+    streamPeers: new Map(),
     crashesVersion: 0,
     suspects: () => [],
     controlMembers: [],
--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -305,6 +305,7 @@
       readings: this.#reports.readings,
       running: this.#reports.running,
       demand: this.#reports.demand,
+      streamPeers: this.#reports.streamPeers.addresses,
       crashesVersion: crashes.version,
       suspects: () => this.crashReports.list(),
       controlMembers: listMemberAddresses(this.#deps.node),
--- a/packages/lovagepond-control/src/reading_report_log.ts
+++ b/packages/lovagepond-control/src/reading_report_log.ts
@@ -48,6 +48,8 @@
   readonly running: readonly RunningRequests[];
   /** Demand in pools that are congested at the router; absent without one. */
   readonly demand?: readonly PoolDemand[];
+  /** `host:port` of its socket for records of streams; absent in most reports. */
+  readonly streamAddress?: string;
 }
 
 interface NumberedReport {
--- a/packages/lovagepond-control/src/router_reports.ts
+++ b/packages/lovagepond-control/src/router_reports.ts
@@ -3,6 +3,7 @@
  */
 import {type ReadingReport, ReadingReportLog} from './reading_report_log.js';
 import {RunningRequestTotals} from './running_request_totals.js';
+import {StreamPeerTable} from './stream_peer_table.js';
 import {WorkspaceDemandTotals} from './workspace_demand_totals.js';
 
 /** The log of readings, and the sums over all routers. */
@@ -10,6 +11,7 @@
   readonly readings = new ReadingReportLog();
   readonly running = new RunningRequestTotals();
   readonly demand = new WorkspaceDemandTotals();
+  readonly streamPeers = new StreamPeerTable();
 
   /**
    * @param report a report from a router or from the leader
@@ -19,6 +21,7 @@
     this.readings.add(report);
     this.running.record(report, now);
     this.demand.record(report, now);
+    this.streamPeers.record(report, now);
   }
 
   /**
@@ -29,5 +32,6 @@
   expire(now: number): void {
     this.running.expireReports(now);
     this.demand.expireReports(now);
+    this.streamPeers.expire(now);
   }
 }
--- a/packages/lovagepond-control/src/subscription_feed.ts
+++ b/packages/lovagepond-control/src/subscription_feed.ts
@@ -15,6 +15,7 @@
 import {type LoadReport} from './membership_registry.js';
 import {RunningRequestFeed} from './running_request_feed.js';
 import {type RunningRequestTotals} from './running_request_totals.js';
+import {type StreamPeerAddresses} from './stream_peer_table.js';
 import {
   type OthersDemand,
   WorkspaceDemandFeed,
@@ -40,6 +41,7 @@
   readonly crashesVersion: number;
   /** @returns requests that are suspected of crashing servers */
   suspects(): readonly SuspectView[];
+  readonly streamPeers: StreamPeerAddresses;
   /** `host:port` of the members of control; empty while none is known. */
   readonly controlMembers: readonly string[];
 }
@@ -93,6 +95,13 @@
       /** Redirects the subscriber to one of these members. */
       readonly goOn: boolean;
     }
+  | {
+      readonly kind: 'streamPeers';
+      readonly whole: boolean;
+      /** Names and addresses of gateways. */
+      readonly peers: readonly (readonly [string, string])[];
+      readonly gone: readonly string[];
+    }
   | {readonly kind: 'heartbeat'; readonly revision: number};
 
 /** Role of followers, which mirror the leader's membership. */
@@ -123,6 +132,7 @@
   readonly #running: RunningRequestFeed;
   readonly #demand: WorkspaceDemandFeed;
   #sentMembers: readonly string[] = [];
+  #sentStreamPeers: StreamPeerAddresses | undefined;
   #lastLoadAt = -Infinity;
   #lastSentAt = -Infinity;
 
@@ -169,6 +179,7 @@
       ...this.#nextConfiguration(view),
       ...this.#nextControlMembers(view),
       ...this.#nextMembership(view),
+      ...this.#nextStreamPeers(view),
       ...this.#nextLoad(view, now),
       ...this.#nextReadings(view),
       ...this.#nextSums(view, now),
@@ -238,6 +249,16 @@
     return empty && !change.whole ? [] : [{kind: 'membership', change}];
   }
 
+  #nextStreamPeers({streamPeers: present}: FeedView): FeedUpdate[] {
+    const sent = this.#sentStreamPeers;
+    if (this.subscriber.role !== ROUTER_ROLE || sent === present) return [];
+    if (!sent && present.size === 0) return [];
+    this.#sentStreamPeers = present;
+    const peers = [...present].filter(([node, at]) => sent?.get(node) !== at);
+    const gone = [...(sent?.keys() ?? [])].filter(node => !present.has(node));
+    return [{kind: 'streamPeers', whole: !sent, peers, gone}];
+  }
+
   #nextReadings({readings}: FeedView): FeedUpdate[] {
     const {role} = this.subscriber;
     const isFollower = role === CONTROL_ROLE;
--- a/packages/lovagepond-control/src/update_encoder.ts
+++ b/packages/lovagepond-control/src/update_encoder.ts
@@ -75,6 +75,13 @@
   controlMembers: ({addresses, goOn}) => ({
     controlMembers: {addresses: [...addresses], goOn},
   }),
+  streamPeers: ({whole, peers, gone}) => ({
+    streamPeers: {
+      whole,
+      peers: peers.map(([node, address]) => ({node, address})),
+      gone: [...gone],
+    },
+  }),
   heartbeat: ({revision}) => ({heartbeat: {revision}}),
 };
 
@@ -91,11 +98,12 @@
 ): lovagepond.v1.ReadingDigest.$Properties {
   return {
     routers,
-    reports: reports.map(({node, readings, running, demand: own}) => ({
-      node,
-      readings: [...readings],
-      running: running.map(toWireRunning),
-      ...(own && {demand: own.map(toWireDemand)}),
+    reports: reports.map(report => ({
+      node: report.node,
+      readings: [...report.readings],
+      running: report.running.map(toWireRunning),
+      ...(report.demand && {demand: report.demand.map(toWireDemand)}),
+      ...(report.streamAddress && {streamAddress: report.streamAddress}),
     })),
     ...(demand.length > 0 && {demand: demand.map(toWireDemand)}),
   };
--- a/packages/lovagepond-control/src/wire_utils.ts
+++ b/packages/lovagepond-control/src/wire_utils.ts
@@ -58,8 +58,14 @@
     prefillTokens: one.prefillTokens ?? 0,
   }));
   const demand = (report.demand ?? []).map(readDemand);
-  const node = report.node ?? '';
-  return {node, readings, running, ...(demand.length > 0 && {demand})};
+  const {node, streamAddress} = report;
+  return {
+    node: node ?? '',
+    readings,
+    running,
+    ...(demand.length > 0 && {demand}),
+    ...(streamAddress && {streamAddress}),
+  };
 }
 
 /**
--- a/packages/lovagepond-core/src/core_errors.ts
+++ b/packages/lovagepond-core/src/core_errors.ts
@@ -77,6 +77,15 @@
     'No backend server may take this request now.',
     RETRYABLE,
   ),
+  streamUnknown: refused(
+    503,
+    'No router knows which servers can continue the stream.',
+  ),
+  streamVersionGone: refused(
+    503,
+    'No server of the version that began the stream may take it now.',
+    RETRYABLE,
+  ),
   overloaded: refused(
     503,
     'All eligible servers are at their bound.',
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -32,6 +32,7 @@
 import {GatewayRetryBudget} from '../../gateway_retry_budget.js';
 import {probeServer} from '../../gateway_server_probe.js';
 import {GatewayServer} from '../../gateway_server.js';
+import {GatewayStreams} from '../../gateway_streams.js';
 import {GatewayShares} from '../../gateway_shares.js';
 import {GatewayWarmUp} from '../../gateway_warm_up.js';
 import {makeBackendServer} from './backend_servers.js';
@@ -254,6 +255,10 @@
       shares,
     });
     overload.useConfiguration(content);
+    const streams = new GatewayStreams(
+      {name: 'gateway', host: '127.0.0.1', port: 0},
+      {clock, log, hasher},
+    );
     const crashed = new Set<string>();
     const quarantine = new GatewayQuarantine({
       clock,
@@ -288,6 +293,7 @@
         warmUp: new GatewayWarmUp('gateway', STARTED_LONG_AGO),
         counters,
         overload,
+        streams,
         readings: new GatewayLoadReports('gateway', fleet, rate, peers, shares),
         rate,
       },
--- a/packages/lovagepond-gateway/src/gateway_caller_channel.ts
+++ b/packages/lovagepond-gateway/src/gateway_caller_channel.ts
@@ -57,6 +57,11 @@
     return this.#res.headersSent ? this.#res.statusCode : 0;
   }
 
+  /** False once the caller has disconnected. */
+  get isOpen(): boolean {
+    return !this.#res.destroyed;
+  }
+
   /** @param listener called if the caller disconnects before the end */
   onDisconnected(listener: () => void): void {
     this.#res.on('close', () => {
--- a/packages/lovagepond-gateway/src/gateway_eligible_servers.ts
+++ b/packages/lovagepond-gateway/src/gateway_eligible_servers.ts
@@ -5,6 +5,7 @@
 import {type GatewayFleet} from './gateway_fleet.js';
 import {type AdmittedRequest} from './gateway_exchange_types.js';
 import {type ServerState} from './gateway_server_state.js';
+import {type StreamBinding} from './gateway_stream_origin.js';
 import {type GatewayWarmUp} from './gateway_warm_up.js';
 
 interface EligibleServersDependencies {
@@ -12,20 +13,31 @@
   readonly warmUp: GatewayWarmUp;
 }
 
+type BoundRequest = Pick<AdmittedRequest, 'pool' | 'isRegionAllowed'>;
+
 export class EligibleServers {
-  readonly #req: Pick<AdmittedRequest, 'pool' | 'isRegionAllowed'>;
+  readonly #req: BoundRequest;
+  readonly #binding: StreamBinding;
   readonly #deps: EligibleServersDependencies;
 
+  /**
+   * @param req the request
+   * @param binding the servers that can continue the request's stream
+   * @param deps all servers, and their limits while they are warming up
+   */
   constructor(
-    req: Pick<AdmittedRequest, 'pool' | 'isRegionAllowed'>,
+    req: BoundRequest,
+    binding: StreamBinding,
     deps: EligibleServersDependencies,
   ) {
     this.#req = req;
+    this.#binding = binding;
     this.#deps = deps;
   }
 
   /**
-   * A context is a part of the request, so its holders must be allowed, too.
+   * A context is a part of the request, so its holders must be allowed, too. What
+   * another version has computed doesn't fit into a stream that is resumed.
    *
    * @param now current time, monotonic milliseconds
    * @returns servers for an attempt, and those that may hold the prompt
@@ -67,6 +79,8 @@
   }
 
   #isAllowed({server}: ServerState): boolean {
-    return this.#req.isRegionAllowed(server.region);
+    return (
+      this.#req.isRegionAllowed(server.region) && this.#binding.admits(server)
+    );
   }
 }
--- a/packages/lovagepond-gateway/src/gateway_event_stream.ts
+++ b/packages/lovagepond-gateway/src/gateway_event_stream.ts
@@ -22,6 +22,11 @@
   #pending: Buffer = Buffer.alloc(0);
   #lastId: number | undefined;
 
+  /** @param lastId id of the last event that the caller has, if any */
+  constructor(lastId?: number) {
+    this.#lastId = lastId;
+  }
+
   /** Id of the last complete event with an id; undefined before the first. */
   get lastId(): number | undefined {
     return this.#lastId;
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -4,7 +4,7 @@
  * Selects servers, runs attempts one after the other, streams the response to
  * the caller, and sends exactly one final response.
  */
-import {type BackendServer, type ErrorKind} from '@lovagepond/core';
+import {type ErrorKind} from '@lovagepond/core';
 import {
   type ResponseHead,
   Attempt,
@@ -13,16 +13,15 @@
 import {ResponseTiming} from './gateway_response_timing.js';
 import {type CallerChannel} from './gateway_caller_channel.js';
 import {type ServerChoice} from './gateway_choice.js';
-import {toChoiceRequest} from './gateway_choice_request.js';
-import {EligibleServers} from './gateway_eligible_servers.js';
 import {EventStream} from './gateway_event_stream.js';
 import {ExchangeAdmission} from './gateway_exchange_admission.js';
+import {ExchangeServers} from './gateway_exchange_servers.js';
 import {ExchangeLog} from './gateway_exchange_log.js';
 import {
   type AdmittedRequest,
   type ExchangeDependencies,
 } from './gateway_exchange_types.js';
-import {type ServerSignals} from './gateway_headers.js';
+import {lastEventIdOf, type ServerSignals} from './gateway_headers.js';
 import {
   type AttemptOutcome,
   decideNext,
@@ -48,12 +47,9 @@
   readonly #caller: CallerChannel;
   readonly #onDone: () => void;
   readonly #log: ExchangeLog;
-  readonly #eligible: EligibleServers;
+  readonly #servers: ExchangeServers;
   readonly #admission: ExchangeAdmission;
   readonly #events: EventStream | undefined;
-  readonly #tried = new Set<string>();
-  /** Servers of all attempts, in order. */
-  readonly #servers: BackendServer[] = [];
   #attempt: Attempt | undefined;
   #prefill: PrefillTracker | undefined;
   /** The current attempt's response timing; unset at engines. */
@@ -89,10 +85,12 @@
     this.#caller = caller;
     this.#onDone = onDone;
     this.#log = new ExchangeLog(req, deps);
-    this.#eligible = new EligibleServers(req, deps);
-    if (req.rule.forwarding.streaming) this.#events = new EventStream();
+    this.#servers = new ExchangeServers(req, deps);
+    if (req.rule.forwarding.streaming) {
+      this.#events = new EventStream(req.origin && lastEventIdOf(req.facts));
+    }
     const {overload} = deps;
-    const eligible = this.#eligible;
+    const {eligible} = this.#servers;
     this.#admission = new ExchangeAdmission(
       req,
       {overload, eligible},
@@ -106,7 +104,7 @@
           this.#finish(error);
         },
         onWithoutServer: () => {
-          this.#giveUp('noBackendServer');
+          this.#giveUp(this.#servers.errorWithoutServer);
         },
         onDraining: () => {
           this.#giveUp('notReady');
@@ -150,20 +148,17 @@
   #startAttempt(): void {
     const now = this.#now();
     const {facts, rule} = this.#req;
-    const {choice, names, connections, quarantine, warmUp} = this.#deps;
+    const {names, connections, quarantine, warmUp} = this.#deps;
     if (quarantine.quarantinedForMs(this.#req.fingerprint, now)) {
       this.abortQuarantined();
       return;
     }
-    const {servers, holders} = this.#eligible.list(now);
-    const untried = servers.filter(({server}) => !this.#tried.has(server.name));
-    const open = this.#admission.open(untried, now);
-    const chosen = choice.choose(
-      toChoiceRequest(this.#req, {servers: open, holders, tried: this.#tried}),
+    const chosen = this.#servers.choose(
+      servers => this.#admission.open(servers, now),
       now,
     );
     if (!chosen) {
-      this.#giveUp('noBackendServer');
+      this.#giveUp(this.#servers.errorWithoutServer);
       return;
     }
     const {state} = chosen;
@@ -176,8 +171,6 @@
     this.#signals = undefined;
     this.#wasAvoided = state.isAvoided(now);
     this.#attempts += 1;
-    this.#tried.add(state.server.name);
-    this.#servers.push(state.server);
     this.#prefill = this.#trackPrefill(chosen, now);
     state.inFlight += 1;
     const attempt = new Attempt(state, names, facts.requestId, {
@@ -258,7 +251,9 @@
       this.#onFailed({kind: 'broken', reason: parsed.reason, isLost: false});
       return true;
     }
-    return parsed.bytes.length === 0 || this.#caller.write(parsed.bytes);
+    if (parsed.bytes.length === 0) return true;
+    this.#servers.bindStream(this.#now());
+    return this.#caller.write(parsed.bytes);
   }
 
   #bufferChunk(failure: BufferedFailure, chunk: Buffer): void {
@@ -338,7 +333,7 @@
       trySpend: () => budget.trySpend(pool.name, now),
     });
     this.#log.noteFailedAttempt(outcome.kind, reason, {
-      server: this.#servers.at(-1),
+      server: this.#servers.attempted.at(-1),
       wasAvoided: this.#wasAvoided,
       signals: this.#signals,
       runs: this.#runs,
@@ -385,7 +380,7 @@
     const {fingerprint} = this.#req;
     const notBeforeMs =
       quarantine.quarantinedForMs(fingerprint, now) ??
-      this.#eligible.pauseLeftMs(now);
+      this.#servers.eligible.pauseLeftMs(now);
     this.#caller.refuse(error, {notBeforeMs});
     this.#finish(error);
   }
@@ -412,7 +407,8 @@
     this.#admission.leave();
     const {status} = this.#caller;
     const {waitMs} = this.#admission;
-    const end = {outcome, status, servers: this.#servers, waitMs};
+    const servers = this.#servers.attempted;
+    const end = {outcome, status, servers, waitMs};
     this.#log.noteEnded(end, this.#now());
     this.#onDone();
   }
--- /dev/null
+++ b/packages/lovagepond-gateway/src/gateway_exchange_servers.ts
@@ -0,0 +1,105 @@
+/**
+ * The backend servers of one request: those that it may be sent to, those that
+ * it was sent to, and the version that its stream is bound to.
+ */
+import {type BackendServer, type ErrorKind} from '@lovagepond/core';
+import {type ServerChoice} from './gateway_choice.js';
+import {toChoiceRequest} from './gateway_choice_request.js';
+import {EligibleServers} from './gateway_eligible_servers.js';
+import {
+  type AdmittedRequest,
+  type ExchangeDependencies,
+} from './gateway_exchange_types.js';
+import {type ServerState} from './gateway_server_state.js';
+import {StreamBinding} from './gateway_stream_origin.js';
+
+type ExchangeServersDependencies = Pick<
+  ExchangeDependencies,
+  'choice' | 'fleet' | 'warmUp' | 'streams'
+>;
+
+/** Limits the servers of an attempt to those with room for the request. */
+type Limit = (servers: readonly ServerState[]) => readonly ServerState[];
+
+const NO_SERVERS: ReadonlySet<string> = new Set();
+
+export class ExchangeServers {
+  readonly eligible: EligibleServers;
+  readonly #req: AdmittedRequest;
+  readonly #deps: ExchangeServersDependencies;
+  readonly #binding: StreamBinding;
+  readonly #tried = new Set<string>();
+  readonly #attempted: BackendServer[] = [];
+
+  /**
+   * @param req the request
+   * @param deps all servers, their selection, and the known streams
+   */
+  constructor(req: AdmittedRequest, deps: ExchangeServersDependencies) {
+    this.#req = req;
+    this.#deps = deps;
+    this.#binding = new StreamBinding(req.origin);
+    this.eligible = new EligibleServers(req, this.#binding, deps);
+  }
+
+  /** Servers of all attempts, in order. */
+  get attempted(): readonly BackendServer[] {
+    return this.#attempted;
+  }
+
+  /** The error when no server is left. */
+  get errorWithoutServer(): ErrorKind {
+    return this.#binding.origin ? 'streamVersionGone' : 'noBackendServer';
+  }
+
+  /**
+   * @param limit limits the candidates
+   * @param now current time, monotonic milliseconds
+   * @returns the server of the next attempt; undefined when none is left
+   */
+  choose(limit: Limit, now: number): ServerChoice | undefined {
+    const {servers, holders} = this.eligible.list(now);
+    const tried = this.#excluded(servers);
+    const untried = servers.filter(({server}) => !tried.has(server.name));
+    const candidates = {servers: limit(untried), holders, tried};
+    const chosen = this.#deps.choice.choose(
+      toChoiceRequest(this.#req, candidates),
+      now,
+    );
+    if (!chosen) return undefined;
+    const {server} = chosen.state;
+    this.#tried.add(server.name);
+    this.#attempted.push(server);
+    return chosen;
+  }
+
+  /**
+   * Binds the stream to the current attempt's server, if it is the first one
+   * with an event. Must be called before events are passed on, as the caller may
+   * resume the stream after them.
+   *
+   * @param now current time, monotonic milliseconds
+   */
+  bindStream(now: number): void {
+    const server = this.#attempted.at(-1);
+    const origin = server && this.#binding.bind(server);
+    const {workspace, facts, rule} = this.#req;
+    const {resumable, timeoutMs} = rule.forwarding;
+    if (!origin || !resumable) return;
+    const stream = {workspace, firstRequestId: facts.requestId};
+    this.#deps.streams.record(stream, origin, timeoutMs, now);
+  }
+
+  /**
+   * A stream that has lost its connection may continue at the same server, if no
+   * other one can continue it.
+   *
+   * @returns names of the servers that the next attempt must not use
+   */
+  #excluded(servers: readonly ServerState[]): ReadonlySet<string> {
+    const hasUntried = servers.some(
+      ({server}) => !this.#tried.has(server.name),
+    );
+    return this.#binding.origin && !hasUntried ? NO_SERVERS : this.#tried;
+  }
+}
--- a/packages/lovagepond-gateway/src/gateway_exchange_types.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_types.ts
@@ -17,6 +17,8 @@
 import {type GatewayQuarantine} from './gateway_quarantine.js';
 import {type GatewayRetryBudget} from './gateway_retry_budget.js';
 import {type ForwardingRule} from './gateway_routes.js';
+import {type StreamOrigin} from './gateway_stream_origin.js';
+import {type GatewayStreams} from './gateway_streams.js';
 import {type GatewayWarmUp} from './gateway_warm_up.js';
 
 /** Dependencies shared by all exchanges. */
@@ -32,6 +34,7 @@
   readonly warmUp: GatewayWarmUp;
   readonly counters: GatewayCounters;
   readonly overload: GatewayOverload;
+  readonly streams: Pick<GatewayStreams, 'record' | 'find'>;
 }
 
 /** A request that was read completely and admitted. */
@@ -45,6 +48,8 @@
   readonly facts: RequestFacts;
   readonly rule: ForwardingRule;
   readonly pool: Pool;
+  /** The servers that can continue the stream that the caller resumes. */
+  readonly origin?: StreamOrigin;
   /** Absent on public routes. */
   readonly workspace: string | undefined;
   /** Whether the request may run in a region. */
--- a/packages/lovagepond-gateway/src/gateway_headers.ts
+++ b/packages/lovagepond-gateway/src/gateway_headers.ts
@@ -176,6 +176,16 @@
   return {firstRequestId, lastEventId};
 }
 
+/**
+ * @param facts the decoded headers of a request that resumes a stream
+ * @returns number of the last event that the caller has; undefined if it has
+ *     none, or if its id is not a number
+ */
+export function lastEventIdOf({resumption}: RequestFacts): number | undefined {
+  const {lastEventId = ''} = resumption ?? {};
+  return /^\d{1,15}$/.test(lastEventId) ? Number(lastEventId) : undefined;
+}
+
 /** Values of the load header with the optional one. */
 const LOAD_VALUES = 4;
 
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -35,6 +35,7 @@
 import {GatewayShares} from './gateway_shares.js';
 import {probeServer} from './gateway_server_probe.js';
 import {type GatewaySettings} from './gateway_settings.js';
+import {GatewayStreams} from './gateway_streams.js';
 import {GatewayWarmUp} from './gateway_warm_up.js';
 
 export interface GatewayDependencies {
@@ -84,6 +85,7 @@
   readonly #link: ControlLink;
   #membership = EMPTY_MEMBERSHIP;
   #server: GatewayServer | undefined;
+  #streams: GatewayStreams | undefined;
   #timer: NodeJS.Timeout | undefined;
   #reportTimer: NodeJS.Timeout | undefined;
   #confirmationSentAt = Number.NEGATIVE_INFINITY;
@@ -121,6 +123,9 @@
       this.#retryQueued();
     },
     load: () => {},
+    streamPeers: ({streamPeers}) => {
+      if (streamPeers) this.#streams?.usePeers(streamPeers);
+    },
     readings: ({readings}, now) => {
       if (readings) this.#loadReports.apply(readings, now);
     },
@@ -182,7 +187,13 @@
   async start(): Promise<void> {
     const {clock, log, random, names} = this.#deps;
     const hasher = await loadKeyHasher();
-    const {availabilityZone} = this.#settings;
+    const {availabilityZone, name, host, peerHost, peerPort} = this.#settings;
+    const streams = new GatewayStreams(
+      {name, host: peerHost ?? host, port: peerPort ?? 0},
+      {clock, log, hasher},
+    );
+    this.#streams = streams;
+    await streams.start();
     const choiceSettings = {availabilityZone, rate: this.#rate};
     this.#server = new GatewayServer(this.#settings, {
       clock,
@@ -198,6 +209,7 @@
       warmUp: this.#warmUp,
       counters: this.#counters,
       overload: this.#overload,
+      streams,
       readings: this.#loadReports,
       rate: this.#rate,
     });
@@ -207,11 +219,20 @@
       this.#tick();
     }, TICK_MS);
     this.#reportTimer = setInterval(() => {
-      const report = this.#loadReports.takeReport(clock.now());
-      if (report) this.#link.reportReadings(report);
+      this.#sendReport(streams, clock.now());
     }, REPORT_INTERVAL_MS);
   }
 
+  #sendReport(streams: GatewayStreams, now: number): void {
+    const report = this.#loadReports.takeReport(now);
+    const streamAddress = streams.takeAddress(now);
+    if (!report && streamAddress === undefined) return;
+    this.#link.reportReadings({
+      ...report,
+      ...(streamAddress !== undefined && {streamAddress}),
+    });
+  }
+
   isReady(): boolean {
     return !this.#draining && !this.#admission.isStarting(this.#readClock());
   }
@@ -237,6 +258,7 @@
     clearInterval(this.#reportTimer);
     this.#link.stop();
     this.#server?.stop();
+    this.#streams?.stop();
     this.#connections.close();
     return Promise.resolve();
   }
@@ -265,6 +287,7 @@
       connectionsOpened: this.#connections.opened,
       connectionsIdle: this.#connections.idle,
       admission: this.#overload.describe(at.now),
+      streams: this.#streams?.describe(),
     };
     return {version: DUMP_VERSION, role: 'gateway', state};
   }
@@ -281,6 +304,7 @@
       this.#link.restart('member lags behind the confirmed revision');
     }
     this.#fleet.expire(at.now);
+    this.#streams?.expire(at.now);
     this.#quarantine.tick(at.now);
     if (at.now - this.#confirmationSentAt < this.#confirmIntervalMs(at)) return;
     this.#confirmRevision(at);
--- a/packages/lovagepond-gateway/src/gateway_server.ts
+++ b/packages/lovagepond-gateway/src/gateway_server.ts
@@ -7,7 +7,6 @@
   type IncomingMessage,
   type Server,
   type ServerResponse,
-  STATUS_CODES,
 } from 'node:http';
 import {type AddressInfo, type Socket} from 'node:net';
 import {
@@ -22,13 +21,18 @@
 import {type ClockReading} from './gateway_authority.js';
 import {CallerChannel} from './gateway_caller_channel.js';
 import {Exchange} from './gateway_exchange.js';
-import {type ExchangeDependencies} from './gateway_exchange_types.js';
+import {
+  type AdmittedRequest,
+  type ExchangeDependencies,
+} from './gateway_exchange_types.js';
 import {GatewayDrainAdmission} from './gateway_drain_admission.js';
 import {readFacts, type RequestFacts} from './gateway_headers.js';
 import {type GatewaySettings} from './gateway_settings.js';
 import {fingerprintOf} from '@lovagepond/router/quarantine';
 import {StartupQueue} from './gateway_startup_queue.js';
 import {readBody} from './gateway_request_body.js';
+import {rejectUnparsable} from './gateway_unparsable.js';
+import {resumesStream, resumeStream} from './gateway_stream_resumption.js';
 
 /** Limits used until the configuration sets them. */
 const DEFAULT_LIMITS: CallerLimits = {
@@ -60,12 +64,6 @@
 /** Deadline that the startup queue assumes for requests without one, ms. */
 const DEFAULT_DEADLINE_MS = 1_000;
 
-/** Maps error codes of Node's HTTP parser to error kinds. */
-const PARSER_ERRORS: Readonly<Record<string, ErrorKind>> = {
-  HPE_HEADER_OVERFLOW: 'headersTooLarge',
-  ERR_HTTP_REQUEST_TIMEOUT: 'senderTooSlow',
-};
-
 export interface GatewayServerDependencies extends ExchangeDependencies {
   readonly admission: GatewayAdmission;
   readonly random: Random;
@@ -105,7 +103,7 @@
       this.#serve(req, res);
     });
     this.#server.on('clientError', (err: Error & {code?: string}, socket) => {
-      this.#rejectUnparsable(err, socket as Socket);
+      rejectUnparsable(err, socket as Socket, this.#log);
     });
     this.useLimits(undefined);
   }
@@ -283,19 +281,44 @@
       return;
     }
     this.#bufferedBytes += body.length;
+    const release = (): void => {
+      this.#bufferedBytes -= body.length;
+      done();
+    };
     const {method = 'GET', url: path = '/', rawHeaders} = req;
     const workspace = admitted.workspace ?? '';
     const fingerprint = fingerprintOf({method, path, workspace, body});
-    const exchange = new Exchange(
-      {...admitted, method, path, rawHeaders, body, fingerprint, facts},
-      this.#deps,
-      caller,
-      () => {
-        this.#bufferedBytes -= body.length;
-        this.#removeExchange(fingerprint, exchange);
-        done();
-      },
-    );
+    const parts = {method, path, rawHeaders, body, fingerprint, facts};
+    const whole = {...admitted, ...parts};
+    if (resumesStream(whole)) void this.#resume(whole, caller, release);
+    else this.#startExchange(whole, caller, release);
+  }
+
+  /** A caller that leaves meanwhile has closed its channel. */
+  async #resume(
+    req: AdmittedRequest,
+    caller: CallerChannel,
+    release: () => void,
+  ): Promise<void> {
+    const verdict = await resumeStream(req, this.#deps, this.#clock.now());
+    if (verdict.ok && caller.isOpen) {
+      this.#startExchange(verdict.req, caller, release);
+      return;
+    }
+    if (!verdict.ok) this.#refuse(caller, req.facts, verdict.error);
+    release();
+  }
+
+  #startExchange(
+    req: AdmittedRequest,
+    caller: CallerChannel,
+    release: () => void,
+  ): void {
+    const {fingerprint} = req;
+    const exchange = new Exchange(req, this.#deps, caller, () => {
+      this.#removeExchange(fingerprint, exchange);
+      release();
+    });
     const copies = this.#exchanges.get(fingerprint) ?? new Set();
     this.#exchanges.set(fingerprint, copies.add(exchange));
     exchange.start();
@@ -327,19 +350,4 @@
       revision: this.#deps.admission.configuration.revision,
     });
   }
-
-  /** Responds to a request that Node could not parse; no handler sees it. */
-  #rejectUnparsable(err: Error & {code?: string}, socket: Socket): void {
-    const kind = PARSER_ERRORS[err.code ?? ''] ?? 'badRequest';
-    this.#log.info('request could not be parsed', {
-      reason: err.code ?? err.message,
-    });
-    if (!socket.writable || err.code === 'ECONNRESET') {
-      socket.destroy();
-      return;
-    }
-    const {status} = answerFor(kind);
-    const line = `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}`;
-    socket.end(`${line}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
-  }
 }
--- a/packages/lovagepond-gateway/src/gateway_settings.ts
+++ b/packages/lovagepond-gateway/src/gateway_settings.ts
@@ -10,6 +10,10 @@
   readonly availabilityZone: string;
   readonly host: string;
   readonly port: number;
+  /** Host of the UDP socket for other gateways; `host` by default. */
+  readonly peerHost?: string;
+  /** Port of the UDP socket for other gateways; any free one by default. */
+  readonly peerPort?: number;
   /** `host:port` of control members. */
   readonly controlAddresses: readonly string[];
   /** Switch to another member after no update or heartbeat for this long. */
--- /dev/null
+++ b/packages/lovagepond-gateway/src/gateway_stream_peers.ts
@@ -0,0 +1,102 @@
+/**
+ * The gateways that keep records of streams for each other.
+ */
+import {type HashKey, type KeyHasher} from '@lovagepond/router/rendezvous_hash';
+import {type lovagepond} from '@lovagepond/protocol';
+import {textOfKey} from './gateway_stream_records.js';
+
+type WireUpdate = lovagepond.v1.StreamPeersUpdate.$Properties;
+
+/**
+ * Time for which a gateway is kept that control no longer lists, milliseconds.
+ * A control member that has just started lists only those that have reported to
+ * it; without this, all gateways would look for records in other places.
+ */
+const RETENTION_MS = 10_000;
+
+interface StreamPeer {
+  readonly address: string;
+  /** Unset while control lists the gateway; monotonic milliseconds. */
+  readonly goneAt: number | undefined;
+}
+
+export class StreamPeers {
+  readonly #self: string;
+  readonly #hasher: KeyHasher;
+  readonly #peers = new Map<string, StreamPeer>();
+  #listedAddress: string | undefined;
+
+  /**
+   * @param self this gateway's name
+   * @param hasher ranks gateways for rendezvous hashing
+   */
+  constructor(self: string, hasher: KeyHasher) {
+    this.#self = self;
+    this.#hasher = hasher;
+  }
+
+  /** The address that control lists for this gateway, if any. */
+  get listedAddress(): string | undefined {
+    return this.#listedAddress;
+  }
+
+  /** Number of other gateways. */
+  get size(): number {
+    return this.#peers.size;
+  }
+
+  /**
+   * @param update the list from control, or its changes
+   * @param now current time, monotonic milliseconds
+   */
+  apply(update: WireUpdate, now: number): void {
+    const listed = update.peers ?? [];
+    const names = new Set(listed.map(({node}) => node));
+    const gone = update.whole
+      ? [...this.#peers.keys()].filter(name => !names.has(name))
+      : (update.gone ?? []);
+    if (update.whole || gone.includes(this.#self)) {
+      this.#listedAddress = undefined;
+    }
+    for (const name of gone) {
+      const peer = this.#peers.get(name);
+      if (peer) this.#peers.set(name, {...peer, goneAt: peer.goneAt ?? now});
+    }
+    for (const {node, address} of listed) {
+      if (!node || !address) continue;
+      if (node === this.#self) this.#listedAddress = address;
+      else this.#peers.set(node, {address, goneAt: undefined});
+    }
+  }
+
+  /**
+   * Must be called periodically.
+   *
+   * @param now current time, monotonic milliseconds
+   */
+  expire(now: number): void {
+    for (const [name, {goneAt}] of this.#peers) {
+      if (goneAt !== undefined && now - goneAt > RETENTION_MS) {
+        this.#peers.delete(name);
+      }
+    }
+  }
+
+  /**
+   * @param key a stream's key
+   * @param count number of gateways
+   * @returns addresses of the other gateways that keep the stream's record, in
+   *     the same order at each gateway with the same list
+   */
+  rank(key: HashKey, count: number): string[] {
+    const text = textOfKey(key);
+    return [...this.#peers]
+      .map(([name, {address}]) => ({
+        address,
+        rank: this.#hasher.hash(`${text}\u0000${name}`).low,
+      }))
+      .sort((a, b) => b.rank - a.rank)
+      .slice(0, count)
+      .map(({address}) => address);
+  }
+}
--- /dev/null
+++ b/packages/lovagepond-gateway/src/gateway_stream_resumption.ts
@@ -0,0 +1,74 @@
+/**
+ * Decides where a request runs that resumes a stream of an earlier request.
+ */
+import {type ErrorKind, type Logger} from '@lovagepond/core';
+import {type AdmittedRequest} from './gateway_exchange_types.js';
+import {type StreamOrigin} from './gateway_stream_origin.js';
+import {type GatewayStreams} from './gateway_streams.js';
+
+/** The request, bound to the stream's servers, or why it can't be run. */
+export type ResumptionVerdict =
+  | {readonly ok: true; readonly req: AdmittedRequest}
+  | {readonly ok: false; readonly error: ErrorKind};
+
+/**
+ * @param req a request
+ * @returns true if a server would continue an earlier stream with it
+ */
+export function resumesStream({facts, rule}: AdmittedRequest): boolean {
+  return facts.resumption !== undefined && rule.forwarding.streaming;
+}
+
+/**
+ * The pool may differ from the one that was drawn for the request, as a selector
+ * may split its requests between pools.
+ *
+ * @param req a request that resumes a stream
+ * @param origin the servers that can continue the stream, if they are known
+ * @returns the request for these servers, if its selector still allows them
+ */
+export function bindToOrigin(
+  req: AdmittedRequest,
+  origin: StreamOrigin | undefined,
+): ResumptionVerdict {
+  if (!origin) return {ok: false, error: 'streamUnknown'};
+  const pools = req.rule.pools.map(({pool}) => pool);
+  const pool = pools.find(({name}) => name === origin.pool);
+  if (!pool) return {ok: false, error: 'streamVersionGone'};
+  return {ok: true, req: {...req, pool, origin}};
+}
+
+interface ResumptionDependencies {
+  readonly streams: Pick<GatewayStreams, 'record' | 'find'>;
+  readonly log: Logger;
+}
+
+/** Limit of a caller's id in a log line, characters. */
+const MAX_LOGGED_ID = 64;
+
+/**
+ * @param req a request that resumes a stream
+ * @param deps the known streams, and the log
+ * @param now current time, monotonic milliseconds
+ * @returns the request for the servers that can continue the stream
+ */
+export async function resumeStream(
+  req: AdmittedRequest,
+  {streams, log}: ResumptionDependencies,
+  now: number,
+): Promise<ResumptionVerdict> {
+  const {workspace, facts, rule} = req;
+  const firstRequestId = facts.resumption?.firstRequestId ?? '';
+  const stream = {workspace, firstRequestId};
+  const origin = await streams.find(stream, now);
+  log.info('stream looked up', {
+    request: facts.requestId,
+    resumes: firstRequestId.slice(0, MAX_LOGGED_ID),
+    isKnown: origin !== undefined,
+    pool: origin?.pool,
+    version: origin?.version,
+  });
+  // The gateways that keep the record may have restarted since the last try.
+  if (origin) streams.record(stream, origin, rule.forwarding.timeoutMs, now);
+  return bindToOrigin(req, origin);
+}
--- a/packages/lovagepond-router/src/router_control_link.ts
+++ b/packages/lovagepond-router/src/router_control_link.ts
@@ -177,16 +177,16 @@
   }
 
   /**
-   * Reports this node's prompt prefills and running requests, by server, and its
-   * demand in congested pools for the other nodes. A lost report isn't sent again, as it only causes some
-   * repeated prefill.
+   * Reports this node's prompt prefills and running requests, by server, its
+   * demand in congested pools, and where it keeps records of streams. A lost
+   * report isn't sent again, as it only causes some repeated prefill.
    *
    * @param report what changed since the last report
    */
   reportReadings(
     report: Pick<
       lovagepond.v1.ReadingReport.$Properties,
-      'readings' | 'running' | 'demand'
+      'readings' | 'running' | 'demand' | 'streamAddress'
     >,
   ): void {
     const method = CONTROL_SERVICE.reportReadings;
--- a/packages/lovagepond-router/src/router_role.ts
+++ b/packages/lovagepond-router/src/router_role.ts
@@ -107,6 +107,7 @@
     // Only gateways use prompt readings for placement: sidecars have the
     // readings of their own engines.
     readings: () => {},
+    streamPeers: () => {},
   };
 
   constructor(settings: RouterSettings, deps: RouterDependencies) {
--- a/packages/lovagepond-scenarios/src/world/subscribers.ts
+++ b/packages/lovagepond-scenarios/src/world/subscribers.ts
@@ -250,6 +250,7 @@
       running: new RunningRequestTotals(),
       demand: new WorkspaceDemandTotals(),
       readings: new ReadingReportLog(),
+      streamPeers: new Map(),
       crashesVersion: 0,
       suspects: () => [],
       controlMembers: [],
