Resume streams that a caller doesn't name only at a single version

Cause: a caller that sends Last-Event-Id without naming the stream can't be bound to a version. Before versions mattered it was sent to any server.

The caller of the gateway's test harness has a file of its own.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -4,7 +4,6 @@
 import {
   createServer,
   type IncomingMessage,
-  request,
   type Server,
   type ServerResponse,
 } from 'node:http';
@@ -36,9 +35,16 @@
 import {GatewayShares} from '../../gateway_shares.js';
 import {GatewayWarmUp} from '../../gateway_warm_up.js';
 import {makeBackendServer} from './backend_servers.js';
+import {
+  type Call,
+  callPort,
+  type CallerResponse,
+  KEY,
+} from './gateway_caller.js';
+
+export {type Call, type CallerResponse, KEY} from './gateway_caller.js';
 
 export const NAMES = DEFAULT_HEADER_NAMES;
-export const KEY = 'key-of-nord';
 
 const SEED = 7;
 
@@ -145,25 +151,6 @@
   selectors: ['read', 'write', 'talk', 'chat', 'prompt'].map(selector),
 });
 
-export interface CallerResponse {
-  readonly status: number;
-  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
-  readonly body: string;
-  /** False when the connection closed before the end of the response. */
-  readonly whole: boolean;
-}
-
-export interface Call {
-  readonly path: string;
-  readonly method?: string;
-  readonly body?: string;
-  readonly headers?: Readonly<Record<string, string>>;
-  /** Called when the head of the response has arrived. */
-  readonly onHead?: () => void;
-  /** Lets the caller disconnect. */
-  readonly abort?: AbortSignal;
-}
-
 export interface HarnessOptions {
   readonly revocationBoundMs?: number;
   readonly content?: ConfigurationContent;
@@ -189,6 +176,8 @@
   /** Name of the server that each request reached, in order. */
   readonly arrivals: string[] = [];
   #nextId = 0;
+  #listed: readonly BackendServer[] = [];
+  #version = 0;
 
   private constructor(
     server: GatewayServer,
@@ -313,11 +302,24 @@
       const backend = await harness.#startBackend(index, script);
       servers.push({...backend, ...listed(index)});
     }
-    const list = servers.map(one => [one.name, one] as const);
-    fleet.useMembership({version: 1, servers: new Map(list)});
+    harness.#listed = servers;
+    harness.#publish();
     return harness;
   }
 
+  /** @param name a server that control no longer lists */
+  removeServer(name: string): void {
+    this.#listed = this.#listed.filter(one => one.name !== name);
+    this.#publish();
+  }
+
+  #publish(): void {
+    this.#version += 1;
+    const list = this.#listed.map(one => [one.name, one] as const);
+    const servers = new Map(list);
+    this.gatewayFleet.useMembership({version: this.#version, servers});
+  }
+
   /**
    * @param name a server
    * @returns its address
@@ -344,51 +346,9 @@
     }
   }
 
-  call({
-    path,
-    method = 'GET',
-    body = '',
-    headers = {},
-    onHead,
-    abort,
-  }: Call): Promise<CallerResponse> {
+  call(call: Call): Promise<CallerResponse> {
     this.#nextId += 1;
-    return new Promise((resolve, reject) => {
-      const req = request(
-        {
-          host: '127.0.0.1',
-          port: this.server.port,
-          method,
-          path,
-          agent: false,
-          ...(abort && {signal: abort}),
-          headers: {
-            host: 'shop.example',
-            [NAMES.requestId]: `request-${this.#nextId}`,
-            [NAMES.apiKey]: KEY,
-            ...(body && {'content-length': Buffer.byteLength(body)}),
-            ...headers,
-          },
-        },
-        res => {
-          onHead?.();
-          const chunks: Buffer[] = [];
-          const finish = (): void => {
-            resolve({
-              status: res.statusCode ?? 0,
-              headers: res.headers,
-              body: Buffer.concat(chunks).toString(),
-              whole: res.complete,
-            });
-          };
-          res.on('data', (chunk: Buffer) => chunks.push(chunk));
-          res.on('close', finish);
-          res.on('error', () => {});
-        },
-      );
-      req.on('error', reject);
-      req.end(body);
-    });
+    return callPort(this.server.port, `request-${this.#nextId}`, call);
   }
 
   async #startBackend(index: number, script: Script): Promise<BackendServer> {
--- a/packages/lovagepond-gateway/src/gateway_fleet.ts
+++ b/packages/lovagepond-gateway/src/gateway_fleet.ts
@@ -12,6 +12,11 @@
 import {GatewayLeavingServers} from './gateway_leaving_servers.js';
 import {type CapacitySettings, ServerState} from './gateway_server_state.js';
 import {DEFAULT_GATEWAY_SETTINGS} from './gateway_settings.js';
+import {
+  isSameOrigin,
+  originOf,
+  type StreamOrigin,
+} from './gateway_stream_origin.js';
 import {UnlistedServers} from './gateway_unlisted_servers.js';
 
 /** States of all servers without a sidecar, kept across membership changes. */
@@ -179,6 +184,21 @@
     return this.#byPool.get(pool) ?? [];
   }
 
+  /**
+   * @param pool a pool's name
+   * @returns the servers that can continue any stream of the pool; undefined if
+   *     it has servers of several versions, or had some until lately
+   */
+  onlyOrigin(pool: string): StreamOrigin | undefined {
+    const unlisted = this.#unlisted.list();
+    const servers = [...this.listed(pool), ...unlisted]
+      .map(({server}) => server)
+      .filter(server => server.pool === pool);
+    const [first, ...others] = servers.map(originOf);
+    const isOnly = others.every(other => first && isSameOrigin(first, other));
+    return isOnly ? first : undefined;
+  }
+
   /** @returns every server's load by its name, for the state dump */
   describe(now: number): Record<string, number> {
     const states = [...this.#states.values()];
--- a/packages/lovagepond-gateway/src/gateway_server.ts
+++ b/packages/lovagepond-gateway/src/gateway_server.ts
@@ -300,7 +300,9 @@
     caller: CallerChannel,
     release: () => void,
   ): Promise<void> {
-    const verdict = await resumeStream(req, this.#deps, this.#clock.now());
+    const at = this.#readClock();
+    const isInTouch = this.#deps.admission.authority.canDeny(at);
+    const verdict = await resumeStream(req, this.#deps, isInTouch, at.now);
     if (verdict.ok && caller.isOpen) {
       this.#startExchange(verdict.req, caller, release);
       return;
--- a/packages/lovagepond-gateway/src/gateway_stream_resumption.ts
+++ b/packages/lovagepond-gateway/src/gateway_stream_resumption.ts
@@ -3,6 +3,7 @@
  */
 import {type ErrorKind, type Logger} from '@lovagepond/core';
 import {type AdmittedRequest} from './gateway_exchange_types.js';
+import {type GatewayFleet} from './gateway_fleet.js';
 import {type StreamOrigin} from './gateway_stream_origin.js';
 import {type GatewayStreams} from './gateway_streams.js';
 
@@ -40,6 +41,7 @@
 
 interface ResumptionDependencies {
   readonly streams: Pick<GatewayStreams, 'record' | 'find'>;
+  readonly fleet: Pick<GatewayFleet, 'onlyOrigin'>;
   readonly log: Logger;
 }
 
@@ -48,19 +50,24 @@
 
 /**
  * @param req a request that resumes a stream
- * @param deps the known streams, and the log
+ * @param deps the known streams and servers, and the log
+ * @param isInTouch control has confirmed lately what this gateway knows
  * @param now current time, monotonic milliseconds
  * @returns the request for the servers that can continue the stream
  */
 export async function resumeStream(
   req: AdmittedRequest,
-  {streams, log}: ResumptionDependencies,
+  {streams, fleet, log}: ResumptionDependencies,
+  isInTouch: boolean,
   now: number,
 ): Promise<ResumptionVerdict> {
   const {workspace, facts, rule} = req;
   const firstRequestId = facts.resumption?.firstRequestId ?? '';
   const stream = {workspace, firstRequestId};
-  const origin = await streams.find(stream, now);
+  const isNamed = firstRequestId !== '';
+  const origin = isNamed
+    ? await streams.find(stream, now)
+    : findUnnamed(req, fleet, isInTouch);
   log.info('stream looked up', {
     request: facts.requestId,
     resumes: firstRequestId.slice(0, MAX_LOGGED_ID),
@@ -69,6 +76,24 @@
     version: origin?.version,
   });
   // The gateways that keep the record may have restarted since the last try.
-  if (origin) streams.record(stream, origin, rule.forwarding.timeoutMs, now);
+  if (origin && isNamed) {
+    streams.record(stream, origin, rule.forwarding.timeoutMs, now);
+  }
   return bindToOrigin(req, origin);
 }
+
+/**
+ * A caller that doesn't name its stream can only resume it where all servers
+ * run the same version.
+ */
+function findUnnamed(
+  {rule}: AdmittedRequest,
+  fleet: Pick<GatewayFleet, 'onlyOrigin'>,
+  isInTouch: boolean,
+): StreamOrigin | undefined {
+  const [first, ...others] = rule.pools;
+  if (!isInTouch || !first || others.length > 0) return undefined;
+  return rule.forwarding.resumable
+    ? fleet.onlyOrigin(first.pool.name)
+    : undefined;
+}
--- a/packages/lovagepond-gateway/src/gateway_unlisted_servers.ts
+++ b/packages/lovagepond-gateway/src/gateway_unlisted_servers.ts
@@ -34,6 +34,11 @@
     }
   }
 
+  /** @returns the states that are kept */
+  list(): readonly ServerState[] {
+    return [...this.#servers.values()].map(({state}) => state);
+  }
+
   /**
    * @param server a server that is listed
    * @returns its former state, removed from here; undefined if none is kept, or
