Continue streams at a draining server if no other one can

Cause: a stream whose version is being replaced may have no other server than one that has begun to leave. That server still serves for its drain time, but the stream was refused or cut.

Change: a stream that has begun goes to a draining server of its version, if no other server can continue it, during the first half of the drain time (setting drainTimeout, from DrainTimeoutMs on the platform). Servers that say themselves that they are about to exit, or that asked for a pause, stay excluded, and new requests never go to a draining one. A gateway counts from the moment at which it sees the server drain, so the other half is left for the delay of control's list.

--- a/packages/lovagepond-cli/src/settings_gateway.ts
+++ b/packages/lovagepond-cli/src/settings_gateway.ts
@@ -29,6 +29,8 @@
   serverCapacity: boolean().optional(),
   maxHeld: size().optional(),
   drainLinger: duration().optional(),
+  /** Time for which a backend server that drains still accepts requests. */
+  drainTimeout: duration().optional(),
   /** Time after which a removed API key is refused everywhere. */
   revocationBound: duration().optional(),
 });
@@ -83,6 +85,7 @@
       serverCapacity: gateway.serverCapacity,
       maxHeldBytes: gateway.maxHeld,
       drainLingerMs: gateway.drainLinger,
+      drainTimeoutMs: gateway.drainTimeout,
       revocationBoundMs: gateway.revocationBound,
       retryFraction: retries.fraction,
       retryWindowMs: retries.window,
--- /dev/null
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_draining_servers.test.ts
@@ -0,0 +1,59 @@
+import {SERVER_STATE} from '@lovagepond/core';
+import {describe, expect, it} from 'vitest';
+import {GatewayFleet} from '../../gateway_fleet.js';
+import {DEFAULT_GATEWAY_SETTINGS} from '../../gateway_settings.js';
+import {makeBackendServer} from './backend_servers.js';
+
+const DRAIN_TIMEOUT_MS = 2_000;
+
+function listed(state: 'ready' | 'draining'): GatewayFleet {
+  const settings = {...DEFAULT_GATEWAY_SETTINGS, drainTimeoutMs: 2_000};
+  const fleet = new GatewayFleet(settings);
+  const server = makeBackendServer('s', {state});
+  fleet.useMembership({version: 1, servers: new Map([['s', server]])});
+  return fleet;
+}
+
+// Guards against requests that reach a server after it has exited.
+describe('a server that control lists as draining', () => {
+  it('continues streams for half of its drain time, and gets no others', () => {
+    const fleet = listed(SERVER_STATE.DRAINING);
+    fleet.expire(100);
+    expect(fleet.ready('p', 100)).toEqual([]);
+    const [state] = fleet.draining('p', 100);
+    expect(state?.server.name).toBe('s');
+    fleet.expire(600);
+    const end = 100 + DRAIN_TIMEOUT_MS / 2;
+    expect(fleet.draining('p', end - 1)).toHaveLength(1);
+    expect(fleet.draining('p', end)).toEqual([]);
+  });
+
+  it('continues none once it says that it is about to exit', () => {
+    const fleet = listed(SERVER_STATE.DRAINING);
+    const [state] = fleet.draining('p', 0);
+    if (!state) throw new Error('the server is not listed');
+    fleet.noteSignals(state, {isLeaving: true, pauseMs: 0}, 0);
+    expect(fleet.draining('p', 0)).toEqual([]);
+  });
+
+  it('continues none during a pause that it asked for', () => {
+    const fleet = listed(SERVER_STATE.DRAINING);
+    const [state] = fleet.draining('p', 0);
+    if (!state) throw new Error('the server is not listed');
+    fleet.noteSignals(state, {isLeaving: false, pauseMs: 500}, 0);
+    expect(fleet.draining('p', 499)).toEqual([]);
+    expect(fleet.draining('p', 500)).toHaveLength(1);
+  });
+
+  it('is drained anew after it was ready', () => {
+    const fleet = listed(SERVER_STATE.DRAINING);
+    fleet.expire(0);
+    const ready = makeBackendServer('s');
+    fleet.useMembership({version: 2, servers: new Map([['s', ready]])});
+    fleet.expire(5_000);
+    const draining = {...ready, state: SERVER_STATE.DRAINING};
+    fleet.useMembership({version: 3, servers: new Map([['s', draining]])});
+    fleet.expire(5_100);
+    expect(fleet.draining('p', 5_200)).toHaveLength(1);
+  });
+});
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_stream_versions.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_stream_versions.test.ts
@@ -1,5 +1,9 @@
 import {afterEach, describe, expect, it} from 'vitest';
-import {type BackendServer, type ConfigurationContent} from '@lovagepond/core';
+import {
+  type BackendServer,
+  type ConfigurationContent,
+  SERVER_STATE,
+} from '@lovagepond/core';
 import {
   beginStream,
   CONTENT,
@@ -133,6 +137,20 @@
     expect(fleet.arrivals).toEqual(['server-0', 'server-0']);
   });
 
+  it('goes on at a server that began to leave, if no other can', async () => {
+    const fleet = await startFleet(
+      [
+        ['v1.1', breaksAndExits],
+        ['v1', resumes],
+        ['v1.1', resumes],
+      ],
+      at => (at === 2 ? {state: SERVER_STATE.DRAINING} : {}),
+    );
+    const res = await fleet.call(CHAT);
+    expect(res).toMatchObject({body: eventsFrom(1, 4), whole: true});
+    expect(fleet.arrivals).toEqual(['server-0', 'server-2']);
+  });
+
   // The first server has sent no event, so the stream begins at the second.
   it('is bound to the server of its first event', async () => {
     const exitsBefore: Script = req => {
--- a/packages/lovagepond-gateway/src/gateway_eligible_servers.ts
+++ b/packages/lovagepond-gateway/src/gateway_eligible_servers.ts
@@ -69,6 +69,29 @@
     return ready.some(state => this.#isAllowed(state));
   }
 
+  /**
+   * @param now current time, monotonic milliseconds
+   * @returns draining servers that may continue the request's stream; none
+   *     unless it has begun
+   */
+  draining(now: number): readonly ServerState[] {
+    if (!this.#binding.origin) return [];
+    const draining = this.#deps.fleet.draining(this.#req.pool.name, now);
+    return draining.filter(state => this.#isAllowed(state));
+  }
+
+  /**
+   * @param state a server that was chosen
+   * @param now current time, monotonic milliseconds
+   * @returns false if the request must not be sent to it any more
+   */
+  maySend(state: ServerState, now: number): boolean {
+    const {fleet} = this.#deps;
+    return this.#binding.origin
+      ? fleet.mayContinue(state, now)
+      : fleet.accepts(state, now);
+  }
+
   /**
    * @param now current time, monotonic milliseconds
    * @returns time until the first paused server accepts requests again,
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -174,7 +174,7 @@
     this.#prefill = this.#trackPrefill(chosen, now);
     state.inFlight += 1;
     const attempt = new Attempt(state, names, facts.requestId, {
-      maySend: () => this.#deps.fleet.accepts(state, this.#now()),
+      maySend: () => this.#servers.eligible.maySend(state, this.#now()),
       onServerSignals: signals => {
         this.#onServerSignals(state, signals);
       },
--- a/packages/lovagepond-gateway/src/gateway_exchange_servers.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_servers.ts
@@ -21,6 +21,13 @@
 /** Limits the servers of an attempt to those with room for the request. */
 type Limit = (servers: readonly ServerState[]) => readonly ServerState[];
 
+/** The servers to choose from for one attempt. */
+interface Candidates {
+  readonly servers: readonly ServerState[];
+  /** Names of servers that must not be chosen. */
+  readonly tried: ReadonlySet<string>;
+}
+
 const NO_SERVERS: ReadonlySet<string> = new Set();
 
 export class ExchangeServers {
@@ -58,10 +65,9 @@
    * @returns the server of the next attempt; undefined when none is left
    */
   choose(limit: Limit, now: number): ServerChoice | undefined {
-    const {servers, holders} = this.eligible.list(now);
-    const tried = this.#excluded(servers);
-    const untried = servers.filter(({server}) => !tried.has(server.name));
-    const candidates = {servers: limit(untried), holders, tried};
+    const {servers: ready, holders} = this.eligible.list(now);
+    const {servers, tried} = this.#candidates(ready, now);
+    const candidates = {servers: limit(servers), holders, tried};
     const chosen = this.#deps.choice.choose(
       toChoiceRequest(this.#req, candidates),
       now,
@@ -91,15 +97,22 @@
   }
 
   /**
-   * A stream that has lost its connection may continue at the same server, if no
-   * other one can continue it.
+   * A stream that no other server can continue goes to one that is draining or,
+   * as it may have lost only its connection, to a server that was tried.
    *
-   * @returns names of the servers that the next attempt must not use
+   * @param ready servers that accept the request
+   * @param now current time, monotonic milliseconds
    */
-  #excluded(servers: readonly ServerState[]): ReadonlySet<string> {
-    const hasUntried = servers.some(
-      ({server}) => !this.#tried.has(server.name),
-    );
-    return this.#binding.origin && !hasUntried ? NO_SERVERS : this.#tried;
+  #candidates(ready: readonly ServerState[], now: number): Candidates {
+    const isUntried = ({server}: ServerState): boolean =>
+      !this.#tried.has(server.name);
+    const untried = ready.filter(isUntried);
+    const tried = this.#tried;
+    if (untried.length > 0 || !this.#binding.origin) {
+      return {servers: untried, tried};
+    }
+    const draining = this.eligible.draining(now).filter(isUntried);
+    if (draining.length > 0) return {servers: draining, tried};
+    return {servers: ready, tried: NO_SERVERS};
   }
 }
--- a/packages/lovagepond-gateway/src/gateway_fleet.ts
+++ b/packages/lovagepond-gateway/src/gateway_fleet.ts
@@ -11,7 +11,10 @@
 import {type ServerSignals} from './gateway_headers.js';
 import {GatewayLeavingServers} from './gateway_leaving_servers.js';
 import {type CapacitySettings, ServerState} from './gateway_server_state.js';
-import {DEFAULT_GATEWAY_SETTINGS} from './gateway_settings.js';
+import {
+  DEFAULT_GATEWAY_SETTINGS,
+  type GatewaySettings,
+} from './gateway_settings.js';
 import {
   isSameOrigin,
   originOf,
@@ -19,19 +22,29 @@
 } from './gateway_stream_origin.js';
 import {UnlistedServers} from './gateway_unlisted_servers.js';
 
+type FleetSettings = CapacitySettings & Pick<GatewaySettings, 'drainTimeoutMs'>;
+
+/**
+ * Part of its drain time in which a server still gets streams to continue. It
+ * began to drain before this gateway was told, and accepts requests to the end.
+ */
+const CONTINUING_PART = 0.5;
+
 /** States of all servers without a sidecar, kept across membership changes. */
 export class GatewayFleet {
   readonly #states = new Map<string, ServerState>();
   readonly #unlisted = new UnlistedServers();
   readonly #leaving = new GatewayLeavingServers();
   readonly #pauses = new ServerPauses();
-  readonly #settings: CapacitySettings;
+  /** When servers were first seen draining, monotonic ms, by name. */
+  readonly #drainingSince = new Map<string, number>();
+  readonly #settings: FleetSettings;
   readonly #means = new Map<string, PoolMeans>();
   #byPool = new Map<string, readonly ServerState[]>();
 
-  /** @param settings those that concern the estimates of each server */
-  constructor(settings: CapacitySettings = DEFAULT_GATEWAY_SETTINGS) {
-    this.#settings = settings;
+  /** @param settings those that concern each server */
+  constructor(settings: Partial<FleetSettings> = {}) {
+    this.#settings = {...DEFAULT_GATEWAY_SETTINGS, ...settings};
   }
 
   /** Number of listed servers. */
@@ -99,7 +112,13 @@
    * @param now current time, monotonic milliseconds
    */
   expire(now: number): void {
-    for (const state of this.#states.values()) state.expireRemoteRequests(now);
+    for (const state of this.#states.values()) {
+      state.expireRemoteRequests(now);
+      this.#noteDraining(state.server, now);
+    }
+    for (const name of this.#drainingSince.keys()) {
+      if (!this.#states.has(name)) this.#drainingSince.delete(name);
+    }
     this.#unlisted.expire(now);
     this.#pauses.expire(now);
     this.#leaving.expire(server => this.#states.has(server), now);
@@ -132,6 +151,31 @@
     );
   }
 
+  /**
+   * @param state a server
+   * @param now current time, monotonic milliseconds
+   * @returns true if the server may continue a stream: it accepts requests, or
+   *     has begun to drain a short time ago
+   */
+  mayContinue(state: ServerState, now: number): boolean {
+    return this.accepts(state, now) || this.#isDraining(state, now);
+  }
+
+  #isDraining(state: ServerState, now: number): boolean {
+    const {isReplaced, server} = state;
+    if (isReplaced || server.state !== SERVER_STATE.DRAINING) return false;
+    if (this.#leaving.has(server.name)) return false;
+    const since = this.#drainingSince.get(server.name) ?? now;
+    const isInTime =
+      now - since < this.#settings.drainTimeoutMs * CONTINUING_PART;
+    return isInTime && this.#pauses.leftMs(server.name, now) === 0;
+  }
+
+  #noteDraining({name, state}: BackendServer, now: number): void {
+    if (state !== SERVER_STATE.DRAINING) this.#drainingSince.delete(name);
+    else if (!this.#drainingSince.has(name)) this.#drainingSince.set(name, now);
+  }
+
   #isReady({isReplaced, server}: ServerState): boolean {
     return (
       !isReplaced &&
@@ -162,6 +206,15 @@
     return this.listed(pool).filter(state => this.accepts(state, now));
   }
 
+  /**
+   * @param pool a pool's name
+   * @param now current time, monotonic milliseconds
+   * @returns its servers that have begun to drain a short time ago
+   */
+  draining(pool: string, now: number): readonly ServerState[] {
+    return this.listed(pool).filter(state => this.#isDraining(state, now));
+  }
+
   /**
    * @param servers servers of a pool
    * @param now current time, monotonic milliseconds
--- a/packages/lovagepond-gateway/src/gateway_settings.ts
+++ b/packages/lovagepond-gateway/src/gateway_settings.ts
@@ -34,6 +34,8 @@
   readonly serverCapacity: boolean;
   /** Limit on all buffered request bodies, bytes; further ones are rejected. */
   readonly maxHeldBytes: number;
+  /** Time for which a server that drains still accepts requests. */
+  readonly drainTimeoutMs: number;
   /** Time for which a draining gateway still accepts connections. */
   readonly drainLingerMs: number;
 }
@@ -49,6 +51,7 @@
   prefillTokensPerMs: 40,
   serverCapacity: false,
   maxHeldBytes: 64 * 1024 * 1024,
+  drainTimeoutMs: 2_000,
   drainLingerMs: 2_500,
   retryFraction: 0.2,
   retryWindowMs: 10_000,
