Show operators which versions serve and where streams began

Cause: metrics and explain didn't tell why a stream was not resumed, nor which versions a release has left.

Gateways are ranked by hashes of their names that are computed once. Datagrams go to IP addresses only, so that none waits for a name lookup.

--- a/packages/lovagepond-cli/src/role_metrics.ts
+++ b/packages/lovagepond-cli/src/role_metrics.ts
@@ -271,6 +271,30 @@
     help: 'Backend servers that told this gateway that they are about to exit.',
     path: ['leavingServers'],
   },
+  {
+    kind: 'gauge',
+    name: 'lovagepond_gateway_servers_by_version',
+    help: 'Listed backend servers, by pool and software version.',
+    labelledObjects: {paths: [['serversByVersion']], label: 'version'},
+  },
+  {
+    kind: 'counter',
+    name: 'lovagepond_gateway_stream_lookups_total',
+    help: 'Requests that resume a stream, by who knew where it began.',
+    labelledObjects: {paths: [['streams', 'lookups']], label: 'source'},
+  },
+  {
+    kind: 'gauge',
+    name: 'lovagepond_gateway_stream_records',
+    help: 'Records of where streams began that this gateway keeps.',
+    path: ['streams', 'records'],
+  },
+  {
+    kind: 'gauge',
+    name: 'lovagepond_gateway_stream_peers',
+    help: 'Other gateways that share records of streams with this one.',
+    path: ['streams', 'peers'],
+  },
   SUSPECTED_REQUESTS,
   ...ADMISSION_METRICS,
 ];
--- a/packages/lovagepond-explain/src/explain_causes.ts
+++ b/packages/lovagepond-explain/src/explain_causes.ts
@@ -19,7 +19,8 @@
     'the server ran the request and answered with an error of its own',
   cut: report =>
     `the server broke off (${lastReason(report)}); a partial answer that no ` +
-    'other server may continue is aborted, so that it never looks complete',
+    'other server may continue is aborted, so that it never looks complete. ' +
+    'Only servers of the version that began a stream may continue it',
   callerGone: () =>
     'the caller closed its connection before the answer was complete',
   notReady: ({processState}) =>
@@ -44,6 +45,14 @@
   overloaded: report =>
     describeRefusal(report) ??
     'every server that was tried was full and refused to run the request',
+  streamUnknown: report =>
+    `no gateway that answered knows which servers began the stream ${resumedStream(report)}: ` +
+    'its first event was passed on too long ago or never, or the gateways that ' +
+    'kept its record have restarted; search for that id in "request ended"',
+  streamVersionGone: report =>
+    `no server of the version that began the stream ${resumedStream(report)} took the ` +
+    'request, and servers of other versions must not continue it; "stream ' +
+    'looked up" names pool and version',
   unreachable: () => 'the connection to every server that was tried failed',
   deadlineUnreachable: report =>
     describeRefusal(report) ??
@@ -88,6 +97,12 @@
   return text && `; it waited ${text} ms at the gateway before it was sent`;
 }
 
+/** @returns id of the request that began the resumed stream; empty if unknown */
+function resumedStream({lines}: RequestReport): string {
+  const line = lines.findLast(({fields}) => fields['resumes'] !== undefined);
+  return formatValue(line?.fields['resumes']);
+}
+
 /** @returns the logged reason of the last failed attempt */
 function lastReason({lines}: RequestReport): string {
   const failed = lines.findLast(({message}) => message === FAILED_MESSAGE);
--- a/packages/lovagepond-gateway/src/deciders.ts
+++ b/packages/lovagepond-gateway/src/deciders.ts
@@ -19,3 +19,5 @@
 export {GatewayRetryBudget} from './gateway_retry_budget.js';
 export {type ForwardingRule, ForwardingRules} from './gateway_routes.js';
 export {ServerState} from './gateway_server_state.js';
+export {StreamDirectory} from './gateway_stream_directory.js';
+export {StreamPeers} from './gateway_stream_peers.js';
--- a/packages/lovagepond-gateway/src/gateway_fleet.ts
+++ b/packages/lovagepond-gateway/src/gateway_fleet.ts
@@ -252,6 +252,17 @@
     return isOnly ? first : undefined;
   }
 
+  /** @returns the number of listed servers, by pool and version */
+  countByVersion(): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const {server} of this.#states.values()) {
+      const {pool, version} = originOf(server);
+      const name = `${pool} ${version}`;
+      counts[name] = (counts[name] ?? 0) + 1;
+    }
+    return counts;
+  }
+
   /** @returns every server's load by its name, for the state dump */
   describe(now: number): Record<string, number> {
     const states = [...this.#states.values()];
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -275,6 +275,7 @@
       membershipVersion: this.#membership.version,
       prefillTokensPerMs: this.#rate.tokensPerMs,
       backendServers: this.#fleet.describe(at.now),
+      serversByVersion: this.#fleet.countByVersion(),
       ...((this.#settings.serverCapacity || this.#overload.isActive) && {
         serverCapacity: this.#fleet.describeCapacity(at.now),
       }),
--- a/packages/lovagepond-gateway/src/gateway_stream_peers.ts
+++ b/packages/lovagepond-gateway/src/gateway_stream_peers.ts
@@ -3,7 +3,6 @@
  */
 import {type HashKey, type KeyHasher} from '@lovagepond/router/rendezvous_hash';
 import {type lovagepond} from '@lovagepond/protocol';
-import {textOfKey} from './gateway_stream_records.js';
 
 type WireUpdate = lovagepond.v1.StreamPeersUpdate.$Properties;
 
@@ -16,6 +15,8 @@
 
 interface StreamPeer {
   readonly address: string;
+  /** Hash of its name. */
+  readonly hash: number;
   /** Unset while control lists the gateway; monotonic milliseconds. */
   readonly goneAt: number | undefined;
 }
@@ -65,7 +66,7 @@
     for (const {node, address} of listed) {
       if (!node || !address) continue;
       if (node === this.#self) this.#listedAddress = address;
-      else this.#peers.set(node, {address, goneAt: undefined});
+      else this.#set(node, address);
     }
   }
 
@@ -89,14 +90,21 @@
    *     the same order at each gateway with the same list
    */
   rank(key: HashKey, count: number): string[] {
-    const text = textOfKey(key);
-    return [...this.#peers]
-      .map(([name, {address}]) => ({
-        address,
-        rank: this.#hasher.hash(`${text}\u0000${name}`).low,
-      }))
+    return [...this.#peers.values()]
+      .map(({address, hash}) => ({address, rank: mix(key.low ^ hash)}))
       .sort((a, b) => b.rank - a.rank)
       .slice(0, count)
       .map(({address}) => address);
   }
+  #set(node: string, address: string): void {
+    const {low: hash} = this.#hasher.hash(node);
+    this.#peers.set(node, {address, hash, goneAt: undefined});
+  }
+}
+
+/** @returns the value with all bits mixed, as the last step of MurmurHash3 */
+function mix(value: number): number {
+  let mixed = Math.imul(value ^ (value >>> 16), 0x85ebca6b);
+  mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
+  return (mixed ^ (mixed >>> 16)) >>> 0;
 }
--- a/packages/lovagepond-gateway/src/gateway_stream_socket.ts
+++ b/packages/lovagepond-gateway/src/gateway_stream_socket.ts
@@ -5,7 +5,7 @@
  * other. A lost one costs a copy of a record or delays a lookup.
  */
 import {createSocket, type Socket} from 'node:dgram';
-import {isIPv6} from 'node:net';
+import {isIP, isIPv6} from 'node:net';
 import {type Clock, type Logger} from '@lovagepond/core';
 
 /** Interval of {@link StreamSocketListener.onTick}, milliseconds. */
@@ -76,14 +76,16 @@
   /**
    * Sends a datagram, which may be lost.
    *
-   * @param to `host:port`
+   * @param to `host:port`, the host as an IP address
    * @param bytes its content
    */
   send(to: string, bytes: Uint8Array): void {
     const separator = to.lastIndexOf(':');
+    const host = to.slice(0, separator);
     const port = Number(to.slice(separator + 1));
-    if (!this.#socket || !(port > 0 && port < 65_536)) return;
-    this.#socket.send(bytes, port, to.slice(0, separator), err => {
+    const isValid = isIP(host) !== 0 && port > 0 && port < 65_536;
+    if (!this.#socket || !isValid) return;
+    this.#socket.send(bytes, port, host, err => {
       if (!err) return;
       const {message: reason} = err;
       this.#log.debug('stream record could not be sent', {to, reason});
--- a/packages/lovagepond-measure/src/measure_table.ts
+++ b/packages/lovagepond-measure/src/measure_table.ts
@@ -23,6 +23,7 @@
 import {measurePlacementScale} from './placement_scale_measure.js';
 import {measureRouter} from './router_measure.js';
 import {measureSidecar} from './sidecar_measure.js';
+import {measureStreamRecords} from './stream_records_measure.js';
 import {measureWorkspaceShares} from './workspace_shares_measure.js';
 
 /** Measurements by name; all run in this order when none is named. */
@@ -36,6 +37,7 @@
   caller: measureCaller,
   backend: measureBackend,
   'gateway-configuration': measureGatewayConfiguration,
+  'stream-records': measureStreamRecords,
   'gateway-plays': measureGatewaySimulations,
   'gateway-ablation': measureGatewayAblation,
   'gateway-weights': measureGatewayWeights,
