--- a/packages/lovagepond-gateway/src/gateway_exchange_log.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_log.ts
@@ -113,7 +113,11 @@
 /** A caller's ids may be as long as its headers. */
 const MAX_LOGGED_ID = 64;
 
-function describeResumption({
+/**
+ * @param resumption what the caller says about the stream
+ * @returns log fields that name it
+ */
+export function describeResumption({
   firstRequestId,
   lastEventId,
 }: StreamResumption): Record<string, string> {
--- a/packages/lovagepond-gateway/src/gateway_stream_resumption.ts
+++ b/packages/lovagepond-gateway/src/gateway_stream_resumption.ts
@@ -2,6 +2,7 @@
  * Decides where a request runs that resumes a stream of an earlier request.
  */
 import {type ErrorKind, type Logger} from '@lovagepond/core';
+import {describeResumption} from './gateway_exchange_log.js';
 import {type AdmittedRequest} from './gateway_exchange_types.js';
 import {type GatewayFleet} from './gateway_fleet.js';
 import {type StreamOrigin} from './gateway_stream_origin.js';
@@ -45,9 +46,6 @@
   readonly log: Logger;
 }
 
-/** Limit of a caller's id in a log line, characters. */
-const MAX_LOGGED_ID = 64;
-
 /**
  * @param req a request that resumes a stream
  * @param deps the known streams and servers, and the log
@@ -70,7 +68,7 @@
     : findUnnamed(req, fleet, isInTouch);
   log.info('stream looked up', {
     request: facts.requestId,
-    resumes: firstRequestId.slice(0, MAX_LOGGED_ID),
+    ...(facts.resumption && describeResumption(facts.resumption)),
     isKnown: origin !== undefined,
     pool: origin?.pool,
     version: origin?.version,
