--- a/packages/lovagepond-gateway/src/gateway_unparsable.ts
+++ b/packages/lovagepond-gateway/src/gateway_malformed_requests.ts
@@ -1,7 +1,8 @@
 /**
- * Responds to requests that Node's HTTP parser rejects; no handler sees them.
+ * Recognizes malformed requests, and responds to those that Node's HTTP parser
+ * rejects, which no handler sees.
  */
-import {STATUS_CODES} from 'node:http';
+import {type IncomingMessage, STATUS_CODES} from 'node:http';
 import {type Socket} from 'node:net';
 import {answerFor, type ErrorKind, type Logger} from '@lovagepond/core';
 
@@ -31,3 +32,21 @@
   const line = `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}`;
   socket.end(`${line}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
 }
+
+/**
+ * @param req a request whose head was parsed
+ * @param maxHeaderBytes limit on its headers
+ * @returns why it is malformed; undefined if it isn't
+ */
+export function findFault(
+  {rawHeaders, url}: IncomingMessage,
+  maxHeaderBytes: number,
+): ErrorKind | undefined {
+  const size = rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+  if (size > maxHeaderBytes) return 'headersTooLarge';
+  if (!url?.startsWith('/')) return 'badRequest';
+  const hosts = rawHeaders.filter(
+    (text, at) => at % 2 === 0 && text.toLowerCase() === 'host',
+  );
+  return hosts.length === 1 ? undefined : 'badRequest';
+}
--- a/packages/lovagepond-gateway/src/gateway_server.ts
+++ b/packages/lovagepond-gateway/src/gateway_server.ts
@@ -30,8 +30,8 @@
 import {type GatewaySettings} from './gateway_settings.js';
 import {fingerprintOf} from '@lovagepond/router/quarantine';
 import {StartupQueue} from './gateway_startup_queue.js';
+import {findFault, rejectUnparsable} from './gateway_malformed_requests.js';
 import {readBody} from './gateway_request_body.js';
-import {rejectUnparsable} from './gateway_unparsable.js';
 import {resumesStream, resumeStream} from './gateway_stream_resumption.js';
 
 /** Limits used until the configuration sets them. */
@@ -203,7 +203,7 @@
       if (this.#openResponses === 0) this.#onAllDelivered?.();
     });
     const facts = readFacts(req.headers, this.#deps.names);
-    const fault = this.#findFault(req);
+    const fault = findFault(req, this.#limits.maxHeaderBytes);
     if (fault) {
       this.#refuse(caller, facts, fault);
       return;
@@ -332,16 +332,6 @@
     if (copies?.size === 0) this.#exchanges.delete(fingerprint);
   }
 
-  #findFault(req: IncomingMessage): ErrorKind | undefined {
-    const size = req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
-    if (size > this.#limits.maxHeaderBytes) return 'headersTooLarge';
-    if (!req.url?.startsWith('/')) return 'badRequest';
-    const hosts = req.rawHeaders.filter(
-      (text, at) => at % 2 === 0 && text.toLowerCase() === 'host',
-    );
-    return hosts.length === 1 ? undefined : 'badRequest';
-  }
-
   #refuse(caller: CallerChannel, facts: RequestFacts, error: ErrorKind): void {
     caller.refuse(error);
     this.#deps.counters.noteRefused(error);
