--- a/packages/lovagepond-gateway/src/gateway_stream_records.ts
+++ b/packages/lovagepond-gateway/src/gateway_stream_records.ts
@@ -7,6 +7,9 @@
 /** Records kept; the ones written first are dropped. */
 const MAX_RECORDS = 65_536;
 
+/** Interval between sweeps of all records, milliseconds. */
+const SWEEP_INTERVAL_MS = 5_000;
+
 interface StreamRecord {
   /** Unset if two different origins were recorded. */
   readonly origin: StreamOrigin | undefined;
@@ -22,6 +25,7 @@
 export class StreamRecords {
   /** In the order of the last write. */
   readonly #records = new Map<string, StreamRecord>();
+  #sweptAt = Number.NEGATIVE_INFINITY;
 
   get size(): number {
     return this.#records.size;
@@ -61,11 +65,14 @@
   }
 
   /**
-   * Must be called periodically.
+   * Frees the memory of old records, which {@link find} skips. Must be called
+   * periodically; most calls do nothing.
    *
    * @param now current time, monotonic milliseconds
    */
   expire(now: number): void {
+    if (now - this.#sweptAt < SWEEP_INTERVAL_MS) return;
+    this.#sweptAt = now;
     for (const [key, {until}] of this.#records) {
       if (until <= now) this.#records.delete(key);
     }
