Ask in one place whether a server has left

Cause: the check for streams at draining servers repeated what decides whether a server is ready: replaced, or about to exit by its own word.

Change: both ask one function. No behaviour changes.

--- a/packages/lovagepond-gateway/src/gateway_fleet.ts
+++ b/packages/lovagepond-gateway/src/gateway_fleet.ts
@@ -162,9 +162,10 @@
   }
 
   #isDraining(state: ServerState, now: number): boolean {
-    const {isReplaced, server} = state;
-    if (isReplaced || server.state !== SERVER_STATE.DRAINING) return false;
-    if (this.#leaving.has(server.name)) return false;
+    const {server} = state;
+    if (this.#hasLeft(state) || server.state !== SERVER_STATE.DRAINING) {
+      return false;
+    }
     const since = this.#drainingSince.get(server.name) ?? now;
     const isInTime =
       now - since < this.#settings.drainTimeoutMs * CONTINUING_PART;
@@ -176,12 +177,12 @@
     else if (!this.#drainingSince.has(name)) this.#drainingSince.set(name, now);
   }
 
-  #isReady({isReplaced, server}: ServerState): boolean {
-    return (
-      !isReplaced &&
-      server.state === SERVER_STATE.READY &&
-      !this.#leaving.has(server.name)
-    );
+  #isReady(state: ServerState): boolean {
+    return state.server.state === SERVER_STATE.READY && !this.#hasLeft(state);
+  }
+
+  #hasLeft({isReplaced, server}: ServerState): boolean {
+    return isReplaced || this.#leaving.has(server.name);
   }
 
   /** @returns all servers of all pools */
