Log what a gateway assumed of the server that it chose

The timeline of servers over their load bound has three hypotheses that the logs can't tell apart: an old view of other gateways' requests, no view at all after a lost subscription, and a limit taken of another mean. A "request ended" line now gives the assumed load, the limit, the servers of its mean and the age of what others had reported.

--- a/packages/lovagepond-gateway/src/gateway_choice.ts
+++ b/packages/lovagepond-gateway/src/gateway_choice.ts
@@ -35,11 +35,27 @@
   readonly tried: ReadonlySet<string>;
 }
 
+/** What a gateway assumed of a server when it selected it, for logs. */
+export interface AssumedLoad {
+  /** Requests of all gateways at the server. */
+  readonly load: number;
+  /** Requests that the server may have, the new one included. */
+  readonly limit: number;
+  /** Servers of which the limit's mean was taken. */
+  readonly servers: number;
+  /**
+   * Time since other gateways' requests there were last reported, milliseconds;
+   * undefined without a report.
+   */
+  readonly ageMs: number | undefined;
+}
+
 /** The selected server, and the server it fetches the prompt's context from. */
 export interface ServerChoice {
   readonly state: ServerState;
   /** Absent for plain services. */
   readonly fetch?: ContextFetch;
+  readonly assumed: AssumedLoad;
 }
 
 export interface ChoiceSettings {
@@ -119,29 +135,25 @@
     // If every server has failed, the cause may be on the gateway's side.
     const candidates = healthy.length > 0 ? healthy : untried;
     if (candidates.length === 0) return undefined;
-    const within = this.#withinBound(candidates, req.pool, now);
+    const limit = limitOf(candidates, req.pool, now);
+    const within = withinLimit(candidates, limit, now);
     const isChat = req.sticky && req.parts.length > 0;
-    return isChat
+    const chosen = isChat
       ? this.#chooseEngine(within, req, now)
       : {state: this.#chooseService(within, req, now)};
-  }
-
-  #withinBound(
-    candidates: readonly ServerState[],
-    pool: Pool,
-    now: number,
-  ): readonly ServerState[] {
-    const total = candidates.reduce((sum, state) => sum + state.load(now), 0);
-    const limit = (total / candidates.length) * pool.loadBound + BOUND_SLACK;
-    const within = candidates.filter(state => state.load(now) + 1 <= limit);
-    return within.length > 0 ? within : candidates;
+    if (!chosen) return undefined;
+    const {state} = chosen;
+    const ageMs = state.reportAgeMs(now);
+    const load = state.load(now);
+    const servers = candidates.length;
+    return {...chosen, assumed: {load, limit, servers, ageMs}};
   }
 
   #chooseEngine(
     candidates: readonly ServerState[],
     req: ChoiceRequest,
     now: number,
-  ): ServerChoice | undefined {
+  ): Omit<ServerChoice, 'assumed'> | undefined {
     const {pool, holders, parts, targetLatencyMs, repeatable} = req;
     const engineRequest = {
       candidates,
@@ -205,6 +217,26 @@
   }
 }
 
+/** @returns the requests that each of the servers may have */
+function limitOf(
+  servers: readonly ServerState[],
+  {loadBound}: Pool,
+  now: number,
+): number {
+  const total = servers.reduce((sum, state) => sum + state.load(now), 0);
+  return (total / servers.length) * loadBound + BOUND_SLACK;
+}
+
+/** @returns the servers with room for one more request; all if none has */
+function withinLimit(
+  servers: readonly ServerState[],
+  limit: number,
+  now: number,
+): readonly ServerState[] {
+  const within = servers.filter(state => state.load(now) + 1 <= limit);
+  return within.length > 0 ? within : servers;
+}
+
 function workOf({
   work,
   sticky,
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -407,8 +407,8 @@
     this.#admission.leave();
     const {status} = this.#caller;
     const {waitMs} = this.#admission;
-    const servers = this.#servers.attempted;
-    const end = {outcome, status, servers, waitMs};
+    const {attempted: servers, assumed} = this.#servers;
+    const end = {outcome, status, servers, assumed, waitMs};
     this.#log.noteEnded(end, this.#now());
     this.#onDone();
   }
--- a/packages/lovagepond-gateway/src/gateway_exchange_log.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_log.ts
@@ -2,6 +2,7 @@
  * Log lines and counters of one request.
  */
 import {type BackendServer, type Logger} from '@lovagepond/core';
+import {type AssumedLoad} from './gateway_choice.js';
 import {type GatewayCounters} from './gateway_counters.js';
 import {type AdmittedRequest} from './gateway_exchange_types.js';
 import {type ServerSignals, type StreamResumption} from './gateway_headers.js';
@@ -31,6 +32,8 @@
   readonly status: number;
   /** The servers of all attempts. */
   readonly servers: readonly BackendServer[];
+  /** What was assumed of the last of them; undefined if there was none. */
+  readonly assumed: AssumedLoad | undefined;
   /** Time in the gateway's queue, ms; undefined if it did not wait. */
   readonly waitMs: number | undefined;
 }
@@ -89,7 +92,7 @@
    * @param now current time, monotonic milliseconds
    */
   noteEnded(
-    {outcome, status, servers, waitMs}: EndedRequest,
+    {outcome, status, servers, assumed, waitMs}: EndedRequest,
     now: number,
   ): void {
     const {facts, rule, pool, arrivedAt} = this.#req;
@@ -105,11 +108,26 @@
       outcome,
       status,
       durationMs: Math.round(now - arrivedAt),
+      ...(assumed && describeAssumed(assumed)),
       ...(waitMs !== undefined && {waitMs: Math.round(waitMs)}),
     });
   }
 }
 
+function describeAssumed({
+  load,
+  limit,
+  servers,
+  ageMs,
+}: AssumedLoad): Record<string, number> {
+  return {
+    assumedLoad: Math.round(load * 10) / 10,
+    loadLimit: Math.round(limit * 10) / 10,
+    meanOf: servers,
+    ...(ageMs !== undefined && {loadAgeMs: Math.round(ageMs)}),
+  };
+}
+
 /** A caller's ids may be as long as its headers. */
 const MAX_LOGGED_ID = 64;
 
--- a/packages/lovagepond-gateway/src/gateway_exchange_servers.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_servers.ts
@@ -3,7 +3,7 @@
  * it was sent to, and the version that its stream is bound to.
  */
 import {type BackendServer, type ErrorKind} from '@lovagepond/core';
-import {type ServerChoice} from './gateway_choice.js';
+import {type AssumedLoad, type ServerChoice} from './gateway_choice.js';
 import {toChoiceRequest} from './gateway_choice_request.js';
 import {EligibleServers} from './gateway_eligible_servers.js';
 import {
@@ -37,6 +37,7 @@
   readonly #binding: StreamBinding;
   readonly #tried = new Set<string>();
   readonly #attempted: BackendServer[] = [];
+  #assumed: AssumedLoad | undefined;
 
   /**
    * @param req the request
@@ -54,6 +55,11 @@
     return this.#attempted;
   }
 
+  /** What was assumed of the last attempt's server. */
+  get assumed(): AssumedLoad | undefined {
+    return this.#assumed;
+  }
+
   /** The error when no server is left. */
   get errorWithoutServer(): ErrorKind {
     return this.#binding.origin ? 'streamVersionGone' : 'noBackendServer';
@@ -76,6 +82,7 @@
     const {server} = chosen.state;
     this.#tried.add(server.name);
     this.#attempted.push(server);
+    this.#assumed = chosen.assumed;
     return chosen;
   }
 
--- a/packages/lovagepond-gateway/src/gateway_remote_requests.ts
+++ b/packages/lovagepond-gateway/src/gateway_remote_requests.ts
@@ -25,6 +25,12 @@
   readonly #byGateway = new Map<string, DatedReport>();
   #requests = 0;
   #prefillTokens = 0;
+  #reportedAt = Number.NEGATIVE_INFINITY;
+
+  /** When the latest report arrived, monotonic milliseconds. */
+  get reportedAt(): number {
+    return this.#reportedAt;
+  }
 
   get requests(): number {
     return this.#requests;
@@ -44,6 +50,7 @@
     {requests, prefillTokens}: ReportedRequests,
     now: number,
   ): void {
+    this.#reportedAt = now;
     // Members of control that run the previous release report each gateway
     // separately. After switching between members of both releases, a gateway
     // would count the same requests twice.
--- a/packages/lovagepond-gateway/src/gateway_server_state.ts
+++ b/packages/lovagepond-gateway/src/gateway_server_state.ts
@@ -184,6 +184,16 @@
     return this.inFlight + Math.max(remote, this.#remote.requests);
   }
 
+  /**
+   * @param now current time, monotonic milliseconds
+   * @returns time since the server or other gateways last reported requests
+   *     there, milliseconds; undefined without a report
+   */
+  reportAgeMs(now: number): number | undefined {
+    const reportedAt = Math.max(this.#reportedAt, this.#remote.reportedAt);
+    return Number.isFinite(reportedAt) ? now - reportedAt : undefined;
+  }
+
   /** Prompt tokens that the server has yet to compute for other gateways. */
   get remotePrefillTokens(): number {
     return this.#remote.prefillTokens;
