Show servers that get more than their load bound

The simulation counts arrivals beyond the bound and the share of shared tokens that the chosen engine held.

--- a/packages/lovagepond-measure/src/gateway_simulation.ts
+++ b/packages/lovagepond-measure/src/gateway_simulation.ts
@@ -2,13 +2,7 @@
  * Discrete-event simulation of a fleet of gateways: the workload, the reports
  * that control relays between gateways, membership changes, and disturbances.
  */
-import {
-  type BackendServer,
-  configurationSchema,
-  type Pool,
-  Random,
-  SERVER_STATE,
-} from '@lovagepond/core';
+import {type BackendServer, Random, SERVER_STATE} from '@lovagepond/core';
 import {
   DirectServerTable,
   type JoiningServer,
@@ -32,11 +26,9 @@
   type SimulatedRequestKind,
 } from './gateway_simulation_types.js';
 import {SimulatedGateway, type SimulatedRequest} from './simulated_gateway.js';
+import {ENGINES, makePools, SERVICES} from './simulated_pools.js';
 import {VirtualTime} from './virtual_time.js';
 
-const ENGINES = 'engines';
-const SERVICES = 'services';
-
 /** Delay until gateways receive a membership change, milliseconds. */
 const MEMBERSHIP_DELAY_MS = 50;
 /** Delay until control relays a report that a gateway sent, milliseconds. */
@@ -105,6 +97,8 @@
           servers: {
             engine: name => this.#engines.get(name),
             service: name => this.#services.get(name),
+            engines: () => this.#engines.values(),
+            services: () => this.#services.values(),
           },
           statistics: this.#statistics,
         }),
@@ -351,15 +345,20 @@
 
   #scheduleArrival(kind: SimulatedRequestKind): void {
     const perMs = (kind.perSecond * this.#rateFactor) / MS_PER_SECOND;
-    this.#time.after(this.#random.exponential(1 / perMs), () => {
+    const {clump = 1} = this.#settings.load;
+    this.#time.after(this.#random.exponential(clump / perMs), () => {
       if (this.#time.now >= this.#settings.endMs) return;
       this.#scheduleArrival(kind);
-      const req = this.#drawRequest(kind);
-      this.#statistics.recordRequest(kind, this.#time.now);
-      this.#random.pick(this.#gateways).serve(req);
+      for (let nth = 0; nth < clump; nth += 1) this.#arrive(kind);
     });
   }
 
+  #arrive(kind: SimulatedRequestKind): void {
+    const req = this.#drawRequest(kind);
+    this.#statistics.recordRequest(kind, this.#time.now);
+    this.#random.pick(this.#gateways).serve(req);
+  }
+
   #drawRequest(kind: SimulatedRequestKind): SimulatedRequest {
     const {prompt, workMs} = kind;
     return {
@@ -399,29 +398,3 @@
     return Math.max(1, Math.round(Math.min(max, drawn)));
   }
 }
-
-function makePools({load, variant}: GatewaySimulationSettings): {
-  readonly engines: Pool;
-  readonly services: Pool;
-} {
-  const loadBound = variant.noBound ? 16 : load.loadBound;
-  const {content} = {
-    content: configurationSchema.parse({
-      pools: [
-        {
-          name: ENGINES,
-          kind: 'engine',
-          loadBound,
-          engineSlots: load.engines.slots,
-          contextTokens: load.engines.memoryTokens,
-          ...(!variant.noFetch && {
-            contextFetchTokensPerMs: load.engines.fetchTokensPerMs,
-          }),
-        },
-        {name: SERVICES, kind: 'service', loadBound},
-      ],
-    }),
-  };
-  const [engines, services] = content.pools as [Pool, Pool];
-  return {engines, services};
-}
--- a/packages/lovagepond-measure/src/gateway_simulation_loads.ts
+++ b/packages/lovagepond-measure/src/gateway_simulation_loads.ts
@@ -269,6 +269,51 @@
   ],
 };
 
+/** A few prompts that all callers share, on engines with short streams. */
+const POPULAR: GatewayLoad = {
+  name: 'popular prompts',
+  gateways: 10,
+  zones: 4,
+  engines: {
+    ...DENSE_ENGINE,
+    count: 24,
+    memoryTokens: 236_081,
+    tokensPerEvent: 8,
+  },
+  services: {count: 4, slots: 6, queue: 24},
+  loadBound: 2,
+  clump: 3,
+  kinds: [
+    chat(
+      'popular',
+      130,
+      [1, 0.1],
+      [600, 4_000],
+      {
+        shared: [{tokens: {mean: 2_000, spread: 0.4, max: 6_000}, count: 4}],
+        own: {mean: 200, spread: 0.7, max: 1_000},
+        events: {mean: 33, spread: 0.4, max: 80},
+      },
+      1,
+    ),
+    call('read', 60, 0.1, [148, 1_046], true, SHORT_WORK),
+  ],
+};
+
+/**
+ * @param gateways number of gateways
+ * @param prompts number of prompts that the callers share
+ * @returns a load with few prompts and the same rate of requests
+ */
+export function popularPrompts(gateways: number, prompts: number): GatewayLoad {
+  const kinds = POPULAR.kinds.map(kind => {
+    if (!kind.prompt) return kind;
+    const shared = kind.prompt.shared.map(part => ({...part, count: prompts}));
+    return {...kind, prompt: {...kind.prompt, shared}};
+  });
+  return {...POPULAR, gateways, kinds};
+}
+
 /** The small simulated deployments. */
 export const GATEWAY_LOADS: readonly GatewayLoad[] = [
   COUPONS,
--- a/packages/lovagepond-measure/src/gateway_simulation_statistics.ts
+++ b/packages/lovagepond-measure/src/gateway_simulation_statistics.ts
@@ -2,6 +2,7 @@
  * Metrics of one gateway simulation: caller outcomes and prefill cost.
  */
 import {type SimulatedRequestKind} from './gateway_simulation_types.js';
+import {LoadBoundStatistics} from './load_bound_statistics.js';
 import {Distribution, percentOf} from './measure_statistics.js';
 
 /** Length of the windows for the worst-case figure, milliseconds. */
@@ -18,6 +19,7 @@
 /** Collects the metrics of one simulation. */
 export class GatewaySimulationStatistics {
   readonly firstMs = new Distribution(0.1);
+  readonly loadBound = new LoadBoundStatistics();
   #requests = 0;
   #served = 0;
   #onTime = 0;
@@ -29,6 +31,7 @@
   #readTokens = 0;
   #rereadTokens = 0;
   #fetchedTokens = 0;
+  #heldTokens = 0;
 
   /** Records the arrival of a request. */
   recordRequest(kind: SimulatedRequestKind, at: number): void {
@@ -71,6 +74,7 @@
     const last = this.#usedAt.get(id) ?? -Infinity;
     this.#usedAt.set(id, at);
     if (how === 'fetched') this.#fetchedTokens += tokens;
+    if (how === 'held') this.#heldTokens += tokens;
     if (how !== 'read') return;
     this.#readTokens += tokens;
     const isAgain = this.#readParts.has(id) && at - last < REREAD_WITHIN_MS;
@@ -103,6 +107,13 @@
       rereadThousands: this.#rereadTokens / 1_000,
       fetchedThousands: this.#fetchedTokens / 1_000,
       readThousands: this.#readTokens / 1_000,
+      heldPercent: percentOf(
+        this.#heldTokens,
+        this.#heldTokens + this.#fetchedTokens + this.#readTokens,
+      ),
+      overBound: this.loadBound.count,
+      overBoundPercent: this.loadBound.worstPercent,
+      furthestOver: this.loadBound.furthest,
     };
   }
 
@@ -128,4 +139,12 @@
   readonly rereadThousands: number;
   readonly fetchedThousands: number;
   readonly readThousands: number;
+  /** Share of the shared tokens that the chosen engine held. */
+  readonly heldPercent: number;
+  /** Requests that reached a server beyond its load bound. */
+  readonly overBound: number;
+  /** Their largest share of one pool's requests within five seconds. */
+  readonly overBoundPercent: number;
+  /** Requests of one server beyond its load bound, at most. */
+  readonly furthestOver: number;
 }
--- a/packages/lovagepond-measure/src/gateway_simulation_types.ts
+++ b/packages/lovagepond-measure/src/gateway_simulation_types.ts
@@ -130,6 +130,8 @@
   readonly engines: EngineProfile;
   readonly services: ServiceProfile;
   readonly loadBound: number;
+  /** Requests that arrive at the same moment; 1 by default. */
+  readonly clump?: number;
   readonly kinds: readonly SimulatedRequestKind[];
 }
 
--- a/packages/lovagepond-measure/src/simulated_gateway.ts
+++ b/packages/lovagepond-measure/src/simulated_gateway.ts
@@ -38,10 +38,14 @@
   readonly workMs: number;
 }
 
-/** Finds servers by name. */
+type SimulatedServer = DirectEngine | DirectService;
+
+/** Finds servers by name or kind. */
 export interface ServerLookup {
   engine(name: string): DirectEngine | undefined;
   service(name: string): DirectService | undefined;
+  engines(): Iterable<DirectEngine>;
+  services(): Iterable<DirectService>;
 }
 
 export interface SimulatedGatewayDependencies {
@@ -215,6 +219,7 @@
         this.#handleFailure(state, close, {kind: 'unsent'});
         return;
       }
+      this.#recordArrival(engine, servers.engines());
       engine.start({
         parts,
         events,
@@ -256,6 +261,7 @@
         this.#handleFailure(state, close, {kind: 'unsent'});
         return;
       }
+      this.#recordArrival(service, servers.services());
       service.start(workMs, kind.failureShare ?? 0, outcome => {
         this.#noteLoad(state, service);
         if (outcome === 'ok') {
@@ -273,6 +279,24 @@
     });
   }
 
+  /** Records a request that reaches a server, before the server counts it. */
+  #recordArrival(
+    server: SimulatedServer,
+    servers: Iterable<SimulatedServer>,
+  ): void {
+    const {statistics, pools} = this.#deps;
+    const pool = this.#req.kind.prompt ? pools.engines : pools.services;
+    const loads = [...servers].map(requestsAt);
+    const total = loads.reduce((sum, load) => sum + load, 1);
+    const arrival = {
+      pool: pool.name,
+      held: requestsAt(server) + 1,
+      mean: total / loads.length,
+      loadBound: pool.loadBound,
+    };
+    statistics.loadBound.record(arrival, this.#now);
+  }
+
   /** Wraps a callback to run once; returns false if repeated or outdated. */
   #once(run: () => void): () => boolean {
     const attempt = this.#attempt;
@@ -362,6 +386,10 @@
   }
 }
 
+function requestsAt({load: {running, waiting}}: SimulatedServer): number {
+  return running + waiting;
+}
+
 function ruleOf(kind: SimulatedRequestKind): ForwardingRule {
   const {name, priority, targetLatencyMs, deadlineMs, maxAttempts} = kind;
   const isChat = kind.prompt !== undefined;
