Issue permits for requests, so that servers keep their load bound

What was seen: servers of a pool held more than twice the pool's mean of requests plus three, given by several gateways at once.

Cause: each gateway applied the bound of the whole fleet by itself, in full, to a view of the others' requests that is some hundred milliseconds old. All saw the same room and took it; with more gateways more did. The mean was that of the candidates, it took in load that had decayed since a server's last answer, and if no candidate was within the bound, all were.

Change: each server has one gateway, by rendezvous hashing, that issues permits for it. A gateway asks it by datagram before each attempt, tells it with each message how many requests it holds there, and tells it again at each end. So one place counts the requests of all gateways at a server, however old their views are. If the first issuer doesn't reply within 40 ms, the second is asked, then the gateway decides itself; both add what control reports. A server without room is left out, and its exact load is known for the next choice. If none has room the request waits up to 0.1 s and is refused as not run. The limit follows from the requests at the other servers of the pool, less two standard deviations, smoothed.

The datagrams that gateways exchange about streams now have a link and a codec of their own, which both protocols use.

Why it works: a check that is made where all requests are counted can't be passed by two gateways for the same room. Only the mean is still old, and the deviations allow for its age.

--- a/packages/lovagepond-gateway/src/__tests__/unit/capacity_simulation.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/capacity_simulation.ts
@@ -146,6 +146,7 @@
         pool: {...CONTENT.pools[0]!, name: 'p', loadBound: 2},
         servers,
         holders: servers,
+        listed: servers,
         parts: isEngine ? parts : [],
         sticky: isEngine,
         work: {kind: 'k', isStream: isEngine},
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_engine_choice.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_engine_choice.test.ts
@@ -28,6 +28,7 @@
       pool: {...pool!, loadBound: 2},
       servers,
       holders: servers,
+      listed: servers,
       parts,
       sticky: true,
       targetLatencyMs: 600,
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_failing_server.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_failing_server.test.ts
@@ -66,6 +66,7 @@
       pool: {...CONTENT.pools[0]!, name: 'p', loadBound: 2},
       servers,
       holders: servers,
+      listed: servers,
       parts: [],
       sticky: false,
       targetLatencyMs: 193,
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -23,7 +23,9 @@
 import {GatewayCounters} from '../../gateway_counters.js';
 import {GatewayFleet} from '../../gateway_fleet.js';
 import {DEFAULT_HEADER_NAMES} from '../../gateway_headers.js';
+import {GatewayPeerLink} from '../../gateway_peer_link.js';
 import {GatewayPeers} from '../../gateway_peers.js';
+import {makePermits} from '../../gateway_permits.js';
 import {PrefillRate} from '../../gateway_prefill_rate.js';
 import {GatewayQuarantine} from '../../gateway_quarantine.js';
 import {GatewayLoadReports} from '../../gateway_load_reports.js';
@@ -244,10 +246,12 @@
       shares,
     });
     overload.useConfiguration(content);
-    const streams = new GatewayStreams(
+    const link = new GatewayPeerLink(
       {name: 'gateway', host: '127.0.0.1', port: 0},
       {clock, log, hasher},
     );
+    const streams = new GatewayStreams(link, hasher);
+    const permits = makePermits(link, fleet, {hasher, random});
     const crashed = new Set<string>();
     const quarantine = new GatewayQuarantine({
       clock,
@@ -280,6 +284,7 @@
         }),
         quarantine,
         warmUp: new GatewayWarmUp('gateway', STARTED_LONG_AGO),
+        permits,
         counters,
         overload,
         streams,
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_estimates.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_estimates.test.ts
@@ -69,6 +69,7 @@
       pool: {...CONTENT.pools[0]!, name: 'p', loadBound: 2},
       servers,
       holders: servers,
+      listed: servers,
       parts: [],
       sticky: false,
       targetLatencyMs: 200,
--- a/packages/lovagepond-gateway/src/deciders.ts
+++ b/packages/lovagepond-gateway/src/deciders.ts
@@ -3,7 +3,9 @@
  * time.
  */
 export {ResponseTiming} from './gateway_response_timing.js';
-export {GatewayChoice} from './gateway_choice.js';
+export {GatewayChoice, type ServerChoice} from './gateway_choice.js';
+export {ExchangePermit} from './gateway_exchange_permit.js';
+export {FullServersWait} from './gateway_full_servers_wait.js';
 export {GatewayCrashDetector, REACHABILITY} from './gateway_crash_detector.js';
 export {type ContextFetch} from './gateway_context_source.js';
 export {ENGINE_WEIGHTS, type EngineWeights} from './gateway_engine_choice.js';
@@ -20,4 +22,7 @@
 export {type ForwardingRule, ForwardingRules} from './gateway_routes.js';
 export {ServerState} from './gateway_server_state.js';
 export {StreamDirectory} from './gateway_stream_directory.js';
-export {StreamPeers} from './gateway_stream_peers.js';
+export {LoadLimits} from './gateway_load_limit.js';
+export {PeerAddresses} from './gateway_peer_addresses.js';
+export {decodeDatagram} from './gateway_peer_datagrams.js';
+export {GatewayPermits} from './gateway_permits.js';
--- a/packages/lovagepond-gateway/src/gateway_choice.ts
+++ b/packages/lovagepond-gateway/src/gateway_choice.ts
@@ -13,6 +13,7 @@
   type EngineWeights,
 } from './gateway_engine_choice.js';
 import {type PromptPart} from './gateway_headers.js';
+import {LoadLimits, type PoolLoad} from './gateway_load_limit.js';
 import {type PrefillRate} from './gateway_prefill_rate.js';
 import {type ServerState} from './gateway_server_state.js';
 
@@ -33,13 +34,15 @@
   readonly repeatable: boolean;
   /** Names of the servers that earlier attempts of this request used. */
   readonly tried: ReadonlySet<string>;
+  /** All servers of the pool, whose mean load limits each of them. */
+  readonly listed: readonly ServerState[];
 }
 
 /** What a gateway assumed of a server when it selected it, for logs. */
 export interface AssumedLoad {
   /** Requests of all gateways at the server. */
   readonly load: number;
-  /** Requests that the server may have, the new one included. */
+  /** Requests that the server may have, the new one included; or Infinity. */
   readonly limit: number;
   /** Servers of which the limit's mean was taken. */
   readonly servers: number;
@@ -66,12 +69,6 @@
   readonly weights?: EngineWeights;
 }
 
-/**
- * Requests that a server may have beyond the bounded multiple of the mean:
- * with few requests per server, one more is not an imbalance.
- */
-const BOUND_SLACK = 2;
-
 /** Load difference, in requests, below which two services count as equal. */
 const SAME_LOAD = 0.5;
 
@@ -115,6 +112,7 @@
   readonly #settings: ChoiceSettings;
   readonly #hasher: KeyHasher;
   readonly #random: Random;
+  readonly #limits = new LoadLimits();
 
   constructor(settings: ChoiceSettings, hasher: KeyHasher, random: Random) {
     this.#settings = settings;
@@ -135,8 +133,8 @@
     // If every server has failed, the cause may be on the gateway's side.
     const candidates = healthy.length > 0 ? healthy : untried;
     if (candidates.length === 0) return undefined;
-    const limit = limitOf(candidates, req.pool, now);
-    const within = withinLimit(candidates, limit, now);
+    const poolLoad = this.#limits.of(req.listed, req.pool, now);
+    const within = withinLimit(candidates, poolLoad, now);
     const isChat = req.sticky && req.parts.length > 0;
     const chosen = isChat
       ? this.#chooseEngine(within, req, now)
@@ -144,8 +142,9 @@
     if (!chosen) return undefined;
     const {state} = chosen;
     const ageMs = state.reportAgeMs(now);
-    const load = state.load(now);
-    const servers = candidates.length;
+    const load = state.knownRequests(now);
+    const limit = poolLoad.limitOf(state);
+    const {servers} = poolLoad;
     return {...chosen, assumed: {load, limit, servers, ageMs}};
   }
 
@@ -217,23 +216,16 @@
   }
 }
 
-/** @returns the requests that each of the servers may have */
-function limitOf(
-  servers: readonly ServerState[],
-  {loadBound}: Pool,
-  now: number,
-): number {
-  const total = servers.reduce((sum, state) => sum + state.load(now), 0);
-  return (total / servers.length) * loadBound + BOUND_SLACK;
-}
-
 /** @returns the servers with room for one more request; all if none has */
 function withinLimit(
   servers: readonly ServerState[],
-  limit: number,
+  poolLoad: PoolLoad,
   now: number,
 ): readonly ServerState[] {
-  const within = servers.filter(state => state.load(now) + 1 <= limit);
+  const within = servers.filter(state => {
+    const requests = state.knownRequests(now) + state.awaitingPermit;
+    return requests + 1 <= poolLoad.limitOf(state);
+  });
   return within.length > 0 ? within : servers;
 }
 
--- a/packages/lovagepond-gateway/src/gateway_choice_request.ts
+++ b/packages/lovagepond-gateway/src/gateway_choice_request.ts
@@ -11,7 +11,7 @@
  */
 export function toChoiceRequest(
   {pool, facts, rule}: Pick<AdmittedRequest, 'pool' | 'facts' | 'rule'>,
-  servers: Pick<ChoiceRequest, 'servers' | 'holders' | 'tried'>,
+  servers: Pick<ChoiceRequest, 'servers' | 'holders' | 'tried' | 'listed'>,
 ): ChoiceRequest {
   const {sticky, streaming: isStream, targetLatencyMs} = rule.forwarding;
   return {
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -15,6 +15,7 @@
 import {type ServerChoice} from './gateway_choice.js';
 import {EventStream} from './gateway_event_stream.js';
 import {ExchangeAdmission} from './gateway_exchange_admission.js';
+import {ExchangeDispatch} from './gateway_exchange_dispatch.js';
 import {ExchangeServers} from './gateway_exchange_servers.js';
 import {ExchangeLog} from './gateway_exchange_log.js';
 import {
@@ -28,7 +29,7 @@
   type NextStep,
 } from './gateway_outcome.js';
 import {toOutgoing} from './gateway_outgoing_request.js';
-import {PrefillTracker, trackedRequest} from './gateway_prefill_tracker.js';
+import {type PrefillTracker, trackPrefill} from './gateway_prefill_tracker.js';
 import {BufferedFailure} from './gateway_buffered_failure.js';
 import {noteFailedAttempt} from './gateway_failed_attempt.js';
 import {type ServerState} from './gateway_server_state.js';
@@ -49,6 +50,7 @@
   readonly #log: ExchangeLog;
   readonly #servers: ExchangeServers;
   readonly #admission: ExchangeAdmission;
+  readonly #dispatch: ExchangeDispatch;
   readonly #events: EventStream | undefined;
   #attempt: Attempt | undefined;
   #prefill: PrefillTracker | undefined;
@@ -93,7 +95,11 @@
     const {eligible} = this.#servers;
     this.#admission = new ExchangeAdmission(
       req,
-      {overload, eligible},
+      {
+        overload,
+        eligible,
+        errorWithoutServer: () => this.#servers.errorWithoutServer,
+      },
       {
         onStart: () => {
           deps.budget.noteRequest(req.pool.name, this.#now());
@@ -103,14 +109,28 @@
           this.#caller.refuse(error, {retryAfterMs});
           this.#finish(error);
         },
-        onWithoutServer: () => {
-          this.#giveUp(this.#servers.errorWithoutServer);
-        },
-        onDraining: () => {
-          this.#giveUp('notReady');
+        onNotStarted: error => {
+          this.#giveUp(error);
         },
       },
     );
+    this.#dispatch = this.#makeDispatch();
+  }
+
+  #makeDispatch(): ExchangeDispatch {
+    const deps = {
+      ...this.#deps,
+      servers: this.#servers,
+      admission: this.#admission,
+    };
+    return new ExchangeDispatch(deps, {
+      onServer: chosen => {
+        this.#send(chosen);
+      },
+      onNoServer: error => {
+        this.#giveUp(error);
+      },
+    });
   }
 
   /** Starts the first attempt, or queues the request for it. */
@@ -146,32 +166,29 @@
   }
 
   #startAttempt(): void {
-    const now = this.#now();
-    const {facts, rule} = this.#req;
-    const {names, connections, quarantine, warmUp} = this.#deps;
-    if (quarantine.quarantinedForMs(this.#req.fingerprint, now)) {
+    const {fingerprint} = this.#req;
+    if (this.#deps.quarantine.quarantinedForMs(fingerprint, this.#now())) {
       this.abortQuarantined();
       return;
     }
-    const chosen = this.#servers.choose(
-      servers => this.#admission.open(servers, now),
-      now,
-    );
-    if (!chosen) {
-      this.#giveUp(this.#servers.errorWithoutServer);
-      return;
-    }
+    this.#dispatch.start(this.#caller.headSent);
+  }
+
+  /** Sends the request to a server that it has a permit for. */
+  #send(chosen: ServerChoice): void {
+    const now = this.#now();
+    const {facts, rule} = this.#req;
+    const {names, connections, warmUp} = this.#deps;
     const {state} = chosen;
     const {sticky, targetLatencyMs} = rule.forwarding;
     this.#timing = sticky
       ? undefined
       : new ResponseTiming(state, targetLatencyMs, now, rule.kind);
     warmUp.noteSent(state, now);
-    this.#admission.noteSent(state, now);
     this.#signals = undefined;
     this.#wasAvoided = state.isAvoided(now);
     this.#attempts += 1;
-    this.#prefill = this.#trackPrefill(chosen, now);
+    this.#prefill = trackPrefill(this.#req, chosen, this.#deps, now);
     state.inFlight += 1;
     const attempt = new Attempt(state, names, facts.requestId, {
       maySend: () => this.#servers.eligible.maySend(state, this.#now()),
@@ -190,25 +207,19 @@
       },
     });
     this.#attempt = attempt;
-    const lastId = this.#events?.lastId;
-    const outgoing = toOutgoing(this.#req, chosen, {names, lastId, now});
-    attempt.start(outgoing, connections);
-  }
-
-  #trackPrefill({state, fetch}: ServerChoice, now: number): PrefillTracker {
-    const {parts} = this.#req.facts;
-    const tracked = trackedRequest(this.#req);
-    return new PrefillTracker(state, parts, fetch, this.#deps, now, tracked);
+    const outgoing = {names, lastId: this.#events?.lastId, now};
+    attempt.start(toOutgoing(this.#req, chosen, outgoing), connections);
   }
 
   #endAttempt(): ServerState | undefined {
     const state = this.#attempt?.state;
     this.#attempt = undefined;
     this.#incomingFailure = undefined;
-    if (!state) return undefined;
-    this.#prefill?.close();
-    state.inFlight -= 1;
-    this.#admission.noteEnded(this.#now());
+    if (state) {
+      this.#prefill?.close();
+      state.inFlight -= 1;
+    }
+    this.#dispatch.end();
     return state;
   }
 
--- a/packages/lovagepond-gateway/src/gateway_exchange_admission.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_admission.ts
@@ -23,15 +23,15 @@
    * @param retryAfterMs when the caller should retry, milliseconds
    */
   onRefused(error: ErrorKind, retryAfterMs: number): void;
-  /** No server of the pool is left. */
-  onWithoutServer(): void;
-  /** The gateway drains or stops. */
-  onDraining(): void;
+  /** @param error no server of the pool is left, or the gateway drains */
+  onNotStarted(error: ErrorKind): void;
 }
 
 interface ExchangeAdmissionDependencies {
   readonly overload: GatewayOverload;
   readonly eligible: EligibleServers;
+  /** @returns the error when no server is left */
+  readonly errorWithoutServer: () => ErrorKind;
 }
 
 export class ExchangeAdmission implements OverloadRequest {
@@ -221,7 +221,7 @@
   refuse({reason, retryAfterMs}: AdmissionRefusal): void {
     this.#isWaiting = false;
     if (reason === ADMISSION_REFUSAL.NO_SERVER) {
-      this.#listener.onWithoutServer();
+      this.#listener.onNotStarted(this.#deps.errorWithoutServer());
       return;
     }
     this.#listener.onRefused(
@@ -234,12 +234,12 @@
 
   refuseWithoutServer(): void {
     this.#isWaiting = false;
-    this.#listener.onWithoutServer();
+    this.#listener.onNotStarted(this.#deps.errorWithoutServer());
   }
 
   refuseWhileDraining(): void {
     this.#isWaiting = false;
-    this.#listener.onDraining();
+    this.#listener.onNotStarted('notReady');
   }
 }
 
--- /dev/null
+++ b/packages/lovagepond-gateway/src/gateway_exchange_dispatch.ts
@@ -0,0 +1,99 @@
+/**
+ * Finds a server for one attempt and gets its permit, so that all gateways
+ * together keep the server within its load limit.
+ */
+import {type Clock, type ErrorKind} from '@lovagepond/core';
+import {type ServerChoice} from './gateway_choice.js';
+import {type ExchangeAdmission} from './gateway_exchange_admission.js';
+import {ExchangePermit} from './gateway_exchange_permit.js';
+import {type ExchangeServers} from './gateway_exchange_servers.js';
+import {FullServersWait} from './gateway_full_servers_wait.js';
+import {type GatewayPermits} from './gateway_permits.js';
+
+export interface ExchangeDispatchDependencies {
+  readonly clock: Clock;
+  readonly permits: GatewayPermits;
+  readonly servers: ExchangeServers;
+  readonly admission: ExchangeAdmission;
+}
+
+/** Receives the result of a search; one method is called, once. */
+export interface DispatchListener {
+  /** @param chosen a server that the request must be sent to now */
+  onServer(chosen: ServerChoice): void;
+  /** @param error the error if no attempt has run */
+  onNoServer(error: ErrorKind): void;
+}
+
+export class ExchangeDispatch {
+  readonly #deps: ExchangeDispatchDependencies;
+  readonly #listener: DispatchListener;
+  readonly #permit: ExchangePermit;
+  readonly #wait = new FullServersWait();
+  #timer: NodeJS.Timeout | undefined;
+  #hasBegun = false;
+
+  constructor(deps: ExchangeDispatchDependencies, listener: DispatchListener) {
+    this.#deps = deps;
+    this.#listener = listener;
+    this.#permit = new ExchangePermit(deps.permits);
+  }
+
+  /**
+   * Looks for a server of the next attempt.
+   *
+   * @param hasBegun whether the caller has a part of the answer
+   */
+  start(hasBegun: boolean): void {
+    this.#hasBegun = hasBegun;
+    this.#choose();
+  }
+
+  /** Ends the attempt or the search for its server. */
+  end(): void {
+    clearTimeout(this.#timer);
+    const isReserved = this.#permit.isPending || this.#permit.isGranted;
+    const now = this.#deps.clock.now();
+    this.#permit.release(now);
+    if (isReserved) this.#deps.admission.noteEnded(now);
+  }
+
+  #choose(): void {
+    const now = this.#deps.clock.now();
+    const {servers, admission} = this.#deps;
+    const chosen = servers.choose(states => admission.open(states, now), now);
+    if (!chosen) {
+      this.#onNone(now);
+      return;
+    }
+    const {state, assumed} = chosen;
+    admission.noteSent(state, now);
+    this.#permit.acquire(state, assumed.limit, now, isGranted => {
+      if (isGranted) {
+        servers.noteAttempt(chosen);
+        this.#listener.onServer(chosen);
+        return;
+      }
+      admission.noteEnded(this.#deps.clock.now());
+      servers.noteFull(state);
+      this.#choose();
+    });
+  }
+
+  /** Servers that are at their load limit may have room a moment later. */
+  #onNone(now: number): void {
+    const {servers} = this.#deps;
+    const waitMs = servers.hasFull
+      ? this.#wait.next(this.#hasBegun, now)
+      : undefined;
+    if (waitMs === undefined) {
+      const error = servers.hasFull ? 'overloaded' : servers.errorWithoutServer;
+      this.#listener.onNoServer(error);
+      return;
+    }
+    servers.forgetFull();
+    this.#timer = setTimeout(() => {
+      this.#choose();
+    }, waitMs);
+  }
+}
--- a/packages/lovagepond-gateway/src/gateway_exchange_log.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_log.ts
@@ -122,7 +122,7 @@
 }: AssumedLoad): Record<string, number> {
   return {
     assumedLoad: Math.round(load * 10) / 10,
-    loadLimit: Math.round(limit * 10) / 10,
+    ...(Number.isFinite(limit) && {loadLimit: Math.round(limit * 10) / 10}),
     meanOf: servers,
     ...(ageMs !== undefined && {loadAgeMs: Math.round(ageMs)}),
   };
--- a/packages/lovagepond-gateway/src/gateway_exchange_servers.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_servers.ts
@@ -36,6 +36,8 @@
   readonly #deps: ExchangeServersDependencies;
   readonly #binding: StreamBinding;
   readonly #tried = new Set<string>();
+  /** Names of servers that were at their load limit. */
+  readonly #full = new Set<string>();
   readonly #attempted: BackendServer[] = [];
   #assumed: AssumedLoad | undefined;
 
@@ -65,25 +67,42 @@
     return this.#binding.origin ? 'streamVersionGone' : 'noBackendServer';
   }
 
+  /** True if a server was left out as it was at its load limit. */
+  get hasFull(): boolean {
+    return this.#full.size > 0;
+  }
+
   /**
    * @param limit limits the candidates
    * @param now current time, monotonic milliseconds
-   * @returns the server of the next attempt; undefined when none is left
+   * @returns a server for the next attempt; undefined when none is left
    */
   choose(limit: Limit, now: number): ServerChoice | undefined {
+    const {choice, fleet} = this.#deps;
     const {servers: ready, holders} = this.eligible.list(now);
     const {servers, tried} = this.#candidates(ready, now);
-    const candidates = {servers: limit(servers), holders, tried};
-    const chosen = this.#deps.choice.choose(
-      toChoiceRequest(this.#req, candidates),
-      now,
-    );
-    if (!chosen) return undefined;
-    const {server} = chosen.state;
+    const open = servers.filter(({server}) => !this.#full.has(server.name));
+    if (open.length === 0) return undefined;
+    const listed = fleet.listed(this.#req.pool.name);
+    const candidates = {servers: limit(open), holders, listed, tried};
+    return choice.choose(toChoiceRequest(this.#req, candidates), now);
+  }
+
+  /** @param chosen the server that the next attempt uses */
+  noteAttempt({state: {server}, assumed}: ServerChoice): void {
     this.#tried.add(server.name);
     this.#attempted.push(server);
-    this.#assumed = chosen.assumed;
-    return chosen;
+    this.#assumed = assumed;
+  }
+
+  /** @param state a server that is at its load limit */
+  noteFull({server}: ServerState): void {
+    this.#full.add(server.name);
+  }
+
+  /** Has servers chosen again that were at their load limit. */
+  forgetFull(): void {
+    this.#full.clear();
   }
 
   /**
--- a/packages/lovagepond-gateway/src/gateway_exchange_types.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_types.ts
@@ -14,6 +14,7 @@
 import {type GatewayHeaderNames, type RequestFacts} from './gateway_headers.js';
 import {type GatewayOverload} from './gateway_overload.js';
 import {type PrefillTrackerDependencies} from './gateway_prefill_tracker.js';
+import {type GatewayPermits} from './gateway_permits.js';
 import {type GatewayQuarantine} from './gateway_quarantine.js';
 import {type GatewayRetryBudget} from './gateway_retry_budget.js';
 import {type ForwardingRule} from './gateway_routes.js';
@@ -32,6 +33,7 @@
   readonly connections: GatewayConnections;
   readonly quarantine: GatewayQuarantine;
   readonly warmUp: GatewayWarmUp;
+  readonly permits: GatewayPermits;
   readonly counters: GatewayCounters;
   readonly overload: GatewayOverload;
   readonly streams: Pick<GatewayStreams, 'record' | 'find'>;
--- a/packages/lovagepond-gateway/src/gateway_stream_peers.ts
+++ b/packages/lovagepond-gateway/src/gateway_peer_addresses.ts
@@ -1,5 +1,6 @@
 /**
- * The gateways that keep records of streams for each other.
+ * Addresses of the gateways that exchange datagrams, and their rendezvous order
+ * for a key.
  */
 import {type HashKey, type KeyHasher} from '@lovagepond/router/rendezvous_hash';
 import {type lovagepond} from '@lovagepond/protocol';
@@ -13,7 +14,10 @@
  */
 const RETENTION_MS = 10_000;
 
-interface StreamPeer {
+/** Stands for this gateway among the addresses of all. */
+export const SELF = '';
+
+interface Peer {
   readonly address: string;
   /** Hash of its name. */
   readonly hash: number;
@@ -21,10 +25,11 @@
   readonly goneAt: number | undefined;
 }
 
-export class StreamPeers {
+export class PeerAddresses {
   readonly #self: string;
   readonly #hasher: KeyHasher;
-  readonly #peers = new Map<string, StreamPeer>();
+  readonly #selfHash: number;
+  readonly #peers = new Map<string, Peer>();
   #listedAddress: string | undefined;
 
   /**
@@ -34,6 +39,7 @@
   constructor(self: string, hasher: KeyHasher) {
     this.#self = self;
     this.#hasher = hasher;
+    this.#selfHash = hasher.hash(self).low;
   }
 
   /** The address that control lists for this gateway, if any. */
@@ -84,10 +90,10 @@
   }
 
   /**
-   * @param key a stream's key
+   * @param key any key
    * @param count number of gateways
-   * @returns addresses of the other gateways that keep the stream's record, in
-   *     the same order at each gateway with the same list
+   * @returns the first addresses of other gateways in the order of the key, which
+   *     is the same at each gateway with the same list
    */
   rank(key: HashKey, count: number): string[] {
     return [...this.#peers.values()]
@@ -96,6 +102,28 @@
       .slice(0, count)
       .map(({address}) => address);
   }
+
+  /**
+   * @param key any key
+   * @returns the addresses of all gateways in the order of the key, with
+   *     {@link SELF} for this one
+   */
+  *rankAll({low}: HashKey): Generator<string, void> {
+    const left = [...this.#peers.values()].map(({address, hash}) => ({
+      address,
+      rank: mix(low ^ hash),
+    }));
+    left.push({address: SELF, rank: mix(low ^ this.#selfHash)});
+    while (left.length > 0) {
+      let first = 0;
+      for (const [at, {rank}] of left.entries()) {
+        if (rank > (left[first]?.rank ?? 0)) first = at;
+      }
+      const [next] = left.splice(first, 1);
+      if (next) yield next.address;
+    }
+  }
+
   #set(node: string, address: string): void {
     const {low: hash} = this.#hasher.hash(node);
     this.#peers.set(node, {address, hash, goneAt: undefined});
--- a/packages/lovagepond-gateway/src/gateway_stream_socket.ts
+++ b/packages/lovagepond-gateway/src/gateway_peer_socket.ts
@@ -8,35 +8,35 @@
 import {isIP, isIPv6} from 'node:net';
 import {type Clock, type Logger} from '@lovagepond/core';
 
-/** Interval of {@link StreamSocketListener.onTick}, milliseconds. */
+/** Interval of {@link PeerSocketListener.onTick}, milliseconds. */
 const TICK_MS = 10;
 
-export interface StreamSocketSettings {
+export interface PeerSocketSettings {
   readonly host: string;
   /** 0 lets the system choose. */
   readonly port: number;
 }
 
 /** Receives the socket's events. */
-export interface StreamSocketListener {
+export interface PeerSocketListener {
   onDatagram(bytes: Uint8Array, from: string, now: number): void;
   /** @returns false when no further call is needed */
   onTick(now: number): boolean;
 }
 
-export class StreamSocket {
-  readonly #settings: StreamSocketSettings;
+export class PeerSocket {
+  readonly #settings: PeerSocketSettings;
   readonly #clock: Clock;
   readonly #log: Logger;
-  readonly #listener: StreamSocketListener;
+  readonly #listener: PeerSocketListener;
   #socket: Socket | undefined;
   #timer: NodeJS.Timeout | undefined;
   #address = '';
 
   constructor(
-    settings: StreamSocketSettings,
+    settings: PeerSocketSettings,
     {clock, log}: {readonly clock: Clock; readonly log: Logger},
-    listener: StreamSocketListener,
+    listener: PeerSocketListener,
   ) {
     this.#settings = settings;
     this.#clock = clock;
--- a/packages/lovagepond-gateway/src/gateway_prefill_tracker.ts
+++ b/packages/lovagepond-gateway/src/gateway_prefill_tracker.ts
@@ -3,6 +3,7 @@
  * computed, when they will be done, and the observed rate.
  */
 import {type ServerCapacity, type ServerLoadView} from '@lovagepond/load';
+import {type ServerChoice} from './gateway_choice.js';
 import {type ContextFetch} from './gateway_context_source.js';
 import {type AdmittedRequest} from './gateway_exchange_types.js';
 import {type PromptPart} from './gateway_headers.js';
@@ -226,3 +227,27 @@
     hasAdmission: pool.admission !== undefined,
   };
 }
+
+/**
+ * @param req a request that is sent now
+ * @param chosen its server, and where that fetches the prompt's context from
+ * @param deps dependencies shared by all trackers
+ * @param now current time, monotonic milliseconds
+ * @returns the tracker of its prompt
+ */
+export function trackPrefill(
+  req: AdmittedRequest,
+  {state, fetch}: Pick<ServerChoice, 'state' | 'fetch'>,
+  deps: PrefillTrackerDependencies,
+  now: number,
+): PrefillTracker {
+  const {parts} = req.facts;
+  return new PrefillTracker(
+    state,
+    parts,
+    fetch,
+    deps,
+    now,
+    trackedRequest(req),
+  );
+}
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -25,7 +25,9 @@
 import {GatewayCounters} from './gateway_counters.js';
 import {GatewayFleet} from './gateway_fleet.js';
 import {type GatewayHeaderNames} from './gateway_headers.js';
+import {GatewayPeerLink} from './gateway_peer_link.js';
 import {GatewayPeers} from './gateway_peers.js';
+import {type GatewayPermits, makePermits} from './gateway_permits.js';
 import {PrefillRate} from './gateway_prefill_rate.js';
 import {GatewayQuarantine} from './gateway_quarantine.js';
 import {GatewayLoadReports} from './gateway_load_reports.js';
@@ -85,7 +87,9 @@
   readonly #link: ControlLink;
   #membership = EMPTY_MEMBERSHIP;
   #server: GatewayServer | undefined;
+  #peerLink: GatewayPeerLink | undefined;
   #streams: GatewayStreams | undefined;
+  #permits: GatewayPermits | undefined;
   #timer: NodeJS.Timeout | undefined;
   #reportTimer: NodeJS.Timeout | undefined;
   #confirmationSentAt = Number.NEGATIVE_INFINITY;
@@ -116,6 +120,7 @@
       this.#connections.keepOnly(listed);
       this.#warmUp.keepOnly(listed);
       this.#overload.keepOnly(listed);
+      this.#permits?.useListed(listed);
       this.#deps.log.info('backend servers changed', {
         version: this.#membership.version,
         servers: this.#fleet.size,
@@ -124,7 +129,7 @@
     },
     load: () => {},
     streamPeers: ({streamPeers}) => {
-      if (streamPeers) this.#streams?.usePeers(streamPeers);
+      if (streamPeers) this.#peerLink?.usePeers(streamPeers);
     },
     readings: ({readings}, now) => {
       if (readings) this.#loadReports.apply(readings, now);
@@ -188,12 +193,16 @@
     const {clock, log, random, names} = this.#deps;
     const hasher = await loadKeyHasher();
     const {availabilityZone, name, host, peerHost, peerPort} = this.#settings;
-    const streams = new GatewayStreams(
+    const link = new GatewayPeerLink(
       {name, host: peerHost ?? host, port: peerPort ?? 0},
       {clock, log, hasher},
     );
+    this.#peerLink = link;
+    const streams = new GatewayStreams(link, hasher);
     this.#streams = streams;
-    await streams.start();
+    const permits = makePermits(link, this.#fleet, {hasher, random});
+    this.#permits = permits;
+    await link.start();
     const choiceSettings = {availabilityZone, rate: this.#rate};
     this.#server = new GatewayServer(this.#settings, {
       clock,
@@ -207,6 +216,7 @@
       connections: this.#connections,
       quarantine: this.#quarantine,
       warmUp: this.#warmUp,
+      permits,
       counters: this.#counters,
       overload: this.#overload,
       streams,
@@ -219,13 +229,13 @@
       this.#tick();
     }, TICK_MS);
     this.#reportTimer = setInterval(() => {
-      this.#sendReport(streams, clock.now());
+      this.#sendReport(link, clock.now());
     }, REPORT_INTERVAL_MS);
   }
 
-  #sendReport(streams: GatewayStreams, now: number): void {
+  #sendReport(link: GatewayPeerLink, now: number): void {
     const report = this.#loadReports.takeReport(now);
-    const streamAddress = streams.takeAddress(now);
+    const streamAddress = link.takeAddress(now);
     if (!report && streamAddress === undefined) return;
     this.#link.reportReadings({
       ...report,
@@ -258,7 +268,7 @@
     clearInterval(this.#reportTimer);
     this.#link.stop();
     this.#server?.stop();
-    this.#streams?.stop();
+    this.#peerLink?.stop();
     this.#connections.close();
     return Promise.resolve();
   }
@@ -289,6 +299,7 @@
       connectionsIdle: this.#connections.idle,
       admission: this.#overload.describe(at.now),
       streams: this.#streams?.describe(),
+      permits: this.#permits?.describe(),
     };
     return {version: DUMP_VERSION, role: 'gateway', state};
   }
@@ -305,7 +316,9 @@
       this.#link.restart('member lags behind the confirmed revision');
     }
     this.#fleet.expire(at.now);
+    this.#peerLink?.expire(at.now);
     this.#streams?.expire(at.now);
+    this.#permits?.refresh(at.now);
     this.#quarantine.tick(at.now);
     if (at.now - this.#confirmationSentAt < this.#confirmIntervalMs(at)) return;
     this.#confirmRevision(at);
--- a/packages/lovagepond-gateway/src/gateway_server_state.ts
+++ b/packages/lovagepond-gateway/src/gateway_server_state.ts
@@ -26,6 +26,13 @@
  */
 const REMOTE_LOAD_HALF_LIFE_MS = 700;
 
+/**
+ * Validity of the requests that an issuer of permits has counted, milliseconds.
+ * They were counted when a request was about to be sent, so they are no sample of
+ * the usual load.
+ */
+const COUNT_VALID_MS = 100;
+
 /** First and longest backoff, milliseconds; each failure doubles it. */
 const INITIAL_BACKOFF_MS = 250;
 const MAX_BACKOFF_MS = 4_000;
@@ -52,6 +59,8 @@
   #capacity: ServerCapacity;
   /** This gateway's requests in flight there. */
   inFlight = 0;
+  /** This gateway's requests that wait for a permit there. */
+  awaitingPermit = 0;
   /** Tokens of this gateway's requests that are without their first token. */
   pendingPrefillTokens = 0;
   /** Those of them that the server has yet to compute, as predicted. */
@@ -63,6 +72,8 @@
   #reportedWaiting: number | undefined;
   #remoteAtReport = 0;
   readonly #remote = new RemoteRequests();
+  #countedOthers = 0;
+  #countedAt = Number.NEGATIVE_INFINITY;
   #reportedAt = Number.NEGATIVE_INFINITY;
   #remotePrefillUntil = Number.NEGATIVE_INFINITY;
   /** Rate that the time until then was estimated with, tokens per ms. */
@@ -181,7 +192,36 @@
     const age = now - this.#reportedAt;
     const remote =
       this.#remoteAtReport * 0.5 ** (age / REMOTE_LOAD_HALF_LIFE_MS);
-    return this.inFlight + Math.max(remote, this.#remote.requests);
+    const own = this.inFlight + this.awaitingPermit;
+    return own + Math.max(remote, this.#remote.requests);
+  }
+
+  /**
+   * Requests there of all gateways, as the others have reported theirs, without
+   * those that wait for a permit.
+   */
+  get requests(): number {
+    return this.inFlight + this.#remote.requests;
+  }
+
+  /**
+   * @param now current time, monotonic milliseconds
+   * @returns requests there of all gateways, as the issuer of the server's permits
+   *     has counted them just now or, failing that, as these have reported
+   */
+  knownRequests(now: number): number {
+    const isCurrent = now - this.#countedAt < COUNT_VALID_MS;
+    return isCurrent ? this.inFlight + this.#countedOthers : this.requests;
+  }
+
+  /**
+   * @param load requests of all gateways there, as its issuer of permits has
+   *     counted
+   * @param now current time, monotonic milliseconds
+   */
+  noteCountedLoad(load: number, now: number): void {
+    this.#countedOthers = Math.max(0, load - this.inFlight);
+    this.#countedAt = now;
   }
 
   /**
@@ -380,7 +420,8 @@
     now = prefilledAt,
     sizes?: PartSizes,
   ): void {
-    const otherRequests = this.load(now) - this.inFlight;
+    const own = this.inFlight + this.awaitingPermit;
+    const otherRequests = this.load(now) - own;
     const cacheTokens = this.usesCapacity
       ? this.memory.cacheTokens(otherRequests)
       : undefined;
--- a/packages/lovagepond-gateway/src/gateway_stream_directory.ts
+++ b/packages/lovagepond-gateway/src/gateway_stream_directory.ts
@@ -7,15 +7,17 @@
  * on control. Without a record, the stream is not resumed.
  */
 import {type HashKey, type KeyHasher} from '@lovagepond/router/rendezvous_hash';
-import {lovagepond} from '@lovagepond/protocol';
+import {type lovagepond} from '@lovagepond/protocol';
 import {type StreamOrigin} from './gateway_stream_origin.js';
-import {type StreamPeers} from './gateway_stream_peers.js';
+import {type PeerAddresses} from './gateway_peer_addresses.js';
+import {
+  encodeDatagram,
+  type WirePeerDatagram,
+} from './gateway_peer_datagrams.js';
+import {type PeerDatagramHandler} from './gateway_peer_link.js';
 import {StreamRecords, textOfKey} from './gateway_stream_records.js';
 
-const {v1} = lovagepond;
-
-type WireDatagram = lovagepond.v1.StreamDatagram.$Properties;
-type WireKey = lovagepond.v1.StreamKey.$Properties;
+type WireKey = lovagepond.v1.HashKey.$Properties;
 type WireOrigin = lovagepond.v1.StreamOrigin.$Properties;
 
 /** Other gateways that get a record of each stream. */
@@ -51,9 +53,6 @@
  */
 const KEPT_TIMEOUTS = 3;
 
-/** Largest datagram that is read, bytes. */
-const MAX_DATAGRAM_BYTES = 2_048;
-
 /** Counts since the start. */
 export interface StreamDirectoryCounts {
   /** Lookups answered from this gateway's own records. */
@@ -67,7 +66,7 @@
 /** The effects of the directory. */
 export interface StreamDirectoryDependencies {
   readonly hasher: KeyHasher;
-  readonly peers: StreamPeers;
+  readonly peers: PeerAddresses;
   /** Sends a datagram, which may be lost. */
   readonly send: (address: string, bytes: Uint8Array) => void;
 }
@@ -86,7 +85,7 @@
   isRepeated: boolean;
 }
 
-export class StreamDirectory {
+export class StreamDirectory implements PeerDatagramHandler {
   readonly #deps: StreamDirectoryDependencies;
   readonly #records = new StreamRecords();
   readonly #lookups = new Map<string, Lookup>();
@@ -137,7 +136,7 @@
   ): void {
     const keepS = clampKeepS((KEPT_TIMEOUTS * timeoutMs) / 1_000);
     this.#records.add(key, origin, now + keepS * 1_000);
-    const bytes = encode({record: {key, origin, keepS}});
+    const bytes = encodeDatagram({record: {key, origin, keepS}});
     const {peers, send} = this.#deps;
     for (const address of peers.rank(key, RECORD_COPIES)) send(address, bytes);
   }
@@ -184,8 +183,9 @@
    * lookups are pending.
    *
    * @param now current time, monotonic milliseconds
+   * @returns true while lookups are pending
    */
-  tick(now: number): void {
+  tick(now: number): boolean {
     for (const lookup of this.#lookups.values()) {
       if (now - lookup.startedAt >= LOOKUP_LIMIT_MS) {
         this.#end(lookup, undefined);
@@ -193,6 +193,7 @@
         this.#query(lookup);
       }
     }
+    return this.pending > 0;
   }
 
   /**
@@ -202,19 +203,18 @@
    */
   expire(now: number): void {
     this.#records.expire(now);
-    this.#deps.peers.expire(now);
   }
 
   /**
-   * Handles a datagram; one that can't be read is ignored.
-   *
-   * @param bytes the datagram
+   * @param datagram the datagram of another gateway
    * @param from address of its sender
    * @param now current time, monotonic milliseconds
    */
-  receive(bytes: Uint8Array, from: string, now: number): void {
-    if (bytes.length > MAX_DATAGRAM_BYTES) return;
-    const {record, query, answer} = decode(bytes) ?? {};
+  receive(
+    {record, query, answer}: WirePeerDatagram,
+    from: string,
+    now: number,
+  ): void {
     if (record) this.#onRecord(record, now);
     if (query) this.#onQuery(query, from, now);
     if (answer) this.#onAnswer(answer, from, now);
@@ -237,7 +237,7 @@
     if (!key) return;
     const origin = this.#records.find(readKey(key), now);
     const answer = {key, ...(origin && {origin})};
-    this.#deps.send(from, encode({answer}));
+    this.#deps.send(from, encodeDatagram({answer}));
   }
 
   #onAnswer(
@@ -266,7 +266,7 @@
     lookup.queries += 1;
     lookup.nextQueryAt =
       startedAt + (QUERY_TIMES_MS[queries] ?? Number.POSITIVE_INFINITY);
-    const bytes = encode({query: {key}});
+    const bytes = encodeDatagram({query: {key}});
     for (const address of asked.keys()) {
       asked.set(address, false);
       this.#deps.send(address, bytes);
@@ -292,15 +292,3 @@
 function readOrigin({pool, version}: WireOrigin): StreamOrigin {
   return {pool: pool ?? '', version: version ?? ''};
 }
-
-function encode(datagram: WireDatagram): Uint8Array {
-  return v1.StreamDatagram.encode(datagram).finish();
-}
-
-function decode(bytes: Uint8Array): WireDatagram | undefined {
-  try {
-    return v1.StreamDatagram.decode(bytes);
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/lovagepond-measure/src/gateway_simulation_types.ts
+++ b/packages/lovagepond-measure/src/gateway_simulation_types.ts
@@ -153,6 +153,10 @@
   readonly noLoadHeader?: boolean;
   /** The load bound excludes no server. */
   readonly noBound?: boolean;
+  /** Each gateway keeps the load bound alone. */
+  readonly noPermits?: boolean;
+  /** Share of the datagrams between gateways that are lost. */
+  readonly datagramLoss?: number;
 }
 
 /** Settings of one simulation. */
