--- a/packages/lovagepond-gateway/src/gateway_peer_addresses.ts
+++ b/packages/lovagepond-gateway/src/gateway_peer_addresses.ts
@@ -96,32 +96,18 @@
    *     is the same at each gateway with the same list
    */
   rank(key: HashKey, count: number): string[] {
-    return [...this.#peers.values()]
-      .map(({address, hash}) => ({address, rank: mix(key.low ^ hash)}))
-      .sort((a, b) => b.rank - a.rank)
-      .slice(0, count)
-      .map(({address}) => address);
+    return rank([...this.#peers.values()], key, count);
   }
 
   /**
    * @param key any key
-   * @returns the addresses of all gateways in the order of the key, with
+   * @param count number of gateways
+   * @returns the first addresses of all gateways in the order of the key, with
    *     {@link SELF} for this one
    */
-  *rankAll({low}: HashKey): Generator<string, void> {
-    const left = [...this.#peers.values()].map(({address, hash}) => ({
-      address,
-      rank: mix(low ^ hash),
-    }));
-    left.push({address: SELF, rank: mix(low ^ this.#selfHash)});
-    while (left.length > 0) {
-      let first = 0;
-      for (const [at, {rank}] of left.entries()) {
-        if (rank > (left[first]?.rank ?? 0)) first = at;
-      }
-      const [next] = left.splice(first, 1);
-      if (next) yield next.address;
-    }
+  rankAll(key: HashKey, count: number): string[] {
+    const self = {address: SELF, hash: this.#selfHash};
+    return rank([...this.#peers.values(), self], key, count);
   }
 
   #set(node: string, address: string): void {
@@ -130,6 +116,27 @@
   }
 }
 
+/** @returns the first addresses in the rendezvous order of the key */
+function rank(
+  peers: readonly Pick<Peer, 'address' | 'hash'>[],
+  {low}: HashKey,
+  count: number,
+): string[] {
+  const left = peers.map(({address, hash}) => ({
+    address,
+    rank: mix(low ^ hash),
+  }));
+  const first: string[] = [];
+  while (first.length < count && left.length > 0) {
+    let highest = 0;
+    for (const [at, one] of left.entries()) {
+      if (one.rank > (left[highest]?.rank ?? 0)) highest = at;
+    }
+    for (const {address} of left.splice(highest, 1)) first.push(address);
+  }
+  return first;
+}
+
 /** @returns the value with all bits mixed, as the last step of MurmurHash3 */
 function mix(value: number): number {
   let mixed = Math.imul(value ^ (value >>> 16), 0x85ebca6b);
--- a/packages/lovagepond-gateway/src/gateway_permits.ts
+++ b/packages/lovagepond-gateway/src/gateway_permits.ts
@@ -31,9 +31,12 @@
 /** Time after which another issuer is asked, milliseconds. */
 const REPLY_TIMEOUT_MS = 40;
 
-/** Other gateways that are asked before this one decides. */
+/** Other gateways that are asked for one request before this one decides. */
 const MAX_ASKED = 2;
 
+/** The first gateways in a server's order, which may issue its permits. */
+const MAX_ISSUERS = 3;
+
 /** Time for which an issuer isn't asked after it did not reply, milliseconds. */
 const SILENT_MS = 3_000;
 
@@ -310,14 +313,14 @@
     const {peers, reportedLoad} = this.#deps;
     const view = {
       reportedLoad: name === undefined ? 0 : reportedLoad(name),
-      isFirst: peers.rankAll(req.server).next().value === SELF,
+      isFirst: peers.rankAll(req.server, 1).includes(SELF),
     };
     return this.#issuer.decide(gateway, req, view, now);
   }
 
-  /** @returns the first issuer in the server's order that may reply */
+  /** @returns the first issuer of a server that may reply, or this gateway */
   #issuerOf(key: HashKey, now: number, asked: readonly string[] = []): string {
-    for (const issuer of this.#deps.peers.rankAll(key)) {
+    for (const issuer of this.#deps.peers.rankAll(key, MAX_ISSUERS)) {
       const isSilent = (this.#silentUntil.get(issuer) ?? 0) > now;
       if (!isSilent && !asked.includes(issuer)) return issuer;
     }
