Keep serving within the load bound without news from control

Requests of other gateways are forgotten 3 s after the last report. The numbers at each server stay exact, as issuers count them; only the mean is old.

--- a/packages/lovagepond-cli/src/role_metrics.ts
+++ b/packages/lovagepond-cli/src/role_metrics.ts
@@ -295,6 +295,18 @@
     help: 'Other gateways that share records of streams with this one.',
     path: ['streams', 'peers'],
   },
+  {
+    kind: 'counter',
+    name: 'lovagepond_gateway_permits_total',
+    help: 'Decisions on permits that this gateway asked for.',
+    labelledObjects: {paths: [['permits', 'decisions']], label: 'decision'},
+  },
+  {
+    kind: 'gauge',
+    name: 'lovagepond_gateway_permit_servers',
+    help: 'Backend servers whose requests this gateway counts for all gateways.',
+    path: ['permits', 'issuedServers'],
+  },
   SUSPECTED_REQUESTS,
   ...ADMISSION_METRICS,
 ];
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_permits.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_permits.test.ts
@@ -88,8 +88,7 @@
     network.reported.set('s', 2);
     const name = network.issuersOf('s')[5] ?? '';
     expect(network.acquire(name, 's', 3)).toEqual({granted: true, load: 3});
-    const {unanswered} = network.at(name).describe();
-    expect(unanswered).toBe(1);
+    expect(network.at(name).describe().decisions.unanswered).toBe(1);
   });
 
   // A second wait for each request would make all of them late.
--- a/packages/lovagepond-gateway/src/gateway_load_limit.ts
+++ b/packages/lovagepond-gateway/src/gateway_load_limit.ts
@@ -24,6 +24,13 @@
  */
 const SMOOTHING_MS = 1_000;
 
+/**
+ * Time without a report through control after which the other gateways' requests
+ * are taken to be as many as before, milliseconds. Otherwise a gateway that hears
+ * nothing would take the pool for idle, and refuse most of its requests.
+ */
+const REPORTS_LOST_MS = 1_500;
+
 /** The requests of a pool, as known here. */
 export interface PoolLoad {
   /** Servers of which the mean is taken. */
@@ -38,14 +45,16 @@
   limitOf(state: ServerState): number;
 }
 
-interface SmoothedTotal {
-  value: number;
+interface PoolHistory {
+  smoothed: number;
   at: number;
+  /** Requests of the other gateways when control last reported some. */
+  reported: number;
 }
 
 /** Follows the requests of all pools. */
 export class LoadLimits {
-  readonly #smoothed = new Map<string, SmoothedTotal>();
+  readonly #pools = new Map<string, PoolHistory>();
 
   /**
    * The mean is that of the whole pool: servers that drain, pause or warm up count
@@ -64,8 +73,10 @@
   ): PoolLoad {
     const healthy = listed.filter(state => !state.isAvoided(now));
     const servers = healthy.length > 0 ? healthy.length : listed.length;
-    const known = listed.reduce((sum, {requests}) => sum + requests, 0);
-    const total = Math.min(known, this.#smooth(name, known, now));
+    const own = listed.reduce((sum, {inFlight}) => sum + inFlight, 0);
+    const history = this.#historyOf(name, now);
+    const known = own + reportedOf(listed, history, now);
+    const total = Math.min(known, smooth(history, known, now));
     const boundPart = loadBound / Math.max(1, servers);
     return {
       servers,
@@ -78,12 +89,33 @@
     };
   }
 
-  #smooth(pool: string, total: number, now: number): number {
-    const smoothed = this.#smoothed.get(pool) ?? {value: total, at: now};
-    this.#smoothed.set(pool, smoothed);
-    const weight = 1 - Math.exp((smoothed.at - now) / SMOOTHING_MS);
-    smoothed.value += weight * (total - smoothed.value);
-    smoothed.at = now;
-    return smoothed.value;
+  #historyOf(pool: string, now: number): PoolHistory {
+    const known = this.#pools.get(pool);
+    if (known) return known;
+    const created = {smoothed: NaN, at: now, reported: 0};
+    this.#pools.set(pool, created);
+    return created;
   }
 }
+
+/** @returns the requests of the other gateways at all servers of the pool */
+function reportedOf(
+  listed: readonly ServerState[],
+  history: PoolHistory,
+  now: number,
+): number {
+  const reported = listed.reduce((sum, one) => sum + one.reportedRequests, 0);
+  const reportedAt = Math.max(...listed.map(one => one.requestsReportedAt));
+  if (now - reportedAt <= REPORTS_LOST_MS) history.reported = reported;
+  return Math.max(reported, history.reported);
+}
+
+/** @returns the exponentially smoothed number of requests */
+function smooth(history: PoolHistory, total: number, now: number): number {
+  const weight = 1 - Math.exp((history.at - now) / SMOOTHING_MS);
+  history.smoothed = Number.isNaN(history.smoothed)
+    ? total
+    : history.smoothed + weight * (total - history.smoothed);
+  history.at = now;
+  return history.smoothed;
+}
--- a/packages/lovagepond-gateway/src/gateway_permits.ts
+++ b/packages/lovagepond-gateway/src/gateway_permits.ts
@@ -54,6 +54,13 @@
   readonly unanswered: number;
 }
 
+/** State for metrics and the state dump. */
+export interface GatewayPermitsState {
+  readonly decisions: PermitCounts;
+  /** Servers whose requests this gateway counts. */
+  readonly issuedServers: number;
+}
+
 export interface GatewayPermitsDependencies {
   readonly hasher: KeyHasher;
   readonly random: Random;
@@ -192,9 +199,8 @@
     }
   }
 
-  /** State for metrics and the state dump. */
-  describe(): PermitCounts & {readonly issuedServers: number} {
-    return {...this.#counts, issuedServers: this.#issuer.size};
+  describe(): GatewayPermitsState {
+    return {decisions: {...this.#counts}, issuedServers: this.#issuer.size};
   }
 
   #refreshOne(own: OwnRequests, now: number): void {
--- a/packages/lovagepond-gateway/src/gateway_server_state.ts
+++ b/packages/lovagepond-gateway/src/gateway_server_state.ts
@@ -196,12 +196,22 @@
     return own + Math.max(remote, this.#remote.requests);
   }
 
+  /** Requests of the other gateways there, as these have reported them. */
+  get reportedRequests(): number {
+    return this.#remote.requests;
+  }
+
+  /** When other gateways' requests there were last reported, monotonic ms. */
+  get requestsReportedAt(): number {
+    return this.#remote.reportedAt;
+  }
+
   /**
    * Requests there of all gateways, as the others have reported theirs, without
    * those that wait for a permit.
    */
   get requests(): number {
-    return this.inFlight + this.#remote.requests;
+    return this.inFlight + this.reportedRequests;
   }
 
   /**
--- a/packages/lovagepond-measure/src/gateway_simulation.ts
+++ b/packages/lovagepond-measure/src/gateway_simulation.ts
@@ -22,9 +22,9 @@
 import {
   type Disturbance,
   type GatewaySimulationSettings,
-  type LengthDistribution,
   type SimulatedRequestKind,
 } from './gateway_simulation_types.js';
+import {drawLength} from './simulated_lengths.js';
 import {SimulatedDatagrams} from './simulated_datagrams.js';
 import {SimulatedGateway, type SimulatedRequest} from './simulated_gateway.js';
 import {ENGINES, makePools, SERVICES} from './simulated_pools.js';
@@ -77,6 +77,7 @@
   #lastId = 0;
   #rateFactor = 1;
   #hotShare = 0;
+  #isControlSilent = false;
 
   /**
    * @param settings the load, the variant, the disturbances and the seed
@@ -121,6 +122,12 @@
     );
   }
 
+  /** Datagrams between gateways and their bytes so far, without headers. */
+  get datagrams(): {readonly sent: number; readonly bytes: number} {
+    const {sent, bytes} = this.#datagrams;
+    return {sent, bytes};
+  }
+
   /** @returns the results */
   run(): GatewaySimulationResult {
     const {load, disturbances, endMs} = this.#settings;
@@ -198,6 +205,12 @@
       const added = Math.round(share * this.#engines.size);
       for (let at = 0; at < added; at += 1) this.#addEngine();
     },
+    controlSilence: ({forMs}) => {
+      this.#isControlSilent = true;
+      this.#time.after(forMs, () => {
+        this.#isControlSilent = false;
+      });
+    },
     restart: ({downMs}) => {
       for (const gateway of this.#gateways) {
         gateway.restart();
@@ -342,6 +355,7 @@
   #relayReport(sentReport: ReadingReport): void {
     const {now} = this.#time;
     const {variant} = this.#settings;
+    if (this.#isControlSilent) return;
     this.#totals.record(sentReport, now);
     const report = variant.individualReports
       ? sentReport
@@ -355,6 +369,7 @@
   #sendTotals(): void {
     const {now} = this.#time;
     if (this.#settings.variant.individualReports) return;
+    if (this.#isControlSilent) return;
     this.#totals.expireReports(now);
     this.#gateways.forEach(({readings}, at) => {
       const running = this.#feeds[at]?.next(this.#totals, now) ?? [];
@@ -385,8 +400,8 @@
       kind,
       at: this.#time.now,
       parts: prompt ? this.#drawParts(kind, prompt) : [],
-      events: prompt ? Math.max(1, this.#drawLength(prompt.events)) : 0,
-      workMs: workMs ? this.#drawLength(workMs) : 0,
+      events: prompt ? Math.max(1, drawLength(this.#random, prompt.events)) : 0,
+      workMs: workMs ? drawLength(this.#random, workMs) : 0,
     };
   }
 
@@ -401,20 +416,16 @@
     const parts = shared.map(({tokens, count}, level) => {
       const index = leafIndex % count;
       const id = `${name}.${level}.${index}`;
-      const length = this.#partLengths.get(id) ?? this.#drawLength(tokens);
+      const length =
+        this.#partLengths.get(id) ?? drawLength(this.#random, tokens);
       this.#partLengths.set(id, length);
       return {id, tokens: length};
     });
     this.#lastId += 1;
-    const ownPart = {id: `own.${this.#lastId}`, tokens: this.#drawLength(own)};
+    const ownPart = {
+      id: `own.${this.#lastId}`,
+      tokens: drawLength(this.#random, own),
+    };
     return [...parts, ownPart];
   }
-
-  /** Log-normal; the sum of twelve uniform draws is approximately normal. */
-  #drawLength({mean, spread, max}: LengthDistribution): number {
-    let normal = -6;
-    for (let draw = 0; draw < 12; draw += 1) normal += this.#random.next();
-    const drawn = mean * Math.exp(spread * normal - spread ** 2 / 2);
-    return Math.max(1, Math.round(Math.min(max, drawn)));
-  }
 }
--- a/packages/lovagepond-measure/src/gateway_simulation_types.ts
+++ b/packages/lovagepond-measure/src/gateway_simulation_types.ts
@@ -119,6 +119,12 @@
     }
   /** Engines with empty caches are added. */
   | {readonly kind: 'scaleOut'; readonly atMs: number; readonly share: number}
+  /** Control relays nothing that gateways report. */
+  | {
+      readonly kind: 'controlSilence';
+      readonly atMs: number;
+      readonly forMs: number;
+    }
   /** All gateways restart and lose their state. */
   | {readonly kind: 'restart'; readonly atMs: number; readonly downMs: number};
 
--- a/packages/lovagepond-measure/src/simulated_datagrams.ts
+++ b/packages/lovagepond-measure/src/simulated_datagrams.ts
@@ -14,6 +14,9 @@
   readonly #random: Random;
   readonly #loss: number;
   #gateways: ReadonlyMap<string, SimulatedGateway> = new Map();
+  /** Datagrams sent so far, and their bytes without headers. */
+  sent = 0;
+  bytes = 0;
 
   /**
    * @param time virtual clock
@@ -42,6 +45,8 @@
 
   /** Sends a datagram, which a gateway that is down doesn't receive. */
   send(from: string, to: string, bytes: Uint8Array): void {
+    this.sent += 1;
+    this.bytes += bytes.length;
     if (this.#loss > 0 && this.#random.next() < this.#loss) return;
     const datagram = decodeDatagram(bytes);
     const gateway = this.#gateways.get(to);
