--- a/packages/lovagepond-measure/src/gateway_simulation.ts
+++ b/packages/lovagepond-measure/src/gateway_simulation.ts
@@ -24,7 +24,7 @@
   type GatewaySimulationSettings,
   type SimulatedRequestKind,
 } from './gateway_simulation_types.js';
-import {drawLength} from './simulated_lengths.js';
+import {drawItems, drawLength} from './simulated_draws.js';
 import {SimulatedDatagrams} from './simulated_datagrams.js';
 import {SimulatedGateway, type SimulatedRequest} from './simulated_gateway.js';
 import {ENGINES, makePools, SERVICES} from './simulated_pools.js';
@@ -175,7 +175,7 @@
     failing: ({share, forMs, part}) => {
       const failing = [
         ...this.#drawEngines(share).map(name => this.#engines.get(name)),
-        ...this.#drawItems([...this.#services.values()], share),
+        ...drawItems(this.#random, [...this.#services.values()], share),
       ];
       for (const server of failing) if (server) server.failureShare = part;
       this.#time.after(forMs, () => {
@@ -183,7 +183,7 @@
       });
     },
     slow: ({share, forMs, times}) => {
-      const slow = this.#drawItems([...this.#services.values()], share);
+      const slow = drawItems(this.#random, [...this.#services.values()], share);
       for (const server of slow) server.slowness = times;
       this.#time.after(forMs, () => {
         for (const server of slow) server.slowness = 1;
@@ -235,17 +235,7 @@
       .filter(({server, leaving}) => server.pool === ENGINES && !leaving)
       .map(({server}) => server.name)
       .filter(name => this.#engines.get(name)?.isUp);
-    return this.#drawItems(staying, share);
-  }
-
-  #drawItems<Item>(items: readonly Item[], share: number): readonly Item[] {
-    const left = [...items];
-    const drawn: Item[] = [];
-    const count = Math.max(1, Math.round(share * items.length));
-    while (drawn.length < count && left.length > 0) {
-      drawn.push(...left.splice(this.#random.below(left.length), 1));
-    }
-    return drawn;
+    return drawItems(this.#random, staying, share);
   }
 
   #replace(name: string): void {
