Smooth the number of requests by time, not by a gateway's own requests

The limit on a server follows the lower of the known number of requests and its smoothed value, as a number of short requests is old when it arrives.

--- a/packages/lovagepond-gateway/src/gateway_choice.ts
+++ b/packages/lovagepond-gateway/src/gateway_choice.ts
@@ -67,6 +67,8 @@
   readonly rate: PrefillRate;
   /** Replaces {@link ENGINE_WEIGHTS}, for experiments. */
   readonly weights?: EngineWeights;
+  /** Limits on the servers' requests, if anything else samples them, too. */
+  readonly limits?: LoadLimits;
 }
 
 /** Load difference, in requests, below which two services count as equal. */
@@ -112,10 +114,11 @@
   readonly #settings: ChoiceSettings;
   readonly #hasher: KeyHasher;
   readonly #random: Random;
-  readonly #limits = new LoadLimits();
+  readonly #limits: LoadLimits;
 
   constructor(settings: ChoiceSettings, hasher: KeyHasher, random: Random) {
     this.#settings = settings;
+    this.#limits = settings.limits ?? new LoadLimits();
     this.#hasher = hasher;
     this.#random = random;
   }
--- a/packages/lovagepond-gateway/src/gateway_fleet.ts
+++ b/packages/lovagepond-gateway/src/gateway_fleet.ts
@@ -185,6 +185,11 @@
     return isReplaced || this.#leaving.has(server.name);
   }
 
+  /** @returns the names of all pools with servers */
+  pools(): Iterable<string> {
+    return this.#byPool.keys();
+  }
+
   /** @returns all servers of all pools */
   all(): Iterable<ServerState> {
     return this.#states.values();
--- a/packages/lovagepond-gateway/src/gateway_load_limit.ts
+++ b/packages/lovagepond-gateway/src/gateway_load_limit.ts
@@ -22,7 +22,7 @@
  * Time constant of the smoothed number of requests, milliseconds. The number of
  * requests that last for a few milliseconds says nothing about the present one.
  */
-const SMOOTHING_MS = 1_000;
+const SMOOTHING_MS = 300;
 
 /**
  * Time without a report through control after which the other gateways' requests
@@ -56,6 +56,19 @@
 export class LoadLimits {
   readonly #pools = new Map<string, PoolHistory>();
 
+  /**
+   * Follows the requests of a pool. Must be called several times a second, as a
+   * gateway may seldom have requests of its own.
+   *
+   * @param listed all servers of the pool
+   * @param pool the pool's name
+   * @param now current time, monotonic milliseconds
+   */
+  sample(listed: readonly ServerState[], pool: string, now: number): void {
+    const history = this.#historyOf(pool, now);
+    smooth(history, knownOf(listed, history, now), now);
+  }
+
   /**
    * The mean is that of the whole pool: servers that drain, pause or warm up count
    * with what they have. Only those that failed lately don't, as the others have
@@ -73,9 +86,8 @@
   ): PoolLoad {
     const healthy = listed.filter(state => !state.isAvoided(now));
     const servers = healthy.length > 0 ? healthy.length : listed.length;
-    const own = listed.reduce((sum, {inFlight}) => sum + inFlight, 0);
     const history = this.#historyOf(name, now);
-    const known = own + reportedOf(listed, history, now);
+    const known = knownOf(listed, history, now);
     const total = Math.min(known, smooth(history, known, now));
     const boundPart = loadBound / Math.max(1, servers);
     return {
@@ -98,16 +110,17 @@
   }
 }
 
-/** @returns the requests of the other gateways at all servers of the pool */
-function reportedOf(
+/** @returns the requests of all gateways at all servers of the pool */
+function knownOf(
   listed: readonly ServerState[],
   history: PoolHistory,
   now: number,
 ): number {
+  const own = listed.reduce((sum, {inFlight}) => sum + inFlight, 0);
   const reported = listed.reduce((sum, one) => sum + one.reportedRequests, 0);
   const reportedAt = Math.max(...listed.map(one => one.requestsReportedAt));
   if (now - reportedAt <= REPORTS_LOST_MS) history.reported = reported;
-  return Math.max(reported, history.reported);
+  return own + Math.max(reported, history.reported);
 }
 
 /** @returns the exponentially smoothed number of requests */
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -30,6 +30,7 @@
 import {type GatewayPermits, makePermits} from './gateway_permits.js';
 import {PrefillRate} from './gateway_prefill_rate.js';
 import {GatewayQuarantine} from './gateway_quarantine.js';
+import {LoadLimits} from './gateway_load_limit.js';
 import {GatewayLoadReports} from './gateway_load_reports.js';
 import {GatewayOverload} from './gateway_overload.js';
 import {GatewayRetryBudget} from './gateway_retry_budget.js';
@@ -75,6 +76,7 @@
   readonly #deps: GatewayDependencies;
   readonly #admission: GatewayAdmission;
   readonly #fleet: GatewayFleet;
+  readonly #loadLimits = new LoadLimits();
   readonly #peers = new GatewayPeers();
   readonly #rate: PrefillRate;
   readonly #loadReports: GatewayLoadReports;
@@ -203,7 +205,11 @@
     const permits = makePermits(link, this.#fleet, {hasher, random});
     this.#permits = permits;
     await link.start();
-    const choiceSettings = {availabilityZone, rate: this.#rate};
+    const choiceSettings = {
+      availabilityZone,
+      rate: this.#rate,
+      limits: this.#loadLimits,
+    };
     this.#server = new GatewayServer(this.#settings, {
       clock,
       log,
@@ -316,6 +322,9 @@
       this.#link.restart('member lags behind the confirmed revision');
     }
     this.#fleet.expire(at.now);
+    for (const pool of this.#fleet.pools()) {
+      this.#loadLimits.sample(this.#fleet.listed(pool), pool, at.now);
+    }
     this.#peerLink?.expire(at.now);
     this.#streams?.expire(at.now);
     this.#permits?.refresh(at.now);
--- a/packages/lovagepond-measure/src/__tests__/unit/load_bound.test.ts
+++ b/packages/lovagepond-measure/src/__tests__/unit/load_bound.test.ts
@@ -50,6 +50,12 @@
   }
 }, 60_000);
 
+// Guards against a limit that lags behind the mean while the load rises.
+test('a sudden start of the load is not refused', () => {
+  const {servedPercent} = simulate(30, 51, {endMs: 15_000});
+  expect(servedPercent).toBeGreaterThan(99.9);
+}, 60_000);
+
 test('the bound holds while datagrams between gateways are lost', () => {
   const variant = {name: 'losses', datagramLoss: 0.05};
   const result = simulate(30, 54, {variant});
--- a/packages/lovagepond-measure/src/gateway_simulation.ts
+++ b/packages/lovagepond-measure/src/gateway_simulation.ts
@@ -318,10 +318,7 @@
       this.#table.openPlaces(now);
       this.#publishList();
     }
-    for (const {fleet, permits} of this.#gateways) {
-      fleet.expire(now);
-      permits.refresh(now);
-    }
+    for (const gateway of this.#gateways) gateway.tick(now);
   }
 
   #sendReports(): void {
--- a/packages/lovagepond-measure/src/simulated_gateway.ts
+++ b/packages/lovagepond-measure/src/simulated_gateway.ts
@@ -11,6 +11,7 @@
   GatewayPeers,
   GatewayPermits,
   GatewayRetryBudget,
+  LoadLimits,
   PeerAddresses,
   PrefillRate,
   type PromptPart,
@@ -74,6 +75,7 @@
   fleet = new GatewayFleet();
   readings!: GatewayLoadReports;
   #choice!: GatewayChoice;
+  #limits!: LoadLimits;
   #rate!: PrefillRate;
   #peers = new GatewayPeers();
   #budget = new GatewayRetryBudget(RETRY_BUDGET, this.#peers);
@@ -99,7 +101,14 @@
       this.#peers,
     );
     const weights = {...ENGINE_WEIGHTS, ...variant.weights};
-    const settings = {availabilityZone: zone, rate: this.#rate, weights};
+    const limits = new LoadLimits();
+    this.#limits = limits;
+    const settings = {
+      availabilityZone: zone,
+      rate: this.#rate,
+      weights,
+      limits,
+    };
     this.#choice = new GatewayChoice(settings, hasher, random);
     this.#peers = new GatewayPeers();
     this.#budget = new GatewayRetryBudget(RETRY_BUDGET, this.#peers);
@@ -116,6 +125,15 @@
     });
   }
 
+  /** Must be called every 100 ms, as by the real gateway. */
+  tick(now: number): void {
+    this.fleet.expire(now);
+    this.permits.refresh(now);
+    for (const pool of this.fleet.pools()) {
+      this.#limits.sample(this.fleet.listed(pool), pool, now);
+    }
+  }
+
   /** @param req a request that arrives now */
   serve(req: SimulatedRequest): void {
     new SimulatedExchange(req, this.#deps, this).offer();
