Log the shared prompt parts of failed attempts

The logs of the incident name a request by the fingerprint of its content, so they can't show what different requests had in common when their server crashed, nor whether the answer had begun. 'attempt failed' now has both (parts, begun). No decision changes.

--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -86,7 +86,7 @@
     this.#deps = deps;
     this.#caller = caller;
     this.#onDone = onDone;
-    this.#log = new ExchangeLog(req, deps);
+    this.#log = new ExchangeLog(req, deps, caller);
     this.#servers = new ExchangeServers(req, deps);
     if (req.rule.forwarding.streaming) {
       this.#events = new EventStream(req.origin && lastEventIdOf(req.facts));
@@ -416,10 +416,9 @@
     this.#isDone = true;
     clearTimeout(this.#timer);
     this.#admission.leave();
-    const {status} = this.#caller;
     const {waitMs} = this.#admission;
     const {attempted: servers, assumed} = this.#servers;
-    const end = {outcome, status, servers, assumed, waitMs};
+    const end = {outcome, servers, assumed, waitMs};
     this.#log.noteEnded(end, this.#now());
     this.#onDone();
   }
--- a/packages/lovagepond-gateway/src/gateway_exchange_log.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_log.ts
@@ -2,10 +2,15 @@
  * Log lines and counters of one request.
  */
 import {type BackendServer, type Logger} from '@lovagepond/core';
+import {type CallerChannel} from './gateway_caller_channel.js';
 import {type AssumedLoad} from './gateway_choice.js';
 import {type GatewayCounters} from './gateway_counters.js';
 import {type AdmittedRequest} from './gateway_exchange_types.js';
-import {type ServerSignals, type StreamResumption} from './gateway_headers.js';
+import {
+  type PromptPart,
+  type ServerSignals,
+  type StreamResumption,
+} from './gateway_headers.js';
 import {type NextStep} from './gateway_outcome.js';
 
 interface ExchangeLogDependencies {
@@ -13,6 +18,9 @@
   readonly counters: GatewayCounters;
 }
 
+/** What has gone to the caller. */
+type SentToCaller = Pick<CallerChannel, 'headSent' | 'status'>;
+
 /** An attempt without a successful response. */
 interface FailedAttempt {
   readonly server: BackendServer | undefined;
@@ -28,8 +36,6 @@
 /** The end of a request. */
 interface EndedRequest {
   readonly outcome: string;
-  /** The status that was sent to the caller. */
-  readonly status: number;
   /** The servers of all attempts. */
   readonly servers: readonly BackendServer[];
   /** What was assumed of the last of them; undefined if there was none. */
@@ -41,10 +47,16 @@
 export class ExchangeLog {
   readonly #req: AdmittedRequest;
   readonly #deps: ExchangeLogDependencies;
+  readonly #caller: SentToCaller;
 
-  constructor(req: AdmittedRequest, deps: ExchangeLogDependencies) {
+  constructor(
+    req: AdmittedRequest,
+    deps: ExchangeLogDependencies,
+    caller: SentToCaller,
+  ) {
     this.#req = req;
     this.#deps = deps;
+    this.#caller = caller;
   }
 
   /**
@@ -62,11 +74,13 @@
     this.#deps.log.warn('attempt failed', {
       request: this.#req.facts.requestId,
       fingerprint: this.#req.fingerprint,
+      parts: describeParts(this.#req.facts.parts),
       server: server?.name,
       version: server?.labels['version'],
       outcome,
       reason,
       runs,
+      begun: this.#caller.headSent,
       next: next.kind,
       pauseMs: signals?.pauseMs,
       leaving: signals?.isLeaving,
@@ -92,7 +106,7 @@
    * @param now current time, monotonic milliseconds
    */
   noteEnded(
-    {outcome, status, servers, assumed, waitMs}: EndedRequest,
+    {outcome, servers, assumed, waitMs}: EndedRequest,
     now: number,
   ): void {
     const {facts, rule, pool, arrivedAt} = this.#req;
@@ -106,7 +120,7 @@
       versions: servers.map(({labels}) => labels['version'] ?? '').join(' '),
       ...(resumption && describeResumption(resumption)),
       outcome,
-      status,
+      status: this.#caller.status,
       durationMs: Math.round(now - arrivedAt),
       ...(assumed && describeAssumed(assumed)),
       ...(waitMs !== undefined && {waitMs: Math.round(waitMs)}),
@@ -114,6 +128,15 @@
   }
 }
 
+/** Parts of a prompt in one log line. */
+const MAX_LOGGED_PARTS = 16;
+
+/** @returns the ids of the parts that other prompts may share */
+function describeParts(parts: readonly PromptPart[]): string {
+  const shared = parts.slice(0, -1).slice(-MAX_LOGGED_PARTS);
+  return shared.map(({id}) => id).join(' ');
+}
+
 function describeAssumed({
   load,
   limit,
