--- a/packages/lovagepond-control/src/__tests__/unit/subscription_hub.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/subscription_hub.test.ts
@@ -306,7 +306,12 @@
 // gets the servers first.
 test('a router gets quarantines before it gets servers', () => {
   const hub = startHub();
-  const suspect = {request: 'ab', crashes: 3, quarantinedForMs: 1_000};
+  const suspect = {
+    request: 'ab',
+    crashes: 3,
+    quarantinedForMs: 1_000,
+    companions: [],
+  };
   const change = {version: 1, whole: true, members: [], gone: []};
   let suspects = [suspect];
   const view = (crashesVersion: number): FeedView => ({
--- a/packages/lovagepond-control/src/control_administration.ts
+++ b/packages/lovagepond-control/src/control_administration.ts
@@ -10,6 +10,7 @@
   type Configuration,
   type ConfigurationFault,
   type ConfigurationSection,
+  type CrashSubject,
   type ServerState,
   type StateDump,
 } from '@lovagepond/core';
@@ -210,11 +211,13 @@
   readonly evacuated: boolean;
 }
 
-/** A request that is suspected of crashing backend servers. */
+/** A request, or a part of prompts, suspected of crashing backend servers. */
 export interface SuspectView {
-  /** The request's fingerprint in hexadecimal, as in logs. */
-  readonly request: string;
+  /** The request's fingerprint in hexadecimal, as in logs, or `part:ID`. */
+  readonly request: CrashSubject;
   readonly crashes: number;
+  /** The quarantine covers only requests that have all of these as well. */
+  readonly companions: readonly CrashSubject[];
   /** Remaining time in quarantine, milliseconds; 0 when not quarantined. */
   readonly quarantinedForMs: number;
 }
--- a/packages/lovagepond-control/src/control_commands.ts
+++ b/packages/lovagepond-control/src/control_commands.ts
@@ -6,9 +6,11 @@
   type Command,
   type ConfigurationContent,
   type CrashRules,
+  type CrashSubject,
   createCommand,
   invariant,
   packText,
+  type RequestSubjects,
   unpackText,
 } from '@lovagepond/core';
 import {
@@ -24,10 +26,16 @@
 const COMMAND_VERSION = 1;
 
 /**
- * Version of the set of commands. A leader proposes a command that this version
- * added only while all of its followers have at least this version.
+ * Version of the set of commands. A leader proposes a command that a version
+ * added only while all of its followers have at least that version.
  */
-export const LOG_VERSION = 2;
+export const LOG_VERSION = 3;
+
+/** The version that added evacuations, and crashes that count once. */
+export const EVACUATION_LOG_VERSION = 2;
+
+/** The version that added crashes by the shared parts of prompts. */
+export const PARTS_LOG_VERSION = 3;
 
 /** Identifies an operator's operation and its content. */
 export interface OperationIdentity {
@@ -110,34 +118,34 @@
 export interface CrashesPayload {
   readonly crashes: readonly {
     readonly server: string;
-    readonly requests: readonly string[];
+    /** Before {@link PARTS_LOG_VERSION} only the fingerprints. */
+    readonly requests: readonly (string | RequestSubjects)[];
     /** Milliseconds from the crash to the proposal of this command. */
     readonly ageMs: number;
   }[];
-  /** Suspected requests that a backend server has since answered completely. */
-  readonly answered: readonly string[];
+  /** Suspects that a backend server has since answered completely. */
+  readonly answered: readonly CrashSubject[];
   /** Absent in commands of earlier releases, for the first rules. */
   readonly rules?: CrashRules;
 }
 
-/** Lifts the quarantine of a request. */
+/** Lifts a quarantine. */
 export interface LiftPayload {
-  /** The request's fingerprint. */
-  readonly request: string;
+  readonly request: CrashSubject;
   /** Absent in commands of earlier releases, for the first rules. */
   readonly rules?: CrashRules;
 }
 
 export interface CrashesResult {
-  /** Requests that the command quarantines. */
-  readonly quarantined: readonly string[];
-  /** Requests whose evidence was dropped, as a server answered them. */
-  readonly cleared: readonly string[];
+  /** Subjects that the command quarantines. */
+  readonly quarantined: readonly CrashSubject[];
+  /** Subjects whose evidence was dropped, as a server answered them. */
+  readonly cleared: readonly CrashSubject[];
   /**
-   * For each crash, the requests for which it doesn't count, as they were
+   * For each crash, the subjects for which it doesn't count, as they were
    * cleared since.
    */
-  readonly outdated: readonly (readonly string[])[];
+  readonly outdated: readonly (readonly CrashSubject[])[];
 }
 
 /**
--- a/packages/lovagepond-control/src/control_state_machine.ts
+++ b/packages/lovagepond-control/src/control_state_machine.ts
@@ -258,7 +258,10 @@
     const cleared = answered.filter(request =>
       this.crashes.forget(request, timeMs, rules),
     );
-    const dated = crashes.map(({server, requests, ageMs}) => {
+    const dated = crashes.map(({server, requests: logged, ageMs}) => {
+      const requests = logged.map(one =>
+        typeof one === 'string' ? [one] : one,
+      );
       return {server, requests, crashedAt: timeMs - ageMs};
     });
     const outdated = dated.map(crash => this.crashes.clearedSince(crash));
--- a/packages/lovagepond-control/src/crash_reports.ts
+++ b/packages/lovagepond-control/src/crash_reports.ts
@@ -6,15 +6,18 @@
   type Clock,
   CRASH_RULES,
   type CrashRules,
+  type CrashSubject,
   type Logger,
+  partIdOf,
 } from '@lovagepond/core';
 import {lovagepond} from '@lovagepond/protocol';
 import {
   CRASHES_COMMAND,
   type CrashesPayload,
   type CrashesResult,
+  EVACUATION_LOG_VERSION,
   LIFT_QUARANTINE_COMMAND,
-  LOG_VERSION,
+  PARTS_LOG_VERSION,
 } from './control_commands.js';
 import {
   type RetryableFailure,
@@ -22,22 +25,13 @@
   type SuspectView,
 } from './control_administration.js';
 import {type ControlStateMachine} from './control_state_machine.js';
+import {toCrashesPayload} from './crash_report_codec.js';
 import {type Proposer} from './proposer.js';
 
 const {v1} = lovagepond;
 
-type WireReport = lovagepond.v1.CrashReport.$Properties;
-type WireCrash = lovagepond.v1.CrashedServer.$Properties;
-
-/** Bytes of a fingerprint; values of another length are dropped as invalid. */
-const FINGERPRINT_BYTES = 16;
-
-/** Limits of one report; the router sends the rest with its next report. */
-const MAX_CRASHES = 64;
-const MAX_FINGERPRINTS = 512;
-
-/** Limit of fingerprints in one log line. */
-const MAX_LOGGED_FINGERPRINTS = 64;
+/** Limit of subjects in one log line. */
+const MAX_LOGGED_SUBJECTS = 64;
 
 export interface CrashReportsDependencies {
   readonly clock: Clock;
@@ -76,7 +70,7 @@
     if (rules === CRASH_RULES.RECOUNTED) {
       return new v1.CrashReportResponse();
     }
-    const payload = {...toPayload(report), rules};
+    const payload = {...toCrashesPayload(report, rules), rules};
     const outcome = await this.#deps.proposer.propose<
       CrashesPayload,
       CrashesResult
@@ -87,20 +81,21 @@
     return new v1.CrashReportResponse({recorded: true});
   }
 
-  /** @returns the suspected requests in this member's applied state */
+  /** @returns the suspects in this member's applied state */
   list(): readonly SuspectView[] {
     const {machine, clock} = this.#deps;
     const timeMs = machine.time.stamp(clock.now());
     return machine.crashes.suspects(timeMs).map(suspect => ({
-      request: suspect.request,
+      request: suspect.subject,
       crashes: suspect.crashes,
       quarantinedForMs: Math.max(0, (suspect.quarantinedUntil ?? 0) - timeMs),
+      companions: suspect.companions,
     }));
   }
 
   /**
-   * @param request fingerprint of the request to release from quarantine
-   * @returns the answer; accepted also when the request wasn't suspected
+   * @param request the subject to release from quarantine
+   * @returns the answer; accepted also when it wasn't suspected
    */
   async lift(request: string): Promise<OperationAnswer> {
     const outcome = await this.#deps.proposer.propose(LIFT_QUARANTINE_COMMAND, {
@@ -115,31 +110,38 @@
 
   /** @returns the newest rules that all members know */
   #rules(): CrashRules {
-    return this.#deps.oldestLogVersion() < LOG_VERSION
-      ? CRASH_RULES.RECOUNTED
-      : CRASH_RULES.COUNTED_ONCE;
+    const oldest = this.#deps.oldestLogVersion();
+    if (oldest < EVACUATION_LOG_VERSION) return CRASH_RULES.RECOUNTED;
+    return oldest < PARTS_LOG_VERSION
+      ? CRASH_RULES.COUNTED_ONCE
+      : CRASH_RULES.BY_SUBJECT;
   }
 
   #log(node: string, payload: CrashesPayload, result: CrashesResult): void {
     const {log, machine, clock} = this.#deps;
-    for (const fingerprint of result.cleared) {
-      log.info('suspicion dropped', {node, fingerprint});
+    for (const subject of result.cleared) {
+      log.info('suspicion dropped', {node, ...describeSubject(subject)});
     }
     for (const [at, crash] of payload.crashes.entries()) {
+      const subjects = [...new Set(crash.requests.flat())];
+      const isPart = (subject: CrashSubject): boolean =>
+        partIdOf(subject) !== undefined;
       log.warn('backend server crashed', {
         node,
         backendServer: crash.server,
         requests: crash.requests.length,
-        fingerprints: joinFingerprints(crash.requests),
+        fingerprints: joinSubjects(subjects.filter(one => !isPart(one))),
+        parts: joinSubjects(subjects.filter(isPart)),
         crashedMsAgo: crash.ageMs,
-        outdated: joinFingerprints(result.outdated[at] ?? []),
+        outdated: joinSubjects(result.outdated[at] ?? []),
       });
     }
     const timeMs = machine.time.stamp(clock.now());
-    for (const request of result.quarantined) {
-      const suspect = machine.crashes.find(request, timeMs);
+    for (const subject of result.quarantined) {
+      const suspect = machine.crashes.find(subject, timeMs);
       log.warn('request quarantined', {
-        fingerprint: request,
+        ...describeSubject(subject),
+        companions: joinSubjects(suspect?.companions ?? []),
         crashes: suspect?.crashes,
         forMs: (suspect?.quarantinedUntil ?? timeMs) - timeMs,
       });
@@ -147,31 +149,14 @@
   }
 }
 
-/** @returns the first of the fingerprints, for a log line of bounded length */
-function joinFingerprints(fingerprints: readonly string[]): string {
-  return fingerprints.slice(0, MAX_LOGGED_FINGERPRINTS).join(' ');
-}
-
-function toPayload({crashes, answered}: WireReport): CrashesPayload {
-  return {
-    crashes: (crashes ?? []).slice(0, MAX_CRASHES).map(toCrash),
-    answered: toFingerprints(answered),
-  };
-}
-
-function toCrash(crash: WireCrash): CrashesPayload['crashes'][number] {
-  return {
-    server: crash.backendServer ?? '',
-    requests: toFingerprints(crash.requests),
-    ageMs: crash.ageMs ?? 0,
-  };
+/** @returns log fields that name the subject */
+function describeSubject(subject: CrashSubject): Record<string, string> {
+  const part = partIdOf(subject);
+  return part === undefined ? {fingerprint: subject} : {part};
 }
 
-function toFingerprints(
-  all: readonly Uint8Array[] | null | undefined,
-): string[] {
-  return (all ?? [])
-    .filter(({length}) => length === FINGERPRINT_BYTES)
-    .slice(0, MAX_FINGERPRINTS)
-    .map(bytes => Buffer.from(bytes).toString('hex'));
+/** @returns the first of the subjects, for a log line of bounded length */
+function joinSubjects(subjects: readonly CrashSubject[]): string {
+  const logged = subjects.slice(0, MAX_LOGGED_SUBJECTS);
+  return logged.map(subject => partIdOf(subject) ?? subject).join(' ');
 }
--- a/packages/lovagepond-control/src/deciders.ts
+++ b/packages/lovagepond-control/src/deciders.ts
@@ -20,6 +20,7 @@
   type RecordPayload,
   WANTED_STATE_COMMAND,
 } from './control_commands.js';
+export {toCrashesPayload, toQuarantineUpdate} from './crash_report_codec.js';
 export {type ReplicatedLog} from './control_log.js';
 export {ControlStateMachine} from './control_state_machine.js';
 export {
--- a/packages/lovagepond-control/src/update_encoder.ts
+++ b/packages/lovagepond-control/src/update_encoder.ts
@@ -9,7 +9,7 @@
   makeDelta,
 } from '@lovagepond/core';
 import {lovagepond} from '@lovagepond/protocol';
-import {type SuspectView} from './control_administration.js';
+import {toQuarantineUpdate} from './crash_report_codec.js';
 import {type MembershipChange} from './membership_log.js';
 import {
   type PoolDemand,
@@ -59,7 +59,7 @@
     },
   }),
   quarantine: ({suspects}) => ({
-    quarantine: {suspects: suspects.map(toWireSuspect)},
+    quarantine: toQuarantineUpdate(suspects),
   }),
   membership: ({change}) => ({membership: toWireMembership(change)}),
   load: ({load}) => ({
@@ -153,18 +153,6 @@
   return `${withContent} ${confirmed} ${base?.revision ?? ''}`;
 }
 
-function toWireSuspect({
-  request,
-  crashes,
-  quarantinedForMs,
-}: SuspectView): lovagepond.v1.SuspectedRequest.$Properties {
-  return {
-    request: Buffer.from(request, 'hex'),
-    crashes,
-    quarantinedForMs: Math.ceil(quarantinedForMs),
-  };
-}
-
 function encodeMessage(update: WireUpdate): Buffer {
   return Buffer.from(v1.ControlUpdate.encode(update).finish());
 }
--- a/packages/lovagepond-control/src/zone_administration.ts
+++ b/packages/lovagepond-control/src/zone_administration.ts
@@ -11,7 +11,7 @@
 import {
   EVACUATION_COMMAND,
   type EvacuationPayload,
-  LOG_VERSION,
+  EVACUATION_LOG_VERSION,
 } from './control_commands.js';
 import {digestOf} from './configuration_changer.js';
 import {type ControlStateMachine} from './control_state_machine.js';
@@ -74,7 +74,7 @@
       return {kind: 'invalid', faults: [{place: 'zone', message}]};
     }
     // A member of an earlier release would stop at an unknown command.
-    if (oldestLogVersion() < LOG_VERSION) {
+    if (oldestLogVersion() < EVACUATION_LOG_VERSION) {
       log.warn('zone not changed: a member runs an earlier release', {zone});
       return {kind: 'unknown'};
     }
--- a/packages/lovagepond-core/src/__tests__/unit/core_crash_evidence.test.ts
+++ b/packages/lovagepond-core/src/__tests__/unit/core_crash_evidence.test.ts
@@ -13,7 +13,9 @@
 ): readonly string[] {
   const crashedAt = number * SECOND_MS;
   const server = `s${number}`;
-  return evidence.noteCrash({server, requests, crashedAt}, crashedAt);
+  const subjects = requests.map(one => [one]);
+  const reported = {server, requests: subjects, crashedAt};
+  return evidence.noteCrash(reported, crashedAt);
 }
 
 function quarantinedUntil(
@@ -79,7 +81,7 @@
   it('counts a crash once when several routers report it', () => {
     const evidence = new CrashEvidence();
     for (const at of [0, 10, 20]) {
-      const same = {server: 's', requests: ['r'], crashedAt: at};
+      const same = {server: 's', requests: [['r']], crashedAt: at};
       evidence.noteCrash(same, at);
     }
     expect(evidence.find('r', 20)?.crashes).toBe(1);
@@ -90,7 +92,7 @@
   it('counts simultaneous crashes of many servers as one', () => {
     const evidence = new CrashEvidence();
     for (const at of [0, 50, 100, 150]) {
-      const together = {server: `p${at}`, requests: ['r'], crashedAt: at};
+      const together = {server: `p${at}`, requests: [['r']], crashedAt: at};
       expect(evidence.noteCrash(together, at)).toEqual([]);
     }
     expect(evidence.find('r', 150)?.crashes).toBe(1);
@@ -103,7 +105,7 @@
     for (const number of [1, 2, 3]) crash(evidence, number, 'bad');
     const again = 3 * SECOND_MS + HOUR_MS;
     expect(quarantinedUntil(evidence, 'bad', again)).toBeUndefined();
-    const late = {server: 'late', requests: ['bad'], crashedAt: again};
+    const late = {server: 'late', requests: [['bad']], crashedAt: again};
     expect(evidence.noteCrash(late, again)).toEqual(['bad']);
     expect(quarantinedUntil(evidence, 'bad', again)).toBe(again + 2 * HOUR_MS);
   });
@@ -124,7 +126,7 @@
     crash(evidence, 2, 'd');
     evidence.forget('d', 3 * SECOND_MS);
     crash(evidence, 4, 'd');
-    const late = {server: 's2', requests: ['a'], crashedAt: 2 * SECOND_MS};
+    const late = {server: 's2', requests: [['a']], crashedAt: 2 * SECOND_MS};
     expect(evidence.noteCrash(late, 5 * SECOND_MS)).toEqual([]);
     expect(crash(evidence, 6, 'd')).toEqual([]);
     expect(evidence.find('d', 6 * SECOND_MS)?.crashes).toBe(2);
@@ -139,7 +141,7 @@
     const copy = new CrashEvidence();
     copy.restore(evidence.snapshot());
     for (const member of [evidence, copy]) {
-      const late = {server: 's2', requests: ['d'], crashedAt: 2 * SECOND_MS};
+      const late = {server: 's2', requests: [['d']], crashedAt: 2 * SECOND_MS};
       member.noteCrash(late, 4 * SECOND_MS);
       expect(member.find('d', 4 * SECOND_MS)).toBeUndefined();
       crash(member, 5, 'd');
@@ -152,10 +154,10 @@
   it('counts by the rules of the earlier release when they are named', () => {
     const evidence = new CrashEvidence();
     const rules = CRASH_RULES.RECOUNTED;
-    const first = {server: 's2', requests: ['d'], crashedAt: 2_000};
+    const first = {server: 's2', requests: [['d']], crashedAt: 2_000};
     evidence.noteCrash(first, 2_000, rules);
     evidence.forget('d', 3_000, rules);
-    evidence.noteCrash({...first, requests: ['a']}, 4_000, rules);
+    evidence.noteCrash({...first, requests: [['a']]}, 4_000, rules);
     expect(evidence.find('d', 4_000)?.crashes).toBe(1);
   });
 
@@ -163,7 +165,7 @@
     const evidence = new CrashEvidence();
     crash(evidence, 1, 'once', 'twice');
     crash(evidence, 2, 'twice');
-    const listed = evidence.suspects(2 * SECOND_MS).map(({request}) => request);
+    const listed = evidence.suspects(2 * SECOND_MS).map(({subject}) => subject);
     expect(listed).toEqual(['twice']);
   });
 
@@ -217,7 +219,8 @@
           }
           const crashedAt = at * SECOND_MS;
           const name = `s${server}`;
-          const report = {server: name, requests, crashedAt};
+          const subjects = requests.map(one => [one]);
+          const report = {server: name, requests: subjects, crashedAt};
           const quarantined = evidence.noteCrash(report, crashedAt);
           for (const one of requests) {
             const known = servers.get(one) ?? new Set<number>();
@@ -267,7 +270,12 @@
             const crashed = crashedAt.get(server) ?? now;
             crashedAt.set(server, crashed);
             const name = `s${server}`;
-            const told = {server: name, requests, crashedAt: crashed};
+            const subjects = requests.map(one => [one]);
+            const told = {
+              server: name,
+              requests: subjects,
+              crashedAt: crashed,
+            };
             const quarantined = evidence.noteCrash(told, now);
             for (const name of requests) {
               if (crashed <= (clearedAt.get(name) ?? -1)) continue;
--- a/packages/lovagepond-core/src/index.ts
+++ b/packages/lovagepond-core/src/index.ts
@@ -52,11 +52,20 @@
 export {
   CRASH_RULES,
   CrashEvidence,
-  type CrashEvidenceSnapshot,
   type CrashRules,
-  type ServerCrash,
   type Suspect,
 } from './core_crash_evidence.js';
+export {
+  type CrashEvidenceSnapshot,
+  type ServerCrash,
+} from './core_crash_records.js';
+export {
+  type CrashSubject,
+  partIdOf,
+  type RequestSubjects,
+  toPartSubject,
+  toRequestSubjects,
+} from './core_crash_subjects.js';
 export {ControlAddresses} from './core_control_addresses.js';
 export {invariant, InvariantError} from './core_invariant.js';
 export {packText, unpackText} from './core_packing.js';
--- a/packages/lovagepond-explain/src/explain_causes.ts
+++ b/packages/lovagepond-explain/src/explain_causes.ts
@@ -37,7 +37,8 @@
     `revision ${processState?.revision ?? '?'} has no such selector, and control had ` +
     'confirmed this revision within two seconds',
   quarantined: () =>
-    'servers crashed while they ran the request: search for its fingerprint in ' +
+    'servers crashed while they ran the request, or others with a part of its ' +
+    'prompt: search for its fingerprint and its parts in ' +
     '"request quarantined" and "backend server crashed", or run ' +
     '"lovagepond ctl quarantine list"',
   noBackendServer: ({processState}) =>
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -263,8 +263,8 @@
         }
         return Promise.resolve(false);
       },
-      abortQuarantined: fingerprint => {
-        server.abortQuarantined(fingerprint);
+      abortQuarantined: () => {
+        server.abortQuarantined();
       },
     });
     const server = new GatewayServer(
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_quarantine.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_quarantine.test.ts
@@ -6,6 +6,7 @@
   type Call,
   clock,
   GatewayHarness,
+  NAMES,
   type Script,
 } from './gateway_harness.js';
 import {fingerprintOf} from '@lovagepond/router/quarantine';
@@ -39,6 +40,20 @@
   else harness?.crash(Number(req.socket.localPort));
 };
 
+/** A request with a body of its own. */
+function promptCall(number: number, ...parts: string[]): Call {
+  const all = [...parts, `last-${number}`].map(id => `${id}:100`);
+  const headers = {[NAMES.promptParts]: all.join(',')};
+  return {path: '/read/a', method: 'POST', body: `${number}`, headers};
+}
+
+/** Crashes on prompts with the part `bad` and serves other requests. */
+const crashingOnPart: Script = (req, res, body) => {
+  const parts = String(req.headers[NAMES.promptParts]);
+  if (!parts.includes('bad:')) healthy(req, res, body);
+  else harness?.crash(Number(req.socket.localPort));
+};
+
 function applySuspicion(crashes: number, quarantinedForMs: number): void {
   const request = Buffer.from(FINGERPRINT, 'hex');
   const suspects = [{request, crashes, quarantinedForMs}];
@@ -122,7 +137,9 @@
     harness = await GatewayHarness.start([healthy]);
     applySuspicion(2, 0);
     expect((await harness.call(CALL)).status).toBe(200);
-    expect(harness.quarantine.isSuspect(FINGERPRINT, clock.now())).toBe(false);
+    expect(harness.quarantine.isSuspect([FINGERPRINT], clock.now())).toBe(
+      false,
+    );
   });
 
   // Guards against a request that is never quarantined, as servers that fail
@@ -135,6 +152,58 @@
     ]);
     applySuspicion(2, 0);
     expect((await harness.call(CALL)).status).toBe(500);
-    expect(harness.quarantine.isSuspect(FINGERPRINT, clock.now())).toBe(true);
+    expect(harness.quarantine.isSuspect([FINGERPRINT], clock.now())).toBe(true);
+  });
+});
+
+describe('a part of prompts that crashes servers', () => {
+  // Guards against a gateway without control that crashes all of its servers
+  // with requests that all differ.
+  it('crashes three servers of a partitioned gateway', async () => {
+    harness = await GatewayHarness.start(Array<Script>(6).fill(crashingOnPart));
+    expect((await harness.call(promptCall(0, 'a', 'b'))).status).toBe(200);
+    let res = await harness.call(promptCall(1, 'a', 'bad'));
+    for (let turn = 2; turn < 7; turn += 1) {
+      await expect.poll(() => harness?.crashed.size).toBeGreaterThan(0);
+      harness.quarantine.tick(clock.now());
+      await wait(COMMON_CAUSE_MS);
+      res = await harness.call(promptCall(turn, 'a', 'bad'));
+    }
+    expect(harness.crashed.size).toBe(3);
+    expect(res.status).toBe(503);
+    expect((await harness.call(promptCall(8, 'a', 'b'))).status).toBe(200);
+  });
+
+  // Guards against a guilty part that is cleared by a server that rejects the
+  // request before it begins with the prompt.
+  it('stays suspected after a request with it was rejected', async () => {
+    harness = await GatewayHarness.start([
+      (req, res) => {
+        answer(req, res, 404, 'unknown model');
+      },
+    ]);
+    const parts = [{id: 'bad', crashes: 2, quarantinedForMs: 0}];
+    harness.quarantine.useUpdate({parts}, clock.now());
+    expect((await harness.call(promptCall(1, 'bad'))).status).toBe(404);
+    const isSuspect = harness.quarantine.isSuspect(['part:bad'], clock.now());
+    expect(isSuspect).toBe(true);
+  });
+
+  it('is no longer suspected after a complete response', async () => {
+    harness = await GatewayHarness.start([healthy]);
+    const parts = [{id: 'sound', crashes: 2, quarantinedForMs: 0}];
+    harness.quarantine.useUpdate({parts}, clock.now());
+    expect((await harness.call(promptCall(1, 'sound'))).status).toBe(200);
+    const isSuspect = harness.quarantine.isSuspect(['part:sound'], clock.now());
+    expect(isSuspect).toBe(false);
+  });
+
+  it('takes back the requests with it that are in flight', async () => {
+    harness = await GatewayHarness.start([() => {}]);
+    const called = harness.call(promptCall(1, 'a', 'bad'));
+    await expect.poll(() => harness?.arrivals.length).toBe(1);
+    const parts = [{id: 'bad', crashes: 3, quarantinedForMs: HOUR_MS}];
+    harness.quarantine.useUpdate({parts}, clock.now());
+    expect((await called).status).toBe(502);
   });
 });
--- a/packages/lovagepond-gateway/src/gateway_crash_detector.ts
+++ b/packages/lovagepond-gateway/src/gateway_crash_detector.ts
@@ -6,7 +6,12 @@
  * another instance responds there, or when control removes it from the list
  * although it had not announced that it is leaving.
  */
-import {SERVER_STATE, type ServerCrash} from '@lovagepond/core';
+import {
+  type CrashSubject,
+  type RequestSubjects,
+  SERVER_STATE,
+  type ServerCrash,
+} from '@lovagepond/core';
 import {type ServerState} from './gateway_server_state.js';
 
 /** The result of a connection probe. */
@@ -29,13 +34,14 @@
 /** Probes of one server; one that accepts the last probe has not crashed. */
 const MAX_PROBES = 5;
 
-/** Fingerprints stored for one server. */
+/** Requests stored for one server. */
 const MAX_REQUESTS = 512;
 
 interface TrackedServer {
   readonly state: ServerState;
   readonly lostAt: number;
-  readonly requests: Set<string>;
+  /** By their fingerprints. */
+  readonly requests: Map<CrashSubject, RequestSubjects>;
   probes: number;
   probedAt: number;
   hasCrashed: boolean;
@@ -62,23 +68,30 @@
 
   /**
    * @param state the server
-   * @param request fingerprint of the request whose connection was lost
+   * @param request subjects of the request whose connection was lost
    * @param now current time, monotonic milliseconds
    */
-  noteConnectionLost(state: ServerState, request: string, now: number): void {
+  noteConnectionLost(
+    state: ServerState,
+    request: RequestSubjects,
+    now: number,
+  ): void {
     // A draining server exits soon and closes its remaining connections.
     if (state.server.state !== SERVER_STATE.READY) return;
     const {name} = state.server;
     const tracked = this.#tracked.get(name) ?? {
       state,
       lostAt: now,
-      requests: new Set<string>(),
+      requests: new Map<CrashSubject, RequestSubjects>(),
       probes: 0,
       probedAt: Number.NEGATIVE_INFINITY,
       hasCrashed: false,
     };
     this.#tracked.set(name, tracked);
-    if (tracked.requests.size < MAX_REQUESTS) tracked.requests.add(request);
+    const [fingerprint = ''] = request;
+    if (tracked.requests.size < MAX_REQUESTS) {
+      tracked.requests.set(fingerprint, request);
+    }
     if (state.isReplaced) this.noteExited(name, now);
     else if (tracked.hasCrashed) this.#reportCrash(name, tracked, now);
   }
@@ -140,20 +153,22 @@
   }
 
   /**
-   * @param request a fingerprint
+   * @param subject a subject
    * @returns the number of servers whose connection was lost while they ran
-   *     the request, and that are not known to have crashed
+   *     requests with it, and that are not known to have crashed
    */
-  undecided(request: string): number {
+  undecided(subject: CrashSubject): number {
     let count = 0;
     for (const {requests, hasCrashed} of this.#tracked.values()) {
-      if (!hasCrashed && requests.has(request)) count += 1;
+      if (hasCrashed) continue;
+      const all = [...requests.values()];
+      if (all.some(request => request.includes(subject))) count += 1;
     }
     return count;
   }
 
   #reportCrash(server: string, tracked: TrackedServer, now: number): void {
-    const requests = [...tracked.requests];
+    const requests = [...tracked.requests.values()];
     this.#onCrash({server, requests, crashedAt: tracked.lostAt}, now);
   }
 }
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -40,6 +40,7 @@
  */
 const DEADLINE_SLACK_MS = 40;
 
+const FIRST_REDIRECT_STATUS = 300;
 const FIRST_ERROR_STATUS = 500;
 
 export class Exchange {
@@ -152,9 +153,11 @@
     this.#admission.submit(now);
   }
 
-  /** Aborts the request, as it is quarantined for crashing servers. */
+  /** Aborts the request if it is quarantined for crashing servers. */
   abortQuarantined(): void {
-    if (this.#isDone) return;
+    const {quarantine} = this.#deps;
+    const leftMs = quarantine.quarantinedForMs(this.#req.subjects, this.#now());
+    if (this.#isDone || leftMs === undefined) return;
     if (this.#attempt?.isSent) this.#runs += 1;
     this.#attempt?.abort();
     this.#endAttempt();
@@ -166,12 +169,8 @@
   }
 
   #startAttempt(): void {
-    const {fingerprint} = this.#req;
-    if (this.#deps.quarantine.quarantinedForMs(fingerprint, this.#now())) {
-      this.abortQuarantined();
-      return;
-    }
-    this.#dispatch.start(this.#caller.headSent);
+    this.abortQuarantined();
+    if (!this.#isDone) this.#dispatch.start(this.#caller.headSent);
   }
 
   /** Sends the request to a server that it has a permit for. */
@@ -300,12 +299,14 @@
   /**
    * A close-delimited response proves nothing, as a crash may have ended it; nor
    * does an error response, which a failing server sends without running the
-   * request.
+   * request. A server that rejects a request has not begun to answer its prompt.
    */
   #clearSuspicion(): void {
     if (this.#attempt?.isCloseDelimited) return;
     const {quarantine} = this.#deps;
-    quarantine.noteAnswered(this.#req.fingerprint, this.#now());
+    const {subjects, fingerprint} = this.#req;
+    const isServed = this.#caller.status < FIRST_REDIRECT_STATUS;
+    quarantine.noteAnswered(isServed ? subjects : [fingerprint], this.#now());
   }
 
   #onFailed(failure: AttemptFailure): void {
@@ -315,8 +316,8 @@
     if (failure.kind === 'broken') this.#runs += 1;
     if (state && !isForLoad) {
       const {quarantine} = this.#deps;
-      const {fingerprint} = this.#req;
-      noteFailedAttempt(state, failure, {quarantine, fingerprint}, this.#now());
+      const {subjects} = this.#req;
+      noteFailedAttempt(state, failure, {quarantine, subjects}, this.#now());
     }
     if (failure.kind === 'notRun') {
       this.#handleOutcome({kind: 'notRun'}, `server refused ${failure.status}`);
@@ -330,7 +331,7 @@
   #handleOutcome(outcome: AttemptOutcome, reason: string): void {
     if (this.#isDone) return;
     const now = this.#now();
-    const {pool, rule, deadlineAt, fingerprint} = this.#req;
+    const {pool, rule, deadlineAt, subjects} = this.#req;
     const {quarantine, budget} = this.#deps;
     const next = decideNext(outcome, {
       rule,
@@ -340,7 +341,7 @@
       hasFailure: this.#bufferedFailure !== undefined,
       lastEventId: this.#events?.lastId,
       timeLeftMs: deadlineAt - now,
-      isSuspect: quarantine.isSuspect(fingerprint, now),
+      isSuspect: quarantine.isSuspect(subjects, now),
       trySpend: () => budget.trySpend(pool.name, now),
     });
     this.#log.noteFailedAttempt(outcome.kind, reason, {
@@ -388,9 +389,8 @@
   #refuse(error: ErrorKind): void {
     const now = this.#now();
     const {quarantine} = this.#deps;
-    const {fingerprint} = this.#req;
     const notBeforeMs =
-      quarantine.quarantinedForMs(fingerprint, now) ??
+      quarantine.quarantinedForMs(this.#req.subjects, now) ??
       this.#servers.eligible.pauseLeftMs(now);
     this.#caller.refuse(error, {notBeforeMs});
     this.#finish(error);
--- a/packages/lovagepond-gateway/src/gateway_exchange_types.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_types.ts
@@ -6,6 +6,7 @@
   type Logger,
   type Pool,
   type RegionCheck,
+  type RequestSubjects,
 } from '@lovagepond/core';
 import {type GatewayChoice} from './gateway_choice.js';
 import {type GatewayConnections} from './gateway_connections.js';
@@ -47,6 +48,8 @@
   readonly body: Buffer;
   /** Identical for each repetition of the request. */
   readonly fingerprint: string;
+  /** What the crash of a server that runs the request can be blamed on. */
+  readonly subjects: RequestSubjects;
   readonly facts: RequestFacts;
   readonly rule: ForwardingRule;
   readonly pool: Pool;
--- a/packages/lovagepond-gateway/src/gateway_failed_attempt.ts
+++ b/packages/lovagepond-gateway/src/gateway_failed_attempt.ts
@@ -1,6 +1,7 @@
 /**
  * Records what a failed attempt says about its server.
  */
+import {type RequestSubjects} from '@lovagepond/core';
 import {type AttemptFailure, STATUS_MISDIRECTED} from './gateway_attempt.js';
 import {type GatewayQuarantine} from './gateway_quarantine.js';
 import {type ServerState} from './gateway_server_state.js';
@@ -8,7 +9,7 @@
 /** The request of the attempt, and the record of crashes. */
 interface FailedRequest {
   readonly quarantine: GatewayQuarantine;
-  readonly fingerprint: string;
+  readonly subjects: RequestSubjects;
 }
 
 /**
@@ -20,7 +21,7 @@
 export function noteFailedAttempt(
   state: ServerState,
   failure: AttemptFailure,
-  {quarantine, fingerprint}: FailedRequest,
+  {quarantine, subjects}: FailedRequest,
   now: number,
 ): void {
   const {kind} = failure;
@@ -31,5 +32,5 @@
   } else {
     state.noteAttemptFailure(now);
   }
-  quarantine.noteFailure(state, fingerprint, failure, now);
+  quarantine.noteFailure(state, subjects, failure, now);
 }
--- a/packages/lovagepond-gateway/src/gateway_quarantine.ts
+++ b/packages/lovagepond-gateway/src/gateway_quarantine.ts
@@ -1,8 +1,14 @@
 /**
- * Keeps requests that crash servers from running: detects crashed servers,
+ * Keeps what crashes servers from running: detects crashed servers,
  * reports them to control, and applies the quarantines that control decides on.
  */
-import {type Clock, type Logger, type ServerCrash} from '@lovagepond/core';
+import {
+  type Clock,
+  type Logger,
+  partIdOf,
+  type RequestSubjects,
+  type ServerCrash,
+} from '@lovagepond/core';
 import {type ControlUpdate} from '@lovagepond/router/control_link';
 import {CrashReporter} from '@lovagepond/router/crash_reporter';
 import {
@@ -26,8 +32,8 @@
   readonly probe: (address: string) => Promise<Reachability>;
   /** @returns true once control has recorded the report */
   readonly report: (report: CrashReport) => Promise<boolean>;
-  /** Aborts the requests in flight with the fingerprint. */
-  readonly abortQuarantined: (fingerprint: string) => void;
+  /** Aborts the requests in flight that are quarantined. */
+  readonly abortQuarantined: () => void;
 }
 
 export class GatewayQuarantine {
@@ -50,7 +56,7 @@
     return this.#detector.crashes;
   }
 
-  /** Number of suspected requests that control lists. */
+  /** Number of suspects that control lists. */
   get size(): number {
     return this.#requests.size;
   }
@@ -66,14 +72,21 @@
   }
 
   /**
-   * @param update the complete list of suspected requests
+   * @param update the complete list of suspects
    * @param now current time, monotonic milliseconds
    */
   useUpdate(update: QuarantineUpdate, now: number): void {
-    for (const fingerprint of this.#requests.apply(update, now)) {
-      this.#deps.log.warn('request quarantined', {fingerprint});
-      this.#deps.abortQuarantined(fingerprint);
+    const added = this.#requests.apply(update, now);
+    for (const {subject, companions} of added) {
+      const part = partIdOf(subject);
+      this.#deps.log.warn(
+        'request quarantined',
+        part === undefined
+          ? {fingerprint: subject}
+          : {part, companions: companions.join(' ')},
+      );
     }
+    if (added.length > 0) this.#deps.abortQuarantined();
   }
 
   /**
@@ -85,42 +98,46 @@
   }
 
   /**
-   * @param fingerprint of a request
+   * @param request a request's subjects
    * @param now current time, monotonic milliseconds
    * @returns time until the request may run, milliseconds; undefined if it may
    *     run now
    */
-  quarantinedForMs(fingerprint: string, now: number): number | undefined {
-    return this.#requests.quarantinedForMs(fingerprint, now);
+  quarantinedForMs(request: RequestSubjects, now: number): number | undefined {
+    return this.#requests.quarantinedForMs(request, now);
   }
 
   /**
-   * @param fingerprint of a request
+   * @param request a request's subjects
    * @param now current time, monotonic milliseconds
    * @returns true when enough servers crashed, or may have, while they ran the
-   *     request: a retry might crash another one
+   *     request or others with a part of its prompt: a retry might crash
+   *     another one
    */
-  isSuspect(fingerprint: string, now: number): boolean {
-    const crashes = this.#requests.find(fingerprint, now)?.crashes ?? 0;
-    return crashes + this.#detector.undecided(fingerprint) >= SUSPECT_CRASHES;
+  isSuspect(request: RequestSubjects, now: number): boolean {
+    const undecided = request
+      .filter(subject => !this.#requests.wasAnswered(subject, now))
+      .map(subject => this.#detector.undecided(subject));
+    const crashes = this.#requests.crashesOf(request, now);
+    return crashes + Math.max(0, ...undecided) >= SUSPECT_CRASHES;
   }
 
   /**
    * Records a failed attempt, which may be the sign of a crash.
    *
    * @param state a server
-   * @param fingerprint of the request that failed there
+   * @param request subjects of the request that failed there
    * @param failure how the attempt failed
    * @param now current time, monotonic milliseconds
    */
   noteFailure(
     state: ServerState,
-    fingerprint: string,
+    request: RequestSubjects,
     failure: AttemptFailure,
     now: number,
   ): void {
     if (failure.kind === 'broken' && failure.isLost) {
-      this.#detector.noteConnectionLost(state, fingerprint, now);
+      this.#detector.noteConnectionLost(state, request, now);
       this.#probe(now);
     } else if (failure.kind === 'unsent' && failure.isRefused) {
       this.#detector.noteExited(state.server.name, now);
@@ -130,11 +147,11 @@
   }
 
   /**
-   * @param fingerprint of a request that got a complete response
+   * @param request subjects of a request that got a complete response
    * @param now current time, monotonic milliseconds
    */
-  noteAnswered(fingerprint: string, now: number): void {
-    this.#requests.noteAnswered(fingerprint, now);
+  noteAnswered(request: RequestSubjects, now: number): void {
+    this.#requests.noteAnswered(request, now);
   }
 
   #probe(now: number): void {
@@ -150,13 +167,10 @@
     const {server, requests, crashedAt} = crash;
     this.#deps.log.warn('backend server crashed', {
       backendServer: server,
-      requests: requests.join(' '),
+      requests: requests.map(([first]) => first).join(' '),
       brokeMsAgo: Math.round(now - crashedAt),
     });
     this.#reporter.noteCrash(crash, now);
-    for (const fingerprint of requests) {
-      const leftMs = this.quarantinedForMs(fingerprint, now);
-      if (leftMs !== undefined) this.#deps.abortQuarantined(fingerprint);
-    }
+    this.#deps.abortQuarantined();
   }
 }
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -166,8 +166,8 @@
       log: deps.log,
       probe: address => probeServer(address, settings.connectTimeoutMs),
       report: report => this.#link.reportCrashes(report),
-      abortQuarantined: fingerprint => {
-        this.#server?.abortQuarantined(fingerprint);
+      abortQuarantined: () => {
+        this.#server?.abortQuarantined();
       },
     });
     this.#warmUp = new GatewayWarmUp(settings.name, deps.clock.now());
--- a/packages/lovagepond-gateway/src/gateway_server.ts
+++ b/packages/lovagepond-gateway/src/gateway_server.ts
@@ -16,6 +16,7 @@
   type ErrorKind,
   type Logger,
   type Random,
+  toRequestSubjects,
 } from '@lovagepond/core';
 import {type GatewayAdmission} from './gateway_admission.js';
 import {type ClockReading} from './gateway_authority.js';
@@ -82,8 +83,8 @@
   /** Responses that are not completely delivered. */
   #openResponses = 0;
   #bufferedBytes = 0;
-  /** Exchanges in flight, by request fingerprint. */
-  readonly #exchanges = new Map<string, Set<Exchange>>();
+  /** Exchanges in flight. */
+  readonly #exchanges = new Set<Exchange>();
   readonly #drainAdmission = new GatewayDrainAdmission();
   #idleSweep: NodeJS.Timeout | undefined;
   #onAllDelivered: (() => void) | undefined;
@@ -181,10 +182,9 @@
     return true;
   }
 
-  /** @param fingerprint of the quarantined requests to abort */
-  abortQuarantined(fingerprint: string): void {
-    const copies = [...(this.#exchanges.get(fingerprint) ?? [])];
-    for (const exchange of copies) exchange.abortQuarantined();
+  /** Aborts the requests that are quarantined by now. */
+  abortQuarantined(): void {
+    for (const exchange of [...this.#exchanges]) exchange.abortQuarantined();
   }
 
   #readClock(): ClockReading {
@@ -288,8 +288,10 @@
     const {method = 'GET', url: path = '/', rawHeaders} = req;
     const workspace = admitted.workspace ?? '';
     const fingerprint = fingerprintOf({method, path, workspace, body});
-    const parts = {method, path, rawHeaders, body, fingerprint, facts};
-    const whole = {...admitted, ...parts};
+    const partIds = facts.parts.map(({id}) => id);
+    const subjects = toRequestSubjects(fingerprint, partIds);
+    const content = {method, path, rawHeaders, body, fingerprint, facts};
+    const whole = {...admitted, ...content, subjects};
     if (resumesStream(whole)) void this.#resume(whole, caller, release);
     else this.#startExchange(whole, caller, release);
   }
@@ -316,22 +318,14 @@
     caller: CallerChannel,
     release: () => void,
   ): void {
-    const {fingerprint} = req;
     const exchange = new Exchange(req, this.#deps, caller, () => {
-      this.#removeExchange(fingerprint, exchange);
+      this.#exchanges.delete(exchange);
       release();
     });
-    const copies = this.#exchanges.get(fingerprint) ?? new Set();
-    this.#exchanges.set(fingerprint, copies.add(exchange));
+    this.#exchanges.add(exchange);
     exchange.start();
   }
 
-  #removeExchange(fingerprint: string, exchange: Exchange): void {
-    const copies = this.#exchanges.get(fingerprint);
-    copies?.delete(exchange);
-    if (copies?.size === 0) this.#exchanges.delete(fingerprint);
-  }
-
   #refuse(caller: CallerChannel, facts: RequestFacts, error: ErrorKind): void {
     caller.refuse(error);
     this.#deps.counters.noteRefused(error);
--- a/packages/lovagepond-measure/src/crash_simulation.ts
+++ b/packages/lovagepond-measure/src/crash_simulation.ts
@@ -4,71 +4,50 @@
  * restart, callers that retry, and control with its delays.
  */
 import {
-  type BackendServer,
+  CRASH_RULES,
   CrashEvidence,
   type Random,
   SERVER_STATE,
+  toPartSubject,
 } from '@lovagepond/core';
+import {
+  toCrashesPayload,
+  toQuarantineUpdate,
+} from '@lovagepond/control/deciders';
+import {lovagepond} from '@lovagepond/protocol';
 import {
   GatewayCrashDetector,
   REACHABILITY,
   ServerState,
 } from '@lovagepond/gateway/deciders';
 import {
+  type CrashReport,
   RequestQuarantine,
   SUSPECT_CRASHES,
 } from '@lovagepond/router/quarantine';
+import {
+  type CrashFleet,
+  type CrashOutcome,
+  type CrashScenario,
+  EVIDENCE_SCOPE,
+  PARTS_BEFORE,
+} from './crash_scenario.js';
+import {
+  type Gateway,
+  makeServer,
+  type Request,
+  type Run,
+  type Server,
+  toFingerprint,
+} from './crash_simulation_types.js';
 import {VirtualTime} from './virtual_time.js';
 
-/** Gateways that act on a gateway's crash evidence: none, only it, or all. */
-export const EVIDENCE_SCOPE = {
-  NONE: 'none',
-  GATEWAY: 'gateway',
-  FLEET: 'fleet',
-} as const;
+const {v1} = lovagepond;
 
-/** One of the values of {@link EVIDENCE_SCOPE}. */
-export type EvidenceScope =
-  (typeof EVIDENCE_SCOPE)[keyof typeof EVIDENCE_SCOPE];
-
-/** Disturbances beside the requests that crash servers. */
-export interface CrashDisturbances {
-  /** Mean time between two crashes that no request causes, ms. */
-  readonly crashEveryMs?: number;
-  /** Share of answers whose connection breaks although the server is up. */
-  readonly lostAnswers?: number;
-  /** All servers lose power at this time, ms. */
-  readonly powerLossAtMs?: number;
-  /** Interval at which one server after the other leaves as planned, ms. */
-  readonly leaveEveryMs?: number;
-}
-
-/** Settings of one simulation. */
-export interface CrashScenario {
-  readonly evidenceScope: EvidenceScope;
-  /** Number of requests that crash their server. */
-  readonly crashingRequests: number;
-  readonly disturbances: CrashDisturbances;
-}
-
-/** Results of one simulation. */
-export interface CrashOutcome {
-  /** Servers crashed by requests. */
-  readonly crashed: number;
-  /** Harmless requests, without their retries. */
-  readonly requests: number;
-  /** Harmless requests refused or cancelled by the quarantine. */
-  readonly refused: number;
-  /** Harmless requests without an answer after all retries. */
-  readonly lost: number;
-}
-
-const GATEWAYS = 12;
-const SERVERS = 24;
+const FLEET: CrashFleet = {gateways: 12, servers: 24, requestEveryMs: 8};
 const END_MS = 60_000;
 const CRASHING_FROM_MS = 5_000;
 const CRASHING_EVERY_MS = 800;
-const REQUEST_EVERY_MS = 8;
 const RUN_MS = 1_500;
 const CRASH_AFTER_MS = 300;
 const RESTART_MS = 3_000;
@@ -84,30 +63,14 @@
 const FREQUENT_SHARE = 0.1;
 const FREQUENT_CONTENTS = 5;
 const SECOND_ATTEMPT_SHARE = 0.5;
-
-interface Request {
-  readonly fingerprint: string;
-  readonly isCrashing: boolean;
-  readonly retries: number;
-}
-
-interface Run {
-  readonly request: Request;
-  readonly gateway: Gateway;
-  readonly isSecond: boolean;
-  isOver: boolean;
-}
-
-interface Server {
-  readonly state: ServerState;
-  readonly runs: Set<Run>;
-  isUp: boolean;
-}
-
-interface Gateway {
-  readonly quarantine: RequestQuarantine;
-  readonly detector: GatewayCrashDetector;
-}
+const FIRST_PARTS = 10;
+const SECOND_PARTS = 4;
+/** Share of prompts with the parts that are rare. */
+const RARE_SHARE = 0.002;
+/** Crashes after which, and time within which, all gateways must refuse. */
+const BOUND_CRASHES = 5;
+const BOUND_MS = 3_000;
+const CRASHING_PART = toPartSubject('bad');
 
 export class CrashSimulation {
   readonly #scenario: CrashScenario;
@@ -118,7 +81,11 @@
   #servers: Server[] = [];
   #lastServer = 0;
   #lastContent = 0;
-  #crashed = 0;
+  readonly #fleet: CrashFleet;
+  readonly #crashTimes: number[] = [];
+  #sentLate = 0;
+  #updateBytes = 0;
+  #stateBytes = 0;
   #requests = 0;
   #refused = 0;
   #lost = 0;
@@ -130,8 +97,10 @@
   constructor(scenario: CrashScenario, random: Random) {
     this.#scenario = scenario;
     this.#random = random;
-    for (let n = 0; n < SERVERS; n += 1) this.#startServer();
-    for (let n = 0; n < GATEWAYS; n += 1) {
+    this.#fleet = scenario.fleet ?? FLEET;
+    const {servers, gateways} = this.#fleet;
+    for (let n = 0; n < servers; n += 1) this.#startServer();
+    for (let n = 0; n < gateways; n += 1) {
       this.#gateways.push(this.#makeGateway());
     }
   }
@@ -142,25 +111,52 @@
     time.every(TICK_MS, TICK_MS, () => {
       this.#tick();
     });
-    this.#scheduleRandomly(REQUEST_EVERY_MS, 0, () => {
+    this.#scheduleRandomly(this.#fleet.requestEveryMs, 0, () => {
       this.#send(this.#drawRequest());
     });
+    this.#startCrashingPart();
     for (let n = 0; n < this.#scenario.crashingRequests; n += 1) {
-      const fingerprint = toFingerprint(`crashing-${n}`);
+      const subjects = [toFingerprint(`crashing-${n}`)];
       this.#scheduleRandomly(CRASHING_EVERY_MS, CRASHING_FROM_MS, () => {
-        this.#send({fingerprint, isCrashing: true, retries: MAX_RETRIES});
+        this.#send({subjects, isCrashing: true, retries: MAX_RETRIES});
       });
     }
     this.#startDisturbances();
     time.runUntil(END_MS);
     return {
-      crashed: this.#crashed,
+      crashed: this.#crashTimes.length,
+      sentLate: this.#sentLate,
       requests: this.#requests,
       refused: this.#refused,
       lost: this.#lost,
+      updateBytes: this.#updateBytes / this.#fleet.gateways,
+      stateBytes: this.#stateBytes,
     };
   }
 
+  #startCrashingPart(): void {
+    const {crashingPart} = this.#scenario;
+    if (!crashingPart) return;
+    const {partsBefore, everyMs} = crashingPart;
+    this.#scheduleRandomly(everyMs, CRASHING_FROM_MS, () => {
+      this.#lastContent += 1;
+      const fingerprint = toFingerprint(`${this.#lastContent}`);
+      const before =
+        partsBefore === PARTS_BEFORE.OWN
+          ? [toPartSubject('own')]
+          : this.#drawParts(partsBefore === PARTS_BEFORE.RARE);
+      const subjects = [fingerprint, ...before, CRASHING_PART];
+      this.#send({subjects, isCrashing: true, retries: MAX_RETRIES});
+    });
+  }
+
+  #drawParts(isRare: boolean): readonly string[] {
+    const first = Math.floor(this.#random.next() * FIRST_PARTS);
+    const second = Math.floor(this.#random.next() * SECOND_PARTS);
+    const names = [`first-${first}`, `second-${second}`];
+    return names.map(name => toPartSubject(isRare ? `rare-${name}` : name));
+  }
+
   #startDisturbances(): void {
     const {crashEveryMs, powerLossAtMs, leaveEveryMs} =
       this.#scenario.disturbances;
@@ -216,8 +212,9 @@
     const content = Math.floor(this.#random.next() * FREQUENT_CONTENTS);
     this.#lastContent += 1;
     const name = isFrequent ? `frequent-${content}` : `${this.#lastContent}`;
-    const fingerprint = toFingerprint(name);
-    return {fingerprint, isCrashing: false, retries: 0};
+    const parts = this.#drawParts(this.#random.next() < RARE_SHARE);
+    const subjects = [toFingerprint(name), ...parts];
+    return {subjects, isCrashing: false, retries: 0};
   }
 
   #send(request: Request): void {
@@ -226,8 +223,8 @@
 
   #offer(request: Request, gateway: Gateway, isSecond: boolean): void {
     const {now} = this.#time;
-    const {fingerprint, isCrashing} = request;
-    if (gateway.quarantine.quarantinedForMs(fingerprint, now) !== undefined) {
+    const {subjects, isCrashing} = request;
+    if (gateway.quarantine.quarantinedForMs(subjects, now) !== undefined) {
       if (!isCrashing) this.#refused += 1;
       return;
     }
@@ -238,6 +235,8 @@
       this.#retry(request);
       return;
     }
+    const fifthAt = this.#crashTimes[BOUND_CRASHES - 1] ?? Infinity;
+    if (isCrashing && now > fifthAt + BOUND_MS) this.#sentLate += 1;
     const server = this.#random.pick(ready);
     const run = {request, gateway, isSecond, isOver: false};
     server.runs.add(run);
@@ -252,7 +251,7 @@
     if (run.isOver) return;
     const {lostAnswers = 0} = this.#scenario.disturbances;
     if (run.request.isCrashing) {
-      this.#crashed += 1;
+      this.#crashTimes.push(this.#time.now);
       this.#crash(server);
       return;
     }
@@ -261,8 +260,8 @@
     if (this.#random.next() < lostAnswers) {
       this.#breakConnection(server, run);
     } else {
-      const {fingerprint} = run.request;
-      run.gateway.quarantine.noteAnswered(fingerprint, this.#time.now);
+      const {subjects} = run.request;
+      run.gateway.quarantine.noteAnswered(subjects, this.#time.now);
     }
   }
 
@@ -306,13 +305,16 @@
 
   #breakConnection({state}: Server, {request, gateway, isSecond}: Run): void {
     const {now} = this.#time;
-    const {fingerprint} = request;
-    gateway.detector.noteConnectionLost(state, fingerprint, now);
+    const {subjects} = request;
+    gateway.detector.noteConnectionLost(state, subjects, now);
     this.#probe(gateway.detector);
-    const crashes = gateway.quarantine.find(fingerprint, now)?.crashes ?? 0;
+    const crashes = gateway.quarantine.crashesOf(subjects, now);
+    const undecided = subjects
+      .filter(subject => !gateway.quarantine.wasAnswered(subject, now))
+      .map(subject => gateway.detector.undecided(subject));
     const isSuspect =
       this.#scenario.evidenceScope !== EVIDENCE_SCOPE.NONE &&
-      crashes + gateway.detector.undecided(fingerprint) >= SUSPECT_CRASHES;
+      crashes + Math.max(0, ...undecided) >= SUSPECT_CRASHES;
     const mayTryAgain = !isSecond && this.#random.next() < SECOND_ATTEMPT_SHARE;
     if (mayTryAgain && !isSuspect) this.#offer(request, gateway, true);
     else this.#retry(request);
@@ -349,12 +351,13 @@
     }
   }
 
-  #cancel(quarantine: RequestQuarantine, fingerprint: string): void {
+  #cancel(quarantine: RequestQuarantine): void {
+    const {now} = this.#time;
     for (const {runs} of this.#servers) {
       for (const run of runs) {
         const {request, gateway} = run;
         if (gateway.quarantine !== quarantine) continue;
-        if (request.fingerprint !== fingerprint) continue;
+        if (!quarantine.quarantinedForMs(request.subjects, now)) continue;
         run.isOver = true;
         runs.delete(run);
         if (!request.isCrashing) this.#refused += 1;
@@ -371,58 +374,42 @@
       quarantine.endReport(!isLost);
       if (isLost) return;
       this.#report(quarantine);
-      const {now} = this.#time;
-      for (const bytes of report.answered ?? []) {
-        this.#control.forget(Buffer.from(bytes).toString('hex'), now);
-      }
-      for (const {backendServer, requests, ageMs} of report.crashes ?? []) {
-        const crash = {
-          server: backendServer ?? '',
-          requests: (requests ?? []).map(one =>
-            Buffer.from(one).toString('hex'),
-          ),
-          crashedAt: now - (ageMs ?? 0),
-        };
-        this.#control.noteCrash(crash, now);
-      }
-      this.#publishSuspects();
+      const {version} = this.#control;
+      this.#record(report);
+      const state = JSON.stringify(this.#control.snapshot());
+      this.#stateBytes = Math.max(this.#stateBytes, state.length);
+      if (this.#control.version !== version) this.#publishSuspects();
     });
   }
 
+  #record(report: CrashReport): void {
+    const {now} = this.#time;
+    const {BY_SUBJECT} = CRASH_RULES;
+    const {crashes, answered} = toCrashesPayload(report, BY_SUBJECT);
+    for (const subject of answered) this.#control.forget(subject, now);
+    for (const {server, requests, ageMs} of crashes) {
+      const running = requests.map(one => (Array.isArray(one) ? one : [one]));
+      const crashedAt = now - ageMs;
+      this.#control.noteCrash({server, requests: running, crashedAt}, now);
+    }
+  }
+
   #publishSuspects(): void {
     const {now} = this.#time;
     const suspects = this.#control.suspects(now).map(suspect => ({
-      request: Buffer.from(suspect.request, 'hex'),
+      request: suspect.subject,
       crashes: suspect.crashes,
       quarantinedForMs: Math.max(0, (suspect.quarantinedUntil ?? now) - now),
+      companions: suspect.companions,
     }));
+    const update = toQuarantineUpdate(suspects);
+    const bytes = v1.QuarantineUpdate.encode(update).finish().length;
     for (const {quarantine} of this.#gateways) {
+      this.#updateBytes += bytes;
       this.#time.after(SUSPECTS_LAG_MS * this.#random.next(), () => {
-        const added = quarantine.apply({suspects}, this.#time.now);
-        for (const fingerprint of added) this.#cancel(quarantine, fingerprint);
+        const added = quarantine.apply(update, this.#time.now);
+        if (added.length > 0) this.#cancel(quarantine);
       });
     }
   }
 }
-
-function makeServer(name: string): BackendServer {
-  return {
-    name,
-    incarnation: name,
-    pool: 'p',
-    labels: {},
-    availabilityZone: 'z',
-    region: 'r',
-    address: `${name}:1`,
-    state: SERVER_STATE.READY,
-    capacityTokens: 0,
-    models: [],
-    slot: 0,
-    directSlots: 64,
-    place: name,
-  };
-}
-
-function toFingerprint(content: string): string {
-  return Buffer.from(content).toString('hex');
-}
--- a/packages/lovagepond-operator/src/__tests__/unit/ctl.test.ts
+++ b/packages/lovagepond-operator/src/__tests__/unit/ctl.test.ts
@@ -120,7 +120,9 @@
   });
 
   it('lists and lifts quarantines', async () => {
-    member.suspects = [{request: 'ab12', crashes: 3, quarantinedForMs: 1_500}];
+    member.suspects = [
+      {request: 'ab12', crashes: 3, quarantinedForMs: 1_500, companions: []},
+    ];
     await ctl('quarantine list');
     expect(io.out).toMatch(/ab12 +3 +2/);
     await ctl('quarantine lift ab12');
--- a/packages/lovagepond-operator/src/ctl_quarantine_commands.ts
+++ b/packages/lovagepond-operator/src/ctl_quarantine_commands.ts
@@ -1,5 +1,6 @@
 /**
- * `ctl` commands for requests during which backend servers crashed.
+ * `ctl` commands for requests and prompt parts during which backend servers
+ * crashed.
  */
 import {type SuspectView} from '@lovagepond/control';
 import {OPERATION_OPTIONS, operationIdOf} from './ctl_change_utils.js';
@@ -15,8 +16,9 @@
     view.request,
     view.crashes,
     Math.ceil(view.quarantinedForMs / MS_PER_SECOND),
+    view.companions.join(' '),
   ]);
-  const headings = ['REQUEST', 'CRASHES', 'QUARANTINED FOR (S)'];
+  const headings = ['REQUEST', 'CRASHES', 'QUARANTINED FOR (S)', 'ONLY WITH'];
   return {json: views, lines: formatTable(headings, rows)};
 }
 
@@ -34,7 +36,8 @@
   {
     group: 'quarantine',
     name: 'list',
-    description: 'list the requests during which backend servers crashed',
+    description:
+      'list the requests and prompt parts during which backend servers crashed',
     example: 'quarantine list',
     run: listQuarantine,
   },
--- a/packages/lovagepond-router/src/__tests__/unit/router_quarantine.test.ts
+++ b/packages/lovagepond-router/src/__tests__/unit/router_quarantine.test.ts
@@ -12,7 +12,7 @@
 const HOUR_MS = 3_600_000;
 
 function crash(server: string, crashedAt: number) {
-  return {server, requests: [BAD], crashedAt};
+  return {server, requests: [[BAD]], crashedAt};
 }
 
 test('a fingerprint covers the method, the path, the workspace and the body', () => {
@@ -38,7 +38,7 @@
     quarantine.takeReport(at * 1_000);
     quarantine.endReport(false);
   }
-  expect(quarantine.quarantinedForMs(BAD, 3_000)).toBe(HOUR_MS);
+  expect(quarantine.quarantinedForMs([BAD], 3_000)).toBe(HOUR_MS);
 });
 
 // Guards against a crash that is never counted because the leader failed before
@@ -47,7 +47,12 @@
   const quarantine = new RequestQuarantine();
   quarantine.noteCrash(crash('s1', 0), 0);
   expect(quarantine.takeReport(10)?.crashes).toEqual([
-    {backendServer: 's1', requests: [Buffer.from(BAD, 'hex')], ageMs: 10},
+    {
+      backendServer: 's1',
+      requests: [Buffer.from(BAD, 'hex')],
+      parts: [{ids: []}],
+      ageMs: 10,
+    },
   ]);
   expect(quarantine.takeReport(20)).toBeUndefined();
   quarantine.noteCrash(crash('s2', 15), 15);
@@ -65,21 +70,23 @@
   }
   quarantine.takeReport(3_000);
   quarantine.apply({suspects: []}, 3_000);
-  expect(quarantine.quarantinedForMs(BAD, 3_000)).toBeDefined();
+  expect(quarantine.quarantinedForMs([BAD], 3_000)).toBeDefined();
   quarantine.endReport(true);
   const request = Buffer.from(BAD, 'hex');
   const fromControl = {request, crashes: 3, quarantinedForMs: HOUR_MS};
-  expect(quarantine.apply({suspects: [fromControl]}, 3_100)).toEqual([BAD]);
+  expect(quarantine.apply({suspects: [fromControl]}, 3_100)).toMatchObject([
+    {subject: BAD},
+  ]);
   expect(quarantine.apply({suspects: [fromControl]}, 3_200)).toEqual([]);
   quarantine.apply({suspects: []}, 3_300);
-  expect(quarantine.quarantinedForMs(BAD, 3_300)).toBeUndefined();
+  expect(quarantine.quarantinedForMs([BAD], 3_300)).toBeUndefined();
 });
 
 // Guards against quarantining a frequent request that many servers were running
 // when they lost power.
 test('a recently answered request is not counted for a crash', () => {
   const quarantine = new RequestQuarantine();
-  quarantine.noteAnswered(BAD, 0);
+  quarantine.noteAnswered([BAD], 0);
   quarantine.noteCrash(crash('s1', 59_000), 59_000);
   expect(quarantine.takeReport(59_000)?.crashes).toMatchObject([
     {backendServer: 's1', requests: []},
@@ -88,20 +95,20 @@
   const request = Buffer.from(BAD, 'hex');
   const fromControl = {request, crashes: 3, quarantinedForMs: HOUR_MS};
   expect(quarantine.apply({suspects: [fromControl]}, 59_500)).toEqual([]);
-  expect(quarantine.quarantinedForMs(BAD, 59_500)).toBeUndefined();
+  expect(quarantine.quarantinedForMs([BAD], 59_500)).toBeUndefined();
   expect(quarantine.takeReport(59_500)?.answered).toEqual([request]);
   quarantine.noteCrash(crash('s2', 61_000), 61_000);
-  expect(quarantine.find(BAD, 61_000)?.crashes).toBe(1);
+  expect(quarantine.crashesOf([BAD], 61_000)).toBe(1);
 });
 
 test('a complete answer clears a suspect and is reported to the control plane', () => {
   const quarantine = new RequestQuarantine();
-  quarantine.noteAnswered(BAD, -HOUR_MS);
+  quarantine.noteAnswered([BAD], -HOUR_MS);
   expect(quarantine.takeReport(0)).toBeUndefined();
   const request = Buffer.from(BAD, 'hex');
   quarantine.apply({suspects: [{request, crashes: 2}]}, 0);
-  quarantine.noteAnswered(BAD, 0);
-  expect(quarantine.find(BAD, 0)).toBeUndefined();
+  quarantine.noteAnswered([BAD], 0);
+  expect(quarantine.suspicionsOf([BAD], 0)).toEqual([]);
   expect(quarantine.takeReport(0)?.answered).toEqual([request]);
 });
 
@@ -110,9 +117,9 @@
 test('an unreported crash does not count for a request answered since', () => {
   const quarantine = new RequestQuarantine();
   quarantine.noteCrash(crash('s1', 1_000), 1_000);
-  quarantine.noteAnswered(BAD, 2_000);
+  quarantine.noteAnswered([BAD], 2_000);
   quarantine.apply({suspects: []}, 3_000);
-  expect(quarantine.find(BAD, 3_000)).toBeUndefined();
+  expect(quarantine.suspicionsOf([BAD], 3_000)).toEqual([]);
 });
 
 // Guards against a quarantine by crashes from before an answer: one router
@@ -129,7 +136,7 @@
     for (const {backendServer, ageMs} of crashes ?? []) {
       const crashedAt = now - (ageMs ?? 0);
       control.noteCrash(
-        {server: backendServer ?? '', requests: [BAD], crashedAt},
+        {server: backendServer ?? '', requests: [[BAD]], crashedAt},
         now,
       );
     }
@@ -137,7 +144,7 @@
   late.noteCrash(crash('s1', 1_000), 1_000);
   late.noteCrash(crash('s2', 1_500), 1_500);
   answering.noteCrash(crash('s0', 1_800), 1_800);
-  answering.noteAnswered(BAD, 2_000);
+  answering.noteAnswered([BAD], 2_000);
   report(answering, 2_100);
   report(late, 3_000);
   expect(control.find(BAD, 3_000)).toBeUndefined();
@@ -145,3 +152,30 @@
   report(answering, 70_100);
   expect(control.find(BAD, 70_100)?.crashes).toBe(1);
 });
+
+// Guards against a gateway that refuses sound prompts because they share one of
+// the parts that were always together when servers crashed.
+test('a quarantined part covers only prompts that have its companions', () => {
+  const quarantine = new RequestQuarantine();
+  const parts = [
+    {id: 'a', crashes: 3, quarantinedForMs: HOUR_MS, companions: ['b']},
+  ];
+  expect(quarantine.apply({parts}, 0)).toMatchObject([{subject: 'part:a'}]);
+  expect(quarantine.quarantinedForMs([BAD, 'part:a'], 0)).toBeUndefined();
+  const both = [BAD, 'part:a', 'part:c', 'part:b'];
+  expect(quarantine.quarantinedForMs(both, 0)).toBe(HOUR_MS);
+  expect(quarantine.crashesOf([BAD, 'part:a'], 0)).toBe(0);
+  const alone = [{...parts[0], companions: []}];
+  expect(quarantine.apply({parts: alone}, 10)).toHaveLength(1);
+  expect(quarantine.quarantinedForMs([BAD, 'part:a'], 10)).toBe(HOUR_MS);
+});
+
+test('crashes are reported with the parts that were not answered lately', () => {
+  const quarantine = new RequestQuarantine();
+  quarantine.noteAnswered(['f0', 'part:popular'], 0);
+  const requests = [[BAD, 'part:popular', 'part:bad']];
+  quarantine.noteCrash({server: 's1', requests, crashedAt: 1_000}, 1_000);
+  expect(quarantine.takeReport(1_000)?.crashes).toMatchObject([
+    {requests: [Buffer.from(BAD, 'hex')], parts: [{ids: ['bad']}]},
+  ]);
+});
--- a/packages/lovagepond-router/src/router_dispatcher.ts
+++ b/packages/lovagepond-router/src/router_dispatcher.ts
@@ -166,7 +166,7 @@
     state.revisions.noteSidecarRevision(incarnation, frame.revision);
     evidence.noteResponse(incarnation, now);
     if (body.kind === 'end') {
-      this.#deps.quarantine.noteAnswered(runner.fingerprint, now);
+      this.#deps.quarantine.noteAnswered([runner.fingerprint], now);
     }
     if (body.kind === 'started') counters.noteStarted(runner.returning, body);
     const server = runner.placed?.server;
@@ -212,14 +212,14 @@
   }
 
   /**
-   * @param fingerprint of the quarantined requests to abort
+   * Aborts the requests that are quarantined by now.
+   *
    * @param now current time, monotonic milliseconds
    */
-  abortQuarantined(fingerprint: string, now: number): void {
-    const failure = this.#findQuarantineFailure(fingerprint, now);
-    if (!failure) return;
+  abortQuarantined(now: number): void {
     for (const runner of [...this.#runners]) {
-      if (runner.fingerprint === fingerprint) runner.abortQuarantined(failure);
+      const failure = this.#findQuarantineFailure(runner.fingerprint, now);
+      if (failure) runner.abortQuarantined(failure);
     }
   }
 
@@ -229,13 +229,13 @@
     now: number,
   ): void {
     if (server === '') return;
-    const requests = [fingerprint];
+    const requests = [[fingerprint]];
     this.#deps.crashes.noteCrash({server, requests, crashedAt: now}, now);
   }
 
   #isSuspectedRequest({fingerprint}: RequestRunner, now: number): boolean {
-    const crashes = this.#deps.quarantine.find(fingerprint, now)?.crashes ?? 0;
-    return crashes >= SUSPECT_CRASHES;
+    const {quarantine} = this.#deps;
+    return quarantine.crashesOf([fingerprint], now) >= SUSPECT_CRASHES;
   }
 
   #findQuarantineFailure(
@@ -243,7 +243,7 @@
     now: number,
   ): Failure | undefined {
     const {quarantine} = this.#deps;
-    const retryAfterMs = quarantine.quarantinedForMs(fingerprint, now);
+    const retryAfterMs = quarantine.quarantinedForMs([fingerprint], now);
     if (retryAfterMs === undefined) return undefined;
     return makeFailure('quarantined', {retryAfterMs});
   }
--- a/packages/lovagepond-router/src/router_quarantine.ts
+++ b/packages/lovagepond-router/src/router_quarantine.ts
@@ -1,12 +1,20 @@
 /**
- * Quarantines requests that crash servers.
+ * Quarantines requests, and parts of prompts, that crash servers.
  *
  * The control plane counts the crashes that all routers report. Crashes that it
  * has not recorded yet are counted locally, so that a router that is cut off
  * from the control plane also protects its servers.
  */
 import {createHash} from 'node:crypto';
-import {CrashEvidence, type ServerCrash, type Suspect} from '@lovagepond/core';
+import {
+  CrashEvidence,
+  type CrashSubject,
+  partIdOf,
+  type RequestSubjects,
+  type ServerCrash,
+  type Suspect,
+  toPartSubject,
+} from '@lovagepond/core';
 import {type lovagepond} from '@lovagepond/protocol';
 
 type WireUpdate = lovagepond.v1.QuarantineUpdate.$Properties;
@@ -14,7 +22,7 @@
 /** A report of crashes to the control plane. */
 export type CrashReport = Pick<
   lovagepond.v1.CrashReport.$Properties,
-  'crashes' | 'answered'
+  'crashes' | 'answered' | 'answeredParts'
 >;
 
 /** The content that identifies repeats of a request. */
@@ -26,19 +34,19 @@
   readonly body: Uint8Array;
 }
 
-/** A request that crashed this many servers isn't retried. */
+/** A subject that crashed this many servers isn't retried. */
 export const SUSPECT_CRASHES = 2;
 
 const FINGERPRINT_BYTES = 16;
 
 /**
- * A request that was answered completely within this time before a crash didn't
- * cause the crash; milliseconds.
+ * What was answered completely within this time before a crash didn't cause the
+ * crash; milliseconds.
  */
 const ANSWER_VALID_MS = 60_000;
 
-/** Maximum number of requests whose last answer's time is stored. */
-const MAX_ANSWERED = 4_096;
+/** Maximum number of subjects whose last answer's time is stored. */
+const MAX_ANSWERED = 8_192;
 
 /** Maximum number of crashes in one report. */
 const MAX_REPORTED = 64;
@@ -58,78 +66,90 @@
   return hash.digest().subarray(0, FINGERPRINT_BYTES).toString('hex');
 }
 
-/** Keeps suspected requests and the pending reports to the control plane. */
+/** Keeps suspects and the pending reports to the control plane. */
 export class RequestQuarantine {
   readonly #localEvidence = new CrashEvidence();
-  #suspectsFromControl = new Map<string, Suspect>();
+  #suspectsFromControl = new Map<CrashSubject, Suspect>();
   #unreported: ServerCrash[] = [];
-  #answered = new Set<string>();
-  /** Times of the last answers by fingerprint; the oldest first. */
-  readonly #answeredAt = new Map<string, number>();
-  #pendingReport: {crashes: ServerCrash[]; answered: Set<string>} | undefined;
+  #answered = new Set<CrashSubject>();
+  /** Times of the last answers by subject; the oldest first. */
+  readonly #answeredAt = new Map<CrashSubject, number>();
+  #pendingReport:
+    {crashes: ServerCrash[]; answered: Set<CrashSubject>} | undefined;
 
   /**
    * @param crash the crashed server and this router's requests at it
    * @param now current time, monotonic milliseconds
    */
   noteCrash(crash: ServerCrash, now: number): void {
-    const requests = crash.requests.filter(
-      request => !this.#wasAnswered(request, now),
+    const counted = withoutSubjects(crash, subject =>
+      this.wasAnswered(subject, now),
     );
-    const counted = {...crash, requests};
     this.#localEvidence.noteCrash(counted, now);
     this.#unreported.push(counted);
     if (this.#unreported.length > MAX_UNREPORTED) this.#unreported.shift();
   }
 
   /**
-   * @param request fingerprint of a request that a server answered completely
+   * @param request subjects of a request that a server answered completely
    * @param now current time, monotonic milliseconds
    */
-  noteAnswered(request: string, now: number): void {
-    this.#answeredAt.delete(request);
-    this.#answeredAt.set(request, now);
+  noteAnswered(request: RequestSubjects, now: number): void {
+    for (const subject of request) this.#noteAnswered(subject, now);
     for (const oldest of this.#answeredAt.keys()) {
       if (this.#answeredAt.size <= MAX_ANSWERED) break;
       this.#answeredAt.delete(oldest);
     }
-    const isLocal = this.#localEvidence.forget(request, now);
-    const isFromControl = this.#suspectsFromControl.delete(request);
-    if (isLocal || isFromControl) this.#answered.add(request);
+  }
+
+  #noteAnswered(subject: CrashSubject, now: number): void {
+    this.#answeredAt.delete(subject);
+    this.#answeredAt.set(subject, now);
+    const isLocal = this.#localEvidence.forget(subject, now);
+    const isFromControl = this.#suspectsFromControl.delete(subject);
+    if (isLocal || isFromControl) this.#answered.add(subject);
   }
 
   /**
-   * @param request a fingerprint
+   * @param request a request's subjects
    * @param now current time, monotonic milliseconds
-   * @returns the suspicion against the request, if any
+   * @returns the suspicions against the request
    */
-  find(request: string, now: number): Suspect | undefined {
-    const local = this.#localEvidence.find(request, now);
-    const fromControl = this.#suspectsFromControl.get(request);
-    if (!local || !fromControl) return local ?? fromControl;
-    const until = Math.max(
-      local.quarantinedUntil ?? 0,
-      fromControl.quarantinedUntil ?? 0,
-    );
-    return {
-      request,
-      crashes: Math.max(local.crashes, fromControl.crashes),
-      quarantinedUntil: until === 0 ? undefined : until,
-    };
+  suspicionsOf(request: RequestSubjects, now: number): readonly Suspect[] {
+    return request
+      .flatMap(subject => [
+        this.#localEvidence.find(subject, now) ?? [],
+        this.#suspectsFromControl.get(subject) ?? [],
+      ])
+      .flat()
+      .filter(({companions}) => companions.every(one => request.includes(one)));
   }
 
   /**
-   * @param request a fingerprint
+   * @param request a request's subjects
+   * @param now current time, monotonic milliseconds
+   * @returns number of crashes under the most suspected one
+   */
+  crashesOf(request: RequestSubjects, now: number): number {
+    const counts = this.suspicionsOf(request, now).map(one => one.crashes);
+    return Math.max(0, ...counts);
+  }
+
+  /**
+   * @param request a request's subjects
    * @param now current time, monotonic milliseconds
    * @returns time until the request may run, in milliseconds; undefined when it
    *     may run now
    */
-  quarantinedForMs(request: string, now: number): number | undefined {
-    const leftMs = (this.find(request, now)?.quarantinedUntil ?? 0) - now;
-    return leftMs > 0 ? leftMs : undefined;
+  quarantinedForMs(request: RequestSubjects, now: number): number | undefined {
+    const leftMs = this.suspicionsOf(request, now).map(
+      ({quarantinedUntil}) => (quarantinedUntil ?? 0) - now,
+    );
+    const longestMs = Math.max(0, ...leftMs);
+    return longestMs > 0 ? longestMs : undefined;
   }
 
-  /** @returns number of suspected requests, for the state dump */
+  /** @returns number of suspects, for the state dump */
   get size(): number {
     return this.#suspectsFromControl.size;
   }
@@ -151,10 +171,12 @@
     return {
       crashes: crashes.map(crash => ({
         backendServer: crash.server,
-        requests: crash.requests.map(toBytes),
+        requests: crash.requests.map(([first = '']) => toBytes(first)),
+        parts: crash.requests.map(request => ({ids: partIdsOf(request)})),
         ageMs: Math.max(0, Math.round(now - crash.crashedAt)),
       })),
-      answered: [...answered].map(toBytes),
+      answered: [...answered].filter(isFingerprint).map(toBytes),
+      answeredParts: partIdsOf([...answered]),
     };
   }
 
@@ -164,45 +186,48 @@
     this.#pendingReport = undefined;
     if (isRecorded || !pendingReport) return;
     this.#unreported = [...pendingReport.crashes, ...this.#unreported];
-    for (const request of pendingReport.answered) this.#answered.add(request);
+    for (const subject of pendingReport.answered) this.#answered.add(subject);
   }
 
   /**
-   * @param update all suspected requests, from the control plane
+   * @param update all suspects, from the control plane
    * @param now current time, monotonic milliseconds
-   * @returns fingerprints of requests that are newly quarantined
+   * @returns suspects that are newly quarantined, or whose quarantine covers
+   *     more requests than before
    */
-  apply({suspects}: WireUpdate, now: number): readonly string[] {
+  apply(update: WireUpdate, now: number): readonly Suspect[] {
     const former = this.#suspectsFromControl;
     this.#suspectsFromControl = new Map();
-    const quarantined: string[] = [];
-    for (const {request: bytes, crashes, quarantinedForMs} of suspects ?? []) {
-      const request = Buffer.from(bytes ?? []).toString('hex');
-      if (this.#wasAnswered(request, now)) {
-        this.#answered.add(request);
+    const quarantined: Suspect[] = [];
+    for (const suspect of decodeSuspects(update, now)) {
+      const {subject, companions, quarantinedUntil} = suspect;
+      if (this.wasAnswered(subject, now)) {
+        this.#answered.add(subject);
         continue;
       }
-      const forMs = quarantinedForMs ?? 0;
-      const quarantinedUntil = forMs > 0 ? now + forMs : undefined;
-      this.#suspectsFromControl.set(request, {
-        request,
-        crashes: crashes ?? 0,
-        quarantinedUntil,
-      });
-      const isKnown = former.get(request)?.quarantinedUntil !== undefined;
-      if (quarantinedUntil !== undefined && !isKnown) quarantined.push(request);
+      this.#suspectsFromControl.set(subject, suspect);
+      const known = former.get(subject);
+      const isKnown =
+        known?.quarantinedUntil !== undefined &&
+        known.companions.length <= companions.length;
+      if (quarantinedUntil !== undefined && !isKnown) quarantined.push(suspect);
     }
     this.#dropRecorded(now);
     return quarantined;
   }
 
-  #wasAnswered(request: string, now: number): boolean {
-    const answeredAt = this.#answeredAt.get(request) ?? -Infinity;
+  /**
+   * @param subject a subject
+   * @param now current time, monotonic milliseconds
+   * @returns true when a request with it was answered completely of late
+   */
+  wasAnswered(subject: CrashSubject, now: number): boolean {
+    const answeredAt = this.#answeredAt.get(subject) ?? -Infinity;
     return now - answeredAt <= ANSWER_VALID_MS;
   }
 
-  #wasAnsweredAfter(request: string, at: number): boolean {
-    return (this.#answeredAt.get(request) ?? -Infinity) >= at;
+  #wasAnsweredAfter(subject: CrashSubject, at: number): boolean {
+    return (this.#answeredAt.get(subject) ?? -Infinity) >= at;
   }
 
   /**
@@ -216,14 +241,55 @@
     ];
     this.#localEvidence.restore(undefined);
     for (const crash of waiting) {
-      const requests = crash.requests.filter(
-        request => !this.#wasAnsweredAfter(request, crash.crashedAt),
+      const counted = withoutSubjects(crash, subject =>
+        this.#wasAnsweredAfter(subject, crash.crashedAt),
       );
-      this.#localEvidence.noteCrash({...crash, requests}, now);
+      this.#localEvidence.noteCrash(counted, now);
     }
   }
 }
 
-function toBytes(request: string): Buffer {
-  return Buffer.from(request, 'hex');
+/** @returns the crash without some of its subjects */
+function withoutSubjects(
+  crash: ServerCrash,
+  isDropped: (subject: CrashSubject) => boolean,
+): ServerCrash {
+  const requests = crash.requests
+    .map(request => request.filter(subject => !isDropped(subject)))
+    .filter(({length}) => length > 0);
+  return {...crash, requests};
+}
+
+function isFingerprint(subject: CrashSubject): boolean {
+  return partIdOf(subject) === undefined;
+}
+
+function partIdsOf(subjects: readonly CrashSubject[]): string[] {
+  return subjects.flatMap(subject => partIdOf(subject) ?? []);
+}
+
+/** @returns the fingerprint's bytes; none when the subject is a part */
+function toBytes(subject: CrashSubject): Buffer {
+  return Buffer.from(isFingerprint(subject) ? subject : '', 'hex');
+}
+
+function decodeSuspects(
+  {suspects, parts}: WireUpdate,
+  now: number,
+): readonly Suspect[] {
+  const untilOf = (forMs: number | null | undefined): number | undefined =>
+    forMs ? now + forMs : undefined;
+  const requests = (suspects ?? []).map(one => ({
+    subject: Buffer.from(one.request ?? []).toString('hex'),
+    crashes: one.crashes ?? 0,
+    quarantinedUntil: untilOf(one.quarantinedForMs),
+    companions: [],
+  }));
+  const suspectedParts = (parts ?? []).map(one => ({
+    subject: toPartSubject(one.id ?? ''),
+    crashes: one.crashes ?? 0,
+    quarantinedUntil: untilOf(one.quarantinedForMs),
+    companions: (one.companions ?? []).map(toPartSubject),
+  }));
+  return [...requests, ...suspectedParts];
 }
--- a/packages/lovagepond-router/src/router_role.ts
+++ b/packages/lovagepond-router/src/router_role.ts
@@ -94,12 +94,11 @@
       this.#load.applyDigest(load.loads, now - (load.ageMs ?? 0));
     },
     quarantine: ({quarantine}, now) => {
-      for (const request of this.#quarantine.apply(quarantine ?? {}, now)) {
-        this.#deps.log.warn('request quarantined', {
-          fingerprint: request,
-        });
-        this.#running?.dispatcher.abortQuarantined(request, now);
+      const added = this.#quarantine.apply(quarantine ?? {}, now);
+      for (const {subject} of added) {
+        this.#deps.log.warn('request quarantined', {fingerprint: subject});
       }
+      if (added.length > 0) this.#running?.dispatcher.abortQuarantined(now);
     },
     // The control link keeps the list of members.
     controlMembers: () => {},
