Measure and show a gateway beyond its capacity

npm run measure -- skew: nearly all new connections at one of three gateways. The test keeps the event loop late all the time: each new connection is read.

--- a/scripts/measure.mjs
+++ b/scripts/measure.mjs
@@ -6,7 +6,10 @@
 const PRODUCT = 'packages/lovagepond-measure/src/measure_main.ts';
 
 /** Measurements of the bundle that the platform runs; name to entry point. */
-const PLATFORM = {start: 'platform/src/start_measure.ts'};
+const PLATFORM = {
+  start: 'platform/src/start_measure.ts',
+  skew: 'platform/src/skew_measure.ts',
+};
 
 /** @param {string} entry @param {readonly string[]} args */
 async function run(entry, args) {
