Refuse connections at a gateway while its unread ones are old

What callers saw: with most new connections at one gateway, it read all and answered ever fewer in time, while others were idle. Cause: the callers' listener looked at nothing of its own. One turn of the event loop accepts one connection, so up to 511 wait in the operating system, the timers are on time, and each request starts when its caller is about to leave. Class: admission that knows only the load of those behind it. Change: while it is busy, a gateway measures for how long connections wait, with one of its own to its own listener. At 0.25 s it closes the listener until two turns of its loop had nothing to do: waiting and new connections are refused at once, and the next try meets another gateway. Open connections and what was read go on; readiness stays as it is. maxConnections bounds the open ones. Trials that were dropped: accepting and closing at once, and limits by rate (docs/design/intake.md). Test: refuses new connections while its event loop is late; all 100 were read before.

--- a/packages/lovagepond-cli/src/role_metrics.ts
+++ b/packages/lovagepond-cli/src/role_metrics.ts
@@ -7,7 +7,8 @@
 import {type Role, type StateDump} from '@lovagepond/core';
 import {type MetricsRegistry, type Sample} from '@lovagepond/process';
 import {type RoleName} from './cli_constants.js';
-import {ADMISSION_METRICS} from './role_metrics_admission.js';
+import {GATEWAY_METRICS} from './role_metrics_gateway.js';
+import {REVISION, SUSPECTED_REQUESTS} from './role_metrics_shared.js';
 import {type DumpMetric, type Path} from './role_metrics_types.js';
 
 function makeControlBytes(paths: Readonly<Record<string, Path>>): DumpMetric {
@@ -19,20 +20,6 @@
   };
 }
 
-const REVISION: DumpMetric = {
-  kind: 'gauge',
-  name: 'lovagepond_configuration_revision',
-  help: 'Configuration revision that this process holds.',
-  path: ['revision'],
-};
-
-const SUSPECTED_REQUESTS: DumpMetric = {
-  kind: 'gauge',
-  name: 'lovagepond_suspected_requests',
-  help: 'Requests that servers crashed under, quarantined or not.',
-  path: ['suspectedRequests'],
-};
-
 const ROUTER_METRICS: readonly DumpMetric[] = [
   makeControlBytes({
     received: ['controlBytesReceived'],
@@ -215,102 +202,6 @@
   SUSPECTED_REQUESTS,
 ];
 
-const GATEWAY_METRICS: readonly DumpMetric[] = [
-  REVISION,
-  {
-    kind: 'gauge',
-    name: 'lovagepond_gateway_requests_in_flight',
-    help: 'Forwarded requests that have no final answer yet.',
-    path: ['inFlight'],
-  },
-  {
-    kind: 'counter',
-    name: 'lovagepond_gateway_connections_opened_total',
-    help: 'Connections opened to backend servers.',
-    path: ['connectionsOpened'],
-  },
-  {
-    kind: 'counter',
-    name: 'lovagepond_gateway_requests_ended_total',
-    help: 'Forwarded requests that were offered to a server, by their end.',
-    labelledObjects: {paths: [['endedByOutcome']], label: 'outcome'},
-  },
-  {
-    kind: 'counter',
-    name: 'lovagepond_refusals_total',
-    help: 'Requests answered with an error, by kind.',
-    labelledObjects: {paths: [['refusedByKind']], label: 'kind'},
-  },
-  {
-    kind: 'counter',
-    name: 'lovagepond_gateway_attempts_failed_total',
-    help: 'Attempts that brought no whole answer, by their end.',
-    labelledObjects: {paths: [['failedAttemptsByOutcome']], label: 'outcome'},
-  },
-  {
-    kind: 'counter',
-    name: 'lovagepond_retries_total',
-    help: 'Attempts after the first one.',
-    path: ['secondTries'],
-  },
-  {
-    kind: 'counter',
-    name: 'lovagepond_gateway_servers_crashed_total',
-    help: 'Backend servers that ended while they ran requests of this gateway.',
-    path: ['crashedServers'],
-  },
-  {
-    kind: 'gauge',
-    name: 'lovagepond_gateway_servers_paused',
-    help: 'Backend servers that asked this gateway for a pause.',
-    path: ['pausedServers'],
-  },
-  {
-    kind: 'gauge',
-    name: 'lovagepond_gateway_servers_leaving',
-    help: 'Backend servers that told this gateway that they are about to exit.',
-    path: ['leavingServers'],
-  },
-  {
-    kind: 'gauge',
-    name: 'lovagepond_gateway_servers_by_version',
-    help: 'Listed backend servers, by pool and software version.',
-    labelledObjects: {paths: [['serversByVersion']], label: 'version'},
-  },
-  {
-    kind: 'counter',
-    name: 'lovagepond_gateway_stream_lookups_total',
-    help: 'Requests that resume a stream, by who knew where it began.',
-    labelledObjects: {paths: [['streams', 'lookups']], label: 'source'},
-  },
-  {
-    kind: 'gauge',
-    name: 'lovagepond_gateway_stream_records',
-    help: 'Records of where streams began that this gateway keeps.',
-    path: ['streams', 'records'],
-  },
-  {
-    kind: 'gauge',
-    name: 'lovagepond_gateway_stream_peers',
-    help: 'Other gateways that share records of streams with this one.',
-    path: ['streams', 'peers'],
-  },
-  {
-    kind: 'counter',
-    name: 'lovagepond_gateway_permits_total',
-    help: 'Decisions on permits that this gateway asked for.',
-    labelledObjects: {paths: [['permits', 'decisions']], label: 'decision'},
-  },
-  {
-    kind: 'gauge',
-    name: 'lovagepond_gateway_permit_servers',
-    help: 'Backend servers whose requests this gateway counts for all gateways.',
-    path: ['permits', 'issuedServers'],
-  },
-  SUSPECTED_REQUESTS,
-  ...ADMISSION_METRICS,
-];
-
 const METRICS_BY_ROLE: Readonly<Record<RoleName, readonly DumpMetric[]>> = {
   router: ROUTER_METRICS,
   sidecar: SIDECAR_METRICS,
--- a/packages/lovagepond-cli/src/settings_gateway.ts
+++ b/packages/lovagepond-cli/src/settings_gateway.ts
@@ -28,6 +28,8 @@
   /** Estimate each server's speed instead of one rate for all engines. */
   serverCapacity: boolean().optional(),
   maxHeld: size().optional(),
+  /** Open connections of callers. */
+  maxConnections: integer(1, MAX_COUNT).optional(),
   drainLinger: duration().optional(),
   /** Time for which a backend server that drains still accepts requests. */
   drainTimeout: duration().optional(),
@@ -84,6 +86,7 @@
       prefillTokensPerMs: gateway.prefillRate,
       serverCapacity: gateway.serverCapacity,
       maxHeldBytes: gateway.maxHeld,
+      maxConnections: gateway.maxConnections,
       drainLingerMs: gateway.drainLinger,
       drainTimeoutMs: gateway.drainTimeout,
       revocationBoundMs: gateway.revocationBound,
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -268,7 +268,12 @@
       },
     });
     const server = new GatewayServer(
-      {host: '127.0.0.1', port: 0, maxHeldBytes: 1_000_000},
+      {
+        host: '127.0.0.1',
+        port: 0,
+        maxHeldBytes: 1_000_000,
+        maxConnections: 1_000,
+      },
       {
         clock,
         log,
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -301,6 +301,7 @@
       crashedServers: this.#quarantine.crashedServers,
       ...this.#counters.read(),
       inFlight: this.#server?.inFlight ?? 0,
+      intake: this.#server?.intake,
       connectionsOpened: this.#connections.opened,
       connectionsIdle: this.#connections.idle,
       admission: this.#overload.describe(at.now),
--- a/packages/lovagepond-gateway/src/gateway_server.ts
+++ b/packages/lovagepond-gateway/src/gateway_server.ts
@@ -26,6 +26,7 @@
   type AdmittedRequest,
   type ExchangeDependencies,
 } from './gateway_exchange_types.js';
+import {GatewayIntake, type GatewayIntakeState} from './gateway_intake.js';
 import {GatewayDrainAdmission} from './gateway_drain_admission.js';
 import {readFacts, type RequestFacts} from './gateway_headers.js';
 import {type GatewaySettings} from './gateway_settings.js';
@@ -70,7 +71,10 @@
   readonly random: Random;
 }
 
-type ListenerSettings = Pick<GatewaySettings, 'host' | 'port' | 'maxHeldBytes'>;
+type ListenerSettings = Pick<
+  GatewaySettings,
+  'host' | 'port' | 'maxHeldBytes' | 'maxConnections'
+>;
 
 export class GatewayServer {
   readonly #settings: ListenerSettings;
@@ -78,6 +82,7 @@
   readonly #clock: Clock;
   readonly #log: Logger;
   readonly #server: Server;
+  readonly #intake: GatewayIntake;
   readonly #startupQueue = new StartupQueue();
   #limits = DEFAULT_LIMITS;
   /** Responses that are not completely delivered. */
@@ -100,6 +105,8 @@
       noDelay: true,
       requestTimeout: 0,
     });
+    const {maxConnections} = settings;
+    this.#intake = new GatewayIntake(this.#server, {...deps, maxConnections});
     this.#server.on('request', (req, res) => {
       this.#serve(req, res);
     });
@@ -114,6 +121,11 @@
     return this.#openResponses;
   }
 
+  /** What limits the intake of connections. */
+  get intake(): GatewayIntakeState {
+    return this.#intake.describe();
+  }
+
   get port(): number {
     const address = this.#server.address() as AddressInfo | null;
     return address?.port ?? 0;
@@ -154,6 +166,7 @@
 
   /** Stops listening, and resolves once all responses are delivered. */
   async finish(): Promise<void> {
+    this.#intake.stop();
     this.#server.close();
     this.#server.closeIdleConnections();
     if (this.#openResponses === 0) return;
@@ -165,6 +178,7 @@
   /** Closes the listener and all connections immediately. */
   stop(): void {
     clearInterval(this.#idleSweep);
+    this.#intake.stop();
     this.#deps.overload.stop();
     this.#server.close();
     this.#server.closeAllConnections();
--- a/packages/lovagepond-gateway/src/gateway_settings.ts
+++ b/packages/lovagepond-gateway/src/gateway_settings.ts
@@ -32,6 +32,8 @@
   readonly prefillTokensPerMs: number;
   /** Use each server's own estimates instead of one rate for all engines. */
   readonly serverCapacity: boolean;
+  /** Open connections of callers at which further ones are closed unread. */
+  readonly maxConnections: number;
   /** Limit on all buffered request bodies, bytes; further ones are rejected. */
   readonly maxHeldBytes: number;
   /** Time for which a server that drains still accepts requests. */
@@ -50,6 +52,7 @@
   connectTimeoutMs: 400,
   prefillTokensPerMs: 40,
   serverCapacity: false,
+  maxConnections: 3_000,
   maxHeldBytes: 64 * 1024 * 1024,
   drainTimeoutMs: 2_000,
   drainLingerMs: 2_500,
