Prove the end of answers that end with their connection

What callers saw: an answer with neither length nor chunks whose server crashed between two events arrived as a complete 200. Cause: an orderly end of the connection was taken for the end of the answer, so there was no failure, no crash was noted, and streams weren't resumed; and as such an answer might have been cut off, none ever cleared the parts of a prompt. Class: a signal that means two things, read as the more frequent one. If the server accepts, or had said that it leaves, the answer is complete and clears its subjects. Else it is broken off: cut, or resumed at another server, and counted like any lost connection. The connection of such an answer isn't used again. Why it works: a process that has ended accepts no connection at its address.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -31,6 +31,7 @@
 import {GatewayLoadReports} from '../../gateway_load_reports.js';
 import {GatewayOverload} from '../../gateway_overload.js';
 import {GatewayRetryBudget} from '../../gateway_retry_budget.js';
+import {ServerLiveness} from '../../gateway_server_liveness.js';
 import {probeServer} from '../../gateway_server_probe.js';
 import {GatewayServer} from '../../gateway_server.js';
 import {GatewayStreams} from '../../gateway_streams.js';
@@ -288,6 +289,9 @@
           maxHeadBytes: 16_384,
         }),
         quarantine,
+        liveness: new ServerLiveness(address =>
+          probeServer(address, PROBE_TIMEOUT_MS),
+        ),
         warmUp: new GatewayWarmUp('gateway', STARTED_LONG_AGO),
         permits,
         counters,
@@ -348,6 +352,14 @@
     }
   }
 
+  /** @param port of a server that accepts no further connections */
+  stopListening(port: number): void {
+    for (const backend of this.#backends) {
+      const address = backend.address() as AddressInfo | null;
+      if (address?.port === port) backend.close();
+    }
+  }
+
   stop(): void {
     this.server.stop();
     for (const backend of this.#backends) {
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_signals.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_signals.test.ts
@@ -227,6 +227,7 @@
     let isPaused = false;
     const failure = await new Promise<AttemptFailure>(resolve => {
       const attempt = new Attempt(state, NAMES, 'request-1', {
+        isEndComplete: () => Promise.resolve(true),
         maySend: () => !isPaused,
         onServerSignals: () => {},
         onHead: () => {},
--- a/packages/lovagepond-gateway/src/gateway_attempt.ts
+++ b/packages/lovagepond-gateway/src/gateway_attempt.ts
@@ -51,6 +51,12 @@
    * @returns false if it must not be sent
    */
   maySend(): boolean;
+  /**
+   * Called when a response without length or chunks has ended in order.
+   *
+   * @returns true if it is complete, false if the server's exit may have cut it
+   */
+  isEndComplete(): Promise<boolean>;
   /** Called for each response of the server, whatever comes of the attempt. */
   onServerSignals(signals: ServerSignals): void;
   onHead(head: ResponseHead): void;
@@ -106,14 +112,6 @@
     this.#listener = listener;
   }
 
-  /**
-   * True when the end of the connection marks the end of the response, so that
-   * a complete response looks like one cut off by the server's exit.
-   */
-  get isCloseDelimited(): boolean {
-    return this.#isCloseDelimited;
-  }
-
   /** True once a byte of the request may have reached the server. */
   get isSent(): boolean {
     return this.#isSent;
@@ -235,8 +233,26 @@
       this.#fail({kind: 'broken', reason, isLost: true});
       return;
     }
+    const isAnswer = this.#notRunStatus === undefined;
+    if (this.#isCloseDelimited && isAnswer) void this.#verifyEnd();
+    else this.#complete();
+  }
+
+  async #verifyEnd(): Promise<void> {
+    const isComplete = await this.#listener.isEndComplete();
+    if (this.#isOver) return;
+    if (isComplete) {
+      this.#complete();
+      return;
+    }
+    const reason = 'server exited at the end of its response';
+    this.#fail({kind: 'broken', reason, isLost: true});
+  }
+
+  #complete(): void {
     this.#isOver = true;
-    this.#release();
+    if (this.#isCloseDelimited) this.#discard();
+    else this.#release();
     const status = this.#notRunStatus;
     if (status === undefined) this.#listener.onEnd();
     else this.#listener.onFailed({kind: 'notRun', status});
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -191,6 +191,8 @@
     state.inFlight += 1;
     const attempt = new Attempt(state, names, facts.requestId, {
       maySend: () => this.#servers.eligible.maySend(state, this.#now()),
+      isEndComplete: () =>
+        this.#deps.liveness.outlives(state, this.#signals?.isLeaving ?? false),
       onServerSignals: signals => {
         this.#onServerSignals(state, signals);
       },
@@ -297,12 +299,11 @@
   }
 
   /**
-   * A close-delimited response proves nothing, as a crash may have ended it; nor
-   * does an error response, which a failing server sends without running the
-   * request. A server that rejects a request has not begun to answer its prompt.
+   * An error response proves nothing: a failing server sends it without running
+   * the request. A server that rejects a request has not begun to answer its
+   * prompt.
    */
   #clearSuspicion(): void {
-    if (this.#attempt?.isCloseDelimited) return;
     const {quarantine} = this.#deps;
     const {subjects, fingerprint} = this.#req;
     const isServed = this.#caller.status < FIRST_REDIRECT_STATUS;
--- a/packages/lovagepond-gateway/src/gateway_exchange_types.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_types.ts
@@ -20,6 +20,7 @@
 import {type GatewayRetryBudget} from './gateway_retry_budget.js';
 import {type ForwardingRule} from './gateway_routes.js';
 import {type StreamOrigin} from './gateway_stream_origin.js';
+import {type ServerLiveness} from './gateway_server_liveness.js';
 import {type GatewayStreams} from './gateway_streams.js';
 import {type GatewayWarmUp} from './gateway_warm_up.js';
 
@@ -33,6 +34,7 @@
   readonly budget: GatewayRetryBudget;
   readonly connections: GatewayConnections;
   readonly quarantine: GatewayQuarantine;
+  readonly liveness: ServerLiveness;
   readonly warmUp: GatewayWarmUp;
   readonly permits: GatewayPermits;
   readonly counters: GatewayCounters;
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -21,6 +21,7 @@
 import {GatewayAdmission} from './gateway_admission.js';
 import {type ClockReading} from './gateway_authority.js';
 import {GatewayChoice} from './gateway_choice.js';
+import {type Reachability} from './gateway_crash_detector.js';
 import {GatewayConnections} from './gateway_connections.js';
 import {GatewayCounters} from './gateway_counters.js';
 import {GatewayFleet} from './gateway_fleet.js';
@@ -36,6 +37,7 @@
 import {GatewayRetryBudget} from './gateway_retry_budget.js';
 import {GatewayServer} from './gateway_server.js';
 import {GatewayShares} from './gateway_shares.js';
+import {ServerLiveness} from './gateway_server_liveness.js';
 import {probeServer} from './gateway_server_probe.js';
 import {type GatewaySettings} from './gateway_settings.js';
 import {GatewayStreams} from './gateway_streams.js';
@@ -82,6 +84,8 @@
   readonly #loadReports: GatewayLoadReports;
   readonly #connections: GatewayConnections;
   readonly #quarantine: GatewayQuarantine;
+  readonly #probe = (address: string): Promise<Reachability> =>
+    probeServer(address, this.#settings.connectTimeoutMs);
   readonly #counters = new GatewayCounters();
   readonly #warmUp: GatewayWarmUp;
   readonly #shares = new GatewayShares();
@@ -164,7 +168,7 @@
     this.#quarantine = new GatewayQuarantine({
       clock: deps.clock,
       log: deps.log,
-      probe: address => probeServer(address, settings.connectTimeoutMs),
+      probe: this.#probe,
       report: report => this.#link.reportCrashes(report),
       abortQuarantined: () => {
         this.#server?.abortQuarantined();
@@ -221,6 +225,7 @@
       budget: new GatewayRetryBudget(this.#settings, this.#peers),
       connections: this.#connections,
       quarantine: this.#quarantine,
+      liveness: new ServerLiveness(this.#probe),
       warmUp: this.#warmUp,
       permits,
       counters: this.#counters,
--- a/packages/lovagepond-gateway/src/gateway_server_probe.ts
+++ b/packages/lovagepond-gateway/src/gateway_server_probe.ts
@@ -4,6 +4,12 @@
 import {connect} from 'node:net';
 import {REACHABILITY, type Reachability} from './gateway_crash_detector.js';
 
+/** A server at its limit of connections resets further ones. */
+const REACHABILITY_BY_ERROR: Readonly<Record<string, Reachability>> = {
+  ECONNREFUSED: REACHABILITY.REFUSES,
+  ECONNRESET: REACHABILITY.ACCEPTS,
+};
+
 /**
  * @param address `host:port`
  * @param timeoutMs time limit for the connection, milliseconds
@@ -29,8 +35,7 @@
       end(REACHABILITY.SILENT);
     });
     socket.on('error', (err: NodeJS.ErrnoException) => {
-      const isRefused = err.code === 'ECONNREFUSED';
-      end(isRefused ? REACHABILITY.REFUSES : REACHABILITY.SILENT);
+      end(REACHABILITY_BY_ERROR[err.code ?? ''] ?? REACHABILITY.SILENT);
     });
   });
 }
