Log when a request was sent, and how long after its choice

A "request ended" line had the time of the arrival and of the end only, so the waits for a permit and a connection could not be told from the time at the server, nor whether the server was known to be warming up. It now has sentMs, choiceToSendMs and warmingUp.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_choice_log.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_choice_log.test.ts
@@ -34,4 +34,6 @@
   expect(ended).toHaveLength(1);
   expect(ended[0]).toMatchObject({assumedLoad: 4, loadLimit: 12, meanOf: 2});
   expect(ended[0]?.['loadAgeMs']).toEqual(expect.any(Number));
+  expect(ended[0]?.['sentMs']).toEqual(expect.any(Number));
+  expect(ended[0]?.['choiceToSendMs']).toEqual(expect.any(Number));
 });
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -190,7 +190,7 @@
     this.#prefill = trackPrefill(this.#req, chosen, this.#deps, now);
     state.inFlight += 1;
     const attempt = new Attempt(state, names, facts.requestId, {
-      maySend: () => this.#servers.eligible.maySend(state, this.#now()),
+      maySend: () => this.#servers.beginSend(state, this.#now()),
       isEndComplete: () =>
         this.#deps.liveness.outlives(state, this.#signals?.isLeaving ?? false),
       onServerSignals: signals => {
@@ -418,8 +418,8 @@
     clearTimeout(this.#timer);
     this.#admission.leave();
     const {waitMs} = this.#admission;
-    const {attempted: servers, assumed} = this.#servers;
-    const end = {outcome, servers, assumed, waitMs};
+    const {attempted: servers, assumed, lastSend} = this.#servers;
+    const end = {outcome, servers, assumed, lastSend, waitMs};
     this.#log.noteEnded(end, this.#now());
     this.#onDone();
   }
--- a/packages/lovagepond-gateway/src/gateway_exchange_log.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_log.ts
@@ -5,6 +5,7 @@
 import {type CallerChannel} from './gateway_caller_channel.js';
 import {type AssumedLoad} from './gateway_choice.js';
 import {type GatewayCounters} from './gateway_counters.js';
+import {type LastSend} from './gateway_exchange_servers.js';
 import {type AdmittedRequest} from './gateway_exchange_types.js';
 import {
   type PromptPart,
@@ -40,6 +41,7 @@
   readonly servers: readonly BackendServer[];
   /** What was assumed of the last of them; undefined if there was none. */
   readonly assumed: AssumedLoad | undefined;
+  readonly lastSend: LastSend | undefined;
   /** Time in the gateway's queue, ms; undefined if it did not wait. */
   readonly waitMs: number | undefined;
 }
@@ -106,7 +108,7 @@
    * @param now current time, monotonic milliseconds
    */
   noteEnded(
-    {outcome, servers, assumed, waitMs}: EndedRequest,
+    {outcome, servers, assumed, lastSend, waitMs}: EndedRequest,
     now: number,
   ): void {
     const {facts, rule, pool, arrivedAt} = this.#req;
@@ -123,6 +125,7 @@
       status: this.#caller.status,
       durationMs: Math.round(now - arrivedAt),
       ...(assumed && describeAssumed(assumed)),
+      ...(lastSend && describeSend(lastSend, arrivedAt)),
       ...(waitMs !== undefined && {waitMs: Math.round(waitMs)}),
     });
   }
@@ -137,6 +140,17 @@
   return shared.map(({id}) => id).join(' ');
 }
 
+function describeSend(
+  {at, afterChoiceMs, isWarmingUp}: LastSend,
+  arrivedAt: number,
+): Record<string, number | boolean> {
+  return {
+    sentMs: Math.round(at - arrivedAt),
+    choiceToSendMs: Math.round(afterChoiceMs),
+    ...(isWarmingUp && {warmingUp: true}),
+  };
+}
+
 function describeAssumed({
   load,
   limit,
--- a/packages/lovagepond-gateway/src/gateway_exchange_servers.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_servers.ts
@@ -28,6 +28,16 @@
   readonly tried: ReadonlySet<string>;
 }
 
+/** When a request was sent to a server, for logs. */
+export interface LastSend {
+  /** Monotonic milliseconds. */
+  readonly at: number;
+  /** Time from the choice of the server to the send, milliseconds. */
+  readonly afterChoiceMs: number;
+  /** The server was warming up, as far as this gateway knew. */
+  readonly isWarmingUp: boolean;
+}
+
 const NO_SERVERS: ReadonlySet<string> = new Set();
 
 export class ExchangeServers {
@@ -40,6 +50,8 @@
   readonly #full = new Set<string>();
   readonly #attempted: BackendServer[] = [];
   #assumed: AssumedLoad | undefined;
+  #chosenAt = 0;
+  #lastSend: LastSend | undefined;
 
   /**
    * @param req the request
@@ -62,6 +74,11 @@
     return this.#assumed;
   }
 
+  /** The last send of the request; undefined if it wasn't sent. */
+  get lastSend(): LastSend | undefined {
+    return this.#lastSend;
+  }
+
   /** The error when no server is left. */
   get errorWithoutServer(): ErrorKind {
     return this.#binding.origin ? 'streamVersionGone' : 'noBackendServer';
@@ -85,6 +102,7 @@
     if (open.length === 0) return undefined;
     const listed = fleet.listed(this.#req.pool.name);
     const candidates = {servers: limit(open), holders, listed, tried};
+    this.#chosenAt = now;
     return choice.choose(toChoiceRequest(this.#req, candidates), now);
   }
 
@@ -95,6 +113,23 @@
     this.#assumed = assumed;
   }
 
+  /**
+   * Must be called right before the request is written to a connection.
+   *
+   * @param state the server
+   * @param now current time, monotonic milliseconds
+   * @returns false if it must not be sent there any more
+   */
+  beginSend(state: ServerState, now: number): boolean {
+    if (!this.eligible.maySend(state, now)) return false;
+    this.#lastSend = {
+      at: now,
+      afterChoiceMs: now - this.#chosenAt,
+      isWarmingUp: state.server.warmUp !== undefined,
+    };
+    return true;
+  }
+
   /** @param state a server that is at its load limit */
   noteFull({server}: ServerState): void {
     this.#full.add(server.name);
