Name few routers for a server's warm-ups, once for all

Callers saw engines that come back cold overloaded while others of them got less than half of what they bear. The limit was divided among up to 16 routers, each of which could send one request in 1.5 s: 31 gateways, of which 15 could send nothing and the others wasted what they didn't need.

Control now names three routers for each server, which are to issue permits for all others: without one of them two thirds of the limit are left. Routers that have reported lately go first.

A server keeps its routers for good. Until now the return of its zone to service named others, so that a gateway with the list from before, and one with the new list, could each use the whole limit within one second.

A server that joined while no router was known, as all do at the first start, gets its routers from a new command of the log after 5 s; so far it got no request at all when it turned cold. While such a server's zone has just returned it keeps those of the zone. A leader sends the command only while all members know it (log version 4).

--- a/packages/lovagepond-control/src/control_commands.ts
+++ b/packages/lovagepond-control/src/control_commands.ts
@@ -29,7 +29,7 @@
  * Version of the set of commands. A leader proposes a command that a version
  * added only while all of its followers have at least that version.
  */
-export const LOG_VERSION = 3;
+export const LOG_VERSION = 4;
 
 /** The version that added evacuations, and crashes that count once. */
 export const EVACUATION_LOG_VERSION = 2;
@@ -37,6 +37,9 @@
 /** The version that added crashes by the shared parts of prompts. */
 export const PARTS_LOG_VERSION = 3;
 
+/** The version that added routers of servers that had none when they joined. */
+export const WARM_UP_LOG_VERSION = 4;
+
 /** Identifies an operator's operation and its content. */
 export interface OperationIdentity {
   readonly operationId: string;
@@ -101,7 +104,7 @@
 export interface EvacuationPayload extends OperationIdentity {
   readonly zone: string;
   readonly evacuated: boolean;
-  /** For a return: routers that may send to servers that are warming up. */
+  /** For a return: routers among which those of servers without are chosen. */
   readonly warmUpRouters?: readonly string[];
 }
 
@@ -189,6 +192,13 @@
 export const DROP_SERVERS_COMMAND = createCommand<{
   readonly names: readonly string[];
 }>('dropServers');
+/** Names the routers for the warm-ups of servers that have none. */
+export const WARM_UP_ROUTERS_COMMAND = createCommand<{
+  readonly servers: readonly {
+    readonly name: string;
+    readonly routers: readonly string[];
+  }[];
+}>('warmUpRouters');
 /** Assigns places to standby servers, and discards places long vacant. */
 export const OPEN_PLACES_COMMAND =
   createCommand<Readonly<Record<string, never>>>('openPlaces');
--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -110,6 +110,7 @@
       proposer: this.#proposer,
       hasTakenOver: () => this.#leadership.term !== undefined,
       convergence: this.#convergence,
+      oldestLogVersion: () => this.#hub.oldestLogVersion,
       publish: this.#publish,
     });
     this.crashReports = new CrashReports({
--- a/packages/lovagepond-control/src/control_state_machine.ts
+++ b/packages/lovagepond-control/src/control_state_machine.ts
@@ -36,6 +36,7 @@
   LIFT_QUARANTINE_COMMAND,
   LIMITS_COMMAND,
   OPEN_PLACES_COMMAND,
+  WARM_UP_ROUTERS_COMMAND,
   ORDER_COMMAND,
   ORDER_OUTCOME_COMMAND,
   RECORD_COMMAND,
@@ -233,6 +234,12 @@
       for (const name of names) table.drop(name, timeMs);
       return {};
     });
+    this.#handle(WARM_UP_ROUTERS_COMMAND, ({servers}) => {
+      for (const {name, routers} of servers) {
+        table.nameWarmUpRouters(name, routers);
+      }
+      return {};
+    });
     this.#handle(OPEN_PLACES_COMMAND, (_payload, {timeMs}) => {
       table.openPlaces(timeMs);
       return {};
--- a/packages/lovagepond-control/src/convergence_table.ts
+++ b/packages/lovagepond-control/src/convergence_table.ts
@@ -39,11 +39,14 @@
 
   /**
    * @param role `router` or `sidecar`
+   * @param since time of the earliest report, monotonic milliseconds; all by
+   *     default
    * @returns names of the nodes of this role
    */
-  namesOf(role: string): readonly string[] {
-    const all = [...this.#reports];
-    return all.filter(([, one]) => one.role === role).map(([name]) => name);
+  namesOf(role: string, since = Number.NEGATIVE_INFINITY): readonly string[] {
+    return [...this.#reports]
+      .filter(([, one]) => one.role === role && one.at >= since)
+      .map(([name]) => name);
   }
 
   /**
--- a/packages/lovagepond-control/src/deciders.ts
+++ b/packages/lovagepond-control/src/deciders.ts
@@ -43,3 +43,4 @@
 export {readReadings} from './wire_utils.js';
 export {WorkspaceDemandFeed} from './workspace_demand_feed.js';
 export {WorkspaceDemandTotals} from './workspace_demand_totals.js';
+export {chooseWarmUpRouters} from './warm_up_decision.js';
--- a/packages/lovagepond-control/src/direct_server_table.ts
+++ b/packages/lovagepond-control/src/direct_server_table.ts
@@ -23,8 +23,8 @@
    */
   readonly startedAtMs?: number | undefined;
   /**
-   * Routers that may send to it while it is warming up. Replicated, as routers
-   * that follow different leaders must not add up to more than the limit.
+   * Routers that issue permits for it while it is warming up. Replicated, as
+   * routers that follow different leaders must not add up to more than the limit.
    */
   readonly warmUpRouters?: readonly string[];
 };
@@ -78,6 +78,11 @@
 /** Limit of incarnations whose latest start is recorded for the same reason. */
 const MAX_STARTS = 2_048;
 
+/** @returns true if routers were named for the server's warm-ups */
+export function hasWarmUpRouters({server}: DirectServerRecord): boolean {
+  return (server.warmUpRouters ?? []).length > 0;
+}
+
 /** Servers and their places. Part of the replicated state. */
 export class DirectServerTable {
   readonly #records = new Map<string, DirectServerRecord>();
@@ -147,6 +152,17 @@
     this.#reassignPlace(record, timeMs);
   }
 
+  /**
+   * @param name a server; its routers stay as they are if it has some
+   * @param routers routers that issue its permits while it is warming up
+   */
+  nameWarmUpRouters(name: string, routers: readonly string[]): void {
+    const record = this.#records.get(name);
+    if (!record || hasWarmUpRouters(record)) return;
+    const server = {...record.server, warmUpRouters: routers};
+    this.#records.set(name, {...record, server});
+  }
+
   /**
    * @param name the server, which never joins again
    * @param timeMs replicated time
--- a/packages/lovagepond-control/src/direct_servers.ts
+++ b/packages/lovagepond-control/src/direct_servers.ts
@@ -27,8 +27,8 @@
   type MembershipRegistry,
 } from './membership_registry.js';
 import {type ProposalResult, type Proposer} from './proposer.js';
-import {ROUTER_ROLE} from './subscription_feed.js';
-import {chooseWarmUpRouters, decideWarmUp} from './warm_up_decision.js';
+import {decideWarmUp} from './warm_up_decision.js';
+import {WarmUpRouters} from './warm_up_routers.js';
 
 /** An announcement by a backend server. */
 export interface DirectAnnouncement {
@@ -74,6 +74,8 @@
   /** @returns true once the registry was initialized for this term */
   readonly hasTakenOver: () => boolean;
   readonly convergence: Pick<ConvergenceTable, 'namesOf'>;
+  /** @returns the lowest log version among the members */
+  readonly oldestLogVersion: () => number;
   /** Sends changes to the subscribers immediately. */
   readonly publish: () => void;
 }
@@ -85,10 +87,12 @@
   #sequences = new Map<string, number>();
   /** End of the warm-up by the last report, monotonic ms, by server. */
   readonly #warmUpEnds = new Map<string, number>();
+  readonly #warmUpRouters: WarmUpRouters;
   #isOpeningPlaces = false;
 
   constructor(deps: DirectServersDependencies) {
     this.#deps = deps;
+    this.#warmUpRouters = new WarmUpRouters(deps);
   }
 
   /** @returns the servers in the replicated table, for a new leader */
@@ -144,8 +148,8 @@
   }
 
   /**
-   * Drops servers whose lease expired, ends warm-ups, and assigns and discards
-   * due places.
+   * Drops servers whose lease expired, ends warm-ups, names routers for them, and
+   * assigns and discards due places.
    *
    * @param lapsed names of servers whose lease expired, with or without sidecar
    * @param now monotonic milliseconds
@@ -154,6 +158,7 @@
     const {machine, proposer} = this.#deps;
     const table = machine.directServers;
     this.refreshWarmUps(now);
+    await this.#warmUpRouters.tick(now);
     await this.#removeLapsed(lapsed.filter(name => table.get(name)));
     if (
       this.#isOpeningPlaces ||
@@ -312,14 +317,10 @@
     announcement: DirectAnnouncement,
   ): DirectServerRecord['server'] {
     const name = instanceName(announcement);
+    const now = this.#deps.clock.now();
     const limits = this.#findPool(announcement.pool)?.warmUp;
-    const routers = this.#deps.convergence.namesOf(ROUTER_ROLE);
-    return {
-      ...toJoiningServer(announcement, name),
-      ...(limits && {
-        warmUpRouters: chooseWarmUpRouters(routers, name, [limits]),
-      }),
-    };
+    const warmUpRouters = this.#warmUpRouters.choose(name, limits, now);
+    return {...toJoiningServer(announcement, name), warmUpRouters};
   }
 }
 
--- a/packages/lovagepond-control/src/zone_administration.ts
+++ b/packages/lovagepond-control/src/zone_administration.ts
@@ -20,7 +20,7 @@
 import {type OperationResult} from './operation_results.js';
 import {type Proposer} from './proposer.js';
 import {ROUTER_ROLE} from './subscription_feed.js';
-import {chooseWarmUpRouters} from './warm_up_decision.js';
+import {chooseZoneRouters} from './warm_up_decision.js';
 
 export interface ZoneAdministrationDependencies {
   readonly clock: Clock;
@@ -101,14 +101,9 @@
     if (evacuated) return {};
     const {machine, convergence} = this.#deps;
     const {pools} = machine.configuration.current.read().content;
-    const limits = pools.flatMap(({warmUp}) => (warmUp ? [warmUp] : []));
-    if (limits.length === 0) return {};
-    const routers = chooseWarmUpRouters(
-      convergence.namesOf(ROUTER_ROLE),
-      zone,
-      limits,
-    );
-    return {warmUpRouters: routers};
+    if (pools.every(({warmUp}) => !warmUp)) return {};
+    const known = convergence.namesOf(ROUTER_ROLE);
+    return {warmUpRouters: chooseZoneRouters(known, zone)};
   }
 
   /** Logs the state in force, which a concurrent request may have set. */
--- a/packages/lovagepond-control/src/zone_evacuations.ts
+++ b/packages/lovagepond-control/src/zone_evacuations.ts
@@ -15,7 +15,7 @@
   readonly zone: string;
   /** Replicated time of the request, milliseconds. */
   readonly atMs: number;
-  /** Routers that may send to the zone's servers while they are warming up. */
+  /** Routers among which those of servers without routers are chosen. */
   readonly warmUpRouters: readonly string[];
 }
 
@@ -45,7 +45,8 @@
    *
    * @param zone an availability zone
    * @param timeMs replicated time
-   * @param warmUpRouters routers that may send to servers that warm up
+   * @param warmUpRouters routers among which those of servers without routers
+   *     are chosen
    */
   resume(
     zone: string,
