--- a/packages/lovagepond-cli/src/role_metrics_gateway.ts
+++ b/packages/lovagepond-cli/src/role_metrics_gateway.ts
@@ -115,6 +115,12 @@
     help: 'Backend servers whose requests this gateway counts for all gateways.',
     path: ['permits', 'issuedServers'],
   },
+  {
+    kind: 'counter',
+    name: 'lovagepond_gateway_warm_up_permits_total',
+    help: 'Questions for requests to servers that are warming up, by their end.',
+    labelledObjects: {paths: [['warmUp']], label: 'decision'},
+  },
   SUSPECTED_REQUESTS,
   ...ADMISSION_METRICS,
 ];
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -36,7 +36,7 @@
 import {GatewayServer} from '../../gateway_server.js';
 import {GatewayStreams} from '../../gateway_streams.js';
 import {GatewayShares} from '../../gateway_shares.js';
-import {GatewayWarmUp} from '../../gateway_warm_up.js';
+import {makeWarmUp} from '../../gateway_warm_up.js';
 import {makeBackendServer} from './backend_servers.js';
 import {
   type Call,
@@ -158,6 +158,7 @@
   readonly revocationBoundMs?: number;
   readonly content?: ConfigurationContent;
   readonly log?: Logger;
+  readonly clock?: Clock;
   /** @returns properties of a server in control's list */
   readonly listed?: (index: number) => Partial<BackendServer>;
 }
@@ -204,7 +205,7 @@
    * @param scripts one for each server, named server-0, server-1 and so on
    * @param options the time for which the configuration is trusted,
    *     milliseconds, its content, properties of all servers in control's list,
-   *     and the log
+   *     the log, and the listener's clock
    */
   static async start(
     scripts: readonly Script[],
@@ -213,6 +214,7 @@
       listed = () => ({}),
       content = CONTENT,
       log = silentLog,
+      clock: ownClock = clock,
     }: HarnessOptions = {},
   ): Promise<GatewayHarness> {
     const random = new Random(SEED);
@@ -253,6 +255,12 @@
     );
     const streams = new GatewayStreams(link, hasher);
     const permits = makePermits(link, fleet, {hasher, random});
+    const warmUp = makeWarmUp(
+      link,
+      fleet,
+      {name: 'gateway', startedAt: STARTED_LONG_AGO},
+      {hasher, random, content: () => admission.configuration.content},
+    );
     const crashed = new Set<string>();
     const quarantine = new GatewayQuarantine({
       clock,
@@ -276,7 +284,7 @@
         maxConnections: 1_000,
       },
       {
-        clock,
+        clock: ownClock,
         log,
         random,
         names: NAMES,
@@ -292,7 +300,7 @@
         liveness: new ServerLiveness(address =>
           probeServer(address, PROBE_TIMEOUT_MS),
         ),
-        warmUp: new GatewayWarmUp('gateway', STARTED_LONG_AGO),
+        warmUp,
         permits,
         counters,
         overload,
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_warm_up.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_warm_up.test.ts
@@ -1,19 +1,23 @@
+import {type Pool, Random} from '@lovagepond/core';
+import {loadKeyHasher} from '@lovagepond/router/rendezvous_hash';
 import * as fc from 'fast-check';
-import {type Pool} from '@lovagepond/core';
 import {afterEach, describe, expect, it} from 'vitest';
 import {ServerState} from '../../gateway_server_state.js';
-import {GatewayWarmUp} from '../../gateway_warm_up.js';
+import {
+  GRANT_WINDOW_MS,
+  PERMIT_VALID_MS,
+  WarmUpIssuer,
+} from '../../gateway_warm_up_issuer.js';
 import {makeBackendServer} from './backend_servers.js';
-import {answer, GatewayHarness} from './gateway_harness.js';
+import {answer, clock, GatewayHarness} from './gateway_harness.js';
+import {WarmUpFleet} from './warm_up_fleet.js';
 
-const SECOND_MS = 1_000;
+const hasher = await loadKeyHasher();
+const LIMIT = 21;
+const ROUTERS = ['g0', 'g1', 'g2'];
+const FLEET = {gateways: 8, maxRequestsPerSecond: LIMIT, routers: ROUTERS};
 const STARTED_LONG_AGO = -60_000;
-
-interface Step {
-  readonly gateway: number;
-  readonly afterMs: number;
-  readonly restarts: boolean;
-}
+const FAULTS = ['stop', 'suspend', 'start'];
 
 function poolWith(maxRequestsPerSecond: number): Pool {
   const warmUp = {durationMs: 3_000, maxRequestsPerSecond};
@@ -24,84 +28,164 @@
   return new ServerState(makeBackendServer('s', {warmUp: {routers}}));
 }
 
-/** @returns the most times within any second */
-function mostPerSecond(times: readonly number[]): number {
-  const counts = times.map(
-    from => times.filter(at => at >= from && at < from + SECOND_MS).length,
-  );
-  return Math.max(0, ...counts);
+/** Asks at random gateways, `perMs` times in each millisecond on average. */
+function ask(fleet: WarmUpFleet, ms: number, perMs: number): void {
+  const random = new Random(7);
+  for (let passed = 0; passed < ms; passed += 1) {
+    if (random.next() < perMs) fleet.request(random.pick(fleet.names));
+    fleet.run(1);
+  }
 }
 
-describe('GatewayWarmUp', () => {
-  it('sends only its part of the limit to a server that warms up', () => {
-    const warmUp = new GatewayWarmUp('a', STARTED_LONG_AGO);
+describe('an issuer of warm-up permits', () => {
+  const pool = poolWith(5);
+
+  it('grants its part of the limit in each window', () => {
+    const issuer = new WarmUpIssuer('a', STARTED_LONG_AGO);
     const state = coldServer('a', 'b');
-    const pool = poolWith(5);
-    for (const now of [0, 1]) {
-      expect(warmUp.admits(state, pool, now)).toBe(true);
-      warmUp.noteSent(state, now);
-    }
-    expect(warmUp.admits(state, pool, SECOND_MS)).toBe(false);
-    expect(warmUp.admits(state, pool, 1_501)).toBe(true);
+    const grants = [0, 1, 2].map(
+      now => issuer.decide(state, pool, now).isGranted,
+    );
+    expect(grants).toEqual([true, true, false]);
+    const {waitMs} = issuer.decide(state, pool, 1_000);
+    expect(waitMs).toBe(GRANT_WINDOW_MS - 1_000);
+    expect(issuer.decide(state, pool, GRANT_WINDOW_MS).isGranted).toBe(true);
   });
 
-  it('sends without a limit to a server that is warm', () => {
-    const warmUp = new GatewayWarmUp('a', STARTED_LONG_AGO);
-    const state = new ServerState(makeBackendServer('s'));
-    for (let n = 0; n < 20; n += 1) {
-      expect(warmUp.admits(state, poolWith(5), 0)).toBe(true);
-      warmUp.noteSent(state, 0);
-    }
+  it('that control did not name grants nothing', () => {
+    const issuer = new WarmUpIssuer('a', STARTED_LONG_AGO);
+    expect(issuer.decide(coldServer('b'), pool, 0).isGranted).toBe(false);
   });
 
   // Guards against a restarted gateway that repeats what its former process
-  // has just sent.
-  it('sends nothing to a cold server right after its own start', () => {
-    const warmUp = new GatewayWarmUp('a', 0);
-    expect(warmUp.admits(coldServer('a'), poolWith(5), 1_000)).toBe(false);
-    expect(warmUp.admits(coldServer('a'), poolWith(5), 1_600)).toBe(true);
+  // has just granted.
+  it('grants nothing right after its own start', () => {
+    const issuer = new WarmUpIssuer('a', 0);
+    const state = coldServer('a');
+    const before = GRANT_WINDOW_MS - 1;
+    expect(issuer.decide(state, pool, before).isGranted).toBe(false);
+    expect(issuer.decide(state, pool, before + 1).isGranted).toBe(true);
+  });
+
+  // Guards against a server that gets its whole limit in the second in which it
+  // turned cold, on top of what it got before.
+  it('grants nothing right after a server in service turned cold', () => {
+    const issuer = new WarmUpIssuer('a', STARTED_LONG_AGO);
+    const state = new ServerState(makeBackendServer('s'));
+    issuer.useListed([state], 0);
+    state.server = coldServer('a').server;
+    issuer.useListed([state], 100);
+    expect(issuer.decide(state, pool, 1_000).isGranted).toBe(false);
+    expect(issuer.decide(state, pool, 100 + GRANT_WINDOW_MS).isGranted).toBe(
+      true,
+    );
   });
+});
 
-  // Guards against gateways that crash a server which has just started, as
-  // their requests add up: they may restart, and reach no other gateway.
-  it('keeps the sum of all gateways within the limit', () => {
-    const names = ['a', 'b', 'c', 'd', 'e', 'f', 'g'];
+describe('all gateways together', () => {
+  // Guards against a limit that is checked before a wait and no longer holds
+  // after it: for a permit, a connection, or a gateway that stands still.
+  it('stay within the limit whatever a request waits for', () => {
     const step = fc.record({
-      gateway: fc.nat(names.length - 1),
-      afterMs: fc.nat(120),
-      restarts: fc.integer({min: 0, max: 5}).map(n => n === 0),
+      gateway: fc.nat(FLEET.gateways - 1),
+      afterMs: fc.nat(60),
+      clump: fc.integer({min: 1, max: 30}),
+      waitMs: fc.oneof(fc.constant(0), fc.nat(10 * PERMIT_VALID_MS)),
+      abandons: fc.integer({min: 0, max: 9}).map(n => n === 0),
+      fault: fc.nat(24).map(n => FAULTS[n] ?? 'none'),
+      faultMs: fc.nat(2_000),
     });
-    const run = (
-      routers: readonly string[],
-      spare: number,
-      steps: readonly Step[],
-    ): void => {
-      const limit = routers.length + spare;
-      const pool = poolWith(limit);
-      const state = coldServer(...routers);
-      const make = (name: string, now: number): GatewayWarmUp =>
-        new GatewayWarmUp(name, now);
-      const gateways = names.map(name => make(name, STARTED_LONG_AGO));
-      const sent: number[] = [];
-      let now = 0;
-      for (const {gateway: at, afterMs, restarts} of steps) {
-        now += afterMs;
-        if (restarts) gateways[at] = make(names[at] ?? '', now);
-        const gateway = gateways[at];
-        if (!gateway?.admits(state, pool, now)) continue;
-        gateway.noteSent(state, now);
-        sent.push(now);
-      }
-      expect(mostPerSecond(sent)).toBeLessThanOrEqual(limit);
-    };
     fc.assert(
       fc.property(
-        fc.uniqueArray(fc.constantFrom(...names), {minLength: 1}),
-        fc.nat(2),
-        fc.array(step, {maxLength: 200, size: 'max'}),
-        run,
+        fc.uniqueArray(fc.constantFrom('g0', 'g1', 'g2', 'g3'), {minLength: 1}),
+        fc.nat(20),
+        fc.array(step, {minLength: 40, maxLength: 100}),
+        (routers, spare, steps) => {
+          const maxRequestsPerSecond = routers.length + spare;
+          const fleet = new WarmUpFleet(hasher, {
+            ...FLEET,
+            routers,
+            maxRequestsPerSecond,
+            loss: 0.05,
+            delayMs: 30,
+          });
+          for (const one of steps) {
+            const name = `g${one.gateway}`;
+            if (one.fault === 'start') fleet.start(name);
+            else if (one.fault !== 'none') {
+              fleet.stop(name, one.faultMs, one.fault === 'suspend');
+            }
+            for (let n = 0; n < one.clump; n += 1) {
+              fleet.request(name, one.waitMs, one.abandons);
+            }
+            fleet.run(one.afterMs);
+          }
+          fleet.run(3_000);
+          expect(fleet.mostInASecond).toBeLessThanOrEqual(maxRequestsPerSecond);
+        },
       ),
+      {numRuns: 60, endOnFailure: true},
     );
+  }, 60_000);
+
+  // Guards against parts of the limit that are unused while others are wanted.
+  it('use most of a limit that is wanted', () => {
+    const fleet = new WarmUpFleet(hasher, FLEET);
+    ask(fleet, 5_000, 0.2);
+    expect(fleet.mostInASecond).toBeLessThanOrEqual(LIMIT);
+    expect(fleet.sent.length / 5).toBeGreaterThan(0.75 * LIMIT);
+  });
+
+  // Guards against a request that is refused as one issuer is down.
+  it('ask another issuer when one does not reply', () => {
+    const fleet = new WarmUpFleet(hasher, FLEET);
+    fleet.cut('g0');
+    fleet.cut('g1');
+    for (let n = 0; n < 5; n += 1) {
+      fleet.request(`g${3 + n}`);
+      fleet.run(100);
+    }
+    expect(fleet.denied).toBe(0);
+    expect(fleet.sent).toHaveLength(5);
+  });
+
+  it('use half of the limit while one issuer is cut off', () => {
+    const fleet = new WarmUpFleet(hasher, FLEET);
+    fleet.cut('g1');
+    ask(fleet, 5_000, 0.2);
+    expect(fleet.mostInASecond).toBeLessThanOrEqual(LIMIT);
+    expect(fleet.sent.length / 5).toBeGreaterThan(0.5 * LIMIT);
+  });
+});
+
+describe('a gateway that knows only an old list', () => {
+  // Guards against a gateway without news from control that sends without a
+  // limit to a server that has turned cold.
+  it('takes the word of others that a server is warming up, for a time', () => {
+    const state = new ServerState(makeBackendServer('s'));
+    state.warmUpNews.noteTold(['g1'], 0);
+    expect(state.warmUp(0)).toEqual({routers: ['g1']});
+    state.warmUpNews.noteTold(['g2'], 2_000);
+    expect(state.warmUp(2_999)).toEqual({routers: ['g2']});
+    expect(state.warmUp(3_000)).toBeUndefined();
+    state.warmUpNews.noteTold(['g2'], 9_999);
+    expect(state.warmUp(9_999)).toBeUndefined();
+    state.warmUpNews.noteTold(['g2'], 10_000);
+    expect(state.warmUp(10_000)).toEqual({routers: ['g2']});
+  });
+
+  it('asks for permits once an issuer of load permits has told it', () => {
+    const fleet = new WarmUpFleet(hasher, FLEET);
+    const old = fleet.names.slice(3);
+    for (const name of old) fleet.forgetWarmUp(name);
+    const random = new Random(3);
+    for (let n = 0; n < 400; n += 1) {
+      fleet.request(random.pick(old));
+      fleet.run(5);
+    }
+    // What each of them sends before the first reply isn't limited.
+    expect(fleet.mostInASecond).toBeLessThanOrEqual(LIMIT + old.length);
+    expect(fleet.denied).toBeGreaterThan(0);
   });
 });
 
@@ -133,4 +217,60 @@
     }
     expect(seen).toEqual(statuses);
   });
+
+  // Guards against a request that is sent on a permit which was granted before a
+  // wait: the server has got the requests of later permits since.
+  it('sends nothing on a permit that expired before the send', async () => {
+    let wallTime = 0;
+    harness = await GatewayHarness.start(
+      [
+        (req, res) => {
+          answer(req, res, 200, 'yes');
+        },
+      ],
+      {
+        listed: () => ({warmUp: {routers: ['gateway']}}),
+        revocationBoundMs: 3_600_000,
+        clock: {
+          ...clock,
+          wallTime: () => {
+            wallTime += PERMIT_VALID_MS + 1;
+            return wallTime;
+          },
+        },
+      },
+    );
+    expect((await harness.call({path: '/write/a'})).status).toBe(503);
+    expect(harness.arrivals).toEqual([]);
+  });
+
+  // Guards against a request that was on its way to a warm server when it turned
+  // cold.
+  it('sends nothing without a permit to a server that has just turned cold', () => {
+    const fleet = new WarmUpFleet(hasher, FLEET);
+    fleet.tellsOthers = false;
+    fleet.forgetWarmUp('g5');
+    fleet.request('g5', 60);
+    fleet.run(20);
+    fleet.learnWarmUp('g5');
+    fleet.run(100);
+    expect(fleet.sent).toEqual([]);
+  });
+
+  // Guards against callers that are held although no server will take them.
+  it('refuses at once, and tells when to return, while a server warms up', async () => {
+    harness = await GatewayHarness.start(
+      [
+        (req, res) => {
+          answer(req, res, 200, 'yes');
+        },
+      ],
+      {listed: () => ({warmUp: {routers: ['other']}})},
+    );
+    const {status, headers} = await harness.call({path: '/write/a'});
+    expect(status).toBe(503);
+    expect(Number(headers['retry-after'])).toBeGreaterThan(
+      GRANT_WINDOW_MS / 1_000 - 0.1,
+    );
+  });
 });
--- a/packages/lovagepond-gateway/src/deciders.ts
+++ b/packages/lovagepond-gateway/src/deciders.ts
@@ -5,6 +5,8 @@
 export {ResponseTiming} from './gateway_response_timing.js';
 export {GatewayChoice, type ServerChoice} from './gateway_choice.js';
 export {ExchangePermit} from './gateway_exchange_permit.js';
+export {SEND_DECISION, SendPermit} from './gateway_send_permit.js';
+export {GatewayWarmUp} from './gateway_warm_up.js';
 export {FullServersWait} from './gateway_full_servers_wait.js';
 export {GatewayCrashDetector, REACHABILITY} from './gateway_crash_detector.js';
 export {type ContextFetch} from './gateway_context_source.js';
--- a/packages/lovagepond-gateway/src/gateway_eligible_servers.ts
+++ b/packages/lovagepond-gateway/src/gateway_eligible_servers.ts
@@ -10,7 +10,7 @@
 
 interface EligibleServersDependencies {
   readonly fleet: GatewayFleet;
-  readonly warmUp: GatewayWarmUp;
+  readonly warmUp: Pick<GatewayWarmUp, 'admits' | 'waitMs'>;
 }
 
 type BoundRequest = Pick<AdmittedRequest, 'pool' | 'isRegionAllowed'>;
@@ -47,9 +47,7 @@
     const {fleet, warmUp} = this.#deps;
     const servers = fleet
       .ready(pool.name, now)
-      .filter(
-        state => this.#isAllowed(state) && warmUp.admits(state, pool, now),
-      );
+      .filter(state => this.#isAllowed(state) && warmUp.admits(state, now));
     return {servers, holders: this.holders()};
   }
 
@@ -80,6 +78,15 @@
     return draining.filter(state => this.#isAllowed(state));
   }
 
+  /**
+   * @param now current time, monotonic milliseconds
+   * @returns true if a server accepts requests, but all those that do are warming
+   *     up and get no more for now
+   */
+  isWarmingUp(now: number): boolean {
+    return this.hasServer(now) && this.list(now).servers.length === 0;
+  }
+
   /**
    * @param state a server that was chosen
    * @param now current time, monotonic milliseconds
@@ -87,6 +94,7 @@
    */
   maySend(state: ServerState, now: number): boolean {
     const {fleet} = this.#deps;
+    if (!this.#isAllowed(state)) return false;
     return this.#binding.origin
       ? fleet.mayContinue(state, now)
       : fleet.accepts(state, now);
@@ -94,11 +102,16 @@
 
   /**
    * @param now current time, monotonic milliseconds
-   * @returns time until the first paused server accepts requests again,
-   *     milliseconds; 0 unless all of them paused
+   * @returns time until the first server accepts requests again, milliseconds; 0
+   *     unless all of them paused, or are warming up and get no more for now
    */
-  pauseLeftMs(now: number): number {
-    return this.#deps.fleet.pauseLeftMs(this.holders(), now);
+  unavailableMs(now: number): number {
+    const {fleet, warmUp} = this.#deps;
+    const pausedMs = fleet.pauseLeftMs(this.holders(), now);
+    if (pausedMs > 0 || !this.isWarmingUp(now)) return pausedMs;
+    const ready = fleet.ready(this.#req.pool.name, now);
+    const allowed = ready.filter(state => this.#isAllowed(state));
+    return Math.min(...allowed.map(state => warmUp.waitMs(state, now)));
   }
 
   #isAllowed({server}: ServerState): boolean {
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -99,7 +99,7 @@
       {
         overload,
         eligible,
-        errorWithoutServer: () => this.#servers.errorWithoutServer,
+        errorWithoutServer: () => this.#servers.errorWithoutServer(this.#now()),
       },
       {
         onStart: () => {
@@ -177,20 +177,19 @@
   #send(chosen: ServerChoice): void {
     const now = this.#now();
     const {facts, rule} = this.#req;
-    const {names, connections, warmUp} = this.#deps;
+    const {names, connections} = this.#deps;
     const {state} = chosen;
     const {sticky, targetLatencyMs} = rule.forwarding;
     this.#timing = sticky
       ? undefined
       : new ResponseTiming(state, targetLatencyMs, now, rule.kind);
-    warmUp.noteSent(state, now);
     this.#signals = undefined;
     this.#wasAvoided = state.isAvoided(now);
     this.#attempts += 1;
     this.#prefill = trackPrefill(this.#req, chosen, this.#deps, now);
     state.inFlight += 1;
     const attempt = new Attempt(state, names, facts.requestId, {
-      maySend: () => this.#servers.beginSend(state, this.#now()),
+      maySend: () => this.#dispatch.beginSend(state),
       isEndComplete: () =>
         this.#deps.liveness.outlives(state, this.#signals?.isLeaving ?? false),
       onServerSignals: signals => {
@@ -392,7 +391,7 @@
     const {quarantine} = this.#deps;
     const notBeforeMs =
       quarantine.quarantinedForMs(this.#req.subjects, now) ??
-      this.#servers.eligible.pauseLeftMs(now);
+      this.#servers.eligible.unavailableMs(now);
     this.#caller.refuse(error, {notBeforeMs});
     this.#finish(error);
   }
--- a/packages/lovagepond-gateway/src/gateway_exchange_dispatch.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_dispatch.ts
@@ -2,17 +2,20 @@
  * Finds a server for one attempt and gets its permit, so that all gateways
  * together keep the server within its load limit.
  */
-import {type Clock, type ErrorKind} from '@lovagepond/core';
+import {type ErrorKind} from '@lovagepond/core';
 import {type ServerChoice} from './gateway_choice.js';
 import {type ExchangeAdmission} from './gateway_exchange_admission.js';
-import {ExchangePermit} from './gateway_exchange_permit.js';
 import {type ExchangeServers} from './gateway_exchange_servers.js';
 import {FullServersWait} from './gateway_full_servers_wait.js';
-import {type GatewayPermits} from './gateway_permits.js';
+import {
+  SEND_DECISION,
+  type SendDecision,
+  SendPermit,
+  type SendPermitDependencies,
+} from './gateway_send_permit.js';
+import {type ServerState} from './gateway_server_state.js';
 
-export interface ExchangeDispatchDependencies {
-  readonly clock: Clock;
-  readonly permits: GatewayPermits;
+export interface ExchangeDispatchDependencies extends SendPermitDependencies {
   readonly servers: ExchangeServers;
   readonly admission: ExchangeAdmission;
 }
@@ -28,7 +31,7 @@
 export class ExchangeDispatch {
   readonly #deps: ExchangeDispatchDependencies;
   readonly #listener: DispatchListener;
-  readonly #permit: ExchangePermit;
+  readonly #permit: SendPermit;
   readonly #wait = new FullServersWait();
   #timer: NodeJS.Timeout | undefined;
   #hasBegun = false;
@@ -36,7 +39,7 @@
   constructor(deps: ExchangeDispatchDependencies, listener: DispatchListener) {
     this.#deps = deps;
     this.#listener = listener;
-    this.#permit = new ExchangePermit(deps.permits);
+    this.#permit = new SendPermit(deps);
   }
 
   /**
@@ -49,10 +52,24 @@
     this.#choose();
   }
 
+  /**
+   * Must be called right before the request is written to a connection. What was
+   * decided before may no longer hold after the waits for a permit and for the
+   * connection.
+   *
+   * @param state the server
+   * @returns false if the request must not be sent there any more
+   */
+  beginSend(state: ServerState): boolean {
+    const {clock, servers} = this.#deps;
+    const at = {now: clock.now(), wallTime: clock.wallTime()};
+    return this.#permit.takeFor(state, at) && servers.beginSend(state, at.now);
+  }
+
   /** Ends the attempt or the search for its server. */
   end(): void {
     clearTimeout(this.#timer);
-    const isReserved = this.#permit.isPending || this.#permit.isGranted;
+    const {isReserved} = this.#permit;
     const now = this.#deps.clock.now();
     this.#permit.release(now);
     if (isReserved) this.#deps.admission.noteEnded(now);
@@ -68,18 +85,24 @@
     }
     const {state, assumed} = chosen;
     admission.noteSent(state, now);
-    this.#permit.acquire(state, assumed.limit, now, isGranted => {
-      if (isGranted) {
-        servers.noteAttempt(chosen);
-        this.#listener.onServer(chosen);
-        return;
-      }
-      admission.noteEnded(this.#deps.clock.now());
-      servers.noteFull(state);
-      this.#choose();
+    this.#permit.acquire(state, assumed.limit, now, decision => {
+      this.#onDecision(chosen, decision);
     });
   }
 
+  #onDecision(chosen: ServerChoice, decision: SendDecision): void {
+    const {servers, admission, clock} = this.#deps;
+    if (decision === SEND_DECISION.GRANTED) {
+      servers.noteAttempt(chosen);
+      this.#listener.onServer(chosen);
+      return;
+    }
+    admission.noteEnded(clock.now());
+    if (decision === SEND_DECISION.FULL) servers.noteFull(chosen.state);
+    else servers.noteWarmingUp(chosen.state);
+    this.#choose();
+  }
+
   /** Servers that are at their load limit may have room a moment later. */
   #onNone(now: number): void {
     const {servers} = this.#deps;
@@ -87,7 +110,9 @@
       ? this.#wait.next(this.#hasBegun, now)
       : undefined;
     if (waitMs === undefined) {
-      const error = servers.hasFull ? 'overloaded' : servers.errorWithoutServer;
+      const error = servers.hasFull
+        ? 'overloaded'
+        : servers.errorWithoutServer(now);
       this.#listener.onNoServer(error);
       return;
     }
--- a/packages/lovagepond-gateway/src/gateway_exchange_permit.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_permit.ts
@@ -48,13 +48,15 @@
     this.#abandon = () => {
       isCurrent = false;
     };
-    this.#permits.acquire(name, limit, now, ({granted, load}, at) => {
+    this.#permits.acquire(name, limit, now, (decision, at) => {
+      const {granted, load, warmUpRouters} = decision;
       if (!isCurrent) {
         if (granted) this.#permits.release(name, at);
         return;
       }
       state.awaitingPermit -= 1;
       state.noteCountedLoad(granted ? load - 1 : load, at);
+      if (warmUpRouters) state.warmUpNews.noteTold(warmUpRouters, at);
       this.#isGranted = granted;
       if (!granted) this.#state = undefined;
       onDecision(granted);
--- a/packages/lovagepond-gateway/src/gateway_exchange_servers.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_servers.ts
@@ -48,6 +48,8 @@
   readonly #tried = new Set<string>();
   /** Names of servers that were at their load limit. */
   readonly #full = new Set<string>();
+  /** Names of servers that were warming up and got no more requests. */
+  readonly #warmingUp = new Set<string>();
   readonly #attempted: BackendServer[] = [];
   #assumed: AssumedLoad | undefined;
   #chosenAt = 0;
@@ -79,8 +81,14 @@
     return this.#lastSend;
   }
 
-  /** The error when no server is left. */
-  get errorWithoutServer(): ErrorKind {
+  /**
+   * @param now current time, monotonic milliseconds
+   * @returns the error when no server is left
+   */
+  errorWithoutServer(now: number): ErrorKind {
+    if (this.#warmingUp.size > 0 || this.eligible.isWarmingUp(now)) {
+      return 'overloaded';
+    }
     return this.#binding.origin ? 'streamVersionGone' : 'noBackendServer';
   }
 
@@ -98,7 +106,9 @@
     const {choice, fleet} = this.#deps;
     const {servers: ready, holders} = this.eligible.list(now);
     const {servers, tried} = this.#candidates(ready, now);
-    const open = servers.filter(({server}) => !this.#full.has(server.name));
+    const open = servers.filter(({server: {name}}) => {
+      return !this.#full.has(name) && !this.#warmingUp.has(name);
+    });
     if (open.length === 0) return undefined;
     const listed = fleet.listed(this.#req.pool.name);
     const candidates = {servers: limit(open), holders, listed, tried};
@@ -125,7 +135,7 @@
     this.#lastSend = {
       at: now,
       afterChoiceMs: now - this.#chosenAt,
-      isWarmingUp: state.server.warmUp !== undefined,
+      isWarmingUp: state.warmUp(now) !== undefined,
     };
     return true;
   }
@@ -135,9 +145,15 @@
     this.#full.add(server.name);
   }
 
-  /** Has servers chosen again that were at their load limit. */
+  /** @param state a server that is warming up and gets no more requests */
+  noteWarmingUp({server}: ServerState): void {
+    this.#warmingUp.add(server.name);
+  }
+
+  /** Has servers chosen again that had no room. */
   forgetFull(): void {
     this.#full.clear();
+    this.#warmingUp.clear();
   }
 
   /**
--- a/packages/lovagepond-gateway/src/gateway_peer_addresses.ts
+++ b/packages/lovagepond-gateway/src/gateway_peer_addresses.ts
@@ -52,6 +52,14 @@
     return this.#peers.size;
   }
 
+  /**
+   * @param node a gateway's name
+   * @returns its address, {@link SELF} for this one; undefined if unknown
+   */
+  addressOf(node: string): string | undefined {
+    return node === this.#self ? SELF : this.#peers.get(node)?.address;
+  }
+
   /**
    * @param update the list from control, or its changes
    * @param now current time, monotonic milliseconds
--- a/packages/lovagepond-gateway/src/gateway_permit_issuer.ts
+++ b/packages/lovagepond-gateway/src/gateway_permit_issuer.ts
@@ -44,6 +44,11 @@
   readonly granted: boolean;
   /** Requests of all gateways at the server, a granted one included. */
   readonly load: number;
+  /**
+   * The gateways that issue permits for the server while it is warming up, as
+   * another gateway knows; absent when it doesn't.
+   */
+  readonly warmUpRouters?: readonly string[];
 }
 
 interface Holder {
--- a/packages/lovagepond-gateway/src/gateway_permits.ts
+++ b/packages/lovagepond-gateway/src/gateway_permits.ts
@@ -23,7 +23,7 @@
   PermitIssuer,
   type PermitRequest,
 } from './gateway_permit_issuer.js';
-import {textOfKey} from './gateway_stream_records.js';
+import {ServerKeys} from './gateway_server_keys.js';
 
 /** Stands for no limit. */
 const MAX_LIMIT = 2 ** 31;
@@ -71,6 +71,11 @@
   readonly onPending: () => void;
   /** @returns a server's requests, as reported through control */
   readonly reportedLoad: (server: string) => number;
+  /**
+   * @returns the gateways that issue a server's warm-up permits; undefined when
+   *     it is warm by the list of this gateway
+   */
+  readonly warmUpRouters: (server: string) => readonly string[] | undefined;
 }
 
 type OnDecision = (decision: PermitDecision, now: number) => void;
@@ -103,8 +108,7 @@
   readonly #issuer = new PermitIssuer();
   /** By server name. */
   readonly #own = new Map<string, OwnRequests>();
-  /** Names of the listed servers by the text of their keys. */
-  #names: ReadonlyMap<string, string> = new Map();
+  readonly #keys: ServerKeys;
   /** By sequence number. */
   readonly #pending = new Map<number, PendingRequest>();
   /** When issuers are asked again that did not reply, by address. */
@@ -114,16 +118,13 @@
 
   constructor(deps: GatewayPermitsDependencies) {
     this.#deps = deps;
+    this.#keys = new ServerKeys(deps.hasher);
     this.#sequence = deps.random.below(2 ** 32);
   }
 
   /** @param listed names of the servers that control lists */
   useListed(listed: ReadonlySet<string>): void {
-    const {hasher} = this.#deps;
-    const names = [...listed].map(
-      name => [textOfKey(hasher.hash(name)), name] as const,
-    );
-    this.#names = new Map(names);
+    this.#keys.useListed(listed);
   }
 
   /**
@@ -224,7 +225,7 @@
     if (known) return known;
     const own: OwnRequests = {
       name,
-      key: this.#deps.hasher.hash(name),
+      key: this.#keys.keyOf(name),
       granted: 0,
       waiting: 0,
       toldTo: undefined,
@@ -291,22 +292,35 @@
       this.#issuer.tell(from, req, now);
       return;
     }
-    const name = this.#names.get(textOfKey(req.server));
+    const name = this.#keys.nameOf(req.server);
     const {granted, load} = this.#decide(from, name, req, now);
     const {sequence} = req;
-    const permitReply = {sequence, granted, load};
+    const warmUpRouters =
+      name === undefined ? undefined : this.#deps.warmUpRouters(name);
+    const permitReply = {
+      sequence,
+      granted,
+      load,
+      ...(warmUpRouters && {warmUpRouters: [...warmUpRouters]}),
+    };
     this.#deps.send(from, encodeDatagram({permitReply}));
   }
 
   #onReply(
-    {sequence, granted, load}: lovagepond.v1.PermitReply.$Properties,
+    reply: lovagepond.v1.PermitReply.$Properties,
     from: string,
     now: number,
   ): void {
-    const pending = this.#pending.get(sequence ?? 0);
+    const sequence = reply.sequence ?? 0;
+    const pending = this.#pending.get(sequence);
     if (!pending || pending.asked.at(-1) !== from) return;
-    this.#pending.delete(sequence ?? 0);
-    const decision = {granted: granted ?? false, load: load ?? 0};
+    this.#pending.delete(sequence);
+    const warmUpRouters = reply.warmUpRouters ?? [];
+    const decision = {
+      granted: reply.granted ?? false,
+      load: reply.load ?? 0,
+      ...(warmUpRouters.length > 0 && {warmUpRouters}),
+    };
     this.#finish(pending, decision, from, now);
   }
 
@@ -360,6 +374,7 @@
       link.startTicking();
     },
     reportedLoad: server => fleet.find(server)?.requests ?? 0,
+    warmUpRouters: server => fleet.find(server)?.server.warmUp?.routers,
   });
   link.addHandler(permits);
   return permits;
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -41,7 +41,7 @@
 import {probeServer} from './gateway_server_probe.js';
 import {type GatewaySettings} from './gateway_settings.js';
 import {GatewayStreams} from './gateway_streams.js';
-import {GatewayWarmUp} from './gateway_warm_up.js';
+import {type GatewayWarmUp, makeWarmUp} from './gateway_warm_up.js';
 
 export interface GatewayDependencies {
   readonly clock: Clock;
@@ -87,7 +87,6 @@
   readonly #probe = (address: string): Promise<Reachability> =>
     probeServer(address, this.#settings.connectTimeoutMs);
   readonly #counters = new GatewayCounters();
-  readonly #warmUp: GatewayWarmUp;
   readonly #shares = new GatewayShares();
   readonly #overload: GatewayOverload;
   readonly #link: ControlLink;
@@ -96,6 +95,7 @@
   #peerLink: GatewayPeerLink | undefined;
   #streams: GatewayStreams | undefined;
   #permits: GatewayPermits | undefined;
+  #warmUp: GatewayWarmUp | undefined;
   #timer: NodeJS.Timeout | undefined;
   #reportTimer: NodeJS.Timeout | undefined;
   #confirmationSentAt = Number.NEGATIVE_INFINITY;
@@ -124,7 +124,7 @@
       const listed = this.#fleet.useMembership(this.#membership);
       this.#quarantine.useListed(listed, now);
       this.#connections.keepOnly(listed);
-      this.#warmUp.keepOnly(listed);
+      this.#warmUp?.useListed(this.#fleet.all(), now);
       this.#overload.keepOnly(listed);
       this.#permits?.useListed(listed);
       this.#deps.log.info('backend servers changed', {
@@ -174,7 +174,6 @@
         this.#server?.abortQuarantined();
       },
     });
-    this.#warmUp = new GatewayWarmUp(settings.name, deps.clock.now());
     this.#overload = new GatewayOverload({
       ...deps,
       shares: this.#shares,
@@ -208,6 +207,17 @@
     this.#streams = streams;
     const permits = makePermits(link, this.#fleet, {hasher, random});
     this.#permits = permits;
+    const warmUp = makeWarmUp(
+      link,
+      this.#fleet,
+      {name, startedAt: clock.now()},
+      {
+        hasher,
+        random,
+        content: () => this.#admission.configuration.content,
+      },
+    );
+    this.#warmUp = warmUp;
     await link.start();
     const choiceSettings = {
       availabilityZone,
@@ -226,7 +236,7 @@
       connections: this.#connections,
       quarantine: this.#quarantine,
       liveness: new ServerLiveness(this.#probe),
-      warmUp: this.#warmUp,
+      warmUp,
       permits,
       counters: this.#counters,
       overload: this.#overload,
@@ -312,6 +322,7 @@
       admission: this.#overload.describe(at.now),
       streams: this.#streams?.describe(),
       permits: this.#permits?.describe(),
+      warmUp: this.#warmUp?.decisions,
     };
     return {version: DUMP_VERSION, role: 'gateway', state};
   }
--- a/packages/lovagepond-gateway/src/gateway_server_state.ts
+++ b/packages/lovagepond-gateway/src/gateway_server_state.ts
@@ -3,7 +3,7 @@
  * load that the server and other gateways report, recent failures, and the
  * prompts in the server's cache.
  */
-import {type BackendServer} from '@lovagepond/core';
+import {type BackendServer, type WarmUp} from '@lovagepond/core';
 import {
   type PoolMeans,
   ServerCapacity,
@@ -12,6 +12,7 @@
 import {EngineMemory} from './gateway_engine_memory.js';
 import {OutcomeEstimate, type Outcomes} from './gateway_outcome_estimate.js';
 import {type PromptPart, type ServerLoad} from './gateway_headers.js';
+import {ServerBackoff} from './gateway_server_backoff.js';
 import {PendingPrefill} from './gateway_pending_prefill.js';
 import {RemoteRequests} from './gateway_remote_requests.js';
 import {
@@ -19,6 +20,7 @@
   type GatewaySettings,
 } from './gateway_settings.js';
 import {type PartSizes, WarmParts} from './gateway_warm_parts.js';
+import {WarmUpNews} from './gateway_warm_up_news.js';
 
 /**
  * Half-life of the other gateways' load as reported by the server,
@@ -33,10 +35,6 @@
  */
 const COUNT_VALID_MS = 100;
 
-/** First and longest backoff, milliseconds; each failure doubles it. */
-const INITIAL_BACKOFF_MS = 250;
-const MAX_BACKOFF_MS = 4_000;
-
 /**
  * Failure share that healthy servers reach for some request kinds. Differences
  * below it mean little and would only move prompts away from servers that hold
@@ -53,6 +51,7 @@
 export class ServerState {
   /** Requests that are sent, and their prompts, decide on its free memory. */
   readonly memory = new EngineMemory();
+  readonly warmUpNews = new WarmUpNews();
   readonly #settings: CapacitySettings;
   #poolMeans: PoolMeans | undefined;
   server: BackendServer;
@@ -78,11 +77,10 @@
   #remotePrefillUntil = Number.NEGATIVE_INFINITY;
   /** Rate that the time until then was estimated with, tokens per ms. */
   #remotePrefillRate = 0;
-  #failures = 0;
+  readonly #backoff = new ServerBackoff();
   readonly #outcomes = new OutcomeEstimate();
   /** This gateway's outcomes that were not yet reported to the others. */
   #unreported = {ended: 0, failed: 0};
-  #backoffUntil = Number.NEGATIVE_INFINITY;
   /** The incarnation whose address another one has taken. */
   #replaced: string | undefined;
   readonly #warmParts = new WarmParts();
@@ -130,6 +128,14 @@
     if (this.usesCapacity) this.#warmParts.clear();
   }
 
+  /**
+   * @param now current time, monotonic milliseconds
+   * @returns the gateways that issue its permits while it is warming up, if it is
+   */
+  warmUp(now: number): WarmUp | undefined {
+    return this.warmUpNews.warmUpOf(this.server, now);
+  }
+
   /** Requests that the server processes concurrently. */
   get slots(): number {
     return Math.max(1, this.server.directSlots ?? 1);
@@ -315,7 +321,7 @@
    * @param now current time, monotonic milliseconds
    */
   noteSuccess(now: number): void {
-    this.#resetBackoff();
+    this.#backoff.reset();
     this.#noteOutcome({ended: 1, failed: 0}, now);
   }
 
@@ -326,15 +332,10 @@
    * @param now current time, monotonic milliseconds
    */
   noteLateResponse(now: number): void {
-    this.#resetBackoff();
+    this.#backoff.reset();
     this.#noteOutcome({ended: 1, failed: 1}, now);
   }
 
-  #resetBackoff(): void {
-    this.#failures = 0;
-    this.#backoffUntil = Number.NEGATIVE_INFINITY;
-  }
-
   /**
    * Records that the server ran a request and failed it.
    *
@@ -393,9 +394,7 @@
    */
   noteAttemptFailure(now: number): void {
     this.noteErrorResponse(now);
-    const backoffMs = INITIAL_BACKOFF_MS * 2 ** this.#failures;
-    this.#failures += 1;
-    this.#backoffUntil = now + Math.min(backoffMs, MAX_BACKOFF_MS);
+    this.#backoff.noteFailure(now);
   }
 
   /**
@@ -403,7 +402,7 @@
    * @returns true while other servers should be preferred
    */
   isAvoided(now: number): boolean {
-    return now < this.#backoffUntil;
+    return this.#backoff.isActive(now);
   }
 
   /**
--- a/packages/lovagepond-measure/src/direct_servers.ts
+++ b/packages/lovagepond-measure/src/direct_servers.ts
@@ -48,6 +48,8 @@
   #lastOrder = 0;
   /** Share of requests that the engine fails. */
   failureShare = 0;
+  /** Virtual time at which it is warm. */
+  coldUntil = 0;
   readonly #draw: () => number;
 
   /**
--- a/packages/lovagepond-measure/src/gateway_simulation.ts
+++ b/packages/lovagepond-measure/src/gateway_simulation.ts
@@ -4,6 +4,7 @@
  */
 import {type BackendServer, Random, SERVER_STATE} from '@lovagepond/core';
 import {
+  chooseWarmUpRouters,
   DirectServerTable,
   type JoiningServer,
   readReadings,
@@ -12,7 +13,6 @@
   RunningRequestTotals,
   toWireDigest,
 } from '@lovagepond/control/deciders';
-import {type PromptPart} from '@lovagepond/gateway/deciders';
 import {type KeyHasher} from '@lovagepond/router';
 import {DirectEngine, DirectService} from './direct_servers.js';
 import {
@@ -24,10 +24,11 @@
   type GatewaySimulationSettings,
   type SimulatedRequestKind,
 } from './gateway_simulation_types.js';
-import {drawItems, drawLength} from './simulated_draws.js';
+import {drawItems} from './simulated_draws.js';
 import {SimulatedDatagrams} from './simulated_datagrams.js';
-import {SimulatedGateway, type SimulatedRequest} from './simulated_gateway.js';
+import {SimulatedGateway} from './simulated_gateway.js';
 import {ENGINES, makePools, SERVICES} from './simulated_pools.js';
+import {SimulatedRequests} from './simulated_requests.js';
 import {VirtualTime} from './virtual_time.js';
 
 /** Delay until gateways receive a membership change, milliseconds. */
@@ -72,11 +73,10 @@
   readonly #datagrams: SimulatedDatagrams;
   readonly #totals = new RunningRequestTotals();
   readonly #feeds: readonly RunningRequestFeed[];
-  readonly #partLengths = new Map<string, number>();
+  readonly #requests: SimulatedRequests;
   #version = 0;
   #lastId = 0;
   #rateFactor = 1;
-  #hotShare = 0;
   #isControlSilent = false;
 
   /**
@@ -86,6 +86,10 @@
   constructor(settings: GatewaySimulationSettings, hasher: KeyHasher) {
     this.#settings = settings;
     this.#random = new Random(settings.seed);
+    this.#requests = new SimulatedRequests(this.#random, () => {
+      this.#lastId += 1;
+      return this.#lastId;
+    });
     const pools = makePools(settings);
     this.#datagrams = new SimulatedDatagrams(
       this.#time,
@@ -143,7 +147,10 @@
       this.#tick();
     });
     this.#time.every(PEER_TICK_MS, PEER_TICK_MS, () => {
-      for (const {permits} of this.#gateways) permits.tick(this.#time.now);
+      for (const {permits, warmUp} of this.#gateways) {
+        permits.tick(this.#time.now);
+        warmUp.tick(this.#time.now);
+      }
     });
     for (const disturbance of disturbances) this.#schedule(disturbance);
     for (const kind of load.kinds) this.#scheduleArrival(kind);
@@ -196,11 +203,22 @@
       });
     },
     hotKey: ({share, forMs}) => {
-      this.#hotShare = share;
+      this.#requests.hotShare = share;
       this.#time.after(forMs, () => {
-        this.#hotShare = 0;
+        this.#requests.hotShare = 0;
       });
     },
+    coldReturn: ({zone, downMs, coldMs}) => {
+      for (const {server} of this.#table.list()) {
+        const {name, pool, availabilityZone} = server;
+        if (pool !== ENGINES || availabilityZone !== `zone-${zone}`) continue;
+        this.#engines.get(name)?.crash();
+        this.#time.after(downMs, () => {
+          this.#deregister(name);
+          this.#addEngine(coldMs);
+        });
+      }
+    },
     scaleOut: ({share}) => {
       const added = Math.round(share * this.#engines.size);
       for (let at = 0; at < added; at += 1) this.#addEngine();
@@ -256,17 +274,36 @@
     this.#publishList();
   }
 
-  #addEngine(): void {
+  /** @param coldMs how long the engine is cold, milliseconds */
+  #addEngine(coldMs = 0): void {
     const {load} = this.#settings;
     const name = this.#register(ENGINES, load.engines.slots);
     const draw = (): number => this.#random.next();
-    this.#engines.set(
-      name,
-      new DirectEngine(load.engines, this.#time, this.#statistics, draw),
+    const {engines: profile} = load;
+    const engine = new DirectEngine(
+      profile,
+      this.#time,
+      this.#statistics,
+      draw,
     );
+    this.#engines.set(name, engine);
+    if (coldMs > 0) {
+      engine.coldUntil = this.#time.now + coldMs;
+      this.#statistics.coldServers.add(engine, coldMs);
+      this.#time.after(coldMs, () => {
+        this.#publishList();
+      });
+    }
     this.#publishList();
   }
 
+  #warmUpOf({name}: JoiningServer): Pick<BackendServer, 'warmUp'> {
+    const {coldUntil = 0} = this.#engines.get(name) ?? {};
+    if (coldUntil <= this.#time.now) return {};
+    const known = this.#gateways.map((_, at) => `gateway-${at}`);
+    return {warmUp: {routers: chooseWarmUpRouters(known, name)}};
+  }
+
   #addService(): void {
     const {slots, queue} = this.#settings.load.services;
     const name = this.#register(SERVICES, slots);
@@ -301,13 +338,14 @@
     const servers = new Map(
       this.#table.list().map(({server, leaving, place}, slot) => {
         const state = leaving ? SERVER_STATE.DRAINING : SERVER_STATE.READY;
-        const listed: BackendServer = {...server, state, place, slot};
-        return [server.name, listed] as const;
+        const warmUp = this.#warmUpOf(server);
+        const listed = {...server, state, place, slot, ...warmUp};
+        return [server.name, listed satisfies BackendServer] as const;
       }),
     );
     this.#time.after(MEMBERSHIP_DELAY_MS, () => {
-      for (const {fleet, permits} of this.#gateways) {
-        permits.useListed(fleet.useMembership({version, servers}));
+      for (const gateway of this.#gateways) {
+        gateway.useMembership({version, servers}, this.#time.now);
       }
     });
   }
@@ -371,48 +409,17 @@
     this.#time.after(this.#random.exponential(clump / perMs), () => {
       if (this.#time.now >= this.#settings.endMs) return;
       this.#scheduleArrival(kind);
-      for (let nth = 0; nth < clump; nth += 1) this.#arrive(kind);
+      const {clumpsAtOneGateway = false} = this.#settings.load;
+      const gateway = clumpsAtOneGateway
+        ? this.#random.pick(this.#gateways)
+        : undefined;
+      for (let nth = 0; nth < clump; nth += 1) this.#arrive(kind, gateway);
     });
   }
 
-  #arrive(kind: SimulatedRequestKind): void {
-    const req = this.#drawRequest(kind);
+  #arrive(kind: SimulatedRequestKind, gateway?: SimulatedGateway): void {
+    const req = this.#requests.draw(kind, this.#time.now);
     this.#statistics.recordRequest(kind, this.#time.now);
-    this.#random.pick(this.#gateways).serve(req);
-  }
-
-  #drawRequest(kind: SimulatedRequestKind): SimulatedRequest {
-    const {prompt, workMs} = kind;
-    return {
-      kind,
-      at: this.#time.now,
-      parts: prompt ? this.#drawParts(kind, prompt) : [],
-      events: prompt ? Math.max(1, drawLength(this.#random, prompt.events)) : 0,
-      workMs: workMs ? drawLength(this.#random, workMs) : 0,
-    };
-  }
-
-  #drawParts(
-    {name}: SimulatedRequestKind,
-    {shared, own}: NonNullable<SimulatedRequestKind['prompt']>,
-  ): readonly PromptPart[] {
-    const isHot = this.#random.next() < this.#hotShare;
-    // Each part is preceded by the same parts in all prompts: gateways identify
-    // a part by its id alone, whereas engines cache it with the parts before it.
-    const leafIndex = isHot ? 0 : this.#random.below(shared.at(-1)?.count ?? 1);
-    const parts = shared.map(({tokens, count}, level) => {
-      const index = leafIndex % count;
-      const id = `${name}.${level}.${index}`;
-      const length =
-        this.#partLengths.get(id) ?? drawLength(this.#random, tokens);
-      this.#partLengths.set(id, length);
-      return {id, tokens: length};
-    });
-    this.#lastId += 1;
-    const ownPart = {
-      id: `own.${this.#lastId}`,
-      tokens: drawLength(this.#random, own),
-    };
-    return [...parts, ownPart];
+    (gateway ?? this.#random.pick(this.#gateways)).serve(req);
   }
 }
--- a/packages/lovagepond-measure/src/gateway_simulation_loads.ts
+++ b/packages/lovagepond-measure/src/gateway_simulation_loads.ts
@@ -269,6 +269,9 @@
   ],
 };
 
+/** Multiple of the usual load at which engines of a returned zone are wanted. */
+const RETURN_LOAD = 3;
+
 /** A few prompts that all callers share, on engines with short streams. */
 const POPULAR: GatewayLoad = {
   name: 'popular prompts',
@@ -314,6 +317,36 @@
   return {...POPULAR, gateways, kinds};
 }
 
+/**
+ * @param gateways number of gateways
+ * @param engines number of engines, whose load it is the same
+ * @param clump requests that arrive at one gateway at the same moment
+ * @returns a load of two zones that is too high for one of them alone while the
+ *     engines of the other are cold
+ */
+export function zonesThatReturn(
+  gateways: number,
+  engines: number,
+  clump: number,
+): GatewayLoad {
+  const load = popularPrompts(gateways, 40);
+  const scale = engines / load.engines.count;
+  const kinds = load.kinds.map(kind => ({
+    ...kind,
+    perSecond: kind.perSecond * scale * (kind.prompt ? RETURN_LOAD : 1),
+  }));
+  return {
+    ...load,
+    name: 'zones that return cold',
+    zones: 2,
+    engines: {...load.engines, count: engines, slots: 8, queue: 8},
+    kinds,
+    clump,
+    clumpsAtOneGateway: true,
+    coldPerSecond: 21,
+  };
+}
+
 /** The small simulated deployments. */
 export const GATEWAY_LOADS: readonly GatewayLoad[] = [
   COUPONS,
--- a/packages/lovagepond-measure/src/gateway_simulation_statistics.ts
+++ b/packages/lovagepond-measure/src/gateway_simulation_statistics.ts
@@ -2,6 +2,7 @@
  * Metrics of one gateway simulation: caller outcomes and prefill cost.
  */
 import {type SimulatedRequestKind} from './gateway_simulation_types.js';
+import {ColdServerStatistics} from './cold_server_statistics.js';
 import {LoadBoundStatistics} from './load_bound_statistics.js';
 import {Distribution, percentOf} from './measure_statistics.js';
 
@@ -20,6 +21,7 @@
 export class GatewaySimulationStatistics {
   readonly firstMs = new Distribution(0.1);
   readonly loadBound = new LoadBoundStatistics();
+  readonly coldServers = new ColdServerStatistics();
   #requests = 0;
   #served = 0;
   #onTime = 0;
@@ -114,6 +116,8 @@
       overBound: this.loadBound.count,
       overBoundPercent: this.loadBound.worstPercent,
       furthestOver: this.loadBound.furthest,
+      coldMost: this.coldServers.most,
+      coldPerSecond: this.coldServers.perSecond,
     };
   }
 
@@ -147,4 +151,8 @@
   readonly overBoundPercent: number;
   /** Requests of one server beyond its load bound, at most. */
   readonly furthestOver: number;
+  /** Most requests that a cold engine got within a second. */
+  readonly coldMost: number;
+  /** Requests that a cold engine got in a second, in the mean. */
+  readonly coldPerSecond: number;
 }
--- a/packages/lovagepond-measure/src/gateway_simulation_types.ts
+++ b/packages/lovagepond-measure/src/gateway_simulation_types.ts
@@ -117,6 +117,17 @@
       readonly forMs: number;
       readonly share: number;
     }
+  /**
+   * The engines of one zone crash; as many start `downMs` later, all at once, and
+   * are cold for `coldMs`.
+   */
+  | {
+      readonly kind: 'coldReturn';
+      readonly atMs: number;
+      readonly zone: number;
+      readonly downMs: number;
+      readonly coldMs: number;
+    }
   /** Engines with empty caches are added. */
   | {readonly kind: 'scaleOut'; readonly atMs: number; readonly share: number}
   /** Control relays nothing that gateways report. */
@@ -138,6 +149,10 @@
   readonly loadBound: number;
   /** Requests that arrive at the same moment; 1 by default. */
   readonly clump?: number;
+  /** All of them arrive at one gateway. */
+  readonly clumpsAtOneGateway?: boolean;
+  /** Requests that a cold engine bears in a second; any number by default. */
+  readonly coldPerSecond?: number;
   readonly kinds: readonly SimulatedRequestKind[];
 }
 
@@ -161,6 +176,9 @@
   readonly noBound?: boolean;
   /** Each gateway keeps the load bound alone. */
   readonly noPermits?: boolean;
+  /** Share of the requests that need a new connection, and its longest wait. */
+  readonly connectShare?: number;
+  readonly connectMs?: number;
   /** Share of the datagrams between gateways that are lost. */
   readonly datagramLoss?: number;
 }
--- a/packages/lovagepond-measure/src/measure_table.ts
+++ b/packages/lovagepond-measure/src/measure_table.ts
@@ -23,6 +23,7 @@
 import {measurePlacementScale} from './placement_scale_measure.js';
 import {measureRouter} from './router_measure.js';
 import {measureSidecar} from './sidecar_measure.js';
+import {measureColdServers} from './cold_servers_measure.js';
 import {measureLoadBound} from './load_bound_measure.js';
 import {measureStreamRecords} from './stream_records_measure.js';
 import {measureWorkspaceShares} from './workspace_shares_measure.js';
@@ -39,6 +40,7 @@
   backend: measureBackend,
   'gateway-configuration': measureGatewayConfiguration,
   'stream-records': measureStreamRecords,
+  'cold-servers': measureColdServers,
   'load-bound': measureLoadBound,
   'gateway-plays': measureGatewaySimulations,
   'gateway-ablation': measureGatewayAblation,
--- a/packages/lovagepond-measure/src/simulated_datagrams.ts
+++ b/packages/lovagepond-measure/src/simulated_datagrams.ts
@@ -53,6 +53,7 @@
     this.#time.after(DELAY_MS * (1 + this.#random.next()), () => {
       if (!datagram || !gateway || this.#time.now < gateway.readyAt) return;
       gateway.permits.receive(datagram, from, this.#time.now);
+      gateway.warmUp.receive(datagram, from, this.#time.now);
     });
   }
 }
--- a/packages/lovagepond-measure/src/simulated_exchange.ts
+++ b/packages/lovagepond-measure/src/simulated_exchange.ts
@@ -6,11 +6,12 @@
   type AttemptOutcome,
   type ContextFetch,
   decideNext,
-  ExchangePermit,
   type ForwardingRule,
   FullServersWait,
   PrefillTracker,
   ResponseTiming,
+  SEND_DECISION,
+  SendPermit,
   type ServerChoice,
   type ServerState,
 } from '@lovagepond/gateway/deciders';
@@ -37,7 +38,7 @@
   /** Names of servers that were at their load limit. */
   readonly #full = new Set<string>();
   readonly #fullWait = new FullServersWait();
-  #permit: ExchangePermit | undefined;
+  #permit: SendPermit | undefined;
   #attempt = 0;
   #runs = 0;
   #offers = 0;
@@ -79,7 +80,9 @@
     const chosen = choice.choose(
       {
         pool,
-        servers: fleet.ready(pool.name, this.#now),
+        servers: fleet
+          .ready(pool.name, this.#now)
+          .filter(state => this.#gateway.warmUp.admits(state, this.#now)),
         holders: variant.noFetch ? [] : listed,
         parts,
         sticky: isChat,
@@ -96,18 +99,20 @@
   }
 
   #askPermit({state, fetch, assumed: {limit}}: ServerChoice): void {
-    const {permits, readyAt} = this.#gateway;
+    const {permits, warmUp, readyAt} = this.#gateway;
     if (this.#deps.variant.noPermits) {
       this.#send(state, fetch);
       return;
     }
-    const permit = new ExchangePermit(permits);
-    permit.acquire(state, limit, this.#now, isGranted => {
+    const now = (): number => this.#now;
+    const clock = {now, wallTime: now};
+    const permit = new SendPermit({clock, permits, warmUp});
+    permit.acquire(state, limit, this.#now, decision => {
       if (this.#isDone || this.#gateway.readyAt !== readyAt) {
         permit.release(this.#now);
-      } else if (isGranted) {
+      } else if (decision === SEND_DECISION.GRANTED) {
         this.#permit = permit;
-        this.#send(state, fetch);
+        this.#connect(state, fetch);
       } else {
         this.#full.add(state.server.name);
         this.offer();
@@ -115,6 +120,30 @@
     });
   }
 
+  /** Some requests need a new connection first, which may take long. */
+  #connect(state: ServerState, fetch: ContextFetch | undefined): void {
+    const {time, random, variant} = this.#deps;
+    const {connectShare = 0, connectMs = 0} = variant;
+    const isNew = connectShare > 0 && random.next() < connectShare;
+    if (!isNew) {
+      this.#sendIfAllowed(state, fetch);
+      return;
+    }
+    time.after(random.next() * connectMs, () => {
+      this.#sendIfAllowed(state, fetch);
+    });
+  }
+
+  #sendIfAllowed(state: ServerState, fetch: ContextFetch | undefined): void {
+    const at = {now: this.#now, wallTime: this.#now};
+    if (!this.#isDone && this.#permit?.takeFor(state, at)) {
+      this.#send(state, fetch);
+      return;
+    }
+    this.#permit?.release(this.#now);
+    if (!this.#isDone) this.offer();
+  }
+
   #waitForRoom(): void {
     const hasBegun = this.#firstMs !== undefined;
     const waitMs = this.#fullWait.next(hasBegun, this.#now);
@@ -236,6 +265,7 @@
       loadBound: pool.loadBound,
     };
     statistics.loadBound.record(arrival, this.#now);
+    statistics.coldServers.record(server, this.#now);
   }
 
   /** Wraps a callback to run once; returns false if repeated or outdated. */
--- a/packages/lovagepond-measure/src/simulated_gateway.ts
+++ b/packages/lovagepond-measure/src/simulated_gateway.ts
@@ -2,7 +2,7 @@
  * One simulated gateway: the production decision classes, with virtual-time
  * events in place of connections.
  */
-import {type Pool, type Random} from '@lovagepond/core';
+import {type Membership, type Pool, type Random} from '@lovagepond/core';
 import {
   ENGINE_WEIGHTS,
   GatewayChoice,
@@ -11,6 +11,7 @@
   GatewayPeers,
   GatewayPermits,
   GatewayRetryBudget,
+  GatewayWarmUp,
   LoadLimits,
   PeerAddresses,
   PrefillRate,
@@ -81,8 +82,9 @@
   #budget = new GatewayRetryBudget(RETRY_BUDGET, this.#peers);
   addresses!: PeerAddresses;
   permits!: GatewayPermits;
+  warmUp!: GatewayWarmUp;
   /** Requests are refused before this virtual time. */
-  readyAt = 0;
+  readyAt = Number.NEGATIVE_INFINITY;
 
   constructor(deps: SimulatedGatewayDependencies) {
     this.#deps = deps;
@@ -113,16 +115,29 @@
     this.#peers = new GatewayPeers();
     this.#budget = new GatewayRetryBudget(RETRY_BUDGET, this.#peers);
     this.addresses = new PeerAddresses(name, hasher);
-    this.permits = new GatewayPermits({
+    const shared = {
       hasher,
       random,
       peers: this.addresses,
-      send: (to, bytes) => {
+      send: (to: string, bytes: Uint8Array) => {
         this.#deps.send(name, to, bytes);
       },
       onPending: () => {},
+    };
+    this.permits = new GatewayPermits({
+      ...shared,
       reportedLoad: server => this.fleet.find(server)?.requests ?? 0,
+      warmUpRouters: server => this.fleet.find(server)?.server.warmUp?.routers,
     });
+    const {engines} = this.#deps.pools;
+    this.warmUp = new GatewayWarmUp(
+      {name, startedAt: this.readyAt},
+      {
+        ...shared,
+        findServer: server => this.fleet.find(server),
+        findPool: pool => (pool === engines.name ? engines : undefined),
+      },
+    );
   }
 
   /** Must be called every 100 ms, as by the real gateway. */
@@ -134,6 +149,15 @@
     }
   }
 
+  /**
+   * @param membership the list that control publishes
+   * @param now virtual time, milliseconds
+   */
+  useMembership(membership: Membership, now: number): void {
+    this.permits.useListed(this.fleet.useMembership(membership));
+    this.warmUp.useListed(this.fleet.all(), now);
+  }
+
   /** @param req a request that arrives now */
   serve(req: SimulatedRequest): void {
     new SimulatedExchange(req, this.#deps, this).offer();
--- a/packages/lovagepond-measure/src/simulated_pools.ts
+++ b/packages/lovagepond-measure/src/simulated_pools.ts
@@ -7,6 +7,9 @@
 export const ENGINES = 'engines';
 export const SERVICES = 'services';
 
+/** Time for which a cold engine is listed as warming up, milliseconds. */
+export const WARM_UP_MS = 3_000;
+
 /**
  * @param settings the load, and the variant that may have no load bound
  * @returns the pool of engines and that of plain services
@@ -28,6 +31,12 @@
           loadBound,
           engineSlots: load.engines.slots,
           contextTokens: load.engines.memoryTokens,
+          ...(load.coldPerSecond && {
+            warmUp: {
+              durationMs: WARM_UP_MS,
+              maxRequestsPerSecond: load.coldPerSecond,
+            },
+          }),
           ...(!variant.noFetch && {
             contextFetchTokensPerMs: load.engines.fetchTokensPerMs,
           }),
--- a/scripts/test_safeguards.mjs
+++ b/scripts/test_safeguards.mjs
@@ -22,6 +22,7 @@
   'scripts/safeguards_control.json',
   'scripts/safeguards_quarantine.json',
   'scripts/safeguards_scenarios.json',
+  'scripts/safeguards_warm_up.json',
 ];
 const REPORT = 'reports/safeguard.json';
 const NOT_COPIED = new Set(['.git', 'node_modules', 'dist', 'reports']);
