Send nothing to a server that has exited until it is listed anew

Callers saw cold engines overloaded that had come back under their names and addresses: 24 to 55 requests in a second on real processes, where 21 are allowed, although all permits were kept (21 at most of the requests that were logged as sent to a server that warms up).

Cause: until control's list has the new process, gateways have that of the one that exited, which was warm. The new one answers at the same address, to the same name, and gets any number of requests. The logs of the gateways showed it: the first 8 of 26 arrivals named the former process, without warmingUp.

A refused connection shows that a process has exited. The gateway that sees it sends the server nothing more, and tells the issuer of the server's load permits with the release of its own, which tells all that ask for one. It ends with the new listing, with an answer of the process, or after 6 s, the lease of a server. Only pools with a limit for warm-ups are concerned.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -1,12 +1,7 @@
 /**
  * A gateway's HTTP listener on loopback, with scripted backend servers.
  */
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from 'node:http';
+import {createServer, type Server} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {
   type BackendServer,
@@ -22,7 +17,6 @@
 import {GatewayConnections} from '../../gateway_connections.js';
 import {GatewayCounters} from '../../gateway_counters.js';
 import {GatewayFleet} from '../../gateway_fleet.js';
-import {DEFAULT_HEADER_NAMES} from '../../gateway_headers.js';
 import {GatewayPeerLink} from '../../gateway_peer_link.js';
 import {GatewayPeers} from '../../gateway_peers.js';
 import {makePermits} from '../../gateway_permits.js';
@@ -44,10 +38,16 @@
   type CallerResponse,
   KEY,
 } from './gateway_caller.js';
+import {answer, NAMES, type Script} from './scripted_answers.js';
 
 export {type Call, type CallerResponse, KEY} from './gateway_caller.js';
-
-export const NAMES = DEFAULT_HEADER_NAMES;
+export {
+  answer,
+  beginStream,
+  NAMES,
+  refuse,
+  type Script,
+} from './scripted_answers.js';
 
 const SEED = 7;
 
@@ -65,47 +65,6 @@
   error: () => {},
 };
 
-/** Handles one request at a scripted server. */
-export type Script = (
-  req: IncomingMessage,
-  res: ServerResponse,
-  body: string,
-) => void;
-
-/** Responds like a healthy server. */
-export function answer(
-  req: IncomingMessage,
-  res: ServerResponse,
-  status: number,
-  body: string,
-): void {
-  res.writeHead(status, {
-    [NAMES.requestId]: req.headers[NAMES.requestId] ?? '',
-    [NAMES.signature]: 'signed',
-    'Content-Length': Buffer.byteLength(body),
-  });
-  res.end(body);
-}
-
-/** Rejects the request as not run. */
-export function refuse(req: IncomingMessage, res: ServerResponse): void {
-  res.writeHead(503, {
-    [NAMES.requestId]: req.headers[NAMES.requestId] ?? '',
-    [NAMES.notRun]: '1',
-    'Content-Length': 0,
-  });
-  res.end();
-}
-
-/** Begins an event stream. */
-export function beginStream(req: IncomingMessage, res: ServerResponse): void {
-  res.writeHead(200, {
-    [NAMES.requestId]: req.headers[NAMES.requestId] ?? '',
-    [NAMES.signature]: 'signed',
-    'Content-Type': 'text/event-stream',
-  });
-}
-
 const forwarding = {
   timeoutMs: 1_000,
   targetLatencyMs: 100,
@@ -335,6 +294,34 @@
     this.#publish();
   }
 
+  /**
+   * Starts a server that has crashed again, at its address.
+   *
+   * @param name the server
+   * @returns the number of requests that it got
+   */
+  async restart(name: string): Promise<() => number> {
+    let arrivals = 0;
+    const backend = createServer((req, res) => {
+      arrivals += 1;
+      answer(req, res, 200, 'yes');
+    });
+    this.#backends.push(backend);
+    const port = Number(this.addressOf(name).split(':')[1]);
+    await new Promise<void>(resolve => {
+      backend.listen(port, '127.0.0.1', resolve);
+    });
+    return () => arrivals;
+  }
+
+  /** Has control list a server under another name, as after its restart. */
+  rename(name: string, newName: string): void {
+    this.#listed = this.#listed.map(one =>
+      one.name === name ? {...one, name: newName} : one,
+    );
+    this.#publish();
+  }
+
   #publish(): void {
     this.#version += 1;
     const list = this.#listed.map(one => [one.name, one] as const);
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_warm_up.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_warm_up.test.ts
@@ -162,16 +162,17 @@
   // Guards against a gateway without news from control that sends without a
   // limit to a server that has turned cold.
   it('takes the word of others that a server is warming up, for a time', () => {
-    const state = new ServerState(makeBackendServer('s'));
-    state.warmUpNews.noteTold(['g1'], 0);
-    expect(state.warmUp(0)).toEqual({routers: ['g1']});
-    state.warmUpNews.noteTold(['g2'], 2_000);
-    expect(state.warmUp(2_999)).toEqual({routers: ['g2']});
-    expect(state.warmUp(3_000)).toBeUndefined();
-    state.warmUpNews.noteTold(['g2'], 9_999);
-    expect(state.warmUp(9_999)).toBeUndefined();
-    state.warmUpNews.noteTold(['g2'], 10_000);
-    expect(state.warmUp(10_000)).toEqual({routers: ['g2']});
+    const server = makeBackendServer('s');
+    const {warmUpNews: news} = new ServerState(server);
+    news.noteTold(['g1'], 0);
+    expect(news.warmUpOf(server, 0)).toEqual({routers: ['g1']});
+    news.noteTold(['g2'], 2_000);
+    expect(news.warmUpOf(server, 2_999)).toEqual({routers: ['g2']});
+    expect(news.warmUpOf(server, 3_000)).toBeUndefined();
+    news.noteTold(['g2'], 9_999);
+    expect(news.warmUpOf(server, 9_999)).toBeUndefined();
+    news.noteTold(['g2'], 10_000);
+    expect(news.warmUpOf(server, 10_000)).toEqual({routers: ['g2']});
   });
 
   it('asks for permits once an issuer of load permits has told it', () => {
@@ -189,6 +190,34 @@
   });
 });
 
+describe('a server that has exited', () => {
+  // Guards against all gateways sending to a process that has started cold under
+  // the name and the address of the one that they know, before it is listed.
+  it('gets nothing from any gateway once one has told the others', () => {
+    const fleet = new WarmUpFleet(hasher, FLEET);
+    for (const name of fleet.names) fleet.forgetWarmUp(name);
+    fleet.request('g5', 20);
+    fleet.run(15);
+    fleet.noteExit('g5');
+    fleet.run(30);
+    for (const name of fleet.names) {
+      if (name !== 'g5') fleet.request(name);
+      fleet.run(20);
+    }
+    expect(fleet.sent).toEqual([]);
+    fleet.run(6_000);
+    fleet.request('g6');
+    fleet.run(20);
+    expect(fleet.sent).toHaveLength(1);
+  });
+
+  it('that was cold has no issuers until it is listed anew', () => {
+    const state = coldServer('a');
+    state.warmUpNews.noteExited(0);
+    expect(state.warmUpNews.warmUpOf(state.server, 5_999)?.routers).toEqual([]);
+  });
+});
+
 describe('a gateway', () => {
   let harness: GatewayHarness | undefined;
 
@@ -244,6 +273,27 @@
     expect(harness.arrivals).toEqual([]);
   });
 
+  // Guards against a gateway that floods a server which has restarted cold under
+  // its name: the list still has the former process, which was warm.
+  it('sends nothing to a server that has refused a connection, until it is listed anew', async () => {
+    harness = await GatewayHarness.start([
+      (req, res) => {
+        answer(req, res, 200, 'yes');
+      },
+    ]);
+    const port = Number(harness.addressOf('server-0').split(':')[1]);
+    expect((await harness.call({path: '/read/a'})).status).toBe(200);
+    harness.crash(port);
+    await harness.call({path: '/read/a'});
+    await harness.call({path: '/read/a'});
+    const arrivals = await harness.restart('server-0');
+    for (let n = 0; n < 5; n += 1) await harness.call({path: '/read/a'});
+    expect(arrivals()).toBe(0);
+    harness.rename('server-0', 'server-0@2');
+    expect((await harness.call({path: '/read/a'})).status).toBe(200);
+    expect(arrivals()).toBe(1);
+  });
+
   // Guards against a request that was on its way to a warm server when it turned
   // cold.
   it('sends nothing without a permit to a server that has just turned cold', () => {
--- a/packages/lovagepond-gateway/src/__tests__/unit/permit_network.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/permit_network.ts
@@ -64,7 +64,7 @@
       },
       onPending: () => {},
       reportedLoad: server => this.reported.get(server) ?? 0,
-      warmUpRouters: () => undefined,
+      findServer: () => undefined,
     });
     permits.useListed(new Set(['s', 't']));
     this.#running.set(name, permits);
--- a/packages/lovagepond-gateway/src/__tests__/unit/warm_up_fleet.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/warm_up_fleet.ts
@@ -100,7 +100,7 @@
     const permits = new GatewayPermits({
       ...shared,
       reportedLoad: () => 0,
-      warmUpRouters: () => (this.tellsOthers ? routers : undefined),
+      findServer: () => (this.tellsOthers ? state : undefined),
     });
     warmUp.useListed([state], startedAt);
     permits.useListed(new Set([SERVER]));
@@ -167,6 +167,12 @@
     state.server = makeBackendServer(SERVER);
   }
 
+  /** @param name a gateway whose connection the server refuses */
+  noteExit(name: string): void {
+    const gateway = this.#at(name);
+    gateway.state.warmUpNews.noteExited(this.#clockOf(gateway));
+  }
+
   /** @param name a gateway that gets control's newest list */
   learnWarmUp(name: string): void {
     const {routers} = this.#options;
--- a/packages/lovagepond-gateway/src/gateway_crash_detector.ts
+++ b/packages/lovagepond-gateway/src/gateway_crash_detector.ts
@@ -105,6 +105,7 @@
     const tracked = this.#tracked.get(name);
     if (!tracked || tracked.hasCrashed) return;
     tracked.hasCrashed = true;
+    tracked.state.warmUpNews.noteExited(now);
     this.#crashes += 1;
     this.#reportCrash(name, tracked, now);
   }
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -31,7 +31,7 @@
 import {toOutgoing} from './gateway_outgoing_request.js';
 import {type PrefillTracker, trackPrefill} from './gateway_prefill_tracker.js';
 import {BufferedFailure} from './gateway_buffered_failure.js';
-import {noteFailedAttempt} from './gateway_failed_attempt.js';
+import {noteExit, noteFailedAttempt} from './gateway_failed_attempt.js';
 import {type ServerState} from './gateway_server_state.js';
 
 /**
@@ -312,6 +312,7 @@
   #onFailed(failure: AttemptFailure): void {
     const load = this.#signals?.load;
     const isForLoad = this.#admission.noteFailure(failure, load, this.#now());
+    if (this.#attempt) noteExit(this.#attempt.state, failure, this.#now());
     const state = this.#endAttempt();
     if (failure.kind === 'broken') this.#runs += 1;
     if (state && !isForLoad) {
--- a/packages/lovagepond-gateway/src/gateway_exchange_permit.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_permit.ts
@@ -49,7 +49,7 @@
       isCurrent = false;
     };
     this.#permits.acquire(name, limit, now, (decision, at) => {
-      const {granted, load, warmUpRouters} = decision;
+      const {granted, load, warmUpRouters, hasExited} = decision;
       if (!isCurrent) {
         if (granted) this.#permits.release(name, at);
         return;
@@ -57,6 +57,7 @@
       state.awaitingPermit -= 1;
       state.noteCountedLoad(granted ? load - 1 : load, at);
       if (warmUpRouters) state.warmUpNews.noteTold(warmUpRouters, at);
+      if (hasExited) state.warmUpNews.noteExitTold(at);
       this.#isGranted = granted;
       if (!granted) this.#state = undefined;
       onDecision(granted);
--- a/packages/lovagepond-gateway/src/gateway_exchange_servers.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_servers.ts
@@ -135,7 +135,7 @@
     this.#lastSend = {
       at: now,
       afterChoiceMs: now - this.#chosenAt,
-      isWarmingUp: state.warmUp(now) !== undefined,
+      isWarmingUp: state.server.warmUp !== undefined,
     };
     return true;
   }
--- a/packages/lovagepond-gateway/src/gateway_failed_attempt.ts
+++ b/packages/lovagepond-gateway/src/gateway_failed_attempt.ts
@@ -12,6 +12,23 @@
   readonly subjects: RequestSubjects;
 }
 
+/**
+ * A refused connection shows that the server's process has exited. Must be noted
+ * before the attempt's permit is given back, which tells the other gateways.
+ *
+ * @param state the server
+ * @param failure why the attempt failed
+ * @param now current time, monotonic milliseconds
+ */
+export function noteExit(
+  state: ServerState,
+  failure: AttemptFailure,
+  now: number,
+): void {
+  const hasExited = failure.kind === 'unsent' && failure.isRefused;
+  if (hasExited) state.warmUpNews.noteExited(now);
+}
+
 /**
  * @param state the server
  * @param failure why the attempt failed
--- a/packages/lovagepond-gateway/src/gateway_load_limit.ts
+++ b/packages/lovagepond-gateway/src/gateway_load_limit.ts
@@ -71,8 +71,8 @@
 
   /**
    * The mean is that of the whole pool: servers that drain, pause or warm up count
-   * with what they have. Only those that failed lately don't, as the others have
-   * to take over their requests.
+   * with what they have. Only those that failed lately or have exited don't, as
+   * the others have to take over their requests.
    *
    * @param listed all servers of the pool
    * @param pool the pool
@@ -84,7 +84,9 @@
     {name, loadBound}: Pick<Pool, 'name' | 'loadBound'>,
     now: number,
   ): PoolLoad {
-    const healthy = listed.filter(state => !state.isAvoided(now));
+    const healthy = listed.filter(
+      state => !state.isAvoided(now) && !state.warmUpNews.hasExited(now),
+    );
     const servers = healthy.length > 0 ? healthy.length : listed.length;
     const history = this.#historyOf(name, now);
     const known = knownOf(listed, history, now);
--- a/packages/lovagepond-gateway/src/gateway_permit_issuer.ts
+++ b/packages/lovagepond-gateway/src/gateway_permit_issuer.ts
@@ -30,6 +30,11 @@
   readonly held: number;
   /** Requests that all gateways may have there, the new one included. */
   readonly limit: number;
+  /**
+   * Time since the server refused a connection of the gateway, milliseconds; 0 or
+   * absent if it did not lately.
+   */
+  readonly refusedMsAgo?: number;
 }
 
 /** What the issuer knows besides the numbers that it was told. */
@@ -49,6 +54,8 @@
    * another gateway knows; absent when it doesn't.
    */
   readonly warmUpRouters?: readonly string[];
+  /** The server's process has exited, as another gateway has told. */
+  readonly hasExited?: boolean;
 }
 
 interface Holder {
--- a/packages/lovagepond-gateway/src/gateway_permits.ts
+++ b/packages/lovagepond-gateway/src/gateway_permits.ts
@@ -24,6 +24,7 @@
   type PermitRequest,
 } from './gateway_permit_issuer.js';
 import {ServerKeys} from './gateway_server_keys.js';
+import {type ServerState} from './gateway_server_state.js';
 
 /** Stands for no limit. */
 const MAX_LIMIT = 2 ** 31;
@@ -71,11 +72,10 @@
   readonly onPending: () => void;
   /** @returns a server's requests, as reported through control */
   readonly reportedLoad: (server: string) => number;
-  /**
-   * @returns the gateways that issue a server's warm-up permits; undefined when
-   *     it is warm by the list of this gateway
-   */
-  readonly warmUpRouters: (server: string) => readonly string[] | undefined;
+  /** @returns a listed server */
+  readonly findServer: (
+    server: string,
+  ) => Pick<ServerState, 'server' | 'warmUpNews'> | undefined;
 }
 
 type OnDecision = (decision: PermitDecision, now: number) => void;
@@ -242,7 +242,13 @@
     const issuer = this.#issuerOf(own.key, now, asked);
     const sequence = this.#nextSequence();
     pending.held = own.granted + own.waiting - 1;
-    const req = {server: own.key, sequence, held: pending.held, limit};
+    const req = {
+      server: own.key,
+      sequence,
+      held: pending.held,
+      limit,
+      refusedMsAgo: this.#refusedMsAgo(own.name, now),
+    };
     if (issuer === SELF || asked.length >= MAX_ASKED) {
       if (asked.length > 0) this.#counts.unanswered += 1;
       this.#finish(pending, this.#decide(SELF, own.name, req, now), SELF, now);
@@ -279,7 +285,8 @@
     const issuer = this.#issuerOf(own.key, now);
     const held = own.granted + own.waiting;
     const sequence = this.#nextSequence();
-    const req = {server: own.key, sequence, held, limit: 0};
+    const refusedMsAgo = this.#refusedMsAgo(own.name, now);
+    const req = {server: own.key, sequence, held, limit: 0, refusedMsAgo};
     own.toldTo = issuer;
     own.told = held;
     own.toldAt = now;
@@ -288,24 +295,32 @@
   }
 
   #onRequest(req: PermitRequest, from: string, now: number): void {
+    const name = this.#keys.nameOf(req.server);
+    const state = name === undefined ? undefined : this.#deps.findServer(name);
+    if (req.refusedMsAgo) {
+      state?.warmUpNews.noteExitReported(req.refusedMsAgo, now);
+    }
     if (req.limit === 0) {
       this.#issuer.tell(from, req, now);
       return;
     }
-    const name = this.#keys.nameOf(req.server);
     const {granted, load} = this.#decide(from, name, req, now);
-    const {sequence} = req;
-    const warmUpRouters =
-      name === undefined ? undefined : this.#deps.warmUpRouters(name);
+    const {routers} = state?.server.warmUp ?? {};
     const permitReply = {
-      sequence,
+      sequence: req.sequence,
       granted,
       load,
-      ...(warmUpRouters && {warmUpRouters: [...warmUpRouters]}),
+      exited: state?.warmUpNews.hasExited(now) ?? false,
+      ...(routers && {warmUpRouters: [...routers]}),
     };
     this.#deps.send(from, encodeDatagram({permitReply}));
   }
 
+  #refusedMsAgo(name: string, now: number): number {
+    const state = this.#deps.findServer(name);
+    return Math.ceil(state?.warmUpNews.refusedMsAgo(now) ?? 0);
+  }
+
   #onReply(
     reply: lovagepond.v1.PermitReply.$Properties,
     from: string,
@@ -320,6 +335,7 @@
       granted: reply.granted ?? false,
       load: reply.load ?? 0,
       ...(warmUpRouters.length > 0 && {warmUpRouters}),
+      ...(reply.exited && {hasExited: true}),
     };
     this.#finish(pending, decision, from, now);
   }
@@ -374,7 +390,7 @@
       link.startTicking();
     },
     reportedLoad: server => fleet.find(server)?.requests ?? 0,
-    warmUpRouters: server => fleet.find(server)?.server.warmUp?.routers,
+    findServer: server => fleet.find(server),
   });
   link.addHandler(permits);
   return permits;
@@ -389,11 +405,13 @@
   sequence,
   held,
   limit,
+  refusedMsAgo,
 }: lovagepond.v1.PermitRequest.$Properties): PermitRequest {
   return {
     server: {low: server?.low ?? 0, high: server?.high ?? 0},
     sequence: sequence ?? 0,
     held: held ?? 0,
     limit: limit ?? 0,
+    refusedMsAgo: refusedMsAgo ?? 0,
   };
 }
--- a/packages/lovagepond-gateway/src/gateway_send_permit.ts
+++ b/packages/lovagepond-gateway/src/gateway_send_permit.ts
@@ -79,7 +79,7 @@
    * @returns true if the permit still allows the send
    */
   takeFor(state: ServerState, at: ClockReading): boolean {
-    if (!state.warmUp(at.now)) return true;
+    if (!this.#deps.warmUp.warmUpOf(state, at.now)) return true;
     const permit = this.#warmUp;
     this.#warmUp = undefined;
     return permit?.server === state.server.name && isValid(permit, at);
@@ -102,7 +102,7 @@
   ): void {
     const {clock, warmUp} = this.#deps;
     const askedAt = {now: clock.now(), wallTime: clock.wallTime()};
-    if (!state.warmUp(askedAt.now)) {
+    if (!warmUp.warmUpOf(state, askedAt.now)) {
       onDecision(SEND_DECISION.GRANTED);
       return;
     }
--- a/packages/lovagepond-gateway/src/gateway_server_state.ts
+++ b/packages/lovagepond-gateway/src/gateway_server_state.ts
@@ -3,7 +3,7 @@
  * load that the server and other gateways report, recent failures, and the
  * prompts in the server's cache.
  */
-import {type BackendServer, type WarmUp} from '@lovagepond/core';
+import {type BackendServer} from '@lovagepond/core';
 import {
   type PoolMeans,
   ServerCapacity,
@@ -128,14 +128,6 @@
     if (this.usesCapacity) this.#warmParts.clear();
   }
 
-  /**
-   * @param now current time, monotonic milliseconds
-   * @returns the gateways that issue its permits while it is warming up, if it is
-   */
-  warmUp(now: number): WarmUp | undefined {
-    return this.warmUpNews.warmUpOf(this.server, now);
-  }
-
   /** Requests that the server processes concurrently. */
   get slots(): number {
     return Math.max(1, this.server.directSlots ?? 1);
@@ -322,6 +314,7 @@
    */
   noteSuccess(now: number): void {
     this.#backoff.reset();
+    this.warmUpNews.noteAnswered();
     this.#noteOutcome({ended: 1, failed: 0}, now);
   }
 
--- a/packages/lovagepond-gateway/src/gateway_warm_up.ts
+++ b/packages/lovagepond-gateway/src/gateway_warm_up.ts
@@ -9,6 +9,7 @@
   type ConfigurationContent,
   type Pool,
   type Random,
+  type WarmUp,
 } from '@lovagepond/core';
 import {type lovagepond} from '@lovagepond/protocol';
 import {type KeyHasher} from '@lovagepond/router/rendezvous_hash';
@@ -26,6 +27,7 @@
 import {type ServerState} from './gateway_server_state.js';
 import {
   GRANT_WINDOW_MS,
+  UNLISTED_MS,
   type WarmUpDecision,
   WarmUpIssuer,
 } from './gateway_warm_up_issuer.js';
@@ -111,13 +113,26 @@
     }
   }
 
+  /**
+   * @param state a server
+   * @param now current time, monotonic milliseconds
+   * @returns the gateways that issue permits for the server while it is warming
+   *     up, or after its exit; undefined when it gets requests without a limit
+   */
+  warmUpOf({server, warmUpNews}: ServerState, now: number): WarmUp | undefined {
+    const isLimited = this.#deps.findPool(server.pool)?.warmUp !== undefined;
+    return isLimited ? warmUpNews.warmUpOf(server, now) : server.warmUp;
+  }
+
   /**
    * @param state a server
    * @param now current time, monotonic milliseconds
    * @returns false if no issuer will grant a request to the server now
    */
   admits(state: ServerState, now: number): boolean {
-    return !state.warmUp(now) || this.#issuersFor(state, now).length > 0;
+    return (
+      !this.warmUpOf(state, now) || this.#issuersFor(state, now).length > 0
+    );
   }
 
   /**
@@ -126,7 +141,7 @@
    * @returns time until an issuer may grant a request to it, milliseconds
    */
   waitMs(state: ServerState, now: number): number {
-    const {routers} = state.warmUp(now) ?? {routers: []};
+    const {routers} = this.warmUpOf(state, now) ?? {routers: []};
     const waits = routers.map(router => this.#waitAtMs(state, router, now));
     return Math.min(GRANT_WINDOW_MS, ...waits);
   }
@@ -219,7 +234,7 @@
     const state = name === undefined ? undefined : this.#deps.findServer(name);
     const {isGranted, waitMs} = state
       ? this.#decide(state, now)
-      : {isGranted: false, waitMs: GRANT_WINDOW_MS};
+      : {isGranted: false, waitMs: UNLISTED_MS};
     const warmUpReply = {
       sequence: sequence ?? 0,
       granted: isGranted,
@@ -253,7 +268,7 @@
 
   /** @returns names of the issuers that may grant a request now */
   #issuersFor(state: ServerState, now: number): readonly string[] {
-    const {routers} = state.warmUp(now) ?? {routers: []};
+    const {routers} = this.warmUpOf(state, now) ?? {routers: []};
     return routers.filter(router => this.#waitAtMs(state, router, now) === 0);
   }
 
--- a/packages/lovagepond-gateway/src/gateway_warm_up_issuer.ts
+++ b/packages/lovagepond-gateway/src/gateway_warm_up_issuer.ts
@@ -27,6 +27,12 @@
 export const GRANT_WINDOW_MS =
   LIMIT_WINDOW_MS + PERMIT_VALID_MS + SEND_DELAY_MS;
 
+/**
+ * Time until a gateway that isn't named for a server by its own list is asked
+ * again, milliseconds: the list of the asking one may be newer.
+ */
+export const UNLISTED_MS = 100;
+
 /** The answer to a question for one request. */
 export interface WarmUpDecision {
   readonly isGranted: boolean;
@@ -104,10 +110,10 @@
    */
   waitMs(state: ServerState, pool: Pool | undefined, now: number): number {
     const {name} = state.server;
-    const {routers} = state.warmUp(now) ?? {routers: []};
+    const {routers} = state.server.warmUp ?? {routers: []};
     const limit = pool?.warmUp?.maxRequestsPerSecond ?? 0;
     const part = Math.floor(limit / Math.max(1, routers.length));
-    if (part === 0 || !routers.includes(this.#gateway)) return GRANT_WINDOW_MS;
+    if (part === 0 || !routers.includes(this.#gateway)) return UNLISTED_MS;
     const recent = this.#recent(name, now);
     const lastOfWindow = recent.at(-part) ?? -Infinity;
     const unlimitedUntil = this.#unlimitedUntil.get(name) ?? -Infinity;
--- a/packages/lovagepond-gateway/src/gateway_warm_up_news.ts
+++ b/packages/lovagepond-gateway/src/gateway_warm_up_news.ts
@@ -1,6 +1,6 @@
 /**
- * What a gateway knows of one server's warm-up, from control's list and from
- * other gateways.
+ * What a gateway knows of one server's warm-up, and of the exit of its process,
+ * from control's list, its own connections and other gateways.
  */
 import {type BackendServer, type WarmUp} from '@lovagepond/core';
 
@@ -12,9 +12,23 @@
 const TOLD_VALID_MS = 3_000;
 const TOLD_AGAIN_MS = 10_000;
 
+/**
+ * Time for which a refused connection shows that the process has exited,
+ * milliseconds: the lease of a server, after which control drops it.
+ */
+const EXITED_MS = 6_000;
+
+/** Time for which another gateway's word on that is taken, milliseconds. */
+const TOLD_EXITED_MS = 1_000;
+
+const NO_ISSUERS: WarmUp = Object.freeze({routers: []});
+
+/** A name is that of one run of the server's process. */
 export class WarmUpNews {
   #told: WarmUp | undefined;
   #toldAt = Number.NEGATIVE_INFINITY;
+  #refusedAt = Number.NEGATIVE_INFINITY;
+  #exitedUntil = Number.NEGATIVE_INFINITY;
 
   /**
    * @param routers the gateways that issue permits for the server, as another
@@ -27,13 +41,75 @@
   }
 
   /**
+   * Records that the server refused a connection of this gateway.
+   *
+   * @param now current time, monotonic milliseconds
+   */
+  noteExited(now: number): void {
+    this.#refusedAt = now;
+    this.#noteExitedFor(EXITED_MS, now);
+  }
+
+  /** Records that the process answers after all. */
+  noteAnswered(): void {
+    this.#refusedAt = Number.NEGATIVE_INFINITY;
+    this.#exitedUntil = Number.NEGATIVE_INFINITY;
+  }
+
+  /**
+   * Records a report that the server refused a connection of another gateway.
+   *
+   * @param msAgo time since then, milliseconds
+   * @param now current time, monotonic milliseconds
+   */
+  noteExitReported(msAgo: number, now: number): void {
+    this.#noteExitedFor(EXITED_MS - msAgo, now);
+  }
+
+  /**
+   * Records the word of the one that collects such reports.
+   *
+   * @param now current time, monotonic milliseconds
+   */
+  noteExitTold(now: number): void {
+    this.#noteExitedFor(TOLD_EXITED_MS, now);
+  }
+
+  /**
+   * @param now current time, monotonic milliseconds
+   * @returns time since the server refused a connection of this gateway,
+   *     milliseconds and at least one; 0 if it did not lately
+   */
+  refusedMsAgo(now: number): number {
+    const msAgo = Math.max(1, now - this.#refusedAt);
+    return msAgo < EXITED_MS ? msAgo : 0;
+  }
+
+  /**
+   * @param now current time, monotonic milliseconds
+   * @returns true if the server's process has exited, as far as is known
+   */
+  hasExited(now: number): boolean {
+    return now < this.#exitedUntil;
+  }
+
+  /**
+   * A process that answers at the address of one that has exited is a new one,
+   * which is cold and may have the same name as far as the server knows it. It
+   * gets nothing until it is listed.
+   *
    * @param server the server as it is listed
    * @param now current time, monotonic milliseconds
    * @returns the gateways that issue permits for the server while it is warming
    *     up; undefined when it is warm
    */
   warmUpOf(server: BackendServer, now: number): WarmUp | undefined {
+    if (this.hasExited(now)) return NO_ISSUERS;
     const isTold = now - this.#toldAt < TOLD_VALID_MS;
     return server.warmUp ?? (isTold ? this.#told : undefined);
   }
+
+  #noteExitedFor(ms: number, now: number): void {
+    this.#exitedUntil = Math.max(this.#exitedUntil, now + ms);
+  }
 }
--- a/packages/lovagepond-measure/src/simulated_gateway.ts
+++ b/packages/lovagepond-measure/src/simulated_gateway.ts
@@ -127,7 +127,7 @@
     this.permits = new GatewayPermits({
       ...shared,
       reportedLoad: server => this.fleet.find(server)?.requests ?? 0,
-      warmUpRouters: server => this.fleet.find(server)?.server.warmUp?.routers,
+      findServer: server => this.fleet.find(server),
     });
     const {engines} = this.#deps.pools;
     this.warmUp = new GatewayWarmUp(
