Bound the questions for permits of one request

What a gateway learns of a denial is of no use to it, as its next request comes too late.

A request now asks for two servers that are warming up in vain, and then chooses among the others. It also no longer asks again in the 0.1 s that it waits for servers at their load limit. The choice of a server without room has one home, which the simulation shares; it asked again there until now.

--- a/packages/lovagepond-gateway/src/deciders.ts
+++ b/packages/lovagepond-gateway/src/deciders.ts
@@ -22,6 +22,7 @@
 export {GatewayShares} from './gateway_shares.js';
 export {GatewayRetryBudget} from './gateway_retry_budget.js';
 export {type ForwardingRule, ForwardingRules} from './gateway_routes.js';
+export {ServersWithoutRoom} from './gateway_servers_without_room.js';
 export {ServerState} from './gateway_server_state.js';
 export {StreamDirectory} from './gateway_stream_directory.js';
 export {LoadLimits} from './gateway_load_limit.js';
--- a/packages/lovagepond-gateway/src/gateway_exchange_dispatch.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_dispatch.ts
@@ -92,31 +92,33 @@
 
   #onDecision(chosen: ServerChoice, decision: SendDecision): void {
     const {servers, admission, clock} = this.#deps;
+    const {withoutRoom} = servers;
     if (decision === SEND_DECISION.GRANTED) {
       servers.noteAttempt(chosen);
       this.#listener.onServer(chosen);
       return;
     }
     admission.noteEnded(clock.now());
-    if (decision === SEND_DECISION.FULL) servers.noteFull(chosen.state);
-    else servers.noteWarmingUp(chosen.state);
+    if (decision === SEND_DECISION.FULL) withoutRoom.noteFull(chosen.state);
+    else withoutRoom.noteWarmingUp(chosen.state);
     this.#choose();
   }
 
   /** Servers that are at their load limit may have room a moment later. */
   #onNone(now: number): void {
     const {servers} = this.#deps;
-    const waitMs = servers.hasFull
+    const {withoutRoom} = servers;
+    const waitMs = withoutRoom.hasFull
       ? this.#wait.next(this.#hasBegun, now)
       : undefined;
     if (waitMs === undefined) {
-      const error = servers.hasFull
+      const error = withoutRoom.hasFull
         ? 'overloaded'
         : servers.errorWithoutServer(now);
       this.#listener.onNoServer(error);
       return;
     }
-    servers.forgetFull();
+    withoutRoom.forgetFull();
     this.#timer = setTimeout(() => {
       this.#choose();
     }, waitMs);
--- a/packages/lovagepond-gateway/src/gateway_exchange_servers.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_servers.ts
@@ -11,6 +11,7 @@
   type ExchangeDependencies,
 } from './gateway_exchange_types.js';
 import {type ServerState} from './gateway_server_state.js';
+import {ServersWithoutRoom} from './gateway_servers_without_room.js';
 import {StreamBinding} from './gateway_stream_origin.js';
 
 type ExchangeServersDependencies = Pick<
@@ -42,14 +43,11 @@
 
 export class ExchangeServers {
   readonly eligible: EligibleServers;
+  readonly withoutRoom: ServersWithoutRoom;
   readonly #req: AdmittedRequest;
   readonly #deps: ExchangeServersDependencies;
   readonly #binding: StreamBinding;
   readonly #tried = new Set<string>();
-  /** Names of servers that were at their load limit. */
-  readonly #full = new Set<string>();
-  /** Names of servers that were warming up and got no more requests. */
-  readonly #warmingUp = new Set<string>();
   readonly #attempted: BackendServer[] = [];
   #assumed: AssumedLoad | undefined;
   #chosenAt = 0;
@@ -64,6 +62,7 @@
     this.#deps = deps;
     this.#binding = new StreamBinding(req.origin);
     this.eligible = new EligibleServers(req, this.#binding, deps);
+    this.withoutRoom = new ServersWithoutRoom(deps.warmUp);
   }
 
   /** Servers of all attempts, in order. */
@@ -86,17 +85,12 @@
    * @returns the error when no server is left
    */
   errorWithoutServer(now: number): ErrorKind {
-    if (this.#warmingUp.size > 0 || this.eligible.isWarmingUp(now)) {
+    if (this.withoutRoom.hasWarmingUp || this.eligible.isWarmingUp(now)) {
       return 'overloaded';
     }
     return this.#binding.origin ? 'streamVersionGone' : 'noBackendServer';
   }
 
-  /** True if a server was left out as it was at its load limit. */
-  get hasFull(): boolean {
-    return this.#full.size > 0;
-  }
-
   /**
    * @param limit limits the candidates
    * @param now current time, monotonic milliseconds
@@ -106,9 +100,7 @@
     const {choice, fleet} = this.#deps;
     const {servers: ready, holders} = this.eligible.list(now);
     const {servers, tried} = this.#candidates(ready, now);
-    const open = servers.filter(({server: {name}}) => {
-      return !this.#full.has(name) && !this.#warmingUp.has(name);
-    });
+    const open = servers.filter(state => this.withoutRoom.mayTry(state, now));
     if (open.length === 0) return undefined;
     const listed = fleet.listed(this.#req.pool.name);
     const candidates = {servers: limit(open), holders, listed, tried};
@@ -140,22 +132,6 @@
     return true;
   }
 
-  /** @param state a server that is at its load limit */
-  noteFull({server}: ServerState): void {
-    this.#full.add(server.name);
-  }
-
-  /** @param state a server that is warming up and gets no more requests */
-  noteWarmingUp({server}: ServerState): void {
-    this.#warmingUp.add(server.name);
-  }
-
-  /** Has servers chosen again that had no room. */
-  forgetFull(): void {
-    this.#full.clear();
-    this.#warmingUp.clear();
-  }
-
   /**
    * Binds the stream to the current attempt's server, if it is the first one
    * with an event. Must be called before events are passed on, as the caller may
--- a/packages/lovagepond-measure/src/simulated_exchange.ts
+++ b/packages/lovagepond-measure/src/simulated_exchange.ts
@@ -13,6 +13,7 @@
   SEND_DECISION,
   SendPermit,
   type ServerChoice,
+  ServersWithoutRoom,
   type ServerState,
 } from '@lovagepond/gateway/deciders';
 import {type SimulatedRequestKind} from './gateway_simulation_types.js';
@@ -35,8 +36,7 @@
   readonly #deps: SimulatedGatewayDependencies;
   readonly #gateway: SimulatedGateway;
   readonly #tried = new Set<string>();
-  /** Names of servers that were at their load limit. */
-  readonly #full = new Set<string>();
+  readonly #withoutRoom: ServersWithoutRoom;
   readonly #fullWait = new FullServersWait();
   #permit: SendPermit | undefined;
   #attempt = 0;
@@ -55,6 +55,7 @@
     this.#req = req;
     this.#deps = deps;
     this.#gateway = gateway;
+    this.#withoutRoom = new ServersWithoutRoom(gateway.warmUp);
     const {at, kind} = req;
     deps.time.at(at + kind.deadlineMs, () => {
       this.#end();
@@ -82,19 +83,20 @@
         pool,
         servers: fleet
           .ready(pool.name, this.#now)
-          .filter(state => this.#gateway.warmUp.admits(state, this.#now)),
+          .filter(state => this.#gateway.warmUp.admits(state, this.#now))
+          .filter(state => this.#withoutRoom.mayTry(state, this.#now)),
         holders: variant.noFetch ? [] : listed,
         parts,
         sticky: isChat,
         targetLatencyMs: kind.targetLatencyMs,
         repeatable: kind.repeatable,
-        tried: new Set([...this.#tried, ...this.#full]),
+        tried: this.#tried,
         listed,
       },
       this.#now,
     );
     if (chosen) this.#askPermit(chosen);
-    else if (this.#full.size > 0) this.#waitForRoom();
+    else if (this.#withoutRoom.hasFull) this.#waitForRoom();
     else this.#handleRefusal();
   }
 
@@ -114,7 +116,8 @@
         this.#permit = permit;
         this.#connect(state, fetch);
       } else {
-        this.#full.add(state.server.name);
+        if (decision === SEND_DECISION.FULL) this.#withoutRoom.noteFull(state);
+        else this.#withoutRoom.noteWarmingUp(state);
         this.offer();
       }
     });
@@ -151,14 +154,14 @@
       this.#handleRefusal();
       return;
     }
-    this.#full.clear();
+    this.#withoutRoom.forgetFull();
     this.#deps.time.after(waitMs, () => {
       if (!this.#isDone) this.offer();
     });
   }
 
   #send(state: ServerState, fetch: ContextFetch | undefined): void {
-    this.#full.clear();
+    this.#withoutRoom.forgetFull();
     this.#offers += 1;
     this.#attempt += 1;
     this.#tried.add(state.server.name);
