Count retries until they have arrived

A retry is taken from the budget when an attempt fails, and reaches a server after the waits for a server with room (0.4 s for a stream that goes on), for a permit (0.1 s) and for a connection (0.4 s). Retries spent at the end of one window and those spent at the start of the next arrived within the same ten seconds, up to a tenth more than the budget allows.

This is the cause of cold servers over their limit in another place: decided before a wait, counted at the decision, and required at the arrival. A spent retry now counts for one second longer than the window, which none of the waits together exceeds. The new property test, retries that arrive up to a second late, fails without it.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_deciders.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_deciders.test.ts
@@ -166,6 +166,37 @@
     );
   });
 
+  // Guards against retries that are spent in one window and arrive in the next, as
+  // they waited for a server with room, a permit or a connection.
+  it('limits the arrivals of retries in any window, late as they may be', () => {
+    const settings = {
+      retryFraction: 0,
+      retryWindowMs: 10_000,
+      retrySlack: 20,
+      retryShares: 1,
+    };
+    fc.assert(
+      fc.property(
+        fc.array(fc.tuple(fc.nat(400), fc.nat(1_000)), {minLength: 60}),
+        steps => {
+          const budget = new GatewayRetryBudget(settings, new GatewayPeers());
+          const arrivals: number[] = [];
+          let now = 0;
+          for (const [gap, delay] of steps) {
+            now += gap;
+            if (budget.trySpend('p', now)) arrivals.push(now + delay);
+          }
+          for (const from of arrivals) {
+            const inWindow = arrivals.filter(
+              at => at >= from && at < from + 10_000,
+            );
+            expect(inWindow.length).toBeLessThanOrEqual(20);
+          }
+        },
+      ),
+    );
+  });
+
   // All servers of a pool fail every request, so each gateway asks for a retry
   // of each. The retries of all gateways together stay within the common slack,
   // whatever the number of gateways.
--- a/packages/lovagepond-gateway/src/gateway_retry_budget.ts
+++ b/packages/lovagepond-gateway/src/gateway_retry_budget.ts
@@ -20,6 +20,13 @@
   readonly retryShares: number;
 }
 
+/**
+ * Longest time from the spending of a retry to its arrival at a server, ms: the
+ * wait for a server with room, for a permit and for a connection. Retries count
+ * for as much longer than the window, so that it holds for arrivals.
+ */
+const ARRIVAL_DELAY_MS = 1_000;
+
 /** Times of one pool's events within the window. */
 class SlidingCount {
   readonly #times: number[] = [];
@@ -76,7 +83,7 @@
       countOf(this.#requests, pool).count(since) * retryFraction +
       this.#slackShare(since);
     const retries = countOf(this.#retries, pool);
-    if (retries.count(since) + 1 > allowed) return false;
+    if (retries.count(since - ARRIVAL_DELAY_MS) + 1 > allowed) return false;
     retries.add(now);
     return true;
   }
