Withhold requests that are sent long after their decisions

The deadline that a server is handed, and the server's choice, were worked out before the connection opened, and nothing bounded the time until the send: a machine that was suspended in between sent, once it went on, requests whose deadline header was late by the whole suspension.

A request that is written more than 0.5 s after its permits, by the monotonic clock or by the time of day, is withheld like one to a server that has stopped accepting, and decided anew, with a new deadline.

The test, a suspension seen in the time of day alone, fails without the check.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_warm_up.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_warm_up.test.ts
@@ -273,6 +273,31 @@
     expect(harness.arrivals).toEqual([]);
   });
 
+  // Guards against a server that is handed a deadline that has passed, as the
+  // machine was suspended while the connection opened.
+  it('sends nothing on decisions that are too old', async () => {
+    let wallTime = 0;
+    harness = await GatewayHarness.start(
+      [
+        (req, res) => {
+          answer(req, res, 200, 'yes');
+        },
+      ],
+      {
+        revocationBoundMs: 3_600_000,
+        clock: {
+          ...clock,
+          wallTime: () => {
+            wallTime += 501;
+            return wallTime;
+          },
+        },
+      },
+    );
+    expect((await harness.call({path: '/write/a'})).status).toBe(503);
+    expect(harness.arrivals).toEqual([]);
+  });
+
   // Guards against a gateway that floods a server which has restarted cold under
   // its name: the list still has the former process, which was warm.
   it('sends nothing to a server that has refused a connection, until it is listed anew', async () => {
--- a/packages/lovagepond-gateway/src/gateway_authority.ts
+++ b/packages/lovagepond-gateway/src/gateway_authority.ts
@@ -7,6 +7,8 @@
  * counts from the sending of the last query whose revision is installed.
  */
 
+import {type Clock} from '@lovagepond/core';
+
 /** The current time by two clocks. */
 export interface ClockReading {
   /** Monotonic milliseconds; stopped while the machine is suspended. */
@@ -15,6 +17,11 @@
   readonly wallTime: number;
 }
 
+/** @returns the present times of both clocks */
+export function readClock(clock: Clock): ClockReading {
+  return {now: clock.now(), wallTime: clock.wallTime()};
+}
+
 /**
  * Fraction of the bound for which API keys are trusted. The rest allows for a
  * request's processing time and for clock drift.
--- a/packages/lovagepond-gateway/src/gateway_exchange_dispatch.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_dispatch.ts
@@ -3,6 +3,7 @@
  * together keep the server within its load limit.
  */
 import {type ErrorKind} from '@lovagepond/core';
+import {type ClockReading, readClock} from './gateway_authority.js';
 import {type ServerChoice} from './gateway_choice.js';
 import {type ExchangeAdmission} from './gateway_exchange_admission.js';
 import {type ExchangeServers} from './gateway_exchange_servers.js';
@@ -20,6 +21,13 @@
   readonly admission: ExchangeAdmission;
 }
 
+/**
+ * Time for which the decisions on an attempt hold, milliseconds. A request that is
+ * sent later, as its connection took long or the machine stood still, would carry
+ * a deadline that is too late, and rest on old loads.
+ */
+const DECISION_VALID_MS = 500;
+
 /** Receives the result of a search; one method is called, once. */
 export interface DispatchListener {
   /** @param chosen a server that the request must be sent to now */
@@ -35,6 +43,7 @@
   readonly #wait = new FullServersWait();
   #timer: NodeJS.Timeout | undefined;
   #hasBegun = false;
+  #decidedAt: ClockReading = {now: 0, wallTime: 0};
 
   constructor(deps: ExchangeDispatchDependencies, listener: DispatchListener) {
     this.#deps = deps;
@@ -62,7 +71,10 @@
    */
   beginSend(state: ServerState): boolean {
     const {clock, servers} = this.#deps;
-    const at = {now: clock.now(), wallTime: clock.wallTime()};
+    const at = readClock(clock);
+    const {now, wallTime} = this.#decidedAt;
+    const ageMs = Math.max(at.now - now, at.wallTime - wallTime);
+    if (ageMs > DECISION_VALID_MS) return false;
     return this.#permit.takeFor(state, at) && servers.beginSend(state, at.now);
   }
 
@@ -94,6 +106,7 @@
     const {servers, admission, clock} = this.#deps;
     const {withoutRoom} = servers;
     if (decision === SEND_DECISION.GRANTED) {
+      this.#decidedAt = readClock(clock);
       servers.noteAttempt(chosen);
       this.#listener.onServer(chosen);
       return;
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -19,7 +19,7 @@
 import {applyMembership} from '@lovagepond/router/membership';
 import {loadKeyHasher} from '@lovagepond/router/rendezvous_hash';
 import {GatewayAdmission} from './gateway_admission.js';
-import {type ClockReading} from './gateway_authority.js';
+import {type ClockReading, readClock} from './gateway_authority.js';
 import {GatewayChoice} from './gateway_choice.js';
 import {type Reachability} from './gateway_crash_detector.js';
 import {GatewayConnections} from './gateway_connections.js';
@@ -328,8 +328,7 @@
   }
 
   #readClock(): ClockReading {
-    const {clock} = this.#deps;
-    return {now: clock.now(), wallTime: clock.wallTime()};
+    return readClock(this.#deps.clock);
   }
 
   #tick(): void {
--- a/packages/lovagepond-gateway/src/gateway_send_permit.ts
+++ b/packages/lovagepond-gateway/src/gateway_send_permit.ts
@@ -3,7 +3,7 @@
  * and, while the server is warming up, one of its few requests.
  */
 import {type Clock} from '@lovagepond/core';
-import {type ClockReading} from './gateway_authority.js';
+import {type ClockReading, readClock} from './gateway_authority.js';
 import {ExchangePermit} from './gateway_exchange_permit.js';
 import {type GatewayPermits} from './gateway_permits.js';
 import {type ServerState} from './gateway_server_state.js';
@@ -101,7 +101,7 @@
     onDecision: (decision: SendDecision) => void,
   ): void {
     const {clock, warmUp} = this.#deps;
-    const askedAt = {now: clock.now(), wallTime: clock.wallTime()};
+    const askedAt = readClock(clock);
     if (!warmUp.warmUpOf(state, askedAt.now)) {
       onDecision(SEND_DECISION.GRANTED);
       return;
--- a/packages/lovagepond-gateway/src/gateway_server.ts
+++ b/packages/lovagepond-gateway/src/gateway_server.ts
@@ -19,7 +19,7 @@
   toRequestSubjects,
 } from '@lovagepond/core';
 import {type GatewayAdmission} from './gateway_admission.js';
-import {type ClockReading} from './gateway_authority.js';
+import {type ClockReading, readClock} from './gateway_authority.js';
 import {CallerChannel} from './gateway_caller_channel.js';
 import {Exchange} from './gateway_exchange.js';
 import {
@@ -202,7 +202,7 @@
   }
 
   #readClock(): ClockReading {
-    return {now: this.#clock.now(), wallTime: this.#clock.wallTime()};
+    return readClock(this.#clock);
   }
 
   #serve(req: IncomingMessage, res: ServerResponse): void {
