Count what the former process of a restarted server may have got

An engine was back before any gateway had been refused a connection, so nobody knew that it had exited; or a gateway stood still meanwhile, and went on with its old list. Both sent requests to the former process, as to a warm server, and the new one got them at the same address, beside the whole of its limit.

An issuer now waits for its window when a server in service is replaced by another process of the same name that nobody knew to have exited, as it does when one turns cold in service. And the issuer of load permits tells a gateway that asks for a server which it has ceased to list that the server has exited.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_warm_up.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_warm_up.test.ts
@@ -82,6 +82,33 @@
   });
 });
 
+describe('an issuer for a server that has started again under its name', () => {
+  const pool = poolWith(5);
+  const former = (): ServerState =>
+    new ServerState(makeBackendServer('s@1', {incarnation: 's'}));
+  const present = new ServerState(
+    makeBackendServer('s@2', {incarnation: 's', warmUp: {routers: ['a']}}),
+  );
+
+  // Guards against requests that the former process was sent, and the new one
+  // got, on top of the whole limit.
+  it('waits if nobody knew that the former process had exited', () => {
+    const issuer = new WarmUpIssuer('a', STARTED_LONG_AGO);
+    issuer.useListed([former()], 0);
+    issuer.useListed([present], 100);
+    expect(issuer.decide(present, pool, 1_000).isGranted).toBe(false);
+  });
+
+  it('grants at once if the former process was known to have exited', () => {
+    const issuer = new WarmUpIssuer('a', STARTED_LONG_AGO);
+    const state = former();
+    issuer.useListed([state], 0);
+    state.warmUpNews.noteExited(50);
+    issuer.useListed([present], 100);
+    expect(issuer.decide(present, pool, 100).isGranted).toBe(true);
+  });
+});
+
 describe('all gateways together', () => {
   // Guards against a limit that is checked before a wait and no longer holds
   // after it: for a permit, a connection, or a gateway that stands still.
@@ -211,6 +238,16 @@
     expect(fleet.sent).toHaveLength(1);
   });
 
+  // Guards against a gateway whose list is older, as it stood still.
+  it('gets nothing from a gateway that still lists it, once others don’t', () => {
+    const fleet = new WarmUpFleet(hasher, FLEET);
+    for (const name of fleet.names) fleet.forgetWarmUp(name);
+    for (const name of fleet.names) if (name !== 'g5') fleet.unlist(name);
+    fleet.request('g5');
+    fleet.run(20);
+    expect(fleet.sent).toEqual([]);
+  });
+
   it('that was cold has no issuers until it is listed anew', () => {
     const state = coldServer('a');
     state.warmUpNews.noteExited(0);
--- a/packages/lovagepond-gateway/src/__tests__/unit/warm_up_fleet.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/warm_up_fleet.ts
@@ -35,6 +35,8 @@
   readonly state: ServerState;
   readonly warmUp: GatewayWarmUp;
   readonly permits: GatewayPermits;
+  /** Its list has the server. */
+  isListed: boolean;
   /** Subtracted from the virtual time by its monotonic clock. */
   behindMs: number;
   /** Handles nothing until this virtual time. */
@@ -100,17 +102,20 @@
     const permits = new GatewayPermits({
       ...shared,
       reportedLoad: () => 0,
-      findServer: () => (this.tellsOthers ? state : undefined),
+      findServer: () =>
+        this.tellsOthers && gateway.isListed ? state : undefined,
     });
     warmUp.useListed([state], startedAt);
     permits.useListed(new Set([SERVER]));
-    this.#gateways.set(name, {
+    const gateway: Gateway = {
       state,
       warmUp,
       permits,
+      isListed: true,
       behindMs: 0,
       stoppedUntil: 0,
-    });
+    };
+    this.#gateways.set(name, gateway);
   }
 
   /**
@@ -173,6 +178,13 @@
     gateway.state.warmUpNews.noteExited(this.#clockOf(gateway));
   }
 
+  /** @param name a gateway whose list no longer has the server */
+  unlist(name: string): void {
+    const gateway = this.#at(name);
+    gateway.isListed = false;
+    gateway.permits.useListed(new Set());
+  }
+
   /** @param name a gateway that gets control's newest list */
   learnWarmUp(name: string): void {
     const {routers} = this.#options;
--- a/packages/lovagepond-gateway/src/gateway_permits.ts
+++ b/packages/lovagepond-gateway/src/gateway_permits.ts
@@ -310,7 +310,8 @@
       sequence: req.sequence,
       granted,
       load,
-      exited: state?.warmUpNews.hasExited(now) ?? false,
+      exited:
+        state?.warmUpNews.hasExited(now) ?? this.#keys.isFormer(req.server),
       ...(routers && {warmUpRouters: [...routers]}),
     };
     this.#deps.send(from, encodeDatagram({permitReply}));
--- a/packages/lovagepond-gateway/src/gateway_server_keys.ts
+++ b/packages/lovagepond-gateway/src/gateway_server_keys.ts
@@ -4,9 +4,14 @@
 import {type HashKey, type KeyHasher} from '@lovagepond/router/rendezvous_hash';
 import {textOfKey} from './gateway_stream_records.js';
 
+/** Servers that are no longer listed and still known. */
+const MAX_FORMER = 2_048;
+
 export class ServerKeys {
   readonly #hasher: KeyHasher;
   #names: ReadonlyMap<string, string> = new Map();
+  /** Texts of the keys of servers that were listed before. */
+  readonly #former = new Set<string>();
 
   /** @param hasher the hash function of all gateways */
   constructor(hasher: KeyHasher) {
@@ -18,7 +23,24 @@
     const names = [...listed].map(
       name => [textOfKey(this.keyOf(name)), name] as const,
     );
-    this.#names = new Map(names);
+    const present = new Map(names);
+    for (const text of this.#names.keys()) {
+      if (!present.has(text)) this.#former.add(text);
+    }
+    this.#names = present;
+    for (const oldest of this.#former) {
+      if (this.#former.size <= MAX_FORMER) return;
+      this.#former.delete(oldest);
+    }
+  }
+
+  /**
+   * @param key a server's key
+   * @returns true if it was listed and isn't any more
+   */
+  isFormer(key: HashKey): boolean {
+    const text = textOfKey(key);
+    return !this.#names.has(text) && this.#former.has(text);
   }
 
   /**
--- a/packages/lovagepond-gateway/src/gateway_warm_up_issuer.ts
+++ b/packages/lovagepond-gateway/src/gateway_warm_up_issuer.ts
@@ -45,8 +45,8 @@
   readonly #startedAt: number;
   /** Times of the grants within the window, by server. */
   readonly #grantedAt = new Map<string, number[]>();
-  /** Servers that get requests without a limit. */
-  #unlimited: ReadonlySet<string> = new Set();
+  /** Servers that get requests without a limit, by name. */
+  #unlimited: ReadonlyMap<string, ServerState> = new Map();
   /** When a server last got requests without a limit, monotonic ms. */
   readonly #unlimitedUntil = new Map<string, number>();
 
@@ -61,22 +61,29 @@
   }
 
   /**
-   * Must be called after each change of the list: a server that turns cold while
-   * it is in service has just got requests that nobody counted.
+   * Must be called after each change of the list. A server that turns cold while
+   * it is in service has just got requests that nobody counted, and so has one
+   * that has started again under its name, unless it was known to have exited.
    *
    * @param listed all listed servers
    * @param now current time, monotonic milliseconds
    */
   useListed(listed: Iterable<ServerState>, now: number): void {
     const names = new Set<string>();
-    const unlimited = new Set<string>();
-    for (const {server} of listed) {
+    const unlimited = new Map<string, ServerState>();
+    const byIncarnation = new Map<string, string>();
+    for (const state of listed) {
+      const {server} = state;
       names.add(server.name);
+      byIncarnation.set(server.incarnation, server.name);
       const isInService = server.state === SERVER_STATE.READY;
-      if (isInService && !server.warmUp) unlimited.add(server.name);
+      if (isInService && !server.warmUp) unlimited.set(server.name, state);
     }
-    for (const name of this.#unlimited) {
-      if (!unlimited.has(name)) this.#unlimitedUntil.set(name, now);
+    for (const [name, {server, warmUpNews}] of this.#unlimited) {
+      if (unlimited.has(name)) continue;
+      const present = byIncarnation.get(server.incarnation);
+      const hadExited = present !== name && warmUpNews.hasExited(now);
+      if (present && !hadExited) this.#unlimitedUntil.set(present, now);
     }
     this.#unlimited = unlimited;
     for (const known of [this.#grantedAt, this.#unlimitedUntil]) {
