Keep a reserve of a cold server's limit for gateways that hear nobody

A gateway that reaches neither control nor any issuer can't learn that a server has turned cold, and so sends as to a warm one. Beside issuers that grant the whole limit, its first request is one too many.

A tenth of the limit is granted by nobody, and the rest is divided with its remainder, so that three issuers have 19 of 21. A gateway that decides on a load permit alone, as no issuer of it replies, sends a server of such a pool one request in the window of the limit.

--- a/packages/lovagepond-gateway/src/__tests__/unit/warm_up_fleet.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/warm_up_fleet.ts
@@ -69,6 +69,14 @@
     return Array.from({length: gateways}, (_, at) => `g${at}`);
   }
 
+  /** The gateways that issue the server's load permits. */
+  get issuers(): readonly string[] {
+    const peers = new PeerAddresses('outside', this.#hasher);
+    const listed = this.names.map(node => ({node, address: node}));
+    peers.apply({whole: true, peers: listed}, 0);
+    return peers.rank(this.#hasher.hash(SERVER), 3);
+  }
+
   /**
    * Starts a gateway, or starts it again without its state.
    *
--- a/packages/lovagepond-gateway/src/gateway_exchange_permit.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_permit.ts
@@ -32,13 +32,14 @@
    * @param limit requests that all gateways may have there, with the new one
    * @param now current time, monotonic milliseconds
    * @param onDecision called once, during the call or later, with whether the
-   *     request may be sent; not called after {@link release}
+   *     request may be sent, and whether no issuer replied; not called after
+   *     {@link release}
    */
   acquire(
     state: ServerState,
     limit: number,
     now: number,
-    onDecision: (isGranted: boolean) => void,
+    onDecision: (isGranted: boolean, isAlone: boolean) => void,
   ): void {
     const {name} = state.server;
     this.#state = state;
@@ -50,6 +51,7 @@
     };
     this.#permits.acquire(name, limit, now, (decision, at) => {
       const {granted, load, warmUpRouters, hasExited} = decision;
+      const {isAlone = false} = decision;
       if (!isCurrent) {
         if (granted) this.#permits.release(name, at);
         return;
@@ -60,7 +62,7 @@
       if (hasExited) state.warmUpNews.noteExitTold(at);
       this.#isGranted = granted;
       if (!granted) this.#state = undefined;
-      onDecision(granted);
+      onDecision(granted, isAlone);
     });
   }
 
--- a/packages/lovagepond-gateway/src/gateway_permit_issuer.ts
+++ b/packages/lovagepond-gateway/src/gateway_permit_issuer.ts
@@ -54,6 +54,8 @@
    * another gateway knows; absent when it doesn't.
    */
   readonly warmUpRouters?: readonly string[];
+  /** No issuer of the server's permits replied, so this gateway decided alone. */
+  readonly isAlone?: boolean;
   /** The server's process has exited, as another gateway has told. */
   readonly hasExited?: boolean;
 }
--- a/packages/lovagepond-gateway/src/gateway_permits.ts
+++ b/packages/lovagepond-gateway/src/gateway_permits.ts
@@ -251,7 +251,12 @@
     };
     if (issuer === SELF || asked.length >= MAX_ASKED) {
       if (asked.length > 0) this.#counts.unanswered += 1;
-      this.#finish(pending, this.#decide(SELF, own.name, req, now), SELF, now);
+      const issuers = this.#deps.peers.rankAll(own.key, MAX_ISSUERS);
+      const decision = {
+        ...this.#decide(SELF, own.name, req, now),
+        ...(!issuers.includes(SELF) && {isAlone: true}),
+      };
+      this.#finish(pending, decision, SELF, now);
       return;
     }
     asked.push(issuer);
--- a/packages/lovagepond-gateway/src/gateway_send_permit.ts
+++ b/packages/lovagepond-gateway/src/gateway_send_permit.ts
@@ -64,9 +64,9 @@
     onDecision: (decision: SendDecision) => void,
   ): void {
     this.#warmUp = undefined;
-    this.#load.acquire(state, limit, now, isGranted => {
-      if (isGranted) this.#acquireWarmUp(state, onDecision);
-      else onDecision(SEND_DECISION.FULL);
+    this.#load.acquire(state, limit, now, (isGranted, isAlone) => {
+      if (!isGranted) onDecision(SEND_DECISION.FULL);
+      else this.#acquireWarmUp(state, isAlone, onDecision);
     });
   }
 
@@ -98,12 +98,18 @@
 
   #acquireWarmUp(
     state: ServerState,
+    isAlone: boolean,
     onDecision: (decision: SendDecision) => void,
   ): void {
     const {clock, warmUp} = this.#deps;
     const askedAt = readClock(clock);
     if (!warmUp.warmUpOf(state, askedAt.now)) {
-      onDecision(SEND_DECISION.GRANTED);
+      if (!isAlone || warmUp.admitsAlone(state, askedAt.now)) {
+        onDecision(SEND_DECISION.GRANTED);
+        return;
+      }
+      this.#load.release(askedAt.now);
+      onDecision(SEND_DECISION.WARMING_UP);
       return;
     }
     let isCurrent = true;
--- a/packages/lovagepond-gateway/src/gateway_warm_up.ts
+++ b/packages/lovagepond-gateway/src/gateway_warm_up.ts
@@ -78,6 +78,8 @@
   readonly #pending = new Map<number, PendingQuestion>();
   /** When issuers may grant a request again, by server and issuer. */
   readonly #fullUntil = new Map<string, Map<string, number>>();
+  /** When requests were last sent without an issuer, by server. */
+  readonly #aloneAt = new Map<string, number>();
   /** When issuers are asked again that did not reply, by name. */
   readonly #silentUntil = new Map<string, number>();
   #sequence: number;
@@ -108,8 +110,8 @@
     const names = new Set(states.map(({server}) => server.name));
     this.#keys.useListed(names);
     this.#issuer.useListed(states, now);
-    for (const name of this.#fullUntil.keys()) {
-      if (!names.has(name)) this.#fullUntil.delete(name);
+    for (const known of [this.#fullUntil, this.#aloneAt]) {
+      for (const name of known.keys()) if (!names.has(name)) known.delete(name);
     }
   }
 
@@ -135,6 +137,24 @@
     );
   }
 
+  /**
+   * A gateway that hears no issuer of a server may not hear that it has turned cold.
+   * It uses the part of the limit that nobody grants, and sends little there. A
+   * true result is used up.
+   *
+   * @param state a server that is warm by the list of this gateway
+   * @param now current time, monotonic milliseconds
+   * @returns true if one more request may be sent to the server
+   */
+  admitsAlone({server}: ServerState, now: number): boolean {
+    const isLimited = this.#deps.findPool(server.pool)?.warmUp !== undefined;
+    if (!isLimited) return true;
+    const lastAt = this.#aloneAt.get(server.name) ?? Number.NEGATIVE_INFINITY;
+    if (now - lastAt < GRANT_WINDOW_MS) return false;
+    this.#aloneAt.set(server.name, now);
+    return true;
+  }
+
   /**
    * @param state a server
    * @param now current time, monotonic milliseconds
--- a/packages/lovagepond-gateway/src/gateway_warm_up_issuer.ts
+++ b/packages/lovagepond-gateway/src/gateway_warm_up_issuer.ts
@@ -15,7 +15,7 @@
  * Time for which a permit is valid, from the question for it, milliseconds. It
  * covers the datagrams and a new connection.
  */
-export const PERMIT_VALID_MS = 150;
+export const PERMIT_VALID_MS = 100;
 
 /**
  * Time for which a gateway that is short of processor time may be interrupted
@@ -23,6 +23,12 @@
  */
 const SEND_DELAY_MS = 100;
 
+/**
+ * Part of the limit that nobody grants. It is for requests of gateways that can't
+ * know that the server is cold: they hear neither control nor any issuer.
+ */
+const RESERVED_PART = 0.1;
+
 /** Requests within the limit's window were granted within this time, ms. */
 export const GRANT_WINDOW_MS =
   LIMIT_WINDOW_MS + PERMIT_VALID_MS + SEND_DELAY_MS;
@@ -119,8 +125,8 @@
     const {name} = state.server;
     const {routers} = state.server.warmUp ?? {routers: []};
     const limit = pool?.warmUp?.maxRequestsPerSecond ?? 0;
-    const part = Math.floor(limit / Math.max(1, routers.length));
-    if (part === 0 || !routers.includes(this.#gateway)) return UNLISTED_MS;
+    const part = partOf(limit, routers, this.#gateway);
+    if (part === 0) return UNLISTED_MS;
     const recent = this.#recent(name, now);
     const lastOfWindow = recent.at(-part) ?? -Infinity;
     const unlimitedUntil = this.#unlimitedUntil.get(name) ?? -Infinity;
@@ -133,3 +139,21 @@
     return granted.filter(at => now - at < GRANT_WINDOW_MS);
   }
 }
+
+/**
+ * @param limit a server's limit
+ * @param routers the gateways that issue its permits
+ * @param gateway one of them
+ * @returns the gateway's part; 0 if it isn't one of them
+ */
+function partOf(
+  limit: number,
+  routers: readonly string[],
+  gateway: string,
+): number {
+  const at = routers.indexOf(gateway);
+  if (at < 0) return 0;
+  const granted = limit - Math.floor(limit * RESERVED_PART);
+  const remainder = granted % routers.length;
+  return Math.floor(granted / routers.length) + (at < remainder ? 1 : 0);
+}
