Send nothing to a former server that an older list brings back

The logs of the gateways: 12 requests were sent to the new process as to a cold server, by gateways 1, 2, 4, 5, 6 and 10; half a second later gateways 3, 4, 7 and 9 sent 24 more to the former one at its address, as to a warm server. Members of control stood still just then, so gateways had subscribed to another member, whose list was older; gateway 4 had known the new process 0.6 s before.

A gateway now remembers which server has succeeded another of its incarnation, and treats the former one as replaced if a list has it again, as it does when the address answers that it is another instance.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_unlisted_servers.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_unlisted_servers.test.ts
@@ -93,3 +93,19 @@
   fleet.useMembership(membershipOf(moved, other));
   expect(fleet.find('x')?.capacity.serviceMs('call', 2_000)).toBeUndefined();
 });
+
+// Guards against a cold process that is flooded, as a lagging member of control
+// lists the former one at its address.
+test('a server that was replaced gets nothing when an older list has it again', () => {
+  const former = makeBackendServer('x@1', {incarnation: 'x'});
+  const present = makeBackendServer('x@2', {incarnation: 'x'});
+  const fleet = new GatewayFleet();
+  const readyAfter = (...servers: readonly BackendServer[]): string[] => {
+    fleet.useMembership(membershipOf(...servers));
+    return fleet.ready(former.pool, 0).map(({server}) => server.name);
+  };
+  expect(readyAfter(former)).toEqual(['x@1']);
+  expect(readyAfter(present)).toEqual(['x@2']);
+  expect(readyAfter(former)).toEqual([]);
+  expect(readyAfter(present)).toEqual(['x@2']);
+});
--- a/packages/lovagepond-gateway/src/gateway_fleet.ts
+++ b/packages/lovagepond-gateway/src/gateway_fleet.ts
@@ -20,6 +20,7 @@
   originOf,
   type StreamOrigin,
 } from './gateway_stream_origin.js';
+import {ServerSuccessors} from './gateway_server_successors.js';
 import {UnlistedServers} from './gateway_unlisted_servers.js';
 
 type FleetSettings = CapacitySettings & Pick<GatewaySettings, 'drainTimeoutMs'>;
@@ -34,6 +35,7 @@
 export class GatewayFleet {
   readonly #states = new Map<string, ServerState>();
   readonly #unlisted = new UnlistedServers();
+  readonly #successors = new ServerSuccessors();
   readonly #leaving = new GatewayLeavingServers();
   readonly #pauses = new ServerPauses();
   /** When servers were first seen draining, monotonic ms, by name. */
@@ -74,6 +76,7 @@
       listed.add(server.name);
       const state = this.#stateOf(server);
       state.useServer(server, this.#meansOf(server.pool));
+      if (this.#successors.isFormer(server)) state.markReplaced();
       this.#states.set(server.name, state);
       byPool.set(server.pool, [...(byPool.get(server.pool) ?? []), state]);
     }
