Log what the retry budget answers, and of what it consists

Cause: "attempt failed" told the next step, so a retry that the budget refused looked like one that the route forbids, and nothing told whether requests or slack backed a retry.

Change: the line has retryTaken, and the retries, requests and slack that the gateway counted. The exchange asks through ExchangeRetry; clearing the suspicion of an answered request moves beside the failed attempts.

Why it works: restarted lives show their whole slack beside few requests; shifted windows would show many requests beside little slack.

--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -16,6 +16,7 @@
 import {EventStream} from './gateway_event_stream.js';
 import {ExchangeAdmission} from './gateway_exchange_admission.js';
 import {ExchangeDispatch} from './gateway_exchange_dispatch.js';
+import {ExchangeRetry} from './gateway_exchange_retry.js';
 import {ExchangeServers} from './gateway_exchange_servers.js';
 import {ExchangeLog} from './gateway_exchange_log.js';
 import {
@@ -31,7 +32,11 @@
 import {toOutgoing} from './gateway_outgoing_request.js';
 import {type PrefillTracker, trackPrefill} from './gateway_prefill_tracker.js';
 import {BufferedFailure} from './gateway_buffered_failure.js';
-import {noteExit, noteFailedAttempt} from './gateway_failed_attempt.js';
+import {
+  noteAnswered,
+  noteExit,
+  noteFailedAttempt,
+} from './gateway_failed_attempt.js';
 import {type ServerState} from './gateway_server_state.js';
 
 /**
@@ -40,7 +45,6 @@
  */
 const DEADLINE_SLACK_MS = 40;
 
-const FIRST_REDIRECT_STATUS = 300;
 const FIRST_ERROR_STATUS = 500;
 
 export class Exchange {
@@ -52,6 +56,7 @@
   readonly #servers: ExchangeServers;
   readonly #admission: ExchangeAdmission;
   readonly #dispatch: ExchangeDispatch;
+  readonly #retry: ExchangeRetry;
   readonly #events: EventStream | undefined;
   #attempt: Attempt | undefined;
   #prefill: PrefillTracker | undefined;
@@ -89,6 +94,7 @@
     this.#onDone = onDone;
     this.#log = new ExchangeLog(req, deps, caller);
     this.#servers = new ExchangeServers(req, deps);
+    this.#retry = new ExchangeRetry(deps.budget, req.pool.name);
     if (req.rule.forwarding.streaming) {
       this.#events = new EventStream(req.origin && lastEventIdOf(req.facts));
     }
@@ -282,12 +288,13 @@
       this.#handleOutcome({kind: 'failedAnswer'}, 'server returned an error');
       return;
     }
+    const {quarantine} = this.#deps;
     if (this.#events && !this.#events.isAtEventBoundary) {
       const reason = 'event stream ended within an event';
       this.#onFailed({kind: 'broken', reason, isLost: true});
       return;
     }
-    this.#clearSuspicion();
+    noteAnswered(this.#req, this.#caller.status, quarantine, this.#now());
     this.#admission.noteEnd(this.#now());
     this.#prefill?.noteEnd(this.#now());
     const state = this.#endAttempt();
@@ -297,18 +304,6 @@
     this.#finish('answered');
   }
 
-  /**
-   * An error response proves nothing: a failing server sends it without running
-   * the request. A server that rejects a request has not begun to answer its
-   * prompt.
-   */
-  #clearSuspicion(): void {
-    const {quarantine} = this.#deps;
-    const {subjects, fingerprint} = this.#req;
-    const isServed = this.#caller.status < FIRST_REDIRECT_STATUS;
-    quarantine.noteAnswered(isServed ? subjects : [fingerprint], this.#now());
-  }
-
   #onFailed(failure: AttemptFailure): void {
     const load = this.#signals?.load;
     const isForLoad = this.#admission.noteFailure(failure, load, this.#now());
@@ -332,8 +327,8 @@
   #handleOutcome(outcome: AttemptOutcome, reason: string): void {
     if (this.#isDone) return;
     const now = this.#now();
-    const {pool, rule, deadlineAt, subjects} = this.#req;
-    const {quarantine, budget} = this.#deps;
+    const {rule, deadlineAt, subjects} = this.#req;
+    const {quarantine} = this.#deps;
     const next = decideNext(outcome, {
       rule,
       runs: this.#runs,
@@ -343,7 +338,7 @@
       lastEventId: this.#events?.lastId,
       timeLeftMs: deadlineAt - now,
       isSuspect: quarantine.isSuspect(subjects, now),
-      trySpend: () => budget.trySpend(pool.name, now),
+      trySpend: () => this.#retry.trySpend(now),
     });
     this.#log.noteFailedAttempt(outcome.kind, reason, {
       server: this.#servers.attempted.at(-1),
@@ -351,6 +346,7 @@
       signals: this.#signals,
       runs: this.#runs,
       next,
+      retry: this.#retry.takeAnswer(),
     });
     this.#performStep(next);
   }
--- a/packages/lovagepond-gateway/src/gateway_exchange_log.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_log.ts
@@ -5,6 +5,7 @@
 import {type CallerChannel} from './gateway_caller_channel.js';
 import {type AssumedLoad} from './gateway_choice.js';
 import {type GatewayCounters} from './gateway_counters.js';
+import {type RetryAnswer} from './gateway_exchange_retry.js';
 import {type LastSend} from './gateway_exchange_servers.js';
 import {type AdmittedRequest} from './gateway_exchange_types.js';
 import {
@@ -32,6 +33,8 @@
   /** The request's attempts that ran or may have run. */
   readonly runs: number;
   readonly next: NextStep;
+  /** The retry that was asked of the budget, if one was. */
+  readonly retry: RetryAnswer | undefined;
 }
 
 /** The end of a request. */
@@ -69,7 +72,7 @@
   noteFailedAttempt(
     outcome: string,
     reason: string,
-    {server, wasAvoided, signals, runs, next}: FailedAttempt,
+    {server, wasAvoided, signals, runs, next, retry}: FailedAttempt,
   ): void {
     const isFollowed = next.kind === 'retry' || next.kind === 'resume';
     this.#deps.counters.noteFailedAttempt(outcome, isFollowed);
@@ -84,6 +87,12 @@
       runs,
       begun: this.#caller.headSent,
       next: next.kind,
+      ...(retry && {
+        retryTaken: retry.isTaken,
+        retries: retry.retries,
+        retriesFor: retry.requests,
+        retrySlack: retry.slackShare,
+      }),
       pauseMs: signals?.pauseMs,
       leaving: signals?.isLeaving,
       avoided: wasAvoided,
--- a/packages/lovagepond-gateway/src/gateway_failed_attempt.ts
+++ b/packages/lovagepond-gateway/src/gateway_failed_attempt.ts
@@ -3,6 +3,7 @@
  */
 import {type RequestSubjects} from '@lovagepond/core';
 import {type AttemptFailure, STATUS_MISDIRECTED} from './gateway_attempt.js';
+import {type AdmittedRequest} from './gateway_exchange_types.js';
 import {type GatewayQuarantine} from './gateway_quarantine.js';
 import {type ServerState} from './gateway_server_state.js';
 
@@ -53,3 +54,25 @@
   }
   quarantine.noteFailure(state, subjects, failure, now);
 }
+
+const FIRST_REDIRECT_STATUS = 300;
+
+/**
+ * Clears the request of suspicion. An error response proves nothing: a failing
+ * server sends it without running the request. A server that rejects a request
+ * has not begun to answer its prompt.
+ *
+ * @param req the request that a server has answered completely
+ * @param status the response's status
+ * @param quarantine clears the request, and its prompt's parts
+ * @param now current time, monotonic milliseconds
+ */
+export function noteAnswered(
+  {subjects, fingerprint}: Pick<AdmittedRequest, 'subjects' | 'fingerprint'>,
+  status: number,
+  quarantine: GatewayQuarantine,
+  now: number,
+): void {
+  const isServed = status < FIRST_REDIRECT_STATUS;
+  quarantine.noteAnswered(isServed ? subjects : [fingerprint], now);
+}
--- a/packages/lovagepond-gateway/src/gateway_retry_budget.ts
+++ b/packages/lovagepond-gateway/src/gateway_retry_budget.ts
@@ -46,6 +46,16 @@
   }
 }
 
+/** One pool's budget at this gateway. */
+export interface RetryBudgetView {
+  /** Requests within the window. */
+  readonly requests: number;
+  /** This gateway's part of the slack. */
+  readonly slackShare: number;
+  /** Retries that count against the window. */
+  readonly retries: number;
+}
+
 /** Counts requests and retries by pool. */
 export class GatewayRetryBudget {
   readonly #settings: GatewayBudgetSettings;
@@ -88,6 +98,20 @@
     return true;
   }
 
+  /**
+   * @param pool a pool
+   * @param now current time, monotonic milliseconds
+   * @returns what the budget of the pool consists of at this gateway
+   */
+  describe(pool: string, now: number): RetryBudgetView {
+    const since = now - this.#settings.retryWindowMs;
+    return {
+      requests: countOf(this.#requests, pool).count(since),
+      slackShare: this.#slackShare(since),
+      retries: countOf(this.#retries, pool).count(since - ARRIVAL_DELAY_MS),
+    };
+  }
+
   /** @returns this gateway's share, by the gateways seen within the window */
   #slackShare(since: number): number {
     const {retrySlack, retryShares} = this.#settings;
