--- a/packages/lovagepond-cli/src/settings_control.ts
+++ b/packages/lovagepond-cli/src/settings_control.ts
@@ -5,6 +5,7 @@
 import {type CONTROL_DEFAULTS, type ControlSettings} from '@lovagepond/control';
 import {
   boolean,
+  decimal,
   duration,
   type FileValues,
   formatHostPort,
@@ -75,12 +76,22 @@
   concurrentLoads: integer(1, MAX_COUNT).optional(),
 });
 
+const retriesSection = z.strictObject({
+  /** Retries as a fraction of requests, in each pool. */
+  fraction: decimal(0, 1).optional(),
+  /** Sliding window in which both are counted. */
+  window: duration().optional(),
+  /** Retries of a window beyond the fraction, of all gateways together. */
+  slack: decimal(0, MAX_COUNT).optional(),
+});
+
 /** Sections of the settings file of a control member. */
 export const CONTROL_SCHEMA = {
   ...COMMON_SECTIONS,
   member: memberSection,
   administration: administrationSection,
   limits: limitsSection,
+  retries: retriesSection,
 } as const;
 
 /** Values of the settings file of a control member. */
@@ -95,7 +106,7 @@
  * @returns settings of the control member, without those left to the defaults
  */
 export function toControlSettings(values: ControlValues): FileSettings {
-  const {process: identity, platform, member, limits} = values;
+  const {process: identity, platform, member, limits, retries} = values;
   return {
     nodeName: identity.name,
     region: identity.region,
@@ -122,6 +133,9 @@
       openClaimLimitMs: limits.openClaimLimit,
       ledgerLimit: limits.ledgerEntries,
       concurrentLoads: limits.concurrentLoads,
+      retryFraction: retries.fraction,
+      retryWindowMs: retries.window,
+      retrySlack: retries.slack,
     }),
   };
 }
--- a/packages/lovagepond-cli/src/settings_gateway.ts
+++ b/packages/lovagepond-cli/src/settings_gateway.ts
@@ -38,13 +38,9 @@
 });
 
 const retriesSection = z.strictObject({
-  /** Retries as a fraction of requests. */
+  /** Retries of all gateways as a fraction of requests; as in control. */
   fraction: decimal(0, 1).optional(),
   window: duration().optional(),
-  /** Additional retries per window, shared by all gateways. */
-  slack: decimal(0, MAX_COUNT).optional(),
-  /** Smallest number of gateways assumed to share the slack. */
-  shares: integer(1, MAX_COUNT).optional(),
 });
 
 /** Sections of the settings file of a gateway. */
@@ -92,8 +88,6 @@
       revocationBoundMs: gateway.revocationBound,
       retryFraction: retries.fraction,
       retryWindowMs: retries.window,
-      retrySlack: retries.slack,
-      retryShares: retries.shares,
     }),
   };
 }
--- a/packages/lovagepond-control/src/control_commands.ts
+++ b/packages/lovagepond-control/src/control_commands.ts
@@ -21,6 +21,7 @@
 import {type ConfigurationEdit} from './configuration_edit.js';
 import {type JoiningServer} from './direct_server_table.js';
 import {type LedgerLimits} from './ledger_entries.js';
+import {type RetryGrantPayload} from './retry_grants.js';
 
 /** Version of the encoding; a member stops at a version it can't decode. */
 const COMMAND_VERSION = 1;
@@ -29,7 +30,7 @@
  * Version of the set of commands. A leader proposes a command that a version
  * added only while all of its followers have at least that version.
  */
-export const LOG_VERSION = 4;
+export const LOG_VERSION = 5;
 
 /** The version that added evacuations, and crashes that count once. */
 export const EVACUATION_LOG_VERSION = 2;
@@ -40,6 +41,9 @@
 /** The version that added routers of servers that had none when they joined. */
 export const WARM_UP_LOG_VERSION = 4;
 
+/** The version that added the retries that routers are granted. */
+export const RETRY_LOG_VERSION = 5;
+
 /** Identifies an operator's operation and its content. */
 export interface OperationIdentity {
   readonly operationId: string;
@@ -214,6 +218,9 @@
 export const ORDER_OUTCOME_COMMAND =
   createCommand<OrderOutcomePayload>('orderOutcome');
 
+/** Grants retries to routers. */
+export const RETRIES_COMMAND = createCommand<RetryGrantPayload>('retries');
+
 /** Metadata that the proposer adds, so that all members use the same values. */
 export interface CommandStamp {
   /** Replicated time, milliseconds; see {@link ReplicatedTime}. */
--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -18,11 +18,12 @@
 import {type ControlSettings} from './control_settings.js';
 import {ControlLeadership} from './control_leadership.js';
 import {type ControlStateMachine} from './control_state_machine.js';
+import {dumpMember} from './control_member_dump.js';
 import {CrashReports} from './crash_reports.js';
 import {ConvergenceTable} from './convergence_table.js';
 import {DirectServers} from './direct_servers.js';
 import {RevisionQueries} from './revision_queries.js';
-import {LeaderClient} from './leader_client.js';
+import {LEADER_CALL_TIMEOUT_MS, LeaderClient} from './leader_client.js';
 import {LedgerHandler} from './ledger_handler.js';
 import {listMemberAddresses, listRedirectTargets} from './member_addresses.js';
 import {MemberAdministration} from './member_administration.js';
@@ -32,6 +33,7 @@
 import {Proposer} from './proposer.js';
 import {type HeldContextsReader} from './context_inventory.js';
 import {type ReadingReport} from './reading_report_log.js';
+import {RetryIssuer} from './retry_issuer.js';
 import {RouterReports} from './router_reports.js';
 import {readReadings} from './wire_utils.js';
 import {
@@ -43,11 +45,6 @@
 import {UpdateScheduler} from './update_scheduler.js';
 import {SubscriptionHub, type UpdateSink} from './subscription_hub.js';
 
-const DUMP_VERSION = 1;
-
-/** Timeout of a follower's calls to the leader. */
-const LEADER_CALL_TIMEOUT_MS = 1_000;
-
 /**
  * Longest delay of a change in the numbers of running requests, milliseconds:
  * changes are batched into one message to each subscriber.
@@ -69,6 +66,7 @@
   readonly documents: ConfigurationDocuments;
   readonly directServers: DirectServers;
   readonly crashReports: CrashReports;
+  readonly retries: RetryIssuer;
   readonly zones: ZoneAdministration;
   readonly #settings: ControlSettings;
   readonly #deps: MemberStateDependencies;
@@ -122,6 +120,7 @@
       oldestLogVersion: () => this.#hub.oldestLogVersion,
       publish: this.#publish,
     });
+    this.retries = this.#makeRetryIssuer();
     this.zones = this.#makeZoneAdministration();
     this.#leadership = this.#makeLeadership();
     this.#hub = new SubscriptionHub(settings, clock.now());
@@ -170,6 +169,7 @@
    * @param report a router's report of prompts that servers process for it
    */
   reportReadings(report: lovagepond.v1.ReadingReport): void {
+    this.retries.noteRequests(report.requests, this.#now());
     if (this.#proposer.leads()) this.#addReadingReport(readReadings(report));
     else this.#leaderClient.forwardReadings(report);
   }
@@ -231,6 +231,7 @@
     this.#convergence.sweep(now);
     this.#revisions.sweep(now);
     this.#reports.expire(now);
+    this.retries.expire(now);
     this.#hub.redirectSubscribers(listRedirectTargets(node));
     this.#runConfirmationRound();
     this.#flush(now);
@@ -258,28 +259,15 @@
   }
 
   dump(): StateDump {
-    const {machine, node} = this.#deps;
-    const {members, ...status} = node.status();
-    const now = this.#now();
-    return {
-      version: DUMP_VERSION,
-      role: 'control',
-      state: {
-        nodeName: this.#settings.nodeName,
-        consensus: {...status, members: [...members]},
-        fresh: this.isFresh(now),
-        revision: machine.configuration.current.read().revision,
-        ledger: machine.ledger.counts(),
-        orders: machine.orders.counts(),
-        replicatedTimeMs: machine.time.timeMs,
-        membershipVersion: this.#membership.version,
-        membershipComplete: this.#membership.complete,
-        backendServers: this.#membership.size,
-        subscribers: this.#hub.size,
-        suspectedRequests: this.crashReports.list().length,
-        evacuatedZones: this.zones.list().filter(zone => zone.evacuated),
-      },
-    };
+    return dumpMember({
+      ...this.#deps,
+      settings: this.#settings,
+      membership: this.#membership,
+      hub: this.#hub,
+      crashReports: this.crashReports,
+      zones: this.zones,
+      retries: this.retries,
+    });
   }
 
   #now(): number {
@@ -355,6 +343,16 @@
     });
   }
 
+  #makeRetryIssuer(): RetryIssuer {
+    return new RetryIssuer(this.#settings, {
+      ...this.#deps,
+      proposer: this.#proposer,
+      hasTakenOver: () => this.#leadership.term !== undefined,
+      oldestLogVersion: () => this.#hub.oldestLogVersion,
+      forwardToLeader: req => this.#leaderClient.requestRetries(req),
+    });
+  }
+
   #makeZoneAdministration(): ZoneAdministration {
     const {clock, machine} = this.#deps;
     return new ZoneAdministration({
--- a/packages/lovagepond-control/src/control_role.ts
+++ b/packages/lovagepond-control/src/control_role.ts
@@ -87,6 +87,7 @@
           this.#state.reportReadings(report);
         },
         reportCrashes: report => this.#state.crashReports.take(report),
+        requestRetries: req => this.#state.retries.take(req),
         claim: req => this.#state.ledger.claim(req),
         record: req => this.#state.ledger.record(req),
         reportOrder: req => this.#state.ledger.reportOrder(req),
--- a/packages/lovagepond-control/src/control_server.ts
+++ b/packages/lovagepond-control/src/control_server.ts
@@ -33,6 +33,9 @@
   reportCrashes(
     report: Message<'CrashReport'>,
   ): Promise<Message<'CrashReportResponse'>>;
+  requestRetries(
+    req: Message<'RetryRequest'>,
+  ): Promise<Message<'RetryResponse'>>;
   claim(req: Message<'ClaimRequest'>): Promise<Message<'ClaimResponse'>>;
   record(req: Message<'RecordRequest'>): Promise<Message<'RecordResponse'>>;
   reportOrder(
@@ -87,6 +90,7 @@
       reportCrashes: this.#unary(report =>
         handlers.reportCrashes(report as never),
       ),
+      requestRetries: this.#unary(req => handlers.requestRetries(req as never)),
       claim: this.#unary(req => handlers.claim(req as never)),
       record: this.#unary(req => handlers.record(req as never)),
       reportOrder: this.#unary(req => handlers.reportOrder(req as never)),
--- a/packages/lovagepond-control/src/control_settings.ts
+++ b/packages/lovagepond-control/src/control_settings.ts
@@ -61,6 +61,12 @@
   readonly ledgerLimit: number;
   /** Maximum base64 characters of all kept answers; the oldest are evicted. */
   readonly answerCharactersLimit: number;
+  /** Retries of all routers in each pool, as a fraction of requests. */
+  readonly retryFraction: number;
+  /** Sliding window in which both are counted, milliseconds. */
+  readonly retryWindowMs: number;
+  /** Retries of a window beyond the fraction. */
+  readonly retrySlack: number;
   /** Maximum number of concurrent model loads from the weight store. */
   readonly concurrentLoads: number;
 }
@@ -92,5 +98,8 @@
   openClaimLimitMs: 30 * MINUTE_MS,
   ledgerLimit: 1_000_000,
   answerCharactersLimit: 128 * 1024 * 1024,
+  retryFraction: 0.2,
+  retryWindowMs: 10_000,
+  retrySlack: 64,
   concurrentLoads: 8,
 } as const;
--- a/packages/lovagepond-control/src/control_state_machine.ts
+++ b/packages/lovagepond-control/src/control_state_machine.ts
@@ -40,6 +40,7 @@
   ORDER_COMMAND,
   ORDER_OUTCOME_COMMAND,
   RECORD_COMMAND,
+  RETRIES_COMMAND,
   WANTED_STATE_COMMAND,
 } from './control_commands.js';
 import {WANTED_STATE, type WantedState} from './control_administration.js';
@@ -56,6 +57,7 @@
 import {OperationResults, type OperationSnapshot} from './operation_results.js';
 import {type OrderSnapshot, OrderState} from './order_state.js';
 import {ReplicatedTime} from './replicated_time.js';
+import {RetryGrants, type RetryGrantSnapshot} from './retry_grants.js';
 import {WantedStates} from './wanted_states.js';
 import {
   ZoneEvacuations,
@@ -79,6 +81,7 @@
   readonly directServers?: DirectServerSnapshot;
   readonly crashes?: CrashEvidenceSnapshot;
   readonly evacuations?: ZoneEvacuationSnapshot;
+  readonly retries?: RetryGrantSnapshot;
 }
 
 type Handler = (payload: unknown, stamp: CommandStamp) => unknown;
@@ -94,6 +97,7 @@
   readonly directServers = new DirectServerTable();
   readonly crashes = new CrashEvidence();
   readonly evacuations = new ZoneEvacuations();
+  readonly retries = new RetryGrants();
   readonly time = new ReplicatedTime();
   readonly #handlers = new Map<string, Handler>();
   readonly #now: () => number;
@@ -151,6 +155,7 @@
       directServers: this.directServers.snapshot(),
       crashes: this.crashes.snapshot(),
       evacuations: this.evacuations.snapshot(),
+      retries: this.retries.snapshot(),
     };
     const lines = this.ledger.encodeEntries();
     return Buffer.concat([packHead(snapshot), LINE_END, ...lines]);
@@ -174,6 +179,7 @@
     this.directServers.restore(snapshot.directServers);
     this.crashes.restore(snapshot.crashes);
     this.evacuations.restore(snapshot.evacuations);
+    this.retries.restore(snapshot.retries, this.#now());
     this.configuration.restore(snapshot.configuration);
   }
 
@@ -288,6 +294,10 @@
     this.#handle(INCARNATION_COMMAND, (payload, {timeMs}) =>
       this.ledger.registerIncarnation(payload, timeMs),
     );
+    this.#handle(RETRIES_COMMAND, (payload, {timeMs}) => {
+      this.retries.record(payload, timeMs, this.#now());
+      return {};
+    });
     this.#handle(ORDER_OUTCOME_COMMAND, payload => ({
       recorded: this.orders.recordOutcome(payload),
     }));
--- a/packages/lovagepond-control/src/deciders.ts
+++ b/packages/lovagepond-control/src/deciders.ts
@@ -40,7 +40,21 @@
 export {type FeedUpdate, type FeedView} from './subscription_feed.js';
 export {SubscriptionHub, type UpdateSink} from './subscription_hub.js';
 export {toWireDigest, UpdateEncoder} from './update_encoder.js';
-export {readReadings} from './wire_utils.js';
+export {
+  grantKeptMs,
+  requestKeptMs,
+  retriesLeft,
+  shareRetries,
+  sumByPool,
+  type WantedRetries,
+} from './retry_decision.js';
+export {type RetryGrant, RetryGrants} from './retry_grants.js';
+export {RetryRequestCounts} from './retry_request_counts.js';
+export {
+  readReadings,
+  readRequestCounts,
+  readWantedRetries,
+} from './wire_utils.js';
 export {WorkspaceDemandFeed} from './workspace_demand_feed.js';
 export {WorkspaceDemandTotals} from './workspace_demand_totals.js';
 export {chooseWarmUpRouters} from './warm_up_decision.js';
--- a/packages/lovagepond-control/src/leader_client.ts
+++ b/packages/lovagepond-control/src/leader_client.ts
@@ -26,6 +26,9 @@
 /** Time before a stream that ended is reopened, milliseconds. */
 const REOPEN_AFTER_MS = 200;
 
+/** Timeout of a follower's calls to the leader. */
+export const LEADER_CALL_TIMEOUT_MS = 1_000;
+
 export interface LeaderClientSettings {
   readonly nodeName: string;
   readonly region: string;
@@ -155,6 +158,17 @@
     return new v1.CrashReportResponse({recorded: res?.recorded ?? false});
   }
 
+  /**
+   * @param req a router's question for retries
+   * @returns the leader's answer; unanswered when there was none
+   */
+  async requestRetries(
+    req: lovagepond.v1.RetryRequest,
+  ): Promise<lovagepond.v1.RetryResponse> {
+    const res = await this.#call(CONTROL_SERVICE.requestRetries, req);
+    return new v1.RetryResponse(res);
+  }
+
   /** Closes the connection. */
   stop(): void {
     this.#close();
--- a/packages/lovagepond-control/src/wire_utils.ts
+++ b/packages/lovagepond-control/src/wire_utils.ts
@@ -5,6 +5,8 @@
 import {type MembershipChange} from './membership_log.js';
 import {type PoolDemand, type ReadingReport} from './reading_report_log.js';
 import {type Announcement, type LoadReport} from './membership_registry.js';
+import {type WantedRetries} from './retry_decision.js';
+import {type ReportedRequests} from './retry_request_counts.js';
 
 /** Largest value of an unsigned 32-bit field; larger ones would wrap. */
 const MAX_UINT32 = 0xffff_ffff;
@@ -68,6 +70,36 @@
   };
 }
 
+/**
+ * @param counts the decoded numbers of a router's requests
+ * @returns the numbers
+ */
+export function readRequestCounts({
+  process,
+  uptimeMs,
+  pools,
+}: lovagepond.v1.RequestCounts.$Properties): ReportedRequests {
+  return {
+    process: process ?? 0,
+    uptimeMs: uptimeMs ?? 0,
+    pools: (pools ?? []).map(({pool, firstSpan, counts}) => ({
+      pool: pool ?? '',
+      first: firstSpan ?? 0,
+      counts: counts ?? [],
+    })),
+  };
+}
+
+/**
+ * @param wanted the decoded retries that a router asks for
+ * @returns their number by pool
+ */
+export function readWantedRetries(
+  wanted: lovagepond.v1.RetryRequest.$Properties['wanted'],
+): WantedRetries {
+  return new Map((wanted ?? []).map(one => [one.pool ?? '', one.count ?? 0]));
+}
+
 /**
  * @param value an integer
  * @returns the nearest value that an unsigned 32-bit field can have
--- a/packages/lovagepond-core/src/index.ts
+++ b/packages/lovagepond-core/src/index.ts
@@ -98,3 +98,11 @@
   type StateDump,
 } from './core_role.js';
 export {z} from './core_schema.js';
+export {type PoolSpans, RequestSpans} from './core_request_spans.js';
+export {
+  REQUEST_SPAN_MS,
+  RETRY_ANSWER_MS,
+  RETRY_ARRIVAL_MS,
+  RETRY_VALID_MS,
+  type RetryAllowance,
+} from './core_retry_allowance.js';
--- a/packages/lovagepond-gateway/src/__tests__/unit/capacity_simulation.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/capacity_simulation.ts
@@ -7,7 +7,6 @@
 import {GatewayChoice} from '../../gateway_choice.js';
 import {GatewayFleet} from '../../gateway_fleet.js';
 import {GatewayLoadReports} from '../../gateway_load_reports.js';
-import {GatewayPeers} from '../../gateway_peers.js';
 import {type PromptPart} from '../../gateway_headers.js';
 import {PrefillRate} from '../../gateway_prefill_rate.js';
 import {PrefillTracker} from '../../gateway_prefill_tracker.js';
@@ -239,7 +238,6 @@
   const rate = new PrefillRate(40);
   const settings = {availabilityZone: 'a', rate};
   const choice = new GatewayChoice(settings, hasher, new Random(seed + 100));
-  const peers = new GatewayPeers();
-  const readings = new GatewayLoadReports(name, fleet, rate, peers);
+  const readings = new GatewayLoadReports(name, fleet, rate);
   return {name, fleet, rate, choice, readings};
 }
--- a/packages/lovagepond-gateway/src/__tests__/unit/fair_shares_play.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/fair_shares_play.ts
@@ -3,7 +3,6 @@
 import {maxMinLevel} from '@lovagepond/load';
 import {GatewayFleet} from '../../gateway_fleet.js';
 import {GatewayLoadReports} from '../../gateway_load_reports.js';
-import {GatewayPeers} from '../../gateway_peers.js';
 import {PrefillRate} from '../../gateway_prefill_rate.js';
 import {GatewayShares} from '../../gateway_shares.js';
 import {DemandExchange} from './demand_exchange.js';
@@ -45,7 +44,6 @@
       name,
       new GatewayFleet(),
       new PrefillRate(40),
-      new GatewayPeers(),
       this.shares,
     );
     this.feed = new WorkspaceDemandFeed(name);
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_deciders.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_deciders.test.ts
@@ -4,9 +4,7 @@
 import {GatewayAdmission} from '../../gateway_admission.js';
 import {ConfigurationAuthority} from '../../gateway_authority.js';
 import {EventStream} from '../../gateway_event_stream.js';
-import {GatewayPeers} from '../../gateway_peers.js';
 import {headersForServer, readFacts} from '../../gateway_headers.js';
-import {GatewayRetryBudget} from '../../gateway_retry_budget.js';
 import {CONTENT, KEY, NAMES} from './gateway_harness.js';
 
 const BOUND_MS = 5_000;
@@ -136,118 +134,6 @@
   });
 });
 
-describe('GatewayRetryBudget', () => {
-  // Every request fails and asks for a retry. In no window may retries exceed
-  // the fraction of requests plus this gateway's share of the slack.
-  it('limits retries in any window', () => {
-    const settings = {
-      retryFraction: 0.2,
-      retryWindowMs: 1_000,
-      retrySlack: 3,
-      retryShares: 1,
-    };
-    fc.assert(
-      fc.property(fc.array(fc.integer({min: 0, max: 200})), gaps => {
-        const budget = new GatewayRetryBudget(settings, new GatewayPeers());
-        const requests: number[] = [];
-        const tries: number[] = [];
-        let now = 0;
-        for (const gap of gaps) {
-          now += gap;
-          requests.push(now);
-          budget.noteRequest('p', now);
-          if (budget.trySpend('p', now)) tries.push(now);
-          const inWindow = (times: number[]): number =>
-            times.filter(time => time >= now - 1_000).length;
-          const allowed = inWindow(requests) * 0.2 + 3;
-          expect(inWindow(tries)).toBeLessThanOrEqual(allowed);
-        }
-      }),
-    );
-  });
-
-  // Guards against retries that are spent in one window and arrive in the next, as
-  // they waited for a server with room, a permit or a connection.
-  it('limits the arrivals of retries in any window, late as they may be', () => {
-    const settings = {
-      retryFraction: 0,
-      retryWindowMs: 10_000,
-      retrySlack: 20,
-      retryShares: 1,
-    };
-    fc.assert(
-      fc.property(
-        fc.array(fc.tuple(fc.nat(400), fc.nat(1_000)), {minLength: 60}),
-        steps => {
-          const budget = new GatewayRetryBudget(settings, new GatewayPeers());
-          const arrivals: number[] = [];
-          let now = 0;
-          for (const [gap, delay] of steps) {
-            now += gap;
-            if (budget.trySpend('p', now)) arrivals.push(now + delay);
-          }
-          for (const from of arrivals) {
-            const inWindow = arrivals.filter(
-              at => at >= from && at < from + 10_000,
-            );
-            expect(inWindow.length).toBeLessThanOrEqual(20);
-          }
-        },
-      ),
-    );
-  });
-
-  // All servers of a pool fail every request, so each gateway asks for a retry
-  // of each. The retries of all gateways together stay within the common slack,
-  // whatever the number of gateways.
-  it.each([4, 16, 70, 370])(
-    'limits the retries of %i gateways that see each other',
-    count => {
-      const settings = {
-        retryFraction: 0.2,
-        retryWindowMs: 10_000,
-        retrySlack: 180,
-        retryShares: 16,
-      };
-      const REQUESTS_EACH = 100;
-      let tries = 0;
-      for (let gateway = 0; gateway < count; gateway += 1) {
-        const peers = new GatewayPeers();
-        for (let other = 1; other < count; other += 1) {
-          peers.note(`g${other}`, 0);
-        }
-        const budget = new GatewayRetryBudget(settings, peers);
-        for (let now = 0; now < REQUESTS_EACH; now += 1) {
-          budget.noteRequest('p', now);
-          if (budget.trySpend('p', now)) tries += 1;
-        }
-      }
-      const allowed = REQUESTS_EACH * count * 0.2 + settings.retrySlack;
-      expect(tries).toBeLessThanOrEqual(allowed);
-    },
-  );
-
-  it('divides the slack among the gateways seen within the window', () => {
-    const settings = {
-      retryFraction: 0,
-      retryWindowMs: 1_000,
-      retrySlack: 8,
-      retryShares: 2,
-    };
-    const peers = new GatewayPeers();
-    const budget = new GatewayRetryBudget(settings, peers);
-    const spendAll = (now: number): number => {
-      let spent = 0;
-      while (budget.trySpend('p', now)) spent += 1;
-      return spent;
-    };
-    expect(spendAll(0)).toBe(4);
-    for (const other of ['a', 'b', 'c']) peers.note(other, 2_000);
-    expect(spendAll(2_001)).toBe(2);
-    expect(spendAll(9_000)).toBe(4);
-  });
-});
-
 describe('EventStream', () => {
   it('returns complete events in order for any chunk boundaries', () => {
     const text = [1, 2, 3].map(id => `id: ${id}\ndata: x\n\n`).join('');
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_failing_server.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_failing_server.test.ts
@@ -4,7 +4,6 @@
 import {GatewayChoice} from '../../gateway_choice.js';
 import {GatewayFleet} from '../../gateway_fleet.js';
 import {OutcomeEstimate} from '../../gateway_outcome_estimate.js';
-import {GatewayPeers} from '../../gateway_peers.js';
 import {PrefillRate} from '../../gateway_prefill_rate.js';
 import {GatewayLoadReports} from '../../gateway_load_reports.js';
 import {makeBackendServer} from './backend_servers.js';
@@ -115,12 +114,7 @@
   const settings = {availabilityZone: 'a', rate};
   const random = new Random(100 + at);
   const choice = new GatewayChoice(settings, await loadKeyHasher(), random);
-  const readings = new GatewayLoadReports(
-    `gateway-${at}`,
-    fleet,
-    rate,
-    new GatewayPeers(),
-  );
+  const readings = new GatewayLoadReports(`gateway-${at}`, fleet, rate);
   return {fleet, choice, readings};
 }
 
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -19,13 +19,13 @@
 import {GatewayCounters} from '../../gateway_counters.js';
 import {GatewayFleet} from '../../gateway_fleet.js';
 import {GatewayPeerLink} from '../../gateway_peer_link.js';
-import {GatewayPeers} from '../../gateway_peers.js';
 import {makePermits} from '../../gateway_permits.js';
 import {PrefillRate} from '../../gateway_prefill_rate.js';
 import {GatewayQuarantine} from '../../gateway_quarantine.js';
 import {GatewayLoadReports} from '../../gateway_load_reports.js';
 import {GatewayOverload} from '../../gateway_overload.js';
-import {GatewayRetryBudget} from '../../gateway_retry_budget.js';
+import {readClock} from '../../gateway_authority.js';
+import {GatewayRetries} from '../../gateway_retries.js';
 import {ServerLiveness} from '../../gateway_server_liveness.js';
 import {probeServer} from '../../gateway_server_probe.js';
 import {GatewayServer} from '../../gateway_server.js';
@@ -193,13 +193,23 @@
     const hasher = await loadKeyHasher();
     const rate = new PrefillRate(40);
     const settings = {availabilityZone: 'a', rate};
-    const budget = {
-      retryFraction: 0.2,
-      retryWindowMs: 10_000,
-      retrySlack: 50,
-      retryShares: 1,
-    };
-    const peers = new GatewayPeers();
+    let retriesLeft = 50;
+    const retries = new GatewayRetries(
+      {fraction: 0.2, windowMs: 10_000},
+      {
+        process: 1,
+        readClock: () => readClock(ownClock),
+        ask: ({wanted}, onAnswer) => {
+          const granted = (wanted ?? []).map(({pool, count}) => {
+            const given = Math.min(count ?? 0, retriesLeft);
+            retriesLeft -= given;
+            return {pool: pool ?? '', count: given};
+          });
+          onAnswer({answered: true, granted});
+        },
+        schedule: () => {},
+      },
+    );
     const counters = new GatewayCounters();
     const shares = new GatewayShares();
     const overload = new GatewayOverload({
@@ -254,7 +264,7 @@
         admission,
         fleet,
         choice: new GatewayChoice(settings, hasher, random),
-        budget: new GatewayRetryBudget(budget, peers),
+        retries,
         connections: new GatewayConnections({
           connectTimeoutMs: 300,
           maxHeadBytes: 16_384,
@@ -268,7 +278,7 @@
         counters,
         overload,
         streams,
-        readings: new GatewayLoadReports('gateway', fleet, rate, peers, shares),
+        readings: new GatewayLoadReports('gateway', fleet, rate, shares),
         rate,
       },
     );
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_load_reports.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_load_reports.test.ts
@@ -1,6 +1,5 @@
 import {describe, expect, it} from 'vitest';
 import {GatewayFleet} from '../../gateway_fleet.js';
-import {GatewayPeers} from '../../gateway_peers.js';
 import {PrefillRate} from '../../gateway_prefill_rate.js';
 import {GatewayLoadReports} from '../../gateway_load_reports.js';
 import {type ServerState} from '../../gateway_server_state.js';
@@ -9,7 +8,6 @@
 /** A gateway with a hundred servers. */
 class Gateway {
   readonly fleet = new GatewayFleet();
-  readonly peers = new GatewayPeers();
   readonly readings: GatewayLoadReports;
   readonly name: string;
 
@@ -19,7 +17,6 @@
       name,
       this.fleet,
       new PrefillRate(40),
-      this.peers,
     );
     const names = Array.from({length: 100}, (_, at) => `server-${at}`);
     const list = names.map(
@@ -120,17 +117,3 @@
     expect(here.server(0).load(3_100)).toBe(0);
   });
 });
-
-// Gateways divide the retry slack among those that report. A gateway's own
-// reports come back in the digest and must not be counted.
-it('a gateway counts the other gateways that report', () => {
-  const [one, two] = [new Gateway('one'), new Gateway('two')];
-  const digest = {
-    reports: ['one', 'two', 'three'].map(node => ({node, readings: []})),
-  };
-  one.readings.apply(digest, 100);
-  two.readings.apply({reports: [{node: '', readings: []}]}, 100);
-  expect(one.peers.count(0)).toBe(2);
-  expect(two.peers.count(0)).toBe(0);
-  expect(one.peers.count(101)).toBe(0);
-});
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_estimates.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_estimates.test.ts
@@ -4,7 +4,6 @@
 import {type ChoiceRequest, GatewayChoice} from '../../gateway_choice.js';
 import {GatewayFleet} from '../../gateway_fleet.js';
 import {GatewayLoadReports} from '../../gateway_load_reports.js';
-import {GatewayPeers} from '../../gateway_peers.js';
 import {PrefillRate} from '../../gateway_prefill_rate.js';
 import {
   PrefillTracker,
@@ -33,8 +32,7 @@
   constructor(serverCapacity: boolean, names = ['x', 'y', 'z']) {
     this.fleet = new GatewayFleet({prefillTokensPerMs: RATE, serverCapacity});
     this.list(names.map(name => ({name, incarnation: '1'})));
-    const peers = new GatewayPeers();
-    this.reports = new GatewayLoadReports('g', this.fleet, this.#rate, peers);
+    this.reports = new GatewayLoadReports('g', this.fleet, this.#rate);
   }
 
   list(servers: readonly {name: string; incarnation: string}[]): void {
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_shares.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_shares.test.ts
@@ -5,7 +5,6 @@
 import {samplePhase} from '../../gateway_demand_sample.js';
 import {GatewayFleet} from '../../gateway_fleet.js';
 import {GatewayLoadReports} from '../../gateway_load_reports.js';
-import {GatewayPeers} from '../../gateway_peers.js';
 import {PrefillRate} from '../../gateway_prefill_rate.js';
 import {GatewayShares} from '../../gateway_shares.js';
 
@@ -43,7 +42,6 @@
     'here',
     new GatewayFleet(),
     new PrefillRate(40),
-    new GatewayPeers(),
     demand,
   );
 }
--- a/packages/lovagepond-gateway/src/__tests__/unit/overload_shares_play.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/overload_shares_play.ts
@@ -8,7 +8,6 @@
 import {GatewayLoadReports} from '../../gateway_load_reports.js';
 import {GatewayOverload} from '../../gateway_overload.js';
 import {type OverloadRequest} from '../../gateway_overload_types.js';
-import {GatewayPeers} from '../../gateway_peers.js';
 import {type PoolOverload} from '../../gateway_pool_overload.js';
 import {PrefillRate} from '../../gateway_prefill_rate.js';
 import {type ServerState} from '../../gateway_server_state.js';
@@ -85,7 +84,6 @@
       name,
       fleet,
       new PrefillRate(40),
-      new GatewayPeers(),
       shares,
     );
     this.feed = new WorkspaceDemandFeed(name);
--- a/packages/lovagepond-gateway/src/deciders.ts
+++ b/packages/lovagepond-gateway/src/deciders.ts
@@ -13,14 +13,18 @@
 export {ENGINE_WEIGHTS, type EngineWeights} from './gateway_engine_choice.js';
 export {GatewayFleet} from './gateway_fleet.js';
 export {type PromptPart} from './gateway_headers.js';
-export {type AttemptOutcome, decideNext} from './gateway_outcome.js';
-export {GatewayPeers} from './gateway_peers.js';
+export {
+  type AttemptOutcome,
+  decideNext,
+  type FinalStep,
+} from './gateway_outcome.js';
 export {PrefillRate} from './gateway_prefill_rate.js';
 export {PrefillTracker} from './gateway_prefill_tracker.js';
 export {GatewayLoadReports} from './gateway_load_reports.js';
 export {type DemandSource, type OwnDemand} from './gateway_demand.js';
 export {GatewayShares} from './gateway_shares.js';
-export {GatewayRetryBudget} from './gateway_retry_budget.js';
+export {GatewayRetries, isValid, type RetryCredit} from './gateway_retries.js';
+export {OwnRetries} from './gateway_own_retries.js';
 export {type ForwardingRule, ForwardingRules} from './gateway_routes.js';
 export {ServersWithoutRoom} from './gateway_servers_without_room.js';
 export {ServerState} from './gateway_server_state.js';
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -10,6 +10,7 @@
   Attempt,
   type AttemptFailure,
 } from './gateway_attempt.js';
+import {type ClockReading, readClock} from './gateway_authority.js';
 import {ResponseTiming} from './gateway_response_timing.js';
 import {type CallerChannel} from './gateway_caller_channel.js';
 import {type ServerChoice} from './gateway_choice.js';
@@ -27,11 +28,13 @@
 import {
   type AttemptOutcome,
   decideNext,
-  type NextStep,
+  type FinalStep,
+  type RepeatStep,
 } from './gateway_outcome.js';
 import {toOutgoing} from './gateway_outgoing_request.js';
 import {type PrefillTracker, trackPrefill} from './gateway_prefill_tracker.js';
 import {BufferedFailure} from './gateway_buffered_failure.js';
+import {FinalAnswer} from './gateway_final_answer.js';
 import {
   noteAnswered,
   noteExit,
@@ -57,6 +60,7 @@
   readonly #admission: ExchangeAdmission;
   readonly #dispatch: ExchangeDispatch;
   readonly #retry: ExchangeRetry;
+  readonly #answer: FinalAnswer;
   readonly #events: EventStream | undefined;
   #attempt: Attempt | undefined;
   #prefill: PrefillTracker | undefined;
@@ -69,8 +73,6 @@
   #timer: NodeJS.Timeout | undefined;
   /** The error response that the current attempt is receiving. */
   #incomingFailure: BufferedFailure | undefined;
-  /** The last complete error response. */
-  #bufferedFailure: BufferedFailure | undefined;
   #runs = 0;
   #attempts = 0;
   #isDone = false;
@@ -94,11 +96,13 @@
     this.#onDone = onDone;
     this.#log = new ExchangeLog(req, deps, caller);
     this.#servers = new ExchangeServers(req, deps);
-    this.#retry = new ExchangeRetry(deps.budget, req.pool.name);
+    this.#retry = new ExchangeRetry(deps.retries, req.pool.name);
+    const {quarantine, overload} = deps;
+    const servers = this.#servers;
+    this.#answer = new FinalAnswer(req, {caller, quarantine, servers});
     if (req.rule.forwarding.streaming) {
       this.#events = new EventStream(req.origin && lastEventIdOf(req.facts));
     }
-    const {overload} = deps;
     const {eligible} = this.#servers;
     this.#admission = new ExchangeAdmission(
       req,
@@ -109,7 +113,7 @@
       },
       {
         onStart: () => {
-          deps.budget.noteRequest(req.pool.name, this.#now());
+          deps.retries.noteRequest(req.pool.name, this.#now());
           this.#startAttempt();
         },
         onRefused: (error, retryAfterMs) => {
@@ -129,6 +133,7 @@
       ...this.#deps,
       servers: this.#servers,
       admission: this.#admission,
+      retry: this.#retry,
     };
     return new ExchangeDispatch(deps, {
       onServer: chosen => {
@@ -282,7 +287,7 @@
 
   #onEnd(): void {
     if (this.#incomingFailure) {
-      this.#bufferedFailure = this.#incomingFailure;
+      this.#answer.failure = this.#incomingFailure;
       this.#endAttempt()?.noteErrorResponse(this.#now());
       this.#runs += 1;
       this.#handleOutcome({kind: 'failedAnswer'}, 'server returned an error');
@@ -326,7 +331,7 @@
 
   #handleOutcome(outcome: AttemptOutcome, reason: string): void {
     if (this.#isDone) return;
-    const now = this.#now();
+    const at = readClock(this.#deps.clock);
     const {rule, deadlineAt, subjects} = this.#req;
     const {quarantine} = this.#deps;
     const next = decideNext(outcome, {
@@ -334,11 +339,11 @@
       runs: this.#runs,
       attempts: this.#attempts,
       headSent: this.#caller.headSent,
-      hasFailure: this.#bufferedFailure !== undefined,
+      hasFailure: this.#answer.failure !== undefined,
       lastEventId: this.#events?.lastId,
-      timeLeftMs: deadlineAt - now,
-      isSuspect: quarantine.isSuspect(subjects, now),
-      trySpend: () => this.#retry.trySpend(now),
+      timeLeftMs: deadlineAt - at.now,
+      isSuspect: quarantine.isSuspect(subjects, at.now),
+      needsCredit: this.#retry.needsCredit(at),
     });
     this.#log.noteFailedAttempt(outcome.kind, reason, {
       server: this.#servers.attempted.at(-1),
@@ -346,51 +351,36 @@
       signals: this.#signals,
       runs: this.#runs,
       next,
-      retry: this.#retry.takeAnswer(),
     });
-    this.#performStep(next);
+    if (next.kind === 'retry' || next.kind === 'resume') {
+      this.#repeat(next, at);
+    } else {
+      this.#performLast(next);
+    }
   }
 
-  #performStep(next: NextStep): void {
-    if (next.kind === 'retry' || next.kind === 'resume') {
+  #repeat({needsCredit, otherwise}: RepeatStep, at: ClockReading): void {
+    if (!needsCredit) {
       this.#startAttempt();
-    } else if (next.kind === 'passFailure') {
-      this.#sendBufferedFailure();
-    } else if (next.kind === 'cut') {
-      this.#caller.cut();
-      this.#finish('cut');
-    } else {
-      this.#refuse(next.error);
+      return;
     }
+    this.#retry.acquire(at, ({refusal}) => {
+      if (refusal === undefined) {
+        this.#startAttempt();
+        return;
+      }
+      this.#log.noteRetryRefused(refusal);
+      this.#performLast(otherwise);
+    });
   }
 
-  #sendBufferedFailure(): void {
-    const failure = this.#bufferedFailure;
-    if (!failure) return;
-    failure.sendTo(this.#caller);
-    this.#finish('failed');
+  #performLast(next: FinalStep): void {
+    this.#finish(this.#answer.send(next, this.#now()));
   }
 
   /** @param errorIfNotRun the error to send when no attempt may have run */
   #giveUp(errorIfNotRun: ErrorKind): void {
-    if (this.#caller.headSent) {
-      this.#caller.cut();
-      this.#finish('cut');
-    } else if (this.#bufferedFailure) {
-      this.#sendBufferedFailure();
-    } else {
-      this.#refuse(this.#runs > 0 ? 'backendFailed' : errorIfNotRun);
-    }
-  }
-
-  #refuse(error: ErrorKind): void {
-    const now = this.#now();
-    const {quarantine} = this.#deps;
-    const notBeforeMs =
-      quarantine.quarantinedForMs(this.#req.subjects, now) ??
-      this.#servers.eligible.unavailableMs(now);
-    this.#caller.refuse(error, {notBeforeMs});
-    this.#finish(error);
+    this.#finish(this.#answer.giveUp(this.#runs, errorIfNotRun, this.#now()));
   }
 
   #onTimeout(): void {
@@ -411,6 +401,7 @@
   #finish(outcome: string): void {
     if (this.#isDone) return;
     this.#isDone = true;
+    this.#retry.end();
     clearTimeout(this.#timer);
     this.#admission.leave();
     const {waitMs} = this.#admission;
--- a/packages/lovagepond-gateway/src/gateway_exchange_dispatch.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_dispatch.ts
@@ -6,6 +6,7 @@
 import {type ClockReading, readClock} from './gateway_authority.js';
 import {type ServerChoice} from './gateway_choice.js';
 import {type ExchangeAdmission} from './gateway_exchange_admission.js';
+import {type ExchangeRetry} from './gateway_exchange_retry.js';
 import {type ExchangeServers} from './gateway_exchange_servers.js';
 import {FullServersWait} from './gateway_full_servers_wait.js';
 import {
@@ -19,6 +20,7 @@
 export interface ExchangeDispatchDependencies extends SendPermitDependencies {
   readonly servers: ExchangeServers;
   readonly admission: ExchangeAdmission;
+  readonly retry: ExchangeRetry;
 }
 
 /**
@@ -70,12 +72,16 @@
    * @returns false if the request must not be sent there any more
    */
   beginSend(state: ServerState): boolean {
-    const {clock, servers} = this.#deps;
+    const {clock, servers, retry} = this.#deps;
     const at = readClock(clock);
     const {now, wallTime} = this.#decidedAt;
     const ageMs = Math.max(at.now - now, at.wallTime - wallTime);
     if (ageMs > DECISION_VALID_MS) return false;
-    return this.#permit.takeFor(state, at) && servers.beginSend(state, at.now);
+    if (!retry.maySend(at)) return false;
+    const isAllowed =
+      this.#permit.takeFor(state, at) && servers.beginSend(state, at.now);
+    if (isAllowed) retry.noteSent();
+    return isAllowed;
   }
 
   /** Ends the attempt or the search for its server. */
--- a/packages/lovagepond-gateway/src/gateway_exchange_log.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_log.ts
@@ -5,7 +5,6 @@
 import {type CallerChannel} from './gateway_caller_channel.js';
 import {type AssumedLoad} from './gateway_choice.js';
 import {type GatewayCounters} from './gateway_counters.js';
-import {type RetryAnswer} from './gateway_exchange_retry.js';
 import {type LastSend} from './gateway_exchange_servers.js';
 import {type AdmittedRequest} from './gateway_exchange_types.js';
 import {
@@ -14,10 +13,12 @@
   type StreamResumption,
 } from './gateway_headers.js';
 import {type NextStep} from './gateway_outcome.js';
+import {type GatewayRetries, type RetryRefusal} from './gateway_retries.js';
 
 interface ExchangeLogDependencies {
   readonly log: Logger;
   readonly counters: GatewayCounters;
+  readonly retries: Pick<GatewayRetries, 'leftIn'>;
 }
 
 /** What has gone to the caller. */
@@ -33,8 +34,6 @@
   /** The request's attempts that ran or may have run. */
   readonly runs: number;
   readonly next: NextStep;
-  /** The retry that was asked of the budget, if one was. */
-  readonly retry: RetryAnswer | undefined;
 }
 
 /** The end of a request. */
@@ -72,7 +71,7 @@
   noteFailedAttempt(
     outcome: string,
     reason: string,
-    {server, wasAvoided, signals, runs, next, retry}: FailedAttempt,
+    {server, wasAvoided, signals, runs, next}: FailedAttempt,
   ): void {
     const isFollowed = next.kind === 'retry' || next.kind === 'resume';
     this.#deps.counters.noteFailedAttempt(outcome, isFollowed);
@@ -87,18 +86,22 @@
       runs,
       begun: this.#caller.headSent,
       next: next.kind,
-      ...(retry && {
-        retryTaken: retry.isTaken,
-        retries: retry.retries,
-        retriesFor: retry.requests,
-        retrySlack: retry.slackShare,
-      }),
       pauseMs: signals?.pauseMs,
       leaving: signals?.isLeaving,
       avoided: wasAvoided,
     });
   }
 
+  /** @param refusal why the request may not be sent once more */
+  noteRetryRefused(refusal: RetryRefusal): void {
+    this.#deps.log.warn('retry refused', {
+      request: this.#req.facts.requestId,
+      pool: this.#req.pool.name,
+      reason: refusal,
+      left: this.#deps.retries.leftIn(this.#req.pool.name),
+    });
+  }
+
   /**
    * @param server name of a server that has stopped accepting requests
    * @param signals what its response said
--- a/packages/lovagepond-gateway/src/gateway_exchange_retry.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_retry.ts
@@ -1,44 +1,75 @@
 /**
- * The retries of one request, as far as the budget goes.
+ * The retries of one request. Every arrival at a server beyond the first needs a
+ * credit, which is used up by the send.
  */
+import {type ClockReading} from './gateway_authority.js';
 import {
-  type GatewayRetryBudget,
-  type RetryBudgetView,
-} from './gateway_retry_budget.js';
-
-/** The answer of the budget to the last question, for the log. */
-export interface RetryAnswer extends RetryBudgetView {
-  readonly isTaken: boolean;
-}
+  type GatewayRetries,
+  isValid,
+  type RetryCredit,
+  type RetryDecision,
+} from './gateway_retries.js';
 
 export class ExchangeRetry {
-  readonly #budget: GatewayRetryBudget;
+  readonly #retries: GatewayRetries;
   readonly #pool: string;
-  #answer: RetryAnswer | undefined;
+  #credit: RetryCredit | undefined;
+  /** A server may have got the request. */
+  #mayHaveArrived = false;
+  #isOver = false;
 
   /**
-   * @param budget the gateway's budget
+   * @param retries the gateway's retries
    * @param pool the pool that the request is sent to
    */
-  constructor(budget: GatewayRetryBudget, pool: string) {
-    this.#budget = budget;
+  constructor(retries: GatewayRetries, pool: string) {
+    this.#retries = retries;
     this.#pool = pool;
   }
 
   /**
-   * @param now current time, monotonic milliseconds
-   * @returns whether a retry was taken from the budget
+   * @param at current time
+   * @returns true if {@link acquire} must be called before the next attempt
+   */
+  needsCredit(at: ClockReading): boolean {
+    return !this.maySend(at);
+  }
+
+  /**
+   * @param at current time
+   * @param onDecision called once, during the call or later, unless the request
+   *     has ended
    */
-  trySpend(now: number): boolean {
-    const isTaken = this.#budget.trySpend(this.#pool, now);
-    this.#answer = {isTaken, ...this.#budget.describe(this.#pool, now)};
-    return isTaken;
+  acquire(
+    at: ClockReading,
+    onDecision: (decision: RetryDecision) => void,
+  ): void {
+    this.#retries.acquire(this.#pool, at, decision => {
+      this.#credit = decision.credit;
+      if (this.#isOver) this.end();
+      else onDecision(decision);
+    });
+  }
+
+  /**
+   * @param at current time
+   * @returns whether the request may be sent now
+   */
+  maySend(at: ClockReading): boolean {
+    if (!this.#mayHaveArrived) return true;
+    return this.#credit !== undefined && isValid(this.#credit, at);
+  }
+
+  /** Must be called right before the request is written to a connection. */
+  noteSent(): void {
+    this.#mayHaveArrived = true;
+    this.#credit = undefined;
   }
 
-  /** @returns the last answer, once */
-  takeAnswer(): RetryAnswer | undefined {
-    const answer = this.#answer;
-    this.#answer = undefined;
-    return answer;
+  /** Gives back what was not sent. */
+  end(): void {
+    this.#isOver = true;
+    if (this.#credit) this.#retries.release(this.#pool, this.#credit);
+    this.#credit = undefined;
   }
 }
--- a/packages/lovagepond-gateway/src/gateway_exchange_types.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_types.ts
@@ -17,7 +17,7 @@
 import {type PrefillTrackerDependencies} from './gateway_prefill_tracker.js';
 import {type GatewayPermits} from './gateway_permits.js';
 import {type GatewayQuarantine} from './gateway_quarantine.js';
-import {type GatewayRetryBudget} from './gateway_retry_budget.js';
+import {type GatewayRetries} from './gateway_retries.js';
 import {type ForwardingRule} from './gateway_routes.js';
 import {type StreamOrigin} from './gateway_stream_origin.js';
 import {type ServerLiveness} from './gateway_server_liveness.js';
@@ -31,7 +31,7 @@
   readonly names: GatewayHeaderNames;
   readonly fleet: GatewayFleet;
   readonly choice: GatewayChoice;
-  readonly budget: GatewayRetryBudget;
+  readonly retries: GatewayRetries;
   readonly connections: GatewayConnections;
   readonly quarantine: GatewayQuarantine;
   readonly liveness: ServerLiveness;
--- a/packages/lovagepond-gateway/src/gateway_load_reports.ts
+++ b/packages/lovagepond-gateway/src/gateway_load_reports.ts
@@ -8,7 +8,6 @@
 import {type DemandSource, readSums, toWireDemand} from './gateway_demand.js';
 import {samplePhase} from './gateway_demand_sample.js';
 import {type GatewayFleet} from './gateway_fleet.js';
-import {type GatewayPeers} from './gateway_peers.js';
 import {type PrefillRate} from './gateway_prefill_rate.js';
 import {type ReportedRequests} from './gateway_remote_requests.js';
 import {type ServerState} from './gateway_server_state.js';
@@ -68,7 +67,6 @@
   readonly #node: string;
   readonly #fleet: GatewayFleet;
   readonly #rate: PrefillRate;
-  readonly #peers: GatewayPeers;
   readonly #demand: DemandSource | undefined;
   #pendingReadings: WireReading[] = [];
   #lastReported: ReadonlyMap<string, SentRequests> = new Map();
@@ -80,20 +78,17 @@
    * @param node this gateway's name, which marks its own reports in a digest
    * @param fleet the servers
    * @param rate the engines' prefill rate
-   * @param peers records each other gateway that reports
    * @param demand the demand in congested pools; without it none is reported
    */
   constructor(
     node: string,
     fleet: GatewayFleet,
     rate: PrefillRate,
-    peers: GatewayPeers,
     demand?: DemandSource,
   ) {
     this.#node = node;
     this.#fleet = fleet;
     this.#rate = rate;
-    this.#peers = peers;
     this.#demand = demand;
   }
 
@@ -180,10 +175,8 @@
   apply(digest: WireDigest, now: number): void {
     const {demand} = digest;
     if (demand?.length) this.#demand?.applyDemand(readSums(demand), now);
-    if (digest.routers) this.#peers.noteCount(digest.routers, now);
     for (const {node, readings, running} of digest.reports ?? []) {
       if (node === this.#node) continue;
-      if (node) this.#peers.note(node, now);
       for (const reading of readings ?? []) this.#applyReading(reading, now);
       for (const one of running ?? []) {
         this.#applyRunning(node ?? '', one, now);
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -28,14 +28,13 @@
 import {GatewayFleet} from './gateway_fleet.js';
 import {type GatewayHeaderNames} from './gateway_headers.js';
 import {GatewayPeerLink} from './gateway_peer_link.js';
-import {GatewayPeers} from './gateway_peers.js';
 import {type GatewayPermits, makePermits} from './gateway_permits.js';
 import {PrefillRate} from './gateway_prefill_rate.js';
 import {GatewayQuarantine} from './gateway_quarantine.js';
 import {LoadLimits} from './gateway_load_limit.js';
 import {GatewayLoadReports} from './gateway_load_reports.js';
 import {GatewayOverload} from './gateway_overload.js';
-import {GatewayRetryBudget} from './gateway_retry_budget.js';
+import {type GatewayRetries, makeRetries} from './gateway_retries.js';
 import {GatewayServer} from './gateway_server.js';
 import {GatewayShares} from './gateway_shares.js';
 import {ServerLiveness} from './gateway_server_liveness.js';
@@ -80,7 +79,6 @@
   readonly #admission: GatewayAdmission;
   readonly #fleet: GatewayFleet;
   readonly #loadLimits = new LoadLimits();
-  readonly #peers = new GatewayPeers();
   readonly #rate: PrefillRate;
   readonly #loadReports: GatewayLoadReports;
   readonly #connections: GatewayConnections;
@@ -89,6 +87,7 @@
     probeServer(address, this.#settings.connectTimeoutMs);
   readonly #counters = new GatewayCounters();
   readonly #shares = new GatewayShares();
+  readonly #retries: GatewayRetries;
   readonly #overload: GatewayOverload;
   readonly #link: ControlLink;
   #membership = EMPTY_MEMBERSHIP;
@@ -159,7 +158,6 @@
       settings.name,
       this.#fleet,
       this.#rate,
-      this.#peers,
       this.#shares,
     );
     this.#connections = new GatewayConnections({
@@ -179,6 +177,9 @@
       ...deps,
       shares: this.#shares,
     });
+    this.#retries = makeRetries(settings, deps, req =>
+      this.#link.requestRetries(req),
+    );
     const {name: node, region} = settings;
     const facts = {node, region, takesDeltas: true};
     const listener = {
@@ -234,7 +235,7 @@
       admission: this.#admission,
       fleet: this.#fleet,
       choice: new GatewayChoice(choiceSettings, hasher, random),
-      budget: new GatewayRetryBudget(this.#settings, this.#peers),
+      retries: this.#retries,
       connections: this.#connections,
       quarantine: this.#quarantine,
       liveness: new ServerLiveness(this.#probe),
@@ -259,10 +260,12 @@
   #sendReport(link: GatewayPeerLink, now: number): void {
     const report = this.#loadReports.takeReport(now);
     const streamAddress = link.takeAddress(now);
-    if (!report && streamAddress === undefined) return;
+    const requests = this.#retries.takeReport(now);
+    if (!report && streamAddress === undefined && !requests) return;
     this.#link.reportReadings({
       ...report,
       ...(streamAddress !== undefined && {streamAddress}),
+      ...(requests && {requests}),
     });
   }
 
@@ -323,6 +326,7 @@
       connectionsIdle: this.#connections.idle,
       admission: this.#overload.describe(at.now),
       streams: this.#streams?.describe(),
+      retries: this.#retries.describe(),
       permits: this.#permits?.describe(),
       warmUp: this.#warmUp?.decisions,
     };
--- a/packages/lovagepond-gateway/src/gateway_settings.ts
+++ b/packages/lovagepond-gateway/src/gateway_settings.ts
@@ -1,10 +1,8 @@
 /**
  * The settings of a gateway.
  */
-import {type GatewayBudgetSettings} from './gateway_retry_budget.js';
-
 /** All times are milliseconds. */
-export interface GatewaySettings extends GatewayBudgetSettings {
+export interface GatewaySettings {
   readonly name: string;
   readonly region: string;
   readonly availabilityZone: string;
@@ -40,6 +38,10 @@
   readonly drainTimeoutMs: number;
   /** Time for which a draining gateway still accepts connections. */
   readonly drainLingerMs: number;
+  /** Retries of all gateways as a fraction of requests; control has the same. */
+  readonly retryFraction: number;
+  /** Sliding window in which both are counted. */
+  readonly retryWindowMs: number;
 }
 
 export const DEFAULT_GATEWAY_SETTINGS = {
@@ -58,6 +60,4 @@
   drainLingerMs: 2_500,
   retryFraction: 0.2,
   retryWindowMs: 10_000,
-  retrySlack: 64,
-  retryShares: 16,
 } as const satisfies Partial<GatewaySettings>;
--- a/packages/lovagepond-measure/src/gateway_simulation.ts
+++ b/packages/lovagepond-measure/src/gateway_simulation.ts
@@ -26,7 +26,8 @@
 } from './gateway_simulation_types.js';
 import {drawItems} from './simulated_draws.js';
 import {SimulatedDatagrams} from './simulated_datagrams.js';
-import {SimulatedGateway} from './simulated_gateway.js';
+import {RETRY_ALLOWANCE, SimulatedGateway} from './simulated_gateway.js';
+import {SimulatedRetryLeader} from './simulated_retry_leader.js';
 import {ENGINES, makePools, SERVICES} from './simulated_pools.js';
 import {SimulatedRequests} from './simulated_requests.js';
 import {VirtualTime} from './virtual_time.js';
@@ -77,7 +78,7 @@
   #version = 0;
   #lastId = 0;
   #rateFactor = 1;
-  #isControlSilent = false;
+  readonly #retryLeader = new SimulatedRetryLeader(RETRY_ALLOWANCE, this.#time);
 
   /**
    * @param settings the load, the variant, the disturbances and the seed
@@ -115,6 +116,7 @@
             services: () => this.#services.values(),
           },
           statistics: this.#statistics,
+          retryLeader: this.#retryLeader,
           send: (from, to, bytes) => {
             this.#datagrams.send(from, to, bytes);
           },
@@ -224,10 +226,7 @@
       for (let at = 0; at < added; at += 1) this.#addEngine();
     },
     controlSilence: ({forMs}) => {
-      this.#isControlSilent = true;
-      this.#time.after(forMs, () => {
-        this.#isControlSilent = false;
-      });
+      this.#retryLeader.silence(this.#time.now + forMs);
     },
     restart: ({downMs}) => {
       for (const gateway of this.#gateways) {
@@ -380,7 +379,7 @@
   #relayReport(sentReport: ReadingReport): void {
     const {now} = this.#time;
     const {variant} = this.#settings;
-    if (this.#isControlSilent) return;
+    if (this.#retryLeader.isSilent(now)) return;
     this.#totals.record(sentReport, now);
     const report = variant.individualReports
       ? sentReport
@@ -394,7 +393,7 @@
   #sendTotals(): void {
     const {now} = this.#time;
     if (this.#settings.variant.individualReports) return;
-    if (this.#isControlSilent) return;
+    if (this.#retryLeader.isSilent(now)) return;
     this.#totals.expireReports(now);
     this.#gateways.forEach(({readings}, at) => {
       const running = this.#feeds[at]?.next(this.#totals, now) ?? [];
--- a/packages/lovagepond-measure/src/retry_windows.ts
+++ b/packages/lovagepond-measure/src/retry_windows.ts
@@ -3,14 +3,7 @@
  * every window.
  */
 
-/** What all gateways together may retry in a pool. */
-export interface RetryAllowance {
-  /** Retries as a fraction of the callers' requests. */
-  readonly fraction: number;
-  readonly windowMs: number;
-  /** Retries beyond the fraction. */
-  readonly slack: number;
-}
+import {type RetryAllowance} from '@lovagepond/core';
 
 /** Retries of one window. */
 export interface RetryWindow {
@@ -50,11 +43,27 @@
  * @returns each window that begins with a retry
  */
 export function retryWindows(
+  requests: readonly number[],
+  retries: readonly number[],
+  allowance: RetryAllowance,
+): RetryWindow[] {
+  return windowsFrom(retries, requests, retries, allowance);
+}
+
+/**
+ * @param starts where windows begin, milliseconds
+ * @param requests when callers sent their requests, in order, milliseconds
+ * @param retries when retries arrived at servers, in order, milliseconds
+ * @param allowance the budget
+ * @returns these windows
+ */
+export function windowsFrom(
+  starts: readonly number[],
   requests: readonly number[],
   retries: readonly number[],
   {fraction, windowMs, slack}: RetryAllowance,
 ): RetryWindow[] {
-  return retries.map(from => {
+  return starts.map(from => {
     const counted = [0, windowMs / 2, windowMs].map(back =>
       countWithin(requests, from - back, from - back + windowMs),
     );
--- a/packages/lovagepond-measure/src/simulated_exchange.ts
+++ b/packages/lovagepond-measure/src/simulated_exchange.ts
@@ -6,6 +6,7 @@
   type AttemptOutcome,
   type ContextFetch,
   decideNext,
+  type FinalStep,
   type ForwardingRule,
   FullServersWait,
   PrefillTracker,
@@ -69,14 +70,14 @@
   offer(): void {
     const {kind, parts} = this.#req;
     const {pools, variant} = this.#deps;
-    const {fleet, choice, budget, readyAt} = this.#gateway;
+    const {fleet, choice, retries, readyAt} = this.#gateway;
     if (this.#now < readyAt) {
       this.#handleRefusal();
       return;
     }
     const isChat = kind.prompt !== undefined;
     const pool = isChat ? pools.engines : pools.services;
-    if (this.#offers === 0) budget.noteRequest(pool.name, this.#now);
+    if (this.#offers === 0) retries.noteRequest(pool.name, this.#now);
     const listed = fleet.listed(pool.name);
     const chosen = choice.choose(
       {
@@ -328,10 +329,27 @@
       lastEventId: this.#firstMs === undefined ? undefined : 1,
       isSuspect: false,
       timeLeftMs: this.#req.at + kind.deadlineMs - this.#now,
-      trySpend: () => this.#gateway.budget.trySpend(pool.name, this.#now),
+      needsCredit: outcome.kind !== 'unsent',
     });
-    if (next.kind === 'retry' || next.kind === 'resume') this.offer();
-    else if (next.kind === 'refuse' && this.#runs === 0) this.#handleRefusal();
+    if (next.kind !== 'retry' && next.kind !== 'resume') {
+      this.#performLast(next);
+      return;
+    }
+    if (!next.needsCredit) {
+      this.offer();
+      return;
+    }
+    const at = {now: this.#now, wallTime: this.#now};
+    this.#gateway.retries.acquire(pool.name, at, ({credit}) => {
+      if (this.#isDone) return;
+      if (credit) this.offer();
+      else this.#performLast(next.otherwise);
+    });
+  }
+
+  #performLast(next: FinalStep): void {
+    const {kind} = this.#req;
+    if (next.kind === 'refuse' && this.#runs === 0) this.#handleRefusal();
     else if (kind.repeatable) this.#retryAsCaller();
     else this.#end();
   }
--- a/packages/lovagepond-measure/src/simulated_gateway.ts
+++ b/packages/lovagepond-measure/src/simulated_gateway.ts
@@ -8,9 +8,8 @@
   GatewayChoice,
   GatewayFleet,
   GatewayLoadReports,
-  GatewayPeers,
   GatewayPermits,
-  GatewayRetryBudget,
+  GatewayRetries,
   GatewayWarmUp,
   LoadLimits,
   PeerAddresses,
@@ -25,6 +24,7 @@
   type SimulatedRequestKind,
 } from './gateway_simulation_types.js';
 import {SimulatedExchange} from './simulated_exchange.js';
+import {type SimulatedRetryLeader} from './simulated_retry_leader.js';
 import {type VirtualTime} from './virtual_time.js';
 
 /** One request of the generated workload. */
@@ -57,6 +57,7 @@
   readonly time: VirtualTime;
   readonly servers: ServerLookup;
   readonly statistics: GatewaySimulationStatistics;
+  readonly retryLeader: SimulatedRetryLeader;
   /** Sends a datagram to another gateway. */
   readonly send: (from: string, to: string, bytes: Uint8Array) => void;
 }
@@ -64,12 +65,8 @@
 /** Assumed prefill rate before any observation, tokens per millisecond. */
 const INITIAL_PREFILL_RATE = 40;
 
-const RETRY_BUDGET = {
-  retryFraction: 0.2,
-  retryWindowMs: 10_000,
-  retrySlack: 64,
-  retryShares: 16,
-};
+/** What the gateways of a simulation may retry in each pool. */
+export const RETRY_ALLOWANCE = {fraction: 0.2, windowMs: 10_000, slack: 64};
 
 export class SimulatedGateway {
   readonly #deps: SimulatedGatewayDependencies;
@@ -78,8 +75,7 @@
   #choice!: GatewayChoice;
   #limits!: LoadLimits;
   #rate!: PrefillRate;
-  #peers = new GatewayPeers();
-  #budget = new GatewayRetryBudget(RETRY_BUDGET, this.#peers);
+  retries!: GatewayRetries;
   addresses!: PeerAddresses;
   permits!: GatewayPermits;
   warmUp!: GatewayWarmUp;
@@ -96,12 +92,7 @@
     const {name, zone, variant, hasher, random} = this.#deps;
     this.fleet = new GatewayFleet();
     this.#rate = new PrefillRate(INITIAL_PREFILL_RATE);
-    this.readings = new GatewayLoadReports(
-      name,
-      this.fleet,
-      this.#rate,
-      this.#peers,
-    );
+    this.readings = new GatewayLoadReports(name, this.fleet, this.#rate);
     const weights = {...ENGINE_WEIGHTS, ...variant.weights};
     const limits = new LoadLimits();
     this.#limits = limits;
@@ -112,8 +103,7 @@
       limits,
     };
     this.#choice = new GatewayChoice(settings, hasher, random);
-    this.#peers = new GatewayPeers();
-    this.#budget = new GatewayRetryBudget(RETRY_BUDGET, this.#peers);
+    this.retries = this.#makeRetries();
     this.addresses = new PeerAddresses(name, hasher);
     const {engines} = this.#deps.pools;
     const shared = {
@@ -144,6 +134,8 @@
   tick(now: number): void {
     this.fleet.expire(now);
     this.permits.refresh(now);
+    const requests = this.retries.takeReport(now);
+    if (requests) this.#deps.retryLeader.note(requests, now);
     for (const pool of this.fleet.pools()) {
       this.#limits.sample(this.fleet.listed(pool), pool, now);
     }
@@ -171,7 +163,17 @@
     return this.#rate;
   }
 
-  get budget(): GatewayRetryBudget {
-    return this.#budget;
+  #makeRetries(): GatewayRetries {
+    const {time, retryLeader} = this.#deps;
+    return new GatewayRetries(RETRY_ALLOWANCE, {
+      process: retryLeader.nextProcess(),
+      readClock: () => ({now: time.now, wallTime: time.now}),
+      ask: (req, onAnswer) => {
+        retryLeader.ask(req, onAnswer);
+      },
+      schedule: (delayMs, callback) => {
+        time.after(delayMs, callback);
+      },
+    });
   }
 }
--- a/packages/lovagepond-measure/src/workspace_shares_measure.ts
+++ b/packages/lovagepond-measure/src/workspace_shares_measure.ts
@@ -12,7 +12,6 @@
 import {
   GatewayFleet,
   GatewayLoadReports,
-  GatewayPeers,
   GatewayShares,
   PrefillRate,
 } from '@lovagepond/gateway/deciders';
@@ -56,7 +55,6 @@
     name,
     new GatewayFleet(),
     new PrefillRate(40),
-    new GatewayPeers(),
     shares,
   );
 }
--- a/packages/lovagepond-protocol/src/protocol_services.ts
+++ b/packages/lovagepond-protocol/src/protocol_services.ts
@@ -87,6 +87,12 @@
     v1.CrashReportResponse,
     false,
   ),
+  requestRetries: makeMethod(
+    'Control/RequestRetries',
+    v1.RetryRequest,
+    v1.RetryResponse,
+    false,
+  ),
   announce: makeMethod(
     'Control/Announce',
     v1.AnnounceRequest,
--- a/packages/lovagepond-router/src/router_control_link.ts
+++ b/packages/lovagepond-router/src/router_control_link.ts
@@ -186,7 +186,7 @@
   reportReadings(
     report: Pick<
       lovagepond.v1.ReadingReport.$Properties,
-      'readings' | 'running' | 'demand' | 'streamAddress'
+      'readings' | 'running' | 'demand' | 'streamAddress' | 'requests'
     >,
   ): void {
     const method = CONTROL_SERVICE.reportReadings;
@@ -222,6 +222,23 @@
     return res?.recorded ?? false;
   }
 
+  /**
+   * Asks for retries.
+   *
+   * @param question what is wanted, and the requests that back it
+   * @returns the answer; undefined when there was none in time
+   */
+  async requestRetries(
+    question: Omit<lovagepond.v1.RetryRequest.$Properties, 'node'>,
+  ): Promise<lovagepond.v1.RetryResponse | undefined> {
+    const {node} = this.#facts;
+    const res = await this.#callControl(
+      CONTROL_SERVICE.requestRetries,
+      new v1.RetryRequest({...question, node}),
+    );
+    return res && new v1.RetryResponse(res);
+  }
+
   /** Subscribes again and reports the current revision. */
   restart(reason: string): void {
     if (this.#call) this.#onLost(reason);
