Tell retries granted, refused and left in metrics, and refused ones in explain

Cause: nothing on the metrics address told retries refused for the budget or left; a request that ended with its server's failure looked as if nobody had wanted to try again. The counter of retries counted those that were wanted.

Change: gateways count decisions (granted, alone, noneLeft, unanswered) and show what control told to be left; control counts granted and refused retries by pool, its leader what is left. "retry refused" names pool and reason, and explain adds them to the cause. lovagepond_retries_total counts attempts that began.

Why it works: the values are those that the decisions use.

--- a/packages/lovagepond-cli/src/role_metrics.ts
+++ b/packages/lovagepond-cli/src/role_metrics.ts
@@ -8,7 +8,11 @@
 import {type MetricsRegistry, type Sample} from '@lovagepond/process';
 import {type RoleName} from './cli_constants.js';
 import {GATEWAY_METRICS} from './role_metrics_gateway.js';
-import {REVISION, SUSPECTED_REQUESTS} from './role_metrics_shared.js';
+import {
+  RETRIES_LEFT,
+  REVISION,
+  SUSPECTED_REQUESTS,
+} from './role_metrics_shared.js';
 import {type DumpMetric, type Path} from './role_metrics_types.js';
 
 function makeControlBytes(paths: Readonly<Record<string, Path>>): DumpMetric {
@@ -155,6 +159,19 @@
 
 const CONTROL_METRICS: readonly DumpMetric[] = [
   REVISION,
+  RETRIES_LEFT,
+  {
+    kind: 'counter',
+    name: 'lovagepond_control_retries_granted_total',
+    help: 'Retries granted to gateways by this member, by pool.',
+    labelledObjects: {paths: [['retries', 'grantedByPool']], label: 'pool'},
+  },
+  {
+    kind: 'counter',
+    name: 'lovagepond_control_retries_refused_total',
+    help: 'Retries refused as none was left, by pool.',
+    labelledObjects: {paths: [['retries', 'refusedByPool']], label: 'pool'},
+  },
   {
     kind: 'gauge',
     name: 'lovagepond_backend_servers',
--- a/packages/lovagepond-cli/src/role_metrics_gateway.ts
+++ b/packages/lovagepond-cli/src/role_metrics_gateway.ts
@@ -2,7 +2,11 @@
  * Metrics of a gateway.
  */
 import {ADMISSION_METRICS} from './role_metrics_admission.js';
-import {REVISION, SUSPECTED_REQUESTS} from './role_metrics_shared.js';
+import {
+  RETRIES_LEFT,
+  REVISION,
+  SUSPECTED_REQUESTS,
+} from './role_metrics_shared.js';
 import {type DumpMetric} from './role_metrics_types.js';
 
 export const GATEWAY_METRICS: readonly DumpMetric[] = [
@@ -61,6 +65,13 @@
     help: 'Attempts after the first one.',
     path: ['secondTries'],
   },
+  {
+    kind: 'counter',
+    name: 'lovagepond_gateway_retry_decisions_total',
+    help: 'Retries that were granted, taken alone, or refused, by reason.',
+    labelledObjects: {paths: [['retries', 'decisions']], label: 'decision'},
+  },
+  RETRIES_LEFT,
   {
     kind: 'counter',
     name: 'lovagepond_gateway_servers_crashed_total',
--- a/packages/lovagepond-cli/src/role_metrics_shared.ts
+++ b/packages/lovagepond-cli/src/role_metrics_shared.ts
@@ -16,3 +16,10 @@
   help: 'Requests that servers crashed under, quarantined or not.',
   path: ['suspectedRequests'],
 };
+
+export const RETRIES_LEFT: DumpMetric = {
+  kind: 'gauge',
+  name: 'lovagepond_retries_left',
+  help: 'Retries that all gateways together may still send, by pool.',
+  labelledObjects: {paths: [['retries', 'leftByPool']], label: 'pool'},
+};
--- a/packages/lovagepond-control/src/retry_issuer.ts
+++ b/packages/lovagepond-control/src/retry_issuer.ts
@@ -39,16 +39,18 @@
  */
 const INTERVAL_MS_PER_ROUTER = 1;
 
-/** Grants and refusals since the start of this member, by pool. */
-export interface RetryCounts {
+/** Retries of a pool since the start of this member. */
+interface RetryCounts {
   granted: number;
   refused: number;
 }
 
-/** One pool in the state dump. */
-export interface RetryPoolView extends RetryCounts {
-  readonly pool: string;
-  readonly left: number;
+/** State for metrics and the state dump. */
+export interface RetryIssuerState {
+  readonly grantedByPool: Readonly<Record<string, number>>;
+  readonly refusedByPool: Readonly<Record<string, number>>;
+  /** Empty at members that don't lead. */
+  readonly leftByPool: Readonly<Record<string, number>>;
 }
 
 export type RetryIssuerSettings = Pick<
@@ -136,17 +138,25 @@
 
   /**
    * @param now current time, monotonic milliseconds
-   * @returns the pools with requests or grants, for operators; empty at members
-   *     that don't lead
+   * @returns retries by pool, for operators
    */
-  describe(now: number): readonly RetryPoolView[] {
-    if (!this.#deps.proposer.leads() || !this.#canIssue()) return [];
-    const pools = new Set([...this.#requests.pools, ...this.#counts.keys()]);
-    return [...pools].map(pool => ({
-      pool,
-      ...this.#countsOf(pool),
-      left: this.#leftOf(pool, now),
-    }));
+  describe(now: number): RetryIssuerState {
+    const counts = [...this.#counts];
+    const issues = this.#deps.proposer.leads() && this.#canIssue();
+    const pools = issues
+      ? new Set([...this.#requests.pools, ...this.#counts.keys()])
+      : [];
+    return {
+      grantedByPool: Object.fromEntries(
+        counts.map(([pool, {granted}]) => [pool, granted]),
+      ),
+      refusedByPool: Object.fromEntries(
+        counts.map(([pool, {refused}]) => [pool, refused]),
+      ),
+      leftByPool: Object.fromEntries(
+        [...pools].map(pool => [pool, this.#leftOf(pool, now)]),
+      ),
+    };
   }
 
   /** A member of an earlier release would stop at an unknown command. */
--- a/packages/lovagepond-explain/src/__tests__/unit/explain_admission.test.ts
+++ b/packages/lovagepond-explain/src/__tests__/unit/explain_admission.test.ts
@@ -78,3 +78,23 @@
   const direct = logged('request ended', fields, 1_000);
   expect(explain([direct])).not.toContain('waited');
 });
+
+describe('a request whose retry was refused', () => {
+  // Guards against a report that names the failed attempt only, as if nobody had
+  // wanted to try again.
+  it.each([
+    ['noneLeft', 'all gateways together had sent as many retries'],
+    ['unanswered', 'control did not answer in time'],
+  ])('is explained by the reason %s', (reason, cause) => {
+    const refused = logged('retry refused', {pool: 'models', reason}, 950);
+    const failed = {...ENDED, outcome: 'backendFailed', status: 502};
+    const ended = logged('request ended', failed, 1_001);
+    const text = explain([FAILED, refused, ended]);
+    expect(text).toContain('a retry in pool models was refused');
+    expect(text).toContain(cause);
+  });
+
+  it('says nothing of retries where none was refused', () => {
+    expect(explain([FAILED, OVERLOADED])).not.toContain('retry');
+  });
+});
--- a/packages/lovagepond-explain/src/explain_causes.ts
+++ b/packages/lovagepond-explain/src/explain_causes.ts
@@ -5,6 +5,7 @@
 import {type RequestReport} from './explain_request.js';
 
 const FAILED_MESSAGE = 'attempt failed';
+const RETRY_REFUSED_MESSAGE = 'retry refused';
 const ADMISSION_MESSAGE = 'request refused by admission';
 
 type Cause = (report: RequestReport) => string;
@@ -73,6 +74,16 @@
   deadline: 'it could not be answered before its deadline',
 };
 
+/** Why a request was not sent once more, by the logged reason. */
+const RETRY_REASONS: Readonly<Record<string, string>> = {
+  noneLeft:
+    'all gateways together had sent as many retries in the window as they may; ' +
+    'see lovagepond_retries_left and lovagepond_control_retries_refused_total',
+  unanswered:
+    'control did not answer in time, and the gateway had no retry of its own; ' +
+    'search for "control leads" and "control subscription lost"',
+};
+
 const UNKNOWN_CAUSE =
   'the request itself is at fault: see the table of errors in OPERATIONS';
 
@@ -92,6 +103,15 @@
   );
 }
 
+/** @returns why the request was not sent once more; empty if it could be */
+function describeRetry({lines}: RequestReport): string {
+  const line = lines.findLast(({message}) => message === RETRY_REFUSED_MESSAGE);
+  if (!line) return '';
+  const reason = formatValue(line.fields['reason']);
+  const pool = formatValue(line.fields['pool']);
+  return `; a retry in pool ${pool} was refused: ${RETRY_REASONS[reason] ?? reason}`;
+}
+
 /** @returns how long the request waited in the gateway; empty if it did not */
 function describeWait({waitMs}: LogLine['fields']): string {
   const text = formatValue(waitMs);
@@ -124,5 +144,5 @@
   const {outcome, reason} = last.fields;
   const kind = formatValue(outcome) || formatValue(reason);
   const cause = CAUSES[kind]?.(report) ?? UNKNOWN_CAUSE;
-  return `${cause}${describeWait(last.fields)}`;
+  return `${cause}${describeRetry(report)}${describeWait(last.fields)}`;
 }
--- a/packages/lovagepond-gateway/src/gateway_counters.ts
+++ b/packages/lovagepond-gateway/src/gateway_counters.ts
@@ -48,12 +48,13 @@
     countUp(this.#refused, kind);
   }
 
-  /**
-   * @param outcome how an attempt ended
-   * @param isFollowed true when another attempt follows
-   */
-  noteFailedAttempt(outcome: string, isFollowed: boolean): void {
+  /** @param outcome how an attempt ended */
+  noteFailedAttempt(outcome: string): void {
     countUp(this.#failedAttempts, outcome);
-    if (isFollowed) this.#secondTries += 1;
+  }
+
+  /** Counts an attempt after a request's first one. */
+  noteSecondTry(): void {
+    this.#secondTries += 1;
   }
 }
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -360,13 +360,17 @@
   }
 
   #repeat({needsCredit, otherwise}: RepeatStep, at: ClockReading): void {
-    if (!needsCredit) {
+    const start = (): void => {
+      this.#deps.counters.noteSecondTry();
       this.#startAttempt();
+    };
+    if (!needsCredit) {
+      start();
       return;
     }
     this.#retry.acquire(at, ({refusal}) => {
       if (refusal === undefined) {
-        this.#startAttempt();
+        start();
         return;
       }
       this.#log.noteRetryRefused(refusal);
--- a/packages/lovagepond-gateway/src/gateway_exchange_log.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_log.ts
@@ -73,8 +73,7 @@
     reason: string,
     {server, wasAvoided, signals, runs, next}: FailedAttempt,
   ): void {
-    const isFollowed = next.kind === 'retry' || next.kind === 'resume';
-    this.#deps.counters.noteFailedAttempt(outcome, isFollowed);
+    this.#deps.counters.noteFailedAttempt(outcome);
     this.#deps.log.warn('attempt failed', {
       request: this.#req.facts.requestId,
       fingerprint: this.#req.fingerprint,
--- a/packages/lovagepond-gateway/src/gateway_retries.ts
+++ b/packages/lovagepond-gateway/src/gateway_retries.ts
@@ -66,16 +66,19 @@
   readonly schedule: (delayMs: number, callback: () => void) => void;
 }
 
-/** Counts since the start. */
-export interface RetryCounts {
-  readonly taken: number;
-  /** Those of them that control did not grant. */
-  readonly takenAlone: number;
-  readonly refusedByReason: Readonly<Record<RetryRefusal, number>>;
+/** Decisions since the start. */
+export interface RetryDecisionCounts extends Readonly<
+  Record<RetryRefusal, number>
+> {
+  /** Retries that control granted. */
+  readonly granted: number;
+  /** Retries that this gateway sent while control did not answer. */
+  readonly alone: number;
 }
 
 /** State for metrics and the state dump. */
-export interface GatewayRetriesState extends RetryCounts {
+export interface GatewayRetriesState {
+  readonly decisions: RetryDecisionCounts;
   /** Retries left for all gateways by pool, as control told last. */
   readonly leftByPool: Readonly<Record<string, number>>;
 }
@@ -104,9 +107,9 @@
   #nextAskAt = Number.NEGATIVE_INFINITY;
   #aloneUntil = Number.NEGATIVE_INFINITY;
   #reportedAt = Number.NEGATIVE_INFINITY;
-  #taken = 0;
-  #takenAlone = 0;
-  readonly #refused = {
+  readonly #decisions = {
+    granted: 0,
+    alone: 0,
     [RETRY_REFUSAL.NONE_LEFT]: 0,
     [RETRY_REFUSAL.UNANSWERED]: 0,
   };
@@ -187,9 +190,7 @@
 
   describe(): GatewayRetriesState {
     return {
-      taken: this.#taken,
-      takenAlone: this.#takenAlone,
-      refusedByReason: {...this.#refused},
+      decisions: {...this.#decisions},
       leftByPool: Object.fromEntries(this.#left),
     };
   }
@@ -278,8 +279,7 @@
       this.#refuse(onDecision, RETRY_REFUSAL.UNANSWERED, at);
       return;
     }
-    this.#taken += 1;
-    this.#takenAlone += 1;
+    this.#decisions.alone += 1;
     const validUntil = {
       now: at.now + RETRY_VALID_MS,
       wallTime: at.wallTime + RETRY_VALID_MS,
@@ -292,7 +292,7 @@
     refusal: RetryRefusal,
     at: ClockReading,
   ): void {
-    this.#refused[refusal] += 1;
+    this.#decisions[refusal] += 1;
     onDecision({refusal}, at);
   }
 
@@ -302,7 +302,7 @@
     const credit = valid.shift();
     if (valid.length > 0) this.#spare.set(pool, valid);
     else this.#spare.delete(pool);
-    if (credit) this.#taken += 1;
+    if (credit) this.#decisions.granted += 1;
     return credit;
   }
 
