--- a/packages/lovagepond-cli/src/__tests__/e2e/main_job.test.ts
+++ b/packages/lovagepond-cli/src/__tests__/e2e/main_job.test.ts
@@ -8,6 +8,10 @@
   'lovagepond_failures_total',
   'lovagepond_frames_dropped_total',
   'lovagepond_refusals_total',
+  // By pool of the gateways, of which there are none here.
+  'lovagepond_retries_left',
+  'lovagepond_control_retries_granted_total',
+  'lovagepond_control_retries_refused_total',
 ]);
 
 // Separate processes over loopback, each with its own settings file of
--- a/packages/lovagepond-cli/src/__tests__/unit/role_metrics.test.ts
+++ b/packages/lovagepond-cli/src/__tests__/unit/role_metrics.test.ts
@@ -62,3 +62,27 @@
   // One series for each workspace would be too many with hundreds of them.
   expect(text).not.toContain('nord');
 });
+
+it('exports the retries that control grants', async () => {
+  const state = {
+    retries: {
+      grantedByPool: {models: 3},
+      refusedByPool: {models: 4},
+      leftByPool: {models: 5},
+    },
+  };
+  const control = {
+    dump: (): StateDump => ({version: 1, role: 'control', state}),
+  } as Role;
+  const metrics = new MetricsRegistry();
+  registerRoleMetrics(metrics, [{kind: 'control', name: 'c', role: control}]);
+  const {text} = await metrics.render();
+  const labels = 'role="control",process="c",pool="models"';
+  for (const line of [
+    `lovagepond_control_retries_granted_total{${labels}} 3`,
+    `lovagepond_control_retries_refused_total{${labels}} 4`,
+    `lovagepond_retries_left{${labels}} 5`,
+  ]) {
+    expect(text).toContain(line);
+  }
+});
