Let gateways ask again after an interval by those that are running

Cause: a gateway waits as many milliseconds between two questions as there are gateways, but exited processes were counted for 21 s.

Change: only processes that have reported within 0.7 s count.

Why it works: the interval bounds the leader's questions a second, which only running gateways ask.

--- a/packages/lovagepond-control/src/retry_issuer.ts
+++ b/packages/lovagepond-control/src/retry_issuer.ts
@@ -184,16 +184,17 @@
       pool => this.#leftOf(pool, now),
     );
     const isStored = await this.#store(granted, now).catch(() => false);
-    const left = new Map<string, number>();
-    for (const pool of new Set(
-      questions.flatMap(one => [...one.wanted.keys()]),
-    )) {
-      left.set(pool, this.#leftOf(pool, this.#deps.clock.now()));
-    }
+    const answeredAt = this.#deps.clock.now();
+    const pools = new Set(questions.flatMap(({wanted}) => [...wanted.keys()]));
+    const left = new Map(
+      [...pools].map(pool => [pool, this.#leftOf(pool, answeredAt)]),
+    );
+    const reporting = this.#requests.countReporting(answeredAt);
+    const intervalMs = reporting * INTERVAL_MS_PER_ROUTER;
     for (const [at, {wanted, resolve}] of questions.entries()) {
       const own = granted[at] ?? new Map<string, number>();
       const res = isStored
-        ? this.#toResponse(wanted, own, left)
+        ? this.#toResponse(wanted, own, left, intervalMs)
         : new v1.RetryResponse();
       resolve(res);
     }
@@ -218,6 +219,7 @@
     wanted: WantedRetries,
     granted: ReadonlyMap<string, number>,
     left: ReadonlyMap<string, number>,
+    intervalMs: number,
   ): lovagepond.v1.RetryResponse {
     return new v1.RetryResponse({
       answered: true,
@@ -228,7 +230,7 @@
         counts.refused += asked - count;
         return {pool, count, left: left.get(pool) ?? 0};
       }),
-      intervalMs: this.#requests.processes * INTERVAL_MS_PER_ROUTER,
+      intervalMs,
     });
   }
 
--- a/packages/lovagepond-control/src/retry_request_counts.ts
+++ b/packages/lovagepond-control/src/retry_request_counts.ts
@@ -26,6 +26,9 @@
   readonly pools: Map<string, Map<number, PlacedSpan>>;
 }
 
+/** A router reports more often than this while it gets requests, milliseconds. */
+const REPORTING_MS = 700;
+
 /** Limits what a faulty report may occupy. */
 const MAX_SPANS = 1_000;
 
@@ -40,9 +43,17 @@
     this.#keptMs = keptMs;
   }
 
-  /** Number of router processes that have reported lately. */
-  get processes(): number {
-    return this.#processes.size;
+  /**
+   * @param now current time, monotonic milliseconds
+   * @returns the number of router processes that report, without most of those
+   *     that have exited
+   */
+  countReporting(now: number): number {
+    let reporting = 0;
+    for (const {reportedAt} of this.#processes.values()) {
+      if (now - reportedAt <= REPORTING_MS) reporting += 1;
+    }
+    return reporting;
   }
 
   /** Pools with requests. */
--- a/packages/lovagepond-measure/src/__tests__/unit/retry_simulation.test.ts
+++ b/packages/lovagepond-measure/src/__tests__/unit/retry_simulation.test.ts
@@ -58,6 +58,7 @@
   [8, 80, 0.125, {}, 0.8],
   [8, 80, 1, {killAllEveryMs: 2_500}, 0.5],
   [30, 80, 1, {killAllEveryMs: 2_500}, 0.5],
+  [370, 2_000, 1, {killAllEveryMs: 2_500}, 0.5],
 ] as const)(
   '%i gateways with %d requests a second use the budget',
   (gateways, perSecond, affected, faults, least) => {
--- a/packages/lovagepond-measure/src/measure_table.ts
+++ b/packages/lovagepond-measure/src/measure_table.ts
@@ -22,6 +22,7 @@
 import {measurePlacement} from './placement_measure.js';
 import {measurePlacementScale} from './placement_scale_measure.js';
 import {measureRouter} from './router_measure.js';
+import {measureRetries} from './retries_measure.js';
 import {measureSidecar} from './sidecar_measure.js';
 import {measureColdServers} from './cold_servers_measure.js';
 import {measureLoadBound} from './load_bound_measure.js';
@@ -42,6 +43,7 @@
   'stream-records': measureStreamRecords,
   'cold-servers': measureColdServers,
   'load-bound': measureLoadBound,
+  retries: measureRetries,
   'gateway-plays': measureGatewaySimulations,
   'gateway-ablation': measureGatewayAblation,
   'gateway-weights': measureGatewayWeights,
--- a/packages/lovagepond-measure/src/retry_simulation.ts
+++ b/packages/lovagepond-measure/src/retry_simulation.ts
@@ -9,6 +9,7 @@
   isValid,
   type RetryCredit,
 } from '@lovagepond/gateway/deciders';
+import {lovagepond} from '@lovagepond/protocol';
 import {
   retryWindows,
   type RetryWindow,
@@ -18,6 +19,8 @@
 import {SimulatedRetryLeader} from './simulated_retry_leader.js';
 import {VirtualTime} from './virtual_time.js';
 
+const {v1} = lovagepond;
+
 const POOL = 'pool';
 const TICK_MS = 20;
 
@@ -77,6 +80,8 @@
   readonly used: number;
   /** Questions that the leader got in a second, in the mean. */
   readonly questionsPerSecond: number;
+  /** Of questions and reports that a gateway sent in a second, in the mean. */
+  readonly bytesPerSecond: number;
 }
 
 interface Gateway {
@@ -95,6 +100,7 @@
   readonly #requests: number[] = [];
   readonly #arrivals: number[] = [];
   #questions = 0;
+  #bytes = 0;
   #share = 1;
   #rate = 1;
 
@@ -152,6 +158,8 @@
       worst: worstWindow(windows),
       used: this.#used(),
       questionsPerSecond: (this.#questions * 1_000) / (durationMs - CALM_MS),
+      bytesPerSecond:
+        (this.#bytes * 1_000) / durationMs / this.#gateways.length,
     };
   }
 
@@ -253,6 +261,7 @@
       if (now < gateway.pausedUntil) continue;
       const counts = gateway.retries?.takeReport(now);
       if (!counts || now < gateway.cutUntil) continue;
+      this.#bytes += v1.RequestCounts.encode(counts).finish().length;
       this.#time.after(this.#controlMs(), () => {
         this.#leader.note(counts, this.#time.now);
       });
@@ -274,6 +283,7 @@
       ask: (req, onAnswer) => {
         if (this.#time.now < gateway.cutUntil) return;
         this.#questions += 1;
+        this.#bytes += v1.RetryRequest.encode(req).finish().length;
         this.#time.after(this.#controlMs(), () => {
           this.#leader.ask(req, answer => {
             this.#later(gateway, retries, this.#controlMs(), () => {
--- a/packages/lovagepond-measure/src/simulated_retry_leader.ts
+++ b/packages/lovagepond-measure/src/simulated_retry_leader.ts
@@ -116,6 +116,7 @@
       pool => this.leftOf(pool, now),
     );
     const pools = granted.flatMap(own => [...own]);
+    const intervalMs = this.#requests.countReporting(now);
     const keepMs = grantKeptMs(this.#allowance);
     this.#grants.record({pools: sumByPool(pools), keepMs}, now, now);
     for (const [at, {wanted, onAnswer}] of questions.entries()) {
@@ -125,7 +126,7 @@
           pool,
           count: granted[at]?.get(pool) ?? 0,
         })),
-        intervalMs: this.#requests.processes,
+        intervalMs,
       });
     }
   }
