--- a/scripts/test_safeguards.mjs
+++ b/scripts/test_safeguards.mjs
@@ -21,6 +21,7 @@
   'scripts/safeguards.json',
   'scripts/safeguards_control.json',
   'scripts/safeguards_quarantine.json',
+  'scripts/safeguards_retries.json',
   'scripts/safeguards_scenarios.json',
   'scripts/safeguards_warm_up.json',
 ];
