Place requests by the fastest report, and answer only in the leader's own term

Cause: a report that was under way for up to a second placed its requests as much later, so they could count in a window that they weren't in. A member that lost and regained leadership between two ticks could have answered before it knew the grants of the leader between.

Change: a process's start is taken from its fastest report; the issuer compares the term that it has taken over with the present one. Both found by reading.

The term has no test of its own.

Why it works: no report is faster than the network, so the earliest start seen is the closest one.

--- a/packages/lovagepond-control/src/__tests__/unit/retry_issuer.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/retry_issuer.test.ts
@@ -12,6 +12,7 @@
 import {retriesLeft} from '../../retry_decision.js';
 import {type RetryGrantPayload} from '../../retry_grants.js';
 import {RetryIssuer} from '../../retry_issuer.js';
+import {RetryRequestCounts} from '../../retry_request_counts.js';
 
 const {v1} = lovagepond;
 const ALLOWANCE = {fraction: 0.2, windowMs: 10_000, slack: 64};
@@ -135,6 +136,23 @@
   });
 });
 
+// Guards against requests that count in a later window than they came in, as their
+// report was under way for long.
+it('places requests by the fastest report of their gateway', () => {
+  const counts = new RetryRequestCounts(20_000);
+  const report = (uptimeMs: number, first: number, count: number): void => {
+    const pools = [{pool: 'p', first, counts: [count]}];
+    counts.note({process: 1, uptimeMs, pools}, now);
+  };
+  report(1_000, 0, 1);
+  now += 2_000;
+  report(1_500, 5, 100);
+  now += 3_000;
+  const requests = counts.counterOf('p', now);
+  expect(requests(now - 5_000, now - 3_000)).toBe(100);
+  expect(requests(now - 3_500, now)).toBe(0);
+});
+
 // Guards against grants that requests allow which have left the window by the time
 // at which the retries arrive.
 it('leaves no retries for windows that begin after the requests', () => {
--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -347,7 +347,8 @@
     return new RetryIssuer(this.#settings, {
       ...this.#deps,
       proposer: this.#proposer,
-      hasTakenOver: () => this.#leadership.term !== undefined,
+      hasTakenOver: () =>
+        this.#leadership.term === this.#deps.node.status().term,
       oldestLogVersion: () => this.#hub.oldestLogVersion,
       forwardToLeader: req => this.#leaderClient.requestRetries(req),
     });
--- a/packages/lovagepond-control/src/retry_request_counts.ts
+++ b/packages/lovagepond-control/src/retry_request_counts.ts
@@ -22,6 +22,8 @@
 
 interface RouterProcess {
   reportedAt: number;
+  /** By the report that was under way for the shortest time. */
+  startedAt: number;
   /** By pool and number of the router's span. */
   readonly pools: Map<string, Map<number, PlacedSpan>>;
 }
@@ -67,11 +69,11 @@
    */
   note({process, uptimeMs, pools}: ReportedRequests, now: number): void {
     const known = this.#processes.get(process);
-    const state = known ?? {reportedAt: now, pools: new Map()};
+    const startedAt = Math.min(known?.startedAt ?? Infinity, now - uptimeMs);
+    const state = known ?? {reportedAt: now, startedAt, pools: new Map()};
     state.reportedAt = now;
+    state.startedAt = startedAt;
     this.#processes.set(process, state);
-    // A router that has just started may have an uptime of less than a span.
-    const startedAt = now - uptimeMs;
     const oldest = now - this.#keptMs;
     for (const {pool, first, counts} of pools) {
       const spans = state.pools.get(pool) ?? new Map<number, PlacedSpan>();
