Let the hooks of tests take as long as the waits in them

The hook starts a fleet with waits of up to 20 s each, which name what is missing; the runner ended it before any of them could.

Change: hooks may take 60 s, as those that set a limit of their own do.

What the tests check is unchanged.

Why it works: a start that fails is told by its own wait.

--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -10,6 +10,7 @@
     pool: 'forks',
     poolOptions: {forks: {maxForks: 4}},
     testTimeout: 30_000,
+    hookTimeout: 60_000,
     setupFiles: ['scripts/property_seed.mjs', 'scripts/event_loop_turn.mjs'],
   },
 });
