Confine invalid server addresses and one request's exceptions

Cause: the report was accepted, as its address was only matched against a pattern, and replicated. undici's constructor throws for such an address, in a callback where nobody catches it. The probe of a crashed server and gRPC's client throw likewise; an id with a line break or a letter beyond ASCII was accepted, too, and 010.0.0.1 is read by a URL as 8.0.0.1.

Change: one parser of addresses; reports are rejected by it, and gateways leave listed servers out that they can't forward to, as control's log or a member of an earlier release may still hold them. A connection that can't be opened is an unsent attempt. Handlers of a request are guarded, so that an unexpected exception ends this request only, with its stack in the log and a metric. Routers, sidecars and members of control check the addresses they are told.

Why it works: what can't be used is refused where it enters; where it is in the log already, the reader leaves it out; and what still throws reaches no further than its request.

--- a/packages/lovagepond-cli/src/role_metrics_gateway.ts
+++ b/packages/lovagepond-cli/src/role_metrics_gateway.ts
@@ -65,6 +65,12 @@
     help: 'Attempts after the first one.',
     path: ['secondTries'],
   },
+  {
+    kind: 'counter',
+    name: 'lovagepond_gateway_exceptions_total',
+    help: 'Requests that an unexpected exception has ended.',
+    path: ['exceptions'],
+  },
   {
     kind: 'counter',
     name: 'lovagepond_gateway_retry_decisions_total',
@@ -78,6 +84,12 @@
     help: 'Backend servers that ended while they ran requests of this gateway.',
     path: ['crashedServers'],
   },
+  {
+    kind: 'gauge',
+    name: 'lovagepond_gateway_servers_rejected',
+    help: 'Listed backend servers that can not be forwarded to.',
+    path: ['rejectedServers'],
+  },
   {
     kind: 'gauge',
     name: 'lovagepond_gateway_servers_paused',
--- a/packages/lovagepond-control/src/__tests__/unit/member_message_codec.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/member_message_codec.test.ts
@@ -55,3 +55,13 @@
   const head = Buffer.from('{"kind":"append","entries":[{"index":1}]}');
   expect(decodeMemberMessage({head, payloads: []})).toBeUndefined();
 });
+
+// Guards against a reply to an address at which the library throws, which would
+// end the member.
+test.each([undefined, '', '127.0.0.1:70000', 7])(
+  'a message from the address %j is malformed',
+  fromAddress => {
+    const message = {...MESSAGES[1], fromAddress} as TransportMessage;
+    expect(decodeMemberMessage(encodeMemberMessage(message))).toBeUndefined();
+  },
+);
--- a/packages/lovagepond-control/src/member_message_codec.ts
+++ b/packages/lovagepond-control/src/member_message_codec.ts
@@ -3,6 +3,7 @@
  * entries and snapshot chunks as separate fields.
  */
 import {type LogEntry, type TransportMessage} from '@lovagepond/consensus';
+import {parseSocketAddress} from '@lovagepond/core';
 import {lovagepond} from '@lovagepond/protocol';
 
 const {v1} = lovagepond;
@@ -39,13 +40,14 @@
 
 /**
  * @param wire the decoded protocol message
- * @returns the consensus message; undefined if the head is malformed
+ * @returns the consensus message; undefined if the head is malformed or names no
+ *     address to reply to
  */
 export function decodeMemberMessage(
   wire: WireMessage,
 ): TransportMessage | undefined {
   const head = parseHead(wire.head ?? new Uint8Array());
-  if (!head) return undefined;
+  if (!head || !hasAddress(head)) return undefined;
   const payloads = wire.payloads ?? [];
   if (head.entries) {
     if (head.entries.length !== payloads.length) return undefined;
@@ -59,6 +61,13 @@
   return {...head, data: payloads[0]} as unknown as TransportMessage;
 }
 
+function hasAddress({fromAddress}: Head): boolean {
+  return (
+    typeof fromAddress === 'string' &&
+    parseSocketAddress(fromAddress) !== undefined
+  );
+}
+
 function splitMessage(message: TransportMessage): {
   readonly head: Head;
   readonly payloads: Uint8Array[];
--- a/packages/lovagepond-core/src/index.ts
+++ b/packages/lovagepond-core/src/index.ts
@@ -78,6 +78,7 @@
 } from './core_labels.js';
 export {decodeLoad, encodeLoad} from './core_load_digest.js';
 export {type RegionCheck, regionCheckOf} from './core_regions.js';
+export {parseSocketAddress, type SocketAddress} from './core_socket_address.js';
 export {readPauseMs, ServerPauses} from './core_server_pauses.js';
 export {
   type BackendServer,
--- a/packages/lovagepond-gateway/src/__tests__/unit/backend_servers.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/backend_servers.ts
@@ -19,7 +19,7 @@
     labels: {},
     availabilityZone: 'a',
     region: 'r',
-    address: `${name}:1`,
+    address: `${name.replace(/\W/g, '-')}:1`,
     state: SERVER_STATE.READY,
     capacityTokens: 0,
     models: [],
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_forwarding.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_forwarding.test.ts
@@ -60,6 +60,7 @@
       refusedByKind: {notFound: 1},
       failedAttemptsByOutcome: {failedAnswer: 1},
       secondTries: 1,
+      exceptions: 0,
     });
   });
 
--- a/packages/lovagepond-gateway/src/gateway_attempt.ts
+++ b/packages/lovagepond-gateway/src/gateway_attempt.ts
@@ -122,6 +122,17 @@
    * @param connections the connection pool
    */
   start(req: OutgoingRequest, connections: GatewayConnections): void {
+    try {
+      this.#dispatch(req, connections);
+    } catch (err) {
+      // The listener has thrown in a call of its own, after the end.
+      if (this.#isOver || this.#isSent) throw err;
+      const reason = err instanceof Error ? err.message : String(err);
+      this.#fail({kind: 'unsent', reason, isRefused: false});
+    }
+  }
+
+  #dispatch(req: OutgoingRequest, connections: GatewayConnections): void {
     const connection = connections.acquire(this.state.server);
     this.#release = () => {
       connections.release(connection);
--- a/packages/lovagepond-gateway/src/gateway_counters.ts
+++ b/packages/lovagepond-gateway/src/gateway_counters.ts
@@ -16,6 +16,8 @@
   readonly failedAttemptsByOutcome: Readonly<Record<string, number>>;
   /** Retries and resumed streams: attempts after a request's first one. */
   readonly secondTries: number;
+  /** Unexpected exceptions, each of which has ended one request. */
+  readonly exceptions: number;
 }
 
 function countUp(counts: Map<string, number>, name: string): void {
@@ -28,6 +30,7 @@
   readonly #refused = new Map<string, number>();
   readonly #failedAttempts = new Map<string, number>();
   #secondTries = 0;
+  #exceptions = 0;
 
   read(): GatewayCounts {
     return {
@@ -35,6 +38,7 @@
       refusedByKind: Object.fromEntries(this.#refused),
       failedAttemptsByOutcome: Object.fromEntries(this.#failedAttempts),
       secondTries: this.#secondTries,
+      exceptions: this.#exceptions,
     };
   }
 
@@ -53,6 +57,11 @@
     countUp(this.#failedAttempts, outcome);
   }
 
+  /** Counts an unexpected exception in a request's handlers. */
+  noteThrown(): void {
+    this.#exceptions += 1;
+  }
+
   /** Counts an attempt after a request's first one. */
   noteSecondTry(): void {
     this.#secondTries += 1;
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -7,17 +7,18 @@
 import {type ErrorKind} from '@lovagepond/core';
 import {
   type ResponseHead,
-  Attempt,
   type AttemptFailure,
+  type AttemptListener,
 } from './gateway_attempt.js';
 import {type ClockReading, readClock} from './gateway_authority.js';
-import {ResponseTiming} from './gateway_response_timing.js';
 import {type CallerChannel} from './gateway_caller_channel.js';
 import {type ServerChoice} from './gateway_choice.js';
+import {CurrentAttempt} from './gateway_current_attempt.js';
 import {EventStream} from './gateway_event_stream.js';
 import {ExchangeAdmission} from './gateway_exchange_admission.js';
 import {ExchangeDispatch} from './gateway_exchange_dispatch.js';
 import {ExchangeRetry} from './gateway_exchange_retry.js';
+import {type RetryDecision} from './gateway_retries.js';
 import {ExchangeServers} from './gateway_exchange_servers.js';
 import {ExchangeLog} from './gateway_exchange_log.js';
 import {
@@ -31,8 +32,7 @@
   type FinalStep,
   type RepeatStep,
 } from './gateway_outcome.js';
-import {toOutgoing} from './gateway_outgoing_request.js';
-import {type PrefillTracker, trackPrefill} from './gateway_prefill_tracker.js';
+import {guardHandler, guardHandlers} from './gateway_request_guard.js';
 import {BufferedFailure} from './gateway_buffered_failure.js';
 import {FinalAnswer} from './gateway_final_answer.js';
 import {
@@ -62,21 +62,26 @@
   readonly #retry: ExchangeRetry;
   readonly #answer: FinalAnswer;
   readonly #events: EventStream | undefined;
-  #attempt: Attempt | undefined;
-  #prefill: PrefillTracker | undefined;
-  /** The current attempt's response timing; unset at engines. */
-  #timing: ResponseTiming | undefined;
-  /** What the current attempt's response says about its server. */
-  #signals: ServerSignals | undefined;
-  /** The current attempt's server was chosen although it had failed lately. */
-  #wasAvoided = false;
+  readonly #current: CurrentAttempt;
   #timer: NodeJS.Timeout | undefined;
-  /** The error response that the current attempt is receiving. */
-  #incomingFailure: BufferedFailure | undefined;
   #runs = 0;
   #attempts = 0;
   #isDone = false;
 
+  /** Ends the request after an unexpected exception in one of its handlers. */
+  readonly #onThrown = (err: unknown): void => {
+    this.#log.noteThrown(err);
+    if (this.#isDone) return;
+    try {
+      this.#abortAttempt();
+      this.#giveUp('internal');
+    } catch (another) {
+      this.#log.noteThrown(another);
+      this.#caller.cut();
+      this.#finish('internal');
+    }
+  };
+
   /**
    * @param req the request
    * @param deps dependencies shared by all exchanges
@@ -96,6 +101,7 @@
     this.#onDone = onDone;
     this.#log = new ExchangeLog(req, deps, caller);
     this.#servers = new ExchangeServers(req, deps);
+    this.#current = new CurrentAttempt(req, deps);
     this.#retry = new ExchangeRetry(deps.retries, req.pool.name);
     const {quarantine, overload} = deps;
     const servers = this.#servers;
@@ -103,65 +109,74 @@
     if (req.rule.forwarding.streaming) {
       this.#events = new EventStream(req.origin && lastEventIdOf(req.facts));
     }
-    const {eligible} = this.#servers;
     this.#admission = new ExchangeAdmission(
       req,
       {
         overload,
-        eligible,
-        errorWithoutServer: () => this.#servers.errorWithoutServer(this.#now()),
+        eligible: servers.eligible,
+        errorWithoutServer: () => servers.errorWithoutServer(this.#now()),
       },
-      {
-        onStart: () => {
-          deps.retries.noteRequest(req.pool.name, this.#now());
-          this.#startAttempt();
+      guardHandlers(
+        {
+          onStart: () => {
+            deps.retries.noteRequest(req.pool.name, this.#now());
+            this.#startAttempt();
+          },
+          onRefused: (error, retryAfterMs) => {
+            this.#caller.refuse(error, {retryAfterMs});
+            this.#finish(error);
+          },
+          onNotStarted: error => {
+            this.#giveUp(error);
+          },
         },
-        onRefused: (error, retryAfterMs) => {
-          this.#caller.refuse(error, {retryAfterMs});
-          this.#finish(error);
-        },
-        onNotStarted: error => {
-          this.#giveUp(error);
-        },
-      },
+        this.#onThrown,
+      ),
     );
     this.#dispatch = this.#makeDispatch();
   }
 
   #makeDispatch(): ExchangeDispatch {
-    const deps = {
-      ...this.#deps,
+    const own = {
       servers: this.#servers,
       admission: this.#admission,
       retry: this.#retry,
     };
-    return new ExchangeDispatch(deps, {
-      onServer: chosen => {
+    const deps = {...this.#deps, ...own};
+    const listener = {
+      onServer: (chosen: ServerChoice) => {
         this.#send(chosen);
       },
-      onNoServer: error => {
+      onNoServer: (error: ErrorKind) => {
         this.#giveUp(error);
       },
-    });
+    };
+    return new ExchangeDispatch(deps, guardHandlers(listener, this.#onThrown));
   }
 
   /** Starts the first attempt, or queues the request for it. */
   start(): void {
     const now = this.#now();
     const left = this.#req.deadlineAt - now + DEADLINE_SLACK_MS;
+    const guard = (handler: () => void): (() => void) =>
+      guardHandler(handler, this.#onThrown);
     this.#timer = setTimeout(
-      () => {
+      guard(() => {
         this.#onTimeout();
-      },
+      }),
       Math.max(0, left),
     );
-    this.#caller.onDisconnected(() => {
-      this.#onCallerDisconnected();
-    });
+    this.#caller.onDisconnected(
+      guard(() => {
+        this.#onCallerDisconnected();
+      }),
+    );
     this.#caller.onDrained(() => {
-      this.#attempt?.resume();
+      this.#current.resume();
     });
-    this.#admission.submit(now);
+    guard(() => {
+      this.#admission.submit(now);
+    })();
   }
 
   /** Aborts the request if it is quarantined for crashing servers. */
@@ -169,12 +184,16 @@
     const {quarantine} = this.#deps;
     const leftMs = quarantine.quarantinedForMs(this.#req.subjects, this.#now());
     if (this.#isDone || leftMs === undefined) return;
-    if (this.#attempt?.isSent) this.#runs += 1;
-    this.#attempt?.abort();
-    this.#endAttempt();
+    this.#abortAttempt();
     this.#giveUp('quarantined');
   }
 
+  #abortAttempt(): void {
+    if (this.#current.isSent) this.#runs += 1;
+    this.#current.abort();
+    this.#endAttempt();
+  }
+
   #now(): number {
     return this.#deps.clock.now();
   }
@@ -186,23 +205,15 @@
 
   /** Sends the request to a server that it has a permit for. */
   #send(chosen: ServerChoice): void {
-    const now = this.#now();
-    const {facts, rule} = this.#req;
-    const {names, connections} = this.#deps;
     const {state} = chosen;
-    const {sticky, targetLatencyMs} = rule.forwarding;
-    this.#timing = sticky
-      ? undefined
-      : new ResponseTiming(state, targetLatencyMs, now, rule.kind);
-    this.#signals = undefined;
-    this.#wasAvoided = state.isAvoided(now);
     this.#attempts += 1;
-    this.#prefill = trackPrefill(this.#req, chosen, this.#deps, now);
-    state.inFlight += 1;
-    const attempt = new Attempt(state, names, facts.requestId, {
+    const listener: AttemptListener = {
       maySend: () => this.#dispatch.beginSend(state),
       isEndComplete: () =>
-        this.#deps.liveness.outlives(state, this.#signals?.isLeaving ?? false),
+        this.#deps.liveness.outlives(
+          state,
+          this.#current.signals?.isLeaving ?? false,
+        ),
       onServerSignals: signals => {
         this.#onServerSignals(state, signals);
       },
@@ -216,30 +227,24 @@
       onFailed: failure => {
         this.#onFailed(failure);
       },
-    });
-    this.#attempt = attempt;
-    const outgoing = {names, lastId: this.#events?.lastId, now};
-    attempt.start(toOutgoing(this.#req, chosen, outgoing), connections);
+    };
+    const guarded = guardHandlers(listener, this.#onThrown);
+    const lastId = this.#events?.lastId;
+    this.#current.begin(chosen, guarded, lastId, this.#now());
   }
 
   #endAttempt(): ServerState | undefined {
-    const state = this.#attempt?.state;
-    this.#attempt = undefined;
-    this.#incomingFailure = undefined;
-    if (state) {
-      this.#prefill?.close();
-      state.inFlight -= 1;
-    }
+    const state = this.#current.end();
     this.#dispatch.end();
     return state;
   }
 
   #onServerSignals(state: ServerState, signals: ServerSignals): void {
     const now = this.#now();
-    this.#signals = signals;
+    this.#current.signals = signals;
     if (signals.load) {
       state.noteLoad(signals.load, now);
-      this.#prefill?.noteSlowdown(signals.load.slowdownPercent, now);
+      this.#current.prefill?.noteSlowdown(signals.load.slowdownPercent, now);
     }
     const hasStopped = this.#deps.fleet.noteSignals(state, signals, now);
     if (!hasStopped) return;
@@ -248,28 +253,27 @@
   }
 
   #onHead(head: ResponseHead): void {
-    const state = this.#attempt?.state;
-    if (!state) return;
+    if (!this.#current.state) return;
     if (head.status >= FIRST_ERROR_STATUS) {
-      this.#incomingFailure = new BufferedFailure(head);
+      this.#current.incomingFailure = new BufferedFailure(head);
       return;
     }
     if (!this.#caller.headSent) this.#caller.sendHead(head);
   }
 
   #onData(chunk: Buffer): boolean {
-    const attempt = this.#attempt;
-    if (!attempt) return true;
-    this.#prefill?.noteFirstToken(this.#now(), !this.#incomingFailure);
-    if (this.#incomingFailure) {
-      this.#bufferChunk(this.#incomingFailure, chunk);
+    const {state, prefill, incomingFailure} = this.#current;
+    if (!state) return true;
+    prefill?.noteFirstToken(this.#now(), !incomingFailure);
+    if (incomingFailure) {
+      this.#bufferChunk(incomingFailure, chunk);
       return true;
     }
     this.#admission.noteFirstToken(this.#now());
     if (!this.#events) return this.#caller.write(chunk);
     const parsed = this.#events.take(chunk);
     if (parsed.kind === 'broken') {
-      attempt.abort();
+      this.#current.abort();
       this.#onFailed({kind: 'broken', reason: parsed.reason, isLost: false});
       return true;
     }
@@ -280,14 +284,14 @@
 
   #bufferChunk(failure: BufferedFailure, chunk: Buffer): void {
     if (failure.add(chunk)) return;
-    this.#attempt?.abort();
+    this.#current.abort();
     const reason = 'error response is too large to buffer';
     this.#onFailed({kind: 'broken', reason, isLost: false});
   }
 
   #onEnd(): void {
-    if (this.#incomingFailure) {
-      this.#answer.failure = this.#incomingFailure;
+    if (this.#current.incomingFailure) {
+      this.#answer.failure = this.#current.incomingFailure;
       this.#endAttempt()?.noteErrorResponse(this.#now());
       this.#runs += 1;
       this.#handleOutcome({kind: 'failedAnswer'}, 'server returned an error');
@@ -301,19 +305,20 @@
     }
     noteAnswered(this.#req, this.#caller.status, quarantine, this.#now());
     this.#admission.noteEnd(this.#now());
-    this.#prefill?.noteEnd(this.#now());
+    this.#current.prefill?.noteEnd(this.#now());
     const state = this.#endAttempt();
-    if (this.#timing) this.#timing.noteResponse(this.#now());
+    if (this.#current.timing) this.#current.timing.noteResponse(this.#now());
     else state?.noteSuccess(this.#now());
     this.#caller.end();
     this.#finish('answered');
   }
 
   #onFailed(failure: AttemptFailure): void {
-    const load = this.#signals?.load;
+    const load = this.#current.signals?.load;
     const isForLoad = this.#admission.noteFailure(failure, load, this.#now());
-    if (this.#attempt) noteExit(this.#attempt.state, failure, this.#now());
-    const state = this.#endAttempt();
+    const {state} = this.#current;
+    if (state) noteExit(state, failure, this.#now());
+    this.#endAttempt();
     if (failure.kind === 'broken') this.#runs += 1;
     if (state && !isForLoad) {
       const {quarantine} = this.#deps;
@@ -347,8 +352,8 @@
     });
     this.#log.noteFailedAttempt(outcome.kind, reason, {
       server: this.#servers.attempted.at(-1),
-      wasAvoided: this.#wasAvoided,
-      signals: this.#signals,
+      wasAvoided: this.#current.wasAvoided,
+      signals: this.#current.signals,
       runs: this.#runs,
       next,
     });
@@ -368,14 +373,15 @@
       start();
       return;
     }
-    this.#retry.acquire(at, ({refusal}) => {
+    const onDecision = ({refusal}: RetryDecision): void => {
       if (refusal === undefined) {
         start();
-        return;
+      } else {
+        this.#log.noteRetryRefused(refusal);
+        this.#performLast(otherwise);
       }
-      this.#log.noteRetryRefused(refusal);
-      this.#performLast(otherwise);
-    });
+    };
+    this.#retry.acquire(at, guardHandler(onDecision, this.#onThrown));
   }
 
   #performLast(next: FinalStep): void {
@@ -388,16 +394,16 @@
   }
 
   #onTimeout(): void {
-    const sent = this.#attempt?.isSent ?? false;
+    const sent = this.#current.isSent;
     if (sent) this.#admission.noteEnd(this.#now());
-    this.#attempt?.abort();
+    this.#current.abort();
     this.#endAttempt()?.noteAttemptFailure(this.#now());
     this.#handleOutcome({kind: 'timedOut', sent}, 'deadline exceeded');
   }
 
   #onCallerDisconnected(): void {
     if (this.#isDone) return;
-    this.#attempt?.abort();
+    this.#current.abort();
     this.#endAttempt();
     this.#finish('callerGone');
   }
@@ -405,13 +411,16 @@
   #finish(outcome: string): void {
     if (this.#isDone) return;
     this.#isDone = true;
-    this.#retry.end();
     clearTimeout(this.#timer);
-    this.#admission.leave();
-    const {waitMs} = this.#admission;
-    const {attempted: servers, assumed, lastSend} = this.#servers;
-    const end = {outcome, servers, assumed, lastSend, waitMs};
-    this.#log.noteEnded(end, this.#now());
-    this.#onDone();
+    try {
+      this.#retry.end();
+      this.#admission.leave();
+      const {waitMs} = this.#admission;
+      const {attempted: servers, assumed, lastSend} = this.#servers;
+      const end = {outcome, servers, assumed, lastSend, waitMs};
+      this.#log.noteEnded(end, this.#now());
+    } finally {
+      this.#onDone();
+    }
   }
 }
--- a/packages/lovagepond-gateway/src/gateway_exchange_log.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_log.ts
@@ -91,6 +91,11 @@
     });
   }
 
+  /** @param err what one of the request's handlers has thrown */
+  noteThrown(err: unknown): void {
+    noteThrown(this.#deps, err, this.#req.facts.requestId);
+  }
+
   /** @param refusal why the request may not be sent once more */
   noteRetryRefused(refusal: RetryRefusal): void {
     this.#deps.log.warn('retry refused', {
@@ -142,6 +147,23 @@
   }
 }
 
+/**
+ * @param deps the log and the counters
+ * @param err what a handler of a request has thrown
+ * @param requestId the request, if its headers were read
+ */
+export function noteThrown(
+  {log, counters}: Pick<ExchangeLogDependencies, 'log' | 'counters'>,
+  err: unknown,
+  requestId = '',
+): void {
+  counters.noteThrown();
+  log.error('request ended by an exception', {
+    request: requestId,
+    reason: err instanceof Error ? (err.stack ?? err.message) : String(err),
+  });
+}
+
 /** Parts of a prompt in one log line. */
 const MAX_LOGGED_PARTS = 16;
 
--- a/packages/lovagepond-gateway/src/gateway_fleet.ts
+++ b/packages/lovagepond-gateway/src/gateway_fleet.ts
@@ -21,6 +21,7 @@
   type StreamOrigin,
 } from './gateway_stream_origin.js';
 import {ServerSuccessors} from './gateway_server_successors.js';
+import {faultOf, type RejectedServer} from './gateway_server_validity.js';
 import {UnlistedServers} from './gateway_unlisted_servers.js';
 
 type FleetSettings = CapacitySettings & Pick<GatewaySettings, 'drainTimeoutMs'>;
@@ -43,6 +44,7 @@
   readonly #settings: FleetSettings;
   readonly #means = new Map<string, PoolMeans>();
   #byPool = new Map<string, readonly ServerState[]>();
+  #rejected: readonly RejectedServer[] = [];
 
   /** @param settings those that concern each server */
   constructor(settings: Partial<FleetSettings> = {}) {
@@ -54,6 +56,11 @@
     return this.#states.size;
   }
 
+  /** Listed servers that can't be forwarded to. */
+  get rejected(): readonly RejectedServer[] {
+    return this.#rejected;
+  }
+
   /** Number of servers that have asked for a pause. */
   get paused(): number {
     return this.#pauses.size;
@@ -66,13 +73,19 @@
 
   /**
    * @param membership the newest list from control
-   * @returns names of the servers that are listed
+   * @returns names of the listed servers that can be forwarded to
    */
   useMembership(membership: Membership): ReadonlySet<string> {
     const byPool = new Map<string, ServerState[]>();
     const listed = new Set<string>();
+    const rejected: RejectedServer[] = [];
     for (const server of membership.servers.values()) {
       if (server.directSlots === undefined) continue;
+      const fault = faultOf(server);
+      if (fault) {
+        rejected.push({name: server.name, fault});
+        continue;
+      }
       listed.add(server.name);
       const state = this.#stateOf(server);
       state.useServer(server, this.#meansOf(server.pool));
@@ -86,6 +99,7 @@
       this.#unlisted.add(state);
     }
     this.#byPool = byPool;
+    this.#rejected = rejected;
     for (const pool of this.#means.keys()) {
       if (!byPool.has(pool)) this.#means.delete(pool);
     }
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -37,6 +37,7 @@
 import {type GatewayRetries, makeRetries} from './gateway_retries.js';
 import {GatewayServer} from './gateway_server.js';
 import {GatewayShares} from './gateway_shares.js';
+import {logServers} from './gateway_server_validity.js';
 import {ServerLiveness} from './gateway_server_liveness.js';
 import {probeServer} from './gateway_server_probe.js';
 import {type GatewaySettings} from './gateway_settings.js';
@@ -127,10 +128,7 @@
       this.#warmUp?.useListed(this.#fleet.all(), now);
       this.#overload.keepOnly(listed);
       this.#permits?.useListed(listed);
-      this.#deps.log.info('backend servers changed', {
-        version: this.#membership.version,
-        servers: this.#fleet.size,
-      });
+      logServers(this.#deps.log, this.#fleet, this.#membership.version);
       this.#retryQueued();
     },
     load: () => {},
@@ -315,6 +313,7 @@
       ...((this.#settings.serverCapacity || this.#overload.isActive) && {
         serverCapacity: this.#fleet.describeCapacity(at.now),
       }),
+      rejectedServers: this.#fleet.rejected.length,
       pausedServers: this.#fleet.paused,
       leavingServers: this.#fleet.leaving,
       suspectedRequests: this.#quarantine.size,
--- a/packages/lovagepond-gateway/src/gateway_server.ts
+++ b/packages/lovagepond-gateway/src/gateway_server.ts
@@ -28,12 +28,18 @@
 } from './gateway_exchange_types.js';
 import {GatewayIntake, type GatewayIntakeState} from './gateway_intake.js';
 import {GatewayDrainAdmission} from './gateway_drain_admission.js';
+import {noteThrown} from './gateway_exchange_log.js';
 import {readFacts, type RequestFacts} from './gateway_headers.js';
 import {type GatewaySettings} from './gateway_settings.js';
 import {fingerprintOf} from '@lovagepond/router/quarantine';
 import {StartupQueue} from './gateway_startup_queue.js';
 import {findFault, rejectUnparsable} from './gateway_malformed_requests.js';
-import {readBody} from './gateway_request_body.js';
+import {type BodyListener, readBody} from './gateway_request_body.js';
+import {
+  guardHandler,
+  guardHandlers,
+  type OnThrown,
+} from './gateway_request_guard.js';
 import {resumesStream, resumeStream} from './gateway_stream_resumption.js';
 
 /** Limits used until the configuration sets them. */
@@ -71,6 +77,20 @@
   readonly random: Random;
 }
 
+/** A request whose head has arrived. */
+interface IncomingRequest {
+  readonly req: IncomingMessage;
+  readonly facts: RequestFacts;
+  readonly caller: CallerChannel;
+  /** Ends the request after an unexpected exception. */
+  readonly onThrown: OnThrown;
+}
+
+type Admitted = Extract<
+  ReturnType<GatewayAdmission['admit']>,
+  {ok: true}
+>['admitted'];
+
 type ListenerSettings = Pick<
   GatewaySettings,
   'host' | 'port' | 'maxHeldBytes' | 'maxConnections'
@@ -108,7 +128,7 @@
     const {maxConnections} = settings;
     this.#intake = new GatewayIntake(this.#server, {...deps, maxConnections});
     this.#server.on('request', (req, res) => {
-      this.#serve(req, res);
+      this.#open(req, res);
     });
     this.#server.on('clientError', (err: Error & {code?: string}, socket) => {
       rejectUnparsable(err, socket as Socket, this.#log);
@@ -205,7 +225,7 @@
     return readClock(this.#clock);
   }
 
-  #serve(req: IncomingMessage, res: ServerResponse): void {
+  #open(req: IncomingMessage, res: ServerResponse): void {
     const caller = new CallerChannel(
       res,
       this.#deps.random,
@@ -217,80 +237,86 @@
       if (this.#openResponses === 0) this.#onAllDelivered?.();
     });
     const facts = readFacts(req.headers, this.#deps.names);
+    // The request may have reached a server.
+    const onThrown = (err: unknown): void => {
+      noteThrown(this.#deps, err, facts.requestId);
+      caller.cut();
+    };
+    const incoming = {req, facts, caller, onThrown};
+    guardHandler(() => {
+      this.#serve(incoming);
+    }, onThrown)();
+  }
+
+  #serve(incoming: IncomingRequest): void {
+    const {req, facts} = incoming;
     const fault = findFault(req, this.#limits.maxHeaderBytes);
     if (fault) {
-      this.#refuse(caller, facts, fault);
+      this.#refuse(incoming, fault);
       return;
     }
     const at = this.#readClock();
     if (!this.#deps.admission.isStarting(at)) {
-      this.#admit(req, facts, caller, at.now);
+      this.#admit(incoming, at.now);
       return;
     }
     if (this.#drainAdmission.isDraining) {
-      this.#refuse(caller, facts, 'notReady');
+      this.#refuse(incoming, 'notReady');
       return;
     }
     this.#startupQueue.add(
       facts.deadlineMs ?? DEFAULT_DEADLINE_MS,
+      guardHandler(() => {
+        this.#admit(incoming, at.now);
+      }, incoming.onThrown),
       () => {
-        this.#admit(req, facts, caller, at.now);
-      },
-      () => {
-        this.#refuse(caller, facts, 'notReady');
+        this.#refuse(incoming, 'notReady');
       },
     );
   }
 
-  #admit(
-    req: IncomingMessage,
-    facts: RequestFacts,
-    caller: CallerChannel,
-    arrivedAt: number,
-  ): void {
+  #admit(incoming: IncomingRequest, arrivedAt: number): void {
+    const {req, facts, onThrown} = incoming;
     if (req.destroyed) return;
     const at = this.#readClock();
     const head = {host: req.headers.host ?? '', path: req.url ?? '', facts};
     const admission = this.#deps.admission.admit(head, arrivedAt, at);
     if (!admission.ok) {
-      this.#refuse(caller, facts, admission.error);
+      this.#refuse(incoming, admission.error);
       return;
     }
     const {admitted} = admission;
     const {name} = admitted.rule;
     const limitMs = admitted.deadlineAt - at.now;
     if (!this.#drainAdmission.admits(name, limitMs, at.now)) {
-      this.#refuse(caller, facts, 'notReady');
+      this.#refuse(incoming, 'notReady');
       return;
     }
     const done = (): void => {
       this.#drainAdmission.noteDuration(name, this.#clock.now() - arrivedAt);
     };
-    readBody(req, this.#limits.maxBodyBytes, limitMs, {
+    const listener: BodyListener = {
       onWhole: body => {
-        this.#run(req, facts, admitted, body, caller, done);
+        this.#run(incoming, admitted, body, done);
       },
       onRefused: error => {
-        this.#refuse(caller, facts, error);
+        this.#refuse(incoming, error);
         done();
       },
       onDisconnected: done,
-    });
+    };
+    const guarded = guardHandlers(listener, onThrown);
+    readBody(req, this.#limits.maxBodyBytes, limitMs, guarded);
   }
 
   #run(
-    req: IncomingMessage,
-    facts: RequestFacts,
-    admitted: Extract<
-      ReturnType<GatewayAdmission['admit']>,
-      {ok: true}
-    >['admitted'],
+    incoming: IncomingRequest,
+    admitted: Admitted,
     body: Buffer,
-    caller: CallerChannel,
     done: () => void,
   ): void {
     if (this.#bufferedBytes + body.length > this.#settings.maxHeldBytes) {
-      this.#refuse(caller, facts, 'overloaded');
+      this.#refuse(incoming, 'overloaded');
       done();
       return;
     }
@@ -299,6 +325,7 @@
       this.#bufferedBytes -= body.length;
       done();
     };
+    const {req, facts, onThrown} = incoming;
     const {method = 'GET', url: path = '/', rawHeaders} = req;
     const workspace = admitted.workspace ?? '';
     const fingerprint = fingerprintOf({method, path, workspace, body});
@@ -306,30 +333,36 @@
     const subjects = toRequestSubjects(fingerprint, partIds);
     const content = {method, path, rawHeaders, body, fingerprint, facts};
     const whole = {...admitted, ...content, subjects};
-    if (resumesStream(whole)) void this.#resume(whole, caller, release);
-    else this.#startExchange(whole, caller, release);
+    const start = (): void | Promise<void> =>
+      resumesStream(whole)
+        ? this.#resume(whole, incoming, release)
+        : this.#startExchange(whole, incoming, release);
+    void guardHandler(start, err => {
+      release();
+      onThrown(err);
+    })();
   }
 
   /** A caller that leaves meanwhile has closed its channel. */
   async #resume(
     req: AdmittedRequest,
-    caller: CallerChannel,
+    incoming: IncomingRequest,
     release: () => void,
   ): Promise<void> {
     const at = this.#readClock();
     const isInTouch = this.#deps.admission.authority.canDeny(at);
     const verdict = await resumeStream(req, this.#deps, isInTouch, at.now);
-    if (verdict.ok && caller.isOpen) {
-      this.#startExchange(verdict.req, caller, release);
+    if (verdict.ok && incoming.caller.isOpen) {
+      this.#startExchange(verdict.req, incoming, release);
       return;
     }
-    if (!verdict.ok) this.#refuse(caller, req.facts, verdict.error);
+    if (!verdict.ok) this.#refuse(incoming, verdict.error);
     release();
   }
 
   #startExchange(
     req: AdmittedRequest,
-    caller: CallerChannel,
+    {caller}: IncomingRequest,
     release: () => void,
   ): void {
     const exchange = new Exchange(req, this.#deps, caller, () => {
@@ -340,7 +373,7 @@
     exchange.start();
   }
 
-  #refuse(caller: CallerChannel, facts: RequestFacts, error: ErrorKind): void {
+  #refuse({caller, facts}: IncomingRequest, error: ErrorKind): void {
     caller.refuse(error);
     this.#deps.counters.noteRefused(error);
     this.#log.info('request refused', {
--- a/packages/lovagepond-gateway/src/gateway_server_probe.ts
+++ b/packages/lovagepond-gateway/src/gateway_server_probe.ts
@@ -2,6 +2,7 @@
  * Probes whether a server's address accepts connections.
  */
 import {connect} from 'node:net';
+import {parseSocketAddress} from '@lovagepond/core';
 import {REACHABILITY, type Reachability} from './gateway_crash_detector.js';
 
 /** A server at its limit of connections resets further ones. */
@@ -13,17 +14,16 @@
 /**
  * @param address `host:port`
  * @param timeoutMs time limit for the connection, milliseconds
- * @returns the result of the probe
+ * @returns the result of the probe; silent without a valid address
  */
 export function probeServer(
   address: string,
   timeoutMs: number,
 ): Promise<Reachability> {
-  const at = address.lastIndexOf(':');
-  const host = address.slice(0, at);
-  const port = Number(address.slice(at + 1));
+  const target = parseSocketAddress(address);
+  if (!target) return Promise.resolve(REACHABILITY.SILENT);
   return new Promise(resolve => {
-    const socket = connect({host, port, timeout: timeoutMs});
+    const socket = connect({...target, timeout: timeoutMs});
     const end = (reachability: Reachability): void => {
       socket.destroy();
       resolve(reachability);
--- a/packages/lovagepond-router/src/__tests__/unit/router_connections.test.ts
+++ b/packages/lovagepond-router/src/__tests__/unit/router_connections.test.ts
@@ -23,3 +23,15 @@
   expect(await connections.open(sidecar.address)).not.toBe(connection);
   connections.close();
 });
+
+// Guards against an announced address at which the library throws, which would
+// end the router.
+test.each(['', '127.0.0.1:70000'])(
+  'no connection to %j is opened',
+  async address => {
+    const connections = new SidecarConnections(100);
+    expect(await connections.open(address)).toBeUndefined();
+    expect(await connections.openFresh(address)).toBeUndefined();
+    expect(connections.size).toBe(0);
+  },
+);
--- a/packages/lovagepond-router/src/router_connections.ts
+++ b/packages/lovagepond-router/src/router_connections.ts
@@ -7,6 +7,7 @@
   connectivityState,
   credentials,
 } from '@grpc/grpc-js';
+import {parseSocketAddress} from '@lovagepond/core';
 
 /** Largest frame accepted from a sidecar, in bytes. */
 const MAX_FRAME_BYTES = 4 * 1024 * 1024;
@@ -138,6 +139,8 @@
   }
 
   /**
+   * The library throws on an empty address.
+   *
    * @param address a sidecar's `host:port`
    * @param silent see {@link SidecarConnections.get}
    * @returns a connection that is up, or undefined when connecting failed
@@ -146,6 +149,7 @@
     address: string,
     silent?: SidecarConnection,
   ): Promise<SidecarConnection | undefined> {
+    if (!parseSocketAddress(address)) return undefined;
     const connection = this.get(address, silent);
     if (connection.isUp()) return connection;
     const up = await connection.connect(this.#connectTimeoutMs);
--- a/packages/lovagepond-sidecar/src/sidecar_client_pool.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_client_pool.ts
@@ -8,6 +8,7 @@
   Metadata,
   type MethodDefinition,
 } from '@grpc/grpc-js';
+import {parseSocketAddress} from '@lovagepond/core';
 
 /** Maximum message size between processes, bytes. */
 export const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
@@ -72,6 +73,8 @@
   }
 
   /**
+   * The library throws on an empty address.
+   *
    * @param address `host:port`
    * @param method the method to call
    * @param request its request
@@ -82,6 +85,7 @@
     method: MethodDefinition<Req, Res>,
     request: Req,
   ): Promise<Res | undefined> {
+    if (!parseSocketAddress(address)) return undefined;
     const client = this.#clients.get(address) ?? connect(address);
     this.#clients.set(address, client);
     const answer = await callOnce(client, method, request, this.#timeoutMs);
--- a/scripts/test_safeguards.mjs
+++ b/scripts/test_safeguards.mjs
@@ -19,6 +19,7 @@
 
 const LISTS = [
   'scripts/safeguards.json',
+  'scripts/safeguards_addresses.json',
   'scripts/safeguards_control.json',
   'scripts/safeguards_quarantine.json',
   'scripts/safeguards_retries.json',
