Resume streams without a record by control's history of versions

What callers saw: after a release, with all gateways killed at once, streams of the former version that their callers resumed without naming them were answered with 200 and joined of two versions. Callers that named theirs were refused, also where one version only had ever been in service.

Cause: an unnamed stream was continued where all servers of the pool had one version, by the memory of a single process: servers that are listed now, or were unlisted in the last 30 s. A process that has just started takes what is listed for all there was.

Change: control keeps in its replicated state which versions served each pool, when the last server of each has gone, and which requests selectors sent to other pools before. A gateway without a record asks for it; the leader answers after a read barrier, so the history is as of a time after the request arrived. With one pool and one version for as long as records are kept the stream goes on, named or not; otherwise it is refused at once as not run. "stream looked up" tells which.

The test "of another workspace is refused" now has servers of two versions: with one version any server could continue the stream, and the record of another workspace is what must not be found. It fails if it is.

Why it works: a server is in the log before any gateway knows it, so a history that is read after the request arrived has every version that can have begun the stream; and the log outlives all processes.

--- a/packages/lovagepond-control/src/__tests__/unit/restored_member.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/restored_member.test.ts
@@ -52,7 +52,7 @@
     incarnation: `d${name}`,
     startedAtMs: start,
     pool: 'p',
-    labels: {},
+    labels: {version: `v${start}`},
     availabilityZone: `z${zone}`,
     region: 'r',
     address: `a${name}:1`,
--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -42,6 +42,7 @@
   type Subscriber,
 } from './subscription_feed.js';
 import {ZoneAdministration} from './zone_administration.js';
+import {StreamHistoryQueries} from './stream_history_queries.js';
 import {UpdateScheduler} from './update_scheduler.js';
 import {SubscriptionHub, type UpdateSink} from './subscription_hub.js';
 
@@ -67,6 +68,7 @@
   readonly directServers: DirectServers;
   readonly crashReports: CrashReports;
   readonly retries: RetryIssuer;
+  readonly streamHistory: StreamHistoryQueries;
   readonly zones: ZoneAdministration;
   readonly #settings: ControlSettings;
   readonly #deps: MemberStateDependencies;
@@ -101,11 +103,10 @@
     this.#orderDelivery = new OrderDelivery(settings.concurrentLoads);
     this.#announceHandler = this.#makeAnnounceHandler();
     this.documents = new ConfigurationDocuments(machine, this.#proposer);
+    const reader = {clock, machine, proposer: this.#proposer};
     this.directServers = new DirectServers({
-      clock,
-      machine,
+      ...reader,
       registry: this.#registry,
-      proposer: this.#proposer,
       hasTakenOver: () => this.#leadership.term !== undefined,
       convergence: this.#convergence,
       oldestLogVersion: () => this.#hub.oldestLogVersion,
@@ -125,11 +126,10 @@
     this.#leadership = this.#makeLeadership();
     this.#hub = new SubscriptionHub(settings, clock.now());
     this.#leaderClient = this.#makeLeaderClient(log);
+    this.streamHistory = new StreamHistoryQueries(reader, this.#leaderClient);
     this.#revisions = new RevisionQueries({
-      clock,
+      ...reader,
       nodeName: settings.nodeName,
-      machine,
-      proposer: this.#proposer,
       convergence: this.#convergence,
       reportToLeader: report => this.#leaderClient.report(report),
     });
--- a/packages/lovagepond-control/src/control_role.ts
+++ b/packages/lovagepond-control/src/control_role.ts
@@ -88,6 +88,7 @@
         },
         reportCrashes: report => this.#state.crashReports.take(report),
         requestRetries: req => this.#state.retries.take(req),
+        readStreamHistory: req => this.#state.streamHistory.answer(req),
         claim: req => this.#state.ledger.claim(req),
         record: req => this.#state.ledger.record(req),
         reportOrder: req => this.#state.ledger.reportOrder(req),
--- a/packages/lovagepond-control/src/control_server.ts
+++ b/packages/lovagepond-control/src/control_server.ts
@@ -36,6 +36,9 @@
   requestRetries(
     req: Message<'RetryRequest'>,
   ): Promise<Message<'RetryResponse'>>;
+  readStreamHistory(
+    req: Message<'StreamHistoryRequest'>,
+  ): Promise<Message<'StreamHistoryResponse'>>;
   claim(req: Message<'ClaimRequest'>): Promise<Message<'ClaimResponse'>>;
   record(req: Message<'RecordRequest'>): Promise<Message<'RecordResponse'>>;
   reportOrder(
@@ -91,6 +94,9 @@
         handlers.reportCrashes(report as never),
       ),
       requestRetries: this.#unary(req => handlers.requestRetries(req as never)),
+      readStreamHistory: this.#unary(req =>
+        handlers.readStreamHistory(req as never),
+      ),
       claim: this.#unary(req => handlers.claim(req as never)),
       record: this.#unary(req => handlers.record(req as never)),
       reportOrder: this.#unary(req => handlers.reportOrder(req as never)),
--- a/packages/lovagepond-control/src/control_state_machine.ts
+++ b/packages/lovagepond-control/src/control_state_machine.ts
@@ -58,6 +58,7 @@
 import {type OrderSnapshot, OrderState} from './order_state.js';
 import {ReplicatedTime} from './replicated_time.js';
 import {RetryGrants, type RetryGrantSnapshot} from './retry_grants.js';
+import {StreamHistory, type StreamHistorySnapshot} from './stream_history.js';
 import {WantedStates} from './wanted_states.js';
 import {
   ZoneEvacuations,
@@ -82,8 +83,16 @@
   readonly crashes?: CrashEvidenceSnapshot;
   readonly evacuations?: ZoneEvacuationSnapshot;
   readonly retries?: RetryGrantSnapshot;
+  readonly streams?: StreamHistorySnapshot;
 }
 
+/** Commands that may add servers or remove them. */
+const SERVER_COMMANDS: ReadonlySet<string> = new Set(
+  [JOIN_SERVER_COMMAND, END_SERVER_COMMAND, DROP_SERVERS_COMMAND].map(
+    ({name}) => name,
+  ),
+);
+
 type Handler = (payload: unknown, stamp: CommandStamp) => unknown;
 
 export class ControlStateMachine implements StateMachine {
@@ -98,6 +107,7 @@
   readonly crashes = new CrashEvidence();
   readonly evacuations = new ZoneEvacuations();
   readonly retries = new RetryGrants();
+  readonly streams = new StreamHistory();
   readonly time = new ReplicatedTime();
   readonly #handlers = new Map<string, Handler>();
   readonly #now: () => number;
@@ -139,7 +149,17 @@
     const handler = this.#handlers.get(name);
     invariant(handler, 201, `log holds an unknown command ${name}`);
     const timeMs = this.time.advance(stamp.timeMs, this.#now());
-    return runHandler(() => handler(payload, {...stamp, timeMs}));
+    const before = this.configuration.current.read();
+    const result = runHandler(() => handler(payload, {...stamp, timeMs}));
+    if (SERVER_COMMANDS.has(name)) {
+      this.streams.noteServers(this.directServers.list(), timeMs);
+    }
+    const after = this.configuration.current.read();
+    if (before !== after) {
+      const {selectors} = after.content;
+      this.streams.noteSelectors(before.content.selectors, selectors, timeMs);
+    }
+    return result;
   }
 
   snapshot(): Uint8Array {
@@ -156,6 +176,7 @@
       crashes: this.crashes.snapshot(),
       evacuations: this.evacuations.snapshot(),
       retries: this.retries.snapshot(),
+      streams: this.streams.snapshot(),
     };
     const lines = this.ledger.encodeEntries();
     return Buffer.concat([packHead(snapshot), LINE_END, ...lines]);
@@ -177,6 +198,8 @@
     this.orders.restore(snapshot.orders);
     this.wanted.restore(snapshot.draining);
     this.directServers.restore(snapshot.directServers);
+    const servers = this.directServers.list();
+    this.streams.restore(snapshot.streams, servers, snapshot.timeMs);
     this.crashes.restore(snapshot.crashes);
     this.evacuations.restore(snapshot.evacuations);
     this.retries.restore(snapshot.retries, this.#now());
--- a/packages/lovagepond-control/src/leader_client.ts
+++ b/packages/lovagepond-control/src/leader_client.ts
@@ -169,6 +169,17 @@
     return new v1.RetryResponse(res);
   }
 
+  /**
+   * @param req a router's question for the history of streams
+   * @returns the leader's answer; unconfirmed when there was none
+   */
+  async readStreamHistory(
+    req: lovagepond.v1.StreamHistoryRequest,
+  ): Promise<lovagepond.v1.StreamHistoryResponse> {
+    const res = await this.#call(CONTROL_SERVICE.readStreamHistory, req);
+    return new v1.StreamHistoryResponse(res);
+  }
+
   /** Closes the connection. */
   stop(): void {
     this.#close();
--- a/packages/lovagepond-explain/src/explain_causes.ts
+++ b/packages/lovagepond-explain/src/explain_causes.ts
@@ -50,7 +50,8 @@
   streamUnknown: report =>
     `no gateway that answered knows which servers began the stream ${resumedStream(report)}: ` +
     'its first event was passed on too long ago or never, or the gateways that ' +
-    'kept its record have restarted; search for that id in "request ended"',
+    'kept its record have restarted; "stream looked up" has in "refusal" why ' +
+    'control could not tell either; search for that id in "request ended"',
   streamVersionGone: report =>
     `no server of the version that began the stream ${resumedStream(report)} took the ` +
     'request, and servers of other versions must not continue it; "stream ' +
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -39,6 +39,7 @@
   type CallerResponse,
   KEY,
 } from './gateway_caller.js';
+import {ListedVersions, type StreamHistory} from './listed_versions.js';
 import {answer, NAMES, type Script} from './scripted_answers.js';
 
 export {type Call, type CallerResponse, KEY} from './gateway_caller.js';
@@ -119,6 +120,8 @@
   readonly content?: ConfigurationContent;
   readonly log?: Logger;
   readonly clock?: Clock;
+  /** @returns the versions in service lately; by default all that were listed */
+  readonly history?: () => StreamHistory | undefined;
   /** @returns properties of a server in control's list */
   readonly listed?: (index: number) => Partial<BackendServer>;
 }
@@ -142,6 +145,7 @@
   #nextId = 0;
   #listed: readonly BackendServer[] = [];
   #version = 0;
+  readonly #versions: ListedVersions;
 
   private constructor(
     server: GatewayServer,
@@ -151,7 +155,9 @@
     crashed: ReadonlySet<string>,
     fleet: GatewayFleet,
     overload: GatewayOverload,
+    versions: ListedVersions,
   ) {
+    this.#versions = versions;
     this.gatewayFleet = fleet;
     this.overload = overload;
     this.crashed = crashed;
@@ -175,6 +181,7 @@
       content = CONTENT,
       log = silentLog,
       clock: ownClock = clock,
+      history,
     }: HarnessOptions = {},
   ): Promise<GatewayHarness> {
     const random = new Random(SEED);
@@ -223,7 +230,11 @@
       {name: 'gateway', host: '127.0.0.1', port: 0},
       {clock, log, hasher},
     );
-    const streams = new GatewayStreams(link, hasher);
+    const versions = new ListedVersions();
+    const streams = new GatewayStreams(link, hasher, {
+      readStreamHistory: () =>
+        Promise.resolve(history ? history() : versions.toHistory()),
+    });
     const findPool = (name: string): Pool | undefined =>
       admission.configuration.content.pools.find(pool => pool.name === name);
     const shared = {hasher, random, findPool};
@@ -291,6 +302,7 @@
       crashed,
       fleet,
       overload,
+      versions,
     );
     const servers: BackendServer[] = [];
     for (const [index, script] of scripts.entries()) {
@@ -328,16 +340,17 @@
     return () => arrivals;
   }
 
-  /** Has control list a server under another name, as after its restart. */
-  rename(name: string, newName: string): void {
+  /** Has control list a server with other properties. */
+  relist(name: string, other: Partial<BackendServer>): void {
     this.#listed = this.#listed.map(one =>
-      one.name === name ? {...one, name: newName} : one,
+      one.name === name ? {...one, ...other} : one,
     );
     this.#publish();
   }
 
   #publish(): void {
     this.#version += 1;
+    this.#versions.add(this.#listed);
     const list = this.#listed.map(one => [one.name, one] as const);
     const servers = new Map(list);
     this.gatewayFleet.useMembership({version: this.#version, servers});
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_stream_versions.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_stream_versions.test.ts
@@ -8,9 +8,11 @@
   beginStream,
   CONTENT,
   GatewayHarness,
+  type HarnessOptions,
   NAMES,
   type Script,
 } from './gateway_harness.js';
+import {makeHistory, type StreamHistory} from './listed_versions.js';
 
 let harness: GatewayHarness | undefined;
 
@@ -72,10 +74,12 @@
   servers: readonly (readonly [version: string, script: Script])[],
   more: (at: number) => Partial<BackendServer> = () => ({}),
   content: ConfigurationContent = TWO_WORKSPACES,
+  options: Pick<HarnessOptions, 'history'> = {},
 ): Promise<GatewayHarness> {
   harness = await GatewayHarness.start(
     servers.map(([, script]) => script),
     {
+      ...options,
       content,
       listed: at => ({
         labels: {version: servers[at]?.[0] ?? ''},
@@ -138,14 +142,12 @@
   });
 
   it('goes on at a server that began to leave, if no other can', async () => {
-    const fleet = await startFleet(
-      [
-        ['v1.1', breaksAndExits],
-        ['v1', resumes],
-        ['v1.1', resumes],
-      ],
-      at => (at === 2 ? {state: SERVER_STATE.DRAINING} : {}),
-    );
+    const fleet = await startFleet([
+      ['v1.1', breaksAndExits],
+      ['v1', resumes],
+      ['v1.1', resumes],
+    ]);
+    fleet.relist('server-2', {state: SERVER_STATE.DRAINING});
     const res = await fleet.call(CHAT);
     expect(res).toMatchObject({body: eventsFrom(1, 4), whole: true});
     expect(fleet.arrivals).toEqual(['server-0', 'server-2']);
@@ -201,6 +203,38 @@
     expect(res).toMatchObject({status: 200, body: eventsFrom(3, 4)});
   });
 
+  // Guards against a gateway that knows only what is in service since its start.
+  it.each([
+    ['named', takingUp('lost', '2')],
+    ['not named', {'last-event-id': '2'}],
+  ])(
+    'whose record is lost and that is %s is run only if there was one version',
+    async (_how, headers) => {
+      const gone = {pool: 'servers', version: 'v1', goneForMs: 800};
+      const left = {pool: 'servers', version: 'v1.1'};
+      let history: StreamHistory | undefined;
+      const fleet = await startFleet(
+        [['v1.1', resumes]],
+        undefined,
+        undefined,
+        {
+          history: () => history,
+        },
+      );
+      const statusWith = async (
+        versions: Parameters<typeof makeHistory>[0] | undefined,
+      ): Promise<number> => {
+        history = versions && makeHistory(versions);
+        return (await fleet.call({...CHAT, headers})).status;
+      };
+      expect(await statusWith(undefined)).toBe(503);
+      expect(await statusWith([left, gone])).toBe(503);
+      expect(await statusWith([gone])).toBe(503);
+      expect(fleet.arrivals).toEqual([]);
+      expect(await statusWith([left])).toBe(200);
+    },
+  );
+
   it('of a kind that can not be resumed is refused', async () => {
     const fleet = await startFleet([['v1', resumes]]);
     const first = {path: '/talk/a', headers: named('first')};
@@ -214,7 +248,10 @@
   });
 
   it('of another workspace is refused', async () => {
-    const fleet = await startFleet([['v1', resumes]]);
+    const fleet = await startFleet([
+      ['v1', resumes],
+      ['v1.1', resumes],
+    ]);
     const key = {[NAMES.apiKey]: OTHER_KEY};
     await fleet.call({...CHAT, headers: named('first')});
     const headers = {...takingUp('first', '2'), ...key};
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_warm_up_forwarding.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_warm_up_forwarding.test.ts
@@ -101,7 +101,7 @@
     const arrivals = await harness.restart('server-0');
     for (let n = 0; n < 5; n += 1) await harness.call({path: '/read/a'});
     expect(arrivals()).toBe(0);
-    harness.rename('server-0', 'server-0@2');
+    harness.relist('server-0', {name: 'server-0@2'});
     expect((await harness.call({path: '/read/a'})).status).toBe(200);
     expect(arrivals()).toBe(1);
   });
--- a/packages/lovagepond-gateway/src/gateway_fleet.ts
+++ b/packages/lovagepond-gateway/src/gateway_fleet.ts
@@ -261,18 +261,14 @@
   }
 
   /**
-   * @param pool a pool's name
-   * @returns the servers that can continue any stream of the pool; undefined if
-   *     it has servers of several versions, or had some until lately
+   * @param origin servers of one version
+   * @returns true if their pool has servers of another version, or had some until
+   *     lately, as far as this gateway knows
    */
-  onlyOrigin(pool: string): StreamOrigin | undefined {
-    const unlisted = this.#unlisted.list();
-    const servers = [...this.listed(pool), ...unlisted]
-      .map(({server}) => server)
-      .filter(server => server.pool === pool);
-    const [first, ...others] = servers.map(originOf);
-    const isOnly = others.every(other => first && isSameOrigin(first, other));
-    return isOnly ? first : undefined;
+  hasOtherVersions(origin: StreamOrigin): boolean {
+    return [...this.listed(origin.pool), ...this.#unlisted.list()]
+      .filter(({server}) => server.pool === origin.pool)
+      .some(({server}) => !isSameOrigin(originOf(server), origin));
   }
 
   /** @returns the number of listed servers, by pool and version */
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -203,7 +203,7 @@
       {clock, log, hasher},
     );
     this.#peerLink = link;
-    const streams = new GatewayStreams(link, hasher);
+    const streams = new GatewayStreams(link, hasher, this.#link);
     this.#streams = streams;
     const findPool = (pool: string): Pool | undefined =>
       this.#admission.configuration.content.pools.find(
--- a/packages/lovagepond-gateway/src/gateway_routes.ts
+++ b/packages/lovagepond-gateway/src/gateway_routes.ts
@@ -20,6 +20,8 @@
   readonly name: string;
   /** Name of the request kind. */
   readonly kind: string;
+  /** Host that the selector matches. */
+  readonly host: string;
   readonly pathPrefix: string;
   /** Requests need no API key. */
   readonly isPublic: boolean;
@@ -62,6 +64,7 @@
       this.#add(match.host, {
         name: selector.name,
         kind: kind.name,
+        host: match.host,
         pathPrefix: match.pathPrefix,
         isPublic: selector.public ?? false,
         nonRepeatable: kind.nonRepeatable,
@@ -126,7 +129,11 @@
 }
 
 /** Host names are case-insensitive, and callers may append the port. */
-function normalizeHost(host: string): string {
+/**
+ * @param host a Host header
+ * @returns the host's name in lower case, without a port
+ */
+export function normalizeHost(host: string): string {
   const name = host.toLowerCase();
   return name.includes(':') ? name.replace(/:\d+$/, '') : name;
 }
--- a/packages/lovagepond-gateway/src/gateway_server.ts
+++ b/packages/lovagepond-gateway/src/gateway_server.ts
@@ -40,6 +40,7 @@
   guardHandlers,
   type OnThrown,
 } from './gateway_request_guard.js';
+import {type GatewayStreams} from './gateway_streams.js';
 import {resumesStream, resumeStream} from './gateway_stream_resumption.js';
 
 /** Limits used until the configuration sets them. */
@@ -74,6 +75,7 @@
 
 export interface GatewayServerDependencies extends ExchangeDependencies {
   readonly admission: GatewayAdmission;
+  readonly streams: GatewayStreams;
   readonly random: Random;
 }
 
@@ -349,9 +351,7 @@
     incoming: IncomingRequest,
     release: () => void,
   ): Promise<void> {
-    const at = this.#readClock();
-    const isInTouch = this.#deps.admission.authority.canDeny(at);
-    const verdict = await resumeStream(req, this.#deps, isInTouch, at.now);
+    const verdict = await resumeStream(req, this.#deps, this.#clock.now());
     if (verdict.ok && incoming.caller.isOpen) {
       this.#startExchange(verdict.req, incoming, release);
       return;
--- a/packages/lovagepond-gateway/src/gateway_stream_directory.ts
+++ b/packages/lovagepond-gateway/src/gateway_stream_directory.ts
@@ -134,7 +134,7 @@
     timeoutMs: number,
     now: number,
   ): void {
-    const keepS = clampKeepS((KEPT_TIMEOUTS * timeoutMs) / 1_000);
+    const keepS = keepSecondsOf(timeoutMs);
     this.#records.add(key, origin, now + keepS * 1_000);
     const bytes = encodeDatagram({record: {key, origin, keepS}});
     const {peers, send} = this.#deps;
@@ -281,6 +281,14 @@
   }
 }
 
+/**
+ * @param timeoutMs longest duration of one request for a stream
+ * @returns time after which the stream isn't resumed any more, seconds
+ */
+export function keepSecondsOf(timeoutMs: number): number {
+  return clampKeepS((KEPT_TIMEOUTS * timeoutMs) / 1_000);
+}
+
 function clampKeepS(seconds: number): number {
   return Math.min(KEEP_S.MAX, Math.max(KEEP_S.MIN, Math.ceil(seconds)));
 }
--- a/packages/lovagepond-gateway/src/gateway_stream_resumption.ts
+++ b/packages/lovagepond-gateway/src/gateway_stream_resumption.ts
@@ -5,6 +5,12 @@
 import {describeResumption} from './gateway_exchange_log.js';
 import {type AdmittedRequest} from './gateway_exchange_types.js';
 import {type GatewayFleet} from './gateway_fleet.js';
+import {keepSecondsOf} from './gateway_stream_directory.js';
+import {
+  findOnlyOrigin,
+  HISTORY_REFUSAL,
+  type HistoryVerdict,
+} from './gateway_stream_history.js';
 import {type StreamOrigin} from './gateway_stream_origin.js';
 import {type GatewayStreams} from './gateway_streams.js';
 
@@ -41,57 +47,64 @@
 }
 
 interface ResumptionDependencies {
-  readonly streams: Pick<GatewayStreams, 'record' | 'find'>;
-  readonly fleet: Pick<GatewayFleet, 'onlyOrigin'>;
+  readonly streams: GatewayStreams;
+  readonly fleet: Pick<GatewayFleet, 'hasOtherVersions'>;
   readonly log: Logger;
 }
 
 /**
  * @param req a request that resumes a stream
  * @param deps the known streams and servers, and the log
- * @param isInTouch control has confirmed lately what this gateway knows
  * @param now current time, monotonic milliseconds
  * @returns the request for the servers that can continue the stream
  */
 export async function resumeStream(
   req: AdmittedRequest,
-  {streams, fleet, log}: ResumptionDependencies,
-  isInTouch: boolean,
+  deps: ResumptionDependencies,
   now: number,
 ): Promise<ResumptionVerdict> {
+  const {streams, log} = deps;
   const {workspace, facts, rule} = req;
   const firstRequestId = facts.resumption?.firstRequestId ?? '';
   const stream = {workspace, firstRequestId};
-  const isNamed = firstRequestId !== '';
-  const origin = isNamed
-    ? await streams.find(stream, now)
-    : findUnnamed(req, fleet, isInTouch);
+  const recorded = await streams.find(stream, now);
+  const verdict = recorded
+    ? {origin: recorded}
+    : await findWithoutRecord(req, deps);
+  const {origin} = verdict;
   log.info('stream looked up', {
     request: facts.requestId,
     ...(facts.resumption && describeResumption(facts.resumption)),
     isKnown: origin !== undefined,
+    hasRecord: recorded !== undefined,
     pool: origin?.pool,
     version: origin?.version,
+    refusal: verdict.refusal,
   });
+  if (origin && !recorded) streams.noteOnlyVersion();
   // The gateways that keep the record may have restarted since the last try.
-  if (origin && isNamed) {
-    streams.record(stream, origin, rule.forwarding.timeoutMs, now);
-  }
+  if (origin) streams.record(stream, origin, rule.forwarding.timeoutMs, now);
   return bindToOrigin(req, origin);
 }
 
 /**
- * A caller that doesn't name its stream can only resume it where all servers
- * run the same version.
+ * A caller may not name its stream, and all gateways that knew it may have
+ * restarted.
  */
-function findUnnamed(
-  {rule}: AdmittedRequest,
-  fleet: Pick<GatewayFleet, 'onlyOrigin'>,
-  isInTouch: boolean,
-): StreamOrigin | undefined {
-  const [first, ...others] = rule.pools;
-  if (!isInTouch || !first || others.length > 0) return undefined;
-  return rule.forwarding.resumable
-    ? fleet.onlyOrigin(first.pool.name)
-    : undefined;
+async function findWithoutRecord(
+  {rule, path}: AdmittedRequest,
+  {streams, fleet}: ResumptionDependencies,
+): Promise<HistoryVerdict | {readonly refusal: undefined; origin?: never}> {
+  const {resumable, timeoutMs} = rule.forwarding;
+  if (!resumable) return {refusal: undefined};
+  const verdict = findOnlyOrigin(await streams.readHistory(), {
+    pools: rule.pools.map(({pool}) => pool.name),
+    host: rule.host,
+    path,
+    maxAgeMs: keepSecondsOf(timeoutMs) * 1_000,
+  });
+  const {origin} = verdict;
+  return origin && fleet.hasOtherVersions(origin)
+    ? {refusal: HISTORY_REFUSAL.SEVERAL_VERSIONS}
+    : verdict;
 }
--- a/packages/lovagepond-gateway/src/gateway_streams.ts
+++ b/packages/lovagepond-gateway/src/gateway_streams.ts
@@ -1,6 +1,7 @@
 /**
  * The streams of all gateways, as far as one gateway has to know them.
  */
+import {type ControlLink} from '@lovagepond/router/control_link';
 import {type KeyHasher} from '@lovagepond/router/rendezvous_hash';
 import {
   StreamDirectory,
@@ -8,6 +9,7 @@
 } from './gateway_stream_directory.js';
 import {type StreamOrigin} from './gateway_stream_origin.js';
 import {type GatewayPeerLink} from './gateway_peer_link.js';
+import {StreamHistoryReader} from './gateway_stream_history_reader.js';
 
 /** A request's stream: its workspace, and the request with the first event. */
 export interface StreamName {
@@ -20,19 +22,30 @@
 export interface GatewayStreamsState {
   readonly records: number;
   readonly peers: number;
-  readonly lookups: StreamDirectoryCounts;
+  readonly lookups: StreamDirectoryCounts & {
+    /** Without a record, but all servers had one version. */
+    readonly onlyVersion: number;
+  };
 }
 
 export class GatewayStreams {
   readonly #link: GatewayPeerLink;
   readonly #directory: StreamDirectory;
+  readonly #history: StreamHistoryReader;
+  #onlyVersion = 0;
 
   /**
    * @param link reaches the other gateways
    * @param hasher hashes the names of streams
+   * @param control tells which versions were in service
    */
-  constructor(link: GatewayPeerLink, hasher: KeyHasher) {
+  constructor(
+    link: GatewayPeerLink,
+    hasher: KeyHasher,
+    control: Pick<ControlLink, 'readStreamHistory'>,
+  ) {
     this.#link = link;
+    this.#history = new StreamHistoryReader(() => control.readStreamHistory());
     this.#directory = new StreamDirectory({
       hasher,
       peers: link.addresses,
@@ -89,11 +102,21 @@
     });
   }
 
+  /** See {@link StreamHistoryReader.read}. */
+  readHistory(): ReturnType<StreamHistoryReader['read']> {
+    return this.#history.read();
+  }
+
+  /** Counts a stream that is resumed without a record. */
+  noteOnlyVersion(): void {
+    this.#onlyVersion += 1;
+  }
+
   describe(): GatewayStreamsState {
     return {
       records: this.#directory.size,
       peers: this.#link.addresses.size,
-      lookups: this.#directory.counts,
+      lookups: {...this.#directory.counts, onlyVersion: this.#onlyVersion},
     };
   }
 }
--- a/packages/lovagepond-measure/src/simulated_exchange.ts
+++ b/packages/lovagepond-measure/src/simulated_exchange.ts
@@ -390,6 +390,7 @@
   return {
     name,
     kind: name,
+    host: '',
     pathPrefix: `/${name}/`,
     isPublic: false,
     nonRepeatable: !kind.repeatable,
--- a/packages/lovagepond-protocol/src/protocol_services.ts
+++ b/packages/lovagepond-protocol/src/protocol_services.ts
@@ -93,6 +93,12 @@
     v1.RetryResponse,
     false,
   ),
+  readStreamHistory: makeMethod(
+    'Control/ReadStreamHistory',
+    v1.StreamHistoryRequest,
+    v1.StreamHistoryResponse,
+    false,
+  ),
   announce: makeMethod(
     'Control/Announce',
     v1.AnnounceRequest,
--- a/packages/lovagepond-router/src/router_control_link.ts
+++ b/packages/lovagepond-router/src/router_control_link.ts
@@ -239,6 +239,23 @@
     return res && new v1.RetryResponse(res);
   }
 
+  /**
+   * Asks which servers can have begun a stream.
+   *
+   * @returns what was in service lately, confirmed by a majority after the call;
+   *     undefined when there was no such response
+   */
+  async readStreamHistory(): Promise<
+    lovagepond.v1.StreamHistoryResponse | undefined
+  > {
+    const {node} = this.#facts;
+    const res = await this.#callControl(
+      CONTROL_SERVICE.readStreamHistory,
+      new v1.StreamHistoryRequest({node}),
+    );
+    return res?.confirmed ? new v1.StreamHistoryResponse(res) : undefined;
+  }
+
   /** Subscribes again and reports the current revision. */
   restart(reason: string): void {
     if (this.#call) this.#onLost(reason);
