Continue no stream at a server first seen draining

A gateway that has just started would send streams to a draining server for half of its drain time from its own start, later than the drain time since the server's leaving was acknowledged.

Cause: the begin of the drain was when this process first saw it, which a process that has just started takes for now.

Change: a server that the gateway has never seen ready continues no streams.

Why it works: whoever has seen the server ready knows the begin to within one tick; whoever has not makes no assumption.

--- a/packages/lovagepond-gateway/src/gateway_fleet.ts
+++ b/packages/lovagepond-gateway/src/gateway_fleet.ts
@@ -88,6 +88,7 @@
       }
       listed.add(server.name);
       const state = this.#stateOf(server);
+      this.#noteFirstSeen(server);
       state.useServer(server, this.#meansOf(server.pool));
       if (this.#successors.isFormer(server)) state.markReplaced();
       this.#states.set(server.name, state);
@@ -106,6 +107,15 @@
     return listed;
   }
 
+  /**
+   * A gateway that has just started, or has just got the server listed, can't know
+   * how long ago it began to drain.
+   */
+  #noteFirstSeen({name, state}: BackendServer): void {
+    if (this.#states.has(name) || state !== SERVER_STATE.DRAINING) return;
+    this.#drainingSince.set(name, Number.NEGATIVE_INFINITY);
+  }
+
   #stateOf(server: BackendServer): ServerState {
     const {name, pool} = server;
     const known = this.#states.get(name) ?? this.#unlisted.take(server);
