--- a/packages/lovagepond-control/src/stream_history.ts
+++ b/packages/lovagepond-control/src/stream_history.ts
@@ -194,14 +194,14 @@
 }
 
 function keyOf(pool: string, version: string): string {
-  return JSON.stringify([pool, version]);
+  return `${pool}\u0000${version}`;
 }
 
 function matchKey({
   host,
   pathPrefix,
 }: Pick<SelectorChange, 'host' | 'pathPrefix'>): string {
-  return JSON.stringify([host.toLowerCase(), pathPrefix]);
+  return `${host.toLowerCase()}\u0000${pathPrefix}`;
 }
 
 /** @returns the selectors of forwarded requests */
