--- a/packages/lovagepond-gateway/src/gateway_authority.ts
+++ b/packages/lovagepond-gateway/src/gateway_authority.ts
@@ -22,6 +22,18 @@
   return {now: clock.now(), wallTime: clock.wallTime()};
 }
 
+/**
+ * The monotonic clock does not count a suspension and the wall clock may be set
+ * back, so the larger of the two intervals is used.
+ *
+ * @param since an earlier time
+ * @param at current time
+ * @returns milliseconds in between
+ */
+export function elapsedMs(since: ClockReading, at: ClockReading): number {
+  return Math.max(at.now - since.now, at.wallTime - since.wallTime);
+}
+
 /**
  * Fraction of the bound for which API keys are trusted. The rest allows for a
  * request's processing time and for clock drift.
@@ -120,12 +132,7 @@
     return this.#age(at) < this.#boundMs * DENIAL_FRACTION;
   }
 
-  /**
-   * The monotonic clock does not count a suspension and the wall clock may be
-   * set back, so the larger of the two intervals is used.
-   */
-  #age({now, wallTime}: ClockReading): number {
-    if (!this.#freshAt) return Infinity;
-    return Math.max(now - this.#freshAt.now, wallTime - this.#freshAt.wallTime);
+  #age(at: ClockReading): number {
+    return this.#freshAt ? elapsedMs(this.#freshAt, at) : Infinity;
   }
 }
--- a/packages/lovagepond-gateway/src/gateway_exchange_dispatch.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_dispatch.ts
@@ -3,7 +3,7 @@
  * together keep the server within its load limit.
  */
 import {type ErrorKind} from '@lovagepond/core';
-import {type ClockReading, readClock} from './gateway_authority.js';
+import {type ClockReading, elapsedMs, readClock} from './gateway_authority.js';
 import {type ServerChoice} from './gateway_choice.js';
 import {type ExchangeAdmission} from './gateway_exchange_admission.js';
 import {type ExchangeRetry} from './gateway_exchange_retry.js';
@@ -74,8 +74,7 @@
   beginSend(state: ServerState): boolean {
     const {clock, servers, retry} = this.#deps;
     const at = readClock(clock);
-    const {now, wallTime} = this.#decidedAt;
-    const ageMs = Math.max(at.now - now, at.wallTime - wallTime);
+    const ageMs = elapsedMs(this.#decidedAt, at);
     if (ageMs > DECISION_VALID_MS) return false;
     if (!retry.maySend(at)) return false;
     const isAllowed =
--- a/packages/lovagepond-gateway/src/gateway_exchange_retry.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_retry.ts
@@ -3,12 +3,8 @@
  * credit, which is used up by the send.
  */
 import {type ClockReading} from './gateway_authority.js';
-import {
-  type GatewayRetries,
-  isValid,
-  type RetryCredit,
-  type RetryDecision,
-} from './gateway_retries.js';
+import {type GatewayRetries, type RetryDecision} from './gateway_retries.js';
+import {isValid, type RetryCredit} from './gateway_retry_credit.js';
 
 export class ExchangeRetry {
   readonly #retries: GatewayRetries;
--- a/packages/lovagepond-gateway/src/gateway_retries.ts
+++ b/packages/lovagepond-gateway/src/gateway_retries.ts
@@ -7,12 +7,12 @@
   type Random,
   RequestSpans,
   RETRY_ANSWER_MS,
-  RETRY_VALID_MS,
   type RetryAllowance,
 } from '@lovagepond/core';
 import {type lovagepond} from '@lovagepond/protocol';
-import {type ClockReading, readClock} from './gateway_authority.js';
+import {type ClockReading, elapsedMs, readClock} from './gateway_authority.js';
 import {OwnRetries} from './gateway_own_retries.js';
+import {isValid, type RetryCredit} from './gateway_retry_credit.js';
 import {type GatewaySettings} from './gateway_settings.js';
 
 type WireCounts = lovagepond.v1.RequestCounts.$Properties;
@@ -41,12 +41,6 @@
 
 export type RetryRefusal = (typeof RETRY_REFUSAL)[keyof typeof RETRY_REFUSAL];
 
-/** Allows one retry to be sent. */
-export interface RetryCredit {
-  /** Both clocks, as either may stand still while the host does. */
-  readonly validUntil: ClockReading;
-}
-
 export type RetryDecision =
   | {readonly credit: RetryCredit; readonly refusal?: never}
   | {readonly refusal: RetryRefusal; readonly credit?: never};
@@ -236,22 +230,18 @@
     if (this.#question !== question) return;
     this.#question = undefined;
     const {askedAt} = question;
-    const isLate = ageMs(askedAt, at) > RETRY_ANSWER_MS;
+    const isLate = elapsedMs(askedAt, at) > RETRY_ANSWER_MS;
     if (!res?.answered || isLate) {
       this.#onSilence(question, at);
       return;
     }
     const intervalMs = res.intervalMs ?? 0;
     this.#nextAskAt = at.now + intervalMs;
-    const validUntil = {
-      now: askedAt.now + RETRY_VALID_MS,
-      wallTime: askedAt.wallTime + RETRY_VALID_MS,
-    };
     for (const {pool, count, left} of res.granted ?? []) {
       const name = pool ?? '';
       this.#left.set(name, left ?? 0);
       for (let nth = 0; nth < (count ?? 0); nth += 1) {
-        this.release(name, {validUntil});
+        this.release(name, {askedAt});
       }
     }
     for (const {pool, onDecision} of question.waiting) {
@@ -280,11 +270,7 @@
       return;
     }
     this.#decisions.alone += 1;
-    const validUntil = {
-      now: at.now + RETRY_VALID_MS,
-      wallTime: at.wallTime + RETRY_VALID_MS,
-    };
-    onDecision({credit: {validUntil}}, at);
+    onDecision({credit: {askedAt: at}}, at);
   }
 
   #refuse(
@@ -346,16 +332,3 @@
     },
   );
 }
-
-function ageMs(since: ClockReading, at: ClockReading): number {
-  return Math.max(at.now - since.now, at.wallTime - since.wallTime);
-}
-
-/**
- * @param credit a retry
- * @param at current time
- * @returns true if it may still be sent
- */
-export function isValid({validUntil}: RetryCredit, at: ClockReading): boolean {
-  return at.now <= validUntil.now && at.wallTime <= validUntil.wallTime;
-}
--- a/packages/lovagepond-gateway/src/gateway_send_permit.ts
+++ b/packages/lovagepond-gateway/src/gateway_send_permit.ts
@@ -3,7 +3,7 @@
  * and, while the server is warming up, one of its few requests.
  */
 import {type Clock} from '@lovagepond/core';
-import {type ClockReading, readClock} from './gateway_authority.js';
+import {type ClockReading, elapsedMs, readClock} from './gateway_authority.js';
 import {ExchangePermit} from './gateway_exchange_permit.js';
 import {type GatewayPermits} from './gateway_permits.js';
 import {type ServerState} from './gateway_server_state.js';
@@ -135,9 +135,5 @@
 }
 
 function isValid({askedAt}: WarmUpPermit, at: ClockReading): boolean {
-  const elapsedMs = Math.max(
-    at.now - askedAt.now,
-    at.wallTime - askedAt.wallTime,
-  );
-  return elapsedMs <= PERMIT_VALID_MS;
+  return elapsedMs(askedAt, at) <= PERMIT_VALID_MS;
 }
