Accept underscores in host names of other processes

Settings accept them, so sidecars, routers and members of control may have such names. Since addresses are parsed before a connection is opened, routers and sidecars would have reached none of these, and members would have dropped each other's messages. Found by reading; two rows of core_socket_address.test.ts failed before. A URL reads such a name as the same host, which the test checks.

--- a/packages/lovagepond-core/src/__tests__/unit/core_socket_address.test.ts
+++ b/packages/lovagepond-core/src/__tests__/unit/core_socket_address.test.ts
@@ -8,6 +8,7 @@
     ['[::1]:80', '::1', 80],
     ['host-1.example:8080', 'host-1.example', 8_080],
     ['x:1', 'x', 1],
+    ['control_1:7000', 'control_1', 7_000],
   ])('%s has a host and a port', (text, host, port) => {
     expect(parseSocketAddress(text)).toEqual({host, port});
   });
@@ -42,13 +43,16 @@
   });
 
   // Guards against a connection to another host than the text seems to name.
-  it.each(['127.0.0.1:81', '[::1]:81', 'host-1.example:81', 'x.y2:81'])(
-    '%s means the same as in a URL',
-    text => {
-      const {host, port} = parseSocketAddress(text)!;
-      const url = new URL(`http://${text}`);
-      expect(url.hostname.replace(/^\[|\]$/g, '')).toBe(host);
-      expect(Number(url.port)).toBe(port);
-    },
-  );
+  it.each([
+    '127.0.0.1:81',
+    '[::1]:81',
+    'host-1.example:81',
+    'x.y2:81',
+    'x_1.y2:81',
+  ])('%s means the same as in a URL', text => {
+    const {host, port} = parseSocketAddress(text)!;
+    const url = new URL(`http://${text}`);
+    expect(url.hostname.replace(/^\[|\]$/g, '')).toBe(host);
+    expect(Number(url.port)).toBe(port);
+  });
 });
--- a/packages/lovagepond-core/src/core_socket_address.ts
+++ b/packages/lovagepond-core/src/core_socket_address.ts
@@ -15,8 +15,9 @@
 const PORT = /^[1-9]\d{0,4}$/;
 const MAX_PORT = 65_535;
 
+/** Names of hosts, other than those of domains, may have underscores. */
 const HOST_NAME =
-  /^[a-z\d]([a-z\d-]*[a-z\d])?(\.[a-z\d]([a-z\d-]*[a-z\d])?)*$/i;
+  /^[a-z\d_]([a-z\d_-]*[a-z\d_])?(\.[a-z\d_]([a-z\d_-]*[a-z\d_])?)*$/i;
 
 /** A name whose last label is a number is parsed as an IPv4 address. */
 const NUMBER_AT_END = /(^|\.)(\d+|0x[\da-f]*)$/i;
