Log the requests that the end of a gateway cuts

Cause: the record of the incident couldn't tell an answer that was closed before its delivery from a request that the exit cut: no line of the gateway names either.

Change: open requests are kept with what they wait for. A gateway that stops writes a line for each request that it cuts, at most 100: phase, server, bytes waiting, age. A complete response that was not delivered is logged, too.

--- a/packages/lovagepond-gateway/src/gateway_caller_channel.ts
+++ b/packages/lovagepond-gateway/src/gateway_caller_channel.ts
@@ -57,6 +57,11 @@
     return this.#res.headersSent ? this.#res.statusCode : 0;
   }
 
+  /** True once the end of the response was written or the connection cut. */
+  get isOver(): boolean {
+    return this.#isOver;
+  }
+
   /** False once the caller has disconnected. */
   get isOpen(): boolean {
     return !this.#res.destroyed;
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -5,11 +5,7 @@
  * the caller, and sends exactly one final response.
  */
 import {type ErrorKind} from '@lovagepond/core';
-import {
-  type ResponseHead,
-  type AttemptFailure,
-  type AttemptListener,
-} from './gateway_attempt.js';
+import {type AttemptFailure, type AttemptListener} from './gateway_attempt.js';
 import {type ClockReading, readClock} from './gateway_authority.js';
 import {type CallerChannel} from './gateway_caller_channel.js';
 import {type ServerChoice} from './gateway_choice.js';
@@ -33,13 +29,14 @@
   type RepeatStep,
 } from './gateway_outcome.js';
 import {guardHandler, guardHandlers} from './gateway_request_guard.js';
-import {BufferedFailure} from './gateway_buffered_failure.js';
 import {FinalAnswer} from './gateway_final_answer.js';
 import {
   noteAnswered,
   noteExit,
   noteFailedAttempt,
 } from './gateway_failed_attempt.js';
+import {type ExchangeState, REQUEST_PHASE} from './gateway_open_requests.js';
+import {ResponseRelay} from './gateway_response_relay.js';
 import {type ServerState} from './gateway_server_state.js';
 
 /**
@@ -48,8 +45,6 @@
  */
 const DEADLINE_SLACK_MS = 40;
 
-const FIRST_ERROR_STATUS = 500;
-
 export class Exchange {
   readonly #req: AdmittedRequest;
   readonly #deps: ExchangeDependencies;
@@ -62,6 +57,7 @@
   readonly #retry: ExchangeRetry;
   readonly #answer: FinalAnswer;
   readonly #events: EventStream | undefined;
+  readonly #relay: ResponseRelay;
   readonly #current: CurrentAttempt;
   #timer: NodeJS.Timeout | undefined;
   #runs = 0;
@@ -109,6 +105,7 @@
     if (req.rule.forwarding.streaming) {
       this.#events = new EventStream(req.origin && lastEventIdOf(req.facts));
     }
+    this.#relay = this.#makeRelay();
     this.#admission = new ExchangeAdmission(
       req,
       {
@@ -136,6 +133,26 @@
     this.#dispatch = this.#makeDispatch();
   }
 
+  #makeRelay(): ResponseRelay {
+    return new ResponseRelay({
+      caller: this.#caller,
+      current: this.#current,
+      events: this.#events,
+      listener: {
+        onFirstToken: now => {
+          this.#admission.noteFirstToken(now);
+        },
+        onEvents: now => {
+          this.#servers.bindStream(now);
+        },
+        onBroken: reason => {
+          this.#current.abort();
+          this.#onFailed({kind: 'broken', reason, isLost: false});
+        },
+      },
+    });
+  }
+
   #makeDispatch(): ExchangeDispatch {
     const own = {
       servers: this.#servers,
@@ -179,6 +196,16 @@
     })();
   }
 
+  /** @returns what the request waits for, and at which server */
+  describe(): ExchangeState {
+    const server = this.#servers.attempted.at(-1)?.name;
+    if (this.#caller.headSent) {
+      return {phase: REQUEST_PHASE.RESPONDING, server};
+    }
+    const {SENT, WAITING} = REQUEST_PHASE;
+    return {phase: this.#current.isSent ? SENT : WAITING, server};
+  }
+
   /** Aborts the request if it is quarantined for crashing servers. */
   abortQuarantined(): void {
     const {quarantine} = this.#deps;
@@ -218,9 +245,9 @@
         this.#onServerSignals(state, signals);
       },
       onHead: head => {
-        this.#onHead(head);
+        this.#relay.passHead(head);
       },
-      onData: chunk => this.#onData(chunk),
+      onData: chunk => this.#relay.passData(chunk, this.#now()),
       onEnd: () => {
         this.#onEnd();
       },
@@ -252,43 +279,6 @@
     this.#deps.overload.noteServersChanged();
   }
 
-  #onHead(head: ResponseHead): void {
-    if (!this.#current.state) return;
-    if (head.status >= FIRST_ERROR_STATUS) {
-      this.#current.incomingFailure = new BufferedFailure(head);
-      return;
-    }
-    if (!this.#caller.headSent) this.#caller.sendHead(head);
-  }
-
-  #onData(chunk: Buffer): boolean {
-    const {state, prefill, incomingFailure} = this.#current;
-    if (!state) return true;
-    prefill?.noteFirstToken(this.#now(), !incomingFailure);
-    if (incomingFailure) {
-      this.#bufferChunk(incomingFailure, chunk);
-      return true;
-    }
-    this.#admission.noteFirstToken(this.#now());
-    if (!this.#events) return this.#caller.write(chunk);
-    const parsed = this.#events.take(chunk);
-    if (parsed.kind === 'broken') {
-      this.#current.abort();
-      this.#onFailed({kind: 'broken', reason: parsed.reason, isLost: false});
-      return true;
-    }
-    if (parsed.bytes.length === 0) return true;
-    this.#servers.bindStream(this.#now());
-    return this.#caller.write(parsed.bytes);
-  }
-
-  #bufferChunk(failure: BufferedFailure, chunk: Buffer): void {
-    if (failure.add(chunk)) return;
-    this.#current.abort();
-    const reason = 'error response is too large to buffer';
-    this.#onFailed({kind: 'broken', reason, isLost: false});
-  }
-
   #onEnd(): void {
     if (this.#current.incomingFailure) {
       this.#answer.failure = this.#current.incomingFailure;
--- /dev/null
+++ b/packages/lovagepond-gateway/src/gateway_request_path.ts
@@ -0,0 +1,241 @@
+/**
+ * The path of one request from its head to its exchange: admission, its body,
+ * and the stream that it resumes.
+ */
+import {type IncomingMessage} from 'node:http';
+import {
+  answerFor,
+  type CallerLimits,
+  type ErrorKind,
+  toRequestSubjects,
+} from '@lovagepond/core';
+import {fingerprintOf} from '@lovagepond/router/quarantine';
+import {type GatewayAdmission} from './gateway_admission.js';
+import {readClock} from './gateway_authority.js';
+import {type CallerChannel} from './gateway_caller_channel.js';
+import {type GatewayDrainAdmission} from './gateway_drain_admission.js';
+import {Exchange} from './gateway_exchange.js';
+import {
+  type AdmittedRequest,
+  type ExchangeDependencies,
+} from './gateway_exchange_types.js';
+import {type RequestFacts} from './gateway_headers.js';
+import {findFault} from './gateway_malformed_requests.js';
+import {type OpenRequest} from './gateway_open_requests.js';
+import {type BodyListener, readBody} from './gateway_request_body.js';
+import {
+  guardHandler,
+  guardHandlers,
+  type OnThrown,
+} from './gateway_request_guard.js';
+import {StartupQueue} from './gateway_startup_queue.js';
+import {resumesStream, resumeStream} from './gateway_stream_resumption.js';
+import {type GatewayStreams} from './gateway_streams.js';
+
+/** Deadline that the startup queue assumes for requests without one, ms. */
+const DEFAULT_DEADLINE_MS = 1_000;
+
+/** Limits used until the configuration sets them. */
+export const DEFAULT_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16 * 1024,
+  maxBodyBytes: 4 * 1024 * 1024,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+
+export interface RequestPathDependencies extends ExchangeDependencies {
+  readonly admission: GatewayAdmission;
+  readonly drainAdmission: GatewayDrainAdmission;
+  readonly streams: GatewayStreams;
+  /** Limit on all buffered request bodies, bytes; further ones are rejected. */
+  readonly maxHeldBytes: number;
+}
+
+/** A request whose head has arrived. */
+export interface IncomingRequest {
+  readonly req: IncomingMessage;
+  readonly facts: RequestFacts;
+  readonly caller: CallerChannel;
+  /** The entry that is described when the process ends before the request. */
+  readonly open: OpenRequest;
+  /** Ends the request after an unexpected exception. */
+  readonly onThrown: OnThrown;
+}
+
+type Admitted = Extract<
+  ReturnType<GatewayAdmission['admit']>,
+  {ok: true}
+>['admitted'];
+
+export class RequestPath {
+  readonly #deps: RequestPathDependencies;
+  readonly #startupQueue = new StartupQueue();
+  /** Exchanges in flight. */
+  readonly #exchanges = new Set<Exchange>();
+  #limits = DEFAULT_LIMITS;
+  #bufferedBytes = 0;
+
+  /** @param deps dependencies shared by all requests */
+  constructor(deps: RequestPathDependencies) {
+    this.#deps = deps;
+  }
+
+  /** @param limits limits for callers */
+  useLimits(limits: CallerLimits): void {
+    this.#limits = limits;
+  }
+
+  /** Rejects the requests that wait for the configuration. */
+  refuseQueued(): void {
+    this.#startupQueue.refuseAll();
+  }
+
+  /** Decides on the requests that wait for the configuration. */
+  retryQueued(): void {
+    this.#startupQueue.retryAll();
+  }
+
+  /** Aborts the requests that are quarantined by now. */
+  abortQuarantined(): void {
+    for (const exchange of [...this.#exchanges]) exchange.abortQuarantined();
+  }
+
+  /** @param incoming a request whose head has arrived */
+  serve(incoming: IncomingRequest): void {
+    const {req, facts} = incoming;
+    const fault = findFault(req, this.#limits.maxHeaderBytes);
+    if (fault) {
+      this.#refuse(incoming, fault);
+      return;
+    }
+    const at = readClock(this.#deps.clock);
+    if (!this.#deps.admission.isStarting(at)) {
+      this.#admit(incoming, at.now);
+      return;
+    }
+    if (this.#deps.drainAdmission.isDraining) {
+      this.#refuse(incoming, 'notReady');
+      return;
+    }
+    this.#startupQueue.add(
+      facts.deadlineMs ?? DEFAULT_DEADLINE_MS,
+      guardHandler(() => {
+        this.#admit(incoming, at.now);
+      }, incoming.onThrown),
+      () => {
+        this.#refuse(incoming, 'notReady');
+      },
+    );
+  }
+
+  #admit(incoming: IncomingRequest, arrivedAt: number): void {
+    const {req, facts, onThrown} = incoming;
+    if (req.destroyed) return;
+    const at = readClock(this.#deps.clock);
+    const head = {host: req.headers.host ?? '', path: req.url ?? '', facts};
+    const admission = this.#deps.admission.admit(head, arrivedAt, at);
+    if (!admission.ok) {
+      this.#refuse(incoming, admission.error);
+      return;
+    }
+    const {admitted} = admission;
+    const {name} = admitted.rule;
+    const limitMs = admitted.deadlineAt - at.now;
+    if (!this.#deps.drainAdmission.admits(name, limitMs, at.now)) {
+      this.#refuse(incoming, 'notReady');
+      return;
+    }
+    const done = (): void => {
+      this.#deps.drainAdmission.noteDuration(
+        name,
+        this.#deps.clock.now() - arrivedAt,
+      );
+    };
+    const listener: BodyListener = {
+      onWhole: body => {
+        this.#run(incoming, admitted, body, done);
+      },
+      onRefused: error => {
+        this.#refuse(incoming, error);
+        done();
+      },
+      onDisconnected: done,
+    };
+    const guarded = guardHandlers(listener, onThrown);
+    readBody(req, this.#limits.maxBodyBytes, limitMs, guarded);
+  }
+
+  #run(
+    incoming: IncomingRequest,
+    admitted: Admitted,
+    body: Buffer,
+    done: () => void,
+  ): void {
+    if (this.#bufferedBytes + body.length > this.#deps.maxHeldBytes) {
+      this.#refuse(incoming, 'overloaded');
+      done();
+      return;
+    }
+    this.#bufferedBytes += body.length;
+    const release = (): void => {
+      this.#bufferedBytes -= body.length;
+      done();
+    };
+    const {req, facts, onThrown} = incoming;
+    const {method = 'GET', url: path = '/', rawHeaders} = req;
+    const workspace = admitted.workspace ?? '';
+    const fingerprint = fingerprintOf({method, path, workspace, body});
+    const partIds = facts.parts.map(({id}) => id);
+    const subjects = toRequestSubjects(fingerprint, partIds);
+    const content = {method, path, rawHeaders, body, fingerprint, facts};
+    const whole = {...admitted, ...content, subjects};
+    const start = (): void | Promise<void> =>
+      resumesStream(whole)
+        ? this.#resume(whole, incoming, release)
+        : this.#startExchange(whole, incoming, release);
+    void guardHandler(start, err => {
+      release();
+      onThrown(err);
+    })();
+  }
+
+  /** A caller that leaves meanwhile has closed its channel. */
+  async #resume(
+    req: AdmittedRequest,
+    incoming: IncomingRequest,
+    release: () => void,
+  ): Promise<void> {
+    const verdict = await resumeStream(req, this.#deps, this.#deps.clock.now());
+    if (verdict.ok && incoming.caller.isOpen) {
+      this.#startExchange(verdict.req, incoming, release);
+      return;
+    }
+    if (!verdict.ok) this.#refuse(incoming, verdict.error);
+    release();
+  }
+
+  #startExchange(
+    req: AdmittedRequest,
+    {caller, open}: IncomingRequest,
+    release: () => void,
+  ): void {
+    const exchange = new Exchange(req, this.#deps, caller, () => {
+      this.#exchanges.delete(exchange);
+      release();
+    });
+    this.#exchanges.add(exchange);
+    open.exchange = exchange;
+    exchange.start();
+  }
+
+  #refuse({caller, facts}: IncomingRequest, error: ErrorKind): void {
+    caller.refuse(error);
+    this.#deps.counters.noteRefused(error);
+    this.#deps.log.info('request refused', {
+      request: facts.requestId,
+      reason: error,
+      status: answerFor(error).status,
+      revision: this.#deps.admission.configuration.revision,
+    });
+  }
+}
