Close a draining router's connections only after their answers

What callers saw: a caller that reads slowly loses the rest of a finished answer when its router drains; a caller whose next request crosses the close of its connection gets a part of the answer before it; a connection on which nothing or half a head was sent keeps the router draining without a limit.

Cause: Node takes a connection for idle once end() was called for its response, also while bytes wait in the process, and Server.close and closeIdleConnections destroy it. A destroyed connection is reset by bytes that arrive later, and the operating system drops what it still holds. After the answers the drain waited for all connections without its limit, and Server.close had switched off the time limit for slow heads.

Change: HttpConnections tracks the responses that are not delivered. It stops listening without touching open connections and closes each one in order (end, then read and drop what arrives, for one second at most) once nothing of it is undelivered or partly received. The limit covers the whole drain. The module is independent of the router, so that a gateway can use it too.

--- a/packages/lovagepond-caller/src/caller_server.ts
+++ b/packages/lovagepond-caller/src/caller_server.ts
@@ -4,8 +4,10 @@
 import {randomInt, randomUUID} from 'node:crypto';
 import {createServer, type Server} from 'node:http';
 import {type AddressInfo} from 'node:net';
+import {setTimeout as wait} from 'node:timers/promises';
 import {App, type Request, type Response} from '@tinyhttp/app';
 import {type Clock, makeFailure, Random} from '@lovagepond/core';
+import {HttpConnections} from '@lovagepond/process/http_connections';
 import {type HttpResponseSink} from './caller_response.js';
 import {BodyBudget} from './caller_body_budget.js';
 import {CallerConnections} from './caller_connections.js';
@@ -34,6 +36,8 @@
 const CONNECTION_CHECK_MS = 1_000;
 const PIPELINED = 'A request of this connection is still in flight.';
 const SOCKET_BUFFER_BYTES = 32 * 1024;
+/** Longest wait for callers to close their connections too, milliseconds. */
+const CLOSE_WAIT_MS = 1_000;
 
 /** Accepts callers' requests and passes them to a {@link CallerHandler}. */
 export class CallerServer {
@@ -44,8 +48,8 @@
   readonly #keys = new KeysInFlight();
   readonly #bodies: BodyBudget;
   readonly #server: Server;
+  readonly #httpConnections: HttpConnections;
   readonly #responses = new Set<Response>();
-  #idleListeners: (() => void)[] = [];
   #openConnections = 0;
   #requests = 0;
   #slowReadersEnded = 0;
@@ -70,6 +74,7 @@
       nextRequestId: deps.nextRequestId ?? randomUUID,
     };
     this.#server = this.#makeServer(this.#makeRoutes());
+    this.#httpConnections = new HttpConnections(this.#server);
   }
 
   /** Binds the address; resolves once callers can connect. */
@@ -101,33 +106,45 @@
   }
 
   /**
-   * Shuts down gracefully. New responses carry `connection: close`. New
-   * connections are accepted during the grace period, until the platform's load
-   * balancer has noticed the shutdown. Then the port closes, and responses in
-   * flight are completed.
+   * Shuts down gracefully. New responses carry `connection: close`. New connections are accepted during the grace period,
+   * until the platform's load balancer has noticed the shutdown. Then the port
+   * closes, and each connection once its responses are delivered.
    *
-   * @param limitMs total time limit, milliseconds; responses that are still in
-   *     flight after it are cut off
+   * @param limitMs total time limit, milliseconds; responses that are not
+   *     delivered by then are cut off
    */
   async drain(limitMs: number): Promise<void> {
     if (this.#draining) return;
     this.#draining = true;
-    const graceMs = Math.min(this.#settings.drainGraceMs, limitMs);
-    await new Promise(resolve => setTimeout(resolve, graceMs));
-    const closed = this.#stopListening();
-    const limit = setTimeout(() => {
+    const limit = new AbortController();
+    const timer = setTimeout(() => {
+      limit.abort();
       this.#server.closeAllConnections();
-    }, limitMs - graceMs);
-    await this.#waitUntilIdle();
-    clearTimeout(limit);
-    this.#server.closeIdleConnections();
+    }, limitMs);
+    const {signal} = limit;
+    await pause(this.#settings.drainGraceMs, signal);
+    const connections = this.#httpConnections;
+    const closed = connections.stopListening();
+    connections.closeIdle();
+    if (signal.aborted) this.#server.closeAllConnections();
+    // A request whose head was on its way may arrive during the wait.
+    do {
+      await connections.whenDelivered();
+      await Promise.race([closed, pause(CLOSE_WAIT_MS, signal)]);
+    } while (connections.undelivered > 0);
+    clearTimeout(timer);
+    this.#server.closeAllConnections();
     await closed;
   }
 
   /** Stops immediately; responses in flight are cut off. */
   async stop(): Promise<void> {
     this.#draining = true;
-    const closed = this.#stopListening();
+    const closed = new Promise<void>(resolve => {
+      this.#server.close(() => {
+        resolve();
+      });
+    });
     this.#server.closeAllConnections();
     await closed;
   }
@@ -146,6 +163,10 @@
     });
     server.maxConnections = settings.maxConnections;
     server.on('request', (req, res) => {
+      if (this.#httpConnections.isClosing(req.socket)) {
+        req.resume();
+        return;
+      }
       // Routing may throw on a malformed path. Uncaught, the exception would
       // end the process and with it all other responses.
       try {
@@ -233,22 +254,10 @@
       };
       exchange.then(count, () => undefined);
     }
-    if (this.#responses.size > 0) return;
-    for (const listener of this.#idleListeners.splice(0)) listener();
-  }
-
-  #waitUntilIdle(): Promise<void> {
-    if (this.#responses.size === 0) return Promise.resolve();
-    return new Promise(resolve => {
-      this.#idleListeners.push(resolve);
-    });
   }
+}
 
-  #stopListening(): Promise<void> {
-    return new Promise(resolve => {
-      this.#server.close(() => {
-        resolve();
-      });
-    });
-  }
+/** Waits for a time in milliseconds, or until the signal is aborted. */
+async function pause(ms: number, signal: AbortSignal): Promise<void> {
+  await wait(ms, undefined, {signal, ref: false}).catch(() => undefined);
 }
--- /dev/null
+++ b/packages/lovagepond-process/src/http_connections.ts
@@ -0,0 +1,129 @@
+/**
+ * Closes the connections of an HTTP server so that no response is cut.
+ *
+ * Node takes a connection for idle once `end()` was called for its response,
+ * even if bytes of it wait in the process, and destroys it. A destroyed
+ * connection is reset by bytes that arrive later, and the operating system then
+ * drops what its peer has not received.
+ */
+import {
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import {Server as NetServer, type Socket} from 'node:net';
+
+/** Longest time for which a closed connection is read, milliseconds. */
+const LINGER_MS = 1_000;
+
+interface Connection {
+  undelivered: number;
+  /** Bytes that had arrived when the last response was delivered. */
+  bytesAnswered: number;
+  isClosing: boolean;
+}
+
+/** Tracks the connections of one server and their undelivered responses. */
+export class HttpConnections {
+  readonly #server: Server;
+  readonly #connections = new Map<Socket, Connection>();
+  readonly #deliveryListeners: (() => void)[] = [];
+  #undelivered = 0;
+  #closesIdle = false;
+
+  /** @param server a server that doesn't listen yet */
+  constructor(server: Server) {
+    this.#server = server;
+    server.on('connection', (socket: Socket) => {
+      this.#add(socket);
+    });
+    server.prependListener('request', (req, res) => {
+      this.#noteRequest(req, res);
+    });
+  }
+
+  /** Responses of which bytes wait in the process or are still to come. */
+  get undelivered(): number {
+    return this.#undelivered;
+  }
+
+  /**
+   * @param socket a request's connection
+   * @returns true if the connection was closed before the request arrived, so
+   *     that the request must not be run and can't be answered
+   */
+  isClosing(socket: Socket): boolean {
+    return this.#connections.get(socket)?.isClosing ?? false;
+  }
+
+  /**
+   * Closes each connection that has no undelivered response and no partly
+   * received request: now, and whenever a response has been delivered.
+   */
+  closeIdle(): void {
+    this.#closesIdle = true;
+    for (const [socket, connection] of this.#connections) {
+      this.#closeIfIdle(socket, connection);
+    }
+  }
+
+  /**
+   * Accepts no new connections. Unlike `Server.close` this leaves the open ones
+   * alone, and their time limits for slow senders in force.
+   *
+   * @returns resolves when all connections are closed
+   */
+  stopListening(): Promise<void> {
+    return new Promise(resolve => {
+      NetServer.prototype.close.call(this.#server, () => {
+        resolve();
+      });
+    });
+  }
+
+  /** @returns resolves when no response is undelivered */
+  whenDelivered(): Promise<void> {
+    if (this.#undelivered === 0) return Promise.resolve();
+    return new Promise(resolve => {
+      this.#deliveryListeners.push(resolve);
+    });
+  }
+
+  #add(socket: Socket): void {
+    const connection = {undelivered: 0, bytesAnswered: 0, isClosing: false};
+    this.#connections.set(socket, connection);
+    socket.once('close', () => {
+      this.#connections.delete(socket);
+    });
+  }
+
+  #noteRequest({socket}: IncomingMessage, res: ServerResponse): void {
+    const connection = this.#connections.get(socket);
+    if (!connection || connection.isClosing) return;
+    connection.undelivered += 1;
+    this.#undelivered += 1;
+    // Emitted once the operating system has taken the last byte, or the
+    // connection is lost.
+    res.once('close', () => {
+      connection.undelivered -= 1;
+      connection.bytesAnswered = socket.bytesRead;
+      this.#undelivered -= 1;
+      if (this.#closesIdle) this.#closeIfIdle(socket, connection);
+      if (this.#undelivered > 0) return;
+      for (const listener of this.#deliveryListeners.splice(0)) listener();
+    });
+  }
+
+  #closeIfIdle(socket: Socket, connection: Connection): void {
+    if (connection.isClosing || connection.undelivered > 0) return;
+    if (socket.bytesRead > connection.bytesAnswered) return;
+    connection.isClosing = true;
+    socket.end();
+    // The peer may send its next request before it sees the close. What arrives
+    // is read and dropped, as unread bytes would reset the connection.
+    const limit = setTimeout(() => socket.destroy(), LINGER_MS);
+    socket.once('close', () => {
+      clearTimeout(limit);
+    });
+  }
+}
