Announce a router's close in answers begun before its drain

What callers saw: an answer without "connection: close" from a router that was already draining, so that they sent the next request on a connection that was about to be closed.

Cause: the header was set when the head of the request arrived. A body that becomes whole after the drain began, or an answer that takes longer, did not get it.

Change: the drain sets the header on all open responses whose head is not sent.

Evidence (arm64, npx vitest run packages/lovagepond-caller): the new test fails on the code before ("connection: keep-alive") and passes with the change.

--- a/packages/lovagepond-caller/src/__tests__/unit/caller_drain.test.ts
+++ b/packages/lovagepond-caller/src/__tests__/unit/caller_drain.test.ts
@@ -108,6 +108,23 @@
   await drained;
 });
 
+test('the answer to a body that becomes whole in a drain announces the close', async () => {
+  const server = await startServer(
+    (_req, sink) => {
+      sink.end();
+    },
+    {drainGraceMs: 100},
+  );
+  const text = rawRequest(chatBody());
+  const {socket, received} = openRaw(server, text.slice(0, -5));
+  sockets.push(socket);
+  await expect.poll(() => server.counters.requests).toBe(1);
+  const drained = server.drain(20_000);
+  socket.write(text.slice(-5));
+  expect((await received).toLowerCase()).toContain('connection: close');
+  await drained;
+});
+
 test('a connection without a request does not extend a drain', async () => {
   const server = await startServer((_req, sink) => {
     sink.end();
--- a/packages/lovagepond-caller/src/caller_server.ts
+++ b/packages/lovagepond-caller/src/caller_server.ts
@@ -2,7 +2,7 @@
  * The HTTP/1.1 server for callers: tinyhttp routes on a Node server.
  */
 import {randomInt, randomUUID} from 'node:crypto';
-import {createServer, type Server} from 'node:http';
+import {createServer, type Server, type ServerResponse} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {setTimeout as wait} from 'node:timers/promises';
 import {App, type Request, type Response} from '@tinyhttp/app';
@@ -106,7 +106,8 @@
   }
 
   /**
-   * Shuts down gracefully. New responses carry `connection: close`. New connections are accepted during the grace period,
+   * Shuts down gracefully. Responses whose head is not sent carry
+   * `connection: close`. New connections are accepted during the grace period,
    * until the platform's load balancer has noticed the shutdown. Then the port
    * closes, and each connection once its responses are delivered.
    *
@@ -116,6 +117,7 @@
   async drain(limitMs: number): Promise<void> {
     if (this.#draining) return;
     this.#draining = true;
+    for (const res of this.#responses) announceClose(res);
     const limit = new AbortController();
     const timer = setTimeout(() => {
       limit.abort();
@@ -225,7 +227,7 @@
     }
     this.#requests += 1;
     this.#responses.add(res);
-    if (this.#draining) res.setHeader('connection', 'close');
+    if (this.#draining) announceClose(res);
     const exchange = runExchange(
       req,
       res,
@@ -257,6 +259,11 @@
   }
 }
 
+/** @param res a response; nothing is changed after its head was sent */
+function announceClose(res: ServerResponse): void {
+  if (!res.headersSent) res.setHeader('connection', 'close');
+}
+
 /** Waits for a time in milliseconds, or until the signal is aborted. */
 async function pause(ms: number, signal: AbortSignal): Promise<void> {
   await wait(ms, undefined, {signal, ref: false}).catch(() => undefined);
