Decide exit code 5 from what a drain left open

What callers and operators saw: drains that ran into their limit and cut answers ended with exit code 0 in two of twelve stops of a gateway, and with 5 in the others. A drain that happened to end all its work at the limit could end with 5. No log line told how a drain had ended.

Cause: the lifecycle compared the duration of the drain with its limit by the clock. Timers fire up to a millisecond before the clock reaches their limit, so a drain that the limit had ended looked shorter than the limit.

Change: `Role.drain` resolves with the number of requests that are still open (`DrainResult`). The gateway, router, sidecar, control member and the control plane server count theirs; groups of roles add them up. The runner logs `drained` or `drain limit reached` with the count and the duration, and the lifecycle ends with 5 exactly when something was unfinished. It no longer needs the time.

The test of the lifecycle that expected 5 after a `drained` event at the limit stated the old rule; it now expects 5 after `drainLimitReached`.

Why it works: the count is read where the wait ends, from the same state that the stop aborts; no clock takes part.

--- a/packages/lovagepond-backend/src/backend_fake_engine_server.ts
+++ b/packages/lovagepond-backend/src/backend_fake_engine_server.ts
@@ -2,7 +2,13 @@
  * A fake model engine behind HTTP, with fault injection.
  */
 import {type App, type Request, type Response} from '@tinyhttp/app';
-import {type Clock, type Role, type StateDump, z} from '@lovagepond/core';
+import {
+  type Clock,
+  type DrainResult,
+  type Role,
+  type StateDump,
+  z,
+} from '@lovagepond/core';
 import {
   ENGINE_HEADER,
   ENGINE_PATH,
@@ -145,8 +151,8 @@
     return this.#heartbeat !== undefined;
   }
 
-  drain(): Promise<void> {
-    return Promise.resolve();
+  drain(): Promise<DrainResult> {
+    return Promise.resolve({unfinished: 0});
   }
 
   async stop(): Promise<void> {
--- a/packages/lovagepond-backend/src/backend_fake_service.ts
+++ b/packages/lovagepond-backend/src/backend_fake_service.ts
@@ -4,7 +4,7 @@
  */
 import {type ServerResponse} from 'node:http';
 import {type App, type Request, type Response} from '@tinyhttp/app';
-import {type Role, type StateDump, z} from '@lovagepond/core';
+import {type DrainResult, type Role, type StateDump, z} from '@lovagepond/core';
 import {
   addFakeControls,
   FakeListener,
@@ -117,8 +117,8 @@
     return this.#ready;
   }
 
-  drain(): Promise<void> {
-    return Promise.resolve();
+  drain(): Promise<DrainResult> {
+    return Promise.resolve({unfinished: 0});
   }
 
   async stop(): Promise<void> {
--- a/packages/lovagepond-caller/src/__tests__/unit/caller_server.test.ts
+++ b/packages/lovagepond-caller/src/__tests__/unit/caller_server.test.ts
@@ -344,7 +344,18 @@
   sinks[0]!.end();
   const text = await (await streamed).text();
   expect(text).toBe('data: 1\n\ndata: 2\n\ndata: [DONE]\n\n');
-  await drained;
+  expect(await drained).toEqual({unfinished: 0});
+});
+
+// Guards against an end of the process that cuts a response and looks like a
+// whole drain to the service manager.
+test('a drain tells how many responses its limit cuts off', async () => {
+  const sinks: ResponseSink[] = [];
+  const server = await startServer((_req, sink) => sinks.push(sink));
+  const cut = post(server, chatBody()).catch(() => 'cut');
+  await expect.poll(() => sinks.length).toBe(1);
+  expect(await server.drain(50)).toEqual({unfinished: 1});
+  expect(await cut).toBe('cut');
 });
 
 test('connections above the limit are refused, others are served', async () => {
--- a/packages/lovagepond-caller/src/caller_server.ts
+++ b/packages/lovagepond-caller/src/caller_server.ts
@@ -5,7 +5,12 @@
 import {createServer, type Server} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {App, type Request, type Response} from '@tinyhttp/app';
-import {type Clock, makeFailure, Random} from '@lovagepond/core';
+import {
+  type Clock,
+  type DrainResult,
+  makeFailure,
+  Random,
+} from '@lovagepond/core';
 import {type HttpResponseSink} from './caller_response.js';
 import {BodyBudget} from './caller_body_budget.js';
 import {CallerConnections} from './caller_connections.js';
@@ -108,20 +113,24 @@
    *
    * @param limitMs total time limit, milliseconds; responses that are still in
    *     flight after it are cut off
+   * @returns the number of responses that were cut off
    */
-  async drain(limitMs: number): Promise<void> {
-    if (this.#draining) return;
+  async drain(limitMs: number): Promise<DrainResult> {
+    if (this.#draining) return {unfinished: this.#responses.size};
     this.#draining = true;
     const graceMs = Math.min(this.#settings.drainGraceMs, limitMs);
     await new Promise(resolve => setTimeout(resolve, graceMs));
     const closed = this.#stopListening();
+    let unfinished = 0;
     const limit = setTimeout(() => {
+      unfinished = this.#responses.size;
       this.#server.closeAllConnections();
     }, limitMs - graceMs);
     await this.#waitUntilIdle();
     clearTimeout(limit);
     this.#server.closeIdleConnections();
     await closed;
+    return {unfinished};
   }
 
   /** Stops immediately; responses in flight are cut off. */
--- a/packages/lovagepond-cli/src/control_member.ts
+++ b/packages/lovagepond-cli/src/control_member.ts
@@ -1,7 +1,7 @@
 /**
  * A control member together with its administration server.
  */
-import {type Role, type StateDump} from '@lovagepond/core';
+import {type DrainResult, type Role, type StateDump} from '@lovagepond/core';
 import {
   type ControlAdministration,
   type ControlRole,
@@ -36,8 +36,8 @@
     return this.#control.isReady();
   }
 
-  async drain(limitMs: number): Promise<void> {
-    await this.#control.drain(limitMs);
+  drain(limitMs: number): Promise<DrainResult> {
+    return this.#control.drain(limitMs);
   }
 
   async stop(): Promise<void> {
--- a/packages/lovagepond-cli/src/role_group.ts
+++ b/packages/lovagepond-cli/src/role_group.ts
@@ -1,7 +1,13 @@
 /**
  * Runs several roles as one.
  */
-import {type Clock, type Role, type StateDump} from '@lovagepond/core';
+import {
+  type Clock,
+  type DrainResult,
+  type Role,
+  type StateDump,
+  sumDrainResults,
+} from '@lovagepond/core';
 
 /** A role with its name in the state dump. */
 export interface NamedRole {
@@ -37,12 +43,15 @@
   }
 
   /** Routers drain before the sidecars that run their requests. */
-  async drain(limitMs: number): Promise<void> {
+  async drain(limitMs: number): Promise<DrainResult> {
     const deadline = this.#clock.now() + limitMs;
+    const results: DrainResult[] = [];
     for (const layer of this.#layers.toReversed()) {
       const remainingMs = Math.max(0, deadline - this.#clock.now());
-      await Promise.all(layer.map(({role}) => role.drain(remainingMs)));
+      const layerResults = layer.map(({role}) => role.drain(remainingMs));
+      results.push(...(await Promise.all(layerResults)));
     }
+    return sumDrainResults(results);
   }
 
   async stop(): Promise<void> {
--- a/packages/lovagepond-cli/src/standalone_role.ts
+++ b/packages/lovagepond-cli/src/standalone_role.ts
@@ -2,7 +2,12 @@
  * Runs the whole fleet of `standalone` as one role and installs its first
  * configuration.
  */
-import {type Clock, type Role, type StateDump} from '@lovagepond/core';
+import {
+  type Clock,
+  type DrainResult,
+  type Role,
+  type StateDump,
+} from '@lovagepond/core';
 import {type ControlAdministration} from '@lovagepond/control';
 import {type StandaloneFleet} from './standalone_fleet.js';
 
@@ -61,8 +66,8 @@
     return this.#fleet.group.isReady();
   }
 
-  async drain(limitMs: number): Promise<void> {
-    await this.#fleet.group.drain(limitMs);
+  drain(limitMs: number): Promise<DrainResult> {
+    return this.#fleet.group.drain(limitMs);
   }
 
   async stop(): Promise<void> {
--- a/packages/lovagepond-control/src/control_role.ts
+++ b/packages/lovagepond-control/src/control_role.ts
@@ -15,6 +15,7 @@
 } from '@lovagepond/consensus';
 import {
   type Clock,
+  type DrainResult,
   type Logger,
   type Random,
   type Role,
@@ -149,10 +150,10 @@
    *
    * @param limitMs the maximum wait, milliseconds
    */
-  async drain(limitMs: number): Promise<void> {
+  drain(limitMs: number): Promise<DrainResult> {
     this.#draining = true;
     this.#state.endSubscriptions();
-    await this.#server.waitUntilIdle(limitMs);
+    return this.#server.waitUntilIdle(limitMs);
   }
 
   async stop(): Promise<void> {
--- a/packages/lovagepond-control/src/control_server.ts
+++ b/packages/lovagepond-control/src/control_server.ts
@@ -11,7 +11,7 @@
   status,
   type UntypedServiceImplementation,
 } from '@grpc/grpc-js';
-import {type Logger} from '@lovagepond/core';
+import {type DrainResult, type Logger} from '@lovagepond/core';
 import {CONTROL_SERVICE, lovagepond} from '@lovagepond/protocol';
 import {SERVER_OPTIONS} from './control_channel_constants.js';
 import {type Subscriber, type FeedUpdate} from './subscription_feed.js';
@@ -134,13 +134,15 @@
    * stop. Calls may still arrive until then.
    *
    * @param limitMs the maximum wait, milliseconds
+   * @returns the number of calls that are still in progress
    */
-  async waitUntilIdle(limitMs: number): Promise<void> {
-    if (this.#activeCalls === 0) return;
+  async waitUntilIdle(limitMs: number): Promise<DrainResult> {
+    if (this.#activeCalls === 0) return {unfinished: 0};
     await new Promise<void>(resolve => {
       this.#idleListener = resolve;
       setTimeout(resolve, limitMs).unref();
     });
+    return {unfinished: this.#activeCalls};
   }
 
   /** Cancels calls in flight and closes all connections. */
--- a/packages/lovagepond-core/src/core_role.ts
+++ b/packages/lovagepond-core/src/core_role.ts
@@ -34,6 +34,22 @@
   readonly state: Readonly<Record<string, unknown>>;
 }
 
+/** How a drain ended. */
+export interface DrainResult {
+  /** Requests that were still open at the limit; 0 when all work ended. */
+  readonly unfinished: number;
+}
+
+/**
+ * @param results results of roles or servers that drained together
+ * @returns their result as a whole
+ */
+export function sumDrainResults(results: readonly DrainResult[]): DrainResult {
+  return {
+    unfinished: results.reduce((sum, {unfinished}) => sum + unfinished, 0),
+  };
+}
+
 /** A service that a process runs, such as a router or a member of control. */
 export interface Role {
   /** Binds its addresses and starts; resolves once it accepts connections. */
@@ -45,8 +61,9 @@
    * flight.
    *
    * @param limitMs longest time to wait for those requests, milliseconds
+   * @returns the number of requests that `stop` would abort
    */
-  drain(limitMs: number): Promise<void>;
+  drain(limitMs: number): Promise<DrainResult>;
   /**
    * Stops at once and aborts the requests in flight. A graceful shutdown calls
    * `drain` first.
--- a/packages/lovagepond-core/src/index.ts
+++ b/packages/lovagepond-core/src/index.ts
@@ -93,10 +93,12 @@
 export {mergeRegister, type Unregister} from './core_registration.js';
 export {
   type Clock,
+  type DrainResult,
   type LogFields,
   type Logger,
   type Role,
   type StateDump,
+  sumDrainResults,
 } from './core_role.js';
 export {z} from './core_schema.js';
 export {type PoolSpans, RequestSpans} from './core_request_spans.js';
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_role.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_role.test.ts
@@ -13,10 +13,13 @@
   Random,
 } from '@lovagepond/core';
 import {CONTROL_SERVICE, lovagepond} from '@lovagepond/protocol';
+import {createServer} from 'node:http';
+import {type AddressInfo} from 'node:net';
 import {afterEach, expect, test} from 'vitest';
 import {DEFAULT_HEADER_NAMES} from '../../gateway_headers.js';
 import {GatewayRole} from '../../gateway_role.js';
 import {DEFAULT_GATEWAY_SETTINGS} from '../../gateway_settings.js';
+import {callPort} from './gateway_caller.js';
 import {clock, CONTENT, silentLog} from './gateway_harness.js';
 
 const {v1} = lovagepond;
@@ -222,3 +225,39 @@
   expect(new Set(asked).size).toBe(2);
   expect(asked).toHaveLength(ROUNDS);
 });
+
+// Guards against an end of the process that cuts a response and looks like a
+// whole drain to the service manager.
+test('a drain tells how many responses its limit leaves open', async () => {
+  let received = 0;
+  const silent = createServer(() => (received += 1));
+  await new Promise<void>(resolve => silent.listen(0, '127.0.0.1', resolve));
+  cleanups.push(() => {
+    silent.closeAllConnections();
+    silent.close();
+  });
+  const {port} = silent.address() as AddressInfo;
+  const member = {
+    backendServer: 'server',
+    incarnation: 'i1',
+    pool: 'servers',
+    address: `127.0.0.1:${port}`,
+    state: 'ready',
+    directSlots: 8,
+  };
+  const control = await startControl(call => {
+    const configuration = encodeConfiguration(first!);
+    call.write(update({revision: 1, configuration}));
+    const membership = {version: 1, whole: true, members: [member]};
+    call.write(new v1.ControlUpdate({membership}));
+  }, 1);
+  const idle = await startGateway(control);
+  const busy = await startGateway(control);
+  await expect.poll(() => busy.isReady(), {timeout: WAIT_MS}).toBe(true);
+  const answered = callPort(busy.port, 'r', {path: '/talk/x'});
+  answered.catch(() => undefined);
+  await expect.poll(() => received).toBe(1);
+  const limitMs = 100;
+  expect(await idle.drain(limitMs)).toEqual({unfinished: 0});
+  expect(await busy.drain(limitMs)).toEqual({unfinished: 1});
+});
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -3,12 +3,14 @@
  * have no sidecar, using the configuration and the server list that control
  * pushes.
  */
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
   applyDelta,
   type Clock,
   type Configuration,
   decodeConfiguration,
   decodeDelta,
+  type DrainResult,
   EMPTY_MEMBERSHIP,
   type Logger,
   type Pool,
@@ -275,15 +277,14 @@
    * Load balancers take seconds to notice that the gateway is no longer ready.
    * Until then new connections are served, with one request each.
    */
-  async drain(limitMs: number): Promise<void> {
+  async drain(limitMs: number): Promise<DrainResult> {
     this.#draining = true;
     this.#server?.beginDraining(this.#deps.clock.now() + limitMs);
     const lingerMs = Math.min(this.#settings.drainLingerMs, limitMs);
-    await new Promise(resolve => setTimeout(resolve, lingerMs));
-    const limit = new Promise<void>(resolve => {
-      setTimeout(resolve, limitMs - lingerMs).unref();
-    });
+    await sleep(lingerMs);
+    const limit = sleep(limitMs - lingerMs, undefined, {ref: false});
     await Promise.race([this.#server?.finish(), limit]);
+    return {unfinished: this.#server?.inFlight ?? 0};
   }
 
   stop(): Promise<void> {
--- a/packages/lovagepond-process/src/__tests__/unit/process_components.test.ts
+++ b/packages/lovagepond-process/src/__tests__/unit/process_components.test.ts
@@ -14,29 +14,29 @@
       announceDelayMs: 500,
       drainLimitMs: 9_000,
     });
-    expect(lifecycle.handle('terminate', 0)).toEqual([
+    expect(lifecycle.handle('terminate')).toEqual([
       {kind: 'withdrawReadiness', delayMs: 500},
     ]);
     expect(lifecycle.isRunning).toBe(false);
-    expect(lifecycle.handle('reload', 1)).toEqual([]);
-    expect(lifecycle.handle('delayOver', 500)).toEqual([
+    expect(lifecycle.handle('reload')).toEqual([]);
+    expect(lifecycle.handle('delayOver')).toEqual([
       {kind: 'drain', limitMs: 9_000},
     ]);
-    expect(lifecycle.handle('dump', 600)).toEqual([{kind: 'dump'}]);
-    expect(lifecycle.handle('drained', 700)).toEqual([
-      {kind: 'end', exitCode: 0},
-    ]);
+    expect(lifecycle.handle('dump')).toEqual([{kind: 'dump'}]);
+    expect(lifecycle.handle('drained')).toEqual([{kind: 'end', exitCode: 0}]);
   });
 
-  it('reports an exceeded drain limit and a second signal by exit codes', () => {
+  it('reports a reached drain limit and a second signal by exit codes', () => {
     const slow = new Lifecycle({announceDelayMs: 0, drainLimitMs: 100});
-    slow.handle('terminate', 0);
-    slow.handle('delayOver', 0);
-    expect(slow.handle('drained', 100)).toEqual([{kind: 'end', exitCode: 5}]);
+    slow.handle('terminate');
+    slow.handle('delayOver');
+    expect(slow.handle('drainLimitReached')).toEqual([
+      {kind: 'end', exitCode: 5},
+    ]);
     const forced = new Lifecycle({announceDelayMs: 0, drainLimitMs: 100});
-    forced.handle('terminate', 0);
-    expect(forced.handle('terminate', 1)).toEqual([{kind: 'end', exitCode: 6}]);
-    expect(forced.handle('terminate', 2)).toEqual([]);
+    forced.handle('terminate');
+    expect(forced.handle('terminate')).toEqual([{kind: 'end', exitCode: 6}]);
+    expect(forced.handle('terminate')).toEqual([]);
   });
 });
 
@@ -44,11 +44,11 @@
 // manager.
 it('reports a failed drain by its exit code', () => {
   const lifecycle = new Lifecycle({announceDelayMs: 0, drainLimitMs: 100});
-  lifecycle.handle('terminate', 0);
-  lifecycle.handle('delayOver', 0);
-  const actions = lifecycle.handle('drainFailed', 10);
+  lifecycle.handle('terminate');
+  lifecycle.handle('delayOver');
+  const actions = lifecycle.handle('drainFailed');
   expect(actions).toEqual([{kind: 'end', exitCode: 1}]);
-  expect(lifecycle.handle('drained', 20)).toEqual([]);
+  expect(lifecycle.handle('drained')).toEqual([]);
 });
 
 describe('state dump', () => {
--- a/packages/lovagepond-process/src/exit_codes_constants.ts
+++ b/packages/lovagepond-process/src/exit_codes_constants.ts
@@ -13,7 +13,7 @@
   SETTINGS: 3,
   /** An address or the data folder could not be opened. */
   START: 4,
-  /** Requests were still in flight when the drain limit expired. */
+  /** Requests were still open when the drain limit expired. */
   DRAIN_LIMIT: 5,
   /** A second signal stopped the process at once. */
   FORCED: 6,
--- a/packages/lovagepond-process/src/process_lifecycle.ts
+++ b/packages/lovagepond-process/src/process_lifecycle.ts
@@ -13,7 +13,10 @@
   RELOAD: 'reload',
   DUMP: 'dump',
   DELAY_OVER: 'delayOver',
+  /** All work ended within the limit of the drain. */
   DRAINED: 'drained',
+  /** Requests were still open at the limit of the drain. */
+  DRAIN_LIMIT_REACHED: 'drainLimitReached',
   DRAIN_FAILED: 'drainFailed',
 } as const;
 
@@ -38,20 +41,20 @@
 
 /** `announcing`: readiness is withdrawn, and draining starts after the delay. */
 type Phase = 'running' | 'announcing' | 'draining' | 'ended';
-type Handler = (now: number) => LifecycleAction[];
+type Handler = () => LifecycleAction[];
 
 /** Tracks the phases of one process from start to end. */
 export class Lifecycle {
   #settings: LifecycleSettings;
   #phase: Phase = 'running';
-  #drainStartedAt = 0;
   readonly #handlers: Readonly<Record<LifecycleEvent, Handler>> = {
     terminate: () => this.#onTerminate(),
     reload: () => (this.#phase === 'running' ? [{kind: 'reload'}] : []),
     dump: () => (this.#phase === 'ended' ? [] : [{kind: 'dump'}]),
-    delayOver: now => this.#onDelayOver(now),
-    drained: now => this.#onDrained(now),
-    drainFailed: () => this.#onDrainFailed(),
+    delayOver: () => this.#onDelayOver(),
+    drained: () => this.#onDrainOver(EXIT_CODE.OK),
+    drainLimitReached: () => this.#onDrainOver(EXIT_CODE.DRAIN_LIMIT),
+    drainFailed: () => this.#onDrainOver(EXIT_CODE.INTERNAL),
   };
 
   constructor(settings: LifecycleSettings) {
@@ -70,11 +73,10 @@
 
   /**
    * @param event the event to process
-   * @param now monotonic milliseconds
    * @returns the actions to perform, in order
    */
-  handle(event: LifecycleEvent, now: number): LifecycleAction[] {
-    return this.#handlers[event](now);
+  handle(event: LifecycleEvent): LifecycleAction[] {
+    return this.#handlers[event]();
   }
 
   #onTerminate(): LifecycleAction[] {
@@ -85,23 +87,14 @@
     return [{kind: 'withdrawReadiness', delayMs}];
   }
 
-  #onDelayOver(now: number): LifecycleAction[] {
+  #onDelayOver(): LifecycleAction[] {
     if (this.#phase !== 'announcing') return [];
     this.#phase = 'draining';
-    this.#drainStartedAt = now;
     return [{kind: 'drain', limitMs: this.#settings.drainLimitMs}];
   }
 
-  #onDrained(now: number): LifecycleAction[] {
-    if (this.#phase !== 'draining') return [];
-    const took = now - this.#drainStartedAt;
-    // A drain that takes the whole limit counts as ended by it.
-    const limitExpired = took >= this.#settings.drainLimitMs;
-    return this.#end(limitExpired ? EXIT_CODE.DRAIN_LIMIT : EXIT_CODE.OK);
-  }
-
-  #onDrainFailed(): LifecycleAction[] {
-    return this.#phase === 'draining' ? this.#end(EXIT_CODE.INTERNAL) : [];
+  #onDrainOver(exitCode: ExitCode): LifecycleAction[] {
+    return this.#phase === 'draining' ? this.#end(exitCode) : [];
   }
 
   #end(exitCode: ExitCode): LifecycleAction[] {
--- a/packages/lovagepond-process/src/process_runner.ts
+++ b/packages/lovagepond-process/src/process_runner.ts
@@ -138,7 +138,7 @@
 
   /** @param event a signal, or a completed step of the graceful shutdown */
   handle(event: LifecycleEvent): void {
-    const actions = this.#lifecycle.handle(event, this.#deps.clock.now());
+    const actions = this.#lifecycle.handle(event);
     for (const action of actions) {
       const handler = this.#handlers[action.kind] as (
         action: LifecycleAction,
@@ -148,17 +148,30 @@
   }
 
   async #drain(limitMs: number): Promise<void> {
-    const {role, log} = this.#deps;
+    const {role, log, clock} = this.#deps;
     log.info('draining', {limitMs});
+    const startedAt = clock.now();
     try {
-      await role.drain(limitMs);
-      this.handle('drained');
+      const {unfinished} = await role.drain(limitMs);
+      const durationMs = Math.round(clock.now() - startedAt);
+      this.#noteDrained(unfinished, durationMs);
     } catch (err) {
       log.error('drain failed', {reason: String(err)});
       this.handle('drainFailed');
     }
   }
 
+  #noteDrained(unfinished: number, durationMs: number): void {
+    const {log} = this.#deps;
+    if (unfinished === 0) {
+      log.info('drained', {unfinished, durationMs});
+      this.handle('drained');
+      return;
+    }
+    log.warn('drain limit reached', {unfinished, durationMs});
+    this.handle('drainLimitReached');
+  }
+
   #writeDump(): void {
     const {role, clock, log} = this.#deps;
     const dump = role.dump();
--- a/packages/lovagepond-router/src/__tests__/fakes/router_fakes.ts
+++ b/packages/lovagepond-router/src/__tests__/fakes/router_fakes.ts
@@ -27,6 +27,7 @@
   type Configuration,
   type ConfigurationContent,
   decodeConfiguration,
+  type DrainResult,
   encodeConfiguration,
   type Failure,
   type Logger,
@@ -337,8 +338,8 @@
     return Promise.resolve();
   }
 
-  drain(): Promise<void> {
-    return Promise.resolve();
+  drain(): Promise<DrainResult> {
+    return Promise.resolve({unfinished: 0});
   }
 
   stop(): Promise<void> {
--- a/packages/lovagepond-router/src/__tests__/unit/router_role.test.ts
+++ b/packages/lovagepond-router/src/__tests__/unit/router_role.test.ts
@@ -183,7 +183,7 @@
   const text = await answer.text();
   expect(text).toContain('data: {"id":2}');
   expect(text).toContain('[DONE]');
-  await drained;
+  expect(await drained).toEqual({unfinished: 0});
 });
 
 // An operator's change has reached only the router or only the sidecar, as the
--- a/packages/lovagepond-router/src/router_role.ts
+++ b/packages/lovagepond-router/src/router_role.ts
@@ -5,6 +5,7 @@
 import {type CallerCounters, type CallerHandler} from '@lovagepond/caller';
 import {
   type Clock,
+  type DrainResult,
   type Logger,
   type Membership,
   type Random,
@@ -35,7 +36,7 @@
   readonly port: number;
   readonly counters: CallerCounters;
   start(): Promise<void>;
-  drain(limitMs: number): Promise<void>;
+  drain(limitMs: number): Promise<DrainResult>;
   stop(): Promise<void>;
 }
 
@@ -165,9 +166,10 @@
    * connections after its grace period. Requests in flight finish, and the
    * subscription stays open until they have.
    */
-  async drain(limitMs: number): Promise<void> {
+  async drain(limitMs: number): Promise<DrainResult> {
     this.#draining = true;
-    await this.#running?.front.drain(limitMs);
+    const result = await this.#running?.front.drain(limitMs);
+    return result ?? {unfinished: 0};
   }
 
   async stop(): Promise<void> {
--- a/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_role.test.ts
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_role.test.ts
@@ -97,12 +97,23 @@
     expect(refused?.errorKind).toBe('draining');
     await expect.poll(() => control.announced.at(-1)?.state).toBe('draining');
     finishRun();
-    await drained;
+    expect(await drained).toEqual({unfinished: 0});
     await running.over;
     expect(joinChunks(running.frames)).toBe(BODY.toString());
     expect(engine.runs).toHaveLength(1);
   });
 
+  // Guards against an end of the process that cuts an answer and looks like a
+  // whole drain to the service manager.
+  it('tells how many attempts the limit of a drain leaves open', async () => {
+    let finishRun = (): void => {};
+    engine.gate = new Promise(resolve => (finishRun = resolve));
+    const running = router.attempt({attemptId: 'h.1', body: BODY});
+    await running.until('chunk');
+    expect(await role.drain(100)).toEqual({unfinished: 1});
+    finishRun();
+  });
+
   // Guards against requests and probes that reach a server which sheds load.
   it('sends its server nothing within a pause', async () => {
     engine.notify({pauseMs: 60_000, isLeaving: false});
--- a/packages/lovagepond-sidecar/src/sidecar_dispatcher.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_dispatcher.ts
@@ -177,8 +177,21 @@
    * @returns true when nothing is queued, running, being recorded or being sent
    */
   get idle(): boolean {
-    if (!this.#gate.idle || this.#calls.size > 0) return false;
-    return !this.#sessions.anyAttached;
+    return this.unfinished === 0;
+  }
+
+  /**
+   * A request may be in several of the counted stages. With some requests in
+   * one stage only and others in another, the number is a lower bound.
+   *
+   * @returns requests that are queued, running, being recorded or being sent
+   */
+  get unfinished(): number {
+    return Math.max(
+      this.#gate.openRequests,
+      this.#calls.size,
+      this.#sessions.attached,
+    );
   }
 
   /**
--- a/packages/lovagepond-sidecar/src/sidecar_gate.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_gate.ts
@@ -79,8 +79,13 @@
 
   /** @returns true when no request is queued or running */
   get idle(): boolean {
+    return this.openRequests === 0;
+  }
+
+  /** @returns the number of requests that are queued or running */
+  get openRequests(): number {
     const {hold, runs} = this.#components;
-    return hold.queue.size === 0 && runs.size === 0;
+    return hold.queue.size + runs.size;
   }
 
   /**
--- a/packages/lovagepond-sidecar/src/sidecar_role.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_role.ts
@@ -3,6 +3,7 @@
  */
 import {
   type Clock,
+  type DrainResult,
   type Logger,
   type Random,
   type Role,
@@ -165,7 +166,7 @@
     return accepts && this.#notReadyReason() === undefined;
   }
 
-  async drain(limitMs: number): Promise<void> {
+  async drain(limitMs: number): Promise<DrainResult> {
     this.#isStopping = true;
     this.#startDrain(limitMs);
     const {clock} = this.#deps;
@@ -178,7 +179,11 @@
     // failure of the server and against their retry budget.
     const {drainLingerMs} = this.#settings;
     await pause(Math.min(drainLingerMs, Math.max(0, endsAt - clock.now())));
-    await this.#server.finish(Math.max(0, endsAt - clock.now()));
+    const remainingMs = Math.max(0, endsAt - clock.now());
+    const isFinished = await this.#server.finish(remainingMs);
+    // Without time left, the server can't close even its idle connections.
+    const openCalls = isFinished || remainingMs === 0 ? 0 : 1;
+    return {unfinished: Math.max(this.#dispatcher.unfinished, openCalls)};
   }
 
   async stop(): Promise<void> {
--- a/packages/lovagepond-sidecar/src/sidecar_server.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_server.ts
@@ -159,13 +159,14 @@
    * Accepts no new calls and waits for the open ones to end.
    *
    * @param limitMs longest time to wait for them, milliseconds
+   * @returns false when some were still open at the limit
    */
-  finish(limitMs: number): Promise<void> {
+  finish(limitMs: number): Promise<boolean> {
     return new Promise(resolve => {
-      const timer = setTimeout(resolve, limitMs);
+      const timer = setTimeout(resolve, limitMs, false);
       this.#server.tryShutdown(() => {
         clearTimeout(timer);
-        resolve();
+        resolve(true);
       });
     });
   }
--- a/packages/lovagepond-sidecar/src/sidecar_sessions.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_sessions.ts
@@ -22,9 +22,9 @@
     this.#settings = settings;
   }
 
-  /** @returns true while any router's stream is attached */
-  get anyAttached(): boolean {
-    return [...this.#sessions.values()].some(({attached}) => attached);
+  /** @returns the number of sessions to which a router's stream is attached */
+  get attached(): number {
+    return [...this.#sessions.values()].filter(({attached}) => attached).length;
   }
 
   /**
