--- a/packages/lovagepond-caller/src/caller_server.ts
+++ b/packages/lovagepond-caller/src/caller_server.ts
@@ -6,7 +6,12 @@
 import {type AddressInfo} from 'node:net';
 import {setTimeout as wait} from 'node:timers/promises';
 import {App, type Request, type Response} from '@tinyhttp/app';
-import {type Clock, makeFailure, Random} from '@lovagepond/core';
+import {
+  type Clock,
+  type DrainResult,
+  makeFailure,
+  Random,
+} from '@lovagepond/core';
 import {HttpConnections} from '@lovagepond/process/http_connections';
 import {type HttpResponseSink} from './caller_response.js';
 import {BodyBudget} from './caller_body_budget.js';
@@ -113,14 +118,17 @@
    *
    * @param limitMs total time limit, milliseconds; responses that are not
    *     delivered by then are cut off
+   * @returns the number of responses that were cut off
    */
-  async drain(limitMs: number): Promise<void> {
-    if (this.#draining) return;
+  async drain(limitMs: number): Promise<DrainResult> {
+    if (this.#draining) return {unfinished: this.#responses.size};
     this.#draining = true;
     for (const res of this.#responses) announceClose(res);
+    let unfinished = 0;
     const limit = new AbortController();
     const timer = setTimeout(() => {
       limit.abort();
+      unfinished = this.#responses.size;
       this.#server.closeAllConnections();
     }, limitMs);
     const {signal} = limit;
@@ -137,6 +145,7 @@
     clearTimeout(timer);
     this.#server.closeAllConnections();
     await closed;
+    return {unfinished};
   }
 
   /** Stops immediately; responses in flight are cut off. */
