Close a stopped gateway's connections only after their answers

Cause: every 100 ms the drain closed what Node takes for idle: connections for whose response end() was called, also while its bytes waited in the process. Server.close does the same when the gateway stops listening. A destroyed connection is also reset by a request that crosses the close, and the operating system then drops what it still holds of the answer.

Change: the gateway uses HttpConnections, as routers do: a connection is closed in order once its responses are delivered. Connections without a request yet stay open, as they are served with one request each until the listener closes. Responses that wait behind another one are counted out when their connection is lost; Node emits no close for them, so that a drain would have waited for its limit.

--- a/packages/lovagepond-gateway/src/gateway_open_requests.ts
+++ b/packages/lovagepond-gateway/src/gateway_open_requests.ts
@@ -75,11 +75,18 @@
   /** @param open removed once its response is delivered or its caller is gone */
   add(open: OpenRequest): void {
     this.#open.add(open);
-    open.res.once('close', () => {
+    const {res} = open;
+    const {socket} = res.req;
+    const onClosed = (): void => {
+      res.off('close', onClosed);
+      socket.off('close', onClosed);
       this.#open.delete(open);
       this.#noteClosed(open);
       if (this.#open.size === 0) this.#onNone?.();
-    });
+    };
+    res.on('close', onClosed);
+    // Node closes no response that waits behind another one.
+    socket.on('close', onClosed);
   }
 
   /** @returns resolves once no request is open */
--- a/packages/lovagepond-gateway/src/gateway_server.ts
+++ b/packages/lovagepond-gateway/src/gateway_server.ts
@@ -14,6 +14,7 @@
   type Logger,
   type Random,
 } from '@lovagepond/core';
+import {HttpConnections} from '@lovagepond/process/http_connections';
 import {type GatewayAdmission} from './gateway_admission.js';
 import {type ClockReading, readClock} from './gateway_authority.js';
 import {CallerChannel} from './gateway_caller_channel.js';
@@ -41,13 +42,6 @@
  */
 const IDLE_MARGIN_MS = 1_000;
 
-/**
- * Interval at which a draining gateway closes idle keep-alive connections,
- * milliseconds. A response that began before draining did not announce the
- * close, so its caller would send the next request on the connection.
- */
-const IDLE_SWEEP_MS = 100;
-
 export interface GatewayServerDependencies extends ExchangeDependencies {
   readonly admission: GatewayAdmission;
   readonly streams: GatewayStreams;
@@ -69,7 +63,7 @@
   readonly #path: RequestPath;
   readonly #openRequests: OpenRequests;
   readonly #drainAdmission = new GatewayDrainAdmission();
-  #idleSweep: NodeJS.Timeout | undefined;
+  readonly #connections: HttpConnections;
 
   constructor(settings: ListenerSettings, deps: GatewayServerDependencies) {
     this.#settings = settings;
@@ -87,8 +81,10 @@
     const drainAdmission = this.#drainAdmission;
     this.#path = new RequestPath({...deps, maxHeldBytes, drainAdmission});
     this.#intake = new GatewayIntake(this.#server, {...deps, maxConnections});
+    this.#connections = new HttpConnections(this.#server);
     this.#server.on('request', (req, res) => {
-      this.#open(req, res);
+      if (this.#connections.isClosing(req.socket)) req.resume();
+      else this.#open(req, res);
     });
     this.#server.on('clientError', (err: Error & {code?: string}, socket) => {
       rejectUnparsable(err, socket as Socket, this.#log);
@@ -131,7 +127,9 @@
 
   /**
    * Starts draining: each response closes its connection, idle connections are
-   * closed, and requests that can't finish in time are rejected.
+   * closed, and requests that can't finish in time are rejected. Responses that
+   * began before did not announce the close, so their connections are closed
+   * once they are delivered.
    *
    * @param endsAt when the process exits at the latest, monotonic milliseconds
    */
@@ -140,23 +138,19 @@
     // The configuration that these requests wait for may never arrive.
     this.#path.refuseQueued();
     this.#deps.overload.beginDraining();
-    this.#idleSweep = setInterval(() => {
-      this.#server.closeIdleConnections();
-    }, IDLE_SWEEP_MS);
+    this.#connections.closeIdle(false);
   }
 
   /** Stops listening, and resolves once all responses are delivered. */
   async finish(): Promise<void> {
     this.#intake.stop();
-    this.#server.close();
-    this.#server.closeIdleConnections();
+    void this.#connections.stopListening();
     await this.#openRequests.whenNone();
   }
 
   /** Closes the listener and all connections immediately. */
   stop(): void {
     this.#openRequests.logCut();
-    clearInterval(this.#idleSweep);
     this.#intake.stop();
     this.#deps.overload.stop();
     this.#server.close();
--- a/packages/lovagepond-process/src/http_connections.ts
+++ b/packages/lovagepond-process/src/http_connections.ts
@@ -17,7 +17,10 @@
 const LINGER_MS = 1_000;
 
 interface Connection {
-  undelivered: number;
+  /** Whether a request has arrived. */
+  isUsed: boolean;
+  /** Responses that are not delivered. */
+  readonly open: Set<ServerResponse>;
   /** Bytes that had arrived when the last response was delivered. */
   bytesAnswered: number;
   isClosing: boolean;
@@ -30,6 +33,7 @@
   readonly #deliveryListeners: (() => void)[] = [];
   #undelivered = 0;
   #closesIdle = false;
+  #closesUnused = false;
 
   /** @param server a server that doesn't listen yet */
   constructor(server: Server) {
@@ -59,9 +63,13 @@
   /**
    * Closes each connection that has no undelivered response and no partly
    * received request: now, and whenever a response has been delivered.
+   *
+   * @param closesUnused whether to close connections on which no request has
+   *     arrived, too
    */
-  closeIdle(): void {
+  closeIdle(closesUnused = true): void {
     this.#closesIdle = true;
+    this.#closesUnused = closesUnused;
     for (const [socket, connection] of this.#connections) {
       this.#closeIfIdle(socket, connection);
     }
@@ -90,32 +98,51 @@
   }
 
   #add(socket: Socket): void {
-    const connection = {undelivered: 0, bytesAnswered: 0, isClosing: false};
+    const connection = {
+      isUsed: false,
+      open: new Set<ServerResponse>(),
+      bytesAnswered: 0,
+      isClosing: false,
+    };
     this.#connections.set(socket, connection);
     socket.once('close', () => {
       this.#connections.delete(socket);
+      // Node closes no response that waits behind another one.
+      for (const res of connection.open) {
+        this.#noteEnded(socket, connection, res);
+      }
     });
   }
 
   #noteRequest({socket}: IncomingMessage, res: ServerResponse): void {
     const connection = this.#connections.get(socket);
     if (!connection || connection.isClosing) return;
-    connection.undelivered += 1;
+    connection.isUsed = true;
+    connection.open.add(res);
     this.#undelivered += 1;
     // Emitted once the operating system has taken the last byte, or the
     // connection is lost.
     res.once('close', () => {
-      connection.undelivered -= 1;
-      connection.bytesAnswered = socket.bytesRead;
-      this.#undelivered -= 1;
-      if (this.#closesIdle) this.#closeIfIdle(socket, connection);
-      if (this.#undelivered > 0) return;
-      for (const listener of this.#deliveryListeners.splice(0)) listener();
+      this.#noteEnded(socket, connection, res);
     });
   }
 
+  #noteEnded(
+    socket: Socket,
+    connection: Connection,
+    res: ServerResponse,
+  ): void {
+    if (!connection.open.delete(res)) return;
+    connection.bytesAnswered = socket.bytesRead;
+    this.#undelivered -= 1;
+    if (this.#closesIdle) this.#closeIfIdle(socket, connection);
+    if (this.#undelivered > 0) return;
+    for (const listener of this.#deliveryListeners.splice(0)) listener();
+  }
+
   #closeIfIdle(socket: Socket, connection: Connection): void {
-    if (connection.isClosing || connection.undelivered > 0) return;
+    if (connection.isClosing || connection.open.size > 0) return;
+    if (!connection.isUsed && !this.#closesUnused) return;
     if (socket.bytesRead > connection.bytesAnswered) return;
     connection.isClosing = true;
     socket.end();
