Ask again at the send what was decided at the head

A request whose key or route had changed while its body arrived was run by the old configuration.

Cause: admission is decided when the head arrives, and acted upon after the body, the look-up of a resumed stream, the queue, permits and retries, when it may no longer hold. Nothing asked again.

Change: SendConditions is asked by ExchangeDispatch, which every attempt passes, when a server is chosen and once more right before the write: whether the process still lives long enough, and for the first send whether the key is still the workspace's. When a body becomes whole under another configuration, the request is admitted again. While the gateway drains, a request whose body is incomplete is refused as soon as it can't end in time, not when the body ends. A refusal is complete by its length at once; its connection closes after the rest of the request, so that no reset overtakes it.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_drain_admission.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_drain_admission.test.ts
@@ -1,5 +1,6 @@
 import {Agent, request} from 'node:http';
 import {afterEach, describe, expect, it} from 'vitest';
+import {type ForwardingRule} from '../../gateway_routes.js';
 import {GatewayDrainAdmission} from '../../gateway_drain_admission.js';
 import {
   answer,
@@ -51,11 +52,21 @@
   });
 }
 
+function admits(
+  admission: GatewayDrainAdmission,
+  name: string,
+  limitMs: number,
+  now: number,
+): boolean {
+  const rule = {name} as ForwardingRule;
+  return admission.admits({rule, deadlineAt: now + limitMs}, now);
+}
+
 describe('GatewayDrainAdmission', () => {
   it('admits everything before draining begins', () => {
     const admission = new GatewayDrainAdmission();
     admission.noteDuration('talk', 60_000);
-    expect(admission.admits('talk', 60_000, 0)).toBe(true);
+    expect(admits(admission, 'talk', 60_000, 0)).toBe(true);
   });
 
   it('admits requests whose observed durations end in time', () => {
@@ -63,16 +74,16 @@
     for (let at = 0; at < 100; at += 1) admission.noteDuration('read', 50);
     for (let at = 0; at < 100; at += 1) admission.noteDuration('talk', 2_000);
     admission.begin(8_000);
-    expect(admission.admits('read', 12_000, 7_500)).toBe(true);
-    expect(admission.admits('talk', 12_000, 4_000)).toBe(true);
-    expect(admission.admits('talk', 12_000, 5_500)).toBe(false);
+    expect(admits(admission, 'read', 12_000, 7_500)).toBe(true);
+    expect(admits(admission, 'talk', 12_000, 4_000)).toBe(true);
+    expect(admits(admission, 'talk', 12_000, 5_500)).toBe(false);
   });
 
   it('admits unknown requests if their deadline is in time', () => {
     const admission = new GatewayDrainAdmission();
     admission.begin(8_000);
-    expect(admission.admits('talk', 12_000, 0)).toBe(false);
-    expect(admission.admits('talk', 3_000, 0)).toBe(true);
+    expect(admits(admission, 'talk', 12_000, 0)).toBe(false);
+    expect(admits(admission, 'talk', 3_000, 0)).toBe(true);
   });
 });
 
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_stop.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_stop.test.ts
@@ -3,10 +3,14 @@
 import {afterEach, describe, expect, it} from 'vitest';
 import {type LogFields, type Logger} from '@lovagepond/core';
 import {
+  answer,
   beginStream,
+  clock,
+  CONTENT,
   GatewayHarness,
   KEY,
   NAMES,
+  refuse,
   type Script,
   silentLog,
 } from './gateway_harness.js';
@@ -90,3 +94,123 @@
     ]);
   });
 });
+
+const BODY_BYTES = 8_000_000;
+
+/** Reads a part of what comes at each turn. */
+async function readInParts(socket: Socket): Promise<number> {
+  let bytes = 0;
+  while (!socket.destroyed && !socket.readableEnded) {
+    bytes += (socket.read() as Buffer | null)?.length ?? 0;
+    await pause(1);
+  }
+  return bytes;
+}
+
+const TWO_PARTS = 'Content-Length: 4\r\n';
+
+const goodScript: Script = (req, res) => {
+  answer(req, res, 200, 'yes');
+};
+
+describe('a stopped gateway', () => {
+  // Guards against a process that ends before its answers are delivered.
+  it('delivers a large answer that began before the stop', async () => {
+    const script: Script = (req, res) => {
+      answer(req, res, 200, 'x'.repeat(BODY_BYTES));
+    };
+    harness = await GatewayHarness.start([script]);
+    const received = readInParts(send(headOf('/read/large', 'large')));
+    await until(() => harness!.arrivals.length === 1);
+    harness.server.beginDraining(clock.now() + 60_000);
+    await harness.server.finish();
+    harness.server.stop();
+    expect(await received).toBeGreaterThan(BODY_BYTES);
+  });
+
+  // Guards against a request that is passed on only to be cut by the exit, and
+  // against a refusal that a reset overtakes.
+  it('refuses a request at once whose body comes too late', async () => {
+    harness = await GatewayHarness.start([goodScript]);
+    const caller = send(headOf('/talk/late', 'late', TWO_PARTS) + 'ab');
+    let received = '';
+    caller.on('data', (part: Buffer) => (received += part.toString()));
+    const closed = once(caller.resume(), 'close');
+    await pause(50);
+    harness.server.beginDraining(clock.now() + 900);
+    await until(() => caller.bytesRead > 0);
+    const finished = harness.server.finish();
+    await pause(50);
+    caller.write('cd');
+    await finished;
+    await closed;
+    expect(received).toMatch(/^HTTP\/1.1 503 /);
+    expect(received).toMatch(/Retry-After: /);
+    expect(received).toMatch(/"error"/);
+    expect(harness.arrivals).toEqual([]);
+  });
+
+  // Guards against a second attempt that the exit cuts.
+  it('sends no request to another server that can not end in time', async () => {
+    let refuseFirst: () => void = () => undefined;
+    const first: Script = (req, res) => {
+      refuseFirst = () => {
+        refuse(req, res);
+      };
+    };
+    harness = await GatewayHarness.start([first, goodScript]);
+    const called = harness.call({path: '/read/a'});
+    await until(() => harness!.arrivals.length === 1);
+    harness.server.beginDraining(clock.now() + 300);
+    refuseFirst();
+    expect((await called).status).toBe(503);
+    expect(harness.arrivals).toEqual(['server-0']);
+  });
+});
+
+describe('a gateway whose configuration changes', () => {
+  const withoutKey = {
+    ...CONTENT,
+    workspaces: CONTENT.workspaces.map(one => ({
+      ...one,
+      apiKeys: ['another'],
+    })),
+  };
+
+  async function removeKey(): Promise<void> {
+    const revision = 2;
+    harness!.admission.install({revision, content: withoutKey});
+    const at = {now: clock.now(), wallTime: clock.wallTime()};
+    await pause(5);
+    harness!.admission.authority.confirm(revision, at, clock.now());
+  }
+
+  // Guards against a decision on the head that is acted upon seconds later.
+  it('runs no request whose key was removed before its body was whole', async () => {
+    harness = await GatewayHarness.start([goodScript]);
+    const caller = send(headOf('/read/a', 'slow', TWO_PARTS) + 'ab');
+    await pause(50);
+    await removeKey();
+    caller.write('cd');
+    const [text] = (await once(caller.resume(), 'data')) as [Buffer];
+    expect(text.toString()).toMatch(/^HTTP\/1.1 401 /);
+    expect(harness.arrivals).toEqual([]);
+  });
+
+  // Guards against a key that is used for a second server after its removal.
+  it('sends no refused request on whose key was removed', async () => {
+    let refuseFirst: () => void = () => undefined;
+    const first: Script = (req, res) => {
+      refuseFirst = () => {
+        refuse(req, res);
+      };
+    };
+    harness = await GatewayHarness.start([first, goodScript]);
+    const called = harness.call({path: '/read/a'});
+    await until(() => harness!.arrivals.length === 1);
+    await removeKey();
+    refuseFirst();
+    expect((await called).status).toBe(401);
+    expect(harness.arrivals).toEqual(['server-0']);
+  });
+});
--- a/packages/lovagepond-gateway/src/gateway_admission.ts
+++ b/packages/lovagepond-gateway/src/gateway_admission.ts
@@ -127,6 +127,22 @@
     };
   }
 
+  /**
+   * @param req a request that was admitted by this or an earlier configuration
+   * @param at current time
+   * @returns the error to send if its key has been removed since, or given to
+   *     another workspace
+   */
+  refusalOfKey(
+    {facts, workspace}: Pick<AdmittedRequest, 'facts' | 'workspace'>,
+    at: ClockReading,
+  ): ErrorKind | undefined {
+    if (workspace === undefined || !this.#rules.needsKeys) return undefined;
+    const owner = this.#rules.workspaceOf(facts.apiKey);
+    if (owner?.name === workspace) return undefined;
+    return this.#deny('unauthorized', at).error;
+  }
+
   #checkKey(isPublic: boolean, key: string, at: ClockReading): KeyVerdict {
     if (isPublic || !this.#rules.needsKeys) {
       return {ok: true, workspace: undefined};
--- a/packages/lovagepond-gateway/src/gateway_caller_channel.ts
+++ b/packages/lovagepond-gateway/src/gateway_caller_channel.ts
@@ -128,7 +128,25 @@
     if (retryable) headers.push('Retry-After', retryAfterS.toFixed(2));
     if (this.#closesConnection()) headers.push('Connection', 'close');
     this.#res.writeHead(status, headers);
-    this.#res.end(body);
+    this.#endAfterRequest(body);
+  }
+
+  /**
+   * A connection that is closed while its caller still sends is reset, and the
+   * caller may lose the response. It is complete by its length, so the close can
+   * wait for the rest of the request, which is read and dropped.
+   */
+  #endAfterRequest(body: Buffer): void {
+    const {req} = this.#res;
+    if (req.complete || !this.#closesConnection()) {
+      this.#res.end(body);
+      return;
+    }
+    this.#res.write(body);
+    req.once('close', () => {
+      this.#res.end();
+    });
+    req.resume();
   }
 
   #retryAfterS({notBeforeMs = 0, retryAfterMs}: RetryTime): number {
--- a/packages/lovagepond-gateway/src/gateway_drain_admission.ts
+++ b/packages/lovagepond-gateway/src/gateway_drain_admission.ts
@@ -6,6 +6,8 @@
  * although another gateway would have served it.
  */
 
+import {type AdmittedRequest} from './gateway_exchange_types.js';
+
 /** Weight of a new duration that is longer or shorter than the estimate. */
 const LONGER_WEIGHT = 0.5;
 const SHORTER_WEIGHT = 0.01;
@@ -46,14 +48,17 @@
   }
 
   /**
-   * @param rule name of the rule that matches the request
-   * @param limitMs time left until the request's deadline, milliseconds
+   * @param req an admitted request
    * @param now current time, monotonic milliseconds
    * @returns false when the process is likely to exit before the response ends
    */
-  admits(rule: string, limitMs: number, now: number): boolean {
+  admits(
+    {rule, deadlineAt}: Pick<AdmittedRequest, 'rule' | 'deadlineAt'>,
+    now: number,
+  ): boolean {
     if (this.#endsAt === undefined) return true;
-    const long = this.#longDurations.get(rule);
+    const limitMs = deadlineAt - now;
+    const long = this.#longDurations.get(rule.name);
     const expectedMs = long === undefined ? limitMs : long * SAFETY_FACTOR;
     const neededMs = Math.min(limitMs, expectedMs) + END_MARGIN_MS;
     return now + neededMs <= this.#endsAt;
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -158,6 +158,8 @@
       servers: this.#servers,
       admission: this.#admission,
       retry: this.#retry,
+      refusal: (at: ClockReading) =>
+        this.#deps.conditions.refusalOf(this.#req, this.#runs === 0, at),
     };
     const deps = {...this.#deps, ...own};
     const listener = {
--- a/packages/lovagepond-gateway/src/gateway_exchange_dispatch.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_dispatch.ts
@@ -21,6 +21,11 @@
   readonly servers: ExchangeServers;
   readonly admission: ExchangeAdmission;
   readonly retry: ExchangeRetry;
+  /**
+   * @param at current time
+   * @returns the error that ends the request if it must not be sent any more
+   */
+  refusal(at: ClockReading): ErrorKind | undefined;
 }
 
 /**
@@ -74,6 +79,7 @@
   beginSend(state: ServerState): boolean {
     const {clock, servers, retry} = this.#deps;
     const at = readClock(clock);
+    if (this.#deps.refusal(at) !== undefined) return false;
     const ageMs = elapsedMs(this.#decidedAt, at);
     if (ageMs > DECISION_VALID_MS) return false;
     if (!retry.maySend(at)) return false;
@@ -93,7 +99,13 @@
   }
 
   #choose(): void {
-    const now = this.#deps.clock.now();
+    const at = readClock(this.#deps.clock);
+    const refusal = this.#deps.refusal(at);
+    if (refusal !== undefined) {
+      this.#listener.onNoServer(refusal);
+      return;
+    }
+    const {now} = at;
     const {servers, admission} = this.#deps;
     const chosen = servers.choose(states => admission.open(states, now), now);
     if (!chosen) {
--- a/packages/lovagepond-gateway/src/gateway_exchange_types.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_types.ts
@@ -19,6 +19,7 @@
 import {type GatewayQuarantine} from './gateway_quarantine.js';
 import {type GatewayRetries} from './gateway_retries.js';
 import {type ForwardingRule} from './gateway_routes.js';
+import {type SendConditions} from './gateway_send_conditions.js';
 import {type StreamOrigin} from './gateway_stream_origin.js';
 import {type ServerLiveness} from './gateway_server_liveness.js';
 import {type GatewayStreams} from './gateway_streams.js';
@@ -39,6 +40,7 @@
   readonly permits: GatewayPermits;
   readonly counters: GatewayCounters;
   readonly overload: GatewayOverload;
+  readonly conditions: SendConditions;
   readonly streams: Pick<GatewayStreams, 'record' | 'find'>;
 }
 
--- a/packages/lovagepond-gateway/src/gateway_request_body.ts
+++ b/packages/lovagepond-gateway/src/gateway_request_body.ts
@@ -18,13 +18,14 @@
  * @param maxBytes largest accepted body, bytes
  * @param limitMs time limit for the whole body, milliseconds
  * @param listener receives the result
+ * @returns rejects the request unless the result is known
  */
 export function readBody(
   req: IncomingMessage,
   maxBytes: number,
   limitMs: number,
   listener: BodyListener,
-): void {
+): (error: ErrorKind) => void {
   const chunks: Buffer[] = [];
   let size = 0;
   let isOver = false;
@@ -44,7 +45,7 @@
   }, limitMs);
   if (Number(req.headers['content-length'] ?? 0) > maxBytes) {
     refuse('payloadTooLarge');
-    return;
+    return refuse;
   }
   req.on('data', (chunk: Buffer) => {
     size += chunk.length;
@@ -66,4 +67,5 @@
       listener.onDisconnected();
     });
   });
+  return refuse;
 }
--- a/packages/lovagepond-gateway/src/gateway_request_path.ts
+++ b/packages/lovagepond-gateway/src/gateway_request_path.ts
@@ -11,7 +11,7 @@
 } from '@lovagepond/core';
 import {fingerprintOf} from '@lovagepond/router/quarantine';
 import {type GatewayAdmission} from './gateway_admission.js';
-import {readClock} from './gateway_authority.js';
+import {type ClockReading, readClock} from './gateway_authority.js';
 import {type CallerChannel} from './gateway_caller_channel.js';
 import {type GatewayDrainAdmission} from './gateway_drain_admission.js';
 import {Exchange} from './gateway_exchange.js';
@@ -28,6 +28,7 @@
   guardHandlers,
   type OnThrown,
 } from './gateway_request_guard.js';
+import {SendConditions} from './gateway_send_conditions.js';
 import {StartupQueue} from './gateway_startup_queue.js';
 import {resumesStream, resumeStream} from './gateway_stream_resumption.js';
 import {type GatewayStreams} from './gateway_streams.js';
@@ -43,7 +44,10 @@
   idleTimeoutMs: 15_000,
 };
 
-export interface RequestPathDependencies extends ExchangeDependencies {
+export interface RequestPathDependencies extends Omit<
+  ExchangeDependencies,
+  'conditions'
+> {
   readonly admission: GatewayAdmission;
   readonly drainAdmission: GatewayDrainAdmission;
   readonly streams: GatewayStreams;
@@ -67,17 +71,27 @@
   {ok: true}
 >['admitted'];
 
+/** An admitted request whose body is not complete. */
+interface ReceivedRequest {
+  readonly admitted: Admitted;
+  refuse: (error: ErrorKind) => void;
+}
+
 export class RequestPath {
   readonly #deps: RequestPathDependencies;
+  readonly #exchangeDeps: ExchangeDependencies;
   readonly #startupQueue = new StartupQueue();
   /** Exchanges in flight. */
   readonly #exchanges = new Set<Exchange>();
+  /** Admitted requests whose body is not complete. */
+  readonly #receiving = new Set<ReceivedRequest>();
   #limits = DEFAULT_LIMITS;
   #bufferedBytes = 0;
 
   /** @param deps dependencies shared by all requests */
   constructor(deps: RequestPathDependencies) {
     this.#deps = deps;
+    this.#exchangeDeps = {...deps, conditions: new SendConditions(deps)};
   }
 
   /** @param limits limits for callers */
@@ -90,6 +104,18 @@
     this.#startupQueue.refuseAll();
   }
 
+  /**
+   * Rejects the requests that wait for the rest of their body and can't end
+   * before the process does.
+   */
+  refuseLate(): void {
+    const {drainAdmission, clock} = this.#deps;
+    const now = clock.now();
+    for (const {admitted, refuse} of [...this.#receiving]) {
+      if (!drainAdmission.admits(admitted, now)) refuse('notReady');
+    }
+  }
+
   /** Decides on the requests that wait for the configuration. */
   retryQueued(): void {
     this.#startupQueue.retryAll();
@@ -129,40 +155,71 @@
   }
 
   #admit(incoming: IncomingRequest, arrivedAt: number): void {
-    const {req, facts, onThrown} = incoming;
+    const {req, onThrown} = incoming;
     if (req.destroyed) return;
     const at = readClock(this.#deps.clock);
-    const head = {host: req.headers.host ?? '', path: req.url ?? '', facts};
-    const admission = this.#deps.admission.admit(head, arrivedAt, at);
-    if (!admission.ok) {
-      this.#refuse(incoming, admission.error);
-      return;
-    }
-    const {admitted} = admission;
+    const {revision} = this.#deps.admission.configuration;
+    const admitted = this.#decide(incoming, arrivedAt, at);
+    if (!admitted) return;
     const {name} = admitted.rule;
-    const limitMs = admitted.deadlineAt - at.now;
-    if (!this.#deps.drainAdmission.admits(name, limitMs, at.now)) {
-      this.#refuse(incoming, 'notReady');
-      return;
-    }
     const done = (): void => {
       this.#deps.drainAdmission.noteDuration(
         name,
         this.#deps.clock.now() - arrivedAt,
       );
     };
+    const received: ReceivedRequest = {admitted, refuse: () => undefined};
+    this.#receiving.add(received);
     const listener: BodyListener = {
       onWhole: body => {
-        this.#run(incoming, admitted, body, done);
+        this.#receiving.delete(received);
+        const still = this.#isCurrent(revision)
+          ? admitted
+          : this.#decide(incoming, arrivedAt, readClock(this.#deps.clock));
+        if (still) this.#run(incoming, still, body, done);
+        else done();
       },
       onRefused: error => {
+        this.#receiving.delete(received);
         this.#refuse(incoming, error);
         done();
       },
-      onDisconnected: done,
+      onDisconnected: () => {
+        this.#receiving.delete(received);
+        done();
+      },
     };
     const guarded = guardHandlers(listener, onThrown);
-    readBody(req, this.#limits.maxBodyBytes, limitMs, guarded);
+    const limitMs = admitted.deadlineAt - at.now;
+    const {maxBodyBytes} = this.#limits;
+    received.refuse = readBody(req, maxBodyBytes, limitMs, guarded);
+  }
+
+  /** Refuses the request unless the configuration and the time left allow it. */
+  #decide(
+    incoming: IncomingRequest,
+    arrivedAt: number,
+    at: ClockReading,
+  ): Admitted | undefined {
+    const {req, facts} = incoming;
+    const {admission, drainAdmission} = this.#deps;
+    const head = {host: req.headers.host ?? '', path: req.url ?? '', facts};
+    const decision = admission.admit(head, arrivedAt, at);
+    if (!decision.ok) {
+      this.#refuse(incoming, decision.error);
+      return undefined;
+    }
+    const {admitted} = decision;
+    if (drainAdmission.admits(admitted, at.now)) return admitted;
+    this.#refuse(incoming, 'notReady');
+    return undefined;
+  }
+
+  /** A slow body may take longer than a decision on its head holds. */
+  #isCurrent(revision: number): boolean {
+    const {admission, clock} = this.#deps;
+    if (admission.configuration.revision !== revision) return false;
+    return !admission.isStarting(readClock(clock));
   }
 
   #run(
@@ -219,7 +276,7 @@
     {caller, open}: IncomingRequest,
     release: () => void,
   ): void {
-    const exchange = new Exchange(req, this.#deps, caller, () => {
+    const exchange = new Exchange(req, this.#exchangeDeps, caller, () => {
       this.#exchanges.delete(exchange);
       release();
     });
--- a/packages/lovagepond-gateway/src/gateway_server.ts
+++ b/packages/lovagepond-gateway/src/gateway_server.ts
@@ -42,7 +42,16 @@
  */
 const IDLE_MARGIN_MS = 1_000;
 
-export interface GatewayServerDependencies extends ExchangeDependencies {
+/**
+ * Interval at which a draining gateway rejects requests that can't end in time
+ * any more, milliseconds.
+ */
+const DRAIN_CHECK_MS = 50;
+
+export interface GatewayServerDependencies extends Omit<
+  ExchangeDependencies,
+  'conditions'
+> {
   readonly admission: GatewayAdmission;
   readonly streams: GatewayStreams;
   readonly random: Random;
@@ -64,6 +73,7 @@
   readonly #openRequests: OpenRequests;
   readonly #drainAdmission = new GatewayDrainAdmission();
   readonly #connections: HttpConnections;
+  #drainCheck: NodeJS.Timeout | undefined;
 
   constructor(settings: ListenerSettings, deps: GatewayServerDependencies) {
     this.#settings = settings;
@@ -139,6 +149,10 @@
     this.#path.refuseQueued();
     this.#deps.overload.beginDraining();
     this.#connections.closeIdle(false);
+    this.#path.refuseLate();
+    this.#drainCheck = setInterval(() => {
+      this.#path.refuseLate();
+    }, DRAIN_CHECK_MS);
   }
 
   /** Stops listening, and resolves once all responses are delivered. */
@@ -151,6 +165,7 @@
   /** Closes the listener and all connections immediately. */
   stop(): void {
     this.#openRequests.logCut();
+    clearInterval(this.#drainCheck);
     this.#intake.stop();
     this.#deps.overload.stop();
     this.#server.close();
