Move the bound of response durations to core

Routers and sidecars drain by the same question as gateways: can the answer still end before the process exits. The module has no I/O and knows nothing of gateways, so all three can share it. Nothing but file names and imports changes.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_response_durations.test.ts
+++ b/packages/lovagepond-core/src/__tests__/unit/core_response_durations.test.ts
@@ -1,11 +1,11 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
-import {RECENT_MS, RecentMaxima} from '../../gateway_recent_maxima.js';
+import {RECENT_MS, RecentMaxima} from '../../core_recent_maxima.js';
 import {
   type ResponseTimes,
   ResponseDurations,
   type ResponseWork,
-} from '../../gateway_response_durations.js';
+} from '../../core_response_durations.js';
 
 /** A request as a gateway sees it; routes are not part of the estimate. */
 interface RoutedWork extends ResponseWork {
--- a/packages/lovagepond-gateway/src/gateway_response_durations.ts
+++ b/packages/lovagepond-core/src/core_response_durations.ts
@@ -6,7 +6,7 @@
  * tokens that their requests allow. Responses may end long before their last
  * token, or never do so: recent streams show how many events a token allows.
  */
-import {RecentMaxima} from './gateway_recent_maxima.js';
+import {RecentMaxima} from './core_recent_maxima.js';
 
 export const RESPONSE_DURATIONS = Object.freeze({
   /** Similar responses without which there is no bound. */
--- a/packages/lovagepond-core/src/index.ts
+++ b/packages/lovagepond-core/src/index.ts
@@ -100,6 +100,12 @@
 } from './core_role.js';
 export {z} from './core_schema.js';
 export {type PoolSpans, RequestSpans} from './core_request_spans.js';
+export {
+  RESPONSE_DURATIONS,
+  ResponseDurations,
+  type ResponseTimes,
+  type ResponseWork,
+} from './core_response_durations.js';
 export {
   REQUEST_SPAN_MS,
   RETRY_ANSWER_MS,
