Run nothing in a draining router that can't end before its exit

What callers saw: a router that drains passed on requests whose bodies became whole after the drain began, and sent refused ones to a second server, also with a minute left to their deadlines; it then cut them at the end of its limit with "may have run", although another router would have served them. A request that waited in a sidecar's queue was dispatched or cut in the same way.

Cause: the router asked about its drain nowhere after the head of a request had arrived.

The request's state machine keeps that time, so that an attempt that is connecting or queued when it passes is revoked; only after the sidecar has confirmed that is the request refused as not run. Requests that a server runs are left alone.

--- a/packages/lovagepond-router/src/__tests__/unit/router_request.test.ts
+++ b/packages/lovagepond-router/src/__tests__/unit/router_request.test.ts
@@ -57,6 +57,29 @@
   console.info('seed', SEED, Object.fromEntries(finals));
 });
 
+// Guards against a "not run" for a request that a server runs after its router
+// has asked for it back because of its own exit.
+test('an answer is truthful when its router exits soon', () => {
+  const step = fc.tuple(fc.nat(31), fc.nat(11));
+  const steps = fc.array(step, {maxLength: 120, size: 'max'});
+  let drained = 0;
+  const property = fc.property(
+    fc.boolean(),
+    fc.nat(10),
+    steps,
+    (nonRepeatable, latestRunAt, choices) => {
+      const world = new RequestWorld(nonRepeatable);
+      world.machine.limitRun(latestRunAt * 100);
+      for (const [choice, detail] of choices) world.step(choice, detail);
+      world.settle();
+      const kind = checkFinalAnswer(world, nonRepeatable);
+      if (kind === 'draining') drained += 1;
+    },
+  );
+  fc.assert(property, {numRuns: 2_000, seed: SEED});
+  expect(drained).toBeGreaterThan(0);
+});
+
 // Two attempts of one request generate different texts. If the second attempt
 // continued at the offset where the first one ended, the caller would read
 // a sentence that no engine generated.
--- a/packages/lovagepond-router/src/router_dispatcher.ts
+++ b/packages/lovagepond-router/src/router_dispatcher.ts
@@ -13,8 +13,10 @@
   type Logger,
   makeFailure,
 } from '@lovagepond/core';
+import {AnswerTimes, workOf} from './router_answer_times.js';
 import {type SidecarConnections} from './router_connections.js';
 import {type RouterCounters} from './router_counters.js';
+import {RouterDrain} from './router_drain.js';
 import {type EarlyRefusal} from './router_early_refusal.js';
 import {type Eligible} from './router_eligibility.js';
 import {type CrashReporter} from './router_crash_reporter.js';
@@ -29,6 +31,7 @@
   type RunnerContext,
 } from './router_request_context.js';
 import {RequestRunner} from './router_request_runner.js';
+import {makeDrainingFailure} from './router_request_timing.js';
 import {
   type AttemptTarget,
   type DropReason,
@@ -72,6 +75,8 @@
   readonly revokeTimeoutMs: number;
   readonly #deps: DispatcherDependencies;
   readonly #runners = new Set<RequestRunner>();
+  readonly #drain = new RouterDrain();
+  readonly #times = new AnswerTimes();
 
   constructor(settings: RouterSettings, deps: DispatcherDependencies) {
     this.#deps = deps;
@@ -130,6 +135,10 @@
     const verdict = state.findEligible(request);
     if (!verdict.ok) return verdict.failure;
     const {eligible} = verdict;
+    const work = workOf(runner, eligible);
+    const latestRunAt = this.#drain.latestRunAt(work, request.deadline, now);
+    if (now > latestRunAt) return after ?? makeDrainingFailure();
+    runner.limitRun(latestRunAt);
     const budgetFailure = this.#chargeBudget(query, eligible);
     if (budgetFailure) return budgetFailure;
     const described = describeForPlacement(request, returning);
@@ -140,6 +149,7 @@
     );
     if (!chosen) return after ?? makeFailure('noBackendServer');
     load.recordSent(chosen.server.slot, request.estimatedTokens, now);
+    this.#times.notePlaced(runner, work, now);
     return {...chosen, eligible};
   }
 
@@ -162,6 +172,8 @@
     const {load, state, evidence, counters} = this.#deps;
     const {body, incarnation} = frame;
     if (body.kind === 'failed') this.#noteCrash(runner, body, now);
+    const answer = this.#times.noteFrame(runner, body, now);
+    if (answer) this.#drain.noteAnswered(answer.work, answer.times, now);
     if (!FRAMES_WITH_LOAD.has(body.kind)) return;
     state.revisions.noteSidecarRevision(incarnation, frame.revision);
     evidence.noteResponse(incarnation, now);
@@ -206,6 +218,23 @@
     else this.#deps.counters.noteAnswered();
   }
 
+  /**
+   * Refuses requests whose answers can't end in time, also those that wait in a
+   * sidecar's queue.
+   *
+   * @param endsAt when the process exits at the latest, monotonic milliseconds
+   * @param now current time, monotonic milliseconds
+   */
+  beginDraining(endsAt: number, now: number): void {
+    this.#drain.begin(endsAt);
+    for (const runner of [...this.#runners]) {
+      const work = workOf(runner, runner.eligible);
+      const {deadline} = runner.request;
+      runner.limitRun(this.#drain.latestRunAt(work, deadline, now));
+      runner.tick(now);
+    }
+  }
+
   /** @param now current time, monotonic milliseconds */
   tick(now: number): void {
     for (const runner of this.#runners) runner.tick(now);
--- a/packages/lovagepond-router/src/router_request.ts
+++ b/packages/lovagepond-router/src/router_request.ts
@@ -28,7 +28,11 @@
   type Frame,
   type RefusedBody,
 } from './router_frames.js';
-import {RequestTiming, wasDispatched} from './router_request_timing.js';
+import {
+  makeDrainingFailure,
+  RequestTiming,
+  wasDispatched,
+} from './router_request_timing.js';
 import {
   type Attempt,
   type Closing,
@@ -58,7 +62,7 @@
     sent: (machine, event, now) => machine.#onSent(event, now),
     frame: (machine, event, now) => machine.#onFrame(event.frame, now),
     broken: (machine, event, now) => machine.#onBroken(event, now),
-    revoked: (machine, event) => machine.#onRevoked(event),
+    revoked: (machine, event, now) => machine.#onRevoked(event, now),
     blocked: (machine, event, now) =>
       machine.#watch.setBlocked(event.blocked, now),
     callerGone: machine => machine.#finish(CLOSING.ABANDONED),
@@ -68,7 +72,7 @@
   static readonly #bodyHandlers: BodyHandlers<RequestMachine> = {
     accepted: (machine, body, now) => machine.#onAccepted(body, now),
     started: machine => machine.#onStarted(),
-    refused: (machine, body) => machine.#onRefused(body),
+    refused: (machine, body, now) => machine.#onRefused(body, now),
     chunk: (machine, body, now) => machine.#onChunk(body, now),
     heartbeat: () => {},
     end: (machine, body, now) => machine.#onEnd(body, now),
@@ -131,6 +135,11 @@
     return this.#takeActions();
   }
 
+  /** @param at see {@link RequestTiming.limitRun} */
+  limitRun(at: number): void {
+    this.#timing.limitRun(at);
+  }
+
   #takeActions(): RequestAction[] {
     const actions = this.#actions;
     this.#actions = [];
@@ -246,13 +255,13 @@
     this.#revoke(REVOKE_REASON.DEADLINE);
   }
 
-  #onRefused(body: RefusedBody): void {
+  #onRefused(body: RefusedBody, now: number): void {
     const {configuration} = body;
     if (configuration.length > 0) {
       this.#actions.push({kind: 'install', configuration});
     }
     if (body.errorKind === 'revoked' && this.#revoking) {
-      this.#onRevocationConfirmed(this.#revoking);
+      this.#onRevocationConfirmed(this.#revoking, now);
       return;
     }
     if (isUnavailableRefusal(body)) this.#addEvidence('unavailable');
@@ -320,12 +329,12 @@
     this.#actions.push({kind: 'revoke', attempt, freshConnection});
   }
 
-  #onRevoked(event: EventOf<'revoked'>): void {
+  #onRevoked(event: EventOf<'revoked'>, now: number): void {
     const attempt = this.#attempt;
     const reason = this.#revoking;
     if (attempt?.attemptId !== event.attemptId || !reason) return;
     if (event.outcome === 'revoked') {
-      this.#onRevocationConfirmed(reason);
+      this.#onRevocationConfirmed(reason, now);
       return;
     }
     this.#revoking = undefined;
@@ -336,22 +345,23 @@
   }
 
   /** Handles the confirmation that the attempt was not dispatched. */
-  #onRevocationConfirmed(reason: RevokeReason): void {
+  #onRevocationConfirmed(reason: RevokeReason, now: number): void {
     const {backendServer} = (this.#attempt as Attempt).target;
-    const failure = makeFailure('deadlineUnreachable');
+    const late = this.#timing.findLate(now);
     if (reason === REVOKE_REASON.CONNECTION_LOST) {
       const step = this.#record.afterReconnect(backendServer);
       this.#follow(step, CLOSING.CONCLUDED);
-    } else if (this.#timing.nearDeadline) {
-      this.#follow(this.#record.finalStep(failure), CLOSING.CONCLUDED);
+    } else if (late) {
+      this.#follow(this.#record.finalStep(late), CLOSING.CONCLUDED);
     } else {
-      this.#notRun(failure);
+      this.#notRun(makeFailure('deadlineUnreachable'));
     }
   }
 
   #onTick(now: number): void {
     const due = this.#timing.findDue(this.#state, this.#watch, now);
     if (due === 'deadline') this.#onDeadline();
+    if (due === 'late') this.#failRequest(makeDrainingFailure());
     if (due === 'revoke') this.#revoke(REVOKE_REASON.DEADLINE);
     if (due !== 'silent') return;
     this.#addEvidence('silent');
--- a/packages/lovagepond-router/src/router_request_runner.ts
+++ b/packages/lovagepond-router/src/router_request_runner.ts
@@ -114,6 +114,11 @@
     return this.#machine.state;
   }
 
+  /** @returns the servers that may serve the request */
+  get eligible(): Eligible {
+    return this.#eligible;
+  }
+
   /** @returns the placement of the open attempt, if any */
   get placed(): Placed | undefined {
     return this.#machine.attempt && this.#placed;
@@ -144,6 +149,14 @@
     this.#fail(isUnsent ? failureIfUnsent : makeFailure('backendFailed'));
   }
 
+  /**
+   * @param at the latest time at which the request may be run, as the process
+   *     exits; monotonic milliseconds
+   */
+  limitRun(at: number): void {
+    this.#machine.limitRun(at);
+  }
+
   /** Unregisters the listener for cancellation by the caller. */
   close(): void {
     this.#unregister();
--- a/packages/lovagepond-router/src/router_role.ts
+++ b/packages/lovagepond-router/src/router_role.ts
@@ -162,11 +162,14 @@
 
   /**
    * Reports immediately that the router isn't ready. The front end refuses new
-   * connections after its grace period. Requests in flight finish, and the
-   * subscription stays open until they have.
+   * connections after its grace period. Requests whose answers can't end within
+   * the limit are refused. Those in flight finish, and the subscription stays
+   * open until they have.
    */
   async drain(limitMs: number): Promise<void> {
     this.#draining = true;
+    const now = this.#deps.clock.now();
+    this.#running?.dispatcher.beginDraining(now + limitMs, now);
     await this.#running?.front.drain(limitMs);
   }
 
