Share the bound of draining processes between roles

Sidecars ask the same question as routers before they run a request: can its answer end before the process exits. RouterDrain becomes DrainBound of core, which also keeps the earlier of two exits and can be cancelled, as sidecars need it.

--- a/packages/lovagepond-router/src/router_drain.ts
+++ b/packages/lovagepond-core/src/core_drain_bound.ts
@@ -1,25 +1,37 @@
 /**
- * Which requests a draining router may still send to a server: those whose
- * answers end before the process exits. Any other one would be cut, although
- * another router can serve it.
+ * Which requests a draining process may still run: those whose answers end
+ * before its exit. Any other one would be cut, although another process can
+ * serve it.
  */
 import {
   ResponseDurations,
   type ResponseTimes,
   type ResponseWork,
-} from '@lovagepond/core';
+} from './core_response_durations.js';
 
 /** Time between the expected end of an answer and the process's exit, ms. */
 const END_MARGIN_MS = 300;
 
-/** Draining state of a router, and how long answers take. */
-export class RouterDrain {
+/** Draining state of a process, and how long answers take. */
+export class DrainBound {
   readonly #durations = new ResponseDurations();
   #endsAt: number | undefined;
 
-  /** @param endsAt when the process exits at the latest, monotonic ms */
+  get isDraining(): boolean {
+    return this.#endsAt !== undefined;
+  }
+
+  /**
+   * @param endsAt when the process exits at the latest, monotonic milliseconds;
+   *     an earlier exit that is known already stays in force
+   */
   begin(endsAt: number): void {
-    this.#endsAt = endsAt;
+    this.#endsAt = Math.min(this.#endsAt ?? endsAt, endsAt);
+  }
+
+  /** Ends the drain; the process goes on. */
+  cancel(): void {
+    this.#endsAt = undefined;
   }
 
   /**
--- a/packages/lovagepond-core/src/index.ts
+++ b/packages/lovagepond-core/src/index.ts
@@ -25,6 +25,7 @@
   type WarmUpLimits,
   type Workspace,
 } from './core_configuration.js';
+export {DrainBound} from './core_drain_bound.js';
 export {
   answerFor,
   type Disposition,
--- a/packages/lovagepond-router/src/router_dispatcher.ts
+++ b/packages/lovagepond-router/src/router_dispatcher.ts
@@ -9,6 +9,7 @@
 } from '@lovagepond/caller';
 import {
   type Clock,
+  DrainBound,
   type Failure,
   type Logger,
   makeFailure,
@@ -16,7 +17,6 @@
 import {AnswerTimes, workOf} from './router_answer_times.js';
 import {type SidecarConnections} from './router_connections.js';
 import {type RouterCounters} from './router_counters.js';
-import {RouterDrain} from './router_drain.js';
 import {type EarlyRefusal} from './router_early_refusal.js';
 import {type Eligible} from './router_eligibility.js';
 import {type CrashReporter} from './router_crash_reporter.js';
@@ -75,7 +75,7 @@
   readonly revokeTimeoutMs: number;
   readonly #deps: DispatcherDependencies;
   readonly #runners = new Set<RequestRunner>();
-  readonly #drain = new RouterDrain();
+  readonly #drain = new DrainBound();
   readonly #times = new AnswerTimes();
 
   constructor(settings: RouterSettings, deps: DispatcherDependencies) {
