Run nothing at a draining sidecar that can't end by its limit

What callers saw: calls that were cut with "may have run" at the end of a sidecar's drain, although they had waited in the sidecar until shortly before, and another server could have run them.

Cause: held requests were reviewed at the beginning of the drain and every 250 ms, but not when they were dispatched, and calls that waited for their claim not at all. The expected run time was a mean, and 0 before the first finished run.

Change: the gate asks SidecarDrain right before each dispatch, when a claim is granted, and at each tick for claims that are not answered. SidecarDrain uses the bound of core: the longest recent runs by tokens, or the deadline when too few were seen. What can't end by the limit is refused as "draining", which is "not run" and costs the router no retry budget; a claim is released first.

Tests: "refuses what does not fit and interrupts nothing" took a server without a finished run for infinitely fast. It now lets the server finish 20 runs first; its assertions are the same. The property test offers requests with deadlines on both sides of the limit, so that some are still dispatched in a drain.

--- a/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_gate_failures.test.ts
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_gate_failures.test.ts
@@ -136,28 +136,99 @@
 });
 
 describe('draining', () => {
+  const RUN_MS = 50;
+  const RUNS = 20;
+  const START = RUNS * RUN_MS;
+
+  /** A gate whose server has finished enough runs to know how long they take. */
+  function makeSeasonedGate(): SidecarGate {
+    const gate = makeGate({maxHoldMs: 60_000});
+    for (let index = 0; index < RUNS; index += 1) {
+      const attemptId = `before-${index}`;
+      const now = index * RUN_MS;
+      gate.offer(makeOffer(attemptId, {tokens: 500}), now);
+      gate.finish(attemptId, {kind: 'done'}, now + RUN_MS);
+    }
+    return gate;
+  }
+
   // The server drains with one request running, one that fits within the limit,
   // and many that don't. The first must not be interrupted, the second must be
   // served, and the others and all new ones must be refused at once.
   it('refuses what does not fit and interrupts nothing', () => {
-    const gate = makeGate({maxHoldMs: 60_000});
-    gate.offer(makeOffer('running', {tokens: 1_000}), 0);
-    gate.offer(makeOffer('fits', {tokens: 500}), 0);
+    const gate = makeSeasonedGate();
+    gate.offer(makeOffer('running', {tokens: 1_000}), START);
+    gate.offer(makeOffer('fits', {tokens: 500}), START);
     for (let index = 0; index < 5; index += 1) {
-      gate.offer(makeOffer(`long-${index}`, {tokens: 900}), 0);
+      gate.offer(makeOffer(`long-${index}`, {tokens: 900}), START);
     }
-    const leaving = gate.startDraining(0, 200);
+    const leaving = gate.startDraining(START, 600);
     expect(leaving).toHaveLength(5);
     for (const {failure, attemptId} of refusals(leaving)) {
       expect(failure.kind).toBe('draining');
       expect(attemptId).toContain('long');
     }
-    const [late] = refusals(gate.offer(makeOffer('late'), 1));
+    const [late] = refusals(gate.offer(makeOffer('late'), START + 1));
     expect(late?.failure.kind).toBe('draining');
-    const next = gate.finish('running', {kind: 'done'}, 100);
+    const next = gate.finish('running', {kind: 'done'}, START + 100);
     expect(kinds(next)).toEqual(['dispatch fits']);
     expect(gate.idle).toBe(false);
-    gate.finish('fits', {kind: 'done'}, 150);
+    gate.finish('fits', {kind: 'done'}, START + 150);
+    expect(gate.idle).toBe(true);
+  });
+
+  it('holds nothing of unknown length and cuts it at the limit', () => {
+    const gate = makeGate({maxHoldMs: 60_000});
+    gate.offer(makeOffer('running', {tokens: 1_000}), 0);
+    gate.offer(makeOffer('unknown', {tokens: 500}), 0);
+    gate.offer(makeOffer('short', {tokens: 500, deadlineAt: 600}), 0);
+    const leaving = gate.startDraining(0, 1_000);
+    expect(kinds(leaving)).toEqual(['refuse unknown']);
+    expect(refusals(leaving)[0]?.failure.kind).toBe('draining');
+    const next = gate.finish('running', {kind: 'done'}, 100);
+    expect(kinds(next)).toEqual(['dispatch short']);
+  });
+
+  it('starts no held request that can not end by the limit any more', () => {
+    const gate = makeSeasonedGate();
+    gate.offer(makeOffer('running', {tokens: 1_000}), START);
+    gate.offer(makeOffer('fits', {tokens: 500}), START);
+    expect(gate.startDraining(START, 600)).toEqual([]);
+    const next = gate.finish('running', {kind: 'done'}, START + 250);
+    expect(kinds(next)).toEqual(['refuse fits']);
+    expect(refusals(next)[0]?.failure.kind).toBe('draining');
+    expect(gate.idle).toBe(true);
+  });
+
+  it('starts no claimed call that can not end by the limit any more', () => {
+    const claimed = {nonRepeatable: true, tokens: 500};
+    const late = makeSeasonedGate();
+    late.offer(makeOffer('call', claimed), START);
+    expect(late.startDraining(START, 600)).toEqual([]);
+    expect(kinds(late.claimGranted('call', START + 250))).toEqual([
+      'releaseClaim call',
+      'refuse call',
+    ]);
+    expect(late.idle).toBe(true);
+    const early = makeSeasonedGate();
+    early.offer(makeOffer('call', claimed), START);
+    early.startDraining(START, 600);
+    expect(kinds(early.claimGranted('call', START + 100))).toEqual([
+      'dispatch call',
+    ]);
+  });
+
+  it('refuses a call whose claim is not answered in time as not run', () => {
+    const gate = makeSeasonedGate();
+    const claimed = {nonRepeatable: true, tokens: 500};
+    gate.offer(makeOffer('call', claimed), START);
+    gate.startDraining(START, 600);
+    expect(gate.tick(START + 100)).toEqual([]);
+    expect(kinds(gate.tick(START + 250))).toEqual([
+      'releaseClaim call',
+      'refuse call',
+    ]);
+    expect(gate.claimGranted('call', START + 260)).toEqual([]);
     expect(gate.idle).toBe(true);
   });
 });
--- a/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_gate_properties.test.ts
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_gate_properties.test.ts
@@ -82,7 +82,8 @@
       const workspace = `workspace-${s.attempt % 2}`;
       if (!trace.tokens.has(attemptId)) trace.tokens.set(attemptId, s.tokens);
       const {tokens} = s;
-      const deadlineAt = now + 4_000;
+      // On both sides of the drain limit.
+      const deadlineAt = now + 1_000 * (1 + (s.attempt % 4));
       trace.note(
         gate.offer(
           makeOffer(attemptId, {nonRepeatable, workspace, tokens, deadlineAt}),
--- a/packages/lovagepond-sidecar/src/sidecar_drain.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_drain.ts
@@ -2,14 +2,20 @@
  * Draining: running requests finish, new ones are refused, and held ones are
  * served only if they end within the limit.
  */
+import {DrainBound, type ResponseWork} from '@lovagepond/core';
+import {type Offer} from './sidecar_types.js';
 
-/** Draining state of the sidecar and the end of its limit. */
+function workOf({tokens}: Offer): ResponseWork {
+  return {pool: '', isStream: true, outputTokens: tokens};
+}
+
+/** Draining state of the sidecar, and how long runs at its server take. */
 export class SidecarDrain {
-  #endsAt: number | undefined;
+  readonly #bound = new DrainBound();
 
   /** @returns true while draining */
   get draining(): boolean {
-    return this.#endsAt !== undefined;
+    return this.#bound.isDraining;
   }
 
   /**
@@ -17,22 +23,36 @@
    * @param limitMs longest time for requests in flight, milliseconds
    */
   start(now: number, limitMs: number): void {
-    const endsAt = now + limitMs;
-    this.#endsAt = Math.min(this.#endsAt ?? endsAt, endsAt);
+    this.#bound.begin(now + limitMs);
   }
 
   /** Cancels draining. */
   resume(): void {
-    this.#endsAt = undefined;
+    this.#bound.cancel();
+  }
+
+  /**
+   * @param offer a request that was run to its end
+   * @param totalMs its run time, milliseconds
+   * @param now current time
+   */
+  noteRun(offer: Offer, totalMs: number, now: number): void {
+    const times = {firstMs: 0, totalMs, events: undefined};
+    this.#bound.noteAnswered(workOf(offer), times, now);
   }
 
   /**
-   * @param expectedMs expected wait and run time of a held request,
-   *     milliseconds
+   * @param offer a request that was not dispatched
+   * @param waitMs expected wait until its dispatch, milliseconds
    * @param now current time
    * @returns true when the request ends within the limit
    */
-  mayServe(expectedMs: number, now: number): boolean {
-    return this.#endsAt === undefined || now + expectedMs <= this.#endsAt;
+  mayServe(offer: Offer, waitMs: number, now: number): boolean {
+    const latestAt = this.#bound.latestRunAt(
+      workOf(offer),
+      offer.deadlineAt,
+      now,
+    );
+    return now + waitMs <= latestAt;
   }
 }
--- a/packages/lovagepond-sidecar/src/sidecar_gate.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_gate.ts
@@ -16,6 +16,7 @@
   readGateLoad,
   retryAfterMs,
 } from './sidecar_gate_components.js';
+import {refuseLateClaim, refuseLateClaims} from './sidecar_gate_drain.js';
 import {
   answerDuplicate,
   findRefusal,
@@ -178,11 +179,15 @@
   /**
    * @param attemptId an attempt whose claim was requested
    * @param now current time
-   * @returns the dispatch; nothing if the attempt was revoked meanwhile
+   * @returns the dispatch, or the refusal of an attempt that can't end before
+   *     the drain limit; nothing if the attempt was revoked meanwhile
    */
   claimGranted(attemptId: string, now: number): GateAction[] {
     const run = this.#components.runs.find(attemptId);
-    if (!run || !this.#components.attempts.dispatch(attemptId)) return [];
+    if (!run) return [];
+    const refusal = refuseLateClaim(this.#components, run, now);
+    if (refusal.length > 0) return refusal;
+    if (!this.#components.attempts.dispatch(attemptId)) return [];
     return [this.#makeDispatch(run.offer, run.heldAt, now)];
   }
 
@@ -228,7 +233,11 @@
     this.#components.attempts.expire(now);
     this.#components.pointers.expire(now);
     const due = this.#components.hold.removeDue(now);
-    return [...this.#refuseDue(due, now), ...this.#dispatchReady(now)];
+    return [
+      ...this.#refuseDue(due, now),
+      ...refuseLateClaims(this.#components, now),
+      ...this.#dispatchReady(now),
+    ];
   }
 
   /** @returns when {@link tick} is needed next; Infinity for an empty queue */
@@ -298,7 +307,10 @@
    */
   startDraining(now: number, limitMs: number): GateAction[] {
     this.#components.drain.start(now, limitMs);
-    return this.#refuseDue(this.#components.hold.review(now), now);
+    return [
+      ...this.#refuseDue(this.#components.hold.review(now), now),
+      ...refuseLateClaims(this.#components, now),
+    ];
   }
 
   /** Cancels draining and accepts work again. */
@@ -362,6 +374,9 @@
   #dispatchOrClaim(held: HeldRequest, now: number): GateAction[] {
     if (held.giveUpAt < now) return [this.#giveUp(held, now)];
     const {offer, heldAt} = held;
+    if (!this.#components.drain.mayServe(offer, 0, now)) {
+      return this.#refuseDue({leaving: [held], late: []}, now);
+    }
     const {attemptId} = offer;
     const allowed = offer.nonRepeatable
       ? this.#components.attempts.claim(attemptId)
@@ -381,11 +396,9 @@
   }
 
   #noteDone({offer, startedAt}: Run, now: number): GateAction[] {
-    this.#components.hold.estimate.noteFinish(
-      offer.tokens,
-      now - startedAt,
-      now,
-    );
+    const runMs = now - startedAt;
+    this.#components.hold.estimate.noteFinish(offer.tokens, runMs, now);
+    this.#components.drain.noteRun(offer, runMs, now);
     const elsewhere = !isFirstChoice(offer, this.#components.settings);
     if (offer.chat === '' || !elsewhere) return [];
     return [{kind: 'point', attemptId: offer.attemptId}];
--- a/packages/lovagepond-sidecar/src/sidecar_hold_review.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_hold_review.ts
@@ -38,7 +38,7 @@
   queue.forEachWithCostAhead((held, tokensAhead) => {
     const {tokens} = held.offer;
     const waitMs = estimate.waitMs(tokensAhead + tokens - roomTokens);
-    if (!drain.mayServe(waitMs + estimate.serviceMs(tokens), now)) {
+    if (!drain.mayServe(held.offer, waitMs, now)) {
       leaving.push(held);
       return false;
     }
--- a/packages/lovagepond-sidecar/src/sidecar_runs.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_runs.ts
@@ -35,6 +35,11 @@
     return this.#runs.get(attemptId);
   }
 
+  /** @returns all running attempts */
+  all(): readonly Run[] {
+    return [...this.#runs.values()];
+  }
+
   /**
    * @param offer the attempt
    * @param heldAt when it was queued
