Read a closed connection until its caller has closed it too

What callers saw: a part of an answer that announced the close of its connection, when they had sent more on that connection before they read the announcement.

Cause: Node closes such a connection as soon as the operating system has taken the last byte. Bytes that arrive later reset it, and the rest of the answer is dropped.

--- a/packages/lovagepond-caller/src/__tests__/unit/caller_drain.test.ts
+++ b/packages/lovagepond-caller/src/__tests__/unit/caller_drain.test.ts
@@ -33,7 +33,10 @@
 }
 
 /** Sends a request and reads nothing until its socket is resumed. */
-function openPaused(port: number): Reader {
+function openPaused(
+  port: number,
+  headers: Record<string, string> = {},
+): Reader {
   const socket = connect(port, '127.0.0.1');
   sockets.push(socket);
   let bytes = 0;
@@ -41,7 +44,7 @@
   socket.on('data', chunk => (bytes += chunk.length));
   socket.on('error', err => (error = err.message));
   socket.pause();
-  socket.write(rawRequest(chatBody()));
+  socket.write(rawRequest(chatBody(), headers));
   const closed = once(socket, 'close').then(() => ({bytes, error}));
   return {socket, closed};
 }
@@ -90,6 +93,24 @@
   await drained;
 });
 
+test('bytes behind a request do not reset its answer that announces a close', async () => {
+  const server = await startServer((_req, sink) => {
+    void sink.write(SMALL_ANSWER);
+    sink.end();
+  }, LIMITS);
+  const {socket, closed} = openPaused(server.port, {connection: 'close'});
+  await expect.poll(() => server.counters.requests).toBe(1);
+  await expect.poll(() => server.counters.inFlight).toBe(0);
+  await wait(50);
+  socket.write(rawRequest(chatBody()));
+  await wait(50);
+  socket.resume();
+  const {bytes, error} = await closed;
+  expect(error).toBe('');
+  expect(bytes).toBeGreaterThan(SMALL_ANSWER.length);
+  expect(server.counters.requests).toBe(1);
+});
+
 test('a kept connection closes once the answer from before the drain ends', async () => {
   const sinks: ResponseSink[] = [];
   const server = await startServer((_req, sink) => sinks.push(sink));
--- a/packages/lovagepond-process/src/http_connections.ts
+++ b/packages/lovagepond-process/src/http_connections.ts
@@ -92,6 +92,10 @@
   #add(socket: Socket): void {
     const connection = {undelivered: 0, bytesAnswered: 0, isClosing: false};
     this.#connections.set(socket, connection);
+    // Called by Node after a response that announced the close.
+    socket.destroySoon = () => {
+      closeInOrder(socket, connection);
+    };
     socket.once('close', () => {
       this.#connections.delete(socket);
     });
@@ -117,13 +121,21 @@
   #closeIfIdle(socket: Socket, connection: Connection): void {
     if (connection.isClosing || connection.undelivered > 0) return;
     if (socket.bytesRead > connection.bytesAnswered) return;
-    connection.isClosing = true;
-    socket.end();
-    // The peer may send its next request before it sees the close. What arrives
-    // is read and dropped, as unread bytes would reset the connection.
-    const limit = setTimeout(() => socket.destroy(), LINGER_MS);
-    socket.once('close', () => {
-      clearTimeout(limit);
-    });
+    closeInOrder(socket, connection);
   }
 }
+
+/**
+ * Closes a connection after its last byte. The peer may send more before it
+ * sees the close. What arrives is read and dropped, as unread bytes would reset
+ * the connection.
+ */
+function closeInOrder(socket: Socket, connection: Connection): void {
+  if (connection.isClosing) return;
+  connection.isClosing = true;
+  socket.end();
+  const limit = setTimeout(() => socket.destroy(), LINGER_MS);
+  socket.once('close', () => {
+    clearTimeout(limit);
+  });
+}
