Bound unknown runs of a draining sidecar by its server's rate

What callers saw: with the deadline as the only bound, a sidecar whose server had finished few runs refused held requests at the start of a drain of 60 s although they end within a second.

Change: while too few runs are known, SidecarDrain assumes twice the time that the server needs for the running work and the request at its mean rate, which the sidecar estimates already (the configured rate at first).

--- a/packages/lovagepond-core/src/core_drain_bound.ts
+++ b/packages/lovagepond-core/src/core_drain_bound.ts
@@ -47,14 +47,21 @@
    * @param work what is known of the answer's length
    * @param deadline the request's deadline, monotonic milliseconds
    * @param now current time, monotonic milliseconds
+   * @param guessMs assumed duration of the answer while too few similar ones
+   *     were seen, milliseconds; the time until the deadline if undefined
    * @returns the latest time at which the request may be run; Infinity when its
    *     deadline comes before the exit
    */
-  latestRunAt(work: ResponseWork, deadline: number, now: number): number {
+  latestRunAt(
+    work: ResponseWork,
+    deadline: number,
+    now: number,
+    guessMs = Infinity,
+  ): number {
     if (this.#endsAt === undefined) return Infinity;
     const answerBy = this.#endsAt - END_MARGIN_MS;
     if (deadline <= answerBy) return Infinity;
-    const boundMs = this.#durations.boundMs(work, now) ?? Infinity;
+    const boundMs = this.#durations.boundMs(work, now) ?? guessMs;
     return answerBy - boundMs;
   }
 }
--- a/packages/lovagepond-sidecar/src/sidecar_drain.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_drain.ts
@@ -5,6 +5,9 @@
 import {DrainBound, type ResponseWork} from '@lovagepond/core';
 import {type Offer} from './sidecar_types.js';
 
+/** A server works more slowly at times than its mean rate says. */
+const MEAN_RATE_FACTOR = 2;
+
 function workOf({tokens}: Offer): ResponseWork {
   return {pool: '', isStream: true, outputTokens: tokens};
 }
@@ -44,14 +47,17 @@
   /**
    * @param offer a request that was not dispatched
    * @param waitMs expected wait until its dispatch, milliseconds
+   * @param meanMs time that the server needs for it and for all running work at
+   *     its mean rate, milliseconds
    * @param now current time
    * @returns true when the request ends within the limit
    */
-  mayServe(offer: Offer, waitMs: number, now: number): boolean {
+  mayServe(offer: Offer, waitMs: number, meanMs: number, now: number): boolean {
     const latestAt = this.#bound.latestRunAt(
       workOf(offer),
       offer.deadlineAt,
       now,
+      meanMs * MEAN_RATE_FACTOR,
     );
     return now + waitMs <= latestAt;
   }
--- a/packages/lovagepond-sidecar/src/sidecar_gate.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_gate.ts
@@ -374,7 +374,7 @@
   #dispatchOrClaim(held: HeldRequest, now: number): GateAction[] {
     if (held.giveUpAt < now) return [this.#giveUp(held, now)];
     const {offer, heldAt} = held;
-    if (!this.#components.drain.mayServe(offer, 0, now)) {
+    if (!this.#components.hold.mayServe(offer, 0, now)) {
       return this.#refuseDue({leaving: [held], late: []}, now);
     }
     const {attemptId} = offer;
--- a/packages/lovagepond-sidecar/src/sidecar_gate_drain.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_gate_drain.ts
@@ -30,13 +30,13 @@
  *     dispatched
  */
 export function refuseLateClaim(
-  {drain, attempts, runs}: GateComponents,
+  {hold, attempts, runs}: GateComponents,
   {offer}: Run,
   now: number,
 ): GateAction[] {
   const {attemptId} = offer;
   const isClaiming = attempts.stateOf(attemptId) === ATTEMPT_STATE.CLAIMING;
-  if (!isClaiming || drain.mayServe(offer, 0, now)) return [];
+  if (!isClaiming || hold.mayServe(offer, 0, now)) return [];
   attempts.refuse(attemptId, now);
   runs.end(attemptId, now);
   return [
--- a/packages/lovagepond-sidecar/src/sidecar_hold.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_hold.ts
@@ -66,6 +66,18 @@
     return this.estimate.waitMs(ahead + tokens - this.freeTokens(now));
   }
 
+  /**
+   * @param offer a request that was not dispatched
+   * @param waitMs expected wait until its dispatch, milliseconds
+   * @param now current time
+   * @returns false when it ends only after the drain limit
+   */
+  mayServe(offer: Offer, waitMs: number, now: number): boolean {
+    const tokens = this.#admission.runningTokens(now) + offer.tokens;
+    const meanMs = this.estimate.waitMs(tokens);
+    return this.#drain.mayServe(offer, waitMs, meanMs, now);
+  }
+
   /**
    * @param offer a request to hold
    * @param maxHoldMs longest wait, milliseconds
@@ -112,7 +124,7 @@
       {
         queue: this.queue,
         estimate: this.estimate,
-        drain: this.#drain,
+        mayServe: (offer, waitMs) => this.mayServe(offer, waitMs, now),
         roomTokens: this.freeTokens(now),
       },
       now,
--- a/packages/lovagepond-sidecar/src/sidecar_hold_review.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_hold_review.ts
@@ -3,8 +3,8 @@
  * once: kept until their deadline, they would occupy places in the queue that
  * others need, and their callers could retry only later.
  */
-import {type SidecarDrain} from './sidecar_drain.js';
 import {type HeldQueue, type HeldRequest} from './sidecar_held_queue.js';
+import {type Offer} from './sidecar_types.js';
 import {type SidecarWaitEstimate} from './sidecar_wait_estimate.js';
 
 /** Ratio of estimated wait to time left above which a request is refused. */
@@ -13,7 +13,8 @@
 export interface HoldReviewView {
   readonly queue: HeldQueue;
   readonly estimate: SidecarWaitEstimate;
-  readonly drain: SidecarDrain;
+  /** False when a request ends only after the drain limit. */
+  readonly mayServe: (offer: Offer, waitMs: number) => boolean;
   /** Free capacity of the engine, tokens. */
   readonly roomTokens: number;
 }
@@ -34,11 +35,11 @@
 export function reviewHeld(view: HoldReviewView, now: number): HoldReview {
   const leaving: HeldRequest[] = [];
   const late: HeldRequest[] = [];
-  const {queue, estimate, drain, roomTokens} = view;
+  const {queue, estimate, mayServe, roomTokens} = view;
   queue.forEachWithCostAhead((held, tokensAhead) => {
     const {tokens} = held.offer;
     const waitMs = estimate.waitMs(tokensAhead + tokens - roomTokens);
-    if (!drain.mayServe(held.offer, waitMs, now)) {
+    if (!mayServe(held.offer, waitMs)) {
       leaving.push(held);
       return false;
     }
