--- a/packages/lovagepond-process/src/http_connections.ts
+++ b/packages/lovagepond-process/src/http_connections.ts
@@ -105,6 +105,10 @@
       isClosing: false,
     };
     this.#connections.set(socket, connection);
+    // Called by Node after a response that announced the close.
+    socket.destroySoon = () => {
+      closeInOrder(socket, connection);
+    };
     socket.once('close', () => {
       this.#connections.delete(socket);
       // Node closes no response that waits behind another one.
@@ -144,13 +148,21 @@
     if (connection.isClosing || connection.open.size > 0) return;
     if (!connection.isUsed && !this.#closesUnused) return;
     if (socket.bytesRead > connection.bytesAnswered) return;
-    connection.isClosing = true;
-    socket.end();
-    // The peer may send its next request before it sees the close. What arrives
-    // is read and dropped, as unread bytes would reset the connection.
-    const limit = setTimeout(() => socket.destroy(), LINGER_MS);
-    socket.once('close', () => {
-      clearTimeout(limit);
-    });
+    closeInOrder(socket, connection);
   }
 }
+
+/**
+ * Closes a connection after its last byte. The peer may send more before it
+ * sees the close. What arrives is read and dropped, as unread bytes would reset
+ * the connection.
+ */
+function closeInOrder(socket: Socket, connection: Connection): void {
+  if (connection.isClosing) return;
+  connection.isClosing = true;
+  socket.end();
+  const limit = setTimeout(() => socket.destroy(), LINGER_MS);
+  socket.once('close', () => {
+    clearTimeout(limit);
+  });
+}
