Keep a repeated SIGTERM from cutting answers

What callers saw: a second SIGTERM during a drain ended the process at once and cut every answer in flight ("socket hang up"). Supervisors and scripts send it again, and a process gets it twice when both it and its group are signalled. A SIGTERM after the drain, while the role stopped or the last lines of the log were unread, killed the process by the default action: the exit code was lost. A SIGTERM during the start drained a role that was not yet listening; it then listened and was stopped with what it had taken.

Cause: SIGTERM and SIGINT were the same event, and the second event forced the end. The handlers were removed before `role.stop` ran. The drain did not wait for the end of the start.

Change: a repeated SIGTERM is logged and changes nothing. The second SIGINT forces the end as before, also after SIGTERM, and exits at once if the stop hangs. After a start, the handlers stay until the process exits.

Why it works: only the second SIGINT leads to a forced end, and no signal meets its default action between the start and the exit.

--- a/packages/lovagepond-process/src/exit_codes_constants.ts
+++ b/packages/lovagepond-process/src/exit_codes_constants.ts
@@ -15,7 +15,7 @@
   START: 4,
   /** Requests were still open when the drain limit expired. */
   DRAIN_LIMIT: 5,
-  /** A second signal stopped the process at once. */
+  /** A second SIGINT stopped the process at once. */
   FORCED: 6,
   /** `ctl`: control is unreachable or has no leader. */
   UNREACHABLE: 7,
@@ -40,7 +40,7 @@
   3: 'the settings have faults; nothing was started',
   4: 'an address or the data folder could not be opened',
   5: 'requests were still in flight when the drain limit expired',
-  6: 'a second signal stopped the process at once',
+  6: 'a second SIGINT stopped the process at once',
   7: 'ctl: control is unreachable or has no leader',
   8: 'ctl: control rejected the request',
   9: 'ctl convergence --wait: not applied everywhere within the limit',
--- a/packages/lovagepond-process/src/process_lifecycle.ts
+++ b/packages/lovagepond-process/src/process_lifecycle.ts
@@ -10,6 +10,7 @@
 /** Signals, and completed steps of a graceful shutdown. */
 export const LIFECYCLE_EVENT = {
   TERMINATE: 'terminate',
+  INTERRUPT: 'interrupt',
   RELOAD: 'reload',
   DUMP: 'dump',
   DELAY_OVER: 'delayOver',
@@ -28,6 +29,9 @@
   | {readonly kind: 'withdrawReadiness'; readonly delayMs: number}
   | {readonly kind: 'drain'; readonly limitMs: number}
   | {readonly kind: 'end'; readonly exitCode: ExitCode}
+  /** Exits without waiting for anything. */
+  | {readonly kind: 'exit'; readonly exitCode: ExitCode}
+  | {readonly kind: 'ignore'; readonly event: LifecycleEvent}
   | {readonly kind: 'reload'}
   | {readonly kind: 'dump'};
 
@@ -43,13 +47,20 @@
 type Phase = 'running' | 'announcing' | 'draining' | 'ended';
 type Handler = () => LifecycleAction[];
 
+function ignore(event: LifecycleEvent): LifecycleAction[] {
+  return [{kind: 'ignore', event}];
+}
+
 /** Tracks the phases of one process from start to end. */
 export class Lifecycle {
   #settings: LifecycleSettings;
   #phase: Phase = 'running';
+  #interrupts = 0;
   readonly #handlers: Readonly<Record<LifecycleEvent, Handler>> = {
     terminate: () => this.#onTerminate(),
-    reload: () => (this.#phase === 'running' ? [{kind: 'reload'}] : []),
+    interrupt: () => this.#onInterrupt(),
+    reload: () =>
+      this.#phase === 'running' ? [{kind: 'reload'}] : ignore('reload'),
     dump: () => (this.#phase === 'ended' ? [] : [{kind: 'dump'}]),
     delayOver: () => this.#onDelayOver(),
     drained: () => this.#onDrainOver(EXIT_CODE.OK),
@@ -71,6 +82,11 @@
     return this.#phase === 'running';
   }
 
+  /** True once the exit code is decided. */
+  get hasEnded(): boolean {
+    return this.#phase === 'ended';
+  }
+
   /**
    * @param event the event to process
    * @returns the actions to perform, in order
@@ -79,14 +95,26 @@
     return this.#handlers[event]();
   }
 
+  /**
+   * Supervisors and scripts repeat SIGTERM, and a process gets it both alone
+   * and with its group, so a repeated one must not cut requests.
+   */
   #onTerminate(): LifecycleAction[] {
-    if (this.#phase === 'ended') return [];
-    if (this.#phase !== 'running') return this.#end(EXIT_CODE.FORCED);
+    if (this.#phase !== 'running') return ignore('terminate');
     this.#phase = 'announcing';
     const delayMs = this.#settings.announceDelayMs;
     return [{kind: 'withdrawReadiness', delayMs}];
   }
 
+  /** The second interrupt ends the process at once, as a terminal's user expects. */
+  #onInterrupt(): LifecycleAction[] {
+    this.#interrupts += 1;
+    if (this.#phase === 'running') return this.#onTerminate();
+    if (this.#interrupts < 2) return ignore('interrupt');
+    if (this.#phase !== 'ended') return this.#end(EXIT_CODE.FORCED);
+    return [{kind: 'exit', exitCode: EXIT_CODE.FORCED}];
+  }
+
   #onDelayOver(): LifecycleAction[] {
     if (this.#phase !== 'announcing') return [];
     this.#phase = 'draining';
--- a/packages/lovagepond-process/src/process_runner.ts
+++ b/packages/lovagepond-process/src/process_runner.ts
@@ -36,6 +36,8 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly metrics: MetricsRegistry;
+  /** Registers for signals; by default for those of the operating system. */
+  readonly registerSignals?: typeof registerSignals;
   /** Reads the settings again and applies the reloadable ones. */
   readonly reload: (runner: ProcessRunner) => void;
 }
@@ -68,6 +70,10 @@
   readonly #lifecycle: Lifecycle;
   readonly #server: PlatformServer;
   #finish: (exitCode: ExitCode) => void = () => undefined;
+  #noteStarted: () => void = () => undefined;
+  readonly #started = new Promise<void>(resolve => {
+    this.#noteStarted = resolve;
+  });
   readonly #handlers: ActionHandlers = {
     withdrawReadiness: ({delayMs}) => {
       this.#deps.log.info('readiness withdrawn', {delayMs});
@@ -79,6 +85,12 @@
     end: ({exitCode}) => {
       this.#finish(exitCode);
     },
+    exit: ({exitCode}) => {
+      process.exit(exitCode);
+    },
+    ignore: ({event}) => {
+      this.#deps.log.info('signal ignored: the process is stopping', {event});
+    },
     reload: () => {
       this.#deps.reload(this);
     },
@@ -101,6 +113,10 @@
   /**
    * Starts the role and runs it until a signal stops it.
    *
+   * After a start, the signal handlers stay until the process exits: with its
+   * default action, a repeated signal would kill the process while it stops or
+   * writes the last lines of its log.
+   *
    * @returns the exit code
    * @throws when an address or the data folder can't be opened
    */
@@ -110,27 +126,34 @@
     const ended = new Promise<ExitCode>(resolve => {
       this.#finish = resolve;
     });
-    const unregister = registerSignals(event => {
+    const register = this.#deps.registerSignals ?? registerSignals;
+    const unregister = register(event => {
       this.handle(event);
     });
-    let exitCode: ExitCode;
     try {
       const address = await this.#server.start();
       await role.start();
+      this.#noteStarted();
       log.info('started', {
         platformAddress: formatHostPort(address),
         ...describeStart(loadedAt, clock.now()),
       });
-      exitCode = await ended;
-    } finally {
+    } catch (err) {
       unregister();
-      await role.stop();
-      await this.#server.stop();
+      await this.#stop();
+      throw err;
     }
+    const exitCode = await ended;
+    await this.#stop();
     log.info('ended', {exitCode});
     return exitCode;
   }
 
+  async #stop(): Promise<void> {
+    await this.#deps.role.stop();
+    await this.#server.stop();
+  }
+
   /** @param settings reloaded time limits of the next graceful shutdown */
   configure(settings: LifecycleSettings): void {
     this.#lifecycle.configure(settings);
@@ -147,12 +170,16 @@
     }
   }
 
+  /** A role that drained while it starts would listen after its drain. */
   async #drain(limitMs: number): Promise<void> {
     const {role, log, clock} = this.#deps;
-    log.info('draining', {limitMs});
     const startedAt = clock.now();
+    await this.#started;
+    const waitedMs = Math.round(clock.now() - startedAt);
+    const remainingMs = Math.max(0, limitMs - waitedMs);
+    log.info('draining', {limitMs: remainingMs});
     try {
-      const {unfinished} = await role.drain(limitMs);
+      const {unfinished} = await role.drain(remainingMs);
       const durationMs = Math.round(clock.now() - startedAt);
       this.#noteDrained(unfinished, durationMs);
     } catch (err) {
@@ -163,6 +190,8 @@
 
   #noteDrained(unfinished: number, durationMs: number): void {
     const {log} = this.#deps;
+    // A forced end aborts the requests, so that the drain ends with it.
+    if (this.#lifecycle.hasEnded) return;
     if (unfinished === 0) {
       log.info('drained', {unfinished, durationMs});
       this.handle('drained');
--- a/packages/lovagepond-process/src/process_signals.ts
+++ b/packages/lovagepond-process/src/process_signals.ts
@@ -8,7 +8,7 @@
 
 const SIGNAL_EVENTS: readonly (readonly [NodeJS.Signals, LifecycleEvent])[] = [
   ['SIGTERM', 'terminate'],
-  ['SIGINT', 'terminate'],
+  ['SIGINT', 'interrupt'],
   ['SIGHUP', 'reload'],
   ['SIGUSR2', 'dump'],
 ];
