Deliver the answers of a stopping control plane server

What operators and replicas saw when a member of control was stopped: a large configuration that a slow reader fetched was cut, and the member reported a whole drain. An answer under way did not announce that its connection closes. A client that had sent half of its change, or whose change no majority decided in time, got a reset after a second instead of an answer. A refusal during the drain closed the connection with the body unread, and the reset overtook it.

Cause: a call counted as over once `end()` was called, and both `closeIdleConnections` and `close` of Node's HTTP server close connections that still deliver such an answer. Nothing looked at calls whose body or decision was outstanding.

Change: `ResponseDelivery` counts responses until they are closed, announces the close on all that have not begun, and closes idle connections only while no response is being delivered. `sendWhole` answers at once and discards the rest of an unfinished body for up to 500 ms before the connection closes.

Why it works: the drain ends when the connections of all answers have ended, and no connection is closed with an answer in it or with bytes unread, except by the limit, which the count reports.

--- /dev/null
+++ b/packages/lovagepond-process/src/http_delivery.ts
@@ -0,0 +1,119 @@
+/**
+ * Ends the responses and connections of an HTTP server in order, so that a stop
+ * cuts no response and no reset overtakes one.
+ */
+import {
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import {Server as TcpServer} from 'node:net';
+import {type DrainResult} from '@lovagepond/core';
+
+/**
+ * Time in which the rest of a request is read and discarded after its response,
+ * milliseconds.
+ */
+const LINGER_MS = 500;
+
+/** A response that is sent at once. */
+export interface WholeResponse {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly text: string;
+}
+
+/**
+ * Sends a response. If the request's body is not complete, its rest is read and
+ * discarded for a short time before the connection closes: a close that meets
+ * unread bytes resets the connection, and the reset may overtake the response.
+ *
+ * Does nothing when a response was sent before or the connection is closed.
+ *
+ * @param req the request
+ * @param res its response
+ * @param response what to send
+ */
+export function sendWhole(
+  req: IncomingMessage,
+  res: ServerResponse,
+  {status, headers, text}: WholeResponse,
+): void {
+  if (res.headersSent || res.destroyed) return;
+  const length = {'content-length': String(Buffer.byteLength(text))};
+  if (req.complete) {
+    res.writeHead(status, {...headers, ...length}).end(text);
+    return;
+  }
+  res.on('error', () => undefined);
+  res.writeHead(status, {...headers, ...length, connection: 'close'});
+  res.write(text);
+  const finish = (): void => {
+    clearTimeout(timer);
+    res.end();
+  };
+  const timer = setTimeout(finish, LINGER_MS);
+  req.once('end', finish);
+  res.once('close', () => {
+    clearTimeout(timer);
+  });
+  req.resume();
+}
+
+/** Tracks the responses of a server until they are delivered. */
+export class ResponseDelivery {
+  readonly #server: Server;
+  readonly #open = new Set<ServerResponse>();
+  #draining = false;
+  #idleListener: (() => void) | undefined;
+
+  /** @param server the server, not listening yet */
+  constructor(server: Server) {
+    this.#server = server;
+    server.prependListener('request', (_req, res: ServerResponse) => {
+      this.#open.add(res);
+      if (this.#draining) announceClose(res);
+      res.once('close', () => {
+        this.#onClosed(res);
+      });
+    });
+  }
+
+  /**
+   * Stops listening, and lets each connection end after its response.
+   *
+   * @param limitMs the maximum wait, milliseconds
+   * @returns the number of responses that are not delivered
+   */
+  async drain(limitMs: number): Promise<DrainResult> {
+    this.#draining = true;
+    // The method of the HTTP server also closes connections that deliver.
+    TcpServer.prototype.close.call(this.#server);
+    for (const res of this.#open) announceClose(res);
+    this.#closeIdle();
+    if (this.#open.size > 0) {
+      await new Promise<void>(resolve => {
+        this.#idleListener = resolve;
+        setTimeout(resolve, limitMs).unref();
+      });
+    }
+    return {unfinished: this.#open.size};
+  }
+
+  #onClosed(res: ServerResponse): void {
+    this.#open.delete(res);
+    if (!this.#draining) return;
+    this.#closeIdle();
+    if (this.#open.size === 0) this.#idleListener?.();
+  }
+
+  /** For Node, a connection is idle while a response that ended is delivered. */
+  #closeIdle(): void {
+    const isDelivering = [...this.#open].some(res => res.writableEnded);
+    if (!isDelivering) this.#server.closeIdleConnections();
+  }
+}
+
+function announceClose(res: ServerResponse): void {
+  if (!res.headersSent) res.setHeader('connection', 'close');
+}
--- a/packages/lovagepond-process/src/index.ts
+++ b/packages/lovagepond-process/src/index.ts
@@ -3,6 +3,11 @@
   EXIT_CODE_MEANINGS,
   type ExitCode,
 } from './exit_codes_constants.js';
+export {
+  ResponseDelivery,
+  sendWhole,
+  type WholeResponse,
+} from './http_delivery.js';
 export {type DroppedLines, LogLimiter} from './log_limiter.js';
 export {SystemClock} from './process_clock.js';
 export {
