Estimate how long responses take by pool and output tokens

Callers of a gateway that drains lose streams that it admits though they can't end before the process exits: GatewayDrainAdmission keeps one decayed number for each rule name. It starts at half of the first duration, falls with every shorter request whatever time has passed, forgets under a renamed rule, and doesn't know a stream's length, which the request tells.

Change: ResponseDurations, not used yet. It keeps the slowest times of the last two minutes by pool; for streams by classes of the output tokens that requests allow (powers of two): the time to the first event, the most events for each token and the slowest time for each event. The bound is their product and sum, doubled. Without 20 similar responses (50 where streams don't tell their tokens), or before responses were observed for twice the bound, there is none and the caller takes the deadline. Memory: at most 19 records of a fixed size a pool; pools without recent responses are forgotten.

That refused and cancelled requests and the time of the body don't count is up to the caller, which records complete answers only.

Properties: bounds grow with tokens, are never below the slowest similar response of the window, and memory is bounded for any names and counts.

--- /dev/null
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_response_durations.test.ts
@@ -0,0 +1,353 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {RECENT_MS, RecentMaxima} from '../../gateway_recent_maxima.js';
+import {
+  type ResponseTimes,
+  ResponseDurations,
+  type ResponseWork,
+} from '../../gateway_response_durations.js';
+
+/** A request as a gateway sees it; routes are not part of the estimate. */
+interface RoutedWork extends ResponseWork {
+  readonly route: string;
+}
+
+const PLAIN: RoutedWork = {
+  pool: 'register',
+  route: 'post',
+  isStream: false,
+  outputTokens: undefined,
+};
+const UNTOLD: RoutedWork = {
+  pool: 'reports',
+  route: 'alert',
+  isStream: true,
+  outputTokens: undefined,
+};
+
+function stream(outputTokens: number): RoutedWork {
+  return {...UNTOLD, outputTokens};
+}
+
+/** Five tokens an event. */
+function streamTimes(events: number, msPerEvent: number): ResponseTimes {
+  const firstMs = 100;
+  return {firstMs, totalMs: firstMs + (events - 1) * msPerEvent, events};
+}
+
+function plainTimes(totalMs: number): ResponseTimes {
+  return {firstMs: totalMs, totalMs, events: undefined};
+}
+
+/** Bound that counts as infinite where the caller takes the deadline. */
+function boundOf(
+  durations: ResponseDurations,
+  work: ResponseWork,
+  now: number,
+): number {
+  return durations.boundMs(work, now) ?? Infinity;
+}
+
+/** Answers one after the other; returns the time after the last one. */
+function answerMany(
+  durations: ResponseDurations,
+  work: ResponseWork,
+  times: readonly ResponseTimes[],
+  {from = 0, everyMs = 500} = {},
+): number {
+  times.forEach((one, at) => {
+    durations.noteAnswered(work, one, from + one.totalMs + at * everyMs);
+  });
+  return from + times.length * everyMs + (times.at(-1)?.totalMs ?? 0);
+}
+
+function repeat(count: number, one: ResponseTimes): ResponseTimes[] {
+  return Array.from({length: count}, () => one);
+}
+
+/** Paces of 20 to 40 ms an event, in turn. */
+const PACES = Array.from({length: 100}, (_, at) => 20 + (at % 21));
+
+describe('the bound of a response', () => {
+  // Guards against a process that has just started and takes requests by a part
+  // of the first duration.
+  it('is not shorter than the first response', () => {
+    const durations = new ResponseDurations();
+    const now = answerMany(durations, PLAIN, [plainTimes(6_000)]);
+    expect(boundOf(durations, PLAIN, now)).toBeGreaterThanOrEqual(6_000);
+  });
+
+  // Of streams that began with the process, only the short ones have ended.
+  it('is unknown until long responses would have been seen', () => {
+    const durations = new ResponseDurations();
+    const paces = Array.from({length: 60}, () => streamTimes(4, 100));
+    const early = answerMany(durations, stream(280), paces, {everyMs: 10});
+    expect(boundOf(durations, stream(280), early)).toBeGreaterThan(6_000);
+  });
+
+  // Guards against many quick responses that hide a slow one within seconds.
+  it('does not fall with the number of short responses', () => {
+    const durations = new ResponseDurations();
+    const from = answerMany(durations, PLAIN, repeat(30, plainTimes(2_000)));
+    const short = repeat(1_000, plainTimes(20));
+    const now = answerMany(durations, PLAIN, short, {from, everyMs: 10});
+    expect(boundOf(durations, PLAIN, now)).toBeGreaterThanOrEqual(2_000);
+  });
+
+  // Guards against a configuration that renames the routes of a pool.
+  it('stays known under another name of the route', () => {
+    const durations = new ResponseDurations();
+    const now = answerMany(durations, PLAIN, repeat(100, plainTimes(50)));
+    const renamed = {...PLAIN, route: 'entries'};
+    expect(boundOf(durations, renamed, now)).toBeLessThan(500);
+  });
+
+  // Guards against long streams that are taken by the duration of short ones.
+  it.each([
+    ['after short ones only', 280, 0],
+    ['after a few long ones', 280, 10],
+    ['after a few of medium length', 2_000, 10],
+  ])('of a long stream is not that of short ones: %s', (_, tokens, longer) => {
+    const durations = new ResponseDurations();
+    const medium = repeat(longer, streamTimes(56, 40));
+    answerMany(durations, stream(280), medium);
+    const now = answerMany(
+      durations,
+      stream(25),
+      repeat(60, streamTimes(5, 40)),
+    );
+    const slowest = streamTimes(tokens / 5, 40).totalMs;
+    expect(boundOf(durations, stream(tokens), now)).toBeGreaterThan(slowest);
+    expect(boundOf(durations, stream(25), now)).toBeLessThan(2_000);
+  });
+
+  // Guards against streams that are cut because servers turned slower.
+  it.each([
+    ['a stream', stream(280), streamTimes(56, 20)],
+    ['a stream of untold length', UNTOLD, streamTimes(56, 20)],
+    ['a plain response', PLAIN, plainTimes(1_000)],
+  ])('covers servers that turn half as fast: %s', (_, work, usual) => {
+    const durations = new ResponseDurations();
+    const now = answerMany(durations, work, repeat(60, usual));
+    const slowMs = 2 * usual.totalMs;
+    expect(boundOf(durations, work, now)).toBeGreaterThanOrEqual(slowMs);
+  });
+
+  // Most responses end long before their last token, a few use them all.
+  it('covers streams that use all their tokens', () => {
+    const durations = new ResponseDurations();
+    const times = PACES.map((pace, at) =>
+      streamTimes(at % 50 === 49 ? 56 : 10, pace),
+    );
+    const now = answerMany(durations, stream(280), times);
+    const slowest = streamTimes(56, 40).totalMs;
+    expect(boundOf(durations, stream(280), now)).toBeGreaterThan(slowest);
+  });
+
+  // Guards against bounds so long that a draining gateway serves nothing.
+  it('lets a stream in that has six seconds left', () => {
+    const durations = new ResponseDurations();
+    const times = PACES.map(pace => streamTimes(56, pace));
+    const now = answerMany(durations, stream(280), times);
+    expect(boundOf(durations, stream(280), now)).toBeLessThan(5_700);
+  });
+
+  // Guards against a single slow response that counts for ever.
+  it('forgets a slow response after the window', () => {
+    const durations = new ResponseDurations();
+    const from = answerMany(durations, PLAIN, [plainTimes(9_000)]);
+    const count = (2 * RECENT_MS) / 500;
+    const now = answerMany(durations, PLAIN, repeat(count, plainTimes(50)), {
+      from,
+    });
+    expect(boundOf(durations, PLAIN, now)).toBeLessThan(500);
+    expect(boundOf(durations, PLAIN, now + 2 * RECENT_MS)).toBe(Infinity);
+  });
+
+  it('is unknown with few responses of the kind', () => {
+    const durations = new ResponseDurations();
+    answerMany(durations, stream(280), repeat(60, streamTimes(56, 20)));
+    const now = answerMany(durations, UNTOLD, repeat(19, streamTimes(9, 20)));
+    expect(durations.boundMs(UNTOLD, now)).toBeUndefined();
+    expect(durations.boundMs({...PLAIN, pool: 'reports'}, now)).toBeUndefined();
+    expect(durations.boundMs(stream(280), now)).toBeDefined();
+    expect(
+      durations.boundMs({...stream(280), pool: 'other'}, now),
+    ).toBeUndefined();
+  });
+
+  it('ignores times that are not durations', () => {
+    const durations = new ResponseDurations();
+    for (const totalMs of [NaN, Infinity, -1]) {
+      durations.noteAnswered(PLAIN, plainTimes(totalMs), 1_000);
+    }
+    expect(durations.recordCount).toBe(0);
+  });
+});
+
+interface Noted {
+  readonly work: ResponseWork;
+  readonly times: ResponseTimes;
+  readonly at: number;
+}
+
+const tokenCounts = fc.oneof(
+  fc.integer({min: 0, max: 300}),
+  fc.integer({min: 1, max: 200_000}),
+  fc.constantFrom(undefined, 0.5, 1e12),
+);
+const works = fc.record({
+  pool: fc.constantFrom('a', 'b'),
+  isStream: fc.boolean(),
+  outputTokens: tokenCounts,
+});
+const durationsMs = fc.double({min: 0, max: 20_000, noNaN: true});
+
+/** Runs of similar responses at increasing times. */
+const histories = fc
+  .array(
+    fc.record({
+      work: works,
+      count: fc.integer({min: 1, max: 60}),
+      firstMs: durationsMs,
+      bodyMs: durationsMs,
+      events: fc.option(fc.integer({min: 0, max: 500}), {nil: undefined}),
+      everyMs: fc.integer({min: 0, max: 3_000}),
+    }),
+    {minLength: 1, maxLength: 12},
+  )
+  .map(runs => {
+    const noted: Noted[] = [];
+    let at = 0;
+    for (const {work, count, firstMs, bodyMs, events, everyMs} of runs) {
+      for (let one = 0; one < count; one += 1) {
+        at += everyMs;
+        const part = (one % 7) / 7 + 0.1;
+        const times = {firstMs, totalMs: firstMs + bodyMs * part, events};
+        noted.push({work, times, at});
+      }
+    }
+    return {noted, now: at};
+  });
+
+function durationsAfter(noted: readonly Noted[]): ResponseDurations {
+  const durations = new ResponseDurations();
+  for (const {work, times, at} of noted) {
+    durations.noteAnswered(work, times, at);
+  }
+  return durations;
+}
+
+function tokensOf({outputTokens = 0}: ResponseWork): number {
+  return outputTokens;
+}
+
+/** Whether the response to `other` shows how long one to `work` may take. */
+function isSimilar(work: ResponseWork, other: ResponseWork): boolean {
+  if (work.pool !== other.pool || work.isStream !== other.isStream) {
+    return false;
+  }
+  if (!work.isStream) return true;
+  const isTold = tokensOf(other) > 0;
+  if (isTold !== tokensOf(work) > 0) return false;
+  return tokensOf(other) <= tokensOf(work);
+}
+
+describe('the bounds of any responses', () => {
+  it('grow with the output tokens of a stream', () => {
+    fc.assert(
+      fc.property(
+        histories,
+        fc.array(fc.integer({min: 1, max: 100_000}), {minLength: 2}),
+        ({noted, now}, tokens) => {
+          const durations = durationsAfter(noted);
+          const bounds = tokens
+            .sort((a, b) => a - b)
+            .map(outputTokens => {
+              const work = {pool: 'a', isStream: true, outputTokens};
+              return boundOf(durations, work, now);
+            });
+          expect(bounds).toEqual([...bounds].sort((a, b) => a - b));
+        },
+      ),
+    );
+  });
+
+  it('are never below the slowest similar response of the window', () => {
+    fc.assert(
+      fc.property(
+        histories,
+        works,
+        fc.integer({min: 0, max: 200_000}),
+        ({noted, now}, asked, laterMs) => {
+          const durations = durationsAfter(noted);
+          const all = [asked, ...noted.map(({work}) => work)];
+          const askedAt = now + laterMs;
+          const recent = noted.filter(({at}) => askedAt - at <= RECENT_MS);
+          for (const work of new Set(all)) {
+            const bound = boundOf(durations, work, askedAt);
+            for (const {work: other, times} of recent) {
+              if (!isSimilar(work, other)) continue;
+              expect(bound).toBeGreaterThanOrEqual(times.totalMs);
+            }
+          }
+        },
+      ),
+    );
+  });
+
+  // Guards against memory that grows with responses or with names of pools.
+  it('are kept in bounded memory', () => {
+    const durations = new ResponseDurations();
+    let most = 0;
+    for (let at = 0; at < 40_000; at += 1) {
+      const work = {
+        pool: `pool${Math.floor(at / 200)}`,
+        isStream: at % 3 > 0,
+        outputTokens: at % 3 === 1 ? 1.5 ** (at % 90) : undefined,
+      };
+      durations.noteAnswered(work, streamTimes(5, 10), at * 100);
+      most = Math.max(most, durations.recordCount);
+    }
+    // A pool answers for 20 s; it is kept for the window and two slices more.
+    const pools = 1 + (RECENT_MS + 60_000) / 20_000;
+    expect(most).toBeLessThanOrEqual((pools + 1) * (2 + 17));
+    durations.noteAnswered(PLAIN, plainTimes(5), 40_000 * 100 + RECENT_MS * 2);
+    expect(durations.recordCount).toBe(2);
+  });
+});
+
+describe('RecentMaxima', () => {
+  it('agrees with a list of all values', () => {
+    const steps = fc.array(
+      fc.tuple(
+        fc.integer({min: 0, max: 70_000}),
+        fc.integer({min: 0, max: 100}),
+      ),
+    );
+    fc.assert(
+      fc.property(steps, list => {
+        const recent = new RecentMaxima(2);
+        const all: (readonly [at: number, value: number])[] = [];
+        let now = 0;
+        for (const [laterMs, value] of list) {
+          now += laterMs;
+          recent.note([value, 100 - value], now, now);
+          all.push([now, value]);
+          const within = (ms: number): number[] =>
+            all.filter(([at]) => now - at <= ms).map(([, one]) => one);
+          const certain = within(RECENT_MS);
+          const possible = within(RECENT_MS + 30_000);
+          const largest = recent.largest(0, now);
+          expect(largest).toBeGreaterThanOrEqual(Math.max(...certain));
+          expect(largest).toBeLessThanOrEqual(Math.max(...possible));
+          expect(100 - recent.largest(1, now)).toBeLessThanOrEqual(
+            Math.min(...certain),
+          );
+          expect(recent.count(now)).toBeGreaterThanOrEqual(certain.length);
+          expect(recent.count(now)).toBeLessThanOrEqual(possible.length);
+        }
+      }),
+    );
+  });
+});
