Give usual and slowest response times margins of their own

Cause: the factor for servers that turn slower was applied to the rare slowest first event and the rare slowest pace at once, over two minutes.

Change: the larger of 2.1 times what most responses take (mean and two deviations, for servers that turn slower) and 1.25 to 2 times the slowest, by the number of responses seen. RecentMaxima becomes RecentValues.

--- /dev/null
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_recent_values.test.ts
@@ -0,0 +1,41 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {RECENT_MS, RecentValues} from '../../gateway_recent_values.js';
+
+describe('RecentValues', () => {
+  it('agrees with a list of all values', () => {
+    const steps = fc.array(
+      fc.tuple(
+        fc.integer({min: 0, max: 70_000}),
+        fc.integer({min: 0, max: 100}),
+      ),
+    );
+    fc.assert(
+      fc.property(steps, list => {
+        const recent = new RecentValues(2);
+        const all: (readonly [at: number, value: number])[] = [];
+        let now = 0;
+        for (const [laterMs, value] of list) {
+          now += laterMs;
+          recent.note([value, 100 - value], now, now);
+          all.push([now, value]);
+          const within = (ms: number): number[] =>
+            all.filter(([at]) => now - at <= ms).map(([, one]) => one);
+          const certain = within(RECENT_MS);
+          const possible = within(RECENT_MS + 15_000);
+          const largest = recent.largest(0, now);
+          expect(largest).toBeGreaterThanOrEqual(Math.max(...certain));
+          expect(largest).toBeLessThanOrEqual(Math.max(...possible));
+          expect(100 - recent.largest(1, now)).toBeLessThanOrEqual(
+            Math.min(...certain),
+          );
+          const usual = recent.usual(0, now);
+          expect(usual).toBeLessThanOrEqual(largest);
+          expect(usual).toBeGreaterThanOrEqual(Math.min(...possible));
+          expect(recent.count(now)).toBeGreaterThanOrEqual(certain.length);
+          expect(recent.count(now)).toBeLessThanOrEqual(possible.length);
+        }
+      }),
+    );
+  });
+});
--- a/packages/lovagepond-gateway/src/gateway_response_durations.ts
+++ b/packages/lovagepond-gateway/src/gateway_response_durations.ts
@@ -6,16 +6,19 @@
  * tokens that their requests allow. Responses may end long before their last
  * token, or never do so: recent streams show how many events a token allows.
  */
-import {RecentMaxima} from './gateway_recent_maxima.js';
+import {RecentValues} from './gateway_recent_values.js';
 
 export const RESPONSE_DURATIONS = Object.freeze({
   /** Similar responses without which there is no bound. */
   MIN_ANSWERS: 20,
-  /** Servers may turn slower by this factor. */
-  SAFETY_FACTOR: 2,
+  /** Servers may turn slower by about this factor. */
+  SLOWDOWN_FACTOR: 2.1,
+  /** Exceeds the slowest of many responses, and of `MIN_ANSWERS` twice. */
+  SLOWEST_FACTOR: 1.25,
+  FEW_ANSWERS_FACTOR: 0.75,
   /** Streams whose requests don't tell their tokens may have any length. */
   UNTOLD_MIN_ANSWERS: 50,
-  UNTOLD_SAFETY_FACTOR: 3,
+  UNTOLD_FACTOR: 3,
   /**
    * A bound is known once responses were observed for this many times as long.
    * Of responses that began together, the short ones end first.
@@ -54,12 +57,10 @@
 /** Fields of the streams of one class of output tokens. */
 const STREAM = Object.freeze({
   FIRST_MS: 0,
-  BODY_MS: 1,
-  BODY_MS_PER_TOKEN: 2,
-  EVENTS: 3,
-  EVENTS_PER_TOKEN: 4,
-  MS_PER_EVENT: 5,
-  COUNT: 6,
+  BODY_MS_PER_TOKEN: 1,
+  EVENTS_PER_TOKEN: 2,
+  MS_PER_EVENT: 3,
+  COUNT: 4,
 });
 
 /** The field of responses that are compared by their whole duration. */
@@ -68,11 +69,11 @@
 /** Recent responses of one pool. */
 interface PoolResponses {
   /** Responses that are not streams. */
-  readonly plain: RecentMaxima;
+  readonly plain: RecentValues;
   /** Streams whose requests don't tell their output tokens. */
-  readonly untold: RecentMaxima;
+  readonly untold: RecentValues;
   /** Streams by class: classOf(output tokens). */
-  readonly streams: Map<number, RecentMaxima>;
+  readonly streams: Map<number, RecentValues>;
 }
 
 /** Requests of class n allow more than 2 ** (n - 1), up to 2 ** n tokens. */
@@ -141,9 +142,9 @@
     const known = this.#pools.get(name);
     if (known) return known;
     const added = {
-      plain: new RecentMaxima(WHOLE.COUNT),
-      untold: new RecentMaxima(WHOLE.COUNT),
-      streams: new Map<number, RecentMaxima>(),
+      plain: new RecentValues(WHOLE.COUNT),
+      untold: new RecentValues(WHOLE.COUNT),
+      streams: new Map<number, RecentValues>(),
     };
     this.#pools.set(name, added);
     return added;
@@ -173,38 +174,56 @@
   const later = events === undefined ? 0 : Math.max(1, events - 1);
   const values = [
     Math.min(firstMs, totalMs),
-    bodyMs,
     bodyMs / tokens,
-    later,
     later / tokens,
     later === 0 ? 0 : bodyMs / Math.max(MIN_PACE_EVENTS, later),
   ];
   const tokenClass = classOf(tokens);
   let recent = streams.get(tokenClass);
   if (!recent) {
-    recent = new RecentMaxima(STREAM.COUNT);
+    recent = new RecentValues(STREAM.COUNT);
     streams.set(tokenClass, recent);
   }
   recent.note(values, now - totalMs, now);
 }
 
-function plainBound(recent: RecentMaxima, now: number): number | undefined {
-  const {MIN_ANSWERS, SAFETY_FACTOR} = RESPONSE_DURATIONS;
-  if (recent.count(now) < MIN_ANSWERS) return undefined;
-  const boundMs = recent.largest(WHOLE.TOTAL_MS, now) * SAFETY_FACTOR;
+function plainBound(recent: RecentValues, now: number): number | undefined {
+  const answers = recent.count(now);
+  if (answers < RESPONSE_DURATIONS.MIN_ANSWERS) return undefined;
+  const usualMs = recent.usual(WHOLE.TOTAL_MS, now);
+  const slowestMs = recent.largest(WHOLE.TOTAL_MS, now);
+  const boundMs = withMargins(usualMs, slowestMs, answers);
   return isObserved(recent, boundMs, now) ? boundMs : undefined;
 }
 
-function untoldBound(recent: RecentMaxima, now: number): number | undefined {
-  const {UNTOLD_MIN_ANSWERS, UNTOLD_SAFETY_FACTOR} = RESPONSE_DURATIONS;
+function untoldBound(recent: RecentValues, now: number): number | undefined {
+  const {UNTOLD_MIN_ANSWERS, UNTOLD_FACTOR} = RESPONSE_DURATIONS;
   if (recent.count(now) < UNTOLD_MIN_ANSWERS) return undefined;
-  const boundMs = recent.largest(WHOLE.TOTAL_MS, now) * UNTOLD_SAFETY_FACTOR;
+  const boundMs = recent.largest(WHOLE.TOTAL_MS, now) * UNTOLD_FACTOR;
   return isObserved(recent, boundMs, now) ? boundMs : undefined;
 }
 
+/**
+ * @param usualMs most similar responses take no longer
+ * @param slowestMs the longest that was seen of similar responses
+ * @param answers number of similar responses
+ * @returns bound for servers that turn slower, and for what was not seen yet
+ */
+function withMargins(
+  usualMs: number,
+  slowestMs: number,
+  answers: number,
+): number {
+  const {SLOWDOWN_FACTOR, SLOWEST_FACTOR, FEW_ANSWERS_FACTOR, MIN_ANSWERS} =
+    RESPONSE_DURATIONS;
+  const few = (FEW_ANSWERS_FACTOR * MIN_ANSWERS) / answers;
+  const slowestBoundMs = slowestMs * (SLOWEST_FACTOR + few);
+  return Math.max(usualMs * SLOWDOWN_FACTOR, slowestBoundMs);
+}
+
 /** Whether a response of that duration would have been seen. */
 function isObserved(
-  recent: RecentMaxima,
+  recent: RecentValues,
   durationMs: number,
   now: number,
 ): boolean {
@@ -213,50 +232,84 @@
 }
 
 /**
- * The slowest time to the first event, and the most events at the slowest pace.
+ * The time to the first event, and for each token the most events at the pace.
  * The classes up to that of the request count, and larger ones as far as they
  * are needed for enough responses. Those below the next smaller class say
  * nothing about how long such a stream becomes.
  */
 function streamBound(
-  streams: ReadonlyMap<number, RecentMaxima>,
+  streams: ReadonlyMap<number, RecentValues>,
   tokens: number,
   now: number,
 ): number | undefined {
   const own = classOf(tokens);
-  const last = lastNeededClass(streams, own, now);
-  if (last === undefined) return undefined;
-  let firstMs = 0;
-  let bodyMs = 0;
+  const evidence = evidenceFor(streams, own, now);
+  if (!evidence) return undefined;
+  const usual = {firstMs: 0, bodyMs: 0};
+  const slowest = {firstMs: 0, bodyMs: 0};
   for (const [tokenClass, recent] of streams) {
-    firstMs = Math.max(firstMs, recent.largest(STREAM.FIRST_MS, now));
-    if (tokenClass > last) continue;
-    const counted = tokensInClass(tokens, own, tokenClass);
-    bodyMs = Math.max(bodyMs, longestBodyMs(recent, counted, now));
+    const counted =
+      tokenClass > evidence.last ? 0 : tokensInClass(tokens, own, tokenClass);
+    raise(
+      usual,
+      recent.usual(STREAM.FIRST_MS, now),
+      counted * usualMsPerToken(recent, now),
+    );
+    raise(
+      slowest,
+      recent.largest(STREAM.FIRST_MS, now),
+      counted * slowestMsPerToken(recent, now),
+    );
   }
-  return (firstMs + bodyMs) * RESPONSE_DURATIONS.SAFETY_FACTOR;
+  return withMargins(
+    usual.firstMs + usual.bodyMs,
+    slowest.firstMs + slowest.bodyMs,
+    evidence.answers,
+  );
 }
 
-/** Returns the largest class that counts; undefined with too few responses. */
-function lastNeededClass(
-  streams: ReadonlyMap<number, RecentMaxima>,
+interface StreamTimes {
+  firstMs: number;
+  bodyMs: number;
+}
+
+function raise(times: StreamTimes, firstMs: number, bodyMs: number): void {
+  times.firstMs = Math.max(times.firstMs, firstMs);
+  times.bodyMs = Math.max(times.bodyMs, bodyMs);
+}
+
+/** The streams that show how long one of a class takes. */
+interface StreamEvidence {
+  /** Largest class that counts. */
+  readonly last: number;
+  /** Number of streams of about as many tokens or more. */
+  readonly answers: number;
+}
+
+function evidenceFor(
+  streams: ReadonlyMap<number, RecentValues>,
   own: number,
   now: number,
-): number | undefined {
+): StreamEvidence | undefined {
   let answers = 0;
+  let last: number | undefined;
   for (let tokenClass = own - 1; tokenClass <= MAX_CLASS; tokenClass += 1) {
     const recent = streams.get(tokenClass);
-    if (recent) answers += observedStreams(recent, now);
+    if (recent) answers += observedStreams(recent, 2 ** tokenClass, now);
     if (answers < RESPONSE_DURATIONS.MIN_ANSWERS) continue;
-    return Math.max(own, tokenClass);
+    last ??= Math.max(own, tokenClass);
   }
-  return undefined;
+  return last === undefined ? undefined : {last, answers};
 }
 
-function observedStreams(recent: RecentMaxima, now: number): number {
+function observedStreams(
+  recent: RecentValues,
+  tokens: number,
+  now: number,
+): number {
   const firstMs = recent.largest(STREAM.FIRST_MS, now);
-  const longestMs = firstMs + longestBodyMs(recent, 0, now);
-  const boundMs = longestMs * RESPONSE_DURATIONS.SAFETY_FACTOR;
+  const longestMs = firstMs + slowestMsPerToken(recent, now) * tokens;
+  const boundMs = longestMs * RESPONSE_DURATIONS.SLOWEST_FACTOR;
   return isObserved(recent, boundMs, now) ? recent.count(now) : 0;
 }
 
@@ -266,26 +319,20 @@
   own: number,
   tokenClass: number,
 ): number {
-  return tokenClass > own ? 0 : Math.min(tokens, 2 ** (tokenClass + 1));
+  const least = 2 ** (tokenClass - 1);
+  return tokenClass > own ? least : Math.min(tokens, 4 * least);
 }
 
-/**
- * Longest recent time after the first event, of a stream of so many tokens and
- * of the streams of the class.
- */
-function longestBodyMs(
-  recent: RecentMaxima,
-  tokens: number,
-  now: number,
-): number {
-  const largest = (field: number): number => recent.largest(field, now);
-  const events = Math.max(
-    largest(STREAM.EVENTS),
-    largest(STREAM.EVENTS_PER_TOKEN) * tokens,
-  );
-  return Math.max(
-    largest(STREAM.BODY_MS),
-    largest(STREAM.BODY_MS_PER_TOKEN) * tokens,
-    largest(STREAM.MS_PER_EVENT) * events,
-  );
+/** The most events for each token at the slowest pace. */
+function slowestMsPerToken(recent: RecentValues, now: number): number {
+  const events = recent.largest(STREAM.EVENTS_PER_TOKEN, now);
+  const pace = recent.largest(STREAM.MS_PER_EVENT, now);
+  return Math.max(recent.largest(STREAM.BODY_MS_PER_TOKEN, now), events * pace);
+}
+
+/** The most events for each token at the usual pace. */
+function usualMsPerToken(recent: RecentValues, now: number): number {
+  const events = recent.largest(STREAM.EVENTS_PER_TOKEN, now);
+  const pace = recent.usual(STREAM.MS_PER_EVENT, now);
+  return Math.max(recent.usual(STREAM.BODY_MS_PER_TOKEN, now), events * pace);
 }
