--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_recent_values.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_recent_values.test.ts
@@ -23,13 +23,12 @@
             all.filter(([at]) => now - at <= ms).map(([, one]) => one);
           const certain = within(RECENT_MS);
           const possible = within(RECENT_MS + 15_000);
-          const largest = recent.largest(0, now);
+          const {largest, usual} = recent.field(0, now);
           expect(largest).toBeGreaterThanOrEqual(Math.max(...certain));
           expect(largest).toBeLessThanOrEqual(Math.max(...possible));
-          expect(100 - recent.largest(1, now)).toBeLessThanOrEqual(
+          expect(100 - recent.field(1, now).largest).toBeLessThanOrEqual(
             Math.min(...certain),
           );
-          const usual = recent.usual(0, now);
           expect(usual).toBeLessThanOrEqual(largest);
           expect(usual).toBeGreaterThanOrEqual(Math.min(...possible));
           expect(recent.count(now)).toBeGreaterThanOrEqual(certain.length);
--- a/packages/lovagepond-gateway/src/gateway_recent_values.ts
+++ b/packages/lovagepond-gateway/src/gateway_recent_values.ts
@@ -9,29 +9,44 @@
 /** Values count for at least this time, and for one slice more at most, ms. */
 export const RECENT_MS = SLICE_MS * (SLICES - 1);
 
+/** Standard deviations between the mean value and what counts as usual. */
+const USUAL_DEVIATIONS = 2;
+
 /** No value was noted in the slice. */
 const UNUSED = -1;
 
-/** Standard deviations between the mean value and what counts as usual. */
-const USUAL_DEVIATIONS = 2;
+/** What each slice begins with; then follow its fields. */
+const SLICE = Object.freeze({NUMBER: 0, NOTES: 1, FIELDS: 2});
 
 /** What a slice keeps of each field. */
-const KEPT = Object.freeze({LARGEST: 0, SUM: 1, SQUARES: 2, COUNT: 3});
+const FIELD = Object.freeze({LARGEST: 0, SUM: 1, SQUARES: 2, SIZE: 3});
 
-/** The number of recent notes and the recent values of each field. */
+/** The recent values of one field. */
+export interface RecentField {
+  readonly largest: number;
+  /** Most recent values don't exceed it; at most the largest. */
+  readonly usual: number;
+}
+
+/** Notes of recent values. */
 export class RecentValues {
-  readonly #fields: number;
-  /** Number of the slice of time that each place holds. */
-  readonly #slices = new Float64Array(SLICES).fill(UNUSED);
-  readonly #counts = new Float64Array(SLICES);
-  readonly #kept: Float64Array;
+  readonly #sliceSize: number;
+  readonly #slices: Float64Array;
   #since = 0;
   #newest = UNUSED;
 
   /** @param fields number of values of each note */
   constructor(fields: number) {
-    this.#fields = fields;
-    this.#kept = new Float64Array(SLICES * fields * KEPT.COUNT);
+    this.#sliceSize = SLICE.FIELDS + fields * FIELD.SIZE;
+    this.#slices = new Float64Array(SLICES * this.#sliceSize);
+    for (let place = 0; place < SLICES; place += 1) {
+      this.#set(place * this.#sliceSize + SLICE.NUMBER, UNUSED);
+    }
+  }
+
+  /** Start of what was measured first without a longer break, monotonic ms. */
+  get since(): number {
+    return this.#since;
   }
 
   /**
@@ -41,17 +56,21 @@
    */
   note(values: readonly number[], beganAt: number, now: number): void {
     if (this.isEmpty(now)) this.#since = beganAt;
-    const slice = Math.floor(now / SLICE_MS);
-    const place = slice % SLICES;
-    if (this.#slices[place] !== slice) {
-      this.#slices[place] = slice;
-      this.#counts[place] = 0;
-      this.#kept.fill(0, this.#at(place, 0), this.#at(place + 1, 0));
+    const number = sliceNumber(now);
+    const start = (number % SLICES) * this.#sliceSize;
+    if (this.#get(start + SLICE.NUMBER) !== number) {
+      this.#slices.fill(0, start, start + this.#sliceSize);
+      this.#set(start + SLICE.NUMBER, number);
     }
-    this.#newest = slice;
-    this.#counts[place] = (this.#counts[place] ?? 0) + 1;
-    for (let field = 0; field < this.#fields; field += 1) {
-      this.#add(this.#at(place, field), values[field] ?? 0);
+    this.#newest = number;
+    this.#add(start + SLICE.NOTES, 1);
+    let at = start + SLICE.FIELDS;
+    for (const value of values) {
+      const largest = this.#get(at + FIELD.LARGEST);
+      this.#set(at + FIELD.LARGEST, Math.max(largest, value));
+      this.#add(at + FIELD.SUM, value);
+      this.#add(at + FIELD.SQUARES, value ** 2);
+      at += FIELD.SIZE;
     }
   }
 
@@ -60,12 +79,7 @@
    * @returns true if there is no recent note
    */
   isEmpty(now: number): boolean {
-    return this.#newest === UNUSED || !this.#isRecent(this.#newest, now);
-  }
-
-  /** Start of what was measured first without a longer break, monotonic ms. */
-  get since(): number {
-    return this.#since;
+    return !isRecent(this.#newest, now);
   }
 
   /**
@@ -74,65 +88,63 @@
    */
   count(now: number): number {
     let count = 0;
-    this.#slices.forEach((slice, place) => {
-      if (this.#isRecent(slice, now)) count += this.#counts[place] ?? 0;
-    });
+    for (const start of this.#recentSlices(now)) {
+      count += this.#get(start + SLICE.NOTES);
+    }
     return count;
   }
 
   /**
    * @param field index of a field
    * @param now current time, monotonic milliseconds
-   * @returns its largest recent value; 0 without a recent note
+   * @returns its recent values; zeros without a recent note
    */
-  largest(field: number, now: number): number {
+  field(field: number, now: number): RecentField {
+    let notes = 0;
     let largest = 0;
-    this.#slices.forEach((slice, place) => {
-      if (!this.#isRecent(slice, now)) return;
-      const at = this.#at(place, field) + KEPT.LARGEST;
-      largest = Math.max(largest, this.#kept[at] ?? 0);
-    });
-    return largest;
+    let sum = 0;
+    let squares = 0;
+    for (const start of this.#recentSlices(now)) {
+      const at = start + SLICE.FIELDS + field * FIELD.SIZE;
+      notes += this.#get(start + SLICE.NOTES);
+      largest = Math.max(largest, this.#get(at + FIELD.LARGEST));
+      sum += this.#get(at + FIELD.SUM);
+      squares += this.#get(at + FIELD.SQUARES);
+    }
+    if (notes === 0) return {largest: 0, usual: 0};
+    const mean = sum / notes;
+    const deviation = Math.sqrt(Math.max(0, squares / notes - mean ** 2));
+    const usual = Math.min(largest, mean + USUAL_DEVIATIONS * deviation);
+    return {largest, usual};
   }
 
-  /**
-   * @param field index of a field
-   * @param now current time, monotonic milliseconds
-   * @returns a value that most recent ones don't exceed, and not more than the
-   *     largest; 0 without a recent note
-   */
-  usual(field: number, now: number): number {
-    const count = this.count(now);
-    if (count === 0) return 0;
-    const mean = this.#sum(field, KEPT.SUM, now) / count;
-    const squares = this.#sum(field, KEPT.SQUARES, now) / count;
-    const deviation = Math.sqrt(Math.max(0, squares - mean ** 2));
-    const usual = mean + USUAL_DEVIATIONS * deviation;
-    return Math.min(usual, this.largest(field, now));
+  /** Returns where the recent slices begin. */
+  #recentSlices(now: number): number[] {
+    const starts: number[] = [];
+    for (let place = 0; place < SLICES; place += 1) {
+      const start = place * this.#sliceSize;
+      if (isRecent(this.#get(start + SLICE.NUMBER), now)) starts.push(start);
+    }
+    return starts;
   }
 
-  #at(place: number, field: number): number {
-    return (place * this.#fields + field) * KEPT.COUNT;
+  #get(at: number): number {
+    return this.#slices[at] ?? 0;
   }
 
-  #add(at: number, value: number): void {
-    const kept = this.#kept;
-    const largest = kept[at + KEPT.LARGEST] ?? 0;
-    kept[at + KEPT.LARGEST] = Math.max(largest, value);
-    kept[at + KEPT.SUM] = (kept[at + KEPT.SUM] ?? 0) + value;
-    kept[at + KEPT.SQUARES] = (kept[at + KEPT.SQUARES] ?? 0) + value ** 2;
+  #set(at: number, value: number): void {
+    this.#slices[at] = value;
   }
 
-  #sum(field: number, kept: number, now: number): number {
-    let sum = 0;
-    this.#slices.forEach((slice, place) => {
-      if (!this.#isRecent(slice, now)) return;
-      sum += this.#kept[this.#at(place, field) + kept] ?? 0;
-    });
-    return sum;
+  #add(at: number, value: number): void {
+    this.#set(at, this.#get(at) + value);
   }
+}
 
-  #isRecent(slice: number, now: number): boolean {
-    return slice > Math.floor(now / SLICE_MS) - SLICES && slice !== UNUSED;
-  }
+function sliceNumber(now: number): number {
+  return Math.floor(now / SLICE_MS);
+}
+
+function isRecent(slice: number, now: number): boolean {
+  return slice !== UNUSED && slice > sliceNumber(now) - SLICES;
 }
