Observe streams of untold length for 30 s before a bound

Cause: long streams that began with the process hadn't ended yet, and nothing tells them from short ones.

Change: no bound for streams of untold length until they were observed for 30 s.

Evidence: the new test of gateway_response_durations.test.ts fails without it.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_response_durations.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_response_durations.test.ts
@@ -84,6 +84,14 @@
     expect(boundOf(durations, stream(280), early)).toBeGreaterThan(6_000);
   });
 
+  // A few streams of untold length are long, and none of these has ended yet.
+  it('is unknown while few long streams of untold length have ended', () => {
+    const durations = new ResponseDurations();
+    const short = repeat(150, streamTimes(8, 30));
+    const early = answerMany(durations, UNTOLD, short, {everyMs: 100});
+    expect(boundOf(durations, UNTOLD, early)).toBe(Infinity);
+  });
+
   // Guards against many quick responses that hide a slow one within seconds.
   it('does not fall with the number of short responses', () => {
     const durations = new ResponseDurations();
--- a/packages/lovagepond-gateway/src/gateway_duration_margins.ts
+++ b/packages/lovagepond-gateway/src/gateway_duration_margins.ts
@@ -14,6 +14,8 @@
   /** Streams whose requests don't tell their tokens may have any length. */
   UNTOLD_MIN_ANSWERS: 50,
   UNTOLD_FACTOR: 3,
+  /** Time in which long ones would have been seen, milliseconds. */
+  UNTOLD_OBSERVED_MS: 30_000,
   /**
    * A bound is known once responses were observed for this many times as long.
    * Of responses that began together, the short ones end first.
--- a/packages/lovagepond-gateway/src/gateway_response_durations.ts
+++ b/packages/lovagepond-gateway/src/gateway_response_durations.ts
@@ -138,8 +138,10 @@
 }
 
 function untoldBound(recent: RecentValues, now: number): number | undefined {
-  const {UNTOLD_MIN_ANSWERS, UNTOLD_FACTOR} = DURATION_MARGINS;
+  const {UNTOLD_MIN_ANSWERS, UNTOLD_FACTOR, UNTOLD_OBSERVED_MS} =
+    DURATION_MARGINS;
   if (recent.count(now) < UNTOLD_MIN_ANSWERS) return undefined;
+  if (now - recent.since < UNTOLD_OBSERVED_MS) return undefined;
   const boundMs = recent.field(WHOLE.TOTAL_MS, now).largest * UNTOLD_FACTOR;
   return isObserved(recent, boundMs, now) ? boundMs : undefined;
 }
