Bound the duration of responses by pool and output tokens

Cause: the estimate was one decayed number for each rule: half of the first duration after a start, lowered by refused and abandoned requests, lost with a renamed rule, and blind to the length that the request tells.

Change: admission of a draining gateway rests on DrainBound, as in routers and sidecars: the recent responses of the pool, for streams the time to the first event and the pace of the output tokens that the request allows. Only complete successful first attempts count, measured from the send, and none whose caller delayed it. With too few responses the request's deadline decides.

--- a/packages/lovagepond-gateway/src/gateway_drain_admission.ts
+++ b/packages/lovagepond-gateway/src/gateway_drain_admission.ts
@@ -5,46 +5,48 @@
  * the grace period is cut off when the process exits and is lost to its caller,
  * although another gateway would have served it.
  */
-
+import {
+  DrainBound,
+  type ResponseTimes,
+  type ResponseWork,
+} from '@lovagepond/core';
 import {type AdmittedRequest} from './gateway_exchange_types.js';
 
-/** Weight of a new duration that is longer or shorter than the estimate. */
-const LONGER_WEIGHT = 0.5;
-const SHORTER_WEIGHT = 0.01;
-
-/**
- * Multiplies the estimate. It follows the longest of some hundred requests, but
- * a server may have become slower since.
- */
-const SAFETY_FACTOR = 1.5;
-
-/** Time between the expected end and the process's exit, milliseconds. */
-const END_MARGIN_MS = 300;
+/** What the duration of a request's response depends on. */
+type DrainedRequest = Pick<
+  AdmittedRequest,
+  'rule' | 'pool' | 'facts' | 'deadlineAt'
+>;
+
+function workOf({rule, pool, facts}: DrainedRequest): ResponseWork {
+  return {
+    pool: pool.name,
+    isStream: rule.forwarding.streaming,
+    outputTokens: facts.outputTokens,
+  };
+}
 
 /** Rejects requests that can't finish before the process exits. */
 export class GatewayDrainAdmission {
-  /** Estimated long duration by rule name, milliseconds. */
-  readonly #longDurations = new Map<string, number>();
-  #endsAt: number | undefined;
+  readonly #bound = new DrainBound();
 
   /** True once draining has begun. */
   get isDraining(): boolean {
-    return this.#endsAt !== undefined;
+    return this.#bound.isDraining;
   }
 
   /** @param endsAt when the process exits at the latest, monotonic ms */
   begin(endsAt: number): void {
-    this.#endsAt = endsAt;
+    this.#bound.begin(endsAt);
   }
 
   /**
-   * @param rule name of the rule that matched the request
-   * @param durationMs time from the request's arrival to its end, milliseconds
+   * @param req a request with a complete successful response
+   * @param times how long the response took
+   * @param now current time, monotonic milliseconds
    */
-  noteDuration(rule: string, durationMs: number): void {
-    const long = this.#longDurations.get(rule) ?? 0;
-    const weight = durationMs > long ? LONGER_WEIGHT : SHORTER_WEIGHT;
-    this.#longDurations.set(rule, long + (durationMs - long) * weight);
+  noteAnswered(req: DrainedRequest, times: ResponseTimes, now: number): void {
+    this.#bound.noteAnswered(workOf(req), times, now);
   }
 
   /**
@@ -52,15 +54,7 @@
    * @param now current time, monotonic milliseconds
    * @returns false when the process is likely to exit before the response ends
    */
-  admits(
-    {rule, deadlineAt}: Pick<AdmittedRequest, 'rule' | 'deadlineAt'>,
-    now: number,
-  ): boolean {
-    if (this.#endsAt === undefined) return true;
-    const limitMs = deadlineAt - now;
-    const long = this.#longDurations.get(rule.name);
-    const expectedMs = long === undefined ? limitMs : long * SAFETY_FACTOR;
-    const neededMs = Math.min(limitMs, expectedMs) + END_MARGIN_MS;
-    return now + neededMs <= this.#endsAt;
+  admits(req: DrainedRequest, now: number): boolean {
+    return this.#bound.latestRunAt(workOf(req), req.deadlineAt, now) >= now;
   }
 }
--- a/packages/lovagepond-gateway/src/gateway_event_stream.ts
+++ b/packages/lovagepond-gateway/src/gateway_event_stream.ts
@@ -21,6 +21,7 @@
 export class EventStream {
   #pending: Buffer = Buffer.alloc(0);
   #lastId: number | undefined;
+  #count = 0;
 
   /** @param lastId id of the last event that the caller has, if any */
   constructor(lastId?: number) {
@@ -32,6 +33,11 @@
     return this.#lastId;
   }
 
+  /** Complete events so far. */
+  get count(): number {
+    return this.#count;
+  }
+
   /** True when no partial event is pending. */
   get isAtEventBoundary(): boolean {
     return this.#pending.length === 0;
@@ -59,6 +65,7 @@
       const reason = this.#check(event);
       if (reason) return {kind: 'broken', reason};
       whole.push(event);
+      this.#count += 1;
       this.#pending = this.#pending.subarray(end);
     }
     return {kind: 'events', bytes: Buffer.concat(whole)};
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -31,6 +31,7 @@
 import {guardHandler, guardHandlers} from './gateway_request_guard.js';
 import {FinalAnswer} from './gateway_final_answer.js';
 import {
+  isServed,
   noteAnswered,
   noteExit,
   noteFailedAttempt,
@@ -105,7 +106,6 @@
     if (req.rule.forwarding.streaming) {
       this.#events = new EventStream(req.origin && lastEventIdOf(req.facts));
     }
-    this.#relay = this.#makeRelay();
     this.#admission = new ExchangeAdmission(
       req,
       {
@@ -130,6 +130,7 @@
         this.#onThrown,
       ),
     );
+    this.#relay = this.#makeRelay();
     this.#dispatch = this.#makeDispatch();
   }
 
@@ -138,17 +139,11 @@
       caller: this.#caller,
       current: this.#current,
       events: this.#events,
-      listener: {
-        onFirstToken: now => {
-          this.#admission.noteFirstToken(now);
-        },
-        onEvents: now => {
-          this.#servers.bindStream(now);
-        },
-        onBroken: reason => {
-          this.#current.abort();
-          this.#onFailed({kind: 'broken', reason, isLost: false});
-        },
+      admission: this.#admission,
+      servers: this.#servers,
+      onBroken: reason => {
+        this.#current.abort();
+        this.#onFailed({kind: 'broken', reason, isLost: false});
       },
     });
   }
@@ -296,6 +291,7 @@
       return;
     }
     noteAnswered(this.#req, this.#caller.status, quarantine, this.#now());
+    this.#noteDuration(this.#now());
     this.#admission.noteEnd(this.#now());
     this.#current.prefill?.noteEnd(this.#now());
     const state = this.#endAttempt();
@@ -305,6 +301,14 @@
     this.#finish('answered');
   }
 
+  /** A second attempt doesn't show how long a whole response takes. */
+  #noteDuration(now: number): void {
+    const {lastSend} = this.#servers;
+    if (!lastSend || this.#runs > 0 || !isServed(this.#caller.status)) return;
+    const times = this.#relay.timesSince(lastSend.at, now);
+    if (times) this.#deps.durations.noteAnswered(this.#req, times, now);
+  }
+
   #onFailed(failure: AttemptFailure): void {
     const load = this.#current.signals?.load;
     const isForLoad = this.#admission.noteFailure(failure, load, this.#now());
--- a/packages/lovagepond-gateway/src/gateway_exchange_types.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_types.ts
@@ -11,6 +11,7 @@
 import {type GatewayChoice} from './gateway_choice.js';
 import {type GatewayConnections} from './gateway_connections.js';
 import {type GatewayCounters} from './gateway_counters.js';
+import {type GatewayDrainAdmission} from './gateway_drain_admission.js';
 import {type GatewayFleet} from './gateway_fleet.js';
 import {type GatewayHeaderNames, type RequestFacts} from './gateway_headers.js';
 import {type GatewayOverload} from './gateway_overload.js';
@@ -41,6 +42,8 @@
   readonly counters: GatewayCounters;
   readonly overload: GatewayOverload;
   readonly conditions: SendConditions;
+  /** Records how long responses take. */
+  readonly durations: Pick<GatewayDrainAdmission, 'noteAnswered'>;
   readonly streams: Pick<GatewayStreams, 'record' | 'find'>;
 }
 
--- a/packages/lovagepond-gateway/src/gateway_failed_attempt.ts
+++ b/packages/lovagepond-gateway/src/gateway_failed_attempt.ts
@@ -57,6 +57,11 @@
 
 const FIRST_REDIRECT_STATUS = 300;
 
+/** @returns whether a complete response with this status is a success */
+export function isServed(status: number): boolean {
+  return status < FIRST_REDIRECT_STATUS;
+}
+
 /**
  * Clears the request of suspicion. An error response proves nothing: a failing
  * server sends it without running the request. A server that rejects a request
@@ -73,6 +78,5 @@
   quarantine: GatewayQuarantine,
   now: number,
 ): void {
-  const isServed = status < FIRST_REDIRECT_STATUS;
-  quarantine.noteAnswered(isServed ? subjects : [fingerprint], now);
+  quarantine.noteAnswered(isServed(status) ? subjects : [fingerprint], now);
 }
--- a/packages/lovagepond-gateway/src/gateway_request_path.ts
+++ b/packages/lovagepond-gateway/src/gateway_request_path.ts
@@ -46,7 +46,7 @@
 
 export interface RequestPathDependencies extends Omit<
   ExchangeDependencies,
-  'conditions'
+  'conditions' | 'durations'
 > {
   readonly admission: GatewayAdmission;
   readonly drainAdmission: GatewayDrainAdmission;
@@ -71,9 +71,12 @@
   {ok: true}
 >['admitted'];
 
+/** What is known of an admitted request before its body. */
+type DecidedRequest = Admitted & Pick<AdmittedRequest, 'facts'>;
+
 /** An admitted request whose body is not complete. */
 interface ReceivedRequest {
-  readonly admitted: Admitted;
+  readonly admitted: DecidedRequest;
   refuse: (error: ErrorKind) => void;
 }
 
@@ -91,7 +94,11 @@
   /** @param deps dependencies shared by all requests */
   constructor(deps: RequestPathDependencies) {
     this.#deps = deps;
-    this.#exchangeDeps = {...deps, conditions: new SendConditions(deps)};
+    this.#exchangeDeps = {
+      ...deps,
+      conditions: new SendConditions(deps),
+      durations: deps.drainAdmission,
+    };
   }
 
   /** @param limits limits for callers */
@@ -161,14 +168,10 @@
     const {revision} = this.#deps.admission.configuration;
     const admitted = this.#decide(incoming, arrivedAt, at);
     if (!admitted) return;
-    const {name} = admitted.rule;
-    const done = (): void => {
-      this.#deps.drainAdmission.noteDuration(
-        name,
-        this.#deps.clock.now() - arrivedAt,
-      );
+    const received: ReceivedRequest = {
+      admitted: {...admitted, facts: incoming.facts},
+      refuse: () => undefined,
     };
-    const received: ReceivedRequest = {admitted, refuse: () => undefined};
     this.#receiving.add(received);
     const listener: BodyListener = {
       onWhole: body => {
@@ -176,17 +179,14 @@
         const still = this.#isCurrent(revision)
           ? admitted
           : this.#decide(incoming, arrivedAt, readClock(this.#deps.clock));
-        if (still) this.#run(incoming, still, body, done);
-        else done();
+        if (still) this.#run(incoming, still, body);
       },
       onRefused: error => {
         this.#receiving.delete(received);
         this.#refuse(incoming, error);
-        done();
       },
       onDisconnected: () => {
         this.#receiving.delete(received);
-        done();
       },
     };
     const guarded = guardHandlers(listener, onThrown);
@@ -210,7 +210,7 @@
       return undefined;
     }
     const {admitted} = decision;
-    if (drainAdmission.admits(admitted, at.now)) return admitted;
+    if (drainAdmission.admits({...admitted, facts}, at.now)) return admitted;
     this.#refuse(incoming, 'notReady');
     return undefined;
   }
@@ -222,21 +222,14 @@
     return !admission.isStarting(readClock(clock));
   }
 
-  #run(
-    incoming: IncomingRequest,
-    admitted: Admitted,
-    body: Buffer,
-    done: () => void,
-  ): void {
+  #run(incoming: IncomingRequest, admitted: Admitted, body: Buffer): void {
     if (this.#bufferedBytes + body.length > this.#deps.maxHeldBytes) {
       this.#refuse(incoming, 'overloaded');
-      done();
       return;
     }
     this.#bufferedBytes += body.length;
     const release = (): void => {
       this.#bufferedBytes -= body.length;
-      done();
     };
     const {req, facts, onThrown} = incoming;
     const {method = 'GET', url: path = '/', rawHeaders} = req;
--- a/packages/lovagepond-gateway/src/gateway_response_relay.ts
+++ b/packages/lovagepond-gateway/src/gateway_response_relay.ts
@@ -2,39 +2,53 @@
  * Passes a server's response on to the caller as it arrives. Error responses are
  * buffered, as another attempt may follow, and partial events are held back.
  */
+import {type ResponseTimes} from '@lovagepond/core';
 import {type ResponseHead} from './gateway_attempt.js';
 import {BufferedFailure} from './gateway_buffered_failure.js';
 import {type CallerChannel} from './gateway_caller_channel.js';
 import {type CurrentAttempt} from './gateway_current_attempt.js';
 import {type EventStream} from './gateway_event_stream.js';
+import {type ExchangeAdmission} from './gateway_exchange_admission.js';
+import {type ExchangeServers} from './gateway_exchange_servers.js';
 
 const FIRST_ERROR_STATUS = 500;
 
-export interface RelayListener {
-  /** Called for each chunk of a response that is passed on. */
-  onFirstToken(now: number): void;
-  /** Called before events are passed on. */
-  onEvents(now: number): void;
-  /** @param reason why the response can't be passed on any further */
-  onBroken(reason: string): void;
-}
-
 export interface ResponseRelayDependencies {
   readonly caller: CallerChannel;
   readonly current: CurrentAttempt;
   /** Undefined if the response is no stream of events. */
   readonly events: EventStream | undefined;
-  readonly listener: RelayListener;
+  readonly admission: Pick<ExchangeAdmission, 'noteFirstToken'>;
+  readonly servers: Pick<ExchangeServers, 'bindStream'>;
+  /** @param reason why the response can't be passed on any further */
+  onBroken(reason: string): void;
 }
 
 export class ResponseRelay {
   readonly #deps: ResponseRelayDependencies;
+  #firstAt: number | undefined;
+  #hasWaited = false;
 
-  /** @param deps the caller, the attempt, and who hears of the response */
+  /** @param deps the caller, the attempt, and what the response concerns */
   constructor(deps: ResponseRelayDependencies) {
     this.#deps = deps;
   }
 
+  /**
+   * @param sentAt when the request was sent to the server, monotonic ms
+   * @param now current time, monotonic milliseconds
+   * @returns how long the server took for its complete response; undefined if
+   *     the caller has delayed it
+   */
+  timesSince(sentAt: number, now: number): ResponseTimes | undefined {
+    if (this.#hasWaited) return undefined;
+    return {
+      firstMs: (this.#firstAt ?? now) - sentAt,
+      totalMs: now - sentAt,
+      events: this.#deps.events?.count,
+    };
+  }
+
   /** @param head the head of the attempt's response */
   passHead(head: ResponseHead): void {
     const {caller, current} = this.#deps;
@@ -52,25 +66,32 @@
    * @returns false to pause reading
    */
   passData(chunk: Buffer, now: number): boolean {
-    const {caller, current, events, listener} = this.#deps;
+    const {current, events, admission, servers} = this.#deps;
     const {state, prefill, incomingFailure} = current;
     if (!state) return true;
     prefill?.noteFirstToken(now, !incomingFailure);
     if (incomingFailure) {
       if (!incomingFailure.add(chunk)) {
-        listener.onBroken('error response is too large to buffer');
+        this.#deps.onBroken('error response is too large to buffer');
       }
       return true;
     }
-    listener.onFirstToken(now);
-    if (!events) return caller.write(chunk);
+    this.#firstAt ??= now;
+    admission.noteFirstToken(now);
+    if (!events) return this.#write(chunk);
     const parsed = events.take(chunk);
     if (parsed.kind === 'broken') {
-      listener.onBroken(parsed.reason);
+      this.#deps.onBroken(parsed.reason);
       return true;
     }
     if (parsed.bytes.length === 0) return true;
-    listener.onEvents(now);
-    return caller.write(parsed.bytes);
+    servers.bindStream(now);
+    return this.#write(parsed.bytes);
+  }
+
+  #write(bytes: Buffer): boolean {
+    const mayContinue = this.#deps.caller.write(bytes);
+    if (!mayContinue) this.#hasWaited = true;
+    return mayContinue;
   }
 }
--- a/packages/lovagepond-gateway/src/gateway_server.ts
+++ b/packages/lovagepond-gateway/src/gateway_server.ts
@@ -50,7 +50,7 @@
 
 export interface GatewayServerDependencies extends Omit<
   ExchangeDependencies,
-  'conditions'
+  'conditions' | 'durations'
 > {
   readonly admission: GatewayAdmission;
   readonly streams: GatewayStreams;
