Start no unrepeatable call that a sidecar's exit may cut

What callers saw: a call that must not run twice ends with an unknown outcome when the sidecar that runs it exits, and can't be repeated.

Cause: with too few finished runs, the time of such a call was assumed from the mean rate of the server, which says little about one call.

Otherwise the call is refused as "draining", so that the router sends it to another server.

Evidence (arm64, npx vitest run packages/lovagepond-sidecar): the new test fails without the change; 61 tests pass with it.

--- a/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_gate_failures.test.ts
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_gate_failures.test.ts
@@ -218,6 +218,18 @@
     ]);
   });
 
+  it('starts no call that must not run twice and may be cut', () => {
+    const gate = makeGate();
+    const claimed = {nonRepeatable: true, tokens: 1};
+    gate.offer(makeOffer('call', claimed), 0);
+    gate.offer(makeOffer('short', {...claimed, deadlineAt: 5_000}), 0);
+    expect(kinds(gate.startDraining(0, 10_000))).toEqual([
+      'releaseClaim call',
+      'refuse call',
+    ]);
+    expect(kinds(gate.claimGranted('short', 10))).toEqual(['dispatch short']);
+  });
+
   it('refuses a call whose claim is not answered in time as not run', () => {
     const gate = makeSeasonedGate();
     const claimed = {nonRepeatable: true, tokens: 500};
--- a/packages/lovagepond-sidecar/src/sidecar_drain.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_drain.ts
@@ -48,7 +48,7 @@
    * @param offer a request that was not dispatched
    * @param waitMs expected wait until its dispatch, milliseconds
    * @param meanMs time that the server needs for it and for all running work at
-   *     its mean rate, milliseconds
+   *     its mean rate, milliseconds; Infinity if that must not be relied on
    * @param now current time
    * @returns true when the request ends within the limit
    */
--- a/packages/lovagepond-sidecar/src/sidecar_hold.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_hold.ts
@@ -75,7 +75,9 @@
   mayServe(offer: Offer, waitMs: number, now: number): boolean {
     const tokens = this.#admission.runningTokens(now) + offer.tokens;
     const meanMs = this.estimate.waitMs(tokens);
-    return this.#drain.mayServe(offer, waitMs, meanMs, now);
+    // The outcome of such a call stays unknown to its caller if it is cut.
+    const guessMs = offer.nonRepeatable ? Infinity : meanMs;
+    return this.#drain.mayServe(offer, waitMs, guessMs, now);
   }
 
   /**
