Test that a router exits while callers hold connections

Guards against a router that stays until it is killed, as a caller has connected but sent nothing, or half a head.

--- a/packages/lovagepond-cli/src/__tests__/e2e/planned_stop.test.ts
+++ b/packages/lovagepond-cli/src/__tests__/e2e/planned_stop.test.ts
@@ -1,4 +1,5 @@
-import {connect} from 'node:net';
+import {once} from 'node:events';
+import {connect, type Socket} from 'node:net';
 import {afterAll, describe, expect, it} from 'vitest';
 import {useThreeMembers} from './three_members.js';
 import {waitUntil} from './open_chat.js';
@@ -11,19 +12,22 @@
 
 describe('a process that is stopped', () => {
   const fleet = useThreeMembers();
-  const sockets: ReturnType<typeof connect>[] = [];
+  const sockets: Socket[] = [];
 
   afterAll(() => {
     for (const socket of sockets) socket.destroy();
   });
 
   /** Opens a connection that sends and reads nothing. */
-  function openSilently(name: string): void {
-    const settings = fleet.get(name).settings as {
-      member: {listen: string};
-    };
-    const [host = '', port = ''] = settings.member.listen.split(':');
-    sockets.push(connect(Number(port), host).pause());
+  function openSilently(name: string, section = 'member'): Socket {
+    const settings = fleet.get(name).settings as Record<
+      string,
+      {listen?: string}
+    >;
+    const [host = '', port = ''] = settings[section]?.listen?.split(':') ?? [];
+    const socket = connect(Number(port), host).pause();
+    sockets.push(socket);
+    return socket;
   }
 
   /** Resolves with the exit code, or fails at the drain limit. */
@@ -72,4 +76,20 @@
       await fleet.restart(name);
     },
   );
+
+  // Guards against a router that is killed, as a caller has connected to it but
+  // sent no request.
+  it(
+    'exits as a router to which callers stay connected',
+    {timeout: TEST_TIMEOUT_MS},
+    async () => {
+      const [name = ''] = fleet.namesOf('router');
+      const silent = openSilently(name, 'callers');
+      const halfSent = openSilently(name, 'callers');
+      await Promise.all([once(silent, 'connect'), once(halfSent, 'connect')]);
+      halfSent.write('POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n');
+      expect(await stop(name)).toBe(0);
+      await fleet.restart(name);
+    },
+  );
 });
