Measure no answers that slow readers delay

What callers saw: a router or sidecar that drained refused requests that end within milliseconds, because one caller had read an answer slowly within the last two minutes.

Cause: both stop reading an answer while its reader falls behind, so the measured time is that of the reader.

Change: such answers don't count for the bound of durations.

--- a/packages/lovagepond-router/src/__tests__/unit/router_drain.test.ts
+++ b/packages/lovagepond-router/src/__tests__/unit/router_drain.test.ts
@@ -24,12 +24,20 @@
 
 const LIMIT_MS = 5_000;
 
+/** Takes longer to accept a chunk than a short drain lasts. */
+class SlowSink extends FakeSink {
+  override async write(chunk: Uint8Array): Promise<void> {
+    await super.write(chunk);
+    await wait(1_500);
+  }
+}
+
 interface World {
   readonly role: RouterRole;
   readonly attempts: ReceivedAttempt[];
   readonly sidecar: FakeSidecar;
   /** @param leftMs time until the request's deadline, milliseconds */
-  ask(leftMs: number, requestId?: string): FakeSink;
+  ask(leftMs: number, requestId?: string, sink?: FakeSink): FakeSink;
 }
 
 /** Starts a router with one or two servers and requests without HTTP. */
@@ -69,8 +77,11 @@
   await role.start();
   closers.push(() => role.stop());
   await expect.poll(() => role.isReady()).toBe(true);
-  const ask = (leftMs: number, requestId = 'r1'): FakeSink => {
-    const sink = new FakeSink();
+  const ask: World['ask'] = (
+    leftMs,
+    requestId = 'r1',
+    sink = new FakeSink(),
+  ) => {
     const now = SYSTEM_CLOCK.now();
     const request = makeRequest({requestId, deadline: now + leftMs});
     void front?.handler.handle(request, sink, now);
@@ -110,6 +121,27 @@
   expect(sink).toMatchObject({text: 'hello', ended: true});
 });
 
+test('a slow reader does not make a draining router refuse the others', async () => {
+  const {role, ask} = await startWorld(attempt => {
+    const isSlow = attempt.request.requestId === 'slow';
+    const data = Buffer.alloc(isSlow ? 200_000 : 5, 'x');
+    const head = {status: 200, contentType: 'text/event-stream'};
+    attempt.send({started: {warm: true}});
+    attempt.send({chunk: {offset: 0, data, ...head}});
+    attempt.send({end: {totalBytes: data.length, ...head}});
+    attempt.end();
+  });
+  for (let index = 0; index < 30; index += 1) {
+    await ask(60_000, `before-${index}`).done;
+  }
+  const slow = ask(60_000, 'slow', new SlowSink());
+  await slow.done;
+  await role.drain(LIMIT_MS);
+  const sink = ask(60_000);
+  await sink.done;
+  expect(sink).toMatchObject({text: 'xxxxx', ended: true});
+});
+
 test('a request in a queue that can not end by the exit is revoked', async () => {
   const {role, attempts, sidecar, ask} = await startWorld(attempt => {
     attempt.send({accepted: {expectedWaitMs: 10}});
--- a/packages/lovagepond-router/src/router_answer_times.ts
+++ b/packages/lovagepond-router/src/router_answer_times.ts
@@ -57,7 +57,8 @@
    * @param runner the runner that received a frame
    * @param body the frame's body
    * @param now current time, monotonic milliseconds
-   * @returns the answer if the frame completes a successful one
+   * @returns the answer if the frame completes a successful one, unless its
+   *     caller delayed it by reading slowly
    */
   noteFrame(
     runner: RequestRunner,
@@ -70,6 +71,7 @@
     if (body.kind !== 'end') return undefined;
     this.#times.delete(runner);
     if (body.status >= FIRST_ERROR_STATUS) return undefined;
+    if (runner.wasBlocked) return undefined;
     const {work, placedAt, firstAt = now} = times;
     const firstMs = firstAt - placedAt;
     const totalMs = now - placedAt;
--- a/packages/lovagepond-router/src/router_request_runner.ts
+++ b/packages/lovagepond-router/src/router_request_runner.ts
@@ -83,6 +83,7 @@
   #connection: SidecarConnection | undefined;
   #unwrittenBytes = 0;
   #blocked = false;
+  #wasBlocked = false;
   #unregister: Unregister = () => {};
 
   constructor(
@@ -124,6 +125,11 @@
     return this.#machine.attempt && this.#placed;
   }
 
+  /** @returns true once the caller has delayed the answer by reading slowly */
+  get wasBlocked(): boolean {
+    return this.#wasBlocked;
+  }
+
   start(): void {
     this.#unregister = this.#sink.onCancel(failure => {
       this.#receive({kind: 'callerGone'});
@@ -379,6 +385,7 @@
 
   #setBlocked(blocked: boolean): void {
     this.#blocked = blocked;
+    this.#wasBlocked ||= blocked;
     if (blocked) this.#stream?.pause();
     else this.#stream?.resume();
     this.#receive({kind: 'blocked', blocked});
--- a/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_gate_failures.test.ts
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_gate_failures.test.ts
@@ -189,6 +189,17 @@
     expect(kinds(next)).toEqual(['dispatch short']);
   });
 
+  it('does not take a slow reader for a slow server', () => {
+    const gate = makeSeasonedGate();
+    gate.offer(makeOffer('slow', {tokens: 500}), START);
+    const end = {kind: 'done', wasReadSlowly: true} as const;
+    gate.finish('slow', end, START + 60_000);
+    const now = START + 60_000;
+    gate.offer(makeOffer('running', {tokens: 1_000}), now);
+    gate.offer(makeOffer('fits', {tokens: 500}), now);
+    expect(gate.startDraining(now, 600)).toEqual([]);
+  });
+
   it('starts no held request that can not end by the limit any more', () => {
     const gate = makeSeasonedGate();
     gate.offer(makeOffer('running', {tokens: 1_000}), START);
--- a/packages/lovagepond-sidecar/src/sidecar_dispatcher.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_dispatcher.ts
@@ -95,8 +95,12 @@
   };
 }
 
-function toRunEnd(outcome: RunOutcome): RunEnd {
-  if (outcome.kind !== 'notRun') return {kind: outcome.kind};
+function toRunEnd(
+  outcome: RunOutcome,
+  {wasReadSlowly}: SidecarSession,
+): RunEnd {
+  if (outcome.kind === 'done') return {kind: outcome.kind, wasReadSlowly};
+  if (outcome.kind === 'failed') return {kind: outcome.kind};
   const {kind, message} = outcome.failure;
   const notRun = answerFor(kind).disposition === DISPOSITION.NOT_RUN;
   return {kind: 'notRun', message, ...(notRun && {errorKind: kind})};
@@ -349,7 +353,7 @@
     const kind = outcome.kind === 'notRun' ? outcome.failure.kind : undefined;
     if (kind === 'unreachable') this.#deps.noteUnreachable();
     if (request.nonRepeatable) this.#record(session, outcome);
-    const end = toRunEnd(outcome);
+    const end = toRunEnd(outcome, session);
     this.perform(this.#gate.finish(request.attemptId, end, now));
   }
 
--- a/packages/lovagepond-sidecar/src/sidecar_gate.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_gate.ts
@@ -219,7 +219,10 @@
       const {message, errorKind = 'unreachable'} = end;
       actions.push(makeRefusal(attemptId, errorKind, {message}));
     }
-    if (end.kind === 'done') actions.push(...this.#noteDone(run, now));
+    if (end.kind === 'done') {
+      if (!end.wasReadSlowly) this.#noteDuration(run, now);
+      actions.push(...this.#noteDone(run, now));
+    }
     return [...actions, ...this.#dispatchReady(now)];
   }
 
@@ -395,10 +398,13 @@
     return {kind: 'dispatch', attemptId, warmth, heldMs: now - heldAt};
   }
 
+  #noteDuration({offer, startedAt}: Run, now: number): void {
+    this.#components.drain.noteRun(offer, now - startedAt, now);
+  }
+
   #noteDone({offer, startedAt}: Run, now: number): GateAction[] {
     const runMs = now - startedAt;
     this.#components.hold.estimate.noteFinish(offer.tokens, runMs, now);
-    this.#components.drain.noteRun(offer, runMs, now);
     const elsewhere = !isFirstChoice(offer, this.#components.settings);
     if (offer.chat === '' || !elsewhere) return [];
     return [{kind: 'point', attemptId: offer.attemptId}];
--- a/packages/lovagepond-sidecar/src/sidecar_session.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_session.ts
@@ -45,6 +45,7 @@
   #finalFrame: FrameBody | undefined;
   #closedAt: number | undefined;
   #onRoom: (() => void) | undefined;
+  #wasReadSlowly = false;
 
   /**
    * @param request the attempt
@@ -76,6 +77,11 @@
     return this.#stream !== undefined;
   }
 
+  /** @returns true once reading from the backend server has paused */
+  get wasReadSlowly(): boolean {
+    return this.#wasReadSlowly;
+  }
+
   /** @returns when the last stream was lost; undefined while one is attached */
   get detachedAt(): number | undefined {
     return this.#detachedAt;
@@ -207,6 +213,7 @@
    */
   async waitForRoom(maxUnsentBytes: number): Promise<void> {
     while (this.#buffer.end - this.#sentEnd > maxUnsentBytes) {
+      this.#wasReadSlowly = true;
       await new Promise<void>(resolve => {
         this.#onRoom = resolve;
       });
--- a/packages/lovagepond-sidecar/src/sidecar_types.ts
+++ b/packages/lovagepond-sidecar/src/sidecar_types.ts
@@ -127,7 +127,11 @@
 
 /** How a run ended after its dispatch. */
 export type RunEnd =
-  | {readonly kind: 'done'}
+  | {
+      readonly kind: 'done';
+      /** The answer was delayed by a router or caller that reads slowly. */
+      readonly wasReadSlowly?: boolean;
+    }
   /** The request may have run. */
   | {readonly kind: 'failed'}
   /** No byte of the request reached the backend server. */
