--- a/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_gate_failures.test.ts
+++ b/packages/lovagepond-sidecar/src/__tests__/unit/sidecar_gate_failures.test.ts
@@ -189,6 +189,17 @@
     expect(kinds(next)).toEqual(['dispatch short']);
   });
 
+  it('does not take a slow reader for a slow server', () => {
+    const gate = makeSeasonedGate();
+    gate.offer(makeOffer('slow', {tokens: 500}), START);
+    const end = {kind: 'done', wasReadSlowly: true} as const;
+    gate.finish('slow', end, START + 60_000);
+    const now = START + 60_000;
+    gate.offer(makeOffer('running', {tokens: 1_000}), now);
+    gate.offer(makeOffer('fits', {tokens: 500}), now);
+    expect(gate.startDraining(now, 600)).toEqual([]);
+  });
+
   it('starts no held request that can not end by the limit any more', () => {
     const gate = makeSeasonedGate();
     gate.offer(makeOffer('running', {tokens: 1_000}), START);
@@ -218,6 +229,18 @@
     ]);
   });
 
+  it('starts no call that must not run twice and may be cut', () => {
+    const gate = makeGate();
+    const claimed = {nonRepeatable: true, tokens: 1};
+    gate.offer(makeOffer('call', claimed), 0);
+    gate.offer(makeOffer('short', {...claimed, deadlineAt: 5_000}), 0);
+    expect(kinds(gate.startDraining(0, 10_000))).toEqual([
+      'releaseClaim call',
+      'refuse call',
+    ]);
+    expect(kinds(gate.claimGranted('short', 10))).toEqual(['dispatch short']);
+  });
+
   it('refuses a call whose claim is not answered in time as not run', () => {
     const gate = makeSeasonedGate();
     const claimed = {nonRepeatable: true, tokens: 500};
