Drain the administration server, and bound its stop

What operators saw: a member of control did not exit after SIGTERM while a connection to its administration address had sent nothing, half a head or half a body; it stayed until it was killed, and its exit code was lost. An operator's unfinished change was not refused, and one that no majority decided before the end was not answered.

Cause: the server had no drain. Its stop waited without a limit for all connections, and Node's stop of an HTTP server also ends the checks of its time limits.

Change: the administration server drains as the control plane server does: it refuses unfinished requests as `notReady`, which `ctl` retries at the next member, and answers what is undecided 100 ms before the limit with `outcomeUnknown`. Its stop closes all connections. A member of control drains it together with its other server. `readText` moves to the process package.

The e2e test of a planned stop now also opens silent connections to the administration address.

Why it works: no wait of the stop depends on what a caller sends or reads.

--- a/packages/lovagepond-cli/src/__tests__/e2e/planned_stop.test.ts
+++ b/packages/lovagepond-cli/src/__tests__/e2e/planned_stop.test.ts
@@ -17,13 +17,16 @@
     for (const socket of sockets) socket.destroy();
   });
 
-  /** Opens a connection that sends and reads nothing. */
+  /** Opens connections to its listeners that send and read nothing. */
   function openSilently(name: string): void {
-    const settings = fleet.get(name).settings as {
+    const {member, administration} = fleet.get(name).settings as {
       member: {listen: string};
+      administration: {listen: string};
     };
-    const [host = '', port = ''] = settings.member.listen.split(':');
-    sockets.push(connect(Number(port), host).pause());
+    for (const {listen} of [member, administration]) {
+      const [host = '', port = ''] = listen.split(':');
+      sockets.push(connect(Number(port), host).pause());
+    }
   }
 
   /** Resolves with the exit code, or fails at the drain limit. */
--- a/packages/lovagepond-cli/src/control_member.ts
+++ b/packages/lovagepond-cli/src/control_member.ts
@@ -1,7 +1,12 @@
 /**
  * A control member together with its administration server.
  */
-import {type DrainResult, type Role, type StateDump} from '@lovagepond/core';
+import {
+  type DrainResult,
+  type Role,
+  type StateDump,
+  sumDrainResults,
+} from '@lovagepond/core';
 import {
   type ControlAdministration,
   type ControlRole,
@@ -36,8 +41,9 @@
     return this.#control.isReady();
   }
 
-  drain(limitMs: number): Promise<DrainResult> {
-    return this.#control.drain(limitMs);
+  async drain(limitMs: number): Promise<DrainResult> {
+    const drains = [this.#server, this.#control].map(one => one.drain(limitMs));
+    return sumDrainResults(await Promise.all(drains));
   }
 
   async stop(): Promise<void> {
--- a/packages/lovagepond-operator/src/operator_http.ts
+++ b/packages/lovagepond-operator/src/operator_http.ts
@@ -5,6 +5,8 @@
 import {createHash, timingSafeEqual} from 'node:crypto';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {answerFor, type ErrorKind, makeFailure} from '@lovagepond/core';
+import {sendWhole} from '@lovagepond/process/http_delivery';
+import {readText} from '@lovagepond/process/request_text';
 
 /** HTTP reply of a handler. */
 export interface AdministrationReply {
@@ -78,21 +80,18 @@
  * Sends a reply and ends the response. Does nothing when a reply was sent
  * before or the connection is closed.
  *
+ * @param req the request
  * @param res the response
  * @param reply the reply to send
  */
 export function sendReply(
+  req: IncomingMessage,
   res: ServerResponse,
-  reply: AdministrationReply,
+  {status, headers, body}: AdministrationReply,
 ): void {
-  if (res.headersSent || res.destroyed) return;
-  const bytes = Buffer.from(`${JSON.stringify(reply.body)}\n`);
-  res.writeHead(reply.status, {
-    ...reply.headers,
-    'content-type': 'application/json',
-    'content-length': bytes.length,
-  });
-  res.end(bytes);
+  const json = {...headers, 'content-type': 'application/json'};
+  const text = `${JSON.stringify(body)}\n`;
+  sendWhole(req, res, {status, headers: json, text});
 }
 
 /** A complete, parsed body, or the reply that refuses it. */
@@ -114,8 +113,6 @@
   req: IncomingMessage,
   maxBytes: number,
 ): Promise<BodyResult> {
-  const chunks: Buffer[] = [];
-  let size = 0;
   const tooLarge = replyWithError('payloadTooLarge', {
     message: `The body is larger than ${maxBytes} bytes.`,
   });
@@ -126,14 +123,11 @@
   if (Number(req.headers['content-length'] ?? 0) > maxBytes) {
     return {ok: false, reply: refusal};
   }
-  for await (const chunk of req as AsyncIterable<Buffer>) {
-    size += chunk.length;
-    if (size > maxBytes) return {ok: false, reply: refusal};
-    chunks.push(chunk);
-  }
-  if (size === 0) return {ok: true, value: undefined};
+  const text = await readText(req, maxBytes);
+  if (text === undefined) return {ok: false, reply: refusal};
+  if (text === '') return {ok: true, value: undefined};
   try {
-    const value: unknown = JSON.parse(Buffer.concat(chunks).toString('utf8'));
+    const value: unknown = JSON.parse(text);
     return {ok: true, value};
   } catch {
     const reply = replyWithError('badRequest', {
--- a/packages/lovagepond-operator/src/operator_server.ts
+++ b/packages/lovagepond-operator/src/operator_server.ts
@@ -5,8 +5,13 @@
 import {type AddressInfo} from 'node:net';
 import {App, type Request, type Response} from '@tinyhttp/app';
 import {type ControlAdministration} from '@lovagepond/control';
-import {invariant, type Logger} from '@lovagepond/core';
-import {type AdministrationCall, parseRevision} from './operator_calls.js';
+import {type DrainResult, invariant, type Logger} from '@lovagepond/core';
+import {ResponseDelivery} from '@lovagepond/process/http_delivery';
+import {
+  type AdministrationCall,
+  parseRevision,
+  replyToAnswer,
+} from './operator_calls.js';
 import {CONFIGURATION_ROUTES} from './operator_configuration_routes.js';
 import {FLEET_ROUTES} from './operator_fleet_routes.js';
 import {
@@ -29,12 +34,27 @@
   'The header Operation-Id must carry an id of up to 128 letters, digits ' +
   'and _.:- that names this change; resend a change with the same id.';
 
+/**
+ * Time before the limit of a drain at which the calls that are still open are
+ * answered, milliseconds.
+ */
+const DELIVERY_MS = 100;
+
+/** A call without an answer. */
+interface OpenCall {
+  readonly req: Request;
+  readonly end: (reply: AdministrationReply) => void;
+}
+
 /** Serves the administration API of one control member. */
 export class AdministrationServer {
   readonly #administration: ControlAdministration;
   readonly #settings: OperatorSettings;
   readonly #log: Logger;
   readonly #server: Server;
+  readonly #delivery: ResponseDelivery;
+  readonly #calls = new Set<OpenCall>();
+  #draining = false;
 
   /**
    * @param administration administration interface of the control member
@@ -51,11 +71,11 @@
     this.#log = log;
     const app = new App({
       settings: {networkExtensions: false, xPoweredBy: false},
-      noMatchHandler: (_req, res) => {
-        sendReply(res, replyWithError('notFound'));
+      noMatchHandler: (req, res) => {
+        sendReply(req, res, replyWithError('notFound'));
       },
-      onError: (err, _req, res) => {
-        this.#answerFault(err, res);
+      onError: (err, req, res) => {
+        sendReply(req, res, this.#toFault(err));
       },
     });
     for (const route of ROUTES) {
@@ -67,6 +87,7 @@
       {requestTimeout: settings.requestTimeoutMs},
       app.attach as never,
     );
+    this.#delivery = new ResponseDelivery(this.#server);
   }
 
   /**
@@ -87,15 +108,32 @@
   }
 
   /**
-   * Accepts no new connections; resolves when all running calls are answered.
+   * Accepts no new calls, refuses those whose body is not complete, and waits
+   * until the others are answered and the answers delivered.
+   *
+   * @param limitMs the maximum wait, milliseconds
+   * @returns the number of answers that are not delivered
    */
+  async drain(limitMs: number): Promise<DrainResult> {
+    this.#draining = true;
+    for (const {req, end} of this.#calls) if (!req.complete) end(replyStops());
+    const endAll = (): void => {
+      for (const {end} of this.#calls) end(replyToAnswer({kind: 'unknown'}));
+    };
+    const timer = setTimeout(endAll, Math.max(0, limitMs - DELIVERY_MS));
+    const result = await this.#delivery.drain(limitMs);
+    clearTimeout(timer);
+    return result;
+  }
+
+  /** Closes the server and all connections without waiting for calls. */
   async stop(): Promise<void> {
     const closed = new Promise<void>(resolve => {
       this.#server.close(() => {
         resolve();
       });
     });
-    this.#server.closeIdleConnections();
+    this.#server.closeAllConnections();
     await closed;
   }
 
@@ -104,10 +142,24 @@
     req: Request,
     res: Response,
   ): Promise<void> {
+    if (this.#draining) {
+      sendReply(req, res, replyStops());
+      return;
+    }
+    let end = (_reply: AdministrationReply): void => undefined;
+    const ended = new Promise<AdministrationReply>(resolve => (end = resolve));
+    const call = {req, end};
+    this.#calls.add(call);
     try {
-      sendReply(res, await this.#answer(route, req));
+      sendReply(
+        req,
+        res,
+        await Promise.race([ended, this.#answer(route, req)]),
+      );
     } catch (err) {
-      this.#answerFault(err, res);
+      sendReply(req, res, this.#toFault(err));
+    } finally {
+      this.#calls.delete(call);
     }
   }
 
@@ -126,6 +178,8 @@
     }
     const body = await readJsonBody(req, maxBodyBytes);
     if (!body.ok) return body.reply;
+    // A body that was not complete when the drain began was refused.
+    if (this.#draining) return replyStops();
     const operationId = String(req.headers['operation-id'] ?? '');
     if (isChange && !OPERATION_ID.test(operationId)) {
       return replyWithError('badRequest', {message: OPERATION_ID_NEEDED});
@@ -149,9 +203,13 @@
     };
   }
 
-  #answerFault(err: unknown, res: Response): void {
+  #toFault(err: unknown): AdministrationReply {
     const message = err instanceof Error ? err.message : String(err);
     this.#log.error('an administration call failed', {message});
-    sendReply(res, replyWithError('internal'));
+    return replyWithError('internal');
   }
 }
+
+function replyStops(): AdministrationReply {
+  return replyWithError('notReady', {message: 'This member is stopping.'});
+}
--- a/packages/lovagepond-process/src/index.ts
+++ b/packages/lovagepond-process/src/index.ts
@@ -32,6 +32,7 @@
 export {PlatformServer, type PlatformView} from './process_server.js';
 export {registerSignals} from './process_signals.js';
 export {exitOnStalledOutput} from './process_end.js';
+export {readText} from './request_text.js';
 export {registerProcessMetrics} from './process_metrics.js';
 export {
   type ProcessDependencies,
--- a/platform/src/request_text.ts
+++ b/packages/lovagepond-process/src/request_text.ts
@@ -1,5 +1,5 @@
 /**
- * Reads the body of a control plane request.
+ * Reads the body of a request as text.
  */
 import {type IncomingMessage} from 'node:http';
 
