--- a/packages/lovagepond-cli/src/__tests__/e2e/planned_stop.test.ts
+++ b/packages/lovagepond-cli/src/__tests__/e2e/planned_stop.test.ts
@@ -56,6 +56,7 @@
       expect(await fleet.ctl(...CHANGE)).toMatchObject({revision: 2});
       for (const name of fleet.namesOf('control').reverse()) {
         openSilently(name);
+        openSilently(name, 'administration');
         expect(await stop(name)).toBe(0);
         expect(fleet.get(name).output).toContain('"message":"ended"');
         await fleet.restart(name);
--- a/packages/lovagepond-process/src/http_delivery.ts
+++ b/packages/lovagepond-process/src/http_delivery.ts
@@ -7,8 +7,9 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import {Server as TcpServer} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {type DrainResult} from '@lovagepond/core';
+import {HttpConnections} from './http_connections.js';
 
 /**
  * Time in which the rest of a request is read and discarded after its response,
@@ -60,21 +61,20 @@
   req.resume();
 }
 
-/** Tracks the responses of a server until they are delivered. */
+/** Delivers the responses of a server that stops. */
 export class ResponseDelivery {
-  readonly #server: Server;
+  readonly #connections: HttpConnections;
   readonly #open = new Set<ServerResponse>();
   #draining = false;
-  #idleListener: (() => void) | undefined;
 
   /** @param server the server, not listening yet */
   constructor(server: Server) {
-    this.#server = server;
+    this.#connections = new HttpConnections(server);
     server.prependListener('request', (_req, res: ServerResponse) => {
       this.#open.add(res);
       if (this.#draining) announceClose(res);
       res.once('close', () => {
-        this.#onClosed(res);
+        this.#open.delete(res);
       });
     });
   }
@@ -87,30 +87,14 @@
    */
   async drain(limitMs: number): Promise<DrainResult> {
     this.#draining = true;
-    // The method of the HTTP server also closes connections that deliver.
-    TcpServer.prototype.close.call(this.#server);
+    void this.#connections.stopListening();
     for (const res of this.#open) announceClose(res);
-    this.#closeIdle();
-    if (this.#open.size > 0) {
-      await new Promise<void>(resolve => {
-        this.#idleListener = resolve;
-        setTimeout(resolve, limitMs).unref();
-      });
-    }
-    return {unfinished: this.#open.size};
-  }
-
-  #onClosed(res: ServerResponse): void {
-    this.#open.delete(res);
-    if (!this.#draining) return;
-    this.#closeIdle();
-    if (this.#open.size === 0) this.#idleListener?.();
-  }
-
-  /** For Node, a connection is idle while a response that ended is delivered. */
-  #closeIdle(): void {
-    const isDelivering = [...this.#open].some(res => res.writableEnded);
-    if (!isDelivering) this.#server.closeIdleConnections();
+    this.#connections.closeIdle();
+    await Promise.race([
+      this.#connections.whenDelivered(),
+      sleep(limitMs, undefined, {ref: false}),
+    ]);
+    return {unfinished: this.#connections.undelivered};
   }
 }
 
