Check that tests notice when a margin of the durations is removed

Two tests passed without what they guard: pools without records stayed in memory, as only records were counted; and streams that use all their tokens were covered by the slowest of them, as the full streams of the test were slow themselves.

Change: recordCount counts pools too. The full streams of the test are at a quick server, so their number of events has to be taken together with the pace of others.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_response_durations.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_response_durations.test.ts
@@ -162,11 +162,12 @@
     expect(many).toBeLessThan(3_000);
   });
 
-  // Most responses end long before their last token, a few use them all.
+  // Most responses end long before their last token, and a few use them all, at
+  // a quick server.
   it('covers streams that use all their tokens', () => {
     const durations = new ResponseDurations();
     const times = PACES.map((pace, at) =>
-      streamTimes(at % 50 === 49 ? 56 : 10, pace),
+      at % 50 === 49 ? streamTimes(56, 20) : streamTimes(10, pace),
     );
     const now = answerMany(durations, stream(280), times);
     const slowest = streamTimes(56, 40).totalMs;
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_response_durations_properties.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_response_durations_properties.test.ts
@@ -135,10 +135,10 @@
     // A pool answers for 20 s. It is kept for the window, a slice of 15 s, and
     // until the next search 30 s later.
     const pools = 2 + (RECENT_MS + 45_000) / 20_000;
-    expect(most).toBeLessThanOrEqual(pools * (2 + 14));
+    expect(most).toBeLessThanOrEqual(pools * (1 + 2 + 14));
     const work = {pool: 'last', isStream: false, outputTokens: undefined};
     const times = {firstMs: 5, totalMs: 5, events: undefined};
     durations.noteAnswered(work, times, 40_000 * 100 + RECENT_MS * 2);
-    expect(durations.recordCount).toBe(1);
+    expect(durations.recordCount).toBe(2);
   });
 });
--- a/packages/lovagepond-gateway/src/gateway_response_durations.ts
+++ b/packages/lovagepond-gateway/src/gateway_response_durations.ts
@@ -63,9 +63,9 @@
   readonly #pools = new Map<string, PoolDurations>();
   #forgottenAt = -Infinity;
 
-  /** The number of records in memory; each has a fixed size below 1 kB. */
+  /** Pools and their records in memory, each of a fixed size below 1 kB. */
   get recordCount(): number {
-    let count = 0;
+    let count = this.#pools.size;
     for (const {recordCount} of this.#pools.values()) count += recordCount;
     return count;
   }
--- a/scripts/test_safeguards.mjs
+++ b/scripts/test_safeguards.mjs
@@ -21,6 +21,7 @@
   'scripts/safeguards.json',
   'scripts/safeguards_addresses.json',
   'scripts/safeguards_control.json',
+  'scripts/safeguards_durations.json',
   'scripts/safeguards_quarantine.json',
   'scripts/safeguards_retries.json',
   'scripts/safeguards_scenarios.json',
