Compare estimates of durations by simulated stops

Which estimate a draining gateway should admit requests by wasn't measured.

Change: `npm run measure -- drain-estimates` stops gateways in virtual time.

--- a/packages/lovagepond-measure/src/measure_table.ts
+++ b/packages/lovagepond-measure/src/measure_table.ts
@@ -8,6 +8,7 @@
 import {measureConsensus} from './consensus_measure.js';
 import {measureControl} from './control_measure.js';
 import {measureDecisionCost} from './decision_cost_measure.js';
+import {measureDrainEstimates} from './drain_estimates_measure.js';
 import {measureGatewayConfiguration} from './gateway_configuration_measure.js';
 import {measureGatewayCrashes} from './gateway_crashes_measure.js';
 import {
@@ -44,6 +45,7 @@
   'cold-servers': measureColdServers,
   'load-bound': measureLoadBound,
   retries: measureRetries,
+  'drain-estimates': measureDrainEstimates,
   'gateway-plays': measureGatewaySimulations,
   'gateway-ablation': measureGatewayAblation,
   'gateway-weights': measureGatewayWeights,
