Let no closed connection hold a stopped process

What was seen: a gateway with one caller that never read logged its end 7.5 s after SIGTERM and was still there at 8 s, when the platform kills it.

Cause: a lost connection was taken for idle when its last response ended, and closed once more: its timer of a second, which only the connection's close clears, kept the process from its end.

Change: a destroyed connection is not closed again, and the timer holds no process.

--- a/packages/lovagepond-process/src/http_connections.ts
+++ b/packages/lovagepond-process/src/http_connections.ts
@@ -158,10 +158,10 @@
  * the connection.
  */
 function closeInOrder(socket: Socket, connection: Connection): void {
-  if (connection.isClosing) return;
+  if (connection.isClosing || socket.destroyed) return;
   connection.isClosing = true;
   socket.end();
-  const limit = setTimeout(() => socket.destroy(), LINGER_MS);
+  const limit = setTimeout(() => socket.destroy(), LINGER_MS).unref();
   socket.once('close', () => {
     clearTimeout(limit);
   });
