Draw slow outliers in the property of bounds

The property "are never below the slowest similar response of the window" passed without the slowest response in the bound: all times of a run were alike, so twice the usual ones covered them.

Change: one response of a run may take up to 30 times as long.

Evidence: without the slowest time to the first event, and without the slowest plain response, the property fails; before, it passed.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_response_durations_properties.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_response_durations_properties.test.ts
@@ -28,7 +28,7 @@
   .oneof(fc.integer({min: 0, max: 20e9}), fc.integer({min: 0, max: 1e6}))
   .map(ns => ns / 1e6);
 
-/** Runs of similar responses at increasing times. */
+/** Runs of similar responses at increasing times; one of a run may be slow. */
 const histories = fc
   .array(
     fc.record({
@@ -38,17 +38,21 @@
       bodyMs: durationsMs,
       events: fc.option(fc.integer({min: 0, max: 500}), {nil: undefined}),
       everyMs: fc.integer({min: 0, max: 3_000}),
+      slowOne: fc.integer({min: 0, max: 60}),
+      slowness: fc.integer({min: 1, max: 30}),
     }),
     {minLength: 1, maxLength: 12},
   )
   .map(runs => {
     const noted: Noted[] = [];
     let at = 0;
-    for (const {work, count, firstMs, bodyMs, events, everyMs} of runs) {
+    for (const {work, count, everyMs, events, slowOne, ...run} of runs) {
       for (let one = 0; one < count; one += 1) {
         at += everyMs;
-        const part = (one % 7) / 7 + 0.1;
-        const times = {firstMs, totalMs: firstMs + bodyMs * part, events};
+        const factor = one === slowOne ? run.slowness : 1;
+        const firstMs = run.firstMs * factor;
+        const bodyMs = run.bodyMs * ((one % 7) / 7 + 0.1) * factor;
+        const times = {firstMs, totalMs: firstMs + bodyMs, events};
         noted.push({work, times, at});
       }
     }
