--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_recent_values.test.ts
+++ b/packages/lovagepond-core/src/__tests__/unit/core_recent_values.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
-import {RECENT_MS, RecentValues} from '../../gateway_recent_values.js';
+import {RECENT_MS, RecentValues} from '../../core_recent_values.js';
 
 describe('RecentValues', () => {
   it('agrees with a list of all values', () => {
--- a/packages/lovagepond-core/src/__tests__/unit/core_response_durations.test.ts
+++ b/packages/lovagepond-core/src/__tests__/unit/core_response_durations.test.ts
@@ -1,6 +1,5 @@
-import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
-import {RECENT_MS, RecentMaxima} from '../../core_recent_maxima.js';
+import {RECENT_MS} from '../../core_recent_values.js';
 import {
   type ResponseTimes,
   ResponseDurations,
@@ -85,6 +84,14 @@
     expect(boundOf(durations, stream(280), early)).toBeGreaterThan(6_000);
   });
 
+  // A few streams of untold length are long, and none of these has ended yet.
+  it('is unknown while few long streams of untold length have ended', () => {
+    const durations = new ResponseDurations();
+    const short = repeat(150, streamTimes(8, 30));
+    const early = answerMany(durations, UNTOLD, short, {everyMs: 100});
+    expect(boundOf(durations, UNTOLD, early)).toBe(Infinity);
+  });
+
   // Guards against many quick responses that hide a slow one within seconds.
   it('does not fall with the number of short responses', () => {
     const durations = new ResponseDurations();
@@ -133,11 +140,34 @@
     expect(boundOf(durations, work, now)).toBeGreaterThanOrEqual(slowMs);
   });
 
-  // Most responses end long before their last token, a few use them all.
+  // Guards against streams at a slow server that are cut when all turn slower.
+  it('covers the slower of uneven servers that turn half as fast', () => {
+    const durations = new ResponseDurations();
+    const times = PACES.map(pace => streamTimes(56, pace));
+    const now = answerMany(durations, stream(280), times);
+    const slowMs = 2 * streamTimes(56, 38).totalMs;
+    expect(boundOf(durations, stream(280), now)).toBeGreaterThan(slowMs);
+  });
+
+  // Guards against a margin that fits many responses, taken from few.
+  it('has a larger margin after few responses', () => {
+    const [few, many] = [20, 400].map(count => {
+      const durations = new ResponseDurations();
+      const times = PACES.map((_, at) => plainTimes(at % 20 ? 20 : 2_000));
+      const list = Array.from({length: count}, (_, at) => times[at % 100]!);
+      const now = answerMany(durations, PLAIN, list, {everyMs: 100});
+      return boundOf(durations, PLAIN, now + 10_000);
+    });
+    expect(few).toBeGreaterThanOrEqual(4_000);
+    expect(many).toBeLessThan(3_000);
+  });
+
+  // Most responses end long before their last token, and a few use them all, at
+  // a quick server.
   it('covers streams that use all their tokens', () => {
     const durations = new ResponseDurations();
     const times = PACES.map((pace, at) =>
-      streamTimes(at % 50 === 49 ? 56 : 10, pace),
+      at % 50 === 49 ? streamTimes(56, 20) : streamTimes(10, pace),
     );
     const now = answerMany(durations, stream(280), times);
     const slowest = streamTimes(56, 40).totalMs;
@@ -184,170 +214,3 @@
     expect(durations.recordCount).toBe(0);
   });
 });
-
-interface Noted {
-  readonly work: ResponseWork;
-  readonly times: ResponseTimes;
-  readonly at: number;
-}
-
-const tokenCounts = fc.oneof(
-  fc.integer({min: 0, max: 300}),
-  fc.integer({min: 1, max: 200_000}),
-  fc.constantFrom(undefined, 0.5, 1e12),
-);
-const works = fc.record({
-  pool: fc.constantFrom('a', 'b'),
-  isStream: fc.boolean(),
-  outputTokens: tokenCounts,
-});
-const durationsMs = fc.double({min: 0, max: 20_000, noNaN: true});
-
-/** Runs of similar responses at increasing times. */
-const histories = fc
-  .array(
-    fc.record({
-      work: works,
-      count: fc.integer({min: 1, max: 60}),
-      firstMs: durationsMs,
-      bodyMs: durationsMs,
-      events: fc.option(fc.integer({min: 0, max: 500}), {nil: undefined}),
-      everyMs: fc.integer({min: 0, max: 3_000}),
-    }),
-    {minLength: 1, maxLength: 12},
-  )
-  .map(runs => {
-    const noted: Noted[] = [];
-    let at = 0;
-    for (const {work, count, firstMs, bodyMs, events, everyMs} of runs) {
-      for (let one = 0; one < count; one += 1) {
-        at += everyMs;
-        const part = (one % 7) / 7 + 0.1;
-        const times = {firstMs, totalMs: firstMs + bodyMs * part, events};
-        noted.push({work, times, at});
-      }
-    }
-    return {noted, now: at};
-  });
-
-function durationsAfter(noted: readonly Noted[]): ResponseDurations {
-  const durations = new ResponseDurations();
-  for (const {work, times, at} of noted) {
-    durations.noteAnswered(work, times, at);
-  }
-  return durations;
-}
-
-function tokensOf({outputTokens = 0}: ResponseWork): number {
-  return outputTokens;
-}
-
-/** Whether the response to `other` shows how long one to `work` may take. */
-function isSimilar(work: ResponseWork, other: ResponseWork): boolean {
-  if (work.pool !== other.pool || work.isStream !== other.isStream) {
-    return false;
-  }
-  if (!work.isStream) return true;
-  const isTold = tokensOf(other) > 0;
-  if (isTold !== tokensOf(work) > 0) return false;
-  return tokensOf(other) <= tokensOf(work);
-}
-
-describe('the bounds of any responses', () => {
-  it('grow with the output tokens of a stream', () => {
-    fc.assert(
-      fc.property(
-        histories,
-        fc.array(fc.integer({min: 1, max: 100_000}), {minLength: 2}),
-        ({noted, now}, tokens) => {
-          const durations = durationsAfter(noted);
-          const bounds = tokens
-            .sort((a, b) => a - b)
-            .map(outputTokens => {
-              const work = {pool: 'a', isStream: true, outputTokens};
-              return boundOf(durations, work, now);
-            });
-          expect(bounds).toEqual([...bounds].sort((a, b) => a - b));
-        },
-      ),
-    );
-  });
-
-  it('are never below the slowest similar response of the window', () => {
-    fc.assert(
-      fc.property(
-        histories,
-        works,
-        fc.integer({min: 0, max: 200_000}),
-        ({noted, now}, asked, laterMs) => {
-          const durations = durationsAfter(noted);
-          const all = [asked, ...noted.map(({work}) => work)];
-          const askedAt = now + laterMs;
-          const recent = noted.filter(({at}) => askedAt - at <= RECENT_MS);
-          for (const work of new Set(all)) {
-            const bound = boundOf(durations, work, askedAt);
-            for (const {work: other, times} of recent) {
-              if (!isSimilar(work, other)) continue;
-              expect(bound).toBeGreaterThanOrEqual(times.totalMs);
-            }
-          }
-        },
-      ),
-    );
-  });
-
-  // Guards against memory that grows with responses or with names of pools.
-  it('are kept in bounded memory', () => {
-    const durations = new ResponseDurations();
-    let most = 0;
-    for (let at = 0; at < 40_000; at += 1) {
-      const work = {
-        pool: `pool${Math.floor(at / 200)}`,
-        isStream: at % 3 > 0,
-        outputTokens: at % 3 === 1 ? 1.5 ** (at % 90) : undefined,
-      };
-      durations.noteAnswered(work, streamTimes(5, 10), at * 100);
-      most = Math.max(most, durations.recordCount);
-    }
-    // A pool answers for 20 s; it is kept for the window and two slices more.
-    const pools = 1 + (RECENT_MS + 60_000) / 20_000;
-    expect(most).toBeLessThanOrEqual((pools + 1) * (2 + 17));
-    durations.noteAnswered(PLAIN, plainTimes(5), 40_000 * 100 + RECENT_MS * 2);
-    expect(durations.recordCount).toBe(2);
-  });
-});
-
-describe('RecentMaxima', () => {
-  it('agrees with a list of all values', () => {
-    const steps = fc.array(
-      fc.tuple(
-        fc.integer({min: 0, max: 70_000}),
-        fc.integer({min: 0, max: 100}),
-      ),
-    );
-    fc.assert(
-      fc.property(steps, list => {
-        const recent = new RecentMaxima(2);
-        const all: (readonly [at: number, value: number])[] = [];
-        let now = 0;
-        for (const [laterMs, value] of list) {
-          now += laterMs;
-          recent.note([value, 100 - value], now, now);
-          all.push([now, value]);
-          const within = (ms: number): number[] =>
-            all.filter(([at]) => now - at <= ms).map(([, one]) => one);
-          const certain = within(RECENT_MS);
-          const possible = within(RECENT_MS + 30_000);
-          const largest = recent.largest(0, now);
-          expect(largest).toBeGreaterThanOrEqual(Math.max(...certain));
-          expect(largest).toBeLessThanOrEqual(Math.max(...possible));
-          expect(100 - recent.largest(1, now)).toBeLessThanOrEqual(
-            Math.min(...certain),
-          );
-          expect(recent.count(now)).toBeGreaterThanOrEqual(certain.length);
-          expect(recent.count(now)).toBeLessThanOrEqual(possible.length);
-        }
-      }),
-    );
-  });
-});
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_response_durations_properties.test.ts
+++ b/packages/lovagepond-core/src/__tests__/unit/core_response_durations_properties.test.ts
@@ -1,11 +1,11 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
-import {RECENT_MS} from '../../gateway_recent_values.js';
+import {RECENT_MS} from '../../core_recent_values.js';
 import {
   type ResponseTimes,
   ResponseDurations,
   type ResponseWork,
-} from '../../gateway_response_durations.js';
+} from '../../core_response_durations.js';
 
 interface Noted {
   readonly work: ResponseWork;
--- a/packages/lovagepond-gateway/src/gateway_duration_margins.ts
+++ b/packages/lovagepond-core/src/core_duration_margins.ts
@@ -1,7 +1,7 @@
 /**
  * The margins between the durations that were seen and those to expect.
  */
-import {type RecentValues} from './gateway_recent_values.js';
+import {type RecentValues} from './core_recent_values.js';
 
 export const DURATION_MARGINS = Object.freeze({
   /** Similar responses without which there is no bound. */
--- a/packages/lovagepond-core/src/core_response_durations.ts
+++ b/packages/lovagepond-core/src/core_response_durations.ts
@@ -6,32 +6,22 @@
  * tokens that their requests allow. Responses may end long before their last
  * token, or never do so: recent streams show how many events a token allows.
  */
-import {RecentMaxima} from './core_recent_maxima.js';
+import {
+  DURATION_MARGINS,
+  isObserved,
+  withMargins,
+} from './core_duration_margins.js';
+import {RecentValues} from './core_recent_values.js';
+import {type ResponseTimes, StreamDurations} from './core_stream_durations.js';
 
-export const RESPONSE_DURATIONS = Object.freeze({
-  /** Similar responses without which there is no bound. */
-  MIN_ANSWERS: 20,
-  /** Servers may turn slower by this factor. */
-  SAFETY_FACTOR: 2,
-  /** Streams whose requests don't tell their tokens may have any length. */
-  UNTOLD_MIN_ANSWERS: 50,
-  UNTOLD_SAFETY_FACTOR: 3,
-  /**
-   * A bound is known once responses were observed for this many times as long.
-   * Of responses that began together, the short ones end first.
-   */
-  OBSERVED_FACTOR: 2,
-});
-
-/** Events of a stream below which a single pause would set the pace. */
-const MIN_PACE_EVENTS = 8;
-
-/** More output tokens than 2 ** MAX_CLASS count as so many. */
-const MAX_CLASS = 16;
+export {type ResponseTimes} from './core_stream_durations.js';
 
 /** Time between two searches for pools without recent responses, ms. */
 const FORGET_INTERVAL_MS = 30_000;
 
+/** The field of responses that are compared by their whole duration. */
+const WHOLE = Object.freeze({TOTAL_MS: 0, COUNT: 1});
+
 /** What a request says about the length of its response. */
 export interface ResponseWork {
   /** Name of the pool that serves it. */
@@ -41,48 +31,24 @@
   readonly outputTokens: number | undefined;
 }
 
-/** The measured times of a complete successful response. */
-export interface ResponseTimes {
-  /** From the send to the server until the first byte of the body, ms. */
-  readonly firstMs: number;
-  /** From the send to the server until the server's last byte, ms. */
-  readonly totalMs: number;
-  /** Whole events of a stream, if counted. */
-  readonly events: number | undefined;
-}
-
-/** Fields of the streams of one class of output tokens. */
-const STREAM = Object.freeze({
-  FIRST_MS: 0,
-  BODY_MS: 1,
-  BODY_MS_PER_TOKEN: 2,
-  EVENTS: 3,
-  EVENTS_PER_TOKEN: 4,
-  MS_PER_EVENT: 5,
-  COUNT: 6,
-});
-
-/** The field of responses that are compared by their whole duration. */
-const WHOLE = Object.freeze({TOTAL_MS: 0, COUNT: 1});
-
 /** Recent responses of one pool. */
-interface PoolResponses {
-  /** Responses that are not streams. */
-  readonly plain: RecentMaxima;
+class PoolDurations {
+  /** Responses that are not streams; absent without any. */
+  plain: RecentValues | undefined;
   /** Streams whose requests don't tell their output tokens. */
-  readonly untold: RecentMaxima;
-  /** Streams by class: classOf(output tokens). */
-  readonly streams: Map<number, RecentMaxima>;
-}
+  untold: RecentValues | undefined;
+  readonly streams = new StreamDurations();
 
-/** Requests of class n allow more than 2 ** (n - 1), up to 2 ** n tokens. */
-function classOf(tokens: number): number {
-  return Math.ceil(Math.log2(Math.max(1, tokens)));
-}
+  get recordCount(): number {
+    const whole = Number(!!this.plain) + Number(!!this.untold);
+    return whole + this.streams.recordCount;
+  }
 
-/** Returns 0 if the request doesn't tell its output tokens. */
-function tokensOf({outputTokens = 0}: ResponseWork): number {
-  return outputTokens > 0 ? Math.min(outputTokens, 2 ** MAX_CLASS) : 0;
+  forgetOld(now: number): void {
+    if (this.plain?.isEmpty(now)) this.plain = undefined;
+    if (this.untold?.isEmpty(now)) this.untold = undefined;
+    this.streams.forgetOld(now);
+  }
 }
 
 function isDuration(value: number): boolean {
@@ -91,13 +57,13 @@
 
 /** Estimates upper bounds of the durations of responses. */
 export class ResponseDurations {
-  readonly #pools = new Map<string, PoolResponses>();
+  readonly #pools = new Map<string, PoolDurations>();
   #forgottenAt = -Infinity;
 
-  /** The number of records in memory; each has a fixed size below 1 kB. */
+  /** Pools and their records in memory, each of a fixed size below 1 kB. */
   get recordCount(): number {
-    let count = 0;
-    for (const {streams} of this.#pools.values()) count += 2 + streams.size;
+    let count = this.#pools.size;
+    for (const {recordCount} of this.#pools.values()) count += recordCount;
     return count;
   }
 
@@ -110,182 +76,69 @@
    * @param now current time, monotonic milliseconds
    */
   noteAnswered(work: ResponseWork, answer: ResponseTimes, now: number): void {
-    const {totalMs} = answer;
-    if (!isDuration(answer.firstMs) || !isDuration(totalMs)) return;
-    this.#forgetIdlePools(now);
+    const {firstMs, totalMs} = answer;
+    if (!isDuration(firstMs) || !isDuration(totalMs)) return;
+    this.#forgetOld(now);
     const pool = this.#poolOf(work.pool);
-    const tokens = tokensOf(work);
-    const beganAt = now - totalMs;
-    if (!work.isStream) pool.plain.note([totalMs], beganAt, now);
-    else if (tokens === 0) pool.untold.note([totalMs], beganAt, now);
-    else noteStream(pool, tokens, answer, now);
+    const {isStream, outputTokens = 0} = work;
+    if (isStream && outputTokens > 0) {
+      pool.streams.note(outputTokens, answer, now);
+      return;
+    }
+    const recent = isStream
+      ? (pool.untold ??= new RecentValues(WHOLE.COUNT))
+      : (pool.plain ??= new RecentValues(WHOLE.COUNT));
+    recent.note([totalMs], now - totalMs, now);
   }
 
   /**
+   * Never shorter for a stream of more output tokens; no bound counts as longer
+   * than any.
+   *
    * @param work what the request says about its length
    * @param now current time, monotonic milliseconds
    * @returns upper bound of the time from the send until the server's last byte,
-   *     milliseconds; undefined if too few similar responses were seen recently.
-   *     Of two streams, the one with more output tokens has no lower bound.
+   *     milliseconds; undefined if too few similar responses were seen recently
    */
   boundMs(work: ResponseWork, now: number): number | undefined {
     const pool = this.#pools.get(work.pool);
-    if (!pool) return undefined;
-    const tokens = tokensOf(work);
-    if (!work.isStream) return plainBound(pool.plain, now);
-    if (tokens === 0) return untoldBound(pool.untold, now);
-    return streamBound(pool.streams, tokens, now);
+    const {isStream, outputTokens = 0} = work;
+    if (!isStream) return pool?.plain && plainBound(pool.plain, now);
+    if (outputTokens > 0) return pool?.streams.boundMs(outputTokens, now);
+    return pool?.untold && untoldBound(pool.untold, now);
   }
 
-  #poolOf(name: string): PoolResponses {
+  #poolOf(name: string): PoolDurations {
     const known = this.#pools.get(name);
     if (known) return known;
-    const added = {
-      plain: new RecentMaxima(WHOLE.COUNT),
-      untold: new RecentMaxima(WHOLE.COUNT),
-      streams: new Map<number, RecentMaxima>(),
-    };
+    const added = new PoolDurations();
     this.#pools.set(name, added);
     return added;
   }
 
-  #forgetIdlePools(now: number): void {
+  #forgetOld(now: number): void {
     if (now - this.#forgottenAt < FORGET_INTERVAL_MS) return;
     this.#forgottenAt = now;
-    for (const [name, {plain, untold, streams}] of this.#pools) {
-      for (const [tokenClass, recent] of streams) {
-        if (recent.isEmpty(now)) streams.delete(tokenClass);
-      }
-      const isIdle = streams.size === 0 && plain.isEmpty(now);
-      if (isIdle && untold.isEmpty(now)) this.#pools.delete(name);
+    for (const [name, pool] of this.#pools) {
+      pool.forgetOld(now);
+      if (pool.recordCount === 0) this.#pools.delete(name);
     }
   }
 }
 
-function noteStream(
-  {streams}: PoolResponses,
-  tokens: number,
-  {firstMs, totalMs, events}: ResponseTimes,
-  now: number,
-): void {
-  const bodyMs = Math.max(0, totalMs - firstMs);
-  // The time after the first event is that of the events after it.
-  const later = events === undefined ? 0 : Math.max(1, events - 1);
-  const values = [
-    Math.min(firstMs, totalMs),
-    bodyMs,
-    bodyMs / tokens,
-    later,
-    later / tokens,
-    later === 0 ? 0 : bodyMs / Math.max(MIN_PACE_EVENTS, later),
-  ];
-  const tokenClass = classOf(tokens);
-  let recent = streams.get(tokenClass);
-  if (!recent) {
-    recent = new RecentMaxima(STREAM.COUNT);
-    streams.set(tokenClass, recent);
-  }
-  recent.note(values, now - totalMs, now);
-}
-
-function plainBound(recent: RecentMaxima, now: number): number | undefined {
-  const {MIN_ANSWERS, SAFETY_FACTOR} = RESPONSE_DURATIONS;
-  if (recent.count(now) < MIN_ANSWERS) return undefined;
-  const boundMs = recent.largest(WHOLE.TOTAL_MS, now) * SAFETY_FACTOR;
+function plainBound(recent: RecentValues, now: number): number | undefined {
+  const answers = recent.count(now);
+  if (answers < DURATION_MARGINS.MIN_ANSWERS) return undefined;
+  const {usual, largest} = recent.field(WHOLE.TOTAL_MS, now);
+  const boundMs = withMargins(usual, largest, answers);
   return isObserved(recent, boundMs, now) ? boundMs : undefined;
 }
 
-function untoldBound(recent: RecentMaxima, now: number): number | undefined {
-  const {UNTOLD_MIN_ANSWERS, UNTOLD_SAFETY_FACTOR} = RESPONSE_DURATIONS;
+function untoldBound(recent: RecentValues, now: number): number | undefined {
+  const {UNTOLD_MIN_ANSWERS, UNTOLD_FACTOR, UNTOLD_OBSERVED_MS} =
+    DURATION_MARGINS;
   if (recent.count(now) < UNTOLD_MIN_ANSWERS) return undefined;
-  const boundMs = recent.largest(WHOLE.TOTAL_MS, now) * UNTOLD_SAFETY_FACTOR;
+  if (now - recent.since < UNTOLD_OBSERVED_MS) return undefined;
+  const boundMs = recent.field(WHOLE.TOTAL_MS, now).largest * UNTOLD_FACTOR;
   return isObserved(recent, boundMs, now) ? boundMs : undefined;
 }
-
-/** Whether a response of that duration would have been seen. */
-function isObserved(
-  recent: RecentMaxima,
-  durationMs: number,
-  now: number,
-): boolean {
-  const neededMs = durationMs * RESPONSE_DURATIONS.OBSERVED_FACTOR;
-  return now - recent.since >= neededMs;
-}
-
-/**
- * The slowest time to the first event, and the most events at the slowest pace.
- * The classes up to that of the request count, and larger ones as far as they
- * are needed for enough responses. Those below the next smaller class say
- * nothing about how long such a stream becomes.
- */
-function streamBound(
-  streams: ReadonlyMap<number, RecentMaxima>,
-  tokens: number,
-  now: number,
-): number | undefined {
-  const own = classOf(tokens);
-  const last = lastNeededClass(streams, own, now);
-  if (last === undefined) return undefined;
-  let firstMs = 0;
-  let bodyMs = 0;
-  for (const [tokenClass, recent] of streams) {
-    firstMs = Math.max(firstMs, recent.largest(STREAM.FIRST_MS, now));
-    if (tokenClass > last) continue;
-    const counted = tokensInClass(tokens, own, tokenClass);
-    bodyMs = Math.max(bodyMs, longestBodyMs(recent, counted, now));
-  }
-  return (firstMs + bodyMs) * RESPONSE_DURATIONS.SAFETY_FACTOR;
-}
-
-/** Returns the largest class that counts; undefined with too few responses. */
-function lastNeededClass(
-  streams: ReadonlyMap<number, RecentMaxima>,
-  own: number,
-  now: number,
-): number | undefined {
-  let answers = 0;
-  for (let tokenClass = own - 1; tokenClass <= MAX_CLASS; tokenClass += 1) {
-    const recent = streams.get(tokenClass);
-    if (recent) answers += observedStreams(recent, now);
-    if (answers < RESPONSE_DURATIONS.MIN_ANSWERS) continue;
-    return Math.max(own, tokenClass);
-  }
-  return undefined;
-}
-
-function observedStreams(recent: RecentMaxima, now: number): number {
-  const firstMs = recent.largest(STREAM.FIRST_MS, now);
-  const longestMs = firstMs + longestBodyMs(recent, 0, now);
-  const boundMs = longestMs * RESPONSE_DURATIONS.SAFETY_FACTOR;
-  return isObserved(recent, boundMs, now) ? recent.count(now) : 0;
-}
-
-/** The pace of a class is applied to twice its tokens at most. */
-function tokensInClass(
-  tokens: number,
-  own: number,
-  tokenClass: number,
-): number {
-  return tokenClass > own ? 0 : Math.min(tokens, 2 ** (tokenClass + 1));
-}
-
-/**
- * Longest recent time after the first event, of a stream of so many tokens and
- * of the streams of the class.
- */
-function longestBodyMs(
-  recent: RecentMaxima,
-  tokens: number,
-  now: number,
-): number {
-  const largest = (field: number): number => recent.largest(field, now);
-  const events = Math.max(
-    largest(STREAM.EVENTS),
-    largest(STREAM.EVENTS_PER_TOKEN) * tokens,
-  );
-  return Math.max(
-    largest(STREAM.BODY_MS),
-    largest(STREAM.BODY_MS_PER_TOKEN) * tokens,
-    largest(STREAM.MS_PER_EVENT) * events,
-  );
-}
--- a/packages/lovagepond-gateway/src/gateway_stream_durations.ts
+++ b/packages/lovagepond-core/src/core_stream_durations.ts
@@ -6,8 +6,8 @@
   DURATION_MARGINS,
   isObserved,
   withMargins,
-} from './gateway_duration_margins.js';
-import {RecentValues} from './gateway_recent_values.js';
+} from './core_duration_margins.js';
+import {RecentValues} from './core_recent_values.js';
 
 /** Events of a stream below which a single pause would set the pace. */
 const MIN_PACE_EVENTS = 8;
--- a/packages/lovagepond-core/src/index.ts
+++ b/packages/lovagepond-core/src/index.ts
@@ -104,7 +104,6 @@
 export {z} from './core_schema.js';
 export {type PoolSpans, RequestSpans} from './core_request_spans.js';
 export {
-  RESPONSE_DURATIONS,
   ResponseDurations,
   type ResponseTimes,
   type ResponseWork,
--- a/packages/lovagepond-gateway/src/deciders.ts
+++ b/packages/lovagepond-gateway/src/deciders.ts
@@ -22,10 +22,6 @@
 export {PrefillTracker} from './gateway_prefill_tracker.js';
 export {GatewayLoadReports} from './gateway_load_reports.js';
 export {type DemandSource, type OwnDemand} from './gateway_demand.js';
-export {
-  ResponseDurations,
-  type ResponseWork,
-} from './gateway_response_durations.js';
 export {GatewayShares} from './gateway_shares.js';
 export {GatewayRetries} from './gateway_retries.js';
 export {isValid, type RetryCredit} from './gateway_retry_credit.js';
--- a/packages/lovagepond-measure/src/drain_estimates_measure.ts
+++ b/packages/lovagepond-measure/src/drain_estimates_measure.ts
@@ -2,10 +2,7 @@
  * How well estimates of the duration of responses tell which requests a gateway
  * that drains can still serve.
  */
-import {
-  ResponseDurations,
-  type ResponseWork,
-} from '@lovagepond/gateway/deciders';
+import {ResponseDurations, type ResponseWork} from '@lovagepond/core';
 import {DRAIN_ESTIMATORS} from './drain_estimators.js';
 import {DRAIN_MIXES, type DrainMix} from './drain_mixes.js';
 import {
--- a/packages/lovagepond-measure/src/drain_estimators.ts
+++ b/packages/lovagepond-measure/src/drain_estimators.ts
@@ -1,7 +1,7 @@
 /**
  * Ways to estimate how long a response takes, compared by simulation.
  */
-import {ResponseDurations} from '@lovagepond/gateway/deciders';
+import {ResponseDurations} from '@lovagepond/core';
 import {MinHeap} from './virtual_time.js';
 
 /** A request, with what its gateway knows of it. */
