Refuse bodies that are not whole before a router exits

What callers saw: a reset at the end of a router's drain while they still sent a body, so that they had to assume that the request had run.

Cause: the limit of the drain closed the connections of requests that no server had got, without an answer.

Change: 1.5 s before its limit the drain refuses each request whose body is still on its way, as not run and with a retry time, and reads on for a bounded time so that the answer arrives before the close.

--- a/packages/lovagepond-caller/src/__tests__/unit/caller_drain.test.ts
+++ b/packages/lovagepond-caller/src/__tests__/unit/caller_drain.test.ts
@@ -146,6 +146,23 @@
   await drained;
 });
 
+test('a body that is not whole at the end of a drain gets a refusal', async () => {
+  let handled = 0;
+  const server = await startServer(() => {
+    handled += 1;
+  });
+  const text = rawRequest(chatBody());
+  const {socket, received} = openRaw(server, text.slice(0, -5));
+  sockets.push(socket);
+  await expect.poll(() => server.counters.requests).toBe(1);
+  const result = server.drain(2_000);
+  const answer = await received;
+  expect(answer).toContain('503 Service Unavailable');
+  expect(answer).toContain('"kind":"draining","disposition":"notRun"');
+  expect(await result).toEqual({unfinished: 0});
+  expect(handled).toBe(0);
+});
+
 test('a connection without a request does not extend a drain', async () => {
   const server = await startServer((_req, sink) => {
     sink.end();
--- a/packages/lovagepond-caller/src/caller_body.ts
+++ b/packages/lovagepond-caller/src/caller_body.ts
@@ -17,6 +17,8 @@
   readonly lease: BodyLease;
   /** @returns the failure to report when the shared budget is exhausted */
   readonly overload: () => Failure;
+  /** Aborted with a failure when no more time is left to serve the request. */
+  readonly leaving: AbortSignal;
 }
 
 /**
@@ -42,6 +44,7 @@
       req.off('data', onData);
       req.off('end', onEnd);
       req.off('close', onClose);
+      limits.leaving.removeEventListener('abort', onLeaving);
       resolve(result);
     };
     const onData = (chunk: Buffer): void => {
@@ -59,6 +62,9 @@
     const onClose = (): void => {
       finish({ok: false, failure: makeFailure('callerGone')});
     };
+    const onLeaving = (): void => {
+      finish({ok: false, failure: limits.leaving.reason as Failure});
+    };
     // A sender that trickles its body would occupy the connection and memory
     // indefinitely. One time limit covers the whole body; a further chunk does
     // not restart it.
@@ -68,5 +74,6 @@
     req.on('data', onData);
     req.on('end', onEnd);
     req.on('close', onClose);
+    limits.leaving.addEventListener('abort', onLeaving);
   });
 }
--- a/packages/lovagepond-caller/src/caller_exchange.ts
+++ b/packages/lovagepond-caller/src/caller_exchange.ts
@@ -38,6 +38,8 @@
   /** Source of the jitter of retry delays. */
   readonly random: Random;
   readonly nextRequestId: () => string;
+  /** Aborted with a failure shortly before the server exits. */
+  readonly leaving: AbortSignal;
 }
 
 const CALLER_REQUEST_ID_PATTERN = /^[\x21-\x7e]{1,128}$/;
@@ -98,6 +100,7 @@
     timeoutMs: settings.senderTimeoutMs,
     lease,
     overload: () => makeOverloadFailure(context.random),
+    leaving: context.leaving,
   });
   if (!body.ok) return body;
   const call = {requestId, path, endpoint, body: body.value};
--- a/packages/lovagepond-caller/src/caller_server.ts
+++ b/packages/lovagepond-caller/src/caller_server.ts
@@ -2,6 +2,7 @@
  * The HTTP/1.1 server for callers: tinyhttp routes on a Node server.
  */
 import {randomInt, randomUUID} from 'node:crypto';
+import {setMaxListeners} from 'node:events';
 import {createServer, type Server, type ServerResponse} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {setTimeout as wait} from 'node:timers/promises';
@@ -9,6 +10,7 @@
 import {
   type Clock,
   type DrainResult,
+  type Failure,
   makeFailure,
   Random,
 } from '@lovagepond/core';
@@ -39,6 +41,10 @@
 const MAX_SEED = 2 ** 31;
 /** Interval between Node's checks of the head and request timeouts. */
 const CONNECTION_CHECK_MS = 1_000;
+/** Time to deliver refusals before the exit, milliseconds. */
+const BODY_MARGIN_MS = 1_500;
+/** Base of the retry time of requests that another process has to serve, ms. */
+const LEAVING_RETRY_MS = 500;
 const PIPELINED = 'A request of this connection is still in flight.';
 const SOCKET_BUFFER_BYTES = 32 * 1024;
 /** Longest wait for callers to close their connections too, milliseconds. */
@@ -55,6 +61,8 @@
   readonly #server: Server;
   readonly #httpConnections: HttpConnections;
   readonly #responses = new Set<Response>();
+  /** Refuses the requests whose bodies are not whole before the exit. */
+  readonly #leaving = new AbortController();
   #openConnections = 0;
   #requests = 0;
   #slowReadersEnded = 0;
@@ -68,6 +76,8 @@
   constructor(settings: CallerSettings, deps: CallerServerDependencies) {
     this.#settings = settings;
     this.#bodies = new BodyBudget(settings.maxHeldBodyBytes);
+    // Each request whose body is being received listens to it.
+    setMaxListeners(0, this.#leaving.signal);
     this.#context = {
       settings,
       clock: deps.clock,
@@ -77,6 +87,7 @@
       bodies: this.#bodies,
       random: deps.random ?? new Random(randomInt(MAX_SEED)),
       nextRequestId: deps.nextRequestId ?? randomUUID,
+      leaving: this.#leaving.signal,
     };
     this.#server = this.#makeServer(this.#makeRoutes());
     this.#httpConnections = new HttpConnections(this.#server);
@@ -131,6 +142,10 @@
       unfinished = this.#responses.size;
       this.#server.closeAllConnections();
     }, limitMs);
+    const bodyLimitMs = Math.max(0, limitMs - BODY_MARGIN_MS);
+    const bodyTimer = setTimeout(() => {
+      this.#leaving.abort(this.#makeLeavingFailure());
+    }, bodyLimitMs);
     const {signal} = limit;
     await pause(this.#settings.drainGraceMs, signal);
     const connections = this.#httpConnections;
@@ -143,6 +158,7 @@
       await Promise.race([closed, pause(CLOSE_WAIT_MS, signal)]);
     } while (connections.undelivered > 0);
     clearTimeout(timer);
+    clearTimeout(bodyTimer);
     this.#server.closeAllConnections();
     await closed;
     return {unfinished};
@@ -219,6 +235,12 @@
     return app;
   }
 
+  #makeLeavingFailure(): Failure {
+    const message = 'The process exits before the body was whole.';
+    const retryAfterMs = LEAVING_RETRY_MS * (1 + this.#context.random.next());
+    return makeFailure('draining', {message, retryAfterMs});
+  }
+
   #serve(req: Request, res: Response, endpoint: Endpoint): void {
     if (req.method !== 'POST') {
       this.#refusals.refuse(req, res, makeFailure('notFound'));
