Deliver the last answers of a member of control to its peers

What sidecars and gateways saw when a member stopped right after its last answer: "14 UNAVAILABLE: Connection dropped" instead of, for example, the grant of a claim, which then counted as unknown.

Cause: a call counted as over when its handler had handed the answer to the gRPC library, and the stop destroyed the sessions before they had written it. In the process, the close of the log on disk comes between and hides this for most answers.

Change: the stop closes each session in order: it refuses new calls, ends once the answers are sent, and is destroyed after the 200 ms that connections had for this before.

Why it works: a session that is closed rather than destroyed ends after its open calls.

--- a/packages/lovagepond-control/src/control_server.ts
+++ b/packages/lovagepond-control/src/control_server.ts
@@ -3,6 +3,7 @@
  */
 import {type AddressInfo, createServer, type Socket} from 'node:net';
 import {
+  type ConnectionInjector,
   type sendUnaryData,
   Server,
   ServerCredentials,
@@ -75,6 +76,7 @@
   readonly #listener = createServer({noDelay: true});
   /** Open connections. The gRPC server leaves them open when it stops. */
   readonly #sockets = new Set<Socket>();
+  #injector: ConnectionInjector | undefined;
   #activeCalls = 0;
   #idleListener: (() => void) | undefined;
 
@@ -113,6 +115,7 @@
   async listen(host: string, port: number): Promise<number> {
     const credentials = ServerCredentials.createInsecure();
     const injector = this.server.createConnectionInjector(credentials);
+    this.#injector = injector;
     this.#listener.on('connection', socket => {
       this.#sockets.add(socket);
       socket.once('close', () => this.#sockets.delete(socket));
@@ -145,12 +148,15 @@
     return {unfinished: this.#activeCalls};
   }
 
-  /** Cancels calls in flight and closes all connections. */
+  /**
+   * Accepts no new calls. Each connection closes once its answers are sent, and
+   * calls still in flight are cancelled after a short time.
+   */
   stop(): void {
     this.#listener.close();
-    this.server.forceShutdown();
-    for (const socket of this.#sockets) socket.destroySoon();
+    this.#injector?.drain(FLUSH_LIMIT_MS);
     setTimeout(() => {
+      this.server.forceShutdown();
       for (const socket of this.#sockets) socket.destroy();
     }, FLUSH_LIMIT_MS).unref();
   }
