--- a/packages/lovagepond-gateway/src/gateway_exchange_types.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange_types.ts
@@ -11,6 +11,7 @@
 import {type GatewayChoice} from './gateway_choice.js';
 import {type GatewayConnections} from './gateway_connections.js';
 import {type GatewayCounters} from './gateway_counters.js';
+import {type GatewayDrainAdmission} from './gateway_drain_admission.js';
 import {type GatewayFleet} from './gateway_fleet.js';
 import {type GatewayHeaderNames, type RequestFacts} from './gateway_headers.js';
 import {type GatewayOverload} from './gateway_overload.js';
@@ -19,6 +20,7 @@
 import {type GatewayQuarantine} from './gateway_quarantine.js';
 import {type GatewayRetries} from './gateway_retries.js';
 import {type ForwardingRule} from './gateway_routes.js';
+import {type SendConditions} from './gateway_send_conditions.js';
 import {type StreamOrigin} from './gateway_stream_origin.js';
 import {type ServerLiveness} from './gateway_server_liveness.js';
 import {type GatewayStreams} from './gateway_streams.js';
@@ -39,6 +41,9 @@
   readonly permits: GatewayPermits;
   readonly counters: GatewayCounters;
   readonly overload: GatewayOverload;
+  readonly conditions: SendConditions;
+  /** Records how long responses take. */
+  readonly durations: Pick<GatewayDrainAdmission, 'noteAnswered'>;
   readonly streams: Pick<GatewayStreams, 'record' | 'find'>;
 }
 
--- a/packages/lovagepond-process/src/index.ts
+++ b/packages/lovagepond-process/src/index.ts
@@ -3,6 +3,11 @@
   EXIT_CODE_MEANINGS,
   type ExitCode,
 } from './exit_codes_constants.js';
+export {
+  ResponseDelivery,
+  sendWhole,
+  type WholeResponse,
+} from './http_delivery.js';
 export {type DroppedLines, LogLimiter} from './log_limiter.js';
 export {SystemClock} from './process_clock.js';
 export {
@@ -27,6 +32,7 @@
 export {PlatformServer, type PlatformView} from './process_server.js';
 export {registerSignals} from './process_signals.js';
 export {exitOnStalledOutput} from './process_end.js';
+export {readText} from './request_text.js';
 export {registerProcessMetrics} from './process_metrics.js';
 export {
   type ProcessDependencies,
