Deliver a state dump that is read while the process ends

What on-call saw: a state dump fetched from a process that was about to exit ended in the middle.

Cause: the stop of the platform server closed all connections at once, also those that delivered a response.

With nothing under way it takes no longer than before.

Why it works: the wait ends with the last connection that has a response.

--- a/packages/lovagepond-process/src/process_server.ts
+++ b/packages/lovagepond-process/src/process_server.ts
@@ -5,9 +5,13 @@
 import {createServer, type Server} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {App} from '@tinyhttp/app';
+import {ResponseDelivery} from './http_delivery.js';
 import {type MetricsRegistry} from './metrics_registry.js';
 import {type HostPort} from './settings_units.js';
 
+/** Time that readers have for responses under way at the stop, milliseconds. */
+const DELIVERY_LIMIT_MS = 200;
+
 const STATUS_OK = 200;
 const STATUS_UNAVAILABLE = 503;
 
@@ -24,17 +28,26 @@
 export class PlatformServer {
   readonly #address: HostPort;
   readonly #server: Server;
+  readonly #delivery: ResponseDelivery;
+  readonly #deliveryLimitMs: number;
 
   /**
    * @param address address to listen on; loopback unless configured otherwise
    * @param view provides the reported data
+   * @param deliveryLimitMs how long `stop` waits for responses, milliseconds
    */
-  constructor(address: HostPort, view: PlatformView) {
+  constructor(
+    address: HostPort,
+    view: PlatformView,
+    deliveryLimitMs = DELIVERY_LIMIT_MS,
+  ) {
     this.#address = address;
+    this.#deliveryLimitMs = deliveryLimitMs;
     const app = makeApp(view);
     this.#server = createServer((req, res) => {
       void app.handler(req as never, res as never);
     });
+    this.#delivery = new ResponseDelivery(this.#server);
   }
 
   /**
@@ -50,8 +63,9 @@
     return {host, port: (this.#server.address() as AddressInfo).port};
   }
 
-  /** Closes the listening socket and all connections. */
+  /** Closes the listening socket, and all connections after a short time. */
   async stop(): Promise<void> {
+    await this.#delivery.drain(this.#deliveryLimitMs);
     this.#server.closeAllConnections();
     await new Promise<void>(resolve => {
       this.#server.close(() => {
