Resume begun streams in a draining gateway

What callers saw: a stream whose server failed during a gateway's stop was cut at once, although another server could continue it.

Cause: a draining gateway asks before each send whether the whole response can end before the exit, also when it resumes a stream of which the caller has a part. The answer is no whenever the deadline lies after the exit and too few similar streams were seen. Nothing but a cut is left to such a caller.

Change: a request whose response has begun is not asked for the time left.

Evidence (arm64): `npx vitest run packages/lovagepond-gateway/src/__tests__/unit/gateway_stop.test.ts`: the new test fails without the change, as the stream ends after its first event, and passes with it, 7 of 7.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_stop.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_stop.test.ts
@@ -166,6 +166,30 @@
     expect((await called).status).toBe(503);
     expect(harness.arrivals).toEqual(['server-0']);
   });
+
+  // Guards against a stream that is cut although another server continues it.
+  it('resumes a stream that has begun', async () => {
+    let isFirst = true;
+    let breakFirst: () => void = () => undefined;
+    const script: Script = (req, res) => {
+      beginStream(req, res);
+      if (isFirst) res.write('id: 1\ndata: a\n\n');
+      else res.end('id: 2\ndata: b\n\n');
+      isFirst = false;
+      breakFirst = () => res.destroy();
+    };
+    harness = await GatewayHarness.start([script, script]);
+    const caller = send(headOf('/chat/a', 'begun'));
+    let received = '';
+    caller.on('data', (part: Buffer) => (received += part.toString()));
+    const closed = once(caller.resume(), 'close');
+    await until(() => received.includes('data: a'));
+    harness.server.beginDraining(clock.now() + 800);
+    breakFirst();
+    await closed;
+    expect(received).toContain('data: b');
+    expect(received.endsWith('0\r\n\r\n')).toBe(true);
+  });
 });
 
 describe('a gateway whose configuration changes', () => {
--- a/packages/lovagepond-gateway/src/gateway_exchange.ts
+++ b/packages/lovagepond-gateway/src/gateway_exchange.ts
@@ -153,8 +153,11 @@
       servers: this.#servers,
       admission: this.#admission,
       retry: this.#retry,
-      refusal: (at: ClockReading) =>
-        this.#deps.conditions.refusalOf(this.#req, this.#runs === 0, at),
+      refusal: (at: ClockReading) => {
+        const isFirst = this.#runs === 0;
+        const progress = {isFirst, hasBegun: this.#caller.headSent};
+        return this.#deps.conditions.refusalOf(this.#req, progress, at);
+      },
     };
     const deps = {...this.#deps, ...own};
     const listener = {
--- a/packages/lovagepond-gateway/src/gateway_send_conditions.ts
+++ b/packages/lovagepond-gateway/src/gateway_send_conditions.ts
@@ -14,6 +14,14 @@
   readonly drainAdmission: Pick<GatewayDrainAdmission, 'admits'>;
 }
 
+/** How far a request got before the send. */
+export interface SendProgress {
+  /** No server can have received it. */
+  readonly isFirst: boolean;
+  /** The caller has a part of the response. */
+  readonly hasBegun: boolean;
+}
+
 export class SendConditions {
   readonly #deps: SendConditionsDependencies;
 
@@ -24,17 +32,18 @@
 
   /**
    * @param req an admitted request
-   * @param isFirst whether no server can have received it
+   * @param progress how far it got
    * @param at current time
    * @returns the error that ends the request if it must not be sent
    */
   refusalOf(
     req: AdmittedRequest,
-    isFirst: boolean,
+    {isFirst, hasBegun}: SendProgress,
     at: ClockReading,
   ): ErrorKind | undefined {
     const {admission, drainAdmission} = this.#deps;
-    if (!drainAdmission.admits(req, at.now)) return 'notReady';
+    // A refusal would cut a response that its caller has a part of.
+    if (!hasBegun && !drainAdmission.admits(req, at.now)) return 'notReady';
     return isFirst ? admission.refusalOfKey(req, at) : undefined;
   }
 }
