Answer or ignore the requests behind a response that closes

What callers saw: of two requests that a connection sent at once, both ran, and only the first was answered, if the gateway was stopped in between. The same happened to a request sent after a response that had announced the close of its connection and before its end.

Cause: Node closes a connection after a response with `Connection: close` and drops the responses behind it. A draining gateway announced the close in each response, and kept running requests that followed.

Change: only the last response of a connection announces the close. Requests that arrive after the announcement are read and not run.

Evidence (arm64): `npx vitest run packages/lovagepond-gateway/src/__tests__/unit/gateway_stop.test.ts`: without the change 2 of 9 fail (one response instead of two; two arrivals at the server instead of one), with it 9 of 9 pass.

--- a/packages/lovagepond-caller/src/caller_server.ts
+++ b/packages/lovagepond-caller/src/caller_server.ts
@@ -174,7 +174,7 @@
     });
     server.maxConnections = settings.maxConnections;
     server.on('request', (req, res) => {
-      if (this.#httpConnections.isClosing(req.socket)) {
+      if (this.#httpConnections.isTooLate(req, res)) {
         req.resume();
         return;
       }
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_stop.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_stop.test.ts
@@ -167,6 +167,53 @@
     expect(harness.arrivals).toEqual(['server-0']);
   });
 
+  // Guards against a response that is dropped, as the one before it on the
+  // connection has announced the close.
+  it('answers all requests that a connection sent at once', async () => {
+    const releases: (() => void)[] = [];
+    const script: Script = (req, res) => {
+      releases.push(() => {
+        answer(req, res, 200, 'yes');
+      });
+    };
+    harness = await GatewayHarness.start([script]);
+    const texts = headOf('/read/a', 'first') + headOf('/write/b', 'second');
+    const caller = send(texts);
+    let received = '';
+    caller.on('data', (part: Buffer) => (received += part.toString()));
+    const closed = once(caller.resume(), 'close');
+    await until(() => releases.length === 2);
+    harness.server.beginDraining(clock.now() + 60_000);
+    for (const release of releases) release();
+    await closed;
+    expect(received.match(/HTTP\/1.1 200 /g)).toHaveLength(2);
+    expect(received.match(/connection: close/gi)).toHaveLength(1);
+  });
+
+  // Guards against a request that runs although it can't be answered.
+  it('runs no request that follows the announcement of a close', async () => {
+    let end: () => void = () => undefined;
+    const script: Script = (req, res) => {
+      beginStream(req, res);
+      res.write('id: 1\ndata: a\n\n');
+      end = () => res.end();
+    };
+    harness = await GatewayHarness.start([script]);
+    harness.server.beginDraining(clock.now() + 60_000);
+    const caller = send(headOf('/talk/a', 'first'));
+    let received = '';
+    caller.on('data', (part: Buffer) => (received += part.toString()));
+    const closed = once(caller.resume(), 'close');
+    await until(() => received.includes('data: a'));
+    expect(received).toMatch(/connection: close/i);
+    caller.write(headOf('/write/b', 'second'));
+    await pause(50);
+    end();
+    await closed;
+    expect(harness.arrivals).toHaveLength(1);
+    expect(harness.server.inFlight).toBe(0);
+  });
+
   // Guards against a stream that is cut although another server continues it.
   it('resumes a stream that has begun', async () => {
     let isFirst = true;
--- a/packages/lovagepond-gateway/src/gateway_server.ts
+++ b/packages/lovagepond-gateway/src/gateway_server.ts
@@ -93,7 +93,7 @@
     this.#intake = new GatewayIntake(this.#server, {...deps, maxConnections});
     this.#connections = new HttpConnections(this.#server);
     this.#server.on('request', (req, res) => {
-      if (this.#connections.isClosing(req.socket)) req.resume();
+      if (this.#connections.isTooLate(req, res)) req.resume();
       else this.#open(req, res);
     });
     this.#server.on('clientError', (err: Error & {code?: string}, socket) => {
@@ -197,7 +197,7 @@
     const caller = new CallerChannel(
       res,
       this.#deps.random,
-      () => this.#drainAdmission.isDraining,
+      () => this.#drainAdmission.isDraining && this.#connections.mayClose(res),
     );
     const facts = readFacts(req.headers, this.#deps.names);
     // The request may have reached a server.
--- a/packages/lovagepond-process/src/http_connections.ts
+++ b/packages/lovagepond-process/src/http_connections.ts
@@ -23,6 +23,8 @@
   readonly open: Set<ServerResponse>;
   /** Bytes that had arrived when the last response was delivered. */
   bytesAnswered: number;
+  /** The response that has announced the close. */
+  last: ServerResponse | undefined;
   isClosing: boolean;
 }
 
@@ -52,12 +54,32 @@
   }
 
   /**
-   * @param socket a request's connection
-   * @returns true if the connection was closed before the request arrived, so
-   *     that the request must not be run and can't be answered
+   * @param req a request
+   * @param res its response
+   * @returns true if the connection was closed, or its close announced, before
+   *     the request arrived, so that the request must not be run and can't be
+   *     answered
    */
-  isClosing(socket: Socket): boolean {
-    return this.#connections.get(socket)?.isClosing ?? false;
+  isTooLate({socket}: IncomingMessage, res: ServerResponse): boolean {
+    const connection = this.#connections.get(socket);
+    return connection !== undefined && !connection.open.has(res);
+  }
+
+  /**
+   * Must be asked before a response announces that it closes its connection.
+   * Node sends no response after such a one.
+   *
+   * @param res the response
+   * @returns false if later requests have arrived on its connection; otherwise
+   *     further ones are too late
+   */
+  mayClose(res: ServerResponse): boolean {
+    const connection = this.#connections.get(res.req.socket);
+    if (!connection) return true;
+    if (connection.last === undefined && isLast(res, connection.open)) {
+      connection.last = res;
+    }
+    return connection.last === res;
   }
 
   /**
@@ -98,10 +120,11 @@
   }
 
   #add(socket: Socket): void {
-    const connection = {
+    const connection: Connection = {
       isUsed: false,
       open: new Set<ServerResponse>(),
       bytesAnswered: 0,
+      last: undefined,
       isClosing: false,
     };
     this.#connections.set(socket, connection);
@@ -120,7 +143,7 @@
 
   #noteRequest({socket}: IncomingMessage, res: ServerResponse): void {
     const connection = this.#connections.get(socket);
-    if (!connection || connection.isClosing) return;
+    if (!connection || connection.isClosing || connection.last) return;
     connection.isUsed = true;
     connection.open.add(res);
     this.#undelivered += 1;
@@ -152,6 +175,13 @@
   }
 }
 
+function isLast(
+  res: ServerResponse,
+  open: ReadonlySet<ServerResponse>,
+): boolean {
+  return [...open].at(-1) === res;
+}
+
 /**
  * Closes a connection after its last byte. The peer may send more before it
  * sees the close. What arrives is read and dropped, as unread bytes would reset
