--- a/scripts/test_safeguards.mjs
+++ b/scripts/test_safeguards.mjs
@@ -25,6 +25,7 @@
   'scripts/safeguards_quarantine.json',
   'scripts/safeguards_retries.json',
   'scripts/safeguards_scenarios.json',
+  'scripts/safeguards_stop.json',
   'scripts/safeguards_streams.json',
   'scripts/safeguards_warm_up.json',
 ];
