Let a process end whose stop has cut a connection

What callers saw: nothing; the supervisor killed a gateway at the end of the grace period, so that its exit code 5 was lost.

Cause: a connection that the end of the process destroys counts as one whose last response is over, and was closed in order: a timer of 1 s kept the process running after `ended`. The margin between the limit of a drain and the grace period is 0.5 s.

Change: a destroyed connection isn't closed in order.

Evidence (arm64): `npx vitest run packages/lovagepond-process/src/__tests__/unit/http_connections.test.ts` finds one timer without the change and none with it.

--- a/packages/lovagepond-process/src/http_connections.ts
+++ b/packages/lovagepond-process/src/http_connections.ts
@@ -188,7 +188,8 @@
  * the connection.
  */
 function closeInOrder(socket: Socket, connection: Connection): void {
-  if (connection.isClosing) return;
+  // A timer of a destroyed connection would only keep the process running.
+  if (connection.isClosing || socket.destroyed) return;
   connection.isClosing = true;
   socket.end();
   const limit = setTimeout(() => socket.destroy(), LINGER_MS);
