Answer requests that follow on responses begun before a drain

What callers saw: a request sent on a kept connection, at once after an answer that had begun before the stop, ended without an answer, and no server got it. Its caller can't tell that it has not run.

Cause: the connection was closed as soon as the answer was delivered. The answer had not announced the close, so that the next request was on its way.

Change: the close follows 100 ms after the delivery. A request in between is decided on, and its response announces the close.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_stop.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_stop.test.ts
@@ -214,6 +214,34 @@
     expect(harness.server.inFlight).toBe(0);
   });
 
+  // Guards against a request that meets the close of its connection, which no
+  // response has announced.
+  it('answers the request after a response that began before', async () => {
+    let end: () => void = () => undefined;
+    const script: Script = (req, res) => {
+      if (req.url === '/read/b') {
+        answer(req, res, 200, 'yes');
+        return;
+      }
+      beginStream(req, res);
+      res.write('id: 1\ndata: a\n\n');
+      end = () => res.end();
+    };
+    harness = await GatewayHarness.start([script]);
+    const caller = send(headOf('/talk/a', 'first'));
+    let received = '';
+    caller.on('data', (part: Buffer) => (received += part.toString()));
+    const closed = once(caller.resume(), 'close');
+    await until(() => received.includes('data: a'));
+    harness.server.beginDraining(clock.now() + 60_000);
+    end();
+    await until(() => received.endsWith('0\r\n\r\n'));
+    caller.write(headOf('/read/b', 'second'));
+    await closed;
+    expect(received.match(/HTTP\/1.1 200 /g)).toHaveLength(2);
+    expect(received).toMatch(/connection: close/i);
+  });
+
   // Guards against a stream that is cut although another server continues it.
   it('resumes a stream that has begun', async () => {
     let isFirst = true;
--- a/packages/lovagepond-process/src/http_connections.ts
+++ b/packages/lovagepond-process/src/http_connections.ts
@@ -16,6 +16,12 @@
 /** Longest time for which a closed connection is read, milliseconds. */
 const LINGER_MS = 1_000;
 
+/**
+ * Time in which the next request may follow a response that has not announced the
+ * close, milliseconds. On a closed connection it could not be answered.
+ */
+const NEXT_REQUEST_MS = 100;
+
 interface Connection {
   /** Whether a request has arrived. */
   isUsed: boolean;
@@ -84,7 +90,7 @@
 
   /**
    * Closes each connection that has no undelivered response and no partly
-   * received request: now, and whenever a response has been delivered.
+   * received request: now, and shortly after each delivery of a response.
    *
    * @param closesUnused whether to close connections on which no request has
    *     arrived, too
@@ -162,7 +168,12 @@
     if (!connection.open.delete(res)) return;
     connection.bytesAnswered = socket.bytesRead;
     this.#undelivered -= 1;
-    if (this.#closesIdle) this.#closeIfIdle(socket, connection);
+    if (this.#closesIdle && !socket.destroyed) {
+      const close = (): void => {
+        this.#closeIfIdle(socket, connection);
+      };
+      setTimeout(close, NEXT_REQUEST_MS).unref();
+    }
     if (this.#undelivered > 0) return;
     for (const listener of this.#deliveryListeners.splice(0)) listener();
   }
