--- a/packages/lovagepond-process/src/http_connections.ts
+++ b/packages/lovagepond-process/src/http_connections.ts
@@ -199,11 +199,10 @@
  * the connection.
  */
 function closeInOrder(socket: Socket, connection: Connection): void {
-  // A timer of a destroyed connection would only keep the process running.
   if (connection.isClosing || socket.destroyed) return;
   connection.isClosing = true;
   socket.end();
-  const limit = setTimeout(() => socket.destroy(), LINGER_MS);
+  const limit = setTimeout(() => socket.destroy(), LINGER_MS).unref();
   socket.once('close', () => {
     clearTimeout(limit);
   });
