Count no refused request as cut whose body still comes

What was seen (review): a request that a draining gateway refused while its caller kept sending stayed open until the body ended. With a body that never ends the drain ran to its limit, which is right, but ended with exit code 5 and a line that the request was cut, although its caller had the whole refusal.

Cause: an open connection was taken for an unfinished request.

Change: requests whose whole response the operating system has taken are not unfinished. The process still waits for the rest of their bodies until its limit, as an earlier close would become a reset.

Evidence: the new test fails without the change (1 unfinished), 76 tests of the stop, the role, process and caller pass (arm64).

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_stop.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_stop.test.ts
@@ -150,6 +150,23 @@
     expect(harness.arrivals).toEqual([]);
   });
 
+  // Guards against a refused request that counts as cut, as its body never ends.
+  it('counts no refused request as unfinished', async () => {
+    const {lines, log} = collectLog();
+    harness = await GatewayHarness.start([goodScript], {log});
+    const caller = send(headOf('/talk/late', 'late', TWO_PARTS) + 'ab');
+    await until(() => harness!.server.inFlight === 1);
+    expect(harness.server.unfinished).toBe(1);
+    harness.server.beginDraining(clock.now() + 900);
+    const [text] = (await once(caller.resume(), 'data')) as [Buffer];
+    expect(text.toString()).toMatch(/^HTTP\/1.1 503 /);
+    expect(harness.server.unfinished).toBe(0);
+    harness.server.stop();
+    expect(lines.map(({message}) => message)).not.toContain(
+      'request cut by the end of the process',
+    );
+  });
+
   // Guards against a second attempt that the exit cuts.
   it('sends no request to another server that can not end in time', async () => {
     let refuseFirst: () => void = () => undefined;
--- a/packages/lovagepond-gateway/src/gateway_open_requests.ts
+++ b/packages/lovagepond-gateway/src/gateway_open_requests.ts
@@ -58,6 +58,11 @@
   };
 }
 
+/** Whether the operating system has taken the whole response. */
+function hasResponse({caller, res}: OpenRequest): boolean {
+  return caller.isOver && res.writableLength === 0;
+}
+
 export class OpenRequests {
   readonly #deps: {readonly clock: Clock; readonly log: Logger};
   readonly #open = new Set<OpenRequest>();
@@ -72,6 +77,14 @@
     return this.#open.size;
   }
 
+  /**
+   * Requests whose response is not delivered. Those that were refused while their
+   * body is still being sent are open, but have theirs.
+   */
+  get unfinished(): number {
+    return [...this.#open].filter(open => !hasResponse(open)).length;
+  }
+
   /** @param open removed once its response is delivered or its caller is gone */
   add(open: OpenRequest): void {
     this.#open.add(open);
@@ -101,7 +114,8 @@
   logCut(): void {
     const {log, clock} = this.#deps;
     const now = clock.now();
-    for (const open of [...this.#open].slice(0, MAX_LOGGED)) {
+    const cut = [...this.#open].filter(open => !hasResponse(open));
+    for (const open of cut.slice(0, MAX_LOGGED)) {
       log.warn('request cut by the end of the process', describe(open, now));
     }
   }
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -284,7 +284,7 @@
     await sleep(lingerMs);
     const limit = sleep(limitMs - lingerMs, undefined, {ref: false});
     await Promise.race([this.#server?.finish(), limit]);
-    return {unfinished: this.#server?.inFlight ?? 0};
+    return {unfinished: this.#server?.unfinished ?? 0};
   }
 
   stop(): Promise<void> {
--- a/packages/lovagepond-gateway/src/gateway_server.ts
+++ b/packages/lovagepond-gateway/src/gateway_server.ts
@@ -107,6 +107,11 @@
     return this.#openRequests.size;
   }
 
+  /** Requests that the end of the process would cut. */
+  get unfinished(): number {
+    return this.#openRequests.unfinished;
+  }
+
   /** What limits the intake of connections. */
   get intake(): GatewayIntakeState {
     return this.#intake.describe();
