--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -55,7 +55,7 @@
     },
   },
   {
-    files: ['**/__tests__/**', 'vitest.config.ts', '**/scenarios/**'],
+    files: ['**/__tests__/**', 'vitest*.config.ts', '**/scenarios/**'],
     rules: {
       'max-lines-per-function': 'off',
       'no-restricted-syntax': 'off',
--- a/scripts/fleet_processes.d.mts
+++ b/scripts/fleet_processes.d.mts
@@ -1,6 +1,9 @@
+import {type ChildProcess} from 'node:child_process';
+
 /** One process of a fleet. */
 export interface FleetProcess {
   readonly name: string;
+  readonly child: ChildProcess;
   /** Everything written to stdout and stderr so far. */
   readonly output: string;
   /** The parsed settings file; undefined for a fake backend server. */
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -5,7 +5,7 @@
   test: {
     include: [
       'packages/*/src/__tests__/**/*.test.ts',
-      'platform/src/__tests__/**/*.test.ts',
+      'platform/src/__tests__/{unit,e2e}/**/*.test.ts',
     ],
     pool: 'forks',
     poolOptions: {forks: {maxForks: 4}},
