Receive bodies in memory that is proportional to their length, and bounded

What clients saw: a crowd that sends chunked bodies and stops short of their end, or sends them in one-byte chunks, ended the process that received them (gateway, router, control plane, administration), and with it every answer of other clients.

Cause: each reader kept one buffer for each chunk, and a chunk takes some 500 bytes whatever its length. Gateways counted bodies once they were whole, the control plane and the administration not at all, and refused bodies kept their chunks until the connection closed.

Change: one piece receives the bodies of all listeners (`receiveBody`). It copies chunks into a few blocks and reserves a block in the listener's `BodyBudget` before it is made. When the budget is full, the largest incomplete body gives way, of equal ones that which began first; it is answered 503 (not run). So a client that holds much and doesn't finish can't shut out small bodies, and a body grows beyond no other one. Whole bodies stay.

Why it works: memory is taken from the budget before it is used and in the unit in which it is used, and what is incomplete can always be dropped.

--- a/packages/lovagepond-caller/src/caller_constants.ts
+++ b/packages/lovagepond-caller/src/caller_constants.ts
@@ -38,7 +38,7 @@
   maxConnections: 20_000,
   maxHeaderBytes: 16 * 1024,
   maxBodyBytes: 1024 * 1024,
-  maxHeldBodyBytes: 256 * 1024 * 1024,
+  maxHeldBodyBytes: 64 * 1024 * 1024,
   maxWholeAnswerBytes: 4 * 1024 * 1024,
   maxBufferedBytes: 256 * 1024,
   senderTimeoutMs: 10_000,
--- a/packages/lovagepond-caller/src/caller_exchange.ts
+++ b/packages/lovagepond-caller/src/caller_exchange.ts
@@ -10,9 +10,9 @@
   type Result,
   type Unregister,
 } from '@lovagepond/core';
+import {type BodyBudget} from '@lovagepond/process/http_body_budget';
 import {HttpResponseSink} from './caller_response.js';
 import {readBody} from './caller_body.js';
-import {type BodyBudget, type BodyLease} from './caller_body_budget.js';
 import {CALLER_HEADER} from './caller_constants.js';
 import {type KeysInFlight} from './caller_keys.js';
 import {
@@ -82,7 +82,7 @@
 
 async function readRequest(
   req: IncomingMessage,
-  lease: BodyLease,
+  res: ServerResponse,
   requestId: string,
   path: string,
   endpoint: Endpoint,
@@ -98,12 +98,15 @@
   const body = await readBody(req, {
     maxBytes: settings.maxBodyBytes,
     timeoutMs: settings.senderTimeoutMs,
-    lease,
+    budget: context.bodies,
     overload: () => makeOverloadFailure(context.random),
     leaving: context.leaving,
   });
   if (!body.ok) return body;
-  const call = {requestId, path, endpoint, body: body.value};
+  const {bytes, release} = body.value;
+  if (res.destroyed) release();
+  else res.on('close', release);
+  const call = {requestId, path, endpoint, body: bytes};
   return makeCallerRequest(head.value, call);
 }
 
@@ -136,13 +139,9 @@
   const requestId = context.nextRequestId();
   echoIds(req, res, requestId);
   const {path, endpoint} = route;
-  const lease = context.bodies.lease();
-  res.on('close', () => {
-    lease.release();
-  });
   const received = await readRequest(
     req,
-    lease,
+    res,
     requestId,
     path,
     endpoint,
--- a/packages/lovagepond-caller/src/caller_server.ts
+++ b/packages/lovagepond-caller/src/caller_server.ts
@@ -14,9 +14,9 @@
   makeFailure,
   Random,
 } from '@lovagepond/core';
+import {BodyBudget} from '@lovagepond/process/http_body_budget';
 import {HttpConnections} from '@lovagepond/process/http_connections';
 import {type HttpResponseSink} from './caller_response.js';
-import {BodyBudget} from './caller_body_budget.js';
 import {CallerConnections} from './caller_connections.js';
 import {CALLER_PATH} from './caller_constants.js';
 import {type ExchangeContext, runExchange} from './caller_exchange.js';
--- a/packages/lovagepond-cli/src/settings_control.ts
+++ b/packages/lovagepond-cli/src/settings_control.ts
@@ -60,6 +60,8 @@
   /** Name of the environment variable with the operators' token. */
   tokenVariable: nameText().prefault('LOVAGEPOND_TOKEN'),
   maxBody: size().optional(),
+  /** Memory of all request bodies. */
+  maxHeld: size().optional(),
   requestTimeout: duration().optional(),
 });
 
@@ -150,14 +152,15 @@
   {administration}: ControlValues,
   environment: Readonly<Record<string, string | undefined>>,
 ): Partial<OperatorSettings> {
-  const {listen, tokenVariable, maxBody, requestTimeout} = administration;
+  const {listen, tokenVariable, maxBody, maxHeld} = administration;
   return {
     host: listen.host,
     port: listen.port,
     ...keepDefined({
       token: environment[tokenVariable],
       maxBodyBytes: maxBody,
-      requestTimeoutMs: requestTimeout,
+      maxHeldBytes: maxHeld,
+      requestTimeoutMs: administration.requestTimeout,
     }),
   };
 }
--- a/packages/lovagepond-cli/src/settings_router.ts
+++ b/packages/lovagepond-cli/src/settings_router.ts
@@ -25,6 +25,8 @@
   maxConnections: integer(1, MAX_CONNECTIONS).optional(),
   maxHeaders: size().optional(),
   maxBody: size().optional(),
+  /** Memory of all request bodies. */
+  maxHeld: size().optional(),
   maxWholeAnswer: size().optional(),
   maxBuffered: size().optional(),
   senderTimeout: duration().optional(),
@@ -92,6 +94,7 @@
     maxConnections: callers.maxConnections,
     maxHeaderBytes: callers.maxHeaders,
     maxBodyBytes: callers.maxBody,
+    maxHeldBodyBytes: callers.maxHeld,
     maxWholeAnswerBytes: callers.maxWholeAnswer,
     maxBufferedBytes: callers.maxBuffered,
     senderTimeoutMs: callers.senderTimeout,
--- a/packages/lovagepond-gateway/src/gateway_request_body.ts
+++ b/packages/lovagepond-gateway/src/gateway_request_body.ts
@@ -4,68 +4,72 @@
  */
 import {type IncomingMessage} from 'node:http';
 import {type ErrorKind} from '@lovagepond/core';
+import {
+  BODY_FAILURE,
+  type BodyFailure,
+  type BodyLimits,
+  receiveBody,
+} from '@lovagepond/process/http_body';
 
 /** Receives the result of reading a body; exactly one method is called. */
 export interface BodyListener {
-  onWhole(body: Buffer): void;
+  /** @param release must be called when the body is needed no more */
+  onWhole(body: Buffer, release: () => void): void;
   onRefused(error: ErrorKind): void;
   /** The caller disconnected, so that no response is needed. */
   onDisconnected(): void;
 }
 
+const FAILURES: Readonly<
+  Record<BodyFailure, (listener: BodyListener) => void>
+> = {
+  [BODY_FAILURE.TOO_LARGE]: listener => {
+    listener.onRefused('payloadTooLarge');
+  },
+  [BODY_FAILURE.NO_ROOM]: listener => {
+    listener.onRefused('overloaded');
+  },
+  [BODY_FAILURE.DISCONNECTED]: listener => {
+    listener.onDisconnected();
+  },
+};
+
 /**
  * @param req the request
- * @param maxBytes largest accepted body, bytes
+ * @param limits limits of the body
  * @param limitMs time limit for the whole body, milliseconds
  * @param listener receives the result
  * @returns rejects the request unless the result is known
  */
 export function readBody(
   req: IncomingMessage,
-  maxBytes: number,
+  limits: BodyLimits,
   limitMs: number,
   listener: BodyListener,
 ): (error: ErrorKind) => void {
-  const chunks: Buffer[] = [];
-  let size = 0;
   let isOver = false;
-  const end = (notify: () => void): void => {
-    if (isOver) return;
+  const end = (): void => {
     isOver = true;
     clearTimeout(timer);
-    notify();
   };
   const refuse = (error: ErrorKind): void => {
-    end(() => {
-      listener.onRefused(error);
-    });
+    if (isOver) return;
+    end();
+    stop();
+    listener.onRefused(error);
   };
   const timer = setTimeout(() => {
     refuse('senderTooSlow');
   }, limitMs);
-  if (Number(req.headers['content-length'] ?? 0) > maxBytes) {
-    refuse('payloadTooLarge');
-    return refuse;
-  }
-  req.on('data', (chunk: Buffer) => {
-    size += chunk.length;
-    if (size > maxBytes) refuse('payloadTooLarge');
-    else if (!isOver) chunks.push(chunk);
-  });
-  req.on('end', () => {
-    end(() => {
-      listener.onWhole(Buffer.concat(chunks));
-    });
-  });
-  req.on('close', () => {
-    end(() => {
-      listener.onDisconnected();
-    });
-  });
-  req.on('error', () => {
-    end(() => {
-      listener.onDisconnected();
-    });
+  const stop = receiveBody(req, limits, {
+    onWhole: (body, release) => {
+      end();
+      listener.onWhole(body, release);
+    },
+    onFailed: failure => {
+      end();
+      FAILURES[failure](listener);
+    },
   });
   return refuse;
 }
--- a/packages/lovagepond-gateway/src/gateway_request_path.ts
+++ b/packages/lovagepond-gateway/src/gateway_request_path.ts
@@ -9,6 +9,7 @@
   type ErrorKind,
   toRequestSubjects,
 } from '@lovagepond/core';
+import {BodyBudget} from '@lovagepond/process/http_body_budget';
 import {fingerprintOf} from '@lovagepond/router/quarantine';
 import {type GatewayAdmission} from './gateway_admission.js';
 import {type ClockReading, readClock} from './gateway_authority.js';
@@ -51,7 +52,7 @@
   readonly admission: GatewayAdmission;
   readonly drainAdmission: GatewayDrainAdmission;
   readonly streams: GatewayStreams;
-  /** Limit on all buffered request bodies, bytes; further ones are rejected. */
+  /** Limit on the memory of all request bodies, bytes. */
   readonly maxHeldBytes: number;
 }
 
@@ -88,12 +89,13 @@
   readonly #exchanges = new Set<Exchange>();
   /** Admitted requests whose body is not complete. */
   readonly #receiving = new Set<ReceivedRequest>();
+  readonly #bodies: BodyBudget;
   #limits = DEFAULT_LIMITS;
-  #bufferedBytes = 0;
 
   /** @param deps dependencies shared by all requests */
   constructor(deps: RequestPathDependencies) {
     this.#deps = deps;
+    this.#bodies = new BodyBudget(deps.maxHeldBytes);
     this.#exchangeDeps = {
       ...deps,
       conditions: new SendConditions(deps),
@@ -174,12 +176,19 @@
     };
     this.#receiving.add(received);
     const listener: BodyListener = {
-      onWhole: body => {
+      onWhole: (body, release) => {
         this.#receiving.delete(received);
-        const still = this.#isCurrent(revision)
-          ? admitted
-          : this.#decide(incoming, arrivedAt, readClock(this.#deps.clock));
-        if (still) this.#run(incoming, still, body);
+        const run = (): void => {
+          const still = this.#isCurrent(revision)
+            ? admitted
+            : this.#decide(incoming, arrivedAt, readClock(this.#deps.clock));
+          if (still) this.#run(incoming, still, body, release);
+          else release();
+        };
+        guardHandler(run, err => {
+          release();
+          onThrown(err);
+        })();
       },
       onRefused: error => {
         this.#receiving.delete(received);
@@ -191,8 +200,9 @@
     };
     const guarded = guardHandlers(listener, onThrown);
     const limitMs = admitted.deadlineAt - at.now;
-    const {maxBodyBytes} = this.#limits;
-    received.refuse = readBody(req, maxBodyBytes, limitMs, guarded);
+    const {maxBodyBytes: maxBytes} = this.#limits;
+    const limits = {maxBytes, budget: this.#bodies};
+    received.refuse = readBody(req, limits, limitMs, guarded);
   }
 
   /** Refuses the request unless the configuration and the time left allow it. */
@@ -222,15 +232,12 @@
     return !admission.isStarting(readClock(clock));
   }
 
-  #run(incoming: IncomingRequest, admitted: Admitted, body: Buffer): void {
-    if (this.#bufferedBytes + body.length > this.#deps.maxHeldBytes) {
-      this.#refuse(incoming, 'overloaded');
-      return;
-    }
-    this.#bufferedBytes += body.length;
-    const release = (): void => {
-      this.#bufferedBytes -= body.length;
-    };
+  #run(
+    incoming: IncomingRequest,
+    admitted: Admitted,
+    body: Buffer,
+    release: () => void,
+  ): void {
     const {req, facts, onThrown} = incoming;
     const {method = 'GET', url: path = '/', rawHeaders} = req;
     const workspace = admitted.workspace ?? '';
--- a/packages/lovagepond-gateway/src/gateway_settings.ts
+++ b/packages/lovagepond-gateway/src/gateway_settings.ts
@@ -32,7 +32,7 @@
   readonly serverCapacity: boolean;
   /** Open connections of callers at which further ones are closed unread. */
   readonly maxConnections: number;
-  /** Limit on all buffered request bodies, bytes; further ones are rejected. */
+  /** Limit on the memory of all request bodies, bytes. */
   readonly maxHeldBytes: number;
   /** Time for which a server that drains still accepts requests. */
   readonly drainTimeoutMs: number;
--- a/packages/lovagepond-operator/src/operator_http.ts
+++ b/packages/lovagepond-operator/src/operator_http.ts
@@ -6,7 +6,8 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {answerFor, type ErrorKind, makeFailure} from '@lovagepond/core';
 import {sendWhole} from '@lovagepond/process/http_delivery';
-import {readText} from '@lovagepond/process/request_text';
+import {type BodyLimits} from '@lovagepond/process/http_body';
+import {readText, type TextFailure} from '@lovagepond/process/request_text';
 
 /** HTTP reply of a handler. */
 export interface AdministrationReply {
@@ -99,32 +100,37 @@
   | {readonly ok: true; readonly value: unknown}
   | {readonly ok: false; readonly reply: AdministrationReply};
 
+const BODY_REFUSALS: Readonly<
+  Record<TextFailure, (maxBytes: number) => AdministrationReply>
+> = {
+  tooLarge: maxBytes =>
+    replyWithError('payloadTooLarge', {
+      message: `The body is larger than ${maxBytes} bytes.`,
+    }),
+  noRoom: () => replyWithError('overloaded'),
+};
+
 /**
  * Reads a JSON body up to a limit.
  *
- * A larger body is refused without reading the rest of it. The connection
- * closes after the reply, so that the rest can't be parsed as another request.
+ * After a refusal the connection closes, so that the rest of the body can't be
+ * parsed as another request.
  *
  * @param req the request
- * @param maxBytes largest body accepted, bytes
+ * @param limits limits of the body
  * @returns the parsed value (undefined for an empty body), or the error reply
  */
 export async function readJsonBody(
   req: IncomingMessage,
-  maxBytes: number,
+  limits: BodyLimits,
 ): Promise<BodyResult> {
-  const tooLarge = replyWithError('payloadTooLarge', {
-    message: `The body is larger than ${maxBytes} bytes.`,
-  });
-  const refusal: AdministrationReply = {
-    ...tooLarge,
-    headers: {connection: 'close'},
-  };
-  if (Number(req.headers['content-length'] ?? 0) > maxBytes) {
-    return {ok: false, reply: refusal};
+  const read = await readText(req, limits);
+  if (!read.ok) {
+    const refusal = BODY_REFUSALS[read.failure](limits.maxBytes);
+    const headers = {...refusal.headers, connection: 'close'};
+    return {ok: false, reply: {...refusal, headers}};
   }
-  const text = await readText(req, maxBytes);
-  if (text === undefined) return {ok: false, reply: refusal};
+  const {text} = read;
   if (text === '') return {ok: true, value: undefined};
   try {
     const value: unknown = JSON.parse(text);
--- a/packages/lovagepond-operator/src/operator_server.ts
+++ b/packages/lovagepond-operator/src/operator_server.ts
@@ -6,6 +6,7 @@
 import {App, type Request, type Response} from '@tinyhttp/app';
 import {type ControlAdministration} from '@lovagepond/control';
 import {type DrainResult, invariant, type Logger} from '@lovagepond/core';
+import {BodyBudget} from '@lovagepond/process/http_body_budget';
 import {ResponseDelivery} from '@lovagepond/process/http_delivery';
 import {
   type AdministrationCall,
@@ -53,6 +54,7 @@
   readonly #log: Logger;
   readonly #server: Server;
   readonly #delivery: ResponseDelivery;
+  readonly #bodies: BodyBudget;
   readonly #calls = new Set<OpenCall>();
   #draining = false;
 
@@ -83,6 +85,7 @@
         await this.#serve(route, req, res);
       });
     }
+    this.#bodies = new BodyBudget(settings.maxHeldBytes);
     this.#server = createServer(
       {requestTimeout: settings.requestTimeoutMs},
       app.attach as never,
@@ -176,7 +179,8 @@
         headers: {'www-authenticate': 'Bearer', connection: 'close'},
       };
     }
-    const body = await readJsonBody(req, maxBodyBytes);
+    const limits = {maxBytes: maxBodyBytes, budget: this.#bodies};
+    const body = await readJsonBody(req, limits);
     if (!body.ok) return body.reply;
     // A body that was not complete when the drain began was refused.
     if (this.#draining) return replyStops();
--- a/packages/lovagepond-operator/src/operator_settings.ts
+++ b/packages/lovagepond-operator/src/operator_settings.ts
@@ -12,6 +12,8 @@
   readonly token: string;
   /** Largest body accepted, bytes. */
   readonly maxBodyBytes: number;
+  /** Limit on the memory of all bodies, bytes. */
+  readonly maxHeldBytes: number;
   /** Time limit to receive a complete request, milliseconds. */
   readonly requestTimeoutMs: number;
 }
@@ -22,6 +24,7 @@
   port: 7403,
   token: '',
   maxBodyBytes: 1_048_576,
+  maxHeldBytes: 16 * 1_048_576,
   requestTimeoutMs: 10_000,
 });
 
--- a/packages/lovagepond-process/src/index.ts
+++ b/packages/lovagepond-process/src/index.ts
@@ -3,6 +3,7 @@
   EXIT_CODE_MEANINGS,
   type ExitCode,
 } from './exit_codes_constants.js';
+export {BodyBudget} from './http_body_budget.js';
 export {
   ResponseDelivery,
   sendWhole,
@@ -32,7 +33,7 @@
 export {PlatformServer, type PlatformView} from './process_server.js';
 export {registerSignals} from './process_signals.js';
 export {exitOnStalledOutput} from './process_end.js';
-export {readText} from './request_text.js';
+export {readText, type TextFailure, type TextResult} from './request_text.js';
 export {registerProcessMetrics} from './process_metrics.js';
 export {
   type ProcessDependencies,
--- a/packages/lovagepond-process/src/request_text.ts
+++ b/packages/lovagepond-process/src/request_text.ts
@@ -2,40 +2,42 @@
  * Reads the body of a request as text.
  */
 import {type IncomingMessage} from 'node:http';
+import {BODY_FAILURE, type BodyLimits, receiveBody} from './http_body.js';
+
+/** Why a text was not read. */
+export type TextFailure =
+  typeof BODY_FAILURE.TOO_LARGE | typeof BODY_FAILURE.NO_ROOM;
+
+export type TextResult =
+  | {readonly ok: true; readonly text: string}
+  | {readonly ok: false; readonly failure: TextFailure};
 
 /**
- * The rest of a body that is too large stays unread, and the connection open,
- * so that the request can be answered.
+ * After a failure the rest of the body is dropped as it arrives.
  *
  * @param req the request
- * @param maxBytes maximum size of the body
- * @returns the body as text, or undefined when it is larger
+ * @param limits limits of the body
+ * @param signal drops the body when it is aborted
+ * @returns the body as text, or why it was not read
  * @throws when the connection closes before the end of the body
  */
 export function readText(
   req: IncomingMessage,
-  maxBytes: number,
-): Promise<string | undefined> {
+  limits: BodyLimits,
+  signal?: AbortSignal,
+): Promise<TextResult> {
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    const onData = (chunk: Buffer): void => {
-      size += chunk.length;
-      if (size <= maxBytes) {
-        chunks.push(chunk);
-        return;
-      }
-      req.off('data', onData);
-      req.pause();
-      resolve(undefined);
-    };
-    req.on('data', onData);
-    req.once('end', () => {
-      resolve(Buffer.concat(chunks).toString('utf8'));
-    });
-    req.once('error', reject);
-    req.once('close', () => {
-      reject(new Error('the connection closed before the end of the body'));
+    const stop = receiveBody(req, limits, {
+      onWhole: (body, release) => {
+        resolve({ok: true, text: body.toString('utf8')});
+        release();
+      },
+      onFailed: failure => {
+        if (failure === BODY_FAILURE.DISCONNECTED) {
+          reject(new Error('the connection closed before the end of the body'));
+        } else resolve({ok: false, failure});
+      },
     });
+    signal?.addEventListener('abort', stop, {once: true});
   });
 }
