Bound the requests that a client sends ahead

What clients saw: 100 connections that send small requests ahead and read no answer ended the process: gateways, routers, members of control by their control plane or administration, and any process by its readiness and metrics address. Requests ahead with a key were passed on at once, each on a server connection of its own, up to the limit of 4,100 descriptors.

Cause: Node parses all that one read of 64 KiB brings, some 3,600 of the smallest requests, and makes objects of each before a connection can be paused or closed. What waits behind an unread answer was in no limit. Requests without `Host` are answered by Node itself and meet no listener.

Change: `HttpConnections`, which all HTTP listeners use, gives the parser small pieces and closes a connection with more than `maxPipelined` requests that are not answered (16 at gateways, 4 elsewhere), or beyond 1,000 of them in all. The missing `Host` is refused behind the same limits. Requests behind an announced close are not parsed any further. A connection that takes no byte of a response for some time (15 s; at gateways the configuration's idle timeout, at routers `readerTimeout`) is closed. Readiness and metrics (100), administration (200) and control plane (2,000) have a limit on connections. `ResponseDelivery` asks `HttpConnections` for the open responses instead of keeping a set of its own, which kept those behind an unfinished one for good. An unparsable request behind an open one cuts the connection at gateways too, as it did at routers: its answer would be a part of the open response.

Evidence: unit tests; a gateway answers ten requests ahead in order, each once, and the largest body in chunks of one byte; the crowds that send ahead.

Why it works: what one connection can have parsed and unanswered is bounded before it is made, and connections are bounded.

--- a/packages/lovagepond-caller/src/caller_connections.ts
+++ b/packages/lovagepond-caller/src/caller_connections.ts
@@ -3,8 +3,10 @@
  * connections above the limit, and pipelined requests.
  */
 import {type Server} from 'node:http';
+import {type Socket} from 'node:net';
 import {type Duplex} from 'node:stream';
 import {type ErrorKind, makeFailure} from '@lovagepond/core';
+import {type HttpConnections} from '@lovagepond/process/http_connections';
 import {encodeRawResponse} from './caller_errors.js';
 import {type CallerRefusals} from './caller_refusals.js';
 
@@ -27,10 +29,22 @@
     this.#refusals = refusals;
   }
 
-  /** @param server the server whose connections are tracked */
-  attach(server: Server): void {
+  /**
+   * @param server the server whose connections are tracked
+   * @param connections its connections, to answer on them
+   */
+  attach(server: Server, connections: HttpConnections): void {
     server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
-      this.#rejectUnparsable(err.code ?? '', socket);
+      const code = err.code ?? '';
+      if (code === 'ECONNRESET' || !socket.writable) {
+        socket.destroy();
+        return;
+      }
+      this.#malformed += 1;
+      const kind = PARSER_ERRORS[code] ?? 'badRequest';
+      const answer = encodeRawResponse(makeFailure(kind));
+      const isAnswered = connections.answerUnparsable(socket as Socket, answer);
+      if (isAnswered) this.#refusals.note(kind);
     });
     server.on('drop', () => {
       this.#refused += 1;
@@ -61,22 +75,4 @@
   get refused(): number {
     return this.#refused;
   }
-
-  #rejectUnparsable(code: string, socket: Duplex): void {
-    if (code === 'ECONNRESET' || !socket.writable) {
-      socket.destroy();
-      return;
-    }
-    this.#malformed += 1;
-    // An error written while a response is being sent on this connection would
-    // appear as a part of it. Closing the connection affects only the caller
-    // that sent the malformed bytes.
-    if (this.#busy.has(socket)) {
-      socket.destroy();
-      return;
-    }
-    const kind = PARSER_ERRORS[code] ?? 'badRequest';
-    this.#refusals.note(kind);
-    socket.end(encodeRawResponse(makeFailure(kind)));
-  }
 }
--- a/packages/lovagepond-caller/src/caller_server.ts
+++ b/packages/lovagepond-caller/src/caller_server.ts
@@ -16,6 +16,10 @@
 } from '@lovagepond/core';
 import {BodyBudget} from '@lovagepond/process/http_body_budget';
 import {HttpConnections} from '@lovagepond/process/http_connections';
+import {
+  DEFAULT_HTTP_LIMITS,
+  HTTP_SERVER_OPTIONS,
+} from '@lovagepond/process/http_limits';
 import {type HttpResponseSink} from './caller_response.js';
 import {CallerConnections} from './caller_connections.js';
 import {CALLER_PATH} from './caller_constants.js';
@@ -89,8 +93,9 @@
       nextRequestId: deps.nextRequestId ?? randomUUID,
       leaving: this.#leaving.signal,
     };
-    this.#server = this.#makeServer(this.#makeRoutes());
-    this.#httpConnections = new HttpConnections(this.#server);
+    this.#server = this.#makeServer();
+    this.#httpConnections = this.#boundConnections(this.#server);
+    this.#connections.attach(this.#server, this.#httpConnections);
   }
 
   /** Binds the address; resolves once callers can connect. */
@@ -176,9 +181,10 @@
     await closed;
   }
 
-  #makeServer(app: App): Server {
+  #makeServer(): Server {
     const settings = this.#settings;
     const server = createServer({
+      ...HTTP_SERVER_OPTIONS,
       maxHeaderSize: settings.maxHeaderBytes,
       headersTimeout: settings.senderTimeoutMs,
       // Covers head and body; `readBody` applies a stricter limit to the body.
@@ -188,12 +194,24 @@
       highWaterMark: SOCKET_BUFFER_BYTES,
       noDelay: true,
     });
-    server.maxConnections = settings.maxConnections;
-    server.on('request', (req, res) => {
-      if (this.#httpConnections.isTooLate(req, res)) {
-        req.resume();
-        return;
-      }
+    server.on('connection', socket => {
+      this.#openConnections += 1;
+      socket.on('close', () => {
+        this.#openConnections -= 1;
+      });
+    });
+    return server;
+  }
+
+  #boundConnections(server: Server): HttpConnections {
+    const {maxConnections, readerTimeoutMs} = this.#settings;
+    const connections = new HttpConnections(server, {
+      ...DEFAULT_HTTP_LIMITS,
+      maxConnections,
+      unreadTimeoutMs: readerTimeoutMs,
+    });
+    const app = this.#makeRoutes();
+    connections.onRequest((req, res) => {
       // Routing may throw on a malformed path. Uncaught, the exception would
       // end the process and with it all other responses.
       try {
@@ -202,14 +220,7 @@
         this.#refusals.refuse(req, res, makeFailure('badRequest'));
       }
     });
-    server.on('connection', socket => {
-      this.#openConnections += 1;
-      socket.on('close', () => {
-        this.#openConnections -= 1;
-      });
-    });
-    this.#connections.attach(server);
-    return server;
+    return connections;
   }
 
   #makeRoutes(): App {
--- a/packages/lovagepond-cli/src/settings_control.ts
+++ b/packages/lovagepond-cli/src/settings_control.ts
@@ -22,6 +22,7 @@
 import {formatAddresses, keepDefined, withPort} from './settings_utils.js';
 
 const MAX_PORT = 65_535;
+const MAX_CONNECTIONS = 1_000_000;
 const MAX_COUNT = 100_000_000;
 /** Nine members tolerate four losses; more members only slow consensus down. */
 const MAX_TOLERATED_LOSSES = 4;
@@ -62,6 +63,7 @@
   maxBody: size().optional(),
   /** Memory of all request bodies. */
   maxHeld: size().optional(),
+  maxConnections: integer(1, MAX_CONNECTIONS).optional(),
   requestTimeout: duration().optional(),
 });
 
@@ -160,6 +162,7 @@
       token: environment[tokenVariable],
       maxBodyBytes: maxBody,
       maxHeldBytes: maxHeld,
+      maxConnections: administration.maxConnections,
       requestTimeoutMs: administration.requestTimeout,
     }),
   };
--- a/packages/lovagepond-gateway/src/gateway_malformed_requests.ts
+++ b/packages/lovagepond-gateway/src/gateway_malformed_requests.ts
@@ -3,7 +3,6 @@
  * rejects, which no handler sees.
  */
 import {type IncomingMessage, STATUS_CODES} from 'node:http';
-import {type Socket} from 'node:net';
 import {answerFor, type ErrorKind, type Logger} from '@lovagepond/core';
 
 /** Maps error codes of Node's HTTP parser to error kinds. */
@@ -14,23 +13,20 @@
 
 /**
  * @param err the parser's error
- * @param socket the connection to the caller, which is closed
  * @param log logs the reason
+ * @returns the answer, after which the connection is closed; undefined if the
+ *     connection is lost
  */
-export function rejectUnparsable(
+export function answerUnparsable(
   err: Error & {code?: string},
-  socket: Socket,
   log: Logger,
-): void {
+): string | undefined {
   const kind = PARSER_ERRORS[err.code ?? ''] ?? 'badRequest';
   log.info('request could not be parsed', {reason: err.code ?? err.message});
-  if (!socket.writable || err.code === 'ECONNRESET') {
-    socket.destroy();
-    return;
-  }
+  if (err.code === 'ECONNRESET') return undefined;
   const {status} = answerFor(kind);
   const line = `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}`;
-  socket.end(`${line}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
+  return `${line}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`;
 }
 
 /**
--- a/packages/lovagepond-gateway/src/gateway_server.ts
+++ b/packages/lovagepond-gateway/src/gateway_server.ts
@@ -15,6 +15,7 @@
   type Random,
 } from '@lovagepond/core';
 import {HttpConnections} from '@lovagepond/process/http_connections';
+import {HTTP_SERVER_OPTIONS} from '@lovagepond/process/http_limits';
 import {type GatewayAdmission} from './gateway_admission.js';
 import {type ClockReading, readClock} from './gateway_authority.js';
 import {CallerChannel} from './gateway_caller_channel.js';
@@ -23,7 +24,7 @@
 import {type ExchangeDependencies} from './gateway_exchange_types.js';
 import {readFacts} from './gateway_headers.js';
 import {GatewayIntake, type GatewayIntakeState} from './gateway_intake.js';
-import {rejectUnparsable} from './gateway_malformed_requests.js';
+import {answerUnparsable} from './gateway_malformed_requests.js';
 import {type OpenRequest, OpenRequests} from './gateway_open_requests.js';
 import {guardHandler} from './gateway_request_guard.js';
 import {DEFAULT_LIMITS, RequestPath} from './gateway_request_path.js';
@@ -33,6 +34,9 @@
 /** Node's limit on request heads; above any limit of a configuration, bytes. */
 const PARSER_HEAD_BYTES = 256 * 1024;
 
+/** Requests of a connection that are not answered yet. */
+const MAX_PIPELINED = 16;
+
 /** Interval between checks for slow senders, milliseconds. */
 const SLOW_SENDER_CHECK_MS = 250;
 
@@ -82,6 +86,7 @@
     this.#log = deps.log;
     this.#openRequests = new OpenRequests(deps);
     this.#server = createServer({
+      ...HTTP_SERVER_OPTIONS,
       maxHeaderSize: PARSER_HEAD_BYTES,
       connectionsCheckingInterval: SLOW_SENDER_CHECK_MS,
       noDelay: true,
@@ -91,13 +96,17 @@
     const drainAdmission = this.#drainAdmission;
     this.#path = new RequestPath({...deps, maxHeldBytes, drainAdmission});
     this.#intake = new GatewayIntake(this.#server, {...deps, maxConnections});
-    this.#connections = new HttpConnections(this.#server);
+    this.#connections = new HttpConnections(this.#server, {
+      maxPipelined: MAX_PIPELINED,
+      unreadTimeoutMs: DEFAULT_LIMITS.idleTimeoutMs,
+    });
     this.#server.on('request', (req, res) => {
       if (this.#connections.isTooLate(req, res)) req.resume();
       else this.#open(req, res);
     });
     this.#server.on('clientError', (err: Error & {code?: string}, socket) => {
-      rejectUnparsable(err, socket as Socket, this.#log);
+      const answer = answerUnparsable(err, this.#log);
+      this.#connections.answerUnparsable(socket as Socket, answer);
     });
     this.useLimits(undefined);
   }
@@ -129,6 +138,7 @@
     this.#path.useLimits(used);
     this.#server.headersTimeout = headerTimeoutMs;
     this.#server.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS;
+    this.#connections.useUnreadTimeout(idleTimeoutMs);
   }
 
   /** Binds the address. */
--- a/packages/lovagepond-operator/src/operator_server.ts
+++ b/packages/lovagepond-operator/src/operator_server.ts
@@ -8,6 +8,10 @@
 import {type DrainResult, invariant, type Logger} from '@lovagepond/core';
 import {BodyBudget} from '@lovagepond/process/http_body_budget';
 import {ResponseDelivery} from '@lovagepond/process/http_delivery';
+import {
+  DEFAULT_HTTP_LIMITS,
+  HTTP_SERVER_OPTIONS,
+} from '@lovagepond/process/http_limits';
 import {
   type AdministrationCall,
   parseRevision,
@@ -85,12 +89,17 @@
         await this.#serve(route, req, res);
       });
     }
-    this.#bodies = new BodyBudget(settings.maxHeldBytes);
-    this.#server = createServer(
-      {requestTimeout: settings.requestTimeoutMs},
-      app.attach as never,
-    );
-    this.#delivery = new ResponseDelivery(this.#server);
+    const {requestTimeoutMs, maxConnections, maxHeldBytes} = settings;
+    this.#bodies = new BodyBudget(maxHeldBytes);
+    this.#server = createServer({
+      ...HTTP_SERVER_OPTIONS,
+      requestTimeout: requestTimeoutMs,
+    });
+    this.#delivery = new ResponseDelivery(this.#server, {
+      ...DEFAULT_HTTP_LIMITS,
+      maxConnections,
+    });
+    this.#delivery.onRequest(app.attach as never);
   }
 
   /**
--- a/packages/lovagepond-operator/src/operator_settings.ts
+++ b/packages/lovagepond-operator/src/operator_settings.ts
@@ -14,6 +14,8 @@
   readonly maxBodyBytes: number;
   /** Limit on the memory of all bodies, bytes. */
   readonly maxHeldBytes: number;
+  /** Open connections; further ones are closed unread. */
+  readonly maxConnections: number;
   /** Time limit to receive a complete request, milliseconds. */
   readonly requestTimeoutMs: number;
 }
@@ -25,6 +27,7 @@
   token: '',
   maxBodyBytes: 1_048_576,
   maxHeldBytes: 16 * 1_048_576,
+  maxConnections: 200,
   requestTimeoutMs: 10_000,
 });
 
--- a/packages/lovagepond-process/src/http_connections.ts
+++ b/packages/lovagepond-process/src/http_connections.ts
@@ -1,5 +1,6 @@
 /**
- * Closes the connections of an HTTP server so that no response is cut.
+ * Bounds what the peers of an HTTP server may have it hold, and closes its
+ * connections so that no response is cut.
  *
  * Node takes a connection for idle once `end()` was called for its response,
  * even if bytes of it wait in the process, and destroys it. A destroyed
@@ -8,14 +9,23 @@
  */
 import {
   type IncomingMessage,
+  type RequestListener,
   type Server,
   type ServerResponse,
 } from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
+import {
+  DEFAULT_HTTP_LIMITS,
+  type HttpLimits,
+  MAX_WAITING_BEHIND,
+} from './http_limits.js';
+import {dropInput, feedParser} from './http_parser_feed.js';
 
 /** Longest time for which a closed connection is read, milliseconds. */
 const LINGER_MS = 1_000;
 
+const STATUS_BAD_REQUEST = 400;
+
 /**
  * Time in which the next request may follow a response that has not announced the
  * close, milliseconds. On a closed connection it could not be answered.
@@ -27,6 +37,8 @@
   isUsed: boolean;
   /** Responses that are not delivered. */
   readonly open: Set<ServerResponse>;
+  /** The newest request. */
+  newest: IncomingMessage | undefined;
   /** Bytes that had arrived when the last response was delivered. */
   bytesAnswered: number;
   /** The response that has announced the close. */
@@ -37,15 +49,29 @@
 /** Tracks the connections of one server and their undelivered responses. */
 export class HttpConnections {
   readonly #server: Server;
+  readonly #limits: HttpLimits;
   readonly #connections = new Map<Socket, Connection>();
   readonly #deliveryListeners: (() => void)[] = [];
   #undelivered = 0;
+  #waitingBehind = 0;
+  #flooding = 0;
+  #unread = 0;
   #closesIdle = false;
   #closesUnused = false;
 
-  /** @param server a server that doesn't listen yet */
-  constructor(server: Server) {
+  /**
+   * @param server a server that doesn't listen yet, made with
+   *     `HTTP_SERVER_OPTIONS`
+   * @param limits bounds for its peers
+   */
+  constructor(server: Server, limits = DEFAULT_HTTP_LIMITS) {
     this.#server = server;
+    this.#limits = limits;
+    if (limits.maxConnections) server.maxConnections = limits.maxConnections;
+    this.useUnreadTimeout(limits.unreadTimeoutMs);
+    server.on('timeout', (socket: Socket) => {
+      this.#onTimeout(socket);
+    });
     server.on('connection', (socket: Socket) => {
       this.#add(socket);
     });
@@ -59,12 +85,40 @@
     return this.#undelivered;
   }
 
+  /** Connections closed as too many requests were sent ahead on them. */
+  get flooding(): number {
+    return this.#flooding;
+  }
+
+  /** Connections closed as their peer did not read a response. */
+  get unread(): number {
+    return this.#unread;
+  }
+
+  /** @param timeoutMs see `HttpLimits` */
+  useUnreadTimeout(timeoutMs: number): void {
+    // The timeout of a connection starts anew with each byte it takes or sends.
+    this.#server.timeout = timeoutMs;
+  }
+
+  /**
+   * @param listener called for each request within the limits that can be
+   *     answered
+   */
+  onRequest(listener: RequestListener): void {
+    this.#server.on('request', (req, res) => {
+      if (this.isTooLate(req, res)) req.resume();
+      else if (hasHost(req)) listener(req, res);
+      else refuseWithoutHost(res);
+    });
+  }
+
   /**
    * @param req a request
    * @param res its response
-   * @returns true if the connection was closed, or its close announced, before
-   *     the request arrived, so that the request must not be run and can't be
-   *     answered
+   * @returns true if the request exceeds a limit, or its connection was closed or
+   *     the close announced before it arrived, so that it must not be run and
+   *     can't be answered
    */
   isTooLate({socket}: IncomingMessage, res: ServerResponse): boolean {
     const connection = this.#connections.get(socket);
@@ -117,6 +171,31 @@
     });
   }
 
+  /** Responses that are not delivered. */
+  *openResponses(): Generator<ServerResponse> {
+    for (const {open} of this.#connections.values()) yield* open;
+  }
+
+  /**
+   * Answers bytes that are no request, and closes their connection. An answer
+   * within the response to an earlier request would be a part of that.
+   *
+   * @param socket the connection
+   * @param text the whole answer; if there is none, the connection is cut
+   * @returns whether the answer is sent
+   */
+  answerUnparsable(socket: Socket, text: string | undefined): boolean {
+    const connection = this.#connections.get(socket);
+    const isBusy = !connection || connection.open.size > 0;
+    if (isBusy || text === undefined || !socket.writable) {
+      socket.destroy();
+      return false;
+    }
+    socket.write(text);
+    closeInOrder(socket, connection);
+    return true;
+  }
+
   /** @returns resolves when no response is undelivered */
   whenDelivered(): Promise<void> {
     if (this.#undelivered === 0) return Promise.resolve();
@@ -129,11 +208,15 @@
     const connection: Connection = {
       isUsed: false,
       open: new Set<ServerResponse>(),
+      newest: undefined,
       bytesAnswered: 0,
       last: undefined,
       isClosing: false,
     };
     this.#connections.set(socket, connection);
+    feedParser(socket, {
+      isReceivingBody: () => connection.newest?.complete === false,
+    });
     // Called by Node after a response that announced the close.
     socket.destroySoon = () => {
       closeInOrder(socket, connection);
@@ -147,10 +230,23 @@
     });
   }
 
-  #noteRequest({socket}: IncomingMessage, res: ServerResponse): void {
+  #noteRequest(req: IncomingMessage, res: ServerResponse): void {
+    const {socket} = req;
     const connection = this.#connections.get(socket);
-    if (!connection || connection.isClosing || connection.last) return;
+    if (!connection || socket.destroyed) return;
+    connection.newest = req;
+    if (connection.isClosing || connection.last) {
+      // Node keeps each of these until the connection closes.
+      dropInput(socket);
+      return;
+    }
     connection.isUsed = true;
+    if (connection.open.size > 0 && !this.#mayWaitBehind(connection)) {
+      this.#flooding += 1;
+      socket.destroy();
+      return;
+    }
+    if (connection.open.size > 0) this.#waitingBehind += 1;
     connection.open.add(res);
     this.#undelivered += 1;
     // Emitted once the operating system has taken the last byte, or the
@@ -166,7 +262,9 @@
     res: ServerResponse,
   ): void {
     if (!connection.open.delete(res)) return;
+    if (connection.open.size > 0) this.#waitingBehind -= 1;
     connection.bytesAnswered = socket.bytesRead;
+    if (connection.newest?.complete) connection.newest = undefined;
     this.#undelivered -= 1;
     if (this.#closesIdle && !socket.destroyed) {
       const close = (): void => {
@@ -178,6 +276,21 @@
     for (const listener of this.#deliveryListeners.splice(0)) listener();
   }
 
+  #mayWaitBehind({open}: Connection): boolean {
+    return (
+      open.size < this.#limits.maxPipelined &&
+      this.#waitingBehind < MAX_WAITING_BEHIND
+    );
+  }
+
+  /** A connection without a byte may also wait for the response's server. */
+  #onTimeout(socket: Socket): void {
+    const isUnread = socket.writableLength > 0;
+    const waits = (this.#connections.get(socket)?.open.size ?? 0) > 0;
+    if (isUnread) this.#unread += 1;
+    if (isUnread || !waits) socket.destroy();
+  }
+
   #closeIfIdle(socket: Socket, connection: Connection): void {
     if (connection.isClosing || connection.open.size > 0) return;
     if (!connection.isUsed && !this.#closesUnused) return;
@@ -186,6 +299,15 @@
   }
 }
 
+function hasHost({httpVersion, headers}: IncomingMessage): boolean {
+  return headers.host !== undefined || httpVersion !== '1.1';
+}
+
+function refuseWithoutHost(res: ServerResponse): void {
+  const headers = {'Content-Length': 0, Connection: 'close'};
+  res.writeHead(STATUS_BAD_REQUEST, headers).end();
+}
+
 function isLast(
   res: ServerResponse,
   open: ReadonlySet<ServerResponse>,
@@ -201,6 +323,7 @@
 function closeInOrder(socket: Socket, connection: Connection): void {
   if (connection.isClosing || socket.destroyed) return;
   connection.isClosing = true;
+  dropInput(socket);
   socket.end();
   const limit = setTimeout(() => socket.destroy(), LINGER_MS).unref();
   socket.once('close', () => {
--- a/packages/lovagepond-process/src/http_delivery.ts
+++ b/packages/lovagepond-process/src/http_delivery.ts
@@ -4,12 +4,14 @@
  */
 import {
   type IncomingMessage,
+  type RequestListener,
   type Server,
   type ServerResponse,
 } from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type DrainResult} from '@lovagepond/core';
 import {HttpConnections} from './http_connections.js';
+import {type HttpLimits} from './http_limits.js';
 
 /**
  * Time in which the rest of a request is read and discarded after its response,
@@ -64,18 +66,22 @@
 /** Delivers the responses of a server that stops. */
 export class ResponseDelivery {
   readonly #connections: HttpConnections;
-  readonly #open = new Set<ServerResponse>();
   #draining = false;
 
-  /** @param server the server, not listening yet */
-  constructor(server: Server) {
-    this.#connections = new HttpConnections(server);
-    server.prependListener('request', (_req, res: ServerResponse) => {
-      this.#open.add(res);
+  /**
+   * @param server the server, not listening yet, made with
+   *     `HTTP_SERVER_OPTIONS`
+   * @param limits bounds for its clients
+   */
+  constructor(server: Server, limits: HttpLimits) {
+    this.#connections = new HttpConnections(server, limits);
+  }
+
+  /** @param listener called for each request that can be answered */
+  onRequest(listener: RequestListener): void {
+    this.#connections.onRequest((req, res) => {
       if (this.#draining) announceClose(res);
-      res.once('close', () => {
-        this.#open.delete(res);
-      });
+      listener(req, res);
     });
   }
 
@@ -88,7 +94,7 @@
   async drain(limitMs: number): Promise<DrainResult> {
     this.#draining = true;
     void this.#connections.stopListening();
-    for (const res of this.#open) announceClose(res);
+    for (const res of this.#connections.openResponses()) announceClose(res);
     this.#connections.closeIdle();
     await Promise.race([
       this.#connections.whenDelivered(),
--- a/packages/lovagepond-process/src/index.ts
+++ b/packages/lovagepond-process/src/index.ts
@@ -9,6 +9,11 @@
   sendWhole,
   type WholeResponse,
 } from './http_delivery.js';
+export {
+  DEFAULT_HTTP_LIMITS,
+  HTTP_SERVER_OPTIONS,
+  type HttpLimits,
+} from './http_limits.js';
 export {type DroppedLines, LogLimiter} from './log_limiter.js';
 export {SystemClock} from './process_clock.js';
 export {
--- a/packages/lovagepond-process/src/process_server.ts
+++ b/packages/lovagepond-process/src/process_server.ts
@@ -6,12 +6,16 @@
 import {type AddressInfo} from 'node:net';
 import {App} from '@tinyhttp/app';
 import {ResponseDelivery} from './http_delivery.js';
+import {DEFAULT_HTTP_LIMITS, HTTP_SERVER_OPTIONS} from './http_limits.js';
 import {type MetricsRegistry} from './metrics_registry.js';
 import {type HostPort} from './settings_units.js';
 
 /** Time that readers have for responses under way at the stop, milliseconds. */
 const DELIVERY_LIMIT_MS = 200;
 
+/** State dumps are large, and each connection may have some unread. */
+const LIMITS = {...DEFAULT_HTTP_LIMITS, maxConnections: 100};
+
 const STATUS_OK = 200;
 const STATUS_UNAVAILABLE = 503;
 
@@ -44,10 +48,11 @@
     this.#address = address;
     this.#deliveryLimitMs = deliveryLimitMs;
     const app = makeApp(view);
-    this.#server = createServer((req, res) => {
+    this.#server = createServer(HTTP_SERVER_OPTIONS);
+    this.#delivery = new ResponseDelivery(this.#server, LIMITS);
+    this.#delivery.onRequest((req, res) => {
       void app.handler(req as never, res as never);
     });
-    this.#delivery = new ResponseDelivery(this.#server);
   }
 
   /**
