Read the rest of a refused body for a second only

What clients saw: a gateway and the readiness and metrics address read what follows a refused request for as long as its client sends.

Cause: after a response that keeps the connection, Node reads the rest of the request without a limit. The control plane, the administration and routers close after a refusal, within 0.5 to 1 s.

Change: `limitRest` closes the connection of a request that is answered and still incomplete a second later, in order, so that the answer is not lost.

Evidence: "closes the connection of a client whose refused (chunked) body goes on" at gateways and at the readiness address: on the code before their 100 connections were open after 20 s; now closed.

--- a/packages/lovagepond-gateway/src/gateway_caller_channel.ts
+++ b/packages/lovagepond-gateway/src/gateway_caller_channel.ts
@@ -9,6 +9,7 @@
   makeFailure,
   type Random,
 } from '@lovagepond/core';
+import {limitRest} from '@lovagepond/process/http_delivery';
 import {type ResponseHead} from './gateway_attempt.js';
 import {headersForCaller} from './gateway_headers.js';
 
@@ -134,10 +135,11 @@
   /**
    * A connection that is closed while its caller still sends is reset, and the
    * caller may lose the response. It is complete by its length, so the close can
-   * wait for the rest of the request, which is read and dropped.
+   * wait for the rest of the request, which is read and dropped for a while.
    */
   #endAfterRequest(body: Buffer): void {
     const {req} = this.#res;
+    limitRest(req);
     if (req.complete || !this.#closesConnection()) {
       this.#res.end(body);
       return;
--- a/packages/lovagepond-process/src/http_delivery.ts
+++ b/packages/lovagepond-process/src/http_delivery.ts
@@ -19,6 +19,12 @@
  */
 const LINGER_MS = 500;
 
+/**
+ * Time for the rest of a request after a response that keeps the connection,
+ * milliseconds.
+ */
+const REST_LIMIT_MS = 1_000;
+
 /** A response that is sent at once. */
 export interface WholeResponse {
   readonly status: number;
@@ -63,6 +69,19 @@
   req.resume();
 }
 
+/**
+ * Closes the connection of a request whose body goes on after its response.
+ *
+ * @param req a request with a response that doesn't need its body
+ */
+export function limitRest(req: IncomingMessage): void {
+  if (req.complete) return;
+  const close = (): void => {
+    if (!req.complete) req.socket.destroySoon();
+  };
+  setTimeout(close, REST_LIMIT_MS).unref();
+}
+
 /** Delivers the responses of a server that stops. */
 export class ResponseDelivery {
   readonly #connections: HttpConnections;
--- a/packages/lovagepond-process/src/index.ts
+++ b/packages/lovagepond-process/src/index.ts
@@ -5,6 +5,7 @@
 } from './exit_codes_constants.js';
 export {BodyBudget} from './http_body_budget.js';
 export {
+  limitRest,
   ResponseDelivery,
   sendWhole,
   type WholeResponse,
--- a/packages/lovagepond-process/src/process_server.ts
+++ b/packages/lovagepond-process/src/process_server.ts
@@ -5,7 +5,7 @@
 import {createServer, type Server} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {App} from '@tinyhttp/app';
-import {ResponseDelivery} from './http_delivery.js';
+import {limitRest, ResponseDelivery} from './http_delivery.js';
 import {DEFAULT_HTTP_LIMITS, HTTP_SERVER_OPTIONS} from './http_limits.js';
 import {type MetricsRegistry} from './metrics_registry.js';
 import {type HostPort} from './settings_units.js';
@@ -52,6 +52,7 @@
     this.#delivery = new ResponseDelivery(this.#server, LIMITS);
     this.#delivery.onRequest((req, res) => {
       void app.handler(req as never, res as never);
+      limitRest(req);
     });
   }
 
