Bound the requests of a gateway that need a connection to a server

What callers saw: a gateway with many requests under way opened a connection to a server for each, up to the limit of its descriptors; then no new caller got in.

Cause: callers' connections were bounded (3,000), those to servers were not: neither busy ones, one for each request, nor idle ones, kept for each server.

Change: `maxRequests` (800) bounds the requests whose body is complete and that are not answered yet; further ones are refused as not run, with a time to come back. Above that number of connections to servers an idle one is closed for a new one. With 3,000 callers that leaves 100 of the 3,900 descriptors.

--- a/packages/lovagepond-cli/src/settings_gateway.ts
+++ b/packages/lovagepond-cli/src/settings_gateway.ts
@@ -28,6 +28,8 @@
   /** Estimate each server's speed instead of one rate for all engines. */
   serverCapacity: boolean().optional(),
   maxHeld: size().optional(),
+  /** Requests that are not answered yet. */
+  maxRequests: integer(1, MAX_COUNT).optional(),
   /** Open connections of callers. */
   maxConnections: integer(1, MAX_COUNT).optional(),
   drainLinger: duration().optional(),
@@ -83,6 +85,7 @@
       serverCapacity: gateway.serverCapacity,
       maxHeldBytes: gateway.maxHeld,
       maxConnections: gateway.maxConnections,
+      maxRequests: gateway.maxRequests,
       drainLingerMs: gateway.drainLinger,
       drainTimeoutMs: gateway.drainTimeout,
       revocationBoundMs: gateway.revocationBound,
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_harness.ts
@@ -7,7 +7,6 @@
   type BackendServer,
   type Clock,
   type ConfigurationContent,
-  configurationSchema,
   type Logger,
   type Pool,
   Random,
@@ -33,16 +32,13 @@
 import {GatewayShares} from '../../gateway_shares.js';
 import {makeWarmUp} from '../../gateway_warm_up.js';
 import {makeBackendServer} from './backend_servers.js';
-import {
-  type Call,
-  callPort,
-  type CallerResponse,
-  KEY,
-} from './gateway_caller.js';
+import {type Call, callPort, type CallerResponse} from './gateway_caller.js';
+import {CONTENT} from './gateway_content.js';
 import {ListedVersions, type StreamHistory} from './listed_versions.js';
 import {answer, NAMES, type Script} from './scripted_answers.js';
 
 export {type Call, type CallerResponse, KEY} from './gateway_caller.js';
+export {CONTENT} from './gateway_content.js';
 export {
   answer,
   beginStream,
@@ -67,56 +63,10 @@
   error: () => {},
 };
 
-const forwarding = {
-  timeoutMs: 1_000,
-  targetLatencyMs: 100,
-  maxAttempts: 2,
-  priority: 5,
-  streaming: false,
-  resumable: false,
-  sticky: false,
-};
-
-function kind(name: string, nonRepeatable: boolean, more: object): unknown {
-  return {name, nonRepeatable, forwarding: {...forwarding, ...more}};
-}
-
-function selector(name: string): unknown {
-  return {
-    name,
-    workspaces: ['*'],
-    requestKinds: [name],
-    pools: '',
-    match: {host: 'shop.example', pathPrefix: `/${name}/`},
-    poolWeights: [{pool: 'servers', weight: 1}],
-  };
-}
-
-/**
- * Selectors `read`, `write`, `talk`, `chat` and `prompt`, each under its own
- * path.
- */
-export const CONTENT = configurationSchema.parse({
-  pools: [
-    {
-      name: 'servers',
-      kind: 'service',
-      warmUp: {durationMs: 3_000, maxRequestsPerSecond: 5},
-    },
-  ],
-  workspaces: [{name: 'nord', apiKeys: [KEY]}],
-  requestKinds: [
-    kind('read', false, {}),
-    kind('write', true, {maxAttempts: 1}),
-    kind('talk', true, {streaming: true, maxAttempts: 1}),
-    kind('chat', false, {streaming: true, resumable: true}),
-    kind('prompt', false, {streaming: true, sticky: true}),
-  ],
-  selectors: ['read', 'write', 'talk', 'chat', 'prompt'].map(selector),
-});
-
 export interface HarnessOptions {
+  /** Time for which the configuration is trusted, milliseconds. */
   readonly revocationBoundMs?: number;
+  readonly maxRequests?: number;
   readonly content?: ConfigurationContent;
   readonly log?: Logger;
   readonly clock?: Clock;
@@ -169,14 +119,14 @@
 
   /**
    * @param scripts one for each server, named server-0, server-1 and so on
-   * @param options the time for which the configuration is trusted,
-   *     milliseconds, its content, properties of all servers in control's list,
-   *     the log, and the listener's clock
+   * @param options settings, the configuration, properties of all servers in
+   *     control's list, the log, and the listener's clock
    */
   static async start(
     scripts: readonly Script[],
     {
       revocationBoundMs = 5_000,
+      maxRequests = 1_000,
       listed = () => ({}),
       content = CONTENT,
       log = silentLog,
@@ -266,6 +216,7 @@
         port: 0,
         maxHeldBytes: 1_000_000,
         maxConnections: 1_000,
+        maxRequests,
       },
       {
         clock: ownClock,
@@ -278,7 +229,7 @@
         retries,
         connections: new GatewayConnections({
           connectTimeoutMs: 300,
-          maxHeadBytes: 16_384,
+          maxConnections: 1_000,
         }),
         quarantine,
         liveness: new ServerLiveness(address =>
--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_signals.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_server_signals.test.ts
@@ -222,7 +222,7 @@
     const state = new ServerState(makeBackendServer('server-0', {address}));
     const connections = new GatewayConnections({
       connectTimeoutMs: 300,
-      maxHeadBytes: 16_384,
+      maxConnections: 100,
     });
     let isPaused = false;
     const failure = await new Promise<AttemptFailure>(resolve => {
--- a/packages/lovagepond-gateway/src/gateway_connections.ts
+++ b/packages/lovagepond-gateway/src/gateway_connections.ts
@@ -9,8 +9,8 @@
 
 export interface ConnectionSettings {
   readonly connectTimeoutMs: number;
-  /** Largest head of a response, bytes. */
-  readonly maxHeadBytes: number;
+  /** Open connections above which idle ones are closed for new ones. */
+  readonly maxConnections: number;
 }
 
 /**
@@ -20,6 +20,9 @@
  */
 const KEEP_ALIVE_PROBE_MS = 1_000;
 
+/** Largest head of a server's response, bytes. */
+const MAX_RESPONSE_HEAD_BYTES = 64 * 1024;
+
 /** Idle timeout for servers that do not announce one, milliseconds. */
 const DEFAULT_IDLE_MS = 60_000;
 
@@ -61,6 +64,7 @@
 export class GatewayConnections {
   readonly #settings: ConnectionSettings;
   readonly #idle = new Map<string, ServerConnection[]>();
+  readonly #open = new Set<ServerConnection>();
   #opened = 0;
 
   constructor(settings: ConnectionSettings) {
@@ -84,12 +88,18 @@
    * @returns an idle connection, or one that opens with its first request
    */
   acquire(target: ConnectionTarget): ServerConnection {
-    return this.#idle.get(target.name)?.pop() ?? this.#open(target);
+    const idle = this.#idle.get(target.name)?.pop();
+    if (idle) return idle;
+    if (this.#open.size >= this.#settings.maxConnections) this.#discardIdle();
+    return this.#connect(target);
   }
 
   /** @param connection one whose last response was complete */
   release(connection: ServerConnection): void {
-    if (connection.client.destroyed || connection.client.closed) return;
+    if (connection.client.destroyed || connection.client.closed) {
+      this.#open.delete(connection);
+      return;
+    }
     const idle = this.#idle.get(connection.server) ?? [];
     idle.push(connection);
     this.#idle.set(connection.server, idle);
@@ -97,6 +107,7 @@
 
   /** @param connection one that must not be reused */
   discard(connection: ServerConnection): void {
+    this.#open.delete(connection);
     connection.client.destroy().catch(() => undefined);
   }
 
@@ -118,8 +129,18 @@
     this.keepOnly(new Set());
   }
 
-  #open({name: server, address}: ConnectionTarget): ServerConnection {
-    const {connectTimeoutMs, maxHeadBytes} = this.#settings;
+  /** Closes an idle connection, if there is one. */
+  #discardIdle(): void {
+    for (const idle of this.#idle.values()) {
+      const connection = idle.shift();
+      if (!connection) continue;
+      this.discard(connection);
+      return;
+    }
+  }
+
+  #connect({name: server, address}: ConnectionTarget): ServerConnection {
+    const {connectTimeoutMs} = this.#settings;
     const connect = buildConnector({
       timeout: connectTimeoutMs,
       keepAlive: true,
@@ -129,7 +150,7 @@
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
-      maxHeaderSize: maxHeadBytes,
+      maxHeaderSize: MAX_RESPONSE_HEAD_BYTES,
       keepAliveTimeout: DEFAULT_IDLE_MS,
       keepAliveMaxTimeout: DEFAULT_IDLE_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
@@ -144,6 +165,7 @@
     });
     this.#opened += 1;
     const connection = {server, client, wasReset: false};
+    this.#open.add(connection);
     client.on('disconnect', () => {
       this.#removeIdle(connection);
     });
--- a/packages/lovagepond-gateway/src/gateway_request_path.ts
+++ b/packages/lovagepond-gateway/src/gateway_request_path.ts
@@ -54,6 +54,8 @@
   readonly streams: GatewayStreams;
   /** Limit on the memory of all request bodies, bytes. */
   readonly maxHeldBytes: number;
+  /** Limit on requests whose body is complete; further ones are rejected. */
+  readonly maxRequests: number;
 }
 
 /** A request whose head has arrived. */
@@ -91,6 +93,7 @@
   readonly #receiving = new Set<ReceivedRequest>();
   readonly #bodies: BodyBudget;
   #limits = DEFAULT_LIMITS;
+  #whole = 0;
 
   /** @param deps dependencies shared by all requests */
   constructor(deps: RequestPathDependencies) {
@@ -236,8 +239,20 @@
     incoming: IncomingRequest,
     admitted: Admitted,
     body: Buffer,
-    release: () => void,
+    releaseBody: () => void,
   ): void {
+    if (this.#whole >= this.#deps.maxRequests) {
+      releaseBody();
+      this.#refuse(incoming, 'overloaded');
+      return;
+    }
+    this.#whole += 1;
+    let isHeld = true;
+    const release = (): void => {
+      if (isHeld) this.#whole -= 1;
+      isHeld = false;
+      releaseBody();
+    };
     const {req, facts, onThrown} = incoming;
     const {method = 'GET', url: path = '/', rawHeaders} = req;
     const workspace = admitted.workspace ?? '';
--- a/packages/lovagepond-gateway/src/gateway_role.ts
+++ b/packages/lovagepond-gateway/src/gateway_role.ts
@@ -70,9 +70,6 @@
  */
 const REPORT_INTERVAL_MS = 20;
 
-/** Largest head of a server's response, bytes. */
-const MAX_RESPONSE_HEAD_BYTES = 64 * 1024;
-
 type UpdateKind = NonNullable<ControlUpdate['kind']>;
 type UpdateHandler = (update: ControlUpdate, now: number) => void;
 
@@ -162,7 +159,7 @@
     );
     this.#connections = new GatewayConnections({
       connectTimeoutMs: settings.connectTimeoutMs,
-      maxHeadBytes: MAX_RESPONSE_HEAD_BYTES,
+      maxConnections: settings.maxRequests,
     });
     this.#quarantine = new GatewayQuarantine({
       clock: deps.clock,
--- a/packages/lovagepond-gateway/src/gateway_server.ts
+++ b/packages/lovagepond-gateway/src/gateway_server.ts
@@ -63,7 +63,7 @@
 
 type ListenerSettings = Pick<
   GatewaySettings,
-  'host' | 'port' | 'maxHeldBytes' | 'maxConnections'
+  'host' | 'port' | 'maxHeldBytes' | 'maxConnections' | 'maxRequests'
 >;
 
 export class GatewayServer {
@@ -92,9 +92,13 @@
       noDelay: true,
       requestTimeout: 0,
     });
-    const {maxConnections, maxHeldBytes} = settings;
-    const drainAdmission = this.#drainAdmission;
-    this.#path = new RequestPath({...deps, maxHeldBytes, drainAdmission});
+    const {maxConnections, maxHeldBytes, maxRequests} = settings;
+    this.#path = new RequestPath({
+      ...deps,
+      maxHeldBytes,
+      maxRequests,
+      drainAdmission: this.#drainAdmission,
+    });
     this.#intake = new GatewayIntake(this.#server, {...deps, maxConnections});
     this.#connections = new HttpConnections(this.#server, {
       maxPipelined: MAX_PIPELINED,
--- a/packages/lovagepond-gateway/src/gateway_settings.ts
+++ b/packages/lovagepond-gateway/src/gateway_settings.ts
@@ -34,6 +34,11 @@
   readonly maxConnections: number;
   /** Limit on the memory of all request bodies, bytes. */
   readonly maxHeldBytes: number;
+  /**
+   * Requests whose body is complete and that are not answered yet; further ones
+   * are rejected. Each may need a connection to a server.
+   */
+  readonly maxRequests: number;
   /** Time for which a server that drains still accepts requests. */
   readonly drainTimeoutMs: number;
   /** Time for which a draining gateway still accepts connections. */
@@ -56,6 +61,7 @@
   serverCapacity: false,
   maxConnections: 3_000,
   maxHeldBytes: 64 * 1024 * 1024,
+  maxRequests: 800,
   drainTimeoutMs: 2_000,
   drainLingerMs: 2_500,
   retryFraction: 0.2,
