Bound incomplete heads by the configuration, and all of them by one budget

What callers saw: 1,100 connections that send a head of 250 KiB without an end ended a gateway: its heap was full before the header timeout closed them.

Cause: Node's limit on a head is fixed when the listener is made, so it was 256 KiB whatever the configuration said, for each of 3,000 connections.

A gateway refuses a head above twice `MaxHeaderBytes` of its configuration, 431; the request line may thus be as long as all headers. Above 16 MiB of all incomplete heads of a listener the largest one gives way, 503.

On-call sees it: each limit that closes a connection is counted, in `lovagepond_connections_closed_total` by limit at gateways and routers, and logged as "connection closed by a limit" once a second at most, by the control plane and the administration too. `lovagepond_held_body_bytes` shows the memory of bodies at gateways, too. `HttpConnections` is split: what one connection holds, the limits, and the tracking of responses.

--- a/packages/lovagepond-caller/src/caller_connections.ts
+++ b/packages/lovagepond-caller/src/caller_connections.ts
@@ -6,6 +6,7 @@
 import {type Socket} from 'node:net';
 import {type Duplex} from 'node:stream';
 import {type ErrorKind, makeFailure} from '@lovagepond/core';
+import {HEAD_ERROR} from '@lovagepond/process/http_connection_limits';
 import {type HttpConnections} from '@lovagepond/process/http_connections';
 import {encodeRawResponse} from './caller_errors.js';
 import {type CallerRefusals} from './caller_refusals.js';
@@ -15,6 +16,7 @@
   HPE_HEADER_OVERFLOW: 'headersTooLarge',
   HPE_CHUNK_EXTENSIONS_OVERFLOW: 'payloadTooLarge',
   ERR_HTTP_REQUEST_TIMEOUT: 'senderTooSlow',
+  [HEAD_ERROR.NO_ROOM]: 'overloaded',
 };
 
 /** Tracks which connections have a request in flight. */
--- a/packages/lovagepond-caller/src/caller_server.ts
+++ b/packages/lovagepond-caller/src/caller_server.ts
@@ -11,6 +11,7 @@
   type Clock,
   type DrainResult,
   type Failure,
+  type Logger,
   makeFailure,
   Random,
 } from '@lovagepond/core';
@@ -36,6 +37,8 @@
 export interface CallerServerDependencies {
   readonly clock: Clock;
   readonly handler: CallerHandler;
+  /** Logs which limit has closed connections. */
+  readonly log?: Logger;
   /** Generates request ids; random UUIDs by default. */
   readonly nextRequestId?: () => string;
   /** Draws the jitter of retry times; randomly seeded by default. */
@@ -94,7 +97,7 @@
       leaving: this.#leaving.signal,
     };
     this.#server = this.#makeServer();
-    this.#httpConnections = this.#boundConnections(this.#server);
+    this.#httpConnections = this.#boundConnections(this.#server, deps.log);
     this.#connections.attach(this.#server, this.#httpConnections);
   }
 
@@ -120,6 +123,7 @@
       heldBodyBytes: this.#bodies.heldBytes,
       refusedConnections: this.#connections.refused,
       malformed: this.#connections.malformed,
+      closedByLimit: this.#httpConnections.limits.closedByLimit,
       refusedByKind: this.#refusals.byKind,
       slowReadersEnded: this.#slowReadersEnded,
       callersGone: this.#callersGone,
@@ -203,13 +207,14 @@
     return server;
   }
 
-  #boundConnections(server: Server): HttpConnections {
+  #boundConnections(server: Server, log: Logger | undefined): HttpConnections {
     const {maxConnections, readerTimeoutMs} = this.#settings;
-    const connections = new HttpConnections(server, {
+    const limits = {
       ...DEFAULT_HTTP_LIMITS,
       maxConnections,
       unreadTimeoutMs: readerTimeoutMs,
-    });
+    };
+    const connections = new HttpConnections(server, limits, log);
     const app = this.#makeRoutes();
     connections.onRequest((req, res) => {
       // Routing may throw on a malformed path. Uncaught, the exception would
--- a/packages/lovagepond-caller/src/caller_types.ts
+++ b/packages/lovagepond-caller/src/caller_types.ts
@@ -118,6 +118,8 @@
   readonly heldBodyBytes: number;
   readonly refusedConnections: number;
   readonly malformed: number;
+  /** Connections closed because of a limit, by limit. */
+  readonly closedByLimit: Readonly<Record<string, number>>;
   /** Requests rejected before the handler, by error kind. */
   readonly refusedByKind: Readonly<Record<string, number>>;
   readonly slowReadersEnded: number;
--- a/packages/lovagepond-cli/src/role_metrics.ts
+++ b/packages/lovagepond-cli/src/role_metrics.ts
@@ -39,6 +39,18 @@
       label: 'kind',
     },
   },
+  {
+    kind: 'counter',
+    name: 'lovagepond_connections_closed_total',
+    help: 'Connections of callers closed because of a limit, by limit.',
+    labelledObjects: {paths: [['front', 'closedByLimit']], label: 'limit'},
+  },
+  {
+    kind: 'gauge',
+    name: 'lovagepond_held_body_bytes',
+    help: 'Memory of the bodies of requests, bytes.',
+    path: ['front', 'heldBodyBytes'],
+  },
   {
     kind: 'counter',
     name: 'lovagepond_requests_answered_total',
--- a/packages/lovagepond-cli/src/role_metrics_gateway.ts
+++ b/packages/lovagepond-cli/src/role_metrics_gateway.ts
@@ -23,6 +23,18 @@
     help: 'Connections of callers closed unread as too many were open.',
     path: ['intake', 'closedUnread'],
   },
+  {
+    kind: 'counter',
+    name: 'lovagepond_connections_closed_total',
+    help: 'Connections of callers closed because of a limit, by limit.',
+    labelledObjects: {paths: [['intake', 'closedByLimit']], label: 'limit'},
+  },
+  {
+    kind: 'gauge',
+    name: 'lovagepond_held_body_bytes',
+    help: 'Memory of the bodies of requests, bytes.',
+    path: ['intake', 'heldBodyBytes'],
+  },
   {
     kind: 'counter',
     name: 'lovagepond_gateway_intake_pauses_total',
--- a/packages/lovagepond-cli/src/role_router.ts
+++ b/packages/lovagepond-cli/src/role_router.ts
@@ -27,7 +27,7 @@
         log,
         random,
         createFront: handler =>
-          new CallerServer(callerSettings, {clock, handler}),
+          new CallerServer(callerSettings, {clock, handler, log}),
       }),
     );
   },
--- a/packages/lovagepond-gateway/src/gateway_intake.ts
+++ b/packages/lovagepond-gateway/src/gateway_intake.ts
@@ -34,8 +34,6 @@
 export interface GatewayIntakeDependencies {
   readonly clock: Clock;
   readonly log: Logger;
-  /** Open connections of callers at which further ones are closed. */
-  readonly maxConnections: number;
 }
 
 /** State for the metrics and the state dump. */
@@ -73,7 +71,6 @@
     this.#server = server;
     this.#deps = deps;
     this.#probe = new IntakeProbe(server);
-    server.maxConnections = deps.maxConnections;
     server.on('drop', caller => {
       this.#onDropped(caller);
     });
--- a/packages/lovagepond-gateway/src/gateway_malformed_requests.ts
+++ b/packages/lovagepond-gateway/src/gateway_malformed_requests.ts
@@ -5,10 +5,13 @@
 import {type IncomingMessage, STATUS_CODES} from 'node:http';
 import {answerFor, type ErrorKind, type Logger} from '@lovagepond/core';
 
+import {HEAD_ERROR} from '@lovagepond/process/http_connection_limits';
+
 /** Maps error codes of Node's HTTP parser to error kinds. */
 const PARSER_ERRORS: Readonly<Record<string, ErrorKind>> = {
   HPE_HEADER_OVERFLOW: 'headersTooLarge',
   ERR_HTTP_REQUEST_TIMEOUT: 'senderTooSlow',
+  [HEAD_ERROR.NO_ROOM]: 'overloaded',
 };
 
 /**
@@ -24,9 +27,14 @@
   const kind = PARSER_ERRORS[err.code ?? ''] ?? 'badRequest';
   log.info('request could not be parsed', {reason: err.code ?? err.message});
   if (err.code === 'ECONNRESET') return undefined;
-  const {status} = answerFor(kind);
-  const line = `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}`;
-  return `${line}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`;
+  const {status, retryable} = answerFor(kind);
+  const lines = [
+    `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}`,
+    'Content-Length: 0',
+    'Connection: close',
+    ...(retryable ? ['Retry-After: 1'] : []),
+  ];
+  return `${lines.join('\r\n')}\r\n\r\n`;
 }
 
 /**
--- a/packages/lovagepond-gateway/src/gateway_request_path.ts
+++ b/packages/lovagepond-gateway/src/gateway_request_path.ts
@@ -106,6 +106,11 @@
     };
   }
 
+  /** Memory of the bodies of all requests, bytes. */
+  get heldBodyBytes(): number {
+    return this.#bodies.heldBytes;
+  }
+
   /** @param limits limits for callers */
   useLimits(limits: CallerLimits): void {
     this.#limits = limits;
--- a/packages/lovagepond-gateway/src/gateway_server.ts
+++ b/packages/lovagepond-gateway/src/gateway_server.ts
@@ -34,6 +34,12 @@
 /** Node's limit on request heads; above any limit of a configuration, bytes. */
 const PARSER_HEAD_BYTES = 256 * 1024;
 
+/**
+ * Limit on a head that is incomplete, as a multiple of the limit on headers: the
+ * request line may be as long again.
+ */
+const HEAD_PER_HEADERS = 2;
+
 /** Requests of a connection that are not answered yet. */
 const MAX_PIPELINED = 16;
 
@@ -66,6 +72,14 @@
   'host' | 'port' | 'maxHeldBytes' | 'maxConnections' | 'maxRequests'
 >;
 
+/** State for the metrics and the state dump. */
+interface ListenerState extends GatewayIntakeState {
+  /** Connections closed because of a limit, by limit. */
+  readonly closedByLimit: Readonly<Record<string, number>>;
+  /** Memory of the bodies of all requests, bytes. */
+  readonly heldBodyBytes: number;
+}
+
 export class GatewayServer {
   readonly #settings: ListenerSettings;
   readonly #deps: GatewayServerDependencies;
@@ -99,11 +113,16 @@
       maxRequests,
       drainAdmission: this.#drainAdmission,
     });
-    this.#intake = new GatewayIntake(this.#server, {...deps, maxConnections});
-    this.#connections = new HttpConnections(this.#server, {
-      maxPipelined: MAX_PIPELINED,
-      unreadTimeoutMs: DEFAULT_LIMITS.idleTimeoutMs,
-    });
+    this.#intake = new GatewayIntake(this.#server, deps);
+    this.#connections = new HttpConnections(
+      this.#server,
+      {
+        maxConnections,
+        maxPipelined: MAX_PIPELINED,
+        unreadTimeoutMs: DEFAULT_LIMITS.idleTimeoutMs,
+      },
+      deps.log,
+    );
     this.#server.on('request', (req, res) => {
       if (this.#connections.isTooLate(req, res)) req.resume();
       else this.#open(req, res);
@@ -125,9 +144,13 @@
     return this.#openRequests.unfinished;
   }
 
-  /** What limits the intake of connections. */
-  get intake(): GatewayIntakeState {
-    return this.#intake.describe();
+  /** What limits the intake of connections and requests. */
+  get intake(): ListenerState {
+    return {
+      ...this.#intake.describe(),
+      closedByLimit: this.#connections.limits.closedByLimit,
+      heldBodyBytes: this.#path.heldBodyBytes,
+    };
   }
 
   get port(): number {
@@ -138,11 +161,13 @@
   /** @param limits limits for callers; the defaults when undefined */
   useLimits(limits: CallerLimits | undefined): void {
     const used = limits ?? DEFAULT_LIMITS;
-    const {headerTimeoutMs, idleTimeoutMs} = used;
+    const {headerTimeoutMs, idleTimeoutMs, maxHeaderBytes} = used;
     this.#path.useLimits(used);
     this.#server.headersTimeout = headerTimeoutMs;
     this.#server.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS;
-    this.#connections.useUnreadTimeout(idleTimeoutMs);
+    const connections = this.#connections.limits;
+    connections.useUnreadTimeout(idleTimeoutMs);
+    connections.useMaxHeadBytes(HEAD_PER_HEADERS * maxHeaderBytes);
   }
 
   /** Binds the address. */
--- a/packages/lovagepond-operator/src/operator_server.ts
+++ b/packages/lovagepond-operator/src/operator_server.ts
@@ -95,10 +95,8 @@
       ...HTTP_SERVER_OPTIONS,
       requestTimeout: requestTimeoutMs,
     });
-    this.#delivery = new ResponseDelivery(this.#server, {
-      ...DEFAULT_HTTP_LIMITS,
-      maxConnections,
-    });
+    const limits = {...DEFAULT_HTTP_LIMITS, maxConnections};
+    this.#delivery = new ResponseDelivery(this.#server, limits, log);
     this.#delivery.onRequest(app.attach as never);
   }
 
--- a/packages/lovagepond-process/src/__tests__/unit/http_connection_limits.test.ts
+++ b/packages/lovagepond-process/src/__tests__/unit/http_connection_limits.test.ts
@@ -1,8 +1,9 @@
 import {createHash} from 'node:crypto';
 import {once} from 'node:events';
 import {createServer, type RequestListener, type Server} from 'node:http';
-import {type AddressInfo, connect} from 'node:net';
+import {type AddressInfo, connect, type Socket} from 'node:net';
 import {afterEach, expect, test} from 'vitest';
+import {HEAD_ERROR} from '../../http_connection_limits.js';
 import {HttpConnections} from '../../http_connections.js';
 import {
   DEFAULT_HTTP_LIMITS,
@@ -74,7 +75,7 @@
   });
   expect(await exchange(port, get('/').repeat(5_000))).toBe('');
   expect(requests).toBe(MAX_PIPELINED);
-  expect(connections.flooding).toBe(1);
+  expect(connections.limits.closedByLimit['pipelined']).toBe(1);
 });
 
 test('requests in turn on one connection are no requests ahead', async () => {
@@ -126,7 +127,9 @@
   const socket = connect(port, '127.0.0.1');
   socket.on('error', () => undefined);
   socket.write(get('/'));
-  await expect.poll(() => connections.unread, {timeout: 10_000}).toBe(1);
+  await expect
+    .poll(() => connections.limits.closedByLimit['unread'], {timeout: 10_000})
+    .toBe(1);
   expect(connections.undelivered).toBe(0);
   socket.destroy();
 });
@@ -140,5 +143,20 @@
   );
   const received = await exchange(port, get('/', 'Connection: close'));
   expect(received).toContain('<late>');
-  expect(connections.unread).toBe(0);
+  expect(connections.limits.closedByLimit['unread']).toBe(0);
+});
+
+test('a head over the limit is an error of its connection', async () => {
+  const {port, connections} = await start((_req, res) => res.end('<>'));
+  connections.limits.useMaxHeadBytes(4_096);
+  const errors: string[] = [];
+  server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
+    errors.push(err.code ?? '');
+    connections.answerUnparsable(socket as Socket, 'too large');
+  });
+  const endless = `GET / HTTP/1.1\r\na: ${'x'.repeat(6_000)}`;
+  expect(await exchange(port, endless)).toBe('too large');
+  expect(errors).toEqual([HEAD_ERROR.TOO_LARGE]);
+  const within = get('/', `a: ${'x'.repeat(2_500)}`, 'Connection: close');
+  expect(await exchange(port, within)).toContain('<>');
 });
--- a/packages/lovagepond-process/src/http_connections.ts
+++ b/packages/lovagepond-process/src/http_connections.ts
@@ -1,6 +1,6 @@
 /**
- * Bounds what the peers of an HTTP server may have it hold, and closes its
- * connections so that no response is cut.
+ * Tracks the connections of an HTTP server, within its limits, and closes them so
+ * that no response is cut.
  *
  * Node takes a connection for idle once `end()` was called for its response,
  * even if bytes of it wait in the process, and destroys it. A destroyed
@@ -14,16 +14,17 @@
   type ServerResponse,
 } from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
+import {type Logger} from '@lovagepond/core';
 import {
-  DEFAULT_HTTP_LIMITS,
-  type HttpLimits,
-  MAX_WAITING_BEHIND,
-} from './http_limits.js';
+  closeInOrder,
+  type Connection,
+  isLast,
+  makeConnection,
+} from './http_connection.js';
+import {ConnectionLimits} from './http_connection_limits.js';
+import {DEFAULT_HTTP_LIMITS} from './http_limits.js';
 import {dropInput, feedParser} from './http_parser_feed.js';
 
-/** Longest time for which a closed connection is read, milliseconds. */
-const LINGER_MS = 1_000;
-
 const STATUS_BAD_REQUEST = 400;
 
 /**
@@ -32,30 +33,14 @@
  */
 const NEXT_REQUEST_MS = 100;
 
-interface Connection {
-  /** Whether a request has arrived. */
-  isUsed: boolean;
-  /** Responses that are not delivered. */
-  readonly open: Set<ServerResponse>;
-  /** The newest request. */
-  newest: IncomingMessage | undefined;
-  /** Bytes that had arrived when the last response was delivered. */
-  bytesAnswered: number;
-  /** The response that has announced the close. */
-  last: ServerResponse | undefined;
-  isClosing: boolean;
-}
-
 /** Tracks the connections of one server and their undelivered responses. */
 export class HttpConnections {
   readonly #server: Server;
-  readonly #limits: HttpLimits;
   readonly #connections = new Map<Socket, Connection>();
+  /** Applied to all connections. */
+  readonly limits: ConnectionLimits;
   readonly #deliveryListeners: (() => void)[] = [];
   #undelivered = 0;
-  #waitingBehind = 0;
-  #flooding = 0;
-  #unread = 0;
   #closesIdle = false;
   #closesUnused = false;
 
@@ -63,15 +48,12 @@
    * @param server a server that doesn't listen yet, made with
    *     `HTTP_SERVER_OPTIONS`
    * @param limits bounds for its peers
+   * @param log logs which limit has closed connections
    */
-  constructor(server: Server, limits = DEFAULT_HTTP_LIMITS) {
+  constructor(server: Server, limits = DEFAULT_HTTP_LIMITS, log?: Logger) {
     this.#server = server;
-    this.#limits = limits;
-    if (limits.maxConnections) server.maxConnections = limits.maxConnections;
-    this.useUnreadTimeout(limits.unreadTimeoutMs);
-    server.on('timeout', (socket: Socket) => {
-      this.#onTimeout(socket);
-    });
+    const open = this.#connections;
+    this.limits = new ConnectionLimits(server, limits, open, log);
     server.on('connection', (socket: Socket) => {
       this.#add(socket);
     });
@@ -85,22 +67,6 @@
     return this.#undelivered;
   }
 
-  /** Connections closed as too many requests were sent ahead on them. */
-  get flooding(): number {
-    return this.#flooding;
-  }
-
-  /** Connections closed as their peer did not read a response. */
-  get unread(): number {
-    return this.#unread;
-  }
-
-  /** @param timeoutMs see `HttpLimits` */
-  useUnreadTimeout(timeoutMs: number): void {
-    // The timeout of a connection starts anew with each byte it takes or sends.
-    this.#server.timeout = timeoutMs;
-  }
-
   /**
    * @param listener called for each request within the limits that can be
    *     answered
@@ -205,17 +171,16 @@
   }
 
   #add(socket: Socket): void {
-    const connection: Connection = {
-      isUsed: false,
-      open: new Set<ServerResponse>(),
-      newest: undefined,
-      bytesAnswered: 0,
-      last: undefined,
-      isClosing: false,
-    };
+    const now = performance.now();
+    if (!this.limits.admit(socket, now)) return;
+    const connection = makeConnection();
     this.#connections.set(socket, connection);
     feedParser(socket, {
       isReceivingBody: () => connection.newest?.complete === false,
+      onHeadPiece: bytes => {
+        const at = performance.now();
+        this.limits.noteHeadPiece(socket, connection, bytes, at);
+      },
     });
     // Called by Node after a response that announced the close.
     socket.destroySoon = () => {
@@ -223,6 +188,7 @@
     };
     socket.once('close', () => {
       this.#connections.delete(socket);
+      this.limits.noteClosed(socket);
       // Node closes no response that waits behind another one.
       for (const res of connection.open) {
         this.#noteEnded(socket, connection, res);
@@ -235,18 +201,15 @@
     const connection = this.#connections.get(socket);
     if (!connection || socket.destroyed) return;
     connection.newest = req;
+    connection.hasArrived = true;
     if (connection.isClosing || connection.last) {
       // Node keeps each of these until the connection closes.
       dropInput(socket);
       return;
     }
     connection.isUsed = true;
-    if (connection.open.size > 0 && !this.#mayWaitBehind(connection)) {
-      this.#flooding += 1;
-      socket.destroy();
-      return;
-    }
-    if (connection.open.size > 0) this.#waitingBehind += 1;
+    const now = performance.now();
+    if (!this.limits.admitRequest(socket, connection, now)) return;
     connection.open.add(res);
     this.#undelivered += 1;
     // Emitted once the operating system has taken the last byte, or the
@@ -262,7 +225,7 @@
     res: ServerResponse,
   ): void {
     if (!connection.open.delete(res)) return;
-    if (connection.open.size > 0) this.#waitingBehind -= 1;
+    this.limits.noteEnded(connection);
     connection.bytesAnswered = socket.bytesRead;
     if (connection.newest?.complete) connection.newest = undefined;
     this.#undelivered -= 1;
@@ -276,21 +239,6 @@
     for (const listener of this.#deliveryListeners.splice(0)) listener();
   }
 
-  #mayWaitBehind({open}: Connection): boolean {
-    return (
-      open.size < this.#limits.maxPipelined &&
-      this.#waitingBehind < MAX_WAITING_BEHIND
-    );
-  }
-
-  /** A connection without a byte may also wait for the response's server. */
-  #onTimeout(socket: Socket): void {
-    const isUnread = socket.writableLength > 0;
-    const waits = (this.#connections.get(socket)?.open.size ?? 0) > 0;
-    if (isUnread) this.#unread += 1;
-    if (isUnread || !waits) socket.destroy();
-  }
-
   #closeIfIdle(socket: Socket, connection: Connection): void {
     if (connection.isClosing || connection.open.size > 0) return;
     if (!connection.isUsed && !this.#closesUnused) return;
@@ -307,26 +255,3 @@
   const headers = {'Content-Length': 0, Connection: 'close'};
   res.writeHead(STATUS_BAD_REQUEST, headers).end();
 }
-
-function isLast(
-  res: ServerResponse,
-  open: ReadonlySet<ServerResponse>,
-): boolean {
-  return [...open].at(-1) === res;
-}
-
-/**
- * Closes a connection after its last byte. The peer may send more before it
- * sees the close. What arrives is read and dropped, as unread bytes would reset
- * the connection.
- */
-function closeInOrder(socket: Socket, connection: Connection): void {
-  if (connection.isClosing || socket.destroyed) return;
-  connection.isClosing = true;
-  dropInput(socket);
-  socket.end();
-  const limit = setTimeout(() => socket.destroy(), LINGER_MS).unref();
-  socket.once('close', () => {
-    clearTimeout(limit);
-  });
-}
--- a/packages/lovagepond-process/src/http_delivery.ts
+++ b/packages/lovagepond-process/src/http_delivery.ts
@@ -9,7 +9,7 @@
   type ServerResponse,
 } from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {type DrainResult} from '@lovagepond/core';
+import {type DrainResult, type Logger} from '@lovagepond/core';
 import {HttpConnections} from './http_connections.js';
 import {type HttpLimits} from './http_limits.js';
 
@@ -91,9 +91,10 @@
    * @param server the server, not listening yet, made with
    *     `HTTP_SERVER_OPTIONS`
    * @param limits bounds for its clients
+   * @param log logs which limit has closed connections
    */
-  constructor(server: Server, limits: HttpLimits) {
-    this.#connections = new HttpConnections(server, limits);
+  constructor(server: Server, limits: HttpLimits, log?: Logger) {
+    this.#connections = new HttpConnections(server, limits, log);
   }
 
   /** @param listener called for each request that can be answered */
--- a/packages/lovagepond-process/src/http_limits.ts
+++ b/packages/lovagepond-process/src/http_limits.ts
@@ -27,5 +27,8 @@
   unreadTimeoutMs: 15_000,
 };
 
+/** Memory of the incomplete heads of a server, bytes. */
+export const MAX_HEADS_BYTES = 16 * 1024 * 1024;
+
 /** Requests that wait behind another one, on all connections of a server. */
 export const MAX_WAITING_BEHIND = 1_000;
--- a/packages/lovagepond-process/src/http_parser_feed.ts
+++ b/packages/lovagepond-process/src/http_parser_feed.ts
@@ -19,6 +19,12 @@
 export interface FeedListener {
   /** @returns whether a request's body is incomplete */
   isReceivingBody(): boolean;
+  /**
+   * Called after each piece that began outside a body.
+   *
+   * @param bytes its size
+   */
+  onHeadPiece(bytes: number): void;
 }
 
 /**
@@ -31,13 +37,13 @@
   socket.on('data', (chunk: Buffer) => {
     let rest = chunk;
     while (rest.length > 0) {
-      const size = listener.isReceivingBody()
-        ? BODY_PIECE_BYTES
-        : HEAD_PIECE_BYTES;
+      const isBody = listener.isReceivingBody();
+      const size = isBody ? BODY_PIECE_BYTES : HEAD_PIECE_BYTES;
       const piece = rest.subarray(0, size);
       rest = rest.subarray(size);
       for (const feed of parse) feed.call(socket, piece);
       if (socket.destroyed || dropping.has(socket)) return;
+      if (!isBody) listener.onHeadPiece(piece.length);
       // The parser takes nothing while it is paused.
       if (rest.length > 0 && socket.isPaused()) {
         socket.unshift(rest);
--- a/packages/lovagepond-router/src/__tests__/fakes/router_fakes.ts
+++ b/packages/lovagepond-router/src/__tests__/fakes/router_fakes.ts
@@ -325,6 +325,7 @@
     refusedConnections: 0,
     malformed: 0,
     refusedByKind: {},
+    closedByLimit: {},
     slowReadersEnded: 0,
     callersGone: 0,
   };
