Let quiet connections give way at the limit on connections

Cause: at the limit on connections a further one was closed, whoever it was.

Change: for a further connection the one that has been without a request for the longest time is closed, if that is over half a second; a proper client that has just connected sends its head by then, and one that loses an idle connection repeats its request on another. Where all are in use the further one is closed, as before.

Evidence: unit tests of both.

--- a/packages/lovagepond-process/src/__tests__/unit/http_connection_limits.test.ts
+++ b/packages/lovagepond-process/src/__tests__/unit/http_connection_limits.test.ts
@@ -1,7 +1,13 @@
 import {createHash} from 'node:crypto';
 import {once} from 'node:events';
-import {createServer, type RequestListener, type Server} from 'node:http';
+import {
+  createServer,
+  type RequestListener,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
 import {type AddressInfo, connect, type Socket} from 'node:net';
+import {setTimeout as wait} from 'node:timers/promises';
 import {afterEach, expect, test} from 'vitest';
 import {HEAD_ERROR} from '../../http_connection_limits.js';
 import {HttpConnections} from '../../http_connections.js';
@@ -12,6 +18,7 @@
 } from '../../http_limits.js';
 
 const MAX_PIPELINED = 4;
+const LONGER_THAN_QUIET_MS = 600;
 
 let server: Server;
 
@@ -146,6 +153,51 @@
   expect(connections.limits.closedByLimit['unread']).toBe(0);
 });
 
+/** @returns resolves once the server has accepted that many connections */
+async function openQuiet(port: number, count: number): Promise<Socket[]> {
+  const sockets: Socket[] = [];
+  for (let nth = 0; nth < count; nth += 1) {
+    const socket = connect(port, '127.0.0.1');
+    socket.on('error', () => undefined);
+    sockets.push(socket);
+    await once(socket, 'connect');
+  }
+  return sockets;
+}
+
+// Guards against connections without requests that shut other clients out.
+test('the connection that was quiet the longest is closed for another', async () => {
+  const {port, connections} = await start((_req, res) => res.end('<>'), {
+    maxConnections: 2,
+  });
+  const [first, second] = await openQuiet(port, 2);
+  await wait(LONGER_THAN_QUIET_MS);
+  const closed = once(first!, 'close');
+  const received = await exchange(port, get('/', 'Connection: close'));
+  expect(received).toContain('<>');
+  await closed;
+  expect(second?.readyState).toBe('open');
+  expect(connections.limits.closedByLimit['quiet']).toBe(1);
+  second?.destroy();
+});
+
+test('connections with requests under way are closed for no other', async () => {
+  const waiting: ServerResponse[] = [];
+  const {port, connections} = await start((_req, res) => waiting.push(res), {
+    maxConnections: 2,
+  });
+  const [first, second] = await openQuiet(port, 2);
+  for (const socket of [first, second]) socket?.write(get('/'));
+  await expect.poll(() => waiting.length).toBe(2);
+  await wait(LONGER_THAN_QUIET_MS);
+  expect(await exchange(port, get('/'))).toBe('');
+  expect(connections.limits.closedByLimit['connections']).toBe(1);
+  const answer = once(first!, 'data');
+  waiting[0]?.end('<>');
+  expect(String((await answer)[0])).toContain('<>');
+  for (const socket of [first, second]) socket?.destroy();
+});
+
 test('a head over the limit is an error of its connection', async () => {
   const {port, connections} = await start((_req, res) => res.end('<>'));
   connections.limits.useMaxHeadBytes(4_096);
--- a/packages/lovagepond-process/src/__tests__/unit/http_limit_counts.test.ts
+++ b/packages/lovagepond-process/src/__tests__/unit/http_limit_counts.test.ts
@@ -13,12 +13,12 @@
     error: ignore,
   };
   const counts = new HttpLimitCounts(log);
-  for (const now of [0, 500, 999, 1_000]) counts.note(HTTP_LIMIT.HEAD, now);
+  for (const now of [0, 500, 999, 1_000]) counts.note(HTTP_LIMIT.QUIET, now);
   counts.note(HTTP_LIMIT.UNREAD, 1_001);
-  expect(counts.read()).toMatchObject({head: 4, unread: 1, heads: 0});
+  expect(counts.read()).toMatchObject({quiet: 4, unread: 1, heads: 0});
   expect(lines).toEqual([
-    {limit: 'head', closed: 1},
-    {limit: 'head', closed: 4},
+    {limit: 'quiet', closed: 1},
+    {limit: 'quiet', closed: 4},
     {limit: 'unread', closed: 1},
   ]);
 });
--- a/packages/lovagepond-process/src/http_connection.ts
+++ b/packages/lovagepond-process/src/http_connection.ts
@@ -17,6 +17,8 @@
   newest: IncomingMessage | undefined;
   /** Whether a request has arrived since the last piece of input. */
   hasArrived: boolean;
+  /** When it was accepted or its last response delivered, monotonic ms. */
+  quietSince: number;
   /** Bytes that had arrived when the last response was delivered. */
   bytesAnswered: number;
   /** The response that has announced the close. */
@@ -24,12 +26,14 @@
   isClosing: boolean;
 }
 
-export function makeConnection(): Connection {
+/** @param now current time, monotonic milliseconds */
+export function makeConnection(now: number): Connection {
   return {
     isUsed: false,
     open: new Set<ServerResponse>(),
     newest: undefined,
     hasArrived: false,
+    quietSince: now,
     bytesAnswered: 0,
     last: undefined,
     isClosing: false,
--- a/packages/lovagepond-process/src/http_connection_limits.ts
+++ b/packages/lovagepond-process/src/http_connection_limits.ts
@@ -33,6 +33,18 @@
   [HEAD_ERROR.NO_ROOM]: HTTP_LIMIT.HEADS,
 };
 
+/**
+ * Time without a request after which a connection may be closed for another
+ * one, milliseconds.
+ */
+const QUIET_MS = 500;
+
+/**
+ * Connections that Node accepts above the limit, so that a quiet one can be
+ * closed for them.
+ */
+const EXTRA_CONNECTIONS = 50;
+
 /** Applies the limits of one server to its connections. */
 export class ConnectionLimits {
   readonly #server: Server;
@@ -60,7 +72,7 @@
     this.#connections = connections;
     this.#closed = new HttpLimitCounts(log);
     if (limits.maxConnections) {
-      server.maxConnections = limits.maxConnections + 1;
+      server.maxConnections = limits.maxConnections + EXTRA_CONNECTIONS;
     }
     this.useUnreadTimeout(limits.unreadTimeoutMs);
     server.on('timeout', (socket: Socket) => {
@@ -88,15 +100,20 @@
   }
 
   /**
-   * Closes the connection if there are too many.
+   * Closes a quiet connection if there are too many.
    *
    * @param socket a connection that was just accepted
    * @param now current time, monotonic milliseconds
-   * @returns false if it was closed
+   * @returns false if it was closed itself, as all others are in use
    */
   admit(socket: Socket, now: number): boolean {
     const {maxConnections = Number.POSITIVE_INFINITY} = this.#limits;
     if (this.#connections.size < maxConnections) return true;
+    const quietest = findQuietest(this.#connections, now);
+    if (quietest) {
+      this.#close(quietest, HTTP_LIMIT.QUIET, now);
+      return true;
+    }
     this.#close(socket, HTTP_LIMIT.CONNECTIONS, now);
     // As Node does for the connections that it closes itself.
     this.#server.emit('drop', {remotePort: socket.remotePort});
@@ -178,3 +195,23 @@
     else if (!this.#connections.get(socket)?.open.size) socket.destroy();
   }
 }
+
+/**
+ * @param connections all connections
+ * @param now current time, monotonic milliseconds
+ * @returns the one that has been without a request for the longest time, if any
+ *     has for long
+ */
+function findQuietest(
+  connections: ReadonlyMap<Socket, Connection>,
+  now: number,
+): Socket | undefined {
+  let quietest: Socket | undefined;
+  let since = now - QUIET_MS;
+  for (const [socket, {open, quietSince}] of connections) {
+    if (open.size > 0 || quietSince > since) continue;
+    quietest = socket;
+    since = quietSince;
+  }
+  return quietest;
+}
--- a/packages/lovagepond-process/src/http_connections.ts
+++ b/packages/lovagepond-process/src/http_connections.ts
@@ -173,7 +173,7 @@
   #add(socket: Socket): void {
     const now = performance.now();
     if (!this.limits.admit(socket, now)) return;
-    const connection = makeConnection();
+    const connection = makeConnection(now);
     this.#connections.set(socket, connection);
     feedParser(socket, {
       isReceivingBody: () => connection.newest?.complete === false,
@@ -227,6 +227,7 @@
     if (!connection.open.delete(res)) return;
     this.limits.noteEnded(connection);
     connection.bytesAnswered = socket.bytesRead;
+    connection.quietSince = performance.now();
     if (connection.newest?.complete) connection.newest = undefined;
     this.#undelivered -= 1;
     if (this.#closesIdle && !socket.destroyed) {
--- a/packages/lovagepond-process/src/http_limit_counts.ts
+++ b/packages/lovagepond-process/src/http_limit_counts.ts
@@ -6,8 +6,10 @@
 
 /** Limits that close a connection. */
 export const HTTP_LIMIT = {
-  /** Too many connections. */
+  /** Too many connections, none of which was quiet for long. */
   CONNECTIONS: 'connections',
+  /** Too many connections, of which this one was quiet the longest. */
+  QUIET: 'quiet',
   /** Too many unanswered requests of this connection, or of all. */
   PIPELINED: 'pipelined',
   /** An incomplete head that is too large. */
--- a/packages/lovagepond-process/src/http_limits.ts
+++ b/packages/lovagepond-process/src/http_limits.ts
@@ -11,7 +11,10 @@
 
 /** Limits for the peers of one server. */
 export interface HttpLimits {
-  /** Open connections; further ones are closed unread. */
+  /**
+   * Open connections. For a further one that which was quiet the longest is
+   * closed; if none was quiet for long, the further one is.
+   */
   readonly maxConnections?: number;
   /**
    * Requests of one connection that are not answered yet. A connection with
