Give the parser input that is small enough as it is

A request within one piece was cut from its chunk and the time was read for it; neither is needed. It is kept as it is the simpler loop.

--- a/packages/lovagepond-process/src/http_connection_limits.ts
+++ b/packages/lovagepond-process/src/http_connection_limits.ts
@@ -148,21 +148,10 @@
 
   /**
    * @param socket a connection
-   * @param connection its state
-   * @param bytes size of a piece of input that began outside a body
+   * @param bytes further bytes of its incomplete head
    * @param now current time, monotonic milliseconds
    */
-  noteHeadPiece(
-    socket: Socket,
-    connection: Connection,
-    bytes: number,
-    now: number,
-  ): void {
-    if (connection.hasArrived) {
-      connection.hasArrived = false;
-      this.#heads.clear(socket);
-      return;
-    }
+  noteIncompleteHead(socket: Socket, bytes: number, now: number): void {
     const held = this.#heads.add(socket, bytes);
     if (held > this.#maxHeadBytes) {
       this.#refuseHead(socket, HEAD_ERROR.TOO_LARGE, now);
@@ -171,8 +160,8 @@
     if (excess) this.#refuseHead(excess, HEAD_ERROR.NO_ROOM, now);
   }
 
-  /** @param socket a connection that is closed */
-  noteClosed(socket: Socket): void {
+  /** @param socket a connection whose head is complete, or that is closed */
+  noteHeadEnd(socket: Socket): void {
     this.#heads.clear(socket);
   }
 
--- a/packages/lovagepond-process/src/http_connections.ts
+++ b/packages/lovagepond-process/src/http_connections.ts
@@ -178,8 +178,7 @@
     feedParser(socket, {
       isReceivingBody: () => connection.newest?.complete === false,
       onHeadPiece: bytes => {
-        const at = performance.now();
-        this.limits.noteHeadPiece(socket, connection, bytes, at);
+        this.#noteHeadPiece(socket, connection, bytes);
       },
     });
     // Called by Node after a response that announced the close.
@@ -188,7 +187,7 @@
     };
     socket.once('close', () => {
       this.#connections.delete(socket);
-      this.limits.noteClosed(socket);
+      this.limits.noteHeadEnd(socket);
       // Node closes no response that waits behind another one.
       for (const res of connection.open) {
         this.#noteEnded(socket, connection, res);
@@ -196,6 +195,15 @@
     });
   }
 
+  #noteHeadPiece(socket: Socket, connection: Connection, bytes: number): void {
+    if (!connection.hasArrived) {
+      this.limits.noteIncompleteHead(socket, bytes, performance.now());
+      return;
+    }
+    connection.hasArrived = false;
+    this.limits.noteHeadEnd(socket);
+  }
+
   #noteRequest(req: IncomingMessage, res: ServerResponse): void {
     const {socket} = req;
     const connection = this.#connections.get(socket);
--- a/packages/lovagepond-process/src/http_parser_feed.ts
+++ b/packages/lovagepond-process/src/http_parser_feed.ts
@@ -32,21 +32,28 @@
  * @param listener decides on the size of pieces
  */
 export function feedParser(socket: Socket, listener: FeedListener): void {
-  const parse = socket.listeners('data') as ((piece: Buffer) => void)[];
+  const [parse] = socket.listeners('data') as ((piece: Buffer) => void)[];
+  if (!parse) return;
+  /** @returns false if nothing further is to be parsed */
+  const feed = (piece: Buffer, isBody: boolean): boolean => {
+    parse.call(socket, piece);
+    if (socket.destroyed || dropping.has(socket)) return false;
+    if (!isBody) listener.onHeadPiece(piece.length);
+    return true;
+  };
   socket.removeAllListeners('data');
   socket.on('data', (chunk: Buffer) => {
-    let rest = chunk;
-    while (rest.length > 0) {
+    let at = 0;
+    while (at < chunk.length) {
       const isBody = listener.isReceivingBody();
-      const size = isBody ? BODY_PIECE_BYTES : HEAD_PIECE_BYTES;
-      const piece = rest.subarray(0, size);
-      rest = rest.subarray(size);
-      for (const feed of parse) feed.call(socket, piece);
-      if (socket.destroyed || dropping.has(socket)) return;
-      if (!isBody) listener.onHeadPiece(piece.length);
+      const end = at + (isBody ? BODY_PIECE_BYTES : HEAD_PIECE_BYTES);
+      const isWhole = at === 0 && end >= chunk.length;
+      const piece = isWhole ? chunk : chunk.subarray(at, end);
+      at += piece.length;
+      if (!feed(piece, isBody)) return;
       // The parser takes nothing while it is paused.
-      if (rest.length > 0 && socket.isPaused()) {
-        socket.unshift(rest);
+      if (at < chunk.length && socket.isPaused()) {
+        socket.unshift(chunk.subarray(at));
         return;
       }
     }
