Leave descriptors for everything that a gateway opens at its limits

3,000 callers, 600 requests with a connection to a server each instead of 800, 100 connections for checks and 50 above each limit while a quiet connection is closed are 3,800 of the 3,900 descriptors that the platform leaves for sockets; with 800 they were 4,000. No proper client meets either number: a gateway of half a core serves some tens of requests a second.

--- a/packages/lovagepond-gateway/src/gateway_settings.ts
+++ b/packages/lovagepond-gateway/src/gateway_settings.ts
@@ -61,7 +61,7 @@
   serverCapacity: false,
   maxConnections: 3_000,
   maxHeldBytes: 64 * 1024 * 1024,
-  maxRequests: 800,
+  maxRequests: 600,
   drainTimeoutMs: 2_000,
   drainLingerMs: 2_500,
   retryFraction: 0.2,
