--- a/scripts/test_safeguards.mjs
+++ b/scripts/test_safeguards.mjs
@@ -20,6 +20,7 @@
 const LISTS = [
   'scripts/safeguards.json',
   'scripts/safeguards_addresses.json',
+  'scripts/safeguards_clients.json',
   'scripts/safeguards_control.json',
   'scripts/safeguards_durations.json',
   'scripts/safeguards_quarantine.json',
