--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,17 +1,14 @@
-// A replica reports its end with DELETE. The node that confirms it, the leader of
-// control, is killed right after the confirmation.
-import {connect} from 'node:net';
-import process from 'node:process';
-import {clearInterval, setInterval, setTimeout} from 'node:timers';
+// The operator takes away the keys of the last tenant: the new configuration has an
+// empty list of tenants.
 import {setTimeout as sleep} from 'node:timers/promises';
 import {URL} from 'node:url';
 import {
   assertRunning,
-  BOUNDS,
-  callOnce,
+  callControl,
   callUntilConfirmed,
   configuration,
   HAS_TROUBLE,
+  KEY,
   makeFleet,
   now,
   PLAIN_ROUTE,
@@ -24,187 +21,110 @@
   waitFor,
 } from '../stand-ins-2/lib.mjs';
 
-const ROUNDS = 5;
-const REPLICAS = 4;
+const REVOCATION_MS = 5_000;
 
-/** Time for which the replica serves after the confirmation, milliseconds. */
-const LINGER_MS = 7_500;
+/** Requests with each key at each gateway. */
+const REQUESTS = 20;
+const INTERVAL_MS = 200;
 
-/**
- * Time between the start of the node that was killed before and the next kill,
- * milliseconds: the node counts as lost for `CatchUpS` (4 s) after its start, and
- * the core as unstable for `ContactTimeoutMs` (3 s).
- */
-const CALM_MS = 6_000;
+/** A key that no configuration holds. */
+const UNKNOWN_KEY = 'zzz0000000000000never';
 
-/** Requests a second at each gateway. */
-const PER_SECOND = 10;
+const ROUTE = {...PLAIN_ROUTE, RouteKind: 'non_idempotent', MaxAttempts: 1};
+
+/** A tenant that stays, in the run without the trouble. */
+const OTHER_TENANT = {
+  Name: 'pavo112',
+  ApiKeys: ['anfqasnmgkcuyj8pjbvk'],
+  Priority: 1,
+};
 
 const record = new Record(new URL('record.txt', import.meta.url));
 const fleet = makeFleet();
-const replicas = [];
-/** What ran at replicas: id of the replica, id of the request, time. */
-const runs = [];
-const sends = new Map();
-let timer;
+/** The tenant that the replica was told, by attempt. */
+const runs = new Map();
+const replica = new Replica('i-1', PLAIN_SERVICE.Name, (req, res) => {
+  const attempt = String(req.headers['x-lovagepond-attempt-id']);
+  const tenant = req.headers['x-lovagepond-tenant'] ?? 'none';
+  runs.set(attempt, tenant);
+  record.note(`${attempt} runs at i-1, tenant: ${tenant}`);
+  res.writeHead(200, {...signed('i-1', req), 'Content-Length': 2}).end('ok');
+});
 
 function controlPlanes() {
   return fleet.controls.map(({controlPlane}) => controlPlane);
 }
 
-async function startReplica(id) {
-  const replica = new Replica(id, PLAIN_SERVICE.Name, (req, res) => {
-    const attempt = String(req.headers['x-lovagepond-attempt-id']);
-    runs.push({replica: id, attempt, at: now()});
-    setTimeout(() => {
-      res.writeHead(200, {...signed(id, req), 'Content-Length': id.length});
-      res.end(id);
-    }, 10);
+/** Sends a configuration until it is confirmed. */
+async function configure(version, tenants) {
+  const document = JSON.parse(
+    configuration({version, routes: [ROUTE], services: [PLAIN_SERVICE]}),
+  );
+  const body = JSON.stringify({
+    ...document,
+    ...(tenants && {Tenants: tenants}),
   });
-  await replica.listen();
-  replicas.push(replica);
-  replica.startReports(controlPlanes);
-  return replica;
-}
-
-/** @returns the index of the leader: the only one that confirms reports itself */
-async function findLeader(replica) {
-  for (const [at, {controlPlane}] of fleet.controls.entries()) {
-    const url = `http://${controlPlane}${replica.path}`;
-    const res = await callOnce(url, 'PUT', replica.report()).catch(
-      () => undefined,
-    );
-    if (res?.status === 200) return at;
+  const call = {method: 'PUT', path: '/-/configuration', body};
+  if (!(await callUntilConfirmed(controlPlanes(), call, 20_000))) {
+    throw new Error('no configuration');
   }
-  throw new Error('no leader');
-}
-
-/**
- * Sends DELETE and calls back with the first byte of the answer.
- *
- * @returns {Promise<{status: number, at: number}>}
- */
-function withdraw(replica, address, onAnswer) {
-  const [host, port] = address.split(':');
-  return new Promise((resolve, reject) => {
-    const socket = connect(Number(port), host, () => {
-      socket.write(
-        `DELETE ${replica.path} HTTP/1.1\r\nHost: ${address}\r\n` +
-          'Connection: close\r\n\r\n',
-      );
-    });
-    socket.setNoDelay(true);
-    socket.once('data', bytes => {
-      const status = Number(bytes.toString('latin1', 9, 12));
-      if (status === 200) onAnswer();
-      const at = now();
-      socket.destroy();
-      resolve({status, at});
-    });
-    socket.once('error', reject);
-  });
+  record.note(`version ${version} is confirmed`);
+  return body;
 }
 
-function startTraffic() {
-  let nth = 0;
-  timer = setInterval(() => {
-    for (const [at, {frontend}] of fleet.gateways.entries()) {
-      nth += 1;
-      const id = `a-${nth}`;
-      sends.set(id, {gateway: at, at: now()});
-      const path = `${PLAIN_ROUTE.PathPrefix}x`;
-      void send(frontend, {id, path}).then(({status}) => {
-        sends.get(id).status = status;
-      });
+/** @returns the requests with the key that ran, and all statuses */
+async function tryKey(name, key) {
+  const counts = {sent: 0, ran: 0, statuses: {}};
+  for (let nth = 0; nth < REQUESTS; nth += 1) {
+    for (const {frontend} of fleet.gateways) {
+      const path = `${ROUTE.PathPrefix}x`;
+      const headers = {'X-Lovagepond-Credential': key};
+      const {id, sentAt, status} = await send(frontend, {path, headers});
+      record.note(`${id} with ${name}, sent at ${sentAt}: ${status}`);
+      counts.sent += 1;
+      counts.ran += runs.has(id) ? 1 : 0;
+      counts.statuses[status] = (counts.statuses[status] ?? 0) + 1;
     }
-  }, 1_000 / PER_SECOND);
-}
-
-/** @returns the runs that break the rule */
-async function playRound(round) {
-  const leaving = replicas.find(one => one.id === `i-${round}`);
-  await startReplica(`i-${round + REPLICAS}`);
-  await sleep(CALM_MS);
-  const at = await findLeader(leaving);
-  const leader = fleet.controls[at];
-  leaving.stopReports();
-  const {status, at: confirmedAt} = await withdraw(
-    leaving,
-    leader.controlPlane,
-    () => {
-      if (HAS_TROUBLE) process.kill(leader.child.pid, 'SIGKILL');
-    },
-  );
-  if (status !== 200) throw new Error(`DELETE was answered ${status}`);
-  record.note(
-    `round ${round}: the leader on host ${at} confirmed the end of ` +
-      `${leaving.id} at ${confirmedAt}${HAS_TROUBLE ? ' and was killed' : ''}`,
-  );
-  await sleep(LINGER_MS);
-  leaving.crash();
-  if (HAS_TROUBLE) {
-    await leader.exited;
-    fleet.restart(leader);
+    await sleep(INTERVAL_MS);
   }
-  // Machines are in touch again once the kill is ContactTimeoutMs ago.
-  const since = HAS_TROUBLE
-    ? Math.max(BOUNDS.DrainTimeoutMs, BOUNDS.ContactTimeoutMs)
-    : BOUNDS.DrainTimeoutMs;
-  const later = runs.filter(
-    one => one.replica === leaving.id && one.at > confirmedAt,
-  );
-  const late = later.filter(({attempt, at: ranAt}) => {
-    const {gateway, at: sentAt} = sends.get(attempt) ?? {};
-    return (
-      ranAt > confirmedAt + since && sentAt > confirmedAt && gateway !== at
-    );
-  });
-  const last = later.at(-1);
   record.say(
-    `round ${round}: ${later.length} requests reached ${leaving.id} after the ` +
-      `confirmation, the last one after ${last ? last.at - confirmedAt : 0} ms; ` +
-      `${late.length} of them later than ${since} ms, by machines in touch`,
+    `${name}: ${counts.sent} requests sent, ${counts.ran} ran; statuses ` +
+      JSON.stringify(counts.statuses),
   );
-  for (const one of late) {
-    record.note(`  ${one.attempt} reached ${one.replica} at ${one.at}`);
-  }
-  return late;
+  return counts;
 }
 
 async function play() {
   await fleet.start();
-  const document = configuration({
-    version: 3,
-    routes: [PLAIN_ROUTE],
-    services: [PLAIN_SERVICE],
-  });
-  const call = {method: 'PUT', path: '/-/configuration', body: document};
-  const isConfigured = await callUntilConfirmed(controlPlanes(), call, 20_000);
-  if (!isConfigured) throw new Error('no configuration');
-  for (let nth = 0; nth < REPLICAS; nth += 1) await startReplica(`i-${nth}`);
+  await configure(3);
+  await replica.listen();
+  replica.startReports(controlPlanes);
   const isServing = await waitFor(async () => {
     const answers = await Promise.all(
       fleet.gateways.map(({frontend}) =>
-        send(frontend, {path: `${PLAIN_ROUTE.PathPrefix}w`}),
+        send(frontend, {path: `${ROUTE.PathPrefix}w`}),
       ),
     );
     return answers.every(({status}) => status === 200);
-  }, 15_000);
+  }, 20_000);
   assertRunning(fleet);
   if (!isServing) throw new Error('the gateways do not serve');
-  startTraffic();
-  let broken = 0;
-  for (let round = 0; round < ROUNDS; round += 1) {
-    broken += (await playRound(round)).length;
-  }
-  const answered = [...sends.values()].filter(({status}) => status === 200);
-  record.say(`${sends.size} requests sent, ${answered.length} served`);
-  record.say(`${broken} requests break the rule`);
-  return broken === 0;
+  await tryKey('the key, while it is valid', KEY);
+  const before = await tryKey('a key that was never valid', UNKNOWN_KEY);
+  const document = await configure(7, HAS_TROUBLE ? [] : [OTHER_TENANT]);
+  const confirmedAt = now();
+  await sleep(REVOCATION_MS + 500);
+  record.note(`${now() - confirmedAt} ms after the confirmation`);
+  const revoked = await tryKey('the key that was taken away', KEY);
+  const unknown = await tryKey('a key that was never valid', UNKNOWN_KEY);
+  const [address] = controlPlanes();
+  const {body} = await callControl(address, 'GET', '/-/configuration');
+  record.say(`version 7 is ${body === document ? '' : 'not '}read back`);
+  record.note(body);
+  return revoked.ran + unknown.ran + before.ran === 0;
 }
 
 await runCase(record, play, async () => {
-  clearInterval(timer);
-  for (const replica of replicas) replica.crash();
+  replica.crash();
   await fleet.end();
 });
