--- a/review/stand-ins-2/lib.mjs
+++ b/review/stand-ins-2/lib.mjs
@@ -364,12 +364,17 @@
  */
 export async function runCase(record, play, end) {
   let code = 2;
+  const stopped = new Promise((_, reject) => {
+    for (const signal of ['SIGTERM', 'SIGINT']) {
+      process.once(signal, () => reject(new Error(`got ${signal}`)));
+    }
+  });
   const timeUp = async () => {
     await sleep(LIMIT_MS, undefined, {ref: false});
     throw new Error('the case took too long');
   };
   try {
-    code = (await Promise.race([play(), timeUp()])) ? 0 : 1;
+    code = (await Promise.race([play(), timeUp(), stopped])) ? 0 : 1;
   } catch (err) {
     record.say(`the case could not run: ${err.stack}`);
   }
