--- a/packages/lovagepond-control/src/__tests__/unit/direct_servers.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/direct_servers.test.ts
@@ -3,6 +3,7 @@
 import {
   decodeResult,
   encodeCommand,
+  END_SERVER_COMMAND,
   EVACUATION_COMMAND,
   INSTALL_COMMAND,
   LOG_VERSION,
@@ -218,3 +219,16 @@
   await leader.servers.announce({...ANNOUNCEMENT, sequence: 2});
   expect(leader.machine.directServers.get('s')?.leaving).toBe(false);
 });
+
+// Guards against requests to a server that reported its end: the leader commits
+// and acknowledges the report, and is lost before it tells its followers' lists.
+test('a new leader does not list a server that ended under the former one', async () => {
+  const leader = new Leader();
+  await leader.servers.announce(ANNOUNCEMENT);
+  const other = {...ANNOUNCEMENT, incarnation: 't', address: 'b:1'};
+  await leader.servers.announce(other);
+  leader.run(END_SERVER_COMMAND, {name: 's'});
+  leader.takeOver(2);
+  expect([...leader.log.servers()].map(({name}) => name)).toEqual(['t']);
+  expect(leader.registry.has('s')).toBe(false);
+});
