Control: a new leader lists servers without a sidecar from the log alone

Seen: a server reported its end, the leader confirmed it and was lost, and all gateways sent requests to the server for the rest of a lease, up to 6.5 s after the confirmation; 2 s are allowed.

Cause: the confirmation follows the commit, the followers' lists are told by the leader's stream after it. A new leader adopted its mirrored list and only added the servers of the replicated table. A leader that had just started had no list, and an incomplete list takes no server from a gateway until a lease has passed.

Change: at a takeover these servers come from the replicated table alone. While the list is incomplete, the leader marks that it has all servers without a sidecar, and subscribers remove the others of that kind.

It works as what was confirmed is in the log that a new leader has applied before it takes over, whatever it had mirrored.

--- a/packages/lovagepond-control/src/__tests__/unit/membership_registry.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/membership_registry.test.ts
@@ -3,10 +3,8 @@
 import {expect, test} from 'vitest';
 import {FlapDamper} from '../../membership_flapping.js';
 import {type MembershipChange, MembershipLog} from '../../membership_log.js';
-import {
-  type Announcement,
-  MembershipRegistry,
-} from '../../membership_registry.js';
+import {type Announcement} from '../../membership_record.js';
+import {MembershipRegistry} from '../../membership_registry.js';
 
 const LEASE_MS = 3_000;
 const SEED = 20_262;
--- a/packages/lovagepond-control/src/__tests__/unit/subscription_hub.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/subscription_hub.test.ts
@@ -312,7 +312,13 @@
     quarantinedForMs: 1_000,
     companions: [],
   };
-  const change = {version: 1, whole: true, members: [], gone: []};
+  const change = {
+    version: 1,
+    whole: true,
+    wholeDirect: false,
+    members: [],
+    gone: [],
+  };
   let suspects = [suspect];
   const view = (crashesVersion: number): FeedView => ({
     ...viewOf(1),
--- a/packages/lovagepond-control/src/control_leadership.ts
+++ b/packages/lovagepond-control/src/control_leadership.ts
@@ -97,8 +97,8 @@
     if (!(await this.#setLimits())) return;
     const {role, term: current} = node.status();
     if (role !== MEMBER_ROLE.LEADER || current !== term) return;
-    const known = directServers.replicatedServers();
-    registry.takeOver(term, clock.now(), known, server =>
+    const replicated = directServers.replicatedServers();
+    registry.takeOver(term, clock.now(), replicated, server =>
       machine.wantedStateOf(server),
     );
     this.#term = term;
--- a/packages/lovagepond-control/src/direct_server_table.ts
+++ b/packages/lovagepond-control/src/direct_server_table.ts
@@ -90,6 +90,11 @@
   readonly #starts = new Map<string, number>();
   #vacant: VacantPlace[] = [];
 
+  /** True if no server has ever joined. */
+  get isUnused(): boolean {
+    return this.#records.size === 0 && this.#ended.size === 0;
+  }
+
   /** @returns all servers, in the order of joining */
   list(): readonly DirectServerRecord[] {
     return [...this.#records.values()];
--- a/packages/lovagepond-control/src/direct_servers.ts
+++ b/packages/lovagepond-control/src/direct_servers.ts
@@ -22,10 +22,8 @@
 import {type ControlStateMachine} from './control_state_machine.js';
 import {type ConvergenceTable} from './convergence_table.js';
 import {type DirectServerRecord} from './direct_server_table.js';
-import {
-  type Announcement,
-  type MembershipRegistry,
-} from './membership_registry.js';
+import {type Announcement} from './membership_record.js';
+import {type MembershipRegistry} from './membership_registry.js';
 import {type ProposalResult, type Proposer} from './proposer.js';
 import {decideWarmUp} from './warm_up_decision.js';
 import {WarmUpRouters} from './warm_up_routers.js';
@@ -95,10 +93,14 @@
     this.#warmUpRouters = new WarmUpRouters(deps);
   }
 
-  /** @returns the servers in the replicated table, for a new leader */
-  replicatedServers(): readonly Announcement[] {
-    const {machine} = this.#deps;
-    return machine.directServers.list().map(one => this.#toAnnouncement(one));
+  /**
+   * @returns the servers in the replicated table, for a new leader; undefined
+   *     while none has ever joined
+   */
+  replicatedServers(): readonly Announcement[] | undefined {
+    const {directServers: table} = this.#deps.machine;
+    if (table.isUnused) return undefined;
+    return table.list().map(one => this.#toAnnouncement(one));
   }
 
   /**
--- a/packages/lovagepond-control/src/membership_log.ts
+++ b/packages/lovagepond-control/src/membership_log.ts
@@ -12,6 +12,8 @@
   readonly version: number;
   /** True when `members` is the whole list. */
   readonly whole: boolean;
+  /** True when `members` has all servers without a sidecar. */
+  readonly wholeDirect: boolean;
   readonly members: readonly BackendServer[];
   readonly gone: readonly string[];
 }
@@ -31,6 +33,8 @@
   #version = 0;
   #complete = false;
   #completeVersion = 0;
+  /** The list has had all servers without a sidecar since this version. */
+  #directCompleteVersion = 0;
   /** Departures up to this version were removed. */
   #trimmedVersion = 0;
   readonly #servers = new Map<string, VersionedServer>();
@@ -106,6 +110,12 @@
     this.#completeVersion = this.#version;
   }
 
+  /** Marks that no server without a sidecar is missing, though others may be. */
+  markDirectComplete(): void {
+    this.#version += 1;
+    this.#directCompleteVersion = this.#version;
+  }
+
   /** Marks that servers may be missing, until {@link markComplete}. */
   markIncomplete(): void {
     this.#complete = false;
@@ -118,13 +128,17 @@
    * @param change a change from the leader; changes must be passed in order
    */
   mirror(change: MembershipChange): void {
-    const {version, members, gone, whole} = change;
+    const {version, members, gone, whole, wholeDirect} = change;
     if (version < this.#version) return;
     for (const server of members) {
       if (!this.#isSame(server)) this.put(server, version);
     }
     for (const name of gone) this.remove(name, version);
     this.raiseVersion(version);
+    if (wholeDirect) {
+      this.#removeOthers(members, version, isDirect);
+      this.#directCompleteVersion = version;
+    }
     if (!whole) return;
     this.#removeOthers(members, version);
     if (!this.#complete) this.#completeVersion = version;
@@ -152,13 +166,17 @@
     const inPool = (server: BackendServer): boolean =>
       pool === '' || server.pool === pool;
     const whole = this.#needsWhole(version);
+    const wholeDirect = !whole && version < this.#directCompleteVersion;
     const members: BackendServer[] = [];
     for (const known of this.#servers.values()) {
-      const isIncluded = whole || known.version > version;
+      const isIncluded =
+        whole ||
+        known.version > version ||
+        (wholeDirect && isDirect(known.server));
       if (isIncluded && inPool(known.server)) members.push(known.server);
     }
     const gone = whole ? [] : this.#goneSince(version, inPool);
-    return {version: this.#version, whole, members, gone};
+    return {version: this.#version, whole, wholeDirect, members, gone};
   }
 
   /**
@@ -170,10 +188,15 @@
     return version < Math.max(this.#completeVersion, this.#trimmedVersion);
   }
 
-  #removeOthers(members: readonly BackendServer[], version: number): void {
+  #removeOthers(
+    members: readonly BackendServer[],
+    version: number,
+    isConcerned: (server: BackendServer) => boolean = () => true,
+  ): void {
     const kept = new Set(members.map(server => server.name));
-    for (const name of [...this.#servers.keys()]) {
-      if (!kept.has(name)) this.remove(name, version);
+    for (const server of [...this.servers()]) {
+      if (kept.has(server.name) || !isConcerned(server)) continue;
+      this.remove(server.name, version);
     }
   }
 
@@ -207,6 +230,14 @@
   }
 }
 
+/**
+ * @param server a server of the list
+ * @returns true if it has no sidecar and stands in the replicated table
+ */
+export function isDirect({directSlots}: BackendServer): boolean {
+  return directSlots !== undefined;
+}
+
 /**
  * @param a a server
  * @param b a server of the same name
--- a/packages/lovagepond-control/src/membership_registry.ts
+++ b/packages/lovagepond-control/src/membership_registry.ts
@@ -12,18 +12,21 @@
 import {WANTED_STATE, type WantedState} from './control_administration.js';
 import {FlapDamper, type FlapSettings} from './membership_flapping.js';
 import {
+  type Announcement,
+  decideState,
+  isDraining,
+  isFlap,
+  type ServerRecord,
+  toBackendServer,
+} from './membership_record.js';
+import {
+  isDirect,
   isSameServer,
   isSameWarmUp,
   type MembershipLog,
 } from './membership_log.js';
 import {SlotTable} from './membership_slots.js';
-import {type PoolMean, PoolMeans, type PoolShare} from './pool_means.js';
-
-/** An announcement, sent by or for a backend server about once a second. */
-export interface Announcement extends Omit<BackendServer, 'slot'> {
-  readonly runningTokens: number;
-  readonly queuedTokens: number;
-}
+import {type PoolMean, PoolMeans} from './pool_means.js';
 
 export interface RegistrySettings {
   /** A server that doesn't renew its lease for this long is removed. */
@@ -57,19 +60,6 @@
   readonly ageMs: number;
 }
 
-interface ServerRecord {
-  server: BackendServer;
-  announcedState: ServerState;
-  runningTokens: number;
-  queuedTokens: number;
-  renewedAt: number;
-  held: boolean;
-  /** False until the server has announced itself to this leader. */
-  hasAnnounced: boolean;
-  /** The server's contribution to its pool's mean; undefined unless ready. */
-  share: PoolShare | undefined;
-}
-
 /** Versions reserved for each term. Safe integers leave room for 2^21 terms. */
 const VERSIONS_PER_TERM = 2 ** 32;
 
@@ -126,15 +116,20 @@
    * previous leader only: otherwise each change of leader would empty the
    * routers' lists.
    *
+   * Servers without a sidecar come from the replicated state alone. A former
+   * leader may have confirmed the end of a server and been lost before its
+   * followers' lists were told.
+   *
    * @param term the leader's term
    * @param now monotonic milliseconds
-   * @param known servers without a sidecar, from the replicated state
+   * @param replicated servers without a sidecar, from the replicated state;
+   *     undefined while none has ever joined
    * @param wantedOf returns the state that operators request of a server
    */
   takeOver(
     term: number,
     now: number,
-    known: readonly Announcement[] = [],
+    replicated?: readonly Announcement[],
     wantedOf: WantedStateReader = () => WANTED_STATE.READY,
   ): void {
     const {leaseMs} = this.#settings;
@@ -144,12 +139,23 @@
     this.#slots = new SlotTable(leaseMs * SLOT_REUSE_DELAY_LEASES);
     this.#massLapseSince = undefined;
     this.#log.raiseVersion(term * VERSIONS_PER_TERM);
-    for (const server of this.#log.servers()) this.#adopt(server, now);
+    const joined = new Set(replicated?.map(({name}) => name));
+    for (const server of [...this.#log.servers()]) {
+      if (isDirect(server) && !joined.has(server.name)) {
+        this.#log.remove(server.name);
+      } else {
+        this.#adopt(server, now);
+      }
+    }
     // Without a mirrored list, all servers announce themselves within a lease.
     this.#completeAt = now + leaseMs;
     if (this.#records.size === 0) this.#log.markIncomplete();
-    for (const server of known) this.announce(server, wantedOf(server), now);
+    for (const server of replicated ?? []) {
+      this.announce(server, wantedOf(server), now);
+    }
     this.applyWantedStates(wantedOf);
+    // Until the list is complete, subscribers keep servers that it lacks.
+    if (replicated && !this.#log.complete) this.#log.markDirectComplete();
   }
 
   /**
@@ -380,54 +386,3 @@
     }
   }
 }
-
-/** A draining server's lease may expire at any time, as it is about to stop. */
-function isDraining(record: ServerRecord): boolean {
-  return record.server.state === SERVER_STATE.DRAINING;
-}
-
-/** A flap is a join, a restart, or a change from ready back to joining. */
-function isFlap(
-  known: ServerRecord | undefined,
-  announcement: Announcement,
-): boolean {
-  if (!known?.hasAnnounced) return known === undefined;
-  if (known.server.incarnation !== announcement.incarnation) return true;
-  const wasReady = known.announcedState === SERVER_STATE.READY;
-  return wasReady && announcement.state === SERVER_STATE.JOINING;
-}
-
-function decideState(
-  announced: ServerState,
-  wanted: WantedState,
-  held: boolean,
-): ServerState {
-  if (wanted === WANTED_STATE.DRAINING) return SERVER_STATE.DRAINING;
-  if (announced === SERVER_STATE.DRAINING) return SERVER_STATE.DRAINING;
-  return held ? SERVER_STATE.JOINING : announced;
-}
-
-function toBackendServer(
-  announcement: Announcement,
-  state: ServerState,
-  slot: number,
-): BackendServer {
-  return {
-    name: announcement.name,
-    incarnation: announcement.incarnation,
-    pool: announcement.pool,
-    labels: announcement.labels,
-    availabilityZone: announcement.availabilityZone,
-    region: announcement.region,
-    address: announcement.address,
-    state,
-    capacityTokens: announcement.capacityTokens,
-    models: announcement.models,
-    slot,
-    ...(announcement.directSlots && {
-      directSlots: announcement.directSlots,
-      place: announcement.place ?? '',
-    }),
-    ...(announcement.warmUp && {warmUp: announcement.warmUp}),
-  };
-}
--- a/packages/lovagepond-control/src/subscription_feed.ts
+++ b/packages/lovagepond-control/src/subscription_feed.ts
@@ -245,8 +245,10 @@
     const change = view.changesSince(this.#sentMembershipVersion, pool);
     this.#sentMembershipVersion = view.membershipVersion;
     if (!change) return [];
-    const empty = change.members.length === 0 && change.gone.length === 0;
-    return empty && !change.whole ? [] : [{kind: 'membership', change}];
+    const {members, gone, whole, wholeDirect} = change;
+    const isEmpty = members.length === 0 && gone.length === 0;
+    if (isEmpty && !whole && !wholeDirect) return [];
+    return [{kind: 'membership', change}];
   }
 
   #nextStreamPeers({streamPeers: present}: FeedView): FeedUpdate[] {
--- a/packages/lovagepond-control/src/update_encoder.ts
+++ b/packages/lovagepond-control/src/update_encoder.ts
@@ -163,6 +163,7 @@
   return {
     version: change.version,
     whole: change.whole,
+    wholeDirect: change.wholeDirect,
     members: change.members.map(toWireMember),
     gone: [...change.gone],
   };
--- a/packages/lovagepond-control/src/wire_utils.ts
+++ b/packages/lovagepond-control/src/wire_utils.ts
@@ -4,7 +4,8 @@
 import {type lovagepond, readMember, readServer} from '@lovagepond/protocol';
 import {type MembershipChange} from './membership_log.js';
 import {type PoolDemand, type ReadingReport} from './reading_report_log.js';
-import {type Announcement, type LoadReport} from './membership_registry.js';
+import {type Announcement} from './membership_record.js';
+import {type LoadReport} from './membership_registry.js';
 import {type WantedRetries} from './retry_decision.js';
 import {type ReportedRequests} from './retry_request_counts.js';
 
@@ -35,6 +36,7 @@
   return {
     version: update.version ?? 0,
     whole: update.whole ?? false,
+    wholeDirect: update.wholeDirect ?? false,
     members: (update.members ?? []).map(readMember),
     gone: update.gone ?? [],
   };
--- a/packages/lovagepond-router/src/router_membership.ts
+++ b/packages/lovagepond-router/src/router_membership.ts
@@ -8,15 +8,18 @@
 
 /**
  * @param current the current membership
- * @param update the control plane's update: the whole list, or the changes
- *     since the previous version
+ * @param update the control plane's update: the whole list, all servers without
+ *     a sidecar, or the changes since the previous version
  * @returns the updated membership
  */
 export function applyMembership(
   current: Membership,
   update: WireUpdate,
 ): Membership {
-  const servers = new Map(update.whole ? [] : current.servers);
+  const kept = [...current.servers].filter(
+    ([, {directSlots}]) => !update.wholeDirect || directSlots === undefined,
+  );
+  const servers = new Map(update.whole ? [] : kept);
   for (const name of update.gone ?? []) servers.delete(name);
   for (const wire of update.members ?? []) {
     const server = Object.freeze(readMember(wire));
