Gateway: a resumed stream takes only the rest of the first answer

Seen: an engine breaks a stream off, the second one answers the resumption with 429 or any other status from 201 to 499, and the caller's response ends as complete after 2 of 10 events; with a body of events these became part of the stream. A first answer under 500 that is no stream of events was cut.

Cause: once a head had been sent, the relay took the body of any answer under 500 for the rest of the stream, and read each body on such a route as events.

Change: the answer to a resumption must have the first one's status and carry events; any other is a failure of its attempt, so that the stream goes on at a further server or is cut. A first answer that carries no events is passed on unchanged.

It works as the head decides what a body is, for each attempt.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_refused_resumptions.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_refused_resumptions.test.ts
@@ -1,6 +1,7 @@
 import {afterEach, expect, it} from 'vitest';
 import {
   beginStream,
+  CONTENT,
   GatewayHarness,
   NAMES,
   type Script,
@@ -70,3 +71,44 @@
   }
   expect(seen).toEqual(expected);
 });
+
+// Guards against a refusal that is read as events: its head is passed on, and its
+// body, which is no whole event, is cut.
+it.each([
+  [301, 'text/html'],
+  [400, 'application/json'],
+  [404, 'application/json; charset=utf-8'],
+  [409, 'text/event-stream'],
+  [429, 'text/plain'],
+  [200, 'application/json'],
+])(
+  'a first answer %i with %s on a route of streams is passed on whole',
+  async (status, type) => {
+    const body = '{"error":\n\n"no"}';
+    const script = answering(status, body, {'Content-Type': type});
+    harness = await GatewayHarness.start([script]);
+    const res = await harness.call(CALL);
+    expect(res).toMatchObject({status, body, whole: true});
+    expect(res.headers['content-type']).toBe(type);
+  },
+);
+
+// Guards against a stream that is cut although another server could go on.
+it('a stream goes on at a third server when the second one refuses', async () => {
+  const rest: Script = (req, res) => {
+    beginStream(req, res);
+    res.end('id: 3\ndata: c\n\n');
+  };
+  const requestKinds = CONTENT.requestKinds.map(kind => ({
+    ...kind,
+    ...(kind.forwarding && {forwarding: {...kind.forwarding, maxAttempts: 3}}),
+  }));
+  const content = {...CONTENT, requestKinds};
+  const turns = [breaking, answering(429, ''), rest];
+  const next: Script = (req, res, body) => turns.shift()?.(req, res, body);
+  harness = await GatewayHarness.start([next, next, next], {content});
+  const res = await harness.call(CALL);
+  const body = `${EVENTS}id: 3\ndata: c\n\n`;
+  expect(res).toMatchObject({status: 200, body, whole: true});
+  expect(new Set(harness.arrivals).size).toBe(3);
+});
--- a/packages/lovagepond-gateway/src/gateway_response_relay.ts
+++ b/packages/lovagepond-gateway/src/gateway_response_relay.ts
@@ -10,9 +10,13 @@
 import {type EventStream} from './gateway_event_stream.js';
 import {type ExchangeAdmission} from './gateway_exchange_admission.js';
 import {type ExchangeServers} from './gateway_exchange_servers.js';
+import {isServed} from './gateway_failed_attempt.js';
 
 const FIRST_ERROR_STATUS = 500;
 
+const EVENT_STREAM_TYPE = 'text/event-stream';
+const NO_ENCODING = 'identity';
+
 export interface ResponseRelayDependencies {
   readonly caller: CallerChannel;
   readonly current: CurrentAttempt;
@@ -28,6 +32,8 @@
   readonly #deps: ResponseRelayDependencies;
   #firstAt: number | undefined;
   #hasWaited = false;
+  /** The head that was passed on to the caller. */
+  #passedHead: ResponseHead | undefined;
 
   /** @param deps the caller, the attempt, and what the response concerns */
   constructor(deps: ResponseRelayDependencies) {
@@ -53,11 +59,16 @@
   passHead(head: ResponseHead): void {
     const {caller, current} = this.#deps;
     if (!current.state) return;
-    if (head.status >= FIRST_ERROR_STATUS) {
+    const mayPass = this.#passedHead
+      ? continuesStream(head, this.#passedHead)
+      : head.status < FIRST_ERROR_STATUS;
+    if (!mayPass) {
       current.incomingFailure = new BufferedFailure(head);
       return;
     }
-    if (!caller.headSent) caller.sendHead(head);
+    if (this.#passedHead) return;
+    this.#passedHead = head;
+    caller.sendHead(head);
   }
 
   /**
@@ -78,7 +89,9 @@
     }
     this.#firstAt ??= now;
     admission.noteFirstToken(now);
-    if (!events) return this.#write(chunk);
+    if (!events || !this.#passedHead || !carriesEvents(this.#passedHead)) {
+      return this.#write(chunk);
+    }
     const parsed = events.take(chunk);
     if (parsed.kind === 'broken') {
       this.#deps.onBroken(parsed.reason);
@@ -95,3 +108,26 @@
     return mayContinue;
   }
 }
+
+/**
+ * The body of a resumed response must be the rest of the first one's. Any other
+ * answer is a failure of its attempt, whatever its status.
+ */
+function continuesStream(head: ResponseHead, passed: ResponseHead): boolean {
+  return head.status === passed.status && carriesEvents(head);
+}
+
+/** A refusal has a body of its own also on a route of streams. */
+function carriesEvents(head: ResponseHead): boolean {
+  const type = readToken(head, 'content-type') ?? EVENT_STREAM_TYPE;
+  const encoding = readToken(head, 'content-encoding') ?? NO_ENCODING;
+  const isReadable = type === EVENT_STREAM_TYPE && encoding === NO_ENCODING;
+  return isServed(head.status) && isReadable;
+}
+
+/** @returns a header's value without its parameters, in lower case */
+function readToken({headers}: ResponseHead, name: string): string | undefined {
+  const value = headers[name];
+  const text = Array.isArray(value) ? value.join() : value;
+  return text?.split(';')[0]?.trim().toLowerCase();
+}
