Configuration: whether requests need an API key is said, and fails closed

Seen: a configuration removes the last tenant, and from then on all gateways run all requests, with the removed key, with any other, or with none.

Cause: that keys are needed was derived from the workspaces that are left. The adapter gave an empty list of tenants the content of a missing one, and gateways asked for a key only if some workspace had a list of them.

Change: a configuration says whether keys are needed (requiresApiKeys). Where it doesn't, one of the operators' own system needs them, also one that the release before has stored. Of the platform's documents only those without Tenants need none. A change by ctl that leaves no workspace with keys must say it. A request that waits is checked against the rule in force. The checks of a configuration move to a file of their own.

It works as no list that is empty or missing opens the gateways any more.

--- a/packages/lovagepond-control/src/configuration_changer.ts
+++ b/packages/lovagepond-control/src/configuration_changer.ts
@@ -8,6 +8,7 @@
   type ConfigurationFault,
   type ConfigurationSection,
   type NamedObject,
+  needsApiKeys,
 } from '@lovagepond/core';
 import {
   type ChangeAnswer,
@@ -70,9 +71,11 @@
     if (req.operationId === '') {
       return reject('operationId', 'an operation id is needed');
     }
-    if (req.change.kind === 'replace') return checkContent(req.change.content);
     const {configuration} = this.#machine;
     const current = configuration.current.read();
+    if (req.change.kind === 'replace') {
+      return checkContent(req.change.content, current.content);
+    }
     const edit = req.change as ConfigurationEdit;
     // Applying the change yields a conflict, and this member may not have the
     // base revision to validate against.
@@ -81,7 +84,7 @@
       configuration.find(revision),
     );
     if (!edited) return reject('change', 'what it names is not there');
-    return checkEdit(edit, edited);
+    return checkEdit(edit, edited, current.content);
   }
 
   #dryRun(req: AnyChangeRequest, checked: CheckResult): ChangeAnswer {
@@ -160,22 +163,44 @@
   return {ok: false, faults: [{place, message}]};
 }
 
-function checkContent(content: unknown): CheckResult {
+function checkContent(
+  content: unknown,
+  current: ConfigurationContent,
+): CheckResult {
   const check = checkConfiguration(content);
   if (!check.ok) return check;
+  if (losesApiKeys(current, check.content)) return KEYS_LOST;
   return {ok: true, edit: {kind: 'replace', content: check.content}};
 }
 
+/** A change must say so if requests are to need no API key any more. */
+const KEYS_LOST = reject(
+  'requiresApiKeys',
+  'no workspace has API keys any more: set it to true or false',
+);
+
+function losesApiKeys(
+  before: ConfigurationContent,
+  after: ConfigurationContent,
+): boolean {
+  const isUnsaid = after.requiresApiKeys === undefined;
+  return isUnsaid && needsApiKeys(before) && !needsApiKeys(after);
+}
+
 /** Validates the edited configuration, and fills defaults into the edit. */
 function checkEdit(
   edit: ConfigurationEdit,
   edited: ConfigurationContent,
+  current: ConfigurationContent,
 ): CheckResult {
   const check = checkConfiguration(edited);
   if (!check.ok) {
     const faults = check.faults.map(fault => addObjectName(fault, edited));
     return {ok: false, faults};
   }
+  // A restore names the revision whose rules are wanted.
+  const mayLoseKeys = edit.kind === 'restore';
+  if (!mayLoseKeys && losesApiKeys(current, check.content)) return KEYS_LOST;
   if (edit.kind !== 'put') return {ok: true, edit};
   const items: readonly NamedObject[] = check.content[edit.section];
   const object = items.find(item => item.name === edit.object.name);
--- a/packages/lovagepond-core/src/__tests__/unit/core_configuration.test.ts
+++ b/packages/lovagepond-core/src/__tests__/unit/core_configuration.test.ts
@@ -1,9 +1,11 @@
 import {describe, expect, it} from 'vitest';
 import {
-  checkConfiguration,
   decodeConfiguration,
   encodeConfiguration,
+  configurationSchema,
+  needsApiKeys,
 } from '../../core_configuration.js';
+import {checkConfiguration} from '../../core_configuration_check.js';
 
 describe('checkConfiguration', () => {
   it('reports all faults with their places', () => {
@@ -112,3 +114,22 @@
     },
   );
 });
+
+// Guards against requests without a key that run because a list of workspaces is
+// empty and not missing.
+describe('needsApiKeys', () => {
+  const keyless = {workspaces: [{name: 'w'}]};
+  const revoked = {workspaces: [{name: 'w', apiKeys: []}]};
+  it.each([
+    [{}, false],
+    [keyless, false],
+    [revoked, true],
+    [{documentVersion: 7}, true],
+    [{documentVersion: 7, ...keyless}, true],
+    [{documentVersion: 7, requiresApiKeys: false}, false],
+    [{requiresApiKeys: true}, true],
+    [{...revoked, requiresApiKeys: false}, false],
+  ])('of %j is %s', (input, expected) => {
+    expect(needsApiKeys(configurationSchema.parse(input))).toBe(expected);
+  });
+});
--- a/packages/lovagepond-core/src/__tests__/unit/core_configuration_delta.test.ts
+++ b/packages/lovagepond-core/src/__tests__/unit/core_configuration_delta.test.ts
@@ -53,6 +53,7 @@
     nonRepeatable: value === 1,
   })),
   documentVersion: integer({min: 0, max: 9}),
+  requiresApiKeys: constantFrom(true, false, undefined),
 }).map(input =>
   configurationSchema.parse({
     ...input,
--- a/packages/lovagepond-core/src/index.ts
+++ b/packages/lovagepond-core/src/index.ts
@@ -6,17 +6,15 @@
 } from './core_commands.js';
 export {
   type CallerLimits,
-  checkConfiguration,
   type Configuration,
-  type ConfigurationCheck,
   type ConfigurationContent,
-  type ConfigurationFault,
   configurationSchema,
   decodeConfiguration,
   EMPTY_CONFIGURATION,
   encodeConfiguration,
   type Forwarding,
   labelsOfPool,
+  needsApiKeys,
   type Pool,
   POOL_KIND,
   type RequestKind,
@@ -25,6 +23,11 @@
   type WarmUpLimits,
   type Workspace,
 } from './core_configuration.js';
+export {
+  checkConfiguration,
+  type ConfigurationCheck,
+  type ConfigurationFault,
+} from './core_configuration_check.js';
 export {DrainBound} from './core_drain_bound.js';
 export {
   answerFor,
--- a/packages/lovagepond-gateway/src/gateway_admission.ts
+++ b/packages/lovagepond-gateway/src/gateway_admission.ts
@@ -48,6 +48,12 @@
     }
   | {readonly ok: false; readonly error: ErrorKind};
 
+/** The parts of an admitted request that its key's validity depends on. */
+export type KeyedRequest = Pick<
+  AdmittedRequest,
+  'facts' | 'workspace' | 'rule' | 'path'
+>;
+
 /** Admits or rejects requests by the installed configuration. */
 export class GatewayAdmission {
   readonly authority: ConfigurationAuthority;
@@ -131,15 +137,18 @@
    * @param req a request that was admitted by this or an earlier configuration
    * @param at current time
    * @returns the error to send if its key has been removed since, or given to
-   *     another workspace
+   *     another workspace, or if it needed none and does now
    */
   refusalOfKey(
-    {facts, workspace}: Pick<AdmittedRequest, 'facts' | 'workspace'>,
+    {facts, workspace, rule, path}: KeyedRequest,
     at: ClockReading,
   ): ErrorKind | undefined {
-    if (workspace === undefined || !this.#rules.needsKeys) return undefined;
+    const {isPublic} = this.#rules.find(rule.host, path) ?? rule;
+    if (isPublic || !this.#rules.needsKeys) return undefined;
     const owner = this.#rules.workspaceOf(facts.apiKey);
-    if (owner?.name === workspace) return undefined;
+    if (owner && owner.name === workspace) return undefined;
+    // A valid key that was not needed at the admission is checked in a retry.
+    if (owner && workspace === undefined) return 'notReady';
     return this.#deny('unauthorized', at).error;
   }
 
--- a/packages/lovagepond-gateway/src/gateway_routes.ts
+++ b/packages/lovagepond-gateway/src/gateway_routes.ts
@@ -4,6 +4,7 @@
 import {
   type Configuration,
   type Forwarding,
+  needsApiKeys,
   type Pool,
   type Random,
   type Workspace,
@@ -44,13 +45,13 @@
   readonly #byHost = new Map<string, HostRules>();
   readonly #workspaceByApiKey = new Map<string, Workspace>();
   readonly pools: ReadonlyMap<string, Pool>;
-  /** False when no workspace has an API key; requests then need none. */
+  /** False when requests need no API key, whatever their rule. */
   readonly needsKeys: boolean;
 
   /** @param configuration the installed configuration */
   constructor({content}: Configuration) {
     this.pools = new Map(content.pools.map(pool => [pool.name, pool]));
-    this.needsKeys = content.workspaces.some(({apiKeys}) => apiKeys);
+    this.needsKeys = needsApiKeys(content);
     const kinds = new Map(content.requestKinds.map(kind => [kind.name, kind]));
     for (const workspace of content.workspaces) {
       for (const key of workspace.apiKeys ?? []) {
