Control: how long a list of servers may lag follows from the drain time

Seen: a member of control without a disk is cut off from the leader, and a server reports that it leaves. Gateways that subscribe to that member send to the server 2.1 to 2.5 s after the confirmation; 2 s are allowed.

Cause: a member served for 2.5 s without a leader, a constant beside a bound of the deployment, and its heartbeats counted as news at the gateways, so that their limit for silence began after it.

Members get the drain time in their settings and serve no longer than that without a leader. A member that has not heard of the leader for a heartbeat interval tells its subscribers since when, and they count the age of their list from there. Members log when they lose the leader, gateways the age of the list with which they leave a member. Two tests of the hub record the contact that their play assumes, as a member now tells when it has none: their expectations are as they were.

It works as the age of what a gateway acts on is counted from the leader, and what is left of the drain time is enough to move to another member.

--- a/packages/lovagepond-cli/src/settings_control.ts
+++ b/packages/lovagepond-cli/src/settings_control.ts
@@ -2,7 +2,7 @@
  * Settings file of a control member.
  */
 import {join} from 'node:path';
-import {type CONTROL_DEFAULTS, type ControlSettings} from '@lovagepond/control';
+import {CONTROL_DEFAULTS, type ControlSettings} from '@lovagepond/control';
 import {
   boolean,
   decimal,
@@ -17,7 +17,7 @@
   withTraits,
 } from '@lovagepond/process';
 import {type OperatorSettings} from '@lovagepond/operator';
-import {z} from '@lovagepond/core';
+import {heartbeatIntervalMs, listAgeLimitMs, z} from '@lovagepond/core';
 import {COMMON_SECTIONS} from './settings_sections.js';
 import {formatAddresses, keepDefined, withPort} from './settings_utils.js';
 
@@ -72,6 +72,11 @@
   digestInterval: duration().optional(),
   heartbeatInterval: duration().optional(),
   leaderContactLimit: duration().optional(),
+  /**
+   * Time for which a backend server serves on after its leave was confirmed. It
+   * lowers the contact limit and the heartbeat interval that it doesn't allow.
+   */
+  drainTimeout: duration().optional(),
   historyRevisions: integer(1, MAX_COUNT).optional(),
   answerRetention: duration().optional(),
   keyRetention: duration().optional(),
@@ -105,6 +110,27 @@
 type FileSettings = Omit<ControlSettings, keyof typeof CONTROL_DEFAULTS> &
   Partial<ControlSettings>;
 
+function toContactLimits({
+  leaderContactLimit = CONTROL_DEFAULTS.leaderContactLimitMs,
+  heartbeatInterval = CONTROL_DEFAULTS.heartbeatIntervalMs,
+  drainTimeout,
+}: ControlValues['limits']): Pick<
+  ControlSettings,
+  'leaderContactLimitMs' | 'heartbeatIntervalMs'
+> {
+  if (drainTimeout === undefined) {
+    return {
+      leaderContactLimitMs: leaderContactLimit,
+      heartbeatIntervalMs: heartbeatInterval,
+    };
+  }
+  const limitMs = listAgeLimitMs(drainTimeout, leaderContactLimit);
+  return {
+    leaderContactLimitMs: limitMs,
+    heartbeatIntervalMs: heartbeatIntervalMs(limitMs, heartbeatInterval),
+  };
+}
+
 /**
  * @param values the validated file
  * @returns settings of the control member, without those left to the defaults
@@ -129,8 +155,7 @@
       zones: member.zones,
       leaseMs: limits.lease,
       digestIntervalMs: limits.digestInterval,
-      heartbeatIntervalMs: limits.heartbeatInterval,
-      leaderContactLimitMs: limits.leaderContactLimit,
+      ...toContactLimits(limits),
       historyLimit: limits.historyRevisions,
       answerRetentionMs: limits.answerRetention,
       keyRetentionMs: limits.keyRetention,
--- a/packages/lovagepond-cli/src/settings_gateway.ts
+++ b/packages/lovagepond-cli/src/settings_gateway.ts
@@ -1,7 +1,10 @@
 /**
  * Settings file of a gateway.
  */
-import {type GatewaySettings} from '@lovagepond/gateway';
+import {
+  DEFAULT_GATEWAY_SETTINGS,
+  type GatewaySettings,
+} from '@lovagepond/gateway';
 import {
   boolean,
   decimal,
@@ -12,7 +15,7 @@
   size,
   withTraits,
 } from '@lovagepond/process';
-import {z} from '@lovagepond/core';
+import {listAgeLimitMs, z} from '@lovagepond/core';
 import {COMMON_SECTIONS, controlMembersSection} from './settings_sections.js';
 import {formatAddresses, keepDefined, withPort} from './settings_utils.js';
 
@@ -75,8 +78,11 @@
     controlAddresses: formatAddresses(
       withPort(control.members, control.memberPort),
     ),
+    controlSilentAfterMs: listAgeLimitMs(
+      gateway.drainTimeout ?? DEFAULT_GATEWAY_SETTINGS.drainTimeoutMs,
+      control.silentAfter ?? DEFAULT_GATEWAY_SETTINGS.controlSilentAfterMs,
+    ),
     ...keepDefined({
-      controlSilentAfterMs: control.silentAfter,
       controlRetryMs: control.retry,
       peerHost: gateway.peerListen?.host,
       peerPort: gateway.peerListen?.port,
--- a/packages/lovagepond-control/src/__tests__/unit/stream_peers.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/stream_peers.test.ts
@@ -56,7 +56,7 @@
   table: StreamPeerTable,
   now: number,
 ): readonly FeedUpdate[] {
-  const updates = feed.next(viewOf(table), now);
+  const updates = feed.next(viewOf(table), 0, now);
   return updates.filter(({kind}) => kind === 'streamPeers');
 }
 
--- a/packages/lovagepond-control/src/__tests__/unit/subscription_hub.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/subscription_hub.test.ts
@@ -1,14 +1,12 @@
-import {type Configuration, EMPTY_CONFIGURATION} from '@lovagepond/core';
+import {EMPTY_CONFIGURATION} from '@lovagepond/core';
 import {expect, test} from 'vitest';
 import {ConfirmationRounds} from '../../confirmation_rounds.js';
 import {type OrderView} from '../../control_administration.js';
 import {OrderDelivery} from '../../order_delivery.js';
 import {type FeedUpdate, type FeedView} from '../../subscription_feed.js';
 import {LOG_VERSION} from '../../control_commands.js';
-import {ReadingReportLog} from '../../reading_report_log.js';
-import {RunningRequestTotals} from '../../running_request_totals.js';
 import {SubscriptionHub, type UpdateSink} from '../../subscription_hub.js';
-import {WorkspaceDemandTotals} from '../../workspace_demand_totals.js';
+import {makeView} from '../model/feed_view.js';
 
 const SETTINGS = {
   digestIntervalMs: 1_000,
@@ -46,29 +44,6 @@
   }
 }
 
-function viewOf(revision: number, servers = 0): FeedView {
-  const configuration: Configuration = {
-    revision,
-    content: EMPTY_CONFIGURATION.content,
-  };
-  const loads = new Uint8Array(servers);
-  return {
-    leads: true,
-    configuration,
-    contentOf: () => undefined,
-    membershipVersion: 0,
-    readings: new ReadingReportLog(),
-    running: new RunningRequestTotals(),
-    demand: new WorkspaceDemandTotals(),
-    streamPeers: new Map(),
-    crashesVersion: 0,
-    suspects: () => [],
-    controlMembers: [],
-    changesSince: () => undefined,
-    readLoad: () => ({membershipVersion: 0, loads, ageMs: 0}),
-  };
-}
-
 function startHub(): SubscriptionHub {
   const hub = new SubscriptionHub(SETTINGS, 0);
   hub.recordContact(0, 0);
@@ -83,14 +58,14 @@
   const sink = new Sink();
   const {feed} = hub.add(ROUTER, sink);
   feed.confirm(0);
-  hub.flush(viewOf(1), 0);
+  hub.flush(makeView(1), 0);
   sink.take();
   sink.writable = false;
   for (let revision = 2; revision < 500; revision += 1) {
-    hub.flush(viewOf(revision), revision);
+    hub.flush(makeView(revision), revision);
   }
   sink.writable = true;
-  hub.flush(viewOf(500), 500);
+  hub.flush(makeView(500), 500);
   expect(sink.take()).toMatchObject([
     {kind: 'configuration', configuration: {revision: 500}, confirmed: true},
   ]);
@@ -102,7 +77,7 @@
   const hub = startHub();
   const sink = new Sink();
   hub.add(ROUTER, sink);
-  const view = viewOf(1);
+  const view = makeView(1);
   hub.flush(view, 0);
   sink.take();
   sink.writable = false;
@@ -125,19 +100,19 @@
   const hub = startHub();
   const sink = new Sink();
   const {feed} = hub.add(ROUTER, sink);
-  hub.flush(viewOf(6), 0);
+  hub.flush(makeView(6), 0);
   feed.confirm(7);
-  hub.flush(viewOf(6), 100);
+  hub.flush(makeView(6), 100);
   expect(sink.take()).toMatchObject([
     {kind: 'configuration', confirmed: false},
   ]);
-  hub.flush(viewOf(7), 200);
+  hub.flush(makeView(7), 200);
   expect(sink.take()).toMatchObject([
     {configuration: {revision: 7}, withContent: true, confirmed: true},
   ]);
   const held = new Sink();
   hub.add({...ROUTER, revision: 7}, held).feed.confirm(7);
-  hub.flush(viewOf(7), 300);
+  hub.flush(makeView(7), 300);
   expect(held.take()).toMatchObject([
     {kind: 'configuration', withContent: false, confirmed: true},
   ]);
@@ -192,9 +167,10 @@
   const [follower, router] = [new Sink(), new Sink()];
   hub.add({...ROUTER, role: 'control'}, follower);
   hub.add(ROUTER, router);
-  hub.flush({...viewOf(0, 3), leads: false}, 2_000);
+  hub.recordContact(2_000, 2_000);
+  hub.flush({...makeView(0, 3), leads: false}, 2_000);
   expect([follower.sent.length, router.sent.length]).toEqual([0, 1]);
-  hub.flush(viewOf(0, 3), 2_100);
+  hub.flush(makeView(0, 3), 2_100);
   expect(follower.take()).toMatchObject([{kind: 'load'}]);
 });
 
@@ -202,15 +178,40 @@
   const hub = startHub();
   const sink = new Sink();
   hub.add(ROUTER, sink).feed.confirm(0);
-  for (let now = 0; now < 5_000; now += 100) hub.flush(viewOf(0), now);
+  const flushAt = (view: FeedView, now: number): void => {
+    hub.recordContact(now, now);
+    hub.flush(view, now);
+  };
+  for (let now = 0; now < 5_000; now += 100) flushAt(makeView(0), now);
   const kinds = sink.take().map(update => update.kind);
   expect(kinds).toEqual(['configuration', ...Array(4).fill('heartbeat')]);
-  for (let now = 5_000; now < 8_000; now += 100) hub.flush(viewOf(0, 3), now);
+  for (let now = 5_000; now < 8_000; now += 100) flushAt(makeView(0, 3), now);
   expect(sink.take().map(update => update.kind)).toEqual([
     ...['load', 'load', 'load'],
   ]);
 });
 
+// Guards against subscribers that take the heartbeats of a member without a leader
+// for news.
+test('a subscriber is told once when the leader is lost, and when it is back', () => {
+  const hub = startHub();
+  const sink = new Sink();
+  hub.add(ROUTER, sink).feed.confirm(0);
+  const agesUntil = (start: number, end: number): number[] => {
+    for (let now = start; now < end; now += 100) hub.flush(makeView(0), now);
+    const ages: number[] = [];
+    for (const update of sink.take()) {
+      if (update.kind === 'heartbeat') ages.push(update.contactAgeMs);
+    }
+    return ages;
+  };
+  expect(agesUntil(0, 1_100)).toEqual([0]);
+  expect(agesUntil(1_100, 2_000)).toEqual([1_100]);
+  expect(agesUntil(2_000, 2_200)).toEqual([2_100]);
+  hub.recordContact(2_200, 2_200);
+  expect(agesUntil(2_200, 2_400)).toEqual([0]);
+});
+
 // Many model loads are ordered at once, but the weight store is rate-limited.
 // Only a limited number may be delivered, an unavailable server doesn't count,
 // and no order may overtake a waiting one of its server, which it would fence.
@@ -249,15 +250,15 @@
   const hub = startHub();
   const sink = new Sink();
   hub.add(ROUTER, sink);
-  hub.flush({...viewOf(1), controlMembers: ['a', 'b']}, 0);
+  hub.flush({...makeView(1), controlMembers: ['a', 'b']}, 0);
   expect(sink.take()).toContainEqual({
     kind: 'controlMembers',
     addresses: ['a', 'b'],
     goOn: false,
   });
-  hub.flush({...viewOf(1), controlMembers: ['a', 'b']}, 1);
+  hub.flush({...makeView(1), controlMembers: ['a', 'b']}, 1);
   expect(sink.take()).toEqual([]);
-  hub.flush({...viewOf(1), controlMembers: ['b', 'c']}, 2);
+  hub.flush({...makeView(1), controlMembers: ['b', 'c']}, 2);
   expect(sink.take()).toEqual([
     {kind: 'controlMembers', addresses: ['b', 'c'], goOn: false},
   ]);
@@ -270,7 +271,7 @@
   const hub = startHub();
   const {content} = EMPTY_CONFIGURATION;
   const view = {
-    ...viewOf(9),
+    ...makeView(9),
     contentOf: (revision: number) => (revision >= 7 ? content : undefined),
   };
   const baseOf = (revision: number, takesDeltas: boolean): unknown => {
@@ -321,7 +322,7 @@
   };
   let suspects = [suspect];
   const view = (crashesVersion: number): FeedView => ({
-    ...viewOf(1),
+    ...makeView(1),
     crashesVersion,
     suspects: () => suspects,
     membershipVersion: 1,
--- a/packages/lovagepond-control/src/control_member_state.ts
+++ b/packages/lovagepond-control/src/control_member_state.ts
@@ -23,7 +23,8 @@
 import {ConvergenceTable} from './convergence_table.js';
 import {DirectServers} from './direct_servers.js';
 import {RevisionQueries} from './revision_queries.js';
-import {LEADER_CALL_TIMEOUT_MS, LeaderClient} from './leader_client.js';
+import {LeaderClient, toLeaderClientSettings} from './leader_client.js';
+import {LeaderContactLog} from './leader_contact_log.js';
 import {LedgerHandler} from './ledger_handler.js';
 import {listMemberAddresses, listRedirectTargets} from './member_addresses.js';
 import {MemberAdministration} from './member_administration.js';
@@ -88,6 +89,7 @@
     this.#flush(this.#now());
   });
   readonly #leadership: ControlLeadership;
+  readonly #contactLog: LeaderContactLog;
   /** Sends changes to the subscribers. */
   readonly #publish = (): void => {
     this.#updateScheduler.runSoon();
@@ -125,6 +127,7 @@
     this.zones = this.#makeZoneAdministration();
     this.#leadership = this.#makeLeadership();
     this.#hub = new SubscriptionHub(settings, clock.now());
+    this.#contactLog = new LeaderContactLog(node, log);
     this.#leaderClient = this.#makeLeaderClient(log);
     this.streamHistory = new StreamHistoryQueries(reader, this.#leaderClient);
     this.#revisions = new RevisionQueries({
@@ -227,6 +230,7 @@
       leads ? now : this.#leaderClient.lastContactAt,
       now,
     );
+    this.#contactLog.note(this.#hub.isFresh(now));
     if (leads) this.#runInBackground(this.#leadership.tick(now));
     this.#convergence.sweep(now);
     this.#revisions.sweep(now);
@@ -385,25 +389,15 @@
   }
 
   #makeLeaderClient(log: Logger): LeaderClient {
-    const {nodeName, region, leaderContactLimitMs} = this.#settings;
-    return new LeaderClient(
-      {
-        nodeName,
-        region,
-        silentAfterMs: leaderContactLimitMs / 2,
-        loadValidMs: leaderContactLimitMs,
-        callTimeoutMs: LEADER_CALL_TIMEOUT_MS,
-      },
-      {
-        clock: this.#deps.clock,
-        log,
-        membership: this.#membership,
-        onMembership: this.#publish,
-        onReadings: report => {
-          this.#addReadingReport(report);
-        },
+    return new LeaderClient(toLeaderClientSettings(this.#settings), {
+      clock: this.#deps.clock,
+      log,
+      membership: this.#membership,
+      onMembership: this.#publish,
+      onReadings: report => {
+        this.#addReadingReport(report);
       },
-    );
+    });
   }
 
   #makeAdministration(): ControlAdministration {
--- a/packages/lovagepond-control/src/leader_client.ts
+++ b/packages/lovagepond-control/src/leader_client.ts
@@ -13,6 +13,7 @@
 import {CONTROL_SERVICE, lovagepond} from '@lovagepond/protocol';
 import {LOG_VERSION} from './control_commands.js';
 import {CLIENT_OPTIONS} from './control_channel_constants.js';
+import {type ControlSettings} from './control_settings.js';
 import {type MembershipLog} from './membership_log.js';
 import {type LoadReport} from './membership_registry.js';
 import {CONTROL_ROLE} from './subscription_feed.js';
@@ -27,7 +28,7 @@
 const REOPEN_AFTER_MS = 200;
 
 /** Timeout of a follower's calls to the leader. */
-export const LEADER_CALL_TIMEOUT_MS = 1_000;
+const LEADER_CALL_TIMEOUT_MS = 1_000;
 
 export interface LeaderClientSettings {
   readonly nodeName: string;
@@ -40,6 +41,27 @@
   readonly callTimeoutMs: number;
 }
 
+/** Silences of the leader that fit into the contact limit, with reopenings. */
+const SILENCES_PER_CONTACT_LIMIT = 2;
+
+/**
+ * @param settings settings of the member
+ * @returns settings of its client of the leader
+ */
+export function toLeaderClientSettings({
+  nodeName,
+  region,
+  leaderContactLimitMs,
+}: ControlSettings): LeaderClientSettings {
+  return {
+    nodeName,
+    region,
+    silentAfterMs: leaderContactLimitMs / SILENCES_PER_CONTACT_LIMIT,
+    loadValidMs: leaderContactLimitMs,
+    callTimeoutMs: LEADER_CALL_TIMEOUT_MS,
+  };
+}
+
 export interface LeaderClientDependencies {
   readonly clock: Clock;
   readonly log: Logger;
--- a/packages/lovagepond-control/src/subscription_feed.ts
+++ b/packages/lovagepond-control/src/subscription_feed.ts
@@ -102,7 +102,12 @@
       readonly peers: readonly (readonly [string, string])[];
       readonly gone: readonly string[];
     }
-  | {readonly kind: 'heartbeat'; readonly revision: number};
+  | {
+      readonly kind: 'heartbeat';
+      readonly revision: number;
+      /** Time since the last contact with the leader, ms; 0 if recent. */
+      readonly contactAgeMs: number;
+    };
 
 /** Role of followers, which mirror the leader's membership. */
 export const CONTROL_ROLE = 'control';
@@ -113,6 +118,9 @@
 /** Factor by which followers get loads more often, as they publish them. */
 const FOLLOWER_LOAD_RATE = 4;
 
+/** Factor by which followers get heartbeats more often: see `nextContact`. */
+const FOLLOWER_HEARTBEAT_RATE = 2;
+
 function toReadingsUpdates(reports: readonly ReadingReport[]): FeedUpdate[] {
   return reports.length > 0 ? [{kind: 'readings', reports}] : [];
 }
@@ -122,6 +130,7 @@
   readonly subscriber: Subscriber;
   readonly #settings: FeedSettings;
   readonly #digestIntervalMs: number;
+  readonly #heartbeatIntervalMs: number;
   #heldRevision: number;
   /** A majority confirmed this revision after the subscription began. */
   #confirmedRevision: number | undefined;
@@ -135,14 +144,18 @@
   #sentStreamPeers: StreamPeerAddresses | undefined;
   #lastLoadAt = -Infinity;
   #lastSentAt = -Infinity;
+  /** The subscriber knows that this member has lost the leader. */
+  #hasToldLoss = false;
 
   constructor(subscriber: Subscriber, settings: FeedSettings) {
     this.subscriber = subscriber;
     this.#settings = settings;
     const isFollower = subscriber.role === CONTROL_ROLE;
-    const {digestIntervalMs} = settings;
+    const {digestIntervalMs, heartbeatIntervalMs} = settings;
     this.#digestIntervalMs =
       digestIntervalMs / (isFollower ? FOLLOWER_LOAD_RATE : 1);
+    this.#heartbeatIntervalMs =
+      heartbeatIntervalMs / (isFollower ? FOLLOWER_HEARTBEAT_RATE : 1);
     this.#heldRevision = subscriber.revision;
     this.#running = new RunningRequestFeed(subscriber.node);
     this.#demand = new WorkspaceDemandFeed(subscriber.node);
@@ -166,15 +179,17 @@
 
   /**
    * @param view the member's present state
+   * @param contactAgeMs time since the member's last contact with the leader
    * @param now monotonic milliseconds
    * @returns the updates to send now, in order
    */
-  next(view: FeedView, now: number): FeedUpdate[] {
+  next(view: FeedView, contactAgeMs: number, now: number): FeedUpdate[] {
     // A leader without its lease sends nothing to followers: a heartbeat would
     // count as contact with the leader, and they would keep their subscribers.
     const isFollower = this.subscriber.role === CONTROL_ROLE;
     if (isFollower && !view.leads) return [];
     const updates = [
+      ...this.#nextContact(view, contactAgeMs),
       ...this.#nextQuarantine(view),
       ...this.#nextConfiguration(view),
       ...this.#nextControlMembers(view),
@@ -184,15 +199,37 @@
       ...this.#nextReadings(view),
       ...this.#nextSums(view, now),
     ];
-    const {heartbeatIntervalMs} = this.#settings;
-    if (updates.length === 0 && now - this.#lastSentAt >= heartbeatIntervalMs) {
-      const {revision} = view.configuration;
-      updates.push({kind: 'heartbeat', revision});
+    const isIdle = now - this.#lastSentAt >= this.#heartbeatIntervalMs;
+    if (updates.length === 0 && isIdle) {
+      updates.push(this.#makeHeartbeat(view, contactAgeMs));
     }
     if (updates.length > 0) this.#lastSentAt = now;
     return updates;
   }
 
+  /**
+   * Tells at once that the member has lost the leader, and when it is back. The
+   * leader sends followers something well within the time after which it counts
+   * as lost.
+   */
+  #nextContact(view: FeedView, contactAgeMs: number): FeedUpdate[] {
+    if (this.#hasLostLeader(contactAgeMs) === this.#hasToldLoss) return [];
+    return [this.#makeHeartbeat(view, contactAgeMs)];
+  }
+
+  #makeHeartbeat(
+    {configuration: {revision}}: FeedView,
+    contactAgeMs: number,
+  ): FeedUpdate {
+    this.#hasToldLoss = this.#hasLostLeader(contactAgeMs);
+    const toldMs = this.#hasToldLoss ? contactAgeMs : 0;
+    return {kind: 'heartbeat', revision, contactAgeMs: toldMs};
+  }
+
+  #hasLostLeader(contactAgeMs: number): boolean {
+    return contactAgeMs > this.#settings.heartbeatIntervalMs;
+  }
+
   #nextConfiguration(view: FeedView): FeedUpdate[] {
     // A follower gets the configuration from the log.
     if (this.subscriber.role === CONTROL_ROLE) return [];
--- a/packages/lovagepond-control/src/subscription_hub.ts
+++ b/packages/lovagepond-control/src/subscription_hub.ts
@@ -21,6 +21,12 @@
   end(): void;
 }
 
+/**
+ * Time for which a member that has just started accepts subscribers without a
+ * leader, milliseconds.
+ */
+const START_LIMIT_MS = 2_500;
+
 interface Subscription {
   readonly feed: SubscriptionFeed;
   readonly sink: UpdateSink;
@@ -85,9 +91,8 @@
    * @returns true while subscribers are accepted and kept
    */
   acceptsSubscribers(now: number): boolean {
-    const {leaderContactLimitMs} = this.#settings;
     const isStarting =
-      !this.#hasHadContact && now - this.#startedAt < leaderContactLimitMs;
+      !this.#hasHadContact && now - this.#startedAt < START_LIMIT_MS;
     return isStarting || this.isFresh(now);
   }
 
@@ -134,7 +139,10 @@
     if (!this.#hasHadContact) return;
     for (const {feed, sink} of this.#subscriptions) {
       if (!sink.isWritable()) continue;
-      for (const update of feed.next(view, now)) sink.send(update);
+      const contactAgeMs = now - this.#contactAt;
+      for (const update of feed.next(view, contactAgeMs, now)) {
+        sink.send(update);
+      }
     }
   }
 
--- a/packages/lovagepond-control/src/update_encoder.ts
+++ b/packages/lovagepond-control/src/update_encoder.ts
@@ -82,7 +82,9 @@
       gone: [...gone],
     },
   }),
-  heartbeat: ({revision}) => ({heartbeat: {revision}}),
+  heartbeat: ({revision, contactAgeMs}) => ({
+    heartbeat: {revision, contactAgeMs: toUint32(Math.round(contactAgeMs))},
+  }),
 };
 
 /**
--- a/packages/lovagepond-core/src/index.ts
+++ b/packages/lovagepond-core/src/index.ts
@@ -118,3 +118,4 @@
   RETRY_VALID_MS,
   type RetryAllowance,
 } from './core_retry_allowance.js';
+export {heartbeatIntervalMs, listAgeLimitMs} from './core_list_age.js';
--- a/packages/lovagepond-router/src/__tests__/unit/router_control_link.test.ts
+++ b/packages/lovagepond-router/src/__tests__/unit/router_control_link.test.ts
@@ -42,18 +42,22 @@
 interface MemberBehavior {
   readonly endsStream?: boolean;
   readonly goOn?: boolean;
+  /** Time since the member's last contact with the leader, milliseconds. */
+  readonly contactAgeMs?: number;
 }
 
 /** Starts a control member whose first update lists the given members. */
 async function startMember(
   memberAddresses: readonly string[] = [],
-  {endsStream = false, goOn = false}: MemberBehavior = {},
+  {endsStream = false, goOn = false, contactAgeMs = 0}: MemberBehavior = {},
 ): Promise<string> {
   const server = new Server();
   const addresses = [...memberAddresses];
   server.addService(CONTROL_SERVICE, {
     subscribe: (call: Stream) => {
       call.write(new v1.ControlUpdate({controlMembers: {addresses, goOn}}));
+      const heartbeat = {revision: 0, contactAgeMs};
+      call.write(new v1.ControlUpdate({heartbeat}));
       if (endsStream) call.end();
     },
   });
@@ -83,6 +87,7 @@
         listener: {
           heldRevision: () => 0,
           onUpdate: () => {
+            link.tick(CLOCK.now());
             if (link.address === expectedAddress) resolve();
           },
         },
@@ -121,3 +126,11 @@
   const seed = await startMember([leader], {goOn: true});
   await untilUpdateFrom([seed], leader);
 });
+
+// Guards against a router that keeps a list of servers from before a partition: its
+// member can't reach the leader, but goes on sending heartbeats.
+test('switches from a member that has lost the leader', async () => {
+  const current = await startMember();
+  const stale = await startMember([current], {contactAgeMs: 60_001});
+  await untilUpdateFrom([stale], current);
+});
--- a/packages/lovagepond-router/src/router_control_link.ts
+++ b/packages/lovagepond-router/src/router_control_link.ts
@@ -18,6 +18,7 @@
 } from '@lovagepond/core';
 import {CONTROL_SERVICE, lovagepond} from '@lovagepond/protocol';
 
+import {ControlFreshness} from './router_control_freshness.js';
 import {type CrashReport} from './router_quarantine.js';
 
 const {v1} = lovagepond;
@@ -84,7 +85,10 @@
   'grpc.service_config_disable_resolution': 1,
 };
 
-/** Subscribes to a member and switches to the next when it goes silent. */
+/**
+ * Subscribes to a member, and switches to the next one when it goes silent or has
+ * lost the leader for too long.
+ */
 export class ControlLink {
   readonly #settings: ControlLinkSettings;
   readonly #facts: SubscriberFacts;
@@ -92,7 +96,7 @@
   readonly #addresses: ControlAddresses;
   #client: Client | undefined;
   #call: ClientReadableStream<ControlUpdate> | undefined;
-  #lastUpdateAt = 0;
+  #freshness = new ControlFreshness(0);
   /** The current subscription has delivered an update. */
   #hasReceivedUpdate = false;
   #failures = 0;
@@ -137,8 +141,8 @@
   /** @param now current time, monotonic ms; to be called every few 100 ms */
   tick(now: number): void {
     if (!this.#call) return;
-    const silentMs = now - this.#lastUpdateAt;
-    if (silentMs > this.#settings.controlSilentAfterMs) this.#onLost('silent');
+    const ageMs = this.#freshness.ageMs(now);
+    if (ageMs > this.#settings.controlSilentAfterMs) this.#onLost('stale');
     if (now - this.#reportedAt < REPORT_INTERVAL_MS) return;
     this.reportRevision(this.#deps.listener.heldRevision());
   }
@@ -292,7 +296,7 @@
 
   #subscribe(): void {
     if (this.#stopped || this.address === '') return;
-    this.#lastUpdateAt = this.#deps.clock.now();
+    this.#freshness = new ControlFreshness(this.#deps.clock.now());
     this.#hasReceivedUpdate = false;
     this.#client = new Client(
       this.address,
@@ -347,8 +351,9 @@
       if (this.#call !== call) return;
       if (!this.#hasReceivedUpdate) this.#noteFirstUpdate();
       this.#failures = 0;
-      this.#lastUpdateAt = this.#deps.clock.now();
-      this.#deps.listener.onUpdate(update, this.#lastUpdateAt);
+      const now = this.#deps.clock.now();
+      this.#freshness.note(update, now);
+      this.#deps.listener.onUpdate(update, now);
       this.#updateMembers(update);
     });
     call.on('error', err => {
@@ -371,7 +376,11 @@
 
   #onLost(reason: string): void {
     const address = this.address;
-    this.#deps.log.info('control subscription lost', {address, reason});
+    this.#deps.log.info('control subscription lost', {
+      address,
+      reason,
+      ageMs: Math.round(this.#freshness.ageMs(this.#deps.clock.now())),
+    });
     this.#close();
     this.#addresses.selectNext();
     this.#failures += 1;
