Servers' answers: a status from 600 on is a broken answer

Here the parser refuses 000, 001 and 099, but 600, 700 and 999 were passed on to callers, by gateways and by sidecars.

Change: both take such a status for a broken answer, so that the request runs at another server where it may, and fails with 502 otherwise.

It works as both ends of the range of RFC 9110 are checked before the head is passed on.

--- a/packages/lovagepond-backend/src/__tests__/unit/backend_http_service.test.ts
+++ b/packages/lovagepond-backend/src/__tests__/unit/backend_http_service.test.ts
@@ -115,6 +115,17 @@
   expect(describeOutcome(outcome)).toBe('answerTruncated mayHaveRun');
 });
 
+// Guards against a caller that gets what is no answer in the protocol.
+test.each(['000', '099', '600', '999'])(
+  'an answer with the status %s is a failure',
+  async status => {
+    const text = `HTTP/1.1 ${status} X\r\ncontent-length: 2\r\n\r\nno`;
+    const service = connectService(await startRawServer(text));
+    const outcome = await service.call(serviceCall('r1'), clock.now());
+    expect(describeOutcome(outcome)).toBe('backendFailed mayHaveRun');
+  },
+);
+
 test('an answer is aborted at the size limit', async () => {
   const head = 'HTTP/1.1 200 OK\r\ncontent-length: 9000000\r\n\r\n';
   const address = await startRawServer(head + 'x'.repeat(200_000));
--- a/packages/lovagepond-backend/src/backend_http_exchange.ts
+++ b/packages/lovagepond-backend/src/backend_http_exchange.ts
@@ -4,7 +4,7 @@
  */
 import {type IncomingHttpHeaders} from 'node:http';
 import {type Dispatcher} from 'undici';
-import {invariant} from '@lovagepond/core';
+import {FIRST_FINAL_STATUS, invariant, LAST_STATUS} from '@lovagepond/core';
 import {type ServerNotices} from './backend_server_notices.js';
 
 /** Reasons why an exchange failed. */
@@ -151,11 +151,16 @@
   }
 
   onResponseStart(
-    _controller: Dispatcher.DispatchController,
+    controller: Dispatcher.DispatchController,
     status: number,
     headers: IncomingHttpHeaders,
   ): void {
-    if (status < 200) return;
+    if (status < FIRST_FINAL_STATUS) return;
+    if (status > LAST_STATUS) {
+      controller.abort(new Error(`invalid status ${status}`));
+      this.#fail(LOSS.BROKEN);
+      return;
+    }
     this.#notices?.read(status, headers);
     this.#push({kind: 'head', status, headers});
   }
--- a/packages/lovagepond-core/src/index.ts
+++ b/packages/lovagepond-core/src/index.ts
@@ -119,3 +119,4 @@
   type RetryAllowance,
 } from './core_retry_allowance.js';
 export {heartbeatIntervalMs, listAgeLimitMs} from './core_list_age.js';
+export {FIRST_FINAL_STATUS, LAST_STATUS} from './core_http_status.js';
--- a/packages/lovagepond-gateway/src/gateway_attempt.ts
+++ b/packages/lovagepond-gateway/src/gateway_attempt.ts
@@ -2,6 +2,7 @@
  * One attempt at one backend server: sends the request and verifies that the
  * response belongs to it.
  */
+import {FIRST_FINAL_STATUS, LAST_STATUS} from '@lovagepond/core';
 import {type Dispatcher} from 'undici';
 import {type GatewayConnections} from './gateway_connections.js';
 import {
@@ -68,7 +69,6 @@
 
 /** The server at the address is not the instance that the request names. */
 export const STATUS_MISDIRECTED = 421;
-const FIRST_FINAL_STATUS = 200;
 const FIRST_REDIRECT_STATUS = 300;
 
 type Controller = Dispatcher.DispatchController;
@@ -202,6 +202,11 @@
 
   #onHead(head: ResponseHead): void {
     const {status, headers} = head;
+    if (status > LAST_STATUS) {
+      const reason = `response has the invalid status ${status}`;
+      this.#fail({kind: 'broken', reason, isLost: false});
+      return;
+    }
     // Another instance that has taken the address speaks for itself only.
     if (status !== STATUS_MISDIRECTED) {
       const signals = readServerSignals(status, headers, this.#names);
