HTTP connections: a response that is cut resets a connection of HTTP/1.0

Seen: a stream breaks off, and a caller of HTTP/1.0 takes what it got for the whole response. Callers of HTTP/1.1 miss the last chunk.

Cause: without a length, a response to HTTP/1.0 ends with its connection, and responses that are cut closed it in order.

Change: such a connection ends with a reset whenever it is destroyed within a response, by whatever: a cut stream, a limit, a malformed next request, the end of the process. It stands where all listeners track their connections.

It works as a reset is the only end that such a caller can tell from the end of a response.

--- a/packages/lovagepond-gateway/src/__tests__/unit/gateway_broken_responses.test.ts
+++ b/packages/lovagepond-gateway/src/__tests__/unit/gateway_broken_responses.test.ts
@@ -1,7 +1,14 @@
 import {type IncomingMessage} from 'node:http';
-import {type AddressInfo, createServer, type Server} from 'node:net';
+import {type AddressInfo, connect, createServer, type Server} from 'node:net';
 import {afterEach, expect, it} from 'vitest';
-import {answer, GatewayHarness, NAMES, type Script} from './gateway_harness.js';
+import {
+  answer,
+  beginStream,
+  GatewayHarness,
+  KEY,
+  NAMES,
+  type Script,
+} from './gateway_harness.js';
 
 const LARGE_BODY = 'x'.repeat(600_000);
 
@@ -83,3 +90,46 @@
     if (afterMs > 0) expect(res).toMatchObject({status: 200, body: 'part'});
   },
 );
+
+/** @returns how the connection of a caller of HTTP/1.0 ended */
+function callAsOld(port: number, path: string): Promise<string> {
+  return new Promise(resolve => {
+    let text = '';
+    let end = 'in order';
+    const socket = connect(port, '127.0.0.1', () => {
+      socket.write(
+        `GET ${path} HTTP/1.0\r\nHost: shop.example\r\n` +
+          `${NAMES.requestId}: old\r\n${NAMES.apiKey}: ${KEY}\r\n\r\n`,
+      );
+    });
+    socket.on('data', bytes => (text += bytes.toString('latin1')));
+    socket.on('error', () => (end = 'reset'));
+    // Node reports a reset that arrives with the last bytes as an orderly end.
+    socket.on('end', () => {
+      if (socket.remoteAddress === undefined) end = 'reset';
+    });
+    socket.on('close', () => {
+      resolve(`${text.slice(9, 12)} ${end}`);
+    });
+  });
+}
+
+// Guards against a cut stream that looks complete to a caller of HTTP/1.0, where a
+// response without a length ends with its connection.
+it('a stream that breaks off resets the connection of HTTP/1.0', async () => {
+  const breaking: Script = (req, res) => {
+    beginStream(req, res);
+    res.write('id: 1\ndata: a\n\n', () => req.socket.resetAndDestroy());
+  };
+  harness = await GatewayHarness.start([breaking]);
+  expect(await callAsOld(harness.server.port, '/talk/a')).toBe('200 reset');
+});
+
+it('a whole stream ends the connection of HTTP/1.0 in order', async () => {
+  const whole: Script = (req, res) => {
+    beginStream(req, res);
+    res.end('id: 1\ndata: a\n\n');
+  };
+  harness = await GatewayHarness.start([whole]);
+  expect(await callAsOld(harness.server.port, '/talk/a')).toBe('200 in order');
+});
--- a/packages/lovagepond-process/src/http_connection.ts
+++ b/packages/lovagepond-process/src/http_connection.ts
@@ -23,6 +23,8 @@
   bytesAnswered: number;
   /** The response that has announced the close. */
   last: ServerResponse | undefined;
+  /** Whether its end may be the end of a response. */
+  resetsWhenCut: boolean;
   isClosing: boolean;
 }
 
@@ -36,6 +38,7 @@
     quietSince: now,
     bytesAnswered: 0,
     last: undefined,
+    resetsWhenCut: false,
     isClosing: false,
   };
 }
@@ -63,3 +66,24 @@
     clearTimeout(limit);
   });
 }
+
+/**
+ * Has a connection end with a reset whenever it is destroyed within a response.
+ * A response to HTTP/1.0 without a length ends with its connection, so that one
+ * that is cut would look complete after an orderly close.
+ */
+export function resetWhenCut(socket: Socket, connection: Connection): void {
+  if (connection.resetsWhenCut) return;
+  connection.resetsWhenCut = true;
+  const destroy = socket.destroy.bind(socket);
+  socket.destroy = err => {
+    socket.destroy = destroy;
+    // A connection that is shutting down can't be reset any more.
+    const isCut = !socket.writableEnded && hasBegun(connection);
+    return isCut ? socket.resetAndDestroy() : destroy(err);
+  };
+}
+
+function hasBegun({open}: Connection): boolean {
+  return [...open].some(res => res.headersSent && !res.writableFinished);
+}
--- a/packages/lovagepond-process/src/http_connections.ts
+++ b/packages/lovagepond-process/src/http_connections.ts
@@ -20,6 +20,7 @@
   type Connection,
   isLast,
   makeConnection,
+  resetWhenCut,
 } from './http_connection.js';
 import {ConnectionLimits} from './http_connection_limits.js';
 import {DEFAULT_HTTP_LIMITS} from './http_limits.js';
@@ -218,6 +219,7 @@
     connection.isUsed = true;
     const now = performance.now();
     if (!this.limits.admitRequest(socket, connection, now)) return;
+    if (req.httpVersion === '1.0') resetWhenCut(socket, connection);
     connection.open.add(res);
     this.#undelivered += 1;
     // Emitted once the operating system has taken the last byte, or the
