--- a/packages/lovagepond-control/src/__tests__/unit/direct_server_take_over.test.ts
+++ b/packages/lovagepond-control/src/__tests__/unit/direct_server_take_over.test.ts
@@ -1,5 +1,6 @@
 import {
   type BackendServer,
+  isDirect,
   type Membership,
   SERVER_STATE,
 } from '@lovagepond/core';
@@ -14,7 +15,7 @@
 
 const LEASE_MS = 6_000;
 
-function makeAnnouncement(name: string, isDirect: boolean): Announcement {
+function makeAnnouncement(name: string, hasNoSidecar: boolean): Announcement {
   return {
     name,
     incarnation: name,
@@ -28,7 +29,7 @@
     queuedTokens: 0,
     capacityTokens: 0,
     models: [],
-    ...(isDirect && {directSlots: 4, place: name}),
+    ...(hasNoSidecar && {directSlots: 4, place: name}),
   };
 }
 
@@ -64,10 +65,10 @@
     this.#membership = applyMembership(this.#membership, membership ?? {});
   }
 
-  names(isDirect: boolean): string[] {
+  names(areDirect: boolean): string[] {
     const servers: BackendServer[] = [...this.#membership.servers.values()];
     return servers
-      .filter(({directSlots}) => (directSlots !== undefined) === isDirect)
+      .filter(server => isDirect(server) === areDirect)
       .map(({name}) => name)
       .sort();
   }
--- a/packages/lovagepond-control/src/direct_servers.ts
+++ b/packages/lovagepond-control/src/direct_servers.ts
@@ -7,6 +7,7 @@
  */
 import {
   type Clock,
+  isDirect,
   type Pool,
   SERVER_STATE,
   type ServerState,
@@ -263,7 +264,7 @@
       registry.update(name, {place: record.place, ...leaving});
     }
     for (const {server} of registry.list()) {
-      if (server.directSlots === undefined || table.get(server.name)) continue;
+      if (!isDirect(server) || table.get(server.name)) continue;
       registry.remove(server.name, clock.now());
       this.#sequences.delete(server.name);
       this.#warmUpEnds.delete(server.name);
--- a/packages/lovagepond-control/src/membership_log.ts
+++ b/packages/lovagepond-control/src/membership_log.ts
@@ -2,7 +2,7 @@
  * The list of backend servers with the versions of its changes, so that a
  * subscriber gets only the changes since the version that it holds.
  */
-import {type BackendServer, type WarmUp} from '@lovagepond/core';
+import {type BackendServer, isDirect, type WarmUp} from '@lovagepond/core';
 
 /** Limit of stored departures; for an older version, the whole list is sent. */
 const MAX_DEPARTURES = 4_096;
@@ -230,14 +230,6 @@
   }
 }
 
-/**
- * @param server a server of the list
- * @returns true if it has no sidecar and stands in the replicated table
- */
-export function isDirect({directSlots}: BackendServer): boolean {
-  return directSlots !== undefined;
-}
-
 /**
  * @param a a server
  * @param b a server of the same name
--- a/packages/lovagepond-control/src/membership_registry.ts
+++ b/packages/lovagepond-control/src/membership_registry.ts
@@ -5,6 +5,7 @@
 import {
   type BackendServer,
   encodeLoad,
+  isDirect,
   SERVER_STATE,
   type ServerState,
   type WarmUp,
@@ -20,7 +21,6 @@
   toBackendServer,
 } from './membership_record.js';
 import {
-  isDirect,
   isSameServer,
   isSameWarmUp,
   type MembershipLog,
--- a/packages/lovagepond-control/src/subscription_hub.ts
+++ b/packages/lovagepond-control/src/subscription_hub.ts
@@ -137,9 +137,9 @@
    */
   flush(view: FeedView, now: number): void {
     if (!this.#hasHadContact) return;
+    const contactAgeMs = now - this.#contactAt;
     for (const {feed, sink} of this.#subscriptions) {
       if (!sink.isWritable()) continue;
-      const contactAgeMs = now - this.#contactAt;
       for (const update of feed.next(view, contactAgeMs, now)) {
         sink.send(update);
       }
--- a/packages/lovagepond-core/src/core_membership.ts
+++ b/packages/lovagepond-core/src/core_membership.ts
@@ -45,6 +45,16 @@
   readonly warmUp?: WarmUp | undefined;
 }
 
+/**
+ * @param server a server
+ * @returns true if it has no sidecar, so that routers send to it directly
+ */
+export function isDirect({
+  directSlots,
+}: Pick<BackendServer, 'directSlots'>): boolean {
+  return directSlots !== undefined;
+}
+
 /**
  * The routers that may send to a server while it is warming up. They share its
  * limit on requests, so that the limit holds without contact between them.
--- a/packages/lovagepond-core/src/index.ts
+++ b/packages/lovagepond-core/src/index.ts
@@ -87,6 +87,7 @@
 export {
   type BackendServer,
   EMPTY_MEMBERSHIP,
+  isDirect,
   type Membership,
   SERVER_STATE,
   type ServerState,
--- a/packages/lovagepond-gateway/src/gateway_fleet.ts
+++ b/packages/lovagepond-gateway/src/gateway_fleet.ts
@@ -3,6 +3,7 @@
  */
 import {
   type BackendServer,
+  isDirect,
   type Membership,
   SERVER_STATE,
   ServerPauses,
@@ -80,7 +81,7 @@
     const listed = new Set<string>();
     const rejected: RejectedServer[] = [];
     for (const server of membership.servers.values()) {
-      if (server.directSlots === undefined) continue;
+      if (!isDirect(server)) continue;
       const fault = faultOf(server);
       if (fault) {
         rejected.push({name: server.name, fault});
--- a/packages/lovagepond-gateway/src/gateway_headers.ts
+++ b/packages/lovagepond-gateway/src/gateway_headers.ts
@@ -124,7 +124,12 @@
   'upgrade',
 ]);
 
-function textOf(headers: Headers, name: string): string {
+/**
+ * @param headers parsed headers
+ * @param name a header's name, in lower case
+ * @returns its text; empty if it is absent
+ */
+export function textOf(headers: Headers, name: string): string {
   const value = headers[name];
   return typeof value === 'string' ? value : (value?.join(', ') ?? '');
 }
--- a/packages/lovagepond-gateway/src/gateway_response_relay.ts
+++ b/packages/lovagepond-gateway/src/gateway_response_relay.ts
@@ -11,6 +11,7 @@
 import {type ExchangeAdmission} from './gateway_exchange_admission.js';
 import {type ExchangeServers} from './gateway_exchange_servers.js';
 import {isServed} from './gateway_failed_attempt.js';
+import {textOf} from './gateway_headers.js';
 
 const FIRST_ERROR_STATUS = 500;
 
@@ -127,7 +128,6 @@
 
 /** @returns a header's value without its parameters, in lower case */
 function readToken({headers}: ResponseHead, name: string): string | undefined {
-  const value = headers[name];
-  const text = Array.isArray(value) ? value.join() : value;
-  return text?.split(';')[0]?.trim().toLowerCase();
+  if (headers[name] === undefined) return undefined;
+  return textOf(headers, name).split(';')[0]?.trim().toLowerCase();
 }
--- a/packages/lovagepond-router/src/router_membership.ts
+++ b/packages/lovagepond-router/src/router_membership.ts
@@ -1,7 +1,7 @@
 /**
  * Applies the control plane's membership updates to a router's membership view.
  */
-import {type Membership} from '@lovagepond/core';
+import {isDirect, type Membership} from '@lovagepond/core';
 import {type lovagepond, readMember} from '@lovagepond/protocol';
 
 type WireUpdate = lovagepond.v1.MembershipUpdate.$Properties;
@@ -16,10 +16,12 @@
   current: Membership,
   update: WireUpdate,
 ): Membership {
-  const kept = [...current.servers].filter(
-    ([, {directSlots}]) => !update.wholeDirect || directSlots === undefined,
-  );
-  const servers = new Map(update.whole ? [] : kept);
+  const servers = new Map(update.whole ? [] : current.servers);
+  if (update.wholeDirect) {
+    for (const server of current.servers.values()) {
+      if (isDirect(server)) servers.delete(server.name);
+    }
+  }
   for (const name of update.gone ?? []) servers.delete(name);
   for (const wire of update.members ?? []) {
     const server = Object.freeze(readMember(wire));
